--- /dev/null
+++ b/Makefile
@@ -0,0 +1,21 @@
+VENV ?= .venv
+PY := $(VENV)/bin/python
+export PYTHONPATH := src:.
+
+.PHONY: install test lint demo prove fuzz bench capacity
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.lock pyproject.toml
+	test -x $(PY) || python3 -m venv $(VENV)
+	$(PY) -m pip install --quiet --requirement requirements.lock
+	$(PY) -m pip install --quiet --no-deps --no-build-isolation --editable .
+	touch $@
+
+test: install
+	$(PY) -m pytest
+
+lint: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy
--- /dev/null
+++ b/src/wagtailstair/clock.py
@@ -0,0 +1,60 @@
+"""The clock interface that is passed into everything that needs the time."""
+
+import datetime
+import time
+import typing as t
+
+
+class Clock(t.Protocol):
+    """A source of time.
+
+    Instants on the monotonic clock are ``float`` seconds, as in the standard
+    library's :func:`time.monotonic`; durations are :class:`datetime.timedelta`
+    in settings and ``float`` seconds (``*_s``) in the core.
+    """
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never goes back."""
+        ...
+
+    def utcnow(self) -> datetime.datetime:
+        """Return the wall-clock time as an aware UTC datetime."""
+        ...
+
+
+class SystemClock:
+    """The clock of the operating system."""
+
+    __slots__ = ()
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never goes back."""
+        return time.monotonic()
+
+    def utcnow(self) -> datetime.datetime:
+        """Return the wall-clock time as an aware UTC datetime."""
+        return datetime.datetime.now(datetime.UTC)
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests and benchmarks."""
+
+    __slots__ = ("_epoch", "_now")
+
+    def __init__(self, now: float = 0.0) -> None:
+        self._now = now
+        self._epoch = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
+
+    def monotonic(self) -> float:
+        """Return seconds on a clock that never goes back."""
+        return self._now
+
+    def utcnow(self) -> datetime.datetime:
+        """Return the wall-clock time as an aware UTC datetime."""
+        return self._epoch + datetime.timedelta(seconds=self._now)
+
+    def advance(self, seconds: float) -> None:
+        """Move the clock forward."""
+        if seconds < 0:
+            raise ValueError(f"seconds must not be negative, got {seconds}")
+        self._now += seconds
--- /dev/null
+++ b/src/wagtailstair/core/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions without input or output: time and events come in as arguments."""
--- /dev/null
+++ b/src/wagtailstair/http/__init__.py
@@ -0,0 +1,1 @@
+"""The HTTP interface towards callers and operators."""
--- /dev/null
+++ b/src/wagtailstair/peers/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between daemons."""
--- /dev/null
+++ b/src/wagtailstair/upstreams/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of model engines and plain services."""
