--- /dev/null
+++ b/src/wagtailstair/core/queueing.py
@@ -0,0 +1,360 @@
+"""A bounded fair queue: priorities with minimum shares, accounts by work."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import typing as t
+
+from .demand import Want
+from .engine import Priority
+
+ClassKey = tuple[Priority, bool]
+
+
+@dataclasses.dataclass(slots=True)
+class _Flow:
+    """The waiting work of one account in one class.
+
+    ``start``: the start tag of the next item, in work per weight.
+    """
+
+    account: str
+    start: float
+    entry: int = -1
+    work: float = 0.0
+    by_request: collections.OrderedDict[str, Want] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+class _LongestFirst:
+    """Finds the account with most items in constant time."""
+
+    __slots__ = ("_accounts_by_count", "_count_by_account", "_most")
+
+    def __init__(self) -> None:
+        self._count_by_account: dict[str, int] = {}
+        self._accounts_by_count: dict[int, dict[str, None]] = {}
+        self._most = 0
+
+    def count(self, account: str) -> int:
+        return self._count_by_account.get(account, 0)
+
+    def add(self, account: str, change: int) -> None:
+        old = self.count(account)
+        new = old + change
+        if old:
+            bucket = self._accounts_by_count[old]
+            del bucket[account]
+            if not bucket:
+                del self._accounts_by_count[old]
+        if new:
+            self._count_by_account[account] = new
+            self._accounts_by_count.setdefault(new, {})[account] = None
+        else:
+            del self._count_by_account[account]
+        self._most = max(self._most, new)
+        while self._most and self._most not in self._accounts_by_count:
+            self._most -= 1
+
+    def longest(self) -> str:
+        return next(iter(self._accounts_by_count[self._most]))
+
+
+class _ClassQueue:
+    """Start-time fair queueing among the accounts of one class."""
+
+    __slots__ = (
+        "_flow_by_account",
+        "_heap",
+        "_idle",
+        "_longest",
+        "_sequence",
+        "_virtual",
+        "count",
+        "work",
+    )
+
+    def __init__(self) -> None:
+        self._flow_by_account: dict[str, _Flow] = {}
+        self._heap: list[tuple[float, int, str]] = []
+        self._idle: list[tuple[float, str]] = []
+        self._longest = _LongestFirst()
+        self._sequence = itertools.count()
+        self._virtual = 0.0
+        self.count = 0
+        self.work = 0.0
+
+    def _schedule(self, flow: _Flow) -> None:
+        flow.start = max(flow.start, self._virtual)
+        flow.entry = next(self._sequence)
+        heapq.heappush(self._heap, (flow.start, flow.entry, flow.account))
+        if len(self._heap) > 64 + 2 * len(self._flow_by_account):
+            self._heap = [entry for entry in self._heap if self._is_current(entry)]
+            heapq.heapify(self._heap)
+
+    def _is_current(self, entry: tuple[float, int, str]) -> bool:
+        flow = self._flow_by_account.get(entry[2])
+        return flow is not None and flow.entry == entry[1]
+
+    def _retire(self, flow: _Flow) -> None:
+        flow.entry = -1
+        if not self.count:
+            # The busy period ends, and with it what accounts are ahead by.
+            self._flow_by_account.clear()
+            self._heap.clear()
+            self._idle.clear()
+            return
+        if flow.start <= self._virtual:
+            del self._flow_by_account[flow.account]
+            return
+        heapq.heappush(self._idle, (flow.start, flow.account))
+
+    def _forget_idle(self) -> None:
+        while self._idle and self._idle[0][0] <= self._virtual:
+            _, account = heapq.heappop(self._idle)
+            flow = self._flow_by_account.get(account)
+            if flow is None or flow.by_request:
+                continue
+            if flow.start <= self._virtual:
+                del self._flow_by_account[account]
+                continue
+            heapq.heappush(self._idle, (flow.start, account))
+
+    def push(self, want: Want) -> None:
+        flow = self._flow_by_account.get(want.account)
+        if flow is None:
+            flow = _Flow(want.account, self._virtual)
+            self._flow_by_account[want.account] = flow
+        flow.by_request[want.request] = want
+        flow.work += want.work
+        self.count += 1
+        self.work += want.work
+        self._longest.add(want.account, 1)
+        if flow.entry < 0:
+            self._schedule(flow)
+
+    def discard(self, want: Want) -> None:
+        flow = self._flow_by_account[want.account]
+        del flow.by_request[want.request]
+        flow.work -= want.work
+        self.count -= 1
+        self.work -= want.work
+        self._longest.add(want.account, -1)
+        if not flow.by_request:
+            self._retire(flow)
+
+    def take(self, want: Want) -> None:
+        """Remove an item that is served now and charge its account."""
+        flow = self._flow_by_account[want.account]
+        self._virtual = max(self._virtual, flow.start)
+        flow.start += want.work / want.weight
+        flow.entry = -1
+        self.discard(want)
+        if flow.by_request:
+            self._schedule(flow)
+        self._forget_idle()
+
+    def settle(self, account: str, tags: float) -> None:
+        """Correct the start tag of an account by ``tags``."""
+        if not self.count:
+            return
+        flow = self._flow_by_account.get(account)
+        if flow is None:
+            if tags <= 0:
+                return
+            flow = _Flow(account, self._virtual)
+            self._flow_by_account[account] = flow
+        flow.start = max(self._virtual, flow.start + tags)
+        if flow.by_request:
+            self._schedule(flow)
+            return
+        heapq.heappush(self._idle, (flow.start, account))
+
+    def heads(self, count: int) -> list[Want]:
+        """Return the next item of each of the first ``count`` accounts."""
+        entries: list[tuple[float, int, str]] = []
+        while self._heap and len(entries) < count:
+            entry = heapq.heappop(self._heap)
+            if self._is_current(entry):
+                entries.append(entry)
+        wants = []
+        for entry in entries:
+            heapq.heappush(self._heap, entry)
+            flow = self._flow_by_account[entry[2]]
+            wants.append(next(iter(flow.by_request.values())))
+        return wants
+
+    def count_of(self, account: str) -> int:
+        return self._longest.count(account)
+
+    def newest_of_longest(self) -> Want:
+        """Return the newest item of the account that has most waiting."""
+        flow = self._flow_by_account[self._longest.longest()]
+        return next(reversed(flow.by_request.values()))
+
+    def work_ahead(self, want: Want) -> float:
+        """Estimate the work of this class that is served before a new item."""
+        flow = self._flow_by_account.get(want.account)
+        own = 0.0
+        if flow is not None:
+            own = flow.work + max(0.0, flow.start - self._virtual) * want.weight
+        accounts = max(1, len(self._flow_by_account))
+        return min(self.work, own * accounts + want.work * (accounts - 1))
+
+    def flows(self) -> int:
+        return len(self._flow_by_account)
+
+
+class FairQueue:
+    """A bounded queue of wants.
+
+    :param limit: items that may wait at once.
+    :param minimum_shares: share of the granted work, and of the room, that
+        each priority keeps in a flood of another; they add up to 1 or less.
+    """
+
+    __slots__ = (
+        "_credit",
+        "_limit",
+        "_queue_by_class",
+        "_room",
+        "_shares",
+        "_want_by_request",
+    )
+
+    def __init__(self, limit: int, minimum_shares: tuple[float, float, float]) -> None:
+        self._limit = limit
+        self._shares = minimum_shares
+        self._room = [int(limit * share) for share in minimum_shares]
+        self._credit = [0.0, 0.0, 0.0]
+        self._want_by_request: dict[str, Want] = {}
+        self._queue_by_class: dict[ClassKey, _ClassQueue] = {}
+        for priority in Priority:
+            for entitled in (True, False):
+                self._queue_by_class[priority, entitled] = _ClassQueue()
+
+    def __len__(self) -> int:
+        return len(self._want_by_request)
+
+    def __contains__(self, request: str) -> bool:
+        return request in self._want_by_request
+
+    def get(self, request: str) -> Want | None:
+        """Return the waiting item of a request."""
+        return self._want_by_request.get(request)
+
+    def wants(self) -> t.Iterator[Want]:
+        """Iterate over all waiting items, oldest first."""
+        return iter(self._want_by_request.values())
+
+    def count(self, priority: Priority) -> int:
+        """Return how many items of a priority wait."""
+        entitled = self._queue_by_class[priority, True].count
+        return entitled + self._queue_by_class[priority, False].count
+
+    def work(self, priority: Priority) -> float:
+        """Return the work of a priority that waits."""
+        entitled = self._queue_by_class[priority, True].work
+        return entitled + self._queue_by_class[priority, False].work
+
+    def flows(self) -> int:
+        """Return how many accounts are remembered, over all classes."""
+        return sum(queue.flows() for queue in self._queue_by_class.values())
+
+    def _class_of(self, want: Want) -> _ClassQueue:
+        return self._queue_by_class[want.priority, want.entitled]
+
+    def _has_room(self, priority: Priority) -> bool:
+        if self.count(priority) < self._room[priority]:
+            return True
+        shared = 0
+        for other in Priority:
+            shared += max(0, self.count(other) - self._room[other])
+        return shared < self._limit - sum(self._room)
+
+    def _victim_for(self, want: Want) -> Want | None:
+        for priority in reversed(Priority):
+            if priority < want.priority:
+                return None
+            if (
+                priority > want.priority
+                and self.count(priority) <= self._room[priority]
+            ):
+                continue
+            for entitled in (False, True):
+                queue = self._queue_by_class[priority, entitled]
+                if not queue.count:
+                    continue
+                victim = queue.newest_of_longest()
+                if (priority, not entitled) > (want.priority, not want.entitled):
+                    return victim
+                if (priority, entitled) != (want.priority, want.entitled):
+                    return None
+                more = queue.count_of(victim.account) > queue.count_of(want.account) + 1
+                return victim if more else None
+        return None
+
+    def push(self, want: Want) -> tuple[bool, Want | None]:
+        """Add an item; return whether it was taken and which it pushed out."""
+        victim = None
+        if not self._has_room(want.priority):
+            victim = self._victim_for(want)
+            if victim is None:
+                return False, None
+            self.discard(victim.request)
+        self._want_by_request[want.request] = want
+        self._class_of(want).push(want)
+        return True, victim
+
+    def discard(self, request: str) -> Want | None:
+        """Remove an item that is not served."""
+        want = self._want_by_request.pop(request, None)
+        if want is not None:
+            self._class_of(want).discard(want)
+        return want
+
+    def is_under_minimum(self, priority: Priority) -> bool:
+        """Tell whether a waiting priority has had less than its share."""
+        return self._credit[priority] > 0 and self.count(priority) > 0
+
+    def _priorities(self) -> list[Priority]:
+        under = [priority for priority in Priority if self.is_under_minimum(priority)]
+        rest = [priority for priority in Priority if priority not in under]
+        return under + rest
+
+    def heads(self, count: int) -> t.Iterator[Want]:
+        """Iterate over what to serve next, best first, ``count`` a class."""
+        for priority in self._priorities():
+            for entitled in (True, False):
+                yield from self._queue_by_class[priority, entitled].heads(count)
+
+    def take(self, request: str) -> Want:
+        """Remove an item that is served now and charge it."""
+        want = self._want_by_request.pop(request)
+        for priority in Priority:
+            if not self.count(priority):
+                self._credit[priority] = min(0.0, self._credit[priority])
+                continue
+            self._credit[priority] += self._shares[priority] * want.work
+        self._class_of(want).take(want)
+        left = self._credit[want.priority] - want.work
+        # What a priority had beyond its minimum is not held against it later.
+        self._credit[want.priority] = max(left, -want.work)
+        return want
+
+    def settle(self, want: Want, actual_work: float) -> None:
+        """Correct the charge of a served item to what it really cost."""
+        tags = (actual_work - want.work) / want.weight
+        self._class_of(want).settle(want.account, tags)
+
+    def work_ahead(self, want: Want) -> float:
+        """Estimate the work that is served before a new item."""
+        ahead = self._class_of(want).work_ahead(want)
+        if not want.entitled:
+            ahead += self._queue_by_class[want.priority, True].work
+        for priority in Priority:
+            if priority < want.priority:
+                ahead += self.work(priority)
+        return ahead
