--- /dev/null
+++ b/src/wagtailstair/core/capacity.py
@@ -0,0 +1,58 @@
+"""What a pool can serve, by its engines' reports and by what it has served."""
+
+import typing as t
+
+from .engine import EngineState
+from .routing import fleet_bound
+
+RATE_TIME_CONSTANT_S = 10.0
+BOUND_INTERVAL_S = 1.0
+MINIMUM_WORK_PER_S = 1.0
+
+
+class Capacity:
+    """An estimate of the work a second that a pool serves when it is full.
+
+    What was served while requests waited is trusted over the engines'
+    reports, which don't tell how long prompts take.
+    """
+
+    __slots__ = ("_at", "_bound", "_bound_at", "_busy_s", "_work", "estimate")
+
+    def __init__(self) -> None:
+        self._at = 0.0
+        self._busy_s = 0.0
+        self._work = 0.0
+        self._bound = 0.0
+        self._bound_at = -BOUND_INTERVAL_S
+        self.estimate = 0.0
+
+    def served(self, work: float, is_busy: bool, now: float) -> None:
+        """Note a request that ended.
+
+        :param is_busy: whether requests waited.
+        """
+        span_s = min(RATE_TIME_CONSTANT_S, max(0.0, now - self._at))
+        self._at = now
+        if not is_busy:
+            return
+        kept = 1 - span_s / RATE_TIME_CONSTANT_S
+        self._busy_s = self._busy_s * kept + span_s
+        self._work = self._work * kept + work
+
+    def work_per_s(
+        self, states: t.Callable[[], t.Iterable[EngineState]], now: float
+    ) -> float:
+        """Return the estimate.
+
+        :param states: gives the engines that may get new work.
+        """
+        if now - self._bound_at >= BOUND_INTERVAL_S:
+            self._bound = fleet_bound(states())
+            self._bound_at = now
+        # The measured rate counts as far as it covers a time constant.
+        trust = min(1.0, self._busy_s / RATE_TIME_CONSTANT_S)
+        measured = self._work / self._busy_s if self._busy_s else 0.0
+        estimate = trust * measured + (1 - trust) * self._bound
+        self.estimate = max(estimate, MINIMUM_WORK_PER_S)
+        return self.estimate
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -3,39 +3,40 @@
 import collections
 import dataclasses
 import heapq
+import math
 
+from .capacity import Capacity
 from .demand import Done, Grant, Hold, Refusal, RefusalReason, Want
 from .ejection import Ejection, EjectionLimits
 from .engine import EngineState, Priority, Route
-from .queueing import FairQueue
-from .routing import (
+from .loads import (
     EngineLoad,
+    Lane,
+    LoadTable,
+    Need,
+    StageCost,
     expected_delay,
-    fleet_bound,
-    kv_need,
     prompt_work,
-    shortest_route,
 )
+from .queueing import FairQueue
+from .routing import Pick, shortest_route
 
 MEMORY_OF_ENDED = 16_384
 """Ended epochs that are remembered, so that a late want is not granted again."""
-PREFIXES_PER_ENGINE = 4_096
-RATE_TIME_CONSTANT_S = 10.0
 NO_ROUTE_PATIENCE_S = 2.0
 GRANT_GRACE_S = 5.0
 """Time after its deadline when an open grant counts as lost."""
 HEADS_TRIED = 4
 MINIMUM_RETRY_AFTER_S = 0.5
 MAXIMUM_RETRY_AFTER_S = 60.0
-BOUND_INTERVAL_S = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PoolLimits:
     """Bounds and shares of a pool.
 
-    ``reserves``: share of each engine's slots that stays free of work of a
-    priority, for more urgent work.
+    ``reserves``: for each priority, the part of the slots that it may not
+    fill, so that more urgent work finds room.
     """
 
     queue_length: int = 4096
@@ -46,7 +47,7 @@
 
 @dataclasses.dataclass(slots=True)
 class PoolStats:
-    """Counts of a pool; the first three tuples are by priority."""
+    """Counts of a pool; the tuples are by priority."""
 
     waiting: tuple[int, ...]
     granted: tuple[int, ...]
@@ -61,9 +62,41 @@
 @dataclasses.dataclass(slots=True)
 class _Open:
     want: Want
+    need: Need
     route: Route
 
 
+def _may_run(load: EngineLoad, want: Want, need: Need) -> bool:
+    state = load.state
+    if load.is_leaving or state.leaving or state.name in want.avoid:
+        return False
+    if state.kv_tokens < need.kv:
+        return False
+    return not want.adapter or want.adapter in state.adapters
+
+
+def _cheapest(
+    want: Want, need: Need, rank: Priority, cost: StageCost, now: float
+) -> Pick:
+    def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
+        best_cost = math.inf
+        best: EngineLoad | None = None
+        for load in lane.loads:
+            if load.used >= load.caps[rank] or load.is_ejected:
+                continue
+            if load.granted_kv + need.kv > load.state.kv_tokens:
+                continue
+            if not _may_run(load, want, need):
+                continue
+            delay = cost(load, need, now)
+            if delay < best_cost:
+                best_cost = delay
+                best = load
+        return None if best is None else (best_cost, best)
+
+    return pick
+
+
 class Pool:
     """Orders the requests for one model in one data centre.
 
@@ -72,30 +105,33 @@
     """
 
     def __init__(
-        self, model: str, data_centre: str, limits: PoolLimits | None = None
+        self,
+        model: str,
+        data_centre: str,
+        limits: PoolLimits | None = None,
+        cost: StageCost = expected_delay,
     ) -> None:
         self.model = model
         self.data_centre = data_centre
         self._limits = limits or PoolLimits()
+        self._cost = cost
         self._queue = FairQueue(self._limits.queue_length, self._limits.minimum_shares)
         self._ejection = Ejection(self._limits.ejection)
-        self._load_by_engine: dict[str, EngineLoad] = {}
-        self._ordered: list[EngineLoad] = []
+        self._loads = LoadTable(self._limits.reserves)
         self._open_by_request: dict[str, _Open] = {}
         self._ended: collections.OrderedDict[str, tuple[int, Refusal | None]]
         self._ended = collections.OrderedDict()
         self._deadlines: list[tuple[float, str, int]] = []
         self._expiries: list[tuple[float, str, int]] = []
         self._no_route_since: dict[str, float] = {}
+        self._blocked_need: dict[tuple[Priority, bool], int] = {}
         self._outbox: list[Grant | Refusal] = []
         self._granted = [0, 0, 0]
         self._granted_work = [0.0, 0.0, 0.0]
         self._refused_by_reason: dict[str, int] = collections.defaultdict(int)
         self._pushed_out = 0
-        self._rate = 0.0
-        self._rate_at = 0.0
-        self._bound = 0.0
-        self._bound_at = -BOUND_INTERVAL_S
+        self._capacity = Capacity()
+        self._ejections_change = math.inf
 
     # Requests.
 
@@ -107,7 +143,7 @@
         if want.epoch == epoch:
             self._repeat(want)
             return
-        self._withdraw(want.request)
+        self._withdraw(want.request, now)
         self._ended.pop(want.request, None)
         if now >= want.deadline:
             self._refuse(want, RefusalReason.DEADLINE, now)
@@ -130,7 +166,7 @@
         """Withdraw a request that waits, or end its grant."""
         if epoch < self._latest_epoch(request):
             return
-        self._withdraw(request)
+        self._withdraw(request, now)
         self._remember(request, epoch, None)
 
     def hold(self, hold: Hold, now: float) -> None:
@@ -144,12 +180,10 @@
         ended = self._ended.get(want.request)
         if ended is not None and ended[0] == want.epoch:
             return
-        self._withdraw(want.request)
-        self._open(want, hold.route)
-        for stage in hold.route:
-            load = self._load_by_engine.get(stage.engine)
-            if load is not None:
-                load.foreign = max(0, load.foreign - 1)
+        self._withdraw(want.request, now)
+        need = Need.of(want)
+        self._loads.adopt(hold.route, need, now)
+        self._keep(_Open(want, need, hold.route), now)
 
     def done(self, done: Done, now: float) -> None:
         """End a grant and correct what it cost."""
@@ -157,21 +191,31 @@
             return
         known = self._open_by_request.get(done.request)
         if known is None or known.want.epoch != done.epoch:
-            self._withdraw(done.request)
+            self._withdraw(done.request, now)
             self._remember(done.request, done.epoch, None)
             return
         self._close(known)
         self._remember(done.request, done.epoch, None)
         work = prompt_work(done.prompt_tokens) + done.output_tokens
         self._queue.settle(known.want, work)
-        self._count_rate(work, now)
+        self._capacity.served(work, len(self._queue) > 0, now)
         for stage in known.route:
-            if stage.engine in done.failed:
-                self._ejection.failed(stage.engine, len(self._load_by_engine), now)
-            elif done.failed:
-                self._ejection.abandoned(stage.engine)
-            else:
-                self._ejection.succeeded(stage.engine, now)
+            self._judge(stage.engine, done.failed, now)
+
+    def _judge(self, engine: str, failed: frozenset[str], now: float) -> None:
+        if engine in failed:
+            self._ejection.failed(engine, len(self._loads.by_name), now)
+            self._ejections_change = now
+        elif failed:
+            self._ejection.abandoned(engine)
+        else:
+            self._ejection.succeeded(engine, now)
+        self._mark_ejected(engine, now)
+
+    def _mark_ejected(self, engine: str, now: float) -> None:
+        load = self._loads.by_name.get(engine)
+        if load is not None:
+            load.is_ejected = self._ejection.is_ejected(engine, now)
 
     def _latest_epoch(self, request: str) -> int:
         waiting = self._queue.get(request)
@@ -193,13 +237,14 @@
         if ended is not None and ended[1] is not None:
             self._outbox.append(ended[1])
 
-    def _withdraw(self, request: str) -> None:
+    def _withdraw(self, request: str, now: float) -> None:
         self._queue.discard(request)
         self._no_route_since.pop(request, None)
         known = self._open_by_request.get(request)
         if known is not None:
             for stage in known.route:
                 self._ejection.abandoned(stage.engine)
+                self._mark_ejected(stage.engine, now)
             self._close(known)
 
     def _remember(self, request: str, epoch: int, refusal: Refusal | None) -> None:
@@ -213,7 +258,7 @@
     ) -> None:
         retry_after_s = late_s
         if reason is RefusalReason.QUEUE_FULL:
-            retry_after_s = self._queue.work_ahead(want) / self._capacity(now)
+            retry_after_s = self._queue.work_ahead(want) / self._work_per_s(now)
         retry_after_s = max(retry_after_s, MINIMUM_RETRY_AFTER_S)
         retry_after_s = min(retry_after_s, MAXIMUM_RETRY_AFTER_S)
         refusal = Refusal(want.request, want.epoch, want.host, reason, retry_after_s)
@@ -225,57 +270,43 @@
 
     def observe(self, state: EngineState, now: float) -> None:
         """Take in a load report."""
-        load = self._load_by_engine.get(state.name)
+        load = self._loads.by_name.get(state.name)
         if load is not None and load.state.incarnation == state.incarnation:
-            if state.as_of < load.state.as_of:
-                return
-            reordered = (load.state.first, load.state.last) != (state.first, state.last)
-            load.state = state
-            unknown = max(0, state.running + state.waiting - load.granted)
-            load.foreign = min(load.foreign, unknown)
-            if reordered:
-                self._order()
+            if self._loads.observe(state):
+                self._blocked_need.clear()
             return
-        fresh = EngineLoad(state)
-        self._count_open(fresh)
+        self._loads.add(state, self._needs_on(state.name))
         self._ejection.forget(state.name)
-        fresh.foreign = max(0, state.running + state.waiting - fresh.granted)
-        self._load_by_engine[state.name] = fresh
-        self._order()
+        self._blocked_need.clear()
 
-    def _count_open(self, load: EngineLoad) -> None:
+    def _needs_on(self, engine: str) -> list[Need]:
+        needs: list[Need] = []
         for known in self._open_by_request.values():
-            for stage in known.route:
-                if stage.engine == load.state.name:
-                    load.granted += 1
-                    load.granted_kv += kv_need(known.want)
+            needs += [known.need for s in known.route if s.engine == engine]
+        return needs
 
     def cached(
         self, engine: str, stored: tuple[int, ...], evicted: tuple[int, ...]
     ) -> None:
         """Take in which prompt prefixes an engine holds and dropped."""
-        load = self._load_by_engine.get(engine)
+        load = self._loads.by_name.get(engine)
         if load is None:
             return
         for prefix in evicted:
             load.prefixes.pop(prefix, None)
-        for prefix in stored:
-            load.prefixes.pop(prefix, None)
-            load.prefixes[prefix] = None
-        while len(load.prefixes) > PREFIXES_PER_ENGINE:
-            load.prefixes.popitem(last=False)
+        load.store(stored)
 
     def leaving(self, engine: str) -> None:
         """Give an engine no new work for as long as its incarnation lives."""
-        load = self._load_by_engine.get(engine)
+        load = self._loads.by_name.get(engine)
         if load is not None:
             load.is_leaving = True
 
     def remove(self, engine: str) -> None:
         """Forget an engine that is gone; its open grants end by their dones."""
-        if self._load_by_engine.pop(engine, None) is not None:
+        if self._loads.remove(engine):
             self._ejection.forget(engine)
-            self._order()
+            self._blocked_need.clear()
 
     def host_lost(self, host: str, now: float) -> None:
         """Withdraw the requests and grants of a dead entry host."""
@@ -287,15 +318,12 @@
             if want.host == host:
                 self.cancel(want.request, want.epoch, now)
 
-    def _order(self) -> None:
-        loads = self._load_by_engine.values()
-        self._ordered = sorted(loads, key=lambda load: load.state.first)
-
     # Grants.
 
     def poll(self, now: float) -> list[Grant | Refusal]:
         """Return what has been decided since the last call."""
         self._expire(now)
+        self._end_ejections(now)
         while self._grant_one(now):
             pass
         outbox = self._outbox
@@ -325,10 +353,10 @@
             granted=tuple(self._granted),
             granted_work=tuple(self._granted_work),
             open_grants=len(self._open_by_request),
-            engines=len(self._load_by_engine),
+            engines=len(self._loads.by_name),
             refused_by_reason=dict(self._refused_by_reason),
             pushed_out=self._pushed_out,
-            work_per_s=self._rate,
+            work_per_s=self._capacity.estimate,
         )
 
     def _expire(self, now: float) -> None:
@@ -337,7 +365,7 @@
             want = self._queue.get(request)
             if want is None or want.epoch != epoch:
                 continue
-            self._withdraw(request)
+            self._withdraw(request, now)
             self._refuse(want, RefusalReason.DEADLINE, now)
         while self._expiries and self._expiries[0][0] <= now:
             _, request, epoch = heapq.heappop(self._expiries)
@@ -348,91 +376,95 @@
             if now < since + NO_ROUTE_PATIENCE_S:
                 break
             want = self._queue.get(request)
-            self._withdraw(request)
+            self._withdraw(request, now)
             if want is not None:
                 self._refuse(want, RefusalReason.NO_ROUTE, now)
 
     def _grant_one(self, now: float) -> bool:
         for want in self._queue.heads(HEADS_TRIED):
-            found = self._find(want, now, with_slots=True)
-            if found is not None:
-                self._queue.take(want.request)
-                self._no_route_since.pop(want.request, None)
-                self._open(want, found)
-                self._outbox.append(Grant(want.request, want.epoch, want.host, found))
-                self._granted[want.priority] += 1
-                self._granted_work[want.priority] += want.work
-                return True
-            if self._find(want, now, with_slots=False) is None:
-                self._no_route_since.setdefault(want.request, now)
-            else:
-                self._no_route_since.pop(want.request, None)
+            is_under = self._queue.is_under_minimum(want.priority)
+            need = Need.of(want)
+            blocked = self._blocked_need.get((want.priority, is_under))
+            if blocked is not None and need.kv >= blocked:
+                continue
+            route = self._find(want, need, is_under, now)
+            if route is None:
+                self._note_blocked(want, need, is_under, now)
+                continue
+            self._queue.take(want.request)
+            self._no_route_since.pop(want.request, None)
+            self._loads.start(route, need, now)
+            self._keep(_Open(want, need, route), now)
+            self._outbox.append(Grant(want.request, want.epoch, want.host, route))
+            self._granted[want.priority] += 1
+            self._granted_work[want.priority] += want.work
+            return True
         return False
 
-    def _find(self, want: Want, now: float, *, with_slots: bool) -> Route | None:
-        reserve = self._limits.reserves[want.priority]
-        if self._queue.is_under_minimum(want.priority):
-            reserve = 0.0
-
-        def admits(load: EngineLoad, want: Want) -> bool:
-            state = load.state
-            if not load.is_open or state.name in want.avoid:
-                return False
-            if want.adapter and want.adapter not in state.adapters:
-                return False
-            if not with_slots:
-                return True
-            if load.used >= state.slots - int(state.slots * reserve):
-                return False
-            if load.granted_kv + kv_need(want) > state.kv_tokens and load.granted:
-                return False
-            return not self._ejection.is_ejected(state.name, now)
-
-        found = shortest_route(self._ordered, want, admits, expected_delay)
+    def _note_blocked(self, want: Want, need: Need, is_under: bool, now: float) -> None:
+        if not want.avoid and not want.adapter:
+            # Nothing that needs as much memory fits until something changes.
+            self._blocked_need[want.priority, is_under] = need.kv
+        if self._has_route(want, need):
+            self._no_route_since.pop(want.request, None)
+        else:
+            self._no_route_since.setdefault(want.request, now)
+
+    def _has_route(self, want: Want, need: Need) -> bool:
+        def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
+            for load in lane.loads:
+                if _may_run(load, want, need):
+                    return 0.0, load
+            return None
+
+        return shortest_route(self._loads.lanes, need.tokens, pick) is not None
+
+    def _find(self, want: Want, need: Need, is_under: bool, now: float) -> Route | None:
+        # Work below its minimum share may also use what is set aside.
+        rank = Priority.URGENT if is_under else want.priority
+        pick = _cheapest(want, need, rank, self._cost, now)
+        found = shortest_route(self._loads.lanes, need.tokens, pick)
         return None if found is None else found[0]
 
-    def _open(self, want: Want, route: Route) -> None:
-        self._open_by_request[want.request] = _Open(want, route)
+    def _keep(self, known: _Open, now: float) -> None:
+        want = known.want
+        self._open_by_request[want.request] = known
         expiry = want.deadline + GRANT_GRACE_S
         heapq.heappush(self._expiries, (expiry, want.request, want.epoch))
-        for stage in route:
-            load = self._load_by_engine.get(stage.engine)
-            if load is not None:
-                load.granted += 1
-                load.granted_kv += kv_need(want)
+        for stage in known.route:
             self._ejection.started(stage.engine)
+            self._mark_ejected(stage.engine, now)
 
     def _close(self, known: _Open) -> None:
         del self._open_by_request[known.want.request]
-        for stage in known.route:
-            load = self._load_by_engine.get(stage.engine)
-            if load is not None:
-                load.granted = max(0, load.granted - 1)
-                load.granted_kv = max(0, load.granted_kv - kv_need(known.want))
-
-    # Rates.
-
-    def _count_rate(self, work: float, now: float) -> None:
-        span_s = max(0.0, now - self._rate_at)
-        decay = max(0.0, 1 - span_s / RATE_TIME_CONSTANT_S)
-        self._rate = self._rate * decay + work / RATE_TIME_CONSTANT_S
-        self._rate_at = now
-
-    def _capacity(self, now: float) -> float:
-        if now - self._bound_at >= BOUND_INTERVAL_S:
-            states = (load.state for load in self._ordered if load.is_open)
-            self._bound = fleet_bound(states)
-            self._bound_at = now
-        return max(self._bound, self._rate, 1.0)
+        self._blocked_need.clear()
+        self._loads.end(known.route, known.need)
+
+    def _end_ejections(self, now: float) -> None:
+        if now < self._ejections_change:
+            return
+        self._blocked_need.clear()
+        for name in self._loads.by_name:
+            self._mark_ejected(name, now)
+        self._ejections_change = self._ejection.next_change(now) or math.inf
+
+    # Expected waits.
+
+    def _open_states(self) -> list[EngineState]:
+        loads = self._loads.by_name.values()
+        return [load.state for load in loads if not load.is_leaving]
+
+    def _work_per_s(self, now: float) -> float:
+        return self._capacity.work_per_s(self._open_states, now)
 
     def _expected_wait_s(self, want: Want, now: float) -> float:
         ahead = self._queue.work_ahead(want)
-        if not ahead:
+        if not ahead or not self._loads.by_name:
             return 0.0
-        capacity = self._capacity(now)
-        wait_s = ahead / capacity
+        work_per_s = self._work_per_s(now)
+        wait_s = ahead / work_per_s
         share = self._limits.minimum_shares[want.priority]
         if share > 0:
             own = self._queue.work(want.priority)
-            wait_s = min(wait_s, own / (capacity * share))
+            wait_s = min(wait_s, own / (work_per_s * share))
         return wait_s
