--- a/src/wagtailstair/core/demand.py
+++ b/src/wagtailstair/core/demand.py
@@ -3,7 +3,8 @@
 import dataclasses
 import enum
 
-from .engine import Priority, Route
+from .engine import Priority
+from .engine import Route
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- /dev/null
+++ b/src/wagtailstair/logs.py
@@ -0,0 +1,42 @@
+"""Events as one line of key=value pairs, through loguru."""
+
+import sys
+import typing as t
+
+from loguru import logger
+
+_NEEDS_QUOTES = frozenset(' "=\n\r\t')
+
+_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}\n"
+
+
+def _value(value: object) -> str:
+    text = str(value)
+    if isinstance(value, float):
+        text = f"{value:.6g}"
+    if text and _NEEDS_QUOTES.isdisjoint(text):
+        return text
+    escaped = text.replace("\\", "\\\\").replace('"', '\\"')
+    escaped = escaped.replace("\n", "\\n").replace("\r", "\\r").replace("\t", "\\t")
+    return f'"{escaped}"'
+
+
+def format_event(event: str, fields: t.Mapping[str, object]) -> str:
+    """Format an event as key=value pairs."""
+    parts = [f"event={_value(event)}"]
+    for key, value in fields.items():
+        parts.append(f"{key}={_value(value)}")
+    return " ".join(parts)
+
+
+def configure_logs(level: str, host: str) -> None:
+    """Send events of a level and above to standard error."""
+    logger.remove()
+    prefix = f"host={_value(host)} "
+    template = _FORMAT.replace("{message}", prefix + "{message}")
+    logger.add(sys.stderr, level=level, format=template, backtrace=False)
+
+
+def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
+    """Write one event; never pass a key, a prompt or an answer."""
+    logger.opt(lazy=True).log(level, "{}", lambda: format_event(event, fields))
--- /dev/null
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -0,0 +1,222 @@
+"""One HTTP exchange with an upstream, and what is known of it when it ends."""
+
+import concurrent.futures
+import dataclasses
+import enum
+import typing as t
+
+import pycurl
+
+from .loop import Loop
+
+OnData = t.Callable[[bytes], bool]
+
+
+class Sent(enum.Enum):
+    """How far an attempt got."""
+
+    NOT_SENT = "not_sent"
+    ANSWERED = "answered"
+    LOST = "lost"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TransferEnd:
+    """The end of a transfer; ``status`` is 0 where no status line came."""
+
+    sent: Sent
+    status: int
+    headers: tuple[tuple[str, str], ...]
+    body: bytes
+    error: str = ""
+
+    def header(self, name: str, default: str = "") -> str:
+        """Return a header's last value, by its name in any case."""
+        wanted = name.lower()
+        for key, value in reversed(self.headers):
+            if key.lower() == wanted:
+                return value
+        return default
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TransferRequest:
+    """What to send; timeouts are in seconds."""
+
+    method: str
+    url: str
+    headers: tuple[tuple[str, str], ...] = ()
+    body: bytes = b""
+    connect_timeout_s: float = 0.5
+    timeout_s: float = 10.0
+    max_response_bytes: int = 4 << 20
+    # libcurl sends a request again by itself when a kept connection turns out
+    # to be dead, so only requests that may run twice use kept connections.
+    repeatable: bool = False
+
+
+_CURL_ERRORS_BEFORE_CONNECT = frozenset(
+    {
+        pycurl.E_COULDNT_RESOLVE_HOST,
+        pycurl.E_COULDNT_CONNECT,
+        pycurl.E_URL_MALFORMAT,
+        pycurl.E_UNSUPPORTED_PROTOCOL,
+    }
+)
+
+
+class Transfer:
+    """A running transfer; used in the loop's thread only.
+
+    ``on_data`` gets each piece of a 200 answer's body and returns False to
+    have it delivered again after :meth:`resume`; without ``on_data`` the body
+    is kept for the end.
+    """
+
+    __slots__ = (
+        "_body",
+        "_easy",
+        "_headers",
+        "_loop",
+        "_on_data",
+        "_on_end",
+        "_request",
+        "_size",
+        "_status",
+        "_too_large",
+    )
+
+    def __init__(
+        self,
+        loop: Loop,
+        request: TransferRequest,
+        on_end: t.Callable[[TransferEnd], None],
+        on_data: OnData | None = None,
+    ) -> None:
+        self._loop = loop
+        self._request = request
+        self._on_end = on_end
+        self._on_data = on_data
+        self._headers: list[tuple[str, str]] = []
+        self._body: list[bytes] = []
+        self._size = 0
+        self._status = 0
+        self._too_large = False
+        self._easy: pycurl.Curl | None = None
+
+    def start(self) -> None:
+        """Begin the transfer."""
+        self._easy = _new_easy(self._request)
+        self._easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
+        self._easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
+        self._loop.add_easy(self._easy, self._on_finished)
+
+    def cancel(self) -> None:
+        """Drop the transfer and its connection; ``on_end`` is not called."""
+        easy = self._easy
+        self._easy = None
+        if easy is None:
+            return
+        # libcurl forbids removal from within its own callbacks.
+        self._loop.call(lambda: self._remove(easy))
+
+    def resume(self) -> None:
+        """Deliver the data that ``on_data`` did not take."""
+        if self._easy is not None:
+            self._easy.pause(pycurl.PAUSE_CONT)
+
+    def _remove(self, easy: pycurl.Curl) -> None:
+        self._loop.remove_easy(easy)
+        easy.close()
+
+    def _on_header(self, raw: bytes) -> None:
+        line = raw.decode("latin-1").rstrip("\r\n")
+        if line.startswith("HTTP/"):
+            self._headers.clear()
+            self._status = int(line.split(" ", 2)[1])
+            return
+        name, colon, value = line.partition(":")
+        if colon:
+            self._headers.append((name.strip(), value.strip()))
+
+    def _on_body(self, data: bytes) -> int:
+        if self._easy is None:
+            return len(data)
+        if self._on_data is not None and self._status == 200:
+            taken = self._on_data(data)
+            return len(data) if taken else pycurl.WRITEFUNC_PAUSE
+        self._size += len(data)
+        if self._size > self._request.max_response_bytes:
+            self._too_large = True
+            return 0
+        self._body.append(data)
+        return len(data)
+
+    def _on_finished(self, number: int, message: str) -> None:
+        easy = self._easy
+        self._easy = None
+        if easy is None:
+            return
+        sent = Sent.ANSWERED
+        if number:
+            sent = _how_far(easy, number)
+        if self._too_large:
+            message = "the answer is larger than the limit"
+        easy.close()
+        body = b"".join(self._body)
+        self._on_end(
+            TransferEnd(sent, self._status, tuple(self._headers), body, message)
+        )
+
+
+def _new_easy(request: TransferRequest) -> pycurl.Curl:
+    easy = pycurl.Curl()
+    easy.setopt(pycurl.URL, request.url)
+    easy.setopt(pycurl.CUSTOMREQUEST, request.method)
+    easy.setopt(pycurl.NOSIGNAL, 1)
+    easy.setopt(pycurl.PROXY, "")
+    easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    easy.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(request.connect_timeout_s * 1000)))
+    easy.setopt(pycurl.TIMEOUT_MS, max(1, int(request.timeout_s * 1000)))
+    easy.setopt(pycurl.TCP_NODELAY, 1)
+    lines = [f"{name}: {value}" for name, value in request.headers]
+    lines.append("Expect:")
+    easy.setopt(pycurl.HTTPHEADER, lines)
+    if request.method == "HEAD":
+        easy.setopt(pycurl.NOBODY, 1)
+    if request.body or request.method in {"POST", "PUT", "PATCH"}:
+        easy.setopt(pycurl.POSTFIELDS, request.body)
+    if not request.repeatable:
+        easy.setopt(pycurl.FRESH_CONNECT, 1)
+        easy.setopt(pycurl.FORBID_REUSE, 1)
+    return easy
+
+
+def _how_far(easy: pycurl.Curl, number: int) -> Sent:
+    if number in _CURL_ERRORS_BEFORE_CONNECT:
+        return Sent.NOT_SENT
+    # PRETRANSFER_TIME is set when the connection stands and sending may begin.
+    if easy.getinfo(pycurl.PRETRANSFER_TIME) == 0:
+        return Sent.NOT_SENT
+    return Sent.LOST
+
+
+def exchange(
+    loop: Loop, request: TransferRequest
+) -> "concurrent.futures.Future[TransferEnd]":
+    """Run a whole exchange; cancelling the future drops the transfer."""
+    future: concurrent.futures.Future[TransferEnd] = concurrent.futures.Future()
+
+    def on_end(end: TransferEnd) -> None:
+        if future.set_running_or_notify_cancel():
+            future.set_result(end)
+
+    transfer = Transfer(loop, request, on_end)
+
+    def on_done(done: "concurrent.futures.Future[TransferEnd]") -> None:
+        if done.cancelled():
+            loop.call(transfer.cancel)
+
+    future.add_done_callback(on_done)
+    loop.call(transfer.start)
+    return future
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -1,6 +1,7 @@
 import pytest
 
-from wagtailstair.clock import ManualClock, SystemClock
+from wagtailstair.clock import ManualClock
+from wagtailstair.clock import SystemClock
 
 
 class TestManualClock:
