--- a/src/wagtailstair/exceptions.py
+++ b/src/wagtailstair/exceptions.py
@@ -223,3 +223,11 @@
 
     code = "idempotency_key_reused"
     http_status = 422
+
+
+class CallerGoneError(RequestError):
+    """The caller closed the connection before the answer was whole."""
+
+    code = "caller_gone"
+    http_status = 499
+    outcome = Outcome.UNKNOWN
--- /dev/null
+++ b/src/wagtailstair/relay.py
@@ -0,0 +1,482 @@
+"""Relay of one completion: routes, attempts, and tokens to the caller."""
+
+import concurrent.futures
+import dataclasses
+import typing as t
+
+from .clock import Clock
+from .core.demand import Done
+from .core.demand import Grant
+from .core.demand import Refusal
+from .core.demand import RefusalReason
+from .core.demand import Want
+from .core.engine import Priority
+from .core.engine import Route
+from .core.sessions import Accepted
+from .core.sessions import Attempt
+from .core.sessions import Dropped
+from .core.sessions import Session
+from .core.sessions import Violation
+from .exceptions import CallerGoneError
+from .exceptions import DeadlineExceededError
+from .exceptions import NoUpstreamError
+from .exceptions import Outcome
+from .exceptions import OutcomeUnknownError
+from .exceptions import QueueFullError
+from .exceptions import RequestError
+from .exceptions import UpstreamError
+from .logs import log_event
+from .settings import RoutingSection
+from .upstreams.engine import Line
+from .upstreams.engine import decode_line
+from .upstreams.engine import decode_refusal
+from .upstreams.engine import encode_generate
+from .upstreams.loop import Loop
+from .upstreams.transfer import Sent
+from .upstreams.transfer import Transfer
+from .upstreams.transfer import TransferEnd
+from .upstreams.transfer import TransferRequest
+
+SWEEP_INTERVAL_S = 0.25
+MAX_LINE_BYTES = 64 << 10
+REFUSAL_STATUSES = frozenset({409, 429, 503})
+
+
+class Dispatch(t.Protocol):
+    """What a relay needs of the dispatcher of a pool."""
+
+    def submit(
+        self, model: str, data_centre: str, want: Want
+    ) -> "concurrent.futures.Future[Grant | Refusal]":
+        """Ask for a route; the future never stays open for good."""
+        ...
+
+    def done(self, model: str, data_centre: str, done: Done) -> None:
+        """Give a grant back."""
+        ...
+
+    def cancel(self, model: str, data_centre: str, request: str, epoch: int) -> None:
+        """Take a want back, or a grant that is on its way."""
+        ...
+
+
+class Sink(t.Protocol):
+    """Where the tokens of an answer go; called in the loop's thread."""
+
+    def token(self, text: str) -> None:
+        """Take the next token."""
+        ...
+
+    def is_full(self) -> bool:
+        """Tell whether the caller can't take more at present."""
+        ...
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Job:
+    """One completion as asked for; ``deadline`` is a monotonic instant.
+
+    ``data_centres``: where the model has engines, the nearest first.
+    """
+
+    request: str
+    account: str
+    model: str
+    adapter: str
+    prompt: str
+    max_tokens: int
+    priority: Priority
+    weight: float
+    entitled: bool
+    prompt_tokens: int
+    work: float
+    deadline: float
+    data_centres: tuple[str, ...]
+    prefixes: tuple[int, ...] = ()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Finished:
+    """The whole answer."""
+
+    reason: str
+    text: str
+    prompt_tokens: int
+    output_tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Open:
+    """A grant in use, and the exchange that runs on it."""
+
+    data_centre: str
+    grant_epoch: int
+    attempt: Attempt
+    transfer: Transfer
+
+
+class Relays:
+    """All relays of a daemon and what they share.
+
+    :param may_retry: tells whether the daemon's retry budget allows one more.
+    :param on_failed: hears the name of an engine whose attempt failed.
+    :param on_answered: hears the name of an engine whose attempt succeeded.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        dispatch: Dispatch,
+        clock: Clock,
+        routing: RoutingSection,
+        host: str,
+        may_retry: t.Callable[[], bool],
+        on_failed: t.Callable[[str], None],
+        on_answered: t.Callable[[str], None],
+    ) -> None:
+        self.loop = loop
+        self.dispatch = dispatch
+        self.clock = clock
+        self.routing = routing
+        self.host = host
+        self.may_retry = may_retry
+        self.on_failed = on_failed
+        self.on_answered = on_answered
+        self._open: set[Relay] = set()
+
+    def start(self) -> None:
+        """Begin to look for stalled streams and passed deadlines."""
+        self.loop.call(self._sweep)
+
+    def run(self, job: Job, sink: Sink) -> "Relay":
+        """Begin a relay; its future ends with the answer or a RequestError."""
+        relay = Relay(self, job, sink)
+        self.loop.call(relay.start)
+        return relay
+
+    def add(self, relay: "Relay") -> None:
+        """Watch a relay."""
+        self._open.add(relay)
+
+    def discard(self, relay: "Relay") -> None:
+        """Stop watching a relay."""
+        self._open.discard(relay)
+
+    def _sweep(self) -> None:
+        now = self.clock.monotonic()
+        for relay in tuple(self._open):
+            relay.check(now)
+        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+
+
+class Relay:
+    """One completion on its way; used in the loop's thread."""
+
+    def __init__(self, shared: Relays, job: Job, sink: Sink) -> None:
+        self.future: concurrent.futures.Future[Finished] = concurrent.futures.Future()
+        self._shared = shared
+        self._job = job
+        self._sink = sink
+        self._session: Session | None = None
+        self._open: _Open | None = None
+        self._asked: tuple[str, int] | None = None
+        self._centre_index = 0
+        self._epoch = 0
+        self._avoid: frozenset[str] = frozenset()
+        self._rest = b""
+        self._paused = False
+        self._last_line_at = 0.0
+        self._awaiting_first = True
+        self._ended = False
+
+    def start(self) -> None:
+        """Ask for the first route."""
+        self._shared.add(self)
+        self._ask()
+
+    def cancel(self) -> None:
+        """End the work upstream; the caller is gone."""
+        self._fail(CallerGoneError("the caller closed the connection"))
+
+    def resume(self) -> None:
+        """Go on after the sink was full."""
+        if self._paused and self._open is not None:
+            self._paused = False
+            self._last_line_at = self._shared.clock.monotonic()
+            self._open.transfer.resume()
+
+    def check(self, now: float) -> None:
+        """End what is past its deadline; break what has stalled."""
+        if now >= self._job.deadline:
+            self._fail(DeadlineExceededError("the deadline passed"))
+            return
+        if self._open is None or self._paused:
+            return
+        limit = self._shared.routing.stall_timeout_s
+        if self._awaiting_first:
+            limit = self._shared.routing.first_token_timeout_s
+        if now - self._last_line_at > limit:
+            self._open.transfer.cancel()
+            self._broken("stalled", sent=True)
+
+    def _ask(self) -> None:
+        job = self._job
+        now = self._shared.clock.monotonic()
+        if now >= job.deadline:
+            self._fail(DeadlineExceededError("the deadline passed"))
+            return
+        if self._centre_index >= len(job.data_centres):
+            self._fail(NoUpstreamError("no route over live engines", retry_after_s=1.0))
+            return
+        delivered = len(self._session.tokens) if self._session else 0
+        self._epoch += 1
+        want = Want(
+            request=job.request,
+            epoch=self._epoch,
+            host=self._shared.host,
+            account=job.account,
+            priority=job.priority,
+            weight=job.weight,
+            work=job.work,
+            prompt_tokens=job.prompt_tokens + delivered,
+            max_tokens=job.max_tokens - delivered,
+            deadline=job.deadline,
+            entitled=job.entitled,
+            adapter=job.adapter,
+            prefixes=job.prefixes,
+            avoid=self._avoid,
+        )
+        data_centre = job.data_centres[self._centre_index]
+        self._asked = (data_centre, self._epoch)
+        future = self._shared.dispatch.submit(job.model, data_centre, want)
+        asked = self._asked
+        future.add_done_callback(
+            lambda done: self._shared.loop.call(lambda: self._on_route(asked, done))
+        )
+
+    def _on_route(
+        self,
+        asked: tuple[str, int],
+        future: "concurrent.futures.Future[Grant | Refusal]",
+    ) -> None:
+        if future.cancelled() or self._asked != asked:
+            return
+        self._asked = None
+        answer = future.result()
+        if isinstance(answer, Refusal):
+            self._on_refusal(answer)
+            return
+        self._begin(asked[0], answer)
+
+    def _on_refusal(self, refusal: Refusal) -> None:
+        if refusal.reason is RefusalReason.NO_ROUTE:
+            self._centre_index += 1
+            self._ask()
+            return
+        message = "the queue is full"
+        if refusal.reason is RefusalReason.DEADLINE:
+            message = "the deadline can't be met at the present load"
+        self._fail(QueueFullError(message, retry_after_s=refusal.retry_after_s))
+
+    def _begin(self, data_centre: str, grant: Grant) -> None:
+        job = self._job
+        if self._session is None:
+            layers = grant.route[-1].last
+            self._session = Session(job.request, job.prompt, job.max_tokens, layers)
+        attempt = self._session.begin(grant.route)
+        now = self._shared.clock.monotonic()
+        remaining_s = max(0.001, job.deadline - now)
+        body = encode_generate(
+            request=job.request,
+            attempt=attempt.id,
+            epoch=attempt.epoch,
+            model=job.model,
+            adapter=job.adapter,
+            prompt=job.prompt,
+            tokens=attempt.tokens,
+            max_tokens=job.max_tokens,
+            priority=job.priority,
+            timeout_s=remaining_s,
+            route=grant.route,
+        )
+        request = TransferRequest(
+            method="POST",
+            url=f"http://{grant.route[0].address}/v1/generate",
+            headers=(("Content-Type", "application/json"),),
+            body=body,
+            connect_timeout_s=self._shared.routing.connect_timeout_s,
+            timeout_s=remaining_s,
+        )
+        transfer = Transfer(
+            self._shared.loop,
+            request,
+            lambda end: self._on_transfer_end(attempt, end),
+            lambda data: self._on_data(attempt, data),
+        )
+        self._open = _Open(data_centre, grant.epoch, attempt, transfer)
+        self._rest = b""
+        self._paused = False
+        self._awaiting_first = True
+        self._last_line_at = now
+        log_event(
+            "attempt_started",
+            level="DEBUG",
+            request=job.request,
+            attempt=attempt.id,
+            position=attempt.position,
+            route=_route_text(grant.route),
+        )
+        transfer.start()
+
+    def _on_data(self, attempt: Attempt, data: bytes) -> bool:
+        if self._open is None or self._open.attempt is not attempt:
+            return True
+        if self._sink.is_full():
+            self._paused = True
+            return False
+        self._last_line_at = self._shared.clock.monotonic()
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        for raw in lines:
+            if not raw:
+                continue
+            if not self._on_line(raw):
+                return True
+        if len(self._rest) > MAX_LINE_BYTES:
+            self._violated("line too long")
+        return True
+
+    def _on_line(self, raw: bytes) -> bool:
+        # True while the attempt goes on.
+        session = self._session
+        assert session is not None
+        try:
+            line = decode_line(raw)
+        except UpstreamError as error:
+            self._violated(str(error))
+            return False
+        if line.end:
+            return self._on_end_line(session, line)
+        verdict = session.line(line.r, line.a, line.e, line.p, line.t, line.x, line.w)
+        if isinstance(verdict, Accepted):
+            self._awaiting_first = False
+            self._sink.token(line.x)
+            return True
+        if isinstance(verdict, Dropped):
+            return True
+        self._violated(verdict.reason.value)
+        return False
+
+    def _on_end_line(self, session: Session, line: Line) -> bool:
+        verdict = session.end(line.r, line.a, line.e, line.p, line.end)
+        if isinstance(verdict, Dropped):
+            return True
+        if isinstance(verdict, Violation):
+            self._violated(verdict.reason.value)
+            return False
+        opened = self._open
+        assert opened is not None
+        opened.transfer.cancel()
+        self._release(frozenset())
+        self._shared.on_answered(opened.attempt.route[0].engine)
+        finished = Finished(
+            line.end, session.text(), self._job.prompt_tokens, len(session.tokens)
+        )
+        self._finish()
+        self.future.set_result(finished)
+        return False
+
+    def _on_transfer_end(self, attempt: Attempt, end: TransferEnd) -> None:
+        if self._open is None or self._open.attempt is not attempt:
+            return
+        session = self._session
+        assert session is not None
+        if end.status in REFUSAL_STATUSES and decode_refusal(end.body):
+            session.refused(attempt.id)
+            self._retry(attempt, "refused")
+            return
+        self._broken(end.error or f"status {end.status}", end.sent is not Sent.NOT_SENT)
+
+    def _violated(self, reason: str) -> None:
+        # The session closed its epoch; the answer goes on from what is delivered.
+        opened = self._open
+        if opened is None:
+            return
+        opened.transfer.cancel()
+        self._broken(reason, sent=True)
+
+    def _broken(self, reason: str, sent: bool) -> None:
+        opened = self._open
+        assert opened is not None
+        assert self._session is not None
+        self._session.broken(opened.attempt.id, sent)
+        self._retry(opened.attempt, reason)
+
+    def _retry(self, attempt: Attempt, reason: str) -> None:
+        session = self._session
+        assert session is not None
+        failed = attempt.route[0].engine
+        log_event(
+            "attempt_failed",
+            level="WARNING",
+            request=self._job.request,
+            attempt=attempt.id,
+            engine=failed,
+            position=len(session.tokens),
+            reason=reason,
+        )
+        engines = frozenset(stage.engine for stage in attempt.route)
+        self._release(engines)
+        self._avoid = self._avoid | engines
+        self._shared.on_failed(failed)
+        if session.may_begin() and self._shared.may_retry():
+            self._centre_index = 0
+            self._ask()
+            return
+        outcome = session.give_up()
+        if outcome is Outcome.NOT_RUN:
+            self._fail(NoUpstreamError("no engine took the request", retry_after_s=1.0))
+            return
+        self._fail(OutcomeUnknownError("the answer could not be completed"))
+
+    def _release(self, failed: frozenset[str]) -> None:
+        opened = self._open
+        self._open = None
+        if opened is None:
+            return
+        assert self._session is not None
+        done = Done(
+            request=self._job.request,
+            epoch=opened.grant_epoch,
+            host=self._shared.host,
+            prompt_tokens=self._job.prompt_tokens,
+            output_tokens=len(self._session.tokens) - opened.attempt.position,
+            failed=failed,
+        )
+        self._shared.dispatch.done(self._job.model, opened.data_centre, done)
+
+    def _fail(self, error: RequestError) -> None:
+        if self._ended:
+            return
+        asked = self._asked
+        self._asked = None
+        if asked is not None:
+            self._shared.dispatch.cancel(
+                self._job.model, asked[0], self._job.request, asked[1]
+            )
+        if self._open is not None:
+            self._open.transfer.cancel()
+        if self._session is not None:
+            error.outcome = self._session.give_up()
+        self._release(frozenset())
+        self._finish()
+        self.future.set_exception(error)
+
+    def _finish(self) -> None:
+        self._ended = True
+        self._shared.discard(self)
+
+
+def _route_text(route: Route) -> str:
+    parts = [f"{stage.engine}[{stage.first}:{stage.last}]" for stage in route]
+    return ",".join(parts)
--- a/src/wagtailstair/settings.py
+++ b/src/wagtailstair/settings.py
@@ -78,6 +78,7 @@
 
     retry_share: Fraction = 0.1
     connect_timeout_s: Seconds = 0.5
+    first_token_timeout_s: Seconds = 5.0
     stall_timeout_s: Seconds = 1.5
     eject_after: Count = 3
     eject_s: Seconds = 5.0
--- a/src/wagtailstair/upstreams/engine.py
+++ b/src/wagtailstair/upstreams/engine.py
@@ -73,6 +73,10 @@
     links: dict[str, float] = {}
 
 
+class _Refusal(msgspec.Struct):
+    not_run: bool = False
+
+
 _LINE_DECODER = msgspec.json.Decoder(Line)
 _STATE_DECODER = msgspec.json.Decoder(_State)
 
@@ -88,6 +92,14 @@
         raise UpstreamError(f"malformed line: {error}") from error
 
 
+def decode_refusal(raw: bytes) -> bool:
+    """Tell whether an error's body says that the attempt did not run."""
+    try:
+        return msgspec.json.decode(raw, type=_Refusal).not_run
+    except msgspec.MsgspecError:
+        return False
+
+
 def encode_generate(
     *,
     request: str,
