--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -4,18 +4,24 @@
 import dataclasses
 import heapq
 
-from .demand import Done, Grant, Hold, Refusal, RefusalReason, Want
-from .ejection import Ejection, EjectionLimits
-from .engine import EngineState, Priority, Route
+from .demand import Done
+from .demand import Grant
+from .demand import Hold
+from .demand import Refusal
+from .demand import RefusalReason
+from .demand import Want
+from .ejection import Ejection
+from .ejection import EjectionLimits
+from .engine import EngineState
+from .engine import Priority
+from .engine import Route
 from .queueing import FairQueue
-from .routing import (
-    EngineLoad,
-    expected_delay,
-    fleet_bound,
-    kv_need,
-    prompt_work,
-    shortest_route,
-)
+from .routing import EngineLoad
+from .routing import expected_delay
+from .routing import fleet_bound
+from .routing import kv_need
+from .routing import prompt_work
+from .routing import shortest_route
 
 MEMORY_OF_ENDED = 16_384
 """Ended epochs that are remembered, so that a late want is not granted again."""
--- a/src/wagtailstair/core/routing.py
+++ b/src/wagtailstair/core/routing.py
@@ -5,7 +5,9 @@
 import typing as t
 
 from .demand import Want
-from .engine import EngineState, Route, Stage
+from .engine import EngineState
+from .engine import Route
+from .engine import Stage
 
 WORK_PER_PROMPT_TOKEN = 1 / 8
 DEFAULT_LINK_S = 0.0005
--- a/src/wagtailstair/http/completions.py
+++ b/src/wagtailstair/http/completions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import typing as t
+import zlib
 
 import msgspec
 
@@ -109,6 +110,19 @@
     )
 
 
+def prefix_hashes(prompt: str) -> tuple[int, ...]:
+    """Return the hashes of a prompt's prefix blocks, the shortest first."""
+    hashes = []
+    value = 0
+    for index in range(MAX_PREFIX_BLOCKS):
+        block = prompt[index * PREFIX_BLOCK_CHARACTERS :][:PREFIX_BLOCK_CHARACTERS]
+        if len(block) < PREFIX_BLOCK_CHARACTERS:
+            break
+        value = zlib.crc32(block.encode(), value)
+        hashes.append(value)
+    return tuple(hashes)
+
+
 class _Delta(msgspec.Struct, omit_defaults=True):
     role: str | None = None
     content: str | None = None
--- /dev/null
+++ b/src/wagtailstair/http/context.py
@@ -0,0 +1,94 @@
+"""What the handlers share: the parts of the daemon, and the open requests."""
+
+import dataclasses
+import threading
+import typing as t
+
+from werkzeug.wrappers import Request
+from werkzeug.wrappers import Response
+
+from ..admission import Identity
+from ..admission import QuotaGate
+from ..admission import authenticate
+from ..clock import Clock
+from ..core.lists import Lists
+from ..exceptions import InvalidRequestError
+from ..exceptions import QueueFullError
+from ..metrics import Metrics
+from ..relay import Relays
+from ..services import Services
+from ..settings import Settings
+
+
+class OpenRequests:
+    """The number of callers' requests that are open, with its bound."""
+
+    def __init__(self, limit: int, metrics: Metrics) -> None:
+        self._limit = limit
+        self._metrics = metrics
+        self._lock = threading.Lock()
+        self.count = 0
+
+    def enter(self) -> None:
+        """Count a request in.
+
+        :raises QueueFullError: if too many are open.
+        """
+        with self._lock:
+            if self.count >= self._limit:
+                raise QueueFullError("too many open requests", retry_after_s=1.0)
+            self.count += 1
+        self._metrics.gauge("open_requests", self.count)
+
+    def leave(self) -> None:
+        """Count a request out."""
+        with self._lock:
+            self.count -= 1
+        self._metrics.gauge("open_requests", self.count)
+
+
+@dataclasses.dataclass(slots=True)
+class Context:
+    """What the handlers need of the daemon.
+
+    ``lists``: the lists to judge a request by, fresh, or NotReadyError;
+    ``data_centres_of``: where a model has engines, the nearest first.
+    """
+
+    settings: Settings
+    clock: Clock
+    metrics: Metrics
+    open_requests: OpenRequests
+    lists: t.Callable[[], Lists]
+    is_ready: t.Callable[[], bool]
+    status: t.Callable[[], dict[str, t.Any]]
+    data_centres_of: t.Callable[[str], tuple[str, ...]]
+    relays: Relays
+    services: Services
+    quota: QuotaGate
+    peer_lists: t.Callable[[Request], Response]
+
+
+Handler = t.Callable[[Context, Request, str], Response]
+
+
+def deadline_of(context: Context, request: Request) -> float:
+    """Return the monotonic instant by which the caller wants the answer."""
+    limits = context.settings.limits
+    text = request.headers.get("X-Timeout", "")
+    timeout_s = limits.timeout_s
+    if text:
+        try:
+            timeout_s = float(text)
+        except ValueError:
+            timeout_s = 0.0
+        if not 0 < timeout_s <= limits.max_timeout_s:
+            raise InvalidRequestError(
+                f"expected seconds up to {limits.max_timeout_s:g}", where="X-Timeout"
+            )
+    return context.clock.monotonic() + timeout_s
+
+
+def identify(context: Context, request: Request) -> Identity:
+    """Return who asks, under the lists in force now."""
+    return authenticate(context.lists(), request.headers.get("Authorization", ""))
--- a/src/wagtailstair/http/server.py
+++ b/src/wagtailstair/http/server.py
@@ -80,8 +80,13 @@
         self._free.acquire()
         try:
             connection, address = self.socket.accept()
+        except BlockingIOError:
+            self._free.release()
+            return True
         except OSError:
+            # Out of descriptors, for one: let open requests end first.
             self._free.release()
+            self._closing.wait(ACCEPT_POLL_S)
             return True
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self._pool.submit(self._serve, connection, address)
--- a/src/wagtailstair/metrics.py
+++ b/src/wagtailstair/metrics.py
@@ -2,10 +2,10 @@
 
 import typing as t
 
-from aioprometheus import Counter
-from aioprometheus import Gauge
-from aioprometheus import Registry
-from aioprometheus import render
+from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Registry
+from aioprometheus.renderer import render
 
 
 class Metrics:
--- /dev/null
+++ b/src/wagtailstair/upstreams/watch.py
@@ -0,0 +1,214 @@
+"""Watches the host list and the engines' load reports from the loop's thread."""
+
+import random
+import typing as t
+
+import msgspec
+
+from ..clock import Clock
+from ..core.engine import EngineState
+from ..core.upstreams import Upstream
+from ..core.upstreams import UpstreamKind
+from ..core.upstreams import Upstreams
+from ..exceptions import UpstreamError
+from ..logs import log_event
+from ..settings import PlatformSection
+from .engine import decode_state
+from .loop import Loop
+from .transfer import Sent
+from .transfer import Transfer
+from .transfer import TransferEnd
+from .transfer import TransferRequest
+
+LOAD_REPORT_INTERVAL_S = 0.5
+LOAD_REPORT_TIMEOUT_S = 1.0
+OK = 200
+
+
+class _Entry(msgspec.Struct):
+    name: str
+    kind: str
+    data_centre: str
+    address: str
+    incarnation: str
+    state: str
+    service: str = ""
+    peer_address: str = ""
+
+
+class _HostList(msgspec.Struct):
+    hosts: list[_Entry]
+
+
+class EntryHost(msgspec.Struct, frozen=True):
+    """An entry host of the host list."""
+
+    name: str
+    data_centre: str
+    address: str
+    peer_address: str
+    incarnation: str
+    leaving: bool
+
+
+def jittered(interval_s: float, rng: random.Random) -> float:
+    """Return an interval that differs from host to host and time to time."""
+    return interval_s * rng.uniform(0.8, 1.2)
+
+
+class HostListWatch:
+    """Reads the host list again and again; an outage keeps the last one.
+
+    :param on_entry_hosts: hears the entry hosts of each list.
+    :param on_gone: hears the names of upstreams that are no longer listed.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        clock: Clock,
+        platform: PlatformSection,
+        upstreams: Upstreams,
+        on_entry_hosts: t.Callable[[list[EntryHost]], None],
+        on_gone: t.Callable[[list[str]], None],
+        rng: random.Random,
+    ) -> None:
+        self._loop = loop
+        self._clock = clock
+        self._platform = platform
+        self._upstreams = upstreams
+        self._on_entry_hosts = on_entry_hosts
+        self._on_gone = on_gone
+        self._rng = rng
+        self._failed = False
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._loop.call(self._read)
+
+    def _read(self) -> None:
+        request = TransferRequest(
+            method="GET",
+            url=f"{self._platform.hosts}/v1/hosts",
+            connect_timeout_s=self._platform.connect_timeout_s,
+            timeout_s=self._platform.timeout_s,
+            repeatable=True,
+        )
+        Transfer(self._loop, request, self._on_end).start()
+
+    def _on_end(self, end: TransferEnd) -> None:
+        interval_s = jittered(self._platform.hosts_interval_s, self._rng)
+        self._loop.call_later(interval_s, self._read)
+        failed = end.sent is not Sent.ANSWERED or end.status != OK
+        if failed != self._failed:
+            self._failed = failed
+            log_event("host_list_failed" if failed else "host_list_back")
+        if failed:
+            return
+        try:
+            listed = msgspec.json.decode(end.body, type=_HostList)
+        except msgspec.MsgspecError as error:
+            log_event("host_list_malformed", level="WARNING", error=str(error))
+            return
+        self._take(listed.hosts)
+
+    def _take(self, entries: list[_Entry]) -> None:
+        found: list[tuple[Upstream, bool]] = []
+        entry_hosts: list[EntryHost] = []
+        for entry in entries:
+            leaving = entry.state == "leaving"
+            if entry.kind == "entry":
+                entry_hosts.append(
+                    EntryHost(
+                        entry.name,
+                        entry.data_centre,
+                        entry.address,
+                        entry.peer_address,
+                        entry.incarnation,
+                        leaving,
+                    )
+                )
+                continue
+            upstream = Upstream(
+                name=entry.name,
+                kind=UpstreamKind(entry.kind),
+                service=entry.service,
+                data_centre=entry.data_centre,
+                address=entry.address,
+                incarnation=entry.incarnation,
+            )
+            found.append((upstream, leaving))
+        gone = self._upstreams.replace(found)
+        self._on_entry_hosts(entry_hosts)
+        if gone:
+            self._on_gone(gone)
+
+
+class EngineWatch:
+    """Reads the load reports of the engines that this host polls.
+
+    :param engines: returns the engines to poll now.
+    :param on_state: hears each report.
+    :param on_silent: hears the name of an engine that gave none.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        clock: Clock,
+        engines: t.Callable[[], list[Upstream]],
+        on_state: t.Callable[[EngineState], None],
+        on_silent: t.Callable[[str], None],
+        rng: random.Random,
+    ) -> None:
+        self._loop = loop
+        self._clock = clock
+        self._engines = engines
+        self._on_state = on_state
+        self._on_silent = on_silent
+        self._rng = rng
+        self._pending: set[str] = set()
+
+    def start(self) -> None:
+        """Begin to watch."""
+        self._loop.call(self._read_all)
+
+    def _read_all(self) -> None:
+        for engine in self._engines():
+            if engine.name not in self._pending:
+                self._read(engine)
+        interval_s = jittered(LOAD_REPORT_INTERVAL_S, self._rng)
+        self._loop.call_later(interval_s, self._read_all)
+
+    def _read(self, engine: Upstream) -> None:
+        request = TransferRequest(
+            method="GET",
+            url=f"http://{engine.address}/v1/state",
+            connect_timeout_s=LOAD_REPORT_TIMEOUT_S,
+            timeout_s=LOAD_REPORT_TIMEOUT_S,
+            repeatable=True,
+        )
+        self._pending.add(engine.name)
+        Transfer(self._loop, request, lambda end: self._on_end(engine, end)).start()
+
+    def _on_end(self, engine: Upstream, end: TransferEnd) -> None:
+        self._pending.discard(engine.name)
+        if end.sent is not Sent.ANSWERED or end.status != OK:
+            self._on_silent(engine.name)
+            return
+        try:
+            state = decode_state(
+                end.body,
+                address=engine.address,
+                data_centre=engine.data_centre,
+                now=self._clock.monotonic(),
+            )
+        except UpstreamError as error:
+            log_event(
+                "load_report_malformed",
+                level="WARNING",
+                engine=engine.name,
+                error=str(error),
+            )
+            return
+        self._on_state(state)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -3,15 +3,13 @@
 import pytest
 
 from wagtailstair.core.engine import Stage
-from wagtailstair.core.sessions import (
-    ACCEPTED,
-    Dropped,
-    DropReason,
-    Session,
-    Violation,
-    ViolationReason,
-    covers,
-)
+from wagtailstair.core.sessions import ACCEPTED
+from wagtailstair.core.sessions import Dropped
+from wagtailstair.core.sessions import DropReason
+from wagtailstair.core.sessions import Session
+from wagtailstair.core.sessions import Violation
+from wagtailstair.core.sessions import ViolationReason
+from wagtailstair.core.sessions import covers
 from wagtailstair.exceptions import Outcome
 
 LAYERS = 12
