Add the stand-ins of the platform and the upstreams

The daemon and its tests need the outside systems of docs/design/ architecture.md as servers with fault switches.

--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the outside systems, for the demo and the tests."""
+"""Small stand-ins for the platform and the upstreams, for tests and the demo."""
--- /dev/null
+++ b/standins/hosts.py
@@ -0,0 +1,83 @@
+"""The host list, which lags."""
+
+import collections
+import copy
+import time
+import typing as t
+
+from aiohttp import web
+
+from .base import Json, Standin
+
+MAX_SNAPSHOTS = 10_000
+
+
+class Hosts(Standin):
+    """Live and leaving hosts, as they were some seconds ago."""
+
+    def __init__(self, name: str, config: Json) -> None:
+        super().__init__(name, config)
+        self.switches.update(
+            lag_s=float(config.get("lag_s", 0.0)),
+            add=None,
+            remove=None,
+            leaving=None,
+            live=None,
+        )
+        self._entry_by_name: dict[str, Json] = {}
+        self._snapshots: collections.deque[tuple[float, list[Json]]] = (
+            collections.deque(maxlen=MAX_SNAPSHOTS)
+        )
+        self._reads = 0
+        for entry in config.get("entries", []):
+            self.put(entry)
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the protocol."""
+        return [web.get("/v1/hosts", self._on_hosts)]
+
+    def records(self) -> Json:
+        """Return the count of reads and the newest list."""
+        return {"reads": self._reads, "hosts": list(self._entry_by_name.values())}
+
+    def put(self, entry: Json) -> None:
+        """Add a host, or replace the one of the same name."""
+        defaults = {"kind": "entry", "incarnation": "1", "state": "live"}
+        self._entry_by_name[entry["name"]] = {**defaults, **entry}
+        self._snap()
+
+    def switched(self, changes: Json) -> None:
+        """Edit the list: ``add`` entries; ``remove``, ``leaving``, ``live`` names."""
+        for entry in _listed(changes.get("add")):
+            self.put(entry)
+        for name in _listed(changes.get("remove")):
+            self._entry_by_name.pop(name, None)
+        for state in ("leaving", "live"):
+            for name in _listed(changes.get(state)):
+                self._entry_by_name[name]["state"] = state
+        self.switches.update(add=None, remove=None, leaving=None, live=None)
+        self._snap()
+
+    def _snap(self) -> None:
+        hosts = copy.deepcopy(list(self._entry_by_name.values()))
+        self._snapshots.append((time.monotonic(), hosts))
+
+    def _lagging(self) -> list[Json]:
+        visible = time.monotonic() - self.switches["lag_s"]
+        # What stood at the start is seen at once.
+        hosts = self._snapshots[0][1] if self._snapshots else []
+        for at, snapshot in self._snapshots:
+            if at > visible:
+                break
+            hosts = snapshot
+        return hosts
+
+    async def _on_hosts(self, _request: web.Request) -> web.Response:
+        self._reads += 1
+        return web.json_response({"hosts": self._lagging()})
+
+
+def _listed(value: t.Any) -> list[t.Any]:
+    if value is None:
+        return []
+    return value if isinstance(value, list) else [value]
--- /dev/null
+++ b/standins/stores.py
@@ -0,0 +1,82 @@
+"""The object store and the rate-limited weight store."""
+
+import collections
+
+from aiohttp import web
+
+from .base import Bucket, Json, Standin
+
+WEIGHT_BYTES_PER_S = 1e9
+
+
+class Objects(Standin):
+    """Plain bytes by name."""
+
+    def __init__(self, name: str, config: Json) -> None:
+        super().__init__(name, config)
+        self._bytes_by_name: dict[str, bytes] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the protocol."""
+        return [
+            web.put("/v1/objects/{name:.+}", self._on_put),
+            web.get("/v1/objects/{name:.+}", self._on_get),
+        ]
+
+    def records(self) -> Json:
+        """Return counts and the names held."""
+        return {"counts": dict(self._counts), "names": sorted(self._bytes_by_name)}
+
+    async def _on_put(self, request: web.Request) -> web.Response:
+        self._counts["puts"] += 1
+        self._bytes_by_name[request.match_info["name"]] = await request.read()
+        return web.Response()
+
+    async def _on_get(self, request: web.Request) -> web.Response:
+        self._counts["gets"] += 1
+        body = self._bytes_by_name.get(request.match_info["name"])
+        if body is None:
+            return web.Response(status=404)
+        return web.Response(body=body, content_type="application/octet-stream")
+
+
+class Weights(Standin):
+    """Weights, handed out at a limited rate in bytes a second."""
+
+    def __init__(self, name: str, config: Json) -> None:
+        super().__init__(name, config)
+        rate = float(config.get("bytes_per_s", WEIGHT_BYTES_PER_S))
+        self.switches.update(bytes_per_s=rate)
+        self._bucket = Bucket(rate)
+        self._counts: collections.Counter[str] = collections.Counter()
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the protocol."""
+        return [web.post("/v1/weights/fetch", self._on_fetch)]
+
+    def records(self) -> Json:
+        """Return counts of fetches, bytes and refusals."""
+        return {"counts": dict(self._counts)}
+
+    def switched(self, changes: Json) -> None:
+        """Apply a new rate."""
+        self._bucket.rate = self.switches["bytes_per_s"]
+
+    def fetch(self, size: float) -> float:
+        """Take bytes, or return the seconds to wait."""
+        if self.switches["dead"] or self.switches["unavailable"]:
+            return 1.0
+        wait_s = self._bucket.wait_s(size)
+        self._counts["refused" if wait_s > 0 else "fetches"] += 1
+        if wait_s <= 0:
+            self._counts["bytes"] += int(size)
+        return wait_s
+
+    async def _on_fetch(self, request: web.Request) -> web.Response:
+        body = await request.json()
+        wait_s = self.fetch(float(body["bytes"]))
+        if wait_s > 0:
+            headers = {"Retry-After": f"{wait_s:.3f}"}
+            return web.json_response({"error": "rate"}, status=429, headers=headers)
+        return web.json_response({})
