--- /dev/null
+++ b/src/wagtailstair/core/lists_toml.py
@@ -0,0 +1,87 @@
+"""The lists as TOML text."""
+
+import json
+import tomllib
+
+from ..exceptions import ListsError
+from .lists import Lists, validate
+from .plans import (
+    ACCOUNTS,
+    PLANS,
+    account_value,
+    parse_account,
+    parse_plan,
+    plan_value,
+)
+from .rows import Value
+
+_VERSION = "version"
+
+
+def _table(raw: dict[str, object], name: str) -> dict[str, object]:
+    table = raw.get(name, {})
+    if not isinstance(table, dict):
+        raise ListsError("expected a table", where=name)
+    return table
+
+
+def lists_from_toml(text: str) -> Lists:
+    """Parse and validate both lists.
+
+    The version is that of the lists which the text was made from, 0 if it
+    names none.
+
+    :raises ListsError: with the path of what is wrong in ``where``.
+    """
+    try:
+        raw = tomllib.loads(text)
+    except tomllib.TOMLDecodeError as error:
+        raise ListsError(f"not valid TOML: {error}") from error
+    for key in raw:
+        if key not in (_VERSION, PLANS, ACCOUNTS):
+            raise ListsError("there is no such key", where=key)
+    version = raw.get(_VERSION, 0)
+    if type(version) is not int or version < 0:
+        raise ListsError("expected a whole number, 0 or more", where=_VERSION)
+    plan_by_name = {}
+    for name, value in _table(raw, PLANS).items():
+        plan_by_name[name] = parse_plan(name, value)
+    account_by_name = {}
+    for name, value in _table(raw, ACCOUNTS).items():
+        account_by_name[name] = parse_account(name, value)
+    lists = Lists(version, plan_by_name, account_by_name)
+    validate(lists)
+    return lists
+
+
+def _literal(value: object) -> str:
+    if isinstance(value, dict):
+        pairs = ", ".join(f"{key} = {_literal(item)}" for key, item in value.items())
+        return "{ " + pairs + " }"
+    if isinstance(value, list):
+        return "[" + ", ".join(_literal(item) for item in value) + "]"
+    if isinstance(value, str):
+        # A JSON string is a TOML basic string, but for DEL.
+        return json.dumps(value, ensure_ascii=False).replace("\x7f", "\\u007f")
+    return repr(value)
+
+
+def _section(path: str, value: Value) -> list[str]:
+    lines = [f"[{path}]"]
+    for key, item in value.items():
+        if key != "services":
+            lines.append(f"{key} = {_literal(item)}")
+    lines.append("")
+    for name, use in value.get("services", {}).items():
+        lines.extend(_section(f"{path}.services.{name}", use))
+    return lines
+
+
+def lists_to_toml(lists: Lists) -> str:
+    """Return both lists as text that `lists_from_toml` reads back."""
+    lines = [f"{_VERSION} = {lists.version}", ""]
+    for name, plan in sorted(lists.plan_by_name.items()):
+        lines.extend(_section(f"{PLANS}.{name}", plan_value(plan)))
+    for name, account in sorted(lists.account_by_name.items()):
+        lines.extend(_section(f"{ACCOUNTS}.{name}", account_value(account)))
+    return "\n".join(lines[:-1]) + "\n"
--- /dev/null
+++ b/tests/test_lists.py
@@ -0,0 +1,165 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from wagtailstair.core.engine import Priority
+from wagtailstair.core.lists import (
+    Lists,
+    ListsHolder,
+    parse_account,
+    parse_plan,
+    validate,
+)
+from wagtailstair.core.lists_toml import lists_from_toml, lists_to_toml
+from wagtailstair.core.plans import plan_value
+from wagtailstair.core.rows import VERSION_UNKNOWN, Row
+from wagtailstair.exceptions import ListsError
+
+MAKER = {"priorities": ["standard", "urgent"], "work_per_s": 2000, "max_concurrent": 16}
+KEY = {"salt": "00" * 16, "digest": "11" * 32}
+
+TEXT = f"""
+version = 7
+[plans.maker]
+priorities = ["urgent", "standard"]
+weight = 1.0
+work_per_s = 2000.0
+burst_s = 10.0
+max_concurrent = 16
+models = ["draft"]
+[plans.maker.services.entries]
+repeatable = ["GET", "HEAD"]
+[accounts.san-lucas]
+plan = "maker"
+keys = [{{ salt = "{KEY["salt"]}", digest = "{KEY["digest"]}" }}]
+"""
+
+
+def plan_row(name="maker", version=1, **changes):
+    return Row("plans", name, version, MAKER | changes)
+
+
+def account_row(name, plan="maker", version=1):
+    return Row("accounts", name, version, {"plan": plan})
+
+
+class TestParse:
+    def test_priorities_are_ordered_and_defaults_filled_in(self):
+        plan = parse_plan("maker", MAKER)
+        assert plan.priorities == (Priority.URGENT, Priority.STANDARD)
+        assert (plan.weight, plan.burst_s, plan.models) == (1.0, 10.0, ())
+
+    @pytest.mark.parametrize(
+        ("change", "where"),
+        [
+            ({"weight": 0}, "plans.maker.weight"),
+            ({"weight": "heavy"}, "plans.maker.weight"),
+            ({"work_per_s": float("inf")}, "plans.maker.work_per_s"),
+            ({"burst_s": -1}, "plans.maker.burst_s"),
+            ({"max_concurrent": 0}, "plans.maker.max_concurrent"),
+            ({"priorities": ["first"]}, "plans.maker.priorities"),
+            ({"priorities": []}, "plans.maker.priorities"),
+            ({"priorities": ["batch", "batch"]}, "plans.maker.priorities"),
+            ({"services": {"a/b": {}}}, "plans.maker.services.a/b"),
+            (
+                {"services": {"desk": {"repeatable": ["get"]}}},
+                "plans.maker.services.desk.repeatable",
+            ),
+            ({"wieght": 1}, "plans.maker"),
+        ],
+    )
+    def test_a_plan_error_names_the_place(self, change, where):
+        with pytest.raises(ListsError) as caught:
+            parse_plan("maker", MAKER | change)
+        assert caught.value.where == where
+
+    @pytest.mark.parametrize(
+        ("value", "where"),
+        [
+            ({}, "accounts.shop"),
+            ({"plan": 1}, "accounts.shop.plan"),
+            ({"plan": "p", "keys": [KEY | {"salt": "zz"}]}, "accounts.shop.keys[0]"),
+            ({"plan": "p", "keys": [KEY, {"salt": "00"}]}, "accounts.shop.keys[1]"),
+            ({"plan": "p", "keys": [KEY] * 5}, "accounts.shop.keys"),
+        ],
+    )
+    def test_an_account_error_names_the_place(self, value, where):
+        with pytest.raises(ListsError) as caught:
+            parse_account("shop", value)
+        assert caught.value.where.startswith(where)
+
+    @pytest.mark.parametrize("name", ["", "a.b", "a/b", "-a", "a\n", "x" * 65])
+    def test_names_are_checked(self, name):
+        with pytest.raises(ListsError, match="expected a name"):
+            parse_account(name, {"plan": "maker"})
+
+
+class TestLists:
+    def test_with_rows_replaces_and_deletes_without_touching_the_old(self):
+        old = Lists().with_rows(1, [plan_row(), account_row("a"), account_row("b")])
+        changed = Row("accounts", "b", VERSION_UNKNOWN, {"plan": "maker"})
+        new = old.with_rows(2, [Row("accounts", "a", 0, None), changed])
+        assert set(old.account_by_name) == {"a", "b"}
+        assert set(new.account_by_name) == {"b"}
+        assert new.row_versions == {("plans", "maker"): 1}
+        assert new.version == 2
+
+    def test_an_account_needs_its_plan(self):
+        lists = Lists().with_rows(1, [plan_row(), account_row("a", plan="judge")])
+        with pytest.raises(ListsError, match="no plan 'judge'") as caught:
+            validate(lists)
+        assert caught.value.where == "accounts.a.plan"
+        with pytest.raises(ListsError):
+            validate(lists, [("accounts", "a")])
+
+    def test_a_plan_in_use_is_not_deleted(self):
+        lists = Lists().with_rows(1, [plan_row(), account_row("a")])
+        lists = lists.with_rows(2, [Row("plans", "maker", 0, None)])
+        with pytest.raises(ListsError, match="no plan 'maker'"):
+            validate(lists, [("plans", "maker")])
+
+
+class TestHolder:
+    def test_takes_only_a_higher_version(self):
+        holder = ListsHolder()
+        assert holder.offer(Lists(3))
+        assert not holder.offer(Lists(3))
+        assert not holder.offer(Lists(2))
+        assert holder.current.version == 3
+
+
+class TestToml:
+    def test_reads_the_documented_form(self):
+        lists = lists_from_toml(TEXT)
+        plan = lists.plan_of(lists.account_by_name["san-lucas"])
+        assert lists.version == 7
+        assert plan.service_by_name["entries"].repeatable == {"GET", "HEAD"}
+
+    @pytest.mark.parametrize(
+        ("text", "where"),
+        [
+            ("[plan.maker]", "plan"),
+            ("version = -1", "version"),
+            ("plans = 1", "plans"),
+            ("[accounts.a]\nplan = 'none'", "accounts.a.plan"),
+            ("=", None),
+        ],
+    )
+    def test_an_error_names_the_place(self, text, where):
+        with pytest.raises(ListsError) as caught:
+            lists_from_toml(text)
+        assert caught.value.where == where
+
+    @settings(derandomize=True)
+    @given(
+        st.text(min_size=1, max_size=128).filter(str.isprintable) | st.just("a\x7f\n"),
+        st.floats(min_value=1e-300, allow_infinity=False),
+    )
+    def test_what_is_written_reads_back(self, model, weight):
+        plan = plan_row(models=[model], weight=weight, services={"desk": {}})
+        lists = Lists().with_rows(4, [plan, account_row("a")])
+        again = lists_from_toml(lists_to_toml(lists))
+        assert again.version == 4
+        assert again.account_by_name == lists.account_by_name
+        assert again.plan_by_name == lists.plan_by_name
+        assert plan_value(again.plan_by_name["maker"])["models"] == [model]
