Test how far a transfer got, and that libcurl sends nothing twice

With kept connections for calls that must not run twice, the test saw the second POST answered by the third script: libcurl had sent it again after the kept connection died.

--- a/src/wagtailstair/core/keys.py
+++ b/src/wagtailstair/core/keys.py
@@ -6,7 +6,11 @@
 import hmac
 
 from .lists import Lists
-from .plans import DIGEST_BYTES, MAX_KEYS, SALT_BYTES, Account, Key
+from .plans import DIGEST_BYTES
+from .plans import MAX_KEYS
+from .plans import SALT_BYTES
+from .plans import Account
+from .plans import Key
 
 SECRET_BYTES = 32
 SEPARATOR = "."
--- a/src/wagtailstair/core/lists.py
+++ b/src/wagtailstair/core/lists.py
@@ -12,10 +12,15 @@
 from .plans import Key as Key
 from .plans import Plan as Plan
 from .plans import ServiceUse as ServiceUse
-from .plans import account_value, plan_value
+from .plans import account_value
 from .plans import parse_account as parse_account
 from .plans import parse_plan as parse_plan
-from .rows import VERSION_ABSENT, VERSION_UNKNOWN, Row, RowKey, Value
+from .plans import plan_value
+from .rows import VERSION_ABSENT
+from .rows import VERSION_UNKNOWN
+from .rows import Row
+from .rows import RowKey
+from .rows import Value
 
 LISTS = "lists"
 HEAD = "head"
--- a/src/wagtailstair/core/lists_toml.py
+++ b/src/wagtailstair/core/lists_toml.py
@@ -4,15 +4,14 @@
 import tomllib
 
 from ..exceptions import ListsError
-from .lists import Lists, validate
-from .plans import (
-    ACCOUNTS,
-    PLANS,
-    account_value,
-    parse_account,
-    parse_plan,
-    plan_value,
-)
+from .lists import Lists
+from .lists import validate
+from .plans import ACCOUNTS
+from .plans import PLANS
+from .plans import account_value
+from .plans import parse_account
+from .plans import parse_plan
+from .plans import plan_value
 from .rows import Value
 
 _VERSION = "version"
--- a/src/wagtailstair/core/plans.py
+++ b/src/wagtailstair/core/plans.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from ..exceptions import ListsError
-from .engine import PRIORITY_BY_NAME, Priority
+from .engine import PRIORITY_BY_NAME
+from .engine import Priority
 from .rows import Value
 
 PLANS = "plans"
--- a/standins/decoding.py
+++ b/standins/decoding.py
@@ -8,15 +8,13 @@
 
 from .base import Json
 from .prefixes import prefix_hashes
-from .tokens import (
-    STOP_BELOW,
-    VOCABULARY,
-    Range,
-    advance,
-    context_of,
-    prompt_tokens,
-    text_of,
-)
+from .tokens import STOP_BELOW
+from .tokens import VOCABULARY
+from .tokens import Range
+from .tokens import advance
+from .tokens import context_of
+from .tokens import prompt_tokens
+from .tokens import text_of
 
 if t.TYPE_CHECKING:
     from .engine import Engine
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -6,8 +6,14 @@
 
 from aiohttp import web
 
-from .base import Json, Standin, drop, new_records, refusal
-from .decoding import Fleet, Stream, StreamError
+from .base import Json
+from .base import Standin
+from .base import drop
+from .base import new_records
+from .base import refusal
+from .decoding import Fleet
+from .decoding import Stream
+from .decoding import StreamError
 from .orders import Orders
 from .prefixes import PrefixCache
 
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -7,7 +7,8 @@
 
 from aiohttp import web
 
-from .base import Json, Standin
+from .base import Json
+from .base import Standin
 
 MAX_SNAPSHOTS = 10_000
 
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -4,7 +4,8 @@
 import time
 import typing as t
 
-from .base import Json, new_records
+from .base import Json
+from .base import new_records
 
 if t.TYPE_CHECKING:
     from .engine import Engine
--- a/standins/service.py
+++ b/standins/service.py
@@ -5,7 +5,11 @@
 
 from aiohttp import web
 
-from .base import Json, Standin, drop, new_records, refusal
+from .base import Json
+from .base import Standin
+from .base import drop
+from .base import new_records
+from .base import refusal
 
 
 class Service(Standin):
--- a/standins/stores.py
+++ b/standins/stores.py
@@ -4,7 +4,9 @@
 
 from aiohttp import web
 
-from .base import Bucket, Json, Standin
+from .base import Bucket
+from .base import Json
+from .base import Standin
 
 WEIGHT_BYTES_PER_S = 1e9
 
--- a/standins/table.py
+++ b/standins/table.py
@@ -6,7 +6,11 @@
 
 from aiohttp import web
 
-from .base import Bucket, Json, Standin, drop, new_records
+from .base import Bucket
+from .base import Json
+from .base import Standin
+from .base import drop
+from .base import new_records
 
 READS_PER_S = 2000.0
 WRITES_PER_S = 300.0
--- a/standins/world.py
+++ b/standins/world.py
@@ -2,12 +2,16 @@
 
 from aiohttp import web
 
-from .base import LOOPBACK, Json, Standin, SwitchError
+from .base import LOOPBACK
+from .base import Json
+from .base import Standin
+from .base import SwitchError
 from .decoding import Fleet
 from .engine import Engine
 from .hosts import Hosts
 from .service import Service
-from .stores import Objects, Weights
+from .stores import Objects
+from .stores import Weights
 from .table import Table
 
 SINGLE_BY_SECTION = {
--- /dev/null
+++ b/tests/scripted.py
@@ -0,0 +1,86 @@
+"""A scripted TCP server: each connection is answered by the next function."""
+
+import socket
+import threading
+import typing as t
+
+Script = t.Callable[[socket.socket, bytes], None]
+
+TIMEOUT_S = 10.0
+
+
+def read_request(connection: socket.socket) -> bytes:
+    """Read one HTTP request with its body, or what came before the end."""
+    data = b""
+    while b"\r\n\r\n" not in data:
+        piece = connection.recv(65536)
+        if not piece:
+            return data
+        data += piece
+    head, _, body = data.partition(b"\r\n\r\n")
+    length = 0
+    for line in head.split(b"\r\n"):
+        if line.lower().startswith(b"content-length:"):
+            length = int(line.split(b":")[1])
+    while len(body) < length:
+        piece = connection.recv(65536)
+        if not piece:
+            break
+        body += piece
+    return head + b"\r\n\r\n" + body
+
+
+def answer(status: int, body: bytes = b"", *headers: str) -> bytes:
+    """Return a whole HTTP answer."""
+    lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class ScriptedServer:
+    """Answers the n-th request by the n-th script; records all requests."""
+
+    def __init__(self, *scripts: Script) -> None:
+        self._scripts = list(scripts)
+        self.requests: list[bytes] = []
+        self._lock = threading.Lock()
+        self._listener = socket.create_server(("127.0.0.1", 0))
+        self._connections: list[socket.socket] = []
+        self.address = f"127.0.0.1:{self._listener.getsockname()[1]}"
+        threading.Thread(target=self._accept, daemon=True).start()
+
+    def __enter__(self) -> "ScriptedServer":
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self._listener.close()
+        for connection in self._connections:
+            connection.close()
+
+    def _accept(self) -> None:
+        while True:
+            try:
+                connection, _ = self._listener.accept()
+            except OSError:
+                return
+            self._connections.append(connection)
+            threading.Thread(
+                target=self._serve, args=(connection,), daemon=True
+            ).start()
+
+    def _serve(self, connection: socket.socket) -> None:
+        connection.settimeout(TIMEOUT_S)
+        try:
+            while True:
+                request = read_request(connection)
+                if not request:
+                    return
+                with self._lock:
+                    self.requests.append(request)
+                    if not self._scripts:
+                        return
+                    script = self._scripts.pop(0)
+                script(connection, request)
+        except OSError:
+            return
+        finally:
+            connection.close()
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -3,7 +3,8 @@
 import pytest
 
 from wagtailstair.core import keys
-from wagtailstair.core.lists import Account, Lists
+from wagtailstair.core.lists import Account
+from wagtailstair.core.lists import Lists
 
 RANDOM = random.Random(1)
 FIRST = keys.new_key(RANDOM.randbytes)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -1,18 +1,19 @@
 import pytest
-from hypothesis import given, settings
+from hypothesis import given
+from hypothesis import settings
 from hypothesis import strategies as st
 
 from wagtailstair.core.engine import Priority
-from wagtailstair.core.lists import (
-    Lists,
-    ListsHolder,
-    parse_account,
-    parse_plan,
-    validate,
-)
-from wagtailstair.core.lists_toml import lists_from_toml, lists_to_toml
+from wagtailstair.core.lists import Lists
+from wagtailstair.core.lists import ListsHolder
+from wagtailstair.core.lists import parse_account
+from wagtailstair.core.lists import parse_plan
+from wagtailstair.core.lists import validate
+from wagtailstair.core.lists_toml import lists_from_toml
+from wagtailstair.core.lists_toml import lists_to_toml
 from wagtailstair.core.plans import plan_value
-from wagtailstair.core.rows import VERSION_UNKNOWN, Row
+from wagtailstair.core.rows import VERSION_UNKNOWN
+from wagtailstair.core.rows import Row
 from wagtailstair.exceptions import ListsError
 
 MAKER = {"priorities": ["standard", "urgent"], "work_per_s": 2000, "max_concurrent": 16}
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -1,18 +1,16 @@
 import dataclasses
 
-from wagtailstair.core.membership import (
-    Heartbeat,
-    Host,
-    HostState,
-    Membership,
-    NameClash,
-    PeerDead,
-    PeerLeaving,
-    PeerLive,
-    PeerReplaced,
-    SelfPaused,
-    View,
-)
+from wagtailstair.core.membership import Heartbeat
+from wagtailstair.core.membership import Host
+from wagtailstair.core.membership import HostState
+from wagtailstair.core.membership import Membership
+from wagtailstair.core.membership import NameClash
+from wagtailstair.core.membership import PeerDead
+from wagtailstair.core.membership import PeerLeaving
+from wagtailstair.core.membership import PeerLive
+from wagtailstair.core.membership import PeerReplaced
+from wagtailstair.core.membership import SelfPaused
+from wagtailstair.core.membership import View
 
 HEARTBEAT_S = 0.5
 DEAD_AFTER_S = 2.5
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -1,4 +1,5 @@
-from wagtailstair.core.rendezvous import owner, ranked
+from wagtailstair.core.rendezvous import owner
+from wagtailstair.core.rendezvous import ranked
 
 HOSTS = [f"host-{number}" for number in range(20)]
 KEYS = [f"key-{number}" for number in range(2000)]
--- /dev/null
+++ b/tests/test_transfer.py
@@ -0,0 +1,156 @@
+import socket
+import threading
+
+import pytest
+
+from tests.scripted import ScriptedServer
+from tests.scripted import answer
+from wagtailstair.clock import SystemClock
+from wagtailstair.upstreams.loop import Loop
+from wagtailstair.upstreams.transfer import Sent
+from wagtailstair.upstreams.transfer import Transfer
+from wagtailstair.upstreams.transfer import TransferRequest
+from wagtailstair.upstreams.transfer import exchange
+
+WAIT_S = 20
+
+
+@pytest.fixture
+def loop():
+    loop = Loop(SystemClock())
+    loop.start()
+    yield loop
+    loop.stop()
+
+
+def reply(body):
+    return lambda connection, request: connection.sendall(answer(200, body))
+
+
+def hang_up(connection, request):
+    connection.shutdown(socket.SHUT_RDWR)
+
+
+def post(address, **options):
+    return TransferRequest("POST", f"http://{address}/x", body=b"{}", **options)
+
+
+class TestOutcome:
+    def test_answer(self, loop):
+        with ScriptedServer(reply(b"hello")) as server:
+            end = exchange(loop, post(server.address)).result(WAIT_S)
+        assert (end.sent, end.status, end.body) == (Sent.ANSWERED, 200, b"hello")
+        assert end.header("content-length") == "5"
+
+    def test_refused_connection_is_not_sent(self, loop):
+        with socket.create_server(("127.0.0.1", 0)) as closed:
+            address = f"127.0.0.1:{closed.getsockname()[1]}"
+        end = exchange(loop, post(address)).result(WAIT_S)
+        assert end.sent is Sent.NOT_SENT
+
+    def test_lost_reply_is_lost(self, loop):
+        with ScriptedServer(hang_up) as server:
+            end = exchange(loop, post(server.address)).result(WAIT_S)
+        assert end.sent is Sent.LOST
+
+    def test_timeout_after_sending_is_lost(self, loop):
+        release = threading.Event()
+        with ScriptedServer(lambda c, r: release.wait(WAIT_S)) as server:
+            request = post(server.address, timeout_s=0.2)
+            end = exchange(loop, request).result(WAIT_S)
+            release.set()
+        assert end.sent is Sent.LOST
+
+    def test_truncated_body_is_lost(self, loop):
+        def truncate(connection, request):
+            connection.sendall(answer(200, b"0123456789")[:-4])
+            hang_up(connection, request)
+
+        with ScriptedServer(truncate) as server:
+            end = exchange(loop, post(server.address)).result(WAIT_S)
+        assert end.sent is Sent.LOST
+
+    def test_too_large_answer_is_lost_not_kept(self, loop):
+        with ScriptedServer(reply(b"x" * 5000)) as server:
+            request = post(server.address, max_response_bytes=1000)
+            end = exchange(loop, request).result(WAIT_S)
+        assert end.sent is Sent.LOST
+        assert len(end.body) <= 1000
+
+
+class TestNoSilentResend:
+    def test_kept_connection_that_dies_is_not_retried_by_the_library(self, loop):
+        # The second request would go out on the kept connection, whose death
+        # before any byte of an answer makes libcurl send it once more.
+        with ScriptedServer(reply(b"a"), hang_up, reply(b"b")) as server:
+            first = exchange(loop, post(server.address)).result(WAIT_S)
+            second = exchange(loop, post(server.address)).result(WAIT_S)
+            count = len(server.requests)
+        assert first.sent is Sent.ANSWERED
+        assert second.sent is Sent.LOST
+        assert count == 2
+
+
+class TestStreaming:
+    def test_paused_data_is_delivered_again(self, loop):
+        pieces = []
+        ended = threading.Event()
+        paused = threading.Event()
+        is_full = True
+
+        def on_data(data):
+            if is_full:
+                paused.set()
+                return False
+            pieces.append(data)
+            return True
+
+        with ScriptedServer(reply(b"abc")) as server:
+            transfer = Transfer(
+                loop, post(server.address), lambda end: ended.set(), on_data
+            )
+            loop.call(transfer.start)
+            assert paused.wait(WAIT_S)
+            is_full = False
+            loop.call(transfer.resume)
+            assert ended.wait(WAIT_S)
+        assert b"".join(pieces) == b"abc"
+
+    def test_cancel_closes_the_connection(self, loop):
+        closed = threading.Event()
+        opened = threading.Event()
+
+        def wait_for_close(connection, request):
+            opened.set()
+            if connection.recv(1) == b"":
+                closed.set()
+
+        with ScriptedServer(wait_for_close) as server:
+            future = exchange(loop, post(server.address))
+            assert opened.wait(WAIT_S)
+            assert future.cancel()
+            assert closed.wait(WAIT_S)
+
+
+class TestLoop:
+    def test_broken_callback_does_not_end_the_thread(self, loop):
+        ran = threading.Event()
+
+        def broken():
+            raise ZeroDivisionError
+
+        loop.call(broken)
+        loop.call(lambda: loop.call_later(0.01, ran.set))
+        assert ran.wait(WAIT_S)
+
+    def test_cancelled_timer_does_not_run(self, loop):
+        ran = []
+        done = threading.Event()
+
+        def start():
+            loop.call_later(0.01, lambda: ran.append(1)).cancel()
+            loop.call_later(0.02, done.set)
+
+        loop.call(start)
+        assert done.wait(WAIT_S)
+        assert ran == []
