Test the relay against scripted engines; resume broken streams without budget

A retry budget of a tenth of the traffic would cut streams when one engine that carries a quarter of them dies. Refusals stay under the budget, since they tell of overload; broken streams are resumed, paced by the pool and bounded by the session's epochs.

--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -393,7 +393,9 @@
         assert session is not None
         if end.status in REFUSAL_STATUSES and decode_refusal(end.body):
             session.refused(attempt.id)
-            self._retry(attempt, "refused")
+            # A refusal is a sign of overload, which retries must not feed. A
+            # broken stream is resumed in any case: the pool paces it.
+            self._retry(attempt, "refused", self._shared.may_retry())
             return
         self._broken(end.error or f"status {end.status}", end.sent is not Sent.NOT_SENT)
 
@@ -410,9 +412,9 @@
         assert opened is not None
         assert self._session is not None
         self._session.broken(opened.attempt.id, sent)
-        self._retry(opened.attempt, reason)
+        self._retry(opened.attempt, reason, True)
 
-    def _retry(self, attempt: Attempt, reason: str) -> None:
+    def _retry(self, attempt: Attempt, reason: str, allowed: bool) -> None:
         session = self._session
         assert session is not None
         failed = attempt.route[0].engine
@@ -429,7 +431,7 @@
         self._release(engines)
         self._avoid = self._avoid | engines
         self._shared.on_failed(failed)
-        if session.may_begin() and self._shared.may_retry():
+        if allowed and session.may_begin():
             self._centre_index = 0
             self._ask()
             return
--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,288 @@
+import concurrent.futures
+import json
+import socket
+
+import pytest
+
+from tests.scripted import ScriptedServer
+from tests.scripted import answer
+from wagtailstair.clock import SystemClock
+from wagtailstair.core.demand import Grant
+from wagtailstair.core.demand import Refusal
+from wagtailstair.core.demand import RefusalReason
+from wagtailstair.core.engine import Priority
+from wagtailstair.core.engine import Stage
+from wagtailstair.core.sessions import DEFAULT_MAX_EPOCHS
+from wagtailstair.exceptions import CallerGoneError
+from wagtailstair.exceptions import DeadlineExceededError
+from wagtailstair.exceptions import NoUpstreamError
+from wagtailstair.exceptions import Outcome
+from wagtailstair.exceptions import OutcomeUnknownError
+from wagtailstair.exceptions import QueueFullError
+from wagtailstair.relay import Job
+from wagtailstair.relay import Relays
+from wagtailstair.settings import RoutingSection
+from wagtailstair.upstreams.loop import Loop
+
+WAIT_S = 20
+LAYERS = 8
+MAX_EPOCHS = DEFAULT_MAX_EPOCHS
+
+
+class FakeDispatch:
+    """Grants the next of its routes; keeps what is given back."""
+
+    def __init__(self, *addresses):
+        self.addresses = list(addresses)
+        self.wants = []
+        self.dones = []
+        self.cancelled = []
+
+    def submit(self, model, data_centre, want):
+        self.wants.append((data_centre, want))
+        future = concurrent.futures.Future()
+        address = self.addresses.pop(0) if self.addresses else None
+        if address is None:
+            return future
+        if isinstance(address, RefusalReason):
+            refusal = Refusal(want.request, want.epoch, want.host, address, 2.0)
+            future.set_result(refusal)
+            return future
+        stage = Stage(f"engine-{len(self.wants)}", address, 0, LAYERS)
+        future.set_result(Grant(want.request, want.epoch, want.host, (stage,)))
+        return future
+
+    def done(self, model, data_centre, done):
+        self.dones.append(done)
+
+    def cancel(self, model, data_centre, request, epoch):
+        self.cancelled.append((request, epoch))
+
+
+class Tokens:
+    def __init__(self):
+        self.texts = []
+        self.full = False
+
+    def token(self, text):
+        self.texts.append(text)
+
+    def is_full(self):
+        return self.full
+
+
+@pytest.fixture
+def loop():
+    loop = Loop(SystemClock())
+    loop.start()
+    yield loop
+    loop.stop()
+
+
+def start(loop, dispatch, *, may_retry=lambda: True, deadline_s=30.0, **routing):
+    relays = Relays(
+        loop,
+        dispatch,
+        SystemClock(),
+        RoutingSection(**routing),
+        "host-1",
+        may_retry,
+        on_failed=lambda engine: None,
+        on_answered=lambda engine: None,
+    )
+    relays.start()
+    job = Job(
+        request="r1",
+        account="a",
+        model="draft",
+        adapter="",
+        prompt="hello",
+        max_tokens=3,
+        priority=Priority.URGENT,
+        weight=1.0,
+        entitled=True,
+        prompt_tokens=1,
+        work=4.0,
+        deadline=SystemClock().monotonic() + deadline_s,
+        data_centres=("dc-1", "dc-2"),
+    )
+    sink = Tokens()
+    return relays.run(job, sink), sink
+
+
+def token(position, epoch, **other):
+    line = {
+        "r": "r1",
+        "a": f"r1.{epoch}",
+        "e": epoch,
+        "p": position,
+        "t": 100 + position,
+        "x": f" t{position}",
+        "w": [[0, LAYERS]],
+    }
+    line.update(other)
+    return line
+
+
+def end(position, epoch):
+    attempt = f"r1.{epoch}"
+    return {"r": "r1", "a": attempt, "e": epoch, "p": position, "end": "length"}
+
+
+def stream(*lines, whole=True):
+    body = b"".join(json.dumps(line).encode() + b"\n" for line in lines)
+
+    def script(connection, request):
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
+        connection.sendall(head + chunk + (b"0\r\n\r\n" if whole else b""))
+        if not whole:
+            connection.shutdown(socket.SHUT_RDWR)
+
+    return script
+
+
+def body_of(raw):
+    return json.loads(raw.partition(b"\r\n\r\n")[2])
+
+
+WHOLE = [token(0, 1), token(1, 1), token(2, 1), end(3, 1)]
+
+
+class TestWholeAnswer:
+    def test_tokens_in_order_then_the_end(self, loop):
+        with ScriptedServer(stream(*WHOLE)) as engine:
+            dispatch = FakeDispatch(engine.address)
+            relay, sink = start(loop, dispatch)
+            finished = relay.future.result(WAIT_S)
+        assert sink.texts == [" t0", " t1", " t2"]
+        assert finished.text == " t0 t1 t2"
+        assert (finished.reason, finished.output_tokens) == ("length", 3)
+        assert [done.output_tokens for done in dispatch.dones] == [3]
+
+    def test_lines_of_others_and_repeated_lines_are_dropped(self, loop):
+        foreign = token(1, 1, r="r2")
+        stale = token(1, 1, a="r1.0")
+        lines = [token(0, 1), foreign, stale, token(0, 1), *WHOLE[1:]]
+        with ScriptedServer(stream(*lines)) as engine:
+            relay, sink = start(loop, FakeDispatch(engine.address))
+            relay.future.result(WAIT_S)
+        assert sink.texts == [" t0", " t1", " t2"]
+
+
+class TestResume:
+    @pytest.mark.parametrize(
+        "broken",
+        [
+            stream(token(0, 1), whole=False),
+            stream(token(0, 1)),
+            stream(token(0, 1), token(2, 1)),
+            stream(token(0, 1), token(1, 1, w=[[0, 4], [4, 7]])),
+            stream(token(0, 1), token(1, 1, w=[[0, 5], [4, 8]])),
+            stream(token(0, 1), end(3, 1)),
+        ],
+        ids=["cut", "no-end", "skipped", "layer-missing", "layer-twice", "wrong-end"],
+    )
+    def test_goes_on_from_what_was_delivered(self, loop, broken):
+        rest = stream(token(1, 2), token(2, 2), end(3, 2))
+        with ScriptedServer(broken) as first, ScriptedServer(rest) as second:
+            dispatch = FakeDispatch(first.address, second.address)
+            relay, sink = start(loop, dispatch)
+            finished = relay.future.result(WAIT_S)
+            request = body_of(second.requests[0])
+        assert sink.texts == [" t0", " t1", " t2"]
+        assert finished.output_tokens == 3
+        assert (request["tokens"], request["epoch"]) == ([100], 2)
+        assert dispatch.wants[1][1].avoid == {"engine-1"}
+
+    def test_stalled_stream_is_broken(self, loop):
+        def hold(connection, request):
+            body = json.dumps(token(0, 1)).encode() + b"\n"
+            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+            connection.sendall(head + b"%x\r\n%b\r\n" % (len(body), body))
+            connection.recv(1)
+
+        rest = stream(token(1, 2), token(2, 2), end(3, 2))
+        with ScriptedServer(hold) as first, ScriptedServer(rest) as second:
+            dispatch = FakeDispatch(first.address, second.address)
+            relay, sink = start(loop, dispatch, stall_timeout_s=0.3)
+            relay.future.result(WAIT_S)
+        assert sink.texts == [" t0", " t1", " t2"]
+
+
+class TestRetryBudget:
+    def test_resume_of_a_broken_stream_needs_no_budget(self, loop):
+        # One dead engine may break more streams at once than any budget holds.
+        cut = stream(token(0, 1), whole=False)
+        rest = stream(token(1, 2), token(2, 2), end(3, 2))
+        with ScriptedServer(cut) as first, ScriptedServer(rest) as second:
+            dispatch = FakeDispatch(first.address, second.address)
+            relay, _ = start(loop, dispatch, may_retry=lambda: False)
+            assert relay.future.result(WAIT_S).output_tokens == 3
+
+
+class TestOutcome:
+    def test_refused_by_every_engine_is_not_run(self, loop):
+        refuse = answer(503, b'{"error": "full", "not_run": true}')
+        script = lambda connection, request: connection.sendall(refuse)  # noqa: E731
+        with ScriptedServer(script) as engine:
+            dispatch = FakeDispatch(engine.address)
+            relay, _ = start(loop, dispatch, may_retry=lambda: False)
+            with pytest.raises(NoUpstreamError) as caught:
+                relay.future.result(WAIT_S)
+        assert caught.value.outcome is Outcome.NOT_RUN
+
+    def test_error_without_word_of_not_run_is_unknown(self, loop):
+        fail = answer(503, b"{}")
+        script = lambda connection, request: connection.sendall(fail)  # noqa: E731
+        with ScriptedServer(*[script] * MAX_EPOCHS) as engine:
+            dispatch = FakeDispatch(*[engine.address] * MAX_EPOCHS)
+            relay, _ = start(loop, dispatch)
+            with pytest.raises(OutcomeUnknownError) as caught:
+                relay.future.result(WAIT_S)
+        assert caught.value.outcome is Outcome.UNKNOWN
+
+    def test_unreachable_engine_is_not_run(self, loop):
+        with socket.create_server(("127.0.0.1", 0)) as closed:
+            address = f"127.0.0.1:{closed.getsockname()[1]}"
+        relay, _ = start(loop, FakeDispatch(*[address] * MAX_EPOCHS))
+        with pytest.raises(NoUpstreamError) as caught:
+            relay.future.result(WAIT_S)
+        assert caught.value.outcome is Outcome.NOT_RUN
+
+    def test_deadline_while_waiting_is_not_run_and_takes_the_want_back(self, loop):
+        dispatch = FakeDispatch()
+        relay, _ = start(loop, dispatch, deadline_s=0.1)
+        with pytest.raises(DeadlineExceededError) as caught:
+            relay.future.result(WAIT_S)
+        assert caught.value.outcome is Outcome.NOT_RUN
+        assert dispatch.cancelled == [("r1", 1)]
+
+    def test_full_queue_is_refused_with_retry_after(self, loop):
+        relay, _ = start(loop, FakeDispatch(RefusalReason.QUEUE_FULL))
+        with pytest.raises(QueueFullError) as caught:
+            relay.future.result(WAIT_S)
+        assert caught.value.retry_after_s == 2.0
+
+    def test_no_route_goes_on_to_the_next_data_centre(self, loop):
+        with ScriptedServer(stream(*WHOLE)) as engine:
+            dispatch = FakeDispatch(RefusalReason.NO_ROUTE, engine.address)
+            relay, _ = start(loop, dispatch)
+            relay.future.result(WAIT_S)
+        assert [centre for centre, _ in dispatch.wants] == ["dc-1", "dc-2"]
+        assert [done.epoch for done in dispatch.dones] == [2]
+
+    def test_cancel_closes_the_stream_and_gives_the_grant_back(self, loop):
+        def hold(connection, request):
+            connection.recv(1)
+
+        with ScriptedServer(hold) as engine:
+            dispatch = FakeDispatch(engine.address)
+            relay, _ = start(loop, dispatch)
+            while not engine.requests:
+                assert not relay.future.done()
+            loop.call(relay.cancel)
+            with pytest.raises(CallerGoneError) as caught:
+                relay.future.result(WAIT_S)
+        assert caught.value.outcome is Outcome.UNKNOWN
+        assert len(dispatch.dones) == 1
