Run calls with an idempotency key at most once

A call that may not be repeated needs a claim that outlives its host. The decisions are a step machine (core/claims.py): each table call and each send is a command and its answer the next event, so that interleavings can be replayed. The adapter (claims.py) carries the steps out; writes of concurrent calls share transactions (commits.py); results whose write is not confirmed in time are settled behind the caller's back, in bounded number (settling.py).

--- /dev/null
+++ b/src/wagtailstair/claims.py
@@ -0,0 +1,338 @@
+"""Calls with an idempotency key: each runs at most once, on any host."""
+
+import collections.abc
+import concurrent.futures
+import random
+import threading
+import typing as t
+import uuid
+
+from .clock import Clock
+from .commits import GroupWriter, TableClient
+from .core.claim_rows import decode_claim, encode_claim
+from .core.claim_steps import (
+    Answer,
+    Answered,
+    Away,
+    CallLost,
+    Claimant,
+    ClaimRow,
+    Command,
+    Deliver,
+    Delivered,
+    Event,
+    Failure,
+    FailureReason,
+    Fetch,
+    Fetched,
+    Finish,
+    Insert,
+    NotRun,
+    Read,
+    Release,
+    RowRead,
+    Send,
+    Settle,
+    Store,
+    Stored,
+    Wait,
+    Woke,
+)
+from .core.claims import Claim, ClaimLimits, make_claim_key
+from .core.rows import VERSION_ABSENT, Condition, Row, Write
+from .exceptions import (
+    CallInProgressError,
+    DeadlineExceededError,
+    KeyReusedError,
+    NotReadyError,
+    NoUpstreamError,
+    Outcome,
+    OutcomeUnknownError,
+    PlatformError,
+    RequestError,
+    UpstreamNotSentError,
+    UpstreamRefusedError,
+)
+from .settling import Settler, Task, WriteFuture, event_of_write
+
+TABLE = "claims"
+MAX_BACKGROUND = 1024
+AWAY_RETRY_S = 1.0
+
+Sender = collections.abc.Callable[[], Answer]
+
+
+class ObjectClient(t.Protocol):
+    """What is needed of the client of the object store."""
+
+    def put(self, name: str, body: bytes) -> None:
+        """Store an object; raise :exc:`PlatformError` if that isn't certain."""
+        ...
+
+    def get(self, name: str) -> bytes:
+        """Return an object; raise :exc:`PlatformError` if it can't be read."""
+        ...
+
+
+def _never_dead(host: str, incarnation: str) -> bool:
+    return False
+
+
+_ERROR_BY_REASON: dict[FailureReason, tuple[type[RequestError], str]] = {
+    FailureReason.PLATFORM_AWAY: (NotReadyError, "the platform's table is away"),
+    FailureReason.DEADLINE: (DeadlineExceededError, "the deadline has passed"),
+    FailureReason.KEY_REUSED: (
+        KeyReusedError,
+        "the idempotency key was used with another request",
+    ),
+    FailureReason.IN_PROGRESS: (
+        CallInProgressError,
+        "another call with this key has no result yet",
+    ),
+    FailureReason.OUTCOME_UNKNOWN: (
+        OutcomeUnknownError,
+        "the call was sent and its result is not known",
+    ),
+    FailureReason.UPSTREAM_NOT_RUN: (NoUpstreamError, "no upstream ran the call"),
+}
+
+
+def _make_error(failure: Failure, cause: BaseException | None) -> RequestError:
+    if isinstance(cause, RequestError) and cause.outcome is failure.outcome:
+        return cause
+    kind, message = _ERROR_BY_REASON[failure.reason]
+    if failure.outcome is Outcome.UNKNOWN and kind.outcome is Outcome.NOT_RUN:
+        kind = OutcomeUnknownError
+    retry_after_s = None
+    if failure.reason is FailureReason.PLATFORM_AWAY:
+        retry_after_s = AWAY_RETRY_S
+    error = kind(message, outcome=failure.outcome, retry_after_s=retry_after_s)
+    error.__cause__ = cause
+    return error
+
+
+class Claims:
+    """The claims of one daemon.
+
+    :param host: the daemon's name; ``incarnation``: differs at each start.
+    :param is_dead: tells whether an incarnation of a host is known to be dead.
+    :param max_background: results still to be written, above which new calls
+        are refused.
+    """
+
+    def __init__(
+        self,
+        table: TableClient,
+        objects: ObjectClient,
+        clock: Clock,
+        host: str,
+        incarnation: str = "",
+        *,
+        limits: ClaimLimits | None = None,
+        is_dead: collections.abc.Callable[[str, str], bool] = _never_dead,
+        max_background: int = MAX_BACKGROUND,
+    ) -> None:
+        self._table = table
+        self._objects = objects
+        self._clock = clock
+        self._host = host
+        self._incarnation = incarnation or uuid.uuid4().hex
+        self._limits = limits or ClaimLimits()
+        self._is_dead = is_dead
+        self._max_background = max_background
+        self._random = random.Random()
+        self._writer = GroupWriter(table, clock)
+        self._settler = Settler(self)
+        self._idle = threading.Condition()
+        self._running = 0
+        self._is_closing = False
+
+    @property
+    def unsettled(self) -> int:
+        """Return the number of results whose write is not confirmed."""
+        return self._settler.count
+
+    def run(
+        self,
+        account: str,
+        service: str,
+        key: str,
+        request_hash: str,
+        deadline: float,
+        send: Sender,
+    ) -> Answer:
+        """Run a call at most once, or replay the answer of an earlier one.
+
+        :param deadline: instant on the clock's monotonic time.
+        :param send: one exchange; it raises :exc:`UpstreamNotSentError`,
+            :exc:`UpstreamRefusedError` or a :exc:`RequestError` that says
+            ``not_run`` only if nothing has run. Any other error counts as
+            a call in doubt.
+        :raises RequestError: with what is known of the call's effect.
+        """
+        with self._idle:
+            if self._is_closing or self.unsettled >= self._max_background:
+                raise NotReadyError(
+                    "no new calls with a key are taken", retry_after_s=AWAY_RETRY_S
+                )
+            self._running += 1
+        try:
+            return self._run(
+                self._new_task(account, service, key, request_hash, deadline, send)
+            )
+        finally:
+            with self._idle:
+                self._running -= 1
+                self._idle.notify_all()
+
+    def close(self, timeout: float) -> int:
+        """Settle what is pending; return the number of results left unsettled.
+
+        :param timeout: seconds to wait for calls and their writes.
+        """
+        with self._idle:
+            self._is_closing = True
+            self._idle.wait_for(lambda: self._running == 0, timeout)
+        left = self._settler.close(timeout)
+        self._writer.close()
+        return left
+
+    def _new_task(
+        self,
+        account: str,
+        service: str,
+        key: str,
+        request_hash: str,
+        deadline: float,
+        send: Sender,
+    ) -> Task:
+        claimant = Claimant(self._host, self._incarnation, uuid.uuid4().hex)
+        row = ClaimRow(request_hash, claimant, self._clock.utcnow().timestamp())
+        claim = Claim(row, deadline, self._limits)
+        return Task(claim, make_claim_key(account, service, key), send)
+
+    def _run(self, task: Task) -> Answer:
+        claim = task.claim
+        command = claim.start(self._clock.monotonic())
+        while not isinstance(command, Deliver):
+            if isinstance(command, Settle | Release):
+                future = self.submit(task, command)
+                if not self._is_written_soon(future):
+                    claim.is_delivered = True
+                    self._settler.follow(task, future)
+                    return self._conclude(task)
+                event = event_of_write(future)
+            else:
+                event = self.execute(task, command)
+            command = claim.step(event, self._clock.monotonic())
+        command = claim.step(Delivered(), self._clock.monotonic())
+        if not isinstance(command, Finish):
+            self._settler.park(task, command)
+        return self._conclude(task)
+
+    def _is_written_soon(self, future: WriteFuture) -> bool:
+        done, _ = concurrent.futures.wait([future], self._limits.confirm_s)
+        return bool(done)
+
+    def _conclude(self, task: Task) -> Answer:
+        result = task.claim.result
+        if isinstance(result, Answer):
+            return result
+        if result is None:
+            raise OutcomeUnknownError("the call ended without a result")
+        raise _make_error(result, task.cause)
+
+    # The steps, also for the settler.
+
+    def submit(self, task: Task, command: Insert | Settle | Release) -> WriteFuture:
+        """Queue a claim's write."""
+        version = VERSION_ABSENT
+        value = None
+        if not isinstance(command, Release):
+            value = encode_claim(command.row)
+        if not isinstance(command, Insert):
+            version = command.version
+        return self._writer.submit(
+            Condition(TABLE, task.key, version), Write(TABLE, task.key, value)
+        )
+
+    def execute(self, task: Task, command: Command) -> Event:
+        """Do a step that the calling thread waits for."""
+        return _STEP_BY_COMMAND[type(command)](self, task, command)
+
+    def event_of_row(self, row: Row) -> RowRead:
+        """Return the event that a row as read stands for."""
+        if row.value is None:
+            return RowRead(row.version, None)
+        claim = decode_claim(row.value)
+        claimant = claim.claimant
+        is_dead = self._is_dead(claimant.host, claimant.incarnation)
+        return RowRead(row.version, claim, is_dead)
+
+    def jitter(self, delay_s: float) -> float:
+        """Return a delay between half of one and the whole."""
+        return delay_s * self._random.uniform(0.5, 1.0)
+
+    def monotonic(self) -> float:
+        """Return the clock's monotonic time."""
+        return self._clock.monotonic()
+
+    def read_rows(self, tasks: collections.abc.Sequence[Task]) -> list[Event]:
+        """Read the rows of several claims at once."""
+        try:
+            rows = self._table.read([(TABLE, task.key) for task in tasks])
+        except PlatformError:
+            return [Away() for _ in tasks]
+        return [self.event_of_row(row) for row in rows]
+
+    def _do_insert(self, task: Task, command: Insert) -> Event:
+        future = self.submit(task, command)
+        concurrent.futures.wait([future])
+        return event_of_write(future)
+
+    def _do_read(self, task: Task, command: Read) -> Event:
+        return self.read_rows([task])[0]
+
+    def _do_wait(self, task: Task, command: Wait) -> Event:
+        threading.Event().wait(self.jitter(command.delay_s))
+        return Woke()
+
+    def _do_send(self, task: Task, command: Send) -> Event:
+        # Judged again here: the thread may have been frozen since the claim.
+        if task.send is None or self._clock.monotonic() >= command.not_after:
+            return NotRun()
+        try:
+            answer = task.send()
+        except (UpstreamNotSentError, UpstreamRefusedError) as error:
+            task.cause = error
+            return NotRun()
+        except RequestError as error:
+            task.cause = error
+            return NotRun() if error.outcome is Outcome.NOT_RUN else CallLost()
+        except Exception as error:
+            task.cause = error
+            return CallLost()
+        return Answered(answer)
+
+    def _do_store(self, task: Task, command: Store) -> Event:
+        try:
+            self._objects.put(command.name, command.body)
+        except PlatformError:
+            return Away()
+        return Stored()
+
+    def _do_fetch(self, task: Task, command: Fetch) -> Event:
+        try:
+            return Fetched(self._objects.get(command.name))
+        except PlatformError:
+            return Away()
+
+
+_STEP_BY_COMMAND: dict[type, collections.abc.Callable[..., Event]] = {
+    Insert: Claims._do_insert,
+    Read: Claims._do_read,
+    Wait: Claims._do_wait,
+    Send: Claims._do_send,
+    Store: Claims._do_store,
+    Fetch: Claims._do_fetch,
+}
--- /dev/null
+++ b/src/wagtailstair/commits.py
@@ -0,0 +1,201 @@
+"""Group commit: conditional writes of single rows share transactions."""
+
+import collections
+import collections.abc
+import concurrent.futures
+import dataclasses
+import threading
+import typing as t
+
+from .clock import Clock
+from .core.rows import Condition, Row, RowKey, Write
+from .exceptions import (
+    PlatformConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+)
+
+MAX_BATCH_ROWS = 64
+MAX_QUEUE_ROWS = 4096
+AWAY_S = 0.5
+
+
+class TableClient(t.Protocol):
+    """What is needed of the client of the table service.
+
+    Each method raises :exc:`PlatformUnavailableError` if nothing took effect
+    and :exc:`PlatformUnknownError` if that is not known.
+    """
+
+    def transact(
+        self,
+        conditions: collections.abc.Sequence[Condition],
+        writes: collections.abc.Sequence[Write],
+    ) -> collections.abc.Sequence[int]:
+        """Write rows together; raise :exc:`PlatformConflictError` if refused."""
+        ...
+
+    def read(
+        self, keys: collections.abc.Sequence[RowKey]
+    ) -> collections.abc.Sequence[Row]:
+        """Return the rows in the order of their keys, absent ones included."""
+        ...
+
+
+@dataclasses.dataclass(slots=True)
+class _Operation:
+    condition: Condition
+    write: Write
+    future: "concurrent.futures.Future[int]"
+
+    @property
+    def row(self) -> RowKey:
+        return (self.condition.table, self.condition.key)
+
+
+def _conflicting_rows(error: PlatformConflictError) -> frozenset[RowKey]:
+    conflicts = getattr(error, "conflicts", None) or ()
+    return frozenset((conflict.table, conflict.key) for conflict in conflicts)
+
+
+class GroupWriter:
+    """A thread that writes what is waiting in one transaction.
+
+    A conflict of one operation doesn't fail the others of its batch. Two
+    operations on one row never share a batch: their conditions would both hold
+    although only the last write would stay.
+
+    :param away_s: seconds for which writes are refused at once after the
+        table could not be reached.
+    """
+
+    def __init__(
+        self,
+        table: TableClient,
+        clock: Clock,
+        *,
+        max_batch: int = MAX_BATCH_ROWS,
+        max_queue: int = MAX_QUEUE_ROWS,
+        away_s: float = AWAY_S,
+    ) -> None:
+        self._table = table
+        self._clock = clock
+        self._max_batch = max_batch
+        self._max_queue = max_queue
+        self._away_s = away_s
+        self._away_until = float("-inf")
+        self._queue: collections.deque[_Operation] = collections.deque()
+        self._changed = threading.Condition()
+        self._is_closing = False
+        self._thread = threading.Thread(
+            target=self._run, name="group-writer", daemon=True
+        )
+        self._thread.start()
+
+    def submit(
+        self, condition: Condition, write: Write
+    ) -> "concurrent.futures.Future[int]":
+        """Queue a write; the future gives the row's new version.
+
+        The future raises the errors of :class:`TableClient`.
+        """
+        future: concurrent.futures.Future[int] = concurrent.futures.Future()
+        with self._changed:
+            reason = self._refusal()
+            if reason is not None:
+                future.set_exception(PlatformUnavailableError(reason, where="table"))
+                return future
+            self._queue.append(_Operation(condition, write, future))
+            self._changed.notify()
+        return future
+
+    def close(self) -> None:
+        """Write what is queued and stop the thread."""
+        with self._changed:
+            self._is_closing = True
+            self._changed.notify()
+        self._thread.join()
+
+    def _refusal(self) -> str | None:
+        if self._is_closing:
+            return "the writer is closed"
+        if self._clock.monotonic() < self._away_until:
+            return "the table is away"
+        if len(self._queue) >= self._max_queue:
+            return "too many writes are waiting"
+        return None
+
+    def _run(self) -> None:
+        while True:
+            batch = self._take()
+            if not batch:
+                return
+            self._commit(batch)
+
+    def _take(self) -> list[_Operation]:
+        with self._changed:
+            while not self._queue and not self._is_closing:
+                self._changed.wait()
+            batch: list[_Operation] = []
+            rows: set[RowKey] = set()
+            left: list[_Operation] = []
+            while self._queue and len(batch) < self._max_batch:
+                operation = self._queue.popleft()
+                if operation.row in rows:
+                    left.append(operation)
+                    continue
+                rows.add(operation.row)
+                batch.append(operation)
+            self._queue.extendleft(reversed(left))
+            return batch
+
+    def _commit(self, batch: list[_Operation]) -> None:
+        conditions = [operation.condition for operation in batch]
+        writes = [operation.write for operation in batch]
+        try:
+            versions = self._table.transact(conditions, writes)
+            pairs = list(zip(batch, versions, strict=True))
+        except PlatformConflictError as error:
+            self._divide(batch, error)
+        except PlatformUnavailableError as error:
+            self._refuse_all(batch, error)
+        except PlatformError as error:
+            _fail(batch, error)
+        except Exception as error:
+            # Whatever it was, the write may have taken effect.
+            unknown = PlatformUnknownError(str(error), where="table")
+            unknown.__cause__ = error
+            _fail(batch, unknown)
+        else:
+            for operation, version in pairs:
+                operation.future.set_result(version)
+
+    def _divide(self, batch: list[_Operation], error: PlatformConflictError) -> None:
+        if len(batch) == 1:
+            _fail(batch, error)
+            return
+        rows = _conflicting_rows(error)
+        failed = [operation for operation in batch if operation.row in rows]
+        rest = [operation for operation in batch if operation.row not in rows]
+        if failed:
+            _fail(failed, error)
+            if rest:
+                self._commit(rest)
+            return
+        for operation in rest:
+            self._commit([operation])
+
+    def _refuse_all(
+        self, batch: list[_Operation], error: PlatformUnavailableError
+    ) -> None:
+        with self._changed:
+            self._away_until = self._clock.monotonic() + self._away_s
+            batch = [*batch, *self._queue]
+            self._queue.clear()
+        _fail(batch, error)
+
+
+def _fail(operations: list[_Operation], error: PlatformError) -> None:
+    for operation in operations:
+        operation.future.set_exception(error)
--- /dev/null
+++ b/src/wagtailstair/core/claim_rows.py
@@ -0,0 +1,57 @@
+"""The JSON form of a claim's row."""
+
+import base64
+import binascii
+import typing as t
+
+from .claim_steps import Answer, Claimant, ClaimRow, ClaimState
+from .rows import Value
+
+
+def encode_claim(row: ClaimRow) -> Value:
+    """Return the value of a claim's row."""
+    value: Value = {
+        "hash": row.request_hash,
+        "host": row.claimant.host,
+        "incarnation": row.claimant.incarnation,
+        "attempt": row.claimant.attempt,
+        "claimed_at": row.claimed_at,
+        "state": row.state.value,
+    }
+    if row.answer is None:
+        return value
+    value["status"] = row.answer.status
+    value["headers"] = [list(header) for header in row.answer.headers]
+    value["body"] = base64.b64encode(row.answer.body).decode("ascii")
+    value["object"] = row.object_name
+    return value
+
+
+def _decode_answer(value: Value) -> Answer | None:
+    if "status" not in value:
+        return None
+    headers = tuple((str(name), str(text)) for name, text in value["headers"])
+    body = base64.b64decode(value["body"], validate=True)
+    return Answer(int(value["status"]), headers, body)
+
+
+def decode_claim(value: t.Mapping[str, t.Any]) -> ClaimRow:
+    """Return the claim of a row's value.
+
+    A row that can't be understood counts as a claim in doubt: under its key
+    nothing is sent.
+    """
+    try:
+        return ClaimRow(
+            value["hash"],
+            Claimant(value["host"], value["incarnation"], value["attempt"]),
+            float(value["claimed_at"]),
+            ClaimState(value["state"]),
+            _decode_answer(dict(value)),
+            value.get("object", ""),
+        )
+    except (KeyError, TypeError, ValueError, binascii.Error):
+        claimant = Claimant("", "", "")
+        return ClaimRow(
+            str(value.get("hash", "")), claimant, float("inf"), ClaimState.UNKNOWN
+        )
--- /dev/null
+++ b/src/wagtailstair/core/claims.py
@@ -0,0 +1,447 @@
+"""The state machine of one call with an idempotency key.
+
+Each table call and each send is a command; its answer is the next event, so
+that every interleaving of claims and failures can be replayed.
+"""
+
+import collections.abc
+import dataclasses
+import enum
+import hashlib
+import urllib.parse
+
+from ..exceptions import Outcome
+from .claim_steps import (
+    Answer,
+    Answered,
+    Away,
+    ClaimRow,
+    ClaimState,
+    Command,
+    Conflict,
+    Deliver,
+    Event,
+    Failure,
+    FailureReason,
+    Fetch,
+    Fetched,
+    Finish,
+    Insert,
+    NotRun,
+    Read,
+    Release,
+    ReplyLost,
+    RowRead,
+    Send,
+    Settle,
+    Store,
+    Stored,
+    Wait,
+    Woke,
+    Written,
+)
+
+HASH_BYTES = 32
+
+
+def make_claim_key(account: str, service: str, key: str) -> str:
+    """Return the row key of a claim; different triples never share one."""
+    parts = (account, service, key)
+    return "/".join(urllib.parse.quote(part, safe="") for part in parts)
+
+
+def hash_request(method: str, path: str, body: bytes) -> str:
+    """Return a hash that tells two requests under one key apart."""
+    digest = hashlib.blake2b(digest_size=HASH_BYTES)
+    for part in (method.encode(), path.encode(), body):
+        # The length keeps a byte from moving between neighbouring parts.
+        digest.update(len(part).to_bytes(8, "little"))
+        digest.update(part)
+    return digest.hexdigest()
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClaimLimits:
+    """Bounds on a claim's steps; ``*_s`` in seconds.
+
+    ``send_window_s``: from before the claim was written until the call may be
+    sent; ``confirm_s``: how long a result waits for its write before the
+    caller gets it; ``retention_s``: age at which a row may be swept.
+    """
+
+    inserts: int = 3
+    send_window_s: float = 30.0
+    confirm_s: float = 1.0
+    confirm_attempts: int = 200
+    cleanup_reads: int = 3
+    backoff_s: float = 0.05
+    max_backoff_s: float = 2.0
+    inline_body_bytes: int = 16 << 10
+    retention_s: float = 7 * 86400.0
+
+
+class Phase(enum.Enum):
+    """What a claim waits for."""
+
+    NEW = "new"
+    INSERTING = "inserting"
+    READING = "reading"
+    WAITING = "waiting"
+    FETCHING = "fetching"
+    SENDING = "sending"
+    STORING = "storing"
+    CONFIRMING = "confirming"
+    CONFIRM_READING = "confirm_reading"
+    CONFIRM_WAITING = "confirm_waiting"
+    CLEANUP_READING = "cleanup_reading"
+    CLEANUP_WAITING = "cleanup_waiting"
+    DELIVERING = "delivering"
+    DONE = "done"
+
+
+class Claim:
+    """One call under an idempotency key, from its claim to its settled result.
+
+    :param row: the row to claim with; its claimant id is used by no other call.
+    :param deadline: instant after which the caller no longer waits.
+    """
+
+    __slots__ = (
+        "_cleanup_reads",
+        "_confirm_attempts",
+        "_confirm_until",
+        "_contended",
+        "_delay_s",
+        "_insert_lost",
+        "_inserts",
+        "_parked",
+        "_pending",
+        "_replay",
+        "_send_until",
+        "_version",
+        "deadline",
+        "is_delivered",
+        "limits",
+        "phase",
+        "result",
+        "row",
+    )
+
+    def __init__(self, row: ClaimRow, deadline: float, limits: ClaimLimits) -> None:
+        self.row = row
+        self.deadline = deadline
+        self.limits = limits
+        self.phase = Phase.NEW
+        self.result: Answer | Failure | None = None
+        self.is_delivered = False
+        self._inserts = 0
+        self._insert_lost = False
+        self._contended = False
+        self._version = 0
+        self._send_until = 0.0
+        self._delay_s = limits.backoff_s
+        self._replay: ClaimRow | None = None
+        self._pending: Command = Finish()
+        self._parked: tuple[Phase, Command] = (Phase.DONE, Finish())
+        self._confirm_until = 0.0
+        self._confirm_attempts = 0
+        self._cleanup_reads = 0
+
+    def start(self, now: float) -> Command:
+        """Return the first command."""
+        self._send_until = now + self.limits.send_window_s
+        if now >= self.deadline:
+            return self._fail(FailureReason.DEADLINE, Outcome.NOT_RUN)
+        return self._insert()
+
+    def step(self, event: Event, now: float) -> Command:
+        """Take the answer to the last command; return the next command.
+
+        :raises ValueError: if the event doesn't answer the last command.
+        """
+        return _HANDLER_BY_PHASE[self.phase](self, event, now)
+
+    # Before the call is sent.
+
+    def _insert(self) -> Command:
+        self._inserts += 1
+        self.phase = Phase.INSERTING
+        return Insert(self.row)
+
+    def _read(self) -> Command:
+        self.phase = Phase.READING
+        return Read()
+
+    def _wait(self, phase: Phase) -> Command:
+        self.phase = phase
+        delay_s = self._delay_s
+        self._delay_s = min(2 * delay_s, self.limits.max_backoff_s)
+        return Wait(delay_s)
+
+    def _fail(self, reason: FailureReason, outcome: Outcome) -> Command:
+        self.result = Failure(reason, outcome)
+        if self._insert_lost:
+            # The lost insert may still take effect; look for it afterwards.
+            return self._deliver(Phase.CLEANUP_READING, Read())
+        return self._deliver(Phase.DONE, Finish())
+
+    def _fail_unsent(self, reason: FailureReason) -> Command:
+        # Another call under the key may have run when its row was seen.
+        outcome = Outcome.UNKNOWN if self._contended else Outcome.NOT_RUN
+        return self._fail(reason, outcome)
+
+    def _on_inserting(self, event: Event, now: float) -> Command:
+        if isinstance(event, Written):
+            return self._own(event.version, now)
+        if isinstance(event, Conflict):
+            self._contended = True
+            return self._read()
+        if isinstance(event, ReplyLost):
+            self._insert_lost = True
+            return self._read()
+        if isinstance(event, Away):
+            return self._fail_unsent(FailureReason.PLATFORM_AWAY)
+        raise _unexpected(self, event)
+
+    def _on_reading(self, event: Event, now: float) -> Command:
+        if isinstance(event, Away):
+            if self._contended and now < self.deadline:
+                return self._wait(Phase.WAITING)
+            return self._fail_unsent(FailureReason.PLATFORM_AWAY)
+        if not isinstance(event, RowRead):
+            raise _unexpected(self, event)
+        if event.row is None:
+            return self._on_absent(now)
+        if event.row.claimant == self.row.claimant:
+            return self._own(event.version, now)
+        self._contended = True
+        return self._on_other(event.row, event.is_claimant_dead, now)
+
+    def _on_absent(self, now: float) -> Command:
+        self._contended = False
+        if now >= self.deadline:
+            return self._fail_unsent(FailureReason.DEADLINE)
+        if self._inserts >= self.limits.inserts:
+            return self._fail_unsent(FailureReason.PLATFORM_AWAY)
+        return self._insert()
+
+    def _on_other(self, row: ClaimRow, is_dead: bool, now: float) -> Command:
+        if row.request_hash != self.row.request_hash:
+            return self._fail(FailureReason.KEY_REUSED, Outcome.NOT_RUN)
+        if row.state is ClaimState.ANSWERED and row.answer is not None:
+            return self._replay_row(row)
+        if row.state is not ClaimState.CLAIMED or is_dead:
+            return self._fail(FailureReason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+        if now >= self.deadline:
+            return self._fail(FailureReason.IN_PROGRESS, Outcome.UNKNOWN)
+        return self._wait(Phase.WAITING)
+
+    def _on_waiting(self, event: Event, now: float) -> Command:
+        if isinstance(event, Woke):
+            return self._read()
+        raise _unexpected(self, event)
+
+    def _replay_row(self, row: ClaimRow) -> Command:
+        self._replay = row
+        if row.object_name:
+            self.phase = Phase.FETCHING
+            return Fetch(row.object_name)
+        self.result = row.answer
+        return self._deliver(Phase.DONE, Finish())
+
+    def _on_fetching(self, event: Event, now: float) -> Command:
+        if isinstance(event, Away):
+            if now >= self.deadline:
+                return self._fail(FailureReason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+            return self._wait(Phase.WAITING)
+        if not isinstance(event, Fetched) or self._replay is None:
+            raise _unexpected(self, event)
+        answer = self._replay.answer
+        if answer is None:
+            raise _unexpected(self, event)
+        self.result = dataclasses.replace(answer, body=event.body)
+        return self._deliver(Phase.DONE, Finish())
+
+    # The call itself.
+
+    def _own(self, version: int, now: float) -> Command:
+        self._version = version
+        self._contended = False
+        if now >= min(self._send_until, self.deadline):
+            return self._release(FailureReason.DEADLINE, now)
+        self.phase = Phase.SENDING
+        return Send(min(self._send_until, self.deadline))
+
+    def _on_sending(self, event: Event, now: float) -> Command:
+        if isinstance(event, NotRun):
+            return self._release(FailureReason.UPSTREAM_NOT_RUN, now)
+        if isinstance(event, Answered):
+            return self._settle_answer(event.answer, now)
+        # Anything else that ends a call that may have been sent is in doubt.
+        self.result = Failure(FailureReason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
+        row = dataclasses.replace(self.row, state=ClaimState.UNKNOWN)
+        return self._confirm(Settle(self._version, row), now)
+
+    def _settle_answer(self, answer: Answer, now: float) -> Command:
+        self.result = answer
+        if len(answer.body) <= self.limits.inline_body_bytes:
+            row = dataclasses.replace(
+                self.row, state=ClaimState.ANSWERED, answer=answer
+            )
+            return self._confirm(Settle(self._version, row), now)
+        name = f"claims/{self.row.claimant.attempt}"
+        row = dataclasses.replace(
+            self.row,
+            state=ClaimState.ANSWERED,
+            answer=dataclasses.replace(answer, body=b""),
+            object_name=name,
+        )
+        self._pending = Settle(self._version, row)
+        self._confirm_until = now + self.limits.confirm_s
+        self.phase = Phase.STORING
+        return Store(name, answer.body)
+
+    def _release(self, reason: FailureReason, now: float) -> Command:
+        self.result = Failure(reason, Outcome.NOT_RUN)
+        return self._confirm(Release(self._version), now)
+
+    # The write of the result, or the release, until it is known to be done.
+
+    def _confirm(self, command: Settle | Release, now: float) -> Command:
+        self._pending = command
+        self._confirm_until = now + self.limits.confirm_s
+        self._delay_s = self.limits.backoff_s
+        return self._proceed(Phase.CONFIRMING, command, now)
+
+    def _proceed(self, phase: Phase, command: Command, now: float) -> Command:
+        if self._confirm_attempts >= self.limits.confirm_attempts:
+            return self._confirmed()
+        if not self.is_delivered and now >= self._confirm_until:
+            return self._deliver(phase, command)
+        self.phase = phase
+        return command
+
+    def _retry(self, now: float) -> Command:
+        self._confirm_attempts += 1
+        wait = self._wait(Phase.CONFIRM_WAITING)
+        return self._proceed(Phase.CONFIRM_WAITING, wait, now)
+
+    def _on_storing(self, event: Event, now: float) -> Command:
+        if isinstance(event, Stored):
+            return self._proceed(Phase.CONFIRMING, self._pending, now)
+        if not isinstance(event, Away):
+            raise _unexpected(self, event)
+        return self._retry(now)
+
+    def _on_confirming(self, event: Event, now: float) -> Command:
+        if isinstance(event, Written):
+            return self._confirmed()
+        if isinstance(event, Away):
+            return self._retry(now)
+        if isinstance(event, Conflict | ReplyLost):
+            return self._proceed(Phase.CONFIRM_READING, Read(), now)
+        raise _unexpected(self, event)
+
+    def _on_confirm_waiting(self, event: Event, now: float) -> Command:
+        if isinstance(event, Woke):
+            return self._proceed(Phase.CONFIRM_READING, Read(), now)
+        raise _unexpected(self, event)
+
+    def _on_confirm_reading(self, event: Event, now: float) -> Command:
+        if isinstance(event, Away):
+            return self._retry(now)
+        if not isinstance(event, RowRead):
+            raise _unexpected(self, event)
+        if not self._is_unsettled(event.row):
+            return self._confirmed()
+        self._version = event.version
+        self._confirm_attempts += 1
+        return self._write_again(now)
+
+    def _is_unsettled(self, row: ClaimRow | None) -> bool:
+        if row is None or row.claimant != self.row.claimant:
+            return False
+        return row.state is ClaimState.CLAIMED
+
+    def _write_again(self, now: float) -> Command:
+        pending = self._pending
+        if isinstance(pending, Release):
+            self._pending = Release(self._version)
+            return self._proceed(Phase.CONFIRMING, self._pending, now)
+        if not isinstance(pending, Settle):
+            raise TypeError(f"nothing to confirm in {pending}")
+        self._pending = Settle(self._version, pending.row)
+        answer = self.result
+        if pending.row.object_name and isinstance(answer, Answer):
+            # Storing the same object again is harmless.
+            store = Store(pending.row.object_name, answer.body)
+            return self._proceed(Phase.STORING, store, now)
+        return self._proceed(Phase.CONFIRMING, self._pending, now)
+
+    def _confirmed(self) -> Command:
+        if isinstance(self._pending, Release) and self._insert_lost:
+            return self._deliver(Phase.CLEANUP_READING, Read())
+        return self._deliver(Phase.DONE, Finish())
+
+    # After a lost insert: remove the row if it appears late.
+
+    def _on_cleanup_waiting(self, event: Event, now: float) -> Command:
+        if not isinstance(event, Woke):
+            raise _unexpected(self, event)
+        self.phase = Phase.CLEANUP_READING
+        return Read()
+
+    def _on_cleanup_reading(self, event: Event, now: float) -> Command:
+        if isinstance(event, RowRead) and self._is_unsettled(event.row):
+            self._insert_lost = False
+            self._pending = Release(event.version)
+            self.phase = Phase.CONFIRMING
+            return self._pending
+        self._cleanup_reads += 1
+        if self._cleanup_reads >= self.limits.cleanup_reads:
+            return self._deliver(Phase.DONE, Finish())
+        return self._wait(Phase.CLEANUP_WAITING)
+
+    # The result to the caller, once.
+
+    def _deliver(self, phase: Phase, command: Command) -> Command:
+        if self.is_delivered:
+            self.phase = phase
+            return command
+        if self.result is None:
+            raise ValueError("there is no result to deliver")
+        self._parked = (phase, command)
+        self.phase = Phase.DELIVERING
+        return Deliver(self.result)
+
+    def _on_delivering(self, event: Event, now: float) -> Command:
+        self.is_delivered = True
+        self.phase, command = self._parked
+        return command
+
+    def _on_closed(self, event: Event, now: float) -> Command:
+        raise _unexpected(self, event)
+
+
+def _unexpected(claim: Claim, event: Event) -> ValueError:
+    return ValueError(f"{type(event).__name__} while {claim.phase.value}")
+
+
+_Handler = collections.abc.Callable[[Claim, Event, float], Command]
+
+_HANDLER_BY_PHASE: dict[Phase, _Handler] = {
+    Phase.NEW: Claim._on_closed,
+    Phase.INSERTING: Claim._on_inserting,
+    Phase.READING: Claim._on_reading,
+    Phase.WAITING: Claim._on_waiting,
+    Phase.FETCHING: Claim._on_fetching,
+    Phase.SENDING: Claim._on_sending,
+    Phase.STORING: Claim._on_storing,
+    Phase.CONFIRMING: Claim._on_confirming,
+    Phase.CONFIRM_READING: Claim._on_confirm_reading,
+    Phase.CONFIRM_WAITING: Claim._on_confirm_waiting,
+    Phase.CLEANUP_READING: Claim._on_cleanup_reading,
+    Phase.CLEANUP_WAITING: Claim._on_cleanup_waiting,
+    Phase.DELIVERING: Claim._on_delivering,
+    Phase.DONE: Claim._on_closed,
+}
--- /dev/null
+++ b/src/wagtailstair/settling.py
@@ -0,0 +1,199 @@
+"""Writes of results that outlast their calls."""
+
+import collections.abc
+import concurrent.futures
+import dataclasses
+import functools
+import heapq
+import itertools
+import threading
+import typing as t
+
+from .core.claim_steps import (
+    Answer,
+    Away,
+    Command,
+    Conflict,
+    Deliver,
+    Delivered,
+    Event,
+    Finish,
+    Insert,
+    Read,
+    Release,
+    ReplyLost,
+    Settle,
+    Wait,
+    Woke,
+    Written,
+)
+from .core.claims import Claim
+from .exceptions import PlatformConflictError, PlatformUnavailableError
+
+MAX_READ_ROWS = 100
+MAX_IDLE_S = 1.0
+
+WriteFuture = concurrent.futures.Future[int]
+
+
+@dataclasses.dataclass(slots=True)
+class Task:
+    """A claim with what its steps need."""
+
+    claim: Claim
+    key: str
+    send: collections.abc.Callable[[], Answer] | None = None
+    cause: BaseException | None = None
+
+
+class Driver(t.Protocol):
+    """What carries out the commands of claims."""
+
+    def submit(self, task: Task, command: Insert | Settle | Release) -> WriteFuture:
+        """Queue a claim's write."""
+        ...
+
+    def execute(self, task: Task, command: Command) -> Event:
+        """Carry out a command and wait for it."""
+        ...
+
+    def read_rows(self, tasks: collections.abc.Sequence[Task]) -> list[Event]:
+        """Read the rows of several claims at once."""
+        ...
+
+    def jitter(self, delay_s: float) -> float:
+        """Return a random delay near ``delay_s``."""
+        ...
+
+    def monotonic(self) -> float:
+        """Return the clock's monotonic time."""
+        ...
+
+
+def event_of_write(future: WriteFuture) -> Event:
+    """Return the event that a finished write stands for."""
+    error = future.exception()
+    if error is None:
+        return Written(future.result())
+    if isinstance(error, PlatformConflictError):
+        return Conflict()
+    if isinstance(error, PlatformUnavailableError):
+        return Away()
+    return ReplyLost()
+
+
+class Settler:
+    """A thread that drives parked claims until their writes are confirmed."""
+
+    def __init__(self, driver: Driver) -> None:
+        self._driver = driver
+        self._events: list[tuple[float, int, Task, Event]] = []
+        self._commands: list[tuple[Task, Command]] = []
+        self._count = 0
+        self._order = itertools.count()
+        self._changed = threading.Condition()
+        self._is_closing = False
+        self._thread = threading.Thread(target=self._run, name="settler", daemon=True)
+        self._thread.start()
+
+    @property
+    def count(self) -> int:
+        """Return the number of claims that are not finished."""
+        return self._count
+
+    def park(self, task: Task, command: Command) -> None:
+        """Take over a claim at its next command."""
+        with self._changed:
+            self._count += 1
+        self._begin(task, command)
+
+    def follow(self, task: Task, future: WriteFuture) -> None:
+        """Take over a claim whose write is under way."""
+        with self._changed:
+            self._count += 1
+        self._await(task, future)
+
+    def close(self, timeout: float) -> int:
+        """Wait for parked claims, then stop; return how many are left."""
+        with self._changed:
+            self._changed.wait_for(lambda: self._count == 0, timeout)
+            self._is_closing = True
+            self._changed.notify_all()
+        self._thread.join()
+        return self._count
+
+    def _begin(self, task: Task, command: Command) -> None:
+        if isinstance(command, Finish):
+            self._finish()
+        elif isinstance(command, Settle | Release):
+            self._await(task, self._driver.submit(task, command))
+        elif isinstance(command, Wait):
+            self._schedule(task, Woke(), self._driver.jitter(command.delay_s))
+        elif isinstance(command, Deliver):
+            self._schedule(task, Delivered(), 0.0)
+        else:
+            with self._changed:
+                self._commands.append((task, command))
+                self._changed.notify_all()
+
+    def _finish(self) -> None:
+        with self._changed:
+            self._count -= 1
+            self._changed.notify_all()
+
+    def _await(self, task: Task, future: WriteFuture) -> None:
+        future.add_done_callback(functools.partial(self._on_written, task))
+
+    def _on_written(self, task: Task, future: WriteFuture) -> None:
+        self._schedule(task, event_of_write(future), 0.0)
+
+    def _schedule(self, task: Task, event: Event, delay_s: float) -> None:
+        due = self._driver.monotonic() + delay_s
+        with self._changed:
+            heapq.heappush(self._events, (due, next(self._order), task, event))
+            self._changed.notify_all()
+
+    def _run(self) -> None:
+        while True:
+            with self._changed:
+                self._wait_for_work()
+                if self._is_closing:
+                    return
+                events = self._take_due()
+                commands = self._commands
+                self._commands = []
+            for task, event in events:
+                self._step(task, event)
+            self._carry_out(commands)
+
+    def _wait_for_work(self) -> None:
+        if self._is_closing or self._commands:
+            return
+        idle_s = MAX_IDLE_S
+        if self._events:
+            idle_s = min(idle_s, self._events[0][0] - self._driver.monotonic())
+        if idle_s > 0:
+            self._changed.wait(idle_s)
+
+    def _take_due(self) -> list[tuple[Task, Event]]:
+        now = self._driver.monotonic()
+        due: list[tuple[Task, Event]] = []
+        while self._events and self._events[0][0] <= now:
+            _, _, task, event = heapq.heappop(self._events)
+            due.append((task, event))
+        return due
+
+    def _step(self, task: Task, event: Event) -> None:
+        self._begin(task, task.claim.step(event, self._driver.monotonic()))
+
+    def _carry_out(self, commands: list[tuple[Task, Command]]) -> None:
+        readers: list[Task] = []
+        for task, command in commands:
+            if isinstance(command, Read):
+                readers.append(task)
+                continue
+            self._step(task, self._driver.execute(task, command))
+        for start in range(0, len(readers), MAX_READ_ROWS):
+            batch = readers[start : start + MAX_READ_ROWS]
+            for task, event in zip(batch, self._driver.read_rows(batch), strict=True):
+                self._step(task, event)
