Add the clients of the platform's services

Cause: everything that must last goes through the platform, and what is known after a failure decides what may be done next.

Ruled out: trusting the conditions of a transaction to absorb a second sending, since the second one would answer with a conflict and hide the first one's success.

Errors say what is known: unavailable (nothing took effect: not connected, 429, 503, any failed read), unknown (a write without a usable reply), conflict (with the rows). A scan asks again for a page that is refused.

--- /dev/null
+++ b/src/wagtailstair/platform/hosts.py
@@ -0,0 +1,49 @@
+"""The platform's list of hosts, which lags."""
+
+import msgspec
+
+from .http import Timeouts, request_json, unusable_reply
+
+ENTRY = "entry"
+ENGINE = "engine"
+SERVICE = "service"
+LIVE = "live"
+LEAVING = "leaving"
+
+
+class HostEntry(msgspec.Struct, frozen=True):
+    """A host as the platform lists it.
+
+    ``address``: ``ip:port``, of an entry host that of its HTTP port;
+    ``peer_address``: an entry host's UDP port; ``service``: the name of a
+    plain service.
+    """
+
+    name: str
+    kind: str
+    data_centre: str
+    address: str
+    incarnation: str
+    state: str
+    peer_address: str = ""
+    service: str = ""
+
+
+class _Hosts(msgspec.Struct):
+    hosts: list[HostEntry]
+
+
+def read_hosts(
+    url: str,
+    timeouts: Timeouts = Timeouts(),  # noqa: B008 - immutable
+) -> list[HostEntry]:
+    """Return all hosts of the list.
+
+    :raises PlatformUnavailableError: if it can't be read.
+    """
+    place = url.rstrip("/") + "/v1/hosts"
+    reply = request_json("GET", place, timeouts=timeouts)
+    try:
+        return msgspec.convert(reply.body, _Hosts).hosts
+    except msgspec.ValidationError as error:
+        raise unusable_reply("GET", place) from error
--- /dev/null
+++ b/src/wagtailstair/platform/table.py
@@ -0,0 +1,176 @@
+"""The table service: conditional transactions, reads and scans of rows."""
+
+import collections.abc
+import random
+import time
+import typing as t
+
+import msgspec
+
+from ..core.rows import Condition, Row, RowKey, Write
+from ..exceptions import PlatformConflictError, PlatformUnavailableError
+from .http import Reply, Timeouts, request_json, unusable_reply
+
+PAGE_ROWS = 1000
+PAGE_ATTEMPTS = 6
+PAGE_BACKOFF_S = 0.2
+MAX_PAGE_BACKOFF_S = 2.0
+
+_TRANSACT = frozenset({200, 409})
+_SCAN = frozenset({200, 429, 503})
+
+
+class TransactionConflictError(PlatformConflictError):
+    """A condition of the transaction did not hold; nothing took effect.
+
+    :param conflicts: the rows in question at their present versions.
+    """
+
+    def __init__(
+        self, conflicts: tuple[Condition, ...], *, where: str | None = None
+    ) -> None:
+        keys = ", ".join(f"{row.table}/{row.key}" for row in conflicts)
+        super().__init__(f"changed in the meantime: {keys}", where=where)
+        self.conflicts = conflicts
+
+
+class Table(t.Protocol):
+    """What the rest of the program needs of the table service."""
+
+    def transact(
+        self,
+        conditions: collections.abc.Sequence[Condition],
+        writes: collections.abc.Sequence[Write],
+    ) -> tuple[int, ...]:
+        """Write all rows if all conditions hold; return the new versions."""
+        ...
+
+    def read(self, keys: collections.abc.Sequence[RowKey]) -> list[Row]:
+        """Return the rows of some keys, in their order."""
+        ...
+
+    def scan(self, table: str, after: str = "") -> collections.abc.Iterator[Row]:
+        """Yield all rows of a table by key, those after one key."""
+        ...
+
+
+class _Versions(msgspec.Struct):
+    versions: list[int]
+
+
+class _Conflicts(msgspec.Struct):
+    conflicts: list[Condition]
+
+
+class _Rows(msgspec.Struct):
+    rows: list[Row]
+
+
+_ShapeT = t.TypeVar("_ShapeT")
+
+
+class TableClient:
+    """A client of the table service; it may be shared between threads.
+
+    :param pause: waits some seconds between the attempts at a page of a scan.
+    """
+
+    __slots__ = ("_pause", "_timeouts", "_url")
+
+    def __init__(
+        self,
+        url: str,
+        timeouts: Timeouts = Timeouts(),  # noqa: B008 - immutable
+        pause: t.Callable[[float], None] = time.sleep,
+    ) -> None:
+        self._url = url.rstrip("/")
+        self._timeouts = timeouts
+        self._pause = pause
+
+    def transact(
+        self,
+        conditions: collections.abc.Sequence[Condition],
+        writes: collections.abc.Sequence[Write],
+    ) -> tuple[int, ...]:
+        """Write all rows if all conditions hold; return the new versions.
+
+        :raises TransactionConflictError: with the rows that were changed.
+        :raises PlatformUnavailableError: nothing took effect.
+        :raises PlatformUnknownError: the writes may have taken effect.
+        """
+        path = "/v1/transact"
+        body = {"conditions": list(conditions), "writes": list(writes)}
+        reply = self._post(path, body, safe=False, accept=_TRANSACT)
+        if reply.status == 409:
+            conflicts = self._convert(reply, _Conflicts, path, safe=False).conflicts
+            raise TransactionConflictError(tuple(conflicts), where=self._url + path)
+        versions = self._convert(reply, _Versions, path, safe=False).versions
+        if len(versions) != len(writes):
+            raise unusable_reply("POST", self._url + path, safe=False)
+        return tuple(versions)
+
+    def read(self, keys: collections.abc.Sequence[RowKey]) -> list[Row]:
+        """Return the rows of some keys, in their order.
+
+        :raises PlatformUnavailableError: if they can't be read.
+        """
+        path = "/v1/read"
+        reply = self._post(path, {"keys": list(keys)}, safe=True)
+        rows = self._convert(reply, _Rows, path, safe=True).rows
+        if [(row.table, row.key) for row in rows] != [tuple(key) for key in keys]:
+            raise unusable_reply("POST", self._url + path, safe=True)
+        return rows
+
+    def scan(self, table: str, after: str = "") -> collections.abc.Iterator[Row]:
+        """Yield all rows of a table by key, those after one key.
+
+        A page that the service refuses is asked for again, later.
+
+        :raises PlatformUnavailableError: if a page can't be read.
+        """
+        while True:
+            rows = self._page(table, after)
+            yield from rows
+            if len(rows) < PAGE_ROWS:
+                return
+            after = rows[-1].key
+
+    def _page(self, table: str, after: str) -> list[Row]:
+        path = "/v1/scan"
+        body = {"table": table, "after": after, "limit": PAGE_ROWS}
+        backoff_s = PAGE_BACKOFF_S
+        for _ in range(PAGE_ATTEMPTS):
+            reply = self._post(path, body, safe=True, accept=_SCAN)
+            if reply.status == 200:
+                return self._convert(reply, _Rows, path, safe=True).rows
+            wait_s = max(backoff_s, reply.retry_after_s or 0.0)
+            self._pause(min(wait_s, MAX_PAGE_BACKOFF_S) * random.uniform(1.0, 1.5))
+            backoff_s *= 2
+        raise PlatformUnavailableError(
+            f"refused a page {PAGE_ATTEMPTS} times", where=self._url + path
+        )
+
+    def _post(
+        self,
+        path: str,
+        body: object,
+        *,
+        safe: bool,
+        accept: frozenset[int] = frozenset({200}),
+    ) -> Reply:
+        return request_json(
+            "POST",
+            self._url + path,
+            body,
+            timeouts=self._timeouts,
+            safe=safe,
+            accept=accept,
+        )
+
+    def _convert(
+        self, reply: Reply, shape: type[_ShapeT], path: str, *, safe: bool
+    ) -> _ShapeT:
+        try:
+            return msgspec.convert(reply.body, shape)
+        except msgspec.ValidationError as error:
+            raise unusable_reply("POST", self._url + path, safe) from error
