--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,17 +1,18 @@
-import concurrent.futures
 import json
 import socket
 
 import pytest
 
+from tests.engines import FakeDispatch
+from tests.engines import body_of
+from tests.engines import end
+from tests.engines import stream
+from tests.engines import token
 from tests.scripted import ScriptedServer
 from tests.scripted import answer
 from wagtailstair.clock import SystemClock
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Refusal
 from wagtailstair.core.demand import RefusalReason
 from wagtailstair.core.engine import Priority
-from wagtailstair.core.engine import Stage
 from wagtailstair.core.sessions import DEFAULT_MAX_EPOCHS
 from wagtailstair.exceptions import CallerGoneError
 from wagtailstair.exceptions import DeadlineExceededError
@@ -25,40 +26,9 @@
 from wagtailstair.upstreams.loop import Loop
 
 WAIT_S = 20
-LAYERS = 8
 MAX_EPOCHS = DEFAULT_MAX_EPOCHS
 
 
-class FakeDispatch:
-    """Grants the next of its routes; keeps what is given back."""
-
-    def __init__(self, *addresses):
-        self.addresses = list(addresses)
-        self.wants = []
-        self.dones = []
-        self.cancelled = []
-
-    def submit(self, model, data_centre, want):
-        self.wants.append((data_centre, want))
-        future = concurrent.futures.Future()
-        address = self.addresses.pop(0) if self.addresses else None
-        if address is None:
-            return future
-        if isinstance(address, RefusalReason):
-            refusal = Refusal(want.request, want.epoch, want.host, address, 2.0)
-            future.set_result(refusal)
-            return future
-        stage = Stage(f"engine-{len(self.wants)}", address, 0, LAYERS)
-        future.set_result(Grant(want.request, want.epoch, want.host, (stage,)))
-        return future
-
-    def done(self, model, data_centre, done):
-        self.dones.append(done)
-
-    def cancel(self, model, data_centre, request, epoch):
-        self.cancelled.append((request, epoch))
-
-
 class Tokens:
     def __init__(self):
         self.texts = []
@@ -110,42 +80,6 @@
     return relays.run(job, sink), sink
 
 
-def token(position, epoch, **other):
-    line = {
-        "r": "r1",
-        "a": f"r1.{epoch}",
-        "e": epoch,
-        "p": position,
-        "t": 100 + position,
-        "x": f" t{position}",
-        "w": [[0, LAYERS]],
-    }
-    line.update(other)
-    return line
-
-
-def end(position, epoch):
-    attempt = f"r1.{epoch}"
-    return {"r": "r1", "a": attempt, "e": epoch, "p": position, "end": "length"}
-
-
-def stream(*lines, whole=True):
-    body = b"".join(json.dumps(line).encode() + b"\n" for line in lines)
-
-    def script(connection, request):
-        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-        chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
-        connection.sendall(head + chunk + (b"0\r\n\r\n" if whole else b""))
-        if not whole:
-            connection.shutdown(socket.SHUT_RDWR)
-
-    return script
-
-
-def body_of(raw):
-    return json.loads(raw.partition(b"\r\n\r\n")[2])
-
-
 WHOLE = [token(0, 1), token(1, 1), token(2, 1), end(3, 1)]
 
 
