--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -8,52 +8,58 @@
 import uuid
 
 from .clock import Clock
-from .commits import GroupWriter, TableClient
-from .core.claim_rows import decode_claim, encode_claim
-from .core.claim_steps import (
-    Answer,
-    Answered,
-    Away,
-    CallLost,
-    Claimant,
-    ClaimRow,
-    Command,
-    Deliver,
-    Delivered,
-    Event,
-    Failure,
-    FailureReason,
-    Fetch,
-    Fetched,
-    Finish,
-    Insert,
-    NotRun,
-    Read,
-    Release,
-    RowRead,
-    Send,
-    Settle,
-    Store,
-    Stored,
-    Wait,
-    Woke,
-)
-from .core.claims import Claim, ClaimLimits, make_claim_key
-from .core.rows import VERSION_ABSENT, Condition, Row, Write
-from .exceptions import (
-    CallInProgressError,
-    DeadlineExceededError,
-    KeyReusedError,
-    NotReadyError,
-    NoUpstreamError,
-    Outcome,
-    OutcomeUnknownError,
-    PlatformError,
-    RequestError,
-    UpstreamNotSentError,
-    UpstreamRefusedError,
-)
-from .settling import Settler, Task, WriteFuture, event_of_write
+from .commits import GroupWriter
+from .commits import TableClient
+from .core.claim_rows import decode_claim
+from .core.claim_rows import encode_claim
+from .core.claim_steps import Answer
+from .core.claim_steps import Answered
+from .core.claim_steps import Away
+from .core.claim_steps import CallLost
+from .core.claim_steps import Claimant
+from .core.claim_steps import ClaimRow
+from .core.claim_steps import Command
+from .core.claim_steps import Deliver
+from .core.claim_steps import Delivered
+from .core.claim_steps import Event
+from .core.claim_steps import Failure
+from .core.claim_steps import FailureReason
+from .core.claim_steps import Fetch
+from .core.claim_steps import Fetched
+from .core.claim_steps import Finish
+from .core.claim_steps import Insert
+from .core.claim_steps import NotRun
+from .core.claim_steps import Read
+from .core.claim_steps import Release
+from .core.claim_steps import RowRead
+from .core.claim_steps import Send
+from .core.claim_steps import Settle
+from .core.claim_steps import Store
+from .core.claim_steps import Stored
+from .core.claim_steps import Wait
+from .core.claim_steps import Woke
+from .core.claims import Claim
+from .core.claims import ClaimLimits
+from .core.claims import make_claim_key
+from .core.rows import VERSION_ABSENT
+from .core.rows import Condition
+from .core.rows import Row
+from .core.rows import Write
+from .exceptions import CallInProgressError
+from .exceptions import DeadlineExceededError
+from .exceptions import KeyReusedError
+from .exceptions import NotReadyError
+from .exceptions import NoUpstreamError
+from .exceptions import Outcome
+from .exceptions import OutcomeUnknownError
+from .exceptions import PlatformError
+from .exceptions import RequestError
+from .exceptions import UpstreamNotSentError
+from .exceptions import UpstreamRefusedError
+from .settling import Settler
+from .settling import Task
+from .settling import WriteFuture
+from .settling import event_of_write
 
 TABLE = "claims"
 MAX_BACKGROUND = 1024
--- a/src/wagtailstair/commits.py
+++ b/src/wagtailstair/commits.py
@@ -8,13 +8,14 @@
 import typing as t
 
 from .clock import Clock
-from .core.rows import Condition, Row, RowKey, Write
-from .exceptions import (
-    PlatformConflictError,
-    PlatformError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-)
+from .core.rows import Condition
+from .core.rows import Row
+from .core.rows import RowKey
+from .core.rows import Write
+from .exceptions import PlatformConflictError
+from .exceptions import PlatformError
+from .exceptions import PlatformUnavailableError
+from .exceptions import PlatformUnknownError
 
 MAX_BATCH_ROWS = 64
 MAX_QUEUE_ROWS = 4096
--- a/src/wagtailstair/core/claim_rows.py
+++ b/src/wagtailstair/core/claim_rows.py
@@ -4,7 +4,10 @@
 import binascii
 import typing as t
 
-from .claim_steps import Answer, Claimant, ClaimRow, ClaimState
+from .claim_steps import Answer
+from .claim_steps import Claimant
+from .claim_steps import ClaimRow
+from .claim_steps import ClaimState
 from .rows import Value
 
 
--- a/src/wagtailstair/core/claims.py
+++ b/src/wagtailstair/core/claims.py
@@ -11,35 +11,33 @@
 import urllib.parse
 
 from ..exceptions import Outcome
-from .claim_steps import (
-    Answer,
-    Answered,
-    Away,
-    ClaimRow,
-    ClaimState,
-    Command,
-    Conflict,
-    Deliver,
-    Event,
-    Failure,
-    FailureReason,
-    Fetch,
-    Fetched,
-    Finish,
-    Insert,
-    NotRun,
-    Read,
-    Release,
-    ReplyLost,
-    RowRead,
-    Send,
-    Settle,
-    Store,
-    Stored,
-    Wait,
-    Woke,
-    Written,
-)
+from .claim_steps import Answer
+from .claim_steps import Answered
+from .claim_steps import Away
+from .claim_steps import ClaimRow
+from .claim_steps import ClaimState
+from .claim_steps import Command
+from .claim_steps import Conflict
+from .claim_steps import Deliver
+from .claim_steps import Event
+from .claim_steps import Failure
+from .claim_steps import FailureReason
+from .claim_steps import Fetch
+from .claim_steps import Fetched
+from .claim_steps import Finish
+from .claim_steps import Insert
+from .claim_steps import NotRun
+from .claim_steps import Read
+from .claim_steps import Release
+from .claim_steps import ReplyLost
+from .claim_steps import RowRead
+from .claim_steps import Send
+from .claim_steps import Settle
+from .claim_steps import Store
+from .claim_steps import Stored
+from .claim_steps import Wait
+from .claim_steps import Woke
+from .claim_steps import Written
 
 HASH_BYTES = 32
 
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -9,6 +9,7 @@
 import uuid
 
 import click
+from werkzeug.wrappers import Response
 
 from .claims import Claims
 from .clock import Clock
@@ -22,6 +23,7 @@
 from .core.upstreams import Upstream
 from .core.upstreams import Upstreams
 from .exceptions import NotReadyError
+from .exceptions import PlatformError
 from .exceptions import SettingsError
 from .http.app import App
 from .http.context import Context
@@ -32,6 +34,9 @@
 from .logs import configure_logs
 from .logs import log_event
 from .metrics import Metrics
+from .platform.http import Timeouts
+from .platform.objects import ObjectClient
+from .platform.table import TableClient
 from .relay import Relays
 from .services import Services
 from .settings import Settings
@@ -62,7 +67,7 @@
         self._budget = RetryBudget(settings.routing.retry_share)
         limits = _pool_limits(settings)
         self._dispatch = LocalDispatch(self._loop, clock, limits)
-        self._claims = Claims(settings, clock, self._incarnation)
+        self._claims = self._make_claims()
         self._open_requests = OpenRequests(settings.limits.open_requests, self._metrics)
         self._relays = self._make_relays()
         self._server = Server(
@@ -83,6 +88,7 @@
         self._dispatch.start()
         self._relays.start()
         self._watch_upstreams()
+        threading.Thread(target=self._follow, daemon=True).start()
         self._server.start()
         log_event(
             "daemon_started",
@@ -110,10 +116,21 @@
         self._server.close()
         log_event("listener_closed", open_requests=self._open_requests.count)
         drained = self._server.wait_idle(shutdown.drain_s)
-        settled = self._claims.close(shutdown.drain_s)
+        unsettled = self._claims.close(shutdown.drain_s)
         self._loop.stop()
-        log_event("daemon_stopped", drained=drained, settled=settled)
-        return drained and settled
+        log_event("daemon_stopped", drained=drained, unsettled=unsettled)
+        return drained and not unsettled
+
+    def _make_claims(self) -> Claims:
+        platform = self._settings.platform
+        timeouts = Timeouts(platform.connect_timeout_s, platform.timeout_s)
+        return Claims(
+            TableClient(platform.table, timeouts),
+            ObjectClient(platform.objects, timeouts),
+            self._clock,
+            self._settings.host.name,
+            self._incarnation,
+        )
 
     def _make_relays(self) -> Relays:
         return Relays(
@@ -152,7 +169,7 @@
             relays=self._relays,
             services=services,
             quota=LocalQuota(self._clock, self._settings.host.name),
-            peer_lists=lambda request: None,
+            peer_lists=lambda request: Response(status=404),
         )
 
     def _watch_upstreams(self) -> None:
@@ -174,6 +191,20 @@
             self._rng,
         ).start()
 
+    def _follow(self) -> None:
+        table = TableClient(self._settings.platform.table)
+        while not self._stopping.wait(self._settings.platform.lists_interval_s):
+            try:
+                (head,) = table.read([("lists", "head")])
+                version = head.value["version"] if head.value else 0
+                if version <= self._holder.current.version:
+                    continue
+                rows = [*table.scan("plans"), *table.scan("accounts")]
+            except PlatformError as error:
+                log_event("lists_read_failed", level="WARNING", error=str(error))
+                continue
+            self._holder.offer(Lists().with_rows(version, rows))
+
     def _may_retry(self) -> bool:
         return self._budget.take(self._clock.monotonic())
 
--- a/src/wagtailstair/platform/hosts.py
+++ b/src/wagtailstair/platform/hosts.py
@@ -2,7 +2,9 @@
 
 import msgspec
 
-from .http import Timeouts, request_json, unusable_reply
+from .http import Timeouts
+from .http import request_json
+from .http import unusable_reply
 
 ENTRY = "entry"
 ENGINE = "engine"
--- a/src/wagtailstair/platform/http.py
+++ b/src/wagtailstair/platform/http.py
@@ -8,12 +8,10 @@
 import msgspec
 import pycurl
 
-from ..exceptions import (
-    PlatformConflictError,
-    PlatformError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-)
+from ..exceptions import PlatformConflictError
+from ..exceptions import PlatformError
+from ..exceptions import PlatformUnavailableError
+from ..exceptions import PlatformUnknownError
 
 SAFE_METHODS = frozenset({"GET", "HEAD"})
 MAX_REPLY_BYTES = 64 << 20
--- a/src/wagtailstair/platform/objects.py
+++ b/src/wagtailstair/platform/objects.py
@@ -2,7 +2,8 @@
 
 import urllib.parse
 
-from .http import Timeouts, request
+from .http import Timeouts
+from .http import request
 
 _NOT_FOUND = 404
 
--- a/src/wagtailstair/platform/table.py
+++ b/src/wagtailstair/platform/table.py
@@ -7,9 +7,16 @@
 
 import msgspec
 
-from ..core.rows import Condition, Row, RowKey, Write
-from ..exceptions import PlatformConflictError, PlatformUnavailableError
-from .http import Reply, Timeouts, request_json, unusable_reply
+from ..core.rows import Condition
+from ..core.rows import Row
+from ..core.rows import RowKey
+from ..core.rows import Write
+from ..exceptions import PlatformConflictError
+from ..exceptions import PlatformUnavailableError
+from .http import Reply
+from .http import Timeouts
+from .http import request_json
+from .http import unusable_reply
 
 PAGE_ROWS = 1000
 PAGE_ATTEMPTS = 6
--- a/src/wagtailstair/platform/weights.py
+++ b/src/wagtailstair/platform/weights.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 
-from .http import Timeouts, request_json
+from .http import Timeouts
+from .http import request_json
 
 DEFAULT_RETRY_S = 1.0
 _OVER_RATE = 429
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -6,9 +6,9 @@
 import random
 import threading
 
-from .claims import Answer
 from .claims import Claims
 from .clock import Clock
+from .core.claim_steps import Answer
 from .core.ejection import Ejection
 from .core.retry import RetryBudget
 from .core.retry import retry_pause_s
--- a/src/wagtailstair/settling.py
+++ b/src/wagtailstair/settling.py
@@ -9,26 +9,25 @@
 import threading
 import typing as t
 
-from .core.claim_steps import (
-    Answer,
-    Away,
-    Command,
-    Conflict,
-    Deliver,
-    Delivered,
-    Event,
-    Finish,
-    Insert,
-    Read,
-    Release,
-    ReplyLost,
-    Settle,
-    Wait,
-    Woke,
-    Written,
-)
+from .core.claim_steps import Answer
+from .core.claim_steps import Away
+from .core.claim_steps import Command
+from .core.claim_steps import Conflict
+from .core.claim_steps import Deliver
+from .core.claim_steps import Delivered
+from .core.claim_steps import Event
+from .core.claim_steps import Finish
+from .core.claim_steps import Insert
+from .core.claim_steps import Read
+from .core.claim_steps import Release
+from .core.claim_steps import ReplyLost
+from .core.claim_steps import Settle
+from .core.claim_steps import Wait
+from .core.claim_steps import Woke
+from .core.claim_steps import Written
 from .core.claims import Claim
-from .exceptions import PlatformConflictError, PlatformUnavailableError
+from .exceptions import PlatformConflictError
+from .exceptions import PlatformUnavailableError
 
 MAX_READ_ROWS = 100
 MAX_IDLE_S = 1.0
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,14 +7,12 @@
 
 from wagtailstair.core.claim_steps import Answer
 from wagtailstair.core.rows import Row
-from wagtailstair.exceptions import (
-    PlatformConflictError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-    UpstreamLostError,
-    UpstreamNotSentError,
-    UpstreamRefusedError,
-)
+from wagtailstair.exceptions import PlatformConflictError
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
+from wagtailstair.exceptions import UpstreamLostError
+from wagtailstair.exceptions import UpstreamNotSentError
+from wagtailstair.exceptions import UpstreamRefusedError
 
 
 class WriteFault(enum.Enum):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -2,22 +2,27 @@
 
 import pytest
 
-from tests.fakes import CallFault, FakeObjects, FakeService, FakeTable, WriteFault
+from tests.fakes import CallFault
+from tests.fakes import FakeObjects
+from tests.fakes import FakeService
+from tests.fakes import FakeTable
+from tests.fakes import WriteFault
 from wagtailstair.claims import Claims
 from wagtailstair.clock import SystemClock
 from wagtailstair.commits import GroupWriter
-from wagtailstair.core.claims import ClaimLimits, hash_request, make_claim_key
-from wagtailstair.core.rows import Condition, Write
-from wagtailstair.exceptions import (
-    CallInProgressError,
-    KeyReusedError,
-    NotReadyError,
-    NoUpstreamError,
-    Outcome,
-    OutcomeUnknownError,
-    PlatformConflictError,
-    QueueFullError,
-)
+from wagtailstair.core.claims import ClaimLimits
+from wagtailstair.core.claims import hash_request
+from wagtailstair.core.claims import make_claim_key
+from wagtailstair.core.rows import Condition
+from wagtailstair.core.rows import Write
+from wagtailstair.exceptions import CallInProgressError
+from wagtailstair.exceptions import KeyReusedError
+from wagtailstair.exceptions import NotReadyError
+from wagtailstair.exceptions import NoUpstreamError
+from wagtailstair.exceptions import Outcome
+from wagtailstair.exceptions import OutcomeUnknownError
+from wagtailstair.exceptions import PlatformConflictError
+from wagtailstair.exceptions import QueueFullError
 
 CLOCK = SystemClock()
 LIMITS = ClaimLimits(confirm_s=0.05, backoff_s=0.005, max_backoff_s=0.02)
--- a/tests/test_platform_http.py
+++ b/tests/test_platform_http.py
@@ -3,15 +3,15 @@
 
 import pytest
 
-from tests.tiny_server import DROP, serving
-from wagtailstair.exceptions import (
-    PlatformConflictError,
-    PlatformError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-)
+from tests.tiny_server import DROP
+from tests.tiny_server import serving
+from wagtailstair.exceptions import PlatformConflictError
+from wagtailstair.exceptions import PlatformError
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
 from wagtailstair.platform import http
-from wagtailstair.platform.http import Timeouts, request_json
+from wagtailstair.platform.http import Timeouts
+from wagtailstair.platform.http import request_json
 
 SHORT = Timeouts(total_s=0.3, connect_s=0.2)
 
--- a/tests/test_platform_table.py
+++ b/tests/test_platform_table.py
@@ -3,12 +3,16 @@
 import pytest
 
 from tests.tiny_server import serving
-from wagtailstair.core.rows import Condition, Row, Write
-from wagtailstair.exceptions import PlatformUnavailableError, PlatformUnknownError
+from wagtailstair.core.rows import Condition
+from wagtailstair.core.rows import Row
+from wagtailstair.core.rows import Write
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
 from wagtailstair.platform import table as table_module
 from wagtailstair.platform.hosts import read_hosts
 from wagtailstair.platform.objects import ObjectClient
-from wagtailstair.platform.table import TableClient, TransactionConflictError
+from wagtailstair.platform.table import TableClient
+from wagtailstair.platform.table import TransactionConflictError
 from wagtailstair.platform.weights import fetch_weights
 
 ROW = {"table": "plans", "key": "a", "version": 3, "value": {"x": 1}}
