--- a/standins/base.py
+++ b/standins/base.py
@@ -26,6 +26,10 @@
     __slots__ = ("_at", "_level", "rate")
 
     def __init__(self, rate: float) -> None:
+        self.set_rate(rate)
+
+    def set_rate(self, rate: float) -> None:
+        """Begin anew with a full bucket."""
         self.rate = rate
         self._level = rate
         self._at = time.monotonic()
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -46,6 +46,11 @@
         self._entry_by_name[entry["name"]] = {**defaults, **entry}
         self._snap()
 
+    def settle(self) -> None:
+        """Let the list as it is now be what stood at the start."""
+        self._snapshots.clear()
+        self._snap()
+
     def switched(self, changes: Json) -> None:
         """Edit the list: ``add`` entries; ``remove``, ``leaving``, ``live`` names."""
         for entry in _listed(changes.get("add")):
@@ -65,7 +70,7 @@
     def _lagging(self) -> list[Json]:
         visible = time.monotonic() - self.switches["lag_s"]
         # What stood at the start is seen at once.
-        hosts = self._snapshots[0][1] if self._snapshots else []
+        hosts = self._snapshots[0][1]
         for at, snapshot in self._snapshots:
             if at > visible:
                 break
--- a/standins/stores.py
+++ b/standins/stores.py
@@ -61,7 +61,8 @@
 
     def switched(self, changes: Json) -> None:
         """Apply a new rate."""
-        self._bucket.rate = self.switches["bytes_per_s"]
+        if "bytes_per_s" in changes:
+            self._bucket.set_rate(self.switches["bytes_per_s"])
 
     def fetch(self, size: float) -> float:
         """Take bytes, or return the seconds to wait."""
--- a/standins/table.py
+++ b/standins/table.py
@@ -55,8 +55,10 @@
 
     def switched(self, changes: Json) -> None:
         """Apply new rates, and turn ``down`` into a closed port or refusals."""
-        self._reads.rate = self.switches["reads_per_s"]
-        self._writes.rate = self.switches["writes_per_s"]
+        if "reads_per_s" in changes:
+            self._reads.set_rate(self.switches["reads_per_s"])
+        if "writes_per_s" in changes:
+            self._writes.set_rate(self.switches["writes_per_s"])
         if "down" in changes:
             self.switches["unavailable"] = self.switches["down"] == "503"
             self.switches["dead"] = self.switches["down"] not in (False, "503")
--- a/standins/world.py
+++ b/standins/world.py
@@ -49,6 +49,9 @@
             if isinstance(standin, Engine):
                 self._fleet.engine_by_address[standin.address] = standin
             self._list(standin)
+        hosts = self.standin_by_name.get("hosts")
+        if isinstance(hosts, Hosts):
+            hosts.settle()
         app = web.Application()
         app.add_routes([web.post("/_switch/{name}", self._on_switch)])
         app.add_routes([web.get("/_records/{name}", self._on_records)])
