--- a/standins/decoding.py
+++ b/standins/decoding.py
@@ -70,7 +70,7 @@
         self.fleet = fleet
         self.stages = stages
         self.request: str = body["request"]
-        self.attempt: int = body["attempt"]
+        self.attempt: t.Any = body["attempt"]
         self.priority: int = min(max(int(body.get("priority", 1)), 0), 2)
         self.max_tokens: int = body["max_tokens"]
         self.prompt_tokens = prompt_tokens(body["prompt"])
@@ -87,7 +87,10 @@
         self.group: Group | None = None
         self.transport: asyncio.WriteTransport | asyncio.Transport | None = None
         self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        names = f'"r":{json.dumps(self.request)},"a":{self.attempt},"e":{body["epoch"]}'
+        names = (
+            f'"r":{json.dumps(self.request)},"a":{json.dumps(self.attempt)},'
+            f'"e":{body["epoch"]}'
+        )
         self.prefix = "{" + names + ',"p":'
         spans = ",".join(f"[{first},{last}]" for first, last in ranges)
         self.suffix = f',"w":[{spans}]}}\n'
--- a/standins/service.py
+++ b/standins/service.py
@@ -52,7 +52,10 @@
     async def _on_call(self, request: web.Request) -> web.StreamResponse:
         if self.switches["refuse"]:
             self._refused += 1
-            return refusal(503, "refused")
+            response = refusal(503, "refused")
+            if self.switches["leaving"]:
+                response.headers["X-Leaving"] = "true"
+            return response
         body = await request.text()
         if self.take("drop_before"):
             self._dropped += 1
