--- /dev/null
+++ b/src/wagtailstair/core/tickets.py
@@ -0,0 +1,376 @@
+"""The requests of this entry host that wait for a route or use one.
+
+A request has one *ticket* at a time: its submission to the dispatcher of its
+pool. The first grant wins, from whichever dispatcher it comes; any other is
+withdrawn. When the dispatcher does not answer, a local pool with this host's
+share of the slots decides.
+"""
+
+import dataclasses
+import typing as t
+
+from .demand import Done, Grant, Hold, Refusal, RefusalReason, Want
+from .engine import EngineState, Route
+from .messages import (
+    ERA_SHIFT,
+    Finished,
+    Granted,
+    Held,
+    PoolKey,
+    Queued,
+    Refused,
+    Reliable,
+    Submit,
+    Withdraw,
+)
+from .pools import Engines, Pool, PoolFactory, is_in_pool, observe_in
+
+FIRST_REPEAT_S = 0.1  # doubled with each repetition that is not answered
+LAST_REPEAT_S = 0.5
+FIRST_CHECK_S = 0.5  # while a request waits, in case its grant is lost
+LAST_CHECK_S = 2.0
+PATIENCE_S = 0.75  # without any answer, before the local pool decides
+ANSWER_GRACE_S = 1.0  # after a deadline, for the dispatcher's own refusal
+NO_ROUTE_RETRY_S = 1.0
+POOLS_MAX = 64
+
+
+@dataclasses.dataclass(slots=True)
+class _Ticket:
+    handle: int
+    host: str
+    send_at: float
+    asked_at: float | None = None  # the first send without an answer since
+    repeat_s: float = FIRST_REPEAT_S
+    check_s: float = FIRST_CHECK_S
+    queued: bool = False
+
+
+@dataclasses.dataclass(slots=True)
+class _Open:
+    key: PoolKey
+    want: Want
+    ticket: _Ticket | None = None
+    route: Route | None = None
+    is_local: bool = False
+
+
+class Tickets:
+    """All open requests of an entry host.
+
+    :param find_owner: the live host that dispatches a pool, or None.
+    :param make_pool: makes the local pools.
+    :param tell: sends a numbered message to a host.
+    """
+
+    def __init__(
+        self,
+        find_owner: t.Callable[[PoolKey], str | None],
+        make_pool: PoolFactory,
+        engines: Engines,
+        tell: t.Callable[[str, Reliable, float], None],
+    ) -> None:
+        self.suspects: set[str] = set()
+        self.share = 1
+        self.era_by_host: dict[str, int] = {}
+        self.repeats = 0
+        self.local_grants = 0
+        self._find_owner = find_owner
+        self._make_pool = make_pool
+        self._engines = engines
+        self._tell = tell
+        self._number = 0
+        self._open_by_id: dict[tuple[str, int], _Open] = {}
+        self._open_by_handle: dict[int, _Open] = {}
+        self._waiting: dict[tuple[str, int], _Open] = {}
+        self._local_by_key: dict[PoolKey, Pool] = {}
+        self._results: list[Grant | Refusal] = []
+        self._sends: list[tuple[str, Submit]] = []
+
+    def __len__(self) -> int:
+        return len(self._open_by_id)
+
+    # The entry host's own calls.
+
+    def submit(self, key: PoolKey, want: Want, now: float) -> None:
+        """Ask for a route."""
+        name = (want.request, want.epoch)
+        if name in self._open_by_id:
+            return
+        known = _Open(key, want)
+        self._open_by_id[name] = known
+        self._waiting[name] = known
+        self._ask(known, now)
+        if known.ticket is None or known.ticket.host in self.suspects:
+            self._decide_here(known, now)
+
+    def done(self, done: Done, now: float) -> None:
+        """End a grant."""
+        known = self._open_by_id.pop((done.request, done.epoch), None)
+        if known is None:
+            return
+        self._waiting.pop((done.request, done.epoch), None)
+        if known.is_local:
+            self._local(known.key, now).done(done, now)
+        ticket = self._tear(known)
+        if ticket is None:
+            return
+        message = Finished(
+            ticket.handle,
+            known.key,
+            done.prompt_tokens,
+            done.output_tokens,
+            done.failed,
+        )
+        self._tell(ticket.host, message, now)
+
+    def cancel(self, request: str, epoch: int, now: float) -> None:
+        """End a request that waits, or a grant that is not used."""
+        known = self._open_by_id.pop((request, epoch), None)
+        if known is None:
+            return
+        self._waiting.pop((request, epoch), None)
+        if known.is_local:
+            self._local(known.key, now).cancel(request, epoch, now)
+        self._withdraw(known, now)
+
+    # Answers.
+
+    def granted(self, sender: str, message: Granted, now: float) -> None:
+        """Take a grant; one that comes late or twice is not delivered."""
+        known = self._find(sender, message.handle)
+        if known is None:
+            self._tell(sender, Withdraw(message.handle), now)
+            return
+        if known.route is not None:
+            return
+        self._leave_local(known, now)
+        self._resolve(known, message.route)
+
+    def refused(self, sender: str, message: Refused, now: float) -> None:
+        """Take a refusal."""
+        known = self._find(sender, message.handle)
+        if known is None or known.route is not None:
+            return
+        self._leave_local(known, now)
+        self._tear(known)
+        self._fail(known, message.reason, message.retry_after_s)
+
+    def queued(self, sender: str, message: Queued, now: float) -> None:
+        """Learn that a submission waits."""
+        known = self._find(sender, message.handle)
+        if known is None or known.ticket is None:
+            self._tell(sender, Withdraw(message.handle), now)
+            return
+        ticket = known.ticket
+        ticket.queued = True
+        ticket.asked_at = None
+        ticket.repeat_s = FIRST_REPEAT_S
+        ticket.send_at = now + ticket.check_s
+        ticket.check_s = min(LAST_CHECK_S, ticket.check_s * 2)
+
+    # Changes around.
+
+    def heard(self, host: str) -> None:
+        """Learn that a host answers."""
+        self.suspects.discard(host)
+
+    def void(self, host: str, now: float) -> None:
+        """Submit anew what a host has forgotten."""
+        for known in list(self._open_by_id.values()):
+            if known.ticket is not None and known.ticket.host == host:
+                self._tear(known)
+                self._ask(known, now)
+
+    def moved(self, now: float) -> None:
+        """Follow the dispatchers after a change of the live hosts."""
+        owner_by_key: dict[PoolKey, str | None] = {}
+        for known in list(self._open_by_id.values()):
+            if known.key not in owner_by_key:
+                owner_by_key[known.key] = self._find_owner(known.key)
+            host = None if known.ticket is None else known.ticket.host
+            if owner_by_key[known.key] == host:
+                continue
+            self._withdraw(known, now)
+            self._ask(known, now)
+
+    def observe(self, state: EngineState, now: float) -> None:
+        """Take in a load report, for the local pools."""
+        for key, pool in self._local_by_key.items():
+            if is_in_pool(state, key):
+                observe_in(pool, self._scale(state), now)
+                continue
+            pool.remove(state.name)
+
+    def remove(self, engine: str) -> None:
+        """Forget an engine that is gone."""
+        for pool in self._local_by_key.values():
+            pool.remove(engine)
+
+    # Time.
+
+    def tick(self, now: float) -> None:
+        """Repeat what is not answered, and decide here what waits too long."""
+        for name, known in list(self._waiting.items()):
+            if now > known.want.deadline + ANSWER_GRACE_S:
+                self.cancel(*name, now)
+                self._results.append(_refusal(known, RefusalReason.DEADLINE, 0.0))
+                continue
+            ticket = known.ticket
+            if ticket is None:
+                self._decide_here(known, now)
+                continue
+            asked_at = ticket.asked_at
+            if asked_at is not None and now - asked_at >= PATIENCE_S:
+                self.suspects.add(ticket.host)
+            if ticket.host in self.suspects:
+                self._decide_here(known, now)
+            if now >= ticket.send_at:
+                self._send(known, ticket, now)
+                self.repeats += 1
+        for key, pool in self._local_by_key.items():
+            for decided in pool.poll(now):
+                self._decided(key, decided, now)
+
+    def next_wake(self, now: float) -> float | None:
+        """Return when to call :meth:`tick` again."""
+        times = [pool.next_wake(now) for pool in self._local_by_key.values()]
+        wakes = [time for time in times if time is not None]
+        for known in self._waiting.values():
+            if known.ticket is not None:
+                wakes.append(known.ticket.send_at)
+        return min(wakes, default=None)
+
+    def take_results(self) -> list[Grant | Refusal]:
+        """Return the requests that have been decided since the last call."""
+        results, self._results = self._results, []
+        return results
+
+    def take_sends(self) -> list[tuple[str, Submit]]:
+        """Return the submissions to send since the last call."""
+        sends, self._sends = self._sends, []
+        return sends
+
+    # Inside.
+
+    def _find(self, sender: str, handle: int) -> _Open | None:
+        known = self._open_by_handle.get(handle)
+        if known is None or known.ticket is None or known.ticket.host != sender:
+            return None
+        return known
+
+    def _ask(self, known: _Open, now: float) -> None:
+        host = self._find_owner(known.key)
+        if host is None:
+            return
+        self._number += 1
+        handle = self.era_by_host.get(host, 0) << ERA_SHIFT | self._number
+        ticket = _Ticket(handle, host, now)
+        known.ticket = ticket
+        self._open_by_handle[handle] = known
+        if known.route is None:
+            self._send(known, ticket, now)
+            return
+        want = self._on_wire(known.want, now)
+        self._tell(host, Held(handle, known.key, want, known.route, 0), now)
+
+    def _send(self, known: _Open, ticket: _Ticket, now: float) -> None:
+        if ticket.asked_at is None:
+            ticket.asked_at = now
+        ticket.send_at = now + ticket.repeat_s
+        ticket.repeat_s = min(LAST_REPEAT_S, ticket.repeat_s * 2)
+        want = self._on_wire(known.want, now)
+        self._sends.append((ticket.host, Submit(ticket.handle, known.key, want)))
+
+    def _on_wire(self, want: Want, now: float) -> Want:
+        """Return a want whose deadline is in seconds from now."""
+        remaining_s = max(0.0, want.deadline - now)
+        return dataclasses.replace(want, deadline=remaining_s)
+
+    def _tear(self, known: _Open) -> _Ticket | None:
+        ticket, known.ticket = known.ticket, None
+        if ticket is not None:
+            del self._open_by_handle[ticket.handle]
+        return ticket
+
+    def _withdraw(self, known: _Open, now: float) -> None:
+        ticket = self._tear(known)
+        if ticket is not None:
+            self._tell(ticket.host, Withdraw(ticket.handle, known.key), now)
+
+    def _resolve(self, known: _Open, route: Route) -> None:
+        want = known.want
+        known.route = route
+        self._waiting.pop((want.request, want.epoch), None)
+        self._results.append(Grant(want.request, want.epoch, want.host, route))
+
+    def _fail(self, known: _Open, reason: RefusalReason, retry_s: float) -> None:
+        name = (known.want.request, known.want.epoch)
+        del self._open_by_id[name]
+        self._waiting.pop(name, None)
+        self._results.append(_refusal(known, reason, retry_s))
+
+    # The local pools.
+
+    def _local(self, key: PoolKey, now: float) -> Pool:
+        pool = self._local_by_key.get(key)
+        if pool is None:
+            if len(self._local_by_key) >= POOLS_MAX:
+                self._local_by_key.clear()
+            pool = self._local_by_key[key] = self._make_pool(key)
+            for state in self._engines.of(key):
+                observe_in(pool, self._scale(state), now)
+            self._hold_open(key, pool, now)
+        return pool
+
+    def _hold_open(self, key: PoolKey, pool: Pool, now: float) -> None:
+        for known in self._open_by_id.values():
+            if known.key == key and known.route is not None:
+                pool.hold(Hold(known.want, known.route, 0), now)
+                known.is_local = True
+
+    def _scale(self, state: EngineState) -> EngineState:
+        """Return an engine with this host's share of its slots and memory."""
+        return dataclasses.replace(
+            state,
+            slots=max(1, state.slots // self.share),
+            kv_tokens=max(1, state.kv_tokens // self.share),
+            kv_used=state.kv_used // self.share,
+            running=0,
+            waiting=0,
+        )
+
+    def _decide_here(self, known: _Open, now: float) -> None:
+        if known.is_local:
+            return
+        known.is_local = True
+        pool = self._local(known.key, now)
+        pool.want(known.want, now)
+
+    def _leave_local(self, known: _Open, now: float) -> None:
+        if known.is_local:
+            want = known.want
+            self._local(known.key, now).cancel(want.request, want.epoch, now)
+        known.is_local = False
+
+    def _decided(self, key: PoolKey, decided: Grant | Refusal, now: float) -> None:
+        known = self._open_by_id.get((decided.request, decided.epoch))
+        if known is None or known.route is not None:
+            return
+        if isinstance(decided, Grant):
+            self._withdraw(known, now)
+            self.local_grants += 1
+            self._resolve(known, decided.route)
+            self._ask(known, now)
+            return
+        ticket = known.ticket
+        if ticket is not None and ticket.queued and ticket.host not in self.suspects:
+            known.is_local = False
+            return
+        self._withdraw(known, now)
+        self._fail(known, decided.reason, decided.retry_after_s)
+
+
+def _refusal(known: _Open, reason: RefusalReason, retry_after_s: float) -> Refusal:
+    want = known.want
+    return Refusal(want.request, want.epoch, want.host, reason, retry_after_s)
