--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -75,7 +75,7 @@
         """Store an object; raise :exc:`PlatformError` if that isn't certain."""
         ...
 
-    def get(self, name: str) -> bytes:
+    def get(self, name: str) -> bytes | None:
         """Return an object; raise :exc:`PlatformError` if it can't be read."""
         ...
 
@@ -329,9 +329,10 @@
 
     def _do_fetch(self, task: Task, command: Fetch) -> Event:
         try:
-            return Fetched(self._objects.get(command.name))
+            body = self._objects.get(command.name)
         except PlatformError:
             return Away()
+        return Away() if body is None else Fetched(body)
 
 
 _STEP_BY_COMMAND: dict[type, collections.abc.Callable[..., Event]] = {
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -3,20 +3,22 @@
 import dataclasses
 import typing as t
 
-from .demand import Done, Grant, Hold, Refusal, Want
+from .demand import Done
+from .demand import Grant
+from .demand import Hold
+from .demand import Refusal
+from .demand import Want
 from .engine import EngineState
-from .messages import (
-    ERA_SHIFT,
-    EngineLost,
-    Finished,
-    Granted,
-    Held,
-    PoolKey,
-    Queued,
-    Refused,
-    Submit,
-    Withdraw,
-)
+from .messages import ERA_SHIFT
+from .messages import EngineLost
+from .messages import Finished
+from .messages import Granted
+from .messages import Held
+from .messages import PoolKey
+from .messages import Queued
+from .messages import Refused
+from .messages import Submit
+from .messages import Withdraw
 
 INCARNATIONS_REMEMBERED = 4  # replaced incarnations of an engine that are refused
 
--- a/src/wagtailstair/http/streams.py
+++ b/src/wagtailstair/http/streams.py
@@ -3,6 +3,7 @@
 import collections.abc
 import concurrent.futures
 import socket
+import threading
 import typing as t
 
 from ..exceptions import CallerGoneError
@@ -27,7 +28,8 @@
     """Tokens to a caller's socket; kept until the response head is out."""
 
     def __init__(self, caller: CallerSocket, shape: completions.Shape) -> None:
-        self.started: concurrent.futures.Future[None] = concurrent.futures.Future()
+        self.started = threading.Event()
+        self.has_tokens = False
         self._caller = caller
         self._shape = shape
         self._attached = False
@@ -40,8 +42,8 @@
             self._caller.send(data)
             return
         self._early.append(data)
-        if not self.started.done():
-            self.started.set_result(None)
+        self.has_tokens = True
+        self.started.set()
 
     def is_full(self) -> bool:
         """Tell whether the caller reads too slowly."""
@@ -119,6 +121,7 @@
         self._caller = CallerSocket(relays.loop, sock, limit)
         self._sink = StreamSink(self._caller, shape)
         self._relay = relays.run(job, self._sink)
+        self._relay.future.add_done_callback(lambda _: self._sink.started.set())
         _watch(relays, self._relay, self._caller)
 
     def wait_for_start(self) -> None:
@@ -126,10 +129,8 @@
 
         :raises RequestError: if the request ends without one.
         """
-        pending: tuple[concurrent.futures.Future[t.Any], ...]
-        pending = (self._sink.started, self._relay.future)
-        concurrent.futures.wait(pending, return_when=concurrent.futures.FIRST_COMPLETED)
-        if self._sink.started.done():
+        self._sink.started.wait()
+        if self._sink.has_tokens or not self._relay.future.done():
             return
         try:
             self._relay.future.result()
@@ -142,17 +143,19 @@
     ) -> collections.abc.Iterator[bytes]:
         """Yield the first and last events; the loop writes those between."""
         end: Finished | RequestError = CallerGoneError("the caller closed early")
+        is_watched = True
         try:
             yield completions.first_event(self._shape)
             self._relays.loop.call(self._sink.attach)
             end = self._wait()
+            is_watched = False
             if not _unwatch(self._relays, self._caller):
                 raise ConnectionAbortedError("the caller does not read")
             yield self._last(end)
         finally:
-            if not self._relay.future.done():
+            if is_watched:
                 self._relays.loop.call(self._relay.cancel)
-            _unwatch(self._relays, self._caller)
+                _unwatch(self._relays, self._caller)
             on_end(end)
 
     def _wait(self) -> Finished | RequestError:
--- a/src/wagtailstair/logs.py
+++ b/src/wagtailstair/logs.py
@@ -7,7 +7,7 @@
 
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
-_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}\n"
+_FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}"
 
 
 def _value(value: object) -> str:
