--- a/standins/engine.py
+++ b/standins/engine.py
@@ -12,10 +12,10 @@
 from .base import new_records
 from .base import refusal
 from .decoding import Fleet
-from .decoding import Stream
 from .decoding import StreamError
 from .orders import Orders
 from .prefixes import PrefixCache
+from .streams import Stream
 
 PRIORITIES = 3
 KNOWN_REQUESTS = 4096
