--- /dev/null
+++ b/src/wagtailstair/core/differences.py
@@ -0,0 +1,67 @@
+"""Differences between lists, and the conflicts of two edits."""
+
+import collections.abc
+
+from ..exceptions import EditConflictError
+from .changes import Change, RowChange
+from .lists import Lists
+from .plans import ACCOUNTS, PLANS
+from .rows import RowKey, Value
+
+
+def _differing(
+    old: collections.abc.Mapping[str, object],
+    new: collections.abc.Mapping[str, object],
+) -> list[str]:
+    names = old.keys() | new.keys()
+    return sorted(name for name in names if old.get(name) != new.get(name))
+
+
+def diff_lists(old: Lists, new: Lists) -> list[RowChange]:
+    """Return the rows that differ, plans first, by name."""
+    plans = _differing(old.plan_by_name, new.plan_by_name)
+    accounts = _differing(old.account_by_name, new.account_by_name)
+    keys = [(PLANS, name) for name in plans]
+    keys.extend((ACCOUNTS, name) for name in accounts)
+    return [RowChange(*key, old.value_of(key), new.value_of(key)) for key in keys]
+
+
+def rebase_lists(
+    wanted: Lists, current: Lists, later: collections.abc.Iterable[Change]
+) -> list[RowChange]:
+    """Return the rows of the current lists to change to get the wanted ones.
+
+    Rows that others changed since the wanted lists were read stay as the
+    others left them, unless both sides changed the row.
+
+    :param later: all changes between the versions of the two lists.
+    :raises EditConflictError: naming a row that both sides changed.
+    """
+    base_by_key: dict[RowKey, Value | None] = {}
+    change_by_key: dict[RowKey, Change] = {}
+    for change in later:
+        for row in change.rows:
+            base_by_key.setdefault(row.row_key, row.before)
+            change_by_key[row.row_key] = change
+    changes = []
+    for difference in diff_lists(current, wanted):
+        key = difference.row_key
+        if key not in base_by_key:
+            changes.append(difference)
+            continue
+        if difference.value == base_by_key[key]:
+            continue
+        raise edit_conflict(key, change_by_key[key])
+    return changes
+
+
+def edit_conflict(key: RowKey, change: Change | None) -> EditConflictError:
+    """Return the error for a row that somebody else changed first."""
+    where = "/".join(key)
+    if change is None:
+        return EditConflictError("the row has changed since it was read", where=where)
+    return EditConflictError(
+        f"changed by {change.author} in change {change.change_id}"
+        f" (version {change.version}) since it was read",
+        where=where,
+    )
