--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -9,7 +9,7 @@
 
 from .clock import Clock
 from .commits import GroupWriter, TableClient
-from .core.claim_rows import decode_claim, encode_claim
+from .core.claim_rows import TABLE, decode_claim, make_write
 from .core.claim_steps import (
     Answer,
     Answered,
@@ -39,7 +39,7 @@
     Woke,
 )
 from .core.claims import Claim, ClaimLimits, make_claim_key
-from .core.rows import VERSION_ABSENT, Condition, Row, Write
+from .core.rows import Row
 from .exceptions import (
     CallInProgressError,
     DeadlineExceededError,
@@ -55,7 +55,6 @@
 )
 from .settling import Settler, Task, WriteFuture, event_of_write
 
-TABLE = "claims"
 MAX_BACKGROUND = 1024
 AWAY_RETRY_S = 1.0
 
@@ -65,12 +64,12 @@
 class ObjectClient(t.Protocol):
     """What is needed of the client of the object store."""
 
-    def put(self, name: str, body: bytes) -> None:
+    def put(self, name: str, data: bytes) -> None:
         """Store an object; raise :exc:`PlatformError` if that isn't certain."""
         ...
 
-    def get(self, name: str) -> bytes:
-        """Return an object; raise :exc:`PlatformError` if it can't be read."""
+    def get(self, name: str) -> bytes | None:
+        """Return an object, or ``None`` if there is none."""
         ...
 
 
@@ -246,15 +245,8 @@
 
     def submit(self, task: Task, command: Insert | Settle | Release) -> WriteFuture:
         """Queue a claim's write."""
-        version = VERSION_ABSENT
-        value = None
-        if not isinstance(command, Release):
-            value = encode_claim(command.row)
-        if not isinstance(command, Insert):
-            version = command.version
-        return self._writer.submit(
-            Condition(TABLE, task.key, version), Write(TABLE, task.key, value)
-        )
+        condition, write = make_write(task.key, command)
+        return self._writer.submit(condition, write)
 
     def execute(self, task: Task, command: Command) -> Event:
         """Do a step that the calling thread waits for."""
@@ -323,9 +315,10 @@
 
     def _do_fetch(self, task: Task, command: Fetch) -> Event:
         try:
-            return Fetched(self._objects.get(command.name))
+            body = self._objects.get(command.name)
         except PlatformError:
             return Away()
+        return Away() if body is None else Fetched(body)
 
 
 _STEP_BY_COMMAND: dict[type, collections.abc.Callable[..., Event]] = {
--- a/src/wagtailstair/core/claim_rows.py
+++ b/src/wagtailstair/core/claim_rows.py
@@ -4,8 +4,18 @@
 import binascii
 import typing as t
 
-from .claim_steps import Answer, Claimant, ClaimRow, ClaimState
-from .rows import Value
+from .claim_steps import (
+    Answer,
+    Claimant,
+    ClaimRow,
+    ClaimState,
+    Insert,
+    Release,
+    Settle,
+)
+from .rows import VERSION_ABSENT, Condition, Value, Write
+
+TABLE = "claims"
 
 
 def encode_claim(row: ClaimRow) -> Value:
@@ -55,3 +65,14 @@
         return ClaimRow(
             str(value.get("hash", "")), claimant, float("inf"), ClaimState.UNKNOWN
         )
+
+
+def make_write(key: str, command: Insert | Settle | Release) -> tuple[Condition, Write]:
+    """Return a claim's write and the condition without which it must not happen."""
+    value = None
+    if not isinstance(command, Release):
+        value = encode_claim(command.row)
+    version = VERSION_ABSENT
+    if not isinstance(command, Insert):
+        version = command.version
+    return Condition(TABLE, key, version), Write(TABLE, key, value)
--- a/src/wagtailstair/core/claims.py
+++ b/src/wagtailstair/core/claims.py
@@ -289,7 +289,7 @@
                 self.row, state=ClaimState.ANSWERED, answer=answer
             )
             return self._confirm(Settle(self._version, row), now)
-        name = f"claims/{self.row.claimant.attempt}"
+        name = f"claim-{self.row.claimant.attempt}"
         row = dataclasses.replace(
             self.row,
             state=ClaimState.ANSWERED,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -6,6 +6,8 @@
 import threading
 
 from wagtailstair.core.claim_steps import Answer
+from wagtailstair.core.engine import EngineState
+from wagtailstair.core.placement import OrderKind
 from wagtailstair.core.rows import Row
 from wagtailstair.exceptions import (
     PlatformConflictError,
@@ -107,15 +109,15 @@
         self.body_by_name = {}
         self.is_away = False
 
-    def put(self, name, body):
+    def put(self, name, data):
         if self.is_away:
             raise PlatformUnavailableError("away", where="objects")
-        self.body_by_name[name] = body
+        self.body_by_name[name] = data
 
     def get(self, name):
-        if self.is_away or name not in self.body_by_name:
+        if self.is_away:
             raise PlatformUnavailableError("away", where="objects")
-        return self.body_by_name[name]
+        return self.body_by_name.get(name)
 
 
 class CallFault(enum.Enum):
@@ -149,3 +151,87 @@
             raise _ERROR_BY_FAULT[fault](fault.value)
         serial = f"{key}#{len(self.runs)}".encode()
         return Answer(201, (("Content-Type", "text/plain"),), serial + body)
+
+
+class FakeEngine:
+    """An engine that takes orders; some check the fencing number."""
+
+    def __init__(self, name, model="", first=0, last=0, **options):
+        self.name = name
+        self.model, self.version = model, options.get("version", "1" if model else "")
+        self.first, self.last = first, last
+        self.layers = options.get("layers", 12)
+        self.role = options.get("role", "")
+        self.adapters = ()
+        self.fencing_checked = options.get("fencing_checked", True)
+        self.incarnation = "1"
+        self.leaving = False
+        self.running = 0
+        self.fence = 0
+        self.orders = []
+
+    def state(self, now=0.0):
+        return EngineState(
+            name=self.name,
+            incarnation=self.incarnation,
+            address="127.0.0.1:1",
+            data_centre="dc1",
+            model=self.model,
+            version=self.version,
+            role=self.role,
+            accelerator="fast",
+            first=self.first,
+            last=self.last,
+            layers=self.layers,
+            slots=8,
+            running=self.running,
+            waiting=0,
+            kv_tokens=1000,
+            kv_used=0,
+            step_s=0.01,
+            prefill_tokens_per_s=1000.0,
+            leaving=self.leaving,
+            fencing_checked=self.fencing_checked,
+            order=self.fence,
+            as_of=now,
+            adapters=tuple(self.adapters),
+        )
+
+    def take(self, order, fence, holder=""):
+        if fence < self.fence and self.fencing_checked:
+            raise UpstreamRefusedError("old fencing number", where=self.name)
+        self.fence = fence
+        self.orders.append((fence, holder, order))
+        if order.kind is OrderKind.ROLE:
+            self.role = order.role
+        elif order.adapter and order.kind is OrderKind.LOAD:
+            self.adapters = (*self.adapters, order.adapter)
+        elif order.adapter:
+            self.adapters = tuple(a for a in self.adapters if a != order.adapter)
+        elif order.kind is OrderKind.UNLOAD:
+            self.model, self.version, self.adapters = "", "", ()
+        else:
+            self.model, self.version = order.model, order.version
+            self.first, self.last = order.first, order.last
+            self.adapters = ()
+
+
+class FakeFleet:
+    """The engines of a data centre, as the client of their orders sees them."""
+
+    def __init__(self, *engines):
+        self.engine_by_name = {engine.name: engine for engine in engines}
+        self.unreachable = set()
+
+    def states(self, now=0.0):
+        return [engine.state(now) for engine in self.engine_by_name.values()]
+
+    def read_state(self, engine):
+        if engine in self.unreachable:
+            raise UpstreamNotSentError("unreachable", where=engine)
+        return self.engine_by_name[engine].state()
+
+    def send_order(self, order, fence, holder, timeout_s, may_send):
+        if order.engine in self.unreachable or not may_send():
+            raise UpstreamNotSentError("unreachable", where=order.engine)
+        self.engine_by_name[order.engine].take(order, fence, holder)
