--- a/bench/relay.py
+++ b/bench/relay.py
@@ -14,6 +14,7 @@
 import typing as t
 
 import click
+
 from tests.fleet import LAYERS
 from tests.fleet import MODEL
 from tests.fleet import Fleet
--- a/src/wagtailstair/core/differences.py
+++ b/src/wagtailstair/core/differences.py
@@ -3,10 +3,13 @@
 import collections.abc
 
 from ..exceptions import EditConflictError
-from .changes import Change, RowChange
+from .changes import Change
+from .changes import RowChange
 from .lists import Lists
-from .plans import ACCOUNTS, PLANS
-from .rows import RowKey, Value
+from .plans import ACCOUNTS
+from .plans import PLANS
+from .rows import RowKey
+from .rows import Value
 
 
 def _differing(
