Add the datagrams between daemons and their codec

Foreign, unsigned, malformed and misdirected datagrams are dropped and counted; the receiver's incarnation stands in each datagram, so that an answer meant for a host's predecessor can't reach its successor. The dispatcher has no test of its own yet.

--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -7,8 +7,17 @@
 import dataclasses
 import typing as t
 
-from .messages import ERA_SHIFT, Charge, Charged, Limit, Reliable, Settle
-from .quota import Allowed, Limited, Quota, QuotaLimits, local_share
+from .messages import ERA_SHIFT
+from .messages import Charge
+from .messages import Charged
+from .messages import Limit
+from .messages import Reliable
+from .messages import Settle
+from .quota import Allowed
+from .quota import Limited
+from .quota import Quota
+from .quota import QuotaLimits
+from .quota import local_share
 
 FIRST_REPEAT_S = 0.1
 LAST_REPEAT_S = 0.5
@@ -60,7 +69,9 @@
     def host_lost(self, sender: str, now: float) -> None:
         """Close all charges of an entry host that is gone."""
         prefix = f"{sender}/"
-        for host in [host for host in self._requests_by_host if host.startswith(prefix)]:
+        for host in [
+            host for host in self._requests_by_host if host.startswith(prefix)
+        ]:
             self._lose(host, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -36,7 +36,9 @@
     """A host's name, place and addresses.
 
     ``incarnation``: grows with each start under the same name; 0 if not known.
-    ``address``: ``ip:port`` of HTTP; ``peer_address``: ``ip:port`` of UDP.
+    ``address``: ``ip:port`` of HTTP; ``peer_address``: ``ip:port`` of UDP;
+    ``models``: what the engines of its data centre serve, as told to hosts of
+    other data centres.
     """
 
     name: str
@@ -44,6 +46,7 @@
     address: str
     peer_address: str
     incarnation: int = 0
+    models: tuple[str, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -139,7 +142,8 @@
     """Return the checksum of a view; 0 for an empty one."""
     checksum = 0
     for host in sorted(hosts, key=lambda host: host.name):
-        checksum = zlib.crc32(f"{host.name}\0{host.incarnation}\0".encode(), checksum)
+        text = "\0".join((host.name, str(host.incarnation), *host.models, ""))
+        checksum = zlib.crc32(text.encode(), checksum)
     return checksum
 
 
@@ -253,23 +257,41 @@
 
     # Output.
 
-    def due(self, now: float) -> list[str]:
-        """Return the peer addresses that a heartbeat goes to now."""
-        addresses: list[str] = []
+    def due(self, now: float) -> tuple[list[str], list[str]]:
+        """Return the addresses, inside and remote, that a heartbeat goes to now."""
+        inside: list[str] = []
+        remote: list[str] = []
         if now - self._sent_at >= self._heartbeat_s:
             self._sent_at = now
-            addresses.extend(self._inside_addresses())
+            inside.extend(self._inside_addresses())
         if now - self._sent_remote_at >= self._heartbeat_s * REMOTE_FACTOR:
             self._sent_remote_at = now
-            addresses.extend(self._remote_addresses())
-            addresses.extend(self._seed_addresses())
-        return list(dict.fromkeys(addresses))
+            remote.extend(self._remote_addresses())
+            remote.extend(self._seed_addresses())
+        return inside, list(dict.fromkeys(remote))
 
-    def next_heartbeat(self, lists_version: int) -> Heartbeat:
-        """Return the heartbeat to send."""
+    def hurry(self) -> None:
+        """Make the next heartbeats due at once, to announce a change."""
+        self._sent_at = self._sent_remote_at = float("-inf")
+
+    def next_heartbeat(
+        self, lists_version: int, models: tuple[str, ...] = ()
+    ) -> Heartbeat:
+        """Return the heartbeat to send.
+
+        :param models: what the engines here serve, for remote hosts.
+        """
         self._seq += 1
         view = view_checksum(self._heard_remote())
-        return Heartbeat(self.host, self._seq, self.state, lists_version, view)
+        host = dataclasses.replace(self.host, models=models)
+        return Heartbeat(host, self._seq, self.state, lists_version, view)
+
+    def models_by_centre(self) -> dict[str, set[str]]:
+        """Return the models that other data centres have told of."""
+        models: dict[str, set[str]] = {}
+        for host in (*self._heard_remote(), *self._remote.values()):
+            models.setdefault(host.data_centre, set()).update(host.models)
+        return models
 
     def own_view(self) -> View:
         """Return the remote hosts that this host hears itself."""
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -11,10 +11,13 @@
 import enum
 import typing as t
 
-from .demand import RefusalReason, Want
-from .engine import EngineState, Route
-from .membership import Heartbeat, View, ViewRequest
-
+from .demand import RefusalReason
+from .demand import Want
+from .engine import EngineState
+from .engine import Route
+from .membership import Heartbeat
+from .membership import View
+from .membership import ViewRequest
 
 ERA_SHIFT = 40  # bits of a handle below its era
 
--- a/src/wagtailstair/core/outbox.py
+++ b/src/wagtailstair/core/outbox.py
@@ -3,7 +3,8 @@
 import dataclasses
 import heapq
 
-from .messages import Numbered, Reliable
+from .messages import Numbered
+from .messages import Reliable
 
 FIRST_REPEAT_S = 0.1
 LAST_REPEAT_S = 2.0
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -3,20 +3,22 @@
 import dataclasses
 import typing as t
 
-from .demand import Done, Grant, Hold, Refusal, Want
+from .demand import Done
+from .demand import Grant
+from .demand import Hold
+from .demand import Refusal
+from .demand import Want
 from .engine import EngineState
-from .messages import (
-    ERA_SHIFT,
-    EngineLost,
-    Finished,
-    Granted,
-    Held,
-    PoolKey,
-    Queued,
-    Refused,
-    Submit,
-    Withdraw,
-)
+from .messages import ERA_SHIFT
+from .messages import EngineLost
+from .messages import Finished
+from .messages import Granted
+from .messages import Held
+from .messages import PoolKey
+from .messages import Queued
+from .messages import Refused
+from .messages import Submit
+from .messages import Withdraw
 
 INCARNATIONS_REMEMBERED = 4  # replaced incarnations of an engine that are refused
 
@@ -126,6 +128,7 @@
         self._engines = engines
         self._eras_by_sender: dict[str, set[int]] = {}
         self._floor_by_sender: dict[str, int] = {}
+        self._asked: set[tuple[str, int]] = set()
 
     def submit(self, sender: str, message: Submit, now: float) -> None:
         """Take a submission; :meth:`poll` gives the answer."""
@@ -133,6 +136,7 @@
             return
         want = self._name(sender, message.handle, message.want, now)
         self._pool(message.key, now).want(want, now)
+        self._asked.add((sender, message.handle))
 
     def withdraw(self, sender: str, message: Withdraw, now: float) -> None:
         """Withdraw a submission or end its grant."""
@@ -209,6 +213,10 @@
             for decided in pool.poll(now):
                 sender, _, number = decided.request.rpartition("/")
                 answers.append((sender, _answer(int(number), decided)))
+                self._asked.discard((sender, int(number)))
+        for sender, handle in self._asked:
+            answers.append((sender, Queued(handle)))
+        self._asked.clear()
         return answers
 
     def next_wake(self, now: float) -> float | None:
--- /dev/null
+++ b/src/wagtailstair/core/spread.py
@@ -0,0 +1,93 @@
+"""Which load reports are worth sending to which peers."""
+
+import dataclasses
+import typing as t
+import zlib
+
+from .engine import EngineState
+from .pools import Engines
+
+REFRESH_S = 10.0  # to all peers, changed or not
+REPEAT_S = 5.0  # to the dispatcher, changed or not
+STALE_S = 35.0  # without any report, an engine is forgotten
+STEP_CHANGE = 0.1  # relative change of the step time that matters
+KV_CHANGE = 0.05  # change of the KV memory in use that matters, of its size
+
+
+@dataclasses.dataclass(slots=True)
+class _Sent:
+    state: EngineState
+    dispatcher: str | None
+    at: float
+    refresh_at: float
+
+
+def _shape(state: EngineState) -> tuple[t.Any, ...]:
+    """Return what changes seldom and matters to every host."""
+    return (
+        state.incarnation,
+        state.address,
+        state.model,
+        state.version,
+        state.role,
+        state.first,
+        state.last,
+        state.slots,
+        state.leaving,
+        state.adapters,
+    )
+
+
+def _load_changed(state: EngineState, sent: EngineState) -> bool:
+    """Return whether the load differs enough to matter to the dispatcher."""
+    if (state.running, state.waiting) != (sent.running, sent.waiting):
+        return True
+    if abs(state.kv_used - sent.kv_used) > KV_CHANGE * max(1, state.kv_tokens):
+        return True
+    return abs(state.step_s - sent.step_s) > STEP_CHANGE * sent.step_s
+
+
+class Spread:
+    """What the peers have been told of the engines that this host polls."""
+
+    def __init__(self) -> None:
+        self._sent_by_engine: dict[str, _Sent] = {}
+        self._stale_checked_at = 0.0
+
+    def targets(
+        self,
+        state: EngineState,
+        dispatcher: str | None,
+        peers: t.Sequence[str],
+        now: float,
+    ) -> t.Sequence[str]:
+        """Return the peers to tell of a report, and note that they were told."""
+        sent = self._sent_by_engine.get(state.name)
+        if sent is None or _shape(sent.state) != _shape(state):
+            refresh_at = now + REFRESH_S * _phase(state.name)
+            self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
+            return peers
+        if now >= sent.refresh_at:
+            refresh_at = now + REFRESH_S
+            self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
+            return peers
+        due = now - sent.at >= REPEAT_S or dispatcher != sent.dispatcher
+        if not due and not _load_changed(state, sent.state):
+            return ()
+        self._sent_by_engine[state.name] = _Sent(
+            state, dispatcher, now, sent.refresh_at
+        )
+        return [peer for peer in peers if peer == dispatcher]
+
+    def stale(self, engines: Engines, now: float) -> list[EngineState]:
+        """Return the engines of which no report has come for too long."""
+        if now - self._stale_checked_at < 1.0:
+            return []
+        self._stale_checked_at = now
+        states = list(engines.by_name.values())
+        return [state for state in states if now - state.as_of > STALE_S]
+
+
+def _phase(name: str) -> float:
+    """Return a fraction that spreads the refreshes of engines over time."""
+    return zlib.crc32(name.encode()) / 2**32
--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/tickets.py
@@ -9,21 +9,29 @@
 import dataclasses
 import typing as t
 
-from .demand import Done, Grant, Hold, Refusal, RefusalReason, Want
-from .engine import EngineState, Route
-from .messages import (
-    ERA_SHIFT,
-    Finished,
-    Granted,
-    Held,
-    PoolKey,
-    Queued,
-    Refused,
-    Reliable,
-    Submit,
-    Withdraw,
-)
-from .pools import Engines, Pool, PoolFactory, is_in_pool, observe_in
+from .demand import Done
+from .demand import Grant
+from .demand import Hold
+from .demand import Refusal
+from .demand import RefusalReason
+from .demand import Want
+from .engine import EngineState
+from .engine import Route
+from .messages import ERA_SHIFT
+from .messages import Finished
+from .messages import Granted
+from .messages import Held
+from .messages import PoolKey
+from .messages import Queued
+from .messages import Refused
+from .messages import Reliable
+from .messages import Submit
+from .messages import Withdraw
+from .pools import Engines
+from .pools import Pool
+from .pools import PoolFactory
+from .pools import is_in_pool
+from .pools import observe_in
 
 FIRST_REPEAT_S = 0.1  # doubled with each repetition that is not answered
 LAST_REPEAT_S = 0.5
--- /dev/null
+++ b/src/wagtailstair/peers/node.py
@@ -0,0 +1,182 @@
+"""The host among its peers: heartbeats, views, dispatch, and their thread."""
+
+import threading
+import typing as t
+
+from ..clock import Clock
+from ..core.membership import Event
+from ..core.membership import Heartbeat
+from ..core.membership import Host
+from ..core.membership import HostState
+from ..core.membership import Membership
+from ..core.membership import PeerLive
+from ..core.membership import View
+from ..core.membership import ViewRequest
+from ..core.messages import Message
+from ..core.pools import PoolFactory
+from ..dispatch import Dispatcher
+from ..logs import log_event
+from .codec import Datagram
+from .transport import UdpTransport
+
+MEMBERSHIP_TICK_S = 0.1
+
+Listener = t.Callable[[list[Event]], None]
+
+
+class Node:
+    """Runs membership and dispatch over a transport.
+
+    :param lists_version: the version of the lists that this host has.
+    :param on_heard: called when a peer has told of a higher version.
+    """
+
+    def __init__(
+        self,
+        membership: Membership,
+        transport: UdpTransport,
+        make_pool: PoolFactory,
+        clock: Clock,
+        lists_version: t.Callable[[], int],
+        on_heard: t.Callable[[int], None] = lambda version: None,
+    ) -> None:
+        self.membership = membership
+        self.lock = threading.RLock()
+        self.dispatcher = Dispatcher(membership, transport, make_pool, clock, self.lock)
+        self.listeners: list[Listener] = [self.dispatcher.members_changed]
+        self._transport = transport
+        self._clock = clock
+        self._lists_version = lists_version
+        self._on_heard = on_heard
+        self._ticked_at = float("-inf")
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, name="node", daemon=True)
+
+    def start(self) -> None:
+        """Begin to send heartbeats and to take messages."""
+        self._transport.start(self._receive)
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Tell the peers for a last time, and stop."""
+        self._stopping.set()
+        self._thread.join()
+        with self.lock:
+            self.membership.hurry()
+            self._send_heartbeats(self._clock.monotonic())
+        self._transport.close()
+
+    def set_state(self, state: HostState) -> None:
+        """Change what this host says of itself, and tell the peers at once."""
+        with self.lock:
+            self.membership.set_state(state)
+        self.announce()
+        self._notify([])
+
+    def announce(self) -> None:
+        """Tell the peers at once, for example of a new version of the lists."""
+        with self.lock:
+            self.membership.hurry()
+            self._send_heartbeats(self._clock.monotonic())
+        self._transport.flush()
+
+    def host_list(self, hosts: t.Iterable[Host]) -> None:
+        """Take the platform's list of entry hosts."""
+        with self.lock:
+            self.membership.host_list(hosts, self._clock.monotonic())
+
+    def tick(self) -> float:
+        """Do what is due; return seconds after which to call again, at most."""
+        events: list[Event] = []
+        with self.lock:
+            now = self._clock.monotonic()
+            if now - self._ticked_at >= MEMBERSHIP_TICK_S:
+                self._ticked_at = now
+                events = self.membership.tick(now)
+                self._send_heartbeats(now)
+                for address in self.membership.views_wanted(now):
+                    self._transport.send(address, 0, ViewRequest())
+        self._transport.flush()
+        self._notify(events)
+        return self.dispatcher.tick()
+
+    def _run(self) -> None:
+        while not self._stopping.is_set():
+            wait_s = self.tick()
+            self._stopping.wait(wait_s)
+
+    def _send_heartbeats(self, now: float) -> None:
+        inside, remote = self.membership.due(now)
+        version = self._lists_version()
+        if inside:
+            message = self.membership.next_heartbeat(version)
+            for address in inside:
+                self._transport.send(address, 0, message)
+        if remote:
+            models = self.dispatcher.models()
+            message = self.membership.next_heartbeat(version, models)
+            for address in remote:
+                self._transport.send(address, 0, message)
+
+    def _receive(self, datagram: Datagram) -> None:
+        others: list[Message] = []
+        for message in datagram.messages:
+            if isinstance(message, Heartbeat):
+                self._take_heartbeat(message)
+            elif isinstance(message, ViewRequest):
+                self._answer_view(datagram.sender)
+            elif isinstance(message, View):
+                with self.lock:
+                    now = self._clock.monotonic()
+                    events = self.membership.view(datagram.sender, message, now)
+                self._notify(events)
+            else:
+                others.append(message)
+        if others:
+            self.dispatcher.receive(datagram.sender, datagram.incarnation, others)
+
+    def _take_heartbeat(self, message: Heartbeat) -> None:
+        with self.lock:
+            now = self._clock.monotonic()
+            known = self.membership.lists_version()
+            is_new = self.membership.find(message.host.name) is None
+            events = self.membership.heartbeat(message, now)
+            if is_new and self.membership.find(message.host.name) is not None:
+                self._greet(message.host)
+            version = self.membership.lists_version()
+        self._notify(events)
+        if version > known and version > self._lists_version():
+            self._on_heard(version)
+
+    def _greet(self, host: Host) -> None:
+        """Answer the first heartbeat of a host, so that it need not wait."""
+        is_remote = host.data_centre != self.membership.host.data_centre
+        models = self.dispatcher.models() if is_remote else ()
+        message = self.membership.next_heartbeat(self._lists_version(), models)
+        self._transport.send(host.peer_address, 0, message)
+        self._transport.flush()
+
+    def _answer_view(self, sender: str) -> None:
+        with self.lock:
+            host = self.membership.find(sender)
+            if host is None:
+                return
+            view = self.membership.own_view()
+            self._transport.send(host.peer_address, host.incarnation, view)
+        self._transport.flush()
+
+    def _notify(self, events: list[Event]) -> None:
+        for event in events:
+            _log(event)
+        for listener in self.listeners:
+            listener(events)
+
+
+def _log(event: Event) -> None:
+    kind = type(event).__name__
+    if isinstance(event, PeerLive):
+        log_event("peer_live", peer=event.host.name)
+        return
+    host = getattr(event, "host", None)
+    name = "" if host is None else host.name
+    log_event("membership_changed", level="WARNING", change=kind, peer=name)
--- /dev/null
+++ b/tests/test_peers_codec.py
@@ -0,0 +1,194 @@
+import dataclasses
+
+import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from wagtailstair.core.demand import RefusalReason
+from wagtailstair.core.demand import Want
+from wagtailstair.core.engine import EngineState
+from wagtailstair.core.engine import Priority
+from wagtailstair.core.engine import Stage
+from wagtailstair.core.membership import Heartbeat
+from wagtailstair.core.membership import Host
+from wagtailstair.core.membership import HostState
+from wagtailstair.core.membership import View
+from wagtailstair.core.membership import ViewRequest
+from wagtailstair.core.messages import Ack
+from wagtailstair.core.messages import Charge
+from wagtailstair.core.messages import Charged
+from wagtailstair.core.messages import EngineLost
+from wagtailstair.core.messages import EngineReport
+from wagtailstair.core.messages import Finished
+from wagtailstair.core.messages import Granted
+from wagtailstair.core.messages import Held
+from wagtailstair.core.messages import Limit
+from wagtailstair.core.messages import Numbered
+from wagtailstair.core.messages import PoolKey
+from wagtailstair.core.messages import Queued
+from wagtailstair.core.messages import Refused
+from wagtailstair.core.messages import Reset
+from wagtailstair.core.messages import Settle
+from wagtailstair.core.messages import Submit
+from wagtailstair.core.messages import Withdraw
+from wagtailstair.exceptions import PeerError
+from wagtailstair.peers.codec import DATAGRAM_BYTES_MAX
+from wagtailstair.peers.codec import Datagram
+from wagtailstair.peers.codec import decode
+from wagtailstair.peers.codec import encode
+
+KEY = PoolKey("draft", "a")
+HOST = Host("entry-1", "a", "10.0.0.1:8080", "10.0.0.1:8081", 1_700_000_000_000)
+FAR = Host("entry-2", "b", "[fd00::2]:8080", "[fd00::2]:1", 5, ("draft", "quote"))
+ROUTE = (Stage("e1", "10.0.1.1:9000", 0, 16), Stage("e2", "10.0.1.2:9000", 16, 32))
+WANT = Want(
+    request="",
+    epoch=0,
+    host="",
+    account="san-lucas",
+    priority=Priority.BATCH,
+    weight=0.5,
+    work=96.0,
+    prompt_tokens=512,
+    max_tokens=64,
+    deadline=12.5,
+    entitled=False,
+    adapter="legal",
+    prefixes=(1, (1 << 64) - 1),
+    avoid=frozenset({"e9", "e8"}),
+)
+STATE = EngineState(
+    name="e1",
+    incarnation="i1",
+    address="10.0.1.1:9000",
+    data_centre="a",
+    model="draft",
+    version="v2",
+    role="decode",
+    accelerator="kind-3",
+    first=0,
+    last=16,
+    layers=32,
+    slots=8,
+    running=3,
+    waiting=1,
+    kv_tokens=65536,
+    kv_used=4096,
+    step_s=0.03125,
+    prefill_tokens_per_s=2048.0,
+    leaving=True,
+    fencing_checked=True,
+    order=77,
+    as_of=0.0,
+    adapters=("legal",),
+    links_s=(("b", 0.5),),
+)
+BODIES = (
+    Withdraw(5, KEY),
+    Withdraw(6),
+    Finished(7, KEY, 512, 60, frozenset({"e1"})),
+    Held(8, KEY, WANT, ROUTE, 17),
+    Reset(3),
+    Charge(9, "san-lucas", 96.0, 2000.0, 10.0, 16, True),
+    Settle(9, 60.0),
+)
+MESSAGES = (
+    Heartbeat(HOST, 4, HostState.LEAVING, 9, 0xFFFFFFFF),
+    ViewRequest(),
+    View((HOST, FAR)),
+    View(()),
+    Submit(1 << 40 | 5, KEY, WANT),
+    Queued(5),
+    Granted(5, ROUTE),
+    *(Refused(5, reason, 1.5) for reason in RefusalReason),
+    Charge(9, "san-lucas", 96.0, 2000.0, 10.0, 16),
+    *(Charged(9, limit, 0.25) for limit in Limit),
+    EngineReport(STATE, 0.25),
+    EngineLost("e1", "i1"),
+    *(Numbered(number, body) for number, body in enumerate(BODIES)),
+    Ack((1, 2, 3)),
+)
+SECRET = b"k" * 32
+
+
+def make_datagram(*messages):
+    return Datagram(HOST.name, HOST.incarnation, 12, messages)
+
+
+class TestRoundTrip:
+    @pytest.mark.parametrize("message", MESSAGES, ids=lambda m: type(m).__name__)
+    def test_each_message(self, message):
+        datagram = make_datagram(message)
+        assert decode(encode(datagram)) == datagram
+
+    def test_all_together_under_a_key(self):
+        datagram = make_datagram(*MESSAGES)
+        assert decode(encode(datagram, SECRET), SECRET) == datagram
+
+    def test_bounds_what_does_not_fit_a_field(self):
+        state = dataclasses.replace(STATE, running=1 << 20, kv_used=1 << 40)
+        [report] = decode(encode(make_datagram(EngineReport(state, 1.0)))).messages
+        assert report.state.running == (1 << 16) - 1
+        assert report.state.kv_used == (1 << 32) - 1
+
+
+class TestForeign:
+    good = encode(make_datagram(*MESSAGES), SECRET)
+
+    @pytest.mark.parametrize(
+        "data",
+        [
+            pytest.param(b"", id="empty"),
+            pytest.param(b"GET / HTTP/1.1\r\n", id="other-protocol"),
+            pytest.param(good[:2] + b"\x02" + good[3:], id="other-version"),
+            pytest.param(good[:-1], id="cut"),
+            pytest.param(encode(make_datagram(Queued(1))), id="unsigned"),
+            pytest.param(encode(make_datagram(Queued(1)), b"x" * 32), id="other-key"),
+            pytest.param(good + bytes(DATAGRAM_BYTES_MAX), id="too-long"),
+        ],
+    )
+    def test_is_refused(self, data):
+        with pytest.raises(PeerError):
+            decode(data, SECRET)
+
+    def test_signed_is_refused_without_a_key(self):
+        with pytest.raises(PeerError):
+            decode(self.good)
+
+    def test_every_changed_byte_is_noticed(self):
+        for place in range(len(self.good)):
+            changed = bytearray(self.good)
+            changed[place] ^= 0x40
+            with pytest.raises(PeerError):
+                decode(bytes(changed), SECRET)
+
+
+class TestMalformed:
+    @settings(derandomize=True, max_examples=400, deadline=None)
+    @given(st.data())
+    def test_raises_nothing_but_peer_errors(self, data):
+        good = encode(make_datagram(*MESSAGES))
+        changed = bytearray(good)
+        for _ in range(data.draw(st.integers(1, 8))):
+            place = data.draw(st.integers(4, len(changed) - 1))
+            changed[place] = data.draw(st.integers(0, 255))
+        try:
+            decode(bytes(changed))
+        except PeerError:
+            return
+
+    @settings(derandomize=True, max_examples=200, deadline=None)
+    @given(st.binary(max_size=300))
+    def test_random_bodies(self, body):
+        try:
+            decode(encode(make_datagram())[:4] + body)
+        except PeerError:
+            return
+
+    def test_unknown_enumerator(self):
+        data = encode(make_datagram(Charged(1, Limit.CONCURRENCY)))
+        place = data.rindex(bytes([Limit.CONCURRENCY]))
+        changed = data[:place] + b"\x63" + data[place + 1 :]
+        with pytest.raises(PeerError):
+            decode(changed)
