--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -4,6 +4,7 @@
 it does not answer, the entry host decides alone within its share of the plan.
 """
 
+import collections
 import dataclasses
 import typing as t
 
@@ -22,6 +23,7 @@
 FIRST_REPEAT_S = 0.1
 LAST_REPEAT_S = 0.5
 PATIENCE_S = 0.3  # without an answer, before this host decides alone
+MEMORY_OF_SETTLED = 16_384  # so that a late charge is not opened again
 
 Verdict = Allowed | Limited
 
@@ -34,13 +36,14 @@
         self._account_by_request: dict[str, str] = {}
         self._requests_by_host: dict[str, set[str]] = {}
         self._floor_by_sender: dict[str, int] = {}
+        self._settled: collections.OrderedDict[str, None] = collections.OrderedDict()
 
     def charge(self, sender: str, message: Charge, now: float) -> Charged | None:
-        """Decide on a charge; None for one of an era that is over."""
+        """Decide on a charge; None for a late one that is over."""
         era = message.handle >> ERA_SHIFT
-        if era < self._floor_by_sender.get(sender, 0):
-            return None
         request = f"{sender}/{message.handle}"
+        if era < self._floor_by_sender.get(sender, 0) or request in self._settled:
+            return None
         host = f"{sender}/{era}"
         limits = QuotaLimits(
             message.work_per_s, message.burst_s, message.max_concurrent
@@ -57,6 +60,9 @@
     def settle(self, sender: str, message: Settle, now: float) -> None:
         """Close a charge."""
         request = f"{sender}/{message.handle}"
+        self._settled[request] = None
+        while len(self._settled) > MEMORY_OF_SETTLED:
+            self._settled.popitem(last=False)
         account = self._account_by_request.pop(request, None)
         if account is None:
             return
@@ -185,7 +191,8 @@
         """Charge anew what a home has forgotten."""
         for known in list(self._open_by_request.values()):
             if known.host == host:
-                self._open_by_handle.pop(known.handle, None)
+                # It may have been charged since the home forgot.
+                self._tear(known, 0.0, now)
                 self._ask(known, now)
 
     def moved(self, now: float) -> None:
--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/tickets.py
@@ -187,7 +187,8 @@
         """Submit anew what a host has forgotten."""
         for known in list(self._open_by_id.values()):
             if known.ticket is not None and known.ticket.host == host:
-                self._tear(known)
+                # It may have been taken in since the dispatcher forgot.
+                self._withdraw(known, now)
                 self._ask(known, now)
 
     def moved(self, now: float) -> None:
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -2,6 +2,7 @@
 
 import collections
 import concurrent.futures
+import contextlib
 import dataclasses
 import threading
 import typing as t
@@ -76,7 +77,7 @@
         transport: Transport,
         make_pool: PoolFactory,
         clock: Clock,
-        lock: threading.RLock | None = None,
+        lock: contextlib.AbstractContextManager[t.Any] | None = None,
     ) -> None:
         self.engines = Engines()
         self.outbox = Outbox()
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -18,6 +18,7 @@
 from ..logs import log_event
 from .codec import Datagram
 from .transport import UdpTransport
+from .transport import is_address
 
 MEMBERSHIP_TICK_S = 0.1
 
@@ -81,9 +82,10 @@
         self._transport.flush()
 
     def host_list(self, hosts: t.Iterable[Host]) -> None:
-        """Take the platform's list of entry hosts."""
+        """Take the platform's list of entry hosts; a mistyped address is left out."""
+        usable = [host for host in hosts if is_address(host.peer_address)]
         with self.lock:
-            self.membership.host_list(hosts, self._clock.monotonic())
+            self.membership.host_list(usable, self._clock.monotonic())
 
     def tick(self) -> float:
         """Do what is due; return seconds after which to call again, at most."""
--- a/src/wagtailstair/peers/transport.py
+++ b/src/wagtailstair/peers/transport.py
@@ -1,6 +1,7 @@
 """Datagrams over UDP: one receiving thread, messages joined for a moment."""
 
 import dataclasses
+import ipaddress
 import select
 import socket
 import threading
@@ -51,6 +52,16 @@
     return host.strip("[]"), int(port)
 
 
+def is_address(address: str) -> bool:
+    """Return whether an address is ``ip:port``."""
+    try:
+        host, port = _parse(address)
+        ipaddress.ip_address(host)
+    except ValueError:
+        return False
+    return 0 < port < 1 << 16
+
+
 class UdpTransport:
     """Sends and receives the datagrams of one host.
 
