--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -128,6 +128,7 @@
         self._engines = engines
         self._eras_by_sender: dict[str, set[int]] = {}
         self._floor_by_sender: dict[str, int] = {}
+        self._asked: set[tuple[str, int]] = set()
 
     def submit(self, sender: str, message: Submit, now: float) -> None:
         """Take a submission; :meth:`poll` gives the answer."""
@@ -135,6 +136,7 @@
             return
         want = self._name(sender, message.handle, message.want, now)
         self._pool(message.key, now).want(want, now)
+        self._asked.add((sender, message.handle))
 
     def withdraw(self, sender: str, message: Withdraw, now: float) -> None:
         """Withdraw a submission or end its grant."""
@@ -211,6 +213,10 @@
             for decided in pool.poll(now):
                 sender, _, number = decided.request.rpartition("/")
                 answers.append((sender, _answer(int(number), decided)))
+                self._asked.discard((sender, int(number)))
+        for sender, handle in self._asked:
+            answers.append((sender, Queued(handle)))
+        self._asked.clear()
         return answers
 
     def next_wake(self, now: float) -> float | None:
