--- a/bench/measures.py
+++ b/bench/measures.py
@@ -6,8 +6,11 @@
 
 from wagtailstair.core.engine import Priority
 
-from .model import Model, Request
-from .scenarios import END_S, FAULT_S, WARM_S
+from .model import Model
+from .model import Request
+from .scenarios import END_S
+from .scenarios import FAULT_S
+from .scenarios import WARM_S
 
 Measures = dict[str, float]
 
--- a/bench/model.py
+++ b/bench/model.py
@@ -7,9 +7,13 @@
 import random
 import typing as t
 
-from wagtailstair.core.engine import EngineState, Priority
+from wagtailstair.core.engine import EngineState
+from wagtailstair.core.engine import Priority
 
-from .fleet import BATCH_GROWTH, LINK_S, EngineSpec, idle_state
+from .fleet import BATCH_GROWTH
+from .fleet import LINK_S
+from .fleet import EngineSpec
+from .fleet import idle_state
 
 RESEND_S = 0.1
 REPORT_INTERVAL_S = 0.2
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -4,22 +4,33 @@
 import dataclasses
 import typing as t
 
-from wagtailstair.core.demand import Done, Grant, Hold, Refusal, Want
-from wagtailstair.core.engine import EngineState, Route
-from wagtailstair.core.loads import (
-    EngineLoad,
-    Lane,
-    LoadTable,
-    Need,
-    StageCost,
-    expected_delay,
-    prompt_work,
-)
-from wagtailstair.core.pool import Pool, PoolLimits
+from wagtailstair.core.demand import Done
+from wagtailstair.core.demand import Grant
+from wagtailstair.core.demand import Hold
+from wagtailstair.core.demand import Refusal
+from wagtailstair.core.demand import Want
+from wagtailstair.core.engine import EngineState
+from wagtailstair.core.engine import Route
+from wagtailstair.core.loads import EngineLoad
+from wagtailstair.core.loads import Lane
+from wagtailstair.core.loads import LoadTable
+from wagtailstair.core.loads import Need
+from wagtailstair.core.loads import StageCost
+from wagtailstair.core.loads import expected_delay
+from wagtailstair.core.loads import prompt_work
+from wagtailstair.core.pool import Pool
+from wagtailstair.core.pool import PoolLimits
 from wagtailstair.core.routing import shortest_route
 
-from .fleet import DATA_CENTRES, HOSTS, LAYERS, MODEL, EngineSpec, idle_state
-from .model import Model, Request, Stream
+from .fleet import DATA_CENTRES
+from .fleet import HOSTS
+from .fleet import LAYERS
+from .fleet import MODEL
+from .fleet import EngineSpec
+from .fleet import idle_state
+from .model import Model
+from .model import Request
+from .model import Stream
 
 DETECT_S = 0.02
 """Until an entry host sees that a connection broke."""
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -7,9 +7,14 @@
 
 from wagtailstair.core.engine import Priority
 
-from .fleet import HOSTS, EngineSpec, make_fleet, slot_bound
-from .model import Model, Request
-from .policies import Policy, PoolPolicy
+from .fleet import HOSTS
+from .fleet import EngineSpec
+from .fleet import make_fleet
+from .fleet import slot_bound
+from .model import Model
+from .model import Request
+from .policies import Policy
+from .policies import PoolPolicy
 
 MEAN_OUTPUT = 120
 SHORTEST_OUTPUT = 8
--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -5,7 +5,9 @@
 import typing as t
 
 from .demand import Want
-from .engine import EngineState, Priority, Route
+from .engine import EngineState
+from .engine import Priority
+from .engine import Route
 
 WORK_PER_PROMPT_TOKEN = 1 / 8
 MINIMUM_PREFILL_TOKENS_PER_S = 1.0
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -6,20 +6,27 @@
 import math
 
 from .capacity import Capacity
-from .demand import Done, Grant, Hold, Refusal, RefusalReason, Want
-from .ejection import Ejection, EjectionLimits
-from .engine import EngineState, Priority, Route
-from .loads import (
-    EngineLoad,
-    Lane,
-    LoadTable,
-    Need,
-    StageCost,
-    expected_delay,
-    prompt_work,
-)
+from .demand import Done
+from .demand import Grant
+from .demand import Hold
+from .demand import Refusal
+from .demand import RefusalReason
+from .demand import Want
+from .ejection import Ejection
+from .ejection import EjectionLimits
+from .engine import EngineState
+from .engine import Priority
+from .engine import Route
+from .loads import EngineLoad
+from .loads import Lane
+from .loads import LoadTable
+from .loads import Need
+from .loads import StageCost
+from .loads import expected_delay
+from .loads import prompt_work
 from .queueing import FairQueue
-from .routing import Pick, shortest_route
+from .routing import Pick
+from .routing import shortest_route
 
 MEMORY_OF_ENDED = 16_384
 """Ended epochs that are remembered, so that a late want is not granted again."""
--- a/src/wagtailstair/core/routing.py
+++ b/src/wagtailstair/core/routing.py
@@ -4,8 +4,11 @@
 import dataclasses
 import typing as t
 
-from .engine import EngineState, Route, Stage
-from .loads import EngineLoad, Lane
+from .engine import EngineState
+from .engine import Route
+from .engine import Stage
+from .loads import EngineLoad
+from .loads import Lane
 
 DEFAULT_LINK_S = 0.0005
 
