Refuse what can't be run in time, and set more slots aside

A request is now refused at its arrival, or when its turn comes, if its expected run time (twice that where others wait) does not fit any more.

Minimum shares are corrected by what an answer really cost.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -21,6 +21,7 @@
 from wagtailstair.core.pool import Pool
 from wagtailstair.core.pool import PoolLimits
 from wagtailstair.core.routing import shortest_route
+from wagtailstair.core.spill import Waits
 
 from .fleet import DATA_CENTRES
 from .fleet import HOSTS
@@ -28,6 +29,7 @@
 from .fleet import MODEL
 from .fleet import EngineSpec
 from .fleet import idle_state
+from .model import RESEND_S
 from .model import Model
 from .model import Request
 from .model import Stream
@@ -88,7 +90,18 @@
     def launch(self, request: Request, names: t.Iterable[str]) -> None:
         """Send a request along a route."""
         source = request.host[0]
-        self.stream_by_request[request.name] = self.model.start(request, names, source)
+        stream = self.model.start(request, names, source)
+        self.stream_by_request[request.name] = stream
+        self.model.at(request.deadline, self._cut, request, stream)
+
+    def _cut(self, request: Request, stream: Stream) -> None:
+        # The caller's deadline passed; what has run was for nothing.
+        if request.is_over or stream.is_over:
+            return
+        request.refused = "cut"
+        del self.stream_by_request[request.name]
+        self.model.cancel(stream)
+        self.ended(request, stream)
 
     def refuse(self, request: Request, reason: str) -> None:
         """Tell the caller that the request was not run."""
@@ -326,13 +339,17 @@
     """How pools are laid out.
 
     ``nodes``: ``one`` dispatcher, one a ``data_centre``, or one an entry
-    ``host``; ``spill``: a data centre's host asks the least loaded pool;
+    ``host``; ``spill``: a host asks the least loaded pool, as if it knew them;
+    ``learn``: it asks the pool where it has waited least; ``resend_s``: time
+    after which a lost message is sent again;
     ``exchange``: hosts tell each other their accounts' usage; ``shares``:
     each host has a share of each engine's slots.
     """
 
     nodes: str = "one"
     spill: bool = False
+    learn: bool = False
+    resend_s: float = RESEND_S
     exchange: bool = False
     shares: bool = False
     limits: PoolLimits = dataclasses.field(default_factory=PoolLimits)
@@ -360,6 +377,8 @@
         self._ended_at: dict[tuple[str, str], collections.deque[float]]
         self._ended_at = collections.defaultdict(collections.deque)
         self._usage: dict[tuple[str, Want], float] = {}
+        self._waits_by_host = {host: Waits() for host in HOSTS}
+        model.resend_s = options.resend_s
         self._demand_by_host: dict[str, float] = collections.defaultdict(float)
         if options.exchange or options.shares:
             model.at(EXCHANGE_S, self._exchange)
@@ -374,6 +393,12 @@
         if self._options.nodes == "one":
             return next(iter(self.pool_by_node))
         home = request.host[0]
+        if self._options.learn:
+            waits, now = self._waits_by_host[request.host], self.model.now
+            order = waits.order(
+                home, DATA_CENTRES, request.priority, now, self.model.rng
+            )
+            return order[0]
         if not self._options.spill:
             return home
         return min(self.pool_by_node, key=lambda node: self._spill_cost(node, home))
@@ -426,9 +451,12 @@
         if pending is None or pending[1].epoch != decision.epoch:
             return
         del self._wants[request.name]
+        waits = self._waits_by_host[request.host]
         if isinstance(decision, Refusal):
+            waits.refused(request.name, self.model.now)
             self.refuse(request, decision.reason.value)
             return
+        waits.granted(request.name, self.model.now)
         if request.host in self.model.dead_hosts or request.is_over:
             return
         self._running[request.name] = (node, pending[1], decision.route)
@@ -442,6 +470,8 @@
         self.request_by_name[request.name] = request
         want = want_of(request)
         node = self._node_of(request)
+        waits = self._waits_by_host[request.host]
+        waits.submitted(request.name, node, request.priority, self.model.now)
         self._wants[request.name] = (node, want)
         self._demand_by_host[request.host] += want.work
         self._tell(node, request.host[0], "want", want)
@@ -611,5 +641,6 @@
     "slot_shares": pools(nodes="host", shares=True),
     "dispatcher_dc": pools(nodes="data_centre"),
     "dispatcher_dc_spill": pools(nodes="data_centre", spill=True),
+    "dispatcher_dc_learn": pools(nodes="data_centre", learn=True),
     "dispatcher": pools(nodes="one"),
 }
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -34,6 +34,8 @@
 GRANT_GRACE_S = 5.0
 """Time after its deadline when an open grant counts as lost."""
 HEADS_TRIED = 4
+DELAY_GAIN = 0.05
+"""Weight of each grant in the mean run time of a unit of work."""
 MINIMUM_RETRY_AFTER_S = 0.5
 MAXIMUM_RETRY_AFTER_S = 60.0
 
@@ -43,12 +45,15 @@
     """Bounds and shares of a pool.
 
     ``reserves``: for each priority, the part of the slots that it may not
-    fill, so that more urgent work finds room.
+    fill, so that more urgent work finds room; ``deadline_margin``: where
+    others wait, a request is refused when less than so many times its
+    expected run time is left.
     """
 
     queue_length: int = 4096
     minimum_shares: tuple[float, float, float] = (0.5, 0.2, 0.05)
-    reserves: tuple[float, float, float] = (0.0, 0.05, 0.1)
+    reserves: tuple[float, float, float] = (0.0, 0.05, 0.2)
+    deadline_margin: float = 2.0
     ejection: EjectionLimits = dataclasses.field(default_factory=EjectionLimits)
 
 
@@ -139,6 +144,7 @@
         self._pushed_out = 0
         self._capacity = Capacity()
         self._ejections_change = math.inf
+        self._delay_per_work = 0.0
 
     # Requests.
 
@@ -155,7 +161,9 @@
         if now >= want.deadline:
             self._refuse(want, RefusalReason.DEADLINE, now)
             return
-        late_s = now + self._expected_wait_s(want, now) - want.deadline
+        run_s = want.work * self._delay_per_work
+        wait_s = self._expected_wait_s(want, now)
+        late_s = now + wait_s + self._time_wanted_s(want, run_s) - want.deadline
         if late_s > 0:
             self._refuse(want, RefusalReason.DEADLINE, now, late_s)
             return
@@ -394,10 +402,16 @@
             blocked = self._blocked_need.get((want.priority, is_under))
             if blocked is not None and need.kv >= blocked:
                 continue
-            route = self._find(want, need, is_under, now)
-            if route is None:
+            found = self._find(want, need, is_under, now)
+            if found is None:
                 self._note_blocked(want, need, is_under, now)
                 continue
+            route, delay_s = found
+            if now + self._time_wanted_s(want, delay_s) > want.deadline:
+                self._withdraw(want.request, now)
+                self._refuse(want, RefusalReason.DEADLINE, now)
+                return True
+            self._learn_delay(delay_s / want.work)
             self._queue.take(want.request)
             self._no_route_since.pop(want.request, None)
             self._loads.start(route, need, now)
@@ -426,12 +440,13 @@
 
         return shortest_route(self._loads.lanes, need.tokens, pick) is not None
 
-    def _find(self, want: Want, need: Need, is_under: bool, now: float) -> Route | None:
+    def _find(
+        self, want: Want, need: Need, is_under: bool, now: float
+    ) -> tuple[Route, float] | None:
         # Work below its minimum share may also use what is set aside.
         rank = Priority.URGENT if is_under else want.priority
         pick = _cheapest(want, need, rank, self._cost, now)
-        found = shortest_route(self._loads.lanes, need.tokens, pick)
-        return None if found is None else found[0]
+        return shortest_route(self._loads.lanes, need.tokens, pick)
 
     def _keep(self, known: _Open, now: float) -> None:
         want = known.want
@@ -464,6 +479,23 @@
     def _work_per_s(self, now: float) -> float:
         return self._capacity.work_per_s(self._open_states, now)
 
+    def _learn_delay(self, delay_per_work: float) -> None:
+        if not self._delay_per_work:
+            self._delay_per_work = delay_per_work
+            return
+        change = delay_per_work - self._delay_per_work
+        self._delay_per_work += DELAY_GAIN * change
+
+    def _time_wanted_s(self, want: Want, run_s: float) -> float:
+        """Return the time that must be left for a request to be run.
+
+        Answers may be longer than expected. Where others of its priority
+        wait, those with time to spare go first, so that less is run in vain.
+        """
+        if self._queue.count(want.priority) <= 1:
+            return run_s
+        return run_s * self._limits.deadline_margin
+
     def _expected_wait_s(self, want: Want, now: float) -> float:
         ahead = self._queue.work_ahead(want)
         if not ahead or not self._loads.by_name:
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -333,21 +333,25 @@
     def take(self, request: str) -> Want:
         """Remove an item that is served now and charge it."""
         want = self._want_by_request.pop(request)
+        self._charge(want.priority, want.work)
+        self._class_of(want).take(want)
+        return want
+
+    def _charge(self, served: Priority, work: float) -> None:
         for priority in Priority:
             if not self.count(priority):
                 self._credit[priority] = min(0.0, self._credit[priority])
                 continue
-            self._credit[priority] += self._shares[priority] * want.work
-        self._class_of(want).take(want)
-        left = self._credit[want.priority] - want.work
+            self._credit[priority] += self._shares[priority] * work
         # What a priority had beyond its minimum is not held against it later.
-        self._credit[want.priority] = max(left, -want.work)
-        return want
+        self._credit[served] = max(self._credit[served] - work, -abs(work))
 
     def settle(self, want: Want, actual_work: float) -> None:
         """Correct the charge of a served item to what it really cost."""
-        tags = (actual_work - want.work) / want.weight
-        self._class_of(want).settle(want.account, tags)
+        more = actual_work - want.work
+        if more:
+            self._charge(want.priority, more)
+        self._class_of(want).settle(want.account, more / want.weight)
 
     def work_ahead(self, want: Want) -> float:
         """Estimate the work that is served before a new item."""
