Test the policy against simple oracles

A state machine drives a pool with wants, repeats, older epochs, ends, lost hosts, reports, new incarnations and hand-overs, and checks every decision. One guard changed no behaviour and is gone.

Found by the tests: accounts that do not wait were remembered without bound when every account was new; there is a bound now.

--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -52,7 +52,7 @@
 
     queue_length: int = 4096
     minimum_shares: tuple[float, float, float] = (0.5, 0.2, 0.05)
-    reserves: tuple[float, float, float] = (0.0, 0.05, 0.2)
+    reserves: tuple[float, float, float] = (0.0, 0.08, 0.2)
     deadline_margin: float = 2.0
     ejection: EjectionLimits = dataclasses.field(default_factory=EjectionLimits)
 
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -9,6 +9,9 @@
 from .demand import Want
 from .engine import Priority
 
+MAX_IDLE = 4_096
+"""Accounts without waiting work that are remembered for what they are ahead by."""
+
 ClassKey = tuple[Priority, bool]
 
 
@@ -109,7 +112,16 @@
         if flow.start <= self._virtual:
             del self._flow_by_account[flow.account]
             return
+        self._remember_idle(flow)
+
+    def _remember_idle(self, flow: _Flow) -> None:
         heapq.heappush(self._idle, (flow.start, flow.account))
+        while len(self._idle) > MAX_IDLE:
+            start, account = heapq.heappop(self._idle)
+            known = self._flow_by_account.get(account)
+            if known is None or known.by_request or known.start != start:
+                continue
+            del self._flow_by_account[account]
 
     def _forget_idle(self) -> None:
         while self._idle and self._idle[0][0] <= self._virtual:
@@ -170,7 +182,7 @@
         if flow.by_request:
             self._schedule(flow)
             return
-        heapq.heappush(self._idle, (flow.start, account))
+        self._remember_idle(flow)
 
     def heads(self, count: int) -> list[Want]:
         """Return the next item of each of the first ``count`` accounts."""
@@ -276,8 +288,6 @@
 
     def _victim_for(self, want: Want) -> Want | None:
         for priority in reversed(Priority):
-            if priority < want.priority:
-                return None
             if (
                 priority > want.priority
                 and self.count(priority) <= self._room[priority]
--- /dev/null
+++ b/tests/test_ejection.py
@@ -0,0 +1,47 @@
+from wagtailstair.core.ejection import Ejection
+from wagtailstair.core.ejection import EjectionLimits
+
+LIMITS = EjectionLimits(after=3, base_s=5.0, max_s=60.0, share=0.5)
+
+
+def fail(ejection, name, times, now=0.0, group=4):
+    return [ejection.failed(name, group, now) for _ in range(times)]
+
+
+class TestEjection:
+    def test_needs_failures_in_a_row(self):
+        ejection = Ejection(LIMITS)
+        fail(ejection, "a", 2)
+        ejection.succeeded("a", 0.0)
+        assert fail(ejection, "a", 3) == [False, False, True]
+        assert ejection.is_ejected("a", 1.0)
+        assert ejection.next_change(1.0) == 5.0
+
+    def test_never_ejects_more_than_its_share(self):
+        ejection = Ejection(LIMITS)
+        ejected = [any(fail(ejection, name, 3)) for name in "abcd"]
+        assert ejected == [True, True, False, False]
+
+    def test_comes_back_by_one_probe(self):
+        ejection = Ejection(LIMITS)
+        fail(ejection, "a", 3)
+        assert not ejection.is_ejected("a", 5.0)
+        ejection.started("a")
+        assert ejection.is_ejected("a", 5.0)
+        ejection.succeeded("a", 6.0)
+        assert not ejection.is_ejected("a", 6.0)
+
+    def test_a_probe_that_tells_nothing_is_followed_by_another(self):
+        ejection = Ejection(LIMITS)
+        fail(ejection, "a", 3)
+        ejection.started("a")
+        ejection.abandoned("a")
+        assert not ejection.is_ejected("a", 5.0)
+
+    def test_a_failed_probe_ejects_for_longer(self):
+        ejection = Ejection(LIMITS)
+        fail(ejection, "a", 3)
+        ejection.started("a")
+        assert ejection.failed("a", 4, 5.0)
+        assert ejection.is_ejected("a", 14.9)
+        assert not ejection.is_ejected("a", 15.1)
--- /dev/null
+++ b/tests/test_pool.py
@@ -0,0 +1,391 @@
+import collections
+
+from hypothesis import HealthCheck
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
+from policy_data import LAYERS
+from policy_data import engine
+from policy_data import want
+
+from wagtailstair.core.demand import Done
+from wagtailstair.core.demand import Grant
+from wagtailstair.core.demand import Hold
+from wagtailstair.core.demand import Refusal
+from wagtailstair.core.demand import RefusalReason
+from wagtailstair.core.engine import Priority
+from wagtailstair.core.pool import GRANT_GRACE_S
+from wagtailstair.core.pool import Pool
+from wagtailstair.core.pool import PoolLimits
+
+RANGES = ((0, 8), (0, 3), (3, 8), (0, 3), (3, 8))
+NAMES = tuple(f"e{number}" for number in range(len(RANGES)))
+HOSTS = ("h1", "h2")
+REQUESTS = st.integers(0, 6).map("r{}".format)
+SLOTS = 2
+
+
+class PoolMachine(RuleBasedStateMachine):
+    """Drives a pool, and checks each decision against what it was told.
+
+    ``waiting``, ``running``: by request, the want and, for the second, the
+    route; ``ended``: the last epoch that is over; ``asked_again``: repeated
+    wants that may be answered again.
+    """
+
+    def __init__(self):
+        super().__init__()
+        self.pool = Pool("draft", "a", PoolLimits(queue_length=4))
+        self.now = 0.0
+        self.epochs = collections.Counter()
+        self.waiting = {}
+        self.running = {}
+        self.state_by_name = {}
+        self.leaving = set()
+        self.repeatable = {}
+        self.incarnations = collections.Counter()
+
+    # What the world tells the pool.
+
+    @rule(index=st.integers(0, len(NAMES) - 1), new=st.booleans())
+    def report(self, index, new):
+        name = NAMES[index]
+        first, last = RANGES[index]
+        if new or name not in self.state_by_name:
+            self.incarnations[name] += 1
+            self.leaving.discard(name)
+        state = engine(
+            name,
+            first,
+            last,
+            slots=SLOTS,
+            incarnation=str(self.incarnations[name]),
+            as_of=self.now,
+        )
+        self.state_by_name[name] = state
+        self.pool.observe(state, self.now)
+
+    @rule(name=st.sampled_from(NAMES))
+    def leave(self, name):
+        self.leaving.add(name)
+        self.pool.leaving(name)
+
+    @rule(name=st.sampled_from(NAMES))
+    def remove(self, name):
+        self.state_by_name.pop(name, None)
+        self.pool.remove(name)
+
+    @rule(
+        request=REQUESTS,
+        account=st.sampled_from("abc"),
+        host=st.sampled_from(HOSTS),
+        priority=st.sampled_from(Priority),
+        work=st.integers(3, 60),
+        timeout_s=st.floats(0.1, 30),
+        avoid=st.sets(st.sampled_from(NAMES), max_size=2),
+        entitled=st.booleans(),
+    )
+    def ask(self, request, account, host, priority, work, timeout_s, avoid, entitled):
+        self.epochs[request] += 1
+        item = want(
+            request,
+            account,
+            priority,
+            epoch=self.epochs[request],
+            host=host,
+            work=float(work),
+            deadline=self.now + timeout_s,
+            avoid=frozenset(avoid),
+            entitled=entitled,
+        )
+        self.running.pop(request, None)
+        self.repeatable.pop(request, None)
+        self.waiting[request] = item
+        self.pool.want(item, self.now)
+
+    @precondition(lambda self: self.waiting or self.running)
+    @rule(data=st.data(), age=st.integers(0, 1))
+    def ask_again(self, data, age):
+        request = data.draw(st.sampled_from(sorted({*self.waiting, *self.running})))
+        item = self.waiting.get(request) or self.running[request][0]
+        if age and item.epoch > 1:
+            item = want(request, epoch=item.epoch - 1)
+        self.pool.want(item, self.now)
+
+    @rule(request=REQUESTS, age=st.integers(0, 1))
+    def cancel(self, request, age):
+        epoch = self.epochs[request] - age
+        self.pool.cancel(request, epoch, self.now)
+        if not age:
+            self.waiting.pop(request, None)
+            self.running.pop(request, None)
+            self.repeatable.pop(request, None)
+
+    @rule(request=REQUESTS, age=st.integers(0, 1), failed=st.booleans())
+    def finish(self, request, age, failed):
+        epoch = self.epochs[request] - age
+        names = set()
+        if failed and request in self.running:
+            names = {self.running[request][1][0].engine}
+        self.pool.done(Done(request, epoch, "h1", 16, 9, frozenset(names)), self.now)
+        if not age:
+            self.waiting.pop(request, None)
+            self.running.pop(request, None)
+            self.repeatable.pop(request, None)
+
+    @precondition(lambda self: self.running)
+    @rule()
+    def move_to_a_successor(self):
+        self.pool = Pool("draft", "a", PoolLimits(queue_length=4))
+        for item, route in list(self.running.values()):
+            self.pool.hold(Hold(item, route, 0), self.now)
+            self.pool.hold(Hold(item, route, 0), self.now)
+        for state in self.state_by_name.values():
+            self.pool.observe(state, self.now)
+        for name in self.leaving:
+            self.pool.leaving(name)
+        for item in self.waiting.values():
+            self.pool.want(item, self.now)
+        self.repeatable = dict.fromkeys(self.running)
+
+    @rule(host=st.sampled_from(HOSTS))
+    def lose_host(self, host):
+        self.pool.host_lost(host, self.now)
+        self.waiting = {r: w for r, w in self.waiting.items() if w.host != host}
+        self.running = {r: k for r, k in self.running.items() if k[0].host != host}
+
+    @rule(seconds=st.floats(0.01, 8))
+    def wait(self, seconds):
+        self.now += seconds
+
+    # What the pool may decide.
+
+    @invariant()
+    def decide(self):
+        for decision in self.pool.poll(self.now):
+            request = decision.request
+            if isinstance(decision, Refusal):
+                self.check_refusal(decision)
+                self.waiting.pop(request, None)
+                continue
+            if request in self.running:
+                item, route = self.running[request]
+                assert (decision.epoch, decision.route) == (item.epoch, route)
+                continue
+            item = self.waiting.pop(request)
+            assert decision.epoch == item.epoch
+            assert self.now < item.deadline
+            self.check_route(decision.route, item)
+            self.running[request] = (item, decision.route)
+        assert len(self.waiting) <= 4
+        for request, (item, _) in list(self.running.items()):
+            if self.now >= item.deadline + GRANT_GRACE_S:
+                del self.running[request]
+        assert self.pool.stats().open_grants == len(self.running)
+
+    def check_refusal(self, refusal):
+        request = refusal.request
+        assert request not in self.running
+        assert refusal.epoch == self.epochs[request]
+        assert 0 < refusal.retry_after_s <= 60
+
+    def check_route(self, route, item):
+        assert [s.first for s in route] == [0, *(s.last for s in route)][:-1]
+        assert route[-1].last == LAYERS
+        used = collections.Counter()
+        for _, stages in self.running.values():
+            used.update(stage.engine for stage in stages)
+        for stage in route:
+            state = self.state_by_name[stage.engine]
+            assert (state.first, state.last) == (stage.first, stage.last)
+            assert stage.engine not in self.leaving
+            assert stage.engine not in item.avoid
+            assert used[stage.engine] < state.slots
+
+    def teardown(self):
+        # No want is lost: each has had its answer by its deadline.
+        for item in list(self.waiting.values()):
+            wake = self.pool.next_wake(self.now)
+            assert wake is not None
+            assert wake <= max(self.now, item.deadline)
+        self.now += 40
+        self.decide()
+        assert not self.waiting
+        stats = self.pool.stats()
+        assert stats.waiting == (0, 0, 0)
+        assert stats.open_grants == 0
+
+
+PoolMachine.TestCase.settings = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    suppress_health_check=list(HealthCheck),
+)
+TestPoolMachine = PoolMachine.TestCase
+
+
+def pool_of(*states, **limits):
+    pool = Pool("draft", "a", PoolLimits(**limits))
+    for state in states:
+        pool.observe(state, 0.0)
+    return pool
+
+
+def kinds(decisions):
+    return [(type(d).__name__, d.request) for d in decisions]
+
+
+class TestGrants:
+    def test_urgent_work_finds_a_slot_that_batch_work_may_not_fill(self):
+        pool = pool_of(engine("e", slots=10), reserves=(0.0, 0.0, 0.2))
+        for number in range(20):
+            pool.want(want(f"b{number}", priority=Priority.BATCH), 0.0)
+        assert len(pool.poll(0.0)) == 8
+        pool.want(want("u", priority=Priority.URGENT), 0.0)
+        assert kinds(pool.poll(0.0)) == [("Grant", "u")]
+
+    def test_a_repeated_want_gets_the_same_grant_and_no_second_slot(self):
+        pool = pool_of(engine("e"))
+        item = want("r")
+        pool.want(item, 0.0)
+        first = pool.poll(0.0)
+        pool.want(item, 0.1)
+        assert pool.poll(0.1) == first
+        assert pool.stats().open_grants == 1
+
+    def test_a_late_want_after_the_end_gets_nothing(self):
+        pool = pool_of(engine("e"))
+        item = want("r")
+        pool.want(item, 0.0)
+        pool.poll(0.0)
+        pool.done(Done("r", 0, "h1", 16, 9), 1.0)
+        pool.want(item, 1.1)
+        assert pool.poll(1.1) == []
+
+    def test_a_late_want_of_an_older_epoch_changes_nothing(self):
+        pool = pool_of(engine("e"))
+        pool.want(want("r", epoch=1), 0.0)
+        first = pool.poll(0.0)
+        pool.want(want("r", epoch=0), 0.1)
+        pool.cancel("r", 0, 0.1)
+        assert pool.poll(0.1) == []
+        assert pool.stats().open_grants == 1
+        pool.want(want("r", epoch=1), 0.2)
+        assert pool.poll(0.2) == first
+
+    def test_a_repeated_refusal_is_repeated(self):
+        pool = pool_of(engine("e"))
+        item = want("r", deadline=0.0)
+        pool.want(item, 1.0)
+        first = pool.poll(1.0)
+        pool.want(item, 1.0)
+        assert pool.poll(1.0) == first
+        assert first[0].reason is RefusalReason.DEADLINE
+
+    def test_the_kv_memory_bounds_the_grants(self):
+        pool = pool_of(engine("e", slots=9, kv_tokens=100))
+        for number in range(9):
+            pool.want(want(f"r{number}"), 0.0)
+        assert len(pool.poll(0.0)) == 2
+
+    def test_a_failing_engine_is_left_alone_and_probed(self):
+        pool = pool_of(engine("bad"), engine("good", step_s=0.5))
+        now = 0.0
+        used = []
+        for number in range(5):
+            pool.want(want(f"r{number}"), now)
+            grant = pool.poll(now)[0]
+            used.append(grant.route[0].engine)
+            failed = frozenset({"bad"}) if used[-1] == "bad" else frozenset()
+            pool.done(Done(f"r{number}", 0, "h1", 16, 0, failed), now)
+        assert used == ["bad"] * 3 + ["good"] * 2
+        pool.want(want("probe"), 6.0)
+        assert pool.poll(6.0)[0].route[0].engine == "bad"
+
+
+class TestSuccessor:
+    def test_counts_the_grants_it_is_told_before_it_knows_the_engines(self):
+        pool = pool_of(engine("e", slots=2))
+        pool.want(want("r1"), 0.0)
+        route = pool.poll(0.0)[0].route
+        successor = Pool("draft", "a", PoolLimits(reserves=(0.0, 0.0, 0.0)))
+        successor.hold(Hold(want("r1"), route, 3), 1.0)
+        successor.observe(engine("e", slots=2, running=1), 1.0)
+        for name in ("r2", "r3"):
+            successor.want(want(name), 1.0)
+        assert kinds(successor.poll(1.0)) == [("Grant", "r2")]
+        successor.done(Done("r1", 0, "h1", 16, 9), 2.0)
+        assert kinds(successor.poll(2.0)) == [("Grant", "r3")]
+
+    def test_takes_what_runs_without_a_hold_for_used(self):
+        pool = pool_of(engine("e", slots=2, running=2), reserves=(0.0, 0.0, 0.0))
+        item = want("r")
+        pool.want(item, 0.0)
+        assert pool.poll(0.0) == []
+        pool.observe(engine("e", slots=2, running=1, as_of=0.5), 0.5)
+        assert kinds(pool.poll(0.5)) == [("Grant", "r")]
+
+
+class TestRefusals:
+    def test_what_no_engine_can_run_is_refused_after_a_while(self):
+        pool = pool_of(engine("e", 0, 4))
+        pool.want(want("r"), 0.0)
+        assert pool.poll(0.0) == []
+        wake = pool.next_wake(0.0)
+        assert wake <= 3.0
+        decisions = pool.poll(wake)
+        assert [d.reason for d in decisions] == [RefusalReason.NO_ROUTE]
+
+    def test_a_gap_that_closes_in_time_refuses_nothing(self):
+        pool = pool_of(engine("e", 0, 4))
+        pool.want(want("r"), 0.0)
+        pool.poll(0.0)
+        pool.observe(engine("f", 4, 8), 1.0)
+        assert kinds(pool.poll(1.0)) == [("Grant", "r")]
+
+    def test_what_can_not_be_run_in_time_is_refused_at_once(self):
+        pool = pool_of(engine("e", slots=1))
+        for number in range(50):
+            pool.want(want(f"r{number}"), 0.0)
+        pool.poll(0.0)
+        # 49 times 10 units wait, at 100 tokens a second.
+        pool.want(want("late", deadline=2.0), 0.0)
+        pool.want(want("ok", deadline=50.0), 0.0)
+        assert kinds(pool.poll(0.0)) == [("Refusal", "late")]
+
+    def test_what_is_pushed_out_is_told_so(self):
+        pool = pool_of(queue_length=4, minimum_shares=(0.0, 0.0, 0.0))
+        for number in range(4):
+            pool.want(want(f"b{number}", "flood", Priority.BATCH), 0.0)
+        pool.want(want("u", priority=Priority.URGENT), 0.0)
+        decisions = pool.poll(0.0)
+        assert kinds(decisions) == [("Refusal", "b3")]
+        assert decisions[0].reason is RefusalReason.QUEUE_FULL
+
+    def test_urgent_work_is_not_refused_for_a_flood_of_batch_work(self):
+        pool = pool_of(engine("e", slots=2), queue_length=40)
+        for number in range(100):
+            pool.want(want(f"b{number}", "flood", Priority.BATCH), 0.0)
+        pool.poll(0.0)
+        pool.want(want("u", priority=Priority.URGENT, deadline=2.0), 0.0)
+        assert kinds(pool.poll(0.0)) in ([], [("Grant", "u")])
+
+
+class TestMemory:
+    def test_is_bounded_over_many_requests(self):
+        pool = pool_of(engine("e", slots=4), queue_length=50)
+        now = 0.0
+        for number in range(40_000):
+            now += 0.001
+            name = f"r{number}"
+            pool.want(want(name, f"account{number % 500}", deadline=now + 1), now)
+            for decision in pool.poll(now):
+                if isinstance(decision, Grant):
+                    pool.done(Done(decision.request, 0, "h1", 16, 9), now)
+        assert len(pool._ended) <= 16_384
+        assert len(pool._deadlines) + len(pool._expiries) < 20_000
--- /dev/null
+++ b/tests/test_queueing.py
@@ -0,0 +1,171 @@
+import collections
+import random
+
+import pytest
+from policy_data import want
+
+from wagtailstair.core.engine import Priority
+from wagtailstair.core.queueing import MAX_IDLE
+from wagtailstair.core.queueing import FairQueue
+
+SHARES = (0.5, 0.2, 0.05)
+URGENT, STANDARD, BATCH = Priority
+
+
+def fill(queue, count, account, priority, **changes):
+    for number in range(count):
+        name = f"{account}-{priority}-{changes.get('entitled')}-{number}"
+        assert queue.push(want(name, account, priority, **changes))[0]
+
+
+def serve(queue, count):
+    served = []
+    for _ in range(count):
+        served.append(queue.take(next(queue.heads(1)).request))
+    return served
+
+
+def work_by(served, key):
+    work = collections.Counter()
+    for item in served:
+        work[key(item)] += item.work
+    return work
+
+
+class TestPriorities:
+    def test_each_keeps_its_minimum_while_all_wait(self):
+        queue = FairQueue(10_000, SHARES)
+        rng = random.Random(1)
+        for priority in Priority:
+            for number in range(2_000):
+                work = rng.uniform(5, 50)
+                queue.push(want(f"{priority}-{number}", "a", priority, work=work))
+        served = serve(queue, 1_500)
+        work = work_by(served, lambda item: item.priority)
+        total = sum(work.values())
+        for priority in (STANDARD, BATCH):
+            assert work[priority] >= SHARES[priority] * total - 50
+        # The rest goes to the most urgent.
+        assert work[URGENT] >= (1 - SHARES[STANDARD] - SHARES[BATCH]) * total - 100
+
+    def test_a_long_quiet_time_earns_nothing(self):
+        queue = FairQueue(10_000, SHARES)
+        fill(queue, 500, "a", URGENT)
+        serve(queue, 400)
+        fill(queue, 100, "a", BATCH)
+        served = serve(queue, 40)
+        assert sum(item.priority is BATCH for item in served) <= 3
+
+    def test_what_was_had_beyond_the_minimum_is_not_held_against_it(self):
+        queue = FairQueue(10_000, SHARES)
+        fill(queue, 600, "a", BATCH)
+        serve(queue, 500)
+        fill(queue, 200, "a", URGENT)
+        served = serve(queue, 100)
+        assert sum(item.priority is BATCH for item in served) >= 4
+
+    def test_entitled_work_goes_first(self):
+        queue = FairQueue(100, SHARES)
+        fill(queue, 3, "a", STANDARD, entitled=False)
+        fill(queue, 3, "b", STANDARD, entitled=True)
+        assert [item.account for item in serve(queue, 6)] == list("bbbaaa")
+
+
+class TestAccounts:
+    def test_share_by_weight_in_work_not_in_requests(self):
+        queue = FairQueue(10_000, SHARES)
+        fill(queue, 900, "many", STANDARD, work=5.0)
+        fill(queue, 300, "large", STANDARD, work=40.0)
+        fill(queue, 300, "double", STANDARD, work=20.0, weight=2.0)
+        work = work_by(serve(queue, 600), lambda item: item.account)
+        assert work["many"] == pytest.approx(work["large"], abs=80)
+        assert work["double"] == pytest.approx(2 * work["large"], abs=120)
+
+    def test_a_small_account_goes_before_a_backlog(self):
+        queue = FairQueue(10_000, SHARES)
+        fill(queue, 1_000, "large", STANDARD)
+        serve(queue, 100)
+        queue.push(want("new", "small"))
+        assert "new" in [item.request for item in serve(queue, 2)]
+
+    def test_the_charge_is_corrected_at_the_end(self):
+        queue = FairQueue(10_000, SHARES)
+        fill(queue, 100, "under", STANDARD)
+        fill(queue, 100, "exact", STANDARD)
+        work = collections.Counter()
+        for _ in range(90):
+            item = queue.take(next(queue.heads(1)).request)
+            actual = item.work * (3 if item.account == "under" else 1)
+            work[item.account] += actual
+            queue.settle(item, actual)
+        assert work["under"] == pytest.approx(work["exact"], abs=60)
+
+    def test_memory_is_bounded_whatever_the_number_of_accounts(self):
+        queue = FairQueue(100, SHARES)
+        for number in range(20_000):
+            queue.push(want(f"r{number}", f"account{number}"))
+            if number % 2:
+                serve(queue, 1)
+        assert queue.flows() <= MAX_IDLE + 100
+        while len(queue):
+            serve(queue, 1)
+        assert queue.flows() == 0
+
+
+class TestBound:
+    def test_the_flood_gives_way_to_more_urgent_work(self):
+        queue = FairQueue(100, SHARES)
+        for number in range(200):
+            queue.push(want(f"b{number}", "flood", BATCH))
+        fill(queue, 3, "other", BATCH)
+        room = queue.count(BATCH)
+        taken, victim = queue.push(want("u", "small", URGENT))
+        assert taken
+        assert victim is None
+        for number in range(60):
+            taken, victim = queue.push(want(f"s{number}", "small", URGENT))
+            assert taken
+        assert victim is not None
+        assert (victim.account, victim.priority) == ("flood", BATCH)
+        assert len(queue) <= 100
+        assert queue.count(BATCH) < room
+
+    def test_less_urgent_work_pushes_nothing_out(self):
+        queue = FairQueue(100, SHARES)
+        for number in range(300):
+            queue.push(want(f"u{number}", "flood", URGENT))
+        urgent = queue.count(URGENT)
+        for number in range(300):
+            _, victim = queue.push(want(f"b{number}", "small", BATCH))
+            assert victim is None or victim.priority is BATCH
+        assert queue.count(URGENT) == urgent
+        # A flood leaves the others the room of their minimum.
+        assert queue.count(BATCH) >= 5
+        assert len(queue) <= 100
+
+    def test_a_flood_of_urgent_work_leaves_the_others_their_room(self):
+        queue = FairQueue(100, SHARES)
+        fill(queue, 60, "a", BATCH)
+        fill(queue, 40, "a", STANDARD)
+        for number in range(300):
+            queue.push(want(f"u{number}", "flood", URGENT))
+        assert (queue.count(STANDARD), queue.count(BATCH)) == (20, 5)
+
+    def test_an_account_with_few_gets_the_place_of_one_with_many(self):
+        queue = FairQueue(10, (0.0, 0.0, 0.0))
+        fill(queue, 10, "flood", STANDARD)
+        taken, victim = queue.push(want("r", "small"))
+        assert taken
+        assert victim.account == "flood"
+        taken, victim = queue.push(want("again", "flood"))
+        assert (taken, victim) == (False, None)
+
+    def test_unentitled_work_does_not_push_out_entitled(self):
+        queue = FairQueue(10, (0.0, 0.0, 0.0))
+        fill(queue, 10, "flood", STANDARD, entitled=True)
+        assert not queue.push(want("r", "small", entitled=False))[0]
+        fresh = FairQueue(10, (0.0, 0.0, 0.0))
+        fill(fresh, 10, "flood", STANDARD, entitled=False)
+        taken, victim = fresh.push(want("r", "flood", entitled=True))
+        assert taken
+        assert not victim.entitled
--- /dev/null
+++ b/tests/test_quota.py
@@ -0,0 +1,103 @@
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from wagtailstair.core.quota import Allowed
+from wagtailstair.core.quota import Limited
+from wagtailstair.core.quota import Quota
+from wagtailstair.core.quota import QuotaLimits
+from wagtailstair.core.quota import local_share
+
+LIMITS = QuotaLimits(work_per_s=10.0, burst_s=2.0, max_concurrent=3)
+MANY = QuotaLimits(work_per_s=10.0, burst_s=2.0, max_concurrent=10_000)
+
+
+class TestRate:
+    @settings(derandomize=True, max_examples=100, deadline=None)
+    @given(
+        st.lists(
+            st.tuples(st.floats(0, 0.5), st.floats(0.1, 15)), min_size=1, max_size=80
+        )
+    )
+    def test_allows_the_rate_the_burst_and_no_more(self, arrivals):
+        quota = Quota()
+        now = allowed = 0.0
+        for number, (pause_s, work) in enumerate(arrivals):
+            now += pause_s
+            answer = quota.charge("a", str(number), "h", work, MANY, now)
+            if isinstance(answer, Allowed):
+                allowed += work
+        assert allowed <= 10.0 * now + 20.0 + 1e-6
+
+    def test_retry_after_is_when_it_is_allowed(self):
+        quota = Quota()
+        quota.charge("a", "1", "h", 20.0, MANY, 0.0)
+        answer = quota.charge("a", "2", "h", 5.0, MANY, 0.0)
+        assert answer == Limited("rate", 0.5)
+        assert isinstance(quota.charge("a", "2", "h", 5.0, MANY, 0.49), Limited)
+        assert isinstance(quota.charge("a", "2", "h", 5.0, MANY, 0.51), Allowed)
+
+    def test_work_beyond_the_burst_passes_on_a_full_bucket_and_is_owed(self):
+        quota = Quota()
+        assert isinstance(quota.charge("a", "1", "h", 50.0, MANY, 0.0), Allowed)
+        answer = quota.charge("a", "2", "h", 1.0, MANY, 0.0)
+        assert answer == Limited("rate", 3.1)
+
+    def test_settling_gives_back_what_was_not_used(self):
+        quota = Quota()
+        quota.charge("a", "1", "h", 20.0, MANY, 0.0)
+        quota.settle("a", "1", 4.0, 0.0)
+        quota.settle("a", "1", 0.0, 0.0)
+        assert isinstance(quota.charge("a", "2", "h", 16.0, MANY, 0.0), Allowed)
+        assert isinstance(quota.charge("a", "3", "h", 1.0, MANY, 0.0), Limited)
+
+    def test_a_repeated_charge_costs_nothing(self):
+        quota = Quota()
+        for _ in range(3):
+            assert isinstance(quota.charge("a", "1", "h", 20.0, MANY, 0.0), Allowed)
+        assert isinstance(quota.charge("a", "2", "h", 10.0, MANY, 1.0), Allowed)
+
+
+class TestConcurrency:
+    def test_is_bounded_and_freed_by_the_end(self):
+        quota = Quota()
+        for name in "123":
+            quota.charge("a", name, "h", 0.1, LIMITS, 0.0)
+        answer = quota.charge("a", "4", "h", 0.1, LIMITS, 0.0)
+        assert answer.limit == "concurrency"
+        quota.settle("a", "1", 0.1, 0.0)
+        assert isinstance(quota.charge("a", "4", "h", 0.1, LIMITS, 0.0), Allowed)
+
+    def test_a_lost_host_frees_its_own_only(self):
+        quota = Quota()
+        quota.charge("a", "1", "h1", 0.1, LIMITS, 0.0)
+        quota.charge("a", "2", "h2", 0.1, LIMITS, 0.0)
+        quota.host_lost("h1", 1.0)
+        assert quota.open_requests("a") == 1
+        quota.settle("a", "2", 0.1, 1.0)
+        assert quota.open_requests("a") == 0
+
+    def test_a_new_home_counts_what_is_open(self):
+        quota = Quota()
+        for name in "123":
+            quota.adopt("a", name, "h", 0.1, LIMITS, 0.0)
+        assert isinstance(quota.charge("a", "4", "h", 0.1, LIMITS, 0.0), Limited)
+
+
+class TestAlone:
+    def test_shares_of_all_hosts_keep_the_plan(self):
+        for hosts in range(1, 40):
+            share = local_share(MANY, hosts)
+            assert share.work_per_s * hosts <= MANY.work_per_s + 1e-9
+            assert share.max_concurrent * hosts <= MANY.max_concurrent + hosts
+            assert share.max_concurrent >= 1
+
+
+class TestMemory:
+    def test_idle_accounts_are_forgotten(self):
+        quota = Quota()
+        for number in range(1_000):
+            name = str(number)
+            quota.charge(name, name, "h", 1.0, LIMITS, float(number))
+            quota.settle(name, name, 1.0, float(number))
+        assert len(quota) < 200
