--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -145,8 +145,8 @@
 
     def test_a_flood_of_urgent_work_leaves_the_others_their_room(self):
         queue = FairQueue(100, SHARES)
-        fill(queue, 60, "a", BATCH)
-        fill(queue, 40, "a", STANDARD)
+        fill(queue, 30, "a", BATCH)
+        fill(queue, 20, "a", STANDARD)
         for number in range(300):
             queue.push(want(f"u{number}", "flood", URGENT))
         assert (queue.count(STANDARD), queue.count(BATCH)) == (20, 5)
