Look only at engines with a free slot, and only once at a full fleet

A pool that is full tried each class anew at each event and asked each time whether any engine could ever run the request. Both are remembered now until something changes, and a lane keeps its engines with a free slot.

--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -98,6 +98,7 @@
     prefill_until: float = 0.0
     next_step_s: float = 0.0
     read_s: float = 0.0
+    lane: "Lane | None" = None
     fit: StepFit = dataclasses.field(default_factory=StepFit)
     prefixes: collections.OrderedDict[int, None] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -116,6 +117,12 @@
         more = self.used + 1 - max(1, self.state.running)
         step_s = self.state.step_s + more * self.fit.slope_s()
         self.next_step_s = max(0.0, step_s)
+        if self.lane is None:
+            return
+        if self.used < self.state.slots:
+            self.lane.free[self] = None
+        else:
+            self.lane.free.pop(self, None)
 
     def unread_share(self, prefixes: tuple[int, ...]) -> float:
         """Return the part of a prompt whose prefix the engine does not hold."""
@@ -174,13 +181,17 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Lane:
-    """The engines of one data centre that hold the same range of layers."""
+    """The engines of one data centre that hold the same range of layers.
+
+    ``free``: those with a free slot.
+    """
 
     first: int
     last: int
     layers: int
     data_centre: str
-    loads: list[EngineLoad]
+    loads: list[EngineLoad] = dataclasses.field(default_factory=list)
+    free: dict[EngineLoad, None] = dataclasses.field(default_factory=dict)
 
 
 LaneKey = tuple[int, int, int, str]
@@ -224,8 +235,10 @@
             key = _lane_key(load.state)
             lane = lane_by_key.get(key)
             if lane is None:
-                lane = lane_by_key[key] = Lane(*key, [])
+                lane = lane_by_key[key] = Lane(*key)
             lane.loads.append(load)
+            load.lane = lane
+            load.refresh()
         self.lanes = [lane_by_key[key] for key in sorted(lane_by_key)]
         for lane in self.lanes:
             set_caps(lane, self._reserves)
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -93,7 +93,7 @@
     def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
         best_cost = math.inf
         best: EngineLoad | None = None
-        for load in lane.loads:
+        for load in lane.free:
             if load.used >= load.caps[rank] or load.is_ejected:
                 continue
             if load.granted_kv + need.kv > load.state.kv_tokens:
@@ -136,7 +136,10 @@
         self._deadlines: list[tuple[float, str, int]] = []
         self._expiries: list[tuple[float, str, int]] = []
         self._no_route_since: dict[str, float] = {}
-        self._blocked_need: dict[tuple[Priority, bool], int] = {}
+        # The least KV memory for which no slot was found, by rank.
+        self._blocked_need: dict[Priority, int] = {}
+        # The most for which there are engines, busy or not.
+        self._routable_need = -1
         self._outbox: list[Grant | Refusal] = []
         self._granted = [0, 0, 0]
         self._granted_work = [0.0, 0.0, 0.0]
@@ -288,11 +291,11 @@
         load = self._loads.by_name.get(state.name)
         if load is not None and load.state.incarnation == state.incarnation:
             if self._loads.observe(state):
-                self._blocked_need.clear()
+                self._engines_changed()
             return
         self._loads.add(state, self._needs_on(state.name))
         self._ejection.forget(state.name)
-        self._blocked_need.clear()
+        self._engines_changed()
 
     def _needs_on(self, engine: str) -> list[Need]:
         needs: list[Need] = []
@@ -316,12 +319,13 @@
         load = self._loads.by_name.get(engine)
         if load is not None:
             load.is_leaving = True
+            self._engines_changed()
 
     def remove(self, engine: str) -> None:
         """Forget an engine that is gone; its open grants end by their dones."""
         if self._loads.remove(engine):
             self._ejection.forget(engine)
-            self._blocked_need.clear()
+            self._engines_changed()
 
     def host_lost(self, host: str, now: float) -> None:
         """Withdraw the requests and grants of a dead entry host."""
@@ -397,14 +401,13 @@
 
     def _grant_one(self, now: float) -> bool:
         for want in self._queue.heads(HEADS_TRIED):
-            is_under = self._queue.is_under_minimum(want.priority)
+            rank = self._rank(want)
             need = Need.of(want)
-            blocked = self._blocked_need.get((want.priority, is_under))
-            if blocked is not None and need.kv >= blocked:
+            if need.kv >= self._blocked_need.get(rank, math.inf):
                 continue
-            found = self._find(want, need, is_under, now)
+            found = self._find(want, need, rank, now)
             if found is None:
-                self._note_blocked(want, need, is_under, now)
+                self._note_blocked(want, need, rank, now)
                 continue
             route, delay_s = found
             if now + self._time_wanted_s(want, delay_s) > want.deadline:
@@ -412,24 +415,48 @@
                 self._refuse(want, RefusalReason.DEADLINE, now)
                 return True
             self._learn_delay(delay_s / want.work)
-            self._queue.take(want.request)
-            self._no_route_since.pop(want.request, None)
-            self._loads.start(route, need, now)
-            self._keep(_Open(want, need, route), now)
-            self._outbox.append(Grant(want.request, want.epoch, want.host, route))
-            self._granted[want.priority] += 1
-            self._granted_work[want.priority] += want.work
+            self._grant(want, need, route, now)
             return True
         return False
 
-    def _note_blocked(self, want: Want, need: Need, is_under: bool, now: float) -> None:
-        if not want.avoid and not want.adapter:
-            # Nothing that needs as much memory fits until something changes.
-            self._blocked_need[want.priority, is_under] = need.kv
-        if self._has_route(want, need):
-            self._no_route_since.pop(want.request, None)
+    def _rank(self, want: Want) -> Priority:
+        # Work below its minimum share may also use what is set aside.
+        if self._queue.is_under_minimum(want.priority):
+            return Priority.URGENT
+        return want.priority
+
+    def _grant(self, want: Want, need: Need, route: Route, now: float) -> None:
+        self._queue.take(want.request)
+        self._no_route_since.pop(want.request, None)
+        self._loads.start(route, need, now)
+        self._keep(_Open(want, need, route), now)
+        self._outbox.append(Grant(want.request, want.epoch, want.host, route))
+        self._granted[want.priority] += 1
+        self._granted_work[want.priority] += want.work
+
+    def _note_blocked(self, want: Want, need: Need, rank: Priority, now: float) -> None:
+        is_plain = not want.avoid and not want.adapter
+        if is_plain:
+            # Nothing that needs as much memory, and may not fill more slots,
+            # fits until something changes.
+            for other in Priority:
+                if other >= rank:
+                    least = self._blocked_need.get(other, need.kv)
+                    self._blocked_need[other] = min(least, need.kv)
+        if is_plain and need.kv <= self._routable_need:
+            has_route = True
         else:
+            has_route = self._has_route(want, need)
+        if not has_route:
             self._no_route_since.setdefault(want.request, now)
+            return
+        self._no_route_since.pop(want.request, None)
+        if is_plain:
+            self._routable_need = max(self._routable_need, need.kv)
+
+    def _engines_changed(self) -> None:
+        self._blocked_need.clear()
+        self._routable_need = -1
 
     def _has_route(self, want: Want, need: Need) -> bool:
         def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
@@ -441,10 +468,8 @@
         return shortest_route(self._loads.lanes, need.tokens, pick) is not None
 
     def _find(
-        self, want: Want, need: Need, is_under: bool, now: float
+        self, want: Want, need: Need, rank: Priority, now: float
     ) -> tuple[Route, float] | None:
-        # Work below its minimum share may also use what is set aside.
-        rank = Priority.URGENT if is_under else want.priority
         pick = _cheapest(want, need, rank, self._cost, now)
         return shortest_route(self._loads.lanes, need.tokens, pick)
 
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -184,19 +184,24 @@
             return
         self._remember_idle(flow)
 
-    def heads(self, count: int) -> list[Want]:
-        """Return the next item of each of the first ``count`` accounts."""
+    def heads(self, count: int) -> t.Iterator[Want]:
+        """Iterate over the next item of each of the first ``count`` accounts.
+
+        The item at hand may be taken, which must end the iteration.
+        """
         entries: list[tuple[float, int, str]] = []
-        while self._heap and len(entries) < count:
-            entry = heapq.heappop(self._heap)
-            if self._is_current(entry):
+        try:
+            while self._heap and len(entries) < count:
+                entry = heapq.heappop(self._heap)
+                if not self._is_current(entry):
+                    continue
                 entries.append(entry)
-        wants = []
-        for entry in entries:
-            heapq.heappush(self._heap, entry)
-            flow = self._flow_by_account[entry[2]]
-            wants.append(next(iter(flow.by_request.values())))
-        return wants
+                flow = self._flow_by_account[entry[2]]
+                yield next(iter(flow.by_request.values()))
+        finally:
+            for entry in entries:
+                if self._is_current(entry):
+                    heapq.heappush(self._heap, entry)
 
     def count_of(self, account: str) -> int:
         return self._longest.count(account)
