--- a/bench/policies.py
+++ b/bench/policies.py
@@ -377,6 +377,7 @@
         self._ended_at: dict[tuple[str, str], collections.deque[float]]
         self._ended_at = collections.defaultdict(collections.deque)
         self._usage: dict[tuple[str, Want], float] = {}
+        self._pump_due = False
         self._waits_by_host = {host: Waits() for host in HOSTS}
         model.resend_s = options.resend_s
         self._demand_by_host: dict[str, float] = collections.defaultdict(float)
@@ -510,6 +511,14 @@
             if self._options.nodes == "host":
                 seen = self._seen_by(node, state)
             pool.observe(seen, self.model.now)
+        if not self._pump_due:
+            # The reports of one instant are all taken before the next poll.
+            self._pump_due = True
+            self.model.at(self.model.now, self._pump_all)
+
+    def _pump_all(self) -> None:
+        self._pump_due = False
+        for node in self.pool_by_node:
             self.pump(node)
 
     def _seen_by(self, host: str, state: EngineState) -> EngineState:
