Split the pool, and keep requests for a busy adapter from holding up others

Engines and their health are in slots, the fair sharing of one class in fairness, instants in timers, which drop what is over (they grew with each cancelled request until its deadline).

Cause of the second: four accounts whose requests need an adapter on full engines stopped their class while other engines were idle. Now 32 accounts are looked at, of those that could run anywhere four.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -2,6 +2,8 @@
 
 import collections
 import dataclasses
+import itertools
+import random
 import typing as t
 
 from wagtailstair.core.demand import Done
@@ -621,9 +623,52 @@
     return (load.used + 1) / max(1, load.state.slots)
 
 
+def fewest_granted(load: EngineLoad, need: Need, now: float) -> float:
+    """Cost a stage by its open requests."""
+    return load.used + 1.0
+
+
 def own_step(load: EngineLoad, need: Need, now: float) -> float:
-    """Cost a stage by its speed alone, without the load."""
-    return need.tokens * load.state.step_s
+    """Cost a stage by its reported speed, without what was granted since."""
+    return need.tokens * load.state.step_s + need.prompt_tokens * load.read_s
+
+
+def without_backlog(load: EngineLoad, need: Need, now: float) -> float:
+    """Cost a stage as the pool does, but for the prompts that wait there."""
+    return need.tokens * load.next_step_s + need.prompt_tokens * load.read_s
+
+
+def _random_cost() -> StageCost:
+    rng = random.Random(1)
+    return lambda load, need, now: rng.random()
+
+
+def _two_choice_cost() -> StageCost:
+    # Of a random pair of the free engines of a lane, about, the better one:
+    # each engine takes part with two in the number of its lane.
+    rng = random.Random(1)
+
+    def cost(load: EngineLoad, need: Need, now: float) -> float:
+        free = len(load.lane.free) if load.lane is not None else 1
+        left_out = 0.0 if rng.random() * free < 2 else 1e6
+        return left_out + expected_delay(load, need, now)
+
+    return cost
+
+
+def _in_turn_cost() -> StageCost:
+    last_by_engine: dict[str, float] = {}
+    turns = itertools.count()
+
+    def cost(load: EngineLoad, need: Need, now: float) -> float:
+        # The engine whose use began least recently is next.
+        name = load.state.name
+        if load.granted != last_by_engine.get(f"{name}/granted"):
+            last_by_engine[f"{name}/granted"] = load.granted
+            last_by_engine[name] = float(next(turns))
+        return last_by_engine[name]
+
+    return cost
 
 
 PolicyMaker = t.Callable[[Model, list[EngineSpec]], Policy]
@@ -653,3 +698,21 @@
     "dispatcher_dc_learn": pools(nodes="data_centre", learn=True),
     "dispatcher": pools(nodes="one"),
 }
+# Ways for the dispatcher to choose an engine; ``dispatcher`` is to compare.
+COST_BY_NAME: dict[str, t.Callable[[], StageCost]] = {
+    "route_without_backlog": lambda: without_backlog,
+    "route_reported_speed": lambda: own_step,
+    "route_least_used": lambda: least_used,
+    "route_least_outstanding": lambda: fewest_granted,
+    "route_two_choices": _two_choice_cost,
+    "route_in_turn": _in_turn_cost,
+    "route_random": _random_cost,
+}
+
+
+def _with_cost(make_cost: t.Callable[[], StageCost]) -> PolicyMaker:
+    return lambda model, specs: PoolPolicy(model, specs, PoolOptions(cost=make_cost()))
+
+
+for _name, _make_cost in COST_BY_NAME.items():
+    POLICY_BY_NAME[_name] = _with_cost(_make_cost)
--- a/bench/policy.py
+++ b/bench/policy.py
@@ -9,6 +9,7 @@
 
 from .measures import Measures
 from .measures import measure
+from .policies import COST_BY_NAME
 from .policies import POLICY_BY_NAME
 from .scenarios import SCENARIO_BY_NAME
 from .scenarios import play
@@ -20,7 +21,7 @@
 # Faults of dispatchers and their messages change nothing for the others.
 DISPATCHER_SCENARIOS = ("dispatcher_away_1s", "dispatcher_away_3s", "loss_1", "loss_5")
 # It knows all queues at once, which no host can; for comparison on request.
-NOT_BY_DEFAULT = ("dispatcher_dc_spill",)
+NOT_BY_DEFAULT = ("dispatcher_dc_spill", *COST_BY_NAME)
 
 Runs = dict[str, Measures]
 Ratio = t.Callable[[Runs], float]
--- /dev/null
+++ b/src/wagtailstair/core/fairness.py
@@ -0,0 +1,228 @@
+"""Start-time fair queueing among the accounts of one class of work."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import typing as t
+
+from .demand import Want
+
+MAX_IDLE = 4_096
+"""Accounts without waiting work that are remembered for what they are ahead by."""
+
+
+@dataclasses.dataclass(slots=True)
+class _Flow:
+    """The waiting work of one account in one class.
+
+    ``start``: the start tag of the next item, in work per weight.
+    """
+
+    account: str
+    start: float
+    entry: int = -1
+    work: float = 0.0
+    by_request: collections.OrderedDict[str, Want] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
+
+
+class LongestFirst:
+    """Finds the account with most items in constant time."""
+
+    __slots__ = ("_accounts_by_count", "_count_by_account", "_most")
+
+    def __init__(self) -> None:
+        self._count_by_account: dict[str, int] = {}
+        self._accounts_by_count: dict[int, dict[str, None]] = {}
+        self._most = 0
+
+    def count(self, account: str) -> int:
+        """Return the number of items of an account."""
+        return self._count_by_account.get(account, 0)
+
+    def add(self, account: str, change: int) -> None:
+        """Change the number of items of an account."""
+        old = self.count(account)
+        new = old + change
+        if old:
+            bucket = self._accounts_by_count[old]
+            del bucket[account]
+            if not bucket:
+                del self._accounts_by_count[old]
+        if new:
+            self._count_by_account[account] = new
+            self._accounts_by_count.setdefault(new, {})[account] = None
+        else:
+            del self._count_by_account[account]
+        self._most = max(self._most, new)
+        while self._most and self._most not in self._accounts_by_count:
+            self._most -= 1
+
+    def longest(self) -> str:
+        """Return the account with most items."""
+        return next(iter(self._accounts_by_count[self._most]))
+
+
+class FairClass:
+    """Start-time fair queueing among the accounts of one class."""
+
+    __slots__ = (
+        "_flow_by_account",
+        "_heap",
+        "_idle",
+        "_longest",
+        "_sequence",
+        "_virtual",
+        "count",
+        "work",
+    )
+
+    def __init__(self) -> None:
+        self._flow_by_account: dict[str, _Flow] = {}
+        self._heap: list[tuple[float, int, str]] = []
+        self._idle: list[tuple[float, str]] = []
+        self._longest = LongestFirst()
+        self._sequence = itertools.count()
+        self._virtual = 0.0
+        self.count = 0
+        self.work = 0.0
+
+    def _schedule(self, flow: _Flow) -> None:
+        flow.start = max(flow.start, self._virtual)
+        flow.entry = next(self._sequence)
+        heapq.heappush(self._heap, (flow.start, flow.entry, flow.account))
+        if len(self._heap) > 64 + 2 * len(self._flow_by_account):
+            self._heap = [entry for entry in self._heap if self._is_current(entry)]
+            heapq.heapify(self._heap)
+
+    def _is_current(self, entry: tuple[float, int, str]) -> bool:
+        flow = self._flow_by_account.get(entry[2])
+        return flow is not None and flow.entry == entry[1]
+
+    def _retire(self, flow: _Flow) -> None:
+        flow.entry = -1
+        if not self.count:
+            # The busy period ends, and with it what accounts are ahead by.
+            self._flow_by_account.clear()
+            self._heap.clear()
+            self._idle.clear()
+            return
+        if flow.start <= self._virtual:
+            del self._flow_by_account[flow.account]
+            return
+        self._remember_idle(flow)
+
+    def _remember_idle(self, flow: _Flow) -> None:
+        heapq.heappush(self._idle, (flow.start, flow.account))
+        while len(self._idle) > MAX_IDLE:
+            start, account = heapq.heappop(self._idle)
+            known = self._flow_by_account.get(account)
+            if known is None or known.by_request or known.start != start:
+                continue
+            del self._flow_by_account[account]
+
+    def _forget_idle(self) -> None:
+        while self._idle and self._idle[0][0] <= self._virtual:
+            _, account = heapq.heappop(self._idle)
+            flow = self._flow_by_account.get(account)
+            if flow is None or flow.by_request:
+                continue
+            if flow.start <= self._virtual:
+                del self._flow_by_account[account]
+                continue
+            heapq.heappush(self._idle, (flow.start, account))
+
+    def push(self, want: Want) -> None:
+        """Add an item."""
+        flow = self._flow_by_account.get(want.account)
+        if flow is None:
+            flow = _Flow(want.account, self._virtual)
+            self._flow_by_account[want.account] = flow
+        flow.by_request[want.request] = want
+        flow.work += want.work
+        self.count += 1
+        self.work += want.work
+        self._longest.add(want.account, 1)
+        if flow.entry < 0:
+            self._schedule(flow)
+
+    def discard(self, want: Want) -> None:
+        """Remove an item that is not served."""
+        flow = self._flow_by_account[want.account]
+        del flow.by_request[want.request]
+        flow.work -= want.work
+        self.count -= 1
+        self.work -= want.work
+        self._longest.add(want.account, -1)
+        if not flow.by_request:
+            self._retire(flow)
+
+    def take(self, want: Want) -> None:
+        """Remove an item that is served now and charge its account."""
+        flow = self._flow_by_account[want.account]
+        self._virtual = max(self._virtual, flow.start)
+        flow.start += want.work / want.weight
+        flow.entry = -1
+        self.discard(want)
+        if flow.by_request:
+            self._schedule(flow)
+        self._forget_idle()
+
+    def settle(self, account: str, tags: float) -> None:
+        """Correct the start tag of an account by ``tags``."""
+        if not self.count:
+            return
+        flow = self._flow_by_account.get(account)
+        if flow is None:
+            if tags <= 0:
+                return
+            flow = _Flow(account, self._virtual)
+            self._flow_by_account[account] = flow
+        flow.start = max(self._virtual, flow.start + tags)
+        if flow.by_request:
+            self._schedule(flow)
+            return
+        self._remember_idle(flow)
+
+    def heads(self, count: int) -> t.Iterator[Want]:
+        """Iterate over the next item of each of the first ``count`` accounts.
+
+        The item at hand may be taken, which must end the iteration.
+        """
+        entries: list[tuple[float, int, str]] = []
+        try:
+            while self._heap and len(entries) < count:
+                entry = heapq.heappop(self._heap)
+                if not self._is_current(entry):
+                    continue
+                entries.append(entry)
+                flow = self._flow_by_account[entry[2]]
+                yield next(iter(flow.by_request.values()))
+        finally:
+            for entry in entries:
+                if self._is_current(entry):
+                    heapq.heappush(self._heap, entry)
+
+    def count_of(self, account: str) -> int:
+        """Return how many items of an account wait."""
+        return self._longest.count(account)
+
+    def newest_of_longest(self) -> Want:
+        """Return the newest item of the account that has most waiting."""
+        flow = self._flow_by_account[self._longest.longest()]
+        return next(reversed(flow.by_request.values()))
+
+    def work_ahead(self, want: Want) -> float:
+        """Estimate the work of this class that is served before a new item."""
+        flow = self._flow_by_account.get(want.account)
+        own = 0.0
+        if flow is not None:
+            own = flow.work + max(0.0, flow.start - self._virtual) * want.weight
+        accounts = max(1, len(self._flow_by_account))
+        return min(self.work, own * accounts + want.work * (accounts - 1))
+
+    def flows(self) -> int:
+        """Return how many accounts are remembered."""
+        return len(self._flow_by_account)
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -2,8 +2,6 @@
 
 import collections
 import dataclasses
-import heapq
-import math
 
 from .capacity import Capacity
 from .demand import Done
@@ -12,28 +10,27 @@
 from .demand import Refusal
 from .demand import RefusalReason
 from .demand import Want
-from .ejection import Ejection
 from .ejection import EjectionLimits
 from .engine import EngineState
 from .engine import Priority
 from .engine import Route
-from .loads import EngineLoad
-from .loads import Lane
-from .loads import LoadTable
 from .loads import Need
 from .loads import StageCost
 from .loads import expected_delay
 from .loads import prompt_work
 from .queueing import FairQueue
-from .routing import Pick
-from .routing import shortest_route
+from .slots import Slots
+from .timers import Timers
 
 MEMORY_OF_ENDED = 16_384
 """Ended epochs that are remembered, so that a late want is not granted again."""
 NO_ROUTE_PATIENCE_S = 2.0
 GRANT_GRACE_S = 5.0
 """Time after its deadline when an open grant counts as lost."""
-HEADS_TRIED = 4
+HEADS_TRIED = 32
+"""Accounts of a class that are looked at for one whose request has room."""
+PLAIN_HEADS_TRIED = 4
+"""Of these, such as could run on any engine."""
 DELAY_GAIN = 0.05
 """Weight of each grant in the mean run time of a unit of work."""
 MINIMUM_RETRY_AFTER_S = 0.5
@@ -78,37 +75,6 @@
     route: Route
 
 
-def _may_run(load: EngineLoad, want: Want, need: Need) -> bool:
-    state = load.state
-    if load.is_leaving or state.leaving or state.name in want.avoid:
-        return False
-    if state.kv_tokens < need.kv:
-        return False
-    return not want.adapter or want.adapter in state.adapters
-
-
-def _cheapest(
-    want: Want, need: Need, rank: Priority, cost: StageCost, now: float
-) -> Pick:
-    def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
-        best_cost = math.inf
-        best: EngineLoad | None = None
-        for load in lane.free:
-            if load.used >= load.caps[rank] or load.is_ejected:
-                continue
-            if load.granted_kv + need.kv > load.state.kv_tokens:
-                continue
-            if not _may_run(load, want, need):
-                continue
-            delay = cost(load, need, now)
-            if delay < best_cost:
-                best_cost = delay
-                best = load
-        return None if best is None else (best_cost, best)
-
-    return pick
-
-
 class Pool:
     """Orders the requests for one model in one data centre.
 
@@ -126,27 +92,20 @@
         self.model = model
         self.data_centre = data_centre
         self._limits = limits or PoolLimits()
-        self._cost = cost
         self._queue = FairQueue(self._limits.queue_length, self._limits.minimum_shares)
-        self._ejection = Ejection(self._limits.ejection)
-        self._loads = LoadTable(self._limits.reserves)
+        self._slots = Slots(self._limits.reserves, self._limits.ejection, cost)
         self._open_by_request: dict[str, _Open] = {}
         self._ended: collections.OrderedDict[str, tuple[int, Refusal | None]]
         self._ended = collections.OrderedDict()
-        self._deadlines: list[tuple[float, str, int]] = []
-        self._expiries: list[tuple[float, str, int]] = []
+        self._deadlines = Timers(self._is_waiting)
+        self._expiries = Timers(self._is_open)
         self._no_route_since: dict[str, float] = {}
-        # The least KV memory for which no slot was found, by rank.
-        self._blocked_need: dict[Priority, int] = {}
-        # The most for which there are engines, busy or not.
-        self._routable_need = -1
         self._outbox: list[Grant | Refusal] = []
         self._granted = [0, 0, 0]
         self._granted_work = [0.0, 0.0, 0.0]
         self._refused_by_reason: dict[str, int] = collections.defaultdict(int)
         self._pushed_out = 0
         self._capacity = Capacity()
-        self._ejections_change = math.inf
         self._delay_per_work = 0.0
 
     # Requests.
@@ -174,7 +133,7 @@
         if not taken:
             self._refuse(want, RefusalReason.QUEUE_FULL, now)
             return
-        heapq.heappush(self._deadlines, (want.deadline, want.request, want.epoch))
+        self._deadlines.add(want.deadline, want.request, want.epoch)
         if victim is not None:
             self._pushed_out += 1
             self._no_route_since.pop(victim.request, None)
@@ -200,8 +159,8 @@
             return
         self._withdraw(want.request, now)
         need = Need.of(want)
-        self._loads.adopt(hold.route, need, now)
-        self._keep(_Open(want, need, hold.route), now)
+        self._slots.adopt(hold.route, need, now)
+        self._keep(_Open(want, need, hold.route))
 
     def done(self, done: Done, now: float) -> None:
         """End a grant and correct what it cost."""
@@ -217,23 +176,7 @@
         work = prompt_work(done.prompt_tokens) + done.output_tokens
         self._queue.settle(known.want, work)
         self._capacity.served(work, len(self._queue) > 0, now)
-        for stage in known.route:
-            self._judge(stage.engine, done.failed, now)
-
-    def _judge(self, engine: str, failed: frozenset[str], now: float) -> None:
-        if engine in failed:
-            self._ejection.failed(engine, len(self._loads.by_name), now)
-            self._ejections_change = now
-        elif failed:
-            self._ejection.abandoned(engine)
-        else:
-            self._ejection.succeeded(engine, now)
-        self._mark_ejected(engine, now)
-
-    def _mark_ejected(self, engine: str, now: float) -> None:
-        load = self._loads.by_name.get(engine)
-        if load is not None:
-            load.is_ejected = self._ejection.is_ejected(engine, now)
+        self._slots.judge(known.route, done.failed, now)
 
     def _latest_epoch(self, request: str) -> int:
         waiting = self._queue.get(request)
@@ -260,9 +203,7 @@
         self._no_route_since.pop(request, None)
         known = self._open_by_request.get(request)
         if known is not None:
-            for stage in known.route:
-                self._ejection.abandoned(stage.engine)
-                self._mark_ejected(stage.engine, now)
+            self._slots.abandon(known.route, now)
             self._close(known)
 
     def _remember(self, request: str, epoch: int, refusal: Refusal | None) -> None:
@@ -288,14 +229,10 @@
 
     def observe(self, state: EngineState, now: float) -> None:
         """Take in a load report."""
-        load = self._loads.by_name.get(state.name)
-        if load is not None and load.state.incarnation == state.incarnation:
-            if self._loads.observe(state):
-                self._engines_changed()
+        if self._slots.is_known(state):
+            self._slots.observe(state)
             return
-        self._loads.add(state, self._needs_on(state.name))
-        self._ejection.forget(state.name)
-        self._engines_changed()
+        self._slots.add(state, self._needs_on(state.name))
 
     def _needs_on(self, engine: str) -> list[Need]:
         needs: list[Need] = []
@@ -307,25 +244,15 @@
         self, engine: str, stored: tuple[int, ...], evicted: tuple[int, ...]
     ) -> None:
         """Take in which prompt prefixes an engine holds and dropped."""
-        load = self._loads.by_name.get(engine)
-        if load is None:
-            return
-        for prefix in evicted:
-            load.prefixes.pop(prefix, None)
-        load.store(stored)
+        self._slots.cached(engine, stored, evicted)
 
     def leaving(self, engine: str) -> None:
         """Give an engine no new work for as long as its incarnation lives."""
-        load = self._loads.by_name.get(engine)
-        if load is not None:
-            load.is_leaving = True
-            self._engines_changed()
+        self._slots.leaving(engine)
 
     def remove(self, engine: str) -> None:
         """Forget an engine that is gone; its open grants end by their dones."""
-        if self._loads.remove(engine):
-            self._ejection.forget(engine)
-            self._engines_changed()
+        self._slots.remove(engine)
 
     def host_lost(self, host: str, now: float) -> None:
         """Withdraw the requests and grants of a dead entry host."""
@@ -342,7 +269,7 @@
     def poll(self, now: float) -> list[Grant | Refusal]:
         """Return what has been decided since the last call."""
         self._expire(now)
-        self._end_ejections(now)
+        self._slots.end_ejections(now)
         while self._grant_one(now):
             pass
         outbox = self._outbox
@@ -351,19 +278,13 @@
 
     def next_wake(self, now: float) -> float | None:
         """Return when to poll again if no event comes before."""
-        times = []
-        if self._deadlines:
-            times.append(self._deadlines[0][0])
-        if self._expiries:
-            times.append(self._expiries[0][0])
+        times = [self._deadlines.next(), self._expiries.next()]
         if self._no_route_since:
             oldest = next(iter(self._no_route_since.values()))
             times.append(oldest + NO_ROUTE_PATIENCE_S)
         if len(self._queue):
-            change = self._ejection.next_change(now)
-            if change is not None:
-                times.append(change)
-        return min(times, default=None)
+            times.append(self._slots.next_change(now))
+        return min((time for time in times if time is not None), default=None)
 
     def stats(self) -> PoolStats:
         """Return counts for metrics."""
@@ -372,25 +293,20 @@
             granted=tuple(self._granted),
             granted_work=tuple(self._granted_work),
             open_grants=len(self._open_by_request),
-            engines=len(self._loads.by_name),
+            engines=len(self._slots),
             refused_by_reason=dict(self._refused_by_reason),
             pushed_out=self._pushed_out,
             work_per_s=self._capacity.estimate,
         )
 
     def _expire(self, now: float) -> None:
-        while self._deadlines and self._deadlines[0][0] <= now:
-            _, request, epoch = heapq.heappop(self._deadlines)
-            want = self._queue.get(request)
-            if want is None or want.epoch != epoch:
-                continue
-            self._withdraw(request, now)
-            self._refuse(want, RefusalReason.DEADLINE, now)
-        while self._expiries and self._expiries[0][0] <= now:
-            _, request, epoch = heapq.heappop(self._expiries)
-            known = self._open_by_request.get(request)
-            if known is not None and known.want.epoch == epoch:
-                self.cancel(request, epoch, now)
+        for request, _ in self._deadlines.due(now):
+            want = self._queue.discard(request)
+            if want is not None:
+                self._no_route_since.pop(request, None)
+                self._refuse(want, RefusalReason.DEADLINE, now)
+        for request, epoch in self._expiries.due(now):
+            self.cancel(request, epoch, now)
         for request, since in list(self._no_route_since.items()):
             if now < since + NO_ROUTE_PATIENCE_S:
                 break
@@ -400,25 +316,40 @@
                 self._refuse(want, RefusalReason.NO_ROUTE, now)
 
     def _grant_one(self, now: float) -> bool:
-        for want in self._queue.heads(HEADS_TRIED):
-            rank = self._rank(want)
-            need = Need.of(want)
-            if need.kv >= self._blocked_need.get(rank, math.inf):
-                continue
-            found = self._find(want, need, rank, now)
-            if found is None:
-                self._note_blocked(want, need, rank, now)
-                continue
-            route, delay_s = found
-            if now + self._time_wanted_s(want, delay_s) > want.deadline:
-                self._withdraw(want.request, now)
-                self._refuse(want, RefusalReason.DEADLINE, now)
-                return True
-            self._learn_delay(delay_s / want.work)
-            self._grant(want, need, route, now)
-            return True
+        for heads in self._queue.heads_by_class(HEADS_TRIED):
+            blocked = 0
+            for want in heads:
+                if self._try(want, now):
+                    return True
+                blocked += not want.adapter and not want.avoid
+                if blocked >= PLAIN_HEADS_TRIED:
+                    break
         return False
 
+    def _try(self, want: Want, now: float) -> bool:
+        rank = self._rank(want)
+        need = Need.of(want)
+        if self._slots.is_blocked(want, need, rank):
+            return False
+        found = self._slots.find(want, need, rank, now)
+        if found is None:
+            self._note_route(want, need, now)
+            return False
+        route, delay_s = found
+        if now + self._time_wanted_s(want, delay_s) > want.deadline:
+            self._withdraw(want.request, now)
+            self._refuse(want, RefusalReason.DEADLINE, now)
+            return True
+        self._learn_delay(delay_s / want.work)
+        self._grant(want, need, route, now)
+        return True
+
+    def _note_route(self, want: Want, need: Need, now: float) -> None:
+        if self._slots.has_route(want, need):
+            self._no_route_since.pop(want.request, None)
+        else:
+            self._no_route_since.setdefault(want.request, now)
+
     def _rank(self, want: Want) -> Priority:
         # Work below its minimum share may also use what is set aside.
         if self._queue.is_under_minimum(want.priority):
@@ -428,81 +359,33 @@
     def _grant(self, want: Want, need: Need, route: Route, now: float) -> None:
         self._queue.take(want.request)
         self._no_route_since.pop(want.request, None)
-        self._loads.start(route, need, now)
-        self._keep(_Open(want, need, route), now)
+        self._slots.start(route, need, now)
+        self._keep(_Open(want, need, route))
         self._outbox.append(Grant(want.request, want.epoch, want.host, route))
         self._granted[want.priority] += 1
         self._granted_work[want.priority] += want.work
 
-    def _note_blocked(self, want: Want, need: Need, rank: Priority, now: float) -> None:
-        is_plain = not want.avoid and not want.adapter
-        if is_plain:
-            # Nothing that needs as much memory, and may not fill more slots,
-            # fits until something changes.
-            for other in Priority:
-                if other >= rank:
-                    least = self._blocked_need.get(other, need.kv)
-                    self._blocked_need[other] = min(least, need.kv)
-        if is_plain and need.kv <= self._routable_need:
-            has_route = True
-        else:
-            has_route = self._has_route(want, need)
-        if not has_route:
-            self._no_route_since.setdefault(want.request, now)
-            return
-        self._no_route_since.pop(want.request, None)
-        if is_plain:
-            self._routable_need = max(self._routable_need, need.kv)
-
-    def _engines_changed(self) -> None:
-        self._blocked_need.clear()
-        self._routable_need = -1
-
-    def _has_route(self, want: Want, need: Need) -> bool:
-        def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
-            for load in lane.loads:
-                if _may_run(load, want, need):
-                    return 0.0, load
-            return None
-
-        return shortest_route(self._loads.lanes, need.tokens, pick) is not None
-
-    def _find(
-        self, want: Want, need: Need, rank: Priority, now: float
-    ) -> tuple[Route, float] | None:
-        pick = _cheapest(want, need, rank, self._cost, now)
-        return shortest_route(self._loads.lanes, need.tokens, pick)
-
-    def _keep(self, known: _Open, now: float) -> None:
+    def _keep(self, known: _Open) -> None:
         want = known.want
         self._open_by_request[want.request] = known
-        expiry = want.deadline + GRANT_GRACE_S
-        heapq.heappush(self._expiries, (expiry, want.request, want.epoch))
-        for stage in known.route:
-            self._ejection.started(stage.engine)
-            self._mark_ejected(stage.engine, now)
+        self._expiries.add(want.deadline + GRANT_GRACE_S, want.request, want.epoch)
 
     def _close(self, known: _Open) -> None:
         del self._open_by_request[known.want.request]
-        self._blocked_need.clear()
-        self._loads.end(known.route, known.need)
+        self._slots.end(known.route, known.need)
 
-    def _end_ejections(self, now: float) -> None:
-        if now < self._ejections_change:
-            return
-        self._blocked_need.clear()
-        for name in self._loads.by_name:
-            self._mark_ejected(name, now)
-        self._ejections_change = self._ejection.next_change(now) or math.inf
+    def _is_waiting(self, request: str, epoch: int) -> bool:
+        want = self._queue.get(request)
+        return want is not None and want.epoch == epoch
 
-    # Expected waits.
+    def _is_open(self, request: str, epoch: int) -> bool:
+        known = self._open_by_request.get(request)
+        return known is not None and known.want.epoch == epoch
 
-    def _open_states(self) -> list[EngineState]:
-        loads = self._loads.by_name.values()
-        return [load.state for load in loads if not load.is_leaving]
+    # Expected waits.
 
     def _work_per_s(self, now: float) -> float:
-        return self._capacity.work_per_s(self._open_states, now)
+        return self._capacity.work_per_s(self._slots.open_states, now)
 
     def _learn_delay(self, delay_per_work: float) -> None:
         if not self._delay_per_work:
@@ -523,7 +406,7 @@
 
     def _expected_wait_s(self, want: Want, now: float) -> float:
         ahead = self._queue.work_ahead(want)
-        if not ahead or not self._loads.by_name:
+        if not ahead or not len(self._slots):
             return 0.0
         work_per_s = self._work_per_s(now)
         wait_s = ahead / work_per_s
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -307,6 +307,13 @@
         pool.want(want("probe"), 6.0)
         assert pool.poll(6.0)[0].route[0].engine == "bad"
 
+    def test_requests_for_a_busy_adapter_hold_up_nobody_else(self):
+        pool = pool_of(engine("e", slots=1, adapters=("x",)), engine("f", slots=1))
+        for number in range(10):
+            pool.want(want(f"x{number}", f"x{number}", adapter="x"), 0.0)
+        pool.want(want("plain"), 0.0)
+        assert kinds(pool.poll(0.0)) == [("Grant", "x0"), ("Grant", "plain")]
+
 
 class TestSuccessor:
     def test_counts_the_grants_it_is_told_before_it_knows_the_engines(self):
@@ -383,9 +390,9 @@
         for number in range(40_000):
             now += 0.001
             name = f"r{number}"
-            pool.want(want(name, f"account{number % 500}", deadline=now + 1), now)
+            pool.want(want(name, f"account{number % 500}", deadline=now + 500), now)
             for decision in pool.poll(now):
                 if isinstance(decision, Grant):
                     pool.done(Done(decision.request, 0, "h1", 16, 9), now)
         assert len(pool._ended) <= 16_384
-        assert len(pool._deadlines) + len(pool._expiries) < 20_000
+        assert len(pool._deadlines) + len(pool._expiries) < 500
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -5,7 +5,7 @@
 from policy_data import want
 
 from wagtailstair.core.engine import Priority
-from wagtailstair.core.queueing import MAX_IDLE
+from wagtailstair.core.fairness import MAX_IDLE
 from wagtailstair.core.queueing import FairQueue
 
 SHARES = (0.5, 0.2, 0.05)
@@ -21,7 +21,7 @@
 def serve(queue, count):
     served = []
     for _ in range(count):
-        served.append(queue.take(next(queue.heads(1)).request))
+        served.append(queue.take(queue.first().request))
     return served
 
 
@@ -94,7 +94,7 @@
         fill(queue, 100, "exact", STANDARD)
         work = collections.Counter()
         for _ in range(90):
-            item = queue.take(next(queue.heads(1)).request)
+            item = queue.take(queue.first().request)
             actual = item.work * (3 if item.account == "under" else 1)
             work[item.account] += actual
             queue.settle(item, actual)
