--- a/src/wagtailstair/peers/codec.py
+++ b/src/wagtailstair/peers/codec.py
@@ -40,7 +40,6 @@
 
 MAGIC = b"wg"
 VERSION = 1
-FLAG_TAGGED = 1
 HEADER_BYTES = 4
 TAG_BYTES = 16
 DATAGRAM_BYTES = 1400  # several messages share a datagram up to this size
@@ -285,7 +284,7 @@
 
 
 def encode(datagram: Datagram, key: bytes = b"") -> bytes:
-    """Return the bytes of a datagram, tagged if there is a key."""
+    """Return the bytes of a datagram; the tag is keyed if there is a key."""
     messages = []
     for message in datagram.messages:
         field, write = WRITERS[type(message)]
@@ -297,9 +296,7 @@
         messages=messages,
     )
     body: bytes = record.to_bytes_packed()
-    head = MAGIC + bytes((VERSION, FLAG_TAGGED if key else 0))
-    if not key:
-        return head + body
+    head = MAGIC + bytes((VERSION, 0))
     return head + _tag(key, head, body) + body
 
 
@@ -311,10 +308,8 @@
         raise PeerError("not a datagram of this protocol")
     if data[2] != VERSION:
         raise PeerError(f"protocol version {data[2]}, expected {VERSION}")
-    if not key:
-        if data[3] & FLAG_TAGGED:
-            raise PeerError("tagged, but no key is set here")
-        return data[HEADER_BYTES:]
+    # The tag is checked without a key too: the codec crashes the process on some
+    # malformed bodies, so that none may reach it that a peer did not make.
     head = data[:HEADER_BYTES]
     tag = data[HEADER_BYTES : HEADER_BYTES + TAG_BYTES]
     body = data[HEADER_BYTES + TAG_BYTES :]
