--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -129,6 +129,7 @@
         self._eras_by_sender: dict[str, set[int]] = {}
         self._floor_by_sender: dict[str, int] = {}
         self._asked: set[tuple[str, int]] = set()
+        self._changed: set[PoolKey] = set()
 
     def submit(self, sender: str, message: Submit, now: float) -> None:
         """Take a submission; :meth:`poll` gives the answer."""
@@ -148,6 +149,7 @@
             return
         for pool in self.by_key.values():
             pool.cancel(request, 0, now)
+        self.touch()
 
     def finished(self, sender: str, message: Finished, now: float) -> None:
         """End a grant."""
@@ -198,6 +200,7 @@
         for key, pool in self.by_key.items():
             if is_in_pool(state, key):
                 observe_in(pool, state, now)
+                self._changed.add(key)
                 continue
             pool.remove(state.name)
 
@@ -206,11 +209,18 @@
         for pool in self.by_key.values():
             pool.remove(engine)
 
+    def touch(self) -> None:
+        """Make the next :meth:`poll` look at all pools, as time has passed."""
+        self._changed.update(self.by_key)
+
     def poll(self, now: float) -> list[tuple[str, Answer]]:
-        """Return the answers with the incarnations (``name/number``) they go to."""
+        """Return the answers with the incarnations (``name/number``) they go to.
+
+        Only pools that have changed are looked at.
+        """
         answers: list[tuple[str, Answer]] = []
-        for pool in self.by_key.values():
-            for decided in pool.poll(now):
+        while self._changed:
+            for decided in self.by_key[self._changed.pop()].poll(now):
                 sender, _, number = decided.request.rpartition("/")
                 answers.append((sender, _answer(int(number), decided)))
                 self._asked.discard((sender, int(number)))
@@ -244,6 +254,7 @@
         )
 
     def _pool(self, key: PoolKey, now: float) -> Pool:
+        self._changed.add(key)
         pool = self.by_key.get(key)
         if pool is None:
             pool = self.by_key[key] = self._make_pool(key)
@@ -254,6 +265,7 @@
     def _lose(self, host: str, now: float) -> None:
         for pool in self.by_key.values():
             pool.host_lost(host, now)
+        self.touch()
 
 
 def _answer(handle: int, decided: Grant | Refusal) -> Answer:
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -264,6 +264,7 @@
         with self._lock:
             now = self._clock.monotonic()
             self._follow(now)
+            self.pools.touch()
             self.tickets.tick(now)
             self.charges.tick(now)
             for host, numbered in self.outbox.repeat(now):
