Tag every datagram, and add the lists from peers and their follower

Hypothesis met a crash: with a changed byte in an unsigned datagram, pycapnp ended the process (signal 11) while a list of structs was read; a trial with a broken list pointer did so each time, by iteration, index and to_dict. Only signed datagrams were checked before the decoder. The tag is now always there, a checksum if no key is set. Reading with other calls of the library was ruled out (each crashed), and so was a walker of our own over the packed form (slow, and a second codec).

The follower has no test yet.

--- /dev/null
+++ b/src/wagtailstair/follower.py
@@ -0,0 +1,186 @@
+"""Follows the lists: from the platform, and from peers that have them."""
+
+import concurrent.futures
+import threading
+import typing as t
+
+from .clock import Clock
+from .core.freshness import Action
+from .core.freshness import FetchLists
+from .core.freshness import Freshness
+from .core.freshness import PeerVersions
+from .core.freshness import ReadHead
+from .core.freshness import ReadLists
+from .core.lists import Lists
+from .core.lists import ListsHolder
+from .exceptions import ListsError
+from .exceptions import PeerError
+from .exceptions import PlatformError
+from .logs import log_event
+
+TICK_S = 0.1
+WORKERS = 2  # one for the platform, one for a peer
+WAIT_STEP_S = 0.02
+
+Submit = t.Callable[[t.Callable[[], None]], object]
+
+
+class Follower:
+    """Keeps the lists of one daemon at the highest version that it can get.
+
+    :param read_head: reads the version from the platform.
+    :param read_since: reads present lists from the platform, given older ones.
+    :param fetch: fetches lists from a peer, given older ones.
+    :param find_peers: returns what the peers have told.
+    :param find_rank: returns this host's rank among those of its data centre.
+    :param on_taken: called with the old and the new lists.
+    :param submit: runs a blocking call elsewhere.
+    """
+
+    def __init__(
+        self,
+        holder: ListsHolder,
+        clock: Clock,
+        freshness: Freshness,
+        *,
+        read_head: t.Callable[[], int],
+        read_since: t.Callable[[Lists], Lists],
+        fetch: t.Callable[[str, Lists], Lists],
+        find_peers: t.Callable[[], PeerVersions],
+        find_rank: t.Callable[[], int],
+        on_taken: t.Callable[[Lists, Lists], None] = lambda old, new: None,
+        submit: Submit | None = None,
+    ) -> None:
+        self._holder = holder
+        self._clock = clock
+        self._freshness = freshness
+        self._read_head = read_head
+        self._read_since = read_since
+        self._fetch = fetch
+        self._find_peers = find_peers
+        self._find_rank = find_rank
+        self._on_taken = on_taken
+        self._lock = threading.Lock()
+        self._pool: concurrent.futures.ThreadPoolExecutor | None = None
+        if submit is None:
+            self._pool = concurrent.futures.ThreadPoolExecutor(
+                WORKERS, thread_name_prefix="lists"
+            )
+            submit = self._pool.submit
+        self._submit = submit
+        self._wake = threading.Event()
+        self._stopping = False
+        self._thread = threading.Thread(target=self._run, name="follower", daemon=True)
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._thread.start()
+
+    def stop(self) -> None:
+        """Stop; a read that is under way is not waited for."""
+        self._stopping = True
+        self._wake.set()
+        self._thread.join()
+        if self._pool is not None:
+            self._pool.shutdown(wait=False, cancel_futures=True)
+
+    def heard(self) -> None:
+        """Look at once at what the peers have told."""
+        self._wake.set()
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether the lists are good enough to begin to serve."""
+        with self._lock:
+            return self._freshness.is_ready
+
+    def wait_until_fresh(self, deadline: float) -> bool:
+        """Wait, after a pause of the process, for one attempt to refresh.
+
+        :param deadline: on the monotonic clock; the wait is also bounded to
+            about a second.
+        :return: whether the lists may be used; False only at the deadline.
+        """
+        while True:
+            now = self._clock.monotonic()
+            with self._lock:
+                if self._freshness.is_fresh(now):
+                    return True
+            if now >= deadline:
+                return False
+            self._wake.set()
+            threading.Event().wait(WAIT_STEP_S)
+
+    def tick(self) -> None:
+        """Begin what is due."""
+        peers = self._find_peers()
+        rank = self._find_rank()
+        with self._lock:
+            now = self._clock.monotonic()
+            actions = self._freshness.tick(now, rank, peers)
+        for action in actions:
+            self._submit(self._runner(action))
+
+    def _run(self) -> None:
+        while not self._stopping:
+            try:
+                self.tick()
+            except RuntimeError:
+                # The pool takes nothing more while the process ends.
+                if not self._stopping:
+                    raise
+            self._wake.wait(TICK_S)
+            self._wake.clear()
+
+    def _runner(self, action: Action) -> t.Callable[[], None]:
+        def run() -> None:
+            try:
+                self._perform(action)
+            except (PlatformError, PeerError, ListsError) as error:
+                self._note_failure(action, error)
+            except Exception as error:
+                self._note_failure(action, error)
+                raise
+            finally:
+                self._wake.set()
+
+        return run
+
+    def _perform(self, action: Action) -> None:
+        if isinstance(action, ReadHead):
+            version = self._read_head()
+            with self._lock:
+                self._freshness.answered(action, version, self._clock.monotonic())
+            return
+        if isinstance(action, ReadLists):
+            lists = self._read_since(self._holder.current)
+            self._take(lists, "platform")
+            with self._lock:
+                now = self._clock.monotonic()
+                self._freshness.answered(action, lists.version, now)
+            return
+        self._take(self._fetch(action.peer, self._holder.current), action.peer)
+        with self._lock:
+            self._freshness.fetched(action, self._clock.monotonic())
+
+    def _take(self, lists: Lists, source: str) -> None:
+        old = self._holder.current
+        if not self._holder.offer(lists):
+            return
+        with self._lock:
+            self._freshness.taken(lists.version)
+        log_event("lists_taken", version=lists.version, source=source)
+        self._on_taken(old, lists)
+
+    def _note_failure(self, action: Action, error: Exception) -> None:
+        with self._lock:
+            self._freshness.failed(action, self._clock.monotonic())
+        source = "platform"
+        if isinstance(action, FetchLists):
+            source = action.peer
+        log_event(
+            "lists_not_read",
+            level="WARNING",
+            source=source,
+            error=type(error).__name__,
+        )
--- a/src/wagtailstair/peers/codec.py
+++ b/src/wagtailstair/peers/codec.py
@@ -1,7 +1,9 @@
-"""Datagrams: several messages in packed Cap'n Proto under an optional tag.
+"""Datagrams: several messages in packed Cap'n Proto under a tag.
 
 Layout: two bytes of magic, one of protocol version, one of flags, the tag (16
-bytes of keyed BLAKE2b over all the rest) if the flag says so, the body.
+bytes of BLAKE2b over all the rest), the body. The tag is keyed with the
+peers' secret if there is one. Without one it is a mere checksum, but never
+left out: pycapnp can crash on a malformed body, so none may reach it.
 """
 
 import dataclasses
@@ -40,7 +42,7 @@
 
 MAGIC = b"wg"
 VERSION = 1
-FLAG_TAGGED = 1
+FLAG_KEYED = 1
 HEADER_BYTES = 4
 TAG_BYTES = 16
 DATAGRAM_BYTES = 1400  # several messages share a datagram up to this size
@@ -278,14 +280,15 @@
     return message
 
 
-def _tag(key: bytes, head: bytes, body: bytes) -> bytes:
+def tag_of(key: bytes, head: bytes, body: bytes) -> bytes:
+    """Return the tag of a head and a body under a key."""
     digest = hashlib.blake2b(head, digest_size=TAG_BYTES, key=key)
     digest.update(body)
     return digest.digest()
 
 
 def encode(datagram: Datagram, key: bytes = b"") -> bytes:
-    """Return the bytes of a datagram, tagged if there is a key."""
+    """Return the bytes of a datagram, tagged with the key."""
     messages = []
     for message in datagram.messages:
         field, write = WRITERS[type(message)]
@@ -296,29 +299,30 @@
         receiver=datagram.receiver,
         messages=messages,
     )
-    body: bytes = record.to_bytes_packed()
-    head = MAGIC + bytes((VERSION, FLAG_TAGGED if key else 0))
-    if not key:
-        return head + body
-    return head + _tag(key, head, body) + body
+    return seal(record.to_bytes_packed(), key)
 
 
-def _open(data: bytes, key: bytes) -> bytes:
-    """Return the body of a datagram whose head and tag are as expected."""
-    if len(data) > DATAGRAM_BYTES_MAX:
-        raise PeerError(f"datagram of {len(data)} bytes")
+def seal(body: bytes, key: bytes = b"") -> bytes:
+    """Return a body under a head and a tag."""
+    head = MAGIC + bytes((VERSION, FLAG_KEYED if key else 0))
+    return head + tag_of(key, head, body) + body
+
+
+def open_sealed(data: bytes, key: bytes, limit: int) -> bytes:
+    """Return the body under a head and a tag that are as expected.
+
+    :raises PeerError: if they are not, or the data is longer than the limit.
+    """
+    if len(data) > limit:
+        raise PeerError(f"{len(data)} bytes, expected at most {limit}")
     if len(data) < HEADER_BYTES or data[:2] != MAGIC:
-        raise PeerError("not a datagram of this protocol")
+        raise PeerError("not of this protocol")
     if data[2] != VERSION:
         raise PeerError(f"protocol version {data[2]}, expected {VERSION}")
-    if not key:
-        if data[3] & FLAG_TAGGED:
-            raise PeerError("tagged, but no key is set here")
-        return data[HEADER_BYTES:]
     head = data[:HEADER_BYTES]
     tag = data[HEADER_BYTES : HEADER_BYTES + TAG_BYTES]
     body = data[HEADER_BYTES + TAG_BYTES :]
-    if not hmac.compare_digest(tag, _tag(key, head, body)):
+    if not hmac.compare_digest(tag, tag_of(key, head, body)):
         raise PeerError("the tag does not match")
     return body
 
@@ -328,7 +332,7 @@
 
     :raises PeerError: if they are malformed, foreign or not signed by the key.
     """
-    body = _open(data, key)
+    body = open_sealed(data, key, DATAGRAM_BYTES_MAX)
     try:
         record = SCHEMA.Datagram.from_bytes_packed(
             body, traversal_limit_in_words=WORDS_MAX, nesting_limit=NESTING_MAX
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -193,6 +193,6 @@
 struct Row {
   table @0 :Text;
   key @1 :Text;
-  version @2 :UInt64;
+  version @2 :Int64;        # of the row; negative: not known
   value @3 :Data;           # JSON; empty: deleted
 }
