--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -10,8 +10,9 @@
 from .clock import Clock
 from .commits import GroupWriter
 from .commits import TableClient
+from .core.claim_rows import TABLE
 from .core.claim_rows import decode_claim
-from .core.claim_rows import encode_claim
+from .core.claim_rows import make_write
 from .core.claim_steps import Answer
 from .core.claim_steps import Answered
 from .core.claim_steps import Away
@@ -41,10 +42,7 @@
 from .core.claims import Claim
 from .core.claims import ClaimLimits
 from .core.claims import make_claim_key
-from .core.rows import VERSION_ABSENT
-from .core.rows import Condition
 from .core.rows import Row
-from .core.rows import Write
 from .exceptions import CallInProgressError
 from .exceptions import DeadlineExceededError
 from .exceptions import KeyReusedError
@@ -61,7 +59,6 @@
 from .settling import WriteFuture
 from .settling import event_of_write
 
-TABLE = "claims"
 MAX_BACKGROUND = 1024
 AWAY_RETRY_S = 1.0
 
@@ -71,12 +68,12 @@
 class ObjectClient(t.Protocol):
     """What is needed of the client of the object store."""
 
-    def put(self, name: str, body: bytes) -> None:
+    def put(self, name: str, data: bytes) -> None:
         """Store an object; raise :exc:`PlatformError` if that isn't certain."""
         ...
 
-    def get(self, name: str) -> bytes:
-        """Return an object; raise :exc:`PlatformError` if it can't be read."""
+    def get(self, name: str) -> bytes | None:
+        """Return an object, or ``None`` if there is none."""
         ...
 
 
@@ -252,15 +249,8 @@
 
     def submit(self, task: Task, command: Insert | Settle | Release) -> WriteFuture:
         """Queue a claim's write."""
-        version = VERSION_ABSENT
-        value = None
-        if not isinstance(command, Release):
-            value = encode_claim(command.row)
-        if not isinstance(command, Insert):
-            version = command.version
-        return self._writer.submit(
-            Condition(TABLE, task.key, version), Write(TABLE, task.key, value)
-        )
+        condition, write = make_write(task.key, command)
+        return self._writer.submit(condition, write)
 
     def execute(self, task: Task, command: Command) -> Event:
         """Do a step that the calling thread waits for."""
@@ -329,9 +319,10 @@
 
     def _do_fetch(self, task: Task, command: Fetch) -> Event:
         try:
-            return Fetched(self._objects.get(command.name))
+            body = self._objects.get(command.name)
         except PlatformError:
             return Away()
+        return Away() if body is None else Fetched(body)
 
 
 _STEP_BY_COMMAND: dict[type, collections.abc.Callable[..., Event]] = {
--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -4,15 +4,26 @@
 it does not answer, the entry host decides alone within its share of the plan.
 """
 
+import collections
 import dataclasses
 import typing as t
 
-from .messages import ERA_SHIFT, Charge, Charged, Limit, Reliable, Settle
-from .quota import Allowed, Limited, Quota, QuotaLimits, local_share
+from .messages import ERA_SHIFT
+from .messages import Charge
+from .messages import Charged
+from .messages import Limit
+from .messages import Reliable
+from .messages import Settle
+from .quota import Allowed
+from .quota import Limited
+from .quota import Quota
+from .quota import QuotaLimits
+from .quota import local_share
 
 FIRST_REPEAT_S = 0.1
 LAST_REPEAT_S = 0.5
 PATIENCE_S = 0.3  # without an answer, before this host decides alone
+MEMORY_OF_SETTLED = 16_384  # so that a late charge is not opened again
 
 Verdict = Allowed | Limited
 
@@ -25,13 +36,14 @@
         self._account_by_request: dict[str, str] = {}
         self._requests_by_host: dict[str, set[str]] = {}
         self._floor_by_sender: dict[str, int] = {}
+        self._settled: collections.OrderedDict[str, None] = collections.OrderedDict()
 
     def charge(self, sender: str, message: Charge, now: float) -> Charged | None:
-        """Decide on a charge; None for one of an era that is over."""
+        """Decide on a charge; None for a late one that is over."""
         era = message.handle >> ERA_SHIFT
-        if era < self._floor_by_sender.get(sender, 0):
-            return None
         request = f"{sender}/{message.handle}"
+        if era < self._floor_by_sender.get(sender, 0) or request in self._settled:
+            return None
         host = f"{sender}/{era}"
         limits = QuotaLimits(
             message.work_per_s, message.burst_s, message.max_concurrent
@@ -48,6 +60,9 @@
     def settle(self, sender: str, message: Settle, now: float) -> None:
         """Close a charge."""
         request = f"{sender}/{message.handle}"
+        self._settled[request] = None
+        while len(self._settled) > MEMORY_OF_SETTLED:
+            self._settled.popitem(last=False)
         account = self._account_by_request.pop(request, None)
         if account is None:
             return
@@ -60,7 +75,9 @@
     def host_lost(self, sender: str, now: float) -> None:
         """Close all charges of an entry host that is gone."""
         prefix = f"{sender}/"
-        for host in [host for host in self._requests_by_host if host.startswith(prefix)]:
+        for host in [
+            host for host in self._requests_by_host if host.startswith(prefix)
+        ]:
             self._lose(host, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
@@ -174,7 +191,8 @@
         """Charge anew what a home has forgotten."""
         for known in list(self._open_by_request.values()):
             if known.host == host:
-                self._open_by_handle.pop(known.handle, None)
+                # It may have been charged since the home forgot.
+                self._tear(known, 0.0, now)
                 self._ask(known, now)
 
     def moved(self, now: float) -> None:
--- a/src/wagtailstair/core/claim_rows.py
+++ b/src/wagtailstair/core/claim_rows.py
@@ -8,7 +8,15 @@
 from .claim_steps import Claimant
 from .claim_steps import ClaimRow
 from .claim_steps import ClaimState
+from .claim_steps import Insert
+from .claim_steps import Release
+from .claim_steps import Settle
+from .rows import VERSION_ABSENT
+from .rows import Condition
 from .rows import Value
+from .rows import Write
+
+TABLE = "claims"
 
 
 def encode_claim(row: ClaimRow) -> Value:
@@ -58,3 +66,14 @@
         return ClaimRow(
             str(value.get("hash", "")), claimant, float("inf"), ClaimState.UNKNOWN
         )
+
+
+def make_write(key: str, command: Insert | Settle | Release) -> tuple[Condition, Write]:
+    """Return a claim's write and the condition without which it must not happen."""
+    value = None
+    if not isinstance(command, Release):
+        value = encode_claim(command.row)
+    version = VERSION_ABSENT
+    if not isinstance(command, Insert):
+        version = command.version
+    return Condition(TABLE, key, version), Write(TABLE, key, value)
