--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -1,36 +1,33 @@
 """The daemon of an entry host: its parts, its start and its graceful shutdown."""
 
+import dataclasses
 import pathlib
 import random
 import signal
 import sys
 import threading
 import typing as t
-import uuid
 
 import click
-from werkzeug.wrappers import Response
 
 from .claims import Claims
 from .clock import Clock
 from .clock import SystemClock
+from .cluster import Cluster
 from .core.ejection import Ejection
 from .core.ejection import EjectionLimits
-from .core.lists import Lists
-from .core.lists import ListsHolder
+from .core.engine import EngineState
+from .core.messages import PoolKey
+from .core.pool import Pool
 from .core.pool import PoolLimits
 from .core.retry import RetryBudget
 from .core.upstreams import Upstream
 from .core.upstreams import Upstreams
-from .exceptions import NotReadyError
-from .exceptions import PlatformError
 from .exceptions import SettingsError
 from .http.app import App
 from .http.context import Context
 from .http.context import OpenRequests
 from .http.server import Server
-from .local import LocalDispatch
-from .local import LocalQuota
 from .logs import configure_logs
 from .logs import log_event
 from .metrics import Metrics
@@ -43,9 +40,9 @@
 from .settings import load_settings
 from .upstreams.loop import Loop
 from .upstreams.watch import EngineWatch
-from .upstreams.watch import EntryHost
 from .upstreams.watch import HostListWatch
 
+READY_POLL_S = 0.05
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
@@ -57,25 +54,44 @@
         self._settings = settings
         self._clock = clock
         self._rng = random.Random()
-        self._incarnation = uuid.uuid4().hex[:12]
+        # Grows with each start, also on a host that keeps nothing.
+        self._incarnation = int(clock.utcnow().timestamp() * 1000)
         self._stopping = threading.Event()
         self._is_leaving = False
         self._metrics = Metrics(settings.host.name)
-        self._holder = ListsHolder()
         self._upstreams = Upstreams()
         self._loop = Loop(clock)
         self._budget = RetryBudget(settings.routing.retry_share)
-        limits = _pool_limits(settings)
-        self._dispatch = LocalDispatch(self._loop, clock, limits)
-        self._claims = self._make_claims()
-        self._open_requests = OpenRequests(settings.limits.open_requests, self._metrics)
-        self._relays = self._make_relays()
+        self._limits = _pool_limits(settings)
         self._server = Server(
             settings.host.address,
             settings.host.http_port,
-            App(self._make_context(limits)),
             settings.limits.open_requests,
         )
+        platform = settings.platform
+        timeouts = Timeouts(platform.timeout_s, platform.connect_timeout_s)
+        table = TableClient(platform.table, timeouts)
+        self._cluster = Cluster(
+            settings,
+            clock,
+            self._incarnation,
+            self._server.server_port,
+            table,
+            self._make_pool,
+            self._rng,
+        )
+        self._dispatcher = self._cluster.dispatcher
+        self._claims = Claims(
+            table,
+            ObjectClient(platform.objects, timeouts),
+            clock,
+            settings.host.name,
+            str(self._incarnation),
+            is_dead=self._cluster.is_dead,
+        )
+        self._open_requests = OpenRequests(settings.limits.open_requests, self._metrics)
+        self._relays = self._make_relays()
+        self._server.app = App(self._make_context())
 
     @property
     def http_port(self) -> int:
@@ -85,10 +101,10 @@
     def start(self) -> None:
         """Begin to serve."""
         self._loop.start()
-        self._dispatch.start()
+        self._cluster.start()
         self._relays.start()
         self._watch_upstreams()
-        threading.Thread(target=self._follow, daemon=True).start()
+        self._loop.call(self._watch_ready)
         self._server.start()
         log_event(
             "daemon_started",
@@ -111,31 +127,22 @@
         # The balancer's view lags: it may send requests for a while after
         # readiness is gone, and those are served like all others.
         self._is_leaving = True
+        self._cluster.announce_leaving()
         log_event("shutdown_began", open_requests=self._open_requests.count)
         threading.Event().wait(shutdown.balancer_lag_s)
         self._server.close()
         log_event("listener_closed", open_requests=self._open_requests.count)
         drained = self._server.wait_idle(shutdown.drain_s)
         unsettled = self._claims.close(shutdown.drain_s)
+        self._cluster.stop()
         self._loop.stop()
         log_event("daemon_stopped", drained=drained, unsettled=unsettled)
         return drained and not unsettled
 
-    def _make_claims(self) -> Claims:
-        platform = self._settings.platform
-        timeouts = Timeouts(platform.connect_timeout_s, platform.timeout_s)
-        return Claims(
-            TableClient(platform.table, timeouts),
-            ObjectClient(platform.objects, timeouts),
-            self._clock,
-            self._settings.host.name,
-            self._incarnation,
-        )
-
     def _make_relays(self) -> Relays:
         return Relays(
             self._loop,
-            self._dispatch,
+            self._dispatcher,
             self._clock,
             self._settings.routing,
             self._settings.host.name,
@@ -146,14 +153,14 @@
             on_answered=lambda engine: None,
         )
 
-    def _make_context(self, limits: PoolLimits) -> Context:
+    def _make_context(self) -> Context:
         services = Services(
             self._loop,
             self._clock,
             self._settings,
             self._upstreams,
             self._claims,
-            Ejection(limits.ejection),
+            Ejection(self._limits.ejection),
             self._budget,
             self._rng,
         )
@@ -162,14 +169,14 @@
             clock=self._clock,
             metrics=self._metrics,
             open_requests=self._open_requests,
-            lists=self._fresh_lists,
+            lists=self._cluster.fresh_lists,
             is_ready=self._is_ready,
             status=self._status,
             data_centres_of=self._data_centres_of,
             relays=self._relays,
             services=services,
-            quota=LocalQuota(self._clock, self._settings.host.name),
-            peer_lists=lambda request: Response(status=404),
+            quota=self._dispatcher,
+            peer_lists=self._cluster.serve_lists,
         )
 
     def _watch_upstreams(self) -> None:
@@ -178,7 +185,7 @@
             self._clock,
             self._settings.platform,
             self._upstreams,
-            self._on_entry_hosts,
+            self._cluster.take_host_list,
             self._on_gone,
             self._rng,
         ).start()
@@ -186,54 +193,51 @@
             self._loop,
             self._clock,
             self._engines_to_poll,
-            self._dispatch.observe,
-            self._on_silent,
+            self._observe,
+            self._dispatcher.remove,
             self._rng,
         ).start()
 
-    def _follow(self) -> None:
-        table = TableClient(self._settings.platform.table)
-        while not self._stopping.wait(self._settings.platform.lists_interval_s):
-            try:
-                (head,) = table.read([("lists", "head")])
-                version = head.value["version"] if head.value else 0
-                if version <= self._holder.current.version:
-                    continue
-                rows = [*table.scan("plans"), *table.scan("accounts")]
-            except PlatformError as error:
-                log_event("lists_read_failed", level="WARNING", error=str(error))
-                continue
-            self._holder.offer(Lists().with_rows(version, rows))
-
     def _may_retry(self) -> bool:
         return self._budget.take(self._clock.monotonic())
 
-    def _fresh_lists(self) -> Lists:
-        lists = self._holder.current
-        if lists.version == 0:
-            raise NotReadyError("no lists yet", retry_after_s=1.0)
-        return lists
+    def _make_pool(self, key: PoolKey) -> Pool:
+        return Pool(key.model, key.data_centre, self._limits)
+
+    def _watch_ready(self) -> None:
+        if self._cluster.is_ready:
+            self._cluster.announce_live()
+            log_event(
+                "daemon_ready", lists_version=self._cluster.holder.current.version
+            )
+            return
+        self._loop.call_later(READY_POLL_S, self._watch_ready)
 
     def _is_ready(self) -> bool:
-        return self._holder.current.version > 0 and not self._is_leaving
+        return self._cluster.is_ready and not self._is_leaving
 
     def _data_centres_of(self, model: str) -> tuple[str, ...]:
         own = self._settings.host.data_centre
-        names = self._dispatch.data_centres_of(model)
+        names = self._dispatcher.data_centres_of(model)
         return tuple(sorted(names, key=lambda name: (name != own, name)))
 
     def _engines_to_poll(self) -> list[Upstream]:
-        return self._upstreams.engines(self._settings.host.data_centre)
-
-    def _on_entry_hosts(self, entry_hosts: list[EntryHost]) -> None:
-        pass
+        engines = []
+        for engine in self._upstreams.engines(self._settings.host.data_centre):
+            if self._dispatcher.polls(engine.name):
+                engines.append(engine)
+        return engines
+
+    def _observe(self, state: EngineState) -> None:
+        if state.leaving:
+            self._upstreams.mark_leaving(state.name, state.incarnation)
+        elif self._upstreams.is_leaving(state.name):
+            state = dataclasses.replace(state, leaving=True)
+        self._dispatcher.observe(state)
 
     def _on_gone(self, names: list[str]) -> None:
         for name in names:
-            self._dispatch.remove(name)
-
-    def _on_silent(self, engine: str) -> None:
-        self._dispatch.remove(engine)
+            self._dispatcher.remove(name)
 
     def _status(self) -> dict[str, t.Any]:
         upstreams = []
@@ -251,8 +255,8 @@
             "incarnation": self._incarnation,
             "data_centre": self._settings.host.data_centre,
             "ready": self._is_ready(),
-            "lists_version": self._holder.current.version,
-            "peers": [],
+            "lists_version": self._cluster.holder.current.version,
+            "peers": self._cluster.peers(),
             "upstreams": upstreams,
         }
 
--- a/src/wagtailstair/http/server.py
+++ b/src/wagtailstair/http/server.py
@@ -27,17 +27,23 @@
         """Write nothing: the app logs events of its own."""
 
 
+def _no_app(environ: t.Any, start_response: t.Any) -> t.NoReturn:
+    raise AssertionError("the server has no application yet")
+
+
 class Server(BaseWSGIServer):
     """A WSGI server whose accept loop can be ended without cutting anyone.
 
+    Its ``app`` is set before :meth:`start`.
+
     :param open_requests: requests served at once; more wait in the backlog.
     """
 
     request_queue_size = LISTEN_BACKLOG
     multithread = True
 
-    def __init__(self, address: str, port: int, app: t.Any, open_requests: int) -> None:
-        super().__init__(address, port, app, handler=_Handler)
+    def __init__(self, address: str, port: int, open_requests: int) -> None:
+        super().__init__(address, port, _no_app, handler=_Handler)
         workers = open_requests + SPARE_THREADS
         self._pool = concurrent.futures.ThreadPoolExecutor(workers, "request")
         self._free = threading.BoundedSemaphore(workers)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -109,7 +109,8 @@
             quota=self.quota,
             peer_lists=lambda request: None,
         )
-        self.server = Server("127.0.0.1", 0, App(self.context), 4)
+        self.server = Server("127.0.0.1", 0, 4)
+        self.server.app = App(self.context)
         self.loop.start()
         relays.start()
         self.server.start()
