Serve only with the engines known, and tell new peers of engines

Cause: a daemon that had just started was ready before the first load reports, and a new peer heard of engines at the next refresh only (10 s), so that a completion found no engine for its model. Readiness now waits for the reports of all listed engines of the data centre, 3 s at most, and a report goes to peers that were not there at the last one. A model without engines is answered 503 with Retry-After in place of 404.

--- a/src/wagtailstair/core/spread.py
+++ b/src/wagtailstair/core/spread.py
@@ -20,6 +20,7 @@
     dispatcher: str | None
     at: float
     refresh_at: float
+    peers: t.Sequence[str]
 
 
 def _shape(state: EngineState) -> tuple[t.Any, ...]:
@@ -65,19 +66,32 @@
         sent = self._sent_by_engine.get(state.name)
         if sent is None or _shape(sent.state) != _shape(state):
             refresh_at = now + REFRESH_S * _phase(state.name)
-            self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
+            self._note(state, dispatcher, peers, now, refresh_at)
             return peers
         if now >= sent.refresh_at:
-            refresh_at = now + REFRESH_S
-            self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
+            self._note(state, dispatcher, peers, now, now + REFRESH_S)
             return peers
+        told = [peer for peer in peers if peer not in sent.peers]
         due = now - sent.at >= REPEAT_S or dispatcher != sent.dispatcher
-        if not due and not _load_changed(state, sent.state):
+        if due or _load_changed(state, sent.state):
+            if dispatcher in peers and dispatcher not in told:
+                told.append(t.cast(str, dispatcher))
+        elif not told:
             return ()
+        self._note(state, dispatcher, peers, now, sent.refresh_at)
+        return told
+
+    def _note(
+        self,
+        state: EngineState,
+        dispatcher: str | None,
+        peers: t.Sequence[str],
+        now: float,
+        refresh_at: float,
+    ) -> None:
         self._sent_by_engine[state.name] = _Sent(
-            state, dispatcher, now, sent.refresh_at
+            state, dispatcher, now, refresh_at, peers
         )
-        return [peer for peer in peers if peer == dispatcher]
 
     def stale(self, engines: Engines, now: float) -> list[EngineState]:
         """Return the engines of which no report has come for too long."""
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -43,6 +43,7 @@
 from .upstreams.watch import HostListWatch
 
 READY_POLL_S = 0.05
+ENGINES_WAIT_S = 3.0
 EXIT_FAILED = 1
 EXIT_SETTINGS = 2
 
@@ -57,7 +58,9 @@
         # Grows with each start, also on a host that keeps nothing.
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
         self._stopping = threading.Event()
+        self._is_serving = False
         self._is_leaving = False
+        self._started_at = clock.monotonic()
         self._metrics = Metrics(settings.host.name)
         self._upstreams = Upstreams()
         self._loop = Loop(clock)
@@ -180,7 +183,7 @@
         )
 
     def _watch_upstreams(self) -> None:
-        HostListWatch(
+        self._host_list = HostListWatch(
             self._loop,
             self._clock,
             self._settings.platform,
@@ -188,7 +191,8 @@
             self._cluster.take_host_list,
             self._on_gone,
             self._rng,
-        ).start()
+        )
+        self._host_list.start()
         EngineWatch(
             self._loop,
             self._clock,
@@ -205,7 +209,8 @@
         return Pool(key.model, key.data_centre, self._limits)
 
     def _watch_ready(self) -> None:
-        if self._cluster.is_ready:
+        if self._cluster.is_ready and self._knows_engines():
+            self._is_serving = True
             self._cluster.announce_live()
             log_event(
                 "daemon_ready", lists_version=self._cluster.holder.current.version
@@ -213,8 +218,20 @@
             return
         self._loop.call_later(READY_POLL_S, self._watch_ready)
 
+    def _knows_engines(self) -> bool:
+        # A request that comes before the first load reports finds no route.
+        if self._clock.monotonic() - self._started_at > ENGINES_WAIT_S:
+            return True
+        if not self._host_list.has_read:
+            return False
+        known = self._dispatcher.engines.by_name
+        for engine in self._upstreams.engines(self._settings.host.data_centre):
+            if engine.name not in known:
+                return False
+        return True
+
     def _is_ready(self) -> bool:
-        return self._cluster.is_ready and not self._is_leaving
+        return self._is_serving and not self._is_leaving
 
     def _data_centres_of(self, model: str) -> tuple[str, ...]:
         own = self._settings.host.data_centre
--- a/src/wagtailstair/http/complete.py
+++ b/src/wagtailstair/http/complete.py
@@ -8,7 +8,7 @@
 from ..admission import charge
 from ..admission import check_model
 from ..admission import choose_priority
-from ..exceptions import NotFoundError
+from ..exceptions import NoUpstreamError
 from ..exceptions import RequestError
 from ..logs import log_event
 from ..relay import Finished
@@ -61,7 +61,9 @@
     priority = choose_priority(plan, request.headers.get("X-Priority", ""))
     data_centres = context.data_centres_of(asked.model)
     if not data_centres:
-        raise NotFoundError("no engine serves this model", where=asked.model)
+        raise NoUpstreamError(
+            "no engine serves this model now", where=asked.model, retry_after_s=1.0
+        )
     log_event(
         "request_admitted",
         request=request_id,
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -81,6 +81,7 @@
         self._on_gone = on_gone
         self._rng = rng
         self._failed = False
+        self.has_read = False
 
     def start(self) -> None:
         """Begin to watch."""
@@ -139,6 +140,7 @@
             )
             found.append((upstream, leaving))
         gone = self._upstreams.replace(found)
+        self.has_read = True
         self._on_entry_hosts(entry_hosts)
         if gone:
             self._on_gone(gone)
