End a graceful shutdown under load, and hear SIGTERM on every thread

Two faults, found by the real-process tests. While callers went on connecting, the backlog never had a quiet moment, so the listener stayed open for ever: 30 s and more in test_streams_and_calls_end_whole. And SIGTERM was lost when the system gave it to another thread than the main one, as after SIGSTOP and SIGCONT: the main thread slept in an untimed wait and never ran the handler.

A bounded drain alone was ruled out: a connection made between the last accept and the close is reset. A classic BPF filter on the listener drops requests to connect and lets those that have begun finish; callers try again and find the port closed. Where the system has no filter, the drain is bounded to 10 s.

--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -47,6 +47,7 @@
 from .upstreams.watch import HostListWatch
 
 EXIT_FAILED = 1
+SIGNAL_POLL_S = 0.25
 EXIT_SETTINGS = 2
 
 
@@ -103,7 +104,10 @@
 
     def run(self) -> bool:
         """Serve until a stop is asked for; say whether nothing was cut."""
-        self._stopping.wait()
+        # The system may give the signal to another thread; its handler runs
+        # only when the main thread wakes.
+        while not self._stopping.wait(SIGNAL_POLL_S):
+            continue
         return self._shut_down()
 
     def _shut_down(self) -> bool:
--- a/src/wagtailstair/http/server.py
+++ b/src/wagtailstair/http/server.py
@@ -1,17 +1,22 @@
 """The HTTP server: a bounded pool of threads around a listening socket."""
 
 import concurrent.futures
+import math
 import select
 import socket
 import threading
+import time
 import typing as t
 
 from werkzeug.serving import BaseWSGIServer
 from werkzeug.serving import WSGIRequestHandler
 
+from .listener import stop_new_connections
+
 SOCKET_TIMEOUT_S = 30.0
 ACCEPT_POLL_S = 0.1
 BACKLOG_QUIET_S = 0.25
+BACKLOG_LONGEST_S = 10.0
 LISTEN_BACKLOG = 512
 SPARE_THREADS = 32
 
@@ -42,6 +47,7 @@
         self._pool = concurrent.futures.ThreadPoolExecutor(workers, "request")
         self._free = threading.BoundedSemaphore(workers)
         self._closing = threading.Event()
+        self._closes_at = math.inf
         self._accepting = threading.Thread(target=self._accept_all, name="accept")
 
     def start(self) -> None:
@@ -52,6 +58,9 @@
 
     def close(self) -> None:
         """Take what waits in the backlog, then close the listening socket."""
+        # Callers that go on connecting must not keep the backlog from ending.
+        if not stop_new_connections(self.socket):
+            self._closes_at = time.monotonic() + BACKLOG_LONGEST_S
         self._closing.set()
         self._accepting.join()
         self.server_close()
@@ -71,7 +80,8 @@
         while not self._closing.is_set():
             self._accept_one(ACCEPT_POLL_S)
         while self._accept_one(BACKLOG_QUIET_S):
-            continue
+            if time.monotonic() > self._closes_at:
+                break
 
     def _accept_one(self, wait_s: float) -> bool:
         readable, _, _ = select.select([self.socket], [], [], wait_s)
--- a/tests/test_fleet_shutdown.py
+++ b/tests/test_fleet_shutdown.py
@@ -81,6 +81,16 @@
 
 
 class TestBacklog:
+    @pytest.fixture
+    def fleet(self, tmp_path):
+        # Without the balancer's lag, only the end of the accept loop takes them.
+        with Fleet(
+            tmp_path,
+            data_centres=("a",),
+            settings={"shutdown": {"balancer_lag_s": 0.0}},
+        ) as made:
+            yield made
+
     def test_requests_in_the_listen_backlog_are_served(self, fleet):
         daemon = fleet["a0"]
         prompts = [f"backlog {number}" for number in range(30)]
