--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,9 @@
 test: install
 	$(PY) -m pytest
 
+demo: install
+	$(PY) -m demo
+
 lint: install
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
--- /dev/null
+++ b/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole product on loopback."""
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -115,7 +115,7 @@
 def long_prompt(length: int, seed: str = "") -> str:
     """Return a prompt whose right answer has at least so many tokens."""
     for number in range(10_000):
-        prompt = f"scarecrow {seed} {number}"
+        prompt = f"lantern {seed} {number}"
         if len(tokens.answer(prompt, length, LAYERS)) == length:
             return prompt
     raise AssertionError("no prompt found")
--- a/tests/test_fleet_completions.py
+++ b/tests/test_fleet_completions.py
@@ -32,7 +32,7 @@
 
 
 class TestOpenAIClient:
-    PROMPT = "describe a scarecrow with a straw hat"
+    PROMPT = "describe a lantern of paper and wire"
 
     def test_streamed_completion(self, client):
         stream = client.completions.create(
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -13,7 +13,7 @@
 from standins.launch import StandinProcess
 
 LAYERS = 8
-PROMPT = "a scarecrow of straw and old coats, three metres tall"
+PROMPT = "a lantern of paper and wire, three metres tall"
 
 
 def engine(name, **options):
