--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -45,6 +45,7 @@
 READY_POLL_S = 0.05
 ENGINES_WAIT_S = 3.0
 EXIT_FAILED = 1
+SIGNAL_POLL_S = 0.25
 EXIT_SETTINGS = 2
 
 
@@ -122,7 +123,10 @@
 
     def run(self) -> bool:
         """Serve until a stop is asked for; say whether nothing was cut."""
-        self._stopping.wait()
+        # The system may give the signal to another thread; its handler runs
+        # only when the main thread wakes.
+        while not self._stopping.wait(SIGNAL_POLL_S):
+            continue
         return self._shut_down()
 
     def _shut_down(self) -> bool:
