Place models by lease, and ask before a byte is sent whether it may be

Orders to engines and calls with an idempotency key are checked against their lease or their claim's window when the connection stands, the last instant before the first byte, since a process may be stopped at any point before it. Targets follow from the plans' models and from the layer ranges that the engines report.

--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -150,6 +150,11 @@
         self._running = 0
         self._is_closing = False
 
+    @property
+    def send_window_s(self) -> float:
+        """Return seconds from the start of a call in which it may be sent."""
+        return self._limits.send_window_s
+
     @property
     def unsettled(self) -> int:
         """Return the number of results whose write is not confirmed."""
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -17,10 +17,13 @@
 from .core.ejection import Ejection
 from .core.ejection import EjectionLimits
 from .core.engine import EngineState
+from .core.leases import LeaseLimits
 from .core.messages import PoolKey
+from .core.placement import PlacementLimits
 from .core.pool import Pool
 from .core.pool import PoolLimits
 from .core.retry import RetryBudget
+from .core.shapes import Shapes
 from .core.upstreams import Upstream
 from .core.upstreams import Upstreams
 from .exceptions import SettingsError
@@ -31,14 +34,18 @@
 from .logs import configure_logs
 from .logs import log_event
 from .metrics import Metrics
+from .placement import LeaseKeeper
+from .placement import Placer
 from .platform.http import Timeouts
 from .platform.objects import ObjectClient
 from .platform.table import TableClient
 from .relay import Relays
 from .services import Services
+from .settings import LEASE_MARGIN_S
 from .settings import Settings
 from .settings import load_settings
 from .upstreams.loop import Loop
+from .upstreams.orders import EngineOrders
 from .upstreams.watch import EngineWatch
 from .upstreams.watch import HostListWatch
 
@@ -94,6 +101,7 @@
             is_dead=self._cluster.is_dead,
         )
         self._open_requests = OpenRequests(settings.limits.open_requests, self._metrics)
+        self._placer = self._make_placer(table)
         self._relays = self._make_relays()
         self._server.app = App(self._make_context())
 
@@ -135,6 +143,7 @@
         # readiness is gone, and those are served like all others.
         self._is_leaving = True
         self._cluster.announce_leaving()
+        self._placer.close()
         log_event("shutdown_began", open_requests=self._open_requests.count)
         threading.Event().wait(shutdown.balancer_lag_s)
         self._server.close()
@@ -186,6 +195,42 @@
             peer_lists=self._cluster.serve_lists,
         )
 
+    def _make_placer(self, table: TableClient) -> Placer:
+        placement = self._settings.placement
+        data_centre = self._settings.host.data_centre
+        shapes = Shapes()
+        keeper = LeaseKeeper(
+            table,
+            self._clock,
+            f"placement/{data_centre}",
+            f"{self._settings.host.name}/{self._incarnation}",
+            LeaseLimits(
+                duration_s=placement.lease_s,
+                renew_s=placement.lease_s / 3,
+                margin_s=LEASE_MARGIN_S,
+            ),
+        )
+        return Placer(
+            keeper,
+            EngineOrders(self._loop, self._clock, self._upstreams),
+            self._clock,
+            self._own_engines,
+            lambda states: shapes.derive(self._cluster.holder.current, states),
+            PlacementLimits(
+                hold_s=placement.hold_s,
+                weights_bytes_per_s=placement.weights_bytes_per_s,
+            ),
+            placement.order_timeout_s,
+        )
+
+    def _own_engines(self) -> list[EngineState]:
+        data_centre = self._settings.host.data_centre
+        states = []
+        for state in self._dispatcher.engine_states():
+            if state.data_centre == data_centre:
+                states.append(state)
+        return states
+
     def _watch_upstreams(self) -> None:
         self._host_list = HostListWatch(
             self._loop,
@@ -228,7 +273,7 @@
             return True
         if not self._host_list.has_read:
             return False
-        known = self._dispatcher.engines.by_name
+        known = {state.name for state in self._dispatcher.engine_states()}
         for engine in self._upstreams.engines(self._settings.host.data_centre):
             if engine.name not in known:
                 return False
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -191,6 +191,11 @@
                     found.add(name)
         return sorted(found)
 
+    def engine_states(self) -> list[EngineState]:
+        """Return the last known states of all engines."""
+        with self._lock:
+            return list(self.engines.by_name.values())
+
     def models(self) -> tuple[str, ...]:
         """Return the models of this data centre's engines, sorted."""
         with self._lock:
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -5,6 +5,7 @@
 import hashlib
 import random
 import threading
+import typing as t
 
 from .claims import Claims
 from .clock import Clock
@@ -61,6 +62,7 @@
     body: bytes
     deadline: float
     idempotency_key: str = ""
+    may_send: t.Callable[[], bool] | None = None
 
     def fingerprint(self) -> str:
         """Return the hash that tells two uses of a key apart."""
@@ -120,14 +122,20 @@
 
         :raises RequestError: with the true outcome.
         """
-        self._budget.attempted(self._clock.monotonic())
+        now = self._clock.monotonic()
+        self._budget.attempted(now)
+        # The claim is written later than now, so this window ends within its own.
+        send_until = now + self._claims.send_window_s
+        guarded = dataclasses.replace(
+            call, may_send=lambda: self._clock.monotonic() < send_until
+        )
         return self._claims.run(
             account=call.account,
             service=call.service,
             key=call.idempotency_key,
             request_hash=call.fingerprint(),
             deadline=call.deadline,
-            send=lambda: self._send_claimed(call),
+            send=lambda: self._send_claimed(guarded),
         )
 
     def _send_claimed(self, call: ServiceCall) -> Answer:
@@ -177,6 +185,7 @@
             connect_timeout_s=self._settings.routing.connect_timeout_s,
             timeout_s=remaining_s,
             max_response_bytes=self._settings.limits.response_bytes,
+            may_send=call.may_send,
         )
         self._count(replica.name, 1)
         try:
--- a/src/wagtailstair/settings.py
+++ b/src/wagtailstair/settings.py
@@ -9,6 +9,8 @@
 
 from .exceptions import SettingsError
 
+LEASE_MARGIN_S = 1.0
+
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
 Count = t.Annotated[int, msgspec.Meta(ge=1)]
 Fraction = t.Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -86,6 +88,21 @@
     minimum_shares: tuple[Fraction, Fraction, Fraction] = (0.5, 0.2, 0.05)
 
 
+class PlacementSection(_Section, frozen=True):
+    """Orders to the engines of the data centre.
+
+    ``hold_s``: how long a layer range has to be short of engines before an
+    engine that serves another is moved; ``weights_bytes_per_s``: the rate at
+    which the weight store may be asked for weights.
+    """
+
+    enabled: bool = True
+    lease_s: Seconds = 10.0
+    hold_s: Seconds = 30.0
+    order_timeout_s: Seconds = 2.0
+    weights_bytes_per_s: Seconds = 1e9
+
+
 class ShutdownSection(_Section, frozen=True):
     """The steps of a graceful shutdown."""
 
@@ -107,6 +124,7 @@
     peers: PeersSection = msgspec.field(default_factory=PeersSection)
     limits: LimitsSection = msgspec.field(default_factory=LimitsSection)
     routing: RoutingSection = msgspec.field(default_factory=RoutingSection)
+    placement: PlacementSection = msgspec.field(default_factory=PlacementSection)
     shutdown: ShutdownSection = msgspec.field(default_factory=ShutdownSection)
     log: LogSection = msgspec.field(default_factory=LogSection)
 
@@ -148,11 +166,22 @@
         )
 
 
+def _check_lease(settings: Settings) -> None:
+    least_s = 2 * settings.placement.order_timeout_s + LEASE_MARGIN_S
+    if settings.placement.lease_s < least_s:
+        raise SettingsError(
+            f"expected {least_s:g} or more, for an order to fit inside,"
+            f" got {settings.placement.lease_s:g}",
+            where="placement.lease_s",
+        )
+
+
 CHECKS: tuple[t.Callable[[Settings], None], ...] = (
     _check_address,
     _check_peers,
     _check_shares,
     _check_timeouts,
+    _check_lease,
 )
 
 
--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -41,7 +41,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TransferRequest:
-    """What to send; timeouts are in seconds."""
+    """What to send; timeouts are in seconds.
+
+    ``may_send`` is asked once the connection stands, as late as can be: where
+    it says no, nothing is sent. The time since the exchange was begun may be
+    any length, if the process was stopped in between.
+    """
 
     method: str
     url: str
@@ -53,6 +58,7 @@
     # libcurl sends a request again by itself when a kept connection turns out
     # to be dead, so only requests that may run twice use kept connections.
     repeatable: bool = False
+    may_send: t.Callable[[], bool] | None = None
 
 
 _CURL_ERRORS_BEFORE_CONNECT = frozenset(
@@ -61,6 +67,8 @@
         pycurl.E_COULDNT_CONNECT,
         pycurl.E_URL_MALFORMAT,
         pycurl.E_UNSUPPORTED_PROTOCOL,
+        # Nothing but `may_send` aborts a transfer by a callback before it is sent.
+        pycurl.E_ABORTED_BY_CALLBACK,
     }
 )
 
@@ -169,6 +177,15 @@
         )
 
 
+def _asker(may_send: t.Callable[[], bool]) -> t.Callable[..., int]:
+    def ask(*addresses: object) -> int:
+        if may_send():
+            return int(pycurl.PREREQFUNC_OK)
+        return int(pycurl.PREREQFUNC_ABORT)
+
+    return ask
+
+
 def _new_easy(request: TransferRequest) -> pycurl.Curl:
     easy = pycurl.Curl()
     easy.setopt(pycurl.URL, request.url)
@@ -186,6 +203,8 @@
         easy.setopt(pycurl.NOBODY, 1)
     if request.body or request.method in {"POST", "PUT", "PATCH"}:
         easy.setopt(pycurl.POSTFIELDS, request.body)
+    if request.may_send is not None:
+        easy.setopt(pycurl.PREREQFUNCTION, _asker(request.may_send))
     if not request.repeatable:
         easy.setopt(pycurl.FRESH_CONNECT, 1)
         easy.setopt(pycurl.FORBID_REUSE, 1)
--- /dev/null
+++ b/tests/test_shapes.py
@@ -0,0 +1,81 @@
+import dataclasses
+
+from wagtailstair.core.engine import EngineState
+from wagtailstair.core.lists import Lists
+from wagtailstair.core.lists import parse_plan
+from wagtailstair.core.shapes import Shapes
+from wagtailstair.core.shapes import planned_models
+
+ENGINE = EngineState(
+    name="e",
+    incarnation="1",
+    address="127.0.0.1:1",
+    data_centre="a",
+    model="draft",
+    version="1",
+    role="",
+    accelerator="k",
+    first=0,
+    last=4,
+    layers=8,
+    slots=8,
+    running=0,
+    waiting=0,
+    kv_tokens=1000,
+    kv_used=0,
+    step_s=0.01,
+    prefill_tokens_per_s=1000.0,
+    leaving=False,
+    fencing_checked=True,
+    order=0,
+    as_of=0.0,
+)
+
+
+def engine(name, first, last, model="draft", **changes):
+    return dataclasses.replace(
+        ENGINE, name=name, first=first, last=last, model=model, **changes
+    )
+
+
+def lists(*models):
+    row = {"priorities": ["batch"], "work_per_s": 1.0, "max_concurrent": 1}
+    return Lists(1, {"p": parse_plan("p", {**row, "models": list(models)})})
+
+
+def wanted(targets):
+    return {(t.spec.model, t.first, t.last): t.engines for t in targets}
+
+
+HALVES = [engine("e1", 0, 4), engine("e2", 4, 8)]
+
+
+class TestTargets:
+    def test_only_planned_models_get_engines(self):
+        other = [engine("o1", 0, 8, "old"), engine("o2", 0, 8, "old")]
+        targets = Shapes().derive(lists("draft"), [*HALVES, *other])
+        assert wanted(targets) == {("draft", 0, 4): 2, ("draft", 4, 8): 2}
+
+    def test_range_whose_last_engine_died_is_still_wanted(self):
+        shapes = Shapes()
+        shapes.derive(lists("draft"), HALVES)
+        spare = engine("e3", 0, 4)
+        targets = shapes.derive(lists("draft"), [HALVES[0], spare])
+        assert wanted(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
+
+    def test_leaving_engines_do_not_count(self):
+        third = [engine("e3", 0, 4, leaving=True), engine("e4", 4, 8, leaving=True)]
+        targets = Shapes().derive(lists("draft"), [*HALVES, *third])
+        assert wanted(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
+
+    def test_demand_shifts_engines_between_models(self):
+        busy = [engine(f"b{n}", 0, 8, "busy", running=8) for n in range(2)]
+        calm = [engine(f"c{n}", 0, 8, "calm") for n in range(4)]
+        targets = Shapes().derive(lists("busy", "calm"), [*busy, *calm])
+        assert wanted(targets) == {("busy", 0, 8): 5, ("calm", 0, 8): 1}
+
+    def test_nothing_is_derived_from_a_broken_partition(self):
+        assert Shapes().derive(lists("draft"), [HALVES[0]]) == []
+
+    def test_planned_models_of_all_plans(self):
+        assert planned_models(lists("a", "b")) == {"a", "b"}
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -78,6 +78,25 @@
         assert len(end.body) <= 1000
 
 
+class TestMaySend:
+    def test_nothing_is_sent_once_it_says_no(self, loop):
+        with ScriptedServer(reply(b"a")) as server:
+            request = post(server.address, may_send=lambda: False)
+            end = exchange(loop, request).result(WAIT_S)
+            assert server.requests == []
+        assert end.sent is Sent.NOT_SENT
+
+    def test_is_asked_when_the_connection_stands(self, loop):
+        accepted = threading.Event()
+        with ScriptedServer(reply(b"a")) as server:
+            request = post(
+                server.address, may_send=lambda: accepted.set() or not server.requests
+            )
+            end = exchange(loop, request).result(WAIT_S)
+        assert accepted.is_set()
+        assert end.sent is Sent.ANSWERED
+
+
 class TestNoSilentResend:
     def test_kept_connection_that_dies_is_not_retried_by_the_library(self, loop):
         # The second request would go out on the kept connection, whose death
