Test each condition of an edit's transaction, and several operators at once

Cause: the conditions of the transaction overlap, so that the absence of one alone was not seen by any test (trial: head, audit, change id or row condition removed, all tests passed). A test now touches each row just before the transaction; each condition removed fails it. The stateful test runs three operators over a faulty table against a replay of what they asked for.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -182,6 +182,26 @@
         change = delete(table, "c5", "plans", "old")
         assert change.version == 5
 
+    @pytest.mark.parametrize(
+        "key",
+        [
+            ("lists", "head"),
+            ("changes", "c1"),
+            ("audit", "000000000001"),
+            ("plans", "maker"),
+        ],
+    )
+    def test_each_row_of_the_transaction_is_conditioned(self, key):
+        table = FakeTable()
+
+        def sneak():
+            table.value_by_key[key] = "{}"
+            table.version_by_key[key] += 1
+
+        table.before_call = scripted(sneak)
+        with pytest.raises(PlatformConflictError):
+            put_plan(table, "c1", "maker", retry=RetryPolicy(attempts=1))
+
     def test_a_damaged_row_is_the_platforms_fault(self):
         table = FakeTable()
         table.transact([], [Write("plans", "maker", {"weight": 1})])
--- /dev/null
+++ b/tests/test_changes_stateful.py
@@ -0,0 +1,297 @@
+"""Several operators on one table, with faults, against a plain history."""
+
+import collections
+
+import hypothesis.strategies as st
+from hypothesis import settings
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+
+from tests.fake_table import CrashError, FakeTable
+from wagtailstair.clock import ManualClock
+from wagtailstair.core.changes import RowEdit, make_edit
+from wagtailstair.core.lists import Lists
+from wagtailstair.exceptions import (
+    EditConflictError,
+    ListsError,
+    PlatformConflictError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+)
+from wagtailstair.platform.lists import (
+    RetryPolicy,
+    commit_edit,
+    read_since,
+    read_snapshot,
+    seen_version,
+)
+
+PLANS = ["p0", "p1", "p2"]
+ACCOUNTS = ["a0", "a1", "a2"]
+OPERATORS = range(3)
+FAULTS = [
+    "none",
+    "none",
+    "none",
+    "unavailable",
+    "lose_reply",
+    "lose_request",
+    "delay",
+    "crash_before",
+    "crash_after",
+    "other_edit",
+    "other_edit",
+    "deliver",
+]
+SCRIPTS = st.lists(st.sampled_from(FAULTS), max_size=14)
+TARGETS = st.one_of(
+    st.tuples(st.just("plans"), st.sampled_from(PLANS), st.booleans()),
+    st.tuples(
+        st.just("accounts"),
+        st.sampled_from(ACCOUNTS),
+        st.sampled_from([*PLANS, None]),
+    ),
+)
+EDITS = st.lists(TARGETS, min_size=1, max_size=2, unique_by=lambda target: target[:2])
+RETRY = RetryPolicy(attempts=3, pause=lambda _: None)
+
+
+class Operators(RuleBasedStateMachine):
+    """Operators look at the lists, edit what they saw, and run edits again."""
+
+    def __init__(self):
+        super().__init__()
+        self.table = FakeTable()
+        self.clock = ManualClock()
+        self.seen = [Lists() for _ in OPERATORS]
+        self.numbers = iter(range(1, 1_000_000))
+        self.edit_by_id = {}
+        self.seen_values_by_id = {}
+        self.accepted_by_id = {}
+        self.refused = set()
+        self.open = {}
+        self.head = 0
+
+    def start_script(self, script, draw):
+        remaining = list(script)
+
+        def before_call(kind):
+            fault = remaining.pop(0) if remaining else "none"
+            if fault == "deliver":
+                self.table.deliver()
+            elif fault == "other_edit":
+                self.quietly(lambda: self.edit_now(*draw(kind)))
+            elif kind == "transact" or fault in ("unavailable", "crash_before"):
+                return fault
+            return None
+
+        self.table.before_call = before_call
+
+    def quietly(self, action):
+        before, self.table.before_call = self.table.before_call, lambda kind: None
+        try:
+            action()
+        finally:
+            self.table.before_call = before
+
+    def value(self, kind, choice):
+        if choice is None or choice is False:
+            return None
+        number = next(self.numbers)
+        if kind == "accounts":
+            key = {"salt": f"{number:032x}", "digest": "11" * 32}
+            return {"plan": choice, "keys": [key]}
+        return {
+            "priorities": ["urgent"],
+            "work_per_s": float(number),
+            "max_concurrent": 1,
+        }
+
+    def new_edit(self, seen, targets):
+        rows = []
+        for kind, name, choice in targets:
+            version = seen_version(seen, (kind, name))
+            rows.append(RowEdit(kind, name, self.value(kind, choice), version))
+        change_id = f"c{next(self.numbers)}"
+        edit = make_edit(change_id, "op", rows)
+        self.edit_by_id[change_id] = edit
+        self.seen_values_by_id[change_id] = {
+            row.row_key: seen.value_of(row.row_key) for row in edit.rows
+        }
+        self.open[change_id] = seen.version
+        return edit
+
+    def edit_now(self, targets):
+        self.run(self.new_edit(read_snapshot(self.table), targets))
+
+    def run(self, edit):
+        change_id = edit.change_id
+        try:
+            change = commit_edit(self.table, edit, self.clock, RETRY)
+        except (CrashError, PlatformUnknownError):
+            return
+        except (PlatformUnavailableError, PlatformConflictError):
+            # Nothing of this run took effect; an earlier one's may be open.
+            return
+        except EditConflictError:
+            self.check_conflict(edit)
+            self.refuse(change_id)
+            return
+        except ListsError:
+            self.refuse(change_id)
+            return
+        assert change_id not in self.refused
+        assert self.accepted_by_id.setdefault(change_id, change) == change
+        self.open.pop(change_id, None)
+
+    def refuse(self, change_id):
+        assert change_id not in self.accepted_by_id
+        self.refused.add(change_id)
+        self.open.pop(change_id, None)
+
+    def records(self):
+        return [
+            self.table.row(("audit", key)).value for key in self.table.keys("audit")
+        ]
+
+    def check_conflict(self, edit):
+        edited = {row.row_key for row in edit.rows}
+        changed = set()
+        for record in self.records():
+            if record["version"] <= self.open.get(edit.change_id, 0):
+                continue
+            changed |= {(row["table"], row["key"]) for row in record["rows"]}
+        assert edited & changed, "told of a conflict that there was not"
+
+    def history(self, version):
+        """Replay what the operators asked for, in order of the versions."""
+        value_by_key = {}
+        for record in self.records()[:version]:
+            for row in self.edit_by_id[record["change_id"]].rows:
+                value_by_key[row.row_key] = row.value
+        return {key: value for key, value in value_by_key.items() if value is not None}
+
+    def check_lists(self, lists):
+        expected = self.history(lists.version)
+        keys = [("plans", name) for name in lists.plan_by_name]
+        keys += [("accounts", name) for name in lists.account_by_name]
+        assert {key: lists.value_of(key) for key in keys} == expected
+
+    @rule(operator=st.sampled_from(OPERATORS), script=SCRIPTS, data=st.data())
+    def look(self, operator, script, data):
+        self.start_script(script, lambda kind: (data.draw(EDITS),))
+        self.reading(operator, lambda: read_snapshot(self.table))
+
+    @rule(operator=st.sampled_from(OPERATORS), script=SCRIPTS, data=st.data())
+    def follow(self, operator, script, data):
+        self.start_script(script, lambda kind: (data.draw(EDITS),))
+        self.reading(operator, lambda: read_since(self.table, self.seen[operator]))
+
+    def reading(self, operator, read):
+        try:
+            lists = read()
+        except (PlatformUnavailableError, CrashError):
+            return
+        finally:
+            self.table.before_call = lambda kind: None
+        assert lists.version >= self.seen[operator].version
+        self.check_lists(lists)
+        self.seen[operator] = lists
+
+    @rule(
+        operator=st.sampled_from(OPERATORS),
+        wanted=EDITS,
+        script=SCRIPTS,
+        data=st.data(),
+    )
+    def edit(self, operator, wanted, script, data):
+        try:
+            edit = self.new_edit(self.seen[operator], wanted)
+        except EditConflictError:
+            # The row's version is not known: the operator looks again.
+            return
+        self.start_script(script, lambda kind: (data.draw(EDITS),))
+        self.run_scripted(edit)
+
+    @precondition(lambda self: self.edit_by_id)
+    @rule(script=SCRIPTS, data=st.data())
+    def run_again(self, script, data):
+        edit = self.edit_by_id[data.draw(st.sampled_from(sorted(self.edit_by_id)))]
+        if edit.change_id in self.refused:
+            return
+        self.start_script(script, lambda kind: (data.draw(EDITS),))
+        self.run_scripted(edit)
+
+    def run_scripted(self, edit):
+        try:
+            self.run(edit)
+        finally:
+            self.table.before_call = lambda kind: None
+
+    @precondition(lambda self: self.accepted_by_id)
+    @rule(data=st.data())
+    def use_an_id_twice(self, data):
+        change_id = data.draw(st.sampled_from(sorted(self.accepted_by_id)))
+        row = RowEdit("plans", "p0", self.value("plans", True), 0)
+        try:
+            commit_edit(self.table, make_edit(change_id, "op", [row]), self.clock)
+        except ListsError:
+            return
+        raise AssertionError("a change id served two edits")
+
+    @rule()
+    def deliver(self):
+        self.table.deliver()
+
+    @invariant()
+    def versions_grow_and_each_has_one_record(self):
+        row = self.table.row(("lists", "head"))
+        head = row.value["version"] if row.value else 0
+        assert head >= self.head
+        self.head = head
+        assert [record["version"] for record in self.records()] == [*range(1, head + 1)]
+
+    @invariant()
+    def every_account_has_its_plan(self):
+        plans = self.table.keys("plans")
+        for name in self.table.keys("accounts"):
+            assert self.table.row(("accounts", name)).value["plan"] in plans
+
+    @invariant()
+    def one_record_for_an_accepted_edit_and_none_for_a_refused_one(self):
+        counts = collections.Counter(record["change_id"] for record in self.records())
+        assert all(count == 1 for count in counts.values())
+        assert not self.refused & counts.keys()
+        for change_id, change in self.accepted_by_id.items():
+            record = self.table.row(("audit", f"{change.version:012d}")).value
+            assert record["change_id"] == change_id
+
+    @invariant()
+    def no_accepted_edit_is_lost_or_overwrites_what_was_not_seen(self):
+        value_by_key = {}
+        for record in self.records():
+            change_id = record["change_id"]
+            seen = self.seen_values_by_id[change_id]
+            for row in self.edit_by_id[change_id].rows:
+                assert value_by_key.get(row.row_key) == seen[row.row_key]
+                value_by_key[row.row_key] = row.value
+        for kind in ("plans", "accounts"):
+            for key in {*self.table.keys(kind), *PLANS, *ACCOUNTS}:
+                row = self.table.row((kind, key))
+                assert row.value == value_by_key.get((kind, key))
+
+    def teardown(self):
+        self.table.before_call = lambda kind: None
+        while self.table.in_flight:
+            self.table.deliver()
+        for change_id in list(self.open):
+            self.run(self.edit_by_id[change_id])
+        assert not self.open
+        recorded = {record["change_id"] for record in self.records()}
+        assert recorded == self.accepted_by_id.keys()
+        self.check_lists(read_snapshot(self.table))
+
+
+TestOperators = Operators.TestCase
+TestOperators.settings = settings(
+    derandomize=True, max_examples=150, stateful_step_count=25, deadline=None
+)
