--- a/src/wagtailstair/core/changes.py
+++ b/src/wagtailstair/core/changes.py
@@ -9,18 +9,24 @@
 import msgspec
 
 from ..exceptions import ListsError
-from .lists import HEAD, LISTS, Lists, validate
-from .plans import ACCOUNTS, PLANS, account_value, parse_account, parse_plan, plan_value
-from .rows import (
-    VERSION_ABSENT,
-    VERSION_UNKNOWN,
-    Condition,
-    Row,
-    RowKey,
-    Transaction,
-    Value,
-    Write,
-)
+from .lists import HEAD
+from .lists import LISTS
+from .lists import Lists
+from .lists import validate
+from .plans import ACCOUNTS
+from .plans import PLANS
+from .plans import account_value
+from .plans import parse_account
+from .plans import parse_plan
+from .plans import plan_value
+from .rows import VERSION_ABSENT
+from .rows import VERSION_UNKNOWN
+from .rows import Condition
+from .rows import Row
+from .rows import RowKey
+from .rows import Transaction
+from .rows import Value
+from .rows import Write
 
 AUDIT = "audit"
 CHANGES = "changes"
--- /dev/null
+++ b/src/wagtailstair/daemon.py
@@ -0,0 +1,303 @@
+"""The daemon of an entry host: its parts, its start and its graceful shutdown."""
+
+import dataclasses
+import pathlib
+import random
+import signal
+import sys
+import threading
+import typing as t
+
+import click
+
+from .claims import Claims
+from .clock import Clock
+from .clock import SystemClock
+from .cluster import Cluster
+from .core.ejection import Ejection
+from .core.ejection import EjectionLimits
+from .core.engine import EngineState
+from .core.messages import PoolKey
+from .core.pool import Pool
+from .core.pool import PoolLimits
+from .core.retry import RetryBudget
+from .core.upstreams import Upstream
+from .core.upstreams import Upstreams
+from .exceptions import SettingsError
+from .http.app import App
+from .http.context import Context
+from .http.context import OpenRequests
+from .http.server import Server
+from .logs import configure_logs
+from .logs import log_event
+from .metrics import Metrics
+from .platform.http import Timeouts
+from .platform.objects import ObjectClient
+from .platform.table import TableClient
+from .relay import Relays
+from .services import Services
+from .settings import Settings
+from .settings import load_settings
+from .upstreams.loop import Loop
+from .upstreams.watch import EngineWatch
+from .upstreams.watch import HostListWatch
+
+READY_POLL_S = 0.05
+EXIT_FAILED = 1
+EXIT_SETTINGS = 2
+
+
+class Daemon:
+    """All parts of one running daemon."""
+
+    def __init__(self, settings: Settings, clock: Clock) -> None:
+        self._settings = settings
+        self._clock = clock
+        self._rng = random.Random()
+        # Grows with each start, also on a host that keeps nothing.
+        self._incarnation = int(clock.utcnow().timestamp() * 1000)
+        self._stopping = threading.Event()
+        self._is_leaving = False
+        self._metrics = Metrics(settings.host.name)
+        self._upstreams = Upstreams()
+        self._loop = Loop(clock)
+        self._budget = RetryBudget(settings.routing.retry_share)
+        self._limits = _pool_limits(settings)
+        self._server = Server(
+            settings.host.address,
+            settings.host.http_port,
+            settings.limits.open_requests,
+        )
+        platform = settings.platform
+        timeouts = Timeouts(platform.timeout_s, platform.connect_timeout_s)
+        table = TableClient(platform.table, timeouts)
+        self._cluster = Cluster(
+            settings,
+            clock,
+            self._incarnation,
+            self._server.server_port,
+            table,
+            self._make_pool,
+            self._rng,
+        )
+        self._dispatcher = self._cluster.dispatcher
+        self._claims = Claims(
+            table,
+            ObjectClient(platform.objects, timeouts),
+            clock,
+            settings.host.name,
+            str(self._incarnation),
+            is_dead=self._cluster.is_dead,
+        )
+        self._open_requests = OpenRequests(settings.limits.open_requests, self._metrics)
+        self._relays = self._make_relays()
+        self._server.app = App(self._make_context())
+
+    @property
+    def http_port(self) -> int:
+        """Return the port that the server listens on."""
+        return self._server.server_port
+
+    def start(self) -> None:
+        """Begin to serve."""
+        self._loop.start()
+        self._cluster.start()
+        self._relays.start()
+        self._watch_upstreams()
+        self._loop.call(self._watch_ready)
+        self._server.start()
+        log_event(
+            "daemon_started",
+            incarnation=self._incarnation,
+            data_centre=self._settings.host.data_centre,
+            address=f"{self._settings.host.address}:{self.http_port}",
+        )
+
+    def request_stop(self) -> None:
+        """Ask for a graceful shutdown."""
+        self._stopping.set()
+
+    def run(self) -> bool:
+        """Serve until a stop is asked for; say whether nothing was cut."""
+        self._stopping.wait()
+        return self._shut_down()
+
+    def _shut_down(self) -> bool:
+        shutdown = self._settings.shutdown
+        # The balancer's view lags: it may send requests for a while after
+        # readiness is gone, and those are served like all others.
+        self._is_leaving = True
+        self._cluster.announce_leaving()
+        log_event("shutdown_began", open_requests=self._open_requests.count)
+        threading.Event().wait(shutdown.balancer_lag_s)
+        self._server.close()
+        log_event("listener_closed", open_requests=self._open_requests.count)
+        drained = self._server.wait_idle(shutdown.drain_s)
+        unsettled = self._claims.close(shutdown.drain_s)
+        self._cluster.stop()
+        self._loop.stop()
+        log_event("daemon_stopped", drained=drained, unsettled=unsettled)
+        return drained and not unsettled
+
+    def _make_relays(self) -> Relays:
+        return Relays(
+            self._loop,
+            self._dispatcher,
+            self._clock,
+            self._settings.routing,
+            self._settings.host.name,
+            may_retry=self._may_retry,
+            on_failed=lambda engine: self._metrics.count(
+                "attempts_failed", engine=engine
+            ),
+            on_answered=lambda engine: None,
+        )
+
+    def _make_context(self) -> Context:
+        services = Services(
+            self._loop,
+            self._clock,
+            self._settings,
+            self._upstreams,
+            self._claims,
+            Ejection(self._limits.ejection),
+            self._budget,
+            self._rng,
+        )
+        return Context(
+            settings=self._settings,
+            clock=self._clock,
+            metrics=self._metrics,
+            open_requests=self._open_requests,
+            lists=self._cluster.fresh_lists,
+            is_ready=self._is_ready,
+            status=self._status,
+            data_centres_of=self._data_centres_of,
+            relays=self._relays,
+            services=services,
+            quota=self._dispatcher,
+            peer_lists=self._cluster.serve_lists,
+        )
+
+    def _watch_upstreams(self) -> None:
+        HostListWatch(
+            self._loop,
+            self._clock,
+            self._settings.platform,
+            self._upstreams,
+            self._cluster.take_host_list,
+            self._on_gone,
+            self._rng,
+        ).start()
+        EngineWatch(
+            self._loop,
+            self._clock,
+            self._engines_to_poll,
+            self._observe,
+            self._dispatcher.remove,
+            self._rng,
+        ).start()
+
+    def _may_retry(self) -> bool:
+        return self._budget.take(self._clock.monotonic())
+
+    def _make_pool(self, key: PoolKey) -> Pool:
+        return Pool(key.model, key.data_centre, self._limits)
+
+    def _watch_ready(self) -> None:
+        if self._cluster.is_ready:
+            self._cluster.announce_live()
+            log_event(
+                "daemon_ready", lists_version=self._cluster.holder.current.version
+            )
+            return
+        self._loop.call_later(READY_POLL_S, self._watch_ready)
+
+    def _is_ready(self) -> bool:
+        return self._cluster.is_ready and not self._is_leaving
+
+    def _data_centres_of(self, model: str) -> tuple[str, ...]:
+        own = self._settings.host.data_centre
+        names = self._dispatcher.data_centres_of(model)
+        return tuple(sorted(names, key=lambda name: (name != own, name)))
+
+    def _engines_to_poll(self) -> list[Upstream]:
+        engines = []
+        for engine in self._upstreams.engines(self._settings.host.data_centre):
+            if self._dispatcher.polls(engine.name):
+                engines.append(engine)
+        return engines
+
+    def _observe(self, state: EngineState) -> None:
+        if state.leaving:
+            self._upstreams.mark_leaving(state.name, state.incarnation)
+        elif self._upstreams.is_leaving(state.name):
+            state = dataclasses.replace(state, leaving=True)
+        self._dispatcher.observe(state)
+
+    def _on_gone(self, names: list[str]) -> None:
+        for name in names:
+            self._dispatcher.remove(name)
+
+    def _status(self) -> dict[str, t.Any]:
+        upstreams = []
+        for upstream, leaving in self._upstreams.all():
+            upstreams.append(
+                {
+                    "name": upstream.name,
+                    "kind": upstream.kind.value,
+                    "data_centre": upstream.data_centre,
+                    "state": "leaving" if leaving else "live",
+                }
+            )
+        return {
+            "host": self._settings.host.name,
+            "incarnation": self._incarnation,
+            "data_centre": self._settings.host.data_centre,
+            "ready": self._is_ready(),
+            "lists_version": self._cluster.holder.current.version,
+            "peers": self._cluster.peers(),
+            "upstreams": upstreams,
+        }
+
+
+def _pool_limits(settings: Settings) -> PoolLimits:
+    routing = settings.routing
+    ejection = EjectionLimits(
+        after=routing.eject_after,
+        base_s=routing.eject_s,
+        share=routing.eject_share,
+    )
+    return PoolLimits(
+        queue_length=settings.limits.queue_length,
+        minimum_shares=routing.minimum_shares,
+        ejection=ejection,
+    )
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    required=True,
+    type=click.Path(path_type=pathlib.Path),
+    help="The TOML file with the settings.",
+)
+def main(path: pathlib.Path) -> None:
+    """Run the daemon of one entry host until SIGTERM."""
+    try:
+        settings = load_settings(path)
+    except SettingsError as error:
+        click.echo(f"wagtailstaird: {error}", err=True)
+        sys.exit(EXIT_SETTINGS)
+    configure_logs(settings.log.level, settings.host.name)
+    daemon = Daemon(settings, SystemClock())
+    signal.signal(signal.SIGTERM, lambda number, frame: daemon.request_stop())
+    signal.signal(signal.SIGINT, lambda number, frame: daemon.request_stop())
+    daemon.start()
+    if not daemon.run():
+        sys.exit(EXIT_FAILED)
+
+
+if __name__ == "__main__":
+    main()
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -7,33 +7,32 @@
 import typing as t
 
 from ..clock import Clock
-from ..core.changes import (
-    AUDIT,
-    CHANGES,
-    Change,
-    Edit,
-    Head,
-    accept_edit,
-    apply_changes,
-    audit_key_of,
-    deletes_plan,
-    find_conflict,
-    keys_to_read,
-    make_transaction,
-    parse_change,
-    parse_version,
-)
+from ..core.changes import AUDIT
+from ..core.changes import CHANGES
+from ..core.changes import Change
+from ..core.changes import Edit
+from ..core.changes import Head
+from ..core.changes import accept_edit
+from ..core.changes import apply_changes
+from ..core.changes import audit_key_of
+from ..core.changes import deletes_plan
+from ..core.changes import find_conflict
+from ..core.changes import keys_to_read
+from ..core.changes import make_transaction
+from ..core.changes import parse_change
+from ..core.changes import parse_version
 from ..core.differences import edit_conflict
-from ..core.lists import HEAD_KEY, Lists
-from ..core.plans import ACCOUNTS, PLANS
-from ..core.rows import Row, RowKey
-from ..exceptions import (
-    ListsError,
-    PlatformConflictError,
-    PlatformError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-)
+from ..core.lists import HEAD_KEY
+from ..core.lists import Lists
+from ..core.plans import ACCOUNTS
+from ..core.plans import PLANS
+from ..core.rows import Row
+from ..core.rows import RowKey
+from ..exceptions import ListsError
+from ..exceptions import PlatformConflictError
+from ..exceptions import PlatformError
+from ..exceptions import PlatformUnavailableError
+from ..exceptions import PlatformUnknownError
 from .table import Table
 
 MAX_FOLLOWED_CHANGES = 500
--- a/tests/fake_table.py
+++ b/tests/fake_table.py
@@ -3,8 +3,10 @@
 import collections
 import json
 
-from wagtailstair.core.rows import Condition, Row
-from wagtailstair.exceptions import PlatformUnavailableError, PlatformUnknownError
+from wagtailstair.core.rows import Condition
+from wagtailstair.core.rows import Row
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
 from wagtailstair.platform.table import TransactionConflictError
 
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -2,29 +2,28 @@
 
 from tests.fake_table import FakeTable
 from wagtailstair.clock import ManualClock
-from wagtailstair.core.changes import RowEdit, make_edit
-from wagtailstair.core.differences import diff_lists, rebase_lists
+from wagtailstair.core.changes import RowEdit
+from wagtailstair.core.changes import make_edit
+from wagtailstair.core.differences import diff_lists
+from wagtailstair.core.differences import rebase_lists
 from wagtailstair.core.lists import Lists
-from wagtailstair.core.rows import Row, Write
-from wagtailstair.exceptions import (
-    EditConflictError,
-    ListsError,
-    PlatformConflictError,
-    PlatformError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-)
+from wagtailstair.core.rows import Row
+from wagtailstair.core.rows import Write
+from wagtailstair.exceptions import EditConflictError
+from wagtailstair.exceptions import ListsError
+from wagtailstair.exceptions import PlatformConflictError
+from wagtailstair.exceptions import PlatformError
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
 from wagtailstair.platform import lists as platform_lists
-from wagtailstair.platform.lists import (
-    RetryPolicy,
-    commit_edit,
-    read_changes,
-    read_head,
-    read_rows,
-    read_since,
-    read_snapshot,
-    seen_version,
-)
+from wagtailstair.platform.lists import RetryPolicy
+from wagtailstair.platform.lists import commit_edit
+from wagtailstair.platform.lists import read_changes
+from wagtailstair.platform.lists import read_head
+from wagtailstair.platform.lists import read_rows
+from wagtailstair.platform.lists import read_since
+from wagtailstair.platform.lists import read_snapshot
+from wagtailstair.platform.lists import seen_version
 
 CLOCK = ManualClock()
 RETRY = RetryPolicy(attempts=4, pause=lambda _: None)
