--- a/src/wagtailstair/core/freshness.py
+++ b/src/wagtailstair/core/freshness.py
@@ -88,6 +88,11 @@
         self._fetches = 0
         self._paused_at: float | None = None
 
+    @property
+    def known(self) -> int:
+        """The highest version that this host has heard of."""
+        return max(self.version, self.head, self._peers.known)
+
     # What happened.
 
     def tick(self, now: float, rank: int, peers: PeerVersions) -> list[Action]:
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -51,13 +51,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Heartbeat:
-    """A sign of life; ``view``: the checksum of the sender's remote view."""
+    """A sign of life.
+
+    ``view``: the checksum of the sender's remote view; ``lists_version``: what
+    the sender has; ``lists_known``: the highest version that it has heard of.
+    """
 
     host: Host
     seq: int
     state: HostState
     lists_version: int
     view: int = 0
+    lists_known: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -130,6 +135,7 @@
     state: HostState = HostState.JOINING
     seq: int = 0
     lists_version: int = 0
+    lists_known: int = 0
     heard_at: float = 0.0
     heard: bool = False
     listed: bool = False
@@ -205,6 +211,8 @@
         peer.heard_at = now
         peer.view = message.view
         peer.lists_version = max(peer.lists_version, message.lists_version)
+        known = max(message.lists_known, message.lists_version)
+        peer.lists_known = max(peer.lists_known, known)
         events.extend(self._enter(peer, message.state))
         return events
 
@@ -275,7 +283,7 @@
         self._sent_at = self._sent_remote_at = float("-inf")
 
     def next_heartbeat(
-        self, lists_version: int, models: tuple[str, ...] = ()
+        self, lists_version: int, lists_known: int, models: tuple[str, ...] = ()
     ) -> Heartbeat:
         """Return the heartbeat to send.
 
@@ -284,7 +292,7 @@
         self._seq += 1
         view = view_checksum(self._heard_remote())
         host = dataclasses.replace(self.host, models=models)
-        return Heartbeat(host, self._seq, self.state, lists_version, view)
+        return Heartbeat(host, self._seq, self.state, lists_version, view, lists_known)
 
     def models_by_centre(self) -> dict[str, set[str]]:
         """Return the models that other data centres have told of."""
@@ -329,19 +337,21 @@
         return self._remote.get(name)
 
     def lists_version(self) -> int:
-        """Return the highest version of the lists that a peer is known to have."""
-        versions = (peer.lists_version for peer in self.by_name.values())
+        """Return the highest version of the lists that a live peer has."""
+        return max((peer.lists_version for peer in self._heard()), default=0)
+
+    def lists_known(self) -> int:
+        """Return the highest version of the lists that any peer has told of."""
+        versions = (peer.lists_known for peer in self.by_name.values())
         return max(versions, default=0)
 
+    def count_heard(self) -> int:
+        """Return the number of peers that are heard directly."""
+        return sum(1 for _ in self._heard())
+
     def holders(self, version: int) -> list[Host]:
         """Return the peers that hold a version of the lists, nearest first."""
-        found = [
-            peer
-            for peer in self.by_name.values()
-            if peer.heard
-            and peer.state is not HostState.DEAD
-            and peer.lists_version >= version
-        ]
+        found = [peer for peer in self._heard() if peer.lists_version >= version]
         found.sort(key=self._distance)
         return [peer.host for peer in found]
 
@@ -433,6 +443,11 @@
     def _distance(self, peer: Peer) -> tuple[bool, str]:
         return peer.host.data_centre != self.host.data_centre, peer.host.name
 
+    def _heard(self) -> t.Iterator[Peer]:
+        for peer in self.by_name.values():
+            if peer.heard and peer.state is not HostState.DEAD:
+                yield peer
+
     def _inside(self) -> t.Iterator[Peer]:
         for peer in self.by_name.values():
             if peer.host.data_centre == self.host.data_centre:
--- a/src/wagtailstair/peers/codec.py
+++ b/src/wagtailstair/peers/codec.py
@@ -69,6 +69,8 @@
         "seq": message.seq,
         "state": int(message.state),
         "listsVersion": message.lists_version,
+        # The excess is nearly always zero, which costs no byte.
+        "listsExcess": max(0, message.lists_known - message.lists_version),
         "view": message.view,
         "models": list(host.models),
         **records.write_address(host.address, host.peer_address),
@@ -192,7 +194,9 @@
         tuple(record.models),
     )
     state = HostState(record.state)
-    return Heartbeat(host, record.seq, state, record.listsVersion, record.view)
+    version = record.listsVersion
+    known = version + record.listsExcess
+    return Heartbeat(host, record.seq, state, version, record.view, known)
 
 
 def _read_refused(record: Record) -> Refused:
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from ..clock import Clock
+from ..core.freshness import PeerVersions
 from ..core.membership import Event
 from ..core.membership import Heartbeat
 from ..core.membership import Host
@@ -14,6 +15,7 @@
 from ..core.membership import ViewRequest
 from ..core.messages import Message
 from ..core.pools import PoolFactory
+from ..core.rendezvous import ranked
 from ..dispatch import Dispatcher
 from ..logs import log_event
 from .codec import Datagram
@@ -28,7 +30,8 @@
 class Node:
     """Runs membership and dispatch over a transport.
 
-    :param lists_version: the version of the lists that this host has.
+    :param lists_versions: the version of the lists that this host has, and the
+        highest that it knows of.
     :param on_heard: called when a peer has told of a higher version.
     """
 
@@ -38,7 +41,7 @@
         transport: UdpTransport,
         make_pool: PoolFactory,
         clock: Clock,
-        lists_version: t.Callable[[], int],
+        lists_versions: t.Callable[[], tuple[int, int]],
         on_heard: t.Callable[[int], None] = lambda version: None,
     ) -> None:
         self.membership = membership
@@ -47,7 +50,7 @@
         self.listeners: list[Listener] = [self.dispatcher.members_changed]
         self._transport = transport
         self._clock = clock
-        self._lists_version = lists_version
+        self._lists_versions = lists_versions
         self._on_heard = on_heard
         self._ticked_at = float("-inf")
         self._stopping = threading.Event()
@@ -81,6 +84,26 @@
             self._send_heartbeats(self._clock.monotonic())
         self._transport.flush()
 
+    def peer_versions(self) -> PeerVersions:
+        """Return what the peers have told of the lists."""
+        with self.lock:
+            held = self.membership.lists_version()
+            holders = self.membership.holders(held) if held else []
+            return PeerVersions(
+                live=self.membership.count_heard(),
+                held=held,
+                known=self.membership.lists_known(),
+                holders=tuple(host.address for host in holders),
+            )
+
+    def lists_rank(self) -> int:
+        """Return this host's rank as reader of the lists in its data centre."""
+        host = self.membership.host
+        with self.lock:
+            live = self.membership.live(host.data_centre)
+        names = ranked(f"lists/{host.data_centre}", {*live, host.name})
+        return names.index(host.name)
+
     def host_list(self, hosts: t.Iterable[Host]) -> None:
         """Take the platform's list of entry hosts; a mistyped address is left out."""
         usable = [host for host in hosts if is_address(host.peer_address)]
@@ -109,14 +132,14 @@
 
     def _send_heartbeats(self, now: float) -> None:
         inside, remote = self.membership.due(now)
-        version = self._lists_version()
+        held, known = self._lists_versions()
         if inside:
-            message = self.membership.next_heartbeat(version)
+            message = self.membership.next_heartbeat(held, known)
             for address in inside:
                 self._transport.send(address, 0, message)
         if remote:
             models = self.dispatcher.models()
-            message = self.membership.next_heartbeat(version, models)
+            message = self.membership.next_heartbeat(held, known, models)
             for address in remote:
                 self._transport.send(address, 0, message)
 
@@ -147,14 +170,15 @@
                 self._greet(message.host)
             version = self.membership.lists_version()
         self._notify(events)
-        if version > known and version > self._lists_version():
+        if version > known and version > self._lists_versions()[0]:
             self._on_heard(version)
 
     def _greet(self, host: Host) -> None:
         """Answer the first heartbeat of a host, so that it need not wait."""
         is_remote = host.data_centre != self.membership.host.data_centre
         models = self.dispatcher.models() if is_remote else ()
-        message = self.membership.next_heartbeat(self._lists_version(), models)
+        held, known = self._lists_versions()
+        message = self.membership.next_heartbeat(held, known, models)
         self._transport.send(host.peer_address, 0, message)
         self._transport.flush()
 
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -46,6 +46,7 @@
   listsVersion @6 :UInt64;
   view @7 :UInt32;
   models @8 :List(Text);
+  listsExcess @9 :UInt64;     # known above listsVersion
 }
 
 struct Want {
--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -133,7 +133,7 @@
         self.dispatcher.members_changed(self.membership.tick(now))
         inside, remote = self.membership.due(now)
         if inside or remote:
-            message = self.membership.next_heartbeat(0)
+            message = self.membership.next_heartbeat(0, 0)
             for address in inside + remote:
                 self.transport.send(address, 0, message)
             self.transport.flush()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -72,7 +72,7 @@
         member.tick(self.now)
         inside, remote = member.due(self.now)
         addresses = inside + remote
-        message = member.next_heartbeat(0)
+        message = member.next_heartbeat(0, 0)
         for target in self._reach(name, addresses):
             target.heartbeat(message, self.now)
         for target in self._reach(name, member.views_wanted(self.now)):
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -97,7 +97,7 @@
     Settle(9, 60.0),
 )
 MESSAGES = (
-    Heartbeat(HOST, 4, HostState.LEAVING, 9, 0xFFFFFFFF),
+    Heartbeat(HOST, 4, HostState.LEAVING, 9, 0xFFFFFFFF, 11),
     ViewRequest(),
     View((HOST, FAR)),
     View(()),
--- a/tests/test_peers_node.py
+++ b/tests/test_peers_node.py
@@ -50,7 +50,7 @@
             self.transport,
             lambda key: Pool(key.model, key.data_centre),
             clock,
-            lambda: self.version,
+            lambda: (self.version, self.version),
             self.heard.append,
         )
         self.node.start()
@@ -133,6 +133,11 @@
         running[0].node.announce()
         wait_until(lambda: all(7 in node.heard for node in running[1:3]))
         wait_until(lambda: running[3].membership.lists_version() == 7)
+        versions = running[3].node.peer_versions()
+        assert (versions.held, versions.known) == (7, 7)
+        assert versions.holders == (running[0].host.address,)
+        ranks = [node.node.lists_rank() for node in running[:3]]
+        assert sorted(ranks) == [0, 1, 2]
 
     def test_leaving_host_is_no_longer_live_for_others(self, running):
         running[0].node.set_state(HostState.LEAVING)
