--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -50,6 +50,7 @@
 
 TICK_S = 0.05  # the longest time between two looks at what is due
 WAKE_FLOOR_S = 0.005
+ROLES_CACHED = 65_536
 
 Decision = Grant | Refusal
 
@@ -93,6 +94,8 @@
         self.tickets = Tickets(self._find_owner, make_pool, self.engines, self._tell)
         self.charges = Charges(self._find_home, self._tell, self._host.name)
         self._generation = -1
+        self._cached_at = -1
+        self._host_by_role: dict[str, str | None] = {}
         self._era_by_host: dict[str, int] = {}
         self._buried: dict[str, int] = {}
         self._reset_by_sender: dict[str, int] = {}
@@ -200,8 +203,8 @@
     def polls(self, engine: str) -> bool:
         """Return whether this host is the one to poll an engine."""
         with self._lock:
-            hosts = self._membership.live(self._host.data_centre)
-        return owner(f"engine/{engine}", hosts) in (self._host.name, None)
+            host = self._find_host(f"engine/{engine}", self._host.data_centre)
+        return host in (self._host.name, None)
 
     def observe(self, state: EngineState) -> None:
         """Take a load report that this host read, and spread it."""
@@ -290,10 +293,21 @@
         return min(TICK_S, max(WAKE_FLOOR_S, wait_s))
 
     def _find_owner(self, key: PoolKey) -> str | None:
-        return owner(str(key), self._membership.live(key.data_centre))
+        return self._find_host(str(key), key.data_centre)
 
     def _find_home(self, account: str) -> str | None:
-        return owner(f"account/{account}", self._membership.live())
+        return self._find_host(f"account/{account}", None)
+
+    def _find_host(self, role: str, data_centre: str | None) -> str | None:
+        """Return the live host that has a role, among some or all of them."""
+        generation = self._membership.generation
+        if generation != self._cached_at or len(self._host_by_role) >= ROLES_CACHED:
+            self._cached_at = generation
+            self._host_by_role.clear()
+        if role not in self._host_by_role:
+            live = self._membership.live(data_centre)
+            self._host_by_role[role] = owner(role, live)
+        return self._host_by_role[role]
 
     def _tell(self, host: str, body: Reliable, now: float) -> None:
         self._send(host, self.outbox.add(host, body, now), now)
--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -94,10 +94,10 @@
         with self._lock:
             return self._freshness.is_ready
 
-    def versions(self) -> tuple[int, int]:
-        """Return the version here, and the highest that is known of."""
+    def known(self) -> int:
+        """Return the highest version that this host has heard of."""
         with self._lock:
-            return self._freshness.version, self._freshness.known
+            return self._freshness.known
 
     def wait_until_fresh(self, deadline: float) -> bool:
         """Wait, after a pause of the process, for one attempt to refresh.
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -30,9 +30,9 @@
 class Node:
     """Runs membership and dispatch over a transport.
 
-    :param lists_versions: the version of the lists that this host has, and the
-        highest that it knows of.
+    :param lists_version: the version of the lists that this host has.
     :param on_heard: called when a peer has told of a higher version.
+    :param lists_known: the highest version that this host has heard of.
     """
 
     def __init__(
@@ -41,8 +41,9 @@
         transport: UdpTransport,
         make_pool: PoolFactory,
         clock: Clock,
-        lists_versions: t.Callable[[], tuple[int, int]],
+        lists_version: t.Callable[[], int],
         on_heard: t.Callable[[int], None] = lambda version: None,
+        lists_known: t.Callable[[], int] | None = None,
     ) -> None:
         self.membership = membership
         self.lock = threading.RLock()
@@ -50,7 +51,8 @@
         self.listeners: list[Listener] = [self.dispatcher.members_changed]
         self._transport = transport
         self._clock = clock
-        self._lists_versions = lists_versions
+        self._lists_version = lists_version
+        self._lists_known = lists_known or lists_version
         self._on_heard = on_heard
         self._ticked_at = float("-inf")
         self._stopping = threading.Event()
@@ -93,7 +95,7 @@
                 live=self.membership.count_heard(),
                 held=held,
                 known=self.membership.lists_known(),
-                holders=tuple(host.address for host in holders),
+                holders=tuple(host.name for host in holders),
             )
 
     def lists_rank(self) -> int:
@@ -132,7 +134,7 @@
 
     def _send_heartbeats(self, now: float) -> None:
         inside, remote = self.membership.due(now)
-        held, known = self._lists_versions()
+        held, known = self._lists_version(), self._lists_known()
         if inside:
             message = self.membership.next_heartbeat(held, known)
             for address in inside:
@@ -170,14 +172,14 @@
                 self._greet(message.host)
             version = self.membership.lists_version()
         self._notify(events)
-        if version > known and version > self._lists_versions()[0]:
+        if version > known and version > self._lists_version():
             self._on_heard(version)
 
     def _greet(self, host: Host) -> None:
         """Answer the first heartbeat of a host, so that it need not wait."""
         is_remote = host.data_centre != self.membership.host.data_centre
         models = self.dispatcher.models() if is_remote else ()
-        held, known = self._lists_versions()
+        held, known = self._lists_version(), self._lists_known()
         message = self.membership.next_heartbeat(held, known, models)
         self._transport.send(host.peer_address, 0, message)
         self._transport.flush()
