Send peers the whole report seldom and the load alone often

At 10 polled engines and 21 peers a refresh each 10 s cost 3.2 KB/s or more a node, of 6 KB/s for all control. The dispatcher now gets a short load message, at most once a second and engine; the others get the whole report each 30 s, when it changes in what matters to them, and when a host is new.

--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -156,6 +156,22 @@
     age_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineLoad:
+    """What changes often of a load report, for a host that has the rest.
+
+    ``incarnation``: a checksum of the engine's incarnation.
+    """
+
+    name: str
+    incarnation: int
+    running: int
+    waiting: int
+    kv_used: int
+    step_s: float
+    age_s: float
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineLost:
     """An engine can't be reached or is off the host list."""
@@ -193,6 +209,7 @@
     Charge,
     Charged,
     EngineReport,
+    EngineLoad,
     EngineLost,
     Numbered,
     Ack,
--- a/src/wagtailstair/core/spread.py
+++ b/src/wagtailstair/core/spread.py
@@ -5,11 +5,13 @@
 import zlib
 
 from .engine import EngineState
+from .messages import EngineLoad
 from .pools import Engines
 
-REFRESH_S = 10.0  # to all peers, changed or not
+REFRESH_S = 30.0  # to all peers, changed or not
 REPEAT_S = 5.0  # to the dispatcher, changed or not
-STALE_S = 35.0  # without any report, an engine is forgotten
+LOAD_INTERVAL_S = 1.0  # to the dispatcher, at most so often
+STALE_S = 100.0  # without any report, an engine is forgotten
 STEP_CHANGE = 0.1  # relative change of the step time that matters
 KV_CHANGE = 0.05  # change of the KV memory in use that matters, of its size
 
@@ -47,6 +49,33 @@
     return abs(state.step_s - sent.step_s) > STEP_CHANGE * sent.step_s
 
 
+def load_of(state: EngineState, now: float) -> EngineLoad:
+    """Return what changes often of a load report."""
+    return EngineLoad(
+        state.name,
+        zlib.crc32(state.incarnation.encode()),
+        state.running,
+        state.waiting,
+        state.kv_used,
+        state.step_s,
+        max(0.0, now - state.as_of),
+    )
+
+
+def with_load(state: EngineState, load: EngineLoad, now: float) -> EngineState | None:
+    """Return a report with a newer load; None if it is of another incarnation."""
+    if zlib.crc32(state.incarnation.encode()) != load.incarnation:
+        return None
+    return dataclasses.replace(
+        state,
+        running=load.running,
+        waiting=load.waiting,
+        kv_used=load.kv_used,
+        step_s=load.step_s,
+        as_of=now - load.age_s,
+    )
+
+
 class Spread:
     """What the peers have been told of the engines that this host polls."""
 
@@ -60,24 +89,36 @@
         dispatcher: str | None,
         peers: t.Sequence[str],
         now: float,
-    ) -> t.Sequence[str]:
-        """Return the peers to tell of a report, and note that they were told."""
+    ) -> tuple[t.Sequence[str], bool]:
+        """Return the peers to tell of a report, and note that they were told.
+
+        The second value: whether they need the whole report, not the load alone.
+        """
         sent = self._sent_by_engine.get(state.name)
         if sent is None or _shape(sent.state) != _shape(state):
             refresh_at = now + REFRESH_S * _phase(state.name)
             self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
-            return peers
+            return peers, True
         if now >= sent.refresh_at:
             refresh_at = now + REFRESH_S
             self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
-            return peers
-        due = now - sent.at >= REPEAT_S or dispatcher != sent.dispatcher
-        if not due and not _load_changed(state, sent.state):
-            return ()
+            return peers, True
+        is_new = dispatcher != sent.dispatcher
+        if not is_new:
+            wait_s = REPEAT_S
+            if _load_changed(state, sent.state):
+                wait_s = LOAD_INTERVAL_S
+            if now - sent.at < wait_s:
+                return (), False
         self._sent_by_engine[state.name] = _Sent(
             state, dispatcher, now, sent.refresh_at
         )
-        return [peer for peer in peers if peer == dispatcher]
+        return [peer for peer in peers if peer == dispatcher], is_new
+
+    def hurry(self) -> None:
+        """Make the next report of each engine go to all peers, as one is new."""
+        for sent in self._sent_by_engine.values():
+            sent.refresh_at = float("-inf")
 
     def stale(self, engines: Engines, now: float) -> list[EngineState]:
         """Return the engines of which no report has come for too long."""
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -24,6 +24,7 @@
 from .core.messages import Ack
 from .core.messages import Charge
 from .core.messages import Charged
+from .core.messages import EngineLoad
 from .core.messages import EngineLost
 from .core.messages import EngineReport
 from .core.messages import Finished
@@ -46,6 +47,8 @@
 from .core.quota import QuotaLimits
 from .core.rendezvous import owner
 from .core.spread import Spread
+from .core.spread import load_of
+from .core.spread import with_load
 from .core.tickets import Tickets
 
 TICK_S = 0.05  # the longest time between two looks at what is due
@@ -214,8 +217,11 @@
             dispatcher = self._find_owner(PoolKey(state.model, state.data_centre))
             peers = self._membership.live(self._host.data_centre)
             others = [peer for peer in peers if peer != self._host.name]
-            report = EngineReport(state, max(0.0, now - state.as_of))
-            for host in self.spread.targets(state, dispatcher, others, now):
+            targets, is_whole = self.spread.targets(state, dispatcher, others, now)
+            report: Message = load_of(state, now)
+            if is_whole:
+                report = EngineReport(state, max(0.0, now - state.as_of))
+            for host in targets:
                 self._send(host, report, now)
             self._pump(now)
         self._resolve()
@@ -344,8 +350,11 @@
             self._buried.pop(name, None)
             self.tickets.void(name, now)
             self.charges.void(name, now)
+            self.spread.hurry()
         elif isinstance(event, PeerLive):
             self._revive(event.host.name, event.host.incarnation, now)
+            if event.host.data_centre == self._host.data_centre:
+                self.spread.hurry()
 
     def _lose(self, name: str, incarnation: int, now: float) -> None:
         self.outbox.drop(name)
@@ -401,9 +410,19 @@
         elif isinstance(message, EngineReport):
             as_of = now - message.age_s
             self._observe(dataclasses.replace(message.state, as_of=as_of), now)
+        elif isinstance(message, EngineLoad):
+            self._take_load(message, now)
         elif isinstance(message, EngineLost):
             self._engine_lost(message)
 
+    def _take_load(self, message: EngineLoad, now: float) -> None:
+        known = self.engines.by_name.get(message.name)
+        if known is None:
+            return
+        state = with_load(known, message, now)
+        if state is not None:
+            self._observe(state, now)
+
     def _take_numbered(
         self, sender: str, name: str, message: Numbered, now: float
     ) -> None:
--- a/src/wagtailstair/peers/codec.py
+++ b/src/wagtailstair/peers/codec.py
@@ -19,6 +19,7 @@
 from ..core.messages import Ack
 from ..core.messages import Charge
 from ..core.messages import Charged
+from ..core.messages import EngineLoad
 from ..core.messages import EngineLost
 from ..core.messages import EngineReport
 from ..core.messages import Finished
@@ -177,6 +178,7 @@
     Charge: ("charge", _write_charge),
     Charged: ("charged", _write_charged),
     EngineReport: ("engineReport", records.write_report),
+    EngineLoad: ("engineLoad", records.write_load),
     EngineLost: ("engineLost", _write_lost),
     Numbered: ("numbered", _write_numbered),
     Ack: ("ack", lambda message: list(message.numbers)),
@@ -270,6 +272,7 @@
         record.handle, Limit(record.limit), record.retryAfterS
     ),
     "engineReport": records.read_report,
+    "engineLoad": records.read_load,
     "engineLost": lambda record: EngineLost(record.name, record.incarnation),
     "numbered": _read_numbered,
     "ack": lambda record: Ack(tuple(record)),
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -23,6 +23,7 @@
     engineLost @10 :EngineLost;
     numbered @11 :Numbered;
     ack @12 :List(UInt32);
+    engineLoad @13 :EngineLoad;
   }
 }
 
@@ -140,6 +141,16 @@
   seconds @1 :Float32;
 }
 
+struct EngineLoad {
+  name @0 :Text;
+  incarnation @1 :UInt32;   # a checksum of it
+  running @2 :UInt16;
+  waiting @3 :UInt16;
+  kvUsed @4 :UInt32;
+  stepS @5 :Float32;
+  ageMs @6 :UInt16;
+}
+
 struct EngineLost {
   name @0 :Text;
   incarnation @1 :Text;
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -14,6 +14,7 @@
 from ..core.engine import Route
 from ..core.engine import Stage
 from ..core.membership import Host
+from ..core.messages import EngineLoad
 from ..core.messages import EngineReport
 from ..core.messages import PoolKey
 
@@ -179,6 +180,32 @@
     }
 
 
+def write_load(message: EngineLoad) -> Fields:
+    """Return the fields of what changes often of a load report."""
+    return {
+        "name": message.name,
+        "incarnation": message.incarnation,
+        "running": _bounded(message.running, UINT16_MAX),
+        "waiting": _bounded(message.waiting, UINT16_MAX),
+        "kvUsed": _bounded(message.kv_used),
+        "stepS": message.step_s,
+        "ageMs": _bounded(message.age_s * MS_PER_S, UINT16_MAX),
+    }
+
+
+def read_load(record: Record) -> EngineLoad:
+    """Return what changes often of a load report."""
+    return EngineLoad(
+        record.name,
+        record.incarnation,
+        record.running,
+        record.waiting,
+        record.kvUsed,
+        record.stepS,
+        record.ageMs / MS_PER_S,
+    )
+
+
 def read_report(record: Record) -> EngineReport:
     """Return a load report; the receiver sets its instant from its age."""
     state = EngineState(
