Drive the claims through every order of steps and faults

Lost call released, answered call released at the deadline: 'said not_run, but it ran'. Request hash: 'another request's answer'. Fetched body: 'a changed answer'. Settle without its condition was missed by the machine and is found by the directed test ('an older run's answer'). The send window in the core alone is not seen to fail, since the adapter judges it again. All pass with the guards.

--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -9,7 +9,7 @@
 
 from .clock import Clock
 from .commits import GroupWriter, TableClient
-from .core.claim_rows import TABLE, decode_claim, make_write
+from .core.claim_rows import TABLE, decode_claim, find_expired, make_write
 from .core.claim_steps import (
     Answer,
     Answered,
@@ -184,6 +184,20 @@
                 self._running -= 1
                 self._idle.notify_all()
 
+    def sweep(self, rows: collections.abc.Iterable[Row]) -> int:
+        """Delete the claims that are past their retention; return how many.
+
+        :param rows: a scan of the claims' table. One host at a time is enough.
+        """
+        now = self._clock.utcnow().timestamp()
+        deletes = find_expired(rows, now, self._limits.retention_s)
+        swept = 0
+        for condition, write in deletes:
+            future = self._writer.submit(condition, write)
+            concurrent.futures.wait([future])
+            swept += future.exception() is None
+        return swept
+
     def close(self, timeout: float) -> int:
         """Settle what is pending; return the number of results left unsettled.
 
--- a/src/wagtailstair/core/claim_rows.py
+++ b/src/wagtailstair/core/claim_rows.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import collections.abc
 import typing as t
 
 from .claim_steps import (
@@ -13,7 +14,7 @@
     Release,
     Settle,
 )
-from .rows import VERSION_ABSENT, Condition, Value, Write
+from .rows import VERSION_ABSENT, Condition, Row, Value, Write
 
 TABLE = "claims"
 
@@ -76,3 +77,21 @@
     if not isinstance(command, Insert):
         version = command.version
     return Condition(TABLE, key, version), Write(TABLE, key, value)
+
+
+def find_expired(
+    rows: collections.abc.Iterable[Row], now: float, retention_s: float
+) -> list[tuple[Condition, Write]]:
+    """Return the deletes of claims older than their retention.
+
+    :param now: wall clock, seconds since the epoch.
+    """
+    deletes: list[tuple[Condition, Write]] = []
+    for row in rows:
+        if row.value is None:
+            continue
+        if decode_claim(row.value).claimed_at + retention_s >= now:
+            continue
+        condition = Condition(TABLE, row.key, row.version)
+        deletes.append((condition, Write(TABLE, row.key, None)))
+    return deletes
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -206,6 +206,25 @@
         assert world.run(world.daemon("h2")) == first
 
 
+class TestSweep:
+    def test_deletes_only_rows_past_their_retention(self, world):
+        claims = world.daemon("h1")
+        world.run(claims, key="old")
+        world.run(claims, key="new")
+        rows = {row.key: row for row in world.table.scan("claims")}
+        rows["acme/desk/old"].value["claimed_at"] -= LIMITS.retention_s + 1
+        assert claims.sweep(list(rows.values())) == 1
+        assert [row.key for row in world.table.scan("claims")] == ["acme/desk/new"]
+
+    def test_keeps_a_row_that_was_written_anew(self, world):
+        claims = world.daemon("h1")
+        world.run(claims)
+        (seen,) = world.table.scan("claims")
+        seen.value["claimed_at"] -= LIMITS.retention_s + 1
+        world.table.transact([], [Write("claims", seen.key, seen.value)])
+        assert claims.sweep([seen]) == 0
+
+
 class TestGroupCommit:
     @pytest.fixture
     def writer(self, world):
--- /dev/null
+++ b/tests/test_claims_machine.py
@@ -0,0 +1,134 @@
+import hypothesis.strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+
+from tests import fuzz
+from tests.claim_world import LIMITS, ClaimWorld, Fault
+from wagtailstair.core.claim_steps import Settle
+
+HOSTS = 3
+indexes = st.integers(0, 7)
+hosts = st.integers(0, HOSTS - 1)
+keys = st.sampled_from(["k", "k", "other"])
+digests = st.sampled_from(["d", "d", "d", "e"])
+bodies = st.sampled_from([b"", b"", b"longer than a row"])
+faults = st.one_of(st.just(Fault.NONE), st.sampled_from(list(Fault)))
+
+
+def kill(world, host):
+    world.kill(host)
+
+
+def freeze_or_thaw(world, host):
+    daemon = world.daemons[host]
+    daemon.is_frozen = not daemon.is_frozen
+
+
+def cut_or_join(world, host):
+    daemon = world.daemons[host]
+    daemon.is_cut = not daemon.is_cut
+
+
+def land_write(world, host):
+    world.land(host)
+
+
+def land_call(world, host):
+    world.land_call(host)
+
+
+def wait(world, host):
+    world.advance((1.0, 31.0, 61.0)[host])
+    world.sweep()
+
+
+def outlast_retention(world, host):
+    world.advance(LIMITS.retention_s + 1.0)
+    world.sweep()
+
+
+DISTURBANCES = [
+    kill,
+    freeze_or_thaw,
+    cut_or_join,
+    land_write,
+    land_call,
+    wait,
+    outlast_retention,
+]
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Every order of steps, faults, kills, freezes, cuts and sweeps."""
+
+    @initialize()
+    def start(self):
+        self.world = ClaimWorld(HOSTS)
+
+    @rule(host=hosts, key=keys, digest=digests, body=bodies)
+    def submit(self, host, key, digest, body):
+        self.world.submit(host, key, digest, body)
+
+    @precondition(lambda self: self.world.calls)
+    @rule(index=indexes, script=st.lists(faults, min_size=1, max_size=6))
+    def step(self, index, script):
+        """Take half a step for each fault: an effect, or the sight of one."""
+        call = self.world.calls[index % len(self.world.calls)]
+        for fault in script:
+            self.world.step(call, fault)
+
+    @precondition(lambda self: self.world.calls)
+    @rule(index=indexes, count=st.integers(1, 8), last=faults)
+    def pass_then_fail(self, index, count, last):
+        call = self.world.calls[index % len(self.world.calls)]
+        for _ in range(count):
+            self.world.step(call)
+        self.world.step(call, last)
+
+    @rule(host=hosts, disturb=st.sampled_from(DISTURBANCES))
+    def disturb(self, host, disturb):
+        disturb(self.world, host)
+
+    @invariant()
+    def holds(self):
+        self.world.check()
+
+    def teardown(self):
+        if not hasattr(self, "world"):
+            return
+        for daemon in self.world.daemons:
+            daemon.is_frozen = daemon.is_cut = False
+        while self.world.table.delayed:
+            self.world.land()
+        for call in list(self.world.calls):
+            self.world.finish(call)
+        self.world.finish(self.world.submit(0))
+        while self.world.late_runs:
+            self.world.land_call()
+        self.world.check()
+
+
+ClaimsMachine.TestCase.settings = fuzz.settings(examples=300, steps=50)
+TestClaimsMachine = fuzz.seeded(ClaimsMachine)
+
+
+class TestThawed:
+    def test_result_of_a_swept_claim_replaces_no_newer_one(self):
+        world = ClaimWorld()
+        old = world.submit(0)
+        for _ in range(4):
+            world.step(old)
+        assert isinstance(old.command, Settle)
+        outlast_retention(world, 0)
+        newer = world.submit(1)
+        world.finish(newer)
+        world.finish(old)
+        retry = world.submit(2)
+        world.finish(retry)
+        assert retry.result == newer.result
+        assert retry.result != old.result
