Test an own late attempt at each later call of its edit

Cause: with the change id read before the rows and the head not looked at again on a refusal, the stateful test still passed (trial on a scratch copy). This test then fails with a conflict that the operator has with himself.

--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -217,6 +217,26 @@
         table.deliver()
         assert table.keys("audit") == ["000000000001"]
 
+    @pytest.mark.parametrize("calls_later", range(6))
+    def test_an_own_late_attempt_is_not_anothers_edit(self, calls_later):
+        table = FakeTable()
+        calls_since = []
+
+        def before_call(kind):
+            if calls_since:
+                calls_since.append(kind)
+                if len(calls_since) == calls_later + 2:
+                    table.deliver()
+                return None
+            if kind != "transact":
+                return None
+            calls_since.append(kind)
+            return "delay"
+
+        table.before_call = before_call
+        assert put_plan(table, "c1", "maker").version == 1
+        assert table.keys("audit") == ["000000000001"]
+
     def test_running_again_returns_the_first_change(self):
         table = FakeTable()
         table.before_call = scripted(*["lose_reply", "unavailable"] * 4)
