--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -217,12 +217,12 @@
             dispatcher = self._find_owner(PoolKey(state.model, state.data_centre))
             peers = self._membership.live(self._host.data_centre)
             others = [peer for peer in peers if peer != self._host.name]
-            targets, is_whole = self.spread.targets(state, dispatcher, others, now)
-            report: Message = load_of(state, now)
-            if is_whole:
+            whole, load = self.spread.targets(state, dispatcher, others, now)
+            for host in whole:
                 report = EngineReport(state, max(0.0, now - state.as_of))
-            for host in targets:
                 self._send(host, report, now)
+            for host in load:
+                self._send(host, load_of(state, now), now)
             self._pump(now)
         self._resolve()
 
