--- a/src/wagtailstair/core/spread.py
+++ b/src/wagtailstair/core/spread.py
@@ -22,6 +22,7 @@
     dispatcher: str | None
     at: float
     refresh_at: float
+    peers: t.Sequence[str]
 
 
 def _shape(state: EngineState) -> tuple[t.Any, ...]:
@@ -89,31 +90,42 @@
         dispatcher: str | None,
         peers: t.Sequence[str],
         now: float,
-    ) -> tuple[t.Sequence[str], bool]:
+    ) -> tuple[t.Sequence[str], t.Sequence[str]]:
         """Return the peers to tell of a report, and note that they were told.
 
-        The second value: whether they need the whole report, not the load alone.
+        The first need the whole report, the second what changes often.
         """
         sent = self._sent_by_engine.get(state.name)
         if sent is None or _shape(sent.state) != _shape(state):
             refresh_at = now + REFRESH_S * _phase(state.name)
-            self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
-            return peers, True
+            self._note(state, dispatcher, peers, now, refresh_at)
+            return peers, ()
         if now >= sent.refresh_at:
-            refresh_at = now + REFRESH_S
-            self._sent_by_engine[state.name] = _Sent(state, dispatcher, now, refresh_at)
-            return peers, True
-        is_new = dispatcher != sent.dispatcher
-        if not is_new:
-            wait_s = REPEAT_S
-            if _load_changed(state, sent.state):
-                wait_s = LOAD_INTERVAL_S
-            if now - sent.at < wait_s:
-                return (), False
+            self._note(state, dispatcher, peers, now, now + REFRESH_S)
+            return peers, ()
+        new = [peer for peer in peers if peer not in sent.peers]
+        if dispatcher != sent.dispatcher and dispatcher in peers:
+            new.append(t.cast(str, dispatcher))
+        if new:
+            self._note(state, dispatcher, peers, now, sent.refresh_at)
+            return list(dict.fromkeys(new)), ()
+        wait_s = LOAD_INTERVAL_S if _load_changed(state, sent.state) else REPEAT_S
+        if now - sent.at < wait_s:
+            return (), ()
+        self._note(state, dispatcher, peers, now, sent.refresh_at)
+        return (), [peer for peer in peers if peer == dispatcher]
+
+    def _note(
+        self,
+        state: EngineState,
+        dispatcher: str | None,
+        peers: t.Sequence[str],
+        now: float,
+        refresh_at: float,
+    ) -> None:
         self._sent_by_engine[state.name] = _Sent(
-            state, dispatcher, now, sent.refresh_at
+            state, dispatcher, now, refresh_at, peers
         )
-        return [peer for peer in peers if peer == dispatcher], is_new
 
     def hurry(self) -> None:
         """Make the next report of each engine go to all peers, as one is new."""
--- a/tests/test_dispatch_spread.py
+++ b/tests/test_dispatch_spread.py
@@ -16,28 +16,34 @@
 class TestTargets:
     def make(self):
         spread = Spread()
-        assert spread.targets(STATE, "p2", PEERS, 0.0) == (PEERS, True)
+        assert spread.targets(STATE, "p2", PEERS, 0.0) == (PEERS, ())
         return spread
 
     def test_changed_load_goes_to_the_dispatcher_alone(self):
         spread = self.make()
-        assert spread.targets(STATE, "p2", PEERS, 1.5) == ((), False)
-        assert spread.targets(BUSY, "p2", PEERS, 1.6) == (["p2"], False)
-        assert spread.targets(STATE, "p2", PEERS, 1.7) == ((), False)
+        assert spread.targets(STATE, "p2", PEERS, 1.5) == ((), ())
+        assert spread.targets(BUSY, "p2", PEERS, 1.6) == ((), ["p2"])
+        assert spread.targets(STATE, "p2", PEERS, 1.7) == ((), ())
 
     def test_change_that_matters_to_all_goes_to_all_at_once(self):
         spread = self.make()
         leaving = dataclasses.replace(STATE, leaving=True)
-        assert spread.targets(leaving, "p2", PEERS, 0.1) == (PEERS, True)
+        assert spread.targets(leaving, "p2", PEERS, 0.1) == (PEERS, ())
 
     def test_new_dispatcher_is_told_at_once(self):
         spread = self.make()
-        assert spread.targets(STATE, "p3", PEERS, 0.1) == (["p3"], True)
+        assert spread.targets(STATE, "p3", PEERS, 0.1) == (["p3"], ())
 
-    def test_new_peer_is_told_of_everything(self):
+    def test_new_peer_is_told_at_once(self):
+        spread = self.make()
+        peers = (*PEERS, "p4")
+        assert spread.targets(STATE, "p2", peers, 0.1) == (["p4"], ())
+        assert spread.targets(STATE, "p2", peers, 0.2) == ((), ())
+
+    def test_replaced_peer_is_told_of_everything(self):
         spread = self.make()
         spread.hurry()
-        assert spread.targets(STATE, "p2", PEERS, 0.1) == (PEERS, True)
+        assert spread.targets(STATE, "p2", PEERS, 0.1) == (PEERS, ())
 
 
 class TestLoad:
