--- a/bench/relay.py
+++ b/bench/relay.py
@@ -156,7 +156,7 @@
     return max(s.last_at for s in streams) - min(s.first_at for s in streams)
 
 
-def _direct(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
+def _open_direct(fleet: Fleet, count: int, tokens: int, name: str) -> list[Stream]:
     half = LAYERS // 2
     route = [
         {"address": fleet.address_of("engine0"), "first": 0, "last": half},
@@ -165,7 +165,7 @@
     streams = []
     for number in range(count):
         body = {
-            "request": f"direct-{count}-{number}",
+            "request": f"{name}-{number}",
             "attempt": "1",
             "epoch": 1,
             "model": MODEL,
@@ -178,13 +178,17 @@
             "route": route,
         }
         streams.append(_open(route[0]["address"], _request("/v1/generate", body, "")))
+    return streams
+
+
+def _direct(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
+    streams = _open_direct(fleet, count, tokens, f"direct{count}")
     read_streams(streams, b'"t":', b'"end":', 60.0)
     return _row("direct", streams, _span(streams))
 
 
-def _relayed(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
+def _open_relayed(fleet: Fleet, count: int, tokens: int) -> list[Stream]:
     daemon = fleet["a0"]
-    pid = daemon.process.pid
     streams = []
     for number in range(count):
         body = {
@@ -195,6 +199,12 @@
         }
         request = _request("/v1/completions", body, f"Bearer {bearer('maker')}")
         streams.append(_open(daemon.address, request))
+    return streams
+
+
+def _relayed(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
+    pid = fleet["a0"].process.pid
+    streams = _open_relayed(fleet, count, tokens)
     before = cpu_seconds(pid)
     read_streams(streams, b'"text":" w', b"[DONE]", 60.0)
     used = cpu_seconds(pid) - before
@@ -207,6 +217,26 @@
     return row
 
 
+def _unloaded(fleet: Fleet, rounds: int) -> dict[str, t.Any]:
+    # Both ways in turn, so that noise of the machine meets both.
+    direct = []
+    relayed = []
+    for number in range(rounds):
+        direct += _open_direct(fleet, 1, 2, f"unloaded{number}")
+        read_streams(direct[-1:], b'"t":', b'"end":', 10.0)
+        relayed += _open_relayed(fleet, 1, 2)
+        read_streams(relayed[-1:], b'"text":" w', b"[DONE]", 10.0)
+    firsts = []
+    for streams in (direct, relayed):
+        firsts.append([s.first_at - s.asked_at for s in streams])
+    return {
+        "way": "unloaded",
+        "rounds": rounds,
+        "direct_first_p50_ms": round(quantile(firsts[0], 0.5) * 1000, 2),
+        "daemon_first_p50_ms": round(quantile(firsts[1], 0.5) * 1000, 2),
+    }
+
+
 def _print_row(row: dict[str, t.Any]) -> None:
     click.echo("  ".join(f"{name}={value}" for name, value in row.items()))
 
@@ -214,11 +244,13 @@
 @click.command()
 @click.option("--sizes", default="1,100,200,300,400", help="Streams at once.")
 @click.option("--tokens", default=200, help="Tokens of each stream.")
-def main(sizes: str, tokens: int) -> None:
+@click.option("--rounds", default=40, help="Unloaded requests, one after another.")
+def main(sizes: str, tokens: int, rounds: int) -> None:
     """Print a table of rates, gaps and costs; sizes are run one by one."""
     with tempfile.TemporaryDirectory() as directory:
         fleet = Fleet(pathlib.Path(directory), data_centres=("a",), engines=_engines())
         with fleet:
+            _print_row(_unloaded(fleet, rounds))
             for size in sizes.split(","):
                 _print_row(_direct(fleet, int(size), tokens))
                 _print_row(_relayed(fleet, int(size), tokens))
--- a/src/wagtailstair/core/upstreams.py
+++ b/src/wagtailstair/core/upstreams.py
@@ -4,6 +4,9 @@
 import enum
 import typing as t
 
+LEAVING_MAX = 16_384
+"""Incarnations that are remembered as leaving; the oldest are forgotten."""
+
 
 class UpstreamKind(enum.Enum):
     """What an upstream is."""
@@ -33,7 +36,8 @@
 
     def __init__(self) -> None:
         self._by_name: dict[str, Upstream] = {}
-        self._leaving: set[tuple[str, str]] = set()
+        # Ordered by when each was first seen leaving.
+        self._leaving: dict[tuple[str, str], None] = {}
 
     def replace(self, entries: t.Iterable[tuple[Upstream, bool]]) -> list[str]:
         """Take the host list, pairs of upstream and leaving; return names gone."""
@@ -41,14 +45,16 @@
         for upstream, leaving in entries:
             by_name[upstream.name] = upstream
             if leaving:
-                self._leaving.add((upstream.name, upstream.incarnation))
+                self.mark_leaving(upstream.name, upstream.incarnation)
         gone = [name for name in self._by_name if name not in by_name]
         self._by_name = by_name
         return gone
 
     def mark_leaving(self, name: str, incarnation: str) -> None:
         """Note that this incarnation of an upstream leaves."""
-        self._leaving.add((name, incarnation))
+        self._leaving.setdefault((name, incarnation))
+        if len(self._leaving) > LEAVING_MAX:
+            del self._leaving[next(iter(self._leaving))]
 
     def is_leaving(self, name: str) -> bool:
         """Tell whether an upstream leaves or is unknown."""
