--- a/src/wagtailstair/peers/codec.py
+++ b/src/wagtailstair/peers/codec.py
@@ -19,6 +19,7 @@
 from ..core.messages import Ack
 from ..core.messages import Charge
 from ..core.messages import Charged
+from ..core.messages import EngineLoad
 from ..core.messages import EngineLost
 from ..core.messages import EngineReport
 from ..core.messages import Finished
@@ -69,6 +70,8 @@
         "seq": message.seq,
         "state": int(message.state),
         "listsVersion": message.lists_version,
+        # The excess is nearly always zero, which costs no byte.
+        "listsExcess": max(0, message.lists_known - message.lists_version),
         "view": message.view,
         "models": list(host.models),
         **records.write_address(host.address, host.peer_address),
@@ -175,6 +178,7 @@
     Charge: ("charge", _write_charge),
     Charged: ("charged", _write_charged),
     EngineReport: ("engineReport", records.write_report),
+    EngineLoad: ("engineLoad", records.write_load),
     EngineLost: ("engineLost", _write_lost),
     Numbered: ("numbered", _write_numbered),
     Ack: ("ack", lambda message: list(message.numbers)),
@@ -192,7 +196,9 @@
         tuple(record.models),
     )
     state = HostState(record.state)
-    return Heartbeat(host, record.seq, state, record.listsVersion, record.view)
+    version = record.listsVersion
+    known = version + record.listsExcess
+    return Heartbeat(host, record.seq, state, version, record.view, known)
 
 
 def _read_refused(record: Record) -> Refused:
@@ -266,6 +272,7 @@
         record.handle, Limit(record.limit), record.retryAfterS
     ),
     "engineReport": records.read_report,
+    "engineLoad": records.read_load,
     "engineLost": lambda record: EngineLost(record.name, record.incarnation),
     "numbered": _read_numbered,
     "ack": lambda record: Ack(tuple(record)),
