--- a/demo/steps.py
+++ b/demo/steps.py
@@ -1,6 +1,7 @@
 """The steps of the demonstration, each a function that checks what it shows."""
 
 import concurrent.futures
+import os
 import pathlib
 import subprocess
 import sys
@@ -24,6 +25,7 @@
 
 IN_FORCE_S = 5.0
 OPERATOR_TIMEOUT_S = 30.0
+EXIT_CONFLICT = 3
 
 
 class StepError(Exception):
@@ -82,16 +84,56 @@
     return [f"{stage} ended in mid-stream; the caller got all {length} tokens, once"]
 
 
-def _operate(fleet: Fleet, *arguments: str) -> str:
-    command = [sys.executable, "-m", "wagtailstair.cli", *arguments]
+def _operate(fleet: Fleet, *arguments: str, code: int = 0) -> str:
+    # The command beside the interpreter, as an operator has it.
+    command = [str(pathlib.Path(sys.executable).with_name("wagtailstair")), *arguments]
+    environment = {
+        **os.environ,
+        "WAGTAILSTAIR_TABLE": f"http://{fleet.address_of('table')}",
+        "WAGTAILSTAIR_HOSTS": f"http://{fleet.address_of('hosts')}",
+    }
     done = subprocess.run(
-        command, capture_output=True, text=True, timeout=OPERATOR_TIMEOUT_S, check=False
+        command,
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=OPERATOR_TIMEOUT_S,
+        check=False,
     )
-    if done.returncode != 0:
+    if done.returncode != code:
         raise StepError(f"{' '.join(arguments)}: {done.stdout}{done.stderr}")
     return done.stdout
 
 
+def _edit_the_lists(fleet: Fleet, directory: pathlib.Path) -> list[str]:
+    path = directory / "lists.toml"
+    text = _operate(fleet, "lists", "show", "--toml")
+    closed = text.replace(f'models = ["{MODEL}"]', "models = []")
+    path.write_text(closed, encoding="utf-8")
+    difference = _operate(fleet, "lists", "diff", str(path)).strip()
+    began = time.monotonic()
+    _operate(fleet, "lists", "apply", "--author", "ann", str(path))
+    for daemon in fleet.daemons.values():
+        wait_until(lambda asked=daemon: asked.complete("closed").status == 403)
+    took_s = time.monotonic() - began
+    _check(took_s < IN_FORCE_S, f"in force everywhere only after {took_s:.1f} s")
+    # Made from the same version as ann's, so it must not undo hers.
+    path.write_text(text.replace("weight = 1.0", "weight = 3.0"), encoding="utf-8")
+    _operate(fleet, "lists", "apply", "--author", "bob", str(path), code=EXIT_CONFLICT)
+    _operate(fleet, "lists", "set-plan", "full", "--models", MODEL, "--author", "bob")
+    for daemon in fleet.daemons.values():
+        wait_until(lambda asked=daemon: asked.complete("open").status == 200)
+    audit = _operate(fleet, "audit").strip().splitlines()
+    versions = _operate(fleet, "versions").strip().splitlines()
+    return [
+        f"ann: {difference}",
+        f"in force on all {len(fleet.daemons)} daemons after {took_s:.1f} s",
+        "bob, from an older file: a conflict, nothing written; then a row of his own",
+        *audit,
+        *versions,
+    ]
+
+
 def _end_a_daemon(fleet: Fleet, directory: pathlib.Path) -> list[str]:
     daemon = fleet["north0"]
     stopped = threading.Event()
@@ -142,6 +184,7 @@
 STEPS: dict[str, Step] = {
     "completions through pipelines": _complete_as_a_caller,
     "a booking runs once": _book_once,
+    "operators edit the lists": _edit_the_lists,
     "a stage is lost in mid-stream": _lose_a_stage,
     "a daemon ends gracefully under load": _end_a_daemon,
     "the platform is away": _lose_the_platform,
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -428,12 +428,19 @@
         head = self.read("lists", "head")
         version = (head["value"] or {"version": 0})["version"] + 1
         change = f"change-{version}"
+        changed = []
+        for table, key, value in rows:
+            before = self.read(table, key)["value"]
+            changed.append(
+                {"table": table, "key": key, "before": before, "value": value}
+            )
         record = {
             "version": version,
-            "change": change,
+            "change_id": change,
             "author": "test",
             "at": "2026-01-01T00:00:00Z",
-            "rows": [{"table": a, "key": b, "value": c} for a, b, c in rows],
+            "digest": change,
+            "rows": changed,
         }
         writes = [
             *rows,
