--- a/src/wagtailstair/cli/describe.py
+++ b/src/wagtailstair/cli/describe.py
@@ -49,8 +49,8 @@
         before = change.before.get(field)
         if value != before:
             old = ABSENT if before is None else _text(field, before)
-            parts.append(f"{field}={old}->{_text(field, value)}")
-    return f"~ {place} {' '.join(parts)}"
+            parts.append(f"{field}: {old} -> {_text(field, value)}")
+    return f"~ {place} {', '.join(parts)}"
 
 
 PLAN_TITLES = (
--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,93 @@
+import pathlib
+
+import pytest
+
+from wagtailstair.exceptions import SettingsError
+from wagtailstair.settings import load_settings
+from wagtailstair.settings import parse_settings
+
+MINIMAL = """
+[host]
+name = "e1"
+data_centre = "north"
+address = "127.0.0.1"
+http_port = 8080
+peer_port = 8081
+[platform]
+table = "http://127.0.0.1:1"
+hosts = "http://127.0.0.1:2"
+"""
+
+
+def refusal(text):
+    with pytest.raises(SettingsError) as caught:
+        parse_settings(text, "daemon.toml")
+    assert caught.value.where.startswith("daemon.toml")
+    return str(caught.value)
+
+
+class TestParse:
+    def test_what_is_left_out_has_a_default(self):
+        settings = parse_settings(MINIMAL)
+        assert settings.platform.timeout_s == 2.0
+        assert settings.peers.seeds == ()
+
+    @pytest.mark.parametrize(
+        ("change", "key", "expected"),
+        [
+            ('name = "e1"', "host", "required field `name`"),
+            ("http_port = 8080", "host", "required field `http_port`"),
+        ],
+    )
+    def test_a_missing_key_is_named(self, change, key, expected):
+        message = refusal(MINIMAL.replace(change, ""))
+        assert key in message
+        assert expected in message
+
+    @pytest.mark.parametrize(
+        ("addition", "key", "expected"),
+        [
+            ("[hots]", "hots", "unknown field"),
+            ("[limits]\nbody = 1", "limits", "unknown field `body`"),
+            ('[limits]\ntimeout_s = "2 s"', "limits.timeout_s", "`float`"),
+            ("[limits]\ntimeout_s = 0", "limits.timeout_s", "> 0"),
+            ("[limits]\nbody_bytes = 1.5", "limits.body_bytes", "`int`"),
+            ("[limits]\nopen_requests = 0", "limits.open_requests", ">= 1"),
+            ("[routing]\nretry_share = 1.1", "routing.retry_share", "<= 1"),
+            ("[routing]\nminimum_shares = [0.1]", "routing.minimum_shares", "3"),
+            ('[log]\nlevel = "LOUD"', "log.level", "enum"),
+            ("[limits]\ntimeout_s = 1e9", "limits.timeout_s", "limits.max_timeout_s"),
+            (
+                "[peers]\ndead_after_s = 1.0",
+                "peers.dead_after_s",
+                "twice peers.heartbeat_s",
+            ),
+            (
+                "[routing]\nminimum_shares = [0.5, 0.5, 0.5]",
+                "routing.minimum_shares",
+                "add up to 1 or less",
+            ),
+            ("[placement]\nlease_s = 1.0", "placement.lease_s", "or more"),
+            ("[", "", "not valid TOML"),
+        ],
+    )
+    def test_a_fault_names_file_key_and_what_was_expected(
+        self, addition, key, expected
+    ):
+        message = refusal(f"{MINIMAL}\n{addition}")
+        assert key in message
+        assert expected in message
+
+    def test_an_address_is_an_ip_number(self):
+        message = refusal(MINIMAL.replace("127.0.0.1", "localhost", 1))
+        assert "host.address: expected an IP address, got 'localhost'" in message
+
+
+class TestLoad:
+    def test_a_file_that_cannot_be_read(self, tmp_path):
+        with pytest.raises(SettingsError, match="can't be read"):
+            load_settings(pathlib.Path(tmp_path / "none"))
+        path = tmp_path / "binary"
+        path.write_bytes(b"\xff")
+        with pytest.raises(SettingsError, match="can't be read"):
+            load_settings(path)
