--- a/src/wagtailstair/cli/editing.py
+++ b/src/wagtailstair/cli/editing.py
@@ -10,12 +10,15 @@
 from ..core.changes import change_value
 from ..core.changes import digest_of
 from ..core.changes import make_edit
+from ..platform.lists import RetryPolicy
 from ..platform.lists import commit_edit
 from ..platform.lists import read_accepted
 from ..platform.table import TableClient
 from .output import print_json
 from .output import print_note
 
+RETRY = RetryPolicy()
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EditResult:
@@ -52,7 +55,7 @@
     edit = make_edit(change_id, author, rows, content)
     # Told first, so that a run that is cut short can be run again.
     print_note(f"change id: {change_id}")
-    return EditResult(commit_edit(table, edit, SystemClock()))
+    return EditResult(commit_edit(table, edit, SystemClock(), RETRY))
 
 
 def print_result(result: EditResult, as_json: bool) -> None:
--- a/src/wagtailstair/cli/options.py
+++ b/src/wagtailstair/cli/options.py
@@ -23,6 +23,7 @@
 
 TABLE_VARIABLE = "WAGTAILSTAIR_TABLE"
 HOSTS_VARIABLE = "WAGTAILSTAIR_HOSTS"
+READ_ATTEMPTS = 3
 TIMEOUTS = Timeouts(total_s=10.0, connect_s=2.0)
 
 # The first that an error is an instance of.
@@ -78,7 +79,7 @@
 def _make_client(
     _context: click.Context, _parameter: click.Parameter, url: str
 ) -> TableClient:
-    return TableClient(url, TIMEOUTS)
+    return TableClient(url, TIMEOUTS, read_attempts=READ_ATTEMPTS)
 
 
 def table_option(function: _FunctionT) -> _FunctionT:
--- a/src/wagtailstair/platform/table.py
+++ b/src/wagtailstair/platform/table.py
@@ -20,11 +20,11 @@
 
 PAGE_ROWS = 1000
 PAGE_ATTEMPTS = 6
-PAGE_BACKOFF_S = 0.2
-MAX_PAGE_BACKOFF_S = 2.0
+BACKOFF_S = 0.2
+MAX_BACKOFF_S = 2.0
 
 _TRANSACT = frozenset({200, 409})
-_SCAN = frozenset({200, 429, 503})
+_READ = frozenset({200, 429, 503})
 
 
 class TransactionConflictError(PlatformConflictError):
@@ -79,19 +79,22 @@
 class TableClient:
     """A client of the table service; it may be shared between threads.
 
-    :param pause: waits some seconds between the attempts at a page of a scan.
+    :param read_attempts: how often a read is tried that the service refuses.
+    :param pause: waits some seconds between these attempts.
     """
 
-    __slots__ = ("_pause", "_timeouts", "_url")
+    __slots__ = ("_pause", "_read_attempts", "_timeouts", "_url")
 
     def __init__(
         self,
         url: str,
         timeouts: Timeouts = Timeouts(),  # noqa: B008 - immutable
         pause: t.Callable[[float], None] = time.sleep,
+        read_attempts: int = 1,
     ) -> None:
         self._url = url.rstrip("/")
         self._timeouts = timeouts
+        self._read_attempts = read_attempts
         self._pause = pause
 
     def transact(
@@ -122,7 +125,7 @@
         :raises PlatformUnavailableError: if they can't be read.
         """
         path = "/v1/read"
-        reply = self._post(path, {"keys": list(keys)}, safe=True)
+        reply = self._read(path, {"keys": list(keys)}, self._read_attempts)
         rows = self._convert(reply, _Rows, path, safe=True).rows
         if [(row.table, row.key) for row in rows] != [tuple(key) for key in keys]:
             raise unusable_reply("POST", self._url + path, safe=True)
@@ -145,16 +148,22 @@
     def _page(self, table: str, after: str) -> list[Row]:
         path = "/v1/scan"
         body = {"table": table, "after": after, "limit": PAGE_ROWS}
-        backoff_s = PAGE_BACKOFF_S
-        for _ in range(PAGE_ATTEMPTS):
-            reply = self._post(path, body, safe=True, accept=_SCAN)
+        reply = self._read(path, body, PAGE_ATTEMPTS)
+        return self._convert(reply, _Rows, path, safe=True).rows
+
+    def _read(self, path: str, body: object, attempts: int) -> Reply:
+        backoff_s = BACKOFF_S
+        for attempt in range(attempts):
+            reply = self._post(path, body, safe=True, accept=_READ)
             if reply.status == 200:
-                return self._convert(reply, _Rows, path, safe=True).rows
+                return reply
+            if attempt + 1 == attempts:
+                break
             wait_s = max(backoff_s, reply.retry_after_s or 0.0)
-            self._pause(min(wait_s, MAX_PAGE_BACKOFF_S) * random.uniform(1.0, 1.5))
+            self._pause(min(wait_s, MAX_BACKOFF_S) * random.uniform(1.0, 1.5))
             backoff_s *= 2
         raise PlatformUnavailableError(
-            f"refused a page {PAGE_ATTEMPTS} times", where=self._url + path
+            f"refused with status {reply.status}", where=self._url + path
         )
 
     def _post(
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,6 +9,7 @@
 from wagtailstair.cli import main
 from wagtailstair.core import keys
 from wagtailstair.core.lists import Lists
+from wagtailstair.platform.lists import RetryPolicy
 from wagtailstair.platform.lists import read_snapshot
 
 TEXT = """
@@ -162,8 +163,11 @@
         assert filled.lists().version == 1
 
 
-def wait(self, attempt):
-    """Wait for nothing between attempts."""
+@pytest.fixture
+def without_waits(monkeypatch):
+    monkeypatch.setattr("wagtailstair.platform.table.BACKOFF_S", 0.0)
+    retry = RetryPolicy(pause=lambda _: None)
+    monkeypatch.setattr("wagtailstair.cli.editing.RETRY", retry)
 
 
 def fail_from_first_write(first):
@@ -183,8 +187,7 @@
 
 class TestRunAgain:
     @pytest.mark.parametrize("first", ["lose_reply", "lose_request", "delay"])
-    def test_an_unknown_outcome_is_settled(self, filled, first, monkeypatch):
-        monkeypatch.setattr("wagtailstair.platform.lists.RetryPolicy.wait", wait)
+    def test_an_unknown_outcome_is_settled(self, filled, first, without_waits):
         filled.table.before_call = fail_from_first_write(first)
         arguments = ["lists", "set-plan", "maker", "--weight=7", "--change-id=c7"]
         result = filled(*arguments, code=4)
@@ -197,8 +200,7 @@
         assert filled.lists().plan_by_name["maker"].weight == 8.0
         filled("lists", "set-plan", "maker", "--weight=9", "--change-id=c7", code=1)
 
-    def test_an_unavailable_platform_took_no_effect(self, filled, monkeypatch):
-        monkeypatch.setattr("wagtailstair.platform.lists.RetryPolicy.wait", wait)
+    def test_an_unavailable_platform_took_no_effect(self, filled, without_waits):
         filled.table.before_call = lambda kind: "unavailable"
         filled("lists", "set-plan", "maker", "--weight=7", code=5)
 
@@ -238,8 +240,7 @@
         assert keys.verify(filled.lists(), first).name == "shop"
         assert len(filled.lists().account_by_name["shop"].keys) == 1
 
-    def test_the_earlier_run_takes_effect_during_the_later(self, filled, monkeypatch):
-        monkeypatch.setattr("wagtailstair.platform.lists.RetryPolicy.wait", wait)
+    def test_the_earlier_run_takes_effect_during_the_later(self, filled, without_waits):
         filled.table.before_call = fail_from_first_write("delay")
         first = filled("keys", "new", "shop", "--change-id=k", code=4).stdout.strip()
         filled.table.before_call = lambda kind: (
--- a/tests/test_platform_table.py
+++ b/tests/test_platform_table.py
@@ -69,6 +69,18 @@
         ):
             TableClient(server.url).read([("plans", "a")])
 
+    def test_asks_again_as_often_as_told(self):
+        refusals = [(503, {}), (429, {})]
+
+        def answer(*_):
+            return refusals.pop(0) if refusals else (200, {"rows": [ROW]})
+
+        with serving(answer) as server:
+            with pytest.raises(PlatformUnavailableError):
+                TableClient(server.url).read([("plans", "a")])
+            client = TableClient(server.url, pause=lambda _: None, read_attempts=2)
+            assert len(client.read([("plans", "a")])) == 1
+
 
 class TestScan:
     def test_reads_all_pages_and_waits_when_refused(self, monkeypatch):
