--- /dev/null
+++ b/tests/lease_world.py
@@ -0,0 +1,171 @@
+"""Candidates for one lease, stepped by hand, and engines that check no fence."""
+
+import dataclasses
+
+from tests.fakes import FakeTable, WriteFault
+from wagtailstair.core.leases import (
+    Lease,
+    LeaseLimits,
+    LeaseRead,
+    LeaseWait,
+    LeaseWrite,
+    decode_lease,
+    encode_lease,
+)
+from wagtailstair.core.rows import Condition, Write
+from wagtailstair.exceptions import (
+    PlatformConflictError,
+    PlatformUnavailableError,
+    PlatformUnknownError,
+)
+
+ROLE = "placement/dc1"
+LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
+ORDER_S = 2.0
+# Clocks run at rates that differ by a few parts in a hundred, at worst.
+RATES = (0.97, 1.0, 1.03)
+
+
+@dataclasses.dataclass
+class Candidate:
+    name: str
+    rate: float
+    lease: Lease
+    incarnation: int = 1
+    is_frozen: bool = False
+    is_cut: bool = False
+    command: object = None
+    seen: object = None
+
+
+@dataclasses.dataclass
+class SentOrder:
+    engine: int
+    fence: int
+    lands_by: float
+
+
+class LeaseWorld:
+    def __init__(self, candidates=3, engines=2):
+        self.now = 100.0
+        self.table = FakeTable()
+        self.candidates = [
+            Candidate(f"h{n}", RATES[n % len(RATES)], Lease(f"h{n}/1", LIMITS))
+            for n in range(candidates)
+        ]
+        self.fences_by_engine = {engine: [] for engine in range(engines)}
+        self.holder_by_fence = {}
+        self.orders_sent = 0
+        self.on_the_way = []
+
+    def clock(self, candidate):
+        return self.now * candidate.rate
+
+    def step(self, index, fault=WriteFault.NONE):
+        """Carry out a command, or let the candidate see what came of it."""
+        candidate = self.candidates[index]
+        if candidate.is_frozen:
+            return
+        if candidate.seen is not None:
+            candidate.seen, seen = None, candidate.seen
+            seen(self.clock(candidate))
+            return
+        if candidate.command is None:
+            candidate.command = candidate.lease.next(self.clock(candidate))
+            return
+        command, candidate.command = candidate.command, None
+        if isinstance(command, LeaseWait):
+            return
+        candidate.seen = self._execute(candidate, command, fault)
+
+    def tick(self, index):
+        """Step a candidate until it waits."""
+        candidate = self.candidates[index]
+        for _ in range(12):
+            if isinstance(candidate.command, LeaseWait):
+                candidate.command = None
+                return
+            self.step(index)
+
+    def _execute(self, candidate, command, fault):
+        lease = candidate.lease
+        if candidate.is_cut or fault is WriteFault.AWAY:
+            return lease.on_away
+        if isinstance(command, LeaseRead):
+            (row,) = self.table.read([("leases", ROLE)])
+            value = None if row.value is None else decode_lease(row.value)
+            return lambda now: lease.on_read(row.version, value, now)
+        assert isinstance(command, LeaseWrite)
+        self.table.faults.append(fault)
+        try:
+            (version,) = self.table.transact(
+                [Condition("leases", ROLE, command.version)],
+                [Write("leases", ROLE, encode_lease(command.row))],
+            )
+        except PlatformUnavailableError:
+            return lease.on_away
+        except (PlatformConflictError, PlatformUnknownError):
+            return lambda now: lease.on_unsure()
+        return lambda now: lease.on_written(version, command.row, now)
+
+    def send_order(self, index, engine, is_slow):
+        """Send an order, if the lease allows; a slow one lands later."""
+        candidate = self.candidates[index]
+        if candidate.is_frozen:
+            return False
+        if not candidate.lease.may_order(self.clock(candidate), ORDER_S):
+            return False
+        self.orders_sent += 1
+        fence, holder = candidate.lease.fence, candidate.lease.holder
+        first = self.holder_by_fence.setdefault(fence, holder)
+        assert first == holder, f"{first} and {holder} share a fencing number"
+        order = SentOrder(engine, candidate.lease.fence, self.now + ORDER_S)
+        if is_slow:
+            self.on_the_way.append(order)
+        else:
+            self._take(order)
+        return True
+
+    def land(self, index):
+        if self.on_the_way:
+            self._take(self.on_the_way.pop(index % len(self.on_the_way)))
+
+    def advance(self, seconds):
+        """Let time pass; no order is on its way for longer than its timeout."""
+        self.now += seconds
+        for order in sorted(self.on_the_way, key=lambda order: order.lands_by):
+            if order.lands_by <= self.now:
+                self.on_the_way.remove(order)
+                self._take(order)
+
+    def _take(self, order):
+        self.fences_by_engine[order.engine].append(order.fence)
+        self.check()
+
+    def restart(self, index):
+        old = self.candidates[index]
+        incarnation = old.incarnation + 1
+        lease = Lease(f"{old.name}/{incarnation}", LIMITS)
+        self.candidates[index] = Candidate(old.name, old.rate, lease, incarnation)
+
+    def release(self, index):
+        """Give the lease up as a daemon does that ends gracefully."""
+        candidate = self.candidates[index]
+        if candidate.is_frozen or self.on_the_way or candidate.seen is not None:
+            return
+        command = candidate.lease.release(self.clock(candidate))
+        if command is None:
+            return
+        candidate.command = command
+
+    # The oracle.
+
+    def check(self):
+        for engine, fences in self.fences_by_engine.items():
+            assert fences == sorted(fences), f"engine {engine}: old order undid a new"
+        holders = [
+            candidate.name
+            for candidate in self.candidates
+            if candidate.lease.holds(self.clock(candidate))
+        ]
+        assert len(holders) <= 1, f"{holders} hold the lease at once"
