--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -8,52 +8,57 @@
 import uuid
 
 from .clock import Clock
-from .commits import GroupWriter, TableClient
-from .core.claim_rows import TABLE, decode_claim, find_expired, make_write
-from .core.claim_steps import (
-    Answer,
-    Answered,
-    Away,
-    CallLost,
-    Claimant,
-    ClaimRow,
-    Command,
-    Deliver,
-    Delivered,
-    Event,
-    Failure,
-    FailureReason,
-    Fetch,
-    Fetched,
-    Finish,
-    Insert,
-    NotRun,
-    Read,
-    Release,
-    RowRead,
-    Send,
-    Settle,
-    Store,
-    Stored,
-    Wait,
-    Woke,
-)
-from .core.claims import Claim, ClaimLimits, make_claim_key
+from .commits import GroupWriter
+from .commits import TableClient
+from .core.claim_rows import TABLE
+from .core.claim_rows import decode_claim
+from .core.claim_rows import find_expired
+from .core.claim_rows import make_write
+from .core.claim_steps import Answer
+from .core.claim_steps import Answered
+from .core.claim_steps import Away
+from .core.claim_steps import CallLost
+from .core.claim_steps import Claimant
+from .core.claim_steps import ClaimRow
+from .core.claim_steps import Command
+from .core.claim_steps import Deliver
+from .core.claim_steps import Delivered
+from .core.claim_steps import Event
+from .core.claim_steps import Failure
+from .core.claim_steps import FailureReason
+from .core.claim_steps import Fetch
+from .core.claim_steps import Fetched
+from .core.claim_steps import Finish
+from .core.claim_steps import Insert
+from .core.claim_steps import NotRun
+from .core.claim_steps import Read
+from .core.claim_steps import Release
+from .core.claim_steps import RowRead
+from .core.claim_steps import Send
+from .core.claim_steps import Settle
+from .core.claim_steps import Store
+from .core.claim_steps import Stored
+from .core.claim_steps import Wait
+from .core.claim_steps import Woke
+from .core.claims import Claim
+from .core.claims import ClaimLimits
+from .core.claims import make_claim_key
 from .core.rows import Row
-from .exceptions import (
-    CallInProgressError,
-    DeadlineExceededError,
-    KeyReusedError,
-    NotReadyError,
-    NoUpstreamError,
-    Outcome,
-    OutcomeUnknownError,
-    PlatformError,
-    RequestError,
-    UpstreamNotSentError,
-    UpstreamRefusedError,
-)
-from .settling import Settler, Task, WriteFuture, event_of_write
+from .exceptions import CallInProgressError
+from .exceptions import DeadlineExceededError
+from .exceptions import KeyReusedError
+from .exceptions import NotReadyError
+from .exceptions import NoUpstreamError
+from .exceptions import Outcome
+from .exceptions import OutcomeUnknownError
+from .exceptions import PlatformError
+from .exceptions import RequestError
+from .exceptions import UpstreamNotSentError
+from .exceptions import UpstreamRefusedError
+from .settling import Settler
+from .settling import Task
+from .settling import WriteFuture
+from .settling import event_of_write
 
 MAX_BACKGROUND = 1024
 AWAY_RETRY_S = 1.0
@@ -146,6 +151,11 @@
         self._running = 0
         self._is_closing = False
 
+    @property
+    def send_window_s(self) -> float:
+        """Return seconds from the start of a call in which it may be sent."""
+        return self._limits.send_window_s
+
     @property
     def unsettled(self) -> int:
         """Return the number of results whose write is not confirmed."""
--- a/src/wagtailstair/core/claim_rows.py
+++ b/src/wagtailstair/core/claim_rows.py
@@ -5,16 +5,18 @@
 import collections.abc
 import typing as t
 
-from .claim_steps import (
-    Answer,
-    Claimant,
-    ClaimRow,
-    ClaimState,
-    Insert,
-    Release,
-    Settle,
-)
-from .rows import VERSION_ABSENT, Condition, Row, Value, Write
+from .claim_steps import Answer
+from .claim_steps import Claimant
+from .claim_steps import ClaimRow
+from .claim_steps import ClaimState
+from .claim_steps import Insert
+from .claim_steps import Release
+from .claim_steps import Settle
+from .rows import VERSION_ABSENT
+from .rows import Condition
+from .rows import Row
+from .rows import Value
+from .rows import Write
 
 TABLE = "claims"
 
--- /dev/null
+++ b/src/wagtailstair/core/pool.py
@@ -0,0 +1,509 @@
+"""The dispatcher of one pool: orders all waiting requests and grants routes."""
+
+import collections
+import dataclasses
+import heapq
+import math
+
+from .capacity import Capacity
+from .demand import Done
+from .demand import Grant
+from .demand import Hold
+from .demand import Refusal
+from .demand import RefusalReason
+from .demand import Want
+from .ejection import Ejection
+from .ejection import EjectionLimits
+from .engine import EngineState
+from .engine import Priority
+from .engine import Route
+from .loads import EngineLoad
+from .loads import Lane
+from .loads import LoadTable
+from .loads import Need
+from .loads import StageCost
+from .loads import expected_delay
+from .loads import prompt_work
+from .queueing import FairQueue
+from .routing import Pick
+from .routing import shortest_route
+
+MEMORY_OF_ENDED = 16_384
+"""Ended epochs that are remembered, so that a late want is not granted again."""
+NO_ROUTE_PATIENCE_S = 2.0
+GRANT_GRACE_S = 5.0
+"""Time after its deadline when an open grant counts as lost."""
+HEADS_TRIED = 4
+DELAY_GAIN = 0.05
+"""Weight of each grant in the mean run time of a unit of work."""
+MINIMUM_RETRY_AFTER_S = 0.5
+MAXIMUM_RETRY_AFTER_S = 60.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PoolLimits:
+    """Bounds and shares of a pool.
+
+    ``reserves``: for each priority, the part of the slots that it may not
+    fill, so that more urgent work finds room; ``deadline_margin``: where
+    others wait, a request is refused when less than so many times its
+    expected run time is left.
+    """
+
+    queue_length: int = 4096
+    minimum_shares: tuple[float, float, float] = (0.5, 0.2, 0.05)
+    reserves: tuple[float, float, float] = (0.0, 0.05, 0.2)
+    deadline_margin: float = 2.0
+    ejection: EjectionLimits = dataclasses.field(default_factory=EjectionLimits)
+
+
+@dataclasses.dataclass(slots=True)
+class PoolStats:
+    """Counts of a pool; the tuples are by priority."""
+
+    waiting: tuple[int, ...]
+    granted: tuple[int, ...]
+    granted_work: tuple[float, ...]
+    open_grants: int
+    engines: int
+    refused_by_reason: dict[str, int]
+    pushed_out: int
+    work_per_s: float
+
+
+@dataclasses.dataclass(slots=True)
+class _Open:
+    want: Want
+    need: Need
+    route: Route
+
+
+def _may_run(load: EngineLoad, want: Want, need: Need) -> bool:
+    state = load.state
+    if load.is_leaving or state.leaving or state.name in want.avoid:
+        return False
+    if state.kv_tokens < need.kv:
+        return False
+    return not want.adapter or want.adapter in state.adapters
+
+
+def _cheapest(
+    want: Want, need: Need, rank: Priority, cost: StageCost, now: float
+) -> Pick:
+    def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
+        best_cost = math.inf
+        best: EngineLoad | None = None
+        for load in lane.loads:
+            if load.used >= load.caps[rank] or load.is_ejected:
+                continue
+            if load.granted_kv + need.kv > load.state.kv_tokens:
+                continue
+            if not _may_run(load, want, need):
+                continue
+            delay = cost(load, need, now)
+            if delay < best_cost:
+                best_cost = delay
+                best = load
+        return None if best is None else (best_cost, best)
+
+    return pick
+
+
+class Pool:
+    """Orders the requests for one model in one data centre.
+
+    Wants, dones and holds may come twice or late: a want that is repeated
+    gets its grant or refusal again, everything else has no further effect.
+    """
+
+    def __init__(
+        self,
+        model: str,
+        data_centre: str,
+        limits: PoolLimits | None = None,
+        cost: StageCost = expected_delay,
+    ) -> None:
+        self.model = model
+        self.data_centre = data_centre
+        self._limits = limits or PoolLimits()
+        self._cost = cost
+        self._queue = FairQueue(self._limits.queue_length, self._limits.minimum_shares)
+        self._ejection = Ejection(self._limits.ejection)
+        self._loads = LoadTable(self._limits.reserves)
+        self._open_by_request: dict[str, _Open] = {}
+        self._ended: collections.OrderedDict[str, tuple[int, Refusal | None]]
+        self._ended = collections.OrderedDict()
+        self._deadlines: list[tuple[float, str, int]] = []
+        self._expiries: list[tuple[float, str, int]] = []
+        self._no_route_since: dict[str, float] = {}
+        self._blocked_need: dict[tuple[Priority, bool], int] = {}
+        self._outbox: list[Grant | Refusal] = []
+        self._granted = [0, 0, 0]
+        self._granted_work = [0.0, 0.0, 0.0]
+        self._refused_by_reason: dict[str, int] = collections.defaultdict(int)
+        self._pushed_out = 0
+        self._capacity = Capacity()
+        self._ejections_change = math.inf
+        self._delay_per_work = 0.0
+
+    # Requests.
+
+    def want(self, want: Want, now: float) -> None:
+        """Take a request in, or answer a repeated one again."""
+        epoch = self._latest_epoch(want.request)
+        if want.epoch < epoch:
+            return
+        if want.epoch == epoch:
+            self._repeat(want)
+            return
+        self._withdraw(want.request, now)
+        self._ended.pop(want.request, None)
+        if now >= want.deadline:
+            self._refuse(want, RefusalReason.DEADLINE, now)
+            return
+        run_s = want.work * self._delay_per_work
+        wait_s = self._expected_wait_s(want, now)
+        late_s = now + wait_s + self._time_wanted_s(want, run_s) - want.deadline
+        if late_s > 0:
+            self._refuse(want, RefusalReason.DEADLINE, now, late_s)
+            return
+        taken, victim = self._queue.push(want)
+        if not taken:
+            self._refuse(want, RefusalReason.QUEUE_FULL, now)
+            return
+        heapq.heappush(self._deadlines, (want.deadline, want.request, want.epoch))
+        if victim is not None:
+            self._pushed_out += 1
+            self._no_route_since.pop(victim.request, None)
+            self._refuse(victim, RefusalReason.QUEUE_FULL, now)
+
+    def cancel(self, request: str, epoch: int, now: float) -> None:
+        """Withdraw a request that waits, or end its grant."""
+        if epoch < self._latest_epoch(request):
+            return
+        self._withdraw(request, now)
+        self._remember(request, epoch, None)
+
+    def hold(self, hold: Hold, now: float) -> None:
+        """Take over a grant that another dispatcher gave."""
+        want = hold.want
+        if want.epoch < self._latest_epoch(want.request):
+            return
+        known = self._open_by_request.get(want.request)
+        if known is not None and known.want.epoch == want.epoch:
+            return
+        ended = self._ended.get(want.request)
+        if ended is not None and ended[0] == want.epoch:
+            return
+        self._withdraw(want.request, now)
+        need = Need.of(want)
+        self._loads.adopt(hold.route, need, now)
+        self._keep(_Open(want, need, hold.route), now)
+
+    def done(self, done: Done, now: float) -> None:
+        """End a grant and correct what it cost."""
+        if done.epoch < self._latest_epoch(done.request):
+            return
+        known = self._open_by_request.get(done.request)
+        if known is None or known.want.epoch != done.epoch:
+            self._withdraw(done.request, now)
+            self._remember(done.request, done.epoch, None)
+            return
+        self._close(known)
+        self._remember(done.request, done.epoch, None)
+        work = prompt_work(done.prompt_tokens) + done.output_tokens
+        self._queue.settle(known.want, work)
+        self._capacity.served(work, len(self._queue) > 0, now)
+        for stage in known.route:
+            self._judge(stage.engine, done.failed, now)
+
+    def _judge(self, engine: str, failed: frozenset[str], now: float) -> None:
+        if engine in failed:
+            self._ejection.failed(engine, len(self._loads.by_name), now)
+            self._ejections_change = now
+        elif failed:
+            self._ejection.abandoned(engine)
+        else:
+            self._ejection.succeeded(engine, now)
+        self._mark_ejected(engine, now)
+
+    def _mark_ejected(self, engine: str, now: float) -> None:
+        load = self._loads.by_name.get(engine)
+        if load is not None:
+            load.is_ejected = self._ejection.is_ejected(engine, now)
+
+    def _latest_epoch(self, request: str) -> int:
+        waiting = self._queue.get(request)
+        if waiting is not None:
+            return waiting.epoch
+        known = self._open_by_request.get(request)
+        if known is not None:
+            return known.want.epoch
+        ended = self._ended.get(request)
+        return -1 if ended is None else ended[0]
+
+    def _repeat(self, want: Want) -> None:
+        known = self._open_by_request.get(want.request)
+        if known is not None:
+            grant = Grant(want.request, want.epoch, known.want.host, known.route)
+            self._outbox.append(grant)
+            return
+        ended = self._ended.get(want.request)
+        if ended is not None and ended[1] is not None:
+            self._outbox.append(ended[1])
+
+    def _withdraw(self, request: str, now: float) -> None:
+        self._queue.discard(request)
+        self._no_route_since.pop(request, None)
+        known = self._open_by_request.get(request)
+        if known is not None:
+            for stage in known.route:
+                self._ejection.abandoned(stage.engine)
+                self._mark_ejected(stage.engine, now)
+            self._close(known)
+
+    def _remember(self, request: str, epoch: int, refusal: Refusal | None) -> None:
+        self._ended.pop(request, None)
+        self._ended[request] = (epoch, refusal)
+        while len(self._ended) > MEMORY_OF_ENDED:
+            self._ended.popitem(last=False)
+
+    def _refuse(
+        self, want: Want, reason: RefusalReason, now: float, late_s: float = 0.0
+    ) -> None:
+        retry_after_s = late_s
+        if reason is RefusalReason.QUEUE_FULL:
+            retry_after_s = self._queue.work_ahead(want) / self._work_per_s(now)
+        retry_after_s = max(retry_after_s, MINIMUM_RETRY_AFTER_S)
+        retry_after_s = min(retry_after_s, MAXIMUM_RETRY_AFTER_S)
+        refusal = Refusal(want.request, want.epoch, want.host, reason, retry_after_s)
+        self._refused_by_reason[reason.value] += 1
+        self._remember(want.request, want.epoch, refusal)
+        self._outbox.append(refusal)
+
+    # Engines and hosts.
+
+    def observe(self, state: EngineState, now: float) -> None:
+        """Take in a load report."""
+        load = self._loads.by_name.get(state.name)
+        if load is not None and load.state.incarnation == state.incarnation:
+            if self._loads.observe(state):
+                self._blocked_need.clear()
+            return
+        self._loads.add(state, self._needs_on(state.name))
+        self._ejection.forget(state.name)
+        self._blocked_need.clear()
+
+    def _needs_on(self, engine: str) -> list[Need]:
+        needs: list[Need] = []
+        for known in self._open_by_request.values():
+            needs += [known.need for s in known.route if s.engine == engine]
+        return needs
+
+    def cached(
+        self, engine: str, stored: tuple[int, ...], evicted: tuple[int, ...]
+    ) -> None:
+        """Take in which prompt prefixes an engine holds and dropped."""
+        load = self._loads.by_name.get(engine)
+        if load is None:
+            return
+        for prefix in evicted:
+            load.prefixes.pop(prefix, None)
+        load.store(stored)
+
+    def leaving(self, engine: str) -> None:
+        """Give an engine no new work for as long as its incarnation lives."""
+        load = self._loads.by_name.get(engine)
+        if load is not None:
+            load.is_leaving = True
+
+    def remove(self, engine: str) -> None:
+        """Forget an engine that is gone; its open grants end by their dones."""
+        if self._loads.remove(engine):
+            self._ejection.forget(engine)
+            self._blocked_need.clear()
+
+    def host_lost(self, host: str, now: float) -> None:
+        """Withdraw the requests and grants of a dead entry host."""
+        waiting = [want for want in self._queue.wants() if want.host == host]
+        for want in waiting:
+            self.cancel(want.request, want.epoch, now)
+        running = [known.want for known in self._open_by_request.values()]
+        for want in running:
+            if want.host == host:
+                self.cancel(want.request, want.epoch, now)
+
+    # Grants.
+
+    def poll(self, now: float) -> list[Grant | Refusal]:
+        """Return what has been decided since the last call."""
+        self._expire(now)
+        self._end_ejections(now)
+        while self._grant_one(now):
+            pass
+        outbox = self._outbox
+        self._outbox = []
+        return outbox
+
+    def next_wake(self, now: float) -> float | None:
+        """Return when to poll again if no event comes before."""
+        times = []
+        if self._deadlines:
+            times.append(self._deadlines[0][0])
+        if self._expiries:
+            times.append(self._expiries[0][0])
+        if self._no_route_since:
+            oldest = next(iter(self._no_route_since.values()))
+            times.append(oldest + NO_ROUTE_PATIENCE_S)
+        if len(self._queue):
+            change = self._ejection.next_change(now)
+            if change is not None:
+                times.append(change)
+        return min(times, default=None)
+
+    def stats(self) -> PoolStats:
+        """Return counts for metrics."""
+        return PoolStats(
+            waiting=tuple(self._queue.count(priority) for priority in Priority),
+            granted=tuple(self._granted),
+            granted_work=tuple(self._granted_work),
+            open_grants=len(self._open_by_request),
+            engines=len(self._loads.by_name),
+            refused_by_reason=dict(self._refused_by_reason),
+            pushed_out=self._pushed_out,
+            work_per_s=self._capacity.estimate,
+        )
+
+    def _expire(self, now: float) -> None:
+        while self._deadlines and self._deadlines[0][0] <= now:
+            _, request, epoch = heapq.heappop(self._deadlines)
+            want = self._queue.get(request)
+            if want is None or want.epoch != epoch:
+                continue
+            self._withdraw(request, now)
+            self._refuse(want, RefusalReason.DEADLINE, now)
+        while self._expiries and self._expiries[0][0] <= now:
+            _, request, epoch = heapq.heappop(self._expiries)
+            known = self._open_by_request.get(request)
+            if known is not None and known.want.epoch == epoch:
+                self.cancel(request, epoch, now)
+        for request, since in list(self._no_route_since.items()):
+            if now < since + NO_ROUTE_PATIENCE_S:
+                break
+            want = self._queue.get(request)
+            self._withdraw(request, now)
+            if want is not None:
+                self._refuse(want, RefusalReason.NO_ROUTE, now)
+
+    def _grant_one(self, now: float) -> bool:
+        for want in self._queue.heads(HEADS_TRIED):
+            is_under = self._queue.is_under_minimum(want.priority)
+            need = Need.of(want)
+            blocked = self._blocked_need.get((want.priority, is_under))
+            if blocked is not None and need.kv >= blocked:
+                continue
+            found = self._find(want, need, is_under, now)
+            if found is None:
+                self._note_blocked(want, need, is_under, now)
+                continue
+            route, delay_s = found
+            if now + self._time_wanted_s(want, delay_s) > want.deadline:
+                self._withdraw(want.request, now)
+                self._refuse(want, RefusalReason.DEADLINE, now)
+                return True
+            self._learn_delay(delay_s / want.work)
+            self._queue.take(want.request)
+            self._no_route_since.pop(want.request, None)
+            self._loads.start(route, need, now)
+            self._keep(_Open(want, need, route), now)
+            self._outbox.append(Grant(want.request, want.epoch, want.host, route))
+            self._granted[want.priority] += 1
+            self._granted_work[want.priority] += want.work
+            return True
+        return False
+
+    def _note_blocked(self, want: Want, need: Need, is_under: bool, now: float) -> None:
+        if not want.avoid and not want.adapter:
+            # Nothing that needs as much memory fits until something changes.
+            self._blocked_need[want.priority, is_under] = need.kv
+        if self._has_route(want, need):
+            self._no_route_since.pop(want.request, None)
+        else:
+            self._no_route_since.setdefault(want.request, now)
+
+    def _has_route(self, want: Want, need: Need) -> bool:
+        def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
+            for load in lane.loads:
+                if _may_run(load, want, need):
+                    return 0.0, load
+            return None
+
+        return shortest_route(self._loads.lanes, need.tokens, pick) is not None
+
+    def _find(
+        self, want: Want, need: Need, is_under: bool, now: float
+    ) -> tuple[Route, float] | None:
+        # Work below its minimum share may also use what is set aside.
+        rank = Priority.URGENT if is_under else want.priority
+        pick = _cheapest(want, need, rank, self._cost, now)
+        return shortest_route(self._loads.lanes, need.tokens, pick)
+
+    def _keep(self, known: _Open, now: float) -> None:
+        want = known.want
+        self._open_by_request[want.request] = known
+        expiry = want.deadline + GRANT_GRACE_S
+        heapq.heappush(self._expiries, (expiry, want.request, want.epoch))
+        for stage in known.route:
+            self._ejection.started(stage.engine)
+            self._mark_ejected(stage.engine, now)
+
+    def _close(self, known: _Open) -> None:
+        del self._open_by_request[known.want.request]
+        self._blocked_need.clear()
+        self._loads.end(known.route, known.need)
+
+    def _end_ejections(self, now: float) -> None:
+        if now < self._ejections_change:
+            return
+        self._blocked_need.clear()
+        for name in self._loads.by_name:
+            self._mark_ejected(name, now)
+        self._ejections_change = self._ejection.next_change(now) or math.inf
+
+    # Expected waits.
+
+    def _open_states(self) -> list[EngineState]:
+        loads = self._loads.by_name.values()
+        return [load.state for load in loads if not load.is_leaving]
+
+    def _work_per_s(self, now: float) -> float:
+        return self._capacity.work_per_s(self._open_states, now)
+
+    def _learn_delay(self, delay_per_work: float) -> None:
+        if not self._delay_per_work:
+            self._delay_per_work = delay_per_work
+            return
+        change = delay_per_work - self._delay_per_work
+        self._delay_per_work += DELAY_GAIN * change
+
+    def _time_wanted_s(self, want: Want, run_s: float) -> float:
+        """Return the time that must be left for a request to be run.
+
+        Answers may be longer than expected. Where others of its priority
+        wait, those with time to spare go first, so that less is run in vain.
+        """
+        if self._queue.count(want.priority) <= 1:
+            return run_s
+        return run_s * self._limits.deadline_margin
+
+    def _expected_wait_s(self, want: Want, now: float) -> float:
+        ahead = self._queue.work_ahead(want)
+        if not ahead or not self._loads.by_name:
+            return 0.0
+        work_per_s = self._work_per_s(now)
+        wait_s = ahead / work_per_s
+        share = self._limits.minimum_shares[want.priority]
+        if share > 0:
+            own = self._queue.work(want.priority)
+            wait_s = min(wait_s, own / (work_per_s * share))
+        return wait_s
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -9,26 +9,26 @@
 from .clock import Clock
 from .commits import TableClient
 from .core.engine import EngineState
-from .core.leases import (
-    Lease,
-    LeaseLimits,
-    LeaseRead,
-    LeaseRow,
-    LeaseWait,
-    LeaseWrite,
-    decode_lease,
-    encode_lease,
-)
-from .core.placement import Order, Placement, PlacementLimits
-from .core.rows import Condition, Row, Write
+from .core.leases import Lease
+from .core.leases import LeaseLimits
+from .core.leases import LeaseRead
+from .core.leases import LeaseRow
+from .core.leases import LeaseWait
+from .core.leases import LeaseWrite
+from .core.leases import decode_lease
+from .core.leases import encode_lease
+from .core.placement import Order
+from .core.placement import Placement
+from .core.placement import PlacementLimits
+from .core.rows import Condition
+from .core.rows import Row
+from .core.rows import Write
 from .core.targets import Target
-from .exceptions import (
-    PlatformConflictError,
-    PlatformError,
-    PlatformUnavailableError,
-    UpstreamError,
-    UpstreamLostError,
-)
+from .exceptions import PlatformConflictError
+from .exceptions import PlatformError
+from .exceptions import PlatformUnavailableError
+from .exceptions import UpstreamError
+from .exceptions import UpstreamLostError
 
 TABLE = "leases"
 ORDER_TIMEOUT_S = 2.0
--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -3,46 +3,50 @@
 import dataclasses
 import enum
 
-from tests.fakes import CallFault, FakeObjects, FakeService, FakeTable, WriteFault
-from wagtailstair.core.claim_rows import TABLE, decode_claim, find_expired, make_write
-from wagtailstair.core.claim_steps import (
-    Answer,
-    Answered,
-    Away,
-    CallLost,
-    Claimant,
-    ClaimRow,
-    Conflict,
-    Deliver,
-    Delivered,
-    FailureReason,
-    Fetch,
-    Fetched,
-    Finish,
-    Insert,
-    NotRun,
-    Read,
-    Release,
-    ReplyLost,
-    RowRead,
-    Send,
-    Settle,
-    Store,
-    Stored,
-    Wait,
-    Woke,
-    Written,
-)
-from wagtailstair.core.claims import Claim, ClaimLimits
-from wagtailstair.exceptions import (
-    Outcome,
-    PlatformConflictError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-    UpstreamLostError,
-    UpstreamNotSentError,
-    UpstreamRefusedError,
-)
+from tests.fakes import CallFault
+from tests.fakes import FakeObjects
+from tests.fakes import FakeService
+from tests.fakes import FakeTable
+from tests.fakes import WriteFault
+from wagtailstair.core.claim_rows import TABLE
+from wagtailstair.core.claim_rows import decode_claim
+from wagtailstair.core.claim_rows import find_expired
+from wagtailstair.core.claim_rows import make_write
+from wagtailstair.core.claim_steps import Answer
+from wagtailstair.core.claim_steps import Answered
+from wagtailstair.core.claim_steps import Away
+from wagtailstair.core.claim_steps import CallLost
+from wagtailstair.core.claim_steps import Claimant
+from wagtailstair.core.claim_steps import ClaimRow
+from wagtailstair.core.claim_steps import Conflict
+from wagtailstair.core.claim_steps import Deliver
+from wagtailstair.core.claim_steps import Delivered
+from wagtailstair.core.claim_steps import FailureReason
+from wagtailstair.core.claim_steps import Fetch
+from wagtailstair.core.claim_steps import Fetched
+from wagtailstair.core.claim_steps import Finish
+from wagtailstair.core.claim_steps import Insert
+from wagtailstair.core.claim_steps import NotRun
+from wagtailstair.core.claim_steps import Read
+from wagtailstair.core.claim_steps import Release
+from wagtailstair.core.claim_steps import ReplyLost
+from wagtailstair.core.claim_steps import RowRead
+from wagtailstair.core.claim_steps import Send
+from wagtailstair.core.claim_steps import Settle
+from wagtailstair.core.claim_steps import Store
+from wagtailstair.core.claim_steps import Stored
+from wagtailstair.core.claim_steps import Wait
+from wagtailstair.core.claim_steps import Woke
+from wagtailstair.core.claim_steps import Written
+from wagtailstair.core.claims import Claim
+from wagtailstair.core.claims import ClaimLimits
+from wagtailstair.exceptions import Outcome
+from wagtailstair.exceptions import PlatformConflictError
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
+from wagtailstair.exceptions import UpstreamLostError
+from wagtailstair.exceptions import UpstreamNotSentError
+from wagtailstair.exceptions import UpstreamRefusedError
 
 LIMITS = ClaimLimits(
     inserts=3,
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -9,14 +9,12 @@
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.placement import OrderKind
 from wagtailstair.core.rows import Row
-from wagtailstair.exceptions import (
-    PlatformConflictError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-    UpstreamLostError,
-    UpstreamNotSentError,
-    UpstreamRefusedError,
-)
+from wagtailstair.exceptions import PlatformConflictError
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
+from wagtailstair.exceptions import UpstreamLostError
+from wagtailstair.exceptions import UpstreamNotSentError
+from wagtailstair.exceptions import UpstreamRefusedError
 
 
 class WriteFault(enum.Enum):
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -1,14 +1,14 @@
 import hypothesis.strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
 
 from tests import fuzz
-from tests.claim_world import LIMITS, ClaimWorld, Fault
+from tests.claim_world import LIMITS
+from tests.claim_world import ClaimWorld
+from tests.claim_world import Fault
 from wagtailstair.core.claim_steps import Settle
 
 HOSTS = 3
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -1,14 +1,13 @@
 import pytest
 
-from tests.fakes import FakeTable, WriteFault
+from tests.fakes import FakeTable
+from tests.fakes import WriteFault
 from wagtailstair.clock import ManualClock
-from wagtailstair.core.leases import (
-    Lease,
-    LeaseLimits,
-    LeaseRow,
-    LeaseWait,
-    decode_lease,
-)
+from wagtailstair.core.leases import Lease
+from wagtailstair.core.leases import LeaseLimits
+from wagtailstair.core.leases import LeaseRow
+from wagtailstair.core.leases import LeaseWait
+from wagtailstair.core.leases import decode_lease
 from wagtailstair.placement import LeaseKeeper
 
 LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -3,12 +3,19 @@
 
 import pytest
 
-from tests.fakes import FakeEngine, FakeFleet, FakeTable
+from tests.fakes import FakeEngine
+from tests.fakes import FakeFleet
+from tests.fakes import FakeTable
 from wagtailstair.clock import ManualClock
 from wagtailstair.core.leases import LeaseLimits
-from wagtailstair.core.placement import OrderKind, Placement, PlacementLimits
-from wagtailstair.core.targets import ModelSpec, divide_engines, make_targets
-from wagtailstair.placement import LeaseKeeper, Placer
+from wagtailstair.core.placement import OrderKind
+from wagtailstair.core.placement import Placement
+from wagtailstair.core.placement import PlacementLimits
+from wagtailstair.core.targets import ModelSpec
+from wagtailstair.core.targets import divide_engines
+from wagtailstair.core.targets import make_targets
+from wagtailstair.placement import LeaseKeeper
+from wagtailstair.placement import Placer
 
 HALVES = ((0, 6), (6, 12))
 DRAFT = ModelSpec("draft", "1", 12, HALVES, bytes_per_layer=10)
