Refuse nothing early while the pool's rate is not known

Cause: a daemon that had been stopped for a second saw all open load reports time out when it went on, forgot its engines, and refused a burst in its backlog with a deadline of 120 s by a rate of 1 work a second, the least that the estimate gave. Seen in test_requests_in_the_listen_backlog_are_served under a loaded machine. Ruled out: the requests' own deadlines, which had 119 s left.

Two changes: a pool without a route estimates no rate and refuses nothing by it (without that, both tests of test_capacity.py fail), and an engine counts as silent after two reports in a row that did not come.

--- a/src/wagtailstair/core/capacity.py
+++ b/src/wagtailstair/core/capacity.py
@@ -43,7 +43,7 @@
     def work_per_s(
         self, states: t.Callable[[], t.Iterable[EngineState]], now: float
     ) -> float:
-        """Return the estimate.
+        """Return the estimate; 0 while nothing is known to go by.
 
         :param states: gives the engines that may get new work.
         """
@@ -53,6 +53,10 @@
         # The measured rate counts as far as it covers a time constant.
         trust = min(1.0, self._busy_s / RATE_TIME_CONSTANT_S)
         measured = self._work / self._busy_s if self._busy_s else 0.0
+        if not self._bound:
+            # No route at present says nothing of the rate once there is one.
+            self.estimate = measured
+            return measured
         estimate = trust * measured + (1 - trust) * self._bound
         self.estimate = max(estimate, MINIMUM_WORK_PER_S)
         return self.estimate
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -5,6 +5,7 @@
 import heapq
 import math
 
+from .capacity import MINIMUM_WORK_PER_S
 from .capacity import Capacity
 from .demand import Done
 from .demand import Grant
@@ -273,7 +274,8 @@
     ) -> None:
         retry_after_s = late_s
         if reason is RefusalReason.QUEUE_FULL:
-            retry_after_s = self._queue.work_ahead(want) / self._work_per_s(now)
+            work_per_s = self._work_per_s(now) or MINIMUM_WORK_PER_S
+            retry_after_s = self._queue.work_ahead(want) / work_per_s
         retry_after_s = max(retry_after_s, MINIMUM_RETRY_AFTER_S)
         retry_after_s = min(retry_after_s, MAXIMUM_RETRY_AFTER_S)
         refusal = Refusal(want.request, want.epoch, want.host, reason, retry_after_s)
@@ -501,6 +503,8 @@
         if not ahead or not self._loads.by_name:
             return 0.0
         work_per_s = self._work_per_s(now)
+        if not work_per_s:
+            return 0.0
         wait_s = ahead / work_per_s
         share = self._limits.minimum_shares[want.priority]
         if share > 0:
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -22,6 +22,7 @@
 
 LOAD_REPORT_INTERVAL_S = 0.5
 LOAD_REPORT_TIMEOUT_S = 1.0
+SILENT_AFTER = 2  # reports in a row that did not come
 OK = 200
 
 
@@ -151,7 +152,7 @@
 
     :param engines: returns the engines to poll now.
     :param on_state: hears each report.
-    :param on_silent: hears the name of an engine that gave none.
+    :param on_silent: hears the name of an engine that gave none repeatedly.
     """
 
     def __init__(
@@ -170,6 +171,7 @@
         self._on_silent = on_silent
         self._rng = rng
         self._pending: set[str] = set()
+        self._failures_by_name: dict[str, int] = {}
 
     def start(self) -> None:
         """Begin to watch."""
@@ -196,8 +198,9 @@
     def _on_end(self, engine: Upstream, end: TransferEnd) -> None:
         self._pending.discard(engine.name)
         if end.sent is not Sent.ANSWERED or end.status != OK:
-            self._on_silent(engine.name)
+            self._note_failure(engine.name)
             return
+        self._failures_by_name.pop(engine.name, None)
         try:
             state = decode_state(
                 end.body,
@@ -214,3 +217,12 @@
             )
             return
         self._on_state(state)
+
+    def _note_failure(self, name: str) -> None:
+        # A pause of this process makes one round of reports time out at once.
+        failures = self._failures_by_name.get(name, 0) + 1
+        if failures < SILENT_AFTER:
+            self._failures_by_name[name] = failures
+            return
+        self._failures_by_name.pop(name, None)
+        self._on_silent(name)
