--- a/src/wagtailstair/cli/editing.py
+++ b/src/wagtailstair/cli/editing.py
@@ -1,10 +1,12 @@
 """Running an edit, so that it can be run again."""
 
 import dataclasses
+import itertools
 import typing as t
 import uuid
 
 from ..clock import SystemClock
+from ..core.changes import MAX_EDIT_ROWS
 from ..core.changes import Change
 from ..core.changes import RowEdit
 from ..core.changes import change_value
@@ -18,6 +20,7 @@
 from .output import print_note
 
 RETRY = RetryPolicy()
+PART_PAUSE_S = 1.0  # leaves writes of the table for others
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -40,6 +43,8 @@
 ) -> EditResult:
     """Make an edit, or find that an earlier run has made it.
 
+    An edit of very many rows is made in parts, under ids of their own.
+
     :param content: what the operator asked for, the same in each run.
     :param make_rows: reads the lists and returns the rows to change.
     """
@@ -47,14 +52,27 @@
         accepted = read_accepted(table, change_id, digest_of(content))
         if accepted is not None:
             return EditResult(accepted, before=True)
-    rows = make_rows()
+    rows = list(make_rows())
     if not rows:
         return EditResult(None)
-    if change_id is None:
-        change_id = str(uuid.uuid4())
-    edit = make_edit(change_id, author, rows, content)
+    is_new = change_id is None
+    change_id = change_id or str(uuid.uuid4())
     # Told first, so that a run that is cut short can be run again.
     print_note(f"change id: {change_id}")
+    for part in itertools.count(1):
+        if len(rows) <= MAX_EDIT_ROWS:
+            break
+        part_id = f"{change_id}.{part}"
+        part_content = [content, part]
+        if not is_new and read_accepted(table, part_id, digest_of(part_content)):
+            continue
+        edit = make_edit(part_id, author, rows[:MAX_EDIT_ROWS], part_content)
+        change = commit_edit(table, edit, SystemClock(), RETRY)
+        print_note(f"accepted: version {change.version}, {len(change.rows)} rows")
+        del rows[:MAX_EDIT_ROWS]
+        RETRY.pause(PART_PAUSE_S)
+    # The last part has the id itself, so that it stands for all of them.
+    edit = make_edit(change_id, author, rows, content)
     return EditResult(commit_edit(table, edit, SystemClock(), RETRY))
 
 
--- a/src/wagtailstair/cli/lists.py
+++ b/src/wagtailstair/cli/lists.py
@@ -208,6 +208,8 @@
         for change in _changes_to(table, current, wanted, base, overwrite):
             version = seen_version(current, change.row_key)
             rows.append(RowEdit(change.table, change.key, change.value, version))
+        # In parts, each has to leave the lists valid.
+        rows.sort(key=lambda row: row.table == PLANS and row.value is None)
         return rows
 
     content = ["apply", _content(wanted)]
--- a/src/wagtailstair/core/changes.py
+++ b/src/wagtailstair/core/changes.py
@@ -30,7 +30,7 @@
 
 AUDIT = "audit"
 CHANGES = "changes"
-MAX_EDIT_ROWS = 1000
+MAX_EDIT_ROWS = 200
 
 _VERSION_DIGITS = 12
 _DIGEST_BYTES = 16
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -272,6 +272,49 @@
         shell("settings", "check", str(shell.path / "none"), code=1)
 
 
+class TestManyRows:
+    @pytest.fixture
+    def big(self, shell, without_waits, monkeypatch):
+        monkeypatch.setattr("wagtailstair.cli.editing.MAX_EDIT_ROWS", 3)
+        shell("lists", "set-plan", "old", *NEW_PLAN)
+        shell("lists", "set-account", "a6", "--plan=old")
+        text = "version = 2\n" + TEXT
+        for number in range(7):
+            text += f"[accounts.a{number}]\nplan = 'maker'\n"
+        shell.arguments = ["lists", "apply", shell.file(text), "--change-id=big"]
+        return shell
+
+    def check(self, shell):
+        ids = [change["change_id"] for change in shell.json("audit")["changes"][2:]]
+        assert ids == ["big.1", "big.2", "big.3", "big"]
+        assert set(shell.lists().plan_by_name) == {"maker"}
+        assert len(shell.lists().account_by_name) == 8
+
+    def test_are_edited_in_parts(self, big):
+        big(*big.arguments)
+        self.check(big)
+        assert "accepted before: version 6" in big(*big.arguments).stderr
+        self.check(big)
+
+    @pytest.mark.parametrize("fault", ["lose_reply", "delay", "lose_request"])
+    @pytest.mark.parametrize("write", range(4))
+    def test_parts_are_run_again(self, big, fault, write):
+        before_call = fail_from_first_write(fault)
+        writes = []
+
+        def later(kind):
+            if kind == "transact":
+                writes.append(kind)
+            return before_call(kind) if len(writes) > write else None
+
+        big.table.before_call = later
+        big(*big.arguments, code=4)
+        big.table.before_call = lambda kind: None
+        big.table.deliver()
+        big(*big.arguments)
+        self.check(big)
+
+
 def status(host, version, peers, state="live"):
     return {
         "host": host,
