--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -24,6 +24,7 @@
 from .core.messages import Ack
 from .core.messages import Charge
 from .core.messages import Charged
+from .core.messages import EngineLoad
 from .core.messages import EngineLost
 from .core.messages import EngineReport
 from .core.messages import Finished
@@ -46,10 +47,13 @@
 from .core.quota import QuotaLimits
 from .core.rendezvous import owner
 from .core.spread import Spread
+from .core.spread import load_of
+from .core.spread import with_load
 from .core.tickets import Tickets
 
 TICK_S = 0.05  # the longest time between two looks at what is due
 WAKE_FLOOR_S = 0.005
+ROLES_CACHED = 65_536
 
 Decision = Grant | Refusal
 
@@ -93,6 +97,8 @@
         self.tickets = Tickets(self._find_owner, make_pool, self.engines, self._tell)
         self.charges = Charges(self._find_home, self._tell, self._host.name)
         self._generation = -1
+        self._cached_at = -1
+        self._host_by_role: dict[str, str | None] = {}
         self._era_by_host: dict[str, int] = {}
         self._buried: dict[str, int] = {}
         self._reset_by_sender: dict[str, int] = {}
@@ -205,8 +211,8 @@
     def polls(self, engine: str) -> bool:
         """Return whether this host is the one to poll an engine."""
         with self._lock:
-            hosts = self._membership.live(self._host.data_centre)
-        return owner(f"engine/{engine}", hosts) in (self._host.name, None)
+            host = self._find_host(f"engine/{engine}", self._host.data_centre)
+        return host in (self._host.name, None)
 
     def observe(self, state: EngineState) -> None:
         """Take a load report that this host read, and spread it."""
@@ -216,9 +222,12 @@
             dispatcher = self._find_owner(PoolKey(state.model, state.data_centre))
             peers = self._membership.live(self._host.data_centre)
             others = [peer for peer in peers if peer != self._host.name]
-            report = EngineReport(state, max(0.0, now - state.as_of))
-            for host in self.spread.targets(state, dispatcher, others, now):
+            whole, load = self.spread.targets(state, dispatcher, others, now)
+            for host in whole:
+                report = EngineReport(state, max(0.0, now - state.as_of))
                 self._send(host, report, now)
+            for host in load:
+                self._send(host, load_of(state, now), now)
             self._pump(now)
         self._resolve()
 
@@ -295,10 +304,21 @@
         return min(TICK_S, max(WAKE_FLOOR_S, wait_s))
 
     def _find_owner(self, key: PoolKey) -> str | None:
-        return owner(str(key), self._membership.live(key.data_centre))
+        return self._find_host(str(key), key.data_centre)
 
     def _find_home(self, account: str) -> str | None:
-        return owner(f"account/{account}", self._membership.live())
+        return self._find_host(f"account/{account}", None)
+
+    def _find_host(self, role: str, data_centre: str | None) -> str | None:
+        """Return the live host that has a role, among some or all of them."""
+        generation = self._membership.generation
+        if generation != self._cached_at or len(self._host_by_role) >= ROLES_CACHED:
+            self._cached_at = generation
+            self._host_by_role.clear()
+        if role not in self._host_by_role:
+            live = self._membership.live(data_centre)
+            self._host_by_role[role] = owner(role, live)
+        return self._host_by_role[role]
 
     def _tell(self, host: str, body: Reliable, now: float) -> None:
         self._send(host, self.outbox.add(host, body, now), now)
@@ -335,8 +355,11 @@
             self._buried.pop(name, None)
             self.tickets.void(name, now)
             self.charges.void(name, now)
+            self.spread.hurry()
         elif isinstance(event, PeerLive):
             self._revive(event.host.name, event.host.incarnation, now)
+            if event.host.data_centre == self._host.data_centre:
+                self.spread.hurry()
 
     def _lose(self, name: str, incarnation: int, now: float) -> None:
         self.outbox.drop(name)
@@ -392,9 +415,19 @@
         elif isinstance(message, EngineReport):
             as_of = now - message.age_s
             self._observe(dataclasses.replace(message.state, as_of=as_of), now)
+        elif isinstance(message, EngineLoad):
+            self._take_load(message, now)
         elif isinstance(message, EngineLost):
             self._engine_lost(message)
 
+    def _take_load(self, message: EngineLoad, now: float) -> None:
+        known = self.engines.by_name.get(message.name)
+        if known is None:
+            return
+        state = with_load(known, message, now)
+        if state is not None:
+            self._observe(state, now)
+
     def _take_numbered(
         self, sender: str, name: str, message: Numbered, now: float
     ) -> None:
