Keep the peers' threads alive through an unexpected error

An error while a datagram was handled ended the receiving thread, and the host was deaf to its peers from then on; the same held for the threads of the node and the follower. Errors are now logged and counted, and the test of nodes over loopback fails if there was one.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -3,6 +3,7 @@
 Run with ``python -m bench.capacity``; docs/CAPACITY.md explains the figures.
 """
 
+import dataclasses
 import pathlib
 import resource
 import typing as t
@@ -10,13 +11,6 @@
 from bench import capacity_slopes as slopes
 from wagtailstair import daemon as _daemon  # noqa: F401 - its memory is measured
 
-HOSTS = 380
-CENTRES = 17
-REPLICAS = 3_900
-ACCOUNTS = 39_000
-REQUESTS_PER_S = 14_000
-MODELS = 5
-CHANGES_A_DAY = 7_100
 SECONDS_A_DAY = 86_400
 IP_UDP_BYTES = 28
 BUDGET_BYTES_PER_S = 6 * 1024
@@ -28,6 +22,23 @@
 Row = tuple[str, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Size:
+    """A deployment."""
+
+    hosts: int
+    centres: int
+    replicas: int
+    accounts: int
+    requests_per_s: float
+    models: int
+    changes_a_day: float
+
+
+TARGET = Size(380, 17, 3_900, 39_000, 14_000.0, 5, 7_100.0)
+TODAY = Size(8, 3, 43, 10, 0.0, 1, 100.0)
+
+
 class Report:
     """Lines that are printed and kept."""
 
@@ -80,40 +91,49 @@
     return sum(sizes[name] + IP_UDP_BYTES for name in names)
 
 
-def _traffic(
-    report: Report, sizes: dict[str, int], heartbeat_s: float
-) -> dict[str, float]:
+def _traffic(size: Size, sizes: dict[str, int], heartbeat_s: float) -> dict[str, float]:
     """Return the bytes a second that a node sends, by purpose."""
-    inside, remote = slopes.heartbeat_rates(HOSTS, CENTRES, heartbeat_s)
+    inside, remote = slopes.heartbeat_rates(size.hosts, size.centres, heartbeat_s)
     beat = _wire(sizes, "heartbeat")
-    neighbours = HOSTS / CENTRES - 1
-    polled = REPLICAS / HOSTS
-    requests = REQUESTS_PER_S / HOSTS
-    elsewhere = 1.0 - CENTRES / HOSTS
+    neighbours = size.hosts / size.centres - 1
+    polled = size.replicas / size.hosts
+    requests = size.requests_per_s / size.hosts
+    elsewhere = 1.0 - size.centres / size.hosts
     # Each message has one sender, so a request costs a node what all its
     # messages cost, whoever sends them.
     dispatch = _wire(sizes, "submit", "granted", "finished", "ack")
     charge = _wire(sizes, "charge", "charged", "settle", "ack")
-    changes = CHANGES_A_DAY / SECONDS_A_DAY
+    changes = size.changes_a_day / SECONDS_A_DAY
     return {
         "heartbeats inside": inside / 60.0 * beat,
         "heartbeats outside": remote / 60.0 * beat,
-        "versions of the lists": changes * (neighbours + 2 * CENTRES) * beat,
+        "versions of the lists": changes * (neighbours + 2 * size.centres) * beat,
         "engine reports to all": polled * neighbours / 30.0 * _wire(sizes, "report"),
         "engine loads, changed each second": polled * elsewhere * _wire(sizes, "load"),
         "dispatch of requests": requests * elsewhere * dispatch,
-        "charges of accounts": requests * (1.0 - 1.0 / HOSTS) * charge,
+        "charges of accounts": requests * (1.0 - 1.0 / size.hosts) * charge,
     }
 
 
-def _print_traffic(report: Report, sizes: dict[str, int], heartbeat_s: float) -> None:
-    traffic = _traffic(report, sizes, heartbeat_s)
+def _print_traffic(
+    report: Report, size: Size, sizes: dict[str, int], heartbeat_s: float
+) -> None:
+    traffic = _traffic(size, sizes, heartbeat_s)
     total = sum(traffic.values())
     rows = [(name, f"{value:.0f}") for name, value in traffic.items()]
     rows.append(("all", f"{total:.0f}"))
     rows.append(("budget", str(BUDGET_BYTES_PER_S)))
-    report.say(f"Bytes a second sent by a node, heartbeats each {heartbeat_s:g} s:")
+    report.say(
+        f"Bytes a second sent by a node of {size.hosts}"
+        f" at {size.requests_per_s:g} requests/s, heartbeats each {heartbeat_s:g} s:"
+    )
     report.table(("purpose", "bytes/s"), rows)
+    room = BUDGET_BYTES_PER_S - total
+    if room > 0 and size.requests_per_s == 0:
+        one = dataclasses.replace(size, requests_per_s=float(size.hosts))
+        each = sum(_traffic(one, sizes, heartbeat_s).values()) - total
+        report.say(f"Room for {room / each:.1f} requests/s a node.")
+        report.say()
 
 
 def _print_processor(
@@ -123,10 +143,10 @@
     dispatch: dict[str, float],
     quota: dict[str, float],
 ) -> None:
-    requests = REQUESTS_PER_S / HOSTS
-    inside, remote = slopes.heartbeat_rates(HOSTS, CENTRES, 1.0)
+    requests = TARGET.requests_per_s / TARGET.hosts
+    inside, remote = slopes.heartbeat_rates(TARGET.hosts, TARGET.centres, 1.0)
     beats = (inside + remote) / 60.0
-    polled = REPLICAS / HOSTS
+    polled = TARGET.replicas / TARGET.hosts
     charge_codec = sum(times[name] for name in ("charge", "charged", "settle", "ack"))
     microseconds = {
         "heartbeats": beats * (times["heartbeat"] + member["heartbeat us"]),
@@ -152,9 +172,11 @@
 ) -> None:
     kilobytes = {
         "imports (resident, before any state)": base_kb,
-        "peers": HOSTS * member["peer KB"],
-        "accounts as home (1/380 of them)": ACCOUNTS / HOSTS * quota["account KB"],
-        "both lists": ACCOUNTS * lists["account KB"],
+        "peers": TARGET.hosts * member["peer KB"],
+        "accounts as home (1/380 of them)": TARGET.accounts
+        / TARGET.hosts
+        * quota["account KB"],
+        "both lists": TARGET.accounts * lists["account KB"],
     }
     rows = [(name, f"{value / 1024:.1f}") for name, value in kilobytes.items()]
     rows.append(("all", f"{sum(kilobytes.values()) / 1024:.1f}"))
@@ -164,12 +186,19 @@
 
 
 def _print_table_reads(report: Report) -> None:
-    hosts = round(HOSTS / CENTRES)
+    hosts = round(TARGET.hosts / TARGET.centres)
     rows = []
     for count in (3, 8, hosts):
         rows.append((str(count), f"{slopes.table_reads(count, 1.0):.2f}"))
     report.table(("hosts of a data centre", "reads of the version/s"), rows)
-    reads = slopes.table_reads(hosts, 1.0) * CENTRES
+    listed = TARGET.hosts + TARGET.replicas
+    report.say(
+        f"The host list of {listed} hosts: {slopes.host_list_kb(listed):.0f} KB,"
+        f" of {TODAY.hosts + TODAY.replicas} hosts:"
+        f" {slopes.host_list_kb(TODAY.hosts + TODAY.replicas):.1f} KB."
+    )
+    report.say()
+    reads = slopes.table_reads(hosts, 1.0) * TARGET.centres
     report.say(f"All data centres: {reads:.0f} of {TABLE_READS_PER_S} reads/s.")
     report.say()
 
@@ -182,8 +211,8 @@
     quota: dict[str, float],
 ) -> None:
     """Print what the busiest holder of each role does, above the average."""
-    pool_rate = REQUESTS_PER_S / CENTRES / MODELS
-    home_rate = REQUESTS_PER_S / HOSTS
+    pool_rate = TARGET.requests_per_s / TARGET.centres / TARGET.models
+    home_rate = TARGET.requests_per_s / TARGET.hosts
     dispatcher_core = pool_rate * dispatch["dispatcher"] / 1e4
     home_us = quota["charge us"] + sum(times[n] for n in ("charge", "charged")) / 2
     rows = [
@@ -219,9 +248,9 @@
         report,
         "peers",
         (8, 23, 95, 380, 760),
-        lambda hosts: slopes.membership_slope(hosts, CENTRES),
+        lambda hosts: slopes.membership_slope(hosts, TARGET.centres),
     )
-    member = slopes.membership_slope(HOSTS, CENTRES)
+    member = slopes.membership_slope(TARGET.hosts, TARGET.centres)
     dispatch = _sized(report, "engines of a pool", (8, 46, 230), slopes.dispatch_slope)
     dispatch = slopes.dispatch_slope(46)
     quota = _sized(report, "accounts", (1_000, 10_000, 39_000), slopes.quota_slope)
@@ -230,7 +259,8 @@
     )
     _print_table_reads(report)
     for heartbeat_s in (0.5, 1.0):
-        _print_traffic(report, sizes, heartbeat_s)
+        _print_traffic(report, TARGET, sizes, heartbeat_s)
+    _print_traffic(report, TODAY, sizes, 0.5)
     _print_processor(report, times, member, dispatch, quota)
     _print_roles(report, sizes, times, dispatch, quota)
     _print_memory(report, base_kb, member, quota, lists)
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -6,6 +6,8 @@
 import tracemalloc
 import typing as t
 
+import msgspec
+
 from wagtailstair.clock import ManualClock
 from wagtailstair.core.charges import Homes
 from wagtailstair.core.demand import Done
@@ -413,6 +415,24 @@
     }
 
 
+def host_list_kb(entries: int) -> float:
+    """Return the size of the platform's host list."""
+    hosts = []
+    for number in range(entries):
+        engine = make_engine(number, entries)
+        hosts.append(
+            {
+                "name": engine.name,
+                "kind": "engine",
+                "data_centre": engine.data_centre,
+                "address": engine.address,
+                "incarnation": engine.incarnation,
+                "state": "live",
+            }
+        )
+    return len(msgspec.json.encode({"hosts": hosts})) / BYTES_PER_KB
+
+
 def table_reads(hosts: int, interval_s: float) -> float:
     """Return the reads of the version a second by all hosts of a data centre."""
     count = 0
--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -130,10 +130,10 @@
         while not self._stopping:
             try:
                 self.tick()
-            except RuntimeError:
-                # The pool takes nothing more while the process ends.
-                if not self._stopping:
-                    raise
+            except Exception as error:
+                # Without this thread the host would keep old lists.
+                name = type(error).__name__
+                log_event("follower_tick_failed", level="ERROR", error=name)
             self._wake.wait(TICK_S)
             self._wake.clear()
 
@@ -145,6 +145,7 @@
                 self._note_failure(action, error)
             except Exception as error:
                 self._note_failure(action, error)
+                # Where it runs, nobody would see it: the log above is all.
                 raise
             finally:
                 self._wake.set()
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -47,6 +47,7 @@
     ) -> None:
         self.membership = membership
         self.lock = threading.RLock()
+        self.failures = 0
         self.dispatcher = Dispatcher(membership, transport, make_pool, clock, self.lock)
         self.listeners: list[Listener] = [self.dispatcher.members_changed]
         self._transport = transport
@@ -129,7 +130,14 @@
 
     def _run(self) -> None:
         while not self._stopping.is_set():
-            wait_s = self.tick()
+            wait_s = MEMBERSHIP_TICK_S
+            try:
+                wait_s = self.tick()
+            except Exception as error:
+                # Without this thread the host would fall silent.
+                self.failures += 1
+                name = type(error).__name__
+                log_event("node_tick_failed", level="ERROR", error=name)
             self._stopping.wait(wait_s)
 
     def _send_heartbeats(self, now: float) -> None:
--- a/src/wagtailstair/peers/transport.py
+++ b/src/wagtailstair/peers/transport.py
@@ -10,6 +10,7 @@
 from ..clock import Clock
 from ..core.messages import Message
 from ..exceptions import PeerError
+from ..logs import log_event
 from .codec import DATAGRAM_BYTES
 from .codec import DATAGRAM_BYTES_MAX
 from .codec import Datagram
@@ -28,7 +29,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Traffic:
-    """Counts of datagrams, their bytes, and those that were dropped."""
+    """Counts of datagrams, their bytes, and those that were dropped.
+
+    ``failed``: those whose handling ended in an unexpected error.
+    """
 
     sent: int = 0
     sent_bytes: int = 0
@@ -37,6 +41,7 @@
     malformed: int = 0
     misdirected: int = 0
     unsent: int = 0
+    failed: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -214,4 +219,17 @@
             if datagram.receiver not in (0, self._incarnation):
                 self.traffic.misdirected += 1
                 continue
+            self._hand_over(datagram, receive)
+
+    def _hand_over(self, datagram: Datagram, receive: Receiver) -> None:
+        try:
             receive(datagram)
+        except Exception as error:
+            # Without this thread the host would be deaf.
+            self.traffic.failed += 1
+            log_event(
+                "datagram_failed",
+                level="ERROR",
+                peer=datagram.sender,
+                error=type(error).__name__,
+            )
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -1,4 +1,5 @@
 import collections
+import threading
 
 from hypothesis import settings
 from hypothesis import strategies as st
@@ -9,7 +10,15 @@
 
 from tests.follower_simulation import Daemon
 from tests.follower_simulation import World
+from wagtailstair.clock import SystemClock
 from wagtailstair.core.freshness import REFRESH_S
+from wagtailstair.core.freshness import Freshness
+from wagtailstair.core.freshness import PeerVersions
+from wagtailstair.core.lists import Lists as Snapshot
+from wagtailstair.core.lists import ListsHolder
+from wagtailstair.exceptions import PeerError
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.follower import Follower
 
 NAMES = ("a1", "a2", "a3", "b1", "b2")
 IN_FORCE_S = 5.0
@@ -150,7 +159,6 @@
         everyone_else = set(NAMES) - {"a1"}
         world.cut_platform = set(everyone_else)
         daemon = world.by_name["a1"]
-        daemon.fetch = None
         for other in everyone_else:
             world.by_name[other].follower._fetch = _refuse
         world.run(15.0)
@@ -166,8 +174,6 @@
 
 
 def _refuse(peer, lists):
-    from wagtailstair.exceptions import PeerError
-
     raise PeerError("no answer")
 
 
@@ -254,3 +260,37 @@
         assert {d.version for d in world.by_name.values()} == {1}
         whole = sum(1 for d in world.by_name.values() if d.whole_reads)
         assert whole <= 4 * 3
+
+
+class TestThreads:
+    def test_follows_and_survives_errors(self):
+        clock = SystemClock()
+        holder = ListsHolder()
+        answers = [RuntimeError("no"), PlatformUnavailableError("away"), 3]
+        taken = threading.Event()
+
+        def read_head():
+            answer = answers.pop(0) if len(answers) > 1 else answers[0]
+            if isinstance(answer, Exception):
+                raise answer
+            return answer
+
+        follower = Follower(
+            holder,
+            clock,
+            Freshness(0.05, clock.monotonic(), lambda: 0.5),
+            read_head=read_head,
+            read_since=lambda lists: Snapshot(version=3),
+            fetch=_refuse,
+            find_peers=PeerVersions,
+            find_rank=lambda: 0,
+            on_taken=lambda old, new: taken.set(),
+        )
+        follower.start()
+        assert taken.wait(20.0)
+        assert follower.wait_until_fresh(clock.monotonic() + 20.0)
+        end = clock.monotonic() + 20.0
+        while not follower.is_ready:
+            assert clock.monotonic() < end
+        follower.stop()
+        assert holder.current.version == 3
--- a/tests/test_peers_node.py
+++ b/tests/test_peers_node.py
@@ -70,6 +70,8 @@
     yield nodes
     for node in nodes:
         node.node.stop()
+        assert node.node.failures == 0
+        assert node.transport.traffic.failed == 0
 
 
 def make_want(host, number):
--- a/tests/test_peers_transport.py
+++ b/tests/test_peers_transport.py
@@ -91,3 +91,21 @@
         assert received.empty()
         assert two.traffic.malformed == 2
         assert two.traffic.misdirected == 1
+
+    def test_goes_on_after_a_message_that_could_not_be_handled(self, make_transport):
+        one, _ = make_transport("one", 1)
+        received = queue.Queue()
+
+        def receive(datagram):
+            if datagram.messages == (Queued(1),):
+                raise RuntimeError("no")
+            received.put(datagram)
+
+        two = UdpTransport("two", 2, "127.0.0.1", 0, SystemClock(), key=KEY)
+        two.start(receive)
+        for handle in (1, 2):
+            one.send(address_of(two), 2, Queued(handle))
+            one.flush()
+        assert received.get(timeout=PATIENCE_S).messages == (Queued(2),)
+        assert two.traffic.failed == 1
+        two.close()
