--- a/bench/live.py
+++ b/bench/live.py
@@ -160,9 +160,7 @@
     pids = [bench.fleet[name].process.pid for name in DAEMONS]
     before = [cpu_seconds(pid) for pid in pids]
     time.sleep(seconds)
-    shares = [
-        (cpu_seconds(pid) - b) / seconds for pid, b in zip(pids, before, strict=True)
-    ]
+    used = [cpu_seconds(pid) - b for pid, b in zip(pids, before, strict=True)]
     return {
         "core_share_max": round(max(used) / seconds, 4),
         "resident_mb_max": round(max(resident_mb(pid) for pid in pids), 1),
