--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -68,8 +68,8 @@
             ).start()
 
     def _serve(self, connection: socket.socket) -> None:
-        connection.settimeout(TIMEOUT_S)
         try:
+            connection.settimeout(TIMEOUT_S)
             while True:
                 request = read_request(connection)
                 if not request:
