Print the fault matrix, and run any cell by name and seed

tests/matrix.py holds a cell for each step and fault: a function of a seed over the core (tests/matrix_cells.py: claims, sessions, leases), pytest tests by node id, or the reason why it can't happen. make prove prints it with the tests, make fuzz runs the state machines by seed and length.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,14 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
+
+prove: install
+	$(PY) -m tests.matrix --processes
+
+SEED ?= 1
+LENGTH ?= 5000
+
+fuzz: install
+	FUZZ_SEED=$(SEED) FUZZ_LENGTH=$(LENGTH) $(PY) -m pytest -o timeout=0 \
+		tests/test_claims_machine.py tests/test_sessions_machine.py \
+		tests/test_leases_machine.py
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -2,22 +2,20 @@
 
 import dataclasses
 
-from tests.fakes import FakeTable, WriteFault
-from wagtailstair.core.leases import (
-    Lease,
-    LeaseLimits,
-    LeaseRead,
-    LeaseWait,
-    LeaseWrite,
-    decode_lease,
-    encode_lease,
-)
-from wagtailstair.core.rows import Condition, Write
-from wagtailstair.exceptions import (
-    PlatformConflictError,
-    PlatformUnavailableError,
-    PlatformUnknownError,
-)
+from tests.fakes import FakeTable
+from tests.fakes import WriteFault
+from wagtailstair.core.leases import Lease
+from wagtailstair.core.leases import LeaseLimits
+from wagtailstair.core.leases import LeaseRead
+from wagtailstair.core.leases import LeaseWait
+from wagtailstair.core.leases import LeaseWrite
+from wagtailstair.core.leases import decode_lease
+from wagtailstair.core.leases import encode_lease
+from wagtailstair.core.rows import Condition
+from wagtailstair.core.rows import Write
+from wagtailstair.exceptions import PlatformConflictError
+from wagtailstair.exceptions import PlatformUnavailableError
+from wagtailstair.exceptions import PlatformUnknownError
 
 ROLE = "placement/dc1"
 LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
--- /dev/null
+++ b/tests/matrix.py
@@ -0,0 +1,401 @@
+"""The fault matrix: every fault at every step, and what is known of each cell.
+
+python -m tests.matrix [--cell STEP/FAULT] [--seed N] [--seeds N] [--processes]
+"""
+
+import argparse
+import itertools
+import pathlib
+import subprocess
+import sys
+
+from tests.matrix_cells import core_cells
+
+ROOT = pathlib.Path(__file__).parent.parent
+SEEDS = 20
+PROCESS_TIMEOUT_S = 1500
+
+REQUEST = ("accept", "authenticate", "admit", "wait", "claim-written", "claim-reply")
+EXCHANGE = ("connect", "request-sent", "first-byte", "middle", "last-byte")
+RESULT = ("result-settled", "answer")
+LISTS = ("read", "commit", "reply", "announce", "apply")
+LEASES = ("acquire", "renew", "order-sent", "order-reply", "hand-over")
+SHUTDOWN = ("readiness-gone", "listener-closed", "last-request")
+START = ("join", "first-lists", "ready")
+STEPS = (*REQUEST, *EXCHANGE, *RESULT, *LISTS, *LEASES, *SHUTDOWN, *START)
+
+UPSTREAM_FAULTS = (
+    "stage-killed",
+    "service-killed",
+    "service-refuses",
+    "cut-upstream",
+    "answers-late-or-twice",
+    "answers-repeated",
+    "answers-out-of-order",
+    "wrong-layers",
+    "ends-early",
+)
+PLATFORM_FAULTS = (
+    "cut-platform",
+    "platform-away",
+    "platform-slow",
+    "reply-lost",
+    "request-lost",
+)
+HOST_FAULTS = (
+    "daemon-killed",
+    "peer-killed",
+    "frozen",
+    "host-replaced",
+    "cut-peer",
+    "cut-one-way",
+    "data-centre-cut",
+    "link-slow",
+)
+LOST_MESSAGES = ("platform-slow", "reply-lost", "request-lost")
+OTHER_FAULTS = (
+    "upstream-leaves",
+    "same-key-elsewhere",
+    "operators-race",
+    "fencing-ignored",
+)
+# A step without a fault is a cell too: "none".
+FAULTS = ("none", *HOST_FAULTS, *PLATFORM_FAULTS, *UPSTREAM_FAULTS, *OTHER_FAULTS)
+
+_BEFORE_EXCHANGE = REQUEST
+
+# Why a fault can't happen at a step.
+IMPOSSIBLE = (
+    (_BEFORE_EXCHANGE, UPSTREAM_FAULTS, "nothing has gone to an upstream yet"),
+    (RESULT, UPSTREAM_FAULTS, "the upstream's answer is complete"),
+    (
+        (*LISTS, *START),
+        UPSTREAM_FAULTS,
+        "no upstream takes part",
+    ),
+    (
+        tuple(step for step in STEPS if step not in LISTS),
+        ("operators-race",),
+        "no list is edited",
+    ),
+    (
+        tuple(step for step in STEPS if step not in LEASES),
+        ("fencing-ignored",),
+        "no order is sent",
+    ),
+    (
+        ("accept", "authenticate", "admit", "wait", *LISTS, *LEASES, *START),
+        ("same-key-elsewhere",),
+        "no claim is written or pending",
+    ),
+    (
+        ("accept", "authenticate", "admit"),
+        (*LOST_MESSAGES, "cut-peer"),
+        "judged by the lists in memory; nobody is asked",
+    ),
+    (
+        ("first-byte", "middle"),
+        LOST_MESSAGES,
+        "a stream sends the platform no message",
+    ),
+    (
+        ("claim-reply",),
+        ("platform-away", "platform-slow", "request-lost"),
+        "the write has taken effect; before that it is claim-written",
+    ),
+    (
+        ("claim-written", "claim-reply", "result-settled"),
+        ("peer-killed", "cut-peer"),
+        "the table is asked, no peer",
+    ),
+    (("acquire",), ("link-slow", "fencing-ignored"), "no order before the lease"),
+    (
+        ("acquire", "renew"),
+        UPSTREAM_FAULTS,
+        "the table is asked, no engine",
+    ),
+    (
+        ("order-sent", "order-reply", "hand-over"),
+        ("service-killed", "service-refuses", "wrong-layers", "ends-early"),
+        "orders go to engines and have one reply",
+    ),
+    (
+        ("connect", "request-sent"),
+        ("wrong-layers", "ends-early", "answers-repeated", "answers-out-of-order"),
+        "no line has come yet",
+    ),
+)
+
+_COMPLETIONS = "tests/test_fleet_completions.py::TestStageFailure::"
+_SERVICES = "tests/test_fleet_services.py::"
+_LISTS = "tests/test_fleet_lists.py::"
+_SHUTDOWN = "tests/test_fleet_shutdown.py::"
+_HOSTS = "tests/test_fleet_hosts.py::"
+_KILLED = _SERVICES + "TestDaemonKilled::test_killed_between_claim_and_result"
+_STAGE = _COMPLETIONS + "test_answer_is_whole_past_a_failed_stage"
+_STREAMS = _COMPLETIONS + "test_answer_is_whole_past_faulty_streams"
+_TABLE_REPLY = _SERVICES + "TestLostReply::test_lost_reply_of_the_table"
+_DOWN = (
+    _SERVICES
+    + "TestPlatformDown::test_keyed_calls_are_refused_at_once_and_completions_go_on"
+)
+_SLOW = _SERVICES + "TestPlatformDown::test_slow_platform_loses_nothing"
+_CONCURRENT = _SERVICES + "TestRetry::test_concurrent_calls_of_one_key_run_once"
+_HOST_LOST = (
+    _HOSTS
+    + "TestHostLost::test_the_rest_serves_and_a_new_host_joins_under_the_same_address"
+)
+_DC_LOST = _HOSTS + "TestHostLost::test_a_whole_data_centre_of_hosts_is_lost"
+_ONE_WAY = _HOSTS + "TestOutage::test_replies_of_the_platform_are_lost_one_way"
+_STAMPEDE = _HOSTS + "TestOutage::test_recovery_does_not_stampede_the_table"
+_CUT_LISTS = _LISTS + "TestEdit::test_edit_reaches_a_data_centre_cut_from_the_platform"
+_THAWED = _LISTS + "TestNeverBack::test_thawed_daemon_does_not_serve_by_old_lists"
+_RESTARTED = (
+    _LISTS + "TestNeverBack::test_restarted_daemon_cut_from_the_platform_has_the_newest"
+)
+_ONLY_GROW = (
+    _LISTS + "TestNeverBack::test_versions_only_grow_over_edits_cuts_and_freezes"
+)
+_EDITS = "tests/test_changes.py::"
+_LOST_EDIT = _EDITS + "TestLostReplies::test_a_lost_reply_is_settled_by_the_change_id"
+_FOLLOWER = "tests/test_follower.py::"
+
+# Cells that a pytest test covers, by its node id.
+TESTS = {
+    ("accept", "none"): ("tests/test_fleet_completions.py::TestOpenAIClient",),
+    ("middle", "none"): ("tests/test_fleet_completions.py::TestLoad",),
+    ("answer", "none"): (_SERVICES + "TestRetry",),
+    ("readiness-gone", "none"): (
+        _SHUTDOWN + "TestUnderLoad::test_readiness_goes_before_the_listener",
+    ),
+    ("listener-closed", "none"): (_SHUTDOWN + "TestBacklog",),
+    ("last-request", "none"): (
+        _SHUTDOWN + "TestUnderLoad::test_streams_and_calls_end_whole",
+    ),
+    ("accept", "host-replaced"): (_HOST_LOST,),
+    ("accept", "daemon-killed"): (_HOST_LOST,),
+    ("accept", "data-centre-cut"): (_DC_LOST,),
+    ("claim-written", "daemon-killed"): (_KILLED,),
+    ("claim-written", "platform-away"): (_DOWN,),
+    ("claim-written", "platform-slow"): (_SLOW,),
+    ("claim-written", "cut-one-way"): (_ONE_WAY,),
+    ("claim-written", "same-key-elsewhere"): (_CONCURRENT,),
+    ("claim-reply", "reply-lost"): (_TABLE_REPLY,),
+    ("result-settled", "reply-lost"): (_TABLE_REPLY,),
+    ("connect", "service-killed"): (
+        _SERVICES + "TestRefused::test_dead_service_is_not_run",
+    ),
+    ("connect", "stage-killed"): (_STAGE,),
+    ("request-sent", "service-refuses"): (
+        _SERVICES + "TestRefused::test_refused_call_is_not_run_and_may_run_later",
+    ),
+    ("request-sent", "daemon-killed"): (_KILLED,),
+    ("request-sent", "reply-lost"): (
+        _SERVICES + "TestLostReply::test_outcome_is_unknown_and_there_is_no_second_run",
+    ),
+    ("middle", "stage-killed"): (_STAGE,),
+    ("middle", "frozen"): (_STAGE,),
+    ("middle", "answers-repeated"): (_STREAMS,),
+    ("middle", "answers-out-of-order"): (_STREAMS,),
+    ("middle", "ends-early"): (_STREAMS,),
+    ("read", "cut-platform"): (_CUT_LISTS,),
+    ("read", "frozen"): (_FOLLOWER + "TestPause",),
+    ("read", "platform-away"): (
+        _STAMPEDE,
+        _FOLLOWER + "TestTable::test_its_return_is_not_met_by_a_stampede",
+    ),
+    ("commit", "operators-race"): (
+        _EDITS + "TestCommit::test_the_second_edit_of_a_row_is_told_of_the_first",
+        _EDITS + "TestCommit::test_edits_of_different_rows_both_succeed",
+        "tests/test_changes_stateful.py",
+    ),
+    ("commit", "platform-away"): (
+        _EDITS + "TestLostReplies::test_unavailable_when_no_attempt_got_through",
+    ),
+    ("commit", "request-lost"): (_LOST_EDIT,),
+    ("reply", "reply-lost"): (_LOST_EDIT,),
+    ("reply", "platform-slow"): (
+        _EDITS + "TestLostReplies::test_an_own_late_attempt_is_not_anothers_edit",
+    ),
+    ("announce", "cut-platform"): (_CUT_LISTS,),
+    ("announce", "cut-peer"): (_ONLY_GROW,),
+    ("apply", "frozen"): (_THAWED,),
+    ("apply", "daemon-killed"): (_RESTARTED,),
+    ("apply", "cut-platform"): (_ONLY_GROW,),
+    ("join", "host-replaced"): (_HOST_LOST,),
+    ("join", "daemon-killed"): (
+        "tests/test_membership.py::TestNetwork::test_host_killed_is_dead_everywhere",
+    ),
+    ("join", "data-centre-cut"): (
+        "tests/test_membership.py::TestNetwork::test_data_centre_cut_off_and_back",
+    ),
+    ("first-lists", "cut-platform"): (_RESTARTED,),
+    ("first-lists", "platform-away"): (_FOLLOWER + "TestStart",),
+    ("first-lists", "cut-peer"): (
+        _FOLLOWER + "TestStart::test_is_not_ready_while_it_can_reach_nobody",
+    ),
+}
+_MACHINE_CELLS = (
+    # The machine of the lists' followers, the operators', the dispatchers'.
+    (
+        (_FOLLOWER.rstrip(":"),),
+        ("read", "announce", "apply", "first-lists"),
+        (
+            "daemon-killed",
+            "frozen",
+            "cut-peer",
+            "data-centre-cut",
+            "cut-platform",
+            "platform-away",
+            "platform-slow",
+        ),
+    ),
+    (
+        ("tests/test_changes_stateful.py",),
+        ("commit", "reply"),
+        ("none", "platform-away", "reply-lost", "request-lost", "operators-race"),
+    ),
+    (
+        ("tests/test_dispatch.py::TestFaults",),
+        ("wait",),
+        ("daemon-killed", "peer-killed", "frozen", "cut-peer", "cut-one-way"),
+    ),
+    ((_DOWN,), ("accept", "first-byte", "middle"), ("platform-away",)),
+    (
+        ("tests/test_fleet_completions.py::TestLeaving",),
+        ("wait", "connect"),
+        ("upstream-leaves",),
+    ),
+)
+for _nodes, _steps, _faults in _MACHINE_CELLS:
+    for _cell in itertools.product(_steps, _faults):
+        TESTS[_cell] = (*TESTS.get(_cell, ()), *_nodes)
+
+HELD = "held"
+FELL_SHORT = "fell short"
+IMPOSSIBLE_STATUS = "cannot happen"
+NOT_RUN = "not run"
+MARK_BY_STATUS = {HELD: "ok", FELL_SHORT: "XX", IMPOSSIBLE_STATUS: "-", NOT_RUN: "."}
+
+
+def why_impossible(step, fault):
+    """Return why a fault can't happen at a step, or nothing."""
+    for steps, faults, reason in IMPOSSIBLE:
+        if step in steps and fault in faults:
+            return reason
+    return ""
+
+
+def run_cell(functions, seeds):
+    """Return the status of a cell, and its seed and message if it fell short."""
+    for seed in seeds:
+        for function in functions:
+            try:
+                function(seed)
+            except AssertionError as error:
+                lines = str(error).splitlines() or [""]
+                return FELL_SHORT, f"seed {seed}: {lines[0]}"
+    return HELD, ""
+
+
+def run_tests(nodes):
+    """Run pytest tests in one go; return the failed ones, and those missing."""
+    present = sorted({n for n in nodes if (ROOT / n.split("::")[0]).exists()})
+    missing = dict.fromkeys(set(nodes) - set(present), "no such test yet")
+    if not present:
+        return {}, missing
+    command = [sys.executable, "-m", "pytest", "-rA", "--no-header", "--tb=no"]
+    done = subprocess.run(
+        [*command, *present],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=PROCESS_TIMEOUT_S,
+    )
+    failed, passed = {}, set()
+    for line in done.stdout.splitlines():
+        word, _, rest = line.partition(" ")
+        if word in ("FAILED", "ERROR", "XFAIL"):
+            failed[rest.split(" - ")[0]] = line
+        if word in ("PASSED", "XPASS"):
+            passed.add(rest)
+    for node in present:
+        if not any(name.startswith(node) for name in passed | set(failed)):
+            missing[node] = "not found by pytest"
+    return failed, missing
+
+
+def judge(cells, seeds, with_tests):
+    """Return status and remark of each cell by step and fault."""
+    nodes = [n for cell in cells for n in TESTS.get(cell, ())] if with_tests else []
+    failed, missing = run_tests(nodes)
+    by_cell = {}
+    functions_by_cell = core_cells()
+    for cell in cells:
+        functions = functions_by_cell.get(cell, ())
+        tests = TESTS.get(cell, ()) if with_tests else ()
+        status, remark = run_cell(functions, seeds) if functions else (NOT_RUN, "")
+        for node in tests:
+            if node in missing:
+                remark = remark or f"{node}: {missing[node]}"
+                continue
+            fallen = [name for name in failed if name.startswith(node)]
+            if fallen:
+                status, remark = FELL_SHORT, f"test {fallen[0]}"
+            elif status == NOT_RUN:
+                status = HELD
+        if not functions and cell not in TESTS and why_impossible(*cell):
+            status, remark = IMPOSSIBLE_STATUS, why_impossible(*cell)
+        by_cell[cell] = (status, remark)
+    return by_cell
+
+
+def print_matrix(by_cell):
+    """Print steps by faults, the legend, and what fell short."""
+    width = max(len(step) for step in STEPS)
+    numbers = " ".join(f"{n:>2}" for n in range(1, len(FAULTS) + 1))
+    print(f"{'':{width}} {numbers}")
+    for step in STEPS:
+        marks = [MARK_BY_STATUS[by_cell[step, fault][0]] for fault in FAULTS]
+        print(f"{step:{width}} " + " ".join(f"{mark:>2}" for mark in marks))
+    print()
+    for number, fault in enumerate(FAULTS, 1):
+        print(f"{number:>2} {fault}")
+    print("\nok held, XX fell short, - cannot happen, . not run\n")
+    for status in (HELD, FELL_SHORT, IMPOSSIBLE_STATUS, NOT_RUN):
+        count = sum(s == status for s, _ in by_cell.values())
+        print(f"{status}: {count}")
+    for (step, fault), (status, remark) in by_cell.items():
+        if status == FELL_SHORT or (status == NOT_RUN and remark):
+            print(f"{step}/{fault}: {status}, {remark}")
+    print("\ncannot happen, since:")
+    for steps, faults, reason in IMPOSSIBLE:
+        print(f"  {', '.join(steps)} / {', '.join(faults)}: {reason}")
+
+
+def main():
+    """Run the matrix, or one cell of it."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--cell", help="STEP/FAULT")
+    parser.add_argument("--seed", type=int, help="run this seed alone")
+    parser.add_argument("--seeds", type=int, default=SEEDS, help="seeds of a cell")
+    parser.add_argument(
+        "--processes", action="store_true", help="run the cells' pytest tests too"
+    )
+    options = parser.parse_args()
+    seeds = range(options.seeds) if options.seed is None else [options.seed]
+    if options.cell:
+        cell = tuple(options.cell.split("/"))
+        if cell[0] not in STEPS or cell[-1] not in FAULTS:
+            parser.error(f"no cell {options.cell}")
+        status, remark = judge([cell], seeds, with_tests=True)[cell]
+        print(f"{options.cell}: {status} {remark}")
+        return 1 if status == FELL_SHORT else 0
+    cells = [(step, fault) for step in STEPS for fault in FAULTS]
+    by_cell = judge(cells, seeds, options.processes)
+    print_matrix(by_cell)
+    return 1 if any(s == FELL_SHORT for s, _ in by_cell.values()) else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -1,14 +1,14 @@
 import hypothesis.strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    rule,
-)
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
 
 from tests import fuzz
 from tests.fakes import WriteFault
-from tests.lease_world import LIMITS, ORDER_S, LeaseWorld
+from tests.lease_world import LIMITS
+from tests.lease_world import ORDER_S
+from tests.lease_world import LeaseWorld
 
 CANDIDATES = 3
 candidates = st.integers(0, CANDIDATES - 1)
--- /dev/null
+++ b/tests/test_matrix.py
@@ -0,0 +1,35 @@
+import pytest
+
+from tests import matrix
+from tests.matrix_cells import core_cells
+
+SEEDS = range(5)
+CELLS = core_cells()
+
+
+@pytest.mark.parametrize("cell", CELLS, ids="/".join)
+def test_core_cell(cell):
+    status, remark = matrix.run_cell(CELLS[cell], SEEDS)
+    assert status == matrix.HELD, remark
+
+
+class TestRegistry:
+    def test_each_cell_is_of_a_known_step_and_fault(self):
+        for step, fault in [*CELLS, *matrix.TESTS]:
+            assert step in matrix.STEPS
+            assert fault in matrix.FAULTS
+
+    def test_no_cell_is_both_run_and_impossible(self):
+        both = [
+            cell for cell in [*CELLS, *matrix.TESTS] if matrix.why_impossible(*cell)
+        ]
+        assert both == []
+
+    def test_a_fallen_cell_names_its_seed(self):
+        def fall(seed):
+            assert seed != 3, "fell"
+
+        assert matrix.run_cell([fall], range(5)) == (
+            matrix.FELL_SHORT,
+            "seed 3: fell",
+        )
--- a/tests/test_sessions_machine.py
+++ b/tests/test_sessions_machine.py
@@ -1,17 +1,16 @@
 import itertools
 
 import hypothesis.strategies as st
-from hypothesis.stateful import (
-    RuleBasedStateMachine,
-    initialize,
-    invariant,
-    precondition,
-    rule,
-)
+from hypothesis.stateful import RuleBasedStateMachine
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import precondition
+from hypothesis.stateful import rule
 
 from tests import fuzz
 from wagtailstair.core.engine import Stage
-from wagtailstair.core.sessions import ACCEPTED, Session
+from wagtailstair.core.sessions import ACCEPTED
+from wagtailstair.core.sessions import Session
 from wagtailstair.exceptions import Outcome
 
 LAYERS = 6
