--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -70,7 +70,7 @@
     (RESULT, UPSTREAM_FAULTS, "the upstream's answer is complete"),
     (
         (*LISTS, *START),
-        UPSTREAM_FAULTS,
+        (*UPSTREAM_FAULTS, "upstream-leaves"),
         "no upstream takes part",
     ),
     (
