Part the end of a claim from its beginning

What happens once the result is known (write or release, confirm, clean up, deliver once) is now core/claim_results.py.

--- a/src/wagtailstair/core/claims.py
+++ b/src/wagtailstair/core/claims.py
@@ -6,11 +6,14 @@
 
 import collections.abc
 import dataclasses
-import enum
 import hashlib
 import urllib.parse
 
 from ..exceptions import Outcome
+from .claim_results import ClaimLimits as ClaimLimits
+from .claim_results import ClaimResult
+from .claim_results import Phase
+from .claim_results import unexpected
 from .claim_steps import Answer
 from .claim_steps import Answered
 from .claim_steps import Away
@@ -18,7 +21,6 @@
 from .claim_steps import ClaimState
 from .claim_steps import Command
 from .claim_steps import Conflict
-from .claim_steps import Deliver
 from .claim_steps import Event
 from .claim_steps import Failure
 from .claim_steps import FailureReason
@@ -34,8 +36,6 @@
 from .claim_steps import Send
 from .claim_steps import Settle
 from .claim_steps import Store
-from .claim_steps import Stored
-from .claim_steps import Wait
 from .claim_steps import Woke
 from .claim_steps import Written
 
@@ -58,46 +58,7 @@
     return digest.hexdigest()
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ClaimLimits:
-    """Bounds on a claim's steps; ``*_s`` in seconds.
-
-    ``send_window_s``: from before the claim was written until the call may be
-    sent; ``confirm_s``: how long a result waits for its write before the
-    caller gets it; ``retention_s``: age at which a row may be swept.
-    """
-
-    inserts: int = 3
-    send_window_s: float = 30.0
-    confirm_s: float = 1.0
-    confirm_attempts: int = 200
-    cleanup_reads: int = 3
-    backoff_s: float = 0.05
-    max_backoff_s: float = 2.0
-    inline_body_bytes: int = 16 << 10
-    retention_s: float = 7 * 86400.0
-
-
-class Phase(enum.Enum):
-    """What a claim waits for."""
-
-    NEW = "new"
-    INSERTING = "inserting"
-    READING = "reading"
-    WAITING = "waiting"
-    FETCHING = "fetching"
-    SENDING = "sending"
-    STORING = "storing"
-    CONFIRMING = "confirming"
-    CONFIRM_READING = "confirm_reading"
-    CONFIRM_WAITING = "confirm_waiting"
-    CLEANUP_READING = "cleanup_reading"
-    CLEANUP_WAITING = "cleanup_waiting"
-    DELIVERING = "delivering"
-    DONE = "done"
-
-
-class Claim:
+class Claim(ClaimResult):
     """One call under an idempotency key, from its claim to its settled result.
 
     :param row: the row to claim with; its claimant id is used by no other call.
@@ -105,45 +66,20 @@
     """
 
     __slots__ = (
-        "_cleanup_reads",
-        "_confirm_attempts",
-        "_confirm_until",
         "_contended",
-        "_delay_s",
-        "_insert_lost",
         "_inserts",
-        "_parked",
-        "_pending",
         "_replay",
         "_send_until",
-        "_version",
         "deadline",
-        "is_delivered",
-        "limits",
-        "phase",
-        "result",
-        "row",
     )
 
     def __init__(self, row: ClaimRow, deadline: float, limits: ClaimLimits) -> None:
-        self.row = row
+        super().__init__(row, limits)
         self.deadline = deadline
-        self.limits = limits
-        self.phase = Phase.NEW
-        self.result: Answer | Failure | None = None
-        self.is_delivered = False
         self._inserts = 0
-        self._insert_lost = False
         self._contended = False
-        self._version = 0
         self._send_until = 0.0
-        self._delay_s = limits.backoff_s
         self._replay: ClaimRow | None = None
-        self._pending: Command = Finish()
-        self._parked: tuple[Phase, Command] = (Phase.DONE, Finish())
-        self._confirm_until = 0.0
-        self._confirm_attempts = 0
-        self._cleanup_reads = 0
 
     def start(self, now: float) -> Command:
         """Return the first command."""
@@ -170,12 +106,6 @@
         self.phase = Phase.READING
         return Read()
 
-    def _wait(self, phase: Phase) -> Command:
-        self.phase = phase
-        delay_s = self._delay_s
-        self._delay_s = min(2 * delay_s, self.limits.max_backoff_s)
-        return Wait(delay_s)
-
     def _fail(self, reason: FailureReason, outcome: Outcome) -> Command:
         self.result = Failure(reason, outcome)
         if self._insert_lost:
@@ -199,7 +129,7 @@
             return self._read()
         if isinstance(event, Away):
             return self._fail_unsent(FailureReason.PLATFORM_AWAY)
-        raise _unexpected(self, event)
+        raise unexpected(self, event)
 
     def _on_reading(self, event: Event, now: float) -> Command:
         if isinstance(event, Away):
@@ -207,7 +137,7 @@
                 return self._wait(Phase.WAITING)
             return self._fail_unsent(FailureReason.PLATFORM_AWAY)
         if not isinstance(event, RowRead):
-            raise _unexpected(self, event)
+            raise unexpected(self, event)
         if event.row is None:
             return self._on_absent(now)
         if event.row.claimant == self.row.claimant:
@@ -237,7 +167,7 @@
     def _on_waiting(self, event: Event, now: float) -> Command:
         if isinstance(event, Woke):
             return self._read()
-        raise _unexpected(self, event)
+        raise unexpected(self, event)
 
     def _replay_row(self, row: ClaimRow) -> Command:
         self._replay = row
@@ -253,10 +183,10 @@
                 return self._fail(FailureReason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
             return self._wait(Phase.WAITING)
         if not isinstance(event, Fetched) or self._replay is None:
-            raise _unexpected(self, event)
+            raise unexpected(self, event)
         answer = self._replay.answer
         if answer is None:
-            raise _unexpected(self, event)
+            raise unexpected(self, event)
         self.result = dataclasses.replace(answer, body=event.body)
         return self._deliver(Phase.DONE, Finish())
 
@@ -303,126 +233,8 @@
         self.result = Failure(reason, Outcome.NOT_RUN)
         return self._confirm(Release(self._version), now)
 
-    # The write of the result, or the release, until it is known to be done.
-
-    def _confirm(self, command: Settle | Release, now: float) -> Command:
-        self._pending = command
-        self._confirm_until = now + self.limits.confirm_s
-        self._delay_s = self.limits.backoff_s
-        return self._proceed(Phase.CONFIRMING, command, now)
-
-    def _proceed(self, phase: Phase, command: Command, now: float) -> Command:
-        if self._confirm_attempts >= self.limits.confirm_attempts:
-            return self._confirmed()
-        if not self.is_delivered and now >= self._confirm_until:
-            return self._deliver(phase, command)
-        self.phase = phase
-        return command
-
-    def _retry(self, now: float) -> Command:
-        self._confirm_attempts += 1
-        wait = self._wait(Phase.CONFIRM_WAITING)
-        return self._proceed(Phase.CONFIRM_WAITING, wait, now)
-
-    def _on_storing(self, event: Event, now: float) -> Command:
-        if isinstance(event, Stored):
-            return self._proceed(Phase.CONFIRMING, self._pending, now)
-        if not isinstance(event, Away):
-            raise _unexpected(self, event)
-        return self._retry(now)
-
-    def _on_confirming(self, event: Event, now: float) -> Command:
-        if isinstance(event, Written):
-            return self._confirmed()
-        if isinstance(event, Away):
-            return self._retry(now)
-        if isinstance(event, Conflict | ReplyLost):
-            return self._proceed(Phase.CONFIRM_READING, Read(), now)
-        raise _unexpected(self, event)
-
-    def _on_confirm_waiting(self, event: Event, now: float) -> Command:
-        if isinstance(event, Woke):
-            return self._proceed(Phase.CONFIRM_READING, Read(), now)
-        raise _unexpected(self, event)
-
-    def _on_confirm_reading(self, event: Event, now: float) -> Command:
-        if isinstance(event, Away):
-            return self._retry(now)
-        if not isinstance(event, RowRead):
-            raise _unexpected(self, event)
-        if not self._is_unsettled(event.row):
-            return self._confirmed()
-        self._version = event.version
-        self._confirm_attempts += 1
-        return self._write_again(now)
-
-    def _is_unsettled(self, row: ClaimRow | None) -> bool:
-        if row is None or row.claimant != self.row.claimant:
-            return False
-        return row.state is ClaimState.CLAIMED
-
-    def _write_again(self, now: float) -> Command:
-        pending = self._pending
-        if isinstance(pending, Release):
-            self._pending = Release(self._version)
-            return self._proceed(Phase.CONFIRMING, self._pending, now)
-        if not isinstance(pending, Settle):
-            raise TypeError(f"nothing to confirm in {pending}")
-        self._pending = Settle(self._version, pending.row)
-        answer = self.result
-        if pending.row.object_name and isinstance(answer, Answer):
-            # Storing the same object again is harmless.
-            store = Store(pending.row.object_name, answer.body)
-            return self._proceed(Phase.STORING, store, now)
-        return self._proceed(Phase.CONFIRMING, self._pending, now)
-
-    def _confirmed(self) -> Command:
-        if isinstance(self._pending, Release) and self._insert_lost:
-            return self._deliver(Phase.CLEANUP_READING, Read())
-        return self._deliver(Phase.DONE, Finish())
-
-    # After a lost insert: remove the row if it appears late.
-
-    def _on_cleanup_waiting(self, event: Event, now: float) -> Command:
-        if not isinstance(event, Woke):
-            raise _unexpected(self, event)
-        self.phase = Phase.CLEANUP_READING
-        return Read()
-
-    def _on_cleanup_reading(self, event: Event, now: float) -> Command:
-        if isinstance(event, RowRead) and self._is_unsettled(event.row):
-            self._insert_lost = False
-            self._pending = Release(event.version)
-            self.phase = Phase.CONFIRMING
-            return self._pending
-        self._cleanup_reads += 1
-        if self._cleanup_reads >= self.limits.cleanup_reads:
-            return self._deliver(Phase.DONE, Finish())
-        return self._wait(Phase.CLEANUP_WAITING)
-
-    # The result to the caller, once.
-
-    def _deliver(self, phase: Phase, command: Command) -> Command:
-        if self.is_delivered:
-            self.phase = phase
-            return command
-        if self.result is None:
-            raise ValueError("there is no result to deliver")
-        self._parked = (phase, command)
-        self.phase = Phase.DELIVERING
-        return Deliver(self.result)
-
-    def _on_delivering(self, event: Event, now: float) -> Command:
-        self.is_delivered = True
-        self.phase, command = self._parked
-        return command
-
     def _on_closed(self, event: Event, now: float) -> Command:
-        raise _unexpected(self, event)
-
-
-def _unexpected(claim: Claim, event: Event) -> ValueError:
-    return ValueError(f"{type(event).__name__} while {claim.phase.value}")
+        raise unexpected(self, event)
 
 
 _Handler = collections.abc.Callable[[Claim, Event, float], Command]
