Ask for a whole report when only an engine's load is known

A whole report goes to the peers each 30 s. One that was lost on its way to a new dispatcher left the engine without work until then; where it is the only one of its stage, the model had no route. Seen failing with the question left out.

--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -172,6 +172,13 @@
     age_s: float
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ReportRequest:
+    """Ask for the whole report of an engine of which only the load came."""
+
+    name: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineLost:
     """An engine can't be reached or is off the host list."""
@@ -210,6 +217,7 @@
     Charged,
     EngineReport,
     EngineLoad,
+    ReportRequest,
     EngineLost,
     Numbered,
     Ack,
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -36,6 +36,7 @@
 from .core.messages import Queued
 from .core.messages import Refused
 from .core.messages import Reliable
+from .core.messages import ReportRequest
 from .core.messages import Reset
 from .core.messages import Settle
 from .core.messages import Submit
@@ -416,17 +417,25 @@
             as_of = now - message.age_s
             self._observe(dataclasses.replace(message.state, as_of=as_of), now)
         elif isinstance(message, EngineLoad):
-            self._take_load(message, now)
+            self._take_load(sender, message, now)
+        elif isinstance(message, ReportRequest):
+            self._answer_report(sender, message, now)
         elif isinstance(message, EngineLost):
             self._engine_lost(message)
 
-    def _take_load(self, message: EngineLoad, now: float) -> None:
+    def _take_load(self, sender: str, message: EngineLoad, now: float) -> None:
         known = self.engines.by_name.get(message.name)
-        if known is None:
+        state = None if known is None else with_load(known, message, now)
+        if state is None:
+            self._send(sender, ReportRequest(message.name), now)
             return
-        state = with_load(known, message, now)
+        self._observe(state, now)
+
+    def _answer_report(self, sender: str, message: ReportRequest, now: float) -> None:
+        state = self.engines.by_name.get(message.name)
         if state is not None:
-            self._observe(state, now)
+            age_s = max(0.0, now - state.as_of)
+            self._send(sender, EngineReport(state, age_s), now)
 
     def _take_numbered(
         self, sender: str, name: str, message: Numbered, now: float
--- a/src/wagtailstair/peers/codec.py
+++ b/src/wagtailstair/peers/codec.py
@@ -30,6 +30,7 @@
 from ..core.messages import Numbered
 from ..core.messages import Queued
 from ..core.messages import Refused
+from ..core.messages import ReportRequest
 from ..core.messages import Reset
 from ..core.messages import Settle
 from ..core.messages import Submit
@@ -179,6 +180,7 @@
     Charged: ("charged", _write_charged),
     EngineReport: ("engineReport", records.write_report),
     EngineLoad: ("engineLoad", records.write_load),
+    ReportRequest: ("reportRequest", lambda message: message.name),
     EngineLost: ("engineLost", _write_lost),
     Numbered: ("numbered", _write_numbered),
     Ack: ("ack", lambda message: list(message.numbers)),
@@ -273,6 +275,7 @@
     ),
     "engineReport": records.read_report,
     "engineLoad": records.read_load,
+    "reportRequest": ReportRequest,
     "engineLost": lambda record: EngineLost(record.name, record.incarnation),
     "numbered": _read_numbered,
     "ack": lambda record: Ack(tuple(record)),
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -24,6 +24,7 @@
     numbered @11 :Numbered;
     ack @12 :List(UInt32);
     engineLoad @13 :EngineLoad;
+    reportRequest @14 :Text;
   }
 }
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,6 +6,7 @@
 from tests.dispatch_simulation import Simulation
 from wagtailstair.core.demand import Grant
 from wagtailstair.core.membership import HostState
+from wagtailstair.core.quota import QuotaLimits
 from wagtailstair.core.rendezvous import owner
 
 SEEDS = int(os.environ.get("WAGTAILSTAIR_SEEDS", "60"))
@@ -127,8 +128,6 @@
     def test_limit_of_an_account_holds_over_hosts(self):
         simulation, _, _ = self.make()
         verdicts = []
-        from wagtailstair.core.quota import QuotaLimits
-
         limits = QuotaLimits(work_per_s=0.001, burst_s=100_000.0, max_concurrent=10)
         for number in range(40):
             name = simulation.names[number % len(simulation.names)]
@@ -138,6 +137,15 @@
         names = [type(verdict.result()).__name__ for verdict in verdicts]
         assert names.count("Allowed") == 10
 
+    def test_dispatcher_asks_for_a_whole_report_that_was_lost(self):
+        simulation, dispatcher, _ = self.make()
+        engines = simulation.by_name[dispatcher].dispatcher.engines
+        lost = [name for name in engines.by_name if name.startswith("draft")]
+        for name in lost:
+            del engines.by_name[name]
+        simulation.run(6.0)
+        assert set(lost) <= set(engines.by_name)
+
     def test_repeated_submit_gives_the_same_future(self):
         simulation, _, entry = self.make()
         simulation.submit(entry)
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -29,6 +29,7 @@
 from wagtailstair.core.messages import PoolKey
 from wagtailstair.core.messages import Queued
 from wagtailstair.core.messages import Refused
+from wagtailstair.core.messages import ReportRequest
 from wagtailstair.core.messages import Reset
 from wagtailstair.core.messages import Settle
 from wagtailstair.core.messages import Submit
@@ -110,6 +111,7 @@
     *(Charged(9, limit, 0.25) for limit in Limit),
     EngineReport(STATE, 0.25),
     EngineLoad("e1", 0xFFFFFFFF, 3, 1, 4096, 0.03125, 0.25),
+    ReportRequest("e1"),
     EngineLost("e1", "i1"),
     *(Numbered(number, body) for number, body in enumerate(BODIES)),
     Ack((1, 2, 3)),
