--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,6 @@
 	$(VENV)/bin/ruff format --check .
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
+
+capacity: install
+	$(PY) -m bench.capacity
