--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -361,8 +361,8 @@
                 "handles": len(dispatcher.tickets._open_by_handle),
                 "charges": len(dispatcher.charges),
                 "charge handles": len(dispatcher.charges._open_by_handle),
-                "outbox": len(dispatcher.outbox),
-                "homes": len(dispatcher.homes._account_by_request),
+                "outbox": len(dispatcher.exchange.outbox),
+                "homes": len(dispatcher.exchange.homes._account_by_request),
             }
             left += [f"{name}: {what} {size}" for what, size in sizes.items() if size]
         return left
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -139,7 +139,7 @@
 
     def test_dispatcher_asks_for_a_whole_report_that_was_lost(self):
         simulation, dispatcher, _ = self.make()
-        engines = simulation.by_name[dispatcher].dispatcher.engines
+        engines = simulation.by_name[dispatcher].dispatcher.exchange.engines
         lost = [name for name in engines.by_name if name.startswith("draft")]
         for name in lost:
             del engines.by_name[name]
