Part the local pools from the tickets, read the lists at low rank each 8 s

At 10 s with a quarter of jitter a data centre whose first two readers are cut from the platform could see a change after 12.5 s, over the 11 s of the target size.

--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -203,7 +203,9 @@
         if self._generation == self._membership.generation:
             return
         self._generation = self._membership.generation
-        self.tickets.share = max(1, len(self._membership.live(self._host.data_centre)))
+        self.tickets.local.share = max(
+            1, len(self._membership.live(self._host.data_centre))
+        )
         self.charges.hosts = max(1, len(self._membership.live()))
         self.tickets.moved(now)
         self.charges.moved(now)
@@ -249,12 +251,12 @@
             return
         state = self.engines.by_name[state.name]
         self.pools.observe(state, now)
-        self.tickets.observe(state, now)
+        self.tickets.local.observe(state, now)
 
     def _engine_lost(self, message: EngineLost) -> None:
         if self.engines.remove(message):
             self.pools.remove(message.name)
-            self.tickets.remove(message.name)
+            self.tickets.local.remove(message.name)
 
     def _take(self, sender: str, number: int, message: Message, now: float) -> None:
         name = f"{sender}/{number}"
--- a/src/wagtailstair/core/freshness.py
+++ b/src/wagtailstair/core/freshness.py
@@ -9,7 +9,7 @@
 import typing as t
 
 RANK_FACTORS = (1.0, 2.0)  # of the interval, for the first hosts in rank
-LOW_RANK_FACTOR = 10.0
+LOW_RANK_FACTOR = 8.0
 JITTER = 0.25  # of an interval, either way
 BACKOFF_S_MAX = 3.0  # between reads of a platform that does not answer
 SOURCE_LAG_S = 0.5  # for each rank, before a host reads whole lists itself
--- /dev/null
+++ b/src/wagtailstair/core/local_pools.py
@@ -0,0 +1,72 @@
+"""Pools that decide for this host alone while a dispatcher does not answer."""
+
+import dataclasses
+import typing as t
+
+from .demand import Grant
+from .demand import Refusal
+from .engine import EngineState
+from .messages import PoolKey
+from .pools import Engines
+from .pools import Pool
+from .pools import PoolFactory
+from .pools import is_in_pool
+from .pools import observe_in
+
+POOLS_MAX = 64
+
+
+class LocalPools:
+    """Pools that know this host's share of each engine.
+
+    ``share``: the number of hosts that share the engines.
+    """
+
+    def __init__(self, make_pool: PoolFactory, engines: Engines) -> None:
+        self.by_key: dict[PoolKey, Pool] = {}
+        self.share = 1
+        self._make_pool = make_pool
+        self._engines = engines
+
+    def make(self, key: PoolKey, now: float) -> Pool:
+        """Return a new pool, in the place of all if there are too many."""
+        if len(self.by_key) >= POOLS_MAX:
+            self.by_key.clear()
+        pool = self.by_key[key] = self._make_pool(key)
+        for state in self._engines.of(key):
+            observe_in(pool, self._scale(state), now)
+        return pool
+
+    def observe(self, state: EngineState, now: float) -> None:
+        """Take in a load report."""
+        for key, pool in self.by_key.items():
+            if is_in_pool(state, key):
+                observe_in(pool, self._scale(state), now)
+                continue
+            pool.remove(state.name)
+
+    def remove(self, engine: str) -> None:
+        """Forget an engine that is gone."""
+        for pool in self.by_key.values():
+            pool.remove(engine)
+
+    def poll(self, now: float) -> t.Iterator[Grant | Refusal]:
+        """Iterate over what has been decided."""
+        for pool in self.by_key.values():
+            yield from pool.poll(now)
+
+    def next_wake(self, now: float) -> float | None:
+        """Return when to poll again if no event comes before."""
+        times = [pool.next_wake(now) for pool in self.by_key.values()]
+        return min((time for time in times if time is not None), default=None)
+
+    def _scale(self, state: EngineState) -> EngineState:
+        """Return an engine with this host's share of its slots and memory."""
+        return dataclasses.replace(
+            state,
+            slots=max(1, state.slots // self.share),
+            kv_tokens=max(1, state.kv_tokens // self.share),
+            kv_used=state.kv_used // self.share,
+            running=0,
+            waiting=0,
+        )
--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/tickets.py
@@ -15,8 +15,8 @@
 from .demand import Refusal
 from .demand import RefusalReason
 from .demand import Want
-from .engine import EngineState
 from .engine import Route
+from .local_pools import LocalPools
 from .messages import ERA_SHIFT
 from .messages import Finished
 from .messages import Granted
@@ -30,8 +30,6 @@
 from .pools import Engines
 from .pools import Pool
 from .pools import PoolFactory
-from .pools import is_in_pool
-from .pools import observe_in
 
 FIRST_REPEAT_S = 0.1  # doubled with each repetition that is not answered
 LAST_REPEAT_S = 0.5
@@ -40,7 +38,6 @@
 PATIENCE_S = 0.75  # without any answer, before the local pool decides
 ANSWER_GRACE_S = 1.0  # after a deadline, for the dispatcher's own refusal
 NO_ROUTE_RETRY_S = 1.0
-POOLS_MAX = 64
 
 
 @dataclasses.dataclass(slots=True)
@@ -79,19 +76,16 @@
         tell: t.Callable[[str, Reliable, float], None],
     ) -> None:
         self.suspects: set[str] = set()
-        self.share = 1
+        self.local = LocalPools(make_pool, engines)
         self.era_by_host: dict[str, int] = {}
         self.repeats = 0
         self.local_grants = 0
         self._find_owner = find_owner
-        self._make_pool = make_pool
-        self._engines = engines
         self._tell = tell
         self._number = 0
         self._open_by_id: dict[tuple[str, int], _Open] = {}
         self._open_by_handle: dict[int, _Open] = {}
         self._waiting: dict[tuple[str, int], _Open] = {}
-        self._local_by_key: dict[PoolKey, Pool] = {}
         self._results: list[Grant | Refusal] = []
         self._sends: list[tuple[str, Submit]] = []
 
@@ -203,19 +197,6 @@
             self._withdraw(known, now)
             self._ask(known, now)
 
-    def observe(self, state: EngineState, now: float) -> None:
-        """Take in a load report, for the local pools."""
-        for key, pool in self._local_by_key.items():
-            if is_in_pool(state, key):
-                observe_in(pool, self._scale(state), now)
-                continue
-            pool.remove(state.name)
-
-    def remove(self, engine: str) -> None:
-        """Forget an engine that is gone."""
-        for pool in self._local_by_key.values():
-            pool.remove(engine)
-
     # Time.
 
     def tick(self, now: float) -> None:
@@ -237,14 +218,13 @@
             if now >= ticket.send_at:
                 self._send(known, ticket, now)
                 self.repeats += 1
-        for key, pool in self._local_by_key.items():
-            for decided in pool.poll(now):
-                self._decided(key, decided, now)
+        for decided in self.local.poll(now):
+            self._decided(decided, now)
 
     def next_wake(self, now: float) -> float | None:
         """Return when to call :meth:`tick` again."""
-        times = [pool.next_wake(now) for pool in self._local_by_key.values()]
-        wakes = [time for time in times if time is not None]
+        wake = self.local.next_wake(now)
+        wakes = [] if wake is None else [wake]
         for known in self._waiting.values():
             if known.ticket is not None:
                 wakes.append(known.ticket.send_at)
@@ -322,13 +302,9 @@
     # The local pools.
 
     def _local(self, key: PoolKey, now: float) -> Pool:
-        pool = self._local_by_key.get(key)
+        pool = self.local.by_key.get(key)
         if pool is None:
-            if len(self._local_by_key) >= POOLS_MAX:
-                self._local_by_key.clear()
-            pool = self._local_by_key[key] = self._make_pool(key)
-            for state in self._engines.of(key):
-                observe_in(pool, self._scale(state), now)
+            pool = self.local.make(key, now)
             self._hold_open(key, pool, now)
         return pool
 
@@ -338,17 +314,6 @@
                 pool.hold(Hold(known.want, known.route, 0), now)
                 known.is_local = True
 
-    def _scale(self, state: EngineState) -> EngineState:
-        """Return an engine with this host's share of its slots and memory."""
-        return dataclasses.replace(
-            state,
-            slots=max(1, state.slots // self.share),
-            kv_tokens=max(1, state.kv_tokens // self.share),
-            kv_used=state.kv_used // self.share,
-            running=0,
-            waiting=0,
-        )
-
     def _decide_here(self, known: _Open, now: float) -> None:
         if known.is_local:
             return
@@ -362,7 +327,7 @@
             self._local(known.key, now).cancel(want.request, want.epoch, now)
         known.is_local = False
 
-    def _decided(self, key: PoolKey, decided: Grant | Refusal, now: float) -> None:
+    def _decided(self, decided: Grant | Refusal, now: float) -> None:
         known = self._open_by_id.get((decided.request, decided.epoch))
         if known is None or known.route is not None:
             return
--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -352,7 +352,7 @@
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
                     left.append(f"{name}: {key}: {stats.open_grants}, {stats.waiting}")
-            for key, pool in dispatcher.tickets._local_by_key.items():
+            for key, pool in dispatcher.tickets.local.by_key.items():
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
                     left.append(f"{name}: local {key}: {stats.open_grants}")
