Tell operators of pools, queues and datagrams; close two gaps

The lists, with the hashes of keys, were served to whoever asked at /peer/lists where no peer key is set: now to peers' addresses alone. A charge without an answer in 5 s ended as unknown although nothing had run: it is refused as not run.

--- a/src/wagtailstair/admission.py
+++ b/src/wagtailstair/admission.py
@@ -17,6 +17,7 @@
 from .exceptions import LimitExceededError
 from .exceptions import NotAuthenticatedError
 from .exceptions import NotEntitledError
+from .exceptions import QueueFullError
 
 BEARER = "Bearer "
 QUOTA_ANSWER_TIMEOUT_S = 5.0
@@ -106,11 +107,18 @@
     """Open a request under the limits of its account.
 
     :raises LimitExceededError: if the account is over a limit.
+    :raises QueueFullError: if that can't be told in time.
     """
     plan = identity.plan
     limits = QuotaLimits(plan.work_per_s, plan.burst_s, plan.max_concurrent)
     name = identity.account.name
-    answer = gate.charge(name, request, work, limits).result(QUOTA_ANSWER_TIMEOUT_S)
+    future = gate.charge(name, request, work, limits)
+    try:
+        answer = future.result(QUOTA_ANSWER_TIMEOUT_S)
+    except concurrent.futures.TimeoutError:
+        gate.settle(name, request, 0.0)
+        message = "no answer on the account's limits"
+        raise QueueFullError(message, retry_after_s=1.0) from None
     if isinstance(answer, Limited):
         raise LimitExceededError(
             f"the account is over its limit of {answer.limit}",
--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -58,6 +58,10 @@
     return key[:64]
 
 
+def _ip_of(address: str) -> str:
+    return address.rpartition(":")[0].strip("[]")
+
+
 class Cluster:
     """The peers of a daemon and what it shares with them.
 
@@ -82,6 +86,7 @@
         transport = UdpTransport(
             host.name, incarnation, host.address, host.peer_port, clock, self._key
         )
+        self.traffic = transport.traffic
         self._host = Host(
             name=host.name,
             data_centre=host.data_centre,
@@ -157,7 +162,7 @@
         with self._node.lock:
             host = self._membership.find(name)
             peer = self._membership.by_name.get(name)
-        if host is not None:
+        if host is not None and incarnation.isdigit():
             return host.incarnation > int(incarnation)
         return peer is not None and peer.state is HostState.DEAD
 
@@ -196,6 +201,9 @@
         if not text.isascii() or not text.isdigit():
             return Response("after: expected a version", status=BAD_REQUEST)
         after = int(text)
+        if not self._key and not self._is_peer_address(request.remote_addr or ""):
+            # The lists hold the hashes of keys, which no caller may read.
+            return Response("only for peers", status=FORBIDDEN)
         try:
             signature = request.headers.get(HEADER, "")
             check_request(self._key, after, signature, self._clock)
@@ -204,6 +212,13 @@
         body = serve_lists(self.holder.current, self._recent, after, self._key)
         return Response(body, content_type="application/octet-stream")
 
+    def _is_peer_address(self, ip: str) -> bool:
+        if ip == _ip_of(self._host.address):
+            return True
+        with self._node.lock:
+            peers = list(self._membership.by_name.values())
+        return any(_ip_of(peer.host.address) == ip for peer in peers)
+
     def _fetch(self, peer: str, lists: Lists) -> Lists:
         with self._node.lock:
             host = self._membership.find(peer)
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -19,6 +19,7 @@
 from .messages import Refused
 from .messages import Submit
 from .messages import Withdraw
+from .pool import PoolStats
 
 INCARNATIONS_REMEMBERED = 4  # replaced incarnations of an engine that are refused
 
@@ -58,6 +59,10 @@
         """Return when to poll again."""
         ...
 
+    def stats(self) -> PoolStats:
+        """Return the pool's counts."""
+        ...
+
 
 PoolFactory = t.Callable[[PoolKey], Pool]
 
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -40,6 +40,10 @@
 from .platform.objects import ObjectClient
 from .platform.table import TableClient
 from .relay import Relays
+from .report import describe_pools
+from .report import describe_upstreams
+from .report import publish_pools
+from .report import publish_traffic
 from .services import Services
 from .settings import LEASE_MARGIN_S
 from .settings import Settings
@@ -51,6 +55,7 @@
 
 READY_POLL_S = 0.05
 ENGINES_WAIT_S = 3.0
+PUBLISH_INTERVAL_S = 1.0
 EXIT_FAILED = 1
 SIGNAL_POLL_S = 0.25
 EXIT_SETTINGS = 2
@@ -117,6 +122,7 @@
         self._relays.start()
         self._watch_upstreams()
         self._loop.call(self._watch_ready)
+        self._loop.call(self._publish)
         self._server.start()
         log_event(
             "daemon_started",
@@ -305,17 +311,16 @@
         for name in names:
             self._dispatcher.remove(name)
 
+    def _publish(self) -> None:
+        metrics = self._metrics
+        publish_pools(metrics, self._dispatcher.pool_stats())
+        publish_traffic(metrics, self._cluster.traffic)
+        metrics.gauge("lists_version", self._cluster.holder.current.version)
+        metrics.gauge("claims_unsettled", self._claims.unsettled)
+        metrics.gauge("ready", self._is_ready())
+        self._loop.call_later(PUBLISH_INTERVAL_S, self._publish)
+
     def _status(self) -> dict[str, t.Any]:
-        upstreams = []
-        for upstream, leaving in self._upstreams.all():
-            upstreams.append(
-                {
-                    "name": upstream.name,
-                    "kind": upstream.kind.value,
-                    "data_centre": upstream.data_centre,
-                    "state": "leaving" if leaving else "live",
-                }
-            )
         return {
             "host": self._settings.host.name,
             "incarnation": self._incarnation,
@@ -323,7 +328,8 @@
             "ready": self._is_ready(),
             "lists_version": self._cluster.holder.current.version,
             "peers": self._cluster.peers(),
-            "upstreams": upstreams,
+            "upstreams": describe_upstreams(self._upstreams),
+            "pools": describe_pools(self._dispatcher.pool_stats()),
         }
 
 
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -17,6 +17,7 @@
 from .core.membership import Membership
 from .core.messages import Message
 from .core.messages import PoolKey
+from .core.pool import PoolStats
 from .core.pools import PoolFactory
 from .core.quota import QuotaLimits
 
@@ -158,6 +159,14 @@
         with self._lock:
             return list(self.exchange.engines.by_name.values())
 
+    def pool_stats(self) -> dict[PoolKey, PoolStats]:
+        """Return the counts of the pools that this host decides on."""
+        found = {}
+        with self._lock:
+            for key, pool in self.pools.by_key.items():
+                found[key] = pool.stats()
+        return found
+
     def models(self) -> tuple[str, ...]:
         """Return the models of this data centre's engines, sorted."""
         with self._lock:
--- a/src/wagtailstair/http/call.py
+++ b/src/wagtailstair/http/call.py
@@ -1,5 +1,7 @@
 """The way of a plain service's call through the daemon."""
 
+import dataclasses
+
 from werkzeug.wrappers import Request
 from werkzeug.wrappers import Response
 
@@ -48,10 +50,11 @@
             )
         opened = charge(context.quota, identity, request_id, SERVICE_WORK)
         try:
-            run = context.services.call_once
             if is_repeatable:
-                run = context.services.call_repeatable
-            answer = run(call)
+                repeatable = dataclasses.replace(call, repeatable=True)
+                answer = context.services.call_repeatable(repeatable)
+            else:
+                answer = context.services.call_once(call)
         finally:
             opened.settle(SERVICE_WORK)
         context.metrics.count("service_answers", service=call.service)
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -62,6 +62,7 @@
     body: bytes
     deadline: float
     idempotency_key: str = ""
+    repeatable: bool = False
     may_send: t.Callable[[], bool] | None = None
 
     def fingerprint(self) -> str:
@@ -185,6 +186,7 @@
             connect_timeout_s=self._settings.routing.connect_timeout_s,
             timeout_s=remaining_s,
             max_response_bytes=self._settings.limits.response_bytes,
+            repeatable=call.repeatable,
             may_send=call.may_send,
         )
         self._count(replica.name, 1)
--- a/src/wagtailstair/settings.py
+++ b/src/wagtailstair/settings.py
@@ -14,7 +14,9 @@
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
 Count = t.Annotated[int, msgspec.Meta(ge=1)]
 Fraction = t.Annotated[float, msgspec.Meta(ge=0, le=1)]
-Port = t.Annotated[int, msgspec.Meta(ge=0, le=65535)]
+MAX_PORT = 65535
+
+Port = t.Annotated[int, msgspec.Meta(ge=0, le=MAX_PORT)]
 
 
 class _Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
@@ -148,6 +150,20 @@
         )
 
 
+def _check_seeds(settings: Settings) -> None:
+    for index, seed in enumerate(settings.peers.seeds):
+        ip, _, port = seed.rpartition(":")
+        try:
+            ipaddress.ip_address(ip.strip("[]"))
+        except ValueError:
+            ip = ""
+        if ip and port.isascii() and port.isdigit() and 0 < int(port) <= MAX_PORT:
+            continue
+        raise SettingsError(
+            f"expected ip:port, got {seed!r}", where=f"peers.seeds[{index}]"
+        )
+
+
 def _check_shares(settings: Settings) -> None:
     total = sum(settings.routing.minimum_shares)
     if total > 1:
@@ -179,6 +195,7 @@
 CHECKS: tuple[t.Callable[[Settings], None], ...] = (
     _check_address,
     _check_peers,
+    _check_seeds,
     _check_shares,
     _check_timeouts,
     _check_lease,
