--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -172,7 +172,6 @@
             on_failed=lambda engine: self._metrics.count(
                 "attempts_failed", engine=engine
             ),
-            on_answered=lambda engine: None,
         )
 
     def _make_context(self) -> Context:
@@ -312,13 +311,13 @@
             self._dispatcher.remove(name)
 
     def _publish(self) -> None:
+        self._loop.call_later(PUBLISH_INTERVAL_S, self._publish)
         metrics = self._metrics
         publish_pools(metrics, self._dispatcher.pool_stats())
         publish_traffic(metrics, self._cluster.traffic)
         metrics.gauge("lists_version", self._cluster.holder.current.version)
         metrics.gauge("claims_unsettled", self._claims.unsettled)
         metrics.gauge("ready", self._is_ready())
-        self._loop.call_later(PUBLISH_INTERVAL_S, self._publish)
 
     def _status(self) -> dict[str, t.Any]:
         return {
--- a/src/wagtailstair/http/complete.py
+++ b/src/wagtailstair/http/complete.py
@@ -10,9 +10,9 @@
 from ..admission import choose_priority
 from ..exceptions import NoUpstreamError
 from ..exceptions import RequestError
+from ..jobs import Finished
+from ..jobs import Job
 from ..logs import log_event
-from ..relay import Finished
-from ..relay import Job
 from . import completions
 from .context import Context
 from .context import deadline_of
--- a/src/wagtailstair/http/streams.py
+++ b/src/wagtailstair/http/streams.py
@@ -8,8 +8,8 @@
 
 from ..exceptions import CallerGoneError
 from ..exceptions import RequestError
-from ..relay import Finished
-from ..relay import Job
+from ..jobs import Finished
+from ..jobs import Job
 from ..relay import Relay
 from ..relay import Relays
 from ..upstreams.caller import CallerSocket
--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -2,6 +2,7 @@
 
 import concurrent.futures
 import dataclasses
+import functools
 import typing as t
 
 from .clock import Clock
@@ -10,7 +11,6 @@
 from .core.demand import Refusal
 from .core.demand import RefusalReason
 from .core.demand import Want
-from .core.engine import Priority
 from .core.engine import Route
 from .core.sessions import Accepted
 from .core.sessions import Attempt
@@ -25,9 +25,14 @@
 from .exceptions import QueueFullError
 from .exceptions import RequestError
 from .exceptions import UpstreamError
+from .jobs import Dispatch
+from .jobs import Finished
+from .jobs import Job
+from .jobs import Sink
 from .logs import log_event
 from .settings import RoutingSection
 from .upstreams.engine import Line
+from .upstreams.engine import LineBuffer
 from .upstreams.engine import decode_line
 from .upstreams.engine import decode_refusal
 from .upstreams.engine import encode_generate
@@ -38,73 +43,9 @@
 from .upstreams.transfer import TransferRequest
 
 SWEEP_INTERVAL_S = 0.25
-MAX_LINE_BYTES = 64 << 10
 REFUSAL_STATUSES = frozenset({409, 429, 503})
 
 
-class Dispatch(t.Protocol):
-    """What a relay needs of the dispatcher of a pool."""
-
-    def submit(
-        self, model: str, data_centre: str, want: Want
-    ) -> "concurrent.futures.Future[Grant | Refusal]":
-        """Ask for a route; the future never stays open for good."""
-        ...
-
-    def done(self, model: str, data_centre: str, done: Done) -> None:
-        """Give a grant back."""
-        ...
-
-    def cancel(self, model: str, data_centre: str, request: str, epoch: int) -> None:
-        """Take a want back, or a grant that is on its way."""
-        ...
-
-
-class Sink(t.Protocol):
-    """Where the tokens of an answer go; called in the loop's thread."""
-
-    def token(self, text: str) -> None:
-        """Take the next token."""
-        ...
-
-    def is_full(self) -> bool:
-        """Tell whether the caller can't take more at present."""
-        ...
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Job:
-    """One completion as asked for; ``deadline`` is a monotonic instant.
-
-    ``data_centres``: where the model has engines, the nearest first.
-    """
-
-    request: str
-    account: str
-    model: str
-    adapter: str
-    prompt: str
-    max_tokens: int
-    priority: Priority
-    weight: float
-    entitled: bool
-    prompt_tokens: int
-    work: float
-    deadline: float
-    data_centres: tuple[str, ...]
-    prefixes: tuple[int, ...] = ()
-
-
-@dataclasses.dataclass(slots=True, frozen=True)
-class Finished:
-    """The whole answer."""
-
-    reason: str
-    text: str
-    prompt_tokens: int
-    output_tokens: int
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class _Open:
     """A grant in use, and the exchange that runs on it."""
@@ -113,6 +54,7 @@
     grant_epoch: int
     attempt: Attempt
     transfer: Transfer
+    lines: LineBuffer
 
 
 class Relays:
@@ -120,7 +62,6 @@
 
     :param may_retry: tells whether the daemon's retry budget allows one more.
     :param on_failed: hears the name of an engine whose attempt failed.
-    :param on_answered: hears the name of an engine whose attempt succeeded.
     """
 
     def __init__(
@@ -132,7 +73,6 @@
         host: str,
         may_retry: t.Callable[[], bool],
         on_failed: t.Callable[[str], None],
-        on_answered: t.Callable[[str], None],
     ) -> None:
         self.loop = loop
         self.dispatch = dispatch
@@ -141,7 +81,6 @@
         self.host = host
         self.may_retry = may_retry
         self.on_failed = on_failed
-        self.on_answered = on_answered
         self._open: set[Relay] = set()
 
     def start(self) -> None:
@@ -163,10 +102,12 @@
         self._open.discard(relay)
 
     def _sweep(self) -> None:
+        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
         now = self.clock.monotonic()
         for relay in tuple(self._open):
-            relay.check(now)
-        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+            # A call each, so that a fault in one relay does not keep the others
+            # from being looked at.
+            self.loop.call(functools.partial(relay.check, now))
 
 
 class Relay:
@@ -183,7 +124,6 @@
         self._centre_index = 0
         self._epoch = 0
         self._avoid: frozenset[str] = frozenset()
-        self._rest = b""
         self._paused = False
         self._last_line_at = 0.0
         self._awaiting_first = True
@@ -207,6 +147,8 @@
 
     def check(self, now: float) -> None:
         """End what is past its deadline; break what has stalled."""
+        if self._ended:
+            return
         if now >= self._job.deadline:
             self._fail(DeadlineExceededError("the deadline passed"))
             return
@@ -313,8 +255,7 @@
             lambda end: self._on_transfer_end(attempt, end),
             lambda data: self._on_data(attempt, data),
         )
-        self._open = _Open(data_centre, grant.epoch, attempt, transfer)
-        self._rest = b""
+        self._open = _Open(data_centre, grant.epoch, attempt, transfer, LineBuffer())
         self._paused = False
         self._awaiting_first = True
         self._last_line_at = now
@@ -335,15 +276,14 @@
             self._paused = True
             return False
         self._last_line_at = self._shared.clock.monotonic()
-        lines = (self._rest + data).split(b"\n")
-        self._rest = lines.pop()
+        try:
+            lines = self._open.lines.feed(data)
+        except UpstreamError as error:
+            self._violated(str(error))
+            return True
         for raw in lines:
-            if not raw:
-                continue
             if not self._on_line(raw):
-                return True
-        if len(self._rest) > MAX_LINE_BYTES:
-            self._violated("line too long")
+                break
         return True
 
     def _on_line(self, raw: bytes) -> bool:
@@ -378,7 +318,6 @@
         assert opened is not None
         opened.transfer.cancel()
         self._release(frozenset())
-        self._shared.on_answered(opened.attempt.route[0].engine)
         finished = Finished(
             line.end, session.text(), self._job.prompt_tokens, len(session.tokens)
         )
--- a/src/wagtailstair/upstreams/engine.py
+++ b/src/wagtailstair/upstreams/engine.py
@@ -8,6 +8,8 @@
 from ..core.engine import Route
 from ..exceptions import UpstreamError
 
+MAX_LINE_BYTES = 64 << 10
+
 
 class Line(msgspec.Struct):
     """One line of a stream: a token, or the end where ``end`` is set.
@@ -81,6 +83,26 @@
 _STATE_DECODER = msgspec.json.Decoder(_State)
 
 
+class LineBuffer:
+    """Cuts the pieces of a stream into its lines."""
+
+    __slots__ = ("_rest",)
+
+    def __init__(self) -> None:
+        self._rest = b""
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """Return the lines that a piece completes.
+
+        :raises UpstreamError: if a line is longer than any of the protocol.
+        """
+        lines = (self._rest + data).split(b"\n")
+        self._rest = lines.pop()
+        if len(self._rest) > MAX_LINE_BYTES:
+            raise UpstreamError("line too long")
+        return [line for line in lines if line]
+
+
 def decode_line(raw: bytes) -> Line:
     """Decode one line of a stream.
 
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -178,11 +178,11 @@
         self._loop.call(self._read_all)
 
     def _read_all(self) -> None:
+        interval_s = jittered(LOAD_REPORT_INTERVAL_S, self._rng)
+        self._loop.call_later(interval_s, self._read_all)
         for engine in self._engines():
             if engine.name not in self._pending:
                 self._read(engine)
-        interval_s = jittered(LOAD_REPORT_INTERVAL_S, self._rng)
-        self._loop.call_later(interval_s, self._read_all)
 
     def _read(self, engine: Upstream) -> None:
         request = TransferRequest(
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -93,7 +93,6 @@
             "host-1",
             may_retry=lambda: True,
             on_failed=lambda engine: None,
-            on_answered=lambda engine: None,
         )
         self.context = Context(
             settings=settings,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -20,7 +20,7 @@
 from wagtailstair.exceptions import Outcome
 from wagtailstair.exceptions import OutcomeUnknownError
 from wagtailstair.exceptions import QueueFullError
-from wagtailstair.relay import Job
+from wagtailstair.jobs import Job
 from wagtailstair.relay import Relays
 from wagtailstair.settings import RoutingSection
 from wagtailstair.upstreams.loop import Loop
@@ -58,7 +58,6 @@
         "host-1",
         may_retry,
         on_failed=lambda engine: None,
-        on_answered=lambda engine: None,
     )
     relays.start()
     job = Job(
