--- a/Makefile
+++ b/Makefile
@@ -23,5 +23,20 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy
 
+prove: install
+	$(PY) -m tests.matrix --processes
+
+SEED ?= 1
+LENGTH ?= 5000
+
+fuzz: install
+	FUZZ_SEED=$(SEED) FUZZ_LENGTH=$(LENGTH) $(PY) -m pytest -o timeout=0 \
+		tests/test_claims_machine.py tests/test_sessions_machine.py \
+		tests/test_leases_machine.py
+
 capacity: install
 	$(PY) -m bench.capacity
+
+bench: install
+	$(PY) -m bench.policy
+	$(PY) -m bench.live
