Share the retry budget between completions and service calls

Completions never earned retries, so that only the reserve of three paid for refusals. The budget is one for the host, behind a lock, and a process whose drain timed out now exits, instead of waiting for the stuck request's thread.

--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of an entry host: its parts, its start and its graceful shutdown."""
 
 import dataclasses
+import os
 import pathlib
 import random
 import signal
@@ -10,6 +11,7 @@
 
 import click
 
+from .budget import SharedRetryBudget
 from .claims import Claims
 from .clock import Clock
 from .clock import SystemClock
@@ -22,7 +24,6 @@
 from .core.placement import PlacementLimits
 from .core.pool import Pool
 from .core.pool import PoolLimits
-from .core.retry import RetryBudget
 from .core.shapes import Shapes
 from .core.upstreams import Upstream
 from .core.upstreams import Upstreams
@@ -77,7 +78,7 @@
         self._metrics = Metrics(settings.host.name)
         self._upstreams = Upstreams()
         self._loop = Loop(clock)
-        self._budget = RetryBudget(settings.routing.retry_share)
+        self._budget = SharedRetryBudget(settings.routing.retry_share)
         self._limits = _pool_limits(settings)
         self._server = Server(
             settings.host.address,
@@ -168,7 +169,7 @@
             self._clock,
             self._settings.routing,
             self._settings.host.name,
-            may_retry=self._may_retry,
+            budget=self._budget,
             on_failed=lambda engine: self._metrics.count(
                 "attempts_failed", engine=engine
             ),
@@ -256,9 +257,6 @@
             self._rng,
         ).start()
 
-    def _may_retry(self) -> bool:
-        return self._budget.take(self._clock.monotonic())
-
     def _make_pool(self, key: PoolKey) -> Pool:
         return Pool(key.model, key.data_centre, self._limits)
 
@@ -367,7 +365,10 @@
     signal.signal(signal.SIGINT, lambda number, frame: daemon.request_stop())
     daemon.start()
     if not daemon.run():
-        sys.exit(EXIT_FAILED)
+        # A request that outlasted the drain holds its thread, for which a normal
+        # exit would wait.
+        sys.stderr.flush()
+        os._exit(EXIT_FAILED)
 
 
 if __name__ == "__main__":
--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -12,6 +12,7 @@
 from .core.demand import RefusalReason
 from .core.demand import Want
 from .core.engine import Route
+from .core.retry import RetryBudget
 from .core.sessions import Accepted
 from .core.sessions import Attempt
 from .core.sessions import Dropped
@@ -60,7 +61,7 @@
 class Relays:
     """All relays of a daemon and what they share.
 
-    :param may_retry: tells whether the daemon's retry budget allows one more.
+    :param budget: of the whole host, for attempts that engines refuse.
     :param on_failed: hears the name of an engine whose attempt failed.
     """
 
@@ -71,7 +72,7 @@
         clock: Clock,
         routing: RoutingSection,
         host: str,
-        may_retry: t.Callable[[], bool],
+        budget: RetryBudget,
         on_failed: t.Callable[[str], None],
     ) -> None:
         self.loop = loop
@@ -79,7 +80,7 @@
         self.clock = clock
         self.routing = routing
         self.host = host
-        self.may_retry = may_retry
+        self.budget = budget
         self.on_failed = on_failed
         self._open: set[Relay] = set()
 
@@ -132,6 +133,7 @@
     def start(self) -> None:
         """Ask for the first route."""
         self._shared.add(self)
+        self._shared.budget.attempted(self._shared.clock.monotonic())
         self._ask()
 
     def cancel(self) -> None:
@@ -334,7 +336,8 @@
             session.refused(attempt.id)
             # A refusal is a sign of overload, which retries must not feed. A
             # broken stream is resumed in any case: the pool paces it.
-            self._retry(attempt, "refused", self._shared.may_retry())
+            allowed = self._shared.budget.take(self._shared.clock.monotonic())
+            self._retry(attempt, "refused", allowed)
             return
         self._broken(end.error or f"status {end.status}", end.sent is not Sent.NOT_SENT)
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -19,6 +19,7 @@
 from wagtailstair.core.lists import parse_plan
 from wagtailstair.core.quota import ALLOWED
 from wagtailstair.core.quota import Limited
+from wagtailstair.core.retry import RetryBudget
 from wagtailstair.exceptions import NotReadyError
 from wagtailstair.http.app import App
 from wagtailstair.http.context import Context
@@ -91,7 +92,7 @@
             clock,
             settings.routing,
             "host-1",
-            may_retry=lambda: True,
+            RetryBudget(),
             on_failed=lambda engine: None,
         )
         self.context = Context(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -13,6 +13,7 @@
 from wagtailstair.clock import SystemClock
 from wagtailstair.core.demand import RefusalReason
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.retry import RetryBudget
 from wagtailstair.core.sessions import DEFAULT_MAX_EPOCHS
 from wagtailstair.exceptions import CallerGoneError
 from wagtailstair.exceptions import DeadlineExceededError
@@ -49,14 +50,15 @@
     loop.stop()
 
 
-def start(loop, dispatch, *, may_retry=lambda: True, deadline_s=30.0, **routing):
+def start(loop, dispatch, *, retry_share=1.0, deadline_s=30.0, **routing):
+    budget = RetryBudget(retry_share, reserve=0.0)
     relays = Relays(
         loop,
         dispatch,
         SystemClock(),
         RoutingSection(**routing),
         "host-1",
-        may_retry,
+        budget,
         on_failed=lambda engine: None,
     )
     relays.start()
@@ -150,7 +152,16 @@
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(cut) as first, ScriptedServer(rest) as second:
             dispatch = FakeDispatch(first.address, second.address)
-            relay, _ = start(loop, dispatch, may_retry=lambda: False)
+            relay, _ = start(loop, dispatch, retry_share=0.0)
+            assert relay.future.result(WAIT_S).output_tokens == 3
+
+    def test_refusal_is_retried_within_the_budget(self, loop):
+        refuse = answer(503, b'{"error": "full", "not_run": true}')
+        script = lambda connection, request: connection.sendall(refuse)  # noqa: E731
+        rest = stream(token(0, 2), token(1, 2), token(2, 2), end(3, 2))
+        with ScriptedServer(script) as first, ScriptedServer(rest) as second:
+            dispatch = FakeDispatch(first.address, second.address)
+            relay, _ = start(loop, dispatch)
             assert relay.future.result(WAIT_S).output_tokens == 3
 
 
@@ -160,7 +171,7 @@
         script = lambda connection, request: connection.sendall(refuse)  # noqa: E731
         with ScriptedServer(script) as engine:
             dispatch = FakeDispatch(engine.address)
-            relay, _ = start(loop, dispatch, may_retry=lambda: False)
+            relay, _ = start(loop, dispatch, retry_share=0.0)
             with pytest.raises(NoUpstreamError) as caught:
                 relay.future.result(WAIT_S)
         assert caught.value.outcome is Outcome.NOT_RUN
