--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -50,7 +50,7 @@
     loop.stop()
 
 
-def start(loop, dispatch, *, retry_share=1.0, deadline_s=30.0, **routing):
+def start(loop, dispatch, *, retry_share=2.0, deadline_s=30.0, **routing):
     budget = RetryBudget(retry_share, reserve=0.0)
     relays = Relays(
         loop,
