Leave out engines that are far slower than their kind

An engine that steps four times as slow as the median of its accelerator on the same layers, for five reports, gets no work until it is no more than twice as slow. The cap of half the group holds for slow and failing ones together.

--- a/src/wagtailstair/core/ejection.py
+++ b/src/wagtailstair/core/ejection.py
@@ -18,6 +18,9 @@
     max_s: float = 60.0
     share: float = 0.5
     healthy_s: float = 60.0
+    slow_ratio: float = 4.0
+    fast_ratio: float = 2.0
+    slow_reports: int = 5
 
 
 @dataclasses.dataclass(slots=True)
@@ -28,6 +31,8 @@
     is_probing: bool = False
     probe_open: bool = False
     last_failure: float = 0.0
+    slow_reports: int = 0
+    is_slow: bool = False
 
 
 class Ejection:
@@ -48,7 +53,7 @@
         health = self._health_by_name.get(name)
         if health is None:
             return False
-        if now < health.until:
+        if now < health.until or health.is_slow:
             return True
         return health.is_probing and health.probe_open
 
@@ -66,7 +71,8 @@
         health.failures = 0
         health.is_probing = False
         health.probe_open = False
-        if now - health.last_failure > self._limits.healthy_s:
+        is_healthy = now - health.last_failure > self._limits.healthy_s
+        if is_healthy and not health.slow_reports:
             del self._health_by_name[name]
 
     def abandoned(self, name: str) -> None:
@@ -97,10 +103,32 @@
         health.probe_open = False
         return True
 
+    def measured(self, name: str, ratio: float, group_size: int, now: float) -> None:
+        """Note how many times as slow as its kind an upstream is.
+
+        A slow upstream gets no work, so that it can't be probed; it comes
+        back when it reports that it is fast again.
+        """
+        health = self._health_by_name.get(name)
+        if ratio < self._limits.slow_ratio and health is None:
+            return
+        if health is None:
+            health = self._health_by_name[name] = _Health()
+        if ratio <= self._limits.fast_ratio:
+            health.slow_reports = 0
+            health.is_slow = False
+            return
+        if ratio < self._limits.slow_ratio:
+            return
+        health.slow_reports += 1
+        is_due = health.slow_reports >= self._limits.slow_reports
+        if is_due and not health.is_slow and self._may_eject(group_size, now):
+            health.is_slow = True
+
     def _may_eject(self, group_size: int, now: float) -> bool:
         ejected = 0
         for health in self._health_by_name.values():
-            if now < health.until:
+            if now < health.until or health.is_slow:
                 ejected += 1
         return ejected + 1 <= group_size * self._limits.share
 
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -232,7 +232,7 @@
     def observe(self, state: EngineState, now: float) -> None:
         """Take in a load report."""
         if self._slots.is_known(state):
-            self._slots.observe(state)
+            self._slots.observe(state, now)
             return
         self._slots.add(state, self._needs_on(state.name))
 
--- a/src/wagtailstair/core/slots.py
+++ b/src/wagtailstair/core/slots.py
@@ -1,6 +1,7 @@
 """The engines of a pool: what may run where, and what has no room now."""
 
 import math
+import statistics
 import typing as t
 
 from .demand import Want
@@ -17,6 +18,9 @@
 from .routing import Pick
 from .routing import shortest_route
 
+USUAL_INTERVAL_S = 1.0
+"""Time for which the usual step of a kind of engine is kept."""
+
 
 def _may_run(load: EngineLoad, want: Want, need: Need) -> bool:
     state = load.state
@@ -63,6 +67,8 @@
         "_ejections_change",
         "_loads",
         "_routable_need",
+        "_usual_by_kind",
+        "_usual_until",
     )
 
     def __init__(
@@ -79,6 +85,8 @@
         self._blocked_need: dict[tuple[Priority, str], int] = {}
         # The most for which there are engines, busy or not, by adapter.
         self._routable_need: dict[str, int] = {}
+        self._usual_by_kind: dict[tuple[int, int, str], float] = {}
+        self._usual_until = 0.0
 
     def __len__(self) -> int:
         return len(self._loads.by_name)
@@ -90,10 +98,34 @@
         load = self._loads.by_name.get(state.name)
         return load is not None and load.state.incarnation == state.incarnation
 
-    def observe(self, state: EngineState) -> None:
+    def observe(self, state: EngineState, now: float) -> None:
         """Take in a report of a known incarnation."""
         if self._loads.observe(state):
             self._changed()
+        load = self._loads.by_name[state.name]
+        was_ejected = load.is_ejected
+        ratio = state.step_s / self._usual_step_s(load, now)
+        self._ejection.measured(state.name, ratio, len(self), now)
+        self._mark_ejected(state.name, now)
+        if was_ejected and not load.is_ejected:
+            self._blocked_need.clear()
+
+    def _usual_step_s(self, load: EngineLoad, now: float) -> float:
+        """Return the median step of an engine's kind on the same layers."""
+        if now >= self._usual_until:
+            self._usual_by_kind.clear()
+            self._usual_until = now + USUAL_INTERVAL_S
+        kind = (load.state.first, load.state.last, load.state.accelerator)
+        usual = self._usual_by_kind.get(kind)
+        if usual is None and load.lane is not None:
+            steps = [
+                other.state.step_s
+                for other in load.lane.loads
+                if other.state.accelerator == load.state.accelerator
+            ]
+            usual = statistics.median_low(steps)
+            self._usual_by_kind[kind] = usual
+        return usual or load.state.step_s or 1.0
 
     def add(self, state: EngineState, open_needs: t.Iterable[Need]) -> None:
         """Add an engine, or a new incarnation of it, with its open grants."""
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -45,3 +45,31 @@
         assert ejection.failed("a", 4, 5.0)
         assert ejection.is_ejected("a", 14.9)
         assert not ejection.is_ejected("a", 15.1)
+
+
+class TestSlow:
+    def test_leaves_out_what_stays_slow_until_it_is_clearly_fast(self):
+        ejection = Ejection(LIMITS)
+        ratios = [5.0] * 4 + [1.0] + [5.0] * 4
+        for ratio in ratios:
+            ejection.measured("a", ratio, 4, 0.0)
+            assert not ejection.is_ejected("a", 0.0)
+        ejection.measured("a", 5.0, 4, 0.0)
+        assert ejection.is_ejected("a", 1_000.0)
+        ejection.measured("a", 3.0, 4, 0.0)
+        assert ejection.is_ejected("a", 1_000.0)
+        ejection.measured("a", 1.9, 4, 0.0)
+        assert not ejection.is_ejected("a", 0.0)
+
+    def test_counts_in_the_same_cap(self):
+        ejection = Ejection(LIMITS)
+        for name in "abcd":
+            for _ in range(9):
+                ejection.measured(name, 5.0, 4, 0.0)
+        assert [ejection.is_ejected(name, 0.0) for name in "abcd"] == [
+            True,
+            True,
+            False,
+            False,
+        ]
+        assert fail(ejection, "c", 9) == [False] * 9
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -307,6 +307,19 @@
         pool.want(want("probe"), 6.0)
         assert pool.poll(6.0)[0].route[0].engine == "bad"
 
+    def test_an_engine_far_slower_than_its_kind_gets_no_work(self):
+        names = ("e", "f", "g")
+        pool = pool_of(*(engine(name, slots=1) for name in names))
+        for number in range(6):
+            slow = engine("e", slots=1, step_s=0.05, as_of=float(number))
+            pool.observe(slow, float(number))
+        for name in names:
+            pool.want(want(name), 6.0)
+        grants = pool.poll(6.0)
+        assert sorted(g.route[0].engine for g in grants) == ["f", "g"]
+        pool.observe(engine("e", slots=1, as_of=7.0), 7.0)
+        assert [g.route[0].engine for g in pool.poll(7.0)] == ["e"]
+
     def test_requests_for_a_busy_adapter_hold_up_nobody_else(self):
         pool = pool_of(engine("e", slots=1, adapters=("x",)), engine("f", slots=1))
         for number in range(10):
