--- a/src/wagtailstair/core/shapes.py
+++ b/src/wagtailstair/core/shapes.py
@@ -40,6 +40,25 @@
     return tuple(ranges)
 
 
+def has_route(model: str, states: collections.abc.Iterable[EngineState]) -> bool:
+    """Tell whether engines that stay form a chain through all layers."""
+    lasts_by_first: dict[int, set[int]] = {}
+    layers = 0
+    for state in states:
+        if state.model != model or state.leaving:
+            continue
+        lasts_by_first.setdefault(state.first, set()).add(state.last)
+        layers = state.layers
+    reached = {0}
+    pending = [0]
+    while pending:
+        for last in lasts_by_first.get(pending.pop(), ()):
+            if last not in reached:
+                reached.add(last)
+                pending.append(last)
+    return layers > 0 and layers in reached
+
+
 class Shapes:
     """Remembers the shape of each model, and derives targets.
 
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -25,6 +25,7 @@
 from .core.pool import Pool
 from .core.pool import PoolLimits
 from .core.shapes import Shapes
+from .core.shapes import has_route
 from .core.upstreams import Upstream
 from .core.upstreams import Upstreams
 from .exceptions import SettingsError
@@ -286,9 +287,15 @@
         return self._is_serving and not self._is_leaving
 
     def _data_centres_of(self, model: str) -> tuple[str, ...]:
-        own = self._settings.host.data_centre
         names = self._dispatcher.data_centres_of(model)
-        return tuple(sorted(names, key=lambda name: (name != own, name)))
+        own = self._settings.host.data_centre
+        if own not in names:
+            return tuple(names)
+        names.remove(own)
+        if has_route(model, self._own_engines()):
+            return (own, *names)
+        # A request would wait in vain in the own pool while others can serve it.
+        return (*names, own)
 
     def _engines_to_poll(self) -> list[Upstream]:
         engines = []
--- /dev/null
+++ b/tests/test_fleet_routes.py
@@ -0,0 +1,31 @@
+"""Routes across data centres, over real daemons."""
+
+import pytest
+
+from standins import tokens
+from tests.fleet import LAYERS
+from tests.fleet import Fleet
+from tests.fleet import wait_until
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    with Fleet(tmp_path_factory.mktemp("routes")) as made:
+        yield made
+
+
+class TestRangeLost:
+    def test_other_data_centre_serves(self, fleet):
+        # Both engines of one layer range; the others of the data centre stay.
+        for engine in ("engine-a0", "engine-a2"):
+            fleet.standins.switch(engine, dead=True)
+
+        def is_known():
+            return fleet["a0"].complete("where", 1).status == 200
+
+        wait_until(is_known, "the loss is known")
+        answer = fleet["a0"].complete("elsewhere", 8)
+        assert answer.text() == tokens.answer_text("elsewhere", 8, LAYERS)
+        [attempt] = [a for a in fleet.attempts() if a["made"] == 8]
+        assert attempt["engine"].startswith("engine-b")
+        fleet.assert_layers_ran_once()
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -4,6 +4,7 @@
 from wagtailstair.core.lists import Lists
 from wagtailstair.core.lists import parse_plan
 from wagtailstair.core.shapes import Shapes
+from wagtailstair.core.shapes import has_route
 from wagtailstair.core.shapes import planned_models
 
 ENGINE = EngineState(
@@ -79,3 +80,21 @@
 
     def test_planned_models_of_all_plans(self):
         assert planned_models(lists("a", "b")) == {"a", "b"}
+
+
+class TestRoute:
+    def test_chain_through_all_layers(self):
+        assert has_route("draft", HALVES)
+
+    def test_missing_range(self):
+        assert not has_route("draft", HALVES[1:])
+
+    def test_ranges_that_overlap_without_meeting(self):
+        assert not has_route("draft", [engine("e1", 0, 5), engine("e2", 4, 8)])
+
+    def test_leaving_engine_is_no_part_of_it(self):
+        leaving = engine("e2", 4, 8, leaving=True)
+        assert not has_route("draft", [HALVES[0], leaving])
+
+    def test_other_model(self):
+        assert not has_route("other", HALVES)
