Count as busy only the time in which requests were seen to wait

Cause: the first end of a busy time counted a span of ten seconds, so that the estimate fell to 1 work a second and requests with 120 s left were refused (late 3.2, left 119.99, ahead 123.0, rate 1.0). The busy span now begins at the first end that leaves others waiting.

The daemon also takes the peers' word of versions that they have only heard of, so that it is not ready while a newer one is known.

--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -9,14 +9,12 @@
 
 from .clock import Clock
 from .core.freshness import Freshness
-from .core.freshness import PeerVersions
 from .core.lists import Lists
 from .core.lists import ListsHolder
 from .core.membership import Host
 from .core.membership import HostState
 from .core.membership import Membership
 from .core.pools import PoolFactory
-from .core.rendezvous import ranked
 from .exceptions import NotReadyError
 from .exceptions import PeerError
 from .exceptions import SettingsError
@@ -109,6 +107,7 @@
             clock,
             lambda: self.holder.current.version,
             lambda version: self._follower.heard(),
+            lists_known=lambda: self._follower.known(),
         )
         self.dispatcher = self._node.dispatcher
         self._follower = Follower(
@@ -118,8 +117,8 @@
             read_head=lambda: read_head(table).version,
             read_since=lambda lists: read_since(table, lists),
             fetch=self._fetch,
-            find_peers=self._find_peers,
-            find_rank=self._find_rank,
+            find_peers=self._node.peer_versions,
+            find_rank=self._node.lists_rank,
             on_taken=self._on_taken,
         )
 
@@ -226,22 +225,6 @@
             raise PeerError("not heard any more", where=peer)
         return fetch_lists(host.address, lists, self._clock, self._key)
 
-    def _find_peers(self) -> PeerVersions:
-        with self._node.lock:
-            version = self._membership.lists_version()
-            holders = self._membership.holders(version)
-            live = len(self._membership.live()) - 1
-        names = tuple(host.name for host in holders)
-        return PeerVersions(live, version if names else 0, version, names)
-
-    def _find_rank(self) -> int:
-        with self._node.lock:
-            names = self._membership.live(self._host.data_centre)
-        order = ranked(f"{RANK_KEY}/{self._host.data_centre}", names)
-        if self._host.name not in order:
-            return len(order)
-        return order.index(self._host.name)
-
     def _on_taken(self, old: Lists, new: Lists) -> None:
         self._recent.note(old, new)
         self._node.announce()
--- a/src/wagtailstair/core/capacity.py
+++ b/src/wagtailstair/core/capacity.py
@@ -17,10 +17,10 @@
     reports, which don't tell how long prompts take.
     """
 
-    __slots__ = ("_at", "_bound", "_bound_at", "_busy_s", "_work", "estimate")
+    __slots__ = ("_bound", "_bound_at", "_busy_s", "_busy_since", "_work", "estimate")
 
     def __init__(self) -> None:
-        self._at = 0.0
+        self._busy_since: float | None = None
         self._busy_s = 0.0
         self._work = 0.0
         self._bound = 0.0
@@ -32,10 +32,12 @@
 
         :param is_busy: whether requests waited.
         """
-        span_s = min(RATE_TIME_CONSTANT_S, max(0.0, now - self._at))
-        self._at = now
-        if not is_busy:
+        since = self._busy_since
+        self._busy_since = now if is_busy else None
+        if not is_busy or since is None:
+            # No span to count: before this end nobody was seen to wait.
             return
+        span_s = min(RATE_TIME_CONSTANT_S, max(0.0, now - since))
         kept = 1 - span_s / RATE_TIME_CONSTANT_S
         self._busy_s = self._busy_s * kept + span_s
         self._work = self._work * kept + work
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,5 +1,7 @@
 import dataclasses
 
+import pytest
+
 from tests.test_shapes import engine
 from wagtailstair.core.capacity import Capacity
 from wagtailstair.core.demand import Grant
@@ -25,6 +27,16 @@
     def test_nothing_known_is_no_rate(self):
         assert Capacity().work_per_s(list, 1.0) == 0.0
 
+    def test_idle_time_does_not_count_as_busy(self):
+        # Seen as a refusal of requests with 120 s left: the first end of a busy
+        # time was taken for all that ten seconds could serve.
+        capacity = Capacity()
+        capacity.served(10.0, False, 5.0)
+        capacity.served(10.0, True, 100.0)
+        for number in range(1, 11):
+            capacity.served(10.0, True, 100.0 + number / 10)
+        assert capacity.work_per_s(list, 101.0) == pytest.approx(100.0, rel=0.1)
+
     def test_burst_waits_while_a_range_has_no_engine(self):
         # Seen after a daemon was stopped and went on: reports had timed out, so
         # that no route stood for a moment, and the burst was refused by a rate
