--- a/bench/policies.py
+++ b/bench/policies.py
@@ -39,6 +39,9 @@
 DETECT_S = 0.02
 """Until an entry host sees that a connection broke."""
 EXCHANGE_S = 0.5
+ORDER_ONLY_S = 1e-6
+"""Scale of a cost that is no time, so that no deadline is missed by it."""
+LEFT_OUT_S = 2.0
 HOST_DEAD_AFTER_S = 2.5
 
 
@@ -620,12 +623,12 @@
 
 def least_used(load: EngineLoad, need: Need, now: float) -> float:
     """Cost a stage by its share of slots in use."""
-    return (load.used + 1) / max(1, load.state.slots)
+    return (load.used + 1) / max(1, load.state.slots) * ORDER_ONLY_S
 
 
 def fewest_granted(load: EngineLoad, need: Need, now: float) -> float:
     """Cost a stage by its open requests."""
-    return load.used + 1.0
+    return (load.used + 1) * ORDER_ONLY_S
 
 
 def own_step(load: EngineLoad, need: Need, now: float) -> float:
@@ -640,7 +643,7 @@
 
 def _random_cost() -> StageCost:
     rng = random.Random(1)
-    return lambda load, need, now: rng.random()
+    return lambda load, need, now: rng.random() * ORDER_ONLY_S
 
 
 def _two_choice_cost() -> StageCost:
@@ -650,7 +653,7 @@
 
     def cost(load: EngineLoad, need: Need, now: float) -> float:
         free = len(load.lane.free) if load.lane is not None else 1
-        left_out = 0.0 if rng.random() * free < 2 else 1e6
+        left_out = 0.0 if rng.random() * free < 2 else LEFT_OUT_S
         return left_out + expected_delay(load, need, now)
 
     return cost
@@ -666,7 +669,7 @@
         if load.granted != last_by_engine.get(f"{name}/granted"):
             last_by_engine[f"{name}/granted"] = load.granted
             last_by_engine[name] = float(next(turns))
-        return last_by_engine[name]
+        return last_by_engine[name] * ORDER_ONLY_S
 
     return cost
 
