--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -352,7 +352,7 @@
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
                     left.append(f"{name}: {key}: {stats.open_grants}, {stats.waiting}")
-            for key, pool in dispatcher.tickets._local_by_key.items():
+            for key, pool in dispatcher.tickets.local.by_key.items():
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
                     left.append(f"{name}: local {key}: {stats.open_grants}")
@@ -361,8 +361,8 @@
                 "handles": len(dispatcher.tickets._open_by_handle),
                 "charges": len(dispatcher.charges),
                 "charge handles": len(dispatcher.charges._open_by_handle),
-                "outbox": len(dispatcher.outbox),
-                "homes": len(dispatcher.homes._account_by_request),
+                "outbox": len(dispatcher.exchange.outbox),
+                "homes": len(dispatcher.exchange.homes._account_by_request),
             }
             left += [f"{name}: {what} {size}" for what, size in sizes.items() if size]
         return left
