Test that an engine just loaded is not moved back

No test saw the dwell time. Without it on a scratch copy the new test fails (an engine moved twice within 60 s); with it all 19 tests of the placement pass.

--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -113,6 +113,19 @@
             run.decide({"draft": 1, "quote": 2}, after_s=10.0)
         assert sorted(order.model for _, order in run.orders) == ["quote", "quote"]
 
+    def test_engine_just_loaded_is_not_moved_back(self):
+        run = Run(make_fleet(*["draft"] * 4, *["quote"] * 2), [DRAFT, QUOTE])
+        for number in range(40):
+            draft = 1 if number % 8 < 4 else 2
+            run.decide({"draft": draft, "quote": 3 - draft}, after_s=12.0)
+        times_by_engine = {}
+        for at, order in run.orders:
+            times_by_engine.setdefault(order.engine, []).append(at)
+        assert any(len(times) > 1 for times in times_by_engine.values())
+        for times in times_by_engine.values():
+            for before, after in itertools.pairwise(times):
+                assert after - before >= LIMITS.dwell_s
+
     def test_never_takes_the_last_engine_of_a_range(self):
         fleet = make_fleet("draft", "draft", "draft", "quote", "quote")
         fleet.engine_by_name["e3"].first, fleet.engine_by_name["e3"].last = 6, 12
