Start placement in the daemon, and let every host learn the models' shapes

Two faults, found by real processes. And a host learnt a model's layer ranges only while it held the lease, so when the holder and all engines of a range were lost together, the next holder gave no order in 33 s of watching. Now a host looks at the engines at each tick, holder or not.

Tried and reverted: taking layers that no engine holds as one range, for a host that has never seen the model whole.

--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -117,6 +117,8 @@
         self._relays.start()
         self._watch_upstreams()
         self._loop.call(self._watch_ready)
+        if self._settings.placement.enabled:
+            self._placer.start()
         self._server.start()
         log_event(
             "daemon_started",
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -215,6 +215,9 @@
         delay_s = self._keeper.tick()
         fence = self._keeper.fence
         if not self._keeper.may_order(fence, self._order_timeout_s):
+            # The shapes of models are learnt by every host, so that the next
+            # holder knows a range whose last engine died with this one.
+            self._derive(self._observe())
             return delay_s
         if fence != self._fence:
             # Memory of an earlier lease is older than the other holders' orders.
