--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -125,6 +125,8 @@
         self._watch_upstreams()
         self._loop.call(self._watch_ready)
         self._loop.call(self._publish)
+        if self._settings.placement.enabled:
+            self._placer.start()
         self._server.start()
         log_event(
             "daemon_started",
