--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,8 @@
 fuzz: install
 	FUZZ_SEED=$(SEED) FUZZ_LENGTH=$(LENGTH) $(PY) -m pytest -o timeout=0 \
 		tests/test_claims_machine.py tests/test_sessions_machine.py \
-		tests/test_leases_machine.py tests/test_placement_machine.py
+		tests/test_leases_machine.py tests/test_placement_machine.py \
+		tests/test_changes_machine.py
 
 capacity: install
 	$(PY) -m bench.capacity
--- a/src/wagtailstair/http/app.py
+++ b/src/wagtailstair/http/app.py
@@ -15,6 +15,7 @@
 from ..exceptions import RequestTooLargeError
 from ..exceptions import WagtailstairError
 from ..logs import log_event
+from ..logs import place_of
 from . import operators
 from .call import SERVICES_PREFIX
 from .call import call_service
@@ -85,7 +86,10 @@
             return self._on_error(_from_werkzeug(error), request_id)
         except Exception as error:
             log_event(
-                "request_crashed", level="ERROR", request=request_id, error=repr(error)
+                "request_crashed",
+                level="ERROR",
+                request=request_id,
+                error=place_of(error),
             )
             unknown = OutcomeUnknownError("an internal error")
             return self._on_error(unknown, request_id)
--- a/src/wagtailstair/logs.py
+++ b/src/wagtailstair/logs.py
@@ -1,5 +1,6 @@
 """Events as one line of key=value pairs, through loguru."""
 
+import pathlib
 import sys
 import typing as t
 
@@ -29,6 +30,20 @@
     return " ".join(parts)
 
 
+def place_of(error: BaseException) -> str:
+    """Name an unexpected error and where it came from.
+
+    Its text is left out: it may quote a prompt or an answer.
+    """
+    frame = error.__traceback__
+    if frame is None:
+        return type(error).__name__
+    while frame.tb_next is not None:
+        frame = frame.tb_next
+    file = pathlib.PurePath(frame.tb_frame.f_code.co_filename).name
+    return f"{type(error).__name__}@{file}:{frame.tb_lineno}"
+
+
 def configure_logs(level: str, host: str) -> None:
     """Send events of a level and above to standard error."""
     logger.remove()
--- a/src/wagtailstair/upstreams/loop.py
+++ b/src/wagtailstair/upstreams/loop.py
@@ -12,6 +12,7 @@
 
 from ..clock import Clock
 from ..logs import log_event
+from ..logs import place_of
 
 Callback = t.Callable[[], None]
 FdHandler = t.Callable[[int], None]
@@ -206,4 +207,4 @@
         try:
             callback(*args)
         except Exception as error:
-            log_event("loop_callback_failed", level="ERROR", error=repr(error))
+            log_event("loop_callback_failed", level="ERROR", error=place_of(error))
