Ask another data centre first where the waits at home are longer

Cause: each host asked the pool of its own data centre alone, so that work that enters by one data centre was served by a third of the fleet. Ruled out: the balancer, which spreads connections and knows nothing of cost.

--- a/bench/live.py
+++ b/bench/live.py
@@ -268,6 +268,19 @@
     }
 
 
+def one_entrance(bench: Bench) -> Row:
+    """Let all work enter by one data centre; measure what the fleet serves."""
+    make = _maker(bench.rng, SMALL, "standard", "all", ("a0", "a1"))
+    plan = poisson(bench.rng, _requests_per_s(0.9), (0.0, 14.0), make)
+    calls, started = bench.send(plan, 22.0)
+    served = _rate(calls, (4.0, 14.0), started)
+    return {
+        "over_bound": round(served / bound_tokens_per_s(), 3),
+        "first_p95_ms": _first_p95_ms(calls),
+        "lost": _lost(calls),
+    }
+
+
 def stage_lost(bench: Bench) -> Row:
     """Kill an engine under load; measure the gaps and what is lost."""
     span = (0.0, 8.0)
@@ -358,6 +371,7 @@
     "flood_batch": flood_batch,
     "flood_urgent": flood_urgent,
     "large_beside_small": large_beside_small,
+    "one_entrance": one_entrance,
     "stage_lost": stage_lost,
     "daemon_lost": daemon_lost,
     "platform_away": platform_away,
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -172,7 +172,9 @@
             self._clock,
             self._settings.routing,
             self._settings.host.name,
-            budget=self._budget,
+            self._settings.host.data_centre,
+            self._budget,
+            self._rng,
             on_failed=lambda engine: self._metrics.count(
                 "attempts_failed", engine=engine
             ),
--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -3,6 +3,7 @@
 import concurrent.futures
 import dataclasses
 import functools
+import random
 import typing as t
 
 from .clock import Clock
@@ -18,6 +19,7 @@
 from .core.sessions import Dropped
 from .core.sessions import Session
 from .core.sessions import Violation
+from .core.spill import Waits
 from .exceptions import CallerGoneError
 from .exceptions import DeadlineExceededError
 from .exceptions import NoUpstreamError
@@ -72,7 +74,9 @@
         clock: Clock,
         routing: RoutingSection,
         host: str,
+        data_centre: str,
         budget: RetryBudget,
+        rng: random.Random,
         on_failed: t.Callable[[str], None],
     ) -> None:
         self.loop = loop
@@ -80,6 +84,9 @@
         self.clock = clock
         self.routing = routing
         self.host = host
+        self.data_centre = data_centre
+        self.waits = Waits()
+        self._rng = rng
         self.budget = budget
         self.on_failed = on_failed
         self._open: set[Relay] = set()
@@ -94,6 +101,19 @@
         self.loop.call(relay.start)
         return relay
 
+    def order(self, job: Job) -> tuple[str, ...]:
+        """Return the data centres to ask for a route, the best first."""
+        if job.data_centres[:1] != (self.data_centre,):
+            # The own data centre can't serve now, and stands last.
+            return job.data_centres
+        return self.waits.order(
+            self.data_centre,
+            job.data_centres,
+            job.priority,
+            self.clock.monotonic(),
+            self._rng,
+        )
+
     def add(self, relay: "Relay") -> None:
         """Watch a relay."""
         self._open.add(relay)
@@ -122,6 +142,7 @@
         self._session: Session | None = None
         self._open: _Open | None = None
         self._asked: tuple[str, int] | None = None
+        self._data_centres = job.data_centres
         self._centre_index = 0
         self._epoch = 0
         self._avoid: frozenset[str] = frozenset()
@@ -134,6 +155,7 @@
         """Ask for the first route."""
         self._shared.add(self)
         self._shared.budget.attempted(self._shared.clock.monotonic())
+        self._data_centres = self._shared.order(self._job)
         self._ask()
 
     def cancel(self) -> None:
@@ -169,7 +191,7 @@
         if now >= job.deadline:
             self._fail(DeadlineExceededError("the deadline passed"))
             return
-        if self._centre_index >= len(job.data_centres):
+        if self._centre_index >= len(self._data_centres):
             self._fail(NoUpstreamError("no route over live engines", retry_after_s=1.0))
             return
         delivered = len(self._session.tokens) if self._session else 0
@@ -190,7 +212,8 @@
             prefixes=job.prefixes,
             avoid=self._avoid,
         )
-        data_centre = job.data_centres[self._centre_index]
+        data_centre = self._data_centres[self._centre_index]
+        self._shared.waits.submitted(job.request, data_centre, job.priority, now)
         self._asked = (data_centre, self._epoch)
         future = self._shared.dispatch.submit(job.model, data_centre, want)
         asked = self._asked
@@ -207,9 +230,12 @@
             return
         self._asked = None
         answer = future.result()
+        now = self._shared.clock.monotonic()
         if isinstance(answer, Refusal):
+            self._shared.waits.refused(self._job.request, now)
             self._on_refusal(answer)
             return
+        self._shared.waits.granted(self._job.request, now)
         self._begin(asked[0], answer)
 
     def _on_refusal(self, refusal: Refusal) -> None:
@@ -405,6 +431,7 @@
         asked = self._asked
         self._asked = None
         if asked is not None:
+            self._shared.waits.withdrawn(self._job.request)
             self._shared.dispatch.cancel(
                 self._job.model, asked[0], self._job.request, asked[1]
             )
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -2,6 +2,7 @@
 import http.client
 import json
 import os
+import random
 import threading
 
 import pytest
@@ -92,7 +93,9 @@
             clock,
             settings.routing,
             "host-1",
+            "dc-1",
             RetryBudget(),
+            random.Random(1),
             on_failed=lambda engine: None,
         )
         self.context = Context(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -1,4 +1,5 @@
 import json
+import random
 import socket
 
 import pytest
@@ -50,7 +51,7 @@
     loop.stop()
 
 
-def start(loop, dispatch, *, retry_share=2.0, deadline_s=30.0, **routing):
+def make_relays(loop, dispatch, *, retry_share=2.0, **routing):
     budget = RetryBudget(retry_share, reserve=0.0)
     relays = Relays(
         loop,
@@ -58,12 +59,18 @@
         SystemClock(),
         RoutingSection(**routing),
         "host-1",
+        "dc-1",
         budget,
+        random.Random(1),
         on_failed=lambda engine: None,
     )
     relays.start()
-    job = Job(
-        request="r1",
+    return relays
+
+
+def make_job(request="r1", deadline_s=30.0):
+    return Job(
+        request=request,
         account="a",
         model="draft",
         adapter="",
@@ -77,6 +84,11 @@
         deadline=SystemClock().monotonic() + deadline_s,
         data_centres=("dc-1", "dc-2"),
     )
+
+
+def start(loop, dispatch, *, deadline_s=30.0, **options):
+    relays = make_relays(loop, dispatch, **options)
+    job = make_job(deadline_s=deadline_s)
     sink = Tokens()
     return relays.run(job, sink), sink
 
@@ -145,6 +157,17 @@
         assert sink.texts == [" t0", " t1", " t2"]
 
 
+class TestSpill:
+    def test_asks_another_data_centre_after_a_refusal_at_home(self, loop):
+        dispatch = FakeDispatch(RefusalReason.QUEUE_FULL, RefusalReason.QUEUE_FULL)
+        relays = make_relays(loop, dispatch)
+        for request in ("r1", "r2"):
+            relay = relays.run(make_job(request), Tokens())
+            with pytest.raises(QueueFullError):
+                relay.future.result(WAIT_S)
+        assert [centre for centre, _ in dispatch.wants] == ["dc-1", "dc-2"]
+
+
 class TestRetryBudget:
     def test_resume_of_a_broken_stream_needs_no_budget(self, loop):
         # One dead engine may break more streams at once than any budget holds.
