--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -207,7 +207,7 @@
     ("commit", "operators-race"): (
         _EDITS + "TestCommit::test_the_second_edit_of_a_row_is_told_of_the_first",
         _EDITS + "TestCommit::test_edits_of_different_rows_both_succeed",
-        "tests/test_changes_stateful.py",
+        "tests/test_changes_machine.py",
     ),
     ("commit", "platform-away"): (
         _EDITS + "TestLostReplies::test_unavailable_when_no_attempt_got_through",
@@ -251,7 +251,7 @@
         ),
     ),
     (
-        ("tests/test_changes_stateful.py",),
+        ("tests/test_changes_machine.py",),
         ("commit", "reply"),
         ("none", "platform-away", "reply-lost", "request-lost", "operators-race"),
     ),
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -19,6 +19,14 @@
             assert step in matrix.STEPS
             assert fault in matrix.FAULTS
 
+    def test_named_tests_exist(self):
+        for nodes in matrix.TESTS.values():
+            for node in nodes:
+                path, *names = node.split("::")
+                text = (matrix.ROOT / path).read_text(encoding="utf-8")
+                for name in names:
+                    assert f" {name}(" in text or f"class {name}:" in text, node
+
     def test_no_cell_is_both_run_and_impossible(self):
         both = [
             cell for cell in [*CELLS, *matrix.TESTS] if matrix.why_impossible(*cell)
