--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -1,6 +1,7 @@
 """The daemon of an entry host: its parts, its start and its graceful shutdown."""
 
 import dataclasses
+import os
 import pathlib
 import random
 import signal
@@ -10,6 +11,7 @@
 
 import click
 
+from .budget import SharedRetryBudget
 from .claims import Claims
 from .clock import Clock
 from .clock import SystemClock
@@ -22,8 +24,8 @@
 from .core.placement import PlacementLimits
 from .core.pool import Pool
 from .core.pool import PoolLimits
-from .core.retry import RetryBudget
 from .core.shapes import Shapes
+from .core.shapes import has_route
 from .core.upstreams import Upstream
 from .core.upstreams import Upstreams
 from .exceptions import SettingsError
@@ -40,6 +42,10 @@
 from .platform.objects import ObjectClient
 from .platform.table import TableClient
 from .relay import Relays
+from .report import describe_pools
+from .report import describe_upstreams
+from .report import publish_pools
+from .report import publish_traffic
 from .services import Services
 from .settings import LEASE_MARGIN_S
 from .settings import Settings
@@ -51,6 +57,7 @@
 
 READY_POLL_S = 0.05
 ENGINES_WAIT_S = 3.0
+PUBLISH_INTERVAL_S = 1.0
 EXIT_FAILED = 1
 SIGNAL_POLL_S = 0.25
 EXIT_SETTINGS = 2
@@ -72,7 +79,7 @@
         self._metrics = Metrics(settings.host.name)
         self._upstreams = Upstreams()
         self._loop = Loop(clock)
-        self._budget = RetryBudget(settings.routing.retry_share)
+        self._budget = SharedRetryBudget(settings.routing.retry_share)
         self._limits = _pool_limits(settings)
         self._server = Server(
             settings.host.address,
@@ -119,6 +126,7 @@
         self._loop.call(self._watch_ready)
         if self._settings.placement.enabled:
             self._placer.start()
+        self._loop.call(self._publish)
         self._server.start()
         log_event(
             "daemon_started",
@@ -164,11 +172,10 @@
             self._clock,
             self._settings.routing,
             self._settings.host.name,
-            may_retry=self._may_retry,
+            budget=self._budget,
             on_failed=lambda engine: self._metrics.count(
                 "attempts_failed", engine=engine
             ),
-            on_answered=lambda engine: None,
         )
 
     def _make_context(self) -> Context:
@@ -253,9 +260,6 @@
             self._rng,
         ).start()
 
-    def _may_retry(self) -> bool:
-        return self._budget.take(self._clock.monotonic())
-
     def _make_pool(self, key: PoolKey) -> Pool:
         return Pool(key.model, key.data_centre, self._limits)
 
@@ -285,9 +289,15 @@
         return self._is_serving and not self._is_leaving
 
     def _data_centres_of(self, model: str) -> tuple[str, ...]:
-        own = self._settings.host.data_centre
         names = self._dispatcher.data_centres_of(model)
-        return tuple(sorted(names, key=lambda name: (name != own, name)))
+        own = self._settings.host.data_centre
+        if own not in names:
+            return tuple(names)
+        names.remove(own)
+        if has_route(model, self._own_engines()):
+            return (own, *names)
+        # A request would wait in vain in the own pool while others can serve it.
+        return (*names, own)
 
     def _engines_to_poll(self) -> list[Upstream]:
         engines = []
@@ -307,17 +317,16 @@
         for name in names:
             self._dispatcher.remove(name)
 
+    def _publish(self) -> None:
+        self._loop.call_later(PUBLISH_INTERVAL_S, self._publish)
+        metrics = self._metrics
+        publish_pools(metrics, self._dispatcher.pool_stats())
+        publish_traffic(metrics, self._cluster.traffic)
+        metrics.gauge("lists_version", self._cluster.holder.current.version)
+        metrics.gauge("claims_unsettled", self._claims.unsettled)
+        metrics.gauge("ready", self._is_ready())
+
     def _status(self) -> dict[str, t.Any]:
-        upstreams = []
-        for upstream, leaving in self._upstreams.all():
-            upstreams.append(
-                {
-                    "name": upstream.name,
-                    "kind": upstream.kind.value,
-                    "data_centre": upstream.data_centre,
-                    "state": "leaving" if leaving else "live",
-                }
-            )
         return {
             "host": self._settings.host.name,
             "incarnation": self._incarnation,
@@ -325,7 +334,8 @@
             "ready": self._is_ready(),
             "lists_version": self._cluster.holder.current.version,
             "peers": self._cluster.peers(),
-            "upstreams": upstreams,
+            "upstreams": describe_upstreams(self._upstreams),
+            "pools": describe_pools(self._dispatcher.pool_stats()),
         }
 
 
@@ -364,7 +374,10 @@
     signal.signal(signal.SIGINT, lambda number, frame: daemon.request_stop())
     daemon.start()
     if not daemon.run():
-        sys.exit(EXIT_FAILED)
+        # A request that outlasted the drain holds its thread, for which a normal
+        # exit would wait.
+        sys.stderr.flush()
+        os._exit(EXIT_FAILED)
 
 
 if __name__ == "__main__":
