--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -37,6 +37,9 @@
         engines=engines(),
         settings=settings,
     ) as made:
+        wait_until(lambda: holder_of(made), "a holder")
+        # A host knows the ranges once it has looked, each second.
+        time.sleep(LOOK_S)
         yield made
 
 
@@ -125,8 +128,6 @@
 
     def test_killed_holder_is_replaced(self, fleet):
         first = wait_until(lambda: holder_of(fleet), "a holder")
-        # The next holder knows the ranges once it has looked, each second.
-        time.sleep(LOOK_S)
         fleet[first].kill()
         lose_second_half(fleet)
         others = [d for d in fleet.daemons.values() if d.name != first]
