--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -124,9 +124,9 @@
         self._relays.start()
         self._watch_upstreams()
         self._loop.call(self._watch_ready)
+        self._loop.call(self._publish)
         if self._settings.placement.enabled:
             self._placer.start()
-        self._loop.call(self._publish)
         self._server.start()
         log_event(
             "daemon_started",
@@ -172,7 +172,9 @@
             self._clock,
             self._settings.routing,
             self._settings.host.name,
-            budget=self._budget,
+            self._settings.host.data_centre,
+            self._budget,
+            self._rng,
             on_failed=lambda engine: self._metrics.count(
                 "attempts_failed", engine=engine
             ),
