--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -25,7 +25,8 @@
 
 MEMORY_OF_ENDED = 16_384
 """Ended epochs that are remembered, so that a late want is not granted again."""
-NO_ROUTE_PATIENCE_S = 2.0
+NO_ROUTE_PATIENCE_S = 1.0
+"""Time for a route to come back before a request is refused for want of one."""
 GRANT_GRACE_S = 5.0
 """Time after its deadline when an open grant counts as lost."""
 HEADS_TRIED = 32
@@ -135,6 +136,7 @@
             self._refuse(want, RefusalReason.QUEUE_FULL, now)
             return
         self._deadlines.add(want.deadline, want.request, want.epoch)
+        self._note_route(want, Need.of(want), now)
         if victim is not None:
             self._pushed_out += 1
             self._no_route_since.pop(victim.request, None)
@@ -313,6 +315,10 @@
             if now < since + NO_ROUTE_PATIENCE_S:
                 break
             want = self._queue.get(request)
+            if want is not None and self._slots.has_route(want, Need.of(want)):
+                # It came back, and only requests at the head of a queue notice.
+                del self._no_route_since[request]
+                continue
             self._withdraw(request, now)
             if want is not None:
                 self._refuse(want, RefusalReason.NO_ROUTE, now)
@@ -332,6 +338,7 @@
         rank = self._rank(want)
         need = Need.of(want)
         if self._slots.is_blocked(want, need, rank):
+            self._note_route(want, need, now)
             return False
         found = self._slots.find(want, need, rank, now)
         if found is None:
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -5,8 +5,11 @@
 from tests.test_shapes import engine
 from wagtailstair.core.capacity import Capacity
 from wagtailstair.core.demand import Grant
+from wagtailstair.core.demand import Refusal
+from wagtailstair.core.demand import RefusalReason
 from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.pool import NO_ROUTE_PATIENCE_S
 from wagtailstair.core.pool import Pool
 
 WANT = Want(
@@ -50,3 +53,32 @@
         answers = pool.poll(0.5)
         assert len(answers) == 8
         assert all(isinstance(answer, Grant) for answer in answers)
+
+
+class TestNoRoute:
+    def make(self):
+        pool = Pool("draft", "a")
+        pool.observe(engine("e2", 4, 8), 0.0)
+        return pool
+
+    def test_each_request_is_refused_in_its_time(self):
+        # Seen as callers that waited for more than 60 s: what was known to find
+        # no room was not asked again whether there was a route.
+        pool = self.make()
+        for number in range(60):
+            want = dataclasses.replace(WANT, request=f"r{number}")
+            pool.want(want, number / 100)
+            pool.poll(number / 100)
+        answers = pool.poll(0.6 + NO_ROUTE_PATIENCE_S)
+        assert {answer.request for answer in answers} == {f"r{n}" for n in range(60)}
+        assert {answer.reason for answer in answers} == {RefusalReason.NO_ROUTE}
+
+    def test_route_that_comes_back_keeps_the_requests(self):
+        pool = self.make()
+        for number in range(20):
+            pool.want(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
+        pool.poll(0.0)
+        pool.observe(engine("e1", 0, 4), 0.5)
+        answers = pool.poll(0.5) + pool.poll(0.5 + NO_ROUTE_PATIENCE_S)
+        assert [answer for answer in answers if isinstance(answer, Refusal)] == []
+        assert pool.stats().waiting[Priority.STANDARD] == 12
