--- a/standins/launch.py
+++ b/standins/launch.py
@@ -2,6 +2,7 @@
 
 import http.client
 import json
+import os
 import pathlib
 import select
 import signal
@@ -17,6 +18,14 @@
 ROOT = pathlib.Path(__file__).resolve().parent.parent
 
 
+def environment() -> dict[str, str]:
+    """Return an environment in which processes run the code of this tree.
+
+    Else they would run what is installed, which may be another tree.
+    """
+    return {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
+
+
 class LaunchError(Exception):
     """The stand-ins did not start or refused a switch."""
 
@@ -54,6 +63,7 @@
         self._process = subprocess.Popen(
             [sys.executable, "-m", "standins", "--config", str(path)],
             cwd=ROOT,
+            env=environment(),
             stdout=subprocess.PIPE,
             text=True,
         )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -19,6 +19,7 @@
 
 from standins import tokens
 from standins.launch import StandinProcess
+from standins.launch import environment
 from standins.launch import to_toml
 
 ROOT = pathlib.Path(__file__).resolve().parent.parent
@@ -257,6 +258,7 @@
             self._process = subprocess.Popen(
                 [*command, "--settings", str(self._settings_file)],
                 cwd=ROOT,
+                env=environment(),
                 stderr=log,
                 stdout=log,
             )
--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -29,3 +29,22 @@
         [attempt] = [a for a in fleet.attempts() if a["made"] == 8]
         assert attempt["engine"].startswith("engine-b")
         fleet.assert_layers_ran_once()
+
+    def test_no_route_anywhere_is_refused_as_not_run(self, fleet):
+        for engine in ("engine-a0", "engine-a2", "engine-b0", "engine-b2"):
+            fleet.standins.switch(engine, dead=True)
+        headers = {"X-Timeout": "15"}
+        codes = set()
+        for number in range(3):
+            answer = fleet["a0"].complete(f"nowhere {number}", 4, headers=headers)
+            codes.add((answer.error["code"], answer.error["outcome"]))
+        # Not "overloaded" at the end of the deadline: that it can't be served is
+        # known long before.
+        assert codes == {("no_upstream", "not_run")}
+        for engine in ("engine-a0", "engine-a2", "engine-b0", "engine-b2"):
+            fleet.standins.switch(engine, dead=False)
+
+        def is_back():
+            return fleet["a0"].complete("back", 4).status == 200
+
+        wait_until(is_back, "the routes are back")
