--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -15,6 +15,7 @@
 from .core.membership import HostState
 from .core.membership import Membership
 from .core.pools import PoolFactory
+from .core.rendezvous import owner
 from .exceptions import NotReadyError
 from .exceptions import PeerError
 from .exceptions import SettingsError
@@ -35,7 +36,6 @@
 REFRESH_TIMEOUT_S = 2.0
 FORBIDDEN = 403
 BAD_REQUEST = 400
-RANK_KEY = "lists"
 
 
 def read_peer_key(settings: Settings) -> bytes:
@@ -165,6 +165,12 @@
             return host.incarnation > int(incarnation)
         return peer is not None and peer.state is HostState.DEAD
 
+    def owns(self, role: str) -> bool:
+        """Tell whether this host has a role that costs little if two have it."""
+        with self._node.lock:
+            live = self._membership.live()
+        return owner(role, live) == self._host.name
+
     def take_host_list(self, entries: list[EntryHost]) -> None:
         """Take the entry hosts that the platform lists."""
         hosts = []
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -50,6 +50,7 @@
 from .settings import LEASE_MARGIN_S
 from .settings import Settings
 from .settings import load_settings
+from .sweep import Sweeper
 from .upstreams.loop import Loop
 from .upstreams.orders import EngineOrders
 from .upstreams.watch import EngineWatch
@@ -58,6 +59,7 @@
 READY_POLL_S = 0.05
 ENGINES_WAIT_S = 3.0
 PUBLISH_INTERVAL_S = 1.0
+SWEEP_ROLE = "claims/sweep"
 EXIT_FAILED = 1
 SIGNAL_POLL_S = 0.25
 EXIT_SETTINGS = 2
@@ -107,6 +109,9 @@
             str(self._incarnation),
             is_dead=self._cluster.is_dead,
         )
+        self._sweeper = Sweeper(
+            self._claims, table.scan, lambda: self._cluster.owns(SWEEP_ROLE)
+        )
         self._open_requests = OpenRequests(settings.limits.open_requests, self._metrics)
         self._placer = self._make_placer(table)
         self._relays = self._make_relays()
@@ -127,6 +132,7 @@
         self._loop.call(self._publish)
         if self._settings.placement.enabled:
             self._placer.start()
+        self._sweeper.start()
         self._server.start()
         log_event(
             "daemon_started",
@@ -154,6 +160,7 @@
         self._is_leaving = True
         self._cluster.announce_leaving()
         self._placer.close()
+        self._sweeper.stop()
         log_event("shutdown_began", open_requests=self._open_requests.count)
         threading.Event().wait(shutdown.balancer_lag_s)
         self._server.close()
