--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -27,11 +27,11 @@
 from .peers.bulk import serve_lists
 from .peers.node import Node
 from .peers.transport import UdpTransport
+from .platform.hosts import HostEntry
 from .platform.lists import read_head
 from .platform.lists import read_since
 from .platform.table import Table
 from .settings import Settings
-from .upstreams.watch import EntryHost
 
 REFRESH_TIMEOUT_S = 2.0
 FORBIDDEN = 403
@@ -171,11 +171,11 @@
             live = self._membership.live()
         return owner(role, live) == self._host.name
 
-    def take_host_list(self, entries: list[EntryHost]) -> None:
+    def take_host_list(self, entries: list[HostEntry]) -> None:
         """Take the entry hosts that the platform lists."""
         hosts = []
         for entry in entries:
-            if not entry.peer_address or entry.leaving:
+            if not entry.peer_address or entry.is_leaving:
                 continue
             hosts.append(
                 Host(entry.name, entry.data_centre, entry.address, entry.peer_address)
--- a/src/wagtailstair/platform/hosts.py
+++ b/src/wagtailstair/platform/hosts.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ..exceptions import PlatformError
 from .http import Timeouts
 from .http import request_json
 from .http import unusable_reply
@@ -30,11 +31,27 @@
     peer_address: str = ""
     service: str = ""
 
+    @property
+    def is_leaving(self) -> bool:
+        """Tell whether the host gets no new work."""
+        return self.state == LEAVING
+
 
 class _Hosts(msgspec.Struct):
     hosts: list[HostEntry]
 
 
+def decode_hosts(raw: bytes) -> list[HostEntry]:
+    """Decode the list.
+
+    :raises PlatformError: if it is not one.
+    """
+    try:
+        return msgspec.json.decode(raw, type=_Hosts).hosts
+    except msgspec.MsgspecError as error:
+        raise PlatformError(f"malformed host list: {error}") from error
+
+
 def read_hosts(
     url: str,
     timeouts: Timeouts = Timeouts(),  # noqa: B008 - immutable
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -3,15 +3,19 @@
 import random
 import typing as t
 
-import msgspec
-
 from ..clock import Clock
 from ..core.engine import EngineState
 from ..core.upstreams import Upstream
 from ..core.upstreams import UpstreamKind
 from ..core.upstreams import Upstreams
+from ..exceptions import PlatformError
 from ..exceptions import UpstreamError
 from ..logs import log_event
+from ..platform.hosts import ENGINE
+from ..platform.hosts import ENTRY
+from ..platform.hosts import SERVICE
+from ..platform.hosts import HostEntry
+from ..platform.hosts import decode_hosts
 from ..settings import PlatformSection
 from .engine import decode_state
 from .loop import Loop
@@ -25,32 +29,7 @@
 SILENT_AFTER = 2  # reports in a row that did not come
 OK = 200
 NOT_MODIFIED = 304
-
-
-class _Entry(msgspec.Struct):
-    name: str
-    kind: str
-    data_centre: str
-    address: str
-    incarnation: str
-    state: str
-    service: str = ""
-    peer_address: str = ""
-
-
-class _HostList(msgspec.Struct):
-    hosts: list[_Entry]
-
-
-class EntryHost(msgspec.Struct, frozen=True):
-    """An entry host of the host list."""
-
-    name: str
-    data_centre: str
-    address: str
-    peer_address: str
-    incarnation: str
-    leaving: bool
+KIND_BY_NAME = {ENGINE: UpstreamKind.ENGINE, SERVICE: UpstreamKind.SERVICE}
 
 
 def jittered(interval_s: float, rng: random.Random) -> float:
@@ -71,7 +50,7 @@
         clock: Clock,
         platform: PlatformSection,
         upstreams: Upstreams,
-        on_entry_hosts: t.Callable[[list[EntryHost]], None],
+        on_entry_hosts: t.Callable[[list[HostEntry]], None],
         on_gone: t.Callable[[list[str]], None],
         rng: random.Random,
     ) -> None:
@@ -115,39 +94,31 @@
         if failed or end.status == NOT_MODIFIED:
             return
         try:
-            listed = msgspec.json.decode(end.body, type=_HostList)
-        except msgspec.MsgspecError as error:
+            self._take(decode_hosts(end.body))
+        except PlatformError as error:
             log_event("host_list_malformed", level="WARNING", error=str(error))
             return
-        self._take(listed.hosts)
         self._etag = end.header("ETag")
 
-    def _take(self, entries: list[_Entry]) -> None:
+    def _take(self, entries: list[HostEntry]) -> None:
         found: list[tuple[Upstream, bool]] = []
-        entry_hosts: list[EntryHost] = []
+        entry_hosts: list[HostEntry] = []
         for entry in entries:
-            leaving = entry.state == "leaving"
-            if entry.kind == "entry":
-                entry_hosts.append(
-                    EntryHost(
-                        entry.name,
-                        entry.data_centre,
-                        entry.address,
-                        entry.peer_address,
-                        entry.incarnation,
-                        leaving,
-                    )
-                )
+            if entry.kind == ENTRY:
+                entry_hosts.append(entry)
+                continue
+            if entry.kind not in KIND_BY_NAME:
+                # A kind that a later version of the platform knows.
                 continue
             upstream = Upstream(
                 name=entry.name,
-                kind=UpstreamKind(entry.kind),
+                kind=KIND_BY_NAME[entry.kind],
                 service=entry.service,
                 data_centre=entry.data_centre,
                 address=entry.address,
                 incarnation=entry.incarnation,
             )
-            found.append((upstream, leaving))
+            found.append((upstream, entry.is_leaving))
         gone = self._upstreams.replace(found)
         self.has_read = True
         self._on_entry_hosts(entry_hosts)
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -29,7 +29,8 @@
     BODY = (
         b'{"hosts": [{"name": "s1", "kind": "service", "service": "desk",'
         b' "data_centre": "a", "address": "ip:1", "incarnation": "1",'
-        b' "state": "live"}]}'
+        b' "state": "live"}, {"name": "x", "kind": "of later", "data_centre": "a",'
+        b' "address": "ip:2", "incarnation": "1", "state": "live"}]}'
     )
 
     def test_unchanged_list_is_not_sent_again(self, loop):
