--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -10,6 +10,7 @@
 import sys
 
 from tests.matrix_cells import core_cells
+from tests.matrix_hosts import host_cells
 
 ROOT = pathlib.Path(__file__).parent.parent
 SEEDS = 20
@@ -89,10 +90,15 @@
         "no claim is written or pending",
     ),
     (
-        ("accept", "authenticate", "admit"),
+        ("accept", "authenticate"),
         (*LOST_MESSAGES, "cut-peer"),
         "judged by the lists in memory; nobody is asked",
     ),
+    (
+        ("admit",),
+        LOST_MESSAGES,
+        "judged by the lists in memory and by a peer; the platform is not asked",
+    ),
     (
         ("first-byte", "middle"),
         LOST_MESSAGES,
@@ -330,7 +336,7 @@
     nodes = [n for cell in cells for n in TESTS.get(cell, ())] if with_tests else []
     failed, missing = run_tests(nodes)
     by_cell = {}
-    functions_by_cell = core_cells()
+    functions_by_cell = core_cells() | host_cells()
     for cell in cells:
         functions = functions_by_cell.get(cell, ())
         tests = TESTS.get(cell, ()) if with_tests else ()
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -2,9 +2,10 @@
 
 from tests import matrix
 from tests.matrix_cells import core_cells
+from tests.matrix_hosts import host_cells
 
 SEEDS = range(5)
-CELLS = core_cells()
+CELLS = core_cells() | host_cells()
 
 
 @pytest.mark.parametrize("cell", CELLS, ids="/".join)
