Pass paths on exactly as they came; hash requests in one place

libcurl takes dot segments out of a path by itself, so that a service saw another path than the caller's. A quoted slash in the service's name gave two readings of one path: refused.

--- a/src/wagtailstair/http/call.py
+++ b/src/wagtailstair/http/call.py
@@ -83,7 +83,7 @@
     for name, value in request.headers:
         if name.lower() not in OWN_HEADERS:
             headers.append((name, value))
-    target = _quoted_target(request, path)
+    target = _quoted_target(request, service, path)
     return ServiceCall(
         request=request_id,
         account=identity.account.name,
@@ -97,10 +97,13 @@
     )
 
 
-def _quoted_target(request: Request, path: str) -> str:
-    # The path as it came, so that the upstream sees the caller's own quoting.
+def _quoted_target(request: Request, service: str, path: str) -> str:
+    """Return path and query as they came, so that the upstream sees the same."""
     raw: str = request.environ.get("REQUEST_URI", "")
     raw_path, _, query = raw.partition("?")
     if raw_path.startswith(SERVICES_PREFIX):
-        path = raw_path[len(SERVICES_PREFIX) :].partition("/")[2]
+        raw_service, _, path = raw_path[len(SERVICES_PREFIX) :].partition("/")
+        if raw_service != service:
+            # A quoted slash would make the two readings of the path differ.
+            raise InvalidRequestError("quoted characters in the service's name")
     return f"{path}?{query}" if query else path
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -2,7 +2,6 @@
 
 import concurrent.futures
 import dataclasses
-import hashlib
 import random
 import threading
 import typing as t
@@ -10,6 +9,7 @@
 from .claims import Claims
 from .clock import Clock
 from .core.claim_steps import Answer
+from .core.claims import hash_request
 from .core.ejection import Ejection
 from .core.retry import RetryBudget
 from .core.retry import retry_pause_s
@@ -65,14 +65,6 @@
     repeatable: bool = False
     may_send: t.Callable[[], bool] | None = None
 
-    def fingerprint(self) -> str:
-        """Return the hash that tells two uses of a key apart."""
-        digest = hashlib.blake2b(digest_size=16)
-        for part in (self.method.encode(), self.target.encode(), self.body):
-            digest.update(len(part).to_bytes(8, "big"))
-            digest.update(part)
-        return digest.hexdigest()
-
 
 class Services:
     """The plain services that this daemon routes to; safe from any thread."""
@@ -134,7 +126,7 @@
             account=call.account,
             service=call.service,
             key=call.idempotency_key,
-            request_hash=call.fingerprint(),
+            request_hash=hash_request(call.method, call.target, call.body),
             deadline=call.deadline,
             send=lambda: self._send_claimed(guarded),
         )
--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -190,6 +190,7 @@
     easy = pycurl.Curl()
     easy.setopt(pycurl.URL, request.url)
     easy.setopt(pycurl.CUSTOMREQUEST, request.method)
+    easy.setopt(pycurl.PATH_AS_IS, 1)
     easy.setopt(pycurl.NOSIGNAL, 1)
     easy.setopt(pycurl.PROXY, "")
     easy.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -283,6 +283,10 @@
         status, error = error_of(front.ask("GET", "/v1/services/other/x"))
         assert (status, error["code"]) == (404, "not_found")
 
+    def test_quoted_slash_in_the_name_of_a_service(self, front):
+        answer = front.ask("GET", "/v1/services/entries%2Fx/y")
+        assert error_of(answer)[1]["code"] == "invalid_request"
+
     def test_call_that_may_not_be_repeated_needs_a_key(self, front):
         status, error = error_of(front.ask("POST", "/v1/services/entries/x", {}))
         assert (status, error["code"]) == (400, "invalid_request")
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -78,6 +78,14 @@
         assert len(end.body) <= 1000
 
 
+class TestPath:
+    def test_arrives_as_it_was_asked_for(self, loop):
+        with ScriptedServer(reply(b"")) as server:
+            url = f"http://{server.address}/a/../b/./c%2Fd?x=1"
+            exchange(loop, TransferRequest("GET", url)).result(WAIT_S)
+            assert server.requests[0].startswith(b"GET /a/../b/./c%2Fd?x=1 ")
+
+
 class TestMaySend:
     def test_nothing_is_sent_once_it_says_no(self, loop):
         with ScriptedServer(reply(b"a")) as server:
