Add no headers to a call and drop none

libcurl adds Accept, User-Agent and a form's Content-Type by itself, and leaves out headers without a value: the service saw another request.

--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -61,6 +61,9 @@
     may_send: t.Callable[[], bool] | None = None
 
 
+# Sent by libcurl by itself, unless they are given or taken out.
+CURL_OWN_HEADERS = ("Accept", "Content-Type", "Expect", "User-Agent")
+
 _CURL_ERRORS_BEFORE_CONNECT = frozenset(
     {
         pycurl.E_COULDNT_RESOLVE_HOST,
@@ -186,6 +189,19 @@
     return ask
 
 
+def _header_lines(headers: tuple[tuple[str, str], ...]) -> list[str]:
+    lines = []
+    names = set()
+    for name, value in headers:
+        names.add(name.lower())
+        # In curl's notation a header without a value ends in a semicolon.
+        lines.append(f"{name}: {value}" if value else f"{name};")
+    for name in CURL_OWN_HEADERS:
+        if name.lower() not in names:
+            lines.append(f"{name}:")
+    return lines
+
+
 def _new_easy(request: TransferRequest) -> pycurl.Curl:
     easy = pycurl.Curl()
     easy.setopt(pycurl.URL, request.url)
@@ -197,9 +213,7 @@
     easy.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(request.connect_timeout_s * 1000)))
     easy.setopt(pycurl.TIMEOUT_MS, max(1, int(request.timeout_s * 1000)))
     easy.setopt(pycurl.TCP_NODELAY, 1)
-    lines = [f"{name}: {value}" for name, value in request.headers]
-    lines.append("Expect:")
-    easy.setopt(pycurl.HTTPHEADER, lines)
+    easy.setopt(pycurl.HTTPHEADER, _header_lines(request.headers))
     if request.method == "HEAD":
         easy.setopt(pycurl.NOBODY, 1)
     if request.body or request.method in {"POST", "PUT", "PATCH"}:
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -86,6 +86,16 @@
             assert server.requests[0].startswith(b"GET /a/../b/./c%2Fd?x=1 ")
 
 
+class TestHeaders:
+    def test_none_is_added_or_dropped(self, loop):
+        with ScriptedServer(reply(b"")) as server:
+            request = post(server.address, headers=(("X-Empty", ""), ("X-A", "1")))
+            exchange(loop, request).result(WAIT_S)
+            head = server.requests[0].partition(b"\r\n\r\n")[0]
+        names = [line.partition(b":")[0] for line in head.split(b"\r\n")[1:]]
+        assert sorted(names) == [b"Content-Length", b"Host", b"X-A", b"X-Empty"]
+
+
 class TestMaySend:
     def test_nothing_is_sent_once_it_says_no(self, loop):
         with ScriptedServer(reply(b"a")) as server:
