Use a sound engine of a failed route again, where it is the last one

Cause: a new epoch avoided every engine of the failed route. Where one of them alone held its layers, no route was left and the stream ended with an error although it could go on. When no data centre has a route around the avoided engines, they are all allowed again; the session's epochs bound it. Without this the new test ends as outcome unknown. The work asked for again is what is left, no longer the whole.

--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -191,6 +191,10 @@
         if now >= job.deadline:
             self._fail(DeadlineExceededError("the deadline passed"))
             return
+        if self._centre_index >= len(self._data_centres) and self._avoid:
+            # One of the avoided engines may be sound, and the last for its layers.
+            self._avoid = frozenset()
+            self._centre_index = 0
         if self._centre_index >= len(self._data_centres):
             self._fail(NoUpstreamError("no route over live engines", retry_after_s=1.0))
             return
@@ -203,7 +207,7 @@
             account=job.account,
             priority=job.priority,
             weight=job.weight,
-            work=job.work,
+            work=max(1.0, job.work - delivered),
             prompt_tokens=job.prompt_tokens + delivered,
             max_tokens=job.max_tokens - delivered,
             deadline=job.deadline,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -142,6 +142,20 @@
         assert (request["tokens"], request["epoch"]) == ([100], 2)
         assert dispatch.wants[1][1].avoid == {"engine-1"}
 
+    def test_engine_beside_the_failed_one_is_used_if_no_other_holds_its_layers(
+        self, loop
+    ):
+        cut = stream(token(0, 1), whole=False)
+        rest = stream(token(1, 2), token(2, 2), end(3, 2))
+        no_route = RefusalReason.NO_ROUTE
+        with ScriptedServer(cut) as first, ScriptedServer(rest) as second:
+            dispatch = FakeDispatch(first.address, no_route, no_route, second.address)
+            relay, _ = start(loop, dispatch)
+            assert relay.future.result(WAIT_S).output_tokens == 3
+        avoided = [want.avoid for _, want in dispatch.wants]
+        assert avoided[1:] == [{"engine-1"}, {"engine-1"}, frozenset()]
+        assert [want.work for _, want in dispatch.wants] == [4.0, 3.0, 3.0, 3.0]
+
     def test_stalled_stream_is_broken(self, loop):
         def hold(connection, request):
             body = json.dumps(token(0, 1)).encode() + b"\n"
