Suspect the first engine alone of what was refused or not sent

A refused connection, or a refusal, speaks of the engine that was asked. The others of the route were avoided and counted towards their ejection too.

--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -367,7 +367,7 @@
             # A refusal is a sign of overload, which retries must not feed. A
             # broken stream is resumed in any case: the pool paces it.
             allowed = self._shared.budget.take(self._shared.clock.monotonic())
-            self._retry(attempt, "refused", allowed)
+            self._retry(attempt, "refused", allowed, attempt.route[:1])
             return
         self._broken(end.error or f"status {end.status}", end.sent is not Sent.NOT_SENT)
 
@@ -384,9 +384,13 @@
         assert opened is not None
         assert self._session is not None
         self._session.broken(opened.attempt.id, sent)
-        self._retry(opened.attempt, reason, True)
+        # What was not sent tells of the first engine alone.
+        route = opened.attempt.route
+        self._retry(opened.attempt, reason, True, route if sent else route[:1])
 
-    def _retry(self, attempt: Attempt, reason: str, allowed: bool) -> None:
+    def _retry(
+        self, attempt: Attempt, reason: str, allowed: bool, suspects: Route
+    ) -> None:
         session = self._session
         assert session is not None
         failed = attempt.route[0].engine
@@ -399,7 +403,7 @@
             position=len(session.tokens),
             reason=reason,
         )
-        engines = frozenset(stage.engine for stage in attempt.route)
+        engines = frozenset(stage.engine for stage in suspects)
         self._release(engines)
         self._avoid = self._avoid | engines
         self._shared.on_failed(failed)
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -31,8 +31,13 @@
             refusal = Refusal(want.request, want.epoch, want.host, address, 2.0)
             future.set_result(refusal)
             return future
-        stage = Stage(f"engine-{len(self.wants)}", address, 0, LAYERS)
-        future.set_result(Grant(want.request, want.epoch, want.host, (stage,)))
+        number = len(self.wants)
+        half = LAYERS // 2
+        route = (
+            Stage(f"engine-{number}", address, 0, half),
+            Stage(f"second-{number}", address, half, LAYERS),
+        )
+        future.set_result(Grant(want.request, want.epoch, want.host, route))
         return future
 
     def done(self, model, data_centre, done):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -140,7 +140,7 @@
         assert sink.texts == [" t0", " t1", " t2"]
         assert finished.output_tokens == 3
         assert (request["tokens"], request["epoch"]) == ([100], 2)
-        assert dispatch.wants[1][1].avoid == {"engine-1"}
+        assert dispatch.wants[1][1].avoid == {"engine-1", "second-1"}
 
     def test_engine_beside_the_failed_one_is_used_if_no_other_holds_its_layers(
         self, loop
@@ -153,9 +153,21 @@
             relay, _ = start(loop, dispatch)
             assert relay.future.result(WAIT_S).output_tokens == 3
         avoided = [want.avoid for _, want in dispatch.wants]
-        assert avoided[1:] == [{"engine-1"}, {"engine-1"}, frozenset()]
+        failed = {"engine-1", "second-1"}
+        assert avoided[1:] == [failed, failed, frozenset()]
         assert [want.work for _, want in dispatch.wants] == [4.0, 3.0, 3.0, 3.0]
 
+    def test_unreachable_engine_is_the_only_one_avoided(self, loop):
+        with socket.create_server(("127.0.0.1", 0)) as closed:
+            address = f"127.0.0.1:{closed.getsockname()[1]}"
+        rest = stream(token(0, 2), token(1, 2), token(2, 2), end(3, 2))
+        with ScriptedServer(rest) as second:
+            dispatch = FakeDispatch(address, second.address)
+            relay, _ = start(loop, dispatch)
+            relay.future.result(WAIT_S)
+        assert dispatch.wants[1][1].avoid == {"engine-1"}
+        assert dispatch.dones[0].failed == {"engine-1"}
+
     def test_stalled_stream_is_broken(self, loop):
         def hold(connection, request):
             body = json.dumps(token(0, 1)).encode() + b"\n"
