--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/tickets.py
@@ -37,7 +37,6 @@
 LAST_CHECK_S = 2.0
 PATIENCE_S = 0.75  # without any answer, before the local pool decides
 ANSWER_GRACE_S = 1.0  # after a deadline, for the dispatcher's own refusal
-NO_ROUTE_RETRY_S = 1.0
 
 
 @dataclasses.dataclass(slots=True)
