--- a/src/wagtailstair/cli/audit.py
+++ b/src/wagtailstair/cli/audit.py
@@ -7,9 +7,9 @@
 from ..core.plans import ACCOUNTS
 from ..core.plans import PLANS
 from ..core.rows import RowKey
-from ..platform.lists import read_changes
-from ..platform.lists import read_head
-from ..platform.table import TableClient
+from ..stores.lists import read_changes
+from ..stores.lists import read_head
+from ..stores.table import TableClient
 from .describe import describe_change
 from .options import command
 from .options import table_option
--- a/src/wagtailstair/cli/editing.py
+++ b/src/wagtailstair/cli/editing.py
@@ -12,10 +12,10 @@
 from ..core.changes import change_value
 from ..core.changes import digest_of
 from ..core.changes import make_edit
-from ..platform.lists import RetryPolicy
-from ..platform.lists import commit_edit
-from ..platform.lists import read_accepted
-from ..platform.table import TableClient
+from ..stores.lists import RetryPolicy
+from ..stores.lists import commit_edit
+from ..stores.lists import read_accepted
+from ..stores.table import TableClient
 from .output import print_json
 from .output import print_note
 
--- a/src/wagtailstair/cli/fleet.py
+++ b/src/wagtailstair/cli/fleet.py
@@ -9,13 +9,13 @@
 import msgspec
 
 from ..exceptions import PlatformError
-from ..platform.hosts import ENTRY
-from ..platform.hosts import HostEntry
-from ..platform.hosts import read_hosts
-from ..platform.http import Timeouts
-from ..platform.http import request_json
-from ..platform.lists import read_head
-from ..platform.table import TableClient
+from ..stores.hosts import ENTRY
+from ..stores.hosts import HostEntry
+from ..stores.hosts import read_hosts
+from ..stores.http import Timeouts
+from ..stores.http import request_json
+from ..stores.lists import read_head
+from ..stores.table import TableClient
 from .options import EXIT_FAILED
 from .options import TIMEOUTS
 from .options import command
--- a/src/wagtailstair/cli/keys.py
+++ b/src/wagtailstair/cli/keys.py
@@ -14,9 +14,9 @@
 from ..core.plans import Key
 from ..exceptions import ListsError
 from ..exceptions import PlatformUnknownError
-from ..platform.lists import read_rows
-from ..platform.lists import seen_version
-from ..platform.table import TableClient
+from ..stores.lists import read_rows
+from ..stores.lists import seen_version
+from ..stores.table import TableClient
 from .describe import key_name
 from .editing import EditResult
 from .editing import print_result
--- a/src/wagtailstair/cli/lists.py
+++ b/src/wagtailstair/cli/lists.py
@@ -17,10 +17,10 @@
 from ..core.plans import account_value
 from ..core.plans import plan_value
 from ..exceptions import ListsError
-from ..platform.lists import read_changes
-from ..platform.lists import read_snapshot
-from ..platform.lists import seen_version
-from ..platform.table import TableClient
+from ..stores.lists import read_changes
+from ..stores.lists import read_snapshot
+from ..stores.lists import seen_version
+from ..stores.table import TableClient
 from .describe import ACCOUNT_TITLES
 from .describe import PLAN_TITLES
 from .describe import account_cells
--- a/src/wagtailstair/cli/options.py
+++ b/src/wagtailstair/cli/options.py
@@ -12,8 +12,8 @@
 from ..exceptions import PlatformUnavailableError
 from ..exceptions import PlatformUnknownError
 from ..exceptions import WagtailstairError
-from ..platform.http import Timeouts
-from ..platform.table import TableClient
+from ..stores.http import Timeouts
+from ..stores.table import TableClient
 from .output import print_note
 
 EXIT_FAILED = 1
--- a/src/wagtailstair/cli/rows.py
+++ b/src/wagtailstair/cli/rows.py
@@ -11,9 +11,9 @@
 from ..core.rows import RowKey
 from ..core.rows import Value
 from ..exceptions import ListsError
-from ..platform.lists import read_rows
-from ..platform.lists import seen_version
-from ..platform.table import TableClient
+from ..stores.lists import read_rows
+from ..stores.lists import seen_version
+from ..stores.table import TableClient
 from .editing import print_result
 from .editing import run_edit
 from .lists import lists_group
--- /dev/null
+++ b/src/wagtailstair/core/directory.py
@@ -0,0 +1,190 @@
+"""One version of what callers may reach: routes, services, accounts, limits."""
+
+import dataclasses
+import enum
+import typing as t
+
+
+class RouteKind(enum.Enum):
+    """What may be repeated on a route."""
+
+    IDEMPOTENT = "idempotent"
+    NON_IDEMPOTENT = "non_idempotent"
+    STREAMING = "streaming"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Accelerator:
+    """A kind of accelerator.
+
+    ``step_factor`` and ``read_factor`` multiply the model's times for decoding
+    and for reading prompts.
+    """
+
+    name: str
+    memory_mb: float
+    step_factor: float
+    read_factor: float
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ModelSpec:
+    """What a service's engines run, and the times of the whole model.
+
+    ``kv_bytes``: of one token in all layers; ``activation_bytes``: of one token
+    between two engines; ``pipe_bytes_per_s``: between two data centres.
+    """
+
+    layers: int
+    layer_mb: float
+    load_s: float
+    loads_at_once: int
+    kv_bytes: float
+    activation_bytes: float
+    step_s: float
+    sequence_s: float
+    read_tokens_per_s: float
+    tokens_per_pass: int
+    usual_prompt: float
+    usual_answer: float
+    link_bytes_per_s: float
+    pipe_bytes_per_s: float
+    delay_s_by_centres: dict[tuple[str, str], float]
+    accelerator_by_name: dict[str, Accelerator]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Service:
+    """A group of upstreams; ``model`` is set where they are model engines."""
+
+    name: str
+    health_path: str
+    max_connections: int
+    model: ModelSpec | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Route:
+    """Where requests of one host and path prefix go.
+
+    ``goal_s``: the response-time goal; ``rank``: 0 is the most urgent;
+    ``targets``: services with their weights; ``gap_s``: the longest pause
+    between events of a stream that is still on time, 0 for none.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: RouteKind
+    timeout_s: float
+    goal_s: float
+    attempts: int
+    rank: int
+    targets: tuple[tuple[str, float], ...]
+    is_anonymous: bool = False
+    is_resumable: bool = False
+    gap_s: float = 0.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Tell whether a request may run more than once."""
+        if self.kind is RouteKind.STREAMING:
+            return self.is_resumable
+        return self.kind is RouteKind.IDEMPOTENT
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Account:
+    """A customer; ``rank`` goes before that of its routes, if set."""
+
+    name: str
+    rank: int | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CallerLimits:
+    """Bounds on what a caller may send and on how long it may take."""
+
+    header_bytes: int = 16 << 10
+    body_bytes: int = 4 << 20
+    header_s: float = 3.0
+    idle_s: float = 15.0
+
+
+class Denial(enum.Enum):
+    """Why the lists do not allow a request."""
+
+    NO_ROUTE = "no_route"
+    UNKNOWN_KEY = "unknown_key"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Grant:
+    """The route and the account of a request, judged under one version."""
+
+    route: Route
+    account: Account | None
+    version: int
+
+    @property
+    def rank(self) -> int:
+        """Return the rank of the request; 0 is the most urgent."""
+        if self.account is not None and self.account.rank is not None:
+            return self.account.rank
+        return self.route.rank
+
+
+class Directory:
+    """All that is in force under one version."""
+
+    __slots__ = (
+        "_prefixes_by_host",
+        "account_by_key",
+        "limits",
+        "needs_keys",
+        "service_by_name",
+        "version",
+    )
+
+    def __init__(
+        self,
+        version: int,
+        routes: t.Iterable[Route],
+        services: t.Iterable[Service],
+        account_by_key: dict[str, Account],
+        limits: CallerLimits,
+        *,
+        needs_keys: bool,
+    ) -> None:
+        self.version = version
+        self.limits = limits
+        self.account_by_key = account_by_key
+        self.needs_keys = needs_keys
+        self.service_by_name = {service.name: service for service in services}
+        self._prefixes_by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            self._prefixes_by_host.setdefault(route.host, {})[route.prefix] = route
+
+    def find_route(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path."""
+        by_prefix = self._prefixes_by_host.get(host)
+        if by_prefix is None:
+            return None
+        # Prefixes begin and end with a slash: try the path's own, longest first.
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def judge(self, host: str, path: str, key: str | None) -> Grant | Denial:
+        """Tell whether a request is allowed; ``path`` is without the query."""
+        route = self.find_route(host, path)
+        if route is None:
+            return Denial.NO_ROUTE
+        account = self.account_by_key.get(key) if key is not None else None
+        if account is None and self.needs_keys and not route.is_anonymous:
+            return Denial.UNKNOWN_KEY
+        return Grant(route, account, self.version)
--- /dev/null
+++ b/src/wagtailstair/core/exchange_headers.py
@@ -0,0 +1,61 @@
+"""Which headers carry what between callers, the gateway and upstreams."""
+
+import dataclasses
+
+# RFC 9110, section 7.6.1, and the ones that predate it.
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class HeaderNames:
+    """Names of the headers that have a meaning here, in lower case.
+
+    ``attempt``: identifies one request of a caller; ``path``: the engines of a
+    pipeline; ``not_run``: set by an upstream that refused a request unread;
+    ``faulty_address``: the engine of a path that failed; ``signature``: an
+    upstream's authentication code over its answer.
+    """
+
+    attempt: bytes
+    deadline_ms: bytes
+    authorization: bytes
+    account: bytes
+    expected_replica: bytes
+    rank: bytes
+    path: bytes
+    token_usage: bytes
+    length_hint: bytes
+    last_event: bytes
+    signature: bytes
+    not_run: bytes
+    faulty_address: bytes
+    weights_version: bytes
+    expected_version: bytes
+
+    def set_here(self) -> frozenset[bytes]:
+        """Return the names that callers can't set: the gateway does."""
+        return frozenset(
+            {
+                self.deadline_ms,
+                self.authorization,
+                self.account,
+                self.expected_replica,
+                self.rank,
+                self.path,
+                self.last_event,
+                b"content-length",
+                b"expect",
+            }
+        )
--- /dev/null
+++ b/src/wagtailstair/core/layout.py
@@ -0,0 +1,101 @@
+"""Which layers an empty engine is to hold.
+
+Every data centre should hold each layer at least once, with room for requests
+beside the weights; what is left covers layers a second time. An engine that
+holds layers keeps them as long as no layer of the model is without an engine.
+"""
+
+import dataclasses
+import typing as t
+
+from .directory import ModelSpec
+from .replicas import Replica
+
+ROOM_TOKENS = 40_000.0
+"""Tokens that an engine should have room for: a data centre's usual load."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Placing:
+    """An order to hold the layers from ``first`` up to ``last``."""
+
+    replica: Replica
+    first: int
+    last: int
+
+
+def layers_for(model: ModelSpec, accelerator: str) -> int:
+    """Return how many layers an engine of a kind should hold.
+
+    Never more than its memory takes.
+    """
+    kind = model.accelerator_by_name.get(accelerator)
+    if kind is None:
+        return 0
+    kv_mb = model.kv_bytes / model.layers * ROOM_TOKENS / 1e6
+    most = int(kind.memory_mb // model.layer_mb)
+    wanted = int(kind.memory_mb // (model.layer_mb + kv_mb))
+    return max(0, min(max(wanted, 1), most, model.layers))
+
+
+def plan(
+    model: ModelSpec,
+    replicas: t.Iterable[Replica],
+    range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
+) -> list[Placing]:
+    """Return the orders for the engines that hold nothing.
+
+    :param range_by_identity: ranges that were ordered already.
+    """
+    total = [0] * model.layers
+    by_centre: dict[str, list[int]] = {}
+    empty: list[tuple[int, Replica]] = []
+    ends_by_centre: dict[str, set[int]] = {}
+    for replica in replicas:
+        if replica.is_leaving:
+            continue
+        cover = by_centre.setdefault(replica.data_centre, [0] * model.layers)
+        ends = ends_by_centre.setdefault(replica.data_centre, {0})
+        held = replica.layers or range_by_identity.get(replica.identity)
+        if held is None:
+            size = layers_for(model, replica.accelerator)
+            if size:
+                empty.append((size, replica))
+            continue
+        _add(held, cover, total, ends)
+    empty.sort(key=lambda entry: (-entry[0], entry[1].name))
+    orders = []
+    for size, replica in empty:
+        cover = by_centre[replica.data_centre]
+        ends = ends_by_centre[replica.data_centre]
+        first = _best_start(model.layers, size, cover, total, ends)
+        held = (first, first + size)
+        _add(held, cover, total, ends)
+        orders.append(Placing(replica, *held))
+    return orders
+
+
+def _add(
+    held: tuple[int, int], cover: list[int], total: list[int], ends: set[int]
+) -> None:
+    for layer in range(*held):
+        cover[layer] += 1
+        total[layer] += 1
+    ends.update(held)
+
+
+def _best_start(
+    layers: int, size: int, cover: list[int], total: list[int], ends: set[int]
+) -> int:
+    """Return where a range helps most: few engines here first, then anywhere."""
+    starts = {end for end in ends if end + size <= layers}
+    starts.update(end - size for end in ends if end >= size)
+    starts.add(layers - size)
+    best = 0
+    best_value = (-1.0, -1.0)
+    for start in sorted(starts):
+        here = sum(4.0 ** -cover[layer] for layer in range(start, start + size))
+        anywhere = sum(4.0 ** -total[layer] for layer in range(start, start + size))
+        if (here, anywhere) > best_value:
+            best, best_value = start, (here, anywhere)
+    return best
--- /dev/null
+++ b/src/wagtailstair/core/pipelines.py
@@ -0,0 +1,244 @@
+"""The choice of a pipeline: which engines run which layers of a request.
+
+A request takes every layer once, in order. Among the engines that hold a layer
+the cheapest chain is found by dynamic programming over the layers at which
+ranges begin and end. The cost of a hop is the time that it adds, with the
+engine's free KV memory as a second measure.
+"""
+
+import dataclasses
+import random
+import typing as t
+
+from .directory import ModelSpec
+from .replicas import Replica
+
+EVENTLESS_HOP_S = 0.0004
+"""Seconds of queueing that each further hop adds to a pass, from bench runs."""
+
+KV_SOFT_SHARE = 0.6
+"""Share of an engine's KV memory above which others are preferred."""
+
+KV_COST_S = 4.0
+"""Seconds that a full KV memory costs: about a preempted request's second run."""
+
+CROSSING_COST_S = 0.4
+"""Seconds that a crossing between data centres costs, for the shared pipe's sake."""
+
+SUSPECT_COST_S = 5.0
+"""Seconds that an engine under suspicion costs: a stall and a new attempt."""
+
+JITTER = 0.1
+"""Share of a hop's cost that is random, so that hosts don't choose alike."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Hop:
+    """The layers from ``first`` up to ``last`` on one engine."""
+
+    replica: Replica
+    first: int
+    last: int
+
+
+Path = tuple[Hop, ...]
+
+
+@dataclasses.dataclass(slots=True)
+class EngineUse:
+    """What requests of this host hold on an engine.
+
+    ``token_layers``: KV memory; ``running``: requests; ``suspect_until``: the
+    engine failed or stalled and is avoided till then.
+    """
+
+    token_layers: float = 0.0
+    running: int = 0
+    suspect_until: float = 0.0
+    slowness: float = 1.0
+
+
+def kv_room(model: ModelSpec, replica: Replica) -> float:
+    """Return the token-layers that an engine has room for beside its weights."""
+    accelerator = model.accelerator_by_name.get(replica.accelerator)
+    if accelerator is None or replica.layers is None:
+        return 0.0
+    held = replica.layers[1] - replica.layers[0]
+    free_mb = accelerator.memory_mb - held * model.layer_mb
+    return max(0.0, free_mb * 1e6 / (model.kv_bytes / model.layers))
+
+
+class Pipelines:
+    """The engines of one service and what this host has running on them.
+
+    :param data_centre: that of this host, where pipelines begin if they can.
+    """
+
+    __slots__ = ("_data_centre", "_rng", "hosts", "use_by_identity")
+
+    def __init__(self, data_centre: str, rng: random.Random) -> None:
+        self._data_centre = data_centre
+        self._rng = rng
+        self.hosts = 1
+        self.use_by_identity: dict[tuple[str, int], EngineUse] = {}
+
+    def use(self, replica: Replica) -> EngineUse:
+        """Return what is known of an engine."""
+        use = self.use_by_identity.get(replica.identity)
+        if use is None:
+            use = self.use_by_identity[replica.identity] = EngineUse()
+        return use
+
+    def take(self, path: Path, tokens: float) -> None:
+        """Count a request of some tokens on its engines."""
+        for hop in path:
+            use = self.use(hop.replica)
+            use.running += 1
+            use.token_layers += tokens * (hop.last - hop.first)
+
+    def give_back(self, path: Path, tokens: float) -> None:
+        """Undo :meth:`take`."""
+        for hop in path:
+            use = self.use(hop.replica)
+            use.running -= 1
+            use.token_layers -= tokens * (hop.last - hop.first)
+
+    def suspect(self, replica: Replica, until: float) -> None:
+        """Avoid an engine for a while."""
+        use = self.use(replica)
+        use.suspect_until = max(use.suspect_until, until)
+
+    def forget(self, live: t.Container[tuple[str, int]]) -> None:
+        """Drop the engines that are gone and have nothing running."""
+        for identity, use in list(self.use_by_identity.items()):
+            if identity not in live and use.running <= 0:
+                del self.use_by_identity[identity]
+
+    def choose(
+        self,
+        model: ModelSpec,
+        replicas: t.Iterable[Replica],
+        prompt: float,
+        answer: float,
+        now: float,
+        avoid: t.Container[tuple[str, int]] = (),
+    ) -> Path | None:
+        """Return the cheapest pipeline for a request, ``None`` if there is none.
+
+        :param prompt: tokens to read; ``answer``: tokens expected.
+        """
+        engines = []
+        bounds = {0, model.layers}
+        for replica in replicas:
+            if replica.layers is None or replica.identity in avoid:
+                continue
+            if replica.accelerator not in model.accelerator_by_name:
+                continue
+            engines.append((replica, *self._layer_cost(model, replica, prompt, answer)))
+            bounds.update(replica.layers)
+        return self._shortest(model, engines, sorted(bounds), prompt, answer, now)
+
+    def _layer_cost(
+        self, model: ModelSpec, replica: Replica, prompt: float, answer: float
+    ) -> tuple[float, float, float]:
+        """Return seconds a layer, KV fill after this request, fixed seconds."""
+        kind = model.accelerator_by_name[replica.accelerator]
+        use = self.use(replica)
+        running = max(0, use.running) * self.hosts
+        step = (model.step_s + model.sequence_s * running) * kind.step_factor
+        read = kind.read_factor / model.read_tokens_per_s
+        seconds = (answer * step + prompt * read) * use.slowness / model.layers
+        seconds *= 1 + JITTER * self._rng.random()
+        room = kv_room(model, replica)
+        held = use.token_layers * self.hosts
+        assert replica.layers is not None
+        wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
+        fill = (held + wanted) / room if room > 0 else 10.0
+        return seconds, fill, 0.0
+
+    def _shortest(
+        self,
+        model: ModelSpec,
+        engines: list[tuple[Replica, float, float, float]],
+        bounds: list[int],
+        prompt: float,
+        answer: float,
+        now: float,
+    ) -> Path | None:
+        # best[p]: cost, hop, previous position's data centre path.
+        best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]]
+        best = {(0, self._data_centre): (0.0, None, None)}
+        by_start: dict[int, list[tuple[str, float]]] = {0: [(self._data_centre, 0.0)]}
+        activations_s = 0.0
+        if model.pipe_bytes_per_s > 0:
+            activations_s = (
+                (prompt + answer) * model.activation_bytes / model.pipe_bytes_per_s
+            )
+        for position in bounds[:-1]:
+            starts = by_start.get(position)
+            if not starts:
+                continue
+            for replica, seconds, fill, _ in engines:
+                first, last = t.cast("tuple[int, int]", replica.layers)
+                if not first <= position < last:
+                    continue
+                use = self.use(replica)
+                fixed = answer * EVENTLESS_HOP_S
+                if fill > KV_SOFT_SHARE:
+                    fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
+                if use.suspect_until > now:
+                    fixed += SUSPECT_COST_S
+                centre = replica.data_centre
+                for previous, spent in starts:
+                    start_key = (position, previous)
+                    crossing = 0.0
+                    if previous != centre:
+                        delay = model.delay_s_by_centres.get((previous, centre), 0.0)
+                        crossing = CROSSING_COST_S + activations_s + answer * delay
+                    base = best[start_key][0] + fixed + crossing
+                    for end in bounds:
+                        if end <= position:
+                            continue
+                        if end > last:
+                            break
+                        cost = base + seconds * (end - position)
+                        key = (end, centre)
+                        known = best.get(key)
+                        if known is not None and known[0] <= cost:
+                            continue
+                        if known is None:
+                            by_start.setdefault(end, []).append((centre, 0.0))
+                        best[key] = (cost, Hop(replica, position, end), start_key)
+        return self._walk_back(best, model.layers)
+
+    @staticmethod
+    def _walk_back(
+        best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]],
+        layers: int,
+    ) -> Path | None:
+        ends = [key for key in best if key[0] == layers]
+        if not ends:
+            return None
+        key: tuple[int, str] | None = min(ends, key=lambda end: best[end][0])
+        hops: list[Hop] = []
+        while key is not None:
+            _, hop, key = best[key]
+            if hop is not None:
+                hops.append(hop)
+        hops.reverse()
+        return _merge(hops)
+
+
+def _merge(hops: list[Hop]) -> Path | None:
+    """Join neighbouring hops on one engine; ``None`` if one comes twice."""
+    merged: list[Hop] = []
+    seen: set[str] = set()
+    for hop in hops:
+        if merged and merged[-1].replica is hop.replica:
+            merged[-1] = Hop(hop.replica, merged[-1].first, hop.last)
+            continue
+        if hop.replica.name in seen:
+            return None
+        seen.add(hop.replica.name)
+        merged.append(hop)
+    return tuple(merged)
--- /dev/null
+++ b/src/wagtailstair/core/replicas.py
@@ -0,0 +1,109 @@
+"""The upstreams of a deployment and when one of them counts as gone."""
+
+import dataclasses
+import typing as t
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Replica:
+    """One upstream as it last told of itself.
+
+    ``incarnation``: milliseconds of its start; ``layers``: the half-open range
+    that an engine holds; ``accelerator``: the name of its kind.
+    """
+
+    name: str
+    service: str
+    address: str
+    data_centre: str
+    slots: int
+    is_leaving: bool
+    incarnation: int
+    accelerator: str = ""
+    layers: tuple[int, int] | None = None
+    weights_version: int = 0
+
+    @property
+    def identity(self) -> tuple[str, int]:
+        """Return what differs after each start of the upstream."""
+        return self.name, self.incarnation
+
+
+class ReplicaSet:
+    """The live upstreams, from rows of the store.
+
+    While the store has trouble, the rows of live upstreams lapse. Such a
+    removal takes effect only after ``lapse_s``, if the row is not back by then.
+    """
+
+    __slots__ = ("_lapse_s", "_removal_at_by_name", "by_name", "generation")
+
+    def __init__(self, lapse_s: float) -> None:
+        self._lapse_s = lapse_s
+        self.by_name: dict[str, Replica] = {}
+        self._removal_at_by_name: dict[str, float] = {}
+        self.generation = 0
+
+    def put(self, replica: Replica) -> bool:
+        """Take in a row; return whether anything changed.
+
+        An older start of the same upstream is passed over.
+        """
+        known = self.by_name.get(replica.name)
+        if known is not None and replica.incarnation < known.incarnation:
+            return False
+        self._removal_at_by_name.pop(replica.name, None)
+        if known == replica:
+            return False
+        self.by_name[replica.name] = replica
+        self.generation += 1
+        return True
+
+    def remove(self, name: str, now: float, *, is_store_unsure: bool) -> None:
+        """Take in that a row is gone."""
+        if name not in self.by_name:
+            return
+        if is_store_unsure:
+            self._removal_at_by_name.setdefault(name, now + self._lapse_s)
+            return
+        self._drop(name)
+
+    def replace(
+        self, replicas: t.Iterable[Replica], now: float, *, is_store_unsure: bool
+    ) -> None:
+        """Take in all rows at once."""
+        names = set()
+        for replica in replicas:
+            names.add(replica.name)
+            self.put(replica)
+        for name in list(self.by_name):
+            if name not in names:
+                self.remove(name, now, is_store_unsure=is_store_unsure)
+
+    def settle(self, now: float, *, is_store_away: bool) -> list[str]:
+        """Drop what has been missing for long enough; return the names.
+
+        While the store is away nothing can come back, so the wait is extended.
+        """
+        dropped = []
+        for name, at in list(self._removal_at_by_name.items()):
+            if is_store_away:
+                self._removal_at_by_name[name] = now + self._lapse_s
+                continue
+            if now >= at:
+                self._drop(name)
+                dropped.append(name)
+        return dropped
+
+    def usable(self, service: str) -> list[Replica]:
+        """Return the upstreams of a service that may get new work."""
+        found = []
+        for replica in self.by_name.values():
+            if replica.service == service and not replica.is_leaving:
+                found.append(replica)
+        return found
+
+    def _drop(self, name: str) -> None:
+        self._removal_at_by_name.pop(name, None)
+        if self.by_name.pop(name, None) is not None:
+            self.generation += 1
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -38,9 +38,9 @@
 from .metrics import Metrics
 from .placement import LeaseKeeper
 from .placement import Placer
-from .platform.http import Timeouts
-from .platform.objects import ObjectClient
-from .platform.table import TableClient
+from .stores.http import Timeouts
+from .stores.objects import ObjectClient
+from .stores.table import TableClient
 from .relay import Relays
 from .report import describe_pools
 from .report import describe_upstreams
--- /dev/null
+++ b/src/wagtailstair/gateway/__init__.py
@@ -0,0 +1,1 @@
+"""The gateway: an event loop between callers, upstreams and the store."""
--- /dev/null
+++ b/src/wagtailstair/gateway/connection.py
@@ -0,0 +1,267 @@
+"""A TCP connection on the event loop, with a buffer for what can't be sent yet."""
+
+import contextlib
+import errno
+import socket
+import struct
+import typing as t
+
+from .loop import FAILED
+from .loop import READABLE
+from .loop import WRITABLE
+from .loop import Loop
+
+READ_BYTES = 64 << 10
+
+LINGER_S = 1.0
+"""Seconds that a closed side is read from, so that its last bytes arrive."""
+
+KEEPALIVE_IDLE_S = 1
+KEEPALIVE_INTERVAL_S = 1
+KEEPALIVE_PROBES = 2
+"""A silent connection fails after 3 s: the span after which hosts count as calm."""
+
+USER_TIMEOUT_MS = 3000
+"""Unacknowledged data fails a connection after as long."""
+
+
+def set_options(sock: socket.socket, *, probe: bool) -> None:
+    """Set what every connection needs: no delay, and noticing a silent peer."""
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    if not probe:
+        return
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, USER_TIMEOUT_MS)
+
+
+class Connection:
+    """A connected or connecting socket.
+
+    :param on_data: takes received bytes; empty at the peer's end of file.
+    :param on_lost: takes the error that broke the connection; not called after
+        :meth:`close` or :meth:`abort`.
+    :param on_connected: called once a connecting socket is connected.
+    """
+
+    __slots__ = (
+        "_events",
+        "_is_connecting",
+        "_is_finishing",
+        "_loop",
+        "_out",
+        "_sock",
+        "is_open",
+        "on_connected",
+        "on_data",
+        "on_lost",
+    )
+
+    def __init__(
+        self,
+        loop: Loop,
+        sock: socket.socket,
+        on_data: t.Callable[[bytes], None],
+        on_lost: t.Callable[[OSError], None],
+        on_connected: t.Callable[[], None] | None = None,
+    ) -> None:
+        self._loop = loop
+        self._sock = sock
+        self._out = bytearray()
+        self.on_data = on_data
+        self.on_lost = on_lost
+        self.on_connected = on_connected
+        self.is_open = True
+        self._is_connecting = on_connected is not None
+        self._is_finishing = False
+        self._events = WRITABLE if self._is_connecting else READABLE
+        loop.add(sock.fileno(), self._events, self._on_events)
+
+    @property
+    def pending(self) -> int:
+        """Return the number of bytes that are not sent yet."""
+        return len(self._out)
+
+    def write(self, data: bytes) -> None:
+        """Send bytes, now or when the peer takes them."""
+        if not self.is_open or self._is_finishing:
+            return
+        if self._out or self._is_connecting:
+            self._out += data
+            return
+        try:
+            sent = self._sock.send(data)
+        except BlockingIOError:
+            sent = 0
+        except OSError as error:
+            self._fail(error)
+            return
+        if sent < len(data):
+            self._out += data[sent:]
+            self._wait_for(self._events | WRITABLE)
+
+    def pause(self) -> None:
+        """Stop reading."""
+        self._wait_for(self._events & ~READABLE)
+
+    def resume(self) -> None:
+        """Read again."""
+        if not self._is_connecting:
+            self._wait_for(self._events | READABLE)
+
+    def finish(self) -> None:
+        """Close once all is sent, reading on for a while so that nothing is lost."""
+        if not self.is_open or self._is_finishing:
+            return
+        self._is_finishing = True
+        self.on_data = lambda _data: None
+        self._loop.call_later(LINGER_S, self.close)
+        if not self._out:
+            self._shut()
+
+    def close(self) -> None:
+        """Close at once; what is not sent is dropped."""
+        if not self.is_open:
+            return
+        self.is_open = False
+        self._loop.remove(self._sock.fileno())
+        self._sock.close()
+
+    def abort(self) -> None:
+        """Reset the connection, so that the peer can't take it for an end."""
+        if not self.is_open:
+            return
+        with contextlib.suppress(OSError):
+            linger = struct.pack("ii", 1, 0)
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        self.close()
+
+    def _shut(self) -> None:
+        try:
+            self._sock.shutdown(socket.SHUT_WR)
+        except OSError:  # the peer has closed already
+            self.close()
+            return
+        self._wait_for(READABLE)
+
+    def _wait_for(self, events: int) -> None:
+        if self.is_open and events != self._events:
+            self._events = events
+            self._loop.change(self._sock.fileno(), events)
+
+    def _fail(self, error: OSError) -> None:
+        if not self.is_open:
+            return
+        self.close()
+        if not self._is_finishing:
+            self.on_lost(error)
+
+    def _on_events(self, mask: int) -> None:
+        if self._is_connecting:
+            self._connected()
+            return
+        if mask & READABLE:
+            self._read()
+        elif mask & FAILED:
+            code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self._fail(OSError(code or errno.ECONNRESET, "connection failed"))
+            return
+        if mask & WRITABLE and self.is_open:
+            self._flush()
+
+    def _connected(self) -> None:
+        code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._fail(OSError(code, "connect failed"))
+            return
+        self._is_connecting = False
+        self._wait_for(READABLE)
+        connected, self.on_connected = self.on_connected, None
+        if connected is not None:
+            connected()
+        if self.is_open and self._out:
+            self._flush()
+
+    def _read(self) -> None:
+        try:
+            data = self._sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(error)
+            return
+        if self._is_finishing and not data:
+            self.close()
+            return
+        if not data:
+            self._wait_for(self._events & ~READABLE)
+        self.on_data(data)
+
+    def _flush(self) -> None:
+        try:
+            sent = self._sock.send(self._out)
+        except BlockingIOError:
+            return
+        except OSError as error:
+            self._fail(error)
+            return
+        del self._out[:sent]
+        if self._out:
+            self._wait_for(self._events | WRITABLE)
+            return
+        self._wait_for(self._events & ~WRITABLE)
+        if self._is_finishing:
+            self._shut()
+
+
+def connect(
+    loop: Loop,
+    address: tuple[str, int],
+    on_data: t.Callable[[bytes], None],
+    on_lost: t.Callable[[OSError], None],
+    on_connected: t.Callable[[], None],
+) -> Connection:
+    """Open a connection to an IP address and port.
+
+    :raises OSError: if not even a start can be made.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        set_options(sock, probe=True)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            raise OSError(code, "connect failed")
+    except OSError:
+        sock.close()
+        raise
+    return Connection(loop, sock, on_data, on_lost, on_connected)
+
+
+def listen(
+    loop: Loop, address: tuple[str, int], on_accept: t.Callable[[socket.socket], None]
+) -> socket.socket:
+    """Accept connections at an address.
+
+    :raises OSError: if the address can't be bound.
+    """
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.setblocking(False)
+    sock.bind(address)
+    sock.listen(1024)
+
+    def on_events(_mask: int) -> None:
+        while True:
+            try:
+                accepted, _ = sock.accept()
+            except BlockingIOError:
+                return
+            except OSError:  # the peer is gone again, or no descriptor is left
+                return
+            on_accept(accepted)
+
+    loop.add(sock.fileno(), READABLE, on_events)
+    return sock
--- /dev/null
+++ b/src/wagtailstair/gateway/placer.py
@@ -0,0 +1,236 @@
+"""The duty of one host: orders to engines that hold no layers."""
+
+import random
+import typing as t
+
+from ..core.directory import Directory
+from ..core.directory import Service
+from ..core.layout import Placing
+from ..core.layout import plan
+from ..core.leases import Lease
+from ..core.leases import LeaseLimits
+from ..core.leases import LeaseRead
+from ..core.leases import LeaseRow
+from ..core.leases import LeaseWait
+from ..core.leases import LeaseWrite
+from ..core.leases import decode_lease
+from ..core.leases import encode_lease
+from ..core.replicas import ReplicaSet
+from ..exceptions import PlatformError
+from ..logs import log_event
+from ..platform import engines as engine_wire
+from ..platform import store as wire
+from .fetch import Answer
+from .fetch import Fetch
+from .loop import Loop
+from .transfer import Loss
+from .transfer import Upstream
+from .transfer import UpstreamPool
+
+import msgspec
+
+TABLE = "leases"
+KEY = "placement"
+
+LEASE = LeaseLimits(duration_s=5.0, renew_s=1.7, margin_s=0.5, retry_s=0.5)
+"""A holder that is lost is succeeded within 5 s; three renewals fit in."""
+
+TICK_S = 0.5
+SETTLE_S = 0.7
+"""Seconds without a new engine before the first orders go out, so that the plan
+covers all of them."""
+
+ORDER_TIMEOUT_S = 1.0
+ORDER_AGAIN_S = 6.0
+"""Seconds after which an order without effect is given again; a load takes 2 s."""
+
+STORE_TIMEOUT_S = 1.0
+
+
+class Placer:
+    """Holds the lease or waits for it; with it, places layers on engines."""
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: UpstreamPool,
+        store: Upstream,
+        holder: str,
+        replicas: ReplicaSet,
+        directory: t.Callable[[], Directory | None],
+        rng: random.Random,
+    ) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._store = store
+        self._replicas = replicas
+        self._directory = directory
+        self._rng = rng
+        self._lease = Lease(holder, LEASE)
+        self._had_lease = False
+        self._seen_generation = -1
+        self._changed_at = loop.now
+        # Range and instant of orders that were accepted or may have been.
+        self._ordered: dict[tuple[str, int], tuple[tuple[int, int], float]] = {}
+        self._orders_by_identity: dict[tuple[str, int], int] = {}
+        self.orders = 0
+
+    def start(self) -> None:
+        """Begin to seek the lease."""
+        self._loop.call_later(self._rng.uniform(0, 0.3), self._step)
+        self._loop.call_later(TICK_S, self._tick)
+
+    def release(self) -> None:
+        """Give the lease up, so that another host need not wait for its end."""
+        write = self._lease.release(self._loop.now)
+        if write is not None:
+            self._write(write, lambda _answer: None)
+
+    # The lease.
+
+    def _step(self) -> None:
+        now = self._loop.now
+        holds = self._lease.holds(now)
+        if holds != self._had_lease:
+            self._had_lease = holds
+            name = "lease_gained" if holds else "lease_lost"
+            log_event(name, lease=KEY, fence=self._lease.fence)
+        command = self._lease.next(now)
+        if isinstance(command, LeaseWait):
+            self._loop.call_later(max(0.05, command.delay_s), self._step)
+        elif isinstance(command, LeaseRead):
+            call = wire.read_call(TABLE)
+            self._fetch(self._store, call, STORE_TIMEOUT_S, self._on_read)
+        else:
+            self._write(command, lambda answer: self._on_written(command, answer))
+
+    def _write(
+        self, command: LeaseWrite, then: t.Callable[[Answer], None]
+    ) -> None:
+        value = msgspec.json.encode(encode_lease(command.row))
+        call = wire.transact_call(
+            [(TABLE, KEY, command.version)], [(TABLE, KEY, value)]
+        )
+        self._fetch(self._store, call, STORE_TIMEOUT_S, then)
+
+    def _fetch(
+        self,
+        upstream: Upstream,
+        call: t.Any,
+        timeout_s: float,
+        then: t.Callable[[Answer], None],
+    ) -> None:
+        Fetch(self._loop, self._pool, upstream, call, timeout_s, then)
+
+    def _on_read(self, answer: Answer) -> None:
+        now = self._loop.now
+        try:
+            if answer.status == 0:
+                raise PlatformError(answer.reason)
+            rows = wire.decode_rows(answer.status, answer.body)
+        except PlatformError as error:
+            log_event("lease_unread", level="WARNING", reason=error)
+            self._lease.on_away(now)
+            self._step()
+            return
+        version, row = 0, None
+        for entry in rows.rows:
+            if entry.key == KEY and entry.value is not None:
+                version, row = entry.version, self._decode(entry.value)
+        self._lease.on_read(version, row, now)
+        self._step()
+
+    @staticmethod
+    def _decode(value: bytes) -> LeaseRow | None:
+        try:
+            return decode_lease(msgspec.json.decode(value))
+        except (ValueError, msgspec.MsgspecError) as error:
+            log_event("lease_unreadable", level="WARNING", reason=error)
+            return None
+
+    def _on_written(self, command: LeaseWrite, answer: Answer) -> None:
+        now = self._loop.now
+        if answer.status == 0 and answer.loss is not Loss.NOT_SENT:
+            self._lease.on_unsure()
+            self._loop.call_later(LEASE.retry_s / 2, self._step)
+            return
+        try:
+            if answer.status == 0:
+                raise PlatformError(answer.reason)
+            rows = wire.decode_rows(answer.status, answer.body)
+        except PlatformError as error:
+            log_event("lease_unwritten", level="WARNING", reason=error)
+            self._lease.on_away(now)
+            self._step()
+            return
+        if rows.is_conflict:
+            self._lease.on_unsure()
+        else:
+            self._lease.on_written(rows.version, command.row, now)
+        self._step()
+
+    # Orders.
+
+    def _tick(self) -> None:
+        self._loop.call_later(TICK_S, self._tick)
+        now = self._loop.now
+        if self._replicas.generation != self._seen_generation:
+            self._seen_generation = self._replicas.generation
+            self._changed_at = now
+        directory = self._directory()
+        if directory is None or not self._lease.may_order(now, ORDER_TIMEOUT_S):
+            return
+        if now - self._changed_at < SETTLE_S:
+            return
+        for service in directory.service_by_name.values():
+            if service.model is not None:
+                self._place(service, now)
+
+    def _place(self, service: Service, now: float) -> None:
+        assert service.model is not None
+        replicas = self._replicas.usable(service.name)
+        for replica in replicas:
+            if replica.layers is not None:
+                self._ordered.pop(replica.identity, None)
+        ranges = {}
+        for identity, (held, at) in list(self._ordered.items()):
+            if now - at < ORDER_AGAIN_S:
+                ranges[identity] = held
+                continue
+            del self._ordered[identity]
+        for placing in plan(service.model, replicas, ranges):
+            self._order(placing)
+
+    def _order(self, placing: Placing) -> None:
+        replica = placing.replica
+        now = self._loop.now
+        identity = replica.identity
+        self._ordered[identity] = ((placing.first, placing.last), now)
+        self.orders += 1
+        call = engine_wire.place_call(
+            placing.first, placing.last, self._orders_by_identity.get(identity, 0)
+        )
+        log_event(
+            "order_sent",
+            replica=replica.name,
+            incarnation=replica.incarnation,
+            first=placing.first,
+            last=placing.last,
+            fence=self._lease.fence,
+        )
+
+        def on_answer(answer: Answer) -> None:
+            log_event(
+                "order_answered",
+                replica=replica.name,
+                status=answer.status,
+                reason=answer.reason,
+            )
+            if answer.status in (200, 202):
+                orders = self._orders_by_identity.get(identity, 0) + 1
+                self._orders_by_identity[identity] = orders
+            elif answer.loss is not Loss.UNKNOWN:
+                self._ordered.pop(identity, None)
+
+        upstream = Upstream(replica.address, identity)
+        self._fetch(upstream, call, ORDER_TIMEOUT_S, on_answer)
--- /dev/null
+++ b/src/wagtailstair/gateway/requests.py
@@ -0,0 +1,194 @@
+"""Requests of callers, read from bytes; what is ambiguous is an error."""
+
+import dataclasses
+import typing as t
+
+import httptools
+
+from ..core.directory import CallerLimits
+from ..exceptions import InvalidRequestError
+from ..exceptions import RequestError
+from ..exceptions import RequestTooLargeError
+
+Header = tuple[bytes, bytes]
+
+BAD_REQUEST = 400
+CONTENT_TOO_LARGE = 413
+HEADERS_TOO_LARGE = 431
+
+
+class HeadersTooLargeError(RequestTooLargeError):
+    """The head of a request is larger than the limits allow."""
+
+    code = "headers_too_large"
+    http_status = HEADERS_TOO_LARGE
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """A whole request; ``target`` and ``headers`` are as the caller sent them.
+
+    ``received_at``: the instant at which its first byte was read.
+    """
+
+    method: bytes
+    target: bytes
+    host: str
+    headers: list[Header]
+    body: bytearray
+    keeps_alive: bool
+    received_at: float
+
+    @property
+    def path(self) -> str:
+        """Return the target without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
+    def header(self, name: bytes) -> bytes:
+        """Return the first value of a header, by its name in lower case."""
+        for key, value in self.headers:
+            if key.lower() == name:
+                return value
+        return b""
+
+
+class RequestReader:
+    """Splits a connection's bytes into requests.
+
+    :param on_expect: called when a caller waits for leave to send its body.
+    """
+
+    __slots__ = (
+        "_body",
+        "_error",
+        "_head_bytes",
+        "_headers",
+        "_host",
+        "_in_head",
+        "_limits",
+        "_now",
+        "_on_expect",
+        "_parser",
+        "_started_at",
+        "_target",
+        "complete",
+    )
+
+    def __init__(self, limits: CallerLimits, on_expect: t.Callable[[], None]) -> None:
+        self._limits = limits
+        self._on_expect = on_expect
+        self._parser = httptools.HttpRequestParser(self)
+        self.complete: list[Request] = []
+        self._error: RequestError | None = None
+        self._now = 0.0
+        self._reset()
+        self._in_head = False
+
+    @property
+    def is_between(self) -> bool:
+        """Tell whether no request has begun."""
+        return not self._in_head and not self._headers
+
+    def feed(self, data: bytes, now: float) -> None:
+        """Take in bytes; whole requests are added to ``complete``.
+
+        :raises RequestError: if the bytes are no proper request.
+        """
+        self._now = now
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade as error:
+            raise InvalidRequestError("no other protocol is spoken here") from error
+        except httptools.HttpParserError as error:
+            raise self._error or InvalidRequestError(str(error)) from error
+        if not self._in_head:
+            return
+        self._head_bytes += len(data)
+        if self._head_bytes > self._limits.header_bytes:
+            raise HeadersTooLargeError(f"over {self._limits.header_bytes} bytes")
+
+    # Called by the parser.
+
+    def on_message_begin(self) -> None:
+        """Begin a request."""
+        self._reset()
+        self._in_head = True
+        self._started_at = self._now
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; after the body it is a trailer and dropped."""
+        if not self._in_head:
+            return
+        self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head."""
+        self._in_head = False
+        error = self._check_head()
+        if error is not None:
+            self._error = error
+            raise error
+
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self._body += data
+        if len(self._body) > self._limits.body_bytes:
+            self._error = RequestTooLargeError(f"over {self._limits.body_bytes} bytes")
+            raise self._error
+
+    def on_message_complete(self) -> None:
+        """Hand the request over."""
+        request = Request(
+            self._parser.get_method(),
+            self._target,
+            self._host,
+            self._headers,
+            self._body,
+            self._parser.should_keep_alive(),
+            self._started_at,
+        )
+        self._reset()
+        self.complete.append(request)
+
+    # Inside.
+
+    def _reset(self) -> None:
+        self._target = b""
+        self._headers: list[Header] = []
+        self._host = ""
+        self._body = bytearray()
+        self._head_bytes = 0
+        self._started_at = 0.0
+
+    def _check_head(self) -> RequestError | None:
+        hosts = []
+        size = len(self._target)
+        for name, value in self._headers:
+            size += len(name) + len(value) + 4
+            lowered = name.lower()
+            if lowered == b"host":
+                hosts.append(value)
+            elif lowered == b"content-length":
+                if int(value) > self._limits.body_bytes:
+                    return RequestTooLargeError(f"over {self._limits.body_bytes} bytes")
+            elif lowered == b"transfer-encoding":
+                if value.strip().lower() != b"chunked":
+                    return InvalidRequestError("transfer encoding is not chunked")
+            elif lowered == b"expect" and value.lower() == b"100-continue":
+                self._on_expect()
+        if size > self._limits.header_bytes:
+            return HeadersTooLargeError(f"over {self._limits.header_bytes} bytes")
+        if len(hosts) != 1 or not hosts[0]:
+            return InvalidRequestError("expected one Host header")
+        if not self._target.startswith(b"/"):
+            return InvalidRequestError("expected a target that begins with a slash")
+        if self._parser.get_http_version() not in ("1.1", "1.0"):
+            return InvalidRequestError("expected HTTP/1.1")
+        self._host = hosts[0].decode("latin-1").rpartition(":")[0].lower()
+        if not self._host:
+            self._host = hosts[0].decode("latin-1").lower()
+        return None
--- /dev/null
+++ b/src/wagtailstair/gateway/stream.py
@@ -0,0 +1,288 @@
+"""Requests to model engines: a stream of events over a pipeline."""
+
+from ..core.events import EventSplitter
+from ..core.pipelines import Path
+from ..core.replicas import Replica
+from ..platform import headers as wire_headers
+from . import heads
+from .exchange import BAD_GATEWAY
+from .exchange import GATEWAY_TIMEOUT
+from .exchange import Exchange
+from .exchange import Fate
+from .loop import Timer
+from .requests import Header
+from .transfer import Loss
+from .transfer import Upstream
+from .transfer import Wire
+
+STALL_S = 0.6
+"""Seconds without an event after which a pipeline is taken to stand still."""
+
+FIRST_EVENT_S = 0.8
+"""Seconds for the first event, beside the reading of the prompt."""
+
+SUSPECT_S = 3.0
+"""Seconds that the engines of a failed pipeline are avoided."""
+
+
+class StreamExchange(Exchange):
+    """A request that engines answer with events."""
+
+    __slots__ = ("_answer_tokens", "_common", "_fate", "_first_headers",
+                 "_first_reason", "_headers", "_is_whole", "_path", "_progress_at",
+                 "_prompt_tokens", "_reason", "_splitter", "_stall", "_status",
+                 "_taken", "_wire", "avoid", "events")
+
+    def begin(self) -> None:
+        """Send the request down its first pipeline."""
+        names = self.context.names
+        usage = self.request.header(names.token_usage)
+        self._prompt_tokens, most = wire_headers.read_tokens(usage)
+        model = self.service.model
+        usual = model.usual_answer if model is not None else 0.0
+        hint = self.request.header(names.length_hint)
+        self._answer_tokens = float(hint) if hint.isdigit() else usual
+        if most:
+            self._answer_tokens = min(self._answer_tokens, most)
+        self._common = heads.passed_on(self.request, names)
+        self._splitter = EventSplitter(self.request.header(names.last_event))
+        self._wire: Wire | None = None
+        self._path: Path = ()
+        self._taken = 0.0
+        self._stall: Timer | None = None
+        self._first_headers: list[Header] | None = None
+        self._status = 0
+        self.events = 0
+        self.avoid: set[tuple[str, int]] = set()
+        self._attempt("no pipeline")
+
+    def on_caller_gone(self) -> None:
+        """Stop the pipeline: nobody waits for the answer."""
+        if self.is_over:
+            return
+        self._leave()
+        self.close()
+        self.context.finished(self, "caller_gone")
+
+    def on_expired(self) -> None:
+        """End a request whose time is over."""
+        if self.is_over:
+            return
+        self._leave()
+        if self.sends == 0:
+            self.refuse("expired_waiting")
+            return
+        self.may_have_run = True
+        self.fail(GATEWAY_TIMEOUT, "expired")
+
+    # Attempts.
+
+    def _attempt(self, reason: str) -> None:
+        context = self.context
+        model = self.service.model
+        assert model is not None
+        pipelines = context.pipelines(self.service.name)
+        now = context.loop.now
+        path = pipelines.choose(
+            model,
+            context.replicas.usable(self.service.name),
+            self._prompt_tokens,
+            self._answer_tokens,
+            now,
+            self.avoid,
+        )
+        if path is None:
+            self.refuse(reason)
+            return
+        if self.sends == 0:
+            context.allowance.requested(self.service.name, now)
+        self._path = path
+        self._taken = self._prompt_tokens + self._answer_tokens
+        pipelines.take(path, self._taken)
+        self.sends += 1
+        self.runs += 1
+        self._status = 0
+        first = path[0].replica
+        headers = heads.attempt_headers(
+            context.names, self.grant, first.name, self.left_s
+        )
+        hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
+        headers.append((context.names.path, wire_headers.write_path(hops)))
+        headers.append((context.names.rank, b"%d" % min(9, self.grant.rank)))
+        if self._splitter.last_id:
+            headers.append((context.names.last_event, self._splitter.last_id))
+        data = heads.join_head(self._common, headers, self.request.body)
+        self.log(
+            "pipeline_chosen",
+            level="DEBUG",
+            path=wire_headers.write_path(hops).decode(),
+            prompt=self._prompt_tokens,
+            answer=self._answer_tokens,
+            send=self.sends,
+        )
+        self._splitter = EventSplitter(self._splitter.last_id)
+        upstream = Upstream(first.address, first.identity)
+        self._progress_at = now
+        self._wire = context.pool.send(upstream, data, self, fresh=False)
+        if self._wire is None:
+            self.on_lost(Loss.NOT_SENT, "no connection")
+            return
+        self._watch(FIRST_EVENT_S)
+
+    def _watch(self, delay_s: float) -> None:
+        if self._stall is not None:
+            self._stall.cancel()
+        self._stall = self.context.loop.call_later(delay_s, self._on_stall_timer)
+
+    def _on_stall_timer(self) -> None:
+        self._stall = None
+        if self.is_over:
+            return
+        limit = STALL_S if self._splitter.count else FIRST_EVENT_S
+        waited = self.context.loop.now - self._progress_at
+        if waited < limit:
+            self._watch(limit - waited + 0.001)
+            return
+        self._on_stalled(waited)
+
+    def _on_stalled(self, waited: float) -> None:
+        if not self.grant.route.may_repeat or not self.may_send_again():
+            return
+        self.log("stream_stalled", waited=waited, events=self.events)
+        self.may_have_run = True
+        self._blame(self._path[0].replica if len(self._path) == 1 else None)
+        self._leave()
+        self._attempt("stalled")
+
+    def _blame(self, replica: Replica | None) -> None:
+        """Avoid the engine at fault, or all of the path where it is not known."""
+        if replica is not None:
+            until = self.context.loop.now + SUSPECT_S
+            self.context.pipelines(self.service.name).suspect(replica, until)
+            self.avoid.add(replica.identity)
+            return
+        for hop in self._path:
+            self.avoid.add(hop.replica.identity)
+
+    def _leave(self) -> None:
+        """Let go of the present attempt."""
+        if self._stall is not None:
+            self._stall.cancel()
+            self._stall = None
+        wire, self._wire = self._wire, None
+        if wire is not None:
+            wire.cancel()
+        if self._path:
+            self.context.pipelines(self.service.name).give_back(
+                self._path, self._taken
+            )
+            self._path = ()
+
+    # The upstream's answer.
+
+    def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
+        """Take the head of an answer."""
+        if not self.is_mine(status, headers):
+            self.log("answer_foreign", level="WARNING", status=status)
+            return False
+        self._status = status
+        self._reason = reason
+        self._headers = headers
+        self._fate = self.judge(status, headers)
+        if self._fate is Fate.SERVED and self._first_headers is None:
+            self._first_headers = headers
+            self._first_reason = reason
+        return True
+
+    def on_body(self, data: bytes) -> None:
+        """Pass whole events on."""
+        if self._fate is not Fate.SERVED or self.is_over:
+            return
+        whole = self._splitter.feed(data)
+        if not whole:
+            return
+        self._progress_at = self.context.loop.now
+        self.events = self.events + 1
+        if not self.caller.has_begun:
+            assert self._first_headers is not None
+            self.caller.begin(
+                self._status, self._first_reason, heads.answered(self._first_headers)
+            )
+        self.caller.send(whole)
+
+    def on_complete(self) -> None:
+        """Take the end of a whole answer."""
+        if self.is_over:
+            return
+        self._wire = None
+        if self._fate is Fate.SERVED:
+            self._deliver()
+            return
+        faulty = self._faulty()
+        if self._fate is Fate.NOT_RUN:
+            self.runs -= 1
+            self.log(
+                "attempt_not_run",
+                status=self._status,
+                replica=faulty.name if faulty else "",
+            )
+            self._again(faulty, "refused")
+            return
+        self.may_have_run = True
+        if not self.grant.route.may_repeat:
+            self._end_failed()
+            return
+        self._again(self._path[0].replica, f"status {self._status}")
+
+    def on_lost(self, loss: Loss, reason: str) -> None:
+        """Take the loss of an attempt."""
+        if self.is_over:
+            return
+        self._wire = None
+        first = self._path[0].replica if self._path else None
+        self.log("attempt_lost", reason=reason, loss=loss.value, events=self.events)
+        if loss is Loss.NOT_SENT:
+            self.runs -= 1
+            self._again(first, reason)
+            return
+        self.may_have_run = True
+        if not self.grant.route.may_repeat:
+            self._leave()
+            self.fail(BAD_GATEWAY, f"lost: {reason}")
+            return
+        self._again(first, reason)
+
+    def _faulty(self) -> Replica | None:
+        address = heads.find(self._headers, self.context.names.faulty_address)
+        if address is None:
+            return self._path[0].replica if self._path else None
+        text = address.decode("latin-1")
+        for hop in self._path:
+            if hop.replica.address == text:
+                return hop.replica
+        return None
+
+    def _again(self, faulty: Replica | None, reason: str) -> None:
+        self._blame(faulty)
+        self._leave()
+        if self.may_send_again():
+            self._attempt(reason)
+            return
+        self.refuse(reason)
+
+    def _end_failed(self) -> None:
+        self._leave()
+        self.fail(BAD_GATEWAY, f"status {self._status}")
+
+    def _deliver(self) -> None:
+        self._leave()
+        self.close()
+        if not self.caller.has_begun:
+            headers = heads.answered(self._first_headers or [])
+            held = self._splitter.held
+            self.caller.answer(self._status, self._first_reason, headers, held)
+        else:
+            if self._splitter.held:
+                self.caller.send(self._splitter.held)
+            self.caller.end()
+        self.context.finished(self, "served")
--- a/src/wagtailstair/platform/__init__.py
+++ b/src/wagtailstair/platform/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: table, object and weight stores, host list."""
+"""The adapter to the platform: its names and shapes, translated and nothing else."""
--- /dev/null
+++ b/src/wagtailstair/platform/headers.py
@@ -0,0 +1,46 @@
+"""Header names of the platform, and what the product calls them."""
+
+import typing as t
+
+from ..core.exchange_headers import HeaderNames
+
+HEADER_NAMES = HeaderNames(
+    attempt=b"x-attempt-id",
+    deadline_ms=b"x-deadline-ms",
+    authorization=b"authorization",
+    account=b"x-tenant",
+    expected_replica=b"x-target-replica",
+    rank=b"x-request-urgency",
+    path=b"x-hop-count",
+    token_usage=b"x-token-usage",
+    length_hint=b"x-length-hint",
+    last_event=b"last-event-id",
+    signature=b"x-response-signature",
+    not_run=b"x-not-executed",
+    faulty_address=b"at-server",
+    weights_version=b"x-weight-versions",
+    expected_version=b"x-expect-version",
+)
+
+KEY_SCHEME = b"token "
+
+
+def read_key(authorization: bytes) -> str | None:
+    """Return the caller's key of an Authorization header, if it has one."""
+    if not authorization.lower().startswith(KEY_SCHEME):
+        return None
+    return authorization[len(KEY_SCHEME) :].strip().decode("latin-1")
+
+
+def read_tokens(usage: bytes) -> tuple[int, int]:
+    """Return the prompt's tokens and the most tokens of the answer; 0 if unknown."""
+    prompt, _, answer = usage.partition(b",")
+    try:
+        return int(prompt), int(answer)
+    except ValueError:
+        return 0, 0
+
+
+def write_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
+    """Return the header value of a path: address, first layer, layer after the last."""
+    return ",".join(f"{a}={first}-{last}" for a, first, last in hops).encode()
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -1,259 +1,221 @@
-"""The lists in the platform's table: reading, following and editing them."""
+"""The platform's lists, decoded into the product's directory."""
 
-import collections.abc
-import dataclasses
-import random
-import time
 import typing as t
 
-from ..clock import Clock
-from ..core.changes import AUDIT
-from ..core.changes import CHANGES
-from ..core.changes import Change
-from ..core.changes import Edit
-from ..core.changes import Head
-from ..core.changes import accept_edit
-from ..core.changes import apply_changes
-from ..core.changes import audit_key_of
-from ..core.changes import deletes_plan
-from ..core.changes import find_conflict
-from ..core.changes import keys_to_read
-from ..core.changes import make_transaction
-from ..core.changes import parse_change
-from ..core.changes import parse_version
-from ..core.differences import edit_conflict
-from ..core.lists import HEAD_KEY
-from ..core.lists import Lists
-from ..core.plans import ACCOUNTS
-from ..core.plans import PLANS
-from ..core.rows import Row
-from ..core.rows import RowKey
+import msgspec
+
+from ..core.directory import Accelerator
+from ..core.directory import Account
+from ..core.directory import CallerLimits
+from ..core.directory import Directory
+from ..core.directory import ModelSpec
+from ..core.directory import Route
+from ..core.directory import RouteKind
+from ..core.directory import Service
 from ..exceptions import ListsError
-from ..exceptions import PlatformConflictError
-from ..exceptions import PlatformError
-from ..exceptions import PlatformUnavailableError
-from ..exceptions import PlatformUnknownError
-from .table import Table
 
-MAX_FOLLOWED_CHANGES = 500
-SNAPSHOT_ATTEMPTS = 5
-AUDIT_BATCH = 100
-MAX_AUTHOR_SEARCH = 1000
+TABLE = "op"
+KEY = "config"
 
+MS = 1e-3
+BITS_PER_BYTE = 8
+MEGA = 1e6
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class RetryPolicy:
-    """How often an edit is tried, with full jitter between the attempts.
 
-    ``pause`` waits some seconds; ``uniform`` draws from [0, 1).
-    """
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
 
-    attempts: int = 10
-    backoff_s: float = 0.05
-    max_backoff_s: float = 2.0
-    pause: t.Callable[[float], None] = time.sleep
-    uniform: t.Callable[[], float] = random.random
 
-    def wait(self, attempt: int) -> None:
-        """Wait before an attempt; the first one is number 0."""
-        if attempt == 0:
-            return
-        longest_s = min(self.backoff_s * 2.0**attempt, self.max_backoff_s)
-        self.pause(longest_s * self.uniform())
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float
+    # The time within which an answer is worth most.
+    aim_ms: float = 0.0
+    # The upstreams that one request may be sent to.
+    attempts: int = 1
+    priority: int = 0
+    service: str | None = None
+    split: list[_Split] | None = None
+    anonymous: bool = False
+    can_resume: bool = False
+    gap_target_ms: float = 0.0
 
 
-def read_head(table: Table) -> Head:
-    """Return the present version of the lists.
+class _Kind(msgspec.Struct):
+    name: str
+    megabytes: float
+    # Multiplies the times of steps; in a report the same name means slowness.
+    pace: float
+    read_factor: float
 
-    :raises PlatformUnavailableError: if it can't be read.
-    """
-    (row,) = table.read([HEAD_KEY])
-    return Head(parse_version(row), row.version)
 
+class _Delay(msgspec.Struct):
+    # Names of two data centres, not layers as elsewhere.
+    origin: str = msgspec.field(name="from")
+    target: str
+    delay_ms: float
 
-def read_changes(table: Table, first: int, last: int) -> list[Change]:
-    """Return the audit records of the versions from first to last, both in.
 
-    :raises ListsError: if one is missing.
-    :raises PlatformUnavailableError: if they can't be read.
-    """
-    changes: list[Change] = []
-    for start in range(first, last + 1, AUDIT_BATCH):
-        stop = min(start + AUDIT_BATCH, last + 1)
-        keys = [(AUDIT, audit_key_of(version)) for version in range(start, stop)]
-        changes.extend(parse_change(row) for row in table.read(keys))
-    return changes
+class _Usual(msgspec.Struct):
+    prompt: float
+    answer: float
 
 
-def read_snapshot(table: Table) -> Lists:
-    """Return both lists as they are at one version.
+class _Model(msgspec.Struct):
+    name: str
+    load_s: float
 
-    Edits that take effect during the scan are put on top of what it read.
 
-    :raises ListsError: if a row can't be parsed.
-    :raises PlatformUnavailableError: if the rows can't be read.
-    """
-    for _ in range(SNAPSHOT_ATTEMPTS):
-        before = read_head(table).version
-        rows = [*table.scan(PLANS), *table.scan(ACCOUNTS)]
-        after = read_head(table).version
-        if after - before > MAX_FOLLOWED_CHANGES:
-            continue
-        changes = read_changes(table, before + 1, after)
-        return apply_changes(Lists().with_rows(before, rows), changes)
-    raise PlatformUnavailableError("the lists change faster than they can be read")
-
-
-def read_since(table: Table, lists: Lists) -> Lists:
-    """Return the present lists, given older ones; never lower ones.
-
-    :raises ListsError: if a row can't be parsed.
-    :raises PlatformUnavailableError: if the rows can't be read.
-    """
-    head = read_head(table)
-    if head.version <= lists.version:
-        return lists
-    if head.version - lists.version <= MAX_FOLLOWED_CHANGES:
-        try:
-            changes = read_changes(table, lists.version + 1, head.version)
-            return apply_changes(lists, changes)
-        except ListsError:
-            # Old audit records may have been removed.
-            pass
-    return read_snapshot(table)
-
-
-def read_accepted(table: Table, change_id: str, digest: str) -> Change | None:
-    """Return the change that an edit has made, if it was accepted before.
-
-    :raises ListsError: if its change id belongs to another edit.
-    :raises PlatformUnavailableError: if that can't be read.
-    """
-    (row,) = table.read([(CHANGES, change_id)])
-    if row.value is None:
-        return None
-    version = parse_version(row)
-    (change,) = read_changes(table, version, version)
-    if change.digest != digest:
-        raise ListsError(
-            f"was used for another edit, which made version {version}",
-            where=f"change id {change_id}",
-        )
-    return change
-
-
-def find_change(table: Table, key: RowKey, version: int) -> Change | None:
-    """Return the last change of a row, looking back from a version."""
-    lowest = max(1, version - MAX_AUTHOR_SEARCH + 1)
-    for last in range(version, lowest - 1, -AUDIT_BATCH):
-        first = max(lowest, last - AUDIT_BATCH + 1)
-        try:
-            changes = read_changes(table, first, last)
-        except ListsError:
-            # Old audit records may have been removed.
-            return None
-        for change in reversed(changes):
-            if any(row.row_key == key for row in change.rows):
-                return change
-    return None
-
-
-def _read_for_edit(table: Table, edit: Edit) -> Lists:
-    rows: list[Row] = table.read(keys_to_read(edit))
-    if deletes_plan(edit):
-        rows = [*table.scan(ACCOUNTS), *rows]
-    try:
-        return Lists().with_rows(0, rows)
-    except ListsError as error:
-        raise PlatformError(f"a row is damaged: {error}") from error
-
-
-def _refuse(table: Table, head: Head, error: ListsError) -> t.NoReturn:
-    # The rows were not read at one instant: a refusal stands only if no
-    # other edit came between.
-    if read_head(table) != head:
-        raise PlatformConflictError("the lists changed while they were read")
-    raise error
-
-
-def _attempt(table: Table, edit: Edit, clock: Clock) -> Change:
-    head = read_head(table)
-    lists = _read_for_edit(table, edit)
-    # Read after the rows, so that an earlier attempt of the same edit that
-    # took effect is not taken for somebody else's change.
-    accepted = read_accepted(table, edit.change_id, edit.digest)
-    if accepted is not None:
-        return accepted
-    key = find_conflict(edit, lists)
-    if key is not None:
-        change = find_change(table, key, head.version)
-        _refuse(table, head, edit_conflict(key, change))
-    at = clock.utcnow().isoformat(timespec="milliseconds")
-    try:
-        change = accept_edit(edit, lists, head, at)
-    except ListsError as error:
-        _refuse(table, head, error)
-    transaction = make_transaction(edit, change, head)
-    table.transact(transaction.conditions, transaction.writes)
-    return change
-
-
-def commit_edit(
-    table: Table,
-    edit: Edit,
-    clock: Clock,
-    retry: RetryPolicy = RetryPolicy(),
-) -> Change:
-    """Make an edit take effect once, however often it is run.
-
-    Once the head has moved, an attempt whose reply was lost can no longer
-    take effect; so a refusal is final, even after such an attempt.
-
-    :raises EditConflictError: somebody else changed a row first.
-    :raises ListsError: the lists would not be valid, or the change id belongs
-        to another edit.
-    :raises PlatformUnavailableError: nothing took effect.
-    :raises PlatformConflictError: nothing took effect; too many other edits.
-    :raises PlatformUnknownError: the edit may have taken effect, or still may.
-    """
-    lost: PlatformUnknownError | None = None
-    last = PlatformError("not tried")
-    for attempt in range(retry.attempts):
-        retry.wait(attempt)
-        try:
-            return _attempt(table, edit, clock)
-        except PlatformUnknownError as error:
-            last = lost = error
-        except (PlatformUnavailableError, PlatformConflictError) as error:
-            last = error
-        except PlatformError as error:
-            last = error
-            break
-    if lost is None:
-        raise last
-    raise PlatformUnknownError(
-        f"the outcome of change {edit.change_id} is not known;"
-        " run it again with the same change id"
-    ) from lost
-
-
-def seen_version(lists: Lists, key: RowKey) -> int:
-    """Return the version at which a snapshot holds a row; 0 if it is absent.
-
-    :raises EditConflictError: the row changed while the snapshot was read.
-    """
-    version = lists.row_versions.get(key)
-    if version is not None:
-        return version
-    if lists.value_of(key) is None:
-        return 0
-    raise edit_conflict(key, None)
+class _Engine(msgspec.Struct):
+    kv_token_bytes: float
+    link_mbps: float
+    stride: int
+    step_ms: float
+    per_seq_ms: float
+    # Tokens a second, not a millisecond as on the sheets.
+    read_per_s: float
+    models: list[_Model]
+    loads_at_once: int
+    layers: int
+    layer_mb: float
+    activation_bytes: float
+    kinds: list[_Kind]
+    usual: _Usual
+    delays: list[_Delay] = []
+    pipe_mbps: float = 0.0
+
 
+class _Service(msgspec.Struct):
+    name: str
+    health_path: str
+    max_conns: int
+    engine: _Engine | None = None
 
-def read_rows(table: Table, keys: collections.abc.Sequence[RowKey]) -> Lists:
-    """Return lists of a few rows alone, with their versions; version 0.
 
-    :raises ListsError: if a row can't be parsed.
-    :raises PlatformUnavailableError: if they can't be read.
+class _Limits(msgspec.Struct):
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_ms: float
+    idle_timeout_ms: float
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str]
+    priority: int | None = None
+
+
+class _Config(msgspec.Struct):
+    version: int
+    routes: list[_Route]
+    services: list[_Service]
+    limits: _Limits
+    tenants: list[_Tenant] = []
+
+
+_DECODER = msgspec.json.Decoder(_Config)
+
+
+def _bytes_per_s(megabits_per_s: float) -> float:
+    return megabits_per_s * MEGA / BITS_PER_BYTE
+
+
+def _model(engine: _Engine) -> ModelSpec:
+    delays: dict[tuple[str, str], float] = {}
+    for delay in engine.delays:
+        delays[delay.origin, delay.target] = delay.delay_ms * MS
+        delays[delay.target, delay.origin] = delay.delay_ms * MS
+    kinds: dict[str, Accelerator] = {}
+    for kind in engine.kinds:
+        kinds[kind.name] = Accelerator(
+            kind.name, kind.megabytes, kind.pace, kind.read_factor
+        )
+    return ModelSpec(
+        layers=engine.layers,
+        layer_mb=engine.layer_mb,
+        load_s=engine.models[0].load_s,
+        loads_at_once=engine.loads_at_once,
+        kv_bytes=engine.kv_token_bytes,
+        activation_bytes=engine.activation_bytes,
+        step_s=engine.step_ms * MS,
+        sequence_s=engine.per_seq_ms * MS,
+        read_tokens_per_s=engine.read_per_s,
+        tokens_per_pass=engine.stride,
+        usual_prompt=engine.usual.prompt,
+        usual_answer=engine.usual.answer,
+        link_bytes_per_s=_bytes_per_s(engine.link_mbps),
+        pipe_bytes_per_s=_bytes_per_s(engine.pipe_mbps),
+        delay_s_by_centres=delays,
+        accelerator_by_name=kinds,
+    )
+
+
+def _route(route: _Route) -> Route:
+    targets: tuple[tuple[str, float], ...] = ()
+    if route.split:
+        targets = tuple((part.service, part.weight) for part in route.split)
+    elif route.service is not None:
+        targets = ((route.service, 1.0),)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        kind=RouteKind(route.kind),
+        timeout_s=route.timeout_ms * MS,
+        goal_s=route.aim_ms * MS,
+        attempts=route.attempts,
+        rank=route.priority,
+        targets=targets,
+        is_anonymous=route.anonymous,
+        is_resumable=route.can_resume,
+        gap_s=route.gap_target_ms * MS,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    return Service(
+        service.name,
+        service.health_path,
+        service.max_conns,
+        _model(engine) if engine is not None else None,
+    )
+
+
+def decode_directory(value: bytes) -> Directory:
+    """Return the directory of a row's value.
+
+    :raises ListsError: if the value is not a valid list.
     """
-    return Lists().with_rows(0, table.read(keys))
+    try:
+        config = _DECODER.decode(value)
+        account_by_key: dict[str, Account] = {}
+        for tenant in config.tenants:
+            account = Account(tenant.name, tenant.priority)
+            for key in tenant.api_keys:
+                account_by_key[key] = account
+        limits = config.limits
+        return Directory(
+            config.version,
+            [_route(route) for route in config.routes],
+            [_service(service) for service in config.services],
+            account_by_key,
+            CallerLimits(
+                limits.max_header_bytes,
+                limits.max_body_bytes,
+                limits.header_timeout_ms * MS,
+                limits.idle_timeout_ms * MS,
+            ),
+            needs_keys=bool(config.tenants),
+        )
+    except (msgspec.MsgspecError, ValueError, IndexError, UnicodeDecodeError) as error:
+        raise ListsError(f"not usable: {error}", where=f"{TABLE}/{KEY}") from error
+
+
+def is_directory_row(table: str, key: t.Any) -> bool:
+    """Tell whether a row holds the lists."""
+    return table == TABLE and key == KEY
--- /dev/null
+++ b/src/wagtailstair/platform/store.py
@@ -0,0 +1,122 @@
+"""Calls of the platform's store: requests encoded, answers decoded.
+
+No I/O: the gateway's client sends what these functions return.
+"""
+
+import base64
+import binascii
+import typing as t
+import urllib.parse
+
+import msgspec
+
+from ..core.store import Call
+from ..core.store import StoreRow
+from ..core.store import StoreRows
+from ..exceptions import PlatformError
+from ..exceptions import PlatformUnavailableError
+
+TRANSACT_PATH = "/rows-tx"
+READ_PATH = "/rows-get"
+FEED_PATH = "/rows-feed"
+ROWS_MAX = 500
+
+
+class _Row(msgspec.Struct):
+    table: str
+    key: str
+    ver: int
+    part: str = ""
+    value: str | None = None
+    deleted: bool = False
+
+
+class _Rows(msgspec.Struct):
+    rows: list[_Row] = []
+    # The newest version of the whole store, not of these rows.
+    ver: int = 0
+    now_ms: float = 0.0
+    truncated: bool = False
+
+
+_DECODER = msgspec.json.Decoder(_Rows)
+
+
+def _row(row: _Row) -> StoreRow | None:
+    value: bytes | None = None
+    if not row.deleted and row.value is not None:
+        try:
+            value = base64.b64decode(row.value, validate=True)
+        except (binascii.Error, ValueError):
+            return None
+    return StoreRow(row.table, row.key, value, row.ver)
+
+
+def read_call(table: str, after: str = "") -> Call:
+    """Return the call that reads a table, from a key on."""
+    query = {"table": table, "part": "", "limit": str(ROWS_MAX)}
+    if after:
+        query["from"] = after + "\0"
+    return Call("GET", f"{READ_PATH}?{urllib.parse.urlencode(query)}")
+
+
+def feed_call(table: str, after: int, wait_s: float) -> Call:
+    """Return the call that waits for changes of a table after a version."""
+    query = {"table": table, "after": after, "wait_ms": int(wait_s * 1000)}
+    return Call("GET", f"{FEED_PATH}?{urllib.parse.urlencode(query)}")
+
+
+def transact_call(
+    conditions: t.Iterable[tuple[str, str, int]],
+    writes: t.Iterable[tuple[str, str, bytes]],
+    removals: t.Iterable[tuple[str, str]] = (),
+) -> Call:
+    """Return the call that writes rows if all conditions hold.
+
+    :param conditions: table, key and the version that the row must have.
+    """
+    body = {
+        "expect_rev": [
+            {"table": table, "part": "", "key": key, "ver": version}
+            for table, key, version in conditions
+        ],
+        "writes": [
+            {
+                "table": table,
+                "part": "",
+                "key": key,
+                "value": base64.b64encode(value).decode(),
+            }
+            for table, key, value in writes
+        ],
+        "remove": [
+            {"table": table, "part": "", "key": key} for table, key in removals
+        ],
+    }
+    return Call("POST", TRANSACT_PATH, msgspec.json.encode(body))
+
+
+def decode_rows(status: int, body: bytes) -> StoreRows:
+    """Return the rows of an answer.
+
+    A 412 or 410 sets ``is_conflict``: a condition failed, or history is gone.
+
+    :raises PlatformUnavailableError: if the store refused the call.
+    :raises PlatformError: if the answer can't be read.
+    """
+    if status in (429, 503):
+        raise PlatformUnavailableError(f"refused with status {status}")
+    if status not in (200, 410, 412):
+        raise PlatformError(f"unexpected status {status}")
+    try:
+        answer = _DECODER.decode(body) if body else _Rows()
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        raise PlatformError(f"unreadable answer: {error}") from error
+    rows = []
+    for row in answer.rows:
+        decoded = _row(row)
+        if decoded is not None:
+            rows.append(decoded)
+    return StoreRows(
+        tuple(rows), answer.ver, is_more=answer.truncated, is_conflict=status != 200
+    )
--- /dev/null
+++ b/src/wagtailstair/stores/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform: table, object and weight stores, host list."""
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -11,11 +11,11 @@
 from ..exceptions import PlatformError
 from ..exceptions import UpstreamError
 from ..logs import log_event
-from ..platform.hosts import ENGINE
-from ..platform.hosts import ENTRY
-from ..platform.hosts import SERVICE
-from ..platform.hosts import HostEntry
-from ..platform.hosts import decode_hosts
+from ..stores.hosts import ENGINE
+from ..stores.hosts import ENTRY
+from ..stores.hosts import SERVICE
+from ..stores.hosts import HostEntry
+from ..stores.hosts import decode_hosts
 from ..settings import PlatformSection
 from .engine import decode_state
 from .loop import Loop
--- a/tests/fake_table.py
+++ b/tests/fake_table.py
@@ -7,7 +7,7 @@
 from wagtailstair.core.rows import Row
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.exceptions import PlatformUnknownError
-from wagtailstair.platform.table import TransactionConflictError
+from wagtailstair.stores.table import TransactionConflictError
 
 
 class CrashError(Exception):
--- a/tests/table_server.py
+++ b/tests/table_server.py
@@ -8,7 +8,7 @@
 from wagtailstair.core.rows import Write
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.exceptions import PlatformUnknownError
-from wagtailstair.platform.table import TransactionConflictError
+from wagtailstair.stores.table import TransactionConflictError
 
 
 def _row(row):
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -15,15 +15,15 @@
 from wagtailstair.exceptions import PlatformError
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.exceptions import PlatformUnknownError
-from wagtailstair.platform import lists as platform_lists
-from wagtailstair.platform.lists import RetryPolicy
-from wagtailstair.platform.lists import commit_edit
-from wagtailstair.platform.lists import read_changes
-from wagtailstair.platform.lists import read_head
-from wagtailstair.platform.lists import read_rows
-from wagtailstair.platform.lists import read_since
-from wagtailstair.platform.lists import read_snapshot
-from wagtailstair.platform.lists import seen_version
+from wagtailstair.stores import lists as platform_lists
+from wagtailstair.stores.lists import RetryPolicy
+from wagtailstair.stores.lists import commit_edit
+from wagtailstair.stores.lists import read_changes
+from wagtailstair.stores.lists import read_head
+from wagtailstair.stores.lists import read_rows
+from wagtailstair.stores.lists import read_since
+from wagtailstair.stores.lists import read_snapshot
+from wagtailstair.stores.lists import seen_version
 
 CLOCK = ManualClock()
 RETRY = RetryPolicy(attempts=4, pause=lambda _: None)
--- a/tests/test_changes_machine.py
+++ b/tests/test_changes_machine.py
@@ -21,11 +21,11 @@
 from wagtailstair.exceptions import PlatformConflictError
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.exceptions import PlatformUnknownError
-from wagtailstair.platform.lists import RetryPolicy
-from wagtailstair.platform.lists import commit_edit
-from wagtailstair.platform.lists import read_since
-from wagtailstair.platform.lists import read_snapshot
-from wagtailstair.platform.lists import seen_version
+from wagtailstair.stores.lists import RetryPolicy
+from wagtailstair.stores.lists import commit_edit
+from wagtailstair.stores.lists import read_since
+from wagtailstair.stores.lists import read_snapshot
+from wagtailstair.stores.lists import seen_version
 
 PLANS = ["p0", "p1", "p2"]
 ACCOUNTS = ["a0", "a1", "a2"]
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,8 +9,8 @@
 from wagtailstair.cli import main
 from wagtailstair.core import keys
 from wagtailstair.core.lists import Lists
-from wagtailstair.platform.lists import RetryPolicy
-from wagtailstair.platform.lists import read_snapshot
+from wagtailstair.stores.lists import RetryPolicy
+from wagtailstair.stores.lists import read_snapshot
 
 TEXT = """
 [plans.maker]
@@ -165,7 +165,7 @@
 
 @pytest.fixture
 def without_waits(monkeypatch):
-    monkeypatch.setattr("wagtailstair.platform.table.BACKOFF_S", 0.0)
+    monkeypatch.setattr("wagtailstair.stores.table.BACKOFF_S", 0.0)
     retry = RetryPolicy(pause=lambda _: None)
     monkeypatch.setattr("wagtailstair.cli.editing.RETRY", retry)
 
--- a/tests/test_platform_http.py
+++ b/tests/test_stores_http.py
@@ -9,9 +9,9 @@
 from wagtailstair.exceptions import PlatformError
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.exceptions import PlatformUnknownError
-from wagtailstair.platform import http
-from wagtailstair.platform.http import Timeouts
-from wagtailstair.platform.http import request_json
+from wagtailstair.stores import http
+from wagtailstair.stores.http import Timeouts
+from wagtailstair.stores.http import request_json
 
 SHORT = Timeouts(total_s=0.3, connect_s=0.2)
 
--- a/tests/test_platform_table.py
+++ b/tests/test_stores_table.py
@@ -8,12 +8,12 @@
 from wagtailstair.core.rows import Write
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.exceptions import PlatformUnknownError
-from wagtailstair.platform import table as table_module
-from wagtailstair.platform.hosts import read_hosts
-from wagtailstair.platform.objects import ObjectClient
-from wagtailstair.platform.table import TableClient
-from wagtailstair.platform.table import TransactionConflictError
-from wagtailstair.platform.weights import fetch_weights
+from wagtailstair.stores import table as table_module
+from wagtailstair.stores.hosts import read_hosts
+from wagtailstair.stores.objects import ObjectClient
+from wagtailstair.stores.table import TableClient
+from wagtailstair.stores.table import TransactionConflictError
+from wagtailstair.stores.weights import fetch_weights
 
 ROW = {"table": "plans", "key": "a", "version": 3, "value": {"x": 1}}
 
--- /dev/null
+++ b/wagtailstair_gateway.py
@@ -0,0 +1,11 @@
+"""Start the gateway from a checkout."""
+
+import pathlib
+import sys
+
+sys.path.insert(0, str(pathlib.Path(__file__).parent / "src"))
+
+from wagtailstair.gateway.daemon import main  # noqa: E402
+
+if __name__ == "__main__":
+    sys.exit(main())
