--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -229,16 +229,14 @@
         return _merge(hops)
 
 
-def _merge(hops: list[Hop]) -> Path | None:
-    """Join neighbouring hops on one engine; ``None`` if one comes twice."""
+def _merge(hops: list[Hop]) -> Path:
+    """Give each engine one part: what lies between two of its parts, too."""
     merged: list[Hop] = []
-    seen: set[str] = set()
     for hop in hops:
-        if merged and merged[-1].replica is hop.replica:
-            merged[-1] = Hop(hop.replica, merged[-1].first, hop.last)
-            continue
-        if hop.replica.name in seen:
-            return None
-        seen.add(hop.replica.name)
+        for index, earlier in enumerate(merged):
+            if earlier.replica is hop.replica:
+                del merged[index:]
+                hop = Hop(hop.replica, earlier.first, hop.last)
+                break
         merged.append(hop)
     return tuple(merged)
