--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -1,8 +1,8 @@
-"""Which layers an empty engine is to hold.
+"""Which layers each engine is to hold.
 
 Every data centre should hold each layer at least once, with room for requests
 beside the weights; what is left covers layers a second time. An engine that
-holds layers keeps them as long as no layer of the model is without an engine.
+holds layers is moved only to close a gap of its data centre.
 """
 
 import dataclasses
@@ -97,6 +97,70 @@
     return orders
 
 
+def repair(
+    model: ModelSpec,
+    replicas: t.Iterable[Replica],
+    range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
+) -> list[Placing]:
+    """Return one move for each data centre that lacks layers.
+
+    The engine is moved that leaves the fewest layers uncovered. A data centre
+    in which a move or a load is under way gets none.
+    """
+    by_centre: dict[str, list[Replica]] = {}
+    busy: set[str] = set()
+    for replica in replicas:
+        if replica.is_leaving:
+            continue
+        by_centre.setdefault(replica.data_centre, []).append(replica)
+        if replica.identity in range_by_identity or replica.layers is None:
+            busy.add(replica.data_centre)
+    moves = []
+    for centre, engines in by_centre.items():
+        if centre in busy:
+            continue
+        move = _best_move(model, engines)
+        if move is not None:
+            moves.append(move)
+    return moves
+
+
+def _best_move(model: ModelSpec, engines: list[Replica]) -> Placing | None:
+    cover = [0] * model.layers
+    for replica in engines:
+        for layer in range(*t.cast("tuple[int, int]", replica.layers)):
+            cover[layer] += 1
+    fewest = cover.count(0)
+    if not fewest or fewest > model.layers // 2:
+        return None
+    best: Placing | None = None
+    gaps = [layer for layer in range(model.layers) if not cover[layer]]
+    for replica in sorted(engines, key=lambda engine: engine.name):
+        first, last = t.cast("tuple[int, int]", replica.layers)
+        size = last - first
+        for layer in range(first, last):
+            cover[layer] -= 1
+        bare = cover.count(0)
+        for start in _starts_over(gaps, size, model.layers):
+            left = bare - cover[start : start + size].count(0)
+            if left < fewest:
+                fewest = left
+                best = Placing(replica, start, start + size)
+        for layer in range(first, last):
+            cover[layer] += 1
+    return best
+
+
+def _starts_over(gaps: list[int], size: int, layers: int) -> list[int]:
+    """Return where a range may begin so that it begins or ends with a gap."""
+    starts = {min(gaps[0], layers - size), max(0, gaps[-1] + 1 - size)}
+    for before, after in zip(gaps, gaps[1:], strict=False):
+        if after > before + 1:
+            starts.add(min(after, layers - size))
+            starts.add(max(0, before + 1 - size))
+    return sorted(starts)
+
+
 def _rooms(model: ModelSpec, replicas: t.Iterable[Replica]) -> dict[str, float]:
     accelerators_by_centre: dict[str, list[str]] = {}
     for replica in replicas:
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -28,6 +28,10 @@
 SUSPECT_COST_S = 5.0
 """Seconds that an engine under suspicion costs: a stall and a new attempt."""
 
+AVOIDED_COST_S = 2.0
+"""Seconds that an engine of an earlier attempt costs, where the one at fault is
+not known: it may be any of the path."""
+
 JITTER = 0.1
 """Share of a hop's cost that is random, so that hosts don't choose alike."""
 
@@ -122,26 +126,45 @@
         answer: float,
         now: float,
         avoid: t.Container[tuple[str, int]] = (),
+        head: Hop | None = None,
     ) -> Path | None:
         """Return the cheapest pipeline for a request, ``None`` if there is none.
 
-        :param prompt: tokens to read; ``answer``: tokens expected.
+        :param prompt: tokens to read; ``answer``: tokens expected; ``avoid``:
+            engines that are taken only where no others hold their layers;
+            ``head``: the first hop, if it is given.
         """
         engines = []
-        bounds = {0, model.layers}
+        start = 0 if head is None else head.last
+        centre = self._data_centre if head is None else head.replica.data_centre
+        bounds = {start, model.layers}
         for replica in replicas:
-            if replica.layers is None or replica.identity in avoid:
+            if replica.layers is None:
+                continue
+            if head is not None and replica.identity == head.replica.identity:
                 continue
             if replica.accelerator not in model.accelerator_by_name:
                 continue
-            engines.append((replica, *self._layer_cost(model, replica, prompt, answer)))
-            bounds.update(replica.layers)
-        return self._shortest(model, engines, sorted(bounds), prompt, answer, now)
+            seconds, fill = self._layer_cost(model, replica, prompt, answer)
+            fixed = answer * EVENTLESS_HOP_S
+            if fill > KV_SOFT_SHARE:
+                fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
+            if self.use(replica).suspect_until > now:
+                fixed += SUSPECT_COST_S
+            if replica.identity in avoid:
+                fixed += AVOIDED_COST_S
+            engines.append((replica, seconds, fixed))
+            bounds.update(bound for bound in replica.layers if bound > start)
+        origin = (start, centre)
+        path = _shortest(model, engines, sorted(bounds), origin, prompt, answer)
+        if path is None or head is None:
+            return path
+        return (head, *path)
 
     def _layer_cost(
         self, model: ModelSpec, replica: Replica, prompt: float, answer: float
-    ) -> tuple[float, float, float]:
-        """Return seconds a layer, KV fill after this request, fixed seconds."""
+    ) -> tuple[float, float]:
+        """Return seconds a layer, and how full the engine's KV memory would be."""
         kind = model.accelerator_by_name[replica.accelerator]
         use = self.use(replica)
         running = max(0, use.running) * self.hosts
@@ -154,79 +177,69 @@
         assert replica.layers is not None
         wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
         fill = (held + wanted) / room if room > 0 else 10.0
-        return seconds, fill, 0.0
-
-    def _shortest(
-        self,
-        model: ModelSpec,
-        engines: list[tuple[Replica, float, float, float]],
-        bounds: list[int],
-        prompt: float,
-        answer: float,
-        now: float,
-    ) -> Path | None:
-        # best[p]: cost, hop, previous position's data centre path.
-        best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]]
-        best = {(0, self._data_centre): (0.0, None, None)}
-        by_start: dict[int, list[tuple[str, float]]] = {0: [(self._data_centre, 0.0)]}
-        activations_s = 0.0
-        if model.pipe_bytes_per_s > 0:
-            activations_s = (
-                (prompt + answer) * model.activation_bytes / model.pipe_bytes_per_s
-            )
-        for position in bounds[:-1]:
-            starts = by_start.get(position)
-            if not starts:
+        return seconds, fill
+
+
+def _shortest(
+    model: ModelSpec,
+    engines: list[tuple[Replica, float, float]],
+    bounds: list[int],
+    origin: tuple[int, str],
+    prompt: float,
+    answer: float,
+) -> Path | None:
+    """Return the cheapest chain from a layer and data centre to the last layer."""
+    # By layer reached and data centre: cost, last hop, where that hop began.
+    best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]]
+    best = {origin: (0.0, None, None)}
+    centres_by_layer: dict[int, list[str]] = {origin[0]: [origin[1]]}
+    transfer_s = 0.0
+    if model.pipe_bytes_per_s > 0:
+        transfer_s = prompt * model.activation_bytes / model.pipe_bytes_per_s
+    for position in bounds[:-1]:
+        centres = centres_by_layer.get(position, ())
+        for replica, seconds, fixed in engines:
+            first, last = t.cast("tuple[int, int]", replica.layers)
+            if not first <= position < last:
                 continue
-            for replica, seconds, fill, _ in engines:
-                first, last = t.cast("tuple[int, int]", replica.layers)
-                if not first <= position < last:
-                    continue
-                use = self.use(replica)
-                fixed = answer * EVENTLESS_HOP_S
-                if fill > KV_SOFT_SHARE:
-                    fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
-                if use.suspect_until > now:
-                    fixed += SUSPECT_COST_S
-                centre = replica.data_centre
-                for previous, spent in starts:
-                    start_key = (position, previous)
-                    crossing = 0.0
-                    if previous != centre:
-                        delay = model.delay_s_by_centres.get((previous, centre), 0.0)
-                        crossing = CROSSING_COST_S + activations_s + answer * delay
-                    base = best[start_key][0] + fixed + crossing
-                    for end in bounds:
-                        if end <= position:
-                            continue
-                        if end > last:
-                            break
-                        cost = base + seconds * (end - position)
-                        key = (end, centre)
-                        known = best.get(key)
-                        if known is not None and known[0] <= cost:
-                            continue
-                        if known is None:
-                            by_start.setdefault(end, []).append((centre, 0.0))
-                        best[key] = (cost, Hop(replica, position, end), start_key)
-        return self._walk_back(best, model.layers)
-
-    @staticmethod
-    def _walk_back(
-        best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]],
-        layers: int,
-    ) -> Path | None:
-        ends = [key for key in best if key[0] == layers]
-        if not ends:
-            return None
-        key: tuple[int, str] | None = min(ends, key=lambda end: best[end][0])
-        hops: list[Hop] = []
-        while key is not None:
-            _, hop, key = best[key]
-            if hop is not None:
-                hops.append(hop)
-        hops.reverse()
-        return _merge(hops)
+            centre = replica.data_centre
+            for previous in centres:
+                start = (position, previous)
+                base = best[start][0] + fixed
+                if previous != centre:
+                    delay = model.delay_s_by_centres.get((previous, centre), 0.0)
+                    base += CROSSING_COST_S + transfer_s + answer * delay
+                for end in bounds:
+                    if end <= position:
+                        continue
+                    if end > last:
+                        break
+                    cost = base + seconds * (end - position)
+                    known = best.get((end, centre))
+                    if known is None:
+                        centres_by_layer.setdefault(end, []).append(centre)
+                    elif known[0] <= cost:
+                        continue
+                    hop = Hop(replica, position, end)
+                    best[end, centre] = (cost, hop, start)
+    return _walk_back(best, model.layers)
+
+
+def _walk_back(
+    best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]],
+    layers: int,
+) -> Path | None:
+    ends = [key for key in best if key[0] == layers]
+    if not ends:
+        return None
+    key: tuple[int, str] | None = min(ends, key=lambda end: best[end][0])
+    hops: list[Hop] = []
+    while key is not None:
+        _, hop, key = best[key]
+        if hop is not None:
+            hops.append(hop)
+    hops.reverse()
+    return _merge(hops)
 
 
 def _merge(hops: list[Hop]) -> Path:
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/call.py
@@ -23,8 +23,18 @@
 class PlainExchange(Exchange):
     """A request to a plain service."""
 
-    __slots__ = ("_body", "_fate", "_headers", "_reason", "_replica", "_sent_at",
-                 "_status", "_stall", "_streams", "_wire")
+    __slots__ = (
+        "_body",
+        "_fate",
+        "_headers",
+        "_reason",
+        "_replica",
+        "_sent_at",
+        "_status",
+        "_stall",
+        "_streams",
+        "_wire",
+    )
 
     def begin(self) -> None:
         """Send the request to the first upstream."""
@@ -141,9 +151,7 @@
         self._body += data
         if len(self._body) > HOLD_BYTES and self._fate is Fate.SERVED:
             self._streams = True
-            self.caller.begin(
-                self._status, self._reason, heads.answered(self._headers)
-            )
+            self.caller.begin(self._status, self._reason, heads.answered(self._headers))
             self.caller.send(bytes(self._body))
             self._body = bytearray()
 
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -184,7 +184,8 @@
         self._has_begun = False
         self._is_chunked = False
         self._active_at = self._server.loop.now
-        if self._closes:
+        # The head of this answer may have been sent before the shutdown began.
+        if self._closes or self._server.is_draining:
             self._close()
             return
         if self._reader.complete or self._parse_error is not None:
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -39,7 +39,9 @@
 from .settings import GatewaySettings
 from .settings import load_settings
 from .settings import parse_address
+from .stream import LEAVING
 from .stream import StreamExchange
+from .suspicion import Suspicion
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
@@ -77,6 +79,8 @@
         self.directory: Directory | None = None
         self._pipelines_by_service: dict[str, Pipelines] = {}
         self._callers: set[Caller] = set()
+        self._streams: set[StreamExchange] = set()
+        self._suspicion = Suspicion(self)
         store = Upstream(settings.store.address, "store")
         self._lists = TableFollower(
             self.loop, self.pool, store, wire_lists.TABLE, self._on_lists, self._rng
@@ -115,8 +119,18 @@
             self._pipelines_by_service[service] = pipelines
         return pipelines
 
+    def streams(self) -> list[StreamExchange]:
+        """Return the streams in work."""
+        return list(self._streams)
+
+    def investigate(self, first: Replica, service: str) -> None:
+        """Find out which engine the requests of a first engine wait for."""
+        self._suspicion.investigate(first, service)
+
     def finished(self, exchange: Exchange, outcome: str) -> None:
         """Take note of a request's end."""
+        if isinstance(exchange, StreamExchange):
+            self._streams.discard(exchange)
         exchange.log(
             "request_ended",
             outcome=outcome,
@@ -153,10 +167,14 @@
         if service is None:
             caller.answer(UNAVAILABLE, b"", ((b"Retry-After", b"0.5"),), b"")
             return None
-        kind = StreamExchange if service.model is not None else PlainExchange
-        exchange = kind(self, caller, request, grant, service)
-        exchange.begin()
-        return exchange
+        if service.model is None:
+            call = PlainExchange(self, caller, request, grant, service)
+            call.begin()
+            return call
+        stream = StreamExchange(self, caller, request, grant, service)
+        self._streams.add(stream)
+        stream.begin()
+        return stream
 
     def on_caller_closed(self, caller: Caller) -> None:
         """Forget a connection."""
@@ -213,6 +231,7 @@
                     layers=replica.layers,
                     version=row.version,
                 )
+        self._leave_draining()
         if is_all:
             self.replicas.replace(found, now, is_store_unsure=self._is_unsure())
             log_event("upstreams_read", count=len(found))
@@ -238,6 +257,15 @@
             log_event("upstream_gone", replica=name, reason="lapsed")
             self._forget_gone()
 
+    def _leave_draining(self) -> None:
+        """Take running streams off the engines that will end, before they do."""
+        for replica in list(self.replicas.by_name.values()):
+            if not replica.is_leaving or replica.layers is None:
+                continue
+            for stream in self.streams():
+                if stream.uses(replica.identity):
+                    stream.leave_engine(replica, LEAVING)
+
     def _forget_gone(self) -> None:
         live = {replica.identity for replica in self.replicas.by_name.values()}
         self.services.forget(live)
@@ -256,9 +284,7 @@
         """Serve until a signal ends it."""
         host = self.settings.host
         listen(self.loop, parse_address(host.callers, "callers"), self._on_accept)
-        listen(
-            self.loop, parse_address(host.readiness, "readiness"), self._on_operator
-        )
+        listen(self.loop, parse_address(host.readiness, "readiness"), self._on_operator)
         self.loop.call_on_signal(signal.SIGTERM, self._drain)
         self.loop.call_on_signal(signal.SIGHUP, self._reload)
         self._lists.start()
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -9,6 +9,7 @@
 from ..core.directory import Service
 from ..core.exchange_headers import HeaderNames
 from ..core.pipelines import Pipelines
+from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..logs import log_event
 from .caller import Caller
@@ -20,7 +21,7 @@
 from .transfer import UpstreamPool
 
 MS_PER_S = 1000
-SENDS_MAX = 4
+SENDS_MAX = 6
 """Sends of one request, those that were refused unread with them."""
 
 ANSWER_MARGIN_S = 0.02
@@ -62,6 +63,10 @@
         """Return the engines of a service."""
         ...
 
+    def investigate(self, first: Replica, service: str) -> None:
+        """Find out which engine the requests of a first engine wait for."""
+        ...
+
     def finished(self, exchange: "Exchange", outcome: str) -> None:
         """Take note of a request's end."""
         ...
@@ -110,9 +115,7 @@
         if told.isdigit():
             deadline_s = int(told) / MS_PER_S
         self.expires_at = request.received_at + deadline_s
-        self.ends_at = min(
-            self.expires_at, request.received_at + grant.route.timeout_s
-        )
+        self.ends_at = min(self.expires_at, request.received_at + grant.route.timeout_s)
         self.sends = 0
         self.runs = 0
         self.may_have_run = False
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -3,10 +3,13 @@
 import random
 import typing as t
 
+import msgspec
+
 from ..core.directory import Directory
 from ..core.directory import Service
 from ..core.layout import Placing
 from ..core.layout import plan
+from ..core.layout import repair
 from ..core.leases import Lease
 from ..core.leases import LeaseLimits
 from ..core.leases import LeaseRead
@@ -27,8 +30,6 @@
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
-import msgspec
-
 TABLE = "leases"
 KEY = "placement"
 
@@ -40,6 +41,10 @@
 """Seconds without a new engine before the first orders go out, so that the plan
 covers all of them."""
 
+REPAIR_AFTER_S = 1.0
+"""Seconds without a change before an engine that holds layers is moved: one that
+restarts is empty and closes the gap itself."""
+
 ORDER_TIMEOUT_S = 1.0
 ORDER_AGAIN_S = 6.0
 """Seconds after which an order without effect is given again; a load takes 2 s."""
@@ -104,9 +109,7 @@
         else:
             self._write(command, lambda answer: self._on_written(command, answer))
 
-    def _write(
-        self, command: LeaseWrite, then: t.Callable[[Answer], None]
-    ) -> None:
+    def _write(self, command: LeaseWrite, then: t.Callable[[Answer], None]) -> None:
         value = msgspec.json.encode(encode_lease(command.row))
         call = wire.transact_call(
             [(TABLE, KEY, command.version)], [(TABLE, KEY, value)]
@@ -190,8 +193,9 @@
         assert service.model is not None
         replicas = self._replicas.usable(service.name)
         for replica in replicas:
-            if replica.layers is not None:
-                self._ordered.pop(replica.identity, None)
+            ordered = self._ordered.get(replica.identity)
+            if ordered is not None and replica.layers == ordered[0]:
+                del self._ordered[replica.identity]
         ranges = {}
         for identity, (held, at) in list(self._ordered.items()):
             if now - at < ORDER_AGAIN_S:
@@ -200,6 +204,10 @@
             del self._ordered[identity]
         for placing in plan(service.model, replicas, ranges):
             self._order(placing)
+        if now - self._changed_at < REPAIR_AFTER_S:
+            return
+        for placing in repair(service.model, replicas, ranges):
+            self._order(placing)
 
     def _order(self, placing: Placing) -> None:
         replica = placing.replica
@@ -207,9 +215,11 @@
         identity = replica.identity
         self._ordered[identity] = ((placing.first, placing.last), now)
         self.orders += 1
-        call = engine_wire.place_call(
-            placing.first, placing.last, self._orders_by_identity.get(identity, 0)
-        )
+        # An engine that holds layers had orders that this host may not know of.
+        count = self._orders_by_identity.get(identity)
+        if count is None and replica.layers is None:
+            count = 0
+        call = engine_wire.place_call(placing.first, placing.last, count)
         log_event(
             "order_sent",
             replica=replica.name,
@@ -227,8 +237,8 @@
                 reason=answer.reason,
             )
             if answer.status in (200, 202):
-                orders = self._orders_by_identity.get(identity, 0) + 1
-                self._orders_by_identity[identity] = orders
+                if count is not None:
+                    self._orders_by_identity[identity] = count + 1
             elif answer.loss is not Loss.UNKNOWN:
                 self._ordered.pop(identity, None)
 
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -1,37 +1,75 @@
 """Requests to model engines: a stream of events over a pipeline."""
 
 from ..core.events import EventSplitter
+from ..core.pipelines import Hop
 from ..core.pipelines import Path
 from ..core.replicas import Replica
+from ..platform import engines as engine_wire
 from ..platform import headers as wire_headers
 from . import heads
 from .exchange import BAD_GATEWAY
 from .exchange import GATEWAY_TIMEOUT
 from .exchange import Exchange
 from .exchange import Fate
+from .fetch import Answer
+from .fetch import Fetch
 from .loop import Timer
 from .requests import Header
 from .transfer import Loss
 from .transfer import Upstream
 from .transfer import Wire
 
-STALL_S = 0.6
+QUIET_S = 0.25
+"""Seconds without an event after which the first engine is asked for the cause:
+longer than engines need for an event, and the age of their reports."""
+
+ORDER_TIMEOUT_S = 0.3
+
+LEAVING = "leaving"
+"""The reason to leave an engine that still serves what it has."""
+
+STALL_S = 0.7
 """Seconds without an event after which a pipeline is taken to stand still."""
 
 FIRST_EVENT_S = 0.8
 """Seconds for the first event, beside the reading of the prompt."""
 
 SUSPECT_S = 3.0
-"""Seconds that the engines of a failed pipeline are avoided."""
+"""Seconds that an engine at fault is avoided by all requests."""
+
+PAUSE_S = 0.15
+"""Seconds before a begun answer that no pipeline takes is tried again."""
+
+PATIENCE_S = 1.6
+"""Seconds without an event after which a begun answer is given up: callers give
+up after two."""
 
 
 class StreamExchange(Exchange):
     """A request that engines answer with events."""
 
-    __slots__ = ("_answer_tokens", "_common", "_fate", "_first_headers",
-                 "_first_reason", "_headers", "_is_whole", "_path", "_progress_at",
-                 "_prompt_tokens", "_reason", "_splitter", "_stall", "_status",
-                 "_taken", "_wire", "avoid", "events")
+    __slots__ = (
+        "_answer_tokens",
+        "_common",
+        "_fate",
+        "_first_headers",
+        "_first_reason",
+        "_has_asked",
+        "_headers",
+        "_is_whole",
+        "_path",
+        "_progress_at",
+        "_prompt_tokens",
+        "_reason",
+        "_sent_at",
+        "_splitter",
+        "_stall",
+        "_status",
+        "_taken",
+        "_wire",
+        "avoid",
+        "events",
+    )
 
     def begin(self) -> None:
         """Send the request down its first pipeline."""
@@ -52,6 +90,7 @@
         self._stall: Timer | None = None
         self._first_headers: list[Header] | None = None
         self._status = 0
+        self._progress_at = self.context.loop.now
         self.events = 0
         self.avoid: set[tuple[str, int]] = set()
         self._attempt("no pipeline")
@@ -79,20 +118,11 @@
 
     def _attempt(self, reason: str) -> None:
         context = self.context
-        model = self.service.model
-        assert model is not None
         pipelines = context.pipelines(self.service.name)
         now = context.loop.now
-        path = pipelines.choose(
-            model,
-            context.replicas.usable(self.service.name),
-            self._prompt_tokens,
-            self._answer_tokens,
-            now,
-            self.avoid,
-        )
+        path = self._choose(None)
         if path is None:
-            self.refuse(reason)
+            self._give_up(reason)
             return
         if self.sends == 0:
             context.allowance.requested(self.service.name, now)
@@ -122,12 +152,27 @@
         )
         self._splitter = EventSplitter(self._splitter.last_id)
         upstream = Upstream(first.address, first.identity)
-        self._progress_at = now
+        self._sent_at = now
         self._wire = context.pool.send(upstream, data, self, fresh=False)
         if self._wire is None:
             self.on_lost(Loss.NOT_SENT, "no connection")
             return
-        self._watch(FIRST_EVENT_S)
+        self._has_asked = False
+        self._watch(FIRST_EVENT_S / 2)
+
+    def _choose(self, head: Hop | None) -> Path | None:
+        model = self.service.model
+        assert model is not None
+        context = self.context
+        return context.pipelines(self.service.name).choose(
+            model,
+            context.replicas.usable(self.service.name),
+            self._prompt_tokens,
+            self._answer_tokens,
+            context.loop.now,
+            self.avoid,
+            head,
+        )
 
     def _watch(self, delay_s: float) -> None:
         if self._stall is not None:
@@ -139,21 +184,94 @@
         if self.is_over:
             return
         limit = STALL_S if self._splitter.count else FIRST_EVENT_S
-        waited = self.context.loop.now - self._progress_at
-        if waited < limit:
+        quiet = QUIET_S if self._splitter.count else FIRST_EVENT_S / 2
+        waited = self.context.loop.now - max(self._progress_at, self._sent_at)
+        if waited >= limit:
+            self._on_stalled(waited)
+            return
+        if waited >= quiet:
+            self._on_quiet(waited)
             self._watch(limit - waited + 0.001)
             return
-        self._on_stalled(waited)
+        self._has_asked = False
+        self._watch(quiet - waited + 0.001)
 
     def _on_stalled(self, waited: float) -> None:
+        self.log("stream_stalled", waited=waited, events=self.events)
         if not self.grant.route.may_repeat or not self.may_send_again():
             return
-        self.log("stream_stalled", waited=waited, events=self.events)
         self.may_have_run = True
         self._blame(self._path[0].replica if len(self._path) == 1 else None)
         self._leave()
         self._attempt("stalled")
 
+    def _on_quiet(self, waited: float) -> None:
+        """Ask the first engine which one the request waits for."""
+        if self._has_asked or not self._path:
+            return
+        self._has_asked = True
+        self.log("stream_quiet", level="DEBUG", waited=waited, events=self.events)
+        self.context.investigate(self._path[0].replica, self.service.name)
+
+    def uses(self, identity: tuple[str, int]) -> bool:
+        """Tell whether an engine is on the request's path."""
+        return any(hop.replica.identity == identity for hop in self._path)
+
+    def waits(self, now: float) -> bool:
+        """Tell whether the request has had no event for a while."""
+        return now - max(self._progress_at, self._sent_at) > QUIET_S
+
+    def leave_engine(self, replica: Replica, reason: str) -> None:
+        """Go on without an engine, on a new path from the same first one."""
+        if self.is_over or self._wire is None or not self._path:
+            return
+        head = self._path[0]
+        if head.replica.identity == replica.identity:
+            if reason == LEAVING:
+                return
+            if self.grant.route.may_repeat and self.may_send_again():
+                self.may_have_run = True
+                self._blame(replica)
+                self._leave()
+                self._attempt(reason)
+            return
+        self.avoid.add(replica.identity)
+        path = self._choose(head)
+        if path is None or any(hop.replica is replica for hop in path):
+            return
+        self.log("path_changed", replica=replica.name, reason=reason)
+        self._order_path(path)
+
+    def _order_path(self, path: Path) -> None:
+        head = path[0].replica
+        wire = self._wire
+        hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
+        call = engine_wire.repath_call(
+            self.attempt_id.decode("latin-1"), wire_headers.write_path(hops)
+        )
+
+        def on_answer(answer: Answer) -> None:
+            if self.is_over or self._wire is not wire:
+                return
+            if answer.status not in (200, 202):
+                self.log("path_kept", level="WARNING", status=answer.status)
+                return
+            pipelines = self.context.pipelines(self.service.name)
+            pipelines.give_back(self._path, self._taken)
+            self._path = path
+            pipelines.take(path, self._taken)
+            self._sent_at = self.context.loop.now
+            self._watch(STALL_S)
+
+        Fetch(
+            self.context.loop,
+            self.context.pool,
+            Upstream(head.address, head.identity),
+            call,
+            ORDER_TIMEOUT_S,
+            on_answer,
+        )
+
     def _blame(self, replica: Replica | None) -> None:
         """Avoid the engine at fault, or all of the path where it is not known."""
         if replica is not None:
@@ -173,9 +291,7 @@
         if wire is not None:
             wire.cancel()
         if self._path:
-            self.context.pipelines(self.service.name).give_back(
-                self._path, self._taken
-            )
+            self.context.pipelines(self.service.name).give_back(self._path, self._taken)
             self._path = ()
 
     # The upstream's answer.
@@ -268,7 +384,25 @@
         if self.may_send_again():
             self._attempt(reason)
             return
-        self.refuse(reason)
+        self._give_up(reason)
+
+    def _give_up(self, reason: str) -> None:
+        """End the request, unless part of its answer is out and time is left."""
+        loop = self.context.loop
+        waited = loop.now - self._progress_at
+        if not self.caller.has_begun or waited > PATIENCE_S or self.left_s < PAUSE_S:
+            self.refuse(reason)
+            return
+        self._stall = loop.call_later(PAUSE_S, lambda: self._resume(reason))
+
+    def _resume(self, reason: str) -> None:
+        self._stall = None
+        if self.is_over:
+            return
+        if self.may_send_again():
+            self._attempt(reason)
+            return
+        self._give_up(reason)
 
     def _end_failed(self) -> None:
         self._leave()
--- /dev/null
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -0,0 +1,82 @@
+"""Engines that requests wait for: found by reports, avoided, left by streams."""
+
+import typing as t
+
+from ..core.replicas import Replica
+from ..exceptions import UpstreamError
+from ..logs import log_event
+from ..platform import engines as engine_wire
+from .fetch import Answer
+from .fetch import Fetch
+from .transfer import Upstream
+
+if t.TYPE_CHECKING:
+    from .daemon import Gateway
+
+REPORT_TIMEOUT_S = 0.3
+"""Seconds for a report: an engine that answers does so within milliseconds."""
+
+REPORT_INTERVAL_S = 0.15
+"""Seconds between two reports of the same engine: each is priced, and old."""
+
+SUSPECT_S = 3.0
+"""Seconds that an engine is avoided; one that is dead is off the list by then."""
+
+
+class Suspicion:
+    """Investigates stalls of the gateway's streams."""
+
+    __slots__ = ("_asked_at_by_name", "_gateway")
+
+    def __init__(self, gateway: "Gateway") -> None:
+        self._gateway = gateway
+        self._asked_at_by_name: dict[str, float] = {}
+
+    def investigate(self, first: Replica, service: str) -> None:
+        """Ask a first engine which engines its requests wait for."""
+        loop = self._gateway.loop
+        asked_at = self._asked_at_by_name.get(first.name, float("-inf"))
+        if loop.now - asked_at < REPORT_INTERVAL_S:
+            return
+        self._asked_at_by_name[first.name] = loop.now
+
+        def on_answer(answer: Answer) -> None:
+            if answer.status == 0:
+                self.suspect(first, service, f"no report: {answer.reason}")
+                return
+            self._take(first, service, answer)
+
+        Fetch(
+            loop,
+            self._gateway.pool,
+            Upstream(first.address, first.identity),
+            engine_wire.report_call(),
+            REPORT_TIMEOUT_S,
+            on_answer,
+        )
+
+    def suspect(self, replica: Replica, service: str, reason: str) -> None:
+        """Avoid an engine, and take the streams off it that wait."""
+        gateway = self._gateway
+        now = gateway.loop.now
+        pipelines = gateway.pipelines(service)
+        is_new = pipelines.use(replica).suspect_until <= now
+        pipelines.suspect(replica, now + SUSPECT_S)
+        if is_new:
+            log_event("engine_suspected", replica=replica.name, reason=reason)
+        for stream in gateway.streams():
+            if stream.uses(replica.identity) and stream.waits(now):
+                stream.leave_engine(replica, reason)
+
+    def _take(self, first: Replica, service: str, answer: Answer) -> None:
+        try:
+            report = engine_wire.decode_report(answer.body)
+        except UpstreamError as error:
+            log_event("report_unreadable", level="WARNING", reason=error)
+            return
+        addresses = {stalled.address for stalled in report.stalled}
+        if not addresses:
+            return
+        for replica in self._gateway.replicas.usable(service):
+            if replica.address in addresses and replica is not first:
+                self.suspect(replica, service, f"stalled at {first.name}")
--- a/src/wagtailstair/platform/store.py
+++ b/src/wagtailstair/platform/store.py
@@ -89,9 +89,7 @@
             }
             for table, key, value in writes
         ],
-        "remove": [
-            {"table": table, "part": "", "key": key} for table, key in removals
-        ],
+        "remove": [{"table": table, "part": "", "key": key} for table, key in removals],
     }
     return Call("POST", TRANSACT_PATH, msgspec.json.encode(body))
 
