Share use of engines, suspicions and lists among hosts; paths change in flight

Cause: each host counted its own requests eight times for want of the others' figures, so that engines of its data centre seemed full and requests were sent across a cut; one stalled engine was found by each request by itself; lists and upstreams were unknown while a host could not reach the store.

Ruled out: holes of coverage in the data centre that was cut off.

--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -27,11 +27,11 @@
 from .peers.bulk import serve_lists
 from .peers.node import Node
 from .peers.transport import UdpTransport
+from .settings import Settings
 from .stores.hosts import HostEntry
 from .stores.lists import read_head
 from .stores.lists import read_since
 from .stores.table import Table
-from .settings import Settings
 
 REFRESH_TIMEOUT_S = 2.0
 FORBIDDEN = 403
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -22,11 +22,15 @@
 KV_COST_S = 4.0
 """Seconds that a full KV memory costs: about a preempted request's second run."""
 
+KV_COST_MAX_S = 3.0
+"""Most seconds that a full KV memory costs: waiting there ends at some time."""
+
 CROSSING_COST_S = 0.4
 """Seconds that a crossing between data centres costs, for the shared pipe's sake."""
 
-SUSPECT_COST_S = 5.0
-"""Seconds that an engine under suspicion costs: a stall and a new attempt."""
+SUSPECT_COST_S = 60.0
+"""Seconds that an engine under suspicion costs: more than all else together, so
+that it is taken only where no other holds its layers."""
 
 AVOIDED_COST_S = 2.0
 """Seconds that an engine of an earlier attempt costs, where the one at fault is
@@ -53,13 +57,15 @@
     """What requests of this host hold on an engine.
 
     ``token_layers``: KV memory; ``running``: requests; ``suspect_until``: the
-    engine failed or stalled and is avoided till then.
+    engine failed or stalled and is avoided till then; ``was_told``: peers have
+    heard of requests on it.
     """
 
     token_layers: float = 0.0
     running: int = 0
     suspect_until: float = 0.0
     slowness: float = 1.0
+    was_told: bool = False
 
 
 def kv_room(model: ModelSpec, replica: Replica) -> float:
@@ -78,12 +84,13 @@
     :param data_centre: that of this host, where pipelines begin if they can.
     """
 
-    __slots__ = ("_data_centre", "_rng", "hosts", "use_by_identity")
+    __slots__ = ("_data_centre", "_peer_use", "_rng", "use_by_identity")
 
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
-        self.hosts = 1
+        # By engine, then by host: requests and token-layers.
+        self._peer_use: dict[str, dict[str, tuple[int, float]]] = {}
         self.use_by_identity: dict[tuple[str, int], EngineUse] = {}
 
     def use(self, replica: Replica) -> EngineUse:
@@ -107,6 +114,26 @@
             use.running -= 1
             use.token_layers -= tokens * (hop.last - hop.first)
 
+    def note_peer(
+        self, host: str, engine: str, running: int, token_layers: float
+    ) -> None:
+        """Take what a peer has running on an engine."""
+        self._peer_use.setdefault(engine, {})[host] = (running, token_layers)
+
+    def forget_peer(self, host: str) -> None:
+        """Drop what a peer had running."""
+        for by_host in self._peer_use.values():
+            by_host.pop(host, None)
+
+    def total(self, replica: Replica) -> tuple[int, float]:
+        """Return the requests and token-layers of all hosts on an engine."""
+        use = self.use(replica)
+        running, held = max(0, use.running), max(0.0, use.token_layers)
+        for peer_running, peer_held in self._peer_use.get(replica.name, {}).values():
+            running += peer_running
+            held += peer_held
+        return running, held
+
     def suspect(self, replica: Replica, until: float) -> None:
         """Avoid an engine for a while."""
         use = self.use(replica)
@@ -148,7 +175,7 @@
             seconds, fill = self._layer_cost(model, replica, prompt, answer)
             fixed = answer * EVENTLESS_HOP_S
             if fill > KV_SOFT_SHARE:
-                fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
+                fixed += min(KV_COST_MAX_S, KV_COST_S * (fill - KV_SOFT_SHARE))
             if self.use(replica).suspect_until > now:
                 fixed += SUSPECT_COST_S
             if replica.identity in avoid:
@@ -167,13 +194,12 @@
         """Return seconds a layer, and how full the engine's KV memory would be."""
         kind = model.accelerator_by_name[replica.accelerator]
         use = self.use(replica)
-        running = max(0, use.running) * self.hosts
+        running, held = self.total(replica)
         step = (model.step_s + model.sequence_s * running) * kind.step_factor
         read = kind.read_factor / model.read_tokens_per_s
         seconds = (answer * step + prompt * read) * use.slowness / model.layers
         seconds *= 1 + JITTER * self._rng.random()
         room = kv_room(model, replica)
-        held = use.token_layers * self.hosts
         assert replica.layers is not None
         wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
         fill = (held + wanted) / room if room > 0 else 10.0
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -38,9 +38,6 @@
 from .metrics import Metrics
 from .placement import LeaseKeeper
 from .placement import Placer
-from .stores.http import Timeouts
-from .stores.objects import ObjectClient
-from .stores.table import TableClient
 from .relay import Relays
 from .report import describe_pools
 from .report import describe_upstreams
@@ -50,6 +47,9 @@
 from .settings import LEASE_MARGIN_S
 from .settings import Settings
 from .settings import load_settings
+from .stores.http import Timeouts
+from .stores.objects import ObjectClient
+from .stores.table import TableClient
 from .sweep import Sweeper
 from .upstreams.loop import Loop
 from .upstreams.orders import EngineOrders
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/call.py
@@ -30,8 +30,8 @@
         "_reason",
         "_replica",
         "_sent_at",
-        "_status",
         "_stall",
+        "_status",
         "_streams",
         "_wire",
     )
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -14,26 +14,24 @@
 from ..core.balance import Balance
 from ..core.directory import CallerLimits
 from ..core.directory import Denial
-from ..core.directory import Directory
+from ..core.hosts import Host
+from ..core.messages import EngineLoad
+from ..core.messages import EngineLost
 from ..core.pipelines import Pipelines
 from ..core.replicas import Replica
-from ..core.replicas import ReplicaSet
-from ..core.store import StoreRow
-from ..exceptions import ListsError
 from ..exceptions import SettingsError
-from ..exceptions import UpstreamError
 from ..logs import configure_logs
 from ..logs import log_event
 from ..platform import headers as wire_headers
-from ..platform import lists as wire_lists
-from ..platform import replicas as wire_replicas
+from .answering import AnswerServer
 from .call import PlainExchange
 from .caller import Caller
 from .caller import Running
 from .connection import listen
 from .exchange import Exchange
-from .follower import TableFollower
+from .knowledge import Knowledge
 from .loop import Loop
+from .peers import Peers
 from .placer import Placer
 from .requests import Request
 from .settings import GatewaySettings
@@ -45,7 +43,7 @@
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
-SETTLE_TICK_S = 0.25
+UINT32_MAX = (1 << 32) - 1
 
 IDLE_CLOSE_S = 3.2
 """Seconds after the signal at which idle connections are closed: by then the
@@ -69,38 +67,40 @@
         self.loop = Loop(clock)
         self.names = wire_headers.HEADER_NAMES
         self.pool = UpstreamPool(self.loop)
-        self.replicas = ReplicaSet(settings.store.lapse_s)
         self._rng = random.Random()
         centre = settings.host.data_centre
+        store = Upstream(settings.store.address, "store")
+        self.knowledge = Knowledge(
+            self.loop,
+            self.pool,
+            store,
+            settings.store.lapse_s,
+            self._rng,
+            on_lists=lambda: None,
+            on_replicas=self._on_replicas,
+            peers=lambda: self.peers.live_hosts(),
+        )
+        self.replicas = self.knowledge.replicas
+        self._incarnation = int(clock.utcnow().timestamp() * 1000)
+        self.peers = Peers(
+            self.loop, self.pool, store, self._own_host(), self, self._rng
+        )
         self.services = Balance(self.replicas, centre, self._rng)
         retries = settings.retries
         self.allowance = Allowance(retries.ratio, retries.slack, retries.window_s)
         self.is_draining = False
-        self.directory: Directory | None = None
         self._pipelines_by_service: dict[str, Pipelines] = {}
         self._callers: set[Caller] = set()
         self._streams: set[StreamExchange] = set()
         self._suspicion = Suspicion(self)
-        store = Upstream(settings.store.address, "store")
-        self._lists = TableFollower(
-            self.loop, self.pool, store, wire_lists.TABLE, self._on_lists, self._rng
-        )
-        self._upstreams = TableFollower(
-            self.loop,
-            self.pool,
-            store,
-            wire_replicas.TABLE,
-            self._on_replicas,
-            self._rng,
-        )
-        holder = f"{settings.host.name}/{clock.utcnow().timestamp():.3f}"
+        holder = f"{settings.host.name}/{self._incarnation}"
         self._placer = Placer(
             self.loop,
             self.pool,
             store,
             holder,
             self.replicas,
-            lambda: self.directory,
+            lambda: self.knowledge.directory,
             self._rng,
         )
 
@@ -108,14 +108,13 @@
 
     def hosts(self) -> int:
         """Return how many hosts share the budgets."""
-        return 8
+        return self.peers.count()
 
     def pipelines(self, service: str) -> Pipelines:
         """Return the engines of a service."""
         pipelines = self._pipelines_by_service.get(service)
         if pipelines is None:
             pipelines = Pipelines(self.settings.host.data_centre, self._rng)
-            pipelines.hosts = self.hosts()
             self._pipelines_by_service[service] = pipelines
         return pipelines
 
@@ -138,15 +137,72 @@
             took=self.loop.now - exchange.request.received_at,
         )
 
+    # What peers need.
+
+    def _own_host(self) -> Host:
+        host = self.settings.host
+        port = host.peer_ports[0]
+        address = f"{host.address}:{port}"
+        return Host(host.name, host.data_centre, address, address, self._incarnation)
+
+    def lists_version(self) -> int:
+        """Return the version of the lists in force here."""
+        return self.knowledge.lists_version()
+
+    def engine_loads(self) -> list[EngineLoad]:
+        """Return what this host has running on engines."""
+        loads = []
+        for pipelines in self._pipelines_by_service.values():
+            for (name, incarnation), use in pipelines.use_by_identity.items():
+                if use.running <= 0 and not use.was_told:
+                    continue
+                use.was_told = use.running > 0
+                held = max(0, min(UINT32_MAX, int(use.token_layers)))
+                loads.append(
+                    EngineLoad(
+                        name, incarnation & UINT32_MAX, use.running, 0, held, 0.0, 0.0
+                    )
+                )
+        return loads
+
+    def on_engine_load(self, host: str, load: EngineLoad) -> None:
+        """Take what a peer has running on an engine."""
+        replica = self.replicas.by_name.get(load.name)
+        if replica is None or replica.incarnation & UINT32_MAX != load.incarnation:
+            return
+        pipelines = self.pipelines(replica.service)
+        pipelines.note_peer(host, load.name, load.running, load.kv_used)
+
+    def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
+        """Take a peer's suspicion of an engine."""
+        replica = self.replicas.by_name.get(lost.name)
+        if replica is None or str(replica.incarnation) != lost.incarnation:
+            return
+        self._suspicion.suspect(replica, replica.service, f"told by {host.name}")
+
+    def on_newer_lists(self, host: Host, _version: int) -> None:
+        """Take word of a version of the lists that is not in force here."""
+        self.knowledge.ask_lists(host)
+
+    def on_peer_gone(self, name: str) -> None:
+        """Forget what a peer had running."""
+        for pipelines in self._pipelines_by_service.values():
+            pipelines.forget_peer(name)
+
+    def tell_lost(self, replica: Replica) -> None:
+        """Tell the hosts of this data centre of a suspicion."""
+        self.peers.tell_lost(EngineLost(replica.name, str(replica.incarnation)))
+
     # What callers' connections need.
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits in force."""
-        return CallerLimits() if self.directory is None else self.directory.limits
+        directory = self.knowledge.directory
+        return CallerLimits() if directory is None else directory.limits
 
     def start(self, caller: Caller, request: Request) -> Running | None:
         """Begin a request."""
-        directory = self.directory
+        directory = self.knowledge.directory
         if directory is None:
             caller.answer(UNAVAILABLE, b"", ((b"Retry-After", b"0.5"),), b"")
             return None
@@ -189,73 +245,12 @@
         names = [name for name, _ in targets]
         return self._rng.choices(names, [weight for _, weight in targets])[0]
 
-    # What the store tells.
-
-    def _on_lists(self, rows: tuple[StoreRow, ...], _is_all: bool) -> None:
-        for row in rows:
-            if not wire_lists.is_directory_row(row.table, row.key):
-                continue
-            if row.value is None:
-                continue
-            self._take_lists(row.value)
-
-    def _take_lists(self, value: bytes) -> None:
-        try:
-            directory = wire_lists.decode_directory(value)
-        except ListsError as error:
-            log_event("lists_unreadable", level="ERROR", reason=error)
-            return
-        if self.directory is not None and directory.version <= self.directory.version:
-            return
-        old = self.directory.version if self.directory is not None else 0
-        self.directory = directory
-        log_event("lists_taken", version=directory.version, before=old)
-
-    def _on_replicas(self, rows: tuple[StoreRow, ...], is_all: bool) -> None:
-        now = self.loop.now
-        found = []
-        for row in rows:
-            if row.value is None:
-                self.replicas.remove(row.key, now, is_store_unsure=self._is_unsure())
-                log_event("upstream_gone", replica=row.key, version=row.version)
-                continue
-            replica = self._decode_replica(row)
-            if replica is None:
-                continue
-            found.append(replica)
-            if not is_all and self.replicas.put(replica):
-                log_event(
-                    "upstream_changed",
-                    replica=replica.name,
-                    leaving=replica.is_leaving,
-                    layers=replica.layers,
-                    version=row.version,
-                )
+    def _on_replicas(self) -> None:
         self._leave_draining()
-        if is_all:
-            self.replicas.replace(found, now, is_store_unsure=self._is_unsure())
-            log_event("upstreams_read", count=len(found))
-        self._forget_gone()
-
-    def _decode_replica(self, row: StoreRow) -> Replica | None:
-        assert row.value is not None
-        try:
-            return wire_replicas.decode_replica(row.key, row.value)
-        except UpstreamError as error:
-            log_event("upstream_unreadable", level="WARNING", reason=error)
-            return None
-
-    def _is_unsure(self) -> bool:
-        followers = (self._lists, self._upstreams)
-        failed_at = max(follower.failed_at for follower in followers)
-        return self.loop.now - failed_at < self.settings.store.lapse_s
-
-    def _settle(self) -> None:
-        self.loop.call_later(SETTLE_TICK_S, self._settle)
-        is_away = self._upstreams.is_away
-        for name in self.replicas.settle(self.loop.now, is_store_away=is_away):
-            log_event("upstream_gone", replica=name, reason="lapsed")
-            self._forget_gone()
+        live = {replica.identity for replica in self.replicas.by_name.values()}
+        self.services.forget(live)
+        for pipelines in self._pipelines_by_service.values():
+            pipelines.forget(live)
 
     def _leave_draining(self) -> None:
         """Take running streams off the engines that will end, before they do."""
@@ -266,31 +261,24 @@
                 if stream.uses(replica.identity):
                     stream.leave_engine(replica, LEAVING)
 
-    def _forget_gone(self) -> None:
-        live = {replica.identity for replica in self.replicas.by_name.values()}
-        self.services.forget(live)
-        for pipelines in self._pipelines_by_service.values():
-            pipelines.forget(live)
-
     # Readiness and life.
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send new connections."""
-        if self.is_draining or self.directory is None:
-            return False
-        return self._upstreams.version is not None
+        return self.knowledge.is_complete and not self.is_draining
 
     def run(self) -> None:
         """Serve until a signal ends it."""
         host = self.settings.host
         listen(self.loop, parse_address(host.callers, "callers"), self._on_accept)
         listen(self.loop, parse_address(host.readiness, "readiness"), self._on_operator)
+        own = self._own_host()
+        listen(self.loop, parse_address(own.address, "peer_ports"), self._on_peer)
         self.loop.call_on_signal(signal.SIGTERM, self._drain)
         self.loop.call_on_signal(signal.SIGHUP, self._reload)
-        self._lists.start()
-        self._upstreams.start()
+        self.knowledge.start()
+        self.peers.start()
         self._placer.start()
-        self.loop.call_later(SETTLE_TICK_S, self._settle)
         log_event("started", address=host.callers)
         self.loop.run()
         log_event("stopped")
@@ -299,7 +287,17 @@
         self._callers.add(Caller(self, sock))
 
     def _on_operator(self, sock: socket.socket) -> None:
-        Caller(_Readiness(self), sock)
+        Caller(AnswerServer(self.loop, self._answer_readiness), sock)
+
+    def _answer_readiness(self, _request: Request) -> tuple[int, bytes]:
+        return (OK if self.is_ready() else UNAVAILABLE), b""
+
+    def _on_peer(self, sock: socket.socket) -> None:
+        Caller(AnswerServer(self.loop, self._answer_peer), sock)
+
+    def _answer_peer(self, request: Request) -> tuple[int, bytes]:
+        body = self.knowledge.relayed(request.path)
+        return (NOT_FOUND, b"") if body is None else (OK, body)
 
     def _reload(self) -> None:
         log_event("reload")
@@ -310,6 +308,7 @@
         self.is_draining = True
         log_event("draining", connections=len(self._callers))
         self._placer.release()
+        self.peers.leave()
         self.loop.call_later(IDLE_CLOSE_S, self._close_idle)
         grace_s = self.settings.shutdown.grace_s - EXIT_MARGIN_S
         self.loop.call_later(grace_s, self._cut_rest)
@@ -333,29 +332,6 @@
         self.loop.stop()
 
 
-class _Readiness:
-    """Answers the balancer's question whether this host is ready."""
-
-    is_draining = False
-
-    def __init__(self, gateway: Gateway) -> None:
-        self._gateway = gateway
-        self.loop = gateway.loop
-
-    def caller_limits(self) -> CallerLimits:
-        """Return the limits of the operators' side."""
-        return CallerLimits()
-
-    def start(self, caller: Caller, _request: Request) -> Running | None:
-        """Answer at once."""
-        status = OK if self._gateway.is_ready() else UNAVAILABLE
-        caller.answer(status, b"", (), b"")
-        return None
-
-    def on_caller_closed(self, caller: Caller) -> None:
-        """Nothing is kept of these connections."""
-
-
 def main(argv: t.Sequence[str] | None = None) -> int:
     """Run the gateway with the settings file that is named; return the exit code."""
     arguments = sys.argv[1:] if argv is None else list(argv)
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -64,6 +64,12 @@
         self._pages = []
         self._read("")
 
+    def take(self, version: int, rows: tuple[StoreRow, ...]) -> None:
+        """Take all rows of the table from a peer, if they are newer."""
+        if self.version is None or version > self.version:
+            self.version = version
+            self._on_rows(rows, True)
+
     def refresh(self) -> None:
         """Ask anew at once, on a new connection: the present call may be dead."""
         if self._fetch is not None and self.version is not None and not self.is_away:
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -23,6 +23,8 @@
 """Seconds without an event after which the first engine is asked for the cause:
 longer than engines need for an event, and the age of their reports."""
 
+ASK_AGAIN_S = 0.15
+
 ORDER_TIMEOUT_S = 0.3
 
 LEAVING = "leaving"
@@ -54,7 +56,6 @@
         "_fate",
         "_first_headers",
         "_first_reason",
-        "_has_asked",
         "_headers",
         "_is_whole",
         "_path",
@@ -157,7 +158,6 @@
         if self._wire is None:
             self.on_lost(Loss.NOT_SENT, "no connection")
             return
-        self._has_asked = False
         self._watch(FIRST_EVENT_S / 2)
 
     def _choose(self, head: Hop | None) -> Path | None:
@@ -191,9 +191,8 @@
             return
         if waited >= quiet:
             self._on_quiet(waited)
-            self._watch(limit - waited + 0.001)
+            self._watch(min(ASK_AGAIN_S, limit - waited) + 0.001)
             return
-        self._has_asked = False
         self._watch(quiet - waited + 0.001)
 
     def _on_stalled(self, waited: float) -> None:
@@ -207,9 +206,8 @@
 
     def _on_quiet(self, waited: float) -> None:
         """Ask the first engine which one the request waits for."""
-        if self._has_asked or not self._path:
+        if not self._path:
             return
-        self._has_asked = True
         self.log("stream_quiet", level="DEBUG", waited=waited, events=self.events)
         self.context.investigate(self._path[0].replica, self.service.name)
 
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -74,9 +74,19 @@
         except UpstreamError as error:
             log_event("report_unreadable", level="WARNING", reason=error)
             return
+        log_event(
+            "engine_reported",
+            level="DEBUG",
+            replica=first.name,
+            running=report.running,
+            waiting=report.waiting,
+            stalled=len(report.stalled),
+            slowness=report.slowness,
+        )
         addresses = {stalled.address for stalled in report.stalled}
         if not addresses:
             return
         for replica in self._gateway.replicas.usable(service):
             if replica.address in addresses and replica is not first:
                 self.suspect(replica, service, f"stalled at {first.name}")
+                self._gateway.tell_lost(replica)
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -11,12 +11,12 @@
 from ..exceptions import PlatformError
 from ..exceptions import UpstreamError
 from ..logs import log_event
+from ..settings import PlatformSection
 from ..stores.hosts import ENGINE
 from ..stores.hosts import ENTRY
 from ..stores.hosts import SERVICE
 from ..stores.hosts import HostEntry
 from ..stores.hosts import decode_hosts
-from ..settings import PlatformSection
 from .engine import decode_state
 from .loop import Loop
 from .transfer import Sent
