Test the core of the gateway; a crossing costs more than slow engines

Cause: a pipeline left its data centre for a faster engine and came back, for 1 s less of decoding that no caller sees, at the price of a crowded pipe.

--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -6,6 +6,7 @@
 """
 
 import dataclasses
+import itertools
 import typing as t
 
 from .directory import ModelSpec
@@ -154,7 +155,7 @@
 def _starts_over(gaps: list[int], size: int, layers: int) -> list[int]:
     """Return where a range may begin so that it begins or ends with a gap."""
     starts = {min(gaps[0], layers - size), max(0, gaps[-1] + 1 - size)}
-    for before, after in zip(gaps, gaps[1:], strict=False):
+    for before, after in itertools.pairwise(gaps):
         if after > before + 1:
             starts.add(min(after, layers - size))
             starts.add(max(0, before + 1 - size))
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -25,8 +25,9 @@
 KV_COST_MAX_S = 3.0
 """Most seconds that a full KV memory costs: waiting there ends at some time."""
 
-CROSSING_COST_S = 0.4
-"""Seconds that a crossing between data centres costs, for the shared pipe's sake."""
+CROSSING_COST_S = 2.0
+"""Seconds that a crossing between data centres costs: the pipe is shared, and a
+cut takes the request with it. More than slow engines cost, less than full ones."""
 
 SUSPECT_COST_S = 60.0
 """Seconds that an engine under suspicion costs: more than all else together, so
@@ -164,7 +165,6 @@
         engines = []
         start = 0 if head is None else head.last
         centre = self._data_centre if head is None else head.replica.data_centre
-        bounds = {start, model.layers}
         for replica in replicas:
             if replica.layers is None:
                 continue
@@ -180,10 +180,9 @@
                 fixed += SUSPECT_COST_S
             if replica.identity in avoid:
                 fixed += AVOIDED_COST_S
-            engines.append((replica, seconds, fixed))
-            bounds.update(bound for bound in replica.layers if bound > start)
+            engines.append(_Engine(replica, seconds, fixed))
         origin = (start, centre)
-        path = _shortest(model, engines, sorted(bounds), origin, prompt, answer)
+        path = _shortest(model, engines, origin, prompt, answer)
         if path is None or head is None:
             return path
         return (head, *path)
@@ -206,64 +205,99 @@
         return seconds, fill
 
 
+@dataclasses.dataclass(slots=True)
+class _Step:
+    """The cheapest way to a layer in a data centre, and its last hop."""
+
+    cost: float
+    hop: Hop | None
+    before: "_Step | None"
+    data_centre: str
+
+
+class _Search:
+    """Cheapest chains from a layer on, by the layer reached and data centre."""
+
+    __slots__ = ("_answer", "_model", "_transfer_s", "steps_by_layer")
+
+    def __init__(
+        self, model: ModelSpec, origin: tuple[int, str], prompt: float, answer: float
+    ) -> None:
+        self._model = model
+        self._answer = answer
+        self._transfer_s = 0.0
+        if model.pipe_bytes_per_s > 0:
+            sent = prompt * model.activation_bytes
+            self._transfer_s = sent / model.pipe_bytes_per_s
+        layer, centre = origin
+        self.steps_by_layer: dict[int, dict[str, _Step]] = {
+            layer: {centre: _Step(0.0, None, None, centre)}
+        }
+
+    def extend(self, layer: int, engine: "_Engine", ends: list[int]) -> None:
+        """Try all hops of an engine that begin at a layer."""
+        replica = engine.replica
+        centre = replica.data_centre
+        for before in list(self.steps_by_layer[layer].values()):
+            base = before.cost + engine.fixed_s
+            if before.data_centre != centre:
+                base += self._crossing_s(before.data_centre, centre)
+            for end in ends:
+                cost = base + engine.layer_s * (end - layer)
+                steps = self.steps_by_layer.setdefault(end, {})
+                known = steps.get(centre)
+                if known is None or cost < known.cost:
+                    hop = Hop(replica, layer, end)
+                    steps[centre] = _Step(cost, hop, before, centre)
+
+    def _crossing_s(self, before: str, after: str) -> float:
+        delay_s = self._model.delay_s_by_centres.get((before, after), 0.0)
+        return CROSSING_COST_S + self._transfer_s + self._answer * delay_s
+
+
+@dataclasses.dataclass(slots=True)
+class _Engine:
+    """An engine's cost for a request, in seconds a layer and for the hop."""
+
+    replica: Replica
+    layer_s: float
+    fixed_s: float
+
+
 def _shortest(
     model: ModelSpec,
-    engines: list[tuple[Replica, float, float]],
-    bounds: list[int],
+    engines: list[_Engine],
     origin: tuple[int, str],
     prompt: float,
     answer: float,
 ) -> Path | None:
     """Return the cheapest chain from a layer and data centre to the last layer."""
-    # By layer reached and data centre: cost, last hop, where that hop began.
-    best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]]
-    best = {origin: (0.0, None, None)}
-    centres_by_layer: dict[int, list[str]] = {origin[0]: [origin[1]]}
-    transfer_s = 0.0
-    if model.pipe_bytes_per_s > 0:
-        transfer_s = prompt * model.activation_bytes / model.pipe_bytes_per_s
-    for position in bounds[:-1]:
-        centres = centres_by_layer.get(position, ())
-        for replica, seconds, fixed in engines:
-            first, last = t.cast("tuple[int, int]", replica.layers)
-            if not first <= position < last:
-                continue
-            centre = replica.data_centre
-            for previous in centres:
-                start = (position, previous)
-                base = best[start][0] + fixed
-                if previous != centre:
-                    delay = model.delay_s_by_centres.get((previous, centre), 0.0)
-                    base += CROSSING_COST_S + transfer_s + answer * delay
-                for end in bounds:
-                    if end <= position:
-                        continue
-                    if end > last:
-                        break
-                    cost = base + seconds * (end - position)
-                    known = best.get((end, centre))
-                    if known is None:
-                        centres_by_layer.setdefault(end, []).append(centre)
-                    elif known[0] <= cost:
-                        continue
-                    hop = Hop(replica, position, end)
-                    best[end, centre] = (cost, hop, start)
-    return _walk_back(best, model.layers)
-
-
-def _walk_back(
-    best: dict[tuple[int, str], tuple[float, Hop | None, tuple[int, str] | None]],
-    layers: int,
-) -> Path | None:
-    ends = [key for key in best if key[0] == layers]
-    if not ends:
+    bounds = {origin[0], model.layers}
+    for engine in engines:
+        bounds.update(engine.replica.layers or ())
+    search = _Search(model, origin, prompt, answer)
+    ordered = sorted(bound for bound in bounds if bound >= origin[0])
+    for layer in ordered[:-1]:
+        if layer not in search.steps_by_layer:
+            continue
+        for engine in engines:
+            first, last = t.cast("tuple[int, int]", engine.replica.layers)
+            if first <= layer < last:
+                ends = [bound for bound in ordered if layer < bound <= last]
+                search.extend(layer, engine, ends)
+    steps = search.steps_by_layer.get(model.layers)
+    if not steps:
         return None
-    key: tuple[int, str] | None = min(ends, key=lambda end: best[end][0])
+    return _walk_back(min(steps.values(), key=lambda step: step.cost))
+
+
+def _walk_back(last: _Step) -> Path:
     hops: list[Hop] = []
-    while key is not None:
-        _, hop, key = best[key]
-        if hop is not None:
-            hops.append(hop)
+    step: _Step | None = last
+    while step is not None:
+        if step.hop is not None:
+            hops.append(step.hop)
+        step = step.before
     hops.reverse()
     return _merge(hops)
 
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/call.py
@@ -1,13 +1,12 @@
 """Requests to plain services: one answer, held until it is whole."""
 
-import typing as t
-
 from ..core.replicas import Replica
 from . import heads
 from .exchange import BAD_GATEWAY
 from .exchange import GATEWAY_TIMEOUT
 from .exchange import Exchange
 from .exchange import Fate
+from .loop import Timer
 from .requests import Header
 from .transfer import Loss
 from .transfer import Upstream
@@ -40,7 +39,7 @@
         """Send the request to the first upstream."""
         self._wire: Wire | None = None
         self._replica: Replica | None = None
-        self._stall = None
+        self._stall: Timer | None = None
         self._status = 0
         self._reset()
         self._attempt("no upstream")
@@ -92,7 +91,7 @@
         data = heads.join_head(
             heads.passed_on(self.request, context.names),
             heads.attempt_headers(context.names, self.grant, replica.name, left_s),
-            self.request.body,
+            bytes(self.request.body),
         )
         self._sent_at = context.loop.now
         context.services.started(replica)
@@ -125,7 +124,9 @@
             return
         if not self.may_send_again():
             return
-        self.log("attempt_silent", replica=self._replica.name, waited=self._sent_at)
+        waited = self.context.loop.now - self._sent_at
+        name = self._replica.name if self._replica is not None else ""
+        self.log("attempt_silent", replica=name, waited=waited)
         self._leave("failed")
         self.may_have_run = True
         self._attempt("silent")
@@ -224,8 +225,3 @@
             headers = heads.answered(self._headers)
             self.caller.answer(status, self._reason, headers, bytes(self._body))
         self.context.finished(self, f"answered_{status}")
-
-
-def is_plain(exchange: t.Any) -> bool:
-    """Tell whether an exchange is with a plain service."""
-    return isinstance(exchange, PlainExchange)
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -137,7 +137,7 @@
 
     def _feed(self) -> None:
         assert self.version is not None
-        # After a failure the first call returns at once, to tell that the store is back.
+        # After a failure the first call returns at once: is the store back?
         wait_s = 0.0 if self.is_away else FEED_WAIT_S
         call = wire.feed_call(self.table, self.version, wait_s)
         timeout_s = wait_s + (READ_TIMEOUT_S if self.is_away else FEED_MARGIN_S)
--- a/src/wagtailstair/gateway/loop.py
+++ b/src/wagtailstair/gateway/loop.py
@@ -112,12 +112,12 @@
             if call is None:
                 continue
             timer.call = None
-            self._guard(lambda _mask, call=call: call(), 0)
+            self._guard(call)
 
     @staticmethod
-    def _guard(handler: Handler, mask: int) -> None:
+    def _guard(handler: t.Callable[..., None], *arguments: int) -> None:
         try:
-            handler(mask)
+            handler(*arguments)
         except Exception as error:  # one request's fault must not end the rest
             log_event("handler_failed", level="ERROR", error=place_of(error))
 
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -82,7 +82,7 @@
 
 
 class Peers:
-    """This host among the others."""
+    """The place of this host among the others."""
 
     def __init__(
         self,
@@ -209,6 +209,7 @@
         if not inside and not remote:
             return
         heartbeat = self._heartbeat()
+        messages: tuple[Message, ...]
         messages = (heartbeat, *self._events.engine_loads())
         for address in inside:
             self._send(address, messages)
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -12,8 +12,7 @@
 
 Header = tuple[bytes, bytes]
 
-BAD_REQUEST = 400
-CONTENT_TOO_LARGE = 413
+SEPARATOR_BYTES = 4  # a colon, a space and the end of the line
 HEADERS_TOO_LARGE = 431
 
 
@@ -164,31 +163,37 @@
         self._head_bytes = 0
         self._started_at = 0.0
 
+    def _values(self, wanted: bytes) -> list[bytes]:
+        return [value for name, value in self._headers if name.lower() == wanted]
+
     def _check_head(self) -> RequestError | None:
-        hosts = []
         size = len(self._target)
         for name, value in self._headers:
-            size += len(name) + len(value) + 4
-            lowered = name.lower()
-            if lowered == b"host":
-                hosts.append(value)
-            elif lowered == b"content-length":
-                if int(value) > self._limits.body_bytes:
-                    return RequestTooLargeError(f"over {self._limits.body_bytes} bytes")
-            elif lowered == b"transfer-encoding":
-                if value.strip().lower() != b"chunked":
-                    return InvalidRequestError("transfer encoding is not chunked")
-            elif lowered == b"expect" and value.lower() == b"100-continue":
-                self._on_expect()
+            size += len(name) + len(value) + SEPARATOR_BYTES
         if size > self._limits.header_bytes:
             return HeadersTooLargeError(f"over {self._limits.header_bytes} bytes")
-        if len(hosts) != 1 or not hosts[0]:
-            return InvalidRequestError("expected one Host header")
         if not self._target.startswith(b"/"):
             return InvalidRequestError("expected a target that begins with a slash")
         if self._parser.get_http_version() not in ("1.1", "1.0"):
             return InvalidRequestError("expected HTTP/1.1")
-        self._host = hosts[0].decode("latin-1").rpartition(":")[0].lower()
-        if not self._host:
-            self._host = hosts[0].decode("latin-1").lower()
+        return self._check_host() or self._check_body()
+
+    def _check_host(self) -> RequestError | None:
+        hosts = self._values(b"host")
+        if len(hosts) != 1 or not hosts[0]:
+            return InvalidRequestError("expected one Host header")
+        host = hosts[0].decode("latin-1").lower()
+        name, colon, port = host.rpartition(":")
+        self._host = name if colon and port.isdigit() else host
+        return None
+
+    def _check_body(self) -> RequestError | None:
+        for value in self._values(b"content-length"):
+            if int(value) > self._limits.body_bytes:
+                return RequestTooLargeError(f"over {self._limits.body_bytes} bytes")
+        for value in self._values(b"transfer-encoding"):
+            if value.strip().lower() != b"chunked":
+                return InvalidRequestError("expected the transfer encoding chunked")
+        if b"100-continue" in (value.lower() for value in self._values(b"expect")):
+            self._on_expect()
         return None
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -142,7 +142,7 @@
         headers.append((context.names.rank, b"%d" % min(9, self.grant.rank)))
         if self._splitter.last_id:
             headers.append((context.names.last_event, self._splitter.last_id))
-        data = heads.join_head(self._common, headers, self.request.body)
+        data = heads.join_head(self._common, headers, bytes(self.request.body))
         self.log(
             "pipeline_chosen",
             level="DEBUG",
--- a/src/wagtailstair/gateway/transfer.py
+++ b/src/wagtailstair/gateway/transfer.py
@@ -64,7 +64,6 @@
 
     __slots__ = (
         "_closes_at_end",
-        "_error",
         "_headers",
         "_is_final",
         "_is_skipping",
@@ -93,7 +92,7 @@
         self.idle_s = IDLE_S
         self.idle_since = 0.0
         self._timer: Timer | None = None
-        self._error = ""
+        self._headers: list[Header] = []
         host, _, port = upstream.address.rpartition(":")
         self.connection: Connection | None = connect(
             loop, (host, int(port)), self._on_data, self._on_lost, self._on_connected
@@ -173,7 +172,7 @@
 
     def _begin(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
-        self._headers: list[Header] = []
+        self._headers = []
         self._reason = b""
         self._is_final = False
         self._is_skipping = False
@@ -235,11 +234,11 @@
             self._pool.keep(self)
 
     def _on_end(self) -> None:
-        if self.observer is not None and self._is_final and self._closes_at_end:
-            if not self._is_skipping:
-                self._complete()
-                self._drop()
-                return
+        is_answer = self._is_final and not self._is_skipping
+        if self.observer is not None and is_answer and self._closes_at_end:
+            self._complete()
+            self._drop()
+            return
         self._end(Loss.UNKNOWN, "closed")
 
     def _end(self, loss: Loss, reason: str) -> None:
--- /dev/null
+++ b/tests/test_gateway_requests.py
@@ -0,0 +1,134 @@
+import pytest
+
+from wagtailstair.core.directory import CallerLimits
+from wagtailstair.exceptions import InvalidRequestError
+from wagtailstair.exceptions import RequestError
+from wagtailstair.exceptions import RequestTooLargeError
+from wagtailstair.gateway.requests import HeadersTooLargeError
+from wagtailstair.gateway.requests import RequestReader
+
+HEAD = b"POST /a/b?c=d HTTP/1.1\r\nHost: Desk.example:80\r\n"
+LIMITS = CallerLimits(header_bytes=1000, body_bytes=100)
+
+
+def read(data, limits=LIMITS):
+    reader = RequestReader(limits, lambda: None)
+    reader.feed(data, 1.0)
+    return reader
+
+
+class TestWhole:
+    def test_parts(self):
+        (request,) = read(HEAD + b"X-A: b\r\nContent-Length: 3\r\n\r\nabc").complete
+        assert request.method == b"POST"
+        assert request.target == b"/a/b?c=d"
+        assert request.path == "/a/b"
+        assert request.host == "desk.example"
+        assert bytes(request.body) == b"abc"
+        assert request.header(b"x-a") == b"b"
+        assert request.keeps_alive
+
+    def test_any_cut_reads_the_same(self):
+        data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        for cut in range(len(data)):
+            reader = RequestReader(LIMITS, lambda: None)
+            reader.feed(data[:cut], 0.0)
+            reader.feed(data[cut:], 0.0)
+            (request,) = reader.complete
+            assert bytes(request.body) == b"abc"
+
+    def test_requests_sent_ahead_stay_in_order(self):
+        one = b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+        two = b"GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
+        reader = read(one + two)
+        assert [request.path for request in reader.complete] == ["/1", "/2"]
+        assert [request.keeps_alive for request in reader.complete] == [True, False]
+
+    def test_trailers_are_no_headers(self):
+        data = b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Evil: 1\r\n\r\n"
+        (request,) = read(HEAD + data).complete
+        assert request.header(b"x-evil") == b""
+
+    def test_leave_to_send_is_asked_for_once(self):
+        asked = []
+        reader = RequestReader(LIMITS, lambda: asked.append(1))
+        reader.feed(HEAD + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n", 0.0)
+        assert asked == [1]
+        reader.feed(b"a", 0.0)
+        assert len(reader.complete) == 1
+
+
+AMBIGUOUS = {
+    "two lengths": b"Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd",
+    "same length twice": b"Content-Length: 3\r\nContent-Length: 3\r\n\r\nabc",
+    "a list of lengths": b"Content-Length: 3, 3\r\n\r\nabc",
+    "length with a sign": b"Content-Length: +3\r\n\r\nabc",
+    "length and chunks": (
+        b"Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "chunks and length": (
+        b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n0\r\n\r\n"
+    ),
+    "chunked twice": (
+        b"Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+    ),
+    "another encoding": b"Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+    "unknown encoding": b"Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+    "bare line feed": b"X-A: b\nContent-Length: 0\r\n\r\n",
+    "bare line feed at the end": b"Content-Length: 0\r\n\n",
+    "folded header": b"X-A: b\r\n c\r\nContent-Length: 0\r\n\r\n",
+    "space before the colon": b"Content-Length : 0\r\n\r\n",
+    "carriage return in a value": b"X-A: b\rc\r\n\r\n",
+    "zero byte in a value": b"X-A: b\0c\r\n\r\n",
+    "second host": b"Host: other\r\n\r\n",
+    "bare line feed in a chunk": b"Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+    "chunk size overflow": (
+        b"Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nabc\r\n0\r\n\r\n"
+    ),
+    "upgrade": b"Connection: upgrade\r\nUpgrade: foo\r\n\r\nGET / HTTP/1.1\r\n\r\n",
+}
+
+
+class TestAmbiguous:
+    @pytest.mark.parametrize("tail", AMBIGUOUS.values(), ids=AMBIGUOUS.keys())
+    def test_head_or_body(self, tail):
+        with pytest.raises(InvalidRequestError):
+            read(HEAD + tail)
+
+    @pytest.mark.parametrize(
+        "line",
+        [
+            b"GET http://x/ HTTP/1.1\r\nHost: x\r\n\r\n",
+            b"GET / HTTP/2.0\r\nHost: x\r\n\r\n",
+            b"CONNECT x:1 HTTP/1.1\r\nHost: x\r\n\r\n",
+            b"GET / HTTP/1.1\r\n\r\n",
+            b"GET / HTTP/1.1\r\nHost:\r\n\r\n",
+            b"FOO\r\n\r\n",
+            b"GET / HTTP/1.1\nHost: x\n\n",
+        ],
+    )
+    def test_request_line(self, line):
+        with pytest.raises(RequestError):
+            read(line)
+
+
+class TestLimits:
+    def test_long_head(self):
+        with pytest.raises(HeadersTooLargeError):
+            read(HEAD + b"X-A: " + b"b" * 1000 + b"\r\n\r\n")
+
+    def test_endless_head(self):
+        reader = RequestReader(LIMITS, lambda: None)
+        with pytest.raises(HeadersTooLargeError):
+            reader.feed(HEAD, 0.0)
+            for _ in range(100):
+                reader.feed(b"x" * 50, 0.0)
+
+    def test_long_body(self):
+        with pytest.raises(RequestTooLargeError):
+            read(HEAD + b"Content-Length: 101\r\n\r\n")
+
+    def test_long_body_in_chunks(self):
+        data = b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"a" * 101 + b"\r\n"
+        with pytest.raises(RequestTooLargeError):
+            read(HEAD + data)
--- /dev/null
+++ b/tests/test_layout.py
@@ -0,0 +1,111 @@
+import pytest
+
+from tests.gateway_data import LAYERS
+from tests.gateway_data import make_engine
+from tests.gateway_data import make_fleet
+from tests.gateway_data import make_model
+from wagtailstair.core.layout import layers_for
+from wagtailstair.core.layout import plan
+from wagtailstair.core.layout import repair
+from wagtailstair.core.layout import room_for
+
+
+def apply(orders):
+    engines = []
+    for order in orders:
+        replica = order.replica
+        layers = (order.first, order.last)
+        engines.append(
+            make_engine(replica.name, replica.data_centre, replica.accelerator, layers)
+        )
+    return engines
+
+
+def bare_layers(engines, centre):
+    covered = set()
+    for engine in engines:
+        if engine.data_centre == centre and engine.layers and not engine.is_leaving:
+            covered.update(range(*engine.layers))
+    return set(range(LAYERS)) - covered
+
+
+class TestPlan:
+    def test_each_data_centre_holds_the_model(self):
+        engines = apply(plan(make_model(), make_fleet(), {}))
+        assert len(engines) == len(make_fleet())
+        for centre in "abc":
+            assert bare_layers(engines, centre) == set()
+
+    def test_never_over_an_engines_memory(self):
+        model = make_model()
+        for order in plan(model, make_fleet(), {}):
+            kind = model.accelerator_by_name[order.replica.accelerator]
+            assert (order.last - order.first) * model.layer_mb <= kind.memory_mb
+            assert 0 <= order.first < order.last <= LAYERS
+
+    @pytest.mark.parametrize("room", [0.0, 1.0, 40_000.0, 1e9])
+    def test_layers_fit(self, room):
+        model = make_model()
+        assert 1 <= layers_for(model, "v100", room) <= 8
+        assert layers_for(model, "unknown", room) == 0
+
+    def test_room_shrinks_until_the_model_fits(self):
+        model = make_model()
+        few = room_for(model, ["a100", "a100"])
+        many = room_for(model, ["a100"] * 6)
+        assert few < many
+
+    def test_an_engine_that_restarts_closes_its_gap(self):
+        model = make_model()
+        engines = apply(plan(model, make_fleet(), {}))
+        lost = engines[0]
+        back = make_engine(lost.name, lost.data_centre, lost.accelerator)
+        (order,) = plan(model, [back, *engines[1:]], {})
+        left = bare_layers([*engines[1:], *apply([order])], lost.data_centre)
+        assert order.replica is back
+        assert left == set()
+
+    def test_an_order_under_way_counts_as_held(self):
+        model = make_model()
+        first, second = make_engine("x"), make_engine("y")
+        held = {first.identity: (0, 4)}
+        (order,) = plan(model, [first, second], held)
+        assert order.replica is second
+        assert order.first >= 4
+
+    def test_leaving_engines_get_no_order(self):
+        assert plan(make_model(), [make_engine("x", is_leaving=True)], {}) == []
+
+
+class TestRepair:
+    def lose(self, engines, centre):
+        """Take the engine away whose layers no other holds."""
+        for engine in engines:
+            rest = [other for other in engines if other is not engine]
+            if engine.data_centre == centre and bare_layers(rest, centre):
+                if engine.accelerator == "v100":
+                    return rest
+        raise AssertionError("no engine is alone")
+
+    def test_a_gap_is_closed_by_an_engine_that_can_be_spared(self):
+        model = make_model()
+        engines = self.lose(apply(plan(model, make_fleet(), {})), "a")
+        gap = bare_layers(engines, "a")
+        moves = repair(model, engines, {})
+        assert [move.replica.data_centre for move in moves] == ["a"]
+        moved = apply(moves)[0]
+        rest = [engine for engine in engines if engine.name != moved.name]
+        assert len(bare_layers([*rest, moved], "a")) < len(gap)
+
+    def test_nothing_moves_while_a_load_is_under_way(self):
+        model = make_model()
+        engines = self.lose(apply(plan(model, make_fleet(), {})), "a")
+        empty = make_engine("new", "a")
+        assert repair(model, [*engines, empty], {}) == []
+        ordered = {engines[0].identity: engines[0].layers}
+        by_centre = {m.replica.data_centre for m in repair(model, engines, ordered)}
+        assert engines[0].data_centre not in by_centre
+
+    def test_nothing_moves_without_a_gap(self):
+        model = make_model()
+        assert repair(model, apply(plan(model, make_fleet(), {})), {}) == []
--- /dev/null
+++ b/tests/test_pipelines.py
@@ -0,0 +1,141 @@
+import random
+
+import pytest
+
+from tests.gateway_data import LAYERS
+from tests.gateway_data import make_engine
+from tests.gateway_data import make_fleet
+from tests.gateway_data import make_model
+from wagtailstair.core.layout import plan
+from wagtailstair.core.pipelines import Pipelines
+
+
+def place_all(model, engines):
+    placed = []
+    for order in plan(model, engines, {}):
+        layers = (order.first, order.last)
+        replica = order.replica
+        placed.append(
+            make_engine(replica.name, replica.data_centre, replica.accelerator, layers)
+        )
+    return placed
+
+
+def check(path, layers=LAYERS):
+    position = 0
+    seen = set()
+    for hop in path:
+        assert hop.first == position
+        held = hop.replica.layers
+        assert held[0] <= hop.first < hop.last <= held[1]
+        assert hop.replica.name not in seen
+        seen.add(hop.replica.name)
+        position = hop.last
+    assert position == layers
+
+
+@pytest.fixture
+def pipelines():
+    return Pipelines("a", random.Random(1))
+
+
+class TestChoose:
+    def test_every_layer_once_in_order(self, pipelines):
+        model = make_model()
+        engines = place_all(model, make_fleet())
+        for _ in range(20):
+            path = pipelines.choose(model, engines, 800, 200, 0.0)
+            check(path)
+            pipelines.take(path, 1000)
+
+    @pytest.mark.parametrize("seed", range(30))
+    def test_random_ranges(self, seed):
+        rng = random.Random(seed)
+        model = make_model(layers=24)
+        engines = []
+        for index in range(14):
+            first = rng.randrange(0, 20)
+            last = rng.randrange(first + 1, 25)
+            kind = rng.choice(["a100", "v100", "l4"])
+            centre = rng.choice("abc")
+            engines.append(make_engine(f"e{index}", centre, kind, (first, last)))
+        covered = all(
+            any(e.layers[0] <= layer < e.layers[1] for e in engines)
+            for layer in range(24)
+        )
+        path = Pipelines("a", rng).choose(model, engines, 800, 200, 0.0)
+        assert (path is not None) == covered
+        if path is not None:
+            check(path, 24)
+
+    def test_stays_in_its_data_centre(self, pipelines):
+        model = make_model()
+        engines = place_all(model, make_fleet())
+        path = pipelines.choose(model, engines, 800, 200, 0.0)
+        assert {hop.replica.data_centre for hop in path} == {"a"}
+
+    def test_no_engine_for_a_layer(self, pipelines):
+        engines = [make_engine("x", layers=(0, 40)), make_engine("y", layers=(41, 80))]
+        assert pipelines.choose(make_model(), engines, 800, 200, 0.0) is None
+
+    def test_suspect_only_where_no_other_holds_its_layers(self, pipelines):
+        model = make_model()
+        first = make_engine("x", layers=(0, 80), accelerator="a100")
+        second = make_engine("y", "b", "l4", (0, 80))
+        pipelines.suspect(first, until=5.0)
+        path = pipelines.choose(model, [first, second], 800, 200, 0.0)
+        assert [hop.replica.name for hop in path] == ["y"]
+        path = pipelines.choose(model, [first], 800, 200, 0.0)
+        assert [hop.replica.name for hop in path] == ["x"]
+        path = pipelines.choose(model, [first, second], 800, 200, 6.0)
+        assert [hop.replica.name for hop in path] == ["x"]
+
+    def test_full_memory_moves_requests_on(self, pipelines):
+        model = make_model()
+        first = make_engine("x", layers=(0, 5))
+        second = make_engine("y", layers=(0, 5))
+        rest = make_engine("z", accelerator="a100", layers=(5, 80))
+        pipelines.note_peer("other", "x", 200, 200_000 * 5)
+        path = pipelines.choose(model, [first, second, rest], 800, 200, 0.0)
+        assert path[0].replica.name == "y"
+
+    def test_a_peer_that_is_gone_holds_nothing(self, pipelines):
+        engine = make_engine("x", layers=(0, 5))
+        pipelines.note_peer("other", "x", 200, 1000.0)
+        assert pipelines.total(engine) == (200, 1000.0)
+        pipelines.forget_peer("other")
+        assert pipelines.total(engine) == (0, 0.0)
+
+    def test_an_engine_on_both_sides_takes_what_lies_between(self, pipelines):
+        # The quick engine is cheaper for its layers, the slow one holds all.
+        model = make_model(layers=10)
+        slow = make_engine("slow", accelerator="l4", layers=(0, 10))
+        quick = make_engine("quick", accelerator="a100", layers=(4, 6))
+        path = pipelines.choose(model, [slow, quick], 100_000, 100_000, 0.0)
+        check(path, 10)
+        assert [hop.replica.name for hop in path] == ["slow"]
+
+
+class TestHead:
+    def test_path_goes_on_from_its_first_hop(self, pipelines):
+        model = make_model()
+        engines = place_all(model, make_fleet())
+        path = pipelines.choose(model, engines, 800, 200, 0.0)
+        again = pipelines.choose(model, engines, 800, 200, 0.0, (), path[0])
+        check(again)
+        assert again[0] == path[0]
+
+
+class TestUse:
+    def test_taken_is_given_back(self, pipelines):
+        engine = make_engine("x", layers=(0, 80))
+        path = pipelines.choose(make_model(), [engine], 800, 200, 0.0)
+        pipelines.take(path, 1000)
+        assert pipelines.total(engine) == (1, 80_000.0)
+        pipelines.give_back(path, 1000)
+        assert pipelines.total(engine) == (0, 0.0)
+
+    def test_a_new_start_is_another_engine(self, pipelines):
+        pipelines.suspect(make_engine("x", layers=(0, 80)), 100.0)
+        again = make_engine("x", layers=(0, 80), incarnation=2)
+        assert pipelines.use(again).suspect_until == 0.0
--- /dev/null
+++ b/tests/test_replica_set.py
@@ -0,0 +1,70 @@
+from tests.gateway_data import make_engine
+from wagtailstair.core.replicas import ReplicaSet
+
+LAPSE_S = 2.0
+
+
+def names(replicas):
+    return sorted(replica.name for replica in replicas.usable("draft"))
+
+
+class TestRows:
+    def test_a_leaving_upstream_gets_nothing(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        assert names(replicas) == ["x"]
+        replicas.put(make_engine("x", is_leaving=True))
+        assert names(replicas) == []
+
+    def test_an_older_start_is_passed_over(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x", incarnation=2))
+        assert not replicas.put(make_engine("x", incarnation=1, layers=(0, 4)))
+        assert replicas.by_name["x"].incarnation == 2
+
+    def test_the_same_row_changes_nothing(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        before = replicas.generation
+        assert not replicas.put(make_engine("x"))
+        assert replicas.generation == before
+
+
+class TestLapse:
+    def test_removal_counts_at_once_while_the_store_is_well(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        replicas.remove("x", 0.0, is_store_unsure=False)
+        assert names(replicas) == []
+
+    def test_removal_waits_after_trouble(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        replicas.remove("x", 0.0, is_store_unsure=True)
+        assert replicas.settle(1.9, is_store_away=False) == []
+        assert names(replicas) == ["x"]
+        assert replicas.settle(2.0, is_store_away=False) == ["x"]
+        assert names(replicas) == []
+
+    def test_a_row_that_is_back_stays(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        replicas.remove("x", 0.0, is_store_unsure=True)
+        replicas.put(make_engine("x"))
+        assert replicas.settle(9.0, is_store_away=False) == []
+        assert names(replicas) == ["x"]
+
+    def test_the_wait_begins_with_the_stores_return(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        replicas.remove("x", 0.0, is_store_unsure=True)
+        replicas.settle(5.0, is_store_away=True)
+        assert replicas.settle(6.9, is_store_away=False) == []
+        assert replicas.settle(7.0, is_store_away=False) == ["x"]
+
+    def test_a_reread_drops_what_is_missing(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        replicas.put(make_engine("y"))
+        replicas.replace([make_engine("y")], 0.0, is_store_unsure=False)
+        assert names(replicas) == ["y"]
