--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -64,10 +64,12 @@
     model: ModelSpec,
     replicas: t.Iterable[Replica],
     range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
+    reserved: t.Container[tuple[str, int]] = (),
 ) -> list[Placing]:
     """Return the orders for the engines that hold nothing.
 
     :param range_by_identity: ranges that were ordered already.
+    :param reserved: engines that are kept empty unless a gap needs them.
     """
     total = [0] * model.layers
     by_centre: dict[str, list[int]] = {}
@@ -91,6 +93,8 @@
     for size, replica in empty:
         cover = by_centre[replica.data_centre]
         ends = ends_by_centre[replica.data_centre]
+        if replica.identity in reserved and 0 not in cover:
+            continue
         first = _best_start(model.layers, size, cover, total, ends)
         held = (first, first + size)
         _add(held, cover, total, ends)
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -19,11 +19,12 @@
 KV_SOFT_SHARE = 0.6
 """Share of an engine's KV memory above which others are preferred."""
 
-KV_COST_S = 4.0
-"""Seconds that a full KV memory costs: about a preempted request's second run."""
+KV_COST_S = 10.0
+"""Seconds that a full KV memory costs, beside a half full one: more than a
+crossing, so that the memory of all data centres is used before any is full."""
 
-KV_COST_MAX_S = 3.0
-"""Most seconds that a full KV memory costs: waiting there ends at some time."""
+FULL_COST_S = 30.0
+"""Seconds that an engine without room costs: it would refuse the request."""
 
 CROSSING_COST_S = 2.0
 """Seconds that a crossing between data centres costs: the pipe is shared, and a
@@ -135,6 +136,15 @@
             held += peer_held
         return running, held
 
+    def has_room(self, model: ModelSpec, path: Path, tokens: float) -> bool:
+        """Tell whether all engines of a path have room for some tokens."""
+        for hop in path:
+            _, held = self.total(hop.replica)
+            wanted = held + tokens * (hop.last - hop.first)
+            if wanted > kv_room(model, hop.replica):
+                return False
+        return True
+
     def suspect(self, replica: Replica, until: float) -> None:
         """Avoid an engine for a while."""
         use = self.use(replica)
@@ -174,8 +184,10 @@
                 continue
             seconds, fill = self._layer_cost(model, replica, prompt, answer)
             fixed = answer * EVENTLESS_HOP_S
-            if fill > KV_SOFT_SHARE:
-                fixed += min(KV_COST_MAX_S, KV_COST_S * (fill - KV_SOFT_SHARE))
+            if fill > 1.0:
+                fixed += FULL_COST_S
+            elif fill > KV_SOFT_SHARE:
+                fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
             if self.use(replica).suspect_until > now:
                 fixed += SUSPECT_COST_S
             if replica.identity in avoid:
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -45,9 +45,14 @@
 
 UINT32_MAX = (1 << 32) - 1
 
-IDLE_CLOSE_S = 3.2
-"""Seconds after the signal at which idle connections are closed: by then the
-balancer has missed readiness twice and sends no new ones."""
+WAIT_TICK_S = 0.04
+"""Seconds between two looks for room on the engines: about an event's time."""
+
+ACCEPT_S = 2.6
+"""Seconds after the signal in which requests are still taken: by then the balancer
+has missed readiness twice, once a second, and sends no new connections."""
+
+EXIT_DELAY_S = 0.2
 
 EXIT_MARGIN_S = 0.4
 """Seconds before the end by force at which what is left is cut."""
@@ -89,6 +94,8 @@
         retries = settings.retries
         self.allowance = Allowance(retries.ratio, retries.slack, retries.window_s)
         self.is_draining = False
+        self._is_closed = False
+        self._waiting: list[StreamExchange] = []
         self._pipelines_by_service: dict[str, Pipelines] = {}
         self._callers: set[Caller] = set()
         self._streams: set[StreamExchange] = set()
@@ -126,6 +133,18 @@
         """Find out which engine the requests of a first engine wait for."""
         self._suspicion.investigate(first, service)
 
+    def wait(self, stream: StreamExchange) -> None:
+        """Try a stream again when engines have room, the most urgent first."""
+        if not self._waiting:
+            self.loop.call_later(WAIT_TICK_S, self._try_waiting)
+        self._waiting.append(stream)
+
+    def _try_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        waiting.sort(key=lambda w: (w.grant.rank, w.request.received_at))
+        for stream in waiting:
+            stream.try_again()
+
     def finished(self, exchange: Exchange, outcome: str) -> None:
         """Take note of a request's end."""
         if isinstance(exchange, StreamExchange):
@@ -203,7 +222,7 @@
     def start(self, caller: Caller, request: Request) -> Running | None:
         """Begin a request."""
         directory = self.knowledge.directory
-        if directory is None:
+        if directory is None or self._is_closed:
             caller.answer(UNAVAILABLE, b"", ((b"Retry-After", b"0.5"),), b"")
             return None
         key = wire_headers.read_key(request.header(self.names.authorization))
@@ -309,22 +328,24 @@
         log_event("draining", connections=len(self._callers))
         self._placer.release()
         self.peers.leave()
-        self.loop.call_later(IDLE_CLOSE_S, self._close_idle)
+        self._close_idle()
+        self.loop.call_later(ACCEPT_S, self._stop_accepting)
         grace_s = self.settings.shutdown.grace_s - EXIT_MARGIN_S
         self.loop.call_later(grace_s, self._cut_rest)
 
     def _close_idle(self) -> None:
         for caller in list(self._callers):
             caller.close_if_idle()
-        self._may_exit = True
-        self.loop.call_later(0.2, self._exit_if_done)
 
-    _may_exit = False
+    def _stop_accepting(self) -> None:
+        self._is_closed = True
+        self._close_idle()
+        self.loop.call_later(EXIT_DELAY_S, self._exit_if_done)
 
     def _exit_if_done(self) -> None:
-        if self._may_exit and not self._callers:
+        if self._is_closed and not self._callers:
             # Later, so that the last bytes leave.
-            self.loop.call_later(0.2, self.loop.stop)
+            self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
 
     def _cut_rest(self) -> None:
         for caller in list(self._callers):
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -21,7 +21,7 @@
 from .transfer import UpstreamPool
 
 MS_PER_S = 1000
-SENDS_MAX = 6
+SENDS_MAX = 8
 """Sends of one request, those that were refused unread with them."""
 
 ANSWER_MARGIN_S = 0.02
@@ -67,6 +67,10 @@
         """Find out which engine the requests of a first engine wait for."""
         ...
 
+    def wait(self, stream: "t.Any") -> None:
+        """Try a stream again when engines have room."""
+        ...
+
     def finished(self, exchange: "Exchange", outcome: str) -> None:
         """Take note of a request's end."""
         ...
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -18,6 +18,7 @@
 from ..core.leases import LeaseWrite
 from ..core.leases import decode_lease
 from ..core.leases import encode_lease
+from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..exceptions import PlatformError
 from ..logs import log_event
@@ -41,6 +42,10 @@
 """Seconds without a new engine before the first orders go out, so that the plan
 covers all of them."""
 
+SPARE_S = 4.0
+"""Seconds that a new engine is kept empty in a data centre without gaps: where an
+engine is replaced, the new one comes before the old one tells that it leaves."""
+
 REPAIR_AFTER_S = 1.0
 """Seconds without a change before an engine that holds layers is moved: one that
 restarts is empty and closes the gap itself."""
@@ -78,6 +83,7 @@
         # Range and instant of orders that were accepted or may have been.
         self._ordered: dict[tuple[str, int], tuple[tuple[int, int], float]] = {}
         self._orders_by_identity: dict[tuple[str, int], int] = {}
+        self._empty_since: dict[tuple[str, int], float] = {}
         self.orders = 0
 
     def start(self) -> None:
@@ -202,13 +208,26 @@
                 ranges[identity] = held
                 continue
             del self._ordered[identity]
-        for placing in plan(service.model, replicas, ranges):
+        for placing in plan(service.model, replicas, ranges, self._reserve(replicas)):
             self._order(placing)
         if now - self._changed_at < REPAIR_AFTER_S:
             return
         for placing in repair(service.model, replicas, ranges):
             self._order(placing)
 
+    def _reserve(self, replicas: list[Replica]) -> set[tuple[str, int]]:
+        """Return the empty engines that have come lately."""
+        now = self._loop.now
+        empty = {r.identity for r in replicas if r.layers is None}
+        for identity in list(self._empty_since):
+            if identity not in empty:
+                del self._empty_since[identity]
+        reserved = set()
+        for identity in empty:
+            if now - self._empty_since.setdefault(identity, now) < SPARE_S:
+                reserved.add(identity)
+        return reserved
+
     def _order(self, placing: Placing) -> None:
         replica = placing.replica
         now = self._loop.now
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -39,6 +39,10 @@
 SUSPECT_S = 3.0
 """Seconds that an engine at fault is avoided by all requests."""
 
+WAIT_GOALS = 2.0
+"""Response-time goals that a request may wait for room: callers of streams give
+up after four."""
+
 PAUSE_S = 0.15
 """Seconds before a begun answer that no pipeline takes is tried again."""
 
@@ -57,7 +61,7 @@
         "_first_headers",
         "_first_reason",
         "_headers",
-        "_is_whole",
+        "_left",
         "_path",
         "_progress_at",
         "_prompt_tokens",
@@ -94,6 +98,8 @@
         self._progress_at = self.context.loop.now
         self.events = 0
         self.avoid: set[tuple[str, int]] = set()
+        # Engines of the present attempt that were left, or asked to be.
+        self._left: set[tuple[str, int]] = set()
         self._attempt("no pipeline")
 
     def on_caller_gone(self) -> None:
@@ -125,10 +131,17 @@
         if path is None:
             self._give_up(reason)
             return
+        tokens = self._prompt_tokens + self._answer_tokens
+        model = self.service.model
+        assert model is not None
+        if self._may_wait() and not pipelines.has_room(model, path, tokens):
+            context.wait(self)
+            return
         if self.sends == 0:
             context.allowance.requested(self.service.name, now)
         self._path = path
-        self._taken = self._prompt_tokens + self._answer_tokens
+        self._left = set()
+        self._taken = tokens
         pipelines.take(path, self._taken)
         self.sends += 1
         self.runs += 1
@@ -160,6 +173,18 @@
             return
         self._watch(FIRST_EVENT_S / 2)
 
+    def _may_wait(self) -> bool:
+        """Tell whether a request that has not begun may wait for room."""
+        if self.caller.has_begun or self.sends:
+            return False
+        waited = self.context.loop.now - self.request.received_at
+        return waited < WAIT_GOALS * self.grant.route.goal_s
+
+    def try_again(self) -> None:
+        """Look for room once more."""
+        if not self.is_over:
+            self._attempt("no room")
+
     def _choose(self, head: Hop | None) -> Path | None:
         model = self.service.model
         assert model is not None
@@ -223,6 +248,9 @@
         """Go on without an engine, on a new path from the same first one."""
         if self.is_over or self._wire is None or not self._path:
             return
+        if replica.identity in self._left:
+            return
+        self._left.add(replica.identity)
         head = self._path[0]
         if head.replica.identity == replica.identity:
             if reason == LEAVING:
@@ -379,6 +407,9 @@
     def _again(self, faulty: Replica | None, reason: str) -> None:
         self._blame(faulty)
         self._leave()
+        if self.sends > 2 and self.caller.has_begun:
+            self._give_up(reason)
+            return
         if self.may_send_again():
             self._attempt(reason)
             return
