--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from ..core.directory import Directory
+from ..core.directory import ModelSpec
 from ..core.directory import Service
 from ..core.layout import Placing
 from ..core.layout import plan
@@ -37,18 +38,18 @@
 LEASE = LeaseLimits(duration_s=5.0, renew_s=1.7, margin_s=0.5, retry_s=0.5)
 """A holder that is lost is succeeded within 5 s; three renewals fit in."""
 
-TICK_S = 0.5
+TICK_S = 0.25
 SETTLE_S = 0.7
-"""Seconds without a new engine before the first orders go out, so that the plan
-covers all of them."""
+"""Seconds without a new engine before the first orders go out, so that the first
+plan covers all of them."""
 
 SPARE_S = 4.0
 """Seconds that a new engine is kept empty in a data centre without gaps: where an
 engine is replaced, the new one comes before the old one tells that it leaves."""
 
 REPAIR_AFTER_S = 1.0
-"""Seconds without a change before an engine that holds layers is moved: one that
-restarts is empty and closes the gap itself."""
+"""Seconds that a gap lasts before an engine that holds layers is moved: one that
+restarts or comes anew is empty and closes it without a loss elsewhere."""
 
 ORDER_TIMEOUT_S = 1.0
 ORDER_AGAIN_S = 6.0
@@ -78,8 +79,7 @@
         self._rng = rng
         self._lease = Lease(holder, LEASE)
         self._had_lease = False
-        self._seen_generation = -1
-        self._changed_at = loop.now
+        self._gap_since_by_centre: dict[str, float] = {}
         # Range and instant of orders that were accepted or may have been.
         self._ordered: dict[tuple[str, int], tuple[tuple[int, int], float]] = {}
         self._orders_by_identity: dict[tuple[str, int], int] = {}
@@ -183,14 +183,9 @@
     def _tick(self) -> None:
         self._loop.call_later(TICK_S, self._tick)
         now = self._loop.now
-        if self._replicas.generation != self._seen_generation:
-            self._seen_generation = self._replicas.generation
-            self._changed_at = now
         directory = self._directory()
         if directory is None or not self._lease.may_order(now, ORDER_TIMEOUT_S):
             return
-        if now - self._changed_at < SETTLE_S:
-            return
         for service in directory.service_by_name.values():
             if service.model is not None:
                 self._place(service, now)
@@ -208,13 +203,42 @@
                 ranges[identity] = held
                 continue
             del self._ordered[identity]
-        for placing in plan(service.model, replicas, ranges, self._reserve(replicas)):
-            self._order(placing)
-        if now - self._changed_at < REPAIR_AFTER_S:
+        reserved = self._reserve(replicas)
+        if self._is_settling(now, replicas):
             return
-        for placing in repair(service.model, replicas, ranges):
+        for placing in plan(service.model, replicas, ranges, reserved):
+            self._order(placing)
+        for placing in self._due_repairs(service.model, replicas, ranges, now):
             self._order(placing)
 
+    def _is_settling(self, now: float, replicas: list[Replica]) -> bool:
+        """Tell whether the first engines of a deployment are still arriving."""
+        if any(replica.layers is not None for replica in replicas):
+            return False
+        newest = max(self._empty_since.values(), default=now)
+        return now - newest < SETTLE_S
+
+    def _due_repairs(
+        self,
+        model: ModelSpec,
+        replicas: list[Replica],
+        ranges: dict[tuple[str, int], tuple[int, int]],
+        now: float,
+    ) -> list[Placing]:
+        """Return the moves whose gaps have lasted for a while."""
+        moves = repair(model, replicas, ranges)
+        centres = {move.replica.data_centre for move in moves}
+        for centre in list(self._gap_since_by_centre):
+            if centre not in centres:
+                del self._gap_since_by_centre[centre]
+        due = []
+        for move in moves:
+            centre = move.replica.data_centre
+            since = self._gap_since_by_centre.setdefault(centre, now)
+            if now - since >= REPAIR_AFTER_S:
+                due.append(move)
+        return due
+
     def _reserve(self, replicas: list[Replica]) -> set[tuple[str, int]]:
         """Return the empty engines that have come lately."""
         now = self._loop.now
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -3,6 +3,7 @@
 from ..core.events import EventSplitter
 from ..core.pipelines import Hop
 from ..core.pipelines import Path
+from ..core.pipelines import kv_room
 from ..core.replicas import Replica
 from ..platform import engines as engine_wire
 from ..platform import headers as wire_headers
@@ -367,6 +368,7 @@
                 "attempt_not_run",
                 status=self._status,
                 replica=faulty.name if faulty else "",
+                fill=self._fill(faulty),
             )
             self._again(faulty, "refused")
             return
@@ -394,6 +396,14 @@
             return
         self._again(first, reason)
 
+    def _fill(self, replica: Replica | None) -> float:
+        """Return how full an engine's memory is thought to be."""
+        model = self.service.model
+        if replica is None or model is None:
+            return 0.0
+        _, held = self.context.pipelines(self.service.name).total(replica)
+        return held / max(1.0, kv_room(model, replica))
+
     def _faulty(self) -> Replica | None:
         address = heads.find(self._headers, self.context.names.faulty_address)
         if address is None:
