--- a/src/wagtailstair/core/allowance.py
+++ b/src/wagtailstair/core/allowance.py
@@ -11,7 +11,7 @@
 BUCKET_S = 0.5
 """Seconds that are counted together."""
 
-CAUTION = 0.8
+CAUTION = 0.9
 """Share of the budget that is used: hosts come and go unseen for a while."""
 
 
@@ -41,10 +41,11 @@
         """Count a request of a caller."""
         self._bucket(service, now).requests += 1
 
-    def take(self, service: str, hosts: int, now: float) -> bool:
+    def take(self, service: str, hosts: int, now: float, share: float = 1.0) -> bool:
         """Use a repeat, if the budget has one.
 
         :param hosts: how many hosts share the budget.
+        :param share: of the budget that this kind of repeat may use.
         """
         bucket = self._bucket(service, now)
         requests = repeats = 0
@@ -52,7 +53,7 @@
             requests += entry.requests
             repeats += entry.repeats
         budget = CAUTION * (self._ratio * requests + self._slack / max(1, hosts))
-        if repeats + 1 > budget:
+        if repeats + 1 > budget * share:
             return False
         bucket.repeats += 1
         return True
--- a/src/wagtailstair/core/events.py
+++ b/src/wagtailstair/core/events.py
@@ -3,8 +3,7 @@
 import re
 
 _ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
-
-EVENT_BYTES_MAX = 1 << 20
+_END = re.compile(rb"\n\r?\n")
 
 
 class EventSplitter:
@@ -44,3 +43,28 @@
             self.last_id = ids[-1]
         self.count += max(1, len(ids))
         return whole
+
+
+def number_of(event_id: bytes) -> int | None:
+    """Return the number of an event's id, ``None`` if it is not a number."""
+    return int(event_id) if event_id.isdigit() else None
+
+
+def events_after(whole: bytes, last_id: bytes) -> bytes:
+    """Return the events of some whole ones that come after an id.
+
+    Where ids are no numbers all events are returned.
+    """
+    last = number_of(last_id)
+    if last is None:
+        return whole
+    kept = []
+    start = 0
+    for match in _END.finditer(whole):
+        event = whole[start : match.end()]
+        start = match.end()
+        found = _ID.search(event)
+        number = number_of(found.group(1)) if found is not None else None
+        if number is None or number > last:
+            kept.append(event)
+    return b"".join(kept)
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -33,7 +33,7 @@
     """The live upstreams, from rows of the store.
 
     While the store has trouble, the rows of live upstreams lapse. Such a
-    removal takes effect only after ``lapse_s``, if the row is not back by then.
+    removal takes effect only ``lapse_s`` after the trouble, if the row is not back.
     """
 
     __slots__ = ("_lapse_s", "_removal_at_by_name", "by_name", "generation")
@@ -59,17 +59,21 @@
         self.generation += 1
         return True
 
-    def remove(self, name: str, now: float, *, is_store_unsure: bool) -> None:
-        """Take in that a row is gone."""
+    def remove(self, name: str, now: float, failed_at: float) -> None:
+        """Take in that a row is gone.
+
+        :param failed_at: when a call to the store failed last.
+        """
         if name not in self.by_name:
             return
-        if is_store_unsure:
-            self._removal_at_by_name.setdefault(name, now + self._lapse_s)
+        sure_at = failed_at + self._lapse_s
+        if sure_at > now:
+            self._removal_at_by_name.setdefault(name, sure_at)
             return
         self._drop(name)
 
     def replace(
-        self, replicas: t.Iterable[Replica], now: float, *, is_store_unsure: bool
+        self, replicas: t.Iterable[Replica], now: float, failed_at: float
     ) -> None:
         """Take in all rows at once."""
         names = set()
@@ -78,7 +82,7 @@
             self.put(replica)
         for name in list(self.by_name):
             if name not in names:
-                self.remove(name, now, is_store_unsure=is_store_unsure)
+                self.remove(name, now, failed_at)
 
     def settle(self, now: float, *, is_store_away: bool) -> list[str]:
         """Drop what has been missing for long enough; return the names.
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -37,7 +37,6 @@
 from .settings import GatewaySettings
 from .settings import load_settings
 from .settings import parse_address
-from .stream import LEAVING
 from .stream import StreamExchange
 from .suspicion import Suspicion
 from .transfer import Upstream
@@ -278,7 +277,7 @@
                 continue
             for stream in self.streams():
                 if stream.uses(replica.identity):
-                    stream.leave_engine(replica, LEAVING)
+                    stream.leave_engine(replica, "leaving")
 
     # Readiness and life.
 
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -24,6 +24,10 @@
 SENDS_MAX = 8
 """Sends of one request, those that were refused unread with them."""
 
+UNBEGUN_SHARE = 0.7
+"""Share of the budget of repeats for requests without an answer yet: callers send
+these again themselves, but a begun answer is lost without it."""
+
 ANSWER_MARGIN_S = 0.02
 """Seconds before the end at which the final answer is sent."""
 
@@ -144,8 +148,9 @@
         if self.runs >= self.grant.route.attempts:
             return False
         context = self.context
+        share = 1.0 if self.caller.has_begun else UNBEGUN_SHARE
         return context.allowance.take(
-            self.service.name, context.hosts(), context.loop.now
+            self.service.name, context.hosts(), context.loop.now, share
         )
 
     def judge(self, status: int, headers: list[Header]) -> Fate:
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/knowledge.py
@@ -55,7 +55,6 @@
         self._loop = loop
         self._pool = pool
         self._rng = rng
-        self._lapse_s = lapse_s
         self._on_lists_changed = on_lists
         self._on_replicas_changed = on_replicas
         self._peers = peers
@@ -161,16 +160,17 @@
 
     def _on_replicas(self, rows: tuple[StoreRow, ...], is_all: bool) -> None:
         self._keep(wire_replicas.TABLE, rows, is_all=is_all)
-        unsure = self._is_unsure()
+        now = self._loop.now
+        failed_at = max(f.failed_at for f in self._followers.values())
         found = []
         for row in rows:
             if row.value is None:
-                self.replicas.remove(row.key, self._loop.now, is_store_unsure=unsure)
+                self.replicas.remove(row.key, now, failed_at)
                 log_event(
-                    "upstream_gone",
+                    "upstream_row_gone",
                     replica=row.key,
                     version=row.version,
-                    unsure=unsure,
+                    waits=row.key in self.replicas.by_name,
                 )
                 continue
             replica = self._decode(row)
@@ -180,8 +180,8 @@
             if not is_all and self.replicas.put(replica):
                 _log_replica(replica, row.version)
         if is_all:
-            self.replicas.replace(found, self._loop.now, is_store_unsure=unsure)
-            log_event("upstreams_read", count=len(found), unsure=unsure)
+            self.replicas.replace(found, now, failed_at)
+            log_event("upstreams_read", count=len(found))
         self._on_replicas_changed()
 
     @staticmethod
@@ -193,10 +193,6 @@
             log_event("upstream_unreadable", level="WARNING", reason=error)
             return None
 
-    def _is_unsure(self) -> bool:
-        failed_at = max(f.failed_at for f in self._followers.values())
-        return self._loop.now - failed_at < self._lapse_s
-
     def _settle(self) -> None:
         self._loop.call_later(SETTLE_TICK_S, self._settle)
         is_away = self._upstreams.is_away
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -1,6 +1,11 @@
-"""Requests to model engines: a stream of events over a pipeline."""
+"""Requests to model engines: a stream of events over a pipeline.
 
-from ..core.events import EventSplitter
+A stream that may be resumed can have a second attempt beside the first: where
+the first engine leaves or no event comes, a *successor* goes on after the last
+event. Whichever brings the next event is kept.
+"""
+
+from ..core.events import events_after
 from ..core.pipelines import Hop
 from ..core.pipelines import Path
 from ..core.pipelines import kv_room
@@ -8,6 +13,7 @@
 from ..platform import engines as engine_wire
 from ..platform import headers as wire_headers
 from . import heads
+from .attempt import Attempt
 from .exchange import BAD_GATEWAY
 from .exchange import GATEWAY_TIMEOUT
 from .exchange import Exchange
@@ -18,27 +24,19 @@
 from .requests import Header
 from .transfer import Loss
 from .transfer import Upstream
-from .transfer import Wire
 
 QUIET_S = 0.25
 """Seconds without an event after which the first engine is asked for the cause:
 longer than engines need for an event, and the age of their reports."""
 
-ASK_AGAIN_S = 0.15
-
-ORDER_TIMEOUT_S = 0.3
+STALL_S = 0.5
+"""Seconds without an event after which a successor is sent."""
 
-LEAVING = "leaving"
-"""The reason to leave an engine that still serves what it has."""
+FIRST_EVENT_S = 0.6
+"""Seconds for the first event of an attempt, the reading of the prompt with it."""
 
-STALL_S = 0.7
-"""Seconds without an event after which a pipeline is taken to stand still."""
-
-FIRST_EVENT_S = 0.8
-"""Seconds for the first event, beside the reading of the prompt."""
-
-SUSPECT_S = 3.0
-"""Seconds that an engine at fault is avoided by all requests."""
+ASK_AGAIN_S = 0.15
+ORDER_TIMEOUT_S = 0.3
 
 WAIT_GOALS = 2.0
 """Response-time goals that a request may wait for room: callers of streams give
@@ -51,29 +49,26 @@
 """Seconds without an event after which a begun answer is given up: callers give
 up after two."""
 
+SUSPECT_S = 3.0
+"""Seconds that an engine at fault is avoided by all requests."""
+
+RANK_MAX = 9
+
 
 class StreamExchange(Exchange):
     """A request that engines answer with events."""
 
     __slots__ = (
         "_answer_tokens",
+        "_avoid",
         "_common",
-        "_fate",
-        "_first_headers",
-        "_first_reason",
-        "_headers",
-        "_left",
-        "_path",
+        "_current",
+        "_first",
+        "_last_id",
         "_progress_at",
         "_prompt_tokens",
-        "_reason",
-        "_sent_at",
-        "_splitter",
-        "_stall",
-        "_status",
-        "_taken",
-        "_wire",
-        "avoid",
+        "_successor",
+        "_watch_timer",
         "events",
     )
 
@@ -89,25 +84,21 @@
         if most:
             self._answer_tokens = min(self._answer_tokens, most)
         self._common = heads.passed_on(self.request, names)
-        self._splitter = EventSplitter(self.request.header(names.last_event))
-        self._wire: Wire | None = None
-        self._path: Path = ()
-        self._taken = 0.0
-        self._stall: Timer | None = None
-        self._first_headers: list[Header] | None = None
-        self._status = 0
+        self._last_id = self.request.header(names.last_event)
+        self._current: Attempt | None = None
+        self._successor: Attempt | None = None
+        # The first attempt that was answered: its head is the caller's.
+        self._first: Attempt | None = None
+        self._watch_timer: Timer | None = None
         self._progress_at = self.context.loop.now
         self.events = 0
-        self.avoid: set[tuple[str, int]] = set()
-        # Engines of the present attempt that were left, or asked to be.
-        self._left: set[tuple[str, int]] = set()
-        self._attempt("no pipeline")
+        self._avoid: set[tuple[str, int]] = set()
+        self._start("no pipeline")
 
     def on_caller_gone(self) -> None:
         """Stop the pipeline: nobody waits for the answer."""
         if self.is_over:
             return
-        self._leave()
         self.close()
         self.context.finished(self, "caller_gone")
 
@@ -115,77 +106,70 @@
         """End a request whose time is over."""
         if self.is_over:
             return
-        self._leave()
         if self.sends == 0:
             self.refuse("expired_waiting")
             return
         self.may_have_run = True
         self.fail(GATEWAY_TIMEOUT, "expired")
 
+    def close(self) -> None:
+        """Let go of the attempts and the timers."""
+        super().close()
+        if self._watch_timer is not None:
+            self._watch_timer.cancel()
+            self._watch_timer = None
+        self._drop_attempts()
+
     # Attempts.
 
-    def _attempt(self, reason: str) -> None:
-        context = self.context
-        pipelines = context.pipelines(self.service.name)
-        now = context.loop.now
+    def _start(self, reason: str) -> None:
+        """Send the request, or wait until it can be sent."""
         path = self._choose(None)
         if path is None:
             self._give_up(reason)
             return
-        tokens = self._prompt_tokens + self._answer_tokens
-        model = self.service.model
-        assert model is not None
-        if self._may_wait() and not pipelines.has_room(model, path, tokens):
-            context.wait(self)
+        if self._may_wait() and not self._has_room(path):
+            self.context.wait(self)
             return
         if self.sends == 0:
-            context.allowance.requested(self.service.name, now)
-        self._path = path
-        self._left = set()
-        self._taken = tokens
-        pipelines.take(path, self._taken)
+            now = self.context.loop.now
+            self.context.allowance.requested(self.service.name, now)
+        self._current = attempt = self._make(path)
+        self._send(attempt)
+
+    def try_again(self) -> None:
+        """Look for room once more."""
+        if not self.is_over:
+            self._start("no room")
+
+    def _make(self, path: Path) -> Attempt:
+        tokens = self._prompt_tokens + self._answer_tokens
+        self.context.pipelines(self.service.name).take(path, tokens)
         self.sends += 1
         self.runs += 1
-        self._status = 0
-        first = path[0].replica
-        headers = heads.attempt_headers(
-            context.names, self.grant, first.name, self.left_s
-        )
-        hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
-        headers.append((context.names.path, wire_headers.write_path(hops)))
-        headers.append((context.names.rank, b"%d" % min(9, self.grant.rank)))
-        if self._splitter.last_id:
-            headers.append((context.names.last_event, self._splitter.last_id))
+        now = self.context.loop.now
+        return Attempt(self, path, tokens, self._last_id, now)
+
+    def _send(self, attempt: Attempt) -> None:
+        """Send an attempt that is in its place already: it may fail at once."""
+        context = self.context
+        names = context.names
+        first = attempt.path[0].replica
+        headers = heads.attempt_headers(names, self.grant, first.name, self.left_s)
+        path = _write(attempt.path)
+        headers.append((names.path, path))
+        headers.append((names.rank, b"%d" % min(RANK_MAX, self.grant.rank)))
+        if self._last_id:
+            headers.append((names.last_event, self._last_id))
         data = heads.join_head(self._common, headers, bytes(self.request.body))
-        self.log(
-            "pipeline_chosen",
-            level="DEBUG",
-            path=wire_headers.write_path(hops).decode(),
-            prompt=self._prompt_tokens,
-            answer=self._answer_tokens,
-            send=self.sends,
-        )
-        self._splitter = EventSplitter(self._splitter.last_id)
+        self.log("attempt_sent", level="DEBUG", path=path.decode(), send=self.sends)
         upstream = Upstream(first.address, first.identity)
-        self._sent_at = now
-        self._wire = context.pool.send(upstream, data, self, fresh=False)
-        if self._wire is None:
-            self.on_lost(Loss.NOT_SENT, "no connection")
+        attempt.wire = context.pool.send(upstream, data, attempt, fresh=False)
+        if attempt.wire is None:
+            self.on_broken(attempt, Loss.NOT_SENT, "no connection")
             return
         self._watch(FIRST_EVENT_S / 2)
 
-    def _may_wait(self) -> bool:
-        """Tell whether a request that has not begun may wait for room."""
-        if self.caller.has_begun or self.sends:
-            return False
-        waited = self.context.loop.now - self.request.received_at
-        return waited < WAIT_GOALS * self.grant.route.goal_s
-
-    def try_again(self) -> None:
-        """Look for room once more."""
-        if not self.is_over:
-            self._attempt("no room")
-
     def _choose(self, head: Hop | None) -> Path | None:
         model = self.service.model
         assert model is not None
@@ -196,99 +180,121 @@
             self._prompt_tokens,
             self._answer_tokens,
             context.loop.now,
-            self.avoid,
+            self._avoid,
             head,
         )
 
-    def _watch(self, delay_s: float) -> None:
-        if self._stall is not None:
-            self._stall.cancel()
-        self._stall = self.context.loop.call_later(delay_s, self._on_stall_timer)
+    def _may_wait(self) -> bool:
+        """Tell whether a request that has not begun may wait for room."""
+        if self.caller.has_begun or self.sends:
+            return False
+        waited = self.context.loop.now - self.request.received_at
+        return waited < WAIT_GOALS * self.grant.route.goal_s
 
-    def _on_stall_timer(self) -> None:
-        self._stall = None
-        if self.is_over:
-            return
-        limit = STALL_S if self._splitter.count else FIRST_EVENT_S
-        quiet = QUIET_S if self._splitter.count else FIRST_EVENT_S / 2
-        waited = self.context.loop.now - max(self._progress_at, self._sent_at)
-        if waited >= limit:
-            self._on_stalled(waited)
+    def _has_room(self, path: Path) -> bool:
+        model = self.service.model
+        assert model is not None
+        tokens = self._prompt_tokens + self._answer_tokens
+        pipelines = self.context.pipelines(self.service.name)
+        return pipelines.has_room(model, path, tokens)
+
+    def _drop(self, attempt: Attempt | None) -> None:
+        if attempt is None:
             return
-        if waited >= quiet:
-            self._on_quiet(waited)
-            self._watch(min(ASK_AGAIN_S, limit - waited) + 0.001)
+        attempt.cancel()
+        if attempt.path:
+            pipelines = self.context.pipelines(self.service.name)
+            pipelines.give_back(attempt.path, attempt.tokens)
+            attempt.path = ()
+        if attempt is self._current:
+            self._current = None
+        if attempt is self._successor:
+            self._successor = None
+
+    def _drop_attempts(self) -> None:
+        self._drop(self._current)
+        self._drop(self._successor)
+
+    def _succeed(self, reason: str) -> None:
+        """Send a successor beside the present attempt."""
+        if self._successor is not None or not self.grant.route.may_repeat:
             return
-        self._watch(quiet - waited + 0.001)
-
-    def _on_stalled(self, waited: float) -> None:
-        self.log("stream_stalled", waited=waited, events=self.events)
-        if not self.grant.route.may_repeat or not self.may_send_again():
+        path = self._choose(None)
+        if path is None or not self.may_send_again():
             return
+        self.log("successor_sent", reason=reason, events=self.events)
         self.may_have_run = True
-        self._blame(self._path[0].replica if len(self._path) == 1 else None)
-        self._leave()
-        self._attempt("stalled")
+        self._successor = attempt = self._make(path)
+        self._send(attempt)
 
-    def _on_quiet(self, waited: float) -> None:
-        """Ask the first engine which one the request waits for."""
-        if not self._path:
+    # Stalls.
+
+    def _watch(self, delay_s: float) -> None:
+        if self._watch_timer is not None:
+            self._watch_timer.cancel()
+        self._watch_timer = self.context.loop.call_later(delay_s, self._on_watch)
+
+    def _on_watch(self) -> None:
+        self._watch_timer = None
+        current = self._current
+        if self.is_over or current is None:
+            return
+        has_begun = current.splitter.count > 0
+        quiet_s = QUIET_S if has_begun else FIRST_EVENT_S / 2
+        stall_s = STALL_S if has_begun else FIRST_EVENT_S
+        waited = self.context.loop.now - current.progress_at
+        if waited < quiet_s:
+            self._watch(quiet_s - waited + 0.001)
             return
-        self.log("stream_quiet", level="DEBUG", waited=waited, events=self.events)
-        self.context.investigate(self._path[0].replica, self.service.name)
+        self.context.investigate(current.path[0].replica, self.service.name)
+        if waited >= stall_s and self._successor is None:
+            self._avoid.update(hop.replica.identity for hop in current.path)
+            self._succeed("stalled")
+        self._watch(ASK_AGAIN_S)
 
     def uses(self, identity: tuple[str, int]) -> bool:
         """Tell whether an engine is on the request's path."""
-        return any(hop.replica.identity == identity for hop in self._path)
+        return self._current is not None and self._current.uses(identity)
 
     def waits(self, now: float) -> bool:
         """Tell whether the request has had no event for a while."""
-        return now - max(self._progress_at, self._sent_at) > QUIET_S
+        return self._current is not None and now - self._current.progress_at > QUIET_S
 
     def leave_engine(self, replica: Replica, reason: str) -> None:
-        """Go on without an engine, on a new path from the same first one."""
-        if self.is_over or self._wire is None or not self._path:
+        """Go on without an engine: on a new path, or with a successor."""
+        current = self._current
+        if self.is_over or current is None or current.wire is None:
             return
-        if replica.identity in self._left:
+        if replica.identity in current.left:
             return
-        self._left.add(replica.identity)
-        head = self._path[0]
+        current.left.add(replica.identity)
+        self._avoid.add(replica.identity)
+        head = current.path[0]
         if head.replica.identity == replica.identity:
-            if reason == LEAVING:
-                return
-            if self.grant.route.may_repeat and self.may_send_again():
-                self.may_have_run = True
-                self._blame(replica)
-                self._leave()
-                self._attempt(reason)
+            self._succeed(reason)
             return
-        self.avoid.add(replica.identity)
         path = self._choose(head)
         if path is None or any(hop.replica is replica for hop in path):
             return
         self.log("path_changed", replica=replica.name, reason=reason)
-        self._order_path(path)
+        self._order_path(current, path)
 
-    def _order_path(self, path: Path) -> None:
+    def _order_path(self, attempt: Attempt, path: Path) -> None:
         head = path[0].replica
-        wire = self._wire
-        hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
-        call = engine_wire.repath_call(
-            self.attempt_id.decode("latin-1"), wire_headers.write_path(hops)
-        )
+        attempt_id = self.attempt_id.decode("latin-1")
+        call = engine_wire.repath_call(attempt_id, _write(path))
 
         def on_answer(answer: Answer) -> None:
-            if self.is_over or self._wire is not wire:
+            if attempt is not self._current or attempt.wire is None:
                 return
             if answer.status not in (200, 202):
                 self.log("path_kept", level="WARNING", status=answer.status)
                 return
             pipelines = self.context.pipelines(self.service.name)
-            pipelines.give_back(self._path, self._taken)
-            self._path = path
-            pipelines.take(path, self._taken)
-            self._sent_at = self.context.loop.now
-            self._watch(STALL_S)
+            pipelines.give_back(attempt.path, attempt.tokens)
+            attempt.path = path
+            pipelines.take(path, attempt.tokens)
+            attempt.progress_at = self.context.loop.now
 
         Fetch(
             self.context.loop,
@@ -299,131 +305,123 @@
             on_answer,
         )
 
-    def _blame(self, replica: Replica | None) -> None:
-        """Avoid the engine at fault, or all of the path where it is not known."""
-        if replica is not None:
-            until = self.context.loop.now + SUSPECT_S
-            self.context.pipelines(self.service.name).suspect(replica, until)
-            self.avoid.add(replica.identity)
-            return
-        for hop in self._path:
-            self.avoid.add(hop.replica.identity)
-
-    def _leave(self) -> None:
-        """Let go of the present attempt."""
-        if self._stall is not None:
-            self._stall.cancel()
-            self._stall = None
-        wire, self._wire = self._wire, None
-        if wire is not None:
-            wire.cancel()
-        if self._path:
-            self.context.pipelines(self.service.name).give_back(self._path, self._taken)
-            self._path = ()
-
-    # The upstream's answer.
-
-    def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
-        """Take the head of an answer."""
-        if not self.is_mine(status, headers):
-            self.log("answer_foreign", level="WARNING", status=status)
-            return False
-        self._status = status
-        self._reason = reason
-        self._headers = headers
-        self._fate = self.judge(status, headers)
-        if self._fate is Fate.SERVED and self._first_headers is None:
-            self._first_headers = headers
-            self._first_reason = reason
-        return True
-
-    def on_body(self, data: bytes) -> None:
+    # What attempts tell.
+
+    def on_events(self, attempt: Attempt, whole: bytes) -> None:
         """Pass whole events on."""
-        if self._fate is not Fate.SERVED or self.is_over:
+        if self.is_over:
             return
-        whole = self._splitter.feed(data)
+        if attempt is self._successor:
+            self._promote(attempt)
+        if attempt.is_promoted:
+            whole = events_after(whole, self._last_id)
+        attempt.progress_at = self.context.loop.now
         if not whole:
             return
-        self._progress_at = self.context.loop.now
-        self.events = self.events + 1
-        if not self.caller.has_begun:
-            assert self._first_headers is not None
-            self.caller.begin(
-                self._status, self._first_reason, heads.answered(self._first_headers)
-            )
+        self._progress_at = attempt.progress_at
+        self._last_id = attempt.splitter.last_id
+        self.events += 1
+        if self._first is None:
+            self._first = attempt
+            headers = heads.answered(attempt.headers)
+            self.caller.begin(attempt.status, attempt.reason, headers)
         self.caller.send(whole)
 
-    def on_complete(self) -> None:
+    def _promote(self, attempt: Attempt) -> None:
+        """Keep the successor, and let the attempt before it go."""
+        self._successor = None
+        self._drop(self._current)
+        self._current = attempt
+        attempt.is_promoted = True
+
+    def on_ended(self, attempt: Attempt) -> None:
         """Take the end of a whole answer."""
         if self.is_over:
             return
-        self._wire = None
-        if self._fate is Fate.SERVED:
-            self._deliver()
+        if attempt.fate is Fate.SERVED:
+            self._deliver(attempt)
             return
-        faulty = self._faulty()
-        if self._fate is Fate.NOT_RUN:
+        faulty = self._faulty(attempt)
+        if attempt.fate is Fate.NOT_RUN:
             self.runs -= 1
             self.log(
                 "attempt_not_run",
-                status=self._status,
+                status=attempt.status,
                 replica=faulty.name if faulty else "",
                 fill=self._fill(faulty),
             )
-            self._again(faulty, "refused")
+            self._again(attempt, faulty, "refused")
             return
         self.may_have_run = True
-        if not self.grant.route.may_repeat:
-            self._end_failed()
-            return
-        self._again(self._path[0].replica, f"status {self._status}")
+        self.log("attempt_failed", status=attempt.status, fate=attempt.fate.value)
+        self._again(attempt, attempt.path[0].replica, f"status {attempt.status}")
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_broken(self, attempt: Attempt, loss: Loss, reason: str) -> None:
         """Take the loss of an attempt."""
         if self.is_over:
             return
-        self._wire = None
-        first = self._path[0].replica if self._path else None
-        self.log("attempt_lost", reason=reason, loss=loss.value, events=self.events)
+        first = attempt.path[0].replica
+        self.log(
+            "attempt_lost",
+            replica=first.name,
+            reason=reason,
+            loss=loss.value,
+            events=self.events,
+        )
         if loss is Loss.NOT_SENT:
             self.runs -= 1
-            self._again(first, reason)
+        else:
+            self.may_have_run = True
+        self._again(attempt, first, reason)
+
+    def _again(self, attempt: Attempt, faulty: Replica | None, reason: str) -> None:
+        self._blame(attempt, faulty)
+        was_successor = attempt is self._successor
+        has_run = attempt.fate is not Fate.NOT_RUN and self.may_have_run
+        self._drop(attempt)
+        if was_successor and self._current is not None:
             return
-        self.may_have_run = True
-        if not self.grant.route.may_repeat:
-            self._leave()
-            self.fail(BAD_GATEWAY, f"lost: {reason}")
+        if self._successor is not None:
+            self._current, self._successor = self._successor, None
+            self._current.is_promoted = True
+            return
+        if has_run and not self.grant.route.may_repeat:
+            self.fail(BAD_GATEWAY, reason)
+            return
+        if self.caller.has_begun and self.sends > 2:
+            self._give_up(reason)
+            return
+        if self.may_send_again():
+            self._start(reason)
             return
-        self._again(first, reason)
+        self._give_up(reason)
 
-    def _fill(self, replica: Replica | None) -> float:
-        """Return how full an engine's memory is thought to be."""
-        model = self.service.model
-        if replica is None or model is None:
-            return 0.0
-        _, held = self.context.pipelines(self.service.name).total(replica)
-        return held / max(1.0, kv_room(model, replica))
+    def _blame(self, attempt: Attempt, replica: Replica | None) -> None:
+        """Avoid the engine at fault, or all of the path where it is not known."""
+        if replica is None:
+            self._avoid.update(hop.replica.identity for hop in attempt.path)
+            return
+        until = self.context.loop.now + SUSPECT_S
+        self.context.pipelines(self.service.name).suspect(replica, until)
+        self._avoid.add(replica.identity)
 
-    def _faulty(self) -> Replica | None:
-        address = heads.find(self._headers, self.context.names.faulty_address)
+    def _faulty(self, attempt: Attempt) -> Replica | None:
+        address = heads.find(attempt.headers, self.context.names.faulty_address)
         if address is None:
-            return self._path[0].replica if self._path else None
+            return attempt.path[0].replica
         text = address.decode("latin-1")
-        for hop in self._path:
+        for hop in attempt.path:
             if hop.replica.address == text:
                 return hop.replica
         return None
 
-    def _again(self, faulty: Replica | None, reason: str) -> None:
-        self._blame(faulty)
-        self._leave()
-        if self.sends > 2 and self.caller.has_begun:
-            self._give_up(reason)
-            return
-        if self.may_send_again():
-            self._attempt(reason)
-            return
-        self._give_up(reason)
+    def _fill(self, replica: Replica | None) -> float:
+        """Return how full an engine's memory is thought to be."""
+        model = self.service.model
+        if replica is None or model is None:
+            return 0.0
+        _, held = self.context.pipelines(self.service.name).total(replica)
+        return held / max(1.0, kv_room(model, replica))
 
     def _give_up(self, reason: str) -> None:
         """End the request, unless part of its answer is out and time is left."""
@@ -432,30 +430,33 @@
         if not self.caller.has_begun or waited > PATIENCE_S or self.left_s < PAUSE_S:
             self.refuse(reason)
             return
-        self._stall = loop.call_later(PAUSE_S, lambda: self._resume(reason))
+        if self._watch_timer is not None:
+            self._watch_timer.cancel()
+        self._watch_timer = loop.call_later(PAUSE_S, lambda: self._resume(reason))
 
     def _resume(self, reason: str) -> None:
-        self._stall = None
+        self._watch_timer = None
         if self.is_over:
             return
         if self.may_send_again():
-            self._attempt(reason)
+            self._start(reason)
             return
         self._give_up(reason)
 
-    def _end_failed(self) -> None:
-        self._leave()
-        self.fail(BAD_GATEWAY, f"status {self._status}")
-
-    def _deliver(self) -> None:
-        self._leave()
-        self.close()
-        if not self.caller.has_begun:
-            headers = heads.answered(self._first_headers or [])
-            held = self._splitter.held
-            self.caller.answer(self._status, self._first_reason, headers, held)
+    def _deliver(self, attempt: Attempt) -> None:
+        held = attempt.splitter.held
+        if self._first is None:
+            headers: list[Header] = heads.answered(attempt.headers)
+            self.close()
+            self.caller.answer(attempt.status, attempt.reason, headers, held)
         else:
-            if self._splitter.held:
-                self.caller.send(self._splitter.held)
+            self.close()
+            if held:
+                self.caller.send(held)
             self.caller.end()
         self.context.finished(self, "served")
+
+
+def _write(path: Path) -> bytes:
+    hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
+    return wire_headers.write_path(hops)
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -2,6 +2,7 @@
 from wagtailstair.core.replicas import ReplicaSet
 
 LAPSE_S = 2.0
+NEVER = float("-inf")
 
 
 def names(replicas):
@@ -34,13 +35,13 @@
     def test_removal_counts_at_once_while_the_store_is_well(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
-        replicas.remove("x", 0.0, is_store_unsure=False)
+        replicas.remove("x", 0.0, NEVER)
         assert names(replicas) == []
 
     def test_removal_waits_after_trouble(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
-        replicas.remove("x", 0.0, is_store_unsure=True)
+        replicas.remove("x", 0.0, failed_at=0.0)
         assert replicas.settle(1.9, is_store_away=False) == []
         assert names(replicas) == ["x"]
         assert replicas.settle(2.0, is_store_away=False) == ["x"]
@@ -49,7 +50,7 @@
     def test_a_row_that_is_back_stays(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
-        replicas.remove("x", 0.0, is_store_unsure=True)
+        replicas.remove("x", 0.0, failed_at=0.0)
         replicas.put(make_engine("x"))
         assert replicas.settle(9.0, is_store_away=False) == []
         assert names(replicas) == ["x"]
@@ -57,7 +58,7 @@
     def test_the_wait_begins_with_the_stores_return(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
-        replicas.remove("x", 0.0, is_store_unsure=True)
+        replicas.remove("x", 0.0, failed_at=0.0)
         replicas.settle(5.0, is_store_away=True)
         assert replicas.settle(6.9, is_store_away=False) == []
         assert replicas.settle(7.0, is_store_away=False) == ["x"]
@@ -66,5 +67,18 @@
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.put(make_engine("y"))
-        replicas.replace([make_engine("y")], 0.0, is_store_unsure=False)
+        replicas.replace([make_engine("y")], 0.0, NEVER)
         assert names(replicas) == ["y"]
+
+    def test_the_wait_is_counted_from_the_last_failure(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        replicas.remove("x", 1.1, failed_at=0.0)
+        assert replicas.settle(1.9, is_store_away=False) == []
+        assert replicas.settle(2.0, is_store_away=False) == ["x"]
+
+    def test_a_removal_long_after_a_failure_counts_at_once(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x"))
+        replicas.remove("x", 2.5, failed_at=0.0)
+        assert names(replicas) == []
