--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -55,6 +55,9 @@
 ORDER_AGAIN_S = 6.0
 """Seconds after which an order without effect is given again; a load takes 2 s."""
 
+REFUSED_AGAIN_S = 1.5
+"""Seconds after which an engine that refused an order gets another."""
+
 STORE_TIMEOUT_S = 1.0
 
 
@@ -256,7 +259,8 @@
         replica = placing.replica
         now = self._loop.now
         identity = replica.identity
-        self._ordered[identity] = ((placing.first, placing.last), now)
+        held = (placing.first, placing.last)
+        self._ordered[identity] = (held, now)
         self.orders += 1
         # An engine that holds layers had orders that this host may not know of.
         count = self._orders_by_identity.get(identity)
@@ -282,6 +286,11 @@
             if answer.status in (200, 202):
                 if count is not None:
                     self._orders_by_identity[identity] = count + 1
+            elif answer.status:
+                # Refused: it may be busy with an earlier order that got no answer.
+                self._orders_by_identity.pop(identity, None)
+                refused_at = self._loop.now - ORDER_AGAIN_S + REFUSED_AGAIN_S
+                self._ordered[identity] = (held, refused_at)
             elif answer.loss is not Loss.UNKNOWN:
                 self._ordered.pop(identity, None)
 
