--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -66,9 +66,11 @@
 class Gateway:
     """All that one daemon holds."""
 
-    def __init__(self, settings: GatewaySettings, clock: Clock) -> None:
+    def __init__(
+        self, settings: GatewaySettings, clock: Clock, loop: Loop | None = None
+    ) -> None:
         self.settings = settings
-        self.loop = Loop(clock)
+        self.loop = Loop(clock) if loop is None else loop
         self.names = wire_headers.HEADER_NAMES
         self.pool = UpstreamPool(self.loop)
         self._rng = random.Random()
@@ -285,19 +287,23 @@
         """Tell whether the balancer may send new connections."""
         return self.knowledge.is_complete and not self.is_draining
 
-    def run(self) -> None:
-        """Serve until a signal ends it."""
+    def start_serving(self) -> None:
+        """Listen, and begin to follow the store and the peers."""
         host = self.settings.host
         listen(self.loop, parse_address(host.callers, "callers"), self._on_accept)
         listen(self.loop, parse_address(host.readiness, "readiness"), self._on_operator)
         own = self._own_host()
         listen(self.loop, parse_address(own.address, "peer_ports"), self._on_peer)
-        self.loop.call_on_signal(signal.SIGTERM, self._drain)
-        self.loop.call_on_signal(signal.SIGHUP, self._reload)
         self.knowledge.start()
         self.peers.start()
         self._placer.start()
         log_event("started", address=host.callers)
+
+    def run(self) -> None:
+        """Serve until a signal ends it."""
+        self.start_serving()
+        self.loop.call_on_signal(signal.SIGTERM, self.drain)
+        self.loop.call_on_signal(signal.SIGHUP, self._reload)
         self.loop.run()
         log_event("stopped")
 
@@ -320,7 +326,8 @@
     def _reload(self) -> None:
         log_event("reload")
 
-    def _drain(self) -> None:
+    def drain(self) -> None:
+        """Take nothing new, finish what is in work, then end."""
         if self.is_draining:
             return
         self.is_draining = True
--- /dev/null
+++ b/tests/gateway_world.py
@@ -0,0 +1,416 @@
+"""A small deployment on loopback, all on one event loop: store, upstreams, hosts."""
+
+import base64
+import json
+import socket
+import typing as t
+import urllib.parse
+
+from tests.gateway_data import encode
+from wagtailstair.clock import SystemClock
+from wagtailstair.core.directory import CallerLimits
+from wagtailstair.gateway.caller import Caller
+from wagtailstair.gateway.connection import Connection
+from wagtailstair.gateway.connection import connect
+from wagtailstair.gateway.connection import listen
+from wagtailstair.gateway.daemon import Gateway
+from wagtailstair.gateway.loop import Loop
+from wagtailstair.gateway.requests import Request
+from wagtailstair.gateway.settings import parse_settings
+
+IP = "127.0.0.1"
+LIMIT_S = 20.0
+
+
+def free_port() -> int:
+    with socket.socket() as sock:
+        sock.bind((IP, 0))
+        port: int = sock.getsockname()[1]
+        return port
+
+
+class Held:
+    """A request whose answer comes later, or never."""
+
+    def __init__(self, caller: Caller, request: Request) -> None:
+        self.caller = caller
+        self.request = request
+        self.is_gone = False
+
+    def on_caller_gone(self) -> None:
+        self.is_gone = True
+
+
+class Server:
+    """Accepts connections; subclasses answer."""
+
+    is_draining = False
+
+    def __init__(self, loop: Loop) -> None:
+        self.loop = loop
+        self.port = free_port()
+        self.address = f"{IP}:{self.port}"
+        self.callers: set[Caller] = set()
+        self.seen: list[Request] = []
+        self.socket = listen(loop, (IP, self.port), self._on_accept)
+
+    def _on_accept(self, sock: socket.socket) -> None:
+        self.callers.add(Caller(self, sock))
+
+    def caller_limits(self) -> CallerLimits:
+        return CallerLimits(body_bytes=1 << 24)
+
+    def on_caller_closed(self, caller: Caller) -> None:
+        self.callers.discard(caller)
+
+    def start(self, caller: Caller, request: Request) -> Held | None:
+        self.seen.append(request)
+        held = Held(caller, request)
+        self.answer(held)
+        return held
+
+    def answer(self, held: Held) -> None:
+        raise NotImplementedError
+
+    def stop(self) -> None:
+        self.loop.remove(self.socket.fileno())
+        self.socket.close()
+        for caller in list(self.callers):
+            caller.close()
+
+
+class Store(Server):
+    """The platform's store; ``mode``: ok, busy, silent or lost."""
+
+    def __init__(self, loop: Loop) -> None:
+        super().__init__(loop)
+        self.mode = "ok"
+        self.version = 1
+        self.row_by_key: dict[tuple[str, str], tuple[bytes | None, int]] = {}
+        self.waiting: list[tuple[Held, str, int]] = []
+
+    def put(self, table: str, key: str, value: object | None) -> None:
+        self.version += 1
+        data = None if value is None else encode(value)
+        self.row_by_key[table, key] = (data, self.version)
+        waiting, self.waiting = self.waiting, []
+        for held, wanted, after in waiting:
+            self.feed(held, wanted, after)
+
+    def answer(self, held: Held) -> None:
+        if self.mode == "silent":
+            return
+        if self.mode == "busy":
+            held.caller.answer(503, b"", (), b"")
+            return
+        parts = urllib.parse.urlsplit(held.request.target.decode())
+        query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
+        if parts.path == "/rows-get":
+            self.reply(held, 200, self.rows(query["table"], live=True))
+        elif parts.path == "/rows-feed":
+            self.feed(held, query["table"], int(query["after"]))
+        else:
+            self.transact(held, json.loads(held.request.body))
+
+    def feed(self, held: Held, table: str, after: int) -> None:
+        rows = [row for row in self.rows(table) if row["ver"] > after]
+        if not rows and "wait_ms=0" not in held.request.target.decode():
+            self.waiting.append((held, table, after))
+            return
+        if not held.is_gone:
+            self.reply(held, 200, rows)
+
+    def rows(self, table: str, *, live: bool = False) -> list[dict[str, t.Any]]:
+        rows = []
+        for (name, key), (value, version) in sorted(self.row_by_key.items()):
+            if name != table or (live and value is None):
+                continue
+            row = {"table": table, "part": "", "key": key, "ver": version}
+            if value is None:
+                row["deleted"] = True
+            else:
+                row["value"] = base64.b64encode(value).decode()
+            rows.append(row)
+        return rows
+
+    def transact(self, held: Held, body: dict[str, t.Any]) -> None:
+        for row in body["expect_rev"]:
+            _, version = self.row_by_key.get((row["table"], row["key"]), (None, 0))
+            if version != row["ver"]:
+                self.reply(held, 412, self.rows(row["table"]))
+                return
+        for row in body["writes"]:
+            value = json.loads(base64.b64decode(row["value"]))
+            self.put(row["table"], row["key"], value)
+        if self.mode != "lost":
+            self.reply(held, 200, [])
+
+    def reply(self, held: Held, status: int, rows: list[t.Any]) -> None:
+        body = {"rows": rows, "truncated": False, "ver": self.version, "now_ms": 1}
+        held.caller.answer(status, b"", (), encode(body))
+
+
+class Service(Server):
+    """A plain service; ``script``: what becomes of the requests in turn."""
+
+    def __init__(self, loop: Loop, store: Store, name: str) -> None:
+        super().__init__(loop)
+        self.name = name
+        self.store = store
+        self.script: list[str] = []
+        self.runs: list[str] = []
+        self.row: dict[str, t.Any] = {
+            "service": "desk",
+            "address": self.address,
+            "zone": "a",
+            "version": "v1",
+            "slots": 6,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "sequence": 1,
+            "born": 1000,
+        }
+
+    def tell(self, **changes: t.Any) -> None:
+        """Write the row of this upstream."""
+        self.row.update(changes)
+        self.store.put("servers", self.name, self.row)
+
+    def answer(self, held: Held) -> None:
+        attempt = held.request.header(b"x-attempt-id")
+        step = self.script.pop(0) if self.script else "ok"
+        signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
+        if step == "refuse":
+            held.caller.answer(503, b"", [(b"X-Not-Executed", b"1")], b"")
+            return
+        self.runs.append(attempt.decode())
+        if step == "lose":
+            held.caller.cut()
+        elif step == "unsigned":
+            held.caller.answer(200, b"", signed[:1], b"body")
+        elif step == "foreign":
+            held.caller.answer(200, b"", [(b"X-Attempt-Id", b"other")], b"other")
+        elif step == "error":
+            held.caller.answer(500, b"", signed, b"error")
+        elif step != "silent":
+            held.caller.answer(200, b"Fine", signed, b"body of " + attempt)
+
+
+class Engine(Service):
+    """A model engine; it emits events as the first of a path."""
+
+    events = 12
+    pause_s = 0.01
+
+    def __init__(self, loop: Loop, store: Store, name: str, kind: str) -> None:
+        super().__init__(loop, store, name)
+        self.row.update(service="engines", kind=kind, layers=None, slots=96)
+        self.orders: list[dict[str, t.Any]] = []
+        self.last_ids: list[bytes] = []
+        self.cut_after: int | None = None
+        self.freeze_after: int | None = None
+
+    def answer(self, held: Held) -> None:
+        request = held.request
+        if request.path == "/order":
+            order = json.loads(request.body)
+            self.orders.append(order)
+            held.caller.answer(202, b"", (), b"")
+            if order["op"] == "place":
+                layers = {"from": order["from"], "target": order["target"]}
+                self.tell(layers={**layers, "version": 1})
+            return
+        if request.path == "/report":
+            held.caller.answer(200, b"", (), b"{}")
+            return
+        if self.script:
+            super().answer(held)
+            return
+        attempt = request.header(b"x-attempt-id")
+        self.runs.append(attempt.decode())
+        last = request.header(b"last-event-id")
+        self.last_ids.append(last)
+        headers = [
+            (b"X-Attempt-Id", attempt),
+            (b"X-Response-Signature", b"sig-" + self.name.encode()),
+            (b"Content-Type", b"text/event-stream"),
+        ]
+        held.caller.begin(200, b"OK", headers)
+        self.emit(held, int(last or 0) + 1)
+
+    def emit(self, held: Held, number: int) -> None:
+        if held.is_gone:
+            return
+        if self.freeze_after is not None and number > self.freeze_after:
+            return
+        if self.cut_after is not None and number > self.cut_after:
+            held.caller.send(b"id: %d\nda" % number)
+            held.caller.cut()
+            return
+        if number > self.events:
+            held.caller.end()
+            return
+        held.caller.send(b"id: %d\ndata: event %d\n\n" % (number, number))
+        self.loop.call_later(self.pause_s, lambda: self.emit(held, number + 1))
+
+
+class Answered:
+    """The bytes of a caller's connection, and whether it was closed."""
+
+    def __init__(self, loop: Loop, address: str, data: bytes) -> None:
+        self.data = b""
+        self.is_closed = False
+        self.is_reset = False
+        ip, _, port = address.rpartition(":")
+        self.connection: Connection = connect(
+            loop, (ip, int(port)), self._on_data, self._on_lost, lambda: None
+        )
+        self.connection.write(data)
+
+    def _on_data(self, data: bytes) -> None:
+        if not data:
+            self.is_closed = True
+        self.data += data
+
+    def _on_lost(self, _error: OSError) -> None:
+        self.is_closed = self.is_reset = True
+
+    @property
+    def status(self) -> int:
+        return int(self.data.split(b" ", 2)[1]) if self.data else 0
+
+    @property
+    def is_whole(self) -> bool:
+        head, found, body = self.data.partition(b"\r\n\r\n")
+        if not found:
+            return False
+        if b"Transfer-Encoding: chunked" in head:
+            return body.endswith(b"0\r\n\r\n")
+        length = head.partition(b"Content-Length: ")[2].split(b"\r\n")[0]
+        return len(body) >= int(length or 0)
+
+    @property
+    def body(self) -> bytes:
+        head, _, body = self.data.partition(b"\r\n\r\n")
+        if b"Transfer-Encoding: chunked" not in head:
+            return body
+        out = b""
+        while body:
+            size, _, rest = body.partition(b"\r\n")
+            length = int(size, 16)
+            out += rest[:length]
+            body = rest[length + 2 :]
+        return out
+
+
+SETTINGS = """
+[host]
+name = "{name}"
+data_centre = "{centre}"
+address = "127.0.0.1"
+callers = "127.0.0.1:{callers}"
+readiness = "127.0.0.1:{readiness}"
+peer_ports = [{peers}, {peers}]
+
+[store]
+address = "{store}"
+reads_per_s = 2000.0
+writes_per_s = 400.0
+lapse_s = 0.3
+
+[retries]
+ratio = 0.2
+slack = 200
+window_s = 10
+
+[shutdown]
+grace_s = 8
+"""
+
+
+class World:
+    """The parts of a deployment and the loop that runs them."""
+
+    def __init__(self) -> None:
+        self.clock = SystemClock()
+        self.loop = Loop(self.clock)
+        self.store = Store(self.loop)
+        self.upstreams: list[Service] = []
+        self.hosts: list[Gateway] = []
+
+    def add_service(self, name: str) -> Service:
+        service = Service(self.loop, self.store, name)
+        service.tell()
+        self.upstreams.append(service)
+        return service
+
+    def add_engine(self, name: str, kind: str = "a100", centre: str = "a") -> Engine:
+        engine = Engine(self.loop, self.store, name, kind)
+        engine.tell(zone=centre)
+        self.upstreams.append(engine)
+        return engine
+
+    def add_host(self, name: str = "entry-1", store: str | None = None) -> Gateway:
+        text = SETTINGS.format(
+            name=name,
+            centre="a",
+            callers=free_port(),
+            readiness=free_port(),
+            peers=free_port(),
+            store=store or self.store.address,
+        )
+        gateway = Gateway(parse_settings(text), self.clock, self.loop)
+        gateway.start_serving()
+        self.hosts.append(gateway)
+        return gateway
+
+    def run(self, until: t.Callable[[], bool], limit_s: float = LIMIT_S) -> None:
+        """Run the loop until something holds; fail after a bound."""
+        deadline = self.clock.monotonic() + limit_s
+
+        def look() -> None:
+            if until() or self.clock.monotonic() > deadline:
+                self.loop.stop()
+            else:
+                self.loop.call_later(0.005, look)
+
+        self.loop.now = self.clock.monotonic()
+        self.loop.call_later(0.0, look)
+        self.loop.run()
+        assert until(), "did not come about in time"
+
+    def send(self, gateway: Gateway, data: bytes) -> Answered:
+        return Answered(self.loop, gateway.settings.host.callers, data)
+
+    def ask(self, gateway: Gateway, data: bytes) -> Answered:
+        """Send a request and wait for its answer or the connection's end."""
+        answered = self.send(gateway, data)
+        self.run(lambda: answered.is_whole or answered.is_closed)
+        return answered
+
+
+def make_request(
+    path: str,
+    attempt: str,
+    *,
+    method: str = "GET",
+    key: str | None = "key-one",
+    body: bytes = b"",
+    headers: str = "",
+) -> bytes:
+    lines = [f"{method} {path} HTTP/1.1", "Host: desk.example"]
+    lines += [f"X-Attempt-Id: {attempt}", "X-Deadline-Ms: 5000"]
+    if key is not None:
+        lines.append(f"Authorization: Token {key}")
+    if body or method == "POST":
+        lines.append(f"Content-Length: {len(body)}")
+    if headers:
+        lines.append(headers)
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def make_stream(attempt: str, **options: t.Any) -> bytes:
+    headers = "X-Token-Usage: 300,80\r\nX-Model: m\r\nX-Prompt-Prefix: ab:300"
+    return make_request(
+        "/draft/1", attempt, method="POST", body=b"p" * 300, headers=headers, **options
+    )
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,379 @@
+"""The gateway between callers, upstreams and the store, on one loop."""
+
+import pytest
+
+from tests.gateway_data import make_config
+from tests.gateway_world import World
+from tests.gateway_world import make_request
+from tests.gateway_world import make_stream
+
+EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 13))
+
+
+@pytest.fixture
+def world():
+    world = World()
+    world.store.put("op", "config", make_config())
+    return world
+
+
+@pytest.fixture
+def desks(world):
+    return [world.add_service("i-one"), world.add_service("i-two")]
+
+
+@pytest.fixture
+def engines(world):
+    return [world.add_engine(f"i-e{n}") for n in range(4)]
+
+
+@pytest.fixture
+def host(world):
+    host = world.add_host()
+    world.run(host.is_ready)
+    return host
+
+
+def place_all(world, engines):
+    """Wait until the hosts know what layers the engines hold."""
+
+    def is_known(host, engine):
+        replica = host.replicas.by_name.get(engine.name)
+        return replica is not None and replica.layers is not None
+
+    world.run(lambda: all(is_known(h, e) for h in world.hosts for e in engines))
+
+
+def runs(upstreams):
+    return [attempt for upstream in upstreams for attempt in upstream.runs]
+
+
+class TestLists:
+    def test_not_ready_without_lists(self):
+        world = World()
+        host = world.add_host()
+        answered = world.ask(host, make_request("/lookup/1", "a1"))
+        assert answered.status == 503
+        assert not host.is_ready()
+
+    @pytest.mark.parametrize(
+        ("path", "key", "status"),
+        [
+            ("/nowhere/", "key-one", 404),
+            ("/register/1", "key-nine", 401),
+            ("/register/1", None, 401),
+            ("/lookup/1", None, 200),
+        ],
+    )
+    def test_judged(self, world, desks, host, path, key, status):
+        world.store.put("servers", "i-three", dict(desks[0].row, service="desk2"))
+        world.run(lambda: "i-three" in host.replicas.by_name)
+        assert world.ask(host, make_request(path, "a1", key=key)).status == status
+
+    def test_new_lists_are_taken(self, world, desks, host):
+        config = make_config(2)
+        config["tenants"][0]["api_keys"] = ["key-two"]
+        world.store.put("op", "config", config)
+        world.run(lambda: host.lists_version() == 2)
+        assert world.ask(host, make_request("/register/1", "a1")).status == 401
+
+    def test_older_and_unreadable_lists_are_passed_over(self, world, host):
+        world.store.put("op", "config", make_config(5))
+        world.run(lambda: host.lists_version() == 5)
+        world.store.put("op", "config", make_config(4))
+        world.store.put("op", "config", {"version": "six"})
+        world.store.put("op", "config", make_config(7))
+        world.run(lambda: host.lists_version() == 7)
+
+
+class TestCalls:
+    def test_answer_as_the_upstream_gave_it(self, world, desks, host):
+        request = make_request("/register/7?x=1", "a1", method="POST", body=b"fee")
+        answered = world.ask(host, request)
+        assert (answered.status, answered.body) == (200, b"body of a1")
+        assert b"X-Response-Signature: sig\r\n" in answered.data
+        assert answered.data.startswith(b"HTTP/1.1 200 Fine\r\n")
+
+    def test_what_the_upstream_sees(self, world, desks, host):
+        headers = "X-Tenant: forged\r\nX-Other: kept\r\nConnection: X-Hop\r\nX-Hop: 1"
+        request = make_request(
+            "/register/7?x=1", "a1", method="POST", body=b"fee", headers=headers
+        )
+        world.ask(host, request)
+        (seen,) = [r for desk in desks for r in desk.seen]
+        assert (seen.target, bytes(seen.body)) == (b"/register/7?x=1", b"fee")
+        names = [name.lower() for name, _ in seen.headers]
+        assert b"authorization" not in names
+        assert b"x-hop" not in names
+        assert names.count(b"x-tenant") == 1
+        assert seen.header(b"x-tenant") == b"maker"
+        assert seen.header(b"x-other") == b"kept"
+        assert seen.header(b"x-target-replica") in (b"i-one", b"i-two")
+        assert 0 < int(seen.header(b"x-deadline-ms")) <= 1200
+
+    def test_refused_call_goes_to_another_upstream(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["refuse"]
+        desks[1].script = []
+        for number in range(4):
+            attempt = f"a{number}"
+            request = make_request("/register/7", attempt, method="POST")
+            assert world.ask(host, request).status == 200
+        assert sorted(runs(desks)) == ["a0", "a1", "a2", "a3"]
+
+    def test_refused_by_all_is_refused(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["refuse"] * 9
+        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        assert answered.status == 503
+        assert b"Retry-After: " in answered.data
+        assert runs(desks) == []
+
+    def test_lost_call_that_may_not_repeat_is_not_sent_again(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["lose"]
+        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        assert answered.status == 502
+        assert runs(desks) == ["a1"]
+
+    @pytest.mark.parametrize("fault", ["lose", "error", "unsigned"])
+    def test_idempotent_call_is_sent_again(self, world, desks, host, fault):
+        config = make_config(2)
+        config["routes"][2].update(service="desk", split=None)
+        world.store.put("op", "config", config)
+        world.run(lambda: host.lists_version() == 2)
+        for desk in desks:
+            desk.script = [fault]
+        first = world.ask(host, make_request("/lookup/7", "a1"))
+        # Both upstreams fail once: two attempts are all that the route allows.
+        assert first.status == (500 if fault == "error" else 502)
+        assert runs(desks) == ["a1", "a1"]
+        assert world.ask(host, make_request("/lookup/7", "a2")).status == 200
+
+    def test_unsigned_success_is_a_failure(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["unsigned"]
+        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        assert answered.status == 502
+
+    def test_foreign_answer_reaches_nobody(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["foreign"]
+        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        assert answered.status == 504
+        assert b"other" not in answered.data
+
+    def test_silent_call_ends_with_its_routes_timeout(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["silent"]
+        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        assert answered.status == 504
+        assert runs(desks) == ["a1"]
+
+    def test_leaving_upstream_gets_nothing(self, world, desks, host):
+        desks[0].tell(state="draining")
+        world.run(lambda: host.replicas.by_name["i-one"].is_leaving)
+        for number in range(5):
+            request = make_request("/register/7", f"a{number}", method="POST")
+            assert world.ask(host, request).status == 200
+        assert desks[0].runs == []
+
+    def test_unreadable_row_is_passed_over(self, world, desks, host):
+        world.store.put("servers", "i-bad", {"service": "desk", "address": 7})
+        world.store.put("servers", "i-odd", dict(desks[0].row, state="dancing"))
+        desks[1].tell(sequence=9)
+        world.run(lambda: len(host.replicas.by_name) == 2)
+        request = make_request("/register/7", "a1", method="POST")
+        assert world.ask(host, request).status == 200
+
+    def test_caller_that_leaves_stops_the_upstream(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["silent"]
+        answered = world.send(host, make_request("/register/7", "a1", method="POST"))
+        world.run(lambda: runs(desks) == ["a1"])
+        answered.connection.close()
+        world.run(lambda: not any(desk.callers for desk in desks))
+
+
+class TestConnections:
+    def test_kept_for_more(self, world, desks, host):
+        answered = world.send(host, make_request("/register/7", "a1", method="POST"))
+        world.run(lambda: b"body of a1" in answered.data)
+        again = make_request("/register/7", "a2", method="POST")
+        answered.connection.write(again)
+        world.run(lambda: b"body of a2" in answered.data)
+        assert not answered.is_closed
+
+    def test_sent_ahead_answers_stay_in_order(self, world, desks, host):
+        data = b"".join(
+            make_request("/register/7", f"a{n}", method="POST") for n in range(5)
+        )
+        answered = world.send(host, data)
+        world.run(lambda: answered.data.count(b"body of") == 5)
+        places = [answered.data.index(b"body of a%d" % n) for n in range(5)]
+        assert places == sorted(places)
+
+    def test_smuggled_request_runs_nowhere(self, world, desks, host):
+        data = (
+            b"POST /register/7 HTTP/1.1\r\nHost: desk.example\r\n"
+            b"Authorization: Token key-one\r\nX-Attempt-Id: a1\r\n"
+            b"Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            + make_request("/register/8", "smuggled", method="POST")
+        )
+        answered = world.send(host, data)
+        world.run(lambda: answered.is_closed)
+        assert answered.status == 400
+        assert runs(desks) == []
+
+    def test_other_connections_do_not_notice(self, world, desks, host):
+        bad = world.send(host, b"NONSENSE\r\n\r\n")
+        good = world.send(host, make_request("/register/7", "a1", method="POST"))
+        world.run(lambda: bad.is_closed and good.is_whole)
+        assert (bad.status, good.status) == (400, 200)
+
+
+class TestStreams:
+    def test_whole(self, world, engines, host):
+        place_all(world, engines)
+        answered = world.ask(host, make_stream("a1"))
+        assert (answered.status, answered.body) == (200, EVENTS)
+        (seen,) = [r for e in engines for r in e.seen if r.path.startswith("/draft")]
+        path = seen.header(b"x-hop-count").decode().split(",")
+        layer = 0
+        for part in path:
+            address, _, held = part.partition("=")
+            first, _, last = held.partition("-")
+            assert int(first) == layer
+            layer = int(last)
+            assert address in [engine.address for engine in engines]
+        assert layer == 80
+
+    def test_each_engine_is_ordered_once(self, world, engines, host):
+        place_all(world, engines)
+        world.ask(host, make_stream("a1"))
+        assert [len(engine.orders) for engine in engines] == [1, 1, 1, 1]
+
+    def test_cut_in_the_middle_goes_on_elsewhere(self, world, engines, host):
+        place_all(world, engines)
+        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(world, spare)
+        everyone = engines + spare
+        for engine in everyone:
+            engine.cut_after = 5
+        answered = world.send(host, make_stream("a1"))
+        world.run(lambda: len(runs(everyone)) == 1)
+        for engine in everyone:
+            if not engine.runs:
+                engine.cut_after = None
+        world.run(lambda: answered.is_whole or answered.is_closed)
+        assert answered.body == EVENTS
+        assert answered.data.count(b"X-Response-Signature") == 1
+        lasts = [last for engine in everyone for last in engine.last_ids]
+        assert sorted(lasts) == [b"", b"5"]
+
+    def test_frozen_in_the_middle_goes_on_elsewhere(self, world, engines, host):
+        place_all(world, engines)
+        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(world, spare)
+        everyone = engines + spare
+        for engine in everyone:
+            engine.freeze_after = 5
+        answered = world.send(host, make_stream("a1"))
+        world.run(lambda: len(runs(everyone)) == 1)
+        for engine in everyone:
+            if not engine.runs:
+                engine.freeze_after = None
+        world.run(lambda: answered.is_whole or answered.is_closed)
+        assert answered.body == EVENTS
+
+    def test_leaving_engine_hands_its_streams_over(self, world, engines, host):
+        place_all(world, engines)
+        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(world, spare)
+        everyone = engines + spare
+        for engine in everyone:
+            engine.events, engine.pause_s = 60, 0.02
+        answered = world.send(host, make_stream("a1"))
+        world.run(lambda: b"id: 5\n" in answered.data)
+        (first,) = [engine for engine in everyone if engine.runs]
+        first.tell(state="draining")
+        world.run(lambda: len(runs(everyone)) == 2)
+        world.run(lambda: answered.is_whole or answered.is_closed)
+        ids = [
+            int(line[4:]) for line in answered.body.split(b"\n") if line[:3] == b"id:"
+        ]
+        assert ids == list(range(1, 61))
+
+    def test_no_engines_is_refused_at_once(self, world, host):
+        answered = world.ask(host, make_stream("a1"))
+        assert answered.status == 503
+
+    def test_caller_that_leaves_stops_the_engine(self, world, engines, host):
+        place_all(world, engines)
+        for engine in engines:
+            engine.events = 10_000
+        answered = world.send(host, make_stream("a1"))
+        world.run(lambda: b"id: 3\n" in answered.data)
+        answered.connection.close()
+        pipelines = host.pipelines("engines")
+        world.run(lambda: not host.streams())
+        assert all(use.running == 0 for use in pipelines.use_by_identity.values())
+        world.run(lambda: not any(len(e.callers) > 1 for e in engines))
+
+
+class TestStore:
+    @pytest.mark.parametrize("mode", ["busy", "silent"])
+    def test_served_while_the_store_is_away(self, world, desks, host, mode):
+        world.store.mode = mode
+        for caller in list(world.store.callers):
+            caller.close()
+        request = make_request("/register/7", "a1", method="POST")
+        assert world.ask(host, request).status == 200
+
+    def test_followed_again_after_its_return(self, world, desks, host):
+        world.store.mode = "busy"
+        for caller in list(world.store.callers):
+            caller.close()
+        world.run(lambda: host.knowledge.is_store_away)
+        world.store.put("op", "config", make_config(9))
+        world.store.mode = "ok"
+        world.run(lambda: host.lists_version() == 9)
+
+    def test_lists_come_from_a_peer_while_the_store_is_away(self, world, desks, host):
+        other = world.add_host("entry-2")
+        world.run(lambda: other.is_ready() and bool(other.peers.live_hosts()))
+        world.run(lambda: bool(host.peers.live_hosts()))
+        # This host alone loses the store.
+        host.knowledge._lists.start = lambda: None
+        for follower in host.knowledge._followers.values():
+            follower._store = follower._store._replace(address="127.0.0.1:9")
+        for caller in list(world.store.callers):
+            caller.close()
+        world.store.put("op", "config", make_config(3))
+        desks[0].tell(state="draining")
+        world.run(lambda: host.lists_version() == 3)
+        world.run(lambda: host.replicas.by_name["i-one"].is_leaving)
+
+
+class TestShutdown:
+    def test_finishes_what_is_in_work(self, world, engines, host):
+        place_all(world, engines)
+        for engine in engines:
+            engine.events, engine.pause_s = 60, 0.02
+        idle = world.send(host, make_request("/nowhere/", "a0"))
+        answered = world.send(host, make_stream("a1"))
+        world.run(lambda: b"id: 3\n" in answered.data and idle.is_whole)
+        host.drain()
+        assert not host.is_ready()
+        world.run(lambda: idle.is_closed)
+        world.run(lambda: answered.is_whole or answered.is_closed)
+        assert answered.is_whole
+        assert b"id: 60\n" in answered.data
+
+    def test_a_late_request_is_refused_unread(self, world, desks, host):
+        host.drain()
+        host._stop_accepting()
+        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        assert answered.status == 503
+        assert b"Connection: close" in answered.data
+        assert runs(desks) == []
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -81,7 +81,9 @@
     "carriage return in a value": b"X-A: b\rc\r\n\r\n",
     "zero byte in a value": b"X-A: b\0c\r\n\r\n",
     "second host": b"Host: other\r\n\r\n",
-    "bare line feed in a chunk": b"Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n",
+    "bare line feed in a chunk": (
+        b"Transfer-Encoding: chunked\r\n\r\n3\nabc\r\n0\r\n\r\n"
+    ),
     "chunk size overflow": (
         b"Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nabc\r\n0\r\n\r\n"
     ),
@@ -119,10 +121,11 @@
 
     def test_endless_head(self):
         reader = RequestReader(LIMITS, lambda: None)
+        reader.feed(HEAD, 0.0)
+        for _ in range(18):
+            reader.feed(b"x" * 50, 0.0)
         with pytest.raises(HeadersTooLargeError):
-            reader.feed(HEAD, 0.0)
-            for _ in range(100):
-                reader.feed(b"x" * 50, 0.0)
+            reader.feed(b"x" * 100, 0.0)
 
     def test_long_body(self):
         with pytest.raises(RequestTooLargeError):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -82,9 +82,9 @@
         """Take the engine away whose layers no other holds."""
         for engine in engines:
             rest = [other for other in engines if other is not engine]
-            if engine.data_centre == centre and bare_layers(rest, centre):
-                if engine.accelerator == "v100":
-                    return rest
+            is_small = engine.accelerator == "v100"
+            if is_small and engine.data_centre == centre and bare_layers(rest, centre):
+                return rest
         raise AssertionError("no engine is alone")
 
     def test_a_gap_is_closed_by_an_engine_that_can_be_spared(self):
