--- a/src/wagtailstair/cli/main.py
+++ b/src/wagtailstair/cli/main.py
@@ -4,8 +4,10 @@
 
 from .. import __version__
 from . import audit
+from . import explain
 from . import fleet
 from . import rows as rows
+from .gateway import gateway_group
 from .keys import keys_group
 from .lists import lists_group
 from .settings import settings_group
@@ -25,5 +27,7 @@
 main.add_command(lists_group)
 main.add_command(keys_group)
 main.add_command(settings_group)
+main.add_command(gateway_group)
 audit.register(main)
+explain.register(main)
 fleet.register(main)
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -20,7 +20,7 @@
 from ..core.pipelines import Pipelines
 from ..core.replicas import Replica
 from ..exceptions import SettingsError
-from ..logs import configure_logs
+from ..logs import configure_bounded_logs
 from ..logs import log_event
 from ..platform import headers as wire_headers
 from .answering import AnswerServer
@@ -39,10 +39,12 @@
 from .settings import parse_address
 from .stream import StreamExchange
 from .suspicion import Suspicion
+from .telemetry import Telemetry
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
 UINT32_MAX = (1 << 32) - 1
+METRICS_PATH = "/metrics"
 
 WAIT_TICK_S = 0.04
 """Seconds between two looks for room on the engines: about an event's time."""
@@ -100,6 +102,7 @@
         self._pipelines_by_service: dict[str, Pipelines] = {}
         self._callers: set[Caller] = set()
         self._streams: set[StreamExchange] = set()
+        self.telemetry = Telemetry(settings.host.name)
         self._suspicion = Suspicion(self)
         holder = f"{settings.host.name}/{self._incarnation}"
         self._placer = Placer(
@@ -148,8 +151,14 @@
 
     def finished(self, exchange: Exchange, outcome: str) -> None:
         """Take note of a request's end."""
+        kind = exchange.grant.route.kind.value
         if isinstance(exchange, StreamExchange):
             self._streams.discard(exchange)
+            if exchange.first_event_s is not None:
+                self.telemetry.first_event(exchange.first_event_s)
+        took_s = self.loop.now - exchange.request.received_at
+        self.telemetry.ended(kind, exchange.grant.rank, outcome, took_s)
+        self.telemetry.sent(kind, exchange.sends)
         exchange.log(
             "request_ended",
             outcome=outcome,
@@ -230,6 +239,7 @@
         grant = directory.judge(request.host, request.path, key)
         if isinstance(grant, Denial):
             status = NOT_FOUND if grant is Denial.NO_ROUTE else UNAUTHORIZED
+            self.telemetry.denied(grant.value)
             log_event(
                 "request_denied",
                 request=request.header(self.names.attempt).decode("latin-1"),
@@ -294,6 +304,9 @@
         listen(self.loop, parse_address(host.readiness, "readiness"), self._on_operator)
         own = self._own_host()
         listen(self.loop, parse_address(own.address, "peer_ports"), self._on_peer)
+        if host.metrics_port:
+            address = (host.address, host.metrics_port)
+            listen(self.loop, address, self._on_metrics)
         self.knowledge.start()
         self.peers.start()
         self._placer.start()
@@ -316,6 +329,14 @@
     def _answer_readiness(self, _request: Request) -> tuple[int, bytes]:
         return (OK if self.is_ready() else UNAVAILABLE), b""
 
+    def _on_metrics(self, sock: socket.socket) -> None:
+        Caller(AnswerServer(self.loop, self._answer_metrics), sock)
+
+    def _answer_metrics(self, request: Request) -> tuple[int, bytes]:
+        if request.path != METRICS_PATH:
+            return NOT_FOUND, b""
+        return OK, self.telemetry.render(self)
+
     def _on_peer(self, sock: socket.socket) -> None:
         Caller(AnswerServer(self.loop, self._answer_peer), sock)
 
@@ -368,6 +389,9 @@
     except SettingsError as error:
         print(f"wagtailstair: {error}", file=sys.stderr)
         return 2
-    configure_logs(settings.log.level, settings.host.name)
-    Gateway(settings, SystemClock()).run()
+    clock = SystemClock()
+    configure_bounded_logs(
+        settings.log.level, settings.host.name, settings.log.lines_per_s, clock
+    )
+    Gateway(settings, clock).run()
     return 0
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -65,8 +65,9 @@
 
 
 class LogSection(_Section, frozen=True):
-    """Where events go."""
+    """What is logged; ``lines_per_s``: of one event, in the long run."""
 
+    lines_per_s: Seconds = 50.0
     level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
 
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -70,6 +70,7 @@
         "_successor",
         "_watch_timer",
         "events",
+        "first_event_s",
     )
 
     def begin(self) -> None:
@@ -92,6 +93,7 @@
         self._watch_timer: Timer | None = None
         self._progress_at = self.context.loop.now
         self.events = 0
+        self.first_event_s: float | None = None
         self._avoid: set[tuple[str, int]] = set()
         self._start("no pipeline")
 
@@ -323,6 +325,7 @@
         self.events += 1
         if self._first is None:
             self._first = attempt
+            self.first_event_s = attempt.progress_at - self.request.received_at
             headers = heads.answered(attempt.headers)
             self.caller.begin(attempt.status, attempt.reason, headers)
         self.caller.send(whole)
--- a/src/wagtailstair/logs.py
+++ b/src/wagtailstair/logs.py
@@ -1,11 +1,20 @@
 """Events as one line of key=value pairs, through loguru."""
 
+import contextlib
+import os
 import pathlib
 import sys
 import typing as t
 
 from loguru import logger
 
+from .clock import Clock
+from .core.log_budget import LogBudget
+
+if t.TYPE_CHECKING:
+    import loguru
+
+LINE_BYTES_MAX = 4096  # a pipe takes as much whole, or nothing of it
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}"
@@ -52,6 +61,35 @@
     logger.add(sys.stderr, level=level, format=template, backtrace=False)
 
 
+def configure_bounded_logs(
+    level: str, host: str, lines_per_s: float, clock: Clock
+) -> None:
+    """Send events to standard output, some lines of each a second, never waiting.
+
+    Lines beyond the bound are counted; the next line of the event tells of them.
+    """
+    logger.remove()
+    prefix = f"host={_value(host)} "
+    template = _FORMAT.replace("{message}", prefix + "{message}")
+    budget = LogBudget(lines_per_s)
+    descriptor = sys.stdout.fileno()
+    os.set_blocking(descriptor, False)
+
+    def is_due(record: "loguru.Record") -> bool:
+        event = record["message"].partition(" ")[0]
+        left_out = budget.take(event, clock.monotonic())
+        if left_out:
+            record["message"] += f" left_out={left_out}"
+        return left_out is not None
+
+    def write(message: str) -> None:
+        # A reader that has stopped must not stop the requests: the line is lost.
+        with contextlib.suppress(BlockingIOError, BrokenPipeError):
+            os.write(descriptor, message.encode()[:LINE_BYTES_MAX])
+
+    logger.add(write, level=level, format=template, filter=is_due, backtrace=False)
+
+
 def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
     """Write one event; never pass a key, a prompt or an answer."""
     logger.opt(lazy=True).log(level, "{}", lambda: format_event(event, fields))
