--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -26,9 +26,17 @@
 FULL_COST_S = 30.0
 """Seconds that an engine without room costs: it would refuse the request."""
 
-CROSSING_COST_S = 2.0
-"""Seconds that a crossing between data centres costs: the pipe is shared, and a
-cut takes the request with it. More than slow engines cost, less than full ones."""
+ROOM_SHARES = (1.1, 0.95, 0.8)
+"""Shares of an engine's KV memory that requests of each rank may fill. Answers are
+counted whole, so that a tenth and more of them is not written yet."""
+
+REMOTE_START_COST_S = 0.5
+"""Seconds that a pipeline wholly in another data centre costs: only the request
+and its events pass between the two, a thousandth of what activations take."""
+
+CROSSING_COST_S = 3.0
+"""Seconds that a crossing in the middle of a pipeline costs: all activations pass
+the one pipe between two data centres, one transfer after the other."""
 
 SUSPECT_COST_S = 60.0
 """Seconds that an engine under suspicion costs: more than all else together, so
@@ -136,12 +144,16 @@
             held += peer_held
         return running, held
 
-    def has_room(self, model: ModelSpec, path: Path, tokens: float) -> bool:
-        """Tell whether all engines of a path have room for some tokens."""
+    def has_room(self, model: ModelSpec, path: Path, tokens: float, rank: int) -> bool:
+        """Tell whether all engines of a path have room for some tokens.
+
+        The less urgent a request is, the more room it leaves for others.
+        """
+        share = ROOM_SHARES[min(rank, len(ROOM_SHARES) - 1)]
         for hop in path:
             _, held = self.total(hop.replica)
             wanted = held + tokens * (hop.last - hop.first)
-            if wanted > kv_room(model, hop.replica):
+            if wanted > share * kv_room(model, hop.replica):
                 return False
         return True
 
@@ -252,7 +264,9 @@
         centre = replica.data_centre
         for before in list(self.steps_by_layer[layer].values()):
             base = before.cost + engine.fixed_s
-            if before.data_centre != centre:
+            if before.data_centre != centre and before.hop is None and layer == 0:
+                base += REMOTE_START_COST_S
+            elif before.data_centre != centre:
                 base += self._crossing_s(before.data_centre, centre)
             for end in ends:
                 cost = base + engine.layer_s * (end - layer)
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -28,6 +28,12 @@
         """Return what differs after each start of the upstream."""
         return self.name, self.incarnation
 
+    def holds(self, first: int, last: int) -> bool:
+        """Tell whether an engine holds the layers from ``first`` up to ``last``."""
+        if self.layers is None:
+            return False
+        return self.layers[0] <= first and last <= self.layers[1]
+
 
 class ReplicaSet:
     """The live upstreams, from rows of the store.
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -276,20 +276,21 @@
         return self._rng.choices(names, [weight for _, weight in targets])[0]
 
     def _on_replicas(self) -> None:
-        self._leave_draining()
+        self._leave_ending()
         live = {replica.identity for replica in self.replicas.by_name.values()}
         self.services.forget(live)
         for pipelines in self._pipelines_by_service.values():
             pipelines.forget(live)
 
-    def _leave_draining(self) -> None:
-        """Take running streams off the engines that will end, before they do."""
-        for replica in list(self.replicas.by_name.values()):
-            if not replica.is_leaving or replica.layers is None:
-                continue
-            for stream in self.streams():
-                if stream.uses(replica.identity):
-                    stream.leave_engine(replica, "leaving")
+    def _leave_ending(self) -> None:
+        """Take streams off the engines that leave or give up their layers."""
+        for stream in self.streams():
+            for hop in stream.path:
+                known = self.replicas.by_name.get(hop.replica.name)
+                if known is None or known.incarnation != hop.replica.incarnation:
+                    continue
+                if known.is_leaving or not known.holds(hop.first, hop.last):
+                    stream.leave_engine(hop.replica, "leaving")
 
     # Readiness and life.
 
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -22,6 +22,7 @@
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..exceptions import PlatformError
+from ..exceptions import UpstreamError
 from ..logs import log_event
 from ..platform import engines as engine_wire
 from ..platform import store as wire
@@ -32,11 +33,12 @@
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
+OK = 200
 TABLE = "leases"
 KEY = "placement"
 
-LEASE = LeaseLimits(duration_s=5.0, renew_s=1.7, margin_s=0.5, retry_s=0.5)
-"""A holder that is lost is succeeded within 5 s; three renewals fit in."""
+LEASE = LeaseLimits(duration_s=4.0, renew_s=1.4, margin_s=0.5, retry_s=0.5)
+"""A holder that is lost is succeeded within 4 s; two renewals may fail."""
 
 TICK_S = 0.25
 SETTLE_S = 0.7
@@ -287,12 +289,38 @@
                 if count is not None:
                     self._orders_by_identity[identity] = count + 1
             elif answer.status:
-                # Refused: it may be busy with an earlier order that got no answer.
-                self._orders_by_identity.pop(identity, None)
+                # It is busy, or had orders that this host does not know of.
                 refused_at = self._loop.now - ORDER_AGAIN_S + REFUSED_AGAIN_S
                 self._ordered[identity] = (held, refused_at)
+                self._ask_orders(replica)
             elif answer.loss is not Loss.UNKNOWN:
                 self._ordered.pop(identity, None)
 
         upstream = Upstream(replica.address, identity)
         self._fetch(upstream, call, ORDER_TIMEOUT_S, on_answer)
+
+    def _ask_orders(self, replica: Replica) -> None:
+        """Ask an engine how many orders it has accepted."""
+        identity = replica.identity
+
+        def on_answer(answer: Answer) -> None:
+            if answer.status != OK:
+                return
+            try:
+                report = engine_wire.decode_report(answer.body)
+            except UpstreamError as error:
+                log_event("report_unreadable", level="WARNING", reason=error)
+                return
+            log_event(
+                "engine_orders",
+                replica=replica.name,
+                orders=report.orders,
+                busy=report.is_busy,
+                running=report.running,
+            )
+            if report.born == replica.incarnation:
+                self._orders_by_identity[identity] = report.orders
+
+        upstream = Upstream(replica.address, identity)
+        call = engine_wire.report_call()
+        self._fetch(upstream, call, ORDER_TIMEOUT_S, on_answer)
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -29,18 +29,19 @@
 """Seconds without an event after which the first engine is asked for the cause:
 longer than engines need for an event, and the age of their reports."""
 
-STALL_S = 0.5
-"""Seconds without an event after which a successor is sent."""
+STALL_S = 1.2
+"""Seconds without an event after which a successor is sent though no engine is
+known to be at fault: callers give up after two seconds."""
 
-FIRST_EVENT_S = 0.6
-"""Seconds for the first event of an attempt, the reading of the prompt with it."""
+FIRST_QUIET_S = 0.4
+"""Seconds without a first event, for which a prompt is read, before the first
+engine is asked for the cause."""
 
 ASK_AGAIN_S = 0.15
 ORDER_TIMEOUT_S = 0.3
 
-WAIT_GOALS = 2.0
-"""Response-time goals that a request may wait for room: callers of streams give
-up after four."""
+WAIT_GOALS = 1.0
+"""Response-time goals that a request may wait for room; later it would be late."""
 
 PAUSE_S = 0.15
 """Seconds before a begun answer that no pipeline takes is tried again."""
@@ -130,8 +131,8 @@
         if path is None:
             self._give_up(reason)
             return
-        if self._may_wait() and not self._has_room(path):
-            self.context.wait(self)
+        if self.sends == 0 and not self._has_room(path):
+            self._wait_for_room()
             return
         if self.sends == 0:
             now = self.context.loop.now
@@ -170,7 +171,7 @@
         if attempt.wire is None:
             self.on_broken(attempt, Loss.NOT_SENT, "no connection")
             return
-        self._watch(FIRST_EVENT_S / 2)
+        self._watch(FIRST_QUIET_S)
 
     def _choose(self, head: Hop | None) -> Path | None:
         model = self.service.model
@@ -186,19 +187,20 @@
             head,
         )
 
-    def _may_wait(self) -> bool:
-        """Tell whether a request that has not begun may wait for room."""
-        if self.caller.has_begun or self.sends:
-            return False
+    def _wait_for_room(self) -> None:
+        """Wait for engines with room, for a while."""
         waited = self.context.loop.now - self.request.received_at
-        return waited < WAIT_GOALS * self.grant.route.goal_s
+        if waited < WAIT_GOALS * self.grant.route.goal_s:
+            self.context.wait(self)
+            return
+        self.refuse("no room")
 
     def _has_room(self, path: Path) -> bool:
         model = self.service.model
         assert model is not None
         tokens = self._prompt_tokens + self._answer_tokens
         pipelines = self.context.pipelines(self.service.name)
-        return pipelines.has_room(model, path, tokens)
+        return pipelines.has_room(model, path, tokens, self.grant.rank)
 
     def _drop(self, attempt: Attempt | None) -> None:
         if attempt is None:
@@ -222,7 +224,8 @@
         if self._successor is not None or not self.grant.route.may_repeat:
             return
         path = self._choose(None)
-        if path is None or not self.may_send_again():
+        # On full engines a second run would only slow all of them down.
+        if path is None or not self._has_room(path) or not self.may_send_again():
             return
         self.log("successor_sent", reason=reason, events=self.events)
         self.may_have_run = True
@@ -242,18 +245,22 @@
         if self.is_over or current is None:
             return
         has_begun = current.splitter.count > 0
-        quiet_s = QUIET_S if has_begun else FIRST_EVENT_S / 2
-        stall_s = STALL_S if has_begun else FIRST_EVENT_S
+        quiet_s = QUIET_S if has_begun else FIRST_QUIET_S
         waited = self.context.loop.now - current.progress_at
         if waited < quiet_s:
             self._watch(quiet_s - waited + 0.001)
             return
         self.context.investigate(current.path[0].replica, self.service.name)
-        if waited >= stall_s and self._successor is None:
+        if waited >= STALL_S and self._successor is None:
             self._avoid.update(hop.replica.identity for hop in current.path)
             self._succeed("stalled")
         self._watch(ASK_AGAIN_S)
 
+    @property
+    def path(self) -> Path:
+        """Return the pipeline that the request runs on, empty for none."""
+        return () if self._current is None else self._current.path
+
     def uses(self, identity: tuple[str, int]) -> bool:
         """Tell whether an engine is on the request's path."""
         return self._current is not None and self._current.uses(identity)
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -82,6 +82,9 @@
             waiting=report.waiting,
             stalled=len(report.stalled),
             slowness=report.slowness,
+            kv_used=report.kv_used,
+            kv_total=report.kv_total,
+            kv_held=self._gateway.pipelines(service).total(first)[1],
         )
         addresses = {stalled.address for stalled in report.stalled}
         if not addresses:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -377,3 +377,24 @@
         assert answered.status == 503
         assert b"Connection: close" in answered.data
         assert runs(desks) == []
+
+
+class TestMoves:
+    def test_streams_leave_an_engine_that_gives_up_its_layers(
+        self, world, engines, host
+    ):
+        place_all(world, engines)
+        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(world, spare)
+        everyone = {engine.name: engine for engine in engines + spare}
+        for engine in everyone.values():
+            engine.events, engine.pause_s = 100, 0.02
+        world.send(host, make_stream("a1"))
+        world.run(lambda: bool(host.streams()) and len(host.streams()[0].path) > 1)
+        (stream,) = host.streams()
+        moved = everyone[stream.path[-1].replica.name]
+        moved.tell(layers=None)
+        world.run(lambda: not stream.uses((moved.name, 1000)))
+        orders = [o for e in everyone.values() for o in e.orders if o["op"] == "repath"]
+        assert [order["id"] for order in orders] == ["a1"]
+        assert stream.path[-1].last == 80
