--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -392,7 +392,8 @@
         world.send(host, make_stream("a1"))
         world.run(lambda: bool(host.streams()) and len(host.streams()[0].path) > 1)
         (stream,) = host.streams()
-        moved = everyone[stream.path[-1].replica.name]
+        # The spare engines together hold what the second one gives up.
+        moved = everyone[stream.path[1].replica.name]
         moved.tell(layers=None)
         world.run(lambda: not stream.uses((moved.name, 1000)))
         orders = [o for e in everyone.values() for o in e.orders if o["op"] == "repath"]
