--- a/src/wagtailstair/core/allowance.py
+++ b/src/wagtailstair/core/allowance.py
@@ -37,6 +37,12 @@
         self._window_s = window_s
         self._buckets_by_service: dict[str, collections.deque[_Bucket]] = {}
 
+    def change(self, ratio: float, slack: float, window_s: float) -> None:
+        """Change the budget; what was counted stays."""
+        self._ratio = ratio
+        self._slack = slack
+        self._window_s = window_s
+
     def requested(self, service: str, now: float) -> None:
         """Count a request of a caller."""
         self._bucket(service, now).requests += 1
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -8,6 +8,8 @@
 import sys
 import typing as t
 
+import msgspec
+
 from ..clock import Clock
 from ..clock import SystemClock
 from ..core.allowance import Allowance
@@ -37,6 +39,7 @@
 from .settings import GatewaySettings
 from .settings import load_settings
 from .settings import parse_address
+from .settings import parse_settings
 from .stream import StreamExchange
 from .suspicion import Suspicion
 from .telemetry import Telemetry
@@ -46,6 +49,9 @@
 UINT32_MAX = (1 << 32) - 1
 METRICS_PATH = "/metrics"
 
+SETTINGS_TICK_S = 1.0
+"""Seconds between two looks at the settings file, which may change unsignalled."""
+
 WAIT_TICK_S = 0.04
 """Seconds between two looks for room on the engines: about an event's time."""
 
@@ -99,6 +105,8 @@
         self.is_draining = False
         self._is_closed = False
         self._waiting: list[StreamExchange] = []
+        self._settings_path: pathlib.Path | None = None
+        self._settings_text = ""
         self._pipelines_by_service: dict[str, Pipelines] = {}
         self._callers: set[Caller] = set()
         self._streams: set[StreamExchange] = set()
@@ -317,7 +325,7 @@
         """Serve until a signal ends it."""
         self.start_serving()
         self.loop.call_on_signal(signal.SIGTERM, self.drain)
-        self.loop.call_on_signal(signal.SIGHUP, self._reload)
+        self.loop.call_on_signal(signal.SIGHUP, self.reload)
         self.loop.run()
         log_event("stopped")
 
@@ -345,8 +353,37 @@
         body = self.knowledge.relayed(request.path)
         return (NOT_FOUND, b"") if body is None else (OK, body)
 
-    def _reload(self) -> None:
-        log_event("reload")
+    def follow_settings(self, path: pathlib.Path) -> None:
+        """Take changes of the settings file, on a signal and without one."""
+        self._settings_path = path
+        self._settings_text = path.read_text(encoding="utf-8")
+        self.loop.call_later(SETTINGS_TICK_S, self._look_at_settings)
+
+    def _look_at_settings(self) -> None:
+        self.loop.call_later(SETTINGS_TICK_S, self._look_at_settings)
+        self.reload()
+
+    def reload(self) -> None:
+        """Take the settings anew, if they have changed and are valid.
+
+        Names and addresses stay as they were at the start.
+        """
+        path = self._settings_path
+        if path is None:
+            return
+        try:
+            text = path.read_text(encoding="utf-8")
+            if text == self._settings_text:
+                return
+            self._settings_text = text
+            settings = parse_settings(text, str(path))
+        except (OSError, UnicodeDecodeError, SettingsError) as error:
+            log_event("reload", level="ERROR", outcome="kept", reason=error)
+            return
+        self.settings = msgspec.structs.replace(settings, host=self.settings.host)
+        retries = settings.retries
+        self.allowance.change(retries.ratio, retries.slack, retries.window_s)
+        log_event("reload", outcome="taken")
 
     def drain(self) -> None:
         """Take nothing new, finish what is in work, then end."""
@@ -394,5 +431,7 @@
     configure_bounded_logs(
         settings.log.level, settings.host.name, settings.log.lines_per_s, clock
     )
-    Gateway(settings, clock).run()
+    gateway = Gateway(settings, clock)
+    gateway.follow_settings(pathlib.Path(path))
+    gateway.run()
     return 0
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -3,6 +3,7 @@
 import pytest
 
 from tests.gateway_data import make_config
+from tests.gateway_world import SETTINGS
 from tests.gateway_world import World
 from tests.gateway_world import make_request
 from tests.gateway_world import make_stream
@@ -399,3 +400,33 @@
         orders = [o for e in everyone.values() for o in e.orders if o["op"] == "repath"]
         assert [order["id"] for order in orders] == ["a1"]
         assert stream.path[-1].last == 80
+
+
+class TestSettings:
+    def write(self, path, host, slack):
+        own = host.settings.host
+        text = SETTINGS.format(
+            name=own.name,
+            centre=own.data_centre,
+            callers=own.callers.rpartition(":")[2],
+            readiness=own.readiness.rpartition(":")[2],
+            peers=own.peer_ports[0],
+            store=host.settings.store.address,
+        )
+        path.write_text(text.replace("slack = 200", slack))
+
+    def test_a_change_is_taken_without_a_signal(self, world, host, tmp_path):
+        path = tmp_path / "host.toml"
+        self.write(path, host, "slack = 200")
+        host.follow_settings(path)
+        self.write(path, host, "slack = 50")
+        world.run(lambda: host.settings.retries.slack == 50)
+
+    def test_what_is_not_valid_changes_nothing(self, world, host, tmp_path):
+        path = tmp_path / "host.toml"
+        self.write(path, host, "slack = 200")
+        host.follow_settings(path)
+        self.write(path, host, "slack = -1")
+        host.reload()
+        assert host.settings.retries.slack == 200
+        assert host.is_ready()
