--- /dev/null
+++ b/src/wagtailstair/gateway/gateway.py
@@ -0,0 +1,412 @@
+"""All parts of a gateway put together; its readiness, reload and shutdown."""
+
+import pathlib
+import random
+import signal
+import socket
+
+import msgspec
+
+from ..clock import Clock
+from ..core.allowance import Allowance
+from ..core.balance import Balance
+from ..core.directory import CallerLimits
+from ..core.directory import Denial
+from ..core.hosts import Host
+from ..core.messages import EngineLoad
+from ..core.messages import EngineLost
+from ..core.pipelines import Pipelines
+from ..core.replicas import Replica
+from ..exceptions import SettingsError
+from ..logs import log_event
+from ..platform import headers as wire_headers
+from .answering import AnswerServer
+from .call import PlainExchange
+from .caller import Caller
+from .caller import Running
+from .connection import listen
+from .exchange import Exchange
+from .knowledge import Knowledge
+from .loop import Loop
+from .peers import Peers
+from .placer import Placer
+from .requests import Request
+from .settings import GatewaySettings
+from .settings import parse_address
+from .settings import parse_settings
+from .stream import StreamExchange
+from .suspicion import Suspicion
+from .telemetry import Telemetry
+from .transfer import Upstream
+from .transfer import UpstreamPool
+
+UINT32_MAX = (1 << 32) - 1
+METRICS_PATH = "/metrics"
+
+SETTINGS_TICK_S = 1.0
+"""Seconds between two looks at the settings file, which may change unsignalled."""
+
+WAIT_TICK_S = 0.04
+"""Seconds between two looks for room on the engines: about an event's time."""
+
+ACCEPT_S = 2.6
+"""Seconds after the signal in which requests are still taken: by then the balancer
+has missed readiness twice, once a second, and sends no new connections."""
+
+EXIT_DELAY_S = 0.2
+
+EXIT_MARGIN_S = 0.4
+"""Seconds before the end by force at which what is left is cut."""
+
+NOT_FOUND = 404
+UNAUTHORIZED = 401
+BAD_REQUEST = 400
+UNAVAILABLE = 503
+OK = 200
+
+
+class Gateway:
+    """All that one daemon holds."""
+
+    def __init__(
+        self, settings: GatewaySettings, clock: Clock, loop: Loop | None = None
+    ) -> None:
+        self.settings = settings
+        self.loop = Loop(clock) if loop is None else loop
+        self.names = wire_headers.HEADER_NAMES
+        self.pool = UpstreamPool(self.loop)
+        self._rng = random.Random()
+        centre = settings.host.data_centre
+        store = Upstream(settings.store.address, "store")
+        self.knowledge = Knowledge(
+            self.loop,
+            self.pool,
+            store,
+            settings.store.lapse_s,
+            self._rng,
+            on_lists=lambda: None,
+            on_replicas=self._on_replicas,
+            peers=lambda: self.peers.live_hosts(),
+        )
+        self.replicas = self.knowledge.replicas
+        self._incarnation = int(clock.utcnow().timestamp() * 1000)
+        self.peers = Peers(
+            self.loop, self.pool, store, self._own_host(), self, self._rng
+        )
+        self.services = Balance(self.replicas, centre, self._rng)
+        retries = settings.retries
+        self.allowance = Allowance(retries.ratio, retries.slack, retries.window_s)
+        self.is_draining = False
+        self._is_closed = False
+        self._waiting: list[StreamExchange] = []
+        self._settings_path: pathlib.Path | None = None
+        self._settings_text = ""
+        self._pipelines_by_service: dict[str, Pipelines] = {}
+        self._callers: set[Caller] = set()
+        self._streams: set[StreamExchange] = set()
+        self.telemetry = Telemetry(settings.host.name)
+        self._suspicion = Suspicion(self)
+        holder = f"{settings.host.name}/{self._incarnation}"
+        self._placer = Placer(
+            self.loop,
+            self.pool,
+            store,
+            holder,
+            self.replicas,
+            lambda: self.knowledge.directory,
+            self._rng,
+        )
+
+    # What exchanges need.
+
+    def hosts(self) -> int:
+        """Return how many hosts share the budgets."""
+        return self.peers.count()
+
+    def pipelines(self, service: str) -> Pipelines:
+        """Return the engines of a service."""
+        pipelines = self._pipelines_by_service.get(service)
+        if pipelines is None:
+            pipelines = Pipelines(self.settings.host.data_centre, self._rng)
+            self._pipelines_by_service[service] = pipelines
+        return pipelines
+
+    def streams(self) -> list[StreamExchange]:
+        """Return the streams in work."""
+        return list(self._streams)
+
+    def investigate(self, first: Replica, service: str) -> None:
+        """Find out which engine the requests of a first engine wait for."""
+        self._suspicion.investigate(first, service)
+
+    def wait(self, stream: StreamExchange) -> None:
+        """Try a stream again when engines have room, the most urgent first."""
+        if not self._waiting:
+            self.loop.call_later(WAIT_TICK_S, self._try_waiting)
+        self._waiting.append(stream)
+
+    def _try_waiting(self) -> None:
+        waiting, self._waiting = self._waiting, []
+        waiting.sort(key=lambda w: (w.grant.rank, w.request.received_at))
+        for stream in waiting:
+            stream.try_again()
+
+    def finished(self, exchange: Exchange, outcome: str) -> None:
+        """Take note of a request's end."""
+        kind = exchange.grant.route.kind.value
+        if isinstance(exchange, StreamExchange):
+            self._streams.discard(exchange)
+            if exchange.first_event_s is not None:
+                self.telemetry.first_event(exchange.first_event_s)
+        took_s = self.loop.now - exchange.request.received_at
+        self.telemetry.ended(kind, exchange.grant.rank, outcome, took_s)
+        self.telemetry.sent(kind, exchange.sends)
+        exchange.log(
+            "request_ended",
+            outcome=outcome,
+            sends=exchange.sends,
+            took=self.loop.now - exchange.request.received_at,
+        )
+
+    # What peers need.
+
+    def _own_host(self) -> Host:
+        host = self.settings.host
+        port = host.peer_ports[0]
+        address = f"{host.address}:{port}"
+        return Host(host.name, host.data_centre, address, address, self._incarnation)
+
+    def lists_version(self) -> int:
+        """Return the version of the lists in force here."""
+        return self.knowledge.lists_version()
+
+    def engine_loads(self) -> list[EngineLoad]:
+        """Return what this host has running on engines."""
+        loads = []
+        for pipelines in self._pipelines_by_service.values():
+            for (name, incarnation), use in pipelines.use_by_identity.items():
+                if use.running <= 0 and not use.was_told:
+                    continue
+                use.was_told = use.running > 0
+                held = max(0, min(UINT32_MAX, int(use.token_layers)))
+                loads.append(
+                    EngineLoad(
+                        name, incarnation & UINT32_MAX, use.running, 0, held, 0.0, 0.0
+                    )
+                )
+        return loads
+
+    def on_engine_load(self, host: str, load: EngineLoad) -> None:
+        """Take what a peer has running on an engine."""
+        replica = self.replicas.by_name.get(load.name)
+        if replica is None or replica.incarnation & UINT32_MAX != load.incarnation:
+            return
+        pipelines = self.pipelines(replica.service)
+        pipelines.note_peer(host, load.name, load.running, load.kv_used)
+
+    def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
+        """Take a peer's suspicion of an engine."""
+        replica = self.replicas.by_name.get(lost.name)
+        if replica is None or str(replica.incarnation) != lost.incarnation:
+            return
+        self._suspicion.suspect(replica, replica.service, f"told by {host.name}")
+
+    def on_newer_lists(self, host: Host, _version: int) -> None:
+        """Take word of a version of the lists that is not in force here."""
+        self.knowledge.ask_lists(host)
+
+    def on_peer_gone(self, name: str) -> None:
+        """Forget what a peer had running."""
+        for pipelines in self._pipelines_by_service.values():
+            pipelines.forget_peer(name)
+
+    def tell_lost(self, replica: Replica) -> None:
+        """Tell the hosts of this data centre of a suspicion."""
+        self.peers.tell_lost(EngineLost(replica.name, str(replica.incarnation)))
+
+    # What callers' connections need.
+
+    def caller_limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        directory = self.knowledge.directory
+        return CallerLimits() if directory is None else directory.limits
+
+    def start(self, caller: Caller, request: Request) -> Running | None:
+        """Begin a request."""
+        directory = self.knowledge.directory
+        if directory is None or self._is_closed:
+            caller.answer(UNAVAILABLE, b"", ((b"Retry-After", b"0.5"),), b"")
+            return None
+        key = wire_headers.read_key(request.header(self.names.authorization))
+        grant = directory.judge(request.host, request.path, key)
+        if isinstance(grant, Denial):
+            status = NOT_FOUND if grant is Denial.NO_ROUTE else UNAUTHORIZED
+            self.telemetry.denied(grant.value)
+            log_event(
+                "request_denied",
+                request=request.header(self.names.attempt).decode("latin-1"),
+                reason=grant.value,
+                version=directory.version,
+            )
+            caller.answer(status, b"", (), b"")
+            return None
+        name = self._pick_service(grant.route.targets)
+        service = directory.service_by_name.get(name)
+        if service is None:
+            caller.answer(UNAVAILABLE, b"", ((b"Retry-After", b"0.5"),), b"")
+            return None
+        if service.model is None:
+            call = PlainExchange(self, caller, request, grant, service)
+            call.begin()
+            return call
+        stream = StreamExchange(self, caller, request, grant, service)
+        self._streams.add(stream)
+        stream.begin()
+        return stream
+
+    def on_caller_closed(self, caller: Caller) -> None:
+        """Forget a connection."""
+        self._callers.discard(caller)
+        self._exit_if_done()
+
+    def _pick_service(self, targets: tuple[tuple[str, float], ...]) -> str:
+        if len(targets) == 1:
+            return targets[0][0]
+        if not targets:
+            return ""
+        names = [name for name, _ in targets]
+        return self._rng.choices(names, [weight for _, weight in targets])[0]
+
+    def _on_replicas(self) -> None:
+        self._leave_ending()
+        live = {replica.identity for replica in self.replicas.by_name.values()}
+        self.services.forget(live)
+        for pipelines in self._pipelines_by_service.values():
+            pipelines.forget(live)
+
+    def _leave_ending(self) -> None:
+        """Take streams off the engines that leave or give up their layers."""
+        for stream in self.streams():
+            for hop in stream.path:
+                known = self.replicas.by_name.get(hop.replica.name)
+                if known is None or known.incarnation != hop.replica.incarnation:
+                    continue
+                if known.is_leaving or not known.holds(hop.first, hop.last):
+                    stream.leave_engine(hop.replica, "leaving")
+
+    # Readiness and life.
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer may send new connections."""
+        return self.knowledge.is_complete and not self.is_draining
+
+    def start_serving(self) -> None:
+        """Listen, and begin to follow the store and the peers."""
+        host = self.settings.host
+        listen(self.loop, parse_address(host.callers, "callers"), self._on_accept)
+        listen(self.loop, parse_address(host.readiness, "readiness"), self._on_operator)
+        own = self._own_host()
+        listen(self.loop, parse_address(own.address, "peer_ports"), self._on_peer)
+        if host.metrics_port:
+            address = (host.address, host.metrics_port)
+            listen(self.loop, address, self._on_metrics)
+        self.knowledge.start()
+        self.peers.start()
+        self._placer.start()
+        log_event("started", address=host.callers)
+
+    def run(self) -> None:
+        """Serve until a signal ends it."""
+        self.start_serving()
+        self.loop.call_on_signal(signal.SIGTERM, self.drain)
+        self.loop.call_on_signal(signal.SIGHUP, self.reload)
+        self.loop.run()
+        log_event("stopped")
+
+    def _on_accept(self, sock: socket.socket) -> None:
+        self._callers.add(Caller(self, sock))
+
+    def _on_operator(self, sock: socket.socket) -> None:
+        Caller(AnswerServer(self.loop, self._answer_readiness), sock)
+
+    def _answer_readiness(self, _request: Request) -> tuple[int, bytes]:
+        return (OK if self.is_ready() else UNAVAILABLE), b""
+
+    def _on_metrics(self, sock: socket.socket) -> None:
+        Caller(AnswerServer(self.loop, self._answer_metrics), sock)
+
+    def _answer_metrics(self, request: Request) -> tuple[int, bytes]:
+        if request.path != METRICS_PATH:
+            return NOT_FOUND, b""
+        return OK, self.telemetry.render(self)
+
+    def _on_peer(self, sock: socket.socket) -> None:
+        Caller(AnswerServer(self.loop, self._answer_peer), sock)
+
+    def _answer_peer(self, request: Request) -> tuple[int, bytes]:
+        body = self.knowledge.relayed(request.path)
+        return (NOT_FOUND, b"") if body is None else (OK, body)
+
+    def follow_settings(self, path: pathlib.Path) -> None:
+        """Take changes of the settings file, on a signal and without one."""
+        self._settings_path = path
+        self._settings_text = path.read_text(encoding="utf-8")
+        self.loop.call_later(SETTINGS_TICK_S, self._look_at_settings)
+
+    def _look_at_settings(self) -> None:
+        self.loop.call_later(SETTINGS_TICK_S, self._look_at_settings)
+        self.reload()
+
+    def reload(self) -> None:
+        """Take the settings anew, if they have changed and are valid.
+
+        Names and addresses stay as they were at the start.
+        """
+        path = self._settings_path
+        if path is None:
+            return
+        try:
+            text = path.read_text(encoding="utf-8")
+            if text == self._settings_text:
+                return
+            self._settings_text = text
+            settings = parse_settings(text, str(path))
+        except (OSError, UnicodeDecodeError, SettingsError) as error:
+            log_event("reload", level="ERROR", outcome="kept", reason=error)
+            return
+        self.settings = msgspec.structs.replace(settings, host=self.settings.host)
+        retries = settings.retries
+        self.allowance.change(retries.ratio, retries.slack, retries.window_s)
+        log_event("reload", outcome="taken")
+
+    def drain(self) -> None:
+        """Take nothing new, finish what is in work, then end."""
+        if self.is_draining:
+            return
+        self.is_draining = True
+        log_event("draining", connections=len(self._callers))
+        self._placer.release()
+        self.peers.leave()
+        self._close_idle()
+        self.loop.call_later(ACCEPT_S, self._stop_accepting)
+        grace_s = self.settings.shutdown.grace_s - EXIT_MARGIN_S
+        self.loop.call_later(grace_s, self._cut_rest)
+
+    def _close_idle(self) -> None:
+        for caller in list(self._callers):
+            caller.close_if_idle()
+
+    def _stop_accepting(self) -> None:
+        self._is_closed = True
+        self._close_idle()
+        self.loop.call_later(EXIT_DELAY_S, self._exit_if_done)
+
+    def _exit_if_done(self) -> None:
+        if self._is_closed and not self._callers:
+            # Later, so that the last bytes leave.
+            self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
+
+    def _cut_rest(self) -> None:
+        for caller in list(self._callers):
+            caller.close()
+        self.loop.stop()
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -6,9 +6,7 @@
 """
 
 from ..core.events import events_after
-from ..core.pipelines import Hop
 from ..core.pipelines import Path
-from ..core.pipelines import kv_room
 from ..core.replicas import Replica
 from ..platform import engines as engine_wire
 from ..platform import headers as wire_headers
@@ -21,6 +19,7 @@
 from .fetch import Answer
 from .fetch import Fetch
 from .loop import Timer
+from .paths import PathFinder
 from .requests import Header
 from .transfer import Loss
 from .transfer import Upstream
@@ -60,14 +59,12 @@
     """A request that engines answer with events."""
 
     __slots__ = (
-        "_answer_tokens",
-        "_avoid",
         "_common",
         "_current",
+        "_finder",
         "_first",
         "_last_id",
         "_progress_at",
-        "_prompt_tokens",
         "_successor",
         "_watch_timer",
         "events",
@@ -77,14 +74,11 @@
     def begin(self) -> None:
         """Send the request down its first pipeline."""
         names = self.context.names
-        usage = self.request.header(names.token_usage)
-        self._prompt_tokens, most = wire_headers.read_tokens(usage)
-        model = self.service.model
-        usual = model.usual_answer if model is not None else 0.0
+        usage = wire_headers.read_tokens(self.request.header(names.token_usage))
         hint = self.request.header(names.length_hint)
-        self._answer_tokens = float(hint) if hint.isdigit() else usual
-        if most:
-            self._answer_tokens = min(self._answer_tokens, most)
+        self._finder = PathFinder(
+            self.context, self.service, usage, hint, self.grant.rank
+        )
         self._common = heads.passed_on(self.request, names)
         self._last_id = self.request.header(names.last_event)
         self._current: Attempt | None = None
@@ -95,7 +89,6 @@
         self._progress_at = self.context.loop.now
         self.events = 0
         self.first_event_s: float | None = None
-        self._avoid: set[tuple[str, int]] = set()
         self._start("no pipeline")
 
     def on_caller_gone(self) -> None:
@@ -127,11 +120,11 @@
 
     def _start(self, reason: str) -> None:
         """Send the request, or wait until it can be sent."""
-        path = self._choose(None)
+        path = self._finder.choose()
         if path is None:
             self._give_up(reason)
             return
-        if self.sends == 0 and not self._has_room(path):
+        if self.sends == 0 and not self._finder.has_room(path):
             self._wait_for_room()
             return
         if self.sends == 0:
@@ -146,7 +139,7 @@
             self._start("no room")
 
     def _make(self, path: Path) -> Attempt:
-        tokens = self._prompt_tokens + self._answer_tokens
+        tokens = self._finder.tokens
         self.context.pipelines(self.service.name).take(path, tokens)
         self.sends += 1
         self.runs += 1
@@ -173,20 +166,6 @@
             return
         self._watch(FIRST_QUIET_S)
 
-    def _choose(self, head: Hop | None) -> Path | None:
-        model = self.service.model
-        assert model is not None
-        context = self.context
-        return context.pipelines(self.service.name).choose(
-            model,
-            context.replicas.usable(self.service.name),
-            self._prompt_tokens,
-            self._answer_tokens,
-            context.loop.now,
-            self._avoid,
-            head,
-        )
-
     def _wait_for_room(self) -> None:
         """Wait for engines with room, for a while."""
         waited = self.context.loop.now - self.request.received_at
@@ -195,13 +174,6 @@
             return
         self.refuse("no room")
 
-    def _has_room(self, path: Path) -> bool:
-        model = self.service.model
-        assert model is not None
-        tokens = self._prompt_tokens + self._answer_tokens
-        pipelines = self.context.pipelines(self.service.name)
-        return pipelines.has_room(model, path, tokens, self.grant.rank)
-
     def _drop(self, attempt: Attempt | None) -> None:
         if attempt is None:
             return
@@ -223,9 +195,9 @@
         """Send a successor beside the present attempt."""
         if self._successor is not None or not self.grant.route.may_repeat:
             return
-        path = self._choose(None)
+        path = self._finder.choose()
         # On full engines a second run would only slow all of them down.
-        if path is None or not self._has_room(path) or not self.may_send_again():
+        if path is None or not self._finder.has_room(path) or not self.may_send_again():
             return
         self.log("successor_sent", reason=reason, events=self.events)
         self.may_have_run = True
@@ -252,7 +224,7 @@
             return
         self.context.investigate(current.path[0].replica, self.service.name)
         if waited >= STALL_S and self._successor is None:
-            self._avoid.update(hop.replica.identity for hop in current.path)
+            self._finder.avoid.update(hop.replica.identity for hop in current.path)
             self._succeed("stalled")
         self._watch(ASK_AGAIN_S)
 
@@ -277,12 +249,12 @@
         if replica.identity in current.left:
             return
         current.left.add(replica.identity)
-        self._avoid.add(replica.identity)
+        self._finder.avoid.add(replica.identity)
         head = current.path[0]
         if head.replica.identity == replica.identity:
             self._succeed(reason)
             return
-        path = self._choose(head)
+        path = self._finder.choose(head)
         if path is None or any(hop.replica is replica for hop in path):
             return
         self.log("path_changed", replica=replica.name, reason=reason)
@@ -358,7 +330,7 @@
                 "attempt_not_run",
                 status=attempt.status,
                 replica=faulty.name if faulty else "",
-                fill=self._fill(faulty),
+                fill=self._finder.fill(faulty),
             )
             self._again(attempt, faulty, "refused")
             return
@@ -409,11 +381,11 @@
     def _blame(self, attempt: Attempt, replica: Replica | None) -> None:
         """Avoid the engine at fault, or all of the path where it is not known."""
         if replica is None:
-            self._avoid.update(hop.replica.identity for hop in attempt.path)
+            self._finder.avoid.update(hop.replica.identity for hop in attempt.path)
             return
         until = self.context.loop.now + SUSPECT_S
         self.context.pipelines(self.service.name).suspect(replica, until)
-        self._avoid.add(replica.identity)
+        self._finder.avoid.add(replica.identity)
 
     def _faulty(self, attempt: Attempt) -> Replica | None:
         address = heads.find(attempt.headers, self.context.names.faulty_address)
@@ -425,14 +397,6 @@
                 return hop.replica
         return None
 
-    def _fill(self, replica: Replica | None) -> float:
-        """Return how full an engine's memory is thought to be."""
-        model = self.service.model
-        if replica is None or model is None:
-            return 0.0
-        _, held = self.context.pipelines(self.service.name).total(replica)
-        return held / max(1.0, kv_room(model, replica))
-
     def _give_up(self, reason: str) -> None:
         """End the request, unless part of its answer is out and time is left."""
         loop = self.context.loop
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -11,7 +11,7 @@
 from .transfer import Upstream
 
 if t.TYPE_CHECKING:
-    from .daemon import Gateway
+    from .gateway import Gateway
 
 REPORT_TIMEOUT_S = 0.3
 """Seconds for a report: an engine that answers does so within milliseconds."""
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -9,7 +9,7 @@
 from aioprometheus.renderer import render
 
 if t.TYPE_CHECKING:
-    from .daemon import Gateway
+    from .gateway import Gateway
 
 SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0]
 """Bounds of the histograms, around the response-time goals of the routes."""
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -13,7 +13,7 @@
 from wagtailstair.gateway.connection import Connection
 from wagtailstair.gateway.connection import connect
 from wagtailstair.gateway.connection import listen
-from wagtailstair.gateway.daemon import Gateway
+from wagtailstair.gateway.gateway import Gateway
 from wagtailstair.gateway.loop import Loop
 from wagtailstair.gateway.requests import Request
 from wagtailstair.gateway.settings import parse_settings
