--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -17,30 +17,30 @@
 class Accelerator:
     """A kind of accelerator.
 
-    ``step_factor`` and ``read_factor`` multiply the model's times for decoding
+    ``step_factor`` and ``prefill_factor`` multiply the model's times for decoding
     and for reading prompts.
     """
 
     name: str
     memory_mb: float
     step_factor: float
-    read_factor: float
+    prefill_factor: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ModelSpec:
     """What a service's engines run, and the times of the whole model.
 
-    ``kv_bytes``: of one token in all layers; ``activation_bytes``: of one token
+    ``kv_bytes``: of one token in all layers; ``hidden_bytes``: of one token
     between two engines; ``pipe_bytes_per_s``: between two data centres.
     """
 
     layers: int
-    layer_mb: float
+    layer_weights_mb: float
     load_s: float
     loads_at_once: int
     kv_bytes: float
-    activation_bytes: float
+    hidden_bytes: float
     step_s: float
     sequence_s: float
     read_tokens_per_s: float
--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -40,8 +40,8 @@
     if kind is None:
         return 0
     kv_mb = model.kv_bytes / model.layers * room_tokens / 1e6
-    most = int(kind.memory_mb // model.layer_mb)
-    wanted = int(kind.memory_mb / (model.layer_mb + kv_mb))
+    most = int(kind.memory_mb // model.layer_weights_mb)
+    wanted = int(kind.memory_mb / (model.layer_weights_mb + kv_mb))
     return max(0, min(max(wanted, 1), most, model.layers))
 
 
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -84,7 +84,7 @@
     if accelerator is None or replica.layers is None:
         return 0.0
     held = replica.layers[1] - replica.layers[0]
-    free_mb = accelerator.memory_mb - held * model.layer_mb
+    free_mb = accelerator.memory_mb - held * model.layer_weights_mb
     return max(0.0, free_mb * 1e6 / (model.kv_bytes / model.layers))
 
 
@@ -219,7 +219,7 @@
         use = self.use(replica)
         running, held = self.total(replica)
         step = (model.step_s + model.sequence_s * running) * kind.step_factor
-        read = kind.read_factor / model.read_tokens_per_s
+        read = kind.prefill_factor / model.read_tokens_per_s
         seconds = (answer * step + prompt * read) * use.slowness / model.layers
         seconds *= 1 + JITTER * self._rng.random()
         room = kv_room(model, replica)
@@ -251,7 +251,7 @@
         self._answer = answer
         self._transfer_s = 0.0
         if model.pipe_bytes_per_s > 0:
-            sent = prompt * model.activation_bytes
+            sent = prompt * model.hidden_bytes
             self._transfer_s = sent / model.pipe_bytes_per_s
         layer, centre = origin
         self.steps_by_layer: dict[int, dict[str, _Step]] = {
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -136,11 +136,11 @@
         )
     return ModelSpec(
         layers=engine.layers,
-        layer_mb=engine.layer_mb,
+        layer_weights_mb=engine.layer_mb,
         load_s=engine.models[0].load_s,
         loads_at_once=engine.loads_at_once,
         kv_bytes=engine.kv_token_bytes,
-        activation_bytes=engine.activation_bytes,
+        hidden_bytes=engine.activation_bytes,
         step_s=engine.step_ms * MS,
         sequence_s=engine.per_seq_ms * MS,
         read_tokens_per_s=engine.read_per_s,
--- a/tests/gateway_data.py
+++ b/tests/gateway_data.py
@@ -26,11 +26,11 @@
         kinds[name] = Accelerator(name, memory_mb, step, read)
     values: dict[str, t.Any] = {
         "layers": LAYERS,
-        "layer_mb": 1750.0,
+        "layer_weights_mb": 1750.0,
         "load_s": 14.0,
         "loads_at_once": 6,
         "kv_bytes": 1_180_000.0,
-        "activation_bytes": 59_000.0,
+        "hidden_bytes": 59_000.0,
         "step_s": 0.00102,
         "sequence_s": 0.00000918,
         "read_tokens_per_s": 164_000.0,
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -40,7 +40,7 @@
         model = make_model()
         for order in plan(model, make_fleet(), {}):
             kind = model.accelerator_by_name[order.replica.accelerator]
-            assert (order.last - order.first) * model.layer_mb <= kind.memory_mb
+            assert (order.last - order.first) * model.layer_weights_mb <= kind.memory_mb
             assert 0 <= order.first < order.last <= LAYERS
 
     @pytest.mark.parametrize("room", [0.0, 1.0, 40_000.0, 1e9])
