--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -401,6 +401,19 @@
         assert [order["id"] for order in orders] == ["a1"]
         assert stream.path[-1].last == 80
 
+    def test_a_gap_is_closed_while_engines_keep_coming(self, world, engines, host):
+        place_all(world, engines)
+        engines[0].tell(state="draining")
+        new = []
+
+        def add():
+            if not any(engine.orders for engine in new):
+                new.append(world.add_engine(f"i-n{len(new)}"))
+                world.loop.call_later(0.2, add)
+
+        add()
+        world.run(lambda: any(engine.orders for engine in new))
+
 
 class TestSettings:
     def write(self, path, host, slack):
