--- a/src/wagtailstair/cli/gateway.py
+++ b/src/wagtailstair/cli/gateway.py
@@ -6,7 +6,7 @@
 
 from ..gateway.settings import load_settings
 from .options import command
-from .output import print_json
+from .settings import tell_valid
 
 
 @click.group("gateway")
@@ -18,8 +18,4 @@
 @click.argument("file", type=click.Path(path_type=pathlib.Path))
 def check(file: pathlib.Path, as_json: bool) -> None:
     """Check a settings file, as the gateway does at its start."""
-    settings = load_settings(file)
-    if as_json:
-        print_json({"host": settings.host.name, "valid": True})
-        return
-    click.echo(f"{file}: valid, for host {settings.host.name}")
+    tell_valid(file, load_settings(file).host.name, as_json)
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -3,6 +3,9 @@
 import typing as t
 
 from ..core.store import Call
+from ..core.store import StoreRows
+from ..exceptions import PlatformError
+from ..platform.store import decode_rows
 from .loop import Loop
 from .loop import Timer
 from .transfer import Header
@@ -23,6 +26,16 @@
     reason: str = ""
 
 
+def rows_of(answer: Answer) -> StoreRows:
+    """Return the rows of an answer of the store.
+
+    :raises PlatformError: if there is none that can be used.
+    """
+    if answer.status == 0:
+        raise PlatformError(answer.reason)
+    return decode_rows(answer.status, answer.body)
+
+
 class Fetch:
     """A call and what has come of its answer."""
 
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -11,6 +11,7 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
+from .fetch import rows_of
 from .loop import Loop
 from .transfer import Upstream
 from .transfer import UpstreamPool
@@ -83,11 +84,8 @@
 
         def on_answer(answer: Answer) -> None:
             self._fetch = None
-            if answer.status == 0:
-                self._failed(answer.reason)
-                return
             try:
-                rows = wire.decode_rows(answer.status, answer.body)
+                rows = rows_of(answer)
             except PlatformError as error:
                 self._failed(str(error))
                 return
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -20,6 +20,7 @@
 from ..exceptions import SettingsError
 from ..logs import log_event
 from ..platform import headers as wire_headers
+from ..settings import read_text
 from .answering import AnswerServer
 from .call import PlainExchange
 from .caller import Caller
@@ -350,7 +351,7 @@
     def follow_settings(self, path: pathlib.Path) -> None:
         """Take changes of the settings file, on a signal and without one."""
         self._settings_path = path
-        self._settings_text = path.read_text(encoding="utf-8")
+        self._settings_text = read_text(path)
         self.loop.call_later(SETTINGS_TICK_S, self._look_at_settings)
 
     def _look_at_settings(self) -> None:
@@ -366,12 +367,12 @@
         if path is None:
             return
         try:
-            text = path.read_text(encoding="utf-8")
+            text = read_text(path)
             if text == self._settings_text:
                 return
             self._settings_text = text
             settings = parse_settings(text, str(path))
-        except (OSError, UnicodeDecodeError, SettingsError) as error:
+        except SettingsError as error:
             log_event("reload", level="ERROR", outcome="kept", reason=error)
             return
         self.settings = msgspec.structs.replace(settings, host=self.settings.host)
--- /dev/null
+++ b/src/wagtailstair/gateway/lease.py
@@ -0,0 +1,150 @@
+"""A lease in the store, kept or waited for by this host."""
+
+import random
+import typing as t
+
+import msgspec
+
+from ..core.leases import Lease
+from ..core.leases import LeaseLimits
+from ..core.leases import LeaseRead
+from ..core.leases import LeaseRow
+from ..core.leases import LeaseWait
+from ..core.leases import LeaseWrite
+from ..core.leases import decode_lease
+from ..core.leases import encode_lease
+from ..core.store import Call
+from ..exceptions import PlatformError
+from ..logs import log_event
+from ..platform import store as wire
+from .fetch import Answer
+from .fetch import Fetch
+from .fetch import rows_of
+from .loop import Loop
+from .transfer import Loss
+from .transfer import Upstream
+from .transfer import UpstreamPool
+
+TABLE = "leases"
+
+LEASE = LeaseLimits(duration_s=4.0, renew_s=1.4, margin_s=0.5, retry_s=0.5)
+"""A holder that is lost is succeeded within 4 s; two renewals may fail."""
+
+STORE_TIMEOUT_S = 1.0
+START_SPREAD_S = 0.3
+"""Seconds over which hosts that start together spread their first calls."""
+
+LEAST_WAIT_S = 0.05
+
+
+class LeaseKeeper:
+    """Seeks one lease and renews it.
+
+    :param key: the lease's name.
+    :param holder: names this host; differs at each start.
+    """
+
+    def __init__(
+        self,
+        loop: Loop,
+        pool: UpstreamPool,
+        store: Upstream,
+        key: str,
+        holder: str,
+        rng: random.Random,
+    ) -> None:
+        self._loop = loop
+        self._pool = pool
+        self._store = store
+        self._key = key
+        self._rng = rng
+        self._lease = Lease(holder, LEASE)
+        self._had_lease = False
+
+    @property
+    def fence(self) -> int:
+        """Return the fencing number as last seen."""
+        return self._lease.fence
+
+    def start(self) -> None:
+        """Begin to seek the lease."""
+        self._loop.call_later(self._rng.uniform(0, START_SPREAD_S), self._step)
+
+    def may_order(self, order_s: float) -> bool:
+        """Tell whether an order that takes some seconds may be given now."""
+        return self._lease.may_order(self._loop.now, order_s)
+
+    def release(self) -> None:
+        """Give the lease up, if it is held."""
+        write = self._lease.release(self._loop.now)
+        if write is not None:
+            self._write(write, lambda _answer: None)
+
+    def _step(self) -> None:
+        now = self._loop.now
+        holds = self._lease.holds(now)
+        if holds != self._had_lease:
+            self._had_lease = holds
+            name = "lease_gained" if holds else "lease_lost"
+            log_event(name, lease=self._key, fence=self._lease.fence)
+        command = self._lease.next(now)
+        if isinstance(command, LeaseWait):
+            self._loop.call_later(max(LEAST_WAIT_S, command.delay_s), self._step)
+        elif isinstance(command, LeaseRead):
+            call = wire.read_call(TABLE)
+            self._fetch(call, self._on_read)
+        else:
+            self._write(command, lambda answer: self._on_written(command, answer))
+
+    def _write(self, command: LeaseWrite, then: t.Callable[[Answer], None]) -> None:
+        value = msgspec.json.encode(encode_lease(command.row))
+        call = wire.transact_call(
+            [(TABLE, self._key, command.version)], [(TABLE, self._key, value)]
+        )
+        self._fetch(call, then)
+
+    def _fetch(self, call: Call, then: t.Callable[[Answer], None]) -> None:
+        Fetch(self._loop, self._pool, self._store, call, STORE_TIMEOUT_S, then)
+
+    def _on_read(self, answer: Answer) -> None:
+        now = self._loop.now
+        try:
+            rows = rows_of(answer)
+        except PlatformError as error:
+            log_event("lease_unread", level="WARNING", reason=error)
+            self._lease.on_away(now)
+            self._step()
+            return
+        version, row = 0, None
+        for entry in rows.rows:
+            if entry.key == self._key and entry.value is not None:
+                version, row = entry.version, self._decode(entry.value)
+        self._lease.on_read(version, row, now)
+        self._step()
+
+    @staticmethod
+    def _decode(value: bytes) -> LeaseRow | None:
+        try:
+            return decode_lease(msgspec.json.decode(value))
+        except (ValueError, msgspec.MsgspecError) as error:
+            log_event("lease_unreadable", level="WARNING", reason=error)
+            return None
+
+    def _on_written(self, command: LeaseWrite, answer: Answer) -> None:
+        now = self._loop.now
+        if answer.status == 0 and answer.loss is not Loss.NOT_SENT:
+            self._lease.on_unsure()
+            self._loop.call_later(LEASE.retry_s / 2, self._step)
+            return
+        try:
+            rows = rows_of(answer)
+        except PlatformError as error:
+            log_event("lease_unwritten", level="WARNING", reason=error)
+            self._lease.on_away(now)
+            self._step()
+            return
+        if rows.is_conflict:
+            self._lease.on_unsure()
+        else:
+            self._lease.on_written(rows.version, command.row, now)
+        self._step()
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -33,6 +33,7 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
+from .fetch import rows_of
 from .loop import READABLE
 from .loop import Loop
 from .transfer import Upstream
@@ -183,9 +184,7 @@
     ) -> None:
         def on_answer(answer: Answer) -> None:
             try:
-                if answer.status == 0:
-                    raise PlatformError(answer.reason)
-                rows = wire.decode_rows(answer.status, answer.body)
+                rows = rows_of(answer)
             except PlatformError as error:
                 log_event("hosts_unread", level="WARNING", reason=error)
                 pause_s = BACKOFF_S * self._rng.uniform(0.5, 1.5)
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -3,43 +3,28 @@
 import random
 import typing as t
 
-import msgspec
-
 from ..core.directory import Directory
 from ..core.directory import ModelSpec
 from ..core.directory import Service
 from ..core.layout import Placing
 from ..core.layout import plan
 from ..core.layout import repair
-from ..core.leases import Lease
-from ..core.leases import LeaseLimits
-from ..core.leases import LeaseRead
-from ..core.leases import LeaseRow
-from ..core.leases import LeaseWait
-from ..core.leases import LeaseWrite
-from ..core.leases import decode_lease
-from ..core.leases import encode_lease
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
-from ..exceptions import PlatformError
-from ..exceptions import UpstreamError
+from ..core.store import Call
 from ..logs import log_event
 from ..platform import engines as engine_wire
-from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
+from .lease import LeaseKeeper
 from .loop import Loop
+from .report import ask_report
 from .transfer import Loss
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
-OK = 200
-TABLE = "leases"
 KEY = "placement"
 
-LEASE = LeaseLimits(duration_s=4.0, renew_s=1.4, margin_s=0.5, retry_s=0.5)
-"""A holder that is lost is succeeded within 4 s; two renewals may fail."""
-
 TICK_S = 0.25
 SETTLE_S = 0.7
 """Seconds without a new engine before the first orders go out, so that the first
@@ -60,8 +45,6 @@
 REFUSED_AGAIN_S = 1.5
 """Seconds after which an engine that refused an order gets another."""
 
-STORE_TIMEOUT_S = 1.0
-
 
 class Placer:
     """Holds the lease or waits for it; with it, places layers on engines."""
@@ -78,12 +61,9 @@
     ) -> None:
         self._loop = loop
         self._pool = pool
-        self._store = store
         self._replicas = replicas
         self._directory = directory
-        self._rng = rng
-        self._lease = Lease(holder, LEASE)
-        self._had_lease = False
+        self._lease = LeaseKeeper(loop, pool, store, KEY, holder, rng)
         self._gap_since_by_centre: dict[str, float] = {}
         # Range and instant of orders that were accepted or may have been.
         self._ordered: dict[tuple[str, int], tuple[tuple[int, int], float]] = {}
@@ -93,95 +73,17 @@
 
     def start(self) -> None:
         """Begin to seek the lease."""
-        self._loop.call_later(self._rng.uniform(0, 0.3), self._step)
+        self._lease.start()
         self._loop.call_later(TICK_S, self._tick)
 
     def release(self) -> None:
         """Give the lease up, so that another host need not wait for its end."""
-        write = self._lease.release(self._loop.now)
-        if write is not None:
-            self._write(write, lambda _answer: None)
-
-    # The lease.
-
-    def _step(self) -> None:
-        now = self._loop.now
-        holds = self._lease.holds(now)
-        if holds != self._had_lease:
-            self._had_lease = holds
-            name = "lease_gained" if holds else "lease_lost"
-            log_event(name, lease=KEY, fence=self._lease.fence)
-        command = self._lease.next(now)
-        if isinstance(command, LeaseWait):
-            self._loop.call_later(max(0.05, command.delay_s), self._step)
-        elif isinstance(command, LeaseRead):
-            call = wire.read_call(TABLE)
-            self._fetch(self._store, call, STORE_TIMEOUT_S, self._on_read)
-        else:
-            self._write(command, lambda answer: self._on_written(command, answer))
-
-    def _write(self, command: LeaseWrite, then: t.Callable[[Answer], None]) -> None:
-        value = msgspec.json.encode(encode_lease(command.row))
-        call = wire.transact_call(
-            [(TABLE, KEY, command.version)], [(TABLE, KEY, value)]
-        )
-        self._fetch(self._store, call, STORE_TIMEOUT_S, then)
+        self._lease.release()
 
     def _fetch(
-        self,
-        upstream: Upstream,
-        call: t.Any,
-        timeout_s: float,
-        then: t.Callable[[Answer], None],
+        self, upstream: Upstream, call: Call, then: t.Callable[[Answer], None]
     ) -> None:
-        Fetch(self._loop, self._pool, upstream, call, timeout_s, then)
-
-    def _on_read(self, answer: Answer) -> None:
-        now = self._loop.now
-        try:
-            if answer.status == 0:
-                raise PlatformError(answer.reason)
-            rows = wire.decode_rows(answer.status, answer.body)
-        except PlatformError as error:
-            log_event("lease_unread", level="WARNING", reason=error)
-            self._lease.on_away(now)
-            self._step()
-            return
-        version, row = 0, None
-        for entry in rows.rows:
-            if entry.key == KEY and entry.value is not None:
-                version, row = entry.version, self._decode(entry.value)
-        self._lease.on_read(version, row, now)
-        self._step()
-
-    @staticmethod
-    def _decode(value: bytes) -> LeaseRow | None:
-        try:
-            return decode_lease(msgspec.json.decode(value))
-        except (ValueError, msgspec.MsgspecError) as error:
-            log_event("lease_unreadable", level="WARNING", reason=error)
-            return None
-
-    def _on_written(self, command: LeaseWrite, answer: Answer) -> None:
-        now = self._loop.now
-        if answer.status == 0 and answer.loss is not Loss.NOT_SENT:
-            self._lease.on_unsure()
-            self._loop.call_later(LEASE.retry_s / 2, self._step)
-            return
-        try:
-            if answer.status == 0:
-                raise PlatformError(answer.reason)
-            rows = wire.decode_rows(answer.status, answer.body)
-        except PlatformError as error:
-            log_event("lease_unwritten", level="WARNING", reason=error)
-            self._lease.on_away(now)
-            self._step()
-            return
-        if rows.is_conflict:
-            self._lease.on_unsure()
-        else:
-            self._lease.on_written(rows.version, command.row, now)
-        self._step()
+        Fetch(self._loop, self._pool, upstream, call, ORDER_TIMEOUT_S, then)
 
     # Orders.
 
@@ -189,7 +91,7 @@
         self._loop.call_later(TICK_S, self._tick)
         now = self._loop.now
         directory = self._directory()
-        if directory is None or not self._lease.may_order(now, ORDER_TIMEOUT_S):
+        if directory is None or not self._lease.may_order(ORDER_TIMEOUT_S):
             return
         for service in directory.service_by_name.values():
             if service.model is not None:
@@ -297,20 +199,13 @@
                 self._ordered.pop(identity, None)
 
         upstream = Upstream(replica.address, identity)
-        self._fetch(upstream, call, ORDER_TIMEOUT_S, on_answer)
+        self._fetch(upstream, call, on_answer)
 
     def _ask_orders(self, replica: Replica) -> None:
         """Ask an engine how many orders it has accepted."""
         identity = replica.identity
 
-        def on_answer(answer: Answer) -> None:
-            if answer.status != OK:
-                return
-            try:
-                report = engine_wire.decode_report(answer.body)
-            except UpstreamError as error:
-                log_event("report_unreadable", level="WARNING", reason=error)
-                return
+        def on_report(report: engine_wire.Report) -> None:
             log_event(
                 "engine_orders",
                 replica=replica.name,
@@ -321,6 +216,4 @@
             if report.born == replica.incarnation:
                 self._orders_by_identity[identity] = report.orders
 
-        upstream = Upstream(replica.address, identity)
-        call = engine_wire.report_call()
-        self._fetch(upstream, call, ORDER_TIMEOUT_S, on_answer)
+        ask_report(self._loop, self._pool, replica, on_report)
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -2,12 +2,13 @@
 
 import ipaddress
 import pathlib
-import tomllib
 import typing as t
 
 import msgspec
 
 from ..exceptions import SettingsError
+from ..settings import parse_checked
+from ..settings import read_text
 
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
 Fraction = t.Annotated[float, msgspec.Meta(ge=0, le=1)]
@@ -114,17 +115,7 @@
 
     :raises SettingsError: naming the file, the key and what was expected.
     """
-    try:
-        settings = msgspec.convert(tomllib.loads(text), GatewaySettings)
-        _check(settings)
-    except tomllib.TOMLDecodeError as error:
-        raise SettingsError(f"not valid TOML: {error}", where=source) from error
-    except msgspec.ValidationError as error:
-        raise SettingsError(str(error), where=source) from error
-    except SettingsError as error:
-        where = f"{source}: {error.where}"
-        raise SettingsError(error.message, where=where) from error
-    return settings
+    return parse_checked(text, source, GatewaySettings, (_check,))
 
 
 def load_settings(path: pathlib.Path) -> GatewaySettings:
@@ -132,8 +123,4 @@
 
     :raises SettingsError: if it can't be read or is not valid.
     """
-    try:
-        text = path.read_text(encoding="utf-8")
-    except (OSError, UnicodeDecodeError) as error:
-        raise SettingsError(f"can't be read: {error}", where=str(path)) from error
-    return parse_settings(text, str(path))
+    return parse_settings(read_text(path), str(path))
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -3,19 +3,13 @@
 import typing as t
 
 from ..core.replicas import Replica
-from ..exceptions import UpstreamError
 from ..logs import log_event
 from ..platform import engines as engine_wire
-from .fetch import Answer
-from .fetch import Fetch
-from .transfer import Upstream
+from .report import ask_report
 
 if t.TYPE_CHECKING:
     from .gateway import Gateway
 
-REPORT_TIMEOUT_S = 0.3
-"""Seconds for a report: an engine that answers does so within milliseconds."""
-
 REPORT_INTERVAL_S = 0.15
 """Seconds between two reports of the same engine: each is priced, and old."""
 
@@ -40,19 +34,12 @@
             return
         self._asked_at_by_name[first.name] = loop.now
 
-        def on_answer(answer: Answer) -> None:
-            if answer.status == 0:
-                self.suspect(first, service, f"no report: {answer.reason}")
-                return
-            self._take(first, service, answer)
-
-        Fetch(
+        ask_report(
             loop,
             self._gateway.pool,
-            Upstream(first.address, first.identity),
-            engine_wire.report_call(),
-            REPORT_TIMEOUT_S,
-            on_answer,
+            first,
+            lambda report: self._take(first, service, report),
+            lambda reason: self.suspect(first, service, f"no report: {reason}"),
         )
 
     def suspect(self, replica: Replica, service: str, reason: str) -> None:
@@ -68,12 +55,7 @@
             if stream.uses(replica.identity) and stream.waits(now):
                 stream.leave_engine(replica, reason)
 
-    def _take(self, first: Replica, service: str, answer: Answer) -> None:
-        try:
-            report = engine_wire.decode_report(answer.body)
-        except UpstreamError as error:
-            log_event("report_unreadable", level="WARNING", reason=error)
-            return
+    def _take(self, first: Replica, service: str, report: engine_wire.Report) -> None:
         log_event(
             "engine_reported",
             level="DEBUG",
--- a/src/wagtailstair/settings.py
+++ b/src/wagtailstair/settings.py
@@ -202,20 +202,27 @@
 )
 
 
-def parse_settings(text: str, source: str = "<settings>") -> Settings:
-    """Check settings from TOML text.
+_SettingsT = t.TypeVar("_SettingsT")
+
+
+def parse_checked(
+    text: str,
+    source: str,
+    shape: type[_SettingsT],
+    checks: t.Iterable[t.Callable[[_SettingsT], None]],
+) -> _SettingsT:
+    """Return settings of a shape from TOML text, checked as a whole.
 
     :param source: the file's name, for messages.
     :raises SettingsError: naming the file, the key and what was expected.
     """
     try:
-        raw = tomllib.loads(text)
-        settings = msgspec.convert(raw, Settings)
+        settings = msgspec.convert(tomllib.loads(text), shape)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"not valid TOML: {error}", where=source) from error
     except msgspec.ValidationError as error:
         raise SettingsError(str(error), where=source) from error
-    for check in CHECKS:
+    for check in checks:
         try:
             check(settings)
         except SettingsError as error:
@@ -224,13 +231,29 @@
     return settings
 
 
-def load_settings(path: pathlib.Path) -> Settings:
-    """Read and check a settings file.
+def read_text(path: pathlib.Path) -> str:
+    """Return the text of a settings file.
 
-    :raises SettingsError: if it can't be read or is not valid.
+    :raises SettingsError: if it can't be read.
     """
     try:
-        text = path.read_text(encoding="utf-8")
+        return path.read_text(encoding="utf-8")
     except (OSError, UnicodeDecodeError) as error:
         raise SettingsError(f"can't be read: {error}", where=str(path)) from error
-    return parse_settings(text, str(path))
+
+
+def parse_settings(text: str, source: str = "<settings>") -> Settings:
+    """Check settings from TOML text.
+
+    :param source: the file's name, for messages.
+    :raises SettingsError: naming the file, the key and what was expected.
+    """
+    return parse_checked(text, source, Settings, CHECKS)
+
+
+def load_settings(path: pathlib.Path) -> Settings:
+    """Read and check a settings file.
+
+    :raises SettingsError: if it can't be read or is not valid.
+    """
+    return parse_settings(read_text(path), str(path))
