--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -34,6 +34,7 @@
     """One table as the store last told it.
 
     :param on_rows: takes rows and whether they are all rows of the table.
+    :param pause_s: between two calls for changes, so that one brings several.
     """
 
     def __init__(
@@ -44,8 +45,10 @@
         table: str,
         on_rows: t.Callable[[tuple[StoreRow, ...], bool], None],
         rng: random.Random,
+        pause_s: float = 0.0,
     ) -> None:
         self._loop = loop
+        self._pause_s = pause_s
         self._pool = pool
         self._store = store
         self.table = table
@@ -150,4 +153,4 @@
             self.version = max(self.version or 0, rows.rows[-1].version)
             self._on_rows(rows.rows, False)
         self.version = max(self.version or 0, rows.version)
-        self._feed()
+        self._loop.call_later(self._pause_s, self._feed)
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/knowledge.py
@@ -25,6 +25,10 @@
 from .transfer import UpstreamPool
 
 SETTLE_TICK_S = 0.25
+CHANGES_PAUSE_S = 0.2
+"""Seconds in which changes of upstreams are gathered: calls are priced, and two
+seconds are left for an upstream that leaves."""
+
 RELAY_TICK_S = 0.4
 """Seconds between two questions to peers while the store is away."""
 
@@ -66,7 +70,13 @@
             loop, pool, store, wire_lists.TABLE, self._on_lists, rng
         )
         self._upstreams = TableFollower(
-            loop, pool, store, wire_replicas.TABLE, self._on_replicas, rng
+            loop,
+            pool,
+            store,
+            wire_replicas.TABLE,
+            self._on_replicas,
+            rng,
+            pause_s=CHANGES_PAUSE_S,
         )
         self._followers = {
             follower.table: follower for follower in (self._lists, self._upstreams)
