--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -37,17 +37,12 @@
 
     layers: int
     layer_weights_mb: float
-    load_s: float
-    loads_at_once: int
     kv_bytes: float
     hidden_bytes: float
     step_s: float
     sequence_s: float
     read_tokens_per_s: float
-    tokens_per_pass: int
-    usual_prompt: float
     usual_answer: float
-    link_bytes_per_s: float
     pipe_bytes_per_s: float
     delay_s_by_centres: dict[tuple[str, str], float]
     accelerator_by_name: dict[str, Accelerator]
@@ -58,8 +53,6 @@
     """A group of upstreams; ``model`` is set where they are model engines."""
 
     name: str
-    health_path: str
-    max_connections: int
     model: ModelSpec | None
 
 
--- a/src/wagtailstair/core/exchange_headers.py
+++ b/src/wagtailstair/core/exchange_headers.py
@@ -41,8 +41,6 @@
     signature: bytes
     not_run: bytes
     faulty_address: bytes
-    weights_version: bytes
-    expected_version: bytes
 
     def set_here(self) -> frozenset[bytes]:
         """Return the names that callers can't set: the gateway does."""
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -21,7 +21,6 @@
     incarnation: int
     accelerator: str = ""
     layers: tuple[int, int] | None = None
-    weights_version: int = 0
 
     @property
     def identity(self) -> tuple[str, int]:
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -49,8 +49,6 @@
         call: Call,
         timeout_s: float,
         on_answer: t.Callable[[Answer], None],
-        *,
-        fresh: bool = False,
     ) -> None:
         self._status = 0
         self._body = bytearray()
@@ -58,19 +56,11 @@
         self._timer: Timer = loop.call_later(timeout_s, self._on_timeout)
         self._wire: Wire | None = None
         data = _encode(call, upstream.address)
-        self._wire = pool.send(upstream, data, self, fresh=fresh)
+        self._wire = pool.send(upstream, data, self, fresh=False)
         if self._wire is None:
             # Later, so that the caller has the object before its answer.
             loop.call_later(0.0, lambda: self.on_lost(Loss.NOT_SENT, "no connection"))
 
-    def cancel(self) -> None:
-        """Give the call up; it may take effect all the same."""
-        self._on_answer = None
-        self._timer.cancel()
-        wire, self._wire = self._wire, None
-        if wire is not None:
-            wire.cancel()
-
     def on_head(self, status: int, _reason: bytes, _headers: list[Header]) -> bool:
         """Take the head of the answer."""
         self._status = status
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -56,12 +56,9 @@
         self._rng = rng
         self._failures = 0
         self._pages: list[StoreRow] = []
-        self._fetch: Fetch | None = None
         self.version: int | None = None
-        self.heard_at = float("-inf")
         self.failed_at = float("-inf")
         self.is_away = False
-        self.calls = 0
 
     def start(self) -> None:
         """Read the whole table."""
@@ -74,19 +71,10 @@
             self.version = version
             self._on_rows(rows, True)
 
-    def refresh(self) -> None:
-        """Ask anew at once, on a new connection: the present call may be dead."""
-        if self._fetch is not None and self.version is not None and not self.is_away:
-            self._fetch.cancel()
-            self._feed()
-
     def _send(
         self, call: Call, timeout_s: float, then: t.Callable[[StoreRows], None]
     ) -> None:
-        self.calls += 1
-
         def on_answer(answer: Answer) -> None:
-            self._fetch = None
             try:
                 rows = rows_of(answer)
             except PlatformError as error:
@@ -95,12 +83,9 @@
             self._heard()
             then(rows)
 
-        self._fetch = Fetch(
-            self._loop, self._pool, self._store, call, timeout_s, on_answer
-        )
+        Fetch(self._loop, self._pool, self._store, call, timeout_s, on_answer)
 
     def _heard(self) -> None:
-        self.heard_at = self._loop.now
         self._failures = 0
         if self.is_away:
             self.is_away = False
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -105,7 +105,6 @@
         self.membership = Membership(
             host, heartbeat_s=HEARTBEAT_S, dead_after_s=DEAD_AFTER_S, now=loop.now
         )
-        self.malformed = 0
 
     def start(self) -> None:
         """Bind, tell the store of this host, and begin to send heartbeats."""
@@ -241,7 +240,6 @@
             try:
                 datagram = decode(data)
             except PeerError as error:
-                self.malformed += 1
                 log_event("datagram_malformed", level="WARNING", reason=error)
                 continue
             for message in datagram.messages:
--- a/src/wagtailstair/gateway/transfer.py
+++ b/src/wagtailstair/gateway/transfer.py
@@ -76,8 +76,6 @@
         "idle_s",
         "idle_since",
         "is_clean",
-        "is_reused",
-        "is_sent_whole",
         "observer",
         "upstream",
     )
@@ -87,7 +85,6 @@
         self._loop = loop
         self.upstream = upstream
         self.observer: Observer | None = None
-        self.is_reused = False
         self.is_clean = True
         self.idle_s = IDLE_S
         self.idle_since = 0.0
@@ -112,15 +109,6 @@
         self.observer = None
         self._drop()
 
-    def pause(self, *, paused: bool) -> None:
-        """Stop or go on reading the answer."""
-        if self.connection is None:
-            return
-        if paused:
-            self.connection.pause()
-            return
-        self.connection.resume()
-
     # Called by the parser.
 
     def on_message_begin(self) -> None:
@@ -260,12 +248,11 @@
 class UpstreamPool:
     """Connections to upstreams that wait for another request."""
 
-    __slots__ = ("_idle_by_upstream", "_loop", "opened")
+    __slots__ = ("_idle_by_upstream", "_loop")
 
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
         self._idle_by_upstream: dict[Upstream, list[Wire]] = {}
-        self.opened = 0
         self._loop.call_later(1.0, self._sweep)
 
     def send(
@@ -288,7 +275,6 @@
                     error=error.errno,
                 )
                 return None
-            self.opened += 1
         wire.send(data, observer)
         return wire
 
@@ -313,7 +299,6 @@
         while idle:
             wire = idle.pop()
             if self._loop.now - wire.idle_since < wire.idle_s:
-                wire.is_reused = True
                 return wire
             wire.cancel()
         return None
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -18,8 +18,6 @@
     signature=b"x-response-signature",
     not_run=b"x-not-executed",
     faulty_address=b"at-server",
-    weights_version=b"x-weight-versions",
-    expected_version=b"x-expect-version",
 )
 
 KEY_SCHEME = b"token "
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -61,25 +61,16 @@
 
 
 class _Usual(msgspec.Struct):
-    prompt: float
+    # Mean tokens of an answer.
     answer: float
 
 
-class _Model(msgspec.Struct):
-    name: str
-    load_s: float
-
-
 class _Engine(msgspec.Struct):
     kv_token_bytes: float
-    link_mbps: float
-    stride: int
     step_ms: float
     per_seq_ms: float
     # Tokens a second, not a millisecond as on the sheets.
     read_per_s: float
-    models: list[_Model]
-    loads_at_once: int
     layers: int
     layer_mb: float
     activation_bytes: float
@@ -91,8 +82,6 @@
 
 class _Service(msgspec.Struct):
     name: str
-    health_path: str
-    max_conns: int
     engine: _Engine | None = None
 
 
@@ -137,17 +126,12 @@
     return ModelSpec(
         layers=engine.layers,
         layer_weights_mb=engine.layer_mb,
-        load_s=engine.models[0].load_s,
-        loads_at_once=engine.loads_at_once,
         kv_bytes=engine.kv_token_bytes,
         hidden_bytes=engine.activation_bytes,
         step_s=engine.step_ms * MS,
         sequence_s=engine.per_seq_ms * MS,
         read_tokens_per_s=engine.read_per_s,
-        tokens_per_pass=engine.stride,
-        usual_prompt=engine.usual.prompt,
         usual_answer=engine.usual.answer,
-        link_bytes_per_s=_bytes_per_s(engine.link_mbps),
         pipe_bytes_per_s=_bytes_per_s(engine.pipe_mbps),
         delay_s_by_centres=delays,
         accelerator_by_name=kinds,
@@ -180,8 +164,6 @@
     engine = service.engine
     return Service(
         service.name,
-        service.health_path,
-        service.max_conns,
         _model(engine) if engine is not None else None,
     )
 
@@ -212,7 +194,7 @@
             ),
             needs_keys=bool(config.tenants),
         )
-    except (msgspec.MsgspecError, ValueError, IndexError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, ValueError, UnicodeDecodeError) as error:
         raise ListsError(f"not usable: {error}", where=f"{TABLE}/{KEY}") from error
 
 
--- a/src/wagtailstair/platform/replicas.py
+++ b/src/wagtailstair/platform/replicas.py
@@ -14,7 +14,6 @@
     first: int = msgspec.field(name="from")
     # The layer after the last one.
     target: int
-    version: int
 
 
 class _Server(msgspec.Struct):
@@ -58,5 +57,4 @@
         incarnation=server.born,
         accelerator=server.kind,
         layers=(layers.first, layers.target) if layers is not None else None,
-        weights_version=layers.version if layers is not None else 0,
     )
