Never pass a refusal on that may have run

An upstream's 503, 429, 421 or 408 without its word that it did not run the request is a failure like any other: the caller of a call that may not repeat gets 502. Found in reading; the test failed before with 503.

--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/call.py
@@ -4,6 +4,7 @@
 from . import heads
 from .exchange import BAD_GATEWAY
 from .exchange import GATEWAY_TIMEOUT
+from .exchange import PROMISES
 from .exchange import Exchange
 from .exchange import Fate
 from .loop import Timer
@@ -177,11 +178,11 @@
             self.log("attempt_failed", status=status, fate=fate.value)
             self._attempt("failed")
             return
-        if fate is Fate.FAILED:
+        if fate is Fate.FAILED and status not in PROMISES:
             self._deliver(status)
             return
         self._leave("failed")
-        self.fail(BAD_GATEWAY, "unsigned answer")
+        self.fail(BAD_GATEWAY, f"unusable answer {status}")
 
     def on_lost(self, loss: Loss, reason: str) -> None:
         """Take the loss of an attempt."""
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -38,6 +38,8 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 MISDIRECTED = 421
+PROMISES = frozenset({408, 421, 429, 503})
+"""Statuses that tell a caller that its request has not run."""
 
 
 class Fate(enum.Enum):
@@ -158,7 +160,7 @@
         names = self.context.names
         if status == MISDIRECTED or find(headers, names.not_run) is not None:
             return Fate.NOT_RUN
-        if status >= 500:
+        if status >= 500 or status in PROMISES:
             return Fate.FAILED
         if status < 300 and find(headers, names.signature) is None:
             return Fate.BROKEN
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -190,6 +190,8 @@
             held.caller.answer(200, b"", signed[:1], b"body")
         elif step == "foreign":
             held.caller.answer(200, b"", [(b"X-Attempt-Id", b"other")], b"other")
+        elif step == "unflagged":
+            held.caller.answer(503, b"", signed, b"")
         elif step == "error":
             held.caller.answer(500, b"", signed, b"error")
         elif step != "silent":
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -157,6 +157,13 @@
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
         assert answered.status == 502
 
+    def test_a_refusal_that_may_have_run_is_no_refusal(self, world, desks, host):
+        for desk in desks:
+            desk.script = ["unflagged"]
+        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        assert answered.status == 502
+        assert runs(desks) == ["a1"]
+
     def test_foreign_answer_reaches_nobody(self, world, desks, host):
         for desk in desks:
             desk.script = ["foreign"]
