--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -6,6 +6,7 @@
 
 from ..core.directory import CallerLimits
 from ..exceptions import RequestError
+from ..logs import log_event
 from .connection import Connection
 from .connection import set_options
 from .loop import Loop
@@ -217,6 +218,7 @@
             self._running = running
 
     def _refuse(self, error: RequestError) -> None:
+        log_event("request_malformed", status=error.http_status, reason=error)
         self._closes = True
         self.answer(error.http_status, b"", (), b"")
 
@@ -264,5 +266,6 @@
         if is_idle:
             self._close()
             return
+        log_event("request_malformed", status=TIMEOUT_STATUS, reason="too slow")
         self._closes = True
         self.answer(TIMEOUT_STATUS, b"", (), b"")
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -61,8 +61,10 @@
 
 NOT_FOUND = 404
 UNAUTHORIZED = 401
-BAD_REQUEST = 400
 UNAVAILABLE = 503
+RETRY_AFTER = b"0.5"
+"""Seconds until a caller may find this host or another one ready."""
+
 OK = 200
 
 
@@ -236,7 +238,8 @@
         """Begin a request."""
         directory = self.knowledge.directory
         if directory is None or self._is_closed:
-            caller.answer(UNAVAILABLE, b"", ((b"Retry-After", b"0.5"),), b"")
+            reason = "no lists" if directory is None else "shutting down"
+            self._refuse(caller, request, reason)
             return None
         key = wire_headers.read_key(request.header(self.names.authorization))
         grant = directory.judge(request.host, request.path, key)
@@ -254,7 +257,7 @@
         name = self._pick_service(grant.route.targets)
         service = directory.service_by_name.get(name)
         if service is None:
-            caller.answer(UNAVAILABLE, b"", ((b"Retry-After", b"0.5"),), b"")
+            self._refuse(caller, request, f"no service {name}")
             return None
         if service.model is None:
             call = PlainExchange(self, caller, request, grant, service)
@@ -265,6 +268,15 @@
         stream.begin()
         return stream
 
+    def _refuse(self, caller: Caller, request: Request, reason: str) -> None:
+        log_event(
+            "request_refused",
+            request=request.header(self.names.attempt).decode("latin-1"),
+            reason=reason,
+            version=self.lists_version(),
+        )
+        caller.answer(UNAVAILABLE, b"", ((b"Retry-After", RETRY_AFTER),), b"")
+
     def on_caller_closed(self, caller: Caller) -> None:
         """Forget a connection."""
         self._callers.discard(caller)
