Soak real gateways under faults from outside

Gateways run as processes of their own; callers, upstreams and the store are on one loop beside them.

--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -5,6 +5,7 @@
 import sys
 import typing as t
 
+from ..clock import Clock
 from ..clock import SystemClock
 from ..exceptions import SettingsError
 from ..logs import configure_bounded_logs
@@ -15,7 +16,7 @@
 SETTINGS_EXIT_CODE = 2
 
 
-def main(argv: t.Sequence[str] | None = None) -> int:
+def main(argv: t.Sequence[str] | None = None, clock: Clock | None = None) -> int:
     """Run the gateway with the settings file that is named; return the exit code."""
     arguments = sys.argv[1:] if argv is None else list(argv)
     path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
@@ -24,7 +25,8 @@
     except SettingsError as error:
         print(f"wagtailstair: {error}", file=sys.stderr)
         return SETTINGS_EXIT_CODE
-    clock = SystemClock()
+    if clock is None:
+        clock = SystemClock()
     configure_bounded_logs(
         settings.log.level, settings.host.name, settings.log.lines_per_s, clock
     )
--- /dev/null
+++ b/tests/soak/hosts.py
@@ -0,0 +1,150 @@
+"""Gateways as processes of their own, and what is done to them by signals."""
+
+import datetime
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import typing as t
+
+from tests.gateway_world import SETTINGS
+from tests.gateway_world import free_port
+from tests.soak.proxy import Proxy
+from wagtailstair.clock import SystemClock
+from wagtailstair.gateway.daemon import main
+from wagtailstair.gateway.loop import Loop
+
+LAPSE_S = 2.0
+GRACE_S = 8
+MEMORY_MB = 300
+"""The memory of an entry host, from the pages."""
+
+LOG_LINE = re.compile(r"time=\S+ level=[A-Z]+ host=\S+ event=\w+")
+
+
+class SkewedClock(SystemClock):
+    """A clock whose time of day is off by some seconds."""
+
+    __slots__ = ("_skew",)
+
+    def __init__(self, skew_s: float) -> None:
+        self._skew = datetime.timedelta(seconds=skew_s)
+
+    def utcnow(self) -> datetime.datetime:
+        """Return the skewed time of day."""
+        return super().utcnow() + self._skew
+
+
+class HostProcess:
+    """One entry host: its settings, its ports, its process of the moment."""
+
+    def __init__(self, loop: Loop, name: str, centre: str, store: str, work: t.Any):
+        self.name = name
+        self.data_centre = centre
+        self.store = Proxy(loop, store)
+        self.callers = f"127.0.0.1:{free_port()}"
+        self.readiness = f"127.0.0.1:{free_port()}"
+        self.front = Proxy(loop, self.callers)
+        self._peer_port = free_port()
+        self._work: pathlib.Path = work
+        self._starts = 0
+        self.skew_s = 0.0
+        self.retries_slack = 200
+        self.process: subprocess.Popen[bytes] | None = None
+        self.is_paused = False
+        # Ends that somebody caused, by the exit code that they lead to.
+        self.expected_exits: set[int] = set()
+        self.drained_at: float | None = None
+
+    @property
+    def incarnation(self) -> str:
+        """Return the name of the process of the moment."""
+        return f"{self.name}/{self._starts}"
+
+    @property
+    def is_running(self) -> bool:
+        """Tell whether the process lives."""
+        return self.process is not None and self.process.poll() is None
+
+    def write_settings(self) -> None:
+        """Write the settings file as it should be now."""
+        text = SETTINGS.format(
+            name=self.name,
+            centre=self.data_centre,
+            callers=self.callers.rpartition(":")[2],
+            readiness=self.readiness.rpartition(":")[2],
+            peers=self._peer_port,
+            store=self.store.address,
+        )
+        text = text.replace("lapse_s = 0.3", f"lapse_s = {LAPSE_S}")
+        text = text.replace("slack = 200", f"slack = {self.retries_slack}")
+        path = self._path("toml").with_suffix(".new")
+        path.write_text(text, encoding="utf-8")
+        path.replace(self._path("toml"))
+
+    def start(self) -> None:
+        """Start a process; its output is added to a file."""
+        self._starts += 1
+        self.expected_exits = set()
+        self.drained_at = None
+        self.write_settings()
+        command = [sys.executable, "-m", "tests.soak.hosts", str(self.skew_s)]
+        with self._path("log").open("ab") as output:
+            self.process = subprocess.Popen(
+                [*command, str(self._path("toml"))],
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def signal(self, number: int, exit_code: int | None = None) -> None:
+        """Send a signal to this process, and note the end that it causes."""
+        if self.process is None or not self.is_running:
+            return
+        if exit_code is not None:
+            self.expected_exits.add(exit_code)
+        self.process.send_signal(number)
+
+    def stop(self) -> None:
+        """End the process for good."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL, -signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait(timeout=10)
+
+    def memory_mb(self) -> float:
+        """Return the peak memory of the process, 0 if it has ended."""
+        if not self.is_running or self.process is None:
+            return 0.0
+        status = pathlib.Path(f"/proc/{self.process.pid}/status")
+        found = re.search(r"VmHWM:\s+(\d+) kB", status.read_text(encoding="ascii"))
+        return int(found.group(1)) / 1000 if found else 0.0
+
+    def faults(self) -> list[str]:
+        """Return what is wrong with the process's end, memory and log."""
+        found = []
+        if self.process is not None and not self.is_running:
+            code = self.process.returncode
+            if code not in self.expected_exits:
+                found.append(f"ended: {self.incarnation} by itself with {code}")
+        if self.memory_mb() > MEMORY_MB:
+            found.append(f"memory: {self.incarnation} had {self.memory_mb():.0f} MB")
+        return found
+
+    def log_faults(self) -> list[str]:
+        """Return the lines of the log that should not be there."""
+        found = []
+        text = self._path("log").read_text(encoding="utf-8", errors="replace")
+        # The last line may be cut by the end of the process.
+        for line in text.split("\n")[:-1]:
+            if "event=handler_failed" in line or not LOG_LINE.match(line):
+                found.append(f"log: {line}")
+        return found
+
+    def _path(self, suffix: str) -> pathlib.Path:
+        return self._work / f"{self.name}.{suffix}"
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[2:], SkewedClock(float(sys.argv[1]))))
