--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -16,10 +16,14 @@
 """Layers that a data centre holds a second time, over those of the model."""
 
 ROOM_STEP = 0.9
-ROOM_TOKENS_MAX = 400_000.0
+ROOM_TOKENS_MAX = 125_000.0
 ROOM_TOKENS_MIN = 2_000.0
-"""Bounds of the room beside the weights, in tokens: below it a single large
-request does not fit."""
+"""Bounds of the room beside the weights, in tokens: that of a hundred requests, as
+many as may begin at one engine, and that of a single large one."""
+
+HEADS_WANTED = 2
+"""Engines of a data centre that hold the first layer: each takes only so many
+requests that begin there."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -95,7 +99,10 @@
         ends = ends_by_centre[replica.data_centre]
         if replica.identity in reserved and 0 not in cover:
             continue
-        first = _best_start(model.layers, size, cover, total, ends)
+        if 0 not in cover and cover[0] < HEADS_WANTED:
+            first = 0
+        else:
+            first = _best_start(model.layers, size, cover, total, ends)
         held = (first, first + size)
         _add(held, cover, total, ends)
         orders.append(Placing(replica, *held))
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -4,6 +4,9 @@
 data centre a host sends them to two hosts, chosen by rendezvous hashing; each
 host tells the peers of its own data centre which remote hosts it hears (its
 *view*), and a remote host is live if anyone here hears it.
+
+A few hosts of each data centre are its *delegates*: they do for all what each
+would else do by itself. Every host finds them from what it has heard.
 """
 
 import dataclasses
@@ -31,6 +34,7 @@
 FORGET_AFTER_S = 600.0  # a dead host that no list names is forgotten
 VIEW_REFRESH_S = 1.0  # between two requests for the same view
 PEERS_MAX = 4096
+TICK_SLACK_S = 0.005  # a tick that is a little early still sends
 
 
 @dataclasses.dataclass(slots=True)
@@ -46,6 +50,7 @@
     seq: int = 0
     lists_version: int = 0
     lists_known: int = 0
+    is_store_away: bool = False
     heard_at: float = 0.0
     heard: bool = False
     listed: bool = False
@@ -69,6 +74,8 @@
     :param host: this host.
     :param heartbeat_s: seconds between heartbeats inside the data centre.
     :param dead_after_s: silence after which a peer of the data centre is dead.
+    :param full_rate_peers: peers of the data centre up to which heartbeats keep
+        their pace; with more, both times grow in proportion.
     """
 
     def __init__(
@@ -79,6 +86,7 @@
         dead_after_s: float,
         now: float,
         seeds: t.Iterable[str] = (),
+        full_rate_peers: int = PEERS_MAX,
     ) -> None:
         self.host = host
         self.state = HostState.JOINING
@@ -87,6 +95,7 @@
         self.generation = 0
         self._heartbeat_s = heartbeat_s
         self._dead_after_s = dead_after_s
+        self._full_rate_peers = full_rate_peers
         self._seq = 0
         self._ticked_at = now
         self._sent_at = float("-inf")
@@ -120,6 +129,7 @@
         peer.heard = True
         peer.heard_at = now
         peer.view = message.view
+        peer.is_store_away = message.is_store_away
         peer.lists_version = max(peer.lists_version, message.lists_version)
         known = max(message.lists_known, message.lists_version)
         peer.lists_known = max(peer.lists_known, known)
@@ -163,13 +173,14 @@
                 peer.heard_at = max(peer.heard_at, min(peer.heard_at + gap, now))
             return [SelfPaused(gap)]
         events: list[Event] = []
+        stretch = self._stretch()
         for peer in list(self.by_name.values()):
             silence = now - peer.heard_at
             if peer.state is HostState.DEAD or not peer.heard:
                 if silence > FORGET_AFTER_S and not peer.listed:
                     del self.by_name[peer.host.name]
                 continue
-            if silence > self._timeout(peer):
+            if silence > self._timeout(peer, stretch):
                 events.extend(self._bury(peer))
         return events
 
@@ -179,10 +190,12 @@
         """Return the addresses, inside and remote, that a heartbeat goes to now."""
         inside: list[str] = []
         remote: list[str] = []
-        if now - self._sent_at >= self._heartbeat_s:
+        heartbeat_s = self._heartbeat_s * self._stretch()
+        if now - self._sent_at >= heartbeat_s - TICK_SLACK_S:
             self._sent_at = now
             inside.extend(self._inside_addresses())
-        if now - self._sent_remote_at >= self._heartbeat_s * REMOTE_FACTOR:
+        remote_s = self._heartbeat_s * REMOTE_FACTOR - TICK_SLACK_S
+        if now - self._sent_remote_at >= remote_s:
             self._sent_remote_at = now
             remote.extend(self._remote_addresses())
             remote.extend(self._seed_addresses())
@@ -192,8 +205,30 @@
         """Make the next heartbeats due at once, to announce a change."""
         self._sent_at = self._sent_remote_at = float("-inf")
 
+    def delegates(
+        self, count: int, now: float, silence_s: float
+    ) -> tuple[list[Host], bool]:
+        """Return the delegates of this data centre, and whether this host is one.
+
+        Delegates reach the store and were heard within ``silence_s``.
+        """
+        names = [self.host.name]
+        for peer in self._inside():
+            is_heard = peer.heard and now - peer.heard_at <= silence_s
+            if is_heard and peer.state is HostState.LIVE and not peer.is_store_away:
+                names.append(peer.host.name)
+        chosen = sorted(names)[:count]
+        others = [self.by_name[n].host for n in chosen if n != self.host.name]
+        return others, len(others) < len(chosen)
+
     def next_heartbeat(
-        self, lists_version: int, lists_known: int, models: tuple[str, ...] = ()
+        self,
+        lists_version: int,
+        lists_known: int,
+        models: tuple[str, ...] = (),
+        *,
+        upstreams_version: int = 0,
+        is_store_away: bool = False,
     ) -> Heartbeat:
         """Return the heartbeat to send.
 
@@ -202,7 +237,16 @@
         self._seq += 1
         view = view_checksum(self._heard_remote())
         host = dataclasses.replace(self.host, models=models)
-        return Heartbeat(host, self._seq, self.state, lists_version, view, lists_known)
+        return Heartbeat(
+            host,
+            self._seq,
+            self.state,
+            lists_version,
+            view,
+            lists_known,
+            upstreams_version,
+            is_store_away,
+        )
 
     def models_by_centre(self) -> dict[str, set[str]]:
         """Return the models that other data centres have told of."""
@@ -265,6 +309,10 @@
         found.sort(key=self._distance)
         return [peer.host for peer in found]
 
+    def inside_live(self) -> list[Host]:
+        """Return the other live hosts of this data centre."""
+        return [p.host for p in self._inside() if p.state is HostState.LIVE]
+
     def unheard(self) -> list[Host]:
         """Return the listed hosts that have never been heard."""
         return [p.host for p in self.by_name.values() if not p.heard and p.listed]
@@ -345,9 +393,16 @@
         self.generation += 1
         self._live_cache.clear()
 
-    def _timeout(self, peer: Peer) -> float:
+    def _stretch(self) -> float:
+        """Return by how much the pace of heartbeats is slowed."""
+        live = 0
+        for peer in self._inside():
+            live += peer.heard and peer.state is not HostState.DEAD
+        return max(1.0, live / self._full_rate_peers)
+
+    def _timeout(self, peer: Peer, stretch: float) -> float:
         if peer.host.data_centre == self.host.data_centre:
-            return self._dead_after_s
+            return self._dead_after_s * stretch
         return self._dead_after_s * REMOTE_FACTOR
 
     def _distance(self, peer: Peer) -> tuple[bool, str]:
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -198,6 +198,23 @@
     body: Reliable
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class EngineUses:
+    """What requests hold on engines; it replaces what its source told before.
+
+    ``source``: a host, or a data centre for the sum of its hosts; ``keys``:
+    checksums of engines and their starts; ``running``, ``heads`` and ``held``:
+    requests on each, those that begin there, and token-layers.
+    """
+
+    source: str
+    is_centre: bool
+    keys: tuple[int, ...]
+    running: tuple[int, ...]
+    heads: tuple[int, ...]
+    held: tuple[int, ...]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ack:
     """These numbered messages have arrived."""
@@ -217,6 +234,7 @@
     Charged,
     EngineReport,
     EngineLoad,
+    EngineUses,
     ReportRequest,
     EngineLost,
     Numbered,
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -1,17 +1,21 @@
-"""The choice of a pipeline: which engines run which layers of a request.
+"""The engines of a service: what runs on them, and the pipeline for a request.
 
-A request takes every layer once, in order. Among the engines that hold a layer
-the cheapest chain is found by dynamic programming over the layers at which
-ranges begin and end. The cost of a hop is the time that it adds, with the
-engine's free KV memory as a second measure.
+The cost of an engine is the time that it adds, with its free KV memory as a
+second measure. The cheapest chain of engines is that of :mod:`.shortest`.
 """
 
 import dataclasses
 import random
 import typing as t
+import zlib
 
 from .directory import ModelSpec
 from .replicas import Replica
+from .shortest import Candidate
+from .shortest import Entry
+from .shortest import Hop as Hop
+from .shortest import Path as Path
+from .shortest import cheapest_path
 
 EVENTLESS_HOP_S = 0.0004
 """Seconds of queueing that each further hop adds to a pass, from bench runs."""
@@ -30,14 +34,6 @@
 """Shares of an engine's KV memory that requests of each rank may fill. Answers are
 counted whole, so that a tenth and more of them is not written yet."""
 
-REMOTE_START_COST_S = 0.5
-"""Seconds that a pipeline wholly in another data centre costs: only the request
-and its events pass between the two, a thousandth of what activations take."""
-
-CROSSING_COST_S = 3.0
-"""Seconds that a crossing in the middle of a pipeline costs: all activations pass
-the one pipe between two data centres, one transfer after the other."""
-
 SUSPECT_COST_S = 60.0
 """Seconds that an engine under suspicion costs: more than all else together, so
 that it is taken only where no other holds its layers."""
@@ -50,32 +46,53 @@
 """Share of a hop's cost that is random, so that hosts don't choose alike."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Hop:
-    """The layers from ``first`` up to ``last`` on one engine."""
+HEADS_SOFT_SHARE = 0.7
+"""Share of the requests that may begin at an engine above which others are
+preferred: hosts learn of each other's requests half a second late."""
+
+FULL_FILL = 10.0
+"""The fill of an engine that has no KV memory at all."""
+
+
+class Load(t.NamedTuple):
+    """Requests on an engine, those that begin there, and KV memory in token-layers."""
+
+    running: int
+    heads: int
+    token_layers: float
+
 
-    replica: Replica
-    first: int
-    last: int
+NO_LOAD = Load(0, 0, 0.0)
 
 
-Path = tuple[Hop, ...]
+class Source(t.NamedTuple):
+    """Who tells of loads: a host, or a data centre for the sum of its hosts."""
+
+    name: str
+    is_centre: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class EngineUse:
     """What requests of this host hold on an engine.
 
-    ``token_layers``: KV memory; ``running``: requests; ``suspect_until``: the
-    engine failed or stalled and is avoided till then; ``was_told``: peers have
-    heard of requests on it.
+    ``key``: names the engine and its start among hosts; ``token_layers``: KV
+    memory; ``running``: requests; ``heads``: those that begin there;
+    ``suspect_until``: the engine failed or stalled
+    and is avoided till then.
     """
 
+    key: int
     token_layers: float = 0.0
     running: int = 0
+    heads: int = 0
     suspect_until: float = 0.0
     slowness: float = 1.0
-    was_told: bool = False
+
+
+def engine_key(replica: Replica) -> int:
+    """Return a short name of an engine and its start."""
+    return zlib.crc32(f"{replica.name}/{replica.incarnation}".encode())
 
 
 def kv_room(model: ModelSpec, replica: Replica) -> float:
@@ -94,20 +111,28 @@
     :param data_centre: that of this host, where pipelines begin if they can.
     """
 
-    __slots__ = ("_data_centre", "_peer_use", "_rng", "use_by_identity")
+    __slots__ = (
+        "_data_centre",
+        "_loads_by_source",
+        "_peer_load_by_key",
+        "_rng",
+        "use_by_identity",
+    )
 
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
-        # By engine, then by host: requests and token-layers.
-        self._peer_use: dict[str, dict[str, tuple[int, float]]] = {}
+        self._loads_by_source: dict[Source, dict[int, Load]] = {}
+        # Sums over all sources.
+        self._peer_load_by_key: dict[int, Load] = {}
         self.use_by_identity: dict[tuple[str, int], EngineUse] = {}
 
     def use(self, replica: Replica) -> EngineUse:
         """Return what is known of an engine."""
         use = self.use_by_identity.get(replica.identity)
         if use is None:
-            use = self.use_by_identity[replica.identity] = EngineUse()
+            use = EngineUse(engine_key(replica))
+            self.use_by_identity[replica.identity] = use
         return use
 
     def take(self, path: Path, tokens: float) -> None:
@@ -115,6 +140,7 @@
         for hop in path:
             use = self.use(hop.replica)
             use.running += 1
+            use.heads += hop is path[0]
             use.token_layers += tokens * (hop.last - hop.first)
 
     def give_back(self, path: Path, tokens: float) -> None:
@@ -122,27 +148,59 @@
         for hop in path:
             use = self.use(hop.replica)
             use.running -= 1
+            use.heads -= hop is path[0]
             use.token_layers -= tokens * (hop.last - hop.first)
 
-    def note_peer(
-        self, host: str, engine: str, running: int, token_layers: float
-    ) -> None:
-        """Take what a peer has running on an engine."""
-        self._peer_use.setdefault(engine, {})[host] = (running, token_layers)
-
-    def forget_peer(self, host: str) -> None:
-        """Drop what a peer had running."""
-        for by_host in self._peer_use.values():
-            by_host.pop(host, None)
+    def note_peer(self, source: Source, loads: dict[int, Load]) -> None:
+        """Take what a source tells of engines, in place of what it told before."""
+        self.forget_peer(source)
+        self._loads_by_source[source] = loads
+        for key, load in loads.items():
+            known = self._peer_load_by_key.get(key, NO_LOAD)
+            self._peer_load_by_key[key] = _add(known, load)
+
+    def forget_peer(self, source: Source) -> None:
+        """Drop what a source has told."""
+        for key, load in self._loads_by_source.pop(source, {}).items():
+            known = self._peer_load_by_key[key]
+            left = Load(
+                known.running - load.running,
+                known.heads - load.heads,
+                known.token_layers - load.token_layers,
+            )
+            if left.running > 0:
+                self._peer_load_by_key[key] = left
+                continue
+            del self._peer_load_by_key[key]
+
+    def own_loads(self) -> dict[int, Load]:
+        """Return what requests of this host hold, by engine."""
+        loads = {}
+        for use in self.use_by_identity.values():
+            if use.running > 0:
+                held = max(0.0, use.token_layers)
+                loads[use.key] = Load(use.running, max(0, use.heads), held)
+        return loads
+
+    def centre_loads(self) -> dict[int, Load]:
+        """Return what requests of this data centre's hosts hold, by engine."""
+        sums = self.own_loads()
+        for source, loads in self._loads_by_source.items():
+            if source.is_centre:
+                continue
+            for key, load in loads.items():
+                sums[key] = _add(sums.get(key, NO_LOAD), load)
+        return sums
 
-    def total(self, replica: Replica) -> tuple[int, float]:
-        """Return the requests and token-layers of all hosts on an engine."""
+    def total(self, replica: Replica) -> Load:
+        """Return what requests of all hosts hold on an engine."""
         use = self.use(replica)
-        running, held = max(0, use.running), max(0.0, use.token_layers)
-        for peer_running, peer_held in self._peer_use.get(replica.name, {}).values():
-            running += peer_running
-            held += peer_held
-        return running, held
+        peers = self._peer_load_by_key.get(use.key, NO_LOAD)
+        return Load(
+            max(0, use.running) + peers.running,
+            max(0, use.heads) + peers.heads,
+            max(0.0, use.token_layers) + peers.token_layers,
+        )
 
     def has_room(self, model: ModelSpec, path: Path, tokens: float, rank: int) -> bool:
         """Tell whether all engines of a path have room for some tokens.
@@ -150,8 +208,11 @@
         The less urgent a request is, the more room it leaves for others.
         """
         share = ROOM_SHARES[min(rank, len(ROOM_SHARES) - 1)]
+        first = path[0].replica
+        if self.total(first).heads >= min(1.0, share) * first.slots:
+            return False
         for hop in path:
-            _, held = self.total(hop.replica)
+            held = self.total(hop.replica).token_layers
             wanted = held + tokens * (hop.last - hop.first)
             if wanted > share * kv_room(model, hop.replica):
                 return False
@@ -184,158 +245,69 @@
             engines that are taken only where no others hold their layers;
             ``head``: the first hop, if it is given.
         """
-        engines = []
         start = 0 if head is None else head.last
-        centre = self._data_centre if head is None else head.replica.data_centre
+        engines = []
         for replica in replicas:
-            if replica.layers is None:
+            if replica.layers is None or replica.layers[1] <= start:
                 continue
             if head is not None and replica.identity == head.replica.identity:
                 continue
             if replica.accelerator not in model.accelerator_by_name:
                 continue
-            seconds, fill = self._layer_cost(model, replica, prompt, answer)
-            fixed = answer * EVENTLESS_HOP_S
-            if fill > 1.0:
-                fixed += FULL_COST_S
-            elif fill > KV_SOFT_SHARE:
-                fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
+            load = self.total(replica)
+            seconds, fixed = self._costs(model, replica, load, prompt, answer)
             if self.use(replica).suspect_until > now:
                 fixed += SUSPECT_COST_S
             if replica.identity in avoid:
                 fixed += AVOIDED_COST_S
-            engines.append(_Engine(replica, seconds, fixed))
-        origin = (start, centre)
-        path = _shortest(model, engines, origin, prompt, answer)
+            engines.append(
+                Candidate(replica, seconds, fixed, _head_cost(replica, load))
+            )
+        centre = self._data_centre if head is None else head.replica.data_centre
+        entry = Entry(start, centre, is_begun=head is not None)
+        path = cheapest_path(model, engines, entry, prompt, answer)
         if path is None or head is None:
             return path
         return (head, *path)
 
-    def _layer_cost(
-        self, model: ModelSpec, replica: Replica, prompt: float, answer: float
+    def _costs(
+        self,
+        model: ModelSpec,
+        replica: Replica,
+        load: Load,
+        prompt: float,
+        answer: float,
     ) -> tuple[float, float]:
-        """Return seconds a layer, and how full the engine's KV memory would be."""
+        """Return the seconds that a layer costs on an engine, and those of the hop."""
         kind = model.accelerator_by_name[replica.accelerator]
         use = self.use(replica)
-        running, held = self.total(replica)
-        step = (model.step_s + model.sequence_s * running) * kind.step_factor
+        step = (model.step_s + model.sequence_s * load.running) * kind.step_factor
         read = kind.prefill_factor / model.read_tokens_per_s
         seconds = (answer * step + prompt * read) * use.slowness / model.layers
         seconds *= 1 + JITTER * self._rng.random()
         room = kv_room(model, replica)
         assert replica.layers is not None
         wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
-        fill = (held + wanted) / room if room > 0 else 10.0
-        return seconds, fill
-
-
-@dataclasses.dataclass(slots=True)
-class _Step:
-    """The cheapest way to a layer in a data centre, and its last hop."""
-
-    cost: float
-    hop: Hop | None
-    before: "_Step | None"
-    data_centre: str
-
-
-class _Search:
-    """Cheapest chains from a layer on, by the layer reached and data centre."""
-
-    __slots__ = ("_answer", "_model", "_transfer_s", "steps_by_layer")
-
-    def __init__(
-        self, model: ModelSpec, origin: tuple[int, str], prompt: float, answer: float
-    ) -> None:
-        self._model = model
-        self._answer = answer
-        self._transfer_s = 0.0
-        if model.pipe_bytes_per_s > 0:
-            sent = prompt * model.hidden_bytes
-            self._transfer_s = sent / model.pipe_bytes_per_s
-        layer, centre = origin
-        self.steps_by_layer: dict[int, dict[str, _Step]] = {
-            layer: {centre: _Step(0.0, None, None, centre)}
-        }
-
-    def extend(self, layer: int, engine: "_Engine", ends: list[int]) -> None:
-        """Try all hops of an engine that begin at a layer."""
-        replica = engine.replica
-        centre = replica.data_centre
-        for before in list(self.steps_by_layer[layer].values()):
-            base = before.cost + engine.fixed_s
-            if before.data_centre != centre and before.hop is None and layer == 0:
-                base += REMOTE_START_COST_S
-            elif before.data_centre != centre:
-                base += self._crossing_s(before.data_centre, centre)
-            for end in ends:
-                cost = base + engine.layer_s * (end - layer)
-                steps = self.steps_by_layer.setdefault(end, {})
-                known = steps.get(centre)
-                if known is None or cost < known.cost:
-                    hop = Hop(replica, layer, end)
-                    steps[centre] = _Step(cost, hop, before, centre)
-
-    def _crossing_s(self, before: str, after: str) -> float:
-        delay_s = self._model.delay_s_by_centres.get((before, after), 0.0)
-        return CROSSING_COST_S + self._transfer_s + self._answer * delay_s
-
-
-@dataclasses.dataclass(slots=True)
-class _Engine:
-    """An engine's cost for a request, in seconds a layer and for the hop."""
-
-    replica: Replica
-    layer_s: float
-    fixed_s: float
-
-
-def _shortest(
-    model: ModelSpec,
-    engines: list[_Engine],
-    origin: tuple[int, str],
-    prompt: float,
-    answer: float,
-) -> Path | None:
-    """Return the cheapest chain from a layer and data centre to the last layer."""
-    bounds = {origin[0], model.layers}
-    for engine in engines:
-        bounds.update(engine.replica.layers or ())
-    search = _Search(model, origin, prompt, answer)
-    ordered = sorted(bound for bound in bounds if bound >= origin[0])
-    for layer in ordered[:-1]:
-        if layer not in search.steps_by_layer:
-            continue
-        for engine in engines:
-            first, last = t.cast("tuple[int, int]", engine.replica.layers)
-            if first <= layer < last:
-                ends = [bound for bound in ordered if layer < bound <= last]
-                search.extend(layer, engine, ends)
-    steps = search.steps_by_layer.get(model.layers)
-    if not steps:
-        return None
-    return _walk_back(min(steps.values(), key=lambda step: step.cost))
-
-
-def _walk_back(last: _Step) -> Path:
-    hops: list[Hop] = []
-    step: _Step | None = last
-    while step is not None:
-        if step.hop is not None:
-            hops.append(step.hop)
-        step = step.before
-    hops.reverse()
-    return _merge(hops)
-
-
-def _merge(hops: list[Hop]) -> Path:
-    """Give each engine one part: what lies between two of its parts, too."""
-    merged: list[Hop] = []
-    for hop in hops:
-        for index, earlier in enumerate(merged):
-            if earlier.replica is hop.replica:
-                del merged[index:]
-                hop = Hop(hop.replica, earlier.first, hop.last)
-                break
-        merged.append(hop)
-    return tuple(merged)
+        fill = (load.token_layers + wanted) / room if room > 0 else FULL_FILL
+        fixed = answer * EVENTLESS_HOP_S
+        if fill > 1.0:
+            fixed += FULL_COST_S
+        elif fill > KV_SOFT_SHARE:
+            fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
+        return seconds, fixed
+
+
+def _head_cost(replica: Replica, load: Load) -> float:
+    """Return the seconds that it costs to begin at an engine, over those of a hop."""
+    fill = (load.heads + 1) / max(1, replica.slots)
+    if fill > 1.0:
+        return FULL_COST_S
+    return KV_COST_S * max(0.0, fill - HEADS_SOFT_SHARE)
+
+
+def _add(one: Load, other: Load) -> Load:
+    return Load(
+        one.running + other.running,
+        one.heads + other.heads,
+        one.token_layers + other.token_layers,
+    )
--- a/src/wagtailstair/core/relay_rows.py
+++ b/src/wagtailstair/core/relay_rows.py
@@ -1,4 +1,4 @@
-"""Rows that a host passes on to one that can't reach the store."""
+"""Rows that hosts pass on to hosts that don't follow the store themselves."""
 
 import msgspec
 
@@ -7,29 +7,40 @@
 
 
 class RelayedTable(msgspec.Struct):
-    """All rows of a table at a version; values as the store holds them."""
+    """Rows of a table as one host knows it; no value means a removed row.
 
-    version: int
-    rows: list[tuple[str, bytes, int]]
+    ``is_all``: all rows, else those changed after the version asked for;
+    ``as_of``: all changes up to this version of the store are in;
+    ``trouble_s``: seconds since a call to the store failed, if one did.
+    """
+
+    as_of: int
+    is_all: bool
+    rows: list[tuple[str, bytes | None, int]]
+    trouble_s: float | None = None
+
+    def store_rows(self, table: str) -> list[StoreRow]:
+        """Return the rows as the store would tell of them."""
+        return [StoreRow(table, *row) for row in self.rows]
 
 
 _DECODER = msgspec.json.Decoder(RelayedTable)
 
 
-def encode_table(version: int, rows: list[StoreRow]) -> bytes:
-    """Return the bytes of a table."""
-    entries = [(row.key, row.value or b"", row.version) for row in rows]
-    return msgspec.json.encode(RelayedTable(version, entries))
+def relay_rows(
+    rows: list[StoreRow], as_of: int, trouble_s: float | None, *, is_all: bool
+) -> bytes:
+    """Return the bytes that tell a peer of rows."""
+    entries = [(row.key, row.value, row.version) for row in rows]
+    return msgspec.json.encode(RelayedTable(as_of, is_all, entries, trouble_s))
 
 
-def decode_table(table: str, body: bytes) -> tuple[int, tuple[StoreRow, ...]]:
-    """Return the version and the rows of a table.
+def decode_relayed(table: str, body: bytes) -> RelayedTable:
+    """Return what a peer tells of a table.
 
     :raises PeerError: if the bytes can't be read.
     """
     try:
-        relayed = _DECODER.decode(body)
+        return _DECODER.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise PeerError(f"unreadable table {table}: {error}") from error
-    rows = tuple(StoreRow(table, *entry) for entry in relayed.rows)
-    return relayed.version, rows
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -1,36 +1,23 @@
-"""The program wagtailstair-gateway."""
+"""The entry point of wagtailstair-gateway: signals first, then the program.
 
-import os
-import pathlib
+The program's imports take a good part of a second on a small host. A signal in
+that time must not end the process as if it had failed.
+"""
+
+import signal
 import sys
 import typing as t
 
 from ..clock import Clock
 from ..clock import SystemClock
-from ..exceptions import SettingsError
-from ..logs import configure_bounded_logs
-from .gateway import Gateway
-from .settings import load_settings
-
-SETTINGS_VARIABLE = "WAGTAILSTAIR_NODE_FILE"
-SETTINGS_EXIT_CODE = 2
 
 
 def main(argv: t.Sequence[str] | None = None, clock: Clock | None = None) -> int:
     """Run the gateway with the settings file that is named; return the exit code."""
-    arguments = sys.argv[1:] if argv is None else list(argv)
-    path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
-    try:
-        settings = load_settings(pathlib.Path(path))
-    except SettingsError as error:
-        print(f"wagtailstair: {error}", file=sys.stderr)
-        return SETTINGS_EXIT_CODE
-    if clock is None:
-        clock = SystemClock()
-    configure_bounded_logs(
-        settings.log.level, settings.host.name, settings.log.lines_per_s, clock
-    )
-    gateway = Gateway(settings, clock)
-    gateway.follow_settings(pathlib.Path(path))
-    gateway.run()
-    return 0
+    # The settings are read after this: a change before needs no reload.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(0))
+    # Imported here, so that the signals are safe before.
+    from .program import run
+
+    return run(argv, SystemClock() if clock is None else clock)
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -61,6 +61,14 @@
             # Later, so that the caller has the object before its answer.
             loop.call_later(0.0, lambda: self.on_lost(Loss.NOT_SENT, "no connection"))
 
+    def cancel(self) -> None:
+        """Give the call up; its answer goes nowhere."""
+        self._on_answer = None
+        self._timer.cancel()
+        wire, self._wire = self._wire, None
+        if wire is not None:
+            wire.cancel()
+
     def on_head(self, status: int, _reason: bytes, _headers: list[Header]) -> bool:
         """Take the head of the answer."""
         self._status = status
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -6,6 +6,7 @@
 from ..core.store import Call
 from ..core.store import StoreRow
 from ..core.store import StoreRows
+from ..core.table_copy import TableCopy
 from ..exceptions import PlatformError
 from ..logs import log_event
 from ..platform import store as wire
@@ -13,6 +14,7 @@
 from .fetch import Fetch
 from .fetch import rows_of
 from .loop import Loop
+from .loop import Timer
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
@@ -31,9 +33,9 @@
 
 
 class TableFollower:
-    """One table as the store last told it.
+    """One table as the store tells of it, while this host follows the store.
 
-    :param on_rows: takes rows and whether they are all rows of the table.
+    :param on_news: takes the rows that are news to the copy.
     :param pause_s: between two calls for changes, so that one brings several.
     """
 
@@ -43,7 +45,7 @@
         pool: UpstreamPool,
         store: Upstream,
         table: str,
-        on_rows: t.Callable[[tuple[StoreRow, ...], bool], None],
+        on_news: t.Callable[[list[StoreRow]], None],
         rng: random.Random,
         pause_s: float = 0.0,
     ) -> None:
@@ -52,29 +54,53 @@
         self._pool = pool
         self._store = store
         self.table = table
-        self._on_rows = on_rows
+        self._on_news = on_news
         self._rng = rng
         self._failures = 0
         self._pages: list[StoreRow] = []
-        self.version: int | None = None
+        self._read_as_of = 0
+        self._fetch: Fetch | None = None
+        self._timer: Timer | None = None
+        self.copy = TableCopy(table)
+        self.is_active = False
         self.failed_at = float("-inf")
         self.is_away = False
 
     def start(self) -> None:
-        """Read the whole table."""
-        self._pages = []
-        self._read("")
+        """Begin to follow the store, from what is known on."""
+        if not self.is_active:
+            self.is_active = True
+            self._resume()
+
+    def stop(self) -> None:
+        """No longer follow the store."""
+        self.is_active = False
+        self.is_away = False
+        self._failures = 0
+        self._cancel()
+
+    def renew(self, reason: str) -> None:
+        """Give up a call that should have been answered, and go on with another."""
+        if self.is_active and self._fetch is not None:
+            self._cancel()
+            self._failed(reason)
 
-    def take(self, version: int, rows: tuple[StoreRow, ...]) -> None:
-        """Take all rows of the table from a peer, if they are newer."""
-        if self.version is None or version > self.version:
-            self.version = version
-            self._on_rows(rows, True)
+    def _cancel(self) -> None:
+        fetch, self._fetch = self._fetch, None
+        if fetch is not None:
+            fetch.cancel()
+        timer, self._timer = self._timer, None
+        if timer is not None:
+            timer.cancel()
+
+    def _later(self, delay_s: float, call: t.Callable[[], None]) -> None:
+        self._timer = self._loop.call_later(delay_s, call)
 
     def _send(
         self, call: Call, timeout_s: float, then: t.Callable[[StoreRows], None]
     ) -> None:
         def on_answer(answer: Answer) -> None:
+            self._fetch = None
             try:
                 rows = rows_of(answer)
             except PlatformError as error:
@@ -83,7 +109,9 @@
             self._heard()
             then(rows)
 
-        Fetch(self._loop, self._pool, self._store, call, timeout_s, on_answer)
+        self._fetch = Fetch(
+            self._loop, self._pool, self._store, call, timeout_s, on_answer
+        )
 
     def _heard(self) -> None:
         self._failures = 0
@@ -98,14 +126,18 @@
             self.is_away = True
             log_event("store_lost", level="WARNING", table=self.table, reason=reason)
         pause = min(BACKOFF_MAX_S, BACKOFF_S * 2 ** min(self._failures - 1, 8))
-        pause *= self._rng.uniform(0.5, 1.0)
-        self._loop.call_later(pause, self._resume)
+        self._later(pause * self._rng.uniform(0.5, 1.0), self._resume)
 
     def _resume(self) -> None:
-        if self.version is None:
-            self.start()
-        else:
+        if self.copy.is_complete:
             self._feed()
+            return
+        self._read_all()
+
+    def _read_all(self) -> None:
+        self._pages = []
+        self._read_as_of = 0
+        self._read("")
 
     def _read(self, after: str) -> None:
         call = wire.read_call(self.table, after)
@@ -113,29 +145,29 @@
 
     def _on_page(self, rows: StoreRows) -> None:
         self._pages.extend(rows.rows)
+        # Later pages may lack changes between the first one and themselves.
+        self._read_as_of = self._read_as_of or rows.version
         if rows.is_more and rows.rows:
             self._read(rows.rows[-1].key)
             return
-        pages, self._pages = tuple(self._pages), []
-        self.version = rows.version
-        self._on_rows(pages, True)
-        self._feed()
+        pages, self._pages = self._pages, []
+        self._later(0.0, self._feed)
+        self._on_news(self.copy.replace(pages, self._read_as_of))
 
     def _feed(self) -> None:
-        assert self.version is not None
         # After a failure the first call returns at once: is the store back?
         wait_s = 0.0 if self.is_away else FEED_WAIT_S
-        call = wire.feed_call(self.table, self.version, wait_s)
+        call = wire.feed_call(self.table, self.copy.as_of, wait_s)
         timeout_s = wait_s + (READ_TIMEOUT_S if self.is_away else FEED_MARGIN_S)
         self._send(call, timeout_s, self._on_changes)
 
     def _on_changes(self, rows: StoreRows) -> None:
         if rows.is_conflict:
-            log_event("store_history_gone", table=self.table, version=self.version)
-            self.start()
+            version = self.copy.as_of
+            log_event("store_history_gone", table=self.table, version=version)
+            self._read_all()
             return
-        if rows.rows:
-            self.version = max(self.version or 0, rows.rows[-1].version)
-            self._on_rows(rows.rows, False)
-        self.version = max(self.version or 0, rows.version)
-        self._loop.call_later(self._pause_s, self._feed)
+        self._later(self._pause_s, self._feed)
+        news = self.copy.change(rows.rows, rows.version)
+        if news:
+            self._on_news(news)
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -13,13 +13,16 @@
 from ..core.directory import CallerLimits
 from ..core.directory import Denial
 from ..core.hosts import Host
-from ..core.messages import EngineLoad
 from ..core.messages import EngineLost
+from ..core.messages import EngineUses
+from ..core.pipelines import Load
 from ..core.pipelines import Pipelines
+from ..core.pipelines import Source
 from ..core.replicas import Replica
 from ..exceptions import SettingsError
 from ..logs import log_event
 from ..platform import headers as wire_headers
+from ..platform import replicas as wire_replicas
 from ..settings import read_text
 from .answering import AnswerServer
 from .call import PlainExchange
@@ -41,7 +44,6 @@
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
-UINT32_MAX = (1 << 32) - 1
 METRICS_PATH = "/metrics"
 
 SETTINGS_TICK_S = 1.0
@@ -87,9 +89,8 @@
             store,
             settings.store.lapse_s,
             self._rng,
-            on_lists=lambda: None,
-            on_replicas=self._on_replicas,
-            peers=lambda: self.peers.live_hosts(),
+            on_news=self._on_news,
+            follows=lambda: self.peers.is_delegate(),
         )
         self.replicas = self.knowledge.replicas
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
@@ -117,6 +118,7 @@
             holder,
             self.replicas,
             lambda: self.knowledge.directory,
+            self.peers.is_first_delegate,
             self._rng,
         )
 
@@ -183,29 +185,37 @@
         """Return the version of the lists in force here."""
         return self.knowledge.lists_version()
 
-    def engine_loads(self) -> list[EngineLoad]:
-        """Return what this host has running on engines."""
-        loads = []
+    def upstreams_version(self) -> int:
+        """Return the version of the newest change of upstreams known here."""
+        return self.knowledge.upstreams_version()
+
+    def is_store_away(self) -> bool:
+        """Tell whether this host's last call to the store failed."""
+        return self.knowledge.is_store_away
+
+    def own_uses(self) -> EngineUses:
+        """Return what the requests of this host hold on engines."""
+        loads: dict[int, Load] = {}
         for pipelines in self._pipelines_by_service.values():
-            for (name, incarnation), use in pipelines.use_by_identity.items():
-                if use.running <= 0 and not use.was_told:
-                    continue
-                use.was_told = use.running > 0
-                held = max(0, min(UINT32_MAX, int(use.token_layers)))
-                loads.append(
-                    EngineLoad(
-                        name, incarnation & UINT32_MAX, use.running, 0, held, 0.0, 0.0
-                    )
-                )
-        return loads
-
-    def on_engine_load(self, host: str, load: EngineLoad) -> None:
-        """Take what a peer has running on an engine."""
-        replica = self.replicas.by_name.get(load.name)
-        if replica is None or replica.incarnation & UINT32_MAX != load.incarnation:
-            return
-        pipelines = self.pipelines(replica.service)
-        pipelines.note_peer(host, load.name, load.running, load.kv_used)
+            loads.update(pipelines.own_loads())
+        return _as_uses(self.settings.host.name, loads, is_centre=False)
+
+    def centre_uses(self) -> EngineUses:
+        """Return what the requests of all hosts here hold on engines."""
+        loads: dict[int, Load] = {}
+        for pipelines in self._pipelines_by_service.values():
+            loads.update(pipelines.centre_loads())
+        return _as_uses(self.settings.host.data_centre, loads, is_centre=True)
+
+    def on_engine_uses(self, uses: EngineUses) -> None:
+        """Take what requests elsewhere hold on engines."""
+        columns = (uses.running, uses.heads, uses.held)
+        loads = {}
+        for key, *load in zip(uses.keys, *columns, strict=True):
+            loads[key] = Load(*load)
+        source = Source(uses.source, uses.is_centre)
+        for pipelines in self._pipelines_by_service.values():
+            pipelines.note_peer(source, loads)
 
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
         """Take a peer's suspicion of an engine."""
@@ -214,14 +224,22 @@
             return
         self._suspicion.suspect(replica, replica.service, f"told by {host.name}")
 
-    def on_newer_lists(self, host: Host, _version: int) -> None:
-        """Take word of a version of the lists that is not in force here."""
-        self.knowledge.ask_lists(host)
+    def on_newer_lists(self, host: Host) -> None:
+        """Take word of lists that are newer than those in force here."""
+        self.knowledge.on_newer_lists(host)
+
+    def on_newer_upstreams(self, host: Host) -> None:
+        """Take word of changes of upstreams that are not known here."""
+        self.knowledge.on_newer_upstreams(host)
+
+    def on_introduced(self) -> None:
+        """Follow the store, or leave that to peers."""
+        self.knowledge.choose_source()
 
-    def on_peer_gone(self, name: str) -> None:
-        """Forget what a peer had running."""
+    def on_source_gone(self, source: str, *, is_centre: bool) -> None:
+        """Forget what a peer or a data centre had running."""
         for pipelines in self._pipelines_by_service.values():
-            pipelines.forget_peer(name)
+            pipelines.forget_peer(Source(source, is_centre))
 
     def tell_lost(self, replica: Replica) -> None:
         """Tell the hosts of this data centre of a suspicion."""
@@ -290,6 +308,12 @@
         names = [name for name, _ in targets]
         return self._rng.choices(names, [weight for _, weight in targets])[0]
 
+    def _on_news(self, table: str) -> None:
+        if table == wire_replicas.TABLE:
+            self._on_replicas()
+        if self.knowledge.is_following:
+            self.peers.announce()
+
     def _on_replicas(self) -> None:
         self._leave_ending()
         live = {replica.identity for replica in self.replicas.by_name.values()}
@@ -357,7 +381,7 @@
         Caller(AnswerServer(self.loop, self._answer_peer), sock)
 
     def _answer_peer(self, request: Request) -> tuple[int, bytes]:
-        body = self.knowledge.relayed(request.path)
+        body = self.knowledge.relayed(request.target.decode("latin-1"))
         return (NOT_FOUND, b"") if body is None else (OK, body)
 
     def follow_settings(self, path: pathlib.Path) -> None:
@@ -423,3 +447,14 @@
         for caller in list(self._callers):
             caller.close()
         self.loop.stop()
+
+
+def _as_uses(source: str, loads: dict[int, Load], *, is_centre: bool) -> EngineUses:
+    return EngineUses(
+        source,
+        is_centre,
+        tuple(loads),
+        tuple(load.running for load in loads.values()),
+        tuple(load.heads for load in loads.values()),
+        tuple(int(load.token_layers) for load in loads.values()),
+    )
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/knowledge.py
@@ -1,12 +1,17 @@
-"""What this host knows from the store, and from peers while it can't reach it."""
+"""What this host knows from the store, or from peers that follow it.
+
+A few hosts of each data centre follow the store. All others learn from
+heartbeats that a peer knows of a later change, and ask that peer.
+"""
 
 import random
 import typing as t
 
 from ..core.directory import Directory
 from ..core.hosts import Host
-from ..core.relay_rows import decode_table
-from ..core.relay_rows import encode_table
+from ..core.relay_rows import RelayedTable
+from ..core.relay_rows import decode_relayed
+from ..core.relay_rows import relay_rows
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..core.store import Call
@@ -24,24 +29,30 @@
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
-SETTLE_TICK_S = 0.25
+TICK_S = 0.25
 CHANGES_PAUSE_S = 0.2
 """Seconds in which changes of upstreams are gathered: calls are priced, and two
 seconds are left for an upstream that leaves."""
 
-RELAY_TICK_S = 0.4
-"""Seconds between two questions to peers while the store is away."""
+OVERDUE_S = 0.3
+"""Seconds after which a host that follows the store asks a peer for what the store
+should have told it: more than the pause between two calls for changes."""
+
+ALONE_S = 0.6
+"""Seconds without a table after which a host that no peer tells of it reads the
+store: some round trips to a peer."""
 
 RELAY_TIMEOUT_S = 0.5
 RELAY_PATH = "/tables/"
+AFTER = "?after="
+OK = 200
 
 
 class Knowledge:
     """The lists and the upstreams in force.
 
-    :param on_lists: called after new lists are in force.
-    :param on_replicas: called after upstreams have changed.
-    :param peers: returns the live peers, the nearest first.
+    :param on_news: called after a table has changed, with its name.
+    :param follows: tells whether this host should follow the store.
     """
 
     def __init__(
@@ -52,20 +63,19 @@
         lapse_s: float,
         rng: random.Random,
         *,
-        on_lists: t.Callable[[], None],
-        on_replicas: t.Callable[[], None],
-        peers: t.Callable[[], list[Host]],
+        on_news: t.Callable[[str], None],
+        follows: t.Callable[[], bool],
     ) -> None:
         self._loop = loop
         self._pool = pool
-        self._rng = rng
-        self._on_lists_changed = on_lists
-        self._on_replicas_changed = on_replicas
-        self._peers = peers
+        self._on_news = on_news
+        self._follows = follows
         self.directory: Directory | None = None
         self.replicas = ReplicaSet(lapse_s)
-        self._row_by_key: dict[str, dict[str, StoreRow]] = {}
         self._is_asking: set[str] = set()
+        self._behind_since: dict[str, float] = {}
+        self._trouble_at = float("-inf")
+        self._started_at = loop.now
         self._lists = TableFollower(
             loop, pool, store, wire_lists.TABLE, self._on_lists, rng
         )
@@ -74,82 +84,83 @@
             pool,
             store,
             wire_replicas.TABLE,
-            self._on_replicas,
+            self._on_upstreams,
             rng,
             pause_s=CHANGES_PAUSE_S,
         )
-        self._followers = {
+        self._follower_by_table = {
             follower.table: follower for follower in (self._lists, self._upstreams)
         }
 
     def start(self) -> None:
-        """Begin to follow the store."""
-        for follower in self._followers.values():
-            follower.start()
-        self._loop.call_later(SETTLE_TICK_S, self._settle)
-        self._loop.call_later(RELAY_TICK_S, self._relay)
+        """Begin to follow the store or peers."""
+        self._started_at = self._loop.now
+        self._tick()
 
     @property
     def is_complete(self) -> bool:
         """Tell whether lists and upstreams are known."""
-        return self.directory is not None and self._upstreams.version is not None
+        return self.directory is not None and self._upstreams.copy.is_complete
+
+    @property
+    def is_following(self) -> bool:
+        """Tell whether this host follows the store itself."""
+        return self._lists.is_active
 
     @property
     def is_store_away(self) -> bool:
         """Tell whether the last call to the store failed."""
-        return any(follower.is_away for follower in self._followers.values())
+        return any(f.is_away for f in self._follower_by_table.values())
 
     def lists_version(self) -> int:
         """Return the version of the lists in force, 0 for none."""
         return 0 if self.directory is None else self.directory.version
 
-    def ask(self, table: str, host: Host) -> None:
-        """Ask a peer for a table."""
-        if table in self._is_asking:
+    def upstreams_version(self) -> int:
+        """Return the version of the newest change of upstreams that is known."""
+        return self._upstreams.copy.version
+
+    def choose_source(self) -> None:
+        """Follow the store, or leave that to peers."""
+        waited_s = self._loop.now - self._started_at
+        is_alone = not self.is_complete and waited_s > ALONE_S
+        follows = self._follows() or is_alone
+        if follows is self._lists.is_active:
             return
-        self._is_asking.add(table)
+        log_event("source_chosen", source="store" if follows else "peers")
+        for follower in self._follower_by_table.values():
+            if follows:
+                follower.start()
+            else:
+                follower.stop()
 
-        def on_answer(answer: Answer) -> None:
-            self._is_asking.discard(table)
-            if answer.status == 200:
-                self._take_relayed(table, host, answer.body)
+    def on_newer_lists(self, host: Host) -> None:
+        """Take word that a peer has newer lists."""
+        self._ask_if_due(self._lists, host)
 
-        Fetch(
-            self._loop,
-            self._pool,
-            Upstream(host.address, ("peer", host.incarnation)),
-            Call("GET", RELAY_PATH + table),
-            RELAY_TIMEOUT_S,
-            on_answer,
-        )
+    def on_newer_upstreams(self, host: Host) -> None:
+        """Take word that a peer knows of a later change of upstreams."""
+        self._ask_if_due(self._upstreams, host)
 
-    def ask_lists(self, host: Host) -> None:
-        """Ask a peer for the lists."""
-        self.ask(wire_lists.TABLE, host)
-
-    def relayed(self, path: str) -> bytes | None:
-        """Return a table for a peer, ``None`` if it is not known."""
-        table = path.removeprefix(RELAY_PATH)
-        follower = self._followers.get(table)
-        if follower is None or follower.version is None:
+    def relayed(self, target: str) -> bytes | None:
+        """Return what a peer asks for, ``None`` if it is not known."""
+        table, _, after = target.removeprefix(RELAY_PATH).partition(AFTER)
+        follower = self._follower_by_table.get(table)
+        if follower is None or not follower.copy.is_complete:
             return None
-        rows = list(self._row_by_key.get(table, {}).values())
-        return encode_table(follower.version, rows)
+        copy = follower.copy
+        since = copy.since(int(after)) if after.isdigit() else None
+        trouble_s = self._loop.now - max(self._trouble_at, follower.failed_at)
+        return relay_rows(
+            copy.live() if since is None else since,
+            copy.as_of,
+            None if trouble_s == float("inf") else trouble_s,
+            is_all=since is None,
+        )
 
-    # The store.
+    # Rows.
 
-    def _keep(self, table: str, rows: tuple[StoreRow, ...], *, is_all: bool) -> None:
-        by_key = self._row_by_key.setdefault(table, {})
-        if is_all:
-            by_key.clear()
-        for row in rows:
-            if row.value is None:
-                by_key.pop(row.key, None)
-                continue
-            by_key[row.key] = row
-
-    def _on_lists(self, rows: tuple[StoreRow, ...], is_all: bool) -> None:
-        self._keep(wire_lists.TABLE, rows, is_all=is_all)
+    def _on_lists(self, rows: list[StoreRow]) -> None:
         for row in rows:
             if row.value is None or not wire_lists.is_directory_row(row.table, row.key):
                 continue
@@ -166,13 +177,12 @@
             return
         self.directory = directory
         log_event("lists_taken", version=directory.version, before=before)
-        self._on_lists_changed()
+        self._on_news(wire_lists.TABLE)
 
-    def _on_replicas(self, rows: tuple[StoreRow, ...], is_all: bool) -> None:
-        self._keep(wire_replicas.TABLE, rows, is_all=is_all)
+    def _on_upstreams(self, rows: list[StoreRow]) -> None:
         now = self._loop.now
-        failed_at = max(f.failed_at for f in self._followers.values())
-        found = []
+        failed_at = max(f.failed_at for f in self._follower_by_table.values())
+        failed_at = max(failed_at, self._trouble_at)
         for row in rows:
             if row.value is None:
                 self.replicas.remove(row.key, now, failed_at)
@@ -184,15 +194,10 @@
                 )
                 continue
             replica = self._decode(row)
-            if replica is None:
-                continue
-            found.append(replica)
-            if not is_all and self.replicas.put(replica):
+            if replica is not None and self.replicas.put(replica):
                 _log_replica(replica, row.version)
-        if is_all:
-            self.replicas.replace(found, now, failed_at)
-            log_event("upstreams_read", count=len(found))
-        self._on_replicas_changed()
+        if rows:
+            self._on_news(wire_replicas.TABLE)
 
     @staticmethod
     def _decode(row: StoreRow) -> Replica | None:
@@ -203,43 +208,86 @@
             log_event("upstream_unreadable", level="WARNING", reason=error)
             return None
 
-    def _settle(self) -> None:
-        self._loop.call_later(SETTLE_TICK_S, self._settle)
+    def _tick(self) -> None:
+        self._loop.call_later(TICK_S, self._tick)
+        self.choose_source()
         is_away = self._upstreams.is_away
         dropped = self.replicas.settle(self._loop.now, is_store_away=is_away)
         for name in dropped:
             log_event("upstream_gone", replica=name, reason="lapsed")
         if dropped:
-            self._on_replicas_changed()
+            self._on_news(wire_replicas.TABLE)
 
     # Peers.
 
-    def _relay(self) -> None:
-        self._loop.call_later(RELAY_TICK_S, self._relay)
-        away = [f.table for f in self._followers.values() if f.is_away]
-        if not away:
-            return
-        peers = self._peers()
-        if not peers:
+    def _ask_if_due(self, follower: TableFollower, host: Host) -> None:
+        """Ask a peer for changes, unless the store is about to tell of them."""
+        if follower.is_active and not follower.is_away:
+            since = self._behind_since.setdefault(follower.table, self._loop.now)
+            if self._loop.now - since < OVERDUE_S:
+                return
+            follower.renew("a peer knows more")
+        self._ask(follower, host)
+
+    def _ask(self, follower: TableFollower, host: Host) -> None:
+        table = follower.table
+        if table in self._is_asking:
             return
-        host = peers[0] if self._rng.random() < 0.5 else self._rng.choice(peers)
-        for table in away:
-            self.ask(table, host)
+        self._is_asking.add(table)
+
+        def on_answer(answer: Answer) -> None:
+            self._is_asking.discard(table)
+            if answer.status == OK:
+                self._take_relayed(follower, host, answer.body)
+                return
+            log_event(
+                "relay_unanswered",
+                table=table,
+                peer=host.name,
+                status=answer.status,
+                reason=answer.reason,
+            )
+
+        Fetch(
+            self._loop,
+            self._pool,
+            Upstream(host.address, ("peer", host.incarnation)),
+            Call("GET", f"{RELAY_PATH}{table}{AFTER}{follower.copy.as_of}"),
+            RELAY_TIMEOUT_S,
+            on_answer,
+        )
 
-    def _take_relayed(self, table: str, host: Host, body: bytes) -> None:
+    def _take_relayed(self, follower: TableFollower, host: Host, body: bytes) -> None:
         try:
-            version, rows = decode_table(table, body)
+            relayed = decode_relayed(follower.table, body)
         except PeerError as error:
             log_event("relay_unreadable", level="WARNING", reason=error)
             return
-        if table == wire_lists.TABLE:
-            # Judged by the version of the lists, not of the store.
-            self._on_lists(rows, True)
+        news = self._merge(follower, relayed)
+        self._behind_since.pop(follower.table, None)
+        log_event(
+            "table_relayed",
+            table=follower.table,
+            peer=host.name,
+            version=follower.copy.as_of,
+            news=len(news),
+        )
+        if relayed.trouble_s is not None:
+            trouble_at = self._loop.now - relayed.trouble_s
+            self._trouble_at = max(self._trouble_at, trouble_at)
+        if not news:
             return
-        follower = self._followers[table]
-        if follower.version is None or version > follower.version:
-            log_event("table_relayed", table=table, peer=host.name, version=version)
-            follower.take(version, rows)
+        if follower is self._lists:
+            self._on_lists(news)
+        else:
+            self._on_upstreams(news)
+
+    @staticmethod
+    def _merge(follower: TableFollower, relayed: RelayedTable) -> list[StoreRow]:
+        rows = relayed.store_rows(follower.table)
+        if relayed.is_all:
+            return follower.copy.replace(rows, relayed.as_of)
+        return follower.copy.change(rows, relayed.as_of)
 
 
 def _log_replica(replica: Replica, version: int) -> None:
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -42,6 +42,7 @@
 
     :param key: the lease's name.
     :param holder: names this host; differs at each start.
+    :param is_candidate: tells whether this host should seek the lease.
     """
 
     def __init__(
@@ -51,6 +52,7 @@
         store: Upstream,
         key: str,
         holder: str,
+        is_candidate: t.Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._loop = loop
@@ -58,6 +60,7 @@
         self._store = store
         self._key = key
         self._rng = rng
+        self._is_candidate = is_candidate
         self._lease = Lease(holder, LEASE)
         self._had_lease = False
 
@@ -87,6 +90,9 @@
             self._had_lease = holds
             name = "lease_gained" if holds else "lease_lost"
             log_event(name, lease=self._key, fence=self._lease.fence)
+        if not holds and not self._is_candidate():
+            self._loop.call_later(LEASE.retry_s, self._step)
+            return
         command = self._lease.next(now)
         if isinstance(command, LeaseWait):
             self._loop.call_later(max(LEAST_WAIT_S, command.delay_s), self._step)
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -74,5 +74,5 @@
         """Return how full an engine's memory is thought to be; 0 for none."""
         if replica is None:
             return 0.0
-        _, held = self._context.pipelines(self._service).total(replica)
+        held = self._context.pipelines(self._service).total(replica).token_layers
         return held / max(1.0, kv_room(self._model, replica))
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -18,8 +18,8 @@
 from ..core.hosts import View
 from ..core.hosts import ViewRequest
 from ..core.membership import Membership
-from ..core.messages import EngineLoad
 from ..core.messages import EngineLost
+from ..core.messages import EngineUses
 from ..core.messages import Message
 from ..core.store import Call
 from ..core.store import StoreRow
@@ -45,13 +45,34 @@
 DEAD_AFTER_S = 1.25
 """Seconds of silence after which a peer is dead: five heartbeats."""
 
+FULL_RATE_PEERS = 10
+"""Peers in a data centre up to which heartbeats keep their pace: 40 a second, a
+hundredth of a small core."""
+
+DELEGATES = 2
+"""Hosts of a data centre that follow the store and talk to other data centres."""
+
+DELEGATE_SILENCE_S = 1.25
+"""Seconds of silence after which a delegate is succeeded; changes are due in 2 s."""
+
+INTRODUCTION_S = 0.1
+"""Seconds in which peers answer the greeting of a host that has started."""
+
+INTRODUCTION_MAX_S = 0.5
+"""Seconds after which a host that can't read the host rows goes on by itself."""
+
+ANNOUNCE_PAUSE_S = 0.1
+"""Seconds between two heartbeats out of turn, which tell of changes."""
+
+CENTRE_USES_S = 5.0
+"""Seconds after which what a data centre told of its requests is forgotten."""
+
 HOSTS_AGAIN_S = 20.0
 """Seconds between two reads of the host rows; newcomers greet by themselves."""
 
 STORE_TIMEOUT_S = 1.0
 BACKOFF_S = 0.5
 BURST = 32
-UINT32_MAX = (1 << 32) - 1
 
 
 class PeerEvents(t.Protocol):
@@ -61,24 +82,44 @@
         """Return the version of the lists in force here."""
         ...
 
-    def engine_loads(self) -> list[EngineLoad]:
-        """Return what this host has running on engines."""
+    def upstreams_version(self) -> int:
+        """Return the version of the newest change of upstreams known here."""
+        ...
+
+    def is_store_away(self) -> bool:
+        """Tell whether this host's last call to the store failed."""
         ...
 
-    def on_engine_load(self, host: str, load: EngineLoad) -> None:
-        """Take what a peer has running on an engine."""
+    def own_uses(self) -> EngineUses:
+        """Return what the requests of this host hold on engines."""
+        ...
+
+    def centre_uses(self) -> EngineUses:
+        """Return what the requests of all hosts here hold on engines."""
+        ...
+
+    def on_engine_uses(self, uses: EngineUses) -> None:
+        """Take what requests elsewhere hold on engines."""
         ...
 
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
         """Take a peer's suspicion of an engine."""
         ...
 
-    def on_peer_gone(self, name: str) -> None:
-        """Take the end of a peer."""
+    def on_source_gone(self, source: str, *, is_centre: bool) -> None:
+        """Take the end of a peer, or of word from a data centre."""
         ...
 
-    def on_newer_lists(self, host: Host, version: int) -> None:
-        """Take word of a version of the lists that is not in force here."""
+    def on_newer_lists(self, host: Host) -> None:
+        """Take word of lists that are newer than those in force here."""
+        ...
+
+    def on_newer_upstreams(self, host: Host) -> None:
+        """Take word of changes of upstreams that are not known here."""
+        ...
+
+    def on_introduced(self) -> None:
+        """Take note that the hosts that live are known."""
         ...
 
 
@@ -103,14 +144,26 @@
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
         self.membership = Membership(
-            host, heartbeat_s=HEARTBEAT_S, dead_after_s=DEAD_AFTER_S, now=loop.now
+            host,
+            heartbeat_s=HEARTBEAT_S,
+            dead_after_s=DEAD_AFTER_S,
+            now=loop.now,
+            full_rate_peers=FULL_RATE_PEERS,
         )
+        self._started_at = loop.now
+        self._introduced_at: float | None = None
+        self._announced_at = float("-inf")
+        self._is_delegate = True
+        # Of other data centres: the last word, its instant, and if it is passed on.
+        self._uses_by_centre: dict[str, tuple[EngineUses, float]] = {}
+        self._untold_centres: set[str] = set()
 
     def start(self) -> None:
         """Bind, tell the store of this host, and begin to send heartbeats."""
         ip, _, port = self._host.peer_address.rpartition(":")
         self._socket.bind((ip, int(port)))
         self._loop.add(self._socket.fileno(), READABLE, self._on_readable)
+        self._started_at = self._loop.now
         self.membership.set_state(HostState.LIVE)
         self._register()
         self._tick()
@@ -134,11 +187,38 @@
         hosts.sort(key=lambda host: host.data_centre != self._host.data_centre)
         return hosts
 
+    def is_delegate(self) -> bool:
+        """Tell whether this host is a delegate of its data centre."""
+        now = self._loop.now
+        _, is_one = self.membership.delegates(DELEGATES, now, DELEGATE_SILENCE_S)
+        return is_one and self._is_introduced()
+
+    def is_first_delegate(self) -> bool:
+        """Tell whether this host alone acts for its data centre."""
+        now = self._loop.now
+        _, is_one = self.membership.delegates(1, now, DELEGATE_SILENCE_S)
+        return is_one and self._is_introduced()
+
+    def announce(self) -> None:
+        """Tell the hosts of this data centre of a change, out of turn."""
+        now = self._loop.now
+        if now - self._announced_at < ANNOUNCE_PAUSE_S:
+            return
+        self._announced_at = now
+        hosts = self.membership.inside_live()
+        self._send_all([host.peer_address for host in hosts], (self._heartbeat(),))
+
+    def _is_introduced(self) -> bool:
+        """Tell whether the hosts that live have had time to answer a greeting."""
+        now = self._loop.now
+        if self._introduced_at is not None:
+            return now >= self._introduced_at + INTRODUCTION_S
+        return now >= self._started_at + INTRODUCTION_MAX_S
+
     def tell_lost(self, lost: EngineLost) -> None:
         """Tell the hosts of this data centre of a suspicion."""
-        for host in self.live_hosts():
-            if host.data_centre == self._host.data_centre:
-                self._send(host.peer_address, (lost,))
+        hosts = self.membership.inside_live()
+        self._send_all([host.peer_address for host in hosts], (lost,))
 
     # Rows of the store.
 
@@ -151,6 +231,9 @@
         self._fetch(wire.read_call(TABLE), self._on_hosts, self._read_again)
 
     def _read_again(self) -> None:
+        if self._introduced_at is not None and not self.is_first_delegate():
+            self._read_later()
+            return
         self._read_hosts(None)
 
     def _on_hosts(self, rows: t.Any) -> None:
@@ -160,12 +243,16 @@
             if host is not None:
                 hosts.append(host)
         self.membership.host_list(hosts, self._loop.now)
+        self._read_later()
+        others = [h.peer_address for h in hosts if h.name != self._host.name]
+        self._send_all(others, (self._heartbeat(),))
+        if self._introduced_at is None:
+            self._introduced_at = self._loop.now
+            self._loop.call_later(INTRODUCTION_S, self._events.on_introduced)
+
+    def _read_later(self) -> None:
         delay_s = HOSTS_AGAIN_S * self._rng.uniform(0.8, 1.2)
         self._loop.call_later(delay_s, self._read_again)
-        message = (self._heartbeat(),)
-        for host in hosts:
-            if host.name != self._host.name:
-                self._send(host.peer_address, message)
 
     @staticmethod
     def _decode(row: StoreRow) -> Host | None:
@@ -197,39 +284,77 @@
 
     def _heartbeat(self) -> Heartbeat:
         version = self._events.lists_version()
-        return self.membership.next_heartbeat(version, version)
+        return self.membership.next_heartbeat(
+            version,
+            version,
+            upstreams_version=self._events.upstreams_version(),
+            is_store_away=self._events.is_store_away(),
+        )
 
     def _tick(self) -> None:
         self._loop.call_later(HEARTBEAT_S, self._tick)
         now = self._loop.now
         self._note(self.membership.tick(now))
         inside, remote = self.membership.due(now)
-        if not inside and not remote:
+        if inside:
+            self._send_all(inside, (self._heartbeat(), self._events.own_uses()))
+            self._pass_on(inside)
+        if remote and self._note_delegate():
+            uses = self._events.centre_uses()
+            self._send_all(remote, (self._heartbeat(), uses))
+        self._send_all(self.membership.views_wanted(now), (ViewRequest(),))
+        self._forget_centres(now)
+
+    def _note_delegate(self) -> bool:
+        is_one = self.is_delegate()
+        if is_one is not self._is_delegate:
+            self._is_delegate = is_one
+            log_event("delegate_changed", is_delegate=is_one)
+        return is_one
+
+    def _pass_on(self, inside: list[str]) -> None:
+        """Tell the hosts of this data centre what other data centres have told."""
+        if not self._untold_centres or not self._is_delegate:
+            self._untold_centres.clear()
             return
-        heartbeat = self._heartbeat()
-        messages: tuple[Message, ...]
-        messages = (heartbeat, *self._events.engine_loads())
-        for address in inside:
-            self._send(address, messages)
-        for address in remote:
-            self._send(address, messages)
-        for address in self.membership.views_wanted(now):
-            self._send(address, (ViewRequest(),))
+        messages = []
+        for centre in self._untold_centres:
+            messages.append(self._uses_by_centre[centre][0])
+        self._untold_centres.clear()
+        self._send_all(inside, tuple(messages))
+
+    def _forget_centres(self, now: float) -> None:
+        for centre, (_, told_at) in list(self._uses_by_centre.items()):
+            if now - told_at > CENTRE_USES_S:
+                del self._uses_by_centre[centre]
+                self._untold_centres.discard(centre)
+                self._events.on_source_gone(centre, is_centre=True)
 
     def _note(self, events: list[Event]) -> None:
         for event in events:
             name = event.host.name if not isinstance(event, SelfPaused) else ""
             log_event("peer_changed", change=type(event).__name__, peer=name)
             if isinstance(event, PeerDead | PeerReplaced | PeerLeaving):
-                self._events.on_peer_gone(name)
+                self._events.on_source_gone(name, is_centre=False)
 
     def _send(self, address: str, messages: tuple[Message, ...]) -> None:
+        self._send_all([address], messages)
+
+    def _send_all(
+        self, addresses: t.Sequence[str], messages: tuple[Message, ...]
+    ) -> None:
+        """Send the same datagram to some peers."""
+        if not addresses:
+            return
         data = encode(Datagram(self._host.name, self._host.incarnation, 0, messages))
-        ip, _, port = address.rpartition(":")
-        try:
-            self._socket.sendto(data, (ip, int(port)))
-        except OSError as error:
-            log_event("datagram_unsent", level="DEBUG", to=address, error=error.errno)
+        for address in addresses:
+            ip, _, port = address.rpartition(":")
+            try:
+                self._socket.sendto(data, (ip, int(port)))
+            except OSError as error:
+                log_event(
+                    "datagram_unsent", level="DEBUG", to=address, error=error.errno
+                )
 
     def _on_readable(self, _mask: int) -> None:
         for _ in range(BURST):
@@ -248,14 +373,9 @@
     def _take(self, sender: str, message: Message) -> None:
         now = self._loop.now
         if isinstance(message, Heartbeat):
-            known = message.host.name in self.membership.by_name
-            self._note(self.membership.heartbeat(message, now))
-            if not known:
-                self._send(message.host.peer_address, (self._heartbeat(),))
-            if message.lists_version > self._events.lists_version():
-                self._events.on_newer_lists(message.host, message.lists_version)
-        elif isinstance(message, EngineLoad):
-            self._events.on_engine_load(sender, message)
+            self._take_heartbeat(message, now)
+        elif isinstance(message, EngineUses):
+            self._take_uses(sender, message, now)
         elif isinstance(message, EngineLost):
             host = self.membership.find(sender)
             if host is not None:
@@ -266,3 +386,26 @@
             host = self.membership.find(sender)
             if host is not None:
                 self._send(host.peer_address, (self.membership.own_view(),))
+
+    def _take_heartbeat(self, message: Heartbeat, now: float) -> None:
+        host = message.host
+        known = self.membership.by_name.get(host.name)
+        is_new = known is None or known.host.incarnation != host.incarnation
+        self._note(self.membership.heartbeat(message, now))
+        if is_new:
+            self._send(host.peer_address, (self._heartbeat(),))
+        if message.lists_version > self._events.lists_version():
+            self._events.on_newer_lists(host)
+        if message.upstreams_version > self._events.upstreams_version():
+            self._events.on_newer_upstreams(host)
+
+    def _take_uses(self, sender: str, uses: EngineUses, now: float) -> None:
+        if uses.is_centre:
+            if uses.source == self._host.data_centre:
+                return
+            self._uses_by_centre[uses.source] = (uses, now)
+            host = self.membership.find(sender)
+            # What a peer here has passed on is not passed on again.
+            if host is not None and host.data_centre == uses.source:
+                self._untold_centres.add(uses.source)
+        self._events.on_engine_uses(uses)
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -57,13 +57,14 @@
         holder: str,
         replicas: ReplicaSet,
         directory: t.Callable[[], Directory | None],
+        is_candidate: t.Callable[[], bool],
         rng: random.Random,
     ) -> None:
         self._loop = loop
         self._pool = pool
         self._replicas = replicas
         self._directory = directory
-        self._lease = LeaseKeeper(loop, pool, store, KEY, holder, rng)
+        self._lease = LeaseKeeper(loop, pool, store, KEY, holder, is_candidate, rng)
         self._gap_since_by_centre: dict[str, float] = {}
         # Range and instant of orders that were accepted or may have been.
         self._ordered: dict[tuple[str, int], tuple[tuple[int, int], float]] = {}
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -66,7 +66,7 @@
             slowness=report.slowness,
             kv_used=report.kv_used,
             kv_total=report.kv_total,
-            kv_held=self._gateway.pipelines(service).total(first)[1],
+            kv_held=self._gateway.pipelines(service).total(first).token_layers,
         )
         addresses = {stalled.address for stalled in report.stalled}
         if not addresses:
--- a/src/wagtailstair/peers/message_records.py
+++ b/src/wagtailstair/peers/message_records.py
@@ -13,6 +13,7 @@
 from ..core.messages import EngineLoad
 from ..core.messages import EngineLost
 from ..core.messages import EngineReport
+from ..core.messages import EngineUses
 from ..core.messages import Finished
 from ..core.messages import Granted
 from ..core.messages import Held
@@ -41,6 +42,8 @@
         # The excess is nearly always zero, which costs no byte.
         "listsExcess": max(0, message.lists_known - message.lists_version),
         "view": message.view,
+        "upstreamsVersion": message.upstreams_version,
+        "storeAway": message.is_store_away,
         "models": list(host.models),
         **records.write_address(host.address, host.peer_address),
     }
@@ -147,6 +150,7 @@
     Charged: ("charged", _write_charged),
     EngineReport: ("engineReport", records.write_report),
     EngineLoad: ("engineLoad", records.write_load),
+    EngineUses: ("engineUses", records.write_uses),
     ReportRequest: ("reportRequest", lambda message: message.name),
     EngineLost: ("engineLost", _write_lost),
     Numbered: ("numbered", _write_numbered),
@@ -167,7 +171,16 @@
     state = HostState(record.state)
     version = record.listsVersion
     known = version + record.listsExcess
-    return Heartbeat(host, record.seq, state, version, record.view, known)
+    return Heartbeat(
+        host,
+        record.seq,
+        state,
+        version,
+        record.view,
+        known,
+        record.upstreamsVersion,
+        record.storeAway,
+    )
 
 
 def _read_refused(record: Record) -> Refused:
@@ -242,6 +255,7 @@
     ),
     "engineReport": records.read_report,
     "engineLoad": records.read_load,
+    "engineUses": records.read_uses,
     "reportRequest": ReportRequest,
     "engineLost": lambda record: EngineLost(record.name, record.incarnation),
     "numbered": _read_numbered,
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -25,6 +25,7 @@
     ack @12 :List(UInt32);
     engineLoad @13 :EngineLoad;
     reportRequest @14 :Text;
+    engineUses @15 :EngineUses;
   }
 }
 
@@ -49,6 +50,8 @@
   view @7 :UInt32;
   models @8 :List(Text);
   listsExcess @9 :UInt64;     # known above listsVersion
+  upstreamsVersion @10 :UInt64;
+  storeAway @11 :Bool;
 }
 
 struct Want {
@@ -152,6 +155,15 @@
   ageMs @6 :UInt16;
 }
 
+struct EngineUses {           # columns: one entry an engine
+  source @0 :Text;
+  isCentre @1 :Bool;
+  keys @2 :List(UInt32);
+  running @3 :List(UInt16);
+  held @4 :List(UInt32);
+  heads @5 :List(UInt16);
+}
+
 struct EngineLost {
   name @0 :Text;
   incarnation @1 :Text;
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -16,6 +16,7 @@
 from ..core.membership import Host
 from ..core.messages import EngineLoad
 from ..core.messages import EngineReport
+from ..core.messages import EngineUses
 from ..core.messages import PoolKey
 
 Record = t.Any  # a reader or a builder of pycapnp, which has no types
@@ -28,6 +29,8 @@
 PREFIX_MASK = (1 << 64) - 1
 PREFIXES_MAX = 8
 NAMES_MAX = 64
+USES_MAX = 1024
+"""Engines of one message: with them a datagram stays under its limit."""
 
 
 def _bounded(value: float, limit: int = UINT32_MAX) -> int:
@@ -234,6 +237,30 @@
     )
 
 
+def write_uses(message: EngineUses) -> Fields:
+    """Return the fields of what requests hold on engines."""
+    return {
+        "source": message.source,
+        "isCentre": message.is_centre,
+        "keys": list(message.keys[:USES_MAX]),
+        "running": [_bounded(n, UINT16_MAX) for n in message.running[:USES_MAX]],
+        "heads": [_bounded(n, UINT16_MAX) for n in message.heads[:USES_MAX]],
+        "held": [_bounded(held) for held in message.held[:USES_MAX]],
+    }
+
+
+def read_uses(record: Record) -> EngineUses:
+    """Return what requests hold on engines.
+
+    :raises ValueError: if the columns differ in length.
+    """
+    keys, running = tuple(record.keys), tuple(record.running)
+    heads, held = tuple(record.heads), tuple(record.held)
+    if not len(keys) == len(running) == len(heads) == len(held):
+        raise ValueError("columns of different lengths")
+    return EngineUses(record.source, record.isCentre, keys, running, heads, held)
+
+
 def read_report(record: Record) -> EngineReport:
     """Return a load report; the receiver sets its instant from its age."""
     state = EngineState(
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -1,6 +1,5 @@
 """Gateways as processes of their own, and what is done to them by signals."""
 
-import datetime
 import pathlib
 import re
 import signal
@@ -11,8 +10,6 @@
 from tests.gateway_world import SETTINGS
 from tests.gateway_world import free_port
 from tests.soak.proxy import Proxy
-from wagtailstair.clock import SystemClock
-from wagtailstair.gateway.daemon import main
 from wagtailstair.gateway.loop import Loop
 
 LAPSE_S = 2.0
@@ -23,19 +20,6 @@
 LOG_LINE = re.compile(r"time=\S+ level=[A-Z]+ host=\S+ event=\w+")
 
 
-class SkewedClock(SystemClock):
-    """A clock whose time of day is off by some seconds."""
-
-    __slots__ = ("_skew",)
-
-    def __init__(self, skew_s: float) -> None:
-        self._skew = datetime.timedelta(seconds=skew_s)
-
-    def utcnow(self) -> datetime.datetime:
-        """Return the skewed time of day."""
-        return super().utcnow() + self._skew
-
-
 class HostProcess:
     """One entry host: its settings, its ports, its process of the moment."""
 
@@ -89,7 +73,7 @@
         self.expected_exits = set()
         self.drained_at = None
         self.write_settings()
-        command = [sys.executable, "-m", "tests.soak.hosts", str(self.skew_s)]
+        command = [sys.executable, "-m", "tests.soak.program", str(self.skew_s)]
         with self._path("log").open("ab") as output:
             self.process = subprocess.Popen(
                 [*command, str(self._path("toml"))],
@@ -144,7 +128,3 @@
 
     def _path(self, suffix: str) -> pathlib.Path:
         return self._work / f"{self.name}.{suffix}"
-
-
-if __name__ == "__main__":
-    sys.exit(main(sys.argv[2:], SkewedClock(float(sys.argv[1]))))
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,5 +1,10 @@
 """The gateway between callers, upstreams and the store, on one loop."""
 
+import os
+import signal
+import subprocess
+import sys
+
 import pytest
 
 from tests.gateway_data import make_config
@@ -353,7 +358,7 @@
         world.run(lambda: bool(host.peers.live_hosts()))
         # This host alone loses the store.
         host.knowledge._lists.start = lambda: None
-        for follower in host.knowledge._followers.values():
+        for follower in host.knowledge._follower_by_table.values():
             follower._store = follower._store._replace(address="127.0.0.1:9")
         for caller in list(world.store.callers):
             caller.close()
@@ -363,6 +368,69 @@
         world.run(lambda: host.replicas.by_name["i-one"].is_leaving)
 
 
+class TestDelegates:
+    """Two hosts of a data centre follow the store, and the others ask them."""
+
+    @pytest.fixture
+    def hosts(self, world, desks):
+        hosts = [world.add_host(f"entry-{number}") for number in range(1, 5)]
+        world.run(lambda: all(host.is_ready() for host in hosts))
+        world.run(lambda: all(len(h.peers.live_hosts()) == 3 for h in hosts))
+        world.run(lambda: following(hosts) == ["entry-1", "entry-2"])
+        return hosts
+
+    def test_changes_reach_all(self, world, desks, hosts):
+        world.store.put("op", "config", make_config(3))
+        desks[0].tell(state="draining")
+        for host in hosts:
+            world.run(lambda host=host: host.lists_version() == 3)
+            world.run(lambda host=host: host.replicas.by_name["i-one"].is_leaving)
+        world.store.put("servers", "i-one", None)
+        for host in hosts:
+            world.run(lambda host=host: "i-one" not in host.replicas.by_name)
+
+    def test_others_make_no_calls(self, world, desks, hosts):
+        calls = len(world.store.seen)
+        for version in range(3, 6):
+            world.store.put("op", "config", make_config(version))
+            world.run(lambda v=version: all(h.lists_version() == v for h in hosts))
+        # Two followers of one table, and the lease that two hosts know of.
+        feeds = [r for r in world.store.seen[calls:] if r.path == "/rows-feed"]
+        assert len(feeds) <= 2 * 3
+
+    def test_a_host_that_comes_later_learns_from_peers(self, world, desks, hosts):
+        calls = len(world.store.seen)
+        late = world.add_host("entry-9")
+        world.run(late.is_ready)
+        assert not late.knowledge.is_following
+        tables = [r.target for r in world.store.seen[calls:] if r.path == "/rows-get"]
+        assert not any(b"table=servers" in target for target in tables)
+
+    def test_delegates_without_the_store_are_succeeded(self, world, desks, hosts):
+        for host in hosts[:2]:
+            for follower in host.knowledge._follower_by_table.values():
+                follower._store = follower._store._replace(address="127.0.0.1:9")
+                follower.renew("test")
+        world.run(lambda: {"entry-3", "entry-4"} <= set(following(hosts)))
+        world.store.put("op", "config", make_config(3))
+        world.run(lambda: all(host.lists_version() == 3 for host in hosts))
+
+    def test_a_silent_connection_to_the_store_is_noticed(self, world, desks, hosts):
+        # The store no longer answers the first delegate, which has not noticed.
+        for held, _, _ in world.store.waiting:
+            held.is_gone = True
+        world.store.waiting = []
+        for follower in hosts[1].knowledge._follower_by_table.values():
+            follower.renew("test")
+        world.run(lambda: not hosts[1].knowledge.is_store_away)
+        world.store.put("op", "config", make_config(3))
+        world.run(lambda: all(host.lists_version() == 3 for host in hosts))
+
+
+def following(hosts):
+    return [h.settings.host.name for h in hosts if h.knowledge.is_following]
+
+
 class TestShutdown:
     def test_finishes_what_is_in_work(self, world, engines, host):
         place_all(world, engines)
@@ -450,3 +518,31 @@
         host.reload()
         assert host.settings.retries.slack == 200
         assert host.is_ready()
+
+
+class TestStart:
+    """Signals may come before the program is loaded."""
+
+    SCRIPT = """
+import signal, sys
+import wagtailstair.gateway.daemon as daemon
+slow = [n for n in sys.modules if n.split(".")[0] in ("capnp", "loguru", "httptools")]
+print(slow)
+"""
+
+    def test_the_entry_point_loads_nothing_slow(self):
+        command = [sys.executable, "-c", self.SCRIPT]
+        done = subprocess.run(command, capture_output=True, text=True, check=True)
+        assert done.stdout.strip() == "[]"
+
+    @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+    def test_a_signal_while_the_program_loads(self, tmp_path, number):
+        # A package on the path that stands for slow imports sends the signal.
+        stub = f"import os\nos.kill(os.getpid(), {int(number)})\n"
+        (tmp_path / "loguru.py").write_text(stub + "raise SystemExit(3)\n")
+        code = "from wagtailstair.gateway.daemon import main; main(['none'])"
+        command = [sys.executable, "-c", code]
+        path = os.pathsep.join([str(tmp_path), *sys.path])
+        environment = {**os.environ, "PYTHONPATH": path}
+        done = subprocess.run(command, env=environment, check=False)
+        assert done.returncode == (3 if number == signal.SIGHUP else 0)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -4,6 +4,7 @@
 from tests.gateway_data import make_engine
 from tests.gateway_data import make_fleet
 from tests.gateway_data import make_model
+from wagtailstair.core.layout import HEADS_WANTED
 from wagtailstair.core.layout import layers_for
 from wagtailstair.core.layout import plan
 from wagtailstair.core.layout import repair
@@ -73,6 +74,20 @@
         assert order.replica is second
         assert order.first >= 4
 
+    @pytest.mark.parametrize("centre", ["a", "b", "c"])
+    def test_two_engines_take_first_layers(self, centre):
+        engines = apply(plan(make_model(), make_fleet(), {}))
+        heads = [e for e in engines if e.data_centre == centre and e.layers[0] == 0]
+        assert len(heads) >= HEADS_WANTED
+
+    def test_a_large_data_centre_holds_the_model_twice(self):
+        fleet = [make_engine(f"v{n}") for n in range(60)]
+        fleet += [make_engine(f"a{n}", accelerator="a100") for n in range(4)]
+        engines = apply(plan(make_model(), fleet, {}))
+        for engine in engines:
+            others = [other for other in engines if other is not engine]
+            assert bare_layers(others, "a") == set()
+
     def test_leaving_engines_get_no_order(self):
         assert plan(make_model(), [make_engine("x", is_leaving=True)], {}) == []
 
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -21,6 +21,7 @@
 from wagtailstair.core.messages import EngineLoad
 from wagtailstair.core.messages import EngineLost
 from wagtailstair.core.messages import EngineReport
+from wagtailstair.core.messages import EngineUses
 from wagtailstair.core.messages import Finished
 from wagtailstair.core.messages import Granted
 from wagtailstair.core.messages import Held
@@ -100,6 +101,7 @@
 )
 MESSAGES = (
     Heartbeat(HOST, 4, HostState.LEAVING, 9, 0xFFFFFFFF, 11),
+    Heartbeat(HOST, 4, HostState.LIVE, 9, 0, 9, (1 << 64) - 1, True),
     ViewRequest(),
     View((HOST, FAR)),
     View(()),
@@ -111,6 +113,8 @@
     *(Charged(9, limit, 0.25) for limit in Limit),
     EngineReport(STATE, 0.25),
     EngineLoad("e1", 0xFFFFFFFF, 3, 1, 4096, 0.03125, 0.25),
+    EngineUses("entry-1", False, (0xFFFFFFFF, 2), (3, 1), (0, 1), (0xFFFFFFFF, 9)),
+    EngineUses("gt-a", True, (), (), (), ()),
     ReportRequest("e1"),
     EngineLost("e1", "i1"),
     *(Numbered(number, body) for number, body in enumerate(BODIES)),
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -7,7 +7,10 @@
 from tests.gateway_data import make_fleet
 from tests.gateway_data import make_model
 from wagtailstair.core.layout import plan
+from wagtailstair.core.pipelines import Load
 from wagtailstair.core.pipelines import Pipelines
+from wagtailstair.core.pipelines import Source
+from wagtailstair.core.pipelines import engine_key
 
 
 def place_all(model, engines):
@@ -107,16 +110,17 @@
         first = make_engine("x", layers=(0, 5))
         second = make_engine("y", layers=(0, 5))
         rest = make_engine("z", accelerator="a100", layers=(5, 80))
-        pipelines.note_peer("other", "x", 200, 200_000 * 5)
+        loads = {engine_key(first): Load(200, 0, 200_000 * 5)}
+        pipelines.note_peer(Source("other"), loads)
         path = pipelines.choose(model, [first, second, rest], 800, 200, 0.0)
         assert path[0].replica.name == "y"
 
     def test_a_peer_that_is_gone_holds_nothing(self, pipelines):
         engine = make_engine("x", layers=(0, 5))
-        pipelines.note_peer("other", "x", 200, 1000.0)
-        assert pipelines.total(engine) == (200, 1000.0)
-        pipelines.forget_peer("other")
-        assert pipelines.total(engine) == (0, 0.0)
+        pipelines.note_peer(Source("other"), {engine_key(engine): Load(200, 9, 1000.0)})
+        assert pipelines.total(engine) == (200, 9, 1000.0)
+        pipelines.forget_peer(Source("other"))
+        assert pipelines.total(engine) == (0, 0, 0.0)
 
     def test_an_engine_on_both_sides_takes_what_lies_between(self, pipelines):
         # The quick engine is cheaper for its layers, the slow one holds all.
@@ -128,6 +132,53 @@
         assert [hop.replica.name for hop in path] == ["slow"]
 
 
+class TestHeads:
+    """An engine takes only so many requests that begin there."""
+
+    def engines(self):
+        return [
+            make_engine("x", layers=(0, 5)),
+            make_engine("y", accelerator="l4", layers=(0, 5)),
+            *(
+                make_engine(f"z{first}", accelerator="a100", layers=(first, first + 25))
+                for first in (5, 30, 55)
+            ),
+        ]
+
+    def test_others_begin_elsewhere_before_one_is_full(self, pipelines):
+        engines = self.engines()
+        model = make_model()
+        begun = {"x": 0, "y": 0}
+        for _ in range(150):
+            path = pipelines.choose(model, engines, 800, 200, 0.0)
+            pipelines.take(path, 10)
+            begun[path[0].replica.name] += 1
+        assert max(begun.values()) <= 96
+
+    def test_requests_of_peers_count(self, pipelines):
+        engines = self.engines()
+        loads = {engine_key(engines[0]): Load(96, 96, 0.0)}
+        pipelines.note_peer(Source("other"), loads)
+        path = pipelines.choose(make_model(), engines, 800, 200, 0.0)
+        assert path[0].replica.name == "y"
+
+    def test_no_room_where_all_are_full(self, pipelines):
+        model = make_model()
+        engines = self.engines()
+        loads = {engine_key(engine): Load(96, 96, 0.0) for engine in engines[:2]}
+        pipelines.note_peer(Source("other"), loads)
+        path = pipelines.choose(model, engines, 800, 200, 0.0)
+        assert not pipelines.has_room(model, path, 1000, 0)
+        pipelines.forget_peer(Source("other"))
+        assert pipelines.has_room(model, path, 1000, 0)
+
+    def test_only_the_first_engine_is_begun_at(self, pipelines):
+        model = make_model()
+        engines = self.engines()
+        pipelines.take(pipelines.choose(model, engines, 800, 200, 0.0), 10)
+        assert pipelines.total(engines[2]).heads == 0
+
+
 class TestHead:
     def test_path_goes_on_from_its_first_hop(self, pipelines):
         model = make_model()
@@ -143,9 +194,9 @@
         engine = make_engine("x", layers=(0, 80))
         path = pipelines.choose(make_model(), [engine], 800, 200, 0.0)
         pipelines.take(path, 1000)
-        assert pipelines.total(engine) == (1, 80_000.0)
+        assert pipelines.total(engine) == (1, 1, 80_000.0)
         pipelines.give_back(path, 1000)
-        assert pipelines.total(engine) == (0, 0.0)
+        assert pipelines.total(engine) == (0, 0, 0.0)
 
     def test_a_new_start_is_another_engine(self, pipelines):
         pipelines.suspect(make_engine("x", layers=(0, 80)), 100.0)
--- /dev/null
+++ b/tests/test_table_copy.py
@@ -0,0 +1,104 @@
+"""Copies of tables that hear of changes in any order."""
+
+import itertools
+import random
+
+import pytest
+
+from wagtailstair.core.store import StoreRow
+from wagtailstair.core.table_copy import TOMBSTONES_MAX
+from wagtailstair.core.table_copy import TableCopy
+
+
+def row(key, version, value=b"v"):
+    return StoreRow("t", key, value, version)
+
+
+def keys(rows):
+    return sorted(entry.key for entry in rows)
+
+
+@pytest.fixture
+def copy():
+    copy = TableCopy("t")
+    copy.replace([row("x", 3), row("y", 5)], 7)
+    return copy
+
+
+class TestReplace:
+    def test_what_is_missing_is_gone(self, copy):
+        news = copy.replace([row("y", 5)], 9)
+        assert [(entry.key, entry.value) for entry in news] == [("x", None)]
+        assert keys(copy.live()) == ["y"]
+
+    def test_what_is_later_stays(self, copy):
+        copy.change([row("z", 12)], 12)
+        assert copy.replace([row("x", 3), row("y", 5)], 9) == []
+        assert keys(copy.live()) == ["x", "y", "z"]
+
+    def test_nothing_is_complete_before(self):
+        copy = TableCopy("t")
+        assert not copy.is_complete
+        assert copy.since(0) == []
+        copy.replace([], 4)
+        assert copy.is_complete
+
+
+class TestChange:
+    def test_an_older_change_is_no_news(self, copy):
+        assert copy.change([row("y", 4, None)], 7) == []
+        assert keys(copy.live()) == ["x", "y"]
+
+    def test_a_removed_row_does_not_come_back(self, copy):
+        copy.change([row("x", 8, None)], 8)
+        assert copy.change([row("x", 3)], 7) == []
+        assert keys(copy.live()) == ["y"]
+
+    @pytest.mark.parametrize("seed", range(20))
+    def test_any_order_leads_to_the_same(self, copy, seed):
+        changes = [row("x", 8, None), row("x", 9), row("y", 10, None), row("z", 11)]
+        random.Random(seed).shuffle(changes)
+        for change in changes + changes:
+            copy.change([change], 7)
+        assert keys(copy.live()) == ["x", "z"]
+        assert copy.version == 11
+
+
+class TestSince:
+    def test_removals_are_told(self, copy):
+        copy.change([row("x", 8, None), row("z", 9)], 9)
+        told = copy.since(7)
+        assert [(entry.key, entry.value) for entry in told] == [
+            ("x", None),
+            ("z", b"v"),
+        ]
+
+    def test_what_was_before_the_first_read_is_not_known(self, copy):
+        # A row that was removed at 6 left no trace here.
+        assert copy.since(5) is None
+
+    def test_only_some_removals_are_kept(self, copy):
+        for number in range(TOMBSTONES_MAX + 5):
+            version = 10 + 2 * number
+            copy.change([row(f"k{number}", version)], version)
+            copy.change([row(f"k{number}", version + 1, None)], version + 1)
+        assert copy.since(7) is None
+        assert copy.since(copy.version - 3) is not None
+        assert keys(copy.live()) == ["x", "y"]
+
+    def test_peers_come_to_the_same_rows(self, copy):
+        other = TableCopy("t")
+        steps = itertools.count(8)
+        for _ in range(30):
+            version = next(steps)
+            key = f"k{version % 4}"
+            copy.change([row(key, version, b"v" if version % 3 else None)], version)
+            if version % 5:
+                continue
+            rows = copy.since(other.as_of)
+            if rows is None:
+                other.replace(copy.live(), copy.as_of)
+            else:
+                other.change(rows, copy.as_of)
+            assert keys(other.live()) == keys(copy.live())
+            assert other.version == copy.version
