--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -30,9 +30,9 @@
 FULL_COST_S = 30.0
 """Seconds that an engine without room costs: it would refuse the request."""
 
-ROOM_SHARES = (1.1, 0.95, 0.8)
+ROOM_SHARES = (1.5, 1.3, 1.0)
 """Shares of an engine's KV memory that requests of each rank may fill. Answers are
-counted whole, so that a tenth and more of them is not written yet."""
+counted whole from the start, and most engines of a path hold less than the fullest."""
 
 SUSPECT_COST_S = 60.0
 """Seconds that an engine under suspicion costs: more than all else together, so
--- a/src/wagtailstair/core/shortest.py
+++ b/src/wagtailstair/core/shortest.py
@@ -12,7 +12,7 @@
 from .directory import ModelSpec
 from .replicas import Replica
 
-REMOTE_START_COST_S = 2.0
+REMOTE_START_COST_S = 0.5
 """Seconds that a pipeline wholly in another data centre costs: only the request
 and its events pass between the two, a thousandth of what activations take."""
 
