--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 PY := $(VENV)/bin/python
 export PYTHONPATH := src:.
 
-.PHONY: install test lint demo prove fuzz bench capacity
+.PHONY: install test lint demo prove fuzz bench capacity soak
 
 install: $(VENV)/.installed
 
@@ -35,6 +35,12 @@
 		tests/test_leases_machine.py tests/test_placement_machine.py \
 		tests/test_changes_machine.py
 
+SEEDS ?= 1-10
+JOBS ?= 2
+
+soak: install
+	$(PY) -m tests.soak --seeds $(SEEDS) --jobs $(JOBS)
+
 capacity: install
 	$(PY) -m bench.capacity
 
