Play each run of the soak in a process of its own

Cause: a run leaves its sockets open. Ruled out: the stand-ins themselves, whose tests passed alone seven times.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,22 +3,17 @@
 import pathlib
 import sys
 import tempfile
-from concurrent import futures
 
 import click
 
 from tests.soak.run import Options
-from tests.soak.run import Run
 from tests.soak.run import Verdict
+from tests.soak.run import play
+from tests.soak.run import start_apart
 
 LINES_MAX = 12
 
 
-def play(options: Options, work: pathlib.Path) -> Verdict:
-    """Play one run, in a process of its own."""
-    return Run(options, work).play()
-
-
 def tell(options: Options, verdict: Verdict, work: pathlib.Path) -> None:
     """Print what a run came to; write the story of one that broke a promise."""
     state = "broken" if verdict.broken else "held"
@@ -56,7 +51,7 @@
     """Play some seeds; exit with 1 if a promise was broken."""
     first, _, last = seeds.partition("-")
     failed = []
-    with futures.ProcessPoolExecutor(jobs, max_tasks_per_child=1) as pool:
+    with start_apart(jobs) as pool:
         runs = []
         for seed in range(int(first), int(last or first) + 1):
             work = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep))
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,9 +1,11 @@
 """One run of the soak: a deployment, callers, faults by seed, and the verdict."""
 
 import dataclasses
+import multiprocessing
 import pathlib
 import random
 import typing as t
+from concurrent import futures
 
 from tests.soak.callers import SoakCaller
 from tests.soak.faults import FAULTS
@@ -54,6 +56,20 @@
     recovered: float
 
 
+def start_apart(jobs: int) -> futures.ProcessPoolExecutor:
+    """Return an executor that plays each run in a process of its own.
+
+    A run leaves its sockets open, which end with the process.
+    """
+    context = multiprocessing.get_context("spawn")
+    return futures.ProcessPoolExecutor(jobs, mp_context=context, max_tasks_per_child=1)
+
+
+def play(options: Options, work: pathlib.Path) -> Verdict:
+    """Play one run."""
+    return Run(options, work).play()
+
+
 class Run:
     """A deployment under faults, until its verdict."""
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -13,7 +13,8 @@
 from tests.soak.ledger import Touch
 from tests.soak.ledger import make_event
 from tests.soak.run import Options
-from tests.soak.run import Run
+from tests.soak.run import play
+from tests.soak.run import start_apart
 
 CI_SEED = 1
 CI_FAULT_S = 8.0
@@ -175,5 +176,6 @@
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize("seed", [CI_SEED, *REGRESSIONS])
 def test_short_run(tmp_path, seed):
-    verdict = Run(Options(seed, CI_FAULT_S), tmp_path).play()
+    with start_apart(1) as pool:
+        verdict = pool.submit(play, Options(seed, CI_FAULT_S), tmp_path).result()
     assert verdict.broken == []
