A peer that knows more is no trouble of the store

From the logs: upstream_row_gone waits=True, and before it on the same host store_lost reason='a peer knows more'. The host had given up its call because a peer had spoken of a change first, and counted that as a failure of the store; a removal after a failure takes effect two seconds later. It gave the call up too early besides: the instant from which it was behind was kept when the store had told the change meanwhile. Ruled out: late heartbeats (table_relayed within 5 ms).

Change: a renewed call is no failure unless it goes unanswered; being behind counts from the first word of a change that is still unknown. Both tests failed before.

--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -80,10 +80,15 @@
         self._cancel()
 
     def renew(self, reason: str) -> None:
-        """Give up a call that should have been answered, and go on with another."""
-        if self.is_active and self._fetch is not None:
-            self._cancel()
-            self._failed(reason)
+        """Give up a call that should have been answered, and ask at once again.
+
+        Only an answer that does not come then is a failure of the store.
+        """
+        if not self.is_active or not self.copy.is_complete:
+            return
+        log_event("feed_renewed", table=self.table, reason=reason)
+        self._cancel()
+        self._feed(0.0)
 
     def _cancel(self) -> None:
         fetch, self._fetch = self._fetch, None
@@ -130,7 +135,8 @@
 
     def _resume(self) -> None:
         if self.copy.is_complete:
-            self._feed()
+            # After a failure the first call returns at once: is the store back?
+            self._feed(0.0 if self.is_away else FEED_WAIT_S)
             return
         self._read_all()
 
@@ -151,14 +157,12 @@
             self._read(rows.rows[-1].key)
             return
         pages, self._pages = self._pages, []
-        self._later(0.0, self._feed)
+        self._later(0.0, self._resume)
         self._on_news(self.copy.replace(pages, self._read_as_of))
 
-    def _feed(self) -> None:
-        # After a failure the first call returns at once: is the store back?
-        wait_s = 0.0 if self.is_away else FEED_WAIT_S
+    def _feed(self, wait_s: float) -> None:
         call = wire.feed_call(self.table, self.copy.as_of, wait_s)
-        timeout_s = wait_s + (READ_TIMEOUT_S if self.is_away else FEED_MARGIN_S)
+        timeout_s = wait_s + FEED_MARGIN_S if wait_s else READ_TIMEOUT_S
         self._send(call, timeout_s, self._on_changes)
 
     def _on_changes(self, rows: StoreRows) -> None:
@@ -167,7 +171,7 @@
             log_event("store_history_gone", table=self.table, version=version)
             self._read_all()
             return
-        self._later(self._pause_s, self._feed)
+        self._later(self._pause_s, self._resume)
         news = self.copy.change(rows.rows, rows.version)
         if news:
             self._on_news(news)
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/knowledge.py
@@ -34,9 +34,9 @@
 """Seconds in which changes of upstreams are gathered: calls are priced, and two
 seconds are left for an upstream that leaves."""
 
-OVERDUE_S = 0.3
+OVERDUE_S = 0.5
 """Seconds after which a host that follows the store asks a peer for what the store
-should have told it: more than the pause between two calls for changes."""
+should have told it: over twice the pause between two calls for changes."""
 
 ALONE_S = 0.6
 """Seconds without a table after which a host that no peer tells of it reads the
@@ -73,7 +73,8 @@
         self.directory: Directory | None = None
         self.replicas = ReplicaSet(lapse_s)
         self._is_asking: set[str] = set()
-        self._behind_since: dict[str, float] = {}
+        # By table: what was known when a peer first knew more, and the instant.
+        self._behind_by_table: dict[str, tuple[int, float]] = {}
         self._trouble_at = float("-inf")
         self._started_at = loop.now
         self._lists = TableFollower(
@@ -223,8 +224,11 @@
     def _ask_if_due(self, follower: TableFollower, host: Host) -> None:
         """Ask a peer for changes, unless the store is about to tell of them."""
         if follower.is_active and not follower.is_away:
-            since = self._behind_since.setdefault(follower.table, self._loop.now)
-            if self._loop.now - since < OVERDUE_S:
+            known = follower.copy.version
+            behind = self._behind_by_table.get(follower.table)
+            if behind is None or behind[0] != known:
+                behind = self._behind_by_table[follower.table] = known, self._loop.now
+            if self._loop.now - behind[1] < OVERDUE_S:
                 return
             follower.renew("a peer knows more")
         self._ask(follower, host)
@@ -264,7 +268,6 @@
             log_event("relay_unreadable", level="WARNING", reason=error)
             return
         news = self._merge(follower, relayed)
-        self._behind_since.pop(follower.table, None)
         log_event(
             "table_relayed",
             table=follower.table,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -12,7 +12,9 @@
 from tests.gateway_world import World
 from tests.gateway_world import make_request
 from tests.gateway_world import make_stream
+from wagtailstair.gateway import knowledge as knowledge_module
 
+OVERDUE_S = knowledge_module.OVERDUE_S
 EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 13))
 
 
@@ -440,6 +442,36 @@
         world.store.put("op", "config", make_config(3))
         world.run(lambda: all(host.lists_version() == 3 for host in hosts))
 
+    def test_a_peer_that_knows_more_is_no_trouble_of_the_store(self, world, hosts):
+        host = hosts[0]
+        follower = host.knowledge._follower_by_table["servers"]
+        follower.renew("test")
+        assert not host.knowledge.is_store_away
+        # A row that goes now is gone at once: the store had no trouble.
+        world.store.put("servers", "i-two", None)
+        world.run(lambda: follower.copy.version == world.store.version)
+        assert "i-two" not in host.replicas.by_name
+
+    def test_only_what_stays_unknown_is_asked_of_peers(self, world, desks, hosts):
+        host, peer = hosts[0], hosts[1].peers.membership.host
+        knowledge = host.knowledge
+        follower = knowledge._follower_by_table["servers"]
+        for _ in range(3):
+            # Word of a change comes a little before the store tells of it.
+            knowledge.on_newer_upstreams(peer)
+            assert not knowledge._is_asking
+            desks[0].tell(slots=desks[0].row["slots"] + 1)
+            version = world.store.version
+            world.run(lambda v=version: follower.copy.version == v)
+            since = world.loop.now
+            world.run(lambda s=since: world.loop.now - s > OVERDUE_S)
+        # Nothing has come since the last word but one.
+        knowledge.on_newer_upstreams(peer)
+        since = world.loop.now
+        world.run(lambda: world.loop.now - since > OVERDUE_S)
+        knowledge.on_newer_upstreams(peer)
+        assert knowledge._is_asking == {"servers"}
+
 
 def following(hosts):
     return [h.settings.host.name for h in hosts if h.knowledge.is_following]
