--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -175,10 +175,8 @@
         """Make the next heartbeats due at once, to announce a change."""
         self._sent_at = self._sent_remote_at = float("-inf")
 
-    def delegates(
-        self, count: int, now: float, silence_s: float
-    ) -> tuple[list[Host], bool]:
-        """Return the delegates of this data centre, and whether this host is one.
+    def is_delegate(self, count: int, now: float, silence_s: float) -> bool:
+        """Tell whether this host is one of some delegates of its data centre.
 
         Delegates reach the store and were heard within ``silence_s``.
         """
@@ -187,9 +185,7 @@
             is_heard = peer.heard and now - peer.heard_at <= silence_s
             if is_heard and peer.state is HostState.LIVE and not peer.is_store_away:
                 names.append(peer.host.name)
-        chosen = sorted(names)[:count]
-        others = [self.by_name[n].host for n in chosen if n != self.host.name]
-        return others, len(others) < len(chosen)
+        return self.host.name in sorted(names)[:count]
 
     def next_heartbeat(
         self,
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -181,14 +181,15 @@
 
     def is_delegate(self) -> bool:
         """Tell whether this host is a delegate of its data centre."""
-        now = self._loop.now
-        _, is_one = self.membership.delegates(DELEGATES, now, DELEGATE_SILENCE_S)
-        return is_one and self._is_introduced()
+        return self._is_among(DELEGATES)
 
     def is_first_delegate(self) -> bool:
         """Tell whether this host alone acts for its data centre."""
+        return self._is_among(1)
+
+    def _is_among(self, delegates: int) -> bool:
         now = self._loop.now
-        _, is_one = self.membership.delegates(1, now, DELEGATE_SILENCE_S)
+        is_one = self.membership.is_delegate(delegates, now, DELEGATE_SILENCE_S)
         return is_one and self._is_introduced()
 
     def announce(self) -> None:
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -2,7 +2,6 @@
 
 import enum
 import socket
-import typing as t
 
 from wagtailstair.gateway.connection import Connection
 from wagtailstair.gateway.connection import connect
@@ -131,8 +130,3 @@
             sock.close()
             return
         self.links.add(_Link(self, sock))
-
-
-def describe(modes: t.Iterable[LinkMode]) -> str:
-    """Return the names of some modes, for a log."""
-    return ",".join(mode.value for mode in modes)
