Wording: core/pool.py, core/queueing.py, core/fairness.py, core/slots.py, core/timers.py, core/demand.py

Renames: pushed_out to displaced, cached to update_prefixes, leaving to mark_leaving, judge to record_outcome; requests in queues are items.

--- a/src/wagtailstair/core/demand.py
+++ b/src/wagtailstair/core/demand.py
@@ -1,4 +1,4 @@
-"""What an entry host and the dispatcher of a pool say to each other."""
+"""Records that an entry host and the dispatcher of a pool exchange."""
 
 import dataclasses
 import enum
@@ -11,9 +11,10 @@
 class Want:
     """A request that waits for a route.
 
-    ``work``: expected cost in work units; ``deadline``: instant on the
-    receiver's monotonic clock; ``prefixes``: hashes of the prompt's prefix
-    blocks, shortest first; ``entitled``: within the account's limits.
+    ``work``: expected cost in work units; ``deadline``: time on the receiver's
+    monotonic clock; ``entitled``: within the account's limits; ``prefixes``:
+    hashes of the prompt's prefix blocks, shortest first; ``avoid``: engines
+    that the route must not contain.
     """
 
     request: str
@@ -34,7 +35,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Grant:
-    """Leave to run one epoch of a request along a route."""
+    """Permission to run one epoch of a request along a route."""
 
     request: str
     epoch: int
@@ -43,7 +44,7 @@
 
 
 class RefusalReason(enum.Enum):
-    """Why a pool gives no route."""
+    """Why a pool refuses a request."""
 
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
@@ -52,7 +53,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Refusal:
-    """No route for a request; it has not run."""
+    """Refusal of a request, which has not run."""
 
     request: str
     epoch: int
@@ -63,18 +64,18 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Hold:
-    """A grant in use, told anew to a dispatcher that has just taken over."""
+    """A grant in use, reported to a dispatcher that has just taken over."""
 
-    want: Want
+    route_request: Want
     route: Route
     tokens_done: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Done:
-    """The end of a grant, with what it really cost.
+    """The end of a grant, with its actual cost.
 
-    ``failed``: engines that the entry host saw fail.
+    ``failed``: engines whose failure the entry host observed.
     """
 
     request: str
--- a/src/wagtailstair/core/fairness.py
+++ b/src/wagtailstair/core/fairness.py
@@ -1,4 +1,4 @@
-"""Start-time fair queueing among the accounts of one class of work."""
+"""Start-time fair queueing among the accounts of one class of requests."""
 
 import collections
 import dataclasses
@@ -8,15 +8,16 @@
 
 from .demand import Want
 
-MAX_IDLE = 4_096
-"""Accounts without waiting work that are remembered for what they are ahead by."""
+MAX_IDLE_ACCOUNTS = 4_096
+"""Accounts without waiting items whose start tag is kept."""
 
 
 @dataclasses.dataclass(slots=True)
 class _Flow:
-    """The waiting work of one account in one class.
+    """The waiting items of one account in one class.
 
-    ``start``: the start tag of the next item, in work per weight.
+    ``start``: the start tag of the next item, in work per weight; ``entry``:
+    the sequence number of the account's heap entry, -1 without one.
     """
 
     account: str
@@ -28,8 +29,8 @@
     )
 
 
-class LongestFirst:
-    """Finds the account with most items in constant time."""
+class LongestAccount:
+    """Finds the account with the most items in constant time."""
 
     __slots__ = ("_accounts_by_count", "_count_by_account", "_most")
 
@@ -61,7 +62,7 @@
             self._most -= 1
 
     def longest(self) -> str:
-        """Return the account with most items."""
+        """Return the account with the most items."""
         return next(iter(self._accounts_by_count[self._most]))
 
 
@@ -74,7 +75,7 @@
         "_idle",
         "_longest",
         "_sequence",
-        "_virtual",
+        "_virtual_time",
         "count",
         "work",
     )
@@ -83,14 +84,14 @@
         self._flow_by_account: dict[str, _Flow] = {}
         self._heap: list[tuple[float, int, str]] = []
         self._idle: list[tuple[float, str]] = []
-        self._longest = LongestFirst()
+        self._longest = LongestAccount()
         self._sequence = itertools.count()
-        self._virtual = 0.0
+        self._virtual_time = 0.0
         self.count = 0
         self.work = 0.0
 
     def _schedule(self, flow: _Flow) -> None:
-        flow.start = max(flow.start, self._virtual)
+        flow.start = max(flow.start, self._virtual_time)
         flow.entry = next(self._sequence)
         heapq.heappush(self._heap, (flow.start, flow.entry, flow.account))
         if len(self._heap) > 64 + 2 * len(self._flow_by_account):
@@ -101,74 +102,74 @@
         flow = self._flow_by_account.get(entry[2])
         return flow is not None and flow.entry == entry[1]
 
-    def _retire(self, flow: _Flow) -> None:
+    def _deactivate(self, flow: _Flow) -> None:
         flow.entry = -1
         if not self.count:
-            # The busy period ends, and with it what accounts are ahead by.
+            # The busy period has ended, so no account is ahead of another.
             self._flow_by_account.clear()
             self._heap.clear()
             self._idle.clear()
             return
-        if flow.start <= self._virtual:
+        if flow.start <= self._virtual_time:
             del self._flow_by_account[flow.account]
             return
-        self._remember_idle(flow)
+        self._add_idle(flow)
 
-    def _remember_idle(self, flow: _Flow) -> None:
+    def _add_idle(self, flow: _Flow) -> None:
         heapq.heappush(self._idle, (flow.start, flow.account))
-        while len(self._idle) > MAX_IDLE:
+        while len(self._idle) > MAX_IDLE_ACCOUNTS:
             start, account = heapq.heappop(self._idle)
-            known = self._flow_by_account.get(account)
-            if known is None or known.by_request or known.start != start:
+            idle = self._flow_by_account.get(account)
+            if idle is None or idle.by_request or idle.start != start:
                 continue
             del self._flow_by_account[account]
 
-    def _forget_idle(self) -> None:
-        while self._idle and self._idle[0][0] <= self._virtual:
+    def _drop_idle(self) -> None:
+        while self._idle and self._idle[0][0] <= self._virtual_time:
             _, account = heapq.heappop(self._idle)
             flow = self._flow_by_account.get(account)
             if flow is None or flow.by_request:
                 continue
-            if flow.start <= self._virtual:
+            if flow.start <= self._virtual_time:
                 del self._flow_by_account[account]
                 continue
             heapq.heappush(self._idle, (flow.start, account))
 
-    def push(self, want: Want) -> None:
+    def push(self, item: Want) -> None:
         """Add an item."""
-        flow = self._flow_by_account.get(want.account)
+        flow = self._flow_by_account.get(item.account)
         if flow is None:
-            flow = _Flow(want.account, self._virtual)
-            self._flow_by_account[want.account] = flow
-        flow.by_request[want.request] = want
-        flow.work += want.work
+            flow = _Flow(item.account, self._virtual_time)
+            self._flow_by_account[item.account] = flow
+        flow.by_request[item.request] = item
+        flow.work += item.work
         self.count += 1
-        self.work += want.work
-        self._longest.add(want.account, 1)
+        self.work += item.work
+        self._longest.add(item.account, 1)
         if flow.entry < 0:
             self._schedule(flow)
 
-    def discard(self, want: Want) -> None:
-        """Remove an item that is not served."""
-        flow = self._flow_by_account[want.account]
-        del flow.by_request[want.request]
-        flow.work -= want.work
+    def discard(self, item: Want) -> None:
+        """Remove an item without serving it."""
+        flow = self._flow_by_account[item.account]
+        del flow.by_request[item.request]
+        flow.work -= item.work
         self.count -= 1
-        self.work -= want.work
-        self._longest.add(want.account, -1)
+        self.work -= item.work
+        self._longest.add(item.account, -1)
         if not flow.by_request:
-            self._retire(flow)
+            self._deactivate(flow)
 
-    def take(self, want: Want) -> None:
-        """Remove an item that is served now and charge its account."""
-        flow = self._flow_by_account[want.account]
-        self._virtual = max(self._virtual, flow.start)
-        flow.start += want.work / want.weight
+    def take(self, item: Want) -> None:
+        """Remove an item to serve it, and charge its account."""
+        flow = self._flow_by_account[item.account]
+        self._virtual_time = max(self._virtual_time, flow.start)
+        flow.start += item.work / item.weight
         flow.entry = -1
-        self.discard(want)
+        self.discard(item)
         if flow.by_request:
             self._schedule(flow)
-        self._forget_idle()
+        self._drop_idle()
 
     def settle(self, account: str, tags: float) -> None:
         """Correct the start tag of an account by ``tags``."""
@@ -178,18 +179,19 @@
         if flow is None:
             if tags <= 0:
                 return
-            flow = _Flow(account, self._virtual)
+            flow = _Flow(account, self._virtual_time)
             self._flow_by_account[account] = flow
-        flow.start = max(self._virtual, flow.start + tags)
+        flow.start = max(self._virtual_time, flow.start + tags)
         if flow.by_request:
             self._schedule(flow)
             return
-        self._remember_idle(flow)
+        self._add_idle(flow)
 
     def heads(self, count: int) -> t.Iterator[Want]:
         """Iterate over the next item of each of the first ``count`` accounts.
 
-        The item at hand may be taken, which must end the iteration.
+        The current item may be passed to :meth:`take`, but the iteration must
+        end then.
         """
         entries: list[tuple[float, int, str]] = []
         try:
@@ -206,23 +208,23 @@
                     heapq.heappush(self._heap, entry)
 
     def count_of(self, account: str) -> int:
-        """Return how many items of an account wait."""
+        """Return the number of waiting items of an account."""
         return self._longest.count(account)
 
     def newest_of_longest(self) -> Want:
-        """Return the newest item of the account that has most waiting."""
+        """Return the newest item of the account with the most waiting items."""
         flow = self._flow_by_account[self._longest.longest()]
         return next(reversed(flow.by_request.values()))
 
-    def work_ahead(self, want: Want) -> float:
-        """Estimate the work of this class that is served before a new item."""
-        flow = self._flow_by_account.get(want.account)
+    def work_ahead(self, item: Want) -> float:
+        """Estimate the work of this class that would be served before a new item."""
+        flow = self._flow_by_account.get(item.account)
         own = 0.0
         if flow is not None:
-            own = flow.work + max(0.0, flow.start - self._virtual) * want.weight
+            own = flow.work + max(0.0, flow.start - self._virtual_time) * item.weight
         accounts = max(1, len(self._flow_by_account))
-        return min(self.work, own * accounts + want.work * (accounts - 1))
+        return min(self.work, own * accounts + item.work * (accounts - 1))
 
     def flows(self) -> int:
-        """Return how many accounts are remembered."""
+        """Return the number of accounts with a flow."""
         return len(self._flow_by_account)
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -1,4 +1,4 @@
-"""The dispatcher of one pool: orders all waiting requests and grants routes."""
+"""Dispatcher of one pool: orders the waiting requests and grants routes."""
 
 import collections
 import dataclasses
@@ -23,30 +23,30 @@
 from .slots import Slots
 from .timers import Timers
 
-MEMORY_OF_ENDED = 16_384
-"""Ended epochs that are remembered, so that a late want is not granted again."""
+MAX_ENDED_EPOCHS = 16_384
+"""Ended epochs that are kept, so that a late copy is not granted again."""
 NO_ROUTE_PATIENCE_S = 1.0
-"""Time for a route to come back before a request is refused for want of one."""
+"""Time that a request may wait while no engines could form a route for it."""
 GRANT_GRACE_S = 5.0
-"""Time after its deadline when an open grant counts as lost."""
-HEADS_TRIED = 32
-"""Accounts of a class that are looked at for one whose request has room."""
-PLAIN_HEADS_TRIED = 4
-"""Of these, such as could run on any engine."""
-DELAY_GAIN = 0.05
-"""Weight of each grant in the mean run time of a unit of work."""
+"""Time after its deadline when an open grant is cancelled as lost."""
+MAX_HEADS_TRIED = 32
+"""Accounts of a class that are searched for one whose next request has room."""
+MAX_UNRESTRICTED_HEADS = 4
+"""Of these, requests that need no adapter and avoid no engine."""
+DELAY_SMOOTHING = 0.05
+"""Weight of a grant in the moving average of the run time per work unit."""
 MINIMUM_RETRY_AFTER_S = 0.5
 MAXIMUM_RETRY_AFTER_S = 60.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PoolLimits:
-    """Bounds and shares of a pool.
+    """Limits and shares of a pool.
 
-    ``reserves``: for each priority, the part of the slots that it may not
-    fill, so that more urgent work finds room; ``deadline_margin``: where
-    others wait, a request is refused when less than so many times its
-    expected run time is left.
+    ``reserves``: for each priority, the share of the slots that it may not
+    fill, so that more urgent work finds room; ``deadline_margin``: while
+    others of its priority wait, a request is refused if the time left is less
+    than this multiple of its expected run time.
     """
 
     queue_length: int = 4096
@@ -58,7 +58,7 @@
 
 @dataclasses.dataclass(slots=True)
 class PoolStats:
-    """Counts of a pool; the tuples are by priority."""
+    """Counts of a pool; the tuples are indexed by priority."""
 
     waiting: tuple[int, ...]
     granted: tuple[int, ...]
@@ -66,13 +66,13 @@
     open_grants: int
     engines: int
     refused_by_reason: dict[str, int]
-    pushed_out: int
+    displaced: int
     work_per_s: float
 
 
 @dataclasses.dataclass(slots=True)
-class _Open:
-    want: Want
+class _OpenGrant:
+    route_request: Want
     need: Need
     route: Route
 
@@ -80,8 +80,9 @@
 class Pool:
     """Orders the requests for one model in one data centre.
 
-    Wants, dones and holds may come twice or late: a want that is repeated
-    gets its grant or refusal again, everything else has no further effect.
+    :meth:`want`, :meth:`done` and :meth:`hold` may be called twice or late. A
+    repeated request is answered with the same grant or refusal, any other
+    repeated call has no effect.
     """
 
     def __init__(
@@ -96,143 +97,148 @@
         self._limits = limits or PoolLimits()
         self._queue = FairQueue(self._limits.queue_length, self._limits.minimum_shares)
         self._slots = Slots(self._limits.reserves, self._limits.ejection, cost)
-        self._open_by_request: dict[str, _Open] = {}
+        self._open_by_request: dict[str, _OpenGrant] = {}
         self._ended: collections.OrderedDict[str, tuple[int, Refusal | None]]
         self._ended = collections.OrderedDict()
         self._deadlines = Timers(self._is_waiting)
         self._expiries = Timers(self._is_open)
         self._no_route_since: dict[str, float] = {}
-        self._outbox: list[Grant | Refusal] = []
+        self._decisions: list[Grant | Refusal] = []
         self._granted = [0, 0, 0]
         self._granted_work = [0.0, 0.0, 0.0]
         self._refused_by_reason: dict[str, int] = collections.defaultdict(int)
-        self._pushed_out = 0
+        self._displaced = 0
         self._capacity = Capacity()
         self._delay_per_work = 0.0
 
     # Requests.
 
-    def want(self, want: Want, now: float) -> None:
-        """Take a request in, or answer a repeated one again."""
-        epoch = self._latest_epoch(want.request)
-        if want.epoch < epoch:
+    def want(self, item: Want, now: float) -> None:
+        """Queue a request, or answer a repeated one again."""
+        epoch = self._latest_epoch(item.request)
+        if item.epoch < epoch:
             return
-        if want.epoch == epoch:
-            self._repeat(want)
+        if item.epoch == epoch:
+            self._answer_again(item)
             return
-        self._withdraw(want.request, now)
-        self._ended.pop(want.request, None)
-        if now >= want.deadline:
-            self._refuse(want, RefusalReason.DEADLINE, now)
+        self._withdraw(item.request, now)
+        self._ended.pop(item.request, None)
+        if now >= item.deadline:
+            self._refuse(item, RefusalReason.DEADLINE, now)
             return
-        run_s = want.work * self._delay_per_work
-        wait_s = self._expected_wait_s(want, now)
-        late_s = now + wait_s + self._time_wanted_s(want, run_s) - want.deadline
-        if late_s > 0:
-            self._refuse(want, RefusalReason.DEADLINE, now, late_s)
+        run_s = item.work * self._delay_per_work
+        wait_s = self._expected_wait_s(item, now)
+        overrun_s = now + wait_s + self._required_time_s(item, run_s) - item.deadline
+        if overrun_s > 0:
+            self._refuse(item, RefusalReason.DEADLINE, now, overrun_s)
             return
-        taken, victim = self._queue.push(want)
-        if not taken:
-            self._refuse(want, RefusalReason.QUEUE_FULL, now)
+        is_queued, victim = self._queue.push(item)
+        if not is_queued:
+            self._refuse(item, RefusalReason.QUEUE_FULL, now)
             return
-        self._deadlines.add(want.deadline, want.request, want.epoch)
-        self._note_route(want, Need.of(want), now)
+        self._deadlines.add(item.deadline, item.request, item.epoch)
+        self._update_no_route(item, Need.of(item), now)
         if victim is not None:
-            self._pushed_out += 1
+            self._displaced += 1
             self._no_route_since.pop(victim.request, None)
             self._refuse(victim, RefusalReason.QUEUE_FULL, now)
 
     def cancel(self, request: str, epoch: int, now: float) -> None:
-        """Withdraw a request that waits, or end its grant."""
+        """Remove a waiting request, or end its grant."""
         if epoch < self._latest_epoch(request):
             return
         self._withdraw(request, now)
-        self._remember(request, epoch, None)
+        self._record_ended(request, epoch, None)
 
     def hold(self, hold: Hold, now: float) -> None:
-        """Take over a grant that another dispatcher gave."""
-        want = hold.want
-        if want.epoch < self._latest_epoch(want.request):
+        """Adopt a grant of another dispatcher."""
+        item = hold.route_request
+        if item.epoch < self._latest_epoch(item.request):
             return
-        known = self._open_by_request.get(want.request)
-        if known is not None and known.want.epoch == want.epoch:
+        open_grant = self._open_by_request.get(item.request)
+        if open_grant is not None and open_grant.route_request.epoch == item.epoch:
             return
-        ended = self._ended.get(want.request)
-        if ended is not None and ended[0] == want.epoch:
+        ended = self._ended.get(item.request)
+        if ended is not None and ended[0] == item.epoch:
             return
-        self._withdraw(want.request, now)
-        need = Need.of(want)
+        self._withdraw(item.request, now)
+        need = Need.of(item)
         self._slots.adopt(hold.route, need, now)
-        self._keep(_Open(want, need, hold.route))
+        self._add_open_grant(_OpenGrant(item, need, hold.route))
 
     def done(self, done: Done, now: float) -> None:
-        """End a grant and correct what it cost."""
+        """End a grant and correct its charge to the actual cost."""
         if done.epoch < self._latest_epoch(done.request):
             return
-        known = self._open_by_request.get(done.request)
-        if known is None or known.want.epoch != done.epoch:
+        open_grant = self._open_by_request.get(done.request)
+        if open_grant is None or open_grant.route_request.epoch != done.epoch:
             self._withdraw(done.request, now)
-            self._remember(done.request, done.epoch, None)
+            self._record_ended(done.request, done.epoch, None)
             return
-        self._close(known)
-        self._remember(done.request, done.epoch, None)
+        self._end_grant(open_grant)
+        self._record_ended(done.request, done.epoch, None)
         work = prompt_work(done.prompt_tokens) + done.output_tokens
-        self._queue.settle(known.want, work)
+        self._queue.settle(open_grant.route_request, work)
         self._capacity.served(work, len(self._queue) > 0, now)
-        self._slots.judge(known.route, done.failed, now)
+        self._slots.record_outcome(open_grant.route, done.failed, now)
 
     def _latest_epoch(self, request: str) -> int:
         waiting = self._queue.get(request)
         if waiting is not None:
             return waiting.epoch
-        known = self._open_by_request.get(request)
-        if known is not None:
-            return known.want.epoch
+        open_grant = self._open_by_request.get(request)
+        if open_grant is not None:
+            return open_grant.route_request.epoch
         ended = self._ended.get(request)
         return -1 if ended is None else ended[0]
 
-    def _repeat(self, want: Want) -> None:
-        known = self._open_by_request.get(want.request)
-        if known is not None:
-            grant = Grant(want.request, want.epoch, known.want.host, known.route)
-            self._outbox.append(grant)
+    def _answer_again(self, item: Want) -> None:
+        open_grant = self._open_by_request.get(item.request)
+        if open_grant is not None:
+            grant = Grant(
+                item.request,
+                item.epoch,
+                open_grant.route_request.host,
+                open_grant.route,
+            )
+            self._decisions.append(grant)
             return
-        ended = self._ended.get(want.request)
+        ended = self._ended.get(item.request)
         if ended is not None and ended[1] is not None:
-            self._outbox.append(ended[1])
+            self._decisions.append(ended[1])
 
     def _withdraw(self, request: str, now: float) -> None:
         self._queue.discard(request)
         self._no_route_since.pop(request, None)
-        known = self._open_by_request.get(request)
-        if known is not None:
-            self._slots.abandon(known.route, now)
-            self._close(known)
+        open_grant = self._open_by_request.get(request)
+        if open_grant is not None:
+            self._slots.record_inconclusive(open_grant.route, now)
+            self._end_grant(open_grant)
 
-    def _remember(self, request: str, epoch: int, refusal: Refusal | None) -> None:
+    def _record_ended(self, request: str, epoch: int, refusal: Refusal | None) -> None:
         self._ended.pop(request, None)
         self._ended[request] = (epoch, refusal)
-        while len(self._ended) > MEMORY_OF_ENDED:
+        while len(self._ended) > MAX_ENDED_EPOCHS:
             self._ended.popitem(last=False)
 
     def _refuse(
-        self, want: Want, reason: RefusalReason, now: float, late_s: float = 0.0
+        self, item: Want, reason: RefusalReason, now: float, overrun_s: float = 0.0
     ) -> None:
-        retry_after_s = late_s
+        retry_after_s = overrun_s
         if reason is RefusalReason.QUEUE_FULL:
             work_per_s = self._work_per_s(now) or MINIMUM_WORK_PER_S
-            retry_after_s = self._queue.work_ahead(want) / work_per_s
+            retry_after_s = self._queue.work_ahead(item) / work_per_s
         retry_after_s = max(retry_after_s, MINIMUM_RETRY_AFTER_S)
         retry_after_s = min(retry_after_s, MAXIMUM_RETRY_AFTER_S)
-        refusal = Refusal(want.request, want.epoch, want.host, reason, retry_after_s)
+        refusal = Refusal(item.request, item.epoch, item.host, reason, retry_after_s)
         self._refused_by_reason[reason.value] += 1
-        self._remember(want.request, want.epoch, refusal)
-        self._outbox.append(refusal)
+        self._record_ended(item.request, item.epoch, refusal)
+        self._decisions.append(refusal)
 
     # Engines and hosts.
 
     def observe(self, state: EngineState, now: float) -> None:
-        """Take in a load report."""
+        """Apply a load report of an engine."""
         if self._slots.is_known(state):
             self._slots.observe(state, now)
             return
@@ -240,48 +246,50 @@
 
     def _needs_on(self, engine: str) -> list[Need]:
         needs: list[Need] = []
-        for known in self._open_by_request.values():
-            needs += [known.need for s in known.route if s.engine == engine]
+        for open_grant in self._open_by_request.values():
+            needs += [open_grant.need for s in open_grant.route if s.engine == engine]
         return needs
 
-    def cached(
+    def update_prefixes(
         self, engine: str, stored: tuple[int, ...], evicted: tuple[int, ...]
     ) -> None:
-        """Take in which prompt prefixes an engine holds and dropped."""
-        self._slots.cached(engine, stored, evicted)
+        """Update the prompt prefixes that an engine has cached."""
+        self._slots.update_prefixes(engine, stored, evicted)
 
-    def leaving(self, engine: str) -> None:
-        """Give an engine no new work for as long as its incarnation lives."""
-        self._slots.leaving(engine)
+    def mark_leaving(self, engine: str) -> None:
+        """Give this incarnation of an engine no new work."""
+        self._slots.mark_leaving(engine)
 
     def remove(self, engine: str) -> None:
-        """Forget an engine that is gone; its open grants end by their dones."""
+        """Remove an engine; its open grants end by :meth:`done`."""
         self._slots.remove(engine)
 
     def host_lost(self, host: str, now: float) -> None:
-        """Withdraw the requests and grants of a dead entry host."""
-        waiting = [want for want in self._queue.wants() if want.host == host]
-        for want in waiting:
-            self.cancel(want.request, want.epoch, now)
-        running = [known.want for known in self._open_by_request.values()]
-        for want in running:
-            if want.host == host:
-                self.cancel(want.request, want.epoch, now)
+        """Cancel the requests and grants of a dead entry host."""
+        waiting = [item for item in self._queue.items() if item.host == host]
+        for item in waiting:
+            self.cancel(item.request, item.epoch, now)
+        running = [
+            open_grant.route_request for open_grant in self._open_by_request.values()
+        ]
+        for item in running:
+            if item.host == host:
+                self.cancel(item.request, item.epoch, now)
 
     # Grants.
 
     def poll(self, now: float) -> list[Grant | Refusal]:
-        """Return what has been decided since the last call."""
+        """Return the grants and refusals since the last call."""
         self._expire(now)
         self._slots.end_ejections(now)
         while self._grant_one(now):
             pass
-        outbox = self._outbox
-        self._outbox = []
-        return outbox
+        decisions = self._decisions
+        self._decisions = []
+        return decisions
 
     def next_wake(self, now: float) -> float | None:
-        """Return when to poll again if no event comes before."""
+        """Return when to poll again if no event occurs before."""
         times = [self._deadlines.next(), self._expiries.next()]
         if self._no_route_since:
             oldest = next(iter(self._no_route_since.values()))
@@ -291,7 +299,7 @@
         return min((time for time in times if time is not None), default=None)
 
     def stats(self) -> PoolStats:
-        """Return counts for metrics."""
+        """Return the counts for metrics."""
         return PoolStats(
             waiting=tuple(self._queue.count(priority) for priority in Priority),
             granted=tuple(self._granted),
@@ -299,130 +307,132 @@
             open_grants=len(self._open_by_request),
             engines=len(self._slots),
             refused_by_reason=dict(self._refused_by_reason),
-            pushed_out=self._pushed_out,
+            displaced=self._displaced,
             work_per_s=self._capacity.estimate,
         )
 
     def _expire(self, now: float) -> None:
         for request, _ in self._deadlines.due(now):
-            want = self._queue.discard(request)
-            if want is not None:
+            item = self._queue.discard(request)
+            if item is not None:
                 self._no_route_since.pop(request, None)
-                self._refuse(want, RefusalReason.DEADLINE, now)
+                self._refuse(item, RefusalReason.DEADLINE, now)
         for request, epoch in self._expiries.due(now):
             self.cancel(request, epoch, now)
         for request, since in list(self._no_route_since.items()):
             if now < since + NO_ROUTE_PATIENCE_S:
                 break
-            want = self._queue.get(request)
-            if want is not None and self._slots.has_route(want, Need.of(want)):
-                # It came back, and only requests at the head of a queue notice.
+            item = self._queue.get(request)
+            if item is not None and self._slots.has_route(item, Need.of(item)):
+                # Engines have returned. Requests behind the head of a queue are not
+                # tried, so their entry has not been removed yet.
                 del self._no_route_since[request]
                 continue
             self._withdraw(request, now)
-            if want is not None:
-                self._refuse(want, RefusalReason.NO_ROUTE, now)
+            if item is not None:
+                self._refuse(item, RefusalReason.NO_ROUTE, now)
 
     def _grant_one(self, now: float) -> bool:
-        for heads in self._queue.heads_by_class(HEADS_TRIED):
+        for heads in self._queue.heads_by_class(MAX_HEADS_TRIED):
             blocked = 0
-            for want in heads:
-                if self._try(want, now):
+            for item in heads:
+                if self._try_to_grant(item, now):
                     return True
-                blocked += not want.adapter and not want.avoid
-                if blocked >= PLAIN_HEADS_TRIED:
+                blocked += not item.adapter and not item.avoid
+                if blocked >= MAX_UNRESTRICTED_HEADS:
                     break
         return False
 
-    def _try(self, want: Want, now: float) -> bool:
-        rank = self._rank(want)
-        need = Need.of(want)
-        if self._slots.is_blocked(want, need, rank):
-            self._note_route(want, need, now)
+    def _try_to_grant(self, item: Want, now: float) -> bool:
+        rank = self._rank(item)
+        need = Need.of(item)
+        if self._slots.is_blocked(item, need, rank):
+            self._update_no_route(item, need, now)
             return False
-        found = self._slots.find(want, need, rank, now)
+        found = self._slots.find(item, need, rank, now)
         if found is None:
-            self._note_route(want, need, now)
+            self._update_no_route(item, need, now)
             return False
         route, delay_s = found
-        if now + self._time_wanted_s(want, delay_s) > want.deadline:
-            self._withdraw(want.request, now)
-            self._refuse(want, RefusalReason.DEADLINE, now)
+        if now + self._required_time_s(item, delay_s) > item.deadline:
+            self._withdraw(item.request, now)
+            self._refuse(item, RefusalReason.DEADLINE, now)
             return True
-        self._learn_delay(delay_s / want.work)
-        self._grant(want, need, route, now)
+        self._update_delay(delay_s / item.work)
+        self._grant(item, need, route, now)
         return True
 
-    def _note_route(self, want: Want, need: Need, now: float) -> None:
-        if self._slots.has_route(want, need):
-            self._no_route_since.pop(want.request, None)
+    def _update_no_route(self, item: Want, need: Need, now: float) -> None:
+        if self._slots.has_route(item, need):
+            self._no_route_since.pop(item.request, None)
         else:
-            self._no_route_since.setdefault(want.request, now)
+            self._no_route_since.setdefault(item.request, now)
 
-    def _rank(self, want: Want) -> Priority:
-        # Work below its minimum share may also use what is set aside.
-        if self._queue.is_under_minimum(want.priority):
+    def _rank(self, item: Want) -> Priority:
+        # A priority below its minimum share may also use the reserved slots.
+        if self._queue.is_under_minimum(item.priority):
             return Priority.URGENT
-        return want.priority
+        return item.priority
 
-    def _grant(self, want: Want, need: Need, route: Route, now: float) -> None:
-        self._queue.take(want.request)
-        self._no_route_since.pop(want.request, None)
+    def _grant(self, item: Want, need: Need, route: Route, now: float) -> None:
+        self._queue.take(item.request)
+        self._no_route_since.pop(item.request, None)
         self._slots.start(route, need, now)
-        self._keep(_Open(want, need, route))
-        self._outbox.append(Grant(want.request, want.epoch, want.host, route))
-        self._granted[want.priority] += 1
-        self._granted_work[want.priority] += want.work
+        self._add_open_grant(_OpenGrant(item, need, route))
+        self._decisions.append(Grant(item.request, item.epoch, item.host, route))
+        self._granted[item.priority] += 1
+        self._granted_work[item.priority] += item.work
 
-    def _keep(self, known: _Open) -> None:
-        want = known.want
-        self._open_by_request[want.request] = known
-        self._expiries.add(want.deadline + GRANT_GRACE_S, want.request, want.epoch)
+    def _add_open_grant(self, open_grant: _OpenGrant) -> None:
+        item = open_grant.route_request
+        self._open_by_request[item.request] = open_grant
+        self._expiries.add(item.deadline + GRANT_GRACE_S, item.request, item.epoch)
 
-    def _close(self, known: _Open) -> None:
-        del self._open_by_request[known.want.request]
-        self._slots.end(known.route, known.need)
+    def _end_grant(self, open_grant: _OpenGrant) -> None:
+        del self._open_by_request[open_grant.route_request.request]
+        self._slots.end(open_grant.route, open_grant.need)
 
     def _is_waiting(self, request: str, epoch: int) -> bool:
-        want = self._queue.get(request)
-        return want is not None and want.epoch == epoch
+        item = self._queue.get(request)
+        return item is not None and item.epoch == epoch
 
     def _is_open(self, request: str, epoch: int) -> bool:
-        known = self._open_by_request.get(request)
-        return known is not None and known.want.epoch == epoch
+        open_grant = self._open_by_request.get(request)
+        return open_grant is not None and open_grant.route_request.epoch == epoch
 
-    # Expected waits.
+    # Estimates.
 
     def _work_per_s(self, now: float) -> float:
         return self._capacity.work_per_s(self._slots.open_states, now)
 
-    def _learn_delay(self, delay_per_work: float) -> None:
+    def _update_delay(self, delay_per_work: float) -> None:
         if not self._delay_per_work:
             self._delay_per_work = delay_per_work
             return
         change = delay_per_work - self._delay_per_work
-        self._delay_per_work += DELAY_GAIN * change
+        self._delay_per_work += DELAY_SMOOTHING * change
 
-    def _time_wanted_s(self, want: Want, run_s: float) -> float:
-        """Return the time that must be left for a request to be run.
+    def _required_time_s(self, item: Want, run_s: float) -> float:
+        """Return the time that must be left before a request's deadline.
 
-        Answers may be longer than expected. Where others of its priority
-        wait, those with time to spare go first, so that less is run in vain.
+        Answers may be longer than expected. While others of its priority
+        wait, a request with little time left is refused, so that fewer slots
+        are spent on answers that miss their deadline.
         """
-        if self._queue.count(want.priority) <= 1:
+        if self._queue.count(item.priority) <= 1:
             return run_s
         return run_s * self._limits.deadline_margin
 
-    def _expected_wait_s(self, want: Want, now: float) -> float:
-        ahead = self._queue.work_ahead(want)
+    def _expected_wait_s(self, item: Want, now: float) -> float:
+        ahead = self._queue.work_ahead(item)
         if not ahead or not len(self._slots):
             return 0.0
         work_per_s = self._work_per_s(now)
         if not work_per_s:
             return 0.0
         wait_s = ahead / work_per_s
-        share = self._limits.minimum_shares[want.priority]
+        share = self._limits.minimum_shares[item.priority]
         if share > 0:
-            own = self._queue.work(want.priority)
+            own = self._queue.work(item.priority)
             wait_s = min(wait_s, own / (work_per_s * share))
         return wait_s
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -1,4 +1,4 @@
-"""A bounded fair queue: priorities with minimum shares, accounts by work."""
+"""A bounded queue with minimum shares of priorities and fair shares of accounts."""
 
 import typing as t
 
@@ -10,77 +10,78 @@
 
 
 class FairQueue:
-    """A bounded queue of wants.
+    """A bounded queue of the requests that wait for a route.
 
     :param limit: items that may wait at once.
-    :param minimum_shares: share of the granted work, and of the room, that
-        each priority keeps in a flood of another; they add up to 1 or less.
+    :param minimum_shares: share of the served work and of the places in the
+        queue that each priority keeps under a flood of another; the shares
+        add up to 1 or less.
     """
 
     __slots__ = (
         "_credit",
+        "_item_by_request",
         "_limit",
         "_queue_by_class",
-        "_room",
+        "_reserved",
         "_shares",
-        "_want_by_request",
     )
 
     def __init__(self, limit: int, minimum_shares: tuple[float, float, float]) -> None:
         self._limit = limit
         self._shares = minimum_shares
-        self._room = [int(limit * share) for share in minimum_shares]
+        self._reserved = [int(limit * share) for share in minimum_shares]
         self._credit = [0.0, 0.0, 0.0]
-        self._want_by_request: dict[str, Want] = {}
+        self._item_by_request: dict[str, Want] = {}
         self._queue_by_class: dict[ClassKey, FairClass] = {}
         for priority in Priority:
             for entitled in (True, False):
                 self._queue_by_class[priority, entitled] = FairClass()
 
     def __len__(self) -> int:
-        return len(self._want_by_request)
+        return len(self._item_by_request)
 
     def __contains__(self, request: str) -> bool:
-        return request in self._want_by_request
+        return request in self._item_by_request
 
     def get(self, request: str) -> Want | None:
         """Return the waiting item of a request."""
-        return self._want_by_request.get(request)
+        return self._item_by_request.get(request)
 
-    def wants(self) -> t.Iterator[Want]:
+    def items(self) -> t.Iterator[Want]:
         """Iterate over all waiting items, oldest first."""
-        return iter(self._want_by_request.values())
+        return iter(self._item_by_request.values())
 
     def count(self, priority: Priority) -> int:
-        """Return how many items of a priority wait."""
+        """Return the number of waiting items of a priority."""
         entitled = self._queue_by_class[priority, True].count
         return entitled + self._queue_by_class[priority, False].count
 
     def work(self, priority: Priority) -> float:
-        """Return the work of a priority that waits."""
+        """Return the work of the waiting items of a priority."""
         entitled = self._queue_by_class[priority, True].work
         return entitled + self._queue_by_class[priority, False].work
 
     def flows(self) -> int:
-        """Return how many accounts are remembered, over all classes."""
+        """Return the number of accounts with a flow, over all classes."""
         return sum(queue.flows() for queue in self._queue_by_class.values())
 
-    def _class_of(self, want: Want) -> FairClass:
-        return self._queue_by_class[want.priority, want.entitled]
+    def _class_of(self, item: Want) -> FairClass:
+        return self._queue_by_class[item.priority, item.entitled]
 
-    def _has_room(self, priority: Priority) -> bool:
-        if self.count(priority) < self._room[priority]:
+    def _has_place(self, priority: Priority) -> bool:
+        if self.count(priority) < self._reserved[priority]:
             return True
         shared = 0
         for other in Priority:
-            shared += max(0, self.count(other) - self._room[other])
-        return shared < self._limit - sum(self._room)
+            shared += max(0, self.count(other) - self._reserved[other])
+        return shared < self._limit - sum(self._reserved)
 
-    def _victim_for(self, want: Want) -> Want | None:
+    def _find_victim(self, item: Want) -> Want | None:
         for priority in reversed(Priority):
             if (
-                priority > want.priority
-                and self.count(priority) <= self._room[priority]
+                priority > item.priority
+                and self.count(priority) <= self._reserved[priority]
             ):
                 continue
             for entitled in (False, True):
@@ -88,35 +89,37 @@
                 if not queue.count:
                     continue
                 victim = queue.newest_of_longest()
-                if (priority, not entitled) > (want.priority, not want.entitled):
+                if (priority, not entitled) > (item.priority, not item.entitled):
                     return victim
-                if (priority, entitled) != (want.priority, want.entitled):
+                if (priority, entitled) != (item.priority, item.entitled):
                     return None
-                more = queue.count_of(victim.account) > queue.count_of(want.account) + 1
-                return victim if more else None
+                has_more = (
+                    queue.count_of(victim.account) > queue.count_of(item.account) + 1
+                )
+                return victim if has_more else None
         return None
 
-    def push(self, want: Want) -> tuple[bool, Want | None]:
-        """Add an item; return whether it was taken and which it pushed out."""
+    def push(self, item: Want) -> tuple[bool, Want | None]:
+        """Add an item; return whether it was added and which item it displaced."""
         victim = None
-        if not self._has_room(want.priority):
-            victim = self._victim_for(want)
+        if not self._has_place(item.priority):
+            victim = self._find_victim(item)
             if victim is None:
                 return False, None
             self.discard(victim.request)
-        self._want_by_request[want.request] = want
-        self._class_of(want).push(want)
+        self._item_by_request[item.request] = item
+        self._class_of(item).push(item)
         return True, victim
 
     def discard(self, request: str) -> Want | None:
-        """Remove an item that is not served."""
-        want = self._want_by_request.pop(request, None)
-        if want is not None:
-            self._class_of(want).discard(want)
-        return want
+        """Remove an item without serving it."""
+        item = self._item_by_request.pop(request, None)
+        if item is not None:
+            self._class_of(item).discard(item)
+        return item
 
     def is_under_minimum(self, priority: Priority) -> bool:
-        """Tell whether a waiting priority has had less than its share."""
+        """Return whether a waiting priority has received less than its share."""
         return self._credit[priority] > 0 and self.count(priority) > 0
 
     def _priorities(self) -> list[Priority]:
@@ -125,9 +128,9 @@
         return under + rest
 
     def heads_by_class(self, count: int) -> t.Iterator[t.Iterator[Want]]:
-        """Iterate over the classes to serve next, best first.
+        """Iterate over the classes in the order to serve them.
 
-        Each gives its next items in order, of ``count`` accounts at most.
+        Each yields the next items of at most ``count`` accounts, in order.
         """
         for priority in self._priorities():
             for entitled in (True, False):
@@ -136,18 +139,18 @@
                     yield queue.heads(count)
 
     def first(self) -> Want | None:
-        """Return what to serve next."""
+        """Return the item to serve next."""
         for heads in self.heads_by_class(1):
-            for want in heads:
-                return want
+            for item in heads:
+                return item
         return None
 
     def take(self, request: str) -> Want:
-        """Remove an item that is served now and charge it."""
-        want = self._want_by_request.pop(request)
-        self._charge(want.priority, want.work)
-        self._class_of(want).take(want)
-        return want
+        """Remove an item to serve it, and charge it."""
+        item = self._item_by_request.pop(request)
+        self._charge(item.priority, item.work)
+        self._class_of(item).take(item)
+        return item
 
     def _charge(self, served: Priority, work: float) -> None:
         for priority in Priority:
@@ -155,22 +158,23 @@
                 self._credit[priority] = min(0.0, self._credit[priority])
                 continue
             self._credit[priority] += self._shares[priority] * work
-        # What a priority had beyond its minimum is not held against it later.
+        # Bounded below, so that service beyond the minimum does not count against
+        # the priority later.
         self._credit[served] = max(self._credit[served] - work, -abs(work))
 
-    def settle(self, want: Want, actual_work: float) -> None:
-        """Correct the charge of a served item to what it really cost."""
-        more = actual_work - want.work
-        if more:
-            self._charge(want.priority, more)
-        self._class_of(want).settle(want.account, more / want.weight)
-
-    def work_ahead(self, want: Want) -> float:
-        """Estimate the work that is served before a new item."""
-        ahead = self._class_of(want).work_ahead(want)
-        if not want.entitled:
-            ahead += self._queue_by_class[want.priority, True].work
+    def settle(self, item: Want, actual_work: float) -> None:
+        """Correct the charge of a served item to its actual cost."""
+        excess = actual_work - item.work
+        if excess:
+            self._charge(item.priority, excess)
+        self._class_of(item).settle(item.account, excess / item.weight)
+
+    def work_ahead(self, item: Want) -> float:
+        """Estimate the work that would be served before a new item."""
+        ahead = self._class_of(item).work_ahead(item)
+        if not item.entitled:
+            ahead += self._queue_by_class[item.priority, True].work
         for priority in Priority:
-            if priority < want.priority:
+            if priority < item.priority:
                 ahead += self.work(priority)
         return ahead
--- a/src/wagtailstair/core/slots.py
+++ b/src/wagtailstair/core/slots.py
@@ -1,4 +1,4 @@
-"""The engines of a pool: what may run where, and what has no room now."""
+"""Search of routes over the engines of a pool that have room."""
 
 import math
 import statistics
@@ -18,21 +18,21 @@
 from .routing import Pick
 from .routing import shortest_route
 
-USUAL_INTERVAL_S = 1.0
-"""Time for which the usual step of a kind of engine is kept."""
+MEDIAN_INTERVAL_S = 1.0
+"""Time for which the median step time of a kind of engine is cached."""
 
 
-def _may_run(load: EngineLoad, want: Want, need: Need) -> bool:
+def _may_run(load: EngineLoad, item: Want, need: Need) -> bool:
     state = load.state
-    if load.is_leaving or state.leaving or state.name in want.avoid:
+    if load.is_leaving or state.leaving or state.name in item.avoid:
         return False
     if state.kv_tokens < need.kv:
         return False
-    return not want.adapter or want.adapter in state.adapters
+    return not item.adapter or item.adapter in state.adapters
 
 
 def _cheapest(
-    want: Want, need: Need, rank: Priority, cost: StageCost, now: float
+    item: Want, need: Need, rank: Priority, cost: StageCost, now: float
 ) -> Pick:
     def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
         best_cost = math.inf
@@ -42,7 +42,7 @@
                 continue
             if load.granted_kv + need.kv > load.state.kv_tokens:
                 continue
-            if not _may_run(load, want, need):
+            if not _may_run(load, item, need):
                 continue
             delay = cost(load, need, now)
             if delay < best_cost:
@@ -54,10 +54,10 @@
 
 
 class Slots:
-    """Finds routes over the engines that are open, healthy and have room.
+    """Finds routes over the healthy engines that take new work and have room.
 
-    What found no room is remembered until something changes, so that a full
-    pool is not searched again at each event.
+    A search that found no room is remembered until an engine's state or load
+    changes, so that a full pool is not searched again at each event.
     """
 
     __slots__ = (
@@ -66,9 +66,9 @@
         "_ejection",
         "_ejections_change",
         "_loads",
+        "_median_step_by_kind",
+        "_medians_expire_at",
         "_routable_need",
-        "_usual_by_kind",
-        "_usual_until",
     )
 
     def __init__(
@@ -81,12 +81,12 @@
         self._ejection = Ejection(ejection)
         self._ejections_change = math.inf
         self._cost = cost
-        # The least KV memory that found no room, by rank and adapter.
+        # Least KV memory for which there was no room, by rank and adapter.
         self._blocked_need: dict[tuple[Priority, str], int] = {}
-        # The most for which there are engines, busy or not, by adapter.
+        # Most KV memory for which there is a route, busy or not, by adapter.
         self._routable_need: dict[str, int] = {}
-        self._usual_by_kind: dict[tuple[int, int, str], float] = {}
-        self._usual_until = 0.0
+        self._median_step_by_kind: dict[tuple[int, int, str], float] = {}
+        self._medians_expire_at = 0.0
 
     def __len__(self) -> int:
         return len(self._loads.by_name)
@@ -94,49 +94,49 @@
     # Engines.
 
     def is_known(self, state: EngineState) -> bool:
-        """Tell whether a report is of an incarnation that is known."""
+        """Return whether a report is of a known incarnation of an engine."""
         load = self._loads.by_name.get(state.name)
         return load is not None and load.state.incarnation == state.incarnation
 
     def observe(self, state: EngineState, now: float) -> None:
-        """Take in a report of a known incarnation."""
+        """Apply a report of a known incarnation."""
         if self._loads.observe(state):
-            self._changed()
+            self._clear_searches()
         load = self._loads.by_name[state.name]
         was_ejected = load.is_ejected
-        ratio = state.step_s / self._usual_step_s(load, now)
+        ratio = state.step_s / self._median_step_s(load, now)
         self._ejection.measured(state.name, ratio, len(self), now)
-        self._mark_ejected(state.name, now)
+        self._update_ejected(state.name, now)
         if was_ejected and not load.is_ejected:
             self._blocked_need.clear()
 
-    def _usual_step_s(self, load: EngineLoad, now: float) -> float:
-        """Return the median step of an engine's kind on the same layers."""
-        if now >= self._usual_until:
-            self._usual_by_kind.clear()
-            self._usual_until = now + USUAL_INTERVAL_S
+    def _median_step_s(self, load: EngineLoad, now: float) -> float:
+        """Return the median step time of engines of this kind on the same layers."""
+        if now >= self._medians_expire_at:
+            self._median_step_by_kind.clear()
+            self._medians_expire_at = now + MEDIAN_INTERVAL_S
         kind = (load.state.first, load.state.last, load.state.accelerator)
-        usual = self._usual_by_kind.get(kind)
-        if usual is None and load.lane is not None:
+        median_s = self._median_step_by_kind.get(kind)
+        if median_s is None and load.lane is not None:
             steps = [
                 other.state.step_s
                 for other in load.lane.loads
                 if other.state.accelerator == load.state.accelerator
             ]
-            usual = statistics.median_low(steps)
-            self._usual_by_kind[kind] = usual
-        return usual or load.state.step_s or 1.0
+            median_s = statistics.median_low(steps)
+            self._median_step_by_kind[kind] = median_s
+        return median_s or load.state.step_s or 1.0
 
     def add(self, state: EngineState, open_needs: t.Iterable[Need]) -> None:
-        """Add an engine, or a new incarnation of it, with its open grants."""
+        """Add an engine or a new incarnation of it, with its open grants."""
         self._loads.add(state, open_needs)
         self._ejection.forget(state.name)
-        self._changed()
+        self._clear_searches()
 
-    def cached(
+    def update_prefixes(
         self, engine: str, stored: t.Iterable[int], evicted: t.Iterable[int]
     ) -> None:
-        """Take in which prompt prefixes an engine holds and dropped."""
+        """Update the prompt prefixes that an engine has cached."""
         load = self._loads.by_name.get(engine)
         if load is None:
             return
@@ -144,25 +144,25 @@
             load.prefixes.pop(prefix, None)
         load.store(stored)
 
-    def leaving(self, engine: str) -> None:
-        """Give an engine no new work for as long as its incarnation lives."""
+    def mark_leaving(self, engine: str) -> None:
+        """Give this incarnation of an engine no new work."""
         load = self._loads.by_name.get(engine)
         if load is not None:
             load.is_leaving = True
-            self._changed()
+            self._clear_searches()
 
     def remove(self, engine: str) -> None:
-        """Forget an engine that is gone."""
+        """Remove an engine."""
         if self._loads.remove(engine):
             self._ejection.forget(engine)
-            self._changed()
+            self._clear_searches()
 
     def open_states(self) -> list[EngineState]:
-        """Return the reports of the engines that may get new work."""
+        """Return the states of the engines that take new work."""
         loads = self._loads.by_name.values()
         return [load.state for load in loads if not load.is_leaving]
 
-    def _changed(self) -> None:
+    def _clear_searches(self) -> None:
         self._blocked_need.clear()
         self._routable_need.clear()
 
@@ -171,27 +171,27 @@
     def start(self, route: Route, need: Need, now: float) -> None:
         """Count a grant."""
         self._loads.start(route, need, now)
-        self._started(route, now)
+        self._record_started(route, now)
 
     def adopt(self, route: Route, need: Need, now: float) -> None:
-        """Count a grant that another dispatcher gave."""
+        """Count a grant of another dispatcher."""
         self._loads.adopt(route, need, now)
-        self._started(route, now)
+        self._record_started(route, now)
 
-    def _started(self, route: Route, now: float) -> None:
+    def _record_started(self, route: Route, now: float) -> None:
         for stage in route:
             self._ejection.started(stage.engine)
-            self._mark_ejected(stage.engine, now)
+            self._update_ejected(stage.engine, now)
 
     def end(self, route: Route, need: Need) -> None:
         """Count the end of a grant."""
         self._loads.end(route, need)
         self._blocked_need.clear()
 
-    def judge(self, route: Route, failed: frozenset[str], now: float) -> None:
-        """Learn from the end of a grant which engines failed.
+    def record_outcome(self, route: Route, failed: frozenset[str], now: float) -> None:
+        """Record which engines of an ended grant failed.
 
-        The others on a broken route have shown neither health nor failure.
+        The others on a broken route count as neither succeeded nor failed.
         """
         for stage in route:
             name = stage.engine
@@ -202,71 +202,71 @@
                 self._ejection.abandoned(name)
             else:
                 self._ejection.succeeded(name, now)
-            self._mark_ejected(name, now)
+            self._update_ejected(name, now)
 
-    def abandon(self, route: Route, now: float) -> None:
-        """Learn that a grant ended without telling anything of its engines."""
+    def record_inconclusive(self, route: Route, now: float) -> None:
+        """Record the end of a grant that says nothing of its engines' health."""
         for stage in route:
             self._ejection.abandoned(stage.engine)
-            self._mark_ejected(stage.engine, now)
+            self._update_ejected(stage.engine, now)
 
     def end_ejections(self, now: float) -> None:
-        """Let engines back whose time is over."""
+        """Use engines again whose ejection has ended."""
         if now < self._ejections_change:
             return
         self._blocked_need.clear()
         for name in self._loads.by_name:
-            self._mark_ejected(name, now)
+            self._update_ejected(name, now)
         self._ejections_change = self._ejection.next_change(now) or math.inf
 
     def next_change(self, now: float) -> float | None:
         """Return when the next ejection ends."""
         return self._ejection.next_change(now)
 
-    def _mark_ejected(self, engine: str, now: float) -> None:
+    def _update_ejected(self, engine: str, now: float) -> None:
         load = self._loads.by_name.get(engine)
         if load is not None:
             load.is_ejected = self._ejection.is_ejected(engine, now)
 
     # Routes.
 
-    def is_blocked(self, want: Want, need: Need, rank: Priority) -> bool:
-        """Tell whether it is known that there is no room for a want."""
-        return need.kv >= self._blocked_need.get((rank, want.adapter), math.inf)
+    def is_blocked(self, item: Want, need: Need, rank: Priority) -> bool:
+        """Return whether an earlier search found no room for such a request."""
+        return need.kv >= self._blocked_need.get((rank, item.adapter), math.inf)
 
     def find(
-        self, want: Want, need: Need, rank: Priority, now: float
+        self, item: Want, need: Need, rank: Priority, now: float
     ) -> tuple[Route, float] | None:
         """Find the best route with room, and its expected delay in seconds.
 
-        :param rank: the priority by which slots are set aside.
+        :param rank: the priority that decides which reserved slots may be used.
         """
-        pick = _cheapest(want, need, rank, self._cost, now)
+        pick = _cheapest(item, need, rank, self._cost, now)
         found = shortest_route(self._loads.lanes, need.tokens, pick)
-        if found is None and not want.avoid:
-            # Nothing that needs as much memory, and may not fill more slots,
-            # fits until something changes.
+        if found is None and not item.avoid:
+            # No request of the same or a lower rank that needs at least as much
+            # memory fits until something changes.
             for other in Priority:
                 if other < rank:
                     continue
-                key = (other, want.adapter)
+                key = (other, item.adapter)
                 least = self._blocked_need.get(key, need.kv)
                 self._blocked_need[key] = min(least, need.kv)
         return found
 
-    def has_route(self, want: Want, need: Need) -> bool:
-        """Tell whether engines, busy or not, could run a want."""
-        if not want.avoid and need.kv <= self._routable_need.get(want.adapter, -1):
+    def has_route(self, item: Want, need: Need) -> bool:
+        """Return whether engines, busy or not, could run a request."""
+        if not item.avoid and need.kv <= self._routable_need.get(item.adapter, -1):
             return True
 
         def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
             for load in lane.loads:
-                if _may_run(load, want, need):
+                if _may_run(load, item, need):
                     return 0.0, load
             return None
 
         if shortest_route(self._loads.lanes, need.tokens, pick) is None:
             return False
-        if not want.avoid:
-            self._routable_need[want.adapter] = need.kv
+        if not item.avoid:
+            self._routable_need[item.adapter] = need.kv
         return True
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -71,7 +71,7 @@
     @rule(name=st.sampled_from(NAMES))
     def leave(self, name):
         self.leaving.add(name)
-        self.pool.leaving(name)
+        self.pool.mark_leaving(name)
 
     @rule(name=st.sampled_from(NAMES))
     def remove(self, name):
@@ -146,7 +146,7 @@
         for state in self.state_by_name.values():
             self.pool.observe(state, self.now)
         for name in self.leaving:
-            self.pool.leaving(name)
+            self.pool.mark_leaving(name)
         for item in self.waiting.values():
             self.pool.want(item, self.now)
         self.repeatable = dict.fromkeys(self.running)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -5,7 +5,7 @@
 from policy_data import want
 
 from wagtailstair.core.engine import Priority
-from wagtailstair.core.fairness import MAX_IDLE
+from wagtailstair.core.fairness import MAX_IDLE_ACCOUNTS
 from wagtailstair.core.queueing import FairQueue
 
 SHARES = (0.5, 0.2, 0.05)
@@ -106,7 +106,7 @@
             queue.push(want(f"r{number}", f"account{number}"))
             if number % 2:
                 serve(queue, 1)
-        assert queue.flows() <= MAX_IDLE + 100
+        assert queue.flows() <= MAX_IDLE_ACCOUNTS + 100
         while len(queue):
             serve(queue, 1)
         assert queue.flows() == 0
