--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -1,7 +1,8 @@
-"""Charges of accounts: the entry host that asks and the home that decides.
+"""Quota charges: the entry host that sends them and the owner that decides.
 
-An account's home is a live host of the deployment, by rendezvous hashing. When
-it does not answer, the entry host decides alone within its share of the plan.
+The *quota owner* of an account is a live host of the deployment, chosen by
+rendezvous hashing. While it does not answer, the entry host decides locally
+within its share of the plan.
 """
 
 import collections
@@ -21,28 +22,32 @@
 from .quota import local_share
 
 FIRST_REPEAT_S = 0.1
-LAST_REPEAT_S = 0.5
-PATIENCE_S = 0.3  # without an answer, before this host decides alone
-MEMORY_OF_SETTLED = 16_384  # so that a late charge is not opened again
+MAX_REPEAT_S = 0.5
+ANSWER_TIMEOUT_S = 0.3  # then this host decides locally
+MAX_SETTLED = 16_384  # kept, so that a late charge is not opened again
 
 Verdict = Allowed | Limited
 
 
 class Homes:
-    """The accounts whose home this host is, or lately was."""
+    """The quotas that this host owns, or recently owned.
+
+    An entry host is identified by ``host/incarnation/era``. Charges of an era
+    below the sender's minimum are ignored.
+    """
 
     def __init__(self) -> None:
         self.quota = Quota()
         self._account_by_request: dict[str, str] = {}
         self._requests_by_host: dict[str, set[str]] = {}
-        self._floor_by_sender: dict[str, int] = {}
+        self._min_era_by_sender: dict[str, int] = {}
         self._settled: collections.OrderedDict[str, None] = collections.OrderedDict()
 
     def charge(self, sender: str, message: Charge, now: float) -> Charged | None:
-        """Decide on a charge; None for a late one that is over."""
+        """Decide on a charge; return None for a late copy of an ended one."""
         era = message.handle >> ERA_SHIFT
         request = f"{sender}/{message.handle}"
-        if era < self._floor_by_sender.get(sender, 0) or request in self._settled:
+        if era < self._min_era_by_sender.get(sender, 0) or request in self._settled:
             return None
         host = f"{sender}/{era}"
         limits = QuotaLimits(
@@ -61,7 +66,7 @@
         """Close a charge."""
         request = f"{sender}/{message.handle}"
         self._settled[request] = None
-        while len(self._settled) > MEMORY_OF_SETTLED:
+        while len(self._settled) > MAX_SETTLED:
             self._settled.popitem(last=False)
         account = self._account_by_request.pop(request, None)
         if account is None:
@@ -73,42 +78,42 @@
         self.quota.settle(account, request, message.work, now)
 
     def host_lost(self, sender: str, now: float) -> None:
-        """Close all charges of an entry host that is gone."""
+        """Close all charges of a lost entry host."""
         prefix = f"{sender}/"
         for host in [
             host for host in self._requests_by_host if host.startswith(prefix)
         ]:
-            self._lose(host, now)
+            self._close_host(host, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
         """Close the charges of an entry host's earlier eras."""
-        if era <= self._floor_by_sender.get(sender, 0):
+        if era <= self._min_era_by_sender.get(sender, 0):
             return
-        self._floor_by_sender[sender] = era
+        self._min_era_by_sender[sender] = era
         for host in list(self._requests_by_host):
             name, _, old = host.rpartition("/")
             if name == sender and int(old) < era:
-                self._lose(host, now)
+                self._close_host(host, now)
 
     def forget(self, sender: str) -> None:
-        """Drop the floor of an incarnation that is replaced."""
-        self._floor_by_sender.pop(sender, None)
+        """Drop the minimum era of a replaced incarnation."""
+        self._min_era_by_sender.pop(sender, None)
 
-    def _lose(self, host: str, now: float) -> None:
+    def _close_host(self, host: str, now: float) -> None:
         for request in self._requests_by_host.pop(host):
             del self._account_by_request[request]
         self.quota.host_lost(host, now)
 
 
 @dataclasses.dataclass(slots=True)
-class _Open:
+class _OpenCharge:
     account: str
     request: str
     work: float
     limits: QuotaLimits
     handle: int = 0
     host: str = ""
-    asked_at: float = 0.0
+    charged_at: float = 0.0
     send_at: float = 0.0
     repeat_s: float = FIRST_REPEAT_S
     allowed: bool = False
@@ -116,16 +121,18 @@
 
 
 class Charges:
-    """The charged requests of this entry host.
+    """The charges of this entry host's requests.
 
-    :param find_home: the live host that is an account's home, or None.
-    :param tell: sends a numbered message to a host.
+    :param find_quota_owner: returns the live host that owns an account's quota,
+        or None.
+    :param send_reliable: sends a message to a host until it is acknowledged.
+    :param name: the name of this host.
     """
 
     def __init__(
         self,
-        find_home: t.Callable[[str], str | None],
-        tell: t.Callable[[str, Reliable, float], None],
+        find_quota_owner: t.Callable[[str], str | None],
+        send_reliable: t.Callable[[str, Reliable, float], None],
         name: str,
     ) -> None:
         self.suspects: set[str] = set()
@@ -133,13 +140,13 @@
         self.era_by_host: dict[str, int] = {}
         self.local_verdicts = 0
         self._name = name
-        self._find_home = find_home
-        self._tell = tell
+        self._find_home = find_quota_owner
+        self._send_reliable = send_reliable
         self._local = Quota()
-        self._number = 0
-        self._open_by_request: dict[str, _Open] = {}
-        self._open_by_handle: dict[int, _Open] = {}
-        self._waiting: dict[str, _Open] = {}
+        self._last_number = 0
+        self._open_by_request: dict[str, _OpenCharge] = {}
+        self._open_by_handle: dict[int, _OpenCharge] = {}
+        self._waiting: dict[str, _OpenCharge] = {}
         self._results: list[tuple[str, Verdict]] = []
         self._sends: list[tuple[str, Charge]] = []
 
@@ -149,79 +156,79 @@
     def charge(
         self, account: str, request: str, work: float, limits: QuotaLimits, now: float
     ) -> None:
-        """Ask for leave to run a request."""
+        """Charge a request to the quota of its account."""
         if request in self._open_by_request:
             return
-        known = _Open(account, request, work, limits)
-        self._open_by_request[request] = known
-        self._waiting[request] = known
-        self._ask(known, now)
-        if not known.host or known.host in self.suspects:
-            self._decide_here(known, now)
+        entry = _OpenCharge(account, request, work, limits)
+        self._open_by_request[request] = entry
+        self._waiting[request] = entry
+        self._charge_at_owner(entry, now)
+        if not entry.host or entry.host in self.suspects:
+            self._decide_locally(entry, now)
 
     def settle(self, request: str, work: float, now: float) -> None:
-        """Close a request with what it really cost, or 0 if it did not run."""
-        known = self._open_by_request.pop(request, None)
-        if known is None:
+        """Close a request with its actual cost, or 0 if it did not run."""
+        entry = self._open_by_request.pop(request, None)
+        if entry is None:
             return
         self._waiting.pop(request, None)
-        if known.is_local:
-            self._local.settle(known.account, request, work, now)
-        if known.handle:
-            self._tear(known, work, now)
+        if entry.is_local:
+            self._local.settle(entry.account, request, work, now)
+        if entry.handle:
+            self._settle_at_owner(entry, work, now)
 
     def charged(self, sender: str, message: Charged, now: float) -> None:
-        """Take a verdict."""
+        """Accept a verdict of a quota owner."""
         self.suspects.discard(sender)
-        known = self._open_by_handle.get(message.handle)
-        if known is None or known.host != sender:
+        entry = self._open_by_handle.get(message.handle)
+        if entry is None or entry.host != sender:
             if message.limit is Limit.NONE:
-                self._tell(sender, Settle(message.handle, 0.0), now)
+                self._send_reliable(sender, Settle(message.handle, 0.0), now)
             return
-        if known.allowed:
+        if entry.allowed:
             return
         if message.limit is Limit.NONE:
-            self._allow(known)
+            self._allow(entry)
             return
-        self._close(known)
+        self._close(entry)
         limited = Limited(message.limit.name.lower(), message.retry_after_s)
-        self._results.append((known.request, limited))
+        self._results.append((entry.request, limited))
 
     def void(self, host: str, now: float) -> None:
-        """Charge anew what a home has forgotten."""
-        for known in list(self._open_by_request.values()):
-            if known.host == host:
-                # It may have been charged since the home forgot.
-                self._tear(known, 0.0, now)
-                self._ask(known, now)
+        """Charge again what a quota owner has lost."""
+        for entry in list(self._open_by_request.values()):
+            if entry.host == host:
+                # It may have been charged after the owner lost its state.
+                self._settle_at_owner(entry, 0.0, now)
+                self._charge_at_owner(entry, now)
 
     def moved(self, now: float) -> None:
-        """Follow the homes after a change of the live hosts."""
-        for known in list(self._open_by_request.values()):
-            home = self._find_home(known.account) or ""
-            if home == known.host:
+        """Charge requests at their new owners after a change of the live hosts."""
+        for entry in list(self._open_by_request.values()):
+            owner = self._find_home(entry.account) or ""
+            if owner == entry.host:
                 continue
-            if known.handle:
-                self._tear(known, known.work, now)
-            self._ask(known, now)
+            if entry.handle:
+                self._settle_at_owner(entry, entry.work, now)
+            self._charge_at_owner(entry, now)
 
     def tick(self, now: float) -> None:
-        """Repeat what is not answered, and decide here what waits too long."""
-        for known in list(self._waiting.values()):
-            if now - known.asked_at >= PATIENCE_S or not known.host:
-                self.suspects.add(known.host)
-                self._decide_here(known, now)
+        """Repeat unanswered charges, and decide locally after the time-out."""
+        for entry in list(self._waiting.values()):
+            if now - entry.charged_at >= ANSWER_TIMEOUT_S or not entry.host:
+                self.suspects.add(entry.host)
+                self._decide_locally(entry, now)
                 continue
-            if now >= known.send_at:
-                self._send(known, now)
+            if now >= entry.send_at:
+                self._send(entry, now)
 
     def next_wake(self) -> float | None:
         """Return when to call :meth:`tick` again."""
-        wakes = [known.send_at for known in self._waiting.values()]
+        wakes = [entry.send_at for entry in self._waiting.values()]
         return min(wakes, default=None)
 
     def take_results(self) -> list[tuple[str, Verdict]]:
-        """Return the requests that have been decided since the last call."""
+        """Return the verdicts since the last call, each with its request."""
         results, self._results = self._results, []
         return results
 
@@ -230,69 +237,69 @@
         sends, self._sends = self._sends, []
         return sends
 
-    def _ask(self, known: _Open, now: float) -> None:
-        home = self._find_home(known.account)
-        known.host = home or ""
-        known.handle = 0
-        if home is None:
+    def _charge_at_owner(self, entry: _OpenCharge, now: float) -> None:
+        owner = self._find_home(entry.account)
+        entry.host = owner or ""
+        entry.handle = 0
+        if owner is None:
             return
-        self._number += 1
-        known.handle = self.era_by_host.get(home, 0) << ERA_SHIFT | self._number
-        known.asked_at = now
-        known.repeat_s = FIRST_REPEAT_S
-        self._open_by_handle[known.handle] = known
-        if known.allowed:
-            self._tell(home, self._message(known), now)
+        self._last_number += 1
+        entry.handle = self.era_by_host.get(owner, 0) << ERA_SHIFT | self._last_number
+        entry.charged_at = now
+        entry.repeat_s = FIRST_REPEAT_S
+        self._open_by_handle[entry.handle] = entry
+        if entry.allowed:
+            self._send_reliable(owner, self._message(entry), now)
             return
-        self._send(known, now)
+        self._send(entry, now)
 
-    def _message(self, known: _Open) -> Charge:
-        limits = known.limits
+    def _message(self, entry: _OpenCharge) -> Charge:
+        limits = entry.limits
         return Charge(
-            known.handle,
-            known.account,
-            known.work,
+            entry.handle,
+            entry.account,
+            entry.work,
             limits.work_per_s,
             limits.burst_s,
             limits.max_concurrent,
-            known.allowed,
+            entry.allowed,
         )
 
-    def _send(self, known: _Open, now: float) -> None:
-        known.send_at = now + known.repeat_s
-        known.repeat_s = min(LAST_REPEAT_S, known.repeat_s * 2)
-        self._sends.append((known.host, self._message(known)))
+    def _send(self, entry: _OpenCharge, now: float) -> None:
+        entry.send_at = now + entry.repeat_s
+        entry.repeat_s = min(MAX_REPEAT_S, entry.repeat_s * 2)
+        self._sends.append((entry.host, self._message(entry)))
 
-    def _tear(self, known: _Open, work: float, now: float) -> None:
-        self._open_by_handle.pop(known.handle, None)
-        self._tell(known.host, Settle(known.handle, work), now)
-        known.handle = 0
-        known.host = ""
+    def _settle_at_owner(self, entry: _OpenCharge, work: float, now: float) -> None:
+        self._open_by_handle.pop(entry.handle, None)
+        self._send_reliable(entry.host, Settle(entry.handle, work), now)
+        entry.handle = 0
+        entry.host = ""
 
-    def _allow(self, known: _Open) -> None:
-        known.allowed = True
-        self._waiting.pop(known.request, None)
-        self._results.append((known.request, Allowed()))
+    def _allow(self, entry: _OpenCharge) -> None:
+        entry.allowed = True
+        self._waiting.pop(entry.request, None)
+        self._results.append((entry.request, Allowed()))
 
-    def _close(self, known: _Open) -> None:
-        self._open_by_handle.pop(known.handle, None)
-        self._open_by_request.pop(known.request, None)
-        self._waiting.pop(known.request, None)
+    def _close(self, entry: _OpenCharge) -> None:
+        self._open_by_handle.pop(entry.handle, None)
+        self._open_by_request.pop(entry.request, None)
+        self._waiting.pop(entry.request, None)
 
-    def _decide_here(self, known: _Open, now: float) -> None:
+    def _decide_locally(self, entry: _OpenCharge, now: float) -> None:
         self.local_verdicts += 1
-        limits = local_share(known.limits, self.hosts)
+        limits = local_share(entry.limits, self.hosts)
         verdict = self._local.charge(
-            known.account, known.request, self._name, known.work, limits, now
+            entry.account, entry.request, self._name, entry.work, limits, now
         )
         if isinstance(verdict, Limited):
-            if known.handle:
-                self._tear(known, 0.0, now)
-            self._close(known)
-            self._results.append((known.request, verdict))
+            if entry.handle:
+                self._settle_at_owner(entry, 0.0, now)
+            self._close(entry)
+            self._results.append((entry.request, verdict))
             return
-        known.is_local = True
-        if known.handle:
-            self._tear(known, 0.0, now)
-        self._allow(known)
-        self._ask(known, now)
+        entry.is_local = True
+        if entry.handle:
+            self._settle_at_owner(entry, 0.0, now)
+        self._allow(entry)
+        self._charge_at_owner(entry, now)
--- a/src/wagtailstair/core/local_pools.py
+++ b/src/wagtailstair/core/local_pools.py
@@ -1,4 +1,4 @@
-"""Pools that decide for this host alone while a dispatcher does not answer."""
+"""Local pools that replace the dispatcher of a pool while it does not answer."""
 
 import dataclasses
 import typing as t
@@ -13,13 +13,13 @@
 from .pools import is_in_pool
 from .pools import observe_in
 
-POOLS_MAX = 64
+MAX_POOLS = 64
 
 
 class LocalPools:
-    """Pools that know this host's share of each engine.
+    """Pools that grant this host's share of each engine.
 
-    ``share``: the number of hosts that share the engines.
+    ``share``: number of hosts among which the engines are divided.
     """
 
     def __init__(self, make_pool: PoolFactory, engines: Engines) -> None:
@@ -29,8 +29,8 @@
         self._engines = engines
 
     def make(self, key: PoolKey, now: float) -> Pool:
-        """Return a new pool, in the place of all if there are too many."""
-        if len(self.by_key) >= POOLS_MAX:
+        """Return a new pool; at ``MAX_POOLS``, drop all others before."""
+        if len(self.by_key) >= MAX_POOLS:
             self.by_key.clear()
         pool = self.by_key[key] = self._make_pool(key)
         for state in self._engines.of(key):
@@ -38,7 +38,7 @@
         return pool
 
     def observe(self, state: EngineState, now: float) -> None:
-        """Take in a load report."""
+        """Apply a load report."""
         for key, pool in self.by_key.items():
             if is_in_pool(state, key):
                 observe_in(pool, self._scale(state), now)
@@ -46,22 +46,22 @@
             pool.remove(state.name)
 
     def remove(self, engine: str) -> None:
-        """Forget an engine that is gone."""
+        """Remove an engine."""
         for pool in self.by_key.values():
             pool.remove(engine)
 
     def poll(self, now: float) -> t.Iterator[Grant | Refusal]:
-        """Iterate over what has been decided."""
+        """Iterate over the grants and refusals since the last call."""
         for pool in self.by_key.values():
             yield from pool.poll(now)
 
     def next_wake(self, now: float) -> float | None:
-        """Return when to poll again if no event comes before."""
+        """Return when to poll again if no event occurs before."""
         times = [pool.next_wake(now) for pool in self.by_key.values()]
         return min((time for time in times if time is not None), default=None)
 
     def _scale(self, state: EngineState) -> EngineState:
-        """Return an engine with this host's share of its slots and memory."""
+        """Return the state of an engine with this host's share of slots and memory."""
         return dataclasses.replace(
             state,
             slots=max(1, state.slots // self.share),
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -1,4 +1,4 @@
-"""The pools that this host dispatches, towards the entry hosts that use them."""
+"""Pools that this host dispatches on behalf of entry hosts."""
 
 import dataclasses
 import typing as t
@@ -21,38 +21,38 @@
 from .messages import Withdraw
 from .pool import PoolStats
 
-INCARNATIONS_REMEMBERED = 4  # replaced incarnations of an engine that are refused
+MAX_REPLACED_INCARNATIONS = 4  # of an engine, whose late reports are refused
 
 
 class Pool(t.Protocol):
-    """What this module needs of :class:`wagtailstair.core.pool.Pool`."""
+    """The interface of :class:`wagtailstair.core.pool.Pool` used here."""
 
-    def want(self, want: Want, now: float) -> None:
-        """Take a request in."""
+    def want(self, item: Want, now: float) -> None:
+        """Queue a request."""
 
     def cancel(self, request: str, epoch: int, now: float) -> None:
-        """Withdraw a request."""
+        """Remove a request or end its grant."""
 
     def hold(self, hold: Hold, now: float) -> None:
-        """Take over a grant."""
+        """Adopt a grant of another dispatcher."""
 
     def done(self, done: Done, now: float) -> None:
         """End a grant."""
 
     def observe(self, state: EngineState, now: float) -> None:
-        """Take in a load report."""
+        """Apply a load report."""
 
-    def leaving(self, engine: str) -> None:
+    def mark_leaving(self, engine: str) -> None:
         """Give an engine no new work."""
 
     def remove(self, engine: str) -> None:
-        """Forget an engine."""
+        """Remove an engine."""
 
     def host_lost(self, host: str, now: float) -> None:
-        """Withdraw everything of an entry host."""
+        """Cancel the requests and grants of an entry host."""
 
     def poll(self, now: float) -> list[Grant | Refusal]:
-        """Return what has been decided."""
+        """Return the grants and refusals since the last call."""
         ...
 
     def next_wake(self, now: float) -> float | None:
@@ -68,21 +68,21 @@
 
 
 class Engines:
-    """The last load report of each engine of the deployment, by name."""
+    """The latest load report of each engine of the deployment, by name."""
 
     def __init__(self) -> None:
         self.by_name: dict[str, EngineState] = {}
         self._replaced: dict[str, list[str]] = {}
 
     def observe(self, state: EngineState) -> bool:
-        """Take a report; return whether it is news."""
+        """Apply a report; return False for an outdated one."""
         known = self.by_name.get(state.name)
         replaced = self._replaced.setdefault(state.name, [])
         if state.incarnation in replaced:
             return False
         if known is not None and known.incarnation != state.incarnation:
             replaced.append(known.incarnation)
-            del replaced[:-INCARNATIONS_REMEMBERED]
+            del replaced[:-MAX_REPLACED_INCARNATIONS]
         elif known is not None and state.as_of < known.as_of:
             return False
         elif known is not None and known.leaving and not state.leaving:
@@ -91,7 +91,7 @@
         return True
 
     def remove(self, message: EngineLost) -> bool:
-        """Forget an engine; return whether it was known."""
+        """Remove an engine; return whether this incarnation was known."""
         known = self.by_name.get(message.name)
         if known is None or known.incarnation != message.incarnation:
             return False
@@ -111,20 +111,21 @@
 
 
 def observe_in(pool: Pool, state: EngineState, now: float) -> None:
-    """Tell a pool of a load report."""
+    """Pass a load report to a pool."""
     pool.observe(state, now)
     if state.leaving:
-        pool.leaving(state.name)
+        pool.mark_leaving(state.name)
 
 
 Answer = Granted | Refused | Queued
 
 
 class Pools:
-    """The pools whose dispatcher this host is, or lately was.
+    """The pools whose dispatcher this host is, or recently was.
 
-    In a pool, the request is named by the entry host, its incarnation and the
-    handle; the host by the entry host, its incarnation and the era.
+    In a pool, a request is identified by ``host/incarnation/handle`` and its
+    entry host by ``host/incarnation/era``. Messages of an era below the
+    sender's minimum are ignored.
     """
 
     def __init__(self, make_pool: PoolFactory, engines: Engines) -> None:
@@ -132,21 +133,21 @@
         self._make_pool = make_pool
         self._engines = engines
         self._eras_by_sender: dict[str, set[int]] = {}
-        self._floor_by_sender: dict[str, int] = {}
-        self._asked: set[tuple[str, int]] = set()
+        self._min_era_by_sender: dict[str, int] = {}
+        self._unanswered: set[tuple[str, int]] = set()
         self._changed: set[PoolKey] = set()
 
     def submit(self, sender: str, message: Submit, now: float) -> None:
-        """Take a submission; :meth:`poll` gives the answer."""
-        if not self._admit(sender, message.handle):
+        """Queue a submission; :meth:`poll` returns the answer."""
+        if not self._accept_era(sender, message.handle):
             return
-        want = self._name(sender, message.handle, message.want, now)
-        self._pool(message.key, now).want(want, now)
-        self._asked.add((sender, message.handle))
+        item = self._identify(sender, message.handle, message.want, now)
+        self._pool(message.key, now).want(item, now)
+        self._unanswered.add((sender, message.handle))
 
     def withdraw(self, sender: str, message: Withdraw, now: float) -> None:
         """Withdraw a submission or end its grant."""
-        if not self._admit(sender, message.handle):
+        if not self._accept_era(sender, message.handle):
             return
         request = f"{sender}/{message.handle}"
         if message.key is not None:
@@ -158,12 +159,12 @@
 
     def finished(self, sender: str, message: Finished, now: float) -> None:
         """End a grant."""
-        if not self._admit(sender, message.handle):
+        if not self._accept_era(sender, message.handle):
             return
         done = Done(
             f"{sender}/{message.handle}",
             0,
-            self._host(sender, message.handle),
+            self._entry_host(sender, message.handle),
             message.prompt_tokens,
             message.output_tokens,
             message.failed,
@@ -171,37 +172,37 @@
         self._pool(message.key, now).done(done, now)
 
     def held(self, sender: str, message: Held, now: float) -> None:
-        """Take over a grant that another dispatcher gave."""
-        if not self._admit(sender, message.handle):
+        """Adopt a grant of another dispatcher."""
+        if not self._accept_era(sender, message.handle):
             return
-        want = self._name(sender, message.handle, message.want, now)
-        hold = Hold(want, message.route, message.tokens_done)
+        item = self._identify(sender, message.handle, message.want, now)
+        hold = Hold(item, message.route, message.tokens_done)
         self._pool(message.key, now).hold(hold, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
-        """Forget what an entry host told in earlier eras."""
-        if era <= self._floor_by_sender.get(sender, 0):
+        """Drop the requests and grants of an entry host's earlier eras."""
+        if era <= self._min_era_by_sender.get(sender, 0):
             return
-        self._floor_by_sender[sender] = era
+        self._min_era_by_sender[sender] = era
         eras = self._eras_by_sender.get(sender, set())
         for old in [old for old in eras if old < era]:
             eras.discard(old)
-            self._lose(f"{sender}/{old}", now)
+            self._drop_host(f"{sender}/{old}", now)
 
     def host_lost(self, sender: str, now: float) -> None:
-        """Forget all that an entry host holds and waits for.
+        """Drop all requests and grants of an entry host.
 
-        The floor stays, since late messages of earlier eras may still come.
+        The minimum era stays, since late messages of earlier eras may arrive.
         """
         for era in self._eras_by_sender.pop(sender, set()):
-            self._lose(f"{sender}/{era}", now)
+            self._drop_host(f"{sender}/{era}", now)
 
     def forget(self, sender: str) -> None:
-        """Drop the floor of an incarnation that is replaced."""
-        self._floor_by_sender.pop(sender, None)
+        """Drop the minimum era of a replaced incarnation."""
+        self._min_era_by_sender.pop(sender, None)
 
     def observe(self, state: EngineState, now: float) -> None:
-        """Take in a load report; an engine belongs to one pool at a time."""
+        """Apply a load report; an engine belongs to one pool at a time."""
         for key, pool in self.by_key.items():
             if is_in_pool(state, key):
                 observe_in(pool, state, now)
@@ -210,52 +211,52 @@
             pool.remove(state.name)
 
     def remove(self, engine: str) -> None:
-        """Forget an engine that is gone."""
+        """Remove an engine."""
         for pool in self.by_key.values():
             pool.remove(engine)
 
     def touch(self) -> None:
-        """Make the next :meth:`poll` look at all pools, as time has passed."""
+        """Make the next :meth:`poll` examine all pools, as time has passed."""
         self._changed.update(self.by_key)
 
     def poll(self, now: float) -> list[tuple[str, Answer]]:
-        """Return the answers with the incarnations (``name/number``) they go to.
+        """Return the answers, each with its receiver as ``host/incarnation``.
 
-        Only pools that have changed are looked at.
+        Only pools that have changed since the last call are polled.
         """
         answers: list[tuple[str, Answer]] = []
         while self._changed:
-            for decided in self.by_key[self._changed.pop()].poll(now):
-                sender, _, number = decided.request.rpartition("/")
-                answers.append((sender, _answer(int(number), decided)))
-                self._asked.discard((sender, int(number)))
-        for sender, handle in self._asked:
+            for decision in self.by_key[self._changed.pop()].poll(now):
+                sender, _, number = decision.request.rpartition("/")
+                answers.append((sender, _to_answer(int(number), decision)))
+                self._unanswered.discard((sender, int(number)))
+        for sender, handle in self._unanswered:
             answers.append((sender, Queued(handle)))
-        self._asked.clear()
+        self._unanswered.clear()
         return answers
 
     def next_wake(self, now: float) -> float | None:
-        """Return when to poll again if no event comes before."""
+        """Return when to poll again if no event occurs before."""
         times = [pool.next_wake(now) for pool in self.by_key.values()]
         return min((time for time in times if time is not None), default=None)
 
-    def _admit(self, sender: str, handle: int) -> bool:
+    def _accept_era(self, sender: str, handle: int) -> bool:
         era = handle >> ERA_SHIFT
-        if era < self._floor_by_sender.get(sender, 0):
+        if era < self._min_era_by_sender.get(sender, 0):
             return False
         self._eras_by_sender.setdefault(sender, set()).add(era)
         return True
 
-    def _host(self, sender: str, handle: int) -> str:
+    def _entry_host(self, sender: str, handle: int) -> str:
         return f"{sender}/{handle >> ERA_SHIFT}"
 
-    def _name(self, sender: str, handle: int, want: Want, now: float) -> Want:
+    def _identify(self, sender: str, handle: int, item: Want, now: float) -> Want:
         return dataclasses.replace(
-            want,
+            item,
             request=f"{sender}/{handle}",
             epoch=0,
-            host=self._host(sender, handle),
-            deadline=now + want.deadline,
+            host=self._entry_host(sender, handle),
+            deadline=now + item.deadline,
         )
 
     def _pool(self, key: PoolKey, now: float) -> Pool:
@@ -267,13 +268,13 @@
                 observe_in(pool, state, now)
         return pool
 
-    def _lose(self, host: str, now: float) -> None:
+    def _drop_host(self, host: str, now: float) -> None:
         for pool in self.by_key.values():
             pool.host_lost(host, now)
         self.touch()
 
 
-def _answer(handle: int, decided: Grant | Refusal) -> Answer:
-    if isinstance(decided, Grant):
-        return Granted(handle, decided.route)
-    return Refused(handle, decided.reason, decided.retry_after_s)
+def _to_answer(handle: int, decision: Grant | Refusal) -> Answer:
+    if isinstance(decision, Grant):
+        return Granted(handle, decision.route)
+    return Refused(handle, decision.reason, decision.retry_after_s)
--- a/src/wagtailstair/core/quota.py
+++ b/src/wagtailstair/core/quota.py
@@ -1,17 +1,17 @@
-"""Rate and concurrency of accounts, held by one home host for each account."""
+"""Rate and concurrency limits of accounts, each decided by one host."""
 
 import dataclasses
 
-IDLE_S = 60.0
-"""Time after which a full bucket without open requests is forgotten."""
+IDLE_TIMEOUT_S = 60.0
+"""Time between removals of idle accounts; retry time under a rate of zero."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class QuotaLimits:
-    """What a plan allows an account over all hosts.
+    """The limits of an account's plan over all hosts.
 
-    ``work_per_s``: the rate in work units, with ``burst_s`` seconds of it at
-    once; ``max_concurrent``: open requests.
+    ``work_per_s``: rate in work units; ``burst_s``: burst, in seconds of the
+    rate; ``max_concurrent``: open requests.
     """
 
     work_per_s: float
@@ -21,15 +21,15 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Allowed:
-    """The request is within the limits."""
+    """Verdict on a request within the limits."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Limited:
-    """The request is over a limit.
+    """Verdict on a request over a limit.
 
-    ``limit``: ``rate`` or ``concurrency``; ``retry_after_s``: when there may
-    be room again.
+    ``limit``: ``rate`` or ``concurrency``; ``retry_after_s``: time until a
+    retry may be allowed.
     """
 
     limit: str
@@ -43,18 +43,19 @@
 @dataclasses.dataclass(slots=True)
 class _Usage:
     level: float
-    at: float
+    refilled_at: float
     limits: QuotaLimits
     host_by_request: dict[str, str] = dataclasses.field(default_factory=dict)
     charge_by_request: dict[str, float] = dataclasses.field(default_factory=dict)
 
 
 def local_share(limits: QuotaLimits, hosts: int) -> QuotaLimits:
-    """Return what one host allows while an account's home can't be reached.
+    """Return the limits of one host while an account's quota owner is unreachable.
 
     All hosts together then allow at most the plan's rate, and at most one
-    request for each host above its concurrency. Hosts that count fewer hosts
-    than there are, on ``k`` sides of a partition, allow ``k`` times the plan.
+    request for each host above its concurrency. In a partition with ``k``
+    sides, each side divides the plan among its own hosts only, so that all
+    sides together allow ``k`` times the plan.
     """
     hosts = max(1, hosts)
     return QuotaLimits(
@@ -65,24 +66,24 @@
 
 
 class Quota:
-    """The usage of the accounts whose home this host is.
+    """The usage of the accounts whose quota this host decides.
 
-    A charge is idempotent by request: a repeated one gets the same answer and
+    A charge is idempotent by request: a repeated one gets the same verdict and
     costs nothing.
     """
 
-    __slots__ = ("_requests_by_host", "_sweep_at", "_usage_by_account")
+    __slots__ = ("_next_sweep_at", "_requests_by_host", "_usage_by_account")
 
     def __init__(self) -> None:
         self._usage_by_account: dict[str, _Usage] = {}
         self._requests_by_host: dict[str, dict[str, str]] = {}
-        self._sweep_at = 0.0
+        self._next_sweep_at = 0.0
 
     def __len__(self) -> int:
         return len(self._usage_by_account)
 
     def open_requests(self, account: str) -> int:
-        """Return how many requests of an account are open."""
+        """Return the number of open requests of an account."""
         usage = self._usage_by_account.get(account)
         return 0 if usage is None else len(usage.host_by_request)
 
@@ -93,9 +94,9 @@
             usage = _Usage(burst, now, limits)
             self._usage_by_account[account] = usage
             return usage
-        span_s = max(0.0, now - usage.at)
+        span_s = max(0.0, now - usage.refilled_at)
         usage.level = min(burst, usage.level + span_s * limits.work_per_s)
-        usage.at = max(usage.at, now)
+        usage.refilled_at = max(usage.refilled_at, now)
         usage.limits = limits
         return usage
 
@@ -110,10 +111,10 @@
     ) -> Allowed | Limited:
         """Open a request and charge its expected work.
 
-        Work that is larger than the burst passes on a full bucket, which then
-        goes below zero, so that no request is refused for ever.
+        Work larger than the burst is allowed by a full bucket, whose level then
+        falls below zero. Otherwise such a request would never be allowed.
         """
-        self._sweep(now)
+        self._drop_idle(now)
         usage = self._refill(account, limits, now)
         if request in usage.host_by_request:
             return ALLOWED
@@ -122,7 +123,7 @@
         need = min(work, limits.work_per_s * limits.burst_s)
         if usage.level < need:
             if limits.work_per_s <= 0:
-                return Limited("rate", IDLE_S)
+                return Limited("rate", IDLE_TIMEOUT_S)
             return Limited("rate", (need - usage.level) / limits.work_per_s)
         usage.level -= work
         self._open(account, usage, request, host, work)
@@ -144,7 +145,7 @@
         limits: QuotaLimits,
         now: float,
     ) -> None:
-        """Count an open request that an earlier home, or a host alone, allowed."""
+        """Count an open request that an earlier owner or an entry host allowed."""
         usage = self._refill(account, limits, now)
         if request in usage.host_by_request:
             return
@@ -154,7 +155,7 @@
     def settle(
         self, account: str, request: str, actual_work: float, now: float
     ) -> None:
-        """Close a request and correct its charge to what it really cost."""
+        """Close a request and correct its charge to its actual cost."""
         usage = self._usage_by_account.get(account)
         if usage is None or request not in usage.host_by_request:
             return
@@ -167,19 +168,19 @@
             del self._requests_by_host[host]
 
     def host_lost(self, host: str, now: float) -> None:
-        """Close the requests of a dead host at their expected cost."""
+        """Close the requests of a dead entry host at their expected cost."""
         for request, account in list(self._requests_by_host.get(host, {}).items()):
             charge = self._usage_by_account[account].charge_by_request[request]
             self.settle(account, request, charge, now)
 
-    def _sweep(self, now: float) -> None:
-        if now < self._sweep_at:
+    def _drop_idle(self, now: float) -> None:
+        if now < self._next_sweep_at:
             return
-        self._sweep_at = now + IDLE_S
+        self._next_sweep_at = now + IDLE_TIMEOUT_S
         for account, usage in list(self._usage_by_account.items()):
             if usage.host_by_request:
                 continue
             limits = usage.limits
-            level = usage.level + (now - usage.at) * limits.work_per_s
+            level = usage.level + (now - usage.refilled_at) * limits.work_per_s
             if level >= limits.work_per_s * limits.burst_s:
                 del self._usage_by_account[account]
--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/tickets.py
@@ -1,9 +1,8 @@
-"""The requests of this entry host that wait for a route or use one.
+"""Submissions of this entry host's requests to the dispatchers of their pools.
 
-A request has one *ticket* at a time: its submission to the dispatcher of its
-pool. The first grant wins, from whichever dispatcher it comes; any other is
-withdrawn. When the dispatcher does not answer, a local pool with this host's
-share of the slots decides.
+A request has one submission at a time. The first grant is used, whichever
+dispatcher it comes from; any other is withdrawn. While the dispatcher does not
+answer, a local pool with this host's share of the slots decides.
 """
 
 import dataclasses
@@ -31,40 +30,40 @@
 from .pools import Pool
 from .pools import PoolFactory
 
-FIRST_REPEAT_S = 0.1  # doubled with each repetition that is not answered
-LAST_REPEAT_S = 0.5
-FIRST_CHECK_S = 0.5  # while a request waits, in case its grant is lost
-LAST_CHECK_S = 2.0
-PATIENCE_S = 0.75  # without any answer, before the local pool decides
-ANSWER_GRACE_S = 1.0  # after a deadline, for the dispatcher's own refusal
+FIRST_REPEAT_S = 0.1  # doubled with each unanswered repetition
+MAX_REPEAT_S = 0.5
+FIRST_CHECK_S = 0.5  # while a request is queued, in case its grant was lost
+MAX_CHECK_S = 2.0
+ANSWER_TIMEOUT_S = 0.75  # then the dispatcher is suspected, a local pool decides
+REFUSAL_GRACE_S = 1.0  # after a deadline, for the dispatcher's refusal to arrive
 
 
 @dataclasses.dataclass(slots=True)
-class _Ticket:
+class _Submission:
     handle: int
     host: str
     send_at: float
-    asked_at: float | None = None  # the first send without an answer since
+    unanswered_since: float | None = None
     repeat_s: float = FIRST_REPEAT_S
     check_s: float = FIRST_CHECK_S
-    queued: bool = False
+    is_queued: bool = False
 
 
 @dataclasses.dataclass(slots=True)
-class _Open:
+class _OpenRequest:
     key: PoolKey
-    want: Want
-    ticket: _Ticket | None = None
+    route_request: Want
+    submission: _Submission | None = None
     route: Route | None = None
     is_local: bool = False
 
 
 class Tickets:
-    """All open requests of an entry host.
+    """All open requests of an entry host, queued or granted.
 
-    :param find_owner: the live host that dispatches a pool, or None.
-    :param make_pool: makes the local pools.
-    :param tell: sends a numbered message to a host.
+    :param find_owner: returns the live host that dispatches a pool, or None.
+    :param make_pool: creates the local pools.
+    :param send_reliable: sends a message to a host until it is acknowledged.
     """
 
     def __init__(
@@ -72,7 +71,7 @@
         find_owner: t.Callable[[PoolKey], str | None],
         make_pool: PoolFactory,
         engines: Engines,
-        tell: t.Callable[[str, Reliable, float], None],
+        send_reliable: t.Callable[[str, Reliable, float], None],
     ) -> None:
         self.suspects: set[str] = set()
         self.local = LocalPools(make_pool, engines)
@@ -80,157 +79,157 @@
         self.repeats = 0
         self.local_grants = 0
         self._find_owner = find_owner
-        self._tell = tell
-        self._number = 0
-        self._open_by_id: dict[tuple[str, int], _Open] = {}
-        self._open_by_handle: dict[int, _Open] = {}
-        self._waiting: dict[tuple[str, int], _Open] = {}
+        self._send_reliable = send_reliable
+        self._last_number = 0
+        self._open_by_id: dict[tuple[str, int], _OpenRequest] = {}
+        self._open_by_handle: dict[int, _OpenRequest] = {}
+        self._waiting: dict[tuple[str, int], _OpenRequest] = {}
         self._results: list[Grant | Refusal] = []
         self._sends: list[tuple[str, Submit]] = []
 
     def __len__(self) -> int:
         return len(self._open_by_id)
 
-    # The entry host's own calls.
+    # Calls of the entry host.
 
-    def submit(self, key: PoolKey, want: Want, now: float) -> None:
-        """Ask for a route."""
-        name = (want.request, want.epoch)
+    def submit(self, key: PoolKey, item: Want, now: float) -> None:
+        """Submit a request to the dispatcher of its pool."""
+        name = (item.request, item.epoch)
         if name in self._open_by_id:
             return
-        known = _Open(key, want)
-        self._open_by_id[name] = known
-        self._waiting[name] = known
-        self._ask(known, now)
-        if known.ticket is None or known.ticket.host in self.suspects:
-            self._decide_here(known, now)
+        entry = _OpenRequest(key, item)
+        self._open_by_id[name] = entry
+        self._waiting[name] = entry
+        self._submit_to_owner(entry, now)
+        if entry.submission is None or entry.submission.host in self.suspects:
+            self._submit_locally(entry, now)
 
     def done(self, done: Done, now: float) -> None:
         """End a grant."""
-        known = self._open_by_id.pop((done.request, done.epoch), None)
-        if known is None:
+        entry = self._open_by_id.pop((done.request, done.epoch), None)
+        if entry is None:
             return
         self._waiting.pop((done.request, done.epoch), None)
-        if known.is_local:
-            self._local(known.key, now).done(done, now)
-        ticket = self._tear(known)
-        if ticket is None:
+        if entry.is_local:
+            self._local_pool(entry.key, now).done(done, now)
+        submission = self._detach(entry)
+        if submission is None:
             return
         message = Finished(
-            ticket.handle,
-            known.key,
+            submission.handle,
+            entry.key,
             done.prompt_tokens,
             done.output_tokens,
             done.failed,
         )
-        self._tell(ticket.host, message, now)
+        self._send_reliable(submission.host, message, now)
 
     def cancel(self, request: str, epoch: int, now: float) -> None:
-        """End a request that waits, or a grant that is not used."""
-        known = self._open_by_id.pop((request, epoch), None)
-        if known is None:
+        """Withdraw a waiting request or an unused grant."""
+        entry = self._open_by_id.pop((request, epoch), None)
+        if entry is None:
             return
         self._waiting.pop((request, epoch), None)
-        if known.is_local:
-            self._local(known.key, now).cancel(request, epoch, now)
-        self._withdraw(known, now)
+        if entry.is_local:
+            self._local_pool(entry.key, now).cancel(request, epoch, now)
+        self._withdraw(entry, now)
 
-    # Answers.
+    # Answers of dispatchers.
 
     def granted(self, sender: str, message: Granted, now: float) -> None:
-        """Take a grant; one that comes late or twice is not delivered."""
-        known = self._find(sender, message.handle)
-        if known is None:
-            self._tell(sender, Withdraw(message.handle), now)
+        """Accept a grant; ignore or withdraw a late or repeated one."""
+        entry = self._find_open(sender, message.handle)
+        if entry is None:
+            self._send_reliable(sender, Withdraw(message.handle), now)
             return
-        if known.route is not None:
+        if entry.route is not None:
             return
-        self._leave_local(known, now)
-        self._resolve(known, message.route)
+        self._cancel_local(entry, now)
+        self._deliver_grant(entry, message.route)
 
     def refused(self, sender: str, message: Refused, now: float) -> None:
-        """Take a refusal."""
-        known = self._find(sender, message.handle)
-        if known is None or known.route is not None:
+        """Accept a refusal."""
+        entry = self._find_open(sender, message.handle)
+        if entry is None or entry.route is not None:
             return
-        self._leave_local(known, now)
-        self._tear(known)
-        self._fail(known, message.reason, message.retry_after_s)
+        self._cancel_local(entry, now)
+        self._detach(entry)
+        self._deliver_refusal(entry, message.reason, message.retry_after_s)
 
     def queued(self, sender: str, message: Queued, now: float) -> None:
-        """Learn that a submission waits."""
-        known = self._find(sender, message.handle)
-        if known is None or known.ticket is None:
-            self._tell(sender, Withdraw(message.handle), now)
+        """Note that a dispatcher has queued a submission."""
+        entry = self._find_open(sender, message.handle)
+        if entry is None or entry.submission is None:
+            self._send_reliable(sender, Withdraw(message.handle), now)
             return
-        ticket = known.ticket
-        ticket.queued = True
-        ticket.asked_at = None
-        ticket.repeat_s = FIRST_REPEAT_S
-        ticket.send_at = now + ticket.check_s
-        ticket.check_s = min(LAST_CHECK_S, ticket.check_s * 2)
+        submission = entry.submission
+        submission.is_queued = True
+        submission.unanswered_since = None
+        submission.repeat_s = FIRST_REPEAT_S
+        submission.send_at = now + submission.check_s
+        submission.check_s = min(MAX_CHECK_S, submission.check_s * 2)
 
-    # Changes around.
+    # Changes of the dispatchers.
 
     def heard(self, host: str) -> None:
-        """Learn that a host answers."""
+        """Stop suspecting a host that has answered."""
         self.suspects.discard(host)
 
     def void(self, host: str, now: float) -> None:
-        """Submit anew what a host has forgotten."""
-        for known in list(self._open_by_id.values()):
-            if known.ticket is not None and known.ticket.host == host:
-                # It may have been taken in since the dispatcher forgot.
-                self._withdraw(known, now)
-                self._ask(known, now)
+        """Submit again what a host has lost."""
+        for entry in list(self._open_by_id.values()):
+            if entry.submission is not None and entry.submission.host == host:
+                # The dispatcher may have received it after its loss of state.
+                self._withdraw(entry, now)
+                self._submit_to_owner(entry, now)
 
     def moved(self, now: float) -> None:
-        """Follow the dispatchers after a change of the live hosts."""
+        """Submit requests to their new dispatchers after a change of live hosts."""
         owner_by_key: dict[PoolKey, str | None] = {}
-        for known in list(self._open_by_id.values()):
-            if known.key not in owner_by_key:
-                owner_by_key[known.key] = self._find_owner(known.key)
-            host = None if known.ticket is None else known.ticket.host
-            if owner_by_key[known.key] == host:
+        for entry in list(self._open_by_id.values()):
+            if entry.key not in owner_by_key:
+                owner_by_key[entry.key] = self._find_owner(entry.key)
+            host = None if entry.submission is None else entry.submission.host
+            if owner_by_key[entry.key] == host:
                 continue
-            self._withdraw(known, now)
-            self._ask(known, now)
+            self._withdraw(entry, now)
+            self._submit_to_owner(entry, now)
 
     # Time.
 
     def tick(self, now: float) -> None:
-        """Repeat what is not answered, and decide here what waits too long."""
-        for name, known in list(self._waiting.items()):
-            if now > known.want.deadline + ANSWER_GRACE_S:
+        """Repeat unanswered submissions, and use local pools after the time-out."""
+        for name, entry in list(self._waiting.items()):
+            if now > entry.route_request.deadline + REFUSAL_GRACE_S:
                 self.cancel(*name, now)
-                self._results.append(_refusal(known, RefusalReason.DEADLINE, 0.0))
+                self._results.append(_refusal(entry, RefusalReason.DEADLINE, 0.0))
                 continue
-            ticket = known.ticket
-            if ticket is None:
-                self._decide_here(known, now)
+            submission = entry.submission
+            if submission is None:
+                self._submit_locally(entry, now)
                 continue
-            asked_at = ticket.asked_at
-            if asked_at is not None and now - asked_at >= PATIENCE_S:
-                self.suspects.add(ticket.host)
-            if ticket.host in self.suspects:
-                self._decide_here(known, now)
-            if now >= ticket.send_at:
-                self._send(known, ticket, now)
+            since = submission.unanswered_since
+            if since is not None and now - since >= ANSWER_TIMEOUT_S:
+                self.suspects.add(submission.host)
+            if submission.host in self.suspects:
+                self._submit_locally(entry, now)
+            if now >= submission.send_at:
+                self._send(entry, submission, now)
                 self.repeats += 1
-        for decided in self.local.poll(now):
-            self._decided(decided, now)
+        for decision in self.local.poll(now):
+            self._apply_local_decision(decision, now)
 
     def next_wake(self, now: float) -> float | None:
         """Return when to call :meth:`tick` again."""
         wake = self.local.next_wake(now)
         wakes = [] if wake is None else [wake]
-        for known in self._waiting.values():
-            if known.ticket is not None:
-                wakes.append(known.ticket.send_at)
+        for entry in self._waiting.values():
+            if entry.submission is not None:
+                wakes.append(entry.submission.send_at)
         return min(wakes, default=None)
 
     def take_results(self) -> list[Grant | Refusal]:
-        """Return the requests that have been decided since the last call."""
+        """Return the grants and refusals since the last call."""
         results, self._results = self._results, []
         return results
 
@@ -239,111 +238,123 @@
         sends, self._sends = self._sends, []
         return sends
 
-    # Inside.
+    # Submissions.
 
-    def _find(self, sender: str, handle: int) -> _Open | None:
-        known = self._open_by_handle.get(handle)
-        if known is None or known.ticket is None or known.ticket.host != sender:
+    def _find_open(self, sender: str, handle: int) -> _OpenRequest | None:
+        entry = self._open_by_handle.get(handle)
+        if entry is None or entry.submission is None or entry.submission.host != sender:
             return None
-        return known
+        return entry
 
-    def _ask(self, known: _Open, now: float) -> None:
-        host = self._find_owner(known.key)
+    def _submit_to_owner(self, entry: _OpenRequest, now: float) -> None:
+        host = self._find_owner(entry.key)
         if host is None:
             return
-        self._number += 1
-        handle = self.era_by_host.get(host, 0) << ERA_SHIFT | self._number
-        ticket = _Ticket(handle, host, now)
-        known.ticket = ticket
-        self._open_by_handle[handle] = known
-        if known.route is None:
-            self._send(known, ticket, now)
+        self._last_number += 1
+        handle = self.era_by_host.get(host, 0) << ERA_SHIFT | self._last_number
+        submission = _Submission(handle, host, now)
+        entry.submission = submission
+        self._open_by_handle[handle] = entry
+        if entry.route is None:
+            self._send(entry, submission, now)
             return
-        want = self._on_wire(known.want, now)
-        self._tell(host, Held(handle, known.key, want, known.route, 0), now)
-
-    def _send(self, known: _Open, ticket: _Ticket, now: float) -> None:
-        if ticket.asked_at is None:
-            ticket.asked_at = now
-        ticket.send_at = now + ticket.repeat_s
-        ticket.repeat_s = min(LAST_REPEAT_S, ticket.repeat_s * 2)
-        want = self._on_wire(known.want, now)
-        self._sends.append((ticket.host, Submit(ticket.handle, known.key, want)))
-
-    def _on_wire(self, want: Want, now: float) -> Want:
-        """Return a want whose deadline is in seconds from now."""
-        remaining_s = max(0.0, want.deadline - now)
-        return dataclasses.replace(want, deadline=remaining_s)
-
-    def _tear(self, known: _Open) -> _Ticket | None:
-        ticket, known.ticket = known.ticket, None
-        if ticket is not None:
-            del self._open_by_handle[ticket.handle]
-        return ticket
-
-    def _withdraw(self, known: _Open, now: float) -> None:
-        ticket = self._tear(known)
-        if ticket is not None:
-            self._tell(ticket.host, Withdraw(ticket.handle, known.key), now)
-
-    def _resolve(self, known: _Open, route: Route) -> None:
-        want = known.want
-        known.route = route
-        self._waiting.pop((want.request, want.epoch), None)
-        self._results.append(Grant(want.request, want.epoch, want.host, route))
-
-    def _fail(self, known: _Open, reason: RefusalReason, retry_s: float) -> None:
-        name = (known.want.request, known.want.epoch)
+        item = self._with_relative_deadline(entry.route_request, now)
+        self._send_reliable(host, Held(handle, entry.key, item, entry.route, 0), now)
+
+    def _send(self, entry: _OpenRequest, submission: _Submission, now: float) -> None:
+        if submission.unanswered_since is None:
+            submission.unanswered_since = now
+        submission.send_at = now + submission.repeat_s
+        submission.repeat_s = min(MAX_REPEAT_S, submission.repeat_s * 2)
+        item = self._with_relative_deadline(entry.route_request, now)
+        self._sends.append(
+            (submission.host, Submit(submission.handle, entry.key, item))
+        )
+
+    def _with_relative_deadline(self, item: Want, now: float) -> Want:
+        """Return a request whose deadline is relative, in seconds from now."""
+        remaining_s = max(0.0, item.deadline - now)
+        return dataclasses.replace(item, deadline=remaining_s)
+
+    def _detach(self, entry: _OpenRequest) -> _Submission | None:
+        submission, entry.submission = entry.submission, None
+        if submission is not None:
+            del self._open_by_handle[submission.handle]
+        return submission
+
+    def _withdraw(self, entry: _OpenRequest, now: float) -> None:
+        submission = self._detach(entry)
+        if submission is not None:
+            self._send_reliable(
+                submission.host, Withdraw(submission.handle, entry.key), now
+            )
+
+    def _deliver_grant(self, entry: _OpenRequest, route: Route) -> None:
+        item = entry.route_request
+        entry.route = route
+        self._waiting.pop((item.request, item.epoch), None)
+        self._results.append(Grant(item.request, item.epoch, item.host, route))
+
+    def _deliver_refusal(
+        self, entry: _OpenRequest, reason: RefusalReason, retry_s: float
+    ) -> None:
+        name = (entry.route_request.request, entry.route_request.epoch)
         del self._open_by_id[name]
         self._waiting.pop(name, None)
-        self._results.append(_refusal(known, reason, retry_s))
+        self._results.append(_refusal(entry, reason, retry_s))
 
     # The local pools.
 
-    def _local(self, key: PoolKey, now: float) -> Pool:
+    def _local_pool(self, key: PoolKey, now: float) -> Pool:
         pool = self.local.by_key.get(key)
         if pool is None:
             pool = self.local.make(key, now)
-            self._hold_open(key, pool, now)
+            self._add_held_grants(key, pool, now)
         return pool
 
-    def _hold_open(self, key: PoolKey, pool: Pool, now: float) -> None:
-        for known in self._open_by_id.values():
-            if known.key == key and known.route is not None:
-                pool.hold(Hold(known.want, known.route, 0), now)
-                known.is_local = True
+    def _add_held_grants(self, key: PoolKey, pool: Pool, now: float) -> None:
+        for entry in self._open_by_id.values():
+            if entry.key == key and entry.route is not None:
+                pool.hold(Hold(entry.route_request, entry.route, 0), now)
+                entry.is_local = True
 
-    def _decide_here(self, known: _Open, now: float) -> None:
-        if known.is_local:
+    def _submit_locally(self, entry: _OpenRequest, now: float) -> None:
+        if entry.is_local:
             return
-        known.is_local = True
-        pool = self._local(known.key, now)
-        pool.want(known.want, now)
-
-    def _leave_local(self, known: _Open, now: float) -> None:
-        if known.is_local:
-            want = known.want
-            self._local(known.key, now).cancel(want.request, want.epoch, now)
-        known.is_local = False
-
-    def _decided(self, decided: Grant | Refusal, now: float) -> None:
-        known = self._open_by_id.get((decided.request, decided.epoch))
-        if known is None or known.route is not None:
+        entry.is_local = True
+        pool = self._local_pool(entry.key, now)
+        pool.want(entry.route_request, now)
+
+    def _cancel_local(self, entry: _OpenRequest, now: float) -> None:
+        if entry.is_local:
+            item = entry.route_request
+            self._local_pool(entry.key, now).cancel(item.request, item.epoch, now)
+        entry.is_local = False
+
+    def _apply_local_decision(self, decision: Grant | Refusal, now: float) -> None:
+        entry = self._open_by_id.get((decision.request, decision.epoch))
+        if entry is None or entry.route is not None:
             return
-        if isinstance(decided, Grant):
-            self._withdraw(known, now)
+        if isinstance(decision, Grant):
+            self._withdraw(entry, now)
             self.local_grants += 1
-            self._resolve(known, decided.route)
-            self._ask(known, now)
+            self._deliver_grant(entry, decision.route)
+            self._submit_to_owner(entry, now)
             return
-        ticket = known.ticket
-        if ticket is not None and ticket.queued and ticket.host not in self.suspects:
-            known.is_local = False
+        submission = entry.submission
+        if (
+            submission is not None
+            and submission.is_queued
+            and submission.host not in self.suspects
+        ):
+            entry.is_local = False
             return
-        self._withdraw(known, now)
-        self._fail(known, decided.reason, decided.retry_after_s)
+        self._withdraw(entry, now)
+        self._deliver_refusal(entry, decision.reason, decision.retry_after_s)
 
 
-def _refusal(known: _Open, reason: RefusalReason, retry_after_s: float) -> Refusal:
-    want = known.want
-    return Refusal(want.request, want.epoch, want.host, reason, retry_after_s)
+def _refusal(
+    entry: _OpenRequest, reason: RefusalReason, retry_after_s: float
+) -> Refusal:
+    item = entry.route_request
+    return Refusal(item.request, item.epoch, item.host, reason, retry_after_s)
