--- a/src/wagtailstair/core/allowance.py
+++ b/src/wagtailstair/core/allowance.py
@@ -1,77 +1,78 @@
-"""How many requests may be sent again: a budget that all hosts share.
+"""Budget of requests that are sent again, divided among all hosts.
 
-In any window the repeats at a service may be a share of its requests and a
-fixed number more. Each host counts its own requests for the share, and takes
-its part of the fixed number.
+In any window, the number of repeats at a service may be a share of its
+requests plus a fixed number. Each host counts its own requests for the share
+and gets an equal part of the fixed number.
 """
 
 import collections
 import dataclasses
 
-BUCKET_S = 0.5
-"""Seconds that are counted together."""
+TIME_SLICE_S = 0.5
+"""Length of the time slices in which requests and repeats are counted."""
 
-CAUTION = 0.9
-"""Share of the budget that is used: hosts come and go unseen for a while."""
+SAFETY_FACTOR = 0.9
+"""Usable share of the budget, as a change of the live hosts is noticed late."""
 
 
 @dataclasses.dataclass(slots=True)
-class _Bucket:
+class _TimeSlice:
     index: int
     requests: int = 0
     repeats: int = 0
 
 
 class Allowance:
-    """The budget of repeats, per service.
+    """The budget of repeats at each service.
 
-    :param ratio: repeats over requests; ``slack``: repeats beside these;
-        ``window_s``: the span in which both are counted.
+    :param ratio: repeats allowed per request.
+    :param slack: repeats allowed in addition, by all hosts together.
+    :param window_s: time in which both are counted.
     """
 
-    __slots__ = ("_buckets_by_service", "_ratio", "_slack", "_window_s")
+    __slots__ = ("_ratio", "_slack", "_slices_by_service", "_window_s")
 
     def __init__(self, ratio: float, slack: float, window_s: float) -> None:
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._buckets_by_service: dict[str, collections.deque[_Bucket]] = {}
+        self._slices_by_service: dict[str, collections.deque[_TimeSlice]] = {}
 
     def change(self, ratio: float, slack: float, window_s: float) -> None:
-        """Change the budget; what was counted stays."""
+        """Change the limits; requests and repeats so far still count."""
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
 
     def requested(self, service: str, now: float) -> None:
-        """Count a request of a caller."""
-        self._bucket(service, now).requests += 1
+        """Count the request of a caller."""
+        self._current_slice(service, now).requests += 1
 
     def take(self, service: str, hosts: int, now: float, share: float = 1.0) -> bool:
-        """Use a repeat, if the budget has one.
+        """Use a repeat if the budget allows it.
 
-        :param hosts: how many hosts share the budget.
-        :param share: of the budget that this kind of repeat may use.
+        :param hosts: number of hosts that share the budget.
+        :param share: part of the budget that this kind of repeat may use.
         """
-        bucket = self._bucket(service, now)
+        current = self._current_slice(service, now)
         requests = repeats = 0
-        for entry in self._buckets_by_service[service]:
-            requests += entry.requests
-            repeats += entry.repeats
-        budget = CAUTION * (self._ratio * requests + self._slack / max(1, hosts))
+        for counted in self._slices_by_service[service]:
+            requests += counted.requests
+            repeats += counted.repeats
+        budget = SAFETY_FACTOR * (self._ratio * requests + self._slack / max(1, hosts))
         if repeats + 1 > budget * share:
             return False
-        bucket.repeats += 1
+        current.repeats += 1
         return True
 
-    def _bucket(self, service: str, now: float) -> _Bucket:
-        buckets = self._buckets_by_service.get(service)
-        if buckets is None:
-            buckets = self._buckets_by_service[service] = collections.deque()
-        index = int(now / BUCKET_S)
-        oldest = index - int(self._window_s / BUCKET_S) - 1
-        while buckets and buckets[0].index < oldest:
-            buckets.popleft()
-        if not buckets or buckets[-1].index != index:
-            buckets.append(_Bucket(index))
-        return buckets[-1]
+    def _current_slice(self, service: str, now: float) -> _TimeSlice:
+        slices = self._slices_by_service.get(service)
+        if slices is None:
+            slices = self._slices_by_service[service] = collections.deque()
+        index = int(now / TIME_SLICE_S)
+        oldest = index - int(self._window_s / TIME_SLICE_S) - 1
+        while slices and slices[0].index < oldest:
+            slices.popleft()
+        if not slices or slices[-1].index != index:
+            slices.append(_TimeSlice(index))
+        return slices[-1]
--- a/src/wagtailstair/core/balance.py
+++ b/src/wagtailstair/core/balance.py
@@ -1,4 +1,4 @@
-"""The choice of an upstream of a plain service: the least expected delay."""
+"""Choice of the upstream of a plain service with the least expected delay."""
 
 import dataclasses
 import random
@@ -9,26 +9,28 @@
 from .replicas import Replica
 from .replicas import ReplicaSet
 
-LATENCY_SHARE = 0.2
-"""Weight of a new measurement in the average of an upstream's latency."""
+LATENCY_SMOOTHING = 0.2
+"""Weight of a new measurement in the moving average of the latency."""
 
-START_LATENCY_S = 0.03
-"""Latency that is assumed of an upstream until it is measured, in seconds."""
+INITIAL_LATENCY_S = 0.03
+"""Latency of an upstream that is assumed until it is measured."""
 
-REMOTE_COST = 1.15
-"""Factor for an upstream of another data centre: bytes between them are priced."""
+REMOTE_COST_FACTOR = 1.15
+"""Factor for an upstream of another data centre, as traffic to it is priced."""
 
-LIMITS = EjectionLimits(after=3, base_s=1.5, max_s=6.0, share=0.67, healthy_s=10.0)
+EJECTION_LIMITS = EjectionLimits(
+    after=3, base_s=1.5, max_s=6.0, share=0.67, healthy_s=10.0
+)
 
 
 @dataclasses.dataclass(slots=True)
 class _Load:
     running: int = 0
-    latency_s: float = START_LATENCY_S
+    latency_s: float = INITIAL_LATENCY_S
 
 
 class Balance:
-    """The upstreams of all plain services as this host sees them."""
+    """Load, latency and ejection of the upstreams of all plain services."""
 
     __slots__ = ("_data_centre", "_ejection", "_load_by_identity", "_replicas", "_rng")
 
@@ -38,13 +40,13 @@
         self._replicas = replicas
         self._data_centre = data_centre
         self._rng = rng
-        self._ejection = Ejection(LIMITS)
+        self._ejection = Ejection(EJECTION_LIMITS)
         self._load_by_identity: dict[tuple[str, int], _Load] = {}
 
     def choose(
         self, service: str, tried: t.Container[tuple[str, int]], now: float
     ) -> Replica | None:
-        """Return the upstream to send to, ``None`` if none is left to try."""
+        """Return the upstream to send to, or ``None`` if all have been tried."""
         best: Replica | None = None
         best_cost = float("inf")
         for replica in self._replicas.usable(service):
@@ -54,7 +56,7 @@
             cost = load.latency_s * (1 + load.running / max(1, replica.slots))
             cost *= 1 + 0.1 * self._rng.random()
             if replica.data_centre != self._data_centre:
-                cost *= REMOTE_COST
+                cost *= REMOTE_COST_FACTOR
             if self._ejection.is_ejected(replica.name, now):
                 cost += 1e3
             if cost < best_cost:
@@ -62,31 +64,31 @@
         return best
 
     def started(self, replica: Replica) -> None:
-        """Count a request that is sent."""
+        """Record the start of a request."""
         self._load(replica).running += 1
         self._ejection.started(replica.name)
 
     def ended(
         self, replica: Replica, verdict: str, latency_s: float, now: float
     ) -> None:
-        """Count the end of a request.
+        """Record the end of a request.
 
         :param verdict: ``succeeded``, ``failed``, ``refused`` or ``abandoned``.
         """
         load = self._load(replica)
         load.running = max(0, load.running - 1)
         if verdict == "succeeded":
-            load.latency_s += LATENCY_SHARE * (latency_s - load.latency_s)
+            load.latency_s += LATENCY_SMOOTHING * (latency_s - load.latency_s)
             self._ejection.succeeded(replica.name, now)
         elif verdict == "failed":
-            load.latency_s += LATENCY_SHARE * max(0.0, latency_s - load.latency_s)
-            group = len(self._replicas.usable(replica.service))
-            self._ejection.failed(replica.name, group, now)
+            load.latency_s += LATENCY_SMOOTHING * max(0.0, latency_s - load.latency_s)
+            group_size = len(self._replicas.usable(replica.service))
+            self._ejection.failed(replica.name, group_size, now)
         else:
             self._ejection.abandoned(replica.name)
 
     def forget(self, live: t.Container[tuple[str, int]]) -> None:
-        """Drop the upstreams that are gone."""
+        """Drop the upstreams that are not live any more."""
         for identity in list(self._load_by_identity):
             if identity not in live:
                 del self._load_by_identity[identity]
--- a/src/wagtailstair/core/log_budget.py
+++ b/src/wagtailstair/core/log_budget.py
@@ -1,9 +1,9 @@
-"""How many lines of each event may be written, and how many were left out."""
+"""Rate limit of log lines, by event."""
 
 import dataclasses
 
-BURST_FACTOR = 4.0
-"""Lines of an event that may come at once, over those of a second."""
+BURST_S = 4.0
+"""Lines of an event that may be written at once, in seconds of its rate."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -14,9 +14,9 @@
 
 
 class LogBudget:
-    """A token bucket for each event.
+    """Token buckets that limit the log lines of each event.
 
-    :param lines_per_s: lines of one event a second, in the long run.
+    :param lines_per_s: sustained rate of lines of one event.
     """
 
     __slots__ = ("_bucket_by_event", "_lines_per_s")
@@ -26,11 +26,11 @@
         self._bucket_by_event: dict[str, _Bucket] = {}
 
     def take(self, event: str, now: float) -> int | None:
-        """Return how many lines were left out before this one.
+        """Return the number of lines left out since the last written one.
 
-        ``None`` means that this one is left out, too.
+        ``None`` means that this line must be left out, too.
         """
-        burst = self._lines_per_s * BURST_FACTOR
+        burst = self._lines_per_s * BURST_S
         bucket = self._bucket_by_event.get(event)
         if bucket is None:
             bucket = self._bucket_by_event[event] = _Bucket(burst, now)
--- a/src/wagtailstair/core/plans.py
+++ b/src/wagtailstair/core/plans.py
@@ -1,4 +1,4 @@
-"""Plans and accounts: the rows of the two lists."""
+"""Plans and accounts, the rows of the two lists."""
 
 import dataclasses
 import math
@@ -29,19 +29,22 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ServiceUse:
-    """Use of a plain service: methods that need no idempotency key."""
+    """Use of a plain service.
+
+    ``repeatable``: methods that need no idempotency key.
+    """
 
     repeatable: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Plan:
-    """What the accounts of a plan may use.
+    """What an account of a plan may use.
 
     ``priorities``: most urgent first; ``weight``: share among the accounts of
-    a priority; ``work_per_s``: rate limit in work units a second, with
-    ``burst_s`` seconds of burst; ``max_concurrent``: open requests of one
-    account over all hosts.
+    a priority; ``work_per_s``: rate limit in work units; ``burst_s``: burst, in
+    seconds of the rate; ``max_concurrent``: open requests of one account over
+    all hosts.
     """
 
     name: str
@@ -58,7 +61,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Key:
-    """A salted hash of the secret of a bearer key."""
+    """The salted hash of a bearer key's secret."""
 
     salt: bytes
     digest: bytes
@@ -66,7 +69,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Account:
-    """An account with the plan that it holds and the keys that name it."""
+    """An account with its plan and the keys that authenticate it."""
 
     name: str
     plan: str
@@ -74,7 +77,7 @@
 
 
 class _Raw(msgspec.Struct, forbid_unknown_fields=True, frozen=True):
-    """The base of the rows' shapes in JSON and TOML."""
+    """Base of the shapes of rows in JSON and TOML."""
 
 
 class _RawService(_Raw, frozen=True):
@@ -153,9 +156,9 @@
 
 
 def parse_plan(name: str, value: object) -> Plan:
-    """Check the value of one plan.
+    """Parse the value of one plan.
 
-    :raises ListsError: with the path of what is wrong in ``where``.
+    :raises ListsError: with the path of the invalid part in ``where``.
     """
     where = f"{PLANS}.{name}"
     _check_name(name, where)
@@ -186,18 +189,18 @@
 
 
 def parse_account(name: str, value: object) -> Account:
-    """Check the value of one account; its plan is checked by `validate`.
+    """Parse the value of one account; its plan is checked by `validate`.
 
-    :raises ListsError: with the path of what is wrong in ``where``.
+    :raises ListsError: with the path of the invalid part in ``where``.
     """
     where = f"{ACCOUNTS}.{name}"
     _check_name(name, where)
     raw = _convert(value, _RawAccount, where)
     keys = []
     for index, raw_key in enumerate(raw.keys):
-        place = f"{where}.keys[{index}]"
-        salt = _parse_hex(raw_key.salt, SALT_BYTES, f"{place}.salt")
-        digest = _parse_hex(raw_key.digest, DIGEST_BYTES, f"{place}.digest")
+        key_path = f"{where}.keys[{index}]"
+        salt = _parse_hex(raw_key.salt, SALT_BYTES, f"{key_path}.salt")
+        digest = _parse_hex(raw_key.digest, DIGEST_BYTES, f"{key_path}.digest")
         keys.append(Key(salt, digest))
     return Account(name, raw.plan, tuple(keys))
 
--- a/src/wagtailstair/core/retry.py
+++ b/src/wagtailstair/core/retry.py
@@ -1,4 +1,4 @@
-"""When a failed attempt may be made again: budget, jitter, deadline."""
+"""Retries of failed attempts: budget, backoff with jitter, deadline."""
 
 import random
 
@@ -8,16 +8,17 @@
 
 
 class RetryBudget:
-    """A bound on the retries of a whole host.
+    """A limit on the retries of a whole host.
 
-    Each first attempt earns ``share`` of a retry; what is earned is worth
-    less with age, so that a quiet hour does not pay for a storm.
+    Each first attempt earns ``share`` of a retry. The balance decays to the
+    reserve, so that earlier traffic does not pay for a later retry storm.
 
-    :param share: retries over first attempts, at most.
+    :param share: retries allowed per first attempt.
     :param reserve: retries that are allowed without traffic.
+    :param time_constant_s: time in which the balance decays.
     """
 
-    __slots__ = ("_earned", "_earned_at", "_reserve", "_share", "_time_constant_s")
+    __slots__ = ("_balance", "_decayed_at", "_reserve", "_share", "_time_constant_s")
 
     def __init__(
         self,
@@ -28,36 +29,36 @@
         self._share = share
         self._reserve = reserve
         self._time_constant_s = time_constant_s
-        self._earned = reserve
-        self._earned_at = 0.0
+        self._balance = reserve
+        self._decayed_at = 0.0
 
-    def _age(self, now: float) -> None:
-        span_s = max(0.0, now - self._earned_at)
-        kept = max(0.0, 1 - span_s / self._time_constant_s)
-        # Age pulls the balance to the reserve from either side.
-        self._earned = self._reserve + (self._earned - self._reserve) * kept
-        self._earned_at = max(self._earned_at, now)
+    def _decay(self, now: float) -> None:
+        span_s = max(0.0, now - self._decayed_at)
+        weight = max(0.0, 1 - span_s / self._time_constant_s)
+        # The balance decays to the reserve from above and from below.
+        self._balance = self._reserve + (self._balance - self._reserve) * weight
+        self._decayed_at = max(self._decayed_at, now)
 
     def attempted(self, now: float) -> None:
-        """Note a first attempt."""
-        self._age(now)
-        self._earned += self._share
+        """Count a first attempt."""
+        self._decay(now)
+        self._balance += self._share
 
     def take(self, now: float) -> bool:
-        """Use a retry, if the budget has one."""
-        self._age(now)
-        if self._earned < 1:
+        """Use a retry if the budget allows it."""
+        self._decay(now)
+        if self._balance < 1:
             return False
-        self._earned -= 1
+        self._balance -= 1
         return True
 
 
 def backoff_s(
     attempt: int, rng: random.Random, *, base_s: float = 0.05, cap_s: float = 2.0
 ) -> float:
-    """Return the pause before a retry, with full jitter.
+    """Return the pause before a retry: exponential backoff with full jitter.
 
-    :param attempt: retries made before, from 0.
+    :param attempt: number of retries so far.
     """
     return rng.uniform(0, min(cap_s, base_s * 2 ** min(attempt, 32)))
 
@@ -69,14 +70,14 @@
     budget: RetryBudget,
     rng: random.Random,
     *,
-    least_s: float = 0.0,
+    min_call_s: float = 0.0,
 ) -> float | None:
-    """Return the pause before a retry, or ``None`` if there may be none.
+    """Return the pause before a retry, or ``None`` if no retry is allowed.
 
-    :param least_s: the time that a retried call takes at the least.
+    :param min_call_s: shortest time that the retried call takes.
     """
     pause_s = backoff_s(attempt, rng)
-    if now + pause_s + least_s >= deadline:
+    if now + pause_s + min_call_s >= deadline:
         return None
     if not budget.take(now):
         return None
--- a/src/wagtailstair/core/spread.py
+++ b/src/wagtailstair/core/spread.py
@@ -1,4 +1,4 @@
-"""Which load reports are worth sending to which peers."""
+"""Distribution of load reports: which peers get which report."""
 
 import dataclasses
 import typing as t
@@ -10,23 +10,23 @@
 
 REFRESH_S = 30.0  # to all peers, changed or not
 REPEAT_S = 5.0  # to the dispatcher, changed or not
-LOAD_INTERVAL_S = 1.0  # to the dispatcher, at most so often
-STALE_S = 100.0  # without any report, an engine is forgotten
-STEP_CHANGE = 0.1  # relative change of the step time that matters
-KV_CHANGE = 0.05  # change of the KV memory in use that matters, of its size
+LOAD_INTERVAL_S = 1.0  # to the dispatcher, between reports of a changed load
+STALE_S = 100.0  # then an engine without a report is removed
+MIN_STEP_CHANGE = 0.1  # of the step time, relative, that is reported
+MIN_KV_CHANGE = 0.05  # of the KV memory in use, as a share of its size
 
 
 @dataclasses.dataclass(slots=True)
-class _Sent:
+class _SentReport:
     state: EngineState
     dispatcher: str | None
-    at: float
+    sent_at: float
     refresh_at: float
     peers: t.Sequence[str]
 
 
-def _shape(state: EngineState) -> tuple[t.Any, ...]:
-    """Return what changes seldom and matters to every host."""
+def _static_fields(state: EngineState) -> tuple[t.Any, ...]:
+    """Return the fields that change rarely and that every host needs."""
     return (
         state.incarnation,
         state.address,
@@ -42,16 +42,16 @@
 
 
 def _load_changed(state: EngineState, sent: EngineState) -> bool:
-    """Return whether the load differs enough to matter to the dispatcher."""
+    """Return whether the load has changed enough for a new report."""
     if (state.running, state.waiting) != (sent.running, sent.waiting):
         return True
-    if abs(state.kv_used - sent.kv_used) > KV_CHANGE * max(1, state.kv_tokens):
+    if abs(state.kv_used - sent.kv_used) > MIN_KV_CHANGE * max(1, state.kv_tokens):
         return True
-    return abs(state.step_s - sent.step_s) > STEP_CHANGE * sent.step_s
+    return abs(state.step_s - sent.step_s) > MIN_STEP_CHANGE * sent.step_s
 
 
 def load_of(state: EngineState, now: float) -> EngineLoad:
-    """Return what changes often of a load report."""
+    """Return the fields of a load report that change often."""
     return EngineLoad(
         state.name,
         zlib.crc32(state.incarnation.encode()),
@@ -64,7 +64,7 @@
 
 
 def with_load(state: EngineState, load: EngineLoad, now: float) -> EngineState | None:
-    """Return a report with a newer load; None if it is of another incarnation."""
+    """Return a report with a newer load; None if that is of another incarnation."""
     if zlib.crc32(state.incarnation.encode()) != load.incarnation:
         return None
     return dataclasses.replace(
@@ -78,10 +78,10 @@
 
 
 class Spread:
-    """What the peers have been told of the engines that this host polls."""
+    """The load reports that this host has sent to its peers."""
 
     def __init__(self) -> None:
-        self._sent_by_engine: dict[str, _Sent] = {}
+        self._sent_by_engine: dict[str, _SentReport] = {}
         self._stale_checked_at = 0.0
 
     def targets(
@@ -91,31 +91,31 @@
         peers: t.Sequence[str],
         now: float,
     ) -> tuple[t.Sequence[str], t.Sequence[str]]:
-        """Return the peers to tell of a report, and note that they were told.
+        """Return the receivers of a report, and record it as sent.
 
-        The first need the whole report, the second what changes often.
+        The first group gets the full report, the second the load alone.
         """
         sent = self._sent_by_engine.get(state.name)
-        if sent is None or _shape(sent.state) != _shape(state):
-            refresh_at = now + REFRESH_S * _phase(state.name)
-            self._note(state, dispatcher, peers, now, refresh_at)
+        if sent is None or _static_fields(sent.state) != _static_fields(state):
+            refresh_at = now + REFRESH_S * _refresh_phase(state.name)
+            self._record_sent(state, dispatcher, peers, now, refresh_at)
             return peers, ()
         if now >= sent.refresh_at:
-            self._note(state, dispatcher, peers, now, now + REFRESH_S)
+            self._record_sent(state, dispatcher, peers, now, now + REFRESH_S)
             return peers, ()
-        new = [peer for peer in peers if peer not in sent.peers]
+        receivers = [peer for peer in peers if peer not in sent.peers]
         if dispatcher != sent.dispatcher and dispatcher in peers:
-            new.append(t.cast(str, dispatcher))
-        if new:
-            self._note(state, dispatcher, peers, now, sent.refresh_at)
-            return list(dict.fromkeys(new)), ()
+            receivers.append(t.cast(str, dispatcher))
+        if receivers:
+            self._record_sent(state, dispatcher, peers, now, sent.refresh_at)
+            return list(dict.fromkeys(receivers)), ()
         wait_s = LOAD_INTERVAL_S if _load_changed(state, sent.state) else REPEAT_S
-        if now - sent.at < wait_s:
+        if now - sent.sent_at < wait_s:
             return (), ()
-        self._note(state, dispatcher, peers, now, sent.refresh_at)
+        self._record_sent(state, dispatcher, peers, now, sent.refresh_at)
         return (), [peer for peer in peers if peer == dispatcher]
 
-    def _note(
+    def _record_sent(
         self,
         state: EngineState,
         dispatcher: str | None,
@@ -123,17 +123,17 @@
         now: float,
         refresh_at: float,
     ) -> None:
-        self._sent_by_engine[state.name] = _Sent(
+        self._sent_by_engine[state.name] = _SentReport(
             state, dispatcher, now, refresh_at, peers
         )
 
     def hurry(self) -> None:
-        """Make the next report of each engine go to all peers, as one is new."""
+        """Make the next report of each engine go to all peers, for a new peer."""
         for sent in self._sent_by_engine.values():
             sent.refresh_at = float("-inf")
 
     def stale(self, engines: Engines, now: float) -> list[EngineState]:
-        """Return the engines of which no report has come for too long."""
+        """Return the engines without a report for ``STALE_S``."""
         if now - self._stale_checked_at < 1.0:
             return []
         self._stale_checked_at = now
@@ -141,6 +141,6 @@
         return [state for state in states if now - state.as_of > STALE_S]
 
 
-def _phase(name: str) -> float:
+def _refresh_phase(name: str) -> float:
     """Return a fraction that spreads the refreshes of engines over time."""
     return zlib.crc32(name.encode()) / 2**32
--- a/src/wagtailstair/core/targets.py
+++ b/src/wagtailstair/core/targets.py
@@ -1,17 +1,18 @@
-"""What the engines of a data centre should hold, from lists and demand."""
+"""Number of engines that should hold each layer range, from lists and demand."""
 
 import collections.abc
 import dataclasses
 
 SHIFT_GAIN = 0.25
+"""Relative decrease of the highest pressure that justifies a new division."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ModelSpec:
-    """A model as it should be served.
+    """How a model should be served.
 
     ``ranges``: the layer ranges of one pipeline, each held by one engine;
-    ``bytes_per_layer``: of weights, for the weight store's rate.
+    ``bytes_per_layer``: size of the weights, for the weight store's rate.
     """
 
     model: str
@@ -25,7 +26,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Target:
-    """Engines that should hold one layer range of a model."""
+    """Number of engines that should hold one layer range of a model."""
 
     spec: ModelSpec
     first: int
@@ -41,7 +42,7 @@
     return demand / pipelines if pipelines else float("inf")
 
 
-def _worst(
+def _highest_pressure(
     pipelines: Pipelines, demand_by_model: collections.abc.Mapping[str, float]
 ) -> float:
     return max(
@@ -57,13 +58,15 @@
     present: Pipelines,
     shift_gain: float = SHIFT_GAIN,
 ) -> Pipelines:
-    """Return how many pipelines each model gets.
+    """Return the number of pipelines of each model.
 
-    Each model gets one as far as the engines go; each further one goes to the
-    model with the most work for each pipeline. The present division stays
-    unless the new one lowers the highest pressure by ``shift_gain``.
+    Each model gets one pipeline while there are engines left. Each further one
+    goes to the model with the highest pressure, its work for each pipeline.
+    The present division stays unless the new one lowers the highest pressure
+    by the share ``shift_gain``.
 
-    :param demand_by_model: work a second.
+    :param demand_by_model: work per second.
+    :param present: the present division.
     """
     pipelines: Pipelines = {spec.model: 0 for spec in specs}
     left = engines
@@ -73,23 +76,23 @@
         pipelines[spec.model] = 1
         left -= len(spec.ranges)
     while True:
-        wanting = [spec for spec in specs if len(spec.ranges) <= left]
-        if not wanting:
+        candidates = [spec for spec in specs if len(spec.ranges) <= left]
+        if not candidates:
             break
         spec = max(
-            wanting,
+            candidates,
             key=lambda s: _pressure(
                 demand_by_model.get(s.model, 0.0), pipelines[s.model]
             ),
         )
         pipelines[spec.model] += 1
         left -= len(spec.ranges)
-    if _stays(specs, pipelines, present, demand_by_model, engines, shift_gain):
+    if _keeps_present(specs, pipelines, present, demand_by_model, engines, shift_gain):
         return dict(present)
     return pipelines
 
 
-def _stays(
+def _keeps_present(
     specs: collections.abc.Sequence[ModelSpec],
     pipelines: Pipelines,
     present: Pipelines,
@@ -105,14 +108,14 @@
         return False
     if any(present[model] == 0 < count for model, count in pipelines.items()):
         return False
-    threshold = (1 - shift_gain) * _worst(present, demand_by_model)
-    return _worst(pipelines, demand_by_model) > threshold
+    threshold = (1 - shift_gain) * _highest_pressure(present, demand_by_model)
+    return _highest_pressure(pipelines, demand_by_model) > threshold
 
 
 def make_targets(
     specs: collections.abc.Sequence[ModelSpec], pipelines: Pipelines
 ) -> list[Target]:
-    """Return the targets for a division of the engines."""
+    """Return the targets for a division of the engines among models."""
     targets: list[Target] = []
     for spec in specs:
         for first, last in spec.ranges:
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -34,6 +34,6 @@
     def test_no_retry_beyond_the_deadline_and_no_charge_for_it(self):
         budget = RetryBudget(reserve=1.0)
         rng = random.Random(1)
-        assert retry_pause_s(0, 0.0, 0.5, budget, rng, least_s=1.0) is None
+        assert retry_pause_s(0, 0.0, 0.5, budget, rng, min_call_s=1.0) is None
         assert retry_pause_s(0, 0.0, 9.0, budget, rng) is not None
         assert retry_pause_s(0, 0.0, 9.0, budget, rng) is None
