--- a/tests/policy_data.py
+++ b/tests/policy_data.py
@@ -1,4 +1,4 @@
-"""Engines and wants for the tests of the policy."""
+"""Engine states and route requests for the tests of the dispatching policy."""
 
 from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import EngineState
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -13,7 +13,7 @@
         taken = sum(allowance.take("s", 8, 0.0) for _ in range(100))
         assert 0 < taken <= SLACK / 8
 
-    def test_requests_earn_repeats(self):
+    def test_requests_add_to_the_budget(self):
         allowance = Allowance(RATIO, 0.0, WINDOW_S)
         assert not allowance.take("s", 8, 0.0)
         for _ in range(100):
@@ -27,7 +27,7 @@
             continue
         assert allowance.take("other", 1, 0.0)
 
-    def test_repeats_come_back_after_the_window(self):
+    def test_repeats_are_allowed_again_after_the_window(self):
         allowance = Allowance(RATIO, 8.0, WINDOW_S)
         while allowance.take("s", 1, 0.0):
             continue
@@ -35,7 +35,7 @@
         assert allowance.take("s", 1, WINDOW_S + 2)
 
     @pytest.mark.parametrize("seed", range(10))
-    def test_all_hosts_together_keep_to_the_budget(self, seed):
+    def test_all_hosts_together_stay_within_the_budget(self, seed):
         rng = random.Random(seed)
         hosts = [Allowance(RATIO, SLACK, WINDOW_S) for _ in range(8)]
         requests, repeats = [], []
--- a/tests/test_dispatch_tickets.py
+++ b/tests/test_dispatch_tickets.py
@@ -34,17 +34,17 @@
 )
 
 
-class Desk:
-    """Tickets whose dispatcher is set by hand."""
+class EntryHost:
+    """The submissions of a host, to a dispatcher that the test sets."""
 
     def __init__(self):
         self.owner = "owner"
-        self.told = []
+        self.messages = []
         self.tickets = Tickets(
             lambda key: self.owner,
             lambda key: Pool(key.model, key.data_centre),
             Engines(),
-            lambda host, body, now: self.told.append((host, body)),
+            lambda host, body, now: self.messages.append((host, body)),
         )
 
     def submit(self, now=0.0):
@@ -57,132 +57,132 @@
 
 
 class TestSubmit:
-    def test_deadline_travels_as_remaining_time(self):
-        desk = Desk()
-        desk.tickets.submit(KEY, WANT, 10.0)
-        [(host, message)] = desk.tickets.take_sends()
+    def test_deadline_is_sent_as_remaining_time(self):
+        entry_host = EntryHost()
+        entry_host.tickets.submit(KEY, WANT, 10.0)
+        [(host, message)] = entry_host.tickets.take_sends()
         assert host == "owner"
         assert message.want.deadline == 20.0
 
     def test_is_repeated_until_answered(self):
-        desk = Desk()
-        handle = desk.submit()
-        desk.tickets.tick(0.15)
-        assert desk.sends() == [("owner", handle)]
-        desk.tickets.tick(0.2)
-        assert desk.sends() == []
-        desk.tickets.tick(0.4)
-        assert desk.sends() == [("owner", handle)]
-
-    def test_lost_grant_is_asked_for_while_it_waits(self):
-        desk = Desk()
-        handle = desk.submit()
-        desk.tickets.queued("owner", Queued(handle), 0.01)
-        desk.tickets.tick(0.4)
-        assert desk.sends() == []
-        desk.tickets.tick(0.6)
-        assert desk.sends() == [("owner", handle)]
-
-    def test_ends_after_its_deadline_at_the_latest(self):
-        desk = Desk()
-        handle = desk.submit()
-        desk.tickets.queued("owner", Queued(handle), 30.9)
-        desk.tickets.tick(31.1)
-        [refusal] = desk.tickets.take_results()
+        entry_host = EntryHost()
+        handle = entry_host.submit()
+        entry_host.tickets.tick(0.15)
+        assert entry_host.sends() == [("owner", handle)]
+        entry_host.tickets.tick(0.2)
+        assert entry_host.sends() == []
+        entry_host.tickets.tick(0.4)
+        assert entry_host.sends() == [("owner", handle)]
+
+    def test_queued_submission_is_repeated_in_case_its_grant_was_lost(self):
+        entry_host = EntryHost()
+        handle = entry_host.submit()
+        entry_host.tickets.queued("owner", Queued(handle), 0.01)
+        entry_host.tickets.tick(0.4)
+        assert entry_host.sends() == []
+        entry_host.tickets.tick(0.6)
+        assert entry_host.sends() == [("owner", handle)]
+
+    def test_is_refused_locally_after_its_deadline(self):
+        entry_host = EntryHost()
+        handle = entry_host.submit()
+        entry_host.tickets.queued("owner", Queued(handle), 30.9)
+        entry_host.tickets.tick(31.1)
+        [refusal] = entry_host.tickets.take_results()
         assert refusal.reason is RefusalReason.DEADLINE
-        assert desk.told == [("owner", Withdraw(handle, KEY))]
+        assert entry_host.messages == [("owner", Withdraw(handle, KEY))]
 
 
 class TestAnswers:
-    def test_grant_names_the_request(self):
-        desk = Desk()
-        handle = desk.submit()
-        desk.tickets.granted("owner", Granted(handle, ROUTE), 0.1)
-        assert desk.tickets.take_results() == [Grant("r1", 2, "entry", ROUTE)]
+    def test_grant_is_returned_for_its_request(self):
+        entry_host = EntryHost()
+        handle = entry_host.submit()
+        entry_host.tickets.granted("owner", Granted(handle, ROUTE), 0.1)
+        assert entry_host.tickets.take_results() == [Grant("r1", 2, "entry", ROUTE)]
 
     def test_late_copy_of_a_grant_has_no_effect(self):
-        desk = Desk()
-        handle = desk.submit()
-        desk.tickets.granted("owner", Granted(handle, ROUTE), 0.1)
-        desk.tickets.granted("owner", Granted(handle, OTHER_ROUTE), 0.2)
-        assert len(desk.tickets.take_results()) == 1
-        assert desk.told == []
-
-    def test_grant_of_another_host_is_given_back(self):
-        desk = Desk()
-        handle = desk.submit()
-        desk.tickets.granted("stranger", Granted(handle, ROUTE), 0.1)
-        assert desk.tickets.take_results() == []
-        assert desk.told == [("stranger", Withdraw(handle))]
-
-    def test_grant_after_the_end_is_given_back(self):
-        desk = Desk()
-        handle = desk.submit()
-        desk.tickets.cancel("r1", 2, 0.1)
-        desk.told.clear()
-        desk.tickets.granted("owner", Granted(handle, ROUTE), 0.2)
-        assert desk.tickets.take_results() == []
-        assert desk.told == [("owner", Withdraw(handle))]
-
-    def test_submission_that_waits_for_nobody_is_withdrawn(self):
-        desk = Desk()
-        desk.tickets.queued("owner", Queued(99), 0.1)
-        assert desk.told == [("owner", Withdraw(99))]
-
-
-class TestMoved:
+        entry_host = EntryHost()
+        handle = entry_host.submit()
+        entry_host.tickets.granted("owner", Granted(handle, ROUTE), 0.1)
+        entry_host.tickets.granted("owner", Granted(handle, OTHER_ROUTE), 0.2)
+        assert len(entry_host.tickets.take_results()) == 1
+        assert entry_host.messages == []
+
+    def test_grant_of_another_host_is_withdrawn(self):
+        entry_host = EntryHost()
+        handle = entry_host.submit()
+        entry_host.tickets.granted("stranger", Granted(handle, ROUTE), 0.1)
+        assert entry_host.tickets.take_results() == []
+        assert entry_host.messages == [("stranger", Withdraw(handle))]
+
+    def test_grant_after_the_end_is_withdrawn(self):
+        entry_host = EntryHost()
+        handle = entry_host.submit()
+        entry_host.tickets.cancel("r1", 2, 0.1)
+        entry_host.messages.clear()
+        entry_host.tickets.granted("owner", Granted(handle, ROUTE), 0.2)
+        assert entry_host.tickets.take_results() == []
+        assert entry_host.messages == [("owner", Withdraw(handle))]
+
+    def test_queued_submission_without_a_request_is_withdrawn(self):
+        entry_host = EntryHost()
+        entry_host.tickets.queued("owner", Queued(99), 0.1)
+        assert entry_host.messages == [("owner", Withdraw(99))]
+
+
+class TestNewDispatcher:
     def test_waiting_request_is_submitted_to_the_new_dispatcher(self):
-        desk = Desk()
-        first = desk.submit()
-        desk.owner = "next"
-        desk.tickets.moved(1.0)
-        assert desk.told == [("owner", Withdraw(first, KEY))]
-        [(host, second)] = desk.sends()
+        entry_host = EntryHost()
+        first = entry_host.submit()
+        entry_host.owner = "next"
+        entry_host.tickets.moved(1.0)
+        assert entry_host.messages == [("owner", Withdraw(first, KEY))]
+        [(host, second)] = entry_host.sends()
         assert host == "next"
         assert second != first
 
-    def test_grant_in_use_is_told_to_the_new_dispatcher(self):
-        desk = Desk()
-        first = desk.submit()
-        desk.tickets.granted("owner", Granted(first, ROUTE), 0.1)
-        desk.owner = "next"
-        desk.tickets.moved(1.0)
-        (_, withdraw), (host, held) = desk.told
+    def test_grant_in_use_is_reported_to_the_new_dispatcher(self):
+        entry_host = EntryHost()
+        first = entry_host.submit()
+        entry_host.tickets.granted("owner", Granted(first, ROUTE), 0.1)
+        entry_host.owner = "next"
+        entry_host.tickets.moved(1.0)
+        (_, withdraw), (host, held) = entry_host.messages
         assert withdraw == Withdraw(first, KEY)
         assert host == "next"
         want = dataclasses.replace(WANT, deadline=29.0)
         assert held == Held(held.handle, KEY, want, ROUTE, 0)
-        desk.told.clear()
-        desk.tickets.done(Done("r1", 2, "entry", 8, 5), 2.0)
-        assert desk.told == [("next", Finished(held.handle, KEY, 8, 5))]
-
-    def test_forgetful_dispatcher_gets_a_new_handle(self):
-        desk = Desk()
-        first = desk.submit()
-        desk.tickets.void("owner", 1.0)
-        [(host, second)] = desk.sends()
+        entry_host.messages.clear()
+        entry_host.tickets.done(Done("r1", 2, "entry", 8, 5), 2.0)
+        assert entry_host.messages == [("next", Finished(held.handle, KEY, 8, 5))]
+
+    def test_dispatcher_that_lost_its_state_gets_a_new_handle(self):
+        entry_host = EntryHost()
+        first = entry_host.submit()
+        entry_host.tickets.void("owner", 1.0)
+        [(host, second)] = entry_host.sends()
         assert host == "owner"
         assert second != first
-        desk.tickets.granted("owner", Granted(first, ROUTE), 1.1)
-        assert desk.tickets.take_results() == []
+        entry_host.tickets.granted("owner", Granted(first, ROUTE), 1.1)
+        assert entry_host.tickets.take_results() == []
 
 
-class TestLocal:
-    def test_without_a_dispatcher_or_engines_it_is_refused(self):
-        desk = Desk()
-        desk.owner = None
-        desk.tickets.submit(KEY, WANT, 0.0)
+class TestLocalPool:
+    def test_request_without_a_dispatcher_or_engines_is_refused(self):
+        entry_host = EntryHost()
+        entry_host.owner = None
+        entry_host.tickets.submit(KEY, WANT, 0.0)
         for step in range(60):
-            desk.tickets.tick(step * 0.05)
-        [refusal] = desk.tickets.take_results()
+            entry_host.tickets.tick(step * 0.05)
+        [refusal] = entry_host.tickets.take_results()
         assert isinstance(refusal, Refusal)
         assert refusal.reason is RefusalReason.NO_ROUTE
 
-    def test_suspect_dispatcher_is_not_waited_for_again(self):
-        desk = Desk()
-        desk.submit()
-        desk.tickets.tick(0.0)
-        desk.tickets.tick(0.8)
-        assert desk.tickets.suspects == {"owner"}
-        desk.tickets.heard("owner")
-        assert desk.tickets.suspects == set()
+    def test_silent_dispatcher_is_suspected_until_it_answers(self):
+        entry_host = EntryHost()
+        entry_host.submit()
+        entry_host.tickets.tick(0.0)
+        entry_host.tickets.tick(0.8)
+        assert entry_host.tickets.suspects == {"owner"}
+        entry_host.tickets.heard("owner")
+        assert entry_host.tickets.suspects == set()
--- a/tests/test_log_budget.py
+++ b/tests/test_log_budget.py
@@ -2,13 +2,13 @@
 
 
 class TestBudget:
-    def test_a_burst_passes_and_the_rest_is_counted(self):
+    def test_lines_beyond_the_burst_are_left_out(self):
         budget = LogBudget(10.0)
         taken = [budget.take("e", 0.0) for _ in range(50)]
         assert taken[:40] == [0] * 40
         assert taken[40:] == [None] * 10
 
-    def test_the_next_line_tells_what_was_left_out(self):
+    def test_the_next_line_reports_the_number_left_out(self):
         budget = LogBudget(10.0)
         for _ in range(43):
             budget.take("e", 0.0)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -29,11 +29,10 @@
 
 
 class PoolMachine(RuleBasedStateMachine):
-    """Drives a pool, and checks each decision against what it was told.
+    """Drives a pool and checks its decisions against the calls so far.
 
-    ``waiting``, ``running``: by request, the want and, for the second, the
-    route; ``ended``: the last epoch that is over; ``asked_again``: repeated
-    wants that may be answered again.
+    ``waiting`` and ``running`` map a request to its item and, for running ones,
+    its route. ``epochs`` holds the latest epoch of each request.
     """
 
     def __init__(self):
@@ -48,7 +47,7 @@
         self.repeatable = {}
         self.incarnations = collections.Counter()
 
-    # What the world tells the pool.
+    # Calls of the pool.
 
     @rule(index=st.integers(0, len(NAMES) - 1), new=st.booleans())
     def report(self, index, new):
@@ -88,7 +87,9 @@
         avoid=st.sets(st.sampled_from(NAMES), max_size=2),
         entitled=st.booleans(),
     )
-    def ask(self, request, account, host, priority, work, timeout_s, avoid, entitled):
+    def submit(
+        self, request, account, host, priority, work, timeout_s, avoid, entitled
+    ):
         self.epochs[request] += 1
         item = want(
             request,
@@ -108,7 +109,7 @@
 
     @precondition(lambda self: self.waiting or self.running)
     @rule(data=st.data(), age=st.integers(0, 1))
-    def ask_again(self, data, age):
+    def submit_again(self, data, age):
         request = data.draw(st.sampled_from(sorted({*self.waiting, *self.running})))
         item = self.waiting.get(request) or self.running[request][0]
         if age and item.epoch > 1:
@@ -138,7 +139,7 @@
 
     @precondition(lambda self: self.running)
     @rule()
-    def move_to_a_successor(self):
+    def replace_dispatcher(self):
         self.pool = Pool("draft", "a", PoolLimits(queue_length=4))
         for item, route in list(self.running.values()):
             self.pool.hold(Hold(item, route, 0), self.now)
@@ -161,7 +162,7 @@
     def wait(self, seconds):
         self.now += seconds
 
-    # What the pool may decide.
+    # Checks of the pool's decisions.
 
     @invariant()
     def decide(self):
@@ -206,7 +207,7 @@
             assert used[stage.engine] < state.slots
 
     def teardown(self):
-        # No want is lost: each has had its answer by its deadline.
+        # No request is lost: each is answered by its deadline.
         for item in list(self.waiting.values()):
             wake = self.pool.next_wake(self.now)
             assert wake is not None
@@ -241,7 +242,7 @@
 
 
 class TestGrants:
-    def test_urgent_work_finds_a_slot_that_batch_work_may_not_fill(self):
+    def test_batch_work_may_not_fill_the_slots_reserved_for_urgent_work(self):
         pool = pool_of(engine("e", slots=10), reserves=(0.0, 0.0, 0.2))
         for number in range(20):
             pool.want(want(f"b{number}", priority=Priority.BATCH), 0.0)
@@ -249,7 +250,7 @@
         pool.want(want("u", priority=Priority.URGENT), 0.0)
         assert kinds(pool.poll(0.0)) == [("Grant", "u")]
 
-    def test_a_repeated_want_gets_the_same_grant_and_no_second_slot(self):
+    def test_a_repeated_request_gets_the_same_grant_and_no_second_slot(self):
         pool = pool_of(engine("e"))
         item = want("r")
         pool.want(item, 0.0)
@@ -258,7 +259,7 @@
         assert pool.poll(0.1) == first
         assert pool.stats().open_grants == 1
 
-    def test_a_late_want_after_the_end_gets_nothing(self):
+    def test_a_repeated_request_after_its_end_gets_no_answer(self):
         pool = pool_of(engine("e"))
         item = want("r")
         pool.want(item, 0.0)
@@ -267,7 +268,7 @@
         pool.want(item, 1.1)
         assert pool.poll(1.1) == []
 
-    def test_a_late_want_of_an_older_epoch_changes_nothing(self):
+    def test_a_late_request_of_an_older_epoch_has_no_effect(self):
         pool = pool_of(engine("e"))
         pool.want(want("r", epoch=1), 0.0)
         first = pool.poll(0.0)
@@ -278,7 +279,7 @@
         pool.want(want("r", epoch=1), 0.2)
         assert pool.poll(0.2) == first
 
-    def test_a_repeated_refusal_is_repeated(self):
+    def test_a_repeated_request_gets_the_same_refusal(self):
         pool = pool_of(engine("e"))
         item = want("r", deadline=0.0)
         pool.want(item, 1.0)
@@ -287,13 +288,13 @@
         assert pool.poll(1.0) == first
         assert first[0].reason is RefusalReason.DEADLINE
 
-    def test_the_kv_memory_bounds_the_grants(self):
+    def test_the_kv_memory_limits_the_grants(self):
         pool = pool_of(engine("e", slots=9, kv_tokens=100))
         for number in range(9):
             pool.want(want(f"r{number}"), 0.0)
         assert len(pool.poll(0.0)) == 2
 
-    def test_a_failing_engine_is_left_alone_and_probed(self):
+    def test_a_failing_engine_is_ejected_and_probed(self):
         pool = pool_of(engine("bad"), engine("good", step_s=0.5))
         now = 0.0
         used = []
@@ -307,7 +308,7 @@
         pool.want(want("probe"), 6.0)
         assert pool.poll(6.0)[0].route[0].engine == "bad"
 
-    def test_an_engine_far_slower_than_its_kind_gets_no_work(self):
+    def test_an_engine_far_slower_than_its_kind_is_ejected(self):
         names = ("e", "f", "g")
         pool = pool_of(*(engine(name, slots=1) for name in names))
         for number in range(6):
@@ -320,7 +321,7 @@
         pool.observe(engine("e", slots=1, as_of=7.0), 7.0)
         assert [g.route[0].engine for g in pool.poll(7.0)] == ["e"]
 
-    def test_requests_for_a_busy_adapter_hold_up_nobody_else(self):
+    def test_requests_for_a_busy_adapter_do_not_block_others(self):
         pool = pool_of(engine("e", slots=1, adapters=("x",)), engine("f", slots=1))
         for number in range(10):
             pool.want(want(f"x{number}", f"x{number}", adapter="x"), 0.0)
@@ -329,7 +330,7 @@
 
 
 class TestSuccessor:
-    def test_counts_the_grants_it_is_told_before_it_knows_the_engines(self):
+    def test_counts_grants_reported_before_their_engines(self):
         pool = pool_of(engine("e", slots=2))
         pool.want(want("r1"), 0.0)
         route = pool.poll(0.0)[0].route
@@ -342,7 +343,7 @@
         successor.done(Done("r1", 0, "h1", 16, 9), 2.0)
         assert kinds(successor.poll(2.0)) == [("Grant", "r3")]
 
-    def test_takes_what_runs_without_a_hold_for_used(self):
+    def test_counts_running_requests_that_no_host_reports(self):
         pool = pool_of(engine("e", slots=2, running=2), reserves=(0.0, 0.0, 0.0))
         item = want("r")
         pool.want(item, 0.0)
@@ -352,7 +353,7 @@
 
 
 class TestRefusals:
-    def test_what_no_engine_can_run_is_refused_after_a_while(self):
+    def test_a_request_that_no_engines_can_run_is_refused_after_a_timeout(self):
         pool = pool_of(engine("e", 0, 4))
         pool.want(want("r"), 0.0)
         assert pool.poll(0.0) == []
@@ -361,24 +362,24 @@
         decisions = pool.poll(wake)
         assert [d.reason for d in decisions] == [RefusalReason.NO_ROUTE]
 
-    def test_a_gap_that_closes_in_time_refuses_nothing(self):
+    def test_a_missing_range_that_returns_in_time_refuses_nothing(self):
         pool = pool_of(engine("e", 0, 4))
         pool.want(want("r"), 0.0)
         pool.poll(0.0)
         pool.observe(engine("f", 4, 8), 1.0)
         assert kinds(pool.poll(1.0)) == [("Grant", "r")]
 
-    def test_what_can_not_be_run_in_time_is_refused_at_once(self):
+    def test_a_request_that_can_not_meet_its_deadline_is_refused_at_once(self):
         pool = pool_of(engine("e", slots=1))
         for number in range(50):
             pool.want(want(f"r{number}"), 0.0)
         pool.poll(0.0)
-        # 49 times 10 units wait, at 100 tokens a second.
+        # 49 requests of 10 work units wait, at 100 tokens per second.
         pool.want(want("late", deadline=2.0), 0.0)
         pool.want(want("ok", deadline=50.0), 0.0)
         assert kinds(pool.poll(0.0)) == [("Refusal", "late")]
 
-    def test_what_is_pushed_out_is_told_so(self):
+    def test_a_displaced_request_is_refused(self):
         pool = pool_of(queue_length=4, minimum_shares=(0.0, 0.0, 0.0))
         for number in range(4):
             pool.want(want(f"b{number}", "flood", Priority.BATCH), 0.0)
@@ -387,7 +388,7 @@
         assert kinds(decisions) == [("Refusal", "b3")]
         assert decisions[0].reason is RefusalReason.QUEUE_FULL
 
-    def test_urgent_work_is_not_refused_for_a_flood_of_batch_work(self):
+    def test_urgent_work_is_not_refused_under_a_flood_of_batch_work(self):
         pool = pool_of(engine("e", slots=2), queue_length=40)
         for number in range(100):
             pool.want(want(f"b{number}", "flood", Priority.BATCH), 0.0)
@@ -397,7 +398,7 @@
 
 
 class TestMemory:
-    def test_is_bounded_over_many_requests(self):
+    def test_memory_is_bounded_over_many_requests(self):
         pool = pool_of(engine("e", slots=4), queue_length=50)
         now = 0.0
         for number in range(40_000):
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -33,7 +33,7 @@
 
 
 class TestPriorities:
-    def test_each_keeps_its_minimum_while_all_wait(self):
+    def test_each_gets_its_minimum_share_while_all_wait(self):
         queue = FairQueue(10_000, SHARES)
         rng = random.Random(1)
         for priority in Priority:
@@ -45,10 +45,10 @@
         total = sum(work.values())
         for priority in (STANDARD, BATCH):
             assert work[priority] >= SHARES[priority] * total - 50
-        # The rest goes to the most urgent.
+        # The remaining share goes to the most urgent priority.
         assert work[URGENT] >= (1 - SHARES[STANDARD] - SHARES[BATCH]) * total - 100
 
-    def test_a_long_quiet_time_earns_nothing(self):
+    def test_time_without_work_earns_no_credit(self):
         queue = FairQueue(10_000, SHARES)
         fill(queue, 500, "a", URGENT)
         serve(queue, 400)
@@ -56,7 +56,7 @@
         served = serve(queue, 40)
         assert sum(item.priority is BATCH for item in served) <= 3
 
-    def test_what_was_had_beyond_the_minimum_is_not_held_against_it(self):
+    def test_service_beyond_the_minimum_does_not_reduce_later_service(self):
         queue = FairQueue(10_000, SHARES)
         fill(queue, 600, "a", BATCH)
         serve(queue, 500)
@@ -64,7 +64,7 @@
         served = serve(queue, 100)
         assert sum(item.priority is BATCH for item in served) >= 4
 
-    def test_entitled_work_goes_first(self):
+    def test_entitled_work_is_served_first(self):
         queue = FairQueue(100, SHARES)
         fill(queue, 3, "a", STANDARD, entitled=False)
         fill(queue, 3, "b", STANDARD, entitled=True)
@@ -72,7 +72,7 @@
 
 
 class TestAccounts:
-    def test_share_by_weight_in_work_not_in_requests(self):
+    def test_share_work_by_weight_whatever_the_number_of_requests(self):
         queue = FairQueue(10_000, SHARES)
         fill(queue, 900, "many", STANDARD, work=5.0)
         fill(queue, 300, "large", STANDARD, work=40.0)
@@ -81,14 +81,14 @@
         assert work["many"] == pytest.approx(work["large"], abs=80)
         assert work["double"] == pytest.approx(2 * work["large"], abs=120)
 
-    def test_a_small_account_goes_before_a_backlog(self):
+    def test_a_new_account_is_served_before_the_backlog_of_another(self):
         queue = FairQueue(10_000, SHARES)
         fill(queue, 1_000, "large", STANDARD)
         serve(queue, 100)
         queue.push(want("new", "small"))
         assert "new" in [item.request for item in serve(queue, 2)]
 
-    def test_the_charge_is_corrected_at_the_end(self):
+    def test_the_charge_is_corrected_to_the_actual_work(self):
         queue = FairQueue(10_000, SHARES)
         fill(queue, 100, "under", STANDARD)
         fill(queue, 100, "exact", STANDARD)
@@ -113,12 +113,12 @@
 
 
 class TestBound:
-    def test_the_flood_gives_way_to_more_urgent_work(self):
+    def test_more_urgent_work_displaces_items_of_a_flood(self):
         queue = FairQueue(100, SHARES)
         for number in range(200):
             queue.push(want(f"b{number}", "flood", BATCH))
         fill(queue, 3, "other", BATCH)
-        room = queue.count(BATCH)
+        count_before = queue.count(BATCH)
         taken, victim = queue.push(want("u", "small", URGENT))
         assert taken
         assert victim is None
@@ -128,9 +128,9 @@
         assert victim is not None
         assert (victim.account, victim.priority) == ("flood", BATCH)
         assert len(queue) <= 100
-        assert queue.count(BATCH) < room
+        assert queue.count(BATCH) < count_before
 
-    def test_less_urgent_work_pushes_nothing_out(self):
+    def test_less_urgent_work_displaces_no_more_urgent_items(self):
         queue = FairQueue(100, SHARES)
         for number in range(300):
             queue.push(want(f"u{number}", "flood", URGENT))
@@ -139,11 +139,11 @@
             _, victim = queue.push(want(f"b{number}", "small", BATCH))
             assert victim is None or victim.priority is BATCH
         assert queue.count(URGENT) == urgent
-        # A flood leaves the others the room of their minimum.
+        # A flood leaves the other priorities the places of their minimum.
         assert queue.count(BATCH) >= 5
         assert len(queue) <= 100
 
-    def test_a_flood_of_urgent_work_leaves_the_others_their_room(self):
+    def test_a_flood_of_urgent_work_leaves_the_others_their_places(self):
         queue = FairQueue(100, SHARES)
         fill(queue, 30, "a", BATCH)
         fill(queue, 20, "a", STANDARD)
@@ -151,7 +151,7 @@
             queue.push(want(f"u{number}", "flood", URGENT))
         assert (queue.count(STANDARD), queue.count(BATCH)) == (20, 5)
 
-    def test_an_account_with_few_gets_the_place_of_one_with_many(self):
+    def test_an_account_with_few_items_displaces_one_of_an_account_with_many(self):
         queue = FairQueue(10, (0.0, 0.0, 0.0))
         fill(queue, 10, "flood", STANDARD)
         taken, victim = queue.push(want("r", "small"))
@@ -160,7 +160,7 @@
         taken, victim = queue.push(want("again", "flood"))
         assert (taken, victim) == (False, None)
 
-    def test_unentitled_work_does_not_push_out_entitled(self):
+    def test_unentitled_work_does_not_displace_entitled_work(self):
         queue = FairQueue(10, (0.0, 0.0, 0.0))
         fill(queue, 10, "flood", STANDARD, entitled=True)
         assert not queue.push(want("r", "small", entitled=False))[0]
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -19,7 +19,7 @@
             st.tuples(st.floats(0, 0.5), st.floats(0.1, 15)), min_size=1, max_size=80
         )
     )
-    def test_allows_the_rate_the_burst_and_no_more(self, arrivals):
+    def test_allows_no_more_than_the_rate_and_the_burst(self, arrivals):
         quota = Quota()
         now = allowed = 0.0
         for number, (pause_s, work) in enumerate(arrivals):
@@ -29,7 +29,7 @@
                 allowed += work
         assert allowed <= 10.0 * now + 20.0 + 1e-6
 
-    def test_retry_after_is_when_it_is_allowed(self):
+    def test_retry_is_allowed_after_retry_after(self):
         quota = Quota()
         quota.charge("a", "1", "h", 20.0, MANY, 0.0)
         answer = quota.charge("a", "2", "h", 5.0, MANY, 0.0)
@@ -37,13 +37,13 @@
         assert isinstance(quota.charge("a", "2", "h", 5.0, MANY, 0.49), Limited)
         assert isinstance(quota.charge("a", "2", "h", 5.0, MANY, 0.51), Allowed)
 
-    def test_work_beyond_the_burst_passes_on_a_full_bucket_and_is_owed(self):
+    def test_work_beyond_the_burst_is_allowed_and_lowers_the_level_below_zero(self):
         quota = Quota()
         assert isinstance(quota.charge("a", "1", "h", 50.0, MANY, 0.0), Allowed)
         answer = quota.charge("a", "2", "h", 1.0, MANY, 0.0)
         assert answer == Limited("rate", 3.1)
 
-    def test_settling_gives_back_what_was_not_used(self):
+    def test_settling_returns_unused_work_once(self):
         quota = Quota()
         quota.charge("a", "1", "h", 20.0, MANY, 0.0)
         quota.settle("a", "1", 4.0, 0.0)
@@ -59,7 +59,7 @@
 
 
 class TestConcurrency:
-    def test_is_bounded_and_freed_by_the_end(self):
+    def test_is_limited_and_freed_by_settling(self):
         quota = Quota()
         for name in "123":
             quota.charge("a", name, "h", 0.1, LIMITS, 0.0)
@@ -68,7 +68,7 @@
         quota.settle("a", "1", 0.1, 0.0)
         assert isinstance(quota.charge("a", "4", "h", 0.1, LIMITS, 0.0), Allowed)
 
-    def test_a_lost_host_frees_its_own_only(self):
+    def test_a_lost_host_frees_only_its_own_requests(self):
         quota = Quota()
         quota.charge("a", "1", "h1", 0.1, LIMITS, 0.0)
         quota.charge("a", "2", "h2", 0.1, LIMITS, 0.0)
@@ -77,15 +77,15 @@
         quota.settle("a", "2", 0.1, 1.0)
         assert quota.open_requests("a") == 0
 
-    def test_a_new_home_counts_what_is_open(self):
+    def test_a_new_owner_counts_adopted_requests(self):
         quota = Quota()
         for name in "123":
             quota.adopt("a", name, "h", 0.1, LIMITS, 0.0)
         assert isinstance(quota.charge("a", "4", "h", 0.1, LIMITS, 0.0), Limited)
 
 
-class TestAlone:
-    def test_shares_of_all_hosts_keep_the_plan(self):
+class TestLocalShare:
+    def test_shares_of_all_hosts_add_up_to_the_plan(self):
         for hosts in range(1, 40):
             share = local_share(MANY, hosts)
             assert share.work_per_s * hosts <= MANY.work_per_s + 1e-9
@@ -94,7 +94,7 @@
 
 
 class TestMemory:
-    def test_idle_accounts_are_forgotten(self):
+    def test_idle_accounts_are_dropped(self):
         quota = Quota()
         for number in range(1_000):
             name = str(number)
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -13,10 +13,10 @@
             now = number / 100
             budget.attempted(now)
             retries += budget.take(now)
-        # Without traffic of its own the reserve comes back in 10 s.
+        # The reserve refills in 10 s without traffic.
         assert 900 <= retries <= 1_000 + 3 + 3 * 10
 
-    def test_a_quiet_hour_does_not_pay_for_a_storm(self):
+    def test_earlier_traffic_does_not_pay_for_a_retry_storm(self):
         budget = RetryBudget(share=0.1, reserve=3.0)
         for number in range(1_000):
             budget.attempted(number / 1_000)
@@ -24,14 +24,14 @@
 
 
 class TestPause:
-    def test_full_jitter_below_a_cap(self):
+    def test_backoff_has_full_jitter_below_the_cap(self):
         rng = random.Random(1)
         pauses = [backoff_s(attempt, rng) for attempt in range(40) for _ in range(50)]
         assert max(pauses) <= 2.0
         assert min(pauses) < 0.01
         assert max(backoff_s(0, rng) for _ in range(100)) <= 0.05
 
-    def test_no_retry_beyond_the_deadline_and_no_charge_for_it(self):
+    def test_a_retry_beyond_the_deadline_is_refused_and_not_charged(self):
         budget = RetryBudget(reserve=1.0)
         rng = random.Random(1)
         assert retry_pause_s(0, 0.0, 0.5, budget, rng, min_call_s=1.0) is None
--- a/tests/test_spill.py
+++ b/tests/test_spill.py
@@ -19,7 +19,7 @@
 
 
 class TestOrder:
-    def test_stays_at_home_without_cause(self):
+    def test_prefers_the_own_data_centre_without_a_long_wait(self):
         waits = Waits()
         assert first(waits, 0.0) == "a"
         wait_in(waits, "a", 0.01, 1.0)
@@ -28,14 +28,14 @@
             *CENTRES
         ]
 
-    def test_leaves_where_it_has_waited_and_tries_again_later(self):
+    def test_avoids_a_data_centre_after_a_long_wait_until_the_estimate_decays(self):
         waits = Waits()
         wait_in(waits, "a", 1.0, 1.0)
         assert first(waits, 1.0) != "a"
         assert first(waits, 1.0, Priority.URGENT) == "a"
         assert first(waits, 1.0 + FORGET_S) == "a"
 
-    def test_a_request_that_still_waits_tells_as_well(self):
+    def test_a_request_that_still_waits_counts(self):
         waits = Waits()
         waits.submitted("r", "a", STANDARD, 0.0)
         assert first(waits, 0.5) != "a"
@@ -48,12 +48,12 @@
         waits.refused("r", 0.0)
         assert first(waits, 0.0) != "a"
 
-    def test_hosts_with_the_same_news_do_not_all_go_to_one_place(self):
+    def test_hosts_with_the_same_estimates_choose_different_data_centres(self):
         waits = Waits()
         wait_in(waits, "a", 1.0, 1.0)
         chosen = collections.Counter(first(waits, 1.0, seed=n) for n in range(200))
         assert min(chosen["b"], chosen["c"]) > 60
 
-    def test_goes_to_no_data_centre_that_is_not_offered(self):
+    def test_returns_only_the_given_data_centres(self):
         order = Waits().order("a", ("b",), STANDARD, 0.0, random.Random(1))
         assert order == ("b",)
