--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -96,7 +96,7 @@
         self.data_centre = data_centre
         self._limits = limits or PoolLimits()
         self._queue = FairQueue(self._limits.queue_length, self._limits.minimum_shares)
-        self._slots = Slots(self._limits.reserves, self._limits.ejection, cost)
+        self._route_finder = Slots(self._limits.reserves, self._limits.ejection, cost)
         self._open_by_request: dict[str, _OpenGrant] = {}
         self._ended: collections.OrderedDict[str, tuple[int, Refusal | None]]
         self._ended = collections.OrderedDict()
@@ -150,9 +150,9 @@
         self._withdraw(request, now)
         self._record_ended(request, epoch, None)
 
-    def hold(self, hold: Hold, now: float) -> None:
+    def hold(self, held_grant: Hold, now: float) -> None:
         """Adopt a grant of another dispatcher."""
-        item = hold.route_request
+        item = held_grant.route_request
         if item.epoch < self._latest_epoch(item.request):
             return
         open_grant = self._open_by_request.get(item.request)
@@ -163,24 +163,24 @@
             return
         self._withdraw(item.request, now)
         need = Need.of(item)
-        self._slots.adopt(hold.route, need, now)
-        self._add_open_grant(_OpenGrant(item, need, hold.route))
+        self._route_finder.adopt(held_grant.route, need, now)
+        self._add_open_grant(_OpenGrant(item, need, held_grant.route))
 
-    def done(self, done: Done, now: float) -> None:
+    def done(self, outcome: Done, now: float) -> None:
         """End a grant and correct its charge to the actual cost."""
-        if done.epoch < self._latest_epoch(done.request):
+        if outcome.epoch < self._latest_epoch(outcome.request):
             return
-        open_grant = self._open_by_request.get(done.request)
-        if open_grant is None or open_grant.route_request.epoch != done.epoch:
-            self._withdraw(done.request, now)
-            self._record_ended(done.request, done.epoch, None)
+        open_grant = self._open_by_request.get(outcome.request)
+        if open_grant is None or open_grant.route_request.epoch != outcome.epoch:
+            self._withdraw(outcome.request, now)
+            self._record_ended(outcome.request, outcome.epoch, None)
             return
         self._end_grant(open_grant)
-        self._record_ended(done.request, done.epoch, None)
-        work = prompt_work(done.prompt_tokens) + done.output_tokens
+        self._record_ended(outcome.request, outcome.epoch, None)
+        work = prompt_work(outcome.prompt_tokens) + outcome.output_tokens
         self._queue.settle(open_grant.route_request, work)
         self._capacity.served(work, len(self._queue) > 0, now)
-        self._slots.record_outcome(open_grant.route, done.failed, now)
+        self._route_finder.record_outcome(open_grant.route, outcome.failed, now)
 
     def _latest_epoch(self, request: str) -> int:
         waiting = self._queue.get(request)
@@ -212,7 +212,7 @@
         self._no_route_since.pop(request, None)
         open_grant = self._open_by_request.get(request)
         if open_grant is not None:
-            self._slots.record_inconclusive(open_grant.route, now)
+            self._route_finder.record_inconclusive(open_grant.route, now)
             self._end_grant(open_grant)
 
     def _record_ended(self, request: str, epoch: int, refusal: Refusal | None) -> None:
@@ -239,10 +239,10 @@
 
     def observe(self, state: EngineState, now: float) -> None:
         """Apply a load report of an engine."""
-        if self._slots.is_known(state):
-            self._slots.observe(state, now)
+        if self._route_finder.is_known(state):
+            self._route_finder.observe(state, now)
             return
-        self._slots.add(state, self._needs_on(state.name))
+        self._route_finder.add(state, self._needs_on(state.name))
 
     def _needs_on(self, engine: str) -> list[Need]:
         needs: list[Need] = []
@@ -254,15 +254,15 @@
         self, engine: str, stored: tuple[int, ...], evicted: tuple[int, ...]
     ) -> None:
         """Update the prompt prefixes that an engine has cached."""
-        self._slots.update_prefixes(engine, stored, evicted)
+        self._route_finder.update_prefixes(engine, stored, evicted)
 
     def mark_leaving(self, engine: str) -> None:
         """Give this incarnation of an engine no new work."""
-        self._slots.mark_leaving(engine)
+        self._route_finder.mark_leaving(engine)
 
     def remove(self, engine: str) -> None:
         """Remove an engine; its open grants end by :meth:`done`."""
-        self._slots.remove(engine)
+        self._route_finder.remove(engine)
 
     def host_lost(self, host: str, now: float) -> None:
         """Cancel the requests and grants of a dead entry host."""
@@ -281,7 +281,7 @@
     def poll(self, now: float) -> list[Grant | Refusal]:
         """Return the grants and refusals since the last call."""
         self._expire(now)
-        self._slots.end_ejections(now)
+        self._route_finder.end_ejections(now)
         while self._grant_one(now):
             pass
         decisions = self._decisions
@@ -295,7 +295,7 @@
             oldest = next(iter(self._no_route_since.values()))
             times.append(oldest + NO_ROUTE_PATIENCE_S)
         if len(self._queue):
-            times.append(self._slots.next_change(now))
+            times.append(self._route_finder.next_change(now))
         return min((time for time in times if time is not None), default=None)
 
     def stats(self) -> PoolStats:
@@ -305,7 +305,7 @@
             granted=tuple(self._granted),
             granted_work=tuple(self._granted_work),
             open_grants=len(self._open_by_request),
-            engines=len(self._slots),
+            engines=len(self._route_finder),
             refused_by_reason=dict(self._refused_by_reason),
             displaced=self._displaced,
             work_per_s=self._capacity.estimate,
@@ -323,7 +323,7 @@
             if now < since + NO_ROUTE_PATIENCE_S:
                 break
             item = self._queue.get(request)
-            if item is not None and self._slots.has_route(item, Need.of(item)):
+            if item is not None and self._route_finder.has_route(item, Need.of(item)):
                 # Engines have returned. Requests behind the head of a queue are not
                 # tried, so their entry has not been removed yet.
                 del self._no_route_since[request]
@@ -346,10 +346,10 @@
     def _try_to_grant(self, item: Want, now: float) -> bool:
         rank = self._rank(item)
         need = Need.of(item)
-        if self._slots.is_blocked(item, need, rank):
+        if self._route_finder.is_blocked(item, need, rank):
             self._update_no_route(item, need, now)
             return False
-        found = self._slots.find(item, need, rank, now)
+        found = self._route_finder.find(item, need, rank, now)
         if found is None:
             self._update_no_route(item, need, now)
             return False
@@ -363,7 +363,7 @@
         return True
 
     def _update_no_route(self, item: Want, need: Need, now: float) -> None:
-        if self._slots.has_route(item, need):
+        if self._route_finder.has_route(item, need):
             self._no_route_since.pop(item.request, None)
         else:
             self._no_route_since.setdefault(item.request, now)
@@ -377,7 +377,7 @@
     def _grant(self, item: Want, need: Need, route: Route, now: float) -> None:
         self._queue.take(item.request)
         self._no_route_since.pop(item.request, None)
-        self._slots.start(route, need, now)
+        self._route_finder.start(route, need, now)
         self._add_open_grant(_OpenGrant(item, need, route))
         self._decisions.append(Grant(item.request, item.epoch, item.host, route))
         self._granted[item.priority] += 1
@@ -390,7 +390,7 @@
 
     def _end_grant(self, open_grant: _OpenGrant) -> None:
         del self._open_by_request[open_grant.route_request.request]
-        self._slots.end(open_grant.route, open_grant.need)
+        self._route_finder.end(open_grant.route, open_grant.need)
 
     def _is_waiting(self, request: str, epoch: int) -> bool:
         item = self._queue.get(request)
@@ -403,7 +403,7 @@
     # Estimates.
 
     def _work_per_s(self, now: float) -> float:
-        return self._capacity.work_per_s(self._slots.open_states, now)
+        return self._capacity.work_per_s(self._route_finder.open_states, now)
 
     def _update_delay(self, delay_per_work: float) -> None:
         if not self._delay_per_work:
@@ -425,7 +425,7 @@
 
     def _expected_wait_s(self, item: Want, now: float) -> float:
         ahead = self._queue.work_ahead(item)
-        if not ahead or not len(self._slots):
+        if not ahead or not len(self._route_finder):
             return 0.0
         work_per_s = self._work_per_s(now)
         if not work_per_s:
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -33,10 +33,10 @@
     def cancel(self, request: str, epoch: int, now: float) -> None:
         """Remove a request or end its grant."""
 
-    def hold(self, hold: Hold, now: float) -> None:
+    def hold(self, held_grant: Hold, now: float) -> None:
         """Adopt a grant of another dispatcher."""
 
-    def done(self, done: Done, now: float) -> None:
+    def done(self, outcome: Done, now: float) -> None:
         """End a grant."""
 
     def observe(self, state: EngineState, now: float) -> None:
@@ -161,7 +161,7 @@
         """End a grant."""
         if not self._accept_era(sender, message.handle):
             return
-        done = Done(
+        outcome = Done(
             f"{sender}/{message.handle}",
             0,
             self._entry_host(sender, message.handle),
@@ -169,15 +169,15 @@
             message.output_tokens,
             message.failed,
         )
-        self._pool(message.key, now).done(done, now)
+        self._pool(message.key, now).done(outcome, now)
 
     def held(self, sender: str, message: Held, now: float) -> None:
         """Adopt a grant of another dispatcher."""
         if not self._accept_era(sender, message.handle):
             return
         item = self._identify(sender, message.handle, message.want, now)
-        hold = Hold(item, message.route, message.tokens_done)
-        self._pool(message.key, now).hold(hold, now)
+        held_grant = Hold(item, message.route, message.tokens_done)
+        self._pool(message.key, now).hold(held_grant, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
         """Drop the requests and grants of an entry host's earlier eras."""
--- a/src/wagtailstair/core/retry.py
+++ b/src/wagtailstair/core/retry.py
@@ -8,7 +8,7 @@
 
 
 class RetryBudget:
-    """A limit on the retries of a whole host.
+    """A limit on the retries of one host.
 
     Each first attempt earns ``share`` of a retry. The balance decays to the
     reserve, so that earlier traffic does not pay for a later retry storm.
--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/tickets.py
@@ -104,23 +104,23 @@
         if entry.submission is None or entry.submission.host in self.suspects:
             self._submit_locally(entry, now)
 
-    def done(self, done: Done, now: float) -> None:
+    def done(self, outcome: Done, now: float) -> None:
         """End a grant."""
-        entry = self._open_by_id.pop((done.request, done.epoch), None)
+        entry = self._open_by_id.pop((outcome.request, outcome.epoch), None)
         if entry is None:
             return
-        self._waiting.pop((done.request, done.epoch), None)
+        self._waiting.pop((outcome.request, outcome.epoch), None)
         if entry.is_local:
-            self._local_pool(entry.key, now).done(done, now)
+            self._local_pool(entry.key, now).done(outcome, now)
         submission = self._detach(entry)
         if submission is None:
             return
         message = Finished(
             submission.handle,
             entry.key,
-            done.prompt_tokens,
-            done.output_tokens,
-            done.failed,
+            outcome.prompt_tokens,
+            outcome.output_tokens,
+            outcome.failed,
         )
         self._send_reliable(submission.host, message, now)
 
