--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -29,7 +29,7 @@
 Verdict = Allowed | Limited
 
 
-class Homes:
+class OwnedQuotas:
     """The quotas that this host owns, or recently owned.
 
     An entry host is identified by ``host/incarnation/era``. Charges of an era
@@ -140,7 +140,7 @@
         self.era_by_host: dict[str, int] = {}
         self.local_verdicts = 0
         self._name = name
-        self._find_home = find_quota_owner
+        self._find_quota_owner = find_quota_owner
         self._send_reliable = send_reliable
         self._local = Quota()
         self._last_number = 0
@@ -194,7 +194,7 @@
         limited = Limited(message.limit.name.lower(), message.retry_after_s)
         self._results.append((entry.request, limited))
 
-    def void(self, host: str, now: float) -> None:
+    def reissue(self, host: str, now: float) -> None:
         """Charge again what a quota owner has lost."""
         for entry in list(self._open_by_request.values()):
             if entry.host == host:
@@ -202,10 +202,10 @@
                 self._settle_at_owner(entry, 0.0, now)
                 self._charge_at_owner(entry, now)
 
-    def moved(self, now: float) -> None:
+    def reassign(self, now: float) -> None:
         """Charge requests at their new owners after a change of the live hosts."""
         for entry in list(self._open_by_request.values()):
-            owner = self._find_home(entry.account) or ""
+            owner = self._find_quota_owner(entry.account) or ""
             if owner == entry.host:
                 continue
             if entry.handle:
@@ -238,7 +238,7 @@
         return sends
 
     def _charge_at_owner(self, entry: _OpenCharge, now: float) -> None:
-        owner = self._find_home(entry.account)
+        owner = self._find_quota_owner(entry.account)
         entry.host = owner or ""
         entry.handle = 0
         if owner is None:
--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/dispatch_client.py
@@ -8,13 +8,13 @@
 import dataclasses
 import typing as t
 
-from .demand import Done
-from .demand import Grant
-from .demand import Hold
-from .demand import Refusal
-from .demand import RefusalReason
-from .demand import Want
 from .engine import Route
+from .grants import Grant
+from .grants import GrantOutcome
+from .grants import HeldGrant
+from .grants import Refusal
+from .grants import RefusalReason
+from .grants import RouteRequest
 from .local_pools import LocalPools
 from .messages import ERA_SHIFT
 from .messages import Finished
@@ -52,13 +52,13 @@
 @dataclasses.dataclass(slots=True)
 class _OpenRequest:
     key: PoolKey
-    route_request: Want
+    route_request: RouteRequest
     submission: _Submission | None = None
     route: Route | None = None
     is_local: bool = False
 
 
-class Tickets:
+class DispatchClient:
     """All open requests of an entry host, queued or granted.
 
     :param find_owner: returns the live host that dispatches a pool, or None.
@@ -74,7 +74,7 @@
         send_reliable: t.Callable[[str, Reliable, float], None],
     ) -> None:
         self.suspects: set[str] = set()
-        self.local = LocalPools(make_pool, engines)
+        self.local_pools = LocalPools(make_pool, engines)
         self.era_by_host: dict[str, int] = {}
         self.repeats = 0
         self.local_grants = 0
@@ -92,7 +92,7 @@
 
     # Calls of the entry host.
 
-    def submit(self, key: PoolKey, item: Want, now: float) -> None:
+    def submit(self, key: PoolKey, item: RouteRequest, now: float) -> None:
         """Submit a request to the dispatcher of its pool."""
         name = (item.request, item.epoch)
         if name in self._open_by_id:
@@ -104,7 +104,7 @@
         if entry.submission is None or entry.submission.host in self.suspects:
             self._submit_locally(entry, now)
 
-    def done(self, outcome: Done, now: float) -> None:
+    def done(self, outcome: GrantOutcome, now: float) -> None:
         """End a grant."""
         entry = self._open_by_id.pop((outcome.request, outcome.epoch), None)
         if entry is None:
@@ -136,7 +136,7 @@
 
     # Answers of dispatchers.
 
-    def granted(self, sender: str, message: Granted, now: float) -> None:
+    def receive_grant(self, sender: str, message: Granted, now: float) -> None:
         """Accept a grant; ignore or withdraw a late or repeated one."""
         entry = self._find_open(sender, message.handle)
         if entry is None:
@@ -147,7 +147,7 @@
         self._cancel_local(entry, now)
         self._deliver_grant(entry, message.route)
 
-    def refused(self, sender: str, message: Refused, now: float) -> None:
+    def receive_refusal(self, sender: str, message: Refused, now: float) -> None:
         """Accept a refusal."""
         entry = self._find_open(sender, message.handle)
         if entry is None or entry.route is not None:
@@ -156,7 +156,7 @@
         self._detach(entry)
         self._deliver_refusal(entry, message.reason, message.retry_after_s)
 
-    def queued(self, sender: str, message: Queued, now: float) -> None:
+    def receive_queued(self, sender: str, message: Queued, now: float) -> None:
         """Note that a dispatcher has queued a submission."""
         entry = self._find_open(sender, message.handle)
         if entry is None or entry.submission is None:
@@ -171,11 +171,11 @@
 
     # Changes of the dispatchers.
 
-    def heard(self, host: str) -> None:
+    def mark_responsive(self, host: str) -> None:
         """Stop suspecting a host that has answered."""
         self.suspects.discard(host)
 
-    def void(self, host: str, now: float) -> None:
+    def reissue(self, host: str, now: float) -> None:
         """Submit again what a host has lost."""
         for entry in list(self._open_by_id.values()):
             if entry.submission is not None and entry.submission.host == host:
@@ -183,7 +183,7 @@
                 self._withdraw(entry, now)
                 self._submit_to_owner(entry, now)
 
-    def moved(self, now: float) -> None:
+    def reassign(self, now: float) -> None:
         """Submit requests to their new dispatchers after a change of live hosts."""
         owner_by_key: dict[PoolKey, str | None] = {}
         for entry in list(self._open_by_id.values()):
@@ -216,12 +216,12 @@
             if now >= submission.send_at:
                 self._send(entry, submission, now)
                 self.repeats += 1
-        for decision in self.local.poll(now):
+        for decision in self.local_pools.poll(now):
             self._apply_local_decision(decision, now)
 
     def next_wake(self, now: float) -> float | None:
         """Return when to call :meth:`tick` again."""
-        wake = self.local.next_wake(now)
+        wake = self.local_pools.next_wake(now)
         wakes = [] if wake is None else [wake]
         for entry in self._waiting.values():
             if entry.submission is not None:
@@ -271,7 +271,7 @@
             (submission.host, Submit(submission.handle, entry.key, item))
         )
 
-    def _with_relative_deadline(self, item: Want, now: float) -> Want:
+    def _with_relative_deadline(self, item: RouteRequest, now: float) -> RouteRequest:
         """Return a request whose deadline is relative, in seconds from now."""
         remaining_s = max(0.0, item.deadline - now)
         return dataclasses.replace(item, deadline=remaining_s)
@@ -306,16 +306,16 @@
     # The local pools.
 
     def _local_pool(self, key: PoolKey, now: float) -> Pool:
-        pool = self.local.by_key.get(key)
+        pool = self.local_pools.by_key.get(key)
         if pool is None:
-            pool = self.local.make(key, now)
+            pool = self.local_pools.make(key, now)
             self._add_held_grants(key, pool, now)
         return pool
 
     def _add_held_grants(self, key: PoolKey, pool: Pool, now: float) -> None:
         for entry in self._open_by_id.values():
             if entry.key == key and entry.route is not None:
-                pool.hold(Hold(entry.route_request, entry.route, 0), now)
+                pool.hold(HeldGrant(entry.route_request, entry.route, 0), now)
                 entry.is_local = True
 
     def _submit_locally(self, entry: _OpenRequest, now: float) -> None:
--- a/src/wagtailstair/core/fairness.py
+++ b/src/wagtailstair/core/fairness.py
@@ -6,7 +6,7 @@
 import itertools
 import typing as t
 
-from .demand import Want
+from .grants import RouteRequest
 
 MAX_IDLE_ACCOUNTS = 4_096
 """Accounts without waiting items whose start tag is kept."""
@@ -24,7 +24,7 @@
     start: float
     entry: int = -1
     work: float = 0.0
-    by_request: collections.OrderedDict[str, Want] = dataclasses.field(
+    by_request: collections.OrderedDict[str, RouteRequest] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
@@ -135,7 +135,7 @@
                 continue
             heapq.heappush(self._idle, (flow.start, account))
 
-    def push(self, item: Want) -> None:
+    def push(self, item: RouteRequest) -> None:
         """Add an item."""
         flow = self._flow_by_account.get(item.account)
         if flow is None:
@@ -149,7 +149,7 @@
         if flow.entry < 0:
             self._schedule(flow)
 
-    def discard(self, item: Want) -> None:
+    def discard(self, item: RouteRequest) -> None:
         """Remove an item without serving it."""
         flow = self._flow_by_account[item.account]
         del flow.by_request[item.request]
@@ -160,7 +160,7 @@
         if not flow.by_request:
             self._deactivate(flow)
 
-    def take(self, item: Want) -> None:
+    def take(self, item: RouteRequest) -> None:
         """Remove an item to serve it, and charge its account."""
         flow = self._flow_by_account[item.account]
         self._virtual_time = max(self._virtual_time, flow.start)
@@ -187,7 +187,7 @@
             return
         self._add_idle(flow)
 
-    def heads(self, count: int) -> t.Iterator[Want]:
+    def heads(self, count: int) -> t.Iterator[RouteRequest]:
         """Iterate over the next item of each of the first ``count`` accounts.
 
         The current item may be passed to :meth:`take`, but the iteration must
@@ -211,12 +211,12 @@
         """Return the number of waiting items of an account."""
         return self._longest.count(account)
 
-    def newest_of_longest(self) -> Want:
+    def newest_of_longest(self) -> RouteRequest:
         """Return the newest item of the account with the most waiting items."""
         flow = self._flow_by_account[self._longest.longest()]
         return next(reversed(flow.by_request.values()))
 
-    def work_ahead(self, item: Want) -> float:
+    def work_ahead(self, item: RouteRequest) -> float:
         """Estimate the work of this class that would be served before a new item."""
         flow = self._flow_by_account.get(item.account)
         own = 0.0
--- a/src/wagtailstair/core/demand.py
+++ b/src/wagtailstair/core/grants.py
@@ -8,7 +8,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Want:
+class RouteRequest:
     """A request that waits for a route.
 
     ``work``: expected cost in work units; ``deadline``: time on the receiver's
@@ -63,16 +63,16 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Hold:
+class HeldGrant:
     """A grant in use, reported to a dispatcher that has just taken over."""
 
-    route_request: Want
+    route_request: RouteRequest
     route: Route
     tokens_done: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Done:
+class GrantOutcome:
     """The end of a grant, with its actual cost.
 
     ``failed``: engines whose failure the entry host observed.
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -5,27 +5,27 @@
 
 from .capacity import MINIMUM_WORK_PER_S
 from .capacity import Capacity
-from .demand import Done
-from .demand import Grant
-from .demand import Hold
-from .demand import Refusal
-from .demand import RefusalReason
-from .demand import Want
 from .ejection import EjectionLimits
 from .engine import EngineState
 from .engine import Priority
 from .engine import Route
+from .grants import Grant
+from .grants import GrantOutcome
+from .grants import HeldGrant
+from .grants import Refusal
+from .grants import RefusalReason
+from .grants import RouteRequest
 from .loads import Need
 from .loads import StageCost
 from .loads import expected_delay
 from .loads import prompt_work
 from .queueing import FairQueue
-from .slots import Slots
+from .route_finder import RouteFinder
 from .timers import Timers
 
 MAX_ENDED_EPOCHS = 16_384
 """Ended epochs that are kept, so that a late copy is not granted again."""
-NO_ROUTE_PATIENCE_S = 1.0
+NO_ROUTE_TIMEOUT_S = 1.0
 """Time that a request may wait while no engines could form a route for it."""
 GRANT_GRACE_S = 5.0
 """Time after its deadline when an open grant is cancelled as lost."""
@@ -72,7 +72,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _OpenGrant:
-    route_request: Want
+    route_request: RouteRequest
     need: Need
     route: Route
 
@@ -96,7 +96,9 @@
         self.data_centre = data_centre
         self._limits = limits or PoolLimits()
         self._queue = FairQueue(self._limits.queue_length, self._limits.minimum_shares)
-        self._route_finder = Slots(self._limits.reserves, self._limits.ejection, cost)
+        self._route_finder = RouteFinder(
+            self._limits.reserves, self._limits.ejection, cost
+        )
         self._open_by_request: dict[str, _OpenGrant] = {}
         self._ended: collections.OrderedDict[str, tuple[int, Refusal | None]]
         self._ended = collections.OrderedDict()
@@ -113,7 +115,7 @@
 
     # Requests.
 
-    def want(self, item: Want, now: float) -> None:
+    def want(self, item: RouteRequest, now: float) -> None:
         """Queue a request, or answer a repeated one again."""
         epoch = self._latest_epoch(item.request)
         if item.epoch < epoch:
@@ -150,7 +152,7 @@
         self._withdraw(request, now)
         self._record_ended(request, epoch, None)
 
-    def hold(self, held_grant: Hold, now: float) -> None:
+    def hold(self, held_grant: HeldGrant, now: float) -> None:
         """Adopt a grant of another dispatcher."""
         item = held_grant.route_request
         if item.epoch < self._latest_epoch(item.request):
@@ -166,7 +168,7 @@
         self._route_finder.adopt(held_grant.route, need, now)
         self._add_open_grant(_OpenGrant(item, need, held_grant.route))
 
-    def done(self, outcome: Done, now: float) -> None:
+    def done(self, outcome: GrantOutcome, now: float) -> None:
         """End a grant and correct its charge to the actual cost."""
         if outcome.epoch < self._latest_epoch(outcome.request):
             return
@@ -179,7 +181,7 @@
         self._record_ended(outcome.request, outcome.epoch, None)
         work = prompt_work(outcome.prompt_tokens) + outcome.output_tokens
         self._queue.settle(open_grant.route_request, work)
-        self._capacity.served(work, len(self._queue) > 0, now)
+        self._capacity.record_served(work, len(self._queue) > 0, now)
         self._route_finder.record_outcome(open_grant.route, outcome.failed, now)
 
     def _latest_epoch(self, request: str) -> int:
@@ -192,7 +194,7 @@
         ended = self._ended.get(request)
         return -1 if ended is None else ended[0]
 
-    def _answer_again(self, item: Want) -> None:
+    def _answer_again(self, item: RouteRequest) -> None:
         open_grant = self._open_by_request.get(item.request)
         if open_grant is not None:
             grant = Grant(
@@ -222,7 +224,11 @@
             self._ended.popitem(last=False)
 
     def _refuse(
-        self, item: Want, reason: RefusalReason, now: float, overrun_s: float = 0.0
+        self,
+        item: RouteRequest,
+        reason: RefusalReason,
+        now: float,
+        overrun_s: float = 0.0,
     ) -> None:
         retry_after_s = overrun_s
         if reason is RefusalReason.QUEUE_FULL:
@@ -293,7 +299,7 @@
         times = [self._deadlines.next(), self._expiries.next()]
         if self._no_route_since:
             oldest = next(iter(self._no_route_since.values()))
-            times.append(oldest + NO_ROUTE_PATIENCE_S)
+            times.append(oldest + NO_ROUTE_TIMEOUT_S)
         if len(self._queue):
             times.append(self._route_finder.next_change(now))
         return min((time for time in times if time is not None), default=None)
@@ -320,7 +326,7 @@
         for request, epoch in self._expiries.due(now):
             self.cancel(request, epoch, now)
         for request, since in list(self._no_route_since.items()):
-            if now < since + NO_ROUTE_PATIENCE_S:
+            if now < since + NO_ROUTE_TIMEOUT_S:
                 break
             item = self._queue.get(request)
             if item is not None and self._route_finder.has_route(item, Need.of(item)):
@@ -343,7 +349,7 @@
                     break
         return False
 
-    def _try_to_grant(self, item: Want, now: float) -> bool:
+    def _try_to_grant(self, item: RouteRequest, now: float) -> bool:
         rank = self._rank(item)
         need = Need.of(item)
         if self._route_finder.is_blocked(item, need, rank):
@@ -362,19 +368,19 @@
         self._grant(item, need, route, now)
         return True
 
-    def _update_no_route(self, item: Want, need: Need, now: float) -> None:
+    def _update_no_route(self, item: RouteRequest, need: Need, now: float) -> None:
         if self._route_finder.has_route(item, need):
             self._no_route_since.pop(item.request, None)
         else:
             self._no_route_since.setdefault(item.request, now)
 
-    def _rank(self, item: Want) -> Priority:
+    def _rank(self, item: RouteRequest) -> Priority:
         # A priority below its minimum share may also use the reserved slots.
         if self._queue.is_under_minimum(item.priority):
             return Priority.URGENT
         return item.priority
 
-    def _grant(self, item: Want, need: Need, route: Route, now: float) -> None:
+    def _grant(self, item: RouteRequest, need: Need, route: Route, now: float) -> None:
         self._queue.take(item.request)
         self._no_route_since.pop(item.request, None)
         self._route_finder.start(route, need, now)
@@ -412,7 +418,7 @@
         change = delay_per_work - self._delay_per_work
         self._delay_per_work += DELAY_SMOOTHING * change
 
-    def _required_time_s(self, item: Want, run_s: float) -> float:
+    def _required_time_s(self, item: RouteRequest, run_s: float) -> float:
         """Return the time that must be left before a request's deadline.
 
         Answers may be longer than expected. While others of its priority
@@ -423,7 +429,7 @@
             return run_s
         return run_s * self._limits.deadline_margin
 
-    def _expected_wait_s(self, item: Want, now: float) -> float:
+    def _expected_wait_s(self, item: RouteRequest, now: float) -> float:
         ahead = self._queue.work_ahead(item)
         if not ahead or not len(self._route_finder):
             return 0.0
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -3,12 +3,12 @@
 import dataclasses
 import typing as t
 
-from .demand import Done
-from .demand import Grant
-from .demand import Hold
-from .demand import Refusal
-from .demand import Want
 from .engine import EngineState
+from .grants import Grant
+from .grants import GrantOutcome
+from .grants import HeldGrant
+from .grants import Refusal
+from .grants import RouteRequest
 from .messages import ERA_SHIFT
 from .messages import EngineLost
 from .messages import Finished
@@ -27,16 +27,16 @@
 class Pool(t.Protocol):
     """The interface of :class:`wagtailstair.core.pool.Pool` used here."""
 
-    def want(self, item: Want, now: float) -> None:
+    def want(self, item: RouteRequest, now: float) -> None:
         """Queue a request."""
 
     def cancel(self, request: str, epoch: int, now: float) -> None:
         """Remove a request or end its grant."""
 
-    def hold(self, held_grant: Hold, now: float) -> None:
+    def hold(self, held_grant: HeldGrant, now: float) -> None:
         """Adopt a grant of another dispatcher."""
 
-    def done(self, outcome: Done, now: float) -> None:
+    def done(self, outcome: GrantOutcome, now: float) -> None:
         """End a grant."""
 
     def observe(self, state: EngineState, now: float) -> None:
@@ -155,13 +155,13 @@
             return
         for pool in self.by_key.values():
             pool.cancel(request, 0, now)
-        self.touch()
+        self.mark_all_changed()
 
-    def finished(self, sender: str, message: Finished, now: float) -> None:
+    def end_grant(self, sender: str, message: Finished, now: float) -> None:
         """End a grant."""
         if not self._accept_era(sender, message.handle):
             return
-        outcome = Done(
+        outcome = GrantOutcome(
             f"{sender}/{message.handle}",
             0,
             self._entry_host(sender, message.handle),
@@ -171,12 +171,12 @@
         )
         self._pool(message.key, now).done(outcome, now)
 
-    def held(self, sender: str, message: Held, now: float) -> None:
+    def adopt_grant(self, sender: str, message: Held, now: float) -> None:
         """Adopt a grant of another dispatcher."""
         if not self._accept_era(sender, message.handle):
             return
         item = self._identify(sender, message.handle, message.want, now)
-        held_grant = Hold(item, message.route, message.tokens_done)
+        held_grant = HeldGrant(item, message.route, message.tokens_done)
         self._pool(message.key, now).hold(held_grant, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
@@ -215,7 +215,7 @@
         for pool in self.by_key.values():
             pool.remove(engine)
 
-    def touch(self) -> None:
+    def mark_all_changed(self) -> None:
         """Make the next :meth:`poll` examine all pools, as time has passed."""
         self._changed.update(self.by_key)
 
@@ -250,7 +250,9 @@
     def _entry_host(self, sender: str, handle: int) -> str:
         return f"{sender}/{handle >> ERA_SHIFT}"
 
-    def _identify(self, sender: str, handle: int, item: Want, now: float) -> Want:
+    def _identify(
+        self, sender: str, handle: int, item: RouteRequest, now: float
+    ) -> RouteRequest:
         return dataclasses.replace(
             item,
             request=f"{sender}/{handle}",
@@ -271,7 +273,7 @@
     def _drop_host(self, host: str, now: float) -> None:
         for pool in self.by_key.values():
             pool.host_lost(host, now)
-        self.touch()
+        self.mark_all_changed()
 
 
 def _to_answer(handle: int, decision: Grant | Refusal) -> Answer:
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -2,9 +2,9 @@
 
 import typing as t
 
-from .demand import Want
 from .engine import Priority
 from .fairness import FairClass
+from .grants import RouteRequest
 
 ClassKey = tuple[Priority, bool]
 
@@ -32,7 +32,7 @@
         self._shares = minimum_shares
         self._reserved = [int(limit * share) for share in minimum_shares]
         self._credit = [0.0, 0.0, 0.0]
-        self._item_by_request: dict[str, Want] = {}
+        self._item_by_request: dict[str, RouteRequest] = {}
         self._queue_by_class: dict[ClassKey, FairClass] = {}
         for priority in Priority:
             for entitled in (True, False):
@@ -44,11 +44,11 @@
     def __contains__(self, request: str) -> bool:
         return request in self._item_by_request
 
-    def get(self, request: str) -> Want | None:
+    def get(self, request: str) -> RouteRequest | None:
         """Return the waiting item of a request."""
         return self._item_by_request.get(request)
 
-    def items(self) -> t.Iterator[Want]:
+    def items(self) -> t.Iterator[RouteRequest]:
         """Iterate over all waiting items, oldest first."""
         return iter(self._item_by_request.values())
 
@@ -66,7 +66,7 @@
         """Return the number of accounts with a flow, over all classes."""
         return sum(queue.flows() for queue in self._queue_by_class.values())
 
-    def _class_of(self, item: Want) -> FairClass:
+    def _class_of(self, item: RouteRequest) -> FairClass:
         return self._queue_by_class[item.priority, item.entitled]
 
     def _has_place(self, priority: Priority) -> bool:
@@ -77,7 +77,7 @@
             shared += max(0, self.count(other) - self._reserved[other])
         return shared < self._limit - sum(self._reserved)
 
-    def _find_victim(self, item: Want) -> Want | None:
+    def _find_victim(self, item: RouteRequest) -> RouteRequest | None:
         for priority in reversed(Priority):
             if (
                 priority > item.priority
@@ -99,7 +99,7 @@
                 return victim if has_more else None
         return None
 
-    def push(self, item: Want) -> tuple[bool, Want | None]:
+    def push(self, item: RouteRequest) -> tuple[bool, RouteRequest | None]:
         """Add an item; return whether it was added and which item it displaced."""
         victim = None
         if not self._has_place(item.priority):
@@ -111,7 +111,7 @@
         self._class_of(item).push(item)
         return True, victim
 
-    def discard(self, request: str) -> Want | None:
+    def discard(self, request: str) -> RouteRequest | None:
         """Remove an item without serving it."""
         item = self._item_by_request.pop(request, None)
         if item is not None:
@@ -127,7 +127,7 @@
         rest = [priority for priority in Priority if priority not in under]
         return under + rest
 
-    def heads_by_class(self, count: int) -> t.Iterator[t.Iterator[Want]]:
+    def heads_by_class(self, count: int) -> t.Iterator[t.Iterator[RouteRequest]]:
         """Iterate over the classes in the order to serve them.
 
         Each yields the next items of at most ``count`` accounts, in order.
@@ -138,14 +138,14 @@
                 if queue.count:
                     yield queue.heads(count)
 
-    def first(self) -> Want | None:
+    def first(self) -> RouteRequest | None:
         """Return the item to serve next."""
         for heads in self.heads_by_class(1):
             for item in heads:
                 return item
         return None
 
-    def take(self, request: str) -> Want:
+    def take(self, request: str) -> RouteRequest:
         """Remove an item to serve it, and charge it."""
         item = self._item_by_request.pop(request)
         self._charge(item.priority, item.work)
@@ -162,14 +162,14 @@
         # the priority later.
         self._credit[served] = max(self._credit[served] - work, -abs(work))
 
-    def settle(self, item: Want, actual_work: float) -> None:
+    def settle(self, item: RouteRequest, actual_work: float) -> None:
         """Correct the charge of a served item to its actual cost."""
         excess = actual_work - item.work
         if excess:
             self._charge(item.priority, excess)
         self._class_of(item).settle(item.account, excess / item.weight)
 
-    def work_ahead(self, item: Want) -> float:
+    def work_ahead(self, item: RouteRequest) -> float:
         """Estimate the work that would be served before a new item."""
         ahead = self._class_of(item).work_ahead(item)
         if not item.entitled:
--- a/src/wagtailstair/core/allowance.py
+++ b/src/wagtailstair/core/resend_budget.py
@@ -22,7 +22,7 @@
     repeats: int = 0
 
 
-class Allowance:
+class ResendBudget:
     """The budget of repeats at each service.
 
     :param ratio: repeats allowed per request.
@@ -44,7 +44,7 @@
         self._slack = slack
         self._window_s = window_s
 
-    def requested(self, service: str, now: float) -> None:
+    def count_request(self, service: str, now: float) -> None:
         """Count the request of a caller."""
         self._current_slice(service, now).requests += 1
 
--- a/src/wagtailstair/core/retry.py
+++ b/src/wagtailstair/core/retry.py
@@ -39,7 +39,7 @@
         self._balance = self._reserve + (self._balance - self._reserve) * weight
         self._decayed_at = max(self._decayed_at, now)
 
-    def attempted(self, now: float) -> None:
+    def count_attempt(self, now: float) -> None:
         """Count a first attempt."""
         self._decay(now)
         self._balance += self._share
--- a/src/wagtailstair/core/slots.py
+++ b/src/wagtailstair/core/route_finder.py
@@ -4,14 +4,14 @@
 import statistics
 import typing as t
 
-from .demand import Want
 from .ejection import Ejection
 from .ejection import EjectionLimits
 from .engine import EngineState
 from .engine import Priority
 from .engine import Route
+from .grants import RouteRequest
+from .loads import EngineGroup
 from .loads import EngineLoad
-from .loads import Lane
 from .loads import LoadTable
 from .loads import Need
 from .loads import StageCost
@@ -22,7 +22,7 @@
 """Time for which the median step time of a kind of engine is cached."""
 
 
-def _may_run(load: EngineLoad, item: Want, need: Need) -> bool:
+def _may_run(load: EngineLoad, item: RouteRequest, need: Need) -> bool:
     state = load.state
     if load.is_leaving or state.leaving or state.name in item.avoid:
         return False
@@ -32,13 +32,13 @@
 
 
 def _cheapest(
-    item: Want, need: Need, rank: Priority, cost: StageCost, now: float
+    item: RouteRequest, need: Need, rank: Priority, cost: StageCost, now: float
 ) -> Pick:
-    def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
+    def pick(group: EngineGroup) -> tuple[float, EngineLoad] | None:
         best_cost = math.inf
         best: EngineLoad | None = None
-        for load in lane.free:
-            if load.used >= load.caps[rank] or load.is_ejected:
+        for load in group.free:
+            if load.used >= load.use_limits[rank] or load.is_ejected:
                 continue
             if load.granted_kv + need.kv > load.state.kv_tokens:
                 continue
@@ -53,7 +53,7 @@
     return pick
 
 
-class Slots:
+class RouteFinder:
     """Finds routes over the healthy engines that take new work and have room.
 
     A search that found no room is remembered until an engine's state or load
@@ -105,7 +105,7 @@
         load = self._loads.by_name[state.name]
         was_ejected = load.is_ejected
         ratio = state.step_s / self._median_step_s(load, now)
-        self._ejection.measured(state.name, ratio, len(self), now)
+        self._ejection.record_slowness(state.name, ratio, len(self), now)
         self._update_ejected(state.name, now)
         if was_ejected and not load.is_ejected:
             self._blocked_need.clear()
@@ -117,10 +117,10 @@
             self._medians_expire_at = now + MEDIAN_INTERVAL_S
         kind = (load.state.first, load.state.last, load.state.accelerator)
         median_s = self._median_step_by_kind.get(kind)
-        if median_s is None and load.lane is not None:
+        if median_s is None and load.group is not None:
             steps = [
                 other.state.step_s
-                for other in load.lane.loads
+                for other in load.group.loads
                 if other.state.accelerator == load.state.accelerator
             ]
             median_s = statistics.median_low(steps)
@@ -180,7 +180,7 @@
 
     def _record_started(self, route: Route, now: float) -> None:
         for stage in route:
-            self._ejection.started(stage.engine)
+            self._ejection.record_start(stage.engine)
             self._update_ejected(stage.engine, now)
 
     def end(self, route: Route, need: Need) -> None:
@@ -196,18 +196,18 @@
         for stage in route:
             name = stage.engine
             if name in failed:
-                self._ejection.failed(name, len(self._loads.by_name), now)
+                self._ejection.record_failure(name, len(self._loads.by_name), now)
                 self._ejections_change = now
             elif failed:
-                self._ejection.abandoned(name)
+                self._ejection.record_inconclusive(name)
             else:
-                self._ejection.succeeded(name, now)
+                self._ejection.record_success(name, now)
             self._update_ejected(name, now)
 
     def record_inconclusive(self, route: Route, now: float) -> None:
         """Record the end of a grant that says nothing of its engines' health."""
         for stage in route:
-            self._ejection.abandoned(stage.engine)
+            self._ejection.record_inconclusive(stage.engine)
             self._update_ejected(stage.engine, now)
 
     def end_ejections(self, now: float) -> None:
@@ -230,19 +230,19 @@
 
     # Routes.
 
-    def is_blocked(self, item: Want, need: Need, rank: Priority) -> bool:
+    def is_blocked(self, item: RouteRequest, need: Need, rank: Priority) -> bool:
         """Return whether an earlier search found no room for such a request."""
         return need.kv >= self._blocked_need.get((rank, item.adapter), math.inf)
 
     def find(
-        self, item: Want, need: Need, rank: Priority, now: float
+        self, item: RouteRequest, need: Need, rank: Priority, now: float
     ) -> tuple[Route, float] | None:
         """Find the best route with room, and its expected delay in seconds.
 
         :param rank: the priority that decides which reserved slots may be used.
         """
         pick = _cheapest(item, need, rank, self._cost, now)
-        found = shortest_route(self._loads.lanes, need.tokens, pick)
+        found = shortest_route(self._loads.groups, need.tokens, pick)
         if found is None and not item.avoid:
             # No request of the same or a lower rank that needs at least as much
             # memory fits until something changes.
@@ -254,18 +254,18 @@
                 self._blocked_need[key] = min(least, need.kv)
         return found
 
-    def has_route(self, item: Want, need: Need) -> bool:
+    def has_route(self, item: RouteRequest, need: Need) -> bool:
         """Return whether engines, busy or not, could run a request."""
         if not item.avoid and need.kv <= self._routable_need.get(item.adapter, -1):
             return True
 
-        def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
-            for load in lane.loads:
+        def pick(group: EngineGroup) -> tuple[float, EngineLoad] | None:
+            for load in group.loads:
                 if _may_run(load, item, need):
                     return 0.0, load
             return None
 
-        if shortest_route(self._loads.lanes, need.tokens, pick) is None:
+        if shortest_route(self._loads.groups, need.tokens, pick) is None:
             return False
         if not item.avoid:
             self._routable_need[item.adapter] = need.kv
--- a/src/wagtailstair/core/spill.py
+++ b/src/wagtailstair/core/wait_estimates.py
@@ -5,7 +5,7 @@
 
 from .engine import Priority
 
-FORGET_S = 5.0
+ESTIMATE_DECAY_S = 5.0
 """Time in which a measured wait decays to zero."""
 OWN_PREFERENCE_S = 0.02
 """Extra wait for which this host still prefers its own data centre."""
@@ -15,7 +15,7 @@
 Queue = tuple[str, Priority]
 
 
-class Waits:
+class WaitEstimates:
     """Estimates of the wait for a grant in each data centre.
 
     They are measured on this host's own requests, so that no messages are
@@ -72,7 +72,7 @@
 
     def _decayed_wait_s(self, queue: Queue, now: float) -> float:
         age_s = now - self._measured_at_by_queue.get(queue, now)
-        weight = max(0.0, 1 - age_s / FORGET_S)
+        weight = max(0.0, 1 - age_s / ESTIMATE_DECAY_S)
         return self._wait_s.get(queue, 0.0) * weight
 
     def wait_s(self, data_centre: str, priority: Priority, now: float) -> float:
--- a/tests/test_dispatch_tickets.py
+++ b/tests/test_dispatch_client.py
@@ -1,12 +1,13 @@
 import dataclasses
 
-from wagtailstair.core.demand import Done
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Refusal
-from wagtailstair.core.demand import RefusalReason
-from wagtailstair.core.demand import Want
+from wagtailstair.core.dispatch_client import DispatchClient
 from wagtailstair.core.engine import Priority
 from wagtailstair.core.engine import Stage
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import GrantOutcome
+from wagtailstair.core.grants import Refusal
+from wagtailstair.core.grants import RefusalReason
+from wagtailstair.core.grants import RouteRequest
 from wagtailstair.core.messages import Finished
 from wagtailstair.core.messages import Granted
 from wagtailstair.core.messages import Held
@@ -15,12 +16,11 @@
 from wagtailstair.core.messages import Withdraw
 from wagtailstair.core.pool import Pool
 from wagtailstair.core.pools import Engines
-from wagtailstair.core.tickets import Tickets
 
 KEY = PoolKey("draft", "a")
 ROUTE = (Stage("e1", "10.0.1.1:90", 0, 8),)
 OTHER_ROUTE = (Stage("e2", "10.0.1.2:90", 0, 8),)
-WANT = Want(
+WANT = RouteRequest(
     request="r1",
     epoch=2,
     host="entry",
@@ -40,7 +40,7 @@
     def __init__(self):
         self.owner = "owner"
         self.messages = []
-        self.tickets = Tickets(
+        self.dispatch_client = DispatchClient(
             lambda key: self.owner,
             lambda key: Pool(key.model, key.data_centre),
             Engines(),
@@ -48,47 +48,50 @@
         )
 
     def submit(self, now=0.0):
-        self.tickets.submit(KEY, WANT, now)
-        [(_, message)] = self.tickets.take_sends()
+        self.dispatch_client.submit(KEY, WANT, now)
+        [(_, message)] = self.dispatch_client.take_sends()
         return message.handle
 
     def sends(self):
-        return [(host, message.handle) for host, message in self.tickets.take_sends()]
+        return [
+            (host, message.handle)
+            for host, message in self.dispatch_client.take_sends()
+        ]
 
 
 class TestSubmit:
     def test_deadline_is_sent_as_remaining_time(self):
         entry_host = EntryHost()
-        entry_host.tickets.submit(KEY, WANT, 10.0)
-        [(host, message)] = entry_host.tickets.take_sends()
+        entry_host.dispatch_client.submit(KEY, WANT, 10.0)
+        [(host, message)] = entry_host.dispatch_client.take_sends()
         assert host == "owner"
         assert message.want.deadline == 20.0
 
     def test_is_repeated_until_answered(self):
         entry_host = EntryHost()
         handle = entry_host.submit()
-        entry_host.tickets.tick(0.15)
+        entry_host.dispatch_client.tick(0.15)
         assert entry_host.sends() == [("owner", handle)]
-        entry_host.tickets.tick(0.2)
+        entry_host.dispatch_client.tick(0.2)
         assert entry_host.sends() == []
-        entry_host.tickets.tick(0.4)
+        entry_host.dispatch_client.tick(0.4)
         assert entry_host.sends() == [("owner", handle)]
 
     def test_queued_submission_is_repeated_in_case_its_grant_was_lost(self):
         entry_host = EntryHost()
         handle = entry_host.submit()
-        entry_host.tickets.queued("owner", Queued(handle), 0.01)
-        entry_host.tickets.tick(0.4)
+        entry_host.dispatch_client.receive_queued("owner", Queued(handle), 0.01)
+        entry_host.dispatch_client.tick(0.4)
         assert entry_host.sends() == []
-        entry_host.tickets.tick(0.6)
+        entry_host.dispatch_client.tick(0.6)
         assert entry_host.sends() == [("owner", handle)]
 
     def test_is_refused_locally_after_its_deadline(self):
         entry_host = EntryHost()
         handle = entry_host.submit()
-        entry_host.tickets.queued("owner", Queued(handle), 30.9)
-        entry_host.tickets.tick(31.1)
-        [refusal] = entry_host.tickets.take_results()
+        entry_host.dispatch_client.receive_queued("owner", Queued(handle), 30.9)
+        entry_host.dispatch_client.tick(31.1)
+        [refusal] = entry_host.dispatch_client.take_results()
         assert refusal.reason is RefusalReason.DEADLINE
         assert entry_host.messages == [("owner", Withdraw(handle, KEY))]
 
@@ -97,36 +100,42 @@
     def test_grant_is_returned_for_its_request(self):
         entry_host = EntryHost()
         handle = entry_host.submit()
-        entry_host.tickets.granted("owner", Granted(handle, ROUTE), 0.1)
-        assert entry_host.tickets.take_results() == [Grant("r1", 2, "entry", ROUTE)]
+        entry_host.dispatch_client.receive_grant("owner", Granted(handle, ROUTE), 0.1)
+        assert entry_host.dispatch_client.take_results() == [
+            Grant("r1", 2, "entry", ROUTE)
+        ]
 
     def test_late_copy_of_a_grant_has_no_effect(self):
         entry_host = EntryHost()
         handle = entry_host.submit()
-        entry_host.tickets.granted("owner", Granted(handle, ROUTE), 0.1)
-        entry_host.tickets.granted("owner", Granted(handle, OTHER_ROUTE), 0.2)
-        assert len(entry_host.tickets.take_results()) == 1
+        entry_host.dispatch_client.receive_grant("owner", Granted(handle, ROUTE), 0.1)
+        entry_host.dispatch_client.receive_grant(
+            "owner", Granted(handle, OTHER_ROUTE), 0.2
+        )
+        assert len(entry_host.dispatch_client.take_results()) == 1
         assert entry_host.messages == []
 
     def test_grant_of_another_host_is_withdrawn(self):
         entry_host = EntryHost()
         handle = entry_host.submit()
-        entry_host.tickets.granted("stranger", Granted(handle, ROUTE), 0.1)
-        assert entry_host.tickets.take_results() == []
+        entry_host.dispatch_client.receive_grant(
+            "stranger", Granted(handle, ROUTE), 0.1
+        )
+        assert entry_host.dispatch_client.take_results() == []
         assert entry_host.messages == [("stranger", Withdraw(handle))]
 
     def test_grant_after_the_end_is_withdrawn(self):
         entry_host = EntryHost()
         handle = entry_host.submit()
-        entry_host.tickets.cancel("r1", 2, 0.1)
+        entry_host.dispatch_client.cancel("r1", 2, 0.1)
         entry_host.messages.clear()
-        entry_host.tickets.granted("owner", Granted(handle, ROUTE), 0.2)
-        assert entry_host.tickets.take_results() == []
+        entry_host.dispatch_client.receive_grant("owner", Granted(handle, ROUTE), 0.2)
+        assert entry_host.dispatch_client.take_results() == []
         assert entry_host.messages == [("owner", Withdraw(handle))]
 
     def test_queued_submission_without_a_request_is_withdrawn(self):
         entry_host = EntryHost()
-        entry_host.tickets.queued("owner", Queued(99), 0.1)
+        entry_host.dispatch_client.receive_queued("owner", Queued(99), 0.1)
         assert entry_host.messages == [("owner", Withdraw(99))]
 
 
@@ -135,7 +144,7 @@
         entry_host = EntryHost()
         first = entry_host.submit()
         entry_host.owner = "next"
-        entry_host.tickets.moved(1.0)
+        entry_host.dispatch_client.reassign(1.0)
         assert entry_host.messages == [("owner", Withdraw(first, KEY))]
         [(host, second)] = entry_host.sends()
         assert host == "next"
@@ -144,45 +153,45 @@
     def test_grant_in_use_is_reported_to_the_new_dispatcher(self):
         entry_host = EntryHost()
         first = entry_host.submit()
-        entry_host.tickets.granted("owner", Granted(first, ROUTE), 0.1)
+        entry_host.dispatch_client.receive_grant("owner", Granted(first, ROUTE), 0.1)
         entry_host.owner = "next"
-        entry_host.tickets.moved(1.0)
+        entry_host.dispatch_client.reassign(1.0)
         (_, withdraw), (host, held) = entry_host.messages
         assert withdraw == Withdraw(first, KEY)
         assert host == "next"
         want = dataclasses.replace(WANT, deadline=29.0)
         assert held == Held(held.handle, KEY, want, ROUTE, 0)
         entry_host.messages.clear()
-        entry_host.tickets.done(Done("r1", 2, "entry", 8, 5), 2.0)
+        entry_host.dispatch_client.done(GrantOutcome("r1", 2, "entry", 8, 5), 2.0)
         assert entry_host.messages == [("next", Finished(held.handle, KEY, 8, 5))]
 
     def test_dispatcher_that_lost_its_state_gets_a_new_handle(self):
         entry_host = EntryHost()
         first = entry_host.submit()
-        entry_host.tickets.void("owner", 1.0)
+        entry_host.dispatch_client.reissue("owner", 1.0)
         [(host, second)] = entry_host.sends()
         assert host == "owner"
         assert second != first
-        entry_host.tickets.granted("owner", Granted(first, ROUTE), 1.1)
-        assert entry_host.tickets.take_results() == []
+        entry_host.dispatch_client.receive_grant("owner", Granted(first, ROUTE), 1.1)
+        assert entry_host.dispatch_client.take_results() == []
 
 
 class TestLocalPool:
     def test_request_without_a_dispatcher_or_engines_is_refused(self):
         entry_host = EntryHost()
         entry_host.owner = None
-        entry_host.tickets.submit(KEY, WANT, 0.0)
+        entry_host.dispatch_client.submit(KEY, WANT, 0.0)
         for step in range(60):
-            entry_host.tickets.tick(step * 0.05)
-        [refusal] = entry_host.tickets.take_results()
+            entry_host.dispatch_client.tick(step * 0.05)
+        [refusal] = entry_host.dispatch_client.take_results()
         assert isinstance(refusal, Refusal)
         assert refusal.reason is RefusalReason.NO_ROUTE
 
     def test_silent_dispatcher_is_suspected_until_it_answers(self):
         entry_host = EntryHost()
         entry_host.submit()
-        entry_host.tickets.tick(0.0)
-        entry_host.tickets.tick(0.8)
-        assert entry_host.tickets.suspects == {"owner"}
-        entry_host.tickets.heard("owner")
-        assert entry_host.tickets.suspects == set()
+        entry_host.dispatch_client.tick(0.0)
+        entry_host.dispatch_client.tick(0.8)
+        assert entry_host.dispatch_client.suspects == {"owner"}
+        entry_host.dispatch_client.heard("owner")
+        assert entry_host.dispatch_client.suspects == set()
