--- a/src/wagtailstair/core/dispatch_client.py
+++ b/src/wagtailstair/core/dispatch_client.py
@@ -1,4 +1,4 @@
-"""Submissions of this entry host's requests to the dispatchers of their pools.
+"""Client of the dispatchers: submits this entry host's requests for a route.
 
 A request has one submission at a time. The first grant is used, whichever
 dispatcher it comes from; any other is withdrawn. While the dispatcher does not
@@ -59,7 +59,7 @@
 
 
 class DispatchClient:
-    """All open requests of an entry host, queued or granted.
+    """Submits the requests of an entry host and tracks them until they end.
 
     :param find_owner: returns the live host that dispatches a pool, or None.
     :param make_pool: creates the local pools.
--- a/src/wagtailstair/core/report_distribution.py
+++ b/src/wagtailstair/core/report_distribution.py
@@ -8,12 +8,12 @@
 from .messages import EngineLoad
 from .pools import Engines
 
-REFRESH_S = 30.0  # to all peers, changed or not
-REPEAT_S = 5.0  # to the dispatcher, changed or not
-LOAD_INTERVAL_S = 1.0  # to the dispatcher, between reports of a changed load
+REFRESH_S = 30.0  # full report to all peers, changed or not
+REPEAT_S = 5.0  # load to the dispatcher, changed or not
+LOAD_INTERVAL_S = 1.0  # load to the dispatcher after a change
 STALE_S = 100.0  # then an engine without a report is removed
-MIN_STEP_CHANGE = 0.1  # of the step time, relative, that is reported
-MIN_KV_CHANGE = 0.05  # of the KV memory in use, as a share of its size
+MIN_STEP_CHANGE = 0.1  # relative change of the step time that is reported
+MIN_KV_CHANGE = 0.05  # reported change of the KV memory in use, over its size
 
 
 @dataclasses.dataclass(slots=True)
--- a/src/wagtailstair/core/upstream_balancer.py
+++ b/src/wagtailstair/core/upstream_balancer.py
@@ -13,7 +13,7 @@
 """Weight of a new measurement in the moving average of the latency."""
 
 INITIAL_LATENCY_S = 0.03
-"""Latency of an upstream that is assumed until it is measured."""
+"""Assumed latency of an upstream that has not been measured."""
 
 REMOTE_COST_FACTOR = 1.15
 """Factor for an upstream of another data centre, as traffic to it is priced."""
--- a/tests/test_dispatch_client.py
+++ b/tests/test_dispatch_client.py
@@ -20,7 +20,7 @@
 KEY = PoolKey("draft", "a")
 ROUTE = (Stage("e1", "10.0.1.1:90", 0, 8),)
 OTHER_ROUTE = (Stage("e2", "10.0.1.2:90", 0, 8),)
-WANT = RouteRequest(
+ROUTE_REQUEST = RouteRequest(
     request="r1",
     epoch=2,
     host="entry",
@@ -48,7 +48,7 @@
         )
 
     def submit(self, now=0.0):
-        self.dispatch_client.submit(KEY, WANT, now)
+        self.dispatch_client.submit(KEY, ROUTE_REQUEST, now)
         [(_, message)] = self.dispatch_client.take_sends()
         return message.handle
 
@@ -62,7 +62,7 @@
 class TestSubmit:
     def test_deadline_is_sent_as_remaining_time(self):
         entry_host = EntryHost()
-        entry_host.dispatch_client.submit(KEY, WANT, 10.0)
+        entry_host.dispatch_client.submit(KEY, ROUTE_REQUEST, 10.0)
         [(host, message)] = entry_host.dispatch_client.take_sends()
         assert host == "owner"
         assert message.want.deadline == 20.0
@@ -159,8 +159,8 @@
         (_, withdraw), (host, held) = entry_host.messages
         assert withdraw == Withdraw(first, KEY)
         assert host == "next"
-        want = dataclasses.replace(WANT, deadline=29.0)
-        assert held == Held(held.handle, KEY, want, ROUTE, 0)
+        route_request = dataclasses.replace(ROUTE_REQUEST, deadline=29.0)
+        assert held == Held(held.handle, KEY, route_request, ROUTE, 0)
         entry_host.messages.clear()
         entry_host.dispatch_client.done(GrantOutcome("r1", 2, "entry", 8, 5), 2.0)
         assert entry_host.messages == [("next", Finished(held.handle, KEY, 8, 5))]
@@ -180,7 +180,7 @@
     def test_request_without_a_dispatcher_or_engines_is_refused(self):
         entry_host = EntryHost()
         entry_host.owner = None
-        entry_host.dispatch_client.submit(KEY, WANT, 0.0)
+        entry_host.dispatch_client.submit(KEY, ROUTE_REQUEST, 0.0)
         for step in range(60):
             entry_host.dispatch_client.tick(step * 0.05)
         [refusal] = entry_host.dispatch_client.take_results()
@@ -193,5 +193,5 @@
         entry_host.dispatch_client.tick(0.0)
         entry_host.dispatch_client.tick(0.8)
         assert entry_host.dispatch_client.suspects == {"owner"}
-        entry_host.dispatch_client.heard("owner")
+        entry_host.dispatch_client.mark_responsive("owner")
         assert entry_host.dispatch_client.suspects == set()
--- a/tests/test_report_distribution.py
+++ b/tests/test_report_distribution.py
@@ -15,35 +15,35 @@
 
 class TestSelectPeers:
     def make(self):
-        spread = ReportDistribution()
-        assert spread.select_peers(STATE, "p2", PEERS, 0.0) == (PEERS, ())
-        return spread
+        distribution = ReportDistribution()
+        assert distribution.select_peers(STATE, "p2", PEERS, 0.0) == (PEERS, ())
+        return distribution
 
     def test_changed_load_is_sent_to_the_dispatcher_only(self):
-        spread = self.make()
-        assert spread.select_peers(STATE, "p2", PEERS, 1.5) == ((), ())
-        assert spread.select_peers(BUSY, "p2", PEERS, 1.6) == ((), ["p2"])
-        assert spread.select_peers(STATE, "p2", PEERS, 1.7) == ((), ())
+        distribution = self.make()
+        assert distribution.select_peers(STATE, "p2", PEERS, 1.5) == ((), ())
+        assert distribution.select_peers(BUSY, "p2", PEERS, 1.6) == ((), ["p2"])
+        assert distribution.select_peers(STATE, "p2", PEERS, 1.7) == ((), ())
 
     def test_change_of_a_static_field_is_sent_to_all_peers_at_once(self):
-        spread = self.make()
+        distribution = self.make()
         leaving = dataclasses.replace(STATE, leaving=True)
-        assert spread.select_peers(leaving, "p2", PEERS, 0.1) == (PEERS, ())
+        assert distribution.select_peers(leaving, "p2", PEERS, 0.1) == (PEERS, ())
 
     def test_new_dispatcher_gets_the_report_at_once(self):
-        spread = self.make()
-        assert spread.select_peers(STATE, "p3", PEERS, 0.1) == (["p3"], ())
+        distribution = self.make()
+        assert distribution.select_peers(STATE, "p3", PEERS, 0.1) == (["p3"], ())
 
     def test_new_peer_gets_the_report_at_once(self):
-        spread = self.make()
+        distribution = self.make()
         peers = (*PEERS, "p4")
-        assert spread.select_peers(STATE, "p2", peers, 0.1) == (["p4"], ())
-        assert spread.select_peers(STATE, "p2", peers, 0.2) == ((), ())
+        assert distribution.select_peers(STATE, "p2", peers, 0.1) == (["p4"], ())
+        assert distribution.select_peers(STATE, "p2", peers, 0.2) == ((), ())
 
     def test_replaced_peer_gets_all_reports_again(self):
-        spread = self.make()
-        spread.refresh_all()
-        assert spread.select_peers(STATE, "p2", PEERS, 0.1) == (PEERS, ())
+        distribution = self.make()
+        distribution.refresh_all()
+        assert distribution.select_peers(STATE, "p2", PEERS, 0.1) == (PEERS, ())
 
 
 class TestLoad:
@@ -82,6 +82,6 @@
     def test_engine_without_reports_is_stale(self):
         engines = Engines()
         engines.observe(STATE)
-        spread = ReportDistribution()
-        assert spread.stale(engines, STALE_S - 1.0) == []
-        assert spread.stale(engines, STALE_S + 1.0) == [STATE]
+        distribution = ReportDistribution()
+        assert distribution.stale(engines, STALE_S - 1.0) == []
+        assert distribution.stale(engines, STALE_S + 1.0) == [STATE]
