Wording: core pipelines, shortest, routing, layout

Renames: EVENTLESS_HOP_S to HOP_QUEUEING_S, KV_COST_S to KV_FILL_COST_S, FULL_COST_S to NO_ROOM_COST_S, ROOM_SHARES to ROOM_SHARE_BY_RANK, FULL_FILL to NO_KV_FILL, HEADS_WANTED to FIRST_LAYER_ENGINES; links between the parts of a path are named previous.

--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -1,8 +1,8 @@
-"""Which layers each engine is to hold.
+"""Assignment of layer ranges to engines.
 
-Every data centre should hold each layer at least once, with room for requests
-beside the weights; what is left covers layers a second time. An engine that
-holds layers is moved only to close a gap of its data centre.
+Every data centre should hold each layer at least once, with memory for requests
+beside the weights; the remaining engines hold layers a second time. An engine
+that holds layers is moved only to close a gap in its data centre.
 """
 
 import dataclasses
@@ -13,22 +13,24 @@
 from .replicas import Replica
 
 SPARE_SHARE = 0.15
-"""Layers that a data centre holds a second time, over those of the model."""
+"""Share of the model's layers that a data centre holds a second time."""
 
 ROOM_STEP = 0.9
+"""Factor from one tried room to the next smaller one."""
+
 ROOM_TOKENS_MAX = 125_000.0
 ROOM_TOKENS_MIN = 2_000.0
-"""Bounds of the room beside the weights, in tokens: that of a hundred requests, as
-many as may begin at one engine, and that of a single large one."""
+"""Bounds of the KV memory beside the weights, in tokens: a hundred requests, as many
+as may begin at one engine, and one large request."""
 
-HEADS_WANTED = 2
-"""Engines of a data centre that hold the first layer: each takes only so many
-requests that begin there."""
+FIRST_LAYER_ENGINES = 2
+"""Engines of a data centre that should hold the first layer: the number of requests
+that may begin at one engine is limited."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Placing:
-    """An order to hold the layers from ``first`` up to ``last``."""
+    """An engine and the layers from ``first`` up to ``last`` that it is to hold."""
 
     replica: Replica
     first: int
@@ -36,23 +38,24 @@
 
 
 def layers_for(model: ModelSpec, accelerator: str, room_tokens: float) -> int:
-    """Return how many layers an engine holds with room for some tokens beside.
+    """Return how many layers an engine can hold beside KV memory for some tokens.
 
-    Never more than its memory takes.
+    At least one layer if its weights alone fit into the engine's memory.
     """
-    kind = model.accelerator_by_name.get(accelerator)
-    if kind is None:
+    accelerator_kind = model.accelerator_by_name.get(accelerator)
+    if accelerator_kind is None:
         return 0
     kv_mb = model.kv_bytes / model.layers * room_tokens / 1e6
-    most = int(kind.memory_mb // model.layer_weights_mb)
-    wanted = int(kind.memory_mb / (model.layer_weights_mb + kv_mb))
+    most = int(accelerator_kind.memory_mb // model.layer_weights_mb)
+    wanted = int(accelerator_kind.memory_mb / (model.layer_weights_mb + kv_mb))
     return max(0, min(max(wanted, 1), most, model.layers))
 
 
 def room_for(model: ModelSpec, accelerators: t.Sequence[str]) -> float:
-    """Return the largest room with which engines hold the model and a spare part.
+    """Return the most KV tokens with which engines still hold the model and spares.
 
-    More room lets more requests run at once; more layers survive more losses.
+    More room lets more requests run at once; more spare layers tolerate more lost
+    engines.
     """
     wanted = model.layers * (1 + SPARE_SHARE)
     room = ROOM_TOKENS_MAX
@@ -70,19 +73,19 @@
     range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
     reserved: t.Container[tuple[str, int]] = (),
 ) -> list[Placing]:
-    """Return the orders for the engines that hold nothing.
+    """Return assignments for the engines that hold no layers.
 
-    :param range_by_identity: ranges that were ordered already.
-    :param reserved: engines that are kept empty unless a gap needs them.
+    :param range_by_identity: ranges that have already been ordered.
+    :param reserved: engines that stay empty unless their data centre has a gap.
     """
-    total = [0] * model.layers
+    copies_anywhere = [0] * model.layers
     by_centre: dict[str, list[int]] = {}
     empty: list[tuple[int, Replica]] = []
     ends_by_centre: dict[str, set[int]] = {}
     staying = [replica for replica in replicas if not replica.is_leaving]
-    room_by_centre = _rooms(model, staying)
+    room_by_centre = _room_by_centre(model, staying)
     for replica in staying:
-        cover = by_centre.setdefault(replica.data_centre, [0] * model.layers)
+        copies = by_centre.setdefault(replica.data_centre, [0] * model.layers)
         ends = ends_by_centre.setdefault(replica.data_centre, {0})
         held = replica.layers or range_by_identity.get(replica.identity)
         if held is None:
@@ -91,22 +94,22 @@
             if size:
                 empty.append((size, replica))
             continue
-        _add(held, cover, total, ends)
+        _count_range(held, copies, copies_anywhere, ends)
     empty.sort(key=lambda entry: (-entry[0], entry[1].name))
-    orders = []
+    assignments = []
     for size, replica in empty:
-        cover = by_centre[replica.data_centre]
+        copies = by_centre[replica.data_centre]
         ends = ends_by_centre[replica.data_centre]
-        if replica.identity in reserved and 0 not in cover:
+        if replica.identity in reserved and 0 not in copies:
             continue
-        if 0 not in cover and cover[0] < HEADS_WANTED:
+        if 0 not in copies and copies[0] < FIRST_LAYER_ENGINES:
             first = 0
         else:
-            first = _best_start(model.layers, size, cover, total, ends)
+            first = _best_start(model.layers, size, copies, copies_anywhere, ends)
         held = (first, first + size)
-        _add(held, cover, total, ends)
-        orders.append(Placing(replica, *held))
-    return orders
+        _count_range(held, copies, copies_anywhere, ends)
+        assignments.append(Placing(replica, *held))
+    return assignments
 
 
 def repair(
@@ -116,8 +119,8 @@
 ) -> list[Placing]:
     """Return one move for each data centre that lacks layers.
 
-    The engine is moved that leaves the fewest layers uncovered. A data centre
-    in which a move or a load is under way gets none.
+    The move is the one that leaves the fewest layers uncovered. A data centre
+    gets none while one of its engines is empty or has an order in progress.
     """
     by_centre: dict[str, list[Replica]] = {}
     busy: set[str] = set()
@@ -138,33 +141,33 @@
 
 
 def _best_move(model: ModelSpec, engines: list[Replica]) -> Placing | None:
-    cover = [0] * model.layers
+    copies = [0] * model.layers
     for replica in engines:
         for layer in range(*t.cast("tuple[int, int]", replica.layers)):
-            cover[layer] += 1
-    fewest = cover.count(0)
-    if not fewest or fewest > model.layers // 2:
+            copies[layer] += 1
+    fewest_uncovered = copies.count(0)
+    if not fewest_uncovered or fewest_uncovered > model.layers // 2:
         return None
     best: Placing | None = None
-    gaps = [layer for layer in range(model.layers) if not cover[layer]]
+    gaps = [layer for layer in range(model.layers) if not copies[layer]]
     for replica in sorted(engines, key=lambda engine: engine.name):
         first, last = t.cast("tuple[int, int]", replica.layers)
         size = last - first
         for layer in range(first, last):
-            cover[layer] -= 1
-        bare = cover.count(0)
-        for start in _starts_over(gaps, size, model.layers):
-            left = bare - cover[start : start + size].count(0)
-            if left < fewest:
-                fewest = left
+            copies[layer] -= 1
+        uncovered = copies.count(0)
+        for start in _candidate_starts(gaps, size, model.layers):
+            uncovered_after = uncovered - copies[start : start + size].count(0)
+            if uncovered_after < fewest_uncovered:
+                fewest_uncovered = uncovered_after
                 best = Placing(replica, start, start + size)
         for layer in range(first, last):
-            cover[layer] += 1
+            copies[layer] += 1
     return best
 
 
-def _starts_over(gaps: list[int], size: int, layers: int) -> list[int]:
-    """Return where a range may begin so that it begins or ends with a gap."""
+def _candidate_starts(gaps: list[int], size: int, layers: int) -> list[int]:
+    """Return the starts at which a range of a size begins or ends with a gap."""
     starts = {min(gaps[0], layers - size), max(0, gaps[-1] + 1 - size)}
     for before, after in itertools.pairwise(gaps):
         if after > before + 1:
@@ -173,7 +176,9 @@
     return sorted(starts)
 
 
-def _rooms(model: ModelSpec, replicas: t.Iterable[Replica]) -> dict[str, float]:
+def _room_by_centre(
+    model: ModelSpec, replicas: t.Iterable[Replica]
+) -> dict[str, float]:
     accelerators_by_centre: dict[str, list[str]] = {}
     for replica in replicas:
         names = accelerators_by_centre.setdefault(replica.data_centre, [])
@@ -184,27 +189,36 @@
     return rooms
 
 
-def _add(
-    held: tuple[int, int], cover: list[int], total: list[int], ends: set[int]
+def _count_range(
+    held: tuple[int, int], copies: list[int], copies_anywhere: list[int], ends: set[int]
 ) -> None:
     for layer in range(*held):
-        cover[layer] += 1
-        total[layer] += 1
+        copies[layer] += 1
+        copies_anywhere[layer] += 1
     ends.update(held)
 
 
 def _best_start(
-    layers: int, size: int, cover: list[int], total: list[int], ends: set[int]
+    layers: int,
+    size: int,
+    copies: list[int],
+    copies_anywhere: list[int],
+    ends: set[int],
 ) -> int:
-    """Return where a range helps most: few engines here first, then anywhere."""
+    """Return the start at which a range adds most redundancy.
+
+    The copies in this data centre count first, those anywhere break ties.
+    """
     starts = {end for end in ends if end + size <= layers}
     starts.update(end - size for end in ends if end >= size)
     starts.add(layers - size)
     best = 0
     best_value = (-1.0, -1.0)
     for start in sorted(starts):
-        here = sum(4.0 ** -cover[layer] for layer in range(start, start + size))
-        anywhere = sum(4.0 ** -total[layer] for layer in range(start, start + size))
-        if (here, anywhere) > best_value:
-            best, best_value = start, (here, anywhere)
+        local_value = sum(4.0 ** -copies[layer] for layer in range(start, start + size))
+        overall_value = sum(
+            4.0 ** -copies_anywhere[layer] for layer in range(start, start + size)
+        )
+        if (local_value, overall_value) > best_value:
+            best, best_value = start, (local_value, overall_value)
     return best
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -1,7 +1,8 @@
-"""The engines of a service: what runs on them, and the pipeline for a request.
+"""The load on the engines of a service, and the choice of a request's pipeline.
 
-The cost of an engine is the time that it adds, with its free KV memory as a
-second measure. The cheapest chain of engines is that of :mod:`.shortest`.
+An engine costs the seconds that it adds to the request, plus penalties for KV
+memory that is nearly full. :mod:`.shortest` finds the cheapest chain of engines.
+The head of a pipeline is its first engine.
 """
 
 import dataclasses
@@ -17,45 +18,52 @@
 from .shortest import Path as Path
 from .shortest import cheapest_path
 
-EVENTLESS_HOP_S = 0.0004
-"""Seconds of queueing that each further hop adds to a pass, from bench runs."""
+HOP_QUEUEING_S = 0.0004
+"""Seconds of queueing that a hop adds to each decoding step."""
 
 KV_SOFT_SHARE = 0.6
-"""Share of an engine's KV memory above which others are preferred."""
+"""Share of an engine's KV memory above which other engines are preferred."""
 
-KV_COST_S = 10.0
-"""Seconds that a full KV memory costs, beside a half full one: more than a
-crossing, so that the memory of all data centres is used before any is full."""
+KV_FILL_COST_S = 10.0
+"""Penalty in seconds for each unit of fill above the soft share. A full engine
+costs more than a crossing between data centres, so that the KV memory of all data
+centres is used before any is full."""
 
-FULL_COST_S = 30.0
-"""Seconds that an engine without room costs: it would refuse the request."""
+NO_ROOM_COST_S = 30.0
+"""Penalty in seconds for an engine without room: it would refuse the request."""
 
-ROOM_SHARES = (1.5, 1.3, 1.0)
-"""Shares of an engine's KV memory that requests of each rank may fill. Answers are
-counted whole from the start, and most engines of a path hold less than the fullest."""
+ROOM_SHARE_BY_RANK = (1.5, 1.3, 1.0)
+"""Shares of an engine's KV memory that requests of each rank may fill. They may
+exceed 1: an answer counts with its full expected length from the start, and most
+engines of a path are less full than the fullest one."""
 
 SUSPECT_COST_S = 60.0
-"""Seconds that an engine under suspicion costs: more than all else together, so
-that it is taken only where no other holds its layers."""
+"""Penalty in seconds for a suspected engine: more than all other costs together,
+so that it is used only where no other engine holds its layers."""
 
 AVOIDED_COST_S = 2.0
-"""Seconds that an engine of an earlier attempt costs, where the one at fault is
-not known: it may be any of the path."""
+"""Penalty in seconds for an engine of an earlier attempt that failed without
+naming the faulty engine: it may be any engine of the path."""
 
-JITTER = 0.1
-"""Share of a hop's cost that is random, so that hosts don't choose alike."""
+COST_JITTER_SHARE = 0.1
+"""Largest random share added to an engine's time, so that hosts don't all choose
+the same engine."""
 
 
 HEADS_SOFT_SHARE = 0.7
-"""Share of the requests that may begin at an engine above which others are
-preferred: hosts learn of each other's requests half a second late."""
+"""Share of an engine's slots taken by requests that begin there above which other
+engines are preferred: hosts learn of each other's requests half a second late."""
 
-FULL_FILL = 10.0
-"""The fill of an engine that has no KV memory at all."""
+NO_KV_FILL = 10.0
+"""Fill assumed for an engine without any KV memory."""
 
 
 class Load(t.NamedTuple):
-    """Requests on an engine, those that begin there, and KV memory in token-layers."""
+    """The load on one engine.
+
+    ``running``: requests; ``heads``: requests that begin there;
+    ``token_layers``: KV memory in use.
+    """
 
     running: int
     heads: int
@@ -66,7 +74,7 @@
 
 
 class Source(t.NamedTuple):
-    """Who tells of loads: a host, or a data centre for the sum of its hosts."""
+    """The origin of a load report: a host, or a data centre for all its hosts."""
 
     name: str
     is_centre: bool = False
@@ -74,12 +82,12 @@
 
 @dataclasses.dataclass(slots=True)
 class EngineUse:
-    """What requests of this host hold on an engine.
+    """What requests of this host hold on an engine, and how the engine does.
 
-    ``key``: names the engine and its start among hosts; ``token_layers``: KV
-    memory; ``running``: requests; ``heads``: those that begin there;
-    ``suspect_until``: the engine failed or stalled
-    and is avoided till then.
+    ``key``: identifies one incarnation of the engine in messages between hosts;
+    ``token_layers``: KV memory in use; ``running``: requests; ``heads``: requests
+    that begin there; ``suspect_until``: the engine failed or stalled and is
+    avoided until then; ``slowness``: factor on the engine's expected time.
     """
 
     key: int
@@ -91,12 +99,12 @@
 
 
 def engine_key(replica: Replica) -> int:
-    """Return a short name of an engine and its start."""
+    """Return the key of one incarnation of an engine."""
     return zlib.crc32(f"{replica.name}/{replica.incarnation}".encode())
 
 
 def kv_room(model: ModelSpec, replica: Replica) -> float:
-    """Return the token-layers that an engine has room for beside its weights."""
+    """Return the token-layers that fit into an engine's memory beside its weights."""
     accelerator = model.accelerator_by_name.get(replica.accelerator)
     if accelerator is None or replica.layers is None:
         return 0.0
@@ -106,9 +114,9 @@
 
 
 class Pipelines:
-    """The engines of one service and what this host has running on them.
+    """Tracks the load on the engines of one service and chooses pipelines.
 
-    :param data_centre: that of this host, where pipelines begin if they can.
+    :param data_centre: data centre of this host, where pipelines begin if possible.
     """
 
     __slots__ = (
@@ -123,12 +131,12 @@
         self._data_centre = data_centre
         self._rng = rng
         self._loads_by_source: dict[Source, dict[int, Load]] = {}
-        # Sums over all sources.
+        # The sum of the loads of all sources.
         self._peer_load_by_key: dict[int, Load] = {}
         self.use_by_identity: dict[tuple[str, int], EngineUse] = {}
 
     def use(self, replica: Replica) -> EngineUse:
-        """Return what is known of an engine."""
+        """Return the use of an engine; create it on first access."""
         use = self.use_by_identity.get(replica.identity)
         if use is None:
             use = EngineUse(engine_key(replica))
@@ -136,7 +144,7 @@
         return use
 
     def take(self, path: Path, tokens: float) -> None:
-        """Count a request of some tokens on its engines."""
+        """Add a request's tokens to the load of each engine of its path."""
         for hop in path:
             use = self.use(hop.replica)
             use.running += 1
@@ -152,29 +160,29 @@
             use.token_layers -= tokens * (hop.last - hop.first)
 
     def note_peer(self, source: Source, loads: dict[int, Load]) -> None:
-        """Take what a source tells of engines, in place of what it told before."""
+        """Replace the loads that a source reported before."""
         self.forget_peer(source)
         self._loads_by_source[source] = loads
         for key, load in loads.items():
             known = self._peer_load_by_key.get(key, NO_LOAD)
-            self._peer_load_by_key[key] = _add(known, load)
+            self._peer_load_by_key[key] = _sum_loads(known, load)
 
     def forget_peer(self, source: Source) -> None:
-        """Drop what a source has told."""
+        """Drop the loads that a source reported."""
         for key, load in self._loads_by_source.pop(source, {}).items():
             known = self._peer_load_by_key[key]
-            left = Load(
+            remaining = Load(
                 known.running - load.running,
                 known.heads - load.heads,
                 known.token_layers - load.token_layers,
             )
-            if left.running > 0:
-                self._peer_load_by_key[key] = left
+            if remaining.running > 0:
+                self._peer_load_by_key[key] = remaining
                 continue
             del self._peer_load_by_key[key]
 
     def own_loads(self) -> dict[int, Load]:
-        """Return what requests of this host hold, by engine."""
+        """Return the loads of this host's requests by engine key."""
         loads = {}
         for use in self.use_by_identity.values():
             if use.running > 0:
@@ -183,17 +191,17 @@
         return loads
 
     def centre_loads(self) -> dict[int, Load]:
-        """Return what requests of this data centre's hosts hold, by engine."""
+        """Return the loads of all requests of this data centre by engine key."""
         sums = self.own_loads()
         for source, loads in self._loads_by_source.items():
             if source.is_centre:
                 continue
             for key, load in loads.items():
-                sums[key] = _add(sums.get(key, NO_LOAD), load)
+                sums[key] = _sum_loads(sums.get(key, NO_LOAD), load)
         return sums
 
     def total(self, replica: Replica) -> Load:
-        """Return what requests of all hosts hold on an engine."""
+        """Return the load of the requests of all hosts on an engine."""
         use = self.use(replica)
         peers = self._peer_load_by_key.get(use.key, NO_LOAD)
         return Load(
@@ -203,11 +211,11 @@
         )
 
     def has_room(self, model: ModelSpec, path: Path, tokens: float, rank: int) -> bool:
-        """Tell whether all engines of a path have room for some tokens.
+        """Return whether all engines of a path have room for a request's tokens.
 
-        The less urgent a request is, the more room it leaves for others.
+        Less urgent requests may fill less of an engine's memory.
         """
-        share = ROOM_SHARES[min(rank, len(ROOM_SHARES) - 1)]
+        share = ROOM_SHARE_BY_RANK[min(rank, len(ROOM_SHARE_BY_RANK) - 1)]
         first = path[0].replica
         if self.total(first).heads >= min(1.0, share) * first.slots:
             return False
@@ -219,12 +227,12 @@
         return True
 
     def suspect(self, replica: Replica, until: float) -> None:
-        """Avoid an engine for a while."""
+        """Avoid an engine until the given time."""
         use = self.use(replica)
         use.suspect_until = max(use.suspect_until, until)
 
     def forget(self, live: t.Container[tuple[str, int]]) -> None:
-        """Drop the engines that are gone and have nothing running."""
+        """Drop the engines that are not live and run no request of this host."""
         for identity, use in list(self.use_by_identity.items()):
             if identity not in live and use.running <= 0:
                 del self.use_by_identity[identity]
@@ -241,9 +249,10 @@
     ) -> Path | None:
         """Return the cheapest pipeline for a request, ``None`` if there is none.
 
-        :param prompt: tokens to read; ``answer``: tokens expected; ``avoid``:
-            engines that are taken only where no others hold their layers;
-            ``head``: the first hop, if it is given.
+        :param prompt: tokens to read.
+        :param answer: expected tokens of the answer.
+        :param avoid: engines that cost more because an earlier attempt used them.
+        :param head: the first hop, if it is fixed.
         """
         start = 0 if head is None else head.last
         engines = []
@@ -255,14 +264,12 @@
             if replica.accelerator not in model.accelerator_by_name:
                 continue
             load = self.total(replica)
-            seconds, fixed = self._costs(model, replica, load, prompt, answer)
+            layer_s, hop_s = self._layer_and_hop_s(model, replica, load, prompt, answer)
             if self.use(replica).suspect_until > now:
-                fixed += SUSPECT_COST_S
+                hop_s += SUSPECT_COST_S
             if replica.identity in avoid:
-                fixed += AVOIDED_COST_S
-            engines.append(
-                Candidate(replica, seconds, fixed, _head_cost(replica, load))
-            )
+                hop_s += AVOIDED_COST_S
+            engines.append(Candidate(replica, layer_s, hop_s, _head_s(replica, load)))
         centre = self._data_centre if head is None else head.replica.data_centre
         entry = Entry(start, centre, is_begun=head is not None)
         path = cheapest_path(model, engines, entry, prompt, answer)
@@ -270,7 +277,7 @@
             return path
         return (head, *path)
 
-    def _costs(
+    def _layer_and_hop_s(
         self,
         model: ModelSpec,
         replica: Replica,
@@ -278,34 +285,34 @@
         prompt: float,
         answer: float,
     ) -> tuple[float, float]:
-        """Return the seconds that a layer costs on an engine, and those of the hop."""
+        """Return an engine's cost in seconds for each layer and for the hop."""
         kind = model.accelerator_by_name[replica.accelerator]
         use = self.use(replica)
         step = (model.step_s + model.sequence_s * load.running) * kind.step_factor
         read = kind.prefill_factor / model.read_tokens_per_s
-        seconds = (answer * step + prompt * read) * use.slowness / model.layers
-        seconds *= 1 + JITTER * self._rng.random()
+        layer_s = (answer * step + prompt * read) * use.slowness / model.layers
+        layer_s *= 1 + COST_JITTER_SHARE * self._rng.random()
         room = kv_room(model, replica)
         assert replica.layers is not None
         wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
-        fill = (load.token_layers + wanted) / room if room > 0 else FULL_FILL
-        fixed = answer * EVENTLESS_HOP_S
+        fill = (load.token_layers + wanted) / room if room > 0 else NO_KV_FILL
+        hop_s = answer * HOP_QUEUEING_S
         if fill > 1.0:
-            fixed += FULL_COST_S
+            hop_s += NO_ROOM_COST_S
         elif fill > KV_SOFT_SHARE:
-            fixed += KV_COST_S * (fill - KV_SOFT_SHARE)
-        return seconds, fixed
+            hop_s += KV_FILL_COST_S * (fill - KV_SOFT_SHARE)
+        return layer_s, hop_s
 
 
-def _head_cost(replica: Replica, load: Load) -> float:
-    """Return the seconds that it costs to begin at an engine, over those of a hop."""
+def _head_s(replica: Replica, load: Load) -> float:
+    """Return the seconds that an engine costs as a head, on top of its hop."""
     fill = (load.heads + 1) / max(1, replica.slots)
     if fill > 1.0:
-        return FULL_COST_S
-    return KV_COST_S * max(0.0, fill - HEADS_SOFT_SHARE)
+        return NO_ROOM_COST_S
+    return KV_FILL_COST_S * max(0.0, fill - HEADS_SOFT_SHARE)
 
 
-def _add(one: Load, other: Load) -> Load:
+def _sum_loads(one: Load, other: Load) -> Load:
     return Load(
         one.running + other.running,
         one.heads + other.heads,
--- a/src/wagtailstair/core/routing.py
+++ b/src/wagtailstair/core/routing.py
@@ -1,4 +1,4 @@
-"""Choice of a route over lanes of engines, and the bound of a fleet."""
+"""Choice of a route over lanes of engines, and the throughput bound of a fleet."""
 
 import collections
 import dataclasses
@@ -11,9 +11,10 @@
 from .loads import Lane
 
 DEFAULT_LINK_S = 0.0005
+"""Seconds one way to a data centre that an engine reports no delay to."""
 
 Pick = t.Callable[[Lane], tuple[float, EngineLoad] | None]
-"""Chooses an engine of a lane; returns its expected delay in seconds too."""
+"""Chooses an engine of a lane; returns its expected delay in seconds and its load."""
 
 
 def link_s(source: EngineState, target_data_centre: str) -> float:
@@ -28,16 +29,16 @@
 class _Path:
     cost: float
     load: EngineLoad
-    before: "_Path | None"
+    previous: "_Path | None"
 
 
-def _best_before(
+def _best_predecessor(
     paths: t.Iterable[_Path], data_centre: str, tokens: float
 ) -> tuple[float, _Path | None]:
     best_cost = float("inf")
     best: _Path | None = None
     for path in paths:
-        # Each token crosses the link, and so does the prompt.
+        # Each output token crosses the link once, and so does the prompt.
         cost = path.cost + link_s(path.load.state, data_centre) * (tokens + 1)
         if cost < best_cost:
             best_cost = cost
@@ -47,38 +48,40 @@
 
 def _route_of(path: _Path) -> Route:
     stages = []
-    step: _Path | None = path
-    while step is not None:
-        state = step.load.state
+    node: _Path | None = path
+    while node is not None:
+        state = node.load.state
         stages.append(Stage(state.name, state.address, state.first, state.last))
-        step = step.before
+        node = node.previous
     return tuple(reversed(stages))
 
 
 def shortest_route(
     lanes: t.Iterable[Lane], tokens: float, pick: Pick
 ) -> tuple[Route, float] | None:
-    """Find the route of least expected delay, or ``None``.
+    """Return the route of least expected delay and that delay, or ``None``.
 
-    Its layer ranges cover the model once.
+    The layer ranges of a route cover every layer of the model exactly once.
 
     :param lanes: lanes of one model, in ascending order of their ranges.
-    :param tokens: output tokens that are expected.
+    :param tokens: expected output tokens.
     """
     paths_by_boundary: dict[int, dict[str, _Path]] = {}
     best: _Path | None = None
     for lane in lanes:
-        before: _Path | None = None
+        previous: _Path | None = None
         total = 0.0
         if lane.first > 0:
             reached = paths_by_boundary.get(lane.first)
             if reached is None:
                 continue
-            total, before = _best_before(reached.values(), lane.data_centre, tokens)
+            total, previous = _best_predecessor(
+                reached.values(), lane.data_centre, tokens
+            )
         picked = pick(lane)
         if picked is None:
             continue
-        path = _Path(total + picked[0], picked[1], before)
+        path = _Path(total + picked[0], picked[1], previous)
         if lane.last >= lane.layers:
             if best is None or path.cost < best.cost:
                 best = path
@@ -93,12 +96,12 @@
 
 
 def engine_tokens_per_s(state: EngineState, kv_per_request: int = 0) -> float:
-    """Return the tokens a second that an engine's slots and KV memory carry.
+    """Return the tokens a second that an engine's slots and KV memory allow.
 
-    A request holds its slot also while its token is at the other stages; they
-    are taken to need as long for a layer as this engine does.
+    A request holds its slot also while other stages process its token. The other
+    stages are assumed to be as fast for each layer as this engine.
 
-    :param kv_per_request: KV memory of a mean request, in tokens.
+    :param kv_per_request: mean KV memory of a request, in tokens.
     """
     if state.step_s <= 0 or state.last <= state.first:
         return 0.0
@@ -108,25 +111,26 @@
     return slots / (state.step_s * state.layers / (state.last - state.first))
 
 
-def _augment(capacity: dict[int, dict[int, float]], sink: int) -> float:
-    before: dict[int, int] = {0: 0}
+def _push_flow(capacity: dict[int, dict[int, float]], sink: int) -> float:
+    """Push flow along a shortest augmenting path from layer 0; return its amount."""
+    parent_by_node: dict[int, int] = {0: 0}
     queue = collections.deque([0])
-    while queue and sink not in before:
+    while queue and sink not in parent_by_node:
         node = queue.popleft()
-        for other, left in capacity[node].items():
-            if left > 1e-9 and other not in before:
-                before[other] = node
-                queue.append(other)
-    if sink not in before:
+        for neighbour, residual in capacity[node].items():
+            if residual > 1e-9 and neighbour not in parent_by_node:
+                parent_by_node[neighbour] = node
+                queue.append(neighbour)
+    if sink not in parent_by_node:
         return 0.0
     flow = float("inf")
     node = sink
     while node != 0:
-        flow = min(flow, capacity[before[node]][node])
-        node = before[node]
+        flow = min(flow, capacity[parent_by_node[node]][node])
+        node = parent_by_node[node]
     node = sink
     while node != 0:
-        parent = before[node]
+        parent = parent_by_node[node]
         capacity[parent][node] -= flow
         capacity[node][parent] = capacity[node].get(parent, 0.0) + flow
         node = parent
@@ -134,9 +138,9 @@
 
 
 def fleet_bound(states: t.Iterable[EngineState], kv_per_request: int = 0) -> float:
-    """Return the maximum flow of tokens a second through the layer ranges.
+    """Return the maximum flow through all layers, in tokens a second.
 
-    :param kv_per_request: KV memory of a mean request, in tokens.
+    :param kv_per_request: mean KV memory of a request, in tokens.
     """
     capacity: dict[int, dict[int, float]] = collections.defaultdict(dict)
     sink = 0
@@ -151,7 +155,7 @@
         return 0.0
     total = 0.0
     while True:
-        flow = _augment(capacity, sink)
+        flow = _push_flow(capacity, sink)
         if flow <= 0:
             return total
         total += flow
--- a/src/wagtailstair/core/shortest.py
+++ b/src/wagtailstair/core/shortest.py
@@ -1,8 +1,8 @@
 """The cheapest chain of engines through the layers of a model.
 
-A request takes every layer once, in order. The chain is found in one sweep over
-the layers at which ranges begin and end: between two of them a request stays on
-its engine or goes over to another one that holds the layers, at its fixed cost.
+A request passes every layer once, in order. One sweep visits the layers at which
+ranges of engines begin or end. At each of them a request stays on its engine or
+moves to another one that holds the next layers, for the fixed cost of a hop.
 """
 
 import dataclasses
@@ -13,12 +13,12 @@
 from .replicas import Replica
 
 REMOTE_START_COST_S = 0.5
-"""Seconds that a pipeline wholly in another data centre costs: only the request
-and its events pass between the two, a thousandth of what activations take."""
+"""Seconds that a pipeline costs that begins in another data centre: only the
+request and its events pass between the two, a thousandth of the activations."""
 
 CROSSING_COST_S = 3.0
-"""Seconds that a crossing in the middle of a pipeline costs: all activations pass
-the one pipe between two data centres, one transfer after the other."""
+"""Seconds that a crossing inside a pipeline costs: all activations share the one
+link between two data centres, which carries one transfer at a time."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -35,7 +35,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Candidate:
-    """An engine's cost for a request: seconds a layer, for the hop, as the first."""
+    """An engine with its costs for a request.
+
+    ``layer_s``: seconds for each layer; ``fixed_s``: seconds for the hop;
+    ``head_s``: further seconds if the engine is the first of the chain.
+    """
 
     replica: Replica
     layer_s: float
@@ -45,9 +49,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Entry:
-    """Where a chain begins: the first layer, and the data centre before it.
+    """Where a chain begins.
 
-    ``is_begun``: an engine has run the layers before, else there are none.
+    ``layer``: its first layer; ``data_centre``: where the request comes from;
+    ``is_begun``: whether the layers before it have already run on an engine.
     """
 
     layer: int
@@ -57,23 +62,23 @@
 
 @dataclasses.dataclass(slots=True)
 class _Run:
-    """An engine's layers from ``first`` on, after another run."""
+    """The layers from ``first`` on that run on one engine, linked to the run before."""
 
     engine: Candidate
     first: int
-    before: "_Run | None"
+    previous: "_Run | None"
 
 
 @dataclasses.dataclass(slots=True)
 class _State:
-    """The cheapest way to a layer that ends on one engine."""
+    """The cheapest chain up to a layer, by its last engine."""
 
     cost: float
     run: _Run | None
 
 
 class _Sweep:
-    """The cheapest ways to the layer reached so far."""
+    """The cheapest chains to the layer reached so far, by engine and data centre."""
 
     __slots__ = ("_answer", "_entry", "_model", "_transfer_s", "by_centre", "by_engine")
 
@@ -90,16 +95,16 @@
         self.by_centre = {entry.data_centre: _State(0.0, None)}
         self.by_engine: dict[int, _State] = {}
 
-    def advance(self, layer: int, end: int, active: dict[int, Candidate]) -> None:
-        """Run the layers up to ``end`` on each of the engines that hold them."""
+    def advance(self, layer: int, end: int, covering: dict[int, Candidate]) -> None:
+        """Extend the chains up to layer ``end``, on each engine that covers it."""
         entered: dict[str, _State] = {}
         by_engine: dict[int, _State] = {}
         by_centre: dict[str, _State] = {}
-        for index, engine in active.items():
+        for index, engine in covering.items():
             centre = engine.replica.data_centre
             enter = entered.get(centre)
             if enter is None:
-                enter = entered[centre] = self._enter(centre)
+                enter = entered[centre] = self._cheapest_entry(centre)
             cost, run = enter.cost + engine.fixed_s, enter.run
             if run is None and not self._entry.is_begun:
                 cost += engine.head_s
@@ -116,21 +121,21 @@
         self.by_engine = by_engine
         self.by_centre = by_centre
 
-    def _enter(self, centre: str) -> _State:
-        """Return the cheapest way to go over to an engine of a data centre."""
+    def _cheapest_entry(self, centre: str) -> _State:
+        """Return the cheapest chain from which to enter a data centre."""
         best: _State | None = None
-        for before, state in self.by_centre.items():
+        for source, state in self.by_centre.items():
             cost = state.cost
-            if before != centre:
-                cost += self._crossing_s(before, centre, state.run)
+            if source != centre:
+                cost += self._crossing_s(source, centre, state.run)
             if best is None or cost < best.cost:
                 best = _State(cost, state.run)
         return best or _State(float("inf"), None)
 
-    def _crossing_s(self, before: str, after: str, run: _Run | None) -> float:
+    def _crossing_s(self, source: str, target: str, run: _Run | None) -> float:
         if run is None and not self._entry.is_begun:
             return REMOTE_START_COST_S
-        delay_s = self._model.delay_s_by_centres.get((before, after), 0.0)
+        delay_s = self._model.delay_s_by_centres.get((source, target), 0.0)
         return CROSSING_COST_S + self._transfer_s + self._answer * delay_s
 
 
@@ -143,7 +148,8 @@
 ) -> Path | None:
     """Return the cheapest chain from an entry to the last layer, if there is one.
 
-    :param prompt: tokens to read; ``answer``: tokens expected.
+    :param prompt: tokens to read.
+    :param answer: expected tokens of the answer.
     """
     starts: dict[int, list[int]] = {}
     ends: dict[int, list[int]] = {}
@@ -155,34 +161,34 @@
             ends.setdefault(last, []).append(index)
     bounds = sorted({entry.layer, model.layers, *starts, *ends})
     sweep = _Sweep(model, entry, prompt, answer)
-    active: dict[int, Candidate] = {}
+    covering: dict[int, Candidate] = {}
     for layer, end in itertools.pairwise(bounds):
         for index in ends.get(layer, ()):
-            del active[index]
+            del covering[index]
         for index in starts.get(layer, ()):
-            active[index] = engines[index]
-        if not active:
+            covering[index] = engines[index]
+        if not covering:
             return None
-        sweep.advance(layer, end, active)
+        sweep.advance(layer, end, covering)
     if not sweep.by_centre:
         return None
     best = min(sweep.by_centre.values(), key=lambda state: state.cost)
-    return _walk_back(best.run, model.layers)
+    return _collect_hops(best.run, model.layers)
 
 
-def _walk_back(run: _Run | None, layers: int) -> Path:
+def _collect_hops(run: _Run | None, layers: int) -> Path:
     hops: list[Hop] = []
     last = layers
     while run is not None:
         hops.append(Hop(run.engine.replica, run.first, last))
         last = run.first
-        run = run.before
+        run = run.previous
     hops.reverse()
-    return _merge(hops)
+    return _merge_hops(hops)
 
 
-def _merge(hops: list[Hop]) -> Path:
-    """Give each engine one part: what lies between two of its parts, too."""
+def _merge_hops(hops: list[Hop]) -> Path:
+    """Merge the hops of an engine that occurs twice, with all hops in between."""
     merged: list[Hop] = []
     for hop in hops:
         for index, earlier in enumerate(merged):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -4,7 +4,7 @@
 from tests.gateway_data import make_engine
 from tests.gateway_data import make_fleet
 from tests.gateway_data import make_model
-from wagtailstair.core.layout import HEADS_WANTED
+from wagtailstair.core.layout import FIRST_LAYER_ENGINES
 from wagtailstair.core.layout import layers_for
 from wagtailstair.core.layout import plan
 from wagtailstair.core.layout import repair
@@ -78,7 +78,7 @@
     def test_two_engines_take_first_layers(self, centre):
         engines = apply(plan(make_model(), make_fleet(), {}))
         heads = [e for e in engines if e.data_centre == centre and e.layers[0] == 0]
-        assert len(heads) >= HEADS_WANTED
+        assert len(heads) >= FIRST_LAYER_ENGINES
 
     def test_a_large_data_centre_holds_the_model_twice(self):
         fleet = [make_engine(f"v{n}") for n in range(60)]
