--- a/src/wagtailstair/core/capacity.py
+++ b/src/wagtailstair/core/capacity.py
@@ -1,4 +1,4 @@
-"""What a pool can serve, by its engines' reports and by what it has served."""
+"""Estimates a pool's rate of work from engine reports and served requests."""
 
 import typing as t
 
@@ -6,59 +6,70 @@
 from .routing import fleet_bound
 
 RATE_TIME_CONSTANT_S = 10.0
+"""Time constant of the moving average of the measured rate."""
+
 BOUND_INTERVAL_S = 1.0
+"""Seconds between two computations of the bound from engine reports."""
+
 MINIMUM_WORK_PER_S = 1.0
 
 
 class Capacity:
-    """An estimate of the work a second that a pool serves when it is full.
+    """Estimates the work a second that a pool serves under full load.
 
-    What was served while requests waited is trusted over the engines'
-    reports, which don't tell how long prompts take.
+    The rate measured while requests waited takes precedence over the bound from
+    the engines' reports, which leaves out the time to read prompts.
     """
 
-    __slots__ = ("_bound", "_bound_at", "_busy_s", "_busy_since", "_work", "estimate")
+    __slots__ = (
+        "_bound",
+        "_bound_updated_at",
+        "_busy_s",
+        "_busy_since",
+        "_work",
+        "estimate",
+    )
 
     def __init__(self) -> None:
         self._busy_since: float | None = None
         self._busy_s = 0.0
         self._work = 0.0
         self._bound = 0.0
-        self._bound_at = -BOUND_INTERVAL_S
+        self._bound_updated_at = -BOUND_INTERVAL_S
         self.estimate = 0.0
 
     def served(self, work: float, is_busy: bool, now: float) -> None:
-        """Note a request that ended.
+        """Record the work of a request that ended.
 
-        :param is_busy: whether requests waited.
+        :param is_busy: whether other requests are waiting.
         """
         since = self._busy_since
         self._busy_since = now if is_busy else None
         if not is_busy or since is None:
-            # No span to count: before this end nobody was seen to wait.
+            # Only a span between two ends at which requests waited is busy time.
             return
         span_s = min(RATE_TIME_CONSTANT_S, max(0.0, now - since))
-        kept = 1 - span_s / RATE_TIME_CONSTANT_S
-        self._busy_s = self._busy_s * kept + span_s
-        self._work = self._work * kept + work
+        decay = 1 - span_s / RATE_TIME_CONSTANT_S
+        self._busy_s = self._busy_s * decay + span_s
+        self._work = self._work * decay + work
 
     def work_per_s(
         self, states: t.Callable[[], t.Iterable[EngineState]], now: float
     ) -> float:
-        """Return the estimate; 0 while nothing is known to go by.
+        """Return the estimate; 0 without engine reports and measurements.
 
-        :param states: gives the engines that may get new work.
+        :param states: returns the engines that may get new requests.
         """
-        if now - self._bound_at >= BOUND_INTERVAL_S:
+        if now - self._bound_updated_at >= BOUND_INTERVAL_S:
             self._bound = fleet_bound(states())
-            self._bound_at = now
-        # The measured rate counts as far as it covers a time constant.
-        trust = min(1.0, self._busy_s / RATE_TIME_CONSTANT_S)
+            self._bound_updated_at = now
+        # The weight of the measured rate grows with the busy time it covers.
+        measured_weight = min(1.0, self._busy_s / RATE_TIME_CONSTANT_S)
         measured = self._work / self._busy_s if self._busy_s else 0.0
         if not self._bound:
-            # No route at present says nothing of the rate once there is one.
+            # A missing route does not change the rate once there is one again.
             self.estimate = measured
             return measured
-        estimate = trust * measured + (1 - trust) * self._bound
+        estimate = measured_weight * measured + (1 - measured_weight) * self._bound
         self.estimate = max(estimate, MINIMUM_WORK_PER_S)
         return self.estimate
--- a/src/wagtailstair/core/ejection.py
+++ b/src/wagtailstair/core/ejection.py
@@ -1,4 +1,4 @@
-"""Ejection of slow or failing upstreams, with hysteresis and a cap."""
+"""Ejection of slow or failing upstreams, with hysteresis and a limit per group."""
 
 import dataclasses
 import math
@@ -8,9 +8,12 @@
 class EjectionLimits:
     """When an upstream is ejected and for how long.
 
-    ``after``: failures in a row; ``base_s``: the first ejection, doubled each
-    time up to ``max_s``; ``share``: of the group, ejected at once at most;
-    ``healthy_s``: time without a failure after which the doubling starts anew.
+    ``after``: consecutive failures that eject; ``base_s``: length of the first
+    ejection, doubled each time up to ``max_s``; ``share``: largest share of the
+    group that may be ejected at a time; ``healthy_s``: time without a failure that
+    resets the doubling; ``slow_ratio``, ``fast_ratio``: time relative to similar
+    upstreams from which one counts as slow, and as fast again; ``slow_reports``:
+    slow reports that eject.
     """
 
     after: int = 3
@@ -27,7 +30,7 @@
 class _Health:
     failures: int = 0
     ejections: int = 0
-    until: float = 0.0
+    ejected_until: float = 0.0
     is_probing: bool = False
     probe_open: bool = False
     last_failure: float = 0.0
@@ -36,7 +39,7 @@
 
 
 class Ejection:
-    """Counts failures of the upstreams of one group."""
+    """Tracks the health of the upstreams of one group and ejects bad ones."""
 
     __slots__ = ("_health_by_name", "_limits")
 
@@ -45,28 +48,28 @@
         self._health_by_name: dict[str, _Health] = {}
 
     def is_ejected(self, name: str, now: float) -> bool:
-        """Tell whether an upstream gets no new work now.
+        """Return whether an upstream gets no requests now.
 
-        After its time an upstream gets one request, the probe; it comes back
-        when that succeeds.
+        After an ejection an upstream gets a single request as a probe; it is
+        readmitted when the probe succeeds.
         """
         health = self._health_by_name.get(name)
         if health is None:
             return False
-        if now < health.until or health.is_slow:
+        if now < health.ejected_until or health.is_slow:
             return True
         return health.is_probing and health.probe_open
 
     def started(self, name: str) -> None:
-        """Note that an upstream got a request."""
+        """Record that a request was sent to an upstream."""
         health = self._health_by_name.get(name)
         if health is not None and health.is_probing:
             health.probe_open = True
 
     def succeeded(self, name: str, now: float) -> None:
-        """Note a request that the upstream served."""
+        """Record a request that an upstream served."""
         health = self._health_by_name.get(name)
-        if health is None or now < health.until:
+        if health is None or now < health.ejected_until:
             return
         health.failures = 0
         health.is_probing = False
@@ -76,15 +79,15 @@
             del self._health_by_name[name]
 
     def abandoned(self, name: str) -> None:
-        """Note a request that ended without telling anything of the upstream."""
+        """Record a request whose end says nothing about the upstream's health."""
         health = self._health_by_name.get(name)
         if health is not None:
             health.probe_open = False
 
     def failed(self, name: str, group_size: int, now: float) -> bool:
-        """Note a failure; return whether the upstream is ejected by it."""
+        """Record a failure; return whether it ejects the upstream."""
         health = self._health_by_name.setdefault(name, _Health())
-        if now < health.until:
+        if now < health.ejected_until:
             return False
         if now - health.last_failure > self._limits.healthy_s:
             health.ejections = 0
@@ -95,8 +98,8 @@
         if not self._may_eject(group_size, now):
             health.probe_open = False
             return False
-        span = self._limits.base_s * math.pow(2, min(health.ejections, 16))
-        health.until = now + min(span, self._limits.max_s)
+        span_s = self._limits.base_s * math.pow(2, min(health.ejections, 16))
+        health.ejected_until = now + min(span_s, self._limits.max_s)
         health.ejections += 1
         health.failures = 0
         health.is_probing = True
@@ -104,10 +107,12 @@
         return True
 
     def measured(self, name: str, ratio: float, group_size: int, now: float) -> None:
-        """Note how many times as slow as its kind an upstream is.
+        """Record an upstream's time relative to similar ones.
 
-        A slow upstream gets no work, so that it can't be probed; it comes
-        back when it reports that it is fast again.
+        A slow upstream gets no requests and thus no probe; it is readmitted when
+        it reports that it is fast again.
+
+        :param ratio: 2.0 means twice as slow as similar upstreams.
         """
         health = self._health_by_name.get(name)
         if ratio < self._limits.slow_ratio and health is None:
@@ -128,15 +133,19 @@
     def _may_eject(self, group_size: int, now: float) -> bool:
         ejected = 0
         for health in self._health_by_name.values():
-            if now < health.until or health.is_slow:
+            if now < health.ejected_until or health.is_slow:
                 ejected += 1
         return ejected + 1 <= group_size * self._limits.share
 
     def forget(self, name: str) -> None:
-        """Drop what is known of an upstream that is gone."""
+        """Drop the health of an upstream that is gone."""
         self._health_by_name.pop(name, None)
 
     def next_change(self, now: float) -> float | None:
-        """Return when the next ejection ends."""
-        later = [h.until for h in self._health_by_name.values() if h.until > now]
-        return min(later, default=None)
+        """Return when the next ejection ends, ``None`` without any."""
+        ends = [
+            h.ejected_until
+            for h in self._health_by_name.values()
+            if h.ejected_until > now
+        ]
+        return min(ends, default=None)
--- a/src/wagtailstair/core/engine.py
+++ b/src/wagtailstair/core/engine.py
@@ -1,11 +1,11 @@
-"""What is known of a model engine, and the stages of a route."""
+"""Load reports of model engines, priorities and the stages of a route."""
 
 import dataclasses
 import enum
 
 
 class Priority(enum.IntEnum):
-    """The three priorities, most urgent first."""
+    """Priority of a request, most urgent first."""
 
     URGENT = 0
     STANDARD = 1
@@ -30,11 +30,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineState:
-    """A load report of one engine, as of ``as_of`` on the reader's clock.
+    """A load report of one engine, valid at ``as_of`` on the reader's clock.
 
-    ``step_s``: seconds of one decoding step of the held layers at the present
-    load; ``links_s``: seconds one way to each data centre; ``kv_tokens``: the
-    size of the KV memory, ``kv_used`` its use, both in tokens.
+    ``step_s``: seconds of one decoding step of its layers at the present load;
+    ``links_s``: seconds one way to each data centre; ``kv_tokens``: size of the
+    KV memory in tokens; ``kv_used``: tokens in use.
     """
 
     name: str
--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -1,4 +1,4 @@
-"""What a dispatcher knows of the load of its engines."""
+"""The load of a dispatcher's engines, from their reports and its own grants."""
 
 import collections
 import dataclasses
@@ -10,12 +10,17 @@
 from .engine import Route
 
 WORK_PER_PROMPT_TOKEN = 1 / 8
+"""Work of a prompt token; an output token is 1."""
+
 MINIMUM_PREFILL_TOKENS_PER_S = 1.0
 PREFIXES_PER_ENGINE = 4_096
-RESERVE_DEPTH = 0.5
-"""Part of an engine's slots that may be set aside for more urgent work."""
-FIT_MEMORY = 0.95
-"""Weight of the past in the fit of step times, at each report."""
+"""Most prefix hashes that are remembered for an engine."""
+
+MAX_RESERVED_SHARE = 0.5
+"""Largest share of an engine's slots that may be reserved for urgent requests."""
+
+FIT_DECAY = 0.95
+"""Weight of earlier reports in the fit of step times, applied at each report."""
 
 
 def prompt_work(prompt_tokens: int) -> float:
@@ -25,9 +30,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Need:
-    """What a want needs of an engine.
+    """What a request needs from an engine.
 
-    ``tokens``: output tokens expected; ``kv``: KV memory in tokens.
+    ``tokens``: expected output tokens; ``kv``: KV memory in tokens; ``prefixes``:
+    hashes of the prompt's prefix blocks, shortest first.
     """
 
     prompt_tokens: int
@@ -37,14 +43,14 @@
 
     @classmethod
     def of(cls, want: Want) -> "Need":
-        """Return the need of a want."""
+        """Return the need of a request that waits for a route."""
         tokens = max(1.0, want.work - prompt_work(want.prompt_tokens))
         kv = want.prompt_tokens + want.max_tokens
         return cls(want.prompt_tokens, tokens, kv, want.prefixes)
 
 
 class StepFit:
-    """A line through reported step times over the requests that ran."""
+    """Linear fit of reported step times against the number of running requests."""
 
     __slots__ = ("_covariance", "_mean_running", "_mean_step_s", "_variance")
 
@@ -55,18 +61,22 @@
         self._covariance = 0.0
 
     def add(self, running: int, step_s: float) -> None:
-        """Take in a report."""
+        """Add a report to the fit."""
         if not self._mean_step_s:
             self._mean_running = running
             self._mean_step_s = step_s
             return
-        off_running = running - self._mean_running
-        off_step_s = step_s - self._mean_step_s
-        part = 1 - FIT_MEMORY
-        self._mean_running += part * off_running
-        self._mean_step_s += part * off_step_s
-        self._variance += part * (off_running * off_running - self._variance)
-        self._covariance += part * (off_running * off_step_s - self._covariance)
+        running_deviation = running - self._mean_running
+        step_s_deviation = step_s - self._mean_step_s
+        weight = 1 - FIT_DECAY
+        self._mean_running += weight * running_deviation
+        self._mean_step_s += weight * step_s_deviation
+        self._variance += weight * (
+            running_deviation * running_deviation - self._variance
+        )
+        self._covariance += weight * (
+            running_deviation * step_s_deviation - self._covariance
+        )
 
     def slope_s(self) -> float:
         """Return the seconds that one more request adds to a step."""
@@ -77,14 +87,14 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class EngineLoad:
-    """An engine's last report and what its dispatcher has granted on it.
-
-    ``granted``: grants that are open; ``granted_kv``: KV memory set aside for
-    them, in tokens; ``foreign``: requests that are not of this dispatcher;
-    ``used``: both together; ``caps``: for each priority, the use up to which
-    it may be granted; ``prefill_until``: when the prompts granted so far are
-    read; ``next_step_s``: a step with one more request; ``read_s``: seconds
-    to read one prompt token.
+    """An engine's last report and the grants of its dispatcher on it.
+
+    ``granted``: open grants; ``granted_kv``: KV memory reserved for them, in
+    tokens; ``foreign``: requests that this dispatcher did not grant; ``used``:
+    the sum of both; ``caps``: for each priority, the number of used slots up to
+    which it gets grants; ``prefill_until``: when the prompts granted so far will
+    have been read; ``next_step_s``: expected seconds of a step with one more
+    request; ``read_s``: seconds to read one prompt token.
     """
 
     state: EngineState
@@ -105,17 +115,17 @@
     )
 
     def take(self, state: EngineState) -> None:
-        """Take in a report."""
+        """Update the load from a report."""
         self.state = state
         self.read_s = 1 / max(state.prefill_tokens_per_s, MINIMUM_PREFILL_TOKENS_PER_S)
         self.fit.add(state.running, state.step_s)
         self.refresh()
 
     def refresh(self) -> None:
-        """Work out again what depends on the use."""
+        """Recompute the values that depend on the number of requests."""
         self.used = self.granted + self.foreign
-        more = self.used + 1 - max(1, self.state.running)
-        step_s = self.state.step_s + more * self.fit.slope_s()
+        added_requests = self.used + 1 - max(1, self.state.running)
+        step_s = self.state.step_s + added_requests * self.fit.slope_s()
         self.next_step_s = max(0.0, step_s)
         if self.lane is None:
             return
@@ -125,7 +135,7 @@
             self.lane.free.pop(self, None)
 
     def unread_share(self, prefixes: tuple[int, ...]) -> float:
-        """Return the part of a prompt whose prefix the engine does not hold."""
+        """Return the share of a prompt that the engine has no cached prefix for."""
         if not prefixes or not self.prefixes:
             return 1.0
         matched = 0
@@ -136,7 +146,7 @@
         return 1 - matched / len(prefixes)
 
     def start(self, need: Need, now: float) -> None:
-        """Count a grant."""
+        """Add a grant."""
         read_s = need.prompt_tokens * self.unread_share(need.prefixes) * self.read_s
         self.prefill_until = max(now, self.prefill_until) + read_s
         self.granted += 1
@@ -145,13 +155,13 @@
         self.refresh()
 
     def end(self, need: Need) -> None:
-        """Count the end of a grant."""
+        """Remove a grant that ended."""
         self.granted = max(0, self.granted - 1)
         self.granted_kv = max(0, self.granted_kv - need.kv)
         self.refresh()
 
     def store(self, prefixes: t.Iterable[int]) -> None:
-        """Note prefixes that the engine holds."""
+        """Record prefixes that the engine has cached; drop the least recent ones."""
         for prefix in prefixes:
             self.prefixes[prefix] = None
             self.prefixes.move_to_end(prefix)
@@ -165,8 +175,8 @@
 def expected_delay(load: EngineLoad, need: Need, now: float) -> float:
     """Estimate the seconds that a stage adds to the whole answer.
 
-    The prompts still to be read come first, then this one, then a step for
-    each token; all over the speeds that the engine reports.
+    The engine first reads the prompts granted earlier, then this one, then runs
+    one step for each output token, all at the speeds that it reports.
     """
     unread = need.prompt_tokens
     seconds = need.tokens * load.next_step_s
@@ -183,7 +193,7 @@
 class Lane:
     """The engines of one data centre that hold the same range of layers.
 
-    ``free``: those with a free slot.
+    ``free``: the engines with a free slot, in a dict that serves as ordered set.
     """
 
     first: int
@@ -202,21 +212,21 @@
 
 
 def set_caps(lane: Lane, reserves: tuple[float, float, float]) -> None:
-    """Set aside slots of a lane for more urgent work, on its fastest engines.
+    """Reserve slots of a lane for more urgent requests, on its fastest engines.
 
-    :param reserves: for each priority, the part of the lane's slots that it
-        may not fill.
+    :param reserves: for each priority, the share of the lane's slots that it
+        may not use.
     """
     fastest = sorted(lane.loads, key=lambda load: (load.state.step_s, load.state.name))
     slots = sum(load.state.slots for load in fastest)
     for load in fastest:
         load.caps = [load.state.slots] * len(Priority)
     for priority in Priority:
-        left = int(slots * reserves[priority])
+        to_reserve = int(slots * reserves[priority])
         for load in fastest:
-            part = min(left, int(load.state.slots * RESERVE_DEPTH))
-            load.caps[priority] -= part
-            left -= part
+            reserved = min(to_reserve, int(load.state.slots * MAX_RESERVED_SHARE))
+            load.caps[priority] -= reserved
+            to_reserve -= reserved
 
 
 class LoadTable:
@@ -229,7 +239,7 @@
         self.by_name: dict[str, EngineLoad] = {}
         self.lanes: list[Lane] = []
 
-    def _arrange(self) -> None:
+    def _rebuild_groups(self) -> None:
         lane_by_key: dict[LaneKey, Lane] = {}
         for load in self.by_name.values():
             key = _lane_key(load.state)
@@ -244,23 +254,23 @@
             set_caps(lane, self._reserves)
 
     def observe(self, state: EngineState) -> bool:
-        """Take in a report of a known incarnation; return if more may fit now."""
+        """Update an engine of the same incarnation; return if more may fit now."""
         load = self.by_name[state.name]
         if state.as_of < load.state.as_of:
             return False
         before, foreign = load.state, load.foreign
-        unknown = max(0, state.running + state.waiting - load.granted)
-        load.foreign = min(foreign, unknown)
+        other_requests_now = max(0, state.running + state.waiting - load.granted)
+        load.foreign = min(foreign, other_requests_now)
         load.take(state)
         if _lane_key(before) != _lane_key(state) or before.slots != state.slots:
-            self._arrange()
+            self._rebuild_groups()
             return True
         if (before.leaving, before.adapters) != (state.leaving, state.adapters):
             return True
         return load.foreign != foreign or before.kv_tokens != state.kv_tokens
 
     def add(self, state: EngineState, open_needs: t.Iterable[Need]) -> None:
-        """Add an engine, or a new incarnation of it, with its open grants."""
+        """Add an engine or a new incarnation of it, with its open grants."""
         load = EngineLoad(state)
         for need in open_needs:
             load.granted += 1
@@ -268,24 +278,24 @@
         load.foreign = max(0, state.running + state.waiting - load.granted)
         load.take(state)
         self.by_name[state.name] = load
-        self._arrange()
+        self._rebuild_groups()
 
     def remove(self, name: str) -> bool:
-        """Forget an engine; return whether it was known."""
+        """Remove an engine; return whether it was in the table."""
         if self.by_name.pop(name, None) is None:
             return False
-        self._arrange()
+        self._rebuild_groups()
         return True
 
     def start(self, route: Route, need: Need, now: float) -> None:
-        """Count a grant on each stage."""
+        """Add a grant to the engine of each stage."""
         for stage in route:
             load = self.by_name.get(stage.engine)
             if load is not None:
                 load.start(need, now)
 
     def adopt(self, route: Route, need: Need, now: float) -> None:
-        """Count a grant that was taken for foreign until now."""
+        """Add a grant whose requests have been counted as foreign until now."""
         for stage in route:
             load = self.by_name.get(stage.engine)
             if load is not None:
@@ -293,7 +303,7 @@
         self.start(route, need, now)
 
     def end(self, route: Route, need: Need) -> None:
-        """Count the end of a grant on each stage."""
+        """Remove a grant that ended from the engine of each stage."""
         for stage in route:
             load = self.by_name.get(stage.engine)
             if load is not None:
--- a/src/wagtailstair/core/placement.py
+++ b/src/wagtailstair/core/placement.py
@@ -1,4 +1,4 @@
-"""Orders to engines, from targets and the state that the engines report."""
+"""Decides on orders to engines from targets and the reported engine states."""
 
 import collections.abc
 import dataclasses
@@ -9,7 +9,7 @@
 
 
 class OrderKind(enum.Enum):
-    """What an engine is told to do."""
+    """What an order asks an engine to do."""
 
     LOAD = "load"
     UNLOAD = "unload"
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Order:
-    """One order to one engine; ``adapter`` set: only the adapter changes."""
+    """One order to one engine; with ``adapter`` set, it concerns only the adapter."""
 
     engine: str
     kind: OrderKind
@@ -32,11 +32,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PlacementLimits:
-    """Times in seconds and the weight store's rate in bytes a second.
+    """Time limits in seconds and the weight store's rate in bytes a second.
 
-    ``hold_s``: how long an engine that serves another target has to be missed
-    before it is moved; ``dwell_s``: between two loads of one engine;
-    ``order_s``: after which an order without effect is given up.
+    ``hold_s``: how long a target must be short of engines before one that holds
+    other layers is moved to it; ``dwell_s``: least time between two loads of one
+    engine; ``order_s``: timeout of an order without effect.
     """
 
     hold_s: float = 30.0
@@ -73,7 +73,7 @@
 def is_covered_without(
     engine: EngineState, engines: collections.abc.Iterable[EngineState]
 ) -> bool:
-    """Tell whether others hold every layer that an engine holds."""
+    """Return whether other engines hold every layer that an engine holds."""
     missing = set(range(engine.first, engine.last))
     for other in engines:
         if other.name == engine.name or other.leaving:
@@ -90,7 +90,7 @@
     layers: int,
     engines: collections.abc.Iterable[EngineState],
 ) -> bool:
-    """Tell whether engines hold every layer of a model's version."""
+    """Return whether the engines together hold every layer of a model's version."""
     missing = set(range(layers))
     for engine in engines:
         if (engine.model, engine.version) != (model, version) or engine.leaving:
@@ -107,7 +107,10 @@
 
 
 class Placement:
-    """The orders under way and the memory that keeps engines from moving often."""
+    """Decides on orders; keeps those in progress and when engines last loaded.
+
+    A minimum time between loads keeps engines from moving back and forth.
+    """
 
     __slots__ = (
         "_limits",
@@ -126,7 +129,7 @@
 
     @property
     def pending(self) -> list[Order]:
-        """Return the orders whose effect has not been seen."""
+        """Return the orders in progress: their effect has not been reported yet."""
         return [pending.order for pending in self._pending_by_engine.values()]
 
     def decide(
@@ -137,46 +140,46 @@
     ) -> list[Order]:
         """Return the orders to send now, at most one to an engine.
 
-        An order counts as under way until the engine's state shows it, until
-        :meth:`failed`, or for ``order_s``.
+        An order is in progress until the engine's state shows its effect, until
+        :meth:`failed` is called for it, or until ``order_s`` has passed.
         """
-        self._forget(engines, now)
+        self._drop_finished(engines, now)
         idle = [e for e in engines if e.name not in self._pending_by_engine]
         idle = [e for e in idle if not e.leaving]
-        orders = self._adjust(targets, idle, now)
-        # The scarcest range first: a pipeline needs each of them once.
+        orders = self._adapter_and_role_orders(targets, idle, now)
+        # The range with the fewest engines first: a pipeline needs every range.
         for target in sorted(targets, key=lambda t: self._count(t, engines)):
-            order = self._load(target, targets, engines, now)
+            order = self._load_order(target, targets, engines, now)
             if order is not None:
                 orders.append(order)
         return orders
 
     def failed(self, order: Order) -> None:
-        """Take in that an order was refused or not sent."""
+        """Drop an order that the engine refused or that was not sent."""
         pending = self._pending_by_engine.get(order.engine)
         if pending is not None and pending.order == order:
             del self._pending_by_engine[order.engine]
 
-    def _forget(
+    def _drop_finished(
         self, engines: collections.abc.Sequence[EngineState], now: float
     ) -> None:
         engine_by_name = {engine.name: engine for engine in engines}
         for name, pending in list(self._pending_by_engine.items()):
             engine = engine_by_name.get(name)
             if engine is not None and engine.incarnation == pending.incarnation:
-                is_late = now - pending.since >= self._limits.order_s
-                if not is_late and not _is_done(pending.order, engine):
+                is_timed_out = now - pending.since >= self._limits.order_s
+                if not is_timed_out and not _is_done(pending.order, engine):
                     continue
             del self._pending_by_engine[name]
         for name in list(self._loaded_at_by_engine):
             if name not in engine_by_name:
                 del self._loaded_at_by_engine[name]
 
-    def _give(self, order: Order, engine: EngineState, now: float) -> Order:
+    def _record_pending(self, order: Order, engine: EngineState, now: float) -> Order:
         self._pending_by_engine[engine.name] = _Pending(order, engine.incarnation, now)
         return order
 
-    def _adjust(
+    def _adapter_and_role_orders(
         self,
         targets: collections.abc.Sequence[Target],
         idle: collections.abc.Sequence[EngineState],
@@ -187,13 +190,13 @@
             for target in targets:
                 if not _holds(engine, target):
                     continue
-                order = _adjustment(engine, target)
+                order = _adapter_or_role_order(engine, target)
                 if order is not None:
-                    orders.append(self._give(order, engine, now))
+                    orders.append(self._record_pending(order, engine, now))
                 break
         return orders
 
-    def _load(
+    def _load_order(
         self,
         target: Target,
         targets: collections.abc.Sequence[Target],
@@ -208,8 +211,8 @@
         since = self._missing_since_by_target.setdefault(key, now)
         if now < self._next_load_at:
             return None
-        engine = self._choose(
-            targets, engines, now, is_held=now - since < self._limits.hold_s
+        engine = self._choose_engine(
+            targets, engines, now, is_within_hold=now - since < self._limits.hold_s
         )
         if engine is None:
             return None
@@ -225,7 +228,7 @@
             target.first,
             target.last,
         )
-        return self._give(order, engine, now)
+        return self._record_pending(order, engine, now)
 
     def _count(
         self, target: Target, engines: collections.abc.Sequence[EngineState]
@@ -236,7 +239,7 @@
             if engine.leaving:
                 continue
             pending = self._pending_by_engine.get(engine.name)
-            if pending is None or not _is_whole_load(pending.order):
+            if pending is None or not _is_layer_load(pending.order):
                 count += _holds(engine, target)
                 continue
             order = pending.order
@@ -248,13 +251,13 @@
             )
         return count
 
-    def _choose(
+    def _choose_engine(
         self,
         targets: collections.abc.Sequence[Target],
         engines: collections.abc.Sequence[EngineState],
         now: float,
         *,
-        is_held: bool,
+        is_within_hold: bool,
     ) -> EngineState | None:
         candidates: list[EngineState] = []
         for engine in engines:
@@ -263,10 +266,10 @@
             if not engine.model:
                 candidates.append(engine)
                 continue
-            if is_held or not self._may_move(engine, targets, engines, now):
+            if is_within_hold or not self._may_move(engine, targets, engines, now):
                 continue
             candidates.append(engine)
-        # Empty engines first, then those with the least work.
+        # Empty engines first, then those with the fewest requests.
         return min(
             candidates,
             key=lambda e: (bool(e.model), e.running + e.waiting, e.name),
@@ -286,7 +289,7 @@
         for target in targets:
             if _holds(engine, target):
                 return self._count(target, engines) > target.engines and (
-                    is_covered_without(engine, self._settled(engines))
+                    is_covered_without(engine, self._stable_engines(engines))
                 )
         return self._is_superseded(engine, targets, engines)
 
@@ -296,35 +299,35 @@
         targets: collections.abc.Sequence[Target],
         engines: collections.abc.Sequence[EngineState],
     ) -> bool:
-        settled = self._settled(engines)
-        if is_covered_without(engine, settled):
+        stable = self._stable_engines(engines)
+        if is_covered_without(engine, stable):
             return True
         spec_by_model = {target.spec.model: target.spec for target in targets}
         spec = spec_by_model.get(engine.model)
         if spec is None:
-            # No account may use the model: nothing is lost.
+            # No plan includes the model, so no account can use it.
             return True
         if spec.version == engine.version:
             return False
-        return is_served(spec.model, spec.version, spec.layers, settled)
+        return is_served(spec.model, spec.version, spec.layers, stable)
 
-    def _settled(
+    def _stable_engines(
         self, engines: collections.abc.Sequence[EngineState]
     ) -> list[EngineState]:
-        """Return the engines that will go on holding what they report."""
-        settled: list[EngineState] = []
+        """Return the engines without a load order in progress."""
+        stable: list[EngineState] = []
         for engine in engines:
             pending = self._pending_by_engine.get(engine.name)
-            if pending is None or not _is_whole_load(pending.order):
-                settled.append(engine)
-        return settled
+            if pending is None or not _is_layer_load(pending.order):
+                stable.append(engine)
+        return stable
 
 
-def _is_whole_load(order: Order) -> bool:
+def _is_layer_load(order: Order) -> bool:
     return order.kind is OrderKind.LOAD and not order.adapter
 
 
-def _adjustment(engine: EngineState, target: Target) -> Order | None:
+def _adapter_or_role_order(engine: EngineState, target: Target) -> Order | None:
     spec = target.spec
     for adapter in spec.adapters:
         if adapter in engine.adapters:
--- a/src/wagtailstair/core/rendezvous.py
+++ b/src/wagtailstair/core/rendezvous.py
@@ -1,4 +1,4 @@
-"""Rendezvous hashing: every host finds the same owner of a key by itself."""
+"""Rendezvous hashing: every host computes the same owner of a key."""
 
 import hashlib
 import typing as t
@@ -12,10 +12,10 @@
 
 
 def owner(key: str, hosts: t.Iterable[str]) -> str | None:
-    """Return the host with the highest weight for a key, or None without hosts."""
+    """Return the host with the highest weight for a key, ``None`` without hosts."""
     return max(hosts, key=lambda host: (_weight(key, host), host), default=None)
 
 
 def ranked(key: str, hosts: t.Iterable[str]) -> list[str]:
-    """Return the hosts by falling weight for a key: the owner, its successor, ..."""
+    """Return the hosts by descending weight for a key: the owner, its successor, ..."""
     return sorted(hosts, key=lambda host: (_weight(key, host), host), reverse=True)
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -1,14 +1,14 @@
-"""The upstreams of a deployment and when one of them counts as gone."""
+"""The upstreams of a deployment, and when a missing one is dropped."""
 
 import dataclasses
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Replica:
-    """One upstream as it last told of itself.
+    """One upstream, as in its latest row of the store.
 
-    ``incarnation``: milliseconds of its start; ``layers``: the half-open range
-    that an engine holds; ``accelerator``: the name of its kind.
+    ``incarnation``: its start time in milliseconds; ``layers``: the half-open
+    range of layers that an engine holds; ``accelerator``: name of the kind.
     """
 
     name: str
@@ -23,11 +23,11 @@
 
     @property
     def identity(self) -> tuple[str, int]:
-        """Return what differs after each start of the upstream."""
+        """Return the name and the incarnation: unique for each start."""
         return self.name, self.incarnation
 
     def holds(self, first: int, last: int) -> bool:
-        """Tell whether an engine holds the layers from ``first`` up to ``last``."""
+        """Return whether an engine holds the layers from ``first`` up to ``last``."""
         if self.layers is None:
             return False
         return self.layers[0] <= first and last <= self.layers[1]
@@ -36,8 +36,9 @@
 class ReplicaSet:
     """The live upstreams, from rows of the store.
 
-    While the store has trouble, the rows of live upstreams lapse. Such a
-    removal takes effect only ``lapse_s`` after the trouble, if the row is not back.
+    While calls to the store fail, the rows of live upstreams lapse. A removal
+    therefore takes effect only ``lapse_s`` after the last failure, unless the row
+    has come back by then.
     """
 
     __slots__ = ("_lapse_s", "_removal_at_by_name", "by_name", "generation")
@@ -49,9 +50,9 @@
         self.generation = 0
 
     def put(self, replica: Replica) -> bool:
-        """Take in a row; return whether anything changed.
+        """Add or update an upstream from its row; return whether anything changed.
 
-        An older start of the same upstream is passed over.
+        A row of an older incarnation is ignored.
         """
         known = self.by_name.get(replica.name)
         if known is not None and replica.incarnation < known.incarnation:
@@ -64,22 +65,23 @@
         return True
 
     def remove(self, name: str, now: float, failed_at: float) -> None:
-        """Take in that a row is gone.
+        """Remove an upstream whose row is gone, or schedule its removal.
 
-        :param failed_at: when a call to the store failed last.
+        :param failed_at: time of the last failed call to the store.
         """
         if name not in self.by_name:
             return
-        sure_at = failed_at + self._lapse_s
-        if sure_at > now:
-            self._removal_at_by_name.setdefault(name, sure_at)
+        removal_at = failed_at + self._lapse_s
+        if removal_at > now:
+            self._removal_at_by_name.setdefault(name, removal_at)
             return
-        self._drop(name)
+        self._drop_row(name)
 
     def settle(self, now: float, *, is_store_away: bool) -> list[str]:
-        """Drop what has been missing for long enough; return the names.
+        """Drop the upstreams whose removal is due; return their names.
 
-        While the store is away nothing can come back, so the wait is extended.
+        While the store is unreachable no row can come back, so the removals are
+        postponed.
         """
         dropped = []
         for name, at in list(self._removal_at_by_name.items()):
@@ -87,19 +89,19 @@
                 self._removal_at_by_name[name] = now + self._lapse_s
                 continue
             if now >= at:
-                self._drop(name)
+                self._drop_row(name)
                 dropped.append(name)
         return dropped
 
     def usable(self, service: str) -> list[Replica]:
-        """Return the upstreams of a service that may get new work."""
+        """Return the upstreams of a service that may get new requests."""
         found = []
         for replica in self.by_name.values():
             if replica.service == service and not replica.is_leaving:
                 found.append(replica)
         return found
 
-    def _drop(self, name: str) -> None:
+    def _drop_row(self, name: str) -> None:
         self._removal_at_by_name.pop(name, None)
         if self.by_name.pop(name, None) is not None:
             self.generation += 1
--- a/src/wagtailstair/core/shapes.py
+++ b/src/wagtailstair/core/shapes.py
@@ -1,4 +1,4 @@
-"""Shapes of models as the engines report them, and the targets that follow."""
+"""Layer ranges of models, learnt from engine reports, and targets for engines."""
 
 import collections.abc
 
@@ -14,15 +14,15 @@
 
 
 def planned_models(lists: Lists) -> set[str]:
-    """Return the models that some plan may use."""
+    """Return the models that at least one plan includes."""
     models: set[str] = set()
     for plan in lists.plan_by_name.values():
         models.update(plan.models)
     return models
 
 
-def _partition(states: collections.abc.Sequence[EngineState]) -> Ranges:
-    # The ranges that most engines hold, chained from layer 0; empty if broken.
+def _most_common_ranges(states: collections.abc.Sequence[EngineState]) -> Ranges:
+    """Return the ranges most engines hold, chained from layer 0; empty with a gap."""
     count_by_range: dict[tuple[int, int], int] = {}
     for state in states:
         key = (state.first, state.last)
@@ -31,17 +31,17 @@
     ranges: list[tuple[int, int]] = []
     position = 0
     while position < layers:
-        following = [key for key in count_by_range if key[0] == position]
-        if not following:
+        candidates = [key for key in count_by_range if key[0] == position]
+        if not candidates:
             return ()
-        best = max(following, key=lambda key: (count_by_range[key], key))
+        best = max(candidates, key=lambda key: (count_by_range[key], key))
         ranges.append(best)
         position = best[1]
     return tuple(ranges)
 
 
 def has_route(model: str, states: collections.abc.Iterable[EngineState]) -> bool:
-    """Tell whether engines that stay form a chain through all layers."""
+    """Return whether engines that are not leaving form a chain through all layers."""
     lasts_by_first: dict[int, set[int]] = {}
     layers = 0
     for state in states:
@@ -60,10 +60,10 @@
 
 
 class Shapes:
-    """Remembers the shape of each model, and derives targets.
+    """Remembers the layer ranges of each model and derives targets from them.
 
-    A model's layer ranges are learnt while they are whole, so that a range
-    whose last engine died is still known.
+    Ranges are updated only while they cover all layers, so that a range whose
+    last engine died is remembered.
     """
 
     def __init__(self) -> None:
@@ -73,7 +73,7 @@
         self, lists: Lists, engines: collections.abc.Sequence[EngineState]
     ) -> list[Target]:
         """Return the targets for the engines of one data centre."""
-        self._learn(engines)
+        self._update_specs(engines)
         specs = []
         for model in sorted(planned_models(lists)):
             if model in self._spec_by_model:
@@ -81,17 +81,17 @@
         if not specs:
             return []
         usable = [state for state in engines if not state.leaving]
-        present = _present(specs, usable)
-        demand_by_model = _demand(usable)
-        pipelines = divide_engines(specs, demand_by_model, len(usable), present)
+        held = _pipelines_held(specs, usable)
+        demand_by_model = _demand_by_model(usable)
+        pipelines = divide_engines(specs, demand_by_model, len(usable), held)
         return make_targets(specs, pipelines)
 
-    def _learn(self, engines: collections.abc.Sequence[EngineState]) -> None:
+    def _update_specs(self, engines: collections.abc.Sequence[EngineState]) -> None:
         states_by_model: dict[str, list[EngineState]] = {}
         for state in engines:
             states_by_model.setdefault(state.model, []).append(state)
         for model, states in states_by_model.items():
-            ranges = _partition(states)
+            ranges = _most_common_ranges(states)
             if not ranges:
                 continue
             self._spec_by_model[model] = ModelSpec(
@@ -102,7 +102,7 @@
             )
 
 
-def _present(
+def _pipelines_held(
     specs: collections.abc.Sequence[ModelSpec],
     engines: collections.abc.Sequence[EngineState],
 ) -> Pipelines:
@@ -117,7 +117,9 @@
     return pipelines
 
 
-def _demand(engines: collections.abc.Sequence[EngineState]) -> dict[str, float]:
+def _demand_by_model(
+    engines: collections.abc.Sequence[EngineState],
+) -> dict[str, float]:
     demand_by_model: dict[str, float] = {}
     for state in engines:
         load = float(state.running + state.waiting)
--- a/src/wagtailstair/core/upstreams.py
+++ b/src/wagtailstair/core/upstreams.py
@@ -1,15 +1,15 @@
-"""The upstreams that may get new work, from every source that speaks of them."""
+"""The upstreams that may get new requests, from the host list and other sources."""
 
 import dataclasses
 import enum
 import typing as t
 
 LEAVING_MAX = 16_384
-"""Incarnations that are remembered as leaving; the oldest are forgotten."""
+"""Most incarnations that are remembered as leaving; the oldest are dropped."""
 
 
 class UpstreamKind(enum.Enum):
-    """What an upstream is."""
+    """Kind of an upstream."""
 
     ENGINE = "engine"
     SERVICE = "service"
@@ -30,17 +30,20 @@
 class Upstreams:
     """Live and leaving upstreams.
 
-    Leaving is sticky for an incarnation: the host list lags, so an older
-    answer of it must not bring back what another source saw leaving.
+    An incarnation that leaves never returns: the host list lags, so an older
+    version of it must not undo what another source has reported.
     """
 
     def __init__(self) -> None:
         self._by_name: dict[str, Upstream] = {}
-        # Ordered by when each was first seen leaving.
+        # In the order in which they were first reported as leaving.
         self._leaving: dict[tuple[str, str], None] = {}
 
     def replace(self, entries: t.Iterable[tuple[Upstream, bool]]) -> list[str]:
-        """Take the host list, pairs of upstream and leaving; return names gone."""
+        """Replace the host list; return the names that it no longer holds.
+
+        :param entries: pairs of an upstream and whether it is leaving.
+        """
         by_name: dict[str, Upstream] = {}
         for upstream, leaving in entries:
             by_name[upstream.name] = upstream
@@ -51,13 +54,13 @@
         return gone
 
     def mark_leaving(self, name: str, incarnation: str) -> None:
-        """Note that this incarnation of an upstream leaves."""
+        """Mark an incarnation of an upstream as leaving."""
         self._leaving.setdefault((name, incarnation))
         if len(self._leaving) > LEAVING_MAX:
             del self._leaving[next(iter(self._leaving))]
 
     def is_leaving(self, name: str) -> bool:
-        """Tell whether an upstream leaves or is unknown."""
+        """Return whether an upstream is leaving or unknown."""
         upstream = self._by_name.get(name)
         if upstream is None:
             return True
@@ -68,14 +71,14 @@
         return self._by_name.get(name)
 
     def all(self) -> list[tuple[Upstream, bool]]:
-        """Return pairs of upstream and leaving, by name."""
+        """Return pairs of an upstream and whether it is leaving, sorted by name."""
         pairs = []
         for name in sorted(self._by_name):
             pairs.append((self._by_name[name], self.is_leaving(name)))
         return pairs
 
     def engines(self, data_centre: str) -> list[Upstream]:
-        """Return the engines of a data centre, leaving ones too."""
+        """Return the engines of a data centre, including those that are leaving."""
         found = []
         for upstream in self._by_name.values():
             if upstream.kind is not UpstreamKind.ENGINE:
@@ -85,7 +88,7 @@
         return found
 
     def replicas(self, service: str) -> list[Upstream]:
-        """Return the replicas of a service that may get new work."""
+        """Return the replicas of a service that may get new requests."""
         found = []
         for name, upstream in self._by_name.items():
             if upstream.kind is not UpstreamKind.SERVICE:
