--- a/src/wagtailstair/core/events.py
+++ b/src/wagtailstair/core/events.py
@@ -1,4 +1,4 @@
-"""Server-sent events: whole ones split from a stream of bytes, and their ids."""
+"""Splits a byte stream into complete server-sent events and reads their ids."""
 
 import re
 
@@ -7,64 +7,65 @@
 
 
 class EventSplitter:
-    """Holds back the bytes after the last whole event.
+    """Passes complete events on and buffers the bytes of an incomplete one.
 
-    ``last_id``: the id of the last whole event; ``count``: whole events.
+    ``last_id``: the id of the last complete event; ``count``: complete events.
     """
 
-    __slots__ = ("_tail", "count", "last_id")
+    __slots__ = ("_incomplete", "count", "last_id")
 
     def __init__(self, last_id: bytes = b"") -> None:
-        self._tail = b""
+        self._incomplete = b""
         self.last_id = last_id
         self.count = 0
 
     @property
     def held(self) -> bytes:
-        """Return the bytes of an event that is not whole."""
-        return self._tail
+        """Return the buffered bytes of an incomplete event."""
+        return self._incomplete
 
     def feed(self, data: bytes) -> bytes:
-        """Return the bytes of the events that are whole now."""
-        if self._tail:
-            data = self._tail + data
+        """Add data; return the bytes of all events that are complete now."""
+        if self._incomplete:
+            data = self._incomplete + data
         end = data.rfind(b"\n\n")
         width = 2
         if end < 0:
             end = data.rfind(b"\n\r\n")
             width = 3
         if end < 0:
-            self._tail = bytes(data)
+            self._incomplete = bytes(data)
             return b""
-        whole = data[: end + width]
-        self._tail = bytes(data[end + width :])
-        ids = _ID.findall(whole)
+        complete = data[: end + width]
+        self._incomplete = bytes(data[end + width :])
+        ids = _ID.findall(complete)
         if ids:
             self.last_id = ids[-1]
         self.count += max(1, len(ids))
-        return whole
+        return complete
 
 
-def number_of(event_id: bytes) -> int | None:
-    """Return the number of an event's id, ``None`` if it is not a number."""
+def event_number(event_id: bytes) -> int | None:
+    """Return an event's id as a number, ``None`` if it is not a number."""
     return int(event_id) if event_id.isdigit() else None
 
 
-def events_after(whole: bytes, last_id: bytes) -> bytes:
-    """Return the events of some whole ones that come after an id.
+def events_after(complete: bytes, last_id: bytes) -> bytes:
+    """Return the events with a higher id than the last one that was seen.
 
-    Where ids are no numbers all events are returned.
+    Events without a numeric id are always returned, and so are all events if
+    ``last_id`` is not a number.
     """
-    last = number_of(last_id)
+    last = event_number(last_id)
     if last is None:
-        return whole
-    kept = []
+        return complete
+    later = []
     start = 0
-    for match in _END.finditer(whole):
-        event = whole[start : match.end()]
+    for match in _END.finditer(complete):
+        event = complete[start : match.end()]
         start = match.end()
         found = _ID.search(event)
-        number = number_of(found.group(1)) if found is not None else None
+        number = event_number(found.group(1)) if found is not None else None
         if number is None or number > last:
-            kept.append(event)
-    return b"".join(kept)
+            later.append(event)
+    return b"".join(later)
--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -1,7 +1,7 @@
-"""What a host does for requests, accounts and engines, by messages to others.
+"""Messages between hosts about requests, accounts and engines, without I/O.
 
-The entry host's side (tickets, charges), the deciding side (pools, homes) and
-the spread of load reports, without input or output.
+The exchange joins the entry host's side (submissions and charges), the deciding
+side (pools and account quotas) and the distribution of load reports.
 """
 
 import collections
@@ -46,14 +46,15 @@
 from .spread import with_load
 from .tickets import Tickets
 
-ROLES_CACHED = 65_536
+ROLE_CACHE_MAX = 65_536
+"""Most cached results of :meth:`Exchange.find_host`."""
 
 
 class Exchange:
-    """All that one host exchanges with the others.
+    """Sends and handles all messages of one host.
 
-    Messages to this host itself are taken at once; those to others wait in
-    ``outgoing`` as peer address, incarnation and message.
+    Messages to this host itself are handled by :meth:`pump`. Those to other hosts
+    wait in ``outgoing`` as tuples of peer address, incarnation and message.
     """
 
     def __init__(self, membership: Membership, make_pool: PoolFactory) -> None:
@@ -62,19 +63,23 @@
         self.homes = Homes()
         self.spread = Spread()
         self.pools = Pools(make_pool, self.engines)
-        self.tickets = Tickets(self.find_owner, make_pool, self.engines, self._tell)
-        self.charges = Charges(self._find_home, self._tell, membership.host.name)
+        self.tickets = Tickets(
+            self.find_owner, make_pool, self.engines, self._send_reliably
+        )
+        self.charges = Charges(
+            self._find_quota_owner, self._send_reliably, membership.host.name
+        )
         self.outgoing: list[tuple[str, int, Message]] = []
         self.dropped = 0
         self._membership = membership
         self._host = membership.host
         self._generation = -1
-        self._cached_at = -1
+        self._cache_generation = -1
         self._host_by_role: dict[str, str | None] = {}
         self._era_by_host: dict[str, int] = {}
-        self._buried: dict[str, int] = {}
+        self._dead_incarnation_by_host: dict[str, int] = {}
         self._reset_by_sender: dict[str, int] = {}
-        self._own: collections.deque[Message] = collections.deque()
+        self._messages_to_self: collections.deque[Message] = collections.deque()
         self._acks: dict[str, list[int]] = {}
 
     # Roles.
@@ -83,14 +88,20 @@
         """Return the live host that dispatches a pool."""
         return self.find_host(str(key), key.data_centre)
 
-    def _find_home(self, account: str) -> str | None:
+    def _find_quota_owner(self, account: str) -> str | None:
         return self.find_host(f"account/{account}", None)
 
     def find_host(self, role: str, data_centre: str | None) -> str | None:
-        """Return the live host that has a role, among some or all of them."""
+        """Return the live host that has a role.
+
+        :param data_centre: where to look for it; ``None`` for all data centres.
+        """
         generation = self._membership.generation
-        if generation != self._cached_at or len(self._host_by_role) >= ROLES_CACHED:
-            self._cached_at = generation
+        if (
+            generation != self._cache_generation
+            or len(self._host_by_role) >= ROLE_CACHE_MAX
+        ):
+            self._cache_generation = generation
             self._host_by_role.clear()
         if role not in self._host_by_role:
             live = self._membership.live(data_centre)
@@ -100,24 +111,26 @@
     # Engines.
 
     def observe(self, state: EngineState, now: float) -> None:
-        """Take a load report that this host read, and spread it."""
-        self._observe(state, now)
+        """Store a load report that this host has read, and send it to peers."""
+        self._store_report(state, now)
         dispatcher = self.find_owner(PoolKey(state.model, state.data_centre))
-        whole, load = self.spread.targets(state, dispatcher, self._neighbours(), now)
-        for host in whole:
+        report_targets, load_targets = self.spread.targets(
+            state, dispatcher, self._data_centre_peers(), now
+        )
+        for host in report_targets:
             report = EngineReport(state, max(0.0, now - state.as_of))
             self._send(host, report)
-        for host in load:
+        for host in load_targets:
             self._send(host, load_of(state, now))
 
     def remove(self, engine: str) -> None:
-        """Forget an engine that is gone, here and at the peers."""
+        """Remove an engine that is gone, here and at the peers."""
         state = self.engines.by_name.get(engine)
         if state is None:
             return
         message = EngineLost(engine, state.incarnation)
-        self._engine_lost(message)
-        for host in self._neighbours():
+        self._remove_engine(message)
+        for host in self._data_centre_peers():
             self._send(host, message)
 
     # Events.
@@ -125,33 +138,33 @@
     def receive(
         self, sender: str, incarnation: int, messages: t.Iterable[Message], now: float
     ) -> None:
-        """Take what another host sent in one datagram."""
+        """Handle the messages of one datagram from another host."""
         host = self._membership.find(sender)
         if host is None or host.incarnation != incarnation:
             self.dropped += 1
             return
         for message in messages:
-            self._take(sender, incarnation, message, now)
+            self._handle(sender, incarnation, message, now)
 
     def members_changed(self, events: t.Iterable[Event], now: float) -> None:
-        """Follow a change of the live hosts."""
+        """Apply changes of the live hosts."""
         for event in events:
-            self._member_changed(event, now)
-        self._follow(now)
+            self._apply_member_event(event, now)
+        self._apply_membership(now)
 
     def tick(self, now: float) -> None:
-        """Do what is due."""
-        self._follow(now)
+        """Run all timers that are due."""
+        self._apply_membership(now)
         self.pools.touch()
         self.tickets.tick(now)
         self.charges.tick(now)
-        for host, numbered in self.outbox.repeat(now):
+        for host, numbered in self.outbox.take_due(now):
             self._send(host, numbered)
         for state in self.spread.stale(self.engines, now):
-            self._engine_lost(EngineLost(state.name, state.incarnation))
+            self._remove_engine(EngineLost(state.name, state.incarnation))
 
     def next_wake(self, now: float) -> float | None:
-        """Return when to call :meth:`tick` again if no event comes before."""
+        """Return when to call :meth:`tick` next, unless an event comes first."""
         wakes = (
             self.tickets.next_wake(now),
             self.charges.next_wake(),
@@ -161,45 +174,45 @@
         return min((wake for wake in wakes if wake is not None), default=None)
 
     def pump(self, now: float) -> None:
-        """Put all messages out, and take those to this host itself."""
+        """Queue all pending messages, and handle those to this host itself."""
         while True:
             for host, submit in self.tickets.take_sends():
                 self._send(host, submit)
             for host, charge in self.charges.take_sends():
                 self._send(host, charge)
             for sender, answer in self.pools.poll(now):
-                self._answer(sender, answer)
-            for host, numbers in self._take_acks():
+                self._send_answer(sender, answer)
+            for host, numbers in self._drain_acks():
                 self._send(host, Ack(tuple(numbers)))
-            if not self._own:
+            if not self._messages_to_self:
                 return
-            while self._own:
-                message = self._own.popleft()
-                self._take(self._host.name, self._host.incarnation, message, now)
+            while self._messages_to_self:
+                message = self._messages_to_self.popleft()
+                self._handle(self._host.name, self._host.incarnation, message, now)
 
     def take_outgoing(self) -> list[tuple[str, int, Message]]:
-        """Return the messages to other hosts since the last call."""
+        """Return and clear the messages to other hosts."""
         outgoing, self.outgoing = self.outgoing, []
         return outgoing
 
-    # Inside.
+    # Internals.
 
-    def _neighbours(self) -> list[str]:
+    def _data_centre_peers(self) -> list[str]:
         peers = self._membership.live(self._host.data_centre)
         return [peer for peer in peers if peer != self._host.name]
 
-    def _tell(self, host: str, body: Reliable, now: float) -> None:
+    def _send_reliably(self, host: str, body: Reliable, now: float) -> None:
         self._send(host, self.outbox.add(host, body, now))
 
     def _send(self, host: str, message: Message) -> None:
         if host == self._host.name:
-            self._own.append(message)
+            self._messages_to_self.append(message)
             return
-        known = self._membership.find(host)
-        if known is not None:
-            self.outgoing.append((known.peer_address, known.incarnation, message))
+        peer = self._membership.find(host)
+        if peer is not None:
+            self.outgoing.append((peer.peer_address, peer.incarnation, message))
 
-    def _follow(self, now: float) -> None:
+    def _apply_membership(self, now: float) -> None:
         if self._generation == self._membership.generation:
             return
         self._generation = self._membership.generation
@@ -210,55 +223,58 @@
         self.tickets.moved(now)
         self.charges.moved(now)
 
-    def _member_changed(self, event: Event, now: float) -> None:
+    def _apply_member_event(self, event: Event, now: float) -> None:
         if isinstance(event, PeerDead):
             name = event.host.name
-            self._lose(name, event.host.incarnation, now)
-            self._buried[name] = event.host.incarnation
+            self._drop_host(name, event.host.incarnation, now)
+            self._dead_incarnation_by_host[name] = event.host.incarnation
         elif isinstance(event, PeerReplaced):
             name = event.host.name
-            self._lose(name, event.old.incarnation, now)
+            self._drop_host(name, event.old.incarnation, now)
             sender = f"{name}/{event.old.incarnation}"
             self.pools.forget(sender)
             self.homes.forget(sender)
             self._reset_by_sender.pop(sender, None)
-            self._buried.pop(name, None)
+            self._dead_incarnation_by_host.pop(name, None)
             self.tickets.void(name, now)
             self.charges.void(name, now)
             self.spread.hurry()
         elif isinstance(event, PeerLive):
-            self._revive(event.host.name, event.host.incarnation, now)
+            self._start_era(event.host.name, event.host.incarnation, now)
             if event.host.data_centre == self._host.data_centre:
                 self.spread.hurry()
 
-    def _lose(self, name: str, incarnation: int, now: float) -> None:
+    def _drop_host(self, name: str, incarnation: int, now: float) -> None:
         self.outbox.drop(name)
         self.pools.host_lost(f"{name}/{incarnation}", now)
         self.homes.host_lost(f"{name}/{incarnation}", now)
 
-    def _revive(self, name: str, incarnation: int, now: float) -> None:
-        """Start a new era with a host that was taken for dead."""
-        if self._buried.pop(name, None) != incarnation:
+    def _start_era(self, name: str, incarnation: int, now: float) -> None:
+        """Start a new era with a host that is live again after it was declared dead.
+
+        The reset makes the host close what this host sent it in earlier eras.
+        """
+        if self._dead_incarnation_by_host.pop(name, None) != incarnation:
             return
         era = self._era_by_host.get(name, 0) + 1
         self._era_by_host[name] = era
         self.tickets.era_by_host[name] = era
         self.charges.era_by_host[name] = era
-        self._tell(name, Reset(era), now)
+        self._send_reliably(name, Reset(era), now)
 
-    def _observe(self, state: EngineState, now: float) -> None:
+    def _store_report(self, state: EngineState, now: float) -> None:
         if not self.engines.observe(state):
             return
         state = self.engines.by_name[state.name]
         self.pools.observe(state, now)
         self.tickets.local.observe(state, now)
 
-    def _engine_lost(self, message: EngineLost) -> None:
+    def _remove_engine(self, message: EngineLost) -> None:
         if self.engines.remove(message):
             self.pools.remove(message.name)
             self.tickets.local.remove(message.name)
 
-    def _take(self, sender: str, number: int, message: Message, now: float) -> None:
+    def _handle(self, sender: str, number: int, message: Message, now: float) -> None:
         name = f"{sender}/{number}"
         if isinstance(message, Submit):
             self.pools.submit(name, message, now)
@@ -269,13 +285,15 @@
         elif isinstance(message, Queued):
             self.tickets.queued(sender, message, now)
         elif isinstance(message, Numbered):
-            self._take_numbered(sender, name, message, now)
+            self._handle_numbered(sender, name, message, now)
         elif isinstance(message, Ack):
-            self._take_ack(sender, message)
+            self._handle_ack(sender, message)
         else:
-            self._take_other(sender, name, message, now)
+            self._handle_unnumbered(sender, name, message, now)
 
-    def _take_other(self, sender: str, name: str, message: Message, now: float) -> None:
+    def _handle_unnumbered(
+        self, sender: str, name: str, message: Message, now: float
+    ) -> None:
         if isinstance(message, Charge):
             charged = self.homes.charge(name, message, now)
             if charged is not None:
@@ -284,29 +302,31 @@
             self.charges.charged(sender, message, now)
         elif isinstance(message, EngineReport):
             as_of = now - message.age_s
-            self._observe(dataclasses.replace(message.state, as_of=as_of), now)
+            self._store_report(dataclasses.replace(message.state, as_of=as_of), now)
         elif isinstance(message, EngineLoad):
-            self._take_load(sender, message, now)
+            self._handle_load(sender, message, now)
         elif isinstance(message, ReportRequest):
-            self._answer_report(sender, message, now)
+            self._handle_report_request(sender, message, now)
         elif isinstance(message, EngineLost):
-            self._engine_lost(message)
+            self._remove_engine(message)
 
-    def _take_load(self, sender: str, message: EngineLoad, now: float) -> None:
+    def _handle_load(self, sender: str, message: EngineLoad, now: float) -> None:
         known = self.engines.by_name.get(message.name)
         state = None if known is None else with_load(known, message, now)
         if state is None:
             self._send(sender, ReportRequest(message.name))
             return
-        self._observe(state, now)
+        self._store_report(state, now)
 
-    def _answer_report(self, sender: str, message: ReportRequest, now: float) -> None:
+    def _handle_report_request(
+        self, sender: str, message: ReportRequest, now: float
+    ) -> None:
         state = self.engines.by_name.get(message.name)
         if state is not None:
             age_s = max(0.0, now - state.as_of)
             self._send(sender, EngineReport(state, age_s))
 
-    def _take_numbered(
+    def _handle_numbered(
         self, sender: str, name: str, message: Numbered, now: float
     ) -> None:
         body = message.body
@@ -321,10 +341,10 @@
         elif isinstance(body, Settle):
             self.homes.settle(name, body, now)
         else:
-            self._take_reset(sender, name, body, now)
+            self._handle_reset(sender, name, body, now)
         self._acks.setdefault(sender, []).append(message.number)
 
-    def _take_reset(self, sender: str, name: str, body: Reset, now: float) -> None:
+    def _handle_reset(self, sender: str, name: str, body: Reset, now: float) -> None:
         if self._reset_by_sender.get(name, 0) >= body.era:
             return
         self._reset_by_sender[name] = body.era
@@ -333,17 +353,17 @@
         self.tickets.void(sender, now)
         self.charges.void(sender, now)
 
-    def _take_ack(self, sender: str, message: Ack) -> None:
+    def _handle_ack(self, sender: str, message: Ack) -> None:
         for number in message.numbers:
             self.outbox.acknowledge(sender, number)
         self.tickets.heard(sender)
         self.charges.suspects.discard(sender)
 
-    def _take_acks(self) -> list[tuple[str, list[int]]]:
+    def _drain_acks(self) -> list[tuple[str, list[int]]]:
         acks, self._acks = self._acks, {}
         return list(acks.items())
 
-    def _answer(self, sender: str, answer: Granted | Refused | Queued) -> None:
+    def _send_answer(self, sender: str, answer: Granted | Refused | Queued) -> None:
         name, _, incarnation = sender.rpartition("/")
         host = self._membership.find(name)
         if host is not None and str(host.incarnation) == incarnation:
--- a/src/wagtailstair/core/exchange_headers.py
+++ b/src/wagtailstair/core/exchange_headers.py
@@ -1,8 +1,8 @@
-"""Which headers carry what between callers, the gateway and upstreams."""
+"""Headers between callers, the gateway and upstreams."""
 
 import dataclasses
 
-# RFC 9110, section 7.6.1, and the ones that predate it.
+# Hop-by-hop headers of RFC 9110, section 7.6.1, and older ones.
 CONNECTION_HEADERS = frozenset(
     {
         b"connection",
@@ -20,12 +20,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class HeaderNames:
-    """Names of the headers that have a meaning here, in lower case.
+    """Names of the headers that the gateway reads or sets, in lower case.
 
     ``attempt``: identifies one request of a caller; ``path``: the engines of a
-    pipeline; ``not_run``: set by an upstream that refused a request unread;
-    ``faulty_address``: the engine of a path that failed; ``signature``: an
-    upstream's authentication code over its answer.
+    pipeline; ``not_run``: set by an upstream that refused a request without
+    running it; ``faulty_address``: the engine of a path that failed;
+    ``signature``: an upstream's authentication code over its answer.
     """
 
     attempt: bytes
@@ -43,7 +43,7 @@
     faulty_address: bytes
 
     def set_here(self) -> frozenset[bytes]:
-        """Return the names that callers can't set: the gateway does."""
+        """Return the headers that the gateway sets, whatever the caller sent."""
         return frozenset(
             {
                 self.deadline_ms,
--- a/src/wagtailstair/core/outbox.py
+++ b/src/wagtailstair/core/outbox.py
@@ -1,4 +1,4 @@
-"""Messages that are repeated until the receiver acknowledges them."""
+"""Messages that are sent again until the receiver acknowledges them."""
 
 import dataclasses
 import heapq
@@ -6,16 +6,16 @@
 from .messages import Numbered
 from .messages import Reliable
 
-FIRST_REPEAT_S = 0.1
-LAST_REPEAT_S = 2.0
-WINDOW = 65_536  # numbered messages that may be open towards all hosts
+FIRST_RETRY_S = 0.1
+MAX_RETRY_INTERVAL_S = 2.0
+MAX_OPEN_MESSAGES = 65_536  # to all hosts together; further ones are sent only once
 
 
 @dataclasses.dataclass(slots=True)
 class _Entry:
     host: str
     message: Numbered
-    wait_s: float
+    retry_interval_s: float
 
 
 class Outbox:
@@ -30,17 +30,17 @@
         return len(self._entry_by_number)
 
     def add(self, host: str, body: Reliable, now: float) -> Numbered:
-        """Keep a message for repetition; return it numbered, to be sent now."""
+        """Keep a message until it is acknowledged; return it numbered, to send now."""
         self._number += 1
         message = Numbered(self._number, body)
-        if len(self._entry_by_number) < WINDOW:
-            entry = _Entry(host, message, FIRST_REPEAT_S)
+        if len(self._entry_by_number) < MAX_OPEN_MESSAGES:
+            entry = _Entry(host, message, FIRST_RETRY_S)
             self._entry_by_number[self._number] = entry
-            heapq.heappush(self._due, (now + FIRST_REPEAT_S, self._number))
+            heapq.heappush(self._due, (now + FIRST_RETRY_S, self._number))
         return message
 
     def acknowledge(self, host: str, number: int) -> Reliable | None:
-        """Drop a message that has arrived; return its body the first time."""
+        """Drop a message that has arrived; return its body on the first call."""
         entry = self._entry_by_number.get(number)
         if entry is None or entry.host != host:
             return None
@@ -48,13 +48,13 @@
         return entry.message.body
 
     def drop(self, host: str) -> None:
-        """Drop everything for a host that is gone."""
+        """Drop all messages to a host that is gone."""
         for number, entry in list(self._entry_by_number.items()):
             if entry.host == host:
                 del self._entry_by_number[number]
 
-    def repeat(self, now: float) -> list[tuple[str, Numbered]]:
-        """Return what is to be sent again now."""
+    def take_due(self, now: float) -> list[tuple[str, Numbered]]:
+        """Return the messages to send again now, and back off their next retry."""
         messages = []
         while self._due and self._due[0][0] <= now:
             _, number = heapq.heappop(self._due)
@@ -62,10 +62,12 @@
             if entry is None:
                 continue
             messages.append((entry.host, entry.message))
-            entry.wait_s = min(LAST_REPEAT_S, entry.wait_s * 2)
-            heapq.heappush(self._due, (now + entry.wait_s, number))
+            entry.retry_interval_s = min(
+                MAX_RETRY_INTERVAL_S, entry.retry_interval_s * 2
+            )
+            heapq.heappush(self._due, (now + entry.retry_interval_s, number))
         return messages
 
     def next_wake(self) -> float | None:
-        """Return when the next message is due for repetition."""
+        """Return when the next retry is due, ``None`` without any."""
         return self._due[0][0] if self._due else None
--- a/src/wagtailstair/core/relay_rows.py
+++ b/src/wagtailstair/core/relay_rows.py
@@ -1,4 +1,4 @@
-"""Rows that hosts pass on to hosts that don't follow the store themselves."""
+"""Rows that a host relays to hosts that don't read from the store themselves."""
 
 import msgspec
 
@@ -7,11 +7,11 @@
 
 
 class RelayedTable(msgspec.Struct):
-    """Rows of a table as one host knows it; no value means a removed row.
+    """Rows of one host's copy of a table; a row without value has been removed.
 
-    ``is_all``: all rows, else those changed after the version asked for;
-    ``as_of``: all changes up to this version of the store are in;
-    ``trouble_s``: seconds since a call to the store failed, if one did.
+    ``is_all``: whether these are all rows, or only those changed after the
+    requested version; ``as_of``: the store's version up to which all changes are
+    included; ``trouble_s``: seconds since the last failed call to the store, if any.
     """
 
     as_of: int
@@ -20,7 +20,7 @@
     trouble_s: float | None = None
 
     def store_rows(self, table: str) -> list[StoreRow]:
-        """Return the rows as the store would tell of them."""
+        """Return the rows in the store's format."""
         return [StoreRow(table, *row) for row in self.rows]
 
 
@@ -30,15 +30,15 @@
 def relay_rows(
     rows: list[StoreRow], as_of: int, trouble_s: float | None, *, is_all: bool
 ) -> bytes:
-    """Return the bytes that tell a peer of rows."""
+    """Return the body that relays rows to a peer."""
     entries = [(row.key, row.value, row.version) for row in rows]
     return msgspec.json.encode(RelayedTable(as_of, is_all, entries, trouble_s))
 
 
 def decode_relayed(table: str, body: bytes) -> RelayedTable:
-    """Return what a peer tells of a table.
+    """Return the rows of a table that a peer relayed.
 
-    :raises PeerError: if the bytes can't be read.
+    :raises PeerError: if the body can't be decoded.
     """
     try:
         return _DECODER.decode(body)
--- a/src/wagtailstair/core/sessions.py
+++ b/src/wagtailstair/core/sessions.py
@@ -1,8 +1,8 @@
-"""Epochs, positions and trails of one completion.
+"""The state of one completion over several attempts.
 
-A session gives every upstream exchange an attempt id. Only lines of the open
-attempt count; a token is delivered once, at the next position, and only if its
-trail covers every layer once and in order.
+Each attempt starts a new epoch and has its own id. Only lines of the open attempt
+count. A token is delivered exactly once, at the next position, and only if its
+trail, the layer ranges that it passed, covers every layer once and in order.
 """
 
 import collections.abc
@@ -36,7 +36,7 @@
 
 
 class AttemptEnd(enum.Enum):
-    """How an attempt ended, as far as the entry host can know."""
+    """How an attempt ended, as far as the entry host can tell."""
 
     NOT_SENT = "not_sent"
     REFUSED = "refused"
@@ -54,21 +54,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Dropped:
-    """The line is not part of the open attempt, or a repetition."""
+    """The line is not part of the open attempt, or is a repetition."""
 
     reason: DropReason
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Violation:
-    """The line breaks the protocol; its epoch is closed, nothing is delivered."""
+    """The line breaks the protocol; its attempt is closed, nothing is delivered."""
 
     reason: ViolationReason
 
 
 Verdict = Accepted | Dropped | Violation
 
-# One instance of each, since a verdict is given for each token.
+# Shared instances, because every token gets a verdict.
 ACCEPTED = Accepted()
 DROPPED_BY_REASON = {reason: Dropped(reason) for reason in DropReason}
 VIOLATION_BY_REASON = {reason: Violation(reason) for reason in ViolationReason}
@@ -76,9 +76,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Attempt:
-    """One upstream exchange: where it starts and which way it goes.
+    """One request to the engines of a route.
 
-    ``position``: the next position; ``tokens``: ids delivered so far.
+    ``position``: position of the first token that it should produce; ``tokens``:
+    ids of the tokens delivered before.
     """
 
     id: str
@@ -89,7 +90,7 @@
 
 
 def covers(ranges: Trail, layers: int) -> bool:
-    """Tell whether layer ranges cover ``[0, layers)`` once and in order."""
+    """Return whether layer ranges cover ``[0, layers)`` once and in order."""
     position = 0
     for first, last in ranges:
         if first != position or last <= first:
@@ -101,18 +102,18 @@
 class Session:
     """The state of one completion on its entry host.
 
-    :param request: an id that no other request has, on any host.
-    :param prompt: the prompt, kept for the next epoch.
-    :param max_tokens: tokens of the whole answer, at most.
+    :param request: an id that is unique among all hosts.
+    :param prompt: the prompt, kept for the next attempt.
+    :param max_tokens: maximum tokens of the whole answer.
     :param layers: number of layers of the model.
-    :param max_epochs: attempts that may be begun.
+    :param max_epochs: maximum number of attempts.
     """
 
     __slots__ = (
         "_attempt",
         "_attempt_ends",
         "_epoch",
-        "_start",
+        "_start_position",
         "dropped",
         "finish_reason",
         "layers",
@@ -144,24 +145,24 @@
         self.dropped: dict[DropReason, int] = dict.fromkeys(DropReason, 0)
         self.violations: dict[ViolationReason, int] = dict.fromkeys(ViolationReason, 0)
         self._epoch = 0
-        self._start = 0
+        self._start_position = 0
         self._attempt: str | None = None
         self._attempt_ends: list[AttemptEnd] = []
 
     @property
     def epoch(self) -> int:
-        """Return the number of the last epoch; 0 before the first."""
+        """Return the number of the latest epoch; 0 before the first."""
         return self._epoch
 
     @property
     def attempt(self) -> str | None:
-        """Return the id of the open attempt."""
+        """Return the id of the open attempt, ``None`` without one."""
         return self._attempt
 
     def begin(self, route: Route) -> Attempt:
-        """Open a new epoch at the tokens delivered so far.
+        """Open a new attempt that continues after the tokens delivered so far.
 
-        :raises ValueError: if the route doesn't cover the layers, or if
+        :raises ValueError: if the route doesn't cover every layer once, or if
             :meth:`may_begin` is false.
         """
         if not covers([(stage.first, stage.last) for stage in route], self.layers):
@@ -170,13 +171,13 @@
             raise ValueError("the session is open, finished or out of epochs")
         self._epoch += 1
         self._attempt = f"{self.request}.{self._epoch}"
-        self._start = len(self.tokens)
+        self._start_position = len(self.tokens)
         return Attempt(
-            self._attempt, self._epoch, self._start, tuple(self.tokens), route
+            self._attempt, self._epoch, self._start_position, tuple(self.tokens), route
         )
 
     def may_begin(self) -> bool:
-        """Tell whether a new epoch may be opened."""
+        """Return whether a new attempt may be opened."""
         if self._attempt is not None or self.finish_reason is not None:
             return False
         return self._epoch < self.max_epochs
@@ -191,10 +192,10 @@
         text: str,
         trail: Trail,
     ) -> Verdict:
-        """Judge a token line; deliver its token if it is the next."""
-        # Inlined checks: this runs for each token of each stream.
+        """Check a token line; deliver its token if it is the next one."""
+        # The checks are inlined because this runs for each token of each stream.
         if attempt != self._attempt or epoch != self._epoch or request != self.request:
-            return self._drop_foreign(request, attempt)
+            return self._drop_unrelated(request, attempt)
         tokens = self.tokens
         expected = len(tokens)
         if position != expected:
@@ -217,12 +218,12 @@
     def end(
         self, request: str, attempt: str, epoch: int, position: int, reason: str
     ) -> Verdict:
-        """Judge an end line; the answer is whole if its position matches.
+        """Check an end line; the answer is complete if its position matches.
 
-        :param position: tokens of the whole answer by the engine's count.
+        :param position: tokens of the whole answer, as the engine counted them.
         """
         if attempt != self._attempt or epoch != self._epoch or request != self.request:
-            return self._drop_foreign(request, attempt)
+            return self._drop_unrelated(request, attempt)
         if position != len(self.tokens):
             return self._violate(ViolationReason.END_POSITION)
         self._close(AttemptEnd.ANSWERED)
@@ -232,28 +233,28 @@
     def broken(self, attempt: str, sent: bool) -> bool:
         """Close an attempt whose stream ended without an end line.
 
-        :param sent: whether any byte of it may have reached the engine.
-        :returns: whether a new epoch may be opened.
+        :param sent: whether any byte of the request may have reached the engine.
+        :returns: whether a new attempt may be opened.
         """
         end = AttemptEnd.UNKNOWN if sent else AttemptEnd.NOT_SENT
-        return self._fail(attempt, end)
+        return self._close_failed(attempt, end)
 
     def refused(self, attempt: str) -> bool:
-        """Close an attempt that the engine says it did not run.
+        """Close an attempt that the engine refused without running it.
 
-        :returns: whether a new epoch may be opened.
+        :returns: whether a new attempt may be opened.
         """
-        return self._fail(attempt, AttemptEnd.REFUSED)
+        return self._close_failed(attempt, AttemptEnd.REFUSED)
 
     def give_up(self) -> Outcome:
-        """Close the session and tell what is known of its effect."""
+        """Close the session and return its outcome."""
         if self._attempt is not None:
             self._close(AttemptEnd.UNKNOWN)
         self.max_epochs = self._epoch
         return self.outcome()
 
     def outcome(self) -> Outcome:
-        """Tell what is known of the effect of the attempts so far."""
+        """Return whether any attempt so far may have run."""
         if self._attempt is not None:
             return Outcome.UNKNOWN
         for end in self._attempt_ends:
@@ -265,11 +266,11 @@
         """Return the text delivered so far."""
         return "".join(self.texts)
 
-    def _fail(self, attempt: str, end: AttemptEnd) -> bool:
+    def _close_failed(self, attempt: str, end: AttemptEnd) -> bool:
         if attempt != self._attempt:
             return False
-        if len(self.tokens) > self._start:
-            # An attempt that delivered a token has run, whatever is said later.
+        if len(self.tokens) > self._start_position:
+            # An attempt that delivered a token has run, even if refused later.
             end = AttemptEnd.UNKNOWN
         self._close(end)
         return self.may_begin()
@@ -278,7 +279,7 @@
         self.dropped[reason] += 1
         return DROPPED_BY_REASON[reason]
 
-    def _drop_foreign(self, request: str, attempt: str) -> Dropped:
+    def _drop_unrelated(self, request: str, attempt: str) -> Dropped:
         if request != self.request:
             return self._drop(DropReason.REQUEST)
         if attempt != self._attempt:
