--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -27,12 +27,12 @@
 
 
 class TestUnknownCapacity:
-    def test_nothing_known_is_no_rate(self):
+    def test_rate_is_zero_without_reports(self):
         assert Capacity().work_per_s(list, 1.0) == 0.0
 
     def test_idle_time_does_not_count_as_busy(self):
-        # Seen as a refusal of requests with 120 s left: the first end of a busy
-        # time was taken for all that ten seconds could serve.
+        # Guards against refusals of requests with 120 s left: the first request
+        # that ended in a busy period was counted as all the work of 10 s.
         capacity = Capacity()
         capacity.served(10.0, False, 5.0)
         capacity.served(10.0, True, 100.0)
@@ -41,9 +41,9 @@
         assert capacity.work_per_s(list, 101.0) == pytest.approx(100.0, rel=0.1)
 
     def test_burst_waits_while_a_range_has_no_engine(self):
-        # Seen after a daemon was stopped and went on: reports had timed out, so
-        # that no route stood for a moment, and the burst was refused by a rate
-        # of next to nothing.
+        # Guards against refusing a burst after a daemon was paused: engine reports
+        # had expired, so that there was no route for a moment and the estimated
+        # rate fell to almost zero.
         pool = Pool("draft", "a")
         pool.observe(engine("e1", 0, 4), 0.0)
         for number in range(40):
@@ -61,9 +61,9 @@
         pool.observe(engine("e2", 4, 8), 0.0)
         return pool
 
-    def test_each_request_is_refused_in_its_time(self):
-        # Seen as callers that waited for more than 60 s: what was known to find
-        # no room was not asked again whether there was a route.
+    def test_every_request_is_refused_at_its_timeout(self):
+        # Guards against callers that wait for more than 60 s: requests that had
+        # found no room were not checked again for a missing route.
         pool = self.make()
         for number in range(60):
             want = dataclasses.replace(WANT, request=f"r{number}")
@@ -73,7 +73,7 @@
         assert {answer.request for answer in answers} == {f"r{n}" for n in range(60)}
         assert {answer.reason for answer in answers} == {RefusalReason.NO_ROUTE}
 
-    def test_route_that_comes_back_keeps_the_requests(self):
+    def test_requests_are_kept_when_a_route_returns(self):
         pool = self.make()
         for number in range(20):
             pool.want(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -9,7 +9,7 @@
 
 
 class TestEjection:
-    def test_needs_failures_in_a_row(self):
+    def test_ejects_after_consecutive_failures(self):
         ejection = Ejection(LIMITS)
         fail(ejection, "a", 2)
         ejection.succeeded("a", 0.0)
@@ -22,7 +22,7 @@
         ejected = [any(fail(ejection, name, 3)) for name in "abcd"]
         assert ejected == [True, True, False, False]
 
-    def test_comes_back_by_one_probe(self):
+    def test_one_successful_probe_readmits(self):
         ejection = Ejection(LIMITS)
         fail(ejection, "a", 3)
         assert not ejection.is_ejected("a", 5.0)
@@ -31,7 +31,7 @@
         ejection.succeeded("a", 6.0)
         assert not ejection.is_ejected("a", 6.0)
 
-    def test_a_probe_that_tells_nothing_is_followed_by_another(self):
+    def test_an_inconclusive_probe_is_followed_by_another(self):
         ejection = Ejection(LIMITS)
         fail(ejection, "a", 3)
         ejection.started("a")
@@ -48,7 +48,7 @@
 
 
 class TestSlow:
-    def test_leaves_out_what_stays_slow_until_it_is_clearly_fast(self):
+    def test_ejects_while_slow_until_clearly_fast(self):
         ejection = Ejection(LIMITS)
         ratios = [5.0] * 4 + [1.0] + [5.0] * 4
         for ratio in ratios:
@@ -61,7 +61,7 @@
         ejection.measured("a", 1.9, 4, 0.0)
         assert not ejection.is_ejected("a", 0.0)
 
-    def test_counts_in_the_same_cap(self):
+    def test_slow_and_failing_upstreams_share_one_limit(self):
         ejection = Ejection(LIMITS)
         for name in "abcd":
             for _ in range(9):
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -22,7 +22,7 @@
     return engines
 
 
-def bare_layers(engines, centre):
+def uncovered_layers(engines, centre):
     covered = set()
     for engine in engines:
         if engine.data_centre == centre and engine.layers and not engine.is_leaving:
@@ -35,9 +35,9 @@
         engines = apply(plan(make_model(), make_fleet(), {}))
         assert len(engines) == len(make_fleet())
         for centre in "abc":
-            assert bare_layers(engines, centre) == set()
+            assert uncovered_layers(engines, centre) == set()
 
-    def test_never_over_an_engines_memory(self):
+    def test_ranges_fit_into_the_memory(self):
         model = make_model()
         for order in plan(model, make_fleet(), {}):
             kind = model.accelerator_by_name[order.replica.accelerator]
@@ -45,7 +45,7 @@
             assert 0 <= order.first < order.last <= LAYERS
 
     @pytest.mark.parametrize("room", [0.0, 1.0, 40_000.0, 1e9])
-    def test_layers_fit(self, room):
+    def test_layers_stay_within_memory_for_any_room(self, room):
         model = make_model()
         assert 1 <= layers_for(model, "v100", room) <= 8
         assert layers_for(model, "unknown", room) == 0
@@ -62,11 +62,11 @@
         lost = engines[0]
         back = make_engine(lost.name, lost.data_centre, lost.accelerator)
         (order,) = plan(model, [back, *engines[1:]], {})
-        left = bare_layers([*engines[1:], *apply([order])], lost.data_centre)
+        left = uncovered_layers([*engines[1:], *apply([order])], lost.data_centre)
         assert order.replica is back
         assert left == set()
 
-    def test_an_order_under_way_counts_as_held(self):
+    def test_an_ordered_range_counts_as_held(self):
         model = make_model()
         first, second = make_engine("x"), make_engine("y")
         held = {first.identity: (0, 4)}
@@ -86,7 +86,7 @@
         engines = apply(plan(make_model(), fleet, {}))
         for engine in engines:
             others = [other for other in engines if other is not engine]
-            assert bare_layers(others, "a") == set()
+            assert uncovered_layers(others, "a") == set()
 
     def test_leaving_engines_get_no_order(self):
         assert plan(make_model(), [make_engine("x", is_leaving=True)], {}) == []
@@ -94,25 +94,29 @@
 
 class TestRepair:
     def lose(self, engines, centre):
-        """Take the engine away whose layers no other holds."""
+        """Return the engines without one that alone holds some layers."""
         for engine in engines:
             rest = [other for other in engines if other is not engine]
             is_small = engine.accelerator == "v100"
-            if is_small and engine.data_centre == centre and bare_layers(rest, centre):
+            if (
+                is_small
+                and engine.data_centre == centre
+                and uncovered_layers(rest, centre)
+            ):
                 return rest
-        raise AssertionError("no engine is alone")
+        raise AssertionError("no engine alone holds some layers")
 
-    def test_a_gap_is_closed_by_an_engine_that_can_be_spared(self):
+    def test_a_move_closes_more_layers_than_it_uncovers(self):
         model = make_model()
         engines = self.lose(apply(plan(model, make_fleet(), {})), "a")
-        gap = bare_layers(engines, "a")
+        gap = uncovered_layers(engines, "a")
         moves = repair(model, engines, {})
         assert [move.replica.data_centre for move in moves] == ["a"]
         moved = apply(moves)[0]
         rest = [engine for engine in engines if engine.name != moved.name]
-        assert len(bare_layers([*rest, moved], "a")) < len(gap)
+        assert len(uncovered_layers([*rest, moved], "a")) < len(gap)
 
-    def test_nothing_moves_while_a_load_is_under_way(self):
+    def test_no_move_while_a_load_is_in_progress(self):
         model = make_model()
         engines = self.lose(apply(plan(model, make_fleet(), {})), "a")
         empty = make_engine("new", "a")
@@ -121,6 +125,6 @@
         by_centre = {m.replica.data_centre for m in repair(model, engines, ordered)}
         assert engines[0].data_centre not in by_centre
 
-    def test_nothing_moves_without_a_gap(self):
+    def test_no_move_without_a_gap(self):
         model = make_model()
         assert repair(model, apply(plan(model, make_fleet(), {})), {}) == []
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -43,7 +43,7 @@
 
 
 class TestChoose:
-    def test_every_layer_once_in_order(self, pipelines):
+    def test_path_covers_every_layer_once_in_order(self, pipelines):
         model = make_model()
         engines = place_all(model, make_fleet())
         for _ in range(20):
@@ -52,7 +52,7 @@
             pipelines.take(path, 1000)
 
     @pytest.mark.parametrize("seed", range(30))
-    def test_random_ranges(self, seed):
+    def test_finds_a_path_if_and_only_if_random_ranges_cover_all_layers(self, seed):
         rng = random.Random(seed)
         model = make_model(layers=24)
         engines = []
@@ -75,10 +75,11 @@
         model = make_model()
         engines = place_all(model, make_fleet())
         path = pipelines.choose(model, engines, 800, 200, 0.0)
-        # The home, or the other one whole: faster engines are worth a start there.
+        # The path may lie in another data centre: faster engines there outweigh
+        # the cost of a remote start.
         assert len({hop.replica.data_centre for hop in path}) == 1
 
-    def test_stays_at_home_where_no_other_is_faster(self, pipelines):
+    def test_stays_in_own_data_centre_where_no_other_is_faster(self, pipelines):
         engines = []
         for centre in "bac":
             for first in range(0, 80, 20):
@@ -89,11 +90,11 @@
             check(path)
             assert {hop.replica.data_centre for hop in path} == {"a"}
 
-    def test_no_engine_for_a_layer(self, pipelines):
+    def test_no_path_without_an_engine_for_a_layer(self, pipelines):
         engines = [make_engine("x", layers=(0, 40)), make_engine("y", layers=(41, 80))]
         assert pipelines.choose(make_model(), engines, 800, 200, 0.0) is None
 
-    def test_suspect_only_where_no_other_holds_its_layers(self, pipelines):
+    def test_suspect_is_used_only_where_no_other_holds_its_layers(self, pipelines):
         model = make_model()
         first = make_engine("x", layers=(0, 80), accelerator="a100")
         second = make_engine("y", "b", "l4", (0, 80))
@@ -105,7 +106,7 @@
         path = pipelines.choose(model, [first, second], 800, 200, 6.0)
         assert [hop.replica.name for hop in path] == ["x"]
 
-    def test_full_memory_moves_requests_on(self, pipelines):
+    def test_full_kv_memory_diverts_requests(self, pipelines):
         model = make_model()
         first = make_engine("x", layers=(0, 5))
         second = make_engine("y", layers=(0, 5))
@@ -115,15 +116,16 @@
         path = pipelines.choose(model, [first, second, rest], 800, 200, 0.0)
         assert path[0].replica.name == "y"
 
-    def test_a_peer_that_is_gone_holds_nothing(self, pipelines):
+    def test_loads_of_a_dropped_peer_are_removed(self, pipelines):
         engine = make_engine("x", layers=(0, 5))
         pipelines.note_peer(Source("other"), {engine_key(engine): Load(200, 9, 1000.0)})
         assert pipelines.total(engine) == (200, 9, 1000.0)
         pipelines.forget_peer(Source("other"))
         assert pipelines.total(engine) == (0, 0, 0.0)
 
-    def test_an_engine_on_both_sides_takes_what_lies_between(self, pipelines):
-        # The quick engine is cheaper for its layers, the slow one holds all.
+    def test_hops_of_one_engine_are_merged(self, pipelines):
+        # The quick engine is cheaper for its own layers, but the path would return
+        # to the slow engine, and an engine may occur only once.
         model = make_model(layers=10)
         slow = make_engine("slow", accelerator="l4", layers=(0, 10))
         quick = make_engine("quick", accelerator="a100", layers=(4, 6))
@@ -133,7 +135,7 @@
 
 
 class TestHeads:
-    """An engine takes only so many requests that begin there."""
+    """The number of requests that may begin at one engine is limited."""
 
     def engines(self):
         return [
@@ -145,7 +147,7 @@
             ),
         ]
 
-    def test_others_begin_elsewhere_before_one_is_full(self, pipelines):
+    def test_requests_begin_elsewhere_before_an_engine_is_full(self, pipelines):
         engines = self.engines()
         model = make_model()
         begun = {"x": 0, "y": 0}
@@ -155,14 +157,14 @@
             begun[path[0].replica.name] += 1
         assert max(begun.values()) <= 96
 
-    def test_requests_of_peers_count(self, pipelines):
+    def test_heads_of_peers_count(self, pipelines):
         engines = self.engines()
         loads = {engine_key(engines[0]): Load(96, 96, 0.0)}
         pipelines.note_peer(Source("other"), loads)
         path = pipelines.choose(make_model(), engines, 800, 200, 0.0)
         assert path[0].replica.name == "y"
 
-    def test_no_room_where_all_are_full(self, pipelines):
+    def test_no_room_where_all_head_engines_are_full(self, pipelines):
         model = make_model()
         engines = self.engines()
         loads = {engine_key(engine): Load(96, 96, 0.0) for engine in engines[:2]}
@@ -172,15 +174,15 @@
         pipelines.forget_peer(Source("other"))
         assert pipelines.has_room(model, path, 1000, 0)
 
-    def test_only_the_first_engine_is_begun_at(self, pipelines):
+    def test_only_the_first_engine_counts_a_head(self, pipelines):
         model = make_model()
         engines = self.engines()
         pipelines.take(pipelines.choose(model, engines, 800, 200, 0.0), 10)
         assert pipelines.total(engines[2]).heads == 0
 
 
-class TestHead:
-    def test_path_goes_on_from_its_first_hop(self, pipelines):
+class TestGivenHead:
+    def test_path_continues_from_a_given_first_hop(self, pipelines):
         model = make_model()
         engines = place_all(model, make_fleet())
         path = pipelines.choose(model, engines, 800, 200, 0.0)
@@ -190,7 +192,7 @@
 
 
 class TestUse:
-    def test_taken_is_given_back(self, pipelines):
+    def test_released_tokens_are_subtracted(self, pipelines):
         engine = make_engine("x", layers=(0, 80))
         path = pipelines.choose(make_model(), [engine], 800, 200, 0.0)
         pipelines.take(path, 1000)
@@ -198,7 +200,7 @@
         pipelines.give_back(path, 1000)
         assert pipelines.total(engine) == (0, 0, 0.0)
 
-    def test_a_new_start_is_another_engine(self, pipelines):
+    def test_a_new_incarnation_is_another_engine(self, pipelines):
         pipelines.suspect(make_engine("x", layers=(0, 80)), 100.0)
         again = make_engine("x", layers=(0, 80), incarnation=2)
         assert pipelines.use(again).suspect_until == 0.0
@@ -218,14 +220,14 @@
             kept.append(engine)
         return model, kept
 
-    def test_a_gap_at_home_sends_the_whole_request_elsewhere(self, pipelines):
+    def test_a_gap_in_own_data_centre_moves_the_whole_path(self, pipelines):
         model, engines = self.place(without=40)
         path = pipelines.choose(model, engines, 800, 200, 0.0)
         check(path)
         assert len({hop.replica.data_centre for hop in path}) == 1
         assert path[0].replica.data_centre != "a"
 
-    def test_a_crossing_where_no_data_centre_holds_all(self, pipelines):
+    def test_path_crosses_where_no_data_centre_holds_all_layers(self, pipelines):
         model = make_model()
         engines = [
             make_engine("x", "a", "a100", (0, 40)),
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -34,7 +34,7 @@
 
 
 class Run:
-    """Drives a placement against a fleet that obeys at once."""
+    """Runs a placement against a fleet that carries out orders at once."""
 
     def __init__(self, fleet, specs):
         self.fleet = fleet
@@ -62,7 +62,7 @@
             "quote": 1,
         }
 
-    def test_short_of_engines_leaves_the_last_model_without(self):
+    def test_last_model_gets_none_when_engines_are_short(self):
         division = divide_engines([DRAFT, QUOTE], {}, 2, {})
         assert division == {"draft": 1, "quote": 0}
 
@@ -85,7 +85,7 @@
             run.decide({"draft": 2}, after_s=1.0)
         times = [at for at, _ in run.orders]
         assert len(times) == 4
-        # 6 layers of 10 bytes at 6 bytes a second: one load each 10 s.
+        # 6 layers of 10 bytes at 6 bytes a second: one load every 10 s.
         assert all(b - a >= 10.0 for a, b in itertools.pairwise(times))
 
     def test_one_order_to_an_engine_at_a_time(self):
@@ -93,13 +93,13 @@
         assert len(run.decide({"draft": 1}, obey=False)) == 1
         assert run.decide({"draft": 1}, after_s=50.0, obey=False) == []
 
-    def test_failed_order_is_given_again(self):
+    def test_failed_order_is_sent_again(self):
         run = Run(make_fleet(""), [DRAFT])
         (order,) = run.decide({"draft": 1}, obey=False)
         run.placement.failed(order)
         assert run.decide({"draft": 1}, after_s=20.0, obey=False) == [order]
 
-    def test_short_shortage_moves_no_engine(self):
+    def test_brief_shortage_moves_no_engine(self):
         run = Run(make_fleet(*["draft"] * 4, *["quote"] * 2), [DRAFT, QUOTE])
         run.decide({"draft": 1, "quote": 2})
         run.decide({"draft": 1, "quote": 2}, after_s=29.0)
@@ -126,14 +126,14 @@
             for before, after in itertools.pairwise(times):
                 assert after - before >= LIMITS.dwell_s
 
-    def test_never_takes_the_last_engine_of_a_range(self):
+    def test_never_moves_the_last_engine_of_a_range(self):
         fleet = make_fleet("draft", "draft", "draft", "quote", "quote")
         fleet.engine_by_name["e3"].first, fleet.engine_by_name["e3"].last = 6, 12
         fleet.engine_by_name["e4"].first, fleet.engine_by_name["e4"].last = 0, 6
         run = Run(fleet, [DRAFT, QUOTE])
         for _ in range(40):
             run.decide({"draft": 0, "quote": 3}, after_s=20.0)
-        # Only e0 or e2, which hold the same half, could go.
+        # Only e0 or e2 may move, because they hold the same half.
         assert len(run.orders) == 1
         assert run.orders[0][1].engine in ("e0", "e2")
 
@@ -142,7 +142,7 @@
         fleet.engine_by_name["e0"].leaving = True
         assert Run(fleet, [DRAFT]).decide({"draft": 1}) == []
 
-    def test_new_version_goes_in_while_the_old_serves(self):
+    def test_new_version_is_loaded_while_the_old_one_serves(self):
         newer = ModelSpec("draft", "2", 12, HALVES, bytes_per_layer=10)
         fleet = make_fleet("draft", "draft", "", "")
         run = Run(fleet, [newer])
@@ -164,7 +164,7 @@
             run.decide({"draft": 1}, after_s=10.0)
         assert run.orders == []
 
-    def test_new_split_without_a_spare_engine_waits(self):
+    def test_new_ranges_without_a_spare_engine_wait(self):
         fleet = make_fleet("draft", "draft")
         fleet.engine_by_name["e0"].last = fleet.engine_by_name["e1"].first = 4
         run = Run(fleet, [DRAFT])
@@ -210,17 +210,17 @@
             LIMITS,
         )
 
-    def settle(self, placer):
+    def wait_for_orders(self, placer):
         concurrent.futures.wait(list(placer._open))
 
-    def test_holder_loads_and_the_other_sends_nothing(self, table, clock):
+    def test_only_the_lease_holder_sends_orders(self, table, clock):
         fleet = make_fleet("", "")
         first = self.make(table, clock, fleet, "h1")
         second = self.make(table, clock, fleet, "h2")
         for _ in range(15):
             first.tick()
             second.tick()
-            self.settle(first)
+            self.wait_for_orders(first)
             clock.advance(1.0)
         states = fleet.states()
         assert {(s.model, s.first, s.last) for s in states} == {
@@ -232,7 +232,9 @@
         first.close()
         second.close()
 
-    def test_unreachable_engine_gets_no_order_before_it_is_read(self, table, clock):
+    def test_unreachable_engine_gets_no_order_before_its_state_is_read(
+        self, table, clock
+    ):
         fleet = make_fleet("")
         fleet.unreachable.add("e0")
         placer = self.make(table, clock, fleet, "h1")
@@ -240,21 +242,21 @@
         assert placer._placement.pending == []
         fleet.unreachable.clear()
         placer.tick()
-        self.settle(placer)
+        self.wait_for_orders(placer)
         assert fleet.engine_by_name["e0"].model == "draft"
         placer.close()
 
-    def test_refused_order_is_given_again(self, table, clock):
+    def test_refused_order_is_sent_again(self, table, clock):
         fleet = make_fleet("")
         placer = self.make(table, clock, fleet, "h1")
         fleet.engine_by_name["e0"].fence = 5
         placer.tick()
-        self.settle(placer)
+        self.wait_for_orders(placer)
         assert fleet.engine_by_name["e0"].orders == []
         fleet.engine_by_name["e0"].fence = 0
         for _ in range(3):
             clock.advance(20.0)
             placer.tick()
-            self.settle(placer)
+            self.wait_for_orders(placer)
         assert fleet.engine_by_name["e0"].model == "draft"
         placer.close()
--- a/tests/test_placement_machine.py
+++ b/tests/test_placement_machine.py
@@ -26,7 +26,11 @@
 
 
 class PlacementMachine(RuleBasedStateMachine):
-    """Demand, versions, splits and engines change; holders come and go."""
+    """Changes demand, versions, layer ranges, engines and the lease holder.
+
+    No order may take the last engine of a range, no engine may have two orders at
+    a time, and engines must stop moving once nothing changes.
+    """
 
     @initialize(count=st.integers(4, 8), splits=st.sampled_from((HALVES, WHOLE)))
     def start(self, count, splits):
@@ -43,7 +47,7 @@
 
     @rule()
     def new_holder(self):
-        """Another host takes over once the earlier orders have ended."""
+        """Another host takes over after all earlier orders have ended."""
         self.open_orders = []
         self.sent_at_by_engine = {}
         self.placement = Placement(LIMITS)
@@ -86,7 +90,7 @@
     @rule(seconds=st.sampled_from((0.5, 2.0, 6.0, 11.0)), obey=st.booleans())
     def decide(self, seconds, obey):
         self.now += seconds
-        # No engine carries an order out after it was given up.
+        # Engines carry out no order that has timed out.
         self.open_orders = [
             order
             for order in self.open_orders
@@ -116,7 +120,7 @@
             self.decide(11.0, obey)
 
     def served(self):
-        """Return the models that stay whole whatever the open orders do."""
+        """Return the models that stay complete, whatever the open orders change."""
         busy = {order.engine for order in self.open_orders}
         states = [s for s in self.fleet.states() if s.name not in busy]
         return {
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -9,10 +9,10 @@
     def test_does_not_depend_on_order(self):
         assert owner("draft/a", HOSTS) == owner("draft/a", reversed(HOSTS))
 
-    def test_has_none_without_hosts(self):
+    def test_no_owner_without_hosts(self):
         assert owner("draft/a", []) is None
 
-    def test_leads_the_ranking(self):
+    def test_owner_is_first_in_the_ranking(self):
         assert all(ranked(key, HOSTS)[0] == owner(key, HOSTS) for key in KEYS[:50])
 
     def test_moves_only_the_keys_of_a_lost_host(self):
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -10,20 +10,20 @@
 
 
 class TestRows:
-    def test_a_leaving_upstream_gets_nothing(self):
+    def test_a_leaving_upstream_is_not_usable(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         assert names(replicas) == ["x"]
         replicas.put(make_engine("x", is_leaving=True))
         assert names(replicas) == []
 
-    def test_an_older_start_is_passed_over(self):
+    def test_a_row_of_an_older_incarnation_is_ignored(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x", incarnation=2))
         assert not replicas.put(make_engine("x", incarnation=1, layers=(0, 4)))
         assert replicas.by_name["x"].incarnation == 2
 
-    def test_the_same_row_changes_nothing(self):
+    def test_an_unchanged_row_changes_nothing(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         before = replicas.generation
@@ -32,13 +32,13 @@
 
 
 class TestLapse:
-    def test_removal_counts_at_once_while_the_store_is_well(self):
+    def test_removal_is_immediate_without_store_failures(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 0.0, NEVER)
         assert names(replicas) == []
 
-    def test_removal_waits_after_trouble(self):
+    def test_removal_is_delayed_after_a_store_failure(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 0.0, failed_at=0.0)
@@ -47,7 +47,7 @@
         assert replicas.settle(2.0, is_store_away=False) == ["x"]
         assert names(replicas) == []
 
-    def test_a_row_that_is_back_stays(self):
+    def test_a_row_that_comes_back_cancels_the_removal(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 0.0, failed_at=0.0)
@@ -55,7 +55,7 @@
         assert replicas.settle(9.0, is_store_away=False) == []
         assert names(replicas) == ["x"]
 
-    def test_the_wait_begins_with_the_stores_return(self):
+    def test_the_delay_starts_when_the_store_is_reachable_again(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 0.0, failed_at=0.0)
@@ -63,14 +63,14 @@
         assert replicas.settle(6.9, is_store_away=False) == []
         assert replicas.settle(7.0, is_store_away=False) == ["x"]
 
-    def test_the_wait_is_counted_from_the_last_failure(self):
+    def test_the_delay_is_counted_from_the_last_failure(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 1.1, failed_at=0.0)
         assert replicas.settle(1.9, is_store_away=False) == []
         assert replicas.settle(2.0, is_store_away=False) == ["x"]
 
-    def test_a_removal_long_after_a_failure_counts_at_once(self):
+    def test_a_removal_long_after_a_failure_is_immediate(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 2.5, failed_at=0.0)
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -23,7 +23,7 @@
 @st.composite
 def fleets(draw):
     states = []
-    # The links are between data centres, alike for all engines of one.
+    # All engines of a data centre have the same delay to the other one.
     far_s = draw(st.sampled_from([0.001, 0.02]))
     for number in range(draw(st.integers(1, 7))):
         first, last = sorted(
@@ -82,7 +82,7 @@
 class TestShortestRoute:
     @settings(derandomize=True, max_examples=200, deadline=None)
     @given(fleets())
-    def test_agrees_with_trying_every_route(self, states):
+    def test_agrees_with_brute_force(self, states):
         table = table_of(states)
         need = Need.of(want("r"))
         found = cheapest(table, need)
@@ -95,7 +95,7 @@
         ends = [0, *(stage.last for stage in route)]
         assert ends == [*(stage.first for stage in route), LAYERS]
 
-    def test_work_granted_since_the_last_report_counts(self):
+    def test_grants_since_the_last_report_count(self):
         table = table_of([engine("fast"), engine("slow", step_s=0.011)])
         need = Need.of(want("r", prompt_tokens=400, work=60.0))
         first, _ = cheapest(table, need)
@@ -114,7 +114,7 @@
             table.start(cheapest(table, Need.of(want("r")))[0], Need.of(want("r")), 0.0)
         assert abs(load.next_step_s - empty_s - 0.01) < 1e-4
 
-    def test_a_cached_prefix_is_worth_its_reading(self):
+    def test_prefers_an_engine_with_a_cached_prefix(self):
         table = table_of([engine("fast"), engine("cached", step_s=0.011)])
         table.by_name["cached"].store((1, 2, 3))
         long = want("r", prompt_tokens=3_000, work=385.0, prefixes=(1, 2, 3, 4))
@@ -130,7 +130,7 @@
             fit.add(running, 0.01 + 0.0005 * running)
         assert abs(fit.slope_s() - 0.0005) < 1e-6
 
-    def test_claims_nothing_from_one_load(self):
+    def test_no_slope_from_a_single_load(self):
         fit = StepFit()
         for _ in range(20):
             fit.add(4, 0.02)
@@ -138,8 +138,8 @@
 
 
 class TestFleetBound:
-    def test_is_the_narrowest_cut(self):
-        # Each half needs as long as its other half; 2 slots in 20 ms a token.
+    def test_is_the_minimum_cut(self):
+        # A token takes 10 ms in each half: 2 slots for each 20 ms.
         halves = [engine("a", 0, 4), engine("b", 4, 8), engine("c", 4, 8)]
         assert abs(fleet_bound(halves) - 100.0) < 1e-6
         whole = engine("d", step_s=0.02)
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -49,7 +49,7 @@
             [(0, 5), (5, 13)],
         ],
     )
-    def test_refuses(self, ranges):
+    def test_rejects_incomplete_or_unordered_ranges(self, ranges):
         assert not covers(ranges, LAYERS)
 
     def test_accepts_any_split(self):
@@ -64,21 +64,21 @@
         assert session.tokens == [31, 32]
         assert session.text() == " w w"
 
-    def test_drops_a_repeated_position(self, session):
+    def test_drops_a_line_of_a_repeated_position(self, session):
         attempt = session.begin(ROUTE)
         send(session, attempt, 0, 31)
         assert send(session, attempt, 0, 99) == Dropped(DropReason.REPEATED)
         assert session.tokens == [31]
         assert session.attempt == attempt.id
 
-    def test_drops_another_request(self, session):
+    def test_drops_a_line_of_another_request(self, session):
         attempt = session.begin(ROUTE)
         verdict = send(session, attempt, 0, request="r2")
         assert verdict == Dropped(DropReason.REQUEST)
         assert session.tokens == []
         assert session.dropped[DropReason.REQUEST] == 1
 
-    def test_drops_a_closed_attempt(self, session):
+    def test_drops_a_line_of_a_closed_attempt(self, session):
         old = session.begin(ROUTE)
         session.broken(old.id, sent=True)
         session.begin(ROUTE)
@@ -88,7 +88,7 @@
     @pytest.mark.parametrize(
         "trail", [[[0, 5]], [[0, 5], [5, 12], [5, 12]], [[5, 12], [0, 5]], []]
     )
-    def test_wrong_trail_closes_the_epoch(self, session, trail):
+    def test_wrong_trail_closes_the_attempt(self, session, trail):
         attempt = session.begin(ROUTE)
         verdict = send(session, attempt, 0, trail=trail)
         assert verdict == Violation(ViolationReason.TRAIL)
@@ -96,7 +96,7 @@
         assert session.may_begin()
         assert isinstance(send(session, attempt, 0), Dropped)
 
-    def test_skipped_position_closes_the_epoch(self, session):
+    def test_skipped_position_closes_the_attempt(self, session):
         attempt = session.begin(ROUTE)
         verdict = send(session, attempt, 1)
         assert verdict == Violation(ViolationReason.SKIPPED)
@@ -112,7 +112,7 @@
 
 
 class TestEnd:
-    def test_matching_position_finishes(self, session):
+    def test_matching_end_position_finishes_the_session(self, session):
         attempt = session.begin(ROUTE)
         send(session, attempt, 0)
         verdict = session.end("r1", attempt.id, attempt.epoch, 1, "stop")
@@ -121,7 +121,7 @@
         assert not session.may_begin()
 
     @pytest.mark.parametrize("position", [0, 2])
-    def test_other_position_is_a_violation(self, session, position):
+    def test_other_end_position_is_a_violation(self, session, position):
         attempt = session.begin(ROUTE)
         send(session, attempt, 0)
         verdict = session.end("r1", attempt.id, attempt.epoch, position, "stop")
@@ -138,7 +138,7 @@
 
 
 class TestResume:
-    def test_next_epoch_starts_at_the_delivered_tokens(self, session):
+    def test_next_attempt_starts_after_the_delivered_tokens(self, session):
         first = session.begin(ROUTE)
         send(session, first, 0, 31)
         assert session.broken(first.id, sent=True)
@@ -146,21 +146,21 @@
         assert (second.epoch, second.position, second.tokens) == (2, 1, (31,))
         assert second.id != first.id
 
-    def test_old_attempt_does_not_close_the_new(self, session):
+    def test_old_attempt_does_not_close_the_new_one(self, session):
         first = session.begin(ROUTE)
         session.broken(first.id, sent=True)
         second = session.begin(ROUTE)
         assert not session.broken(first.id, sent=True)
         assert session.attempt == second.id
 
-    def test_ends_after_the_last_epoch(self):
+    def test_no_attempt_after_the_last_epoch(self):
         session = Session("r1", "hello", 4, LAYERS, max_epochs=1)
         attempt = session.begin(ROUTE)
         assert not session.broken(attempt.id, sent=True)
         with pytest.raises(ValueError, match="out of epochs"):
             session.begin(ROUTE)
 
-    def test_refuses_a_route_with_a_gap(self, session):
+    def test_rejects_a_route_with_a_gap(self, session):
         with pytest.raises(ValueError, match="cover"):
             session.begin(make_route(0, 5))
 
@@ -174,18 +174,18 @@
         session.refused(session.begin(ROUTE).id)
         assert session.give_up() is Outcome.NOT_RUN
 
-    def test_unknown_after_one_sent(self, session):
+    def test_unknown_after_one_sent_attempt(self, session):
         session.broken(session.begin(ROUTE).id, sent=True)
         session.refused(session.begin(ROUTE).id)
         assert session.give_up() is Outcome.UNKNOWN
 
-    def test_unknown_while_open(self, session):
+    def test_unknown_while_an_attempt_is_open(self, session):
         attempt = session.begin(ROUTE)
         assert session.outcome() is Outcome.UNKNOWN
         assert session.give_up() is Outcome.UNKNOWN
         assert isinstance(send(session, attempt, 0), Dropped)
 
-    def test_unknown_after_a_refusal_that_contradicts_a_token(self, session):
+    def test_unknown_if_a_refused_attempt_delivered_a_token(self, session):
         attempt = session.begin(ROUTE)
         send(session, attempt, 0)
         session.refused(attempt.id)
--- a/tests/test_sessions_machine.py
+++ b/tests/test_sessions_machine.py
@@ -16,8 +16,8 @@
 LAYERS = 6
 MAX_TOKENS = 6
 BOUNDS = [(0, 6), (0, 3, 6), (0, 2, 4, 6)]
-SOUND = [[list(pair) for pair in itertools.pairwise(b)] for b in BOUNDS]
-BROKEN = [
+VALID_TRAILS = [[list(pair) for pair in itertools.pairwise(b)] for b in BOUNDS]
+INVALID_TRAILS = [
     [],
     [[0, 3]],
     [[3, 6]],
@@ -35,12 +35,12 @@
 
 
 def token_at(request, position):
-    """Return the one right token, so that any other is seen in the answer."""
+    """Return a token unique to request and position, so that a wrong one shows."""
     return 1000 * int(request[1:]) + position
 
 
 class Upstream:
-    """One exchange on the engine's side; it may go on after it was given up."""
+    """One attempt on the engine's side; it may continue after it was closed."""
 
     def __init__(self, session, attempt):
         self.session = session
@@ -51,7 +51,11 @@
 
 
 class SessionsMachine(RuleBasedStateMachine):
-    """Lines late, twice, skipped, of other attempts, with wrong trails."""
+    """Sends lines late, twice, out of order, of other attempts, with wrong trails.
+
+    No token may be lost or delivered twice, and no attempt that ran may be
+    reported as not run.
+    """
 
     @initialize()
     def start(self):
@@ -72,7 +76,7 @@
         )
         if verdict is ACCEPTED:
             assert attempt.id == expected, "a line of an old attempt"
-            assert trail in SOUND, "a token that not every layer made once"
+            assert trail in VALID_TRAILS, "a token that not every layer made once"
             self.delivered[target.request].append(token)
 
     @rule(index=indexes, bounds=st.sampled_from(BOUNDS))
@@ -89,17 +93,21 @@
     def send(self, index, count):
         upstream = self.upstreams[index % len(self.upstreams)]
         for _ in range(count):
-            self._deliver(upstream, upstream.position, SOUND[1], upstream.session)
+            self._deliver(
+                upstream, upstream.position, VALID_TRAILS[1], upstream.session
+            )
             upstream.position += 1
 
     @precondition(lambda self: self.upstreams)
-    @rule(index=indexes, position=st.integers(0, 7), trail=st.sampled_from(SOUND))
+    @rule(
+        index=indexes, position=st.integers(0, 7), trail=st.sampled_from(VALID_TRAILS)
+    )
     def send_out_of_order(self, index, position, trail):
         upstream = self.upstreams[index % len(self.upstreams)]
         self._deliver(upstream, position, trail, upstream.session)
 
     @precondition(lambda self: self.upstreams)
-    @rule(index=indexes, trail=st.sampled_from(BROKEN))
+    @rule(index=indexes, trail=st.sampled_from(INVALID_TRAILS))
     def send_with_wrong_trail(self, index, trail):
         upstream = self.upstreams[index % len(self.upstreams)]
         position = len(upstream.session.tokens)
@@ -110,7 +118,7 @@
     def send_to_the_other_request(self, index):
         upstream = self.upstreams[index % len(self.upstreams)]
         other = self.sessions[upstream.session is self.sessions[0]]
-        self._deliver(upstream, len(other.tokens), SOUND[0], other)
+        self._deliver(upstream, len(other.tokens), VALID_TRAILS[0], other)
 
     @precondition(lambda self: self.upstreams)
     @rule(index=indexes, count=st.integers(0, MAX_TOKENS))
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -44,7 +44,7 @@
     return Lists(1, {"p": parse_plan("p", {**row, "models": list(models)})})
 
 
-def wanted(targets):
+def engines_by_range(targets):
     return {(t.spec.model, t.first, t.last): t.engines for t in targets}
 
 
@@ -55,46 +55,46 @@
     def test_only_planned_models_get_engines(self):
         other = [engine("o1", 0, 8, "old"), engine("o2", 0, 8, "old")]
         targets = Shapes().derive(lists("draft"), [*HALVES, *other])
-        assert wanted(targets) == {("draft", 0, 4): 2, ("draft", 4, 8): 2}
+        assert engines_by_range(targets) == {("draft", 0, 4): 2, ("draft", 4, 8): 2}
 
-    def test_range_whose_last_engine_died_is_still_wanted(self):
+    def test_range_whose_last_engine_died_keeps_its_target(self):
         shapes = Shapes()
         shapes.derive(lists("draft"), HALVES)
         spare = engine("e3", 0, 4)
         targets = shapes.derive(lists("draft"), [HALVES[0], spare])
-        assert wanted(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
+        assert engines_by_range(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
 
     def test_leaving_engines_do_not_count(self):
         third = [engine("e3", 0, 4, leaving=True), engine("e4", 4, 8, leaving=True)]
         targets = Shapes().derive(lists("draft"), [*HALVES, *third])
-        assert wanted(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
+        assert engines_by_range(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
 
     def test_demand_shifts_engines_between_models(self):
         busy = [engine(f"b{n}", 0, 8, "busy", running=8) for n in range(2)]
         calm = [engine(f"c{n}", 0, 8, "calm") for n in range(4)]
         targets = Shapes().derive(lists("busy", "calm"), [*busy, *calm])
-        assert wanted(targets) == {("busy", 0, 8): 5, ("calm", 0, 8): 1}
+        assert engines_by_range(targets) == {("busy", 0, 8): 5, ("calm", 0, 8): 1}
 
-    def test_nothing_is_derived_from_a_broken_partition(self):
+    def test_no_targets_from_ranges_with_a_gap(self):
         assert Shapes().derive(lists("draft"), [HALVES[0]]) == []
 
-    def test_planned_models_of_all_plans(self):
+    def test_planned_models_are_those_of_all_plans(self):
         assert planned_models(lists("a", "b")) == {"a", "b"}
 
 
 class TestRoute:
-    def test_chain_through_all_layers(self):
+    def test_chain_through_all_layers_is_a_route(self):
         assert has_route("draft", HALVES)
 
-    def test_missing_range(self):
+    def test_missing_range_is_no_route(self):
         assert not has_route("draft", HALVES[1:])
 
-    def test_ranges_that_overlap_without_meeting(self):
+    def test_overlapping_ranges_are_no_route(self):
         assert not has_route("draft", [engine("e1", 0, 5), engine("e2", 4, 8)])
 
-    def test_leaving_engine_is_no_part_of_it(self):
+    def test_leaving_engine_is_not_part_of_a_route(self):
         leaving = engine("e2", 4, 8, leaving=True)
         assert not has_route("draft", [HALVES[0], leaving])
 
-    def test_other_model(self):
+    def test_engines_of_another_model_are_no_route(self):
         assert not has_route("other", HALVES)
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -14,14 +14,14 @@
 
 
 class TestLeaving:
-    def test_is_sticky_when_an_older_list_comes_late(self):
+    def test_an_older_list_does_not_undo_leaving(self):
         upstreams = Upstreams()
         upstreams.replace([(replica(), True)])
         upstreams.replace([(replica(), False)])
         assert upstreams.is_leaving("s1")
         assert upstreams.replicas("entries") == []
 
-    def test_word_of_the_upstream_counts_before_the_list(self):
+    def test_an_upstreams_own_report_counts_before_the_list(self):
         upstreams = Upstreams()
         upstreams.replace([(replica(), False)])
         upstreams.mark_leaving("s1", "1")
@@ -33,10 +33,10 @@
         upstreams.replace([(replica(incarnation="2"), False)])
         assert [r.incarnation for r in upstreams.replicas("entries")] == ["2"]
 
-    def test_unlisted_gets_no_work(self):
+    def test_an_unlisted_upstream_counts_as_leaving(self):
         assert Upstreams().is_leaving("nobody")
 
-    def test_memory_is_bounded(self, monkeypatch):
+    def test_remembered_incarnations_are_bounded(self, monkeypatch):
         monkeypatch.setattr(module, "LEAVING_MAX", 10)
         upstreams = Upstreams()
         upstreams.replace([(engine(f"e{n}"), True) for n in range(30)])
@@ -45,12 +45,12 @@
 
 
 class TestListing:
-    def test_tells_which_are_gone(self):
+    def test_replace_returns_the_removed_names(self):
         upstreams = Upstreams()
         upstreams.replace([(engine("e1"), False), (engine("e2"), False)])
         assert upstreams.replace([(engine("e2"), False)]) == ["e1"]
 
-    def test_engines_of_one_data_centre_leaving_ones_too(self):
+    def test_engines_of_one_data_centre_include_leaving_ones(self):
         upstreams = Upstreams()
         listed = [(engine("e1"), True), (engine("e2", data_centre="b"), False)]
         upstreams.replace([*listed, (replica(), False)])
