--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -274,10 +274,12 @@
             self.pools.remove(message.name)
             self.tickets.local.remove(message.name)
 
-    def _handle(self, sender: str, number: int, message: Message, now: float) -> None:
-        name = f"{sender}/{number}"
+    def _handle(
+        self, sender: str, incarnation: int, message: Message, now: float
+    ) -> None:
+        sender_id = f"{sender}/{incarnation}"
         if isinstance(message, Submit):
-            self.pools.submit(name, message, now)
+            self.pools.submit(sender_id, message, now)
         elif isinstance(message, Granted):
             self.tickets.granted(sender, message, now)
         elif isinstance(message, Refused):
@@ -285,17 +287,17 @@
         elif isinstance(message, Queued):
             self.tickets.queued(sender, message, now)
         elif isinstance(message, Numbered):
-            self._handle_numbered(sender, name, message, now)
+            self._handle_numbered(sender, sender_id, message, now)
         elif isinstance(message, Ack):
             self._handle_ack(sender, message)
         else:
-            self._handle_unnumbered(sender, name, message, now)
+            self._handle_unnumbered(sender, sender_id, message, now)
 
     def _handle_unnumbered(
-        self, sender: str, name: str, message: Message, now: float
+        self, sender: str, sender_id: str, message: Message, now: float
     ) -> None:
         if isinstance(message, Charge):
-            charged = self.homes.charge(name, message, now)
+            charged = self.homes.charge(sender_id, message, now)
             if charged is not None:
                 self._send(sender, charged)
         elif isinstance(message, Charged):
@@ -327,29 +329,31 @@
             self._send(sender, EngineReport(state, age_s))
 
     def _handle_numbered(
-        self, sender: str, name: str, message: Numbered, now: float
+        self, sender: str, sender_id: str, message: Numbered, now: float
     ) -> None:
         body = message.body
         if isinstance(body, Withdraw):
-            self.pools.withdraw(name, body, now)
+            self.pools.withdraw(sender_id, body, now)
         elif isinstance(body, Finished):
-            self.pools.finished(name, body, now)
+            self.pools.finished(sender_id, body, now)
         elif isinstance(body, Held):
-            self.pools.held(name, body, now)
+            self.pools.held(sender_id, body, now)
         elif isinstance(body, Charge):
-            self.homes.charge(name, body, now)
+            self.homes.charge(sender_id, body, now)
         elif isinstance(body, Settle):
-            self.homes.settle(name, body, now)
+            self.homes.settle(sender_id, body, now)
         else:
-            self._handle_reset(sender, name, body, now)
+            self._handle_reset(sender, sender_id, body, now)
         self._acks.setdefault(sender, []).append(message.number)
 
-    def _handle_reset(self, sender: str, name: str, body: Reset, now: float) -> None:
-        if self._reset_by_sender.get(name, 0) >= body.era:
+    def _handle_reset(
+        self, sender: str, sender_id: str, body: Reset, now: float
+    ) -> None:
+        if self._reset_by_sender.get(sender_id, 0) >= body.era:
             return
-        self._reset_by_sender[name] = body.era
-        self.pools.reset(name, body.era, now)
-        self.homes.reset(name, body.era, now)
+        self._reset_by_sender[sender_id] = body.era
+        self.pools.reset(sender_id, body.era, now)
+        self.homes.reset(sender_id, body.era, now)
         self.tickets.void(sender, now)
         self.charges.void(sender, now)
 
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -49,7 +49,6 @@
 """Largest random share added to an engine's time, so that hosts don't all choose
 the same engine."""
 
-
 HEADS_SOFT_SHARE = 0.7
 """Share of an engine's slots taken by requests that begin there above which other
 engines are preferred: hosts learn of each other's requests half a second late."""
@@ -82,7 +81,7 @@
 
 @dataclasses.dataclass(slots=True)
 class EngineUse:
-    """What requests of this host hold on an engine, and how the engine does.
+    """What requests of this host hold on an engine, and its observed health.
 
     ``key``: identifies one incarnation of the engine in messages between hosts;
     ``token_layers``: KV memory in use; ``running``: requests; ``heads``: requests
--- a/src/wagtailstair/core/placement.py
+++ b/src/wagtailstair/core/placement.py
@@ -115,7 +115,7 @@
     __slots__ = (
         "_limits",
         "_loaded_at_by_engine",
-        "_missing_since_by_target",
+        "_short_since_by_target",
         "_next_load_at",
         "_pending_by_engine",
     )
@@ -124,7 +124,7 @@
         self._limits = limits
         self._pending_by_engine: dict[str, _Pending] = {}
         self._loaded_at_by_engine: dict[str, float] = {}
-        self._missing_since_by_target: dict[tuple[str, str, int, int], float] = {}
+        self._short_since_by_target: dict[tuple[str, str, int, int], float] = {}
         self._next_load_at = 0.0
 
     @property
@@ -148,7 +148,7 @@
         idle = [e for e in idle if not e.leaving]
         orders = self._adapter_and_role_orders(targets, idle, now)
         # The range with the fewest engines first: a pipeline needs every range.
-        for target in sorted(targets, key=lambda t: self._count(t, engines)):
+        for target in sorted(targets, key=lambda t: self._count_engines(t, engines)):
             order = self._load_order(target, targets, engines, now)
             if order is not None:
                 orders.append(order)
@@ -205,10 +205,10 @@
     ) -> Order | None:
         spec = target.spec
         key = (spec.model, spec.version, target.first, target.last)
-        if self._count(target, engines) >= target.engines:
-            self._missing_since_by_target.pop(key, None)
+        if self._count_engines(target, engines) >= target.engines:
+            self._short_since_by_target.pop(key, None)
             return None
-        since = self._missing_since_by_target.setdefault(key, now)
+        since = self._short_since_by_target.setdefault(key, now)
         if now < self._next_load_at:
             return None
         engine = self._choose_engine(
@@ -230,7 +230,7 @@
         )
         return self._record_pending(order, engine, now)
 
-    def _count(
+    def _count_engines(
         self, target: Target, engines: collections.abc.Sequence[EngineState]
     ) -> int:
         spec = target.spec
@@ -288,7 +288,7 @@
             return False
         for target in targets:
             if _holds(engine, target):
-                return self._count(target, engines) > target.engines and (
+                return self._count_engines(target, engines) > target.engines and (
                     is_covered_without(engine, self._stable_engines(engines))
                 )
         return self._is_superseded(engine, targets, engines)
@@ -305,7 +305,7 @@
         spec_by_model = {target.spec.model: target.spec for target in targets}
         spec = spec_by_model.get(engine.model)
         if spec is None:
-            # No plan includes the model, so no account can use it.
+            # No account may use a model without targets, so no request is affected.
             return True
         if spec.version == engine.version:
             return False
--- a/src/wagtailstair/core/shortest.py
+++ b/src/wagtailstair/core/shortest.py
@@ -71,7 +71,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _State:
-    """The cheapest chain up to a layer, by its last engine."""
+    """The cheapest chain up to a layer; ``run`` is its last part."""
 
     cost: float
     run: _Run | None
