--- a/src/wagtailstair/core/placement.py
+++ b/src/wagtailstair/core/placement.py
@@ -115,9 +115,9 @@
     __slots__ = (
         "_limits",
         "_loaded_at_by_engine",
-        "_short_since_by_target",
         "_next_load_at",
         "_pending_by_engine",
+        "_short_since_by_target",
     )
 
     def __init__(self, limits: PlacementLimits) -> None:
