--- a/src/wagtailstair/core/ejection.py
+++ b/src/wagtailstair/core/ejection.py
@@ -60,13 +60,13 @@
             return True
         return health.is_probing and health.probe_open
 
-    def started(self, name: str) -> None:
+    def record_start(self, name: str) -> None:
         """Record that a request was sent to an upstream."""
         health = self._health_by_name.get(name)
         if health is not None and health.is_probing:
             health.probe_open = True
 
-    def succeeded(self, name: str, now: float) -> None:
+    def record_success(self, name: str, now: float) -> None:
         """Record a request that an upstream served."""
         health = self._health_by_name.get(name)
         if health is None or now < health.ejected_until:
@@ -78,13 +78,13 @@
         if is_healthy and not health.slow_reports:
             del self._health_by_name[name]
 
-    def abandoned(self, name: str) -> None:
+    def record_inconclusive(self, name: str) -> None:
         """Record a request whose end says nothing about the upstream's health."""
         health = self._health_by_name.get(name)
         if health is not None:
             health.probe_open = False
 
-    def failed(self, name: str, group_size: int, now: float) -> bool:
+    def record_failure(self, name: str, group_size: int, now: float) -> bool:
         """Record a failure; return whether it ejects the upstream."""
         health = self._health_by_name.setdefault(name, _Health())
         if now < health.ejected_until:
@@ -106,7 +106,9 @@
         health.probe_open = False
         return True
 
-    def measured(self, name: str, ratio: float, group_size: int, now: float) -> None:
+    def record_slowness(
+        self, name: str, ratio: float, group_size: int, now: float
+    ) -> None:
         """Record an upstream's time relative to similar ones.
 
         A slow upstream gets no requests and thus no probe; it is readmitted when
--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -9,7 +9,8 @@
 import typing as t
 
 from .charges import Charges
-from .charges import Homes
+from .charges import OwnedQuotas
+from .dispatch_client import DispatchClient
 from .engine import EngineState
 from .membership import Event
 from .membership import Membership
@@ -41,10 +42,9 @@
 from .pools import PoolFactory
 from .pools import Pools
 from .rendezvous import owner
-from .spread import Spread
-from .spread import load_of
-from .spread import with_load
-from .tickets import Tickets
+from .report_distribution import ReportDistribution
+from .report_distribution import load_of
+from .report_distribution import with_load
 
 ROLE_CACHE_MAX = 65_536
 """Most cached results of :meth:`Exchange.find_host`."""
@@ -53,17 +53,17 @@
 class Exchange:
     """Sends and handles all messages of one host.
 
-    Messages to this host itself are handled by :meth:`pump`. Those to other hosts
-    wait in ``outgoing`` as tuples of peer address, incarnation and message.
+    Messages to this host itself are handled by :meth:`deliver_messages`. Those to
+    other hosts wait in ``outgoing`` as tuples of peer address, incarnation and message.
     """
 
     def __init__(self, membership: Membership, make_pool: PoolFactory) -> None:
         self.engines = Engines()
         self.outbox = Outbox()
-        self.homes = Homes()
-        self.spread = Spread()
+        self.owned_quotas = OwnedQuotas()
+        self.report_distribution = ReportDistribution()
         self.pools = Pools(make_pool, self.engines)
-        self.tickets = Tickets(
+        self.dispatch_client = DispatchClient(
             self.find_owner, make_pool, self.engines, self._send_reliably
         )
         self.charges = Charges(
@@ -114,7 +114,7 @@
         """Store a load report that this host has read, and send it to peers."""
         self._store_report(state, now)
         dispatcher = self.find_owner(PoolKey(state.model, state.data_centre))
-        report_targets, load_targets = self.spread.targets(
+        report_targets, load_targets = self.report_distribution.select_peers(
             state, dispatcher, self._data_centre_peers(), now
         )
         for host in report_targets:
@@ -146,7 +146,7 @@
         for message in messages:
             self._handle(sender, incarnation, message, now)
 
-    def members_changed(self, events: t.Iterable[Event], now: float) -> None:
+    def apply_member_events(self, events: t.Iterable[Event], now: float) -> None:
         """Apply changes of the live hosts."""
         for event in events:
             self._apply_member_event(event, now)
@@ -155,28 +155,28 @@
     def tick(self, now: float) -> None:
         """Run all timers that are due."""
         self._apply_membership(now)
-        self.pools.touch()
-        self.tickets.tick(now)
+        self.pools.mark_all_changed()
+        self.dispatch_client.tick(now)
         self.charges.tick(now)
         for host, numbered in self.outbox.take_due(now):
             self._send(host, numbered)
-        for state in self.spread.stale(self.engines, now):
+        for state in self.report_distribution.stale(self.engines, now):
             self._remove_engine(EngineLost(state.name, state.incarnation))
 
     def next_wake(self, now: float) -> float | None:
         """Return when to call :meth:`tick` next, unless an event comes first."""
         wakes = (
-            self.tickets.next_wake(now),
+            self.dispatch_client.next_wake(now),
             self.charges.next_wake(),
             self.outbox.next_wake(),
             self.pools.next_wake(now),
         )
         return min((wake for wake in wakes if wake is not None), default=None)
 
-    def pump(self, now: float) -> None:
+    def deliver_messages(self, now: float) -> None:
         """Queue all pending messages, and handle those to this host itself."""
         while True:
-            for host, submit in self.tickets.take_sends():
+            for host, submit in self.dispatch_client.take_sends():
                 self._send(host, submit)
             for host, charge in self.charges.take_sends():
                 self._send(host, charge)
@@ -216,12 +216,12 @@
         if self._generation == self._membership.generation:
             return
         self._generation = self._membership.generation
-        self.tickets.local.share = max(
+        self.dispatch_client.local_pools.host_count = max(
             1, len(self._membership.live(self._host.data_centre))
         )
         self.charges.hosts = max(1, len(self._membership.live()))
-        self.tickets.moved(now)
-        self.charges.moved(now)
+        self.dispatch_client.reassign(now)
+        self.charges.reassign(now)
 
     def _apply_member_event(self, event: Event, now: float) -> None:
         if isinstance(event, PeerDead):
@@ -233,21 +233,21 @@
             self._drop_host(name, event.old.incarnation, now)
             sender = f"{name}/{event.old.incarnation}"
             self.pools.forget(sender)
-            self.homes.forget(sender)
+            self.owned_quotas.forget(sender)
             self._reset_by_sender.pop(sender, None)
             self._dead_incarnation_by_host.pop(name, None)
-            self.tickets.void(name, now)
-            self.charges.void(name, now)
-            self.spread.hurry()
+            self.dispatch_client.reissue(name, now)
+            self.charges.reissue(name, now)
+            self.report_distribution.refresh_all()
         elif isinstance(event, PeerLive):
             self._start_era(event.host.name, event.host.incarnation, now)
             if event.host.data_centre == self._host.data_centre:
-                self.spread.hurry()
+                self.report_distribution.refresh_all()
 
     def _drop_host(self, name: str, incarnation: int, now: float) -> None:
         self.outbox.drop(name)
         self.pools.host_lost(f"{name}/{incarnation}", now)
-        self.homes.host_lost(f"{name}/{incarnation}", now)
+        self.owned_quotas.host_lost(f"{name}/{incarnation}", now)
 
     def _start_era(self, name: str, incarnation: int, now: float) -> None:
         """Start a new era with a host that is live again after it was declared dead.
@@ -258,7 +258,7 @@
             return
         era = self._era_by_host.get(name, 0) + 1
         self._era_by_host[name] = era
-        self.tickets.era_by_host[name] = era
+        self.dispatch_client.era_by_host[name] = era
         self.charges.era_by_host[name] = era
         self._send_reliably(name, Reset(era), now)
 
@@ -267,12 +267,12 @@
             return
         state = self.engines.by_name[state.name]
         self.pools.observe(state, now)
-        self.tickets.local.observe(state, now)
+        self.dispatch_client.local_pools.observe(state, now)
 
     def _remove_engine(self, message: EngineLost) -> None:
         if self.engines.remove(message):
             self.pools.remove(message.name)
-            self.tickets.local.remove(message.name)
+            self.dispatch_client.local_pools.remove(message.name)
 
     def _handle(
         self, sender: str, incarnation: int, message: Message, now: float
@@ -281,11 +281,11 @@
         if isinstance(message, Submit):
             self.pools.submit(sender_id, message, now)
         elif isinstance(message, Granted):
-            self.tickets.granted(sender, message, now)
+            self.dispatch_client.receive_grant(sender, message, now)
         elif isinstance(message, Refused):
-            self.tickets.refused(sender, message, now)
+            self.dispatch_client.receive_refusal(sender, message, now)
         elif isinstance(message, Queued):
-            self.tickets.queued(sender, message, now)
+            self.dispatch_client.receive_queued(sender, message, now)
         elif isinstance(message, Numbered):
             self._handle_numbered(sender, sender_id, message, now)
         elif isinstance(message, Ack):
@@ -297,7 +297,7 @@
         self, sender: str, sender_id: str, message: Message, now: float
     ) -> None:
         if isinstance(message, Charge):
-            charged = self.homes.charge(sender_id, message, now)
+            charged = self.owned_quotas.charge(sender_id, message, now)
             if charged is not None:
                 self._send(sender, charged)
         elif isinstance(message, Charged):
@@ -335,13 +335,13 @@
         if isinstance(body, Withdraw):
             self.pools.withdraw(sender_id, body, now)
         elif isinstance(body, Finished):
-            self.pools.finished(sender_id, body, now)
+            self.pools.end_grant(sender_id, body, now)
         elif isinstance(body, Held):
-            self.pools.held(sender_id, body, now)
+            self.pools.adopt_grant(sender_id, body, now)
         elif isinstance(body, Charge):
-            self.homes.charge(sender_id, body, now)
+            self.owned_quotas.charge(sender_id, body, now)
         elif isinstance(body, Settle):
-            self.homes.settle(sender_id, body, now)
+            self.owned_quotas.settle(sender_id, body, now)
         else:
             self._handle_reset(sender, sender_id, body, now)
         self._acks.setdefault(sender, []).append(message.number)
@@ -353,14 +353,14 @@
             return
         self._reset_by_sender[sender_id] = body.era
         self.pools.reset(sender_id, body.era, now)
-        self.homes.reset(sender_id, body.era, now)
-        self.tickets.void(sender, now)
-        self.charges.void(sender, now)
+        self.owned_quotas.reset(sender_id, body.era, now)
+        self.dispatch_client.reissue(sender, now)
+        self.charges.reissue(sender, now)
 
     def _handle_ack(self, sender: str, message: Ack) -> None:
         for number in message.numbers:
             self.outbox.acknowledge(sender, number)
-        self.tickets.heard(sender)
+        self.dispatch_client.mark_responsive(sender)
         self.charges.suspects.discard(sender)
 
     def _drain_acks(self) -> list[tuple[str, list[int]]]:
--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -29,7 +29,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Placing:
+class LayerAssignment:
     """An engine and the layers from ``first`` up to ``last`` that it is to hold."""
 
     replica: Replica
@@ -67,12 +67,12 @@
     return ROOM_TOKENS_MIN
 
 
-def plan(
+def plan_layers(
     model: ModelSpec,
     replicas: t.Iterable[Replica],
     range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
     reserved: t.Container[tuple[str, int]] = (),
-) -> list[Placing]:
+) -> list[LayerAssignment]:
     """Return assignments for the engines that hold no layers.
 
     :param range_by_identity: ranges that have already been ordered.
@@ -108,15 +108,15 @@
             first = _best_start(model.layers, size, copies, copies_anywhere, ends)
         held = (first, first + size)
         _count_range(held, copies, copies_anywhere, ends)
-        assignments.append(Placing(replica, *held))
+        assignments.append(LayerAssignment(replica, *held))
     return assignments
 
 
-def repair(
+def plan_repairs(
     model: ModelSpec,
     replicas: t.Iterable[Replica],
     range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
-) -> list[Placing]:
+) -> list[LayerAssignment]:
     """Return one move for each data centre that lacks layers.
 
     The move is the one that leaves the fewest layers uncovered. A data centre
@@ -140,7 +140,7 @@
     return moves
 
 
-def _best_move(model: ModelSpec, engines: list[Replica]) -> Placing | None:
+def _best_move(model: ModelSpec, engines: list[Replica]) -> LayerAssignment | None:
     copies = [0] * model.layers
     for replica in engines:
         for layer in range(*t.cast("tuple[int, int]", replica.layers)):
@@ -148,7 +148,7 @@
     fewest_uncovered = copies.count(0)
     if not fewest_uncovered or fewest_uncovered > model.layers // 2:
         return None
-    best: Placing | None = None
+    best: LayerAssignment | None = None
     gaps = [layer for layer in range(model.layers) if not copies[layer]]
     for replica in sorted(engines, key=lambda engine: engine.name):
         first, last = t.cast("tuple[int, int]", replica.layers)
@@ -160,7 +160,7 @@
             uncovered_after = uncovered - copies[start : start + size].count(0)
             if uncovered_after < fewest_uncovered:
                 fewest_uncovered = uncovered_after
-                best = Placing(replica, start, start + size)
+                best = LayerAssignment(replica, start, start + size)
         for layer in range(first, last):
             copies[layer] += 1
     return best
--- a/src/wagtailstair/core/freshness.py
+++ b/src/wagtailstair/core/lists_refresh.py
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class ReadHead:
+class ReadVersion:
     """Read the version of the lists from the platform."""
 
     started_at: float
@@ -56,10 +56,10 @@
     peer: str
 
 
-Action = ReadHead | ReadLists | FetchLists
+Action = ReadVersion | ReadLists | FetchLists
 
 
-class Freshness:
+class ListsRefresh:
     """Decides which reads of the lists one daemon starts.
 
     :param interval_s: seconds between two reads by the host of first rank.
@@ -118,11 +118,11 @@
             actions.append(ReadLists(now))
         elif now >= self._next_read_at:
             self._is_reading = True
-            actions.append(ReadHead(now))
+            actions.append(ReadVersion(now))
         return actions
 
-    def answered(
-        self, action: ReadHead | ReadLists, platform_version: int, now: float
+    def record_version(
+        self, action: ReadVersion | ReadLists, platform_version: int, now: float
     ) -> None:
         """Record the version of the lists that the platform answered."""
         self._is_reading = False
@@ -136,7 +136,7 @@
             self._paused_at = None
         self._update_readiness(now)
 
-    def failed(self, action: Action, now: float) -> None:
+    def record_failure(self, action: Action, now: float) -> None:
         """Record that a read or a fetch failed, and schedule the next one."""
         if isinstance(action, FetchLists):
             self._is_fetching = False
@@ -153,7 +153,7 @@
             self._paused_at = None
         self._update_readiness(now)
 
-    def fetched(self, action: FetchLists, now: float) -> None:
+    def record_fetch(self, action: FetchLists, now: float) -> None:
         """Record that a peer answered a fetch."""
         self._is_fetching = False
         if self.version < self._peers.held:
@@ -164,7 +164,7 @@
             self._paused_at = None
         self._update_readiness(now)
 
-    def taken(self, version: int) -> None:
+    def record_applied(self, version: int) -> None:
         """Record the version of the lists that this host now applies."""
         self.version = max(self.version, version)
 
--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -4,10 +4,10 @@
 import dataclasses
 import typing as t
 
-from .demand import Want
 from .engine import EngineState
 from .engine import Priority
 from .engine import Route
+from .grants import RouteRequest
 
 WORK_PER_PROMPT_TOKEN = 1 / 8
 """Work of a prompt token; an output token is 1."""
@@ -42,11 +42,11 @@
     prefixes: tuple[int, ...]
 
     @classmethod
-    def of(cls, want: Want) -> "Need":
+    def of(cls, request: RouteRequest) -> "Need":
         """Return the need of a request that waits for a route."""
-        tokens = max(1.0, want.work - prompt_work(want.prompt_tokens))
-        kv = want.prompt_tokens + want.max_tokens
-        return cls(want.prompt_tokens, tokens, kv, want.prefixes)
+        tokens = max(1.0, request.work - prompt_work(request.prompt_tokens))
+        kv = request.prompt_tokens + request.max_tokens
+        return cls(request.prompt_tokens, tokens, kv, request.prefixes)
 
 
 class StepFit:
@@ -90,8 +90,8 @@
     """An engine's last report and the grants of its dispatcher on it.
 
     ``granted``: open grants; ``granted_kv``: KV memory reserved for them, in
-    tokens; ``foreign``: requests that this dispatcher did not grant; ``used``:
-    the sum of both; ``caps``: for each priority, the number of used slots up to
+    tokens; ``other_requests``: requests that this dispatcher did not grant; ``used``:
+    the sum of both; ``use_limits``: for each priority, the number of used slots up to
     which it gets grants; ``prefill_until``: when the prompts granted so far will
     have been read; ``next_step_s``: expected seconds of a step with one more
     request; ``read_s``: seconds to read one prompt token.
@@ -100,15 +100,15 @@
     state: EngineState
     granted: int = 0
     granted_kv: int = 0
-    foreign: int = 0
+    other_requests: int = 0
     used: int = 0
     is_leaving: bool = False
     is_ejected: bool = False
-    caps: list[int] = dataclasses.field(default_factory=list)
+    use_limits: list[int] = dataclasses.field(default_factory=list)
     prefill_until: float = 0.0
     next_step_s: float = 0.0
     read_s: float = 0.0
-    lane: "Lane | None" = None
+    group: "EngineGroup | None" = None
     fit: StepFit = dataclasses.field(default_factory=StepFit)
     prefixes: collections.OrderedDict[int, None] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -123,16 +123,16 @@
 
     def refresh(self) -> None:
         """Recompute the values that depend on the number of requests."""
-        self.used = self.granted + self.foreign
+        self.used = self.granted + self.other_requests
         added_requests = self.used + 1 - max(1, self.state.running)
         step_s = self.state.step_s + added_requests * self.fit.slope_s()
         self.next_step_s = max(0.0, step_s)
-        if self.lane is None:
+        if self.group is None:
             return
         if self.used < self.state.slots:
-            self.lane.free[self] = None
+            self.group.free[self] = None
         else:
-            self.lane.free.pop(self, None)
+            self.group.free.pop(self, None)
 
     def unread_share(self, prefixes: tuple[int, ...]) -> float:
         """Return the share of a prompt that the engine has no cached prefix for."""
@@ -190,7 +190,7 @@
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Lane:
+class EngineGroup:
     """The engines of one data centre that hold the same range of layers.
 
     ``free``: the engines with a free slot, in a dict that serves as ordered set.
@@ -204,70 +204,72 @@
     free: dict[EngineLoad, None] = dataclasses.field(default_factory=dict)
 
 
-LaneKey = tuple[int, int, int, str]
+GroupKey = tuple[int, int, int, str]
 
 
-def _lane_key(state: EngineState) -> LaneKey:
+def _group_key(state: EngineState) -> GroupKey:
     return (state.first, state.last, state.layers, state.data_centre)
 
 
-def set_caps(lane: Lane, reserves: tuple[float, float, float]) -> None:
-    """Reserve slots of a lane for more urgent requests, on its fastest engines.
+def set_use_limits(group: EngineGroup, reserves: tuple[float, float, float]) -> None:
+    """Reserve slots of a group for more urgent requests, on its fastest engines.
 
-    :param reserves: for each priority, the share of the lane's slots that it
+    :param reserves: for each priority, the share of the group's slots that it
         may not use.
     """
-    fastest = sorted(lane.loads, key=lambda load: (load.state.step_s, load.state.name))
+    fastest = sorted(group.loads, key=lambda load: (load.state.step_s, load.state.name))
     slots = sum(load.state.slots for load in fastest)
     for load in fastest:
-        load.caps = [load.state.slots] * len(Priority)
+        load.use_limits = [load.state.slots] * len(Priority)
     for priority in Priority:
         to_reserve = int(slots * reserves[priority])
         for load in fastest:
             reserved = min(to_reserve, int(load.state.slots * MAX_RESERVED_SHARE))
-            load.caps[priority] -= reserved
+            load.use_limits[priority] -= reserved
             to_reserve -= reserved
 
 
 class LoadTable:
-    """The engines of a pool by name and by lane."""
+    """The engines of a pool by name and by group."""
 
-    __slots__ = ("_reserves", "by_name", "lanes")
+    __slots__ = ("_reserves", "by_name", "groups")
 
     def __init__(self, reserves: tuple[float, float, float]) -> None:
         self._reserves = reserves
         self.by_name: dict[str, EngineLoad] = {}
-        self.lanes: list[Lane] = []
+        self.groups: list[EngineGroup] = []
 
     def _rebuild_groups(self) -> None:
-        lane_by_key: dict[LaneKey, Lane] = {}
+        group_by_key: dict[GroupKey, EngineGroup] = {}
         for load in self.by_name.values():
-            key = _lane_key(load.state)
-            lane = lane_by_key.get(key)
-            if lane is None:
-                lane = lane_by_key[key] = Lane(*key)
-            lane.loads.append(load)
-            load.lane = lane
+            key = _group_key(load.state)
+            group = group_by_key.get(key)
+            if group is None:
+                group = group_by_key[key] = EngineGroup(*key)
+            group.loads.append(load)
+            load.group = group
             load.refresh()
-        self.lanes = [lane_by_key[key] for key in sorted(lane_by_key)]
-        for lane in self.lanes:
-            set_caps(lane, self._reserves)
+        self.groups = [group_by_key[key] for key in sorted(group_by_key)]
+        for group in self.groups:
+            set_use_limits(group, self._reserves)
 
     def observe(self, state: EngineState) -> bool:
         """Update an engine of the same incarnation; return if more may fit now."""
         load = self.by_name[state.name]
         if state.as_of < load.state.as_of:
             return False
-        before, foreign = load.state, load.foreign
+        before, other_requests = load.state, load.other_requests
         other_requests_now = max(0, state.running + state.waiting - load.granted)
-        load.foreign = min(foreign, other_requests_now)
+        load.other_requests = min(other_requests, other_requests_now)
         load.take(state)
-        if _lane_key(before) != _lane_key(state) or before.slots != state.slots:
+        if _group_key(before) != _group_key(state) or before.slots != state.slots:
             self._rebuild_groups()
             return True
         if (before.leaving, before.adapters) != (state.leaving, state.adapters):
             return True
-        return load.foreign != foreign or before.kv_tokens != state.kv_tokens
+        return (
+            load.other_requests != other_requests or before.kv_tokens != state.kv_tokens
+        )
 
     def add(self, state: EngineState, open_needs: t.Iterable[Need]) -> None:
         """Add an engine or a new incarnation of it, with its open grants."""
@@ -275,7 +277,7 @@
         for need in open_needs:
             load.granted += 1
             load.granted_kv += need.kv
-        load.foreign = max(0, state.running + state.waiting - load.granted)
+        load.other_requests = max(0, state.running + state.waiting - load.granted)
         load.take(state)
         self.by_name[state.name] = load
         self._rebuild_groups()
@@ -295,11 +297,11 @@
                 load.start(need, now)
 
     def adopt(self, route: Route, need: Need, now: float) -> None:
-        """Add a grant whose requests have been counted as foreign until now."""
+        """Add a grant whose requests have been counted as other requests."""
         for stage in route:
             load = self.by_name.get(stage.engine)
             if load is not None:
-                load.foreign = max(0, load.foreign - 1)
+                load.other_requests = max(0, load.other_requests - 1)
         self.start(route, need, now)
 
     def end(self, route: Route, need: Need) -> None:
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -1,7 +1,7 @@
 """The load on the engines of a service, and the choice of a request's pipeline.
 
 An engine costs the seconds that it adds to the request, plus penalties for KV
-memory that is nearly full. :mod:`.shortest` finds the cheapest chain of engines.
+memory that is nearly full. :mod:`.path_search` finds the cheapest chain of engines.
 The head of a pipeline is its first engine.
 """
 
@@ -11,12 +11,12 @@
 import zlib
 
 from .directory import ModelSpec
+from .path_search import Candidate
+from .path_search import Entry
+from .path_search import Hop as Hop
+from .path_search import Path as Path
+from .path_search import cheapest_path
 from .replicas import Replica
-from .shortest import Candidate
-from .shortest import Entry
-from .shortest import Hop as Hop
-from .shortest import Path as Path
-from .shortest import cheapest_path
 
 HOP_QUEUEING_S = 0.0004
 """Seconds of queueing that a hop adds to each decoding step."""
@@ -72,7 +72,7 @@
 NO_LOAD = Load(0, 0, 0.0)
 
 
-class Source(t.NamedTuple):
+class LoadSource(t.NamedTuple):
     """The origin of a load report: a host, or a data centre for all its hosts."""
 
     name: str
@@ -102,7 +102,7 @@
     return zlib.crc32(f"{replica.name}/{replica.incarnation}".encode())
 
 
-def kv_room(model: ModelSpec, replica: Replica) -> float:
+def kv_capacity(model: ModelSpec, replica: Replica) -> float:
     """Return the token-layers that fit into an engine's memory beside its weights."""
     accelerator = model.accelerator_by_name.get(replica.accelerator)
     if accelerator is None or replica.layers is None:
@@ -129,7 +129,7 @@
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
-        self._loads_by_source: dict[Source, dict[int, Load]] = {}
+        self._loads_by_source: dict[LoadSource, dict[int, Load]] = {}
         # The sum of the loads of all sources.
         self._peer_load_by_key: dict[int, Load] = {}
         self.use_by_identity: dict[tuple[str, int], EngineUse] = {}
@@ -142,7 +142,7 @@
             self.use_by_identity[replica.identity] = use
         return use
 
-    def take(self, path: Path, tokens: float) -> None:
+    def reserve_tokens(self, path: Path, tokens: float) -> None:
         """Add a request's tokens to the load of each engine of its path."""
         for hop in path:
             use = self.use(hop.replica)
@@ -150,23 +150,23 @@
             use.heads += hop is path[0]
             use.token_layers += tokens * (hop.last - hop.first)
 
-    def give_back(self, path: Path, tokens: float) -> None:
-        """Undo :meth:`take`."""
+    def release_tokens(self, path: Path, tokens: float) -> None:
+        """Undo :meth:`reserve_tokens`."""
         for hop in path:
             use = self.use(hop.replica)
             use.running -= 1
             use.heads -= hop is path[0]
             use.token_layers -= tokens * (hop.last - hop.first)
 
-    def note_peer(self, source: Source, loads: dict[int, Load]) -> None:
+    def set_peer_loads(self, source: LoadSource, loads: dict[int, Load]) -> None:
         """Replace the loads that a source reported before."""
-        self.forget_peer(source)
+        self.drop_peer_loads(source)
         self._loads_by_source[source] = loads
         for key, load in loads.items():
             known = self._peer_load_by_key.get(key, NO_LOAD)
             self._peer_load_by_key[key] = _sum_loads(known, load)
 
-    def forget_peer(self, source: Source) -> None:
+    def drop_peer_loads(self, source: LoadSource) -> None:
         """Drop the loads that a source reported."""
         for key, load in self._loads_by_source.pop(source, {}).items():
             known = self._peer_load_by_key[key]
@@ -189,7 +189,7 @@
                 loads[use.key] = Load(use.running, max(0, use.heads), held)
         return loads
 
-    def centre_loads(self) -> dict[int, Load]:
+    def data_centre_loads(self) -> dict[int, Load]:
         """Return the loads of all requests of this data centre by engine key."""
         sums = self.own_loads()
         for source, loads in self._loads_by_source.items():
@@ -221,7 +221,7 @@
         for hop in path:
             held = self.total(hop.replica).token_layers
             wanted = held + tokens * (hop.last - hop.first)
-            if wanted > share * kv_room(model, hop.replica):
+            if wanted > share * kv_capacity(model, hop.replica):
                 return False
         return True
 
@@ -291,7 +291,7 @@
         read = kind.prefill_factor / model.read_tokens_per_s
         layer_s = (answer * step + prompt * read) * use.slowness / model.layers
         layer_s *= 1 + COST_JITTER_SHARE * self._rng.random()
-        room = kv_room(model, replica)
+        room = kv_capacity(model, replica)
         assert replica.layers is not None
         wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
         fill = (load.token_layers + wanted) / room if room > 0 else NO_KV_FILL
--- a/src/wagtailstair/core/placement.py
+++ b/src/wagtailstair/core/placement.py
@@ -141,7 +141,7 @@
         """Return the orders to send now, at most one to an engine.
 
         An order is in progress until the engine's state shows its effect, until
-        :meth:`failed` is called for it, or until ``order_s`` has passed.
+        :meth:`record_refusal` is called for it, or until ``order_s`` has passed.
         """
         self._drop_finished(engines, now)
         idle = [e for e in engines if e.name not in self._pending_by_engine]
@@ -154,7 +154,7 @@
                 orders.append(order)
         return orders
 
-    def failed(self, order: Order) -> None:
+    def record_refusal(self, order: Order) -> None:
         """Drop an order that the engine refused or that was not sent."""
         pending = self._pending_by_engine.get(order.engine)
         if pending is not None and pending.order == order:
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -77,7 +77,7 @@
             return
         self._drop_row(name)
 
-    def settle(self, now: float, *, is_store_away: bool) -> list[str]:
+    def drop_lapsed(self, now: float, *, is_store_unreachable: bool) -> list[str]:
         """Drop the upstreams whose removal is due; return their names.
 
         While the store is unreachable no row can come back, so the removals are
@@ -85,7 +85,7 @@
         """
         dropped = []
         for name, at in list(self._removal_at_by_name.items()):
-            if is_store_away:
+            if is_store_unreachable:
                 self._removal_at_by_name[name] = now + self._lapse_s
                 continue
             if now >= at:
--- a/src/wagtailstair/core/routing.py
+++ b/src/wagtailstair/core/routing.py
@@ -1,4 +1,4 @@
-"""Choice of a route over lanes of engines, and the throughput bound of a fleet."""
+"""Choice of a route over groups of engines, and the throughput bound of a fleet."""
 
 import collections
 import dataclasses
@@ -7,14 +7,14 @@
 from .engine import EngineState
 from .engine import Route
 from .engine import Stage
+from .loads import EngineGroup
 from .loads import EngineLoad
-from .loads import Lane
 
 DEFAULT_LINK_S = 0.0005
 """Seconds one way to a data centre that an engine reports no delay to."""
 
-Pick = t.Callable[[Lane], tuple[float, EngineLoad] | None]
-"""Chooses an engine of a lane; returns its expected delay in seconds and its load."""
+Pick = t.Callable[[EngineGroup], tuple[float, EngineLoad] | None]
+"""Chooses an engine of a group; returns its expected delay in seconds and its load."""
 
 
 def link_s(source: EngineState, target_data_centre: str) -> float:
@@ -57,39 +57,39 @@
 
 
 def shortest_route(
-    lanes: t.Iterable[Lane], tokens: float, pick: Pick
+    groups: t.Iterable[EngineGroup], tokens: float, pick: Pick
 ) -> tuple[Route, float] | None:
     """Return the route of least expected delay and that delay, or ``None``.
 
     The layer ranges of a route cover every layer of the model exactly once.
 
-    :param lanes: lanes of one model, in ascending order of their ranges.
+    :param groups: engine groups of one model, in ascending order of their ranges.
     :param tokens: expected output tokens.
     """
     paths_by_boundary: dict[int, dict[str, _Path]] = {}
     best: _Path | None = None
-    for lane in lanes:
+    for group in groups:
         previous: _Path | None = None
         total = 0.0
-        if lane.first > 0:
-            reached = paths_by_boundary.get(lane.first)
+        if group.first > 0:
+            reached = paths_by_boundary.get(group.first)
             if reached is None:
                 continue
             total, previous = _best_predecessor(
-                reached.values(), lane.data_centre, tokens
+                reached.values(), group.data_centre, tokens
             )
-        picked = pick(lane)
+        picked = pick(group)
         if picked is None:
             continue
         path = _Path(total + picked[0], picked[1], previous)
-        if lane.last >= lane.layers:
+        if group.last >= group.layers:
             if best is None or path.cost < best.cost:
                 best = path
             continue
-        paths = paths_by_boundary.setdefault(lane.last, {})
-        known = paths.get(lane.data_centre)
+        paths = paths_by_boundary.setdefault(group.last, {})
+        known = paths.get(group.data_centre)
         if known is None or path.cost < known.cost:
-            paths[lane.data_centre] = path
+            paths[group.data_centre] = path
     if best is None:
         return None
     return _route_of(best), best.cost
--- a/src/wagtailstair/core/sessions.py
+++ b/src/wagtailstair/core/sessions.py
@@ -182,7 +182,7 @@
             return False
         return self._epoch < self.max_epochs
 
-    def line(
+    def accept_token(
         self,
         request: str,
         attempt: str,
@@ -215,7 +215,7 @@
         self.texts.append(text)
         return ACCEPTED
 
-    def end(
+    def accept_end(
         self, request: str, attempt: str, epoch: int, position: int, reason: str
     ) -> Verdict:
         """Check an end line; the answer is complete if its position matches.
@@ -226,11 +226,11 @@
             return self._drop_unrelated(request, attempt)
         if position != len(self.tokens):
             return self._violate(ViolationReason.END_POSITION)
-        self._close(AttemptEnd.ANSWERED)
+        self._close_attempt(AttemptEnd.ANSWERED)
         self.finish_reason = reason
         return ACCEPTED
 
-    def broken(self, attempt: str, sent: bool) -> bool:
+    def close_broken(self, attempt: str, sent: bool) -> bool:
         """Close an attempt whose stream ended without an end line.
 
         :param sent: whether any byte of the request may have reached the engine.
@@ -239,17 +239,17 @@
         end = AttemptEnd.UNKNOWN if sent else AttemptEnd.NOT_SENT
         return self._close_failed(attempt, end)
 
-    def refused(self, attempt: str) -> bool:
+    def close_refused(self, attempt: str) -> bool:
         """Close an attempt that the engine refused without running it.
 
         :returns: whether a new attempt may be opened.
         """
         return self._close_failed(attempt, AttemptEnd.REFUSED)
 
-    def give_up(self) -> Outcome:
+    def close(self) -> Outcome:
         """Close the session and return its outcome."""
         if self._attempt is not None:
-            self._close(AttemptEnd.UNKNOWN)
+            self._close_attempt(AttemptEnd.UNKNOWN)
         self.max_epochs = self._epoch
         return self.outcome()
 
@@ -272,7 +272,7 @@
         if len(self.tokens) > self._start_position:
             # An attempt that delivered a token has run, even if refused later.
             end = AttemptEnd.UNKNOWN
-        self._close(end)
+        self._close_attempt(end)
         return self.may_begin()
 
     def _drop(self, reason: DropReason) -> Dropped:
@@ -288,9 +288,9 @@
 
     def _violate(self, reason: ViolationReason) -> Violation:
         self.violations[reason] += 1
-        self._close(AttemptEnd.UNKNOWN)
+        self._close_attempt(AttemptEnd.UNKNOWN)
         return VIOLATION_BY_REASON[reason]
 
-    def _close(self, end: AttemptEnd) -> None:
+    def _close_attempt(self, end: AttemptEnd) -> None:
         self._attempt = None
         self._attempt_ends.append(end)
