--- a/src/wagtailstair/core/events.py
+++ b/src/wagtailstair/core/events.py
@@ -51,7 +51,7 @@
 
 
 def events_after(complete: bytes, last_id: bytes) -> bytes:
-    """Return the events with a higher id than the last one that was seen.
+    """Return the events with a higher id than ``last_id``.
 
     Events without a numeric id are always returned, and so are all events if
     ``last_id`` is not a number.
--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -313,8 +313,8 @@
             self._remove_engine(message)
 
     def _handle_load(self, sender: str, message: EngineLoad, now: float) -> None:
-        known = self.engines.by_name.get(message.name)
-        state = None if known is None else with_load(known, message, now)
+        last_state = self.engines.by_name.get(message.name)
+        state = None if last_state is None else with_load(last_state, message, now)
         if state is None:
             self._send(sender, ReportRequest(message.name))
             return
--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -47,8 +47,8 @@
         return 0
     kv_mb = model.kv_bytes / model.layers * room_tokens / 1e6
     most = int(accelerator_kind.memory_mb // model.layer_weights_mb)
-    wanted = int(accelerator_kind.memory_mb / (model.layer_weights_mb + kv_mb))
-    return max(0, min(max(wanted, 1), most, model.layers))
+    needed = int(accelerator_kind.memory_mb / (model.layer_weights_mb + kv_mb))
+    return max(0, min(max(needed, 1), most, model.layers))
 
 
 def room_for(model: ModelSpec, accelerators: t.Sequence[str]) -> float:
@@ -57,11 +57,11 @@
     More room lets more requests run at once; more spare layers tolerate more lost
     engines.
     """
-    wanted = model.layers * (1 + SPARE_SHARE)
+    needed = model.layers * (1 + SPARE_SHARE)
     room = ROOM_TOKENS_MAX
     while room > ROOM_TOKENS_MIN:
         held = sum(layers_for(model, name, room) for name in accelerators)
-        if held >= wanted:
+        if held >= needed:
             return room
         room *= ROOM_STEP
     return ROOM_TOKENS_MIN
--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -297,7 +297,7 @@
                 load.start(need, now)
 
     def adopt(self, route: Route, need: Need, now: float) -> None:
-        """Add a grant whose requests have been counted as other requests."""
+        """Add a grant whose request was counted in ``other_requests`` until now."""
         for stage in route:
             load = self.by_name.get(stage.engine)
             if load is not None:
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -163,17 +163,17 @@
         self.drop_peer_loads(source)
         self._loads_by_source[source] = loads
         for key, load in loads.items():
-            known = self._peer_load_by_key.get(key, NO_LOAD)
-            self._peer_load_by_key[key] = _sum_loads(known, load)
+            sum_before = self._peer_load_by_key.get(key, NO_LOAD)
+            self._peer_load_by_key[key] = _sum_loads(sum_before, load)
 
     def drop_peer_loads(self, source: LoadSource) -> None:
         """Drop the loads that a source reported."""
         for key, load in self._loads_by_source.pop(source, {}).items():
-            known = self._peer_load_by_key[key]
+            sum_before = self._peer_load_by_key[key]
             remaining = Load(
-                known.running - load.running,
-                known.heads - load.heads,
-                known.token_layers - load.token_layers,
+                sum_before.running - load.running,
+                sum_before.heads - load.heads,
+                sum_before.token_layers - load.token_layers,
             )
             if remaining.running > 0:
                 self._peer_load_by_key[key] = remaining
@@ -220,8 +220,8 @@
             return False
         for hop in path:
             held = self.total(hop.replica).token_layers
-            wanted = held + tokens * (hop.last - hop.first)
-            if wanted > share * kv_capacity(model, hop.replica):
+            needed = held + tokens * (hop.last - hop.first)
+            if needed > share * kv_capacity(model, hop.replica):
                 return False
         return True
 
@@ -293,8 +293,8 @@
         layer_s *= 1 + COST_JITTER_SHARE * self._rng.random()
         room = kv_capacity(model, replica)
         assert replica.layers is not None
-        wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
-        fill = (load.token_layers + wanted) / room if room > 0 else NO_KV_FILL
+        needed = (prompt + answer) * (replica.layers[1] - replica.layers[0])
+        fill = (load.token_layers + needed) / room if room > 0 else NO_KV_FILL
         hop_s = answer * HOP_QUEUEING_S
         if fill > 1.0:
             hop_s += NO_ROOM_COST_S
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -54,11 +54,11 @@
 
         A row of an older incarnation is ignored.
         """
-        known = self.by_name.get(replica.name)
-        if known is not None and replica.incarnation < known.incarnation:
+        current = self.by_name.get(replica.name)
+        if current is not None and replica.incarnation < current.incarnation:
             return False
         self._removal_at_by_name.pop(replica.name, None)
-        if known == replica:
+        if current == replica:
             return False
         self.by_name[replica.name] = replica
         self.generation += 1
--- a/src/wagtailstair/core/routing.py
+++ b/src/wagtailstair/core/routing.py
@@ -87,8 +87,8 @@
                 best = path
             continue
         paths = paths_by_boundary.setdefault(group.last, {})
-        known = paths.get(group.data_centre)
-        if known is None or path.cost < known.cost:
+        current = paths.get(group.data_centre)
+        if current is None or path.cost < current.cost:
             paths[group.data_centre] = path
     if best is None:
         return None
@@ -149,8 +149,8 @@
             continue
         sink = max(sink, state.layers)
         edges = capacity[state.first]
-        known = edges.get(state.last, 0.0)
-        edges[state.last] = known + engine_tokens_per_s(state, kv_per_request)
+        current = edges.get(state.last, 0.0)
+        edges[state.last] = current + engine_tokens_per_s(state, kv_per_request)
     if not sink:
         return 0.0
     total = 0.0
--- a/src/wagtailstair/core/shapes.py
+++ b/src/wagtailstair/core/shapes.py
@@ -1,4 +1,4 @@
-"""Layer ranges of models, learnt from engine reports, and targets for engines."""
+"""Layer ranges of models, derived from engine reports, and targets for engines."""
 
 import collections.abc
 
