--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -1,4 +1,4 @@
-"""Follows a table of the store: all its rows once, then what changes."""
+"""Follows a table of the store: reads all rows once, then long-polls for changes."""
 
 import random
 import typing as t
@@ -19,24 +19,25 @@
 from .transfer import UpstreamPool
 
 READ_TIMEOUT_S = 1.5
-"""Seconds for a read: a slow store's answers take some hundred milliseconds."""
+"""Timeout of a read: a slow store answers within a few hundred milliseconds."""
 
 FEED_WAIT_S = 10.0
-"""Seconds that a call for changes waits; each call is priced."""
+"""Seconds that the store holds a call for changes open; each call is priced."""
 
 FEED_MARGIN_S = 1.0
-"""Seconds beyond its wait after which a call for changes is given up."""
+"""Seconds beyond its wait after which a call for changes times out."""
 
 BACKOFF_S = 0.1
 BACKOFF_MAX_S = 1.0
-"""Bounds of the pause after a failed call: changes are due within 2 s."""
+"""Bounds of the backoff after a failed call; changes must arrive within 2 s."""
 
 
 class TableFollower:
-    """One table as the store tells of it, while this host follows the store.
+    """A copy of one table, updated from the store while the follower is active.
 
-    :param on_news: takes the rows that are news to the copy.
-    :param pause_s: between two calls for changes, so that one brings several.
+    :param on_change: called with the rows that have changed in the copy.
+    :param pause_s: seconds between two calls for changes, so that one call
+        returns several.
     """
 
     def __init__(
@@ -45,7 +46,7 @@
         pool: UpstreamPool,
         store: Upstream,
         table: str,
-        on_news: t.Callable[[list[StoreRow]], None],
+        on_change: t.Callable[[list[StoreRow]], None],
         rng: random.Random,
         pause_s: float = 0.0,
     ) -> None:
@@ -54,7 +55,7 @@
         self._pool = pool
         self._store = store
         self.table = table
-        self._on_news = on_news
+        self._on_change = on_change
         self._rng = rng
         self._failures = 0
         self._pages: list[StoreRow] = []
@@ -67,22 +68,23 @@
         self.is_away = False
 
     def start(self) -> None:
-        """Begin to follow the store, from what is known on."""
+        """Start to follow the store, from the version of the copy on."""
         if not self.is_active:
             self.is_active = True
             self._resume()
 
     def stop(self) -> None:
-        """No longer follow the store."""
+        """Stop following the store."""
         self.is_active = False
         self.is_away = False
         self._failures = 0
         self._cancel()
 
     def renew(self, reason: str) -> None:
-        """Give up a call that should have been answered, and ask at once again.
+        """Cancel the call in progress and send one that returns at once.
 
-        Only an answer that does not come then is a failure of the store.
+        Used where a call looks overdue; this is not counted as a failure of the
+        store, only a failure of the new call is.
         """
         if not self.is_active or not self.copy.is_complete:
             return
@@ -98,44 +100,44 @@
         if timer is not None:
             timer.cancel()
 
-    def _later(self, delay_s: float, call: t.Callable[[], None]) -> None:
+    def _schedule(self, delay_s: float, call: t.Callable[[], None]) -> None:
         self._timer = self._loop.call_later(delay_s, call)
 
     def _send(
-        self, call: Call, timeout_s: float, then: t.Callable[[StoreRows], None]
+        self, call: Call, timeout_s: float, on_rows: t.Callable[[StoreRows], None]
     ) -> None:
         def on_answer(answer: Answer) -> None:
             self._fetch = None
             try:
                 rows = rows_of(answer)
             except PlatformError as error:
-                self._failed(str(error))
+                self._on_failure(str(error))
                 return
-            self._heard()
-            then(rows)
+            self._on_success()
+            on_rows(rows)
 
         self._fetch = Fetch(
             self._loop, self._pool, self._store, call, timeout_s, on_answer
         )
 
-    def _heard(self) -> None:
+    def _on_success(self) -> None:
         self._failures = 0
         if self.is_away:
             self.is_away = False
             log_event("store_regained", table=self.table)
 
-    def _failed(self, reason: str) -> None:
+    def _on_failure(self, reason: str) -> None:
         self.failed_at = self._loop.now
         self._failures += 1
         if not self.is_away:
             self.is_away = True
             log_event("store_lost", level="WARNING", table=self.table, reason=reason)
         pause = min(BACKOFF_MAX_S, BACKOFF_S * 2 ** min(self._failures - 1, 8))
-        self._later(pause * self._rng.uniform(0.5, 1.0), self._resume)
+        self._schedule(pause * self._rng.uniform(0.5, 1.0), self._resume)
 
     def _resume(self) -> None:
         if self.copy.is_complete:
-            # After a failure the first call returns at once: is the store back?
+            # After a failure, the first call returns at once, to probe the store.
             self._feed(0.0 if self.is_away else FEED_WAIT_S)
             return
         self._read_all()
@@ -151,27 +153,28 @@
 
     def _on_page(self, rows: StoreRows) -> None:
         self._pages.extend(rows.rows)
-        # Later pages may lack changes between the first one and themselves.
+        # The first page's version counts: a later page does not show the changes
+        # that were made to earlier pages in the meantime.
         self._read_as_of = self._read_as_of or rows.version
         if rows.is_more and rows.rows:
             self._read(rows.rows[-1].key)
             return
         pages, self._pages = self._pages, []
-        self._later(0.0, self._resume)
-        self._on_news(self.copy.replace(pages, self._read_as_of))
+        self._schedule(0.0, self._resume)
+        self._on_change(self.copy.replace(pages, self._read_as_of))
 
     def _feed(self, wait_s: float) -> None:
         call = wire.feed_call(self.table, self.copy.as_of, wait_s)
         timeout_s = wait_s + FEED_MARGIN_S if wait_s else READ_TIMEOUT_S
-        self._send(call, timeout_s, self._on_changes)
+        self._send(call, timeout_s, self._on_feed)
 
-    def _on_changes(self, rows: StoreRows) -> None:
+    def _on_feed(self, rows: StoreRows) -> None:
         if rows.is_conflict:
             version = self.copy.as_of
             log_event("store_history_gone", table=self.table, version=version)
             self._read_all()
             return
-        self._later(self._pause_s, self._resume)
-        news = self.copy.change(rows.rows, rows.version)
-        if news:
-            self._on_news(news)
+        self._schedule(self._pause_s, self._resume)
+        changed = self.copy.change(rows.rows, rows.version)
+        if changed:
+            self._on_change(changed)
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -1,4 +1,4 @@
-"""All parts of a gateway put together; its readiness, reload and shutdown."""
+"""Connects all parts of a gateway; handles readiness, reload and shutdown."""
 
 import pathlib
 import random
@@ -46,32 +46,33 @@
 
 METRICS_PATH = "/metrics"
 
-SETTINGS_TICK_S = 1.0
-"""Seconds between two looks at the settings file, which may change unsignalled."""
+SETTINGS_CHECK_INTERVAL_S = 1.0
+"""Seconds between two checks of the settings file: it may change without a signal."""
 
-WAIT_TICK_S = 0.04
-"""Seconds between two looks for room on the engines: about an event's time."""
+ROOM_CHECK_INTERVAL_S = 0.04
+"""Seconds between two checks for room on the engines: about one event's interval."""
 
-ACCEPT_S = 2.6
-"""Seconds after the signal in which requests are still taken: by then the balancer
-has missed readiness twice, once a second, and sends no new connections."""
+ACCEPT_AFTER_SIGNAL_S = 2.6
+"""Seconds after the signal in which new requests are still accepted. By then the
+balancer, which checks once a second, has seen two failed readiness checks and sends
+no new connections."""
 
 EXIT_DELAY_S = 0.2
 
 EXIT_MARGIN_S = 0.4
-"""Seconds before the end by force at which what is left is cut."""
+"""Seconds before the process is killed at which open connections are closed."""
 
 NOT_FOUND = 404
 UNAUTHORIZED = 401
 UNAVAILABLE = 503
 RETRY_AFTER = b"0.5"
-"""Seconds until a caller may find this host or another one ready."""
+"""Seconds after which this host or another one may be ready."""
 
 OK = 200
 
 
 class Gateway:
-    """All that one daemon holds."""
+    """One gateway with all its parts."""
 
     def __init__(
         self, settings: GatewaySettings, clock: Clock, loop: Loop | None = None
@@ -89,8 +90,8 @@
             store,
             settings.store.lapse_s,
             self._rng,
-            on_news=self._on_news,
-            follows=lambda: self.peers.is_delegate(),
+            on_change=self._on_table_changed,
+            should_follow_store=lambda: self.peers.is_delegate(),
         )
         self.replicas = self.knowledge.replicas
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
@@ -122,7 +123,7 @@
             self._rng,
         )
 
-    # What exchanges need.
+    # Interface for exchanges.
 
     def hosts(self) -> int:
         """Return how many hosts share the budgets."""
@@ -137,35 +138,35 @@
         return pipelines
 
     def streams(self) -> list[StreamExchange]:
-        """Return the streams in work."""
+        """Return the streams in progress."""
         return list(self._streams)
 
     def investigate(self, first: Replica, service: str) -> None:
-        """Find out which engine the requests of a first engine wait for."""
+        """Find the engine that stalls the requests of a pipeline's first engine."""
         self._suspicion.investigate(first, service)
 
     def wait(self, stream: StreamExchange) -> None:
-        """Try a stream again when engines have room, the most urgent first."""
+        """Queue a stream until engines have room; the most urgent is tried first."""
         if not self._waiting:
-            self.loop.call_later(WAIT_TICK_S, self._try_waiting)
+            self.loop.call_later(ROOM_CHECK_INTERVAL_S, self._retry_waiting)
         self._waiting.append(stream)
 
-    def _try_waiting(self) -> None:
+    def _retry_waiting(self) -> None:
         waiting, self._waiting = self._waiting, []
         waiting.sort(key=lambda w: (w.grant.rank, w.request.received_at))
         for stream in waiting:
             stream.try_again()
 
     def finished(self, exchange: Exchange, outcome: str) -> None:
-        """Take note of a request's end."""
+        """Record the end of a request."""
         kind = exchange.grant.route.kind.value
         if isinstance(exchange, StreamExchange):
             self._streams.discard(exchange)
             if exchange.first_event_s is not None:
-                self.telemetry.first_event(exchange.first_event_s)
+                self.telemetry.observe_first_event(exchange.first_event_s)
         took_s = self.loop.now - exchange.request.received_at
-        self.telemetry.ended(kind, exchange.grant.rank, outcome, took_s)
-        self.telemetry.sent(kind, exchange.sends)
+        self.telemetry.count_request(kind, exchange.grant.rank, outcome, took_s)
+        self.telemetry.count_sends(kind, exchange.sends)
         exchange.log(
             "request_ended",
             outcome=outcome,
@@ -173,7 +174,7 @@
             took=self.loop.now - exchange.request.received_at,
         )
 
-    # What peers need.
+    # Interface for peers.
 
     def _own_host(self) -> Host:
         host = self.settings.host
@@ -186,56 +187,56 @@
         return self.knowledge.lists_version()
 
     def upstreams_version(self) -> int:
-        """Return the version of the newest change of upstreams known here."""
+        """Return the version of the newest change of upstreams received here."""
         return self.knowledge.upstreams_version()
 
     def is_store_away(self) -> bool:
-        """Tell whether this host's last call to the store failed."""
+        """Return whether this host's last call to the store failed."""
         return self.knowledge.is_store_away
 
     def own_uses(self) -> EngineUses:
-        """Return what the requests of this host hold on engines."""
+        """Return the load that the requests of this host put on engines."""
         services = self._pipelines_by_service.values()
         return uses.own_uses(self.settings.host.name, services)
 
     def centre_uses(self) -> EngineUses:
-        """Return what the requests of all hosts here hold on engines."""
+        """Return the load that the requests of this data centre put on engines."""
         services = self._pipelines_by_service.values()
         return uses.centre_uses(self.settings.host.data_centre, services)
 
-    def on_engine_uses(self, told: EngineUses) -> None:
-        """Take what requests elsewhere hold on engines."""
-        uses.take_uses(told, self._pipelines_by_service.values())
+    def on_engine_uses(self, message: EngineUses) -> None:
+        """Apply the load that the requests of another source put on engines."""
+        uses.apply_uses(message, self._pipelines_by_service.values())
 
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
-        """Take a peer's suspicion of an engine."""
+        """Suspect an engine that a peer suspects."""
         replica = self.replicas.by_name.get(lost.name)
         if replica is None or str(replica.incarnation) != lost.incarnation:
             return
         self._suspicion.suspect(replica, replica.service, f"told by {host.name}")
 
     def on_newer_lists(self, host: Host) -> None:
-        """Take word of lists that are newer than those in force here."""
+        """Handle a heartbeat of a peer that has newer lists."""
         self.knowledge.on_newer_lists(host)
 
     def on_newer_upstreams(self, host: Host) -> None:
-        """Take word of changes of upstreams that are not known here."""
+        """Handle a heartbeat of a peer that has newer changes of upstreams."""
         self.knowledge.on_newer_upstreams(host)
 
-    def on_introduced(self) -> None:
-        """Follow the store, or leave that to peers."""
+    def on_peers_discovered(self) -> None:
+        """Choose between the store and peers, now that the live peers are known."""
         self.knowledge.choose_source()
 
     def on_source_gone(self, source: str, *, is_centre: bool) -> None:
-        """Forget what a peer or a data centre had running."""
+        """Drop the load that a peer or a data centre has reported."""
         for pipelines in self._pipelines_by_service.values():
             pipelines.forget_peer(Source(source, is_centre))
 
     def tell_lost(self, replica: Replica) -> None:
-        """Tell the hosts of this data centre of a suspicion."""
+        """Report a suspected engine to the hosts of this data centre."""
         self.peers.tell_lost(EngineLost(replica.name, str(replica.incarnation)))
 
-    # What callers' connections need.
+    # Interface for callers' connections.
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits in force."""
@@ -243,7 +244,7 @@
         return CallerLimits() if directory is None else directory.limits
 
     def start(self, caller: Caller, request: Request) -> Running | None:
-        """Begin a request."""
+        """Start a request, or answer it at once where it can't be served."""
         directory = self.knowledge.directory
         if directory is None or self._is_closed:
             reason = "no lists" if directory is None else "shutting down"
@@ -253,7 +254,7 @@
         grant = directory.judge(request.host, request.path, key)
         if isinstance(grant, Denial):
             status = NOT_FOUND if grant is Denial.NO_ROUTE else UNAUTHORIZED
-            self.telemetry.denied(grant.value)
+            self.telemetry.count_denied(grant.value)
             log_event(
                 "request_denied",
                 request=request.header(self.names.attempt).decode("latin-1"),
@@ -286,7 +287,7 @@
         caller.answer(UNAVAILABLE, b"", ((b"Retry-After", RETRY_AFTER),), b"")
 
     def on_caller_closed(self, caller: Caller) -> None:
-        """Forget a connection."""
+        """Remove a closed connection."""
         self._callers.discard(caller)
         self._exit_if_done()
 
@@ -298,21 +299,21 @@
         names = [name for name, _ in targets]
         return self._rng.choices(names, [weight for _, weight in targets])[0]
 
-    def _on_news(self, table: str) -> None:
+    def _on_table_changed(self, table: str) -> None:
         if table == wire_replicas.TABLE:
-            self._on_replicas()
+            self._on_replicas_changed()
         if self.knowledge.is_following:
             self.peers.announce()
 
-    def _on_replicas(self) -> None:
-        self._leave_ending()
+    def _on_replicas_changed(self) -> None:
+        self._leave_removed_engines()
         live = {replica.identity for replica in self.replicas.by_name.values()}
         self.services.forget(live)
         for pipelines in self._pipelines_by_service.values():
             pipelines.forget(live)
 
-    def _leave_ending(self) -> None:
-        """Take streams off the engines that leave or give up their layers."""
+    def _leave_removed_engines(self) -> None:
+        """Move streams off engines that are leaving or no longer hold their layers."""
         for stream in self.streams():
             for hop in stream.path:
                 known = self.replicas.by_name.get(hop.replica.name)
@@ -321,14 +322,14 @@
                 if known.is_leaving or not known.holds(hop.first, hop.last):
                     stream.leave_engine(hop.replica, "leaving")
 
-    # Readiness and life.
+    # Readiness, start and shutdown.
 
     def is_ready(self) -> bool:
-        """Tell whether the balancer may send new connections."""
+        """Return whether the balancer may send new connections."""
         return self.knowledge.is_complete and not self.is_draining
 
     def start_serving(self) -> None:
-        """Listen, and begin to follow the store and the peers."""
+        """Listen, and start to follow the store and the peers."""
         host = self.settings.host
         listen(self.loop, parse_address(host.callers, "callers"), self._on_accept)
         listen(self.loop, parse_address(host.readiness, "readiness"), self._on_operator)
@@ -375,19 +376,19 @@
         return (NOT_FOUND, b"") if body is None else (OK, body)
 
     def follow_settings(self, path: pathlib.Path) -> None:
-        """Take changes of the settings file, on a signal and without one."""
+        """Apply changes of the settings file, on a signal and without one."""
         self._settings_path = path
         self._settings_text = read_text(path)
-        self.loop.call_later(SETTINGS_TICK_S, self._look_at_settings)
+        self.loop.call_later(SETTINGS_CHECK_INTERVAL_S, self._check_settings)
 
-    def _look_at_settings(self) -> None:
-        self.loop.call_later(SETTINGS_TICK_S, self._look_at_settings)
+    def _check_settings(self) -> None:
+        self.loop.call_later(SETTINGS_CHECK_INTERVAL_S, self._check_settings)
         self.reload()
 
     def reload(self) -> None:
-        """Take the settings anew, if they have changed and are valid.
+        """Apply the settings file, if it has changed and is valid.
 
-        Names and addresses stay as they were at the start.
+        The ``[host]`` section keeps its values from the start.
         """
         path = self._settings_path
         if path is None:
@@ -407,7 +408,7 @@
         log_event("reload", outcome="taken")
 
     def drain(self) -> None:
-        """Take nothing new, finish what is in work, then end."""
+        """Stop accepting requests, finish those in progress, then exit."""
         if self.is_draining:
             return
         self.is_draining = True
@@ -415,9 +416,9 @@
         self._placer.release()
         self.peers.leave()
         self._close_idle()
-        self.loop.call_later(ACCEPT_S, self._stop_accepting)
+        self.loop.call_later(ACCEPT_AFTER_SIGNAL_S, self._stop_accepting)
         grace_s = self.settings.shutdown.grace_s - EXIT_MARGIN_S
-        self.loop.call_later(grace_s, self._cut_rest)
+        self.loop.call_later(grace_s, self._close_remaining)
 
     def _close_idle(self) -> None:
         for caller in list(self._callers):
@@ -430,10 +431,10 @@
 
     def _exit_if_done(self) -> None:
         if self._is_closed and not self._callers:
-            # Later, so that the last bytes leave.
+            # Delayed, so that the last bytes are sent.
             self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
 
-    def _cut_rest(self) -> None:
+    def _close_remaining(self) -> None:
         for caller in list(self._callers):
             caller.close()
         self.loop.stop()
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/knowledge.py
@@ -1,7 +1,8 @@
-"""What this host knows from the store, or from peers that follow it.
+"""Keeps the lists and the upstreams up to date, from the store or from peers.
 
-A few hosts of each data centre follow the store. All others learn from
-heartbeats that a peer knows of a later change, and ask that peer.
+A few delegates of each data centre follow the store. The heartbeats of every
+host carry its versions; a host that sees a newer version than its own requests
+the changes from the sender.
 """
 
 import random
@@ -31,16 +32,16 @@
 
 TICK_S = 0.25
 CHANGES_PAUSE_S = 0.2
-"""Seconds in which changes of upstreams are gathered: calls are priced, and two
-seconds are left for an upstream that leaves."""
+"""Seconds between two calls for changes of upstreams, so that one call returns
+several: calls are priced, and a leaving upstream must be noticed within 2 s."""
 
 OVERDUE_S = 0.5
-"""Seconds after which a host that follows the store asks a peer for what the store
-should have told it: over twice the pause between two calls for changes."""
+"""Seconds after which a host that follows the store requests from a peer a change
+that the store has not delivered: over twice ``CHANGES_PAUSE_S``."""
 
-ALONE_S = 0.6
-"""Seconds without a table after which a host that no peer tells of it reads the
-store: some round trips to a peer."""
+STORE_FALLBACK_S = 0.6
+"""Seconds after the start within which peers should have sent the tables; without
+them the host reads the store. Covers a few round trips to a peer."""
 
 RELAY_TIMEOUT_S = 0.5
 RELAY_PATH = "/tables/"
@@ -52,8 +53,8 @@
 class Knowledge:
     """The lists and the upstreams in force.
 
-    :param on_news: called after a table has changed, with its name.
-    :param follows: tells whether this host should follow the store.
+    :param on_change: called after a table has changed, with its name.
+    :param should_follow_store: returns whether this host should follow the store.
     """
 
     def __init__(
@@ -64,19 +65,21 @@
         lapse_s: float,
         rng: random.Random,
         *,
-        on_news: t.Callable[[str], None],
-        follows: t.Callable[[], bool],
+        on_change: t.Callable[[str], None],
+        should_follow_store: t.Callable[[], bool],
     ) -> None:
         self._loop = loop
         self._pool = pool
-        self._on_news = on_news
-        self._follows = follows
+        self._on_change = on_change
+        self._should_follow_store = should_follow_store
         self.directory: Directory | None = None
         self.replicas = ReplicaSet(lapse_s)
         self._is_asking: set[str] = set()
-        # By table: what was known when a peer first knew more, and the instant.
+        # By table: the version held when a peer first announced a newer one, and
+        # the time of that announcement.
         self._behind_by_table: dict[str, tuple[int, float]] = {}
-        self._trouble_at = NEVER
+        # Time of the last store failure that a peer has reported.
+        self._reported_failure_at = NEVER
         self._started_at = loop.now
         self._lists = TableFollower(
             loop, pool, store, wire_lists.TABLE, self._on_lists, rng
@@ -95,23 +98,23 @@
         }
 
     def start(self) -> None:
-        """Begin to follow the store or peers."""
+        """Start to follow the store or peers."""
         self._started_at = self._loop.now
         self._tick()
 
     @property
     def is_complete(self) -> bool:
-        """Tell whether lists and upstreams are known."""
+        """Return whether both the lists and the upstreams have been received."""
         return self.directory is not None and self._upstreams.copy.is_complete
 
     @property
     def is_following(self) -> bool:
-        """Tell whether this host follows the store itself."""
+        """Return whether this host follows the store itself."""
         return self._lists.is_active
 
     @property
     def is_store_away(self) -> bool:
-        """Tell whether the last call to the store failed."""
+        """Return whether the last call to the store failed."""
         return any(f.is_away for f in self._follower_by_table.values())
 
     def lists_version(self) -> int:
@@ -119,33 +122,33 @@
         return 0 if self.directory is None else self.directory.version
 
     def upstreams_version(self) -> int:
-        """Return the version of the newest change of upstreams that is known."""
+        """Return the version of the newest change of upstreams received."""
         return self._upstreams.copy.version
 
     def choose_source(self) -> None:
-        """Follow the store, or leave that to peers."""
+        """Start or stop following the store, as this host's role requires."""
         waited_s = self._loop.now - self._started_at
-        is_alone = not self.is_complete and waited_s > ALONE_S
-        follows = self._follows() or is_alone
-        if follows is self._lists.is_active:
+        needs_fallback = not self.is_complete and waited_s > STORE_FALLBACK_S
+        should_follow = self._should_follow_store() or needs_fallback
+        if should_follow is self._lists.is_active:
             return
-        log_event("source_chosen", source="store" if follows else "peers")
+        log_event("source_chosen", source="store" if should_follow else "peers")
         for follower in self._follower_by_table.values():
-            if follows:
+            if should_follow:
                 follower.start()
             else:
                 follower.stop()
 
     def on_newer_lists(self, host: Host) -> None:
-        """Take word that a peer has newer lists."""
-        self._ask_if_due(self._lists, host)
+        """Handle a heartbeat of a peer that has newer lists."""
+        self._request_if_due(self._lists, host)
 
     def on_newer_upstreams(self, host: Host) -> None:
-        """Take word that a peer knows of a later change of upstreams."""
-        self._ask_if_due(self._upstreams, host)
+        """Handle a heartbeat of a peer that has newer changes of upstreams."""
+        self._request_if_due(self._upstreams, host)
 
     def relayed(self, target: str) -> bytes | None:
-        """Return what a peer asks for, ``None`` if it is not known."""
+        """Encode the table that a peer requests; ``None`` if it is not complete here."""
         table, _, after = target.removeprefix(RELAY_PATH).partition(AFTER)
         follower = self._follower_by_table.get(table)
         if follower is None or not follower.copy.is_complete:
@@ -153,18 +156,19 @@
         copy = follower.copy
         since = copy.since(int(after)) if after.isdigit() else None
         rows = copy.live() if since is None else since
-        trouble_s = self._trouble_s(follower)
-        return relay_rows(rows, copy.as_of, trouble_s, is_all=since is None)
+        failure_age_s = self._store_failure_age_s(follower)
+        return relay_rows(rows, copy.as_of, failure_age_s, is_all=since is None)
 
-    def _trouble_s(self, follower: TableFollower) -> float | None:
-        """Return the seconds since the store had trouble, ``None`` for never.
+    def _store_failure_age_s(self, follower: TableFollower) -> float | None:
+        """Return the seconds since the store last failed, ``None`` for never.
 
-        What keeps this host alone from the store is no trouble to others.
+        A failure that may concern only this host is not reported: while the store
+        is unreachable from here, the result is ``None``.
         """
         if self.is_store_away:
             return None
-        trouble_at = max(self._trouble_at, follower.failed_at)
-        return None if trouble_at == NEVER else self._loop.now - trouble_at
+        failed_at = max(self._reported_failure_at, follower.failed_at)
+        return None if failed_at == NEVER else self._loop.now - failed_at
 
     # Rows.
 
@@ -172,9 +176,9 @@
         for row in rows:
             if row.value is None or not wire_lists.is_directory_row(row.table, row.key):
                 continue
-            self._take_lists(row.value)
+            self._apply_lists(row.value)
 
-    def _take_lists(self, value: bytes) -> None:
+    def _apply_lists(self, value: bytes) -> None:
         try:
             directory = wire_lists.decode_directory(value)
         except ListsError as error:
@@ -185,12 +189,12 @@
             return
         self.directory = directory
         log_event("lists_taken", version=directory.version, before=before)
-        self._on_news(wire_lists.TABLE)
+        self._on_change(wire_lists.TABLE)
 
     def _on_upstreams(self, rows: list[StoreRow]) -> None:
         now = self._loop.now
         failed_at = max(f.failed_at for f in self._follower_by_table.values())
-        failed_at = max(failed_at, self._trouble_at)
+        failed_at = max(failed_at, self._reported_failure_at)
         for row in rows:
             if row.value is None:
                 self.replicas.remove(row.key, now, failed_at)
@@ -205,7 +209,7 @@
             if replica is not None and self.replicas.put(replica):
                 _log_replica(replica, row.version)
         if rows:
-            self._on_news(wire_replicas.TABLE)
+            self._on_change(wire_replicas.TABLE)
 
     @staticmethod
     def _decode(row: StoreRow) -> Replica | None:
@@ -224,23 +228,24 @@
         for name in dropped:
             log_event("upstream_gone", replica=name, reason="lapsed")
         if dropped:
-            self._on_news(wire_replicas.TABLE)
+            self._on_change(wire_replicas.TABLE)
 
     # Peers.
 
-    def _ask_if_due(self, follower: TableFollower, host: Host) -> None:
-        """Ask a peer for changes, unless the store is about to tell of them."""
+    def _request_if_due(self, follower: TableFollower, host: Host) -> None:
+        """Request changes from a peer, unless the store should deliver them soon."""
         if follower.is_active and not follower.is_away:
-            known = follower.copy.version
+            version = follower.copy.version
             behind = self._behind_by_table.get(follower.table)
-            if behind is None or behind[0] != known:
-                behind = self._behind_by_table[follower.table] = known, self._loop.now
+            if behind is None or behind[0] != version:
+                behind = self._behind_by_table[follower.table] = version, self._loop.now
             if self._loop.now - behind[1] < OVERDUE_S:
                 return
             follower.renew("a peer knows more")
-        self._ask(follower, host)
+        self._request_changes(follower, host)
 
-    def _ask(self, follower: TableFollower, host: Host) -> None:
+    def _request_changes(self, follower: TableFollower, host: Host) -> None:
+        """Request a table's changes from a peer, one request per table at a time."""
         table = follower.table
         if table in self._is_asking:
             return
@@ -249,7 +254,7 @@
         def on_answer(answer: Answer) -> None:
             self._is_asking.discard(table)
             if answer.status == OK:
-                self._take_relayed(follower, host, answer.body)
+                self._apply_relay(follower, host, answer.body)
                 return
             log_event(
                 "relay_unanswered",
@@ -268,36 +273,37 @@
             on_answer,
         )
 
-    def _take_relayed(self, follower: TableFollower, host: Host, body: bytes) -> None:
+    def _apply_relay(self, follower: TableFollower, host: Host, body: bytes) -> None:
         try:
-            relayed = decode_relayed(follower.table, body)
+            relay = decode_relayed(follower.table, body)
         except PeerError as error:
             log_event("relay_unreadable", level="WARNING", reason=error)
             return
-        news = self._merge(follower, relayed)
+        changed = self._merge(follower, relay)
         log_event(
             "table_relayed",
             table=follower.table,
             peer=host.name,
             version=follower.copy.as_of,
-            news=len(news),
+            news=len(changed),
         )
-        if relayed.trouble_s is not None:
-            trouble_at = self._loop.now - relayed.trouble_s
-            self._trouble_at = max(self._trouble_at, trouble_at)
-        if not news:
+        if relay.trouble_s is not None:
+            failed_at = self._loop.now - relay.trouble_s
+            self._reported_failure_at = max(self._reported_failure_at, failed_at)
+        if not changed:
             return
         if follower is self._lists:
-            self._on_lists(news)
+            self._on_lists(changed)
         else:
-            self._on_upstreams(news)
+            self._on_upstreams(changed)
 
     @staticmethod
-    def _merge(follower: TableFollower, relayed: RelayedTable) -> list[StoreRow]:
-        rows = relayed.store_rows(follower.table)
-        if relayed.is_all:
-            return follower.copy.replace(rows, relayed.as_of)
-        return follower.copy.change(rows, relayed.as_of)
+    def _merge(follower: TableFollower, relay: RelayedTable) -> list[StoreRow]:
+        """Merge a relayed table into the copy; return the rows that changed."""
+        rows = relay.store_rows(follower.table)
+        if relay.is_all:
+            return follower.copy.replace(rows, relay.as_of)
+        return follower.copy.change(rows, relay.as_of)
 
 
 def _log_replica(replica: Replica, version: int) -> None:
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -1,4 +1,4 @@
-"""A lease in the store, kept or waited for by this host."""
+"""Seeks, renews and releases a lease in the store."""
 
 import random
 import typing as t
@@ -28,21 +28,21 @@
 TABLE = "leases"
 
 LEASE = LeaseLimits(duration_s=4.0, renew_s=1.4, margin_s=0.5, retry_s=0.5)
-"""A holder that is lost is succeeded within 4 s; two renewals may fail."""
+"""A lost holder is replaced within 4 s; a lease survives two failed renewals."""
 
 STORE_TIMEOUT_S = 1.0
 START_SPREAD_S = 0.3
-"""Seconds over which hosts that start together spread their first calls."""
+"""Seconds over which the first calls of hosts that start together are spread."""
 
-LEAST_WAIT_S = 0.05
+MIN_WAIT_S = 0.05
 
 
 class LeaseKeeper:
-    """Seeks one lease and renews it.
+    """Seeks one lease and renews it while it is held.
 
     :param key: the lease's name.
-    :param holder: names this host; differs at each start.
-    :param is_candidate: tells whether this host should seek the lease.
+    :param holder: identifies this host; differs at each start.
+    :param is_candidate: returns whether this host should seek the lease.
     """
 
     def __init__(
@@ -66,51 +66,53 @@
 
     @property
     def fence(self) -> int:
-        """Return the fencing number as last seen."""
+        """Return the fencing number of the lease as last read or written."""
         return self._lease.fence
 
     def start(self) -> None:
-        """Begin to seek the lease."""
+        """Start to seek the lease."""
         self._loop.call_later(self._rng.uniform(0, START_SPREAD_S), self._step)
 
     def may_order(self, order_s: float) -> bool:
-        """Tell whether an order that takes some seconds may be given now."""
+        """Return whether an order that takes up to ``order_s`` may be sent now."""
         return self._lease.may_order(self._loop.now, order_s)
 
     def release(self) -> None:
-        """Give the lease up, if it is held."""
+        """Release the lease, if it is held."""
         write = self._lease.release(self._loop.now)
         if write is not None:
             self._write(write, lambda _answer: None)
 
     def _step(self) -> None:
         now = self._loop.now
-        holds = self._lease.holds(now)
-        if holds != self._had_lease:
-            self._had_lease = holds
-            name = "lease_gained" if holds else "lease_lost"
-            log_event(name, lease=self._key, fence=self._lease.fence)
-        if not holds and not self._is_candidate():
+        is_held = self._lease.holds(now)
+        if is_held != self._had_lease:
+            self._had_lease = is_held
+            event = "lease_gained" if is_held else "lease_lost"
+            log_event(event, lease=self._key, fence=self._lease.fence)
+        if not is_held and not self._is_candidate():
             self._loop.call_later(LEASE.retry_s, self._step)
             return
         command = self._lease.next(now)
         if isinstance(command, LeaseWait):
-            self._loop.call_later(max(LEAST_WAIT_S, command.delay_s), self._step)
+            self._loop.call_later(max(MIN_WAIT_S, command.delay_s), self._step)
         elif isinstance(command, LeaseRead):
             call = wire.read_call(TABLE)
             self._fetch(call, self._on_read)
         else:
             self._write(command, lambda answer: self._on_written(command, answer))
 
-    def _write(self, command: LeaseWrite, then: t.Callable[[Answer], None]) -> None:
+    def _write(
+        self, command: LeaseWrite, on_answer: t.Callable[[Answer], None]
+    ) -> None:
         value = msgspec.json.encode(encode_lease(command.row))
         call = wire.transact_call(
             [(TABLE, self._key, command.version)], [(TABLE, self._key, value)]
         )
-        self._fetch(call, then)
+        self._fetch(call, on_answer)
 
-    def _fetch(self, call: Call, then: t.Callable[[Answer], None]) -> None:
-        Fetch(self._loop, self._pool, self._store, call, STORE_TIMEOUT_S, then)
+    def _fetch(self, call: Call, on_answer: t.Callable[[Answer], None]) -> None:
+        Fetch(self._loop, self._pool, self._store, call, STORE_TIMEOUT_S, on_answer)
 
     def _on_read(self, answer: Answer) -> None:
         now = self._loop.now
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -1,4 +1,4 @@
-"""The other hosts: who lives, what they run on engines, what they know."""
+"""The other hosts: which are live, their load on engines, their table versions."""
 
 import random
 import socket
@@ -31,86 +31,90 @@
 from .transfer import UpstreamPool
 
 HEARTBEAT_S = 0.25
-"""Seconds between heartbeats inside a data centre; a quarter as often beyond."""
+"""Seconds between heartbeats inside a data centre; other data centres get a quarter
+as many."""
 
 DEAD_AFTER_S = 1.25
-"""Seconds of silence after which a peer is dead: five heartbeats."""
+"""Seconds without a heartbeat after which a peer is dead: five intervals."""
 
 FULL_RATE_PEERS = 10
-"""Peers in a data centre up to which heartbeats keep their pace: 40 a second, a
-hundredth of a small core."""
+"""Peers in a data centre up to which the heartbeat interval is not stretched: 40
+heartbeats a second, one percent of a small core."""
 
 DELEGATES = 2
-"""Hosts of a data centre that follow the store and talk to other data centres."""
+"""Hosts of a data centre that follow the store and send heartbeats to other data
+centres."""
 
-DELEGATE_SILENCE_S = 1.25
-"""Seconds of silence after which a delegate is succeeded; changes are due in 2 s."""
+DELEGATE_TIMEOUT_S = 1.25
+"""Seconds without a heartbeat after which a delegate is replaced; changes of the
+store must arrive within 2 s."""
 
-INTRODUCTION_S = 0.1
-"""Seconds in which peers answer the greeting of a host that has started."""
+DISCOVERY_S = 0.1
+"""Seconds in which peers answer the first heartbeat of a host that has started."""
 
-INTRODUCTION_MAX_S = 0.5
-"""Seconds after which a host that can't read the host rows goes on by itself."""
+DISCOVERY_TIMEOUT_S = 0.5
+"""Seconds after which a host that can't read the host rows stops waiting for them."""
 
-ANNOUNCE_PAUSE_S = 0.1
-"""Seconds between two heartbeats out of turn, which tell of changes."""
+ANNOUNCE_INTERVAL_S = 0.1
+"""Least seconds between two extra heartbeats that announce changes."""
 
-CENTRE_USES_S = 5.0
-"""Seconds after which what a data centre told of its requests is forgotten."""
+CENTRE_USES_TIMEOUT_S = 5.0
+"""Seconds after which the load last reported by a data centre is dropped."""
 
-BURST = 32
+DATAGRAMS_PER_EVENT = 32
+"""Most datagrams read at once, so that other sockets and timers get their turn."""
 
 
 class PeerEvents(t.Protocol):
-    """What the gateway is told by its peers, and what it tells them."""
+    """What peers need of the gateway: its state to send, and callbacks."""
 
     def lists_version(self) -> int:
         """Return the version of the lists in force here."""
         ...
 
     def upstreams_version(self) -> int:
-        """Return the version of the newest change of upstreams known here."""
+        """Return the version of the newest change of upstreams received here."""
         ...
 
     def is_store_away(self) -> bool:
-        """Tell whether this host's last call to the store failed."""
+        """Return whether this host's last call to the store failed."""
         ...
 
     def own_uses(self) -> EngineUses:
-        """Return what the requests of this host hold on engines."""
+        """Return the load that the requests of this host put on engines."""
         ...
 
     def centre_uses(self) -> EngineUses:
-        """Return what the requests of all hosts here hold on engines."""
+        """Return the load that the requests of this data centre put on engines."""
         ...
 
-    def on_engine_uses(self, told: EngineUses) -> None:
-        """Take what requests elsewhere hold on engines."""
+    def on_engine_uses(self, message: EngineUses) -> None:
+        """Apply the load that the requests of another source put on engines."""
         ...
 
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
-        """Take a peer's suspicion of an engine."""
+        """Suspect an engine that a peer suspects."""
         ...
 
     def on_source_gone(self, source: str, *, is_centre: bool) -> None:
-        """Take the end of a peer, or of word from a data centre."""
+        """Drop the load reported by a peer that ended or a data centre not heard."""
         ...
 
     def on_newer_lists(self, host: Host) -> None:
-        """Take word of lists that are newer than those in force here."""
+        """Handle a heartbeat of a peer that has newer lists."""
         ...
 
     def on_newer_upstreams(self, host: Host) -> None:
-        """Take word of changes of upstreams that are not known here."""
+        """Handle a heartbeat of a peer that has newer changes of upstreams."""
         ...
 
-    def on_introduced(self) -> None:
-        """Take note that the hosts that live are known."""
+    def on_peers_discovered(self) -> None:
+        """Handle that the live peers have had time to answer."""
         ...
 
 
 class Peers:
-    """The place of this host among the others."""
+    """Exchanges heartbeats and the load on engines with the other hosts."""
 
     def __init__(
         self,
@@ -124,14 +128,14 @@
         self._loop = loop
         self._host = host
         self._events = events
-        self._rows = Register(
+        self._registry = Register(
             loop,
             pool,
             store,
             host,
             rng,
             on_hosts=self._on_hosts,
-            reads_again=self.is_first_delegate,
+            should_reread=self.is_first_delegate,
         )
         self._socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self._socket.setblocking(False)
@@ -143,30 +147,32 @@
             full_rate_peers=FULL_RATE_PEERS,
         )
         self._started_at = loop.now
-        self._introduced_at: float | None = None
+        # Time of the first read of the host rows.
+        self._rows_read_at: float | None = None
         self._announced_at = float("-inf")
         self._is_delegate = True
-        # Of other data centres: the last word, its instant, and if it is passed on.
+        # The last message of each other data centre and the time of its arrival.
         self._uses_by_centre: dict[str, tuple[EngineUses, float]] = {}
-        self._untold_centres: set[str] = set()
+        # Data centres whose last message is still to be forwarded.
+        self._unforwarded_centres: set[str] = set()
 
     def start(self) -> None:
-        """Bind, tell the store of this host, and begin to send heartbeats."""
+        """Bind the socket, write the row of this host and start to send heartbeats."""
         ip, _, port = self._host.peer_address.rpartition(":")
         self._socket.bind((ip, int(port)))
         self._loop.add(self._socket.fileno(), READABLE, self._on_readable)
         self._started_at = self._loop.now
         self.membership.set_state(HostState.LIVE)
-        self._rows.start()
+        self._registry.start()
         self._tick()
 
     def leave(self) -> None:
-        """Tell the others that this host ends."""
+        """Announce to the other hosts that this host is leaving."""
         self.membership.set_state(HostState.LEAVING)
         self.membership.hurry()
 
     def count(self) -> int:
-        """Return how many hosts there may be, those not heard of lately too."""
+        """Return the number of known hosts, including dead ones and this one."""
         return max(1, len(self.membership.by_name) + 1)
 
     def live_hosts(self) -> list[Host]:
@@ -180,47 +186,47 @@
         return hosts
 
     def is_delegate(self) -> bool:
-        """Tell whether this host is a delegate of its data centre."""
-        return self._is_among(DELEGATES)
+        """Return whether this host is a delegate of its data centre."""
+        return self._is_among_delegates(DELEGATES)
 
     def is_first_delegate(self) -> bool:
-        """Tell whether this host alone acts for its data centre."""
-        return self._is_among(1)
+        """Return whether this host is the first delegate of its data centre."""
+        return self._is_among_delegates(1)
 
-    def _is_among(self, delegates: int) -> bool:
+    def _is_among_delegates(self, count: int) -> bool:
         now = self._loop.now
-        is_one = self.membership.is_delegate(delegates, now, DELEGATE_SILENCE_S)
-        return is_one and self._is_introduced()
+        is_delegate = self.membership.is_delegate(count, now, DELEGATE_TIMEOUT_S)
+        return is_delegate and self._is_discovery_done()
 
     def announce(self) -> None:
-        """Tell the hosts of this data centre of a change, out of turn."""
+        """Send an extra heartbeat to this data centre, with the new versions."""
         now = self._loop.now
-        if now - self._announced_at < ANNOUNCE_PAUSE_S:
+        if now - self._announced_at < ANNOUNCE_INTERVAL_S:
             return
         self._announced_at = now
         hosts = self.membership.inside_live()
         self._send_all([host.peer_address for host in hosts], (self._heartbeat(),))
 
-    def _is_introduced(self) -> bool:
-        """Tell whether the hosts that live have had time to answer a greeting."""
+    def _is_discovery_done(self) -> bool:
+        """Return whether the live hosts have had time to answer a heartbeat."""
         now = self._loop.now
-        if self._introduced_at is not None:
-            return now >= self._introduced_at + INTRODUCTION_S
-        return now >= self._started_at + INTRODUCTION_MAX_S
+        if self._rows_read_at is not None:
+            return now >= self._rows_read_at + DISCOVERY_S
+        return now >= self._started_at + DISCOVERY_TIMEOUT_S
 
     def tell_lost(self, lost: EngineLost) -> None:
-        """Tell the hosts of this data centre of a suspicion."""
+        """Report a suspected engine to the hosts of this data centre."""
         hosts = self.membership.inside_live()
         self._send_all([host.peer_address for host in hosts], (lost,))
 
     def _on_hosts(self, hosts: list[Host]) -> None:
-        """Greet the hosts that the store names."""
+        """Send a heartbeat to the hosts that the host rows name."""
         self.membership.host_list(hosts, self._loop.now)
         others = [h.peer_address for h in hosts if h.name != self._host.name]
         self._send_all(others, (self._heartbeat(),))
-        if self._introduced_at is None:
-            self._introduced_at = self._loop.now
-            self._loop.call_later(INTRODUCTION_S, self._events.on_introduced)
+        if self._rows_read_at is None:
+            self._rows_read_at = self._loop.now
+            self._loop.call_later(DISCOVERY_S, self._events.on_peers_discovered)
 
     # Datagrams.
 
@@ -236,43 +242,46 @@
     def _tick(self) -> None:
         self._loop.call_later(HEARTBEAT_S, self._tick)
         now = self._loop.now
-        self._note(self.membership.tick(now))
+        self._handle_events(self.membership.tick(now))
         inside, remote = self.membership.due(now)
         if inside:
             self._send_all(inside, (self._heartbeat(), self._events.own_uses()))
-            self._pass_on(inside)
-        if remote and self._note_delegate():
+            self._forward_centre_uses(inside)
+        if remote and self._update_delegate():
             uses = self._events.centre_uses()
             self._send_all(remote, (self._heartbeat(), uses))
         self._send_all(self.membership.views_wanted(now), (ViewRequest(),))
-        self._forget_centres(now)
-
-    def _note_delegate(self) -> bool:
-        is_one = self.is_delegate()
-        if is_one is not self._is_delegate:
-            self._is_delegate = is_one
-            log_event("delegate_changed", is_delegate=is_one)
-        return is_one
-
-    def _pass_on(self, inside: list[str]) -> None:
-        """Tell the hosts of this data centre what other data centres have told."""
-        if not self._untold_centres or not self._is_delegate:
-            self._untold_centres.clear()
+        self._expire_centres(now)
+
+    def _update_delegate(self) -> bool:
+        """Log a change of this host's role; return whether it is a delegate."""
+        is_delegate = self.is_delegate()
+        if is_delegate is not self._is_delegate:
+            self._is_delegate = is_delegate
+            log_event("delegate_changed", is_delegate=is_delegate)
+        return is_delegate
+
+    def _forward_centre_uses(self, inside: list[str]) -> None:
+        """Forward the load of other data centres to the hosts of this one."""
+        if not self._unforwarded_centres or not self._is_delegate:
+            self._unforwarded_centres.clear()
             return
         messages = []
-        for centre in self._untold_centres:
+        for centre in self._unforwarded_centres:
             messages.append(self._uses_by_centre[centre][0])
-        self._untold_centres.clear()
+        self._unforwarded_centres.clear()
         self._send_all(inside, tuple(messages))
 
-    def _forget_centres(self, now: float) -> None:
-        for centre, (_, told_at) in list(self._uses_by_centre.items()):
-            if now - told_at > CENTRE_USES_S:
+    def _expire_centres(self, now: float) -> None:
+        """Drop the load of data centres that have sent nothing for a while."""
+        for centre, (_, received_at) in list(self._uses_by_centre.items()):
+            if now - received_at > CENTRE_USES_TIMEOUT_S:
                 del self._uses_by_centre[centre]
-                self._untold_centres.discard(centre)
+                self._unforwarded_centres.discard(centre)
                 self._events.on_source_gone(centre, is_centre=True)
 
-    def _note(self, events: list[Event]) -> None:
+    def _handle_events(self, events: list[Event]) -> None:
+        """Log changes of membership, and drop the load of peers that ended."""
         for event in events:
             name = event.host.name if not isinstance(event, SelfPaused) else ""
             log_event("peer_changed", change=type(event).__name__, peer=name)
@@ -285,7 +294,7 @@
     def _send_all(
         self, addresses: t.Sequence[str], messages: tuple[Message, ...]
     ) -> None:
-        """Send the same datagram to some peers."""
+        """Send one datagram to each of the addresses."""
         if not addresses:
             return
         data = encode(Datagram(self._host.name, self._host.incarnation, 0, messages))
@@ -299,10 +308,10 @@
                 )
 
     def _on_readable(self, _mask: int) -> None:
-        for _ in range(BURST):
+        for _ in range(DATAGRAMS_PER_EVENT):
             try:
                 data, _ = self._socket.recvfrom(DATAGRAM_BYTES_MAX + 1)
-            except OSError:  # nothing more waits
+            except OSError:  # no datagram is left, or the socket has an error
                 return
             try:
                 datagram = decode(data)
@@ -310,30 +319,30 @@
                 log_event("datagram_malformed", level="WARNING", reason=error)
                 continue
             for message in datagram.messages:
-                self._take(datagram.sender, message)
+                self._on_message(datagram.sender, message)
 
-    def _take(self, sender: str, message: Message) -> None:
+    def _on_message(self, sender: str, message: Message) -> None:
         now = self._loop.now
         if isinstance(message, Heartbeat):
-            self._take_heartbeat(message, now)
+            self._on_heartbeat(message, now)
         elif isinstance(message, EngineUses):
-            self._take_uses(sender, message, now)
+            self._on_engine_uses(sender, message, now)
         elif isinstance(message, EngineLost):
             host = self.membership.find(sender)
             if host is not None:
                 self._events.on_engine_lost(host, message)
         elif isinstance(message, View):
-            self._note(self.membership.view(sender, message, now))
+            self._handle_events(self.membership.view(sender, message, now))
         elif isinstance(message, ViewRequest):
             host = self.membership.find(sender)
             if host is not None:
                 self._send(host.peer_address, (self.membership.own_view(),))
 
-    def _take_heartbeat(self, message: Heartbeat, now: float) -> None:
+    def _on_heartbeat(self, message: Heartbeat, now: float) -> None:
         host = message.host
         known = self.membership.by_name.get(host.name)
         is_new = known is None or known.host.incarnation != host.incarnation
-        self._note(self.membership.heartbeat(message, now))
+        self._handle_events(self.membership.heartbeat(message, now))
         if is_new:
             self._send(host.peer_address, (self._heartbeat(),))
         if message.lists_version > self._events.lists_version():
@@ -341,13 +350,14 @@
         if message.upstreams_version > self._events.upstreams_version():
             self._events.on_newer_upstreams(host)
 
-    def _take_uses(self, sender: str, uses: EngineUses, now: float) -> None:
+    def _on_engine_uses(self, sender: str, uses: EngineUses, now: float) -> None:
         if uses.is_centre:
             if uses.source == self._host.data_centre:
                 return
             self._uses_by_centre[uses.source] = (uses, now)
             host = self.membership.find(sender)
-            # What a peer here has passed on is not passed on again.
+            # A message that a peer of this data centre has forwarded is not
+            # forwarded again.
             if host is not None and host.data_centre == uses.source:
-                self._untold_centres.add(uses.source)
+                self._unforwarded_centres.add(uses.source)
         self._events.on_engine_uses(uses)
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -1,4 +1,4 @@
-"""The duty of one host: orders to engines that hold no layers."""
+"""Placement of layers: the host that holds the lease sends orders to engines."""
 
 import random
 import typing as t
@@ -23,31 +23,36 @@
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
-KEY = "placement"
+LEASE_KEY = "placement"
 
 TICK_S = 0.25
 SETTLE_S = 0.7
-"""Seconds without a new engine before the first orders go out, so that the first
-plan covers all of them."""
+"""Seconds without a new engine before the first orders are sent, so that the first
+plan covers all engines of a deployment."""
 
 SPARE_S = 4.0
-"""Seconds that a new engine is kept empty in a data centre without gaps: where an
-engine is replaced, the new one comes before the old one tells that it leaves."""
+"""Seconds that a new engine is kept empty in a data centre without gaps. When an
+engine is replaced, the new one starts before the old one announces that it leaves."""
 
 REPAIR_AFTER_S = 1.0
-"""Seconds that a gap lasts before an engine that holds layers is moved: one that
-restarts or comes anew is empty and closes it without a loss elsewhere."""
+"""Seconds that a gap lasts before an engine that holds layers is moved. An engine
+that starts or restarts within that time is empty, and closes the gap without opening
+another one."""
 
 ORDER_TIMEOUT_S = 1.0
-ORDER_AGAIN_S = 6.0
-"""Seconds after which an order without effect is given again; a load takes 2 s."""
+ORDER_RETRY_S = 6.0
+"""Seconds after which an order without effect is sent again; a load takes 2 s."""
 
-REFUSED_AGAIN_S = 1.5
-"""Seconds after which an engine that refused an order gets another."""
+REFUSED_RETRY_S = 1.5
+"""Seconds after which an engine that refused an order is sent another one."""
 
 
 class Placer:
-    """Holds the lease or waits for it; with it, places layers on engines."""
+    """Seeks the placement lease and, while it is held, orders engines to load layers.
+
+    :param directory: returns the lists in force, ``None`` if there are none.
+    :param is_candidate: returns whether this host should seek the lease.
+    """
 
     def __init__(
         self,
@@ -64,27 +69,30 @@
         self._pool = pool
         self._replicas = replicas
         self._directory = directory
-        self._lease = LeaseKeeper(loop, pool, store, KEY, holder, is_candidate, rng)
+        self._lease = LeaseKeeper(
+            loop, pool, store, LEASE_KEY, holder, is_candidate, rng
+        )
         self._gap_since_by_centre: dict[str, float] = {}
-        # Range and instant of orders that were accepted or may have been.
+        # Layers and time of each order that was accepted or may have been.
         self._ordered: dict[tuple[str, int], tuple[tuple[int, int], float]] = {}
+        # Number of orders that each engine has accepted since its start.
         self._orders_by_identity: dict[tuple[str, int], int] = {}
         self._empty_since: dict[tuple[str, int], float] = {}
         self.orders = 0
 
     def start(self) -> None:
-        """Begin to seek the lease."""
+        """Start to seek the lease."""
         self._lease.start()
         self._loop.call_later(TICK_S, self._tick)
 
     def release(self) -> None:
-        """Give the lease up, so that another host need not wait for its end."""
+        """Release the lease, so that another host need not wait until it expires."""
         self._lease.release()
 
     def _fetch(
-        self, upstream: Upstream, call: Call, then: t.Callable[[Answer], None]
+        self, upstream: Upstream, call: Call, on_answer: t.Callable[[Answer], None]
     ) -> None:
-        Fetch(self._loop, self._pool, upstream, call, ORDER_TIMEOUT_S, then)
+        Fetch(self._loop, self._pool, upstream, call, ORDER_TIMEOUT_S, on_answer)
 
     # Orders.
 
@@ -106,9 +114,9 @@
             if ordered is not None and replica.layers == ordered[0]:
                 del self._ordered[replica.identity]
         ranges = {}
-        for identity, (held, at) in list(self._ordered.items()):
-            if now - at < ORDER_AGAIN_S:
-                ranges[identity] = held
+        for identity, (layers, ordered_at) in list(self._ordered.items()):
+            if now - ordered_at < ORDER_RETRY_S:
+                ranges[identity] = layers
                 continue
             del self._ordered[identity]
         reserved = self._reserve(replicas)
@@ -120,7 +128,7 @@
             self._order(placing)
 
     def _is_settling(self, now: float, replicas: list[Replica]) -> bool:
-        """Tell whether the first engines of a deployment are still arriving."""
+        """Return whether the first engines of a deployment are still registering."""
         if any(replica.layers is not None for replica in replicas):
             return False
         newest = max(self._empty_since.values(), default=now)
@@ -133,7 +141,7 @@
         ranges: dict[tuple[str, int], tuple[int, int]],
         now: float,
     ) -> list[Placing]:
-        """Return the moves whose gaps have lasted for a while."""
+        """Return the moves that close gaps older than ``REPAIR_AFTER_S``."""
         moves = repair(model, replicas, ranges)
         centres = {move.replica.data_centre for move in moves}
         for centre in list(self._gap_since_by_centre):
@@ -148,7 +156,7 @@
         return due
 
     def _reserve(self, replicas: list[Replica]) -> set[tuple[str, int]]:
-        """Return the empty engines that have come lately."""
+        """Return the empty engines that registered within ``SPARE_S``."""
         now = self._loop.now
         empty = {r.identity for r in replicas if r.layers is None}
         for identity in list(self._empty_since):
@@ -164,10 +172,11 @@
         replica = placing.replica
         now = self._loop.now
         identity = replica.identity
-        held = (placing.first, placing.last)
-        self._ordered[identity] = (held, now)
+        layers = (placing.first, placing.last)
+        self._ordered[identity] = (layers, now)
         self.orders += 1
-        # An engine that holds layers had orders that this host may not know of.
+        # An engine that holds layers may have accepted orders of another host, so
+        # that only an empty engine's count is known to be 0.
         count = self._orders_by_identity.get(identity)
         if count is None and replica.layers is None:
             count = 0
@@ -192,18 +201,19 @@
                 if count is not None:
                     self._orders_by_identity[identity] = count + 1
             elif answer.status:
-                # It is busy, or had orders that this host does not know of.
-                refused_at = self._loop.now - ORDER_AGAIN_S + REFUSED_AGAIN_S
-                self._ordered[identity] = (held, refused_at)
-                self._ask_orders(replica)
+                # The engine is busy, or has accepted orders of another host. The
+                # time is set back, so that the retry is due after REFUSED_RETRY_S.
+                ordered_at = self._loop.now - ORDER_RETRY_S + REFUSED_RETRY_S
+                self._ordered[identity] = (layers, ordered_at)
+                self._fetch_order_count(replica)
             elif answer.loss is not Loss.UNKNOWN:
                 self._ordered.pop(identity, None)
 
         upstream = Upstream(replica.address, identity)
         self._fetch(upstream, call, on_answer)
 
-    def _ask_orders(self, replica: Replica) -> None:
-        """Ask an engine how many orders it has accepted."""
+    def _fetch_order_count(self, replica: Replica) -> None:
+        """Request the number of orders that an engine has accepted."""
         identity = replica.identity
 
         def on_report(report: engine_wire.Report) -> None:
--- a/src/wagtailstair/gateway/register.py
+++ b/src/wagtailstair/gateway/register.py
@@ -1,4 +1,4 @@
-"""The rows by which entry hosts find each other: one's own written, others read."""
+"""Registers this host in the store's host rows, and reads those of the others."""
 
 import random
 import typing as t
@@ -20,8 +20,9 @@
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
-HOSTS_AGAIN_S = 20.0
-"""Seconds between two reads of the host rows; newcomers greet by themselves."""
+READ_INTERVAL_S = 20.0
+"""Seconds between two reads of the host rows. A host that starts sends heartbeats by
+itself, so that the rows need not be read often."""
 
 STORE_TIMEOUT_S = 1.0
 BACKOFF_S = 0.5
@@ -30,8 +31,8 @@
 class Register:
     """Writes this host's row once, then reads all rows from time to time.
 
-    :param on_hosts: takes the hosts that the rows name, this one among them.
-    :param reads_again: tells whether this host should go on reading.
+    :param on_hosts: called with the hosts that the rows name, this one included.
+    :param should_reread: returns whether this host should read the rows again.
     """
 
     def __init__(
@@ -43,7 +44,7 @@
         rng: random.Random,
         *,
         on_hosts: t.Callable[[list[Host]], None],
-        reads_again: t.Callable[[], bool],
+        should_reread: t.Callable[[], bool],
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -51,29 +52,29 @@
         self._host = host
         self._rng = rng
         self._on_hosts = on_hosts
-        self._reads_again = reads_again
+        self._should_reread = should_reread
 
     def start(self) -> None:
-        """Write this host's row, and read the others when that is done."""
+        """Write this host's row, then read the rows of all hosts."""
         value = encode_host(self._host)
         call = wire.transact_call((), [(TABLE, self._host.name, value)])
         self._fetch(call, lambda _rows: self._read(), self.start)
 
     def _read(self) -> None:
-        self._fetch(wire.read_call(TABLE), self._take, self._read)
+        self._fetch(wire.read_call(TABLE), self._on_rows, self._read)
 
-    def _read_again(self) -> None:
-        if self._reads_again():
+    def _reread(self) -> None:
+        if self._should_reread():
             self._read()
             return
-        self._read_later()
+        self._schedule_reread()
 
-    def _read_later(self) -> None:
-        delay_s = HOSTS_AGAIN_S * self._rng.uniform(0.8, 1.2)
-        self._loop.call_later(delay_s, self._read_again)
+    def _schedule_reread(self) -> None:
+        delay_s = READ_INTERVAL_S * self._rng.uniform(0.8, 1.2)
+        self._loop.call_later(delay_s, self._reread)
 
-    def _take(self, rows: StoreRows) -> None:
-        self._read_later()
+    def _on_rows(self, rows: StoreRows) -> None:
+        self._schedule_reread()
         hosts = []
         for row in rows.rows:
             host = _decode(row)
@@ -84,8 +85,8 @@
     def _fetch(
         self,
         call: Call,
-        then: t.Callable[[StoreRows], None],
-        again: t.Callable[[], None],
+        on_rows: t.Callable[[StoreRows], None],
+        retry: t.Callable[[], None],
     ) -> None:
         def on_answer(answer: Answer) -> None:
             try:
@@ -93,9 +94,9 @@
             except PlatformError as error:
                 log_event("hosts_unread", level="WARNING", reason=error)
                 pause_s = BACKOFF_S * self._rng.uniform(0.5, 1.5)
-                self._loop.call_later(pause_s, again)
+                self._loop.call_later(pause_s, retry)
                 return
-            then(rows)
+            on_rows(rows)
 
         Fetch(self._loop, self._pool, self._store, call, STORE_TIMEOUT_S, on_answer)
 
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -1,4 +1,4 @@
-"""What a gateway tells of itself in numbers, rendered by aioprometheus."""
+"""The metrics of a gateway, rendered by aioprometheus."""
 
 import typing as t
 
@@ -11,12 +11,12 @@
 if t.TYPE_CHECKING:
     from .gateway import Gateway
 
-SECONDS = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0]
-"""Bounds of the histograms, around the response-time goals of the routes."""
+BUCKETS_S = [0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 20.0]
+"""Bucket bounds of the histograms, around the response-time goals of the routes."""
 
 
 class Telemetry:
-    """Counters and histograms of one gateway; gauges are read when asked for."""
+    """The metrics of one gateway; gauges are read when the metrics are rendered."""
 
     def __init__(self, host: str) -> None:
         registry = Registry()
@@ -30,7 +30,7 @@
         def histogram(name: str, text: str) -> Histogram:
             full = f"wagtailstair_{name}_seconds"
             return Histogram(
-                full, text, const_labels=const, registry=registry, buckets=SECONDS
+                full, text, const_labels=const, registry=registry, buckets=BUCKETS_S
             )
 
         def gauge(name: str, text: str) -> Gauge:
@@ -38,48 +38,52 @@
             return Gauge(full, text, const_labels=const, registry=registry)
 
         self._requests = counter("requests", "Requests ended, by outcome.")
-        self._denied = counter("requests_denied", "Requests that the lists deny.")
+        self._requests_denied = counter(
+            "requests_denied", "Requests that the lists deny."
+        )
         self._sends = counter("sends", "Sends to upstreams, by kind of route.")
-        self._took = histogram("request", "From the first byte to the end.")
-        self._first = histogram("first_event", "From the first byte to an event.")
-        self._running = gauge("streams_running", "Streams in work.")
-        self._version = gauge("lists_version", "Version of the lists in force.")
-        self._peers = gauge("peers_live", "Other hosts that are live.")
+        self._request_seconds = histogram("request", "From the first byte to the end.")
+        self._first_event_seconds = histogram(
+            "first_event", "From the first byte to an event."
+        )
+        self._streams_running = gauge("streams_running", "Streams in work.")
+        self._lists_version = gauge("lists_version", "Version of the lists in force.")
+        self._peers_live = gauge("peers_live", "Other hosts that are live.")
         self._upstreams = gauge("upstreams", "Upstreams that may get new work.")
-        self._away = gauge("store_away", "1 while the store can't be reached.")
+        self._store_away = gauge("store_away", "1 while the store can't be reached.")
 
-    def ended(self, kind: str, rank: int, outcome: str, took_s: float) -> None:
-        """Count a request's end."""
-        labels = {"kind": kind, "rank": str(rank), "outcome": _short(outcome)}
+    def count_request(self, kind: str, rank: int, outcome: str, took_s: float) -> None:
+        """Count a request that has ended."""
+        labels = {"kind": kind, "rank": str(rank), "outcome": _outcome_label(outcome)}
         self._requests.add(labels, 1)
-        self._took.observe({"kind": kind}, took_s)
+        self._request_seconds.observe({"kind": kind}, took_s)
 
-    def denied(self, reason: str) -> None:
+    def count_denied(self, reason: str) -> None:
         """Count a request that the lists deny."""
-        self._denied.add({"reason": reason}, 1)
+        self._requests_denied.add({"reason": reason}, 1)
 
-    def sent(self, kind: str, sends: int) -> None:
+    def count_sends(self, kind: str, sends: int) -> None:
         """Count the sends of a request."""
         self._sends.add({"kind": kind}, sends)
 
-    def first_event(self, seconds: float) -> None:
-        """Count the wait for a stream's first event."""
-        self._first.observe({}, seconds)
+    def observe_first_event(self, seconds: float) -> None:
+        """Record the time until a stream's first event."""
+        self._first_event_seconds.observe({}, seconds)
 
     def render(self, gateway: "Gateway") -> bytes:
-        """Return the text exposition; what is not known is left out."""
-        self._running.set({}, len(gateway.streams()))
-        self._peers.set({}, len(gateway.peers.live_hosts()))
+        """Return the metrics as text; the lists' version is omitted without lists."""
+        self._streams_running.set({}, len(gateway.streams()))
+        self._peers_live.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
-        self._away.set({}, int(gateway.knowledge.is_store_away))
+        self._store_away.set({}, int(gateway.knowledge.is_store_away))
         if gateway.lists_version():
-            self._version.set({}, gateway.lists_version())
+            self._lists_version.set({}, gateway.lists_version())
         body, _ = render(self._registry, ["text/plain"])
         return bytes(body)
 
 
-def _short(outcome: str) -> str:
-    """Return an outcome without the details that would make labels endless."""
+def _outcome_label(outcome: str) -> str:
+    """Return an outcome without its details, to bound the number of label values."""
     return outcome.partition(":")[0].replace(" ", "_")
 
 
--- a/src/wagtailstair/gateway/uses.py
+++ b/src/wagtailstair/gateway/uses.py
@@ -1,4 +1,4 @@
-"""What requests hold on engines, as hosts tell each other of it."""
+"""Encodes the load on engines into messages to peers, and applies those received."""
 
 import typing as t
 
@@ -9,7 +9,7 @@
 
 
 def own_uses(host: str, services: t.Iterable[Pipelines]) -> EngineUses:
-    """Return what the requests of one host hold."""
+    """Return the load that the requests of one host put on engines."""
     loads: dict[int, Load] = {}
     for pipelines in services:
         loads.update(pipelines.own_loads())
@@ -17,21 +17,21 @@
 
 
 def centre_uses(data_centre: str, services: t.Iterable[Pipelines]) -> EngineUses:
-    """Return what the requests of all hosts of a data centre hold."""
+    """Return the load that the requests of a data centre put on engines."""
     loads: dict[int, Load] = {}
     for pipelines in services:
         loads.update(pipelines.centre_loads())
     return _encode(data_centre, loads, is_centre=True)
 
 
-def take_uses(uses: EngineUses, services: t.Iterable[Pipelines]) -> None:
-    """Take what a host or a data centre tells, in place of what it told before."""
-    columns = (uses.running, uses.heads, uses.held)
+def apply_uses(message: EngineUses, services: t.Iterable[Pipelines]) -> None:
+    """Replace the load that a host or a data centre has reported before."""
+    columns = (message.running, message.heads, message.held)
     loads = {}
-    for key, *load in zip(uses.keys, *columns, strict=True):
+    for key, *load in zip(message.keys, *columns, strict=True):
         loads[key] = Load(*load)
     for pipelines in services:
-        pipelines.note_peer(Source(uses.source, uses.is_centre), loads)
+        pipelines.note_peer(Source(message.source, message.is_centre), loads)
 
 
 def _encode(source: str, loads: dict[int, Load], *, is_centre: bool) -> EngineUses:
