Wording: platform adapter, logs, clock, exceptions, gateway settings, loop, entry point

Plain doc comments and error messages that say what was expected. Renames: Stalled -> StalledRequest, MS -> S_PER_MS, MEGA -> BITS_PER_MEGABIT, Timer.call -> callback. No test matches the changed messages.

--- a/src/wagtailstair/clock.py
+++ b/src/wagtailstair/clock.py
@@ -1,4 +1,4 @@
-"""The clock interface that is passed into everything that needs the time."""
+"""The clock interface that is passed to all code that needs the time."""
 
 import datetime
 import time
@@ -8,7 +8,7 @@
 class Clock(t.Protocol):
     """A source of time.
 
-    Instants on the monotonic clock are ``float`` seconds, as in the standard
+    Times of the monotonic clock are ``float`` seconds, as in the standard
     library's :func:`time.monotonic`; durations are :class:`datetime.timedelta`
     in settings and ``float`` seconds (``*_s``) in the core.
     """
@@ -37,7 +37,7 @@
 
 
 class ManualClock:
-    """A clock that moves only when told to, for tests and benchmarks."""
+    """A clock that moves only by :meth:`advance`, for tests and benchmarks."""
 
     __slots__ = ("_epoch", "_now")
 
--- a/src/wagtailstair/exceptions.py
+++ b/src/wagtailstair/exceptions.py
@@ -1,20 +1,20 @@
-"""The tree of errors: each layer has its own branch and turns those from below."""
+"""The hierarchy of errors; each layer converts errors of lower layers to its own."""
 
 import enum
 
 
 class Outcome(enum.Enum):
-    """What is known about the effect of a request that ended in an error."""
+    """Whether a request that ended in an error may have run."""
 
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
 
 
 class WagtailstairError(Exception):
-    """The base of all errors of this project.
+    """The base class of all errors of this project.
 
-    :param message: what happened, for a person; never a key, prompt or answer.
-    :param where: the place: a file and key, a host, an upstream, a row.
+    :param message: a description for people; never holds a key, prompt or answer.
+    :param where: the file and key, host, upstream or row that the error concerns.
     """
 
     code = "internal"
@@ -32,27 +32,27 @@
 
 
 class SettingsError(WagtailstairError):
-    """A settings file is unreadable, mistyped or contradicts itself."""
+    """A settings file can't be read, or its settings are invalid or inconsistent."""
 
     code = "settings_invalid"
 
 
 class ListsError(WagtailstairError):
-    """The lists, or an edit of them, are not valid."""
+    """The lists, or an edit of them, are invalid."""
 
     code = "lists_invalid"
     http_status = 400
 
 
 class EditConflictError(ListsError):
-    """Another operator changed the same row first."""
+    """Another operator has changed the row since it was read."""
 
     code = "edit_conflict"
     http_status = 409
 
 
 class PlatformError(WagtailstairError):
-    """A service of the platform could not do what was asked."""
+    """A service of the platform could not complete a call."""
 
     code = "platform_error"
     http_status = 503
@@ -65,7 +65,7 @@
 
 
 class PlatformUnknownError(PlatformError):
-    """The reply was lost; the request may have taken effect."""
+    """The response was lost; the request may have taken effect."""
 
     code = "platform_unknown"
 
@@ -91,19 +91,19 @@
 
 
 class UpstreamRefusedError(UpstreamError):
-    """The upstream said that it did not run the attempt."""
+    """The upstream answered that it did not run the attempt."""
 
     code = "upstream_refused"
 
 
 class UpstreamLostError(UpstreamError):
-    """The attempt was sent and its end is not known."""
+    """The attempt was sent and its outcome is unknown."""
 
     code = "upstream_lost"
 
 
 class PeerError(WagtailstairError):
-    """A message from or to another daemon is not usable."""
+    """A message from or to another daemon is invalid."""
 
     code = "peer_error"
 
@@ -111,8 +111,8 @@
 class RequestError(WagtailstairError):
     """A caller's request ends with an error.
 
-    :param outcome: what is known about the effect of the request.
-    :param retry_after_s: seconds after which a retry makes sense, if known.
+    :param outcome: whether the request may have run.
+    :param retry_after_s: seconds after which a retry may succeed, if known.
     """
 
     code = "request_error"
@@ -147,14 +147,14 @@
 
 
 class NotAuthenticatedError(RequestError):
-    """The bearer key is missing or names no account."""
+    """The bearer key is missing or belongs to no account."""
 
     code = "not_authenticated"
     http_status = 401
 
 
 class NotEntitledError(RequestError):
-    """The account's plan does not include what was asked for."""
+    """The account's plan does not include the requested resource."""
 
     code = "not_entitled"
     http_status = 403
@@ -168,7 +168,7 @@
 
 
 class LimitExceededError(RequestError):
-    """The account is over a limit of its plan."""
+    """The account has exceeded a limit of its plan."""
 
     code = "limit_exceeded"
     http_status = 429
@@ -203,7 +203,7 @@
 
 
 class OutcomeUnknownError(RequestError):
-    """The request was sent and its result is not known; it is not run again."""
+    """The request was sent and its result is unknown; it is not retried."""
 
     code = "outcome_unknown"
     http_status = 502
@@ -226,7 +226,7 @@
 
 
 class CallerGoneError(RequestError):
-    """The caller closed the connection before the answer was whole."""
+    """The caller closed the connection before the answer was complete."""
 
     code = "caller_gone"
     http_status = 499
--- a/src/wagtailstair/gateway/__init__.py
+++ b/src/wagtailstair/gateway/__init__.py
@@ -1,1 +1,1 @@
-"""The gateway: an event loop between callers, upstreams and the store."""
+"""The gateway: one event loop that serves callers, upstreams, peers and the store."""
--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -1,7 +1,7 @@
-"""The entry point of wagtailstair-gateway: signals first, then the program.
+"""The entry point of wagtailstair-gateway: sets signal handlers, then starts.
 
-The program's imports take a good part of a second on a small host. A signal in
-that time must not end the process as if it had failed.
+The program's imports take a good part of a second on a small host. A signal during
+that time must not end the process with a failure.
 """
 
 import signal
@@ -13,11 +13,11 @@
 
 
 def main(argv: t.Sequence[str] | None = None, clock: Clock | None = None) -> int:
-    """Run the gateway with the settings file that is named; return the exit code."""
-    # The settings are read after this: a change before needs no reload.
+    """Run the gateway with the given settings file; return the exit code."""
+    # The settings are read later, so that a reload signal can be ignored until then.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
     signal.signal(signal.SIGTERM, lambda _number, _frame: sys.exit(0))
-    # Imported here, so that the signals are safe before.
+    # Imported here, so that the signal handlers are set before.
     from .program import run
 
     return run(argv, SystemClock() if clock is None else clock)
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/knowledge.py
@@ -148,7 +148,7 @@
         self._request_if_due(self._upstreams, host)
 
     def relayed(self, target: str) -> bytes | None:
-        """Encode the table that a peer requests; ``None`` if it is not complete here."""
+        """Encode the table that a peer requests, ``None`` if it is incomplete here."""
         table, _, after = target.removeprefix(RELAY_PATH).partition(AFTER)
         follower = self._follower_by_table.get(table)
         if follower is None or not follower.copy.is_complete:
--- a/src/wagtailstair/gateway/loop.py
+++ b/src/wagtailstair/gateway/loop.py
@@ -1,4 +1,4 @@
-"""An event loop over epoll: sockets, timers, signals. One thread runs all of it."""
+"""An event loop over epoll for sockets, timers and signals, run by one thread."""
 
 import collections.abc
 import contextlib
@@ -18,27 +18,27 @@
 FAILED = select.EPOLLERR | select.EPOLLHUP
 
 MAX_POLL_S = 5.0
-"""Longest wait for events, in seconds; nothing depends on it."""
+"""Longest wait for events, in seconds; the value has no effect on behaviour."""
 
 Handler = collections.abc.Callable[[int], None]
 
 
 class Timer:
-    """A call that is due at an instant, unless it is cancelled."""
+    """A callback that is due at a time, unless it is cancelled."""
 
-    __slots__ = ("call", "when")
+    __slots__ = ("callback", "when")
 
-    def __init__(self, when: float, call: t.Callable[[], None] | None) -> None:
+    def __init__(self, when: float, callback: t.Callable[[], None] | None) -> None:
         self.when = when
-        self.call = call
+        self.callback = callback
 
     def cancel(self) -> None:
-        """Make the call not happen."""
-        self.call = None
+        """Prevent the callback from being called."""
+        self.callback = None
 
 
 class Loop:
-    """Sockets by descriptor and timers by instant."""
+    """Calls handlers of sockets, timers and signals."""
 
     def __init__(self, clock: Clock) -> None:
         self.clock = clock
@@ -46,44 +46,45 @@
         self._epoll = select.epoll()
         self._handler_by_fd: dict[int, Handler] = {}
         self._timers: list[tuple[float, int, Timer]] = []
+        # Keeps timers that are due at the same time in the order of their creation.
         self._order = itertools.count()
         self._is_running = False
-        self._on_signal: dict[int, t.Callable[[], None]] = {}
+        self._callback_by_signal: dict[int, t.Callable[[], None]] = {}
 
     def add(self, fd: int, events: int, handler: Handler) -> None:
-        """Call a handler on events of a descriptor."""
+        """Register a handler for events of a descriptor."""
         self._handler_by_fd[fd] = handler
         self._epoll.register(fd, events)
 
     def change(self, fd: int, events: int) -> None:
-        """Change the events of a descriptor that are waited for."""
+        """Change the events for which a descriptor's handler is called."""
         self._epoll.modify(fd, events)
 
     def remove(self, fd: int) -> None:
-        """Forget a descriptor, before it is closed."""
+        """Unregister a descriptor; to be called before it is closed."""
         if self._handler_by_fd.pop(fd, None) is not None:
             with contextlib.suppress(OSError):
                 self._epoll.unregister(fd)
 
-    def call_later(self, delay_s: float, call: t.Callable[[], None]) -> Timer:
-        """Call a function after some seconds."""
-        return self.call_at(self.now + delay_s, call)
+    def call_later(self, delay_s: float, callback: t.Callable[[], None]) -> Timer:
+        """Schedule a callback after a delay."""
+        return self.call_at(self.now + delay_s, callback)
 
-    def call_at(self, when: float, call: t.Callable[[], None]) -> Timer:
-        """Call a function at an instant of the monotonic clock."""
-        timer = Timer(when, call)
+    def call_at(self, when: float, callback: t.Callable[[], None]) -> Timer:
+        """Schedule a callback at a time of the monotonic clock."""
+        timer = Timer(when, callback)
         heapq.heappush(self._timers, (when, next(self._order), timer))
         return timer
 
-    def call_on_signal(self, number: int, call: t.Callable[[], None]) -> None:
-        """Call a function, from the loop, after a signal."""
-        if not self._on_signal:
+    def call_on_signal(self, number: int, callback: t.Callable[[], None]) -> None:
+        """Register a callback for a signal; the loop calls it."""
+        if not self._callback_by_signal:
             self._watch_signals()
-        self._on_signal[number] = call
+        self._callback_by_signal[number] = callback
         signal.signal(number, lambda _number, _frame: None)
 
     def run(self) -> None:
-        """Serve events until :meth:`stop`."""
+        """Handle events until :meth:`stop` is called."""
         self._is_running = True
         while self._is_running:
             events = self._epoll.poll(self._poll_s())
@@ -91,15 +92,15 @@
             for fd, mask in events:
                 handler = self._handler_by_fd.get(fd)
                 if handler is not None:
-                    self._guard(handler, mask)
+                    self._call(handler, mask)
             self._run_timers()
 
     def stop(self) -> None:
-        """End :meth:`run` after the present round."""
+        """Make :meth:`run` return after the events in progress."""
         self._is_running = False
 
     def _poll_s(self) -> float:
-        while self._timers and self._timers[0][2].call is None:
+        while self._timers and self._timers[0][2].callback is None:
             heapq.heappop(self._timers)
         if not self._timers:
             return MAX_POLL_S
@@ -108,17 +109,17 @@
     def _run_timers(self) -> None:
         while self._timers and self._timers[0][0] <= self.now:
             _, _, timer = heapq.heappop(self._timers)
-            call = timer.call
-            if call is None:
+            callback = timer.callback
+            if callback is None:
                 continue
-            timer.call = None
-            self._guard(call)
+            timer.callback = None
+            self._call(callback)
 
     @staticmethod
-    def _guard(handler: t.Callable[..., None], *arguments: int) -> None:
+    def _call(handler: t.Callable[..., None], *arguments: int) -> None:
         try:
             handler(*arguments)
-        except Exception as error:  # one request's fault must not end the rest
+        except Exception as error:  # a fault in one request must not stop the others
             log_event("handler_failed", level="ERROR", error=place_of(error))
 
     def _watch_signals(self) -> None:
@@ -130,8 +131,8 @@
 
         def on_signals(_mask: int) -> None:
             for number in reader.recv(256):
-                call = self._on_signal.get(number)
-                if call is not None:
-                    call()
+                callback = self._callback_by_signal.get(number)
+                if callback is not None:
+                    callback()
 
         self.add(reader.fileno(), READABLE, on_signals)
--- a/src/wagtailstair/gateway/program.py
+++ b/src/wagtailstair/gateway/program.py
@@ -1,4 +1,4 @@
-"""The program wagtailstair-gateway, once its signals are safe."""
+"""The program wagtailstair-gateway, started after its signal handlers are set."""
 
 import os
 import pathlib
@@ -16,7 +16,7 @@
 
 
 def run(argv: t.Sequence[str] | None, clock: Clock) -> int:
-    """Serve with the settings file that is named; return the exit code."""
+    """Run the gateway with the given settings file; return the exit code."""
     arguments = sys.argv[1:] if argv is None else list(argv)
     path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
     try:
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -1,4 +1,4 @@
-"""The settings of a gateway: TOML, checked as a whole before anything starts."""
+"""The settings of a gateway: a TOML file, validated before anything starts."""
 
 import ipaddress
 import pathlib
@@ -16,14 +16,14 @@
 
 
 class _Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
-    """The base of every table of the file."""
+    """The base class of all tables of the file."""
 
 
 class HostSection(_Section, frozen=True):
-    """Who and where this host is.
+    """The name, data centre and addresses of this host.
 
-    ``callers`` and ``readiness`` are ``ip:port``; ``peer_ports`` the first and
-    last port for hosts among themselves; ``metrics_port`` 0 for none.
+    ``callers``, ``readiness``: ``ip:port`` to listen on; ``peer_ports``: first and
+    last port for traffic between hosts; ``metrics_port``: 0 for none.
     """
 
     name: str
@@ -36,11 +36,12 @@
 
 
 class StoreSection(_Section, frozen=True):
-    """Where the platform's store is and what all hosts may ask of it.
+    """The address of the platform's store and the rate limits for all hosts.
 
-    ``lapse_s``: how long after the store's return the rows of live upstreams
-    may still be missing. They are back in about 2 s; an upstream that left may
-    get nothing from 2 s after its removal on, so that less is waited.
+    ``lapse_s``: seconds after the store has recovered in which the rows of live
+    upstreams may still be missing. These rows are back after about 2 s. The value is
+    lower because an upstream that left must get no requests from 2 s after its
+    removal on.
     """
 
     address: str
@@ -50,9 +51,10 @@
 
 
 class RetriesSection(_Section, frozen=True):
-    """The budget of repeats that all hosts share, per service.
+    """The retry budget that all hosts share, per service.
 
-    ``ratio``: repeats over requests in ``window_s``; ``slack``: beside these.
+    ``ratio``: retries per request within ``window_s``; ``slack``: retries that are
+    allowed in addition.
     """
 
     ratio: Fraction
@@ -61,13 +63,13 @@
 
 
 class ShutdownSection(_Section, frozen=True):
-    """``grace_s``: from the signal to the end of the process by force."""
+    """``grace_s``: seconds from the signal until the process is killed."""
 
     grace_s: Seconds
 
 
 class LogSection(_Section, frozen=True):
-    """What is logged; ``lines_per_s``: of one event, in the long run."""
+    """The log level, and in ``lines_per_s`` the mean rate limit of each event."""
 
     lines_per_s: Seconds = 50.0
     level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
@@ -86,7 +88,7 @@
 def parse_address(text: str, where: str) -> tuple[str, int]:
     """Return the IP address and port of ``ip:port``.
 
-    :raises SettingsError: naming the place and the value.
+    :raises SettingsError: naming the setting and the value.
     """
     ip, _, port = text.rpartition(":")
     try:
@@ -112,7 +114,7 @@
 
 
 def parse_settings(text: str, source: str = "<settings>") -> GatewaySettings:
-    """Check settings from TOML text.
+    """Parse and validate settings from TOML text.
 
     :raises SettingsError: naming the file, the key and what was expected.
     """
@@ -120,7 +122,7 @@
 
 
 def load_settings(path: pathlib.Path) -> GatewaySettings:
-    """Read and check a settings file.
+    """Read and validate a settings file.
 
     :raises SettingsError: if it can't be read or is not valid.
     """
--- a/src/wagtailstair/logs.py
+++ b/src/wagtailstair/logs.py
@@ -1,4 +1,4 @@
-"""Events as one line of key=value pairs, through loguru."""
+"""Logging of events as lines of key=value pairs, through loguru."""
 
 import contextlib
 import os
@@ -14,13 +14,13 @@
 if t.TYPE_CHECKING:
     import loguru
 
-LINE_BYTES_MAX = 4096  # a pipe takes as much whole, or nothing of it
+LINE_BYTES_MAX = 4096  # writes of up to this size to a pipe are atomic
 _NEEDS_QUOTES = frozenset(' "=\n\r\t')
 
 _FORMAT = "time={time:YYYY-MM-DDTHH:mm:ss.SSSZZ} level={level} {message}"
 
 
-def _value(value: object) -> str:
+def _format_value(value: object) -> str:
     text = str(value)
     if isinstance(value, float):
         text = f"{value:.6g}"
@@ -32,17 +32,17 @@
 
 
 def format_event(event: str, fields: t.Mapping[str, object]) -> str:
-    """Format an event as key=value pairs."""
-    parts = [f"event={_value(event)}"]
+    """Return an event as one line of key=value pairs."""
+    parts = [f"event={_format_value(event)}"]
     for key, value in fields.items():
-        parts.append(f"{key}={_value(value)}")
+        parts.append(f"{key}={_format_value(value)}")
     return " ".join(parts)
 
 
 def place_of(error: BaseException) -> str:
-    """Name an unexpected error and where it came from.
+    """Return the type of an unexpected error, with the file and line that raised it.
 
-    Its text is left out: it may quote a prompt or an answer.
+    The error's text is omitted, since it may quote a prompt or an answer.
     """
     frame = error.__traceback__
     if frame is None:
@@ -54,9 +54,9 @@
 
 
 def configure_logs(level: str, host: str) -> None:
-    """Send events of a level and above to standard error."""
+    """Write events of a level and above to standard error."""
     logger.remove()
-    prefix = f"host={_value(host)} "
+    prefix = f"host={_format_value(host)} "
     template = _FORMAT.replace("{message}", prefix + "{message}")
     logger.add(sys.stderr, level=level, format=template, backtrace=False)
 
@@ -64,12 +64,13 @@
 def configure_bounded_logs(
     level: str, host: str, lines_per_s: float, clock: Clock
 ) -> None:
-    """Send events to standard output, some lines of each a second, never waiting.
+    """Write events to standard output without blocking, with a rate limit per event.
 
-    Lines beyond the bound are counted; the next line of the event tells of them.
+    Lines over the limit are dropped and counted; the event's next line has the count
+    as ``left_out``.
     """
     logger.remove()
-    prefix = f"host={_value(host)} "
+    prefix = f"host={_format_value(host)} "
     template = _FORMAT.replace("{message}", prefix + "{message}")
     budget = LogBudget(lines_per_s)
     descriptor = sys.stdout.fileno()
@@ -83,7 +84,8 @@
         return left_out is not None
 
     def write(message: str) -> None:
-        # A reader that has stopped must not stop the requests: the line is lost.
+        # The line is dropped if the reader of the pipe has stopped, so that
+        # requests go on.
         with contextlib.suppress(BlockingIOError, BrokenPipeError):
             os.write(descriptor, message.encode()[:LINE_BYTES_MAX])
 
@@ -91,5 +93,5 @@
 
 
 def log_event(event: str, *, level: str = "INFO", **fields: object) -> None:
-    """Write one event; never pass a key, a prompt or an answer."""
+    """Log one event; never pass an API key, a prompt or an answer."""
     logger.opt(lazy=True).log(level, "{}", lambda: format_event(event, fields))
--- a/src/wagtailstair/platform/__init__.py
+++ b/src/wagtailstair/platform/__init__.py
@@ -1,1 +1,1 @@
-"""The adapter to the platform: its names and shapes, translated and nothing else."""
+"""The adapter to the platform: translates its names and formats, without any I/O."""
--- a/src/wagtailstair/platform/engines.py
+++ b/src/wagtailstair/platform/engines.py
@@ -1,4 +1,4 @@
-"""Calls to model engines: placement, new paths, reports."""
+"""Calls to model engines: orders to hold layers or to change paths, and reports."""
 
 import typing as t
 
@@ -16,18 +16,21 @@
     target: int
 
 
-class Stalled(msgspec.Struct):
-    """A request that waits for an engine of its path that does not answer."""
+class StalledRequest(msgspec.Struct):
+    """A request that waits for an engine of its path that does not answer.
+
+    ``id``: of the attempt; ``address``: of the engine that does not answer.
+    """
 
-    # The attempt's id.
     id: str
     address: str
 
 
 class Report(msgspec.Struct):
-    """What an engine says of itself, some hundred milliseconds ago.
+    """An engine's report on its state, a few hundred milliseconds old.
 
-    ``orders``: accepted since its start; ``slowness``: 1 is its usual speed.
+    ``born``: Unix milliseconds of its start; ``orders``: number accepted since then;
+    ``slowness``: time of a step relative to the usual one, 1 at the usual speed.
     """
 
     born: int
@@ -39,17 +42,19 @@
     kv_total: float
     slowness: float = msgspec.field(name="pace", default=1.0)
     layers: _Layers | None = None
-    stalled: list[Stalled] = []
+    stalled: list[StalledRequest] = []
 
 
 _REPORT = msgspec.json.Decoder(Report)
 
 
 def place_call(first: int, last: int, orders: int | None) -> Call:
-    """Return the order to hold the layers from ``first`` up to ``last``.
+    """Return the call that orders an engine to hold layers ``first`` to ``last``.
+
+    The range excludes ``last``.
 
-    :param orders: the count of orders that the engine must have accepted, so
-        that a late copy of the order has no effect.
+    :param orders: the number of orders that the engine must have accepted before,
+        so that a delayed duplicate of the order has no effect.
     """
     body: dict[str, t.Any] = {
         "op": "place",
@@ -63,22 +68,22 @@
 
 
 def repath_call(attempt: str, path: bytes) -> Call:
-    """Return the order to move a running request to another path."""
+    """Return the call that orders an engine to move a running request to a path."""
     body = {"op": "repath", "id": attempt, "path": path.decode()}
     return Call("POST", ORDER_PATH, msgspec.json.encode(body))
 
 
 def report_call() -> Call:
-    """Return the call for an engine's report."""
+    """Return the call that requests an engine's report."""
     return Call("GET", REPORT_PATH)
 
 
 def decode_report(body: bytes) -> Report:
-    """Return an engine's report.
+    """Decode an engine's report.
 
-    :raises UpstreamError: if it can't be read.
+    :raises UpstreamError: if the body is not a valid report.
     """
     try:
         return _REPORT.decode(body)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise UpstreamError(f"unreadable report: {error}") from error
+        raise UpstreamError(f"invalid engine report: {error}") from error
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -1,4 +1,4 @@
-"""Header names of the platform, and what the product calls them."""
+"""Header names of the platform, and parsing and formatting of header values."""
 
 import typing as t
 
@@ -24,14 +24,14 @@
 
 
 def read_key(authorization: bytes) -> str | None:
-    """Return the caller's key of an Authorization header, if it has one."""
+    """Return the API key of an Authorization header, ``None`` if it has none."""
     if not authorization.lower().startswith(KEY_SCHEME):
         return None
     return authorization[len(KEY_SCHEME) :].strip().decode("latin-1")
 
 
 def read_tokens(usage: bytes) -> tuple[int, int]:
-    """Return the prompt's tokens and the most tokens of the answer; 0 if unknown."""
+    """Return the tokens of the prompt and the most of the answer, 0 if unknown."""
     prompt, _, answer = usage.partition(b",")
     try:
         return int(prompt), int(answer)
@@ -40,5 +40,10 @@
 
 
 def write_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
-    """Return the header value of a path: address, first layer, layer after the last."""
-    return ",".join(f"{a}={first}-{last}" for a, first, last in hops).encode()
+    """Return the header value of a path.
+
+    :param hops: address, first layer and the layer after the last one of each hop.
+    """
+    return ",".join(
+        f"{address}={first}-{last}" for address, first, last in hops
+    ).encode()
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -1,4 +1,4 @@
-"""The platform's lists, decoded into the product's directory."""
+"""Decodes the platform's lists of routes, services and accounts into a directory."""
 
 import typing as t
 
@@ -17,9 +17,9 @@
 TABLE = "op"
 KEY = "config"
 
-MS = 1e-3
+S_PER_MS = 1e-3
 BITS_PER_BYTE = 8
-MEGA = 1e6
+BITS_PER_MEGABIT = 1e6
 
 
 class _Split(msgspec.Struct):
@@ -33,9 +33,9 @@
     prefix: str
     kind: str
     timeout_ms: float
-    # The time within which an answer is worth most.
+    # The response-time goal.
     aim_ms: float = 0.0
-    # The upstreams that one request may be sent to.
+    # The most upstreams that one request may be sent to.
     attempts: int = 1
     priority: int = 0
     service: str | None = None
@@ -48,20 +48,21 @@
 class _Kind(msgspec.Struct):
     name: str
     megabytes: float
-    # Multiplies the times of steps; in a report the same name means slowness.
+    # Multiplies the times of steps. In an engine's report, the same name is the
+    # engine's slowness.
     pace: float
     read_factor: float
 
 
 class _Delay(msgspec.Struct):
-    # Names of two data centres, not layers as elsewhere.
+    # Names of two data centres; elsewhere, ``from`` and ``target`` are layers.
     origin: str = msgspec.field(name="from")
     target: str
     delay_ms: float
 
 
 class _Usual(msgspec.Struct):
-    # Mean tokens of an answer.
+    # Mean number of tokens of an answer.
     answer: float
 
 
@@ -69,7 +70,7 @@
     kv_token_bytes: float
     step_ms: float
     per_seq_ms: float
-    # Tokens a second, not a millisecond as on the sheets.
+    # Tokens per second, whereas the data sheets have tokens per millisecond.
     read_per_s: float
     layers: int
     layer_mb: float
@@ -110,14 +111,14 @@
 
 
 def _bytes_per_s(megabits_per_s: float) -> float:
-    return megabits_per_s * MEGA / BITS_PER_BYTE
+    return megabits_per_s * BITS_PER_MEGABIT / BITS_PER_BYTE
 
 
 def _model(engine: _Engine) -> ModelSpec:
     delays: dict[tuple[str, str], float] = {}
     for delay in engine.delays:
-        delays[delay.origin, delay.target] = delay.delay_ms * MS
-        delays[delay.target, delay.origin] = delay.delay_ms * MS
+        delays[delay.origin, delay.target] = delay.delay_ms * S_PER_MS
+        delays[delay.target, delay.origin] = delay.delay_ms * S_PER_MS
     kinds: dict[str, Accelerator] = {}
     for kind in engine.kinds:
         kinds[kind.name] = Accelerator(
@@ -128,8 +129,8 @@
         layer_weights_mb=engine.layer_mb,
         kv_bytes=engine.kv_token_bytes,
         hidden_bytes=engine.activation_bytes,
-        step_s=engine.step_ms * MS,
-        sequence_s=engine.per_seq_ms * MS,
+        step_s=engine.step_ms * S_PER_MS,
+        sequence_s=engine.per_seq_ms * S_PER_MS,
         read_tokens_per_s=engine.read_per_s,
         usual_answer=engine.usual.answer,
         pipe_bytes_per_s=_bytes_per_s(engine.pipe_mbps),
@@ -149,14 +150,14 @@
         host=route.host.lower(),
         prefix=route.prefix,
         kind=RouteKind(route.kind),
-        timeout_s=route.timeout_ms * MS,
-        goal_s=route.aim_ms * MS,
+        timeout_s=route.timeout_ms * S_PER_MS,
+        goal_s=route.aim_ms * S_PER_MS,
         attempts=route.attempts,
         rank=route.priority,
         targets=targets,
         is_anonymous=route.anonymous,
         is_resumable=route.can_resume,
-        gap_s=route.gap_target_ms * MS,
+        gap_s=route.gap_target_ms * S_PER_MS,
     )
 
 
@@ -169,9 +170,9 @@
 
 
 def decode_directory(value: bytes) -> Directory:
-    """Return the directory of a row's value.
+    """Decode the directory from a row's value.
 
-    :raises ListsError: if the value is not a valid list.
+    :raises ListsError: if the value does not hold valid lists.
     """
     try:
         config = _DECODER.decode(value)
@@ -189,15 +190,15 @@
             CallerLimits(
                 limits.max_header_bytes,
                 limits.max_body_bytes,
-                limits.header_timeout_ms * MS,
-                limits.idle_timeout_ms * MS,
+                limits.header_timeout_ms * S_PER_MS,
+                limits.idle_timeout_ms * S_PER_MS,
             ),
             needs_keys=bool(config.tenants),
         )
     except (msgspec.MsgspecError, ValueError, UnicodeDecodeError) as error:
-        raise ListsError(f"not usable: {error}", where=f"{TABLE}/{KEY}") from error
+        raise ListsError(f"invalid lists: {error}", where=f"{TABLE}/{KEY}") from error
 
 
 def is_directory_row(table: str, key: t.Any) -> bool:
-    """Tell whether a row holds the lists."""
+    """Return whether a row holds the lists."""
     return table == TABLE and key == KEY
--- a/src/wagtailstair/platform/replicas.py
+++ b/src/wagtailstair/platform/replicas.py
@@ -1,4 +1,4 @@
-"""Rows by which upstreams register themselves, decoded."""
+"""Decodes the rows in which upstreams register themselves."""
 
 import msgspec
 
@@ -22,7 +22,7 @@
     zone: str
     slots: int
     state: str
-    # Unix milliseconds of its start.
+    # Unix milliseconds of the upstream's start.
     born: int
     kind: str = ""
     layers: _Layers | None = None
@@ -32,20 +32,27 @@
 
 
 def decode_replica(name: str, value: bytes) -> Replica:
-    """Return the upstream of a row.
+    """Decode the upstream that a row registers.
 
-    :raises UpstreamError: if the row names no upstream that can be used.
+    :raises UpstreamError: if the row is malformed or its state is unknown.
     """
     try:
         server = _DECODER.decode(value)
         leaving = _LEAVING_BY_STATE[server.state]
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise UpstreamError(f"unreadable: {error}", where=f"{TABLE}/{name}") from error
+        raise UpstreamError(
+            f"invalid upstream row: {error}", where=f"{TABLE}/{name}"
+        ) from error
     except KeyError as error:
-        raise UpstreamError(f"state {error}", where=f"{TABLE}/{name}") from error
+        raise UpstreamError(
+            f"unknown upstream state {error}", where=f"{TABLE}/{name}"
+        ) from error
     host, _, port = server.address.rpartition(":")
     if not host or not port.isascii() or not port.isdigit():
-        raise UpstreamError(f"address {server.address!r}", where=f"{TABLE}/{name}")
+        raise UpstreamError(
+            f"expected host:port as address, got {server.address!r}",
+            where=f"{TABLE}/{name}",
+        )
     layers = server.layers
     return Replica(
         name=name,
--- a/src/wagtailstair/platform/store.py
+++ b/src/wagtailstair/platform/store.py
@@ -1,6 +1,6 @@
-"""Calls of the platform's store: requests encoded, answers decoded.
+"""Encodes calls to the platform's store, and decodes its answers.
 
-No I/O: the gateway's client sends what these functions return.
+No I/O: the gateway's client sends the calls that these functions return.
 """
 
 import base64
@@ -33,7 +33,7 @@
 
 class _Rows(msgspec.Struct):
     rows: list[_Row] = []
-    # The newest version of the whole store, not of these rows.
+    # The version of the whole store, which may be newer than all of these rows.
     ver: int = 0
     now_ms: float = 0.0
     truncated: bool = False
@@ -42,7 +42,7 @@
 _DECODER = msgspec.json.Decoder(_Rows)
 
 
-def _row(row: _Row) -> StoreRow | None:
+def _decode_row(row: _Row) -> StoreRow | None:
     value: bytes | None = None
     if not row.deleted and row.value is not None:
         try:
@@ -53,7 +53,7 @@
 
 
 def read_call(table: str, after: str = "") -> Call:
-    """Return the call that reads a table, from a key on."""
+    """Return the call that reads the rows of a table after a key."""
     query = {"table": table, "part": "", "limit": str(ROWS_MAX)}
     if after:
         query["from"] = after + "\0"
@@ -71,7 +71,7 @@
     writes: t.Iterable[tuple[str, str, bytes]],
     removals: t.Iterable[tuple[str, str]] = (),
 ) -> Call:
-    """Return the call that writes rows if all conditions hold.
+    """Return the call that writes and removes rows if all conditions hold.
 
     :param conditions: table, key and the version that the row must have.
     """
@@ -95,24 +95,27 @@
 
 
 def decode_rows(status: int, body: bytes) -> StoreRows:
-    """Return the rows of an answer.
+    """Decode the rows of an answer.
 
-    A 412 or 410 sets ``is_conflict``: a condition failed, or history is gone.
+    Status 412 (a condition failed) and 410 (the changes that were requested are no
+    longer kept) set ``is_conflict``.
 
     :raises PlatformUnavailableError: if the store refused the call.
-    :raises PlatformError: if the answer can't be read.
+    :raises PlatformError: if the status is unexpected or the body malformed.
     """
     if status in (429, 503):
-        raise PlatformUnavailableError(f"refused with status {status}")
+        raise PlatformUnavailableError(f"store refused the call with status {status}")
     if status not in (200, 410, 412):
-        raise PlatformError(f"unexpected status {status}")
+        raise PlatformError(
+            f"expected status 200, 410 or 412 from the store, got {status}"
+        )
     try:
         answer = _DECODER.decode(body) if body else _Rows()
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        raise PlatformError(f"unreadable answer: {error}") from error
+        raise PlatformError(f"invalid answer from the store: {error}") from error
     rows = []
     for row in answer.rows:
-        decoded = _row(row)
+        decoded = _decode_row(row)
         if decoded is not None:
             rows.append(decoded)
     return StoreRows(
--- a/wagtailstair_gateway.py
+++ b/wagtailstair_gateway.py
@@ -1,4 +1,4 @@
-"""Start the gateway from a checkout."""
+"""Run the gateway from a checkout, without an installation."""
 
 import pathlib
 import sys
