--- a/tests/gateway_data.py
+++ b/tests/gateway_data.py
@@ -1,4 +1,4 @@
-"""Models, engines and lists that the tests of the gateway share."""
+"""Models, engines and lists shared by the tests of the gateway."""
 
 import json
 import typing as t
@@ -74,7 +74,7 @@
 
 
 def make_config(version: int = 1, **changes: t.Any) -> dict[str, t.Any]:
-    """Return lists as the platform writes them."""
+    """Return lists in the platform's JSON format."""
     config: dict[str, t.Any] = {
         "version": version,
         "routes": [
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -1,4 +1,4 @@
-"""A small deployment on loopback, all on one event loop: store, upstreams, hosts."""
+"""A small deployment on loopback: store, upstreams and hosts on one event loop."""
 
 import base64
 import json
@@ -19,7 +19,7 @@
 from wagtailstair.gateway.settings import parse_settings
 
 IP = "127.0.0.1"
-LIMIT_S = 20.0
+RUN_TIMEOUT_S = 20.0
 
 
 def free_port() -> int:
@@ -30,7 +30,7 @@
 
 
 class Held:
-    """A request whose answer comes later, or never."""
+    """A request whose answer is sent later, or never."""
 
     def __init__(self, caller: Caller, request: Request) -> None:
         self.caller = caller
@@ -42,7 +42,7 @@
 
 
 class Server:
-    """Accepts connections; subclasses answer."""
+    """An HTTP server; subclasses answer the requests."""
 
     is_draining = False
 
@@ -80,7 +80,11 @@
 
 
 class Store(Server):
-    """The platform's store; ``mode``: ok, busy, silent or lost."""
+    """The platform's store.
+
+    ``mode``: ``ok``; ``busy``: answers 503; ``silent``: does not answer; ``lost``:
+    applies transactions without an answer.
+    """
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
@@ -151,7 +155,7 @@
 
 
 class Service(Server):
-    """A plain service; ``script``: what becomes of the requests in turn."""
+    """A plain service; ``script``: how the next requests are answered, in order."""
 
     def __init__(self, loop: Loop, store: Store, name: str) -> None:
         super().__init__(loop)
@@ -172,7 +176,7 @@
         }
 
     def tell(self, **changes: t.Any) -> None:
-        """Write the row of this upstream."""
+        """Write this upstream's row to the store, with some values changed."""
         self.row.update(changes)
         self.store.put("servers", self.name, self.row)
 
@@ -199,7 +203,7 @@
 
 
 class Engine(Service):
-    """A model engine; it emits events as the first of a path."""
+    """A model engine that sends the events of a stream as the first of its path."""
 
     events = 12
     pause_s = 0.01
@@ -256,8 +260,8 @@
         self.loop.call_later(self.pause_s, lambda: self.emit(held, number + 1))
 
 
-class Answered:
-    """The bytes of a caller's connection, and whether it was closed."""
+class CallerConnection:
+    """A caller's connection: the bytes received, and whether it was closed."""
 
     def __init__(self, loop: Loop, address: str, data: bytes) -> None:
         self.data = b""
@@ -331,7 +335,7 @@
 
 
 class World:
-    """The parts of a deployment and the loop that runs them."""
+    """A store, upstreams and gateways, and the loop that runs them."""
 
     def __init__(self) -> None:
         self.clock = SystemClock()
@@ -366,29 +370,31 @@
         self.hosts.append(gateway)
         return gateway
 
-    def run(self, until: t.Callable[[], bool], limit_s: float = LIMIT_S) -> None:
-        """Run the loop until something holds; fail after a bound."""
-        deadline = self.clock.monotonic() + limit_s
+    def run(
+        self, condition: t.Callable[[], bool], timeout_s: float = RUN_TIMEOUT_S
+    ) -> None:
+        """Run the loop until a condition holds; fail after a timeout."""
+        deadline = self.clock.monotonic() + timeout_s
 
-        def look() -> None:
-            if until() or self.clock.monotonic() > deadline:
+        def check() -> None:
+            if condition() or self.clock.monotonic() > deadline:
                 self.loop.stop()
             else:
-                self.loop.call_later(0.005, look)
+                self.loop.call_later(0.005, check)
 
         self.loop.now = self.clock.monotonic()
-        self.loop.call_later(0.0, look)
+        self.loop.call_later(0.0, check)
         self.loop.run()
-        assert until(), "did not come about in time"
+        assert condition(), "did not come about in time"
 
-    def send(self, gateway: Gateway, data: bytes) -> Answered:
-        return Answered(self.loop, gateway.settings.host.callers, data)
+    def send(self, gateway: Gateway, data: bytes) -> CallerConnection:
+        return CallerConnection(self.loop, gateway.settings.host.callers, data)
 
-    def ask(self, gateway: Gateway, data: bytes) -> Answered:
-        """Send a request and wait for its answer or the connection's end."""
-        answered = self.send(gateway, data)
-        self.run(lambda: answered.is_whole or answered.is_closed)
-        return answered
+    def ask(self, gateway: Gateway, data: bytes) -> CallerConnection:
+        """Send a request; return when it is answered or the connection is closed."""
+        connection = self.send(gateway, data)
+        self.run(lambda: connection.is_whole or connection.is_closed)
+        return connection
 
 
 def make_request(
--- a/tests/test_clock.py
+++ b/tests/test_clock.py
@@ -12,7 +12,7 @@
         assert clock.monotonic() == 7.5
         assert (clock.utcnow() - before).total_seconds() == 2.5
 
-    def test_refuses_to_go_back(self):
+    def test_advance_rejects_negative_seconds(self):
         with pytest.raises(ValueError, match="negative"):
             ManualClock().advance(-1)
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -3,20 +3,20 @@
 
 
 class TestFormat:
-    def test_one_line_of_pairs(self):
+    def test_event_is_one_line_of_pairs(self):
         line = format_event("e", {"count": 3, "share": 0.25, "name": "a b", "none": ""})
         assert line == 'event=e count=3 share=0.25 name="a b" none=""'
 
-    def test_nothing_breaks_out_of_its_pair(self):
+    def test_special_characters_are_escaped(self):
         line = format_event("e", {"text": 'x" other=1\nevent=f\\'})
         assert line == 'event=e text="x\\" other=1\\nevent=f\\\\"'
 
 
-class TestPlace:
-    def test_names_the_place_and_not_the_text(self):
+class TestErrorLocation:
+    def test_has_type_and_file_but_no_error_text(self):
         try:
             raise ValueError("the prompt of somebody")
         except ValueError as error:
-            place = place_of(error)
-        assert place.startswith("ValueError@test_logs.py:")
-        assert "prompt" not in place
+            location = place_of(error)
+        assert location.startswith("ValueError@test_logs.py:")
+        assert "prompt" not in location
