--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -228,7 +228,7 @@
         self.knowledge.choose_source()
 
     def on_source_gone(self, source: str, *, is_centre: bool) -> None:
-        """Drop the load that a peer or a data centre has reported."""
+        """Drop the load reported by a peer or data centre that is gone."""
         for pipelines in self._pipelines_by_service.values():
             pipelines.forget_peer(Source(source, is_centre))
 
@@ -316,10 +316,10 @@
         """Move streams off engines that are leaving or no longer hold their layers."""
         for stream in self.streams():
             for hop in stream.path:
-                known = self.replicas.by_name.get(hop.replica.name)
-                if known is None or known.incarnation != hop.replica.incarnation:
+                replica = self.replicas.by_name.get(hop.replica.name)
+                if replica is None or replica.incarnation != hop.replica.incarnation:
                     continue
-                if known.is_leaving or not known.holds(hop.first, hop.last):
+                if replica.is_leaving or not replica.holds(hop.first, hop.last):
                     stream.leave_engine(hop.replica, "leaving")
 
     # Readiness, start and shutdown.
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -66,7 +66,7 @@
 
 
 class PeerEvents(t.Protocol):
-    """What peers need of the gateway: its state to send, and callbacks."""
+    """The gateway's state that is sent to peers, and callbacks for their messages."""
 
     def lists_version(self) -> int:
         """Return the version of the lists in force here."""
@@ -97,7 +97,7 @@
         ...
 
     def on_source_gone(self, source: str, *, is_centre: bool) -> None:
-        """Drop the load reported by a peer that ended or a data centre not heard."""
+        """Drop the load reported by a peer or data centre that is gone."""
         ...
 
     def on_newer_lists(self, host: Host) -> None:
@@ -340,8 +340,8 @@
 
     def _on_heartbeat(self, message: Heartbeat, now: float) -> None:
         host = message.host
-        known = self.membership.by_name.get(host.name)
-        is_new = known is None or known.host.incarnation != host.incarnation
+        peer = self.membership.by_name.get(host.name)
+        is_new = peer is None or peer.host.incarnation != host.incarnation
         self._handle_events(self.membership.heartbeat(message, now))
         if is_new:
             self._send(host.peer_address, (self._heartbeat(),))
--- a/tests/gateway_world.py
+++ b/tests/gateway_world.py
@@ -98,8 +98,8 @@
         data = None if value is None else encode(value)
         self.row_by_key[table, key] = (data, self.version)
         waiting, self.waiting = self.waiting, []
-        for held, wanted, after in waiting:
-            self.feed(held, wanted, after)
+        for held, feed_table, after in waiting:
+            self.feed(held, feed_table, after)
 
     def answer(self, held: Held) -> None:
         if self.mode == "silent":
