--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -24,9 +24,9 @@
 from ..peers.codec import Datagram
 from ..peers.codec import decode
 from ..peers.codec import encode
+from .host_registry import HostRegistry
 from .loop import READABLE
 from .loop import Loop
-from .register import Register
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
@@ -76,7 +76,7 @@
         """Return the version of the newest change of upstreams received here."""
         ...
 
-    def is_store_away(self) -> bool:
+    def is_store_unreachable(self) -> bool:
         """Return whether this host's last call to the store failed."""
         ...
 
@@ -128,7 +128,7 @@
         self._loop = loop
         self._host = host
         self._events = events
-        self._registry = Register(
+        self._registry = HostRegistry(
             loop,
             pool,
             store,
@@ -169,7 +169,7 @@
     def leave(self) -> None:
         """Announce to the other hosts that this host is leaving."""
         self.membership.set_state(HostState.LEAVING)
-        self.membership.hurry()
+        self.membership.make_heartbeats_due()
 
     def count(self) -> int:
         """Return the number of known hosts, including dead ones and this one."""
@@ -204,7 +204,7 @@
         if now - self._announced_at < ANNOUNCE_INTERVAL_S:
             return
         self._announced_at = now
-        hosts = self.membership.inside_live()
+        hosts = self.membership.live_local_hosts()
         self._send_all([host.peer_address for host in hosts], (self._heartbeat(),))
 
     def _is_discovery_done(self) -> bool:
@@ -214,14 +214,14 @@
             return now >= self._rows_read_at + DISCOVERY_S
         return now >= self._started_at + DISCOVERY_TIMEOUT_S
 
-    def tell_lost(self, lost: EngineLost) -> None:
+    def broadcast_engine_lost(self, lost: EngineLost) -> None:
         """Report a suspected engine to the hosts of this data centre."""
-        hosts = self.membership.inside_live()
+        hosts = self.membership.live_local_hosts()
         self._send_all([host.peer_address for host in hosts], (lost,))
 
     def _on_hosts(self, hosts: list[Host]) -> None:
         """Send a heartbeat to the hosts that the host rows name."""
-        self.membership.host_list(hosts, self._loop.now)
+        self.membership.apply_host_list(hosts, self._loop.now)
         others = [h.peer_address for h in hosts if h.name != self._host.name]
         self._send_all(others, (self._heartbeat(),))
         if self._rows_read_at is None:
@@ -236,7 +236,7 @@
             version,
             version,
             upstreams_version=self._events.upstreams_version(),
-            is_store_away=self._events.is_store_away(),
+            is_store_unreachable=self._events.is_store_unreachable(),
         )
 
     def _tick(self) -> None:
@@ -250,7 +250,7 @@
         if remote and self._update_delegate():
             uses = self._events.centre_uses()
             self._send_all(remote, (self._heartbeat(), uses))
-        self._send_all(self.membership.views_wanted(now), (ViewRequest(),))
+        self._send_all(self.membership.view_request_addresses(now), (ViewRequest(),))
         self._expire_centres(now)
 
     def _update_delegate(self) -> bool:
@@ -342,7 +342,7 @@
         host = message.host
         peer = self.membership.by_name.get(host.name)
         is_new = peer is None or peer.host.incarnation != host.incarnation
-        self._handle_events(self.membership.heartbeat(message, now))
+        self._handle_events(self.membership.receive_heartbeat(message, now))
         if is_new:
             self._send(host.peer_address, (self._heartbeat(),))
         if message.lists_version > self._events.lists_version():
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -6,9 +6,9 @@
 from ..core.directory import Directory
 from ..core.directory import ModelSpec
 from ..core.directory import Service
-from ..core.layout import Placing
-from ..core.layout import plan
-from ..core.layout import repair
+from ..core.layout import LayerAssignment
+from ..core.layout import plan_layers
+from ..core.layout import plan_repairs
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..core.store import Call
@@ -18,8 +18,8 @@
 from .fetch import Fetch
 from .lease import LeaseKeeper
 from .loop import Loop
-from .report import ask_report
-from .transfer import Loss
+from .report import fetch_engine_report
+from .transfer import ExchangeLoss
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
@@ -100,7 +100,7 @@
         self._loop.call_later(TICK_S, self._tick)
         now = self._loop.now
         directory = self._directory()
-        if directory is None or not self._lease.may_order(ORDER_TIMEOUT_S):
+        if directory is None or not self._lease.may_send_order(ORDER_TIMEOUT_S):
             return
         for service in directory.service_by_name.values():
             if service.model is not None:
@@ -122,10 +122,10 @@
         reserved = self._reserve(replicas)
         if self._is_settling(now, replicas):
             return
-        for placing in plan(service.model, replicas, ranges, reserved):
-            self._order(placing)
-        for placing in self._due_repairs(service.model, replicas, ranges, now):
-            self._order(placing)
+        for assignment in plan_layers(service.model, replicas, ranges, reserved):
+            self._order(assignment)
+        for assignment in self._due_repairs(service.model, replicas, ranges, now):
+            self._order(assignment)
 
     def _is_settling(self, now: float, replicas: list[Replica]) -> bool:
         """Return whether the first engines of a deployment are still registering."""
@@ -140,9 +140,9 @@
         replicas: list[Replica],
         ranges: dict[tuple[str, int], tuple[int, int]],
         now: float,
-    ) -> list[Placing]:
+    ) -> list[LayerAssignment]:
         """Return the moves that close gaps older than ``REPAIR_AFTER_S``."""
-        moves = repair(model, replicas, ranges)
+        moves = plan_repairs(model, replicas, ranges)
         centres = {move.replica.data_centre for move in moves}
         for centre in list(self._gap_since_by_centre):
             if centre not in centres:
@@ -168,11 +168,11 @@
                 reserved.add(identity)
         return reserved
 
-    def _order(self, placing: Placing) -> None:
-        replica = placing.replica
+    def _order(self, assignment: LayerAssignment) -> None:
+        replica = assignment.replica
         now = self._loop.now
         identity = replica.identity
-        layers = (placing.first, placing.last)
+        layers = (assignment.first, assignment.last)
         self._ordered[identity] = (layers, now)
         self.orders += 1
         # An engine that holds layers may have accepted orders of another host, so
@@ -180,13 +180,13 @@
         count = self._orders_by_identity.get(identity)
         if count is None and replica.layers is None:
             count = 0
-        call = engine_wire.place_call(placing.first, placing.last, count)
+        call = engine_wire.place_call(assignment.first, assignment.last, count)
         log_event(
             "order_sent",
             replica=replica.name,
             incarnation=replica.incarnation,
-            first=placing.first,
-            last=placing.last,
+            first=assignment.first,
+            last=assignment.last,
             fence=self._lease.fence,
         )
 
@@ -206,7 +206,7 @@
                 ordered_at = self._loop.now - ORDER_RETRY_S + REFUSED_RETRY_S
                 self._ordered[identity] = (layers, ordered_at)
                 self._fetch_order_count(replica)
-            elif answer.loss is not Loss.UNKNOWN:
+            elif answer.loss is not ExchangeLoss.UNKNOWN:
                 self._ordered.pop(identity, None)
 
         upstream = Upstream(replica.address, identity)
@@ -227,4 +227,4 @@
             if report.born == replica.incarnation:
                 self._orders_by_identity[identity] = report.orders
 
-        ask_report(self._loop, self._pool, replica, on_report)
+        fetch_engine_report(self._loop, self._pool, replica, on_report)
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/table_sync.py
@@ -12,7 +12,7 @@
 from ..core.hosts import Host
 from ..core.relay_rows import RelayedTable
 from ..core.relay_rows import decode_relayed
-from ..core.relay_rows import relay_rows
+from ..core.relay_rows import encode_relayed
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..core.store import Call
@@ -35,7 +35,7 @@
 """Seconds between two calls for changes of upstreams, so that one call returns
 several: calls are priced, and a leaving upstream must be noticed within 2 s."""
 
-OVERDUE_S = 0.5
+FEED_OVERDUE_S = 0.5
 """Seconds after which a host that follows the store requests from a peer a change
 that the store has not delivered: over twice ``CHANGES_PAUSE_S``."""
 
@@ -50,8 +50,8 @@
 NEVER = float("-inf")
 
 
-class Knowledge:
-    """The lists and the upstreams in force.
+class TableSync:
+    """Holds the lists and the upstreams in force, and keeps them up to date.
 
     :param on_change: called after a table has changed, with its name.
     :param should_follow_store: returns whether this host should follow the store.
@@ -74,7 +74,7 @@
         self._should_follow_store = should_follow_store
         self.directory: Directory | None = None
         self.replicas = ReplicaSet(lapse_s)
-        self._is_asking: set[str] = set()
+        self._pending_relays: set[str] = set()
         # By table: the version held when a peer first announced a newer one, and
         # the time of that announcement.
         self._behind_by_table: dict[str, tuple[int, float]] = {}
@@ -113,9 +113,9 @@
         return self._lists.is_active
 
     @property
-    def is_store_away(self) -> bool:
+    def is_store_unreachable(self) -> bool:
         """Return whether the last call to the store failed."""
-        return any(f.is_away for f in self._follower_by_table.values())
+        return any(f.is_store_unreachable for f in self._follower_by_table.values())
 
     def lists_version(self) -> int:
         """Return the version of the lists in force, 0 for none."""
@@ -147,7 +147,7 @@
         """Handle a heartbeat of a peer that has newer changes of upstreams."""
         self._request_if_due(self._upstreams, host)
 
-    def relayed(self, target: str) -> bytes | None:
+    def encode_relay(self, target: str) -> bytes | None:
         """Encode the table that a peer requests, ``None`` if it is incomplete here."""
         table, _, after = target.removeprefix(RELAY_PATH).partition(AFTER)
         follower = self._follower_by_table.get(table)
@@ -155,9 +155,9 @@
             return None
         copy = follower.copy
         since = copy.since(int(after)) if after.isdigit() else None
-        rows = copy.live() if since is None else since
+        rows = copy.live_rows() if since is None else since
         failure_age_s = self._store_failure_age_s(follower)
-        return relay_rows(rows, copy.as_of, failure_age_s, is_all=since is None)
+        return encode_relayed(rows, copy.as_of, failure_age_s, is_all=since is None)
 
     def _store_failure_age_s(self, follower: TableFollower) -> float | None:
         """Return the seconds since the store last failed, ``None`` for never.
@@ -165,7 +165,7 @@
         A failure that may concern only this host is not reported: while the store
         is unreachable from here, the result is ``None``.
         """
-        if self.is_store_away:
+        if self.is_store_unreachable:
             return None
         failed_at = max(self._reported_failure_at, follower.failed_at)
         return None if failed_at == NEVER else self._loop.now - failed_at
@@ -223,8 +223,10 @@
     def _tick(self) -> None:
         self._loop.call_later(TICK_S, self._tick)
         self.choose_source()
-        is_away = self._upstreams.is_away
-        dropped = self.replicas.settle(self._loop.now, is_store_away=is_away)
+        is_unreachable = self._upstreams.is_store_unreachable
+        dropped = self.replicas.drop_lapsed(
+            self._loop.now, is_store_unreachable=is_unreachable
+        )
         for name in dropped:
             log_event("upstream_gone", replica=name, reason="lapsed")
         if dropped:
@@ -234,25 +236,25 @@
 
     def _request_if_due(self, follower: TableFollower, host: Host) -> None:
         """Request changes from a peer, unless the store should deliver them soon."""
-        if follower.is_active and not follower.is_away:
+        if follower.is_active and not follower.is_store_unreachable:
             version = follower.copy.version
             behind = self._behind_by_table.get(follower.table)
             if behind is None or behind[0] != version:
                 behind = self._behind_by_table[follower.table] = version, self._loop.now
-            if self._loop.now - behind[1] < OVERDUE_S:
+            if self._loop.now - behind[1] < FEED_OVERDUE_S:
                 return
-            follower.renew("a peer knows more")
+            follower.restart_feed("a peer knows more")
         self._request_changes(follower, host)
 
     def _request_changes(self, follower: TableFollower, host: Host) -> None:
         """Request a table's changes from a peer, one request per table at a time."""
         table = follower.table
-        if table in self._is_asking:
+        if table in self._pending_relays:
             return
-        self._is_asking.add(table)
+        self._pending_relays.add(table)
 
         def on_answer(answer: Answer) -> None:
-            self._is_asking.discard(table)
+            self._pending_relays.discard(table)
             if answer.status == OK:
                 self._apply_relay(follower, host, answer.body)
                 return
@@ -302,8 +304,8 @@
         """Merge a relayed table into the copy; return the rows that changed."""
         rows = relay.store_rows(follower.table)
         if relay.is_all:
-            return follower.copy.replace(rows, relay.as_of)
-        return follower.copy.change(rows, relay.as_of)
+            return follower.copy.apply_snapshot(rows, relay.as_of)
+        return follower.copy.apply_delta(rows, relay.as_of)
 
 
 def _log_replica(replica: Replica, version: int) -> None:
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -75,7 +75,7 @@
         self._streams_running.set({}, len(gateway.streams()))
         self._peers_live.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
-        self._store_away.set({}, int(gateway.knowledge.is_store_away))
+        self._store_away.set({}, int(gateway.table_sync.is_store_unreachable))
         if gateway.lists_version():
             self._lists_version.set({}, gateway.lists_version())
         body, _ = render(self._registry, ["text/plain"])
--- a/src/wagtailstair/logs.py
+++ b/src/wagtailstair/logs.py
@@ -39,7 +39,7 @@
     return " ".join(parts)
 
 
-def place_of(error: BaseException) -> str:
+def error_location(error: BaseException) -> str:
     """Return the type of an unexpected error, with the file and line that raised it.
 
     The error's text is omitted, since it may quote a prompt or an answer.
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -23,14 +23,14 @@
 KEY_SCHEME = b"token "
 
 
-def read_key(authorization: bytes) -> str | None:
+def parse_api_key(authorization: bytes) -> str | None:
     """Return the API key of an Authorization header, ``None`` if it has none."""
     if not authorization.lower().startswith(KEY_SCHEME):
         return None
     return authorization[len(KEY_SCHEME) :].strip().decode("latin-1")
 
 
-def read_tokens(usage: bytes) -> tuple[int, int]:
+def parse_token_usage(usage: bytes) -> tuple[int, int]:
     """Return the tokens of the prompt and the most of the answer, 0 if unknown."""
     prompt, _, answer = usage.partition(b",")
     try:
@@ -39,7 +39,7 @@
         return 0, 0
 
 
-def write_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
+def format_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
     """Return the header value of a path.
 
     :param hops: address, first layer and the layer after the last one of each hop.
--- a/tests/gateway_world.py
+++ b/tests/gateway_deployment.py
@@ -29,16 +29,16 @@
         return port
 
 
-class Held:
+class PendingRequest:
     """A request whose answer is sent later, or never."""
 
     def __init__(self, caller: Caller, request: Request) -> None:
         self.caller = caller
         self.request = request
-        self.is_gone = False
+        self.is_caller_gone = False
 
     def on_caller_gone(self) -> None:
-        self.is_gone = True
+        self.is_caller_gone = True
 
 
 class Server:
@@ -63,13 +63,13 @@
     def on_caller_closed(self, caller: Caller) -> None:
         self.callers.discard(caller)
 
-    def start(self, caller: Caller, request: Request) -> Held | None:
+    def start(self, caller: Caller, request: Request) -> PendingRequest | None:
         self.seen.append(request)
-        held = Held(caller, request)
-        self.answer(held)
-        return held
+        pending = PendingRequest(caller, request)
+        self.answer(pending)
+        return pending
 
-    def answer(self, held: Held) -> None:
+    def answer(self, pending: PendingRequest) -> None:
         raise NotImplementedError
 
     def stop(self) -> None:
@@ -91,38 +91,38 @@
         self.mode = "ok"
         self.version = 1
         self.row_by_key: dict[tuple[str, str], tuple[bytes | None, int]] = {}
-        self.waiting: list[tuple[Held, str, int]] = []
+        self.waiting: list[tuple[PendingRequest, str, int]] = []
 
     def put(self, table: str, key: str, value: object | None) -> None:
         self.version += 1
         data = None if value is None else encode(value)
         self.row_by_key[table, key] = (data, self.version)
         waiting, self.waiting = self.waiting, []
-        for held, feed_table, after in waiting:
-            self.feed(held, feed_table, after)
+        for pending, feed_table, after in waiting:
+            self.feed(pending, feed_table, after)
 
-    def answer(self, held: Held) -> None:
+    def answer(self, pending: PendingRequest) -> None:
         if self.mode == "silent":
             return
         if self.mode == "busy":
-            held.caller.answer(503, b"", (), b"")
+            pending.caller.answer(503, b"", (), b"")
             return
-        parts = urllib.parse.urlsplit(held.request.target.decode())
+        parts = urllib.parse.urlsplit(pending.request.target.decode())
         query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
         if parts.path == "/rows-get":
-            self.reply(held, 200, self.rows(query["table"], live=True))
+            self.reply(pending, 200, self.rows(query["table"], live=True))
         elif parts.path == "/rows-feed":
-            self.feed(held, query["table"], int(query["after"]))
+            self.feed(pending, query["table"], int(query["after"]))
         else:
-            self.transact(held, json.loads(held.request.body))
+            self.transact(pending, json.loads(pending.request.body))
 
-    def feed(self, held: Held, table: str, after: int) -> None:
+    def feed(self, pending: PendingRequest, table: str, after: int) -> None:
         rows = [row for row in self.rows(table) if row["ver"] > after]
-        if not rows and "wait_ms=0" not in held.request.target.decode():
-            self.waiting.append((held, table, after))
+        if not rows and "wait_ms=0" not in pending.request.target.decode():
+            self.waiting.append((pending, table, after))
             return
-        if not held.is_gone:
-            self.reply(held, 200, rows)
+        if not pending.is_caller_gone:
+            self.reply(pending, 200, rows)
 
     def rows(self, table: str, *, live: bool = False) -> list[dict[str, t.Any]]:
         rows = []
@@ -137,21 +137,21 @@
             rows.append(row)
         return rows
 
-    def transact(self, held: Held, body: dict[str, t.Any]) -> None:
+    def transact(self, pending: PendingRequest, body: dict[str, t.Any]) -> None:
         for row in body["expect_rev"]:
             _, version = self.row_by_key.get((row["table"], row["key"]), (None, 0))
             if version != row["ver"]:
-                self.reply(held, 412, self.rows(row["table"]))
+                self.reply(pending, 412, self.rows(row["table"]))
                 return
         for row in body["writes"]:
             value = json.loads(base64.b64decode(row["value"]))
             self.put(row["table"], row["key"], value)
         if self.mode != "lost":
-            self.reply(held, 200, [])
+            self.reply(pending, 200, [])
 
-    def reply(self, held: Held, status: int, rows: list[t.Any]) -> None:
+    def reply(self, pending: PendingRequest, status: int, rows: list[t.Any]) -> None:
         body = {"rows": rows, "truncated": False, "ver": self.version, "now_ms": 1}
-        held.caller.answer(status, b"", (), encode(body))
+        pending.caller.answer(status, b"", (), encode(body))
 
 
 class Service(Server):
@@ -175,31 +175,31 @@
             "born": 1000,
         }
 
-    def tell(self, **changes: t.Any) -> None:
+    def write_row(self, **changes: t.Any) -> None:
         """Write this upstream's row to the store, with some values changed."""
         self.row.update(changes)
         self.store.put("servers", self.name, self.row)
 
-    def answer(self, held: Held) -> None:
-        attempt = held.request.header(b"x-attempt-id")
+    def answer(self, pending: PendingRequest) -> None:
+        attempt = pending.request.header(b"x-attempt-id")
         step = self.script.pop(0) if self.script else "ok"
         signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
         if step == "refuse":
-            held.caller.answer(503, b"", [(b"X-Not-Executed", b"1")], b"")
+            pending.caller.answer(503, b"", [(b"X-Not-Executed", b"1")], b"")
             return
         self.runs.append(attempt.decode())
         if step == "lose":
-            held.caller.cut()
+            pending.caller.abort_answer()
         elif step == "unsigned":
-            held.caller.answer(200, b"", signed[:1], b"body")
+            pending.caller.answer(200, b"", signed[:1], b"body")
         elif step == "foreign":
-            held.caller.answer(200, b"", [(b"X-Attempt-Id", b"other")], b"other")
+            pending.caller.answer(200, b"", [(b"X-Attempt-Id", b"other")], b"other")
         elif step == "unflagged":
-            held.caller.answer(503, b"", signed, b"")
+            pending.caller.answer(503, b"", signed, b"")
         elif step == "error":
-            held.caller.answer(500, b"", signed, b"error")
+            pending.caller.answer(500, b"", signed, b"error")
         elif step != "silent":
-            held.caller.answer(200, b"Fine", signed, b"body of " + attempt)
+            pending.caller.answer(200, b"Fine", signed, b"body of " + attempt)
 
 
 class Engine(Service):
@@ -216,21 +216,21 @@
         self.cut_after: int | None = None
         self.freeze_after: int | None = None
 
-    def answer(self, held: Held) -> None:
-        request = held.request
+    def answer(self, pending: PendingRequest) -> None:
+        request = pending.request
         if request.path == "/order":
             order = json.loads(request.body)
             self.orders.append(order)
-            held.caller.answer(202, b"", (), b"")
+            pending.caller.answer(202, b"", (), b"")
             if order["op"] == "place":
                 layers = {"from": order["from"], "target": order["target"]}
-                self.tell(layers={**layers, "version": 1})
+                self.write_row(layers={**layers, "version": 1})
             return
         if request.path == "/report":
-            held.caller.answer(200, b"", (), b"{}")
+            pending.caller.answer(200, b"", (), b"{}")
             return
         if self.script:
-            super().answer(held)
+            super().answer(pending)
             return
         attempt = request.header(b"x-attempt-id")
         self.runs.append(attempt.decode())
@@ -241,23 +241,23 @@
             (b"X-Response-Signature", b"sig-" + self.name.encode()),
             (b"Content-Type", b"text/event-stream"),
         ]
-        held.caller.begin(200, b"OK", headers)
-        self.emit(held, int(last or 0) + 1)
+        pending.caller.begin(200, b"OK", headers)
+        self.emit(pending, int(last or 0) + 1)
 
-    def emit(self, held: Held, number: int) -> None:
-        if held.is_gone:
+    def emit(self, pending: PendingRequest, number: int) -> None:
+        if pending.is_caller_gone:
             return
         if self.freeze_after is not None and number > self.freeze_after:
             return
         if self.cut_after is not None and number > self.cut_after:
-            held.caller.send(b"id: %d\nda" % number)
-            held.caller.cut()
+            pending.caller.send(b"id: %d\nda" % number)
+            pending.caller.abort_answer()
             return
         if number > self.events:
-            held.caller.end()
+            pending.caller.end()
             return
-        held.caller.send(b"id: %d\ndata: event %d\n\n" % (number, number))
-        self.loop.call_later(self.pause_s, lambda: self.emit(held, number + 1))
+        pending.caller.send(b"id: %d\ndata: event %d\n\n" % (number, number))
+        self.loop.call_later(self.pause_s, lambda: self.emit(pending, number + 1))
 
 
 class CallerConnection:
@@ -286,7 +286,7 @@
         return int(self.data.split(b" ", 2)[1]) if self.data else 0
 
     @property
-    def is_whole(self) -> bool:
+    def is_complete(self) -> bool:
         head, found, body = self.data.partition(b"\r\n\r\n")
         if not found:
             return False
@@ -334,7 +334,7 @@
 """
 
 
-class World:
+class Deployment:
     """A store, upstreams and gateways, and the loop that runs them."""
 
     def __init__(self) -> None:
@@ -346,13 +346,13 @@
 
     def add_service(self, name: str) -> Service:
         service = Service(self.loop, self.store, name)
-        service.tell()
+        service.write_row()
         self.upstreams.append(service)
         return service
 
     def add_engine(self, name: str, kind: str = "a100", centre: str = "a") -> Engine:
         engine = Engine(self.loop, self.store, name, kind)
-        engine.tell(zone=centre)
+        engine.write_row(zone=centre)
         self.upstreams.append(engine)
         return engine
 
@@ -390,10 +390,10 @@
     def send(self, gateway: Gateway, data: bytes) -> CallerConnection:
         return CallerConnection(self.loop, gateway.settings.host.callers, data)
 
-    def ask(self, gateway: Gateway, data: bytes) -> CallerConnection:
+    def send_and_wait(self, gateway: Gateway, data: bytes) -> CallerConnection:
         """Send a request; return when it is answered or the connection is closed."""
         connection = self.send(gateway, data)
-        self.run(lambda: connection.is_whole or connection.is_closed)
+        self.run(lambda: connection.is_complete or connection.is_closed)
         return connection
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,5 +1,5 @@
+from wagtailstair.logs import error_location
 from wagtailstair.logs import format_event
-from wagtailstair.logs import place_of
 
 
 class TestFormat:
@@ -17,6 +17,6 @@
         try:
             raise ValueError("the prompt of somebody")
         except ValueError as error:
-            location = place_of(error)
+            location = error_location(error)
         assert location.startswith("ValueError@test_logs.py:")
         assert "prompt" not in location
