--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -1,4 +1,4 @@
-"""A small deployment on loopback, all on one event loop: store, upstreams, hosts."""
+"""A small deployment on loopback: store, upstreams and hosts on one event loop."""
 
 import base64
 import json
@@ -19,7 +19,7 @@
 from wagtailstair.gateway.settings import parse_settings
 
 IP = "127.0.0.1"
-LIMIT_S = 20.0
+RUN_TIMEOUT_S = 20.0
 
 
 def free_port() -> int:
@@ -30,7 +30,7 @@
 
 
 class PendingRequest:
-    """A request whose answer comes later, or never."""
+    """A request whose answer is sent later, or never."""
 
     def __init__(self, caller: Caller, request: Request) -> None:
         self.caller = caller
@@ -42,7 +42,7 @@
 
 
 class Server:
-    """Accepts connections; subclasses answer."""
+    """An HTTP server; subclasses answer the requests."""
 
     is_draining = False
 
@@ -65,11 +65,11 @@
 
     def start(self, caller: Caller, request: Request) -> PendingRequest | None:
         self.seen.append(request)
-        held = PendingRequest(caller, request)
-        self.answer(held)
-        return held
+        pending = PendingRequest(caller, request)
+        self.answer(pending)
+        return pending
 
-    def answer(self, held: PendingRequest) -> None:
+    def answer(self, pending: PendingRequest) -> None:
         raise NotImplementedError
 
     def stop(self) -> None:
@@ -80,7 +80,11 @@
 
 
 class Store(Server):
-    """The platform's store; ``mode``: ok, busy, silent or lost."""
+    """The platform's store.
+
+    ``mode``: ``ok``; ``busy``: answers 503; ``silent``: does not answer; ``lost``:
+    applies transactions without an answer.
+    """
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
@@ -94,31 +98,31 @@
         data = None if value is None else encode(value)
         self.row_by_key[table, key] = (data, self.version)
         waiting, self.waiting = self.waiting, []
-        for held, wanted, after in waiting:
-            self.feed(held, wanted, after)
+        for pending, feed_table, after in waiting:
+            self.feed(pending, feed_table, after)
 
-    def answer(self, held: PendingRequest) -> None:
+    def answer(self, pending: PendingRequest) -> None:
         if self.mode == "silent":
             return
         if self.mode == "busy":
-            held.caller.answer(503, b"", (), b"")
+            pending.caller.answer(503, b"", (), b"")
             return
-        parts = urllib.parse.urlsplit(held.request.target.decode())
+        parts = urllib.parse.urlsplit(pending.request.target.decode())
         query = dict(urllib.parse.parse_qsl(parts.query, keep_blank_values=True))
         if parts.path == "/rows-get":
-            self.reply(held, 200, self.rows(query["table"], live=True))
+            self.reply(pending, 200, self.rows(query["table"], live=True))
         elif parts.path == "/rows-feed":
-            self.feed(held, query["table"], int(query["after"]))
+            self.feed(pending, query["table"], int(query["after"]))
         else:
-            self.transact(held, json.loads(held.request.body))
+            self.transact(pending, json.loads(pending.request.body))
 
-    def feed(self, held: PendingRequest, table: str, after: int) -> None:
+    def feed(self, pending: PendingRequest, table: str, after: int) -> None:
         rows = [row for row in self.rows(table) if row["ver"] > after]
-        if not rows and "wait_ms=0" not in held.request.target.decode():
-            self.waiting.append((held, table, after))
+        if not rows and "wait_ms=0" not in pending.request.target.decode():
+            self.waiting.append((pending, table, after))
             return
-        if not held.is_caller_gone:
-            self.reply(held, 200, rows)
+        if not pending.is_caller_gone:
+            self.reply(pending, 200, rows)
 
     def rows(self, table: str, *, live: bool = False) -> list[dict[str, t.Any]]:
         rows = []
@@ -133,25 +137,25 @@
             rows.append(row)
         return rows
 
-    def transact(self, held: PendingRequest, body: dict[str, t.Any]) -> None:
+    def transact(self, pending: PendingRequest, body: dict[str, t.Any]) -> None:
         for row in body["expect_rev"]:
             _, version = self.row_by_key.get((row["table"], row["key"]), (None, 0))
             if version != row["ver"]:
-                self.reply(held, 412, self.rows(row["table"]))
+                self.reply(pending, 412, self.rows(row["table"]))
                 return
         for row in body["writes"]:
             value = json.loads(base64.b64decode(row["value"]))
             self.put(row["table"], row["key"], value)
         if self.mode != "lost":
-            self.reply(held, 200, [])
+            self.reply(pending, 200, [])
 
-    def reply(self, held: PendingRequest, status: int, rows: list[t.Any]) -> None:
+    def reply(self, pending: PendingRequest, status: int, rows: list[t.Any]) -> None:
         body = {"rows": rows, "truncated": False, "ver": self.version, "now_ms": 1}
-        held.caller.answer(status, b"", (), encode(body))
+        pending.caller.answer(status, b"", (), encode(body))
 
 
 class Service(Server):
-    """A plain service; ``script``: what becomes of the requests in turn."""
+    """A plain service; ``script``: how the next requests are answered, in order."""
 
     def __init__(self, loop: Loop, store: Store, name: str) -> None:
         super().__init__(loop)
@@ -172,34 +176,34 @@
         }
 
     def write_row(self, **changes: t.Any) -> None:
-        """Write the row of this upstream."""
+        """Write this upstream's row to the store, with some values changed."""
         self.row.update(changes)
         self.store.put("servers", self.name, self.row)
 
-    def answer(self, held: PendingRequest) -> None:
-        attempt = held.request.header(b"x-attempt-id")
+    def answer(self, pending: PendingRequest) -> None:
+        attempt = pending.request.header(b"x-attempt-id")
         step = self.script.pop(0) if self.script else "ok"
         signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
         if step == "refuse":
-            held.caller.answer(503, b"", [(b"X-Not-Executed", b"1")], b"")
+            pending.caller.answer(503, b"", [(b"X-Not-Executed", b"1")], b"")
             return
         self.runs.append(attempt.decode())
         if step == "lose":
-            held.caller.abort_answer()
+            pending.caller.abort_answer()
         elif step == "unsigned":
-            held.caller.answer(200, b"", signed[:1], b"body")
+            pending.caller.answer(200, b"", signed[:1], b"body")
         elif step == "foreign":
-            held.caller.answer(200, b"", [(b"X-Attempt-Id", b"other")], b"other")
+            pending.caller.answer(200, b"", [(b"X-Attempt-Id", b"other")], b"other")
         elif step == "unflagged":
-            held.caller.answer(503, b"", signed, b"")
+            pending.caller.answer(503, b"", signed, b"")
         elif step == "error":
-            held.caller.answer(500, b"", signed, b"error")
+            pending.caller.answer(500, b"", signed, b"error")
         elif step != "silent":
-            held.caller.answer(200, b"Fine", signed, b"body of " + attempt)
+            pending.caller.answer(200, b"Fine", signed, b"body of " + attempt)
 
 
 class Engine(Service):
-    """A model engine; it emits events as the first of a path."""
+    """A model engine that sends the events of a stream as the first of its path."""
 
     events = 12
     pause_s = 0.01
@@ -212,21 +216,21 @@
         self.cut_after: int | None = None
         self.freeze_after: int | None = None
 
-    def answer(self, held: PendingRequest) -> None:
-        request = held.request
+    def answer(self, pending: PendingRequest) -> None:
+        request = pending.request
         if request.path == "/order":
             order = json.loads(request.body)
             self.orders.append(order)
-            held.caller.answer(202, b"", (), b"")
+            pending.caller.answer(202, b"", (), b"")
             if order["op"] == "place":
                 layers = {"from": order["from"], "target": order["target"]}
                 self.write_row(layers={**layers, "version": 1})
             return
         if request.path == "/report":
-            held.caller.answer(200, b"", (), b"{}")
+            pending.caller.answer(200, b"", (), b"{}")
             return
         if self.script:
-            super().answer(held)
+            super().answer(pending)
             return
         attempt = request.header(b"x-attempt-id")
         self.runs.append(attempt.decode())
@@ -237,27 +241,27 @@
             (b"X-Response-Signature", b"sig-" + self.name.encode()),
             (b"Content-Type", b"text/event-stream"),
         ]
-        held.caller.begin(200, b"OK", headers)
-        self.emit(held, int(last or 0) + 1)
+        pending.caller.begin(200, b"OK", headers)
+        self.emit(pending, int(last or 0) + 1)
 
-    def emit(self, held: PendingRequest, number: int) -> None:
-        if held.is_caller_gone:
+    def emit(self, pending: PendingRequest, number: int) -> None:
+        if pending.is_caller_gone:
             return
         if self.freeze_after is not None and number > self.freeze_after:
             return
         if self.cut_after is not None and number > self.cut_after:
-            held.caller.send(b"id: %d\nda" % number)
-            held.caller.abort_answer()
+            pending.caller.send(b"id: %d\nda" % number)
+            pending.caller.abort_answer()
             return
         if number > self.events:
-            held.caller.end()
+            pending.caller.end()
             return
-        held.caller.send(b"id: %d\ndata: event %d\n\n" % (number, number))
-        self.loop.call_later(self.pause_s, lambda: self.emit(held, number + 1))
+        pending.caller.send(b"id: %d\ndata: event %d\n\n" % (number, number))
+        self.loop.call_later(self.pause_s, lambda: self.emit(pending, number + 1))
 
 
-class Answered:
-    """The bytes of a caller's connection, and whether it was closed."""
+class CallerConnection:
+    """A caller's connection: the bytes received, and whether it was closed."""
 
     def __init__(self, loop: Loop, address: str, data: bytes) -> None:
         self.data = b""
@@ -331,7 +335,7 @@
 
 
 class Deployment:
-    """The parts of a deployment and the loop that runs them."""
+    """A store, upstreams and gateways, and the loop that runs them."""
 
     def __init__(self) -> None:
         self.clock = SystemClock()
@@ -366,29 +370,31 @@
         self.hosts.append(gateway)
         return gateway
 
-    def run(self, until: t.Callable[[], bool], limit_s: float = LIMIT_S) -> None:
-        """Run the loop until something holds; fail after a bound."""
-        deadline = self.clock.monotonic() + limit_s
+    def run(
+        self, condition: t.Callable[[], bool], timeout_s: float = RUN_TIMEOUT_S
+    ) -> None:
+        """Run the loop until a condition holds; fail after a timeout."""
+        deadline = self.clock.monotonic() + timeout_s
 
-        def look() -> None:
-            if until() or self.clock.monotonic() > deadline:
+        def check() -> None:
+            if condition() or self.clock.monotonic() > deadline:
                 self.loop.stop()
             else:
-                self.loop.call_later(0.005, look)
+                self.loop.call_later(0.005, check)
 
         self.loop.now = self.clock.monotonic()
-        self.loop.call_later(0.0, look)
+        self.loop.call_later(0.0, check)
         self.loop.run()
-        assert until(), "did not come about in time"
+        assert condition(), "did not come about in time"
 
-    def send(self, gateway: Gateway, data: bytes) -> Answered:
-        return Answered(self.loop, gateway.settings.host.callers, data)
+    def send(self, gateway: Gateway, data: bytes) -> CallerConnection:
+        return CallerConnection(self.loop, gateway.settings.host.callers, data)
 
-    def send_and_wait(self, gateway: Gateway, data: bytes) -> Answered:
-        """Send a request and wait for its answer or the connection's end."""
-        answered = self.send(gateway, data)
-        self.run(lambda: answered.is_complete or answered.is_closed)
-        return answered
+    def send_and_wait(self, gateway: Gateway, data: bytes) -> CallerConnection:
+        """Send a request; return when it is answered or the connection is closed."""
+        connection = self.send(gateway, data)
+        self.run(lambda: connection.is_complete or connection.is_closed)
+        return connection
 
 
 def make_request(
