--- a/src/wagtailstair/admission.py
+++ b/src/wagtailstair/admission.py
@@ -1,4 +1,4 @@
-"""Admission of a request: who asks, what the plan allows, within its limits."""
+"""Admission of requests: authentication, entitlement, priority and quota."""
 
 import concurrent.futures
 import dataclasses
@@ -20,26 +20,26 @@
 from .exceptions import QueueFullError
 
 BEARER = "Bearer "
-QUOTA_ANSWER_TIMEOUT_S = 5.0
+QUOTA_VERDICT_TIMEOUT_S = 5.0
 
 
 class QuotaGate(t.Protocol):
-    """Where the limits of accounts are kept, over all hosts."""
+    """Applies the limits of accounts across all hosts."""
 
     def charge(
         self, account: str, request: str, work: float, limits: QuotaLimits
     ) -> "concurrent.futures.Future[Allowed | Limited]":
-        """Open a request and charge its expected work."""
+        """Charge a request's expected work to its account."""
         ...
 
     def settle(self, account: str, request: str, work: float) -> None:
-        """Close a request at what it really cost."""
+        """Settle a charge at the actual work of the request."""
         ...
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Identity:
-    """An account and its plan, under one version of the lists."""
+    """An account and its plan, as in one version of the lists."""
 
     account: Account
     plan: Plan
@@ -47,33 +47,34 @@
 
 
 def authenticate(lists: Lists, authorization: str) -> Identity:
-    """Return the account that an Authorization header names.
+    """Return the account that an Authorization header authenticates.
 
-    :raises NotAuthenticatedError: if it names none.
+    :raises NotAuthenticatedError: if the key is missing or not valid.
     """
     if not authorization.startswith(BEARER):
         raise NotAuthenticatedError("expected a bearer key", where="Authorization")
     account = verify(lists, authorization[len(BEARER) :].strip())
     if account is None:
-        raise NotAuthenticatedError("the bearer key names no account")
+        raise NotAuthenticatedError("the bearer key is not valid for any account")
     return Identity(account, lists.plan_of(account), lists.version)
 
 
-def choose_priority(plan: Plan, asked: str) -> Priority:
-    """Return the priority of a request, bounded by the plan.
+def choose_priority(plan: Plan, requested_name: str) -> Priority:
+    """Return the requested priority, or the nearest that the plan allows.
 
-    Without a header it is standard, or the nearest that the plan has.
+    A request without the header asks for the standard priority. A lower priority
+    is preferred to a higher one if the plan does not allow the requested one.
 
-    :raises InvalidRequestError: if the header names no priority.
+    :raises InvalidRequestError: if the header names an unknown priority.
     """
-    wanted = Priority.STANDARD
-    if asked:
-        if asked not in PRIORITY_BY_NAME:
+    requested = Priority.STANDARD
+    if requested_name:
+        if requested_name not in PRIORITY_BY_NAME:
             known = ", ".join(PRIORITY_BY_NAME)
             raise InvalidRequestError(f"expected one of {known}", where="X-Priority")
-        wanted = PRIORITY_BY_NAME[asked]
+        requested = PRIORITY_BY_NAME[requested_name]
     for priority in sorted(plan.priorities):
-        if priority >= wanted:
+        if priority >= requested:
             return priority
     return max(plan.priorities)
 
@@ -88,40 +89,40 @@
 
 
 class Charge:
-    """An open request of an account; closed once, at its real cost."""
+    """The charge of an open request; settled at most once, at its actual cost."""
 
     def __init__(self, gate: QuotaGate, account: str, request: str) -> None:
         self._gate = gate
         self._account = account
         self._request = request
-        self._open = True
+        self._is_open = True
 
     def settle(self, work: float) -> None:
-        """Close the request."""
-        if self._open:
-            self._open = False
+        """Settle the charge; later calls have no effect."""
+        if self._is_open:
+            self._is_open = False
             self._gate.settle(self._account, self._request, work)
 
 
 def charge(gate: QuotaGate, identity: Identity, request: str, work: float) -> Charge:
-    """Open a request under the limits of its account.
+    """Charge a request under the limits of its account.
 
     :raises LimitExceededError: if the account is over a limit.
-    :raises QueueFullError: if that can't be told in time.
+    :raises QueueFullError: if no verdict arrives in time.
     """
     plan = identity.plan
     limits = QuotaLimits(plan.work_per_s, plan.burst_s, plan.max_concurrent)
-    name = identity.account.name
-    future = gate.charge(name, request, work, limits)
+    account = identity.account.name
+    future = gate.charge(account, request, work, limits)
     try:
-        answer = future.result(QUOTA_ANSWER_TIMEOUT_S)
+        verdict = future.result(QUOTA_VERDICT_TIMEOUT_S)
     except concurrent.futures.TimeoutError:
-        gate.settle(name, request, 0.0)
+        gate.settle(account, request, 0.0)
         message = "no answer on the account's limits"
         raise QueueFullError(message, retry_after_s=1.0) from None
-    if isinstance(answer, Limited):
+    if isinstance(verdict, Limited):
         raise LimitExceededError(
-            f"the account is over its limit of {answer.limit}",
-            retry_after_s=answer.retry_after_s,
+            f"the account is over its limit of {verdict.limit}",
+            retry_after_s=verdict.retry_after_s,
         )
-    return Charge(gate, name, request)
+    return Charge(gate, account, request)
--- a/src/wagtailstair/budget.py
+++ b/src/wagtailstair/budget.py
@@ -1,4 +1,4 @@
-"""The retry budget of a whole host, for all of its threads."""
+"""The retry budget of a host, shared by all of its threads."""
 
 import threading
 
@@ -6,7 +6,7 @@
 
 
 class SharedRetryBudget(RetryBudget):
-    """A retry budget that any thread may use."""
+    """A thread-safe retry budget."""
 
     __slots__ = ("_lock",)
 
@@ -15,11 +15,11 @@
         self._lock = threading.Lock()
 
     def count_attempt(self, now: float) -> None:
-        """Note a first attempt."""
+        """Count a first attempt."""
         with self._lock:
             super().count_attempt(now)
 
     def take(self, now: float) -> bool:
-        """Use a retry, if the budget has one."""
+        """Use a retry if the budget allows it."""
         with self._lock:
             return super().take(now)
--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -1,4 +1,4 @@
-"""The cluster as this host sees it: peers, dispatch, and the lists all follow."""
+"""Membership of this host in the cluster: peers, dispatch, accounts and plans."""
 
 import pathlib
 import random
@@ -33,9 +33,9 @@
 from .stores.lists import read_since
 from .stores.table import Table
 
-REFRESH_TIMEOUT_S = 2.0
-FORBIDDEN = 403
-BAD_REQUEST = 400
+LISTS_REFRESH_TIMEOUT_S = 2.0
+STATUS_FORBIDDEN = 403
+STATUS_BAD_REQUEST = 400
 
 
 def read_peer_key(settings: Settings) -> bytes:
@@ -52,7 +52,7 @@
         raise SettingsError(f"can't be read: {error}", where=path) from error
     if not key:
         raise SettingsError("expected a secret, got an empty file", where=path)
-    # A keyed hash takes at most this much.
+    # BLAKE2 accepts keys of up to 64 bytes.
     return key[:64]
 
 
@@ -61,9 +61,9 @@
 
 
 class Cluster:
-    """The peers of a daemon and what it shares with them.
+    """The peers of a daemon, the dispatcher, and the lists of accounts and plans.
 
-    :param incarnation: grows with each start of this host.
+    :param incarnation: increases with each start of this host.
     """
 
     def __init__(
@@ -78,8 +78,8 @@
     ) -> None:
         self._clock = clock
         self._key = read_peer_key(settings)
-        self._recent = RecentChanges()
-        self.holder = ListsHolder()
+        self._recent_changes = RecentChanges()
+        self.lists_holder = ListsHolder()
         host = settings.host
         transport = UdpTransport(
             host.name, incarnation, host.address, host.peer_port, clock, self._key
@@ -105,59 +105,63 @@
             transport,
             make_pool,
             clock,
-            lambda: self.holder.current.version,
-            lambda version: self._follower.heard(),
-            known_lists_version=lambda: self._follower.known(),
+            lambda: self.lists_holder.current.version,
+            lambda version: self._lists_follower.heard(),
+            known_lists_version=lambda: self._lists_follower.known(),
         )
         self.dispatcher = self._node.dispatcher
-        self._follower = Follower(
-            self.holder,
+        self._lists_follower = Follower(
+            self.lists_holder,
             clock,
             ListsRefresh(settings.platform.lists_interval_s, now, rng.random),
             read_head=lambda: read_head(table).version,
             read_since=lambda lists: read_since(table, lists),
-            fetch=self._fetch,
+            fetch=self._fetch_from_peer,
             find_peers=self._node.peer_versions,
             find_rank=self._node.lists_rank,
-            on_taken=self._on_taken,
+            on_taken=self._handle_lists_applied,
         )
 
     @property
     def is_ready(self) -> bool:
-        """Tell whether the lists are good enough to serve by."""
-        return self._follower.is_ready and self.holder.current.version > 0
+        """Whether the lists are recent enough to serve requests."""
+        return self._lists_follower.is_ready and self.lists_holder.current.version > 0
 
     def start(self) -> None:
-        """Begin to talk to peers and to follow the lists."""
+        """Start the exchange with peers and the refresh of the lists."""
         self._node.start()
-        self._follower.start()
+        self._lists_follower.start()
 
     def announce_live(self) -> None:
-        """Tell the peers that this host serves."""
+        """Announce to the peers that this host serves requests."""
         self._node.set_state(HostState.LIVE)
 
     def announce_leaving(self) -> None:
-        """Tell the peers that this host gets no new work."""
+        """Announce to the peers that this host accepts no new work."""
         self._node.set_state(HostState.LEAVING)
 
     def stop(self) -> None:
-        """Tell the peers for a last time, and stop."""
-        self._follower.stop()
+        """Send a last heartbeat to the peers, and stop."""
+        self._lists_follower.stop()
         self._node.stop()
 
     def fresh_lists(self) -> Lists:
-        """Return the lists to judge a request by.
+        """Return the lists of accounts and plans to check a request against.
 
-        :raises NotReadyError: if there are none yet.
+        :raises NotReadyError: if the host has none yet.
         """
-        self._follower.wait_until_fresh(self._clock.monotonic() + REFRESH_TIMEOUT_S)
-        lists = self.holder.current
-        if not self._follower.is_ready or lists.version == 0:
-            raise NotReadyError("no lists yet", retry_after_s=1.0)
+        self._lists_follower.wait_until_fresh(
+            self._clock.monotonic() + LISTS_REFRESH_TIMEOUT_S
+        )
+        lists = self.lists_holder.current
+        if not self._lists_follower.is_ready or lists.version == 0:
+            raise NotReadyError(
+                "the lists of accounts and plans are not loaded yet", retry_after_s=1.0
+            )
         return lists
 
-    def is_dead(self, name: str, incarnation: str) -> bool:
-        """Tell whether an incarnation of a host is known to be gone."""
+    def is_host_dead(self, name: str, incarnation: str) -> bool:
+        """Return whether an incarnation of a host is known to be dead."""
         with self._node.lock:
             host = self._membership.find(name)
             peer = self._membership.by_name.get(name)
@@ -165,14 +169,18 @@
             return host.incarnation > int(incarnation)
         return peer is not None and peer.state is HostState.DEAD
 
-    def owns(self, role: str) -> bool:
-        """Tell whether this host has a role that costs little if two have it."""
+    def owns_role(self, role: str) -> bool:
+        """Return whether this host has a role, as far as it knows.
+
+        Hosts with different views of the membership may both have it, so only
+        roles that are safe to run twice may rely on this.
+        """
         with self._node.lock:
             live = self._membership.live()
         return owner(role, live) == self._host.name
 
-    def take_host_list(self, entries: list[HostEntry]) -> None:
-        """Take the entry hosts that the platform lists."""
+    def apply_host_list(self, entries: list[HostEntry]) -> None:
+        """Apply the entry hosts of the platform's host list."""
         hosts = []
         for entry in entries:
             if not entry.peer_address or entry.is_leaving:
@@ -182,15 +190,15 @@
             )
         self._node.apply_host_list(hosts)
 
-    def peers(self) -> list[dict[str, t.Any]]:
-        """Describe the peers for operators."""
-        found = []
+    def describe_peers(self) -> list[dict[str, t.Any]]:
+        """Return the peers for the status report, sorted by name."""
+        descriptions = []
         with self._node.lock:
             for name in sorted(self._membership.by_name):
                 peer = self._membership.by_name[name]
                 if not peer.heard:
                     continue
-                found.append(
+                descriptions.append(
                     {
                         "host": name,
                         "data_centre": peer.host.data_centre,
@@ -198,23 +206,25 @@
                         "lists_version": peer.lists_version,
                     }
                 )
-        return found
+        return descriptions
 
     def serve_lists(self, request: Request) -> Response:
-        """Answer a peer that asks for the lists."""
+        """Answer a peer's request for the lists of accounts and plans."""
         text = request.args.get("after", "")
         if not text.isascii() or not text.isdigit():
-            return Response("after: expected a version", status=BAD_REQUEST)
+            return Response("after: expected a version", status=STATUS_BAD_REQUEST)
         after = int(text)
         if not self._key and not self._is_peer_address(request.remote_addr or ""):
-            # The lists hold the hashes of keys, which no caller may read.
-            return Response("only for peers", status=FORBIDDEN)
+            # The lists contain hashes of API keys, which callers must not read.
+            return Response("only for peers", status=STATUS_FORBIDDEN)
         try:
             signature = request.headers.get(HEADER, "")
             check_request(self._key, after, signature, self._clock)
         except PeerError as error:
-            return Response(str(error), status=FORBIDDEN)
-        body = serve_lists(self.holder.current, self._recent, after, self._key)
+            return Response(str(error), status=STATUS_FORBIDDEN)
+        body = serve_lists(
+            self.lists_holder.current, self._recent_changes, after, self._key
+        )
         return Response(body, content_type="application/octet-stream")
 
     def _is_peer_address(self, ip: str) -> bool:
@@ -224,13 +234,13 @@
             peers = list(self._membership.by_name.values())
         return any(_ip_of(peer.host.address) == ip for peer in peers)
 
-    def _fetch(self, peer: str, lists: Lists) -> Lists:
+    def _fetch_from_peer(self, peer: str, lists: Lists) -> Lists:
         with self._node.lock:
             host = self._membership.find(peer)
         if host is None:
-            raise PeerError("not heard any more", where=peer)
+            raise PeerError("the peer is no longer live", where=peer)
         return fetch_lists(host.address, lists, self._clock, self._key)
 
-    def _on_taken(self, old: Lists, new: Lists) -> None:
-        self._recent.note(old, new)
+    def _handle_lists_applied(self, old: Lists, new: Lists) -> None:
+        self._recent_changes.note(old, new)
         self._node.announce()
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -1,4 +1,4 @@
-"""The daemon of an entry host: its parts, its start and its graceful shutdown."""
+"""The daemon of an entry host: components, start and graceful shutdown."""
 
 import dataclasses
 import os
@@ -56,23 +56,24 @@
 from .upstreams.watch import EngineWatch
 from .upstreams.watch import HostListWatch
 
-READY_POLL_S = 0.05
-ENGINES_WAIT_S = 3.0
+READINESS_POLL_INTERVAL_S = 0.05
+ENGINE_REPORTS_TIMEOUT_S = 3.0
 PUBLISH_INTERVAL_S = 1.0
 SWEEP_ROLE = "claims/sweep"
 EXIT_FAILED = 1
-SIGNAL_POLL_S = 0.25
+SIGNAL_POLL_INTERVAL_S = 0.25
 EXIT_SETTINGS = 2
 
 
 class Daemon:
-    """All parts of one running daemon."""
+    """Creates the components of one daemon, and starts and stops them."""
 
     def __init__(self, settings: Settings, clock: Clock) -> None:
         self._settings = settings
         self._clock = clock
         self._rng = random.Random()
-        # Grows with each start, also on a host that keeps nothing.
+        # Milliseconds of wall-clock time: increases with each start, also on a
+        # host without persistent storage.
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
         self._stopping = threading.Event()
         self._is_serving = False
@@ -81,8 +82,8 @@
         self._metrics = Metrics(settings.host.name)
         self._upstreams = Upstreams()
         self._loop = Loop(clock)
-        self._budget = SharedRetryBudget(settings.routing.retry_share)
-        self._limits = _pool_limits(settings)
+        self._retry_budget = SharedRetryBudget(settings.routing.retry_share)
+        self._pool_limits = _pool_limits(settings)
         self._server = Server(
             settings.host.address,
             settings.host.http_port,
@@ -107,10 +108,10 @@
             clock,
             settings.host.name,
             str(self._incarnation),
-            is_dead=self._cluster.is_dead,
+            is_dead=self._cluster.is_host_dead,
         )
         self._sweeper = Sweeper(
-            self._claims, table.scan, lambda: self._cluster.owns(SWEEP_ROLE)
+            self._claims, table.scan, lambda: self._cluster.owns_role(SWEEP_ROLE)
         )
         self._open_requests = OpenRequests(settings.limits.open_requests, self._metrics)
         self._placer = self._make_placer(table)
@@ -123,13 +124,13 @@
         return self._server.server_port
 
     def start(self) -> None:
-        """Begin to serve."""
+        """Start all components."""
         self._loop.start()
         self._cluster.start()
         self._relays.start()
-        self._watch_upstreams()
-        self._loop.call(self._watch_ready)
-        self._loop.call(self._publish)
+        self._start_upstream_watches()
+        self._loop.call(self._check_readiness)
+        self._loop.call(self._publish_metrics)
         if self._settings.placement.enabled:
             self._placer.start()
         self._sweeper.start()
@@ -142,21 +143,21 @@
         )
 
     def request_stop(self) -> None:
-        """Ask for a graceful shutdown."""
+        """Request a graceful shutdown."""
         self._stopping.set()
 
     def run(self) -> bool:
-        """Serve until a stop is asked for; say whether nothing was cut."""
-        # The system may give the signal to another thread; its handler runs
-        # only when the main thread wakes.
-        while not self._stopping.wait(SIGNAL_POLL_S):
+        """Serve until a stop is requested; return whether all work was completed."""
+        # The system may deliver the signal to another thread. Its handler runs in
+        # the main thread, which must therefore wake up regularly.
+        while not self._stopping.wait(SIGNAL_POLL_INTERVAL_S):
             continue
-        return self._shut_down()
+        return self._shut_down_gracefully()
 
-    def _shut_down(self) -> bool:
+    def _shut_down_gracefully(self) -> bool:
         shutdown = self._settings.shutdown
-        # The balancer's view lags: it may send requests for a while after
-        # readiness is gone, and those are served like all others.
+        # The load balancer notices the lost readiness only after a delay. Until
+        # then it sends new requests, which are served as usual.
         self._is_leaving = True
         self._cluster.announce_leaving()
         self._placer.close()
@@ -180,7 +181,7 @@
             self._settings.routing,
             self._settings.host.name,
             self._settings.host.data_centre,
-            self._budget,
+            self._retry_budget,
             self._rng,
             on_failed=lambda engine: self._metrics.count(
                 "attempts_failed", engine=engine
@@ -194,8 +195,8 @@
             self._settings,
             self._upstreams,
             self._claims,
-            Ejection(self._limits.ejection),
-            self._budget,
+            Ejection(self._pool_limits.ejection),
+            self._retry_budget,
             self._rng,
         )
         return Context(
@@ -232,8 +233,8 @@
             keeper,
             EngineOrders(self._loop, self._clock, self._upstreams),
             self._clock,
-            self._own_engines,
-            lambda states: shapes.derive(self._cluster.holder.current, states),
+            self._local_engines,
+            lambda states: shapes.derive(self._cluster.lists_holder.current, states),
             PlacementLimits(
                 hold_s=placement.hold_s,
                 weights_bytes_per_s=placement.weights_bytes_per_s,
@@ -241,7 +242,7 @@
             placement.order_timeout_s,
         )
 
-    def _own_engines(self) -> list[EngineState]:
+    def _local_engines(self) -> list[EngineState]:
         data_centre = self._settings.host.data_centre
         states = []
         for state in self._dispatcher.engine_states():
@@ -249,14 +250,14 @@
                 states.append(state)
         return states
 
-    def _watch_upstreams(self) -> None:
+    def _start_upstream_watches(self) -> None:
         self._host_list = HostListWatch(
             self._loop,
             self._clock,
             self._settings.platform,
             self._upstreams,
-            self._cluster.take_host_list,
-            self._on_gone,
+            self._cluster.apply_host_list,
+            self._remove_engines,
             self._rng,
         )
         self._host_list.start()
@@ -264,27 +265,27 @@
             self._loop,
             self._clock,
             self._engines_to_poll,
-            self._observe,
+            self._observe_engine,
             self._dispatcher.remove,
             self._rng,
         ).start()
 
     def _make_pool(self, key: PoolKey) -> Pool:
-        return Pool(key.model, key.data_centre, self._limits)
+        return Pool(key.model, key.data_centre, self._pool_limits)
 
-    def _watch_ready(self) -> None:
-        if self._cluster.is_ready and self._knows_engines():
+    def _check_readiness(self) -> None:
+        if self._cluster.is_ready and self._has_engine_reports():
             self._is_serving = True
             self._cluster.announce_live()
             log_event(
-                "daemon_ready", lists_version=self._cluster.holder.current.version
+                "daemon_ready", lists_version=self._cluster.lists_holder.current.version
             )
             return
-        self._loop.call_later(READY_POLL_S, self._watch_ready)
+        self._loop.call_later(READINESS_POLL_INTERVAL_S, self._check_readiness)
 
-    def _knows_engines(self) -> bool:
-        # A request that comes before the first load reports finds no route.
-        if self._clock.monotonic() - self._started_at > ENGINES_WAIT_S:
+    def _has_engine_reports(self) -> bool:
+        # A request that arrives before the first load reports would find no route.
+        if self._clock.monotonic() - self._started_at > ENGINE_REPORTS_TIMEOUT_S:
             return True
         if not self._host_list.has_read:
             return False
@@ -299,14 +300,15 @@
 
     def _data_centres_of(self, model: str) -> tuple[str, ...]:
         names = self._dispatcher.data_centres_of(model)
-        own = self._settings.host.data_centre
-        if own not in names:
+        own_data_centre = self._settings.host.data_centre
+        if own_data_centre not in names:
             return tuple(names)
-        names.remove(own)
-        if has_route(model, self._own_engines()):
-            return (own, *names)
-        # A request would wait in vain in the own pool while others can serve it.
-        return (*names, own)
+        names.remove(own_data_centre)
+        if has_route(model, self._local_engines()):
+            return (own_data_centre, *names)
+        # Without a route here a request would wait in this data centre's pool while
+        # another could serve it.
+        return (*names, own_data_centre)
 
     def _engines_to_poll(self) -> list[Upstream]:
         engines = []
@@ -315,23 +317,23 @@
                 engines.append(engine)
         return engines
 
-    def _observe(self, state: EngineState) -> None:
+    def _observe_engine(self, state: EngineState) -> None:
         if state.leaving:
             self._upstreams.mark_leaving(state.name, state.incarnation)
         elif self._upstreams.is_leaving(state.name):
             state = dataclasses.replace(state, leaving=True)
         self._dispatcher.observe(state)
 
-    def _on_gone(self, names: list[str]) -> None:
+    def _remove_engines(self, names: list[str]) -> None:
         for name in names:
             self._dispatcher.remove(name)
 
-    def _publish(self) -> None:
-        self._loop.call_later(PUBLISH_INTERVAL_S, self._publish)
+    def _publish_metrics(self) -> None:
+        self._loop.call_later(PUBLISH_INTERVAL_S, self._publish_metrics)
         metrics = self._metrics
         publish_pools(metrics, self._dispatcher.pool_stats())
         publish_traffic(metrics, self._cluster.traffic)
-        metrics.gauge("lists_version", self._cluster.holder.current.version)
+        metrics.gauge("lists_version", self._cluster.lists_holder.current.version)
         metrics.gauge("claims_unsettled", self._claims.unsettled)
         metrics.gauge("ready", self._is_ready())
 
@@ -341,8 +343,8 @@
             "incarnation": self._incarnation,
             "data_centre": self._settings.host.data_centre,
             "ready": self._is_ready(),
-            "lists_version": self._cluster.holder.current.version,
-            "peers": self._cluster.peers(),
+            "lists_version": self._cluster.lists_holder.current.version,
+            "peers": self._cluster.describe_peers(),
             "upstreams": describe_upstreams(self._upstreams),
             "pools": describe_pools(self._dispatcher.pool_stats()),
         }
@@ -383,8 +385,8 @@
     signal.signal(signal.SIGINT, lambda number, frame: daemon.request_stop())
     daemon.start()
     if not daemon.run():
-        # A request that outlasted the drain holds its thread, for which a normal
-        # exit would wait.
+        # A normal exit would wait for the threads of requests that did not end
+        # within the drain timeout.
         sys.stderr.flush()
         os._exit(EXIT_FAILED)
 
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -1,4 +1,4 @@
-"""Requests for routes and for leave, sent to the hosts that decide on them."""
+"""Thread-safe dispatcher of a host: route requests, quota charges, load reports."""
 
 import concurrent.futures
 import contextlib
@@ -21,27 +21,29 @@
 from .core.pools import PoolFactory
 from .core.quota import QuotaLimits
 
-TICK_S = 0.05  # the longest time between two looks at what is due
-WAKE_FLOOR_S = 0.005
+MAX_TICK_INTERVAL_S = 0.05
+MIN_TICK_INTERVAL_S = 0.005
 
 Decision = Grant | Refusal
 
 
 class Transport(t.Protocol):
-    """Sends messages to other hosts; any may be lost, late, doubled or swapped."""
+    """Sends messages to other hosts, without delivery or order guarantees.
+
+    Any message may be lost, delayed, duplicated or reordered.
+    """
 
     def send(self, address: str, incarnation: int, message: Message) -> None:
-        """Send a message to an incarnation of a host, soon."""
+        """Queue a message to an incarnation of a host."""
 
     def flush(self) -> None:
-        """Send what is not worth waiting for more."""
+        """Send all queued messages."""
 
 
 class Dispatcher:
-    """The requests of this host, and the pools and accounts that it decides on.
+    """Dispatches this host's requests, and decides on the pools and quotas it owns.
 
-    All methods may be called from any thread; futures are resolved outside
-    the lock.
+    All methods are thread-safe. Futures are resolved outside the lock.
     """
 
     def __init__(
@@ -64,95 +66,97 @@
         self._future_by_id: dict[
             tuple[str, int], concurrent.futures.Future[Decision]
         ] = {}
-        self._charge_by_request: dict[str, concurrent.futures.Future[Verdict]] = {}
-        self._resolved: list[t.Callable[[], None]] = []
+        self._charge_future_by_request: dict[
+            str, concurrent.futures.Future[Verdict]
+        ] = {}
+        self._pending_resolutions: list[t.Callable[[], None]] = []
 
     # Requests.
 
     def submit(
-        self, model: str, data_centre: str, want: RouteRequest
+        self, model: str, data_centre: str, route_request: RouteRequest
     ) -> concurrent.futures.Future[Decision]:
-        """Ask for a route.
+        """Request a route.
 
-        The future ends with a grant or a refusal, at the latest a second
-        after the deadline of the want.
+        The future gets a grant or a refusal, at the latest one second after the
+        deadline of the route request.
         """
         future: concurrent.futures.Future[Decision] = concurrent.futures.Future()
         with self._lock:
-            name = (want.request, want.epoch)
-            known = self._future_by_id.get(name)
-            if known is not None:
-                return known
-            self._future_by_id[name] = future
+            request_id = (route_request.request, route_request.epoch)
+            existing = self._future_by_id.get(request_id)
+            if existing is not None:
+                return existing
+            self._future_by_id[request_id] = future
             now = self._clock.monotonic()
-            self.dispatch_client.submit(PoolKey(model, data_centre), want, now)
-            self._pump(now)
-        self._resolve()
+            self.dispatch_client.submit(PoolKey(model, data_centre), route_request, now)
+            self._process_messages(now)
+        self._resolve_futures()
         return future
 
-    def done(self, model: str, data_centre: str, done: GrantOutcome) -> None:
-        """End a grant with what it really cost."""
-        del model, data_centre  # the ticket knows them
+    def done(self, model: str, data_centre: str, outcome: GrantOutcome) -> None:
+        """Report the end of a grant, with its actual cost."""
+        del model, data_centre  # the dispatch client has stored them
         with self._lock:
             now = self._clock.monotonic()
-            self.dispatch_client.done(done, now)
-            self._pump(now)
-        self._resolve()
+            self.dispatch_client.done(outcome, now)
+            self._process_messages(now)
+        self._resolve_futures()
 
     def cancel(self, model: str, data_centre: str, request: str, epoch: int) -> None:
-        """Withdraw a request; its future is cancelled if it still waits."""
-        del model, data_centre  # the ticket knows them
+        """Withdraw a request; its future is cancelled if it is still pending."""
+        del model, data_centre  # the dispatch client has stored them
         with self._lock:
             now = self._clock.monotonic()
             self.dispatch_client.cancel(request, epoch, now)
             future = self._future_by_id.pop((request, epoch), None)
             if future is not None:
-                self._resolved.append(_canceller(future))
-            self._pump(now)
-        self._resolve()
+                self._pending_resolutions.append(_make_canceller(future))
+            self._process_messages(now)
+        self._resolve_futures()
 
     def charge(
         self, account: str, request: str, work: float, limits: QuotaLimits
     ) -> concurrent.futures.Future[Verdict]:
-        """Ask the account's home for leave to run a request."""
+        """Charge a request to its account's quota; the future gets the verdict."""
         future: concurrent.futures.Future[Verdict] = concurrent.futures.Future()
         with self._lock:
-            known = self._charge_by_request.get(request)
-            if known is not None:
-                return known
-            self._charge_by_request[request] = future
+            existing = self._charge_future_by_request.get(request)
+            if existing is not None:
+                return existing
+            self._charge_future_by_request[request] = future
             now = self._clock.monotonic()
             self.charges.charge(account, request, work, limits, now)
-            self._pump(now)
-        self._resolve()
+            self._process_messages(now)
+        self._resolve_futures()
         return future
 
     def settle(self, account: str, request: str, work: float) -> None:
-        """Close a charge with the work that the request really cost."""
-        del account  # the charge knows it
+        """Settle a charge at the actual work of the request."""
+        del account  # the open charge has stored it
         with self._lock:
             now = self._clock.monotonic()
             self.charges.settle(request, work, now)
-            future = self._charge_by_request.pop(request, None)
+            future = self._charge_future_by_request.pop(request, None)
             if future is not None:
-                self._resolved.append(_canceller(future))
-            self._pump(now)
-        self._resolve()
+                self._pending_resolutions.append(_make_canceller(future))
+            self._process_messages(now)
+        self._resolve_futures()
 
     # Engines.
 
     def data_centres_of(self, model: str) -> list[str]:
         """Return the data centres that serve a model, sorted."""
         with self._lock:
-            found = {
+            names = {
                 state.data_centre
                 for state in self.exchange.engines.by_name.values()
                 if state.model == model
             }
             for name, models in self._membership.models_by_centre().items():
                 if model in models:
-                    found.add(name)
-        return sorted(found)
+                    names.add(name)
+        return sorted(names)
 
     def engine_states(self) -> list[EngineState]:
         """Return the last known states of all engines."""
@@ -160,12 +164,12 @@
             return list(self.exchange.engines.by_name.values())
 
     def pool_stats(self) -> dict[PoolKey, PoolStats]:
-        """Return the counts of the pools that this host decides on."""
-        found = {}
+        """Return the statistics of the pools that this host dispatches."""
+        stats_by_key = {}
         with self._lock:
             for key, pool in self.pools.by_key.items():
-                found[key] = pool.stats()
-        return found
+                stats_by_key[key] = pool.stats()
+        return stats_by_key
 
     def models(self) -> tuple[str, ...]:
         """Return the models of this data centre's engines, sorted."""
@@ -174,101 +178,101 @@
             return tuple(sorted({state.model for state in states}))
 
     def polls(self, engine: str) -> bool:
-        """Return whether this host is the one to poll an engine."""
+        """Return whether this host is responsible for polling an engine."""
         with self._lock:
             host = self.exchange.find_host(f"engine/{engine}", self._host.data_centre)
         return host in (self._host.name, None)
 
     def observe(self, state: EngineState) -> None:
-        """Take a load report that this host read, and spread it."""
+        """Store a load report that this host has read, and send it to peers."""
         with self._lock:
             now = self._clock.monotonic()
             self.exchange.observe(state, now)
-            self._pump(now)
-        self._resolve()
+            self._process_messages(now)
+        self._resolve_futures()
 
     def remove(self, engine: str) -> None:
-        """Forget an engine that is gone, here and at the peers."""
+        """Remove an engine that is gone, here and at the peers."""
         with self._lock:
             now = self._clock.monotonic()
             self.exchange.remove(engine)
-            self._pump(now)
-        self._resolve()
+            self._process_messages(now)
+        self._resolve_futures()
 
     # Peers.
 
     def receive(
         self, sender: str, incarnation: int, messages: t.Iterable[Message]
     ) -> None:
-        """Take what another host sent in one datagram."""
+        """Handle the messages of one datagram from another host."""
         with self._lock:
             now = self._clock.monotonic()
             self.exchange.receive(sender, incarnation, messages, now)
-            self._pump(now)
-        self._resolve()
+            self._process_messages(now)
+        self._resolve_futures()
 
     def apply_member_events(self, events: t.Iterable[Event]) -> None:
-        """Follow a change of the live hosts."""
+        """Apply changes of the live hosts."""
         with self._lock:
             now = self._clock.monotonic()
             self.exchange.apply_member_events(events, now)
-            self._pump(now)
-        self._resolve()
+            self._process_messages(now)
+        self._resolve_futures()
 
     def tick(self) -> float:
-        """Do what is due; return seconds after which to call again, at most."""
+        """Run all timers that are due; return the seconds until the next call."""
         with self._lock:
             now = self._clock.monotonic()
             self.exchange.tick(now)
-            self._pump(now)
+            self._process_messages(now)
             wake = self.exchange.next_wake(now)
-        self._resolve()
+        self._resolve_futures()
         if wake is None:
-            return TICK_S
-        return min(TICK_S, max(WAKE_FLOOR_S, wake - now))
+            return MAX_TICK_INTERVAL_S
+        return min(MAX_TICK_INTERVAL_S, max(MIN_TICK_INTERVAL_S, wake - now))
 
-    # Inside.
+    # Internals.
 
-    def _pump(self, now: float) -> None:
+    def _process_messages(self, now: float) -> None:
         self.exchange.deliver_messages(now)
         for address, incarnation, message in self.exchange.take_outgoing():
             self._transport.send(address, incarnation, message)
         self._transport.flush()
-        self._collect()
+        self._collect_results()
 
-    def _collect(self) -> None:
+    def _collect_results(self) -> None:
         for decision in self.dispatch_client.take_results():
-            name = (decision.request, decision.epoch)
-            future = self._future_by_id.pop(name, None)
+            request_id = (decision.request, decision.epoch)
+            future = self._future_by_id.pop(request_id, None)
             if future is not None:
-                self._resolved.append(_setter(future, decision))
+                self._pending_resolutions.append(_make_resolver(future, decision))
         for request, verdict in self.charges.take_results():
-            waiting = self._charge_by_request.pop(request, None)
-            if waiting is not None:
-                self._resolved.append(_setter(waiting, verdict))
+            charge_future = self._charge_future_by_request.pop(request, None)
+            if charge_future is not None:
+                self._pending_resolutions.append(_make_resolver(charge_future, verdict))
 
-    def _resolve(self) -> None:
+    def _resolve_futures(self) -> None:
         with self._lock:
-            resolved, self._resolved = self._resolved, []
-        for call in resolved:
-            call()
+            resolutions, self._pending_resolutions = self._pending_resolutions, []
+        for resolve in resolutions:
+            resolve()
 
 
 Value = t.TypeVar("Value")
 
 
-def _canceller(future: concurrent.futures.Future[Value]) -> t.Callable[[], None]:
-    def call() -> None:
+def _make_canceller(future: concurrent.futures.Future[Value]) -> t.Callable[[], None]:
+    def cancel() -> None:
         future.cancel()
 
-    return call
+    return cancel
 
 
-def _setter(
+def _make_resolver(
     future: concurrent.futures.Future[Value], value: Value
 ) -> t.Callable[[], None]:
-    def call() -> None:
+    def resolve() -> None:
         if future.set_running_or_notify_cancel():
             future.set_result(value)
 
-    return call
+    return resolve
--- a/src/wagtailstair/jobs.py
+++ b/src/wagtailstair/jobs.py
@@ -1,4 +1,4 @@
-"""Completions as asked for and as finished, and what a relay needs around it."""
+"""Completion jobs and their results, and the interfaces that a relay uses."""
 
 import concurrent.futures
 import dataclasses
@@ -11,41 +11,43 @@
 from .core.grants import RouteRequest
 
 
-class Dispatch(t.Protocol):
-    """What a relay needs of the dispatcher of a pool."""
+class RouteDispatcher(t.Protocol):
+    """Grants routes to relays."""
 
     def submit(
-        self, model: str, data_centre: str, want: RouteRequest
+        self, model: str, data_centre: str, route_request: RouteRequest
     ) -> "concurrent.futures.Future[Grant | Refusal]":
-        """Ask for a route; the future never stays open for good."""
+        """Request a route; the future is always resolved eventually."""
         ...
 
-    def done(self, model: str, data_centre: str, done: GrantOutcome) -> None:
-        """Give a grant back."""
+    def done(self, model: str, data_centre: str, outcome: GrantOutcome) -> None:
+        """Report the end of a grant, with its actual cost."""
         ...
 
     def cancel(self, model: str, data_centre: str, request: str, epoch: int) -> None:
-        """Take a want back, or a grant that is on its way."""
+        """Withdraw a request for a route, or a grant that is in transit."""
         ...
 
 
-class Sink(t.Protocol):
-    """Where the tokens of an answer go; called in the loop's thread."""
+class TokenSink(t.Protocol):
+    """Receives the tokens of an answer; called in the loop's thread."""
 
     def token(self, text: str) -> None:
-        """Take the next token."""
+        """Accept the next token."""
         ...
 
     def is_full(self) -> bool:
-        """Tell whether the caller can't take more at present."""
+        """Return whether tokens must wait because the caller reads too slowly."""
         ...
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Job:
-    """One completion as asked for; ``deadline`` is a monotonic instant.
+    """One requested completion.
 
-    ``data_centres``: where the model has engines, the nearest first.
+    ``work``: expected cost in work units; ``deadline``: time on the monotonic
+    clock; ``data_centres``: those with engines of the model, in order of
+    preference; ``prefixes``: hashes of the prompt's prefix blocks, shortest first.
     """
 
     request: str
@@ -66,7 +68,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Finished:
-    """The whole answer."""
+    """The result of a complete answer; ``reason``: why the engine ended it."""
 
     reason: str
     text: str
--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -1,4 +1,4 @@
-"""Relay of one completion: routes, attempts, and tokens to the caller."""
+"""Relays of completions: request a route, run attempts, pass tokens to the caller."""
 
 import concurrent.futures
 import dataclasses
@@ -28,10 +28,10 @@
 from .exceptions import QueueFullError
 from .exceptions import RequestError
 from .exceptions import UpstreamError
-from .jobs import Dispatch
 from .jobs import Finished
 from .jobs import Job
-from .jobs import Sink
+from .jobs import RouteDispatcher
+from .jobs import TokenSink
 from .logs import log_event
 from .settings import RoutingSection
 from .upstreams.engine import Line
@@ -45,13 +45,13 @@
 from .upstreams.transfer import TransferEnd
 from .upstreams.transfer import TransferRequest
 
-SWEEP_INTERVAL_S = 0.25
+TIMEOUT_CHECK_INTERVAL_S = 0.25
 REFUSAL_STATUSES = frozenset({409, 429, 503})
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class _Open:
-    """A grant in use, and the exchange that runs on it."""
+class _OpenAttempt:
+    """A grant in use, with the attempt and the transfer that run on it."""
 
     data_centre: str
     grant_epoch: int
@@ -61,21 +61,21 @@
 
 
 class Relays:
-    """All relays of a daemon and what they share.
+    """All open relays of a daemon and the objects that they share.
 
-    :param budget: of the whole host, for attempts that engines refuse.
-    :param on_failed: hears the name of an engine whose attempt failed.
+    :param retry_budget: the host's budget for retries after an engine's refusal.
+    :param on_failed: called with the name of an engine whose attempt failed.
     """
 
     def __init__(
         self,
         loop: Loop,
-        dispatch: Dispatch,
+        dispatch: RouteDispatcher,
         clock: Clock,
         routing: RoutingSection,
         host: str,
         data_centre: str,
-        budget: RetryBudget,
+        retry_budget: RetryBudget,
         rng: random.Random,
         on_failed: t.Callable[[str], None],
     ) -> None:
@@ -87,24 +87,24 @@
         self.data_centre = data_centre
         self.waits = WaitEstimates()
         self._rng = rng
-        self.budget = budget
+        self.retry_budget = retry_budget
         self.on_failed = on_failed
-        self._open: set[Relay] = set()
+        self._open_relays: set[Relay] = set()
 
     def start(self) -> None:
-        """Begin to look for stalled streams and passed deadlines."""
-        self.loop.call(self._sweep)
+        """Start the periodic check for stalled streams and passed deadlines."""
+        self.loop.call(self._check_timeouts)
 
-    def run(self, job: Job, sink: Sink) -> "Relay":
-        """Begin a relay; its future ends with the answer or a RequestError."""
+    def run(self, job: Job, sink: TokenSink) -> "Relay":
+        """Start a relay; its future gets the answer or a RequestError."""
         relay = Relay(self, job, sink)
         self.loop.call(relay.start)
         return relay
 
-    def order(self, job: Job) -> tuple[str, ...]:
-        """Return the data centres to ask for a route, the best first."""
+    def order_data_centres(self, job: Job) -> tuple[str, ...]:
+        """Return the data centres to request a route from, the best first."""
         if job.data_centres[:1] != (self.data_centre,):
-            # The own data centre can't serve now, and stands last.
+            # This host's data centre can't serve the model now and comes last.
             return job.data_centres
         return self.waits.order(
             self.data_centre,
@@ -115,95 +115,100 @@
         )
 
     def add(self, relay: "Relay") -> None:
-        """Watch a relay."""
-        self._open.add(relay)
+        """Add a relay to the timeout checks."""
+        self._open_relays.add(relay)
 
     def discard(self, relay: "Relay") -> None:
-        """Stop watching a relay."""
-        self._open.discard(relay)
+        """Remove a relay from the timeout checks."""
+        self._open_relays.discard(relay)
 
-    def _sweep(self) -> None:
-        self.loop.call_later(SWEEP_INTERVAL_S, self._sweep)
+    def _check_timeouts(self) -> None:
+        self.loop.call_later(TIMEOUT_CHECK_INTERVAL_S, self._check_timeouts)
         now = self.clock.monotonic()
-        for relay in tuple(self._open):
-            # A call each, so that a fault in one relay does not keep the others
-            # from being looked at.
-            self.loop.call(functools.partial(relay.check, now))
+        for relay in tuple(self._open_relays):
+            # One call for each relay, so that an error in one does not skip the
+            # check of the others.
+            self.loop.call(functools.partial(relay.check_timeouts, now))
 
 
 class Relay:
-    """One completion on its way; used in the loop's thread."""
+    """One open completion; its methods run in the loop's thread."""
 
-    def __init__(self, shared: Relays, job: Job, sink: Sink) -> None:
+    def __init__(self, relays: Relays, job: Job, sink: TokenSink) -> None:
         self.future: concurrent.futures.Future[Finished] = concurrent.futures.Future()
-        self._shared = shared
+        self._relays = relays
         self._job = job
         self._sink = sink
         self._session: Session | None = None
-        self._open: _Open | None = None
-        self._asked: tuple[str, int] | None = None
+        self._open_attempt: _OpenAttempt | None = None
+        self._pending_route: tuple[str, int] | None = None
         self._data_centres = job.data_centres
-        self._centre_index = 0
+        self._data_centre_index = 0
         self._epoch = 0
-        self._avoid: frozenset[str] = frozenset()
+        self._avoided_engines: frozenset[str] = frozenset()
         self._paused = False
         self._last_line_at = 0.0
-        self._awaiting_first = True
+        self._awaiting_first_token = True
         self._ended = False
 
     def start(self) -> None:
-        """Ask for the first route."""
-        self._shared.add(self)
-        self._shared.budget.count_attempt(self._shared.clock.monotonic())
-        self._data_centres = self._shared.order(self._job)
-        self._ask()
+        """Request the first route."""
+        self._relays.add(self)
+        self._relays.retry_budget.count_attempt(self._relays.clock.monotonic())
+        self._data_centres = self._relays.order_data_centres(self._job)
+        self._request_route()
 
     def cancel(self) -> None:
-        """End the work upstream; the caller is gone."""
+        """Cancel the completion because the caller disconnected."""
         self._fail(CallerGoneError("the caller closed the connection"))
 
     def resume(self) -> None:
-        """Go on after the sink was full."""
-        if self._paused and self._open is not None:
+        """Resume a transfer that was paused because the sink was full."""
+        if self._paused and self._open_attempt is not None:
             self._paused = False
-            self._last_line_at = self._shared.clock.monotonic()
-            self._open.transfer.resume()
+            self._last_line_at = self._relays.clock.monotonic()
+            self._open_attempt.transfer.resume()
 
-    def check(self, now: float) -> None:
-        """End what is past its deadline; break what has stalled."""
+    def check_timeouts(self, now: float) -> None:
+        """End the relay at its deadline; retry an attempt that has stalled."""
         if self._ended:
             return
         if now >= self._job.deadline:
-            self._fail(DeadlineExceededError("the deadline passed"))
+            self._fail(DeadlineExceededError("the request's deadline passed"))
             return
-        if self._open is None or self._paused:
+        if self._open_attempt is None or self._paused:
             return
-        limit = self._shared.routing.stall_timeout_s
-        if self._awaiting_first:
-            limit = self._shared.routing.first_token_timeout_s
-        if now - self._last_line_at > limit:
-            self._open.transfer.cancel()
-            self._broken("stalled", sent=True)
-
-    def _ask(self) -> None:
+        limit_s = self._relays.routing.stall_timeout_s
+        if self._awaiting_first_token:
+            limit_s = self._relays.routing.first_token_timeout_s
+        if now - self._last_line_at > limit_s:
+            self._open_attempt.transfer.cancel()
+            self._handle_broken_stream("stalled", sent=True)
+
+    def _request_route(self) -> None:
         job = self._job
-        now = self._shared.clock.monotonic()
+        now = self._relays.clock.monotonic()
         if now >= job.deadline:
-            self._fail(DeadlineExceededError("the deadline passed"))
+            self._fail(DeadlineExceededError("the request's deadline passed"))
             return
-        if self._centre_index >= len(self._data_centres) and self._avoid:
-            # One of the avoided engines may be sound, and the last for its layers.
-            self._avoid = frozenset()
-            self._centre_index = 0
-        if self._centre_index >= len(self._data_centres):
-            self._fail(NoUpstreamError("no route over live engines", retry_after_s=1.0))
+        if self._data_centre_index >= len(self._data_centres) and self._avoided_engines:
+            # Without the avoided engines no route is left. Try them again: one may
+            # be healthy and the only one that serves some layers.
+            self._avoided_engines = frozenset()
+            self._data_centre_index = 0
+        if self._data_centre_index >= len(self._data_centres):
+            self._fail(
+                NoUpstreamError(
+                    "no data centre has a route over live engines", retry_after_s=1.0
+                )
+            )
             return
         delivered = len(self._session.tokens) if self._session else 0
         self._epoch += 1
-        want = RouteRequest(
+        route_request = RouteRequest(
             request=job.request,
             epoch=self._epoch,
-            host=self._shared.host,
+            host=self._relays.host,
             account=job.account,
             priority=job.priority,
             weight=job.weight,
@@ -214,51 +219,53 @@
             entitled=job.entitled,
             adapter=job.adapter,
             prefixes=job.prefixes,
-            avoid=self._avoid,
+            avoid=self._avoided_engines,
         )
-        data_centre = self._data_centres[self._centre_index]
-        self._shared.waits.submitted(job.request, data_centre, job.priority, now)
-        self._asked = (data_centre, self._epoch)
-        future = self._shared.dispatch.submit(job.model, data_centre, want)
-        asked = self._asked
+        data_centre = self._data_centres[self._data_centre_index]
+        self._relays.waits.submitted(job.request, data_centre, job.priority, now)
+        self._pending_route = (data_centre, self._epoch)
+        future = self._relays.dispatch.submit(job.model, data_centre, route_request)
+        pending_route = self._pending_route
         future.add_done_callback(
-            lambda done: self._shared.loop.call(lambda: self._on_route(asked, done))
+            lambda done: self._relays.loop.call(
+                lambda: self._handle_route_answer(pending_route, done)
+            )
         )
 
-    def _on_route(
+    def _handle_route_answer(
         self,
-        asked: tuple[str, int],
+        pending_route: tuple[str, int],
         future: "concurrent.futures.Future[Grant | Refusal]",
     ) -> None:
-        if future.cancelled() or self._asked != asked:
+        if future.cancelled() or self._pending_route != pending_route:
             return
-        self._asked = None
+        self._pending_route = None
         answer = future.result()
-        now = self._shared.clock.monotonic()
+        now = self._relays.clock.monotonic()
         if isinstance(answer, Refusal):
-            self._shared.waits.refused(self._job.request, now)
-            self._on_refusal(answer)
+            self._relays.waits.refused(self._job.request, now)
+            self._handle_refusal(answer)
             return
-        self._shared.waits.granted(self._job.request, now)
-        self._begin(asked[0], answer)
+        self._relays.waits.granted(self._job.request, now)
+        self._start_attempt(pending_route[0], answer)
 
-    def _on_refusal(self, refusal: Refusal) -> None:
+    def _handle_refusal(self, refusal: Refusal) -> None:
         if refusal.reason is RefusalReason.NO_ROUTE:
-            self._centre_index += 1
-            self._ask()
+            self._data_centre_index += 1
+            self._request_route()
             return
         message = "the queue is full"
         if refusal.reason is RefusalReason.DEADLINE:
             message = "the deadline can't be met at the present load"
         self._fail(QueueFullError(message, retry_after_s=refusal.retry_after_s))
 
-    def _begin(self, data_centre: str, grant: Grant) -> None:
+    def _start_attempt(self, data_centre: str, grant: Grant) -> None:
         job = self._job
         if self._session is None:
             layers = grant.route[-1].last
             self._session = Session(job.request, job.prompt, job.max_tokens, layers)
         attempt = self._session.begin(grant.route)
-        now = self._shared.clock.monotonic()
+        now = self._relays.clock.monotonic()
         remaining_s = max(0.001, job.deadline - now)
         body = encode_generate(
             request=job.request,
@@ -278,18 +285,20 @@
             url=f"http://{grant.route[0].address}/v1/generate",
             headers=(("Content-Type", "application/json"),),
             body=body,
-            connect_timeout_s=self._shared.routing.connect_timeout_s,
+            connect_timeout_s=self._relays.routing.connect_timeout_s,
             timeout_s=remaining_s,
         )
         transfer = Transfer(
-            self._shared.loop,
+            self._relays.loop,
             request,
-            lambda end: self._on_transfer_end(attempt, end),
-            lambda data: self._on_data(attempt, data),
+            lambda end: self._handle_transfer_end(attempt, end),
+            lambda data: self._handle_data(attempt, data),
+        )
+        self._open_attempt = _OpenAttempt(
+            data_centre, grant.epoch, attempt, transfer, LineBuffer()
         )
-        self._open = _Open(data_centre, grant.epoch, attempt, transfer, LineBuffer())
         self._paused = False
-        self._awaiting_first = True
+        self._awaiting_first_token = True
         self._last_line_at = now
         log_event(
             "attempt_started",
@@ -301,97 +310,101 @@
         )
         transfer.start()
 
-    def _on_data(self, attempt: Attempt, data: bytes) -> bool:
-        if self._open is None or self._open.attempt is not attempt:
+    def _handle_data(self, attempt: Attempt, data: bytes) -> bool:
+        if self._open_attempt is None or self._open_attempt.attempt is not attempt:
             return True
         if self._sink.is_full():
             self._paused = True
             return False
-        self._last_line_at = self._shared.clock.monotonic()
+        self._last_line_at = self._relays.clock.monotonic()
         try:
-            lines = self._open.lines.feed(data)
+            lines = self._open_attempt.lines.feed(data)
         except UpstreamError as error:
-            self._violated(str(error))
+            self._handle_violation(str(error))
             return True
         for raw in lines:
-            if not self._on_line(raw):
+            if not self._handle_line(raw):
                 break
         return True
 
-    def _on_line(self, raw: bytes) -> bool:
-        # True while the attempt goes on.
+    def _handle_line(self, raw: bytes) -> bool:
+        # Returns whether the attempt continues.
         session = self._session
         assert session is not None
         try:
             line = decode_line(raw)
         except UpstreamError as error:
-            self._violated(str(error))
+            self._handle_violation(str(error))
             return False
         if line.end:
-            return self._on_end_line(session, line)
+            return self._handle_end_line(session, line)
         verdict = session.accept_token(
             line.r, line.a, line.e, line.p, line.t, line.x, line.w
         )
         if isinstance(verdict, Accepted):
-            self._awaiting_first = False
+            self._awaiting_first_token = False
             self._sink.token(line.x)
             return True
         if isinstance(verdict, Dropped):
             return True
-        self._violated(verdict.reason.value)
+        self._handle_violation(verdict.reason.value)
         return False
 
-    def _on_end_line(self, session: Session, line: Line) -> bool:
+    def _handle_end_line(self, session: Session, line: Line) -> bool:
         verdict = session.accept_end(line.r, line.a, line.e, line.p, line.end)
         if isinstance(verdict, Dropped):
             return True
         if isinstance(verdict, Violation):
-            self._violated(verdict.reason.value)
+            self._handle_violation(verdict.reason.value)
             return False
-        opened = self._open
-        assert opened is not None
-        opened.transfer.cancel()
-        self._release(frozenset())
+        open_attempt = self._open_attempt
+        assert open_attempt is not None
+        open_attempt.transfer.cancel()
+        self._release_grant(frozenset())
         finished = Finished(
             line.end, session.text(), self._job.prompt_tokens, len(session.tokens)
         )
-        self._finish()
+        self._mark_ended()
         self.future.set_result(finished)
         return False
 
-    def _on_transfer_end(self, attempt: Attempt, end: TransferEnd) -> None:
-        if self._open is None or self._open.attempt is not attempt:
+    def _handle_transfer_end(self, attempt: Attempt, end: TransferEnd) -> None:
+        if self._open_attempt is None or self._open_attempt.attempt is not attempt:
             return
         session = self._session
         assert session is not None
         if end.status in REFUSAL_STATUSES and decode_refusal(end.body):
             session.close_refused(attempt.id)
-            # A refusal is a sign of overload, which retries must not feed. A
-            # broken stream is resumed in any case: the pool paces it.
-            allowed = self._shared.budget.take(self._shared.clock.monotonic())
+            # A refusal indicates overload, which unlimited retries would make
+            # worse. A broken stream needs no budget: the pool limits the rate of
+            # its new attempts.
+            allowed = self._relays.retry_budget.take(self._relays.clock.monotonic())
             self._retry(attempt, "refused", allowed, attempt.route[:1])
             return
-        self._broken(end.error or f"status {end.status}", end.sent is not Sent.NOT_SENT)
+        self._handle_broken_stream(
+            end.error or f"status {end.status}", end.sent is not Sent.NOT_SENT
+        )
 
-    def _violated(self, reason: str) -> None:
-        # The session closed its epoch; the answer goes on from what is delivered.
-        opened = self._open
-        if opened is None:
+    def _handle_violation(self, reason: str) -> None:
+        # The session has closed the epoch. The next attempt continues after the
+        # last delivered token.
+        open_attempt = self._open_attempt
+        if open_attempt is None:
             return
-        opened.transfer.cancel()
-        self._broken(reason, sent=True)
+        open_attempt.transfer.cancel()
+        self._handle_broken_stream(reason, sent=True)
 
-    def _broken(self, reason: str, sent: bool) -> None:
-        opened = self._open
-        assert opened is not None
+    def _handle_broken_stream(self, reason: str, sent: bool) -> None:
+        open_attempt = self._open_attempt
+        assert open_attempt is not None
         assert self._session is not None
-        self._session.close_broken(opened.attempt.id, sent)
-        # What was not sent tells of the first engine alone.
-        route = opened.attempt.route
-        self._retry(opened.attempt, reason, True, route if sent else route[:1])
+        self._session.close_broken(open_attempt.attempt.id, sent)
+        # If nothing was sent, only the first engine of the route is suspected.
+        route = open_attempt.attempt.route
+        self._retry(open_attempt.attempt, reason, True, route if sent else route[:1])
 
     def _retry(
-        self, attempt: Attempt, reason: str, allowed: bool, suspects: Route
+        self, attempt: Attempt, reason: str, allowed: bool, suspect_stages: Route
     ) -> None:
         session = self._session
         assert session is not None
@@ -405,57 +418,61 @@
             position=len(session.tokens),
             reason=reason,
         )
-        engines = frozenset(stage.engine for stage in suspects)
-        self._release(engines)
-        self._avoid = self._avoid | engines
-        self._shared.on_failed(failed)
+        engines = frozenset(stage.engine for stage in suspect_stages)
+        self._release_grant(engines)
+        self._avoided_engines = self._avoided_engines | engines
+        self._relays.on_failed(failed)
         if allowed and session.may_begin():
-            self._centre_index = 0
-            self._ask()
+            self._data_centre_index = 0
+            self._request_route()
             return
         outcome = session.close()
         if outcome is Outcome.NOT_RUN:
-            self._fail(NoUpstreamError("no engine took the request", retry_after_s=1.0))
+            self._fail(
+                NoUpstreamError("no engine accepted the request", retry_after_s=1.0)
+            )
             return
-        self._fail(OutcomeUnknownError("the answer could not be completed"))
+        self._fail(
+            OutcomeUnknownError("all attempts failed before the answer was complete")
+        )
 
-    def _release(self, failed: frozenset[str]) -> None:
-        opened = self._open
-        self._open = None
-        if opened is None:
+    def _release_grant(self, failed: frozenset[str]) -> None:
+        open_attempt = self._open_attempt
+        self._open_attempt = None
+        if open_attempt is None:
             return
         assert self._session is not None
-        done = GrantOutcome(
+        outcome = GrantOutcome(
             request=self._job.request,
-            epoch=opened.grant_epoch,
-            host=self._shared.host,
+            epoch=open_attempt.grant_epoch,
+            host=self._relays.host,
             prompt_tokens=self._job.prompt_tokens,
-            output_tokens=len(self._session.tokens) - opened.attempt.position,
+            output_tokens=len(self._session.tokens) - open_attempt.attempt.position,
             failed=failed,
         )
-        self._shared.dispatch.done(self._job.model, opened.data_centre, done)
+        self._relays.dispatch.done(self._job.model, open_attempt.data_centre, outcome)
 
     def _fail(self, error: RequestError) -> None:
         if self._ended:
             return
-        asked = self._asked
-        self._asked = None
-        if asked is not None:
-            self._shared.waits.withdrawn(self._job.request)
-            self._shared.dispatch.cancel(
-                self._job.model, asked[0], self._job.request, asked[1]
+        pending_route = self._pending_route
+        self._pending_route = None
+        if pending_route is not None:
+            self._relays.waits.withdrawn(self._job.request)
+            self._relays.dispatch.cancel(
+                self._job.model, pending_route[0], self._job.request, pending_route[1]
             )
-        if self._open is not None:
-            self._open.transfer.cancel()
+        if self._open_attempt is not None:
+            self._open_attempt.transfer.cancel()
         if self._session is not None:
             error.outcome = self._session.close()
-        self._release(frozenset())
-        self._finish()
+        self._release_grant(frozenset())
+        self._mark_ended()
         self.future.set_exception(error)
 
-    def _finish(self) -> None:
+    def _mark_ended(self) -> None:
         self._ended = True
-        self._shared.discard(self)
+        self._relays.discard(self)
 
 
 def _route_text(route: Route) -> str:
--- a/src/wagtailstair/report.py
+++ b/src/wagtailstair/report.py
@@ -1,4 +1,4 @@
-"""What a daemon tells operators of itself: its status and its gauges."""
+"""The status report and the gauges of a daemon."""
 
 import typing as t
 
@@ -14,7 +14,7 @@
 
 
 def describe_upstreams(upstreams: Upstreams) -> list[Entry]:
-    """Return the upstreams with their states, by name."""
+    """Return the upstreams with their states, sorted by name."""
     entries = []
     for upstream, leaving in upstreams.all():
         entries.append(
@@ -29,7 +29,7 @@
 
 
 def describe_pools(stats_by_pool: StatsByPool) -> list[Entry]:
-    """Return the pools that this host dispatches, with their queues."""
+    """Return the pools that this host dispatches, with their queue lengths."""
     entries = []
     for key in sorted(stats_by_pool, key=str):
         stats = stats_by_pool[key]
@@ -63,7 +63,7 @@
 
 
 def publish_traffic(metrics: Metrics, traffic: Traffic) -> None:
-    """Set the gauges of the datagrams to and from peers."""
+    """Set the gauges of the datagrams sent to and received from peers."""
     metrics.gauge("peer_datagrams_sent", traffic.sent)
     metrics.gauge("peer_bytes_sent", traffic.sent_bytes)
     metrics.gauge("peer_datagrams_received", traffic.received)
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -1,4 +1,4 @@
-"""Calls to plain services: choice of a replica, safe retries, one run a key."""
+"""Calls to plain services: choice of a replica, retries, idempotency keys."""
 
 import concurrent.futures
 import dataclasses
@@ -32,7 +32,7 @@
 
 NOT_RUN_HEADER = "X-Not-Run"
 LEAVING_HEADER = "X-Leaving"
-UNAVAILABLE = 503
+STATUS_UNAVAILABLE = 503
 MAX_ATTEMPTS = 4
 HOP_HEADERS = frozenset(
     {
@@ -51,7 +51,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ServiceCall:
-    """One call as asked for; ``deadline`` is a monotonic instant."""
+    """One call of a caller.
+
+    ``deadline``: time on the monotonic clock; ``repeatable``: whether the call may
+    run more than once; ``may_send``: called just before the call is sent, and
+    prevents that if it returns false.
+    """
 
     request: str
     account: str
@@ -67,7 +72,7 @@
 
 
 class Services:
-    """The plain services that this daemon routes to; safe from any thread."""
+    """Calls the plain services that this daemon routes to; thread-safe."""
 
     def __init__(
         self,
@@ -77,7 +82,7 @@
         upstreams: Upstreams,
         claims: Claims,
         ejection: Ejection,
-        budget: RetryBudget,
+        retry_budget: RetryBudget,
         rng: random.Random,
     ) -> None:
         self._loop = loop
@@ -86,38 +91,39 @@
         self._upstreams = upstreams
         self._claims = claims
         self._ejection = ejection
-        self._budget = budget
+        self._retry_budget = retry_budget
         self._rng = rng
         self._lock = threading.Lock()
-        self._open_by_name: dict[str, int] = {}
+        self._open_count_by_name: dict[str, int] = {}
 
     def call_repeatable(self, call: ServiceCall) -> Answer:
         """Run a call that may run more than once.
 
         :raises RequestError: if no attempt was answered.
         """
-        self._budget.count_attempt(self._clock.monotonic())
+        self._retry_budget.count_attempt(self._clock.monotonic())
         outcome = Outcome.NOT_RUN
-        tried: set[str] = set()
+        tried_replicas: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
             try:
-                return self._attempt(call, attempt, tried)
+                return self._attempt(call, attempt, tried_replicas)
             except UpstreamLostError:
                 outcome = Outcome.UNKNOWN
             except (UpstreamNotSentError, UpstreamRefusedError):
                 pass
-            if not self._pause(attempt, call.deadline):
+            if not self._wait_before_retry(attempt, call.deadline):
                 break
-        raise self._gave_up(call, outcome)
+        raise self._make_error(call, outcome)
 
     def call_once(self, call: ServiceCall) -> Answer:
-        """Run a call at most once for its idempotency key, over all hosts.
+        """Run a call at most once for its idempotency key, across all hosts.
 
-        :raises RequestError: with the true outcome.
+        :raises RequestError: with what is known about the outcome.
         """
         now = self._clock.monotonic()
-        self._budget.count_attempt(now)
-        # The claim is written later than now, so this window ends within its own.
+        self._retry_budget.count_attempt(now)
+        # The claim is written after this instant, so that this send window ends
+        # before the claim's own window does.
         send_until = now + self._claims.send_window_s
         guarded = dataclasses.replace(
             call, may_send=lambda: self._clock.monotonic() < send_until
@@ -132,29 +138,33 @@
         )
 
     def _send_claimed(self, call: ServiceCall) -> Answer:
-        # Another replica is tried only while nothing has reached any.
-        tried: set[str] = set()
+        # Another replica is tried only while none has run the call.
+        tried_replicas: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
             try:
-                return self._attempt(call, attempt, tried)
+                return self._attempt(call, attempt, tried_replicas)
             except (UpstreamNotSentError, UpstreamRefusedError):
                 if attempt + 1 == MAX_ATTEMPTS:
                     raise
-                if not self._pause(attempt, call.deadline):
+                if not self._wait_before_retry(attempt, call.deadline):
                     raise
-        raise AssertionError("the last attempt returns or raises")
+        raise AssertionError("unreachable: the last attempt returns or raises")
 
-    def _attempt(self, call: ServiceCall, attempt: int, tried: set[str]) -> Answer:
-        replica = self._choose(call.service, tried)
-        tried.add(replica.name)
+    def _attempt(
+        self, call: ServiceCall, attempt: int, tried_replicas: set[str]
+    ) -> Answer:
+        replica = self._choose_replica(call.service, tried_replicas)
+        tried_replicas.add(replica.name)
         now = self._clock.monotonic()
         remaining_s = call.deadline - now
         if remaining_s <= 0:
-            raise UpstreamNotSentError("the deadline passed", where=replica.name)
+            raise UpstreamNotSentError(
+                "the call's deadline passed before the attempt", where=replica.name
+            )
         with self._lock:
             self._ejection.record_start(replica.name)
         end = self._exchange(call, replica, attempt, remaining_s)
-        self._judge(replica, end)
+        self._check_answered(replica, end)
         headers = []
         for name, value in end.headers:
             if name.lower() not in HOP_HEADERS:
@@ -181,22 +191,25 @@
             repeatable=call.repeatable,
             may_send=call.may_send,
         )
-        self._count(replica.name, 1)
+        self._change_open_count(replica.name, 1)
         try:
             future = exchange(self._loop, request)
-            # The transfer ends by itself; the margin guards against its loss.
+            # The transfer has its own timeout; the margin of a second only limits
+            # the wait if its end is never reported.
             return future.result(remaining_s + 1.0)
         except concurrent.futures.TimeoutError:
             raise UpstreamLostError(
-                "no end of the transfer", where=replica.name
+                "the transfer did not end within its timeout", where=replica.name
             ) from None
         finally:
-            self._count(replica.name, -1)
+            self._change_open_count(replica.name, -1)
 
-    def _judge(self, replica: Upstream, end: TransferEnd) -> None:
-        refused = end.status == UNAVAILABLE and end.header(NOT_RUN_HEADER) == "true"
+    def _check_answered(self, replica: Upstream, end: TransferEnd) -> None:
+        refused = (
+            end.status == STATUS_UNAVAILABLE and end.header(NOT_RUN_HEADER) == "true"
+        )
         failed = refused or end.sent is not Sent.ANSWERED
-        self._note(replica, failed)
+        self._record_result(replica, failed)
         if end.sent is Sent.NOT_SENT:
             raise UpstreamNotSentError(end.error, where=replica.name)
         if end.sent is Sent.LOST:
@@ -205,52 +218,56 @@
             return
         if end.header(LEAVING_HEADER) == "true":
             self._upstreams.mark_leaving(replica.name, replica.incarnation)
-        raise UpstreamRefusedError("refused, not run", where=replica.name)
+        raise UpstreamRefusedError(
+            "the replica refused the call and did not run it", where=replica.name
+        )
 
-    def _note(self, replica: Upstream, failed: bool) -> None:
+    def _record_result(self, replica: Upstream, failed: bool) -> None:
         now = self._clock.monotonic()
-        group = len(self._upstreams.replicas(replica.service))
+        group_size = len(self._upstreams.replicas(replica.service))
         with self._lock:
             if failed:
-                self._ejection.record_failure(replica.name, group, now)
+                self._ejection.record_failure(replica.name, group_size, now)
                 return
             self._ejection.record_success(replica.name, now)
 
-    def _choose(self, service: str, tried: set[str]) -> Upstream:
+    def _choose_replica(self, service: str, tried_replicas: set[str]) -> Upstream:
         now = self._clock.monotonic()
         replicas = self._upstreams.replicas(service)
         if not replicas:
-            raise UpstreamNotSentError("no live replica", where=service)
+            raise UpstreamNotSentError("the service has no live replica", where=service)
         with self._lock:
-            return min(replicas, key=lambda replica: self._rank(replica, tried, now))
+            return min(
+                replicas, key=lambda replica: self._rank(replica, tried_replicas, now)
+            )
 
     def _rank(
-        self, replica: Upstream, tried: set[str], now: float
+        self, replica: Upstream, tried_replicas: set[str], now: float
     ) -> tuple[bool, bool, bool, int, float]:
         return (
-            replica.name in tried,
+            replica.name in tried_replicas,
             self._ejection.is_ejected(replica.name, now),
             replica.data_centre != self._settings.host.data_centre,
-            self._open_by_name.get(replica.name, 0),
+            self._open_count_by_name.get(replica.name, 0),
             self._rng.random(),
         )
 
-    def _count(self, name: str, amount: int) -> None:
+    def _change_open_count(self, name: str, amount: int) -> None:
         with self._lock:
-            left = self._open_by_name.get(name, 0) + amount
-            self._open_by_name[name] = left
-            if left == 0:
-                del self._open_by_name[name]
+            open_count = self._open_count_by_name.get(name, 0) + amount
+            self._open_count_by_name[name] = open_count
+            if open_count == 0:
+                del self._open_count_by_name[name]
 
-    def _pause(self, attempt: int, deadline: float) -> bool:
+    def _wait_before_retry(self, attempt: int, deadline: float) -> bool:
         now = self._clock.monotonic()
-        pause_s = retry_pause_s(attempt, now, deadline, self._budget, self._rng)
+        pause_s = retry_pause_s(attempt, now, deadline, self._retry_budget, self._rng)
         if pause_s is None:
             return False
         threading.Event().wait(pause_s)
         return True
 
-    def _gave_up(self, call: ServiceCall, outcome: Outcome) -> Exception:
+    def _make_error(self, call: ServiceCall, outcome: Outcome) -> Exception:
         log_event(
             "service_call_failed",
             level="WARNING",
@@ -259,7 +276,7 @@
             outcome=outcome.value,
         )
         if self._clock.monotonic() >= call.deadline:
-            return DeadlineExceededError("the deadline passed", outcome=outcome)
+            return DeadlineExceededError("the call's deadline passed", outcome=outcome)
         if outcome is Outcome.UNKNOWN:
-            return OutcomeUnknownError("the answer was lost")
-        return NoUpstreamError("no replica took the call", retry_after_s=1.0)
+            return OutcomeUnknownError("the call was sent but its answer was lost")
+        return NoUpstreamError("no replica accepted the call", retry_after_s=1.0)
--- a/src/wagtailstair/settings.py
+++ b/src/wagtailstair/settings.py
@@ -1,4 +1,4 @@
-"""The settings of a daemon: TOML, checked as a whole before anything starts."""
+"""The settings of a daemon: read from TOML and validated before the start."""
 
 import ipaddress
 import pathlib
@@ -9,6 +9,7 @@
 
 from .exceptions import SettingsError
 
+# Held back at the end of a lease, for clocks that run at different rates.
 LEASE_MARGIN_S = 1.0
 
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
@@ -20,11 +21,11 @@
 
 
 class _Section(msgspec.Struct, forbid_unknown_fields=True, kw_only=True, frozen=True):
-    """The base of every table of the file."""
+    """The base class of all sections of the settings file."""
 
 
 class HostSection(_Section, frozen=True):
-    """Who and where this daemon is."""
+    """The name, data centre, address and ports of this daemon."""
 
     name: str
     data_centre: str
@@ -34,7 +35,7 @@
 
 
 class PlatformSection(_Section, frozen=True):
-    """Where the platform's services are."""
+    """URLs of the platform's services, with their timeouts and read intervals."""
 
     table: str
     hosts: str
@@ -49,8 +50,8 @@
 class PeersSection(_Section, frozen=True):
     """The protocol between daemons.
 
-    ``seeds``: ``ip:port`` of peers to ask first; ``key_file``: a file with the
-    secret that signs datagrams; empty means that peers are not checked.
+    ``seeds``: ``ip:port`` of the peers to contact first; ``key_file``: a file with
+    the secret that signs datagrams; if empty, peers are not authenticated.
     """
 
     seeds: tuple[str, ...] = ()
@@ -60,7 +61,7 @@
 
 
 class LimitsSection(_Section, frozen=True):
-    """Bounds on what the daemon takes in and holds."""
+    """Limits on the sizes, numbers and timeouts of requests."""
 
     body_bytes: Count = 1 << 20
     header_bytes: Count = 16 << 10
@@ -76,8 +77,9 @@
 class RoutingSection(_Section, frozen=True):
     """Choice of upstreams, retries and ejection.
 
-    ``retry_share``: retries over all attempts, at most; ``minimum_shares``:
-    what urgent, standard and batch work keep in a flood of another.
+    ``retry_share``: maximum ratio of retries to first attempts;
+    ``minimum_shares``: shares of the capacity that are kept for urgent, standard
+    and batch requests when another priority overloads the pool.
     """
 
     retry_share: Fraction = 0.1
@@ -91,11 +93,11 @@
 
 
 class PlacementSection(_Section, frozen=True):
-    """Orders to the engines of the data centre.
+    """Placement of model layers on the engines of the data centre.
 
-    ``hold_s``: how long a layer range has to be short of engines before an
-    engine that serves another is moved; ``weights_bytes_per_s``: the rate at
-    which the weight store may be asked for weights.
+    ``hold_s``: how long a layer range must lack engines before an engine that
+    serves another range is moved to it; ``weights_bytes_per_s``: the maximum rate
+    of reads from the weight store.
     """
 
     enabled: bool = True
@@ -106,14 +108,18 @@
 
 
 class ShutdownSection(_Section, frozen=True):
-    """The steps of a graceful shutdown."""
+    """Graceful shutdown.
+
+    ``balancer_lag_s``: time until the load balancer stops sending new requests;
+    ``drain_s``: time for open requests to end.
+    """
 
     balancer_lag_s: t.Annotated[float, msgspec.Meta(ge=0)] = 3.0
     drain_s: Seconds = 300.0
 
 
 class LogSection(_Section, frozen=True):
-    """Where events go."""
+    """Logging."""
 
     level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
 
@@ -141,7 +147,7 @@
         ) from None
 
 
-def _check_peers(settings: Settings) -> None:
+def _check_dead_after(settings: Settings) -> None:
     if settings.peers.dead_after_s <= 2 * settings.peers.heartbeat_s:
         raise SettingsError(
             "expected more than twice peers.heartbeat_s,"
@@ -164,7 +170,7 @@
         )
 
 
-def _check_shares(settings: Settings) -> None:
+def _check_minimum_shares(settings: Settings) -> None:
     total = sum(settings.routing.minimum_shares)
     if total > 1:
         raise SettingsError(
@@ -183,10 +189,10 @@
 
 
 def _check_lease(settings: Settings) -> None:
-    least_s = 2 * settings.placement.order_timeout_s + LEASE_MARGIN_S
-    if settings.placement.lease_s < least_s:
+    minimum_s = 2 * settings.placement.order_timeout_s + LEASE_MARGIN_S
+    if settings.placement.lease_s < minimum_s:
         raise SettingsError(
-            f"expected {least_s:g} or more, for an order to fit inside,"
+            f"expected {minimum_s:g} or more, so that an order fits into the lease,"
             f" got {settings.placement.lease_s:g}",
             where="placement.lease_s",
         )
@@ -194,9 +200,9 @@
 
 CHECKS: tuple[t.Callable[[Settings], None], ...] = (
     _check_address,
-    _check_peers,
+    _check_dead_after,
     _check_seeds,
-    _check_shares,
+    _check_minimum_shares,
     _check_timeouts,
     _check_lease,
 )
@@ -211,9 +217,10 @@
     shape: type[_SettingsT],
     checks: t.Iterable[t.Callable[[_SettingsT], None]],
 ) -> _SettingsT:
-    """Return settings of a shape from TOML text, checked as a whole.
+    """Return settings of type ``shape`` from TOML text, validated.
 
-    :param source: the file's name, for messages.
+    :param source: the file's name, for error messages.
+    :param checks: raise SettingsError if values do not fit together.
     :raises SettingsError: naming the file, the key and what was expected.
     """
     try:
@@ -243,16 +250,16 @@
 
 
 def parse_settings(text: str, source: str = "<settings>") -> Settings:
-    """Check settings from TOML text.
+    """Return the daemon's settings from TOML text, validated.
 
-    :param source: the file's name, for messages.
+    :param source: the file's name, for error messages.
     :raises SettingsError: naming the file, the key and what was expected.
     """
     return parse_checked(text, source, Settings, CHECKS)
 
 
 def load_settings(path: pathlib.Path) -> Settings:
-    """Read and check a settings file.
+    """Return the daemon's settings from a file, validated.
 
     :raises SettingsError: if it can't be read or is not valid.
     """
