Wording: tests of dispatch, relay, settings, report and metrics

Test names say what is checked; the simulation speaks of duplication, result counts and datagrams received while frozen. Same assertions and values.

--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -1,4 +1,7 @@
-"""Hosts with dispatchers over a network that loses, delays, doubles and swaps."""
+"""Simulation of hosts with dispatchers over an unreliable network.
+
+The network loses, delays, duplicates and reorders datagrams.
+"""
 
 import heapq
 import random
@@ -28,7 +31,7 @@
 LIMITS = QuotaLimits(work_per_s=1e6, burst_s=10.0, max_concurrent=100_000)
 
 
-class Outgoing:
+class SimTransport:
     """The transport of one host in the simulation."""
 
     def __init__(self, network, host):
@@ -49,7 +52,7 @@
 
 
 class Network:
-    """Delivers datagrams late, twice, swapped, or not at all."""
+    """Delivers datagrams late, twice, out of order, or not at all."""
 
     def __init__(self, rng, clock):
         self.rng = rng
@@ -57,7 +60,7 @@
         self.queue = []
         self.count = 0
         self.loss = 0.0
-        self.doubling = 0.0
+        self.duplication = 0.0
         self.delay_s = 0.002
         self.cut = set()
         self.with_codec = False
@@ -66,7 +69,7 @@
         target = f"h{address.partition(':')[0].rpartition('.')[2]}"
         if (source, target) in self.cut or self.rng.random() < self.loss:
             return
-        copies = 2 if self.rng.random() < self.doubling else 1
+        copies = 2 if self.rng.random() < self.duplication else 1
         if self.with_codec:
             datagram = decode(encode(datagram))
         for _ in range(copies):
@@ -81,7 +84,7 @@
             yield target, datagram
 
     def heal(self):
-        self.loss = self.doubling = 0.0
+        self.loss = self.duplication = 0.0
         self.delay_s = 0.002
         self.cut.clear()
 
@@ -97,44 +100,46 @@
             self.host, heartbeat_s=0.5, dead_after_s=2.5, now=clock.monotonic()
         )
         self.membership.set_state(HostState.LIVE)
-        self.transport = Outgoing(simulation.network, self.host)
+        self.transport = SimTransport(simulation.network, self.host)
         self.dispatcher = Dispatcher(self.membership, self.transport, make_pool, clock)
         self.frozen_until = 0.0
-        self.thaw = []
-        self.answers = {}
+        self.received_while_frozen = []
+        self.result_counts = {}
         dispatch_client = self.dispatcher.dispatch_client
         take = dispatch_client.take_results
 
-        def counted():
+        def take_and_count():
             results = take()
             for result in results:
-                name = (result.request, result.epoch)
-                self.answers[name] = self.answers.get(name, 0) + 1
+                request_id = (result.request, result.epoch)
+                self.result_counts[request_id] = (
+                    self.result_counts.get(request_id, 0) + 1
+                )
             return results
 
-        dispatch_client.take_results = counted
+        dispatch_client.take_results = take_and_count
 
     def receive(self, datagram):
         if datagram.receiver not in (0, self.host.incarnation):
             return
         now = self.simulation.clock.monotonic()
-        others = []
+        messages = []
         for message in datagram.messages:
             if isinstance(message, Heartbeat):
                 events = self.membership.receive_heartbeat(message, now)
                 self.dispatcher.apply_member_events(events)
             else:
-                others.append(message)
-        if others:
-            self.dispatcher.receive(datagram.sender, datagram.incarnation, others)
+                messages.append(message)
+        if messages:
+            self.dispatcher.receive(datagram.sender, datagram.incarnation, messages)
 
     def step(self):
         now = self.simulation.clock.monotonic()
         self.dispatcher.apply_member_events(self.membership.tick(now))
-        inside, remote = self.membership.due(now)
-        if inside or remote:
+        local, remote = self.membership.due(now)
+        if local or remote:
             message = self.membership.next_heartbeat(0, 0)
-            for address in inside + remote:
+            for address in local + remote:
                 self.transport.send(address, 0, message)
             self.transport.flush()
         self.dispatcher.tick()
@@ -150,7 +155,7 @@
 
 
 class Simulation:
-    """Hosts of one data centre, engines, and requests that come and end."""
+    """The hosts and engines of one data centre, with requests that start and end."""
 
     def __init__(self, seed, hosts=4):
         self.rng = random.Random(seed)
@@ -179,7 +184,7 @@
         return host
 
     def kill(self, name):
-        """Replace a host; its requests are lost with it."""
+        """Remove a host; its open requests and charges are lost."""
         for key in [key for key in self.open if key[0] == name]:
             del self.open[key]
             self.lost += 1
@@ -203,14 +208,17 @@
                 if host is None:
                     continue
                 if self.is_frozen(host):
-                    host.thaw.append(datagram)
+                    host.received_while_frozen.append(datagram)
                     continue
                 host.receive(datagram)
             for host in list(self.by_name.values()):
                 if self.is_frozen(host):
                     continue
-                thaw, host.thaw = host.thaw, []
-                for datagram in thaw:
+                received_while_frozen, host.received_while_frozen = (
+                    host.received_while_frozen,
+                    [],
+                )
+                for datagram in received_while_frozen:
                     host.receive(datagram)
                 if self.steps % REPORT_STEPS == 0:
                     self.report(host)
@@ -260,7 +268,7 @@
         model = self.rng.choice(MODELS)
         adapter = f"adapter-{self.rng.randrange(ENGINES)}"
         deadline = self.clock.monotonic() + timeout_s
-        want = RouteRequest(
+        route_request = RouteRequest(
             request=request,
             epoch=self.rng.randrange(3),
             host=name,
@@ -273,8 +281,8 @@
             deadline=deadline,
             adapter=adapter,
         )
-        future = host.dispatcher.submit(model, "a", want)
-        self.open[name, request] = [host, model, want, future, None]
+        future = host.dispatcher.submit(model, "a", route_request)
+        self.open[name, request] = [host, model, route_request, future, None]
 
     def charge(self, name):
         host = self.by_name[name]
@@ -286,47 +294,56 @@
         self.charged[name, request] = [host, account, future, started, None]
 
     def check(self):
-        """Check what each host has been answered, and end what is over."""
+        """Check the results that each host has received, and end finished requests."""
         now = self.clock.monotonic()
         for key, entry in list(self.open.items()):
             self._check_request(key, entry, now)
         for key, entry in list(self.charged.items()):
             self._check_charge(key, entry, now)
         for host in self.by_name.values():
-            twice = [name for name, count in host.answers.items() if count > 1]
-            assert not twice, f"answered twice: {twice}"
+            duplicates = [
+                name for name, count in host.result_counts.items() if count > 1
+            ]
+            assert not duplicates, f"answered twice: {duplicates}"
 
     def _check_request(self, key, entry, now):
-        host, model, want, future, end = entry
+        host, model, route_request, future, end = entry
         if self.is_frozen(host):
             return
         if end is not None:
             if now >= end:
-                self._finish(key, host, model, want)
+                self._finish(key, host, model, route_request)
             return
         if not future.done():
-            limit = max(want.deadline, host.frozen_until) + GRACE_S
+            limit = max(route_request.deadline, host.frozen_until) + GRACE_S
             assert now <= limit, f"{key} has no end"
             return
         answer = future.result()
-        assert (answer.request, answer.epoch) == (want.request, want.epoch)
+        assert (answer.request, answer.epoch) == (
+            route_request.request,
+            route_request.epoch,
+        )
         if not isinstance(answer, Grant):
             self.refused += 1
             del self.open[key]
             return
-        number = want.adapter.rpartition("-")[2]
+        number = route_request.adapter.rpartition("-")[2]
         engines = [stage.engine for stage in answer.route]
         assert engines == [f"{model}-{number}"], "another request's grant"
         self.granted += 1
         entry[4] = now + self.rng.uniform(0.0, 1.5)
 
-    def _finish(self, key, host, model, want):
+    def _finish(self, key, host, model, route_request):
         del self.open[key]
         if self.rng.random() < 0.2:
-            host.dispatcher.cancel(model, "a", want.request, want.epoch)
+            host.dispatcher.cancel(
+                model, "a", route_request.request, route_request.epoch
+            )
             return
-        done = GrantOutcome(want.request, want.epoch, host.host.name, 16, 9)
-        host.dispatcher.done(model, "a", done)
+        outcome = GrantOutcome(
+            route_request.request, route_request.epoch, host.host.name, 16, 9
+        )
+        host.dispatcher.done(model, "a", outcome)
 
     def _check_charge(self, key, entry, now):
         host, account, future, started, end = entry
@@ -344,18 +361,20 @@
         entry[4] = now + self.rng.uniform(0.0, 1.5)
 
     def settled(self):
-        """Return what is left over in the hosts; empty when all has converged."""
-        left = []
+        """Return the state left in the hosts; empty when all have converged."""
+        leftovers = []
         for name, host in self.by_name.items():
             dispatcher = host.dispatcher
             for key, pool in dispatcher.pools.by_key.items():
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
-                    left.append(f"{name}: {key}: {stats.open_grants}, {stats.waiting}")
+                    leftovers.append(
+                        f"{name}: {key}: {stats.open_grants}, {stats.waiting}"
+                    )
             for key, pool in dispatcher.dispatch_client.local_pools.by_key.items():
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
-                    left.append(f"{name}: local {key}: {stats.open_grants}")
+                    leftovers.append(f"{name}: local {key}: {stats.open_grants}")
             sizes = {
                 "tickets": len(dispatcher.dispatch_client),
                 "handles": len(dispatcher.dispatch_client._open_by_handle),
@@ -364,5 +383,7 @@
                 "outbox": len(dispatcher.exchange.outbox),
                 "homes": len(dispatcher.exchange.owned_quotas._account_by_request),
             }
-            left += [f"{name}: {what} {size}" for what, size in sizes.items() if size]
-        return left
+            leftovers += [
+                f"{name}: {kind} {size}" for kind, size in sizes.items() if size
+            ]
+        return leftovers
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -1,4 +1,4 @@
-"""A dispatcher and engine streams under the control of a test."""
+"""A fake route dispatcher and scripted engine streams."""
 
 import concurrent.futures
 import json
@@ -13,22 +13,31 @@
 
 
 class FakeDispatch:
-    """Grants the next of its routes; keeps what is given back."""
+    """Answers each request with the next scripted address or refusal; records calls.
+
+    Without a scripted answer a request stays pending.
+    """
 
     def __init__(self, *addresses):
         self.addresses = list(addresses)
         self.wants = []
-        self.dones = []
+        self.outcomes = []
         self.cancelled = []
 
-    def submit(self, model, data_centre, want):
-        self.wants.append((data_centre, want))
+    def submit(self, model, data_centre, route_request):
+        self.wants.append((data_centre, route_request))
         future = concurrent.futures.Future()
         address = self.addresses.pop(0) if self.addresses else None
         if address is None:
             return future
         if isinstance(address, RefusalReason):
-            refusal = Refusal(want.request, want.epoch, want.host, address, 2.0)
+            refusal = Refusal(
+                route_request.request,
+                route_request.epoch,
+                route_request.host,
+                address,
+                2.0,
+            )
             future.set_result(refusal)
             return future
         number = len(self.wants)
@@ -37,17 +46,20 @@
             Stage(f"engine-{number}", address, 0, half),
             Stage(f"second-{number}", address, half, LAYERS),
         )
-        future.set_result(Grant(want.request, want.epoch, want.host, route))
+        future.set_result(
+            Grant(route_request.request, route_request.epoch, route_request.host, route)
+        )
         return future
 
-    def done(self, model, data_centre, done):
-        self.dones.append(done)
+    def done(self, model, data_centre, outcome):
+        self.outcomes.append(outcome)
 
     def cancel(self, model, data_centre, request, epoch):
         self.cancelled.append((request, epoch))
 
 
 def token(position, epoch, **other):
+    """Return the line of a token, with some fields replaced."""
     line = {
         "r": "r1",
         "a": f"r1.{epoch}",
@@ -62,11 +74,13 @@
 
 
 def end(position, epoch):
+    """Return the line that ends an answer."""
     attempt = f"r1.{epoch}"
     return {"r": "r1", "a": attempt, "e": epoch, "p": position, "end": "length"}
 
 
 def stream(*lines, whole=True):
+    """Return a script that sends lines, and breaks the stream unless ``whole``."""
     body = b"".join(json.dumps(line).encode() + b"\n" for line in lines)
 
     def script(connection, request):
@@ -79,5 +93,5 @@
     return script
 
 
-def body_of(raw):
+def parse_request_body(raw):
     return json.loads(raw.partition(b"\r\n\r\n")[2])
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -10,11 +10,11 @@
 from wagtailstair.core.rendezvous import owner
 
 SEEDS = int(os.environ.get("WAGTAILSTAIR_SEEDS", "60"))
-CHUNK = 10
+SEEDS_PER_TEST = 10
 
 
-def disturb(simulation, rng):
-    """Put one random fault into a simulation."""
+def inject_fault(simulation, rng):
+    """Inject one random fault into a simulation."""
     names = list(simulation.by_name)
     name = rng.choice(names)
     other = rng.choice([n for n in simulation.names if n != name])
@@ -23,7 +23,7 @@
     if kind == 0:
         network.loss = rng.choice((0.0, 0.05, 0.3))
     elif kind == 1:
-        network.doubling = rng.choice((0.0, 0.3))
+        network.duplication = rng.choice((0.0, 0.3))
     elif kind == 2:
         network.delay_s = rng.choice((0.002, 0.1, 1.0))
     elif kind == 3:
@@ -50,7 +50,7 @@
                 simulation.charge(name)
 
     for _ in range(8):
-        disturb(simulation, rng)
+        inject_fault(simulation, rng)
         simulation.run(rng.uniform(0.2, 2.0), load)
         for name in simulation.names:
             if name not in simulation.by_name and rng.random() < 0.5:
@@ -68,20 +68,20 @@
 
 
 class TestFaults:
-    @pytest.mark.parametrize("first", range(0, SEEDS, CHUNK))
-    def test_every_request_ends_once_and_all_converges(self, first):
+    @pytest.mark.parametrize("first", range(0, SEEDS, SEEDS_PER_TEST))
+    def test_each_request_ends_once_and_hosts_converge(self, first):
         granted = 0
-        for seed in range(first, first + CHUNK):
+        for seed in range(first, first + SEEDS_PER_TEST):
             simulation = converge(run_with_faults(seed))
             granted += simulation.granted
-            left = simulation.settled()
-            assert not left, f"seed {seed}: {left}"
+            leftovers = simulation.settled()
+            assert not leftovers, f"seed {seed}: {leftovers}"
             views = {host.membership.live() for host in simulation.by_name.values()}
             assert views == {tuple(simulation.names)}, f"seed {seed}"
-        assert granted > 50 * CHUNK
+        assert granted > 50 * SEEDS_PER_TEST
 
 
-class TestOwner:
+class TestDispatcher:
     def make(self, seed=1):
         simulation = Simulation(seed)
         dispatcher = owner("pool/draft/a", simulation.names)
@@ -94,7 +94,7 @@
 
         simulation.run(seconds, load)
 
-    def test_one_dispatcher_decides_when_all_is_well(self):
+    def test_owner_grants_all_requests_without_faults(self):
         simulation, _, entry = self.make()
         self.submit_until(simulation, entry, 2.0)
         simulation.run(6.0)
@@ -102,7 +102,7 @@
         assert simulation.granted > 20
         assert sum(host.dispatcher.dispatch_client.local_grants for host in hosts) == 0
 
-    def test_frozen_dispatcher_does_not_hold_requests_up(self):
+    def test_local_pool_grants_while_the_dispatcher_is_frozen(self):
         simulation, dispatcher, entry = self.make()
         simulation.freeze(dispatcher, 2.0)
         before = simulation.granted
@@ -111,7 +111,7 @@
         assert simulation.granted > before
         assert dispatch_client.local_grants > 0
 
-    def test_leaving_dispatcher_hands_over(self):
+    def test_successor_takes_over_from_leaving_dispatcher(self):
         simulation, dispatcher, entry = self.make()
         self.submit_until(simulation, entry, 1.0)
         simulation.by_name[dispatcher].membership.set_state(HostState.LEAVING)
@@ -125,7 +125,7 @@
         simulation.run(10.0)
         assert simulation.settled() == []
 
-    def test_limit_of_an_account_holds_over_hosts(self):
+    def test_account_limit_holds_across_hosts(self):
         simulation, _, _ = self.make()
         verdicts = []
         limits = QuotaLimits(work_per_s=0.001, burst_s=100_000.0, max_concurrent=10)
@@ -137,20 +137,20 @@
         names = [type(verdict.result()).__name__ for verdict in verdicts]
         assert names.count("Allowed") == 10
 
-    def test_dispatcher_asks_for_a_whole_report_that_was_lost(self):
+    def test_dispatcher_requests_full_reports_of_unknown_engines(self):
         simulation, dispatcher, _ = self.make()
         engines = simulation.by_name[dispatcher].dispatcher.exchange.engines
-        lost = [name for name in engines.by_name if name.startswith("draft")]
-        for name in lost:
+        removed = [name for name in engines.by_name if name.startswith("draft")]
+        for name in removed:
             del engines.by_name[name]
         simulation.run(6.0)
-        assert set(lost) <= set(engines.by_name)
+        assert set(removed) <= set(engines.by_name)
 
-    def test_repeated_submit_gives_the_same_future(self):
+    def test_repeated_submit_returns_the_same_future(self):
         simulation, _, entry = self.make()
         simulation.submit(entry)
-        [[host, model, want, future, _]] = simulation.open.values()
+        [[host, model, route_request, future, _]] = simulation.open.values()
         if not future.done():
-            assert host.dispatcher.submit(model, "a", want) is future
+            assert host.dispatcher.submit(model, "a", route_request) is future
         simulation.run(1.0)
         assert isinstance(future.result(), Grant)
--- a/tests/test_metrics_page.py
+++ b/tests/test_metrics_page.py
@@ -4,7 +4,7 @@
 ROOT = pathlib.Path(__file__).parent.parent
 
 
-def named_in_code():
+def metric_names_in_code():
     names = set()
     for path in (ROOT / "src").rglob("*.py"):
         text = path.read_text(encoding="utf-8")
@@ -12,8 +12,8 @@
     return names
 
 
-def test_each_metric_is_described():
+def test_each_metric_is_documented():
     page = (ROOT / "docs/operators.md").read_text(encoding="utf-8")
-    described = set(re.findall(r"`([a-z_]+)`", page.partition("## Metrics")[2]))
-    assert named_in_code()
-    assert named_in_code() <= described
+    documented = set(re.findall(r"`([a-z_]+)`", page.partition("## Metrics")[2]))
+    assert metric_names_in_code()
+    assert metric_names_in_code() <= documented
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -5,8 +5,8 @@
 import pytest
 
 from tests.engines import FakeDispatch
-from tests.engines import body_of
 from tests.engines import end
+from tests.engines import parse_request_body
 from tests.engines import stream
 from tests.engines import token
 from tests.scripted import ScriptedServer
@@ -31,7 +31,7 @@
 MAX_EPOCHS = DEFAULT_MAX_EPOCHS
 
 
-class Tokens:
+class RecordingSink:
     def __init__(self):
         self.texts = []
         self.full = False
@@ -89,28 +89,34 @@
 def start(loop, dispatch, *, deadline_s=30.0, **options):
     relays = make_relays(loop, dispatch, **options)
     job = make_job(deadline_s=deadline_s)
-    sink = Tokens()
+    sink = RecordingSink()
     return relays.run(job, sink), sink
 
 
-WHOLE = [token(0, 1), token(1, 1), token(2, 1), end(3, 1)]
+COMPLETE_ANSWER = [token(0, 1), token(1, 1), token(2, 1), end(3, 1)]
 
 
-class TestWholeAnswer:
-    def test_tokens_in_order_then_the_end(self, loop):
-        with ScriptedServer(stream(*WHOLE)) as engine:
+class TestCompleteAnswer:
+    def test_tokens_arrive_in_order_then_the_end(self, loop):
+        with ScriptedServer(stream(*COMPLETE_ANSWER)) as engine:
             dispatch = FakeDispatch(engine.address)
             relay, sink = start(loop, dispatch)
             finished = relay.future.result(WAIT_S)
         assert sink.texts == [" t0", " t1", " t2"]
         assert finished.text == " t0 t1 t2"
         assert (finished.reason, finished.output_tokens) == ("length", 3)
-        assert [done.output_tokens for done in dispatch.dones] == [3]
-
-    def test_lines_of_others_and_repeated_lines_are_dropped(self, loop):
-        foreign = token(1, 1, r="r2")
-        stale = token(1, 1, a="r1.0")
-        lines = [token(0, 1), foreign, stale, token(0, 1), *WHOLE[1:]]
+        assert [outcome.output_tokens for outcome in dispatch.outcomes] == [3]
+
+    def test_unrelated_and_repeated_lines_are_dropped(self, loop):
+        other_request = token(1, 1, r="r2")
+        old_attempt = token(1, 1, a="r1.0")
+        lines = [
+            token(0, 1),
+            other_request,
+            old_attempt,
+            token(0, 1),
+            *COMPLETE_ANSWER[1:],
+        ]
         with ScriptedServer(stream(*lines)) as engine:
             relay, sink = start(loop, FakeDispatch(engine.address))
             relay.future.result(WAIT_S)
@@ -130,21 +136,19 @@
         ],
         ids=["cut", "no-end", "skipped", "layer-missing", "layer-twice", "wrong-end"],
     )
-    def test_goes_on_from_what_was_delivered(self, loop, broken):
+    def test_next_attempt_continues_after_last_delivered_token(self, loop, broken):
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(broken) as first, ScriptedServer(rest) as second:
             dispatch = FakeDispatch(first.address, second.address)
             relay, sink = start(loop, dispatch)
             finished = relay.future.result(WAIT_S)
-            request = body_of(second.requests[0])
+            request = parse_request_body(second.requests[0])
         assert sink.texts == [" t0", " t1", " t2"]
         assert finished.output_tokens == 3
         assert (request["tokens"], request["epoch"]) == ([100], 2)
         assert dispatch.wants[1][1].avoid == {"engine-1", "second-1"}
 
-    def test_engine_beside_the_failed_one_is_used_if_no_other_holds_its_layers(
-        self, loop
-    ):
+    def test_suspected_engines_are_tried_again_if_no_other_route_exists(self, loop):
         cut = stream(token(0, 1), whole=False)
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         no_route = RefusalReason.NO_ROUTE
@@ -152,12 +156,17 @@
             dispatch = FakeDispatch(first.address, no_route, no_route, second.address)
             relay, _ = start(loop, dispatch)
             assert relay.future.result(WAIT_S).output_tokens == 3
-        avoided = [want.avoid for _, want in dispatch.wants]
+        avoided = [route_request.avoid for _, route_request in dispatch.wants]
         failed = {"engine-1", "second-1"}
         assert avoided[1:] == [failed, failed, frozenset()]
-        assert [want.work for _, want in dispatch.wants] == [4.0, 3.0, 3.0, 3.0]
-
-    def test_unreachable_engine_is_the_only_one_avoided(self, loop):
+        assert [route_request.work for _, route_request in dispatch.wants] == [
+            4.0,
+            3.0,
+            3.0,
+            3.0,
+        ]
+
+    def test_only_the_unreachable_engine_is_avoided(self, loop):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             address = f"127.0.0.1:{closed.getsockname()[1]}"
         rest = stream(token(0, 2), token(1, 2), token(2, 2), end(3, 2))
@@ -166,9 +175,9 @@
             relay, _ = start(loop, dispatch)
             relay.future.result(WAIT_S)
         assert dispatch.wants[1][1].avoid == {"engine-1"}
-        assert dispatch.dones[0].failed == {"engine-1"}
+        assert dispatch.outcomes[0].failed == {"engine-1"}
 
-    def test_stalled_stream_is_broken(self, loop):
+    def test_stalled_stream_is_resumed_on_another_engine(self, loop):
         def hold(connection, request):
             body = json.dumps(token(0, 1)).encode() + b"\n"
             head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -183,20 +192,20 @@
         assert sink.texts == [" t0", " t1", " t2"]
 
 
-class TestSpill:
-    def test_asks_another_data_centre_after_a_refusal_at_home(self, loop):
+class TestDataCentreChoice:
+    def test_refusal_moves_next_request_to_another_data_centre(self, loop):
         dispatch = FakeDispatch(RefusalReason.QUEUE_FULL, RefusalReason.QUEUE_FULL)
         relays = make_relays(loop, dispatch)
         for request in ("r1", "r2"):
-            relay = relays.run(make_job(request), Tokens())
+            relay = relays.run(make_job(request), RecordingSink())
             with pytest.raises(QueueFullError):
                 relay.future.result(WAIT_S)
         assert [centre for centre, _ in dispatch.wants] == ["dc-1", "dc-2"]
 
 
 class TestRetryBudget:
-    def test_resume_of_a_broken_stream_needs_no_budget(self, loop):
-        # One dead engine may break more streams at once than any budget holds.
+    def test_resume_of_broken_stream_needs_no_retry_budget(self, loop):
+        # A dead engine may break more streams at once than a retry budget allows.
         cut = stream(token(0, 1), whole=False)
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(cut) as first, ScriptedServer(rest) as second:
@@ -204,7 +213,7 @@
             relay, _ = start(loop, dispatch, retry_share=0.0)
             assert relay.future.result(WAIT_S).output_tokens == 3
 
-    def test_refusal_is_retried_within_the_budget(self, loop):
+    def test_refusal_is_retried_within_the_retry_budget(self, loop):
         refuse = answer(503, b'{"error": "full", "not_run": true}')
         script = lambda connection, request: connection.sendall(refuse)  # noqa: E731
         rest = stream(token(0, 2), token(1, 2), token(2, 2), end(3, 2))
@@ -215,7 +224,7 @@
 
 
 class TestOutcome:
-    def test_refused_by_every_engine_is_not_run(self, loop):
+    def test_refusal_by_every_engine_has_outcome_not_run(self, loop):
         refuse = answer(503, b'{"error": "full", "not_run": true}')
         script = lambda connection, request: connection.sendall(refuse)  # noqa: E731
         with ScriptedServer(script) as engine:
@@ -225,7 +234,7 @@
                 relay.future.result(WAIT_S)
         assert caught.value.outcome is Outcome.NOT_RUN
 
-    def test_error_without_word_of_not_run_is_unknown(self, loop):
+    def test_error_without_not_run_field_has_outcome_unknown(self, loop):
         fail = answer(503, b"{}")
         script = lambda connection, request: connection.sendall(fail)  # noqa: E731
         with ScriptedServer(*[script] * MAX_EPOCHS) as engine:
@@ -235,7 +244,7 @@
                 relay.future.result(WAIT_S)
         assert caught.value.outcome is Outcome.UNKNOWN
 
-    def test_unreachable_engine_is_not_run(self, loop):
+    def test_unreachable_engine_has_outcome_not_run(self, loop):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             address = f"127.0.0.1:{closed.getsockname()[1]}"
         relay, _ = start(loop, FakeDispatch(*[address] * MAX_EPOCHS))
@@ -243,7 +252,7 @@
             relay.future.result(WAIT_S)
         assert caught.value.outcome is Outcome.NOT_RUN
 
-    def test_deadline_while_waiting_is_not_run_and_takes_the_want_back(self, loop):
+    def test_deadline_while_waiting_withdraws_the_route_request(self, loop):
         dispatch = FakeDispatch()
         relay, _ = start(loop, dispatch, deadline_s=0.1)
         with pytest.raises(DeadlineExceededError) as caught:
@@ -251,21 +260,21 @@
         assert caught.value.outcome is Outcome.NOT_RUN
         assert dispatch.cancelled == [("r1", 1)]
 
-    def test_full_queue_is_refused_with_retry_after(self, loop):
+    def test_full_queue_error_has_retry_after(self, loop):
         relay, _ = start(loop, FakeDispatch(RefusalReason.QUEUE_FULL))
         with pytest.raises(QueueFullError) as caught:
             relay.future.result(WAIT_S)
         assert caught.value.retry_after_s == 2.0
 
-    def test_no_route_goes_on_to_the_next_data_centre(self, loop):
-        with ScriptedServer(stream(*WHOLE)) as engine:
+    def test_no_route_moves_on_to_the_next_data_centre(self, loop):
+        with ScriptedServer(stream(*COMPLETE_ANSWER)) as engine:
             dispatch = FakeDispatch(RefusalReason.NO_ROUTE, engine.address)
             relay, _ = start(loop, dispatch)
             relay.future.result(WAIT_S)
         assert [centre for centre, _ in dispatch.wants] == ["dc-1", "dc-2"]
-        assert [done.epoch for done in dispatch.dones] == [2]
+        assert [outcome.epoch for outcome in dispatch.outcomes] == [2]
 
-    def test_cancel_closes_the_stream_and_gives_the_grant_back(self, loop):
+    def test_cancel_closes_the_stream_and_ends_the_grant(self, loop):
         def hold(connection, request):
             connection.recv(1)
 
@@ -278,4 +287,4 @@
             with pytest.raises(CallerGoneError) as caught:
                 relay.future.result(WAIT_S)
         assert caught.value.outcome is Outcome.UNKNOWN
-        assert len(dispatch.dones) == 1
+        assert len(dispatch.outcomes) == 1
--- a/tests/test_report.py
+++ b/tests/test_report.py
@@ -12,19 +12,19 @@
 from wagtailstair.report import publish_traffic
 
 
-def stats():
+def make_stats():
     pool = Pool("draft", "a")
     pool.observe(engine("e1", 0, 8), 0.0)
     return {PoolKey("draft", "a"): pool.stats()}
 
 
 class TestStatus:
-    def test_pools(self):
-        [entry] = describe_pools(stats())
+    def test_describe_pools(self):
+        [entry] = describe_pools(make_stats())
         assert (entry["model"], entry["engines"], entry["open"]) == ("draft", 1, 0)
         assert entry["waiting"] == {"urgent": 0, "standard": 0, "batch": 0}
 
-    def test_upstreams(self):
+    def test_describe_upstreams(self):
         upstreams = Upstreams()
         one = Upstream("e1", UpstreamKind.ENGINE, "", "a", "ip:1", "1")
         two = Upstream("s1", UpstreamKind.SERVICE, "desk", "a", "ip:2", "1")
@@ -36,9 +36,9 @@
 
 
 class TestGauges:
-    def test_are_rendered_with_their_labels(self):
+    def test_gauges_are_rendered_with_labels(self):
         metrics = Metrics("host-1")
-        publish_pools(metrics, stats())
+        publish_pools(metrics, make_stats())
         traffic = Traffic()
         traffic.sent_bytes = 120
         publish_traffic(metrics, traffic)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -19,7 +19,7 @@
 """
 
 
-def refusal(text):
+def settings_error(text):
     with pytest.raises(SettingsError) as caught:
         parse_settings(text, "daemon.toml")
     assert caught.value.where.startswith("daemon.toml")
@@ -27,7 +27,7 @@
 
 
 class TestParse:
-    def test_what_is_left_out_has_a_default(self):
+    def test_omitted_keys_have_defaults(self):
         settings = parse_settings(MINIMAL)
         assert settings.platform.timeout_s == 2.0
         assert settings.peers.seeds == ()
@@ -39,8 +39,8 @@
             ("http_port = 8080", "host", "required field `http_port`"),
         ],
     )
-    def test_a_missing_key_is_named(self, change, key, expected):
-        message = refusal(MINIMAL.replace(change, ""))
+    def test_error_names_a_missing_key(self, change, key, expected):
+        message = settings_error(MINIMAL.replace(change, ""))
         assert key in message
         assert expected in message
 
@@ -74,20 +74,20 @@
             ("[", "", "not valid TOML"),
         ],
     )
-    def test_a_fault_names_file_key_and_what_was_expected(
+    def test_error_names_the_file_the_key_and_what_was_expected(
         self, addition, key, expected
     ):
-        message = refusal(f"{MINIMAL}\n{addition}")
+        message = settings_error(f"{MINIMAL}\n{addition}")
         assert key in message
         assert expected in message
 
-    def test_an_address_is_an_ip_number(self):
-        message = refusal(MINIMAL.replace("127.0.0.1", "localhost", 1))
+    def test_address_must_be_an_ip_address(self):
+        message = settings_error(MINIMAL.replace("127.0.0.1", "localhost", 1))
         assert "host.address: expected an IP address, got 'localhost'" in message
 
 
 class TestLoad:
-    def test_a_file_that_cannot_be_read(self, tmp_path):
+    def test_error_if_the_file_cannot_be_read(self, tmp_path):
         with pytest.raises(SettingsError, match="can't be read"):
             load_settings(pathlib.Path(tmp_path / "none"))
         path = tmp_path / "binary"
