--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -432,9 +432,7 @@
                 NoUpstreamError("no engine accepted the request", retry_after_s=1.0)
             )
             return
-        self._fail(
-            OutcomeUnknownError("all attempts failed before the answer was complete")
-        )
+        self._fail(OutcomeUnknownError("the answer could not be completed"))
 
     def _release_grant(self, failed: frozenset[str]) -> None:
         open_attempt = self._open_attempt
