--- a/tests/engines.py
+++ b/tests/engines.py
@@ -80,7 +80,7 @@
 
 
 def stream(*lines, whole=True):
-    """Return a script that sends lines, and breaks the stream unless ``whole``."""
+    """Return a script that sends lines, cut off unless ``whole``."""
     body = b"".join(json.dumps(line).encode() + b"\n" for line in lines)
 
     def script(connection, request):
