--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -1,51 +1,53 @@
-"""One run of a stream: its connection, its pipeline, its events so far."""
+"""One attempt of a streamed request: its connection, pipeline and events."""
 
 import typing as t
 
 from ..core.events import EventSplitter
 from ..core.pipelines import Path
-from .exchange import Fate
+from .exchange import AttemptOutcome
 from .requests import Header
 from .transfer import Loss
-from .transfer import Wire
+from .transfer import UpstreamConnection
 
 
 class AttemptOwner(t.Protocol):
-    """What an attempt tells the stream that it belongs to."""
+    """Callbacks of an attempt to the request that it belongs to."""
 
-    def is_mine(self, status: int, headers: list[Header]) -> bool:
-        """Tell whether an answer belongs to the request."""
+    def is_own_answer(self, status: int, headers: list[Header]) -> bool:
+        """Tell whether a response belongs to the request."""
         ...
 
-    def judge(self, status: int, headers: list[Header]) -> Fate:
-        """Tell what the head of an answer says."""
+    def classify_answer(self, status: int, headers: list[Header]) -> AttemptOutcome:
+        """Return what the head of a response says about its attempt."""
         ...
 
-    def on_events(self, attempt: "Attempt", whole: bytes) -> None:
-        """Take whole events."""
+    def on_attempt_events(self, attempt: "Attempt", events_data: bytes) -> None:
+        """Handle complete events."""
         ...
 
-    def on_ended(self, attempt: "Attempt") -> None:
-        """Take the end of a whole answer."""
+    def on_attempt_complete(self, attempt: "Attempt") -> None:
+        """Handle the end of a complete response."""
         ...
 
-    def on_broken(self, attempt: "Attempt", loss: Loss, reason: str) -> None:
-        """Take the loss of the attempt."""
+    def on_attempt_lost(self, attempt: "Attempt", loss: Loss, reason: str) -> None:
+        """Handle an attempt that ended without a complete response."""
         ...
 
 
 class Attempt:
-    """One exchange with the first engine of a pipeline.
+    """One HTTP exchange with the first engine of a pipeline.
 
-    ``tokens``: KV memory that is counted on the path's engines; ``left``:
-    engines that the path was changed for, or should have been.
+    ``tokens``: tokens counted against the KV memory of the path's engines;
+    ``abandoned_engines``: engines that the stream was asked to move off;
+    ``is_promoted``: whether it was the successor of an earlier attempt.
     """
 
     __slots__ = (
-        "fate",
+        "abandoned_engines",
+        "connection",
         "headers",
         "is_promoted",
-        "left",
+        "outcome",
         "owner",
         "path",
         "progress_at",
@@ -53,7 +55,6 @@
         "splitter",
         "status",
         "tokens",
-        "wire",
     )
 
     def __init__(
@@ -64,50 +65,50 @@
         self.tokens = tokens
         self.splitter = EventSplitter(last_id)
         self.progress_at = now
-        self.wire: Wire | None = None
+        self.connection: UpstreamConnection | None = None
         self.status = 0
         self.reason = b""
         self.headers: list[Header] = []
-        self.fate = Fate.BROKEN
+        self.outcome = AttemptOutcome.BROKEN
         self.is_promoted = False
-        self.left: set[tuple[str, int]] = set()
+        self.abandoned_engines: set[tuple[str, int]] = set()
 
-    def uses(self, identity: tuple[str, int]) -> bool:
-        """Tell whether an engine is on the path."""
+    def uses_engine(self, identity: tuple[str, int]) -> bool:
+        """Tell whether the pipeline includes an engine."""
         return any(hop.replica.identity == identity for hop in self.path)
 
     def cancel(self) -> None:
-        """Close the connection; the engine stops."""
-        wire, self.wire = self.wire, None
-        if wire is not None:
-            wire.cancel()
+        """Close the connection, which stops the engine."""
+        connection, self.connection = self.connection, None
+        if connection is not None:
+            connection.cancel()
 
-    # The upstream's answer.
+    # Callbacks of the upstream connection.
 
     def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
-        """Take the head of an answer."""
-        if not self.owner.is_mine(status, headers):
+        """Store the head of a response; return whether it is this request's."""
+        if not self.owner.is_own_answer(status, headers):
             return False
         self.status = status
         self.reason = reason
         self.headers = headers
-        self.fate = self.owner.judge(status, headers)
+        self.outcome = self.owner.classify_answer(status, headers)
         return True
 
     def on_body(self, data: bytes) -> None:
-        """Hand whole events on."""
-        if self.fate is not Fate.SERVED:
+        """Pass complete events to the owner."""
+        if self.outcome is not AttemptOutcome.SERVED:
             return
-        whole = self.splitter.feed(data)
-        if whole:
-            self.owner.on_events(self, whole)
+        events_data = self.splitter.feed(data)
+        if events_data:
+            self.owner.on_attempt_events(self, events_data)
 
     def on_complete(self) -> None:
-        """Hand the end of a whole answer on."""
-        self.wire = None
-        self.owner.on_ended(self)
+        """Report the end of a complete response to the owner."""
+        self.connection = None
+        self.owner.on_attempt_complete(self)
 
     def on_lost(self, loss: Loss, reason: str) -> None:
-        """Hand the loss of the attempt on."""
-        self.wire = None
-        self.owner.on_broken(self, loss, reason)
+        """Report a lost attempt to the owner."""
+        self.connection = None
+        self.owner.on_attempt_lost(self, loss, reason)
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/call.py
@@ -1,23 +1,24 @@
-"""Requests to plain services: one answer, held until it is whole."""
+"""Requests to plain services: one response, buffered until it is complete."""
 
 from ..core.replicas import Replica
 from . import heads
 from .exchange import BAD_GATEWAY
 from .exchange import GATEWAY_TIMEOUT
-from .exchange import PROMISES
+from .exchange import NOT_RUN_STATUSES
+from .exchange import AttemptOutcome
 from .exchange import Exchange
-from .exchange import Fate
 from .loop import Timer
 from .requests import Header
 from .transfer import Loss
 from .transfer import Upstream
-from .transfer import Wire
+from .transfer import UpstreamConnection
 
-HOLD_BYTES = 4 << 20
-"""Bytes of an answer that are held; a longer one is passed on as it comes."""
+BUFFERED_BYTES_MAX = 4 << 20
+"""Bytes of a response that are buffered; a longer one is streamed to the caller."""
 
-HEDGE_SHARE = 0.35
-"""Share of the time left after which a silent idempotent attempt is replaced."""
+RESEND_DELAY_SHARE = 0.35
+"""Share of the remaining time after which an idempotent attempt without a response
+is cancelled and sent to another upstream."""
 
 
 class PlainExchange(Exchange):
@@ -25,39 +26,39 @@
 
     __slots__ = (
         "_body",
-        "_fate",
+        "_connection",
         "_headers",
+        "_is_streaming",
+        "_outcome",
         "_reason",
         "_replica",
+        "_resend_timer",
         "_sent_at",
-        "_stall",
         "_status",
-        "_streams",
-        "_wire",
     )
 
     def begin(self) -> None:
         """Send the request to the first upstream."""
-        self._wire: Wire | None = None
+        self._connection: UpstreamConnection | None = None
         self._replica: Replica | None = None
-        self._stall: Timer | None = None
+        self._resend_timer: Timer | None = None
         self._status = 0
         self._reset()
-        self._attempt("no upstream")
+        self._send_attempt("no upstream")
 
     def on_caller_gone(self) -> None:
-        """Stop the upstream: nobody waits for the answer."""
-        if self.is_over:
+        """Cancel the request: its caller has disconnected."""
+        if self.is_finished:
             return
-        self._leave("abandoned")
+        self._end_attempt("abandoned")
         self.close()
         self.context.finished(self, "caller_gone")
 
     def on_expired(self) -> None:
-        """End a request whose time is over."""
-        if self.is_over:
+        """End a request whose deadline has passed."""
+        if self.is_finished:
             return
-        self._leave("failed")
+        self._end_attempt("failed")
         if self.sends == 0:
             self.refuse("expired_waiting")
             return
@@ -70,10 +71,10 @@
         self._body = bytearray()
         self._headers: list[Header] = []
         self._reason = b""
-        self._fate = Fate.BROKEN
-        self._streams = False
+        self._outcome = AttemptOutcome.BROKEN
+        self._is_streaming = False
 
-    def _attempt(self, reason: str) -> None:
+    def _send_attempt(self, reason: str) -> None:
         context = self.context
         replica = context.services.choose(
             self.service.name, self.tried, context.loop.now
@@ -88,124 +89,139 @@
         self.tried.add(replica.identity)
         self.sends += 1
         self.runs += 1
-        left_s = min(self.expires_at, self.ends_at) - context.loop.now
-        data = heads.join_head(
-            heads.passed_on(self.request, context.names),
-            heads.attempt_headers(context.names, self.grant, replica.name, left_s),
+        remaining_s = min(self.expires_at, self.ends_at) - context.loop.now
+        data = heads.join_request(
+            heads.forwarded_head(self.request, context.names),
+            heads.attempt_headers(context.names, self.grant, replica.name, remaining_s),
             bytes(self.request.body),
         )
         self._sent_at = context.loop.now
         context.services.started(replica)
-        fresh = not self.grant.route.may_repeat
+        new_connection = not self.grant.route.may_repeat
         upstream = Upstream(replica.address, replica.identity)
-        self._wire = context.pool.send(upstream, data, self, fresh=fresh)
-        if self._wire is None:
+        self._connection = context.pool.send(
+            upstream, data, self, new_connection=new_connection
+        )
+        if self._connection is None:
             self.on_lost(Loss.NOT_SENT, "no connection")
             return
         if self.grant.route.may_repeat and self.runs < self.grant.route.attempts:
-            self._stall = context.loop.call_later(
-                HEDGE_SHARE * self.left_s, self._on_silent
+            self._resend_timer = context.loop.call_later(
+                RESEND_DELAY_SHARE * self.remaining_s, self._on_resend_timer
             )
 
-    def _leave(self, verdict: str) -> None:
-        """Let go of the present attempt."""
-        if self._stall is not None:
-            self._stall.cancel()
-            self._stall = None
-        wire, self._wire = self._wire, None
-        if wire is not None:
-            wire.cancel()
+    def _end_attempt(self, verdict: str) -> None:
+        """Close the current attempt and report its result to the balancer."""
+        if self._resend_timer is not None:
+            self._resend_timer.cancel()
+            self._resend_timer = None
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.cancel()
         replica, self._replica = self._replica, None
         if replica is not None:
             now = self.context.loop.now
             self.context.services.ended(replica, verdict, now - self._sent_at, now)
 
-    def _on_silent(self) -> None:
-        if self.is_over or self._fate is not Fate.BROKEN or self._status:
+    def _on_resend_timer(self) -> None:
+        if (
+            self.is_finished
+            or self._outcome is not AttemptOutcome.BROKEN
+            or self._status
+        ):
             return
         if not self.may_send_again():
             return
         waited = self.context.loop.now - self._sent_at
         name = self._replica.name if self._replica is not None else ""
         self.log("attempt_silent", replica=name, waited=waited)
-        self._leave("failed")
+        self._end_attempt("failed")
         self.may_have_run = True
-        self._attempt("silent")
+        self._send_attempt("silent")
 
-    # The upstream's answer.
+    # Callbacks of the upstream connection.
 
     def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
-        """Take the head of an answer."""
-        if not self.is_mine(status, headers):
+        """Store the head of a response; return whether it is this request's."""
+        if not self.is_own_answer(status, headers):
             self.log("answer_foreign", level="WARNING", status=status)
             return False
         self._status = status
         self._reason = reason
         self._headers = headers
-        self._fate = self.judge(status, headers)
+        self._outcome = self.classify_answer(status, headers)
         return True
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
-        if self._streams:
+        """Buffer a part of the body, or stream it to the caller."""
+        if self._is_streaming:
             self.caller.send(data)
             return
         self._body += data
-        if len(self._body) > HOLD_BYTES and self._fate is Fate.SERVED:
-            self._streams = True
-            self.caller.begin(self._status, self._reason, heads.answered(self._headers))
+        if (
+            len(self._body) > BUFFERED_BYTES_MAX
+            and self._outcome is AttemptOutcome.SERVED
+        ):
+            self._is_streaming = True
+            self.caller.begin(
+                self._status, self._reason, heads.forwarded_headers(self._headers)
+            )
             self.caller.send(bytes(self._body))
             self._body = bytearray()
 
     def on_complete(self) -> None:
-        """Take the end of a whole answer."""
-        if self.is_over:
+        """Deliver a complete response, or retry the request."""
+        if self.is_finished:
             return
-        self._wire = None
-        status, fate = self._status, self._fate
+        self._connection = None
+        status, outcome = self._status, self._outcome
         self._status = 0
-        if fate is Fate.NOT_RUN:
+        if outcome is AttemptOutcome.NOT_RUN:
             self.runs -= 1
-            self._again("refused", "refused", status)
+            self._retry_not_run("refused", "refused", status)
             return
-        if fate is Fate.SERVED:
+        if outcome is AttemptOutcome.SERVED:
             self._deliver(status)
             return
         self.may_have_run = True
         repeatable = self.grant.route.may_repeat
-        if repeatable and not self._streams and self.may_send_again():
-            self._leave("failed")
-            self.log("attempt_failed", status=status, fate=fate.value)
-            self._attempt("failed")
+        if repeatable and not self._is_streaming and self.may_send_again():
+            self._end_attempt("failed")
+            self.log("attempt_failed", status=status, fate=outcome.value)
+            self._send_attempt("failed")
             return
-        if fate is Fate.FAILED and status not in PROMISES:
+        if outcome is AttemptOutcome.FAILED and status not in NOT_RUN_STATUSES:
             self._deliver(status)
             return
-        self._leave("failed")
+        self._end_attempt("failed")
         self.fail(BAD_GATEWAY, f"unusable answer {status}")
 
     def on_lost(self, loss: Loss, reason: str) -> None:
-        """Take the loss of an attempt."""
-        if self.is_over:
+        """Retry the request after a lost attempt, or end it."""
+        if self.is_finished:
             return
-        self._wire = None
+        self._connection = None
         self._status = 0
         if loss is Loss.NOT_SENT:
             self.runs -= 1
-            self._again("failed", reason, 0)
+            self._retry_not_run("failed", reason, 0)
             return
         self.may_have_run = True
-        if self.grant.route.may_repeat and not self._streams and self.may_send_again():
-            self._leave("failed")
+        if (
+            self.grant.route.may_repeat
+            and not self._is_streaming
+            and self.may_send_again()
+        ):
+            self._end_attempt("failed")
             self.log("attempt_lost", reason=reason)
-            self._attempt("lost")
+            self._send_attempt("lost")
             return
-        self._leave("failed")
+        self._end_attempt("failed")
         self.fail(BAD_GATEWAY, f"lost: {reason}")
 
-    def _again(self, verdict: str, reason: str, status: int) -> None:
+    def _retry_not_run(self, verdict: str, reason: str, status: int) -> None:
         replica = self._replica
-        self._leave(verdict)
+        self._end_attempt(verdict)
         self.log(
             "attempt_not_run",
             replica=replica.name if replica else "",
@@ -213,16 +229,16 @@
             reason=reason,
         )
         if self.may_send_again():
-            self._attempt(reason)
+            self._send_attempt(reason)
             return
         self.refuse(reason)
 
     def _deliver(self, status: int) -> None:
-        self._leave("failed" if status >= 500 else "succeeded")
+        self._end_attempt("failed" if status >= 500 else "succeeded")
         self.close()
-        if self._streams:
+        if self._is_streaming:
             self.caller.end()
         else:
-            headers = heads.answered(self._headers)
+            headers = heads.forwarded_headers(self._headers)
             self.caller.answer(status, self._reason, headers, bytes(self._body))
         self.context.finished(self, f"answered_{status}")
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -51,7 +51,7 @@
         ...
 
 
-def reason_of(status: int) -> bytes:
+def reason_phrase(status: int) -> bytes:
     """Return the reason phrase of a status."""
     try:
         return http.HTTPStatus(status).phrase.encode()
@@ -64,7 +64,8 @@
 
     __slots__ = (
         "_active_at",
-        "_closes",
+        "_active_request",
+        "_close_after_answer",
         "_connection",
         "_has_begun",
         "_is_chunked",
@@ -72,13 +73,12 @@
         "_parse_error",
         "_reader",
         "_request",
-        "_running",
         "_server",
         "_timer",
     )
 
     def __init__(self, server: CallerServer, sock: socket.socket) -> None:
-        set_options(sock, probe=False)
+        set_options(sock, keepalive=False)
         self._server = server
         self._limits = server.caller_limits()
         self._connection = Connection(
@@ -86,19 +86,19 @@
         )
         self._reader = RequestReader(self._limits, self._on_expect)
         self._request: Request | None = None
-        self._running: Running | None = None
+        self._active_request: Running | None = None
         self._parse_error: RequestError | None = None
-        self._closes = False
+        self._close_after_answer = False
         self._has_begun = False
         self._is_chunked = False
         self._active_at = server.loop.now
         self._timer: Timer | None = None
-        self._watch()
+        self._check_timeouts()
 
     @property
     def is_idle(self) -> bool:
         """Tell whether no request is in work or on its way in."""
-        return self._request is None and self._reader.is_between
+        return self._request is None and self._reader.is_between_requests
 
     @property
     def has_begun(self) -> bool:
@@ -114,7 +114,7 @@
         self._write_head(status, reason, headers, length=len(body))
         if body and self._request is not None and self._request.method != b"HEAD":
             self._connection.write(bytes(body))
-        self._ended()
+        self._on_answer_sent()
 
     def begin(self, status: int, reason: bytes, headers: t.Iterable[Header]) -> None:
         """Send the head of an answer whose length is not known."""
@@ -124,35 +124,35 @@
     def send(self, data: bytes) -> None:
         """Send a part of the body."""
         self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-        if self._connection.pending > BUFFER_BYTES_MAX:
+        if self._connection.pending_bytes > BUFFER_BYTES_MAX:
             self._connection.abort()
             self._on_lost(OSError("the caller does not read"))
 
     def end(self) -> None:
         """End an answer begun by :meth:`begin`."""
         self._connection.write(b"0\r\n\r\n")
-        self._ended()
+        self._on_answer_sent()
 
     def cut(self) -> None:
         """Break the answer off so that it can't be taken for a whole one."""
-        self._running = None
+        self._active_request = None
         self._connection.abort()
-        self._closed()
+        self._on_closed()
 
     # The connection.
 
     def close_if_idle(self) -> None:
         """Close unless a request is in work."""
         if self.is_idle:
-            self._close()
+            self._close_gracefully()
 
     def close(self) -> None:
         """Close at once and stop what is in work."""
-        running, self._running = self._running, None
-        if running is not None:
-            running.on_caller_gone()
+        active_request, self._active_request = self._active_request, None
+        if active_request is not None:
+            active_request.on_caller_gone()
         self._connection.abort()
-        self._closed()
+        self._on_closed()
 
     def _write_head(
         self,
@@ -164,62 +164,62 @@
     ) -> None:
         self._has_begun = True
         if self._request is None or not self._request.keeps_alive:
-            self._closes = True
+            self._close_after_answer = True
         if self._server.is_draining:
-            self._closes = True
-        lines = [b"HTTP/1.1 %d %b" % (status, reason or reason_of(status))]
+            self._close_after_answer = True
+        lines = [b"HTTP/1.1 %d %b" % (status, reason or reason_phrase(status))]
         for name, value in headers:
             lines.append(name + b": " + value)
         if length is None:
             lines.append(b"Transfer-Encoding: chunked")
         elif status not in (204, 304):
             lines.append(b"Content-Length: %d" % length)
-        if self._closes:
+        if self._close_after_answer:
             lines.append(b"Connection: close")
         lines.append(b"\r\n")
         self._connection.write(b"\r\n".join(lines))
 
-    def _ended(self) -> None:
+    def _on_answer_sent(self) -> None:
         self._request = None
-        self._running = None
+        self._active_request = None
         self._has_begun = False
         self._is_chunked = False
         self._active_at = self._server.loop.now
         # The head of this answer may have been sent before the shutdown began.
-        if self._closes or self._server.is_draining:
-            self._close()
+        if self._close_after_answer or self._server.is_draining:
+            self._close_gracefully()
             return
-        if self._reader.complete or self._parse_error is not None:
+        if self._reader.complete_requests or self._parse_error is not None:
             # Later, so that a run of refusals does not recurse.
-            self._server.loop.call_later(0.0, self._next)
+            self._server.loop.call_later(0.0, self._start_next)
 
-    def _close(self) -> None:
+    def _close_gracefully(self) -> None:
         self._connection.finish()
-        self._closed()
+        self._on_closed()
 
-    def _closed(self) -> None:
+    def _on_closed(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
         self._server.on_caller_closed(self)
 
-    def _next(self) -> None:
+    def _start_next(self) -> None:
         if self._request is not None or not self._connection.is_open:
             return
-        if not self._reader.complete:
+        if not self._reader.complete_requests:
             if self._parse_error is not None:
                 self._refuse(self._parse_error)
             return
-        request = self._reader.complete.pop(0)
+        request = self._reader.complete_requests.pop(0)
         self._connection.resume()
         self._request = request
-        running = self._server.start(self, request)
+        active_request = self._server.start(self, request)
         if self._request is request:
-            self._running = running
+            self._active_request = active_request
 
     def _refuse(self, error: RequestError) -> None:
         log_event("request_malformed", status=error.http_status, reason=error)
-        self._closes = True
+        self._close_after_answer = True
         self.answer(error.http_status, b"", (), b"")
 
     def _on_expect(self) -> None:
@@ -237,35 +237,35 @@
             self._reader.feed(data, self._server.loop.now)
         except RequestError as error:
             self._parse_error = error
-        if len(self._reader.complete) >= PIPELINED_MAX:
+        if len(self._reader.complete_requests) >= PIPELINED_MAX:
             self._connection.pause()
         if self._request is None:
-            self._next()
+            self._start_next()
 
     def _on_lost(self, _error: OSError) -> None:
-        running, self._running = self._running, None
+        active_request, self._active_request = self._active_request, None
         self._connection.close()
-        self._closed()
-        if running is not None:
-            running.on_caller_gone()
+        self._on_closed()
+        if active_request is not None:
+            active_request.on_caller_gone()
 
-    def _watch(self) -> None:
+    def _check_timeouts(self) -> None:
         """End a connection that is idle or sends its request too slowly."""
         loop = self._server.loop
         if self._request is not None:
-            self._timer = loop.call_later(self._limits.header_s, self._watch)
+            self._timer = loop.call_later(self._limits.header_s, self._check_timeouts)
             return
-        is_idle = self._reader.is_between
-        limit = self._limits.idle_s if is_idle else self._limits.header_s
-        left = self._active_at + limit - loop.now
-        if left > 0:
+        is_idle = self._reader.is_between_requests
+        limit_s = self._limits.idle_s if is_idle else self._limits.header_s
+        remaining_s = self._active_at + limit_s - loop.now
+        if remaining_s > 0:
             self._timer = loop.call_later(
-                min(left, self._limits.header_s) + 0.01, self._watch
+                min(remaining_s, self._limits.header_s) + 0.01, self._check_timeouts
             )
             return
         if is_idle:
-            self._close()
+            self._close_gracefully()
             return
         log_event("request_malformed", status=TIMEOUT_STATUS, reason="too slow")
-        self._closes = True
+        self._close_after_answer = True
         self.answer(TIMEOUT_STATUS, b"", (), b"")
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -25,11 +25,11 @@
 """Unacknowledged data fails a connection after as long."""
 
 
-def set_options(sock: socket.socket, *, probe: bool) -> None:
+def set_options(sock: socket.socket, *, keepalive: bool) -> None:
     """Set what every connection needs: no delay, and noticing a silent peer."""
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    if not probe:
+    if not keepalive:
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
@@ -52,7 +52,7 @@
         "_is_connecting",
         "_is_finishing",
         "_loop",
-        "_out",
+        "_send_buffer",
         "_sock",
         "is_open",
         "on_connected",
@@ -70,7 +70,7 @@
     ) -> None:
         self._loop = loop
         self._sock = sock
-        self._out = bytearray()
+        self._send_buffer = bytearray()
         self.on_data = on_data
         self.on_lost = on_lost
         self.on_connected = on_connected
@@ -81,16 +81,16 @@
         loop.add(sock.fileno(), self._events, self._on_events)
 
     @property
-    def pending(self) -> int:
+    def pending_bytes(self) -> int:
         """Return the number of bytes that are not sent yet."""
-        return len(self._out)
+        return len(self._send_buffer)
 
     def write(self, data: bytes) -> None:
         """Send bytes, now or when the peer takes them."""
         if not self.is_open or self._is_finishing:
             return
-        if self._out or self._is_connecting:
-            self._out += data
+        if self._send_buffer or self._is_connecting:
+            self._send_buffer += data
             return
         try:
             sent = self._sock.send(data)
@@ -100,17 +100,17 @@
             self._fail(error)
             return
         if sent < len(data):
-            self._out += data[sent:]
-            self._wait_for(self._events | WRITABLE)
+            self._send_buffer += data[sent:]
+            self._set_events(self._events | WRITABLE)
 
     def pause(self) -> None:
         """Stop reading."""
-        self._wait_for(self._events & ~READABLE)
+        self._set_events(self._events & ~READABLE)
 
     def resume(self) -> None:
         """Read again."""
         if not self._is_connecting:
-            self._wait_for(self._events | READABLE)
+            self._set_events(self._events | READABLE)
 
     def finish(self) -> None:
         """Close once all is sent, reading on for a while so that nothing is lost."""
@@ -119,8 +119,8 @@
         self._is_finishing = True
         self.on_data = lambda _data: None
         self._loop.call_later(LINGER_S, self.close)
-        if not self._out:
-            self._shut()
+        if not self._send_buffer:
+            self._shut_down_sending()
 
     def close(self) -> None:
         """Close at once; what is not sent is dropped."""
@@ -139,15 +139,15 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.close()
 
-    def _shut(self) -> None:
+    def _shut_down_sending(self) -> None:
         try:
             self._sock.shutdown(socket.SHUT_WR)
         except OSError:  # the peer has closed already
             self.close()
             return
-        self._wait_for(READABLE)
+        self._set_events(READABLE)
 
-    def _wait_for(self, events: int) -> None:
+    def _set_events(self, events: int) -> None:
         if self.is_open and events != self._events:
             self._events = events
             self._loop.change(self._sock.fileno(), events)
@@ -161,7 +161,7 @@
 
     def _on_events(self, mask: int) -> None:
         if self._is_connecting:
-            self._connected()
+            self._on_connect_result()
             return
         if mask & READABLE:
             self._read()
@@ -172,17 +172,17 @@
         if mask & WRITABLE and self.is_open:
             self._flush()
 
-    def _connected(self) -> None:
+    def _on_connect_result(self) -> None:
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             self._fail(OSError(code, "connect failed"))
             return
         self._is_connecting = False
-        self._wait_for(READABLE)
+        self._set_events(READABLE)
         connected, self.on_connected = self.on_connected, None
         if connected is not None:
             connected()
-        if self.is_open and self._out:
+        if self.is_open and self._send_buffer:
             self._flush()
 
     def _read(self) -> None:
@@ -197,24 +197,24 @@
             self.close()
             return
         if not data:
-            self._wait_for(self._events & ~READABLE)
+            self._set_events(self._events & ~READABLE)
         self.on_data(data)
 
     def _flush(self) -> None:
         try:
-            sent = self._sock.send(self._out)
+            sent = self._sock.send(self._send_buffer)
         except BlockingIOError:
             return
         except OSError as error:
             self._fail(error)
             return
-        del self._out[:sent]
-        if self._out:
-            self._wait_for(self._events | WRITABLE)
+        del self._send_buffer[:sent]
+        if self._send_buffer:
+            self._set_events(self._events | WRITABLE)
             return
-        self._wait_for(self._events & ~WRITABLE)
+        self._set_events(self._events & ~WRITABLE)
         if self._is_finishing:
-            self._shut()
+            self._shut_down_sending()
 
 
 def connect(
@@ -230,7 +230,7 @@
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        set_options(sock, probe=True)
+        set_options(sock, keepalive=True)
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
             raise OSError(code, "connect failed")
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -1,4 +1,4 @@
-"""A caller's request from its head to its final answer: what all kinds share."""
+"""Base class of a caller's request, from its head to the final response."""
 
 import enum
 import typing as t
@@ -13,7 +13,7 @@
 from ..core.replicas import ReplicaSet
 from ..logs import log_event
 from .caller import Caller
-from .heads import find
+from .heads import find_header
 from .loop import Loop
 from .loop import Timer
 from .requests import Header
@@ -22,28 +22,32 @@
 
 MS_PER_S = 1000
 SENDS_MAX = 8
-"""Sends of one request, those that were refused unread with them."""
+"""Sends of one request to upstreams, including those refused before they ran."""
 
-UNBEGUN_SHARE = 0.7
-"""Share of the budget of repeats for requests without an answer yet: callers send
-these again themselves, but a begun answer is lost without it."""
+UNBEGUN_BUDGET_SHARE = 0.7
+"""Share of the retry budget that requests without a response yet may use: callers
+retry these themselves, but a response that has begun is lost without a retry."""
 
 ANSWER_MARGIN_S = 0.02
-"""Seconds before the end at which the final answer is sent."""
+"""Seconds before the deadline at which the final response is sent."""
 
 RETRY_AFTER_S = 0.3
-"""Seconds after which a caller that was refused may come back."""
+"""Longest Retry-After, in seconds, of a refused request."""
 
 GATEWAY_TIMEOUT = 504
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 MISDIRECTED = 421
-PROMISES = frozenset({408, 421, 429, 503})
-"""Statuses that tell a caller that its request has not run."""
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+"""Statuses that promise the caller that its request has not run."""
 
 
-class Fate(enum.Enum):
-    """What an attempt's answer says of the attempt."""
+class AttemptOutcome(enum.Enum):
+    """What the head of a response says about its attempt.
+
+    ``NOT_RUN``: refused before it ran; ``FAILED``: may have run and failed;
+    ``BROKEN``: no response yet, or a success without a signature.
+    """
 
     SERVED = "served"
     NOT_RUN = "not_run"
@@ -52,7 +56,7 @@
 
 
 class Context(t.Protocol):
-    """What exchanges need of the gateway."""
+    """Interface of the gateway that exchanges use."""
 
     loop: Loop
     pool: UpstreamPool
@@ -62,46 +66,48 @@
     names: HeaderNames
 
     def hosts(self) -> int:
-        """Return how many hosts share the budgets."""
+        """Return the number of hosts that share the retry budgets."""
         ...
 
     def pipelines(self, service: str) -> Pipelines:
-        """Return the engines of a service."""
+        """Return the pipelines of a service."""
         ...
 
     def investigate(self, first: Replica, service: str) -> None:
-        """Find out which engine the requests of a first engine wait for."""
+        """Ask the first engine of a path which engine its requests wait for."""
         ...
 
     def wait(self, stream: "t.Any") -> None:
-        """Try a stream again when engines have room."""
+        """Queue a stream until engines have room."""
         ...
 
     def finished(self, exchange: "Exchange", outcome: str) -> None:
-        """Take note of a request's end."""
+        """Record the end of a request in the metrics and the log."""
         ...
 
 
 class Exchange:
-    """What one request has come to.
+    """State of one request.
 
-    ``sends``: exchanges with upstreams begun; ``runs``: those that may have run.
+    ``sends``: exchanges begun with upstreams; ``runs``: those that may have run;
+    ``expires_at``: the caller's deadline, or the route's timeout without one;
+    ``ends_at``: the earlier of the two.
     """
 
     __slots__ = (
         "attempt_id",
         "caller",
         "context",
+        "deadline_timer",
         "ends_at",
         "expires_at",
         "grant",
-        "is_over",
+        "is_finished",
         "may_have_run",
         "request",
         "runs",
         "sends",
         "service",
-        "timer",
         "tried",
     )
 
@@ -121,73 +127,76 @@
         names = context.names
         self.attempt_id = request.header(names.attempt)
         deadline_s = grant.route.timeout_s
-        told = request.header(names.deadline_ms)
-        if told.isdigit():
-            deadline_s = int(told) / MS_PER_S
+        deadline_ms = request.header(names.deadline_ms)
+        if deadline_ms.isdigit():
+            deadline_s = int(deadline_ms) / MS_PER_S
         self.expires_at = request.received_at + deadline_s
         self.ends_at = min(self.expires_at, request.received_at + grant.route.timeout_s)
         self.sends = 0
         self.runs = 0
         self.may_have_run = False
-        self.is_over = False
+        self.is_finished = False
         self.tried: set[tuple[str, int]] = set()
         delay_s = self.ends_at - ANSWER_MARGIN_S - context.loop.now
-        self.timer: Timer = context.loop.call_later(delay_s, self.on_expired)
+        self.deadline_timer: Timer = context.loop.call_later(delay_s, self.on_expired)
 
     @property
-    def left_s(self) -> float:
-        """Return the seconds until the request's end."""
+    def remaining_s(self) -> float:
+        """Return the seconds left until the request ends."""
         return self.ends_at - self.context.loop.now
 
     def on_expired(self) -> None:
-        """End a request whose time is over."""
+        """End a request whose deadline has passed."""
         raise NotImplementedError
 
     def may_send_again(self) -> bool:
-        """Tell whether another send is allowed, and count it."""
-        if self.sends >= SENDS_MAX or self.left_s < 2 * ANSWER_MARGIN_S:
+        """Take one retry from the budget; return whether it was allowed."""
+        if self.sends >= SENDS_MAX or self.remaining_s < 2 * ANSWER_MARGIN_S:
             return False
         if self.runs >= self.grant.route.attempts:
             return False
         context = self.context
-        share = 1.0 if self.caller.has_begun else UNBEGUN_SHARE
+        share = 1.0 if self.caller.has_begun else UNBEGUN_BUDGET_SHARE
         return context.allowance.take(
             self.service.name, context.hosts(), context.loop.now, share
         )
 
-    def judge(self, status: int, headers: list[Header]) -> Fate:
-        """Tell what the head of an answer says."""
+    def classify_answer(self, status: int, headers: list[Header]) -> AttemptOutcome:
+        """Return what the head of a response says about its attempt."""
         names = self.context.names
-        if status == MISDIRECTED or find(headers, names.not_run) is not None:
-            return Fate.NOT_RUN
-        if status >= 500 or status in PROMISES:
-            return Fate.FAILED
-        if status < 300 and find(headers, names.signature) is None:
-            return Fate.BROKEN
-        return Fate.SERVED
-
-    def is_mine(self, status: int, headers: list[Header]) -> bool:
-        """Tell whether an answer belongs to this request."""
-        echoed = find(headers, self.context.names.attempt)
+        if status == MISDIRECTED or find_header(headers, names.not_run) is not None:
+            return AttemptOutcome.NOT_RUN
+        if status >= 500 or status in NOT_RUN_STATUSES:
+            return AttemptOutcome.FAILED
+        if status < 300 and find_header(headers, names.signature) is None:
+            return AttemptOutcome.BROKEN
+        return AttemptOutcome.SERVED
+
+    def is_own_answer(self, status: int, headers: list[Header]) -> bool:
+        """Tell whether a response belongs to this request.
+
+        Only failures may lack the attempt header.
+        """
+        echoed = find_header(headers, self.context.names.attempt)
         if echoed is not None:
             return echoed == self.attempt_id
         return status >= 300
 
     def refuse(self, reason: str) -> None:
-        """Answer that the request has not run, or may have."""
+        """Respond 503 if the request has not run for certain, otherwise 502."""
         if self.may_have_run:
             self.fail(BAD_GATEWAY, reason)
             return
-        wait_s = min(RETRY_AFTER_S, max(0.05, self.left_s / 4))
+        wait_s = min(RETRY_AFTER_S, max(0.05, self.remaining_s / 4))
         self.finish(UNAVAILABLE, reason, ((b"Retry-After", b"%.2f" % wait_s),))
 
     def fail(self, status: int, reason: str) -> None:
-        """Answer with a failure that promises nothing, or cut a begun answer."""
+        """Respond with a status that leaves open whether the request has run."""
         self.finish(status, reason, ())
 
     def finish(self, status: int, reason: str, headers: t.Iterable[Header]) -> None:
-        """Send the final answer of this request's own."""
-        if self.is_over:
+        """Send a final response of the gateway, or abort one that has begun."""
+        if self.is_finished:
             return
         self.close()
         if self.caller.has_begun:
@@ -197,12 +206,12 @@
         self.context.finished(self, reason)
 
     def close(self) -> None:
-        """Let go of what the request holds."""
-        self.is_over = True
-        self.timer.cancel()
+        """Release the timers and attempts of the request."""
+        self.is_finished = True
+        self.deadline_timer.cancel()
 
     def log(self, event: str, *, level: str = "INFO", **fields: object) -> None:
-        """Write one event about this request."""
+        """Log an event with the fields of this request."""
         log_event(
             event,
             level=level,
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -11,8 +11,8 @@
 from .transfer import Header
 from .transfer import Loss
 from .transfer import Upstream
+from .transfer import UpstreamConnection
 from .transfer import UpstreamPool
-from .transfer import Wire
 
 ANSWER_BYTES_MAX = 16 << 20
 
@@ -39,7 +39,7 @@
 class Fetch:
     """A call and what has come of its answer."""
 
-    __slots__ = ("_body", "_on_answer", "_status", "_timer", "_wire")
+    __slots__ = ("_body", "_connection", "_on_answer", "_status", "_timer")
 
     def __init__(
         self,
@@ -54,10 +54,10 @@
         self._body = bytearray()
         self._on_answer: t.Callable[[Answer], None] | None = on_answer
         self._timer: Timer = loop.call_later(timeout_s, self._on_timeout)
-        self._wire: Wire | None = None
+        self._connection: UpstreamConnection | None = None
         data = _encode(call, upstream.address)
-        self._wire = pool.send(upstream, data, self, fresh=False)
-        if self._wire is None:
+        self._connection = pool.send(upstream, data, self, new_connection=False)
+        if self._connection is None:
             # Later, so that the caller has the object before its answer.
             loop.call_later(0.0, lambda: self.on_lost(Loss.NOT_SENT, "no connection"))
 
@@ -65,9 +65,9 @@
         """Give the call up; its answer goes nowhere."""
         self._on_answer = None
         self._timer.cancel()
-        wire, self._wire = self._wire, None
-        if wire is not None:
-            wire.cancel()
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.cancel()
 
     def on_head(self, status: int, _reason: bytes, _headers: list[Header]) -> bool:
         """Take the head of the answer."""
@@ -78,28 +78,28 @@
         """Take a part of the body."""
         self._body += data
         if len(self._body) > ANSWER_BYTES_MAX:
-            wire, self._wire = self._wire, None
-            if wire is not None:
-                wire.cancel()
+            connection, self._connection = self._connection, None
+            if connection is not None:
+                connection.cancel()
             self.on_lost(Loss.UNKNOWN, "answer too long")
 
     def on_complete(self) -> None:
         """Take the end of the answer."""
-        self._wire = None
-        self._end(Answer(self._status, bytes(self._body)))
+        self._connection = None
+        self._finish(Answer(self._status, bytes(self._body)))
 
     def on_lost(self, loss: Loss, reason: str) -> None:
         """Take the loss of the answer."""
-        self._wire = None
-        self._end(Answer(0, b"", loss, reason))
+        self._connection = None
+        self._finish(Answer(0, b"", loss, reason))
 
     def _on_timeout(self) -> None:
-        wire, self._wire = self._wire, None
-        if wire is not None:
-            wire.cancel()
-        self._end(Answer(0, b"", Loss.UNKNOWN, "timeout"))
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.cancel()
+        self._finish(Answer(0, b"", Loss.UNKNOWN, "timeout"))
 
-    def _end(self, answer: Answer) -> None:
+    def _finish(self, answer: Answer) -> None:
         self._timer.cancel()
         on_answer, self._on_answer = self._on_answer, None
         if on_answer is not None:
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -17,7 +17,7 @@
     return CONNECTION_HEADERS | options
 
 
-def passed_on(request: Request, names: HeaderNames) -> bytes:
+def forwarded_head(request: Request, names: HeaderNames) -> bytes:
     """Return the head of a request as far as every attempt has it in common."""
     dropped = _connection_options(request.headers) | names.set_here()
     lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
@@ -30,11 +30,11 @@
 
 
 def attempt_headers(
-    names: HeaderNames, grant: Grant, replica: str, left_s: float
+    names: HeaderNames, grant: Grant, replica: str, remaining_s: float
 ) -> list[Header]:
     """Return the headers that differ between attempts."""
     headers = [
-        (names.deadline_ms, b"%d" % max(1, int(left_s * 1000))),
+        (names.deadline_ms, b"%d" % max(1, int(remaining_s * 1000))),
         (names.expected_replica, replica.encode()),
     ]
     if grant.account is not None:
@@ -42,7 +42,7 @@
     return headers
 
 
-def join_head(common: bytes, headers: t.Iterable[Header], body: bytes) -> bytes:
+def join_request(common: bytes, headers: t.Iterable[Header], body: bytes) -> bytes:
     """Return the bytes of a request."""
     lines = [common]
     for name, value in headers:
@@ -52,13 +52,13 @@
     return b"".join(lines)
 
 
-def answered(headers: list[Header]) -> list[Header]:
+def forwarded_headers(headers: list[Header]) -> list[Header]:
     """Return the headers of an upstream's answer that its caller gets."""
     dropped = _connection_options(headers) | {b"content-length"}
     return [header for header in headers if header[0].lower() not in dropped]
 
 
-def find(headers: t.Iterable[Header], name: bytes) -> bytes | None:
+def find_header(headers: t.Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, by its name in lower case."""
     for key, value in headers:
         if key.lower() == name:
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -19,10 +19,10 @@
     """
 
     __slots__ = (
-        "_answer",
+        "_answer_tokens",
         "_context",
         "_model",
-        "_prompt",
+        "_prompt_tokens",
         "_rank",
         "_service",
         "avoid",
@@ -40,17 +40,19 @@
         self._context = context
         self._service = service.name
         self._model: ModelSpec = service.model
-        self._prompt, most = usage
-        self._answer = float(hint) if hint.isdigit() else self._model.usual_answer
-        if most:
-            self._answer = min(self._answer, most)
+        self._prompt_tokens, answer_limit = usage
+        self._answer_tokens = (
+            float(hint) if hint.isdigit() else self._model.usual_answer
+        )
+        if answer_limit:
+            self._answer_tokens = min(self._answer_tokens, answer_limit)
         self._rank = rank
         self.avoid: set[tuple[str, int]] = set()
 
     @property
     def tokens(self) -> float:
         """Return the tokens of the prompt and of the answer that is expected."""
-        return self._prompt + self._answer
+        return self._prompt_tokens + self._answer_tokens
 
     def choose(self, head: Hop | None = None) -> Path | None:
         """Return the best pipeline now, from a first hop on if one is given."""
@@ -58,8 +60,8 @@
         return context.pipelines(self._service).choose(
             self._model,
             context.replicas.usable(self._service),
-            self._prompt,
-            self._answer,
+            self._prompt_tokens,
+            self._answer_tokens,
             context.loop.now,
             self.avoid,
             head,
@@ -70,7 +72,7 @@
         pipelines = self._context.pipelines(self._service)
         return pipelines.has_room(self._model, path, self.tokens, self._rank)
 
-    def fill(self, replica: Replica | None) -> float:
+    def kv_fill(self, replica: Replica | None) -> float:
         """Return how full an engine's memory is thought to be; 0 for none."""
         if replica is None:
             return 0.0
--- a/src/wagtailstair/gateway/report.py
+++ b/src/wagtailstair/gateway/report.py
@@ -23,13 +23,13 @@
     pool: UpstreamPool,
     replica: Replica,
     on_report: t.Callable[[engine_wire.Report], None],
-    on_silence: t.Callable[[str], None] = lambda _reason: None,
+    on_no_answer: t.Callable[[str], None] = lambda _reason: None,
 ) -> None:
     """Ask an engine for its report; an unreadable one is logged and dropped."""
 
     def on_answer(answer: Answer) -> None:
         if answer.status == 0:
-            on_silence(answer.reason)
+            on_no_answer(answer.reason)
             return
         try:
             if answer.status != OK:
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -70,26 +70,26 @@
         "_parser",
         "_started_at",
         "_target",
-        "complete",
+        "complete_requests",
     )
 
     def __init__(self, limits: CallerLimits, on_expect: t.Callable[[], None]) -> None:
         self._limits = limits
         self._on_expect = on_expect
         self._parser = httptools.HttpRequestParser(self)
-        self.complete: list[Request] = []
+        self.complete_requests: list[Request] = []
         self._error: RequestError | None = None
         self._now = 0.0
         self._reset()
         self._in_head = False
 
     @property
-    def is_between(self) -> bool:
+    def is_between_requests(self) -> bool:
         """Tell whether no request has begun."""
         return not self._in_head and not self._headers
 
     def feed(self, data: bytes, now: float) -> None:
-        """Take in bytes; whole requests are added to ``complete``.
+        """Take in bytes; whole requests are added to ``complete_requests``.
 
         :raises RequestError: if the bytes are no proper request.
         """
@@ -151,7 +151,7 @@
             self._started_at,
         )
         self._reset()
-        self.complete.append(request)
+        self.complete_requests.append(request)
 
     # Inside.
 
@@ -163,8 +163,8 @@
         self._head_bytes = 0
         self._started_at = 0.0
 
-    def _values(self, wanted: bytes) -> list[bytes]:
-        return [value for name, value in self._headers if name.lower() == wanted]
+    def _header_values(self, lower_name: bytes) -> list[bytes]:
+        return [value for name, value in self._headers if name.lower() == lower_name]
 
     def _check_head(self) -> RequestError | None:
         size = len(self._target)
@@ -179,7 +179,7 @@
         return self._check_host() or self._check_body()
 
     def _check_host(self) -> RequestError | None:
-        hosts = self._values(b"host")
+        hosts = self._header_values(b"host")
         if len(hosts) != 1 or not hosts[0]:
             return InvalidRequestError("expected one Host header")
         host = hosts[0].decode("latin-1").lower()
@@ -188,12 +188,14 @@
         return None
 
     def _check_body(self) -> RequestError | None:
-        for value in self._values(b"content-length"):
+        for value in self._header_values(b"content-length"):
             if int(value) > self._limits.body_bytes:
                 return RequestTooLargeError(f"over {self._limits.body_bytes} bytes")
-        for value in self._values(b"transfer-encoding"):
+        for value in self._header_values(b"transfer-encoding"):
             if value.strip().lower() != b"chunked":
                 return InvalidRequestError("expected the transfer encoding chunked")
-        if b"100-continue" in (value.lower() for value in self._values(b"expect")):
+        if b"100-continue" in (
+            value.lower() for value in self._header_values(b"expect")
+        ):
             self._on_expect()
         return None
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream.py
@@ -1,8 +1,8 @@
 """Requests to model engines: a stream of events over a pipeline.
 
-A stream that may be resumed can have a second attempt beside the first: where
-the first engine leaves or no event comes, a *successor* goes on after the last
-event. Whichever brings the next event is kept.
+A resumable stream can have two attempts at once: when its first engine shuts down
+or no event arrives, a *successor* is sent that resumes after the last event. The
+attempt that delivers the next event is kept.
 """
 
 from ..core.events import events_after
@@ -14,8 +14,8 @@
 from .attempt import Attempt
 from .exchange import BAD_GATEWAY
 from .exchange import GATEWAY_TIMEOUT
+from .exchange import AttemptOutcome
 from .exchange import Exchange
-from .exchange import Fate
 from .fetch import Answer
 from .fetch import Fetch
 from .loop import Timer
@@ -24,83 +24,84 @@
 from .transfer import Loss
 from .transfer import Upstream
 
-QUIET_S = 0.25
-"""Seconds without an event after which the first engine is asked for the cause:
-longer than engines need for an event, and the age of their reports."""
+STALL_CHECK_S = 0.25
+"""Seconds without an event after which the first engine is asked for a report:
+longer than the usual time between events and than the age of a report."""
 
-STALL_S = 1.2
-"""Seconds without an event after which a successor is sent though no engine is
-known to be at fault: callers give up after two seconds."""
+SUCCESSOR_DELAY_S = 1.2
+"""Seconds without an event after which a successor is sent even if no report names
+a stalled engine: callers time out after two seconds."""
 
-FIRST_QUIET_S = 0.4
-"""Seconds without a first event, for which a prompt is read, before the first
-engine is asked for the cause."""
+FIRST_STALL_CHECK_S = 0.4
+"""Seconds before the first event after which the first engine is asked for a
+report: longer than later ones, as the prompt is processed first."""
 
-ASK_AGAIN_S = 0.15
-ORDER_TIMEOUT_S = 0.3
+STALL_RECHECK_S = 0.15
+REPATH_TIMEOUT_S = 0.3
 
-WAIT_GOALS = 1.0
-"""Response-time goals that a request may wait for room; later it would be late."""
+ROOM_WAIT_GOALS = 1.0
+"""Longest wait for room, as a multiple of the route's response-time goal, which
+a request that waited longer would miss."""
 
-PAUSE_S = 0.15
-"""Seconds before a begun answer that no pipeline takes is tried again."""
+RETRY_DELAY_S = 0.15
+"""Seconds between retries of a response that has begun and has no pipeline."""
 
-PATIENCE_S = 1.6
-"""Seconds without an event after which a begun answer is given up: callers give
-up after two."""
+NO_EVENT_TIMEOUT_S = 1.6
+"""Seconds without an event after which a response that has begun is no longer
+retried: callers time out after two."""
 
 SUSPECT_S = 3.0
-"""Seconds that an engine at fault is avoided by all requests."""
+"""Seconds for which all requests avoid a faulty engine."""
 
 RANK_MAX = 9
 
 
 class StreamExchange(Exchange):
-    """A request that engines answer with events."""
+    """A request that model engines answer with a stream of events."""
 
     __slots__ = (
-        "_common",
+        "_common_head",
         "_current",
         "_finder",
-        "_first",
+        "_first_answered",
         "_last_id",
         "_progress_at",
+        "_progress_timer",
         "_successor",
-        "_watch_timer",
         "events",
         "first_event_s",
     )
 
     def begin(self) -> None:
-        """Send the request down its first pipeline."""
+        """Send the request to its first pipeline, or queue it for room."""
         names = self.context.names
         usage = wire_headers.read_tokens(self.request.header(names.token_usage))
         hint = self.request.header(names.length_hint)
         self._finder = PathFinder(
             self.context, self.service, usage, hint, self.grant.rank
         )
-        self._common = heads.passed_on(self.request, names)
+        self._common_head = heads.forwarded_head(self.request, names)
         self._last_id = self.request.header(names.last_event)
         self._current: Attempt | None = None
         self._successor: Attempt | None = None
-        # The first attempt that was answered: its head is the caller's.
-        self._first: Attempt | None = None
-        self._watch_timer: Timer | None = None
+        # The attempt whose response head was sent to the caller.
+        self._first_answered: Attempt | None = None
+        self._progress_timer: Timer | None = None
         self._progress_at = self.context.loop.now
         self.events = 0
         self.first_event_s: float | None = None
         self._start("no pipeline")
 
     def on_caller_gone(self) -> None:
-        """Stop the pipeline: nobody waits for the answer."""
-        if self.is_over:
+        """Cancel the request: its caller has disconnected."""
+        if self.is_finished:
             return
         self.close()
         self.context.finished(self, "caller_gone")
 
     def on_expired(self) -> None:
-        """End a request whose time is over."""
-        if self.is_over:
+        """End a request whose deadline has passed."""
+        if self.is_finished:
             return
         if self.sends == 0:
             self.refuse("expired_waiting")
@@ -109,20 +110,20 @@
         self.fail(GATEWAY_TIMEOUT, "expired")
 
     def close(self) -> None:
-        """Let go of the attempts and the timers."""
+        """Cancel the attempts and the timers."""
         super().close()
-        if self._watch_timer is not None:
-            self._watch_timer.cancel()
-            self._watch_timer = None
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+            self._progress_timer = None
         self._drop_attempts()
 
     # Attempts.
 
     def _start(self, reason: str) -> None:
-        """Send the request, or wait until it can be sent."""
+        """Send the request on the best path, or queue it for room."""
         path = self._finder.choose()
         if path is None:
-            self._give_up(reason)
+            self._retry_later_or_refuse(reason)
             return
         if self.sends == 0 and not self._finder.has_room(path):
             self._wait_for_room()
@@ -130,15 +131,15 @@
         if self.sends == 0:
             now = self.context.loop.now
             self.context.allowance.requested(self.service.name, now)
-        self._current = attempt = self._make(path)
-        self._send(attempt)
+        self._current = attempt = self._make_attempt(path)
+        self._send_attempt(attempt)
 
     def try_again(self) -> None:
-        """Look for room once more."""
-        if not self.is_over:
+        """Send the queued request if engines have room now."""
+        if not self.is_finished:
             self._start("no room")
 
-    def _make(self, path: Path) -> Attempt:
+    def _make_attempt(self, path: Path) -> Attempt:
         tokens = self._finder.tokens
         self.context.pipelines(self.service.name).take(path, tokens)
         self.sends += 1
@@ -146,35 +147,37 @@
         now = self.context.loop.now
         return Attempt(self, path, tokens, self._last_id, now)
 
-    def _send(self, attempt: Attempt) -> None:
-        """Send an attempt that is in its place already: it may fail at once."""
+    def _send_attempt(self, attempt: Attempt) -> None:
+        """Send an attempt that is already stored: a failure may be reported at once."""
         context = self.context
         names = context.names
         first = attempt.path[0].replica
-        headers = heads.attempt_headers(names, self.grant, first.name, self.left_s)
-        path = _write(attempt.path)
+        headers = heads.attempt_headers(names, self.grant, first.name, self.remaining_s)
+        path = _encode_path(attempt.path)
         headers.append((names.path, path))
         headers.append((names.rank, b"%d" % min(RANK_MAX, self.grant.rank)))
         if self._last_id:
             headers.append((names.last_event, self._last_id))
-        data = heads.join_head(self._common, headers, bytes(self.request.body))
+        data = heads.join_request(self._common_head, headers, bytes(self.request.body))
         self.log("attempt_sent", level="DEBUG", path=path.decode(), send=self.sends)
         upstream = Upstream(first.address, first.identity)
-        attempt.wire = context.pool.send(upstream, data, attempt, fresh=False)
-        if attempt.wire is None:
-            self.on_broken(attempt, Loss.NOT_SENT, "no connection")
+        attempt.connection = context.pool.send(
+            upstream, data, attempt, new_connection=False
+        )
+        if attempt.connection is None:
+            self.on_attempt_lost(attempt, Loss.NOT_SENT, "no connection")
             return
-        self._watch(FIRST_QUIET_S)
+        self._schedule_stall_check(FIRST_STALL_CHECK_S)
 
     def _wait_for_room(self) -> None:
-        """Wait for engines with room, for a while."""
+        """Queue the request for room unless it has waited too long."""
         waited = self.context.loop.now - self.request.received_at
-        if waited < WAIT_GOALS * self.grant.route.goal_s:
+        if waited < ROOM_WAIT_GOALS * self.grant.route.goal_s:
             self.context.wait(self)
             return
         self.refuse("no room")
 
-    def _drop(self, attempt: Attempt | None) -> None:
+    def _drop_attempt(self, attempt: Attempt | None) -> None:
         if attempt is None:
             return
         attempt.cancel()
@@ -188,85 +191,91 @@
             self._successor = None
 
     def _drop_attempts(self) -> None:
-        self._drop(self._current)
-        self._drop(self._successor)
+        self._drop_attempt(self._current)
+        self._drop_attempt(self._successor)
 
-    def _succeed(self, reason: str) -> None:
-        """Send a successor beside the present attempt."""
+    def _start_successor(self, reason: str) -> None:
+        """Send a successor in parallel with the current attempt."""
         if self._successor is not None or not self.grant.route.may_repeat:
             return
         path = self._finder.choose()
-        # On full engines a second run would only slow all of them down.
+        # On engines without room a second run would slow down every request.
         if path is None or not self._finder.has_room(path) or not self.may_send_again():
             return
         self.log("successor_sent", reason=reason, events=self.events)
         self.may_have_run = True
-        self._successor = attempt = self._make(path)
-        self._send(attempt)
+        self._successor = attempt = self._make_attempt(path)
+        self._send_attempt(attempt)
 
     # Stalls.
 
-    def _watch(self, delay_s: float) -> None:
-        if self._watch_timer is not None:
-            self._watch_timer.cancel()
-        self._watch_timer = self.context.loop.call_later(delay_s, self._on_watch)
+    def _schedule_stall_check(self, delay_s: float) -> None:
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+        self._progress_timer = self.context.loop.call_later(delay_s, self._check_stall)
 
-    def _on_watch(self) -> None:
-        self._watch_timer = None
+    def _check_stall(self) -> None:
+        self._progress_timer = None
         current = self._current
-        if self.is_over or current is None:
+        if self.is_finished or current is None:
             return
         has_begun = current.splitter.count > 0
-        quiet_s = QUIET_S if has_begun else FIRST_QUIET_S
+        stall_check_s = STALL_CHECK_S if has_begun else FIRST_STALL_CHECK_S
         waited = self.context.loop.now - current.progress_at
-        if waited < quiet_s:
-            self._watch(quiet_s - waited + 0.001)
+        if waited < stall_check_s:
+            self._schedule_stall_check(stall_check_s - waited + 0.001)
             return
         self.context.investigate(current.path[0].replica, self.service.name)
-        if waited >= STALL_S and self._successor is None:
+        if waited >= SUCCESSOR_DELAY_S and self._successor is None:
             self._finder.avoid.update(hop.replica.identity for hop in current.path)
-            self._succeed("stalled")
-        self._watch(ASK_AGAIN_S)
+            self._start_successor("stalled")
+        self._schedule_stall_check(STALL_RECHECK_S)
 
     @property
     def path(self) -> Path:
-        """Return the pipeline that the request runs on, empty for none."""
+        """Return the pipeline that runs the request, empty for none."""
         return () if self._current is None else self._current.path
 
-    def uses(self, identity: tuple[str, int]) -> bool:
-        """Tell whether an engine is on the request's path."""
-        return self._current is not None and self._current.uses(identity)
+    def uses_engine(self, identity: tuple[str, int]) -> bool:
+        """Tell whether the request's pipeline includes an engine."""
+        return self._current is not None and self._current.uses_engine(identity)
 
-    def waits(self, now: float) -> bool:
-        """Tell whether the request has had no event for a while."""
-        return self._current is not None and now - self._current.progress_at > QUIET_S
+    def is_stalled(self, now: float) -> bool:
+        """Tell whether no event has arrived for ``STALL_CHECK_S``."""
+        return (
+            self._current is not None
+            and now - self._current.progress_at > STALL_CHECK_S
+        )
 
     def leave_engine(self, replica: Replica, reason: str) -> None:
-        """Go on without an engine: on a new path, or with a successor."""
+        """Move the request off an engine, by a new path or a successor.
+
+        The first engine holds the connection, so it can only be succeeded.
+        """
         current = self._current
-        if self.is_over or current is None or current.wire is None:
+        if self.is_finished or current is None or current.connection is None:
             return
-        if replica.identity in current.left:
+        if replica.identity in current.abandoned_engines:
             return
-        current.left.add(replica.identity)
+        current.abandoned_engines.add(replica.identity)
         self._finder.avoid.add(replica.identity)
-        head = current.path[0]
-        if head.replica.identity == replica.identity:
-            self._succeed(reason)
+        first_hop = current.path[0]
+        if first_hop.replica.identity == replica.identity:
+            self._start_successor(reason)
             return
-        path = self._finder.choose(head)
+        path = self._finder.choose(first_hop)
         if path is None or any(hop.replica is replica for hop in path):
             return
         self.log("path_changed", replica=replica.name, reason=reason)
-        self._order_path(current, path)
+        self._request_repath(current, path)
 
-    def _order_path(self, attempt: Attempt, path: Path) -> None:
-        head = path[0].replica
+    def _request_repath(self, attempt: Attempt, path: Path) -> None:
+        first = path[0].replica
         attempt_id = self.attempt_id.decode("latin-1")
-        call = engine_wire.repath_call(attempt_id, _write(path))
+        call = engine_wire.repath_call(attempt_id, _encode_path(path))
 
         def on_answer(answer: Answer) -> None:
-            if attempt is not self._current or attempt.wire is None:
+            if attempt is not self._current or attempt.connection is None:
                 return
             if answer.status not in (200, 202):
                 self.log("path_kept", level="WARNING", status=answer.status)
@@ -280,67 +289,69 @@
         Fetch(
             self.context.loop,
             self.context.pool,
-            Upstream(head.address, head.identity),
+            Upstream(first.address, first.identity),
             call,
-            ORDER_TIMEOUT_S,
+            REPATH_TIMEOUT_S,
             on_answer,
         )
 
-    # What attempts tell.
+    # Callbacks of attempts.
 
-    def on_events(self, attempt: Attempt, whole: bytes) -> None:
-        """Pass whole events on."""
-        if self.is_over:
+    def on_attempt_events(self, attempt: Attempt, events_data: bytes) -> None:
+        """Forward complete events to the caller."""
+        if self.is_finished:
             return
         if attempt is self._successor:
             self._promote(attempt)
         if attempt.is_promoted:
-            whole = events_after(whole, self._last_id)
+            events_data = events_after(events_data, self._last_id)
         attempt.progress_at = self.context.loop.now
-        if not whole:
+        if not events_data:
             return
         self._progress_at = attempt.progress_at
         self._last_id = attempt.splitter.last_id
         self.events += 1
-        if self._first is None:
-            self._first = attempt
+        if self._first_answered is None:
+            self._first_answered = attempt
             self.first_event_s = attempt.progress_at - self.request.received_at
-            headers = heads.answered(attempt.headers)
+            headers = heads.forwarded_headers(attempt.headers)
             self.caller.begin(attempt.status, attempt.reason, headers)
-        self.caller.send(whole)
+        self.caller.send(events_data)
 
     def _promote(self, attempt: Attempt) -> None:
-        """Keep the successor, and let the attempt before it go."""
+        """Replace the current attempt with its successor."""
         self._successor = None
-        self._drop(self._current)
+        self._drop_attempt(self._current)
         self._current = attempt
         attempt.is_promoted = True
 
-    def on_ended(self, attempt: Attempt) -> None:
-        """Take the end of a whole answer."""
-        if self.is_over:
+    def on_attempt_complete(self, attempt: Attempt) -> None:
+        """Handle the end of a complete response."""
+        if self.is_finished:
             return
-        if attempt.fate is Fate.SERVED:
+        if attempt.outcome is AttemptOutcome.SERVED:
             self._deliver(attempt)
             return
-        faulty = self._faulty(attempt)
-        if attempt.fate is Fate.NOT_RUN:
+        faulty = self._find_faulty(attempt)
+        if attempt.outcome is AttemptOutcome.NOT_RUN:
             self.runs -= 1
             self.log(
                 "attempt_not_run",
                 status=attempt.status,
                 replica=faulty.name if faulty else "",
-                fill=self._finder.fill(faulty),
+                fill=self._finder.kv_fill(faulty),
             )
-            self._again(attempt, faulty, "refused")
+            self._handle_failure(attempt, faulty, "refused")
             return
         self.may_have_run = True
-        self.log("attempt_failed", status=attempt.status, fate=attempt.fate.value)
-        self._again(attempt, attempt.path[0].replica, f"status {attempt.status}")
+        self.log("attempt_failed", status=attempt.status, fate=attempt.outcome.value)
+        self._handle_failure(
+            attempt, attempt.path[0].replica, f"status {attempt.status}"
+        )
 
-    def on_broken(self, attempt: Attempt, loss: Loss, reason: str) -> None:
-        """Take the loss of an attempt."""
-        if self.is_over:
+    def on_attempt_lost(self, attempt: Attempt, loss: Loss, reason: str) -> None:
+        """Handle an attempt that ended without a complete response."""
+        if self.is_finished:
             return
         first = attempt.path[0].replica
         self.log(
@@ -354,13 +365,15 @@
             self.runs -= 1
         else:
             self.may_have_run = True
-        self._again(attempt, first, reason)
+        self._handle_failure(attempt, first, reason)
 
-    def _again(self, attempt: Attempt, faulty: Replica | None, reason: str) -> None:
-        self._blame(attempt, faulty)
+    def _handle_failure(
+        self, attempt: Attempt, faulty: Replica | None, reason: str
+    ) -> None:
+        self._avoid_faulty(attempt, faulty)
         was_successor = attempt is self._successor
-        has_run = attempt.fate is not Fate.NOT_RUN and self.may_have_run
-        self._drop(attempt)
+        has_run = attempt.outcome is not AttemptOutcome.NOT_RUN and self.may_have_run
+        self._drop_attempt(attempt)
         if was_successor and self._current is not None:
             return
         if self._successor is not None:
@@ -371,15 +384,15 @@
             self.fail(BAD_GATEWAY, reason)
             return
         if self.caller.has_begun and self.sends > 2:
-            self._give_up(reason)
+            self._retry_later_or_refuse(reason)
             return
         if self.may_send_again():
             self._start(reason)
             return
-        self._give_up(reason)
+        self._retry_later_or_refuse(reason)
 
-    def _blame(self, attempt: Attempt, replica: Replica | None) -> None:
-        """Avoid the engine at fault, or all of the path where it is not known."""
+    def _avoid_faulty(self, attempt: Attempt, replica: Replica | None) -> None:
+        """Avoid the faulty engine, or the whole path if it is not known."""
         if replica is None:
             self._finder.avoid.update(hop.replica.identity for hop in attempt.path)
             return
@@ -387,8 +400,8 @@
         self.context.pipelines(self.service.name).suspect(replica, until)
         self._finder.avoid.add(replica.identity)
 
-    def _faulty(self, attempt: Attempt) -> Replica | None:
-        address = heads.find(attempt.headers, self.context.names.faulty_address)
+    def _find_faulty(self, attempt: Attempt) -> Replica | None:
+        address = heads.find_header(attempt.headers, self.context.names.faulty_address)
         if address is None:
             return attempt.path[0].replica
         text = address.decode("latin-1")
@@ -397,30 +410,36 @@
                 return hop.replica
         return None
 
-    def _give_up(self, reason: str) -> None:
-        """End the request, unless part of its answer is out and time is left."""
+    def _retry_later_or_refuse(self, reason: str) -> None:
+        """Retry a response that has begun while time is left, otherwise refuse."""
         loop = self.context.loop
         waited = loop.now - self._progress_at
-        if not self.caller.has_begun or waited > PATIENCE_S or self.left_s < PAUSE_S:
+        if (
+            not self.caller.has_begun
+            or waited > NO_EVENT_TIMEOUT_S
+            or self.remaining_s < RETRY_DELAY_S
+        ):
             self.refuse(reason)
             return
-        if self._watch_timer is not None:
-            self._watch_timer.cancel()
-        self._watch_timer = loop.call_later(PAUSE_S, lambda: self._resume(reason))
+        if self._progress_timer is not None:
+            self._progress_timer.cancel()
+        self._progress_timer = loop.call_later(
+            RETRY_DELAY_S, lambda: self._retry_send(reason)
+        )
 
-    def _resume(self, reason: str) -> None:
-        self._watch_timer = None
-        if self.is_over:
+    def _retry_send(self, reason: str) -> None:
+        self._progress_timer = None
+        if self.is_finished:
             return
         if self.may_send_again():
             self._start(reason)
             return
-        self._give_up(reason)
+        self._retry_later_or_refuse(reason)
 
     def _deliver(self, attempt: Attempt) -> None:
         held = attempt.splitter.held
-        if self._first is None:
-            headers: list[Header] = heads.answered(attempt.headers)
+        if self._first_answered is None:
+            headers: list[Header] = heads.forwarded_headers(attempt.headers)
             self.close()
             self.caller.answer(attempt.status, attempt.reason, headers, held)
         else:
@@ -431,6 +450,6 @@
         self.context.finished(self, "served")
 
 
-def _write(path: Path) -> bytes:
+def _encode_path(path: Path) -> bytes:
     hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
     return wire_headers.write_path(hops)
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -20,25 +20,25 @@
 class Suspicion:
     """Investigates stalls of the gateway's streams."""
 
-    __slots__ = ("_asked_at_by_name", "_gateway")
+    __slots__ = ("_gateway", "_requested_at_by_name")
 
     def __init__(self, gateway: "Gateway") -> None:
         self._gateway = gateway
-        self._asked_at_by_name: dict[str, float] = {}
+        self._requested_at_by_name: dict[str, float] = {}
 
     def investigate(self, first: Replica, service: str) -> None:
         """Ask a first engine which engines its requests wait for."""
         loop = self._gateway.loop
-        asked_at = self._asked_at_by_name.get(first.name, float("-inf"))
-        if loop.now - asked_at < REPORT_INTERVAL_S:
+        requested_at = self._requested_at_by_name.get(first.name, float("-inf"))
+        if loop.now - requested_at < REPORT_INTERVAL_S:
             return
-        self._asked_at_by_name[first.name] = loop.now
+        self._requested_at_by_name[first.name] = loop.now
 
         ask_report(
             loop,
             self._gateway.pool,
             first,
-            lambda report: self._take(first, service, report),
+            lambda report: self._handle_report(first, service, report),
             lambda reason: self.suspect(first, service, f"no report: {reason}"),
         )
 
@@ -47,15 +47,17 @@
         gateway = self._gateway
         now = gateway.loop.now
         pipelines = gateway.pipelines(service)
-        is_new = pipelines.use(replica).suspect_until <= now
+        is_newly_suspected = pipelines.use(replica).suspect_until <= now
         pipelines.suspect(replica, now + SUSPECT_S)
-        if is_new:
+        if is_newly_suspected:
             log_event("engine_suspected", replica=replica.name, reason=reason)
         for stream in gateway.streams():
-            if stream.uses(replica.identity) and stream.waits(now):
+            if stream.uses_engine(replica.identity) and stream.is_stalled(now):
                 stream.leave_engine(replica, reason)
 
-    def _take(self, first: Replica, service: str, report: engine_wire.Report) -> None:
+    def _handle_report(
+        self, first: Replica, service: str, report: engine_wire.Report
+    ) -> None:
         log_event(
             "engine_reported",
             level="DEBUG",
--- a/src/wagtailstair/gateway/transfer.py
+++ b/src/wagtailstair/gateway/transfer.py
@@ -1,4 +1,4 @@
-"""One HTTP exchange with an upstream, and the connections that are kept for more."""
+"""HTTP exchanges with upstreams over a pool of keep-alive connections."""
 
 import enum
 import typing as t
@@ -13,69 +13,75 @@
 
 Header = tuple[bytes, bytes]
 
-CONNECT_S = 0.4
-"""Seconds for a connection inside a region: hundreds of times a round trip."""
+CONNECT_TIMEOUT_S = 0.4
+"""Seconds to connect inside a region: hundreds of times a round trip."""
 
-IDLE_S = 6.0
-"""Seconds that a connection is kept where the upstream names no timeout."""
+IDLE_TIMEOUT_S = 6.0
+"""Seconds that an idle connection is kept if the upstream names no timeout."""
 
 IDLE_MARGIN_S = 2.0
-"""Seconds before an upstream's own timeout at which its connection is dropped."""
+"""Seconds before an upstream's own timeout at which its connection is closed."""
 
-IDLE_PER_ADDRESS = 8
+IDLE_PER_UPSTREAM_MAX = 8
 
 
 class Loss(enum.Enum):
-    """What is known of a request whose exchange broke."""
+    """Whether a request whose exchange failed may have reached the upstream.
+
+    ``NOT_SENT``: it certainly did not; ``UNKNOWN``: it may have run.
+    """
 
     NOT_SENT = "not_sent"
     UNKNOWN = "unknown"
 
 
 class Observer(t.Protocol):
-    """What an exchange tells the one who started it."""
+    """Callbacks of an exchange to its initiator."""
 
     def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
-        """Take the head of an answer; ``False`` if the answer is not this one's."""
+        """Handle a response head; return ``False`` if it answers another request."""
         ...
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Handle a part of the body."""
         ...
 
     def on_complete(self) -> None:
-        """Take the end of a whole answer."""
+        """Handle the end of a complete response."""
         ...
 
     def on_lost(self, loss: Loss, reason: str) -> None:
-        """Take the end of the exchange without a whole answer."""
+        """Handle the end of the exchange without a complete response."""
         ...
 
 
 class Upstream(t.NamedTuple):
-    """Where a connection goes: an address and the start that it belongs to."""
+    """Target of a connection: an address, and the process start that serves it.
+
+    A restarted process has another identity, so its connections are not mixed up.
+    """
 
     address: str
     identity: t.Hashable
 
 
-class Wire:
-    """A connection to an upstream and the parser of its answers."""
+class UpstreamConnection:
+    """A connection to an upstream and the parser of its responses."""
 
     __slots__ = (
-        "_closes_at_end",
+        "_connect_timer",
+        "_ends_at_eof",
+        "_has_final_head",
         "_headers",
-        "_is_final",
         "_is_skipping",
         "_loop",
         "_parser",
         "_pool",
         "_reason",
-        "_timer",
         "connection",
         "idle_s",
         "idle_since",
-        "is_clean",
+        "is_reusable",
         "observer",
         "upstream",
     )
@@ -85,100 +91,100 @@
         self._loop = loop
         self.upstream = upstream
         self.observer: Observer | None = None
-        self.is_clean = True
-        self.idle_s = IDLE_S
+        self.is_reusable = True
+        self.idle_s = IDLE_TIMEOUT_S
         self.idle_since = 0.0
-        self._timer: Timer | None = None
+        self._connect_timer: Timer | None = None
         self._headers: list[Header] = []
         host, _, port = upstream.address.rpartition(":")
         self.connection: Connection | None = connect(
             loop, (host, int(port)), self._on_data, self._on_lost, self._on_connected
         )
-        self._timer = loop.call_later(CONNECT_S, self._on_connect_timeout)
-        self._begin()
+        self._connect_timer = loop.call_later(
+            CONNECT_TIMEOUT_S, self._on_connect_timeout
+        )
+        self._reset_parser()
 
     def send(self, data: bytes, observer: Observer) -> None:
-        """Send a request; its answer goes to the observer."""
+        """Send a request whose response goes to the observer."""
         self.observer = observer
-        self._begin()
+        self._reset_parser()
         if self.connection is not None:
             self.connection.write(data)
 
     def cancel(self) -> None:
-        """Close the connection; the observer hears nothing more."""
+        """Close the connection without further callbacks to the observer."""
         self.observer = None
-        self._drop()
+        self._close()
 
-    # Called by the parser.
+    # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Begin an answer."""
+        """Begin a response; without a request the connection is not reusable."""
         if self.observer is None:
-            self.is_clean = False
+            self.is_reusable = False
         self._headers = []
         self._reason = b""
 
     def on_status(self, reason: bytes) -> None:
-        """Take a part of the reason phrase."""
+        """Store a part of the reason phrase."""
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header; after the body it is a trailer and dropped."""
-        if not self._is_final:
+        """Store a header; trailers, which follow the body, are dropped."""
+        if not self._has_final_head:
             self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Hand the head over."""
+        """Pass the head of a final response to the observer."""
         if self.observer is None:
             return
         status = self._parser.get_status_code()
         if status < 200:
             return
-        self._is_final = True
+        self._has_final_head = True
         self._read_connection_headers(status)
         if not self.observer.on_head(status, self._reason, self._headers):
-            # An answer to an earlier request: passed over, ours is still due.
+            # The response to an earlier request: skip it and wait for the next.
             self._is_skipping = True
-            self.is_clean = False
+            self.is_reusable = False
 
     def on_body(self, data: bytes) -> None:
-        """Hand a part of the body over."""
-        if self.observer is not None and self._is_final and not self._is_skipping:
+        """Pass a part of the body to the observer."""
+        if self.observer is not None and self._has_final_head and not self._is_skipping:
             self.observer.on_body(data)
 
     def on_message_complete(self) -> None:
-        """Note the end of an answer."""
-        if not self._is_final or self.observer is None:
+        """Complete the exchange, unless the response was skipped or interim."""
+        if not self._has_final_head or self.observer is None:
             return
         if self._is_skipping:
             self._is_skipping = False
-            self._is_final = False
+            self._has_final_head = False
             return
         self._complete()
 
-    # Inside.
-
-    def _begin(self) -> None:
+    def _reset_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._headers = []
         self._reason = b""
-        self._is_final = False
+        self._has_final_head = False
         self._is_skipping = False
-        self._closes_at_end = False
+        self._ends_at_eof = False
 
     def _read_connection_headers(self, status: int) -> None:
         is_framed = status in (204, 304)
         for name, value in self._headers:
             lowered = name.lower()
             if lowered == b"connection" and b"close" in value.lower():
-                self.is_clean = False
+                self.is_reusable = False
             elif lowered == b"keep-alive":
                 self._read_keep_alive(value)
             elif lowered in (b"content-length", b"transfer-encoding"):
                 is_framed = True
-        self._closes_at_end = not is_framed
-        if self._closes_at_end:
-            self.is_clean = False
+        self._ends_at_eof = not is_framed
+        if self._ends_at_eof:
+            self.is_reusable = False
 
     def _read_keep_alive(self, value: bytes) -> None:
         for part in value.split(b","):
@@ -189,84 +195,89 @@
     def _complete(self) -> None:
         observer, self.observer = self.observer, None
         connection = self.connection
-        # An answer that comes before the request is whole leaves the rest unread.
-        if connection is not None and connection.pending:
-            self.is_clean = False
+        # The upstream responded early and does not read the rest of the request.
+        if connection is not None and connection.pending_bytes:
+            self.is_reusable = False
         if observer is not None:
             observer.on_complete()
 
     def _on_connected(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        if self._connect_timer is not None:
+            self._connect_timer.cancel()
+            self._connect_timer = None
 
     def _on_connect_timeout(self) -> None:
-        self._timer = None
-        self._end(Loss.NOT_SENT, "connect timeout")
+        self._connect_timer = None
+        self._fail(Loss.NOT_SENT, "connect timeout")
 
     def _on_lost(self, error: OSError) -> None:
-        loss = Loss.NOT_SENT if self._timer is not None else Loss.UNKNOWN
-        self._end(loss, f"errno {error.errno}")
+        loss = Loss.NOT_SENT if self._connect_timer is not None else Loss.UNKNOWN
+        self._fail(loss, f"errno {error.errno}")
 
     def _on_data(self, data: bytes) -> None:
         if not data:
-            self._on_end()
+            self._on_eof()
             return
         try:
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
-            self.is_clean = False
-            self._end(Loss.UNKNOWN, f"not an answer: {error}")
+            self.is_reusable = False
+            self._fail(Loss.UNKNOWN, f"not an answer: {error}")
             return
         if self.observer is None and self.connection is not None:
-            self._pool.keep(self)
+            self._pool.release(self)
 
-    def _on_end(self) -> None:
-        is_answer = self._is_final and not self._is_skipping
-        if self.observer is not None and is_answer and self._closes_at_end:
+    def _on_eof(self) -> None:
+        has_answer = self._has_final_head and not self._is_skipping
+        if self.observer is not None and has_answer and self._ends_at_eof:
             self._complete()
-            self._drop()
+            self._close()
             return
-        self._end(Loss.UNKNOWN, "closed")
+        self._fail(Loss.UNKNOWN, "closed")
 
-    def _end(self, loss: Loss, reason: str) -> None:
+    def _fail(self, loss: Loss, reason: str) -> None:
         observer, self.observer = self.observer, None
-        self._drop()
+        self._close()
         if observer is not None:
             observer.on_lost(loss, reason)
 
-    def _drop(self) -> None:
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+    def _close(self) -> None:
+        if self._connect_timer is not None:
+            self._connect_timer.cancel()
+            self._connect_timer = None
         connection, self.connection = self.connection, None
         if connection is not None:
             connection.close()
-        self._pool.forget(self)
+        self._pool.discard(self)
 
 
 class UpstreamPool:
-    """Connections to upstreams that wait for another request."""
+    """Idle connections to upstreams, kept for further requests."""
 
     __slots__ = ("_idle_by_upstream", "_loop")
 
     def __init__(self, loop: Loop) -> None:
         self._loop = loop
-        self._idle_by_upstream: dict[Upstream, list[Wire]] = {}
+        self._idle_by_upstream: dict[Upstream, list[UpstreamConnection]] = {}
         self._loop.call_later(1.0, self._sweep)
 
     def send(
-        self, upstream: Upstream, data: bytes, observer: Observer, *, fresh: bool
-    ) -> Wire | None:
-        """Send a request on a kept or new connection.
-
-        :param fresh: take a new one, whose loss is less likely.
-        :returns: ``None`` if no connection could be begun; nothing was sent.
+        self,
+        upstream: Upstream,
+        data: bytes,
+        observer: Observer,
+        *,
+        new_connection: bool,
+    ) -> UpstreamConnection | None:
+        """Send a request on an idle or new connection.
+
+        :param new_connection: open a new one, which is less likely to be lost.
+        :returns: ``None`` if no connection could be opened; nothing was sent.
         """
-        wire = None if fresh else self._take(upstream)
-        if wire is None:
+        connection = None if new_connection else self._take(upstream)
+        if connection is None:
             try:
-                wire = Wire(self, self._loop, upstream)
+                connection = UpstreamConnection(self, self._loop, upstream)
             except OSError as error:
                 log_event(
                     "connect_failed",
@@ -275,39 +286,43 @@
                     error=error.errno,
                 )
                 return None
-        wire.send(data, observer)
-        return wire
-
-    def keep(self, wire: Wire) -> None:
-        """Keep a connection whose answer is whole, if it can be used again."""
-        idle = self._idle_by_upstream.setdefault(wire.upstream, [])
-        if not wire.is_clean or wire.idle_s <= 0 or len(idle) >= IDLE_PER_ADDRESS:
-            wire.cancel()
+        connection.send(data, observer)
+        return connection
+
+    def release(self, connection: UpstreamConnection) -> None:
+        """Return a connection to the pool after its response, or close it."""
+        idle = self._idle_by_upstream.setdefault(connection.upstream, [])
+        if (
+            not connection.is_reusable
+            or connection.idle_s <= 0
+            or len(idle) >= IDLE_PER_UPSTREAM_MAX
+        ):
+            connection.cancel()
             return
-        wire.idle_since = self._loop.now
-        if wire not in idle:
-            idle.append(wire)
+        connection.idle_since = self._loop.now
+        if connection not in idle:
+            idle.append(connection)
 
-    def forget(self, wire: Wire) -> None:
-        """Drop a connection that is closed."""
-        idle = self._idle_by_upstream.get(wire.upstream)
-        if idle is not None and wire in idle:
-            idle.remove(wire)
+    def discard(self, connection: UpstreamConnection) -> None:
+        """Remove a closed connection from the pool."""
+        idle = self._idle_by_upstream.get(connection.upstream)
+        if idle is not None and connection in idle:
+            idle.remove(connection)
 
-    def _take(self, upstream: Upstream) -> Wire | None:
+    def _take(self, upstream: Upstream) -> UpstreamConnection | None:
         idle = self._idle_by_upstream.get(upstream)
         while idle:
-            wire = idle.pop()
-            if self._loop.now - wire.idle_since < wire.idle_s:
-                return wire
-            wire.cancel()
+            connection = idle.pop()
+            if self._loop.now - connection.idle_since < connection.idle_s:
+                return connection
+            connection.cancel()
         return None
 
     def _sweep(self) -> None:
         for upstream, idle in list(self._idle_by_upstream.items()):
-            for wire in list(idle):
-                if self._loop.now - wire.idle_since >= wire.idle_s:
-                    wire.cancel()
+            for connection in list(idle):
+                if self._loop.now - connection.idle_since >= connection.idle_s:
+                    connection.cancel()
             if not idle:
                 del self._idle_by_upstream[upstream]
         self._loop.call_later(1.0, self._sweep)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -529,7 +529,7 @@
         # The spare engines together hold what the second one gives up.
         moved = everyone[stream.path[1].replica.name]
         moved.tell(layers=None)
-        world.run(lambda: not stream.uses((moved.name, 1000)))
+        world.run(lambda: not stream.uses_engine((moved.name, 1000)))
         orders = [o for e in everyone.values() for o in e.orders if o["op"] == "repath"]
         assert [order["id"] for order in orders] == ["a1"]
         assert stream.path[-1].last == 80
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -47,7 +47,7 @@
     except RequestError:
         failed = True
     read = []
-    for request in reader.complete:
+    for request in reader.complete_requests:
         read.append((request.method, request.target, bytes(request.body)))
     return read, failed
 
@@ -70,7 +70,7 @@
             reader = RequestReader(LIMITS, lambda: None)
             with contextlib.suppress(RequestError):
                 reader.feed(data, 0.0)
-            for request in reader.complete:
+            for request in reader.complete_requests:
                 names = [name.lower() for name, _ in request.headers]
                 framings = names.count(b"content-length")
                 framings += names.count(b"transfer-encoding")
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -19,7 +19,9 @@
 
 class TestWhole:
     def test_parts(self):
-        (request,) = read(HEAD + b"X-A: b\r\nContent-Length: 3\r\n\r\nabc").complete
+        (request,) = read(
+            HEAD + b"X-A: b\r\nContent-Length: 3\r\n\r\nabc"
+        ).complete_requests
         assert request.method == b"POST"
         assert request.target == b"/a/b?c=d"
         assert request.path == "/a/b"
@@ -34,19 +36,22 @@
             reader = RequestReader(LIMITS, lambda: None)
             reader.feed(data[:cut], 0.0)
             reader.feed(data[cut:], 0.0)
-            (request,) = reader.complete
+            (request,) = reader.complete_requests
             assert bytes(request.body) == b"abc"
 
     def test_requests_sent_ahead_stay_in_order(self):
         one = b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
         two = b"GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
         reader = read(one + two)
-        assert [request.path for request in reader.complete] == ["/1", "/2"]
-        assert [request.keeps_alive for request in reader.complete] == [True, False]
+        assert [request.path for request in reader.complete_requests] == ["/1", "/2"]
+        assert [request.keeps_alive for request in reader.complete_requests] == [
+            True,
+            False,
+        ]
 
     def test_trailers_are_no_headers(self):
         data = b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Evil: 1\r\n\r\n"
-        (request,) = read(HEAD + data).complete
+        (request,) = read(HEAD + data).complete_requests
         assert request.header(b"x-evil") == b""
 
     def test_leave_to_send_is_asked_for_once(self):
@@ -55,7 +60,7 @@
         reader.feed(HEAD + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n", 0.0)
         assert asked == [1]
         reader.feed(b"a", 0.0)
-        assert len(reader.complete) == 1
+        assert len(reader.complete_requests) == 1
 
 
 AMBIGUOUS = {
