--- a/src/wagtailstair/gateway/answering.py
+++ b/src/wagtailstair/gateway/answering.py
@@ -1,4 +1,4 @@
-"""A server on the loop whose answers are ready at once."""
+"""A server on the event loop whose responses need no waiting."""
 
 import typing as t
 
@@ -10,7 +10,7 @@
 
 
 class AnswerServer:
-    """Answers requests with a function: the balancer's, peers', operators'."""
+    """Serves requests of load balancers, peers and operators with a function."""
 
     is_draining = False
 
@@ -21,14 +21,14 @@
         self._answer = answer
 
     def caller_limits(self) -> CallerLimits:
-        """Return the limits of this side."""
+        """Return the default limits."""
         return CallerLimits()
 
     def start(self, caller: Caller, request: Request) -> Running | None:
-        """Answer at once."""
+        """Send the response at once."""
         status, body = self._answer(request)
         caller.answer(status, b"", (), body)
         return None
 
     def on_caller_closed(self, caller: Caller) -> None:
-        """Nothing is kept of these connections."""
+        """Do nothing: these connections are not tracked."""
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -1,4 +1,4 @@
-"""A caller's connection: requests in, answers out, one after the other."""
+"""A caller's connection, whose requests are answered one at a time and in order."""
 
 import http
 import socket
@@ -16,43 +16,43 @@
 from .requests import RequestReader
 
 PIPELINED_MAX = 8
-"""Requests that a caller may send ahead before it is no longer read from."""
+"""Pipelined requests after which reading from the caller pauses."""
 
 BUFFER_BYTES_MAX = 1 << 20
-"""Bytes that wait for a caller who does not read, before it is cut off."""
+"""Unsent bytes after which a caller that does not read is disconnected."""
 
 TIMEOUT_STATUS = 408
 
 
 class Running(t.Protocol):
-    """A request in work."""
+    """A request that is being served."""
 
     def on_caller_gone(self) -> None:
-        """Stop: nobody waits for the answer."""
+        """Cancel the request: its caller has disconnected."""
         ...
 
 
 class CallerServer(t.Protocol):
-    """What a connection needs from the gateway."""
+    """Interface of the server that a caller's connection uses."""
 
     loop: Loop
     is_draining: bool
 
     def caller_limits(self) -> CallerLimits:
-        """Return the limits in force."""
+        """Return the current limits."""
         ...
 
     def start(self, caller: "Caller", request: Request) -> Running | None:
-        """Begin a request; ``None`` if it was answered at once."""
+        """Serve a request; return ``None`` if it was answered at once."""
         ...
 
     def on_caller_closed(self, caller: "Caller") -> None:
-        """Forget a connection."""
+        """Remove a closed connection."""
         ...
 
 
 def reason_phrase(status: int) -> bytes:
-    """Return the reason phrase of a status."""
+    """Return the reason phrase of a status, empty for an unknown one."""
     try:
         return http.HTTPStatus(status).phrase.encode()
     except ValueError:
@@ -97,57 +97,57 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no request is in work or on its way in."""
+        """Tell whether no request is being served or received."""
         return self._request is None and self._reader.is_between_requests
 
     @property
     def has_begun(self) -> bool:
-        """Tell whether part of an answer was sent."""
+        """Tell whether part of the current response was sent."""
         return self._has_begun
 
-    # Answers.
+    # Responses.
 
     def answer(
         self, status: int, reason: bytes, headers: t.Iterable[Header], body: bytes
     ) -> None:
-        """Send a whole answer."""
+        """Send a complete response."""
         self._write_head(status, reason, headers, length=len(body))
         if body and self._request is not None and self._request.method != b"HEAD":
             self._connection.write(bytes(body))
         self._on_answer_sent()
 
     def begin(self, status: int, reason: bytes, headers: t.Iterable[Header]) -> None:
-        """Send the head of an answer whose length is not known."""
+        """Send the head of a chunked response, whose length is not known."""
         self._is_chunked = True
         self._write_head(status, reason, headers, length=None)
 
     def send(self, data: bytes) -> None:
-        """Send a part of the body."""
+        """Send a chunk of the body."""
         self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
         if self._connection.pending_bytes > BUFFER_BYTES_MAX:
             self._connection.abort()
-            self._on_lost(OSError("the caller does not read"))
+            self._on_lost(OSError("send buffer full: the caller does not read"))
 
     def end(self) -> None:
-        """End an answer begun by :meth:`begin`."""
+        """End a response begun by :meth:`begin`."""
         self._connection.write(b"0\r\n\r\n")
         self._on_answer_sent()
 
     def cut(self) -> None:
-        """Break the answer off so that it can't be taken for a whole one."""
+        """Reset the connection, so that the response can't pass for a complete one."""
         self._active_request = None
         self._connection.abort()
         self._on_closed()
 
-    # The connection.
+    # Connection.
 
     def close_if_idle(self) -> None:
-        """Close unless a request is in work."""
+        """Close unless a request is being served or received."""
         if self.is_idle:
             self._close_gracefully()
 
     def close(self) -> None:
-        """Close at once and stop what is in work."""
+        """Close at once and cancel the current request."""
         active_request, self._active_request = self._active_request, None
         if active_request is not None:
             active_request.on_caller_gone()
@@ -185,12 +185,12 @@
         self._has_begun = False
         self._is_chunked = False
         self._active_at = self._server.loop.now
-        # The head of this answer may have been sent before the shutdown began.
+        # The shutdown may have begun after this response's head was sent.
         if self._close_after_answer or self._server.is_draining:
             self._close_gracefully()
             return
         if self._reader.complete_requests or self._parse_error is not None:
-            # Later, so that a run of refusals does not recurse.
+            # Deferred, so that a series of immediate responses does not recurse.
             self._server.loop.call_later(0.0, self._start_next)
 
     def _close_gracefully(self) -> None:
@@ -228,7 +228,7 @@
 
     def _on_data(self, data: bytes) -> None:
         if not data:
-            self._on_lost(OSError("closed"))
+            self._on_lost(OSError("the caller closed the connection"))
             return
         if self._parse_error is not None:
             return
@@ -250,7 +250,7 @@
             active_request.on_caller_gone()
 
     def _check_timeouts(self) -> None:
-        """End a connection that is idle or sends its request too slowly."""
+        """Close a connection that is idle or sends its request too slowly."""
         loop = self._server.loop
         if self._request is not None:
             self._timer = loop.call_later(self._limits.header_s, self._check_timeouts)
@@ -266,6 +266,10 @@
         if is_idle:
             self._close_gracefully()
             return
-        log_event("request_malformed", status=TIMEOUT_STATUS, reason="too slow")
+        log_event(
+            "request_malformed",
+            status=TIMEOUT_STATUS,
+            reason="request not received in time",
+        )
         self._close_after_answer = True
         self.answer(TIMEOUT_STATUS, b"", (), b"")
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -1,4 +1,4 @@
-"""A TCP connection on the event loop, with a buffer for what can't be sent yet."""
+"""A TCP connection on the event loop, with a send buffer."""
 
 import contextlib
 import errno
@@ -14,19 +14,25 @@
 READ_BYTES = 64 << 10
 
 LINGER_S = 1.0
-"""Seconds that a closed side is read from, so that its last bytes arrive."""
+"""Seconds for which a connection that is shut down for sending is still read, so
+that unread bytes do not make the kernel reset it before the peer has read all."""
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-"""A silent connection fails after 3 s: the span after which hosts count as calm."""
+"""Number of probes: with the two above, a silent connection fails after 3 s, the
+time after which hosts without a new fault count as undisturbed."""
 
 USER_TIMEOUT_MS = 3000
-"""Unacknowledged data fails a connection after as long."""
+"""Milliseconds after which unacknowledged data fails a connection: as long as the
+keep-alive probes take."""
 
 
 def set_options(sock: socket.socket, *, keepalive: bool) -> None:
-    """Set what every connection needs: no delay, and noticing a silent peer."""
+    """Make a socket non-blocking, disable Nagle's algorithm, and add keep-alive.
+
+    :param keepalive: probe the peer, so that a silent one is detected.
+    """
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     if not keepalive:
@@ -41,8 +47,8 @@
 class Connection:
     """A connected or connecting socket.
 
-    :param on_data: takes received bytes; empty at the peer's end of file.
-    :param on_lost: takes the error that broke the connection; not called after
+    :param on_data: called with received bytes, empty at end of file.
+    :param on_lost: called with the error that broke the connection, but not after
         :meth:`close` or :meth:`abort`.
     :param on_connected: called once a connecting socket is connected.
     """
@@ -82,11 +88,11 @@
 
     @property
     def pending_bytes(self) -> int:
-        """Return the number of bytes that are not sent yet."""
+        """Return the number of bytes in the send buffer."""
         return len(self._send_buffer)
 
     def write(self, data: bytes) -> None:
-        """Send bytes, now or when the peer takes them."""
+        """Send bytes, or buffer them until the socket is writable."""
         if not self.is_open or self._is_finishing:
             return
         if self._send_buffer or self._is_connecting:
@@ -108,12 +114,12 @@
         self._set_events(self._events & ~READABLE)
 
     def resume(self) -> None:
-        """Read again."""
+        """Resume reading."""
         if not self._is_connecting:
             self._set_events(self._events | READABLE)
 
     def finish(self) -> None:
-        """Close once all is sent, reading on for a while so that nothing is lost."""
+        """Close once the send buffer is empty and the peer has closed or time is up."""
         if not self.is_open or self._is_finishing:
             return
         self._is_finishing = True
@@ -123,7 +129,7 @@
             self._shut_down_sending()
 
     def close(self) -> None:
-        """Close at once; what is not sent is dropped."""
+        """Close at once and drop unsent bytes."""
         if not self.is_open:
             return
         self.is_open = False
@@ -131,7 +137,7 @@
         self._sock.close()
 
     def abort(self) -> None:
-        """Reset the connection, so that the peer can't take it for an end."""
+        """Reset the connection, so that the peer can't take it for an end of file."""
         if not self.is_open:
             return
         with contextlib.suppress(OSError):
@@ -142,7 +148,7 @@
     def _shut_down_sending(self) -> None:
         try:
             self._sock.shutdown(socket.SHUT_WR)
-        except OSError:  # the peer has closed already
+        except OSError:  # the peer has already closed
             self.close()
             return
         self._set_events(READABLE)
@@ -226,7 +232,7 @@
 ) -> Connection:
     """Open a connection to an IP address and port.
 
-    :raises OSError: if not even a start can be made.
+    :raises OSError: if the connection fails at once.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
@@ -259,7 +265,7 @@
                 accepted, _ = sock.accept()
             except BlockingIOError:
                 return
-            except OSError:  # the peer is gone again, or no descriptor is left
+            except OSError:  # the peer has disconnected, or no descriptor is left
                 return
             on_accept(accepted)
 
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -1,4 +1,4 @@
-"""One HTTP call of the gateway's own, answered to a function."""
+"""HTTP calls that the gateway itself makes, with a callback for the result."""
 
 import typing as t
 
@@ -18,7 +18,7 @@
 
 
 class Answer(t.NamedTuple):
-    """A whole answer, or ``status`` 0 and why there is none."""
+    """A complete response, or ``status`` 0 with the loss and its reason."""
 
     status: int
     body: bytes
@@ -27,9 +27,9 @@
 
 
 def rows_of(answer: Answer) -> StoreRows:
-    """Return the rows of an answer of the store.
+    """Return the rows of a response of the store.
 
-    :raises PlatformError: if there is none that can be used.
+    :raises PlatformError: if there is no response or it is not valid.
     """
     if answer.status == 0:
         raise PlatformError(answer.reason)
@@ -37,7 +37,7 @@
 
 
 class Fetch:
-    """A call and what has come of its answer."""
+    """A call in progress and the part of its response received so far."""
 
     __slots__ = ("_body", "_connection", "_on_answer", "_status", "_timer")
 
@@ -58,11 +58,11 @@
         data = _encode(call, upstream.address)
         self._connection = pool.send(upstream, data, self, new_connection=False)
         if self._connection is None:
-            # Later, so that the caller has the object before its answer.
+            # Deferred, so that the caller has the object before its callback runs.
             loop.call_later(0.0, lambda: self.on_lost(Loss.NOT_SENT, "no connection"))
 
     def cancel(self) -> None:
-        """Give the call up; its answer goes nowhere."""
+        """Cancel the call; the callback is not called."""
         self._on_answer = None
         self._timer.cancel()
         connection, self._connection = self._connection, None
@@ -70,12 +70,12 @@
             connection.cancel()
 
     def on_head(self, status: int, _reason: bytes, _headers: list[Header]) -> bool:
-        """Take the head of the answer."""
+        """Store the status of the response."""
         self._status = status
         return True
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Store a part of the body; cancel the call if it is too long."""
         self._body += data
         if len(self._body) > ANSWER_BYTES_MAX:
             connection, self._connection = self._connection, None
@@ -84,12 +84,12 @@
             self.on_lost(Loss.UNKNOWN, "answer too long")
 
     def on_complete(self) -> None:
-        """Take the end of the answer."""
+        """Report a complete response."""
         self._connection = None
         self._finish(Answer(self._status, bytes(self._body)))
 
     def on_lost(self, loss: Loss, reason: str) -> None:
-        """Take the loss of the answer."""
+        """Report that no complete response arrived."""
         self._connection = None
         self._finish(Answer(0, b"", loss, reason))
 
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -1,4 +1,4 @@
-"""Heads of requests to upstreams and of answers to callers."""
+"""Heads of requests to upstreams and of responses to callers."""
 
 import typing as t
 
@@ -18,7 +18,7 @@
 
 
 def forwarded_head(request: Request, names: HeaderNames) -> bytes:
-    """Return the head of a request as far as every attempt has it in common."""
+    """Return the part of a request's head that all its attempts share."""
     dropped = _connection_options(request.headers) | names.set_here()
     lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
     for name, value in request.headers:
@@ -43,7 +43,7 @@
 
 
 def join_request(common: bytes, headers: t.Iterable[Header], body: bytes) -> bytes:
-    """Return the bytes of a request."""
+    """Return the bytes of a request, from its shared head on."""
     lines = [common]
     for name, value in headers:
         lines.append(b"%b: %b\r\n" % (name, value))
@@ -53,7 +53,7 @@
 
 
 def forwarded_headers(headers: list[Header]) -> list[Header]:
-    """Return the headers of an upstream's answer that its caller gets."""
+    """Return the headers of an upstream's response that are sent to the caller."""
     dropped = _connection_options(headers) | {b"content-length"}
     return [header for header in headers if header[0].lower() not in dropped]
 
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -1,4 +1,4 @@
-"""The pipelines that one request could take."""
+"""The choice of a pipeline for one request."""
 
 from ..core.directory import ModelSpec
 from ..core.directory import Service
@@ -10,12 +10,13 @@
 
 
 class PathFinder:
-    """Finds pipelines for a request by its size.
+    """Finds pipelines for a request by its number of tokens.
 
-    :param usage: the prompt's tokens, and the most tokens of the answer.
+    :param usage: tokens of the prompt, and the limit of the answer's tokens.
     :param hint: the caller's estimate of the answer's tokens, as it was sent.
 
-    ``avoid``: engines that have failed the request; ``tokens``: that it needs.
+    ``avoid``: engines that the request should not use again; ``tokens``: its tokens
+    on each engine.
     """
 
     __slots__ = (
@@ -51,11 +52,11 @@
 
     @property
     def tokens(self) -> float:
-        """Return the tokens of the prompt and of the answer that is expected."""
+        """Return the tokens of the prompt and of the expected answer."""
         return self._prompt_tokens + self._answer_tokens
 
     def choose(self, head: Hop | None = None) -> Path | None:
-        """Return the best pipeline now, from a first hop on if one is given."""
+        """Return the best pipeline at present, after a given first hop if any."""
         context = self._context
         return context.pipelines(self._service).choose(
             self._model,
@@ -73,7 +74,7 @@
         return pipelines.has_room(self._model, path, self.tokens, self._rank)
 
     def kv_fill(self, replica: Replica | None) -> float:
-        """Return how full an engine's memory is thought to be; 0 for none."""
+        """Return the estimated share of KV memory in use on an engine, 0 for none."""
         if replica is None:
             return 0.0
         held = self._context.pipelines(self._service).total(replica).token_layers
--- a/src/wagtailstair/gateway/report.py
+++ b/src/wagtailstair/gateway/report.py
@@ -1,4 +1,4 @@
-"""Reports of engines, asked for and read."""
+"""Requests for the reports of engines."""
 
 import typing as t
 
@@ -13,7 +13,7 @@
 from .transfer import UpstreamPool
 
 REPORT_TIMEOUT_S = 0.3
-"""Seconds for a report: an engine that answers does so within milliseconds."""
+"""Timeout of a report in seconds: a healthy engine responds within milliseconds."""
 
 OK = 200
 
@@ -25,7 +25,10 @@
     on_report: t.Callable[[engine_wire.Report], None],
     on_no_answer: t.Callable[[str], None] = lambda _reason: None,
 ) -> None:
-    """Ask an engine for its report; an unreadable one is logged and dropped."""
+    """Request an engine's report; an unreadable one is logged and dropped.
+
+    :param on_no_answer: called with the reason if the engine does not respond.
+    """
 
     def on_answer(answer: Answer) -> None:
         if answer.status == 0:
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -1,4 +1,4 @@
-"""Requests of callers, read from bytes; what is ambiguous is an error."""
+"""Parser of callers' requests; ambiguous ones are errors, against smuggling."""
 
 import dataclasses
 import typing as t
@@ -12,12 +12,12 @@
 
 Header = tuple[bytes, bytes]
 
-SEPARATOR_BYTES = 4  # a colon, a space and the end of the line
+SEPARATOR_BYTES = 4  # colon, space, CR and LF
 HEADERS_TOO_LARGE = 431
 
 
 class HeadersTooLargeError(RequestTooLargeError):
-    """The head of a request is larger than the limits allow."""
+    """The head of a request exceeds the limit."""
 
     code = "headers_too_large"
     http_status = HEADERS_TOO_LARGE
@@ -25,9 +25,9 @@
 
 @dataclasses.dataclass(slots=True)
 class Request:
-    """A whole request; ``target`` and ``headers`` are as the caller sent them.
+    """A complete request; ``target`` and ``headers`` are as the caller sent them.
 
-    ``received_at``: the instant at which its first byte was read.
+    ``received_at``: the time at which its first byte was read.
     """
 
     method: bytes
@@ -54,7 +54,7 @@
 class RequestReader:
     """Splits a connection's bytes into requests.
 
-    :param on_expect: called when a caller waits for leave to send its body.
+    :param on_expect: called when a caller waits for a 100 Continue response.
     """
 
     __slots__ = (
@@ -85,47 +85,47 @@
 
     @property
     def is_between_requests(self) -> bool:
-        """Tell whether no request has begun."""
+        """Tell whether no request is partly received."""
         return not self._in_head and not self._headers
 
     def feed(self, data: bytes, now: float) -> None:
-        """Take in bytes; whole requests are added to ``complete_requests``.
+        """Parse bytes and add complete requests to ``complete_requests``.
 
-        :raises RequestError: if the bytes are no proper request.
+        :raises RequestError: if the bytes are not a valid request.
         """
         self._now = now
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
-            raise InvalidRequestError("no other protocol is spoken here") from error
+            raise InvalidRequestError("expected no protocol upgrade") from error
         except httptools.HttpParserError as error:
             raise self._error or InvalidRequestError(str(error)) from error
         if not self._in_head:
             return
         self._head_bytes += len(data)
         if self._head_bytes > self._limits.header_bytes:
-            raise HeadersTooLargeError(f"over {self._limits.header_bytes} bytes")
+            raise HeadersTooLargeError(f"head over {self._limits.header_bytes} bytes")
 
-    # Called by the parser.
+    # Callbacks of the parser.
 
     def on_message_begin(self) -> None:
-        """Begin a request."""
+        """Reset the state for a new request."""
         self._reset()
         self._in_head = True
         self._started_at = self._now
 
     def on_url(self, url: bytes) -> None:
-        """Take a part of the target."""
+        """Store a part of the target."""
         self._target += url
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Take a header; after the body it is a trailer and dropped."""
+        """Store a header; trailers, which follow the body, are dropped."""
         if not self._in_head:
             return
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
-        """Check the head."""
+        """Validate the head."""
         self._in_head = False
         error = self._check_head()
         if error is not None:
@@ -133,14 +133,16 @@
             raise error
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Store a part of the body."""
         self._body += data
         if len(self._body) > self._limits.body_bytes:
-            self._error = RequestTooLargeError(f"over {self._limits.body_bytes} bytes")
+            self._error = RequestTooLargeError(
+                f"body over {self._limits.body_bytes} bytes"
+            )
             raise self._error
 
     def on_message_complete(self) -> None:
-        """Hand the request over."""
+        """Add the request to the complete ones."""
         request = Request(
             self._parser.get_method(),
             self._target,
@@ -153,8 +155,6 @@
         self._reset()
         self.complete_requests.append(request)
 
-    # Inside.
-
     def _reset(self) -> None:
         self._target = b""
         self._headers: list[Header] = []
@@ -171,17 +171,19 @@
         for name, value in self._headers:
             size += len(name) + len(value) + SEPARATOR_BYTES
         if size > self._limits.header_bytes:
-            return HeadersTooLargeError(f"over {self._limits.header_bytes} bytes")
+            return HeadersTooLargeError(f"head over {self._limits.header_bytes} bytes")
         if not self._target.startswith(b"/"):
-            return InvalidRequestError("expected a target that begins with a slash")
+            return InvalidRequestError(
+                "expected a request target that begins with a slash"
+            )
         if self._parser.get_http_version() not in ("1.1", "1.0"):
-            return InvalidRequestError("expected HTTP/1.1")
+            return InvalidRequestError("expected HTTP/1.0 or HTTP/1.1")
         return self._check_host() or self._check_body()
 
     def _check_host(self) -> RequestError | None:
         hosts = self._header_values(b"host")
         if len(hosts) != 1 or not hosts[0]:
-            return InvalidRequestError("expected one Host header")
+            return InvalidRequestError("expected exactly one Host header with a value")
         host = hosts[0].decode("latin-1").lower()
         name, colon, port = host.rpartition(":")
         self._host = name if colon and port.isdigit() else host
@@ -190,10 +192,12 @@
     def _check_body(self) -> RequestError | None:
         for value in self._header_values(b"content-length"):
             if int(value) > self._limits.body_bytes:
-                return RequestTooLargeError(f"over {self._limits.body_bytes} bytes")
+                return RequestTooLargeError(
+                    f"body over {self._limits.body_bytes} bytes"
+                )
         for value in self._header_values(b"transfer-encoding"):
             if value.strip().lower() != b"chunked":
-                return InvalidRequestError("expected the transfer encoding chunked")
+                return InvalidRequestError("expected no Transfer-Encoding but chunked")
         if b"100-continue" in (
             value.lower() for value in self._header_values(b"expect")
         ):
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/suspicion.py
@@ -1,4 +1,4 @@
-"""Engines that requests wait for: found by reports, avoided, left by streams."""
+"""Detection of stalled engines from reports, so that streams move off them."""
 
 import typing as t
 
@@ -11,14 +11,16 @@
     from .gateway import Gateway
 
 REPORT_INTERVAL_S = 0.15
-"""Seconds between two reports of the same engine: each is priced, and old."""
+"""Shortest interval between reports of an engine: each has a cost, and describes
+a state some time ago."""
 
 SUSPECT_S = 3.0
-"""Seconds that an engine is avoided; one that is dead is off the list by then."""
+"""Seconds for which a suspected engine is avoided; a dead one is no longer listed
+by then."""
 
 
 class Suspicion:
-    """Investigates stalls of the gateway's streams."""
+    """Finds the engines that stall the gateway's streams."""
 
     __slots__ = ("_gateway", "_requested_at_by_name")
 
@@ -27,7 +29,7 @@
         self._requested_at_by_name: dict[str, float] = {}
 
     def investigate(self, first: Replica, service: str) -> None:
-        """Ask a first engine which engines its requests wait for."""
+        """Request a report of which engines a first engine's requests wait for."""
         loop = self._gateway.loop
         requested_at = self._requested_at_by_name.get(first.name, float("-inf"))
         if loop.now - requested_at < REPORT_INTERVAL_S:
@@ -43,7 +45,7 @@
         )
 
     def suspect(self, replica: Replica, service: str, reason: str) -> None:
-        """Avoid an engine, and take the streams off it that wait."""
+        """Avoid an engine for a while and move stalled streams off it."""
         gateway = self._gateway
         now = gateway.loop.now
         pipelines = gateway.pipelines(service)
