--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -21,7 +21,7 @@
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
 """Number of probes: with the two above, a silent connection fails after 3 s, the
-time after which hosts without a new fault count as undisturbed."""
+time since the last disturbance after which a host counts as reachable."""
 
 USER_TIMEOUT_MS = 3000
 """Milliseconds after which unacknowledged data fails a connection: as long as the
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -1,4 +1,4 @@
-"""The gateway between callers, upstreams and the store, on one loop."""
+"""Tests of the gateway with callers, upstreams and the store on one event loop."""
 
 import os
 import signal
@@ -43,14 +43,14 @@
     return host
 
 
-def place_all(world, engines):
-    """Wait until the hosts know what layers the engines hold."""
+def wait_for_placement(world, engines):
+    """Wait until every host knows which layers each engine holds."""
 
-    def is_known(host, engine):
+    def is_placed(host, engine):
         replica = host.replicas.by_name.get(engine.name)
         return replica is not None and replica.layers is not None
 
-    world.run(lambda: all(is_known(h, e) for h in world.hosts for e in engines))
+    world.run(lambda: all(is_placed(h, e) for h in world.hosts for e in engines))
 
 
 def runs(upstreams):
@@ -74,19 +74,19 @@
             ("/lookup/1", None, 200),
         ],
     )
-    def test_judged(self, world, desks, host, path, key, status):
+    def test_status_by_route_and_key(self, world, desks, host, path, key, status):
         world.store.put("servers", "i-three", dict(desks[0].row, service="desk2"))
         world.run(lambda: "i-three" in host.replicas.by_name)
         assert world.ask(host, make_request(path, "a1", key=key)).status == status
 
-    def test_new_lists_are_taken(self, world, desks, host):
+    def test_new_lists_are_applied(self, world, desks, host):
         config = make_config(2)
         config["tenants"][0]["api_keys"] = ["key-two"]
         world.store.put("op", "config", config)
         world.run(lambda: host.lists_version() == 2)
         assert world.ask(host, make_request("/register/1", "a1")).status == 401
 
-    def test_older_and_unreadable_lists_are_passed_over(self, world, host):
+    def test_older_and_unreadable_lists_are_ignored(self, world, host):
         world.store.put("op", "config", make_config(5))
         world.run(lambda: host.lists_version() == 5)
         world.store.put("op", "config", make_config(4))
@@ -96,14 +96,14 @@
 
 
 class TestCalls:
-    def test_answer_as_the_upstream_gave_it(self, world, desks, host):
+    def test_response_is_forwarded_unchanged(self, world, desks, host):
         request = make_request("/register/7?x=1", "a1", method="POST", body=b"fee")
         answered = world.ask(host, request)
         assert (answered.status, answered.body) == (200, b"body of a1")
         assert b"X-Response-Signature: sig\r\n" in answered.data
         assert answered.data.startswith(b"HTTP/1.1 200 Fine\r\n")
 
-    def test_what_the_upstream_sees(self, world, desks, host):
+    def test_upstream_receives_cleaned_headers(self, world, desks, host):
         headers = "X-Tenant: forged\r\nX-Other: kept\r\nConnection: X-Hop\r\nX-Hop: 1"
         request = make_request(
             "/register/7?x=1", "a1", method="POST", body=b"fee", headers=headers
@@ -120,7 +120,7 @@
         assert seen.header(b"x-target-replica") in (b"i-one", b"i-two")
         assert 0 < int(seen.header(b"x-deadline-ms")) <= 1200
 
-    def test_refused_call_goes_to_another_upstream(self, world, desks, host):
+    def test_refused_call_is_sent_to_another_upstream(self, world, desks, host):
         for desk in desks:
             desk.script = ["refuse"]
         desks[1].script = []
@@ -130,7 +130,7 @@
             assert world.ask(host, request).status == 200
         assert sorted(runs(desks)) == ["a0", "a1", "a2", "a3"]
 
-    def test_refused_by_all_is_refused(self, world, desks, host):
+    def test_call_refused_by_all_upstreams_is_refused(self, world, desks, host):
         for desk in desks:
             desk.script = ["refuse"] * 9
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
@@ -138,7 +138,7 @@
         assert b"Retry-After: " in answered.data
         assert runs(desks) == []
 
-    def test_lost_call_that_may_not_repeat_is_not_sent_again(self, world, desks, host):
+    def test_lost_non_idempotent_call_is_not_retried(self, world, desks, host):
         for desk in desks:
             desk.script = ["lose"]
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
@@ -146,7 +146,7 @@
         assert runs(desks) == ["a1"]
 
     @pytest.mark.parametrize("fault", ["lose", "error", "unsigned"])
-    def test_idempotent_call_is_sent_again(self, world, desks, host, fault):
+    def test_idempotent_call_is_retried(self, world, desks, host, fault):
         config = make_config(2)
         config["routes"][2].update(service="desk", split=None)
         world.store.put("op", "config", config)
@@ -154,7 +154,7 @@
         for desk in desks:
             desk.script = [fault]
         first = world.ask(host, make_request("/lookup/7", "a1"))
-        # Both upstreams fail once: two attempts are all that the route allows.
+        # Both upstreams fail once, and the route allows two attempts.
         assert first.status == (500 if fault == "error" else 502)
         assert runs(desks) == ["a1", "a1"]
         assert world.ask(host, make_request("/lookup/7", "a2")).status == 200
@@ -165,28 +165,28 @@
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
         assert answered.status == 502
 
-    def test_a_refusal_that_may_have_run_is_no_refusal(self, world, desks, host):
+    def test_refusal_without_the_not_run_header_may_have_run(self, world, desks, host):
         for desk in desks:
             desk.script = ["unflagged"]
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
         assert answered.status == 502
         assert runs(desks) == ["a1"]
 
-    def test_foreign_answer_reaches_nobody(self, world, desks, host):
+    def test_response_to_another_request_is_dropped(self, world, desks, host):
         for desk in desks:
             desk.script = ["foreign"]
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
         assert answered.status == 504
         assert b"other" not in answered.data
 
-    def test_silent_call_ends_with_its_routes_timeout(self, world, desks, host):
+    def test_call_without_response_ends_at_the_route_timeout(self, world, desks, host):
         for desk in desks:
             desk.script = ["silent"]
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
         assert answered.status == 504
         assert runs(desks) == ["a1"]
 
-    def test_leaving_upstream_gets_nothing(self, world, desks, host):
+    def test_draining_upstream_gets_no_requests(self, world, desks, host):
         desks[0].tell(state="draining")
         world.run(lambda: host.replicas.by_name["i-one"].is_leaving)
         for number in range(5):
@@ -194,7 +194,7 @@
             assert world.ask(host, request).status == 200
         assert desks[0].runs == []
 
-    def test_unreadable_row_is_passed_over(self, world, desks, host):
+    def test_unreadable_row_is_ignored(self, world, desks, host):
         world.store.put("servers", "i-bad", {"service": "desk", "address": 7})
         world.store.put("servers", "i-odd", dict(desks[0].row, state="dancing"))
         desks[1].tell(sequence=9)
@@ -202,7 +202,7 @@
         request = make_request("/register/7", "a1", method="POST")
         assert world.ask(host, request).status == 200
 
-    def test_caller_that_leaves_stops_the_upstream(self, world, desks, host):
+    def test_caller_disconnect_cancels_the_call(self, world, desks, host):
         for desk in desks:
             desk.script = ["silent"]
         answered = world.send(host, make_request("/register/7", "a1", method="POST"))
@@ -212,7 +212,7 @@
 
 
 class TestConnections:
-    def test_kept_for_more(self, world, desks, host):
+    def test_connection_is_kept_alive(self, world, desks, host):
         answered = world.send(host, make_request("/register/7", "a1", method="POST"))
         world.run(lambda: b"body of a1" in answered.data)
         again = make_request("/register/7", "a2", method="POST")
@@ -220,7 +220,7 @@
         world.run(lambda: b"body of a2" in answered.data)
         assert not answered.is_closed
 
-    def test_sent_ahead_answers_stay_in_order(self, world, desks, host):
+    def test_pipelined_requests_are_answered_in_order(self, world, desks, host):
         data = b"".join(
             make_request("/register/7", f"a{n}", method="POST") for n in range(5)
         )
@@ -229,7 +229,7 @@
         places = [answered.data.index(b"body of a%d" % n) for n in range(5)]
         assert places == sorted(places)
 
-    def test_smuggled_request_runs_nowhere(self, world, desks, host):
+    def test_smuggled_request_is_rejected(self, world, desks, host):
         data = (
             b"POST /register/7 HTTP/1.1\r\nHost: desk.example\r\n"
             b"Authorization: Token key-one\r\nX-Attempt-Id: a1\r\n"
@@ -241,7 +241,9 @@
         assert answered.status == 400
         assert runs(desks) == []
 
-    def test_other_connections_do_not_notice(self, world, desks, host):
+    def test_malformed_request_does_not_affect_other_connections(
+        self, world, desks, host
+    ):
         bad = world.send(host, b"NONSENSE\r\n\r\n")
         good = world.send(host, make_request("/register/7", "a1", method="POST"))
         world.run(lambda: bad.is_closed and good.is_whole)
@@ -249,8 +251,8 @@
 
 
 class TestStreams:
-    def test_whole(self, world, engines, host):
-        place_all(world, engines)
+    def test_complete_stream(self, world, engines, host):
+        wait_for_placement(world, engines)
         answered = world.ask(host, make_stream("a1"))
         assert (answered.status, answered.body) == (200, EVENTS)
         (seen,) = [r for e in engines for r in e.seen if r.path.startswith("/draft")]
@@ -264,68 +266,68 @@
             assert address in [engine.address for engine in engines]
         assert layer == 80
 
-    def test_each_engine_is_ordered_once(self, world, engines, host):
-        place_all(world, engines)
+    def test_each_engine_gets_one_placement_order(self, world, engines, host):
+        wait_for_placement(world, engines)
         world.ask(host, make_stream("a1"))
         assert [len(engine.orders) for engine in engines] == [1, 1, 1, 1]
 
-    def test_cut_in_the_middle_goes_on_elsewhere(self, world, engines, host):
-        place_all(world, engines)
+    def test_aborted_stream_resumes_on_another_pipeline(self, world, engines, host):
+        wait_for_placement(world, engines)
         spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
-        everyone = engines + spare
-        for engine in everyone:
+        wait_for_placement(world, spare)
+        all_engines = engines + spare
+        for engine in all_engines:
             engine.cut_after = 5
         answered = world.send(host, make_stream("a1"))
-        world.run(lambda: len(runs(everyone)) == 1)
-        for engine in everyone:
+        world.run(lambda: len(runs(all_engines)) == 1)
+        for engine in all_engines:
             if not engine.runs:
                 engine.cut_after = None
         world.run(lambda: answered.is_whole or answered.is_closed)
         assert answered.body == EVENTS
         assert answered.data.count(b"X-Response-Signature") == 1
-        lasts = [last for engine in everyone for last in engine.last_ids]
-        assert sorted(lasts) == [b"", b"5"]
+        last_ids = [last_id for engine in all_engines for last_id in engine.last_ids]
+        assert sorted(last_ids) == [b"", b"5"]
 
-    def test_frozen_in_the_middle_goes_on_elsewhere(self, world, engines, host):
-        place_all(world, engines)
+    def test_stalled_stream_resumes_on_another_pipeline(self, world, engines, host):
+        wait_for_placement(world, engines)
         spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
-        everyone = engines + spare
-        for engine in everyone:
+        wait_for_placement(world, spare)
+        all_engines = engines + spare
+        for engine in all_engines:
             engine.freeze_after = 5
         answered = world.send(host, make_stream("a1"))
-        world.run(lambda: len(runs(everyone)) == 1)
-        for engine in everyone:
+        world.run(lambda: len(runs(all_engines)) == 1)
+        for engine in all_engines:
             if not engine.runs:
                 engine.freeze_after = None
         world.run(lambda: answered.is_whole or answered.is_closed)
         assert answered.body == EVENTS
 
-    def test_leaving_engine_hands_its_streams_over(self, world, engines, host):
-        place_all(world, engines)
+    def test_stream_moves_off_a_draining_engine(self, world, engines, host):
+        wait_for_placement(world, engines)
         spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
-        everyone = engines + spare
-        for engine in everyone:
+        wait_for_placement(world, spare)
+        all_engines = engines + spare
+        for engine in all_engines:
             engine.events, engine.pause_s = 60, 0.02
         answered = world.send(host, make_stream("a1"))
         world.run(lambda: b"id: 5\n" in answered.data)
-        (first,) = [engine for engine in everyone if engine.runs]
+        (first,) = [engine for engine in all_engines if engine.runs]
         first.tell(state="draining")
-        world.run(lambda: len(runs(everyone)) == 2)
+        world.run(lambda: len(runs(all_engines)) == 2)
         world.run(lambda: answered.is_whole or answered.is_closed)
         ids = [
             int(line[4:]) for line in answered.body.split(b"\n") if line[:3] == b"id:"
         ]
         assert ids == list(range(1, 61))
 
-    def test_no_engines_is_refused_at_once(self, world, host):
+    def test_stream_without_engines_is_refused_at_once(self, world, host):
         answered = world.ask(host, make_stream("a1"))
         assert answered.status == 503
 
-    def test_caller_that_leaves_stops_the_engine(self, world, engines, host):
-        place_all(world, engines)
+    def test_caller_disconnect_cancels_the_stream(self, world, engines, host):
+        wait_for_placement(world, engines)
         for engine in engines:
             engine.events = 10_000
         answered = world.send(host, make_stream("a1"))
@@ -339,14 +341,16 @@
 
 class TestStore:
     @pytest.mark.parametrize("mode", ["busy", "silent"])
-    def test_served_while_the_store_is_away(self, world, desks, host, mode):
+    def test_calls_are_served_while_the_store_is_unavailable(
+        self, world, desks, host, mode
+    ):
         world.store.mode = mode
         for caller in list(world.store.callers):
             caller.close()
         request = make_request("/register/7", "a1", method="POST")
         assert world.ask(host, request).status == 200
 
-    def test_followed_again_after_its_return(self, world, desks, host):
+    def test_store_is_followed_again_after_an_outage(self, world, desks, host):
         world.store.mode = "busy"
         for caller in list(world.store.callers):
             caller.close()
@@ -355,8 +359,8 @@
         world.store.mode = "ok"
         world.run(lambda: host.lists_version() == 9)
 
-    def test_a_reread_drops_what_is_missing(self, world, desks, host):
-        # The row went while the history was lost, so that no change tells of it.
+    def test_full_read_removes_missing_rows(self, world, desks, host):
+        # The row was deleted while the history was lost, so the feed has no change.
         del world.store.row_by_key["servers", "i-one"]
         world.store.version += 1
         follower = host.knowledge._follower_by_table["servers"]
@@ -365,11 +369,13 @@
         world.run(lambda: "i-one" not in host.replicas.by_name)
         assert "i-two" in host.replicas.by_name
 
-    def test_lists_come_from_a_peer_while_the_store_is_away(self, world, desks, host):
+    def test_lists_are_read_from_a_peer_while_the_store_is_unavailable(
+        self, world, desks, host
+    ):
         other = world.add_host("entry-2")
         world.run(lambda: other.is_ready() and bool(other.peers.live_hosts()))
         world.run(lambda: bool(host.peers.live_hosts()))
-        # This host alone loses the store.
+        # Only this host loses its connections to the store.
         host.knowledge._lists.start = lambda: None
         for follower in host.knowledge._follower_by_table.values():
             follower._store = follower._store._replace(address="127.0.0.1:9")
@@ -382,7 +388,7 @@
 
 
 class TestDelegates:
-    """Two hosts of a data centre follow the store, and the others ask them."""
+    """Two hosts of a data centre follow the store; the others read from these."""
 
     @pytest.fixture
     def hosts(self, world, desks):
@@ -392,9 +398,9 @@
         world.run(lambda: following(hosts) == ["entry-1", "entry-2"])
         return hosts
 
-    def test_changes_reach_all(self, world, desks, hosts):
+    def test_changes_reach_all_hosts(self, world, desks, hosts):
         for host in hosts[2:]:
-            # The store tells them nothing.
+            # These hosts get no changes from the store itself.
             for follower in host.knowledge._follower_by_table.values():
                 follower.start = lambda: None
         world.store.put("op", "config", make_config(3))
@@ -406,16 +412,16 @@
         for host in hosts:
             world.run(lambda host=host: "i-one" not in host.replicas.by_name)
 
-    def test_others_make_no_calls(self, world, desks, hosts):
+    def test_other_hosts_do_not_call_the_store(self, world, desks, hosts):
         calls = len(world.store.seen)
         for version in range(3, 6):
             world.store.put("op", "config", make_config(version))
             world.run(lambda v=version: all(h.lists_version() == v for h in hosts))
-        # Two followers of one table, and the lease that two hosts know of.
+        # Two delegates follow one table, and only two hosts know of the lease.
         feeds = [r for r in world.store.seen[calls:] if r.path == "/rows-feed"]
         assert len(feeds) <= 2 * 3
 
-    def test_a_host_that_comes_later_learns_from_peers(self, world, desks, hosts):
+    def test_late_host_reads_from_peers(self, world, desks, hosts):
         calls = len(world.store.seen)
         late = world.add_host("entry-9")
         world.run(late.is_ready)
@@ -423,7 +429,7 @@
         tables = [r.target for r in world.store.seen[calls:] if r.path == "/rows-get"]
         assert not any(b"table=servers" in target for target in tables)
 
-    def test_delegates_without_the_store_are_succeeded(self, world, desks, hosts):
+    def test_delegates_without_the_store_are_replaced(self, world, desks, hosts):
         for host in hosts[:2]:
             for follower in host.knowledge._follower_by_table.values():
                 follower._store = follower._store._replace(address="127.0.0.1:9")
@@ -432,8 +438,9 @@
         world.store.put("op", "config", make_config(3))
         world.run(lambda: all(host.lists_version() == 3 for host in hosts))
 
-    def test_a_silent_connection_to_the_store_is_noticed(self, world, desks, hosts):
-        # The store no longer answers the first delegate, which has not noticed.
+    def test_silent_connection_to_the_store_is_detected(self, world, desks, hosts):
+        # The store drops its pending feeds and keeps the connections open; only the
+        # second delegate then sends new ones.
         for held, _, _ in world.store.waiting:
             held.is_gone = True
         world.store.waiting = []
@@ -443,33 +450,37 @@
         world.store.put("op", "config", make_config(3))
         world.run(lambda: all(host.lists_version() == 3 for host in hosts))
 
-    def test_a_peer_that_knows_more_is_no_trouble_of_the_store(self, world, hosts):
+    def test_newer_peer_does_not_mark_the_store_unavailable(self, world, hosts):
         host = hosts[0]
         follower = host.knowledge._follower_by_table["servers"]
         follower.renew("test")
         assert not host.knowledge.is_store_away
-        # A row that goes now is gone at once: the store had no trouble.
+        # A deleted row is removed at once, as no call to the store has failed.
         world.store.put("servers", "i-two", None)
         world.run(lambda: follower.copy.version == world.store.version)
         assert "i-two" not in host.replicas.by_name
 
-    def test_a_host_without_the_store_tells_of_no_trouble(self, world, hosts):
+    def test_host_without_the_store_relays_no_failure_time(self, world, hosts):
         knowledge = hosts[0].knowledge
         follower = knowledge._follower_by_table["servers"]
         follower.failed_at = world.loop.now
-        told = decode_relayed("servers", knowledge.relayed("/tables/servers?after=0"))
-        assert told.trouble_s is not None
+        relayed = decode_relayed(
+            "servers", knowledge.relayed("/tables/servers?after=0")
+        )
+        assert relayed.trouble_s is not None
         follower.is_away = True
-        told = decode_relayed("servers", knowledge.relayed("/tables/servers?after=0"))
-        assert told.trouble_s is None
-        assert told.is_all
+        relayed = decode_relayed(
+            "servers", knowledge.relayed("/tables/servers?after=0")
+        )
+        assert relayed.trouble_s is None
+        assert relayed.is_all
 
-    def test_only_what_stays_unknown_is_asked_of_peers(self, world, desks, hosts):
+    def test_peers_are_asked_only_for_overdue_changes(self, world, desks, hosts):
         host, peer = hosts[0], hosts[1].peers.membership.host
         knowledge = host.knowledge
         follower = knowledge._follower_by_table["servers"]
         for _ in range(3):
-            # Word of a change comes a little before the store tells of it.
+            # A peer announces a change shortly before the store's feed delivers it.
             knowledge.on_newer_upstreams(peer)
             assert not knowledge._is_asking
             desks[0].tell(slots=desks[0].row["slots"] + 1)
@@ -477,7 +488,7 @@
             world.run(lambda v=version: follower.copy.version == v)
             since = world.loop.now
             world.run(lambda s=since: world.loop.now - s > OVERDUE_S)
-        # Nothing has come since the last word but one.
+        # No change has arrived since the last announcement but one.
         knowledge.on_newer_upstreams(peer)
         since = world.loop.now
         world.run(lambda: world.loop.now - since > OVERDUE_S)
@@ -490,8 +501,8 @@
 
 
 class TestShutdown:
-    def test_finishes_what_is_in_work(self, world, engines, host):
-        place_all(world, engines)
+    def test_drain_finishes_active_requests(self, world, engines, host):
+        wait_for_placement(world, engines)
         for engine in engines:
             engine.events, engine.pause_s = 60, 0.02
         idle = world.send(host, make_request("/nowhere/", "a0"))
@@ -504,7 +515,7 @@
         assert answered.is_whole
         assert b"id: 60\n" in answered.data
 
-    def test_a_late_request_is_refused_unread(self, world, desks, host):
+    def test_late_request_is_refused(self, world, desks, host):
         host.drain()
         host._stop_accepting()
         answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
@@ -513,29 +524,33 @@
         assert runs(desks) == []
 
 
-class TestMoves:
-    def test_streams_leave_an_engine_that_gives_up_its_layers(
+class TestPlacementChanges:
+    def test_streams_move_off_an_engine_that_drops_its_layers(
         self, world, engines, host
     ):
-        place_all(world, engines)
+        wait_for_placement(world, engines)
         spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
-        everyone = {engine.name: engine for engine in engines + spare}
-        for engine in everyone.values():
+        wait_for_placement(world, spare)
+        all_engines = {engine.name: engine for engine in engines + spare}
+        for engine in all_engines.values():
             engine.events, engine.pause_s = 100, 0.02
         world.send(host, make_stream("a1"))
         world.run(lambda: bool(host.streams()) and len(host.streams()[0].path) > 1)
         (stream,) = host.streams()
-        # The spare engines together hold what the second one gives up.
-        moved = everyone[stream.path[1].replica.name]
+        # The spare engines together hold the layers that the second one drops.
+        moved = all_engines[stream.path[1].replica.name]
         moved.tell(layers=None)
         world.run(lambda: not stream.uses_engine((moved.name, 1000)))
-        orders = [o for e in everyone.values() for o in e.orders if o["op"] == "repath"]
+        orders = [
+            o for e in all_engines.values() for o in e.orders if o["op"] == "repath"
+        ]
         assert [order["id"] for order in orders] == ["a1"]
         assert stream.path[-1].last == 80
 
-    def test_a_gap_is_closed_while_engines_keep_coming(self, world, engines, host):
-        place_all(world, engines)
+    def test_uncovered_layers_are_placed_while_engines_keep_joining(
+        self, world, engines, host
+    ):
+        wait_for_placement(world, engines)
         engines[0].tell(state="draining")
         new = []
 
@@ -561,14 +576,14 @@
         )
         path.write_text(text.replace("slack = 200", slack))
 
-    def test_a_change_is_taken_without_a_signal(self, world, host, tmp_path):
+    def test_change_is_applied_without_a_signal(self, world, host, tmp_path):
         path = tmp_path / "host.toml"
         self.write(path, host, "slack = 200")
         host.follow_settings(path)
         self.write(path, host, "slack = 50")
         world.run(lambda: host.settings.retries.slack == 50)
 
-    def test_what_is_not_valid_changes_nothing(self, world, host, tmp_path):
+    def test_invalid_settings_are_ignored(self, world, host, tmp_path):
         path = tmp_path / "host.toml"
         self.write(path, host, "slack = 200")
         host.follow_settings(path)
@@ -579,7 +594,7 @@
 
 
 class TestStart:
-    """Signals may come before the program is loaded."""
+    """Signals may arrive before the program is imported."""
 
     SCRIPT = """
 import signal, sys
@@ -588,14 +603,14 @@
 print(slow)
 """
 
-    def test_the_entry_point_loads_nothing_slow(self):
+    def test_entry_point_imports_no_slow_modules(self):
         command = [sys.executable, "-c", self.SCRIPT]
         done = subprocess.run(command, capture_output=True, text=True, check=True)
         assert done.stdout.strip() == "[]"
 
     @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
-    def test_a_signal_while_the_program_loads(self, tmp_path, number):
-        # A package on the path that stands for slow imports sends the signal.
+    def test_signal_during_the_imports_is_handled(self, tmp_path, number):
+        # A stub of a slow import on the path sends the signal when it is imported.
         stub = f"import os\nos.kill(os.getpid(), {int(number)})\n"
         (tmp_path / "loguru.py").write_text(stub + "raise SystemExit(3)\n")
         code = "from wagtailstair.gateway.daemon import main; main(['none'])"
--- a/tests/test_gateway_fuzz.py
+++ b/tests/test_gateway_fuzz.py
@@ -1,4 +1,4 @@
-"""Bytes that callers may send: cut and changed at random, by seed."""
+"""Fuzz tests of the request parser: bytes mutated and split at random, by seed."""
 
 import contextlib
 import os
@@ -20,21 +20,21 @@
     HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
     b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\nGET /2 HTTP/1.1\r\nHost: x\r\n\r\n",
 ]
-PIECES = [b"\r\n", b"\n", b"\r", b"\0", b" ", b"\t", b":", b"0", b"Host: y\r\n"]
+FRAGMENTS = [b"\r\n", b"\n", b"\r", b"\0", b" ", b"\t", b":", b"0", b"Host: y\r\n"]
 LIMITS = CallerLimits(header_bytes=2000, body_bytes=500)
 
 
-def change(rng, data):
+def mutate(rng, data):
     data = bytearray(data)
     for _ in range(rng.randint(0, 4)):
-        place = rng.randrange(len(data) + 1)
+        position = rng.randrange(len(data) + 1)
         action = rng.randrange(3)
         if action == 0:
-            data[place:place] = rng.choice(PIECES)
+            data[position:position] = rng.choice(FRAGMENTS)
         elif action == 1:
-            del data[place : place + rng.randint(1, 4)]
-        elif place < len(data):
-            data[place] = rng.randrange(256)
+            del data[position : position + rng.randint(1, 4)]
+        elif position < len(data):
+            data[position] = rng.randrange(256)
     return bytes(data)
 
 
@@ -52,21 +52,21 @@
     return read, failed
 
 
-class TestReader:
+class TestRequestReader:
     @pytest.mark.parametrize("seed", SEEDS)
-    def test_cuts_change_nothing(self, seed):
+    def test_split_position_does_not_change_the_result(self, seed):
         rng = random.Random(seed)
         for _ in range(ROUNDS):
-            data = change(rng, rng.choice(CORPUS))
-            cut = rng.randrange(len(data) + 1)
-            whole = outcome([data])
-            assert outcome([data[:cut], data[cut:]]) == whole, (seed, data, cut)
+            data = mutate(rng, rng.choice(CORPUS))
+            split = rng.randrange(len(data) + 1)
+            unsplit = outcome([data])
+            assert outcome([data[:split], data[split:]]) == unsplit, (seed, data, split)
 
     @pytest.mark.parametrize("seed", SEEDS)
-    def test_one_host_and_one_framing(self, seed):
+    def test_requests_have_one_host_and_at_most_one_framing(self, seed):
         rng = random.Random(seed)
         for _ in range(ROUNDS):
-            data = change(rng, rng.choice(CORPUS))
+            data = mutate(rng, rng.choice(CORPUS))
             reader = RequestReader(LIMITS, lambda: None)
             with contextlib.suppress(RequestError):
                 reader.feed(data, 0.0)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -17,8 +17,8 @@
     return reader
 
 
-class TestWhole:
-    def test_parts(self):
+class TestCompleteRequests:
+    def test_request_is_split_into_its_parts(self):
         (request,) = read(
             HEAD + b"X-A: b\r\nContent-Length: 3\r\n\r\nabc"
         ).complete_requests
@@ -30,16 +30,16 @@
         assert request.header(b"x-a") == b"b"
         assert request.keeps_alive
 
-    def test_any_cut_reads_the_same(self):
+    def test_split_position_does_not_change_the_request(self):
         data = HEAD + b"Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
-        for cut in range(len(data)):
+        for split in range(len(data)):
             reader = RequestReader(LIMITS, lambda: None)
-            reader.feed(data[:cut], 0.0)
-            reader.feed(data[cut:], 0.0)
+            reader.feed(data[:split], 0.0)
+            reader.feed(data[split:], 0.0)
             (request,) = reader.complete_requests
             assert bytes(request.body) == b"abc"
 
-    def test_requests_sent_ahead_stay_in_order(self):
+    def test_pipelined_requests_stay_in_order(self):
         one = b"GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
         two = b"GET /2 HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n"
         reader = read(one + two)
@@ -49,16 +49,16 @@
             False,
         ]
 
-    def test_trailers_are_no_headers(self):
+    def test_trailers_are_not_headers(self):
         data = b"Transfer-Encoding: chunked\r\n\r\n0\r\nX-Evil: 1\r\n\r\n"
         (request,) = read(HEAD + data).complete_requests
         assert request.header(b"x-evil") == b""
 
-    def test_leave_to_send_is_asked_for_once(self):
-        asked = []
-        reader = RequestReader(LIMITS, lambda: asked.append(1))
+    def test_expect_callback_is_called_once(self):
+        calls = []
+        reader = RequestReader(LIMITS, lambda: calls.append(1))
         reader.feed(HEAD + b"Expect: 100-continue\r\nContent-Length: 1\r\n\r\n", 0.0)
-        assert asked == [1]
+        assert calls == [1]
         reader.feed(b"a", 0.0)
         assert len(reader.complete_requests) == 1
 
@@ -96,9 +96,9 @@
 }
 
 
-class TestAmbiguous:
+class TestAmbiguousRequests:
     @pytest.mark.parametrize("tail", AMBIGUOUS.values(), ids=AMBIGUOUS.keys())
-    def test_head_or_body(self, tail):
+    def test_ambiguous_head_or_body_is_rejected(self, tail):
         with pytest.raises(InvalidRequestError):
             read(HEAD + tail)
 
@@ -114,17 +114,17 @@
             b"GET / HTTP/1.1\nHost: x\n\n",
         ],
     )
-    def test_request_line(self, line):
+    def test_invalid_request_line_or_host_is_rejected(self, line):
         with pytest.raises(RequestError):
             read(line)
 
 
 class TestLimits:
-    def test_long_head(self):
+    def test_too_long_head_is_rejected(self):
         with pytest.raises(HeadersTooLargeError):
             read(HEAD + b"X-A: " + b"b" * 1000 + b"\r\n\r\n")
 
-    def test_endless_head(self):
+    def test_unfinished_head_is_rejected_at_the_limit(self):
         reader = RequestReader(LIMITS, lambda: None)
         reader.feed(HEAD, 0.0)
         for _ in range(18):
@@ -132,11 +132,11 @@
         with pytest.raises(HeadersTooLargeError):
             reader.feed(b"x" * 100, 0.0)
 
-    def test_long_body(self):
+    def test_too_long_body_is_rejected_by_its_length(self):
         with pytest.raises(RequestTooLargeError):
             read(HEAD + b"Content-Length: 101\r\n\r\n")
 
-    def test_long_body_in_chunks(self):
+    def test_too_long_chunked_body_is_rejected(self):
         data = b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"a" * 101 + b"\r\n"
         with pytest.raises(RequestTooLargeError):
             read(HEAD + data)
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -23,11 +23,11 @@
     loop.stop()
 
 
-def reply(body):
+def respond_with(body):
     return lambda connection, request: connection.sendall(answer(200, body))
 
 
-def hang_up(connection, request):
+def close_connection(connection, request):
     connection.shutdown(socket.SHUT_RDWR)
 
 
@@ -35,9 +35,9 @@
     return TransferRequest("POST", f"http://{address}/x", body=b"{}", **options)
 
 
-class TestOutcome:
-    def test_answer(self, loop):
-        with ScriptedServer(reply(b"hello")) as server:
+class TestTransferEnd:
+    def test_complete_response_is_returned(self, loop):
+        with ScriptedServer(respond_with(b"hello")) as server:
             end = exchange(loop, post(server.address)).result(WAIT_S)
         assert (end.sent, end.status, end.body) == (Sent.ANSWERED, 200, b"hello")
         assert end.header("content-length") == "5"
@@ -49,7 +49,7 @@
         assert end.sent is Sent.NOT_SENT
 
     def test_lost_reply_is_lost(self, loop):
-        with ScriptedServer(hang_up) as server:
+        with ScriptedServer(close_connection) as server:
             end = exchange(loop, post(server.address)).result(WAIT_S)
         assert end.sent is Sent.LOST
 
@@ -64,31 +64,31 @@
     def test_truncated_body_is_lost(self, loop):
         def truncate(connection, request):
             connection.sendall(answer(200, b"0123456789")[:-4])
-            hang_up(connection, request)
+            close_connection(connection, request)
 
         with ScriptedServer(truncate) as server:
             end = exchange(loop, post(server.address)).result(WAIT_S)
         assert end.sent is Sent.LOST
 
-    def test_too_large_answer_is_lost_not_kept(self, loop):
-        with ScriptedServer(reply(b"x" * 5000)) as server:
+    def test_too_large_response_is_lost_and_truncated(self, loop):
+        with ScriptedServer(respond_with(b"x" * 5000)) as server:
             request = post(server.address, max_response_bytes=1000)
             end = exchange(loop, request).result(WAIT_S)
         assert end.sent is Sent.LOST
         assert len(end.body) <= 1000
 
 
-class TestPath:
-    def test_arrives_as_it_was_asked_for(self, loop):
-        with ScriptedServer(reply(b"")) as server:
+class TestTarget:
+    def test_path_is_sent_without_normalization(self, loop):
+        with ScriptedServer(respond_with(b"")) as server:
             url = f"http://{server.address}/a/../b/./c%2Fd?x=1"
             exchange(loop, TransferRequest("GET", url)).result(WAIT_S)
             assert server.requests[0].startswith(b"GET /a/../b/./c%2Fd?x=1 ")
 
 
 class TestHeaders:
-    def test_none_is_added_or_dropped(self, loop):
-        with ScriptedServer(reply(b"")) as server:
+    def test_headers_are_neither_added_nor_dropped(self, loop):
+        with ScriptedServer(respond_with(b"")) as server:
             request = post(server.address, headers=(("X-Empty", ""), ("X-A", "1")))
             exchange(loop, request).result(WAIT_S)
             head = server.requests[0].partition(b"\r\n\r\n")[0]
@@ -97,16 +97,16 @@
 
 
 class TestMaySend:
-    def test_nothing_is_sent_once_it_says_no(self, loop):
-        with ScriptedServer(reply(b"a")) as server:
+    def test_request_is_not_sent_if_may_send_returns_false(self, loop):
+        with ScriptedServer(respond_with(b"a")) as server:
             request = post(server.address, may_send=lambda: False)
             end = exchange(loop, request).result(WAIT_S)
             assert server.requests == []
         assert end.sent is Sent.NOT_SENT
 
-    def test_is_asked_when_the_connection_stands(self, loop):
+    def test_may_send_is_called_after_connecting(self, loop):
         accepted = threading.Event()
-        with ScriptedServer(reply(b"a")) as server:
+        with ScriptedServer(respond_with(b"a")) as server:
             request = post(
                 server.address, may_send=lambda: accepted.set() or not server.requests
             )
@@ -116,10 +116,12 @@
 
 
 class TestNoSilentResend:
-    def test_kept_connection_that_dies_is_not_retried_by_the_library(self, loop):
-        # The second request would go out on the kept connection, whose death
-        # before any byte of an answer makes libcurl send it once more.
-        with ScriptedServer(reply(b"a"), hang_up, reply(b"b")) as server:
+    def test_request_on_a_lost_kept_connection_is_not_resent(self, loop):
+        # libcurl resends a request by itself if a kept connection is closed
+        # before the first byte of a response; the request might then run twice.
+        with ScriptedServer(
+            respond_with(b"a"), close_connection, respond_with(b"b")
+        ) as server:
             first = exchange(loop, post(server.address)).result(WAIT_S)
             second = exchange(loop, post(server.address)).result(WAIT_S)
             count = len(server.requests)
@@ -129,7 +131,7 @@
 
 
 class TestStreaming:
-    def test_paused_data_is_delivered_again(self, loop):
+    def test_paused_data_is_delivered_after_resume(self, loop):
         pieces = []
         ended = threading.Event()
         paused = threading.Event()
@@ -142,7 +144,7 @@
             pieces.append(data)
             return True
 
-        with ScriptedServer(reply(b"abc")) as server:
+        with ScriptedServer(respond_with(b"abc")) as server:
             transfer = Transfer(
                 loop, post(server.address), lambda end: ended.set(), on_data
             )
@@ -170,13 +172,13 @@
 
 
 class TestLoop:
-    def test_broken_callback_does_not_end_the_thread(self, loop):
+    def test_failing_callback_does_not_end_the_thread(self, loop):
         ran = threading.Event()
 
-        def broken():
+        def fail():
             raise ZeroDivisionError
 
-        loop.call(broken)
+        loop.call(fail)
         loop.call(lambda: loop.call_later(0.01, ran.set))
         assert ran.wait(WAIT_S)
 
