--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -464,16 +464,16 @@
         knowledge = hosts[0].knowledge
         follower = knowledge._follower_by_table["servers"]
         follower.failed_at = world.loop.now
-        relayed = decode_relayed(
+        decoded = decode_relayed(
             "servers", knowledge.relayed("/tables/servers?after=0")
         )
-        assert relayed.trouble_s is not None
+        assert decoded.trouble_s is not None
         follower.is_away = True
-        relayed = decode_relayed(
+        decoded = decode_relayed(
             "servers", knowledge.relayed("/tables/servers?after=0")
         )
-        assert relayed.trouble_s is None
-        assert relayed.is_all
+        assert decoded.trouble_s is None
+        assert decoded.is_all
 
     def test_peers_are_asked_only_for_overdue_changes(self, world, desks, hosts):
         host, peer = hosts[0], hosts[1].peers.membership.host
