--- a/src/wagtailstair/core/claim_steps.py
+++ b/src/wagtailstair/core/claim_steps.py
@@ -160,7 +160,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Away:
+class Unavailable:
     """Nothing took effect, or nothing could be read."""
 
 
@@ -174,7 +174,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Woke:
+class WaitElapsed:
     """The delay has passed."""
 
 
@@ -216,9 +216,9 @@
     Written
     | Conflict
     | ReplyLost
-    | Away
+    | Unavailable
     | RowRead
-    | Woke
+    | WaitElapsed
     | Answered
     | NotRun
     | CallLost
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -42,7 +42,7 @@
     step_s: float
     sequence_s: float
     read_tokens_per_s: float
-    usual_answer: float
+    typical_output_tokens: float
     pipe_bytes_per_s: float
     delay_s_by_centres: dict[tuple[str, str], float]
     accelerator_by_name: dict[str, Accelerator]
@@ -172,7 +172,7 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def judge(self, host: str, path: str, key: str | None) -> Grant | Denial:
+    def authorize(self, host: str, path: str, key: str | None) -> Grant | Denial:
         """Tell whether a request is allowed; ``path`` is without the query."""
         route = self.find_route(host, path)
         if route is None:
--- a/src/wagtailstair/core/hosts.py
+++ b/src/wagtailstair/core/hosts.py
@@ -36,9 +36,9 @@
     """A sign of life.
 
     ``view``: the checksum of the sender's remote view; ``lists_version``: what
-    the sender has; ``lists_known``: the highest version that it has heard of;
+    the sender has; ``known_lists_version``: the highest version that it has heard of;
     ``upstreams_version``: of the newest change of upstreams that the sender knows;
-    ``is_store_away``: the sender's last call to the store failed.
+    ``is_store_unreachable``: the sender's last call to the store failed.
     """
 
     host: Host
@@ -46,9 +46,9 @@
     state: HostState
     lists_version: int
     view: int = 0
-    lists_known: int = 0
+    known_lists_version: int = 0
     upstreams_version: int = 0
-    is_store_away: bool = False
+    is_store_unreachable: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -132,7 +132,7 @@
             return False
         return now + need_s + self._limits.margin_s < self._held_until
 
-    def may_order(self, now: float, order_s: float) -> bool:
+    def may_send_order(self, now: float, order_s: float) -> bool:
         """Tell whether an order may be sent whose effect takes ``order_s``.
 
         It ends inside this lease, and the last order of the holder before has
@@ -175,23 +175,23 @@
         released = dataclasses.replace(row, holder="", beat=self._beat)
         return LeaseWrite(self._version, released)
 
-    def on_read(self, version: int, row: LeaseRow | None, now: float) -> None:
+    def apply_read(self, version: int, row: LeaseRow | None, now: float) -> None:
         """Take in the row as read; ``now`` is after the reply."""
         self._is_stale = False
         if version == self._version and row == self._row:
             return
         self._take(version, row, now)
 
-    def on_written(self, version: int, row: LeaseRow, now: float) -> None:
+    def apply_write(self, version: int, row: LeaseRow, now: float) -> None:
         """Take in that a write took effect."""
         self._is_stale = False
         self._take(version, row, now)
 
-    def on_unsure(self) -> None:
+    def mark_stale(self) -> None:
         """Take in a conflict or a lost reply: the row has to be read."""
         self._is_stale = True
 
-    def on_away(self, now: float) -> None:
+    def delay_retry(self, now: float) -> None:
         """Take in that the table could not be reached."""
         self._is_stale = True
         self._pause_until = now + self._limits.retry_s
--- a/src/wagtailstair/core/lists.py
+++ b/src/wagtailstair/core/lists.py
@@ -137,7 +137,7 @@
         """The lists in force; one request keeps the snapshot it began with."""
         return self._current
 
-    def offer(self, lists: Lists) -> bool:
+    def replace_if_newer(self, lists: Lists) -> bool:
         """Take lists of a higher version, as a whole; say whether taken."""
         with self._lock:
             if lists.version <= self._current.version:
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -75,7 +75,7 @@
 
     # Input.
 
-    def heartbeat(self, message: Heartbeat, now: float) -> list[Event]:
+    def receive_heartbeat(self, message: Heartbeat, now: float) -> list[Event]:
         """Take a heartbeat from a peer."""
         host = message.host
         if host.name == self.host.name:
@@ -99,10 +99,10 @@
         peer.heard = True
         peer.heard_at = now
         peer.view = message.view
-        peer.is_store_away = message.is_store_away
+        peer.is_store_unreachable = message.is_store_unreachable
         peer.lists_version = max(peer.lists_version, message.lists_version)
-        known = max(message.lists_known, message.lists_version)
-        peer.lists_known = max(peer.lists_known, known)
+        known = max(message.known_lists_version, message.lists_version)
+        peer.known_lists_version = max(peer.known_lists_version, known)
         events.extend(self._enter(peer, message.state))
         return events
 
@@ -115,7 +115,7 @@
         peer.view_hosts = message.hosts
         return self._update_remote()
 
-    def host_list(self, hosts: t.Iterable[Host], now: float) -> None:
+    def apply_host_list(self, hosts: t.Iterable[Host], now: float) -> None:
         """Take the platform's list of entry hosts, which lags.
 
         It only tells where to look for hosts: whether they live they say
@@ -171,7 +171,7 @@
             remote.extend(self._seed_addresses())
         return inside, list(dict.fromkeys(remote))
 
-    def hurry(self) -> None:
+    def make_heartbeats_due(self) -> None:
         """Make the next heartbeats due at once, to announce a change."""
         self._sent_at = self._sent_remote_at = float("-inf")
 
@@ -183,18 +183,22 @@
         names = [self.host.name]
         for peer in self._inside():
             is_heard = peer.heard and now - peer.heard_at <= silence_s
-            if is_heard and peer.state is HostState.LIVE and not peer.is_store_away:
+            if (
+                is_heard
+                and peer.state is HostState.LIVE
+                and not peer.is_store_unreachable
+            ):
                 names.append(peer.host.name)
         return self.host.name in sorted(names)[:count]
 
     def next_heartbeat(
         self,
         lists_version: int,
-        lists_known: int,
+        known_lists_version: int,
         models: tuple[str, ...] = (),
         *,
         upstreams_version: int = 0,
-        is_store_away: bool = False,
+        is_store_unreachable: bool = False,
     ) -> Heartbeat:
         """Return the heartbeat to send.
 
@@ -209,9 +213,9 @@
             self.state,
             lists_version,
             view,
-            lists_known,
+            known_lists_version,
             upstreams_version,
-            is_store_away,
+            is_store_unreachable,
         )
 
     def models_by_centre(self) -> dict[str, set[str]]:
@@ -226,7 +230,7 @@
         hosts = sorted(self._heard_remote(), key=lambda host: host.name)
         return View(tuple(hosts))
 
-    def views_wanted(self, now: float) -> list[str]:
+    def view_request_addresses(self, now: float) -> list[str]:
         """Return the addresses of peers whose view has changed."""
         addresses = []
         for peer in self._inside():
@@ -260,12 +264,12 @@
         """Return the highest version of the lists that a live peer has."""
         return max((peer.lists_version for peer in self._heard()), default=0)
 
-    def lists_known(self) -> int:
+    def known_lists_version(self) -> int:
         """Return the highest version of the lists that any peer has told of."""
-        versions = (peer.lists_known for peer in self.by_name.values())
+        versions = (peer.known_lists_version for peer in self.by_name.values())
         return max(versions, default=0)
 
-    def count_heard(self) -> int:
+    def count_direct_peers(self) -> int:
         """Return the number of peers that are heard directly."""
         return sum(1 for _ in self._heard())
 
@@ -275,7 +279,7 @@
         found.sort(key=self._distance)
         return [peer.host for peer in found]
 
-    def inside_live(self) -> list[Host]:
+    def live_local_hosts(self) -> list[Host]:
         """Return the other live hosts of this data centre."""
         return [p.host for p in self._inside() if p.state is HostState.LIVE]
 
--- a/src/wagtailstair/core/story.py
+++ b/src/wagtailstair/core/request_trace.py
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Story:
+class RequestTrace:
     """The lines that tell of a request, in order, and what was left out.
 
     ``unreadable``: lines that are no events; ``left_out``: events that a host
@@ -72,13 +72,13 @@
     return LogLine(values.pop("time", ""), values.pop("host"), event, values)
 
 
-def tell(lines: t.Iterable[str], request: str) -> Story:
+def trace_request(lines: t.Iterable[str], request: str) -> RequestTrace:
     """Return the story of a request.
 
     Between its first and last event, changes of what its hosts believed are
     told as well, where they name an upstream of the story or none.
     """
-    story = Story([])
+    story = RequestTrace([])
     own: list[LogLine] = []
     context: list[LogLine] = []
     for text in lines:
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -6,7 +6,7 @@
 from ..core.pipelines import Path
 from .exchange import AttemptOutcome
 from .requests import Header
-from .transfer import Loss
+from .transfer import ExchangeLoss
 from .transfer import UpstreamConnection
 
 
@@ -29,7 +29,9 @@
         """Handle the end of a complete response."""
         ...
 
-    def on_attempt_lost(self, attempt: "Attempt", loss: Loss, reason: str) -> None:
+    def on_attempt_lost(
+        self, attempt: "Attempt", loss: ExchangeLoss, reason: str
+    ) -> None:
         """Handle an attempt that ended without a complete response."""
         ...
 
@@ -108,7 +110,7 @@
         self.connection = None
         self.owner.on_attempt_complete(self)
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Report a lost attempt to the owner."""
         self.connection = None
         self.owner.on_attempt_lost(self, loss, reason)
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/call.py
@@ -9,7 +9,7 @@
 from .exchange import Exchange
 from .loop import Timer
 from .requests import Header
-from .transfer import Loss
+from .transfer import ExchangeLoss
 from .transfer import Upstream
 from .transfer import UpstreamConnection
 
@@ -52,7 +52,7 @@
             return
         self._end_attempt("abandoned")
         self.close()
-        self.context.finished(self, "caller_gone")
+        self.context.record_request_end(self, "caller_gone")
 
     def on_expired(self) -> None:
         """End a request whose deadline has passed."""
@@ -83,7 +83,7 @@
             self.refuse(reason)
             return
         if self.sends == 0:
-            context.allowance.requested(self.service.name, context.loop.now)
+            context.resend_budget.count_request(self.service.name, context.loop.now)
         self._reset()
         self._replica = replica
         self.tried.add(replica.identity)
@@ -96,14 +96,14 @@
             bytes(self.request.body),
         )
         self._sent_at = context.loop.now
-        context.services.started(replica)
+        context.services.record_start(replica)
         new_connection = not self.grant.route.may_repeat
         upstream = Upstream(replica.address, replica.identity)
         self._connection = context.pool.send(
             upstream, data, self, new_connection=new_connection
         )
         if self._connection is None:
-            self.on_lost(Loss.NOT_SENT, "no connection")
+            self.on_lost(ExchangeLoss.NOT_SENT, "no connection")
             return
         if self.grant.route.may_repeat and self.runs < self.grant.route.attempts:
             self._resend_timer = context.loop.call_later(
@@ -121,7 +121,7 @@
         replica, self._replica = self._replica, None
         if replica is not None:
             now = self.context.loop.now
-            self.context.services.ended(replica, verdict, now - self._sent_at, now)
+            self.context.services.record_end(replica, verdict, now - self._sent_at, now)
 
     def _on_resend_timer(self) -> None:
         if (
@@ -196,13 +196,13 @@
         self._end_attempt("failed")
         self.fail(BAD_GATEWAY, f"unusable answer {status}")
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Retry the request after a lost attempt, or end it."""
         if self.is_finished:
             return
         self._connection = None
         self._status = 0
-        if loss is Loss.NOT_SENT:
+        if loss is ExchangeLoss.NOT_SENT:
             self.runs -= 1
             self._retry_not_run("failed", reason, 0)
             return
@@ -241,4 +241,4 @@
         else:
             headers = heads.forwarded_headers(self._headers)
             self.caller.answer(status, self._reason, headers, bytes(self._body))
-        self.context.finished(self, f"answered_{status}")
+        self.context.record_request_end(self, f"answered_{status}")
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -24,7 +24,7 @@
 TIMEOUT_STATUS = 408
 
 
-class Running(t.Protocol):
+class ActiveRequest(t.Protocol):
     """A request that is being served."""
 
     def on_caller_gone(self) -> None:
@@ -42,7 +42,7 @@
         """Return the current limits."""
         ...
 
-    def start(self, caller: "Caller", request: Request) -> Running | None:
+    def start(self, caller: "Caller", request: Request) -> ActiveRequest | None:
         """Serve a request; return ``None`` if it was answered at once."""
         ...
 
@@ -86,7 +86,7 @@
         )
         self._reader = RequestReader(self._limits, self._on_expect)
         self._request: Request | None = None
-        self._active_request: Running | None = None
+        self._active_request: ActiveRequest | None = None
         self._parse_error: RequestError | None = None
         self._close_after_answer = False
         self._has_begun = False
@@ -133,7 +133,7 @@
         self._connection.write(b"0\r\n\r\n")
         self._on_answer_sent()
 
-    def cut(self) -> None:
+    def abort_answer(self) -> None:
         """Reset the connection, so that the response can't pass for a complete one."""
         self._active_request = None
         self._connection.abort()
@@ -194,7 +194,7 @@
             self._server.loop.call_later(0.0, self._start_next)
 
     def _close_gracefully(self) -> None:
-        self._connection.finish()
+        self._connection.close_gracefully()
         self._on_closed()
 
     def _on_closed(self) -> None:
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -118,7 +118,7 @@
         if not self._is_connecting:
             self._set_events(self._events | READABLE)
 
-    def finish(self) -> None:
+    def close_gracefully(self) -> None:
         """Close once the send buffer is empty and the peer has closed or time is up."""
         if not self.is_open or self._is_finishing:
             return
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -3,14 +3,14 @@
 import enum
 import typing as t
 
-from ..core.allowance import Allowance
-from ..core.balance import Balance
 from ..core.directory import Grant
 from ..core.directory import Service
 from ..core.exchange_headers import HeaderNames
 from ..core.pipelines import Pipelines
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
+from ..core.resend_budget import ResendBudget
+from ..core.upstream_balancer import UpstreamBalancer
 from ..logs import log_event
 from .caller import Caller
 from .heads import find_header
@@ -61,11 +61,11 @@
     loop: Loop
     pool: UpstreamPool
     replicas: ReplicaSet
-    services: Balance
-    allowance: Allowance
+    services: UpstreamBalancer
+    resend_budget: ResendBudget
     names: HeaderNames
 
-    def hosts(self) -> int:
+    def host_count(self) -> int:
         """Return the number of hosts that share the retry budgets."""
         ...
 
@@ -73,15 +73,15 @@
         """Return the pipelines of a service."""
         ...
 
-    def investigate(self, first: Replica, service: str) -> None:
+    def find_stalled_engine(self, first: Replica, service: str) -> None:
         """Ask the first engine of a path which engine its requests wait for."""
         ...
 
-    def wait(self, stream: "t.Any") -> None:
+    def queue_for_room(self, stream: "t.Any") -> None:
         """Queue a stream until engines have room."""
         ...
 
-    def finished(self, exchange: "Exchange", outcome: str) -> None:
+    def record_request_end(self, exchange: "Exchange", outcome: str) -> None:
         """Record the end of a request in the metrics and the log."""
         ...
 
@@ -157,8 +157,8 @@
             return False
         context = self.context
         share = 1.0 if self.caller.has_begun else UNBEGUN_BUDGET_SHARE
-        return context.allowance.take(
-            self.service.name, context.hosts(), context.loop.now, share
+        return context.resend_budget.take(
+            self.service.name, context.host_count(), context.loop.now, share
         )
 
     def classify_answer(self, status: int, headers: list[Header]) -> AttemptOutcome:
@@ -200,10 +200,10 @@
             return
         self.close()
         if self.caller.has_begun:
-            self.caller.cut()
+            self.caller.abort_answer()
         else:
             self.caller.answer(status, b"", headers, b"")
-        self.context.finished(self, reason)
+        self.context.record_request_end(self, reason)
 
     def close(self) -> None:
         """Release the timers and attempts of the request."""
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -8,8 +8,8 @@
 from ..platform.store import decode_rows
 from .loop import Loop
 from .loop import Timer
+from .transfer import ExchangeLoss
 from .transfer import Header
-from .transfer import Loss
 from .transfer import Upstream
 from .transfer import UpstreamConnection
 from .transfer import UpstreamPool
@@ -22,11 +22,11 @@
 
     status: int
     body: bytes
-    loss: Loss | None = None
+    loss: ExchangeLoss | None = None
     reason: str = ""
 
 
-def rows_of(answer: Answer) -> StoreRows:
+def decode_store_answer(answer: Answer) -> StoreRows:
     """Return the rows of a response of the store.
 
     :raises PlatformError: if there is no response or it is not valid.
@@ -59,7 +59,9 @@
         self._connection = pool.send(upstream, data, self, new_connection=False)
         if self._connection is None:
             # Deferred, so that the caller has the object before its callback runs.
-            loop.call_later(0.0, lambda: self.on_lost(Loss.NOT_SENT, "no connection"))
+            loop.call_later(
+                0.0, lambda: self.on_lost(ExchangeLoss.NOT_SENT, "no connection")
+            )
 
     def cancel(self) -> None:
         """Cancel the call; the callback is not called."""
@@ -81,14 +83,14 @@
             connection, self._connection = self._connection, None
             if connection is not None:
                 connection.cancel()
-            self.on_lost(Loss.UNKNOWN, "answer too long")
+            self.on_lost(ExchangeLoss.UNKNOWN, "answer too long")
 
     def on_complete(self) -> None:
         """Report a complete response."""
         self._connection = None
         self._finish(Answer(self._status, bytes(self._body)))
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Report that no complete response arrived."""
         self._connection = None
         self._finish(Answer(0, b"", loss, reason))
@@ -97,7 +99,7 @@
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.cancel()
-        self._finish(Answer(0, b"", Loss.UNKNOWN, "timeout"))
+        self._finish(Answer(0, b"", ExchangeLoss.UNKNOWN, "timeout"))
 
     def _finish(self, answer: Answer) -> None:
         self._timer.cancel()
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -19,7 +19,7 @@
 
 def forwarded_head(request: Request, names: HeaderNames) -> bytes:
     """Return the part of a request's head that all its attempts share."""
-    dropped = _connection_options(request.headers) | names.set_here()
+    dropped = _connection_options(request.headers) | names.set_by_gateway()
     lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
     for name, value in request.headers:
         if name.lower() not in dropped:
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/stall_detector.py
@@ -5,7 +5,7 @@
 from ..core.replicas import Replica
 from ..logs import log_event
 from ..platform import engines as engine_wire
-from .report import ask_report
+from .report import fetch_engine_report
 
 if t.TYPE_CHECKING:
     from .gateway import Gateway
@@ -19,7 +19,7 @@
 by then."""
 
 
-class Suspicion:
+class StallDetector:
     """Finds the engines that stall the gateway's streams."""
 
     __slots__ = ("_gateway", "_requested_at_by_name")
@@ -28,7 +28,7 @@
         self._gateway = gateway
         self._requested_at_by_name: dict[str, float] = {}
 
-    def investigate(self, first: Replica, service: str) -> None:
+    def find_stalled_engine(self, first: Replica, service: str) -> None:
         """Request a report of which engines a first engine's requests wait for."""
         loop = self._gateway.loop
         requested_at = self._requested_at_by_name.get(first.name, float("-inf"))
@@ -36,7 +36,7 @@
             return
         self._requested_at_by_name[first.name] = loop.now
 
-        ask_report(
+        fetch_engine_report(
             loop,
             self._gateway.pool,
             first,
@@ -55,7 +55,7 @@
             log_event("engine_suspected", replica=replica.name, reason=reason)
         for stream in gateway.streams():
             if stream.uses_engine(replica.identity) and stream.is_stalled(now):
-                stream.leave_engine(replica, reason)
+                stream.move_off_engine(replica, reason)
 
     def _handle_report(
         self, first: Replica, service: str, report: engine_wire.Report
@@ -78,4 +78,4 @@
         for replica in self._gateway.replicas.usable(service):
             if replica.address in addresses and replica is not first:
                 self.suspect(replica, service, f"stalled at {first.name}")
-                self._gateway.tell_lost(replica)
+                self._gateway.broadcast_engine_lost(replica)
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -21,7 +21,7 @@
 from .loop import Timer
 from .paths import PathFinder
 from .requests import Header
-from .transfer import Loss
+from .transfer import ExchangeLoss
 from .transfer import Upstream
 
 STALL_CHECK_S = 0.25
@@ -75,7 +75,7 @@
     def begin(self) -> None:
         """Send the request to its first pipeline, or queue it for room."""
         names = self.context.names
-        usage = wire_headers.read_tokens(self.request.header(names.token_usage))
+        usage = wire_headers.parse_token_usage(self.request.header(names.token_usage))
         hint = self.request.header(names.length_hint)
         self._finder = PathFinder(
             self.context, self.service, usage, hint, self.grant.rank
@@ -97,7 +97,7 @@
         if self.is_finished:
             return
         self.close()
-        self.context.finished(self, "caller_gone")
+        self.context.record_request_end(self, "caller_gone")
 
     def on_expired(self) -> None:
         """End a request whose deadline has passed."""
@@ -130,7 +130,7 @@
             return
         if self.sends == 0:
             now = self.context.loop.now
-            self.context.allowance.requested(self.service.name, now)
+            self.context.resend_budget.count_request(self.service.name, now)
         self._current = attempt = self._make_attempt(path)
         self._send_attempt(attempt)
 
@@ -141,7 +141,7 @@
 
     def _make_attempt(self, path: Path) -> Attempt:
         tokens = self._finder.tokens
-        self.context.pipelines(self.service.name).take(path, tokens)
+        self.context.pipelines(self.service.name).reserve_tokens(path, tokens)
         self.sends += 1
         self.runs += 1
         now = self.context.loop.now
@@ -165,7 +165,7 @@
             upstream, data, attempt, new_connection=False
         )
         if attempt.connection is None:
-            self.on_attempt_lost(attempt, Loss.NOT_SENT, "no connection")
+            self.on_attempt_lost(attempt, ExchangeLoss.NOT_SENT, "no connection")
             return
         self._schedule_stall_check(FIRST_STALL_CHECK_S)
 
@@ -173,7 +173,7 @@
         """Queue the request for room unless it has waited too long."""
         waited = self.context.loop.now - self.request.received_at
         if waited < ROOM_WAIT_GOALS * self.grant.route.goal_s:
-            self.context.wait(self)
+            self.context.queue_for_room(self)
             return
         self.refuse("no room")
 
@@ -183,7 +183,7 @@
         attempt.cancel()
         if attempt.path:
             pipelines = self.context.pipelines(self.service.name)
-            pipelines.give_back(attempt.path, attempt.tokens)
+            pipelines.release_tokens(attempt.path, attempt.tokens)
             attempt.path = ()
         if attempt is self._current:
             self._current = None
@@ -225,7 +225,7 @@
         if waited < stall_check_s:
             self._schedule_stall_check(stall_check_s - waited + 0.001)
             return
-        self.context.investigate(current.path[0].replica, self.service.name)
+        self.context.find_stalled_engine(current.path[0].replica, self.service.name)
         if waited >= SUCCESSOR_DELAY_S and self._successor is None:
             self._finder.avoid.update(hop.replica.identity for hop in current.path)
             self._start_successor("stalled")
@@ -247,7 +247,7 @@
             and now - self._current.progress_at > STALL_CHECK_S
         )
 
-    def leave_engine(self, replica: Replica, reason: str) -> None:
+    def move_off_engine(self, replica: Replica, reason: str) -> None:
         """Move the request off an engine, by a new path or a successor.
 
         The first engine holds the connection, so it can only be succeeded.
@@ -281,9 +281,9 @@
                 self.log("path_kept", level="WARNING", status=answer.status)
                 return
             pipelines = self.context.pipelines(self.service.name)
-            pipelines.give_back(attempt.path, attempt.tokens)
+            pipelines.release_tokens(attempt.path, attempt.tokens)
             attempt.path = path
-            pipelines.take(path, attempt.tokens)
+            pipelines.reserve_tokens(path, attempt.tokens)
             attempt.progress_at = self.context.loop.now
 
         Fetch(
@@ -349,7 +349,9 @@
             attempt, attempt.path[0].replica, f"status {attempt.status}"
         )
 
-    def on_attempt_lost(self, attempt: Attempt, loss: Loss, reason: str) -> None:
+    def on_attempt_lost(
+        self, attempt: Attempt, loss: ExchangeLoss, reason: str
+    ) -> None:
         """Handle an attempt that ended without a complete response."""
         if self.is_finished:
             return
@@ -361,7 +363,7 @@
             loss=loss.value,
             events=self.events,
         )
-        if loss is Loss.NOT_SENT:
+        if loss is ExchangeLoss.NOT_SENT:
             self.runs -= 1
         else:
             self.may_have_run = True
@@ -447,9 +449,9 @@
             if held:
                 self.caller.send(held)
             self.caller.end()
-        self.context.finished(self, "served")
+        self.context.record_request_end(self, "served")
 
 
 def _encode_path(path: Path) -> bytes:
     hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
-    return wire_headers.write_path(hops)
+    return wire_headers.format_path(hops)
--- a/src/wagtailstair/gateway/transfer.py
+++ b/src/wagtailstair/gateway/transfer.py
@@ -25,7 +25,7 @@
 IDLE_PER_UPSTREAM_MAX = 8
 
 
-class Loss(enum.Enum):
+class ExchangeLoss(enum.Enum):
     """Whether a request whose exchange failed may have reached the upstream.
 
     ``NOT_SENT``: it certainly did not; ``UNKNOWN``: it may have run.
@@ -50,7 +50,7 @@
         """Handle the end of a complete response."""
         ...
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Handle the end of the exchange without a complete response."""
         ...
 
@@ -208,10 +208,14 @@
 
     def _on_connect_timeout(self) -> None:
         self._connect_timer = None
-        self._fail(Loss.NOT_SENT, "connect timeout")
+        self._fail(ExchangeLoss.NOT_SENT, "connect timeout")
 
     def _on_lost(self, error: OSError) -> None:
-        loss = Loss.NOT_SENT if self._connect_timer is not None else Loss.UNKNOWN
+        loss = (
+            ExchangeLoss.NOT_SENT
+            if self._connect_timer is not None
+            else ExchangeLoss.UNKNOWN
+        )
         self._fail(loss, f"errno {error.errno}")
 
     def _on_data(self, data: bytes) -> None:
@@ -222,7 +226,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_reusable = False
-            self._fail(Loss.UNKNOWN, f"not an answer: {error}")
+            self._fail(ExchangeLoss.UNKNOWN, f"not an answer: {error}")
             return
         if self.observer is None and self.connection is not None:
             self._pool.release(self)
@@ -233,9 +237,9 @@
             self._complete()
             self._close()
             return
-        self._fail(Loss.UNKNOWN, "closed")
+        self._fail(ExchangeLoss.UNKNOWN, "closed")
 
-    def _fail(self, loss: Loss, reason: str) -> None:
+    def _fail(self, loss: ExchangeLoss, reason: str) -> None:
         observer, self.observer = self.observer, None
         self._close()
         if observer is not None:
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -35,7 +35,7 @@
     def test_first_holder_gets_number_one(self, world):
         keeper = world.keeper("a")
         keeper.tick()
-        assert keeper.may_order(1, ORDER_S)
+        assert keeper.may_send_order(1, ORDER_S)
         assert world.row().holder == "a"
 
     @pytest.mark.parametrize("fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST])
@@ -43,7 +43,7 @@
         world.table.faults.append(fault)
         keeper = world.keeper("a")
         keeper.tick()
-        assert keeper.may_order(1, ORDER_S)
+        assert keeper.may_send_order(1, ORDER_S)
 
     def test_second_waits_a_full_lease_from_its_first_sight(self, world):
         world.keeper("a").tick()
@@ -65,9 +65,9 @@
         world.clock.advance(10.0)
         second.tick()
         assert second.fence == 2
-        assert not second.may_order(2, ORDER_S)
+        assert not second.may_send_order(2, ORDER_S)
         world.clock.advance(ORDER_S)
-        assert second.may_order(2, ORDER_S)
+        assert second.may_send_order(2, ORDER_S)
 
     def test_released_lease_is_taken_at_once(self, world):
         first = world.keeper("a")
@@ -75,14 +75,14 @@
         first.release()
         second = world.keeper("b")
         second.tick()
-        assert second.may_order(2, ORDER_S)
-        assert not first.may_order(1, ORDER_S)
+        assert second.may_send_order(2, ORDER_S)
+        assert not first.may_send_order(1, ORDER_S)
 
     def test_restarted_process_is_another_holder(self, world):
         world.keeper("a/1").tick()
         again = world.keeper("a/2")
         again.tick()
-        assert not again.may_order(again.fence, ORDER_S)
+        assert not again.may_send_order(again.fence, ORDER_S)
 
 
 class TestHold:
@@ -90,16 +90,16 @@
         keeper = world.keeper("a")
         keeper.tick()
         world.clock.advance(6.9)
-        assert keeper.may_order(1, ORDER_S)
+        assert keeper.may_send_order(1, ORDER_S)
         world.clock.advance(0.2)
-        assert not keeper.may_order(1, ORDER_S)
+        assert not keeper.may_send_order(1, ORDER_S)
 
     def test_counts_from_before_the_write_was_sent(self, world):
         lease = Lease("a", LIMITS)
         lease.next(100.0)
-        lease.on_read(0, None, 100.0)
+        lease.apply_read(0, None, 100.0)
         command = lease.next(100.0)
-        lease.on_written(1, command.row, 105.0)
+        lease.apply_write(1, command.row, 105.0)
         assert lease.holds(108.9)
         assert not lease.holds(109.1)
 
@@ -115,15 +115,15 @@
         keeper.tick()
         assert world.row().beat == 2
         world.clock.advance(4.6)
-        assert keeper.may_order(1, 0.0)
+        assert keeper.may_send_order(1, 0.0)
         world.clock.advance(0.5)
-        assert not keeper.may_order(1, 0.0)
+        assert not keeper.may_send_order(1, 0.0)
 
     def test_renews_before_it_ends(self, world):
         keeper = world.keeper("a")
         for _ in range(20):
             world.clock.advance(keeper.tick())
-            assert keeper.may_order(1, ORDER_S)
+            assert keeper.may_send_order(1, ORDER_S)
         assert world.row().fence == 1
 
     def test_stops_while_the_table_is_away(self, world):
@@ -133,7 +133,7 @@
         for _ in range(30):
             world.clock.advance(0.5)
             keeper.tick()
-        assert not keeper.may_order(1, 0.0)
+        assert not keeper.may_send_order(1, 0.0)
 
 
 class TestRow:
@@ -143,5 +143,5 @@
 
     def test_other_holder_is_waited_for(self):
         lease = Lease("b", LIMITS)
-        lease.on_read(4, LeaseRow("a", 7, 10.0, 1), 50.0)
+        lease.apply_read(4, LeaseRow("a", 7, 10.0, 1), 50.0)
         assert isinstance(lease.next(50.0), LeaseWait)
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -54,7 +54,7 @@
         }
         hosts = [member.host for member in self.by_name.values()]
         for member in self.by_name.values():
-            member.host_list(hosts, 0.0)
+            member.apply_host_list(hosts, 0.0)
         self.name_by_address = {host.peer_address: host.name for host in hosts}
         self.cut = set()
         self.stopped = set()
@@ -74,8 +74,8 @@
         addresses = inside + remote
         message = member.next_heartbeat(0, 0)
         for target in self._reach(name, addresses):
-            target.heartbeat(message, self.now)
-        for target in self._reach(name, member.views_wanted(self.now)):
+            target.receive_heartbeat(message, self.now)
+        for target in self._reach(name, member.view_request_addresses(self.now)):
             member.view(target.host.name, target.own_view(), self.now)
 
     def _reach(self, name, addresses):
@@ -97,58 +97,58 @@
     def test_makes_a_peer_live(self):
         membership = make_membership()
         peer = make_host("b")
-        assert membership.heartbeat(beat(peer), 0.0) == [PeerLive(peer)]
+        assert membership.receive_heartbeat(beat(peer), 0.0) == [PeerLive(peer)]
         assert membership.live("a") == ("b", "self")
 
     def test_late_duplicate_does_not_keep_a_peer_alive(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(beat(peer, seq=5), 0.0)
+        membership.receive_heartbeat(beat(peer, seq=5), 0.0)
         events = []
         for step in range(1, 13):
             now = step * 0.25
-            membership.heartbeat(beat(peer, seq=5), now)
+            membership.receive_heartbeat(beat(peer, seq=5), now)
             events += membership.tick(now)
         assert events == [PeerDead(peer)]
 
     def test_leaving_holds_for_the_incarnation(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(beat(peer, 1), 0.0)
-        events = membership.heartbeat(beat(peer, 2, HostState.LEAVING), 0.0)
+        membership.receive_heartbeat(beat(peer, 1), 0.0)
+        events = membership.receive_heartbeat(beat(peer, 2, HostState.LEAVING), 0.0)
         assert events == [PeerLeaving(peer)]
-        assert membership.heartbeat(beat(peer, 3), 0.0) == []
+        assert membership.receive_heartbeat(beat(peer, 3), 0.0) == []
         assert membership.live() == ("self",)
 
     def test_replaced_under_the_same_name_and_address(self):
         membership = make_membership()
         old, new = make_host("b"), make_host("b", incarnation=2)
-        membership.heartbeat(beat(old, 9, HostState.LEAVING), 0.0)
-        events = membership.heartbeat(beat(new, 1), 0.1)
+        membership.receive_heartbeat(beat(old, 9, HostState.LEAVING), 0.0)
+        events = membership.receive_heartbeat(beat(new, 1), 0.1)
         assert events == [PeerReplaced(new, old), PeerLive(new)]
-        assert membership.heartbeat(beat(old, 10), 0.2) == []
+        assert membership.receive_heartbeat(beat(old, 10), 0.2) == []
         assert membership.find("b") == new
 
     def test_successor_with_a_slow_clock_is_taken_after_the_timeout(self):
         membership = make_membership()
         old, new = make_host("b", incarnation=7), make_host("b", incarnation=3)
-        membership.heartbeat(beat(old), 0.0)
-        assert membership.heartbeat(beat(new), 0.1) == []
+        membership.receive_heartbeat(beat(old), 0.0)
+        assert membership.receive_heartbeat(beat(new), 0.1) == []
         tick_until(membership, 0.1, 3.0)
-        events = membership.heartbeat(beat(new, 2), 3.0)
+        events = membership.receive_heartbeat(beat(new, 2), 3.0)
         assert events == [PeerReplaced(new, old), PeerLive(new)]
 
     def test_tells_of_another_process_with_the_own_name(self):
         membership = make_membership()
         other = make_host("self", incarnation=2)
-        assert membership.heartbeat(beat(other), 0.0) == [NameClash(other)]
+        assert membership.receive_heartbeat(beat(other), 0.0) == [NameClash(other)]
 
     def test_highest_lists_version_and_its_holders(self):
         membership = make_membership()
         near, far = make_host("y"), make_host("b", "b")
-        membership.heartbeat(beat(far, lists_version=7), 0.0)
-        membership.heartbeat(beat(near, lists_version=7), 0.0)
-        membership.heartbeat(beat(make_host("c"), lists_version=6), 0.0)
+        membership.receive_heartbeat(beat(far, lists_version=7), 0.0)
+        membership.receive_heartbeat(beat(near, lists_version=7), 0.0)
+        membership.receive_heartbeat(beat(make_host("c"), lists_version=6), 0.0)
         assert membership.lists_version() == 7
         assert membership.holders(7) == [near, far]
 
@@ -156,7 +156,7 @@
 class TestPause:
     def test_thawed_host_does_not_declare_all_dead(self):
         membership = make_membership()
-        membership.heartbeat(beat(make_host("b")), 0.0)
+        membership.receive_heartbeat(beat(make_host("b")), 0.0)
         assert membership.tick(60.0) == [SelfPaused(60.0)]
         assert membership.tick(60.25) == []
         assert membership.live() == ("b", "self")
@@ -164,7 +164,7 @@
     def test_peer_that_died_meanwhile_is_noticed(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(beat(peer), 0.0)
+        membership.receive_heartbeat(beat(peer), 0.0)
         membership.tick(60.0)
         assert tick_until(membership, 60.0, 63.0) == [PeerDead(peer)]
 
@@ -172,7 +172,7 @@
 class TestHostList:
     def test_listed_host_is_not_live_until_heard(self):
         membership = make_membership()
-        membership.host_list([make_host("b")], 0.0)
+        membership.apply_host_list([make_host("b")], 0.0)
         assert membership.live() == ("self",)
         assert membership.due(0.0) == (["b:81"], [])
 
@@ -182,7 +182,7 @@
 
     def test_silent_host_off_the_list_is_forgotten(self):
         membership = make_membership()
-        membership.heartbeat(beat(make_host("b")), 0.0)
+        membership.receive_heartbeat(beat(make_host("b")), 0.0)
         tick_until(membership, 0.0, 700.0, step=1.0)
         assert membership.by_name == {}
 
@@ -226,12 +226,12 @@
         membership = make_membership()
         near = make_host("near")
         far = dataclasses.replace(make_host("far", "b"), models=("draft",))
-        membership.heartbeat(beat(near), 0.0)
+        membership.receive_heartbeat(beat(near), 0.0)
         membership.view("near", View((far,)), 0.0)
         assert membership.models_by_centre() == {"b": {"draft"}}
 
     def test_view_of_a_foreign_data_centre_is_not_taken(self):
         membership = make_membership()
-        membership.heartbeat(beat(make_host("b", "b")), 0.0)
+        membership.receive_heartbeat(beat(make_host("b", "b")), 0.0)
         ghost = dataclasses.replace(make_host("ghost", "c"))
         assert membership.view("b", View((ghost,)), 0.0) == []
