--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -25,8 +25,8 @@
 """Sends of one request to upstreams, including those refused before they ran."""
 
 UNBEGUN_BUDGET_SHARE = 0.7
-"""Share of the retry budget that requests without a response yet may use: callers
-retry these themselves, but a response that has begun is lost without a retry."""
+"""Share of the resend budget that requests without a response yet may use: callers
+retry these themselves, but a response that has begun is lost without a resend."""
 
 ANSWER_MARGIN_S = 0.02
 """Seconds before the deadline at which the final response is sent."""
@@ -66,7 +66,7 @@
     names: HeaderNames
 
     def host_count(self) -> int:
-        """Return the number of hosts that share the retry budgets."""
+        """Return the number of hosts that share the resend budgets."""
         ...
 
     def pipelines(self, service: str) -> Pipelines:
@@ -150,7 +150,7 @@
         raise NotImplementedError
 
     def may_send_again(self) -> bool:
-        """Take one retry from the budget; return whether it was allowed."""
+        """Take one resend from the budget; return whether it was allowed."""
         if self.sends >= SENDS_MAX or self.remaining_s < 2 * ANSWER_MARGIN_S:
             return False
         if self.runs >= self.grant.route.attempts:
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -1,6 +1,6 @@
 """Requests to model engines: a stream of events over a pipeline.
 
-A resumable stream can have two attempts at once: when its first engine shuts down
+A resumable stream can have two attempts at once: when its first engine is draining
 or no event arrives, a *successor* is sent that resumes after the last event. The
 attempt that delivers the next event is kept.
 """
@@ -250,7 +250,7 @@
     def move_off_engine(self, replica: Replica, reason: str) -> None:
         """Move the request off an engine, by a new path or a successor.
 
-        The first engine holds the connection, so it can only be succeeded.
+        The first engine holds the connection, so leaving it takes a successor.
         """
         current = self._current
         if self.is_finished or current is None or current.connection is None:
