Merge the wording of the gateway's request path

Comments, names and texts of gateway/caller, connection, stream_exchange, call, exchange, transfer, requests, fetch, stall_detector, paths and their tests in plain terms. Behaviour and assertions are unchanged.

--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -1,4 +1,4 @@
-"""A TCP connection on the event loop, with a buffer for what can't be sent yet."""
+"""A TCP connection on the event loop, with a send buffer."""
 
 import contextlib
 import errno
@@ -14,22 +14,28 @@
 READ_BYTES = 64 << 10
 
 LINGER_S = 1.0
-"""Seconds that a closed side is read from, so that its last bytes arrive."""
+"""Seconds for which a connection that is shut down for sending is still read, so
+that unread bytes do not make the kernel reset it before the peer has read all."""
 
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-"""A silent connection fails after 3 s: the span after which hosts count as calm."""
+"""Number of probes: with the two above, a silent connection fails after 3 s, the
+time since the last disturbance after which a host counts as reachable."""
 
 USER_TIMEOUT_MS = 3000
-"""Unacknowledged data fails a connection after as long."""
+"""Milliseconds after which unacknowledged data fails a connection: as long as the
+keep-alive probes take."""
 
 
-def set_options(sock: socket.socket, *, probe: bool) -> None:
-    """Set what every connection needs: no delay, and noticing a silent peer."""
+def set_options(sock: socket.socket, *, keepalive: bool) -> None:
+    """Make a socket non-blocking, disable Nagle's algorithm, and add keep-alive.
+
+    :param keepalive: probe the peer, so that a silent one is detected.
+    """
     sock.setblocking(False)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    if not probe:
+    if not keepalive:
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_IDLE_S)
@@ -41,8 +47,8 @@
 class Connection:
     """A connected or connecting socket.
 
-    :param on_data: takes received bytes; empty at the peer's end of file.
-    :param on_lost: takes the error that broke the connection; not called after
+    :param on_data: called with received bytes, empty at end of file.
+    :param on_lost: called with the error that broke the connection, but not after
         :meth:`close` or :meth:`abort`.
     :param on_connected: called once a connecting socket is connected.
     """
@@ -52,7 +58,7 @@
         "_is_connecting",
         "_is_finishing",
         "_loop",
-        "_out",
+        "_send_buffer",
         "_sock",
         "is_open",
         "on_connected",
@@ -70,7 +76,7 @@
     ) -> None:
         self._loop = loop
         self._sock = sock
-        self._out = bytearray()
+        self._send_buffer = bytearray()
         self.on_data = on_data
         self.on_lost = on_lost
         self.on_connected = on_connected
@@ -81,16 +87,16 @@
         loop.add(sock.fileno(), self._events, self._on_events)
 
     @property
-    def pending(self) -> int:
-        """Return the number of bytes that are not sent yet."""
-        return len(self._out)
+    def pending_bytes(self) -> int:
+        """Return the number of bytes in the send buffer."""
+        return len(self._send_buffer)
 
     def write(self, data: bytes) -> None:
-        """Send bytes, now or when the peer takes them."""
+        """Send bytes, or buffer them until the socket is writable."""
         if not self.is_open or self._is_finishing:
             return
-        if self._out or self._is_connecting:
-            self._out += data
+        if self._send_buffer or self._is_connecting:
+            self._send_buffer += data
             return
         try:
             sent = self._sock.send(data)
@@ -100,30 +106,30 @@
             self._fail(error)
             return
         if sent < len(data):
-            self._out += data[sent:]
-            self._wait_for(self._events | WRITABLE)
+            self._send_buffer += data[sent:]
+            self._set_events(self._events | WRITABLE)
 
     def pause(self) -> None:
         """Stop reading."""
-        self._wait_for(self._events & ~READABLE)
+        self._set_events(self._events & ~READABLE)
 
     def resume(self) -> None:
-        """Read again."""
+        """Resume reading."""
         if not self._is_connecting:
-            self._wait_for(self._events | READABLE)
+            self._set_events(self._events | READABLE)
 
     def close_gracefully(self) -> None:
-        """Close once all is sent, reading on for a while so that nothing is lost."""
+        """Close once the send buffer is empty and the peer has closed or time is up."""
         if not self.is_open or self._is_finishing:
             return
         self._is_finishing = True
         self.on_data = lambda _data: None
         self._loop.call_later(LINGER_S, self.close)
-        if not self._out:
-            self._shut()
+        if not self._send_buffer:
+            self._shut_down_sending()
 
     def close(self) -> None:
-        """Close at once; what is not sent is dropped."""
+        """Close at once and drop unsent bytes."""
         if not self.is_open:
             return
         self.is_open = False
@@ -131,7 +137,7 @@
         self._sock.close()
 
     def abort(self) -> None:
-        """Reset the connection, so that the peer can't take it for an end."""
+        """Reset the connection, so that the peer can't take it for an end of file."""
         if not self.is_open:
             return
         with contextlib.suppress(OSError):
@@ -139,15 +145,15 @@
             self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         self.close()
 
-    def _shut(self) -> None:
+    def _shut_down_sending(self) -> None:
         try:
             self._sock.shutdown(socket.SHUT_WR)
-        except OSError:  # the peer has closed already
+        except OSError:  # the peer has already closed
             self.close()
             return
-        self._wait_for(READABLE)
+        self._set_events(READABLE)
 
-    def _wait_for(self, events: int) -> None:
+    def _set_events(self, events: int) -> None:
         if self.is_open and events != self._events:
             self._events = events
             self._loop.change(self._sock.fileno(), events)
@@ -161,7 +167,7 @@
 
     def _on_events(self, mask: int) -> None:
         if self._is_connecting:
-            self._connected()
+            self._on_connect_result()
             return
         if mask & READABLE:
             self._read()
@@ -172,17 +178,17 @@
         if mask & WRITABLE and self.is_open:
             self._flush()
 
-    def _connected(self) -> None:
+    def _on_connect_result(self) -> None:
         code = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             self._fail(OSError(code, "connect failed"))
             return
         self._is_connecting = False
-        self._wait_for(READABLE)
+        self._set_events(READABLE)
         connected, self.on_connected = self.on_connected, None
         if connected is not None:
             connected()
-        if self.is_open and self._out:
+        if self.is_open and self._send_buffer:
             self._flush()
 
     def _read(self) -> None:
@@ -197,24 +203,24 @@
             self.close()
             return
         if not data:
-            self._wait_for(self._events & ~READABLE)
+            self._set_events(self._events & ~READABLE)
         self.on_data(data)
 
     def _flush(self) -> None:
         try:
-            sent = self._sock.send(self._out)
+            sent = self._sock.send(self._send_buffer)
         except BlockingIOError:
             return
         except OSError as error:
             self._fail(error)
             return
-        del self._out[:sent]
-        if self._out:
-            self._wait_for(self._events | WRITABLE)
+        del self._send_buffer[:sent]
+        if self._send_buffer:
+            self._set_events(self._events | WRITABLE)
             return
-        self._wait_for(self._events & ~WRITABLE)
+        self._set_events(self._events & ~WRITABLE)
         if self._is_finishing:
-            self._shut()
+            self._shut_down_sending()
 
 
 def connect(
@@ -226,11 +232,11 @@
 ) -> Connection:
     """Open a connection to an IP address and port.
 
-    :raises OSError: if not even a start can be made.
+    :raises OSError: if the connection fails at once.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     try:
-        set_options(sock, probe=True)
+        set_options(sock, keepalive=True)
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
             raise OSError(code, "connect failed")
@@ -259,7 +265,7 @@
                 accepted, _ = sock.accept()
             except BlockingIOError:
                 return
-            except OSError:  # the peer is gone again, or no descriptor is left
+            except OSError:  # the peer has disconnected, or no descriptor is left
                 return
             on_accept(accepted)
 
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -1,4 +1,4 @@
-"""One HTTP call of the gateway's own, answered to a function."""
+"""HTTP calls that the gateway itself makes, with a callback for the result."""
 
 import typing as t
 
@@ -11,14 +11,14 @@
 from .transfer import ExchangeLoss
 from .transfer import Header
 from .transfer import Upstream
+from .transfer import UpstreamConnection
 from .transfer import UpstreamPool
-from .transfer import Wire
 
 ANSWER_BYTES_MAX = 16 << 20
 
 
 class Answer(t.NamedTuple):
-    """A whole answer, or ``status`` 0 and why there is none."""
+    """A complete response, or ``status`` 0 with the loss and its reason."""
 
     status: int
     body: bytes
@@ -27,9 +27,9 @@
 
 
 def decode_store_answer(answer: Answer) -> StoreRows:
-    """Return the rows of an answer of the store.
+    """Return the rows of a response of the store.
 
-    :raises PlatformError: if there is none that can be used.
+    :raises PlatformError: if there is no response or it is not valid.
     """
     if answer.status == 0:
         raise PlatformError(answer.reason)
@@ -37,9 +37,9 @@
 
 
 class Fetch:
-    """A call and what has come of its answer."""
+    """A call in progress and the part of its response received so far."""
 
-    __slots__ = ("_body", "_on_answer", "_status", "_timer", "_wire")
+    __slots__ = ("_body", "_connection", "_on_answer", "_status", "_timer")
 
     def __init__(
         self,
@@ -54,54 +54,54 @@
         self._body = bytearray()
         self._on_answer: t.Callable[[Answer], None] | None = on_answer
         self._timer: Timer = loop.call_later(timeout_s, self._on_timeout)
-        self._wire: Wire | None = None
+        self._connection: UpstreamConnection | None = None
         data = _encode(call, upstream.address)
-        self._wire = pool.send(upstream, data, self, fresh=False)
-        if self._wire is None:
-            # Later, so that the caller has the object before its answer.
+        self._connection = pool.send(upstream, data, self, new_connection=False)
+        if self._connection is None:
+            # Deferred, so that the caller has the object before its callback runs.
             loop.call_later(
                 0.0, lambda: self.on_lost(ExchangeLoss.NOT_SENT, "no connection")
             )
 
     def cancel(self) -> None:
-        """Give the call up; its answer goes nowhere."""
+        """Cancel the call; the callback is not called."""
         self._on_answer = None
         self._timer.cancel()
-        wire, self._wire = self._wire, None
-        if wire is not None:
-            wire.cancel()
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.cancel()
 
     def on_head(self, status: int, _reason: bytes, _headers: list[Header]) -> bool:
-        """Take the head of the answer."""
+        """Store the status of the response."""
         self._status = status
         return True
 
     def on_body(self, data: bytes) -> None:
-        """Take a part of the body."""
+        """Store a part of the body; cancel the call if it is too long."""
         self._body += data
         if len(self._body) > ANSWER_BYTES_MAX:
-            wire, self._wire = self._wire, None
-            if wire is not None:
-                wire.cancel()
+            connection, self._connection = self._connection, None
+            if connection is not None:
+                connection.cancel()
             self.on_lost(ExchangeLoss.UNKNOWN, "answer too long")
 
     def on_complete(self) -> None:
-        """Take the end of the answer."""
-        self._wire = None
-        self._end(Answer(self._status, bytes(self._body)))
+        """Report a complete response."""
+        self._connection = None
+        self._finish(Answer(self._status, bytes(self._body)))
 
     def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
-        """Take the loss of the answer."""
-        self._wire = None
-        self._end(Answer(0, b"", loss, reason))
+        """Report that no complete response arrived."""
+        self._connection = None
+        self._finish(Answer(0, b"", loss, reason))
 
     def _on_timeout(self) -> None:
-        wire, self._wire = self._wire, None
-        if wire is not None:
-            wire.cancel()
-        self._end(Answer(0, b"", ExchangeLoss.UNKNOWN, "timeout"))
+        connection, self._connection = self._connection, None
+        if connection is not None:
+            connection.cancel()
+        self._finish(Answer(0, b"", ExchangeLoss.UNKNOWN, "timeout"))
 
-    def _end(self, answer: Answer) -> None:
+    def _finish(self, answer: Answer) -> None:
         self._timer.cancel()
         on_answer, self._on_answer = self._on_answer, None
         if on_answer is not None:
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -1,4 +1,4 @@
-"""Heads of requests to upstreams and of answers to callers."""
+"""Heads of requests to upstreams and of responses to callers."""
 
 import typing as t
 
@@ -17,8 +17,8 @@
     return CONNECTION_HEADERS | options
 
 
-def passed_on(request: Request, names: HeaderNames) -> bytes:
-    """Return the head of a request as far as every attempt has it in common."""
+def forwarded_head(request: Request, names: HeaderNames) -> bytes:
+    """Return the part of a request's head that all its attempts share."""
     dropped = _connection_options(request.headers) | names.set_by_gateway()
     lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
     for name, value in request.headers:
@@ -30,11 +30,11 @@
 
 
 def attempt_headers(
-    names: HeaderNames, grant: Grant, replica: str, left_s: float
+    names: HeaderNames, grant: Grant, replica: str, remaining_s: float
 ) -> list[Header]:
     """Return the headers that differ between attempts."""
     headers = [
-        (names.deadline_ms, b"%d" % max(1, int(left_s * 1000))),
+        (names.deadline_ms, b"%d" % max(1, int(remaining_s * 1000))),
         (names.expected_replica, replica.encode()),
     ]
     if grant.account is not None:
@@ -42,8 +42,8 @@
     return headers
 
 
-def join_head(common: bytes, headers: t.Iterable[Header], body: bytes) -> bytes:
-    """Return the bytes of a request."""
+def join_request(common: bytes, headers: t.Iterable[Header], body: bytes) -> bytes:
+    """Return the bytes of a request, from its shared head on."""
     lines = [common]
     for name, value in headers:
         lines.append(b"%b: %b\r\n" % (name, value))
@@ -52,13 +52,13 @@
     return b"".join(lines)
 
 
-def answered(headers: list[Header]) -> list[Header]:
-    """Return the headers of an upstream's answer that its caller gets."""
+def forwarded_headers(headers: list[Header]) -> list[Header]:
+    """Return the headers of an upstream's response that are sent to the caller."""
     dropped = _connection_options(headers) | {b"content-length"}
     return [header for header in headers if header[0].lower() not in dropped]
 
 
-def find(headers: t.Iterable[Header], name: bytes) -> bytes | None:
+def find_header(headers: t.Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, by its name in lower case."""
     for key, value in headers:
         if key.lower() == name:
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -1,4 +1,4 @@
-"""The pipelines that one request could take."""
+"""The choice of a pipeline for one request."""
 
 from ..core.directory import ModelSpec
 from ..core.directory import Service
@@ -10,19 +10,20 @@
 
 
 class PathFinder:
-    """Finds pipelines for a request by its size.
+    """Finds pipelines for a request by its number of tokens.
 
-    :param usage: the prompt's tokens, and the most tokens of the answer.
+    :param usage: tokens of the prompt, and the limit of the answer's tokens.
     :param hint: the caller's estimate of the answer's tokens, as it was sent.
 
-    ``avoid``: engines that have failed the request; ``tokens``: that it needs.
+    ``avoid``: engines that the request should not use again; ``tokens``: its tokens
+    on each engine.
     """
 
     __slots__ = (
-        "_answer",
+        "_answer_tokens",
         "_context",
         "_model",
-        "_prompt",
+        "_prompt_tokens",
         "_rank",
         "_service",
         "avoid",
@@ -40,28 +41,28 @@
         self._context = context
         self._service = service.name
         self._model: ModelSpec = service.model
-        self._prompt, most = usage
-        self._answer = (
+        self._prompt_tokens, answer_limit = usage
+        self._answer_tokens = (
             float(hint) if hint.isdigit() else self._model.typical_output_tokens
         )
-        if most:
-            self._answer = min(self._answer, most)
+        if answer_limit:
+            self._answer_tokens = min(self._answer_tokens, answer_limit)
         self._rank = rank
         self.avoid: set[tuple[str, int]] = set()
 
     @property
     def tokens(self) -> float:
-        """Return the tokens of the prompt and of the answer that is expected."""
-        return self._prompt + self._answer
+        """Return the tokens of the prompt and of the expected answer."""
+        return self._prompt_tokens + self._answer_tokens
 
     def choose(self, head: Hop | None = None) -> Path | None:
-        """Return the best pipeline now, from a first hop on if one is given."""
+        """Return the best pipeline at present, after a given first hop if any."""
         context = self._context
         return context.pipelines(self._service).choose(
             self._model,
             context.replicas.usable(self._service),
-            self._prompt,
-            self._answer,
+            self._prompt_tokens,
+            self._answer_tokens,
             context.loop.now,
             self.avoid,
             head,
@@ -72,8 +73,8 @@
         pipelines = self._context.pipelines(self._service)
         return pipelines.has_room(self._model, path, self.tokens, self._rank)
 
-    def fill(self, replica: Replica | None) -> float:
-        """Return how full an engine's memory is thought to be; 0 for none."""
+    def kv_fill(self, replica: Replica | None) -> float:
+        """Return the estimated share of KV memory in use on an engine, 0 for none."""
         if replica is None:
             return 0.0
         held = self._context.pipelines(self._service).total(replica).token_layers
--- a/src/wagtailstair/gateway/stall_detector.py
+++ b/src/wagtailstair/gateway/stall_detector.py
@@ -1,4 +1,4 @@
-"""Engines that requests wait for: found by reports, avoided, left by streams."""
+"""Detection of stalled engines from reports, so that streams move off them."""
 
 import typing as t
 
@@ -11,51 +11,55 @@
     from .gateway import Gateway
 
 REPORT_INTERVAL_S = 0.15
-"""Seconds between two reports of the same engine: each is priced, and old."""
+"""Shortest interval between reports of an engine: each has a cost, and describes
+a state some time ago."""
 
 SUSPECT_S = 3.0
-"""Seconds that an engine is avoided; one that is dead is off the list by then."""
+"""Seconds for which a suspected engine is avoided; a dead one is no longer listed
+by then."""
 
 
 class StallDetector:
-    """Investigates stalls of the gateway's streams."""
+    """Finds the engines that stall the gateway's streams."""
 
-    __slots__ = ("_asked_at_by_name", "_gateway")
+    __slots__ = ("_gateway", "_requested_at_by_name")
 
     def __init__(self, gateway: "Gateway") -> None:
         self._gateway = gateway
-        self._asked_at_by_name: dict[str, float] = {}
+        self._requested_at_by_name: dict[str, float] = {}
 
     def find_stalled_engine(self, first: Replica, service: str) -> None:
-        """Ask a first engine which engines its requests wait for."""
+        """Request a report of which engines a first engine's requests wait for."""
         loop = self._gateway.loop
-        asked_at = self._asked_at_by_name.get(first.name, float("-inf"))
-        if loop.now - asked_at < REPORT_INTERVAL_S:
+        requested_at = self._requested_at_by_name.get(first.name, float("-inf"))
+        if loop.now - requested_at < REPORT_INTERVAL_S:
             return
-        self._asked_at_by_name[first.name] = loop.now
+        self._requested_at_by_name[first.name] = loop.now
 
         fetch_engine_report(
             loop,
             self._gateway.pool,
             first,
-            lambda report: self._take(first, service, report),
+            lambda report: self._handle_report(first, service, report),
             lambda reason: self.suspect(first, service, f"no report: {reason}"),
         )
 
     def suspect(self, replica: Replica, service: str, reason: str) -> None:
-        """Avoid an engine, and take the streams off it that wait."""
+        """Avoid an engine for a while and move stalled streams off it."""
         gateway = self._gateway
         now = gateway.loop.now
         pipelines = gateway.pipelines(service)
-        is_new = pipelines.use(replica).suspect_until <= now
+        is_newly_suspected = pipelines.use(replica).suspect_until <= now
         pipelines.suspect(replica, now + SUSPECT_S)
-        if is_new:
+        if is_newly_suspected:
             log_event("engine_suspected", replica=replica.name, reason=reason)
         for stream in gateway.streams():
-            if stream.uses(replica.identity) and stream.waits(now):
+            if stream.uses_engine(replica.identity) and stream.is_stalled(now):
                 stream.move_off_engine(replica, reason)
 
-    def _take(self, first: Replica, service: str, report: engine_wire.Report) -> None:
+    def _handle_report(
+        self, first: Replica, service: str, report: engine_wire.Report
+    ) -> None:
         log_event(
             "engine_reported",
             level="DEBUG",
