--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -58,19 +58,19 @@
 from .settling import Settler
 from .settling import Task
 from .settling import WriteFuture
-from .settling import event_of_write
+from .settling import make_write_event
 
-MAX_BACKGROUND = 1024
-AWAY_RETRY_S = 1.0
+MAX_UNSETTLED_RESULTS = 1024
+UNAVAILABLE_RETRY_S = 1.0  # sent to callers as the time to retry after
 
 Sender = collections.abc.Callable[[], Answer]
 
 
 class ObjectClient(t.Protocol):
-    """What is needed of the client of the object store."""
+    """The calls to the object store that claims need."""
 
     def put(self, name: str, data: bytes) -> None:
-        """Store an object; raise :exc:`PlatformError` if that isn't certain."""
+        """Store an object; raise :exc:`PlatformError` unless it is certainly stored."""
         ...
 
     def get(self, name: str) -> bytes | None:
@@ -84,7 +84,10 @@
 
 _ERROR_BY_REASON: dict[FailureReason, tuple[type[RequestError], str]] = {
     FailureReason.PLATFORM_AWAY: (NotReadyError, "the platform's table is away"),
-    FailureReason.DEADLINE: (DeadlineExceededError, "the deadline has passed"),
+    FailureReason.DEADLINE: (
+        DeadlineExceededError,
+        "the deadline has passed",
+    ),
     FailureReason.KEY_REUSED: (
         KeyReusedError,
         "the idempotency key was used with another request",
@@ -109,18 +112,22 @@
         kind = OutcomeUnknownError
     retry_after_s = None
     if failure.reason is FailureReason.PLATFORM_AWAY:
-        retry_after_s = AWAY_RETRY_S
+        retry_after_s = UNAVAILABLE_RETRY_S
     error = kind(message, outcome=failure.outcome, retry_after_s=retry_after_s)
     error.__cause__ = cause
     return error
 
 
 class Claims:
-    """The claims of one daemon.
+    """Runs the calls of one daemon that have an idempotency key.
+
+    A claim is a table row, written before the call is sent. Settling a claim
+    means to write the result of its call into that row.
 
-    :param host: the daemon's name; ``incarnation``: differs at each start.
-    :param is_dead: tells whether an incarnation of a host is known to be dead.
-    :param max_background: results still to be written, above which new calls
+    :param host: the daemon's name.
+    :param incarnation: identifies this run of the daemon.
+    :param is_dead: returns whether an incarnation of a host is known to be dead.
+    :param max_unsettled: number of results not yet written at which new calls
         are refused.
     """
 
@@ -134,7 +141,7 @@
         *,
         limits: ClaimLimits | None = None,
         is_dead: collections.abc.Callable[[str, str], bool] = _never_dead,
-        max_background: int = MAX_BACKGROUND,
+        max_unsettled: int = MAX_UNSETTLED_RESULTS,
     ) -> None:
         self._table = table
         self._objects = objects
@@ -143,7 +150,7 @@
         self._incarnation = incarnation or uuid.uuid4().hex
         self._limits = limits or ClaimLimits()
         self._is_dead = is_dead
-        self._max_background = max_background
+        self._max_unsettled = max_unsettled
         self._random = random.Random()
         self._writer = GroupWriter(table, clock)
         self._settler = Settler(self)
@@ -153,12 +160,12 @@
 
     @property
     def send_window_s(self) -> float:
-        """Return seconds from the start of a call in which it may be sent."""
+        """Return for how many seconds after its start a call may still be sent."""
         return self._limits.send_window_s
 
     @property
     def unsettled(self) -> int:
-        """Return the number of results whose write is not confirmed."""
+        """Return the number of results whose write is not yet confirmed."""
         return self._settler.count
 
     def run(
@@ -172,17 +179,18 @@
     ) -> Answer:
         """Run a call at most once, or replay the answer of an earlier one.
 
-        :param deadline: instant on the clock's monotonic time.
-        :param send: one exchange; it raises :exc:`UpstreamNotSentError`,
-            :exc:`UpstreamRefusedError` or a :exc:`RequestError` that says
-            ``not_run`` only if nothing has run. Any other error counts as
-            a call in doubt.
-        :raises RequestError: with what is known of the call's effect.
+        :param deadline: time on the monotonic clock.
+        :param send: sends the call once. It raises :exc:`UpstreamNotSentError`,
+            :exc:`UpstreamRefusedError` or a :exc:`RequestError` with the outcome
+            ``not_run`` only if the call was not executed. After any other error
+            the outcome is unknown.
+        :raises RequestError: with the known outcome of the call.
         """
         with self._idle:
-            if self._is_closing or self.unsettled >= self._max_background:
+            if self._is_closing or self.unsettled >= self._max_unsettled:
                 raise NotReadyError(
-                    "no new calls with a key are taken", retry_after_s=AWAY_RETRY_S
+                    "calls with an idempotency key are not accepted now",
+                    retry_after_s=UNAVAILABLE_RETRY_S,
                 )
             self._running += 1
         try:
@@ -195,9 +203,9 @@
                 self._idle.notify_all()
 
     def sweep(self, rows: collections.abc.Iterable[Row]) -> int:
-        """Delete the claims that are past their retention; return how many.
+        """Delete the claims past their retention; return the number deleted.
 
-        :param rows: a scan of the claims' table. One host at a time is enough.
+        :param rows: rows of the claims' table.
         """
         now = self._clock.utcnow().timestamp()
         deletes = find_expired(rows, now, self._limits.retention_s)
@@ -209,16 +217,16 @@
         return swept
 
     def close(self, timeout: float) -> int:
-        """Settle what is pending; return the number of results left unsettled.
+        """Write the pending results; return the number that could not be written.
 
-        :param timeout: seconds to wait for calls and their writes.
+        :param timeout: seconds to wait for running calls, and again for writes.
         """
         with self._idle:
             self._is_closing = True
             self._idle.wait_for(lambda: self._running == 0, timeout)
-        left = self._settler.close(timeout)
+        unsettled = self._settler.close(timeout)
         self._writer.close()
-        return left
+        return unsettled
 
     def _new_task(
         self,
@@ -240,44 +248,44 @@
         while not isinstance(command, Deliver):
             if isinstance(command, Settle | Release):
                 future = self.submit(task, command)
-                if not self._is_written_soon(future):
+                if not self._wait_until_written(future):
                     claim.is_delivered = True
-                    self._settler.follow(task, future)
-                    return self._conclude(task)
-                event = event_of_write(future)
+                    self._settler.add_write(task, future)
+                    return self._get_answer(task)
+                event = make_write_event(future)
             else:
                 event = self.execute(task, command)
             command = claim.step(event, self._clock.monotonic())
         command = claim.step(Delivered(), self._clock.monotonic())
         if not isinstance(command, Finish):
-            self._settler.park(task, command)
-        return self._conclude(task)
+            self._settler.add(task, command)
+        return self._get_answer(task)
 
-    def _is_written_soon(self, future: WriteFuture) -> bool:
+    def _wait_until_written(self, future: WriteFuture) -> bool:
         done, _ = concurrent.futures.wait([future], self._limits.confirm_s)
         return bool(done)
 
-    def _conclude(self, task: Task) -> Answer:
+    def _get_answer(self, task: Task) -> Answer:
         result = task.claim.result
         if isinstance(result, Answer):
             return result
         if result is None:
-            raise OutcomeUnknownError("the call ended without a result")
+            raise OutcomeUnknownError("the call ended without an answer or an error")
         raise _make_error(result, task.cause)
 
-    # The steps, also for the settler.
+    # Execution of commands, for the calling thread and the settler.
 
     def submit(self, task: Task, command: Insert | Settle | Release) -> WriteFuture:
-        """Queue a claim's write."""
+        """Queue the write of a claim's row."""
         condition, write = make_write(task.key, command)
         return self._writer.submit(condition, write)
 
     def execute(self, task: Task, command: Command) -> Event:
-        """Do a step that the calling thread waits for."""
-        return _STEP_BY_COMMAND[type(command)](self, task, command)
+        """Execute a command and wait for the event that answers it."""
+        return _EXECUTE_BY_COMMAND[type(command)](self, task, command)
 
-    def event_of_row(self, row: Row) -> RowRead:
-        """Return the event that a row as read stands for."""
+    def _make_row_event(self, row: Row) -> RowRead:
+        """Return the event for a row that was read."""
         if row.value is None:
             return RowRead(row.version, None)
         claim = decode_claim(row.value)
@@ -286,7 +294,7 @@
         return RowRead(row.version, claim, is_dead)
 
     def jitter(self, delay_s: float) -> float:
-        """Return a delay between half of one and the whole."""
+        """Return a random delay between half of ``delay_s`` and ``delay_s``."""
         return delay_s * self._random.uniform(0.5, 1.0)
 
     def monotonic(self) -> float:
@@ -294,27 +302,27 @@
         return self._clock.monotonic()
 
     def read_rows(self, tasks: collections.abc.Sequence[Task]) -> list[Event]:
-        """Read the rows of several claims at once."""
+        """Read the rows of several claims in one request."""
         try:
             rows = self._table.read([(TABLE, task.key) for task in tasks])
         except PlatformError:
             return [Unavailable() for _ in tasks]
-        return [self.event_of_row(row) for row in rows]
+        return [self._make_row_event(row) for row in rows]
 
-    def _do_insert(self, task: Task, command: Insert) -> Event:
+    def _execute_insert(self, task: Task, command: Insert) -> Event:
         future = self.submit(task, command)
         concurrent.futures.wait([future])
-        return event_of_write(future)
+        return make_write_event(future)
 
-    def _do_read(self, task: Task, command: Read) -> Event:
+    def _execute_read(self, task: Task, command: Read) -> Event:
         return self.read_rows([task])[0]
 
-    def _do_wait(self, task: Task, command: Wait) -> Event:
+    def _execute_wait(self, task: Task, command: Wait) -> Event:
         threading.Event().wait(self.jitter(command.delay_s))
         return WaitElapsed()
 
-    def _do_send(self, task: Task, command: Send) -> Event:
-        # Judged again here: the thread may have been frozen since the claim.
+    def _execute_send(self, task: Task, command: Send) -> Event:
+        # Check the deadline again: the process may have paused since the claim.
         if task.send is None or self._clock.monotonic() >= command.not_after:
             return NotRun()
         try:
@@ -330,14 +338,14 @@
             return CallLost()
         return Answered(answer)
 
-    def _do_store(self, task: Task, command: Store) -> Event:
+    def _execute_store(self, task: Task, command: Store) -> Event:
         try:
             self._objects.put(command.name, command.body)
         except PlatformError:
             return Unavailable()
         return Stored()
 
-    def _do_fetch(self, task: Task, command: Fetch) -> Event:
+    def _execute_fetch(self, task: Task, command: Fetch) -> Event:
         try:
             body = self._objects.get(command.name)
         except PlatformError:
@@ -345,11 +353,11 @@
         return Unavailable() if body is None else Fetched(body)
 
 
-_STEP_BY_COMMAND: dict[type, collections.abc.Callable[..., Event]] = {
-    Insert: Claims._do_insert,
-    Read: Claims._do_read,
-    Wait: Claims._do_wait,
-    Send: Claims._do_send,
-    Store: Claims._do_store,
-    Fetch: Claims._do_fetch,
+_EXECUTE_BY_COMMAND: dict[type, collections.abc.Callable[..., Event]] = {
+    Insert: Claims._execute_insert,
+    Read: Claims._execute_read,
+    Wait: Claims._execute_wait,
+    Send: Claims._execute_send,
+    Store: Claims._execute_store,
+    Fetch: Claims._execute_fetch,
 }
--- a/src/wagtailstair/commits.py
+++ b/src/wagtailstair/commits.py
@@ -1,4 +1,4 @@
-"""Group commit: conditional writes of single rows share transactions."""
+"""Group commit: conditional writes of single rows are batched in transactions."""
 
 import collections
 import collections.abc
@@ -19,14 +19,14 @@
 
 MAX_BATCH_ROWS = 64
 MAX_QUEUE_ROWS = 4096
-AWAY_S = 0.5
+UNAVAILABLE_BACKOFF_S = 0.5
 
 
 class TableClient(t.Protocol):
-    """What is needed of the client of the table service.
+    """The calls to the table service that the daemon needs.
 
     Each method raises :exc:`PlatformUnavailableError` if nothing took effect
-    and :exc:`PlatformUnknownError` if that is not known.
+    and :exc:`PlatformUnknownError` if the request may have taken effect.
     """
 
     def transact(
@@ -34,13 +34,13 @@
         conditions: collections.abc.Sequence[Condition],
         writes: collections.abc.Sequence[Write],
     ) -> collections.abc.Sequence[int]:
-        """Write rows together; raise :exc:`PlatformConflictError` if refused."""
+        """Write all rows; raise :exc:`PlatformConflictError` if a condition fails."""
         ...
 
     def read(
         self, keys: collections.abc.Sequence[RowKey]
     ) -> collections.abc.Sequence[Row]:
-        """Return the rows in the order of their keys, absent ones included."""
+        """Return the rows in the order of ``keys``, absent ones included."""
         ...
 
 
@@ -61,14 +61,14 @@
 
 
 class GroupWriter:
-    """A thread that writes what is waiting in one transaction.
+    """Writes queued operations in batches, one transaction each, in a thread.
 
     A conflict of one operation doesn't fail the others of its batch. Two
-    operations on one row never share a batch: their conditions would both hold
-    although only the last write would stay.
+    operations on one row never share a batch: both conditions would hold, and
+    the later write would overwrite the earlier one.
 
-    :param away_s: seconds for which writes are refused at once after the
-        table could not be reached.
+    :param unavailable_backoff_s: seconds for which writes are refused at once
+        after the table was unavailable.
     """
 
     def __init__(
@@ -78,14 +78,14 @@
         *,
         max_batch: int = MAX_BATCH_ROWS,
         max_queue: int = MAX_QUEUE_ROWS,
-        away_s: float = AWAY_S,
+        unavailable_backoff_s: float = UNAVAILABLE_BACKOFF_S,
     ) -> None:
         self._table = table
         self._clock = clock
         self._max_batch = max_batch
         self._max_queue = max_queue
-        self._away_s = away_s
-        self._away_until = float("-inf")
+        self._unavailable_backoff_s = unavailable_backoff_s
+        self._refuse_until = float("-inf")
         self._queue: collections.deque[_Operation] = collections.deque()
         self._changed = threading.Condition()
         self._is_closing = False
@@ -97,13 +97,13 @@
     def submit(
         self, condition: Condition, write: Write
     ) -> "concurrent.futures.Future[int]":
-        """Queue a write; the future gives the row's new version.
+        """Queue a write; return a future of the row's new version.
 
-        The future raises the errors of :class:`TableClient`.
+        The future fails with the errors of :class:`TableClient`.
         """
         future: concurrent.futures.Future[int] = concurrent.futures.Future()
         with self._changed:
-            reason = self._refusal()
+            reason = self._refusal_reason()
             if reason is not None:
                 future.set_exception(PlatformUnavailableError(reason, where="table"))
                 return future
@@ -112,16 +112,16 @@
         return future
 
     def close(self) -> None:
-        """Write what is queued and stop the thread."""
+        """Write the queued operations, then stop the thread."""
         with self._changed:
             self._is_closing = True
             self._changed.notify()
         self._thread.join()
 
-    def _refusal(self) -> str | None:
+    def _refusal_reason(self) -> str | None:
         if self._is_closing:
             return "the writer is closed"
-        if self._clock.monotonic() < self._away_until:
+        if self._clock.monotonic() < self._refuse_until:
             return "the table is away"
         if len(self._queue) >= self._max_queue:
             return "too many writes are waiting"
@@ -129,26 +129,26 @@
 
     def _run(self) -> None:
         while True:
-            batch = self._take()
+            batch = self._take_batch()
             if not batch:
                 return
             self._commit(batch)
 
-    def _take(self) -> list[_Operation]:
+    def _take_batch(self) -> list[_Operation]:
         with self._changed:
             while not self._queue and not self._is_closing:
                 self._changed.wait()
             batch: list[_Operation] = []
             rows: set[RowKey] = set()
-            left: list[_Operation] = []
+            postponed: list[_Operation] = []
             while self._queue and len(batch) < self._max_batch:
                 operation = self._queue.popleft()
                 if operation.row in rows:
-                    left.append(operation)
+                    postponed.append(operation)
                     continue
                 rows.add(operation.row)
                 batch.append(operation)
-            self._queue.extendleft(reversed(left))
+            self._queue.extendleft(reversed(postponed))
             return batch
 
     def _commit(self, batch: list[_Operation]) -> None:
@@ -158,45 +158,47 @@
             versions = self._table.transact(conditions, writes)
             pairs = list(zip(batch, versions, strict=True))
         except PlatformConflictError as error:
-            self._divide(batch, error)
+            self._retry_without_conflicts(batch, error)
         except PlatformUnavailableError as error:
-            self._refuse_all(batch, error)
+            self._fail_all_queued(batch, error)
         except PlatformError as error:
-            _fail(batch, error)
+            _fail_operations(batch, error)
         except Exception as error:
-            # Whatever it was, the write may have taken effect.
+            # After an unexpected error, the write may have taken effect.
             unknown = PlatformUnknownError(str(error), where="table")
             unknown.__cause__ = error
-            _fail(batch, unknown)
+            _fail_operations(batch, unknown)
         else:
             for operation, version in pairs:
                 operation.future.set_result(version)
 
-    def _divide(self, batch: list[_Operation], error: PlatformConflictError) -> None:
+    def _retry_without_conflicts(
+        self, batch: list[_Operation], error: PlatformConflictError
+    ) -> None:
         if len(batch) == 1:
-            _fail(batch, error)
+            _fail_operations(batch, error)
             return
         rows = _conflicting_rows(error)
         failed = [operation for operation in batch if operation.row in rows]
-        rest = [operation for operation in batch if operation.row not in rows]
+        remaining = [operation for operation in batch if operation.row not in rows]
         if failed:
-            _fail(failed, error)
-            if rest:
-                self._commit(rest)
+            _fail_operations(failed, error)
+            if remaining:
+                self._commit(remaining)
             return
-        for operation in rest:
+        for operation in remaining:
             self._commit([operation])
 
-    def _refuse_all(
+    def _fail_all_queued(
         self, batch: list[_Operation], error: PlatformUnavailableError
     ) -> None:
         with self._changed:
-            self._away_until = self._clock.monotonic() + self._away_s
+            self._refuse_until = self._clock.monotonic() + self._unavailable_backoff_s
             batch = [*batch, *self._queue]
             self._queue.clear()
-        _fail(batch, error)
+        _fail_operations(batch, error)
 
 
-def _fail(operations: list[_Operation], error: PlatformError) -> None:
+def _fail_operations(operations: list[_Operation], error: PlatformError) -> None:
     for operation in operations:
         operation.future.set_exception(error)
--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -1,4 +1,4 @@
-"""Follows the lists: from the platform, and from peers that have them."""
+"""Keeps the lists up to date from the platform and from peers."""
 
 import concurrent.futures
 import threading
@@ -20,21 +20,22 @@
 
 TICK_S = 0.1
 WORKERS = 2  # one for the platform, one for a peer
-WAIT_STEP_S = 0.02
+FRESHNESS_POLL_S = 0.02
 
 Submit = t.Callable[[t.Callable[[], None]], object]
 
 
 class Follower:
-    """Keeps the lists of one daemon at the highest version that it can get.
+    """Keeps the lists of one daemon at the highest version available to it.
 
-    :param read_head: reads the version from the platform.
-    :param read_since: reads present lists from the platform, given older ones.
-    :param fetch: fetches lists from a peer, given older ones.
-    :param find_peers: returns what the peers have told.
+    :param freshness: decides which reads are due.
+    :param read_head: reads the version of the lists from the platform.
+    :param read_since: reads the current lists from the platform, given older ones.
+    :param fetch: fetches the lists from a peer, given older ones.
+    :param find_peers: returns the versions that the peers have reported.
     :param find_rank: returns this host's rank among those of its data centre.
-    :param on_taken: called with the old and the new lists.
-    :param submit: runs a blocking call elsewhere.
+    :param on_taken: called with the old and the new lists after a replacement.
+    :param submit: runs a blocking call in another thread.
     """
 
     def __init__(
@@ -53,13 +54,13 @@
     ) -> None:
         self._holder = holder
         self._clock = clock
-        self._freshness = freshness
+        self._refresh = freshness
         self._read_head = read_head
         self._read_since = read_since
         self._fetch = fetch
         self._find_peers = find_peers
         self._find_rank = find_rank
-        self._on_taken = on_taken
+        self._on_lists_replaced = on_taken
         self._lock = threading.Lock()
         self._pool: concurrent.futures.ThreadPoolExecutor | None = None
         if submit is None:
@@ -68,87 +69,88 @@
             )
             submit = self._pool.submit
         self._submit = submit
-        self._wake = threading.Event()
+        self._tick_requested = threading.Event()
         self._stopping = False
         self._thread = threading.Thread(target=self._run, name="follower", daemon=True)
 
     def start(self) -> None:
-        """Begin to follow."""
+        """Start the thread that refreshes the lists."""
         self._thread.start()
 
     def stop(self) -> None:
-        """Stop; a read that is under way is not waited for."""
+        """Stop, without waiting for a read in progress."""
         self._stopping = True
-        self._wake.set()
+        self._tick_requested.set()
         self._thread.join()
         if self._pool is not None:
             self._pool.shutdown(wait=False, cancel_futures=True)
 
     def heard(self) -> None:
-        """Look at once at what the peers have told."""
-        self._wake.set()
+        """Run the next tick at once, as a peer has reported a version."""
+        self._tick_requested.set()
 
     @property
     def is_ready(self) -> bool:
-        """Whether the lists are good enough to begin to serve."""
+        """Whether the lists are current enough to start serving."""
         with self._lock:
-            return self._freshness.is_ready
+            return self._refresh.is_ready
 
     def known(self) -> int:
-        """Return the highest version that this host has heard of."""
+        """Return the highest version of the lists that this host has learnt of."""
         with self._lock:
-            return self._freshness.known
+            return self._refresh.known
 
     def wait_until_fresh(self, deadline: float) -> bool:
-        """Wait, after a pause of the process, for one attempt to refresh.
+        """Wait until the lists are fresh, after a pause of the process.
 
-        :param deadline: on the monotonic clock; the wait is also bounded to
-            about a second.
+        The wait ends after one attempt to refresh, or after about a second.
+
+        :param deadline: time on the monotonic clock.
         :return: whether the lists may be used; False only at the deadline.
         """
         while True:
             now = self._clock.monotonic()
             with self._lock:
-                if self._freshness.is_fresh(now):
+                if self._refresh.is_fresh(now):
                     return True
             if now >= deadline:
                 return False
-            self._wake.set()
-            threading.Event().wait(WAIT_STEP_S)
+            self._tick_requested.set()
+            threading.Event().wait(FRESHNESS_POLL_S)
 
     def tick(self) -> None:
-        """Begin what is due."""
+        """Submit the reads and fetches that are due."""
         peers = self._find_peers()
         rank = self._find_rank()
         with self._lock:
             now = self._clock.monotonic()
-            actions = self._freshness.tick(now, rank, peers)
+            actions = self._refresh.tick(now, rank, peers)
         for action in actions:
-            self._submit(self._runner(action))
+            self._submit(self._make_call(action))
 
     def _run(self) -> None:
         while not self._stopping:
             try:
                 self.tick()
             except Exception as error:
-                # Without this thread the host would keep old lists.
+                # If this thread ended, the host would never refresh its lists.
                 name = type(error).__name__
                 log_event("follower_tick_failed", level="ERROR", error=name)
-            self._wake.wait(TICK_S)
-            self._wake.clear()
+            self._tick_requested.wait(TICK_S)
+            self._tick_requested.clear()
 
-    def _runner(self, action: Action) -> t.Callable[[], None]:
+    def _make_call(self, action: Action) -> t.Callable[[], None]:
         def run() -> None:
             try:
                 self._perform(action)
             except (PlatformError, PeerError, ListsError) as error:
-                self._note_failure(action, error)
+                self._record_failure(action, error)
             except Exception as error:
-                self._note_failure(action, error)
-                # Where it runs, nobody would see it: the log above is all.
+                self._record_failure(action, error)
+                # The future's exception is never read, so it is logged first.
                 raise
             finally:
-                self._wake.set()
+                self._tick_requested.set()
 
         return run
 
@@ -156,31 +158,31 @@
         if isinstance(action, ReadVersion):
             version = self._read_head()
             with self._lock:
-                self._freshness.record_version(action, version, self._clock.monotonic())
+                self._refresh.record_version(action, version, self._clock.monotonic())
             return
         if isinstance(action, ReadLists):
             lists = self._read_since(self._holder.current)
-            self._take(lists, "platform")
+            self._apply(lists, "platform")
             with self._lock:
                 now = self._clock.monotonic()
-                self._freshness.record_version(action, lists.version, now)
+                self._refresh.record_version(action, lists.version, now)
             return
-        self._take(self._fetch(action.peer, self._holder.current), action.peer)
+        self._apply(self._fetch(action.peer, self._holder.current), action.peer)
         with self._lock:
-            self._freshness.record_fetch(action, self._clock.monotonic())
+            self._refresh.record_fetch(action, self._clock.monotonic())
 
-    def _take(self, lists: Lists, source: str) -> None:
+    def _apply(self, lists: Lists, source: str) -> None:
         old = self._holder.current
         if not self._holder.replace_if_newer(lists):
             return
         with self._lock:
-            self._freshness.record_applied(lists.version)
+            self._refresh.record_applied(lists.version)
         log_event("lists_taken", version=lists.version, source=source)
-        self._on_taken(old, lists)
+        self._on_lists_replaced(old, lists)
 
-    def _note_failure(self, action: Action, error: Exception) -> None:
+    def _record_failure(self, action: Action, error: Exception) -> None:
         with self._lock:
-            self._freshness.record_failure(action, self._clock.monotonic())
+            self._refresh.record_failure(action, self._clock.monotonic())
         source = "platform"
         if isinstance(action, FetchLists):
             source = action.peer
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -1,4 +1,4 @@
-"""Placement of models on the engines of one data centre, by one lease holder."""
+"""Placement of models on the engines of one data centre by its lease holder."""
 
 import collections.abc
 import concurrent.futures
@@ -32,8 +32,8 @@
 
 TABLE = "leases"
 ORDER_TIMEOUT_S = 2.0
-MAX_LEASE_STEPS = 4
-MAX_SENDERS = 8
+MAX_LEASE_COMMANDS = 4  # in one tick
+MAX_SENDERS = 8  # threads that send orders and read engine states
 
 Observe = collections.abc.Callable[[], collections.abc.Sequence[EngineState]]
 Derive = collections.abc.Callable[
@@ -42,10 +42,10 @@
 
 
 class EngineClient(t.Protocol):
-    """What is needed of the client of the engines."""
+    """The calls to the engines that placement needs."""
 
     def read_state(self, engine: str) -> EngineState:
-        """Ask an engine for its state; raise :exc:`UpstreamError`."""
+        """Return an engine's state; raise :exc:`UpstreamError` if it can't be read."""
         ...
 
     def send_order(
@@ -56,17 +56,18 @@
         timeout_s: float,
         may_send: collections.abc.Callable[[], bool],
     ) -> None:
-        """Send an order, if ``may_send`` holds when it is connected.
+        """Send an order, if ``may_send`` returns true once connected.
 
-        :raises UpstreamError: if it was not sent, was refused, or its reply
-            was lost.
+        :raises UpstreamError: if the order was not sent, was refused, or its
+            reply was lost.
         """
         ...
 
 
 class LeaseKeeper:
-    """The table side of a lease.
+    """Acquires, renews and releases a lease in a row of the table.
 
+    :param role: key of the lease's row.
     :param holder: host and incarnation of this process.
     """
 
@@ -87,20 +88,20 @@
 
     @property
     def fence(self) -> int:
-        """Return the fencing number as last seen."""
+        """Return the latest known fencing number."""
         with self._lock:
             return self._lease.fence
 
     def may_send_order(self, fence: int, order_s: float) -> bool:
-        """Tell whether an order under ``fence`` may be sent now."""
+        """Return whether an order with fencing number ``fence`` may be sent now."""
         with self._lock:
             if self._lease.fence != fence:
                 return False
             return self._lease.may_send_order(self._clock.monotonic(), order_s)
 
     def tick(self) -> float:
-        """Do what the lease needs; return the seconds until the next time."""
-        for _ in range(MAX_LEASE_STEPS):
+        """Read or write the lease if due; return the seconds until the next call."""
+        for _ in range(MAX_LEASE_COMMANDS):
             with self._lock:
                 command = self._lease.next(self._clock.monotonic())
             if isinstance(command, LeaseWait):
@@ -112,7 +113,7 @@
         return 0.0
 
     def release(self) -> None:
-        """Give the lease up, if it is held."""
+        """Release the lease if it is held."""
         with self._lock:
             command = self._lease.release(self._clock.monotonic())
         if command is not None:
@@ -155,11 +156,12 @@
 
 
 class Placer:
-    """Sends orders to the engines of a data centre while it holds the lease.
+    """Sends orders to the engines of a data centre while this host holds the lease.
 
     :param observe: returns the engines' states as reported to this daemon.
     :param derive: returns the targets for those engines.
-    :param order_timeout_s: after which an order has taken effect or never will.
+    :param order_timeout_s: time after which an order either has taken effect or
+        never will.
     """
 
     def __init__(
@@ -182,7 +184,7 @@
         self._placement = Placement(self._limits)
         self._fence = 0
         self._state_by_engine: dict[str, EngineState] = {}
-        self._unsent: queue.SimpleQueue[Order] = queue.SimpleQueue()
+        self._refused_orders: queue.SimpleQueue[Order] = queue.SimpleQueue()
         self._open: set[concurrent.futures.Future[None]] = set()
         self._executor = concurrent.futures.ThreadPoolExecutor(
             MAX_SENDERS, thread_name_prefix="placement"
@@ -191,14 +193,14 @@
         self._thread: threading.Thread | None = None
 
     def start(self) -> None:
-        """Start the thread that keeps the lease and sends orders."""
+        """Start the thread that renews the lease and sends orders."""
         self._thread = threading.Thread(
             target=self._run, name="placement-lease", daemon=True
         )
         self._thread.start()
 
     def close(self) -> None:
-        """Stop; give the lease up if every order has been answered."""
+        """Stop, and release the lease if every order has been answered."""
         self._is_closing.set()
         if self._thread is not None:
             self._thread.join()
@@ -208,25 +210,26 @@
             self._keeper.release()
 
     def tick(self) -> float:
-        """Keep the lease and send the orders that are due.
+        """Acquire or renew the lease, and send the orders that are due.
 
         :returns: seconds until the next call.
         """
         delay_s = self._keeper.tick()
         fence = self._keeper.fence
         if not self._keeper.may_send_order(fence, self._order_timeout_s):
-            # The shapes of models are learnt by every host, so that the next
-            # holder knows a range whose last engine died with this one.
+            # Hosts without the lease derive targets too. Deriving records the
+            # layer ranges of the models, so that the next holder of the lease
+            # knows a range whose last engine has failed by then.
             self._derive(self._observe())
             return delay_s
         if fence != self._fence:
-            # Memory of an earlier lease is older than the other holders' orders.
+            # State from an earlier lease predates the orders of other holders.
             self._fence = fence
             self._placement = Placement(self._limits)
             self._state_by_engine = {}
-        while not self._unsent.empty():
-            self._placement.record_refusal(self._unsent.get())
-        engines = self._read_back(self._observe())
+        while not self._refused_orders.empty():
+            self._placement.record_refusal(self._refused_orders.get())
+        engines = self._merge_states(self._observe())
         targets = self._derive(engines)
         for order in self._placement.decide(targets, engines, self._clock.monotonic()):
             future = self._executor.submit(self._send, order, fence)
@@ -239,10 +242,10 @@
             delay_s = self.tick()
             self._is_closing.wait(min(max(delay_s, 0.05), 1.0))
 
-    def _read_back(
+    def _merge_states(
         self, observed: collections.abc.Sequence[EngineState]
     ) -> list[EngineState]:
-        """Return newer states; engines not read under this lease are left out."""
+        """Return the latest state of each engine that was read under this lease."""
         unread = [e.name for e in observed if e.name not in self._state_by_engine]
         for state in self._executor.map(self._read_state, unread):
             if state is not None:
@@ -269,12 +272,14 @@
 
         try:
             if not may_send():
-                raise UpstreamError("the lease ends too soon", where=order.engine)
+                raise UpstreamError(
+                    "the lease ends before the order timeout", where=order.engine
+                )
             self._engines.send_order(
                 order, fence, self._keeper.holder, timeout_s, may_send
             )
         except UpstreamLostError:
-            # It may still take effect: the engine's state will tell.
+            # The order may still take effect; the engine's next state shows it.
             return
         except UpstreamError:
-            self._unsent.put(order)
+            self._refused_orders.put(order)
--- a/src/wagtailstair/settling.py
+++ b/src/wagtailstair/settling.py
@@ -1,4 +1,7 @@
-"""Writes of results that outlast their calls."""
+"""Completion of claims after their calls have returned.
+
+A claim is settled when the result of its call is written to its row.
+"""
 
 import collections.abc
 import concurrent.futures
@@ -30,14 +33,14 @@
 from .exceptions import PlatformUnavailableError
 
 MAX_READ_ROWS = 100
-MAX_IDLE_S = 1.0
+MAX_WAIT_S = 1.0
 
 WriteFuture = concurrent.futures.Future[int]
 
 
 @dataclasses.dataclass(slots=True)
 class Task:
-    """A claim with what its steps need."""
+    """A claim, its row key and the function that sends its call."""
 
     claim: Claim
     key: str
@@ -46,22 +49,22 @@
 
 
 class Driver(t.Protocol):
-    """What carries out the commands of claims."""
+    """Executes the commands of claims."""
 
     def submit(self, task: Task, command: Insert | Settle | Release) -> WriteFuture:
-        """Queue a claim's write."""
+        """Queue the write of a claim's row."""
         ...
 
     def execute(self, task: Task, command: Command) -> Event:
-        """Carry out a command and wait for it."""
+        """Execute a command and wait for the event that answers it."""
         ...
 
     def read_rows(self, tasks: collections.abc.Sequence[Task]) -> list[Event]:
-        """Read the rows of several claims at once."""
+        """Read the rows of several claims in one request."""
         ...
 
     def jitter(self, delay_s: float) -> float:
-        """Return a random delay near ``delay_s``."""
+        """Return a random delay of at most ``delay_s``."""
         ...
 
     def monotonic(self) -> float:
@@ -69,8 +72,8 @@
         ...
 
 
-def event_of_write(future: WriteFuture) -> Event:
-    """Return the event that a finished write stands for."""
+def make_write_event(future: WriteFuture) -> Event:
+    """Return the event for a write that has ended."""
     error = future.exception()
     if error is None:
         return Written(future.result())
@@ -82,7 +85,7 @@
 
 
 class Settler:
-    """A thread that drives parked claims until their writes are confirmed."""
+    """Completes claims in a thread, until their writes are confirmed."""
 
     def __init__(self, driver: Driver) -> None:
         self._driver = driver
@@ -100,20 +103,20 @@
         """Return the number of claims that are not finished."""
         return self._count
 
-    def park(self, task: Task, command: Command) -> None:
-        """Take over a claim at its next command."""
+    def add(self, task: Task, command: Command) -> None:
+        """Take over a claim, starting with its next command."""
         with self._changed:
             self._count += 1
-        self._begin(task, command)
+        self._start_command(task, command)
 
-    def follow(self, task: Task, future: WriteFuture) -> None:
-        """Take over a claim whose write is under way."""
+    def add_write(self, task: Task, future: WriteFuture) -> None:
+        """Take over a claim whose write is queued or in progress."""
         with self._changed:
             self._count += 1
-        self._await(task, future)
+        self._watch_write(task, future)
 
     def close(self, timeout: float) -> int:
-        """Wait for parked claims, then stop; return how many are left."""
+        """Wait for the claims, then stop; return the number not finished."""
         with self._changed:
             self._changed.wait_for(lambda: self._count == 0, timeout)
             self._is_closing = True
@@ -121,11 +124,11 @@
         self._thread.join()
         return self._count
 
-    def _begin(self, task: Task, command: Command) -> None:
+    def _start_command(self, task: Task, command: Command) -> None:
         if isinstance(command, Finish):
-            self._finish()
+            self._record_finished()
         elif isinstance(command, Settle | Release):
-            self._await(task, self._driver.submit(task, command))
+            self._watch_write(task, self._driver.submit(task, command))
         elif isinstance(command, Wait):
             self._schedule(task, WaitElapsed(), self._driver.jitter(command.delay_s))
         elif isinstance(command, Deliver):
@@ -135,16 +138,16 @@
                 self._commands.append((task, command))
                 self._changed.notify_all()
 
-    def _finish(self) -> None:
+    def _record_finished(self) -> None:
         with self._changed:
             self._count -= 1
             self._changed.notify_all()
 
-    def _await(self, task: Task, future: WriteFuture) -> None:
-        future.add_done_callback(functools.partial(self._on_written, task))
+    def _watch_write(self, task: Task, future: WriteFuture) -> None:
+        future.add_done_callback(functools.partial(self._handle_written, task))
 
-    def _on_written(self, task: Task, future: WriteFuture) -> None:
-        self._schedule(task, event_of_write(future), 0.0)
+    def _handle_written(self, task: Task, future: WriteFuture) -> None:
+        self._schedule(task, make_write_event(future), 0.0)
 
     def _schedule(self, task: Task, event: Event, delay_s: float) -> None:
         due = self._driver.monotonic() + delay_s
@@ -158,23 +161,23 @@
                 self._wait_for_work()
                 if self._is_closing:
                     return
-                events = self._take_due()
+                events = self._pop_due()
                 commands = self._commands
                 self._commands = []
             for task, event in events:
                 self._step(task, event)
-            self._carry_out(commands)
+            self._execute(commands)
 
     def _wait_for_work(self) -> None:
         if self._is_closing or self._commands:
             return
-        idle_s = MAX_IDLE_S
+        wait_s = MAX_WAIT_S
         if self._events:
-            idle_s = min(idle_s, self._events[0][0] - self._driver.monotonic())
-        if idle_s > 0:
-            self._changed.wait(idle_s)
+            wait_s = min(wait_s, self._events[0][0] - self._driver.monotonic())
+        if wait_s > 0:
+            self._changed.wait(wait_s)
 
-    def _take_due(self) -> list[tuple[Task, Event]]:
+    def _pop_due(self) -> list[tuple[Task, Event]]:
         now = self._driver.monotonic()
         due: list[tuple[Task, Event]] = []
         while self._events and self._events[0][0] <= now:
@@ -183,9 +186,9 @@
         return due
 
     def _step(self, task: Task, event: Event) -> None:
-        self._begin(task, task.claim.step(event, self._driver.monotonic()))
+        self._start_command(task, task.claim.step(event, self._driver.monotonic()))
 
-    def _carry_out(self, commands: list[tuple[Task, Command]]) -> None:
+    def _execute(self, commands: list[tuple[Task, Command]]) -> None:
         readers: list[Task] = []
         for task, command in commands:
             if isinstance(command, Read):
--- a/src/wagtailstair/stores/__init__.py
+++ b/src/wagtailstair/stores/__init__.py
@@ -1,1 +1,1 @@
-"""Clients of the platform: table, object and weight stores, host list."""
+"""Clients of the platform: table service, object and weight stores, host list."""
--- a/src/wagtailstair/stores/hosts.py
+++ b/src/wagtailstair/stores/hosts.py
@@ -1,11 +1,11 @@
-"""The platform's list of hosts, which lags."""
+"""The platform's host list, which lags behind the real state of the hosts."""
 
 import msgspec
 
 from ..exceptions import PlatformError
 from .http import Timeouts
+from .http import make_reply_error
 from .http import request_json
-from .http import unusable_reply
 
 ENTRY = "entry"
 ENGINE = "engine"
@@ -15,11 +15,11 @@
 
 
 class HostEntry(msgspec.Struct, frozen=True):
-    """A host as the platform lists it.
+    """A host in the platform's host list.
 
-    ``address``: ``ip:port``, of an entry host that of its HTTP port;
-    ``peer_address``: an entry host's UDP port; ``service``: the name of a
-    plain service.
+    ``address``: ``ip:port``, with the HTTP port for an entry host;
+    ``peer_address``: ``ip:port`` with the UDP port of an entry host;
+    ``service``: the name of a plain service.
     """
 
     name: str
@@ -33,7 +33,7 @@
 
     @property
     def is_leaving(self) -> bool:
-        """Tell whether the host gets no new work."""
+        """Whether the host is shutting down and gets no new requests."""
         return self.state == LEAVING
 
 
@@ -42,9 +42,9 @@
 
 
 def decode_hosts(raw: bytes) -> list[HostEntry]:
-    """Decode the list.
+    """Decode a host list.
 
-    :raises PlatformError: if it is not one.
+    :raises PlatformError: if the data is malformed.
     """
     try:
         return msgspec.json.decode(raw, type=_Hosts).hosts
@@ -56,13 +56,13 @@
     url: str,
     timeouts: Timeouts = Timeouts(),  # noqa: B008 - immutable
 ) -> list[HostEntry]:
-    """Return all hosts of the list.
+    """Read the host list from the platform.
 
-    :raises PlatformUnavailableError: if it can't be read.
+    :raises PlatformUnavailableError: if the list can't be read.
     """
-    place = url.rstrip("/") + "/v1/hosts"
-    reply = request_json("GET", place, timeouts=timeouts)
+    endpoint = url.rstrip("/") + "/v1/hosts"
+    reply = request_json("GET", endpoint, timeouts=timeouts)
     try:
         return msgspec.convert(reply.body, _Hosts).hosts
     except msgspec.ValidationError as error:
-        raise unusable_reply("GET", place) from error
+        raise make_reply_error("GET", endpoint) from error
--- a/src/wagtailstair/stores/http.py
+++ b/src/wagtailstair/stores/http.py
@@ -1,4 +1,4 @@
-"""Blocking HTTP requests to the platform, one curl handle for each thread."""
+"""Blocking HTTP requests to the platform, with one curl handle per thread."""
 
 import dataclasses
 import re
@@ -36,7 +36,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Timeouts:
-    """Limits on one request, in seconds."""
+    """Timeouts of one request, in seconds."""
 
     total_s: float = 2.0
     connect_s: float = 0.5
@@ -44,24 +44,24 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reply:
-    """An answer of the platform; ``body`` is decoded where it is JSON."""
+    """A reply of the platform; ``body`` is decoded by `request_json` only."""
 
     status: int
     body: t.Any
     retry_after_s: float | None = None
 
 
-def _handle() -> pycurl.Curl:
+def _get_handle() -> pycurl.Curl:
     curl = getattr(_local, "curl", None)
     if curl is None:
         curl = _local.curl = pycurl.Curl()
-    # A reset keeps the open connections.
+    # A reset keeps open connections.
     curl.reset()
     return curl
 
 
-class _Received:
-    """What a transfer has received so far."""
+class _ReplyBuffer:
+    """Collects the body and the retry delay of one reply."""
 
     __slots__ = ("body", "retry_after_s")
 
@@ -69,13 +69,13 @@
         self.body = bytearray()
         self.retry_after_s: float | None = None
 
-    def on_body(self, data: bytes) -> int | None:
+    def append_body(self, data: bytes) -> int | None:
         if len(self.body) + len(data) > MAX_REPLY_BYTES:
             return 0
         self.body += data
         return None
 
-    def on_header(self, line: bytes) -> None:
+    def parse_header(self, line: bytes) -> None:
         match = _RETRY_AFTER.match(line)
         if match is None:
             return
@@ -85,7 +85,7 @@
             self.retry_after_s = None
 
 
-def _set_up(
+def _set_options(
     curl: pycurl.Curl,
     method: str,
     url: str,
@@ -99,30 +99,35 @@
     curl.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     curl.setopt(pycurl.TIMEOUT_MS, max(1, int(timeouts.total_s * 1000)))
     curl.setopt(pycurl.CONNECTTIMEOUT_MS, max(1, int(timeouts.connect_s * 1000)))
-    # Without "Expect:" the body could be sent a second time after a 417.
+    # The empty "Expect:" keeps libcurl from sending "Expect: 100-continue": after
+    # a 417 it would send the body a second time.
     curl.setopt(pycurl.HTTPHEADER, [f"Content-Type: {content_type}", "Expect:"])
     if body is not None:
         curl.setopt(pycurl.POSTFIELDS, body)
     curl.setopt(pycurl.CUSTOMREQUEST, method)
 
 
-def _transport_error(
+def _make_transport_error(
     curl: pycurl.Curl, error: pycurl.error, safe: bool, where: str
 ) -> PlatformError:
-    number, message = error.args[0], error.args[1]
-    if number in _NOT_SENT:
-        return PlatformUnavailableError(f"can't be reached: {message}", where=where)
+    code, message = error.args[0], error.args[1]
+    if code in _NOT_SENT:
+        return PlatformUnavailableError(f"request not sent: {message}", where=where)
     if safe:
-        return PlatformUnavailableError(f"no reply: {message}", where=where)
+        return PlatformUnavailableError(f"no complete reply: {message}", where=where)
     never_connected = curl.getinfo(pycurl.CONNECT_TIME) == 0
-    if number == pycurl.E_OPERATION_TIMEDOUT and never_connected:
-        return PlatformUnavailableError(f"can't be reached: {message}", where=where)
-    return PlatformUnknownError(f"the reply was lost: {message}", where=where)
+    if code == pycurl.E_OPERATION_TIMEDOUT and never_connected:
+        return PlatformUnavailableError(f"connection timed out: {message}", where=where)
+    return PlatformUnknownError(
+        f"request sent, but no complete reply: {message}", where=where
+    )
 
 
-def _status_error(status: int, safe: bool, where: str) -> PlatformError:
+def _make_status_error(status: int, safe: bool, where: str) -> PlatformError:
     if status == _CONFLICT:
-        return PlatformConflictError("a condition did not hold", where=where)
+        return PlatformConflictError(
+            "conflict: a condition of the request did not hold", where=where
+        )
     if status in _REFUSED:
         return PlatformUnavailableError(f"refused with status {status}", where=where)
     if status >= 500 and safe:
@@ -142,35 +147,35 @@
     safe: bool | None = None,
     accept: frozenset[int] = _OK,
 ) -> Reply:
-    """Make one request and return its reply as bytes.
+    """Send one request and return its reply with the body as bytes.
 
-    :param safe: whether the request has no effect, so that it may be sent
-        twice; by default so for GET and HEAD alone.
-    :param accept: statuses that are returned; others are raised.
+    :param safe: whether the request only reads, so that it may be sent twice;
+        true by default for GET and HEAD only.
+    :param accept: statuses that are returned; others raise an error.
     :raises PlatformUnavailableError: nothing took effect.
     :raises PlatformUnknownError: the request may have taken effect.
     :raises PlatformConflictError: the status was 409.
     """
     if safe is None:
         safe = method in SAFE_METHODS
-    curl = _handle()
-    received = _Received()
-    _set_up(curl, method, url, body, content_type, timeouts)
-    curl.setopt(pycurl.WRITEFUNCTION, received.on_body)
-    curl.setopt(pycurl.HEADERFUNCTION, received.on_header)
+    curl = _get_handle()
+    buffer = _ReplyBuffer()
+    _set_options(curl, method, url, body, content_type, timeouts)
+    curl.setopt(pycurl.WRITEFUNCTION, buffer.append_body)
+    curl.setopt(pycurl.HEADERFUNCTION, buffer.parse_header)
     if not safe:
-        # libcurl sends a request again by itself if a connection that it
-        # reuses turns out dead. A new connection is never retried.
+        # libcurl resends a request on its own if a reused connection turns out
+        # to be closed. It never does so on a new connection.
         curl.setopt(pycurl.FRESH_CONNECT, 1)
         curl.setopt(pycurl.FORBID_REUSE, 1)
     try:
         curl.perform()
     except pycurl.error as error:
-        raise _transport_error(curl, error, safe, url) from error
+        raise _make_transport_error(curl, error, safe, url) from error
     status = curl.getinfo(pycurl.RESPONSE_CODE)
     if status not in accept:
-        raise _status_error(status, safe, url)
-    return Reply(status, bytes(received.body), received.retry_after_s)
+        raise _make_status_error(status, safe, url)
+    return Reply(status, bytes(buffer.body), buffer.retry_after_s)
 
 
 def request_json(
@@ -182,9 +187,9 @@
     safe: bool | None = None,
     accept: frozenset[int] = _OK,
 ) -> Reply:
-    """Make one request with JSON both ways; see `request`.
+    """Send one request with a JSON body and decode the JSON reply; see `request`.
 
-    A reply that is not JSON counts as lost, unless it is a refusal.
+    A reply that is not JSON counts as lost, except with status 429 or 503.
     """
     data = None if body is None else msgspec.json.encode(body)
     reply = request(
@@ -201,12 +206,12 @@
     try:
         decoded = msgspec.json.decode(reply.body)
     except msgspec.DecodeError as error:
-        raise unusable_reply(method, url, safe) from error
+        raise make_reply_error(method, url, safe) from error
     return Reply(reply.status, decoded, reply.retry_after_s)
 
 
-def unusable_reply(method: str, url: str, safe: bool | None = None) -> PlatformError:
-    """Return the error for a reply that does not keep to the protocol."""
+def make_reply_error(method: str, url: str, safe: bool | None = None) -> PlatformError:
+    """Return the error for a reply that violates the protocol."""
     message = "the reply can't be understood"
     if safe or (safe is None and method in SAFE_METHODS):
         return PlatformUnavailableError(message, where=url)
--- a/src/wagtailstair/stores/lists.py
+++ b/src/wagtailstair/stores/lists.py
@@ -1,4 +1,4 @@
-"""The lists in the platform's table: reading, following and editing them."""
+"""Reads, incremental updates and edits of the lists in the platform's table."""
 
 import collections.abc
 import dataclasses
@@ -35,17 +35,18 @@
 from ..exceptions import PlatformUnknownError
 from .table import Table
 
-MAX_FOLLOWED_CHANGES = 500
+MAX_FOLLOWED_CHANGES = 500  # a larger version difference is read as a snapshot
 SNAPSHOT_ATTEMPTS = 5
-AUDIT_BATCH = 100
-MAX_AUTHOR_SEARCH = 1000
+AUDIT_BATCH_ROWS = 100
+MAX_SEARCHED_VERSIONS = 1000  # when the last change of a row is looked up
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RetryPolicy:
-    """How often an edit is tried, with full jitter between the attempts.
+    """Number of attempts of an edit, and the backoff with full jitter between them.
 
-    ``pause`` waits some seconds; ``uniform`` draws from [0, 1).
+    ``pause``: sleeps for a number of seconds; ``uniform``: returns a random
+    number from ``[0, 1)``.
     """
 
     attempts: int = 10
@@ -55,40 +56,40 @@
     uniform: t.Callable[[], float] = random.random
 
     def wait(self, attempt: int) -> None:
-        """Wait before an attempt; the first one is number 0."""
+        """Wait before an attempt; the first attempt is number 0."""
         if attempt == 0:
             return
-        longest_s = min(self.backoff_s * 2.0**attempt, self.max_backoff_s)
-        self.pause(longest_s * self.uniform())
+        max_wait_s = min(self.backoff_s * 2.0**attempt, self.max_backoff_s)
+        self.pause(max_wait_s * self.uniform())
 
 
 def read_head(table: Table) -> Head:
-    """Return the present version of the lists.
+    """Return the current version of the lists.
 
-    :raises PlatformUnavailableError: if it can't be read.
+    :raises PlatformUnavailableError: if the version can't be read.
     """
     (row,) = table.read([HEAD_KEY])
     return Head(parse_version(row), row.version)
 
 
 def read_changes(table: Table, first: int, last: int) -> list[Change]:
-    """Return the audit records of the versions from first to last, both in.
+    """Return the audit records of the versions ``first`` to ``last``, inclusive.
 
-    :raises ListsError: if one is missing.
-    :raises PlatformUnavailableError: if they can't be read.
+    :raises ListsError: if a record is missing.
+    :raises PlatformUnavailableError: if the records can't be read.
     """
     changes: list[Change] = []
-    for start in range(first, last + 1, AUDIT_BATCH):
-        stop = min(start + AUDIT_BATCH, last + 1)
+    for start in range(first, last + 1, AUDIT_BATCH_ROWS):
+        stop = min(start + AUDIT_BATCH_ROWS, last + 1)
         keys = [(AUDIT, audit_key_of(version)) for version in range(start, stop)]
         changes.extend(parse_change(row) for row in table.read(keys))
     return changes
 
 
 def read_snapshot(table: Table) -> Lists:
-    """Return both lists as they are at one version.
+    """Return both lists at one version.
 
-    Edits that take effect during the scan are put on top of what it read.
+    Edits that take effect during the scan are applied to the rows it returned.
 
     :raises ListsError: if a row can't be parsed.
     :raises PlatformUnavailableError: if the rows can't be read.
@@ -101,11 +102,13 @@
             continue
         changes = read_changes(table, before + 1, after)
         return apply_changes(Lists().with_rows(before, rows), changes)
-    raise PlatformUnavailableError("the lists change faster than they can be read")
+    raise PlatformUnavailableError(
+        "too many edits during each attempt to read the lists"
+    )
 
 
 def read_since(table: Table, lists: Lists) -> Lists:
-    """Return the present lists, given older ones; never lower ones.
+    """Return the current lists, given older ones; their version never decreases.
 
     :raises ListsError: if a row can't be parsed.
     :raises PlatformUnavailableError: if the rows can't be read.
@@ -124,10 +127,10 @@
 
 
 def read_accepted(table: Table, change_id: str, digest: str) -> Change | None:
-    """Return the change that an edit has made, if it was accepted before.
+    """Return the change made by an edit, or ``None`` if it was not accepted yet.
 
-    :raises ListsError: if its change id belongs to another edit.
-    :raises PlatformUnavailableError: if that can't be read.
+    :raises ListsError: if the change id belongs to another edit.
+    :raises PlatformUnavailableError: if the change can't be read.
     """
     (row,) = table.read([(CHANGES, change_id)])
     if row.value is None:
@@ -143,10 +146,10 @@
 
 
 def find_change(table: Table, key: RowKey, version: int) -> Change | None:
-    """Return the last change of a row, looking back from a version."""
-    lowest = max(1, version - MAX_AUTHOR_SEARCH + 1)
-    for last in range(version, lowest - 1, -AUDIT_BATCH):
-        first = max(lowest, last - AUDIT_BATCH + 1)
+    """Return the last change of a row at or before ``version``, if it is found."""
+    lowest = max(1, version - MAX_SEARCHED_VERSIONS + 1)
+    for last in range(version, lowest - 1, -AUDIT_BATCH_ROWS):
+        first = max(lowest, last - AUDIT_BATCH_ROWS + 1)
         try:
             changes = read_changes(table, first, last)
         except ListsError:
@@ -168,31 +171,31 @@
         raise PlatformError(f"a row is damaged: {error}") from error
 
 
-def _refuse(table: Table, head: Head, error: ListsError) -> t.NoReturn:
-    # The rows were not read at one instant: a refusal stands only if no
-    # other edit came between.
+def _raise_if_unchanged(table: Table, head: Head, error: ListsError) -> t.NoReturn:
+    # The rows were not read at one version, so the error is only valid if no
+    # other edit took effect meanwhile.
     if read_head(table) != head:
-        raise PlatformConflictError("the lists changed while they were read")
+        raise PlatformConflictError("the lists were edited while they were read")
     raise error
 
 
 def _attempt(table: Table, edit: Edit, clock: Clock) -> Change:
     head = read_head(table)
     lists = _read_for_edit(table, edit)
-    # Read after the rows, so that an earlier attempt of the same edit that
-    # took effect is not taken for somebody else's change.
+    # This is read after the rows: an earlier attempt of the same edit that took
+    # effect must not be reported as a conflict with another edit.
     accepted = read_accepted(table, edit.change_id, edit.digest)
     if accepted is not None:
         return accepted
     key = find_conflict(edit, lists)
     if key is not None:
         change = find_change(table, key, head.version)
-        _refuse(table, head, edit_conflict(key, change))
+        _raise_if_unchanged(table, head, edit_conflict(key, change))
     at = clock.utcnow().isoformat(timespec="milliseconds")
     try:
         change = accept_edit(edit, lists, head, at)
     except ListsError as error:
-        _refuse(table, head, error)
+        _raise_if_unchanged(table, head, error)
     transaction = make_transaction(edit, change, head)
     table.transact(transaction.conditions, transaction.writes)
     return change
@@ -204,41 +207,43 @@
     clock: Clock,
     retry: RetryPolicy = RetryPolicy(),
 ) -> Change:
-    """Make an edit take effect once, however often it is run.
+    """Commit an edit exactly once; calls with the same change id are idempotent.
 
-    Once the head has moved, an attempt whose reply was lost can no longer
-    take effect; so a refusal is final, even after such an attempt.
+    Each attempt is conditional on the head's version. Once the head has changed,
+    an earlier attempt whose reply was lost can no longer take effect, so a
+    conflict or an invalid edit is final even after such an attempt.
 
-    :raises EditConflictError: somebody else changed a row first.
-    :raises ListsError: the lists would not be valid, or the change id belongs
-        to another edit.
+    :raises EditConflictError: another edit changed a row first.
+    :raises ListsError: the lists would be invalid, or the change id belongs to
+        another edit.
     :raises PlatformUnavailableError: nothing took effect.
-    :raises PlatformConflictError: nothing took effect; too many other edits.
-    :raises PlatformUnknownError: the edit may have taken effect, or still may.
+    :raises PlatformConflictError: nothing took effect, as every attempt
+        conflicted with another edit.
+    :raises PlatformUnknownError: the edit may have taken effect or may still do so.
     """
-    lost: PlatformUnknownError | None = None
-    last = PlatformError("not tried")
+    last_unknown: PlatformUnknownError | None = None
+    last = PlatformError("no attempt was made")
     for attempt in range(retry.attempts):
         retry.wait(attempt)
         try:
             return _attempt(table, edit, clock)
         except PlatformUnknownError as error:
-            last = lost = error
+            last = last_unknown = error
         except (PlatformUnavailableError, PlatformConflictError) as error:
             last = error
         except PlatformError as error:
             last = error
             break
-    if lost is None:
+    if last_unknown is None:
         raise last
     raise PlatformUnknownError(
         f"the outcome of change {edit.change_id} is not known;"
         " run it again with the same change id"
-    ) from lost
+    ) from last_unknown
 
 
 def seen_version(lists: Lists, key: RowKey) -> int:
-    """Return the version at which a snapshot holds a row; 0 if it is absent.
+    """Return the version of a row in a snapshot, 0 if the row is absent.
 
     :raises EditConflictError: the row changed while the snapshot was read.
     """
@@ -251,9 +256,9 @@
 
 
 def read_rows(table: Table, keys: collections.abc.Sequence[RowKey]) -> Lists:
-    """Return lists of a few rows alone, with their versions; version 0.
+    """Return lists with only the given rows and their versions, at version 0.
 
     :raises ListsError: if a row can't be parsed.
-    :raises PlatformUnavailableError: if they can't be read.
+    :raises PlatformUnavailableError: if the rows can't be read.
     """
     return Lists().with_rows(0, table.read(keys))
--- a/src/wagtailstair/stores/objects.py
+++ b/src/wagtailstair/stores/objects.py
@@ -1,4 +1,4 @@
-"""The object store: bytes by name."""
+"""A client of the object store, which keeps bytes by name."""
 
 import urllib.parse
 
@@ -9,7 +9,7 @@
 
 
 class ObjectClient:
-    """A client of the object store; it may be shared between threads."""
+    """A thread-safe client of the object store."""
 
     __slots__ = ("_timeouts", "_url")
 
@@ -27,20 +27,20 @@
         :raises PlatformUnavailableError: nothing took effect.
         :raises PlatformUnknownError: the object may have been stored.
         """
-        request("PUT", self._place(name), data, timeouts=self._timeouts)
+        request("PUT", self._make_url(name), data, timeouts=self._timeouts)
 
     def get(self, name: str) -> bytes | None:
         """Return an object, or ``None`` if there is none.
 
-        :raises PlatformUnavailableError: if it can't be read.
+        :raises PlatformUnavailableError: if the object can't be read.
         """
         reply = request(
             "GET",
-            self._place(name),
+            self._make_url(name),
             timeouts=self._timeouts,
             accept=frozenset({200, _NOT_FOUND}),
         )
         return None if reply.status == _NOT_FOUND else bytes(reply.body)
 
-    def _place(self, name: str) -> str:
+    def _make_url(self, name: str) -> str:
         return f"{self._url}/v1/objects/{urllib.parse.quote(name)}"
--- a/src/wagtailstair/stores/table.py
+++ b/src/wagtailstair/stores/table.py
@@ -1,4 +1,4 @@
-"""The table service: conditional transactions, reads and scans of rows."""
+"""A client of the table service: conditional transactions, reads and scans."""
 
 import collections.abc
 import random
@@ -15,22 +15,22 @@
 from ..exceptions import PlatformUnavailableError
 from .http import Reply
 from .http import Timeouts
+from .http import make_reply_error
 from .http import request_json
-from .http import unusable_reply
 
 PAGE_ROWS = 1000
 PAGE_ATTEMPTS = 6
 BACKOFF_S = 0.2
 MAX_BACKOFF_S = 2.0
 
-_TRANSACT = frozenset({200, 409})
-_READ = frozenset({200, 429, 503})
+_TRANSACT_STATUSES = frozenset({200, 409})
+_READ_STATUSES = frozenset({200, 429, 503})
 
 
 class TransactionConflictError(PlatformConflictError):
     """A condition of the transaction did not hold; nothing took effect.
 
-    :param conflicts: the rows in question at their present versions.
+    :param conflicts: the rows that conflict, with their current versions.
     """
 
     def __init__(
@@ -42,7 +42,7 @@
 
 
 class Table(t.Protocol):
-    """What the rest of the program needs of the table service."""
+    """The interface of the table service."""
 
     def transact(
         self,
@@ -77,10 +77,10 @@
 
 
 class TableClient:
-    """A client of the table service; it may be shared between threads.
+    """A thread-safe client of the table service.
 
-    :param read_attempts: how often a read is tried that the service refuses.
-    :param pause: waits some seconds between these attempts.
+    :param pause: sleeps for a number of seconds between attempts.
+    :param read_attempts: attempts of a read that the service refuses.
     """
 
     __slots__ = ("_pause", "_read_attempts", "_timeouts", "_url")
@@ -104,57 +104,57 @@
     ) -> tuple[int, ...]:
         """Write all rows if all conditions hold; return the new versions.
 
-        :raises TransactionConflictError: with the rows that were changed.
+        :raises TransactionConflictError: with the rows that have changed.
         :raises PlatformUnavailableError: nothing took effect.
         :raises PlatformUnknownError: the writes may have taken effect.
         """
         path = "/v1/transact"
         body = {"conditions": list(conditions), "writes": list(writes)}
-        reply = self._post(path, body, safe=False, accept=_TRANSACT)
+        reply = self._post(path, body, safe=False, accept=_TRANSACT_STATUSES)
         if reply.status == 409:
             conflicts = self._convert(reply, _Conflicts, path, safe=False).conflicts
             raise TransactionConflictError(tuple(conflicts), where=self._url + path)
         versions = self._convert(reply, _Versions, path, safe=False).versions
         if len(versions) != len(writes):
-            raise unusable_reply("POST", self._url + path, safe=False)
+            raise make_reply_error("POST", self._url + path, safe=False)
         return tuple(versions)
 
     def read(self, keys: collections.abc.Sequence[RowKey]) -> list[Row]:
         """Return the rows of some keys, in their order.
 
-        :raises PlatformUnavailableError: if they can't be read.
+        :raises PlatformUnavailableError: if the rows can't be read.
         """
         path = "/v1/read"
-        reply = self._read(path, {"keys": list(keys)}, self._read_attempts)
+        reply = self._post_read(path, {"keys": list(keys)}, self._read_attempts)
         rows = self._convert(reply, _Rows, path, safe=True).rows
         if [(row.table, row.key) for row in rows] != [tuple(key) for key in keys]:
-            raise unusable_reply("POST", self._url + path, safe=True)
+            raise make_reply_error("POST", self._url + path, safe=True)
         return rows
 
     def scan(self, table: str, after: str = "") -> collections.abc.Iterator[Row]:
         """Yield all rows of a table by key, those after one key.
 
-        A page that the service refuses is asked for again, later.
+        A page that the service refuses is retried with backoff.
 
         :raises PlatformUnavailableError: if a page can't be read.
         """
         while True:
-            rows = self._page(table, after)
+            rows = self._read_page(table, after)
             yield from rows
             if len(rows) < PAGE_ROWS:
                 return
             after = rows[-1].key
 
-    def _page(self, table: str, after: str) -> list[Row]:
+    def _read_page(self, table: str, after: str) -> list[Row]:
         path = "/v1/scan"
         body = {"table": table, "after": after, "limit": PAGE_ROWS}
-        reply = self._read(path, body, PAGE_ATTEMPTS)
+        reply = self._post_read(path, body, PAGE_ATTEMPTS)
         return self._convert(reply, _Rows, path, safe=True).rows
 
-    def _read(self, path: str, body: object, attempts: int) -> Reply:
+    def _post_read(self, path: str, body: object, attempts: int) -> Reply:
         backoff_s = BACKOFF_S
         for attempt in range(attempts):
-            reply = self._post(path, body, safe=True, accept=_READ)
+            reply = self._post(path, body, safe=True, accept=_READ_STATUSES)
             if reply.status == 200:
                 return reply
             if attempt + 1 == attempts:
@@ -189,4 +189,4 @@
         try:
             return msgspec.convert(reply.body, shape)
         except msgspec.ValidationError as error:
-            raise unusable_reply("POST", self._url + path, safe) from error
+            raise make_reply_error("POST", self._url + path, safe) from error
--- a/src/wagtailstair/stores/weights.py
+++ b/src/wagtailstair/stores/weights.py
@@ -1,4 +1,4 @@
-"""The weight store, which is limited in rate."""
+"""A client of the weight store, which limits the rate of fetches."""
 
 import dataclasses
 
@@ -6,12 +6,12 @@
 from .http import request_json
 
 DEFAULT_RETRY_S = 1.0
-_OVER_RATE = 429
+_TOO_MANY_REQUESTS = 429
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class FetchReply:
-    """Whether a fetch was allowed, and if not, seconds to wait."""
+    """Whether a fetch was allowed, and if not, the seconds until a retry."""
 
     allowed: bool
     retry_after_s: float = 0.0
@@ -24,19 +24,19 @@
     size: int,
     timeouts: Timeouts = Timeouts(),  # noqa: B008 - immutable
 ) -> FetchReply:
-    """Ask for the weights of a model.
+    """Request the weights of a model.
 
-    :param size: what is asked for, in bytes.
-    :raises PlatformUnavailableError: the store refused or can't be reached.
-    :raises PlatformUnknownError: the fetch may have been counted.
+    :param size: size of the requested weights in bytes.
+    :raises PlatformUnavailableError: the store refused or is unreachable.
+    :raises PlatformUnknownError: the store may have counted the fetch.
     """
     reply = request_json(
         "POST",
         url.rstrip("/") + "/v1/weights/fetch",
         {"model": model, "version": version, "bytes": size},
         timeouts=timeouts,
-        accept=frozenset({200, _OVER_RATE}),
+        accept=frozenset({200, _TOO_MANY_REQUESTS}),
     )
-    if reply.status == _OVER_RATE:
+    if reply.status == _TOO_MANY_REQUESTS:
         return FetchReply(False, reply.retry_after_s or DEFAULT_RETRY_S)
     return FetchReply(True)
--- a/src/wagtailstair/sweep.py
+++ b/src/wagtailstair/sweep.py
@@ -1,4 +1,4 @@
-"""Deletes claims past their retention, a page at a time, from one host."""
+"""Deletes claims past their retention, one page at a time, on one host."""
 
 import itertools
 import threading
@@ -9,7 +9,7 @@
 from .exceptions import PlatformError
 from .logs import log_event
 
-INTERVAL_S = 60.0
+INTERVAL_S = 60.0  # between two pages
 PAGE_ROWS = 1000
 TABLE = "claims"
 
@@ -17,11 +17,11 @@
 
 
 class Sweeper:
-    """Walks through the claims, and begins anew at their end.
+    """Sweeps the claims' table page by page, and starts over at its end.
 
     :param scan: yields the rows of a table after a key.
-    :param is_owner: tells whether this host is the one to sweep. Two at once
-        cost some reads and do no harm: a delete is conditioned on its row.
+    :param is_owner: returns whether this host is the one that sweeps. Two hosts
+        at once only cost extra reads: each delete is conditional on its row.
     """
 
     def __init__(
@@ -40,15 +40,15 @@
         self._thread = threading.Thread(target=self._run, name="sweep", daemon=True)
 
     def start(self) -> None:
-        """Begin to sweep."""
+        """Start the thread that sweeps."""
         self._thread.start()
 
     def stop(self) -> None:
-        """Begin no further page."""
+        """Stop after the current page, without waiting for it."""
         self._stopping.set()
 
     def sweep_page(self) -> int:
-        """Sweep the next page; return how many claims it deleted."""
+        """Sweep the next page; return the number of claims deleted."""
         rows = list(itertools.islice(self._scan(TABLE, self._after), PAGE_ROWS))
         self._after = rows[-1].key if len(rows) == PAGE_ROWS else ""
         return self._claims.sweep(rows)
