--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -28,7 +28,7 @@
 class Follower:
     """Keeps the lists of one daemon at the highest version available to it.
 
-    :param freshness: decides which reads are due.
+    :param refresh: decides which reads are due.
     :param read_head: reads the version of the lists from the platform.
     :param read_since: reads the current lists from the platform, given older ones.
     :param fetch: fetches the lists from a peer, given older ones.
@@ -42,7 +42,7 @@
         self,
         holder: ListsHolder,
         clock: Clock,
-        freshness: ListsRefresh,
+        refresh: ListsRefresh,
         *,
         read_head: t.Callable[[], int],
         read_since: t.Callable[[Lists], Lists],
@@ -54,7 +54,7 @@
     ) -> None:
         self._holder = holder
         self._clock = clock
-        self._refresh = freshness
+        self._refresh = refresh
         self._read_head = read_head
         self._read_since = read_since
         self._fetch = fetch
