--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -332,7 +332,7 @@
     return failed, missing
 
 
-def judge(cells, seeds, with_tests):
+def evaluate_cells(cells, seeds, with_tests):
     """Return the status and a remark of each cell, by step and fault."""
     nodes = [n for cell in cells for n in TESTS.get(cell, ())] if with_tests else []
     failed, missing = run_tests(nodes)
@@ -395,11 +395,11 @@
         cell = tuple(options.cell.split("/"))
         if cell[0] not in STEPS or cell[-1] not in FAULTS:
             parser.error(f"no cell {options.cell}")
-        status, remark = judge([cell], seeds, with_tests=True)[cell]
+        status, remark = evaluate_cells([cell], seeds, with_tests=True)[cell]
         print(f"{options.cell}: {status} {remark}")
         return 1 if status == FAILED else 0
     cells = [(step, fault) for step in STEPS for fault in FAULTS]
-    by_cell = judge(cells, seeds, options.processes)
+    by_cell = evaluate_cells(cells, seeds, options.processes)
     print_matrix(by_cell)
     return 1 if any(s == FAILED for s, _ in by_cell.values()) else 0
 
