--- a/src/wagtailstair/http/app.py
+++ b/src/wagtailstair/http/app.py
@@ -1,4 +1,4 @@
-"""The WSGI application: routes, and errors turned into answers."""
+"""The WSGI application: routes requests and turns errors into responses."""
 
 import collections.abc
 import typing as t
@@ -42,12 +42,12 @@
         return handler
     if request.path.startswith(SERVICES_PREFIX):
         return call_service
-    raise NotFoundError("no such path", where=request.path)
+    raise NotFoundError("unknown path", where=request.path)
 
 
-def _from_werkzeug(error: HTTPException) -> RequestError:
+def _convert_http_exception(error: HTTPException) -> RequestError:
     if error.code == RequestTooLargeError.http_status:
-        return RequestTooLargeError("the body is larger than the limit")
+        return RequestTooLargeError("request body larger than the limit")
     return InvalidRequestError(error.name)
 
 
@@ -56,11 +56,11 @@
     for name, value in request.headers:
         size += len(name) + len(value)
     if size > limit:
-        raise RequestTooLargeError("the headers are larger than the limit")
+        raise RequestTooLargeError("request headers larger than the limit")
 
 
 class App:
-    """Serves callers, operators and peers."""
+    """The WSGI application for callers, operators and peers."""
 
     def __init__(self, context: Context) -> None:
         self._context = context
@@ -68,7 +68,7 @@
     def __call__(
         self, environ: dict[str, t.Any], start_response: t.Any
     ) -> collections.abc.Iterable[bytes]:
-        """Serve one request."""
+        """Handle one request."""
         request = Request(environ)
         request.max_content_length = self._context.settings.limits.body_bytes
         request_id = uuid.uuid4().hex
@@ -81,9 +81,9 @@
             _check_headers(request, self._context.settings.limits.header_bytes)
             return _find_handler(request)(self._context, request, request_id)
         except WagtailstairError as error:
-            return self._on_error(error, request_id)
+            return self._respond_with_error(error, request_id)
         except HTTPException as error:
-            return self._on_error(_from_werkzeug(error), request_id)
+            return self._respond_with_error(_convert_http_exception(error), request_id)
         except Exception as error:
             log_event(
                 "request_crashed",
@@ -91,10 +91,12 @@
                 request=request_id,
                 error=error_location(error),
             )
-            unknown = OutcomeUnknownError("an internal error")
-            return self._on_error(unknown, request_id)
+            unknown = OutcomeUnknownError("internal error while handling the request")
+            return self._respond_with_error(unknown, request_id)
 
-    def _on_error(self, error: WagtailstairError, request_id: str) -> Response:
+    def _respond_with_error(
+        self, error: WagtailstairError, request_id: str
+    ) -> Response:
         self._context.metrics.count("errors", code=error.code)
         outcome = error.outcome.value if isinstance(error, RequestError) else "none"
         log_event(
--- a/src/wagtailstair/http/call.py
+++ b/src/wagtailstair/http/call.py
@@ -1,4 +1,4 @@
-"""The way of a plain service's call through the daemon."""
+"""Handles calls to plain services."""
 
 import dataclasses
 
@@ -17,10 +17,10 @@
 from .context import identify
 
 SERVICES_PREFIX = "/v1/services/"
-SERVICE_WORK = 1.0
+SERVICE_WORK = 1.0  # work units charged for each call
 MAX_KEY_LENGTH = 200
-# Headers that end at the daemon: they speak of the caller to it alone.
-OWN_HEADERS = HOP_HEADERS | {
+# Headers addressed to the daemon itself; they are not forwarded to the service.
+NOT_FORWARDED_HEADERS = HOP_HEADERS | {
     "authorization",
     "host",
     "idempotency-key",
@@ -33,7 +33,7 @@
 
 
 def call_service(context: Context, request: Request, request_id: str) -> Response:
-    """Pass a call on to a plain service."""
+    """Forward a call to a plain service."""
     context.open_requests.enter()
     try:
         deadline = deadline_of(context, request)
@@ -41,14 +41,14 @@
         call = _service_call(request, request_id, identity, deadline)
         use = identity.plan.service_by_name.get(call.service)
         if use is None:
-            raise NotFoundError("no such service in the plan", where=call.service)
+            raise NotFoundError("service not in the account's plan", where=call.service)
         is_repeatable = request.method in use.repeatable
         if not is_repeatable and not call.idempotency_key:
             raise InvalidRequestError(
-                "this call may not be repeated: an Idempotency-Key is needed",
+                "method not repeatable: expected an Idempotency-Key header",
                 where="Idempotency-Key",
             )
-        opened = charge(context.quota, identity, request_id, SERVICE_WORK)
+        quota_charge = charge(context.quota, identity, request_id, SERVICE_WORK)
         try:
             if is_repeatable:
                 repeatable = dataclasses.replace(call, repeatable=True)
@@ -56,7 +56,7 @@
             else:
                 answer = context.services.call_once(call)
         finally:
-            opened.settle(SERVICE_WORK)
+            quota_charge.settle(SERVICE_WORK)
         context.metrics.count("service_answers", service=call.service)
         log_event("service_answered", request=request_id, status=answer.status)
         response = Response(answer.body, status=answer.status)
@@ -81,9 +81,9 @@
         )
     headers = []
     for name, value in request.headers:
-        if name.lower() not in OWN_HEADERS:
+        if name.lower() not in NOT_FORWARDED_HEADERS:
             headers.append((name, value))
-    target = _quoted_target(request, service, path)
+    target = _raw_target(request, service, path)
     return ServiceCall(
         request=request_id,
         account=identity.account.name,
@@ -97,13 +97,14 @@
     )
 
 
-def _quoted_target(request: Request, service: str, path: str) -> str:
-    """Return path and query as they came, so that the upstream sees the same."""
+def _raw_target(request: Request, service: str, path: str) -> str:
+    """Return path and query unchanged, with the caller's percent-encoding."""
     raw: str = request.environ.get("REQUEST_URI", "")
     raw_path, _, query = raw.partition("?")
     if raw_path.startswith(SERVICES_PREFIX):
         raw_service, _, path = raw_path[len(SERVICES_PREFIX) :].partition("/")
         if raw_service != service:
-            # A quoted slash would make the two readings of the path differ.
-            raise InvalidRequestError("quoted characters in the service's name")
+            # An encoded slash would make the raw and the decoded path differ on
+            # where the name ends.
+            raise InvalidRequestError("percent-encoded characters in the service name")
     return f"{path}?{query}" if query else path
--- a/src/wagtailstair/http/complete.py
+++ b/src/wagtailstair/http/complete.py
@@ -1,4 +1,4 @@
-"""The way of a completion through the daemon."""
+"""Handles completion requests."""
 
 from werkzeug.wrappers import Request
 from werkzeug.wrappers import Response
@@ -19,90 +19,102 @@
 from .context import identify
 from .responses import json_response
 from .streams import Stream
-from .streams import run_whole
+from .streams import run_to_completion
 
 
 def complete(context: Context, request: Request, request_id: str) -> Response:
-    """Answer a completion, streamed or whole."""
+    """Run a completion and respond with a stream or with one JSON body."""
     context.open_requests.enter()
-    handed_over = False
+    is_handed_over = False  # to the stream, which then does the clean-up
     try:
         chat = request.path == "/v1/chat/completions"
         deadline = deadline_of(context, request)
         identity = identify(context, request)
         limit = context.settings.limits.max_tokens
-        asked = completions.parse_completion(request.get_data(), chat=chat, limit=limit)
-        check_model(identity.plan, asked.model)
-        job = _job(context, request, request_id, identity, asked, deadline)
-        opened = charge(context.quota, identity, request_id, asked.work)
+        completion = completions.parse_completion(
+            request.get_data(), chat=chat, limit=limit
+        )
+        check_model(identity.plan, completion.model)
+        job = _make_job(context, request, request_id, identity, completion, deadline)
+        quota_charge = charge(context.quota, identity, request_id, completion.work)
         try:
-            if not asked.stream:
-                return _whole(context, request, job, asked, opened)
-            response = _stream(context, request, job, asked, opened)
-            handed_over = True
+            if not completion.stream:
+                return _respond_complete(
+                    context, request, job, completion, quota_charge
+                )
+            response = _respond_streamed(
+                context, request, job, completion, quota_charge
+            )
+            is_handed_over = True
             return response
         finally:
-            if not handed_over:
-                opened.settle(0.0)
+            if not is_handed_over:
+                quota_charge.settle(0.0)
     finally:
-        if not handed_over:
+        if not is_handed_over:
             context.open_requests.leave()
 
 
-def _job(
+def _make_job(
     context: Context,
     request: Request,
     request_id: str,
     identity: Identity,
-    asked: completions.CompletionRequest,
+    completion: completions.CompletionRequest,
     deadline: float,
 ) -> Job:
     plan = identity.plan
     priority = choose_priority(plan, request.headers.get("X-Priority", ""))
-    data_centres = context.data_centres_of(asked.model)
+    data_centres = context.data_centres_of(completion.model)
     if not data_centres:
         raise NoUpstreamError(
-            "no engine serves this model now", where=asked.model, retry_after_s=1.0
+            "no engine serves this model at present",
+            where=completion.model,
+            retry_after_s=1.0,
         )
     log_event(
         "request_admitted",
         request=request_id,
         account=identity.account.name,
         priority=priority.name.lower(),
-        model=asked.model,
+        model=completion.model,
         lists_version=identity.lists_version,
     )
     return Job(
         request=request_id,
         account=identity.account.name,
-        model=asked.model,
-        adapter=asked.adapter,
-        prompt=asked.prompt,
-        max_tokens=asked.max_tokens,
+        model=completion.model,
+        adapter=completion.adapter,
+        prompt=completion.prompt,
+        max_tokens=completion.max_tokens,
         priority=priority,
         weight=plan.weight,
         entitled=True,
-        prompt_tokens=asked.prompt_tokens,
-        work=asked.work,
+        prompt_tokens=completion.prompt_tokens,
+        work=completion.work,
         deadline=deadline,
         data_centres=data_centres,
-        prefixes=completions.prefix_hashes(asked.prompt),
+        prefixes=completions.prefix_hashes(completion.prompt),
     )
 
 
-def _shape(
-    context: Context, request_id: str, asked: completions.CompletionRequest
+def _make_shape(
+    context: Context, request_id: str, completion: completions.CompletionRequest
 ) -> completions.Shape:
     created = int(context.clock.utcnow().timestamp())
-    prefix = "chatcmpl" if asked.chat else "cmpl"
-    return completions.Shape(f"{prefix}-{request_id}", created, asked.model, asked.chat)
+    prefix = "chatcmpl" if completion.chat else "cmpl"
+    return completions.Shape(
+        f"{prefix}-{request_id}", created, completion.model, completion.chat
+    )
 
 
-def _real_work(asked: completions.CompletionRequest, output_tokens: int) -> float:
-    return asked.prompt_tokens * completions.WORK_PER_PROMPT_TOKEN + output_tokens
+def _actual_work(
+    completion: completions.CompletionRequest, output_tokens: int
+) -> float:
+    return completion.prompt_tokens * completions.WORK_PER_PROMPT_TOKEN + output_tokens
 
 
-def _note_end(context: Context, job: Job, end: Finished | RequestError) -> None:
+def _record_end(context: Context, job: Job, end: Finished | RequestError) -> None:
     priority = job.priority.name.lower()
     if isinstance(end, Finished):
         context.metrics.count("answers", priority=priority)
@@ -119,20 +131,20 @@
     )
 
 
-def _whole(
+def _respond_complete(
     context: Context,
     request: Request,
     job: Job,
-    asked: completions.CompletionRequest,
-    opened: Charge,
+    completion: completions.CompletionRequest,
+    quota_charge: Charge,
 ) -> Response:
     sock = request.environ["werkzeug.socket"]
-    finished = run_whole(context.relays, job, sock)
-    opened.settle(_real_work(asked, finished.output_tokens))
-    _note_end(context, job, finished)
-    shape = _shape(context, job.request, asked)
+    finished = run_to_completion(context.relays, job, sock)
+    quota_charge.settle(_actual_work(completion, finished.output_tokens))
+    _record_end(context, job, finished)
+    shape = _make_shape(context, job.request, completion)
     return json_response(
-        completions.whole_answer(
+        completions.completion_body(
             shape,
             finished.text,
             finished.reason,
@@ -142,25 +154,25 @@
     )
 
 
-def _stream(
+def _respond_streamed(
     context: Context,
     request: Request,
     job: Job,
-    asked: completions.CompletionRequest,
-    opened: Charge,
+    completion: completions.CompletionRequest,
+    quota_charge: Charge,
 ) -> Response:
-    shape = _shape(context, job.request, asked)
+    shape = _make_shape(context, job.request, completion)
     sock = request.environ["werkzeug.socket"]
     limit = context.settings.limits.caller_buffer_bytes
     stream = Stream(context.relays, job, shape, sock, limit)
     stream.wait_for_start()
 
     def on_end(end: Finished | RequestError) -> None:
-        tokens = asked.max_tokens
+        tokens = completion.max_tokens
         if isinstance(end, Finished):
             tokens = end.output_tokens
-        opened.settle(_real_work(asked, tokens))
-        _note_end(context, job, end)
+        quota_charge.settle(_actual_work(completion, tokens))
+        _record_end(context, job, end)
         context.open_requests.leave()
 
     response = Response(stream.events(on_end), content_type="text/event-stream")
--- a/src/wagtailstair/http/completions.py
+++ b/src/wagtailstair/http/completions.py
@@ -1,4 +1,4 @@
-"""Completions: what callers send, and the shapes of what they get."""
+"""Parses completion requests and encodes the responses to them."""
 
 import dataclasses
 import typing as t
@@ -33,7 +33,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CompletionRequest:
-    """A completion as asked for."""
+    """A completion request that has been checked."""
 
     model: str
     adapter: str
@@ -44,16 +44,16 @@
 
     @property
     def prompt_tokens(self) -> int:
-        """Return the expected number of the prompt's tokens."""
+        """Return the estimated number of tokens in the prompt."""
         return max(1, len(self.prompt) // CHARACTERS_PER_TOKEN)
 
     @property
     def work(self) -> float:
-        """Return the expected cost in work units."""
+        """Return the estimated cost in work units."""
         return self.prompt_tokens * WORK_PER_PROMPT_TOKEN + self.max_tokens
 
 
-def _text_of(message: _Message) -> str:
+def _message_text(message: _Message) -> str:
     if isinstance(message.content, str):
         return message.content
     texts = []
@@ -69,7 +69,7 @@
 def _chat_prompt(messages: list[_Message]) -> str:
     lines = []
     for message in messages:
-        lines.append(f"{message.role}: {_text_of(message)}\n")
+        lines.append(f"{message.role}: {_message_text(message)}\n")
     lines.append("assistant:")
     return "".join(lines)
 
@@ -79,14 +79,14 @@
         return prompt
     if prompt is not None and len(prompt) == 1:
         return prompt[0]
-    raise InvalidRequestError("expected one prompt as text", where="prompt")
+    raise InvalidRequestError("expected one prompt as a string", where="prompt")
 
 
 def parse_completion(raw: bytes, *, chat: bool, limit: int) -> CompletionRequest:
-    """Check the body of a completion.
+    """Parse and check the body of a completion request.
 
-    :param limit: tokens of an answer, at most.
-    :raises InvalidRequestError: naming the field.
+    :param limit: maximum number of output tokens.
+    :raises InvalidRequestError: if a field is invalid; ``where`` names it.
     """
     try:
         body = msgspec.json.decode(raw, type=_Body)
@@ -96,7 +96,7 @@
         raise InvalidRequestError("expected 1", where="n")
     if chat:
         if not body.messages:
-            raise InvalidRequestError("expected a message", where="messages")
+            raise InvalidRequestError("expected at least one message", where="messages")
         prompt = _chat_prompt(body.messages)
     else:
         prompt = _plain_prompt(body.prompt)
@@ -150,7 +150,7 @@
 
 
 class Shape(t.NamedTuple):
-    """How one completion is written: its id, its kind and its model."""
+    """The fields that all events and bodies of one completion share."""
 
     id: str
     created: int
@@ -186,24 +186,24 @@
 
 
 def token_event(shape: Shape, text: str) -> bytes:
-    """Return the event of one token."""
+    """Return the event for one token."""
     return _chunk_event(shape, text, None)
 
 
 def last_events(shape: Shape, reason: str) -> bytes:
-    """Return the events that close a whole answer."""
+    """Return the events that end a stream normally."""
     return _chunk_event(shape, None, reason) + DONE_EVENT
 
 
 def error_event(value: dict[str, t.Any]) -> bytes:
-    """Return the event that closes a stream with a typed error."""
+    """Return the event that ends a stream with a typed error."""
     return _event(value)
 
 
-def whole_answer(
+def completion_body(
     shape: Shape, text: str, reason: str, prompt_tokens: int, output_tokens: int
 ) -> dict[str, t.Any]:
-    """Return the body of a whole answer."""
+    """Return the body of a response that is not streamed."""
     choice: dict[str, t.Any] = {"index": 0, "finish_reason": reason, "logprobs": None}
     if shape.chat:
         choice["message"] = {"role": "assistant", "content": text}
--- a/src/wagtailstair/http/context.py
+++ b/src/wagtailstair/http/context.py
@@ -1,4 +1,4 @@
-"""What the handlers share: the parts of the daemon, and the open requests."""
+"""State that the handlers share: the daemon's parts and the open requests."""
 
 import dataclasses
 import threading
@@ -21,7 +21,7 @@
 
 
 class OpenRequests:
-    """The number of callers' requests that are open, with its bound."""
+    """Counts the open requests of callers and enforces their maximum."""
 
     def __init__(self, limit: int, metrics: Metrics) -> None:
         self._limit = limit
@@ -30,9 +30,9 @@
         self.count = 0
 
     def enter(self) -> None:
-        """Count a request in.
+        """Count a new request.
 
-        :raises QueueFullError: if too many are open.
+        :raises QueueFullError: if the maximum is reached.
         """
         with self._lock:
             if self.count >= self._limit:
@@ -41,7 +41,7 @@
         self._metrics.gauge("open_requests", self.count)
 
     def leave(self) -> None:
-        """Count a request out."""
+        """Count a request as ended."""
         with self._lock:
             self.count -= 1
         self._metrics.gauge("open_requests", self.count)
@@ -49,10 +49,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Context:
-    """What the handlers need of the daemon.
+    """The parts of the daemon that the handlers use.
 
-    ``lists``: the lists to judge a request by, fresh, or NotReadyError;
-    ``data_centres_of``: where a model has engines, the nearest first.
+    ``lists``: returns the current lists, or raises NotReadyError if there are none
+    or they are stale; ``data_centres_of``: returns the data centres where a model
+    has engines, nearest first.
     """
 
     settings: Settings
@@ -73,7 +74,7 @@
 
 
 def deadline_of(context: Context, request: Request) -> float:
-    """Return the monotonic instant by which the caller wants the answer."""
+    """Return the monotonic time of the request's deadline."""
     limits = context.settings.limits
     text = request.headers.get("X-Timeout", "")
     timeout_s = limits.timeout_s
@@ -90,5 +91,5 @@
 
 
 def identify(context: Context, request: Request) -> Identity:
-    """Return who asks, under the lists in force now."""
+    """Authenticate the caller against the current lists."""
     return authenticate(context.lists(), request.headers.get("Authorization", ""))
--- a/src/wagtailstair/http/listener.py
+++ b/src/wagtailstair/http/listener.py
@@ -1,13 +1,13 @@
-"""A listening socket that lets no new connection begin."""
+"""Blocks new TCP connections on a listening socket with a packet filter."""
 
 import ctypes
 import socket
 import struct
 
-# Linux's number, which Python does not name.
+# From Linux's asm/socket.h; the socket module has no constant for it.
 SO_ATTACH_FILTER = 26
 
-# Classic BPF over the TCP header: drop a SYN without ACK, take all else.
+# Classic BPF over the TCP header: drop a SYN without ACK, accept all else.
 _LOAD_BYTE = 0x30
 _AND = 0x54
 _JUMP_IF_EQUAL = 0x15
@@ -26,13 +26,13 @@
 
 
 def stop_new_connections(listener: socket.socket) -> bool:
-    """Drop requests to connect, and keep connections that have begun.
+    """Drop new connection requests; connections already begun are not affected.
 
-    A caller that is dropped tries again within a second or so, and finds the
-    port closed by then. Without this, a connection that is made between the
-    last accept and the close would be reset.
+    The caller's kernel retransmits a dropped SYN after about a second and finds
+    the port closed by then. Without this filter, a connection that is established
+    between the last accept and the close would be reset.
 
-    :returns: whether the system can do it.
+    :returns: whether the system supports it.
     """
     code = b"".join(struct.pack("HBBI", *line) for line in _DROP_SYN)
     buffer = ctypes.create_string_buffer(code)
--- a/src/wagtailstair/http/operators.py
+++ b/src/wagtailstair/http/operators.py
@@ -1,4 +1,4 @@
-"""What operators, balancers and peers ask of a daemon."""
+"""Handlers for operators, load balancers and peers."""
 
 from werkzeug.wrappers import Request
 from werkzeug.wrappers import Response
@@ -18,12 +18,12 @@
 
 
 def livez(context: Context, request: Request, request_id: str) -> Response:
-    """Tell that the process is live."""
+    """Report that the process is alive."""
     return json_response({"live": True})
 
 
 def readyz(context: Context, request: Request, request_id: str) -> Response:
-    """Tell whether the daemon takes new requests."""
+    """Report whether the daemon accepts new requests."""
     is_ready = context.is_ready()
     return json_response({"ready": is_ready}, 200 if is_ready else 503)
 
@@ -35,7 +35,7 @@
 
 
 def status(context: Context, request: Request, request_id: str) -> Response:
-    """Tell what the daemon knows of itself, its peers and upstreams."""
+    """Report the state of the daemon, its peers and its upstreams."""
     status = context.status()
     status["open_requests"] = context.open_requests.count
     return json_response(status)
--- a/src/wagtailstair/http/responses.py
+++ b/src/wagtailstair/http/responses.py
@@ -1,4 +1,4 @@
-"""Answers that every handler gives: JSON and typed errors."""
+"""Builds JSON responses and typed error responses."""
 
 import math
 import typing as t
@@ -11,14 +11,14 @@
 
 
 def json_response(value: object, status: int = 200) -> Response:
-    """Return a JSON answer."""
+    """Return a JSON response."""
     return Response(
         msgspec.json.encode(value), status=status, content_type="application/json"
     )
 
 
 def error_value(error: WagtailstairError, request_id: str) -> dict[str, t.Any]:
-    """Return the JSON shape of an error, as the `openai` client reads it."""
+    """Return the JSON value of an error, in the form the `openai` client expects."""
     outcome = None
     if isinstance(error, RequestError):
         outcome = error.outcome.value
@@ -34,7 +34,7 @@
 
 
 def error_response(error: WagtailstairError, request_id: str) -> Response:
-    """Return the answer that tells a caller of an error."""
+    """Return the response for an error."""
     response = json_response(error_value(error, request_id), error.http_status)
     response.headers["X-Request-Id"] = request_id
     if isinstance(error, RequestError):
--- a/src/wagtailstair/http/server.py
+++ b/src/wagtailstair/http/server.py
@@ -15,10 +15,10 @@
 
 SOCKET_TIMEOUT_S = 30.0
 ACCEPT_POLL_S = 0.1
-BACKLOG_QUIET_S = 0.25
-BACKLOG_LONGEST_S = 10.0
+BACKLOG_IDLE_S = 0.25  # without a connection, after which the backlog is empty
+BACKLOG_TIMEOUT_S = 10.0  # for emptying the backlog while callers keep connecting
 LISTEN_BACKLOG = 512
-SPARE_THREADS = 32
+SPARE_THREADS = 32  # beyond the request limit, to answer probes and refusals
 
 
 class _Handler(WSGIRequestHandler):
@@ -26,22 +26,22 @@
     timeout = SOCKET_TIMEOUT_S
 
     def log(self, type: str, message: str, *args: t.Any) -> None:
-        """Write nothing: the app logs events of its own."""
+        """Do nothing: the application logs its own events."""
 
     def log_request(self, code: int | str = "-", size: int | str = "-") -> None:
-        """Write nothing: the app logs events of its own."""
+        """Do nothing: the application logs its own events."""
 
 
 def _no_app(environ: t.Any, start_response: t.Any) -> t.NoReturn:
-    raise AssertionError("the server has no application yet")
+    raise AssertionError("the server was started before its app was set")
 
 
 class Server(BaseWSGIServer):
-    """A WSGI server whose accept loop can be ended without cutting anyone.
+    """A threaded WSGI server that can stop without dropping connections.
 
-    Its ``app`` is set before :meth:`start`.
+    Its ``app`` has to be set before :meth:`start`.
 
-    :param open_requests: requests served at once; more wait in the backlog.
+    :param open_requests: maximum number of requests served at the same time.
     """
 
     request_queue_size = LISTEN_BACKLOG
@@ -51,28 +51,28 @@
         super().__init__(address, port, _no_app, handler=_Handler)
         workers = open_requests + SPARE_THREADS
         self._pool = concurrent.futures.ThreadPoolExecutor(workers, "request")
-        self._free = threading.BoundedSemaphore(workers)
+        self._free_workers = threading.BoundedSemaphore(workers)
         self._closing = threading.Event()
         self._closes_at = math.inf
-        self._accepting = threading.Thread(target=self._accept_all, name="accept")
+        self._accepting = threading.Thread(target=self._accept_loop, name="accept")
 
     def start(self) -> None:
-        """Begin to accept connections."""
+        """Start accepting connections."""
         self.socket.listen(LISTEN_BACKLOG)
         self.socket.setblocking(False)
         self._accepting.start()
 
     def close(self) -> None:
-        """Take what waits in the backlog, then close the listening socket."""
-        # Callers that go on connecting must not keep the backlog from ending.
+        """Accept the connections in the backlog, then close the listening socket."""
+        # Callers that keep connecting must not delay the close without bound.
         if not stop_new_connections(self.socket):
-            self._closes_at = time.monotonic() + BACKLOG_LONGEST_S
+            self._closes_at = time.monotonic() + BACKLOG_TIMEOUT_S
         self._closing.set()
         self._accepting.join()
         self.server_close()
 
     def wait_idle(self, timeout_s: float) -> bool:
-        """Wait for the open requests to end; say whether all did."""
+        """Wait for the open requests to end; return whether all of them did."""
         done = threading.Event()
 
         def wait() -> None:
@@ -82,10 +82,10 @@
         threading.Thread(target=wait, name="drain", daemon=True).start()
         return done.wait(timeout_s)
 
-    def _accept_all(self) -> None:
+    def _accept_loop(self) -> None:
         while not self._closing.is_set():
             self._accept_one(ACCEPT_POLL_S)
-        while self._accept_one(BACKLOG_QUIET_S):
+        while self._accept_one(BACKLOG_IDLE_S):
             if time.monotonic() > self._closes_at:
                 break
 
@@ -93,15 +93,15 @@
         readable, _, _ = select.select([self.socket], [], [], wait_s)
         if not readable:
             return False
-        self._free.acquire()
+        self._free_workers.acquire()
         try:
             connection, address = self.socket.accept()
         except BlockingIOError:
-            self._free.release()
+            self._free_workers.release()
             return True
         except OSError:
-            # Out of descriptors, for one: let open requests end first.
-            self._free.release()
+            # For example out of file descriptors: wait for open requests to end.
+            self._free_workers.release()
             self._closing.wait(ACCEPT_POLL_S)
             return True
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -112,8 +112,8 @@
         try:
             self.finish_request(connection, address)
         except (OSError, ValueError):
-            # The caller went away, or sent what is not HTTP.
+            # The caller disconnected, or what it sent is not HTTP.
             pass
         finally:
             self.shutdown_request(connection)
-            self._free.release()
+            self._free_workers.release()
--- a/src/wagtailstair/http/streams.py
+++ b/src/wagtailstair/http/streams.py
@@ -1,4 +1,8 @@
-"""Hand-over of a caller's socket between the request's thread and the loop."""
+"""Writes completions to a caller's socket from the event loop.
+
+The request's thread writes the response head and the first and last events; in
+between, the loop's thread writes the tokens directly to the socket.
+"""
 
 import collections.abc
 import concurrent.futures
@@ -25,7 +29,7 @@
 
 
 class StreamSink:
-    """Tokens to a caller's socket; kept until the response head is out."""
+    """Writes tokens to a caller's socket; buffers them until the head is sent."""
 
     def __init__(self, caller: CallerSocket, shape: completions.Shape) -> None:
         self.started = threading.Event()
@@ -33,48 +37,48 @@
         self._caller = caller
         self._shape = shape
         self._attached = False
-        self._early: list[bytes] = []
+        self._buffered: list[bytes] = []
 
     def token(self, text: str) -> None:
-        """Write the event of a token."""
+        """Write or buffer the event for a token."""
         data = _chunk(completions.token_event(self._shape, text))
         if self._attached:
             self._caller.send(data)
             return
-        self._early.append(data)
+        self._buffered.append(data)
         self.has_tokens = True
         self.started.set()
 
     def is_full(self) -> bool:
-        """Tell whether the caller reads too slowly."""
+        """Return whether the caller reads too slowly."""
         return self._caller.is_full()
 
     def attach(self) -> None:
-        """Begin to write: the response head has been sent."""
+        """Start writing to the socket, once the response head has been sent."""
         self._attached = True
-        self._caller.send(b"".join(self._early))
-        self._early.clear()
+        self._caller.send(b"".join(self._buffered))
+        self._buffered.clear()
 
 
-class WholeSink:
-    """Takes no tokens: the finished relay carries the text."""
+class DiscardingSink:
+    """Discards tokens; the result of the relay holds the complete text."""
 
     def token(self, text: str) -> None:
         """Ignore a token."""
 
     def is_full(self) -> bool:
-        """Tell that there is always room."""
+        """Return False: there is no buffer."""
         return False
 
 
-def _watch(relays: Relays, relay: Relay, caller: CallerSocket) -> None:
-    caller.on_gone = relay.cancel
-    caller.on_room = relay.resume
+def _watch_caller(relays: Relays, relay: Relay, caller: CallerSocket) -> None:
+    caller.on_disconnect = relay.cancel
+    caller.on_writable = relay.resume
     relays.loop.call(caller.open)
 
 
-def _unwatch(relays: Relays, caller: CallerSocket) -> bool:
-    # Waits, since the descriptor may be closed by the thread right after.
+def _drain_and_unwatch(relays: Relays, caller: CallerSocket) -> bool:
+    # Blocks until done, since the request's thread may close the descriptor next.
     drained: concurrent.futures.Future[None] = concurrent.futures.Future()
 
     def close() -> None:
@@ -87,25 +91,25 @@
     except concurrent.futures.TimeoutError:
         relays.loop.call(caller.close)
         return False
-    return not caller.gone
+    return not caller.is_disconnected
 
 
-def run_whole(relays: Relays, job: Job, sock: socket.socket) -> Finished:
-    """Run a completion to its end.
+def run_to_completion(relays: Relays, job: Job, sock: socket.socket) -> Finished:
+    """Run a completion that is not streamed and return its result.
 
-    :raises RequestError: if it has no whole answer.
+    :raises RequestError: if it fails.
     """
     caller = CallerSocket(relays.loop, sock, 1)
-    relay = relays.run(job, WholeSink())
-    _watch(relays, relay, caller)
+    relay = relays.run(job, DiscardingSink())
+    _watch_caller(relays, relay, caller)
     try:
         return relay.future.result()
     finally:
-        _unwatch(relays, caller)
+        _drain_and_unwatch(relays, caller)
 
 
 class Stream:
-    """One streamed completion, from its first token on."""
+    """One streamed completion."""
 
     def __init__(
         self,
@@ -122,7 +126,7 @@
         self._sink = StreamSink(self._caller, shape)
         self._relay = relays.run(job, self._sink)
         self._relay.future.add_done_callback(lambda _: self._sink.started.set())
-        _watch(relays, self._relay, self._caller)
+        _watch_caller(relays, self._relay, self._caller)
 
     def wait_for_start(self) -> None:
         """Wait for the first token.
@@ -135,36 +139,40 @@
         try:
             self._relay.future.result()
         except RequestError:
-            _unwatch(self._relays, self._caller)
+            _drain_and_unwatch(self._relays, self._caller)
             raise
 
     def events(
         self, on_end: t.Callable[[Finished | RequestError], None]
     ) -> collections.abc.Iterator[bytes]:
-        """Yield the first and last events; the loop writes those between."""
-        end: Finished | RequestError = CallerGoneError("the caller closed early")
+        """Yield the first and last events; the loop writes the events in between."""
+        end: Finished | RequestError = CallerGoneError(
+            "the caller disconnected before the end of the stream"
+        )
         is_watched = True
         try:
             yield completions.first_event(self._shape)
             self._relays.loop.call(self._sink.attach)
-            end = self._wait()
+            end = self._wait_for_end()
             is_watched = False
-            if not _unwatch(self._relays, self._caller):
-                raise ConnectionAbortedError("the caller does not read")
-            yield self._last(end)
+            if not _drain_and_unwatch(self._relays, self._caller):
+                raise ConnectionAbortedError(
+                    "the caller disconnected or did not read the stream in time"
+                )
+            yield self._last_events(end)
         finally:
             if is_watched:
                 self._relays.loop.call(self._relay.cancel)
-                _unwatch(self._relays, self._caller)
+                _drain_and_unwatch(self._relays, self._caller)
             on_end(end)
 
-    def _wait(self) -> Finished | RequestError:
+    def _wait_for_end(self) -> Finished | RequestError:
         try:
             return self._relay.future.result()
         except RequestError as error:
             return error
 
-    def _last(self, end: Finished | RequestError) -> bytes:
+    def _last_events(self, end: Finished | RequestError) -> bytes:
         if isinstance(end, Finished):
             return completions.last_events(self._shape, end.reason)
         return completions.error_event(error_value(end, self._job.request))
--- a/src/wagtailstair/upstreams/caller.py
+++ b/src/wagtailstair/upstreams/caller.py
@@ -1,4 +1,4 @@
-"""A caller's socket, written from the loop's thread without blocking."""
+"""Non-blocking writes to a caller's socket from the loop's thread."""
 
 import select
 import socket
@@ -14,7 +14,7 @@
 
     All methods but the constructor run in the loop's thread.
 
-    :param limit: bytes that may wait before :meth:`is_full` is true.
+    :param limit: buffered bytes from which :meth:`is_full` returns True.
     """
 
     __slots__ = (
@@ -23,9 +23,9 @@
         "_loop",
         "_on_drained",
         "_socket",
-        "gone",
-        "on_gone",
-        "on_room",
+        "is_disconnected",
+        "on_disconnect",
+        "on_writable",
     )
 
     def __init__(self, loop: Loop, sock: socket.socket, limit: int) -> None:
@@ -34,38 +34,38 @@
         self._limit = limit
         self._buffer = bytearray()
         self._on_drained: Callback | None = None
-        self.gone = False
-        self.on_gone: Callback | None = None
-        self.on_room: Callback | None = None
+        self.is_disconnected = False
+        self.on_disconnect: Callback | None = None
+        self.on_writable: Callback | None = None
 
     def open(self) -> None:
-        """Begin to watch for the caller's disconnect."""
+        """Start watching for a disconnect of the caller."""
         self._loop.watch(self._socket.fileno(), _EPOLL_DISCONNECT, self._on_ready)
 
     def close(self) -> None:
-        """Stop watching; the socket itself belongs to the request's thread."""
+        """Stop watching; the request's thread closes the socket itself."""
         self._loop.unwatch(self._socket.fileno())
 
     def is_full(self) -> bool:
-        """Tell whether the caller reads too slowly to take more."""
+        """Return whether the buffer is full because the caller reads too slowly."""
         return len(self._buffer) >= self._limit
 
     def send(self, data: bytes) -> None:
-        """Send what the socket takes at once and keep the rest."""
-        if self.gone:
+        """Send what the socket accepts without blocking and buffer the rest."""
+        if self.is_disconnected:
             return
         if self._buffer:
             self._buffer += data
             return
         sent = self._try_send(data)
-        if sent < len(data) and not self.gone:
+        if sent < len(data) and not self.is_disconnected:
             self._buffer += data[sent:]
             mask = _EPOLL_DISCONNECT | select.EPOLLOUT
             self._loop.watch(self._socket.fileno(), mask, self._on_ready)
 
     def drain(self, on_drained: Callback) -> None:
-        """Call back once nothing waits, or the caller is gone."""
-        if self.gone or not self._buffer:
+        """Call back once the buffer is empty or the caller has disconnected."""
+        if self.is_disconnected or not self._buffer:
             on_drained()
             return
         self._on_drained = on_drained
@@ -76,33 +76,33 @@
         except BlockingIOError:
             return 0
         except OSError:
-            self._lose()
+            self._mark_disconnected()
             return 0
 
     def _on_ready(self, mask: int) -> None:
         if mask & _EPOLL_DISCONNECT:
-            self._lose()
+            self._mark_disconnected()
             return
         sent = self._try_send(self._buffer)
-        if self.gone:
+        if self.is_disconnected:
             return
         del self._buffer[:sent]
         if self._buffer:
             return
         self._loop.watch(self._socket.fileno(), _EPOLL_DISCONNECT, self._on_ready)
         self._notify_drained()
-        if self.on_room is not None:
-            self.on_room()
+        if self.on_writable is not None:
+            self.on_writable()
 
-    def _lose(self) -> None:
-        if self.gone:
+    def _mark_disconnected(self) -> None:
+        if self.is_disconnected:
             return
-        self.gone = True
+        self.is_disconnected = True
         self._buffer.clear()
         self.close()
         self._notify_drained()
-        if self.on_gone is not None:
-            self.on_gone()
+        if self.on_disconnect is not None:
+            self.on_disconnect()
 
     def _notify_drained(self) -> None:
         on_drained = self._on_drained
--- a/src/wagtailstair/upstreams/engine.py
+++ b/src/wagtailstair/upstreams/engine.py
@@ -1,4 +1,4 @@
-"""The model engines' protocol: requests, streamed lines and load reports."""
+"""Encodes and decodes the engines' protocol: requests, lines and load reports."""
 
 import typing as t
 
@@ -12,10 +12,10 @@
 
 
 class Line(msgspec.Struct):
-    """One line of a stream: a token, or the end where ``end`` is set.
+    """One line of a stream: a token, or the end of the stream if ``end`` is set.
 
     ``r``: request; ``a``: attempt; ``e``: epoch; ``p``: position; ``t``: token
-    id; ``x``: text; ``w``: trail of layer ranges.
+    id; ``x``: text; ``w``: the layer ranges that computed the token, in order.
     """
 
     r: str
@@ -84,38 +84,38 @@
 
 
 class LineBuffer:
-    """Cuts the pieces of a stream into its lines."""
+    """Splits the chunks of a stream into lines."""
 
-    __slots__ = ("_rest",)
+    __slots__ = ("_partial",)
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._partial = b""
 
     def feed(self, data: bytes) -> list[bytes]:
-        """Return the lines that a piece completes.
+        """Return the lines that a chunk completes.
 
-        :raises UpstreamError: if a line is longer than any of the protocol.
+        :raises UpstreamError: if a line is longer than the protocol allows.
         """
-        lines = (self._rest + data).split(b"\n")
-        self._rest = lines.pop()
-        if len(self._rest) > MAX_LINE_BYTES:
-            raise UpstreamError("line too long")
+        lines = (self._partial + data).split(b"\n")
+        self._partial = lines.pop()
+        if len(self._partial) > MAX_LINE_BYTES:
+            raise UpstreamError("stream line longer than the protocol allows")
         return [line for line in lines if line]
 
 
 def decode_line(raw: bytes) -> Line:
     """Decode one line of a stream.
 
-    :raises UpstreamError: if it is not a line of the protocol.
+    :raises UpstreamError: if it is malformed.
     """
     try:
         return _LINE_DECODER.decode(raw)
     except msgspec.MsgspecError as error:
-        raise UpstreamError(f"malformed line: {error}") from error
+        raise UpstreamError(f"malformed stream line: {error}") from error
 
 
 def decode_refusal(raw: bytes) -> bool:
-    """Tell whether an error's body says that the attempt did not run."""
+    """Return whether the body of an error says that the attempt did not run."""
     try:
         return msgspec.json.decode(raw, type=_Refusal).not_run
     except msgspec.MsgspecError:
@@ -159,8 +159,8 @@
 ) -> EngineState:
     """Decode a load report.
 
-    :param now: the reader's monotonic clock, in seconds.
-    :raises UpstreamError: if it is not a report of the protocol.
+    :param now: the local monotonic time at which the report was read.
+    :raises UpstreamError: if it is malformed.
     """
     try:
         state = _STATE_DECODER.decode(raw)
--- a/src/wagtailstair/upstreams/loop.py
+++ b/src/wagtailstair/upstreams/loop.py
@@ -1,4 +1,4 @@
-"""One thread that runs transfers, timers and callers' sockets under epoll."""
+"""An epoll event loop in one thread, for transfers, timers and callers' sockets."""
 
 import collections
 import heapq
@@ -27,7 +27,7 @@
 
 
 class Timer:
-    """A callback that is due at an instant, unless cancelled."""
+    """A scheduled callback that can be cancelled."""
 
     __slots__ = ("callback",)
 
@@ -35,7 +35,7 @@
         self.callback: Callback | None = callback
 
     def cancel(self) -> None:
-        """Do not run the callback."""
+        """Cancel the callback."""
         self.callback = None
 
 
@@ -53,8 +53,8 @@
         self._sequence = itertools.count()
         self._epoll = select.epoll()
         self._handler_by_fd: dict[int, FdHandler] = {}
-        self._curl_due: float | None = None
-        self._finished_by_easy: dict[pycurl.Curl, t.Callable[[int, str], None]] = {}
+        self._curl_due_at: float | None = None
+        self._on_finish_by_easy: dict[pycurl.Curl, t.Callable[[int, str], None]] = {}
         self._stopping = False
         self._wake_reader, self._wake_writer = socket.socketpair()
         self._wake_reader.setblocking(False)
@@ -70,19 +70,19 @@
         self._thread.start()
 
     def stop(self, timeout_s: float = 5.0) -> None:
-        """End the loop's thread; open transfers are dropped."""
+        """Stop the loop's thread; running transfers are abandoned."""
         self._stopping = True
         self._wake()
         self._thread.join(timeout_s)
 
     def call(self, callback: Callback) -> None:
-        """Run a callback in the loop's thread soon."""
+        """Schedule a callback in the loop's thread; safe from any thread."""
         self._calls.append(callback)
         if threading.current_thread() is not self._thread:
             self._wake()
 
     def call_later(self, delay_s: float, callback: Callback) -> Timer:
-        """Run a callback after a delay; only from the loop's thread."""
+        """Schedule a callback after a delay; only from the loop's thread."""
         timer = Timer(callback)
         due = self._clock.monotonic() + delay_s
         heapq.heappush(self._timers, (due, next(self._sequence), timer))
@@ -97,7 +97,7 @@
         self._handler_by_fd[fd] = handler
 
     def unwatch(self, fd: int) -> None:
-        """Forget a descriptor."""
+        """Stop watching a descriptor."""
         if self._handler_by_fd.pop(fd, None) is None:
             return
         try:
@@ -106,15 +106,15 @@
             return
 
     def add_easy(
-        self, easy: pycurl.Curl, finished: t.Callable[[int, str], None]
+        self, easy: pycurl.Curl, on_finish: t.Callable[[int, str], None]
     ) -> None:
-        """Run an easy handle; ``finished`` gets curl's error number and text."""
-        self._finished_by_easy[easy] = finished
+        """Run an easy handle; ``on_finish`` gets curl's error number and message."""
+        self._on_finish_by_easy[easy] = on_finish
         self._multi.add_handle(easy)
 
     def remove_easy(self, easy: pycurl.Curl) -> None:
-        """Drop an easy handle and its connection; ``finished`` is not called."""
-        if self._finished_by_easy.pop(easy, None) is not None:
+        """Remove an easy handle and its connection; ``on_finish`` is not called."""
+        if self._on_finish_by_easy.pop(easy, None) is not None:
             self._multi.remove_handle(easy)
 
     def _wake(self) -> None:
@@ -146,64 +146,65 @@
 
     def _on_curl_timer(self, timeout_ms: int) -> None:
         if timeout_ms < 0:
-            self._curl_due = None
+            self._curl_due_at = None
             return
-        self._curl_due = self._clock.monotonic() + timeout_ms / 1000
+        self._curl_due_at = self._clock.monotonic() + timeout_ms / 1000
 
     def _run(self) -> None:
         while not self._stopping:
-            for fd, mask in self._epoll.poll(self._poll_s()):
+            for fd, mask in self._epoll.poll(self._poll_timeout_s()):
                 handler = self._handler_by_fd.get(fd)
                 if handler is not None:
-                    self._guarded(handler, mask)
+                    self._run_guarded(handler, mask)
             self._run_timers()
-            self._reap()
+            self._collect_finished()
             self._run_calls()
 
-    def _poll_s(self) -> float:
+    def _poll_timeout_s(self) -> float:
         if self._calls:
             return 0.0
         due = self._clock.monotonic() + MAX_POLL_S
         if self._timers:
             due = min(due, self._timers[0][0])
-        if self._curl_due is not None:
-            due = min(due, self._curl_due)
+        if self._curl_due_at is not None:
+            due = min(due, self._curl_due_at)
         return max(0.0, due - self._clock.monotonic())
 
     def _run_timers(self) -> None:
         now = self._clock.monotonic()
-        if self._curl_due is not None and self._curl_due <= now:
-            self._curl_due = None
+        if self._curl_due_at is not None and self._curl_due_at <= now:
+            self._curl_due_at = None
             self._multi.socket_action(pycurl.SOCKET_TIMEOUT, 0)
         while self._timers and self._timers[0][0] <= now:
             timer = heapq.heappop(self._timers)[2]
             if timer.callback is not None:
-                self._guarded(timer.callback)
+                self._run_guarded(timer.callback)
 
     def _run_calls(self) -> None:
-        # Only what is there now: a callback that calls again must not starve I/O.
+        # Only the calls queued so far: a callback that schedules another must not
+        # starve I/O.
         for _ in range(len(self._calls)):
-            self._guarded(self._calls.popleft())
+            self._run_guarded(self._calls.popleft())
 
-    def _reap(self) -> None:
+    def _collect_finished(self) -> None:
         while True:
             remaining, succeeded, failed = self._multi.info_read()
             for easy in succeeded:
-                self._finish(easy, 0, "")
+                self._finish_transfer(easy, 0, "")
             for easy, number, message in failed:
-                self._finish(easy, number, message)
+                self._finish_transfer(easy, number, message)
             if not remaining:
                 return
 
-    def _finish(self, easy: pycurl.Curl, number: int, message: str) -> None:
-        finished = self._finished_by_easy.pop(easy, None)
-        if finished is None:
+    def _finish_transfer(self, easy: pycurl.Curl, number: int, message: str) -> None:
+        on_finish = self._on_finish_by_easy.pop(easy, None)
+        if on_finish is None:
             return
         self._multi.remove_handle(easy)
-        self._guarded(finished, number, message)
+        self._run_guarded(on_finish, number, message)
 
-    def _guarded(self, callback: t.Callable[..., None], *args: t.Any) -> None:
-        # One broken request must not end the thread that serves all of them.
+    def _run_guarded(self, callback: t.Callable[..., None], *args: t.Any) -> None:
+        # An error in one request must not end the thread that serves all of them.
         try:
             callback(*args)
         except Exception as error:
--- a/src/wagtailstair/upstreams/orders.py
+++ b/src/wagtailstair/upstreams/orders.py
@@ -1,4 +1,4 @@
-"""Orders to engines over HTTP, for the holder of the placement lease."""
+"""Sends orders to engines over HTTP on behalf of the placement lease's holder."""
 
 import collections.abc
 import concurrent.futures
@@ -23,12 +23,12 @@
 
 STATE_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
-WAIT_MARGIN_S = 1.0
+WAIT_MARGIN_S = 1.0  # added to the timeout of the exchange, which fires first
 OK = 200
 
 
 class EngineOrders:
-    """Sends orders to the engines of the host list, and reads their states."""
+    """Sends orders to the engines on the host list and reads their states."""
 
     def __init__(self, loop: Loop, clock: Clock, upstreams: Upstreams) -> None:
         self._loop = loop
@@ -36,13 +36,13 @@
         self._upstreams = upstreams
 
     def read_state(self, engine: str) -> EngineState:
-        """Ask an engine for its state.
+        """Fetch the state of an engine.
 
-        :raises UpstreamError: if it gives none.
+        :raises UpstreamError: if it cannot be fetched.
         """
         upstream = self._upstreams.get(engine)
         if upstream is None:
-            raise UpstreamNotSentError("not listed", where=engine)
+            raise UpstreamNotSentError("engine not in the host list", where=engine)
         request = TransferRequest(
             method="GET",
             url=f"http://{upstream.address}/v1/state",
@@ -52,7 +52,9 @@
         )
         end = self._exchange(request, engine)
         if end.sent is not Sent.ANSWERED or end.status != OK:
-            raise UpstreamError(f"no state: {end.error or end.status}", where=engine)
+            raise UpstreamError(
+                f"engine state not available: {end.error or end.status}", where=engine
+            )
         return decode_state(
             end.body,
             address=upstream.address,
@@ -68,14 +70,16 @@
         timeout_s: float,
         may_send: collections.abc.Callable[[], bool],
     ) -> None:
-        """Send an order, if ``may_send`` holds when the connection stands.
+        """Send an order if ``may_send`` returns True once connected.
 
         :raises UpstreamError: if it was not sent, was refused, or its reply
             was lost.
         """
         upstream = self._upstreams.get(order.engine)
         if upstream is None:
-            raise UpstreamNotSentError("not listed", where=order.engine)
+            raise UpstreamNotSentError(
+                "engine not in the host list", where=order.engine
+            )
         body = {
             "fence": fence,
             "holder": holder,
@@ -106,7 +110,7 @@
             sent=end.sent.value,
             status=end.status,
         )
-        _judge(end, order.engine)
+        _raise_for_outcome(end, order.engine)
 
     def _exchange(self, request: TransferRequest, engine: str) -> TransferEnd:
         future = exchange(self._loop, request)
@@ -114,10 +118,12 @@
             return future.result(request.timeout_s + WAIT_MARGIN_S)
         except concurrent.futures.TimeoutError:
             future.cancel()
-            raise UpstreamLostError("no end of the exchange", where=engine) from None
+            raise UpstreamLostError(
+                "exchange did not end within its timeout", where=engine
+            ) from None
 
 
-def _judge(end: TransferEnd, engine: str) -> None:
+def _raise_for_outcome(end: TransferEnd, engine: str) -> None:
     if end.sent is Sent.NOT_SENT:
         raise UpstreamNotSentError(end.error, where=engine)
     if end.sent is Sent.LOST:
--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -1,4 +1,4 @@
-"""One HTTP exchange with an upstream, and what is known of it when it ends."""
+"""One HTTP exchange with an upstream, and whether the upstream may have run it."""
 
 import concurrent.futures
 import dataclasses
@@ -13,7 +13,10 @@
 
 
 class Sent(enum.Enum):
-    """How far an attempt got."""
+    """Whether a request reached the upstream and was answered.
+
+    ``LOST``: it may have been sent, but no complete answer came back.
+    """
 
     NOT_SENT = "not_sent"
     ANSWERED = "answered"
@@ -22,7 +25,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TransferEnd:
-    """The end of a transfer; ``status`` is 0 where no status line came."""
+    """The result of a transfer; ``status`` is 0 if no status line was received."""
 
     sent: Sent
     status: int
@@ -31,7 +34,7 @@
     error: str = ""
 
     def header(self, name: str, default: str = "") -> str:
-        """Return a header's last value, by its name in any case."""
+        """Return the last value of a header; its name is not case-sensitive."""
         wanted = name.lower()
         for key, value in reversed(self.headers):
             if key.lower() == wanted:
@@ -41,11 +44,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class TransferRequest:
-    """What to send; timeouts are in seconds.
+    """An HTTP request with its limits.
 
-    ``may_send`` is asked once the connection stands, as late as can be: where
-    it says no, nothing is sent. The time since the exchange was begun may be
-    any length, if the process was stopped in between.
+    ``may_send`` is called once the connection is established, right before the
+    request is sent; if it returns False, nothing is sent. The process may have
+    been paused for any time since the exchange began, so a lease or deadline
+    has to be checked at this point.
     """
 
     method: str
@@ -55,14 +59,14 @@
     connect_timeout_s: float = 0.5
     timeout_s: float = 10.0
     max_response_bytes: int = 4 << 20
-    # libcurl sends a request again by itself when a kept connection turns out
-    # to be dead, so only requests that may run twice use kept connections.
+    # libcurl resends a request by itself if a reused connection turns out to be
+    # closed, so only requests that may run twice reuse connections.
     repeatable: bool = False
     may_send: t.Callable[[], bool] | None = None
 
 
-# Sent by libcurl by itself, unless they are given or taken out.
-CURL_OWN_HEADERS = ("Accept", "Content-Type", "Expect", "User-Agent")
+# Headers that libcurl adds by itself unless they are set or disabled.
+CURL_DEFAULT_HEADERS = ("Accept", "Content-Type", "Expect", "User-Agent")
 
 _CURL_ERRORS_BEFORE_CONNECT = frozenset(
     {
@@ -70,7 +74,7 @@
         pycurl.E_COULDNT_CONNECT,
         pycurl.E_URL_MALFORMAT,
         pycurl.E_UNSUPPORTED_PROTOCOL,
-        # Nothing but `may_send` aborts a transfer by a callback before it is sent.
+        # Only `may_send` aborts a transfer by a callback, before anything is sent.
         pycurl.E_ABORTED_BY_CALLBACK,
     }
 )
@@ -79,9 +83,9 @@
 class Transfer:
     """A running transfer; used in the loop's thread only.
 
-    ``on_data`` gets each piece of a 200 answer's body and returns False to
-    have it delivered again after :meth:`resume`; without ``on_data`` the body
-    is kept for the end.
+    ``on_data`` receives each chunk of the body of an answer with status 200 and
+    returns False to have it delivered again after :meth:`resume`. Without
+    ``on_data`` the body is collected and passed to ``on_end``.
     """
 
     __slots__ = (
@@ -116,23 +120,23 @@
         self._easy: pycurl.Curl | None = None
 
     def start(self) -> None:
-        """Begin the transfer."""
+        """Start the transfer."""
         self._easy = _new_easy(self._request)
         self._easy.setopt(pycurl.HEADERFUNCTION, self._on_header)
         self._easy.setopt(pycurl.WRITEFUNCTION, self._on_body)
         self._loop.add_easy(self._easy, self._on_finished)
 
     def cancel(self) -> None:
-        """Drop the transfer and its connection; ``on_end`` is not called."""
+        """Abort the transfer and close its connection; ``on_end`` is not called."""
         easy = self._easy
         self._easy = None
         if easy is None:
             return
-        # libcurl forbids removal from within its own callbacks.
+        # libcurl forbids removing a handle from within its own callbacks.
         self._loop.call(lambda: self._remove(easy))
 
     def resume(self) -> None:
-        """Deliver the data that ``on_data`` did not take."""
+        """Deliver the data again that ``on_data`` rejected."""
         if self._easy is not None:
             self._easy.pause(pycurl.PAUSE_CONT)
 
@@ -154,8 +158,8 @@
         if self._easy is None:
             return len(data)
         if self._on_data is not None and self._status == 200:
-            taken = self._on_data(data)
-            return len(data) if taken else pycurl.WRITEFUNC_PAUSE
+            accepted = self._on_data(data)
+            return len(data) if accepted else pycurl.WRITEFUNC_PAUSE
         self._size += len(data)
         if self._size > self._request.max_response_bytes:
             self._too_large = True
@@ -170,7 +174,7 @@
             return
         sent = Sent.ANSWERED
         if number:
-            sent = _how_far(easy, number)
+            sent = _failure_outcome(easy, number)
         if self._too_large:
             message = "the answer is larger than the limit"
         easy.close()
@@ -180,13 +184,13 @@
         )
 
 
-def _asker(may_send: t.Callable[[], bool]) -> t.Callable[..., int]:
-    def ask(*addresses: object) -> int:
+def _prereq_callback(may_send: t.Callable[[], bool]) -> t.Callable[..., int]:
+    def check(*addresses: object) -> int:
         if may_send():
             return int(pycurl.PREREQFUNC_OK)
         return int(pycurl.PREREQFUNC_ABORT)
 
-    return ask
+    return check
 
 
 def _header_lines(headers: tuple[tuple[str, str], ...]) -> list[str]:
@@ -194,9 +198,9 @@
     names = set()
     for name, value in headers:
         names.add(name.lower())
-        # In curl's notation a header without a value ends in a semicolon.
+        # curl expects a header without a value to end in a semicolon.
         lines.append(f"{name}: {value}" if value else f"{name};")
-    for name in CURL_OWN_HEADERS:
+    for name in CURL_DEFAULT_HEADERS:
         if name.lower() not in names:
             lines.append(f"{name}:")
     return lines
@@ -219,17 +223,17 @@
     if request.body or request.method in {"POST", "PUT", "PATCH"}:
         easy.setopt(pycurl.POSTFIELDS, request.body)
     if request.may_send is not None:
-        easy.setopt(pycurl.PREREQFUNCTION, _asker(request.may_send))
+        easy.setopt(pycurl.PREREQFUNCTION, _prereq_callback(request.may_send))
     if not request.repeatable:
         easy.setopt(pycurl.FRESH_CONNECT, 1)
         easy.setopt(pycurl.FORBID_REUSE, 1)
     return easy
 
 
-def _how_far(easy: pycurl.Curl, number: int) -> Sent:
+def _failure_outcome(easy: pycurl.Curl, number: int) -> Sent:
     if number in _CURL_ERRORS_BEFORE_CONNECT:
         return Sent.NOT_SENT
-    # PRETRANSFER_TIME is set when the connection stands and sending may begin.
+    # PRETRANSFER_TIME is set once the connection is ready to send the request.
     if easy.getinfo(pycurl.PRETRANSFER_TIME) == 0:
         return Sent.NOT_SENT
     return Sent.LOST
@@ -238,7 +242,7 @@
 def exchange(
     loop: Loop, request: TransferRequest
 ) -> "concurrent.futures.Future[TransferEnd]":
-    """Run a whole exchange; cancelling the future drops the transfer."""
+    """Start an exchange and return its future; cancelling it aborts the transfer."""
     future: concurrent.futures.Future[TransferEnd] = concurrent.futures.Future()
 
     def on_end(end: TransferEnd) -> None:
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -1,4 +1,4 @@
-"""Watches the host list and the engines' load reports from the loop's thread."""
+"""Polls the host list and the engines' load reports from the loop's thread."""
 
 import random
 import typing as t
@@ -26,22 +26,22 @@
 
 LOAD_REPORT_INTERVAL_S = 0.5
 LOAD_REPORT_TIMEOUT_S = 1.0
-SILENT_AFTER = 2  # reports in a row that did not come
+SILENT_AFTER_FAILURES = 2  # consecutive failed reports
 OK = 200
 NOT_MODIFIED = 304
 KIND_BY_NAME = {ENGINE: UpstreamKind.ENGINE, SERVICE: UpstreamKind.SERVICE}
 
 
 def jittered(interval_s: float, rng: random.Random) -> float:
-    """Return an interval that differs from host to host and time to time."""
+    """Return an interval with random jitter, so that hosts do not poll in step."""
     return interval_s * rng.uniform(0.8, 1.2)
 
 
 class HostListWatch:
-    """Reads the host list again and again; an outage keeps the last one.
+    """Polls the host list; during an outage the last list stays in use.
 
-    :param on_entry_hosts: hears the entry hosts of each list.
-    :param on_gone: hears the names of upstreams that are no longer listed.
+    :param on_entry_hosts: called with the entry hosts of each list.
+    :param on_removed: called with the names of upstreams that are no longer listed.
     """
 
     def __init__(
@@ -51,7 +51,7 @@
         platform: PlatformSection,
         upstreams: Upstreams,
         on_entry_hosts: t.Callable[[list[HostEntry]], None],
-        on_gone: t.Callable[[list[str]], None],
+        on_removed: t.Callable[[list[str]], None],
         rng: random.Random,
     ) -> None:
         self._loop = loop
@@ -59,14 +59,14 @@
         self._platform = platform
         self._upstreams = upstreams
         self._on_entry_hosts = on_entry_hosts
-        self._on_gone = on_gone
+        self._on_removed = on_removed
         self._rng = rng
-        self._failed = False
+        self._is_failing = False
         self._etag = ""
         self.has_read = False
 
     def start(self) -> None:
-        """Begin to watch."""
+        """Start polling."""
         self._loop.call(self._read)
 
     def _read(self) -> None:
@@ -88,19 +88,19 @@
         self._loop.call_later(interval_s, self._read)
         failed = end.sent is not Sent.ANSWERED
         failed = failed or end.status not in {OK, NOT_MODIFIED}
-        if failed != self._failed:
-            self._failed = failed
+        if failed != self._is_failing:
+            self._is_failing = failed
             log_event("host_list_failed" if failed else "host_list_back")
         if failed or end.status == NOT_MODIFIED:
             return
         try:
-            self._take(decode_hosts(end.body))
+            self._apply(decode_hosts(end.body))
         except PlatformError as error:
             log_event("host_list_malformed", level="WARNING", error=str(error))
             return
         self._etag = end.header("ETag")
 
-    def _take(self, entries: list[HostEntry]) -> None:
+    def _apply(self, entries: list[HostEntry]) -> None:
         found: list[tuple[Upstream, bool]] = []
         entry_hosts: list[HostEntry] = []
         for entry in entries:
@@ -108,7 +108,7 @@
                 entry_hosts.append(entry)
                 continue
             if entry.kind not in KIND_BY_NAME:
-                # A kind that a later version of the platform knows.
+                # A kind that only a later version supports.
                 continue
             upstream = Upstream(
                 name=entry.name,
@@ -119,19 +119,20 @@
                 incarnation=entry.incarnation,
             )
             found.append((upstream, entry.is_leaving))
-        gone = self._upstreams.replace(found)
+        removed = self._upstreams.replace(found)
         self.has_read = True
         self._on_entry_hosts(entry_hosts)
-        if gone:
-            self._on_gone(gone)
+        if removed:
+            self._on_removed(removed)
 
 
 class EngineWatch:
-    """Reads the load reports of the engines that this host polls.
+    """Polls the load reports of the engines that this host is responsible for.
 
     :param engines: returns the engines to poll now.
-    :param on_state: hears each report.
-    :param on_silent: hears the name of an engine that gave none repeatedly.
+    :param on_state: called with the state from each report.
+    :param on_silent: called with the name of an engine whose reports failed
+        :data:`SILENT_AFTER_FAILURES` times in a row.
     """
 
     def __init__(
@@ -153,12 +154,12 @@
         self._failures_by_name: dict[str, int] = {}
 
     def start(self) -> None:
-        """Begin to watch."""
-        self._loop.call(self._read_all)
+        """Start polling."""
+        self._loop.call(self._poll_engines)
 
-    def _read_all(self) -> None:
+    def _poll_engines(self) -> None:
         interval_s = jittered(LOAD_REPORT_INTERVAL_S, self._rng)
-        self._loop.call_later(interval_s, self._read_all)
+        self._loop.call_later(interval_s, self._poll_engines)
         for engine in self._engines():
             if engine.name not in self._pending:
                 self._read(engine)
@@ -177,7 +178,7 @@
     def _on_end(self, engine: Upstream, end: TransferEnd) -> None:
         self._pending.discard(engine.name)
         if end.sent is not Sent.ANSWERED or end.status != OK:
-            self._note_failure(engine.name)
+            self._record_failure(engine.name)
             return
         self._failures_by_name.pop(engine.name, None)
         try:
@@ -197,10 +198,11 @@
             return
         self._on_state(state)
 
-    def _note_failure(self, name: str) -> None:
-        # A pause of this process makes one round of reports time out at once.
+    def _record_failure(self, name: str) -> None:
+        # One failure is not enough: after a pause of this process all reports in
+        # flight time out together.
         failures = self._failures_by_name.get(name, 0) + 1
-        if failures < SILENT_AFTER:
+        if failures < SILENT_AFTER_FAILURES:
             self._failures_by_name[name] = failures
             return
         self._failures_by_name.pop(name, None)
