--- a/src/wagtailstair/http/call.py
+++ b/src/wagtailstair/http/call.py
@@ -13,8 +13,8 @@
 from ..services import HOP_HEADERS
 from ..services import ServiceCall
 from .context import Context
-from .context import deadline_of
 from .context import identify
+from .context import request_deadline
 
 SERVICES_PREFIX = "/v1/services/"
 SERVICE_WORK = 1.0  # work units charged for each call
@@ -36,7 +36,7 @@
     """Forward a call to a plain service."""
     context.open_requests.enter()
     try:
-        deadline = deadline_of(context, request)
+        deadline = request_deadline(context, request)
         identity = identify(context, request)
         call = _service_call(request, request_id, identity, deadline)
         use = identity.plan.service_by_name.get(call.service)
--- a/src/wagtailstair/http/complete.py
+++ b/src/wagtailstair/http/complete.py
@@ -15,8 +15,8 @@
 from ..logs import log_event
 from . import completions
 from .context import Context
-from .context import deadline_of
 from .context import identify
+from .context import request_deadline
 from .responses import json_response
 from .streams import Stream
 from .streams import run_to_completion
@@ -28,7 +28,7 @@
     is_handed_over = False  # to the stream, which then does the clean-up
     try:
         chat = request.path == "/v1/chat/completions"
-        deadline = deadline_of(context, request)
+        deadline = request_deadline(context, request)
         identity = identify(context, request)
         limit = context.settings.limits.max_tokens
         completion = completions.parse_completion(
@@ -39,7 +39,7 @@
         quota_charge = charge(context.quota, identity, request_id, completion.work)
         try:
             if not completion.stream:
-                return _respond_complete(
+                return _respond_unstreamed(
                     context, request, job, completion, quota_charge
                 )
             response = _respond_streamed(
@@ -98,12 +98,12 @@
     )
 
 
-def _make_shape(
+def _make_response_fields(
     context: Context, request_id: str, completion: completions.CompletionRequest
-) -> completions.Shape:
+) -> completions.ResponseFields:
     created = int(context.clock.utcnow().timestamp())
     prefix = "chatcmpl" if completion.chat else "cmpl"
-    return completions.Shape(
+    return completions.ResponseFields(
         f"{prefix}-{request_id}", created, completion.model, completion.chat
     )
 
@@ -131,7 +131,7 @@
     )
 
 
-def _respond_complete(
+def _respond_unstreamed(
     context: Context,
     request: Request,
     job: Job,
@@ -142,10 +142,10 @@
     finished = run_to_completion(context.relays, job, sock)
     quota_charge.settle(_actual_work(completion, finished.output_tokens))
     _record_end(context, job, finished)
-    shape = _make_shape(context, job.request, completion)
+    fields = _make_response_fields(context, job.request, completion)
     return json_response(
         completions.completion_body(
-            shape,
+            fields,
             finished.text,
             finished.reason,
             finished.prompt_tokens,
@@ -161,10 +161,10 @@
     completion: completions.CompletionRequest,
     quota_charge: Charge,
 ) -> Response:
-    shape = _make_shape(context, job.request, completion)
+    fields = _make_response_fields(context, job.request, completion)
     sock = request.environ["werkzeug.socket"]
     limit = context.settings.limits.caller_buffer_bytes
-    stream = Stream(context.relays, job, shape, sock, limit)
+    stream = Stream(context.relays, job, fields, sock, limit)
     stream.wait_for_start()
 
     def on_end(end: Finished | RequestError) -> None:
--- a/src/wagtailstair/http/completions.py
+++ b/src/wagtailstair/http/completions.py
@@ -149,7 +149,7 @@
     choices: list[_ChatChoice] | list[_TextChoice]
 
 
-class Shape(t.NamedTuple):
+class ResponseFields(t.NamedTuple):
     """The fields that all events and bodies of one completion share."""
 
     id: str
@@ -165,34 +165,34 @@
     return b"data: " + msgspec.json.encode(value) + b"\n\n"
 
 
-def _chunk_event(shape: Shape, text: str | None, reason: str | None) -> bytes:
-    if shape.chat:
+def _chunk_event(fields: ResponseFields, text: str | None, reason: str | None) -> bytes:
+    if fields.chat:
         delta = _Delta(content=text)
         chat = [_ChatChoice(delta, reason)]
         kind = "chat.completion.chunk"
-        return _event(_Chunk(shape.id, kind, shape.created, shape.model, chat))
+        return _event(_Chunk(fields.id, kind, fields.created, fields.model, chat))
     choices = [_TextChoice(text or "", reason)]
     kind = "text_completion"
-    return _event(_Chunk(shape.id, kind, shape.created, shape.model, choices))
+    return _event(_Chunk(fields.id, kind, fields.created, fields.model, choices))
 
 
-def first_event(shape: Shape) -> bytes:
+def first_event(fields: ResponseFields) -> bytes:
     """Return the event that opens a stream."""
-    if not shape.chat:
+    if not fields.chat:
         return b": open\n\n"
     choices = [_ChatChoice(_Delta(role="assistant", content=""))]
     kind = "chat.completion.chunk"
-    return _event(_Chunk(shape.id, kind, shape.created, shape.model, choices))
+    return _event(_Chunk(fields.id, kind, fields.created, fields.model, choices))
 
 
-def token_event(shape: Shape, text: str) -> bytes:
+def token_event(fields: ResponseFields, text: str) -> bytes:
     """Return the event for one token."""
-    return _chunk_event(shape, text, None)
+    return _chunk_event(fields, text, None)
 
 
-def last_events(shape: Shape, reason: str) -> bytes:
+def last_events(fields: ResponseFields, reason: str) -> bytes:
     """Return the events that end a stream normally."""
-    return _chunk_event(shape, None, reason) + DONE_EVENT
+    return _chunk_event(fields, None, reason) + DONE_EVENT
 
 
 def error_event(value: dict[str, t.Any]) -> bytes:
@@ -201,19 +201,23 @@
 
 
 def completion_body(
-    shape: Shape, text: str, reason: str, prompt_tokens: int, output_tokens: int
+    fields: ResponseFields,
+    text: str,
+    reason: str,
+    prompt_tokens: int,
+    output_tokens: int,
 ) -> dict[str, t.Any]:
     """Return the body of a response that is not streamed."""
     choice: dict[str, t.Any] = {"index": 0, "finish_reason": reason, "logprobs": None}
-    if shape.chat:
+    if fields.chat:
         choice["message"] = {"role": "assistant", "content": text}
     else:
         choice["text"] = text
     return {
-        "id": shape.id,
-        "object": "chat.completion" if shape.chat else "text_completion",
-        "created": shape.created,
-        "model": shape.model,
+        "id": fields.id,
+        "object": "chat.completion" if fields.chat else "text_completion",
+        "created": fields.created,
+        "model": fields.model,
         "choices": [choice],
         "usage": {
             "prompt_tokens": prompt_tokens,
--- a/src/wagtailstair/http/context.py
+++ b/src/wagtailstair/http/context.py
@@ -73,7 +73,7 @@
 Handler = t.Callable[[Context, Request, str], Response]
 
 
-def deadline_of(context: Context, request: Request) -> float:
+def request_deadline(context: Context, request: Request) -> float:
     """Return the monotonic time of the request's deadline."""
     limits = context.settings.limits
     text = request.headers.get("X-Timeout", "")
--- a/src/wagtailstair/http/server.py
+++ b/src/wagtailstair/http/server.py
@@ -41,7 +41,7 @@
 
     Its ``app`` has to be set before :meth:`start`.
 
-    :param open_requests: maximum number of requests served at the same time.
+    :param open_requests: requests served at once; further ones wait in the backlog.
     """
 
     request_queue_size = LISTEN_BACKLOG
--- a/src/wagtailstair/http/streams.py
+++ b/src/wagtailstair/http/streams.py
@@ -31,17 +31,19 @@
 class StreamSink:
     """Writes tokens to a caller's socket; buffers them until the head is sent."""
 
-    def __init__(self, caller: CallerSocket, shape: completions.Shape) -> None:
+    def __init__(
+        self, caller: CallerSocket, fields: completions.ResponseFields
+    ) -> None:
         self.started = threading.Event()
         self.has_tokens = False
         self._caller = caller
-        self._shape = shape
+        self._fields = fields
         self._attached = False
         self._buffered: list[bytes] = []
 
     def token(self, text: str) -> None:
         """Write or buffer the event for a token."""
-        data = _chunk(completions.token_event(self._shape, text))
+        data = _chunk(completions.token_event(self._fields, text))
         if self._attached:
             self._caller.send(data)
             return
@@ -115,15 +117,15 @@
         self,
         relays: Relays,
         job: Job,
-        shape: completions.Shape,
+        fields: completions.ResponseFields,
         sock: socket.socket,
         limit: int,
     ) -> None:
         self._relays = relays
         self._job = job
-        self._shape = shape
+        self._fields = fields
         self._caller = CallerSocket(relays.loop, sock, limit)
-        self._sink = StreamSink(self._caller, shape)
+        self._sink = StreamSink(self._caller, fields)
         self._relay = relays.run(job, self._sink)
         self._relay.future.add_done_callback(lambda _: self._sink.started.set())
         _watch_caller(relays, self._relay, self._caller)
@@ -151,7 +153,7 @@
         )
         is_watched = True
         try:
-            yield completions.first_event(self._shape)
+            yield completions.first_event(self._fields)
             self._relays.loop.call(self._sink.attach)
             end = self._wait_for_end()
             is_watched = False
@@ -174,5 +176,5 @@
 
     def _last_events(self, end: Finished | RequestError) -> bytes:
         if isinstance(end, Finished):
-            return completions.last_events(self._shape, end.reason)
+            return completions.last_events(self._fields, end.reason)
         return completions.error_event(error_value(end, self._job.request))
--- a/src/wagtailstair/peers/bulk.py
+++ b/src/wagtailstair/peers/bulk.py
@@ -1,7 +1,7 @@
-"""The lists from a peer, over the daemon's HTTP port.
+"""Transfers the lists between peers over the daemon's HTTP port.
 
-``GET /peer/lists?after=VERSION``, signed in a header; the answer holds the
-rows that changed after that version, or all rows, and is signed as a whole.
+The request is ``GET /peer/lists?after=VERSION``, signed in a header. The response
+holds the rows that changed after that version, or all rows, and has a tag.
 """
 
 import collections
@@ -22,20 +22,20 @@
 from ..core.rows import RowKey
 from ..exceptions import ListsError
 from ..exceptions import PeerError
-from .codec import open_sealed
-from .codec import seal
-from .codec import tag_of
-from .records import put
+from .codec import add_frame
+from .codec import compute_tag
+from .codec import remove_frame
+from .records import set_field
 from .schema import SCHEMA
 from .schema import DecodeError
 
 PATH = "/peer/lists"
 HEADER = "X-Peer-Signature"
-SIGNATURE_AGE_S = 300.0  # by the wall clocks of two hosts
-RECENT_MAX = 1024  # steps between versions that are kept
+SIGNATURE_MAX_AGE_S = 300.0  # includes the difference of two hosts' wall clocks
+RECENT_STEPS_MAX = 1024  # recorded steps between versions
 RECENT_ROWS_MAX = 8192
 BODY_BYTES_MAX = 64 << 20
-WORDS_MAX = 64 << 20
+UNPACKED_WORDS_MAX = 64 << 20  # words of 8 bytes
 TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
 HTTP_OK = 200
@@ -49,14 +49,16 @@
 
 
 class RecentChanges:
-    """Which rows changed in the last versions that this host took."""
+    """The rows that changed in the latest versions applied by this host."""
 
     def __init__(self) -> None:
-        self._steps: collections.deque[_Step] = collections.deque(maxlen=RECENT_MAX)
+        self._steps: collections.deque[_Step] = collections.deque(
+            maxlen=RECENT_STEPS_MAX
+        )
         self._rows = 0
 
     def note(self, old: Lists, new: Lists) -> None:
-        """Note the step from older lists to newer ones."""
+        """Record the rows that differ between old and new lists."""
         keys = (
             *_changed(PLANS, old.plan_by_name, new.plan_by_name),
             *_changed(ACCOUNTS, old.account_by_name, new.account_by_name),
@@ -65,15 +67,15 @@
             self._steps.clear()
             self._rows = 0
             return
-        if len(self._steps) == RECENT_MAX:
+        if len(self._steps) == RECENT_STEPS_MAX:
             self._rows -= len(self._steps.popleft().keys)
         self._steps.append(_Step(old.version, new.version, keys))
         self._rows += len(keys)
         while self._rows > RECENT_ROWS_MAX:
             self._rows -= len(self._steps.popleft().keys)
 
-    def since(self, after: int, version: int) -> set[RowKey] | None:
-        """Return the rows that changed after a version, or None if not known."""
+    def changed_since(self, after: int, version: int) -> set[RowKey] | None:
+        """Return the keys of rows changed after a version, or None if not recorded."""
         steps = list(self._steps)
         if not steps or steps[-1].after != version:
             return set() if after == version else None
@@ -109,26 +111,28 @@
 
 
 def encode_lists(lists: Lists, after: int, keys: t.Iterable[RowKey]) -> bytes:
-    """Return rows of lists in the protocol's form, without a seal."""
+    """Return rows of lists in the protocol's form, without head and tag."""
     record = SCHEMA.Lists.new_message(version=lists.version, after=after)
-    put(record, "rows", [_row(lists, key) for key in sorted(keys)])
+    set_field(record, "rows", [_row(lists, key) for key in sorted(keys)])
     body: bytes = record.to_bytes_packed()
     return body
 
 
 def apply_lists(body: bytes, lists: Lists) -> Lists:
-    """Return the lists that a body leads to from older ones; never lower ones.
+    """Apply a peer's response to lists; return them unchanged if it is not newer.
 
     :raises PeerError: if it is malformed or does not follow on these lists.
     """
     try:
         record = SCHEMA.Lists.from_bytes_packed(
-            body, traversal_limit_in_words=WORDS_MAX, nesting_limit=4
+            body, traversal_limit_in_words=UNPACKED_WORDS_MAX, nesting_limit=4
         )
         if record.version <= lists.version:
             return lists
         if record.after > lists.version:
-            raise PeerError(f"changes after {record.after}, but {lists.version} here")
+            raise PeerError(
+                f"got changes after version {record.after}, but have {lists.version}"
+            )
         rows = [_read_row(row) for row in record.rows]
         if not record.after:
             found = Lists().with_rows(record.version, rows)
@@ -150,47 +154,47 @@
 def serve_lists(
     lists: Lists, recent: RecentChanges, after: int, key: bytes = b""
 ) -> bytes:
-    """Return the answer to a peer that has a version of the lists."""
-    keys = recent.since(after, lists.version) if after else None
+    """Return the response to a peer that has version ``after``, 0 if none."""
+    keys = recent.changed_since(after, lists.version) if after else None
     if keys is None:
         after = 0
         keys = {(PLANS, name) for name in lists.plan_by_name}
         keys.update((ACCOUNTS, name) for name in lists.account_by_name)
-    return seal(encode_lists(lists, after, keys), key)
+    return add_frame(encode_lists(lists, after, keys), key)
 
 
 def _signature(key: bytes, after: int, second: int) -> str:
-    return tag_of(key, b"lists", f"{after} {second}".encode()).hex()
+    return compute_tag(key, b"lists", f"{after} {second}".encode()).hex()
 
 
 def sign_request(key: bytes, after: int, clock: Clock) -> str:
-    """Return the header's value for a request."""
+    """Return the value of the signature header of a request."""
     second = int(clock.utcnow().timestamp())
     return f"{second} {_signature(key, after, second) if key else '-'}"
 
 
 def check_request(key: bytes, after: int, header: str, clock: Clock) -> None:
-    """Check the header of a request.
+    """Check the signature header of a request.
 
-    :raises PeerError: if it is not signed by the key, or too old.
+    :raises PeerError: if the signature is missing, under another key or too old.
     """
     if not key:
         return
     second, _, signature = header.partition(" ")
     if not second.isascii() or not second.isdigit() or len(second) > 12:
-        raise PeerError("the request is not signed")
+        raise PeerError("expected a signature header of seconds and hex digits")
     if not signature.isascii():
-        raise PeerError("the request is not signed")
+        raise PeerError("expected a signature header of seconds and hex digits")
     if not hmac.compare_digest(signature, _signature(key, after, int(second))):
         raise PeerError("the signature does not match")
-    if abs(clock.utcnow().timestamp() - int(second)) > SIGNATURE_AGE_S:
+    if abs(clock.utcnow().timestamp() - int(second)) > SIGNATURE_MAX_AGE_S:
         raise PeerError("the signature is too old")
 
 
 def _get(url: str, header: str, timeout_s: float) -> bytes:
     body = bytearray()
 
-    def take(data: bytes) -> int | None:
+    def receive(data: bytes) -> int | None:
         if len(body) + len(data) > BODY_BYTES_MAX:
             return 0
         body.extend(data)
@@ -204,15 +208,15 @@
         curl.setopt(pycurl.HTTPHEADER, [header])
         curl.setopt(pycurl.TIMEOUT_MS, int(timeout_s * 1000))
         curl.setopt(pycurl.CONNECTTIMEOUT_MS, int(CONNECT_TIMEOUT_S * 1000))
-        curl.setopt(pycurl.WRITEFUNCTION, take)
+        curl.setopt(pycurl.WRITEFUNCTION, receive)
         curl.perform()
         status = curl.getinfo(pycurl.RESPONSE_CODE)
     except pycurl.error as error:
-        raise PeerError(f"no answer: {error.args[1]}", where=url) from error
+        raise PeerError(f"no complete response: {error.args[1]}", where=url) from error
     finally:
         curl.close()
     if status != HTTP_OK:
-        raise PeerError(f"status {status}", where=url)
+        raise PeerError(f"expected status 200, got {status}", where=url)
     return bytes(body)
 
 
@@ -223,12 +227,12 @@
     key: bytes = b"",
     timeout_s: float = TIMEOUT_S,
 ) -> Lists:
-    """Return the lists of a peer, given older ones; never lower ones.
+    """Fetch the changes since ``lists`` from a peer and return the newer lists.
 
     :param address: ``ip:port`` of the peer's HTTP port.
-    :raises PeerError: if it does not answer as expected.
+    :raises PeerError: if it cannot be reached or its response is invalid.
     """
     url = f"http://{address}{PATH}?after={lists.version}"
     header = f"{HEADER}: {sign_request(key, lists.version, clock)}"
     data = _get(url, header, timeout_s)
-    return apply_lists(open_sealed(data, key, BODY_BYTES_MAX), lists)
+    return apply_lists(remove_frame(data, key, BODY_BYTES_MAX), lists)
--- a/src/wagtailstair/peers/message_records.py
+++ b/src/wagtailstair/peers/message_records.py
@@ -1,4 +1,4 @@
-"""Messages from and to the records of the schema, by type."""
+"""Converts messages to and from the records of the schema, by type."""
 
 import typing as t
 
@@ -39,7 +39,7 @@
         "seq": message.seq,
         "state": int(message.state),
         "listsVersion": message.lists_version,
-        # The excess is nearly always zero, which costs no byte.
+        # The excess is nearly always zero, which takes no byte when packed.
         "listsExcess": max(0, message.known_lists_version - message.lists_version),
         "view": message.view,
         "upstreamsVersion": message.upstreams_version,
@@ -53,7 +53,7 @@
     return {
         "handle": message.handle,
         "pool": records.write_pool(message.key),
-        "want": records.write_want(message.want),
+        "want": records.write_route_request(message.want),
     }
 
 
@@ -111,7 +111,7 @@
     return {
         "handle": message.handle,
         "pool": records.write_pool(message.key),
-        "want": records.write_want(message.want),
+        "want": records.write_route_request(message.want),
         "route": records.write_route(message.route),
         "tokensDone": message.tokens_done,
     }
@@ -219,7 +219,7 @@
     return Held(
         record.handle,
         records.read_pool(record.pool),
-        records.read_want(record.want),
+        records.read_route_request(record.want),
         records.read_route(record.route),
         record.tokensDone,
     )
@@ -244,7 +244,9 @@
     "viewRequest": lambda record: ViewRequest(),
     "view": lambda record: View(tuple(records.read_host(host) for host in record)),
     "submit": lambda record: Submit(
-        record.handle, records.read_pool(record.pool), records.read_want(record.want)
+        record.handle,
+        records.read_pool(record.pool),
+        records.read_route_request(record.want),
     ),
     "queued": Queued,
     "granted": lambda record: Granted(record.handle, records.read_route(record.route)),
@@ -264,9 +266,9 @@
 
 
 def write_message(record: Record, message: Message) -> None:
-    """Fill the record of a message."""
+    """Write a message into a record."""
     field, write = WRITERS[type(message)]
-    records.put(record, field, write(message))
+    records.set_field(record, field, write(message))
 
 
 def read_message(record: Record, datagram: Record) -> Message:
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -1,4 +1,4 @@
-"""The host among its peers: heartbeats, views, dispatch, and their thread."""
+"""Runs membership and dispatch of a host: heartbeats, views, messages, timers."""
 
 import threading
 import typing as t
@@ -31,8 +31,8 @@
     """Runs membership and dispatch over a transport.
 
     :param lists_version: the version of the lists that this host has.
-    :param on_heard: called when a peer has told of a higher version.
-    :param known_lists_version: the highest version that this host has heard of.
+    :param on_newer_lists: called with the version if a peer reports a higher one.
+    :param known_lists_version: the highest version that this host has learnt of.
     """
 
     def __init__(
@@ -42,30 +42,30 @@
         make_pool: PoolFactory,
         clock: Clock,
         lists_version: t.Callable[[], int],
-        on_heard: t.Callable[[int], None] = lambda version: None,
+        on_newer_lists: t.Callable[[int], None] = lambda version: None,
         known_lists_version: t.Callable[[], int] | None = None,
     ) -> None:
         self.membership = membership
         self.lock = threading.RLock()
-        self.failures = 0
+        self.failed_ticks = 0
         self.dispatcher = Dispatcher(membership, transport, make_pool, clock, self.lock)
         self.listeners: list[Listener] = [self.dispatcher.apply_member_events]
         self._transport = transport
         self._clock = clock
         self._lists_version = lists_version
-        self._lists_known = known_lists_version or lists_version
-        self._on_heard = on_heard
+        self._known_lists_version = known_lists_version or lists_version
+        self._on_newer_lists = on_newer_lists
         self._ticked_at = float("-inf")
         self._stopping = threading.Event()
         self._thread = threading.Thread(target=self._run, name="node", daemon=True)
 
     def start(self) -> None:
-        """Begin to send heartbeats and to take messages."""
+        """Start sending heartbeats and receiving messages."""
         self._transport.start(self._receive)
         self._thread.start()
 
     def stop(self) -> None:
-        """Tell the peers for a last time, and stop."""
+        """Send a last heartbeat to the peers and stop."""
         self._stopping.set()
         self._thread.join()
         with self.lock:
@@ -74,21 +74,21 @@
         self._transport.close()
 
     def set_state(self, state: HostState) -> None:
-        """Change what this host says of itself, and tell the peers at once."""
+        """Change the state of this host and announce it to the peers at once."""
         with self.lock:
             self.membership.set_state(state)
         self.announce()
         self._notify([])
 
     def announce(self) -> None:
-        """Tell the peers at once, for example of a new version of the lists."""
+        """Send heartbeats at once, for example to announce a new lists version."""
         with self.lock:
             self.membership.make_heartbeats_due()
             self._send_heartbeats(self._clock.monotonic())
         self._transport.flush()
 
     def peer_versions(self) -> PeerVersions:
-        """Return what the peers have told of the lists."""
+        """Return the versions of the lists that the peers have reported."""
         with self.lock:
             held = self.membership.lists_version()
             holders = self.membership.holders(held) if held else []
@@ -100,7 +100,7 @@
             )
 
     def lists_rank(self) -> int:
-        """Return this host's rank as reader of the lists in its data centre."""
+        """Return this host's rank among the readers of the lists in its data centre."""
         host = self.membership.host
         with self.lock:
             live = self.membership.live(host.data_centre)
@@ -108,13 +108,13 @@
         return names.index(host.name)
 
     def apply_host_list(self, hosts: t.Iterable[Host]) -> None:
-        """Take the platform's list of entry hosts; a mistyped address is left out."""
+        """Apply the platform's list of entry hosts; skip invalid addresses."""
         usable = [host for host in hosts if is_address(host.peer_address)]
         with self.lock:
             self.membership.apply_host_list(usable, self._clock.monotonic())
 
     def tick(self) -> float:
-        """Do what is due; return seconds after which to call again, at most."""
+        """Do the work that is due; return the maximum seconds until the next call."""
         events: list[Event] = []
         with self.lock:
             now = self._clock.monotonic()
@@ -134,18 +134,18 @@
             try:
                 wait_s = self.tick()
             except Exception as error:
-                # Without this thread the host would fall silent.
-                self.failures += 1
+                # If this thread ended, the host would send no more heartbeats.
+                self.failed_ticks += 1
                 name = type(error).__name__
                 log_event("node_tick_failed", level="ERROR", error=name)
             self._stopping.wait(wait_s)
 
     def _send_heartbeats(self, now: float) -> None:
-        inside, remote = self.membership.due(now)
-        held, known = self._lists_version(), self._lists_known()
-        if inside:
+        local, remote = self.membership.due(now)
+        held, known = self._lists_version(), self._known_lists_version()
+        if local:
             message = self.membership.next_heartbeat(held, known)
-            for address in inside:
+            for address in local:
                 self._transport.send(address, 0, message)
         if remote:
             models = self.dispatcher.models()
@@ -157,9 +157,9 @@
         others: list[Message] = []
         for message in datagram.messages:
             if isinstance(message, Heartbeat):
-                self._take_heartbeat(message)
+                self._receive_heartbeat(message)
             elif isinstance(message, ViewRequest):
-                self._answer_view(datagram.sender)
+                self._send_view(datagram.sender)
             elif isinstance(message, View):
                 with self.lock:
                     now = self._clock.monotonic()
@@ -170,29 +170,29 @@
         if others:
             self.dispatcher.receive(datagram.sender, datagram.incarnation, others)
 
-    def _take_heartbeat(self, message: Heartbeat) -> None:
+    def _receive_heartbeat(self, message: Heartbeat) -> None:
         with self.lock:
             now = self._clock.monotonic()
             known = self.membership.lists_version()
             is_new = self.membership.find(message.host.name) is None
             events = self.membership.receive_heartbeat(message, now)
             if is_new and self.membership.find(message.host.name) is not None:
-                self._greet(message.host)
+                self._send_first_heartbeat(message.host)
             version = self.membership.lists_version()
         self._notify(events)
         if version > known and version > self._lists_version():
-            self._on_heard(version)
+            self._on_newer_lists(version)
 
-    def _greet(self, host: Host) -> None:
-        """Answer the first heartbeat of a host, so that it need not wait."""
+    def _send_first_heartbeat(self, host: Host) -> None:
+        """Answer the first heartbeat of a host without waiting for the interval."""
         is_remote = host.data_centre != self.membership.host.data_centre
         models = self.dispatcher.models() if is_remote else ()
-        held, known = self._lists_version(), self._lists_known()
+        held, known = self._lists_version(), self._known_lists_version()
         message = self.membership.next_heartbeat(held, known, models)
         self._transport.send(host.peer_address, 0, message)
         self._transport.flush()
 
-    def _answer_view(self, sender: str) -> None:
+    def _send_view(self, sender: str) -> None:
         with self.lock:
             host = self.membership.find(sender)
             if host is None:
@@ -203,12 +203,12 @@
 
     def _notify(self, events: list[Event]) -> None:
         for event in events:
-            _log(event)
+            _log_member_event(event)
         for listener in self.listeners:
             listener(events)
 
 
-def _log(event: Event) -> None:
+def _log_member_event(event: Event) -> None:
     kind = type(event).__name__
     if isinstance(event, PeerLive):
         log_event("peer_live", peer=event.host.name)
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -1,7 +1,7 @@
-"""The schema's records from and to the core's types.
+"""Converts the core's types to and from the records of the schema.
 
-Each message type has a function that fills the fields of its record, and one
-that reads them. Deadlines travel as remaining milliseconds.
+Each type has a function that returns the fields of its record and one that reads
+them. Deadlines are sent as remaining milliseconds.
 """
 
 import ipaddress
@@ -30,7 +30,7 @@
 PREFIXES_MAX = 8
 NAMES_MAX = 64
 USES_MAX = 1024
-"""Engines of one message: with them a datagram stays under its limit."""
+"""Maximum engines of a message, so that a datagram stays under its size limit."""
 
 
 def _bounded(value: float, limit: int = UINT32_MAX) -> int:
@@ -41,10 +41,10 @@
     return _bounded(seconds * MS_PER_S)
 
 
-def put(record: Record, name: str, value: t.Any) -> None:
+def set_field(record: Record, name: str, value: t.Any) -> None:
     """Set a field of a record: a scalar, the fields of a struct, or a list."""
     if isinstance(value, dict):
-        fill(record.init(name), value)
+        set_fields(record.init(name), value)
         return
     if not isinstance(value, list):
         setattr(record, name, value)
@@ -52,21 +52,21 @@
     items = record.init(name, len(value))
     for index, item in enumerate(value):
         if isinstance(item, dict):
-            fill(items[index], item)
+            set_fields(items[index], item)
             continue
         items[index] = item
 
 
-def fill(record: Record, fields: Fields) -> None:
+def set_fields(record: Record, fields: Fields) -> None:
     """Set the fields of a record.
 
-    The library can do this from nested dicts, at ten times the cost.
+    The library can set nested dicts itself, but takes ten times as long.
     """
     for name, value in fields.items():
-        # An empty text or list reads the same as one that is not set.
+        # An empty text or list reads the same as an unset field.
         if value == "" or value == []:
             continue
-        put(record, name, value)
+        set_field(record, name, value)
 
 
 def write_address(address: str, peer_address: str) -> Fields:
@@ -120,27 +120,27 @@
     return PoolKey(record.model, record.dataCentre)
 
 
-def write_want(want: RouteRequest) -> Fields:
-    """Return the fields of a want; its names travel as the message's handle."""
-    # The longest prefixes tell the most.
-    prefixes = [prefix & PREFIX_MASK for prefix in want.prefixes[-PREFIXES_MAX:]]
+def write_route_request(request: RouteRequest) -> Fields:
+    """Return the fields of a route request; the handle of the message identifies it."""
+    # Only the longest prefixes are sent: they are the most specific.
+    prefixes = [prefix & PREFIX_MASK for prefix in request.prefixes[-PREFIXES_MAX:]]
     return {
-        "account": want.account,
-        "priority": int(want.priority),
-        "entitled": want.entitled,
-        "weight": want.weight,
-        "work": want.work,
-        "promptTokens": want.prompt_tokens,
-        "maxTokens": want.max_tokens,
-        "remainingMs": _milliseconds(want.deadline),
-        "adapter": want.adapter,
+        "account": request.account,
+        "priority": int(request.priority),
+        "entitled": request.entitled,
+        "weight": request.weight,
+        "work": request.work,
+        "promptTokens": request.prompt_tokens,
+        "maxTokens": request.max_tokens,
+        "remainingMs": _milliseconds(request.deadline),
+        "adapter": request.adapter,
         "prefixes": prefixes,
-        "avoid": sorted(want.avoid)[:NAMES_MAX],
+        "avoid": sorted(request.avoid)[:NAMES_MAX],
     }
 
 
-def read_want(record: Record) -> RouteRequest:
-    """Return a want without names."""
+def read_route_request(record: Record) -> RouteRequest:
+    """Return a route request without the names of its host and request."""
     return RouteRequest(
         request="",
         epoch=0,
@@ -212,7 +212,7 @@
 
 
 def write_load(message: EngineLoad) -> Fields:
-    """Return the fields of what changes often of a load report."""
+    """Return the fields of the frequently changing part of a load report."""
     return {
         "name": message.name,
         "incarnation": message.incarnation,
@@ -225,7 +225,7 @@
 
 
 def read_load(record: Record) -> EngineLoad:
-    """Return what changes often of a load report."""
+    """Return the frequently changing part of a load report."""
     return EngineLoad(
         record.name,
         record.incarnation,
@@ -238,7 +238,7 @@
 
 
 def write_uses(message: EngineUses) -> Fields:
-    """Return the fields of what requests hold on engines."""
+    """Return the fields of the resources that requests hold on engines."""
     return {
         "source": message.source,
         "isCentre": message.is_centre,
@@ -250,19 +250,19 @@
 
 
 def read_uses(record: Record) -> EngineUses:
-    """Return what requests hold on engines.
+    """Return the resources that requests hold on engines.
 
     :raises ValueError: if the columns differ in length.
     """
     keys, running = tuple(record.keys), tuple(record.running)
     heads, held = tuple(record.heads), tuple(record.held)
     if not len(keys) == len(running) == len(heads) == len(held):
-        raise ValueError("columns of different lengths")
+        raise ValueError("expected columns of the same length")
     return EngineUses(record.source, record.isCentre, keys, running, heads, held)
 
 
 def read_report(record: Record) -> EngineReport:
-    """Return a load report; the receiver sets its instant from its age."""
+    """Return a load report; the receiver derives its time from its age."""
     state = EngineState(
         name=record.name,
         incarnation=record.incarnation,
--- a/src/wagtailstair/peers/schema.py
+++ b/src/wagtailstair/peers/schema.py
@@ -1,4 +1,4 @@
-"""The schema of the protocol, loaded once from the package's file."""
+"""Loads the schema of the peers protocol from the package's file."""
 
 import pathlib
 import typing as t
--- a/src/wagtailstair/peers/transport.py
+++ b/src/wagtailstair/peers/transport.py
@@ -1,4 +1,4 @@
-"""Datagrams over UDP: one receiving thread, messages joined for a moment."""
+"""Sends and receives datagrams over UDP; messages to one address are batched."""
 
 import dataclasses
 import ipaddress
@@ -17,11 +17,11 @@
 from .codec import decode
 from .codec import encode
 
-COALESCE_S = 0.002  # after a datagram to an address, messages wait for more
-PENDING_MAX = 512  # messages that may wait for one address
-BURST = 64  # datagrams taken between two looks at what is due
+COALESCE_S = 0.002  # minimum time between two batches to an address
+PENDING_MAX = 512  # queued messages for one address; further ones are dropped
+RECEIVE_BURST = 64  # datagrams received before due messages are sent again
 RECEIVE_BUFFER_BYTES = 1 << 20
-IDLE_S = 0.5
+IDLE_POLL_S = 0.5
 DESTINATIONS_MAX = 4096
 
 Receiver = t.Callable[[Datagram], None]
@@ -29,9 +29,12 @@
 
 @dataclasses.dataclass(slots=True)
 class Traffic:
-    """Counts of datagrams, their bytes, and those that were dropped.
+    """Counts of datagrams and bytes.
 
-    ``failed``: those whose handling ended in an unexpected error.
+    ``malformed``: received but not decodable; ``misdirected``: received but meant
+    for another incarnation; ``unsent``: messages dropped because a
+    queue was full, and datagrams that the socket refused; ``failed``: received
+    datagrams whose handling raised an unexpected error.
     """
 
     sent: int = 0
@@ -52,7 +55,7 @@
     sent_at: float = float("-inf")
 
 
-def _parse(address: str) -> tuple[str, int]:
+def _parse_address(address: str) -> tuple[str, int]:
     host, _, port = address.rpartition(":")
     return host.strip("[]"), int(port)
 
@@ -60,7 +63,7 @@
 def is_address(address: str) -> bool:
     """Return whether an address is ``ip:port``."""
     try:
-        host, port = _parse(address)
+        host, port = _parse_address(address)
         ipaddress.ip_address(host)
     except ValueError:
         return False
@@ -70,7 +73,8 @@
 class UdpTransport:
     """Sends and receives the datagrams of one host.
 
-    :param key: the secret that tags datagrams; empty: neither tagged nor checked.
+    :param key: the secret that authenticates datagrams; if empty, the tag is a mere
+        checksum.
     """
 
     def __init__(
@@ -94,9 +98,9 @@
         )
         self._socket.bind((address, port))
         self._socket.setblocking(False)
-        self._wake_out, self._wake_in = socket.socketpair()
-        self._wake_out.setblocking(False)
-        self._wake_in.setblocking(False)
+        self._wake_reader, self._wake_writer = socket.socketpair()
+        self._wake_reader.setblocking(False)
+        self._wake_writer.setblocking(False)
         self._lock = threading.Lock()
         self._destinations: dict[tuple[str, int], _Destination] = {}
         self._pending: dict[tuple[str, int], _Destination] = {}
@@ -105,37 +109,37 @@
 
     @property
     def port(self) -> int:
-        """Return the UDP port that is bound."""
+        """Return the bound UDP port."""
         port: int = self._socket.getsockname()[1]
         return port
 
     def start(self, receive: Receiver) -> None:
-        """Begin to receive; ``receive`` is called in the transport's thread."""
+        """Start receiving; ``receive`` is called in the transport's thread."""
         self._thread = threading.Thread(
             target=self._run, args=(receive,), name="peers", daemon=True
         )
         self._thread.start()
 
     def close(self) -> None:
-        """Send what waits, and stop."""
+        """Send the queued messages, then stop and close the sockets."""
         self._flush_due(float("inf"))
         self._is_closing = True
         self._wake()
         if self._thread is not None:
             self._thread.join()
         self._socket.close()
-        self._wake_in.close()
-        self._wake_out.close()
+        self._wake_writer.close()
+        self._wake_reader.close()
 
     def send(self, address: str, incarnation: int, message: Message) -> None:
-        """Send a message to an incarnation of a host (0: any), soon."""
+        """Queue a message to an incarnation of a host (0: any incarnation)."""
         name = (address, incarnation)
         with self._lock:
             destination = self._destinations.get(name)
             if destination is None:
                 if len(self._destinations) >= DESTINATIONS_MAX:
                     self._destinations = dict(self._pending)
-                destination = _Destination(_parse(address), incarnation)
+                destination = _Destination(_parse_address(address), incarnation)
                 self._destinations[name] = destination
             if len(destination.messages) >= PENDING_MAX:
                 self.traffic.unsent += 1
@@ -144,7 +148,7 @@
             self._pending[name] = destination
 
     def flush(self) -> None:
-        """Send to each address that has had nothing for a moment."""
+        """Send the queued messages to each address that :data:`COALESCE_S` permits."""
         self._flush_due(self._clock.monotonic())
         if self._pending:
             self._wake()
@@ -160,17 +164,17 @@
                 batches.append((destination, destination.messages))
                 destination.messages = []
         for destination, messages in batches:
-            self._send_all(destination, messages)
+            self._send_batch(destination, messages)
 
-    def _send_all(self, destination: _Destination, messages: list[Message]) -> None:
+    def _send_batch(self, destination: _Destination, messages: list[Message]) -> None:
         datagram = Datagram(
             self._name, self._incarnation, destination.receiver, tuple(messages)
         )
         data = encode(datagram, self._key)
         if len(data) > DATAGRAM_BYTES and len(messages) > 1:
             middle = len(messages) // 2
-            self._send_all(destination, messages[:middle])
-            self._send_all(destination, messages[middle:])
+            self._send_batch(destination, messages[:middle])
+            self._send_batch(destination, messages[middle:])
             return
         try:
             self._socket.sendto(data, destination.address)
@@ -182,16 +186,16 @@
 
     def _wake(self) -> None:
         try:
-            self._wake_in.send(b"\0")
+            self._wake_writer.send(b"\0")
         except OSError:
-            return  # it is full, so the thread wakes anyway
+            return  # the buffer is full, so the thread wakes up anyway
 
     def _run(self, receive: Receiver) -> None:
-        readers = (self._socket, self._wake_out)
+        readers = (self._socket, self._wake_reader)
         while not self._is_closing:
-            wait_s = COALESCE_S if self._pending else IDLE_S
+            wait_s = COALESCE_S if self._pending else IDLE_POLL_S
             ready, _, _ = select.select(readers, (), (), wait_s)
-            if self._wake_out in ready:
+            if self._wake_reader in ready:
                 self._drain_wake()
             if self._socket in ready:
                 self._receive_burst(receive)
@@ -199,12 +203,12 @@
 
     def _drain_wake(self) -> None:
         try:
-            self._wake_out.recv(4096)
+            self._wake_reader.recv(4096)
         except OSError:
             return
 
     def _receive_burst(self, receive: Receiver) -> None:
-        for _ in range(BURST):
+        for _ in range(RECEIVE_BURST):
             try:
                 data, _ = self._socket.recvfrom(DATAGRAM_BYTES_MAX + 1)
             except OSError:
@@ -219,13 +223,13 @@
             if datagram.receiver not in (0, self._incarnation):
                 self.traffic.misdirected += 1
                 continue
-            self._hand_over(datagram, receive)
+            self._deliver(datagram, receive)
 
-    def _hand_over(self, datagram: Datagram, receive: Receiver) -> None:
+    def _deliver(self, datagram: Datagram, receive: Receiver) -> None:
         try:
             receive(datagram)
         except Exception as error:
-            # Without this thread the host would be deaf.
+            # If this thread ended, the host would receive no more datagrams.
             self.traffic.failed += 1
             log_event(
                 "datagram_failed",
--- a/src/wagtailstair/upstreams/engine.py
+++ b/src/wagtailstair/upstreams/engine.py
@@ -15,7 +15,7 @@
     """One line of a stream: a token, or the end of the stream if ``end`` is set.
 
     ``r``: request; ``a``: attempt; ``e``: epoch; ``p``: position; ``t``: token
-    id; ``x``: text; ``w``: the layer ranges that computed the token, in order.
+    id; ``x``: text; ``w``: trail, the layer ranges that the token passed.
     """
 
     r: str
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,4 +1,4 @@
-"""In-process fakes of the outside systems, with the failures that they have."""
+"""In-process fakes of external systems, with their possible failures."""
 
 import collections
 import enum
@@ -18,7 +18,7 @@
 
 
 class WriteFault(enum.Enum):
-    """What happens to a transaction; the last three look alike from outside."""
+    """What happens to a transaction; a client cannot distinguish the last three."""
 
     NONE = "none"
     AWAY = "away"
@@ -28,7 +28,10 @@
 
 
 class FakeTable:
-    """The table service: versions outlive deletes; faults by script."""
+    """An in-memory table service; row versions survive deletes.
+
+    ``faults``: the fault of each of the next transactions.
+    """
 
     def __init__(self):
         self.value_by_id = {}
@@ -50,22 +53,22 @@
         with self._lock:
             fault = self.faults.popleft() if self.faults else WriteFault.NONE
             if self.is_away or fault is WriteFault.AWAY:
-                raise PlatformUnavailableError("away", where="table")
+                raise PlatformUnavailableError("unavailable", where="table")
             self.transactions.append((tuple(conditions), tuple(writes)))
             if fault is WriteFault.REQUEST_LOST:
-                raise PlatformUnknownError("lost", where="table")
+                raise PlatformUnknownError("no reply", where="table")
             if fault is WriteFault.DELAYED:
                 self.delayed.append((tuple(conditions), tuple(writes)))
-                raise PlatformUnknownError("lost", where="table")
+                raise PlatformUnknownError("no reply", where="table")
             versions = self._apply(conditions, writes)
             if fault is WriteFault.REPLY_LOST:
-                raise PlatformUnknownError("lost", where="table")
+                raise PlatformUnknownError("no reply", where="table")
         if versions is None:
-            raise PlatformConflictError("conflict", where="table")
+            raise PlatformConflictError("a condition does not hold", where="table")
         return versions
 
     def land(self, index=0):
-        """Let a delayed transaction take effect, if its conditions hold."""
+        """Apply a delayed transaction if its conditions still hold."""
         if self.delayed:
             self._apply(*self.delayed.pop(index % len(self.delayed)))
 
@@ -73,13 +76,13 @@
         with self._lock:
             self.reads += len(keys)
             if self.is_away:
-                raise PlatformUnavailableError("away", where="table")
+                raise PlatformUnavailableError("unavailable", where="table")
             return [self.row(table, key) for table, key in keys]
 
     def scan(self, table, after="", limit=1000):
         with self._lock:
             if self.is_away:
-                raise PlatformUnavailableError("away", where="table")
+                raise PlatformUnavailableError("unavailable", where="table")
             keys = sorted(k for t, k in self.value_by_id if t == table and k > after)
             return [self.row(table, key) for key in keys[:limit]]
 
@@ -101,7 +104,7 @@
 
 
 class FakeObjects:
-    """The object store."""
+    """An in-memory object store."""
 
     def __init__(self):
         self.body_by_name = {}
@@ -109,12 +112,12 @@
 
     def put(self, name, data):
         if self.is_away:
-            raise PlatformUnavailableError("away", where="objects")
+            raise PlatformUnavailableError("unavailable", where="objects")
         self.body_by_name[name] = data
 
     def get(self, name):
         if self.is_away:
-            raise PlatformUnavailableError("away", where="objects")
+            raise PlatformUnavailableError("unavailable", where="objects")
         return self.body_by_name.get(name)
 
 
@@ -152,7 +155,7 @@
 
 
 class FakeEngine:
-    """An engine that takes orders; some check the fencing number."""
+    """An engine that executes orders and may check their fencing number."""
 
     def __init__(self, name, model="", first=0, last=0, **options):
         self.name = name
@@ -197,7 +200,7 @@
 
     def take(self, order, fence, holder=""):
         if fence < self.fence and self.fencing_checked:
-            raise UpstreamRefusedError("old fencing number", where=self.name)
+            raise UpstreamRefusedError("outdated fencing number", where=self.name)
         self.fence = fence
         self.orders.append((fence, holder, order))
         if order.kind is OrderKind.ROLE:
@@ -215,7 +218,7 @@
 
 
 class FakeFleet:
-    """The engines of a data centre, as the client of their orders sees them."""
+    """The engines of a data centre, with the interface of `EngineOrders`."""
 
     def __init__(self, *engines):
         self.engine_by_name = {engine.name: engine for engine in engines}
--- a/tests/scripted.py
+++ b/tests/scripted.py
@@ -1,4 +1,4 @@
-"""A scripted TCP server: each connection is answered by the next function."""
+"""A TCP server for tests that answers each request with the next script."""
 
 import socket
 import threading
@@ -10,34 +10,34 @@
 
 
 def read_request(connection: socket.socket) -> bytes:
-    """Read one HTTP request with its body, or what came before the end."""
+    """Read one HTTP request with its body, or less if the connection ends early."""
     data = b""
     while b"\r\n\r\n" not in data:
-        piece = connection.recv(65536)
-        if not piece:
+        chunk = connection.recv(65536)
+        if not chunk:
             return data
-        data += piece
+        data += chunk
     head, _, body = data.partition(b"\r\n\r\n")
     length = 0
     for line in head.split(b"\r\n"):
         if line.lower().startswith(b"content-length:"):
             length = int(line.split(b":")[1])
     while len(body) < length:
-        piece = connection.recv(65536)
-        if not piece:
+        chunk = connection.recv(65536)
+        if not chunk:
             break
-        body += piece
+        body += chunk
     return head + b"\r\n\r\n" + body
 
 
 def answer(status: int, body: bytes = b"", *headers: str) -> bytes:
-    """Return a whole HTTP answer."""
+    """Return a complete HTTP response."""
     lines = [f"HTTP/1.1 {status} X", f"Content-Length: {len(body)}", *headers]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
 class ScriptedServer:
-    """Answers the n-th request by the n-th script; records all requests."""
+    """Answers the n-th request with the n-th script and records all requests."""
 
     def __init__(self, *scripts: Script) -> None:
         self._scripts = list(scripts)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -72,8 +72,8 @@
         self.settled.append(work)
 
 
-class Front:
-    """A daemon's HTTP side with everything behind it under control."""
+class HttpSide:
+    """A daemon's HTTP side with a fake dispatcher and fake quotas behind it."""
 
     def __init__(self):
         settings = parse_settings(SETTINGS)
@@ -103,7 +103,7 @@
             clock=clock,
             metrics=metrics,
             open_requests=OpenRequests(settings.limits.open_requests, metrics),
-            lists=self.current,
+            lists=self.current_lists,
             is_ready=lambda: self.lists is not None,
             status=lambda: {"host": "host-1"},
             data_centres_of=lambda model: ("dc-1",),
@@ -118,12 +118,12 @@
         relays.start()
         self.server.start()
 
-    def current(self):
+    def current_lists(self):
         if self.lists is None:
             raise NotReadyError("no lists yet")
         return self.lists
 
-    def ask(self, method, path, body=None, **headers):
+    def send_request(self, method, path, body=None, **headers):
         connection = http.client.HTTPConnection(
             "127.0.0.1", self.server.server_port, timeout=WAIT_S
         )
@@ -135,9 +135,9 @@
         return response, response.read()
 
     def complete(self, body=None, **headers):
-        whole = {"model": "draft", "prompt": "hello", "max_tokens": 3}
-        whole.update(body or {})
-        return self.ask("POST", "/v1/completions", whole, **headers)
+        payload = {"model": "draft", "prompt": "hello", "max_tokens": 3}
+        payload.update(body or {})
+        return self.send_request("POST", "/v1/completions", payload, **headers)
 
     def stop(self):
         self.server.close()
@@ -146,16 +146,16 @@
 
 
 @pytest.fixture
-def front():
-    front = Front()
-    yield front
-    front.stop()
+def http_side():
+    http_side = HttpSide()
+    yield http_side
+    http_side.stop()
 
 
-def engine_for(front, *extra):
+def engine_for(http_side, *extra):
     def script(connection, request):
-        # The request's id is known from the want that the front sent.
-        request_id = front.dispatch.wants[-1][1].request
+        # An engine's lines carry the id of the request that was dispatched.
+        request_id = http_side.dispatch.wants[-1][1].request
         ids = {"r": request_id, "a": f"{request_id}.1"}
         lines = [token(p, 1, **ids) for p in range(3)] + [{**end(3, 1), **ids}]
         stream(*lines)(connection, request)
@@ -169,20 +169,20 @@
 
 
 class TestCompletions:
-    def test_whole(self, front):
-        with engine_for(front) as engine:
-            front.dispatch.addresses.append(engine.address)
-            response, body = front.complete()
+    def test_response_that_is_not_streamed(self, http_side):
+        with engine_for(http_side) as engine:
+            http_side.dispatch.addresses.append(engine.address)
+            response, body = http_side.complete()
         answer = json.loads(body)
         assert response.status == 200
         assert answer["choices"][0]["text"] == " t0 t1 t2"
         assert answer["usage"]["completion_tokens"] == 3
-        assert front.quota.settled == [3.125]
+        assert http_side.quota.settled == [3.125]
 
-    def test_streamed(self, front):
-        with engine_for(front) as engine:
-            front.dispatch.addresses.append(engine.address)
-            response, body = front.complete({"stream": True})
+    def test_streamed_response(self, http_side):
+        with engine_for(http_side) as engine:
+            http_side.dispatch.addresses.append(engine.address)
+            response, body = http_side.complete({"stream": True})
         events = [
             line[6:] for line in body.decode().split("\n") if line[:6] == "data: "
         ]
@@ -190,53 +190,56 @@
         assert response.status == 200
         assert "".join(texts) == " t0 t1 t2"
         assert events[-1] == "[DONE]"
-        assert front.quota.settled == [3.125]
-        assert front.context.open_requests.count == 0
+        assert http_side.quota.settled == [3.125]
+        assert http_side.context.open_requests.count == 0
 
-    def test_broken_stream_ends_with_a_typed_error(self, front):
-        def cut(connection, request):
-            want = front.dispatch.wants[-1][1]
-            ids = {"r": want.request, "a": f"{want.request}.1"}
+    def test_interrupted_stream_ends_with_a_typed_error(self, http_side):
+        def break_stream(connection, request):
+            route_request = http_side.dispatch.wants[-1][1]
+            ids = {"r": route_request.request, "a": f"{route_request.request}.1"}
             stream(token(0, 1, **ids), whole=False)(connection, request)
 
-        with ScriptedServer(cut) as engine:
-            front.dispatch.addresses += [engine.address, RefusalReason.QUEUE_FULL]
-            _, body = front.complete({"stream": True})
+        with ScriptedServer(break_stream) as engine:
+            http_side.dispatch.addresses += [engine.address, RefusalReason.QUEUE_FULL]
+            _, body = http_side.complete({"stream": True})
         last = body.decode().strip().split("\n\n")[-1]
         error = json.loads(last.removeprefix("data: "))["error"]
         assert (error["code"], error["outcome"]) == ("overloaded", "unknown")
 
-    def test_refused_stream_is_an_http_error(self, front):
-        front.dispatch.addresses.append(RefusalReason.DEADLINE)
-        answer = front.complete({"stream": True})
+    def test_refused_stream_is_an_http_error(self, http_side):
+        http_side.dispatch.addresses.append(RefusalReason.DEADLINE)
+        answer = http_side.complete({"stream": True})
         assert answer[0].getheader("Retry-After") == "2"
         assert answer[0].getheader("X-Outcome") == "not_run"
         status, error = error_of(answer)
         assert (status, error["code"]) == (503, "overloaded")
-        assert front.context.open_requests.count == 0
+        assert http_side.context.open_requests.count == 0
 
-    def test_caller_who_leaves_takes_the_want_back(self, front):
-        connection = http.client.HTTPConnection("127.0.0.1", front.server.server_port)
+    def test_disconnect_cancels_the_route_request(self, http_side):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", http_side.server.server_port
+        )
         body = json.dumps({"model": "draft", "prompt": "x", "stream": True})
         headers = {"Authorization": BEARER}
         connection.request("POST", "/v1/completions", body, headers)
-        while not front.dispatch.wants:
+        while not http_side.dispatch.wants:
             threading.Event().wait(0.005)
         connection.close()
         for _ in range(2000):
-            if front.dispatch.cancelled:
+            if http_side.dispatch.cancelled:
                 break
             threading.Event().wait(0.005)
-        want = front.dispatch.wants[0][1]
-        assert front.dispatch.cancelled == [(want.request, 1)]
+        route_request = http_side.dispatch.wants[0][1]
+        assert http_side.dispatch.cancelled == [(route_request.request, 1)]
 
     @pytest.mark.parametrize(
-        ("asked", "granted"), [("urgent", 1), ("standard", 1), ("batch", 2), ("", 1)]
+        ("asked", "granted"),
+        [("urgent", 1), ("standard", 1), ("batch", 2), ("", 1)],
     )
-    def test_priority_is_bounded_by_the_plan(self, front, asked, granted):
-        front.dispatch.addresses.append(RefusalReason.DEADLINE)
-        front.complete(X_Priority=asked)
-        assert front.dispatch.wants[0][1].priority == granted
+    def test_priority_is_bounded_by_the_plan(self, http_side, asked, granted):
+        http_side.dispatch.addresses.append(RefusalReason.DEADLINE)
+        http_side.complete(X_Priority=asked)
+        assert http_side.dispatch.wants[0][1].priority == granted
 
 
 class TestRefusals:
@@ -258,57 +261,61 @@
             ({}, {"X_Priority": "high"}, 400, "invalid_request"),
         ],
     )
-    def test_says_not_run_and_asks_no_pool(self, front, body, headers, status, code):
-        got, error = error_of(front.complete(body, **headers))
+    def test_outcome_is_not_run_and_no_route_is_requested(
+        self, http_side, body, headers, status, code
+    ):
+        got, error = error_of(http_side.complete(body, **headers))
         assert (got, error["code"], error["outcome"]) == (status, code, "not_run")
-        assert front.dispatch.wants == []
-        assert front.context.open_requests.count == 0
+        assert http_side.dispatch.wants == []
+        assert http_side.context.open_requests.count == 0
 
-    def test_over_a_limit(self, front):
-        front.quota.answer = Limited("rate", 3.2)
-        answer = front.complete()
+    def test_rate_limit_is_a_429_with_retry_after(self, http_side):
+        http_side.quota.answer = Limited("rate", 3.2)
+        answer = http_side.complete()
         assert answer[0].getheader("Retry-After") == "4"
         assert error_of(answer)[0] == 429
 
-    def test_without_lists(self, front):
-        front.lists = None
-        status, error = error_of(front.complete())
+    def test_completion_without_lists_is_refused(self, http_side):
+        http_side.lists = None
+        status, error = error_of(http_side.complete())
         assert (status, error["code"]) == (503, "not_ready")
 
-    def test_unknown_path(self, front):
-        status, error = error_of(front.ask("GET", "/nowhere"))
+    def test_unknown_path(self, http_side):
+        status, error = error_of(http_side.send_request("GET", "/nowhere"))
         assert (status, error["code"]) == (404, "not_found")
 
-    def test_service_outside_the_plan(self, front):
-        status, error = error_of(front.ask("GET", "/v1/services/other/x"))
+    def test_service_that_is_not_in_the_plan(self, http_side):
+        status, error = error_of(http_side.send_request("GET", "/v1/services/other/x"))
         assert (status, error["code"]) == (404, "not_found")
 
-    def test_quoted_slash_in_the_name_of_a_service(self, front):
-        answer = front.ask("GET", "/v1/services/entries%2Fx/y")
+    def test_encoded_slash_in_a_service_name(self, http_side):
+        answer = http_side.send_request("GET", "/v1/services/entries%2Fx/y")
         assert error_of(answer)[1]["code"] == "invalid_request"
 
-    def test_call_that_may_not_be_repeated_needs_a_key(self, front):
-        status, error = error_of(front.ask("POST", "/v1/services/entries/x", {}))
+    def test_call_that_is_not_repeatable_needs_an_idempotency_key(self, http_side):
+        status, error = error_of(
+            http_side.send_request("POST", "/v1/services/entries/x", {})
+        )
         assert (status, error["code"]) == (400, "invalid_request")
 
-    def test_open_requests_are_bounded(self, front):
+    def test_open_requests_are_bounded(self, http_side):
         for _ in range(4):
-            front.context.open_requests.enter()
-        status, error = error_of(front.complete())
+            http_side.context.open_requests.enter()
+        status, error = error_of(http_side.complete())
         assert (status, error["code"]) == (503, "overloaded")
 
 
 class TestOperators:
-    def test_probes_metrics_and_status(self, front):
-        assert front.ask("GET", "/livez")[0].status == 200
-        assert front.ask("GET", "/readyz")[0].status == 200
-        front.complete({"model": "other"})
-        _, text = front.ask("GET", "/metrics")
+    def test_probes_metrics_and_status(self, http_side):
+        assert http_side.send_request("GET", "/livez")[0].status == 200
+        assert http_side.send_request("GET", "/readyz")[0].status == 200
+        http_side.complete({"model": "other"})
+        _, text = http_side.send_request("GET", "/metrics")
         assert b'wagtailstair_errors{code="not_entitled",host="host-1"} 1' in text
-        status = json.loads(front.ask("GET", "/status")[1])
+        status = json.loads(http_side.send_request("GET", "/status")[1])
         assert status == {"host": "host-1", "open_requests": 0}
 
-    def test_not_ready_without_lists(self, front):
-        front.lists = None
-        assert front.ask("GET", "/readyz")[0].status == 503
-        assert front.ask("GET", "/livez")[0].status == 200
+    def test_not_ready_without_lists(self, http_side):
+        http_side.lists = None
+        assert http_side.send_request("GET", "/readyz")[0].status == 503
+        assert http_side.send_request("GET", "/livez")[0].status == 200
--- a/tests/test_peers_bulk.py
+++ b/tests/test_peers_bulk.py
@@ -19,7 +19,7 @@
 from wagtailstair.peers.bulk import fetch_lists
 from wagtailstair.peers.bulk import serve_lists
 from wagtailstair.peers.bulk import sign_request
-from wagtailstair.peers.codec import open_sealed
+from wagtailstair.peers.codec import remove_frame
 
 KEY = b"k" * 32
 PLAN = {
@@ -34,7 +34,7 @@
 ACCOUNT = {"plan": "maker", "keys": []}
 
 
-def start(version=3):
+def make_lists(version=3):
     rows = [
         Row(PLANS, "maker", 1, PLAN),
         Row(ACCOUNTS, "one", 2, ACCOUNT),
@@ -43,7 +43,7 @@
     return Lists().with_rows(version, rows)
 
 
-def step(lists, recent, *rows):
+def change_lists(lists, recent, *rows):
     changed = lists.with_rows(lists.version + 1, rows)
     recent.note(lists, changed)
     return changed
@@ -58,67 +58,67 @@
     )
 
 
-def unsealed(data):
-    return open_sealed(data, b"", BODY_BYTES_MAX)
+def body_of(data):
+    return remove_frame(data, b"", BODY_BYTES_MAX)
 
 
 class TestServe:
-    def test_all_to_a_host_with_none(self):
-        lists = start()
-        body = unsealed(serve_lists(lists, RecentChanges(), 0))
+    def test_host_without_lists_gets_all_rows(self):
+        lists = make_lists()
+        body = body_of(serve_lists(lists, RecentChanges(), 0))
         assert content(apply_lists(body, Lists())) == content(lists)
 
-    def test_only_what_changed(self):
-        old = start()
+    def test_only_changed_rows_are_sent(self):
+        old = make_lists()
         recent = RecentChanges()
-        middle = step(old, recent, Row(ACCOUNTS, "three", 4, ACCOUNT))
-        new = step(middle, recent, Row(ACCOUNTS, "one", 0, None))
+        middle = change_lists(old, recent, Row(ACCOUNTS, "three", 4, ACCOUNT))
+        new = change_lists(middle, recent, Row(ACCOUNTS, "one", 0, None))
         for base in (old, middle):
-            body = unsealed(serve_lists(new, recent, base.version))
-            assert len(body) < len(unsealed(serve_lists(new, recent, 0)))
+            body = body_of(serve_lists(new, recent, base.version))
+            assert len(body) < len(body_of(serve_lists(new, recent, 0)))
             assert content(apply_lists(body, base)) == content(new)
 
-    def test_all_to_a_host_that_is_too_far_behind(self):
-        lists = start(8)
+    def test_host_behind_the_recorded_changes_gets_all_rows(self):
+        lists = make_lists(8)
         recent = RecentChanges()
-        new = step(lists, recent, Row(ACCOUNTS, "one", 0, None))
-        body = unsealed(serve_lists(new, recent, 3))
-        assert content(apply_lists(body, start(3))) == content(new)
+        new = change_lists(lists, recent, Row(ACCOUNTS, "one", 0, None))
+        body = body_of(serve_lists(new, recent, 3))
+        assert content(apply_lists(body, make_lists(3))) == content(new)
 
     def test_step_over_several_versions_is_not_split(self):
         recent = RecentChanges()
-        old = start()
+        old = make_lists()
         new = old.with_rows(9, [Row(ACCOUNTS, "one", 0, None)])
         recent.note(old, new)
-        assert recent.since(5, 9) == {(ACCOUNTS, "one")}
-        assert recent.since(2, 9) is None
+        assert recent.changed_since(5, 9) == {(ACCOUNTS, "one")}
+        assert recent.changed_since(2, 9) is None
 
 
 class TestApply:
-    def test_never_goes_back(self):
-        lists = start(5)
-        assert apply_lists(encode_lists(start(4), 0, []), lists) is lists
+    def test_older_lists_are_ignored(self):
+        lists = make_lists(5)
+        assert apply_lists(encode_lists(make_lists(4), 0, []), lists) is lists
 
     def test_refuses_changes_with_a_gap(self):
         with pytest.raises(PeerError):
-            apply_lists(encode_lists(start(9), 7, []), start(5))
+            apply_lists(encode_lists(make_lists(9), 7, []), make_lists(5))
 
     def test_refuses_lists_that_are_not_valid(self):
-        body = encode_lists(start(9), 0, [(ACCOUNTS, "one")])
+        body = encode_lists(make_lists(9), 0, [(ACCOUNTS, "one")])
         with pytest.raises(PeerError):
             apply_lists(body, Lists())
 
     @pytest.mark.parametrize("key", [b"", KEY])
-    def test_noise_never_reaches_the_decoder(self, key):
-        answer = serve_lists(start(), RecentChanges(), 0, key)
-        noise = (b"noise" * 9, answer[:-1], answer[:40] + b"!" + answer[41:])
-        for data in noise:
+    def test_corrupted_data_is_refused_before_decoding(self, key):
+        answer = serve_lists(make_lists(), RecentChanges(), 0, key)
+        corrupted = (b"noise" * 9, answer[:-1], answer[:40] + b"!" + answer[41:])
+        for data in corrupted:
             with pytest.raises(PeerError):
-                open_sealed(data, key, BODY_BYTES_MAX)
+                remove_frame(data, key, BODY_BYTES_MAX)
 
 
 class TestSignature:
-    def test_accepts_its_own(self):
+    def test_accepts_a_valid_signature(self):
         clock = ManualClock()
         check_request(KEY, 4, sign_request(KEY, 4, clock), clock)
 
@@ -126,7 +126,9 @@
         ("key", "after", "age_s"),
         [(b"x" * 32, 4, 0), (KEY, 5, 0), (KEY, 4, 400), (b"", 4, 0)],
     )
-    def test_refuses_others(self, key, after, age_s):
+    def test_refuses_other_keys_other_versions_and_old_signatures(
+        self, key, after, age_s
+    ):
         clock = ManualClock()
         header = sign_request(key, after, clock)
         clock.advance(age_s)
@@ -134,7 +136,7 @@
             check_request(KEY, 4, header, clock)
 
     @pytest.mark.parametrize("header", ["", "x", "12 \xff", "9" * 99 + " 00"])
-    def test_refuses_noise(self, header):
+    def test_refuses_malformed_headers(self, header):
         with pytest.raises(PeerError):
             check_request(KEY, 4, header, ManualClock())
 
@@ -142,7 +144,7 @@
 @pytest.fixture
 def peer():
     clock = ManualClock()
-    lists = start()
+    lists = make_lists()
 
     class Handler(http.server.BaseHTTPRequestHandler):
         def do_GET(self):
@@ -172,15 +174,15 @@
 
 
 class TestFetch:
-    def test_from_a_peer(self, peer):
+    def test_returns_the_lists_of_a_peer(self, peer):
         address, lists, clock = peer
         assert content(fetch_lists(address, Lists(), clock, KEY)) == content(lists)
 
-    def test_with_another_key_it_is_refused(self, peer):
+    def test_request_with_another_key_is_refused(self, peer):
         address, _, clock = peer
         with pytest.raises(PeerError, match="403"):
             fetch_lists(address, Lists(), clock, b"x" * 32)
 
-    def test_from_a_peer_that_is_gone(self, peer):
+    def test_unreachable_peer_raises_an_error(self, peer):
         with pytest.raises(PeerError):
             fetch_lists("127.0.0.1:1", Lists(), ManualClock(), KEY)
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -40,15 +40,17 @@
 from wagtailstair.peers.codec import HEADER_BYTES
 from wagtailstair.peers.codec import TAG_BYTES
 from wagtailstair.peers.codec import Datagram
+from wagtailstair.peers.codec import add_frame
 from wagtailstair.peers.codec import decode
 from wagtailstair.peers.codec import encode
-from wagtailstair.peers.codec import seal
 
 KEY = PoolKey("draft", "a")
 HOST = Host("entry-1", "a", "10.0.0.1:8080", "10.0.0.1:8081", 1_700_000_000_000)
-FAR = Host("entry-2", "b", "[fd00::2]:8080", "[fd00::2]:1", 5, ("draft", "quote"))
+REMOTE_HOST = Host(
+    "entry-2", "b", "[fd00::2]:8080", "[fd00::2]:1", 5, ("draft", "quote")
+)
 ROUTE = (Stage("e1", "10.0.1.1:9000", 0, 16), Stage("e2", "10.0.1.2:9000", 16, 32))
-WANT = RouteRequest(
+ROUTE_REQUEST = RouteRequest(
     request="",
     epoch=0,
     host="",
@@ -94,7 +96,7 @@
     Withdraw(5, KEY),
     Withdraw(6),
     Finished(7, KEY, 512, 60, frozenset({"e1"})),
-    Held(8, KEY, WANT, ROUTE, 17),
+    Held(8, KEY, ROUTE_REQUEST, ROUTE, 17),
     Reset(3),
     Charge(9, "san-lucas", 96.0, 2000.0, 10.0, 16, True),
     Settle(9, 60.0),
@@ -103,9 +105,9 @@
     Heartbeat(HOST, 4, HostState.LEAVING, 9, 0xFFFFFFFF, 11),
     Heartbeat(HOST, 4, HostState.LIVE, 9, 0, 9, (1 << 64) - 1, True),
     ViewRequest(),
-    View((HOST, FAR)),
+    View((HOST, REMOTE_HOST)),
     View(()),
-    Submit(1 << 40 | 5, KEY, WANT),
+    Submit(1 << 40 | 5, KEY, ROUTE_REQUEST),
     Queued(5),
     Granted(5, ROUTE),
     *(Refused(5, reason, 1.5) for reason in RefusalReason),
@@ -133,18 +135,18 @@
         datagram = make_datagram(message)
         assert decode(encode(datagram)) == datagram
 
-    def test_all_together_under_a_key(self):
+    def test_all_messages_in_one_keyed_datagram(self):
         datagram = make_datagram(*MESSAGES)
         assert decode(encode(datagram, SECRET), SECRET) == datagram
 
-    def test_bounds_what_does_not_fit_a_field(self):
+    def test_values_too_large_for_a_field_are_clamped(self):
         state = dataclasses.replace(STATE, running=1 << 20, kv_used=1 << 40)
         [report] = decode(encode(make_datagram(EngineReport(state, 1.0)))).messages
         assert report.state.running == (1 << 16) - 1
         assert report.state.kv_used == (1 << 32) - 1
 
 
-class TestForeign:
+class TestInvalidDatagrams:
     good = encode(make_datagram(*MESSAGES), SECRET)
 
     @pytest.mark.parametrize(
@@ -163,11 +165,11 @@
         with pytest.raises(PeerError):
             decode(data, SECRET)
 
-    def test_signed_is_refused_without_a_key(self):
+    def test_keyed_datagram_is_refused_without_a_key(self):
         with pytest.raises(PeerError):
             decode(self.good)
 
-    def test_every_changed_byte_is_noticed(self):
+    def test_every_changed_byte_is_detected(self):
         for place in range(len(self.good)):
             changed = bytearray(self.good)
             changed[place] ^= 0x40
@@ -196,10 +198,10 @@
         with pytest.raises(PeerError):
             decode(head + b"x" + body)
 
-    def test_unknown_enumerator_of_a_peer(self):
+    def test_unknown_enumerator_is_refused(self):
         body = encode(make_datagram(Charged(1, Limit.CONCURRENCY)))
         body = body[HEADER_BYTES + TAG_BYTES :]
         place = body.rindex(bytes([Limit.CONCURRENCY]))
         changed = body[:place] + b"\x63" + body[place + 1 :]
         with pytest.raises(PeerError):
-            decode(seal(changed))
+            decode(add_frame(changed))
--- a/tests/test_peers_node.py
+++ b/tests/test_peers_node.py
@@ -17,27 +17,27 @@
 from wagtailstair.peers.node import Node
 from wagtailstair.peers.transport import UdpTransport
 
-PATIENCE_S = 20.0
+TIMEOUT_S = 20.0
 LIMITS = QuotaLimits(1000.0, 10.0, 4)
 
 
 def wait_until(condition):
-    end = time.monotonic() + PATIENCE_S
+    end = time.monotonic() + TIMEOUT_S
     while not condition():
         assert time.monotonic() < end
         time.sleep(0.01)
 
 
-class Running:
-    """A node over UDP on loopback."""
+class RunningNode:
+    """A started node that uses UDP on loopback."""
 
-    def __init__(self, name, centre, seeds):
+    def __init__(self, name, data_centre, seeds):
         clock = SystemClock()
         self.version = 0
-        self.heard = []
+        self.newer_versions = []
         self.transport = UdpTransport(name, 1, "127.0.0.1", 0, clock, b"k" * 32)
         address = f"127.0.0.1:{self.transport.port}"
-        self.host = Host(name, centre, address, address, 1)
+        self.host = Host(name, data_centre, address, address, 1)
         self.membership = Membership(
             self.host,
             heartbeat_s=0.1,
@@ -51,7 +51,7 @@
             lambda key: Pool(key.model, key.data_centre),
             clock,
             lambda: self.version,
-            self.heard.append,
+            self.newer_versions.append,
         )
         self.node.start()
         self.node.set_state(HostState.LIVE)
@@ -60,9 +60,9 @@
 @pytest.fixture
 def running():
     nodes = []
-    for name, centre in (("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b")):
+    for name, data_centre in (("a1", "a"), ("a2", "a"), ("a3", "a"), ("b1", "b")):
         seeds = [node.host.peer_address for node in nodes]
-        nodes.append(Running(name, centre, seeds))
+        nodes.append(RunningNode(name, data_centre, seeds))
     listed = [node.host for node in nodes]
     for node in nodes:
         node.node.apply_host_list(listed)
@@ -70,11 +70,11 @@
     yield nodes
     for node in nodes:
         node.node.stop()
-        assert node.node.failures == 0
+        assert node.node.failed_ticks == 0
         assert node.transport.traffic.failed == 0
 
 
-def make_want(host, number):
+def make_route_request(host, number):
     return RouteRequest(
         request=f"{host}-{number}",
         epoch=1,
@@ -85,12 +85,12 @@
         work=1.0,
         prompt_tokens=8,
         max_tokens=8,
-        deadline=time.monotonic() + PATIENCE_S,
+        deadline=time.monotonic() + TIMEOUT_S,
     )
 
 
 class TestNode:
-    def test_grants_come_from_one_dispatcher_to_each_host(self, running):
+    def test_one_dispatcher_grants_the_requests_of_all_hosts(self, running):
         state = dataclasses.replace(
             STATE,
             first=0,
@@ -104,9 +104,9 @@
         futures = []
         for number in range(5):
             for node in running[:3]:
-                want = make_want(node.host.name, number)
-                futures.append(node.node.dispatcher.submit("draft", "a", want))
-        answers = [future.result(PATIENCE_S) for future in futures]
+                route_request = make_route_request(node.host.name, number)
+                futures.append(node.node.dispatcher.submit("draft", "a", route_request))
+        answers = [future.result(TIMEOUT_S) for future in futures]
         assert all(isinstance(answer, Grant) for answer in answers)
         grants = [
             pool.stats().open_grants
@@ -119,21 +119,21 @@
     def test_models_are_known_in_other_data_centres(self, running):
         state = dataclasses.replace(STATE, as_of=time.monotonic())
         running[0].node.dispatcher.observe(state)
-        far = running[3].node.dispatcher
-        wait_until(lambda: far.data_centres_of("draft") == ["a"])
+        remote = running[3].node.dispatcher
+        wait_until(lambda: remote.data_centres_of("draft") == ["a"])
 
-    def test_account_is_charged_over_hosts(self, running):
+    def test_concurrency_limit_holds_across_hosts(self, running):
         verdicts = []
         for number in range(12):
             dispatcher = running[number % 4].node.dispatcher
             verdicts.append(dispatcher.charge("one", f"r{number}", 1.0, LIMITS))
-        allowed = [isinstance(v.result(PATIENCE_S), Allowed) for v in verdicts]
+        allowed = [isinstance(v.result(TIMEOUT_S), Allowed) for v in verdicts]
         assert sum(allowed) == 4
 
     def test_version_of_the_lists_is_announced(self, running):
         running[0].version = 7
         running[0].node.announce()
-        wait_until(lambda: all(7 in node.heard for node in running[1:3]))
+        wait_until(lambda: all(7 in node.newer_versions for node in running[1:3]))
         wait_until(lambda: running[3].membership.lists_version() == 7)
         versions = running[3].node.peer_versions()
         assert (versions.held, versions.known) == (7, 7)
--- a/tests/test_peers_transport.py
+++ b/tests/test_peers_transport.py
@@ -10,7 +10,7 @@
 from wagtailstair.peers.transport import UdpTransport
 
 KEY = b"s" * 32
-PATIENCE_S = 10.0
+TIMEOUT_S = 10.0
 
 
 @pytest.fixture
@@ -36,17 +36,17 @@
 
 
 class TestSend:
-    def test_joins_what_is_sent_together(self, make_transport):
+    def test_batches_messages_sent_together(self, make_transport):
         one, _ = make_transport("one", 1)
         two, received = make_transport("two", 2)
         for handle in range(5):
             one.send(address_of(two), 2, Queued(handle))
         one.flush()
-        datagram = received.get(timeout=PATIENCE_S)
+        datagram = received.get(timeout=TIMEOUT_S)
         assert datagram.messages == tuple(Queued(handle) for handle in range(5))
         assert (datagram.sender, datagram.incarnation) == ("one", 1)
 
-    def test_sends_what_waits_without_another_call(self, make_transport):
+    def test_sends_queued_messages_without_another_call(self, make_transport):
         one, _ = make_transport("one", 1)
         two, received = make_transport("two", 2)
         for handle in range(3):
@@ -54,10 +54,10 @@
             one.flush()
         found = []
         while len(found) < 3:
-            found += received.get(timeout=PATIENCE_S).messages
+            found += received.get(timeout=TIMEOUT_S).messages
         assert found == [Queued(0), Queued(1), Queued(2)]
 
-    def test_splits_what_is_too_large(self, make_transport):
+    def test_splits_batches_larger_than_a_datagram(self, make_transport):
         one, _ = make_transport("one", 1)
         two, received = make_transport("two", 2)
         messages = [Ack(tuple(range(n * 100, n * 100 + 100))) for n in range(12)]
@@ -66,14 +66,14 @@
         one.flush()
         found = []
         while len(found) < len(messages):
-            found += received.get(timeout=PATIENCE_S).messages
+            found += received.get(timeout=TIMEOUT_S).messages
         assert found == messages
         assert one.traffic.sent_bytes <= one.traffic.sent * DATAGRAM_BYTES
         assert one.traffic.sent > 1
 
 
 class TestReceive:
-    def test_drops_and_counts_what_is_not_for_it(self, make_transport):
+    def test_drops_and_counts_malformed_and_misdirected_datagrams(self, make_transport):
         foreign, _ = make_transport("foreign", 9, key=b"")
         one, _ = make_transport("one", 1)
         two, received = make_transport("two", 2)
@@ -85,14 +85,14 @@
         one.flush()
         one.send(address_of(two), 2, Queued(3))
         one.flush()
-        assert received.get(timeout=PATIENCE_S).messages == (Queued(3),)
+        assert received.get(timeout=TIMEOUT_S).messages == (Queued(3),)
         while two.traffic.received < 4:
             pass
         assert received.empty()
         assert two.traffic.malformed == 2
         assert two.traffic.misdirected == 1
 
-    def test_goes_on_after_a_message_that_could_not_be_handled(self, make_transport):
+    def test_continues_after_a_handler_raises(self, make_transport):
         one, _ = make_transport("one", 1)
         received = queue.Queue()
 
@@ -106,6 +106,6 @@
         for handle in (1, 2):
             one.send(address_of(two), 2, Queued(handle))
             one.flush()
-        assert received.get(timeout=PATIENCE_S).messages == (Queued(2),)
+        assert received.get(timeout=TIMEOUT_S).messages == (Queued(2),)
         assert two.traffic.failed == 1
         two.close()
--- a/tests/test_watch.py
+++ b/tests/test_watch.py
@@ -33,19 +33,19 @@
         b' "address": "ip:2", "incarnation": "1", "state": "live"}]}'
     )
 
-    def test_unchanged_list_is_not_sent_again(self, loop):
-        asked_again = threading.Event()
+    def test_list_is_kept_while_the_server_answers_not_modified(self, loop):
+        sent_etag = threading.Event()
 
-        def whole(connection, request):
+        def full_list(connection, request):
             connection.sendall(answer(200, self.BODY, 'ETag: "v1"'))
 
         def unchanged(connection, request):
             connection.sendall(answer(304))
             if b'If-None-Match: "v1"' in request:
-                asked_again.set()
+                sent_etag.set()
 
         upstreams = Upstreams()
-        with ScriptedServer(whole, *[unchanged] * 8) as server:
+        with ScriptedServer(full_list, *[unchanged] * 8) as server:
             platform = PlatformSection(
                 table="", hosts=f"http://{server.address}", hosts_interval_s=0.02
             )
@@ -55,20 +55,20 @@
                 platform,
                 upstreams,
                 lambda entry_hosts: None,
-                lambda gone: None,
+                lambda removed: None,
                 random.Random(1),
             ).start()
-            assert asked_again.wait(WAIT_S)
+            assert sent_etag.wait(WAIT_S)
         assert [replica.name for replica in upstreams.replicas("desk")] == ["s1"]
 
 
 class TestSilentEngine:
-    def test_one_report_that_fails_is_not_enough(self, loop):
+    def test_one_failed_report_does_not_make_an_engine_silent(self, loop):
         silent = threading.Event()
-        asked = []
+        reads = []
 
         def close(connection, request):
-            asked.append(silent.is_set())
+            reads.append(silent.is_set())
 
         with ScriptedServer(*[close] * 8) as server:
             engine = Upstream("e", UpstreamKind.ENGINE, "", "a", server.address, "1")
@@ -81,5 +81,5 @@
                 random.Random(1),
             ).start()
             assert silent.wait(WAIT_S)
-        assert len(asked) >= 2
-        assert asked[:2] == [False, False]
+        assert len(reads) >= 2
+        assert reads[:2] == [False, False]
--- a/tests/tiny_server.py
+++ b/tests/tiny_server.py
@@ -1,16 +1,16 @@
-"""A scripted HTTP server on loopback, for tests of clients."""
+"""An HTTP server on loopback for tests of clients."""
 
 import contextlib
 import http.server
 import json
 import threading
 
-DROP = object()
+DROP = object()  # closes the connection without a response
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
-    # One segment for each reply: no wait for a delayed acknowledgement.
+    # Send each reply in one segment, so that none waits for a delayed ACK.
     wbufsize = -1
 
     def _serve(self):
@@ -41,7 +41,11 @@
 
 @contextlib.contextmanager
 def serving(answer):
-    """Serve; ``answer(method, path, body)`` gives DROP or (status, body, headers)."""
+    """Run a server whose responses come from ``answer(method, path, body)``.
+
+    It returns ``(status, body, *headers)``, or ``DROP`` to close the connection
+    without a response.
+    """
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
     server.daemon_threads = True
     server.answer = answer
