--- a/src/wagtailstair/peers/transport.py
+++ b/src/wagtailstair/peers/transport.py
@@ -19,7 +19,7 @@
 
 COALESCE_S = 0.002  # minimum time between two batches to an address
 PENDING_MAX = 512  # queued messages for one address; further ones are dropped
-RECEIVE_BURST = 64  # datagrams received before due messages are sent again
+RECEIVE_BURST = 64  # datagrams received between two checks for due messages
 RECEIVE_BUFFER_BYTES = 1 << 20
 IDLE_POLL_S = 0.5
 DESTINATIONS_MAX = 4096
--- a/src/wagtailstair/upstreams/orders.py
+++ b/src/wagtailstair/upstreams/orders.py
@@ -23,7 +23,7 @@
 
 STATE_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
-WAIT_MARGIN_S = 1.0  # added to the timeout of the exchange, which fires first
+WAIT_MARGIN_S = 1.0  # added to the timeout of the transfer, which fires first
 OK = 200
 
 
@@ -119,7 +119,7 @@
         except concurrent.futures.TimeoutError:
             future.cancel()
             raise UpstreamLostError(
-                "exchange did not end within its timeout", where=engine
+                "transfer did not end within its timeout", where=engine
             ) from None
 
 
--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -1,4 +1,4 @@
-"""One HTTP exchange with an upstream, and whether the upstream may have run it."""
+"""One HTTP request to an upstream, and whether the upstream may have run it."""
 
 import concurrent.futures
 import dataclasses
@@ -48,7 +48,7 @@
 
     ``may_send`` is called once the connection is established, right before the
     request is sent; if it returns False, nothing is sent. The process may have
-    been paused for any time since the exchange began, so a lease or deadline
+    been paused for any time since the transfer began, so a lease or deadline
     has to be checked at this point.
     """
 
@@ -242,7 +242,7 @@
 def exchange(
     loop: Loop, request: TransferRequest
 ) -> "concurrent.futures.Future[TransferEnd]":
-    """Start an exchange and return its future; cancelling it aborts the transfer."""
+    """Start a transfer and return its future; cancelling it aborts the transfer."""
     future: concurrent.futures.Future[TransferEnd] = concurrent.futures.Future()
 
     def on_end(end: TransferEnd) -> None:
