Wording: membership, hosts and leases

Notable renames: Peer.heard_at -> heartbeat_at, Peer.listed -> is_listed, Membership.unheard -> listed_without_heartbeat, Lease.succeeds -> previous_holder. The delegate rule, the clock rule of leases and the reason for accepting a lower incarnation are kept in new words.

--- a/src/wagtailstair/core/host_rows.py
+++ b/src/wagtailstair/core/host_rows.py
@@ -1,4 +1,4 @@
-"""Rows of the store by which entry hosts find each other."""
+"""Rows of the store with which entry hosts discover each other."""
 
 import msgspec
 
@@ -26,9 +26,9 @@
 
 
 def decode_host(row: StoreRow) -> Host:
-    """Return the host of a row.
+    """Return the host that a row describes.
 
-    :raises PlatformError: if the row can't be read.
+    :raises PlatformError: if the value of the row is not valid.
     """
     try:
         value = _DECODER.decode(row.value or b"")
--- a/src/wagtailstair/core/hosts.py
+++ b/src/wagtailstair/core/hosts.py
@@ -1,11 +1,11 @@
-"""Entry hosts, what they tell of themselves, and changes among them."""
+"""Entry hosts, the messages that describe them, and membership events."""
 
 import dataclasses
 import enum
 
 
 class HostState(enum.IntEnum):
-    """The states of a host."""
+    """The lifecycle states of a host."""
 
     JOINING = 0
     LIVE = 1
@@ -15,12 +15,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Host:
-    """A host's name, place and addresses.
+    """A host's name, data centre and addresses.
 
-    ``incarnation``: grows with each start under the same name; 0 if not known.
-    ``address``: ``ip:port`` of HTTP; ``peer_address``: ``ip:port`` of UDP;
-    ``models``: what the engines of its data centre serve, as told to hosts of
-    other data centres.
+    ``incarnation``: grows with each start under the same name; 0 if unknown.
+    ``address``: ``ip:port`` for HTTP; ``peer_address``: ``ip:port`` for UDP;
+    ``models``: the models that the engines of its data centre serve, announced
+    to hosts of other data centres.
     """
 
     name: str
@@ -33,12 +33,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Heartbeat:
-    """A sign of life.
+    """The periodic message by which a host shows that it is live.
 
-    ``view``: the checksum of the sender's remote view; ``lists_version``: what
-    the sender has; ``lists_known``: the highest version that it has heard of;
-    ``upstreams_version``: of the newest change of upstreams that the sender knows;
-    ``is_store_away``: the sender's last call to the store failed.
+    ``view``: checksum of the sender's view; ``lists_version``: version of the
+    lists that the sender holds; ``lists_known``: highest version that any host
+    has announced to it; ``upstreams_version``: version of the newest change of
+    upstreams that it has received; ``is_store_away``: its last call to the
+    store failed.
     """
 
     host: Host
@@ -53,12 +54,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ViewRequest:
-    """Ask a peer for its view."""
+    """A request for the receiver's view."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class View:
-    """The remote hosts that the sender hears itself."""
+    """The live remote hosts that send heartbeats to the sender."""
 
     hosts: tuple[Host, ...]
 
@@ -72,21 +73,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerDead:
-    """A host has not been heard for its timeout."""
+    """No heartbeat has arrived from a host within its timeout."""
 
     host: Host
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerLeaving:
-    """A host takes nothing new and will end."""
+    """A host accepts no new work and is shutting down."""
 
     host: Host
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerReplaced:
-    """A host has started again under its name; what the old one held is lost."""
+    """A host has restarted under its name; the state of the old one is lost."""
 
     host: Host
     old: Host
@@ -94,7 +95,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SelfPaused:
-    """The own process stood still for ``gap_s``; others' silence proves nothing."""
+    """A pause of this process for ``gap_s``; peers that seem silent may be live."""
 
     gap_s: float
 
--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -1,16 +1,16 @@
-"""A lease with a fencing number, kept in one row of the platform's table.
+"""A lease with a fencing number, stored in one row of the platform's table.
 
-Expiry is judged on each observer's own monotonic clock. A holder counts its
-lease from before it sent the write; a successor waits a full lease from when it
-first saw the present version of the row. So the holder's lease always ends
-first, whatever the delays of the table.
+Each observer determines expiry by its own monotonic clock. The holder measures
+its lease from before it sent the write. A successor waits a full lease duration
+from when it first read the current version of the row. The holder's lease
+therefore ends first, however slow the table is.
 """
 
 import dataclasses
 
 from .rows import Value
 
-MAX_BEATS_KEPT = 16
+MAX_PENDING_BEATS = 16  # writes whose send times are kept
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -18,8 +18,8 @@
     """The value of a lease's row.
 
     ``holder``: host and incarnation, empty if released; ``fence``: the fencing
-    number, which grows with each change of holder; ``beat``: number of the
-    write among those of its holder.
+    number, which grows with each change of holder; ``beat``: sequence number of
+    the write among those of its holder.
     """
 
     holder: str
@@ -34,9 +34,9 @@
 
 
 def decode_lease(value: Value) -> LeaseRow:
-    """Return the lease of a row's value.
+    """Return the lease that a row's value describes.
 
-    :raises ValueError: if the value isn't that of a lease.
+    :raises ValueError: if the value is not valid.
     """
     try:
         return LeaseRow(
@@ -51,10 +51,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LeaseLimits:
-    """Times of a lease in seconds.
+    """Durations of a lease, in seconds.
 
-    ``margin_s``: held back at the end of a lease, for clocks that run at
-    different rates; ``renew_s``: after which a holder renews.
+    ``renew_s``: age at which the holder renews its lease; ``margin_s``: time
+    before expiry at which the holder stops using it, since clocks run at
+    different rates; ``retry_s``: delay after a failed call to the table.
     """
 
     duration_s: float = 10.0
@@ -78,7 +79,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LeaseWait:
-    """Do nothing for a while."""
+    """Wait before the next command."""
 
     delay_s: float
 
@@ -87,9 +88,9 @@
 
 
 class Lease:
-    """One candidate's view of a lease.
+    """The state of a lease, as one candidate sees it.
 
-    :param holder: names the candidate; differs at each start of its process.
+    :param holder: the candidate; unique to each start of its process.
     """
 
     __slots__ = (
@@ -97,26 +98,26 @@
         "_held_until",
         "_is_stale",
         "_limits",
-        "_pause_until",
         "_row",
         "_seen_at",
         "_sent_at_by_beat",
         "_version",
+        "_wait_until",
         "acquired_at",
         "holder",
-        "succeeds",
+        "previous_holder",
     )
 
     def __init__(self, holder: str, limits: LeaseLimits) -> None:
         self.holder = holder
         self.acquired_at = 0.0
-        self.succeeds = ""
+        self.previous_holder = ""
         self._limits = limits
         self._row: LeaseRow | None = None
         self._version = 0
         self._seen_at = 0.0
         self._is_stale = True
-        self._pause_until = 0.0
+        self._wait_until = 0.0
         self._held_until = float("-inf")
         self._beat = 0
         self._sent_at_by_beat: dict[int, float] = {}
@@ -127,25 +128,25 @@
         return 0 if self._row is None else self._row.fence
 
     def holds(self, now: float, need_s: float = 0.0) -> bool:
-        """Tell whether the lease is held for ``need_s`` seconds and a margin."""
+        """Return whether the lease stays held for ``need_s`` seconds and the margin."""
         if self._row is None or self._row.holder != self.holder:
             return False
         return now + need_s + self._limits.margin_s < self._held_until
 
     def may_order(self, now: float, order_s: float) -> bool:
-        """Tell whether an order may be sent whose effect takes ``order_s``.
+        """Return whether an order that takes ``order_s`` seconds may be sent now.
 
-        It ends inside this lease, and the last order of the holder before has
-        ended too, so engines need not check fencing numbers.
+        The order must end within this lease, and every order of the previous
+        holder must have ended. Engines then need not check fencing numbers.
         """
         if not self.holds(now, order_s):
             return False
-        return not self.succeeds or now >= self.acquired_at + order_s
+        return not self.previous_holder or now >= self.acquired_at + order_s
 
     def next(self, now: float) -> LeaseCommand:
-        """Return what to do now."""
-        if now < self._pause_until:
-            return LeaseWait(self._pause_until - now)
+        """Return the next command."""
+        if now < self._wait_until:
+            return LeaseWait(self._wait_until - now)
         if self._is_stale:
             return LeaseRead()
         row = self._row
@@ -157,14 +158,14 @@
         if now < expires:
             self._is_stale = True
             delay_s = min(expires - now, self._limits.renew_s)
-            self._pause_until = now + delay_s
+            self._wait_until = now + delay_s
             return LeaseWait(delay_s)
         return self._acquire(now)
 
     def release(self, now: float) -> LeaseWrite | None:
-        """Give the lease up; return the write that tells the others, if held.
+        """Release the lease; return the write that publishes this, if it is held.
 
-        Only for a holder none of whose orders can still take effect.
+        Must only be called when no order of this holder can still take effect.
         """
         row = self._row
         if row is None or not self.holds(now):
@@ -176,25 +177,25 @@
         return LeaseWrite(self._version, released)
 
     def on_read(self, version: int, row: LeaseRow | None, now: float) -> None:
-        """Take in the row as read; ``now`` is after the reply."""
+        """Apply the row as read; ``now`` is the time after the reply."""
         self._is_stale = False
         if version == self._version and row == self._row:
             return
-        self._take(version, row, now)
+        self._apply_row(version, row, now)
 
     def on_written(self, version: int, row: LeaseRow, now: float) -> None:
-        """Take in that a write took effect."""
+        """Apply a write that took effect."""
         self._is_stale = False
-        self._take(version, row, now)
+        self._apply_row(version, row, now)
 
     def on_unsure(self) -> None:
-        """Take in a conflict or a lost reply: the row has to be read."""
+        """Mark the row as stale, after a conflict or a lost reply."""
         self._is_stale = True
 
     def on_away(self, now: float) -> None:
-        """Take in that the table could not be reached."""
+        """Mark the row as stale and retry later, as the table was unavailable."""
         self._is_stale = True
-        self._pause_until = now + self._limits.retry_s
+        self._wait_until = now + self._limits.retry_s
 
     def _renew(self, row: LeaseRow, now: float) -> LeaseCommand:
         renew_at = self._held_until - self._limits.duration_s + self._limits.renew_s
@@ -208,12 +209,12 @@
     def _write(self, fence: int, now: float) -> LeaseWrite:
         self._beat += 1
         self._sent_at_by_beat[self._beat] = now
-        if len(self._sent_at_by_beat) > MAX_BEATS_KEPT:
+        if len(self._sent_at_by_beat) > MAX_PENDING_BEATS:
             del self._sent_at_by_beat[min(self._sent_at_by_beat)]
         row = LeaseRow(self.holder, fence, self._limits.duration_s, self._beat)
         return LeaseWrite(self._version, row)
 
-    def _take(self, version: int, row: LeaseRow | None, now: float) -> None:
+    def _apply_row(self, version: int, row: LeaseRow | None, now: float) -> None:
         previous = self._row
         self._version = version
         self._row = row
@@ -223,8 +224,9 @@
             return
         if previous is None or previous.holder != self.holder:
             self.acquired_at = now
-            self.succeeds = previous.holder if previous is not None else ""
-        # Counted from before the write was sent; an unknown write gives nothing.
+            self.previous_holder = previous.holder if previous is not None else ""
+        # The lease starts before its write was sent; a write whose send time is
+        # unknown does not extend it.
         sent_at = self._sent_at_by_beat.get(row.beat)
         if sent_at is not None:
             self._held_until = sent_at + row.duration_s
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -1,12 +1,12 @@
-"""Which daemons are live, from heartbeats, the platform's host list and settings.
+"""Liveness of hosts, from heartbeats, the platform's host list and settings.
 
-Inside a data centre every host sends heartbeats to every other. To another
-data centre a host sends them to two hosts, chosen by rendezvous hashing; each
-host tells the peers of its own data centre which remote hosts it hears (its
-*view*), and a remote host is live if anyone here hears it.
+Within a data centre every host sends heartbeats to every other host. To each
+other data centre it sends them to two hosts, chosen by rendezvous hashing.
+Each host shares with the peers of its data centre which remote hosts send it
+heartbeats (its *view*); a remote host is live if it is in any of these views.
 
-A few hosts of each data centre are its *delegates*: they do for all what each
-would else do by itself. Every host finds them from what it has heard.
+A few hosts of each data centre are its *delegates*, which do work on behalf of
+all its hosts. Every host determines them from the heartbeats it has received.
 """
 
 import dataclasses
@@ -28,24 +28,25 @@
 from .peer import view_checksum as view_checksum
 from .rendezvous import ranked
 
-REMOTE_FACTOR = 4  # remote heartbeats and timeouts, over those inside
-REMOTE_TARGETS = 2  # hosts of another data centre that hear this one
-PROBES = 1  # unheard hosts of a data centre that are tried each round
-PAUSE_FACTOR = 0.5  # share of the timeout between own ticks that is a pause
-FORGET_AFTER_S = 600.0  # a dead host that no list names is forgotten
-VIEW_REFRESH_S = 1.0  # between two requests for the same view
-PEERS_MAX = 4096
-TICK_SLACK_S = 0.005  # a tick that is a little early still sends
+REMOTE_FACTOR = 4  # remote heartbeat interval and timeout, relative to local ones
+REMOTE_TARGETS = 2  # hosts of each remote data centre that get heartbeats
+PROBES = 1  # silent hosts of each remote data centre tried per round
+PAUSE_FRACTION = 0.5  # of the timeout; a longer gap between ticks is a pause
+FORGET_AFTER_S = 600.0  # a dead host is removed unless the host list names it
+VIEW_REQUEST_INTERVAL_S = 1.0  # between two requests for the same view
+PEERS_MAX = 4096  # heartbeats of further hosts are ignored
+TICK_SLACK_S = 0.005  # a tick that is this much early still sends heartbeats
 
 
 class Membership:
-    """The hosts of a deployment as one of them sees them.
+    """The hosts of a deployment, as seen by one of them.
 
     :param host: this host.
-    :param heartbeat_s: seconds between heartbeats inside the data centre.
-    :param dead_after_s: silence after which a peer of the data centre is dead.
-    :param full_rate_peers: peers of the data centre up to which heartbeats keep
-        their pace; with more, both times grow in proportion.
+    :param heartbeat_s: seconds between heartbeats within the data centre.
+    :param dead_after_s: seconds without a heartbeat after which a peer of the
+        data centre is dead.
+    :param full_rate_peers: number of live peers of the data centre above which
+        heartbeat interval and timeout grow in proportion to that number.
     """
 
     def __init__(
@@ -70,13 +71,13 @@
         self._ticked_at = now
         self._sent_at = float("-inf")
         self._sent_remote_at = float("-inf")
-        self._remote: dict[str, Host] = {}
+        self._remote_by_name: dict[str, Host] = {}
         self._live_cache: dict[str | None, tuple[str, ...]] = {}
 
     # Input.
 
     def heartbeat(self, message: Heartbeat, now: float) -> list[Event]:
-        """Take a heartbeat from a peer."""
+        """Apply a heartbeat from a peer; return the resulting events."""
         host = message.host
         if host.name == self.host.name:
             if host.incarnation == self.host.incarnation:
@@ -86,7 +87,7 @@
         if peer is None:
             if len(self.by_name) >= PEERS_MAX:
                 return []
-            peer = self.by_name[host.name] = Peer(host, heard_at=now)
+            peer = self.by_name[host.name] = Peer(host, heartbeat_at=now)
         elif self._is_stale(peer, message):
             return []
         events: list[Event] = []
@@ -97,17 +98,17 @@
         peer.host = host
         peer.seq = message.seq
         peer.heard = True
-        peer.heard_at = now
+        peer.heartbeat_at = now
         peer.view = message.view
         peer.is_store_away = message.is_store_away
         peer.lists_version = max(peer.lists_version, message.lists_version)
         known = max(message.lists_known, message.lists_version)
         peer.lists_known = max(peer.lists_known, known)
-        events.extend(self._enter(peer, message.state))
+        events.extend(self._set_peer_state(peer, message.state))
         return events
 
     def view(self, sender: str, message: View, now: float) -> list[Event]:
-        """Take the view of a peer of this data centre."""
+        """Apply the view of a peer of this data centre; ignore any other."""
         del now
         peer = self.by_name.get(sender)
         if peer is None or peer.host.data_centre != self.host.data_centre:
@@ -116,74 +117,82 @@
         return self._update_remote()
 
     def host_list(self, hosts: t.Iterable[Host], now: float) -> None:
-        """Take the platform's list of entry hosts, which lags.
+        """Apply the platform's list of entry hosts.
 
-        It only tells where to look for hosts: whether they live they say
-        themselves.
+        The list lags behind, so it only adds addresses to contact. Liveness
+        comes from heartbeats alone.
         """
-        listed = {host.name: host for host in hosts if host.name != self.host.name}
+        host_by_name = {h.name: h for h in hosts if h.name != self.host.name}
         for peer in self.by_name.values():
-            peer.listed = peer.host.name in listed
-        for name, host in listed.items():
+            peer.is_listed = peer.host.name in host_by_name
+        for name, host in host_by_name.items():
             known = self.by_name.get(name)
             if known is None:
                 host = dataclasses.replace(host, incarnation=0)
-                self.by_name[name] = Peer(host, heard_at=now, listed=True)
+                self.by_name[name] = Peer(host, heartbeat_at=now, is_listed=True)
                 continue
             if known.state is HostState.DEAD or not known.heard:
                 incarnation = known.host.incarnation
                 known.host = dataclasses.replace(host, incarnation=incarnation)
 
     def tick(self, now: float) -> list[Event]:
-        """Notice silence. Call it at least each heartbeat interval."""
+        """Detect peers that have timed out; return the resulting events.
+
+        Must be called at least once per heartbeat interval.
+        """
         gap = now - self._ticked_at
         self._ticked_at = now
-        if gap > self._dead_after_s * PAUSE_FACTOR:
+        if gap > self._dead_after_s * PAUSE_FRACTION:
             for peer in self.by_name.values():
-                peer.heard_at = max(peer.heard_at, min(peer.heard_at + gap, now))
+                peer.heartbeat_at = max(
+                    peer.heartbeat_at, min(peer.heartbeat_at + gap, now)
+                )
             return [SelfPaused(gap)]
         events: list[Event] = []
-        stretch = self._stretch()
+        slowdown = self._slowdown()
         for peer in list(self.by_name.values()):
-            silence = now - peer.heard_at
+            silence = now - peer.heartbeat_at
             if peer.state is HostState.DEAD or not peer.heard:
-                if silence > FORGET_AFTER_S and not peer.listed:
+                if silence > FORGET_AFTER_S and not peer.is_listed:
                     del self.by_name[peer.host.name]
                 continue
-            if silence > self._timeout(peer, stretch):
-                events.extend(self._bury(peer))
+            if silence > self._timeout(peer, slowdown):
+                events.extend(self._mark_dead(peer))
         return events
 
     # Output.
 
     def due(self, now: float) -> tuple[list[str], list[str]]:
-        """Return the addresses, inside and remote, that a heartbeat goes to now."""
-        inside: list[str] = []
+        """Return the local and remote addresses whose heartbeat is due."""
+        local: list[str] = []
         remote: list[str] = []
-        heartbeat_s = self._heartbeat_s * self._stretch()
+        heartbeat_s = self._heartbeat_s * self._slowdown()
         if now - self._sent_at >= heartbeat_s - TICK_SLACK_S:
             self._sent_at = now
-            inside.extend(self._inside_addresses())
+            local.extend(self._local_addresses())
         remote_s = self._heartbeat_s * REMOTE_FACTOR - TICK_SLACK_S
         if now - self._sent_remote_at >= remote_s:
             self._sent_remote_at = now
             remote.extend(self._remote_addresses())
             remote.extend(self._seed_addresses())
-        return inside, list(dict.fromkeys(remote))
+        return local, list(dict.fromkeys(remote))
 
     def hurry(self) -> None:
-        """Make the next heartbeats due at once, to announce a change."""
+        """Make all heartbeats due immediately, to announce a change."""
         self._sent_at = self._sent_remote_at = float("-inf")
 
     def is_delegate(self, count: int, now: float, silence_s: float) -> bool:
-        """Tell whether this host is one of some delegates of its data centre.
+        """Return whether this host is one of the delegates of its data centre.
+
+        Delegates can reach the store, and their last heartbeat is at most
+        ``silence_s`` seconds old.
 
-        Delegates reach the store and were heard within ``silence_s``.
+        :param count: number of delegates of a data centre.
         """
         names = [self.host.name]
-        for peer in self._inside():
-            is_heard = peer.heard and now - peer.heard_at <= silence_s
-            if is_heard and peer.state is HostState.LIVE and not peer.is_store_away:
+        for peer in self._local_peers():
+            is_recent = peer.heard and now - peer.heartbeat_at <= silence_s
+            if is_recent and peer.state is HostState.LIVE and not peer.is_store_away:
                 names.append(peer.host.name)
         return self.host.name in sorted(names)[:count]
 
@@ -196,12 +205,12 @@
         upstreams_version: int = 0,
         is_store_away: bool = False,
     ) -> Heartbeat:
-        """Return the heartbeat to send.
+        """Return the next heartbeat to send.
 
-        :param models: what the engines here serve, for remote hosts.
+        :param models: models that the engines of this data centre serve.
         """
         self._seq += 1
-        view = view_checksum(self._heard_remote())
+        view = view_checksum(self._direct_remote_hosts())
         host = dataclasses.replace(self.host, models=models)
         return Heartbeat(
             host,
@@ -215,99 +224,102 @@
         )
 
     def models_by_centre(self) -> dict[str, set[str]]:
-        """Return the models that other data centres have told of."""
+        """Return the models that the hosts of other data centres announce."""
         models: dict[str, set[str]] = {}
-        for host in (*self._heard_remote(), *self._remote.values()):
+        for host in (*self._direct_remote_hosts(), *self._remote_by_name.values()):
             models.setdefault(host.data_centre, set()).update(host.models)
         return models
 
     def own_view(self) -> View:
-        """Return the remote hosts that this host hears itself."""
-        hosts = sorted(self._heard_remote(), key=lambda host: host.name)
+        """Return the live remote hosts that send heartbeats to this host."""
+        hosts = sorted(self._direct_remote_hosts(), key=lambda host: host.name)
         return View(tuple(hosts))
 
     def views_wanted(self, now: float) -> list[str]:
-        """Return the addresses of peers whose view has changed."""
+        """Return the addresses of peers to ask for their changed view."""
         addresses = []
-        for peer in self._inside():
+        for peer in self._local_peers():
             if peer.state is HostState.DEAD:
                 continue
             if peer.view == view_checksum(peer.view_hosts):
                 continue
-            if now - peer.view_asked_at < VIEW_REFRESH_S:
+            if now - peer.view_requested_at < VIEW_REQUEST_INTERVAL_S:
                 continue
-            peer.view_asked_at = now
+            peer.view_requested_at = now
             addresses.append(peer.host.peer_address)
         return addresses
 
     def live(self, data_centre: str | None = None) -> tuple[str, ...]:
-        """Return the names of the live hosts, this one among them, sorted."""
+        """Return the sorted names of the live hosts, including this one."""
         names = self._live_cache.get(data_centre)
         if names is None:
             names = self._live_cache[data_centre] = self._find_live(data_centre)
         return names
 
     def find(self, name: str) -> Host | None:
-        """Return a host that is not dead, by name."""
+        """Return the host of a name, ``None`` if it is unknown or dead."""
         if name == self.host.name:
             return self.host
         peer = self.by_name.get(name)
         if peer is not None and peer.heard and peer.state is not HostState.DEAD:
             return peer.host
-        return self._remote.get(name)
+        return self._remote_by_name.get(name)
 
     def lists_version(self) -> int:
-        """Return the highest version of the lists that a live peer has."""
-        return max((peer.lists_version for peer in self._heard()), default=0)
+        """Return the highest version of the lists that a live peer holds."""
+        return max((peer.lists_version for peer in self._direct_peers()), default=0)
 
     def lists_known(self) -> int:
-        """Return the highest version of the lists that any peer has told of."""
+        """Return the highest version of the lists that any peer has announced."""
         versions = (peer.lists_known for peer in self.by_name.values())
         return max(versions, default=0)
 
     def count_heard(self) -> int:
-        """Return the number of peers that are heard directly."""
-        return sum(1 for _ in self._heard())
+        """Return the number of peers whose heartbeats arrive directly."""
+        return sum(1 for _ in self._direct_peers())
 
     def holders(self, version: int) -> list[Host]:
-        """Return the peers that hold a version of the lists, nearest first."""
-        found = [peer for peer in self._heard() if peer.lists_version >= version]
+        """Return the peers that hold at least a version of the lists.
+
+        Those of this data centre come first.
+        """
+        found = [peer for peer in self._direct_peers() if peer.lists_version >= version]
         found.sort(key=self._distance)
         return [peer.host for peer in found]
 
     def inside_live(self) -> list[Host]:
         """Return the other live hosts of this data centre."""
-        return [p.host for p in self._inside() if p.state is HostState.LIVE]
+        return [p.host for p in self._local_peers() if p.state is HostState.LIVE]
 
-    def unheard(self) -> list[Host]:
-        """Return the listed hosts that have never been heard."""
-        return [p.host for p in self.by_name.values() if not p.heard and p.listed]
+    def listed_without_heartbeat(self) -> list[Host]:
+        """Return the listed hosts that have never sent a heartbeat."""
+        return [p.host for p in self.by_name.values() if not p.heard and p.is_listed]
 
     def set_state(self, state: HostState) -> None:
-        """Change what this host says of itself."""
+        """Set the state that the heartbeats of this host announce."""
         if state is not self.state:
             self.state = state
-            self._changed()
+            self._mark_changed()
 
-    # Inside.
+    # Internals.
 
     def _is_stale(self, peer: Peer, message: Heartbeat) -> bool:
         if not peer.heard:
             return False
         if message.host.incarnation == peer.host.incarnation:
             return message.seq <= peer.seq
-        # With skewed wall clocks a successor may count lower: take it once
-        # the predecessor is silent.
+        # Incarnations come from wall clocks, so with clock skew a successor may
+        # have a lower one. Accept it once the predecessor is dead.
         older = message.host.incarnation < peer.host.incarnation
         return older and peer.state is not HostState.DEAD
 
-    def _enter(self, peer: Peer, state: HostState) -> list[Event]:
+    def _set_peer_state(self, peer: Peer, state: HostState) -> list[Event]:
         if peer.state is HostState.LEAVING and state is not HostState.DEAD:
             return []
         if state is HostState.DEAD or peer.state is state:
             return []
         peer.state = state
-        self._changed()
+        self._mark_changed()
         if state is HostState.LIVE:
             return [PeerLive(peer.host)]
         if state is HostState.LEAVING:
@@ -318,73 +330,75 @@
         peer.state = HostState.JOINING
         peer.lists_version = 0
         peer.view_hosts = ()
-        self._changed()
+        self._mark_changed()
 
-    def _bury(self, peer: Peer) -> list[Event]:
+    def _mark_dead(self, peer: Peer) -> list[Event]:
         peer.state = HostState.DEAD
         peer.view_hosts = ()
-        self._changed()
+        self._mark_changed()
         events: list[Event] = []
-        if peer.host.name not in self._remote:
+        if peer.host.name not in self._remote_by_name:
             events.append(PeerDead(peer.host))
         events.extend(self._update_remote())
         return events
 
     def _update_remote(self) -> list[Event]:
-        """Join the views of all peers of the data centre."""
+        """Merge the views of all peers of this data centre."""
         remote: dict[str, Host] = {}
-        for peer in self._inside():
+        for peer in self._local_peers():
             for host in peer.view_hosts:
                 known = remote.get(host.name)
                 if known is None or known.incarnation < host.incarnation:
                     remote[host.name] = host
-        old, self._remote = self._remote, remote
+        old, self._remote_by_name = self._remote_by_name, remote
         events: list[Event] = []
         for name, host in remote.items():
             before = old.pop(name, None)
-            if self._hears(name) or before == host:
+            if self._has_direct_peer(name) or before == host:
                 continue
             if before is not None and before.incarnation != host.incarnation:
                 events.append(PeerReplaced(host, before))
             events.append(PeerLive(host))
-        events.extend(PeerDead(old[name]) for name in old if not self._hears(name))
-        self._changed()
+        events.extend(
+            PeerDead(old[name]) for name in old if not self._has_direct_peer(name)
+        )
+        self._mark_changed()
         return events
 
-    def _hears(self, name: str) -> bool:
+    def _has_direct_peer(self, name: str) -> bool:
         peer = self.by_name.get(name)
         return peer is not None and peer.heard and peer.state is not HostState.DEAD
 
-    def _changed(self) -> None:
+    def _mark_changed(self) -> None:
         self.generation += 1
         self._live_cache.clear()
 
-    def _stretch(self) -> float:
-        """Return by how much the pace of heartbeats is slowed."""
+    def _slowdown(self) -> float:
+        """Return the factor by which heartbeat interval and timeout grow."""
         live = 0
-        for peer in self._inside():
+        for peer in self._local_peers():
             live += peer.heard and peer.state is not HostState.DEAD
         return max(1.0, live / self._full_rate_peers)
 
-    def _timeout(self, peer: Peer, stretch: float) -> float:
+    def _timeout(self, peer: Peer, slowdown: float) -> float:
         if peer.host.data_centre == self.host.data_centre:
-            return self._dead_after_s * stretch
+            return self._dead_after_s * slowdown
         return self._dead_after_s * REMOTE_FACTOR
 
     def _distance(self, peer: Peer) -> tuple[bool, str]:
         return peer.host.data_centre != self.host.data_centre, peer.host.name
 
-    def _heard(self) -> t.Iterator[Peer]:
+    def _direct_peers(self) -> t.Iterator[Peer]:
         for peer in self.by_name.values():
             if peer.heard and peer.state is not HostState.DEAD:
                 yield peer
 
-    def _inside(self) -> t.Iterator[Peer]:
+    def _local_peers(self) -> t.Iterator[Peer]:
         for peer in self.by_name.values():
             if peer.host.data_centre == self.host.data_centre:
                 yield peer
 
-    def _heard_remote(self) -> list[Host]:
+    def _direct_remote_hosts(self) -> list[Host]:
         return [
             peer.host
             for peer in self.by_name.values()
@@ -399,14 +413,14 @@
         for peer in self.by_name.values():
             if peer.state is HostState.LIVE:
                 found.add(peer.host)
-        for name, host in self._remote.items():
-            if not self._hears(name):
+        for name, host in self._remote_by_name.items():
+            if not self._has_direct_peer(name):
                 found.add(host)
         names = {host.name for host in found if data_centre in (None, host.data_centre)}
         return tuple(sorted(names))
 
-    def _inside_addresses(self) -> t.Iterator[str]:
-        for peer in self._inside():
+    def _local_addresses(self) -> t.Iterator[str]:
+        for peer in self._local_peers():
             yield peer.host.peer_address
 
     def _seed_addresses(self) -> t.Iterator[str]:
@@ -418,7 +432,7 @@
     def _remote_addresses(self) -> t.Iterator[str]:
         hosts_by_centre: dict[str, dict[str, Host]] = {}
         silent_by_centre: dict[str, list[Host]] = {}
-        for host in self._remote.values():
+        for host in self._remote_by_name.values():
             hosts_by_centre.setdefault(host.data_centre, {})[host.name] = host
         for peer in self.by_name.values():
             centre = peer.host.data_centre
@@ -431,7 +445,7 @@
         for by_name in hosts_by_centre.values():
             for name in ranked(self.host.name, by_name)[:REMOTE_TARGETS]:
                 yield by_name[name].peer_address
-        # Silent hosts are tried in turn, so that a healed partition is noticed.
+        # Probe silent hosts in turn, so that the end of a partition is detected.
         for silent in silent_by_centre.values():
             for step in range(min(PROBES, len(silent))):
                 yield silent[(self._seq + step) % len(silent)].peer_address
--- a/src/wagtailstair/core/peer.py
+++ b/src/wagtailstair/core/peer.py
@@ -1,4 +1,4 @@
-"""What one host knows of another one."""
+"""The state that one host keeps of another one."""
 
 import dataclasses
 import typing as t
@@ -10,10 +10,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Peer:
-    """What is known of one other host.
+    """The state of another host.
 
-    ``heard``: heartbeats came from it directly; ``listed``: the host list or
-    the settings name it.
+    ``heard``: a heartbeat has arrived directly from it; ``heartbeat_at``: when
+    the last one did; ``is_listed``: the host list names it; ``view``: checksum
+    of its current view; ``view_hosts``: its view as last received.
     """
 
     host: Host
@@ -22,11 +23,11 @@
     lists_version: int = 0
     lists_known: int = 0
     is_store_away: bool = False
-    heard_at: float = 0.0
+    heartbeat_at: float = 0.0
     heard: bool = False
-    listed: bool = False
+    is_listed: bool = False
     view: int = 0
-    view_asked_at: float = float("-inf")
+    view_requested_at: float = float("-inf")
     view_hosts: tuple[Host, ...] = ()
 
 
