--- a/src/wagtailstair/core/__init__.py
+++ b/src/wagtailstair/core/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions without input or output: time and events come in as arguments."""
+"""Decision logic without I/O: time and events are passed in as arguments."""
--- a/src/wagtailstair/core/claim_results.py
+++ b/src/wagtailstair/core/claim_results.py
@@ -1,4 +1,4 @@
-"""The end of a claim: its result is written or released, and delivered once."""
+"""Last phase of a claim: write the result or release the row, and deliver once."""
 
 import dataclasses
 import enum
@@ -27,11 +27,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ClaimLimits:
-    """Bounds on a claim's steps; ``*_s`` in seconds.
+    """Limits on the steps of a claim; ``*_s`` in seconds.
 
-    ``send_window_s``: from before the claim was written until the call may be
-    sent; ``confirm_s``: how long a result waits for its write before the
-    caller gets it; ``retention_s``: age at which a row may be swept.
+    ``send_window_s``: time from the start of the claim within which the call may
+    be sent; ``confirm_s``: time that delivery waits for the write of the result;
+    ``retention_s``: age at which a row may be swept.
     """
 
     inserts: int = 3
@@ -46,7 +46,7 @@
 
 
 class Phase(enum.Enum):
-    """What a claim waits for."""
+    """The phase of a claim, named for the event that it waits for."""
 
     NEW = "new"
     INSERTING = "inserting"
@@ -65,9 +65,9 @@
 
 
 class ClaimResult:
-    """A claim whose result has to be written, or released, and delivered.
+    """The part of a claim that writes its result or releases it, and delivers it.
 
-    :param row: the row to claim with; its claimant id is used by no other call.
+    :param row: the row to claim with; its claimant is unique to this call.
     """
 
     __slots__ = (
@@ -76,7 +76,7 @@
         "_confirm_until",
         "_delay_s",
         "_insert_lost",
-        "_parked",
+        "_next_step",
         "_pending",
         "_version",
         "is_delivered",
@@ -96,7 +96,7 @@
         self._version = 0
         self._delay_s = limits.backoff_s
         self._pending: Command = Finish()
-        self._parked: tuple[Phase, Command] = (Phase.DONE, Finish())
+        self._next_step: tuple[Phase, Command] = (Phase.DONE, Finish())
         self._confirm_until = 0.0
         self._confirm_attempts = 0
         self._cleanup_reads = 0
@@ -107,17 +107,19 @@
         self._delay_s = min(2 * delay_s, self.limits.max_backoff_s)
         return Wait(delay_s)
 
-    # The write of the result, or the release, until it is known to be done.
+    # Write the result or the release until it is confirmed.
 
     def _confirm(self, command: Settle | Release, now: float) -> Command:
         self._pending = command
         self._confirm_until = now + self.limits.confirm_s
         self._delay_s = self.limits.backoff_s
-        return self._proceed(Phase.CONFIRMING, command, now)
+        return self._continue_or_deliver(Phase.CONFIRMING, command, now)
 
-    def _proceed(self, phase: Phase, command: Command, now: float) -> Command:
+    def _continue_or_deliver(
+        self, phase: Phase, command: Command, now: float
+    ) -> Command:
         if self._confirm_attempts >= self.limits.confirm_attempts:
-            return self._confirmed()
+            return self._finish_confirmed()
         if not self.is_delivered and now >= self._confirm_until:
             return self._deliver(phase, command)
         self.phase = phase
@@ -126,27 +128,27 @@
     def _retry(self, now: float) -> Command:
         self._confirm_attempts += 1
         wait = self._wait(Phase.CONFIRM_WAITING)
-        return self._proceed(Phase.CONFIRM_WAITING, wait, now)
+        return self._continue_or_deliver(Phase.CONFIRM_WAITING, wait, now)
 
     def _on_storing(self, event: Event, now: float) -> Command:
         if isinstance(event, Stored):
-            return self._proceed(Phase.CONFIRMING, self._pending, now)
+            return self._continue_or_deliver(Phase.CONFIRMING, self._pending, now)
         if not isinstance(event, Away):
             raise unexpected(self, event)
         return self._retry(now)
 
     def _on_confirming(self, event: Event, now: float) -> Command:
         if isinstance(event, Written):
-            return self._confirmed()
+            return self._finish_confirmed()
         if isinstance(event, Away):
             return self._retry(now)
         if isinstance(event, Conflict | ReplyLost):
-            return self._proceed(Phase.CONFIRM_READING, Read(), now)
+            return self._continue_or_deliver(Phase.CONFIRM_READING, Read(), now)
         raise unexpected(self, event)
 
     def _on_confirm_waiting(self, event: Event, now: float) -> Command:
         if isinstance(event, Woke):
-            return self._proceed(Phase.CONFIRM_READING, Read(), now)
+            return self._continue_or_deliver(Phase.CONFIRM_READING, Read(), now)
         raise unexpected(self, event)
 
     def _on_confirm_reading(self, event: Event, now: float) -> Command:
@@ -155,37 +157,37 @@
         if not isinstance(event, RowRead):
             raise unexpected(self, event)
         if not self._is_unsettled(event.row):
-            return self._confirmed()
+            return self._finish_confirmed()
         self._version = event.version
         self._confirm_attempts += 1
-        return self._write_again(now)
+        return self._retry_write(now)
 
     def _is_unsettled(self, row: ClaimRow | None) -> bool:
         if row is None or row.claimant != self.row.claimant:
             return False
         return row.state is ClaimState.CLAIMED
 
-    def _write_again(self, now: float) -> Command:
+    def _retry_write(self, now: float) -> Command:
         pending = self._pending
         if isinstance(pending, Release):
             self._pending = Release(self._version)
-            return self._proceed(Phase.CONFIRMING, self._pending, now)
+            return self._continue_or_deliver(Phase.CONFIRMING, self._pending, now)
         if not isinstance(pending, Settle):
-            raise TypeError(f"nothing to confirm in {pending}")
+            raise TypeError(f"expected a Settle or a Release, got {pending}")
         self._pending = Settle(self._version, pending.row)
         answer = self.result
         if pending.row.object_name and isinstance(answer, Answer):
-            # Storing the same object again is harmless.
+            # Storing the same object again is idempotent.
             store = Store(pending.row.object_name, answer.body)
-            return self._proceed(Phase.STORING, store, now)
-        return self._proceed(Phase.CONFIRMING, self._pending, now)
+            return self._continue_or_deliver(Phase.STORING, store, now)
+        return self._continue_or_deliver(Phase.CONFIRMING, self._pending, now)
 
-    def _confirmed(self) -> Command:
+    def _finish_confirmed(self) -> Command:
         if isinstance(self._pending, Release) and self._insert_lost:
             return self._deliver(Phase.CLEANUP_READING, Read())
         return self._deliver(Phase.DONE, Finish())
 
-    # After a lost insert: remove the row if it appears late.
+    # After an insert whose reply was lost: delete the row if it appears late.
 
     def _on_cleanup_waiting(self, event: Event, now: float) -> Command:
         if not isinstance(event, Woke):
@@ -204,24 +206,26 @@
             return self._deliver(Phase.DONE, Finish())
         return self._wait(Phase.CLEANUP_WAITING)
 
-    # The result to the caller, once.
+    # Deliver the result to the caller once.
 
     def _deliver(self, phase: Phase, command: Command) -> Command:
         if self.is_delivered:
             self.phase = phase
             return command
         if self.result is None:
-            raise ValueError("there is no result to deliver")
-        self._parked = (phase, command)
+            raise ValueError("expected a result to deliver, got none")
+        self._next_step = (phase, command)
         self.phase = Phase.DELIVERING
         return Deliver(self.result)
 
     def _on_delivering(self, event: Event, now: float) -> Command:
         self.is_delivered = True
-        self.phase, command = self._parked
+        self.phase, command = self._next_step
         return command
 
 
 def unexpected(claim: ClaimResult, event: Event) -> ValueError:
-    """Return the error for an event that answers no command."""
-    return ValueError(f"{type(event).__name__} while {claim.phase.value}")
+    """Return the error for an event that does not answer the last command."""
+    return ValueError(
+        f"unexpected event {type(event).__name__} while {claim.phase.value}"
+    )
--- a/src/wagtailstair/core/claim_rows.py
+++ b/src/wagtailstair/core/claim_rows.py
@@ -1,4 +1,4 @@
-"""The JSON form of a claim's row."""
+"""JSON encoding of claim rows, and their conditional writes."""
 
 import base64
 import binascii
@@ -49,10 +49,10 @@
 
 
 def decode_claim(value: t.Mapping[str, t.Any]) -> ClaimRow:
-    """Return the claim of a row's value.
+    """Return the claim that a row's value describes.
 
-    A row that can't be understood counts as a claim in doubt: under its key
-    nothing is sent.
+    An invalid value decodes as a claim with an unknown outcome, so that no call
+    is sent under its key.
     """
     try:
         return ClaimRow(
@@ -71,7 +71,7 @@
 
 
 def make_write(key: str, command: Insert | Settle | Release) -> tuple[Condition, Write]:
-    """Return a claim's write and the condition without which it must not happen."""
+    """Return the write of a claim and its precondition."""
     value = None
     if not isinstance(command, Release):
         value = encode_claim(command.row)
@@ -84,7 +84,7 @@
 def find_expired(
     rows: collections.abc.Iterable[Row], now: float, retention_s: float
 ) -> list[tuple[Condition, Write]]:
-    """Return the deletes of claims older than their retention.
+    """Return the deletions of the claims that are past their retention.
 
     :param now: wall clock, seconds since the epoch.
     """
--- a/src/wagtailstair/core/claim_steps.py
+++ b/src/wagtailstair/core/claim_steps.py
@@ -1,4 +1,4 @@
-"""Commands that a claim gives to its adapter, and the events that answer them."""
+"""Commands that a claim issues to its driver, and the events that answer them."""
 
 import dataclasses
 import enum
@@ -10,7 +10,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Answer:
-    """What an upstream answered; kept and replayed as it is."""
+    """An upstream's response, stored and replayed unchanged."""
 
     status: int
     headers: Headers
@@ -19,7 +19,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Claimant:
-    """The one run of one process that made a claim."""
+    """The attempt, and the process incarnation, that made a claim."""
 
     host: str
     incarnation: str
@@ -27,7 +27,7 @@
 
 
 class ClaimState(enum.Enum):
-    """How far a claim has come, as its row tells."""
+    """The state of a claim, as stored in its row."""
 
     CLAIMED = "claimed"
     ANSWERED = "answered"
@@ -38,8 +38,8 @@
 class ClaimRow:
     """The row of a claim.
 
-    ``claimed_at``: wall clock, seconds since the epoch; ``object_name``: where
-    the body is when it is too large for the row.
+    ``claimed_at``: wall clock, seconds since the epoch; ``object_name``: object
+    that holds the body if it is too large for the row.
     """
 
     request_hash: str
@@ -63,7 +63,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Failure:
-    """The end of a call without an answer."""
+    """The result of a call that ends without an answer."""
 
     reason: FailureReason
     outcome: Outcome
@@ -71,7 +71,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Insert:
-    """Write the row on condition that it is absent."""
+    """Write the row if it does not exist."""
 
     row: ClaimRow
 
@@ -83,21 +83,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Wait:
-    """Let time pass."""
+    """Wait for ``delay_s`` seconds."""
 
     delay_s: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Send:
-    """Send the call, unless ``not_after`` has passed by then."""
+    """Send the call to an upstream, but not after ``not_after``."""
 
     not_after: float
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Store:
-    """Put a large body into the object store."""
+    """Write a large body to the object store."""
 
     name: str
     body: bytes
@@ -105,14 +105,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fetch:
-    """Get a large body from the object store."""
+    """Read a large body from the object store."""
 
     name: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Settle:
-    """Write the result on condition that the row is at ``version``."""
+    """Write the result if the row is at ``version``."""
 
     version: int
     row: ClaimRow
@@ -120,21 +120,21 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Release:
-    """Delete the row on condition that it is at ``version``."""
+    """Delete the row if it is at ``version``."""
 
     version: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Deliver:
-    """Give the result to the caller."""
+    """Return the result to the caller."""
 
     result: Answer | Failure
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Finish:
-    """Nothing is left to do."""
+    """End the claim; no command follows."""
 
 
 Command = (
@@ -144,7 +144,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Written:
-    """A write took effect; ``version`` is that of the row, 0 after a delete."""
+    """A write took effect; ``version``: new version of the row, 0 if deleted."""
 
     version: int
 
@@ -156,12 +156,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReplyLost:
-    """A write may have taken effect, or may still do so."""
+    """The reply to a write was lost: it may have taken effect, or may still do so."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Away:
-    """Nothing took effect, or nothing could be read."""
+    """The platform was unavailable: nothing was written or read."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -175,7 +175,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Woke:
-    """The delay has passed."""
+    """The delay of a ``Wait`` has elapsed."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -192,7 +192,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallLost:
-    """The call was sent and its end is not known."""
+    """The call was sent, and its outcome is unknown."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -202,14 +202,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Fetched:
-    """The object as read."""
+    """The body of the object as read."""
 
     body: bytes
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Delivered:
-    """The caller has its result."""
+    """The caller has received its result."""
 
 
 Event = (
--- a/src/wagtailstair/core/claims.py
+++ b/src/wagtailstair/core/claims.py
@@ -1,7 +1,7 @@
 """The state machine of one call with an idempotency key.
 
-Each table call and each send is a command; its answer is the next event, so
-that every interleaving of claims and failures can be replayed.
+Each table access and each send is a command whose reply is the next event, so
+tests can replay any interleaving of claims and failures.
 """
 
 import collections.abc
@@ -43,16 +43,16 @@
 
 
 def make_claim_key(account: str, service: str, key: str) -> str:
-    """Return the row key of a claim; different triples never share one."""
+    """Return the row key of a claim, unique to its account, service and key."""
     parts = (account, service, key)
     return "/".join(urllib.parse.quote(part, safe="") for part in parts)
 
 
 def hash_request(method: str, path: str, body: bytes) -> str:
-    """Return a hash that tells two requests under one key apart."""
+    """Return a hash that distinguishes two requests with the same key."""
     digest = hashlib.blake2b(digest_size=HASH_BYTES)
     for part in (method.encode(), path.encode(), body):
-        # The length keeps a byte from moving between neighbouring parts.
+        # The length prefix keeps ("a", "bc") and ("ab", "c") distinct.
         digest.update(len(part).to_bytes(8, "little"))
         digest.update(part)
     return digest.hexdigest()
@@ -61,8 +61,8 @@
 class Claim(ClaimResult):
     """One call under an idempotency key, from its claim to its settled result.
 
-    :param row: the row to claim with; its claimant id is used by no other call.
-    :param deadline: instant after which the caller no longer waits.
+    :param row: the row to claim with; its claimant is unique to this call.
+    :param deadline: monotonic time after which the caller no longer waits.
     """
 
     __slots__ = (
@@ -89,9 +89,9 @@
         return self._insert()
 
     def step(self, event: Event, now: float) -> Command:
-        """Take the answer to the last command; return the next command.
+        """Apply the event that answers the last command; return the next command.
 
-        :raises ValueError: if the event doesn't answer the last command.
+        :raises ValueError: if the event does not answer the last command.
         """
         return _HANDLER_BY_PHASE[self.phase](self, event, now)
 
@@ -109,18 +109,18 @@
     def _fail(self, reason: FailureReason, outcome: Outcome) -> Command:
         self.result = Failure(reason, outcome)
         if self._insert_lost:
-            # The lost insert may still take effect; look for it afterwards.
+            # The insert may still take effect: check for its row afterwards.
             return self._deliver(Phase.CLEANUP_READING, Read())
         return self._deliver(Phase.DONE, Finish())
 
     def _fail_unsent(self, reason: FailureReason) -> Command:
-        # Another call under the key may have run when its row was seen.
+        # If a row of another call was seen, that call may have run.
         outcome = Outcome.UNKNOWN if self._contended else Outcome.NOT_RUN
         return self._fail(reason, outcome)
 
     def _on_inserting(self, event: Event, now: float) -> Command:
         if isinstance(event, Written):
-            return self._own(event.version, now)
+            return self._send(event.version, now)
         if isinstance(event, Conflict):
             self._contended = True
             return self._read()
@@ -139,13 +139,13 @@
         if not isinstance(event, RowRead):
             raise unexpected(self, event)
         if event.row is None:
-            return self._on_absent(now)
+            return self._handle_absent_row(now)
         if event.row.claimant == self.row.claimant:
-            return self._own(event.version, now)
+            return self._send(event.version, now)
         self._contended = True
-        return self._on_other(event.row, event.is_claimant_dead, now)
+        return self._handle_other_claim(event.row, event.is_claimant_dead, now)
 
-    def _on_absent(self, now: float) -> Command:
+    def _handle_absent_row(self, now: float) -> Command:
         self._contended = False
         if now >= self.deadline:
             return self._fail_unsent(FailureReason.DEADLINE)
@@ -153,11 +153,11 @@
             return self._fail_unsent(FailureReason.PLATFORM_AWAY)
         return self._insert()
 
-    def _on_other(self, row: ClaimRow, is_dead: bool, now: float) -> Command:
+    def _handle_other_claim(self, row: ClaimRow, is_dead: bool, now: float) -> Command:
         if row.request_hash != self.row.request_hash:
             return self._fail(FailureReason.KEY_REUSED, Outcome.NOT_RUN)
         if row.state is ClaimState.ANSWERED and row.answer is not None:
-            return self._replay_row(row)
+            return self._replay_answer(row)
         if row.state is not ClaimState.CLAIMED or is_dead:
             return self._fail(FailureReason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
         if now >= self.deadline:
@@ -169,7 +169,7 @@
             return self._read()
         raise unexpected(self, event)
 
-    def _replay_row(self, row: ClaimRow) -> Command:
+    def _replay_answer(self, row: ClaimRow) -> Command:
         self._replay = row
         if row.object_name:
             self.phase = Phase.FETCHING
@@ -190,9 +190,9 @@
         self.result = dataclasses.replace(answer, body=event.body)
         return self._deliver(Phase.DONE, Finish())
 
-    # The call itself.
+    # Sending the call.
 
-    def _own(self, version: int, now: float) -> Command:
+    def _send(self, version: int, now: float) -> Command:
         self._version = version
         self._contended = False
         if now >= min(self._send_until, self.deadline):
@@ -205,7 +205,7 @@
             return self._release(FailureReason.UPSTREAM_NOT_RUN, now)
         if isinstance(event, Answered):
             return self._settle_answer(event.answer, now)
-        # Anything else that ends a call that may have been sent is in doubt.
+        # The call may have been sent: its outcome is unknown.
         self.result = Failure(FailureReason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
         row = dataclasses.replace(self.row, state=ClaimState.UNKNOWN)
         return self._confirm(Settle(self._version, row), now)
@@ -233,14 +233,14 @@
         self.result = Failure(reason, Outcome.NOT_RUN)
         return self._confirm(Release(self._version), now)
 
-    def _on_closed(self, event: Event, now: float) -> Command:
+    def _reject_event(self, event: Event, now: float) -> Command:
         raise unexpected(self, event)
 
 
 _Handler = collections.abc.Callable[[Claim, Event, float], Command]
 
 _HANDLER_BY_PHASE: dict[Phase, _Handler] = {
-    Phase.NEW: Claim._on_closed,
+    Phase.NEW: Claim._reject_event,
     Phase.INSERTING: Claim._on_inserting,
     Phase.READING: Claim._on_reading,
     Phase.WAITING: Claim._on_waiting,
@@ -253,5 +253,5 @@
     Phase.CLEANUP_READING: Claim._on_cleanup_reading,
     Phase.CLEANUP_WAITING: Claim._on_cleanup_waiting,
     Phase.DELIVERING: Claim._on_delivering,
-    Phase.DONE: Claim._on_closed,
+    Phase.DONE: Claim._reject_event,
 }
--- a/src/wagtailstair/core/rows.py
+++ b/src/wagtailstair/core/rows.py
@@ -1,4 +1,4 @@
-"""Rows of the platform's table, as the core sees them."""
+"""Rows, conditions and transactions of the platform's table."""
 
 import dataclasses
 import typing as t
@@ -13,7 +13,7 @@
 """The version of a row that does not exist."""
 
 VERSION_UNKNOWN = -1
-"""The version of a row that was learnt from a change record."""
+"""The version of a row whose value comes from an audit record."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -28,7 +28,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Condition:
-    """What must hold for a transaction: a row is at a version."""
+    """A precondition of a transaction: the row is at ``version``."""
 
     table: str
     key: str
@@ -46,7 +46,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Transaction:
-    """Writes that take effect together, if all conditions hold."""
+    """Writes that take effect atomically if all conditions hold."""
 
     conditions: tuple[Condition, ...]
     writes: tuple[Write, ...]
--- a/src/wagtailstair/core/store.py
+++ b/src/wagtailstair/core/store.py
@@ -1,4 +1,4 @@
-"""What the gateway needs of the platform's store, free of its protocol."""
+"""Calls to the platform's store and its rows, independent of its protocol."""
 
 import dataclasses
 
@@ -14,7 +14,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoreRow:
-    """A row; ``value`` is ``None`` for one that was dropped."""
+    """A row; ``value`` is ``None`` if it was deleted."""
 
     table: str
     key: str
@@ -24,10 +24,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class StoreRows:
-    """Rows as of one moment.
+    """Rows of one consistent read.
 
-    ``version``: of the whole store; ``is_more``: the answer was cut;
-    ``is_conflict``: a condition did not hold, or the history asked for is gone.
+    ``version``: version of the whole store; ``is_more``: the response was
+    truncated; ``is_conflict``: a condition did not hold, or the requested
+    history is no longer kept.
     """
 
     rows: tuple[StoreRow, ...]
