--- a/src/wagtailstair/core/changes.py
+++ b/src/wagtailstair/core/changes.py
@@ -1,4 +1,4 @@
-"""Changes of the lists: edits, the transaction for one, and audit records."""
+"""Changes to the lists: edits, their transactions and their audit records."""
 
 import collections.abc
 import dataclasses
@@ -40,7 +40,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RowEdit:
-    """A new value for a row (``None`` deletes it), of the version that was seen."""
+    """A new value for a row as seen at a version; ``None`` deletes the row."""
 
     table: str
     key: str
@@ -55,9 +55,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Edit:
-    """What an operator asks for.
+    """An operator's request to change some rows.
 
-    ``digest`` tells this edit from another one under the same change id.
+    ``digest``: distinguishes this edit from another with the same change id.
     """
 
     change_id: str
@@ -68,7 +68,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class RowChange:
-    """The values of a row before and after a change; ``None``: absent."""
+    """The values of a row before and after a change; ``None`` if absent."""
 
     table: str
     key: str
@@ -83,7 +83,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Change:
-    """An accepted edit, as its audit record tells it; ``at``: UTC, ISO 8601."""
+    """An accepted edit, as stored in its audit record; ``at``: UTC, ISO 8601."""
 
     version: int
     change_id: str
@@ -102,7 +102,7 @@
 
 
 def digest_of(content: object) -> str:
-    """Return a hash of what an operator asked for."""
+    """Return a hash of the content of an edit."""
     text = json.dumps(content, sort_keys=True, separators=(",", ":"))
     return hashlib.blake2b(text.encode(), digest_size=_DIGEST_BYTES).hexdigest()
 
@@ -123,10 +123,10 @@
     rows: collections.abc.Iterable[RowEdit],
     content: object = None,
 ) -> Edit:
-    """Check the parts of an edit and put them together.
+    """Validate the parts of an edit and return it.
 
-    :param content: what the operator asked for, if the rows alone do not tell
-        it; it must be the same when the edit is run again.
+    :param content: the operator's request, if the rows do not determine it; it
+        must be the same when the edit is retried.
     :raises ListsError: if a part is not valid.
     """
     if _CHANGE_ID.fullmatch(change_id) is None:
@@ -138,7 +138,7 @@
     edit_by_key: dict[RowKey, RowEdit] = {}
     for row in rows:
         if row.row_key in edit_by_key:
-            raise ListsError("the row is edited twice", where="/".join(row.row_key))
+            raise ListsError("expected one edit per row", where="/".join(row.row_key))
         edit_by_key[row.row_key] = dataclasses.replace(row, value=_normal_value(row))
     if not 0 < len(edit_by_key) <= MAX_EDIT_ROWS:
         raise ListsError(
@@ -150,7 +150,7 @@
 
 
 def keys_to_read(edit: Edit) -> list[RowKey]:
-    """Return the edited rows and the plans that their accounts name."""
+    """Return the keys of the edited rows and of the plans of edited accounts."""
     keys = dict.fromkeys(row.row_key for row in edit.rows)
     for row in edit.rows:
         if row.table == ACCOUNTS and row.value is not None:
@@ -159,12 +159,12 @@
 
 
 def deletes_plan(edit: Edit) -> bool:
-    """Tell whether all accounts are needed to judge an edit."""
+    """Return whether an edit deletes a plan, so that all accounts are checked."""
     return any(row.table == PLANS and row.value is None for row in edit.rows)
 
 
 def find_conflict(edit: Edit, lists: Lists) -> RowKey | None:
-    """Return a row that is not at the version that the operator saw."""
+    """Return a row that changed since the operator read it, if there is one."""
     for row in edit.rows:
         version = lists.row_versions.get(row.row_key, VERSION_ABSENT)
         if version != row.seen_version:
@@ -173,10 +173,9 @@
 
 
 def accept_edit(edit: Edit, lists: Lists, head: Head, at: str) -> Change:
-    """Judge an edit and return the change that it makes.
+    """Validate an edit against the lists and return the resulting change.
 
-    :param lists: the rows that `keys_to_read` names, and all accounts if
-        `deletes_plan`.
+    :param lists: the rows of `keys_to_read`, and all accounts if `deletes_plan`.
     :param at: the time in UTC, ISO 8601.
     :raises ListsError: if the lists would not be valid.
     """
@@ -194,7 +193,7 @@
 
 
 def make_transaction(edit: Edit, change: Change, head: Head) -> Transaction:
-    """Return the transaction that makes a change, or nothing of it."""
+    """Return the transaction that applies a change atomically."""
     audit_key = audit_key_of(change.version)
     conditions = [
         Condition(LISTS, HEAD, head.row_version),
@@ -213,7 +212,7 @@
 
 
 def audit_key_of(version: int) -> str:
-    """Return the key of a version's audit record."""
+    """Return the key of the audit record of a version."""
     return f"{version:0{_VERSION_DIGITS}d}"
 
 
@@ -228,9 +227,9 @@
 
 
 def parse_change(row: Row) -> Change:
-    """Read an audit record.
+    """Return the change of an audit record.
 
-    :raises ListsError: if it is not one.
+    :raises ListsError: if the row is absent or not a valid audit record.
     """
     if row.value is None:
         raise ListsError("there is no such record", where=f"{row.table}/{row.key}")
@@ -245,9 +244,9 @@
 
 
 def parse_version(row: Row) -> int:
-    """Read the version that ``lists/head`` or a row of ``changes`` holds.
+    """Return the version in ``lists/head`` or a row of ``changes``, 0 if absent.
 
-    :raises ListsError: if it holds none.
+    :raises ListsError: if the value of the row holds no version.
     """
     if row.value is None:
         return 0
@@ -258,7 +257,7 @@
 
 
 def apply_changes(lists: Lists, changes: collections.abc.Iterable[Change]) -> Lists:
-    """Return the lists after some changes, which follow on each other.
+    """Return the lists after some changes of consecutive versions.
 
     :raises ListsError: if a change is missing or can't be parsed.
     """
@@ -267,7 +266,8 @@
     for change in changes:
         if change.version != version + 1:
             raise ListsError(
-                f"version {change.version} does not follow on {version}", where=AUDIT
+                f"version {change.version} does not follow version {version}",
+                where=AUDIT,
             )
         version = change.version
         for row in change.rows:
--- a/src/wagtailstair/core/differences.py
+++ b/src/wagtailstair/core/differences.py
@@ -1,4 +1,4 @@
-"""Differences between lists, and the conflicts of two edits."""
+"""Differences between lists, and conflicts between edits."""
 
 import collections.abc
 
@@ -30,13 +30,14 @@
 
 
 def rebase_lists(
-    wanted: Lists, current: Lists, later: collections.abc.Iterable[Change]
+    edited: Lists, current: Lists, later: collections.abc.Iterable[Change]
 ) -> list[RowChange]:
-    """Return the rows of the current lists to change to get the wanted ones.
+    """Return the changes to the current lists that apply an operator's edits.
 
-    Rows that others changed since the wanted lists were read stay as the
-    others left them, unless both sides changed the row.
+    Rows that only others changed since the operator read the lists keep their
+    current values.
 
+    :param edited: the operator's lists, at the version they were read at.
     :param later: all changes between the versions of the two lists.
     :raises EditConflictError: naming a row that both sides changed.
     """
@@ -47,7 +48,7 @@
             base_by_key.setdefault(row.row_key, row.before)
             change_by_key[row.row_key] = change
     changes = []
-    for difference in diff_lists(current, wanted):
+    for difference in diff_lists(current, edited):
         key = difference.row_key
         if key not in base_by_key:
             changes.append(difference)
@@ -59,7 +60,7 @@
 
 
 def edit_conflict(key: RowKey, change: Change | None) -> EditConflictError:
-    """Return the error for a row that somebody else changed first."""
+    """Return the error for a row that another edit changed first."""
     where = "/".join(key)
     if change is None:
         return EditConflictError("the row has changed since it was read", where=where)
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -1,4 +1,4 @@
-"""One version of what callers may reach: routes, services, accounts, limits."""
+"""The routes, services, accounts and limits of one version of the lists."""
 
 import dataclasses
 import enum
@@ -6,7 +6,7 @@
 
 
 class RouteKind(enum.Enum):
-    """What may be repeated on a route."""
+    """The kind of a route, which decides whether its requests may be retried."""
 
     IDEMPOTENT = "idempotent"
     NON_IDEMPOTENT = "non_idempotent"
@@ -15,10 +15,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Accelerator:
-    """A kind of accelerator.
+    """A type of accelerator.
 
-    ``step_factor`` and ``prefill_factor`` multiply the model's times for decoding
-    and for reading prompts.
+    ``step_factor`` and ``prefill_factor`` scale the model's times for decoding
+    and for prefill.
     """
 
     name: str
@@ -29,10 +29,13 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ModelSpec:
-    """What a service's engines run, and the times of the whole model.
+    """The model that a service's engines run, with times for the whole model.
 
-    ``kv_bytes``: of one token in all layers; ``hidden_bytes``: of one token
-    between two engines; ``pipe_bytes_per_s``: between two data centres.
+    ``kv_bytes``: KV cache of one token in all layers; ``hidden_bytes``: hidden
+    state of one token sent between two engines; ``step_s`` and ``sequence_s``:
+    decode step, fixed and per running sequence; ``read_tokens_per_s``: prefill
+    rate; ``usual_answer``: output tokens of a typical request;
+    ``pipe_bytes_per_s``: bandwidth between two data centres.
     """
 
     layers: int
@@ -50,7 +53,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Service:
-    """A group of upstreams; ``model`` is set where they are model engines."""
+    """A group of upstreams; ``model`` is set if they are model engines."""
 
     name: str
     model: ModelSpec | None
@@ -58,11 +61,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Route:
-    """Where requests of one host and path prefix go.
+    """The routing of requests for one host and path prefix.
 
-    ``goal_s``: the response-time goal; ``rank``: 0 is the most urgent;
-    ``targets``: services with their weights; ``gap_s``: the longest pause
-    between events of a stream that is still on time, 0 for none.
+    ``goal_s``: target response time; ``rank``: 0 is the most urgent;
+    ``targets``: services with their weights; ``gap_s``: target for the longest
+    pause between events of a stream, 0 for none.
     """
 
     name: str
@@ -80,7 +83,7 @@
 
     @property
     def may_repeat(self) -> bool:
-        """Tell whether a request may run more than once."""
+        """Return whether a request may run more than once."""
         if self.kind is RouteKind.STREAMING:
             return self.is_resumable
         return self.kind is RouteKind.IDEMPOTENT
@@ -88,7 +91,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Account:
-    """A customer; ``rank`` goes before that of its routes, if set."""
+    """A customer; ``rank``, if set, takes precedence over that of the route."""
 
     name: str
     rank: int | None
@@ -96,7 +99,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallerLimits:
-    """Bounds on what a caller may send and on how long it may take."""
+    """Limits on the size of a request and on the time to send it."""
 
     header_bytes: int = 16 << 10
     body_bytes: int = 4 << 20
@@ -105,7 +108,7 @@
 
 
 class Denial(enum.Enum):
-    """Why the lists do not allow a request."""
+    """Why a request is not allowed."""
 
     NO_ROUTE = "no_route"
     UNKNOWN_KEY = "unknown_key"
@@ -113,7 +116,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Grant:
-    """The route and the account of a request, judged under one version."""
+    """The route and the account of an allowed request, under one version."""
 
     route: Route
     account: Account | None
@@ -128,7 +131,7 @@
 
 
 class Directory:
-    """All that is in force under one version."""
+    """Lookup of routes, services and accounts under one version."""
 
     __slots__ = (
         "_prefixes_by_host",
@@ -159,11 +162,11 @@
             self._prefixes_by_host.setdefault(route.host, {})[route.prefix] = route
 
     def find_route(self, host: str, path: str) -> Route | None:
-        """Return the route with the longest prefix of a path."""
+        """Return the route with the longest matching prefix, if there is one."""
         by_prefix = self._prefixes_by_host.get(host)
         if by_prefix is None:
             return None
-        # Prefixes begin and end with a slash: try the path's own, longest first.
+        # Prefixes start and end with a slash: try those of the path, longest first.
         end = path.rfind("/")
         while end >= 0:
             route = by_prefix.get(path[: end + 1])
@@ -173,7 +176,10 @@
         return None
 
     def judge(self, host: str, path: str, key: str | None) -> Grant | Denial:
-        """Tell whether a request is allowed; ``path`` is without the query."""
+        """Return the route and account of a request, or why it is denied.
+
+        :param path: the path without the query.
+        """
         route = self.find_route(host, path)
         if route is None:
             return Denial.NO_ROUTE
--- a/src/wagtailstair/core/keys.py
+++ b/src/wagtailstair/core/keys.py
@@ -1,4 +1,4 @@
-"""Bearer keys: made once, kept only as salted hashes."""
+"""Bearer keys, of which only salted hashes are stored."""
 
 import collections.abc
 import dataclasses
@@ -15,14 +15,14 @@
 SECRET_BYTES = 32
 SEPARATOR = "."
 
-# Compared where an account is unknown or has fewer keys than the limit, so that
-# the time of a check tells neither.
+# Compared if an account is unknown or has fewer keys than the limit, so that the
+# duration of a check reveals neither.
 _NO_KEY = Key(bytes(SALT_BYTES), bytes(DIGEST_BYTES))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class NewKey:
-    """A key that was just made, with the secret that is shown once."""
+    """A newly created key, with its secret, which is shown only once."""
 
     secret: str
     key: Key
@@ -35,9 +35,9 @@
 
 
 def new_key(random_bytes: collections.abc.Callable[[int], bytes]) -> NewKey:
-    """Make a key.
+    """Create a key.
 
-    :param random_bytes: a source of secure random bytes, as `os.urandom`.
+    :param random_bytes: a source of secure random bytes such as `os.urandom`.
     """
     secret = random_bytes(SECRET_BYTES).hex()
     salt = random_bytes(SALT_BYTES)
@@ -45,9 +45,9 @@
 
 
 def verify(lists: Lists, bearer: str) -> Account | None:
-    """Return the account that a bearer key ``ACCOUNT.SECRET`` names, if any.
+    """Return the account of a bearer key ``ACCOUNT.SECRET``, if it is valid.
 
-    The time taken does not depend on the account or on the secret.
+    The duration does not depend on the account or on the secret.
     """
     name, _, secret = bearer.partition(SEPARATOR)
     account = lists.account_by_name.get(name)
--- a/src/wagtailstair/core/lists.py
+++ b/src/wagtailstair/core/lists.py
@@ -1,4 +1,4 @@
-"""Both lists together, at one version."""
+"""Snapshots of the lists of plans and accounts, each at one version."""
 
 import collections.abc
 import dataclasses
@@ -29,10 +29,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Lists:
-    """An immutable snapshot of both lists at one version.
+    """An immutable snapshot of the plans and accounts at one version.
 
-    ``row_versions`` holds the versions of rows of the table, of those that
-    are known; a row that was learnt from a change record is left out.
+    ``row_versions``: the known versions of the rows in the table; a row whose
+    value comes from an audit record has none.
     """
 
     version: int = 0
@@ -41,11 +41,11 @@
     row_versions: t.Mapping[RowKey, int] = dataclasses.field(default_factory=dict)
 
     def plan_of(self, account: Account) -> Plan:
-        """Return the plan that an account of these lists holds."""
+        """Return the plan of an account of these lists."""
         return self.plan_by_name[account.plan]
 
     def value_of(self, key: RowKey) -> Value | None:
-        """Return the JSON value of a plan or an account, if it exists."""
+        """Return the JSON value of a plan or an account, ``None`` if absent."""
         table, name = key
         if table == PLANS:
             plan = self.plan_by_name.get(name)
@@ -56,7 +56,7 @@
     def with_rows(self, version: int, rows: collections.abc.Iterable[Row]) -> "Lists":
         """Return the lists at another version, with some rows replaced.
 
-        Parses these rows alone; the other accounts are copied by reference.
+        Only these rows are parsed; all others are copied by reference.
 
         :raises ListsError: if a row can't be parsed.
         """
@@ -102,8 +102,8 @@
 ) -> None:
     """Check that every account's plan exists.
 
-    :param changed: rows that differ from lists that are valid already; only a
-        deleted plan among them makes all accounts be looked at.
+    :param changed: rows that differ from lists already known to be valid; all
+        accounts are checked only if a plan among these rows was deleted.
     :raises ListsError: naming the account.
     """
     if changed is None:
@@ -124,7 +124,7 @@
 
 
 class ListsHolder:
-    """The lists in force; a lower version never replaces a higher one."""
+    """The current lists; a lower version never replaces a higher one."""
 
     __slots__ = ("_current", "_lock")
 
@@ -134,11 +134,11 @@
 
     @property
     def current(self) -> Lists:
-        """The lists in force; one request keeps the snapshot it began with."""
+        """The current lists; each request keeps the snapshot it started with."""
         return self._current
 
     def offer(self, lists: Lists) -> bool:
-        """Take lists of a higher version, as a whole; say whether taken."""
+        """Replace the current lists by a higher version; return whether replaced."""
         with self._lock:
             if lists.version <= self._current.version:
                 return False
--- a/src/wagtailstair/core/lists_toml.py
+++ b/src/wagtailstair/core/lists_toml.py
@@ -1,4 +1,4 @@
-"""The lists as TOML text."""
+"""Conversion of the lists to and from TOML."""
 
 import json
 import tomllib
@@ -27,10 +27,10 @@
 def lists_from_toml(text: str) -> Lists:
     """Parse and validate both lists.
 
-    The version is that of the lists which the text was made from, 0 if it
-    names none.
+    The version is that of the lists from which the text was written, 0 if the
+    text has none.
 
-    :raises ListsError: with the path of what is wrong in ``where``.
+    :raises ListsError: with the path of the invalid item in ``where``.
     """
     try:
         raw = tomllib.loads(text)
@@ -60,7 +60,7 @@
     if isinstance(value, list):
         return "[" + ", ".join(_literal(item) for item in value) + "]"
     if isinstance(value, str):
-        # A JSON string is a TOML basic string, but for DEL.
+        # A JSON string is a valid TOML basic string, except for DEL.
         return json.dumps(value, ensure_ascii=False).replace("\x7f", "\\u007f")
     return repr(value)
 
@@ -77,7 +77,7 @@
 
 
 def lists_to_toml(lists: Lists) -> str:
-    """Return both lists as text that `lists_from_toml` reads back."""
+    """Return both lists as TOML that `lists_from_toml` parses."""
     lines = [f"{_VERSION} = {lists.version}", ""]
     for name, plan in sorted(lists.plan_by_name.items()):
         lines.extend(_section(f"{PLANS}.{name}", plan_value(plan)))
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -1,10 +1,10 @@
-"""What daemons say to each other about requests, engines and quotas.
+"""Messages between daemons about requests, engines and quotas.
 
-A *handle* is a number that an entry host gives to one submission of a request
-to one dispatcher, or to one charge. It is used once, so that a late or
-repeated message can't touch a later submission of the same request. Its upper
-bits are the *era*: the number of times that the entry host has told that
-dispatcher to forget everything before.
+A *handle* is a number that an entry host assigns to one charge, or to one
+submission of a request to one dispatcher. It is used only once, so a late or
+duplicate message cannot affect a later submission of the same request. Its
+upper bits are the *era*: the number of resets that the entry host has sent to
+that dispatcher.
 """
 
 import dataclasses
@@ -19,11 +19,11 @@
 from .membership import View
 from .membership import ViewRequest
 
-ERA_SHIFT = 40  # bits of a handle below its era
+ERA_SHIFT = 40  # number of bits of a handle below its era
 
 
 class Limit(enum.IntEnum):
-    """The answer to a charge: allowed, or over which limit."""
+    """The limit that a charge exceeds, ``NONE`` if it is allowed."""
 
     NONE = 0
     RATE = 1
@@ -43,7 +43,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Submit:
-    """Ask a dispatcher for a route; repeated until there is an answer."""
+    """A request to a dispatcher for a route, repeated until it is answered."""
 
     handle: int
     key: PoolKey
@@ -52,14 +52,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Queued:
-    """The submission waits."""
+    """The submission is queued."""
 
     handle: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Granted:
-    """The submission has a route."""
+    """The submission has been granted a route."""
 
     handle: int
     route: Route
@@ -67,7 +67,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Refused:
-    """The submission gets no route."""
+    """The submission has been refused."""
 
     handle: int
     reason: RefusalReason
@@ -76,9 +76,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Withdraw:
-    """The entry host no longer waits, or does not use the grant.
+    """The entry host cancels its submission or does not use the grant.
 
-    ``key``: None if the entry host no longer knows it.
+    ``key``: ``None`` if the entry host no longer has it.
     """
 
     handle: int
@@ -87,7 +87,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Finished:
-    """A grant has ended with this cost."""
+    """A granted request has ended, with its cost and its failed engines."""
 
     handle: int
     key: PoolKey
@@ -98,7 +98,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Held:
-    """A grant in use that another dispatcher gave."""
+    """A grant in use that another dispatcher issued."""
 
     handle: int
     key: PoolKey
@@ -109,10 +109,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reset:
-    """The sender took the receiver for dead and has forgotten what it told.
+    """The sender had declared the receiver dead and discarded its state.
 
-    The receiver forgets the sender's handles of earlier eras than ``era`` and
-    submits anew what it had submitted to the sender.
+    The receiver drops the sender's handles of eras before ``era`` and resubmits
+    what it had submitted to the sender.
     """
 
     era: int
@@ -120,7 +120,10 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Charge:
-    """Ask an account's home for leave; ``adopt``: it has been given already."""
+    """A request to the host that keeps an account's quota to admit a call.
+
+    ``adopt``: the call has already been admitted.
+    """
 
     handle: int
     account: str
@@ -133,7 +136,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Charged:
-    """The home's answer."""
+    """The reply to a charge."""
 
     handle: int
     limit: Limit
@@ -150,7 +153,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineReport:
-    """A load report, read ``age_s`` seconds before it was sent."""
+    """A full load report of an engine, ``age_s`` seconds old when sent."""
 
     state: EngineState
     age_s: float
@@ -158,9 +161,9 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineLoad:
-    """What changes often of a load report, for a host that has the rest.
+    """The often changing part of a load report, for hosts that have the rest.
 
-    ``incarnation``: a checksum of the engine's incarnation.
+    ``incarnation``: checksum of the engine's incarnation.
     """
 
     name: str
@@ -174,14 +177,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportRequest:
-    """Ask for the whole report of an engine of which only the load came."""
+    """A request for the full report of an engine, after only its load arrived."""
 
     name: str
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineLost:
-    """An engine can't be reached or is off the host list."""
+    """An engine is unreachable or no longer in the host list."""
 
     name: str
     incarnation: str
@@ -192,7 +195,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Numbered:
-    """A message that is repeated until its number is acknowledged."""
+    """A message that is resent until its number is acknowledged."""
 
     number: int
     body: Reliable
@@ -200,11 +203,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineUses:
-    """What requests hold on engines; it replaces what its source told before.
+    """The load of requests on engines, replacing the earlier one of its source.
 
     ``source``: a host, or a data centre for the sum of its hosts; ``keys``:
-    checksums of engines and their starts; ``running``, ``heads`` and ``held``:
-    requests on each, those that begin there, and token-layers.
+    checksums of engines and their incarnations; ``running``, ``heads`` and
+    ``held``: per engine, its requests, those whose pipeline starts there, and
+    the token-layers that they occupy.
     """
 
     source: str
@@ -217,12 +221,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ack:
-    """These numbered messages have arrived."""
+    """An acknowledgement of numbered messages."""
 
     numbers: tuple[int, ...]
 
 
-Message = t.Union[  # noqa: UP007 - a name for the codec's registry
+Message = t.Union[  # noqa: UP007 - the codec's registry needs a named union
     Heartbeat,
     ViewRequest,
     View,
--- a/src/wagtailstair/core/story.py
+++ b/src/wagtailstair/core/story.py
@@ -1,4 +1,4 @@
-"""The story of one request, put together from the logs of any hosts."""
+"""The log events of one request, collected from the logs of several hosts."""
 
 import dataclasses
 import shlex
@@ -18,12 +18,12 @@
         "handler_failed",
     }
 )
-"""Events that change what a host believes, told beside the request's own."""
+"""Events of host state, which are shown with those of the request."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class LogLine:
-    """One event: its keys in the order in which they were written."""
+    """One log event, with its keys in written order."""
 
     time: str
     host: str
@@ -33,10 +33,10 @@
 
 @dataclasses.dataclass(slots=True)
 class Story:
-    """The lines that tell of a request, in order, and what was left out.
+    """The events of a request in time order, and the number of missing ones.
 
-    ``unreadable``: lines that are no events; ``left_out``: events that a host
-    did not write, as its bound was reached.
+    ``unreadable``: lines that are not events; ``left_out``: events that a host
+    dropped because its log budget was spent.
     """
 
     lines: list[LogLine]
@@ -45,7 +45,7 @@
 
     @property
     def outcome(self) -> str:
-        """Return the outcome that was logged last, empty if none was."""
+        """Return the last outcome that was logged, or an empty string."""
         for line in reversed(self.lines):
             if line.event == "request_ended":
                 return line.value_by_key.get("outcome", "")
@@ -53,18 +53,18 @@
 
 
 def parse_line(text: str) -> LogLine | None:
-    """Return the event of a line, ``None`` if it holds none."""
+    """Return the event of a log line, ``None`` if the line is not an event."""
     start = text.find("time=")
     if start < 0:
         return None
     try:
-        words = shlex.split(text[start:], posix=True)
-    except ValueError:  # a line that was cut inside quotes
+        pairs = shlex.split(text[start:], posix=True)
+    except ValueError:  # the line is truncated inside quotes
         return None
     values: dict[str, str] = {}
-    for word in words:
-        key, found, value = word.partition("=")
-        if found:
+    for pair in pairs:
+        key, separator, value = pair.partition("=")
+        if separator:
             values[key] = value
     event = values.pop("event", "")
     if not event or "host" not in values:
@@ -73,27 +73,28 @@
 
 
 def tell(lines: t.Iterable[str], request: str) -> Story:
-    """Return the story of a request.
+    """Return the events of a request, in time order.
 
-    Between its first and last event, changes of what its hosts believed are
-    told as well, where they name an upstream of the story or none.
+    Events of host state (`CONTEXT_EVENTS`) are included if they come from a host
+    of the request, between its first and its last event, and name an upstream of
+    the request or none.
     """
-    story = Story([])
+    trace = Story([])
     own: list[LogLine] = []
     context: list[LogLine] = []
     for text in lines:
         line = parse_line(text)
         if line is None:
-            story.unreadable += bool(text.strip())
+            trace.unreadable += bool(text.strip())
             continue
         left_out = line.value_by_key.get("left_out", "0")
-        story.left_out += int(left_out) if left_out.isdigit() else 0
+        trace.left_out += int(left_out) if left_out.isdigit() else 0
         if line.value_by_key.get("request") == request:
             own.append(line)
         elif line.event in CONTEXT_EVENTS:
             context.append(line)
     if not own:
-        return story
+        return trace
     hosts = {line.host for line in own}
     first = min(line.time for line in own)
     last = max(line.time for line in own)
@@ -104,5 +105,5 @@
             continue
         if replica is None or replica in named or line.event == "engine_suspected":
             own.append(line)
-    story.lines = sorted(own, key=lambda line: line.time)
-    return story
+    trace.lines = sorted(own, key=lambda line: line.time)
+    return trace
