--- a/tests/claim_world.py
+++ b/tests/claim_world.py
@@ -1,4 +1,4 @@
-"""Claims of several daemons, stepped by hand against fakes, with an oracle."""
+"""Simulation of the claims of several daemons against fakes, with invariants."""
 
 import dataclasses
 import enum
@@ -70,7 +70,7 @@
 
 @dataclasses.dataclass
 class Call:
-    """One call; its next command, or the event that it has not yet seen."""
+    """A call, with its pending command and the event not yet delivered to it."""
 
     daemon: Daemon
     key: str
@@ -99,7 +99,7 @@
 
 
 class Fault(enum.Enum):
-    """Faults that a step can meet, by what the command talks to."""
+    """Faults of a step; their effect depends on the target of its command."""
 
     NONE = "none"
     AWAY = "away"
@@ -130,7 +130,7 @@
         self.table = FakeTable()
         self.objects = FakeObjects()
         self.service = FakeService()
-        # Clocks of hosts have nothing to do with each other.
+        # The monotonic clocks of hosts are unrelated.
         self.daemons = [Daemon(f"h{n}", clock_offset=1000.0 * n) for n in range(hosts)]
         self.calls = []
         self.ended = []
@@ -139,7 +139,7 @@
         self.late_runs = []
         self._attempts = 0
 
-    # What callers, hosts and the platform do.
+    # Actions of callers, hosts and the platform.
 
     def submit(self, host, key="k", digest="d", body=b""):
         daemon = self.daemons[host]
@@ -151,12 +151,12 @@
         clock = self.now + daemon.clock_offset
         claim = Claim(row, clock + DEADLINE_S, LIMITS)
         call = Call(daemon, key, digest, claim, None, body)
-        self._take(call, claim.start(clock))
+        self._set_command(call, claim.start(clock))
         self.calls.append(call)
         return call
 
     def step(self, call, fault=Fault.NONE):
-        """Carry out a command, or let the call see what came of it."""
+        """Execute the pending command, or deliver its event to the claim."""
         if call.daemon.is_frozen or call.is_done:
             return
         if call.event is None:
@@ -164,10 +164,10 @@
             return
         event, call.event = call.event, None
         clock = self.now + call.daemon.clock_offset
-        self._take(call, call.claim.step(event, clock))
+        self._set_command(call, call.claim.step(event, clock))
 
     def finish(self, call, faults=()):
-        """Step a call to its end; each command takes the next fault."""
+        """Step a call to its end, with the next fault for each command."""
         faults = list(faults)
         for _ in range(200):
             if call.is_done:
@@ -176,10 +176,10 @@
             if call.event is None and not isinstance(call.command, Deliver | Wait):
                 fault = faults.pop(0) if faults else Fault.NONE
             self.step(call, fault)
-        raise AssertionError("the call doesn't end")
+        raise AssertionError("the call did not end within 200 steps")
 
     def kill(self, host):
-        """End a daemon's process; another takes its name."""
+        """Kill a daemon and start another process under its name."""
         daemon = self.daemons[host]
         self.ended += [call for call in self.calls if call.daemon is daemon]
         self.calls = [call for call in self.calls if call.daemon is not daemon]
@@ -191,7 +191,7 @@
         self.now += seconds
 
     def land(self, index=0):
-        """Let a delayed write or call take effect."""
+        """Let a delayed write take effect."""
         self.table.land(index)
 
     def land_call(self, index=0):
@@ -199,14 +199,14 @@
             self._run(self.late_runs.pop(index % len(self.late_runs)))
 
     def sweep(self):
-        """Delete rows past their retention, as the sweep of a daemon does."""
+        """Delete the rows past their retention, as a daemon's sweep does."""
         rows = self.table.scan(TABLE)
         for condition, write in find_expired(rows, self.now, LIMITS.retention_s):
             self.table.transact([condition], [write])
 
-    # The commands.
+    # Execution of commands.
 
-    def _take(self, call, command):
+    def _set_command(self, call, command):
         call.command = command
         if isinstance(command, Deliver):
             call.result = command.result
@@ -288,7 +288,7 @@
         self.answer_by_attempt[call.attempt] = answer
         return answer
 
-    # The oracle: what callers got against what the service ran.
+    # Invariants: results of callers against runs of the service.
 
     def check(self):
         self._check_runs()
@@ -297,7 +297,7 @@
                 self._check_result(call)
 
     def _check_replay(self, call):
-        """A retry gets what the last run under its key answered."""
+        """Check that a retry gets the answer of the last run under its key."""
         if not isinstance(call.result, Answer):
             return
         ((_, attempt),) = call.result.headers
@@ -308,8 +308,10 @@
         window_s = LIMITS.retention_s - LIMITS.send_window_s
         at_by_key = {}
         for run in self.runs:
-            before = at_by_key.get(run.key)
-            assert before is None or run.at - before > window_s, f"{run} ran twice"
+            previous_at = at_by_key.get(run.key)
+            assert previous_at is None or run.at - previous_at > window_s, (
+                f"{run} ran twice"
+            )
             at_by_key[run.key] = run.at
 
     def _check_result(self, call):
--- a/tests/lease_world.py
+++ b/tests/lease_world.py
@@ -1,4 +1,4 @@
-"""Candidates for one lease, stepped by hand, and engines that check no fence."""
+"""Simulation of candidates for one lease, with engines that check no fences."""
 
 import dataclasses
 
@@ -20,7 +20,7 @@
 ROLE = "placement/dc1"
 LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
 ORDER_S = 2.0
-# Clocks run at rates that differ by a few parts in a hundred, at worst.
+# Clock rates of the candidates; real clocks differ by a few percent at most.
 RATES = (0.97, 1.0, 1.03)
 
 
@@ -40,7 +40,7 @@
 class SentOrder:
     engine: int
     fence: int
-    lands_by: float
+    deadline: float
 
 
 class LeaseWorld:
@@ -54,19 +54,19 @@
         self.fences_by_engine = {engine: [] for engine in range(engines)}
         self.holder_by_fence = {}
         self.orders_sent = 0
-        self.on_the_way = []
+        self.pending_orders = []
 
     def clock(self, candidate):
         return self.now * candidate.rate
 
     def step(self, index, fault=WriteFault.NONE):
-        """Carry out a command, or let the candidate see what came of it."""
+        """Execute the pending command, or deliver its result to the candidate."""
         candidate = self.candidates[index]
         if candidate.is_frozen:
             return
         if candidate.seen is not None:
-            candidate.seen, seen = None, candidate.seen
-            seen(self.clock(candidate))
+            candidate.seen, deliver = None, candidate.seen
+            deliver(self.clock(candidate))
             return
         if candidate.command is None:
             candidate.command = candidate.lease.next(self.clock(candidate))
@@ -77,7 +77,7 @@
         candidate.seen = self._execute(candidate, command, fault)
 
     def tick(self, index):
-        """Step a candidate until it waits."""
+        """Step a candidate until it waits, or for 12 steps."""
         candidate = self.candidates[index]
         for _ in range(12):
             if isinstance(candidate.command, LeaseWait):
@@ -107,7 +107,7 @@
         return lambda now: lease.on_written(version, command.row, now)
 
     def send_order(self, index, engine, is_slow):
-        """Send an order, if the lease allows; a slow one lands later."""
+        """Send an order if the lease allows it; a slow one takes effect later."""
         candidate = self.candidates[index]
         if candidate.is_frozen:
             return False
@@ -119,24 +119,24 @@
         assert first == holder, f"{first} and {holder} share a fencing number"
         order = SentOrder(engine, candidate.lease.fence, self.now + ORDER_S)
         if is_slow:
-            self.on_the_way.append(order)
+            self.pending_orders.append(order)
         else:
-            self._take(order)
+            self._apply_order(order)
         return True
 
     def land(self, index):
-        if self.on_the_way:
-            self._take(self.on_the_way.pop(index % len(self.on_the_way)))
+        if self.pending_orders:
+            self._apply_order(self.pending_orders.pop(index % len(self.pending_orders)))
 
     def advance(self, seconds):
-        """Let time pass; no order is on its way for longer than its timeout."""
+        """Advance the time; an order takes effect at its timeout at the latest."""
         self.now += seconds
-        for order in sorted(self.on_the_way, key=lambda order: order.lands_by):
-            if order.lands_by <= self.now:
-                self.on_the_way.remove(order)
-                self._take(order)
+        for order in sorted(self.pending_orders, key=lambda order: order.deadline):
+            if order.deadline <= self.now:
+                self.pending_orders.remove(order)
+                self._apply_order(order)
 
-    def _take(self, order):
+    def _apply_order(self, order):
         self.fences_by_engine[order.engine].append(order.fence)
         self.check()
 
@@ -147,16 +147,16 @@
         self.candidates[index] = Candidate(old.name, old.rate, lease, incarnation)
 
     def release(self, index):
-        """Give the lease up as a daemon does that ends gracefully."""
+        """Release the lease, as a daemon does on graceful shutdown."""
         candidate = self.candidates[index]
-        if candidate.is_frozen or self.on_the_way or candidate.seen is not None:
+        if candidate.is_frozen or self.pending_orders or candidate.seen is not None:
             return
         command = candidate.lease.release(self.clock(candidate))
         if command is None:
             return
         candidate.command = command
 
-    # The oracle.
+    # Invariants.
 
     def check(self):
         for engine, fences in self.fences_by_engine.items():
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -27,7 +27,7 @@
 
 CLOCK = ManualClock()
 RETRY = RetryPolicy(attempts=4, pause=lambda _: None)
-NOTHING = Lists()
+EMPTY = Lists()
 
 
 def plan(weight=1.0):
@@ -85,7 +85,7 @@
             ({"rows": [RowEdit("plans", "x", None, 1)] * 2}, "plans/x"),
         ],
     )
-    def test_refuses(self, options, where):
+    def test_rejects_an_invalid_part(self, options, where):
         good = {
             "change_id": "c",
             "author": "ana",
@@ -95,7 +95,7 @@
             make_edit(**(good | options))
         assert caught.value.where == where
 
-    def test_the_digest_ignores_what_is_not_content(self):
+    def test_the_digest_depends_on_the_content_alone(self):
         first = make_edit("c", "ana", [RowEdit("plans", "x", plan(), 1)])
         value = {**dict(reversed(plan().items())), "weight": 1}
         again = make_edit("c", "ben", [RowEdit("plans", "x", value, 2)])
@@ -134,20 +134,20 @@
         assert caught.value.where == "plans/maker"
         assert read_head(table).version == 2
 
-    def test_an_old_conflict_is_told_without_its_audit_record(self):
+    def test_a_conflict_without_an_audit_record_is_still_reported(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         table.transact([], [Write("audit", "000000000001", None)])
         with pytest.raises(EditConflictError, match="has changed"):
             put_plan(table, "c2", "maker", seen=5)
 
-    def test_an_account_needs_its_plan(self):
+    def test_an_account_without_its_plan_is_rejected(self):
         table = FakeTable()
         with pytest.raises(ListsError, match="no plan"):
             put_account(table, "c1", "shop", "maker")
         assert read_head(table).version == 0
 
-    def test_a_plan_deleted_under_a_moving_account(self):
+    def test_a_plan_is_deleted_while_an_account_moves_to_it(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         table.before_call = scripted(lambda: delete(table, "c2", "plans", "maker"))
@@ -155,7 +155,7 @@
             put_account(table, "c3", "shop", "maker")
         assert table.keys("accounts") == []
 
-    def test_an_account_that_moves_onto_a_plan_being_deleted(self):
+    def test_an_account_moves_to_a_plan_while_it_is_deleted(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         table.before_call = scripted(
@@ -165,14 +165,14 @@
             delete(table, "c3", "plans", "maker")
         assert table.keys("plans") == ["maker"]
 
-    def test_a_refusal_by_rows_of_two_versions_is_judged_anew(self):
+    def test_a_rejection_by_rows_of_two_versions_is_checked_again(self):
         table = FakeTable()
         put_plan(table, "c1", "old")
         put_plan(table, "c2", "new")
         put_account(table, "c3", "shop", "old")
 
-        # Between the scan of the accounts and the judgement, the account
-        # moves away, so that the plan may be deleted.
+        # The account leaves the plan after the scan of the accounts and before
+        # the validation, so the plan may be deleted.
         def move():
             put_account(table, "c4", "shop", "new")
 
@@ -190,18 +190,18 @@
             ("plans", "maker"),
         ],
     )
-    def test_each_row_of_the_transaction_is_conditioned(self, key):
+    def test_each_row_of_the_transaction_has_a_condition(self, key):
         table = FakeTable()
 
-        def sneak():
+        def change_row():
             table.value_by_key[key] = "{}"
             table.version_by_key[key] += 1
 
-        table.before_call = scripted(sneak)
+        table.before_call = scripted(change_row)
         with pytest.raises(PlatformConflictError):
             put_plan(table, "c1", "maker", retry=RetryPolicy(attempts=1))
 
-    def test_a_damaged_row_is_the_platforms_fault(self):
+    def test_a_damaged_row_raises_a_platform_error(self):
         table = FakeTable()
         table.transact([], [Write("plans", "maker", {"weight": 1})])
         with pytest.raises(PlatformError, match="damaged"):
@@ -237,7 +237,7 @@
         assert put_plan(table, "c1", "maker").version == 1
         assert table.keys("audit") == ["000000000001"]
 
-    def test_running_again_returns_the_first_change(self):
+    def test_a_retry_returns_the_first_change(self):
         table = FakeTable()
         table.before_call = scripted(*["lose_reply", "unavailable"] * 4)
         first = put_plan(table, "c1", "maker", seen=0)
@@ -245,13 +245,13 @@
         assert put_plan(table, "c1", "maker", seen=0) == first
         assert read_head(table).version == 2
 
-    def test_a_change_id_is_not_used_for_another_edit(self):
+    def test_a_change_id_is_rejected_for_another_edit(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         with pytest.raises(ListsError, match="another edit"):
             put_plan(table, "c1", "maker", 2.0)
 
-    def test_an_outcome_that_stays_open_is_unknown(self):
+    def test_an_unresolved_outcome_is_unknown(self):
         table = FakeTable()
         table.before_call = scripted("delay", *["unavailable"] * 3)
         with pytest.raises(PlatformUnknownError, match="c1"):
@@ -263,7 +263,7 @@
         with pytest.raises(PlatformUnavailableError):
             put_plan(table, "c1", "maker")
 
-    def test_gives_up_when_others_always_come_first(self):
+    def test_stops_retrying_if_other_edits_always_win(self):
         table = FakeTable()
 
         def other():
@@ -278,13 +278,13 @@
 
 
 class TestReading:
-    def test_a_snapshot_is_of_one_version(self):
+    def test_a_snapshot_has_a_single_version(self):
         table = FakeTable()
         for name in ("a", "b", "c", "d"):
             put_plan(table, f"c-{name}", name)
         put_account(table, "c-shop", "shop", "a")
 
-        # The account leaves for a plan that the scan of plans has passed.
+        # The account moves to a plan that the scan of plans has already passed.
         def change():
             put_plan(table, "c-aa", "aa")
             put_account(table, "c-move", "shop", "aa")
@@ -300,7 +300,7 @@
         assert seen_version(lists, ("plans", "b")) == 1
         assert seen_version(lists, ("plans", "a")) == 0
 
-    def test_follows_by_audit_records_alone(self):
+    def test_an_update_reads_only_audit_records(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         old = read_snapshot(table)
@@ -312,14 +312,14 @@
         assert table.calls["scan"] == scans
         assert read_since(table, new) is new
 
-    def test_never_goes_back(self):
+    def test_an_update_never_lowers_the_version(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         newer = Lists(9)
         assert read_since(table, newer) is newer
 
     @pytest.mark.parametrize("gap", [True, False])
-    def test_reads_all_when_too_far_behind(self, monkeypatch, gap):
+    def test_reads_all_rows_when_too_far_behind(self, monkeypatch, gap):
         table = FakeTable()
         for number in range(4):
             put_plan(table, f"c{number}", f"p{number}")
@@ -327,11 +327,11 @@
             table.transact([], [Write("audit", "000000000002", None)])
         else:
             monkeypatch.setattr(platform_lists, "MAX_FOLLOWED_CHANGES", 3)
-        lists = read_since(table, NOTHING)
+        lists = read_since(table, EMPTY)
         assert (lists.version, len(lists.plan_by_name)) == (4, 4)
         assert table.calls["scan"] > 0
 
-    def test_a_few_rows(self):
+    def test_reads_only_the_given_rows(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         lists = read_rows(table, [("plans", "maker"), ("plans", "none")])
@@ -342,9 +342,9 @@
 class TestDifferences:
     def lists(self, version, **weights):
         rows = [Row("plans", name, 1, plan(weight)) for name, weight in weights.items()]
-        return NOTHING.with_rows(version, rows)
+        return EMPTY.with_rows(version, rows)
 
-    def test_diff_names_only_rows_that_differ(self):
+    def test_diff_contains_only_rows_that_differ(self):
         old = self.lists(1, a=1.0, b=1.0, c=1.0)
         new = self.lists(2, b=1.0, c=2.0, d=1.0)
         changes = diff_lists(old, new)
@@ -353,20 +353,20 @@
         assert changes[1].before["weight"] == 1.0
         assert changes[1].value["weight"] == 2.0
 
-    def test_rebase_keeps_what_others_changed(self):
+    def test_rebase_keeps_changes_of_others(self):
         table = FakeTable()
         put_plan(table, "c1", "mine")
         put_plan(table, "c2", "theirs")
         put_plan(table, "c3", "theirs", 5.0)
-        wanted = self.lists(2, mine=2.0, theirs=1.0)
+        edited = self.lists(2, mine=2.0, theirs=1.0)
         current = read_snapshot(table)
-        changes = rebase_lists(wanted, current, read_changes(table, 3, 3))
+        changes = rebase_lists(edited, current, read_changes(table, 3, 3))
         assert [change.key for change in changes] == ["mine"]
 
-    def test_rebase_refuses_a_row_that_both_changed(self):
+    def test_rebase_rejects_a_row_that_both_changed(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         put_plan(table, "c2", "maker", 5.0, author="ben")
-        wanted = self.lists(1, maker=2.0)
+        edited = self.lists(1, maker=2.0)
         with pytest.raises(EditConflictError, match="by ben"):
-            rebase_lists(wanted, read_snapshot(table), read_changes(table, 2, 2))
+            rebase_lists(edited, read_snapshot(table), read_changes(table, 2, 2))
--- a/tests/test_changes_machine.py
+++ b/tests/test_changes_machine.py
@@ -1,4 +1,4 @@
-"""Several operators on one table, with faults, against a plain history."""
+"""Several operators on one table with faults, checked against the audit records."""
 
 import collections
 
@@ -30,7 +30,7 @@
 PLANS = ["p0", "p1", "p2"]
 ACCOUNTS = ["a0", "a1", "a2"]
 OPERATORS = range(3)
-# What happens before a call; a call may also get the fault of a write.
+# Events before a call to the table; a write may also get one of WRITE_FAULTS.
 EVENTS = ["none"] * 6 + ["unavailable", "crash_before", "other_edit", "deliver"]
 WRITE_FAULTS = [
     "none",
@@ -63,7 +63,7 @@
 
 
 class Operators(RuleBasedStateMachine):
-    """Operators look at the lists, edit what they saw, and run edits again."""
+    """Operators that read the lists, edit what they read, and retry edits."""
 
     def __init__(self):
         super().__init__()
@@ -75,7 +75,7 @@
         self.seen_values_by_id = {}
         self.accepted_by_id = {}
         self.refused = set()
-        self.open = {}
+        self.base_version_by_unresolved_id = {}
         self.head = 0
 
     @initialize()
@@ -93,7 +93,7 @@
             if event == "deliver":
                 self.table.deliver()
             elif event == "other_edit":
-                self.quietly(lambda: self.edit_now(*draw(kind)))
+                self.without_faults(lambda: self.edit_now(*draw(kind)))
             elif event != "none":
                 return event
             if kind == "transact" and faults:
@@ -102,7 +102,7 @@
 
         self.table.before_call = before_call
 
-    def quietly(self, action):
+    def without_faults(self, action):
         before, self.table.before_call = self.table.before_call, lambda kind: None
         try:
             action()
@@ -133,7 +133,7 @@
         self.seen_values_by_id[change_id] = {
             row.row_key: seen.value_of(row.row_key) for row in edit.rows
         }
-        self.open[change_id] = seen.version
+        self.base_version_by_unresolved_id[change_id] = seen.version
         return edit
 
     def edit_now(self, targets):
@@ -146,7 +146,7 @@
         except (CrashError, PlatformUnknownError):
             return
         except (PlatformUnavailableError, PlatformConflictError):
-            # Nothing of this run took effect; an earlier one's may be open.
+            # This run had no effect, but an earlier run may still take effect.
             return
         except EditConflictError:
             self.check_conflict(edit)
@@ -157,12 +157,12 @@
             return
         assert change_id not in self.refused
         assert self.accepted_by_id.setdefault(change_id, change) == change
-        self.open.pop(change_id, None)
+        self.base_version_by_unresolved_id.pop(change_id, None)
 
     def refuse(self, change_id):
         assert change_id not in self.accepted_by_id
         self.refused.add(change_id)
-        self.open.pop(change_id, None)
+        self.base_version_by_unresolved_id.pop(change_id, None)
 
     def records(self):
         return [
@@ -173,13 +173,15 @@
         edited = {row.row_key for row in edit.rows}
         changed = set()
         for record in self.records():
-            if record["version"] <= self.open.get(edit.change_id, 0):
+            if record["version"] <= self.base_version_by_unresolved_id.get(
+                edit.change_id, 0
+            ):
                 continue
             changed |= {(row["table"], row["key"]) for row in record["rows"]}
         assert edited & changed, "told of a conflict that there was not"
 
     def history(self, version):
-        """Replay what the operators asked for, in order of the versions."""
+        """Return the rows after replaying the accepted edits by version."""
         value_by_key = {}
         for record in self.records()[:version]:
             for row in self.edit_by_id[record["change_id"]].rows:
@@ -223,7 +225,7 @@
         try:
             edit = self.new_edit(self.seen[operator], wanted)
         except EditConflictError:
-            # The row's version is not known: the operator looks again.
+            # The version of the row is unknown: the operator must read again.
             return
         self.start_script(script, lambda kind: (data.draw(EDITS),))
         self.run_scripted(edit)
@@ -282,7 +284,7 @@
             assert record["change_id"] == change_id
 
     @invariant()
-    def no_accepted_edit_is_lost_or_overwrites_what_was_not_seen(self):
+    def no_accepted_edit_is_lost_or_overwrites_an_unseen_value(self):
         value_by_key = {}
         for record in self.records():
             change_id = record["change_id"]
@@ -299,9 +301,9 @@
         self.table.before_call = lambda kind: None
         while self.table.in_flight:
             self.table.deliver()
-        for change_id in list(self.open):
+        for change_id in list(self.base_version_by_unresolved_id):
             self.run(self.edit_by_id[change_id])
-        assert not self.open
+        assert not self.base_version_by_unresolved_id
         recorded = {record["change_id"] for record in self.records()}
         assert recorded == self.accepted_by_id.keys()
         self.check_lists(read_snapshot(self.table))
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -73,10 +73,10 @@
             (("", "a", "b"), ("a", "", "b")),
         ],
     )
-    def test_triples_never_share_a_row(self, left, right):
+    def test_different_triples_have_different_row_keys(self, left, right):
         assert make_claim_key(*left) != make_claim_key(*right)
 
-    def test_hash_tells_neighbouring_parts_apart(self):
+    def test_hash_depends_on_the_split_into_parts(self):
         assert hash_request("POST", "/a", b"bc") != hash_request("POST", "/ab", b"c")
 
 
@@ -87,7 +87,7 @@
         assert again == first
         assert world.service.runs == ["k"]
 
-    def test_large_answer_is_kept_in_the_object_store(self, world):
+    def test_large_answer_is_stored_in_the_object_store(self, world):
         body = b"x" * (LIMITS.inline_body_bytes + 1)
 
         def send():
@@ -99,7 +99,7 @@
         assert len(world.claim_rows()[0]["body"]) == 0
         assert world.run(world.daemon("h2")) == first
 
-    def test_other_request_under_the_key_is_an_error(self, world):
+    def test_different_request_with_the_same_key_is_rejected(self, world):
         world.run(world.daemon("h1"))
         with pytest.raises(KeyReusedError) as caught:
             world.run(world.daemon("h1"), digest="other")
@@ -116,7 +116,7 @@
         assert world.claim_rows() == []
         assert world.run(world.daemon("h2")).status == 201
 
-    def test_keeps_the_error_of_the_sender(self, world):
+    def test_raises_the_error_of_the_sender(self, world):
         def send():
             raise QueueFullError("full")
 
@@ -124,7 +124,7 @@
             world.daemon("h1").run("a", "s", "k", "h", CLOCK.monotonic() + 9, send)
         assert world.claim_rows() == []
 
-    def test_refuses_while_the_table_is_away(self, world):
+    def test_rejects_calls_while_the_table_is_unavailable(self, world):
         world.table.is_away = True
         with pytest.raises(NotReadyError) as caught:
             world.run(world.daemon("h1"))
@@ -132,7 +132,7 @@
         assert world.service.runs == []
 
 
-class TestInDoubt:
+class TestOutcomeUnknown:
     @pytest.mark.parametrize("fault", [CallFault.REQUEST_LOST, CallFault.REPLY_LOST])
     def test_lost_call_is_never_sent_again(self, world, fault):
         with pytest.raises(OutcomeUnknownError):
@@ -142,14 +142,14 @@
             world.run(world.daemon("h2"))
         assert world.service.runs == runs
 
-    def test_unexpected_error_of_the_sender_is_in_doubt(self, world):
+    def test_unexpected_error_of_the_sender_has_an_unknown_outcome(self, world):
         def send():
             raise RuntimeError("bug")
 
         with pytest.raises(OutcomeUnknownError):
             world.daemon("h1").run("a", "s", "k", "h", CLOCK.monotonic() + 9, send)
 
-    def test_dead_claimant_ends_the_wait(self, world):
+    def test_wait_ends_if_the_claimant_is_dead(self, world):
         dead = world.daemon("h1", incarnation="i1")
         waiter = world.daemon("h2", is_dead=lambda host, i: (host, i) == ("h1", "i1"))
 
@@ -176,27 +176,27 @@
     @pytest.mark.parametrize(
         "fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST, WriteFault.DELAYED]
     )
-    def test_claim_is_settled_by_reading_it_back(self, world, fault):
+    def test_lost_insert_is_resolved_by_reading_the_row(self, world, fault):
         world.table.faults.append(fault)
         assert world.run(world.daemon("h1")).status == 201
         assert world.service.runs == ["k"]
 
     @pytest.mark.parametrize("fault", list(WriteFault))
-    def test_result_is_settled(self, world, fault):
+    def test_result_is_written_despite_a_fault(self, world, fault):
         world.table.faults.extend([WriteFault.NONE, fault])
         first = world.run(world.daemon("h1"))
         assert world.run(world.daemon("h2")) == first
         assert world.service.runs == ["k"]
 
     @pytest.mark.parametrize("fault", list(WriteFault))
-    def test_release_is_settled(self, world, fault):
+    def test_claim_is_released_despite_a_fault(self, world, fault):
         world.table.faults.extend([WriteFault.NONE, fault])
         claims = world.daemon("h1")
         with pytest.raises(NoUpstreamError):
             world.run(claims, CallFault.REFUSED)
         assert world.run(world.daemon("h2")).status == 201
 
-    def test_answer_does_not_wait_for_a_long_outage(self, world):
+    def test_answer_is_delivered_during_a_long_outage(self, world):
         claims = world.daemon("h1")
 
         def send():
@@ -221,7 +221,7 @@
         assert claims.sweep(list(rows.values())) == 1
         assert [row.key for row in world.table.scan("claims")] == ["acme/desk/new"]
 
-    def test_keeps_a_row_that_was_written_anew(self, world):
+    def test_keeps_a_row_that_was_rewritten_since_the_scan(self, world):
         claims = world.daemon("h1")
         world.run(claims)
         (seen,) = world.table.scan("claims")
@@ -237,44 +237,44 @@
         yield writer
         writer.close()
 
-    def submit_held(self, world, writer, keys):
-        """Queue writes behind one that is held, so that they share a batch."""
-        held = threading.Event()
-        free = threading.Event()
+    def submit_behind_blocked_write(self, world, writer, keys):
+        """Queue writes behind a blocked one, so that they share a batch."""
+        blocked = threading.Event()
+        unblock = threading.Event()
         transact = world.table.transact
 
         def slow(conditions, writes):
-            held.set()
-            free.wait()
+            blocked.set()
+            unblock.wait()
             world.table.transact = transact
             return transact(conditions, writes)
 
         world.table.transact = slow
         first = writer.submit(Condition("t", "first", 0), Write("t", "first", {}))
-        held.wait()
+        blocked.wait()
         futures = [
             writer.submit(Condition("t", key, 0), Write("t", key, {"n": n}))
             for n, key in enumerate(keys)
         ]
-        free.set()
+        unblock.set()
         first.result()
         return futures
 
     def test_shares_a_transaction(self, world, writer):
-        futures = self.submit_held(world, writer, ["a", "b", "c"])
+        futures = self.submit_behind_blocked_write(world, writer, ["a", "b", "c"])
         assert [future.result() for future in futures] == [1, 1, 1]
         assert len(world.table.transactions) == 2
 
     def test_one_conflict_does_not_fail_the_others(self, world, writer):
         world.table.transact([], [Write("t", "b", {})])
-        futures = self.submit_held(world, writer, ["a", "b", "c"])
+        futures = self.submit_behind_blocked_write(world, writer, ["a", "b", "c"])
         assert futures[0].result() == 1
         with pytest.raises(PlatformConflictError):
             futures[1].result()
         assert futures[2].result() == 1
 
     def test_two_writes_of_a_row_never_share_a_transaction(self, world, writer):
-        futures = self.submit_held(world, writer, ["a", "a"])
+        futures = self.submit_behind_blocked_write(world, writer, ["a", "a"])
         assert futures[0].result() == 1
         with pytest.raises(PlatformConflictError):
             futures[1].result()
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -64,7 +64,7 @@
 
 
 class ClaimsMachine(RuleBasedStateMachine):
-    """Every order of steps, faults, kills, freezes, cuts and sweeps."""
+    """Claims under any order of steps, faults, kills, freezes, cuts and sweeps."""
 
     @initialize()
     def start(self):
@@ -77,7 +77,7 @@
     @precondition(lambda self: self.world.calls)
     @rule(index=indexes, script=st.lists(faults, min_size=1, max_size=6))
     def step(self, index, script):
-        """Take half a step for each fault: an effect, or the sight of one."""
+        """Make half a step per fault: execute a command, or deliver its event."""
         call = self.world.calls[index % len(self.world.calls)]
         for fault in script:
             self.world.step(call, fault)
@@ -117,8 +117,8 @@
 TestClaimsMachine = fuzz.seeded(ClaimsMachine)
 
 
-class TestThawed:
-    def test_result_of_a_swept_claim_replaces_no_newer_one(self):
+class TestResumedDaemon:
+    def test_result_of_a_swept_claim_does_not_replace_a_newer_one(self):
         world = ClaimWorld()
         old = world.submit(0)
         for _ in range(4):
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -22,7 +22,7 @@
         assert (route.goal_s, route.gap_s, route.attempts) == (0.5, 0.25, 2)
         assert route.may_repeat
 
-    def test_split_becomes_weighted_targets(self, directory):
+    def test_split_gives_weighted_targets(self, directory):
         route = directory.find_route("desk.example", "/lookup/x")
         assert route is not None
         assert route.targets == (("desk", 90.0), ("desk2", 10.0))
@@ -43,7 +43,7 @@
         "value",
         [b"", b"{", b"[]", b"\xff\xfe", encode({"version": 1})],
     )
-    def test_unreadable(self, value):
+    def test_invalid_value(self, value):
         with pytest.raises(ListsError, match="op/config"):
             decode_directory(value)
 
@@ -54,7 +54,7 @@
             decode_directory(encode(config))
 
 
-class TestJudge:
+class TestAuthorize:
     def test_longest_prefix_wins(self):
         config = make_config()
         longer = dict(config["routes"][1], name="deep", prefix="/register/fee/")
@@ -81,12 +81,12 @@
         assert isinstance(grant, Grant)
         assert grant.account is None
 
-    def test_rank_of_the_account_goes_first(self, directory):
+    def test_rank_of_the_account_takes_precedence(self, directory):
         maker = directory.judge("desk.example", "/draft/1", "key-two")
         judge = directory.judge("desk.example", "/draft/1", "key-three")
         assert (maker.rank, judge.rank) == (1, 0)
         assert maker.version == 7
 
-    def test_no_accounts_need_no_keys(self):
+    def test_keys_are_not_required_without_accounts(self):
         directory = decode_directory(encode(make_config(tenants=[])))
         assert isinstance(directory.judge("desk.example", "/draft/1", None), Grant)
--- a/tests/test_keys.py
+++ b/tests/test_keys.py
@@ -20,7 +20,7 @@
 
 class TestVerify:
     @pytest.mark.parametrize("new", [FIRST, SECOND])
-    def test_any_key_of_the_account_names_it(self, new):
+    def test_every_key_of_an_account_is_valid(self, new):
         account = keys.verify(LISTS, f"shop.{new.secret}")
         assert account is LISTS.account_by_name["shop"]
 
@@ -38,7 +38,7 @@
             "shop.\ud800",
         ],
     )
-    def test_nothing_else_does(self, bearer):
+    def test_any_other_bearer_is_rejected(self, bearer):
         assert keys.verify(LISTS, bearer) is None
 
     def test_an_unset_digest_matches_no_secret(self, monkeypatch):
@@ -46,7 +46,7 @@
         assert keys.verify(LISTS, "bare.any") is None
 
     @pytest.mark.parametrize("account", ["shop", "bare", "other"])
-    def test_every_check_costs_the_same_number_of_hashes(self, monkeypatch, account):
+    def test_every_check_computes_the_same_number_of_hashes(self, monkeypatch, account):
         salts = []
 
         def count(secret, salt):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -32,20 +32,20 @@
 
 
 class TestAcquire:
-    def test_first_holder_gets_number_one(self, world):
+    def test_first_holder_gets_fencing_number_one(self, world):
         keeper = world.keeper("a")
         keeper.tick()
         assert keeper.may_order(1, ORDER_S)
         assert world.row().holder == "a"
 
     @pytest.mark.parametrize("fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST])
-    def test_lost_reply_is_read_back(self, world, fault):
+    def test_lost_write_is_resolved_by_reading_the_row(self, world, fault):
         world.table.faults.append(fault)
         keeper = world.keeper("a")
         keeper.tick()
         assert keeper.may_order(1, ORDER_S)
 
-    def test_second_waits_a_full_lease_from_its_first_sight(self, world):
+    def test_second_waits_a_full_lease_from_its_first_read(self, world):
         world.keeper("a").tick()
         world.clock.advance(9.0)
         second = world.keeper("b")
@@ -58,7 +58,7 @@
         second.tick()
         assert (world.row().holder, world.row().fence) == ("b", 2)
 
-    def test_successor_lets_the_last_order_end_first(self, world):
+    def test_successor_waits_until_the_last_order_has_ended(self, world):
         world.keeper("a").tick()
         second = world.keeper("b")
         second.tick()
@@ -69,7 +69,7 @@
         world.clock.advance(ORDER_S)
         assert second.may_order(2, ORDER_S)
 
-    def test_released_lease_is_taken_at_once(self, world):
+    def test_released_lease_is_acquired_immediately(self, world):
         first = world.keeper("a")
         first.tick()
         first.release()
@@ -86,7 +86,7 @@
 
 
 class TestHold:
-    def test_ends_a_margin_and_an_order_before_the_lease(self, world):
+    def test_last_order_ends_before_the_lease_less_its_margin(self, world):
         keeper = world.keeper("a")
         keeper.tick()
         world.clock.advance(6.9)
@@ -94,7 +94,7 @@
         world.clock.advance(0.2)
         assert not keeper.may_order(1, ORDER_S)
 
-    def test_counts_from_before_the_write_was_sent(self, world):
+    def test_lease_starts_before_its_write_is_sent(self, world):
         lease = Lease("a", LIMITS)
         lease.next(100.0)
         lease.on_read(0, None, 100.0)
@@ -103,7 +103,7 @@
         assert lease.holds(108.9)
         assert not lease.holds(109.1)
 
-    def test_late_landing_renewal_counts_from_when_it_was_sent(self, world):
+    def test_delayed_renewal_starts_before_it_is_sent(self, world):
         keeper = world.keeper("a")
         keeper.tick()
         world.clock.advance(3.5)
@@ -119,14 +119,14 @@
         world.clock.advance(0.5)
         assert not keeper.may_order(1, 0.0)
 
-    def test_renews_before_it_ends(self, world):
+    def test_renews_before_expiry(self, world):
         keeper = world.keeper("a")
         for _ in range(20):
             world.clock.advance(keeper.tick())
             assert keeper.may_order(1, ORDER_S)
         assert world.row().fence == 1
 
-    def test_stops_while_the_table_is_away(self, world):
+    def test_expires_while_the_table_is_unavailable(self, world):
         keeper = world.keeper("a")
         keeper.tick()
         world.table.is_away = True
@@ -137,11 +137,11 @@
 
 
 class TestRow:
-    def test_refuses_what_is_not_a_lease(self):
+    def test_rejects_a_value_that_is_not_a_lease(self):
         with pytest.raises(ValueError, match="not a lease"):
             decode_lease({"holder": "a"})
 
-    def test_other_holder_is_waited_for(self):
+    def test_waits_while_another_holder_has_the_lease(self):
         lease = Lease("b", LIMITS)
         lease.on_read(4, LeaseRow("a", 7, 10.0, 1), 50.0)
         assert isinstance(lease.next(50.0), LeaseWait)
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -42,7 +42,7 @@
 
 
 class LeasesMachine(RuleBasedStateMachine):
-    """Every order of steps, faults, freezes, restarts and passing time."""
+    """Candidates under any order of steps, faults, freezes, restarts and waits."""
 
     @initialize()
     def start(self):
@@ -69,7 +69,7 @@
 
     @rule(index=candidates, pauses=st.lists(pauses, max_size=3))
     def sleep_before_the_reply(self, index, pauses):
-        """Stop between the effect of a table call and the sight of it."""
+        """Let time pass between a table access and the arrival of its reply."""
         for _ in range(4):
             if self.world.candidates[index].seen is not None:
                 break
@@ -116,7 +116,7 @@
 
 
 class TestHandOver:
-    def test_successor_sends_within_a_lease_and_two_orders(self):
+    def test_successor_sends_orders_within_a_lease_and_two_order_times(self):
         world = LeaseWorld()
         world.tick(0)
         assert world.send_order(0, 0, is_slow=True)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -45,7 +45,7 @@
 
 
 class TestParse:
-    def test_priorities_are_ordered_and_defaults_filled_in(self):
+    def test_priorities_are_sorted_and_defaults_applied(self):
         plan = parse_plan("maker", MAKER)
         assert plan.priorities == (Priority.URGENT, Priority.STANDARD)
         assert (plan.weight, plan.burst_s, plan.models) == (1.0, 10.0, ())
@@ -69,7 +69,7 @@
             ({"wieght": 1}, "plans.maker"),
         ],
     )
-    def test_a_plan_error_names_the_place(self, change, where):
+    def test_a_plan_error_names_the_path(self, change, where):
         with pytest.raises(ListsError) as caught:
             parse_plan("maker", MAKER | change)
         assert caught.value.where == where
@@ -84,19 +84,19 @@
             ({"plan": "p", "keys": [KEY] * 5}, "accounts.shop.keys"),
         ],
     )
-    def test_an_account_error_names_the_place(self, value, where):
+    def test_an_account_error_names_the_path(self, value, where):
         with pytest.raises(ListsError) as caught:
             parse_account("shop", value)
         assert caught.value.where.startswith(where)
 
     @pytest.mark.parametrize("name", ["", "a.b", "a/b", "-a", "a\n", "x" * 65])
-    def test_names_are_checked(self, name):
+    def test_rejects_invalid_names(self, name):
         with pytest.raises(ListsError, match="expected a name"):
             parse_account(name, {"plan": "maker"})
 
 
 class TestLists:
-    def test_with_rows_replaces_and_deletes_without_touching_the_old(self):
+    def test_with_rows_replaces_and_deletes_rows_in_a_copy(self):
         old = Lists().with_rows(1, [plan_row(), account_row("a"), account_row("b")])
         changed = Row("accounts", "b", VERSION_UNKNOWN, {"plan": "maker"})
         new = old.with_rows(2, [Row("accounts", "a", 0, None), changed])
@@ -105,7 +105,7 @@
         assert new.row_versions == {("plans", "maker"): 1}
         assert new.version == 2
 
-    def test_an_account_needs_its_plan(self):
+    def test_an_account_without_its_plan_is_invalid(self):
         lists = Lists().with_rows(1, [plan_row(), account_row("a", plan="judge")])
         with pytest.raises(ListsError, match="no plan 'judge'") as caught:
             validate(lists)
@@ -113,7 +113,7 @@
         with pytest.raises(ListsError):
             validate(lists, [("accounts", "a")])
 
-    def test_a_plan_in_use_is_not_deleted(self):
+    def test_deleting_a_plan_in_use_is_invalid(self):
         lists = Lists().with_rows(1, [plan_row(), account_row("a")])
         lists = lists.with_rows(2, [Row("plans", "maker", 0, None)])
         with pytest.raises(ListsError, match="no plan 'maker'"):
@@ -121,7 +121,7 @@
 
 
 class TestHolder:
-    def test_takes_only_a_higher_version(self):
+    def test_only_a_higher_version_replaces_the_current_one(self):
         holder = ListsHolder()
         assert holder.offer(Lists(3))
         assert not holder.offer(Lists(3))
@@ -130,7 +130,7 @@
 
 
 class TestToml:
-    def test_reads_the_documented_form(self):
+    def test_parses_the_documented_format(self):
         lists = lists_from_toml(TEXT)
         plan = lists.plan_of(lists.account_by_name["san-lucas"])
         assert lists.version == 7
@@ -146,7 +146,7 @@
             ("=", None),
         ],
     )
-    def test_an_error_names_the_place(self, text, where):
+    def test_an_error_names_the_path(self, text, where):
         with pytest.raises(ListsError) as caught:
             lists_from_toml(text)
         assert caught.value.where == where
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -32,7 +32,7 @@
     return membership
 
 
-def beat(host, seq=1, state=HostState.LIVE, lists_version=0, view=0):
+def make_heartbeat(host, seq=1, state=HostState.LIVE, lists_version=0, view=0):
     return Heartbeat(host, seq, state, lists_version, view)
 
 
@@ -46,11 +46,12 @@
 
 
 class Network:
-    """Hosts whose heartbeats and views all arrive, but over cut links."""
+    """Hosts that receive all heartbeats and views, except over cut links."""
 
-    def __init__(self, places):
+    def __init__(self, centre_by_name):
         self.by_name = {
-            name: make_membership(name, centre) for name, centre in places.items()
+            name: make_membership(name, centre)
+            for name, centre in centre_by_name.items()
         }
         hosts = [member.host for member in self.by_name.values()]
         for member in self.by_name.values():
@@ -97,141 +98,141 @@
     def test_makes_a_peer_live(self):
         membership = make_membership()
         peer = make_host("b")
-        assert membership.heartbeat(beat(peer), 0.0) == [PeerLive(peer)]
+        assert membership.heartbeat(make_heartbeat(peer), 0.0) == [PeerLive(peer)]
         assert membership.live("a") == ("b", "self")
 
     def test_late_duplicate_does_not_keep_a_peer_alive(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(beat(peer, seq=5), 0.0)
+        membership.heartbeat(make_heartbeat(peer, seq=5), 0.0)
         events = []
         for step in range(1, 13):
             now = step * 0.25
-            membership.heartbeat(beat(peer, seq=5), now)
+            membership.heartbeat(make_heartbeat(peer, seq=5), now)
             events += membership.tick(now)
         assert events == [PeerDead(peer)]
 
-    def test_leaving_holds_for_the_incarnation(self):
+    def test_leaving_is_final_for_an_incarnation(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(beat(peer, 1), 0.0)
-        events = membership.heartbeat(beat(peer, 2, HostState.LEAVING), 0.0)
+        membership.heartbeat(make_heartbeat(peer, 1), 0.0)
+        events = membership.heartbeat(make_heartbeat(peer, 2, HostState.LEAVING), 0.0)
         assert events == [PeerLeaving(peer)]
-        assert membership.heartbeat(beat(peer, 3), 0.0) == []
+        assert membership.heartbeat(make_heartbeat(peer, 3), 0.0) == []
         assert membership.live() == ("self",)
 
     def test_replaced_under_the_same_name_and_address(self):
         membership = make_membership()
         old, new = make_host("b"), make_host("b", incarnation=2)
-        membership.heartbeat(beat(old, 9, HostState.LEAVING), 0.0)
-        events = membership.heartbeat(beat(new, 1), 0.1)
+        membership.heartbeat(make_heartbeat(old, 9, HostState.LEAVING), 0.0)
+        events = membership.heartbeat(make_heartbeat(new, 1), 0.1)
         assert events == [PeerReplaced(new, old), PeerLive(new)]
-        assert membership.heartbeat(beat(old, 10), 0.2) == []
+        assert membership.heartbeat(make_heartbeat(old, 10), 0.2) == []
         assert membership.find("b") == new
 
-    def test_successor_with_a_slow_clock_is_taken_after_the_timeout(self):
+    def test_successor_with_a_slow_clock_is_accepted_after_the_timeout(self):
         membership = make_membership()
         old, new = make_host("b", incarnation=7), make_host("b", incarnation=3)
-        membership.heartbeat(beat(old), 0.0)
-        assert membership.heartbeat(beat(new), 0.1) == []
+        membership.heartbeat(make_heartbeat(old), 0.0)
+        assert membership.heartbeat(make_heartbeat(new), 0.1) == []
         tick_until(membership, 0.1, 3.0)
-        events = membership.heartbeat(beat(new, 2), 3.0)
+        events = membership.heartbeat(make_heartbeat(new, 2), 3.0)
         assert events == [PeerReplaced(new, old), PeerLive(new)]
 
-    def test_tells_of_another_process_with_the_own_name(self):
+    def test_reports_another_process_with_its_own_name(self):
         membership = make_membership()
         other = make_host("self", incarnation=2)
-        assert membership.heartbeat(beat(other), 0.0) == [NameClash(other)]
+        assert membership.heartbeat(make_heartbeat(other), 0.0) == [NameClash(other)]
 
     def test_highest_lists_version_and_its_holders(self):
         membership = make_membership()
         near, far = make_host("y"), make_host("b", "b")
-        membership.heartbeat(beat(far, lists_version=7), 0.0)
-        membership.heartbeat(beat(near, lists_version=7), 0.0)
-        membership.heartbeat(beat(make_host("c"), lists_version=6), 0.0)
+        membership.heartbeat(make_heartbeat(far, lists_version=7), 0.0)
+        membership.heartbeat(make_heartbeat(near, lists_version=7), 0.0)
+        membership.heartbeat(make_heartbeat(make_host("c"), lists_version=6), 0.0)
         assert membership.lists_version() == 7
         assert membership.holders(7) == [near, far]
 
 
 class TestPause:
-    def test_thawed_host_does_not_declare_all_dead(self):
+    def test_resumed_host_does_not_declare_its_peers_dead(self):
         membership = make_membership()
-        membership.heartbeat(beat(make_host("b")), 0.0)
+        membership.heartbeat(make_heartbeat(make_host("b")), 0.0)
         assert membership.tick(60.0) == [SelfPaused(60.0)]
         assert membership.tick(60.25) == []
         assert membership.live() == ("b", "self")
 
-    def test_peer_that_died_meanwhile_is_noticed(self):
+    def test_peer_that_died_during_the_pause_is_detected(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(beat(peer), 0.0)
+        membership.heartbeat(make_heartbeat(peer), 0.0)
         membership.tick(60.0)
         assert tick_until(membership, 60.0, 63.0) == [PeerDead(peer)]
 
 
 class TestHostList:
-    def test_listed_host_is_not_live_until_heard(self):
+    def test_listed_host_is_not_live_before_its_first_heartbeat(self):
         membership = make_membership()
         membership.host_list([make_host("b")], 0.0)
         assert membership.live() == ("self",)
         assert membership.due(0.0) == (["b:81"], [])
 
-    def test_seeds_are_tried_until_known(self):
+    def test_seeds_get_heartbeats_until_their_hosts_are_known(self):
         membership = make_membership(seeds=["b:81", "self:81"])
         assert membership.due(0.0) == ([], ["b:81"])
 
-    def test_silent_host_off_the_list_is_forgotten(self):
+    def test_silent_host_that_is_not_listed_is_removed(self):
         membership = make_membership()
-        membership.heartbeat(beat(make_host("b")), 0.0)
+        membership.heartbeat(make_heartbeat(make_host("b")), 0.0)
         tick_until(membership, 0.0, 700.0, step=1.0)
         assert membership.by_name == {}
 
 
 class TestNetwork:
-    places = {f"{c}{n}": c for c in "abc" for n in range(5)}
+    centre_by_name = {f"{c}{n}": c for c in "abc" for n in range(5)}
 
-    def test_all_see_all_through_views(self):
-        network = Network(self.places)
+    def test_views_make_every_host_live_on_every_other(self):
+        network = Network(self.centre_by_name)
         network.run(8.0)
-        assert network.views() == {tuple(sorted(self.places))}
+        assert network.views() == {tuple(sorted(self.centre_by_name))}
 
     def test_host_killed_is_dead_everywhere(self):
-        network = Network(self.places)
+        network = Network(self.centre_by_name)
         network.run(8.0)
         network.stopped.add("b2")
         network.run(4 * DEAD_AFTER_S + 4.0)
-        assert network.views() == {tuple(sorted(set(self.places) - {"b2"}))}
+        assert network.views() == {tuple(sorted(set(self.centre_by_name) - {"b2"}))}
 
     def test_data_centre_cut_off_and_back(self):
-        network = Network(self.places)
+        network = Network(self.centre_by_name)
         network.run(8.0)
-        inside = {name for name in self.places if name[0] == "a"}
-        outside = set(self.places) - inside
+        inside = {name for name in self.centre_by_name if name[0] == "a"}
+        outside = set(self.centre_by_name) - inside
         network.cut = {frozenset((x, y)) for x in inside for y in outside}
         network.run(4 * DEAD_AFTER_S + 4.0)
         assert network.views() == {tuple(sorted(inside)), tuple(sorted(outside))}
         network.cut = set()
         network.run(20.0)
-        assert network.views() == {tuple(sorted(self.places))}
+        assert network.views() == {tuple(sorted(self.centre_by_name))}
 
     def test_remote_traffic_goes_to_two_hosts_of_each_data_centre(self):
-        network = Network(self.places)
+        network = Network(self.centre_by_name)
         network.run(8.0)
         member = network.by_name["a0"]
         inside, remote = member.due(network.now + 10.0)
         assert len(inside) == 4
-        assert len(remote) <= 2 * 3  # two that hear it and one that is tried
+        assert len(remote) <= 2 * 3  # two targets and one probe per data centre
 
-    def test_models_are_told_through_views(self):
+    def test_views_announce_models(self):
         membership = make_membership()
         near = make_host("near")
         far = dataclasses.replace(make_host("far", "b"), models=("draft",))
-        membership.heartbeat(beat(near), 0.0)
+        membership.heartbeat(make_heartbeat(near), 0.0)
         membership.view("near", View((far,)), 0.0)
         assert membership.models_by_centre() == {"b": {"draft"}}
 
-    def test_view_of_a_foreign_data_centre_is_not_taken(self):
+    def test_view_of_a_host_in_another_data_centre_is_ignored(self):
         membership = make_membership()
-        membership.heartbeat(beat(make_host("b", "b")), 0.0)
-        ghost = dataclasses.replace(make_host("ghost", "c"))
-        assert membership.view("b", View((ghost,)), 0.0) == []
+        membership.heartbeat(make_heartbeat(make_host("b", "b")), 0.0)
+        unknown = dataclasses.replace(make_host("ghost", "c"))
+        assert membership.view("b", View((unknown,)), 0.0) == []
--- a/tests/test_story.py
+++ b/tests/test_story.py
@@ -27,23 +27,23 @@
 
 
 class TestStory:
-    def test_own_lines_and_what_the_host_believed_meanwhile(self):
+    def test_events_of_the_request_and_of_its_host(self):
         story = tell(LOGS, "r1")
         events = [entry.event for entry in story.lines]
         assert events == ["attempt_lost", "engine_suspected", "request_ended"]
         assert story.outcome == "no pipeline"
         assert story.left_out == 7
 
-    def test_hosts_may_be_mixed_and_lines_cut(self):
-        cut = LOGS[5][:-15]
-        story = tell([*reversed(LOGS), cut, "noise", ""], "r1")
+    def test_lines_out_of_order_and_truncated_lines(self):
+        truncated = LOGS[5][:-15]
+        story = tell([*reversed(LOGS), truncated, "noise", ""], "r1")
         assert story.outcome == "no pipeline"
         assert story.unreadable == 2
 
-    def test_nothing_is_known(self):
+    def test_unknown_request_has_no_events(self):
         assert tell(LOGS, "r3").lines == []
 
-    def test_a_prefix_before_the_line_is_passed_over(self):
+    def test_a_prefix_before_the_event_is_skipped(self):
         entry = parse_line("  12.5 host-a " + LOGS[2])
         assert entry is not None
         assert entry.value_by_key["reason"] == "stalled at i-1"
--- a/tests/test_table_copy.py
+++ b/tests/test_table_copy.py
@@ -1,4 +1,4 @@
-"""Copies of tables that hear of changes in any order."""
+"""Table copies that receive changes in any order."""
 
 import itertools
 import random
@@ -25,18 +25,18 @@
     return copy
 
 
-class TestReplace:
-    def test_what_is_missing_is_gone(self, copy):
-        news = copy.replace([row("y", 5)], 9)
-        assert [(entry.key, entry.value) for entry in news] == [("x", None)]
+class TestSnapshot:
+    def test_rows_missing_from_a_snapshot_are_deleted(self, copy):
+        newer = copy.replace([row("y", 5)], 9)
+        assert [(entry.key, entry.value) for entry in newer] == [("x", None)]
         assert keys(copy.live()) == ["y"]
 
-    def test_what_is_later_stays(self, copy):
+    def test_rows_newer_than_a_snapshot_are_kept(self, copy):
         copy.change([row("z", 12)], 12)
         assert copy.replace([row("x", 3), row("y", 5)], 9) == []
         assert keys(copy.live()) == ["x", "y", "z"]
 
-    def test_nothing_is_complete_before(self):
+    def test_copy_is_incomplete_before_the_first_snapshot(self):
         copy = TableCopy("t")
         assert not copy.is_complete
         assert copy.since(0) == []
@@ -44,40 +44,40 @@
         assert copy.is_complete
 
 
-class TestChange:
-    def test_an_older_change_is_no_news(self, copy):
+class TestDelta:
+    def test_an_older_change_is_ignored(self, copy):
         assert copy.change([row("y", 4, None)], 7) == []
         assert keys(copy.live()) == ["x", "y"]
 
-    def test_a_removed_row_does_not_come_back(self, copy):
+    def test_an_older_change_does_not_restore_a_deleted_row(self, copy):
         copy.change([row("x", 8, None)], 8)
         assert copy.change([row("x", 3)], 7) == []
         assert keys(copy.live()) == ["y"]
 
     @pytest.mark.parametrize("seed", range(20))
-    def test_any_order_leads_to_the_same(self, copy, seed):
+    def test_the_order_of_changes_does_not_matter(self, copy, seed):
         changes = [row("x", 8, None), row("x", 9), row("y", 10, None), row("z", 11)]
         random.Random(seed).shuffle(changes)
-        for change in changes + changes:
-            copy.change([change], 7)
+        for changed in changes + changes:
+            copy.change([changed], 7)
         assert keys(copy.live()) == ["x", "z"]
         assert copy.version == 11
 
 
 class TestSince:
-    def test_removals_are_told(self, copy):
+    def test_deletions_are_included(self, copy):
         copy.change([row("x", 8, None), row("z", 9)], 9)
-        told = copy.since(7)
-        assert [(entry.key, entry.value) for entry in told] == [
+        changed = copy.since(7)
+        assert [(entry.key, entry.value) for entry in changed] == [
             ("x", None),
             ("z", b"v"),
         ]
 
-    def test_what_was_before_the_first_read_is_not_known(self, copy):
-        # A row that was removed at 6 left no trace here.
+    def test_changes_before_the_first_snapshot_are_unknown(self, copy):
+        # The snapshot has no tombstone of a row that was deleted at version 6.
         assert copy.since(5) is None
 
-    def test_only_some_removals_are_kept(self, copy):
+    def test_the_number_of_tombstones_is_limited(self, copy):
         for number in range(TOMBSTONES_MAX + 5):
             version = 10 + 2 * number
             copy.change([row(f"k{number}", version)], version)
@@ -86,7 +86,7 @@
         assert copy.since(copy.version - 3) is not None
         assert keys(copy.live()) == ["x", "y"]
 
-    def test_peers_come_to_the_same_rows(self, copy):
+    def test_a_peer_that_reads_the_changes_gets_the_same_rows(self, copy):
         other = TableCopy("t")
         steps = itertools.count(8)
         for _ in range(30):
