--- a/src/wagtailstair/core/changes.py
+++ b/src/wagtailstair/core/changes.py
@@ -35,7 +35,7 @@
 _VERSION_DIGITS = 12
 _DIGEST_BYTES = 16
 _CHANGE_ID = re.compile(r"[A-Za-z0-9][A-Za-z0-9_.:-]{0,127}")
-_MAX_AUTHOR = 128
+_MAX_AUTHOR_CHARS = 128
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -133,8 +133,10 @@
         raise ListsError(
             "expected 1 to 128 letters, digits and any of '_.:-'", where="change id"
         )
-    if not 0 < len(author) <= _MAX_AUTHOR:
-        raise ListsError(f"expected 1 to {_MAX_AUTHOR} characters", where="author")
+    if not 0 < len(author) <= _MAX_AUTHOR_CHARS:
+        raise ListsError(
+            f"expected 1 to {_MAX_AUTHOR_CHARS} characters", where="author"
+        )
     edit_by_key: dict[RowKey, RowEdit] = {}
     for row in rows:
         if row.row_key in edit_by_key:
--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -88,7 +88,7 @@
 
 
 class Lease:
-    """The state of a lease, as one candidate sees it.
+    """The state of a lease, as seen by one candidate.
 
     :param holder: the candidate; unique to each start of its process.
     """
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -120,7 +120,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Charge:
-    """A request to the host that keeps an account's quota to admit a call.
+    """A request to admit a call, sent to the host that owns an account's quota.
 
     ``adopt``: the call has already been admitted.
     """
@@ -161,7 +161,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineLoad:
-    """The often changing part of a load report, for hosts that have the rest.
+    """The frequently changing part of a load report, for hosts with the rest.
 
     ``incarnation``: checksum of the engine's incarnation.
     """
--- a/src/wagtailstair/core/story.py
+++ b/src/wagtailstair/core/story.py
@@ -77,11 +77,11 @@
 
     Events of host state (`CONTEXT_EVENTS`) are included if they come from a host
     of the request, between its first and its last event, and name an upstream of
-    the request or none.
+    the request, a suspected engine or no upstream.
     """
     trace = Story([])
-    own: list[LogLine] = []
-    context: list[LogLine] = []
+    events: list[LogLine] = []
+    context_events: list[LogLine] = []
     for text in lines:
         line = parse_line(text)
         if line is None:
@@ -90,20 +90,20 @@
         left_out = line.value_by_key.get("left_out", "0")
         trace.left_out += int(left_out) if left_out.isdigit() else 0
         if line.value_by_key.get("request") == request:
-            own.append(line)
+            events.append(line)
         elif line.event in CONTEXT_EVENTS:
-            context.append(line)
-    if not own:
+            context_events.append(line)
+    if not events:
         return trace
-    hosts = {line.host for line in own}
-    first = min(line.time for line in own)
-    last = max(line.time for line in own)
-    named = {line.value_by_key.get("replica", "") for line in own}
-    for line in context:
+    hosts = {line.host for line in events}
+    first = min(line.time for line in events)
+    last = max(line.time for line in events)
+    named = {line.value_by_key.get("replica", "") for line in events}
+    for line in context_events:
         replica = line.value_by_key.get("replica")
         if line.host not in hosts or not first <= line.time <= last:
             continue
         if replica is None or replica in named or line.event == "engine_suspected":
-            own.append(line)
-    trace.lines = sorted(own, key=lambda line: line.time)
+            events.append(line)
+    trace.lines = sorted(events, key=lambda line: line.time)
     return trace
--- a/tests/test_changes_machine.py
+++ b/tests/test_changes_machine.py
@@ -150,16 +150,16 @@
             return
         except EditConflictError:
             self.check_conflict(edit)
-            self.refuse(change_id)
+            self.record_refusal(change_id)
             return
         except ListsError:
-            self.refuse(change_id)
+            self.record_refusal(change_id)
             return
         assert change_id not in self.refused
         assert self.accepted_by_id.setdefault(change_id, change) == change
         self.base_version_by_unresolved_id.pop(change_id, None)
 
-    def refuse(self, change_id):
+    def record_refusal(self, change_id):
         assert change_id not in self.accepted_by_id
         self.refused.add(change_id)
         self.base_version_by_unresolved_id.pop(change_id, None)
@@ -197,14 +197,14 @@
     @rule(operator=st.sampled_from(OPERATORS), script=SCRIPTS, data=st.data())
     def look(self, operator, script, data):
         self.start_script(script, lambda kind: (data.draw(EDITS),))
-        self.reading(operator, lambda: read_snapshot(self.table))
+        self.check_read(operator, lambda: read_snapshot(self.table))
 
     @rule(operator=st.sampled_from(OPERATORS), script=SCRIPTS, data=st.data())
     def follow(self, operator, script, data):
         self.start_script(script, lambda kind: (data.draw(EDITS),))
-        self.reading(operator, lambda: read_since(self.table, self.seen[operator]))
+        self.check_read(operator, lambda: read_since(self.table, self.seen[operator]))
 
-    def reading(self, operator, read):
+    def check_read(self, operator, read):
         try:
             lists = read()
         except (PlatformUnavailableError, CrashError):
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -30,7 +30,7 @@
 SHORT_S = 0.05
 
 
-class World:
+class Deployment:
     def __init__(self):
         self.table = FakeTable()
         self.objects = FakeObjects()
@@ -54,12 +54,12 @@
 
 
 @pytest.fixture
-def world():
-    world = World()
-    yield world
-    world.table.is_away = False
-    world.objects.is_away = False
-    for claims in world.daemons:
+def deployment():
+    deployment = Deployment()
+    yield deployment
+    deployment.table.is_away = False
+    deployment.objects.is_away = False
+    for claims in deployment.daemons:
         assert claims.close(5.0) == 0
 
 
@@ -81,175 +81,177 @@
 
 
 class TestReplay:
-    def test_retry_on_another_host_gets_the_same_answer(self, world):
-        first = world.run(world.daemon("h1"))
-        again = world.run(world.daemon("h2"))
+    def test_retry_on_another_host_gets_the_same_answer(self, deployment):
+        first = deployment.run(deployment.daemon("h1"))
+        again = deployment.run(deployment.daemon("h2"))
         assert again == first
-        assert world.service.runs == ["k"]
+        assert deployment.service.runs == ["k"]
 
-    def test_large_answer_is_stored_in_the_object_store(self, world):
+    def test_large_answer_is_stored_in_the_object_store(self, deployment):
         body = b"x" * (LIMITS.inline_body_bytes + 1)
 
         def send():
-            return world.service.call("k", body=body)
+            return deployment.service.call("k", body=body)
 
         deadline = CLOCK.monotonic() + LONG_S
-        first = world.daemon("h1").run("acme", "desk", "k", "h", deadline, send)
-        assert len(world.objects.body_by_name) == 1
-        assert len(world.claim_rows()[0]["body"]) == 0
-        assert world.run(world.daemon("h2")) == first
+        first = deployment.daemon("h1").run("acme", "desk", "k", "h", deadline, send)
+        assert len(deployment.objects.body_by_name) == 1
+        assert len(deployment.claim_rows()[0]["body"]) == 0
+        assert deployment.run(deployment.daemon("h2")) == first
 
-    def test_different_request_with_the_same_key_is_rejected(self, world):
-        world.run(world.daemon("h1"))
+    def test_different_request_with_the_same_key_is_rejected(self, deployment):
+        deployment.run(deployment.daemon("h1"))
         with pytest.raises(KeyReusedError) as caught:
-            world.run(world.daemon("h1"), digest="other")
+            deployment.run(deployment.daemon("h1"), digest="other")
         assert caught.value.outcome is Outcome.NOT_RUN
-        assert world.service.runs == ["k"]
+        assert deployment.service.runs == ["k"]
 
 
 class TestNotRun:
     @pytest.mark.parametrize("fault", [CallFault.NOT_SENT, CallFault.REFUSED])
-    def test_releases_the_claim(self, world, fault):
+    def test_releases_the_claim(self, deployment, fault):
         with pytest.raises(NoUpstreamError) as caught:
-            world.run(world.daemon("h1"), fault)
+            deployment.run(deployment.daemon("h1"), fault)
         assert caught.value.outcome is Outcome.NOT_RUN
-        assert world.claim_rows() == []
-        assert world.run(world.daemon("h2")).status == 201
+        assert deployment.claim_rows() == []
+        assert deployment.run(deployment.daemon("h2")).status == 201
 
-    def test_raises_the_error_of_the_sender(self, world):
+    def test_raises_the_error_of_the_sender(self, deployment):
         def send():
             raise QueueFullError("full")
 
         with pytest.raises(QueueFullError):
-            world.daemon("h1").run("a", "s", "k", "h", CLOCK.monotonic() + 9, send)
-        assert world.claim_rows() == []
+            deployment.daemon("h1").run("a", "s", "k", "h", CLOCK.monotonic() + 9, send)
+        assert deployment.claim_rows() == []
 
-    def test_rejects_calls_while_the_table_is_unavailable(self, world):
-        world.table.is_away = True
+    def test_rejects_calls_while_the_table_is_unavailable(self, deployment):
+        deployment.table.is_away = True
         with pytest.raises(NotReadyError) as caught:
-            world.run(world.daemon("h1"))
+            deployment.run(deployment.daemon("h1"))
         assert caught.value.outcome is Outcome.NOT_RUN
-        assert world.service.runs == []
+        assert deployment.service.runs == []
 
 
 class TestOutcomeUnknown:
     @pytest.mark.parametrize("fault", [CallFault.REQUEST_LOST, CallFault.REPLY_LOST])
-    def test_lost_call_is_never_sent_again(self, world, fault):
+    def test_lost_call_is_never_sent_again(self, deployment, fault):
         with pytest.raises(OutcomeUnknownError):
-            world.run(world.daemon("h1"), fault)
-        runs = list(world.service.runs)
+            deployment.run(deployment.daemon("h1"), fault)
+        runs = list(deployment.service.runs)
         with pytest.raises(OutcomeUnknownError):
-            world.run(world.daemon("h2"))
-        assert world.service.runs == runs
+            deployment.run(deployment.daemon("h2"))
+        assert deployment.service.runs == runs
 
-    def test_unexpected_error_of_the_sender_has_an_unknown_outcome(self, world):
+    def test_unexpected_error_of_the_sender_has_an_unknown_outcome(self, deployment):
         def send():
             raise RuntimeError("bug")
 
         with pytest.raises(OutcomeUnknownError):
-            world.daemon("h1").run("a", "s", "k", "h", CLOCK.monotonic() + 9, send)
+            deployment.daemon("h1").run("a", "s", "k", "h", CLOCK.monotonic() + 9, send)
 
-    def test_wait_ends_if_the_claimant_is_dead(self, world):
-        dead = world.daemon("h1", incarnation="i1")
-        waiter = world.daemon("h2", is_dead=lambda host, i: (host, i) == ("h1", "i1"))
+    def test_wait_ends_if_the_claimant_is_dead(self, deployment):
+        dead = deployment.daemon("h1", incarnation="i1")
+        waiter = deployment.daemon(
+            "h2", is_dead=lambda host, i: (host, i) == ("h1", "i1")
+        )
 
         def send():
             with pytest.raises(OutcomeUnknownError):
-                world.run(waiter)
-            return world.service.call("k")
+                deployment.run(waiter)
+            return deployment.service.call("k")
 
         dead.run("acme", "desk", "k", "h", CLOCK.monotonic() + LONG_S, send)
-        assert world.service.runs == ["k"]
+        assert deployment.service.runs == ["k"]
 
-    def test_wait_ends_at_the_deadline(self, world):
+    def test_wait_ends_at_the_deadline(self, deployment):
         def send():
             with pytest.raises(CallInProgressError):
-                world.run(world.daemon("h2"), wait_s=SHORT_S)
-            return world.service.call("k")
+                deployment.run(deployment.daemon("h2"), wait_s=SHORT_S)
+            return deployment.service.call("k")
 
-        claims = world.daemon("h1")
+        claims = deployment.daemon("h1")
         claims.run("acme", "desk", "k", "h", CLOCK.monotonic() + LONG_S, send)
-        assert world.service.runs == ["k"]
+        assert deployment.service.runs == ["k"]
 
 
 class TestLostWrites:
     @pytest.mark.parametrize(
         "fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST, WriteFault.DELAYED]
     )
-    def test_lost_insert_is_resolved_by_reading_the_row(self, world, fault):
-        world.table.faults.append(fault)
-        assert world.run(world.daemon("h1")).status == 201
-        assert world.service.runs == ["k"]
+    def test_lost_insert_is_resolved_by_reading_the_row(self, deployment, fault):
+        deployment.table.faults.append(fault)
+        assert deployment.run(deployment.daemon("h1")).status == 201
+        assert deployment.service.runs == ["k"]
 
     @pytest.mark.parametrize("fault", list(WriteFault))
-    def test_result_is_written_despite_a_fault(self, world, fault):
-        world.table.faults.extend([WriteFault.NONE, fault])
-        first = world.run(world.daemon("h1"))
-        assert world.run(world.daemon("h2")) == first
-        assert world.service.runs == ["k"]
+    def test_result_is_written_despite_a_fault(self, deployment, fault):
+        deployment.table.faults.extend([WriteFault.NONE, fault])
+        first = deployment.run(deployment.daemon("h1"))
+        assert deployment.run(deployment.daemon("h2")) == first
+        assert deployment.service.runs == ["k"]
 
     @pytest.mark.parametrize("fault", list(WriteFault))
-    def test_claim_is_released_despite_a_fault(self, world, fault):
-        world.table.faults.extend([WriteFault.NONE, fault])
-        claims = world.daemon("h1")
+    def test_claim_is_released_despite_a_fault(self, deployment, fault):
+        deployment.table.faults.extend([WriteFault.NONE, fault])
+        claims = deployment.daemon("h1")
         with pytest.raises(NoUpstreamError):
-            world.run(claims, CallFault.REFUSED)
-        assert world.run(world.daemon("h2")).status == 201
+            deployment.run(claims, CallFault.REFUSED)
+        assert deployment.run(deployment.daemon("h2")).status == 201
 
-    def test_answer_is_delivered_during_a_long_outage(self, world):
-        claims = world.daemon("h1")
+    def test_answer_is_delivered_during_a_long_outage(self, deployment):
+        claims = deployment.daemon("h1")
 
         def send():
-            world.table.is_away = True
-            return world.service.call("k")
+            deployment.table.is_away = True
+            return deployment.service.call("k")
 
         deadline = CLOCK.monotonic() + LONG_S
         first = claims.run("acme", "desk", "k", "h", deadline, send)
         assert claims.unsettled == 1
-        world.table.is_away = False
+        deployment.table.is_away = False
         assert claims.close(10.0) == 0
-        assert world.run(world.daemon("h2")) == first
+        assert deployment.run(deployment.daemon("h2")) == first
 
 
 class TestSweep:
-    def test_deletes_only_rows_past_their_retention(self, world):
-        claims = world.daemon("h1")
-        world.run(claims, key="old")
-        world.run(claims, key="new")
-        rows = {row.key: row for row in world.table.scan("claims")}
+    def test_deletes_only_rows_past_their_retention(self, deployment):
+        claims = deployment.daemon("h1")
+        deployment.run(claims, key="old")
+        deployment.run(claims, key="new")
+        rows = {row.key: row for row in deployment.table.scan("claims")}
         rows["acme/desk/old"].value["claimed_at"] -= LIMITS.retention_s + 1
         assert claims.sweep(list(rows.values())) == 1
-        assert [row.key for row in world.table.scan("claims")] == ["acme/desk/new"]
+        assert [row.key for row in deployment.table.scan("claims")] == ["acme/desk/new"]
 
-    def test_keeps_a_row_that_was_rewritten_since_the_scan(self, world):
-        claims = world.daemon("h1")
-        world.run(claims)
-        (seen,) = world.table.scan("claims")
+    def test_keeps_a_row_that_was_rewritten_since_the_scan(self, deployment):
+        claims = deployment.daemon("h1")
+        deployment.run(claims)
+        (seen,) = deployment.table.scan("claims")
         seen.value["claimed_at"] -= LIMITS.retention_s + 1
-        world.table.transact([], [Write("claims", seen.key, seen.value)])
+        deployment.table.transact([], [Write("claims", seen.key, seen.value)])
         assert claims.sweep([seen]) == 0
 
 
 class TestGroupCommit:
     @pytest.fixture
-    def writer(self, world):
-        writer = GroupWriter(world.table, CLOCK)
+    def writer(self, deployment):
+        writer = GroupWriter(deployment.table, CLOCK)
         yield writer
         writer.close()
 
-    def submit_behind_blocked_write(self, world, writer, keys):
+    def submit_behind_blocked_write(self, deployment, writer, keys):
         """Queue writes behind a blocked one, so that they share a batch."""
         blocked = threading.Event()
         unblock = threading.Event()
-        transact = world.table.transact
+        transact = deployment.table.transact
 
         def slow(conditions, writes):
             blocked.set()
             unblock.wait()
-            world.table.transact = transact
+            deployment.table.transact = transact
             return transact(conditions, writes)
 
-        world.table.transact = slow
+        deployment.table.transact = slow
         first = writer.submit(Condition("t", "first", 0), Write("t", "first", {}))
         blocked.wait()
         futures = [
@@ -260,22 +262,22 @@
         first.result()
         return futures
 
-    def test_shares_a_transaction(self, world, writer):
-        futures = self.submit_behind_blocked_write(world, writer, ["a", "b", "c"])
+    def test_shares_a_transaction(self, deployment, writer):
+        futures = self.submit_behind_blocked_write(deployment, writer, ["a", "b", "c"])
         assert [future.result() for future in futures] == [1, 1, 1]
-        assert len(world.table.transactions) == 2
+        assert len(deployment.table.transactions) == 2
 
-    def test_one_conflict_does_not_fail_the_others(self, world, writer):
-        world.table.transact([], [Write("t", "b", {})])
-        futures = self.submit_behind_blocked_write(world, writer, ["a", "b", "c"])
+    def test_one_conflict_does_not_fail_the_others(self, deployment, writer):
+        deployment.table.transact([], [Write("t", "b", {})])
+        futures = self.submit_behind_blocked_write(deployment, writer, ["a", "b", "c"])
         assert futures[0].result() == 1
         with pytest.raises(PlatformConflictError):
             futures[1].result()
         assert futures[2].result() == 1
 
-    def test_two_writes_of_a_row_never_share_a_transaction(self, world, writer):
-        futures = self.submit_behind_blocked_write(world, writer, ["a", "a"])
+    def test_two_writes_of_a_row_never_share_a_transaction(self, deployment, writer):
+        futures = self.submit_behind_blocked_write(deployment, writer, ["a", "a"])
         assert futures[0].result() == 1
         with pytest.raises(PlatformConflictError):
             futures[1].result()
-        assert world.table.row("t", "a").value == {"n": 0}
+        assert deployment.table.row("t", "a").value == {"n": 0}
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -95,7 +95,7 @@
         disturb(self.world, host)
 
     @invariant()
-    def holds(self):
+    def state_is_consistent(self):
         self.world.check()
 
     def teardown(self):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -14,7 +14,7 @@
 ORDER_S = 2.0
 
 
-class World:
+class Deployment:
     def __init__(self):
         self.table = FakeTable()
         self.clock = ManualClock(100.0)
@@ -27,74 +27,74 @@
 
 
 @pytest.fixture
-def world():
-    return World()
+def deployment():
+    return Deployment()
 
 
 class TestAcquire:
-    def test_first_holder_gets_fencing_number_one(self, world):
-        keeper = world.keeper("a")
+    def test_first_holder_gets_fencing_number_one(self, deployment):
+        keeper = deployment.keeper("a")
         keeper.tick()
         assert keeper.may_order(1, ORDER_S)
-        assert world.row().holder == "a"
+        assert deployment.row().holder == "a"
 
     @pytest.mark.parametrize("fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST])
-    def test_lost_write_is_resolved_by_reading_the_row(self, world, fault):
-        world.table.faults.append(fault)
-        keeper = world.keeper("a")
+    def test_lost_write_is_resolved_by_reading_the_row(self, deployment, fault):
+        deployment.table.faults.append(fault)
+        keeper = deployment.keeper("a")
         keeper.tick()
         assert keeper.may_order(1, ORDER_S)
 
-    def test_second_waits_a_full_lease_from_its_first_read(self, world):
-        world.keeper("a").tick()
-        world.clock.advance(9.0)
-        second = world.keeper("b")
+    def test_second_waits_a_full_lease_from_its_first_read(self, deployment):
+        deployment.keeper("a").tick()
+        deployment.clock.advance(9.0)
+        second = deployment.keeper("b")
         second.tick()
-        world.clock.advance(9.5)
+        deployment.clock.advance(9.5)
         second.tick()
-        assert world.row().holder == "a"
-        world.clock.advance(0.6)
+        assert deployment.row().holder == "a"
+        deployment.clock.advance(0.6)
         second.tick()
         second.tick()
-        assert (world.row().holder, world.row().fence) == ("b", 2)
+        assert (deployment.row().holder, deployment.row().fence) == ("b", 2)
 
-    def test_successor_waits_until_the_last_order_has_ended(self, world):
-        world.keeper("a").tick()
-        second = world.keeper("b")
+    def test_successor_waits_until_the_last_order_has_ended(self, deployment):
+        deployment.keeper("a").tick()
+        second = deployment.keeper("b")
         second.tick()
-        world.clock.advance(10.0)
+        deployment.clock.advance(10.0)
         second.tick()
         assert second.fence == 2
         assert not second.may_order(2, ORDER_S)
-        world.clock.advance(ORDER_S)
+        deployment.clock.advance(ORDER_S)
         assert second.may_order(2, ORDER_S)
 
-    def test_released_lease_is_acquired_immediately(self, world):
-        first = world.keeper("a")
+    def test_released_lease_is_acquired_immediately(self, deployment):
+        first = deployment.keeper("a")
         first.tick()
         first.release()
-        second = world.keeper("b")
+        second = deployment.keeper("b")
         second.tick()
         assert second.may_order(2, ORDER_S)
         assert not first.may_order(1, ORDER_S)
 
-    def test_restarted_process_is_another_holder(self, world):
-        world.keeper("a/1").tick()
-        again = world.keeper("a/2")
+    def test_restarted_process_is_another_holder(self, deployment):
+        deployment.keeper("a/1").tick()
+        again = deployment.keeper("a/2")
         again.tick()
         assert not again.may_order(again.fence, ORDER_S)
 
 
 class TestHold:
-    def test_last_order_ends_before_the_lease_less_its_margin(self, world):
-        keeper = world.keeper("a")
+    def test_last_order_ends_before_the_lease_less_its_margin(self, deployment):
+        keeper = deployment.keeper("a")
         keeper.tick()
-        world.clock.advance(6.9)
+        deployment.clock.advance(6.9)
         assert keeper.may_order(1, ORDER_S)
-        world.clock.advance(0.2)
+        deployment.clock.advance(0.2)
         assert not keeper.may_order(1, ORDER_S)
 
-    def test_lease_starts_before_its_write_is_sent(self, world):
+    def test_lease_starts_before_its_write_is_sent(self, deployment):
         lease = Lease("a", LIMITS)
         lease.next(100.0)
         lease.on_read(0, None, 100.0)
@@ -103,35 +103,35 @@
         assert lease.holds(108.9)
         assert not lease.holds(109.1)
 
-    def test_delayed_renewal_starts_before_it_is_sent(self, world):
-        keeper = world.keeper("a")
+    def test_delayed_renewal_starts_before_it_is_sent(self, deployment):
+        keeper = deployment.keeper("a")
         keeper.tick()
-        world.clock.advance(3.5)
-        world.table.faults.extend([WriteFault.DELAYED, WriteFault.AWAY])
+        deployment.clock.advance(3.5)
+        deployment.table.faults.extend([WriteFault.DELAYED, WriteFault.AWAY])
         keeper.tick()
-        world.table.land()
-        world.clock.advance(4.0)
-        world.table.faults.append(WriteFault.AWAY)
+        deployment.table.land()
+        deployment.clock.advance(4.0)
+        deployment.table.faults.append(WriteFault.AWAY)
         keeper.tick()
-        assert world.row().beat == 2
-        world.clock.advance(4.6)
+        assert deployment.row().beat == 2
+        deployment.clock.advance(4.6)
         assert keeper.may_order(1, 0.0)
-        world.clock.advance(0.5)
+        deployment.clock.advance(0.5)
         assert not keeper.may_order(1, 0.0)
 
-    def test_renews_before_expiry(self, world):
-        keeper = world.keeper("a")
+    def test_renews_before_expiry(self, deployment):
+        keeper = deployment.keeper("a")
         for _ in range(20):
-            world.clock.advance(keeper.tick())
+            deployment.clock.advance(keeper.tick())
             assert keeper.may_order(1, ORDER_S)
-        assert world.row().fence == 1
+        assert deployment.row().fence == 1
 
-    def test_expires_while_the_table_is_unavailable(self, world):
-        keeper = world.keeper("a")
+    def test_expires_while_the_table_is_unavailable(self, deployment):
+        keeper = deployment.keeper("a")
         keeper.tick()
-        world.table.is_away = True
+        deployment.table.is_away = True
         for _ in range(30):
-            world.clock.advance(0.5)
+            deployment.clock.advance(0.5)
             keeper.tick()
         assert not keeper.may_order(1, 0.0)
 
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -93,7 +93,7 @@
         disturb(self.world, index)
 
     @invariant()
-    def holds(self):
+    def state_is_consistent(self):
         self.world.check()
 
     def teardown(self):
