--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -9,18 +9,18 @@
 import msgspec
 
 from wagtailstair.clock import ManualClock
-from wagtailstair.core.charges import Homes
-from wagtailstair.core.demand import Done
-from wagtailstair.core.demand import Want
+from wagtailstair.core.charges import OwnedQuotas
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.engine import Priority
 from wagtailstair.core.engine import Stage
-from wagtailstair.core.freshness import Freshness
-from wagtailstair.core.freshness import PeerVersions
-from wagtailstair.core.freshness import ReadHead
+from wagtailstair.core.grants import GrantOutcome
+from wagtailstair.core.grants import RouteRequest
 from wagtailstair.core.lists import ACCOUNTS
 from wagtailstair.core.lists import PLANS
 from wagtailstair.core.lists import Lists
+from wagtailstair.core.lists_refresh import ListsRefresh
+from wagtailstair.core.lists_refresh import PeerVersions
+from wagtailstair.core.lists_refresh import ReadVersion
 from wagtailstair.core.membership import Heartbeat
 from wagtailstair.core.membership import Host
 from wagtailstair.core.membership import HostState
@@ -127,9 +127,9 @@
     )
 
 
-def make_want(number: int, host: str, now: float) -> Want:
+def make_want(number: int, host: str, now: float) -> RouteRequest:
     """Return a want of ordinary size with four prefix blocks."""
-    return Want(
+    return RouteRequest(
         request=f"{number:032x}",
         epoch=0,
         host=host,
@@ -206,7 +206,7 @@
     membership.set_state(HostState.LIVE)
     for number in range(1, hosts):
         host = make_host(number, number % centres)
-        membership.heartbeat(Heartbeat(host, 1, HostState.LIVE, 1), 0.0)
+        membership.receive_heartbeat(Heartbeat(host, 1, HostState.LIVE, 1), 0.0)
     return membership
 
 
@@ -221,7 +221,9 @@
         for _ in range(20):
             seq += 1
             for host in others:
-                membership.heartbeat(Heartbeat(host, seq, HostState.LIVE, 1), 0.0)
+                membership.receive_heartbeat(
+                    Heartbeat(host, seq, HostState.LIVE, 1), 0.0
+                )
 
     def ticks() -> None:
         for _ in range(100):
@@ -279,7 +281,7 @@
                 HostState.LIVE if name == "dispatcher" else HostState.JOINING
             )
             state = HostState.LIVE if other == "dispatcher" else HostState.JOINING
-            membership.heartbeat(Heartbeat(hosts[other], 1, state, 1), 100.0)
+            membership.receive_heartbeat(Heartbeat(hosts[other], 1, state, 1), 100.0)
             self.sides[name] = Dispatcher(
                 membership,
                 self.wires[name],
@@ -331,7 +333,7 @@
             future = self.timed("entry", lambda w=want: entry.submit(MODEL, "dc-00", w))
             self.carry()
             assert future.done()
-            done = Done(want.request, 0, name, 512, 221)
+            done = GrantOutcome(want.request, 0, name, 512, 221)
             self.timed("entry", lambda d=done: entry.done(MODEL, "dc-00", d))
             self.carry()
         return {side: s * 1e6 / count for side, s in self.seconds.items()}
@@ -347,12 +349,12 @@
     """Return what a charge with its settlement costs, and an account's memory."""
     count = min(accounts, 2000)
 
-    def charge(homes: Homes, number: int) -> None:
+    def charge(homes: OwnedQuotas, number: int) -> None:
         message = Charge(number, f"account-{number:05d}", 96.0, 2000.0, 10.0, 16)
         homes.charge("entry/1", message, 0.0)
 
-    def fill() -> Homes:
-        homes = Homes()
+    def fill() -> OwnedQuotas:
+        homes = OwnedQuotas()
         for number in range(accounts):
             charge(homes, number)
         return homes
@@ -439,12 +441,12 @@
     seconds = 300
     for rank in range(hosts):
         draws = iter([(rank * 37 + step * 61) % 97 / 97 for step in range(100_000)])
-        freshness = Freshness(interval_s, 0.0, lambda d=draws: next(d))
-        freshness.taken(1)
+        freshness = ListsRefresh(interval_s, 0.0, lambda d=draws: next(d))
+        freshness.record_applied(1)
         for step in range(seconds * 10):
             now = step / 10.0
             for action in freshness.tick(now, rank, PeerVersions(hosts - 1, 1, 1)):
-                assert isinstance(action, ReadHead)
+                assert isinstance(action, ReadVersion)
                 count += 1
-                freshness.answered(action, 1, now)
+                freshness.record_version(action, 1, now)
     return count / seconds
--- a/bench/core_slopes.py
+++ b/bench/core_slopes.py
@@ -11,11 +11,11 @@
 import tracemalloc
 import typing as t
 
-from wagtailstair.core.demand import Done
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import GrantOutcome
+from wagtailstair.core.grants import RouteRequest
 from wagtailstair.core.pool import Pool
 from wagtailstair.core.pool import PoolLimits
 from wagtailstair.core.quota import Quota
@@ -57,8 +57,8 @@
     return states
 
 
-def _want(number: int, accounts: int) -> Want:
-    return Want(
+def _want(number: int, accounts: int) -> RouteRequest:
+    return RouteRequest(
         request=f"host/1/{number}",
         epoch=0,
         host="host/1",
@@ -76,7 +76,7 @@
     now = number / 1_000
     pool.want(_want(number, accounts), now)
     if running:
-        pool.done(Done(running.pop(0), 0, "host/1", 320, 120), now)
+        pool.done(GrantOutcome(running.pop(0), 0, "host/1", 320, 120), now)
     for decision in pool.poll(now):
         if isinstance(decision, Grant):
             running.append(decision.request)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,15 +6,15 @@
 import random
 import typing as t
 
-from wagtailstair.core.demand import Done
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Hold
-from wagtailstair.core.demand import Refusal
-from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.engine import Route
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import GrantOutcome
+from wagtailstair.core.grants import HeldGrant
+from wagtailstair.core.grants import Refusal
+from wagtailstair.core.grants import RouteRequest
+from wagtailstair.core.loads import EngineGroup
 from wagtailstair.core.loads import EngineLoad
-from wagtailstair.core.loads import Lane
 from wagtailstair.core.loads import LoadTable
 from wagtailstair.core.loads import Need
 from wagtailstair.core.loads import StageCost
@@ -23,7 +23,7 @@
 from wagtailstair.core.pool import Pool
 from wagtailstair.core.pool import PoolLimits
 from wagtailstair.core.routing import shortest_route
-from wagtailstair.core.spill import Waits
+from wagtailstair.core.wait_estimates import WaitEstimates
 
 from .fleet import DATA_CENTRES
 from .fleet import HOSTS
@@ -45,11 +45,11 @@
 HOST_DEAD_AFTER_S = 2.5
 
 
-def want_of(request: Request) -> Want:
+def want_of(request: Request) -> RouteRequest:
     """Return what an entry host asks for."""
     prompt = request.prompt + int(request.done)
     left = max(1.0, request.expected - request.done)
-    return Want(
+    return RouteRequest(
         request=request.name,
         epoch=request.epoch,
         host=request.host,
@@ -163,7 +163,7 @@
         sent = self.sent[state.name]
         while sent and sent[0] < state.as_of:
             sent.popleft()
-        load.foreign = state.running + state.waiting + len(sent) - load.granted
+        load.other_requests = state.running + state.waiting + len(sent) - load.granted
         load.take(state)
 
     def note_sent(self, name: str, need: Need, now: float) -> None:
@@ -172,7 +172,7 @@
 
     def note_ended(self, name: str, need: Need) -> None:
         load = self.load_by_name[name]
-        load.foreign += 1
+        load.other_requests += 1
         load.end(need)
 
 
@@ -221,7 +221,7 @@
         for seen in self.seen_by_host.values():
             seen.load_by_name[name].is_leaving = True
 
-    def may_use(self, load: EngineLoad, want: Want) -> bool:
+    def may_use(self, load: EngineLoad, want: RouteRequest) -> bool:
         """Tell whether an engine is a candidate."""
         return not load.is_leaving and load.state.name not in want.avoid
 
@@ -249,18 +249,18 @@
             first, data_centre = chosen.last, chosen.data_centre
         return names
 
-    def _least_delay(self, seen: _Seen, want: Want) -> list[str] | None:
+    def _least_delay(self, seen: _Seen, want: RouteRequest) -> list[str] | None:
         need = Need.of(want)
 
-        def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
+        def pick(group: EngineGroup) -> tuple[float, EngineLoad] | None:
             costs = []
-            for load in lane.loads:
+            for load in group.loads:
                 if self.may_use(load, want):
                     cost = remaining_work_delay(load, need, self.model.now)
                     costs.append((cost, load.state.name, load))
             return None if not costs else min(costs)[::2]
 
-        found = shortest_route(seen.table.lanes, need.tokens, pick)
+        found = shortest_route(seen.table.groups, need.tokens, pick)
         return None if found is None else [stage.engine for stage in found[0]]
 
     def arrive(self, request: Request) -> None:
@@ -302,7 +302,7 @@
             host: collections.deque() for host in HOSTS
         }
 
-    def may_use(self, load: EngineLoad, want: Want) -> bool:
+    def may_use(self, load: EngineLoad, want: RouteRequest) -> bool:
         """Tell whether an engine is a candidate with room."""
         return super().may_use(load, want) and load.used < load.state.slots
 
@@ -374,16 +374,16 @@
         for node in nodes[options.nodes]:
             self.pool_by_node[node] = Pool(MODEL, node, options.limits, options.cost)
         self.request_by_name: dict[str, Request] = {}
-        self._wants: dict[str, tuple[str, Want]] = {}
-        self._running: dict[str, tuple[str, Want, Route]] = {}
+        self._wants: dict[str, tuple[str, RouteRequest]] = {}
+        self._running: dict[str, tuple[str, RouteRequest, Route]] = {}
         self._timer_by_node: dict[str, float] = {}
         self._held: dict[str, list[tuple[t.Any, ...]]] = collections.defaultdict(list)
         self._own: dict[tuple[str, str], int] = collections.defaultdict(int)
         self._ended_at: dict[tuple[str, str], collections.deque[float]]
         self._ended_at = collections.defaultdict(collections.deque)
-        self._usage: dict[tuple[str, Want], float] = {}
+        self._usage: dict[tuple[str, RouteRequest], float] = {}
         self._pump_due = False
-        self._waits_by_host = {host: Waits() for host in HOSTS}
+        self._waits_by_host = {host: WaitEstimates() for host in HOSTS}
         model.resend_s = options.resend_s
         self._demand_by_host: dict[str, float] = collections.defaultdict(float)
         if options.exchange or options.shares:
@@ -495,7 +495,7 @@
             self._own[request.host, stage.engine] -= 1
             self._ended_at[request.host, stage.engine].append(self.model.now)
         output = int(request.done) - (want.prompt_tokens - request.prompt)
-        done = Done(
+        done = GrantOutcome(
             request.name, want.epoch, request.host, want.prompt_tokens, output, failed
         )
         if self._options.exchange:
@@ -534,8 +534,8 @@
         ended = self._ended_at[host, state.name]
         while ended and ended[0] < state.as_of:
             ended.popleft()
-        foreign = max(0, state.running + state.waiting - own - len(ended))
-        slots = max(0, state.slots - foreign)
+        other_requests = max(0, state.running + state.waiting - own - len(ended))
+        slots = max(0, state.slots - other_requests)
         return dataclasses.replace(state, slots=slots, running=own, waiting=0)
 
     def _share_of(self, host: str, state: EngineState) -> int:
@@ -605,7 +605,7 @@
                 )
         for owner, want, route in list(self._running.values()):
             if owner == node:
-                hold = Hold(want, route, 0)
+                hold = HeldGrant(want, route, 0)
                 self._tell(node, want.host[0], "hold", hold)
         held = self._held.pop(node, [])
         for call, args in held:
@@ -652,7 +652,7 @@
     rng = random.Random(1)
 
     def cost(load: EngineLoad, need: Need, now: float) -> float:
-        free = len(load.lane.free) if load.lane is not None else 1
+        free = len(load.group.free) if load.group is not None else 1
         left_out = 0.0 if rng.random() * free < 2 else LEFT_OUT_S
         return left_out + expected_delay(load, need, now)
 
--- a/src/wagtailstair/budget.py
+++ b/src/wagtailstair/budget.py
@@ -14,10 +14,10 @@
         super().__init__(share)
         self._lock = threading.Lock()
 
-    def attempted(self, now: float) -> None:
+    def count_attempt(self, now: float) -> None:
         """Note a first attempt."""
         with self._lock:
-            super().attempted(now)
+            super().count_attempt(now)
 
     def take(self, now: float) -> bool:
         """Use a retry, if the budget has one."""
--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -16,7 +16,6 @@
 from .core.claim_rows import make_write
 from .core.claim_steps import Answer
 from .core.claim_steps import Answered
-from .core.claim_steps import Away
 from .core.claim_steps import CallLost
 from .core.claim_steps import Claimant
 from .core.claim_steps import ClaimRow
@@ -38,8 +37,9 @@
 from .core.claim_steps import Settle
 from .core.claim_steps import Store
 from .core.claim_steps import Stored
+from .core.claim_steps import Unavailable
 from .core.claim_steps import Wait
-from .core.claim_steps import Woke
+from .core.claim_steps import WaitElapsed
 from .core.claims import Claim
 from .core.claims import ClaimLimits
 from .core.claims import make_claim_key
@@ -298,7 +298,7 @@
         try:
             rows = self._table.read([(TABLE, task.key) for task in tasks])
         except PlatformError:
-            return [Away() for _ in tasks]
+            return [Unavailable() for _ in tasks]
         return [self.event_of_row(row) for row in rows]
 
     def _do_insert(self, task: Task, command: Insert) -> Event:
@@ -311,7 +311,7 @@
 
     def _do_wait(self, task: Task, command: Wait) -> Event:
         threading.Event().wait(self.jitter(command.delay_s))
-        return Woke()
+        return WaitElapsed()
 
     def _do_send(self, task: Task, command: Send) -> Event:
         # Judged again here: the thread may have been frozen since the claim.
@@ -334,15 +334,15 @@
         try:
             self._objects.put(command.name, command.body)
         except PlatformError:
-            return Away()
+            return Unavailable()
         return Stored()
 
     def _do_fetch(self, task: Task, command: Fetch) -> Event:
         try:
             body = self._objects.get(command.name)
         except PlatformError:
-            return Away()
-        return Away() if body is None else Fetched(body)
+            return Unavailable()
+        return Unavailable() if body is None else Fetched(body)
 
 
 _STEP_BY_COMMAND: dict[type, collections.abc.Callable[..., Event]] = {
--- a/src/wagtailstair/cli/explain.py
+++ b/src/wagtailstair/cli/explain.py
@@ -5,9 +5,9 @@
 
 import click
 
-from ..core.story import LogLine
-from ..core.story import Story
-from ..core.story import tell
+from ..core.request_trace import LogLine
+from ..core.request_trace import RequestTrace
+from ..core.request_trace import trace_request
 from .options import command
 from .output import print_json
 from .output import print_note
@@ -32,7 +32,7 @@
     return f"{line.time}  {line.host}  {line.event}  {' '.join(parts)}"
 
 
-def _print_notes(story: Story) -> None:
+def _print_notes(story: RequestTrace) -> None:
     if story.unreadable:
         print_note(f"{story.unreadable} lines were unreadable and left out")
     if story.left_out:
@@ -47,7 +47,7 @@
     @click.argument("files", nargs=-1, type=click.Path(path_type=pathlib.Path))
     def explain(request: str, files: tuple[pathlib.Path, ...], as_json: bool) -> None:
         """Tell what became of a request, from logs or standard input."""
-        story = tell(_lines(files), request)
+        story = trace_request(_lines(files), request)
         _print_notes(story)
         if not story.lines:
             raise click.ClickException(f"no line names the request {request}")
--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -8,9 +8,9 @@
 from werkzeug.wrappers import Response
 
 from .clock import Clock
-from .core.freshness import Freshness
 from .core.lists import Lists
 from .core.lists import ListsHolder
+from .core.lists_refresh import ListsRefresh
 from .core.membership import Host
 from .core.membership import HostState
 from .core.membership import Membership
@@ -107,13 +107,13 @@
             clock,
             lambda: self.holder.current.version,
             lambda version: self._follower.heard(),
-            lists_known=lambda: self._follower.known(),
+            known_lists_version=lambda: self._follower.known(),
         )
         self.dispatcher = self._node.dispatcher
         self._follower = Follower(
             self.holder,
             clock,
-            Freshness(settings.platform.lists_interval_s, now, rng.random),
+            ListsRefresh(settings.platform.lists_interval_s, now, rng.random),
             read_head=lambda: read_head(table).version,
             read_since=lambda lists: read_since(table, lists),
             fetch=self._fetch,
@@ -180,7 +180,7 @@
             hosts.append(
                 Host(entry.name, entry.data_centre, entry.address, entry.peer_address)
             )
-        self._node.host_list(hosts)
+        self._node.apply_host_list(hosts)
 
     def peers(self) -> list[dict[str, t.Any]]:
         """Describe the peers for operators."""
--- a/src/wagtailstair/core/capacity.py
+++ b/src/wagtailstair/core/capacity.py
@@ -27,7 +27,7 @@
         self._bound_at = -BOUND_INTERVAL_S
         self.estimate = 0.0
 
-    def served(self, work: float, is_busy: bool, now: float) -> None:
+    def record_served(self, work: float, is_busy: bool, now: float) -> None:
         """Note a request that ended.
 
         :param is_busy: whether requests waited.
--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -28,7 +28,7 @@
 Verdict = Allowed | Limited
 
 
-class Homes:
+class OwnedQuotas:
     """The accounts whose home this host is, or lately was."""
 
     def __init__(self) -> None:
@@ -133,7 +133,7 @@
         self.era_by_host: dict[str, int] = {}
         self.local_verdicts = 0
         self._name = name
-        self._find_home = find_home
+        self._find_quota_owner = find_home
         self._tell = tell
         self._local = Quota()
         self._number = 0
@@ -187,7 +187,7 @@
         limited = Limited(message.limit.name.lower(), message.retry_after_s)
         self._results.append((known.request, limited))
 
-    def void(self, host: str, now: float) -> None:
+    def reissue(self, host: str, now: float) -> None:
         """Charge anew what a home has forgotten."""
         for known in list(self._open_by_request.values()):
             if known.host == host:
@@ -195,10 +195,10 @@
                 self._tear(known, 0.0, now)
                 self._ask(known, now)
 
-    def moved(self, now: float) -> None:
+    def reassign(self, now: float) -> None:
         """Follow the homes after a change of the live hosts."""
         for known in list(self._open_by_request.values()):
-            home = self._find_home(known.account) or ""
+            home = self._find_quota_owner(known.account) or ""
             if home == known.host:
                 continue
             if known.handle:
@@ -231,7 +231,7 @@
         return sends
 
     def _ask(self, known: _Open, now: float) -> None:
-        home = self._find_home(known.account)
+        home = self._find_quota_owner(known.account)
         known.host = home or ""
         known.handle = 0
         if home is None:
--- a/src/wagtailstair/core/claim_results.py
+++ b/src/wagtailstair/core/claim_results.py
@@ -4,7 +4,6 @@
 import enum
 
 from .claim_steps import Answer
-from .claim_steps import Away
 from .claim_steps import ClaimRow
 from .claim_steps import ClaimState
 from .claim_steps import Command
@@ -20,8 +19,9 @@
 from .claim_steps import Settle
 from .claim_steps import Store
 from .claim_steps import Stored
+from .claim_steps import Unavailable
 from .claim_steps import Wait
-from .claim_steps import Woke
+from .claim_steps import WaitElapsed
 from .claim_steps import Written
 
 
@@ -133,26 +133,26 @@
     def _on_storing(self, event: Event, now: float) -> Command:
         if isinstance(event, Stored):
             return self._continue_or_deliver(Phase.CONFIRMING, self._pending, now)
-        if not isinstance(event, Away):
+        if not isinstance(event, Unavailable):
             raise unexpected(self, event)
         return self._retry(now)
 
     def _on_confirming(self, event: Event, now: float) -> Command:
         if isinstance(event, Written):
             return self._finish_confirmed()
-        if isinstance(event, Away):
+        if isinstance(event, Unavailable):
             return self._retry(now)
         if isinstance(event, Conflict | ReplyLost):
             return self._continue_or_deliver(Phase.CONFIRM_READING, Read(), now)
         raise unexpected(self, event)
 
     def _on_confirm_waiting(self, event: Event, now: float) -> Command:
-        if isinstance(event, Woke):
+        if isinstance(event, WaitElapsed):
             return self._continue_or_deliver(Phase.CONFIRM_READING, Read(), now)
         raise unexpected(self, event)
 
     def _on_confirm_reading(self, event: Event, now: float) -> Command:
-        if isinstance(event, Away):
+        if isinstance(event, Unavailable):
             return self._retry(now)
         if not isinstance(event, RowRead):
             raise unexpected(self, event)
@@ -190,7 +190,7 @@
     # After an insert whose reply was lost: delete the row if it appears late.
 
     def _on_cleanup_waiting(self, event: Event, now: float) -> Command:
-        if not isinstance(event, Woke):
+        if not isinstance(event, WaitElapsed):
             raise unexpected(self, event)
         self.phase = Phase.CLEANUP_READING
         return Read()
--- a/src/wagtailstair/core/claim_steps.py
+++ b/src/wagtailstair/core/claim_steps.py
@@ -160,7 +160,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Away:
+class Unavailable:
     """The platform was unavailable: nothing was written or read."""
 
 
@@ -174,7 +174,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Woke:
+class WaitElapsed:
     """The delay of a ``Wait`` has elapsed."""
 
 
@@ -216,9 +216,9 @@
     Written
     | Conflict
     | ReplyLost
-    | Away
+    | Unavailable
     | RowRead
-    | Woke
+    | WaitElapsed
     | Answered
     | NotRun
     | CallLost
--- a/src/wagtailstair/core/claims.py
+++ b/src/wagtailstair/core/claims.py
@@ -16,7 +16,6 @@
 from .claim_results import unexpected
 from .claim_steps import Answer
 from .claim_steps import Answered
-from .claim_steps import Away
 from .claim_steps import ClaimRow
 from .claim_steps import ClaimState
 from .claim_steps import Command
@@ -36,7 +35,8 @@
 from .claim_steps import Send
 from .claim_steps import Settle
 from .claim_steps import Store
-from .claim_steps import Woke
+from .claim_steps import Unavailable
+from .claim_steps import WaitElapsed
 from .claim_steps import Written
 
 HASH_BYTES = 32
@@ -127,12 +127,12 @@
         if isinstance(event, ReplyLost):
             self._insert_lost = True
             return self._read()
-        if isinstance(event, Away):
+        if isinstance(event, Unavailable):
             return self._fail_unsent(FailureReason.PLATFORM_AWAY)
         raise unexpected(self, event)
 
     def _on_reading(self, event: Event, now: float) -> Command:
-        if isinstance(event, Away):
+        if isinstance(event, Unavailable):
             if self._contended and now < self.deadline:
                 return self._wait(Phase.WAITING)
             return self._fail_unsent(FailureReason.PLATFORM_AWAY)
@@ -165,7 +165,7 @@
         return self._wait(Phase.WAITING)
 
     def _on_waiting(self, event: Event, now: float) -> Command:
-        if isinstance(event, Woke):
+        if isinstance(event, WaitElapsed):
             return self._read()
         raise unexpected(self, event)
 
@@ -178,7 +178,7 @@
         return self._deliver(Phase.DONE, Finish())
 
     def _on_fetching(self, event: Event, now: float) -> Command:
-        if isinstance(event, Away):
+        if isinstance(event, Unavailable):
             if now >= self.deadline:
                 return self._fail(FailureReason.OUTCOME_UNKNOWN, Outcome.UNKNOWN)
             return self._wait(Phase.WAITING)
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -34,7 +34,7 @@
     ``kv_bytes``: KV cache of one token in all layers; ``hidden_bytes``: hidden
     state of one token sent between two engines; ``step_s`` and ``sequence_s``:
     decode step, fixed and per running sequence; ``read_tokens_per_s``: prefill
-    rate; ``usual_answer``: output tokens of a typical request;
+    rate; ``typical_output_tokens``: output tokens of a typical request;
     ``pipe_bytes_per_s``: bandwidth between two data centres.
     """
 
@@ -45,7 +45,7 @@
     step_s: float
     sequence_s: float
     read_tokens_per_s: float
-    usual_answer: float
+    typical_output_tokens: float
     pipe_bytes_per_s: float
     delay_s_by_centres: dict[tuple[str, str], float]
     accelerator_by_name: dict[str, Accelerator]
@@ -175,7 +175,7 @@
             end = path.rfind("/", 0, end)
         return None
 
-    def judge(self, host: str, path: str, key: str | None) -> Grant | Denial:
+    def authorize(self, host: str, path: str, key: str | None) -> Grant | Denial:
         """Return the route and account of a request, or why it is denied.
 
         :param path: the path without the query.
--- a/src/wagtailstair/core/tickets.py
+++ b/src/wagtailstair/core/dispatch_client.py
@@ -9,13 +9,13 @@
 import dataclasses
 import typing as t
 
-from .demand import Done
-from .demand import Grant
-from .demand import Hold
-from .demand import Refusal
-from .demand import RefusalReason
-from .demand import Want
 from .engine import Route
+from .grants import Grant
+from .grants import GrantOutcome
+from .grants import HeldGrant
+from .grants import Refusal
+from .grants import RefusalReason
+from .grants import RouteRequest
 from .local_pools import LocalPools
 from .messages import ERA_SHIFT
 from .messages import Finished
@@ -53,13 +53,13 @@
 @dataclasses.dataclass(slots=True)
 class _Open:
     key: PoolKey
-    want: Want
+    want: RouteRequest
     ticket: _Ticket | None = None
     route: Route | None = None
     is_local: bool = False
 
 
-class Tickets:
+class DispatchClient:
     """All open requests of an entry host.
 
     :param find_owner: the live host that dispatches a pool, or None.
@@ -75,7 +75,7 @@
         tell: t.Callable[[str, Reliable, float], None],
     ) -> None:
         self.suspects: set[str] = set()
-        self.local = LocalPools(make_pool, engines)
+        self.local_pools = LocalPools(make_pool, engines)
         self.era_by_host: dict[str, int] = {}
         self.repeats = 0
         self.local_grants = 0
@@ -93,7 +93,7 @@
 
     # The entry host's own calls.
 
-    def submit(self, key: PoolKey, want: Want, now: float) -> None:
+    def submit(self, key: PoolKey, want: RouteRequest, now: float) -> None:
         """Ask for a route."""
         name = (want.request, want.epoch)
         if name in self._open_by_id:
@@ -105,7 +105,7 @@
         if known.ticket is None or known.ticket.host in self.suspects:
             self._decide_here(known, now)
 
-    def done(self, done: Done, now: float) -> None:
+    def done(self, done: GrantOutcome, now: float) -> None:
         """End a grant."""
         known = self._open_by_id.pop((done.request, done.epoch), None)
         if known is None:
@@ -137,7 +137,7 @@
 
     # Answers.
 
-    def granted(self, sender: str, message: Granted, now: float) -> None:
+    def receive_grant(self, sender: str, message: Granted, now: float) -> None:
         """Take a grant; one that comes late or twice is not delivered."""
         known = self._find(sender, message.handle)
         if known is None:
@@ -148,7 +148,7 @@
         self._leave_local(known, now)
         self._resolve(known, message.route)
 
-    def refused(self, sender: str, message: Refused, now: float) -> None:
+    def receive_refusal(self, sender: str, message: Refused, now: float) -> None:
         """Take a refusal."""
         known = self._find(sender, message.handle)
         if known is None or known.route is not None:
@@ -157,7 +157,7 @@
         self._tear(known)
         self._fail(known, message.reason, message.retry_after_s)
 
-    def queued(self, sender: str, message: Queued, now: float) -> None:
+    def receive_queued(self, sender: str, message: Queued, now: float) -> None:
         """Learn that a submission waits."""
         known = self._find(sender, message.handle)
         if known is None or known.ticket is None:
@@ -172,11 +172,11 @@
 
     # Changes around.
 
-    def heard(self, host: str) -> None:
+    def mark_responsive(self, host: str) -> None:
         """Learn that a host answers."""
         self.suspects.discard(host)
 
-    def void(self, host: str, now: float) -> None:
+    def reissue(self, host: str, now: float) -> None:
         """Submit anew what a host has forgotten."""
         for known in list(self._open_by_id.values()):
             if known.ticket is not None and known.ticket.host == host:
@@ -184,7 +184,7 @@
                 self._withdraw(known, now)
                 self._ask(known, now)
 
-    def moved(self, now: float) -> None:
+    def reassign(self, now: float) -> None:
         """Follow the dispatchers after a change of the live hosts."""
         owner_by_key: dict[PoolKey, str | None] = {}
         for known in list(self._open_by_id.values()):
@@ -217,12 +217,12 @@
             if now >= ticket.send_at:
                 self._send(known, ticket, now)
                 self.repeats += 1
-        for decided in self.local.poll(now):
+        for decided in self.local_pools.poll(now):
             self._decided(decided, now)
 
     def next_wake(self, now: float) -> float | None:
         """Return when to call :meth:`tick` again."""
-        wake = self.local.next_wake(now)
+        wake = self.local_pools.next_wake(now)
         wakes = [] if wake is None else [wake]
         for known in self._waiting.values():
             if known.ticket is not None:
@@ -270,7 +270,7 @@
         want = self._on_wire(known.want, now)
         self._sends.append((ticket.host, Submit(ticket.handle, known.key, want)))
 
-    def _on_wire(self, want: Want, now: float) -> Want:
+    def _on_wire(self, want: RouteRequest, now: float) -> RouteRequest:
         """Return a want whose deadline is in seconds from now."""
         remaining_s = max(0.0, want.deadline - now)
         return dataclasses.replace(want, deadline=remaining_s)
@@ -301,16 +301,16 @@
     # The local pools.
 
     def _local(self, key: PoolKey, now: float) -> Pool:
-        pool = self.local.by_key.get(key)
+        pool = self.local_pools.by_key.get(key)
         if pool is None:
-            pool = self.local.make(key, now)
+            pool = self.local_pools.make(key, now)
             self._hold_open(key, pool, now)
         return pool
 
     def _hold_open(self, key: PoolKey, pool: Pool, now: float) -> None:
         for known in self._open_by_id.values():
             if known.key == key and known.route is not None:
-                pool.hold(Hold(known.want, known.route, 0), now)
+                pool.hold(HeldGrant(known.want, known.route, 0), now)
                 known.is_local = True
 
     def _decide_here(self, known: _Open, now: float) -> None:
--- a/src/wagtailstair/core/ejection.py
+++ b/src/wagtailstair/core/ejection.py
@@ -57,13 +57,13 @@
             return True
         return health.is_probing and health.probe_open
 
-    def started(self, name: str) -> None:
+    def record_start(self, name: str) -> None:
         """Note that an upstream got a request."""
         health = self._health_by_name.get(name)
         if health is not None and health.is_probing:
             health.probe_open = True
 
-    def succeeded(self, name: str, now: float) -> None:
+    def record_success(self, name: str, now: float) -> None:
         """Note a request that the upstream served."""
         health = self._health_by_name.get(name)
         if health is None or now < health.until:
@@ -75,13 +75,13 @@
         if is_healthy and not health.slow_reports:
             del self._health_by_name[name]
 
-    def abandoned(self, name: str) -> None:
+    def record_inconclusive(self, name: str) -> None:
         """Note a request that ended without telling anything of the upstream."""
         health = self._health_by_name.get(name)
         if health is not None:
             health.probe_open = False
 
-    def failed(self, name: str, group_size: int, now: float) -> bool:
+    def record_failure(self, name: str, group_size: int, now: float) -> bool:
         """Note a failure; return whether the upstream is ejected by it."""
         health = self._health_by_name.setdefault(name, _Health())
         if now < health.until:
@@ -103,7 +103,9 @@
         health.probe_open = False
         return True
 
-    def measured(self, name: str, ratio: float, group_size: int, now: float) -> None:
+    def record_slowness(
+        self, name: str, ratio: float, group_size: int, now: float
+    ) -> None:
         """Note how many times as slow as its kind an upstream is.
 
         A slow upstream gets no work, so that it can't be probed; it comes
--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -9,7 +9,8 @@
 import typing as t
 
 from .charges import Charges
-from .charges import Homes
+from .charges import OwnedQuotas
+from .dispatch_client import DispatchClient
 from .engine import EngineState
 from .membership import Event
 from .membership import Membership
@@ -41,10 +42,9 @@
 from .pools import PoolFactory
 from .pools import Pools
 from .rendezvous import owner
-from .spread import Spread
-from .spread import load_of
-from .spread import with_load
-from .tickets import Tickets
+from .report_distribution import ReportDistribution
+from .report_distribution import load_of
+from .report_distribution import with_load
 
 ROLES_CACHED = 65_536
 
@@ -59,11 +59,13 @@
     def __init__(self, membership: Membership, make_pool: PoolFactory) -> None:
         self.engines = Engines()
         self.outbox = Outbox()
-        self.homes = Homes()
-        self.spread = Spread()
+        self.owned_quotas = OwnedQuotas()
+        self.report_distribution = ReportDistribution()
         self.pools = Pools(make_pool, self.engines)
-        self.tickets = Tickets(self.find_owner, make_pool, self.engines, self._tell)
-        self.charges = Charges(self._find_home, self._tell, membership.host.name)
+        self.dispatch_client = DispatchClient(
+            self.find_owner, make_pool, self.engines, self._tell
+        )
+        self.charges = Charges(self._find_quota_owner, self._tell, membership.host.name)
         self.outgoing: list[tuple[str, int, Message]] = []
         self.dropped = 0
         self._membership = membership
@@ -83,7 +85,7 @@
         """Return the live host that dispatches a pool."""
         return self.find_host(str(key), key.data_centre)
 
-    def _find_home(self, account: str) -> str | None:
+    def _find_quota_owner(self, account: str) -> str | None:
         return self.find_host(f"account/{account}", None)
 
     def find_host(self, role: str, data_centre: str | None) -> str | None:
@@ -103,7 +105,9 @@
         """Take a load report that this host read, and spread it."""
         self._observe(state, now)
         dispatcher = self.find_owner(PoolKey(state.model, state.data_centre))
-        whole, load = self.spread.targets(state, dispatcher, self._neighbours(), now)
+        whole, load = self.report_distribution.select_peers(
+            state, dispatcher, self._neighbours(), now
+        )
         for host in whole:
             report = EngineReport(state, max(0.0, now - state.as_of))
             self._send(host, report)
@@ -133,7 +137,7 @@
         for message in messages:
             self._take(sender, incarnation, message, now)
 
-    def members_changed(self, events: t.Iterable[Event], now: float) -> None:
+    def apply_member_events(self, events: t.Iterable[Event], now: float) -> None:
         """Follow a change of the live hosts."""
         for event in events:
             self._member_changed(event, now)
@@ -142,28 +146,28 @@
     def tick(self, now: float) -> None:
         """Do what is due."""
         self._follow(now)
-        self.pools.touch()
-        self.tickets.tick(now)
+        self.pools.mark_all_changed()
+        self.dispatch_client.tick(now)
         self.charges.tick(now)
         for host, numbered in self.outbox.repeat(now):
             self._send(host, numbered)
-        for state in self.spread.stale(self.engines, now):
+        for state in self.report_distribution.stale(self.engines, now):
             self._engine_lost(EngineLost(state.name, state.incarnation))
 
     def next_wake(self, now: float) -> float | None:
         """Return when to call :meth:`tick` again if no event comes before."""
         wakes = (
-            self.tickets.next_wake(now),
+            self.dispatch_client.next_wake(now),
             self.charges.next_wake(),
             self.outbox.next_wake(),
             self.pools.next_wake(now),
         )
         return min((wake for wake in wakes if wake is not None), default=None)
 
-    def pump(self, now: float) -> None:
+    def deliver_messages(self, now: float) -> None:
         """Put all messages out, and take those to this host itself."""
         while True:
-            for host, submit in self.tickets.take_sends():
+            for host, submit in self.dispatch_client.take_sends():
                 self._send(host, submit)
             for host, charge in self.charges.take_sends():
                 self._send(host, charge)
@@ -203,12 +207,12 @@
         if self._generation == self._membership.generation:
             return
         self._generation = self._membership.generation
-        self.tickets.local.share = max(
+        self.dispatch_client.local_pools.host_count = max(
             1, len(self._membership.live(self._host.data_centre))
         )
         self.charges.hosts = max(1, len(self._membership.live()))
-        self.tickets.moved(now)
-        self.charges.moved(now)
+        self.dispatch_client.reassign(now)
+        self.charges.reassign(now)
 
     def _member_changed(self, event: Event, now: float) -> None:
         if isinstance(event, PeerDead):
@@ -220,21 +224,21 @@
             self._lose(name, event.old.incarnation, now)
             sender = f"{name}/{event.old.incarnation}"
             self.pools.forget(sender)
-            self.homes.forget(sender)
+            self.owned_quotas.forget(sender)
             self._reset_by_sender.pop(sender, None)
             self._buried.pop(name, None)
-            self.tickets.void(name, now)
-            self.charges.void(name, now)
-            self.spread.hurry()
+            self.dispatch_client.reissue(name, now)
+            self.charges.reissue(name, now)
+            self.report_distribution.refresh_all()
         elif isinstance(event, PeerLive):
             self._revive(event.host.name, event.host.incarnation, now)
             if event.host.data_centre == self._host.data_centre:
-                self.spread.hurry()
+                self.report_distribution.refresh_all()
 
     def _lose(self, name: str, incarnation: int, now: float) -> None:
         self.outbox.drop(name)
         self.pools.host_lost(f"{name}/{incarnation}", now)
-        self.homes.host_lost(f"{name}/{incarnation}", now)
+        self.owned_quotas.host_lost(f"{name}/{incarnation}", now)
 
     def _revive(self, name: str, incarnation: int, now: float) -> None:
         """Start a new era with a host that was taken for dead."""
@@ -242,7 +246,7 @@
             return
         era = self._era_by_host.get(name, 0) + 1
         self._era_by_host[name] = era
-        self.tickets.era_by_host[name] = era
+        self.dispatch_client.era_by_host[name] = era
         self.charges.era_by_host[name] = era
         self._tell(name, Reset(era), now)
 
@@ -251,23 +255,23 @@
             return
         state = self.engines.by_name[state.name]
         self.pools.observe(state, now)
-        self.tickets.local.observe(state, now)
+        self.dispatch_client.local_pools.observe(state, now)
 
     def _engine_lost(self, message: EngineLost) -> None:
         if self.engines.remove(message):
             self.pools.remove(message.name)
-            self.tickets.local.remove(message.name)
+            self.dispatch_client.local_pools.remove(message.name)
 
     def _take(self, sender: str, number: int, message: Message, now: float) -> None:
         name = f"{sender}/{number}"
         if isinstance(message, Submit):
             self.pools.submit(name, message, now)
         elif isinstance(message, Granted):
-            self.tickets.granted(sender, message, now)
+            self.dispatch_client.receive_grant(sender, message, now)
         elif isinstance(message, Refused):
-            self.tickets.refused(sender, message, now)
+            self.dispatch_client.receive_refusal(sender, message, now)
         elif isinstance(message, Queued):
-            self.tickets.queued(sender, message, now)
+            self.dispatch_client.receive_queued(sender, message, now)
         elif isinstance(message, Numbered):
             self._take_numbered(sender, name, message, now)
         elif isinstance(message, Ack):
@@ -277,7 +281,7 @@
 
     def _take_other(self, sender: str, name: str, message: Message, now: float) -> None:
         if isinstance(message, Charge):
-            charged = self.homes.charge(name, message, now)
+            charged = self.owned_quotas.charge(name, message, now)
             if charged is not None:
                 self._send(sender, charged)
         elif isinstance(message, Charged):
@@ -313,13 +317,13 @@
         if isinstance(body, Withdraw):
             self.pools.withdraw(name, body, now)
         elif isinstance(body, Finished):
-            self.pools.finished(name, body, now)
+            self.pools.end_grant(name, body, now)
         elif isinstance(body, Held):
-            self.pools.held(name, body, now)
+            self.pools.adopt_grant(name, body, now)
         elif isinstance(body, Charge):
-            self.homes.charge(name, body, now)
+            self.owned_quotas.charge(name, body, now)
         elif isinstance(body, Settle):
-            self.homes.settle(name, body, now)
+            self.owned_quotas.settle(name, body, now)
         else:
             self._take_reset(sender, name, body, now)
         self._acks.setdefault(sender, []).append(message.number)
@@ -329,14 +333,14 @@
             return
         self._reset_by_sender[name] = body.era
         self.pools.reset(name, body.era, now)
-        self.homes.reset(name, body.era, now)
-        self.tickets.void(sender, now)
-        self.charges.void(sender, now)
+        self.owned_quotas.reset(name, body.era, now)
+        self.dispatch_client.reissue(sender, now)
+        self.charges.reissue(sender, now)
 
     def _take_ack(self, sender: str, message: Ack) -> None:
         for number in message.numbers:
             self.outbox.acknowledge(sender, number)
-        self.tickets.heard(sender)
+        self.dispatch_client.mark_responsive(sender)
         self.charges.suspects.discard(sender)
 
     def _take_acks(self) -> list[tuple[str, list[int]]]:
--- a/src/wagtailstair/core/exchange_headers.py
+++ b/src/wagtailstair/core/exchange_headers.py
@@ -42,7 +42,7 @@
     not_run: bytes
     faulty_address: bytes
 
-    def set_here(self) -> frozenset[bytes]:
+    def set_by_gateway(self) -> frozenset[bytes]:
         """Return the names that callers can't set: the gateway does."""
         return frozenset(
             {
--- a/src/wagtailstair/core/fairness.py
+++ b/src/wagtailstair/core/fairness.py
@@ -6,7 +6,7 @@
 import itertools
 import typing as t
 
-from .demand import Want
+from .grants import RouteRequest
 
 MAX_IDLE = 4_096
 """Accounts without waiting work that are remembered for what they are ahead by."""
@@ -23,7 +23,7 @@
     start: float
     entry: int = -1
     work: float = 0.0
-    by_request: collections.OrderedDict[str, Want] = dataclasses.field(
+    by_request: collections.OrderedDict[str, RouteRequest] = dataclasses.field(
         default_factory=collections.OrderedDict
     )
 
@@ -134,7 +134,7 @@
                 continue
             heapq.heappush(self._idle, (flow.start, account))
 
-    def push(self, want: Want) -> None:
+    def push(self, want: RouteRequest) -> None:
         """Add an item."""
         flow = self._flow_by_account.get(want.account)
         if flow is None:
@@ -148,7 +148,7 @@
         if flow.entry < 0:
             self._schedule(flow)
 
-    def discard(self, want: Want) -> None:
+    def discard(self, want: RouteRequest) -> None:
         """Remove an item that is not served."""
         flow = self._flow_by_account[want.account]
         del flow.by_request[want.request]
@@ -159,7 +159,7 @@
         if not flow.by_request:
             self._retire(flow)
 
-    def take(self, want: Want) -> None:
+    def take(self, want: RouteRequest) -> None:
         """Remove an item that is served now and charge its account."""
         flow = self._flow_by_account[want.account]
         self._virtual = max(self._virtual, flow.start)
@@ -186,7 +186,7 @@
             return
         self._remember_idle(flow)
 
-    def heads(self, count: int) -> t.Iterator[Want]:
+    def heads(self, count: int) -> t.Iterator[RouteRequest]:
         """Iterate over the next item of each of the first ``count`` accounts.
 
         The item at hand may be taken, which must end the iteration.
@@ -209,12 +209,12 @@
         """Return how many items of an account wait."""
         return self._longest.count(account)
 
-    def newest_of_longest(self) -> Want:
+    def newest_of_longest(self) -> RouteRequest:
         """Return the newest item of the account that has most waiting."""
         flow = self._flow_by_account[self._longest.longest()]
         return next(reversed(flow.by_request.values()))
 
-    def work_ahead(self, want: Want) -> float:
+    def work_ahead(self, want: RouteRequest) -> float:
         """Estimate the work of this class that is served before a new item."""
         flow = self._flow_by_account.get(want.account)
         own = 0.0
--- a/src/wagtailstair/core/demand.py
+++ b/src/wagtailstair/core/grants.py
@@ -8,7 +8,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Want:
+class RouteRequest:
     """A request that waits for a route.
 
     ``work``: expected cost in work units; ``deadline``: instant on the
@@ -62,16 +62,16 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Hold:
+class HeldGrant:
     """A grant in use, told anew to a dispatcher that has just taken over."""
 
-    want: Want
+    want: RouteRequest
     route: Route
     tokens_done: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Done:
+class GrantOutcome:
     """The end of a grant, with what it really cost.
 
     ``failed``: engines that the entry host saw fail.
--- a/src/wagtailstair/core/hosts.py
+++ b/src/wagtailstair/core/hosts.py
@@ -36,9 +36,9 @@
     """The periodic message by which a host shows that it is live.
 
     ``view``: checksum of the sender's view; ``lists_version``: version of the
-    lists that the sender holds; ``lists_known``: highest version that any host
+    lists that the sender holds; ``known_lists_version``: highest version that any host
     has announced to it; ``upstreams_version``: version of the newest change of
-    upstreams that it has received; ``is_store_away``: its last call to the
+    upstreams that it has received; ``is_store_unreachable``: its last call to the
     store failed.
     """
 
@@ -47,9 +47,9 @@
     state: HostState
     lists_version: int
     view: int = 0
-    lists_known: int = 0
+    known_lists_version: int = 0
     upstreams_version: int = 0
-    is_store_away: bool = False
+    is_store_unreachable: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -27,7 +27,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Placing:
+class LayerAssignment:
     """An order to hold the layers from ``first`` up to ``last``."""
 
     replica: Replica
@@ -64,12 +64,12 @@
     return ROOM_TOKENS_MIN
 
 
-def plan(
+def plan_layers(
     model: ModelSpec,
     replicas: t.Iterable[Replica],
     range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
     reserved: t.Container[tuple[str, int]] = (),
-) -> list[Placing]:
+) -> list[LayerAssignment]:
     """Return the orders for the engines that hold nothing.
 
     :param range_by_identity: ranges that were ordered already.
@@ -105,15 +105,15 @@
             first = _best_start(model.layers, size, cover, total, ends)
         held = (first, first + size)
         _add(held, cover, total, ends)
-        orders.append(Placing(replica, *held))
+        orders.append(LayerAssignment(replica, *held))
     return orders
 
 
-def repair(
+def plan_repairs(
     model: ModelSpec,
     replicas: t.Iterable[Replica],
     range_by_identity: t.Mapping[tuple[str, int], tuple[int, int]],
-) -> list[Placing]:
+) -> list[LayerAssignment]:
     """Return one move for each data centre that lacks layers.
 
     The engine is moved that leaves the fewest layers uncovered. A data centre
@@ -137,7 +137,7 @@
     return moves
 
 
-def _best_move(model: ModelSpec, engines: list[Replica]) -> Placing | None:
+def _best_move(model: ModelSpec, engines: list[Replica]) -> LayerAssignment | None:
     cover = [0] * model.layers
     for replica in engines:
         for layer in range(*t.cast("tuple[int, int]", replica.layers)):
@@ -145,7 +145,7 @@
     fewest = cover.count(0)
     if not fewest or fewest > model.layers // 2:
         return None
-    best: Placing | None = None
+    best: LayerAssignment | None = None
     gaps = [layer for layer in range(model.layers) if not cover[layer]]
     for replica in sorted(engines, key=lambda engine: engine.name):
         first, last = t.cast("tuple[int, int]", replica.layers)
@@ -157,7 +157,7 @@
             left = bare - cover[start : start + size].count(0)
             if left < fewest:
                 fewest = left
-                best = Placing(replica, start, start + size)
+                best = LayerAssignment(replica, start, start + size)
         for layer in range(first, last):
             cover[layer] += 1
     return best
--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -133,7 +133,7 @@
             return False
         return now + need_s + self._limits.margin_s < self._held_until
 
-    def may_order(self, now: float, order_s: float) -> bool:
+    def may_send_order(self, now: float, order_s: float) -> bool:
         """Return whether an order that takes ``order_s`` seconds may be sent now.
 
         The order must end within this lease, and every order of the previous
@@ -176,23 +176,23 @@
         released = dataclasses.replace(row, holder="", beat=self._beat)
         return LeaseWrite(self._version, released)
 
-    def on_read(self, version: int, row: LeaseRow | None, now: float) -> None:
+    def apply_read(self, version: int, row: LeaseRow | None, now: float) -> None:
         """Apply the row as read; ``now`` is the time after the reply."""
         self._is_stale = False
         if version == self._version and row == self._row:
             return
         self._apply_row(version, row, now)
 
-    def on_written(self, version: int, row: LeaseRow, now: float) -> None:
+    def apply_write(self, version: int, row: LeaseRow, now: float) -> None:
         """Apply a write that took effect."""
         self._is_stale = False
         self._apply_row(version, row, now)
 
-    def on_unsure(self) -> None:
+    def mark_stale(self) -> None:
         """Mark the row as stale, after a conflict or a lost reply."""
         self._is_stale = True
 
-    def on_away(self, now: float) -> None:
+    def delay_retry(self, now: float) -> None:
         """Mark the row as stale and retry later, as the table was unavailable."""
         self._is_stale = True
         self._wait_until = now + self._limits.retry_s
--- a/src/wagtailstair/core/lists.py
+++ b/src/wagtailstair/core/lists.py
@@ -137,7 +137,7 @@
         """The current lists; each request keeps the snapshot it started with."""
         return self._current
 
-    def offer(self, lists: Lists) -> bool:
+    def replace_if_newer(self, lists: Lists) -> bool:
         """Replace the current lists by a higher version; return whether replaced."""
         with self._lock:
             if lists.version <= self._current.version:
--- a/src/wagtailstair/core/freshness.py
+++ b/src/wagtailstair/core/lists_refresh.py
@@ -35,7 +35,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class ReadHead:
+class ReadVersion:
     """Read the version of the lists from the platform."""
 
     started_at: float
@@ -56,10 +56,10 @@
     peer: str
 
 
-Action = ReadHead | ReadLists | FetchLists
+Action = ReadVersion | ReadLists | FetchLists
 
 
-class Freshness:
+class ListsRefresh:
     """Decides on the reads of one daemon.
 
     :param interval_s: seconds between reads by the first host in rank.
@@ -118,10 +118,12 @@
             actions.append(ReadLists(now))
         elif now >= self._read_at:
             self._reading = True
-            actions.append(ReadHead(now))
+            actions.append(ReadVersion(now))
         return actions
 
-    def answered(self, action: ReadHead | ReadLists, head: int, now: float) -> None:
+    def record_version(
+        self, action: ReadVersion | ReadLists, head: int, now: float
+    ) -> None:
         """Learn that the platform told a version of the lists."""
         self._reading = False
         self.platform_failures = 0
@@ -134,7 +136,7 @@
             self._paused_at = None
         self._update(now)
 
-    def failed(self, action: Action, now: float) -> None:
+    def record_failure(self, action: Action, now: float) -> None:
         """Learn that a read or a fetch gave nothing."""
         if isinstance(action, FetchLists):
             self._fetching = False
@@ -151,7 +153,7 @@
             self._paused_at = None
         self._update(now)
 
-    def fetched(self, action: FetchLists, now: float) -> None:
+    def record_fetch(self, action: FetchLists, now: float) -> None:
         """Learn that a peer has answered."""
         self._fetching = False
         if self.version < self._peers.held:
@@ -160,7 +162,7 @@
             self._paused_at = None
         self._update(now)
 
-    def taken(self, version: int) -> None:
+    def record_applied(self, version: int) -> None:
         """Learn that lists of a higher version are in force here."""
         self.version = max(self.version, version)
 
--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -4,10 +4,10 @@
 import dataclasses
 import typing as t
 
-from .demand import Want
 from .engine import EngineState
 from .engine import Priority
 from .engine import Route
+from .grants import RouteRequest
 
 WORK_PER_PROMPT_TOKEN = 1 / 8
 MINIMUM_PREFILL_TOKENS_PER_S = 1.0
@@ -36,7 +36,7 @@
     prefixes: tuple[int, ...]
 
     @classmethod
-    def of(cls, want: Want) -> "Need":
+    def of(cls, want: RouteRequest) -> "Need":
         """Return the need of a want."""
         tokens = max(1.0, want.work - prompt_work(want.prompt_tokens))
         kv = want.prompt_tokens + want.max_tokens
@@ -80,8 +80,8 @@
     """An engine's last report and what its dispatcher has granted on it.
 
     ``granted``: grants that are open; ``granted_kv``: KV memory set aside for
-    them, in tokens; ``foreign``: requests that are not of this dispatcher;
-    ``used``: both together; ``caps``: for each priority, the use up to which
+    them, in tokens; ``other_requests``: requests that are not of this dispatcher;
+    ``used``: both together; ``use_limits``: for each priority, the use up to which
     it may be granted; ``prefill_until``: when the prompts granted so far are
     read; ``next_step_s``: a step with one more request; ``read_s``: seconds
     to read one prompt token.
@@ -90,15 +90,15 @@
     state: EngineState
     granted: int = 0
     granted_kv: int = 0
-    foreign: int = 0
+    other_requests: int = 0
     used: int = 0
     is_leaving: bool = False
     is_ejected: bool = False
-    caps: list[int] = dataclasses.field(default_factory=list)
+    use_limits: list[int] = dataclasses.field(default_factory=list)
     prefill_until: float = 0.0
     next_step_s: float = 0.0
     read_s: float = 0.0
-    lane: "Lane | None" = None
+    group: "EngineGroup | None" = None
     fit: StepFit = dataclasses.field(default_factory=StepFit)
     prefixes: collections.OrderedDict[int, None] = dataclasses.field(
         default_factory=collections.OrderedDict
@@ -113,16 +113,16 @@
 
     def refresh(self) -> None:
         """Work out again what depends on the use."""
-        self.used = self.granted + self.foreign
+        self.used = self.granted + self.other_requests
         more = self.used + 1 - max(1, self.state.running)
         step_s = self.state.step_s + more * self.fit.slope_s()
         self.next_step_s = max(0.0, step_s)
-        if self.lane is None:
+        if self.group is None:
             return
         if self.used < self.state.slots:
-            self.lane.free[self] = None
+            self.group.free[self] = None
         else:
-            self.lane.free.pop(self, None)
+            self.group.free.pop(self, None)
 
     def unread_share(self, prefixes: tuple[int, ...]) -> float:
         """Return the part of a prompt whose prefix the engine does not hold."""
@@ -180,7 +180,7 @@
 
 
 @dataclasses.dataclass(slots=True, eq=False)
-class Lane:
+class EngineGroup:
     """The engines of one data centre that hold the same range of layers.
 
     ``free``: those with a free slot.
@@ -201,63 +201,65 @@
     return (state.first, state.last, state.layers, state.data_centre)
 
 
-def set_caps(lane: Lane, reserves: tuple[float, float, float]) -> None:
+def set_caps(group: EngineGroup, reserves: tuple[float, float, float]) -> None:
     """Set aside slots of a lane for more urgent work, on its fastest engines.
 
     :param reserves: for each priority, the part of the lane's slots that it
         may not fill.
     """
-    fastest = sorted(lane.loads, key=lambda load: (load.state.step_s, load.state.name))
+    fastest = sorted(group.loads, key=lambda load: (load.state.step_s, load.state.name))
     slots = sum(load.state.slots for load in fastest)
     for load in fastest:
-        load.caps = [load.state.slots] * len(Priority)
+        load.use_limits = [load.state.slots] * len(Priority)
     for priority in Priority:
         left = int(slots * reserves[priority])
         for load in fastest:
             part = min(left, int(load.state.slots * RESERVE_DEPTH))
-            load.caps[priority] -= part
+            load.use_limits[priority] -= part
             left -= part
 
 
 class LoadTable:
     """The engines of a pool by name and by lane."""
 
-    __slots__ = ("_reserves", "by_name", "lanes")
+    __slots__ = ("_reserves", "by_name", "groups")
 
     def __init__(self, reserves: tuple[float, float, float]) -> None:
         self._reserves = reserves
         self.by_name: dict[str, EngineLoad] = {}
-        self.lanes: list[Lane] = []
+        self.groups: list[EngineGroup] = []
 
     def _arrange(self) -> None:
-        lane_by_key: dict[LaneKey, Lane] = {}
+        lane_by_key: dict[LaneKey, EngineGroup] = {}
         for load in self.by_name.values():
             key = _lane_key(load.state)
-            lane = lane_by_key.get(key)
-            if lane is None:
-                lane = lane_by_key[key] = Lane(*key)
-            lane.loads.append(load)
-            load.lane = lane
+            group = lane_by_key.get(key)
+            if group is None:
+                group = lane_by_key[key] = EngineGroup(*key)
+            group.loads.append(load)
+            load.group = group
             load.refresh()
-        self.lanes = [lane_by_key[key] for key in sorted(lane_by_key)]
-        for lane in self.lanes:
-            set_caps(lane, self._reserves)
+        self.groups = [lane_by_key[key] for key in sorted(lane_by_key)]
+        for group in self.groups:
+            set_caps(group, self._reserves)
 
     def observe(self, state: EngineState) -> bool:
         """Take in a report of a known incarnation; return if more may fit now."""
         load = self.by_name[state.name]
         if state.as_of < load.state.as_of:
             return False
-        before, foreign = load.state, load.foreign
+        before, other_requests = load.state, load.other_requests
         unknown = max(0, state.running + state.waiting - load.granted)
-        load.foreign = min(foreign, unknown)
+        load.other_requests = min(other_requests, unknown)
         load.take(state)
         if _lane_key(before) != _lane_key(state) or before.slots != state.slots:
             self._arrange()
             return True
         if (before.leaving, before.adapters) != (state.leaving, state.adapters):
             return True
-        return load.foreign != foreign or before.kv_tokens != state.kv_tokens
+        return (
+            load.other_requests != other_requests or before.kv_tokens != state.kv_tokens
+        )
 
     def add(self, state: EngineState, open_needs: t.Iterable[Need]) -> None:
         """Add an engine, or a new incarnation of it, with its open grants."""
@@ -265,7 +267,7 @@
         for need in open_needs:
             load.granted += 1
             load.granted_kv += need.kv
-        load.foreign = max(0, state.running + state.waiting - load.granted)
+        load.other_requests = max(0, state.running + state.waiting - load.granted)
         load.take(state)
         self.by_name[state.name] = load
         self._arrange()
@@ -289,7 +291,7 @@
         for stage in route:
             load = self.by_name.get(stage.engine)
             if load is not None:
-                load.foreign = max(0, load.foreign - 1)
+                load.other_requests = max(0, load.other_requests - 1)
         self.start(route, need, now)
 
     def end(self, route: Route, need: Need) -> None:
--- a/src/wagtailstair/core/local_pools.py
+++ b/src/wagtailstair/core/local_pools.py
@@ -3,9 +3,9 @@
 import dataclasses
 import typing as t
 
-from .demand import Grant
-from .demand import Refusal
 from .engine import EngineState
+from .grants import Grant
+from .grants import Refusal
 from .messages import PoolKey
 from .pools import Engines
 from .pools import Pool
@@ -24,7 +24,7 @@
 
     def __init__(self, make_pool: PoolFactory, engines: Engines) -> None:
         self.by_key: dict[PoolKey, Pool] = {}
-        self.share = 1
+        self.host_count = 1
         self._make_pool = make_pool
         self._engines = engines
 
@@ -64,9 +64,9 @@
         """Return an engine with this host's share of its slots and memory."""
         return dataclasses.replace(
             state,
-            slots=max(1, state.slots // self.share),
-            kv_tokens=max(1, state.kv_tokens // self.share),
-            kv_used=state.kv_used // self.share,
+            slots=max(1, state.slots // self.host_count),
+            kv_tokens=max(1, state.kv_tokens // self.host_count),
+            kv_used=state.kv_used // self.host_count,
             running=0,
             waiting=0,
         )
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -76,7 +76,7 @@
 
     # Input.
 
-    def heartbeat(self, message: Heartbeat, now: float) -> list[Event]:
+    def receive_heartbeat(self, message: Heartbeat, now: float) -> list[Event]:
         """Apply a heartbeat from a peer; return the resulting events."""
         host = message.host
         if host.name == self.host.name:
@@ -100,10 +100,10 @@
         peer.heard = True
         peer.heartbeat_at = now
         peer.view = message.view
-        peer.is_store_away = message.is_store_away
+        peer.is_store_unreachable = message.is_store_unreachable
         peer.lists_version = max(peer.lists_version, message.lists_version)
-        known = max(message.lists_known, message.lists_version)
-        peer.lists_known = max(peer.lists_known, known)
+        known = max(message.known_lists_version, message.lists_version)
+        peer.known_lists_version = max(peer.known_lists_version, known)
         events.extend(self._set_peer_state(peer, message.state))
         return events
 
@@ -116,7 +116,7 @@
         peer.view_hosts = message.hosts
         return self._update_remote()
 
-    def host_list(self, hosts: t.Iterable[Host], now: float) -> None:
+    def apply_host_list(self, hosts: t.Iterable[Host], now: float) -> None:
         """Apply the platform's list of entry hosts.
 
         The list lags behind, so it only adds addresses to contact. Liveness
@@ -177,7 +177,7 @@
             remote.extend(self._seed_addresses())
         return local, list(dict.fromkeys(remote))
 
-    def hurry(self) -> None:
+    def make_heartbeats_due(self) -> None:
         """Make all heartbeats due immediately, to announce a change."""
         self._sent_at = self._sent_remote_at = float("-inf")
 
@@ -192,18 +192,22 @@
         names = [self.host.name]
         for peer in self._local_peers():
             is_recent = peer.heard and now - peer.heartbeat_at <= silence_s
-            if is_recent and peer.state is HostState.LIVE and not peer.is_store_away:
+            if (
+                is_recent
+                and peer.state is HostState.LIVE
+                and not peer.is_store_unreachable
+            ):
                 names.append(peer.host.name)
         return self.host.name in sorted(names)[:count]
 
     def next_heartbeat(
         self,
         lists_version: int,
-        lists_known: int,
+        known_lists_version: int,
         models: tuple[str, ...] = (),
         *,
         upstreams_version: int = 0,
-        is_store_away: bool = False,
+        is_store_unreachable: bool = False,
     ) -> Heartbeat:
         """Return the next heartbeat to send.
 
@@ -218,9 +222,9 @@
             self.state,
             lists_version,
             view,
-            lists_known,
+            known_lists_version,
             upstreams_version,
-            is_store_away,
+            is_store_unreachable,
         )
 
     def models_by_centre(self) -> dict[str, set[str]]:
@@ -235,7 +239,7 @@
         hosts = sorted(self._direct_remote_hosts(), key=lambda host: host.name)
         return View(tuple(hosts))
 
-    def views_wanted(self, now: float) -> list[str]:
+    def view_request_addresses(self, now: float) -> list[str]:
         """Return the addresses of peers to ask for their changed view."""
         addresses = []
         for peer in self._local_peers():
@@ -269,12 +273,12 @@
         """Return the highest version of the lists that a live peer holds."""
         return max((peer.lists_version for peer in self._direct_peers()), default=0)
 
-    def lists_known(self) -> int:
+    def known_lists_version(self) -> int:
         """Return the highest version of the lists that any peer has announced."""
-        versions = (peer.lists_known for peer in self.by_name.values())
+        versions = (peer.known_lists_version for peer in self.by_name.values())
         return max(versions, default=0)
 
-    def count_heard(self) -> int:
+    def count_direct_peers(self) -> int:
         """Return the number of peers whose heartbeats arrive directly."""
         return sum(1 for _ in self._direct_peers())
 
@@ -287,7 +291,7 @@
         found.sort(key=self._distance)
         return [peer.host for peer in found]
 
-    def inside_live(self) -> list[Host]:
+    def live_local_hosts(self) -> list[Host]:
         """Return the other live hosts of this data centre."""
         return [p.host for p in self._local_peers() if p.state is HostState.LIVE]
 
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -11,10 +11,10 @@
 import enum
 import typing as t
 
-from .demand import RefusalReason
-from .demand import Want
 from .engine import EngineState
 from .engine import Route
+from .grants import RefusalReason
+from .grants import RouteRequest
 from .membership import Heartbeat
 from .membership import View
 from .membership import ViewRequest
@@ -47,7 +47,7 @@
 
     handle: int
     key: PoolKey
-    want: Want
+    want: RouteRequest
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,7 +102,7 @@
 
     handle: int
     key: PoolKey
-    want: Want
+    want: RouteRequest
     route: Route
     tokens_done: int
 
--- a/src/wagtailstair/core/peer.py
+++ b/src/wagtailstair/core/peer.py
@@ -21,8 +21,8 @@
     state: HostState = HostState.JOINING
     seq: int = 0
     lists_version: int = 0
-    lists_known: int = 0
-    is_store_away: bool = False
+    known_lists_version: int = 0
+    is_store_unreachable: bool = False
     heartbeat_at: float = 0.0
     heard: bool = False
     is_listed: bool = False
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -10,12 +10,12 @@
 import zlib
 
 from .directory import ModelSpec
+from .path_search import Candidate
+from .path_search import Entry
+from .path_search import Hop as Hop
+from .path_search import Path as Path
+from .path_search import cheapest_path
 from .replicas import Replica
-from .shortest import Candidate
-from .shortest import Entry
-from .shortest import Hop as Hop
-from .shortest import Path as Path
-from .shortest import cheapest_path
 
 EVENTLESS_HOP_S = 0.0004
 """Seconds of queueing that each further hop adds to a pass, from bench runs."""
@@ -65,7 +65,7 @@
 NO_LOAD = Load(0, 0, 0.0)
 
 
-class Source(t.NamedTuple):
+class LoadSource(t.NamedTuple):
     """Who tells of loads: a host, or a data centre for the sum of its hosts."""
 
     name: str
@@ -95,7 +95,7 @@
     return zlib.crc32(f"{replica.name}/{replica.incarnation}".encode())
 
 
-def kv_room(model: ModelSpec, replica: Replica) -> float:
+def kv_capacity(model: ModelSpec, replica: Replica) -> float:
     """Return the token-layers that an engine has room for beside its weights."""
     accelerator = model.accelerator_by_name.get(replica.accelerator)
     if accelerator is None or replica.layers is None:
@@ -122,7 +122,7 @@
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
-        self._loads_by_source: dict[Source, dict[int, Load]] = {}
+        self._loads_by_source: dict[LoadSource, dict[int, Load]] = {}
         # Sums over all sources.
         self._peer_load_by_key: dict[int, Load] = {}
         self.use_by_identity: dict[tuple[str, int], EngineUse] = {}
@@ -135,7 +135,7 @@
             self.use_by_identity[replica.identity] = use
         return use
 
-    def take(self, path: Path, tokens: float) -> None:
+    def reserve_tokens(self, path: Path, tokens: float) -> None:
         """Count a request of some tokens on its engines."""
         for hop in path:
             use = self.use(hop.replica)
@@ -143,7 +143,7 @@
             use.heads += hop is path[0]
             use.token_layers += tokens * (hop.last - hop.first)
 
-    def give_back(self, path: Path, tokens: float) -> None:
+    def release_tokens(self, path: Path, tokens: float) -> None:
         """Undo :meth:`take`."""
         for hop in path:
             use = self.use(hop.replica)
@@ -151,15 +151,15 @@
             use.heads -= hop is path[0]
             use.token_layers -= tokens * (hop.last - hop.first)
 
-    def note_peer(self, source: Source, loads: dict[int, Load]) -> None:
+    def set_peer_loads(self, source: LoadSource, loads: dict[int, Load]) -> None:
         """Take what a source tells of engines, in place of what it told before."""
-        self.forget_peer(source)
+        self.drop_peer_loads(source)
         self._loads_by_source[source] = loads
         for key, load in loads.items():
             known = self._peer_load_by_key.get(key, NO_LOAD)
             self._peer_load_by_key[key] = _add(known, load)
 
-    def forget_peer(self, source: Source) -> None:
+    def drop_peer_loads(self, source: LoadSource) -> None:
         """Drop what a source has told."""
         for key, load in self._loads_by_source.pop(source, {}).items():
             known = self._peer_load_by_key[key]
@@ -182,7 +182,7 @@
                 loads[use.key] = Load(use.running, max(0, use.heads), held)
         return loads
 
-    def centre_loads(self) -> dict[int, Load]:
+    def data_centre_loads(self) -> dict[int, Load]:
         """Return what requests of this data centre's hosts hold, by engine."""
         sums = self.own_loads()
         for source, loads in self._loads_by_source.items():
@@ -214,7 +214,7 @@
         for hop in path:
             held = self.total(hop.replica).token_layers
             wanted = held + tokens * (hop.last - hop.first)
-            if wanted > share * kv_room(model, hop.replica):
+            if wanted > share * kv_capacity(model, hop.replica):
                 return False
         return True
 
@@ -285,7 +285,7 @@
         read = kind.prefill_factor / model.read_tokens_per_s
         seconds = (answer * step + prompt * read) * use.slowness / model.layers
         seconds *= 1 + JITTER * self._rng.random()
-        room = kv_room(model, replica)
+        room = kv_capacity(model, replica)
         assert replica.layers is not None
         wanted = (prompt + answer) * (replica.layers[1] - replica.layers[0])
         fill = (load.token_layers + wanted) / room if room > 0 else FULL_FILL
--- a/src/wagtailstair/core/placement.py
+++ b/src/wagtailstair/core/placement.py
@@ -151,7 +151,7 @@
                 orders.append(order)
         return orders
 
-    def failed(self, order: Order) -> None:
+    def record_refusal(self, order: Order) -> None:
         """Take in that an order was refused or not sent."""
         pending = self._pending_by_engine.get(order.engine)
         if pending is not None and pending.order == order:
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -5,27 +5,27 @@
 
 from .capacity import MINIMUM_WORK_PER_S
 from .capacity import Capacity
-from .demand import Done
-from .demand import Grant
-from .demand import Hold
-from .demand import Refusal
-from .demand import RefusalReason
-from .demand import Want
 from .ejection import EjectionLimits
 from .engine import EngineState
 from .engine import Priority
 from .engine import Route
+from .grants import Grant
+from .grants import GrantOutcome
+from .grants import HeldGrant
+from .grants import Refusal
+from .grants import RefusalReason
+from .grants import RouteRequest
 from .loads import Need
 from .loads import StageCost
 from .loads import expected_delay
 from .loads import prompt_work
 from .queueing import FairQueue
-from .slots import Slots
+from .route_finder import RouteFinder
 from .timers import Timers
 
 MEMORY_OF_ENDED = 16_384
 """Ended epochs that are remembered, so that a late want is not granted again."""
-NO_ROUTE_PATIENCE_S = 1.0
+NO_ROUTE_TIMEOUT_S = 1.0
 """Time for a route to come back before a request is refused for want of one."""
 GRANT_GRACE_S = 5.0
 """Time after its deadline when an open grant counts as lost."""
@@ -72,7 +72,7 @@
 
 @dataclasses.dataclass(slots=True)
 class _Open:
-    want: Want
+    want: RouteRequest
     need: Need
     route: Route
 
@@ -95,7 +95,7 @@
         self.data_centre = data_centre
         self._limits = limits or PoolLimits()
         self._queue = FairQueue(self._limits.queue_length, self._limits.minimum_shares)
-        self._slots = Slots(self._limits.reserves, self._limits.ejection, cost)
+        self._slots = RouteFinder(self._limits.reserves, self._limits.ejection, cost)
         self._open_by_request: dict[str, _Open] = {}
         self._ended: collections.OrderedDict[str, tuple[int, Refusal | None]]
         self._ended = collections.OrderedDict()
@@ -112,7 +112,7 @@
 
     # Requests.
 
-    def want(self, want: Want, now: float) -> None:
+    def want(self, want: RouteRequest, now: float) -> None:
         """Take a request in, or answer a repeated one again."""
         epoch = self._latest_epoch(want.request)
         if want.epoch < epoch:
@@ -149,7 +149,7 @@
         self._withdraw(request, now)
         self._remember(request, epoch, None)
 
-    def hold(self, hold: Hold, now: float) -> None:
+    def hold(self, hold: HeldGrant, now: float) -> None:
         """Take over a grant that another dispatcher gave."""
         want = hold.want
         if want.epoch < self._latest_epoch(want.request):
@@ -165,7 +165,7 @@
         self._slots.adopt(hold.route, need, now)
         self._keep(_Open(want, need, hold.route))
 
-    def done(self, done: Done, now: float) -> None:
+    def done(self, done: GrantOutcome, now: float) -> None:
         """End a grant and correct what it cost."""
         if done.epoch < self._latest_epoch(done.request):
             return
@@ -178,7 +178,7 @@
         self._remember(done.request, done.epoch, None)
         work = prompt_work(done.prompt_tokens) + done.output_tokens
         self._queue.settle(known.want, work)
-        self._capacity.served(work, len(self._queue) > 0, now)
+        self._capacity.record_served(work, len(self._queue) > 0, now)
         self._slots.judge(known.route, done.failed, now)
 
     def _latest_epoch(self, request: str) -> int:
@@ -191,7 +191,7 @@
         ended = self._ended.get(request)
         return -1 if ended is None else ended[0]
 
-    def _repeat(self, want: Want) -> None:
+    def _repeat(self, want: RouteRequest) -> None:
         known = self._open_by_request.get(want.request)
         if known is not None:
             grant = Grant(want.request, want.epoch, known.want.host, known.route)
@@ -216,7 +216,7 @@
             self._ended.popitem(last=False)
 
     def _refuse(
-        self, want: Want, reason: RefusalReason, now: float, late_s: float = 0.0
+        self, want: RouteRequest, reason: RefusalReason, now: float, late_s: float = 0.0
     ) -> None:
         retry_after_s = late_s
         if reason is RefusalReason.QUEUE_FULL:
@@ -285,7 +285,7 @@
         times = [self._deadlines.next(), self._expiries.next()]
         if self._no_route_since:
             oldest = next(iter(self._no_route_since.values()))
-            times.append(oldest + NO_ROUTE_PATIENCE_S)
+            times.append(oldest + NO_ROUTE_TIMEOUT_S)
         if len(self._queue):
             times.append(self._slots.next_change(now))
         return min((time for time in times if time is not None), default=None)
@@ -312,7 +312,7 @@
         for request, epoch in self._expiries.due(now):
             self.cancel(request, epoch, now)
         for request, since in list(self._no_route_since.items()):
-            if now < since + NO_ROUTE_PATIENCE_S:
+            if now < since + NO_ROUTE_TIMEOUT_S:
                 break
             want = self._queue.get(request)
             if want is not None and self._slots.has_route(want, Need.of(want)):
@@ -334,7 +334,7 @@
                     break
         return False
 
-    def _try(self, want: Want, now: float) -> bool:
+    def _try(self, want: RouteRequest, now: float) -> bool:
         rank = self._rank(want)
         need = Need.of(want)
         if self._slots.is_blocked(want, need, rank):
@@ -353,19 +353,19 @@
         self._grant(want, need, route, now)
         return True
 
-    def _note_route(self, want: Want, need: Need, now: float) -> None:
+    def _note_route(self, want: RouteRequest, need: Need, now: float) -> None:
         if self._slots.has_route(want, need):
             self._no_route_since.pop(want.request, None)
         else:
             self._no_route_since.setdefault(want.request, now)
 
-    def _rank(self, want: Want) -> Priority:
+    def _rank(self, want: RouteRequest) -> Priority:
         # Work below its minimum share may also use what is set aside.
         if self._queue.is_under_minimum(want.priority):
             return Priority.URGENT
         return want.priority
 
-    def _grant(self, want: Want, need: Need, route: Route, now: float) -> None:
+    def _grant(self, want: RouteRequest, need: Need, route: Route, now: float) -> None:
         self._queue.take(want.request)
         self._no_route_since.pop(want.request, None)
         self._slots.start(route, need, now)
@@ -403,7 +403,7 @@
         change = delay_per_work - self._delay_per_work
         self._delay_per_work += DELAY_GAIN * change
 
-    def _time_wanted_s(self, want: Want, run_s: float) -> float:
+    def _time_wanted_s(self, want: RouteRequest, run_s: float) -> float:
         """Return the time that must be left for a request to be run.
 
         Answers may be longer than expected. Where others of its priority
@@ -413,7 +413,7 @@
             return run_s
         return run_s * self._limits.deadline_margin
 
-    def _expected_wait_s(self, want: Want, now: float) -> float:
+    def _expected_wait_s(self, want: RouteRequest, now: float) -> float:
         ahead = self._queue.work_ahead(want)
         if not ahead or not len(self._slots):
             return 0.0
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -3,12 +3,12 @@
 import dataclasses
 import typing as t
 
-from .demand import Done
-from .demand import Grant
-from .demand import Hold
-from .demand import Refusal
-from .demand import Want
 from .engine import EngineState
+from .grants import Grant
+from .grants import GrantOutcome
+from .grants import HeldGrant
+from .grants import Refusal
+from .grants import RouteRequest
 from .messages import ERA_SHIFT
 from .messages import EngineLost
 from .messages import Finished
@@ -27,16 +27,16 @@
 class Pool(t.Protocol):
     """What this module needs of :class:`wagtailstair.core.pool.Pool`."""
 
-    def want(self, want: Want, now: float) -> None:
+    def want(self, want: RouteRequest, now: float) -> None:
         """Take a request in."""
 
     def cancel(self, request: str, epoch: int, now: float) -> None:
         """Withdraw a request."""
 
-    def hold(self, hold: Hold, now: float) -> None:
+    def hold(self, hold: HeldGrant, now: float) -> None:
         """Take over a grant."""
 
-    def done(self, done: Done, now: float) -> None:
+    def done(self, done: GrantOutcome, now: float) -> None:
         """End a grant."""
 
     def observe(self, state: EngineState, now: float) -> None:
@@ -154,13 +154,13 @@
             return
         for pool in self.by_key.values():
             pool.cancel(request, 0, now)
-        self.touch()
+        self.mark_all_changed()
 
-    def finished(self, sender: str, message: Finished, now: float) -> None:
+    def end_grant(self, sender: str, message: Finished, now: float) -> None:
         """End a grant."""
         if not self._admit(sender, message.handle):
             return
-        done = Done(
+        done = GrantOutcome(
             f"{sender}/{message.handle}",
             0,
             self._host(sender, message.handle),
@@ -170,12 +170,12 @@
         )
         self._pool(message.key, now).done(done, now)
 
-    def held(self, sender: str, message: Held, now: float) -> None:
+    def adopt_grant(self, sender: str, message: Held, now: float) -> None:
         """Take over a grant that another dispatcher gave."""
         if not self._admit(sender, message.handle):
             return
         want = self._name(sender, message.handle, message.want, now)
-        hold = Hold(want, message.route, message.tokens_done)
+        hold = HeldGrant(want, message.route, message.tokens_done)
         self._pool(message.key, now).hold(hold, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
@@ -214,7 +214,7 @@
         for pool in self.by_key.values():
             pool.remove(engine)
 
-    def touch(self) -> None:
+    def mark_all_changed(self) -> None:
         """Make the next :meth:`poll` look at all pools, as time has passed."""
         self._changed.update(self.by_key)
 
@@ -249,7 +249,9 @@
     def _host(self, sender: str, handle: int) -> str:
         return f"{sender}/{handle >> ERA_SHIFT}"
 
-    def _name(self, sender: str, handle: int, want: Want, now: float) -> Want:
+    def _name(
+        self, sender: str, handle: int, want: RouteRequest, now: float
+    ) -> RouteRequest:
         return dataclasses.replace(
             want,
             request=f"{sender}/{handle}",
@@ -270,7 +272,7 @@
     def _lose(self, host: str, now: float) -> None:
         for pool in self.by_key.values():
             pool.host_lost(host, now)
-        self.touch()
+        self.mark_all_changed()
 
 
 def _answer(handle: int, decided: Grant | Refusal) -> Answer:
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -2,9 +2,9 @@
 
 import typing as t
 
-from .demand import Want
 from .engine import Priority
 from .fairness import FairClass
+from .grants import RouteRequest
 
 ClassKey = tuple[Priority, bool]
 
@@ -31,7 +31,7 @@
         self._shares = minimum_shares
         self._room = [int(limit * share) for share in minimum_shares]
         self._credit = [0.0, 0.0, 0.0]
-        self._want_by_request: dict[str, Want] = {}
+        self._want_by_request: dict[str, RouteRequest] = {}
         self._queue_by_class: dict[ClassKey, FairClass] = {}
         for priority in Priority:
             for entitled in (True, False):
@@ -43,11 +43,11 @@
     def __contains__(self, request: str) -> bool:
         return request in self._want_by_request
 
-    def get(self, request: str) -> Want | None:
+    def get(self, request: str) -> RouteRequest | None:
         """Return the waiting item of a request."""
         return self._want_by_request.get(request)
 
-    def wants(self) -> t.Iterator[Want]:
+    def wants(self) -> t.Iterator[RouteRequest]:
         """Iterate over all waiting items, oldest first."""
         return iter(self._want_by_request.values())
 
@@ -65,7 +65,7 @@
         """Return how many accounts are remembered, over all classes."""
         return sum(queue.flows() for queue in self._queue_by_class.values())
 
-    def _class_of(self, want: Want) -> FairClass:
+    def _class_of(self, want: RouteRequest) -> FairClass:
         return self._queue_by_class[want.priority, want.entitled]
 
     def _has_room(self, priority: Priority) -> bool:
@@ -76,7 +76,7 @@
             shared += max(0, self.count(other) - self._room[other])
         return shared < self._limit - sum(self._room)
 
-    def _victim_for(self, want: Want) -> Want | None:
+    def _victim_for(self, want: RouteRequest) -> RouteRequest | None:
         for priority in reversed(Priority):
             if (
                 priority > want.priority
@@ -96,7 +96,7 @@
                 return victim if more else None
         return None
 
-    def push(self, want: Want) -> tuple[bool, Want | None]:
+    def push(self, want: RouteRequest) -> tuple[bool, RouteRequest | None]:
         """Add an item; return whether it was taken and which it pushed out."""
         victim = None
         if not self._has_room(want.priority):
@@ -108,7 +108,7 @@
         self._class_of(want).push(want)
         return True, victim
 
-    def discard(self, request: str) -> Want | None:
+    def discard(self, request: str) -> RouteRequest | None:
         """Remove an item that is not served."""
         want = self._want_by_request.pop(request, None)
         if want is not None:
@@ -124,7 +124,7 @@
         rest = [priority for priority in Priority if priority not in under]
         return under + rest
 
-    def heads_by_class(self, count: int) -> t.Iterator[t.Iterator[Want]]:
+    def heads_by_class(self, count: int) -> t.Iterator[t.Iterator[RouteRequest]]:
         """Iterate over the classes to serve next, best first.
 
         Each gives its next items in order, of ``count`` accounts at most.
@@ -135,14 +135,14 @@
                 if queue.count:
                     yield queue.heads(count)
 
-    def first(self) -> Want | None:
+    def first(self) -> RouteRequest | None:
         """Return what to serve next."""
         for heads in self.heads_by_class(1):
             for want in heads:
                 return want
         return None
 
-    def take(self, request: str) -> Want:
+    def take(self, request: str) -> RouteRequest:
         """Remove an item that is served now and charge it."""
         want = self._want_by_request.pop(request)
         self._charge(want.priority, want.work)
@@ -158,14 +158,14 @@
         # What a priority had beyond its minimum is not held against it later.
         self._credit[served] = max(self._credit[served] - work, -abs(work))
 
-    def settle(self, want: Want, actual_work: float) -> None:
+    def settle(self, want: RouteRequest, actual_work: float) -> None:
         """Correct the charge of a served item to what it really cost."""
         more = actual_work - want.work
         if more:
             self._charge(want.priority, more)
         self._class_of(want).settle(want.account, more / want.weight)
 
-    def work_ahead(self, want: Want) -> float:
+    def work_ahead(self, want: RouteRequest) -> float:
         """Estimate the work that is served before a new item."""
         ahead = self._class_of(want).work_ahead(want)
         if not want.entitled:
--- a/src/wagtailstair/core/relay_rows.py
+++ b/src/wagtailstair/core/relay_rows.py
@@ -27,7 +27,7 @@
 _DECODER = msgspec.json.Decoder(RelayedTable)
 
 
-def relay_rows(
+def encode_relayed(
     rows: list[StoreRow], as_of: int, trouble_s: float | None, *, is_all: bool
 ) -> bytes:
     """Return the bytes that tell a peer of rows."""
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -76,14 +76,14 @@
             return
         self._drop(name)
 
-    def settle(self, now: float, *, is_store_away: bool) -> list[str]:
+    def drop_lapsed(self, now: float, *, is_store_unreachable: bool) -> list[str]:
         """Drop what has been missing for long enough; return the names.
 
         While the store is away nothing can come back, so the wait is extended.
         """
         dropped = []
         for name, at in list(self._removal_at_by_name.items()):
-            if is_store_away:
+            if is_store_unreachable:
                 self._removal_at_by_name[name] = now + self._lapse_s
                 continue
             if now >= at:
--- a/src/wagtailstair/core/spread.py
+++ b/src/wagtailstair/core/report_distribution.py
@@ -77,14 +77,14 @@
     )
 
 
-class Spread:
+class ReportDistribution:
     """What the peers have been told of the engines that this host polls."""
 
     def __init__(self) -> None:
         self._sent_by_engine: dict[str, _Sent] = {}
         self._stale_checked_at = 0.0
 
-    def targets(
+    def select_peers(
         self,
         state: EngineState,
         dispatcher: str | None,
@@ -127,7 +127,7 @@
             state, dispatcher, now, refresh_at, peers
         )
 
-    def hurry(self) -> None:
+    def refresh_all(self) -> None:
         """Make the next report of each engine go to all peers, as one is new."""
         for sent in self._sent_by_engine.values():
             sent.refresh_at = float("-inf")
--- a/src/wagtailstair/core/story.py
+++ b/src/wagtailstair/core/request_trace.py
@@ -32,7 +32,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Story:
+class RequestTrace:
     """The events of a request in time order, and the number of missing ones.
 
     ``unreadable``: lines that are not events; ``left_out``: events that a host
@@ -72,14 +72,14 @@
     return LogLine(values.pop("time", ""), values.pop("host"), event, values)
 
 
-def tell(lines: t.Iterable[str], request: str) -> Story:
+def trace_request(lines: t.Iterable[str], request: str) -> RequestTrace:
     """Return the events of a request, in time order.
 
     Events of host state (`CONTEXT_EVENTS`) are included if they come from a host
     of the request, between its first and its last event, and name an upstream of
     the request, a suspected engine or no upstream.
     """
-    trace = Story([])
+    trace = RequestTrace([])
     events: list[LogLine] = []
     context_events: list[LogLine] = []
     for text in lines:
--- a/src/wagtailstair/core/allowance.py
+++ b/src/wagtailstair/core/resend_budget.py
@@ -22,7 +22,7 @@
     repeats: int = 0
 
 
-class Allowance:
+class ResendBudget:
     """The budget of repeats, per service.
 
     :param ratio: repeats over requests; ``slack``: repeats beside these;
@@ -43,7 +43,7 @@
         self._slack = slack
         self._window_s = window_s
 
-    def requested(self, service: str, now: float) -> None:
+    def count_request(self, service: str, now: float) -> None:
         """Count a request of a caller."""
         self._bucket(service, now).requests += 1
 
--- a/src/wagtailstair/core/retry.py
+++ b/src/wagtailstair/core/retry.py
@@ -38,7 +38,7 @@
         self._earned = self._reserve + (self._earned - self._reserve) * kept
         self._earned_at = max(self._earned_at, now)
 
-    def attempted(self, now: float) -> None:
+    def count_attempt(self, now: float) -> None:
         """Note a first attempt."""
         self._age(now)
         self._earned += self._share
--- a/src/wagtailstair/core/slots.py
+++ b/src/wagtailstair/core/route_finder.py
@@ -4,14 +4,14 @@
 import statistics
 import typing as t
 
-from .demand import Want
 from .ejection import Ejection
 from .ejection import EjectionLimits
 from .engine import EngineState
 from .engine import Priority
 from .engine import Route
+from .grants import RouteRequest
+from .loads import EngineGroup
 from .loads import EngineLoad
-from .loads import Lane
 from .loads import LoadTable
 from .loads import Need
 from .loads import StageCost
@@ -22,7 +22,7 @@
 """Time for which the usual step of a kind of engine is kept."""
 
 
-def _may_run(load: EngineLoad, want: Want, need: Need) -> bool:
+def _may_run(load: EngineLoad, want: RouteRequest, need: Need) -> bool:
     state = load.state
     if load.is_leaving or state.leaving or state.name in want.avoid:
         return False
@@ -32,13 +32,13 @@
 
 
 def _cheapest(
-    want: Want, need: Need, rank: Priority, cost: StageCost, now: float
+    want: RouteRequest, need: Need, rank: Priority, cost: StageCost, now: float
 ) -> Pick:
-    def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
+    def pick(group: EngineGroup) -> tuple[float, EngineLoad] | None:
         best_cost = math.inf
         best: EngineLoad | None = None
-        for load in lane.free:
-            if load.used >= load.caps[rank] or load.is_ejected:
+        for load in group.free:
+            if load.used >= load.use_limits[rank] or load.is_ejected:
                 continue
             if load.granted_kv + need.kv > load.state.kv_tokens:
                 continue
@@ -53,7 +53,7 @@
     return pick
 
 
-class Slots:
+class RouteFinder:
     """Finds routes over the engines that are open, healthy and have room.
 
     What found no room is remembered until something changes, so that a full
@@ -105,7 +105,7 @@
         load = self._loads.by_name[state.name]
         was_ejected = load.is_ejected
         ratio = state.step_s / self._usual_step_s(load, now)
-        self._ejection.measured(state.name, ratio, len(self), now)
+        self._ejection.record_slowness(state.name, ratio, len(self), now)
         self._mark_ejected(state.name, now)
         if was_ejected and not load.is_ejected:
             self._blocked_need.clear()
@@ -117,10 +117,10 @@
             self._usual_until = now + USUAL_INTERVAL_S
         kind = (load.state.first, load.state.last, load.state.accelerator)
         usual = self._usual_by_kind.get(kind)
-        if usual is None and load.lane is not None:
+        if usual is None and load.group is not None:
             steps = [
                 other.state.step_s
-                for other in load.lane.loads
+                for other in load.group.loads
                 if other.state.accelerator == load.state.accelerator
             ]
             usual = statistics.median_low(steps)
@@ -180,7 +180,7 @@
 
     def _started(self, route: Route, now: float) -> None:
         for stage in route:
-            self._ejection.started(stage.engine)
+            self._ejection.record_start(stage.engine)
             self._mark_ejected(stage.engine, now)
 
     def end(self, route: Route, need: Need) -> None:
@@ -196,18 +196,18 @@
         for stage in route:
             name = stage.engine
             if name in failed:
-                self._ejection.failed(name, len(self._loads.by_name), now)
+                self._ejection.record_failure(name, len(self._loads.by_name), now)
                 self._ejections_change = now
             elif failed:
-                self._ejection.abandoned(name)
+                self._ejection.record_inconclusive(name)
             else:
-                self._ejection.succeeded(name, now)
+                self._ejection.record_success(name, now)
             self._mark_ejected(name, now)
 
     def abandon(self, route: Route, now: float) -> None:
         """Learn that a grant ended without telling anything of its engines."""
         for stage in route:
-            self._ejection.abandoned(stage.engine)
+            self._ejection.record_inconclusive(stage.engine)
             self._mark_ejected(stage.engine, now)
 
     def end_ejections(self, now: float) -> None:
@@ -230,19 +230,19 @@
 
     # Routes.
 
-    def is_blocked(self, want: Want, need: Need, rank: Priority) -> bool:
+    def is_blocked(self, want: RouteRequest, need: Need, rank: Priority) -> bool:
         """Tell whether it is known that there is no room for a want."""
         return need.kv >= self._blocked_need.get((rank, want.adapter), math.inf)
 
     def find(
-        self, want: Want, need: Need, rank: Priority, now: float
+        self, want: RouteRequest, need: Need, rank: Priority, now: float
     ) -> tuple[Route, float] | None:
         """Find the best route with room, and its expected delay in seconds.
 
         :param rank: the priority by which slots are set aside.
         """
         pick = _cheapest(want, need, rank, self._cost, now)
-        found = shortest_route(self._loads.lanes, need.tokens, pick)
+        found = shortest_route(self._loads.groups, need.tokens, pick)
         if found is None and not want.avoid:
             # Nothing that needs as much memory, and may not fill more slots,
             # fits until something changes.
@@ -254,18 +254,18 @@
                 self._blocked_need[key] = min(least, need.kv)
         return found
 
-    def has_route(self, want: Want, need: Need) -> bool:
+    def has_route(self, want: RouteRequest, need: Need) -> bool:
         """Tell whether engines, busy or not, could run a want."""
         if not want.avoid and need.kv <= self._routable_need.get(want.adapter, -1):
             return True
 
-        def pick(lane: Lane) -> tuple[float, EngineLoad] | None:
-            for load in lane.loads:
+        def pick(group: EngineGroup) -> tuple[float, EngineLoad] | None:
+            for load in group.loads:
                 if _may_run(load, want, need):
                     return 0.0, load
             return None
 
-        if shortest_route(self._loads.lanes, need.tokens, pick) is None:
+        if shortest_route(self._loads.groups, need.tokens, pick) is None:
             return False
         if not want.avoid:
             self._routable_need[want.adapter] = need.kv
--- a/src/wagtailstair/core/routing.py
+++ b/src/wagtailstair/core/routing.py
@@ -7,12 +7,12 @@
 from .engine import EngineState
 from .engine import Route
 from .engine import Stage
+from .loads import EngineGroup
 from .loads import EngineLoad
-from .loads import Lane
 
 DEFAULT_LINK_S = 0.0005
 
-Pick = t.Callable[[Lane], tuple[float, EngineLoad] | None]
+Pick = t.Callable[[EngineGroup], tuple[float, EngineLoad] | None]
 """Chooses an engine of a lane; returns its expected delay in seconds too."""
 
 
@@ -56,37 +56,37 @@
 
 
 def shortest_route(
-    lanes: t.Iterable[Lane], tokens: float, pick: Pick
+    groups: t.Iterable[EngineGroup], tokens: float, pick: Pick
 ) -> tuple[Route, float] | None:
     """Find the route of least expected delay, or ``None``.
 
     Its layer ranges cover the model once.
 
-    :param lanes: lanes of one model, in ascending order of their ranges.
+    :param groups: lanes of one model, in ascending order of their ranges.
     :param tokens: output tokens that are expected.
     """
     paths_by_boundary: dict[int, dict[str, _Path]] = {}
     best: _Path | None = None
-    for lane in lanes:
+    for group in groups:
         before: _Path | None = None
         total = 0.0
-        if lane.first > 0:
-            reached = paths_by_boundary.get(lane.first)
+        if group.first > 0:
+            reached = paths_by_boundary.get(group.first)
             if reached is None:
                 continue
-            total, before = _best_before(reached.values(), lane.data_centre, tokens)
-        picked = pick(lane)
+            total, before = _best_before(reached.values(), group.data_centre, tokens)
+        picked = pick(group)
         if picked is None:
             continue
         path = _Path(total + picked[0], picked[1], before)
-        if lane.last >= lane.layers:
+        if group.last >= group.layers:
             if best is None or path.cost < best.cost:
                 best = path
             continue
-        paths = paths_by_boundary.setdefault(lane.last, {})
-        known = paths.get(lane.data_centre)
+        paths = paths_by_boundary.setdefault(group.last, {})
+        known = paths.get(group.data_centre)
         if known is None or path.cost < known.cost:
-            paths[lane.data_centre] = path
+            paths[group.data_centre] = path
     if best is None:
         return None
     return _route_of(best), best.cost
--- a/src/wagtailstair/core/sessions.py
+++ b/src/wagtailstair/core/sessions.py
@@ -181,7 +181,7 @@
             return False
         return self._epoch < self.max_epochs
 
-    def line(
+    def accept_token(
         self,
         request: str,
         attempt: str,
@@ -214,7 +214,7 @@
         self.texts.append(text)
         return ACCEPTED
 
-    def end(
+    def accept_end(
         self, request: str, attempt: str, epoch: int, position: int, reason: str
     ) -> Verdict:
         """Judge an end line; the answer is whole if its position matches.
@@ -229,7 +229,7 @@
         self.finish_reason = reason
         return ACCEPTED
 
-    def broken(self, attempt: str, sent: bool) -> bool:
+    def close_broken(self, attempt: str, sent: bool) -> bool:
         """Close an attempt whose stream ended without an end line.
 
         :param sent: whether any byte of it may have reached the engine.
@@ -238,14 +238,14 @@
         end = AttemptEnd.UNKNOWN if sent else AttemptEnd.NOT_SENT
         return self._fail(attempt, end)
 
-    def refused(self, attempt: str) -> bool:
+    def close_refused(self, attempt: str) -> bool:
         """Close an attempt that the engine says it did not run.
 
         :returns: whether a new epoch may be opened.
         """
         return self._fail(attempt, AttemptEnd.REFUSED)
 
-    def give_up(self) -> Outcome:
+    def close(self) -> Outcome:
         """Close the session and tell what is known of its effect."""
         if self._attempt is not None:
             self._close(AttemptEnd.UNKNOWN)
--- a/src/wagtailstair/core/table_copy.py
+++ b/src/wagtailstair/core/table_copy.py
@@ -31,14 +31,14 @@
         """Return whether a full read of the table has been applied."""
         return self.as_of > 0
 
-    def change(self, rows: t.Iterable[StoreRow], as_of: int) -> list[StoreRow]:
+    def apply_delta(self, rows: t.Iterable[StoreRow], as_of: int) -> list[StoreRow]:
         """Apply all changes up to a version of the store; return the newer rows."""
         newer = self._merge(rows)
         self.as_of = max(self.as_of, as_of, self.version)
         self._drop_tombstones()
         return newer
 
-    def replace(self, rows: t.Iterable[StoreRow], as_of: int) -> list[StoreRow]:
+    def apply_snapshot(self, rows: t.Iterable[StoreRow], as_of: int) -> list[StoreRow]:
         """Apply all rows as of a version of the store; return the newer rows.
 
         Rows with later changes keep them.
@@ -51,9 +51,9 @@
                 rows.append(StoreRow(self._table, key, None, as_of))
         if not self.is_complete:
             self._history_start = as_of
-        return self.change(rows, as_of)
+        return self.apply_delta(rows, as_of)
 
-    def live(self) -> list[StoreRow]:
+    def live_rows(self) -> list[StoreRow]:
         """Return the rows that are not deleted."""
         return [row for row in self._row_by_key.values() if row.value is not None]
 
--- a/src/wagtailstair/core/balance.py
+++ b/src/wagtailstair/core/upstream_balancer.py
@@ -27,7 +27,7 @@
     latency_s: float = START_LATENCY_S
 
 
-class Balance:
+class UpstreamBalancer:
     """The upstreams of all plain services as this host sees them."""
 
     __slots__ = ("_data_centre", "_ejection", "_load_by_identity", "_replicas", "_rng")
@@ -61,12 +61,12 @@
                 best, best_cost = replica, cost
         return best
 
-    def started(self, replica: Replica) -> None:
+    def record_start(self, replica: Replica) -> None:
         """Count a request that is sent."""
         self._load(replica).running += 1
-        self._ejection.started(replica.name)
+        self._ejection.record_start(replica.name)
 
-    def ended(
+    def record_end(
         self, replica: Replica, verdict: str, latency_s: float, now: float
     ) -> None:
         """Count the end of a request.
@@ -77,13 +77,13 @@
         load.running = max(0, load.running - 1)
         if verdict == "succeeded":
             load.latency_s += LATENCY_SHARE * (latency_s - load.latency_s)
-            self._ejection.succeeded(replica.name, now)
+            self._ejection.record_success(replica.name, now)
         elif verdict == "failed":
             load.latency_s += LATENCY_SHARE * max(0.0, latency_s - load.latency_s)
             group = len(self._replicas.usable(replica.service))
-            self._ejection.failed(replica.name, group, now)
+            self._ejection.record_failure(replica.name, group, now)
         else:
-            self._ejection.abandoned(replica.name)
+            self._ejection.record_inconclusive(replica.name)
 
     def forget(self, live: t.Container[tuple[str, int]]) -> None:
         """Drop the upstreams that are gone."""
--- a/src/wagtailstair/core/spill.py
+++ b/src/wagtailstair/core/wait_estimates.py
@@ -5,7 +5,7 @@
 
 from .engine import Priority
 
-FORGET_S = 5.0
+ESTIMATE_DECAY_S = 5.0
 """Time constant in which a measured wait loses its weight."""
 MARGIN_S = 0.02
 """Wait that the own data centre may have more than another."""
@@ -15,7 +15,7 @@
 Queue = tuple[str, Priority]
 
 
-class Waits:
+class WaitEstimates:
     """The waits for a grant that this host has met in each data centre.
 
     They come from the host's own requests, so that no message is needed; what
@@ -66,7 +66,7 @@
 
     def _remembered(self, queue: Queue, now: float) -> float:
         age_s = now - self._at_by_queue.get(queue, now)
-        kept = max(0.0, 1 - age_s / FORGET_S)
+        kept = max(0.0, 1 - age_s / ESTIMATE_DECAY_S)
         return self._wait_s.get(queue, 0.0) * kept
 
     def wait_s(self, data_centre: str, priority: Priority, now: float) -> float:
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -7,12 +7,12 @@
 
 from .clock import Clock
 from .core.charges import Verdict
-from .core.demand import Done
-from .core.demand import Grant
-from .core.demand import Refusal
-from .core.demand import Want
 from .core.engine import EngineState
 from .core.exchange import Exchange
+from .core.grants import Grant
+from .core.grants import GrantOutcome
+from .core.grants import Refusal
+from .core.grants import RouteRequest
 from .core.membership import Event
 from .core.membership import Membership
 from .core.messages import Message
@@ -53,7 +53,7 @@
         lock: contextlib.AbstractContextManager[t.Any] | None = None,
     ) -> None:
         self.exchange = Exchange(membership, make_pool)
-        self.tickets = self.exchange.tickets
+        self.dispatch_client = self.exchange.dispatch_client
         self.charges = self.exchange.charges
         self.pools = self.exchange.pools
         self._membership = membership
@@ -70,7 +70,7 @@
     # Requests.
 
     def submit(
-        self, model: str, data_centre: str, want: Want
+        self, model: str, data_centre: str, want: RouteRequest
     ) -> concurrent.futures.Future[Decision]:
         """Ask for a route.
 
@@ -85,17 +85,17 @@
                 return known
             self._future_by_id[name] = future
             now = self._clock.monotonic()
-            self.tickets.submit(PoolKey(model, data_centre), want, now)
+            self.dispatch_client.submit(PoolKey(model, data_centre), want, now)
             self._pump(now)
         self._resolve()
         return future
 
-    def done(self, model: str, data_centre: str, done: Done) -> None:
+    def done(self, model: str, data_centre: str, done: GrantOutcome) -> None:
         """End a grant with what it really cost."""
         del model, data_centre  # the ticket knows them
         with self._lock:
             now = self._clock.monotonic()
-            self.tickets.done(done, now)
+            self.dispatch_client.done(done, now)
             self._pump(now)
         self._resolve()
 
@@ -104,7 +104,7 @@
         del model, data_centre  # the ticket knows them
         with self._lock:
             now = self._clock.monotonic()
-            self.tickets.cancel(request, epoch, now)
+            self.dispatch_client.cancel(request, epoch, now)
             future = self._future_by_id.pop((request, epoch), None)
             if future is not None:
                 self._resolved.append(_canceller(future))
@@ -207,11 +207,11 @@
             self._pump(now)
         self._resolve()
 
-    def members_changed(self, events: t.Iterable[Event]) -> None:
+    def apply_member_events(self, events: t.Iterable[Event]) -> None:
         """Follow a change of the live hosts."""
         with self._lock:
             now = self._clock.monotonic()
-            self.exchange.members_changed(events, now)
+            self.exchange.apply_member_events(events, now)
             self._pump(now)
         self._resolve()
 
@@ -230,14 +230,14 @@
     # Inside.
 
     def _pump(self, now: float) -> None:
-        self.exchange.pump(now)
+        self.exchange.deliver_messages(now)
         for address, incarnation, message in self.exchange.take_outgoing():
             self._transport.send(address, incarnation, message)
         self._transport.flush()
         self._collect()
 
     def _collect(self) -> None:
-        for decision in self.tickets.take_results():
+        for decision in self.dispatch_client.take_results():
             name = (decision.request, decision.epoch)
             future = self._future_by_id.pop(name, None)
             if future is not None:
--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -5,14 +5,14 @@
 import typing as t
 
 from .clock import Clock
-from .core.freshness import Action
-from .core.freshness import FetchLists
-from .core.freshness import Freshness
-from .core.freshness import PeerVersions
-from .core.freshness import ReadHead
-from .core.freshness import ReadLists
 from .core.lists import Lists
 from .core.lists import ListsHolder
+from .core.lists_refresh import Action
+from .core.lists_refresh import FetchLists
+from .core.lists_refresh import ListsRefresh
+from .core.lists_refresh import PeerVersions
+from .core.lists_refresh import ReadLists
+from .core.lists_refresh import ReadVersion
 from .exceptions import ListsError
 from .exceptions import PeerError
 from .exceptions import PlatformError
@@ -41,7 +41,7 @@
         self,
         holder: ListsHolder,
         clock: Clock,
-        freshness: Freshness,
+        freshness: ListsRefresh,
         *,
         read_head: t.Callable[[], int],
         read_since: t.Callable[[Lists], Lists],
@@ -153,34 +153,34 @@
         return run
 
     def _perform(self, action: Action) -> None:
-        if isinstance(action, ReadHead):
+        if isinstance(action, ReadVersion):
             version = self._read_head()
             with self._lock:
-                self._freshness.answered(action, version, self._clock.monotonic())
+                self._freshness.record_version(action, version, self._clock.monotonic())
             return
         if isinstance(action, ReadLists):
             lists = self._read_since(self._holder.current)
             self._take(lists, "platform")
             with self._lock:
                 now = self._clock.monotonic()
-                self._freshness.answered(action, lists.version, now)
+                self._freshness.record_version(action, lists.version, now)
             return
         self._take(self._fetch(action.peer, self._holder.current), action.peer)
         with self._lock:
-            self._freshness.fetched(action, self._clock.monotonic())
+            self._freshness.record_fetch(action, self._clock.monotonic())
 
     def _take(self, lists: Lists, source: str) -> None:
         old = self._holder.current
-        if not self._holder.offer(lists):
+        if not self._holder.replace_if_newer(lists):
             return
         with self._lock:
-            self._freshness.taken(lists.version)
+            self._freshness.record_applied(lists.version)
         log_event("lists_taken", version=lists.version, source=source)
         self._on_taken(old, lists)
 
     def _note_failure(self, action: Action, error: Exception) -> None:
         with self._lock:
-            self._freshness.failed(action, self._clock.monotonic())
+            self._freshness.record_failure(action, self._clock.monotonic())
         source = "platform"
         if isinstance(action, FetchLists):
             source = action.peer
--- a/src/wagtailstair/gateway/answering.py
+++ b/src/wagtailstair/gateway/answer_server.py
@@ -3,8 +3,8 @@
 import typing as t
 
 from ..core.directory import CallerLimits
+from .caller import ActiveRequest
 from .caller import Caller
-from .caller import Running
 from .loop import Loop
 from .requests import Request
 
@@ -24,7 +24,7 @@
         """Return the limits of this side."""
         return CallerLimits()
 
-    def start(self, caller: Caller, request: Request) -> Running | None:
+    def start(self, caller: Caller, request: Request) -> ActiveRequest | None:
         """Answer at once."""
         status, body = self._answer(request)
         caller.answer(status, b"", (), body)
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -6,7 +6,7 @@
 from ..core.pipelines import Path
 from .exchange import Fate
 from .requests import Header
-from .transfer import Loss
+from .transfer import ExchangeLoss
 from .transfer import Wire
 
 
@@ -29,7 +29,7 @@
         """Take the end of a whole answer."""
         ...
 
-    def on_broken(self, attempt: "Attempt", loss: Loss, reason: str) -> None:
+    def on_broken(self, attempt: "Attempt", loss: ExchangeLoss, reason: str) -> None:
         """Take the loss of the attempt."""
         ...
 
@@ -107,7 +107,7 @@
         self.wire = None
         self.owner.on_ended(self)
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Hand the loss of the attempt on."""
         self.wire = None
         self.owner.on_broken(self, loss, reason)
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/call.py
@@ -9,7 +9,7 @@
 from .exchange import Fate
 from .loop import Timer
 from .requests import Header
-from .transfer import Loss
+from .transfer import ExchangeLoss
 from .transfer import Upstream
 from .transfer import Wire
 
@@ -51,7 +51,7 @@
             return
         self._leave("abandoned")
         self.close()
-        self.context.finished(self, "caller_gone")
+        self.context.record_request_end(self, "caller_gone")
 
     def on_expired(self) -> None:
         """End a request whose time is over."""
@@ -82,7 +82,7 @@
             self.refuse(reason)
             return
         if self.sends == 0:
-            context.allowance.requested(self.service.name, context.loop.now)
+            context.resend_budget.count_request(self.service.name, context.loop.now)
         self._reset()
         self._replica = replica
         self.tried.add(replica.identity)
@@ -95,12 +95,12 @@
             bytes(self.request.body),
         )
         self._sent_at = context.loop.now
-        context.services.started(replica)
+        context.services.record_start(replica)
         fresh = not self.grant.route.may_repeat
         upstream = Upstream(replica.address, replica.identity)
         self._wire = context.pool.send(upstream, data, self, fresh=fresh)
         if self._wire is None:
-            self.on_lost(Loss.NOT_SENT, "no connection")
+            self.on_lost(ExchangeLoss.NOT_SENT, "no connection")
             return
         if self.grant.route.may_repeat and self.runs < self.grant.route.attempts:
             self._stall = context.loop.call_later(
@@ -118,7 +118,7 @@
         replica, self._replica = self._replica, None
         if replica is not None:
             now = self.context.loop.now
-            self.context.services.ended(replica, verdict, now - self._sent_at, now)
+            self.context.services.record_end(replica, verdict, now - self._sent_at, now)
 
     def _on_silent(self) -> None:
         if self.is_over or self._fate is not Fate.BROKEN or self._status:
@@ -184,13 +184,13 @@
         self._leave("failed")
         self.fail(BAD_GATEWAY, f"unusable answer {status}")
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Take the loss of an attempt."""
         if self.is_over:
             return
         self._wire = None
         self._status = 0
-        if loss is Loss.NOT_SENT:
+        if loss is ExchangeLoss.NOT_SENT:
             self.runs -= 1
             self._again("failed", reason, 0)
             return
@@ -225,4 +225,4 @@
         else:
             headers = heads.answered(self._headers)
             self.caller.answer(status, self._reason, headers, bytes(self._body))
-        self.context.finished(self, f"answered_{status}")
+        self.context.record_request_end(self, f"answered_{status}")
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -24,7 +24,7 @@
 TIMEOUT_STATUS = 408
 
 
-class Running(t.Protocol):
+class ActiveRequest(t.Protocol):
     """A request in work."""
 
     def on_caller_gone(self) -> None:
@@ -42,7 +42,7 @@
         """Return the limits in force."""
         ...
 
-    def start(self, caller: "Caller", request: Request) -> Running | None:
+    def start(self, caller: "Caller", request: Request) -> ActiveRequest | None:
         """Begin a request; ``None`` if it was answered at once."""
         ...
 
@@ -86,7 +86,7 @@
         )
         self._reader = RequestReader(self._limits, self._on_expect)
         self._request: Request | None = None
-        self._running: Running | None = None
+        self._running: ActiveRequest | None = None
         self._parse_error: RequestError | None = None
         self._closes = False
         self._has_begun = False
@@ -133,7 +133,7 @@
         self._connection.write(b"0\r\n\r\n")
         self._ended()
 
-    def cut(self) -> None:
+    def abort_answer(self) -> None:
         """Break the answer off so that it can't be taken for a whole one."""
         self._running = None
         self._connection.abort()
@@ -194,7 +194,7 @@
             self._server.loop.call_later(0.0, self._next)
 
     def _close(self) -> None:
-        self._connection.finish()
+        self._connection.close_gracefully()
         self._closed()
 
     def _closed(self) -> None:
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -112,7 +112,7 @@
         if not self._is_connecting:
             self._wait_for(self._events | READABLE)
 
-    def finish(self) -> None:
+    def close_gracefully(self) -> None:
         """Close once all is sent, reading on for a while so that nothing is lost."""
         if not self.is_open or self._is_finishing:
             return
--- a/src/wagtailstair/gateway/uses.py
+++ b/src/wagtailstair/gateway/engine_uses.py
@@ -4,8 +4,8 @@
 
 from ..core.messages import EngineUses
 from ..core.pipelines import Load
+from ..core.pipelines import LoadSource
 from ..core.pipelines import Pipelines
-from ..core.pipelines import Source
 
 
 def own_uses(host: str, services: t.Iterable[Pipelines]) -> EngineUses:
@@ -20,7 +20,7 @@
     """Return what the requests of all hosts of a data centre hold."""
     loads: dict[int, Load] = {}
     for pipelines in services:
-        loads.update(pipelines.centre_loads())
+        loads.update(pipelines.data_centre_loads())
     return _encode(data_centre, loads, is_centre=True)
 
 
@@ -31,7 +31,7 @@
     for key, *load in zip(uses.keys, *columns, strict=True):
         loads[key] = Load(*load)
     for pipelines in services:
-        pipelines.note_peer(Source(uses.source, uses.is_centre), loads)
+        pipelines.set_peer_loads(LoadSource(uses.source, uses.is_centre), loads)
 
 
 def _encode(source: str, loads: dict[int, Load], *, is_centre: bool) -> EngineUses:
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -3,14 +3,14 @@
 import enum
 import typing as t
 
-from ..core.allowance import Allowance
-from ..core.balance import Balance
 from ..core.directory import Grant
 from ..core.directory import Service
 from ..core.exchange_headers import HeaderNames
 from ..core.pipelines import Pipelines
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
+from ..core.resend_budget import ResendBudget
+from ..core.upstream_balancer import UpstreamBalancer
 from ..logs import log_event
 from .caller import Caller
 from .heads import find
@@ -57,11 +57,11 @@
     loop: Loop
     pool: UpstreamPool
     replicas: ReplicaSet
-    services: Balance
-    allowance: Allowance
+    services: UpstreamBalancer
+    resend_budget: ResendBudget
     names: HeaderNames
 
-    def hosts(self) -> int:
+    def host_count(self) -> int:
         """Return how many hosts share the budgets."""
         ...
 
@@ -69,15 +69,15 @@
         """Return the engines of a service."""
         ...
 
-    def investigate(self, first: Replica, service: str) -> None:
+    def find_stalled_engine(self, first: Replica, service: str) -> None:
         """Find out which engine the requests of a first engine wait for."""
         ...
 
-    def wait(self, stream: "t.Any") -> None:
+    def queue_for_room(self, stream: "t.Any") -> None:
         """Try a stream again when engines have room."""
         ...
 
-    def finished(self, exchange: "Exchange", outcome: str) -> None:
+    def record_request_end(self, exchange: "Exchange", outcome: str) -> None:
         """Take note of a request's end."""
         ...
 
@@ -151,8 +151,8 @@
             return False
         context = self.context
         share = 1.0 if self.caller.has_begun else UNBEGUN_SHARE
-        return context.allowance.take(
-            self.service.name, context.hosts(), context.loop.now, share
+        return context.resend_budget.take(
+            self.service.name, context.host_count(), context.loop.now, share
         )
 
     def judge(self, status: int, headers: list[Header]) -> Fate:
@@ -191,10 +191,10 @@
             return
         self.close()
         if self.caller.has_begun:
-            self.caller.cut()
+            self.caller.abort_answer()
         else:
             self.caller.answer(status, b"", headers, b"")
-        self.context.finished(self, reason)
+        self.context.record_request_end(self, reason)
 
     def close(self) -> None:
         """Let go of what the request holds."""
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -8,8 +8,8 @@
 from ..platform.store import decode_rows
 from .loop import Loop
 from .loop import Timer
+from .transfer import ExchangeLoss
 from .transfer import Header
-from .transfer import Loss
 from .transfer import Upstream
 from .transfer import UpstreamPool
 from .transfer import Wire
@@ -22,11 +22,11 @@
 
     status: int
     body: bytes
-    loss: Loss | None = None
+    loss: ExchangeLoss | None = None
     reason: str = ""
 
 
-def rows_of(answer: Answer) -> StoreRows:
+def decode_store_answer(answer: Answer) -> StoreRows:
     """Return the rows of an answer of the store.
 
     :raises PlatformError: if there is none that can be used.
@@ -59,7 +59,9 @@
         self._wire = pool.send(upstream, data, self, fresh=False)
         if self._wire is None:
             # Later, so that the caller has the object before its answer.
-            loop.call_later(0.0, lambda: self.on_lost(Loss.NOT_SENT, "no connection"))
+            loop.call_later(
+                0.0, lambda: self.on_lost(ExchangeLoss.NOT_SENT, "no connection")
+            )
 
     def cancel(self) -> None:
         """Give the call up; its answer goes nowhere."""
@@ -81,14 +83,14 @@
             wire, self._wire = self._wire, None
             if wire is not None:
                 wire.cancel()
-            self.on_lost(Loss.UNKNOWN, "answer too long")
+            self.on_lost(ExchangeLoss.UNKNOWN, "answer too long")
 
     def on_complete(self) -> None:
         """Take the end of the answer."""
         self._wire = None
         self._end(Answer(self._status, bytes(self._body)))
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Take the loss of the answer."""
         self._wire = None
         self._end(Answer(0, b"", loss, reason))
@@ -97,7 +99,7 @@
         wire, self._wire = self._wire, None
         if wire is not None:
             wire.cancel()
-        self._end(Answer(0, b"", Loss.UNKNOWN, "timeout"))
+        self._end(Answer(0, b"", ExchangeLoss.UNKNOWN, "timeout"))
 
     def _end(self, answer: Answer) -> None:
         self._timer.cancel()
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -12,7 +12,7 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
-from .fetch import rows_of
+from .fetch import decode_store_answer
 from .loop import Loop
 from .loop import Timer
 from .transfer import Upstream
@@ -64,7 +64,7 @@
         self.copy = TableCopy(table)
         self.is_active = False
         self.failed_at = float("-inf")
-        self.is_away = False
+        self.is_store_unreachable = False
 
     def start(self) -> None:
         """Begin to follow the store, from what is known on."""
@@ -75,11 +75,11 @@
     def stop(self) -> None:
         """No longer follow the store."""
         self.is_active = False
-        self.is_away = False
+        self.is_store_unreachable = False
         self._failures = 0
         self._cancel()
 
-    def renew(self, reason: str) -> None:
+    def restart_feed(self, reason: str) -> None:
         """Give up a call that should have been answered, and ask at once again.
 
         Only an answer that does not come then is a failure of the store.
@@ -107,7 +107,7 @@
         def on_answer(answer: Answer) -> None:
             self._fetch = None
             try:
-                rows = rows_of(answer)
+                rows = decode_store_answer(answer)
             except PlatformError as error:
                 self._failed(str(error))
                 return
@@ -120,15 +120,15 @@
 
     def _heard(self) -> None:
         self._failures = 0
-        if self.is_away:
-            self.is_away = False
+        if self.is_store_unreachable:
+            self.is_store_unreachable = False
             log_event("store_regained", table=self.table)
 
     def _failed(self, reason: str) -> None:
         self.failed_at = self._loop.now
         self._failures += 1
-        if not self.is_away:
-            self.is_away = True
+        if not self.is_store_unreachable:
+            self.is_store_unreachable = True
             log_event("store_lost", level="WARNING", table=self.table, reason=reason)
         pause = min(BACKOFF_MAX_S, BACKOFF_S * 2 ** min(self._failures - 1, 8))
         self._later(pause * self._rng.uniform(0.5, 1.0), self._resume)
@@ -136,7 +136,7 @@
     def _resume(self) -> None:
         if self.copy.is_complete:
             # After a failure the first call returns at once: is the store back?
-            self._feed(0.0 if self.is_away else FEED_WAIT_S)
+            self._feed(0.0 if self.is_store_unreachable else FEED_WAIT_S)
             return
         self._read_all()
 
@@ -158,7 +158,7 @@
             return
         pages, self._pages = self._pages, []
         self._later(0.0, self._resume)
-        self._on_news(self.copy.replace(pages, self._read_as_of))
+        self._on_news(self.copy.apply_snapshot(pages, self._read_as_of))
 
     def _feed(self, wait_s: float) -> None:
         call = wire.feed_call(self.table, self.copy.as_of, wait_s)
@@ -172,6 +172,6 @@
             self._read_all()
             return
         self._later(self._pause_s, self._resume)
-        news = self.copy.change(rows.rows, rows.version)
+        news = self.copy.apply_delta(rows.rows, rows.version)
         if news:
             self._on_news(news)
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -8,29 +8,28 @@
 import msgspec
 
 from ..clock import Clock
-from ..core.allowance import Allowance
-from ..core.balance import Balance
 from ..core.directory import CallerLimits
 from ..core.directory import Denial
 from ..core.hosts import Host
 from ..core.messages import EngineLost
 from ..core.messages import EngineUses
+from ..core.pipelines import LoadSource
 from ..core.pipelines import Pipelines
-from ..core.pipelines import Source
 from ..core.replicas import Replica
+from ..core.resend_budget import ResendBudget
+from ..core.upstream_balancer import UpstreamBalancer
 from ..exceptions import SettingsError
 from ..logs import log_event
 from ..platform import headers as wire_headers
 from ..platform import replicas as wire_replicas
 from ..settings import read_text
-from . import uses
-from .answering import AnswerServer
+from . import engine_uses
+from .answer_server import AnswerServer
 from .call import PlainExchange
+from .caller import ActiveRequest
 from .caller import Caller
-from .caller import Running
 from .connection import listen
 from .exchange import Exchange
-from .knowledge import Knowledge
 from .loop import Loop
 from .peers import Peers
 from .placer import Placer
@@ -38,8 +37,9 @@
 from .settings import GatewaySettings
 from .settings import parse_address
 from .settings import parse_settings
-from .stream import StreamExchange
-from .suspicion import Suspicion
+from .stall_detector import StallDetector
+from .stream_exchange import StreamExchange
+from .table_sync import TableSync
 from .telemetry import Telemetry
 from .transfer import Upstream
 from .transfer import UpstreamPool
@@ -83,7 +83,7 @@
         self._rng = random.Random()
         centre = settings.host.data_centre
         store = Upstream(settings.store.address, "store")
-        self.knowledge = Knowledge(
+        self.table_sync = TableSync(
             self.loop,
             self.pool,
             store,
@@ -92,14 +92,16 @@
             on_news=self._on_news,
             follows=lambda: self.peers.is_delegate(),
         )
-        self.replicas = self.knowledge.replicas
+        self.replicas = self.table_sync.replicas
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
         self.peers = Peers(
             self.loop, self.pool, store, self._own_host(), self, self._rng
         )
-        self.services = Balance(self.replicas, centre, self._rng)
+        self.services = UpstreamBalancer(self.replicas, centre, self._rng)
         retries = settings.retries
-        self.allowance = Allowance(retries.ratio, retries.slack, retries.window_s)
+        self.resend_budget = ResendBudget(
+            retries.ratio, retries.slack, retries.window_s
+        )
         self.is_draining = False
         self._is_closed = False
         self._waiting: list[StreamExchange] = []
@@ -109,7 +111,7 @@
         self._callers: set[Caller] = set()
         self._streams: set[StreamExchange] = set()
         self.telemetry = Telemetry(settings.host.name)
-        self._suspicion = Suspicion(self)
+        self._stall_detector = StallDetector(self)
         holder = f"{settings.host.name}/{self._incarnation}"
         self._placer = Placer(
             self.loop,
@@ -117,14 +119,14 @@
             store,
             holder,
             self.replicas,
-            lambda: self.knowledge.directory,
+            lambda: self.table_sync.directory,
             self.peers.is_first_delegate,
             self._rng,
         )
 
     # What exchanges need.
 
-    def hosts(self) -> int:
+    def host_count(self) -> int:
         """Return how many hosts share the budgets."""
         return self.peers.count()
 
@@ -140,11 +142,11 @@
         """Return the streams in work."""
         return list(self._streams)
 
-    def investigate(self, first: Replica, service: str) -> None:
+    def find_stalled_engine(self, first: Replica, service: str) -> None:
         """Find out which engine the requests of a first engine wait for."""
-        self._suspicion.investigate(first, service)
+        self._stall_detector.find_stalled_engine(first, service)
 
-    def wait(self, stream: StreamExchange) -> None:
+    def queue_for_room(self, stream: StreamExchange) -> None:
         """Try a stream again when engines have room, the most urgent first."""
         if not self._waiting:
             self.loop.call_later(WAIT_TICK_S, self._try_waiting)
@@ -156,7 +158,7 @@
         for stream in waiting:
             stream.try_again()
 
-    def finished(self, exchange: Exchange, outcome: str) -> None:
+    def record_request_end(self, exchange: Exchange, outcome: str) -> None:
         """Take note of a request's end."""
         kind = exchange.grant.route.kind.value
         if isinstance(exchange, StreamExchange):
@@ -183,74 +185,76 @@
 
     def lists_version(self) -> int:
         """Return the version of the lists in force here."""
-        return self.knowledge.lists_version()
+        return self.table_sync.lists_version()
 
     def upstreams_version(self) -> int:
         """Return the version of the newest change of upstreams known here."""
-        return self.knowledge.upstreams_version()
+        return self.table_sync.upstreams_version()
 
-    def is_store_away(self) -> bool:
+    def is_store_unreachable(self) -> bool:
         """Tell whether this host's last call to the store failed."""
-        return self.knowledge.is_store_away
+        return self.table_sync.is_store_unreachable
 
     def own_uses(self) -> EngineUses:
         """Return what the requests of this host hold on engines."""
         services = self._pipelines_by_service.values()
-        return uses.own_uses(self.settings.host.name, services)
+        return engine_uses.own_uses(self.settings.host.name, services)
 
     def centre_uses(self) -> EngineUses:
         """Return what the requests of all hosts here hold on engines."""
         services = self._pipelines_by_service.values()
-        return uses.centre_uses(self.settings.host.data_centre, services)
+        return engine_uses.centre_uses(self.settings.host.data_centre, services)
 
     def on_engine_uses(self, told: EngineUses) -> None:
         """Take what requests elsewhere hold on engines."""
-        uses.take_uses(told, self._pipelines_by_service.values())
+        engine_uses.take_uses(told, self._pipelines_by_service.values())
 
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
         """Take a peer's suspicion of an engine."""
         replica = self.replicas.by_name.get(lost.name)
         if replica is None or str(replica.incarnation) != lost.incarnation:
             return
-        self._suspicion.suspect(replica, replica.service, f"told by {host.name}")
+        self._stall_detector.suspect(replica, replica.service, f"told by {host.name}")
 
     def on_newer_lists(self, host: Host) -> None:
         """Take word of lists that are newer than those in force here."""
-        self.knowledge.on_newer_lists(host)
+        self.table_sync.on_newer_lists(host)
 
     def on_newer_upstreams(self, host: Host) -> None:
         """Take word of changes of upstreams that are not known here."""
-        self.knowledge.on_newer_upstreams(host)
+        self.table_sync.on_newer_upstreams(host)
 
     def on_introduced(self) -> None:
         """Follow the store, or leave that to peers."""
-        self.knowledge.choose_source()
+        self.table_sync.choose_source()
 
     def on_source_gone(self, source: str, *, is_centre: bool) -> None:
         """Forget what a peer or a data centre had running."""
         for pipelines in self._pipelines_by_service.values():
-            pipelines.forget_peer(Source(source, is_centre))
+            pipelines.drop_peer_loads(LoadSource(source, is_centre))
 
-    def tell_lost(self, replica: Replica) -> None:
+    def broadcast_engine_lost(self, replica: Replica) -> None:
         """Tell the hosts of this data centre of a suspicion."""
-        self.peers.tell_lost(EngineLost(replica.name, str(replica.incarnation)))
+        self.peers.broadcast_engine_lost(
+            EngineLost(replica.name, str(replica.incarnation))
+        )
 
     # What callers' connections need.
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits in force."""
-        directory = self.knowledge.directory
+        directory = self.table_sync.directory
         return CallerLimits() if directory is None else directory.limits
 
-    def start(self, caller: Caller, request: Request) -> Running | None:
+    def start(self, caller: Caller, request: Request) -> ActiveRequest | None:
         """Begin a request."""
-        directory = self.knowledge.directory
+        directory = self.table_sync.directory
         if directory is None or self._is_closed:
             reason = "no lists" if directory is None else "shutting down"
             self._refuse(caller, request, reason)
             return None
-        key = wire_headers.read_key(request.header(self.names.authorization))
-        grant = directory.judge(request.host, request.path, key)
+        key = wire_headers.parse_api_key(request.header(self.names.authorization))
+        grant = directory.authorize(request.host, request.path, key)
         if isinstance(grant, Denial):
             status = NOT_FOUND if grant is Denial.NO_ROUTE else UNAUTHORIZED
             self.telemetry.denied(grant.value)
@@ -301,7 +305,7 @@
     def _on_news(self, table: str) -> None:
         if table == wire_replicas.TABLE:
             self._on_replicas()
-        if self.knowledge.is_following:
+        if self.table_sync.is_following:
             self.peers.announce()
 
     def _on_replicas(self) -> None:
@@ -319,13 +323,13 @@
                 if known is None or known.incarnation != hop.replica.incarnation:
                     continue
                 if known.is_leaving or not known.holds(hop.first, hop.last):
-                    stream.leave_engine(hop.replica, "leaving")
+                    stream.move_off_engine(hop.replica, "leaving")
 
     # Readiness and life.
 
     def is_ready(self) -> bool:
         """Tell whether the balancer may send new connections."""
-        return self.knowledge.is_complete and not self.is_draining
+        return self.table_sync.is_complete and not self.is_draining
 
     def start_serving(self) -> None:
         """Listen, and begin to follow the store and the peers."""
@@ -337,7 +341,7 @@
         if host.metrics_port:
             address = (host.address, host.metrics_port)
             listen(self.loop, address, self._on_metrics)
-        self.knowledge.start()
+        self.table_sync.start()
         self.peers.start()
         self._placer.start()
         log_event("started", address=host.callers)
@@ -371,7 +375,7 @@
         Caller(AnswerServer(self.loop, self._answer_peer), sock)
 
     def _answer_peer(self, request: Request) -> tuple[int, bytes]:
-        body = self.knowledge.relayed(request.target.decode("latin-1"))
+        body = self.table_sync.encode_relay(request.target.decode("latin-1"))
         return (NOT_FOUND, b"") if body is None else (OK, body)
 
     def follow_settings(self, path: pathlib.Path) -> None:
@@ -403,7 +407,7 @@
             return
         self.settings = msgspec.structs.replace(settings, host=self.settings.host)
         retries = settings.retries
-        self.allowance.change(retries.ratio, retries.slack, retries.window_s)
+        self.resend_budget.change(retries.ratio, retries.slack, retries.window_s)
         log_event("reload", outcome="taken")
 
     def drain(self) -> None:
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -19,7 +19,7 @@
 
 def passed_on(request: Request, names: HeaderNames) -> bytes:
     """Return the head of a request as far as every attempt has it in common."""
-    dropped = _connection_options(request.headers) | names.set_here()
+    dropped = _connection_options(request.headers) | names.set_by_gateway()
     lines = [b"%b %b HTTP/1.1\r\n" % (request.method, request.target)]
     for name, value in request.headers:
         if name.lower() not in dropped:
--- a/src/wagtailstair/gateway/register.py
+++ b/src/wagtailstair/gateway/host_registry.py
@@ -15,7 +15,7 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
-from .fetch import rows_of
+from .fetch import decode_store_answer
 from .loop import Loop
 from .transfer import Upstream
 from .transfer import UpstreamPool
@@ -27,7 +27,7 @@
 BACKOFF_S = 0.5
 
 
-class Register:
+class HostRegistry:
     """Writes this host's row once, then reads all rows from time to time.
 
     :param on_hosts: takes the hosts that the rows name, this one among them.
@@ -89,7 +89,7 @@
     ) -> None:
         def on_answer(answer: Answer) -> None:
             try:
-                rows = rows_of(answer)
+                rows = decode_store_answer(answer)
             except PlatformError as error:
                 log_event("hosts_unread", level="WARNING", reason=error)
                 pause_s = BACKOFF_S * self._rng.uniform(0.5, 1.5)
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -19,9 +19,9 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
-from .fetch import rows_of
+from .fetch import decode_store_answer
 from .loop import Loop
-from .transfer import Loss
+from .transfer import ExchangeLoss
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
@@ -73,9 +73,9 @@
         """Begin to seek the lease."""
         self._loop.call_later(self._rng.uniform(0, START_SPREAD_S), self._step)
 
-    def may_order(self, order_s: float) -> bool:
+    def may_send_order(self, order_s: float) -> bool:
         """Tell whether an order that takes some seconds may be given now."""
-        return self._lease.may_order(self._loop.now, order_s)
+        return self._lease.may_send_order(self._loop.now, order_s)
 
     def release(self) -> None:
         """Give the lease up, if it is held."""
@@ -115,17 +115,17 @@
     def _on_read(self, answer: Answer) -> None:
         now = self._loop.now
         try:
-            rows = rows_of(answer)
+            rows = decode_store_answer(answer)
         except PlatformError as error:
             log_event("lease_unread", level="WARNING", reason=error)
-            self._lease.on_away(now)
+            self._lease.delay_retry(now)
             self._step()
             return
         version, row = 0, None
         for entry in rows.rows:
             if entry.key == self._key and entry.value is not None:
                 version, row = entry.version, self._decode(entry.value)
-        self._lease.on_read(version, row, now)
+        self._lease.apply_read(version, row, now)
         self._step()
 
     @staticmethod
@@ -138,19 +138,19 @@
 
     def _on_written(self, command: LeaseWrite, answer: Answer) -> None:
         now = self._loop.now
-        if answer.status == 0 and answer.loss is not Loss.NOT_SENT:
-            self._lease.on_unsure()
+        if answer.status == 0 and answer.loss is not ExchangeLoss.NOT_SENT:
+            self._lease.mark_stale()
             self._loop.call_later(LEASE.retry_s / 2, self._step)
             return
         try:
-            rows = rows_of(answer)
+            rows = decode_store_answer(answer)
         except PlatformError as error:
             log_event("lease_unwritten", level="WARNING", reason=error)
-            self._lease.on_away(now)
+            self._lease.delay_retry(now)
             self._step()
             return
         if rows.is_conflict:
-            self._lease.on_unsure()
+            self._lease.mark_stale()
         else:
-            self._lease.on_written(rows.version, command.row, now)
+            self._lease.apply_write(rows.version, command.row, now)
         self._step()
--- a/src/wagtailstair/gateway/loop.py
+++ b/src/wagtailstair/gateway/loop.py
@@ -10,8 +10,8 @@
 import typing as t
 
 from ..clock import Clock
+from ..logs import error_location
 from ..logs import log_event
-from ..logs import place_of
 
 READABLE = select.EPOLLIN
 WRITABLE = select.EPOLLOUT
@@ -119,7 +119,7 @@
         try:
             handler(*arguments)
         except Exception as error:  # one request's fault must not end the rest
-            log_event("handler_failed", level="ERROR", error=place_of(error))
+            log_event("handler_failed", level="ERROR", error=error_location(error))
 
     def _watch_signals(self) -> None:
         reader, writer = socket.socketpair()
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -4,7 +4,7 @@
 from ..core.directory import Service
 from ..core.pipelines import Hop
 from ..core.pipelines import Path
-from ..core.pipelines import kv_room
+from ..core.pipelines import kv_capacity
 from ..core.replicas import Replica
 from .exchange import Context
 
@@ -41,7 +41,9 @@
         self._service = service.name
         self._model: ModelSpec = service.model
         self._prompt, most = usage
-        self._answer = float(hint) if hint.isdigit() else self._model.usual_answer
+        self._answer = (
+            float(hint) if hint.isdigit() else self._model.typical_output_tokens
+        )
         if most:
             self._answer = min(self._answer, most)
         self._rank = rank
@@ -75,4 +77,4 @@
         if replica is None:
             return 0.0
         held = self._context.pipelines(self._service).total(replica).token_layers
-        return held / max(1.0, kv_room(self._model, replica))
+        return held / max(1.0, kv_capacity(self._model, replica))
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -24,9 +24,9 @@
 from ..peers.codec import Datagram
 from ..peers.codec import decode
 from ..peers.codec import encode
+from .host_registry import HostRegistry
 from .loop import READABLE
 from .loop import Loop
-from .register import Register
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
@@ -72,7 +72,7 @@
         """Return the version of the newest change of upstreams known here."""
         ...
 
-    def is_store_away(self) -> bool:
+    def is_store_unreachable(self) -> bool:
         """Tell whether this host's last call to the store failed."""
         ...
 
@@ -124,7 +124,7 @@
         self._loop = loop
         self._host = host
         self._events = events
-        self._rows = Register(
+        self._rows = HostRegistry(
             loop,
             pool,
             store,
@@ -163,7 +163,7 @@
     def leave(self) -> None:
         """Tell the others that this host ends."""
         self.membership.set_state(HostState.LEAVING)
-        self.membership.hurry()
+        self.membership.make_heartbeats_due()
 
     def count(self) -> int:
         """Return how many hosts there may be, those not heard of lately too."""
@@ -198,7 +198,7 @@
         if now - self._announced_at < ANNOUNCE_PAUSE_S:
             return
         self._announced_at = now
-        hosts = self.membership.inside_live()
+        hosts = self.membership.live_local_hosts()
         self._send_all([host.peer_address for host in hosts], (self._heartbeat(),))
 
     def _is_introduced(self) -> bool:
@@ -208,14 +208,14 @@
             return now >= self._introduced_at + INTRODUCTION_S
         return now >= self._started_at + INTRODUCTION_MAX_S
 
-    def tell_lost(self, lost: EngineLost) -> None:
+    def broadcast_engine_lost(self, lost: EngineLost) -> None:
         """Tell the hosts of this data centre of a suspicion."""
-        hosts = self.membership.inside_live()
+        hosts = self.membership.live_local_hosts()
         self._send_all([host.peer_address for host in hosts], (lost,))
 
     def _on_hosts(self, hosts: list[Host]) -> None:
         """Greet the hosts that the store names."""
-        self.membership.host_list(hosts, self._loop.now)
+        self.membership.apply_host_list(hosts, self._loop.now)
         others = [h.peer_address for h in hosts if h.name != self._host.name]
         self._send_all(others, (self._heartbeat(),))
         if self._introduced_at is None:
@@ -230,7 +230,7 @@
             version,
             version,
             upstreams_version=self._events.upstreams_version(),
-            is_store_away=self._events.is_store_away(),
+            is_store_unreachable=self._events.is_store_unreachable(),
         )
 
     def _tick(self) -> None:
@@ -244,7 +244,7 @@
         if remote and self._note_delegate():
             uses = self._events.centre_uses()
             self._send_all(remote, (self._heartbeat(), uses))
-        self._send_all(self.membership.views_wanted(now), (ViewRequest(),))
+        self._send_all(self.membership.view_request_addresses(now), (ViewRequest(),))
         self._forget_centres(now)
 
     def _note_delegate(self) -> bool:
@@ -333,7 +333,7 @@
         host = message.host
         known = self.membership.by_name.get(host.name)
         is_new = known is None or known.host.incarnation != host.incarnation
-        self._note(self.membership.heartbeat(message, now))
+        self._note(self.membership.receive_heartbeat(message, now))
         if is_new:
             self._send(host.peer_address, (self._heartbeat(),))
         if message.lists_version > self._events.lists_version():
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -6,9 +6,9 @@
 from ..core.directory import Directory
 from ..core.directory import ModelSpec
 from ..core.directory import Service
-from ..core.layout import Placing
-from ..core.layout import plan
-from ..core.layout import repair
+from ..core.layout import LayerAssignment
+from ..core.layout import plan_layers
+from ..core.layout import plan_repairs
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..core.store import Call
@@ -18,8 +18,8 @@
 from .fetch import Fetch
 from .lease import LeaseKeeper
 from .loop import Loop
-from .report import ask_report
-from .transfer import Loss
+from .report import fetch_engine_report
+from .transfer import ExchangeLoss
 from .transfer import Upstream
 from .transfer import UpstreamPool
 
@@ -92,7 +92,7 @@
         self._loop.call_later(TICK_S, self._tick)
         now = self._loop.now
         directory = self._directory()
-        if directory is None or not self._lease.may_order(ORDER_TIMEOUT_S):
+        if directory is None or not self._lease.may_send_order(ORDER_TIMEOUT_S):
             return
         for service in directory.service_by_name.values():
             if service.model is not None:
@@ -114,7 +114,7 @@
         reserved = self._reserve(replicas)
         if self._is_settling(now, replicas):
             return
-        for placing in plan(service.model, replicas, ranges, reserved):
+        for placing in plan_layers(service.model, replicas, ranges, reserved):
             self._order(placing)
         for placing in self._due_repairs(service.model, replicas, ranges, now):
             self._order(placing)
@@ -132,9 +132,9 @@
         replicas: list[Replica],
         ranges: dict[tuple[str, int], tuple[int, int]],
         now: float,
-    ) -> list[Placing]:
+    ) -> list[LayerAssignment]:
         """Return the moves whose gaps have lasted for a while."""
-        moves = repair(model, replicas, ranges)
+        moves = plan_repairs(model, replicas, ranges)
         centres = {move.replica.data_centre for move in moves}
         for centre in list(self._gap_since_by_centre):
             if centre not in centres:
@@ -160,7 +160,7 @@
                 reserved.add(identity)
         return reserved
 
-    def _order(self, placing: Placing) -> None:
+    def _order(self, placing: LayerAssignment) -> None:
         replica = placing.replica
         now = self._loop.now
         identity = replica.identity
@@ -196,7 +196,7 @@
                 refused_at = self._loop.now - ORDER_AGAIN_S + REFUSED_AGAIN_S
                 self._ordered[identity] = (held, refused_at)
                 self._ask_orders(replica)
-            elif answer.loss is not Loss.UNKNOWN:
+            elif answer.loss is not ExchangeLoss.UNKNOWN:
                 self._ordered.pop(identity, None)
 
         upstream = Upstream(replica.address, identity)
@@ -217,4 +217,4 @@
             if report.born == replica.incarnation:
                 self._orders_by_identity[identity] = report.orders
 
-        ask_report(self._loop, self._pool, replica, on_report)
+        fetch_engine_report(self._loop, self._pool, replica, on_report)
--- a/src/wagtailstair/gateway/report.py
+++ b/src/wagtailstair/gateway/report.py
@@ -18,7 +18,7 @@
 OK = 200
 
 
-def ask_report(
+def fetch_engine_report(
     loop: Loop,
     pool: UpstreamPool,
     replica: Replica,
--- a/src/wagtailstair/gateway/suspicion.py
+++ b/src/wagtailstair/gateway/stall_detector.py
@@ -5,7 +5,7 @@
 from ..core.replicas import Replica
 from ..logs import log_event
 from ..platform import engines as engine_wire
-from .report import ask_report
+from .report import fetch_engine_report
 
 if t.TYPE_CHECKING:
     from .gateway import Gateway
@@ -17,7 +17,7 @@
 """Seconds that an engine is avoided; one that is dead is off the list by then."""
 
 
-class Suspicion:
+class StallDetector:
     """Investigates stalls of the gateway's streams."""
 
     __slots__ = ("_asked_at_by_name", "_gateway")
@@ -26,7 +26,7 @@
         self._gateway = gateway
         self._asked_at_by_name: dict[str, float] = {}
 
-    def investigate(self, first: Replica, service: str) -> None:
+    def find_stalled_engine(self, first: Replica, service: str) -> None:
         """Ask a first engine which engines its requests wait for."""
         loop = self._gateway.loop
         asked_at = self._asked_at_by_name.get(first.name, float("-inf"))
@@ -34,7 +34,7 @@
             return
         self._asked_at_by_name[first.name] = loop.now
 
-        ask_report(
+        fetch_engine_report(
             loop,
             self._gateway.pool,
             first,
@@ -53,7 +53,7 @@
             log_event("engine_suspected", replica=replica.name, reason=reason)
         for stream in gateway.streams():
             if stream.uses(replica.identity) and stream.waits(now):
-                stream.leave_engine(replica, reason)
+                stream.move_off_engine(replica, reason)
 
     def _take(self, first: Replica, service: str, report: engine_wire.Report) -> None:
         log_event(
@@ -74,4 +74,4 @@
         for replica in self._gateway.replicas.usable(service):
             if replica.address in addresses and replica is not first:
                 self.suspect(replica, service, f"stalled at {first.name}")
-                self._gateway.tell_lost(replica)
+                self._gateway.broadcast_engine_lost(replica)
--- a/src/wagtailstair/gateway/stream.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -21,7 +21,7 @@
 from .loop import Timer
 from .paths import PathFinder
 from .requests import Header
-from .transfer import Loss
+from .transfer import ExchangeLoss
 from .transfer import Upstream
 
 QUIET_S = 0.25
@@ -74,7 +74,7 @@
     def begin(self) -> None:
         """Send the request down its first pipeline."""
         names = self.context.names
-        usage = wire_headers.read_tokens(self.request.header(names.token_usage))
+        usage = wire_headers.parse_token_usage(self.request.header(names.token_usage))
         hint = self.request.header(names.length_hint)
         self._finder = PathFinder(
             self.context, self.service, usage, hint, self.grant.rank
@@ -96,7 +96,7 @@
         if self.is_over:
             return
         self.close()
-        self.context.finished(self, "caller_gone")
+        self.context.record_request_end(self, "caller_gone")
 
     def on_expired(self) -> None:
         """End a request whose time is over."""
@@ -129,7 +129,7 @@
             return
         if self.sends == 0:
             now = self.context.loop.now
-            self.context.allowance.requested(self.service.name, now)
+            self.context.resend_budget.count_request(self.service.name, now)
         self._current = attempt = self._make(path)
         self._send(attempt)
 
@@ -140,7 +140,7 @@
 
     def _make(self, path: Path) -> Attempt:
         tokens = self._finder.tokens
-        self.context.pipelines(self.service.name).take(path, tokens)
+        self.context.pipelines(self.service.name).reserve_tokens(path, tokens)
         self.sends += 1
         self.runs += 1
         now = self.context.loop.now
@@ -162,7 +162,7 @@
         upstream = Upstream(first.address, first.identity)
         attempt.wire = context.pool.send(upstream, data, attempt, fresh=False)
         if attempt.wire is None:
-            self.on_broken(attempt, Loss.NOT_SENT, "no connection")
+            self.on_broken(attempt, ExchangeLoss.NOT_SENT, "no connection")
             return
         self._watch(FIRST_QUIET_S)
 
@@ -170,7 +170,7 @@
         """Wait for engines with room, for a while."""
         waited = self.context.loop.now - self.request.received_at
         if waited < WAIT_GOALS * self.grant.route.goal_s:
-            self.context.wait(self)
+            self.context.queue_for_room(self)
             return
         self.refuse("no room")
 
@@ -180,7 +180,7 @@
         attempt.cancel()
         if attempt.path:
             pipelines = self.context.pipelines(self.service.name)
-            pipelines.give_back(attempt.path, attempt.tokens)
+            pipelines.release_tokens(attempt.path, attempt.tokens)
             attempt.path = ()
         if attempt is self._current:
             self._current = None
@@ -222,7 +222,7 @@
         if waited < quiet_s:
             self._watch(quiet_s - waited + 0.001)
             return
-        self.context.investigate(current.path[0].replica, self.service.name)
+        self.context.find_stalled_engine(current.path[0].replica, self.service.name)
         if waited >= STALL_S and self._successor is None:
             self._finder.avoid.update(hop.replica.identity for hop in current.path)
             self._succeed("stalled")
@@ -241,7 +241,7 @@
         """Tell whether the request has had no event for a while."""
         return self._current is not None and now - self._current.progress_at > QUIET_S
 
-    def leave_engine(self, replica: Replica, reason: str) -> None:
+    def move_off_engine(self, replica: Replica, reason: str) -> None:
         """Go on without an engine: on a new path, or with a successor."""
         current = self._current
         if self.is_over or current is None or current.wire is None:
@@ -272,9 +272,9 @@
                 self.log("path_kept", level="WARNING", status=answer.status)
                 return
             pipelines = self.context.pipelines(self.service.name)
-            pipelines.give_back(attempt.path, attempt.tokens)
+            pipelines.release_tokens(attempt.path, attempt.tokens)
             attempt.path = path
-            pipelines.take(path, attempt.tokens)
+            pipelines.reserve_tokens(path, attempt.tokens)
             attempt.progress_at = self.context.loop.now
 
         Fetch(
@@ -338,7 +338,7 @@
         self.log("attempt_failed", status=attempt.status, fate=attempt.fate.value)
         self._again(attempt, attempt.path[0].replica, f"status {attempt.status}")
 
-    def on_broken(self, attempt: Attempt, loss: Loss, reason: str) -> None:
+    def on_broken(self, attempt: Attempt, loss: ExchangeLoss, reason: str) -> None:
         """Take the loss of an attempt."""
         if self.is_over:
             return
@@ -350,7 +350,7 @@
             loss=loss.value,
             events=self.events,
         )
-        if loss is Loss.NOT_SENT:
+        if loss is ExchangeLoss.NOT_SENT:
             self.runs -= 1
         else:
             self.may_have_run = True
@@ -428,9 +428,9 @@
             if held:
                 self.caller.send(held)
             self.caller.end()
-        self.context.finished(self, "served")
+        self.context.record_request_end(self, "served")
 
 
 def _write(path: Path) -> bytes:
     hops = [(hop.replica.address, hop.first, hop.last) for hop in path]
-    return wire_headers.write_path(hops)
+    return wire_headers.format_path(hops)
--- a/src/wagtailstair/gateway/knowledge.py
+++ b/src/wagtailstair/gateway/table_sync.py
@@ -11,7 +11,7 @@
 from ..core.hosts import Host
 from ..core.relay_rows import RelayedTable
 from ..core.relay_rows import decode_relayed
-from ..core.relay_rows import relay_rows
+from ..core.relay_rows import encode_relayed
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
 from ..core.store import Call
@@ -34,7 +34,7 @@
 """Seconds in which changes of upstreams are gathered: calls are priced, and two
 seconds are left for an upstream that leaves."""
 
-OVERDUE_S = 0.5
+FEED_OVERDUE_S = 0.5
 """Seconds after which a host that follows the store asks a peer for what the store
 should have told it: over twice the pause between two calls for changes."""
 
@@ -49,7 +49,7 @@
 NEVER = float("-inf")
 
 
-class Knowledge:
+class TableSync:
     """The lists and the upstreams in force.
 
     :param on_news: called after a table has changed, with its name.
@@ -73,7 +73,7 @@
         self._follows = follows
         self.directory: Directory | None = None
         self.replicas = ReplicaSet(lapse_s)
-        self._is_asking: set[str] = set()
+        self._pending_relays: set[str] = set()
         # By table: what was known when a peer first knew more, and the instant.
         self._behind_by_table: dict[str, tuple[int, float]] = {}
         self._trouble_at = NEVER
@@ -110,9 +110,9 @@
         return self._lists.is_active
 
     @property
-    def is_store_away(self) -> bool:
+    def is_store_unreachable(self) -> bool:
         """Tell whether the last call to the store failed."""
-        return any(f.is_away for f in self._follower_by_table.values())
+        return any(f.is_store_unreachable for f in self._follower_by_table.values())
 
     def lists_version(self) -> int:
         """Return the version of the lists in force, 0 for none."""
@@ -144,7 +144,7 @@
         """Take word that a peer knows of a later change of upstreams."""
         self._ask_if_due(self._upstreams, host)
 
-    def relayed(self, target: str) -> bytes | None:
+    def encode_relay(self, target: str) -> bytes | None:
         """Return what a peer asks for, ``None`` if it is not known."""
         table, _, after = target.removeprefix(RELAY_PATH).partition(AFTER)
         follower = self._follower_by_table.get(table)
@@ -152,16 +152,16 @@
             return None
         copy = follower.copy
         since = copy.since(int(after)) if after.isdigit() else None
-        rows = copy.live() if since is None else since
+        rows = copy.live_rows() if since is None else since
         trouble_s = self._trouble_s(follower)
-        return relay_rows(rows, copy.as_of, trouble_s, is_all=since is None)
+        return encode_relayed(rows, copy.as_of, trouble_s, is_all=since is None)
 
     def _trouble_s(self, follower: TableFollower) -> float | None:
         """Return the seconds since the store had trouble, ``None`` for never.
 
         What keeps this host alone from the store is no trouble to others.
         """
-        if self.is_store_away:
+        if self.is_store_unreachable:
             return None
         trouble_at = max(self._trouble_at, follower.failed_at)
         return None if trouble_at == NEVER else self._loop.now - trouble_at
@@ -219,8 +219,10 @@
     def _tick(self) -> None:
         self._loop.call_later(TICK_S, self._tick)
         self.choose_source()
-        is_away = self._upstreams.is_away
-        dropped = self.replicas.settle(self._loop.now, is_store_away=is_away)
+        is_away = self._upstreams.is_store_unreachable
+        dropped = self.replicas.drop_lapsed(
+            self._loop.now, is_store_unreachable=is_away
+        )
         for name in dropped:
             log_event("upstream_gone", replica=name, reason="lapsed")
         if dropped:
@@ -230,24 +232,24 @@
 
     def _ask_if_due(self, follower: TableFollower, host: Host) -> None:
         """Ask a peer for changes, unless the store is about to tell of them."""
-        if follower.is_active and not follower.is_away:
+        if follower.is_active and not follower.is_store_unreachable:
             known = follower.copy.version
             behind = self._behind_by_table.get(follower.table)
             if behind is None or behind[0] != known:
                 behind = self._behind_by_table[follower.table] = known, self._loop.now
-            if self._loop.now - behind[1] < OVERDUE_S:
+            if self._loop.now - behind[1] < FEED_OVERDUE_S:
                 return
-            follower.renew("a peer knows more")
+            follower.restart_feed("a peer knows more")
         self._ask(follower, host)
 
     def _ask(self, follower: TableFollower, host: Host) -> None:
         table = follower.table
-        if table in self._is_asking:
+        if table in self._pending_relays:
             return
-        self._is_asking.add(table)
+        self._pending_relays.add(table)
 
         def on_answer(answer: Answer) -> None:
-            self._is_asking.discard(table)
+            self._pending_relays.discard(table)
             if answer.status == OK:
                 self._take_relayed(follower, host, answer.body)
                 return
@@ -296,8 +298,8 @@
     def _merge(follower: TableFollower, relayed: RelayedTable) -> list[StoreRow]:
         rows = relayed.store_rows(follower.table)
         if relayed.is_all:
-            return follower.copy.replace(rows, relayed.as_of)
-        return follower.copy.change(rows, relayed.as_of)
+            return follower.copy.apply_snapshot(rows, relayed.as_of)
+        return follower.copy.apply_delta(rows, relayed.as_of)
 
 
 def _log_replica(replica: Replica, version: int) -> None:
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -71,7 +71,7 @@
         self._running.set({}, len(gateway.streams()))
         self._peers.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
-        self._away.set({}, int(gateway.knowledge.is_store_away))
+        self._away.set({}, int(gateway.table_sync.is_store_unreachable))
         if gateway.lists_version():
             self._version.set({}, gateway.lists_version())
         body, _ = render(self._registry, ["text/plain"])
--- a/src/wagtailstair/gateway/transfer.py
+++ b/src/wagtailstair/gateway/transfer.py
@@ -25,7 +25,7 @@
 IDLE_PER_ADDRESS = 8
 
 
-class Loss(enum.Enum):
+class ExchangeLoss(enum.Enum):
     """What is known of a request whose exchange broke."""
 
     NOT_SENT = "not_sent"
@@ -47,7 +47,7 @@
         """Take the end of a whole answer."""
         ...
 
-    def on_lost(self, loss: Loss, reason: str) -> None:
+    def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Take the end of the exchange without a whole answer."""
         ...
 
@@ -202,10 +202,12 @@
 
     def _on_connect_timeout(self) -> None:
         self._timer = None
-        self._end(Loss.NOT_SENT, "connect timeout")
+        self._end(ExchangeLoss.NOT_SENT, "connect timeout")
 
     def _on_lost(self, error: OSError) -> None:
-        loss = Loss.NOT_SENT if self._timer is not None else Loss.UNKNOWN
+        loss = (
+            ExchangeLoss.NOT_SENT if self._timer is not None else ExchangeLoss.UNKNOWN
+        )
         self._end(loss, f"errno {error.errno}")
 
     def _on_data(self, data: bytes) -> None:
@@ -216,7 +218,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_clean = False
-            self._end(Loss.UNKNOWN, f"not an answer: {error}")
+            self._end(ExchangeLoss.UNKNOWN, f"not an answer: {error}")
             return
         if self.observer is None and self.connection is not None:
             self._pool.keep(self)
@@ -227,9 +229,9 @@
             self._complete()
             self._drop()
             return
-        self._end(Loss.UNKNOWN, "closed")
+        self._end(ExchangeLoss.UNKNOWN, "closed")
 
-    def _end(self, loss: Loss, reason: str) -> None:
+    def _end(self, loss: ExchangeLoss, reason: str) -> None:
         observer, self.observer = self.observer, None
         self._drop()
         if observer is not None:
--- a/src/wagtailstair/http/app.py
+++ b/src/wagtailstair/http/app.py
@@ -14,8 +14,8 @@
 from ..exceptions import RequestError
 from ..exceptions import RequestTooLargeError
 from ..exceptions import WagtailstairError
+from ..logs import error_location
 from ..logs import log_event
-from ..logs import place_of
 from . import operators
 from .call import SERVICES_PREFIX
 from .call import call_service
@@ -89,7 +89,7 @@
                 "request_crashed",
                 level="ERROR",
                 request=request_id,
-                error=place_of(error),
+                error=error_location(error),
             )
             unknown = OutcomeUnknownError("an internal error")
             return self._on_error(unknown, request_id)
--- a/src/wagtailstair/jobs.py
+++ b/src/wagtailstair/jobs.py
@@ -4,23 +4,23 @@
 import dataclasses
 import typing as t
 
-from .core.demand import Done
-from .core.demand import Grant
-from .core.demand import Refusal
-from .core.demand import Want
 from .core.engine import Priority
+from .core.grants import Grant
+from .core.grants import GrantOutcome
+from .core.grants import Refusal
+from .core.grants import RouteRequest
 
 
 class Dispatch(t.Protocol):
     """What a relay needs of the dispatcher of a pool."""
 
     def submit(
-        self, model: str, data_centre: str, want: Want
+        self, model: str, data_centre: str, want: RouteRequest
     ) -> "concurrent.futures.Future[Grant | Refusal]":
         """Ask for a route; the future never stays open for good."""
         ...
 
-    def done(self, model: str, data_centre: str, done: Done) -> None:
+    def done(self, model: str, data_centre: str, done: GrantOutcome) -> None:
         """Give a grant back."""
         ...
 
--- a/src/wagtailstair/logs.py
+++ b/src/wagtailstair/logs.py
@@ -39,7 +39,7 @@
     return " ".join(parts)
 
 
-def place_of(error: BaseException) -> str:
+def error_location(error: BaseException) -> str:
     """Name an unexpected error and where it came from.
 
     Its text is left out: it may quote a prompt or an answer.
--- a/src/wagtailstair/peers/message_records.py
+++ b/src/wagtailstair/peers/message_records.py
@@ -40,10 +40,10 @@
         "state": int(message.state),
         "listsVersion": message.lists_version,
         # The excess is nearly always zero, which costs no byte.
-        "listsExcess": max(0, message.lists_known - message.lists_version),
+        "listsExcess": max(0, message.known_lists_version - message.lists_version),
         "view": message.view,
         "upstreamsVersion": message.upstreams_version,
-        "storeAway": message.is_store_away,
+        "storeAway": message.is_store_unreachable,
         "models": list(host.models),
         **records.write_address(host.address, host.peer_address),
     }
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -4,7 +4,7 @@
 import typing as t
 
 from ..clock import Clock
-from ..core.freshness import PeerVersions
+from ..core.lists_refresh import PeerVersions
 from ..core.membership import Event
 from ..core.membership import Heartbeat
 from ..core.membership import Host
@@ -32,7 +32,7 @@
 
     :param lists_version: the version of the lists that this host has.
     :param on_heard: called when a peer has told of a higher version.
-    :param lists_known: the highest version that this host has heard of.
+    :param known_lists_version: the highest version that this host has heard of.
     """
 
     def __init__(
@@ -43,17 +43,17 @@
         clock: Clock,
         lists_version: t.Callable[[], int],
         on_heard: t.Callable[[int], None] = lambda version: None,
-        lists_known: t.Callable[[], int] | None = None,
+        known_lists_version: t.Callable[[], int] | None = None,
     ) -> None:
         self.membership = membership
         self.lock = threading.RLock()
         self.failures = 0
         self.dispatcher = Dispatcher(membership, transport, make_pool, clock, self.lock)
-        self.listeners: list[Listener] = [self.dispatcher.members_changed]
+        self.listeners: list[Listener] = [self.dispatcher.apply_member_events]
         self._transport = transport
         self._clock = clock
         self._lists_version = lists_version
-        self._lists_known = lists_known or lists_version
+        self._lists_known = known_lists_version or lists_version
         self._on_heard = on_heard
         self._ticked_at = float("-inf")
         self._stopping = threading.Event()
@@ -69,7 +69,7 @@
         self._stopping.set()
         self._thread.join()
         with self.lock:
-            self.membership.hurry()
+            self.membership.make_heartbeats_due()
             self._send_heartbeats(self._clock.monotonic())
         self._transport.close()
 
@@ -83,7 +83,7 @@
     def announce(self) -> None:
         """Tell the peers at once, for example of a new version of the lists."""
         with self.lock:
-            self.membership.hurry()
+            self.membership.make_heartbeats_due()
             self._send_heartbeats(self._clock.monotonic())
         self._transport.flush()
 
@@ -93,9 +93,9 @@
             held = self.membership.lists_version()
             holders = self.membership.holders(held) if held else []
             return PeerVersions(
-                live=self.membership.count_heard(),
+                live=self.membership.count_direct_peers(),
                 held=held,
-                known=self.membership.lists_known(),
+                known=self.membership.known_lists_version(),
                 holders=tuple(host.name for host in holders),
             )
 
@@ -107,11 +107,11 @@
         names = ranked(f"lists/{host.data_centre}", {*live, host.name})
         return names.index(host.name)
 
-    def host_list(self, hosts: t.Iterable[Host]) -> None:
+    def apply_host_list(self, hosts: t.Iterable[Host]) -> None:
         """Take the platform's list of entry hosts; a mistyped address is left out."""
         usable = [host for host in hosts if is_address(host.peer_address)]
         with self.lock:
-            self.membership.host_list(usable, self._clock.monotonic())
+            self.membership.apply_host_list(usable, self._clock.monotonic())
 
     def tick(self) -> float:
         """Do what is due; return seconds after which to call again, at most."""
@@ -122,7 +122,7 @@
                 self._ticked_at = now
                 events = self.membership.tick(now)
                 self._send_heartbeats(now)
-                for address in self.membership.views_wanted(now):
+                for address in self.membership.view_request_addresses(now):
                     self._transport.send(address, 0, ViewRequest())
         self._transport.flush()
         self._notify(events)
@@ -175,7 +175,7 @@
             now = self._clock.monotonic()
             known = self.membership.lists_version()
             is_new = self.membership.find(message.host.name) is None
-            events = self.membership.heartbeat(message, now)
+            events = self.membership.receive_heartbeat(message, now)
             if is_new and self.membership.find(message.host.name) is not None:
                 self._greet(message.host)
             version = self.membership.lists_version()
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -7,12 +7,12 @@
 import ipaddress
 import typing as t
 
-from ..core.demand import RefusalReason
-from ..core.demand import Want
 from ..core.engine import EngineState
 from ..core.engine import Priority
 from ..core.engine import Route
 from ..core.engine import Stage
+from ..core.grants import RefusalReason
+from ..core.grants import RouteRequest
 from ..core.membership import Host
 from ..core.messages import EngineLoad
 from ..core.messages import EngineReport
@@ -120,7 +120,7 @@
     return PoolKey(record.model, record.dataCentre)
 
 
-def write_want(want: Want) -> Fields:
+def write_want(want: RouteRequest) -> Fields:
     """Return the fields of a want; its names travel as the message's handle."""
     # The longest prefixes tell the most.
     prefixes = [prefix & PREFIX_MASK for prefix in want.prefixes[-PREFIXES_MAX:]]
@@ -139,9 +139,9 @@
     }
 
 
-def read_want(record: Record) -> Want:
+def read_want(record: Record) -> RouteRequest:
     """Return a want without names."""
-    return Want(
+    return RouteRequest(
         request="",
         epoch=0,
         host="",
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -91,12 +91,12 @@
         with self._lock:
             return self._lease.fence
 
-    def may_order(self, fence: int, order_s: float) -> bool:
+    def may_send_order(self, fence: int, order_s: float) -> bool:
         """Tell whether an order under ``fence`` may be sent now."""
         with self._lock:
             if self._lease.fence != fence:
                 return False
-            return self._lease.may_order(self._clock.monotonic(), order_s)
+            return self._lease.may_send_order(self._clock.monotonic(), order_s)
 
     def tick(self) -> float:
         """Do what the lease needs; return the seconds until the next time."""
@@ -124,10 +124,10 @@
             value = _decode_row(row)
         except (PlatformError, ValueError):
             with self._lock:
-                self._lease.on_away(self._clock.monotonic())
+                self._lease.delay_retry(self._clock.monotonic())
             return
         with self._lock:
-            self._lease.on_read(row.version, value, self._clock.monotonic())
+            self._lease.apply_read(row.version, value, self._clock.monotonic())
 
     def _write(self, command: LeaseWrite) -> None:
         conditions = [Condition(TABLE, self._role, command.version)]
@@ -136,16 +136,16 @@
             (version,) = self._table.transact(conditions, writes)
         except PlatformConflictError:
             with self._lock:
-                self._lease.on_unsure()
+                self._lease.mark_stale()
         except PlatformUnavailableError:
             with self._lock:
-                self._lease.on_away(self._clock.monotonic())
+                self._lease.delay_retry(self._clock.monotonic())
         except PlatformError:
             with self._lock:
-                self._lease.on_unsure()
+                self._lease.mark_stale()
         else:
             with self._lock:
-                self._lease.on_written(version, command.row, self._clock.monotonic())
+                self._lease.apply_write(version, command.row, self._clock.monotonic())
 
 
 def _decode_row(row: Row) -> LeaseRow | None:
@@ -214,7 +214,7 @@
         """
         delay_s = self._keeper.tick()
         fence = self._keeper.fence
-        if not self._keeper.may_order(fence, self._order_timeout_s):
+        if not self._keeper.may_send_order(fence, self._order_timeout_s):
             # The shapes of models are learnt by every host, so that the next
             # holder knows a range whose last engine died with this one.
             self._derive(self._observe())
@@ -225,7 +225,7 @@
             self._placement = Placement(self._limits)
             self._state_by_engine = {}
         while not self._unsent.empty():
-            self._placement.failed(self._unsent.get())
+            self._placement.record_refusal(self._unsent.get())
         engines = self._read_back(self._observe())
         targets = self._derive(engines)
         for order in self._placement.decide(targets, engines, self._clock.monotonic()):
@@ -265,7 +265,7 @@
         timeout_s = self._order_timeout_s
 
         def may_send() -> bool:
-            return self._keeper.may_order(fence, timeout_s)
+            return self._keeper.may_send_order(fence, timeout_s)
 
         try:
             if not may_send():
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -23,14 +23,14 @@
 KEY_SCHEME = b"token "
 
 
-def read_key(authorization: bytes) -> str | None:
+def parse_api_key(authorization: bytes) -> str | None:
     """Return the caller's key of an Authorization header, if it has one."""
     if not authorization.lower().startswith(KEY_SCHEME):
         return None
     return authorization[len(KEY_SCHEME) :].strip().decode("latin-1")
 
 
-def read_tokens(usage: bytes) -> tuple[int, int]:
+def parse_token_usage(usage: bytes) -> tuple[int, int]:
     """Return the prompt's tokens and the most tokens of the answer; 0 if unknown."""
     prompt, _, answer = usage.partition(b",")
     try:
@@ -39,6 +39,6 @@
         return 0, 0
 
 
-def write_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
+def format_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
     """Return the header value of a path: address, first layer, layer after the last."""
     return ",".join(f"{a}={first}-{last}" for a, first, last in hops).encode()
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -131,7 +131,7 @@
         step_s=engine.step_ms * MS,
         sequence_s=engine.per_seq_ms * MS,
         read_tokens_per_s=engine.read_per_s,
-        usual_answer=engine.usual.answer,
+        typical_output_tokens=engine.usual.answer,
         pipe_bytes_per_s=_bytes_per_s(engine.pipe_mbps),
         delay_s_by_centres=delays,
         accelerator_by_name=kinds,
--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -7,19 +7,19 @@
 import typing as t
 
 from .clock import Clock
-from .core.demand import Done
-from .core.demand import Grant
-from .core.demand import Refusal
-from .core.demand import RefusalReason
-from .core.demand import Want
 from .core.engine import Route
+from .core.grants import Grant
+from .core.grants import GrantOutcome
+from .core.grants import Refusal
+from .core.grants import RefusalReason
+from .core.grants import RouteRequest
 from .core.retry import RetryBudget
 from .core.sessions import Accepted
 from .core.sessions import Attempt
 from .core.sessions import Dropped
 from .core.sessions import Session
 from .core.sessions import Violation
-from .core.spill import Waits
+from .core.wait_estimates import WaitEstimates
 from .exceptions import CallerGoneError
 from .exceptions import DeadlineExceededError
 from .exceptions import NoUpstreamError
@@ -85,7 +85,7 @@
         self.routing = routing
         self.host = host
         self.data_centre = data_centre
-        self.waits = Waits()
+        self.waits = WaitEstimates()
         self._rng = rng
         self.budget = budget
         self.on_failed = on_failed
@@ -154,7 +154,7 @@
     def start(self) -> None:
         """Ask for the first route."""
         self._shared.add(self)
-        self._shared.budget.attempted(self._shared.clock.monotonic())
+        self._shared.budget.count_attempt(self._shared.clock.monotonic())
         self._data_centres = self._shared.order(self._job)
         self._ask()
 
@@ -200,7 +200,7 @@
             return
         delivered = len(self._session.tokens) if self._session else 0
         self._epoch += 1
-        want = Want(
+        want = RouteRequest(
             request=job.request,
             epoch=self._epoch,
             host=self._shared.host,
@@ -329,7 +329,9 @@
             return False
         if line.end:
             return self._on_end_line(session, line)
-        verdict = session.line(line.r, line.a, line.e, line.p, line.t, line.x, line.w)
+        verdict = session.accept_token(
+            line.r, line.a, line.e, line.p, line.t, line.x, line.w
+        )
         if isinstance(verdict, Accepted):
             self._awaiting_first = False
             self._sink.token(line.x)
@@ -340,7 +342,7 @@
         return False
 
     def _on_end_line(self, session: Session, line: Line) -> bool:
-        verdict = session.end(line.r, line.a, line.e, line.p, line.end)
+        verdict = session.accept_end(line.r, line.a, line.e, line.p, line.end)
         if isinstance(verdict, Dropped):
             return True
         if isinstance(verdict, Violation):
@@ -363,7 +365,7 @@
         session = self._session
         assert session is not None
         if end.status in REFUSAL_STATUSES and decode_refusal(end.body):
-            session.refused(attempt.id)
+            session.close_refused(attempt.id)
             # A refusal is a sign of overload, which retries must not feed. A
             # broken stream is resumed in any case: the pool paces it.
             allowed = self._shared.budget.take(self._shared.clock.monotonic())
@@ -383,7 +385,7 @@
         opened = self._open
         assert opened is not None
         assert self._session is not None
-        self._session.broken(opened.attempt.id, sent)
+        self._session.close_broken(opened.attempt.id, sent)
         # What was not sent tells of the first engine alone.
         route = opened.attempt.route
         self._retry(opened.attempt, reason, True, route if sent else route[:1])
@@ -411,7 +413,7 @@
             self._centre_index = 0
             self._ask()
             return
-        outcome = session.give_up()
+        outcome = session.close()
         if outcome is Outcome.NOT_RUN:
             self._fail(NoUpstreamError("no engine took the request", retry_after_s=1.0))
             return
@@ -423,7 +425,7 @@
         if opened is None:
             return
         assert self._session is not None
-        done = Done(
+        done = GrantOutcome(
             request=self._job.request,
             epoch=opened.grant_epoch,
             host=self._shared.host,
@@ -446,7 +448,7 @@
         if self._open is not None:
             self._open.transfer.cancel()
         if self._session is not None:
-            error.outcome = self._session.give_up()
+            error.outcome = self._session.close()
         self._release(frozenset())
         self._finish()
         self.future.set_exception(error)
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -96,7 +96,7 @@
 
         :raises RequestError: if no attempt was answered.
         """
-        self._budget.attempted(self._clock.monotonic())
+        self._budget.count_attempt(self._clock.monotonic())
         outcome = Outcome.NOT_RUN
         tried: set[str] = set()
         for attempt in range(MAX_ATTEMPTS):
@@ -116,7 +116,7 @@
         :raises RequestError: with the true outcome.
         """
         now = self._clock.monotonic()
-        self._budget.attempted(now)
+        self._budget.count_attempt(now)
         # The claim is written later than now, so this window ends within its own.
         send_until = now + self._claims.send_window_s
         guarded = dataclasses.replace(
@@ -152,7 +152,7 @@
         if remaining_s <= 0:
             raise UpstreamNotSentError("the deadline passed", where=replica.name)
         with self._lock:
-            self._ejection.started(replica.name)
+            self._ejection.record_start(replica.name)
         end = self._exchange(call, replica, attempt, remaining_s)
         self._judge(replica, end)
         headers = []
@@ -212,9 +212,9 @@
         group = len(self._upstreams.replicas(replica.service))
         with self._lock:
             if failed:
-                self._ejection.failed(replica.name, group, now)
+                self._ejection.record_failure(replica.name, group, now)
                 return
-            self._ejection.succeeded(replica.name, now)
+            self._ejection.record_success(replica.name, now)
 
     def _choose(self, service: str, tried: set[str]) -> Upstream:
         now = self._clock.monotonic()
--- a/src/wagtailstair/settling.py
+++ b/src/wagtailstair/settling.py
@@ -10,7 +10,6 @@
 import typing as t
 
 from .core.claim_steps import Answer
-from .core.claim_steps import Away
 from .core.claim_steps import Command
 from .core.claim_steps import Conflict
 from .core.claim_steps import Deliver
@@ -22,8 +21,9 @@
 from .core.claim_steps import Release
 from .core.claim_steps import ReplyLost
 from .core.claim_steps import Settle
+from .core.claim_steps import Unavailable
 from .core.claim_steps import Wait
-from .core.claim_steps import Woke
+from .core.claim_steps import WaitElapsed
 from .core.claim_steps import Written
 from .core.claims import Claim
 from .exceptions import PlatformConflictError
@@ -77,7 +77,7 @@
     if isinstance(error, PlatformConflictError):
         return Conflict()
     if isinstance(error, PlatformUnavailableError):
-        return Away()
+        return Unavailable()
     return ReplyLost()
 
 
@@ -127,7 +127,7 @@
         elif isinstance(command, Settle | Release):
             self._await(task, self._driver.submit(task, command))
         elif isinstance(command, Wait):
-            self._schedule(task, Woke(), self._driver.jitter(command.delay_s))
+            self._schedule(task, WaitElapsed(), self._driver.jitter(command.delay_s))
         elif isinstance(command, Deliver):
             self._schedule(task, Delivered(), 0.0)
         else:
--- a/src/wagtailstair/upstreams/loop.py
+++ b/src/wagtailstair/upstreams/loop.py
@@ -11,8 +11,8 @@
 import pycurl
 
 from ..clock import Clock
+from ..logs import error_location
 from ..logs import log_event
-from ..logs import place_of
 
 Callback = t.Callable[[], None]
 FdHandler = t.Callable[[int], None]
@@ -207,4 +207,6 @@
         try:
             callback(*args)
         except Exception as error:
-            log_event("loop_callback_failed", level="ERROR", error=place_of(error))
+            log_event(
+                "loop_callback_failed", level="ERROR", error=error_location(error)
+            )
--- a/tests/claim_world.py
+++ b/tests/claim_simulation.py
@@ -14,7 +14,6 @@
 from wagtailstair.core.claim_rows import make_write
 from wagtailstair.core.claim_steps import Answer
 from wagtailstair.core.claim_steps import Answered
-from wagtailstair.core.claim_steps import Away
 from wagtailstair.core.claim_steps import CallLost
 from wagtailstair.core.claim_steps import Claimant
 from wagtailstair.core.claim_steps import ClaimRow
@@ -35,8 +34,9 @@
 from wagtailstair.core.claim_steps import Settle
 from wagtailstair.core.claim_steps import Store
 from wagtailstair.core.claim_steps import Stored
+from wagtailstair.core.claim_steps import Unavailable
 from wagtailstair.core.claim_steps import Wait
-from wagtailstair.core.claim_steps import Woke
+from wagtailstair.core.claim_steps import WaitElapsed
 from wagtailstair.core.claim_steps import Written
 from wagtailstair.core.claims import Claim
 from wagtailstair.core.claims import ClaimLimits
@@ -124,7 +124,7 @@
 }
 
 
-class ClaimWorld:
+class ClaimSimulation:
     def __init__(self, hosts=3):
         self.now = 0.0
         self.table = FakeTable()
@@ -219,13 +219,13 @@
             return self._write(call, fault)
         if isinstance(command, Wait):
             self.advance(command.delay_s)
-            return Woke()
+            return WaitElapsed()
         if isinstance(command, Deliver):
             return Delivered()
         if isinstance(command, Send):
             return self._send(call, fault)
         if fault is not Fault.NONE or call.daemon.is_cut:
-            return Away()
+            return Unavailable()
         if isinstance(command, Read):
             return self._read(call)
         if isinstance(command, Store):
@@ -236,7 +236,7 @@
 
     def _write(self, call, fault):
         if call.daemon.is_cut:
-            return Away()
+            return Unavailable()
         condition, write = make_write(call.key, call.command)
         if fault in _WRITE_FAULT:
             self.table.faults.append(_WRITE_FAULT[fault])
@@ -245,7 +245,7 @@
         except PlatformConflictError:
             return Conflict()
         except PlatformUnavailableError:
-            return Away()
+            return Unavailable()
         except PlatformUnknownError:
             return ReplyLost()
         return Written(version)
