--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -4,11 +4,11 @@
 import random
 
 from wagtailstair.clock import ManualClock
-from wagtailstair.core.demand import Done
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import GrantOutcome
+from wagtailstair.core.grants import RouteRequest
 from wagtailstair.core.membership import Heartbeat
 from wagtailstair.core.membership import Host
 from wagtailstair.core.membership import HostState
@@ -102,8 +102,8 @@
         self.frozen_until = 0.0
         self.thaw = []
         self.answers = {}
-        tickets = self.dispatcher.tickets
-        take = tickets.take_results
+        dispatch_client = self.dispatcher.dispatch_client
+        take = dispatch_client.take_results
 
         def counted():
             results = take()
@@ -112,7 +112,7 @@
                 self.answers[name] = self.answers.get(name, 0) + 1
             return results
 
-        tickets.take_results = counted
+        dispatch_client.take_results = counted
 
     def receive(self, datagram):
         if datagram.receiver not in (0, self.host.incarnation):
@@ -121,8 +121,8 @@
         others = []
         for message in datagram.messages:
             if isinstance(message, Heartbeat):
-                events = self.membership.heartbeat(message, now)
-                self.dispatcher.members_changed(events)
+                events = self.membership.receive_heartbeat(message, now)
+                self.dispatcher.apply_member_events(events)
             else:
                 others.append(message)
         if others:
@@ -130,7 +130,7 @@
 
     def step(self):
         now = self.simulation.clock.monotonic()
-        self.dispatcher.members_changed(self.membership.tick(now))
+        self.dispatcher.apply_member_events(self.membership.tick(now))
         inside, remote = self.membership.due(now)
         if inside or remote:
             message = self.membership.next_heartbeat(0, 0)
@@ -174,7 +174,7 @@
         self.incarnation += 1
         host = SimHost(self, name, "a", self.incarnation)
         listed = [make_host(other, "a") for other in self.names]
-        host.membership.host_list(listed, self.clock.monotonic())
+        host.membership.apply_host_list(listed, self.clock.monotonic())
         self.by_name[name] = host
         return host
 
@@ -260,7 +260,7 @@
         model = self.rng.choice(MODELS)
         adapter = f"adapter-{self.rng.randrange(ENGINES)}"
         deadline = self.clock.monotonic() + timeout_s
-        want = Want(
+        want = RouteRequest(
             request=request,
             epoch=self.rng.randrange(3),
             host=name,
@@ -325,7 +325,7 @@
         if self.rng.random() < 0.2:
             host.dispatcher.cancel(model, "a", want.request, want.epoch)
             return
-        done = Done(want.request, want.epoch, host.host.name, 16, 9)
+        done = GrantOutcome(want.request, want.epoch, host.host.name, 16, 9)
         host.dispatcher.done(model, "a", done)
 
     def _check_charge(self, key, entry, now):
@@ -352,17 +352,17 @@
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
                     left.append(f"{name}: {key}: {stats.open_grants}, {stats.waiting}")
-            for key, pool in dispatcher.tickets.local.by_key.items():
+            for key, pool in dispatcher.dispatch_client.local_pools.by_key.items():
                 stats = pool.stats()
                 if stats.open_grants or sum(stats.waiting):
                     left.append(f"{name}: local {key}: {stats.open_grants}")
             sizes = {
-                "tickets": len(dispatcher.tickets),
-                "handles": len(dispatcher.tickets._open_by_handle),
+                "tickets": len(dispatcher.dispatch_client),
+                "handles": len(dispatcher.dispatch_client._open_by_handle),
                 "charges": len(dispatcher.charges),
                 "charge handles": len(dispatcher.charges._open_by_handle),
                 "outbox": len(dispatcher.exchange.outbox),
-                "homes": len(dispatcher.exchange.homes._account_by_request),
+                "homes": len(dispatcher.exchange.owned_quotas._account_by_request),
             }
             left += [f"{name}: {what} {size}" for what, size in sizes.items() if size]
         return left
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -4,10 +4,10 @@
 import json
 import socket
 
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Refusal
-from wagtailstair.core.demand import RefusalReason
 from wagtailstair.core.engine import Stage
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import Refusal
+from wagtailstair.core.grants import RefusalReason
 
 LAYERS = 8
 
--- a/tests/follower_simulation.py
+++ b/tests/follower_simulation.py
@@ -3,10 +3,10 @@
 import random
 
 from wagtailstair.clock import ManualClock
-from wagtailstair.core.freshness import Freshness
-from wagtailstair.core.freshness import PeerVersions
 from wagtailstair.core.lists import Lists
 from wagtailstair.core.lists import ListsHolder
+from wagtailstair.core.lists_refresh import ListsRefresh
+from wagtailstair.core.lists_refresh import PeerVersions
 from wagtailstair.core.rendezvous import ranked
 from wagtailstair.exceptions import PeerError
 from wagtailstair.exceptions import PlatformUnavailableError
@@ -37,7 +37,7 @@
         self.whole_reads = 0
         rng = random.Random(f"{world.seed} {name} {self.started_at}")
         self.rng = rng
-        self.freshness = Freshness(INTERVAL_S, self.started_at, rng.random)
+        self.freshness = ListsRefresh(INTERVAL_S, self.started_at, rng.random)
         self.follower = Follower(
             self.holder,
             world.clock,
--- a/tests/gateway_world.py
+++ b/tests/gateway_deployment.py
@@ -29,16 +29,16 @@
         return port
 
 
-class Held:
+class PendingRequest:
     """A request whose answer comes later, or never."""
 
     def __init__(self, caller: Caller, request: Request) -> None:
         self.caller = caller
         self.request = request
-        self.is_gone = False
+        self.is_caller_gone = False
 
     def on_caller_gone(self) -> None:
-        self.is_gone = True
+        self.is_caller_gone = True
 
 
 class Server:
@@ -63,13 +63,13 @@
     def on_caller_closed(self, caller: Caller) -> None:
         self.callers.discard(caller)
 
-    def start(self, caller: Caller, request: Request) -> Held | None:
+    def start(self, caller: Caller, request: Request) -> PendingRequest | None:
         self.seen.append(request)
-        held = Held(caller, request)
+        held = PendingRequest(caller, request)
         self.answer(held)
         return held
 
-    def answer(self, held: Held) -> None:
+    def answer(self, held: PendingRequest) -> None:
         raise NotImplementedError
 
     def stop(self) -> None:
@@ -87,7 +87,7 @@
         self.mode = "ok"
         self.version = 1
         self.row_by_key: dict[tuple[str, str], tuple[bytes | None, int]] = {}
-        self.waiting: list[tuple[Held, str, int]] = []
+        self.waiting: list[tuple[PendingRequest, str, int]] = []
 
     def put(self, table: str, key: str, value: object | None) -> None:
         self.version += 1
@@ -97,7 +97,7 @@
         for held, wanted, after in waiting:
             self.feed(held, wanted, after)
 
-    def answer(self, held: Held) -> None:
+    def answer(self, held: PendingRequest) -> None:
         if self.mode == "silent":
             return
         if self.mode == "busy":
@@ -112,12 +112,12 @@
         else:
             self.transact(held, json.loads(held.request.body))
 
-    def feed(self, held: Held, table: str, after: int) -> None:
+    def feed(self, held: PendingRequest, table: str, after: int) -> None:
         rows = [row for row in self.rows(table) if row["ver"] > after]
         if not rows and "wait_ms=0" not in held.request.target.decode():
             self.waiting.append((held, table, after))
             return
-        if not held.is_gone:
+        if not held.is_caller_gone:
             self.reply(held, 200, rows)
 
     def rows(self, table: str, *, live: bool = False) -> list[dict[str, t.Any]]:
@@ -133,7 +133,7 @@
             rows.append(row)
         return rows
 
-    def transact(self, held: Held, body: dict[str, t.Any]) -> None:
+    def transact(self, held: PendingRequest, body: dict[str, t.Any]) -> None:
         for row in body["expect_rev"]:
             _, version = self.row_by_key.get((row["table"], row["key"]), (None, 0))
             if version != row["ver"]:
@@ -145,7 +145,7 @@
         if self.mode != "lost":
             self.reply(held, 200, [])
 
-    def reply(self, held: Held, status: int, rows: list[t.Any]) -> None:
+    def reply(self, held: PendingRequest, status: int, rows: list[t.Any]) -> None:
         body = {"rows": rows, "truncated": False, "ver": self.version, "now_ms": 1}
         held.caller.answer(status, b"", (), encode(body))
 
@@ -171,12 +171,12 @@
             "born": 1000,
         }
 
-    def tell(self, **changes: t.Any) -> None:
+    def write_row(self, **changes: t.Any) -> None:
         """Write the row of this upstream."""
         self.row.update(changes)
         self.store.put("servers", self.name, self.row)
 
-    def answer(self, held: Held) -> None:
+    def answer(self, held: PendingRequest) -> None:
         attempt = held.request.header(b"x-attempt-id")
         step = self.script.pop(0) if self.script else "ok"
         signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
@@ -185,7 +185,7 @@
             return
         self.runs.append(attempt.decode())
         if step == "lose":
-            held.caller.cut()
+            held.caller.abort_answer()
         elif step == "unsigned":
             held.caller.answer(200, b"", signed[:1], b"body")
         elif step == "foreign":
@@ -212,7 +212,7 @@
         self.cut_after: int | None = None
         self.freeze_after: int | None = None
 
-    def answer(self, held: Held) -> None:
+    def answer(self, held: PendingRequest) -> None:
         request = held.request
         if request.path == "/order":
             order = json.loads(request.body)
@@ -220,7 +220,7 @@
             held.caller.answer(202, b"", (), b"")
             if order["op"] == "place":
                 layers = {"from": order["from"], "target": order["target"]}
-                self.tell(layers={**layers, "version": 1})
+                self.write_row(layers={**layers, "version": 1})
             return
         if request.path == "/report":
             held.caller.answer(200, b"", (), b"{}")
@@ -240,14 +240,14 @@
         held.caller.begin(200, b"OK", headers)
         self.emit(held, int(last or 0) + 1)
 
-    def emit(self, held: Held, number: int) -> None:
-        if held.is_gone:
+    def emit(self, held: PendingRequest, number: int) -> None:
+        if held.is_caller_gone:
             return
         if self.freeze_after is not None and number > self.freeze_after:
             return
         if self.cut_after is not None and number > self.cut_after:
             held.caller.send(b"id: %d\nda" % number)
-            held.caller.cut()
+            held.caller.abort_answer()
             return
         if number > self.events:
             held.caller.end()
@@ -282,7 +282,7 @@
         return int(self.data.split(b" ", 2)[1]) if self.data else 0
 
     @property
-    def is_whole(self) -> bool:
+    def is_complete(self) -> bool:
         head, found, body = self.data.partition(b"\r\n\r\n")
         if not found:
             return False
@@ -330,7 +330,7 @@
 """
 
 
-class World:
+class Deployment:
     """The parts of a deployment and the loop that runs them."""
 
     def __init__(self) -> None:
@@ -342,13 +342,13 @@
 
     def add_service(self, name: str) -> Service:
         service = Service(self.loop, self.store, name)
-        service.tell()
+        service.write_row()
         self.upstreams.append(service)
         return service
 
     def add_engine(self, name: str, kind: str = "a100", centre: str = "a") -> Engine:
         engine = Engine(self.loop, self.store, name, kind)
-        engine.tell(zone=centre)
+        engine.write_row(zone=centre)
         self.upstreams.append(engine)
         return engine
 
@@ -384,10 +384,10 @@
     def send(self, gateway: Gateway, data: bytes) -> Answered:
         return Answered(self.loop, gateway.settings.host.callers, data)
 
-    def ask(self, gateway: Gateway, data: bytes) -> Answered:
+    def send_and_wait(self, gateway: Gateway, data: bytes) -> Answered:
         """Send a request and wait for its answer or the connection's end."""
         answered = self.send(gateway, data)
-        self.run(lambda: answered.is_whole or answered.is_closed)
+        self.run(lambda: answered.is_complete or answered.is_closed)
         return answered
 
 
--- a/tests/lease_world.py
+++ b/tests/lease_simulation.py
@@ -33,7 +33,7 @@
     is_frozen: bool = False
     is_cut: bool = False
     command: object = None
-    seen: object = None
+    deliver_result: object = None
 
 
 @dataclasses.dataclass
@@ -43,7 +43,7 @@
     deadline: float
 
 
-class LeaseWorld:
+class LeaseSimulation:
     def __init__(self, candidates=3, engines=2):
         self.now = 100.0
         self.table = FakeTable()
@@ -64,8 +64,8 @@
         candidate = self.candidates[index]
         if candidate.is_frozen:
             return
-        if candidate.seen is not None:
-            candidate.seen, deliver = None, candidate.seen
+        if candidate.deliver_result is not None:
+            candidate.deliver_result, deliver = None, candidate.deliver_result
             deliver(self.clock(candidate))
             return
         if candidate.command is None:
@@ -74,7 +74,7 @@
         command, candidate.command = candidate.command, None
         if isinstance(command, LeaseWait):
             return
-        candidate.seen = self._execute(candidate, command, fault)
+        candidate.deliver_result = self._execute(candidate, command, fault)
 
     def tick(self, index):
         """Step a candidate until it waits, or for 12 steps."""
@@ -88,11 +88,11 @@
     def _execute(self, candidate, command, fault):
         lease = candidate.lease
         if candidate.is_cut or fault is WriteFault.AWAY:
-            return lease.on_away
+            return lease.delay_retry
         if isinstance(command, LeaseRead):
             (row,) = self.table.read([("leases", ROLE)])
             value = None if row.value is None else decode_lease(row.value)
-            return lambda now: lease.on_read(row.version, value, now)
+            return lambda now: lease.apply_read(row.version, value, now)
         assert isinstance(command, LeaseWrite)
         self.table.faults.append(fault)
         try:
@@ -101,17 +101,17 @@
                 [Write("leases", ROLE, encode_lease(command.row))],
             )
         except PlatformUnavailableError:
-            return lease.on_away
+            return lease.delay_retry
         except (PlatformConflictError, PlatformUnknownError):
-            return lambda now: lease.on_unsure()
-        return lambda now: lease.on_written(version, command.row, now)
+            return lambda now: lease.mark_stale()
+        return lambda now: lease.apply_write(version, command.row, now)
 
     def send_order(self, index, engine, is_slow):
         """Send an order if the lease allows it; a slow one takes effect later."""
         candidate = self.candidates[index]
         if candidate.is_frozen:
             return False
-        if not candidate.lease.may_order(self.clock(candidate), ORDER_S):
+        if not candidate.lease.may_send_order(self.clock(candidate), ORDER_S):
             return False
         self.orders_sent += 1
         fence, holder = candidate.lease.fence, candidate.lease.holder
@@ -149,7 +149,11 @@
     def release(self, index):
         """Release the lease, as a daemon does on graceful shutdown."""
         candidate = self.candidates[index]
-        if candidate.is_frozen or self.pending_orders or candidate.seen is not None:
+        if (
+            candidate.is_frozen
+            or self.pending_orders
+            or candidate.deliver_result is not None
+        ):
             return
         command = candidate.lease.release(self.clock(candidate))
         if command is None:
--- a/tests/matrix_cells.py
+++ b/tests/matrix_cells.py
@@ -8,12 +8,12 @@
 import itertools
 import random
 
-from tests.claim_world import LIMITS
-from tests.claim_world import ClaimWorld
-from tests.claim_world import Fault
+from tests.claim_simulation import LIMITS
+from tests.claim_simulation import ClaimSimulation
+from tests.claim_simulation import Fault
 from tests.fakes import WriteFault
-from tests.lease_world import LIMITS as LEASE
-from tests.lease_world import LeaseWorld
+from tests.lease_simulation import LIMITS as LEASE
+from tests.lease_simulation import LeaseSimulation
 from wagtailstair.core.claim_steps import Deliver
 from wagtailstair.core.claim_steps import Insert
 from wagtailstair.core.claim_steps import Send
@@ -136,7 +136,7 @@
 def claim_cell(step, fault, seed):
     """Put a fault, and then a second one, into a call with a key."""
     rng = random.Random(f"{step}/{fault}/{seed}")
-    world = ClaimWorld()
+    world = ClaimSimulation()
     call = world.submit(0, body=rng.choice([b"", b"longer than a row"]))
     _reach(world, call, step)
     CLAIM_FAULTS[step][fault](world, call, rng)
@@ -186,7 +186,7 @@
         )
         # An old attempt may have gone on differently, as sampling does.
         token = 100 * attempt.epoch + position
-        verdict = self.session.line(
+        verdict = self.session.accept_token(
             request, attempt.id, attempt.epoch, position, token, "", trail
         )
         if verdict is not ACCEPTED:
@@ -198,14 +198,16 @@
         self.delivered.append(token)
 
     def end(self, attempt):
-        verdict = self.session.end("r1", attempt.id, attempt.epoch, TOKENS, "length")
+        verdict = self.session.accept_end(
+            "r1", attempt.id, attempt.epoch, TOKENS, "length"
+        )
         if verdict is ACCEPTED:
             assert attempt is self.attempts[-1], "the end of an old attempt"
             assert len(self.delivered) == TOKENS, "a cut answer"
 
 
 def _lose(answer, attempt, position, rng):
-    answer.session.broken(attempt.id, sent=True)
+    answer.session.close_broken(attempt.id, sent=True)
 
 
 def _repeat(answer, attempt, position, rng):
@@ -216,7 +218,7 @@
 
 def _go_on_late(answer, attempt, position, rng):
     """Let the old attempt's lines come in the midst of the next one's."""
-    answer.session.broken(attempt.id, sent=True)
+    answer.session.close_broken(attempt.id, sent=True)
     newer = answer.begin(rng)
     for line in range(position, TOKENS):
         answer.line(attempt, line)
@@ -235,8 +237,8 @@
 
 
 def _end_early(answer, attempt, position, rng):
-    answer.session.end("r1", attempt.id, attempt.epoch, position + 1, "stop")
-    answer.session.end("r1", attempt.id, attempt.epoch, position - 1, "stop")
+    answer.session.accept_end("r1", attempt.id, attempt.epoch, position + 1, "stop")
+    answer.session.accept_end("r1", attempt.id, attempt.epoch, position - 1, "stop")
 
 
 SESSION_FAULTS = {
@@ -260,7 +262,7 @@
         answer.line(attempt, position)
     SESSION_FAULTS[fault](answer, attempt, SESSION_STEPS[step], rng)
     if rng.random() < 0.25:
-        outcome = answer.session.give_up()
+        outcome = answer.session.close()
         assert outcome is Outcome.UNKNOWN, "it said not_run, but it ran"
         return
     second = rng.choice(list(SESSION_FAULTS.values()))
@@ -291,10 +293,10 @@
 def _until(world, wanted):
     candidate = world.candidates[0]
     for _ in range(200):
-        if candidate.seen is None and isinstance(candidate.command, wanted):
+        if candidate.deliver_result is None and isinstance(candidate.command, wanted):
             return
         world.step(0)
-        if candidate.command is None and candidate.seen is None:
+        if candidate.command is None and candidate.deliver_result is None:
             world.advance(0.25)
     raise AssertionError("the candidate never came to the step")
 
@@ -394,7 +396,7 @@
 def lease_cell(step, fault, seed):
     """Put a fault into a lease; the engines of this world ignore fencing."""
     rng = random.Random(f"{step}/{fault}/{seed}")
-    world = LeaseWorld()
+    world = LeaseSimulation()
     LEASE_STEPS[step](world, rng)
     LEASE_FAULTS[fault](world, rng)
     for _ in range(120):
--- a/tests/policy_data.py
+++ b/tests/policy_data.py
@@ -1,8 +1,8 @@
 """Engines and wants for the tests of the policy."""
 
-from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.grants import RouteRequest
 
 LAYERS = 8
 
@@ -48,4 +48,4 @@
         "max_tokens": 32,
         "deadline": 1_000.0,
     }
-    return Want(**{**values, **changes})
+    return RouteRequest(**{**values, **changes})
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -94,7 +94,7 @@
         if self.is_stopped:
             return
         if self._connection is not None and self._rng.random() > KEEP_SHARE:
-            self._connection.finish()
+            self._connection.close_gracefully()
             self._connection = None
         if self._connection is None and not self._connect():
             self._loop.call_later(self._rng.uniform(*PAUSE_S), self.start)
@@ -183,7 +183,7 @@
         if answer.status < 300:
             self.served_at.append(asked.sent_at)
         if not answer.parser.should_keep_alive() and self._connection is not None:
-            self._connection.finish()
+            self._connection.close_gracefully()
             self._connection = None
         self._next()
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -216,9 +216,9 @@
     def back() -> None:
         upstream.is_down = False
         upstream.orders = []
-        upstream.tell(born=upstream.row["born"] + 1)
+        upstream.write_row(born=upstream.row["born"] + 1)
         if isinstance(upstream, SoakEngine):
-            upstream.tell(layers=None)
+            upstream.write_row(layers=None)
 
     stage.spell(UPSTREAMS, stage.span_s(), back)
 
@@ -228,7 +228,7 @@
     upstream = stage.rng.choice([*stage.services, *stage.engines])
     if upstream.is_down or upstream.is_closed:
         return
-    upstream.tell(state="draining")
+    upstream.write_row(state="draining")
     stage.ledger.leave(upstream.name, stage.loop.now)
     stage.loop.call_later(LINGER_S, lambda: _end_upstream(stage, upstream))
 
@@ -244,7 +244,7 @@
         upstream.row.update(state="ready", born=upstream.row["born"] + 1)
         if isinstance(upstream, SoakEngine):
             upstream.row["layers"] = None
-        upstream.tell()
+        upstream.write_row()
 
     stage.spell(UPSTREAMS, stage.span_s(), back)
 
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -7,8 +7,8 @@
 import sys
 import typing as t
 
-from tests.gateway_world import SETTINGS
-from tests.gateway_world import free_port
+from tests.gateway_deployment import SETTINGS
+from tests.gateway_deployment import free_port
 from tests.soak.proxy import Proxy
 from wagtailstair.gateway.loop import Loop
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -79,7 +79,7 @@
         if data:
             side.write(data)
             return
-        side.finish()
+        side.close_gracefully()
 
     def _on_outer_lost(self, _error: OSError) -> None:
         self._inner.abort()
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -152,7 +152,7 @@
         upstream.row["address"] = proxy.address
         upstream.ledger = self._ledger
         upstream.rng = random.Random(self._rng.random())
-        upstream.tell(zone=centre)
+        upstream.write_row(zone=centre)
 
     # Time.
 
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -4,10 +4,10 @@
 import typing as t
 
 from tests.gateway_data import LAYERS
-from tests.gateway_world import Engine
-from tests.gateway_world import Held
-from tests.gateway_world import Service
-from tests.gateway_world import Store
+from tests.gateway_deployment import Engine
+from tests.gateway_deployment import PendingRequest
+from tests.gateway_deployment import Service
+from tests.gateway_deployment import Store
 from tests.soak.ledger import EVENTS
 from tests.soak.ledger import Ledger
 from tests.soak.ledger import Seen
@@ -34,7 +34,7 @@
         for held, _, _ in waiting:
             self.reply(held, 410, [])
 
-    def feed(self, held: Held, table: str, after: int) -> None:
+    def feed(self, held: PendingRequest, table: str, after: int) -> None:
         """Answer with the changes after a version, if they are kept."""
         if after < self.kept_from - 1:
             self.reply(held, 410, [])
@@ -71,7 +71,7 @@
 class SoakService(_Soaked, Service):
     """A plain service that refuses and loses a few requests."""
 
-    def answer(self, held: Held) -> None:
+    def answer(self, held: PendingRequest) -> None:
         """Run a request, refuse it, or lose its answer."""
         request = held.request
         if self.is_down:
@@ -86,12 +86,12 @@
             return
         self.ledger.ran(self.name, see(request), self.loop.now)
         if roll < 2 * FAULT_SHARE:
-            held.caller.cut()
+            held.caller.abort_answer()
             return
         self.loop.call_later(WORK_S, lambda: self._end(held))
 
-    def _end(self, held: Held) -> None:
-        if held.is_gone or self.is_down:
+    def _end(self, held: PendingRequest) -> None:
+        if held.is_caller_gone or self.is_down:
             return
         attempt = held.request.header(b"x-attempt-id")
         headers = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
@@ -103,7 +103,7 @@
 
     by_address: t.ClassVar[dict[str, "SoakEngine"]] = {}
 
-    def answer(self, held: Held) -> None:
+    def answer(self, held: PendingRequest) -> None:
         """Take an order, or begin a stream."""
         request = held.request
         if self.is_down:
@@ -145,7 +145,7 @@
             return False
         return bool(layers["from"] <= first and last <= layers["target"])
 
-    def _report(self, held: Held) -> None:
+    def _report(self, held: PendingRequest) -> None:
         body = (
             b'{"born":%d,"sequence":%d,"busy":false,"running":0,"queue_depth":0,'
             b'"kv_used":0,"kv_total":1}' % (self.row["born"], len(self.orders))
@@ -153,12 +153,12 @@
         held.caller.answer(200, b"", (), body)
 
     @staticmethod
-    def _refuse(held: Held, status: int, at: "SoakEngine") -> None:
+    def _refuse(held: PendingRequest, status: int, at: "SoakEngine") -> None:
         headers = [(b"X-Not-Executed", b"1"), (b"At-Server", at.address.encode())]
         held.caller.answer(status, b"", headers, b"")
 
-    def _go_on(self, held: Held, number: int) -> None:
-        if held.is_gone or self.is_down:
+    def _go_on(self, held: PendingRequest, number: int) -> None:
+        if held.is_caller_gone or self.is_down:
             return
         if number > EVENTS:
             held.caller.end()
@@ -167,7 +167,7 @@
         event = make_event(attempt, number).encode()
         if self.rng.random() < FAULT_SHARE / EVENTS:
             held.caller.send(event[: len(event) // 2])
-            held.caller.cut()
+            held.caller.abort_answer()
             return
         held.caller.send(event)
         self.loop.call_later(EVENT_S, lambda: self._go_on(held, number + 1))
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -4,15 +4,15 @@
 
 from tests.test_shapes import engine
 from wagtailstair.core.capacity import Capacity
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Refusal
-from wagtailstair.core.demand import RefusalReason
-from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import Priority
-from wagtailstair.core.pool import NO_ROUTE_PATIENCE_S
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import Refusal
+from wagtailstair.core.grants import RefusalReason
+from wagtailstair.core.grants import RouteRequest
+from wagtailstair.core.pool import NO_ROUTE_TIMEOUT_S
 from wagtailstair.core.pool import Pool
 
-WANT = Want(
+WANT = RouteRequest(
     request="r",
     epoch=1,
     host="h",
@@ -34,10 +34,10 @@
         # Seen as a refusal of requests with 120 s left: the first end of a busy
         # time was taken for all that ten seconds could serve.
         capacity = Capacity()
-        capacity.served(10.0, False, 5.0)
-        capacity.served(10.0, True, 100.0)
+        capacity.record_served(10.0, False, 5.0)
+        capacity.record_served(10.0, True, 100.0)
         for number in range(1, 11):
-            capacity.served(10.0, True, 100.0 + number / 10)
+            capacity.record_served(10.0, True, 100.0 + number / 10)
         assert capacity.work_per_s(list, 101.0) == pytest.approx(100.0, rel=0.1)
 
     def test_burst_waits_while_a_range_has_no_engine(self):
@@ -69,7 +69,7 @@
             want = dataclasses.replace(WANT, request=f"r{number}")
             pool.want(want, number / 100)
             pool.poll(number / 100)
-        answers = pool.poll(0.6 + NO_ROUTE_PATIENCE_S)
+        answers = pool.poll(0.6 + NO_ROUTE_TIMEOUT_S)
         assert {answer.request for answer in answers} == {f"r{n}" for n in range(60)}
         assert {answer.reason for answer in answers} == {RefusalReason.NO_ROUTE}
 
@@ -79,6 +79,6 @@
             pool.want(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
         pool.poll(0.0)
         pool.observe(engine("e1", 0, 4), 0.5)
-        answers = pool.poll(0.5) + pool.poll(0.5 + NO_ROUTE_PATIENCE_S)
+        answers = pool.poll(0.5) + pool.poll(0.5 + NO_ROUTE_TIMEOUT_S)
         assert [answer for answer in answers if isinstance(answer, Refusal)] == []
         assert pool.stats().waiting[Priority.STANDARD] == 12
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -6,9 +6,9 @@
 from hypothesis.stateful import rule
 
 from tests import fuzz
-from tests.claim_world import LIMITS
-from tests.claim_world import ClaimWorld
-from tests.claim_world import Fault
+from tests.claim_simulation import LIMITS
+from tests.claim_simulation import ClaimSimulation
+from tests.claim_simulation import Fault
 from wagtailstair.core.claim_steps import Settle
 
 HOSTS = 3
@@ -68,7 +68,7 @@
 
     @initialize()
     def start(self):
-        self.world = ClaimWorld(HOSTS)
+        self.world = ClaimSimulation(HOSTS)
 
     @rule(host=hosts, key=keys, digest=digests, body=bodies)
     def submit(self, host, key, digest, body):
@@ -119,7 +119,7 @@
 
 class TestResumedDaemon:
     def test_result_of_a_swept_claim_does_not_replace_a_newer_one(self):
-        world = ClaimWorld()
+        world = ClaimSimulation()
         old = world.submit(0)
         for _ in range(4):
             world.step(old)
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -60,33 +60,33 @@
         longer = dict(config["routes"][1], name="deep", prefix="/register/fee/")
         config["routes"].append(longer)
         directory = decode_directory(encode(config))
-        grant = directory.judge("desk.example", "/register/fee/9", "key-one")
+        grant = directory.authorize("desk.example", "/register/fee/9", "key-one")
         assert isinstance(grant, Grant)
         assert grant.route.name == "deep"
 
     def test_prefix_ends_at_a_slash(self, directory):
-        denial = directory.judge("desk.example", "/registered/1", "key-one")
+        denial = directory.authorize("desk.example", "/registered/1", "key-one")
         assert denial is Denial.NO_ROUTE
 
     def test_unknown_host(self, directory):
-        assert directory.judge("other", "/draft/", "key-one") is Denial.NO_ROUTE
+        assert directory.authorize("other", "/draft/", "key-one") is Denial.NO_ROUTE
 
     @pytest.mark.parametrize("key", [None, "", "key-four"])
     def test_unknown_key(self, directory, key):
-        denial = directory.judge("desk.example", "/register/1", key)
+        denial = directory.authorize("desk.example", "/register/1", key)
         assert denial is Denial.UNKNOWN_KEY
 
     def test_anonymous_route_needs_no_key(self, directory):
-        grant = directory.judge("desk.example", "/lookup/1", None)
+        grant = directory.authorize("desk.example", "/lookup/1", None)
         assert isinstance(grant, Grant)
         assert grant.account is None
 
     def test_rank_of_the_account_takes_precedence(self, directory):
-        maker = directory.judge("desk.example", "/draft/1", "key-two")
-        judge = directory.judge("desk.example", "/draft/1", "key-three")
+        maker = directory.authorize("desk.example", "/draft/1", "key-two")
+        judge = directory.authorize("desk.example", "/draft/1", "key-three")
         assert (maker.rank, judge.rank) == (1, 0)
         assert maker.version == 7
 
     def test_keys_are_not_required_without_accounts(self):
         directory = decode_directory(encode(make_config(tenants=[])))
-        assert isinstance(directory.judge("desk.example", "/draft/1", None), Grant)
+        assert isinstance(directory.authorize("desk.example", "/draft/1", None), Grant)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -4,7 +4,7 @@
 import pytest
 
 from tests.dispatch_simulation import Simulation
-from wagtailstair.core.demand import Grant
+from wagtailstair.core.grants import Grant
 from wagtailstair.core.membership import HostState
 from wagtailstair.core.quota import QuotaLimits
 from wagtailstair.core.rendezvous import owner
@@ -100,16 +100,16 @@
         simulation.run(6.0)
         hosts = simulation.by_name.values()
         assert simulation.granted > 20
-        assert sum(host.dispatcher.tickets.local_grants for host in hosts) == 0
+        assert sum(host.dispatcher.dispatch_client.local_grants for host in hosts) == 0
 
     def test_frozen_dispatcher_does_not_hold_requests_up(self):
         simulation, dispatcher, entry = self.make()
         simulation.freeze(dispatcher, 2.0)
         before = simulation.granted
         self.submit_until(simulation, entry, 1.5)
-        tickets = simulation.by_name[entry].dispatcher.tickets
+        dispatch_client = simulation.by_name[entry].dispatcher.dispatch_client
         assert simulation.granted > before
-        assert tickets.local_grants > 0
+        assert dispatch_client.local_grants > 0
 
     def test_leaving_dispatcher_hands_over(self):
         simulation, dispatcher, entry = self.make()
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -5,14 +5,14 @@
 
 
 def fail(ejection, name, times, now=0.0, group=4):
-    return [ejection.failed(name, group, now) for _ in range(times)]
+    return [ejection.record_failure(name, group, now) for _ in range(times)]
 
 
 class TestEjection:
     def test_needs_failures_in_a_row(self):
         ejection = Ejection(LIMITS)
         fail(ejection, "a", 2)
-        ejection.succeeded("a", 0.0)
+        ejection.record_success("a", 0.0)
         assert fail(ejection, "a", 3) == [False, False, True]
         assert ejection.is_ejected("a", 1.0)
         assert ejection.next_change(1.0) == 5.0
@@ -26,23 +26,23 @@
         ejection = Ejection(LIMITS)
         fail(ejection, "a", 3)
         assert not ejection.is_ejected("a", 5.0)
-        ejection.started("a")
+        ejection.record_start("a")
         assert ejection.is_ejected("a", 5.0)
-        ejection.succeeded("a", 6.0)
+        ejection.record_success("a", 6.0)
         assert not ejection.is_ejected("a", 6.0)
 
     def test_a_probe_that_tells_nothing_is_followed_by_another(self):
         ejection = Ejection(LIMITS)
         fail(ejection, "a", 3)
-        ejection.started("a")
-        ejection.abandoned("a")
+        ejection.record_start("a")
+        ejection.record_inconclusive("a")
         assert not ejection.is_ejected("a", 5.0)
 
     def test_a_failed_probe_ejects_for_longer(self):
         ejection = Ejection(LIMITS)
         fail(ejection, "a", 3)
-        ejection.started("a")
-        assert ejection.failed("a", 4, 5.0)
+        ejection.record_start("a")
+        assert ejection.record_failure("a", 4, 5.0)
         assert ejection.is_ejected("a", 14.9)
         assert not ejection.is_ejected("a", 15.1)
 
@@ -52,20 +52,20 @@
         ejection = Ejection(LIMITS)
         ratios = [5.0] * 4 + [1.0] + [5.0] * 4
         for ratio in ratios:
-            ejection.measured("a", ratio, 4, 0.0)
+            ejection.record_slowness("a", ratio, 4, 0.0)
             assert not ejection.is_ejected("a", 0.0)
-        ejection.measured("a", 5.0, 4, 0.0)
+        ejection.record_slowness("a", 5.0, 4, 0.0)
         assert ejection.is_ejected("a", 1_000.0)
-        ejection.measured("a", 3.0, 4, 0.0)
+        ejection.record_slowness("a", 3.0, 4, 0.0)
         assert ejection.is_ejected("a", 1_000.0)
-        ejection.measured("a", 1.9, 4, 0.0)
+        ejection.record_slowness("a", 1.9, 4, 0.0)
         assert not ejection.is_ejected("a", 0.0)
 
     def test_counts_in_the_same_cap(self):
         ejection = Ejection(LIMITS)
         for name in "abcd":
             for _ in range(9):
-                ejection.measured(name, 5.0, 4, 0.0)
+                ejection.record_slowness(name, 5.0, 4, 0.0)
         assert [ejection.is_ejected(name, 0.0) for name in "abcd"] == [
             True,
             True,
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -11,11 +11,11 @@
 from tests.follower_simulation import Daemon
 from tests.follower_simulation import World
 from wagtailstair.clock import SystemClock
-from wagtailstair.core.freshness import REFRESH_S
-from wagtailstair.core.freshness import Freshness
-from wagtailstair.core.freshness import PeerVersions
 from wagtailstair.core.lists import Lists as Snapshot
 from wagtailstair.core.lists import ListsHolder
+from wagtailstair.core.lists_refresh import REFRESH_S
+from wagtailstair.core.lists_refresh import ListsRefresh
+from wagtailstair.core.lists_refresh import PeerVersions
 from wagtailstair.exceptions import PeerError
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.follower import Follower
@@ -190,7 +190,7 @@
         # No request was judged by version 1 once the host had thawed.
         daemon = Daemon(world, "a1")
         daemon.freshness.is_ready = True
-        daemon.freshness.taken(1)
+        daemon.freshness.record_applied(1)
         now = world.clock.monotonic()
         assert daemon.freshness.is_fresh(now)
         assert not daemon.freshness.is_fresh(now + 30.0)
@@ -278,7 +278,7 @@
         follower = Follower(
             holder,
             clock,
-            Freshness(0.05, clock.monotonic(), lambda: 0.5),
+            ListsRefresh(0.05, clock.monotonic(), lambda: 0.5),
             read_head=read_head,
             read_since=lambda lists: Snapshot(version=3),
             fetch=_refuse,
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -8,49 +8,51 @@
 import pytest
 
 from tests.gateway_data import make_config
-from tests.gateway_world import SETTINGS
-from tests.gateway_world import World
-from tests.gateway_world import make_request
-from tests.gateway_world import make_stream
+from tests.gateway_deployment import SETTINGS
+from tests.gateway_deployment import Deployment
+from tests.gateway_deployment import make_request
+from tests.gateway_deployment import make_stream
 from wagtailstair.core.relay_rows import decode_relayed
-from wagtailstair.gateway import knowledge as knowledge_module
+from wagtailstair.gateway import table_sync as table_sync_module
 
-OVERDUE_S = knowledge_module.OVERDUE_S
+FEED_OVERDUE_S = table_sync_module.FEED_OVERDUE_S
 EVENTS = b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 13))
 
 
 @pytest.fixture
-def world():
-    world = World()
-    world.store.put("op", "config", make_config())
-    return world
+def deployment():
+    deployment = Deployment()
+    deployment.store.put("op", "config", make_config())
+    return deployment
 
 
 @pytest.fixture
-def desks(world):
-    return [world.add_service("i-one"), world.add_service("i-two")]
+def desks(deployment):
+    return [deployment.add_service("i-one"), deployment.add_service("i-two")]
 
 
 @pytest.fixture
-def engines(world):
-    return [world.add_engine(f"i-e{n}") for n in range(4)]
+def engines(deployment):
+    return [deployment.add_engine(f"i-e{n}") for n in range(4)]
 
 
 @pytest.fixture
-def host(world):
-    host = world.add_host()
-    world.run(host.is_ready)
+def host(deployment):
+    host = deployment.add_host()
+    deployment.run(host.is_ready)
     return host
 
 
-def place_all(world, engines):
+def place_all(deployment, engines):
     """Wait until the hosts know what layers the engines hold."""
 
     def is_known(host, engine):
         replica = host.replicas.by_name.get(engine.name)
         return replica is not None and replica.layers is not None
 
-    world.run(lambda: all(is_known(h, e) for h in world.hosts for e in engines))
+    deployment.run(
+        lambda: all(is_known(h, e) for h in deployment.hosts for e in engines)
+    )
 
 
 def runs(upstreams):
@@ -59,9 +61,9 @@
 
 class TestLists:
     def test_not_ready_without_lists(self):
-        world = World()
-        host = world.add_host()
-        answered = world.ask(host, make_request("/lookup/1", "a1"))
+        deployment = Deployment()
+        host = deployment.add_host()
+        answered = deployment.send_and_wait(host, make_request("/lookup/1", "a1"))
         assert answered.status == 503
         assert not host.is_ready()
 
@@ -74,41 +76,47 @@
             ("/lookup/1", None, 200),
         ],
     )
-    def test_judged(self, world, desks, host, path, key, status):
-        world.store.put("servers", "i-three", dict(desks[0].row, service="desk2"))
-        world.run(lambda: "i-three" in host.replicas.by_name)
-        assert world.ask(host, make_request(path, "a1", key=key)).status == status
+    def test_judged(self, deployment, desks, host, path, key, status):
+        deployment.store.put("servers", "i-three", dict(desks[0].row, service="desk2"))
+        deployment.run(lambda: "i-three" in host.replicas.by_name)
+        assert (
+            deployment.send_and_wait(host, make_request(path, "a1", key=key)).status
+            == status
+        )
 
-    def test_new_lists_are_taken(self, world, desks, host):
+    def test_new_lists_are_taken(self, deployment, desks, host):
         config = make_config(2)
         config["tenants"][0]["api_keys"] = ["key-two"]
-        world.store.put("op", "config", config)
-        world.run(lambda: host.lists_version() == 2)
-        assert world.ask(host, make_request("/register/1", "a1")).status == 401
+        deployment.store.put("op", "config", config)
+        deployment.run(lambda: host.lists_version() == 2)
+        assert (
+            deployment.send_and_wait(host, make_request("/register/1", "a1")).status
+            == 401
+        )
 
-    def test_older_and_unreadable_lists_are_passed_over(self, world, host):
-        world.store.put("op", "config", make_config(5))
-        world.run(lambda: host.lists_version() == 5)
-        world.store.put("op", "config", make_config(4))
-        world.store.put("op", "config", {"version": "six"})
-        world.store.put("op", "config", make_config(7))
-        world.run(lambda: host.lists_version() == 7)
+    def test_older_and_unreadable_lists_are_passed_over(self, deployment, host):
+        deployment.store.put("op", "config", make_config(5))
+        deployment.run(lambda: host.lists_version() == 5)
+        deployment.store.put("op", "config", make_config(4))
+        deployment.store.put("op", "config", {"version": "six"})
+        deployment.store.put("op", "config", make_config(7))
+        deployment.run(lambda: host.lists_version() == 7)
 
 
 class TestCalls:
-    def test_answer_as_the_upstream_gave_it(self, world, desks, host):
+    def test_answer_as_the_upstream_gave_it(self, deployment, desks, host):
         request = make_request("/register/7?x=1", "a1", method="POST", body=b"fee")
-        answered = world.ask(host, request)
+        answered = deployment.send_and_wait(host, request)
         assert (answered.status, answered.body) == (200, b"body of a1")
         assert b"X-Response-Signature: sig\r\n" in answered.data
         assert answered.data.startswith(b"HTTP/1.1 200 Fine\r\n")
 
-    def test_what_the_upstream_sees(self, world, desks, host):
+    def test_what_the_upstream_sees(self, deployment, desks, host):
         headers = "X-Tenant: forged\r\nX-Other: kept\r\nConnection: X-Hop\r\nX-Hop: 1"
         request = make_request(
             "/register/7?x=1", "a1", method="POST", body=b"fee", headers=headers
         )
-        world.ask(host, request)
+        deployment.send_and_wait(host, request)
         (seen,) = [r for desk in desks for r in desk.seen]
         assert (seen.target, bytes(seen.body)) == (b"/register/7?x=1", b"fee")
         names = [name.lower() for name, _ in seen.headers]
@@ -120,138 +128,159 @@
         assert seen.header(b"x-target-replica") in (b"i-one", b"i-two")
         assert 0 < int(seen.header(b"x-deadline-ms")) <= 1200
 
-    def test_refused_call_goes_to_another_upstream(self, world, desks, host):
+    def test_refused_call_goes_to_another_upstream(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["refuse"]
         desks[1].script = []
         for number in range(4):
             attempt = f"a{number}"
             request = make_request("/register/7", attempt, method="POST")
-            assert world.ask(host, request).status == 200
+            assert deployment.send_and_wait(host, request).status == 200
         assert sorted(runs(desks)) == ["a0", "a1", "a2", "a3"]
 
-    def test_refused_by_all_is_refused(self, world, desks, host):
+    def test_refused_by_all_is_refused(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["refuse"] * 9
-        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        answered = deployment.send_and_wait(
+            host, make_request("/register/7", "a1", method="POST")
+        )
         assert answered.status == 503
         assert b"Retry-After: " in answered.data
         assert runs(desks) == []
 
-    def test_lost_call_that_may_not_repeat_is_not_sent_again(self, world, desks, host):
+    def test_lost_call_that_may_not_repeat_is_not_sent_again(
+        self, deployment, desks, host
+    ):
         for desk in desks:
             desk.script = ["lose"]
-        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        answered = deployment.send_and_wait(
+            host, make_request("/register/7", "a1", method="POST")
+        )
         assert answered.status == 502
         assert runs(desks) == ["a1"]
 
     @pytest.mark.parametrize("fault", ["lose", "error", "unsigned"])
-    def test_idempotent_call_is_sent_again(self, world, desks, host, fault):
+    def test_idempotent_call_is_sent_again(self, deployment, desks, host, fault):
         config = make_config(2)
         config["routes"][2].update(service="desk", split=None)
-        world.store.put("op", "config", config)
-        world.run(lambda: host.lists_version() == 2)
+        deployment.store.put("op", "config", config)
+        deployment.run(lambda: host.lists_version() == 2)
         for desk in desks:
             desk.script = [fault]
-        first = world.ask(host, make_request("/lookup/7", "a1"))
+        first = deployment.send_and_wait(host, make_request("/lookup/7", "a1"))
         # Both upstreams fail once: two attempts are all that the route allows.
         assert first.status == (500 if fault == "error" else 502)
         assert runs(desks) == ["a1", "a1"]
-        assert world.ask(host, make_request("/lookup/7", "a2")).status == 200
+        assert (
+            deployment.send_and_wait(host, make_request("/lookup/7", "a2")).status
+            == 200
+        )
 
-    def test_unsigned_success_is_a_failure(self, world, desks, host):
+    def test_unsigned_success_is_a_failure(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["unsigned"]
-        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        answered = deployment.send_and_wait(
+            host, make_request("/register/7", "a1", method="POST")
+        )
         assert answered.status == 502
 
-    def test_a_refusal_that_may_have_run_is_no_refusal(self, world, desks, host):
+    def test_a_refusal_that_may_have_run_is_no_refusal(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["unflagged"]
-        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        answered = deployment.send_and_wait(
+            host, make_request("/register/7", "a1", method="POST")
+        )
         assert answered.status == 502
         assert runs(desks) == ["a1"]
 
-    def test_foreign_answer_reaches_nobody(self, world, desks, host):
+    def test_foreign_answer_reaches_nobody(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["foreign"]
-        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        answered = deployment.send_and_wait(
+            host, make_request("/register/7", "a1", method="POST")
+        )
         assert answered.status == 504
         assert b"other" not in answered.data
 
-    def test_silent_call_ends_with_its_routes_timeout(self, world, desks, host):
+    def test_silent_call_ends_with_its_routes_timeout(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["silent"]
-        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        answered = deployment.send_and_wait(
+            host, make_request("/register/7", "a1", method="POST")
+        )
         assert answered.status == 504
         assert runs(desks) == ["a1"]
 
-    def test_leaving_upstream_gets_nothing(self, world, desks, host):
-        desks[0].tell(state="draining")
-        world.run(lambda: host.replicas.by_name["i-one"].is_leaving)
+    def test_leaving_upstream_gets_nothing(self, deployment, desks, host):
+        desks[0].write_row(state="draining")
+        deployment.run(lambda: host.replicas.by_name["i-one"].is_leaving)
         for number in range(5):
             request = make_request("/register/7", f"a{number}", method="POST")
-            assert world.ask(host, request).status == 200
+            assert deployment.send_and_wait(host, request).status == 200
         assert desks[0].runs == []
 
-    def test_unreadable_row_is_passed_over(self, world, desks, host):
-        world.store.put("servers", "i-bad", {"service": "desk", "address": 7})
-        world.store.put("servers", "i-odd", dict(desks[0].row, state="dancing"))
-        desks[1].tell(sequence=9)
-        world.run(lambda: len(host.replicas.by_name) == 2)
+    def test_unreadable_row_is_passed_over(self, deployment, desks, host):
+        deployment.store.put("servers", "i-bad", {"service": "desk", "address": 7})
+        deployment.store.put("servers", "i-odd", dict(desks[0].row, state="dancing"))
+        desks[1].write_row(sequence=9)
+        deployment.run(lambda: len(host.replicas.by_name) == 2)
         request = make_request("/register/7", "a1", method="POST")
-        assert world.ask(host, request).status == 200
+        assert deployment.send_and_wait(host, request).status == 200
 
-    def test_caller_that_leaves_stops_the_upstream(self, world, desks, host):
+    def test_caller_that_leaves_stops_the_upstream(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["silent"]
-        answered = world.send(host, make_request("/register/7", "a1", method="POST"))
-        world.run(lambda: runs(desks) == ["a1"])
+        answered = deployment.send(
+            host, make_request("/register/7", "a1", method="POST")
+        )
+        deployment.run(lambda: runs(desks) == ["a1"])
         answered.connection.close()
-        world.run(lambda: not any(desk.callers for desk in desks))
+        deployment.run(lambda: not any(desk.callers for desk in desks))
 
 
 class TestConnections:
-    def test_kept_for_more(self, world, desks, host):
-        answered = world.send(host, make_request("/register/7", "a1", method="POST"))
-        world.run(lambda: b"body of a1" in answered.data)
+    def test_kept_for_more(self, deployment, desks, host):
+        answered = deployment.send(
+            host, make_request("/register/7", "a1", method="POST")
+        )
+        deployment.run(lambda: b"body of a1" in answered.data)
         again = make_request("/register/7", "a2", method="POST")
         answered.connection.write(again)
-        world.run(lambda: b"body of a2" in answered.data)
+        deployment.run(lambda: b"body of a2" in answered.data)
         assert not answered.is_closed
 
-    def test_sent_ahead_answers_stay_in_order(self, world, desks, host):
+    def test_sent_ahead_answers_stay_in_order(self, deployment, desks, host):
         data = b"".join(
             make_request("/register/7", f"a{n}", method="POST") for n in range(5)
         )
-        answered = world.send(host, data)
-        world.run(lambda: answered.data.count(b"body of") == 5)
+        answered = deployment.send(host, data)
+        deployment.run(lambda: answered.data.count(b"body of") == 5)
         places = [answered.data.index(b"body of a%d" % n) for n in range(5)]
         assert places == sorted(places)
 
-    def test_smuggled_request_runs_nowhere(self, world, desks, host):
+    def test_smuggled_request_runs_nowhere(self, deployment, desks, host):
         data = (
             b"POST /register/7 HTTP/1.1\r\nHost: desk.example\r\n"
             b"Authorization: Token key-one\r\nX-Attempt-Id: a1\r\n"
             b"Content-Length: 6\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
             + make_request("/register/8", "smuggled", method="POST")
         )
-        answered = world.send(host, data)
-        world.run(lambda: answered.is_closed)
+        answered = deployment.send(host, data)
+        deployment.run(lambda: answered.is_closed)
         assert answered.status == 400
         assert runs(desks) == []
 
-    def test_other_connections_do_not_notice(self, world, desks, host):
-        bad = world.send(host, b"NONSENSE\r\n\r\n")
-        good = world.send(host, make_request("/register/7", "a1", method="POST"))
-        world.run(lambda: bad.is_closed and good.is_whole)
+    def test_other_connections_do_not_notice(self, deployment, desks, host):
+        bad = deployment.send(host, b"NONSENSE\r\n\r\n")
+        good = deployment.send(host, make_request("/register/7", "a1", method="POST"))
+        deployment.run(lambda: bad.is_closed and good.is_complete)
         assert (bad.status, good.status) == (400, 200)
 
 
 class TestStreams:
-    def test_whole(self, world, engines, host):
-        place_all(world, engines)
-        answered = world.ask(host, make_stream("a1"))
+    def test_whole(self, deployment, engines, host):
+        place_all(deployment, engines)
+        answered = deployment.send_and_wait(host, make_stream("a1"))
         assert (answered.status, answered.body) == (200, EVENTS)
         (seen,) = [r for e in engines for r in e.seen if r.path.startswith("/draft")]
         path = seen.header(b"x-hop-count").decode().split(",")
@@ -264,250 +293,262 @@
             assert address in [engine.address for engine in engines]
         assert layer == 80
 
-    def test_each_engine_is_ordered_once(self, world, engines, host):
-        place_all(world, engines)
-        world.ask(host, make_stream("a1"))
+    def test_each_engine_is_ordered_once(self, deployment, engines, host):
+        place_all(deployment, engines)
+        deployment.send_and_wait(host, make_stream("a1"))
         assert [len(engine.orders) for engine in engines] == [1, 1, 1, 1]
 
-    def test_cut_in_the_middle_goes_on_elsewhere(self, world, engines, host):
-        place_all(world, engines)
-        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
+    def test_cut_in_the_middle_goes_on_elsewhere(self, deployment, engines, host):
+        place_all(deployment, engines)
+        spare = [deployment.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(deployment, spare)
         everyone = engines + spare
         for engine in everyone:
             engine.cut_after = 5
-        answered = world.send(host, make_stream("a1"))
-        world.run(lambda: len(runs(everyone)) == 1)
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: len(runs(everyone)) == 1)
         for engine in everyone:
             if not engine.runs:
                 engine.cut_after = None
-        world.run(lambda: answered.is_whole or answered.is_closed)
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
         assert answered.body == EVENTS
         assert answered.data.count(b"X-Response-Signature") == 1
         lasts = [last for engine in everyone for last in engine.last_ids]
         assert sorted(lasts) == [b"", b"5"]
 
-    def test_frozen_in_the_middle_goes_on_elsewhere(self, world, engines, host):
-        place_all(world, engines)
-        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
+    def test_frozen_in_the_middle_goes_on_elsewhere(self, deployment, engines, host):
+        place_all(deployment, engines)
+        spare = [deployment.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(deployment, spare)
         everyone = engines + spare
         for engine in everyone:
             engine.freeze_after = 5
-        answered = world.send(host, make_stream("a1"))
-        world.run(lambda: len(runs(everyone)) == 1)
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: len(runs(everyone)) == 1)
         for engine in everyone:
             if not engine.runs:
                 engine.freeze_after = None
-        world.run(lambda: answered.is_whole or answered.is_closed)
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
         assert answered.body == EVENTS
 
-    def test_leaving_engine_hands_its_streams_over(self, world, engines, host):
-        place_all(world, engines)
-        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
+    def test_leaving_engine_hands_its_streams_over(self, deployment, engines, host):
+        place_all(deployment, engines)
+        spare = [deployment.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(deployment, spare)
         everyone = engines + spare
         for engine in everyone:
             engine.events, engine.pause_s = 60, 0.02
-        answered = world.send(host, make_stream("a1"))
-        world.run(lambda: b"id: 5\n" in answered.data)
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: b"id: 5\n" in answered.data)
         (first,) = [engine for engine in everyone if engine.runs]
-        first.tell(state="draining")
-        world.run(lambda: len(runs(everyone)) == 2)
-        world.run(lambda: answered.is_whole or answered.is_closed)
+        first.write_row(state="draining")
+        deployment.run(lambda: len(runs(everyone)) == 2)
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
         ids = [
             int(line[4:]) for line in answered.body.split(b"\n") if line[:3] == b"id:"
         ]
         assert ids == list(range(1, 61))
 
-    def test_no_engines_is_refused_at_once(self, world, host):
-        answered = world.ask(host, make_stream("a1"))
+    def test_no_engines_is_refused_at_once(self, deployment, host):
+        answered = deployment.send_and_wait(host, make_stream("a1"))
         assert answered.status == 503
 
-    def test_caller_that_leaves_stops_the_engine(self, world, engines, host):
-        place_all(world, engines)
+    def test_caller_that_leaves_stops_the_engine(self, deployment, engines, host):
+        place_all(deployment, engines)
         for engine in engines:
             engine.events = 10_000
-        answered = world.send(host, make_stream("a1"))
-        world.run(lambda: b"id: 3\n" in answered.data)
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: b"id: 3\n" in answered.data)
         answered.connection.close()
         pipelines = host.pipelines("engines")
-        world.run(lambda: not host.streams())
+        deployment.run(lambda: not host.streams())
         assert all(use.running == 0 for use in pipelines.use_by_identity.values())
-        world.run(lambda: not any(len(e.callers) > 1 for e in engines))
+        deployment.run(lambda: not any(len(e.callers) > 1 for e in engines))
 
 
 class TestStore:
     @pytest.mark.parametrize("mode", ["busy", "silent"])
-    def test_served_while_the_store_is_away(self, world, desks, host, mode):
-        world.store.mode = mode
-        for caller in list(world.store.callers):
+    def test_served_while_the_store_is_away(self, deployment, desks, host, mode):
+        deployment.store.mode = mode
+        for caller in list(deployment.store.callers):
             caller.close()
         request = make_request("/register/7", "a1", method="POST")
-        assert world.ask(host, request).status == 200
+        assert deployment.send_and_wait(host, request).status == 200
 
-    def test_followed_again_after_its_return(self, world, desks, host):
-        world.store.mode = "busy"
-        for caller in list(world.store.callers):
+    def test_followed_again_after_its_return(self, deployment, desks, host):
+        deployment.store.mode = "busy"
+        for caller in list(deployment.store.callers):
             caller.close()
-        world.run(lambda: host.knowledge.is_store_away)
-        world.store.put("op", "config", make_config(9))
-        world.store.mode = "ok"
-        world.run(lambda: host.lists_version() == 9)
+        deployment.run(lambda: host.table_sync.is_store_unreachable)
+        deployment.store.put("op", "config", make_config(9))
+        deployment.store.mode = "ok"
+        deployment.run(lambda: host.lists_version() == 9)
 
-    def test_a_reread_drops_what_is_missing(self, world, desks, host):
+    def test_a_reread_drops_what_is_missing(self, deployment, desks, host):
         # The row went while the history was lost, so that no change tells of it.
-        del world.store.row_by_key["servers", "i-one"]
-        world.store.version += 1
-        follower = host.knowledge._follower_by_table["servers"]
+        del deployment.store.row_by_key["servers", "i-one"]
+        deployment.store.version += 1
+        follower = host.table_sync._follower_by_table["servers"]
         follower._cancel()
         follower._read_all()
-        world.run(lambda: "i-one" not in host.replicas.by_name)
+        deployment.run(lambda: "i-one" not in host.replicas.by_name)
         assert "i-two" in host.replicas.by_name
 
-    def test_lists_come_from_a_peer_while_the_store_is_away(self, world, desks, host):
-        other = world.add_host("entry-2")
-        world.run(lambda: other.is_ready() and bool(other.peers.live_hosts()))
-        world.run(lambda: bool(host.peers.live_hosts()))
+    def test_lists_come_from_a_peer_while_the_store_is_away(
+        self, deployment, desks, host
+    ):
+        other = deployment.add_host("entry-2")
+        deployment.run(lambda: other.is_ready() and bool(other.peers.live_hosts()))
+        deployment.run(lambda: bool(host.peers.live_hosts()))
         # This host alone loses the store.
-        host.knowledge._lists.start = lambda: None
-        for follower in host.knowledge._follower_by_table.values():
+        host.table_sync._lists.start = lambda: None
+        for follower in host.table_sync._follower_by_table.values():
             follower._store = follower._store._replace(address="127.0.0.1:9")
-        for caller in list(world.store.callers):
+        for caller in list(deployment.store.callers):
             caller.close()
-        world.store.put("op", "config", make_config(3))
-        desks[0].tell(state="draining")
-        world.run(lambda: host.lists_version() == 3)
-        world.run(lambda: host.replicas.by_name["i-one"].is_leaving)
+        deployment.store.put("op", "config", make_config(3))
+        desks[0].write_row(state="draining")
+        deployment.run(lambda: host.lists_version() == 3)
+        deployment.run(lambda: host.replicas.by_name["i-one"].is_leaving)
 
 
 class TestDelegates:
     """Two hosts of a data centre follow the store, and the others ask them."""
 
     @pytest.fixture
-    def hosts(self, world, desks):
-        hosts = [world.add_host(f"entry-{number}") for number in range(1, 5)]
-        world.run(lambda: all(host.is_ready() for host in hosts))
-        world.run(lambda: all(len(h.peers.live_hosts()) == 3 for h in hosts))
-        world.run(lambda: following(hosts) == ["entry-1", "entry-2"])
+    def hosts(self, deployment, desks):
+        hosts = [deployment.add_host(f"entry-{number}") for number in range(1, 5)]
+        deployment.run(lambda: all(host.is_ready() for host in hosts))
+        deployment.run(lambda: all(len(h.peers.live_hosts()) == 3 for h in hosts))
+        deployment.run(lambda: following(hosts) == ["entry-1", "entry-2"])
         return hosts
 
-    def test_changes_reach_all(self, world, desks, hosts):
+    def test_changes_reach_all(self, deployment, desks, hosts):
         for host in hosts[2:]:
             # The store tells them nothing.
-            for follower in host.knowledge._follower_by_table.values():
+            for follower in host.table_sync._follower_by_table.values():
                 follower.start = lambda: None
-        world.store.put("op", "config", make_config(3))
-        desks[0].tell(state="draining")
+        deployment.store.put("op", "config", make_config(3))
+        desks[0].write_row(state="draining")
         for host in hosts:
-            world.run(lambda host=host: host.lists_version() == 3)
-            world.run(lambda host=host: host.replicas.by_name["i-one"].is_leaving)
-        world.store.put("servers", "i-one", None)
+            deployment.run(lambda host=host: host.lists_version() == 3)
+            deployment.run(lambda host=host: host.replicas.by_name["i-one"].is_leaving)
+        deployment.store.put("servers", "i-one", None)
         for host in hosts:
-            world.run(lambda host=host: "i-one" not in host.replicas.by_name)
+            deployment.run(lambda host=host: "i-one" not in host.replicas.by_name)
 
-    def test_others_make_no_calls(self, world, desks, hosts):
-        calls = len(world.store.seen)
+    def test_others_make_no_calls(self, deployment, desks, hosts):
+        calls = len(deployment.store.seen)
         for version in range(3, 6):
-            world.store.put("op", "config", make_config(version))
-            world.run(lambda v=version: all(h.lists_version() == v for h in hosts))
+            deployment.store.put("op", "config", make_config(version))
+            deployment.run(lambda v=version: all(h.lists_version() == v for h in hosts))
         # Two followers of one table, and the lease that two hosts know of.
-        feeds = [r for r in world.store.seen[calls:] if r.path == "/rows-feed"]
+        feeds = [r for r in deployment.store.seen[calls:] if r.path == "/rows-feed"]
         assert len(feeds) <= 2 * 3
 
-    def test_a_host_that_comes_later_learns_from_peers(self, world, desks, hosts):
-        calls = len(world.store.seen)
-        late = world.add_host("entry-9")
-        world.run(late.is_ready)
-        assert not late.knowledge.is_following
-        tables = [r.target for r in world.store.seen[calls:] if r.path == "/rows-get"]
+    def test_a_host_that_comes_later_learns_from_peers(self, deployment, desks, hosts):
+        calls = len(deployment.store.seen)
+        late = deployment.add_host("entry-9")
+        deployment.run(late.is_ready)
+        assert not late.table_sync.is_following
+        tables = [
+            r.target for r in deployment.store.seen[calls:] if r.path == "/rows-get"
+        ]
         assert not any(b"table=servers" in target for target in tables)
 
-    def test_delegates_without_the_store_are_succeeded(self, world, desks, hosts):
+    def test_delegates_without_the_store_are_succeeded(self, deployment, desks, hosts):
         for host in hosts[:2]:
-            for follower in host.knowledge._follower_by_table.values():
+            for follower in host.table_sync._follower_by_table.values():
                 follower._store = follower._store._replace(address="127.0.0.1:9")
-                follower.renew("test")
-        world.run(lambda: {"entry-3", "entry-4"} <= set(following(hosts)))
-        world.store.put("op", "config", make_config(3))
-        world.run(lambda: all(host.lists_version() == 3 for host in hosts))
+                follower.restart_feed("test")
+        deployment.run(lambda: {"entry-3", "entry-4"} <= set(following(hosts)))
+        deployment.store.put("op", "config", make_config(3))
+        deployment.run(lambda: all(host.lists_version() == 3 for host in hosts))
 
-    def test_a_silent_connection_to_the_store_is_noticed(self, world, desks, hosts):
+    def test_a_silent_connection_to_the_store_is_noticed(
+        self, deployment, desks, hosts
+    ):
         # The store no longer answers the first delegate, which has not noticed.
-        for held, _, _ in world.store.waiting:
-            held.is_gone = True
-        world.store.waiting = []
-        for follower in hosts[1].knowledge._follower_by_table.values():
-            follower.renew("test")
-        world.run(lambda: not hosts[1].knowledge.is_store_away)
-        world.store.put("op", "config", make_config(3))
-        world.run(lambda: all(host.lists_version() == 3 for host in hosts))
-
-    def test_a_peer_that_knows_more_is_no_trouble_of_the_store(self, world, hosts):
+        for held, _, _ in deployment.store.waiting:
+            held.is_caller_gone = True
+        deployment.store.waiting = []
+        for follower in hosts[1].table_sync._follower_by_table.values():
+            follower.restart_feed("test")
+        deployment.run(lambda: not hosts[1].table_sync.is_store_unreachable)
+        deployment.store.put("op", "config", make_config(3))
+        deployment.run(lambda: all(host.lists_version() == 3 for host in hosts))
+
+    def test_a_peer_that_knows_more_is_no_trouble_of_the_store(self, deployment, hosts):
         host = hosts[0]
-        follower = host.knowledge._follower_by_table["servers"]
-        follower.renew("test")
-        assert not host.knowledge.is_store_away
+        follower = host.table_sync._follower_by_table["servers"]
+        follower.restart_feed("test")
+        assert not host.table_sync.is_store_unreachable
         # A row that goes now is gone at once: the store had no trouble.
-        world.store.put("servers", "i-two", None)
-        world.run(lambda: follower.copy.version == world.store.version)
+        deployment.store.put("servers", "i-two", None)
+        deployment.run(lambda: follower.copy.version == deployment.store.version)
         assert "i-two" not in host.replicas.by_name
 
-    def test_a_host_without_the_store_tells_of_no_trouble(self, world, hosts):
-        knowledge = hosts[0].knowledge
-        follower = knowledge._follower_by_table["servers"]
-        follower.failed_at = world.loop.now
-        told = decode_relayed("servers", knowledge.relayed("/tables/servers?after=0"))
+    def test_a_host_without_the_store_tells_of_no_trouble(self, deployment, hosts):
+        table_sync = hosts[0].table_sync
+        follower = table_sync._follower_by_table["servers"]
+        follower.failed_at = deployment.loop.now
+        told = decode_relayed(
+            "servers", table_sync.encode_relay("/tables/servers?after=0")
+        )
         assert told.trouble_s is not None
-        follower.is_away = True
-        told = decode_relayed("servers", knowledge.relayed("/tables/servers?after=0"))
+        follower.is_store_unreachable = True
+        told = decode_relayed(
+            "servers", table_sync.encode_relay("/tables/servers?after=0")
+        )
         assert told.trouble_s is None
         assert told.is_all
 
-    def test_only_what_stays_unknown_is_asked_of_peers(self, world, desks, hosts):
+    def test_only_what_stays_unknown_is_asked_of_peers(self, deployment, desks, hosts):
         host, peer = hosts[0], hosts[1].peers.membership.host
-        knowledge = host.knowledge
-        follower = knowledge._follower_by_table["servers"]
+        table_sync = host.table_sync
+        follower = table_sync._follower_by_table["servers"]
         for _ in range(3):
             # Word of a change comes a little before the store tells of it.
-            knowledge.on_newer_upstreams(peer)
-            assert not knowledge._is_asking
-            desks[0].tell(slots=desks[0].row["slots"] + 1)
-            version = world.store.version
-            world.run(lambda v=version: follower.copy.version == v)
-            since = world.loop.now
-            world.run(lambda s=since: world.loop.now - s > OVERDUE_S)
+            table_sync.on_newer_upstreams(peer)
+            assert not table_sync._pending_relays
+            desks[0].write_row(slots=desks[0].row["slots"] + 1)
+            version = deployment.store.version
+            deployment.run(lambda v=version: follower.copy.version == v)
+            since = deployment.loop.now
+            deployment.run(lambda s=since: deployment.loop.now - s > FEED_OVERDUE_S)
         # Nothing has come since the last word but one.
-        knowledge.on_newer_upstreams(peer)
-        since = world.loop.now
-        world.run(lambda: world.loop.now - since > OVERDUE_S)
-        knowledge.on_newer_upstreams(peer)
-        assert knowledge._is_asking == {"servers"}
+        table_sync.on_newer_upstreams(peer)
+        since = deployment.loop.now
+        deployment.run(lambda: deployment.loop.now - since > FEED_OVERDUE_S)
+        table_sync.on_newer_upstreams(peer)
+        assert table_sync._pending_relays == {"servers"}
 
 
 def following(hosts):
-    return [h.settings.host.name for h in hosts if h.knowledge.is_following]
+    return [h.settings.host.name for h in hosts if h.table_sync.is_following]
 
 
 class TestShutdown:
-    def test_finishes_what_is_in_work(self, world, engines, host):
-        place_all(world, engines)
+    def test_finishes_what_is_in_work(self, deployment, engines, host):
+        place_all(deployment, engines)
         for engine in engines:
             engine.events, engine.pause_s = 60, 0.02
-        idle = world.send(host, make_request("/nowhere/", "a0"))
-        answered = world.send(host, make_stream("a1"))
-        world.run(lambda: b"id: 3\n" in answered.data and idle.is_whole)
+        idle = deployment.send(host, make_request("/nowhere/", "a0"))
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: b"id: 3\n" in answered.data and idle.is_complete)
         host.drain()
         assert not host.is_ready()
-        world.run(lambda: idle.is_closed)
-        world.run(lambda: answered.is_whole or answered.is_closed)
-        assert answered.is_whole
+        deployment.run(lambda: idle.is_closed)
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert answered.is_complete
         assert b"id: 60\n" in answered.data
 
-    def test_a_late_request_is_refused_unread(self, world, desks, host):
+    def test_a_late_request_is_refused_unread(self, deployment, desks, host):
         host.drain()
         host._stop_accepting()
-        answered = world.ask(host, make_request("/register/7", "a1", method="POST"))
+        answered = deployment.send_and_wait(
+            host, make_request("/register/7", "a1", method="POST")
+        )
         assert answered.status == 503
         assert b"Connection: close" in answered.data
         assert runs(desks) == []
@@ -515,37 +556,37 @@
 
 class TestMoves:
     def test_streams_leave_an_engine_that_gives_up_its_layers(
-        self, world, engines, host
+        self, deployment, engines, host
     ):
-        place_all(world, engines)
-        spare = [world.add_engine(f"i-s{n}") for n in range(4)]
-        place_all(world, spare)
+        place_all(deployment, engines)
+        spare = [deployment.add_engine(f"i-s{n}") for n in range(4)]
+        place_all(deployment, spare)
         everyone = {engine.name: engine for engine in engines + spare}
         for engine in everyone.values():
             engine.events, engine.pause_s = 100, 0.02
-        world.send(host, make_stream("a1"))
-        world.run(lambda: bool(host.streams()) and len(host.streams()[0].path) > 1)
+        deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: bool(host.streams()) and len(host.streams()[0].path) > 1)
         (stream,) = host.streams()
         # The spare engines together hold what the second one gives up.
         moved = everyone[stream.path[1].replica.name]
-        moved.tell(layers=None)
-        world.run(lambda: not stream.uses((moved.name, 1000)))
+        moved.write_row(layers=None)
+        deployment.run(lambda: not stream.uses((moved.name, 1000)))
         orders = [o for e in everyone.values() for o in e.orders if o["op"] == "repath"]
         assert [order["id"] for order in orders] == ["a1"]
         assert stream.path[-1].last == 80
 
-    def test_a_gap_is_closed_while_engines_keep_coming(self, world, engines, host):
-        place_all(world, engines)
-        engines[0].tell(state="draining")
+    def test_a_gap_is_closed_while_engines_keep_coming(self, deployment, engines, host):
+        place_all(deployment, engines)
+        engines[0].write_row(state="draining")
         new = []
 
         def add():
             if not any(engine.orders for engine in new):
-                new.append(world.add_engine(f"i-n{len(new)}"))
-                world.loop.call_later(0.2, add)
+                new.append(deployment.add_engine(f"i-n{len(new)}"))
+                deployment.loop.call_later(0.2, add)
 
         add()
-        world.run(lambda: any(engine.orders for engine in new))
+        deployment.run(lambda: any(engine.orders for engine in new))
 
 
 class TestSettings:
@@ -561,14 +602,14 @@
         )
         path.write_text(text.replace("slack = 200", slack))
 
-    def test_a_change_is_taken_without_a_signal(self, world, host, tmp_path):
+    def test_a_change_is_taken_without_a_signal(self, deployment, host, tmp_path):
         path = tmp_path / "host.toml"
         self.write(path, host, "slack = 200")
         host.follow_settings(path)
         self.write(path, host, "slack = 50")
-        world.run(lambda: host.settings.retries.slack == 50)
+        deployment.run(lambda: host.settings.retries.slack == 50)
 
-    def test_what_is_not_valid_changes_nothing(self, world, host, tmp_path):
+    def test_what_is_not_valid_changes_nothing(self, deployment, host, tmp_path):
         path = tmp_path / "host.toml"
         self.write(path, host, "slack = 200")
         host.follow_settings(path)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -13,7 +13,7 @@
 from tests.engines import token
 from tests.scripted import ScriptedServer
 from wagtailstair.clock import SystemClock
-from wagtailstair.core.demand import RefusalReason
+from wagtailstair.core.grants import RefusalReason
 from wagtailstair.core.keys import new_key
 from wagtailstair.core.lists import Account
 from wagtailstair.core.lists import Lists
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -6,8 +6,8 @@
 from tests.gateway_data import make_model
 from wagtailstair.core.layout import HEADS_WANTED
 from wagtailstair.core.layout import layers_for
-from wagtailstair.core.layout import plan
-from wagtailstair.core.layout import repair
+from wagtailstair.core.layout import plan_layers
+from wagtailstair.core.layout import plan_repairs
 from wagtailstair.core.layout import room_for
 
 
@@ -32,14 +32,14 @@
 
 class TestPlan:
     def test_each_data_centre_holds_the_model(self):
-        engines = apply(plan(make_model(), make_fleet(), {}))
+        engines = apply(plan_layers(make_model(), make_fleet(), {}))
         assert len(engines) == len(make_fleet())
         for centre in "abc":
             assert bare_layers(engines, centre) == set()
 
     def test_never_over_an_engines_memory(self):
         model = make_model()
-        for order in plan(model, make_fleet(), {}):
+        for order in plan_layers(model, make_fleet(), {}):
             kind = model.accelerator_by_name[order.replica.accelerator]
             assert (order.last - order.first) * model.layer_weights_mb <= kind.memory_mb
             assert 0 <= order.first < order.last <= LAYERS
@@ -58,10 +58,10 @@
 
     def test_an_engine_that_restarts_closes_its_gap(self):
         model = make_model()
-        engines = apply(plan(model, make_fleet(), {}))
+        engines = apply(plan_layers(model, make_fleet(), {}))
         lost = engines[0]
         back = make_engine(lost.name, lost.data_centre, lost.accelerator)
-        (order,) = plan(model, [back, *engines[1:]], {})
+        (order,) = plan_layers(model, [back, *engines[1:]], {})
         left = bare_layers([*engines[1:], *apply([order])], lost.data_centre)
         assert order.replica is back
         assert left == set()
@@ -70,26 +70,26 @@
         model = make_model()
         first, second = make_engine("x"), make_engine("y")
         held = {first.identity: (0, 4)}
-        (order,) = plan(model, [first, second], held)
+        (order,) = plan_layers(model, [first, second], held)
         assert order.replica is second
         assert order.first >= 4
 
     @pytest.mark.parametrize("centre", ["a", "b", "c"])
     def test_two_engines_take_first_layers(self, centre):
-        engines = apply(plan(make_model(), make_fleet(), {}))
+        engines = apply(plan_layers(make_model(), make_fleet(), {}))
         heads = [e for e in engines if e.data_centre == centre and e.layers[0] == 0]
         assert len(heads) >= HEADS_WANTED
 
     def test_a_large_data_centre_holds_the_model_twice(self):
         fleet = [make_engine(f"v{n}") for n in range(60)]
         fleet += [make_engine(f"a{n}", accelerator="a100") for n in range(4)]
-        engines = apply(plan(make_model(), fleet, {}))
+        engines = apply(plan_layers(make_model(), fleet, {}))
         for engine in engines:
             others = [other for other in engines if other is not engine]
             assert bare_layers(others, "a") == set()
 
     def test_leaving_engines_get_no_order(self):
-        assert plan(make_model(), [make_engine("x", is_leaving=True)], {}) == []
+        assert plan_layers(make_model(), [make_engine("x", is_leaving=True)], {}) == []
 
 
 class TestRepair:
@@ -104,9 +104,9 @@
 
     def test_a_gap_is_closed_by_an_engine_that_can_be_spared(self):
         model = make_model()
-        engines = self.lose(apply(plan(model, make_fleet(), {})), "a")
+        engines = self.lose(apply(plan_layers(model, make_fleet(), {})), "a")
         gap = bare_layers(engines, "a")
-        moves = repair(model, engines, {})
+        moves = plan_repairs(model, engines, {})
         assert [move.replica.data_centre for move in moves] == ["a"]
         moved = apply(moves)[0]
         rest = [engine for engine in engines if engine.name != moved.name]
@@ -114,13 +114,17 @@
 
     def test_nothing_moves_while_a_load_is_under_way(self):
         model = make_model()
-        engines = self.lose(apply(plan(model, make_fleet(), {})), "a")
+        engines = self.lose(apply(plan_layers(model, make_fleet(), {})), "a")
         empty = make_engine("new", "a")
-        assert repair(model, [*engines, empty], {}) == []
+        assert plan_repairs(model, [*engines, empty], {}) == []
         ordered = {engines[0].identity: engines[0].layers}
-        by_centre = {m.replica.data_centre for m in repair(model, engines, ordered)}
+        by_centre = {
+            m.replica.data_centre for m in plan_repairs(model, engines, ordered)
+        }
         assert engines[0].data_centre not in by_centre
 
     def test_nothing_moves_without_a_gap(self):
         model = make_model()
-        assert repair(model, apply(plan(model, make_fleet(), {})), {}) == []
+        assert (
+            plan_repairs(model, apply(plan_layers(model, make_fleet(), {})), {}) == []
+        )
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -35,7 +35,7 @@
     def test_first_holder_gets_fencing_number_one(self, deployment):
         keeper = deployment.keeper("a")
         keeper.tick()
-        assert keeper.may_order(1, ORDER_S)
+        assert keeper.may_send_order(1, ORDER_S)
         assert deployment.row().holder == "a"
 
     @pytest.mark.parametrize("fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST])
@@ -43,7 +43,7 @@
         deployment.table.faults.append(fault)
         keeper = deployment.keeper("a")
         keeper.tick()
-        assert keeper.may_order(1, ORDER_S)
+        assert keeper.may_send_order(1, ORDER_S)
 
     def test_second_waits_a_full_lease_from_its_first_read(self, deployment):
         deployment.keeper("a").tick()
@@ -65,9 +65,9 @@
         deployment.clock.advance(10.0)
         second.tick()
         assert second.fence == 2
-        assert not second.may_order(2, ORDER_S)
+        assert not second.may_send_order(2, ORDER_S)
         deployment.clock.advance(ORDER_S)
-        assert second.may_order(2, ORDER_S)
+        assert second.may_send_order(2, ORDER_S)
 
     def test_released_lease_is_acquired_immediately(self, deployment):
         first = deployment.keeper("a")
@@ -75,14 +75,14 @@
         first.release()
         second = deployment.keeper("b")
         second.tick()
-        assert second.may_order(2, ORDER_S)
-        assert not first.may_order(1, ORDER_S)
+        assert second.may_send_order(2, ORDER_S)
+        assert not first.may_send_order(1, ORDER_S)
 
     def test_restarted_process_is_another_holder(self, deployment):
         deployment.keeper("a/1").tick()
         again = deployment.keeper("a/2")
         again.tick()
-        assert not again.may_order(again.fence, ORDER_S)
+        assert not again.may_send_order(again.fence, ORDER_S)
 
 
 class TestHold:
@@ -90,16 +90,16 @@
         keeper = deployment.keeper("a")
         keeper.tick()
         deployment.clock.advance(6.9)
-        assert keeper.may_order(1, ORDER_S)
+        assert keeper.may_send_order(1, ORDER_S)
         deployment.clock.advance(0.2)
-        assert not keeper.may_order(1, ORDER_S)
+        assert not keeper.may_send_order(1, ORDER_S)
 
     def test_lease_starts_before_its_write_is_sent(self, deployment):
         lease = Lease("a", LIMITS)
         lease.next(100.0)
-        lease.on_read(0, None, 100.0)
+        lease.apply_read(0, None, 100.0)
         command = lease.next(100.0)
-        lease.on_written(1, command.row, 105.0)
+        lease.apply_write(1, command.row, 105.0)
         assert lease.holds(108.9)
         assert not lease.holds(109.1)
 
@@ -115,15 +115,15 @@
         keeper.tick()
         assert deployment.row().beat == 2
         deployment.clock.advance(4.6)
-        assert keeper.may_order(1, 0.0)
+        assert keeper.may_send_order(1, 0.0)
         deployment.clock.advance(0.5)
-        assert not keeper.may_order(1, 0.0)
+        assert not keeper.may_send_order(1, 0.0)
 
     def test_renews_before_expiry(self, deployment):
         keeper = deployment.keeper("a")
         for _ in range(20):
             deployment.clock.advance(keeper.tick())
-            assert keeper.may_order(1, ORDER_S)
+            assert keeper.may_send_order(1, ORDER_S)
         assert deployment.row().fence == 1
 
     def test_expires_while_the_table_is_unavailable(self, deployment):
@@ -133,7 +133,7 @@
         for _ in range(30):
             deployment.clock.advance(0.5)
             keeper.tick()
-        assert not keeper.may_order(1, 0.0)
+        assert not keeper.may_send_order(1, 0.0)
 
 
 class TestRow:
@@ -143,5 +143,5 @@
 
     def test_waits_while_another_holder_has_the_lease(self):
         lease = Lease("b", LIMITS)
-        lease.on_read(4, LeaseRow("a", 7, 10.0, 1), 50.0)
+        lease.apply_read(4, LeaseRow("a", 7, 10.0, 1), 50.0)
         assert isinstance(lease.next(50.0), LeaseWait)
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -6,9 +6,9 @@
 
 from tests import fuzz
 from tests.fakes import WriteFault
-from tests.lease_world import LIMITS
-from tests.lease_world import ORDER_S
-from tests.lease_world import LeaseWorld
+from tests.lease_simulation import LIMITS
+from tests.lease_simulation import ORDER_S
+from tests.lease_simulation import LeaseSimulation
 
 CANDIDATES = 3
 candidates = st.integers(0, CANDIDATES - 1)
@@ -46,7 +46,7 @@
 
     @initialize()
     def start(self):
-        self.world = LeaseWorld(CANDIDATES)
+        self.world = LeaseSimulation(CANDIDATES)
 
     @rule(index=candidates, script=st.lists(faults, min_size=1, max_size=6))
     def step(self, index, script):
@@ -71,7 +71,7 @@
     def sleep_before_the_reply(self, index, pauses):
         """Let time pass between a table access and the arrival of its reply."""
         for _ in range(4):
-            if self.world.candidates[index].seen is not None:
+            if self.world.candidates[index].deliver_result is not None:
                 break
             self.world.step(index)
         for pause in pauses:
@@ -117,7 +117,7 @@
 
 class TestHandOver:
     def test_successor_sends_orders_within_a_lease_and_two_order_times(self):
-        world = LeaseWorld()
+        world = LeaseSimulation()
         world.tick(0)
         assert world.send_order(0, 0, is_slow=True)
         freeze_or_thaw(world, 0)
@@ -132,7 +132,7 @@
         assert not world.send_order(0, 0, is_slow=False)
 
     def test_cut_holder_stops_before_its_successor_starts(self):
-        world = LeaseWorld()
+        world = LeaseSimulation()
         world.tick(0)
         world.tick(2)
         cut_or_join(world, 0)
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -123,9 +123,9 @@
 class TestHolder:
     def test_only_a_higher_version_replaces_the_current_one(self):
         holder = ListsHolder()
-        assert holder.offer(Lists(3))
-        assert not holder.offer(Lists(3))
-        assert not holder.offer(Lists(2))
+        assert holder.replace_if_newer(Lists(3))
+        assert not holder.replace_if_newer(Lists(3))
+        assert not holder.replace_if_newer(Lists(2))
         assert holder.current.version == 3
 
 
--- a/tests/test_logs.py
+++ b/tests/test_logs.py
@@ -1,5 +1,5 @@
+from wagtailstair.logs import error_location
 from wagtailstair.logs import format_event
-from wagtailstair.logs import place_of
 
 
 class TestFormat:
@@ -17,6 +17,6 @@
         try:
             raise ValueError("the prompt of somebody")
         except ValueError as error:
-            place = place_of(error)
+            place = error_location(error)
         assert place.startswith("ValueError@test_logs.py:")
         assert "prompt" not in place
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -55,7 +55,7 @@
         }
         hosts = [member.host for member in self.by_name.values()]
         for member in self.by_name.values():
-            member.host_list(hosts, 0.0)
+            member.apply_host_list(hosts, 0.0)
         self.name_by_address = {host.peer_address: host.name for host in hosts}
         self.cut = set()
         self.stopped = set()
@@ -75,8 +75,8 @@
         addresses = inside + remote
         message = member.next_heartbeat(0, 0)
         for target in self._reach(name, addresses):
-            target.heartbeat(message, self.now)
-        for target in self._reach(name, member.views_wanted(self.now)):
+            target.receive_heartbeat(message, self.now)
+        for target in self._reach(name, member.view_request_addresses(self.now)):
             member.view(target.host.name, target.own_view(), self.now)
 
     def _reach(self, name, addresses):
@@ -98,58 +98,66 @@
     def test_makes_a_peer_live(self):
         membership = make_membership()
         peer = make_host("b")
-        assert membership.heartbeat(make_heartbeat(peer), 0.0) == [PeerLive(peer)]
+        assert membership.receive_heartbeat(make_heartbeat(peer), 0.0) == [
+            PeerLive(peer)
+        ]
         assert membership.live("a") == ("b", "self")
 
     def test_late_duplicate_does_not_keep_a_peer_alive(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(make_heartbeat(peer, seq=5), 0.0)
+        membership.receive_heartbeat(make_heartbeat(peer, seq=5), 0.0)
         events = []
         for step in range(1, 13):
             now = step * 0.25
-            membership.heartbeat(make_heartbeat(peer, seq=5), now)
+            membership.receive_heartbeat(make_heartbeat(peer, seq=5), now)
             events += membership.tick(now)
         assert events == [PeerDead(peer)]
 
     def test_leaving_is_final_for_an_incarnation(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(make_heartbeat(peer, 1), 0.0)
-        events = membership.heartbeat(make_heartbeat(peer, 2, HostState.LEAVING), 0.0)
+        membership.receive_heartbeat(make_heartbeat(peer, 1), 0.0)
+        events = membership.receive_heartbeat(
+            make_heartbeat(peer, 2, HostState.LEAVING), 0.0
+        )
         assert events == [PeerLeaving(peer)]
-        assert membership.heartbeat(make_heartbeat(peer, 3), 0.0) == []
+        assert membership.receive_heartbeat(make_heartbeat(peer, 3), 0.0) == []
         assert membership.live() == ("self",)
 
     def test_replaced_under_the_same_name_and_address(self):
         membership = make_membership()
         old, new = make_host("b"), make_host("b", incarnation=2)
-        membership.heartbeat(make_heartbeat(old, 9, HostState.LEAVING), 0.0)
-        events = membership.heartbeat(make_heartbeat(new, 1), 0.1)
+        membership.receive_heartbeat(make_heartbeat(old, 9, HostState.LEAVING), 0.0)
+        events = membership.receive_heartbeat(make_heartbeat(new, 1), 0.1)
         assert events == [PeerReplaced(new, old), PeerLive(new)]
-        assert membership.heartbeat(make_heartbeat(old, 10), 0.2) == []
+        assert membership.receive_heartbeat(make_heartbeat(old, 10), 0.2) == []
         assert membership.find("b") == new
 
     def test_successor_with_a_slow_clock_is_accepted_after_the_timeout(self):
         membership = make_membership()
         old, new = make_host("b", incarnation=7), make_host("b", incarnation=3)
-        membership.heartbeat(make_heartbeat(old), 0.0)
-        assert membership.heartbeat(make_heartbeat(new), 0.1) == []
+        membership.receive_heartbeat(make_heartbeat(old), 0.0)
+        assert membership.receive_heartbeat(make_heartbeat(new), 0.1) == []
         tick_until(membership, 0.1, 3.0)
-        events = membership.heartbeat(make_heartbeat(new, 2), 3.0)
+        events = membership.receive_heartbeat(make_heartbeat(new, 2), 3.0)
         assert events == [PeerReplaced(new, old), PeerLive(new)]
 
     def test_reports_another_process_with_its_own_name(self):
         membership = make_membership()
         other = make_host("self", incarnation=2)
-        assert membership.heartbeat(make_heartbeat(other), 0.0) == [NameClash(other)]
+        assert membership.receive_heartbeat(make_heartbeat(other), 0.0) == [
+            NameClash(other)
+        ]
 
     def test_highest_lists_version_and_its_holders(self):
         membership = make_membership()
         near, far = make_host("y"), make_host("b", "b")
-        membership.heartbeat(make_heartbeat(far, lists_version=7), 0.0)
-        membership.heartbeat(make_heartbeat(near, lists_version=7), 0.0)
-        membership.heartbeat(make_heartbeat(make_host("c"), lists_version=6), 0.0)
+        membership.receive_heartbeat(make_heartbeat(far, lists_version=7), 0.0)
+        membership.receive_heartbeat(make_heartbeat(near, lists_version=7), 0.0)
+        membership.receive_heartbeat(
+            make_heartbeat(make_host("c"), lists_version=6), 0.0
+        )
         assert membership.lists_version() == 7
         assert membership.holders(7) == [near, far]
 
@@ -157,7 +165,7 @@
 class TestPause:
     def test_resumed_host_does_not_declare_its_peers_dead(self):
         membership = make_membership()
-        membership.heartbeat(make_heartbeat(make_host("b")), 0.0)
+        membership.receive_heartbeat(make_heartbeat(make_host("b")), 0.0)
         assert membership.tick(60.0) == [SelfPaused(60.0)]
         assert membership.tick(60.25) == []
         assert membership.live() == ("b", "self")
@@ -165,7 +173,7 @@
     def test_peer_that_died_during_the_pause_is_detected(self):
         membership = make_membership()
         peer = make_host("b")
-        membership.heartbeat(make_heartbeat(peer), 0.0)
+        membership.receive_heartbeat(make_heartbeat(peer), 0.0)
         membership.tick(60.0)
         assert tick_until(membership, 60.0, 63.0) == [PeerDead(peer)]
 
@@ -173,7 +181,7 @@
 class TestHostList:
     def test_listed_host_is_not_live_before_its_first_heartbeat(self):
         membership = make_membership()
-        membership.host_list([make_host("b")], 0.0)
+        membership.apply_host_list([make_host("b")], 0.0)
         assert membership.live() == ("self",)
         assert membership.due(0.0) == (["b:81"], [])
 
@@ -183,7 +191,7 @@
 
     def test_silent_host_that_is_not_listed_is_removed(self):
         membership = make_membership()
-        membership.heartbeat(make_heartbeat(make_host("b")), 0.0)
+        membership.receive_heartbeat(make_heartbeat(make_host("b")), 0.0)
         tick_until(membership, 0.0, 700.0, step=1.0)
         assert membership.by_name == {}
 
@@ -227,12 +235,12 @@
         membership = make_membership()
         near = make_host("near")
         far = dataclasses.replace(make_host("far", "b"), models=("draft",))
-        membership.heartbeat(make_heartbeat(near), 0.0)
+        membership.receive_heartbeat(make_heartbeat(near), 0.0)
         membership.view("near", View((far,)), 0.0)
         assert membership.models_by_centre() == {"b": {"draft"}}
 
     def test_view_of_a_host_in_another_data_centre_is_ignored(self):
         membership = make_membership()
-        membership.heartbeat(make_heartbeat(make_host("b", "b")), 0.0)
+        membership.receive_heartbeat(make_heartbeat(make_host("b", "b")), 0.0)
         unknown = dataclasses.replace(make_host("ghost", "c"))
         assert membership.view("b", View((unknown,)), 0.0) == []
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -5,11 +5,11 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
-from wagtailstair.core.demand import RefusalReason
-from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.engine import Priority
 from wagtailstair.core.engine import Stage
+from wagtailstair.core.grants import RefusalReason
+from wagtailstair.core.grants import RouteRequest
 from wagtailstair.core.membership import Heartbeat
 from wagtailstair.core.membership import Host
 from wagtailstair.core.membership import HostState
@@ -48,7 +48,7 @@
 HOST = Host("entry-1", "a", "10.0.0.1:8080", "10.0.0.1:8081", 1_700_000_000_000)
 FAR = Host("entry-2", "b", "[fd00::2]:8080", "[fd00::2]:1", 5, ("draft", "quote"))
 ROUTE = (Stage("e1", "10.0.1.1:9000", 0, 16), Stage("e2", "10.0.1.2:9000", 16, 32))
-WANT = Want(
+WANT = RouteRequest(
     request="",
     epoch=0,
     host="",
--- a/tests/test_peers_node.py
+++ b/tests/test_peers_node.py
@@ -5,9 +5,9 @@
 
 from tests.test_peers_codec import STATE
 from wagtailstair.clock import SystemClock
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Want
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import RouteRequest
 from wagtailstair.core.membership import Host
 from wagtailstair.core.membership import HostState
 from wagtailstair.core.membership import Membership
@@ -65,7 +65,7 @@
         nodes.append(Running(name, centre, seeds))
     listed = [node.host for node in nodes]
     for node in nodes:
-        node.node.host_list(listed)
+        node.node.apply_host_list(listed)
     wait_until(lambda: all(len(node.membership.live()) == 4 for node in nodes))
     yield nodes
     for node in nodes:
@@ -75,7 +75,7 @@
 
 
 def make_want(host, number):
-    return Want(
+    return RouteRequest(
         request=f"{host}-{number}",
         epoch=1,
         host=host,
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -6,16 +6,16 @@
 from tests.gateway_data import make_engine
 from tests.gateway_data import make_fleet
 from tests.gateway_data import make_model
-from wagtailstair.core.layout import plan
+from wagtailstair.core.layout import plan_layers
 from wagtailstair.core.pipelines import Load
+from wagtailstair.core.pipelines import LoadSource
 from wagtailstair.core.pipelines import Pipelines
-from wagtailstair.core.pipelines import Source
 from wagtailstair.core.pipelines import engine_key
 
 
 def place_all(model, engines):
     placed = []
-    for order in plan(model, engines, {}):
+    for order in plan_layers(model, engines, {}):
         layers = (order.first, order.last)
         replica = order.replica
         placed.append(
@@ -49,7 +49,7 @@
         for _ in range(20):
             path = pipelines.choose(model, engines, 800, 200, 0.0)
             check(path)
-            pipelines.take(path, 1000)
+            pipelines.reserve_tokens(path, 1000)
 
     @pytest.mark.parametrize("seed", range(30))
     def test_random_ranges(self, seed):
@@ -111,15 +111,17 @@
         second = make_engine("y", layers=(0, 5))
         rest = make_engine("z", accelerator="a100", layers=(5, 80))
         loads = {engine_key(first): Load(200, 0, 200_000 * 5)}
-        pipelines.note_peer(Source("other"), loads)
+        pipelines.set_peer_loads(LoadSource("other"), loads)
         path = pipelines.choose(model, [first, second, rest], 800, 200, 0.0)
         assert path[0].replica.name == "y"
 
     def test_a_peer_that_is_gone_holds_nothing(self, pipelines):
         engine = make_engine("x", layers=(0, 5))
-        pipelines.note_peer(Source("other"), {engine_key(engine): Load(200, 9, 1000.0)})
+        pipelines.set_peer_loads(
+            LoadSource("other"), {engine_key(engine): Load(200, 9, 1000.0)}
+        )
         assert pipelines.total(engine) == (200, 9, 1000.0)
-        pipelines.forget_peer(Source("other"))
+        pipelines.drop_peer_loads(LoadSource("other"))
         assert pipelines.total(engine) == (0, 0, 0.0)
 
     def test_an_engine_on_both_sides_takes_what_lies_between(self, pipelines):
@@ -151,14 +153,14 @@
         begun = {"x": 0, "y": 0}
         for _ in range(150):
             path = pipelines.choose(model, engines, 800, 200, 0.0)
-            pipelines.take(path, 10)
+            pipelines.reserve_tokens(path, 10)
             begun[path[0].replica.name] += 1
         assert max(begun.values()) <= 96
 
     def test_requests_of_peers_count(self, pipelines):
         engines = self.engines()
         loads = {engine_key(engines[0]): Load(96, 96, 0.0)}
-        pipelines.note_peer(Source("other"), loads)
+        pipelines.set_peer_loads(LoadSource("other"), loads)
         path = pipelines.choose(make_model(), engines, 800, 200, 0.0)
         assert path[0].replica.name == "y"
 
@@ -166,16 +168,16 @@
         model = make_model()
         engines = self.engines()
         loads = {engine_key(engine): Load(96, 96, 0.0) for engine in engines[:2]}
-        pipelines.note_peer(Source("other"), loads)
+        pipelines.set_peer_loads(LoadSource("other"), loads)
         path = pipelines.choose(model, engines, 800, 200, 0.0)
         assert not pipelines.has_room(model, path, 1000, 0)
-        pipelines.forget_peer(Source("other"))
+        pipelines.drop_peer_loads(LoadSource("other"))
         assert pipelines.has_room(model, path, 1000, 0)
 
     def test_only_the_first_engine_is_begun_at(self, pipelines):
         model = make_model()
         engines = self.engines()
-        pipelines.take(pipelines.choose(model, engines, 800, 200, 0.0), 10)
+        pipelines.reserve_tokens(pipelines.choose(model, engines, 800, 200, 0.0), 10)
         assert pipelines.total(engines[2]).heads == 0
 
 
@@ -193,9 +195,9 @@
     def test_taken_is_given_back(self, pipelines):
         engine = make_engine("x", layers=(0, 80))
         path = pipelines.choose(make_model(), [engine], 800, 200, 0.0)
-        pipelines.take(path, 1000)
+        pipelines.reserve_tokens(path, 1000)
         assert pipelines.total(engine) == (1, 1, 80_000.0)
-        pipelines.give_back(path, 1000)
+        pipelines.release_tokens(path, 1000)
         assert pipelines.total(engine) == (0, 0, 0.0)
 
     def test_a_new_start_is_another_engine(self, pipelines):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -96,7 +96,7 @@
     def test_failed_order_is_given_again(self):
         run = Run(make_fleet(""), [DRAFT])
         (order,) = run.decide({"draft": 1}, obey=False)
-        run.placement.failed(order)
+        run.placement.record_refusal(order)
         assert run.decide({"draft": 1}, after_s=20.0, obey=False) == [order]
 
     def test_short_shortage_moves_no_engine(self):
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -11,12 +11,12 @@
 from policy_data import engine
 from policy_data import want
 
-from wagtailstair.core.demand import Done
-from wagtailstair.core.demand import Grant
-from wagtailstair.core.demand import Hold
-from wagtailstair.core.demand import Refusal
-from wagtailstair.core.demand import RefusalReason
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.grants import Grant
+from wagtailstair.core.grants import GrantOutcome
+from wagtailstair.core.grants import HeldGrant
+from wagtailstair.core.grants import Refusal
+from wagtailstair.core.grants import RefusalReason
 from wagtailstair.core.pool import GRANT_GRACE_S
 from wagtailstair.core.pool import Pool
 from wagtailstair.core.pool import PoolLimits
@@ -130,7 +130,9 @@
         names = set()
         if failed and request in self.running:
             names = {self.running[request][1][0].engine}
-        self.pool.done(Done(request, epoch, "h1", 16, 9, frozenset(names)), self.now)
+        self.pool.done(
+            GrantOutcome(request, epoch, "h1", 16, 9, frozenset(names)), self.now
+        )
         if not age:
             self.waiting.pop(request, None)
             self.running.pop(request, None)
@@ -141,8 +143,8 @@
     def move_to_a_successor(self):
         self.pool = Pool("draft", "a", PoolLimits(queue_length=4))
         for item, route in list(self.running.values()):
-            self.pool.hold(Hold(item, route, 0), self.now)
-            self.pool.hold(Hold(item, route, 0), self.now)
+            self.pool.hold(HeldGrant(item, route, 0), self.now)
+            self.pool.hold(HeldGrant(item, route, 0), self.now)
         for state in self.state_by_name.values():
             self.pool.observe(state, self.now)
         for name in self.leaving:
@@ -263,7 +265,7 @@
         item = want("r")
         pool.want(item, 0.0)
         pool.poll(0.0)
-        pool.done(Done("r", 0, "h1", 16, 9), 1.0)
+        pool.done(GrantOutcome("r", 0, "h1", 16, 9), 1.0)
         pool.want(item, 1.1)
         assert pool.poll(1.1) == []
 
@@ -302,7 +304,7 @@
             grant = pool.poll(now)[0]
             used.append(grant.route[0].engine)
             failed = frozenset({"bad"}) if used[-1] == "bad" else frozenset()
-            pool.done(Done(f"r{number}", 0, "h1", 16, 0, failed), now)
+            pool.done(GrantOutcome(f"r{number}", 0, "h1", 16, 0, failed), now)
         assert used == ["bad"] * 3 + ["good"] * 2
         pool.want(want("probe"), 6.0)
         assert pool.poll(6.0)[0].route[0].engine == "bad"
@@ -334,12 +336,12 @@
         pool.want(want("r1"), 0.0)
         route = pool.poll(0.0)[0].route
         successor = Pool("draft", "a", PoolLimits(reserves=(0.0, 0.0, 0.0)))
-        successor.hold(Hold(want("r1"), route, 3), 1.0)
+        successor.hold(HeldGrant(want("r1"), route, 3), 1.0)
         successor.observe(engine("e", slots=2, running=1), 1.0)
         for name in ("r2", "r3"):
             successor.want(want(name), 1.0)
         assert kinds(successor.poll(1.0)) == [("Grant", "r2")]
-        successor.done(Done("r1", 0, "h1", 16, 9), 2.0)
+        successor.done(GrantOutcome("r1", 0, "h1", 16, 9), 2.0)
         assert kinds(successor.poll(2.0)) == [("Grant", "r3")]
 
     def test_takes_what_runs_without_a_hold_for_used(self):
@@ -406,6 +408,6 @@
             pool.want(want(name, f"account{number % 500}", deadline=now + 500), now)
             for decision in pool.poll(now):
                 if isinstance(decision, Grant):
-                    pool.done(Done(decision.request, 0, "h1", 16, 9), now)
+                    pool.done(GrantOutcome(decision.request, 0, "h1", 16, 9), now)
         assert len(pool._ended) <= 16_384
         assert len(pool._deadlines) + len(pool._expiries) < 500
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -12,8 +12,8 @@
 from tests.scripted import ScriptedServer
 from tests.scripted import answer
 from wagtailstair.clock import SystemClock
-from wagtailstair.core.demand import RefusalReason
 from wagtailstair.core.engine import Priority
+from wagtailstair.core.grants import RefusalReason
 from wagtailstair.core.retry import RetryBudget
 from wagtailstair.core.sessions import DEFAULT_MAX_EPOCHS
 from wagtailstair.exceptions import CallerGoneError
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -42,9 +42,9 @@
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 0.0, failed_at=0.0)
-        assert replicas.settle(1.9, is_store_away=False) == []
+        assert replicas.drop_lapsed(1.9, is_store_unreachable=False) == []
         assert names(replicas) == ["x"]
-        assert replicas.settle(2.0, is_store_away=False) == ["x"]
+        assert replicas.drop_lapsed(2.0, is_store_unreachable=False) == ["x"]
         assert names(replicas) == []
 
     def test_a_row_that_is_back_stays(self):
@@ -52,23 +52,23 @@
         replicas.put(make_engine("x"))
         replicas.remove("x", 0.0, failed_at=0.0)
         replicas.put(make_engine("x"))
-        assert replicas.settle(9.0, is_store_away=False) == []
+        assert replicas.drop_lapsed(9.0, is_store_unreachable=False) == []
         assert names(replicas) == ["x"]
 
     def test_the_wait_begins_with_the_stores_return(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 0.0, failed_at=0.0)
-        replicas.settle(5.0, is_store_away=True)
-        assert replicas.settle(6.9, is_store_away=False) == []
-        assert replicas.settle(7.0, is_store_away=False) == ["x"]
+        replicas.drop_lapsed(5.0, is_store_unreachable=True)
+        assert replicas.drop_lapsed(6.9, is_store_unreachable=False) == []
+        assert replicas.drop_lapsed(7.0, is_store_unreachable=False) == ["x"]
 
     def test_the_wait_is_counted_from_the_last_failure(self):
         replicas = ReplicaSet(LAPSE_S)
         replicas.put(make_engine("x"))
         replicas.remove("x", 1.1, failed_at=0.0)
-        assert replicas.settle(1.9, is_store_away=False) == []
-        assert replicas.settle(2.0, is_store_away=False) == ["x"]
+        assert replicas.drop_lapsed(1.9, is_store_unreachable=False) == []
+        assert replicas.drop_lapsed(2.0, is_store_unreachable=False) == ["x"]
 
     def test_a_removal_long_after_a_failure_counts_at_once(self):
         replicas = ReplicaSet(LAPSE_S)
--- a/tests/test_dispatch_spread.py
+++ b/tests/test_report_distribution.py
@@ -3,10 +3,10 @@
 from tests.test_peers_codec import STATE
 from wagtailstair.core.messages import EngineLost
 from wagtailstair.core.pools import Engines
-from wagtailstair.core.spread import STALE_S
-from wagtailstair.core.spread import Spread
-from wagtailstair.core.spread import load_of
-from wagtailstair.core.spread import with_load
+from wagtailstair.core.report_distribution import STALE_S
+from wagtailstair.core.report_distribution import ReportDistribution
+from wagtailstair.core.report_distribution import load_of
+from wagtailstair.core.report_distribution import with_load
 
 PEERS = ("p1", "p2", "p3")
 STATE = dataclasses.replace(STATE, name="e4", leaving=False)
@@ -15,35 +15,35 @@
 
 class TestTargets:
     def make(self):
-        spread = Spread()
-        assert spread.targets(STATE, "p2", PEERS, 0.0) == (PEERS, ())
+        spread = ReportDistribution()
+        assert spread.select_peers(STATE, "p2", PEERS, 0.0) == (PEERS, ())
         return spread
 
     def test_changed_load_goes_to_the_dispatcher_alone(self):
         spread = self.make()
-        assert spread.targets(STATE, "p2", PEERS, 1.5) == ((), ())
-        assert spread.targets(BUSY, "p2", PEERS, 1.6) == ((), ["p2"])
-        assert spread.targets(STATE, "p2", PEERS, 1.7) == ((), ())
+        assert spread.select_peers(STATE, "p2", PEERS, 1.5) == ((), ())
+        assert spread.select_peers(BUSY, "p2", PEERS, 1.6) == ((), ["p2"])
+        assert spread.select_peers(STATE, "p2", PEERS, 1.7) == ((), ())
 
     def test_change_that_matters_to_all_goes_to_all_at_once(self):
         spread = self.make()
         leaving = dataclasses.replace(STATE, leaving=True)
-        assert spread.targets(leaving, "p2", PEERS, 0.1) == (PEERS, ())
+        assert spread.select_peers(leaving, "p2", PEERS, 0.1) == (PEERS, ())
 
     def test_new_dispatcher_is_told_at_once(self):
         spread = self.make()
-        assert spread.targets(STATE, "p3", PEERS, 0.1) == (["p3"], ())
+        assert spread.select_peers(STATE, "p3", PEERS, 0.1) == (["p3"], ())
 
     def test_new_peer_is_told_at_once(self):
         spread = self.make()
         peers = (*PEERS, "p4")
-        assert spread.targets(STATE, "p2", peers, 0.1) == (["p4"], ())
-        assert spread.targets(STATE, "p2", peers, 0.2) == ((), ())
+        assert spread.select_peers(STATE, "p2", peers, 0.1) == (["p4"], ())
+        assert spread.select_peers(STATE, "p2", peers, 0.2) == ((), ())
 
     def test_replaced_peer_is_told_of_everything(self):
         spread = self.make()
-        spread.hurry()
-        assert spread.targets(STATE, "p2", PEERS, 0.1) == (PEERS, ())
+        spread.refresh_all()
+        assert spread.select_peers(STATE, "p2", PEERS, 0.1) == (PEERS, ())
 
 
 class TestLoad:
@@ -82,6 +82,6 @@
     def test_engine_without_reports_is_forgotten(self):
         engines = Engines()
         engines.observe(STATE)
-        spread = Spread()
+        spread = ReportDistribution()
         assert spread.stale(engines, STALE_S - 1.0) == []
         assert spread.stale(engines, STALE_S + 1.0) == [STATE]
--- a/tests/test_story.py
+++ b/tests/test_request_trace.py
@@ -5,8 +5,8 @@
 from click.testing import CliRunner
 
 from wagtailstair.cli import main
-from wagtailstair.core.story import parse_line
-from wagtailstair.core.story import tell
+from wagtailstair.core.request_trace import parse_line
+from wagtailstair.core.request_trace import trace_request
 
 ROOT = pathlib.Path(__file__).parent.parent
 
@@ -28,7 +28,7 @@
 
 class TestStory:
     def test_events_of_the_request_and_of_its_host(self):
-        story = tell(LOGS, "r1")
+        story = trace_request(LOGS, "r1")
         events = [entry.event for entry in story.lines]
         assert events == ["attempt_lost", "engine_suspected", "request_ended"]
         assert story.outcome == "no pipeline"
@@ -36,12 +36,12 @@
 
     def test_lines_out_of_order_and_truncated_lines(self):
         truncated = LOGS[5][:-15]
-        story = tell([*reversed(LOGS), truncated, "noise", ""], "r1")
+        story = trace_request([*reversed(LOGS), truncated, "noise", ""], "r1")
         assert story.outcome == "no pipeline"
         assert story.unreadable == 2
 
     def test_unknown_request_has_no_events(self):
-        assert tell(LOGS, "r3").lines == []
+        assert trace_request(LOGS, "r3").lines == []
 
     def test_a_prefix_before_the_event_is_skipped(self):
         entry = parse_line("  12.5 host-a " + LOGS[2])
--- a/tests/test_allowance.py
+++ b/tests/test_resend_budget.py
@@ -2,48 +2,48 @@
 
 import pytest
 
-from wagtailstair.core.allowance import Allowance
+from wagtailstair.core.resend_budget import ResendBudget
 
 RATIO, SLACK, WINDOW_S = 0.2, 200.0, 10.0
 
 
 class TestBudget:
     def test_slack_is_divided_among_hosts(self):
-        allowance = Allowance(RATIO, SLACK, WINDOW_S)
-        taken = sum(allowance.take("s", 8, 0.0) for _ in range(100))
+        resend_budget = ResendBudget(RATIO, SLACK, WINDOW_S)
+        taken = sum(resend_budget.take("s", 8, 0.0) for _ in range(100))
         assert 0 < taken <= SLACK / 8
 
     def test_requests_earn_repeats(self):
-        allowance = Allowance(RATIO, 0.0, WINDOW_S)
-        assert not allowance.take("s", 8, 0.0)
+        resend_budget = ResendBudget(RATIO, 0.0, WINDOW_S)
+        assert not resend_budget.take("s", 8, 0.0)
         for _ in range(100):
-            allowance.requested("s", 0.0)
-        taken = sum(allowance.take("s", 8, 0.0) for _ in range(100))
+            resend_budget.count_request("s", 0.0)
+        taken = sum(resend_budget.take("s", 8, 0.0) for _ in range(100))
         assert 0 < taken <= 20
 
     def test_services_have_budgets_of_their_own(self):
-        allowance = Allowance(RATIO, 8.0, WINDOW_S)
-        while allowance.take("s", 1, 0.0):
+        resend_budget = ResendBudget(RATIO, 8.0, WINDOW_S)
+        while resend_budget.take("s", 1, 0.0):
             continue
-        assert allowance.take("other", 1, 0.0)
+        assert resend_budget.take("other", 1, 0.0)
 
     def test_repeats_come_back_after_the_window(self):
-        allowance = Allowance(RATIO, 8.0, WINDOW_S)
-        while allowance.take("s", 1, 0.0):
+        resend_budget = ResendBudget(RATIO, 8.0, WINDOW_S)
+        while resend_budget.take("s", 1, 0.0):
             continue
-        assert not allowance.take("s", 1, WINDOW_S)
-        assert allowance.take("s", 1, WINDOW_S + 2)
+        assert not resend_budget.take("s", 1, WINDOW_S)
+        assert resend_budget.take("s", 1, WINDOW_S + 2)
 
     @pytest.mark.parametrize("seed", range(10))
     def test_all_hosts_together_keep_to_the_budget(self, seed):
         rng = random.Random(seed)
-        hosts = [Allowance(RATIO, SLACK, WINDOW_S) for _ in range(8)]
+        hosts = [ResendBudget(RATIO, SLACK, WINDOW_S) for _ in range(8)]
         requests, repeats = [], []
         for step in range(4000):
             now = step * 0.01
             host = rng.choice(hosts)
             if rng.random() < 0.5:
-                host.requested("s", now)
+                host.count_request("s", now)
                 requests.append(now)
             if host.take("s", 8, now):
                 repeats.append(now)
--- a/tests/test_retry.py
+++ b/tests/test_retry.py
@@ -11,7 +11,7 @@
         retries = 0
         for number in range(10_000):
             now = number / 100
-            budget.attempted(now)
+            budget.count_attempt(now)
             retries += budget.take(now)
         # Without traffic of its own the reserve comes back in 10 s.
         assert 900 <= retries <= 1_000 + 3 + 3 * 10
@@ -19,7 +19,7 @@
     def test_a_quiet_hour_does_not_pay_for_a_storm(self):
         budget = RetryBudget(share=0.1, reserve=3.0)
         for number in range(1_000):
-            budget.attempted(number / 1_000)
+            budget.count_attempt(number / 1_000)
         assert sum(budget.take(3_600.0) for _ in range(100)) == 3
 
 
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -56,11 +56,11 @@
 
 
 def cheapest(table, need):
-    def pick(lane):
-        loads = sorted(lane.loads, key=lambda load: expected_delay(load, need, 0.0))
+    def pick(group):
+        loads = sorted(group.loads, key=lambda load: expected_delay(load, need, 0.0))
         return (expected_delay(loads[0], need, 0.0), loads[0]) if loads else None
 
-    return shortest_route(table.lanes, need.tokens, pick)
+    return shortest_route(table.groups, need.tokens, pick)
 
 
 def brute_force(table, need):
--- a/tests/test_sessions.py
+++ b/tests/test_sessions.py
@@ -30,7 +30,7 @@
 
 
 def send(session, attempt, position, token=30, trail=TRAIL, request="r1"):
-    return session.line(
+    return session.accept_token(
         request, attempt.id, attempt.epoch, position, token, " w", trail
     )
 
@@ -80,7 +80,7 @@
 
     def test_drops_a_closed_attempt(self, session):
         old = session.begin(ROUTE)
-        session.broken(old.id, sent=True)
+        session.close_broken(old.id, sent=True)
         session.begin(ROUTE)
         assert send(session, old, 0) == Dropped(DropReason.ATTEMPT)
         assert session.tokens == []
@@ -115,7 +115,7 @@
     def test_matching_position_finishes(self, session):
         attempt = session.begin(ROUTE)
         send(session, attempt, 0)
-        verdict = session.end("r1", attempt.id, attempt.epoch, 1, "stop")
+        verdict = session.accept_end("r1", attempt.id, attempt.epoch, 1, "stop")
         assert verdict is ACCEPTED
         assert session.finish_reason == "stop"
         assert not session.may_begin()
@@ -124,16 +124,18 @@
     def test_other_position_is_a_violation(self, session, position):
         attempt = session.begin(ROUTE)
         send(session, attempt, 0)
-        verdict = session.end("r1", attempt.id, attempt.epoch, position, "stop")
+        verdict = session.accept_end("r1", attempt.id, attempt.epoch, position, "stop")
         assert verdict == Violation(ViolationReason.END_POSITION)
         assert session.finish_reason is None
         assert session.may_begin()
 
     def test_drops_the_end_of_an_old_attempt(self, session):
         old = session.begin(ROUTE)
-        session.broken(old.id, sent=True)
+        session.close_broken(old.id, sent=True)
         session.begin(ROUTE)
-        assert isinstance(session.end("r1", old.id, old.epoch, 0, "stop"), Dropped)
+        assert isinstance(
+            session.accept_end("r1", old.id, old.epoch, 0, "stop"), Dropped
+        )
         assert session.finish_reason is None
 
 
@@ -141,22 +143,22 @@
     def test_next_epoch_starts_at_the_delivered_tokens(self, session):
         first = session.begin(ROUTE)
         send(session, first, 0, 31)
-        assert session.broken(first.id, sent=True)
+        assert session.close_broken(first.id, sent=True)
         second = session.begin(make_route(0, 12))
         assert (second.epoch, second.position, second.tokens) == (2, 1, (31,))
         assert second.id != first.id
 
     def test_old_attempt_does_not_close_the_new(self, session):
         first = session.begin(ROUTE)
-        session.broken(first.id, sent=True)
+        session.close_broken(first.id, sent=True)
         second = session.begin(ROUTE)
-        assert not session.broken(first.id, sent=True)
+        assert not session.close_broken(first.id, sent=True)
         assert session.attempt == second.id
 
     def test_ends_after_the_last_epoch(self):
         session = Session("r1", "hello", 4, LAYERS, max_epochs=1)
         attempt = session.begin(ROUTE)
-        assert not session.broken(attempt.id, sent=True)
+        assert not session.close_broken(attempt.id, sent=True)
         with pytest.raises(ValueError, match="out of epochs"):
             session.begin(ROUTE)
 
@@ -167,30 +169,30 @@
 
 class TestOutcome:
     def test_not_run_before_any_attempt(self, session):
-        assert session.give_up() is Outcome.NOT_RUN
+        assert session.close() is Outcome.NOT_RUN
 
     def test_not_run_after_refusals(self, session):
-        session.broken(session.begin(ROUTE).id, sent=False)
-        session.refused(session.begin(ROUTE).id)
-        assert session.give_up() is Outcome.NOT_RUN
+        session.close_broken(session.begin(ROUTE).id, sent=False)
+        session.close_refused(session.begin(ROUTE).id)
+        assert session.close() is Outcome.NOT_RUN
 
     def test_unknown_after_one_sent(self, session):
-        session.broken(session.begin(ROUTE).id, sent=True)
-        session.refused(session.begin(ROUTE).id)
-        assert session.give_up() is Outcome.UNKNOWN
+        session.close_broken(session.begin(ROUTE).id, sent=True)
+        session.close_refused(session.begin(ROUTE).id)
+        assert session.close() is Outcome.UNKNOWN
 
     def test_unknown_while_open(self, session):
         attempt = session.begin(ROUTE)
         assert session.outcome() is Outcome.UNKNOWN
-        assert session.give_up() is Outcome.UNKNOWN
+        assert session.close() is Outcome.UNKNOWN
         assert isinstance(send(session, attempt, 0), Dropped)
 
     def test_unknown_after_a_refusal_that_contradicts_a_token(self, session):
         attempt = session.begin(ROUTE)
         send(session, attempt, 0)
-        session.refused(attempt.id)
-        assert session.give_up() is Outcome.UNKNOWN
+        session.close_refused(attempt.id)
+        assert session.close() is Outcome.UNKNOWN
 
     def test_unknown_after_a_violation(self, session):
         send(session, session.begin(ROUTE), 3)
-        assert session.give_up() is Outcome.UNKNOWN
+        assert session.close() is Outcome.UNKNOWN
--- a/tests/test_sessions_machine.py
+++ b/tests/test_sessions_machine.py
@@ -67,7 +67,7 @@
         request = upstream.session.request
         token = token_at(request, position)
         expected = target.attempt
-        verdict = target.line(
+        verdict = target.accept_token(
             request, attempt.id, attempt.epoch, position, token, "", trail
         )
         if verdict is ACCEPTED:
@@ -121,19 +121,21 @@
             return
         upstream.has_run = True
         expected = session.attempt
-        verdict = session.end(session.request, attempt.id, attempt.epoch, count, "stop")
+        verdict = session.accept_end(
+            session.request, attempt.id, attempt.epoch, count, "stop"
+        )
         if verdict is ACCEPTED:
             assert attempt.id == expected, "the end of an old attempt"
             assert count == len(self.delivered[session.request]), "a cut answer"
 
     @precondition(lambda self: self.upstreams)
     @rule(index=indexes, sent=st.booleans())
-    def broken(self, index, sent):
+    def close_broken(self, index, sent):
         upstream = self.upstreams[index % len(self.upstreams)]
         if not sent and upstream.has_run:
             return
         upstream.was_reached = upstream.was_reached and sent
-        upstream.session.broken(upstream.attempt.id, sent)
+        upstream.session.close_broken(upstream.attempt.id, sent)
 
     @precondition(lambda self: self.upstreams)
     @rule(index=indexes)
@@ -142,12 +144,12 @@
         if upstream.has_run:
             return
         upstream.was_reached = False
-        upstream.session.refused(upstream.attempt.id)
+        upstream.session.close_refused(upstream.attempt.id)
 
     @rule(index=indexes)
-    def give_up(self, index):
+    def close(self, index):
         session = self.sessions[index % 2]
-        session.give_up()
+        session.close()
 
     @invariant()
     def holds(self):
--- a/tests/test_table_copy.py
+++ b/tests/test_table_copy.py
@@ -21,52 +21,52 @@
 @pytest.fixture
 def copy():
     copy = TableCopy("t")
-    copy.replace([row("x", 3), row("y", 5)], 7)
+    copy.apply_snapshot([row("x", 3), row("y", 5)], 7)
     return copy
 
 
 class TestSnapshot:
     def test_rows_missing_from_a_snapshot_are_deleted(self, copy):
-        newer = copy.replace([row("y", 5)], 9)
+        newer = copy.apply_snapshot([row("y", 5)], 9)
         assert [(entry.key, entry.value) for entry in newer] == [("x", None)]
-        assert keys(copy.live()) == ["y"]
+        assert keys(copy.live_rows()) == ["y"]
 
     def test_rows_newer_than_a_snapshot_are_kept(self, copy):
-        copy.change([row("z", 12)], 12)
-        assert copy.replace([row("x", 3), row("y", 5)], 9) == []
-        assert keys(copy.live()) == ["x", "y", "z"]
+        copy.apply_delta([row("z", 12)], 12)
+        assert copy.apply_snapshot([row("x", 3), row("y", 5)], 9) == []
+        assert keys(copy.live_rows()) == ["x", "y", "z"]
 
     def test_copy_is_incomplete_before_the_first_snapshot(self):
         copy = TableCopy("t")
         assert not copy.is_complete
         assert copy.since(0) == []
-        copy.replace([], 4)
+        copy.apply_snapshot([], 4)
         assert copy.is_complete
 
 
 class TestDelta:
     def test_an_older_change_is_ignored(self, copy):
-        assert copy.change([row("y", 4, None)], 7) == []
-        assert keys(copy.live()) == ["x", "y"]
+        assert copy.apply_delta([row("y", 4, None)], 7) == []
+        assert keys(copy.live_rows()) == ["x", "y"]
 
     def test_an_older_change_does_not_restore_a_deleted_row(self, copy):
-        copy.change([row("x", 8, None)], 8)
-        assert copy.change([row("x", 3)], 7) == []
-        assert keys(copy.live()) == ["y"]
+        copy.apply_delta([row("x", 8, None)], 8)
+        assert copy.apply_delta([row("x", 3)], 7) == []
+        assert keys(copy.live_rows()) == ["y"]
 
     @pytest.mark.parametrize("seed", range(20))
     def test_the_order_of_changes_does_not_matter(self, copy, seed):
         changes = [row("x", 8, None), row("x", 9), row("y", 10, None), row("z", 11)]
         random.Random(seed).shuffle(changes)
         for changed in changes + changes:
-            copy.change([changed], 7)
-        assert keys(copy.live()) == ["x", "z"]
+            copy.apply_delta([changed], 7)
+        assert keys(copy.live_rows()) == ["x", "z"]
         assert copy.version == 11
 
 
 class TestSince:
     def test_deletions_are_included(self, copy):
-        copy.change([row("x", 8, None), row("z", 9)], 9)
+        copy.apply_delta([row("x", 8, None), row("z", 9)], 9)
         changed = copy.since(7)
         assert [(entry.key, entry.value) for entry in changed] == [
             ("x", None),
@@ -80,11 +80,11 @@
     def test_the_number_of_tombstones_is_limited(self, copy):
         for number in range(TOMBSTONES_MAX + 5):
             version = 10 + 2 * number
-            copy.change([row(f"k{number}", version)], version)
-            copy.change([row(f"k{number}", version + 1, None)], version + 1)
+            copy.apply_delta([row(f"k{number}", version)], version)
+            copy.apply_delta([row(f"k{number}", version + 1, None)], version + 1)
         assert copy.since(7) is None
         assert copy.since(copy.version - 3) is not None
-        assert keys(copy.live()) == ["x", "y"]
+        assert keys(copy.live_rows()) == ["x", "y"]
 
     def test_a_peer_that_reads_the_changes_gets_the_same_rows(self, copy):
         other = TableCopy("t")
@@ -92,13 +92,15 @@
         for _ in range(30):
             version = next(steps)
             key = f"k{version % 4}"
-            copy.change([row(key, version, b"v" if version % 3 else None)], version)
+            copy.apply_delta(
+                [row(key, version, b"v" if version % 3 else None)], version
+            )
             if version % 5:
                 continue
             rows = copy.since(other.as_of)
             if rows is None:
-                other.replace(copy.live(), copy.as_of)
+                other.apply_snapshot(copy.live_rows(), copy.as_of)
             else:
-                other.change(rows, copy.as_of)
-            assert keys(other.live()) == keys(copy.live())
+                other.apply_delta(rows, copy.as_of)
+            assert keys(other.live_rows()) == keys(copy.live_rows())
             assert other.version == copy.version
--- a/tests/test_spill.py
+++ b/tests/test_wait_estimates.py
@@ -2,8 +2,8 @@
 import random
 
 from wagtailstair.core.engine import Priority
-from wagtailstair.core.spill import FORGET_S
-from wagtailstair.core.spill import Waits
+from wagtailstair.core.wait_estimates import ESTIMATE_DECAY_S
+from wagtailstair.core.wait_estimates import WaitEstimates
 
 STANDARD = Priority.STANDARD
 CENTRES = ("a", "b", "c")
@@ -20,7 +20,7 @@
 
 class TestOrder:
     def test_stays_at_home_without_cause(self):
-        waits = Waits()
+        waits = WaitEstimates()
         assert first(waits, 0.0) == "a"
         wait_in(waits, "a", 0.01, 1.0)
         assert first(waits, 1.0) == "a"
@@ -29,31 +29,31 @@
         ]
 
     def test_leaves_where_it_has_waited_and_tries_again_later(self):
-        waits = Waits()
+        waits = WaitEstimates()
         wait_in(waits, "a", 1.0, 1.0)
         assert first(waits, 1.0) != "a"
         assert first(waits, 1.0, Priority.URGENT) == "a"
-        assert first(waits, 1.0 + FORGET_S) == "a"
+        assert first(waits, 1.0 + ESTIMATE_DECAY_S) == "a"
 
     def test_a_request_that_still_waits_tells_as_well(self):
-        waits = Waits()
+        waits = WaitEstimates()
         waits.submitted("r", "a", STANDARD, 0.0)
         assert first(waits, 0.5) != "a"
         waits.withdrawn("r")
         assert first(waits, 0.5) == "a"
 
     def test_refusals_count_as_waits(self):
-        waits = Waits()
+        waits = WaitEstimates()
         waits.submitted("r", "a", STANDARD, 0.0)
         waits.refused("r", 0.0)
         assert first(waits, 0.0) != "a"
 
     def test_hosts_with_the_same_news_do_not_all_go_to_one_place(self):
-        waits = Waits()
+        waits = WaitEstimates()
         wait_in(waits, "a", 1.0, 1.0)
         chosen = collections.Counter(first(waits, 1.0, seed=n) for n in range(200))
         assert min(chosen["b"], chosen["c"]) > 60
 
     def test_goes_to_no_data_centre_that_is_not_offered(self):
-        order = Waits().order("a", ("b",), STANDARD, 0.0, random.Random(1))
+        order = WaitEstimates().order("a", ("b",), STANDARD, 0.0, random.Random(1))
         assert order == ("b",)
