--- a/src/wagtailstair/core/hosts.py
+++ b/src/wagtailstair/core/hosts.py
@@ -36,10 +36,10 @@
     """The periodic message by which a host shows that it is live.
 
     ``view``: checksum of the sender's view; ``lists_version``: version of the
-    lists that the sender holds; ``known_lists_version``: highest version that any host
-    has announced to it; ``upstreams_version``: version of the newest change of
-    upstreams that it has received; ``is_store_unreachable``: its last call to the
-    store failed.
+    lists that the sender holds; ``known_lists_version``: highest version that
+    any host has announced to it; ``upstreams_version``: version of the newest
+    change of upstreams that it has received; ``is_store_unreachable``: its last
+    call to the store failed.
     """
 
     host: Host
--- a/tests/test_request_trace.py
+++ b/tests/test_request_trace.py
@@ -26,19 +26,19 @@
 ]
 
 
-class TestStory:
+class TestTraceRequest:
     def test_events_of_the_request_and_of_its_host(self):
-        story = trace_request(LOGS, "r1")
-        events = [entry.event for entry in story.lines]
+        trace = trace_request(LOGS, "r1")
+        events = [entry.event for entry in trace.lines]
         assert events == ["attempt_lost", "engine_suspected", "request_ended"]
-        assert story.outcome == "no pipeline"
-        assert story.left_out == 7
+        assert trace.outcome == "no pipeline"
+        assert trace.left_out == 7
 
     def test_lines_out_of_order_and_truncated_lines(self):
         truncated = LOGS[5][:-15]
-        story = trace_request([*reversed(LOGS), truncated, "noise", ""], "r1")
-        assert story.outcome == "no pipeline"
-        assert story.unreadable == 2
+        trace = trace_request([*reversed(LOGS), truncated, "noise", ""], "r1")
+        assert trace.outcome == "no pipeline"
+        assert trace.unreadable == 2
 
     def test_unknown_request_has_no_events(self):
         assert trace_request(LOGS, "r3").lines == []
