--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -87,7 +87,7 @@
         if peer is None:
             if len(self.by_name) >= PEERS_MAX:
                 return []
-            peer = self.by_name[host.name] = Peer(host, heartbeat_at=now)
+            peer = self.by_name[host.name] = Peer(host, silent_since=now)
         elif self._is_stale(peer, message):
             return []
         events: list[Event] = []
@@ -98,7 +98,7 @@
         peer.host = host
         peer.seq = message.seq
         peer.heard = True
-        peer.heartbeat_at = now
+        peer.silent_since = now
         peer.view = message.view
         peer.is_store_unreachable = message.is_store_unreachable
         peer.lists_version = max(peer.lists_version, message.lists_version)
@@ -129,7 +129,7 @@
             known = self.by_name.get(name)
             if known is None:
                 host = dataclasses.replace(host, incarnation=0)
-                self.by_name[name] = Peer(host, heartbeat_at=now, is_listed=True)
+                self.by_name[name] = Peer(host, silent_since=now, is_listed=True)
                 continue
             if known.state is HostState.DEAD or not known.heard:
                 incarnation = known.host.incarnation
@@ -144,14 +144,14 @@
         self._ticked_at = now
         if gap > self._dead_after_s * PAUSE_FRACTION:
             for peer in self.by_name.values():
-                peer.heartbeat_at = max(
-                    peer.heartbeat_at, min(peer.heartbeat_at + gap, now)
+                peer.silent_since = max(
+                    peer.silent_since, min(peer.silent_since + gap, now)
                 )
             return [SelfPaused(gap)]
         events: list[Event] = []
         slowdown = self._slowdown()
         for peer in list(self.by_name.values()):
-            silence = now - peer.heartbeat_at
+            silence = now - peer.silent_since
             if peer.state is HostState.DEAD or not peer.heard:
                 if silence > FORGET_AFTER_S and not peer.is_listed:
                     del self.by_name[peer.host.name]
@@ -191,7 +191,7 @@
         """
         names = [self.host.name]
         for peer in self._local_peers():
-            is_recent = peer.heard and now - peer.heartbeat_at <= silence_s
+            is_recent = peer.heard and now - peer.silent_since <= silence_s
             if (
                 is_recent
                 and peer.state is HostState.LIVE
--- a/src/wagtailstair/core/peer.py
+++ b/src/wagtailstair/core/peer.py
@@ -12,9 +12,10 @@
 class Peer:
     """The state of another host.
 
-    ``heard``: a heartbeat has arrived directly from it; ``heartbeat_at``: when
-    the last one did; ``is_listed``: the host list names it; ``view``: checksum
-    of its current view; ``view_hosts``: its view as last received.
+    ``heard``: a heartbeat has arrived directly from it; ``silent_since``: time
+    of the last one, or of the addition of the host, moved forward by pauses of
+    this process; ``is_listed``: the host list names it; ``view``: checksum of
+    its current view; ``view_hosts``: its view as last received.
     """
 
     host: Host
@@ -23,7 +24,7 @@
     lists_version: int = 0
     known_lists_version: int = 0
     is_store_unreachable: bool = False
-    heartbeat_at: float = 0.0
+    silent_since: float = 0.0
     heard: bool = False
     is_listed: bool = False
     view: int = 0
