--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -22,7 +22,7 @@
         assert (route.goal_s, route.gap_s, route.attempts) == (0.5, 0.25, 2)
         assert route.may_repeat
 
-    def test_split_becomes_weighted_targets(self, directory):
+    def test_split_gives_weighted_targets(self, directory):
         route = directory.find_route("desk.example", "/lookup/x")
         assert route is not None
         assert route.targets == (("desk", 90.0), ("desk2", 10.0))
@@ -43,7 +43,7 @@
         "value",
         [b"", b"{", b"[]", b"\xff\xfe", encode({"version": 1})],
     )
-    def test_unreadable(self, value):
+    def test_invalid_value(self, value):
         with pytest.raises(ListsError, match="op/config"):
             decode_directory(value)
 
@@ -54,39 +54,39 @@
             decode_directory(encode(config))
 
 
-class TestJudge:
+class TestAuthorize:
     def test_longest_prefix_wins(self):
         config = make_config()
         longer = dict(config["routes"][1], name="deep", prefix="/register/fee/")
         config["routes"].append(longer)
         directory = decode_directory(encode(config))
-        grant = directory.judge("desk.example", "/register/fee/9", "key-one")
+        grant = directory.authorize("desk.example", "/register/fee/9", "key-one")
         assert isinstance(grant, Grant)
         assert grant.route.name == "deep"
 
     def test_prefix_ends_at_a_slash(self, directory):
-        denial = directory.judge("desk.example", "/registered/1", "key-one")
+        denial = directory.authorize("desk.example", "/registered/1", "key-one")
         assert denial is Denial.NO_ROUTE
 
     def test_unknown_host(self, directory):
-        assert directory.judge("other", "/draft/", "key-one") is Denial.NO_ROUTE
+        assert directory.authorize("other", "/draft/", "key-one") is Denial.NO_ROUTE
 
     @pytest.mark.parametrize("key", [None, "", "key-four"])
     def test_unknown_key(self, directory, key):
-        denial = directory.judge("desk.example", "/register/1", key)
+        denial = directory.authorize("desk.example", "/register/1", key)
         assert denial is Denial.UNKNOWN_KEY
 
     def test_anonymous_route_needs_no_key(self, directory):
-        grant = directory.judge("desk.example", "/lookup/1", None)
+        grant = directory.authorize("desk.example", "/lookup/1", None)
         assert isinstance(grant, Grant)
         assert grant.account is None
 
-    def test_rank_of_the_account_goes_first(self, directory):
-        maker = directory.judge("desk.example", "/draft/1", "key-two")
-        judge = directory.judge("desk.example", "/draft/1", "key-three")
+    def test_rank_of_the_account_takes_precedence(self, directory):
+        maker = directory.authorize("desk.example", "/draft/1", "key-two")
+        judge = directory.authorize("desk.example", "/draft/1", "key-three")
         assert (maker.rank, judge.rank) == (1, 0)
         assert maker.version == 7
 
-    def test_no_accounts_need_no_keys(self):
+    def test_keys_are_not_required_without_accounts(self):
         directory = decode_directory(encode(make_config(tenants=[])))
-        assert isinstance(directory.judge("desk.example", "/draft/1", None), Grant)
+        assert isinstance(directory.authorize("desk.example", "/draft/1", None), Grant)
