--- a/standins/__init__.py
+++ b/standins/__init__.py
@@ -1,1 +1,1 @@
-"""Small stand-ins for the platform and the upstreams, for tests and the demo."""
+"""Stand-ins for the platform and the upstreams, for tests, demo and benchmarks."""
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,25 +8,29 @@
 import signal
 import tomllib
 
-from .world import World
+from .world import StandinSet
 
 
 async def _run(config_file: pathlib.Path) -> None:
-    world = World(tomllib.loads(config_file.read_text(encoding="utf-8")))
+    standins = StandinSet(tomllib.loads(config_file.read_text(encoding="utf-8")))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stop.set)
-    await world.start()
+    for signal_number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(signal_number, stop.set)
+    await standins.start()
     gc.freeze()
-    line = {"ready": True, "control": world.control, "addresses": world.addresses}
-    print(json.dumps(line), flush=True)
+    ready = {
+        "ready": True,
+        "control": standins.control,
+        "addresses": standins.addresses,
+    }
+    print(json.dumps(ready), flush=True)
     await stop.wait()
-    await world.stop()
+    await standins.stop()
 
 
 def main() -> None:
-    """Run until SIGTERM."""
+    """Run the configured stand-ins until SIGTERM or SIGINT."""
     parser = argparse.ArgumentParser(prog="standins")
     parser.add_argument("--config", type=pathlib.Path, required=True)
     asyncio.run(_run(parser.parse_args().config))
--- a/standins/base.py
+++ b/standins/base.py
@@ -1,4 +1,4 @@
-"""What all stand-ins share: a port, switches, records and ways to die."""
+"""Base class of the stand-ins: an HTTP server with fault switches and records."""
 
 import asyncio
 import collections
@@ -17,29 +17,29 @@
 
 
 class SwitchError(ValueError):
-    """A switch does not exist or got a wrong value."""
+    """A switch does not exist or was given an invalid value."""
 
 
-class Bucket:
+class TokenBucket:
     """A token bucket with one second of burst."""
 
-    __slots__ = ("_at", "_level", "rate")
+    __slots__ = ("_level", "_updated_at", "rate")
 
     def __init__(self, rate: float) -> None:
         self.set_rate(rate)
 
     def set_rate(self, rate: float) -> None:
-        """Begin anew with a full bucket."""
+        """Change the rate and refill the bucket."""
         self.rate = rate
         self._level = rate
-        self._at = time.monotonic()
+        self._updated_at = time.monotonic()
 
-    def wait_s(self, amount: float) -> float:
-        """Take the amount, or return the seconds until it would fit."""
+    def try_take(self, amount: float) -> float:
+        """Take the amount and return 0, or return the seconds until it is available."""
         now = time.monotonic()
-        self._level = min(self.rate, self._level + (now - self._at) * self.rate)
-        self._at = now
-        # An amount above the burst passes when the bucket is full.
+        self._level = min(self.rate, self._level + (now - self._updated_at) * self.rate)
+        self._updated_at = now
+        # An amount larger than the burst is accepted once the bucket is full.
         if self._level >= min(amount, self.rate):
             self._level -= amount
             return 0.0
@@ -47,27 +47,27 @@
 
 
 def new_records() -> collections.deque[Json]:
-    """Return an empty, bounded list of records."""
+    """Return an empty list of records that keeps the newest ``MAX_RECORDS``."""
     return collections.deque(maxlen=MAX_RECORDS)
 
 
-def drop(request: web.Request) -> web.Response:
-    """Abort the connection without a reply."""
+def abort_connection(request: web.Request) -> web.Response:
+    """Abort the connection without a response."""
     if request.transport is not None:
         request.transport.abort()
     return web.Response(status=503)
 
 
-def refusal(status: int, message: str) -> web.Response:
-    """Return a refusal that says that nothing ran."""
+def not_run_response(status: int, message: str) -> web.Response:
+    """Return an error response that marks the request as not run."""
     body = {"error": message, "not_run": True}
     return web.json_response(body, status=status, headers={"X-Not-Run": "true"})
 
 
 class Standin:
-    """One server on its own port, with fault switches."""
+    """An HTTP server on its own port, with fault switches."""
 
-    # Cancel a handler when its caller goes away.
+    # Whether to cancel a request handler when the client disconnects.
     handler_cancellation = False
 
     def __init__(self, name: str, config: Json) -> None:
@@ -84,7 +84,7 @@
 
     @property
     def address(self) -> str:
-        """The address as ``ip:port``."""
+        """Address as ``ip:port``."""
         return f"{LOOPBACK}:{self.port}"
 
     def routes(self) -> list[web.RouteDef]:
@@ -92,20 +92,20 @@
         raise NotImplementedError
 
     def records(self) -> Json:
-        """Return what the stand-in saw."""
+        """Return the requests and counts that the stand-in has recorded."""
         raise NotImplementedError
 
-    def switched(self, changes: Json) -> None:
-        """Act on switches that have just changed."""
+    def apply_switches(self, changes: Json) -> None:
+        """Apply switches that have just changed."""
 
-    def died(self) -> None:
-        """Drop what a killed process loses."""
+    def handle_crash(self) -> None:
+        """Discard the state that a process loses in a crash."""
 
-    def revived(self) -> None:
-        """Begin a new life under the same address."""
+    def handle_restart(self) -> None:
+        """Prepare to serve again under the same address."""
 
-    def take(self, switch: str) -> bool:
-        """Use up one of a counted switch."""
+    def consume_switch(self, switch: str) -> bool:
+        """Decrement a counted switch; return False if it is at zero."""
         if self.switches[switch] <= 0:
             return False
         self.switches[switch] -= 1
@@ -114,25 +114,27 @@
     async def switch(self, changes: Json) -> None:
         """Change switches.
 
-        :raises SwitchError: for one that does not exist.
+        :raises SwitchError: if a switch does not exist.
         """
         unknown = changes.keys() - self.switches.keys()
         if unknown:
             raise SwitchError(f"{self.name} has no switch {sorted(unknown)}")
         was_dead = self.switches["dead"]
         self.switches.update(changes)
-        self.switched(changes)
+        self.apply_switches(changes)
         if self.switches["dead"] and not was_dead:
-            await self._die()
+            await self._simulate_crash()
         if was_dead and not self.switches["dead"]:
-            self.revived()
+            self.handle_restart()
             await self._listen()
 
     async def start(self) -> None:
-        """Begin to serve."""
-        app = web.Application(middlewares=[self._delay], client_max_size=MAX_BODY_BYTES)
-        app.add_routes([web.post("/_switch", self._on_switch)])
-        app.add_routes([web.get("/_records", self._on_records)])
+        """Start to serve requests."""
+        app = web.Application(
+            middlewares=[self._inject_faults], client_max_size=MAX_BODY_BYTES
+        )
+        app.add_routes([web.post("/_switch", self._handle_switch)])
+        app.add_routes([web.get("/_records", self._handle_records)])
         app.add_routes(self.routes())
         self._runner = web.AppRunner(
             app,
@@ -145,7 +147,7 @@
         await self._listen()
 
     async def stop(self) -> None:
-        """Stop to serve."""
+        """Stop the server."""
         if self._runner is not None:
             await self._runner.cleanup()
 
@@ -155,27 +157,27 @@
             self._runner, LOOPBACK, self.port, backlog=1024, reuse_address=True
         )
         await self._site.start()
-        # The port is kept, so that a revived stand-in has its old address.
+        # Keep the port, so that a restarted stand-in has the same address.
         self.port = self._runner.addresses[0][1]
 
-    async def _die(self) -> None:
+    async def _simulate_crash(self) -> None:
         assert self._runner is not None
         assert self._site is not None
         assert self._runner.server is not None
         await self._site.stop()
-        self.died()
+        self.handle_crash()
         for connection in list(self._runner.server.connections):
             if connection.transport is not None:
                 connection.transport.abort()
 
     @web.middleware
-    async def _delay(
+    async def _inject_faults(
         self, request: web.Request, handler: Handler
     ) -> web.StreamResponse:
         if request.path.startswith("/_"):
             return await handler(request)
         if self.switches["unavailable"]:
-            return refusal(503, "unavailable")
+            return not_run_response(503, "unavailable")
         if self.switches["delay_s"]:
             await asyncio.sleep(self.switches["delay_s"])
         response = await handler(request)
@@ -183,12 +185,12 @@
             await asyncio.sleep(self.switches["reply_delay_s"])
         return response
 
-    async def _on_switch(self, request: web.Request) -> web.Response:
+    async def _handle_switch(self, request: web.Request) -> web.Response:
         try:
             await self.switch(await request.json())
         except SwitchError as error:
             return web.json_response({"error": str(error)}, status=400)
         return web.json_response({"switches": self.switches})
 
-    async def _on_records(self, _request: web.Request) -> web.Response:
+    async def _handle_records(self, _request: web.Request) -> web.Response:
         return web.json_response(self.records())
--- a/standins/decoding.py
+++ b/standins/decoding.py
@@ -1,4 +1,4 @@
-"""Decoding in batches: streams that share a route take their steps together."""
+"""Batched decoding: streams that share a route are stepped together."""
 
 import asyncio
 import time
@@ -13,19 +13,21 @@
     from .stores import Weights
 
 STALL_POLL_S = 0.02
-MAX_SKIPPED = 64
+# Waiting streams considered for each priority, so that one that does not fit does
+# not block the streams behind it.
+MAX_START_CANDIDATES = 64
 MAX_EXPORTS = 256
 
 
 class StreamError(Exception):
-    """An engine refuses a stream; nothing ran."""
+    """An engine refuses a stream, of which nothing has run."""
 
     def __init__(self, status: int, message: str) -> None:
         super().__init__(message)
         self.status = status
 
 
-def _held_share(engine: "Engine", span: Range) -> float:
+def _layer_share(engine: "Engine", span: Range) -> float:
     return (span[1] - span[0]) / max(1, engine.last - engine.first)
 
 
@@ -42,25 +44,25 @@
 
 def _can_start(stream: Stream) -> bool:
     for engine, _ in stream.stages:
-        if not engine.can_start() or not engine.cache.fits(stream.kv_tokens):
+        if not engine.has_free_slot() or not engine.cache.fits(stream.kv_tokens):
             return False
     return True
 
 
-class Group:
-    """Streams of one route, which step together."""
+class DecodeBatch:
+    """Streams with the same route, which are stepped together."""
 
     __slots__ = ("engines", "next_at", "scheduled", "shares", "streams")
 
     def __init__(self, stream: Stream) -> None:
         self.engines = [engine for engine, _ in stream.stages]
-        self.shares = [_held_share(engine, span) for engine, span in stream.stages]
+        self.shares = [_layer_share(engine, span) for engine, span in stream.stages]
         self.streams: dict[Stream, None] = {}
         self.next_at = 0.0
         self.scheduled = False
 
     def period_s(self) -> float:
-        """Return the seconds of one token through all stages and links."""
+        """Return the duration of one token through all stages and links."""
         period = 0.0
         for engine, share in zip(self.engines, self.shares, strict=True):
             period += engine.step_duration_s() * share
@@ -71,12 +73,12 @@
 
 
 class Fleet:
-    """The engines of one process, which pass activations in memory."""
+    """The engines of one process; schedules streams and passes activations in memory."""
 
     __slots__ = (
-        "_group_by_route",
-        "_poked",
-        "_waiting",
+        "_batch_by_route",
+        "_heads_with_waiting",
+        "_start_scheduled",
         "engine_by_address",
         "weights",
     )
@@ -84,15 +86,15 @@
     def __init__(self) -> None:
         self.engine_by_address: dict[str, Engine] = {}
         self.weights: Weights | None = None
-        self._group_by_route: dict[t.Hashable, Group] = {}
-        # Heads with waiting streams, in the order in which they began to wait.
-        self._waiting: dict[Engine, None] = {}
-        self._poked = False
+        self._batch_by_route: dict[t.Hashable, DecodeBatch] = {}
+        # First-stage engines with waiting streams, in the order of their first wait.
+        self._heads_with_waiting: dict[Engine, None] = {}
+        self._start_scheduled = False
 
     def new_stream(self, head: "Engine", body: Json) -> Stream:
-        """Check a request and make its stream.
+        """Validate a request and create its stream.
 
-        :raises StreamError: if the request can't run here.
+        :raises StreamError: if the request can't run on this route.
         """
         stages: list[tuple[Engine, Range]] = []
         for entry in body["route"]:
@@ -100,7 +102,7 @@
             if engine is None or engine.switches["dead"]:
                 raise StreamError(503, "stage not reachable")
             _check_stage(engine, body)
-            # Only the layers that an engine holds can run there.
+            # Run only those layers of the request that the engine holds.
             first = max(entry["first"], engine.first)
             last = max(first, min(entry["last"], engine.last))
             stages.append((engine, (first, last)))
@@ -112,19 +114,19 @@
         return stream
 
     def enqueue(self, stream: Stream) -> None:
-        """Let a stream wait for its turn at its first stage."""
+        """Queue a stream at its first stage."""
         if stream.record["end"] is not None:
             return
         head = stream.stages[0][0]
         head.waiting[stream.priority].append(stream)
-        self._waiting[head] = None
+        self._heads_with_waiting[head] = None
         if stream.deadline is not None:
             loop = asyncio.get_running_loop()
             loop.call_at(stream.deadline, self._expire, stream)
-        self._poke()
+        self._schedule_start()
 
     def release(self, stream: Stream) -> None:
-        """Free a stream's slots and memory."""
+        """Free the slots and KV memory of a stream."""
         if not stream.started:
             waiting = stream.stages[0][0].waiting[stream.priority]
             if stream in waiting:
@@ -133,91 +135,95 @@
         for engine, _ in stream.stages:
             engine.running.discard(stream)
             engine.cache.release(stream.kv_tokens)
-        if stream.group is not None:
-            stream.group.streams.pop(stream, None)
+        if stream.batch is not None:
+            stream.batch.streams.pop(stream, None)
         exports = stream.stages[0][0].exports
-        exports[stream.request] = stream.exported()
+        exports[stream.request] = stream.export_kv()
         if len(exports) > MAX_EXPORTS:
             exports.popitem(last=False)
-        self._poke()
+        self._schedule_start()
 
     def _expire(self, stream: Stream) -> None:
         if not stream.started:
-            stream.break_off("deadline")
+            stream.abort("deadline")
 
-    def _poke(self) -> None:
-        if self._poked or not self._waiting:
+    def _schedule_start(self) -> None:
+        if self._start_scheduled or not self._heads_with_waiting:
             return
-        self._poked = True
-        asyncio.get_running_loop().call_soon(self._start_waiting)
+        self._start_scheduled = True
+        asyncio.get_running_loop().call_soon(self._start_waiting_streams)
 
-    def _start_waiting(self) -> None:
-        self._poked = False
-        for head in list(self._waiting):
+    def _start_waiting_streams(self) -> None:
+        self._start_scheduled = False
+        for head in list(self._heads_with_waiting):
             for waiting in head.waiting:
-                for stream in list(waiting)[:MAX_SKIPPED]:
+                for stream in list(waiting)[:MAX_START_CANDIDATES]:
                     if _can_start(stream):
                         waiting.remove(stream)
                         self._start(stream)
             if not head.waiting_count():
-                del self._waiting[head]
+                del self._heads_with_waiting[head]
 
     def _start(self, stream: Stream) -> None:
         stream.started = True
-        now = at = time.monotonic()
+        now = ready_at = time.monotonic()
         for engine, span in stream.stages:
             engine.running.add(stream)
             engine.cache.reserve(stream.kv_tokens)
             cached = engine.cache.lookup(stream.hashes)
-            if engine.cache.holds(stream.context):
-                cached = stream.to_prefill
+            if engine.cache.has_import(stream.context):
+                cached = stream.prefill_tokens
             engine.cache.store(stream.hashes)
             if engine is stream.stages[0][0]:
-                stream.cached = min(cached, stream.prompt_tokens)
-            todo = max(0, stream.to_prefill - cached) * _held_share(engine, span)
-            took = todo / engine.prefill_tokens_per_s * engine.switches["slow"]
-            # Prefills of one engine run one after another.
-            at = max(at, engine.prefill_free_at) + took
-            engine.prefill_free_at = at
+                stream.cached_tokens = min(cached, stream.prompt_tokens)
+            uncached_tokens = max(0, stream.prefill_tokens - cached) * _layer_share(
+                engine, span
+            )
+            prefill_s = (
+                uncached_tokens / engine.prefill_tokens_per_s * engine.switches["slow"]
+            )
+            # The prefills of an engine run sequentially.
+            ready_at = max(ready_at, engine.prefill_free_at) + prefill_s
+            engine.prefill_free_at = ready_at
         for (engine, _), (following, _) in zip(
             stream.stages, stream.stages[1:], strict=False
         ):
-            at += engine.link_s(following)
-        asyncio.get_running_loop().call_later(at - now, self._join, stream)
+            ready_at += engine.link_s(following)
+        asyncio.get_running_loop().call_later(ready_at - now, self._join_batch, stream)
 
-    def _join(self, stream: Stream) -> None:
+    def _join_batch(self, stream: Stream) -> None:
         if stream.record["end"] is not None:
             return
         if stream.position >= stream.max_tokens:
-            stream.end("length")
+            stream.send_end("length")
             return
         key = tuple((engine.name, span) for engine, span in stream.stages)
-        group = self._group_by_route.get(key)
-        if group is None:
-            group = self._group_by_route[key] = Group(stream)
-        stream.group = group
-        group.streams[stream] = None
-        if not group.scheduled:
-            self._schedule(key, group, time.monotonic())
-
-    def _schedule(self, key: t.Hashable, group: Group, start: float) -> None:
-        group.next_at = start + group.period_s()
-        group.scheduled = True
-        asyncio.get_running_loop().call_at(group.next_at, self._step, key, group)
-
-    def _step(self, key: t.Hashable, group: Group) -> None:
+        batch = self._batch_by_route.get(key)
+        if batch is None:
+            batch = self._batch_by_route[key] = DecodeBatch(stream)
+        stream.batch = batch
+        batch.streams[stream] = None
+        if not batch.scheduled:
+            self._schedule_step(key, batch, time.monotonic())
+
+    def _schedule_step(self, key: t.Hashable, batch: DecodeBatch, start: float) -> None:
+        batch.next_at = start + batch.period_s()
+        batch.scheduled = True
+        asyncio.get_running_loop().call_at(batch.next_at, self._step_batch, key, batch)
+
+    def _step_batch(self, key: t.Hashable, batch: DecodeBatch) -> None:
         loop = asyncio.get_running_loop()
         now = loop.time()
-        if any(engine.switches["stall"] for engine in group.engines):
-            group.next_at = now + STALL_POLL_S
-            loop.call_at(group.next_at, self._step, key, group)
+        if any(engine.switches["stall"] for engine in batch.engines):
+            batch.next_at = now + STALL_POLL_S
+            loop.call_at(batch.next_at, self._step_batch, key, batch)
             return
-        for stream in list(group.streams):
+        for stream in list(batch.streams):
             stream.step()
-        if group.streams:
-            # Steps follow a fixed beat unless the process itself is late.
-            late = now - group.next_at > group.period_s()
-            self._schedule(key, group, now if late else group.next_at)
+        if batch.streams:
+            # Steps keep a fixed period unless the process has fallen behind.
+            late = now - batch.next_at > batch.period_s()
+            self._schedule_step(key, batch, now if late else batch.next_at)
         else:
-            group.scheduled = False
-            del self._group_by_route[key]
+            batch.scheduled = False
+            del self._batch_by_route[key]
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -8,9 +8,9 @@
 
 from .base import Json
 from .base import Standin
-from .base import drop
+from .base import abort_connection
 from .base import new_records
-from .base import refusal
+from .base import not_run_response
 from .decoding import Fleet
 from .decoding import StreamError
 from .orders import Orders
@@ -18,13 +18,13 @@
 from .streams import Stream
 
 PRIORITIES = 3
-KNOWN_REQUESTS = 4096
-OLD_LINES = 64
-# How much longer a step of a full batch takes than one of a single stream.
+MAX_TRACKED_REQUESTS = 4096
+MAX_STALE_LINES = 64
+# Relative increase of the step duration from a single stream to a full batch.
 BATCH_GROWTH = 0.5
 REPORT_LAG_S = 0.2
 EVENT_LAG_S = 0.3
-# Every so many cache events one is never told.
+# One in EVENT_GAP cache events is omitted, as a lossy event stream would.
 EVENT_GAP = 17
 
 
@@ -53,8 +53,8 @@
         self.max_waiting = int(config.get("max_waiting", 256))
         self.cache = PrefixCache(
             int(config.get("kv_tokens", 100_000)),
-            lag_s=float(config.get("event_lag_s", EVENT_LAG_S)),
-            gap=int(config.get("event_gap", EVENT_GAP)),
+            event_lag_s=float(config.get("event_lag_s", EVENT_LAG_S)),
+            event_gap=int(config.get("event_gap", EVENT_GAP)),
         )
         self.orders = Orders(self, config)
         self.switches.update(
@@ -70,35 +70,37 @@
             report_lag_s=float(config.get("report_lag_s", REPORT_LAG_S)),
         )
         self.attempts = new_records()
-        # Streams that run through this engine, as head or as a later stage.
+        # Streams that run on this engine, as the first or a later stage.
         self.running: set[Stream] = set()
         self.waiting: list[collections.deque[Stream]] = [
             collections.deque() for _ in range(PRIORITIES)
         ]
         self.prefill_free_at = 0.0
-        self.old_lines: collections.deque[bytes] = collections.deque(maxlen=OLD_LINES)
+        self.stale_lines: collections.deque[bytes] = collections.deque(
+            maxlen=MAX_STALE_LINES
+        )
         self.exports: collections.OrderedDict[str, Json] = collections.OrderedDict()
         self._epoch_by_request: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
         self.incarnation = os.urandom(4).hex()
-        self._report: Json = {}
+        self._reported_state: Json = {}
         self._reported_at = 0.0
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the protocol."""
         return [
-            web.get("/v1/state", self._on_state),
-            web.get("/v1/events", self._on_events),
-            web.post("/v1/generate", self._on_generate),
-            web.post("/v1/cancel", self._on_cancel),
-            web.post("/v1/kv/export", self._on_export),
-            web.post("/v1/kv/import", self._on_import),
-            web.post("/v1/orders", self._on_order),
+            web.get("/v1/state", self._handle_state),
+            web.get("/v1/events", self._handle_events),
+            web.post("/v1/generate", self._handle_generate),
+            web.post("/v1/cancel", self._handle_cancel),
+            web.post("/v1/kv/export", self._handle_export),
+            web.post("/v1/kv/import", self._handle_import),
+            web.post("/v1/orders", self._handle_order),
         ]
 
     def records(self) -> Json:
-        """Return each attempt, the orders taken, and the present use."""
+        """Return the attempts, the orders and the current state."""
         return {
             "attempts": list(self.attempts),
             "orders": list(self.orders.records),
@@ -108,22 +110,22 @@
         }
 
     def waiting_count(self) -> int:
-        """Count the streams that wait at this engine."""
+        """Return the number of streams that wait for a slot at this engine."""
         return sum(len(streams) for streams in self.waiting)
 
     def step_duration_s(self) -> float:
-        """Return the seconds of one step at the present batch."""
+        """Return the duration of one step at the current batch size."""
         others = max(0, len(self.running) - 1)
         growth = 1 + BATCH_GROWTH * others / self.slots
         return float(self.step_s * growth * self.switches["slow"])
 
     def link_s(self, other: "Engine") -> float:
-        """Return the seconds that activations take to another engine."""
+        """Return the latency of sending activations to another engine."""
         factor = max(self.switches["link_ms"], other.switches["link_ms"])
         return float(self.links.get(other.data_centre, 0.0) * factor / 1000)
 
     def state(self) -> Json:
-        """Return the state as it is now."""
+        """Return the current state."""
         return {
             "name": self.name,
             "incarnation": self.incarnation,
@@ -149,50 +151,50 @@
             "event_seq": self.cache.visible_seq(),
         }
 
-    def died(self) -> None:
-        """Break every stream that runs through this engine."""
+    def handle_crash(self) -> None:
+        """Abort all streams on this engine and discard its memory."""
         for stream in [*self.running, *self._all_waiting()]:
-            stream.break_off("stage dead")
+            stream.abort("stage dead")
         self.cache.clear()
         self._epoch_by_request.clear()
         self.exports.clear()
 
-    def revived(self) -> None:
-        """Begin a new incarnation with empty memory."""
+    def handle_restart(self) -> None:
+        """Start a new incarnation."""
         self.incarnation = os.urandom(4).hex()
         self.prefill_free_at = 0.0
 
-    def can_start(self) -> bool:
-        """Tell whether a slot is free."""
+    def has_free_slot(self) -> bool:
+        """Return whether a slot is free."""
         return len(self.running) < self.slots
 
     def _all_waiting(self) -> list[Stream]:
         return [stream for streams in self.waiting for stream in streams]
 
-    async def _on_state(self, _request: web.Request) -> web.Response:
+    async def _handle_state(self, _request: web.Request) -> web.Response:
         now = time.monotonic()
         if now - self._reported_at >= self.switches["report_lag_s"]:
-            # Told one interval late: this answer still holds the older report.
-            report = self._report or self.state()
-            reported_at = self._reported_at if self._report else now
-            self._report, self._reported_at = self.state(), now
+            # Reports lag by one interval: this response still holds the previous state.
+            report = self._reported_state or self.state()
+            reported_at = self._reported_at if self._reported_state else now
+            self._reported_state, self._reported_at = self.state(), now
         else:
-            report, reported_at = self._report, self._reported_at
+            report, reported_at = self._reported_state, self._reported_at
         age_ms = round((now - reported_at) * 1000, 3)
         return web.json_response({**report, "as_of_ms": age_ms})
 
-    async def _on_events(self, request: web.Request) -> web.Response:
+    async def _handle_events(self, request: web.Request) -> web.Response:
         after = int(request.query.get("after", "0"))
         return web.json_response(self.cache.events_after(after))
 
-    async def _on_generate(self, request: web.Request) -> web.StreamResponse:
+    async def _handle_generate(self, request: web.Request) -> web.StreamResponse:
         if self.switches["refuse"]:
-            return refusal(503, "refused")
+            return not_run_response(503, "refused")
         body = await request.json()
         try:
             stream = self._admit(body)
         except StreamError as error:
-            return refusal(error.status, str(error))
+            return not_run_response(error.status, str(error))
         response = web.StreamResponse(headers={"Content-Type": "application/jsonl"})
         response.enable_chunked_encoding()
         try:
@@ -204,24 +206,24 @@
             if not request.transport.is_closing():
                 await response.write_eof()
         finally:
-            # The caller went away before the end, if nothing else ended it.
+            # If the stream has not ended by now, the client has disconnected.
             stream.finish("disconnected")
         return response
 
     def _admit(self, body: Json) -> Stream:
-        known = self._epoch_by_request.get(body["request"], -1)
-        if body["epoch"] < known:
+        last_epoch = self._epoch_by_request.get(body["request"], -1)
+        if body["epoch"] < last_epoch:
             raise StreamError(409, "old epoch")
         if self.waiting_count() >= self.max_waiting:
             raise StreamError(429, "queue full")
         stream = self.fleet.new_stream(self, body)
         self._epoch_by_request[body["request"]] = body["epoch"]
-        if len(self._epoch_by_request) > KNOWN_REQUESTS:
+        if len(self._epoch_by_request) > MAX_TRACKED_REQUESTS:
             self._epoch_by_request.popitem(last=False)
         self.attempts.append(stream.record)
         return stream
 
-    async def _on_cancel(self, request: web.Request) -> web.Response:
+    async def _handle_cancel(self, request: web.Request) -> web.Response:
         body = await request.json()
         for stream in [*self.running, *self._all_waiting()]:
             if (stream.request, stream.attempt) != (body["request"], body["attempt"]):
@@ -229,24 +231,24 @@
             stream.finish("cancelled")
         return web.json_response({})
 
-    async def _on_export(self, request: web.Request) -> web.Response:
+    async def _handle_export(self, request: web.Request) -> web.Response:
         body = await request.json()
         for stream in self.running:
             if stream.request == body["request"]:
-                return web.json_response(stream.exported())
+                return web.json_response(stream.export_kv())
         if body["request"] in self.exports:
             return web.json_response(self.exports[body["request"]])
         return web.json_response({"error": "no such request"}, status=404)
 
-    async def _on_import(self, request: web.Request) -> web.Response:
+    async def _handle_import(self, request: web.Request) -> web.Response:
         body = await request.json()
-        self.cache.take_in(int(body["context"]))
+        self.cache.add_import(int(body["context"]))
         return web.json_response({})
 
-    async def _on_order(self, request: web.Request) -> web.Response:
-        accepted = self.orders.take(await request.json())
-        if self.take("lose_order_replies"):
-            return drop(request)
+    async def _handle_order(self, request: web.Request) -> web.Response:
+        accepted = self.orders.accept(await request.json())
+        if self.consume_switch("lose_order_replies"):
+            return abort_connection(request)
         if not accepted:
             return web.json_response({"error": "old fence"}, status=412)
         return web.json_response({"state": self.state()})
--- a/standins/hosts.py
+++ b/standins/hosts.py
@@ -1,4 +1,4 @@
-"""The host list, which lags."""
+"""The host list, whose changes become visible after a delay."""
 
 import collections
 import copy
@@ -16,7 +16,7 @@
 
 
 class Hosts(Standin):
-    """Live and leaving hosts, as they were some seconds ago."""
+    """Serves the live and leaving hosts as of ``lag_s`` seconds ago."""
 
     def __init__(self, name: str, config: Json) -> None:
         super().__init__(name, config)
@@ -37,42 +37,42 @@
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the protocol."""
-        return [web.get("/v1/hosts", self._on_hosts)]
+        return [web.get("/v1/hosts", self._handle_hosts)]
 
     def records(self) -> Json:
-        """Return the count of reads and the newest list."""
+        """Return the number of reads and the current list."""
         return {"reads": self._reads, "hosts": list(self._entry_by_name.values())}
 
     def put(self, entry: Json) -> None:
         """Add a host, or replace the one of the same name."""
         defaults = {"kind": "entry", "incarnation": "1", "state": "live"}
         self._entry_by_name[entry["name"]] = {**defaults, **entry}
-        self._snap()
+        self._record_snapshot()
 
-    def settle(self) -> None:
-        """Let the list as it is now be what stood at the start."""
+    def discard_history(self) -> None:
+        """Make the current list the initial one, which is visible at once."""
         self._snapshots.clear()
-        self._snap()
+        self._record_snapshot()
 
-    def switched(self, changes: Json) -> None:
+    def apply_switches(self, changes: Json) -> None:
         """Edit the list: ``add`` entries; ``remove``, ``leaving``, ``live`` names."""
-        for entry in _listed(changes.get("add")):
+        for entry in _as_list(changes.get("add")):
             self.put(entry)
-        for name in _listed(changes.get("remove")):
+        for name in _as_list(changes.get("remove")):
             self._entry_by_name.pop(name, None)
         for state in ("leaving", "live"):
-            for name in _listed(changes.get(state)):
+            for name in _as_list(changes.get(state)):
                 self._entry_by_name[name]["state"] = state
         self.switches.update(add=None, remove=None, leaving=None, live=None)
-        self._snap()
+        self._record_snapshot()
 
-    def _snap(self) -> None:
+    def _record_snapshot(self) -> None:
         hosts = copy.deepcopy(list(self._entry_by_name.values()))
         self._snapshots.append((time.monotonic(), hosts))
 
-    def _lagging(self) -> list[Json]:
+    def _visible_hosts(self) -> list[Json]:
         visible = time.monotonic() - self.switches["lag_s"]
-        # What stood at the start is seen at once.
+        # The initial list is visible without delay.
         hosts = self._snapshots[0][1]
         for at, snapshot in self._snapshots:
             if at > visible:
@@ -80,9 +80,9 @@
             hosts = snapshot
         return hosts
 
-    async def _on_hosts(self, request: web.Request) -> web.Response:
+    async def _handle_hosts(self, request: web.Request) -> web.Response:
         self._reads += 1
-        body = json.dumps({"hosts": self._lagging()})
+        body = json.dumps({"hosts": self._visible_hosts()})
         etag = f'"{zlib.crc32(body.encode()):08x}"'
         headers = {"ETag": etag}
         if request.headers.get("If-None-Match") == etag:
@@ -90,7 +90,7 @@
         return web.Response(text=body, content_type="application/json", headers=headers)
 
 
-def _listed(value: t.Any) -> list[t.Any]:
+def _as_list(value: t.Any) -> list[t.Any]:
     if value is None:
         return []
     return value if isinstance(value, list) else [value]
--- a/standins/launch.py
+++ b/standins/launch.py
@@ -1,4 +1,4 @@
-"""Start stand-ins in a process of their own, for tests, demo and benchmarks."""
+"""Run stand-ins in a separate process, for tests, demo and benchmarks."""
 
 import http.client
 import json
@@ -19,9 +19,9 @@
 
 
 def environment() -> dict[str, str]:
-    """Return an environment in which processes run the code of this tree.
+    """Return environment variables that make processes import this source tree.
 
-    Else they would run what is installed, which may be another tree.
+    Otherwise they would import the installed package, which may be another tree.
     """
     return {**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"}
 
@@ -49,12 +49,12 @@
 
 
 def to_toml(config: dict[str, t.Any]) -> str:
-    """Write a dictionary as TOML, one line for each top-level key."""
+    """Format a dictionary as TOML, with one line for each top-level key."""
     return "".join(f"{_key(key)} = {_toml(value)}\n" for key, value in config.items())
 
 
 class StandinProcess:
-    """A running ``python -m standins``."""
+    """A running ``python -m standins`` process."""
 
     def __init__(self, config: dict[str, t.Any]) -> None:
         self._directory = tempfile.TemporaryDirectory()
@@ -79,36 +79,36 @@
 
     @property
     def pid(self) -> int:
-        """The id of the process."""
+        """Process id."""
         return self._process.pid
 
     def switch(self, name: str, **switches: t.Any) -> dict[str, t.Any]:
         """Set fault switches of one stand-in; return all of them.
 
-        :raises LaunchError: if it does not exist.
+        :raises LaunchError: if the stand-in or a switch does not exist.
         """
         reply = self._call("POST", f"/_switch/{name}", switches)
         return t.cast(dict[str, t.Any], reply["switches"])
 
     def records(self, name: str) -> dict[str, t.Any]:
-        """Return what one stand-in saw."""
+        """Return the records of one stand-in."""
         return self._call("GET", f"/_records/{name}", None)
 
     def freeze(self) -> None:
-        """Stop the process where it stands."""
+        """Suspend the process with SIGSTOP."""
         self._process.send_signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
-        """Let a frozen process go on."""
+        """Resume a frozen process with SIGCONT."""
         self._process.send_signal(signal.SIGCONT)
 
     def kill(self) -> None:
-        """End the process at once."""
+        """Kill the process with SIGKILL."""
         self._process.kill()
         self._close()
 
     def terminate(self) -> None:
-        """End the process by SIGTERM, or by SIGKILL if that takes too long."""
+        """Stop the process with SIGTERM, or with SIGKILL after a timeout."""
         if self._process.poll() is None:
             self.thaw()
             self._process.terminate()
@@ -124,7 +124,7 @@
         line = self._process.stdout.readline() if readable else ""
         if not line:
             self.kill()
-            raise LaunchError("the stand-ins did not start")
+            raise LaunchError("stand-ins exited or timed out before reporting ready")
         return t.cast(dict[str, t.Any], json.loads(line))
 
     def _close(self) -> None:
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -16,7 +16,7 @@
 
 
 class Orders:
-    """The orders that one engine took."""
+    """Receives and executes the orders of one engine."""
 
     __slots__ = ("_engine", "_layer_bytes", "_load_s", "_tasks", "fence", "records")
 
@@ -30,23 +30,23 @@
 
     @property
     def loading(self) -> bool:
-        """Whether an order is still being carried out."""
+        """Whether an order is still being executed."""
         return bool(self._tasks)
 
-    def take(self, order: Json) -> bool:
-        """Accept an order, or refuse one with an old fencing number."""
-        old = order["fence"] < self.fence
-        accepted = not (old and self._engine.fencing == "checked")
+    def accept(self, order: Json) -> bool:
+        """Start an order; return False for a stale fencing number."""
+        stale = order["fence"] < self.fence
+        accepted = not (stale and self._engine.fencing == "checked")
         self.records.append({"at": time.monotonic(), "accepted": accepted, **order})
         if not accepted:
             return False
         self.fence = order["fence"]
-        task = asyncio.get_running_loop().create_task(self._carry_out(order))
+        task = asyncio.get_running_loop().create_task(self._execute(order))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return True
 
-    async def _carry_out(self, order: Json) -> None:
+    async def _execute(self, order: Json) -> None:
         engine = self._engine
         kind = order["kind"]
         if kind == "role":
@@ -57,7 +57,7 @@
             engine.adapters = [name for name in engine.adapters if name != adapter]
             return
         if kind == "load" and adapter and order["model"] == engine.model:
-            await self._fetch(self._layer_bytes)
+            await self._fetch_weights(self._layer_bytes)
             engine.adapters = sorted({*engine.adapters, adapter})
             return
         while engine.running:
@@ -66,13 +66,13 @@
         if kind == "unload":
             engine.model, engine.adapters = "", []
             return
-        await self._fetch(self._layer_bytes * (order["last"] - order["first"]))
+        await self._fetch_weights(self._layer_bytes * (order["last"] - order["first"]))
         engine.model, engine.version = order["model"], order["version"]
         engine.first, engine.last = order["first"], order["last"]
         engine.role = order.get("role") or engine.role
         engine.adapters = []
 
-    async def _fetch(self, size: float) -> None:
+    async def _fetch_weights(self, size: float) -> None:
         weights = self._engine.fleet.weights
         while weights is not None:
             wait_s = weights.fetch(size)
--- a/standins/prefixes.py
+++ b/standins/prefixes.py
@@ -1,4 +1,4 @@
-"""A prompt-prefix cache in the limited KV memory of an engine."""
+"""Prompt-prefix cache in the limited KV memory of an engine."""
 
 import collections
 import time
@@ -13,7 +13,7 @@
 
 
 def prefix_hashes(prompt: str) -> list[int]:
-    """Return the hash of each prefix of whole blocks, the shortest first.
+    """Return the hash of each prefix of complete blocks, the shortest first.
 
     The hash of a prefix is the crc32 of its UTF-8 bytes.
     """
@@ -26,23 +26,23 @@
 
 
 class PrefixCache:
-    """KV memory in tokens: what streams reserve, and cached prefix blocks."""
+    """KV memory of an engine: stream reservations and cached prefix blocks."""
 
     __slots__ = (
         "_blocks",
+        "_event_gap",
+        "_event_lag_s",
         "_events",
-        "_gap",
         "_imports",
-        "_lag_s",
         "_reserved",
         "_seq",
         "capacity",
     )
 
-    def __init__(self, capacity: int, *, lag_s: float, gap: int) -> None:
+    def __init__(self, capacity: int, *, event_lag_s: float, event_gap: int) -> None:
         self.capacity = capacity
-        self._lag_s = lag_s
-        self._gap = gap
+        self._event_lag_s = event_lag_s
+        self._event_gap = event_gap
         self._reserved = 0
         self._blocks: collections.OrderedDict[int, None] = collections.OrderedDict()
         self._imports: collections.OrderedDict[int, None] = collections.OrderedDict()
@@ -53,20 +53,20 @@
 
     @property
     def used(self) -> int:
-        """Tokens in use, cached blocks included."""
+        """Number of tokens in use, cached blocks included."""
         return self._reserved + len(self._blocks) * BLOCK_TOKENS
 
     def fits(self, tokens: int) -> bool:
-        """Tell whether a stream's tokens fit beside the other streams'."""
+        """Return whether the tokens fit in addition to current reservations."""
         return self._reserved + tokens <= self.capacity
 
     def reserve(self, tokens: int) -> None:
-        """Take memory for a stream; cached blocks give way, oldest first."""
+        """Reserve memory for a stream, evicting the least recently used blocks."""
         self._reserved += tokens
-        self._make_room(0)
+        self._evict_blocks(0)
 
     def release(self, tokens: int) -> None:
-        """Give a stream's memory back."""
+        """Release the memory reserved for a stream."""
         self._reserved -= tokens
 
     def lookup(self, hashes: list[int]) -> int:
@@ -80,43 +80,43 @@
         return cached
 
     def store(self, hashes: list[int]) -> None:
-        """Cache the blocks of a prompt as far as there is room."""
+        """Cache the blocks of a prompt as far as memory allows."""
         for value in hashes:
             if value in self._blocks:
                 self._blocks.move_to_end(value)
                 continue
             if not self.fits(BLOCK_TOKENS):
                 break
-            self._make_room(BLOCK_TOKENS)
+            self._evict_blocks(BLOCK_TOKENS)
             self._blocks[value] = None
-            self._tell("stored", value)
+            self._record_event("stored", value)
 
-    def take_in(self, context: int) -> None:
-        """Take in exported KV, known by the context it reaches."""
+    def add_import(self, context: int) -> None:
+        """Record imported KV, identified by its context."""
         self._imports[context] = None
         if len(self._imports) > MAX_IMPORTS:
             self._imports.popitem(last=False)
 
-    def holds(self, context: int) -> bool:
-        """Tell whether imported KV reaches this context."""
+    def has_import(self, context: int) -> bool:
+        """Return whether KV of this context has been imported."""
         return context in self._imports
 
     def clear(self) -> None:
-        """Forget all but the event numbers."""
+        """Remove all blocks and imports; event numbers continue."""
         self._blocks.clear()
         self._imports.clear()
 
     def visible_seq(self) -> int:
-        """Return the number of the last event that is told by now."""
-        visible = time.monotonic() - self._lag_s
+        """Return the number of the last event older than the event lag."""
+        visible = time.monotonic() - self._event_lag_s
         for at, event in reversed(self._events):
             if at <= visible:
                 return int(event["seq"])
         return 0
 
     def events_after(self, after: int) -> Json:
-        """Return the events told by now, with gaps."""
-        visible = time.monotonic() - self._lag_s
+        """Return the events after a number that are older than the event lag."""
+        visible = time.monotonic() - self._event_lag_s
         events = [
             event
             for at, event in self._events
@@ -125,14 +125,14 @@
         last = events[-1]["seq"] if events else after
         return {"events": events, "next": last}
 
-    def _make_room(self, tokens: int) -> None:
+    def _evict_blocks(self, tokens: int) -> None:
         while self._blocks and self.used + tokens > self.capacity:
             value, _ = self._blocks.popitem(last=False)
-            self._tell("evicted", value)
+            self._record_event("evicted", value)
 
-    def _tell(self, kind: str, value: int) -> None:
+    def _record_event(self, kind: str, value: int) -> None:
         self._seq += 1
-        if self._gap and self._seq % self._gap == 0:
+        if self._event_gap and self._seq % self._event_gap == 0:
             return
         event = {"seq": self._seq, "kind": kind, "prefix": value}
         self._events.append((time.monotonic(), event))
--- a/standins/service.py
+++ b/standins/service.py
@@ -1,4 +1,4 @@
-"""A plain service that records each run."""
+"""A plain HTTP service that records each run."""
 
 import asyncio
 import time
@@ -7,13 +7,13 @@
 
 from .base import Json
 from .base import Standin
-from .base import drop
+from .base import abort_connection
 from .base import new_records
-from .base import refusal
+from .base import not_run_response
 
 
 class Service(Standin):
-    """Any method and path; each run gets a registration number of its own."""
+    """Accepts any method and path; each run gets a unique registration number."""
 
     def __init__(self, name: str, config: Json) -> None:
         super().__init__(name, config)
@@ -35,44 +35,47 @@
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the protocol."""
-        return [web.route("*", "/{path:.*}", self._on_call)]
+        return [web.route("*", "/{path:.*}", self._handle_call)]
 
     def records(self) -> Json:
-        """Return each run and the counts of calls that did not run."""
+        """Return all runs and the counts of calls that did not run."""
         return {
             "runs": list(self._runs),
             "refused": self._refused,
             "dropped": self._dropped,
         }
 
-    def revived(self) -> None:
-        """Begin a new incarnation."""
+    def handle_restart(self) -> None:
+        """Start a new incarnation."""
         self.incarnation = str(int(self.incarnation) + 1)
 
-    async def _on_call(self, request: web.Request) -> web.StreamResponse:
+    async def _handle_call(self, request: web.Request) -> web.StreamResponse:
         if self.switches["refuse"]:
             self._refused += 1
-            response = refusal(503, "refused")
+            response = not_run_response(503, "refused")
             if self.switches["leaving"]:
                 response.headers["X-Leaving"] = "true"
             return response
         body = await request.text()
-        if self.take("drop_before"):
+        if self.consume_switch("drop_before"):
             self._dropped += 1
-            return drop(request)
-        answer = self._run(request, body)
-        # Read before the wait: a call that came later must not take the fault.
-        lost, cut = self.take("lose_reply"), self.take("cut_reply")
+            return abort_connection(request)
+        run = self._record_run(request, body)
+        # Consume the fault before sleeping, or a later call could consume it first.
+        lose_reply, cut_reply = (
+            self.consume_switch("lose_reply"),
+            self.consume_switch("cut_reply"),
+        )
         if self.switches["run_s"]:
             await asyncio.sleep(self.switches["run_s"])
-        if lost:
-            return drop(request)
-        response = web.json_response(answer)
-        if cut:
-            return await _cut(request, response)
+        if lose_reply:
+            return abort_connection(request)
+        response = web.json_response(run)
+        if cut_reply:
+            return await _send_first_half(request, response)
         return response
 
-    def _run(self, request: web.Request, body: str) -> Json:
+    def _record_run(self, request: web.Request, body: str) -> Json:
         self._run_count += 1
         run = {
             "registration": f"{self.name}-{self._run_count:06d}",
@@ -96,13 +99,15 @@
         return run
 
 
-async def _cut(request: web.Request, whole: web.Response) -> web.StreamResponse:
-    body = bytes(whole.text or "", "utf-8")
+async def _send_first_half(
+    request: web.Request, complete_response: web.Response
+) -> web.StreamResponse:
+    body = bytes(complete_response.text or "", "utf-8")
     response = web.StreamResponse(headers={"Content-Type": "application/json"})
     response.content_length = len(body)
     await response.prepare(request)
     await response.write(body[: len(body) // 2])
-    # Let the first half leave before the connection is aborted.
+    # Give the first half time to be sent before the connection is aborted.
     await asyncio.sleep(0.05)
-    drop(request)
+    abort_connection(request)
     return response
--- a/standins/stores.py
+++ b/standins/stores.py
@@ -4,15 +4,15 @@
 
 from aiohttp import web
 
-from .base import Bucket
 from .base import Json
 from .base import Standin
+from .base import TokenBucket
 
 WEIGHT_BYTES_PER_S = 1e9
 
 
 class Objects(Standin):
-    """Plain bytes by name."""
+    """Stores bytes by name."""
 
     def __init__(self, name: str, config: Json) -> None:
         super().__init__(name, config)
@@ -22,20 +22,20 @@
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the protocol."""
         return [
-            web.put("/v1/objects/{name:.+}", self._on_put),
-            web.get("/v1/objects/{name:.+}", self._on_get),
+            web.put("/v1/objects/{name:.+}", self._handle_put),
+            web.get("/v1/objects/{name:.+}", self._handle_get),
         ]
 
     def records(self) -> Json:
-        """Return counts and the names held."""
+        """Return request counts and the stored names."""
         return {"counts": dict(self._counts), "names": sorted(self._bytes_by_name)}
 
-    async def _on_put(self, request: web.Request) -> web.Response:
+    async def _handle_put(self, request: web.Request) -> web.Response:
         self._counts["puts"] += 1
         self._bytes_by_name[request.match_info["name"]] = await request.read()
         return web.Response()
 
-    async def _on_get(self, request: web.Request) -> web.Response:
+    async def _handle_get(self, request: web.Request) -> web.Response:
         self._counts["gets"] += 1
         body = self._bytes_by_name.get(request.match_info["name"])
         if body is None:
@@ -44,39 +44,39 @@
 
 
 class Weights(Standin):
-    """Weights, handed out at a limited rate in bytes a second."""
+    """Serves weights at a limited rate in bytes per second."""
 
     def __init__(self, name: str, config: Json) -> None:
         super().__init__(name, config)
         rate = float(config.get("bytes_per_s", WEIGHT_BYTES_PER_S))
         self.switches.update(bytes_per_s=rate)
-        self._bucket = Bucket(rate)
+        self._bucket = TokenBucket(rate)
         self._counts: collections.Counter[str] = collections.Counter()
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the protocol."""
-        return [web.post("/v1/weights/fetch", self._on_fetch)]
+        return [web.post("/v1/weights/fetch", self._handle_fetch)]
 
     def records(self) -> Json:
         """Return counts of fetches, bytes and refusals."""
         return {"counts": dict(self._counts)}
 
-    def switched(self, changes: Json) -> None:
+    def apply_switches(self, changes: Json) -> None:
         """Apply a new rate."""
         if "bytes_per_s" in changes:
             self._bucket.set_rate(self.switches["bytes_per_s"])
 
     def fetch(self, size: float) -> float:
-        """Take bytes, or return the seconds to wait."""
+        """Take bytes and return 0, or return the seconds to wait."""
         if self.switches["dead"] or self.switches["unavailable"]:
             return 1.0
-        wait_s = self._bucket.wait_s(size)
+        wait_s = self._bucket.try_take(size)
         self._counts["refused" if wait_s > 0 else "fetches"] += 1
         if wait_s <= 0:
             self._counts["bytes"] += int(size)
         return wait_s
 
-    async def _on_fetch(self, request: web.Request) -> web.Response:
+    async def _handle_fetch(self, request: web.Request) -> web.Response:
         body = await request.json()
         wait_s = self.fetch(float(body["bytes"]))
         if wait_s > 0:
--- a/standins/streams.py
+++ b/standins/streams.py
@@ -1,4 +1,4 @@
-"""One attempt of a request, as it runs through the stages of its route."""
+"""One attempt of a request over the stages of its route."""
 
 import asyncio
 import json
@@ -17,8 +17,8 @@
 from .tokens import text_of
 
 if t.TYPE_CHECKING:
+    from .decoding import DecodeBatch
     from .decoding import Fleet
-    from .decoding import Group
     from .engine import Engine
 
 
@@ -29,31 +29,31 @@
 
 
 class Stream:
-    """One attempt of a request along a route."""
+    """Decoding state and output of one attempt of a request."""
 
     __slots__ = (
         "attempt",
-        "cached",
+        "batch",
+        "cached_tokens",
         "context",
         "deadline",
         "finished",
         "fleet",
-        "group",
         "hashes",
         "kv_tokens",
         "layer_bytes",
+        "layers_wrong",
+        "line_prefix",
+        "line_suffix",
         "max_tokens",
         "position",
-        "prefix",
+        "prefill_tokens",
         "priority",
         "prompt_tokens",
         "record",
         "request",
         "stages",
         "started",
-        "suffix",
-        "to_prefill",
-        "trail_wrong",
         "transport",
     )
 
@@ -74,21 +74,21 @@
         self.position = len(tokens)
         self.context = context_of(body["prompt"], tokens)
         self.layer_bytes = b"".join(bytes(range(*span)) for span in ranges)
-        self.trail_wrong = self.layer_bytes != bytes(range(stages[0][0].layers))
-        self.to_prefill = self.prompt_tokens + len(tokens)
-        self.cached = 0
+        self.layers_wrong = self.layer_bytes != bytes(range(stages[0][0].layers))
+        self.prefill_tokens = self.prompt_tokens + len(tokens)
+        self.cached_tokens = 0
         self.deadline = _deadline(body.get("deadline_ms"))
         self.started = False
-        self.group: Group | None = None
+        self.batch: DecodeBatch | None = None
         self.transport: asyncio.WriteTransport | asyncio.Transport | None = None
         self.finished: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        names = (
+        identity = (
             f'"r":{json.dumps(self.request)},"a":{json.dumps(self.attempt)},'
             f'"e":{body["epoch"]}'
         )
-        self.prefix = "{" + names + ',"p":'
+        self.line_prefix = "{" + identity + ',"p":'
         spans = ",".join(f"[{first},{last}]" for first, last in ranges)
-        self.suffix = f',"w":[{spans}]}}\n'
+        self.line_suffix = f',"w":[{spans}]}}\n'
         self.record = {
             "request": self.request,
             "attempt": self.attempt,
@@ -106,30 +106,34 @@
             "route": [engine.name for engine, _ in stages],
         }
 
-    def exported(self) -> Json:
-        """Return the KV of this stream as it is now."""
+    def export_kv(self) -> Json:
+        """Return the current KV state of this stream."""
         return {"request": self.request, "context": self.context, "p": self.position}
 
     def send(self, line: str) -> None:
-        """Send one line as a chunk."""
+        """Send one line as an HTTP chunk, with any injected faults."""
         assert self.transport is not None
         head = self.stages[0][0]
         switches = head.switches
         raw = line.encode()
         data = b"%x\r\n%b\r\n" % (len(raw), raw)
-        if switches["duplicate_events"] and head.take("duplicate_events"):
+        if switches["duplicate_events"] and head.consume_switch("duplicate_events"):
             data += data
-        if switches["late_events"] and head.old_lines and head.take("late_events"):
-            old = head.old_lines.popleft()
-            data = b"%x\r\n%b\r\n" % (len(old), old) + data
+        if (
+            switches["late_events"]
+            and head.stale_lines
+            and head.consume_switch("late_events")
+        ):
+            stale = head.stale_lines.popleft()
+            data = b"%x\r\n%b\r\n" % (len(stale), stale) + data
         self.transport.write(data)
 
     def step(self) -> None:
-        """Make the next token and send it."""
+        """Generate the next token and send it."""
         token = zlib.crc32(self.layer_bytes, self.context) % VOCABULARY
         line = (
-            f'{self.prefix}{self.position},"t":{token},"x":"{text_of(token)}"'
-            f"{self.suffix}"
+            f'{self.line_prefix}{self.position},"t":{token},"x":"{text_of(token)}"'
+            f"{self.line_suffix}"
         )
         self.send(line)
         self.position += 1
@@ -137,35 +141,35 @@
         record["made"] += 1
         if record["made"] == 1:
             record["first_token_at"] = time.monotonic()
-        record["violations"] += self.trail_wrong
+        record["violations"] += self.layers_wrong
         self.context = advance(self.context, token)
         if token < STOP_BELOW:
-            self.end("stop")
+            self.send_end("stop")
             return
         if self.position >= self.max_tokens:
-            self.end("length")
+            self.send_end("length")
             return
         cut_after = self.stages[0][0].switches["cut_after"]
         if cut_after and record["made"] >= cut_after:
-            self.stages[0][0].old_lines.append(line.encode())
-            self.break_off("cut")
+            self.stages[0][0].stale_lines.append(line.encode())
+            self.abort("cut")
 
-    def end(self, reason: str) -> None:
-        """Send the explicit end."""
-        usage = f'{{"prompt":{self.prompt_tokens},"cached":{self.cached}}}'
-        line = f'{self.prefix}{self.position},"end":"{reason}","usage":{usage}}}\n'
+    def send_end(self, reason: str) -> None:
+        """Send the end line with the usage and finish."""
+        usage = f'{{"prompt":{self.prompt_tokens},"cached":{self.cached_tokens}}}'
+        line = f'{self.line_prefix}{self.position},"end":"{reason}","usage":{usage}}}\n'
         self.send(line)
-        self.stages[0][0].old_lines.append(line.encode())
+        self.stages[0][0].stale_lines.append(line.encode())
         self.finish(reason)
 
-    def break_off(self, reason: str) -> None:
-        """Abort the connection, without an end."""
+    def abort(self, reason: str) -> None:
+        """Abort the connection without an end line and finish."""
         if self.record["end"] is None and self.transport is not None:
             self.transport.abort()
         self.finish(reason)
 
     def finish(self, reason: str) -> None:
-        """Free what the stream holds; only the first end counts."""
+        """Record why the stream ended and free its resources, once."""
         if self.record["end"] is not None:
             return
         self.record["end"] = reason
--- a/standins/table.py
+++ b/standins/table.py
@@ -6,10 +6,10 @@
 
 from aiohttp import web
 
-from .base import Bucket
 from .base import Json
 from .base import Standin
-from .base import drop
+from .base import TokenBucket
+from .base import abort_connection
 from .base import new_records
 
 READS_PER_S = 2000.0
@@ -20,7 +20,7 @@
 
 
 class Table(Standin):
-    """Rows with versions that outlive a delete."""
+    """Stores rows, whose version numbers continue after a delete."""
 
     def __init__(self, name: str, config: Json) -> None:
         super().__init__(name, config)
@@ -33,8 +33,8 @@
         )
         self._value_by_id: dict[RowId, t.Any] = {}
         self._version_by_id: dict[RowId, int] = {}
-        self._reads = Bucket(self.switches["reads_per_s"])
-        self._writes = Bucket(self.switches["writes_per_s"])
+        self._reads = TokenBucket(self.switches["reads_per_s"])
+        self._writes = TokenBucket(self.switches["writes_per_s"])
         self._counts: collections.Counter[str] = collections.Counter()
         self._reads_by_second: collections.Counter[int] = collections.Counter()
         self._writes_by_second: collections.Counter[int] = collections.Counter()
@@ -43,13 +43,13 @@
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the protocol."""
         return [
-            web.post("/v1/transact", self._on_transact),
-            web.post("/v1/read", self._on_read),
-            web.post("/v1/scan", self._on_scan),
+            web.post("/v1/transact", self._handle_transact),
+            web.post("/v1/read", self._handle_read),
+            web.post("/v1/scan", self._handle_scan),
         ]
 
     def records(self) -> Json:
-        """Return counts in rows, rates by second, and the transactions."""
+        """Return row counts, peak rates and the transaction history."""
         return {
             "counts": dict(self._counts),
             "peak_reads_per_s": max(self._reads_by_second.values(), default=0),
@@ -57,8 +57,8 @@
             "history": list(self._history),
         }
 
-    def switched(self, changes: Json) -> None:
-        """Apply new rates, and turn ``down`` into a closed port or refusals."""
+    def apply_switches(self, changes: Json) -> None:
+        """Apply new rates; ``down`` closes the port, or answers 503 if set to "503"."""
         if "reads_per_s" in changes:
             self._reads.set_rate(self.switches["reads_per_s"])
         if "writes_per_s" in changes:
@@ -109,34 +109,34 @@
         self._counts[kind] += rows
         by_second[int(time.monotonic())] += rows
 
-    async def _on_transact(self, request: web.Request) -> web.Response:
-        if self.take("lose_requests"):
-            return drop(request)
+    async def _handle_transact(self, request: web.Request) -> web.Response:
+        if self.consume_switch("lose_requests"):
+            return abort_connection(request)
         body = await request.json()
         rows = max(1, len(body.get("writes", [])))
-        wait_s = self._writes.wait_s(rows)
+        wait_s = self._writes.try_take(rows)
         if wait_s > 0:
             return self._refuse(wait_s)
         self._count("writes", rows)
         outcome = self._transact(body)
-        lost = self.take("lose_replies")
+        lost = self.consume_switch("lose_replies")
         entry = {"at": time.monotonic(), "lost": lost, **body, **outcome}
         self._history.append(entry)
         if lost:
-            return drop(request)
+            return abort_connection(request)
         status = 409 if "conflicts" in outcome else 200
         return web.json_response(outcome, status=status)
 
-    async def _on_read(self, request: web.Request) -> web.Response:
+    async def _handle_read(self, request: web.Request) -> web.Response:
         body = await request.json()
         row_ids = [(table, key) for table, key in body["keys"]]
-        wait_s = self._reads.wait_s(max(1, len(row_ids)))
+        wait_s = self._reads.try_take(max(1, len(row_ids)))
         if wait_s > 0:
             return self._refuse(wait_s)
         self._count("reads", max(1, len(row_ids)))
         return web.json_response({"rows": [self._row(row_id) for row_id in row_ids]})
 
-    async def _on_scan(self, request: web.Request) -> web.Response:
+    async def _handle_scan(self, request: web.Request) -> web.Response:
         body = await request.json()
         limit = min(int(body.get("limit", MAX_SCAN_ROWS)), MAX_SCAN_ROWS)
         after = body.get("after", "")
@@ -145,7 +145,7 @@
             for row_id in self._value_by_id
             if row_id[0] == body["table"] and row_id[1] > after
         )[:limit]
-        wait_s = self._reads.wait_s(max(1, len(row_ids)))
+        wait_s = self._reads.try_take(max(1, len(row_ids)))
         if wait_s > 0:
             return self._refuse(wait_s)
         self._count("reads", max(1, len(row_ids)))
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -1,9 +1,10 @@
-"""The checkable function that makes a token from the layers that ran."""
+"""Deterministic token function, by which tests check which layers ran."""
 
 import typing as t
 import zlib
 
 VOCABULARY = 5000
+# A token below this number ends the completion.
 STOP_BELOW = 25
 
 Range = tuple[int, int]
@@ -15,12 +16,12 @@
 
 
 def advance(context: int, token: int) -> int:
-    """Return the context after one more token."""
+    """Return the context extended by one token."""
     return zlib.crc32(token.to_bytes(4, "little"), context)
 
 
 def context_of(prompt: str, tokens: t.Iterable[int] = ()) -> int:
-    """Return the context of a prompt and the tokens that follow it."""
+    """Return the context of a prompt and the tokens generated so far."""
     context = zlib.crc32(prompt.encode())
     for token in tokens:
         context = advance(context, token)
@@ -28,7 +29,7 @@
 
 
 def token_of(context: int, ranges: t.Iterable[Range]) -> int:
-    """Return the token that these layer ranges make, run in this order."""
+    """Return the token that these layer ranges produce when run in this order."""
     hidden = context
     for first, last in ranges:
         hidden = zlib.crc32(bytes(range(first, last)), hidden)
@@ -41,7 +42,7 @@
 
 
 def answer(prompt: str, max_tokens: int, layers: int) -> list[int]:
-    """Return the whole right answer, the ending token included."""
+    """Return all tokens of the correct completion, the stop token included."""
     tokens: list[int] = []
     context = context_of(prompt)
     while len(tokens) < max_tokens:
@@ -54,5 +55,5 @@
 
 
 def answer_text(prompt: str, max_tokens: int, layers: int) -> str:
-    """Return the text of the whole right answer."""
+    """Return the full text of the correct completion."""
     return "".join(text_of(token) for token in answer(prompt, max_tokens, layers))
--- a/standins/world.py
+++ b/standins/world.py
@@ -1,4 +1,4 @@
-"""All stand-ins of one process, and the control port for their switches."""
+"""All stand-ins of one process, with a control server for their switches."""
 
 from aiohttp import web
 
@@ -14,7 +14,7 @@
 from .stores import Weights
 from .table import Table
 
-SINGLE_BY_SECTION = {
+CLASS_BY_SECTION = {
     "table": Table,
     "hosts": Hosts,
     "objects": Objects,
@@ -22,15 +22,15 @@
 }
 
 
-class World:
-    """The stand-ins that a configuration names."""
+class StandinSet:
+    """The stand-ins listed in a configuration."""
 
     def __init__(self, config: Json) -> None:
         self.standin_by_name: dict[str, Standin] = {}
         self._fleet = Fleet()
-        for section, kind in SINGLE_BY_SECTION.items():
+        for section, standin_class in CLASS_BY_SECTION.items():
             if section in config:
-                self._add(kind(section, config[section]))
+                self._add(standin_class(section, config[section]))
         for entry in config.get("engines", []):
             self._add(Engine(entry["name"], entry, self._fleet))
         for entry in config.get("services", []):
@@ -42,23 +42,23 @@
 
     @property
     def addresses(self) -> dict[str, str]:
-        """The address of each stand-in by name."""
-        return {name: item.address for name, item in self.standin_by_name.items()}
+        """Addresses of the stand-ins by name."""
+        return {name: standin.address for name, standin in self.standin_by_name.items()}
 
     async def start(self) -> None:
-        """Start every stand-in, and list engines and services as hosts."""
+        """Start all stand-ins and register engines and services in the host list."""
         for standin in self.standin_by_name.values():
             await standin.start()
         for standin in self.standin_by_name.values():
             if isinstance(standin, Engine):
                 self._fleet.engine_by_address[standin.address] = standin
-            self._list(standin)
+            self._register_host(standin)
         hosts = self.standin_by_name.get("hosts")
         if isinstance(hosts, Hosts):
-            hosts.settle()
+            hosts.discard_history()
         app = web.Application()
-        app.add_routes([web.post("/_switch/{name}", self._on_switch)])
-        app.add_routes([web.get("/_records/{name}", self._on_records)])
+        app.add_routes([web.post("/_switch/{name}", self._handle_switch)])
+        app.add_routes([web.get("/_records/{name}", self._handle_records)])
         self._runner = web.AppRunner(app, access_log=None)
         await self._runner.setup()
         await web.TCPSite(self._runner, LOOPBACK, 0).start()
@@ -73,10 +73,10 @@
 
     def _add(self, standin: Standin) -> None:
         if standin.name in self.standin_by_name:
-            raise ValueError(f"two stand-ins are named {standin.name!r}")
+            raise ValueError(f"duplicate stand-in name: {standin.name!r}")
         self.standin_by_name[standin.name] = standin
 
-    def _list(self, standin: Standin) -> None:
+    def _register_host(self, standin: Standin) -> None:
         hosts = self.standin_by_name.get("hosts")
         if not isinstance(hosts, Hosts) or not isinstance(standin, Engine | Service):
             return
@@ -92,7 +92,7 @@
             entry.update(kind="service", service=standin.service)
         hosts.put(entry)
 
-    async def _on_switch(self, request: web.Request) -> web.Response:
+    async def _handle_switch(self, request: web.Request) -> web.Response:
         standin = self.standin_by_name.get(request.match_info["name"])
         if standin is None:
             return web.json_response({"error": "no such stand-in"}, status=404)
@@ -102,10 +102,10 @@
         except (SwitchError, KeyError, TypeError) as error:
             return web.json_response({"error": repr(error)}, status=400)
         if was_dead and not standin.switches["dead"]:
-            self._list(standin)
+            self._register_host(standin)
         return web.json_response({"switches": standin.switches})
 
-    async def _on_records(self, request: web.Request) -> web.Response:
+    async def _handle_records(self, request: web.Request) -> web.Response:
         standin = self.standin_by_name.get(request.match_info["name"])
         if standin is None:
             return web.json_response({"error": "no such stand-in"}, status=404)
