--- a/demo/__init__.py
+++ b/demo/__init__.py
@@ -1,1 +1,1 @@
-"""A demonstration of the whole product on loopback."""
+"""Demonstration of the router, with all of its processes on loopback."""
--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -1,4 +1,4 @@
-"""Run the demonstration: ``make demo``; exit 0 only if every step held."""
+"""Run the demonstration (``make demo``); exit 0 only if every step passes."""
 
 import pathlib
 import sys
@@ -14,15 +14,15 @@
 
 
 def _run_step(fleet: Fleet, number: int, name: str, directory: pathlib.Path) -> bool:
-    began = time.monotonic()
+    started_at = time.monotonic()
     try:
-        shown = STEPS[name](fleet, directory)
+        lines = STEPS[name](fleet, directory)
         verdict = "held"
     except (AssertionError, OSError, StepError) as error:
-        shown = [f"{type(error).__name__}: {error}"]
+        lines = [f"{type(error).__name__}: {error}"]
         verdict = "FELL SHORT"
-    print(f"{number}. {name}: {verdict} ({time.monotonic() - began:.1f} s)")
-    for line in shown:
+    print(f"{number}. {name}: {verdict} ({time.monotonic() - started_at:.1f} s)")
+    for line in lines:
         print(f"     {line}")
     return verdict == "held"
 
