--- a/standins/decoding.py
+++ b/standins/decoding.py
@@ -73,7 +73,7 @@
 
 
 class Fleet:
-    """The engines of one process; schedules streams and passes activations in memory."""
+    """Schedules streams over the engines, which pass activations in memory."""
 
     __slots__ = (
         "_batch_by_route",
