--- a/demo/__main__.py
+++ b/demo/__main__.py
@@ -17,14 +17,14 @@
     started_at = time.monotonic()
     try:
         lines = STEPS[name](fleet, directory)
-        verdict = "held"
+        verdict = "passed"
     except (AssertionError, OSError, StepError) as error:
         lines = [f"{type(error).__name__}: {error}"]
-        verdict = "FELL SHORT"
+        verdict = "FAILED"
     print(f"{number}. {name}: {verdict} ({time.monotonic() - started_at:.1f} s)")
     for line in lines:
         print(f"     {line}")
-    return verdict == "held"
+    return verdict == "passed"
 
 
 def main() -> int:
@@ -40,7 +40,7 @@
             verdicts = []
             for number, step in enumerate(STEPS, 1):
                 verdicts.append(_run_step(fleet, number, step, directory))
-    print(f"{sum(verdicts)} of {len(verdicts)} steps held")
+    print(f"{sum(verdicts)} of {len(verdicts)} steps passed")
     return 0 if all(verdicts) else 1
 
 
--- a/demo/steps.py
+++ b/demo/steps.py
@@ -50,7 +50,7 @@
         text = "".join(item or "" for item in texts)
         _fail_unless(
             text == tokens.answer_text(prompt, 24, LAYERS),
-            f"{name}: wrong answer",
+            f"{name}: the text differs from the expected answer",
         )
         lines.append(f"{name}: {text[:40]} ... each layer ran once for each token")
     fleet.assert_layers_ran_once()
@@ -60,9 +60,11 @@
 def _retry_booking(fleet: Fleet, directory: pathlib.Path) -> list[str]:
     first = fleet["north0"].call("entry-17", "figure 17")
     retry = fleet["coast1"].call("entry-17", "figure 17")
-    _fail_unless(first.status == 200, f"status {first.status}")
-    _fail_unless(first.body == retry.body, "the retry got another answer")
-    _fail_unless(len(fleet.runs("entry-17")) == 1, "not one run")
+    _fail_unless(first.status == 200, f"expected status 200, got {first.status}")
+    _fail_unless(first.body == retry.body, "the retry returned a different body")
+    _fail_unless(
+        len(fleet.runs("entry-17")) == 1, "the service did not run exactly once"
+    )
     number = first.json["registration"]
     return [f"booked {number}; a retry at another host: {retry.json['registration']}"]
 
@@ -78,13 +80,13 @@
         return None
 
     with in_background(lambda: fleet["south0"].complete(prompt, length)) as call:
-        stage = wait_until(streaming, "a stream in its middle")
+        stage = wait_until(streaming, "a stream with at least 10 tokens sent")
         fleet.standins.switch(stage, dead=True)
         answer = call.result()
     fleet.standins.switch(stage, dead=False)
     correct = answer.text() == tokens.answer_text(prompt, length, LAYERS)
-    _fail_unless(correct, "the answer is not whole")
-    return [f"{stage} ended in mid-stream; the caller got all {length} tokens, once"]
+    _fail_unless(correct, "the answer differs from the expected tokens")
+    return [f"{stage} crashed in mid-stream; the caller got all {length} tokens once"]
 
 
 def _run_cli(fleet: Fleet, *arguments: str, code: int = 0) -> str:
@@ -121,7 +123,7 @@
     took_s = time.monotonic() - started_at
     _fail_unless(
         took_s < MAX_PROPAGATION_S,
-        f"in force everywhere only after {took_s:.1f} s",
+        f"lists applied on all daemons only after {took_s:.1f} s",
     )
     # Based on the version that ann edited, so applying it must fail as a conflict.
     path.write_text(text.replace("weight = 1.0", "weight = 3.0"), encoding="utf-8")
@@ -133,8 +135,8 @@
     versions = _run_cli(fleet, "versions").strip().splitlines()
     return [
         f"ann: {difference}",
-        f"in force on all {len(fleet.daemons)} daemons after {took_s:.1f} s",
-        "bob, from an older file: a conflict, nothing written; then a row of his own",
+        f"applied on all {len(fleet.daemons)} daemons after {took_s:.1f} s",
+        "bob, with an outdated file: edit conflict, nothing written; then one row set",
         *audit,
         *versions,
     ]
@@ -163,13 +165,13 @@
         answers = [item for call in calls for item in call.result()]
     for prompt, answer in answers:
         correct = answer.text() == tokens.answer_text(prompt, 30, LAYERS)
-        _fail_unless(correct, f"{prompt}: not whole")
-    _fail_unless(code == 0, f"exit code {code}")
+        _fail_unless(correct, f"{prompt}: the answer differs from the expected tokens")
+    _fail_unless(code == 0, f"expected exit code 0, got {code}")
     _fail_unless(
         fleet["north1"].complete("after").status == 200,
-        "no service after",
+        "the other daemon did not answer 200 after the shutdown",
     )
-    return [f"{len(answers)} answers under load, all whole; the daemon's exit code: 0"]
+    return [f"{len(answers)} answers under load, all complete; daemon exit code 0"]
 
 
 def _disable_platform(fleet: Fleet, directory: pathlib.Path) -> list[str]:
@@ -181,23 +183,25 @@
         fleet.standins.switch("table", down=False)
     _fail_unless(
         refused.headers.get("x-outcome") == "not_run",
-        "not refused as not run",
+        "expected X-Outcome not_run for the refused booking",
+    )
+    _fail_unless(not fleet.runs("entry-18"), "the refused booking was run")
+    _fail_unless(
+        bool(answer.text()), "empty completion while the platform is unavailable"
     )
-    _fail_unless(not fleet.runs("entry-18"), "it ran")
-    _fail_unless(bool(answer.text()), "no completion")
     wait_until(lambda: fleet["south1"].call("entry-18").status == 200, "recovery")
-    _fail_unless(len(fleet.runs("entry-18")) == 1, "not one run")
+    _fail_unless(
+        len(fleet.runs("entry-18")) == 1, "the service did not run exactly once"
+    )
     code = refused.error["code"]
-    return [
-        f"booking refused as not run ({code}); completions go on; booked afterwards"
-    ]
+    return [f"booking refused as not run ({code}); completions served; booked later"]
 
 
 STEPS: dict[str, Step] = {
     "completions through pipelines": _stream_completions,
     "a booking runs once": _retry_booking,
     "operators edit the lists": _edit_lists,
-    "a stage is lost in mid-stream": _kill_stage,
-    "a daemon ends gracefully under load": _terminate_daemon,
-    "the platform is away": _disable_platform,
+    "a stage crashes during a stream": _kill_stage,
+    "a daemon shuts down gracefully under load": _terminate_daemon,
+    "the platform is unavailable": _disable_platform,
 }
