--- a/tests/soak/__init__.py
+++ b/tests/soak/__init__.py
@@ -1,1 +1,1 @@
-"""A randomized soak of real gateways under faults that come from outside."""
+"""A randomized soak test: real gateway processes under injected faults."""
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Play the soak by hand: ``python -m tests.soak --seeds 1-50``."""
+"""Run the soak from the command line: ``python -m tests.soak --seeds 1-50``."""
 
 import pathlib
 import sys
@@ -8,26 +8,26 @@
 
 from tests.soak.run import Options
 from tests.soak.run import Verdict
-from tests.soak.run import play
-from tests.soak.run import start_apart
+from tests.soak.run import run_soak
+from tests.soak.run import start_isolated_pool
 
-LINES_MAX = 12
+MAX_PRINTED_VIOLATIONS = 12
 
 
-def tell(options: Options, verdict: Verdict, work: pathlib.Path) -> None:
-    """Print what a run came to; write the story of one that broke a promise."""
-    state = "broken" if verdict.broken else "held"
+def print_verdict(options: Options, verdict: Verdict, work: pathlib.Path) -> None:
+    """Print the verdict of a run; write the faults and violations of a failed one."""
+    result = "broken" if verdict.violations else "held"
     counts = " ".join(f"{k}={v}" for k, v in sorted(verdict.counts.items()))
     click.echo(
-        f"seed={options.seed} {state} faults={len(verdict.story)} {counts} "
+        f"seed={options.seed} {result} faults={len(verdict.faults)} {counts} "
         f"recovered={verdict.recovered:.2f}"
     )
-    if not verdict.broken:
+    if not verdict.violations:
         return
-    for line in verdict.broken[:LINES_MAX]:
+    for line in verdict.violations[:MAX_PRINTED_VIOLATIONS]:
         click.echo(f"  {line}")
-    click.echo(f"  {len(verdict.broken)} in all; logs in {work.name}")
-    lines = [*verdict.story, *verdict.broken]
+    click.echo(f"  {len(verdict.violations)} violations in total; logs in {work.name}")
+    lines = [*verdict.faults, *verdict.violations]
     (work / "story.txt").write_text("\n".join(lines) + "\n", encoding="utf-8")
 
 
@@ -48,19 +48,19 @@
     jobs: int,
     keep: pathlib.Path | None,
 ) -> None:
-    """Play some seeds; exit with 1 if a promise was broken."""
+    """Run the soak for each seed; exit with status 1 on a violation."""
     first, _, last = seeds.partition("-")
     failed = []
-    with start_apart(jobs) as pool:
+    with start_isolated_pool(jobs) as pool:
         runs = []
         for seed in range(int(first), int(last or first) + 1):
             work = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep))
             options = Options(seed, seconds, hosts, callers)
-            runs.append((options, work, pool.submit(play, options, work)))
+            runs.append((options, work, pool.submit(run_soak, options, work)))
         for options, work, future in runs:
             verdict = future.result()
-            tell(options, verdict, work)
-            if verdict.broken:
+            print_verdict(options, verdict, work)
+            if verdict.violations:
                 failed.append(options.seed)
     click.echo(f"failed={failed}")
     sys.exit(1 if failed else 0)
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,4 +1,4 @@
-"""Callers that keep their connections until the host's process is gone."""
+"""Callers that reuse their connections, also while a host shuts down."""
 
 import random
 import typing as t
@@ -7,39 +7,41 @@
 import httptools
 
 from tests.soak.hosts import HostProcess
-from tests.soak.ledger import Asked
+from tests.soak.ledger import CallerRequest
+from tests.soak.ledger import InvariantChecker
 from tests.soak.ledger import Key
 from tests.soak.ledger import Kind
-from tests.soak.ledger import Ledger
 from wagtailstair.gateway.connection import Connection
 from wagtailstair.gateway.connection import connect
 from wagtailstair.gateway.loop import Loop
 from wagtailstair.gateway.loop import Timer
 
 PAUSE_S = (0.02, 0.12)
-KEEP_SHARE = 0.9
-"""Share of requests that go out on the connection of the one before."""
+"""Bounds of the pause between two requests of a caller."""
 
-STREAM_GAP_S = 2.0
-"""Seconds without an event after which callers give up a stream, from the pages."""
+KEEP_ALIVE_SHARE = 0.9
+"""Share of requests that reuse the connection of the previous one."""
 
-KINDS = (Kind.ONCE, Kind.REPEATABLE, Kind.STREAM)
-DEADLINE_S = {Kind.ONCE: 1.0, Kind.REPEATABLE: 1.0, Kind.STREAM: 8.0}
+STREAM_STALL_S = 2.0
+"""Documented seconds without an event after which callers abort a stream."""
+
+KINDS = (Kind.NON_IDEMPOTENT, Kind.IDEMPOTENT, Kind.STREAM)
+DEADLINE_S = {Kind.NON_IDEMPOTENT: 1.0, Kind.IDEMPOTENT: 1.0, Kind.STREAM: 8.0}
 
 
 class _Answer:
-    """An answer as it comes in."""
+    """An answer that is being received."""
 
     def __init__(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
-        self.is_whole = False
+        self.is_complete = False
 
     def on_body(self, data: bytes) -> None:
         self.body += data
 
     def on_message_complete(self) -> None:
-        self.is_whole = True
+        self.is_complete = True
 
     @property
     def status(self) -> int:
@@ -47,81 +49,82 @@
         return status
 
 
-def encode(asked: Asked) -> bytes:
+def encode_request(request: CallerRequest) -> bytes:
     """Return the bytes of a request."""
     lines = [
-        f"{asked.method} {asked.target} HTTP/1.1",
+        f"{request.method} {request.target} HTTP/1.1",
         "Host: desk.example",
-        f"X-Attempt-Id: {asked.attempt}",
-        f"X-Deadline-Ms: {int(asked.deadline_s * 1000)}",
-        f"Authorization: Token {asked.key.text}",
+        f"X-Attempt-Id: {request.attempt}",
+        f"X-Deadline-Ms: {int(request.deadline_s * 1000)}",
+        f"Authorization: Token {request.key.text}",
     ]
-    if asked.kind is Kind.STREAM:
+    if request.kind is Kind.STREAM:
         lines += ["X-Token-Usage: 300,80", "X-Model: m", "X-Prompt-Prefix: ab:300"]
-    if asked.method == "POST":
-        lines.append(f"Content-Length: {len(asked.body)}")
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + asked.body
+    if request.method == "POST":
+        lines.append(f"Content-Length: {len(request.body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + request.body
 
 
 class SoakCaller:
-    """One caller, which asks one thing after the other."""
+    """A caller that sends one request at a time."""
 
     def __init__(
         self,
         loop: Loop,
-        ledger: Ledger,
+        checker: InvariantChecker,
         hosts: t.Sequence[HostProcess],
         keys: t.Callable[[], list[Key]],
         rng: random.Random,
     ) -> None:
         self._loop = loop
-        self._ledger = ledger
+        self._checker = checker
         self._hosts = hosts
         self._keys = keys
         self._rng = rng
         self._connection: Connection | None = None
         self._host = hosts[0]
         self._process = ""
-        self._asked: Asked | None = None
+        self._request: CallerRequest | None = None
         self._answer = _Answer()
         self._timer: Timer | None = None
         self.is_stopped = False
-        self.served_at: list[float] = []
-        self.asked_at: list[float] = []
+        # When the requests were sent: those served, and all.
+        self.served_sent_at: list[float] = []
+        self.all_sent_at: list[float] = []
 
     def start(self) -> None:
-        """Ask something, then pause, and so on."""
+        """Send a request; each later one follows after a pause."""
         if self.is_stopped:
             return
-        if self._connection is not None and self._rng.random() > KEEP_SHARE:
+        if self._connection is not None and self._rng.random() > KEEP_ALIVE_SHARE:
             self._connection.close_gracefully()
             self._connection = None
         if self._connection is None and not self._connect():
             self._loop.call_later(self._rng.uniform(*PAUSE_S), self.start)
             return
-        self._ask()
+        self._send_request()
 
     def _connect(self) -> bool:
-        ready = [host for host in self._hosts if host.is_running]
-        if not ready:
+        running = [host for host in self._hosts if host.is_running]
+        if not running:
             return False
-        self._host = self._rng.choice(ready)
+        self._host = self._rng.choice(running)
         self._process = self._host.incarnation
-        ip, _, port = self._host.front.address.rpartition(":")
+        ip, _, port = self._host.caller_proxy.address.rpartition(":")
         self._connection = connect(
             self._loop, (ip, int(port)), self._on_data, self._on_lost, lambda: None
         )
         return True
 
-    def _ask(self) -> None:
+    def _send_request(self) -> None:
         kind = self._rng.choice(KINDS)
         attempt = uuid.UUID(int=self._rng.getrandbits(128)).hex[:16]
         method, target, body = {
-            Kind.ONCE: ("POST", f"/register/{attempt}?fee=1", b"fee" * 20),
-            Kind.REPEATABLE: ("GET", f"/lookup/{attempt}", b""),
+            Kind.NON_IDEMPOTENT: ("POST", f"/register/{attempt}?fee=1", b"fee" * 20),
+            Kind.IDEMPOTENT: ("GET", f"/lookup/{attempt}", b""),
             Kind.STREAM: ("POST", "/draft/1", b"p" * 300),
         }[kind]
-        self._asked = asked = Asked(
+        self._request = request = CallerRequest(
             attempt,
             kind,
             method,
@@ -132,81 +135,85 @@
             self._process,
             self._loop.now,
             DEADLINE_S[kind],
-            self._ledger.version,
+            self._checker.version,
         )
         self._answer = _Answer()
-        self._ledger.ask(asked)
-        self.asked_at.append(self._loop.now)
-        self._watch(asked.deadline_s)
+        self._checker.record_request(request)
+        self.all_sent_at.append(self._loop.now)
+        self._start_timer(request.deadline_s)
         assert self._connection is not None
-        self._connection.write(encode(asked))
+        self._connection.write(encode_request(request))
 
-    def _watch(self, delay_s: float) -> None:
+    def _start_timer(self, delay_s: float) -> None:
         if self._timer is not None:
             self._timer.cancel()
         self._timer = self._loop.call_later(delay_s, self._on_timeout)
 
     def _on_timeout(self) -> None:
-        """Leave: the answer is late."""
+        """Abort the connection, since the answer is late."""
         self._timer = None
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.abort()
-        self._asked = None
-        self._next()
+        self._request = None
+        self._schedule_next()
 
     def _on_data(self, data: bytes) -> None:
         if not data:
             self._on_lost(OSError("closed"))
             return
-        asked = self._asked
-        if asked is None:
-            self._ledger.broken.append(f"mixed: bytes for nobody from {self._host}")
+        request = self._request
+        if request is None:
+            self._checker.violations.append(
+                f"mixed: bytes for nobody from {self._host}"
+            )
             return
         try:
             self._answer.parser.feed_data(data)
         except httptools.HttpParserError as error:
-            self._ledger.broken.append(f"mixed: {asked.attempt} got {error}")
+            self._checker.violations.append(f"mixed: {request.attempt} got {error}")
             self._on_lost(OSError("malformed"))
             return
-        if asked.kind is Kind.STREAM:
-            self._watch(STREAM_GAP_S)
-        if self._answer.is_whole:
-            self._end(asked, self._answer)
+        if request.kind is Kind.STREAM:
+            self._start_timer(STREAM_STALL_S)
+        if self._answer.is_complete:
+            self._finish_request(request, self._answer)
 
-    def _end(self, asked: Asked, answer: _Answer) -> None:
-        self._asked = None
+    def _finish_request(self, request: CallerRequest, answer: _Answer) -> None:
+        self._request = None
         text = answer.body.decode("latin-1")
-        self._ledger.answer(
-            asked.attempt, answer.status, text, self._loop.now, is_whole=True
+        self._checker.check_answer(
+            request.attempt, answer.status, text, self._loop.now, is_complete=True
         )
         if answer.status < 300:
-            self.served_at.append(asked.sent_at)
+            self.served_sent_at.append(request.sent_at)
         if not answer.parser.should_keep_alive() and self._connection is not None:
             self._connection.close_gracefully()
             self._connection = None
-        self._next()
+        self._schedule_next()
 
     def _on_lost(self, _error: OSError) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.close()
-        asked, self._asked = self._asked, None
-        if asked is None:
+        request, self._request = self._request, None
+        if request is None:
             return
         now = self._loop.now
         if self._answer.body:
             text = self._answer.body.decode("latin-1")
             status = self._answer.status
-            if asked.kind is Kind.STREAM and status < 300:
-                # Whole events only: the last one may be cut.
+            if request.kind is Kind.STREAM and status < 300:
+                # The last event may be truncated.
                 text = text.rpartition("\n\n")[0]
-                self._ledger.answer(asked.attempt, status, text, now, is_whole=False)
-        in_shutdown = self._host.drained_at is not None
-        self._ledger.cut(asked.attempt, now, in_shutdown=in_shutdown)
-        self._next()
-
-    def _next(self) -> None:
+                self._checker.check_answer(
+                    request.attempt, status, text, now, is_complete=False
+                )
+        in_shutdown = self._host.shutdown_at is not None
+        self._checker.check_cut(request.attempt, now, in_shutdown=in_shutdown)
+        self._schedule_next()
+
+    def _schedule_next(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -1,4 +1,4 @@
-"""Gateways as processes of their own, and what is done to them by signals."""
+"""Gateway processes, their settings files and the signals sent to them."""
 
 import pathlib
 import re
@@ -12,24 +12,26 @@
 from tests.soak.proxy import Proxy
 from wagtailstair.gateway.loop import Loop
 
-LAPSE_S = 2.0
+STORE_LAPSE_S = 2.0
+"""The setting store.lapse_s of the hosts."""
+
 GRACE_S = 8
-MEMORY_MB = 300
-"""The memory of an entry host, from the pages."""
+MAX_MEMORY_MB = 300
+"""Documented limit of the memory of an entry host."""
 
 LOG_LINE = re.compile(r"time=\S+ level=[A-Z]+ host=\S+ event=\w+")
 
 
 class HostProcess:
-    """One entry host: its settings, its ports, its process of the moment."""
+    """One entry host: its settings, its ports and its current process."""
 
     def __init__(self, loop: Loop, name: str, centre: str, store: str, work: t.Any):
         self.name = name
         self.data_centre = centre
-        self.store = Proxy(loop, store)
-        self.callers = f"127.0.0.1:{free_port()}"
-        self.readiness = f"127.0.0.1:{free_port()}"
-        self.front = Proxy(loop, self.callers)
+        self.store_proxy = Proxy(loop, store)
+        self.caller_address = f"127.0.0.1:{free_port()}"
+        self.readiness_address = f"127.0.0.1:{free_port()}"
+        self.caller_proxy = Proxy(loop, self.caller_address)
         self._peer_port = free_port()
         self._work: pathlib.Path = work
         self._starts = 0
@@ -37,41 +39,41 @@
         self.retries_slack = 200
         self.process: subprocess.Popen[bytes] | None = None
         self.is_paused = False
-        # Ends that somebody caused, by the exit code that they lead to.
+        # Exit codes that the soak caused, by a signal to the current process.
         self.expected_exits: set[int] = set()
-        self.drained_at: float | None = None
+        self.shutdown_at: float | None = None
 
     @property
     def incarnation(self) -> str:
-        """Return the name of the process of the moment."""
+        """Return an ID of the current process."""
         return f"{self.name}/{self._starts}"
 
     @property
     def is_running(self) -> bool:
-        """Tell whether the process lives."""
+        """Return whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
     def write_settings(self) -> None:
-        """Write the settings file as it should be now."""
+        """Write the settings file with the current values."""
         text = SETTINGS.format(
             name=self.name,
             centre=self.data_centre,
-            callers=self.callers.rpartition(":")[2],
-            readiness=self.readiness.rpartition(":")[2],
+            callers=self.caller_address.rpartition(":")[2],
+            readiness=self.readiness_address.rpartition(":")[2],
             peers=self._peer_port,
-            store=self.store.address,
+            store=self.store_proxy.address,
         )
-        text = text.replace("lapse_s = 0.3", f"lapse_s = {LAPSE_S}")
+        text = text.replace("lapse_s = 0.3", f"lapse_s = {STORE_LAPSE_S}")
         text = text.replace("slack = 200", f"slack = {self.retries_slack}")
         path = self._path("toml").with_suffix(".new")
         path.write_text(text, encoding="utf-8")
         path.replace(self._path("toml"))
 
     def start(self) -> None:
-        """Start a process; its output is added to a file."""
+        """Start a process that appends its output to the log file."""
         self._starts += 1
         self.expected_exits = set()
-        self.drained_at = None
+        self.shutdown_at = None
         self.write_settings()
         command = [sys.executable, "-m", "tests.soak.program", str(self.skew_s)]
         with self._path("log").open("ab") as output:
@@ -83,7 +85,7 @@
             )
 
     def signal(self, number: int, exit_code: int | None = None) -> None:
-        """Send a signal to this process, and note the end that it causes."""
+        """Send a signal to the process; ``exit_code``: the exit that it may cause."""
         if self.process is None or not self.is_running:
             return
         if exit_code is not None:
@@ -91,36 +93,38 @@
         self.process.send_signal(number)
 
     def stop(self) -> None:
-        """End the process for good."""
+        """Kill the process and wait for its exit."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL, -signal.SIGKILL)
         if self.process is not None:
             self.process.wait(timeout=10)
 
-    def memory_mb(self) -> float:
-        """Return the peak memory of the process, 0 if it has ended."""
+    def peak_memory_mb(self) -> float:
+        """Return the peak memory of the process, 0 if it has exited."""
         if not self.is_running or self.process is None:
             return 0.0
         status = pathlib.Path(f"/proc/{self.process.pid}/status")
         found = re.search(r"VmHWM:\s+(\d+) kB", status.read_text(encoding="ascii"))
         return int(found.group(1)) / 1000 if found else 0.0
 
-    def faults(self) -> list[str]:
-        """Return what is wrong with the process's end, memory and log."""
+    def check_process(self) -> list[str]:
+        """Return the violations in the process's exit and memory."""
         found = []
         if self.process is not None and not self.is_running:
             code = self.process.returncode
             if code not in self.expected_exits:
                 found.append(f"ended: {self.incarnation} by itself with {code}")
-        if self.memory_mb() > MEMORY_MB:
-            found.append(f"memory: {self.incarnation} had {self.memory_mb():.0f} MB")
+        if self.peak_memory_mb() > MAX_MEMORY_MB:
+            found.append(
+                f"memory: {self.incarnation} had {self.peak_memory_mb():.0f} MB"
+            )
         return found
 
-    def log_faults(self) -> list[str]:
-        """Return the lines of the log that should not be there."""
+    def check_log(self) -> list[str]:
+        """Return the log lines that are malformed or report a failed handler."""
         found = []
         text = self._path("log").read_text(encoding="utf-8", errors="replace")
-        # The last line may be cut by the end of the process.
+        # The last line may be truncated, since the process may have been killed.
         for line in text.split("\n")[:-1]:
             if "event=handler_failed" in line or not LOG_LINE.match(line):
                 found.append(f"log: {line}")
--- a/tests/soak/ledger.py
+++ b/tests/soak/ledger.py
@@ -1,42 +1,47 @@
-"""What callers asked and got and what upstreams ran, held against the promises.
+"""Checks of the documented guarantees against observed requests, runs and answers.
 
-Without I/O: the soak tells it what it sees, with the instant of each sight.
+This module does no I/O: the soak reports each observation with its time.
 """
 
 import dataclasses
 import enum
 import typing as t
 
-CONTACT_S = 3.0
-"""Seconds without a disturbance after which a host is in touch, from the pages."""
+UNDISTURBED_S = 3.0
+"""Seconds without a disturbance after which the documented time bounds apply."""
 
 APPLY_S = 2.0
-"""Seconds within which an accepted change is in force, from the pages."""
+"""Documented seconds within which an accepted change takes effect."""
 
 DRAIN_S = 2.0
-"""Seconds after which a leaving upstream gets nothing, from the pages."""
+"""Documented seconds after which a leaving upstream gets no more requests."""
 
-ROLLBACK_S = 0.25
-"""Seconds after the effect of a version within which an older one may still act."""
+VERSION_OVERLAP_S = 0.25
+"""Seconds after a version first takes effect in which an older one may still apply."""
 
-CLIENT_SHARE = 0.7
-"""Share of a request's time after which its end counts against no one."""
+LOST_DEADLINE_SHARE = 0.7
+"""Share of a request's deadline after which a cut connection is no violation."""
 
 REFUSALS = frozenset({408, 421, 429, 503})
+"""Status codes which state that the request did not run."""
+
 DENIALS = frozenset({401, 403, 404})
 
 
 class Kind(enum.Enum):
-    """What may be repeated."""
+    """Whether a request may be retried, and whether its answer is a stream."""
 
-    ONCE = "once"
-    REPEATABLE = "repeatable"
+    NON_IDEMPOTENT = "once"
+    IDEMPOTENT = "repeatable"
     STREAM = "stream"
 
 
 @dataclasses.dataclass(slots=True)
 class Key:
-    """An account's key and the span of versions that hold it."""
+    """An account's API key.
+
+    ``added``, ``removed``: the versions of the lists that added and revoked it.
+    """
 
     text: str
     account: str
@@ -45,10 +50,12 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Asked:
-    """A request of a caller and what became of it.
+class CallerRequest:
+    """A request of a caller and its outcome.
 
-    ``process``: the host's process that the caller's connection led to.
+    ``process``: the incarnation of the host to which the caller was connected.
+    ``version``: the version of the lists when the request was sent.
+    ``runs``: the upstreams that ran it.
     """
 
     attempt: str
@@ -66,200 +73,223 @@
     status: int | None = None
 
 
-class Touch:
-    """When each part of the deployment was disturbed last."""
+class DisturbanceLog:
+    """Records when each part of the deployment was last disturbed."""
 
     def __init__(self) -> None:
-        self._last: dict[str, float] = {}
+        self._ended_at: dict[str, float] = {}
         self._active: dict[str, int] = {}
 
     def begin(self, part: str) -> None:
-        """Note the start of a disturbance of a part."""
+        """Record the start of a disturbance."""
         self._active[part] = self._active.get(part, 0) + 1
 
     def end(self, part: str, now: float) -> None:
-        """Note the end of a disturbance of a part."""
+        """Record the end of a disturbance."""
         self._active[part] -= 1
-        self._last[part] = now
+        self._ended_at[part] = now
 
-    def note(self, part: str, now: float) -> None:
-        """Note a disturbance of an instant."""
-        self._last[part] = max(now, self._last.get(part, now))
+    def record(self, part: str, now: float) -> None:
+        """Record a disturbance without duration."""
+        self._ended_at[part] = max(now, self._ended_at.get(part, now))
 
-    def is_calm(self, parts: t.Iterable[str], now: float, span_s: float) -> bool:
-        """Tell whether no part was disturbed in a span before an instant."""
+    def is_undisturbed(self, parts: t.Iterable[str], now: float, span_s: float) -> bool:
+        """Return whether none of the parts was disturbed in the last ``span_s``."""
         for part in parts:
             if self._active.get(part):
                 return False
-            if now - self._last.get(part, float("-inf")) < span_s:
+            if now - self._ended_at.get(part, float("-inf")) < span_s:
                 return False
         return True
 
 
 MACHINE = "machine"
+"""The whole machine: disturbed when the soak's own process was late."""
+
 STORE = "store"
 UPSTREAMS = "upstreams"
 
 
-class Ledger:
-    """All requests, and the broken promises found so far."""
+class InvariantChecker:
+    """Checks observations against the guarantees and collects violations."""
 
-    def __init__(self, touch: Touch) -> None:
-        self.touch = touch
-        self.broken: list[str] = []
-        self.asked: dict[str, Asked] = {}
+    def __init__(self, disturbances: DisturbanceLog) -> None:
+        self.disturbances = disturbances
+        self.violations: list[str] = []
+        self._requests: dict[str, CallerRequest] = {}
         self.version = 0
         self._accepted_at: dict[int, float] = {}
         self._leaving_at: dict[str, float] = {}
-        self._floor_by_process: dict[str, tuple[int, float]] = {}
+        self._minimum_by_process: dict[str, tuple[int, float]] = {}
         self.counts: dict[str, int] = {}
 
-    def accept_version(self, version: int, now: float) -> None:
-        """Take in that the store has acknowledged new lists."""
+    def record_version(self, version: int, now: float) -> None:
+        """Record that the store acknowledged new lists."""
         self.version = version
         self._accepted_at[version] = now
 
-    def leave(self, upstream: str, now: float) -> None:
-        """Take in that the store has acknowledged an upstream's leaving."""
+    def record_leaving(self, upstream: str, now: float) -> None:
+        """Record that the store acknowledged the leaving of an upstream."""
         self._leaving_at.setdefault(upstream, now)
 
-    def ask(self, asked: Asked) -> None:
-        """Take in a request before it is sent."""
-        self.asked[asked.attempt] = asked
+    def record_request(self, request: CallerRequest) -> None:
+        """Record a request that is about to be sent."""
+        self._requests[request.attempt] = request
 
-    def _break(self, promise: str, text: str, now: float) -> None:
-        self.broken.append(f"{promise} at {now:.2f}: {text}")
+    def _report(self, kind: str, text: str, now: float) -> None:
+        self.violations.append(f"{kind} at {now:.2f}: {text}")
 
-    def _in_touch(self, asked: Asked, now: float) -> bool:
-        parts = (MACHINE, STORE, asked.host)
-        return self.touch.is_calm(parts, now, CONTACT_S)
+    def _is_undisturbed(self, request: CallerRequest, now: float) -> bool:
+        parts = (MACHINE, STORE, request.host)
+        return self.disturbances.is_undisturbed(parts, now, UNDISTURBED_S)
 
-    # What upstreams see.
+    # Observations of upstreams.
 
-    def ran(
-        self, upstream: str, seen: "Seen", now: float, *, is_first: bool = True
+    def record_run(
+        self, upstream: str, received: "Seen", now: float, *, is_first: bool = True
     ) -> None:
-        """Take in that an upstream begins to work on a request."""
-        asked = self.asked.get(seen.attempt)
-        if asked is None:
-            self._break("unasked", f"{upstream} ran {seen.attempt}", now)
+        """Record that an upstream starts a request, and check that it may."""
+        request = self._requests.get(received.attempt)
+        if request is None:
+            self._report("unasked", f"{upstream} ran {received.attempt}", now)
             return
-        wanted = (asked.method, asked.target, asked.body, asked.key.account, "")
-        got = (seen.method, seen.target, seen.body, seen.account, seen.authorization)
-        if wanted != got:
-            self._break("unasked", f"{upstream} ran {got}, not {wanted}", now)
+        expected = (
+            request.method,
+            request.target,
+            request.body,
+            request.key.account,
+            "",
+        )
+        actual = (
+            received.method,
+            received.target,
+            received.body,
+            received.account,
+            received.authorization,
+        )
+        if expected != actual:
+            self._report("unasked", f"{upstream} ran {actual}, not {expected}", now)
         if is_first:
-            asked.runs.append(upstream)
-        if asked.kind is Kind.ONCE and len(asked.runs) > 1:
-            self._break("twice", f"{asked.attempt} on {asked.runs}", now)
-        if asked.status in REFUSALS:
-            self._break("refused", f"{asked.attempt} ran after {asked.status}", now)
-        left_at = self._leaving_at.get(upstream, now)
-        if now - left_at > DRAIN_S and self._in_touch(asked, now):
-            late_s = now - left_at
-            text = f"{upstream} got {asked.attempt} {late_s:.2f} s after leaving"
-            self._break("drain", text, now)
-
-    def path(self, upstream: str, attempt: str, text: str, layers: int) -> None:
-        """Take in the path of a request: each layer once, in order."""
-        reached = 0
+            request.runs.append(upstream)
+        if request.kind is Kind.NON_IDEMPOTENT and len(request.runs) > 1:
+            self._report("twice", f"{request.attempt} on {request.runs}", now)
+        if request.status in REFUSALS:
+            self._report(
+                "refused", f"{request.attempt} ran after {request.status}", now
+            )
+        leaving_at = self._leaving_at.get(upstream, now)
+        if now - leaving_at > DRAIN_S and self._is_undisturbed(request, now):
+            late_s = now - leaving_at
+            text = f"{upstream} got {request.attempt} {late_s:.2f} s after leaving"
+            self._report("drain", text, now)
+
+    def check_path(self, upstream: str, attempt: str, text: str, layers: int) -> None:
+        """Check that a request's path runs each layer once and in order."""
+        next_layer = 0
         for part in text.split(","):
             first, _, last = part.partition("=")[2].partition("-")
-            if int(first) != reached or int(last) <= reached:
+            if int(first) != next_layer or int(last) <= next_layer:
                 break
-            reached = int(last)
-        if reached != layers:
-            self.broken.append(f"layers: {attempt} at {upstream} by {text}")
+            next_layer = int(last)
+        if next_layer != layers:
+            self.violations.append(f"layers: {attempt} at {upstream} by {text}")
 
-    # What callers see.
+    # Observations of callers.
 
-    def answer(
-        self, attempt: str, status: int, text: str, now: float, *, is_whole: bool
+    def check_answer(
+        self, attempt: str, status: int, text: str, now: float, *, is_complete: bool
     ) -> None:
-        """Take in the end of an answer; ``text`` is its body."""
-        asked = self.asked[attempt]
-        asked.status = status
+        """Check an answer; ``text`` is its body."""
+        request = self._requests[attempt]
+        request.status = status
         self.counts[str(status)] = self.counts.get(str(status), 0) + 1
-        if status in REFUSALS and asked.runs:
-            self._break("refused", f"{attempt} got {status} after {asked.runs}", now)
+        if status in REFUSALS and request.runs:
+            self._report("refused", f"{attempt} got {status} after {request.runs}", now)
         if status in DENIALS:
-            self._check_denial(asked, now)
+            self._check_denial(request, now)
         if 200 <= status < 300:
-            self._check_success(asked, text, now, is_whole=is_whole)
+            self._check_success(request, text, now, is_complete=is_complete)
 
-    def cut(self, attempt: str, now: float, *, in_shutdown: bool) -> None:
-        """Take in that a connection ended without a whole answer."""
-        asked = self.asked[attempt]
+    def check_cut(self, attempt: str, now: float, *, in_shutdown: bool) -> None:
+        """Check a connection that ended before the answer was complete."""
+        request = self._requests[attempt]
         self.counts["cut"] = self.counts.get("cut", 0) + 1
-        if not in_shutdown or not asked.runs:
+        if not in_shutdown or not request.runs:
             return
-        if now - asked.sent_at > CLIENT_SHARE * asked.deadline_s:
+        if now - request.sent_at > LOST_DEADLINE_SHARE * request.deadline_s:
             return
-        parts = (MACHINE, STORE, UPSTREAMS, asked.host)
-        span_s = now - asked.sent_at + CONTACT_S
-        if self.touch.is_calm(parts, now, span_s):
-            self._break("lost", f"{attempt} was cut by the shutdown", now)
+        parts = (MACHINE, STORE, UPSTREAMS, request.host)
+        span_s = now - request.sent_at + UNDISTURBED_S
+        if self.disturbances.is_undisturbed(parts, now, span_s):
+            self._report("lost", f"{attempt} was cut by the shutdown", now)
 
     def _check_success(
-        self, asked: Asked, text: str, now: float, *, is_whole: bool
+        self, request: CallerRequest, text: str, now: float, *, is_complete: bool
     ) -> None:
-        if not asked.runs:
-            self._break("mixed", f"{asked.attempt} was answered and never ran", now)
-        if asked.kind is not Kind.STREAM and text != f"body of {asked.attempt}":
-            self._break("mixed", f"{asked.attempt} got {text!r}", now)
-        if asked.kind is Kind.STREAM:
-            self._check_events(asked, text, now, is_whole=is_whole)
-        self._check_version(asked, now)
+        if not request.runs:
+            self._report("mixed", f"{request.attempt} was answered and never ran", now)
+        if request.kind is not Kind.STREAM and text != f"body of {request.attempt}":
+            self._report("mixed", f"{request.attempt} got {text!r}", now)
+        if request.kind is Kind.STREAM:
+            self._check_events(request, text, now, is_complete=is_complete)
+        self._check_version(request, now)
 
     def _check_events(
-        self, asked: Asked, text: str, now: float, *, is_whole: bool
+        self, request: CallerRequest, text: str, now: float, *, is_complete: bool
     ) -> None:
         events = [event for event in text.split("\n\n") if event]
         for number, event in enumerate(events, 1):
-            if event != make_event(asked.attempt, number).rstrip("\n"):
-                self._break("order", f"{asked.attempt} event {number}: {event!r}", now)
+            if event != make_event(request.attempt, number).rstrip("\n"):
+                self._report(
+                    "order", f"{request.attempt} event {number}: {event!r}", now
+                )
                 return
-        if is_whole and len(events) != EVENTS:
-            self._break("order", f"{asked.attempt} ended at {len(events)}", now)
-
-    def _check_denial(self, asked: Asked, now: float) -> None:
-        """Check that some version in force may have denied a request."""
-        key = asked.key
-        floor = self._floor(asked)
-        revoked = key.removed is not None and key.removed <= self.version
-        if not revoked and key.added <= floor:
-            self._break("reverted", f"{asked.attempt} denied {key.text}", now)
-        if not revoked and self._in_force(key.added, asked):
-            self._break("denied", f"{asked.attempt} with {key.text}", now)
-
-    def _check_version(self, asked: Asked, now: float) -> None:
-        """Check that no older version allowed a request; note the one that did."""
-        key = asked.key
+        if is_complete and len(events) != EVENTS:
+            self._report("order", f"{request.attempt} ended at {len(events)}", now)
+
+    def _check_denial(self, request: CallerRequest, now: float) -> None:
+        """Check that a version which may apply denies the request."""
+        key = request.key
+        minimum = self._minimum_version(request)
+        is_revoked = key.removed is not None and key.removed <= self.version
+        if not is_revoked and key.added <= minimum:
+            self._report("reverted", f"{request.attempt} denied {key.text}", now)
+        if not is_revoked and self._must_be_in_force(key.added, request):
+            self._report("denied", f"{request.attempt} with {key.text}", now)
+
+    def _check_version(self, request: CallerRequest, now: float) -> None:
+        """Check that no outdated version allowed a request.
+
+        Raises the minimum version of the process to the one that added the key.
+        """
+        key = request.key
         if key.removed is not None:
-            if key.removed <= self._floor(asked):
-                self._break("reverted", f"{asked.attempt} served {key.text}", now)
-            if self._in_force(key.removed, asked):
-                self._break("config", f"{asked.attempt} with {key.text}", now)
-        floor, _ = self._floor_by_process.get(asked.process, (0, now))
-        if key.added > floor:
-            self._floor_by_process[asked.process] = (key.added, now)
-
-    def _floor(self, asked: Asked) -> int:
-        """Return the version that a process had reached before a request."""
-        floor, at = self._floor_by_process.get(asked.process, (0, asked.sent_at))
-        return floor if asked.sent_at > at + ROLLBACK_S else 0
-
-    def _in_force(self, version: int, asked: Asked) -> bool:
-        """Tell whether a version must have been in force when a request came."""
+            if key.removed <= self._minimum_version(request):
+                self._report("reverted", f"{request.attempt} served {key.text}", now)
+            if self._must_be_in_force(key.removed, request):
+                self._report("config", f"{request.attempt} with {key.text}", now)
+        minimum, _ = self._minimum_by_process.get(request.process, (0, now))
+        if key.added > minimum:
+            self._minimum_by_process[request.process] = (key.added, now)
+
+    def _minimum_version(self, request: CallerRequest) -> int:
+        """Return the oldest version that a process may apply to a request."""
+        minimum, at = self._minimum_by_process.get(
+            request.process, (0, request.sent_at)
+        )
+        return minimum if request.sent_at > at + VERSION_OVERLAP_S else 0
+
+    def _must_be_in_force(self, version: int, request: CallerRequest) -> bool:
+        """Return whether a version must have applied when a request was sent."""
         accepted_at = self._accepted_at.get(version)
-        if accepted_at is None or asked.sent_at <= accepted_at + APPLY_S:
+        if accepted_at is None or request.sent_at <= accepted_at + APPLY_S:
             return False
-        return self._in_touch(asked, asked.sent_at)
+        return self._is_undisturbed(request, request.sent_at)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Seen:
-    """A request as an upstream saw it."""
+    """A request as an upstream received it."""
 
     attempt: str
     method: str
@@ -270,9 +300,9 @@
 
 
 EVENTS = 24
-"""Events of a stream."""
+"""Number of events of a complete stream."""
 
 
 def make_event(attempt: str, number: int) -> str:
-    """Return an event of a stream, which names its request."""
+    """Return an event that contains the ID of its request."""
     return f"id: {number}\ndata: {attempt} {number}\n\n"
--- a/tests/soak/program.py
+++ b/tests/soak/program.py
@@ -1,4 +1,4 @@
-"""The gateway as it is, with a time of day that is off by some seconds."""
+"""Run the gateway with a skewed wall clock: ``tests.soak.program SKEW_S SETTINGS``."""
 
 import datetime
 import sys
@@ -8,7 +8,7 @@
 
 
 class SkewedClock(SystemClock):
-    """A clock whose time of day is off by some seconds."""
+    """A system clock with a constant skew of the wall clock."""
 
     __slots__ = ("_skew",)
 
@@ -16,7 +16,7 @@
         self._skew = datetime.timedelta(seconds=skew_s)
 
     def utcnow(self) -> datetime.datetime:
-        """Return the skewed time of day."""
+        """Return the skewed wall-clock time."""
         return super().utcnow() + self._skew
 
 
--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy on loopback whose links can be delayed, cut, silenced and reset."""
+"""A TCP proxy on loopback that can delay, block, stall and reset connections."""
 
 import enum
 import socket
@@ -12,86 +12,89 @@
 
 
 class LinkMode(enum.Enum):
-    """What becomes of bytes."""
+    """How a proxy treats the bytes of its connections."""
 
     OK = "ok"
     DELAYED = "delayed"
-    # Nothing passes, and nobody is told.
+    # Blocks both directions; the connections stay open.
     SILENT = "silent"
-    # Only towards the target, or only back from it.
+    # Forwards only to the target, or only from it.
     FORWARD_ONLY = "forward_only"
     BACKWARD_ONLY = "backward_only"
     RESET = "reset"
 
 
 class _Link:
-    """A connection from outside and its counterpart to the target."""
+    """A client's connection and its counterpart to the target."""
 
     def __init__(self, proxy: "Proxy", sock: socket.socket) -> None:
         self._proxy = proxy
-        self._held: list[tuple[bool, bytes]] = []
+        self._buffer: list[tuple[bool, bytes]] = []
         self.is_stalled = False
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self._outer = Connection(
-            proxy.loop, sock, lambda data: self._take(True, data), self._on_outer_lost
+        self._client = Connection(
+            proxy.loop,
+            sock,
+            lambda data: self._receive(True, data),
+            self._on_client_lost,
         )
-        self._inner = connect(
+        self._target = connect(
             proxy.loop,
             proxy.target,
-            lambda data: self._take(False, data),
-            self._on_inner_lost,
+            lambda data: self._receive(False, data),
+            self._on_target_lost,
             lambda: None,
         )
 
     def reset(self) -> None:
-        self._outer.abort()
-        self._inner.abort()
+        self._client.abort()
+        self._target.abort()
         self._proxy.links.discard(self)
 
     def flush(self) -> None:
-        """Pass on what was held, in order."""
-        held, self._held = self._held, []
-        for is_forward, data in held:
-            self._take(is_forward, data)
-
-    def _take(self, is_forward: bool, data: bytes) -> None:
-        if self._held or self.is_stalled or not self._proxy.passes(is_forward):
-            self._held.append((is_forward, data))
+        """Forward the buffered bytes, in order."""
+        buffered, self._buffer = self._buffer, []
+        for is_forward, data in buffered:
+            self._receive(is_forward, data)
+
+    def _receive(self, is_forward: bool, data: bytes) -> None:
+        if self._buffer or self.is_stalled or not self._proxy.passes(is_forward):
+            self._buffer.append((is_forward, data))
             return
         if self._proxy.mode is LinkMode.DELAYED:
-            self._held.append((is_forward, data))
-            self._proxy.loop.call_later(self._proxy.delay_s, self._release)
+            self._buffer.append((is_forward, data))
+            self._proxy.loop.call_later(self._proxy.delay_s, self._forward_delayed)
             return
-        self._pass(is_forward, data)
+        self._forward(is_forward, data)
 
-    def _release(self) -> None:
-        """Pass on what a delay has held, unless the link is cut meanwhile."""
-        held, self._held = self._held, []
-        for index, (is_forward, data) in enumerate(held):
+    def _forward_delayed(self) -> None:
+        """Forward delayed bytes, unless the link was blocked in the meantime."""
+        buffered, self._buffer = self._buffer, []
+        for index, (is_forward, data) in enumerate(buffered):
             if self.is_stalled or not self._proxy.passes(is_forward):
-                self._held = held[index:]
+                self._buffer = buffered[index:]
                 return
-            self._pass(is_forward, data)
+            self._forward(is_forward, data)
 
-    def _pass(self, is_forward: bool, data: bytes) -> None:
-        side = self._inner if is_forward else self._outer
+    def _forward(self, is_forward: bool, data: bytes) -> None:
+        receiver = self._target if is_forward else self._client
         if data:
-            side.write(data)
+            receiver.write(data)
             return
-        side.close_gracefully()
+        receiver.close_gracefully()
 
-    def _on_outer_lost(self, _error: OSError) -> None:
-        self._inner.abort()
+    def _on_client_lost(self, _error: OSError) -> None:
+        self._target.abort()
         self._proxy.links.discard(self)
 
-    def _on_inner_lost(self, _error: OSError) -> None:
-        self._outer.abort()
+    def _on_target_lost(self, _error: OSError) -> None:
+        self._client.abort()
         self._proxy.links.discard(self)
 
 
 class Proxy:
-    """Passes connections on to one target."""
+    """Forwards connections to one target."""
 
     def __init__(self, loop: Loop, target: str, port: int = 0) -> None:
         self.loop = loop
@@ -104,14 +107,14 @@
         self.address = f"{IP}:{sock.getsockname()[1]}"
 
     def passes(self, is_forward: bool) -> bool:
-        """Tell whether bytes of a direction get through."""
+        """Return whether the mode forwards bytes of a direction."""
         if self.mode is LinkMode.SILENT:
             return False
         one_way = LinkMode.BACKWARD_ONLY if is_forward else LinkMode.FORWARD_ONLY
         return self.mode is not one_way
 
     def set_mode(self, mode: LinkMode, delay_s: float = 0.0) -> None:
-        """Change what becomes of bytes, those that are held with them."""
+        """Change the mode, also for bytes that are already buffered."""
         self.mode = mode
         self.delay_s = delay_s
         for link in list(self.links):
@@ -120,8 +123,8 @@
             elif mode is LinkMode.OK:
                 link.flush()
 
-    def stall_open(self) -> None:
-        """Silence the open connections for good, while new ones work."""
+    def stall_open_links(self) -> None:
+        """Stall the open connections permanently; new ones work."""
         for link in self.links:
             link.is_stalled = True
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -1,4 +1,4 @@
-"""One run of the soak: a deployment, callers, faults by seed, and the verdict."""
+"""One run of the soak: a deployment, callers, faults drawn by seed, and a verdict."""
 
 import dataclasses
 import multiprocessing
@@ -9,36 +9,40 @@
 
 from tests.soak.callers import SoakCaller
 from tests.soak.faults import FAULTS
-from tests.soak.faults import Stage
+from tests.soak.faults import SoakDeployment
 from tests.soak.hosts import HostProcess
 from tests.soak.ledger import MACHINE
-from tests.soak.ledger import Ledger
-from tests.soak.ledger import Touch
+from tests.soak.ledger import DisturbanceLog
+from tests.soak.ledger import InvariantChecker
 from tests.soak.proxy import Proxy
 from tests.soak.upstreams import SoakEngine
 from tests.soak.upstreams import SoakService
 from wagtailstair.clock import SystemClock
 from wagtailstair.gateway.loop import Loop
 
-CENTRES = ("a", "b", "c")
+DATA_CENTRES = ("a", "b", "c")
 ENGINES_PER_CENTRE = 4
-START_S = 30.0
-"""Seconds for a first answer of each kind, processes started on a busy machine."""
+START_TIMEOUT_S = 30.0
+"""Seconds for the first answer to each caller, as processes start on a busy machine."""
 
-RECOVER_S = 12.0
-"""Seconds after which a quarter of all requests is served again, from the pages."""
+RECOVERY_S = 12.0
+"""Documented seconds after which a quarter of all requests is served again."""
 
 PROBE_S = 2.0
-SERVED_SHARE = 0.25
+"""Seconds in which requests are counted after the recovery."""
+
+MIN_SERVED_SHARE = 0.25
 FAULT_PAUSE_S = (0.05, 1.5)
+"""Bounds of the pause between two faults."""
+
 TICK_S = 0.05
-LAG_S = 0.4
-"""Seconds that this process may be late before its own sights prove nothing."""
+MAX_LAG_S = 0.4
+"""Seconds that this process may be late before its observations are unreliable."""
 
 
 @dataclasses.dataclass(slots=True)
 class Options:
-    """What a run is made of."""
+    """Settings of a run."""
 
     seed: int
     fault_s: float = 15.0
@@ -48,183 +52,191 @@
 
 @dataclasses.dataclass(slots=True)
 class Verdict:
-    """What a run came to; ``story``: its faults, in order."""
+    """Result of a run; ``faults``: the injected faults, in order."""
 
-    broken: list[str]
+    violations: list[str]
     counts: dict[str, int]
-    story: list[str]
+    faults: list[str]
     recovered: float
 
 
-def start_apart(jobs: int) -> futures.ProcessPoolExecutor:
-    """Return an executor that plays each run in a process of its own.
+def start_isolated_pool(jobs: int) -> futures.ProcessPoolExecutor:
+    """Return an executor that uses a new process for each run.
 
-    A run leaves its sockets open, which end with the process.
+    A run leaves its sockets open; they are closed when the process exits.
     """
     context = multiprocessing.get_context("spawn")
     return futures.ProcessPoolExecutor(jobs, mp_context=context, max_tasks_per_child=1)
 
 
-def play(options: Options, work: pathlib.Path) -> Verdict:
-    """Play one run."""
-    return Run(options, work).play()
+def run_soak(options: Options, work: pathlib.Path) -> Verdict:
+    """Run the soak once."""
+    return SoakRun(options, work).run()
 
 
-class Run:
-    """A deployment under faults, until its verdict."""
+class SoakRun:
+    """A deployment under faults, from its start to the verdict."""
 
     def __init__(self, options: Options, work: pathlib.Path) -> None:
         self._options = options
         self._loop = Loop(SystemClock())
         self._rng = random.Random(options.seed)
-        self._ledger = Ledger(Touch())
-        self._stage = Stage(self._loop, self._ledger, self._rng)
+        self._checker = InvariantChecker(DisturbanceLog())
+        self._deployment = SoakDeployment(self._loop, self._checker, self._rng)
         self._callers: list[SoakCaller] = []
-        self._ticked_at = self._loop.now
+        self._checked_at = self._loop.now
         self._build(work)
 
-    def play(self) -> Verdict:
-        """Play the run and return its verdict."""
+    def run(self) -> Verdict:
+        """Run the deployment and return the verdict."""
         try:
-            for host in self._stage.hosts:
+            for host in self._deployment.hosts:
                 host.start()
-            self._tick()
+            self._check_processes()
             for caller in self._callers:
                 caller.start()
-            self._wait(START_S, self._all_serve)
-            self._disturb(self._loop.now + self._options.fault_s)
+            self._wait(START_TIMEOUT_S, self._all_callers_served)
+            self._inject_fault(self._loop.now + self._options.fault_s)
             self._wait(self._options.fault_s)
-            self._stage.is_over = True
-            recovered = self._recover()
+            self._deployment.faults_ended = True
+            recovered = self._measure_recovery()
         finally:
             for caller in self._callers:
                 caller.is_stopped = True
-            for host in self._stage.hosts:
+            for host in self._deployment.hosts:
                 host.stop()
-        for host in self._stage.hosts:
-            self._ledger.broken.extend(host.log_faults())
-        ledger = self._ledger
-        return Verdict(ledger.broken, ledger.counts, self._stage.log, recovered)
+        for host in self._deployment.hosts:
+            self._checker.violations.extend(host.check_log())
+        checker = self._checker
+        return Verdict(
+            checker.violations, checker.counts, self._deployment.fault_log, recovered
+        )
 
     def _build(self, work: pathlib.Path) -> None:
-        stage = self._stage
-        for key in stage.keys:
+        deployment = self._deployment
+        for key in deployment.keys:
             key.added = 1
-        stage.write_lists()
-        for centre in CENTRES:
+        deployment.write_lists()
+        for centre in DATA_CENTRES:
             self._add_upstream(SoakService, f"i-desk-{centre}", centre)
             for number in range(ENGINES_PER_CENTRE):
                 self._add_upstream(SoakEngine, f"i-e{number}-{centre}", centre)
         for number in range(self._options.hosts):
-            centre = CENTRES[number % len(CENTRES)]
+            centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             name = f"entry-{number}"
-            stage.hosts.append(
-                HostProcess(self._loop, name, centre, stage.store.address, work)
+            deployment.hosts.append(
+                HostProcess(self._loop, name, centre, deployment.store.address, work)
             )
         for number in range(self._options.callers):
-            centre = CENTRES[number % len(CENTRES)]
-            near = [host for host in stage.hosts if host.data_centre == centre]
+            centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+            local = [host for host in deployment.hosts if host.data_centre == centre]
             self._callers.append(
                 SoakCaller(
                     self._loop,
-                    self._ledger,
-                    near or stage.hosts,
-                    stage.live_keys,
+                    self._checker,
+                    local or deployment.hosts,
+                    deployment.caller_keys,
                     random.Random(self._rng.random()),
                 )
             )
 
     def _add_upstream(
-        self, make: type[SoakService] | type[SoakEngine], name: str, centre: str
+        self,
+        upstream_class: type[SoakService] | type[SoakEngine],
+        name: str,
+        centre: str,
     ) -> None:
-        stage = self._stage
-        if make is SoakEngine:
-            engine = SoakEngine(self._loop, stage.store, name, "a100")
+        deployment = self._deployment
+        if upstream_class is SoakEngine:
+            engine = SoakEngine(self._loop, deployment.store, name, "a100")
             proxy = Proxy(self._loop, engine.address)
-            SoakEngine.by_address[proxy.address] = engine
-            stage.engines.append(engine)
+            SoakEngine.engine_by_address[proxy.address] = engine
+            deployment.engines.append(engine)
             upstream: t.Any = engine
         else:
-            upstream = SoakService(self._loop, stage.store, name)
+            upstream = SoakService(self._loop, deployment.store, name)
             proxy = Proxy(self._loop, upstream.address)
-            stage.services.append(upstream)
+            deployment.services.append(upstream)
         upstream.address = proxy.address
         upstream.row["address"] = proxy.address
-        upstream.ledger = self._ledger
+        upstream.checker = self._checker
         upstream.rng = random.Random(self._rng.random())
         upstream.write_row(zone=centre)
 
-    # Time.
+    # Timers.
 
-    def _tick(self) -> None:
-        """Look at the processes, and whether this one was late."""
+    def _check_processes(self) -> None:
+        """Check and restart the host processes; record whether this one was late."""
         now = self._loop.now
-        if now - self._ticked_at > LAG_S:
-            self._ledger.touch.note(MACHINE, now)
-        self._ticked_at = now
-        for host in self._stage.hosts:
-            for fault in host.faults():
-                self._ledger.broken.append(fault)
+        if now - self._checked_at > MAX_LAG_S:
+            self._checker.disturbances.record(MACHINE, now)
+        self._checked_at = now
+        for host in self._deployment.hosts:
+            for violation in host.check_process():
+                self._checker.violations.append(violation)
+                # Any exit code counts as expected now: it was reported.
                 host.expected_exits.update(range(-64, 256))
                 if not host.is_running:
                     host.start()
-        self._loop.call_later(TICK_S, self._tick)
+        self._loop.call_later(TICK_S, self._check_processes)
 
-    def _disturb(self, until: float) -> None:
+    def _inject_fault(self, until: float) -> None:
         if self._loop.now >= until:
             return
         fault = self._rng.choice(FAULTS)
-        self._stage.log.append(f"{self._loop.now:.2f} {fault.__name__}")
-        fault(self._stage)
+        self._deployment.fault_log.append(f"{self._loop.now:.2f} {fault.__name__}")
+        fault(self._deployment)
         delay_s = self._rng.uniform(*FAULT_PAUSE_S)
-        self._loop.call_later(delay_s, lambda: self._disturb(until))
+        self._loop.call_later(delay_s, lambda: self._inject_fault(until))
 
-    def _wait(self, span_s: float, until: t.Callable[[], bool] = lambda: False) -> bool:
-        """Run the loop for a while, or until something holds."""
-        deadline = self._loop.clock.monotonic() + span_s
+    def _wait(
+        self, duration_s: float, until: t.Callable[[], bool] = lambda: False
+    ) -> bool:
+        """Run the loop for a duration, or until a condition holds."""
+        deadline = self._loop.clock.monotonic() + duration_s
 
-        def look() -> None:
+        def check() -> None:
             if until() or self._loop.clock.monotonic() > deadline:
                 self._loop.stop()
             else:
-                self._loop.call_later(TICK_S, look)
+                self._loop.call_later(TICK_S, check)
 
         self._loop.now = self._loop.clock.monotonic()
-        self._loop.call_later(0.0, look)
+        self._loop.call_later(0.0, check)
         self._loop.run()
         return until()
 
-    def _all_serve(self) -> bool:
-        return all(caller.served_at for caller in self._callers)
+    def _all_callers_served(self) -> bool:
+        return all(caller.served_sent_at for caller in self._callers)
 
-    # The end.
+    # Recovery after the faults.
 
-    def _recover(self) -> float:
-        """Let all faults end; return the share of requests served after a while."""
-        calm_s = 0.0
-        while calm_s < RECOVER_S:
+    def _measure_recovery(self) -> float:
+        """Wait for the recovery; return the share of requests served afterwards."""
+        stable_s = 0.0
+        while stable_s < RECOVERY_S:
             self._wait(TICK_S * 4)
-            calm_s += TICK_S * 4
-            if not self._is_whole():
-                calm_s = 0.0
+            stable_s += TICK_S * 4
+            if not self._is_recovered():
+                stable_s = 0.0
         since = self._loop.now
         self._wait(PROBE_S)
         until = self._loop.now
         self._wait(PROBE_S)
-        asked = served = 0
+        sent = served = 0
         for caller in self._callers:
-            asked += sum(since <= at < until for at in caller.asked_at)
-            served += sum(since <= at < until for at in caller.served_at)
-        share = served / max(1, asked)
-        if share < SERVED_SHARE:
-            text = f"recover: {served} of {asked} served {RECOVER_S} s after the faults"
-            self._ledger.broken.append(text)
+            sent += sum(since <= at < until for at in caller.all_sent_at)
+            served += sum(since <= at < until for at in caller.served_sent_at)
+        share = served / max(1, sent)
+        if share < MIN_SERVED_SHARE:
+            text = f"recover: {served} of {sent} served {RECOVERY_S} s after the faults"
+            self._checker.violations.append(text)
         return share
 
-    def _is_whole(self) -> bool:
-        stage = self._stage
-        for host in stage.hosts:
-            if not host.is_running or host.is_paused or host.drained_at is not None:
+    def _is_recovered(self) -> bool:
+        deployment = self._deployment
+        for host in deployment.hosts:
+            if not host.is_running or host.is_paused or host.shutdown_at is not None:
                 return False
-        upstreams = [*stage.services, *stage.engines]
-        return not any(upstream.is_down or upstream.is_closed for upstream in upstreams)
+        upstreams = [*deployment.services, *deployment.engines]
+        return not any(upstream.is_down or upstream.has_left for upstream in upstreams)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,35 +1,39 @@
-"""The soak's verdicts, and a short run of real processes."""
+"""Tests of the soak's checker, and a short run with real processes."""
 
 import pathlib
 
 import pytest
 
 from tests.soak.ledger import EVENTS
-from tests.soak.ledger import Asked
+from tests.soak.ledger import CallerRequest
+from tests.soak.ledger import DisturbanceLog
+from tests.soak.ledger import InvariantChecker
 from tests.soak.ledger import Key
 from tests.soak.ledger import Kind
-from tests.soak.ledger import Ledger
 from tests.soak.ledger import Seen
-from tests.soak.ledger import Touch
 from tests.soak.ledger import make_event
 from tests.soak.run import Options
-from tests.soak.run import play
-from tests.soak.run import start_apart
+from tests.soak.run import run_soak
+from tests.soak.run import start_isolated_pool
 
 CI_SEED = 1
 CI_FAULT_S = 8.0
-LINES = (pathlib.Path(__file__).parent / "soak" / "seeds.txt").read_text().splitlines()
+SEED_LINES = (
+    (pathlib.Path(__file__).parent / "soak" / "seeds.txt").read_text().splitlines()
+)
 REGRESSIONS = [
-    int(line.split()[0]) for line in LINES if line and not line.startswith("#")
+    int(line.split()[0]) for line in SEED_LINES if line and not line.startswith("#")
 ]
 
 
-def make_asked(kind=Kind.ONCE, *, key=None, sent_at=100.0, version=1):
+def make_request(kind=Kind.NON_IDEMPOTENT, *, key=None, sent_at=100.0, version=1):
     key = key or Key("key-1", "maker", 1)
-    return Asked("a1", kind, "GET", "/x/1", b"", key, "h", "h/1", sent_at, 1.0, version)
+    return CallerRequest(
+        "a1", kind, "GET", "/x/1", b"", key, "h", "h/1", sent_at, 1.0, version
+    )
 
 
-def make_seen(**changes):
+def make_received(**changes):
     values = {
         "attempt": "a1",
         "method": "GET",
@@ -43,57 +47,57 @@
 
 
 @pytest.fixture
-def ledger():
-    ledger = Ledger(Touch())
-    ledger.accept_version(1, 0.0)
-    return ledger
+def checker():
+    checker = InvariantChecker(DisturbanceLog())
+    checker.record_version(1, 0.0)
+    return checker
 
 
-def promises(ledger):
-    return [text.split()[0].rstrip(":") for text in ledger.broken]
+def violation_kinds(checker):
+    return [text.split()[0].rstrip(":") for text in checker.violations]
 
 
-class TestLedger:
-    def test_a_plain_answer_breaks_nothing(self, ledger):
-        ledger.ask(make_asked())
-        ledger.ran("i-1", make_seen(), 100.1)
-        ledger.answer("a1", 200, "body of a1", 100.2, is_whole=True)
-        assert ledger.broken == []
+class TestInvariantChecker:
+    def test_correct_answer_is_no_violation(self, checker):
+        checker.record_request(make_request())
+        checker.record_run("i-1", make_received(), 100.1)
+        checker.check_answer("a1", 200, "body of a1", 100.2, is_complete=True)
+        assert checker.violations == []
 
     @pytest.mark.parametrize(
         "changes",
         [{"body": b"other"}, {"account": "judge"}, {"authorization": "Token k"}],
     )
-    def test_a_changed_request(self, ledger, changes):
-        ledger.ask(make_asked())
-        ledger.ran("i-1", make_seen(**changes), 100.1)
-        assert promises(ledger) == ["unasked"]
+    def test_changed_request_is_a_violation(self, checker, changes):
+        checker.record_request(make_request())
+        checker.record_run("i-1", make_received(**changes), 100.1)
+        assert violation_kinds(checker) == ["unasked"]
 
-    def test_nobody_asked(self, ledger):
-        ledger.ran("i-1", make_seen(attempt="a2"), 100.1)
-        assert promises(ledger) == ["unasked"]
+    def test_run_without_a_request_is_a_violation(self, checker):
+        checker.record_run("i-1", make_received(attempt="a2"), 100.1)
+        assert violation_kinds(checker) == ["unasked"]
 
-    def test_twice(self, ledger):
-        ledger.ask(make_asked())
-        ledger.ran("i-1", make_seen(), 100.1)
-        ledger.ran("i-2", make_seen(), 100.2)
-        assert promises(ledger) == ["twice"]
+    def test_second_run_of_a_non_idempotent_request_is_a_violation(self, checker):
+        checker.record_request(make_request())
+        checker.record_run("i-1", make_received(), 100.1)
+        checker.record_run("i-2", make_received(), 100.2)
+        assert violation_kinds(checker) == ["twice"]
 
     @pytest.mark.parametrize("runs_first", [True, False])
-    def test_refused_and_ran(self, ledger, runs_first):
-        ledger.ask(make_asked())
+    def test_run_of_a_refused_request_is_a_violation(self, checker, runs_first):
+        checker.record_request(make_request())
         if runs_first:
-            ledger.ran("i-1", make_seen(), 100.1)
-        ledger.answer("a1", 503, "", 100.2, is_whole=True)
+            checker.record_run("i-1", make_received(), 100.1)
+        checker.check_answer("a1", 503, "", 100.2, is_complete=True)
         if not runs_first:
-            ledger.ran("i-1", make_seen(), 100.3)
-        assert promises(ledger) == ["refused"]
+            checker.record_run("i-1", make_received(), 100.3)
+        assert violation_kinds(checker) == ["refused"]
 
-    def test_another_answer(self, ledger):
-        ledger.ask(make_asked())
-        ledger.ran("i-1", make_seen(), 100.1)
-        ledger.answer("a1", 200, "body of a2", 100.2, is_whole=True)
-        assert promises(ledger) == ["mixed"]
+    def test_answer_to_another_request_is_a_violation(self, checker):
+        checker.record_request(make_request())
+        checker.record_run("i-1", make_received(), 100.1)
+        checker.check_answer("a1", 200, "body of a2", 100.2, is_complete=True)
+        assert violation_kinds(checker) == ["mixed"]
 
     @pytest.mark.parametrize(
         ("numbers", "is_whole", "broken"),
@@ -105,58 +109,64 @@
             ([1, 2, 2], False, ["order"]),
         ],
     )
-    def test_events(self, ledger, numbers, is_whole, broken):
-        ledger.ask(make_asked(Kind.STREAM))
-        ledger.ran("i-1", make_seen(), 100.1)
+    def test_stream_events_are_complete_and_in_order(
+        self, checker, numbers, is_whole, broken
+    ):
+        checker.record_request(make_request(Kind.STREAM))
+        checker.record_run("i-1", make_received(), 100.1)
         text = "".join(make_event("a1", number) for number in numbers)
-        ledger.answer("a1", 200, text, 100.2, is_whole=is_whole)
-        assert promises(ledger) == broken
+        checker.check_answer("a1", 200, text, 100.2, is_complete=is_whole)
+        assert violation_kinds(checker) == broken
 
     @pytest.mark.parametrize(("at", "broken"), [(101.9, []), (102.1, ["drain"])])
-    def test_a_leaving_upstream(self, ledger, at, broken):
-        ledger.leave("i-1", 100.0)
-        ledger.ask(make_asked())
-        ledger.ran("i-1", make_seen(), at)
-        assert promises(ledger) == broken
-
-    def test_a_host_that_was_disturbed_has_time(self, ledger):
-        ledger.leave("i-1", 100.0)
-        ledger.ask(make_asked())
-        ledger.touch.note("h", 101.0)
-        ledger.ran("i-1", make_seen(), 103.9)
-        assert ledger.broken == []
+    def test_leaving_upstream_gets_no_requests_after_the_drain(
+        self, checker, at, broken
+    ):
+        checker.record_leaving("i-1", 100.0)
+        checker.record_request(make_request())
+        checker.record_run("i-1", make_received(), at)
+        assert violation_kinds(checker) == broken
+
+    def test_drain_bound_does_not_apply_to_a_disturbed_host(self, checker):
+        checker.record_leaving("i-1", 100.0)
+        checker.record_request(make_request())
+        checker.disturbances.record("h", 101.0)
+        checker.record_run("i-1", make_received(), 103.9)
+        assert checker.violations == []
 
     @pytest.mark.parametrize(("sent_at", "broken"), [(11.9, []), (12.1, ["config"])])
-    def test_a_revoked_key(self, ledger, sent_at, broken):
+    def test_revoked_key_is_rejected_within_the_bound(self, checker, sent_at, broken):
         key = Key("key-1", "maker", 1, removed=2)
-        ledger.accept_version(2, 10.0)
-        ledger.ask(make_asked(key=key, sent_at=sent_at))
-        ledger.ran("i-1", make_seen(), sent_at)
-        ledger.answer("a1", 200, "body of a1", sent_at, is_whole=True)
-        assert promises(ledger) == broken
+        checker.record_version(2, 10.0)
+        checker.record_request(make_request(key=key, sent_at=sent_at))
+        checker.record_run("i-1", make_received(), sent_at)
+        checker.check_answer("a1", 200, "body of a1", sent_at, is_complete=True)
+        assert violation_kinds(checker) == broken
 
-    def test_an_older_version_comes_back(self, ledger):
+    def test_return_to_an_older_version_is_a_violation(self, checker):
         new, old = Key("key-2", "maker", 2), Key("key-1", "maker", 1, removed=2)
-        ledger.accept_version(2, 99.9)
+        checker.record_version(2, 99.9)
         for attempt, key, at in (("a1", new, 100.0), ("a2", old, 100.5)):
-            asked = make_asked(key=key, sent_at=at)
-            asked.attempt = attempt
-            ledger.ask(asked)
-            ledger.ran("i-1", make_seen(attempt=attempt), at)
-            ledger.answer(attempt, 200, f"body of {attempt}", at, is_whole=True)
-        assert promises(ledger) == ["reverted"]
-
-    def test_denied_a_key_that_is_in_force(self, ledger):
-        ledger.ask(make_asked())
-        ledger.answer("a1", 401, "", 100.1, is_whole=True)
-        assert promises(ledger) == ["denied"]
+            request = make_request(key=key, sent_at=at)
+            request.attempt = attempt
+            checker.record_request(request)
+            checker.record_run("i-1", make_received(attempt=attempt), at)
+            checker.check_answer(
+                attempt, 200, f"body of {attempt}", at, is_complete=True
+            )
+        assert violation_kinds(checker) == ["reverted"]
+
+    def test_denial_of_a_valid_key_is_a_violation(self, checker):
+        checker.record_request(make_request())
+        checker.check_answer("a1", 401, "", 100.1, is_complete=True)
+        assert violation_kinds(checker) == ["denied"]
 
     @pytest.mark.parametrize("in_shutdown", [True, False])
-    def test_cut_by_a_shutdown(self, ledger, in_shutdown):
-        ledger.ask(make_asked())
-        ledger.ran("i-1", make_seen(), 100.1)
-        ledger.cut("a1", 100.2, in_shutdown=in_shutdown)
-        assert promises(ledger) == (["lost"] if in_shutdown else [])
+    def test_connection_cut_by_a_shutdown_is_a_violation(self, checker, in_shutdown):
+        checker.record_request(make_request())
+        checker.record_run("i-1", make_received(), 100.1)
+        checker.check_cut("a1", 100.2, in_shutdown=in_shutdown)
+        assert violation_kinds(checker) == (["lost"] if in_shutdown else [])
 
     @pytest.mark.parametrize(
         ("path", "broken"),
@@ -168,14 +178,14 @@
             ("x=0-40", ["layers"]),
         ],
     )
-    def test_paths(self, ledger, path, broken):
-        ledger.path("i-1", "a1", path, 80)
-        assert promises(ledger) == broken
+    def test_path_runs_each_layer_once_in_order(self, checker, path, broken):
+        checker.check_path("i-1", "a1", path, 80)
+        assert violation_kinds(checker) == broken
 
 
 @pytest.mark.timeout(120)
 @pytest.mark.parametrize("seed", [CI_SEED, *REGRESSIONS])
 def test_short_run(tmp_path, seed):
-    with start_apart(1) as pool:
-        verdict = pool.submit(play, Options(seed, CI_FAULT_S), tmp_path).result()
-    assert verdict.broken == []
+    with start_isolated_pool(1) as pool:
+        verdict = pool.submit(run_soak, Options(seed, CI_FAULT_S), tmp_path).result()
+    assert verdict.violations == []
