--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements of the policy and of the core, seeded and bounded."""
+"""Benchmarks of policies, the core, live daemons and capacity."""
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -1,4 +1,4 @@
-"""The fleet of today's size: engines of eight kinds in three data centres."""
+"""A fleet of the present size: engines of eight kinds in three data centres."""
 
 import dataclasses
 
@@ -8,15 +8,15 @@
 LAYERS = 32
 DATA_CENTRES = ("a", "b", "c")
 HOSTS = ("a1", "a2", "a3", "b1", "b2", "b3", "c1", "c2")
-LINK_S = {True: 0.0001, False: 0.0005}
-"""Seconds one way, by whether both ends are in one data centre."""
+LINK_S_BY_SAME_CENTRE = {True: 0.0001, False: 0.0005}
+"""One-way delay in seconds, by whether both ends are in one data centre."""
 BATCH_GROWTH = 0.5
-"""Part by which a step of a full batch is longer than that of one stream."""
+"""Fraction by which a step of a full batch is longer than that of one stream."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Kind:
-    """A kind of accelerator: its share of the layers and its speeds."""
+class AcceleratorKind:
+    """A kind of accelerator; each engine holds one of ``parts`` equal layer ranges."""
 
     name: str
     parts: int
@@ -27,19 +27,19 @@
 
 
 KINDS = (
-    Kind("k0", 1, 16, 0.018, 16_000, 60_000),
-    Kind("k1", 1, 12, 0.025, 12_000, 40_000),
-    Kind("k2", 2, 16, 0.011, 20_000, 60_000),
-    Kind("k3", 2, 12, 0.014, 16_000, 40_000),
-    Kind("k4", 2, 12, 0.018, 14_000, 40_000),
-    Kind("k5", 3, 12, 0.009, 24_000, 40_000),
-    Kind("k6", 3, 10, 0.012, 20_000, 30_000),
-    Kind("k7", 3, 8, 0.016, 16_000, 24_000),
+    AcceleratorKind("k0", 1, 16, 0.018, 16_000, 60_000),
+    AcceleratorKind("k1", 1, 12, 0.025, 12_000, 40_000),
+    AcceleratorKind("k2", 2, 16, 0.011, 20_000, 60_000),
+    AcceleratorKind("k3", 2, 12, 0.014, 16_000, 40_000),
+    AcceleratorKind("k4", 2, 12, 0.018, 14_000, 40_000),
+    AcceleratorKind("k5", 3, 12, 0.009, 24_000, 40_000),
+    AcceleratorKind("k6", 3, 10, 0.012, 20_000, 30_000),
+    AcceleratorKind("k7", 3, 8, 0.016, 16_000, 24_000),
 )
-# Kinds of the engines of each part of the layers, in every data centre.
-WHOLE = ("k0", "k0", "k1", "k1")
-HALVES = (("k2", "k3"), ("k2", "k4"))
-THIRDS = (("k5", "k6"), ("k5", "k7"), ("k6", "k7"))
+# The kinds of a data centre's engines, by layer range.
+WHOLE_MODEL_KINDS = ("k0", "k0", "k1", "k1")
+HALF_KINDS = (("k2", "k3"), ("k2", "k4"))
+THIRD_KINDS = (("k5", "k6"), ("k5", "k7"), ("k6", "k7"))
 KIND_BY_NAME = {kind.name: kind for kind in KINDS}
 
 
@@ -49,14 +49,14 @@
 
     name: str
     data_centre: str
-    kind: Kind
+    kind: AcceleratorKind
     first: int
     last: int
 
 
 def _specs_of(data_centre: str) -> list[EngineSpec]:
     specs = []
-    for parts in ((WHOLE,), HALVES, THIRDS):
+    for parts in ((WHOLE_MODEL_KINDS,), HALF_KINDS, THIRD_KINDS):
         bounds = [LAYERS * part // len(parts) for part in range(len(parts) + 1)]
         for part, names in enumerate(parts):
             for number, kind in enumerate(names):
@@ -68,7 +68,7 @@
 
 
 def make_fleet() -> list[EngineSpec]:
-    """Return the 42 engines; each data centre holds the model alone."""
+    """Return the 42 engines; each data centre has all layers of the model."""
     specs = []
     for data_centre in DATA_CENTRES:
         specs.extend(_specs_of(data_centre))
@@ -76,8 +76,11 @@
 
 
 def idle_state(spec: EngineSpec) -> EngineState:
-    """Return the report of an engine without load."""
-    links = tuple((other, LINK_S[other == spec.data_centre]) for other in DATA_CENTRES)
+    """Return the report of an idle engine."""
+    links = tuple(
+        (other, LINK_S_BY_SAME_CENTRE[other == spec.data_centre])
+        for other in DATA_CENTRES
+    )
     return EngineState(
         name=spec.name,
         incarnation="0",
@@ -105,17 +108,20 @@
     )
 
 
-def slot_bound(specs: list[EngineSpec], prompt: float, output: float) -> float:
-    """Return output tokens a second with every slot of the fleet always full.
+def slot_bound(
+    specs: list[EngineSpec], prompt_tokens: float, output_tokens: float
+) -> float:
+    """Return the output tokens/s of a fleet whose slots are all in use.
 
     A stream holds a slot on each stage of its route from its prefill to its
-    end. Engines of equal parts form the routes; the rate of a slot is convex
-    in the time of each stage, so pairing the fastest with the fastest is the
-    maximum. Prefills are counted as if they never waited for one another.
+    end. Routes consist of engines with the same number of parts. The rate of a
+    slot is convex in the time of each stage, so the rate is highest if the
+    fastest slots of all stages are paired. Prefills are assumed not to wait
+    for one another.
     """
     total = 0.0
     for parts in (1, 2, 3):
-        lanes: list[list[float]] = []
+        times_by_stage: list[list[float]] = []
         for part in range(parts):
             first = LAYERS * part // parts
             times: list[float] = []
@@ -125,10 +131,14 @@
                 others = spec.kind.slots - 1
                 growth = 1 + BATCH_GROWTH * others / spec.kind.slots
                 step_s = spec.kind.step_s * growth
-                read_s = prompt / spec.kind.prefill_tokens_per_s
-                times += [output * step_s + read_s] * spec.kind.slots
-            lanes.append(sorted(times))
-        for stages in zip(*lanes, strict=False):
-            links_s = output * LINK_S[True] * (parts if parts > 1 else 0)
-            total += output / (sum(stages) + links_s)
+                read_s = prompt_tokens / spec.kind.prefill_tokens_per_s
+                times += [output_tokens * step_s + read_s] * spec.kind.slots
+            times_by_stage.append(sorted(times))
+        for stages in zip(*times_by_stage, strict=False):
+            links_s = (
+                output_tokens
+                * LINK_S_BY_SAME_CENTRE[True]
+                * (parts if parts > 1 else 0)
+            )
+            total += output_tokens / (sum(stages) + links_s)
     return total
--- a/bench/measures.py
+++ b/bench/measures.py
@@ -1,4 +1,4 @@
-"""What is measured in one run."""
+"""The measures of one simulated run."""
 
 import itertools
 import statistics
@@ -10,11 +10,11 @@
 from .model import Model
 from .model import Request
 from .scenarios import END_S
-from .scenarios import FAULT_S
-from .scenarios import WARM_S
+from .scenarios import FAULT_AT_S
+from .scenarios import WARM_UP_S
 
 MINIMUM_SHARES = PoolLimits().minimum_shares
-MEAN_LIFE_S = 3.0
+MEAN_DURATION_S = 3.0
 Measures = dict[str, float]
 
 
@@ -35,113 +35,134 @@
 
 
 def fair_shares(demand_by_account: dict[str, float], total: float) -> dict[str, float]:
-    """Return the max-min fair part of a total for each account."""
+    """Return each account's max-min fair share of a total."""
     share_by_account: dict[str, float] = {}
-    left = total
+    remaining = total
     accounts = sorted(demand_by_account, key=lambda name: demand_by_account[name])
     for index, account in enumerate(accounts):
-        share = min(demand_by_account[account], left / (len(accounts) - index))
+        share = min(demand_by_account[account], remaining / (len(accounts) - index))
         share_by_account[account] = share
-        left -= share
+        remaining -= share
     return share_by_account
 
 
-def _first_token(requests: list[Request], now: float) -> list[float]:
-    # A request still without a token counts with the time it has waited.
+def _first_token_delays(requests: list[Request], now: float) -> list[float]:
+    # A request without a token so far counts with its wait until now.
     delays = []
     for request in requests:
-        if request.refused and request.first_token is None:
+        if request.failure and request.first_token_at is None:
             continue
-        until = now if request.first_token is None else request.first_token
-        delays.append(until - request.arrived)
+        end = now if request.first_token_at is None else request.first_token_at
+        delays.append(end - request.arrived_at)
     return delays
 
 
-def _whole(requests: list[Request], now: float) -> list[float]:
+def _seconds_per_token(requests: list[Request], now: float) -> list[float]:
     delays = []
     for request in requests:
-        if request.refused:
+        if request.failure:
             continue
-        until = now if request.ended is None else request.ended
-        delays.append((until - request.arrived) / request.output)
+        end = now if request.ended_at is None else request.ended_at
+        delays.append((end - request.arrived_at) / request.output_tokens)
     return delays
 
 
-def _served(model: Model, start: float, end: float) -> dict[tuple[str, int], float]:
+def _tokens_served(
+    model: Model, start: float, end: float
+) -> dict[tuple[str, int], float]:
     served: dict[tuple[str, int], float] = {}
     for at, request, tokens in model.tokens:
-        if start <= at < end and request.refused != "cut":
+        if start <= at < end and request.failure != "cut":
             key = (request.account, request.priority)
             served[key] = served.get(key, 0.0) + tokens
     return served
 
 
-def _counts(request: Request) -> bool:
-    """Tell whether a request that is served at once is served in the window."""
-    return WARM_S <= request.arrived + MEAN_LIFE_S < END_S
+def _is_due_in_window(request: Request) -> bool:
+    """Return whether a request that starts on arrival ends in the window."""
+    return WARM_UP_S <= request.arrived_at + MEAN_DURATION_S < END_S
 
 
 def measure(model: Model, requests: list[Request], bound: float) -> Measures:
-    """Return the figures of a run; times in seconds, shares as parts."""
-    served = _served(model, WARM_S, END_S)
+    """Return the measures of a run: times in seconds, shares as fractions."""
+    served = _tokens_served(model, WARM_UP_S, END_S)
     total = sum(served.values())
-    found: Measures = {"throughput": total / (END_S - WARM_S) / bound}
-    seen = [request for request in requests if WARM_S <= request.arrived < END_S - 10]
-    counted = [request for request in requests if _counts(request)]
+    measures: Measures = {"throughput": total / (END_S - WARM_UP_S) / bound}
+    observed = [
+        request for request in requests if WARM_UP_S <= request.arrived_at < END_S - 10
+    ]
+    due = [request for request in requests if _is_due_in_window(request)]
     for priority in Priority:
-        mine = [request for request in seen if request.priority is priority]
+        of_priority = [request for request in observed if request.priority is priority]
         name = priority.name.lower()
-        part = sum(work for key, work in served.items() if key[1] == priority)
-        offered = sum(r.output for r in counted if r.priority is priority)
-        promised = min(offered, MINIMUM_SHARES[priority] * total)
-        found[f"{name}_share"] = part / total if total else 0.0
-        found[f"{name}_kept"] = part / promised if promised else float("nan")
-        if not mine:
+        tokens = sum(work for key, work in served.items() if key[1] == priority)
+        offered = sum(r.output_tokens for r in due if r.priority is priority)
+        guaranteed = min(offered, MINIMUM_SHARES[priority] * total)
+        measures[f"{name}_share"] = tokens / total if total else 0.0
+        measures[f"{name}_kept"] = tokens / guaranteed if guaranteed else float("nan")
+        if not of_priority:
             continue
-        found[f"{name}_p50"] = percentile(_first_token(mine, model.now), 0.5)
-        found[f"{name}_p95"] = percentile(_first_token(mine, model.now), 0.95)
-        found[f"{name}_per_token"] = statistics.fmean(_whole(mine, model.now) or [0.0])
-        refused = [r for r in mine if r.refused not in ("", "host_lost", "cut")]
-        found[f"{name}_refused"] = len(refused) / len(mine)
-        found[f"{name}_cut"] = sum(r.refused == "cut" for r in mine) / len(mine)
-    small = [request for request in seen if request.account.startswith("small")]
-    found["small_p95"] = percentile(_first_token(small, model.now), 0.95)
-    found["small_per_token"] = statistics.fmean(_whole(small, model.now) or [0.0])
-    found["jain"] = _fairness(served, requests)
-    gaps = [request.longest_gap for request in requests]
-    found["longest_gap"] = max(gaps, default=0.0)
-    found["after_fault"] = _rate(model, FAULT_S + 3, FAULT_S + 10) / bound
-    found["outage"] = _outage(requests)
-    found["messages_per_request"] = model.messages / max(1, len(requests))
-    return found
-
-
-def _rate(model: Model, start: float, end: float) -> float:
-    return sum(_served(model, start, end).values()) / (end - start)
-
-
-def _outage(requests: list[Request]) -> float:
-    """Return the longest time after the fault in which no request began."""
-    firsts = sorted(r.first_token for r in requests if r.first_token is not None)
+        measures[f"{name}_p50"] = percentile(
+            _first_token_delays(of_priority, model.now), 0.5
+        )
+        measures[f"{name}_p95"] = percentile(
+            _first_token_delays(of_priority, model.now), 0.95
+        )
+        measures[f"{name}_per_token"] = statistics.fmean(
+            _seconds_per_token(of_priority, model.now) or [0.0]
+        )
+        refused = [r for r in of_priority if r.failure not in ("", "host_lost", "cut")]
+        measures[f"{name}_refused"] = len(refused) / len(of_priority)
+        measures[f"{name}_cut"] = sum(r.failure == "cut" for r in of_priority) / len(
+            of_priority
+        )
+    small = [request for request in observed if request.account.startswith("small")]
+    measures["small_p95"] = percentile(_first_token_delays(small, model.now), 0.95)
+    measures["small_per_token"] = statistics.fmean(
+        _seconds_per_token(small, model.now) or [0.0]
+    )
+    measures["jain"] = _fairness(served, requests)
+    gaps = [request.longest_gap_s for request in requests]
+    measures["longest_gap"] = max(gaps, default=0.0)
+    measures["after_fault"] = (
+        _tokens_per_s(model, FAULT_AT_S + 3, FAULT_AT_S + 10) / bound
+    )
+    measures["outage"] = _longest_outage(requests)
+    measures["messages_per_request"] = model.messages / max(1, len(requests))
+    return measures
+
+
+def _tokens_per_s(model: Model, start: float, end: float) -> float:
+    return sum(_tokens_served(model, start, end).values()) / (end - start)
+
+
+def _longest_outage(requests: list[Request]) -> float:
+    """Return the longest time after the fault without a first token."""
+    firsts = sorted(r.first_token_at for r in requests if r.first_token_at is not None)
     longest = 0.0
-    for one, other in itertools.pairwise(firsts):
-        if other >= FAULT_S:
-            longest = max(longest, other - one)
+    for previous, following in itertools.pairwise(firsts):
+        if following >= FAULT_AT_S:
+            longest = max(longest, following - previous)
     return longest
 
 
 def _fairness(served: dict[tuple[str, int], float], requests: list[Request]) -> float:
     demand: dict[str, float] = {}
-    got: dict[str, float] = {}
+    served_by_account: dict[str, float] = {}
     for request in requests:
         if request.priority is not Priority.STANDARD:
             continue
-        if WARM_S <= request.arrived < END_S:
-            demand[request.account] = demand.get(request.account, 0) + request.output
+        if WARM_UP_S <= request.arrived_at < END_S:
+            demand[request.account] = (
+                demand.get(request.account, 0) + request.output_tokens
+            )
     for (account, priority), work in served.items():
         if priority == Priority.STANDARD:
-            got[account] = work
-    shares = fair_shares(demand, sum(got.values()))
+            served_by_account[account] = work
+    shares = fair_shares(demand, sum(served_by_account.values()))
     return jain(
-        [got.get(name, 0.0) / max(share, 1.0) for name, share in shares.items()]
+        [
+            served_by_account.get(name, 0.0) / max(share, 1.0)
+            for name, share in shares.items()
+        ]
     )
--- a/bench/model.py
+++ b/bench/model.py
@@ -11,7 +11,7 @@
 from wagtailstair.core.engine import Priority
 
 from .fleet import BATCH_GROWTH
-from .fleet import LINK_S
+from .fleet import LINK_S_BY_SAME_CENTRE
 from .fleet import EngineSpec
 from .fleet import idle_state
 
@@ -21,54 +21,60 @@
 
 @dataclasses.dataclass(slots=True)
 class Request:
-    """A caller's request and what became of it.
+    """A caller's request and its outcome.
 
-    ``prompt``, ``output``: tokens; ``expected``: output tokens that the entry
-    host expects; ``done``: tokens delivered.
+    ``output_tokens``: length of the answer, unknown to the entry host, which
+    expects ``expected_output_tokens``; ``delivered``: output tokens so far;
+    ``failure``: why the request was refused or aborted, empty if it wasn't.
     """
 
     name: str
     host: str
     account: str
     priority: Priority
-    prompt: int
-    output: int
-    expected: float
-    arrived: float
+    prompt_tokens: int
+    output_tokens: int
+    expected_output_tokens: float
+    arrived_at: float
     deadline: float
     weight: float = 1.0
     entitled: bool = True
     epoch: int = 0
-    done: float = 0.0
-    first_token: float | None = None
-    ended: float | None = None
-    refused: str = ""
-    last_token: float = 0.0
-    longest_gap: float = 0.0
+    delivered: float = 0.0
+    first_token_at: float | None = None
+    ended_at: float | None = None
+    failure: str = ""
+    last_token_at: float = 0.0
+    longest_gap_s: float = 0.0
     avoid: frozenset[str] = frozenset()
 
     @property
     def is_over(self) -> bool:
-        """Whether the caller has had an end or a refusal."""
-        return self.ended is not None or bool(self.refused)
+        """Whether the request has ended, been refused or been aborted."""
+        return self.ended_at is not None or bool(self.failure)
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Stream:
-    """One attempt of a request along a route."""
+    """One attempt of a request along a route.
+
+    ``period_s``: seconds between tokens; ``updated_at``: instant up to which
+    tokens are counted; ``version``: number of the last scheduled end, by which
+    an outdated end event is recognised.
+    """
 
     request: Request
     route: "list[Engine]"
     is_decoding: bool = False
     is_over: bool = False
     period_s: float = 0.0
-    updated: float = 0.0
+    updated_at: float = 0.0
     version: int = 0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
 class Engine:
-    """The state of one engine."""
+    """The state of one simulated engine."""
 
     spec: EngineSpec
     running: dict[Stream, None] = dataclasses.field(default_factory=dict)
@@ -81,14 +87,14 @@
     incarnation: int = 0
 
     def step_s(self) -> float:
-        """Return the seconds of a step at the present load."""
+        """Return the duration of a decoding step at the current load."""
         others = max(0, len(self.running) - 1)
         kind = self.spec.kind
         return kind.step_s * (1 + BATCH_GROWTH * others / kind.slots)
 
 
 class Model:
-    """The clock, the engines and the network."""
+    """The simulated clock, engines and network."""
 
     def __init__(self, specs: list[EngineSpec], seed: int) -> None:
         self.now = 0.0
@@ -101,62 +107,64 @@
         self.dead_hosts: set[str] = set()
         self.messages = 0
         self.tokens: list[tuple[float, Request, float]] = []
-        self.on_end: t.Callable[[Request, Stream], None] = lambda r, s: None
-        self.on_break: t.Callable[[Request, Stream, str], None] = lambda r, s, e: None
+        self.on_stream_end: t.Callable[[Request, Stream], None] = lambda r, s: None
+        self.on_stream_broken: t.Callable[[Request, Stream, str], None] = (
+            lambda r, s, e: None
+        )
         self.on_report: t.Callable[[EngineState], None] = lambda state: None
         self._events: list[tuple[float, int, t.Callable[..., None], t.Any]] = []
         self._sequence = itertools.count()
 
-    def at(self, when: float, call: t.Callable[..., None], *args: t.Any) -> None:
-        """Call back at an instant."""
+    def call_at(self, when: float, call: t.Callable[..., None], *args: t.Any) -> None:
+        """Schedule a call at an instant of the simulated clock."""
         when = max(when, self.now)
         heapq.heappush(self._events, (when, next(self._sequence), call, args))
 
     def run(self, until: float) -> None:
-        """Work through the events up to an instant."""
+        """Process the scheduled events up to an instant."""
         while self._events and self._events[0][0] <= until:
             self.now, _, call, args = heapq.heappop(self._events)
             call(*args)
         self.now = until
 
-    def link_s(self, one: str, other: str) -> float:
-        """Return the seconds one way between two data centres."""
-        factor = max(self.slow_links.get(one, 1.0), self.slow_links.get(other, 1.0))
-        if one == other:
-            return LINK_S[True]
-        return LINK_S[False] * factor
+    def link_s(self, source: str, target: str) -> float:
+        """Return the one-way delay between two data centres."""
+        factor = max(self.slow_links.get(source, 1.0), self.slow_links.get(target, 1.0))
+        if source == target:
+            return LINK_S_BY_SAME_CENTRE[True]
+        return LINK_S_BY_SAME_CENTRE[False] * factor
 
     def send(
         self, source: str, target: str, call: t.Callable[..., None], *args: t.Any
     ) -> None:
-        """Send a datagram that is resent until it has arrived.
+        """Send a datagram and resend it until it arrives.
 
-        ``source`` and ``target`` are data centres. A lost acknowledgement
-        makes the message arrive twice.
+        ``source`` and ``target`` are data centres. If the acknowledgement is
+        lost, the message arrives twice.
         """
         self.messages += 1
         delay_s = self.link_s(source, target)
         while self.loss and self.rng.random() < self.loss:
             delay_s += self.resend_s
             self.messages += 1
-        self.at(self.now + delay_s, call, *args)
+        self.call_at(self.now + delay_s, call, *args)
         if self.loss and self.rng.random() < self.loss:
-            self.at(self.now + delay_s + self.resend_s, call, *args)
+            self.call_at(self.now + delay_s + self.resend_s, call, *args)
             self.messages += 1
 
     # Engines.
 
-    def report(self) -> None:
-        """Send each engine's report, which lags, and come back."""
+    def send_reports(self) -> None:
+        """Send each engine's report, delayed by the lag, and schedule the next."""
         for engine in self.engine_by_name.values():
             if engine.is_alive:
-                self.at(
-                    self.now + self.report_lag_s, self.on_report, self.state(engine)
+                self.call_at(
+                    self.now + self.report_lag_s, self.on_report, self.report_of(engine)
                 )
-        self.at(self.now + REPORT_INTERVAL_S, self.report)
+        self.call_at(self.now + REPORT_INTERVAL_S, self.send_reports)
 
-    def state(self, engine: Engine) -> EngineState:
-        """Return an engine's report as of now."""
+    def report_of(self, engine: Engine) -> EngineState:
+        """Return an engine's report of its current state."""
         return dataclasses.replace(
             idle_state(engine.spec),
             incarnation=str(engine.incarnation),
@@ -167,12 +175,14 @@
             as_of=self.now,
         )
 
-    def start(self, request: Request, names: t.Iterable[str], source: str) -> Stream:
-        """Send a request along a route."""
+    def start_stream(
+        self, request: Request, names: t.Iterable[str], source: str
+    ) -> Stream:
+        """Start an attempt of a request along a route."""
         route = [self.engine_by_name[name] for name in names]
         stream = Stream(request, route)
         delay_s = self.link_s(source, route[0].spec.data_centre)
-        self.at(self.now + delay_s, self._enqueue, stream)
+        self.call_at(self.now + delay_s, self._enqueue, stream)
         return stream
 
     def _enqueue(self, stream: Stream) -> None:
@@ -180,24 +190,26 @@
             return
         for engine in stream.route:
             if not engine.is_alive:
-                self._break(stream, engine.spec.name)
+                self._break_stream(stream, engine.spec.name)
                 return
         stream.route[0].waiting[stream.request.priority].append(stream)
         self._start_waiting(stream.route)
 
     def _fits(self, stream: Stream) -> bool:
-        need = self._kv(stream)
+        needed_tokens = self._kv_tokens(stream)
         for engine in stream.route:
             kind = engine.spec.kind
             if len(engine.running) >= kind.slots:
                 return False
-            if engine.kv_used + need > kind.kv_tokens:
+            if engine.kv_used + needed_tokens > kind.kv_tokens:
                 return False
         return True
 
     @staticmethod
-    def _kv(stream: Stream) -> int:
-        return stream.request.prompt + int(4 * stream.request.expected)
+    def _kv_tokens(stream: Stream) -> int:
+        return stream.request.prompt_tokens + int(
+            4 * stream.request.expected_output_tokens
+        )
 
     def _start_waiting(self, engines: t.Iterable[Engine]) -> None:
         for head in engines:
@@ -205,20 +217,20 @@
                 for stream in list(itertools.islice(streams, 8)):
                     if self._fits(stream):
                         streams.remove(stream)
-                        self._begin(stream)
+                        self._start_prefill(stream)
 
-    def _begin(self, stream: Stream) -> None:
-        at = self.now
+    def _start_prefill(self, stream: Stream) -> None:
+        ready_at = self.now
         request = stream.request
-        todo = request.prompt + request.done
+        tokens_to_prefill = request.prompt_tokens + request.delivered
         for engine in stream.route:
             engine.running[stream] = None
-            engine.kv_used += self._kv(stream)
-            took_s = todo / engine.spec.kind.prefill_tokens_per_s
-            at = max(at, engine.prefill_free_at) + took_s
-            engine.prefill_free_at = at
+            engine.kv_used += self._kv_tokens(stream)
+            prefill_s = tokens_to_prefill / engine.spec.kind.prefill_tokens_per_s
+            ready_at = max(ready_at, engine.prefill_free_at) + prefill_s
+            engine.prefill_free_at = ready_at
         self._reschedule(stream.route)
-        self.at(at, self._join, stream)
+        self.call_at(ready_at, self._start_decoding, stream)
 
     def _period_s(self, route: list[Engine]) -> float:
         period_s = 0.0
@@ -230,59 +242,61 @@
                 period_s += self.link_s(source, target)
         return period_s
 
-    def _join(self, stream: Stream) -> None:
+    def _start_decoding(self, stream: Stream) -> None:
         if stream.is_over:
             return
         stream.is_decoding = True
-        stream.updated = self.now
+        stream.updated_at = self.now
         stream.period_s = self._period_s(stream.route)
-        self.at(self.now + stream.period_s, self._first, stream)
-        self._plan_end(stream)
+        self.call_at(self.now + stream.period_s, self._record_first_token, stream)
+        self._schedule_end(stream)
 
-    def _first(self, stream: Stream) -> None:
+    def _record_first_token(self, stream: Stream) -> None:
         request = stream.request
         if stream.is_over:
             return
-        if request.first_token is None:
-            request.first_token = self.now
+        if request.first_token_at is None:
+            request.first_token_at = self.now
         else:
-            gap_s = self.now - request.last_token
-            request.longest_gap = max(request.longest_gap, gap_s)
+            gap_s = self.now - request.last_token_at
+            request.longest_gap_s = max(request.longest_gap_s, gap_s)
 
-    def _plan_end(self, stream: Stream) -> None:
+    def _schedule_end(self, stream: Stream) -> None:
         stream.version += 1
-        left = max(0.0, stream.request.output - stream.request.done)
-        end = self.now + left * stream.period_s
-        self.at(end, self._finish, stream, stream.version)
+        remaining = max(0.0, stream.request.output_tokens - stream.request.delivered)
+        end = self.now + remaining * stream.period_s
+        self.call_at(end, self._finish, stream, stream.version)
 
-    def _advance(self, stream: Stream) -> None:
-        tokens = (self.now - stream.updated) / stream.period_s
+    def _add_tokens(self, stream: Stream) -> None:
+        tokens = (self.now - stream.updated_at) / stream.period_s
         request = stream.request
-        tokens = min(tokens, request.output - request.done)
-        request.done += tokens
-        request.last_token = self.now
-        stream.updated = self.now
+        tokens = min(tokens, request.output_tokens - request.delivered)
+        request.delivered += tokens
+        request.last_token_at = self.now
+        stream.updated_at = self.now
         self.tokens.append((self.now, request, tokens))
 
     def _reschedule(self, engines: t.Iterable[Engine]) -> None:
-        touched: dict[Stream, None] = {}
+        affected: dict[Stream, None] = {}
         for engine in engines:
-            touched.update(engine.running)
-        for stream in touched:
+            affected.update(engine.running)
+        for stream in affected:
             if not stream.is_decoding:
                 continue
             period_s = self._period_s(stream.route)
             if abs(period_s - stream.period_s) < 0.01 * stream.period_s:
                 continue
-            self._advance(stream)
+            self._add_tokens(stream)
             stream.period_s = period_s
-            self._plan_end(stream)
+            self._schedule_end(stream)
 
-    def _release(self, stream: Stream) -> None:
+    def _release_stream(self, stream: Stream) -> None:
         stream.is_over = True
         for engine in stream.route:
+            # The values of ``running`` are None, so any other result means
+            # that the stream was not running on this engine.
             if engine.running.pop(stream, stream) is None:
-                engine.kv_used -= self._kv(stream)
+                engine.kv_used -= self._kv_tokens(stream)
         for streams in stream.route[0].waiting:
             if stream in streams:
                 streams.remove(stream)
@@ -290,16 +304,17 @@
     def _finish(self, stream: Stream, version: int) -> None:
         if stream.is_over or version != stream.version:
             return
-        self._advance(stream)
-        self._release(stream)
+        self._add_tokens(stream)
+        self._release_stream(stream)
         request = stream.request
-        request.ended = self.now
+        request.ended_at = self.now
         self._reschedule(stream.route)
-        self._start_waiting(self._heads(stream.route))
-        self.on_end(request, stream)
+        self._start_waiting(self._heads_to_retry(stream.route))
+        self.on_stream_end(request, stream)
 
-    def _heads(self, route: list[Engine]) -> list[Engine]:
-        # A slot that frees on a later stage may be what a head waits for.
+    def _heads_to_retry(self, route: list[Engine]) -> list[Engine]:
+        # A request that waits at another first stage may need the slot that
+        # has become free on a later stage.
         heads = dict.fromkeys(route[:1])
         if len(route) > 1:
             for engine in self.engine_by_name.values():
@@ -308,25 +323,25 @@
         return list(heads)
 
     def cancel(self, stream: Stream) -> None:
-        """End an attempt whose caller or host is gone."""
+        """Cancel an attempt whose caller or entry host is gone."""
         if stream.is_over:
             return
         if stream.is_decoding:
-            self._advance(stream)
-        self._release(stream)
+            self._add_tokens(stream)
+        self._release_stream(stream)
         self._reschedule(stream.route)
-        self._start_waiting(self._heads(stream.route))
+        self._start_waiting(self._heads_to_retry(stream.route))
 
-    def _break(self, stream: Stream, engine: str) -> None:
+    def _break_stream(self, stream: Stream, engine: str) -> None:
         if stream.is_over:
             return
         if stream.is_decoding:
-            self._advance(stream)
-        self._release(stream)
-        self.on_break(stream.request, stream, engine)
+            self._add_tokens(stream)
+        self._release_stream(stream)
+        self.on_stream_broken(stream.request, stream, engine)
 
     def kill(self, name: str) -> None:
-        """End an engine and every stream that runs through it."""
+        """Stop an engine and break every stream whose route includes it."""
         engine = self.engine_by_name[name]
         engine.is_alive = False
         streams = [*engine.running]
@@ -336,10 +351,10 @@
             for waiting in other.waiting:
                 streams += [stream for stream in waiting if engine in stream.route]
         for stream in streams:
-            self._break(stream, name)
+            self._break_stream(stream, name)
 
     def revive(self, name: str) -> None:
-        """Start an engine anew."""
+        """Restart an engine as a new incarnation."""
         engine = self.engine_by_name[name]
         engine.is_alive = True
         engine.incarnation += 1
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -1,4 +1,4 @@
-"""Ways to spread requests over engines: the dispatcher and the alternatives."""
+"""Policies that spread requests over engines: the dispatcher and alternatives."""
 
 import collections
 import dataclasses
@@ -36,19 +36,22 @@
 from .model import Request
 from .model import Stream
 
-DETECT_S = 0.02
-"""Until an entry host sees that a connection broke."""
-EXCHANGE_S = 0.5
-ORDER_ONLY_S = 1e-6
-"""Scale of a cost that is no time, so that no deadline is missed by it."""
-LEFT_OUT_S = 2.0
+BREAK_DETECTION_S = 0.02
+"""Time until an entry host notices a broken connection."""
+EXCHANGE_INTERVAL_S = 0.5
+ORDER_ONLY_SCALE_S = 1e-6
+"""Scale of costs that only order engines and are not delays.
+
+So small that the pool never expects a deadline to be missed because of them.
+"""
+EXCLUDED_ENGINE_COST_S = 2.0
 HOST_DEAD_AFTER_S = 2.5
 
 
-def want_of(request: Request) -> RouteRequest:
-    """Return what an entry host asks for."""
-    prompt = request.prompt + int(request.done)
-    left = max(1.0, request.expected - request.done)
+def route_request_of(request: Request) -> RouteRequest:
+    """Return the route request that the entry host submits for a request."""
+    prompt_tokens = request.prompt_tokens + int(request.delivered)
+    remaining = max(1.0, request.expected_output_tokens - request.delivered)
     return RouteRequest(
         request=request.name,
         epoch=request.epoch,
@@ -56,9 +59,9 @@
         account=request.account,
         priority=request.priority,
         weight=request.weight,
-        work=prompt_work(prompt) + left,
-        prompt_tokens=prompt,
-        max_tokens=int(4 * request.expected),
+        work=prompt_work(prompt_tokens) + remaining,
+        prompt_tokens=prompt_tokens,
+        max_tokens=int(4 * request.expected_output_tokens),
         deadline=request.deadline,
         entitled=request.entitled,
         avoid=request.avoid,
@@ -66,201 +69,205 @@
 
 
 class Policy:
-    """What all ways have in common: launching, retrying, losing hosts."""
+    """Base of the policies: starts, retries and aborts streams."""
 
     def __init__(self, model: Model, specs: list[EngineSpec]) -> None:
         self.model = model
         self.specs = specs
         self.stream_by_request: dict[str, Stream] = {}
-        model.on_end = self._on_end
-        model.on_break = self._on_break
-        model.on_report = self.on_report
+        model.on_stream_end = self._finish_request
+        model.on_stream_broken = self._handle_break
+        model.on_report = self.handle_report
 
     def arrive(self, request: Request) -> None:
-        """Take in a request at its entry host."""
+        """Accept a request at its entry host."""
         raise NotImplementedError
 
-    def ended(self, request: Request, stream: Stream) -> None:
-        """Learn that a stream of a request is over."""
+    def handle_stream_end(self, request: Request, stream: Stream) -> None:
+        """Update the policy's state when a stream of a request is over."""
 
-    def on_report(self, state: EngineState) -> None:
-        """Take in an engine's report."""
+    def handle_report(self, state: EngineState) -> None:
+        """Apply an engine's report."""
 
-    def engine_lost(self, name: str) -> None:
-        """Learn that an engine is gone from the host list."""
+    def handle_engine_loss(self, name: str) -> None:
+        """Handle the removal of an engine from the host list."""
 
-    def host_lost(self, host: str) -> None:
-        """Learn that an entry host is dead."""
+    def handle_host_loss(self, host: str) -> None:
+        """Handle the death of an entry host."""
 
-    def launch(self, request: Request, names: t.Iterable[str]) -> None:
-        """Send a request along a route."""
+    def start_stream(self, request: Request, names: t.Iterable[str]) -> None:
+        """Send a request along a route and abort it at its deadline."""
         source = request.host[0]
-        stream = self.model.start(request, names, source)
+        stream = self.model.start_stream(request, names, source)
         self.stream_by_request[request.name] = stream
-        self.model.at(request.deadline, self._cut, request, stream)
+        self.model.call_at(request.deadline, self._abort_at_deadline, request, stream)
 
-    def _cut(self, request: Request, stream: Stream) -> None:
-        # The caller's deadline passed; what has run was for nothing.
+    def _abort_at_deadline(self, request: Request, stream: Stream) -> None:
+        # Tokens of an aborted request do not count as throughput.
         if request.is_over or stream.is_over:
             return
-        request.refused = "cut"
+        request.failure = "cut"
         del self.stream_by_request[request.name]
         self.model.cancel(stream)
-        self.ended(request, stream)
+        self.handle_stream_end(request, stream)
 
     def refuse(self, request: Request, reason: str) -> None:
-        """Tell the caller that the request was not run."""
+        """Refuse a request, unless it is over."""
         if not request.is_over:
-            request.refused = reason
+            request.failure = reason
 
-    def _on_end(self, request: Request, stream: Stream) -> None:
+    def _finish_request(self, request: Request, stream: Stream) -> None:
         self.stream_by_request.pop(request.name, None)
-        self.ended(request, stream)
+        self.handle_stream_end(request, stream)
 
-    def _on_break(self, request: Request, stream: Stream, engine: str) -> None:
+    def _handle_break(self, request: Request, stream: Stream, engine: str) -> None:
         self.stream_by_request.pop(request.name, None)
-        self.ended(request, stream)
+        self.handle_stream_end(request, stream)
         request.epoch += 1
         request.avoid = request.avoid | {engine}
-        self.model.at(self.model.now + DETECT_S, self._again, request)
+        self.model.call_at(self.model.now + BREAK_DETECTION_S, self._retry, request)
 
-    def _again(self, request: Request) -> None:
+    def _retry(self, request: Request) -> None:
         if request.host in self.model.dead_hosts or request.is_over:
             return
-        if request.output - request.done < 1:
-            request.ended = self.model.now
+        if request.output_tokens - request.delivered < 1:
+            request.ended_at = self.model.now
             return
         self.arrive(request)
 
     def kill_host(self, host: str) -> None:
-        """End an entry host with its open requests."""
+        """Stop an entry host and abort its running requests."""
         self.model.dead_hosts.add(host)
         for name, stream in list(self.stream_by_request.items()):
             if stream.request.host != host:
                 continue
-            stream.request.refused = "host_lost"
+            stream.request.failure = "host_lost"
             del self.stream_by_request[name]
             self.model.cancel(stream)
-        self.model.at(self.model.now + HOST_DEAD_AFTER_S, self.host_lost, host)
+        self.model.call_at(
+            self.model.now + HOST_DEAD_AFTER_S, self.handle_host_loss, host
+        )
 
 
-class _Seen:
-    """What one entry host believes of the engines."""
+class _HostView:
+    """An entry host's estimate of the engines' loads."""
 
     def __init__(self, specs: list[EngineSpec]) -> None:
         self.table = LoadTable((0.0, 0.0, 0.0))
         for spec in specs:
             self.table.add(idle_state(spec), ())
         self.load_by_name = self.table.by_name
-        self.sent: dict[str, collections.deque[float]] = collections.defaultdict(
-            collections.deque
+        self.sent_at_by_engine: dict[str, collections.deque[float]] = (
+            collections.defaultdict(collections.deque)
         )
-        self.turn: dict[tuple[str, int], int] = collections.defaultdict(int)
+        self.turn_by_stage: dict[tuple[str, int], int] = collections.defaultdict(int)
 
     def observe(self, state: EngineState) -> None:
         load = self.load_by_name[state.name]
         load.is_leaving = False
-        sent = self.sent[state.name]
+        sent = self.sent_at_by_engine[state.name]
         while sent and sent[0] < state.as_of:
             sent.popleft()
         load.other_requests = state.running + state.waiting + len(sent) - load.granted
         load.take(state)
 
-    def note_sent(self, name: str, need: Need, now: float) -> None:
-        self.sent[name].append(now)
+    def record_start(self, name: str, need: Need, now: float) -> None:
+        self.sent_at_by_engine[name].append(now)
         self.load_by_name[name].start(need, now)
 
-    def note_ended(self, name: str, need: Need) -> None:
+    def record_end(self, name: str, need: Need) -> None:
         load = self.load_by_name[name]
         load.other_requests += 1
         load.end(need)
 
 
-Chooser = t.Callable[[_Seen, Request, list[EngineLoad], Model], EngineLoad]
+Chooser = t.Callable[[_HostView, Request, list[EngineLoad], Model], EngineLoad]
 
 
 def _round_robin(
-    seen: _Seen, request: Request, loads: list[EngineLoad], model: Model
+    view: _HostView, request: Request, loads: list[EngineLoad], model: Model
 ) -> EngineLoad:
     state = loads[0].state
     key = (state.data_centre if state.first else "", state.first)
-    seen.turn[key] += 1
-    return loads[seen.turn[key] % len(loads)]
+    view.turn_by_stage[key] += 1
+    return loads[view.turn_by_stage[key] % len(loads)]
 
 
 def _least_outstanding(
-    seen: _Seen, request: Request, loads: list[EngineLoad], model: Model
+    view: _HostView, request: Request, loads: list[EngineLoad], model: Model
 ) -> EngineLoad:
     return min(loads, key=lambda load: load.granted)
 
 
 def _two_choices(
-    seen: _Seen, request: Request, loads: list[EngineLoad], model: Model
+    view: _HostView, request: Request, loads: list[EngineLoad], model: Model
 ) -> EngineLoad:
     pair = [model.rng.choice(loads), model.rng.choice(loads)]
     return min(pair, key=lambda load: load.used / load.state.slots)
 
 
 class DirectPolicy(Policy):
-    """Each entry host chooses at once; requests queue at the engines."""
+    """Each entry host chooses a route on arrival; requests queue at the engines."""
 
     def __init__(
         self, model: Model, specs: list[EngineSpec], choose: Chooser | None
     ) -> None:
         super().__init__(model, specs)
         self._choose = choose
-        self.seen_by_host = {host: _Seen(specs) for host in HOSTS}
+        self.view_by_host = {host: _HostView(specs) for host in HOSTS}
 
-    def on_report(self, state: EngineState) -> None:
-        """Take in an engine's report."""
-        for seen in self.seen_by_host.values():
-            seen.observe(state)
+    def handle_report(self, state: EngineState) -> None:
+        """Apply an engine's report."""
+        for view in self.view_by_host.values():
+            view.observe(state)
 
-    def engine_lost(self, name: str) -> None:
-        """Forget an engine."""
-        for seen in self.seen_by_host.values():
-            seen.load_by_name[name].is_leaving = True
+    def handle_engine_loss(self, name: str) -> None:
+        """Exclude an engine from the candidates of all hosts."""
+        for view in self.view_by_host.values():
+            view.load_by_name[name].is_leaving = True
 
-    def may_use(self, load: EngineLoad, want: RouteRequest) -> bool:
-        """Tell whether an engine is a candidate."""
-        return not load.is_leaving and load.state.name not in want.avoid
+    def may_use(self, load: EngineLoad, route_request: RouteRequest) -> bool:
+        """Return whether an engine is a candidate."""
+        return not load.is_leaving and load.state.name not in route_request.avoid
 
     def route(self, request: Request) -> list[str] | None:
-        """Choose a route as the entry host of a request sees it."""
-        seen = self.seen_by_host[request.host]
-        want = want_of(request)
+        """Choose a route by the estimates of the request's entry host."""
+        view = self.view_by_host[request.host]
+        route_request = route_request_of(request)
         if self._choose is None:
-            return self._least_delay(seen, want)
+            return self._least_delay(view, route_request)
         names: list[str] = []
         first, data_centre = 0, ""
         while first < LAYERS:
             loads = []
-            for load in seen.load_by_name.values():
+            for load in view.load_by_name.values():
                 state = load.state
-                if state.first != first or not self.may_use(load, want):
+                if state.first != first or not self.may_use(load, route_request):
                     continue
                 if data_centre and state.data_centre != data_centre:
                     continue
                 loads.append(load)
             if not loads:
                 return None
-            chosen = self._choose(seen, request, loads, self.model).state
+            chosen = self._choose(view, request, loads, self.model).state
             names.append(chosen.name)
             first, data_centre = chosen.last, chosen.data_centre
         return names
 
-    def _least_delay(self, seen: _Seen, want: RouteRequest) -> list[str] | None:
-        need = Need.of(want)
+    def _least_delay(
+        self, view: _HostView, route_request: RouteRequest
+    ) -> list[str] | None:
+        need = Need.of(route_request)
 
         def pick(group: EngineGroup) -> tuple[float, EngineLoad] | None:
             costs = []
             for load in group.loads:
-                if self.may_use(load, want):
+                if self.may_use(load, route_request):
                     cost = remaining_work_delay(load, need, self.model.now)
                     costs.append((cost, load.state.name, load))
             return None if not costs else min(costs)[::2]
 
-        found = shortest_route(seen.table.groups, need.tokens, pick)
+        found = shortest_route(view.table.groups, need.tokens, pick)
         return None if found is None else [stage.engine for stage in found[0]]
 
     def arrive(self, request: Request) -> None:
@@ -269,24 +276,25 @@
         if names is None:
             self.refuse(request, "no_route")
             return
-        seen = self.seen_by_host[request.host]
-        need = Need.of(want_of(request))
+        view = self.view_by_host[request.host]
+        need = Need.of(route_request_of(request))
         for name in names:
-            seen.note_sent(name, need, self.model.now)
-        self.launch(request, names)
+            view.record_start(name, need, self.model.now)
+        self.start_stream(request, names)
 
-    def ended(self, request: Request, stream: Stream) -> None:
-        """Count the end of a stream."""
-        seen = self.seen_by_host[request.host]
-        need = Need.of(want_of(request))
+    def handle_stream_end(self, request: Request, stream: Stream) -> None:
+        """Record the end of a stream."""
+        view = self.view_by_host[request.host]
+        need = Need.of(route_request_of(request))
         for engine in stream.route:
-            seen.note_ended(engine.spec.name, need)
+            view.record_end(engine.spec.name, need)
 
 
 def remaining_work_delay(load: EngineLoad, need: Need, now: float) -> float:
-    """Estimate a stage's delay by the work that is left on it over its speed.
+    """Estimate a stage's delay by its remaining work over its speed.
 
-    The requests that wait at a full engine each take one slot's time.
+    Each request that waits at a full engine occupies a slot for as long as the
+    new one.
     """
     own_s = expected_delay(load, need, now)
     queued = max(0, load.used + 1 - load.state.slots)
@@ -294,7 +302,7 @@
 
 
 class FifoPolicy(DirectPolicy):
-    """One first-come queue an entry host, sent on when engines have room."""
+    """A first-come queue on each entry host, drained when engines have free slots."""
 
     def __init__(self, model: Model, specs: list[EngineSpec]) -> None:
         super().__init__(model, specs, _least_outstanding)
@@ -302,12 +310,12 @@
             host: collections.deque() for host in HOSTS
         }
 
-    def may_use(self, load: EngineLoad, want: RouteRequest) -> bool:
-        """Tell whether an engine is a candidate with room."""
-        return super().may_use(load, want) and load.used < load.state.slots
+    def may_use(self, load: EngineLoad, route_request: RouteRequest) -> bool:
+        """Return whether an engine is a candidate with a free slot."""
+        return super().may_use(load, route_request) and load.used < load.state.slots
 
     def arrive(self, request: Request) -> None:
-        """Take in a request."""
+        """Queue a request and drain the queue."""
         queue = self._queue_by_host[request.host]
         if len(queue) >= 4096:
             self.refuse(request, "queue_full")
@@ -325,30 +333,30 @@
                 return
             super().arrive(queue.popleft())
 
-    def on_report(self, state: EngineState) -> None:
-        """Take in an engine's report."""
-        super().on_report(state)
+    def handle_report(self, state: EngineState) -> None:
+        """Apply an engine's report."""
+        super().handle_report(state)
         hosts = list(HOSTS)
         self.model.rng.shuffle(hosts)
         for host in hosts:
             self._drain(host)
 
-    def ended(self, request: Request, stream: Stream) -> None:
-        """Count the end of a stream."""
-        super().ended(request, stream)
+    def handle_stream_end(self, request: Request, stream: Stream) -> None:
+        """Record the end of a stream."""
+        super().handle_stream_end(request, stream)
         self._drain(request.host)
 
 
 @dataclasses.dataclass(slots=True)
 class PoolOptions:
-    """How pools are laid out.
-
-    ``nodes``: ``one`` dispatcher, one a ``data_centre``, or one an entry
-    ``host``; ``spill``: a host asks the least loaded pool, as if it knew them;
-    ``learn``: it asks the pool where it has waited least; ``resend_s``: time
-    after which a lost message is sent again;
-    ``exchange``: hosts tell each other their accounts' usage; ``shares``:
-    each host has a share of each engine's slots.
+    """Options of the policies with pools.
+
+    ``nodes``: where pools run: on ``one`` node, on one node in each
+    ``data_centre``, or on each entry ``host``; ``spill``: a host submits to the
+    least loaded pool, read without delay; ``learn``: a host submits to the pool
+    with the shortest estimated wait; ``resend_s``: time after which a lost
+    message is sent again; ``exchange``: hosts send each other the usage of their
+    accounts; ``shares``: each host has a share of each engine's slots.
     """
 
     nodes: str = "one"
@@ -362,7 +370,7 @@
 
 
 class PoolPolicy(Policy):
-    """Fair queues at one dispatcher, one a data centre or one an entry host."""
+    """Fair queues at one dispatcher, in each data centre or on each entry host."""
 
     def __init__(
         self, model: Model, specs: list[EngineSpec], options: PoolOptions
@@ -374,22 +382,26 @@
         for node in nodes[options.nodes]:
             self.pool_by_node[node] = Pool(MODEL, node, options.limits, options.cost)
         self.request_by_name: dict[str, Request] = {}
-        self._wants: dict[str, tuple[str, RouteRequest]] = {}
-        self._running: dict[str, tuple[str, RouteRequest, Route]] = {}
+        self._pending_by_request: dict[str, tuple[str, RouteRequest]] = {}
+        self._running_by_request: dict[str, tuple[str, RouteRequest, Route]] = {}
         self._timer_by_node: dict[str, float] = {}
-        self._held: dict[str, list[tuple[t.Any, ...]]] = collections.defaultdict(list)
-        self._own: dict[tuple[str, str], int] = collections.defaultdict(int)
-        self._ended_at: dict[tuple[str, str], collections.deque[float]]
-        self._ended_at = collections.defaultdict(collections.deque)
-        self._usage: dict[tuple[str, RouteRequest], float] = {}
-        self._pump_due = False
+        self._undelivered_by_node: dict[str, list[tuple[t.Any, ...]]] = (
+            collections.defaultdict(list)
+        )
+        self._running_by_host_engine: dict[tuple[str, str], int] = (
+            collections.defaultdict(int)
+        )
+        self._ended_at_by_host_engine: dict[tuple[str, str], collections.deque[float]]
+        self._ended_at_by_host_engine = collections.defaultdict(collections.deque)
+        self._usage_by_request: dict[tuple[str, RouteRequest], float] = {}
+        self._sends_due = False
         self._waits_by_host = {host: WaitEstimates() for host in HOSTS}
         model.resend_s = options.resend_s
         self._demand_by_host: dict[str, float] = collections.defaultdict(float)
         if options.exchange or options.shares:
-            model.at(EXCHANGE_S, self._exchange)
+            model.call_at(EXCHANGE_INTERVAL_S, self._exchange_usage)
         for spec in specs:
-            self.on_report(idle_state(spec))
+            self.handle_report(idle_state(spec))
 
     # Between hosts and dispatchers.
 
@@ -398,65 +410,71 @@
             return request.host
         if self._options.nodes == "one":
             return next(iter(self.pool_by_node))
-        home = request.host[0]
+        own_centre = request.host[0]
         if self._options.learn:
             waits, now = self._waits_by_host[request.host], self.model.now
             order = waits.order(
-                home, DATA_CENTRES, request.priority, now, self.model.rng
+                own_centre, DATA_CENTRES, request.priority, now, self.model.rng
             )
             return order[0]
         if not self._options.spill:
-            return home
-        return min(self.pool_by_node, key=lambda node: self._spill_cost(node, home))
+            return own_centre
+        return min(
+            self.pool_by_node, key=lambda node: self._spill_cost(node, own_centre)
+        )
 
-    def _spill_cost(self, node: str, home: str) -> float:
+    def _spill_cost(self, node: str, own_centre: str) -> float:
         pool = self.pool_by_node[node]
         if pool is None:
             return float("inf")
         stats = pool.stats()
         waiting = sum(stats.waiting)
-        return (waiting + 0.02 * stats.open_grants) + (0.0 if node == home else 2.0)
+        return (waiting + 0.02 * stats.open_grants) + (
+            0.0 if node == own_centre else 2.0
+        )
 
-    def _tell(self, node: str, source: str, call: str, *args: t.Any) -> None:
+    def _send_to_pool(self, node: str, source: str, call: str, *args: t.Any) -> None:
         if self._options.nodes == "host":
-            self._deliver(node, call, args)
+            self._call_pool(node, call, args)
             return
-        self.model.send(source, node[0], self._deliver, node, call, args)
+        self.model.send(source, node[0], self._call_pool, node, call, args)
 
-    def _deliver(self, node: str, call: str, args: tuple[t.Any, ...]) -> None:
+    def _call_pool(self, node: str, call: str, args: tuple[t.Any, ...]) -> None:
         pool = self.pool_by_node.get(node)
         if pool is None:
-            self._held[node].append((call, args))
+            self._undelivered_by_node[node].append((call, args))
             return
         getattr(pool, call)(*args, self.model.now)
-        self.pump(node)
+        self.send_decisions(node)
 
-    def pump(self, node: str) -> None:
-        """Send what a dispatcher decided, and set its timer."""
+    def send_decisions(self, node: str) -> None:
+        """Send a dispatcher's decisions to the entry hosts and set its timer."""
         pool = self.pool_by_node.get(node)
         if pool is None:
             return
         now = self.model.now
         for decision in pool.poll(now):
             if self._options.nodes == "host":
-                self._decided(node, decision)
+                self._receive_decision(node, decision)
                 continue
-            self.model.send(node[0], decision.host[0], self._decided, node, decision)
-        wake = pool.next_wake(now)
-        if wake is None:
+            self.model.send(
+                node[0], decision.host[0], self._receive_decision, node, decision
+            )
+        wake_at = pool.next_wake(now)
+        if wake_at is None:
             return
-        known = self._timer_by_node.get(node, 0.0)
-        if now < known <= wake:
+        scheduled_at = self._timer_by_node.get(node, 0.0)
+        if now < scheduled_at <= wake_at:
             return
-        self._timer_by_node[node] = max(wake, now + 0.001)
-        self.model.at(self._timer_by_node[node], self.pump, node)
+        self._timer_by_node[node] = max(wake_at, now + 0.001)
+        self.model.call_at(self._timer_by_node[node], self.send_decisions, node)
 
-    def _decided(self, node: str, decision: Grant | Refusal) -> None:
+    def _receive_decision(self, node: str, decision: Grant | Refusal) -> None:
         request = self.request_by_name[decision.request]
-        pending = self._wants.get(request.name)
+        pending = self._pending_by_request.get(request.name)
         if pending is None or pending[1].epoch != decision.epoch:
             return
-        del self._wants[request.name]
+        del self._pending_by_request[request.name]
         waits = self._waits_by_host[request.host]
         if isinstance(decision, Refusal):
             waits.refused(request.name, self.model.now)
@@ -465,87 +483,99 @@
         waits.granted(request.name, self.model.now)
         if request.host in self.model.dead_hosts or request.is_over:
             return
-        self._running[request.name] = (node, pending[1], decision.route)
+        self._running_by_request[request.name] = (node, pending[1], decision.route)
         names = [stage.engine for stage in decision.route]
         for name in names:
-            self._own[request.host, name] += 1
-        self.launch(request, names)
+            self._running_by_host_engine[request.host, name] += 1
+        self.start_stream(request, names)
 
     def arrive(self, request: Request) -> None:
-        """Take in a request."""
+        """Submit a request to its pool."""
         self.request_by_name[request.name] = request
-        want = want_of(request)
+        route_request = route_request_of(request)
         node = self._node_of(request)
         waits = self._waits_by_host[request.host]
         waits.submitted(request.name, node, request.priority, self.model.now)
-        self._wants[request.name] = (node, want)
-        self._demand_by_host[request.host] += want.work
-        self._tell(node, request.host[0], "want", want)
+        self._pending_by_request[request.name] = (node, route_request)
+        self._demand_by_host[request.host] += route_request.work
+        self._send_to_pool(node, request.host[0], "want", route_request)
 
-    def ended(self, request: Request, stream: Stream) -> None:
-        """Count the end of a stream."""
-        running = self._running.pop(request.name, None)
+    def handle_stream_end(self, request: Request, stream: Stream) -> None:
+        """Record the end of a stream."""
+        running = self._running_by_request.pop(request.name, None)
         if running is None:
             return
-        node, want, route = running
+        node, route_request, route = running
         failed = frozenset(
             engine.spec.name for engine in stream.route if not engine.is_alive
         )
         for stage in route:
-            self._own[request.host, stage.engine] -= 1
-            self._ended_at[request.host, stage.engine].append(self.model.now)
-        output = int(request.done) - (want.prompt_tokens - request.prompt)
-        done = GrantOutcome(
-            request.name, want.epoch, request.host, want.prompt_tokens, output, failed
+            self._running_by_host_engine[request.host, stage.engine] -= 1
+            self._ended_at_by_host_engine[request.host, stage.engine].append(
+                self.model.now
+            )
+        output_tokens = int(request.delivered) - (
+            route_request.prompt_tokens - request.prompt_tokens
+        )
+        outcome = GrantOutcome(
+            request.name,
+            route_request.epoch,
+            request.host,
+            route_request.prompt_tokens,
+            output_tokens,
+            failed,
         )
         if self._options.exchange:
-            key = (request.host, want)
-            self._usage[key] = prompt_work(want.prompt_tokens) + output
-        self._tell(node, request.host[0], "done", done)
+            key = (request.host, route_request)
+            self._usage_by_request[key] = (
+                prompt_work(route_request.prompt_tokens) + output_tokens
+            )
+        self._send_to_pool(node, request.host[0], "done", outcome)
 
     # Engines.
 
-    def on_report(self, state: EngineState) -> None:
-        """Take in an engine's report."""
+    def handle_report(self, state: EngineState) -> None:
+        """Apply an engine's report."""
         for node, pool in self.pool_by_node.items():
             if pool is None:
                 continue
             if self._options.nodes == "data_centre" and state.data_centre != node:
                 continue
-            seen = state
+            report = state
             if self._options.nodes == "host":
-                seen = self._seen_by(node, state)
-            pool.observe(seen, self.model.now)
-        if not self._pump_due:
-            # The reports of one instant are all taken before the next poll.
-            self._pump_due = True
-            self.model.at(self.model.now, self._pump_all)
-
-    def _pump_all(self) -> None:
-        self._pump_due = False
+                report = self._report_for_host(node, state)
+            pool.observe(report, self.model.now)
+        if not self._sends_due:
+            # All reports of an instant are applied before the pools are polled.
+            self._sends_due = True
+            self.model.call_at(self.model.now, self._send_all_decisions)
+
+    def _send_all_decisions(self) -> None:
+        self._sends_due = False
         for node in self.pool_by_node:
-            self.pump(node)
+            self.send_decisions(node)
 
-    def _seen_by(self, host: str, state: EngineState) -> EngineState:
-        own = self._own[host, state.name]
+    def _report_for_host(self, host: str, state: EngineState) -> EngineState:
+        running = self._running_by_host_engine[host, state.name]
         if self._options.shares:
-            slots = self._share_of(host, state)
-            return dataclasses.replace(state, slots=slots, running=own, waiting=0)
-        ended = self._ended_at[host, state.name]
-        while ended and ended[0] < state.as_of:
-            ended.popleft()
-        other_requests = max(0, state.running + state.waiting - own - len(ended))
+            slots = self._slots_of_host(host, state)
+            return dataclasses.replace(state, slots=slots, running=running, waiting=0)
+        ended_at = self._ended_at_by_host_engine[host, state.name]
+        while ended_at and ended_at[0] < state.as_of:
+            ended_at.popleft()
+        other_requests = max(0, state.running + state.waiting - running - len(ended_at))
         slots = max(0, state.slots - other_requests)
-        return dataclasses.replace(state, slots=slots, running=own, waiting=0)
+        return dataclasses.replace(state, slots=slots, running=running, waiting=0)
 
-    def _share_of(self, host: str, state: EngineState) -> int:
+    def _slots_of_host(self, host: str, state: EngineState) -> int:
         alive = [name for name in HOSTS if name not in self.model.dead_hosts]
         total = sum(self._demand_by_host[name] for name in alive)
         if host not in alive:
             return 0
-        # The cut points of all hosts add up to the engine's slots; the offset
-        # by engine spreads what rounding favours.
-        offset = hash_of(state.name)
+        # The shares of all hosts add up to the engine's slots. The offset
+        # differs by engine, so that rounding does not favour the same hosts
+        # on each.
+        offset = name_fraction(state.name)
         before = 0.0
         for name in alive:
             part = self._demand_by_host[name] / total if total else 1 / len(alive)
@@ -555,106 +585,108 @@
             before = after
         return 0
 
-    def _exchange(self) -> None:
+    def _exchange_usage(self) -> None:
         # The usage arrives half an interval late, on average.
-        for (host, want), work in self._usage.items():
+        for (host, route_request), work in self._usage_by_request.items():
             for node, pool in self.pool_by_node.items():
                 if node != host and pool is not None:
                     self.model.messages += 1
-                    pool._queue.settle(dataclasses.replace(want, work=0.0), work)
-        self._usage.clear()
+                    pool._queue.settle(
+                        dataclasses.replace(route_request, work=0.0), work
+                    )
+        self._usage_by_request.clear()
         for host in self._demand_by_host:
             self._demand_by_host[host] *= 0.7
-        self.model.at(self.model.now + EXCHANGE_S, self._exchange)
+        self.model.call_at(self.model.now + EXCHANGE_INTERVAL_S, self._exchange_usage)
 
-    def engine_lost(self, name: str) -> None:
-        """Forget an engine."""
+    def handle_engine_loss(self, name: str) -> None:
+        """Remove an engine from all pools."""
         for node, pool in self.pool_by_node.items():
             if pool is not None:
                 pool.remove(name)
-                self.pump(node)
+                self.send_decisions(node)
 
     # Faults.
 
-    def host_lost(self, host: str) -> None:
-        """Forget a dead entry host."""
-        for name, (_, want) in list(self._wants.items()):
-            if want.host == host:
+    def handle_host_loss(self, host: str) -> None:
+        """Drop the requests of a dead entry host, also in the pools."""
+        for name, (_, route_request) in list(self._pending_by_request.items()):
+            if route_request.host == host:
                 self.refuse(self.request_by_name[name], "host_lost")
-                del self._wants[name]
-        for name, (_, want, _) in list(self._running.items()):
-            if want.host == host:
-                del self._running[name]
+                del self._pending_by_request[name]
+        for name, (_, route_request, _) in list(self._running_by_request.items()):
+            if route_request.host == host:
+                del self._running_by_request[name]
         for node, pool in self.pool_by_node.items():
             if pool is not None:
                 pool.host_lost(host, self.model.now)
-                self.pump(node)
+                self.send_decisions(node)
 
-    def kill_dispatcher(self, node: str, away_s: float) -> None:
-        """End a dispatcher; its successor begins after a while, empty."""
+    def stop_dispatcher(self, node: str, outage_s: float) -> None:
+        """Stop a dispatcher; an empty successor starts after the outage."""
         self.pool_by_node[node] = None
-        self.model.at(self.model.now + away_s, self._take_over, node)
+        self.model.call_at(self.model.now + outage_s, self._start_successor, node)
 
-    def _take_over(self, node: str) -> None:
+    def _start_successor(self, node: str) -> None:
         options = self._options
         self.pool_by_node[node] = Pool(MODEL, node, options.limits, options.cost)
         for engine in self.model.engine_by_name.values():
             if engine.is_alive:
                 self.pool_by_node[node].observe(
-                    self.model.state(engine), self.model.now
+                    self.model.report_of(engine), self.model.now
                 )
-        for owner, want, route in list(self._running.values()):
+        for owner, route_request, route in list(self._running_by_request.values()):
             if owner == node:
-                hold = HeldGrant(want, route, 0)
-                self._tell(node, want.host[0], "hold", hold)
-        held = self._held.pop(node, [])
-        for call, args in held:
+                hold = HeldGrant(route_request, route, 0)
+                self._send_to_pool(node, route_request.host[0], "hold", hold)
+        undelivered = self._undelivered_by_node.pop(node, [])
+        for call, args in undelivered:
             if call == "done":
-                self._deliver(node, call, args)
-        for owner, want in list(self._wants.values()):
+                self._call_pool(node, call, args)
+        for owner, route_request in list(self._pending_by_request.values()):
             if owner == node:
-                self._tell(node, want.host[0], "want", want)
+                self._send_to_pool(node, route_request.host[0], "want", route_request)
 
 
-def hash_of(name: str) -> float:
-    """Return a fraction in [0, 1) that is a function of a name."""
+def name_fraction(name: str) -> float:
+    """Return a fraction in [0, 1) that depends only on the name."""
     return sum(ord(letter) * 37 for letter in name) % 101 / 101
 
 
 def least_used(load: EngineLoad, need: Need, now: float) -> float:
-    """Cost a stage by its share of slots in use."""
-    return (load.used + 1) / max(1, load.state.slots) * ORDER_ONLY_S
+    """Return a stage's cost by its share of slots in use."""
+    return (load.used + 1) / max(1, load.state.slots) * ORDER_ONLY_SCALE_S
 
 
-def fewest_granted(load: EngineLoad, need: Need, now: float) -> float:
-    """Cost a stage by its open requests."""
-    return (load.used + 1) * ORDER_ONLY_S
+def fewest_open(load: EngineLoad, need: Need, now: float) -> float:
+    """Return a stage's cost by its number of open requests."""
+    return (load.used + 1) * ORDER_ONLY_SCALE_S
 
 
-def own_step(load: EngineLoad, need: Need, now: float) -> float:
-    """Cost a stage by its reported speed, without what was granted since."""
+def reported_speed(load: EngineLoad, need: Need, now: float) -> float:
+    """Return a stage's cost by its reported speed, ignoring later grants."""
     return need.tokens * load.state.step_s + need.prompt_tokens * load.read_s
 
 
 def without_backlog(load: EngineLoad, need: Need, now: float) -> float:
-    """Cost a stage as the pool does, but for the prompts that wait there."""
+    """Return a stage's cost as the pool does, ignoring its queued prompts."""
     return need.tokens * load.next_step_s + need.prompt_tokens * load.read_s
 
 
 def _random_cost() -> StageCost:
     rng = random.Random(1)
-    return lambda load, need, now: rng.random() * ORDER_ONLY_S
+    return lambda load, need, now: rng.random() * ORDER_ONLY_SCALE_S
 
 
 def _two_choice_cost() -> StageCost:
-    # Of a random pair of the free engines of a lane, about, the better one:
-    # each engine takes part with two in the number of its lane.
+    # Approximates the better of two random free engines of a group: each of
+    # them is a candidate with probability 2 / (free engines of the group).
     rng = random.Random(1)
 
     def cost(load: EngineLoad, need: Need, now: float) -> float:
         free = len(load.group.free) if load.group is not None else 1
-        left_out = 0.0 if rng.random() * free < 2 else LEFT_OUT_S
-        return left_out + expected_delay(load, need, now)
+        penalty_s = 0.0 if rng.random() * free < 2 else EXCLUDED_ENGINE_COST_S
+        return penalty_s + expected_delay(load, need, now)
 
     return cost
 
@@ -664,56 +696,57 @@
     turns = itertools.count()
 
     def cost(load: EngineLoad, need: Need, now: float) -> float:
-        # The engine whose use began least recently is next.
+        # The engine with the least recent change of its grants is next.
         name = load.state.name
         if load.granted != last_by_engine.get(f"{name}/granted"):
             last_by_engine[f"{name}/granted"] = load.granted
             last_by_engine[name] = float(next(turns))
-        return last_by_engine[name] * ORDER_ONLY_S
+        return last_by_engine[name] * ORDER_ONLY_SCALE_S
 
     return cost
 
 
-PolicyMaker = t.Callable[[Model, list[EngineSpec]], Policy]
+PolicyFactory = t.Callable[[Model, list[EngineSpec]], Policy]
 
 
-def pools(**options: t.Any) -> PolicyMaker:
-    """Return a maker of a policy with pools."""
+def pool_policy(**options: t.Any) -> PolicyFactory:
+    """Return a factory of a policy with pools."""
     return lambda model, specs: PoolPolicy(model, specs, PoolOptions(**options))
 
 
-def direct(choose: Chooser | None) -> PolicyMaker:
-    """Return a maker of a policy that chooses at once."""
+def direct_policy(choose: Chooser | None) -> PolicyFactory:
+    """Return a factory of a policy that chooses a route on arrival."""
     return lambda model, specs: DirectPolicy(model, specs, choose)
 
 
-POLICY_BY_NAME: dict[str, PolicyMaker] = {
-    "round_robin": direct(_round_robin),
-    "least_outstanding": direct(_least_outstanding),
-    "two_choices": direct(_two_choices),
-    "remaining_work": direct(None),
+POLICY_BY_NAME: dict[str, PolicyFactory] = {
+    "round_robin": direct_policy(_round_robin),
+    "least_outstanding": direct_policy(_least_outstanding),
+    "two_choices": direct_policy(_two_choices),
+    "remaining_work": direct_policy(None),
     "fifo_per_host": FifoPolicy,
-    "local_fair": pools(nodes="host"),
-    "local_fair_exchange": pools(nodes="host", exchange=True),
-    "slot_shares": pools(nodes="host", shares=True),
-    "dispatcher_dc": pools(nodes="data_centre"),
-    "dispatcher_dc_spill": pools(nodes="data_centre", spill=True),
-    "dispatcher_dc_learn": pools(nodes="data_centre", learn=True),
-    "dispatcher": pools(nodes="one"),
+    "local_fair": pool_policy(nodes="host"),
+    "local_fair_exchange": pool_policy(nodes="host", exchange=True),
+    "slot_shares": pool_policy(nodes="host", shares=True),
+    "dispatcher_dc": pool_policy(nodes="data_centre"),
+    "dispatcher_dc_spill": pool_policy(nodes="data_centre", spill=True),
+    "dispatcher_dc_learn": pool_policy(nodes="data_centre", learn=True),
+    "dispatcher": pool_policy(nodes="one"),
 }
-# Ways for the dispatcher to choose an engine; ``dispatcher`` is to compare.
+# Costs by which the dispatcher chooses an engine, to compare with the policy
+# ``dispatcher``.
 COST_BY_NAME: dict[str, t.Callable[[], StageCost]] = {
     "route_without_backlog": lambda: without_backlog,
-    "route_reported_speed": lambda: own_step,
+    "route_reported_speed": lambda: reported_speed,
     "route_least_used": lambda: least_used,
-    "route_least_outstanding": lambda: fewest_granted,
+    "route_least_outstanding": lambda: fewest_open,
     "route_two_choices": _two_choice_cost,
     "route_in_turn": _in_turn_cost,
     "route_random": _random_cost,
 }
 
 
-def _with_cost(make_cost: t.Callable[[], StageCost]) -> PolicyMaker:
+def _with_cost(make_cost: t.Callable[[], StageCost]) -> PolicyFactory:
     return lambda model, specs: PoolPolicy(model, specs, PoolOptions(cost=make_cost()))
 
 
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -1,4 +1,4 @@
-"""The scenarios: who sends what, and what fails when."""
+"""The scenarios: flows of requests, and faults with their times."""
 
 import dataclasses
 import math
@@ -16,26 +16,30 @@
 from .policies import Policy
 from .policies import PoolPolicy
 
-MEAN_OUTPUT = 120
-SHORTEST_OUTPUT = 8
-LONGEST_OUTPUT = 480
-MEDIAN_PROMPT = 300
+MEAN_OUTPUT_TOKENS = 120
+MIN_OUTPUT_TOKENS = 8
+MAX_OUTPUT_TOKENS = 480
+MEDIAN_PROMPT_TOKENS = 300
 PROMPT_SIGMA = 0.7
-LONGEST_PROMPT = 2000
-SAMPLE = 20_000
-WARM_S = 10.0
+MAX_PROMPT_TOKENS = 2000
+BOUND_SAMPLE_REQUESTS = 20_000
+WARM_UP_S = 10.0
 END_S = 45.0
-FAULT_S = 18.0
-REJOIN_S = 34.0
-TIMEOUT_S = {Priority.URGENT: 15.0, Priority.STANDARD: 60.0, Priority.BATCH: 300.0}
-SMALL = tuple(f"small{number}" for number in range(7))
-LARGE = ("large0", "large1", "large2")
-MANY = tuple(f"other{number}" for number in range(60))
+FAULT_AT_S = 18.0
+REJOIN_AT_S = 34.0
+TIMEOUT_S_BY_PRIORITY = {
+    Priority.URGENT: 15.0,
+    Priority.STANDARD: 60.0,
+    Priority.BATCH: 300.0,
+}
+SMALL_ACCOUNTS = tuple(f"small{number}" for number in range(7))
+LARGE_ACCOUNTS = ("large0", "large1", "large2")
+BACKGROUND_ACCOUNTS = tuple(f"other{number}" for number in range(60))
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Flow:
-    """Requests of some accounts: ``load`` is a part of the fleet's bound."""
+    """Requests of some accounts; ``load`` is a fraction of the fleet's bound."""
 
     priority: Priority
     accounts: tuple[str, ...]
@@ -50,7 +54,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Scenario:
-    """Flows and faults."""
+    """Flows of requests, and faults by their times."""
 
     name: str
     flows: tuple[Flow, ...]
@@ -60,17 +64,29 @@
 
 
 URGENT, STANDARD, BATCH = Priority
-ALL = SMALL + LARGE
-BASE = (Flow(URGENT, ALL, 0.2), Flow(STANDARD, ALL, 0.25))
-MIXED = (Flow(URGENT, ALL, 0.25), Flow(STANDARD, ALL, 0.35), Flow(BATCH, ALL, 0.6))
-MODERATE = (Flow(URGENT, ALL, 0.2), Flow(STANDARD, ALL, 0.3), Flow(BATCH, ALL, 0.2))
-BUSY = (Flow(URGENT, ALL, 0.2), Flow(STANDARD, ALL, 0.3), Flow(BATCH, ALL, 0.4))
+ALL_ACCOUNTS = SMALL_ACCOUNTS + LARGE_ACCOUNTS
+BASE_FLOWS = (Flow(URGENT, ALL_ACCOUNTS, 0.2), Flow(STANDARD, ALL_ACCOUNTS, 0.25))
+MIXED_FLOWS = (
+    Flow(URGENT, ALL_ACCOUNTS, 0.25),
+    Flow(STANDARD, ALL_ACCOUNTS, 0.35),
+    Flow(BATCH, ALL_ACCOUNTS, 0.6),
+)
+MODERATE_FLOWS = (
+    Flow(URGENT, ALL_ACCOUNTS, 0.2),
+    Flow(STANDARD, ALL_ACCOUNTS, 0.3),
+    Flow(BATCH, ALL_ACCOUNTS, 0.2),
+)
+BUSY_FLOWS = (
+    Flow(URGENT, ALL_ACCOUNTS, 0.2),
+    Flow(STANDARD, ALL_ACCOUNTS, 0.3),
+    Flow(BATCH, ALL_ACCOUNTS, 0.4),
+)
 
 
 def _kill_engine(name: str) -> Fault:
     def fault(model: Model, policy: Policy) -> None:
         model.kill(name)
-        model.at(model.now + 1.0, policy.engine_lost, name)
+        model.call_at(model.now + 1.0, policy.handle_engine_loss, name)
 
     return fault
 
@@ -87,20 +103,20 @@
     return lambda model, policy: model.dead_hosts.discard(host)
 
 
-def _each(
-    data_centre: str, make: t.Callable[[str], Fault], names: t.Iterable[str]
+def _faults_in(
+    data_centre: str, make_fault: t.Callable[[str], Fault], names: t.Iterable[str]
 ) -> list[Fault]:
-    return [make(name) for name in names if name[0] == data_centre]
+    return [make_fault(name) for name in names if name[0] == data_centre]
 
 
-def _data_centre(
+def _in_data_centre(
     data_centre: str, host: t.Callable[[str], Fault], engine: t.Callable[[str], Fault]
 ) -> Fault:
     def fault(model: Model, policy: Policy) -> None:
-        for act in _each(data_centre, host, HOSTS):
-            act(model, policy)
-        for act in _each(data_centre, engine, list(model.engine_by_name)):
-            act(model, policy)
+        for each_fault in _faults_in(data_centre, host, HOSTS):
+            each_fault(model, policy)
+        for each_fault in _faults_in(data_centre, engine, list(model.engine_by_name)):
+            each_fault(model, policy)
 
     return fault
 
@@ -112,90 +128,103 @@
     return fault
 
 
-def _dispatcher_away(away_s: float) -> Fault:
+def _stop_dispatcher(outage_s: float) -> Fault:
     def fault(model: Model, policy: Policy) -> None:
         if not isinstance(policy, PoolPolicy):
             return
         for node in list(policy.pool_by_node)[:1]:
-            policy.kill_dispatcher(node, away_s)
+            policy.stop_dispatcher(node, outage_s)
 
     return fault
 
 
-def _large(hosts: tuple[str, ...], total: float) -> tuple[Flow, ...]:
-    small = Flow(STANDARD, SMALL, 0.14)
-    return (small, Flow(STANDARD, LARGE, total - 0.14, hosts))
+def _with_large(hosts: tuple[str, ...], total_load: float) -> tuple[Flow, ...]:
+    small = Flow(STANDARD, SMALL_ACCOUNTS, 0.14)
+    return (small, Flow(STANDARD, LARGE_ACCOUNTS, total_load - 0.14, hosts))
 
 
-def _alone(total: float) -> tuple[Flow, ...]:
-    return (Flow(STANDARD, SMALL, 0.14), Flow(STANDARD, MANY, total - 0.14))
+def _without_large(total_load: float) -> tuple[Flow, ...]:
+    return (
+        Flow(STANDARD, SMALL_ACCOUNTS, 0.14),
+        Flow(STANDARD, BACKGROUND_ACCOUNTS, total_load - 0.14),
+    )
 
 
 SCENARIOS = (
-    Scenario("steady", MIXED),
-    Scenario("moderate", MODERATE),
-    Scenario("busy", BUSY),
-    Scenario("unflooded", BASE),
-    Scenario("flood_batch", (*BASE, Flow(BATCH, LARGE[:1], 3.0))),
+    Scenario("steady", MIXED_FLOWS),
+    Scenario("moderate", MODERATE_FLOWS),
+    Scenario("busy", BUSY_FLOWS),
+    Scenario("unflooded", BASE_FLOWS),
+    Scenario("flood_batch", (*BASE_FLOWS, Flow(BATCH, LARGE_ACCOUNTS[:1], 3.0))),
     Scenario(
         "flood_urgent",
-        (Flow(URGENT, LARGE[:1], 3.0), Flow(STANDARD, ALL, 0.4), Flow(BATCH, ALL, 0.3)),
+        (
+            Flow(URGENT, LARGE_ACCOUNTS[:1], 3.0),
+            Flow(STANDARD, ALL_ACCOUNTS, 0.4),
+            Flow(BATCH, ALL_ACCOUNTS, 0.3),
+        ),
     ),
     Scenario(
         "flood_standard",
-        (Flow(URGENT, ALL, 0.2), Flow(STANDARD, LARGE[:1], 3.0), Flow(BATCH, ALL, 0.3)),
+        (
+            Flow(URGENT, ALL_ACCOUNTS, 0.2),
+            Flow(STANDARD, LARGE_ACCOUNTS[:1], 3.0),
+            Flow(BATCH, ALL_ACCOUNTS, 0.3),
+        ),
     ),
-    Scenario("alone_90", _alone(0.9)),
-    Scenario("large_all_90", _large(HOSTS, 0.9)),
-    Scenario("large_one_90", _large(HOSTS[:1], 0.9)),
-    Scenario("alone_200", _alone(2.0)),
-    Scenario("large_all_200", _large(HOSTS, 2.0)),
-    Scenario("large_one_200", _large(HOSTS[:1], 2.0)),
+    Scenario("alone_90", _without_large(0.9)),
+    Scenario("large_all_90", _with_large(HOSTS, 0.9)),
+    Scenario("large_one_90", _with_large(HOSTS[:1], 0.9)),
+    Scenario("alone_200", _without_large(2.0)),
+    Scenario("large_all_200", _with_large(HOSTS, 2.0)),
+    Scenario("large_one_200", _with_large(HOSTS[:1], 2.0)),
     Scenario(
         "stage_lost",
-        BUSY,
-        ((FAULT_S, _kill_engine("a-100")), (REJOIN_S, _revive_engine("a-100"))),
+        BUSY_FLOWS,
+        ((FAULT_AT_S, _kill_engine("a-100")), (REJOIN_AT_S, _revive_engine("a-100"))),
     ),
     Scenario(
         "host_lost",
-        BUSY,
-        ((FAULT_S, _kill_host("a2")), (REJOIN_S, _revive_host("a2"))),
+        BUSY_FLOWS,
+        ((FAULT_AT_S, _kill_host("a2")), (REJOIN_AT_S, _revive_host("a2"))),
     ),
     Scenario(
         "data_centre_lost",
-        MODERATE,
+        MODERATE_FLOWS,
         (
-            (FAULT_S, _data_centre("c", _kill_host, _kill_engine)),
-            (REJOIN_S, _data_centre("c", _revive_host, _revive_engine)),
+            (FAULT_AT_S, _in_data_centre("c", _kill_host, _kill_engine)),
+            (REJOIN_AT_S, _in_data_centre("c", _revive_host, _revive_engine)),
         ),
     ),
     Scenario(
         "link_slow",
-        BUSY,
-        ((FAULT_S, _slow_links("c", 40.0)), (REJOIN_S, _slow_links("c", 1.0))),
+        BUSY_FLOWS,
+        ((FAULT_AT_S, _slow_links("c", 40.0)), (REJOIN_AT_S, _slow_links("c", 1.0))),
     ),
-    Scenario("reports_lag_3s", BUSY, report_lag_s=3.0),
-    Scenario("dispatcher_away_1s", BUSY, ((FAULT_S, _dispatcher_away(1.0)),)),
-    Scenario("dispatcher_away_3s", BUSY, ((FAULT_S, _dispatcher_away(3.0)),)),
-    Scenario("loss_1", BUSY, loss=0.01),
-    Scenario("loss_5", BUSY, loss=0.05),
+    Scenario("reports_lag_3s", BUSY_FLOWS, report_lag_s=3.0),
+    Scenario("dispatcher_away_1s", BUSY_FLOWS, ((FAULT_AT_S, _stop_dispatcher(1.0)),)),
+    Scenario("dispatcher_away_3s", BUSY_FLOWS, ((FAULT_AT_S, _stop_dispatcher(3.0)),)),
+    Scenario("loss_1", BUSY_FLOWS, loss=0.01),
+    Scenario("loss_5", BUSY_FLOWS, loss=0.05),
 )
 SCENARIO_BY_NAME = {scenario.name: scenario for scenario in SCENARIOS}
 
 
 def _request(flow: Flow, number: int, at: float, rng: random.Random) -> Request:
-    prompt = rng.lognormvariate(math.log(MEDIAN_PROMPT), PROMPT_SIGMA)
-    output = rng.expovariate(1 / MEAN_OUTPUT)
+    prompt_tokens = rng.lognormvariate(math.log(MEDIAN_PROMPT_TOKENS), PROMPT_SIGMA)
+    output_tokens = rng.expovariate(1 / MEAN_OUTPUT_TOKENS)
     return Request(
         name=f"{flow.priority.name[0]}{flow.accounts[0]}-{number}",
         host=rng.choice(flow.hosts),
         account=rng.choice(flow.accounts),
         priority=flow.priority,
-        prompt=int(min(max(prompt, 1), LONGEST_PROMPT)),
-        output=int(min(max(output, SHORTEST_OUTPUT), LONGEST_OUTPUT)),
-        expected=MEAN_OUTPUT,
-        arrived=at,
-        deadline=at + TIMEOUT_S[flow.priority],
+        prompt_tokens=int(min(max(prompt_tokens, 1), MAX_PROMPT_TOKENS)),
+        output_tokens=int(
+            min(max(output_tokens, MIN_OUTPUT_TOKENS), MAX_OUTPUT_TOKENS)
+        ),
+        expected_output_tokens=MEAN_OUTPUT_TOKENS,
+        arrived_at=at,
+        deadline=at + TIMEOUT_S_BY_PRIORITY[flow.priority],
     )
 
 
@@ -204,47 +233,55 @@
     requests = []
     for index, flow in enumerate(scenario.flows):
         rng = random.Random(f"{seed}/{index}/{flow.priority}")
-        rate = flow.load * bound / MEAN_OUTPUT
-        at = flow.start + rng.expovariate(rate)
+        requests_per_s = flow.load * bound / MEAN_OUTPUT_TOKENS
+        at = flow.start + rng.expovariate(requests_per_s)
         number = 0
         while at < flow.end:
             requests.append(_request(flow, number, at, rng))
             number += 1
-            at += rng.expovariate(rate)
-    return sorted(requests, key=lambda request: request.arrived)
+            at += rng.expovariate(requests_per_s)
+    return sorted(requests, key=lambda request: request.arrived_at)
 
 
-def bound_of(specs: list[EngineSpec]) -> float:
-    """Return the fleet's bound for the mean request, in output tokens/s."""
+def fleet_bound(specs: list[EngineSpec]) -> float:
+    """Return the fleet's highest rate for the mean request, in output tokens/s."""
     rng = random.Random(0)
-    sample = [_request(BASE[0], 0, 0.0, rng) for _ in range(SAMPLE)]
-    prompt = sum(request.prompt for request in sample) / SAMPLE
-    output = sum(request.output for request in sample) / SAMPLE
-    return slot_bound(specs, prompt, output)
+    sample = [
+        _request(BASE_FLOWS[0], 0, 0.0, rng) for _ in range(BOUND_SAMPLE_REQUESTS)
+    ]
+    prompt_tokens = (
+        sum(request.prompt_tokens for request in sample) / BOUND_SAMPLE_REQUESTS
+    )
+    output_tokens = (
+        sum(request.output_tokens for request in sample) / BOUND_SAMPLE_REQUESTS
+    )
+    return slot_bound(specs, prompt_tokens, output_tokens)
 
 
-def play(
-    scenario: Scenario, make: t.Callable[[Model, list[EngineSpec]], Policy], seed: int
+def run_scenario(
+    scenario: Scenario,
+    make_policy: t.Callable[[Model, list[EngineSpec]], Policy],
+    seed: int,
 ) -> tuple[Model, list[Request], float]:
-    """Run a scenario under a policy; return what happened and the bound."""
+    """Run a scenario under a policy; return the model, its requests and the bound."""
     specs = make_fleet()
-    bound = bound_of(specs)
+    bound = fleet_bound(specs)
     model = Model(specs, seed)
     model.loss = scenario.loss
     model.report_lag_s = scenario.report_lag_s
-    policy = make(model, specs)
+    policy = make_policy(model, specs)
     requests = make_requests(scenario, bound, seed)
     for request in requests:
-        model.at(request.arrived, _enter, model, policy, request)
+        model.call_at(request.arrived_at, _arrive, model, policy, request)
     for when, fault in scenario.faults:
-        model.at(when, fault, model, policy)
-    model.report()
+        model.call_at(when, fault, model, policy)
+    model.send_reports()
     model.run(END_S)
     return model, requests, bound
 
 
-def _enter(model: Model, policy: Policy, request: Request) -> None:
-    # The balancer sends nothing to a dead host.
+def _arrive(model: Model, policy: Policy, request: Request) -> None:
+    # The load balancer in front of the hosts sends nothing to a dead one.
     alive = [host for host in HOSTS if host not in model.dead_hosts]
     if request.host not in alive:
         request.host = model.rng.choice(alive)
