--- a/bench/load.py
+++ b/bench/load.py
@@ -1,4 +1,4 @@
-"""An open-loop load: requests sent at their times, whatever comes back."""
+"""Open-loop load: requests are sent at their times, whatever the answers."""
 
 import dataclasses
 import errno
@@ -12,15 +12,15 @@
 from tests.fleet import MODEL
 from tests.fleet import bearer
 
-TOKEN_MARK = b'"text":" w'
-ERROR_MARK = b'"error":'
-DONE_MARK = b"[DONE]"
+TOKEN_MARKER = b'"text":" w'
+ERROR_MARKER = b'"error":'
+DONE_MARKER = b"[DONE]"
 RECEIVE_BYTES = 1 << 16
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Ask:
-    """One request of a plan; ``at`` in seconds from the start of the run."""
+class PlannedRequest:
+    """One request of a plan; ``at`` is in seconds from the start of the run."""
 
     at: float
     daemon: str
@@ -31,79 +31,83 @@
     group: str
 
 
-class Call:
-    """One request on its way, and what came of it."""
+class SentRequest:
+    """A request that has been sent, with its outcome.
+
+    ``state``: ``open``, ``whole``, ``error``, ``cut``, ``refused`` or
+    ``unfinished``.
+    """
 
     __slots__ = (
-        "ask",
-        "asked_at",
         "buffer",
-        "first_at",
-        "last_at",
+        "error_data",
+        "first_token_at",
+        "last_token_at",
         "longest_gap_s",
-        "raw",
+        "planned",
+        "sent_at",
         "sock",
         "state",
         "tokens",
     )
 
-    def __init__(self, ask: Ask) -> None:
-        self.ask = ask
+    def __init__(self, planned: PlannedRequest) -> None:
+        self.planned = planned
         self.sock: socket.socket | None = None
-        self.raw = b""
-        self.asked_at = 0.0
-        self.first_at = 0.0
-        self.last_at = 0.0
+        self.error_data = b""
+        self.sent_at = 0.0
+        self.first_token_at = 0.0
+        self.last_token_at = 0.0
         self.longest_gap_s = 0.0
         self.tokens = 0
         self.state = "open"
         self.buffer = b""
 
     @property
-    def first_s(self) -> float:
-        """Return the time to the first token."""
-        return self.first_at - self.asked_at
+    def first_token_s(self) -> float:
+        """Return the time from sending to the first token."""
+        return self.first_token_at - self.sent_at
 
     @property
-    def whole_s(self) -> float:
-        """Return the time to the last token."""
-        return self.last_at - self.asked_at
+    def duration_s(self) -> float:
+        """Return the time from sending to the last token."""
+        return self.last_token_at - self.sent_at
 
 
-def poisson(
+def poisson_arrivals(
     rng: random.Random,
-    rate: float,
+    requests_per_s: float,
     span: tuple[float, float],
-    make: t.Callable[[float], Ask],
-) -> list[Ask]:
-    """Return requests at random times of a rate a second."""
-    asks = []
-    at = span[0] + rng.expovariate(rate)
+    make_request: t.Callable[[float], PlannedRequest],
+) -> list[PlannedRequest]:
+    """Return requests of a Poisson process within a span of time."""
+    requests = []
+    at = span[0] + rng.expovariate(requests_per_s)
     while at < span[1]:
-        asks.append(make(at))
-        at += rng.expovariate(rate)
-    return asks
+        requests.append(make_request(at))
+        at += rng.expovariate(requests_per_s)
+    return requests
 
 
-def _request(ask: Ask) -> bytes:
+def _request(planned: PlannedRequest) -> bytes:
     body = json.dumps(
         {
             "model": MODEL,
-            "prompt": ask.prompt,
-            "max_tokens": ask.max_tokens,
+            "prompt": planned.prompt,
+            "max_tokens": planned.max_tokens,
             "stream": True,
         }
     ).encode()
     head = (
         "POST /v1/completions HTTP/1.1\r\nHost: x\r\n"
-        f"Authorization: Bearer {bearer(ask.account)}\r\n"
-        f"X-Priority: {ask.priority}\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"Authorization: Bearer {bearer(planned.account)}\r\n"
+        f"X-Priority: {planned.priority}\r\nContent-Length: {len(body)}\r\n\r\n"
     )
     return head.encode() + body
 
 
-class Run:
-    """Sends a plan and reads the answers in one thread."""
+class LoadGenerator:
+    """Sends the requests of a plan and reads the answers, in one thread."""
 
     def __init__(self, address_by_daemon: dict[str, str]) -> None:
         self._address_by_daemon = address_by_daemon
@@ -111,85 +115,91 @@
 
     def send(
         self,
-        plan: list[Ask],
+        plan: list[PlannedRequest],
         seconds: float,
         events: t.Sequence[tuple[float, t.Callable[[], None]]] = (),
-    ) -> list[Call]:
+    ) -> list[SentRequest]:
         """Send the requests and call the events at their times.
 
-        :param seconds: from the start until what is still open is given up.
+        :param seconds: time after which open requests are closed as
+            ``unfinished``.
         """
-        calls = [Call(ask) for ask in sorted(plan, key=lambda ask: ask.at)]
-        due = sorted(events, key=lambda event: event[0])
+        requests = [
+            SentRequest(planned)
+            for planned in sorted(plan, key=lambda planned: planned.at)
+        ]
+        pending_events = sorted(events, key=lambda event: event[0])
         started_at = time.monotonic()
-        sent = 0
-        open_calls = 0
+        sent_count = 0
+        open_count = 0
         while True:
             now = time.monotonic() - started_at
-            if now >= seconds or (sent == len(calls) and not open_calls):
+            if now >= seconds or (sent_count == len(requests) and not open_count):
                 break
-            while due and due[0][0] <= now:
-                due.pop(0)[1]()
-            while sent < len(calls) and calls[sent].ask.at <= now:
-                open_calls += self._open(calls[sent])
-                sent += 1
+            while pending_events and pending_events[0][0] <= now:
+                pending_events.pop(0)[1]()
+            while sent_count < len(requests) and requests[sent_count].planned.at <= now:
+                open_count += self._open(requests[sent_count])
+                sent_count += 1
             wait_s = 0.05
-            if sent < len(calls):
-                wait_s = min(wait_s, max(0.0, calls[sent].ask.at - now))
+            if sent_count < len(requests):
+                wait_s = min(wait_s, max(0.0, requests[sent_count].planned.at - now))
             for key, _ in self._selector.select(wait_s):
-                open_calls -= self._receive(key.data)
+                open_count -= self._receive(key.data)
         for key in list(self._selector.get_map().values()):
             self._close(key.data, "unfinished")
-        return calls
+        return requests
 
-    def _open(self, call: Call) -> int:
-        host, _, port = self._address_by_daemon[call.ask.daemon].partition(":")
-        call.asked_at = time.monotonic()
+    def _open(self, request: SentRequest) -> int:
+        host, _, port = self._address_by_daemon[request.planned.daemon].partition(":")
+        request.sent_at = time.monotonic()
         sock = socket.socket()
         try:
             sock.connect((host, int(port)))
-            sock.sendall(_request(call.ask))
+            sock.sendall(_request(request.planned))
         except OSError:
             sock.close()
-            call.state = "refused"
+            request.state = "refused"
             return 0
         sock.setblocking(False)
-        call.sock = sock
-        self._selector.register(sock, selectors.EVENT_READ, call)
+        request.sock = sock
+        self._selector.register(sock, selectors.EVENT_READ, request)
         return 1
 
-    def _receive(self, call: Call) -> int:
-        assert call.sock is not None
+    def _receive(self, request: SentRequest) -> int:
+        assert request.sock is not None
         try:
-            data = call.sock.recv(RECEIVE_BYTES)
+            data = request.sock.recv(RECEIVE_BYTES)
         except OSError as error:
             if error.errno in (errno.EAGAIN, errno.EWOULDBLOCK):
                 return 0
             data = b""
         if not data:
-            self._close(call, call.state if call.state != "open" else "cut")
+            self._close(request, request.state if request.state != "open" else "cut")
             return 1
-        self._take(call, data)
+        self._record_data(request, data)
         return 0
 
-    def _take(self, call: Call, data: bytes) -> None:
+    def _record_data(self, request: SentRequest, data: bytes) -> None:
         now = time.monotonic()
-        count = data.count(TOKEN_MARK)
+        count = data.count(TOKEN_MARKER)
         if count:
-            if call.first_at:
-                call.longest_gap_s = max(call.longest_gap_s, now - call.last_at)
+            if request.first_token_at:
+                request.longest_gap_s = max(
+                    request.longest_gap_s, now - request.last_token_at
+                )
             else:
-                call.first_at = now
-            call.last_at = now
-            call.tokens += count
-        if DONE_MARK in data:
-            call.state = "whole"
-        elif ERROR_MARK in data:
-            call.state = "error"
-            call.raw = data
-
-    def _close(self, call: Call, state: str) -> None:
-        assert call.sock is not None
-        self._selector.unregister(call.sock)
-        call.sock.close()
-        call.state = state
+                request.first_token_at = now
+            request.last_token_at = now
+            request.tokens += count
+        if DONE_MARKER in data:
+            request.state = "whole"
+        elif ERROR_MARKER in data:
+            request.state = "error"
+            request.error_data = data
+
+    def _close(self, request: SentRequest, state: str) -> None:
+        assert request.sock is not None
+        self._selector.unregister(request.sock)
+        request.sock.close()
+        request.state = state
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,7 +1,8 @@
 """Measure one daemon that relays streams of checked tokens.
 
-Run with ``python -m bench.relay``. Engines, daemon and reader are processes of
-their own; each size reads the daemon's way and the engines' own in one run.
+Run with ``python -m bench.relay``. Engines, daemon and reader run in separate
+processes. Each size is measured with streams read directly from the engines and
+with streams relayed by the daemon.
 """
 
 import json
@@ -26,17 +27,25 @@
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
-class Stream:
-    """One open stream with the instants at which its tokens came."""
+class TokenStream:
+    """An open stream of tokens, with the times at which they arrived."""
 
-    __slots__ = ("asked_at", "ended", "first_at", "gaps", "last_at", "sock", "tokens")
+    __slots__ = (
+        "ended",
+        "first_token_at",
+        "gaps_s",
+        "last_token_at",
+        "sent_at",
+        "sock",
+        "tokens",
+    )
 
     def __init__(self, sock: socket.socket, now: float) -> None:
         self.sock = sock
-        self.asked_at = now
-        self.first_at = 0.0
-        self.last_at = 0.0
-        self.gaps: list[float] = []
+        self.sent_at = now
+        self.first_token_at = 0.0
+        self.last_token_at = 0.0
+        self.gaps_s: list[float] = []
         self.tokens = 0
         self.ended = False
 
@@ -50,41 +59,43 @@
     return head.encode() + raw
 
 
-def _open(address: str, request: bytes) -> Stream:
+def _open(address: str, request: bytes) -> TokenStream:
     host, _, port = address.partition(":")
     now = time.monotonic()
     sock = socket.create_connection((host, int(port)))
     sock.sendall(request)
     sock.setblocking(False)
-    return Stream(sock, now)
+    return TokenStream(sock, now)
 
 
-def _take(stream: Stream, data: bytes, marker: bytes, last: bytes) -> None:
+def _record_data(
+    stream: TokenStream, data: bytes, token_marker: bytes, end_marker: bytes
+) -> None:
     now = time.monotonic()
-    count = data.count(marker)
+    count = data.count(token_marker)
     if count:
-        if stream.first_at:
-            stream.gaps.append(now - stream.last_at)
+        if stream.first_token_at:
+            stream.gaps_s.append(now - stream.last_token_at)
         else:
-            stream.first_at = now
-        stream.last_at = now
+            stream.first_token_at = now
+        stream.last_token_at = now
         stream.tokens += count
-    if last in data:
+    if end_marker in data:
         stream.ended = True
 
 
 def read_streams(
-    streams: list[Stream], marker: bytes, last: bytes, seconds: float
+    streams: list[TokenStream], token_marker: bytes, end_marker: bytes, seconds: float
 ) -> None:
-    """Read all streams to their ends, at most for some seconds."""
+    """Read all streams until they end or the time is over."""
     selector = selectors.DefaultSelector()
     for stream in streams:
         selector.register(stream.sock, selectors.EVENT_READ, stream)
-    ends_at = time.monotonic() + seconds
-    while selector.get_map() and time.monotonic() < ends_at:
+    deadline = time.monotonic() + seconds
+    while selector.get_map() and time.monotonic() < deadline:
         for key, _ in selector.select(0.5):
             data = key.data.sock.recv(1 << 16)
-            _take(key.data, data, marker, last)
+            _record_data(key.data, data, token_marker, end_marker)
             if not data or key.data.ended:
                 selector.unregister(key.data.sock)
                 key.data.sock.close()
@@ -104,12 +115,12 @@
 
 
 def quantile(values: list[float], share: float) -> float:
-    """Return a quantile of some values."""
+    """Return the quantile of the values at a share between 0 and 1."""
     ordered = sorted(values)
     return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
 
 
-def _engines() -> list[dict[str, t.Any]]:
+def _engine_settings() -> list[dict[str, t.Any]]:
     half = LAYERS // 2
     engines = []
     for number, (first, last) in enumerate(((0, half), (half, LAYERS))):
@@ -137,26 +148,30 @@
     return engines
 
 
-def _row(label: str, streams: list[Stream], seconds: float) -> dict[str, t.Any]:
-    gaps = [gap for stream in streams for gap in stream.gaps]
-    firsts = [stream.first_at - stream.asked_at for stream in streams]
+def _table_row(
+    label: str, streams: list[TokenStream], seconds: float
+) -> dict[str, t.Any]:
+    gaps_s = [gap for stream in streams for gap in stream.gaps_s]
+    first_tokens_s = [stream.first_token_at - stream.sent_at for stream in streams]
     tokens = sum(stream.tokens for stream in streams)
     return {
         "way": label,
         "streams": len(streams),
         "whole": sum(stream.ended for stream in streams),
         "tokens_per_s": round(tokens / seconds),
-        "gap_p50_ms": round(quantile(gaps, 0.5) * 1000, 1),
-        "gap_p95_ms": round(quantile(gaps, 0.95) * 1000, 1),
-        "first_p50_ms": round(quantile(firsts, 0.5) * 1000, 1),
+        "gap_p50_ms": round(quantile(gaps_s, 0.5) * 1000, 1),
+        "gap_p95_ms": round(quantile(gaps_s, 0.95) * 1000, 1),
+        "first_p50_ms": round(quantile(first_tokens_s, 0.5) * 1000, 1),
     }
 
 
-def _span(streams: list[Stream]) -> float:
-    return max(s.last_at for s in streams) - min(s.first_at for s in streams)
+def _seconds_streaming(streams: list[TokenStream]) -> float:
+    return max(s.last_token_at for s in streams) - min(
+        s.first_token_at for s in streams
+    )
 
 
-def _open_direct(fleet: Fleet, count: int, tokens: int, name: str) -> list[Stream]:
+def _open_direct(fleet: Fleet, count: int, tokens: int, name: str) -> list[TokenStream]:
     half = LAYERS // 2
     route = [
         {"address": fleet.address_of("engine0"), "first": 0, "last": half},
@@ -181,13 +196,13 @@
     return streams
 
 
-def _direct(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
+def _measure_direct(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
     streams = _open_direct(fleet, count, tokens, f"direct{count}")
     read_streams(streams, b'"t":', b'"end":', 60.0)
-    return _row("direct", streams, _span(streams))
+    return _table_row("direct", streams, _seconds_streaming(streams))
 
 
-def _open_relayed(fleet: Fleet, count: int, tokens: int) -> list[Stream]:
+def _open_relayed(fleet: Fleet, count: int, tokens: int) -> list[TokenStream]:
     daemon = fleet["a0"]
     streams = []
     for number in range(count):
@@ -202,23 +217,24 @@
     return streams
 
 
-def _relayed(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
+def _measure_relayed(fleet: Fleet, count: int, tokens: int) -> dict[str, t.Any]:
     pid = fleet["a0"].process.pid
     streams = _open_relayed(fleet, count, tokens)
     before = cpu_seconds(pid)
     read_streams(streams, b'"text":" w', b"[DONE]", 60.0)
-    used = cpu_seconds(pid) - before
-    seconds = _span(streams)
-    row = _row("daemon", streams, seconds)
-    done = sum(stream.tokens for stream in streams)
-    row["cores"] = round(used / seconds, 2)
-    row["us_per_token"] = round(used / done * 1e6, 1)
+    used_s = cpu_seconds(pid) - before
+    seconds = _seconds_streaming(streams)
+    row = _table_row("daemon", streams, seconds)
+    token_count = sum(stream.tokens for stream in streams)
+    row["cores"] = round(used_s / seconds, 2)
+    row["us_per_token"] = round(used_s / token_count * 1e6, 1)
     row["resident_mb"] = round(resident_mb(pid), 1)
     return row
 
 
-def _unloaded(fleet: Fleet, rounds: int) -> dict[str, t.Any]:
-    # Both ways in turn, so that noise of the machine meets both.
+def _measure_unloaded(fleet: Fleet, rounds: int) -> dict[str, t.Any]:
+    # Direct and relayed requests alternate, so that other load on the machine
+    # affects both alike.
     direct = []
     relayed = []
     for number in range(rounds):
@@ -226,14 +242,14 @@
         read_streams(direct[-1:], b'"t":', b'"end":', 10.0)
         relayed += _open_relayed(fleet, 1, 2)
         read_streams(relayed[-1:], b'"text":" w', b"[DONE]", 10.0)
-    firsts = []
+    first_tokens_s = []
     for streams in (direct, relayed):
-        firsts.append([s.first_at - s.asked_at for s in streams])
+        first_tokens_s.append([s.first_token_at - s.sent_at for s in streams])
     return {
         "way": "unloaded",
         "rounds": rounds,
-        "direct_first_p50_ms": round(quantile(firsts[0], 0.5) * 1000, 2),
-        "daemon_first_p50_ms": round(quantile(firsts[1], 0.5) * 1000, 2),
+        "direct_first_p50_ms": round(quantile(first_tokens_s[0], 0.5) * 1000, 2),
+        "daemon_first_p50_ms": round(quantile(first_tokens_s[1], 0.5) * 1000, 2),
     }
 
 
@@ -246,14 +262,16 @@
 @click.option("--tokens", default=200, help="Tokens of each stream.")
 @click.option("--rounds", default=40, help="Unloaded requests, one after another.")
 def main(sizes: str, tokens: int, rounds: int) -> None:
-    """Print a table of rates, gaps and costs; sizes are run one by one."""
+    """Print a table of rates, gaps and costs; the sizes run one after another."""
     with tempfile.TemporaryDirectory() as directory:
-        fleet = Fleet(pathlib.Path(directory), data_centres=("a",), engines=_engines())
+        fleet = Fleet(
+            pathlib.Path(directory), data_centres=("a",), engines=_engine_settings()
+        )
         with fleet:
-            _print_row(_unloaded(fleet, rounds))
+            _print_row(_measure_unloaded(fleet, rounds))
             for size in sizes.split(","):
-                _print_row(_direct(fleet, int(size), tokens))
-                _print_row(_relayed(fleet, int(size), tokens))
+                _print_row(_measure_direct(fleet, int(size), tokens))
+                _print_row(_measure_relayed(fleet, int(size), tokens))
 
 
 if __name__ == "__main__":
