--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -1,4 +1,4 @@
-"""What one message, peer, account, engine or request costs, measured here."""
+"""Measure the cost of one message, peer, account, engine or request."""
 
 import gc
 import statistics
@@ -47,7 +47,7 @@
 from wagtailstair.peers.codec import decode
 from wagtailstair.peers.codec import encode
 
-RUNS = 5
+RUNS_PER_MEDIAN = 5
 KEY = b"k" * 32
 MODEL = "guild-70b"
 STAGES = 4
@@ -55,10 +55,10 @@
 BYTES_PER_KB = 1024.0
 
 
-def median_us(work: t.Callable[[], None], count: int) -> float:
-    """Return the processor time of one step in microseconds, median of runs."""
+def median_step_us(work: t.Callable[[], None], count: int) -> float:
+    """Return the median processor time of one of ``count`` steps, in microseconds."""
     times = []
-    for _ in range(RUNS):
+    for _ in range(RUNS_PER_MEDIAN):
         gc.collect()
         start = time.process_time()
         work()
@@ -66,34 +66,34 @@
     return statistics.median(times)
 
 
-def reference_us() -> float:
-    """Return the time of a fixed loop, to compare runs on a busy machine."""
+def reference_loop_us() -> float:
+    """Return the time of a fixed loop, to compare runs under different load."""
 
     def work() -> None:
         total = 0
         for number in range(100_000):
             total += number
 
-    return median_us(work, 1)
+    return median_step_us(work, 1)
 
 
-def grown_kb(make: t.Callable[[], object]) -> float:
-    """Return the memory that something holds, in KB."""
+def allocated_kb(make: t.Callable[[], object]) -> float:
+    """Return the memory that a new object holds, in KB."""
     gc.collect()
     tracemalloc.start()
-    kept = make()
+    held_object = make()
     size = tracemalloc.get_traced_memory()[0]
     tracemalloc.stop()
-    del kept
+    del held_object
     return size / BYTES_PER_KB
 
 
-def make_host(number: int, centre: int, incarnation: int = 1) -> Host:
-    """Return an entry host with names and addresses of ordinary length."""
-    ip = f"10.{centre}.{number // 250}.{number % 250 + 1}"
-    name = f"entry-{centre:02d}-{number:03d}"
+def make_host(number: int, data_centre: int, incarnation: int = 1) -> Host:
+    """Return an entry host whose name and addresses have typical lengths."""
+    ip = f"10.{data_centre}.{number // 250}.{number % 250 + 1}"
+    name = f"entry-{data_centre:02d}-{number:03d}"
     start_ms = 1_790_000_000_000 + incarnation
-    return Host(name, f"dc-{centre:02d}", f"{ip}:8080", f"{ip}:8081", start_ms)
+    return Host(name, f"dc-{data_centre:02d}", f"{ip}:8080", f"{ip}:8081", start_ms)
 
 
 def make_engine(number: int, count: int, slots: int = 16) -> EngineState:
@@ -127,8 +127,8 @@
     )
 
 
-def make_want(number: int, host: str, now: float) -> RouteRequest:
-    """Return a want of ordinary size with four prefix blocks."""
+def make_route_request(number: int, host: str, now: float) -> RouteRequest:
+    """Return a route request of typical size with four prefix blocks."""
     return RouteRequest(
         request=f"{number:032x}",
         epoch=0,
@@ -144,17 +144,17 @@
     )
 
 
-def message_by_name() -> dict[str, Message]:
-    """Return one of each message that counts, with ordinary content."""
+def make_message_by_name() -> dict[str, Message]:
+    """Return one of each frequent message, with typical content."""
     host = make_host(117, 7)
     key = PoolKey(MODEL, "dc-00")
-    want = make_want(31_234, host.name, 0.0)
+    route_request = make_route_request(31_234, host.name, 0.0)
     engines = [make_engine(number, STAGES) for number in range(STAGES)]
     route = tuple(Stage(e.name, e.address, e.first, e.last) for e in engines)
     report = engines[0]
     return {
         "heartbeat": Heartbeat(host, 123_456, HostState.LIVE, 7_100, 0x12345678, 7_100),
-        "submit": Submit(123_456, key, want),
+        "submit": Submit(123_456, key, route_request),
         "granted": Granted(123_456, route),
         "finished": Numbered(123_456, Finished(123_456, key, 512, 221)),
         "ack": Ack((123_456,)),
@@ -172,10 +172,10 @@
 
 
 def datagram_bytes() -> dict[str, int]:
-    """Return the bytes of a datagram with one message, without IP and UDP."""
+    """Return the size of a datagram with one message, without IP and UDP headers."""
     return {
         name: len(encode(_datagram(message), KEY))
-        for name, message in message_by_name().items()
+        for name, message in make_message_by_name().items()
     }
 
 
@@ -183,7 +183,7 @@
     """Return the time to encode and to decode a datagram of one message."""
     count = 500
     times = {}
-    for name, message in message_by_name().items():
+    for name, message in make_message_by_name().items():
         datagram = _datagram(message)
         data = encode(datagram, KEY)
 
@@ -195,28 +195,28 @@
             for _ in range(count):
                 decode(data, KEY)
 
-        times[name] = (median_us(write, count), median_us(read, count))
+        times[name] = (median_step_us(write, count), median_step_us(read, count))
     return times
 
 
-def make_membership(hosts: int, centres: int) -> Membership:
+def make_membership(hosts: int, data_centres: int) -> Membership:
     """Return a host's membership in which all others are live."""
     own = make_host(0, 0)
     membership = Membership(own, heartbeat_s=1.0, dead_after_s=5.0, now=0.0)
     membership.set_state(HostState.LIVE)
     for number in range(1, hosts):
-        host = make_host(number, number % centres)
+        host = make_host(number, number % data_centres)
         membership.receive_heartbeat(Heartbeat(host, 1, HostState.LIVE, 1), 0.0)
     return membership
 
 
-def membership_slope(hosts: int, centres: int) -> dict[str, float]:
-    """Return what a heartbeat and a tick cost, and the memory of a peer."""
-    membership = make_membership(hosts, centres)
+def membership_cost(hosts: int, data_centres: int) -> dict[str, float]:
+    """Return the time of a heartbeat and of a tick, and the memory of a peer."""
+    membership = make_membership(hosts, data_centres)
     seq = 1
-    others = [make_host(number, number % centres) for number in range(1, hosts)]
+    others = [make_host(number, number % data_centres) for number in range(1, hosts)]
 
-    def beats() -> None:
+    def receive_heartbeats() -> None:
         nonlocal seq
         for _ in range(20):
             seq += 1
@@ -225,20 +225,22 @@
                     Heartbeat(host, seq, HostState.LIVE, 1), 0.0
                 )
 
-    def ticks() -> None:
+    def run_ticks() -> None:
         for _ in range(100):
             membership.tick(0.0)
 
     return {
-        "heartbeat us": median_us(beats, 20 * len(others)),
-        "tick us": median_us(ticks, 100),
-        "peer KB": grown_kb(lambda: make_membership(hosts, centres)) / hosts,
+        "heartbeat us": median_step_us(receive_heartbeats, 20 * len(others)),
+        "tick us": median_step_us(run_ticks, 100),
+        "peer KB": allocated_kb(lambda: make_membership(hosts, data_centres)) / hosts,
     }
 
 
-def heartbeat_rates(hosts: int, centres: int, heartbeat_s: float) -> tuple[int, int]:
-    """Return the heartbeats a minute that go inside the data centre and out."""
-    membership = make_membership(hosts, centres)
+def heartbeats_per_minute(
+    hosts: int, data_centres: int, heartbeat_s: float
+) -> tuple[int, int]:
+    """Return a host's heartbeats a minute inside its data centre and to others."""
+    membership = make_membership(hosts, data_centres)
     membership._heartbeat_s = heartbeat_s
     inside = remote = 0
     for step in range(600):
@@ -248,135 +250,146 @@
     return inside, remote
 
 
-class Wire:
-    """Carries messages between two dispatchers and keeps each one's time."""
+class QueueingTransport:
+    """A transport that queues messages until the benchmark delivers them."""
 
     def __init__(self) -> None:
         self.pending: list[tuple[str, Message]] = []
 
     def send(self, address: str, incarnation: int, message: Message) -> None:
-        """Keep a message."""
+        """Queue a message."""
         self.pending.append((address, message))
 
     def flush(self) -> None:
-        """Leave all to the caller."""
+        """Do nothing; :meth:`DispatchPair.deliver_all` delivers the messages."""
 
 
-class Pair:
-    """An entry host and a dispatcher with engines, each timed alone."""
+class DispatchPair:
+    """An entry host and a dispatcher with engines, timed separately."""
 
     def __init__(self, engines: int) -> None:
         self.clock = ManualClock(100.0)
-        self.seconds = {"entry": 0.0, "dispatcher": 0.0}
-        hosts = {"entry": make_host(0, 0), "dispatcher": make_host(1, 0)}
-        self.wires = {name: Wire() for name in hosts}
-        self.hosts = hosts
-        self.sides: dict[str, Dispatcher] = {}
-        for name, other in (("entry", "dispatcher"), ("dispatcher", "entry")):
+        self.seconds_by_role = {"entry": 0.0, "dispatcher": 0.0}
+        host_by_role = {"entry": make_host(0, 0), "dispatcher": make_host(1, 0)}
+        self.transport_by_role = {role: QueueingTransport() for role in host_by_role}
+        self.host_by_role = host_by_role
+        self.dispatcher_by_role: dict[str, Dispatcher] = {}
+        for role, peer_role in (("entry", "dispatcher"), ("dispatcher", "entry")):
             membership = Membership(
-                hosts[name], heartbeat_s=1.0, dead_after_s=5.0, now=100.0
+                host_by_role[role], heartbeat_s=1.0, dead_after_s=5.0, now=100.0
             )
             # Only the dispatcher is live, so that it has the pool.
             membership.set_state(
-                HostState.LIVE if name == "dispatcher" else HostState.JOINING
+                HostState.LIVE if role == "dispatcher" else HostState.JOINING
             )
-            state = HostState.LIVE if other == "dispatcher" else HostState.JOINING
-            membership.receive_heartbeat(Heartbeat(hosts[other], 1, state, 1), 100.0)
-            self.sides[name] = Dispatcher(
+            state = HostState.LIVE if peer_role == "dispatcher" else HostState.JOINING
+            membership.receive_heartbeat(
+                Heartbeat(host_by_role[peer_role], 1, state, 1), 100.0
+            )
+            self.dispatcher_by_role[role] = Dispatcher(
                 membership,
-                self.wires[name],
+                self.transport_by_role[role],
                 lambda key: Pool(key.model, key.data_centre),
                 self.clock,
             )
         for number in range(engines):
-            self.sides["dispatcher"].observe(make_engine(number, engines, slots=64))
-        self.carry()
+            self.dispatcher_by_role["dispatcher"].observe(
+                make_engine(number, engines, slots=64)
+            )
+        self.deliver_all()
 
-    def timed(self, name: str, call: t.Callable[[], t.Any]) -> t.Any:
-        """Make a call and add its time to a side's."""
+    def call_timed(self, role: str, call: t.Callable[[], t.Any]) -> t.Any:
+        """Make a call and add its processor time to a role's total."""
         start = time.process_time()
         result = call()
-        self.seconds[name] += time.process_time() - start
+        self.seconds_by_role[role] += time.process_time() - start
         return result
 
-    def carry(self) -> None:
-        """Carry all messages, each a datagram, until none is left."""
-        busy = True
-        while busy:
-            busy = False
-            for name, other in (("entry", "dispatcher"), ("dispatcher", "entry")):
-                pending, self.wires[name].pending = self.wires[name].pending, []
-                busy = busy or bool(pending)
+    def deliver_all(self) -> None:
+        """Deliver each message in a datagram of its own until none is queued."""
+        has_pending = True
+        while has_pending:
+            has_pending = False
+            for role, peer_role in (("entry", "dispatcher"), ("dispatcher", "entry")):
+                pending, self.transport_by_role[role].pending = (
+                    self.transport_by_role[role].pending,
+                    [],
+                )
+                has_pending = has_pending or bool(pending)
                 for _, message in pending:
-                    self._carry_one(name, other, message)
-
-    def _carry_one(self, name: str, other: str, message: Message) -> None:
-        host = self.hosts[name]
-        receiver = self.hosts[other].incarnation
-        datagram = Datagram(host.name, host.incarnation, receiver, (message,))
-        data = self.timed(name, lambda: encode(datagram, KEY))
-        read = self.timed(other, lambda: decode(data, KEY))
-        side = self.sides[other]
-        self.timed(
-            other,
-            lambda: side.receive(read.sender, read.incarnation, read.messages),
+                    self._deliver(role, peer_role, message)
+
+    def _deliver(self, role: str, peer_role: str, message: Message) -> None:
+        host = self.host_by_role[role]
+        peer_incarnation = self.host_by_role[peer_role].incarnation
+        datagram = Datagram(host.name, host.incarnation, peer_incarnation, (message,))
+        data = self.call_timed(role, lambda: encode(datagram, KEY))
+        received = self.call_timed(peer_role, lambda: decode(data, KEY))
+        dispatcher = self.dispatcher_by_role[peer_role]
+        self.call_timed(
+            peer_role,
+            lambda: dispatcher.receive(
+                received.sender, received.incarnation, received.messages
+            ),
         )
 
     def run(self, count: int) -> dict[str, float]:
-        """Return the time a request on each side, in microseconds."""
-        self.seconds = {"entry": 0.0, "dispatcher": 0.0}
-        entry = self.sides["entry"]
-        name = self.hosts["entry"].name
+        """Return the processor time of a request by role, in microseconds."""
+        self.seconds_by_role = {"entry": 0.0, "dispatcher": 0.0}
+        entry = self.dispatcher_by_role["entry"]
+        name = self.host_by_role["entry"].name
         for number in range(count):
             self.clock.advance(0.001)
-            want = make_want(number, name, self.clock.monotonic())
-            future = self.timed("entry", lambda w=want: entry.submit(MODEL, "dc-00", w))
-            self.carry()
+            route_request = make_route_request(number, name, self.clock.monotonic())
+            future = self.call_timed(
+                "entry", lambda r=route_request: entry.submit(MODEL, "dc-00", r)
+            )
+            self.deliver_all()
             assert future.done()
-            done = GrantOutcome(want.request, 0, name, 512, 221)
-            self.timed("entry", lambda d=done: entry.done(MODEL, "dc-00", d))
-            self.carry()
-        return {side: s * 1e6 / count for side, s in self.seconds.items()}
+            outcome = GrantOutcome(route_request.request, 0, name, 512, 221)
+            self.call_timed("entry", lambda o=outcome: entry.done(MODEL, "dc-00", o))
+            self.deliver_all()
+        return {role: s * 1e6 / count for role, s in self.seconds_by_role.items()}
 
 
-def dispatch_slope(engines: int) -> dict[str, float]:
+def dispatch_cost(engines: int) -> dict[str, float]:
     """Return the processor time of a request at its entry host and dispatcher."""
-    runs = [Pair(engines).run(200) for _ in range(RUNS)]
-    return {side: statistics.median(run[side] for run in runs) for side in runs[0]}
+    runs = [DispatchPair(engines).run(200) for _ in range(RUNS_PER_MEDIAN)]
+    return {role: statistics.median(run[role] for run in runs) for role in runs[0]}
 
 
-def quota_slope(accounts: int) -> dict[str, float]:
-    """Return what a charge with its settlement costs, and an account's memory."""
+def quota_cost(accounts: int) -> dict[str, float]:
+    """Return the time of a charge with its settlement, and an account's memory."""
     count = min(accounts, 2000)
 
-    def charge(homes: OwnedQuotas, number: int) -> None:
+    def charge(quotas: OwnedQuotas, number: int) -> None:
         message = Charge(number, f"account-{number:05d}", 96.0, 2000.0, 10.0, 16)
-        homes.charge("entry/1", message, 0.0)
+        quotas.charge("entry/1", message, 0.0)
 
     def fill() -> OwnedQuotas:
-        homes = OwnedQuotas()
+        quotas = OwnedQuotas()
         for number in range(accounts):
-            charge(homes, number)
-        return homes
+            charge(quotas, number)
+        return quotas
 
-    homes = fill()
+    quotas = fill()
     first = accounts
 
     def work() -> None:
         nonlocal first
         for number in range(first, first + count):
-            charge(homes, number)
-            homes.settle("entry/1", Settle(number, 221.0), 0.0)
+            charge(quotas, number)
+            quotas.settle("entry/1", Settle(number, 221.0), 0.0)
         first += count
 
     return {
-        "charge us": median_us(work, count),
-        "account KB": grown_kb(fill) / accounts,
+        "charge us": median_step_us(work, count),
+        "account KB": allocated_kb(fill) / accounts,
     }
 
 
 def make_lists(accounts: int) -> Lists:
-    """Return lists with a hundred plans and some accounts of one key each."""
+    """Return lists with 100 plans, and accounts with one key each."""
     plan = {
         "priorities": ["urgent", "standard"],
         "weight": 1.0,
@@ -396,8 +409,8 @@
     return Lists().with_rows(1, rows)
 
 
-def lists_slope(accounts: int) -> dict[str, float]:
-    """Return the cost of a change, of all lists, and of an account's memory."""
+def lists_cost(accounts: int) -> dict[str, float]:
+    """Return the cost of a change, the size of all lists and an account's memory."""
     lists = make_lists(accounts)
     value = lists.value_of((ACCOUNTS, "account-00000"))
     recent = RecentChanges()
@@ -410,15 +423,15 @@
             RecentChanges().note(lists, new)
 
     return {
-        "change us": median_us(change, 10),
+        "change us": median_step_us(change, 10),
         "change bytes": len(serve_lists(changed, recent, 1, KEY)),
         "whole KB": len(serve_lists(changed, recent, 0, KEY)) / BYTES_PER_KB,
-        "account KB": grown_kb(lambda: make_lists(accounts)) / accounts,
+        "account KB": allocated_kb(lambda: make_lists(accounts)) / accounts,
     }
 
 
 def host_list_kb(entries: int) -> float:
-    """Return the size of the platform's host list."""
+    """Return the size of the platform's host list, in KB."""
     hosts = []
     for number in range(entries):
         engine = make_engine(number, entries)
@@ -435,18 +448,18 @@
     return len(msgspec.json.encode({"hosts": hosts})) / BYTES_PER_KB
 
 
-def table_reads(hosts: int, interval_s: float) -> float:
-    """Return the reads of the version a second by all hosts of a data centre."""
+def version_reads_per_s(hosts: int, interval_s: float) -> float:
+    """Return how often a data centre's hosts read the lists' version, a second."""
     count = 0
     seconds = 300
     for rank in range(hosts):
         draws = iter([(rank * 37 + step * 61) % 97 / 97 for step in range(100_000)])
-        freshness = ListsRefresh(interval_s, 0.0, lambda d=draws: next(d))
-        freshness.record_applied(1)
+        lists_refresh = ListsRefresh(interval_s, 0.0, lambda d=draws: next(d))
+        lists_refresh.record_applied(1)
         for step in range(seconds * 10):
             now = step / 10.0
-            for action in freshness.tick(now, rank, PeerVersions(hosts - 1, 1, 1)):
+            for action in lists_refresh.tick(now, rank, PeerVersions(hosts - 1, 1, 1)):
                 assert isinstance(action, ReadVersion)
                 count += 1
-                freshness.record_version(action, 1, now)
+                lists_refresh.record_version(action, 1, now)
     return count / seconds
--- a/bench/core_slopes.py
+++ b/bench/core_slopes.py
@@ -1,7 +1,7 @@
-"""Measure what the core costs by size: ``python -m bench.core_slopes``.
+"""Measure the cost of the core by size: ``python -m bench.core_slopes``.
 
-Processor time is of this process, memory what Python allocates; each row is
-the median of a few repetitions.
+Times are processor time of this process, memory is what Python allocates. Each
+row is the median of a few repetitions.
 """
 
 import dataclasses
@@ -26,26 +26,26 @@
 from .fleet import EngineSpec
 from .fleet import idle_state
 
-ACCOUNTS = (10, 100, 1_000, 10_000, 39_000)
-ENGINES = (40, 230, 1_000)
+ACCOUNT_COUNTS = (10, 100, 1_000, 10_000, 39_000)
+ENGINE_COUNTS = (40, 230, 1_000)
 BASE_ACCOUNTS = 1_000
 BASE_ENGINES = 230
-CYCLES = 4_000
+CYCLES_PER_RUN = 4_000
 REPETITIONS = 3
 LIMITS = QuotaLimits(work_per_s=1e6, burst_s=10.0, max_concurrent=100)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Row:
-    """A cost at a size."""
+    """The cost of an operation or object at a size."""
 
-    what: str
+    title: str
     size: int
     value: float
     unit: str
 
 
-def _engines(count: int) -> list[EngineState]:
+def _engine_states(count: int) -> list[EngineState]:
     states = []
     for number in range(count):
         kind = KINDS[number % len(KINDS)]
@@ -57,7 +57,7 @@
     return states
 
 
-def _want(number: int, accounts: int) -> RouteRequest:
+def _route_request(number: int, accounts: int) -> RouteRequest:
     return RouteRequest(
         request=f"host/1/{number}",
         epoch=0,
@@ -72,9 +72,9 @@
     )
 
 
-def _cycle(pool: Pool, number: int, accounts: int, running: list[str]) -> None:
+def _run_cycle(pool: Pool, number: int, accounts: int, running: list[str]) -> None:
     now = number / 1_000
-    pool.want(_want(number, accounts), now)
+    pool.want(_route_request(number, accounts), now)
     if running:
         pool.done(GrantOutcome(running.pop(0), 0, "host/1", 320, 120), now)
     for decision in pool.poll(now):
@@ -83,14 +83,17 @@
 
 
 def _full_pool(engines: int, accounts: int) -> tuple[Pool, list[str]]:
-    """Return a pool whose engines are full and where every account waits."""
+    """Return a pool with full engines and waiting requests of every account.
+
+    Also returns the names of the granted requests.
+    """
     limits = PoolLimits(queue_length=10 * accounts + 10_000)
     pool = Pool("draft", "a", limits)
-    for state in _engines(engines):
+    for state in _engine_states(engines):
         pool.observe(state, 0.0)
     running: list[str] = []
     for number in range(engines * 16 + accounts):
-        pool.want(_want(number, accounts), 0.0)
+        pool.want(_route_request(number, accounts), 0.0)
     for decision in pool.poll(0.0):
         if isinstance(decision, Grant):
             running.append(decision.request)
@@ -101,35 +104,35 @@
     pool, running = _full_pool(engines, accounts)
     start = engines * 16 + accounts
     gc.collect()
-    begin = time.process_time()
-    for number in range(start, start + CYCLES):
-        _cycle(pool, number, accounts, running)
-    return (time.process_time() - begin) / CYCLES * 1e6
+    started_at = time.process_time()
+    for number in range(start, start + CYCLES_PER_RUN):
+        _run_cycle(pool, number, accounts, running)
+    return (time.process_time() - started_at) / CYCLES_PER_RUN * 1e6
 
 
 def _observe_us(engines: int) -> float:
     pool = Pool("draft", "a")
-    states = _engines(engines)
+    states = _engine_states(engines)
     for state in states:
         pool.observe(state, 0.0)
     reports = []
-    for number in range(CYCLES):
+    for number in range(CYCLES_PER_RUN):
         state = states[number % engines]
         reports.append(dataclasses.replace(state, as_of=1.0 + number, running=4))
-    begin = time.process_time()
+    started_at = time.process_time()
     for report in reports:
         pool.observe(report, report.as_of)
         pool.poll(report.as_of)
-    return (time.process_time() - begin) / CYCLES * 1e6
+    return (time.process_time() - started_at) / CYCLES_PER_RUN * 1e6
 
 
-def _bytes(make: t.Callable[[], t.Any]) -> float:
+def _allocated_bytes(make: t.Callable[[], t.Any]) -> float:
     gc.collect()
     tracemalloc.start()
-    kept = make()
+    held_object = make()
     size, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    del kept
+    del held_object
     return float(size)
 
 
@@ -137,20 +140,20 @@
     def make() -> Pool:
         pool = Pool("draft", "a", PoolLimits(queue_length=10 * accounts))
         for number in range(accounts):
-            pool.want(_want(number, accounts), 0.0)
+            pool.want(_route_request(number, accounts), 0.0)
         return pool
 
-    return _bytes(make)
+    return _allocated_bytes(make)
 
 
 def _engine_bytes(engines: int) -> float:
     def make() -> Pool:
         pool = Pool("draft", "a")
-        for state in _engines(engines):
+        for state in _engine_states(engines):
             pool.observe(state, 0.0)
         return pool
 
-    return _bytes(make)
+    return _allocated_bytes(make)
 
 
 def _charge(quota: Quota, accounts: int, number: int) -> None:
@@ -165,10 +168,10 @@
     quota = Quota()
     for number in range(accounts):
         _charge(quota, accounts, number)
-    begin = time.process_time()
-    for number in range(accounts, accounts + CYCLES):
+    started_at = time.process_time()
+    for number in range(accounts, accounts + CYCLES_PER_RUN):
         _charge(quota, accounts, number)
-    return (time.process_time() - begin) / CYCLES * 1e6
+    return (time.process_time() - started_at) / CYCLES_PER_RUN * 1e6
 
 
 def _quota_bytes(accounts: int) -> float:
@@ -179,16 +182,16 @@
             quota.charge(account, f"host/1/{number}", "host", 1.0, LIMITS, 0.0)
         return quota
 
-    return _bytes(make)
+    return _allocated_bytes(make)
 
 
-def _rows(
-    what: str, unit: str, sizes: tuple[int, ...], cost: t.Callable[[int], float]
+def _measure_rows(
+    title: str, unit: str, sizes: tuple[int, ...], measure: t.Callable[[int], float]
 ) -> list[Row]:
     rows = []
     for size in sizes:
-        values = [cost(size) for _ in range(REPETITIONS)]
-        rows.append(Row(what, size, statistics.median(values), unit))
+        values = [measure(size) for _ in range(REPETITIONS)]
+        rows.append(Row(title, size, statistics.median(values), unit))
     return rows
 
 
@@ -199,28 +202,28 @@
     return statistics.linear_regression(sizes, values).slope
 
 
-MEASURES: dict[str, tuple[str, tuple[int, ...], t.Callable[[int], float]]] = {
+MEASURE_BY_TITLE: dict[str, tuple[str, tuple[int, ...], t.Callable[[int], float]]] = {
     "pool: want, grant and done, by accounts (230 engines)": (
         "us",
-        ACCOUNTS,
+        ACCOUNT_COUNTS,
         lambda size: _cycle_us(BASE_ENGINES, size),
     ),
     "pool: want, grant and done, by engines (1,000 accounts)": (
         "us",
-        ENGINES,
+        ENGINE_COUNTS,
         lambda size: _cycle_us(size, BASE_ACCOUNTS),
     ),
-    "pool: a load report, by engines": ("us", ENGINES, _observe_us),
+    "pool: a load report, by engines": ("us", ENGINE_COUNTS, _observe_us),
     "pool: memory, by accounts with one waiting request": (
         "bytes",
-        ACCOUNTS,
+        ACCOUNT_COUNTS,
         _waiting_bytes,
     ),
-    "pool: memory, by engines": ("bytes", ENGINES, _engine_bytes),
-    "quota: charge and settle, by accounts": ("us", ACCOUNTS, _quota_us),
+    "pool: memory, by engines": ("bytes", ENGINE_COUNTS, _engine_bytes),
+    "quota: charge and settle, by accounts": ("us", ACCOUNT_COUNTS, _quota_us),
     "quota: memory, by accounts with one open request": (
         "bytes",
-        ACCOUNTS,
+        ACCOUNT_COUNTS,
         _quota_bytes,
     ),
 }
@@ -228,9 +231,9 @@
 
 def main() -> None:
     """Print each cost by size, and its slope."""
-    for what, (unit, sizes, cost) in MEASURES.items():
-        rows = _rows(what, unit, sizes, cost)
-        print(what)
+    for title, (unit, sizes, measure) in MEASURE_BY_TITLE.items():
+        rows = _measure_rows(title, unit, sizes, measure)
+        print(title)
         for row in rows:
             print(f"    {row.size:>7,}  {row.value:>14,.1f} {row.unit}")
         print(f"    slope    {slope(rows):.4g} {unit} for each", flush=True)
--- a/bench/live.py
+++ b/bench/live.py
@@ -198,7 +198,7 @@
 
 def flood_batch(bench: Bench) -> Row:
     """Flood with batch requests; measure the urgent requests' first tokens."""
-    alone = _urgent_baseline_p95_ms(bench)
+    baseline = _urgent_baseline_p95_ms(bench)
     urgent = _request_factory(bench.rng, "maker", "urgent", "urgent")
     batch = _request_factory(bench.rng, "union", "batch", "batch")
     plan = poisson_arrivals(bench.rng, _requests_per_s(0.1), (3.0, 13.0), urgent)
@@ -207,9 +207,9 @@
     flooded = _first_token_p95_ms(_requests_of_group(requests, "urgent"))
     answered = _completed(_requests_of_group(requests, "urgent"))
     return {
-        "urgent_p95_over_alone": round(flooded / alone, 2),
+        "urgent_p95_over_alone": round(flooded / baseline, 2),
         "urgent_p95_ms": flooded,
-        "alone_p95_ms": alone,
+        "alone_p95_ms": baseline,
         "urgent_whole": round(
             len(answered) / len(_requests_of_group(requests, "urgent")), 3
         ),
@@ -279,8 +279,8 @@
         small += poisson_arrivals(bench.rng, _requests_per_s(0.1), span, make)
     others = _request_factory(bench.rng, SMALL_ACCOUNTS, "standard", "others")
     same_work = poisson_arrivals(bench.rng, _requests_per_s(0.6), span, others)
-    alone, _ = bench.send(small + same_work, 20.0)
-    beside, _ = bench.send(small + _large_requests(bench, 0.6, span), 20.0)
+    baseline, _ = bench.send(small + same_work, 20.0)
+    mixed, _ = bench.send(small + _large_requests(bench, 0.6, span), 20.0)
     flooded, started_at = bench.send(small + _large_requests(bench, 2.0, span), 22.0)
     of_small = [
         request for request in flooded if request.planned.account in SMALL_ACCOUNTS
@@ -289,11 +289,11 @@
     for account in LARGE_ACCOUNTS:
         group = [request for request in flooded if request.planned.account == account]
         rates.append(_tokens_per_s(group, (4.0, 14.0), started_at))
-    ratio = _small_p50_s(beside) / _small_p50_s(alone)
+    ratio = _small_p50_s(mixed) / _small_p50_s(baseline)
     return {
         "small_p50_over_alone": round(ratio, 2),
         "flooded_small_p50_over_alone": round(
-            _small_p50_s(flooded) / _small_p50_s(alone), 2
+            _small_p50_s(flooded) / _small_p50_s(baseline), 2
         ),
         "flooded_small_whole": round(len(_completed(of_small)) / len(of_small), 3),
         "flooded_jain_of_large": round(_jain(rates), 3),
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -434,6 +434,7 @@
         )
 
     def _send_to_pool(self, node: str, source: str, call: str, *args: t.Any) -> None:
+        """Call a method of a node's pool by name, after the delay of the link."""
         if self._options.nodes == "host":
             self._call_pool(node, call, args)
             return
@@ -641,6 +642,7 @@
                 self._send_to_pool(node, route_request.host[0], "hold", hold)
         undelivered = self._undelivered_by_node.pop(node, [])
         for call, args in undelivered:
+            # Pending requests are submitted again below.
             if call == "done":
                 self._call_pool(node, call, args)
         for owner, route_request in list(self._pending_by_request.values()):
