--- a/bench/policies.py
+++ b/bench/policies.py
@@ -169,7 +169,7 @@
         while sent and sent[0] < state.as_of:
             sent.popleft()
         load.other_requests = state.running + state.waiting + len(sent) - load.granted
-        load.take(state)
+        load.update_report(state)
 
     def record_start(self, name: str, need: Need, now: float) -> None:
         self.sent_at_by_engine[name].append(now)
@@ -478,10 +478,10 @@
         del self._pending_by_request[request.name]
         waits = self._waits_by_host[request.host]
         if isinstance(decision, Refusal):
-            waits.refused(request.name, self.model.now)
+            waits.record_refusal(request.name, self.model.now)
             self.refuse(request, decision.reason.value)
             return
-        waits.granted(request.name, self.model.now)
+        waits.record_grant(request.name, self.model.now)
         if request.host in self.model.dead_hosts or request.is_over:
             return
         self._running_by_request[request.name] = (node, pending[1], decision.route)
@@ -496,10 +496,10 @@
         route_request = route_request_of(request)
         node = self._node_of(request)
         waits = self._waits_by_host[request.host]
-        waits.submitted(request.name, node, request.priority, self.model.now)
+        waits.record_submission(request.name, node, request.priority, self.model.now)
         self._pending_by_request[request.name] = (node, route_request)
         self._demand_by_host[request.host] += route_request.work
-        self._send_to_pool(node, request.host[0], "want", route_request)
+        self._send_to_pool(node, request.host[0], "submit", route_request)
 
     def handle_stream_end(self, request: Request, stream: Stream) -> None:
         """Record the end of a stream."""
@@ -531,7 +531,7 @@
             self._usage_by_request[key] = (
                 prompt_work(route_request.prompt_tokens) + output_tokens
             )
-        self._send_to_pool(node, request.host[0], "done", outcome)
+        self._send_to_pool(node, request.host[0], "end_grant", outcome)
 
     # Engines.
 
@@ -639,15 +639,15 @@
         for owner, route_request, route in list(self._running_by_request.values()):
             if owner == node:
                 hold = HeldGrant(route_request, route, 0)
-                self._send_to_pool(node, route_request.host[0], "hold", hold)
+                self._send_to_pool(node, route_request.host[0], "adopt_grant", hold)
         undelivered = self._undelivered_by_node.pop(node, [])
         for call, args in undelivered:
             # Pending requests are submitted again below.
-            if call == "done":
+            if call == "end_grant":
                 self._call_pool(node, call, args)
         for owner, route_request in list(self._pending_by_request.values()):
             if owner == node:
-                self._send_to_pool(node, route_request.host[0], "want", route_request)
+                self._send_to_pool(node, route_request.host[0], "submit", route_request)
 
 
 def name_fraction(name: str) -> float:
--- a/demo/steps.py
+++ b/demo/steps.py
@@ -49,7 +49,7 @@
             texts = [choice.text for chunk in stream for choice in chunk.choices]
         text = "".join(item or "" for item in texts)
         _fail_unless(
-            text == tokens.answer_text(prompt, 24, LAYERS),
+            text == tokens.expected_text(prompt, 24, LAYERS),
             f"{name}: the text differs from the expected answer",
         )
         lines.append(f"{name}: {text[:40]} ... each layer ran once for each token")
@@ -84,7 +84,7 @@
         fleet.standins.switch(stage, dead=True)
         answer = call.result()
     fleet.standins.switch(stage, dead=False)
-    correct = answer.text() == tokens.answer_text(prompt, length, LAYERS)
+    correct = answer.text() == tokens.expected_text(prompt, length, LAYERS)
     _fail_unless(correct, "the answer differs from the expected tokens")
     return [f"{stage} crashed in mid-stream; the caller got all {length} tokens once"]
 
@@ -164,7 +164,7 @@
         stopped.set()
         answers = [item for call in calls for item in call.result()]
     for prompt, answer in answers:
-        correct = answer.text() == tokens.answer_text(prompt, 30, LAYERS)
+        correct = answer.text() == tokens.expected_text(prompt, 30, LAYERS)
         _fail_unless(correct, f"{prompt}: the answer differs from the expected tokens")
     _fail_unless(code == 0, f"expected exit code 0, got {code}")
     _fail_unless(
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -33,9 +33,9 @@
 
     ``kv_bytes``: KV cache of one token in all layers; ``hidden_bytes``: hidden
     state of one token sent between two engines; ``step_s`` and ``sequence_s``:
-    decode step, fixed and per running sequence; ``read_tokens_per_s``: prefill
+    decode step, fixed and per running sequence; ``prefill_tokens_per_s``: prefill
     rate; ``typical_output_tokens``: output tokens of a typical request;
-    ``pipe_bytes_per_s``: bandwidth between two data centres.
+    ``link_bytes_per_s``: bandwidth between two data centres.
     """
 
     layers: int
@@ -44,9 +44,9 @@
     hidden_bytes: float
     step_s: float
     sequence_s: float
-    read_tokens_per_s: float
+    prefill_tokens_per_s: float
     typical_output_tokens: float
-    pipe_bytes_per_s: float
+    link_bytes_per_s: float
     delay_s_by_centres: dict[tuple[str, str], float]
     accelerator_by_name: dict[str, Accelerator]
 
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -91,13 +91,13 @@
         elif self._is_stale(peer, message):
             return []
         events: list[Event] = []
-        replaced = peer.heard and peer.host.incarnation != host.incarnation
+        replaced = peer.has_sent_heartbeat and peer.host.incarnation != host.incarnation
         if replaced:
             events.append(PeerReplaced(host, peer.host))
             self._reset(peer)
         peer.host = host
         peer.seq = message.seq
-        peer.heard = True
+        peer.has_sent_heartbeat = True
         peer.silent_since = now
         peer.view = message.view
         peer.is_store_unreachable = message.is_store_unreachable
@@ -107,7 +107,7 @@
         events.extend(self._set_peer_state(peer, message.state))
         return events
 
-    def view(self, sender: str, message: View, now: float) -> list[Event]:
+    def receive_view(self, sender: str, message: View, now: float) -> list[Event]:
         """Apply the view of a peer of this data centre; ignore any other."""
         del now
         peer = self.by_name.get(sender)
@@ -131,7 +131,7 @@
                 host = dataclasses.replace(host, incarnation=0)
                 self.by_name[name] = Peer(host, silent_since=now, is_listed=True)
                 continue
-            if known.state is HostState.DEAD or not known.heard:
+            if known.state is HostState.DEAD or not known.has_sent_heartbeat:
                 incarnation = known.host.incarnation
                 known.host = dataclasses.replace(host, incarnation=incarnation)
 
@@ -152,7 +152,7 @@
         slowdown = self._slowdown()
         for peer in list(self.by_name.values()):
             silence = now - peer.silent_since
-            if peer.state is HostState.DEAD or not peer.heard:
+            if peer.state is HostState.DEAD or not peer.has_sent_heartbeat:
                 if silence > FORGET_AFTER_S and not peer.is_listed:
                     del self.by_name[peer.host.name]
                 continue
@@ -162,7 +162,7 @@
 
     # Output.
 
-    def due(self, now: float) -> tuple[list[str], list[str]]:
+    def due_addresses(self, now: float) -> tuple[list[str], list[str]]:
         """Return the local and remote addresses whose heartbeat is due."""
         local: list[str] = []
         remote: list[str] = []
@@ -191,7 +191,7 @@
         """
         names = [self.host.name]
         for peer in self._local_peers():
-            is_recent = peer.heard and now - peer.silent_since <= silence_s
+            is_recent = peer.has_sent_heartbeat and now - peer.silent_since <= silence_s
             if (
                 is_recent
                 and peer.state is HostState.LIVE
@@ -265,7 +265,11 @@
         if name == self.host.name:
             return self.host
         peer = self.by_name.get(name)
-        if peer is not None and peer.heard and peer.state is not HostState.DEAD:
+        if (
+            peer is not None
+            and peer.has_sent_heartbeat
+            and peer.state is not HostState.DEAD
+        ):
             return peer.host
         return self._remote_by_name.get(name)
 
@@ -297,7 +301,11 @@
 
     def listed_without_heartbeat(self) -> list[Host]:
         """Return the listed hosts that have never sent a heartbeat."""
-        return [p.host for p in self.by_name.values() if not p.heard and p.is_listed]
+        return [
+            p.host
+            for p in self.by_name.values()
+            if not p.has_sent_heartbeat and p.is_listed
+        ]
 
     def set_state(self, state: HostState) -> None:
         """Set the state that the heartbeats of this host announce."""
@@ -308,7 +316,7 @@
     # Internals.
 
     def _is_stale(self, peer: Peer, message: Heartbeat) -> bool:
-        if not peer.heard:
+        if not peer.has_sent_heartbeat:
             return False
         if message.host.incarnation == peer.host.incarnation:
             return message.seq <= peer.seq
@@ -371,7 +379,11 @@
 
     def _has_direct_peer(self, name: str) -> bool:
         peer = self.by_name.get(name)
-        return peer is not None and peer.heard and peer.state is not HostState.DEAD
+        return (
+            peer is not None
+            and peer.has_sent_heartbeat
+            and peer.state is not HostState.DEAD
+        )
 
     def _mark_changed(self) -> None:
         self.generation += 1
@@ -381,7 +393,7 @@
         """Return the factor by which heartbeat interval and timeout grow."""
         live = 0
         for peer in self._local_peers():
-            live += peer.heard and peer.state is not HostState.DEAD
+            live += peer.has_sent_heartbeat and peer.state is not HostState.DEAD
         return max(1.0, live / self._full_rate_peers)
 
     def _timeout(self, peer: Peer, slowdown: float) -> float:
@@ -394,7 +406,7 @@
 
     def _direct_peers(self) -> t.Iterator[Peer]:
         for peer in self.by_name.values():
-            if peer.heard and peer.state is not HostState.DEAD:
+            if peer.has_sent_heartbeat and peer.state is not HostState.DEAD:
                 yield peer
 
     def _local_peers(self) -> t.Iterator[Peer]:
@@ -442,7 +454,7 @@
             centre = peer.host.data_centre
             if centre == self.host.data_centre:
                 continue
-            if peer.heard and peer.state is not HostState.DEAD:
+            if peer.has_sent_heartbeat and peer.state is not HostState.DEAD:
                 hosts_by_centre.setdefault(centre, {})[peer.host.name] = peer.host
             else:
                 silent_by_centre.setdefault(centre, []).append(peer.host)
--- a/src/wagtailstair/core/peer.py
+++ b/src/wagtailstair/core/peer.py
@@ -12,7 +12,7 @@
 class Peer:
     """The state of another host.
 
-    ``heard``: a heartbeat has arrived directly from it; ``silent_since``: time
+    ``has_sent_heartbeat``: a heartbeat has arrived directly from it; ``silent_since``: time
     of the last one, or of the addition of the host, moved forward by pauses of
     this process; ``is_listed``: the host list names it; ``view``: checksum of
     its current view; ``view_hosts``: its view as last received.
@@ -25,7 +25,7 @@
     known_lists_version: int = 0
     is_store_unreachable: bool = False
     silent_since: float = 0.0
-    heard: bool = False
+    has_sent_heartbeat: bool = False
     is_listed: bool = False
     view: int = 0
     view_requested_at: float = float("-inf")
--- a/src/wagtailstair/core/table_copy.py
+++ b/src/wagtailstair/core/table_copy.py
@@ -57,7 +57,7 @@
         """Return the rows that are not deleted."""
         return [row for row in self._row_by_key.values() if row.value is not None]
 
-    def since(self, version: int) -> list[StoreRow] | None:
+    def rows_since(self, version: int) -> list[StoreRow] | None:
         """Return the rows changed after a version, ``None`` if not all are known."""
         if version < self._history_start:
             return None
--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -34,7 +34,7 @@
     :param fetch: fetches the lists from a peer, given older ones.
     :param find_peers: returns the versions that the peers have reported.
     :param find_rank: returns this host's rank among those of its data centre.
-    :param on_taken: called with the old and the new lists after a replacement.
+    :param on_lists_replaced: called with the old and the new lists after a replacement.
     :param submit: runs a blocking call in another thread.
     """
 
@@ -49,7 +49,7 @@
         fetch: t.Callable[[str, Lists], Lists],
         find_peers: t.Callable[[], PeerVersions],
         find_rank: t.Callable[[], int],
-        on_taken: t.Callable[[Lists, Lists], None] = lambda old, new: None,
+        on_lists_replaced: t.Callable[[Lists, Lists], None] = lambda old, new: None,
         submit: Submit | None = None,
     ) -> None:
         self._holder = holder
@@ -60,7 +60,7 @@
         self._fetch = fetch
         self._find_peers = find_peers
         self._find_rank = find_rank
-        self._on_lists_replaced = on_taken
+        self._on_lists_replaced = on_lists_replaced
         self._lock = threading.Lock()
         self._pool: concurrent.futures.ThreadPoolExecutor | None = None
         if submit is None:
@@ -85,7 +85,7 @@
         if self._pool is not None:
             self._pool.shutdown(wait=False, cancel_futures=True)
 
-    def heard(self) -> None:
+    def request_tick(self) -> None:
         """Run the next tick at once, as a peer has reported a version."""
         self._tick_requested.set()
 
@@ -95,7 +95,7 @@
         with self._lock:
             return self._refresh.is_ready
 
-    def known(self) -> int:
+    def highest_known_version(self) -> int:
         """Return the highest version of the lists that this host has learnt of."""
         with self._lock:
             return self._refresh.known
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -6,8 +6,8 @@
 from ..core.pipelines import Path
 from .exchange import AttemptOutcome
 from .requests import Header
-from .transfer import ExchangeLoss
-from .transfer import UpstreamConnection
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import UpstreamConnection
 
 
 class AttemptOwner(t.Protocol):
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -9,9 +9,9 @@
 from .exchange import Exchange
 from .loop import Timer
 from .requests import Header
-from .transfer import ExchangeLoss
-from .transfer import Upstream
-from .transfer import UpstreamConnection
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamConnection
 
 BUFFERED_BYTES_MAX = 4 << 20
 """Bytes of a response that are buffered; a longer one is streamed to the caller."""
--- a/src/wagtailstair/http/complete.py
+++ b/src/wagtailstair/http/complete.py
@@ -3,14 +3,14 @@
 from werkzeug.wrappers import Request
 from werkzeug.wrappers import Response
 
-from ..admission import Charge
 from ..admission import Identity
+from ..admission import RequestCharge
 from ..admission import charge
 from ..admission import check_model
 from ..admission import choose_priority
 from ..exceptions import NoUpstreamError
 from ..exceptions import RequestError
-from ..jobs import Finished
+from ..jobs import CompletionResult
 from ..jobs import Job
 from ..logs import log_event
 from . import completions
@@ -114,9 +114,11 @@
     return completion.prompt_tokens * completions.WORK_PER_PROMPT_TOKEN + output_tokens
 
 
-def _record_end(context: Context, job: Job, end: Finished | RequestError) -> None:
+def _record_end(
+    context: Context, job: Job, end: CompletionResult | RequestError
+) -> None:
     priority = job.priority.name.lower()
-    if isinstance(end, Finished):
+    if isinstance(end, CompletionResult):
         context.metrics.count("answers", priority=priority)
         context.metrics.count("tokens", end.output_tokens, priority=priority)
         log_event("request_answered", request=job.request, tokens=end.output_tokens)
@@ -136,7 +138,7 @@
     request: Request,
     job: Job,
     completion: completions.CompletionRequest,
-    quota_charge: Charge,
+    quota_charge: RequestCharge,
 ) -> Response:
     sock = request.environ["werkzeug.socket"]
     finished = run_to_completion(context.relays, job, sock)
@@ -159,7 +161,7 @@
     request: Request,
     job: Job,
     completion: completions.CompletionRequest,
-    quota_charge: Charge,
+    quota_charge: RequestCharge,
 ) -> Response:
     fields = _make_response_fields(context, job.request, completion)
     sock = request.environ["werkzeug.socket"]
@@ -167,9 +169,9 @@
     stream = Stream(context.relays, job, fields, sock, limit)
     stream.wait_for_start()
 
-    def on_end(end: Finished | RequestError) -> None:
+    def on_end(end: CompletionResult | RequestError) -> None:
         tokens = completion.max_tokens
-        if isinstance(end, Finished):
+        if isinstance(end, CompletionResult):
             tokens = end.output_tokens
         quota_charge.settle(_actual_work(completion, tokens))
         _record_end(context, job, end)
--- a/src/wagtailstair/http/streams.py
+++ b/src/wagtailstair/http/streams.py
@@ -12,7 +12,7 @@
 
 from ..exceptions import CallerGoneError
 from ..exceptions import RequestError
-from ..jobs import Finished
+from ..jobs import CompletionResult
 from ..jobs import Job
 from ..relay import Relay
 from ..relay import Relays
@@ -41,7 +41,7 @@
         self._attached = False
         self._buffered: list[bytes] = []
 
-    def token(self, text: str) -> None:
+    def write_token(self, text: str) -> None:
         """Write or buffer the event for a token."""
         data = _chunk(completions.token_event(self._fields, text))
         if self._attached:
@@ -65,7 +65,7 @@
 class DiscardingSink:
     """Discards tokens; the result of the relay holds the complete text."""
 
-    def token(self, text: str) -> None:
+    def write_token(self, text: str) -> None:
         """Ignore a token."""
 
     def is_full(self) -> bool:
@@ -96,13 +96,15 @@
     return not caller.is_disconnected
 
 
-def run_to_completion(relays: Relays, job: Job, sock: socket.socket) -> Finished:
+def run_to_completion(
+    relays: Relays, job: Job, sock: socket.socket
+) -> CompletionResult:
     """Run a completion that is not streamed and return its result.
 
     :raises RequestError: if it fails.
     """
     caller = CallerSocket(relays.loop, sock, 1)
-    relay = relays.run(job, DiscardingSink())
+    relay = relays.start_relay(job, DiscardingSink())
     _watch_caller(relays, relay, caller)
     try:
         return relay.future.result()
@@ -126,7 +128,7 @@
         self._fields = fields
         self._caller = CallerSocket(relays.loop, sock, limit)
         self._sink = StreamSink(self._caller, fields)
-        self._relay = relays.run(job, self._sink)
+        self._relay = relays.start_relay(job, self._sink)
         self._relay.future.add_done_callback(lambda _: self._sink.started.set())
         _watch_caller(relays, self._relay, self._caller)
 
@@ -145,10 +147,10 @@
             raise
 
     def events(
-        self, on_end: t.Callable[[Finished | RequestError], None]
+        self, on_end: t.Callable[[CompletionResult | RequestError], None]
     ) -> collections.abc.Iterator[bytes]:
         """Yield the first and last events; the loop writes the events in between."""
-        end: Finished | RequestError = CallerGoneError(
+        end: CompletionResult | RequestError = CallerGoneError(
             "the caller disconnected before the end of the stream"
         )
         is_watched = True
@@ -168,13 +170,13 @@
                 _drain_and_unwatch(self._relays, self._caller)
             on_end(end)
 
-    def _wait_for_end(self) -> Finished | RequestError:
+    def _wait_for_end(self) -> CompletionResult | RequestError:
         try:
             return self._relay.future.result()
         except RequestError as error:
             return error
 
-    def _last_events(self, end: Finished | RequestError) -> bytes:
-        if isinstance(end, Finished):
+    def _last_events(self, end: CompletionResult | RequestError) -> bytes:
+        if isinstance(end, CompletionResult):
             return completions.last_events(self._fields, end.reason)
         return completions.error_event(error_value(end, self._job.request))
--- a/src/wagtailstair/peers/bulk.py
+++ b/src/wagtailstair/peers/bulk.py
@@ -57,7 +57,7 @@
         )
         self._rows = 0
 
-    def note(self, old: Lists, new: Lists) -> None:
+    def record_changes(self, old: Lists, new: Lists) -> None:
         """Record the rows that differ between old and new lists."""
         keys = (
             *_changed(PLANS, old.plan_by_name, new.plan_by_name),
--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -12,7 +12,7 @@
 OnData = t.Callable[[bytes], bool]
 
 
-class Sent(enum.Enum):
+class TransferOutcome(enum.Enum):
     """Whether a request reached the upstream and was answered.
 
     ``LOST``: it may have been sent, but no complete answer came back.
@@ -27,7 +27,7 @@
 class TransferEnd:
     """The result of a transfer; ``status`` is 0 if no status line was received."""
 
-    sent: Sent
+    sent: TransferOutcome
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
@@ -172,7 +172,7 @@
         self._easy = None
         if easy is None:
             return
-        sent = Sent.ANSWERED
+        sent = TransferOutcome.ANSWERED
         if number:
             sent = _failure_outcome(easy, number)
         if self._too_large:
@@ -230,16 +230,16 @@
     return easy
 
 
-def _failure_outcome(easy: pycurl.Curl, number: int) -> Sent:
+def _failure_outcome(easy: pycurl.Curl, number: int) -> TransferOutcome:
     if number in _CURL_ERRORS_BEFORE_CONNECT:
-        return Sent.NOT_SENT
+        return TransferOutcome.NOT_SENT
     # PRETRANSFER_TIME is set once the connection is ready to send the request.
     if easy.getinfo(pycurl.PRETRANSFER_TIME) == 0:
-        return Sent.NOT_SENT
-    return Sent.LOST
+        return TransferOutcome.NOT_SENT
+    return TransferOutcome.LOST
 
 
-def exchange(
+def start_exchange(
     loop: Loop, request: TransferRequest
 ) -> "concurrent.futures.Future[TransferEnd]":
     """Start a transfer and return its future; cancelling it aborts the transfer."""
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,7 +8,7 @@
 import signal
 import tomllib
 
-from .world import StandinSet
+from .standin_set import StandinSet
 
 
 async def _run(config_file: pathlib.Path) -> None:
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -41,7 +41,7 @@
     return f" w{token:04d}"
 
 
-def answer(prompt: str, max_tokens: int, layers: int) -> list[int]:
+def expected_tokens(prompt: str, max_tokens: int, layers: int) -> list[int]:
     """Return all tokens of the correct completion, the stop token included."""
     tokens: list[int] = []
     context = context_of(prompt)
@@ -54,6 +54,8 @@
     return tokens
 
 
-def answer_text(prompt: str, max_tokens: int, layers: int) -> str:
+def expected_text(prompt: str, max_tokens: int, layers: int) -> str:
     """Return the full text of the correct completion."""
-    return "".join(text_of(token) for token in answer(prompt, max_tokens, layers))
+    return "".join(
+        text_of(token) for token in expected_tokens(prompt, max_tokens, layers)
+    )
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,11 +6,11 @@
 
 import httptools
 
+from tests.soak.checker import CallerRequest
+from tests.soak.checker import InvariantChecker
+from tests.soak.checker import Key
+from tests.soak.checker import Kind
 from tests.soak.hosts import HostProcess
-from tests.soak.ledger import CallerRequest
-from tests.soak.ledger import InvariantChecker
-from tests.soak.ledger import Key
-from tests.soak.ledger import Kind
 from wagtailstair.gateway.connection import Connection
 from wagtailstair.gateway.connection import connect
 from wagtailstair.gateway.loop import Loop
--- a/tests/soak/ledger.py
+++ b/tests/soak/checker.py
@@ -146,7 +146,12 @@
     # Observations of upstreams.
 
     def record_run(
-        self, upstream: str, received: "Seen", now: float, *, is_first: bool = True
+        self,
+        upstream: str,
+        received: "ReceivedRequest",
+        now: float,
+        *,
+        is_first: bool = True,
     ) -> None:
         """Record that an upstream starts a request, and check that it may."""
         request = self._requests.get(received.attempt)
@@ -288,7 +293,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Seen:
+class ReceivedRequest:
     """A request as an upstream received it."""
 
     attempt: str
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,12 +8,12 @@
 from concurrent import futures
 
 from tests.soak.callers import SoakCaller
+from tests.soak.checker import MACHINE
+from tests.soak.checker import DisturbanceLog
+from tests.soak.checker import InvariantChecker
 from tests.soak.faults import FAULTS
 from tests.soak.faults import SoakDeployment
 from tests.soak.hosts import HostProcess
-from tests.soak.ledger import MACHINE
-from tests.soak.ledger import DisturbanceLog
-from tests.soak.ledger import InvariantChecker
 from tests.soak.proxy import Proxy
 from tests.soak.upstreams import SoakEngine
 from tests.soak.upstreams import SoakService
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -57,8 +57,8 @@
 def deployment():
     deployment = Deployment()
     yield deployment
-    deployment.table.is_away = False
-    deployment.objects.is_away = False
+    deployment.table.is_unavailable = False
+    deployment.objects.is_unavailable = False
     for claims in deployment.daemons:
         assert claims.close(5.0) == 0
 
@@ -125,7 +125,7 @@
         assert deployment.claim_rows() == []
 
     def test_rejects_calls_while_the_table_is_unavailable(self, deployment):
-        deployment.table.is_away = True
+        deployment.table.is_unavailable = True
         with pytest.raises(NotReadyError) as caught:
             deployment.run(deployment.daemon("h1"))
         assert caught.value.outcome is Outcome.NOT_RUN
@@ -202,13 +202,13 @@
         claims = deployment.daemon("h1")
 
         def send():
-            deployment.table.is_away = True
+            deployment.table.is_unavailable = True
             return deployment.service.call("k")
 
         deadline = CLOCK.monotonic() + LONG_S
         first = claims.run("acme", "desk", "k", "h", deadline, send)
         assert claims.unsettled == 1
-        deployment.table.is_away = False
+        deployment.table.is_unavailable = False
         assert claims.close(10.0) == 0
         assert deployment.run(deployment.daemon("h2")) == first
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.engines import FakeDispatch
+from tests.engines import FakeRouteDispatcher
 from tests.engines import end
 from tests.engines import stream
 from tests.engines import token
@@ -83,7 +83,7 @@
             {"maker": parse_plan("maker", PLAN)},
             {"maker": Account("maker", "maker", (KEY.key,))},
         )
-        self.dispatch = FakeDispatch()
+        self.dispatch = FakeRouteDispatcher()
         self.quota = FakeQuota()
         self.loop = Loop(clock)
         metrics = Metrics("host-1")
@@ -96,7 +96,7 @@
             "dc-1",
             RetryBudget(),
             random.Random(1),
-            on_failed=lambda engine: None,
+            on_attempt_failed=lambda engine: None,
         )
         self.context = Context(
             settings=settings,
@@ -155,7 +155,7 @@
 def engine_for(http_side, *extra):
     def script(connection, request):
         # An engine's lines carry the id of the request that was dispatched.
-        request_id = http_side.dispatch.wants[-1][1].request
+        request_id = http_side.dispatch.route_requests[-1][1].request
         ids = {"r": request_id, "a": f"{request_id}.1"}
         lines = [token(p, 1, **ids) for p in range(3)] + [{**end(3, 1), **ids}]
         stream(*lines)(connection, request)
@@ -195,9 +195,9 @@
 
     def test_interrupted_stream_ends_with_a_typed_error(self, http_side):
         def break_stream(connection, request):
-            route_request = http_side.dispatch.wants[-1][1]
+            route_request = http_side.dispatch.route_requests[-1][1]
             ids = {"r": route_request.request, "a": f"{route_request.request}.1"}
-            stream(token(0, 1, **ids), whole=False)(connection, request)
+            stream(token(0, 1, **ids), is_complete=False)(connection, request)
 
         with ScriptedServer(break_stream) as engine:
             http_side.dispatch.addresses += [engine.address, RefusalReason.QUEUE_FULL]
@@ -222,14 +222,14 @@
         body = json.dumps({"model": "draft", "prompt": "x", "stream": True})
         headers = {"Authorization": BEARER}
         connection.request("POST", "/v1/completions", body, headers)
-        while not http_side.dispatch.wants:
+        while not http_side.dispatch.route_requests:
             threading.Event().wait(0.005)
         connection.close()
         for _ in range(2000):
             if http_side.dispatch.cancelled:
                 break
             threading.Event().wait(0.005)
-        route_request = http_side.dispatch.wants[0][1]
+        route_request = http_side.dispatch.route_requests[0][1]
         assert http_side.dispatch.cancelled == [(route_request.request, 1)]
 
     @pytest.mark.parametrize(
@@ -239,7 +239,7 @@
     def test_priority_is_bounded_by_the_plan(self, http_side, asked, granted):
         http_side.dispatch.addresses.append(RefusalReason.DEADLINE)
         http_side.complete(X_Priority=asked)
-        assert http_side.dispatch.wants[0][1].priority == granted
+        assert http_side.dispatch.route_requests[0][1].priority == granted
 
 
 class TestRefusals:
@@ -266,7 +266,7 @@
     ):
         got, error = error_of(http_side.complete(body, **headers))
         assert (got, error["code"], error["outcome"]) == (status, code, "not_run")
-        assert http_side.dispatch.wants == []
+        assert http_side.dispatch.route_requests == []
         assert http_side.context.open_requests.count == 0
 
     def test_rate_limit_is_a_429_with_retry_after(self, http_side):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,7 +8,7 @@
 from wagtailstair.core.leases import LeaseRow
 from wagtailstair.core.leases import LeaseWait
 from wagtailstair.core.leases import decode_lease
-from wagtailstair.placement import LeaseKeeper
+from wagtailstair.placement import LeaseManager
 
 LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
 ORDER_S = 2.0
@@ -19,8 +19,8 @@
         self.table = FakeTable()
         self.clock = ManualClock(100.0)
 
-    def keeper(self, holder):
-        return LeaseKeeper(self.table, self.clock, "placement", holder, LIMITS)
+    def lease_manager(self, holder):
+        return LeaseManager(self.table, self.clock, "placement", holder, LIMITS)
 
     def row(self):
         return decode_lease(self.table.row("leases", "placement").value)
@@ -33,22 +33,22 @@
 
 class TestAcquire:
     def test_first_holder_gets_fencing_number_one(self, deployment):
-        keeper = deployment.keeper("a")
-        keeper.tick()
-        assert keeper.may_send_order(1, ORDER_S)
+        lease_manager = deployment.lease_manager("a")
+        lease_manager.tick()
+        assert lease_manager.may_send_order(1, ORDER_S)
         assert deployment.row().holder == "a"
 
     @pytest.mark.parametrize("fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST])
     def test_lost_write_is_resolved_by_reading_the_row(self, deployment, fault):
         deployment.table.faults.append(fault)
-        keeper = deployment.keeper("a")
-        keeper.tick()
-        assert keeper.may_send_order(1, ORDER_S)
+        lease_manager = deployment.lease_manager("a")
+        lease_manager.tick()
+        assert lease_manager.may_send_order(1, ORDER_S)
 
     def test_second_waits_a_full_lease_from_its_first_read(self, deployment):
-        deployment.keeper("a").tick()
+        deployment.lease_manager("a").tick()
         deployment.clock.advance(9.0)
-        second = deployment.keeper("b")
+        second = deployment.lease_manager("b")
         second.tick()
         deployment.clock.advance(9.5)
         second.tick()
@@ -59,8 +59,8 @@
         assert (deployment.row().holder, deployment.row().fence) == ("b", 2)
 
     def test_successor_waits_until_the_last_order_has_ended(self, deployment):
-        deployment.keeper("a").tick()
-        second = deployment.keeper("b")
+        deployment.lease_manager("a").tick()
+        second = deployment.lease_manager("b")
         second.tick()
         deployment.clock.advance(10.0)
         second.tick()
@@ -70,29 +70,29 @@
         assert second.may_send_order(2, ORDER_S)
 
     def test_released_lease_is_acquired_immediately(self, deployment):
-        first = deployment.keeper("a")
+        first = deployment.lease_manager("a")
         first.tick()
         first.release()
-        second = deployment.keeper("b")
+        second = deployment.lease_manager("b")
         second.tick()
         assert second.may_send_order(2, ORDER_S)
         assert not first.may_send_order(1, ORDER_S)
 
     def test_restarted_process_is_another_holder(self, deployment):
-        deployment.keeper("a/1").tick()
-        again = deployment.keeper("a/2")
+        deployment.lease_manager("a/1").tick()
+        again = deployment.lease_manager("a/2")
         again.tick()
         assert not again.may_send_order(again.fence, ORDER_S)
 
 
 class TestHold:
     def test_last_order_ends_before_the_lease_less_its_margin(self, deployment):
-        keeper = deployment.keeper("a")
-        keeper.tick()
+        lease_manager = deployment.lease_manager("a")
+        lease_manager.tick()
         deployment.clock.advance(6.9)
-        assert keeper.may_send_order(1, ORDER_S)
+        assert lease_manager.may_send_order(1, ORDER_S)
         deployment.clock.advance(0.2)
-        assert not keeper.may_send_order(1, ORDER_S)
+        assert not lease_manager.may_send_order(1, ORDER_S)
 
     def test_lease_starts_before_its_write_is_sent(self, deployment):
         lease = Lease("a", LIMITS)
@@ -104,36 +104,36 @@
         assert not lease.holds(109.1)
 
     def test_delayed_renewal_starts_before_it_is_sent(self, deployment):
-        keeper = deployment.keeper("a")
-        keeper.tick()
+        lease_manager = deployment.lease_manager("a")
+        lease_manager.tick()
         deployment.clock.advance(3.5)
         deployment.table.faults.extend([WriteFault.DELAYED, WriteFault.AWAY])
-        keeper.tick()
+        lease_manager.tick()
         deployment.table.land()
         deployment.clock.advance(4.0)
         deployment.table.faults.append(WriteFault.AWAY)
-        keeper.tick()
+        lease_manager.tick()
         assert deployment.row().beat == 2
         deployment.clock.advance(4.6)
-        assert keeper.may_send_order(1, 0.0)
+        assert lease_manager.may_send_order(1, 0.0)
         deployment.clock.advance(0.5)
-        assert not keeper.may_send_order(1, 0.0)
+        assert not lease_manager.may_send_order(1, 0.0)
 
     def test_renews_before_expiry(self, deployment):
-        keeper = deployment.keeper("a")
+        lease_manager = deployment.lease_manager("a")
         for _ in range(20):
-            deployment.clock.advance(keeper.tick())
-            assert keeper.may_send_order(1, ORDER_S)
+            deployment.clock.advance(lease_manager.tick())
+            assert lease_manager.may_send_order(1, ORDER_S)
         assert deployment.row().fence == 1
 
     def test_expires_while_the_table_is_unavailable(self, deployment):
-        keeper = deployment.keeper("a")
-        keeper.tick()
-        deployment.table.is_away = True
+        lease_manager = deployment.lease_manager("a")
+        lease_manager.tick()
+        deployment.table.is_unavailable = True
         for _ in range(30):
             deployment.clock.advance(0.5)
-            keeper.tick()
-        assert not keeper.may_send_order(1, 0.0)
+            lease_manager.tick()
+        assert not lease_manager.may_send_order(1, 0.0)
 
 
 class TestRow:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -71,13 +71,13 @@
 
     def _step(self, name, member):
         member.tick(self.now)
-        inside, remote = member.due(self.now)
+        inside, remote = member.due_addresses(self.now)
         addresses = inside + remote
         message = member.next_heartbeat(0, 0)
         for target in self._reach(name, addresses):
             target.receive_heartbeat(message, self.now)
         for target in self._reach(name, member.view_request_addresses(self.now)):
-            member.view(target.host.name, target.own_view(), self.now)
+            member.receive_view(target.host.name, target.own_view(), self.now)
 
     def _reach(self, name, addresses):
         for address in addresses:
@@ -183,11 +183,11 @@
         membership = make_membership()
         membership.apply_host_list([make_host("b")], 0.0)
         assert membership.live() == ("self",)
-        assert membership.due(0.0) == (["b:81"], [])
+        assert membership.due_addresses(0.0) == (["b:81"], [])
 
     def test_seeds_get_heartbeats_until_their_hosts_are_known(self):
         membership = make_membership(seeds=["b:81", "self:81"])
-        assert membership.due(0.0) == ([], ["b:81"])
+        assert membership.due_addresses(0.0) == ([], ["b:81"])
 
     def test_silent_host_that_is_not_listed_is_removed(self):
         membership = make_membership()
@@ -227,7 +227,7 @@
         network = Network(self.centre_by_name)
         network.run(8.0)
         member = network.by_name["a0"]
-        inside, remote = member.due(network.now + 10.0)
+        inside, remote = member.due_addresses(network.now + 10.0)
         assert len(inside) == 4
         assert len(remote) <= 2 * 3  # two targets and one probe per data centre
 
@@ -236,11 +236,11 @@
         near = make_host("near")
         far = dataclasses.replace(make_host("far", "b"), models=("draft",))
         membership.receive_heartbeat(make_heartbeat(near), 0.0)
-        membership.view("near", View((far,)), 0.0)
+        membership.receive_view("near", View((far,)), 0.0)
         assert membership.models_by_centre() == {"b": {"draft"}}
 
     def test_view_of_a_host_in_another_data_centre_is_ignored(self):
         membership = make_membership()
         membership.receive_heartbeat(make_heartbeat(make_host("b", "b")), 0.0)
         unknown = dataclasses.replace(make_host("ghost", "c"))
-        assert membership.view("b", View((unknown,)), 0.0) == []
+        assert membership.receive_view("b", View((unknown,)), 0.0) == []
--- a/tests/test_peers_bulk.py
+++ b/tests/test_peers_bulk.py
@@ -45,7 +45,7 @@
 
 def change_lists(lists, recent, *rows):
     changed = lists.with_rows(lists.version + 1, rows)
-    recent.note(lists, changed)
+    recent.record_changes(lists, changed)
     return changed
 
 
@@ -89,7 +89,7 @@
         recent = RecentChanges()
         old = make_lists()
         new = old.with_rows(9, [Row(ACCOUNTS, "one", 0, None)])
-        recent.note(old, new)
+        recent.record_changes(old, new)
         assert recent.changed_since(5, 9) == {(ACCOUNTS, "one")}
         assert recent.changed_since(2, 9) is None
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from tests.soak.ledger import EVENTS
-from tests.soak.ledger import CallerRequest
-from tests.soak.ledger import DisturbanceLog
-from tests.soak.ledger import InvariantChecker
-from tests.soak.ledger import Key
-from tests.soak.ledger import Kind
-from tests.soak.ledger import Seen
-from tests.soak.ledger import make_event
+from tests.soak.checker import EVENTS
+from tests.soak.checker import CallerRequest
+from tests.soak.checker import DisturbanceLog
+from tests.soak.checker import InvariantChecker
+from tests.soak.checker import Key
+from tests.soak.checker import Kind
+from tests.soak.checker import ReceivedRequest
+from tests.soak.checker import make_event
 from tests.soak.run import Options
 from tests.soak.run import run_soak
 from tests.soak.run import start_isolated_pool
@@ -43,7 +43,7 @@
         "authorization": "",
     }
     values.update(changes)
-    return Seen(**values)
+    return ReceivedRequest(**values)
 
 
 @pytest.fixture
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -228,14 +228,16 @@
     def test_pipeline_generates_complete_answer(self, streams):
         body = streams.body(*self.PIPELINE)
         token_lines, end = streams.run(body)
-        assert [line["t"] for line in token_lines] == tokens.answer(PROMPT, 12, LAYERS)
+        assert [line["t"] for line in token_lines] == tokens.expected_tokens(
+            PROMPT, 12, LAYERS
+        )
         assert [line["p"] for line in token_lines] == list(range(len(token_lines)))
         assert all(line["w"] == [[0, 4], [4, 8]] for line in token_lines)
         assert (end["p"], end["end"]) == (len(token_lines), "length")
         assert streams.record("front", body)["violations"] == 0
 
     def test_resumed_stream_generates_remaining_tokens(self, streams):
-        expected = tokens.answer(PROMPT, 12, LAYERS)
+        expected = tokens.expected_tokens(PROMPT, 12, LAYERS)
         token_lines, _ = streams.run(streams.body(("whole", 0, 8), tokens=expected[:5]))
         assert [(line["p"], line["t"]) for line in token_lines] == list(
             enumerate(expected)
@@ -255,7 +257,7 @@
     def test_wrong_route_changes_token_and_is_recorded(self, streams, route):
         body = streams.body(*route, max_tokens=1)
         token_lines, _ = streams.run(body)
-        assert token_lines[0]["t"] != tokens.answer(PROMPT, 1, LAYERS)[0]
+        assert token_lines[0]["t"] != tokens.expected_tokens(PROMPT, 1, LAYERS)[0]
         assert token_lines[0]["w"] != [[0, 4], [4, 8]]
         assert streams.record(route[0][0], body)["violations"] == 1
 
--- a/tests/tiny_server.py
+++ b/tests/tiny_server.py
@@ -5,7 +5,7 @@
 import json
 import threading
 
-DROP = object()  # closes the connection without a response
+DROP_CONNECTION = object()  # closes the connection without a response
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
@@ -19,7 +19,7 @@
         self.server.requests.append((self.command, self.path, body))
         self.server.connections.append(self.client_address[1])
         answer = self.server.answer(self.command, self.path, body)
-        if answer is DROP:
+        if answer is DROP_CONNECTION:
             self.close_connection = True
             return
         status, reply, *headers = answer
@@ -43,7 +43,7 @@
 def serving(answer):
     """Run a server whose responses come from ``answer(method, path, body)``.
 
-    It returns ``(status, body, *headers)``, or ``DROP`` to close the connection
+    It returns ``(status, body, *headers)``, or ``DROP_CONNECTION`` to close the connection
     without a response.
     """
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
