--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -24,7 +24,7 @@
 FIRST_REPEAT_S = 0.1
 MAX_REPEAT_S = 0.5
 ANSWER_TIMEOUT_S = 0.3  # then this host decides locally
-MAX_SETTLED = 16_384  # kept, so that a late charge is not opened again
+MAX_SETTLED = 16_384  # settled requests that a late charge must not open again
 
 Verdict = Allowed | Limited
 
@@ -63,7 +63,7 @@
         return Charged(message.handle, Limit.NONE)
 
     def settle(self, sender: str, message: Settle, now: float) -> None:
-        """Close a charge."""
+        """Close a request and correct its charge to its actual cost."""
         request = f"{sender}/{message.handle}"
         self._settled[request] = None
         while len(self._settled) > MAX_SETTLED:
@@ -77,13 +77,13 @@
             del self._requests_by_host[host]
         self.quota.settle(account, request, message.work, now)
 
-    def host_lost(self, sender: str, now: float) -> None:
+    def close_host(self, sender: str, now: float) -> None:
         """Close all charges of a lost entry host."""
         prefix = f"{sender}/"
         for host in [
             host for host in self._requests_by_host if host.startswith(prefix)
         ]:
-            self._close_host(host, now)
+            self._close_era(host, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
         """Close the charges of an entry host's earlier eras."""
@@ -93,16 +93,16 @@
         for host in list(self._requests_by_host):
             name, _, old = host.rpartition("/")
             if name == sender and int(old) < era:
-                self._close_host(host, now)
+                self._close_era(host, now)
 
-    def drop_host(self, sender: str) -> None:
+    def drop_min_era(self, sender: str) -> None:
         """Drop the minimum era of a replaced incarnation."""
         self._min_era_by_sender.pop(sender, None)
 
-    def _close_host(self, host: str, now: float) -> None:
+    def _close_era(self, host: str, now: float) -> None:
         for request in self._requests_by_host.pop(host):
             del self._account_by_request[request]
-        self.quota.host_lost(host, now)
+        self.quota.close_host(host, now)
 
 
 @dataclasses.dataclass(slots=True)
@@ -136,7 +136,7 @@
         name: str,
     ) -> None:
         self.suspects: set[str] = set()
-        self.hosts = 1
+        self.host_count = 1
         self.era_by_host: dict[str, int] = {}
         self.local_verdicts = 0
         self._name = name
@@ -195,10 +195,10 @@
         self._results.append((entry.request, limited))
 
     def reissue(self, host: str, now: float) -> None:
-        """Charge again what a quota owner has lost."""
+        """Charge again all requests at a quota owner that has lost its state."""
         for entry in list(self._open_by_request.values()):
             if entry.host == host:
-                # It may have been charged after the owner lost its state.
+                # The owner may have opened this charge after it lost its state.
                 self._settle_at_owner(entry, 0.0, now)
                 self._charge_at_owner(entry, now)
 
@@ -288,7 +288,7 @@
 
     def _decide_locally(self, entry: _OpenCharge, now: float) -> None:
         self.local_verdicts += 1
-        limits = local_share(entry.limits, self.hosts)
+        limits = local_share(entry.limits, self.host_count)
         verdict = self._local.charge(
             entry.account, entry.request, self._name, entry.work, limits, now
         )
--- a/src/wagtailstair/core/dispatch_client.py
+++ b/src/wagtailstair/core/dispatch_client.py
@@ -32,9 +32,9 @@
 
 FIRST_REPEAT_S = 0.1  # doubled with each unanswered repetition
 MAX_REPEAT_S = 0.5
-FIRST_CHECK_S = 0.5  # while a request is queued, in case its grant was lost
+FIRST_CHECK_S = 0.5  # first repetition of a queued request: its grant may be lost
 MAX_CHECK_S = 2.0
-ANSWER_TIMEOUT_S = 0.75  # then the dispatcher is suspected, a local pool decides
+ANSWER_TIMEOUT_S = 0.75  # then the dispatcher is suspected and a local pool decides
 REFUSAL_GRACE_S = 1.0  # after a deadline, for the dispatcher's refusal to arrive
 
 
@@ -61,14 +61,14 @@
 class DispatchClient:
     """Submits the requests of an entry host and tracks them until they end.
 
-    :param find_owner: returns the live host that dispatches a pool, or None.
+    :param find_dispatcher: returns the live host that dispatches a pool, or None.
     :param make_pool: creates the local pools.
     :param send_reliable: sends a message to a host until it is acknowledged.
     """
 
     def __init__(
         self,
-        find_owner: t.Callable[[PoolKey], str | None],
+        find_dispatcher: t.Callable[[PoolKey], str | None],
         make_pool: PoolFactory,
         engines: Engines,
         send_reliable: t.Callable[[str, Reliable, float], None],
@@ -78,7 +78,7 @@
         self.era_by_host: dict[str, int] = {}
         self.repeats = 0
         self.local_grants = 0
-        self._find_owner = find_owner
+        self._find_dispatcher = find_dispatcher
         self._send_reliable = send_reliable
         self._last_number = 0
         self._open_by_id: dict[tuple[str, int], _OpenRequest] = {}
@@ -100,7 +100,7 @@
         entry = _OpenRequest(key, item)
         self._open_by_id[name] = entry
         self._waiting[name] = entry
-        self._submit_to_owner(entry, now)
+        self._submit_to_dispatcher(entry, now)
         if entry.submission is None or entry.submission.host in self.suspects:
             self._submit_locally(entry, now)
 
@@ -157,7 +157,7 @@
         self._deliver_refusal(entry, message.reason, message.retry_after_s)
 
     def receive_queued(self, sender: str, message: Queued, now: float) -> None:
-        """Note that a dispatcher has queued a submission."""
+        """Record that a dispatcher has queued a submission."""
         entry = self._find_open(sender, message.handle)
         if entry is None or entry.submission is None:
             self._send_reliable(sender, Withdraw(message.handle), now)
@@ -176,24 +176,24 @@
         self.suspects.discard(host)
 
     def reissue(self, host: str, now: float) -> None:
-        """Submit again what a host has lost."""
+        """Submit again all requests at a host that has lost its state."""
         for entry in list(self._open_by_id.values()):
             if entry.submission is not None and entry.submission.host == host:
-                # The dispatcher may have received it after its loss of state.
+                # The host may have received this submission after it lost its state.
                 self._withdraw(entry, now)
-                self._submit_to_owner(entry, now)
+                self._submit_to_dispatcher(entry, now)
 
     def reassign(self, now: float) -> None:
         """Submit requests to their new dispatchers after a change of live hosts."""
-        owner_by_key: dict[PoolKey, str | None] = {}
+        dispatcher_by_key: dict[PoolKey, str | None] = {}
         for entry in list(self._open_by_id.values()):
-            if entry.key not in owner_by_key:
-                owner_by_key[entry.key] = self._find_owner(entry.key)
+            if entry.key not in dispatcher_by_key:
+                dispatcher_by_key[entry.key] = self._find_dispatcher(entry.key)
             host = None if entry.submission is None else entry.submission.host
-            if owner_by_key[entry.key] == host:
+            if dispatcher_by_key[entry.key] == host:
                 continue
             self._withdraw(entry, now)
-            self._submit_to_owner(entry, now)
+            self._submit_to_dispatcher(entry, now)
 
     # Time.
 
@@ -246,8 +246,8 @@
             return None
         return entry
 
-    def _submit_to_owner(self, entry: _OpenRequest, now: float) -> None:
-        host = self._find_owner(entry.key)
+    def _submit_to_dispatcher(self, entry: _OpenRequest, now: float) -> None:
+        host = self._find_dispatcher(entry.key)
         if host is None:
             return
         self._last_number += 1
@@ -296,12 +296,12 @@
         self._results.append(Grant(item.request, item.epoch, item.host, route))
 
     def _deliver_refusal(
-        self, entry: _OpenRequest, reason: RefusalReason, retry_s: float
+        self, entry: _OpenRequest, reason: RefusalReason, retry_after_s: float
     ) -> None:
         name = (entry.route_request.request, entry.route_request.epoch)
         del self._open_by_id[name]
         self._waiting.pop(name, None)
-        self._results.append(_refusal(entry, reason, retry_s))
+        self._results.append(_refusal(entry, reason, retry_after_s))
 
     # The local pools.
 
@@ -339,7 +339,7 @@
             self._withdraw(entry, now)
             self.local_grants += 1
             self._deliver_grant(entry, decision.route)
-            self._submit_to_owner(entry, now)
+            self._submit_to_dispatcher(entry, now)
             return
         submission = entry.submission
         if (
@@ -347,6 +347,7 @@
             and submission.is_queued
             and submission.host not in self.suspects
         ):
+            # The dispatcher answers and has queued the request, so it decides.
             entry.is_local = False
             return
         self._withdraw(entry, now)
--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -64,7 +64,7 @@
         self.report_distribution = ReportDistribution()
         self.pools = Pools(make_pool, self.engines)
         self.dispatch_client = DispatchClient(
-            self.find_owner, make_pool, self.engines, self._send_reliably
+            self.find_dispatcher, make_pool, self.engines, self._send_reliably
         )
         self.charges = Charges(
             self._find_quota_owner, self._send_reliably, membership.host.name
@@ -84,7 +84,7 @@
 
     # Roles.
 
-    def find_owner(self, key: PoolKey) -> str | None:
+    def find_dispatcher(self, key: PoolKey) -> str | None:
         """Return the live host that dispatches a pool."""
         return self.find_host(str(key), key.data_centre)
 
@@ -94,7 +94,7 @@
     def find_host(self, role: str, data_centre: str | None) -> str | None:
         """Return the live host that has a role.
 
-        :param data_centre: where to look for it; ``None`` for all data centres.
+        :param data_centre: data centre to choose it from; ``None`` for all of them.
         """
         generation = self._membership.generation
         if (
@@ -113,7 +113,7 @@
     def observe(self, state: EngineState, now: float) -> None:
         """Store a load report that this host has read, and send it to peers."""
         self._store_report(state, now)
-        dispatcher = self.find_owner(PoolKey(state.model, state.data_centre))
+        dispatcher = self.find_dispatcher(PoolKey(state.model, state.data_centre))
         report_targets, load_targets = self.report_distribution.select_peers(
             state, dispatcher, self._data_centre_peers(), now
         )
@@ -219,7 +219,7 @@
         self.dispatch_client.local_pools.host_count = max(
             1, len(self._membership.live(self._host.data_centre))
         )
-        self.charges.hosts = max(1, len(self._membership.live()))
+        self.charges.host_count = max(1, len(self._membership.live()))
         self.dispatch_client.reassign(now)
         self.charges.reassign(now)
 
@@ -232,8 +232,8 @@
             name = event.host.name
             self._drop_host(name, event.old.incarnation, now)
             sender = f"{name}/{event.old.incarnation}"
-            self.pools.drop_host(sender)
-            self.owned_quotas.drop_host(sender)
+            self.pools.drop_min_era(sender)
+            self.owned_quotas.drop_min_era(sender)
             self._reset_by_sender.pop(sender, None)
             self._dead_incarnation_by_host.pop(name, None)
             self.dispatch_client.reissue(name, now)
@@ -246,13 +246,13 @@
 
     def _drop_host(self, name: str, incarnation: int, now: float) -> None:
         self.outbox.drop(name)
-        self.pools.host_lost(f"{name}/{incarnation}", now)
-        self.owned_quotas.host_lost(f"{name}/{incarnation}", now)
+        self.pools.cancel_host(f"{name}/{incarnation}", now)
+        self.owned_quotas.close_host(f"{name}/{incarnation}", now)
 
     def _start_era(self, name: str, incarnation: int, now: float) -> None:
         """Start a new era with a host that is live again after it was declared dead.
 
-        The reset makes the host close what this host sent it in earlier eras.
+        The reset makes the other host close what this host sent it in earlier eras.
         """
         if self._dead_incarnation_by_host.pop(name, None) != incarnation:
             return
--- a/src/wagtailstair/core/fairness.py
+++ b/src/wagtailstair/core/fairness.py
@@ -9,7 +9,8 @@
 from .grants import RouteRequest
 
 MAX_IDLE_ACCOUNTS = 4_096
-"""Accounts without waiting items whose start tag is kept."""
+"""Accounts without waiting items whose start tag is kept, so that they do not get
+more than their share when they return."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -171,17 +172,17 @@
             self._schedule(flow)
         self._drop_idle()
 
-    def settle(self, account: str, tags: float) -> None:
-        """Correct the start tag of an account by ``tags``."""
+    def correct_start_tag(self, account: str, change: float) -> None:
+        """Add ``change``, in work per weight, to the start tag of an account."""
         if not self.count:
             return
         flow = self._flow_by_account.get(account)
         if flow is None:
-            if tags <= 0:
+            if change <= 0:
                 return
             flow = _Flow(account, self._virtual_time)
             self._flow_by_account[account] = flow
-        flow.start = max(self._virtual_time, flow.start + tags)
+        flow.start = max(self._virtual_time, flow.start + change)
         if flow.by_request:
             self._schedule(flow)
             return
--- a/src/wagtailstair/core/local_pools.py
+++ b/src/wagtailstair/core/local_pools.py
@@ -19,7 +19,8 @@
 class LocalPools:
     """Pools that grant this host's share of each engine.
 
-    ``share``: number of hosts among which the engines are divided.
+    ``host_count``: number of hosts among which the engines' slots and memory are
+    divided.
     """
 
     def __init__(self, make_pool: PoolFactory, engines: Engines) -> None:
@@ -29,7 +30,7 @@
         self._engines = engines
 
     def make(self, key: PoolKey, now: float) -> Pool:
-        """Return a new pool; at ``MAX_POOLS``, drop all others before."""
+        """Create a pool; if there are ``MAX_POOLS`` already, drop them all first."""
         if len(self.by_key) >= MAX_POOLS:
             self.by_key.clear()
         pool = self.by_key[key] = self._make_pool(key)
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -24,15 +24,15 @@
 from .timers import Timers
 
 MAX_ENDED_EPOCHS = 16_384
-"""Ended epochs that are kept, so that a late copy is not granted again."""
+"""Ended epochs that are kept, so that a late copy of a request is not granted."""
 NO_ROUTE_TIMEOUT_S = 1.0
 """Time that a request may wait while no engines could form a route for it."""
 GRANT_GRACE_S = 5.0
-"""Time after its deadline when an open grant is cancelled as lost."""
+"""Time from its deadline until an open grant is cancelled as lost."""
 MAX_HEADS_TRIED = 32
 """Accounts of a class that are searched for one whose next request has room."""
 MAX_UNRESTRICTED_HEADS = 4
-"""Of these, requests that need no adapter and avoid no engine."""
+"""Blocked requests without adapter and avoided engines after which a search ends."""
 DELAY_SMOOTHING = 0.05
 """Weight of a grant in the moving average of the run time per work unit."""
 MINIMUM_RETRY_AFTER_S = 0.5
@@ -80,9 +80,9 @@
 class Pool:
     """Orders the requests for one model in one data centre.
 
-    :meth:`want`, :meth:`done` and :meth:`hold` may be called twice or late. A
-    repeated request is answered with the same grant or refusal, any other
-    repeated call has no effect.
+    :meth:`submit`, :meth:`end_grant` and :meth:`adopt_grant` may be called twice
+    or late. A repeated request is answered with the same grant or refusal, any
+    other repeated call has no effect.
     """
 
     def __init__(
@@ -180,7 +180,7 @@
         self._end_grant(open_grant)
         self._record_ended(outcome.request, outcome.epoch, None)
         work = prompt_work(outcome.prompt_tokens) + outcome.output_tokens
-        self._queue.settle(open_grant.route_request, work)
+        self._queue.correct_charge(open_grant.route_request, work)
         self._capacity.record_served(work, len(self._queue) > 0, now)
         self._route_finder.record_outcome(open_grant.route, outcome.failed, now)
 
@@ -267,7 +267,7 @@
         self._route_finder.mark_leaving(engine)
 
     def remove(self, engine: str) -> None:
-        """Remove an engine; its open grants end by :meth:`done`."""
+        """Remove an engine; its open grants stay until :meth:`end_grant`."""
         self._route_finder.remove(engine)
 
     def host_lost(self, host: str, now: float) -> None:
@@ -330,8 +330,8 @@
                 break
             item = self._queue.get(request)
             if item is not None and self._route_finder.has_route(item, Need.of(item)):
-                # Engines have returned. Requests behind the head of a queue are not
-                # tried, so their entry has not been removed yet.
+                # A route is possible again. Only requests at the head of a queue
+                # are tried, so the entries of others have not been removed yet.
                 del self._no_route_since[request]
                 continue
             self._withdraw(request, now)
@@ -423,7 +423,7 @@
 
         Answers may be longer than expected. While others of its priority
         wait, a request with little time left is refused, so that fewer slots
-        are spent on answers that miss their deadline.
+        are used for answers that miss their deadline.
         """
         if self._queue.count(item.priority) <= 1:
             return run_s
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -21,7 +21,7 @@
 from .messages import Withdraw
 from .pool import PoolStats
 
-MAX_REPLACED_INCARNATIONS = 4  # of an engine, whose late reports are refused
+MAX_REPLACED_INCARNATIONS = 4  # of each engine; late reports of them are ignored
 
 
 class Pool(t.Protocol):
@@ -31,7 +31,7 @@
         """Queue a request."""
 
     def cancel(self, request: str, epoch: int, now: float) -> None:
-        """Remove a request or end its grant."""
+        """Remove a waiting request, or end its grant."""
 
     def adopt_grant(self, held_grant: HeldGrant, now: float) -> None:
         """Adopt a grant of another dispatcher."""
@@ -146,7 +146,7 @@
         self._unanswered.add((sender, message.handle))
 
     def withdraw(self, sender: str, message: Withdraw, now: float) -> None:
-        """Withdraw a submission or end its grant."""
+        """Withdraw a submission or end its grant; without a pool key, in every pool."""
         if not self._accept_era(sender, message.handle):
             return
         request = f"{sender}/{message.handle}"
@@ -180,24 +180,24 @@
         self._pool(message.key, now).adopt_grant(held_grant, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
-        """Drop the requests and grants of an entry host's earlier eras."""
+        """Cancel the requests and grants of an entry host's earlier eras."""
         if era <= self._min_era_by_sender.get(sender, 0):
             return
         self._min_era_by_sender[sender] = era
         eras = self._eras_by_sender.get(sender, set())
         for old in [old for old in eras if old < era]:
             eras.discard(old)
-            self._drop_host(f"{sender}/{old}", now)
+            self._cancel_era(f"{sender}/{old}", now)
 
-    def host_lost(self, sender: str, now: float) -> None:
-        """Drop all requests and grants of an entry host.
+    def cancel_host(self, sender: str, now: float) -> None:
+        """Cancel all requests and grants of an entry host.
 
         The minimum era stays, since late messages of earlier eras may arrive.
         """
         for era in self._eras_by_sender.pop(sender, set()):
-            self._drop_host(f"{sender}/{era}", now)
+            self._cancel_era(f"{sender}/{era}", now)
 
-    def drop_host(self, sender: str) -> None:
+    def drop_min_era(self, sender: str) -> None:
         """Drop the minimum era of a replaced incarnation."""
         self._min_era_by_sender.pop(sender, None)
 
@@ -270,7 +270,7 @@
                 observe_in(pool, state, now)
         return pool
 
-    def _drop_host(self, host: str, now: float) -> None:
+    def _cancel_era(self, host: str, now: float) -> None:
         for pool in self.by_key.values():
             pool.host_lost(host, now)
         self.mark_all_changed()
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -162,12 +162,12 @@
         # the priority later.
         self._credit[served] = max(self._credit[served] - work, -abs(work))
 
-    def settle(self, item: RouteRequest, actual_work: float) -> None:
+    def correct_charge(self, item: RouteRequest, actual_work: float) -> None:
         """Correct the charge of a served item to its actual cost."""
         excess = actual_work - item.work
         if excess:
             self._charge(item.priority, excess)
-        self._class_of(item).settle(item.account, excess / item.weight)
+        self._class_of(item).correct_start_tag(item.account, excess / item.weight)
 
     def work_ahead(self, item: RouteRequest) -> float:
         """Estimate the work that would be served before a new item."""
--- a/src/wagtailstair/core/quota.py
+++ b/src/wagtailstair/core/quota.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-IDLE_TIMEOUT_S = 60.0
+SWEEP_INTERVAL_S = 60.0
 """Time between removals of idle accounts; retry time under a rate of zero."""
 
 
@@ -123,7 +123,7 @@
         need = min(work, limits.work_per_s * limits.burst_s)
         if usage.level < need:
             if limits.work_per_s <= 0:
-                return Limited("rate", IDLE_TIMEOUT_S)
+                return Limited("rate", SWEEP_INTERVAL_S)
             return Limited("rate", (need - usage.level) / limits.work_per_s)
         usage.level -= work
         self._open(account, usage, request, host, work)
@@ -167,7 +167,7 @@
         if not requests:
             del self._requests_by_host[host]
 
-    def host_lost(self, host: str, now: float) -> None:
+    def close_host(self, host: str, now: float) -> None:
         """Close the requests of a dead entry host at their expected cost."""
         for request, account in list(self._requests_by_host.get(host, {}).items()):
             charge = self._usage_by_account[account].charge_by_request[request]
@@ -176,7 +176,7 @@
     def _drop_idle(self, now: float) -> None:
         if now < self._next_sweep_at:
             return
-        self._next_sweep_at = now + IDLE_TIMEOUT_S
+        self._next_sweep_at = now + SWEEP_INTERVAL_S
         for account, usage in list(self._usage_by_account.items()):
             if usage.host_by_request:
                 continue
--- a/tests/test_dispatch_client.py
+++ b/tests/test_dispatch_client.py
@@ -38,10 +38,10 @@
     """The submissions of a host, to a dispatcher that the test sets."""
 
     def __init__(self):
-        self.owner = "owner"
+        self.dispatcher = "owner"
         self.messages = []
         self.dispatch_client = DispatchClient(
-            lambda key: self.owner,
+            lambda key: self.dispatcher,
             lambda key: Pool(key.model, key.data_centre),
             Engines(),
             lambda host, body, now: self.messages.append((host, body)),
@@ -143,7 +143,7 @@
     def test_waiting_request_is_submitted_to_the_new_dispatcher(self):
         entry_host = EntryHost()
         first = entry_host.submit()
-        entry_host.owner = "next"
+        entry_host.dispatcher = "next"
         entry_host.dispatch_client.reassign(1.0)
         assert entry_host.messages == [("owner", Withdraw(first, KEY))]
         [(host, second)] = entry_host.sends()
@@ -154,7 +154,7 @@
         entry_host = EntryHost()
         first = entry_host.submit()
         entry_host.dispatch_client.receive_grant("owner", Granted(first, ROUTE), 0.1)
-        entry_host.owner = "next"
+        entry_host.dispatcher = "next"
         entry_host.dispatch_client.reassign(1.0)
         (_, withdraw), (host, held) = entry_host.messages
         assert withdraw == Withdraw(first, KEY)
@@ -179,7 +179,7 @@
 class TestLocalPool:
     def test_request_without_a_dispatcher_or_engines_is_refused(self):
         entry_host = EntryHost()
-        entry_host.owner = None
+        entry_host.dispatcher = None
         entry_host.dispatch_client.submit(KEY, ROUTE_REQUEST, 0.0)
         for step in range(60):
             entry_host.dispatch_client.tick(step * 0.05)
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -99,7 +99,7 @@
             item = queue.take(queue.first().request)
             actual = item.work * (3 if item.account == "under" else 1)
             work[item.account] += actual
-            queue.settle(item, actual)
+            queue.correct_charge(item, actual)
         assert work["under"] == pytest.approx(work["exact"], abs=60)
 
     def test_memory_is_bounded_whatever_the_number_of_accounts(self):
@@ -121,14 +121,14 @@
             queue.push(make_route_request(f"b{number}", "flood", BATCH))
         fill(queue, 3, "other", BATCH)
         count_before = queue.count(BATCH)
-        taken, victim = queue.push(make_route_request("u", "small", URGENT))
-        assert taken
+        is_added, victim = queue.push(make_route_request("u", "small", URGENT))
+        assert is_added
         assert victim is None
         for number in range(60):
-            taken, victim = queue.push(
+            is_added, victim = queue.push(
                 make_route_request(f"s{number}", "small", URGENT)
             )
-            assert taken
+            assert is_added
         assert victim is not None
         assert (victim.account, victim.priority) == ("flood", BATCH)
         assert len(queue) <= 100
@@ -143,7 +143,7 @@
             _, victim = queue.push(make_route_request(f"b{number}", "small", BATCH))
             assert victim is None or victim.priority is BATCH
         assert queue.count(URGENT) == urgent
-        # A flood leaves the other priorities the places of their minimum.
+        # A flood leaves the other priorities their minimum number of places.
         assert queue.count(BATCH) >= 5
         assert len(queue) <= 100
 
@@ -158,11 +158,11 @@
     def test_an_account_with_few_items_displaces_one_of_an_account_with_many(self):
         queue = FairQueue(10, (0.0, 0.0, 0.0))
         fill(queue, 10, "flood", STANDARD)
-        taken, victim = queue.push(make_route_request("r", "small"))
-        assert taken
+        is_added, victim = queue.push(make_route_request("r", "small"))
+        assert is_added
         assert victim.account == "flood"
-        taken, victim = queue.push(make_route_request("again", "flood"))
-        assert (taken, victim) == (False, None)
+        is_added, victim = queue.push(make_route_request("again", "flood"))
+        assert (is_added, victim) == (False, None)
 
     def test_unentitled_work_does_not_displace_entitled_work(self):
         queue = FairQueue(10, (0.0, 0.0, 0.0))
@@ -170,6 +170,6 @@
         assert not queue.push(make_route_request("r", "small", entitled=False))[0]
         fresh = FairQueue(10, (0.0, 0.0, 0.0))
         fill(fresh, 10, "flood", STANDARD, entitled=False)
-        taken, victim = fresh.push(make_route_request("r", "flood", entitled=True))
-        assert taken
+        is_added, victim = fresh.push(make_route_request("r", "flood", entitled=True))
+        assert is_added
         assert not victim.entitled
--- a/tests/test_quota.py
+++ b/tests/test_quota.py
@@ -72,7 +72,7 @@
         quota = Quota()
         quota.charge("a", "1", "h1", 0.1, LIMITS, 0.0)
         quota.charge("a", "2", "h2", 0.1, LIMITS, 0.0)
-        quota.host_lost("h1", 1.0)
+        quota.close_host("h1", 1.0)
         assert quota.open_requests("a") == 1
         quota.settle("a", "2", 0.1, 1.0)
         assert quota.open_requests("a") == 0
