--- a/src/wagtailstair/core/capacity.py
+++ b/src/wagtailstair/core/capacity.py
@@ -1,4 +1,4 @@
-"""Estimates a pool's rate of work from engine reports and served requests."""
+"""Estimate of a pool's rate of work, from engine reports and served requests."""
 
 import typing as t
 
@@ -46,7 +46,7 @@
         since = self._busy_since
         self._busy_since = now if is_busy else None
         if not is_busy or since is None:
-            # Only a span between two ends at which requests waited is busy time.
+            # The time since the previous end is busy only if requests waited at both.
             return
         span_s = min(RATE_TIME_CONSTANT_S, max(0.0, now - since))
         decay = 1 - span_s / RATE_TIME_CONSTANT_S
@@ -67,7 +67,7 @@
         measured_weight = min(1.0, self._busy_s / RATE_TIME_CONSTANT_S)
         measured = self._work / self._busy_s if self._busy_s else 0.0
         if not self._bound:
-            # A missing route does not change the rate once there is one again.
+            # No route exists now; the measured rate holds again once one returns.
             self.estimate = measured
             return measured
         estimate = measured_weight * measured + (1 - measured_weight) * self._bound
--- a/src/wagtailstair/core/ejection.py
+++ b/src/wagtailstair/core/ejection.py
@@ -8,10 +8,10 @@
 class EjectionLimits:
     """When an upstream is ejected and for how long.
 
-    ``consecutive_failures``: consecutive failures that eject; ``base_s``: length of the first
-    ejection, doubled each time up to ``max_s``; ``share``: largest share of the
-    group that may be ejected at a time; ``healthy_s``: time without a failure that
-    resets the doubling; ``slow_ratio``, ``fast_ratio``: time relative to similar
+    ``consecutive_failures``: failures in a row that eject; ``base_s``: length of the
+    first ejection, doubled each time up to ``max_s``; ``share``: largest share of
+    the group that may be ejected at a time; ``healthy_s``: time without a failure
+    that resets the doubling; ``slow_ratio``, ``fast_ratio``: time relative to similar
     upstreams from which one counts as slow, and as fast again; ``slow_reports``:
     slow reports that eject.
     """
--- a/src/wagtailstair/core/grants.py
+++ b/src/wagtailstair/core/grants.py
@@ -11,10 +11,10 @@
 class RouteRequest:
     """A request that waits for a route.
 
-    ``work``: expected cost in work units; ``deadline``: time on the receiver's
-    monotonic clock; ``entitled``: within the account's limits; ``prefixes``:
-    hashes of the prompt's prefix blocks, shortest first; ``avoid``: engines
-    that the route must not contain.
+    ``work``: expected cost in work units; ``deadline``: time on the local
+    monotonic clock, in messages seconds from the time of sending; ``entitled``:
+    within the account's limits; ``prefixes``: hashes of the prompt's prefix
+    blocks, shortest first; ``avoid``: engines that the route must not contain.
     """
 
     request: str
--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -16,12 +16,12 @@
 """Share of the model's layers that a data centre holds a second time."""
 
 ROOM_STEP = 0.9
-"""Factor from one tried room to the next smaller one."""
+"""Factor by which the room for KV memory is reduced until the model fits."""
 
 ROOM_TOKENS_MAX = 125_000.0
 ROOM_TOKENS_MIN = 2_000.0
-"""Bounds of the KV memory beside the weights, in tokens: a hundred requests, as many
-as may begin at one engine, and one large request."""
+"""Bounds of the room for KV memory beside the weights, in tokens: for a hundred
+requests, as many as may begin at one engine, and for one large request."""
 
 FIRST_LAYER_ENGINES = 2
 """Engines of a data centre that should hold the first layer: the number of requests
--- a/src/wagtailstair/core/lists_refresh.py
+++ b/src/wagtailstair/core/lists_refresh.py
@@ -1,4 +1,4 @@
-"""When a daemon reads the lists, from where, and when it may decide by them.
+"""When a daemon reads the lists, from where, and when it may decide requests.
 
 The host of first rank in a data centre reads the version of the lists from the
 platform each interval, the second half as often, the others rarely. All hosts
@@ -12,7 +12,7 @@
 LOW_RANK_INTERVAL_FACTOR = 8.0  # for all other hosts
 INTERVAL_JITTER = 0.25  # largest share of an interval that is added or subtracted
 MAX_BACKOFF_S = 3.0  # between reads of a platform that does not answer
-LISTS_READ_DELAY_S = 0.5  # for each rank, before a host reads the lists itself
+LISTS_READ_DELAY_S = 0.5  # times the rank, before a host reads the lists itself
 STARTUP_WAIT_S = 3.0  # for heartbeats of peers, while the platform is unreachable
 PAUSE_DETECTION_S = 1.0  # time between two ticks that means the process was paused
 REFRESH_S = 1.0  # maximum wait for new lists after a pause of the process
@@ -124,7 +124,7 @@
     def record_version(
         self, action: ReadVersion | ReadLists, platform_version: int, now: float
     ) -> None:
-        """Record the version of the lists that the platform answered."""
+        """Record the version of the lists that the platform returned."""
         self._is_reading = False
         self.platform_failures = 0
         self._has_platform_answered = True
--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -254,7 +254,7 @@
             set_use_limits(group, self._reserves)
 
     def observe(self, state: EngineState) -> bool:
-        """Update an engine of the same incarnation; return if more may fit now."""
+        """Update an engine of the same incarnation; return whether more may fit now."""
         load = self.by_name[state.name]
         if state.as_of < load.state.as_of:
             return False
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -50,7 +50,7 @@
 the same engine."""
 
 HEADS_SOFT_SHARE = 0.7
-"""Share of an engine's slots taken by requests that begin there above which other
+"""Share of an engine's slots that requests beginning there may take before other
 engines are preferred: hosts learn of each other's requests half a second late."""
 
 NO_KV_FILL = 10.0
@@ -291,10 +291,10 @@
         read = kind.prefill_factor / model.prefill_tokens_per_s
         layer_s = (answer * step + prompt * read) * use.slowness / model.layers
         layer_s *= 1 + COST_JITTER_SHARE * self._rng.random()
-        room = kv_capacity(model, replica)
+        capacity = kv_capacity(model, replica)
         assert replica.layers is not None
         needed = (prompt + answer) * (replica.layers[1] - replica.layers[0])
-        fill = (load.token_layers + needed) / room if room > 0 else NO_KV_FILL
+        fill = (load.token_layers + needed) / capacity if capacity > 0 else NO_KV_FILL
         hop_s = answer * HOP_QUEUEING_S
         if fill > 1.0:
             hop_s += NO_ROOM_COST_S
--- a/src/wagtailstair/core/plans.py
+++ b/src/wagtailstair/core/plans.py
@@ -29,7 +29,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ServiceUse:
-    """Use of a plain service.
+    """What a plan allows at a plain service.
 
     ``repeatable``: methods that need no idempotency key.
     """
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -8,7 +8,7 @@
     """One upstream, as in its latest row of the store.
 
     ``incarnation``: its start time in milliseconds; ``layers``: the half-open
-    range of layers that an engine holds; ``accelerator``: name of the kind.
+    range of layers that an engine holds; ``accelerator``: name of its kind.
     """
 
     name: str
--- a/src/wagtailstair/core/report_distribution.py
+++ b/src/wagtailstair/core/report_distribution.py
@@ -10,7 +10,7 @@
 
 REFRESH_S = 30.0  # full report to all peers, changed or not
 REPEAT_S = 5.0  # load to the dispatcher, changed or not
-LOAD_INTERVAL_S = 1.0  # load to the dispatcher after a change
+LOAD_INTERVAL_S = 1.0  # minimum time between changed loads to the dispatcher
 STALE_S = 100.0  # then an engine without a report is removed
 MIN_STEP_CHANGE = 0.1  # relative change of the step time that is reported
 MIN_KV_CHANGE = 0.05  # reported change of the KV memory in use, over its size
@@ -93,7 +93,7 @@
     ) -> tuple[t.Sequence[str], t.Sequence[str]]:
         """Return the receivers of a report, and record it as sent.
 
-        The first group gets the full report, the second the load alone.
+        The first group gets the full report, the second only the load.
         """
         sent = self._sent_by_engine.get(state.name)
         if sent is None or _static_fields(sent.state) != _static_fields(state):
--- a/src/wagtailstair/core/route_finder.py
+++ b/src/wagtailstair/core/route_finder.py
@@ -64,10 +64,10 @@
         "_blocked_need",
         "_cost",
         "_ejection",
-        "_ejections_change",
         "_loads",
         "_median_step_by_kind",
         "_medians_expire_at",
+        "_recheck_ejections_at",
         "_routable_need",
     )
 
@@ -79,7 +79,7 @@
     ) -> None:
         self._loads = LoadTable(reserves)
         self._ejection = Ejection(ejection)
-        self._ejections_change = math.inf
+        self._recheck_ejections_at = math.inf
         self._cost = cost
         # Least KV memory for which there was no room, by rank and adapter.
         self._blocked_need: dict[tuple[Priority, str], int] = {}
@@ -197,7 +197,7 @@
             name = stage.engine
             if name in failed:
                 self._ejection.record_failure(name, len(self._loads.by_name), now)
-                self._ejections_change = now
+                self._recheck_ejections_at = now
             elif failed:
                 self._ejection.record_inconclusive(name)
             else:
@@ -211,13 +211,13 @@
             self._update_ejected(stage.engine, now)
 
     def end_ejections(self, now: float) -> None:
-        """Use engines again whose ejection has ended."""
-        if now < self._ejections_change:
+        """Make engines available again whose ejection has ended."""
+        if now < self._recheck_ejections_at:
             return
         self._blocked_need.clear()
         for name in self._loads.by_name:
             self._update_ejected(name, now)
-        self._ejections_change = self._ejection.next_change(now) or math.inf
+        self._recheck_ejections_at = self._ejection.next_change(now) or math.inf
 
     def next_change(self, now: float) -> float | None:
         """Return when the next ejection ends."""
@@ -244,8 +244,8 @@
         pick = _cheapest(item, need, rank, self._cost, now)
         found = shortest_route(self._loads.groups, need.tokens, pick)
         if found is None and not item.avoid:
-            # No request of the same or a lower rank that needs at least as much
-            # memory fits until something changes.
+            # Until an engine's state or load changes, no request of the same or a
+            # lower rank fits that needs at least as much memory.
             for other in Priority:
                 if other < rank:
                     continue
--- a/src/wagtailstair/core/sessions.py
+++ b/src/wagtailstair/core/sessions.py
@@ -49,7 +49,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Accepted:
-    """The line is the next of the answer."""
+    """The line is the next one of the answer."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/shapes.py
+++ b/src/wagtailstair/core/shapes.py
@@ -22,7 +22,7 @@
 
 
 def _most_common_ranges(states: collections.abc.Sequence[EngineState]) -> Ranges:
-    """Return the ranges most engines hold, chained from layer 0; empty with a gap."""
+    """Return the ranges that most engines hold, in order; empty if there is a gap."""
     count_by_range: dict[tuple[int, int], int] = {}
     for state in states:
         key = (state.first, state.last)
@@ -63,7 +63,7 @@
     """Remembers the layer ranges of each model and derives targets from them.
 
     Ranges are updated only while they cover all layers, so that a range whose
-    last engine died is remembered.
+    last engine died keeps its target.
     """
 
     def __init__(self) -> None:
--- a/src/wagtailstair/core/targets.py
+++ b/src/wagtailstair/core/targets.py
@@ -61,11 +61,11 @@
     """Return the number of pipelines of each model.
 
     Each model gets one pipeline while there are engines left. Each further one
-    goes to the model with the highest pressure, its work for each pipeline.
+    goes to the model with the highest pressure, its demand for each pipeline.
     The present division stays unless the new one lowers the highest pressure
     by the share ``shift_gain``.
 
-    :param demand_by_model: work per second.
+    :param demand_by_model: demand, in a unit that is the same for all models.
     :param present: the present division.
     """
     pipelines: Pipelines = {spec.model: 0 for spec in specs}
--- a/src/wagtailstair/core/upstream_balancer.py
+++ b/src/wagtailstair/core/upstream_balancer.py
@@ -16,7 +16,7 @@
 """Assumed latency of an upstream that has not been measured."""
 
 REMOTE_COST_FACTOR = 1.15
-"""Factor for an upstream of another data centre, as traffic to it is priced."""
+"""Cost factor for an upstream of another data centre: traffic to it is charged."""
 
 EJECTION_LIMITS = EjectionLimits(
     consecutive_failures=3, base_s=1.5, max_s=6.0, share=0.67, healthy_s=10.0
@@ -58,6 +58,7 @@
             if replica.data_centre != self._data_centre:
                 cost *= REMOTE_COST_FACTOR
             if self._ejection.is_ejected(replica.name, now):
+                # More than any other cost: chosen only if no other upstream is left.
                 cost += 1e3
             if cost < best_cost:
                 best, best_cost = replica, cost
--- a/src/wagtailstair/core/wait_estimates.py
+++ b/src/wagtailstair/core/wait_estimates.py
@@ -8,7 +8,7 @@
 ESTIMATE_DECAY_S = 5.0
 """Time in which a measured wait decays to zero."""
 OWN_PREFERENCE_S = 0.02
-"""Extra wait for which this host still prefers its own data centre."""
+"""Extra wait up to which this host still prefers its own data centre."""
 REFUSAL_WAIT_S = 2.0
 """Wait that a refusal counts as."""
 
@@ -24,14 +24,14 @@
     """
 
     __slots__ = (
+        "_estimate_by_queue",
         "_measured_at_by_queue",
         "_pending_by_queue",
         "_queue_by_request",
-        "_wait_s",
     )
 
     def __init__(self) -> None:
-        self._wait_s: dict[Queue, float] = {}
+        self._estimate_by_queue: dict[Queue, float] = {}
         self._measured_at_by_queue: dict[Queue, float] = {}
         self._pending_by_queue: dict[Queue, dict[str, float]] = {}
         self._queue_by_request: dict[str, Queue] = {}
@@ -67,16 +67,16 @@
             del self._pending_by_queue[queue][request]
 
     def _update_estimate(self, queue: Queue, wait_s: float, now: float) -> None:
-        self._wait_s[queue] = (self._decayed_wait_s(queue, now) + wait_s) / 2
+        self._estimate_by_queue[queue] = (self._decayed_wait_s(queue, now) + wait_s) / 2
         self._measured_at_by_queue[queue] = now
 
     def _decayed_wait_s(self, queue: Queue, now: float) -> float:
         age_s = now - self._measured_at_by_queue.get(queue, now)
         weight = max(0.0, 1 - age_s / ESTIMATE_DECAY_S)
-        return self._wait_s.get(queue, 0.0) * weight
+        return self._estimate_by_queue.get(queue, 0.0) * weight
 
     def wait_s(self, data_centre: str, priority: Priority, now: float) -> float:
-        """Return the expected wait."""
+        """Return the expected wait for a grant, in seconds."""
         queue = (data_centre, priority)
         wait_s = self._decayed_wait_s(queue, now)
         pending = self._pending_by_queue.get(queue)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -12,7 +12,7 @@
 from wagtailstair.core.pool import NO_ROUTE_TIMEOUT_S
 from wagtailstair.core.pool import Pool
 
-WANT = RouteRequest(
+ROUTE_REQUEST = RouteRequest(
     request="r",
     epoch=1,
     host="h",
@@ -47,7 +47,7 @@
         pool = Pool("draft", "a")
         pool.observe(engine("e1", 0, 4), 0.0)
         for number in range(40):
-            pool.submit(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
+            pool.submit(dataclasses.replace(ROUTE_REQUEST, request=f"r{number}"), 0.0)
         assert pool.poll(0.1) == []
         pool.observe(engine("e2", 4, 8), 0.5)
         answers = pool.poll(0.5)
@@ -66,8 +66,8 @@
         # found no room were not checked again for a missing route.
         pool = self.make()
         for number in range(60):
-            want = dataclasses.replace(WANT, request=f"r{number}")
-            pool.submit(want, number / 100)
+            route_request = dataclasses.replace(ROUTE_REQUEST, request=f"r{number}")
+            pool.submit(route_request, number / 100)
             pool.poll(number / 100)
         answers = pool.poll(0.6 + NO_ROUTE_TIMEOUT_S)
         assert {answer.request for answer in answers} == {f"r{n}" for n in range(60)}
@@ -76,7 +76,7 @@
     def test_requests_are_kept_when_a_route_returns(self):
         pool = self.make()
         for number in range(20):
-            pool.submit(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
+            pool.submit(dataclasses.replace(ROUTE_REQUEST, request=f"r{number}"), 0.0)
         pool.poll(0.0)
         pool.observe(engine("e1", 0, 4), 0.5)
         answers = pool.poll(0.5) + pool.poll(0.5 + NO_ROUTE_TIMEOUT_S)
--- a/tests/test_layout.py
+++ b/tests/test_layout.py
@@ -11,11 +11,11 @@
 from wagtailstair.core.layout import room_for
 
 
-def apply(orders):
+def apply(assignments):
     engines = []
-    for order in orders:
-        replica = order.replica
-        layers = (order.first, order.last)
+    for assignment in assignments:
+        replica = assignment.replica
+        layers = (assignment.first, assignment.last)
         engines.append(
             make_engine(replica.name, replica.data_centre, replica.accelerator, layers)
         )
@@ -39,10 +39,12 @@
 
     def test_ranges_fit_into_the_memory(self):
         model = make_model()
-        for order in plan_layers(model, make_fleet(), {}):
-            kind = model.accelerator_by_name[order.replica.accelerator]
-            assert (order.last - order.first) * model.layer_weights_mb <= kind.memory_mb
-            assert 0 <= order.first < order.last <= LAYERS
+        for assignment in plan_layers(model, make_fleet(), {}):
+            kind = model.accelerator_by_name[assignment.replica.accelerator]
+            assert (
+                assignment.last - assignment.first
+            ) * model.layer_weights_mb <= kind.memory_mb
+            assert 0 <= assignment.first < assignment.last <= LAYERS
 
     @pytest.mark.parametrize("room", [0.0, 1.0, 40_000.0, 1e9])
     def test_layers_stay_within_memory_for_any_room(self, room):
@@ -61,18 +63,20 @@
         engines = apply(plan_layers(model, make_fleet(), {}))
         lost = engines[0]
         back = make_engine(lost.name, lost.data_centre, lost.accelerator)
-        (order,) = plan_layers(model, [back, *engines[1:]], {})
-        left = uncovered_layers([*engines[1:], *apply([order])], lost.data_centre)
-        assert order.replica is back
-        assert left == set()
+        (assignment,) = plan_layers(model, [back, *engines[1:]], {})
+        uncovered = uncovered_layers(
+            [*engines[1:], *apply([assignment])], lost.data_centre
+        )
+        assert assignment.replica is back
+        assert uncovered == set()
 
     def test_an_ordered_range_counts_as_held(self):
         model = make_model()
         first, second = make_engine("x"), make_engine("y")
         held = {first.identity: (0, 4)}
-        (order,) = plan_layers(model, [first, second], held)
-        assert order.replica is second
-        assert order.first >= 4
+        (assignment,) = plan_layers(model, [first, second], held)
+        assert assignment.replica is second
+        assert assignment.first >= 4
 
     @pytest.mark.parametrize("centre", ["a", "b", "c"])
     def test_two_engines_take_first_layers(self, centre):
@@ -88,13 +92,13 @@
             others = [other for other in engines if other is not engine]
             assert uncovered_layers(others, "a") == set()
 
-    def test_leaving_engines_get_no_order(self):
+    def test_leaving_engines_get_no_layers(self):
         assert plan_layers(make_model(), [make_engine("x", is_leaving=True)], {}) == []
 
 
 class TestRepair:
     def lose(self, engines, centre):
-        """Return the engines without one that alone holds some layers."""
+        """Return all engines but one that is the only holder of some layers."""
         for engine in engines:
             rest = [other for other in engines if other is not engine]
             is_small = engine.accelerator == "v100"
@@ -104,7 +108,7 @@
                 and uncovered_layers(rest, centre)
             ):
                 return rest
-        raise AssertionError("no engine alone holds some layers")
+        raise AssertionError("no engine is the only holder of some layers")
 
     def test_a_move_closes_more_layers_than_it_uncovers(self):
         model = make_model()
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -15,9 +15,9 @@
 
 def place_all(model, engines):
     placed = []
-    for order in plan_layers(model, engines, {}):
-        layers = (order.first, order.last)
-        replica = order.replica
+    for assignment in plan_layers(model, engines, {}):
+        layers = (assignment.first, assignment.last)
+        replica = assignment.replica
         placed.append(
             make_engine(replica.name, replica.data_centre, replica.accelerator, layers)
         )
--- a/tests/test_placement_machine.py
+++ b/tests/test_placement_machine.py
@@ -28,7 +28,7 @@
 class PlacementMachine(RuleBasedStateMachine):
     """Changes demand, versions, layer ranges, engines and the lease holder.
 
-    No order may take the last engine of a range, no engine may have two orders at
+    No order may remove the last engine of a range, no engine may have two orders at
     a time, and engines must stop moving once nothing changes.
     """
 
--- a/tests/test_resend_budget.py
+++ b/tests/test_resend_budget.py
@@ -50,6 +50,6 @@
         for start in range(31):
             end = start + WINDOW_S
             sent = sum(start <= at < end for at in requests)
-            again = sum(start <= at < end for at in repeats)
+            repeated = sum(start <= at < end for at in repeats)
             before = sum(start - WINDOW_S / 2 <= at < end - 5 for at in requests)
-            assert again <= RATIO * max(sent, before) + SLACK
+            assert repeated <= RATIO * max(sent, before) + SLACK
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -65,8 +65,8 @@
         assert engines_by_range(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
 
     def test_leaving_engines_do_not_count(self):
-        third = [engine("e3", 0, 4, leaving=True), engine("e4", 4, 8, leaving=True)]
-        targets = ModelShapes().derive(lists("draft"), [*HALVES, *third])
+        leaving = [engine("e3", 0, 4, leaving=True), engine("e4", 4, 8, leaving=True)]
+        targets = ModelShapes().derive(lists("draft"), [*HALVES, *leaving])
         assert engines_by_range(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
 
     def test_demand_shifts_engines_between_models(self):
--- a/tests/test_upstreams.py
+++ b/tests/test_upstreams.py
@@ -21,7 +21,7 @@
         assert upstreams.is_leaving("s1")
         assert upstreams.replicas("entries") == []
 
-    def test_an_upstreams_own_report_counts_before_the_list(self):
+    def test_an_upstreams_own_report_takes_precedence_over_the_list(self):
         upstreams = Upstreams()
         upstreams.replace([(replica(), False)])
         upstreams.mark_leaving("s1", "1")
