--- a/src/wagtailstair/cli/audit.py
+++ b/src/wagtailstair/cli/audit.py
@@ -1,4 +1,4 @@
-"""The command that reads the audit trail."""
+"""The command that prints the audit trail."""
 
 import click
 
@@ -15,16 +15,18 @@
 from .options import table_option
 from .output import print_json
 
-LAST = 100
+DEFAULT_CHANGE_COUNT = 100
 
 
-def _wanted_keys(accounts: tuple[str, ...], plans: tuple[str, ...]) -> set[RowKey]:
+def _selected_row_keys(
+    accounts: tuple[str, ...], plans: tuple[str, ...]
+) -> set[RowKey]:
     keys = {(ACCOUNTS, name) for name in accounts}
     keys.update((PLANS, name) for name in plans)
     return keys
 
 
-def _touches(change: Change, keys: set[RowKey]) -> bool:
+def _changes_any_row(change: Change, keys: set[RowKey]) -> bool:
     return not keys or any(row.row_key in keys for row in change.rows)
 
 
@@ -37,7 +39,7 @@
         "--since",
         type=click.IntRange(min=0),
         metavar="VERSION",
-        help=f"Changes after a version; by default the last {LAST}.",
+        help=f"Changes after a version; by default the last {DEFAULT_CHANGE_COUNT}.",
     )
     @click.option("--account", "accounts", multiple=True, metavar="NAME")
     @click.option("--plan", "plans", multiple=True, metavar="NAME")
@@ -48,14 +50,14 @@
         plans: tuple[str, ...],
         as_json: bool,
     ) -> None:
-        """Show the changes of the lists, oldest first."""
+        """Print the accepted changes of the lists, oldest first."""
         head = read_head(table)
         if since is None:
-            since = max(0, head.version - LAST)
-        keys = _wanted_keys(accounts, plans)
+            since = max(0, head.version - DEFAULT_CHANGE_COUNT)
+        keys = _selected_row_keys(accounts, plans)
         changes = []
         for change in read_changes(table, since + 1, head.version):
-            if _touches(change, keys):
+            if _changes_any_row(change, keys):
                 changes.append(change)
         if as_json:
             print_json({"changes": [change_value(change) for change in changes]})
--- a/src/wagtailstair/cli/describe.py
+++ b/src/wagtailstair/cli/describe.py
@@ -1,4 +1,4 @@
-"""Rows and changes in words."""
+"""Rows and changes of the lists, formatted for the terminal."""
 
 import typing as t
 
@@ -8,22 +8,22 @@
 from ..core.rows import Value
 
 ABSENT = "-"
-KEY_DIGITS = 12
+KEY_NAME_HEX_DIGITS = 12
 
 
 def key_name(digest: str) -> str:
-    """Return the short name of a key, from its digest in hex."""
-    return digest[:KEY_DIGITS]
+    """Return the name shown for a key: the start of its hex digest."""
+    return digest[:KEY_NAME_HEX_DIGITS]
 
 
-def _text(field: str, value: t.Any) -> str:
+def _format_field(field: str, value: t.Any) -> str:
     if field == "keys":
         names = [key_name(key["digest"]) for key in value]
         return ",".join(names) or ABSENT
     if field == "services":
         parts = []
-        for name, use in value.items():
-            parts.append(f"{name}:{'/'.join(use['repeatable'])}")
+        for name, service in value.items():
+            parts.append(f"{name}:{'/'.join(service['repeatable'])}")
         return " ".join(parts) or ABSENT
     if isinstance(value, list):
         return ",".join(value) or ABSENT
@@ -33,24 +33,28 @@
 
 
 def describe_value(value: Value) -> str:
-    """Return the fields of a row in one line."""
-    return " ".join(f"{field}={_text(field, value[field])}" for field in value)
+    """Return the fields of a row as one line of ``field=value`` pairs."""
+    return " ".join(f"{field}={_format_field(field, value[field])}" for field in value)
 
 
 def describe_change(change: RowChange) -> str:
-    """Return what a change does to a row, in one line."""
-    place = f"{change.table}/{change.key}"
+    """Return a row's change as one line.
+
+    The line starts with ``+`` for an added row, ``-`` for a deleted one and
+    ``~`` for a changed one.
+    """
+    row_path = f"{change.table}/{change.key}"
     if change.before is None:
-        return f"+ {place} {describe_value(change.value or {})}"
+        return f"+ {row_path} {describe_value(change.value or {})}"
     if change.value is None:
-        return f"- {place} {describe_value(change.before)}"
+        return f"- {row_path} {describe_value(change.before)}"
     parts = []
     for field, value in change.value.items():
         before = change.before.get(field)
         if value != before:
-            old = ABSENT if before is None else _text(field, before)
-            parts.append(f"{field}: {old} -> {_text(field, value)}")
-    return f"~ {place} {', '.join(parts)}"
+            old = ABSENT if before is None else _format_field(field, before)
+            parts.append(f"{field}: {old} -> {_format_field(field, value)}")
+    return f"~ {row_path} {', '.join(parts)}"
 
 
 PLAN_TITLES = (
@@ -68,7 +72,7 @@
 
 
 def plan_cells(plan: Plan, row_version: int) -> tuple[object, ...]:
-    """Return a plan as a line of the table for people."""
+    """Return the cells of a plan, in the order of ``PLAN_TITLES``."""
     priorities = ",".join(priority.name.lower() for priority in plan.priorities)
     return (
         plan.name,
@@ -84,6 +88,6 @@
 
 
 def account_cells(account: Account, row_version: int) -> tuple[object, ...]:
-    """Return an account as a line of the table for people."""
+    """Return the cells of an account, in the order of ``ACCOUNT_TITLES``."""
     names = [key_name(key.digest.hex()) for key in account.keys]
     return (account.name, account.plan, ",".join(names) or ABSENT, row_version)
--- a/src/wagtailstair/cli/explain.py
+++ b/src/wagtailstair/cli/explain.py
@@ -1,4 +1,4 @@
-"""The command that tells the story of a request from logs."""
+"""The command that reconstructs the course of a request from logs."""
 
 import pathlib
 import typing as t
@@ -15,7 +15,7 @@
 PROGRESS_LINES = 500_000
 
 
-def _lines(files: tuple[pathlib.Path, ...]) -> t.Iterator[str]:
+def _read_lines(files: tuple[pathlib.Path, ...]) -> t.Iterator[str]:
     count = 0
     names: tuple[str, ...] = tuple(str(file) for file in files) or ("-",)
     for name in names:
@@ -27,37 +27,39 @@
                 yield line
 
 
-def _describe(line: LogLine) -> str:
+def _format_line(line: LogLine) -> str:
     parts = [f"{key}={value}" for key, value in line.value_by_key.items()]
     return f"{line.time}  {line.host}  {line.event}  {' '.join(parts)}"
 
 
-def _print_notes(story: RequestTrace) -> None:
-    if story.unreadable:
-        print_note(f"{story.unreadable} lines were unreadable and left out")
-    if story.left_out:
-        print_note(f"the hosts left out {story.left_out} lines at their bound")
+def _print_notes(trace: RequestTrace) -> None:
+    if trace.unreadable:
+        print_note(f"{trace.unreadable} lines could not be parsed and were skipped")
+    if trace.left_out:
+        print_note(
+            f"the hosts dropped {trace.left_out} log lines over their log budget"
+        )
 
 
 def register(group: click.Group) -> None:
-    """Add the command to the tool."""
+    """Add the command to a group."""
 
     @command(group, "explain")
     @click.argument("request")
     @click.argument("files", nargs=-1, type=click.Path(path_type=pathlib.Path))
     def explain(request: str, files: tuple[pathlib.Path, ...], as_json: bool) -> None:
-        """Tell what became of a request, from logs or standard input."""
-        story = trace_request(_lines(files), request)
-        _print_notes(story)
-        if not story.lines:
-            raise click.ClickException(f"no line names the request {request}")
+        """Print the events and outcome of a request, from logs or standard input."""
+        trace = trace_request(_read_lines(files), request)
+        _print_notes(trace)
+        if not trace.lines:
+            raise click.ClickException(f"no log line names the request {request}")
         if as_json:
             lines = []
-            for line in story.lines:
+            for line in trace.lines:
                 entry = {"time": line.time, "host": line.host, "event": line.event}
                 lines.append(entry | line.value_by_key)
-            print_json({"outcome": story.outcome, "lines": lines})
+            print_json({"outcome": trace.outcome, "lines": lines})
             return
-        for line in story.lines:
-            click.echo(_describe(line))
-        click.echo(f"outcome: {story.outcome or 'none was logged'}")
+        for line in trace.lines:
+            click.echo(_format_line(line))
+        click.echo(f"outcome: {trace.outcome or 'none was logged'}")
--- a/src/wagtailstair/cli/fleet.py
+++ b/src/wagtailstair/cli/fleet.py
@@ -1,4 +1,4 @@
-"""Commands that look at hosts and daemons."""
+"""Commands that show the state of hosts and daemons."""
 
 import collections
 import concurrent.futures
@@ -25,7 +25,7 @@
 from .output import print_note
 from .output import print_table
 
-MAX_ASKED_AT_ONCE = 16
+MAX_CONCURRENT_STATUS_REQUESTS = 16
 STATUS_TIMEOUTS = Timeouts(total_s=5.0, connect_s=1.0)
 UNREACHABLE = "unreachable"
 
@@ -48,7 +48,7 @@
 
 
 class DaemonStatus(msgspec.Struct, frozen=True):
-    """What a daemon tells of itself at ``/status``."""
+    """The reply of a daemon at ``/status``."""
 
     host: str
     data_centre: str
@@ -60,39 +60,41 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Asked:
-    """A daemon's status, or why there is none."""
+class StatusResult:
+    """A daemon's status, or the error of the request for it."""
 
     entry: HostEntry
     status: DaemonStatus | None
     error: str = ""
 
 
-def _ask(entry: HostEntry) -> Asked:
+def _fetch_status(entry: HostEntry) -> StatusResult:
     url = f"http://{entry.address}/status"
     try:
         reply = request_json("GET", url, timeouts=STATUS_TIMEOUTS)
-        return Asked(entry, msgspec.convert(reply.body, DaemonStatus))
+        return StatusResult(entry, msgspec.convert(reply.body, DaemonStatus))
     except (PlatformError, msgspec.ValidationError) as error:
-        return Asked(entry, None, str(error))
+        return StatusResult(entry, None, str(error))
 
 
-def _ask_all(hosts_url: str) -> list[Asked]:
+def _fetch_all_statuses(hosts_url: str) -> list[StatusResult]:
     entries = []
     for entry in read_hosts(hosts_url, TIMEOUTS):
         if entry.kind == ENTRY:
             entries.append(entry)
     entries.sort(key=lambda entry: entry.name)
-    with concurrent.futures.ThreadPoolExecutor(MAX_ASKED_AT_ONCE) as pool:
-        return list(pool.map(_ask, entries))
+    with concurrent.futures.ThreadPoolExecutor(MAX_CONCURRENT_STATUS_REQUESTS) as pool:
+        return list(pool.map(_fetch_status, entries))
 
 
-def _print_or_fail(asked: list[Asked], print_all: t.Callable[[], None]) -> None:
+def _print_or_fail(
+    results: list[StatusResult], print_all: t.Callable[[], None]
+) -> None:
     print_all()
-    silent = [one for one in asked if one.status is None]
-    for one in silent:
-        print_note(f"no status from {one.entry.name}: {one.error}")
-    if silent:
+    failed = [result for result in results if result.status is None]
+    for result in failed:
+        print_note(f"no status from {result.entry.name}: {result.error}")
+    if failed:
         raise SystemExit(EXIT_FAILED)
 
 
@@ -100,7 +102,7 @@
     @command(group, "hosts")
     @hosts_option
     def hosts(hosts_url: str, as_json: bool) -> None:
-        """List the hosts that the platform knows."""
+        """List the hosts registered with the platform."""
         entries = sorted(
             read_hosts(hosts_url, TIMEOUTS), key=lambda entry: (entry.kind, entry.name)
         )
@@ -123,17 +125,17 @@
         print_table(titles, rows)
 
 
-def _merge_upstreams(asked: list[Asked]) -> list[dict[str, t.Any]]:
+def _merge_upstreams(results: list[StatusResult]) -> list[dict[str, t.Any]]:
     merged: dict[tuple[str, str, str], collections.Counter[str]] = {}
-    for one in asked:
-        if one.status is None:
+    for result in results:
+        if result.status is None:
             continue
-        for upstream in one.status.upstreams:
+        for upstream in result.status.upstreams:
             key = (upstream.kind, upstream.data_centre, upstream.name)
             merged.setdefault(key, collections.Counter())[upstream.state] += 1
-    result = []
+    upstreams = []
     for (kind, data_centre, name), count_by_state in sorted(merged.items()):
-        result.append(
+        upstreams.append(
             {
                 "name": name,
                 "kind": kind,
@@ -141,16 +143,16 @@
                 "states": dict(sorted(count_by_state.items())),
             }
         )
-    return result
+    return upstreams
 
 
 def _add_upstreams(group: click.Group) -> None:
     @command(group, "upstreams")
     @hosts_option
     def upstreams(hosts_url: str, as_json: bool) -> None:
-        """List the upstreams, and how many daemons see each in which state."""
-        asked = _ask_all(hosts_url)
-        merged = _merge_upstreams(asked)
+        """List the upstreams, with the number of daemons that see each state."""
+        results = _fetch_all_statuses(hosts_url)
+        merged = _merge_upstreams(results)
 
         def print_all() -> None:
             if as_json:
@@ -164,21 +166,23 @@
                 rows.append((*cells, text))
             print_table(("UPSTREAM", "KIND", "DATA CENTRE", "SEEN AS"), rows)
 
-        _print_or_fail(asked, print_all)
+        _print_or_fail(results, print_all)
 
 
 def _add_peers(group: click.Group) -> None:
     @command(group, "peers")
     @hosts_option
     def peers(hosts_url: str, as_json: bool) -> None:
-        """List how each daemon sees the others."""
-        asked = _ask_all(hosts_url)
+        """List the state of each peer as each daemon sees it."""
+        results = _fetch_all_statuses(hosts_url)
         rows = []
-        for one in asked:
-            if one.status is None:
+        for result in results:
+            if result.status is None:
                 continue
-            for peer in one.status.peers:
-                rows.append((one.entry.name, peer.host, peer.state, peer.lists_version))
+            for peer in result.status.peers:
+                rows.append(
+                    (result.entry.name, peer.host, peer.state, peer.lists_version)
+                )
 
         def print_all() -> None:
             if as_json:
@@ -188,18 +192,18 @@
                 return
             print_table(("HOST", "PEER", "STATE", "LISTS"), rows)
 
-        _print_or_fail(asked, print_all)
+        _print_or_fail(results, print_all)
 
 
-def _version_row(one: Asked, head: int) -> dict[str, t.Any]:
+def _version_row(result: StatusResult, head: int) -> dict[str, t.Any]:
     row: dict[str, t.Any] = {
-        "host": one.entry.name,
-        "data_centre": one.entry.data_centre,
-        "state": one.entry.state,
+        "host": result.entry.name,
+        "data_centre": result.entry.data_centre,
+        "state": result.entry.state,
     }
-    status = one.status
+    status = result.status
     if status is None:
-        return {**row, "error": one.error}
+        return {**row, "error": result.error}
     return {
         **row,
         "ready": status.ready,
@@ -214,10 +218,10 @@
     @hosts_option
     @table_option
     def versions(hosts_url: str, table: TableClient, as_json: bool) -> None:
-        """List the version of the lists in force on each daemon."""
+        """List the version of the lists that each daemon uses."""
         head = read_head(table).version
-        asked = _ask_all(hosts_url)
-        rows = [_version_row(one, head) for one in asked]
+        results = _fetch_all_statuses(hosts_url)
+        rows = [_version_row(result, head) for result in results]
 
         def print_all() -> None:
             if as_json:
@@ -232,7 +236,7 @@
             titles = ("HOST", "DATA CENTRE", "STATE", "READY", "LISTS")
             print_table((*titles, "BEHIND", "OPEN"), lines)
 
-        _print_or_fail(asked, print_all)
+        _print_or_fail(results, print_all)
 
 
 def register(group: click.Group) -> None:
--- a/src/wagtailstair/cli/keys.py
+++ b/src/wagtailstair/cli/keys.py
@@ -1,4 +1,4 @@
-"""Commands for the keys of accounts."""
+"""Commands that manage the keys of accounts."""
 
 import os
 
@@ -31,7 +31,7 @@
 
 @click.group("keys")
 def keys_group() -> None:
-    """Make, list and remove the keys of an account."""
+    """Create, list and remove the keys of an account."""
 
 
 def _read_account(table: TableClient, name: str) -> tuple[Lists, Account]:
@@ -58,7 +58,7 @@
 
 
 def _adds_key(result: EditResult, key: Key) -> bool:
-    # An earlier run with the same change id may have added another key.
+    # An earlier run with the same change id may have added a different key.
     if result.change is None:
         return False
     for row in result.change.rows:
@@ -79,19 +79,19 @@
     change_id: str | None,
     as_json: bool,
 ) -> None:
-    """Give an account one more key, and print it once."""
-    made = new_key(os.urandom)
-    bearer = f"{account}{SEPARATOR}{made.secret}"
+    """Create a key for an account and print it; it cannot be printed again."""
+    created = new_key(os.urandom)
+    bearer = f"{account}{SEPARATOR}{created.secret}"
 
     def make_rows() -> list[RowEdit]:
-        lists, found = _read_account(table, account)
-        if len(found.keys) >= MAX_KEYS:
+        lists, current = _read_account(table, account)
+        if len(current.keys) >= MAX_KEYS:
             raise ListsError(
                 f"has {MAX_KEYS} keys already; remove one first",
                 where=f"{ACCOUNTS}/{account}",
             )
-        added = {"salt": made.key.salt.hex(), "digest": made.key.digest.hex()}
-        return [_row_with_keys(lists, found, [*_key_values(found), added])]
+        added = {"salt": created.key.salt.hex(), "digest": created.key.digest.hex()}
+        return [_row_with_keys(lists, current, [*_key_values(current), added])]
 
     try:
         result = run_edit(table, author, change_id, ["new key", account], make_rows)
@@ -99,15 +99,15 @@
         print_note("if the change took effect, this is the key:")
         click.echo(bearer)
         raise
-    is_in_force = _adds_key(result, made.key)
-    if not is_in_force:
+    is_added = _adds_key(result, created.key)
+    if not is_added:
         print_note("the key was printed by the run that made it")
     if as_json:
         version = None if result.change is None else result.change.version
-        print_json({"version": version, "key": bearer if is_in_force else None})
+        print_json({"version": version, "key": bearer if is_added else None})
         return
     print_result(result, as_json)
-    if is_in_force:
+    if is_added:
         click.echo(bearer)
 
 
@@ -115,9 +115,9 @@
 @table_option
 @click.argument("account")
 def list_(table: TableClient, account: str, as_json: bool) -> None:
-    """List the keys of an account by the start of their digests."""
-    _, found = _read_account(table, account)
-    names = [key_name(key.digest.hex()) for key in found.keys]
+    """List the keys of an account, each by the start of its digest."""
+    _, current = _read_account(table, account)
+    names = [key_name(key.digest.hex()) for key in current.keys]
     if as_json:
         print_json({"account": account, "keys": names})
         return
@@ -137,15 +137,15 @@
     change_id: str | None,
     as_json: bool,
 ) -> None:
-    """Remove a key, named as `keys list` names it."""
+    """Remove a key, given as printed by `keys list`."""
 
     def make_rows() -> list[RowEdit]:
-        lists, found = _read_account(table, account)
-        values = _key_values(found)
+        lists, current = _read_account(table, account)
+        values = _key_values(current)
         kept = [value for value in values if key_name(value["digest"]) != key]
         if len(kept) == len(values):
             raise ListsError("there is no such key", where=f"{ACCOUNTS}/{account}")
-        return [_row_with_keys(lists, found, kept)]
+        return [_row_with_keys(lists, current, kept)]
 
     content = ["remove key", account, key]
     result = run_edit(table, author, change_id, content, make_rows)
--- a/src/wagtailstair/cli/lists.py
+++ b/src/wagtailstair/cli/lists.py
@@ -1,4 +1,4 @@
-"""Commands that read and edit whole lists."""
+"""Commands that read, check and edit both lists as a whole."""
 
 import pathlib
 import typing as t
@@ -39,7 +39,7 @@
 
 @click.group("lists")
 def lists_group() -> None:
-    """Show, check, compare and edit the two lists."""
+    """Show, check, compare and edit the lists of plans and accounts."""
 
 
 def _read_file(path: pathlib.Path) -> Lists:
@@ -48,11 +48,11 @@
     except (OSError, UnicodeDecodeError) as error:
         raise ListsError(f"can't be read: {error}", where=str(path)) from error
     except ListsError as error:
-        place = str(path) if error.where is None else f"{path}: {error.where}"
-        raise ListsError(error.message, where=place) from error
+        location = str(path) if error.where is None else f"{path}: {error.where}"
+        raise ListsError(error.message, where=location) from error
 
 
-def _content(lists: Lists) -> dict[str, dict[str, t.Any]]:
+def _lists_value(lists: Lists) -> dict[str, dict[str, t.Any]]:
     plans = lists.plan_by_name.values()
     accounts = lists.account_by_name.values()
     return {
@@ -79,7 +79,7 @@
 @table_option
 @click.option("--toml", "as_toml", is_flag=True, help="Print a file for `apply`.")
 def show(table: TableClient, as_toml: bool, as_json: bool) -> None:
-    """Show both lists as they are in the table."""
+    """Print both lists as stored in the table."""
     lists = read_snapshot(table)
     if as_toml:
         click.echo(lists_to_toml(lists), nl=False)
@@ -91,7 +91,7 @@
             {
                 "version": lists.version,
                 "row_versions": row_versions,
-                **_content(lists),
+                **_lists_value(lists),
             }
         )
     else:
@@ -101,7 +101,7 @@
 @command(lists_group, "check")
 @click.argument("file", type=FILE)
 def check(file: pathlib.Path, as_json: bool) -> None:
-    """Check a file, without looking at the table."""
+    """Check a file without reading the table."""
     lists = _read_file(file)
     plans, accounts = len(lists.plan_by_name), len(lists.account_by_name)
     if as_json:
@@ -110,7 +110,7 @@
     click.echo(f"{file}: valid, {plans} plans, {accounts} accounts")
 
 
-def _find_base(wanted: Lists, current: Lists, base: int | None) -> int:
+def _base_version(wanted: Lists, current: Lists, base: int | None) -> int:
     if base is None:
         base = wanted.version
     if base == 0 and current.version > 0:
@@ -126,7 +126,7 @@
     return base
 
 
-def _changes_to(
+def _rows_to_change(
     table: TableClient,
     current: Lists,
     wanted: Lists,
@@ -135,9 +135,9 @@
 ) -> list[RowChange]:
     if overwrite:
         return diff_lists(current, wanted)
-    base = _find_base(wanted, current, base)
-    later = read_changes(table, base + 1, current.version)
-    return rebase_lists(wanted, current, later)
+    base = _base_version(wanted, current, base)
+    later_changes = read_changes(table, base + 1, current.version)
+    return rebase_lists(wanted, current, later_changes)
 
 
 _base_option = click.option(
@@ -163,10 +163,10 @@
     overwrite: bool,
     as_json: bool,
 ) -> None:
-    """Show what `apply` would change."""
+    """Print the changes that `apply` would make."""
     wanted = _read_file(file)
     current = read_snapshot(table)
-    changes = _changes_to(table, current, wanted, base, overwrite)
+    changes = _rows_to_change(table, current, wanted, base, overwrite)
     if as_json:
         rows = []
         for change in changes:
@@ -199,20 +199,21 @@
     change_id: str | None,
     as_json: bool,
 ) -> None:
-    """Make the lists like a file, by editing the rows that differ."""
+    """Edit the rows in which the lists differ from a file."""
     wanted = _read_file(file)
 
     def make_rows() -> list[RowEdit]:
         current = read_snapshot(table)
         rows = []
-        for change in _changes_to(table, current, wanted, base, overwrite):
+        for change in _rows_to_change(table, current, wanted, base, overwrite):
             version = seen_version(current, change.row_key)
             rows.append(RowEdit(change.table, change.key, change.value, version))
-        # In parts, each has to leave the lists valid.
+        # A large edit is committed in parts, and the lists must be valid after each:
+        # a plan is deleted only after the accounts that use it were changed.
         rows.sort(key=lambda row: row.table == PLANS and row.value is None)
         return rows
 
-    content = ["apply", _content(wanted)]
+    content = ["apply", _lists_value(wanted)]
     result = run_edit(table, author, change_id, content, make_rows)
     print_result(result, as_json)
     if result.change is not None and not as_json:
--- a/src/wagtailstair/cli/main.py
+++ b/src/wagtailstair/cli/main.py
@@ -1,4 +1,4 @@
-"""The top of the command-line tool."""
+"""The top-level group of the command-line tool."""
 
 import click
 
@@ -16,10 +16,10 @@
 @click.group()
 @click.version_option(__version__)
 def main() -> None:
-    """Keep the lists of wagtailstair and look at its daemons.
+    """Manage the lists of wagtailstair and inspect its daemons.
 
-    Exit codes: 0 done; 1 failed or refused; 2 wrong use; 3 conflict with
-    another edit; 4 the outcome is not known, run it again with the same change
+    Exit codes: 0 success; 1 failed or refused; 2 usage error; 3 conflict with
+    another edit; 4 outcome unknown, run the command again with the same change
     id; 5 the platform is unavailable, nothing took effect.
     """
 
--- a/src/wagtailstair/cli/options.py
+++ b/src/wagtailstair/cli/options.py
@@ -1,4 +1,4 @@
-"""The options that commands share, and the errors' exit codes."""
+"""Options shared by the commands, and the exit codes of errors."""
 
 import functools
 import getpass
@@ -26,7 +26,7 @@
 READ_ATTEMPTS = 3
 TIMEOUTS = Timeouts(total_s=10.0, connect_s=2.0)
 
-# The first that an error is an instance of.
+# The first class that matches an error applies.
 _EXIT_CODES: tuple[tuple[type[WagtailstairError], int], ...] = (
     (EditConflictError, EXIT_CONFLICT),
     (PlatformConflictError, EXIT_CONFLICT),
@@ -40,13 +40,13 @@
 
 def exit_code_of(error: WagtailstairError) -> int:
     """Return the exit code for an error."""
-    for kind, code in _EXIT_CODES:
-        if isinstance(error, kind):
+    for error_class, code in _EXIT_CODES:
+        if isinstance(error, error_class):
             return code
     return EXIT_FAILED
 
 
-def _report(error: WagtailstairError, as_json: bool) -> None:
+def _print_error(error: WagtailstairError, as_json: bool) -> None:
     if not as_json:
         print_note(f"error: {error} [{error.code}]")
         return
@@ -57,7 +57,7 @@
 def command(
     group: click.Group, name: str
 ) -> t.Callable[[t.Callable[_P, None]], click.Command]:
-    """Make a command with ``--json`` that ends with the right exit code."""
+    """Register a command with ``--json``, which exits with the code of its error."""
 
     def decorate(function: t.Callable[_P, None]) -> click.Command:
         @functools.wraps(function)
@@ -65,7 +65,7 @@
             try:
                 function(*args, **kwargs)
             except WagtailstairError as error:
-                _report(error, bool(kwargs.get("as_json")))
+                _print_error(error, bool(kwargs.get("as_json")))
                 raise SystemExit(exit_code_of(error)) from error
 
         as_json = click.option(
@@ -83,7 +83,7 @@
 
 
 def table_option(function: _FunctionT) -> _FunctionT:
-    """Add ``--table``, given to the command as a client."""
+    """Add ``--table``; the command receives a table client."""
     return click.option(
         "--table",
         envvar=TABLE_VARIABLE,
@@ -96,7 +96,7 @@
 
 
 def hosts_option(function: _FunctionT) -> _FunctionT:
-    """Add ``--hosts``."""
+    """Add ``--hosts``; the command receives the URL."""
     return click.option(
         "--hosts",
         "hosts_url",
--- a/src/wagtailstair/cli/rows.py
+++ b/src/wagtailstair/cli/rows.py
@@ -1,4 +1,4 @@
-"""Commands that edit one row of the lists."""
+"""Commands that edit a single row of the lists."""
 
 import typing as t
 
@@ -31,7 +31,7 @@
 )
 
 
-def _split(
+def _split_names(
     _context: click.Context, _parameter: click.Parameter, text: str | None
 ) -> list[str] | None:
     if text is None:
@@ -50,13 +50,13 @@
     return services
 
 
-def _changed_row(
+def _edit_if_changed(
     lists: Lists, key: RowKey, row_version: int | None, value: Value | None
 ) -> list[RowEdit]:
-    seen = seen_version(lists, key)
+    current_version = seen_version(lists, key)
     if row_version is None:
-        row_version = seen
-    if row_version == seen and lists.value_of(key) == value:
+        row_version = current_version
+    if row_version == current_version and lists.value_of(key) == value:
         return []
     return [RowEdit(*key, value, row_version)]
 
@@ -79,12 +79,12 @@
 @command(lists_group, "set-plan")
 @table_option
 @click.argument("name")
-@click.option("--priorities", callback=_split, help="As urgent,standard,batch.")
+@click.option("--priorities", callback=_split_names, help="As urgent,standard,batch.")
 @click.option("--weight", type=float, help="Share among accounts of a priority.")
 @click.option("--work-per-s", type=float, help="Rate limit in work a second.")
 @click.option("--burst-s", type=float, help="Seconds of burst.")
 @click.option("--max-concurrent", type=int, help="Open requests of an account.")
-@click.option("--models", callback=_split, help="Names, with commas between.")
+@click.option("--models", callback=_split_names, help="Names, with commas between.")
 @click.option(
     "--service",
     "services",
@@ -107,13 +107,13 @@
     as_json: bool,
     **fields: t.Any,
 ) -> None:
-    """Add a plan, or change the fields that are given."""
+    """Add a plan, or change the given fields of an existing one."""
     key = (PLANS, name)
 
     def make_rows() -> list[RowEdit]:
         lists = read_rows(table, [key])
         value = _merge_plan(lists.value_of(key), fields, services, removed)
-        return _changed_row(lists, key, row_version, value)
+        return _edit_if_changed(lists, key, row_version, value)
 
     content = ["set-plan", name, fields, services, list(removed)]
     result = run_edit(table, author, change_id, content, make_rows)
@@ -141,7 +141,7 @@
     def make_rows() -> list[RowEdit]:
         lists = read_rows(table, [key])
         old = lists.value_of(key) or {"keys": []}
-        return _changed_row(lists, key, row_version, {**old, "plan": plan})
+        return _edit_if_changed(lists, key, row_version, {**old, "plan": plan})
 
     content = ["set-account", name, plan]
     result = run_edit(table, author, change_id, content, make_rows)
@@ -163,14 +163,14 @@
     change_id: str | None,
     as_json: bool,
 ) -> None:
-    """Delete a plan that no account holds, or an account."""
+    """Delete an account, or a plan that no account uses."""
     key = (_TABLE_BY_KIND[kind], name)
 
     def make_rows() -> list[RowEdit]:
         lists = read_rows(table, [key])
         if lists.value_of(key) is None and row_version is None:
             raise ListsError(f"there is no such {kind}", where="/".join(key))
-        return _changed_row(lists, key, row_version, None)
+        return _edit_if_changed(lists, key, row_version, None)
 
     result = run_edit(table, author, change_id, ["delete", *key], make_rows)
     print_result(result, as_json)
--- a/src/wagtailstair/cli/settings.py
+++ b/src/wagtailstair/cli/settings.py
@@ -1,4 +1,4 @@
-"""The command that checks a settings file."""
+"""The command that validates the settings file of a daemon."""
 
 import pathlib
 
@@ -14,8 +14,8 @@
     """Check the settings of a daemon."""
 
 
-def tell_valid(file: pathlib.Path, host: str, as_json: bool) -> None:
-    """Print that a settings file is valid, and for which host."""
+def print_valid(file: pathlib.Path, host: str, as_json: bool) -> None:
+    """Print that a settings file is valid and the host it is for."""
     if as_json:
         print_json({"host": host, "valid": True})
         return
@@ -25,5 +25,5 @@
 @command(settings_group, "check")
 @click.argument("file", type=click.Path(path_type=pathlib.Path))
 def check(file: pathlib.Path, as_json: bool) -> None:
-    """Check a settings file, as the daemon does at its start."""
-    tell_valid(file, load_settings(file).host.name, as_json)
+    """Validate a settings file, as the daemon does when it starts."""
+    print_valid(file, load_settings(file).host.name, as_json)
