Wording: tests of the command-line tool and of fleets

tests/fleet.py, fuzz.py, conftest.py, test_cli*.py and test_fleet_*.py: test names and doc comments state what is checked. Same assertions and values. The error of wait_until is reworded, with the same values.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,7 +3,7 @@
 import hypothesis
 import pytest
 
-# CI reaches the same verdict each time; `make fuzz` loads a profile of its own.
+# Derandomized, so that CI gives the same result in each run.
 hypothesis.settings.register_profile(
     "ci", derandomize=True, deadline=None, database=None, print_blob=True
 )
@@ -14,6 +14,7 @@
 
 
 def known_red() -> set[str]:
+    """Return the ids of the tests that ``KNOWN-RED.txt`` lists."""
     if not KNOWN_RED.exists():
         return set()
     lines = KNOWN_RED.read_text(encoding="utf-8").splitlines()
@@ -28,7 +29,7 @@
     listed = known_red()
     for item in items:
         if item.nodeid in listed:
-            # Run all the same, so that the summary tells when it is mended.
+            # Not skipped: the summary shows XPASS once the fault is fixed.
             item.add_marker(pytest.mark.xfail(reason="KNOWN-RED.txt", strict=False))
 
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -1,4 +1,4 @@
-"""A small fleet of real processes on loopback: stand-ins and daemons."""
+"""A fleet of stand-in and daemon processes on loopback, for end-to-end tests."""
 
 import contextlib
 import dataclasses
@@ -27,7 +27,7 @@
 LAYERS = 8
 MODEL = "draft"
 POLL_S = 0.05
-PATIENCE_S = 20.0
+WAIT_TIMEOUT_S = 20.0
 
 SECRET_BY_ACCOUNT = {"maker": "maker-secret", "judge": "judge-secret"}
 
@@ -43,6 +43,7 @@
 
 
 def account_row(name: str, plan: str = "full") -> dict[str, t.Any]:
+    """Return the stored row of an account, with its key."""
     salt = name.encode().ljust(16, b"-")
     secret = SECRET_BY_ACCOUNT[name].encode()
     digest = hashlib.blake2b(secret, salt=salt, digest_size=32).hexdigest()
@@ -50,11 +51,12 @@
 
 
 def bearer(account: str) -> str:
+    """Return the bearer token of an account."""
     return f"{account}.{SECRET_BY_ACCOUNT[account]}"
 
 
 def free_ports(count: int, kind: int = socket.SOCK_STREAM) -> list[int]:
-    """Return ports that nothing uses, held all at once while they are chosen."""
+    """Return distinct free ports; all are bound at once, so that none repeats."""
     with contextlib.ExitStack() as stack:
         sockets = [
             stack.enter_context(socket.socket(socket.AF_INET, kind))
@@ -65,25 +67,30 @@
         return [sock.getsockname()[1] for sock in sockets]
 
 
-def wait_until(condition: t.Callable[[], t.Any], what: str = "the condition") -> t.Any:
-    """Poll until something is true, and return it."""
-    ends_at = time.monotonic() + PATIENCE_S
+def wait_until(
+    condition: t.Callable[[], t.Any], description: str = "the condition"
+) -> t.Any:
+    """Poll until a condition returns a true value, and return the value."""
+    ends_at = time.monotonic() + WAIT_TIMEOUT_S
     while time.monotonic() < ends_at:
         value = condition()
         if value:
             return value
         time.sleep(POLL_S)
-    raise AssertionError(f"{what} did not come true in {PATIENCE_S:g} s")
+    raise AssertionError(f"{description}: not met within {WAIT_TIMEOUT_S:g} s")
 
 
 @dataclasses.dataclass(slots=True)
 class Answer:
-    """What a caller received; ``cut``: the connection broke before the end."""
+    """The HTTP response as the caller received it.
+
+    ``is_truncated``: the connection broke before the end of the body.
+    """
 
     status: int
     headers: dict[str, str]
     body: bytes
-    cut: bool = False
+    is_truncated: bool = False
 
     @property
     def json(self) -> t.Any:
@@ -100,13 +107,13 @@
         return [d.decode() if d == b"[DONE]" else json.loads(d) for d in datas]
 
     def text(self) -> str:
-        """Return the text of a whole stream of a completion.
+        """Return the text of a complete completion stream.
 
-        :raises AssertionError: if it has been cut or ended by an error.
+        :raises AssertionError: if the stream was truncated or ended with an error.
         """
         events = self.events()
         assert self.status == 200, (self.status, self.body)
-        assert not self.cut
+        assert not self.is_truncated
         assert events, "no events"
         assert events[-1] == "[DONE]", events[-1]
         choices = [c for event in events[:-1] for c in event["choices"]]
@@ -114,7 +121,7 @@
 
 
 def long_prompt(length: int, seed: str = "") -> str:
-    """Return a prompt whose right answer has at least so many tokens."""
+    """Return a prompt whose expected answer reaches ``length`` tokens."""
     for number in range(10_000):
         prompt = f"lantern {seed} {number}"
         if len(tokens.answer(prompt, length, LAYERS)) == length:
@@ -124,12 +131,12 @@
 
 @contextlib.contextmanager
 def in_background(call: t.Callable[[], Answer]) -> t.Iterator[Future[Answer]]:
-    """Run a call beside the test; its result is a future."""
+    """Run a call in a thread while the test goes on; yield its future."""
     with ThreadPoolExecutor(1) as pool:
         yield pool.submit(call)
 
 
-def ask(
+def request(
     address: str,
     method: str,
     path: str,
@@ -137,34 +144,34 @@
     headers: t.Mapping[str, str] | None = None,
     timeout: float = 60.0,
 ) -> Answer:
-    """Send one request on a connection of its own, and read all of the answer."""
+    """Send a request on a new connection, and read the response to its end."""
     connection = http.client.HTTPConnection(address, timeout=timeout)
     with contextlib.closing(connection):
         payload = None if body is None else json.dumps(body)
         connection.request(method, path, payload, dict(headers or {}))
         response = connection.getresponse()
-        # Header names as the server wrote them differ only in case.
+        # Servers may write header names in different cases.
         received = {name.lower(): value for name, value in response.getheaders()}
         try:
-            raw, cut = response.read(), False
+            raw, is_truncated = response.read(), False
         except http.client.IncompleteRead as error:
-            raw, cut = error.partial, True
+            raw, is_truncated = error.partial, True
         except ConnectionError:
-            raw, cut = b"", True
-        return Answer(response.status, received, raw, cut)
+            raw, is_truncated = b"", True
+        return Answer(response.status, received, raw, is_truncated)
 
 
 class Forwarder:
-    """Forwards TCP connections to one address until it is cut.
+    """A TCP proxy to one address, which can simulate a network partition.
 
-    ``cut``: ``""``, ``both`` (no connections) or ``replies`` (what goes out
-    arrives, what comes back is lost).
+    ``partition`` is ``""`` (forward all data), ``both`` (close all connections
+    and accept no new ones) or ``replies`` (forward requests, discard replies).
     """
 
     def __init__(self, target: str) -> None:
         host, _, port = target.partition(":")
         self._target = (host, int(port))
-        self.cut = ""
+        self.partition = ""
         self._closed = False
         self._peer_by_socket: dict[socket.socket, socket.socket] = {}
         self._clients: set[socket.socket] = set()
@@ -188,14 +195,14 @@
                 if key.fileobj is self._listener:
                     self._accept()
                 else:
-                    self._pass_on(t.cast(socket.socket, key.fileobj))
-            if self.cut == "both":
+                    self._forward_data(t.cast(socket.socket, key.fileobj))
+            if self.partition == "both":
                 for sock in list(self._peer_by_socket):
-                    self._drop(sock)
+                    self._close_pair(sock)
 
     def _accept(self) -> None:
         client, _ = self._listener.accept()
-        if self.cut == "both":
+        if self.partition == "both":
             client.close()
             return
         try:
@@ -204,35 +211,35 @@
             client.close()
             return
         self._clients.add(client)
-        for one, other in ((client, server), (server, client)):
-            self._peer_by_socket[one] = other
-            self._selector.register(one, selectors.EVENT_READ)
+        for sock, peer in ((client, server), (server, client)):
+            self._peer_by_socket[sock] = peer
+            self._selector.register(sock, selectors.EVENT_READ)
 
-    def _pass_on(self, sock: socket.socket) -> None:
+    def _forward_data(self, sock: socket.socket) -> None:
         peer = self._peer_by_socket.get(sock)
         if peer is None:
             return
         try:
             data = sock.recv(1 << 16)
-            if data and not (self.cut == "replies" and sock not in self._clients):
+            if data and not (self.partition == "replies" and sock not in self._clients):
                 peer.sendall(data)
         except OSError:
             data = b""
         if not data:
-            self._drop(sock)
+            self._close_pair(sock)
 
-    def _drop(self, sock: socket.socket) -> None:
+    def _close_pair(self, sock: socket.socket) -> None:
         peer = self._peer_by_socket.get(sock)
-        for one in (sock, peer):
-            if one is None or self._peer_by_socket.pop(one, None) is None:
+        for end in (sock, peer):
+            if end is None or self._peer_by_socket.pop(end, None) is None:
                 continue
-            self._clients.discard(one)
-            self._selector.unregister(one)
-            one.close()
+            self._clients.discard(end)
+            self._selector.unregister(end)
+            end.close()
 
 
 class DaemonProcess:
-    """One daemon with its settings, its log and its process."""
+    """A daemon process with its settings file and its log file."""
 
     def __init__(
         self, name: str, directory: pathlib.Path, settings: dict[str, t.Any]
@@ -266,22 +273,23 @@
     def is_ready(self) -> bool:
         assert self.process.poll() is None, self.log_file.read_text()[-4000:]
         with contextlib.suppress(OSError, http.client.HTTPException):
-            return ask(self.address, "GET", "/readyz", timeout=2).status == 200
+            return request(self.address, "GET", "/readyz", timeout=2).status == 200
         return False
 
     def wait_ready(self) -> None:
         wait_until(self.is_ready, f"{self.name} ready")
 
     def status(self) -> t.Any:
-        return ask(self.address, "GET", "/status", timeout=5).json
+        return request(self.address, "GET", "/status", timeout=5).json
 
     def lists_version(self) -> int:
+        """Return the version of the lists in use, -1 if the daemon does not respond."""
         with contextlib.suppress(OSError, http.client.HTTPException):
             return self.status()["lists_version"]
         return -1
 
     def terminate(self) -> None:
-        """Ask for a graceful shutdown."""
+        """Send SIGTERM, which starts a graceful shutdown."""
         self.process.send_signal(signal.SIGTERM)
 
     def kill(self) -> None:
@@ -289,6 +297,7 @@
         self.process.wait(10)
 
     def freeze(self) -> None:
+        """Pause the process with SIGSTOP until ``thaw``."""
         self.process.send_signal(signal.SIGSTOP)
 
     def thaw(self) -> None:
@@ -298,18 +307,18 @@
         return self.process.wait(timeout)
 
     def stop(self) -> None:
-        """End the process in whatever state it is."""
+        """Kill the process if it still runs, also if it is frozen."""
         if self._process is not None and self._process.poll() is None:
             self.thaw()
             self.kill()
 
     def complete(self, prompt: str, max_tokens: int = 20, **options: t.Any) -> Answer:
-        """Ask for a streamed completion."""
+        """Request a streamed completion."""
         headers = {"Authorization": f"Bearer {bearer('maker')}"}
         headers.update(options.pop("headers", {}))
         body = {"model": MODEL, "prompt": prompt, "max_tokens": max_tokens}
         body.update({"stream": True, **options})
-        return ask(self.address, "POST", "/v1/completions", body, headers)
+        return request(self.address, "POST", "/v1/completions", body, headers)
 
     def call(
         self,
@@ -320,7 +329,7 @@
         account: str = "maker",
         timeout_s: float = 20.0,
     ) -> Answer:
-        """Call the plain service."""
+        """Call the ``entries`` service, with an idempotency key if there is one."""
         headers = {
             "Authorization": f"Bearer {bearer(account)}",
             "X-Timeout": f"{timeout_s:g}",
@@ -328,16 +337,17 @@
         if key is not None:
             headers["Idempotency-Key"] = key
         path = "/v1/services/entries/register?year=1"
-        return ask(self.address, method, path, body, headers, timeout_s + 10)
+        return request(self.address, method, path, body, headers, timeout_s + 10)
 
 
 class Fleet:
-    """Stand-ins and daemons of some data centres, started and stopped together.
+    """The stand-ins and daemons of several data centres, as a context manager.
 
-    :param engines: options of engines; by default each data centre has two
+    :param engines: options of the engines; by default each data centre has two
         pipelines of two stages.
-    :param cuttable: data centres whose way to the platform can be cut.
-    :param settings: sections of settings, laid over the defaults.
+    :param partitionable: data centres that ``partition`` can separate from the
+        platform.
+    :param settings: settings by section, which override the defaults.
     """
 
     def __init__(
@@ -348,7 +358,7 @@
         daemons_each: int = 1,
         engines: list[dict[str, t.Any]] | None = None,
         services: int = 1,
-        cuttable: t.Sequence[str] = (),
+        partitionable: t.Sequence[str] = (),
         settings: dict[str, dict[str, t.Any]] | None = None,
     ) -> None:
         self._directory = directory
@@ -367,7 +377,7 @@
         }
         self.standins = self._stack.enter_context(StandinProcess(config))
         self.forwarders: dict[str, list[Forwarder]] = {}
-        for data_centre in cuttable:
+        for data_centre in partitionable:
             self.forwarders[data_centre] = [
                 self._forward(self.standins.addresses[name])
                 for name in ("table", "hosts", "objects")
@@ -386,8 +396,8 @@
             seeds = [
                 f"{LOOPBACK}:{other}" for other in peer_ports if other != peer_port
             ]
-            made = self._settings(name, data_centre, port, peer_port, seeds)
-            self.daemons[name] = DaemonProcess(name, directory, made)
+            daemon_settings = self._settings(name, data_centre, port, peer_port, seeds)
+            self.daemons[name] = DaemonProcess(name, directory, daemon_settings)
 
     def __enter__(self) -> "Fleet":
         try:
@@ -398,7 +408,7 @@
                 self._stack.callback(daemon.stop)
             for daemon in self.daemons.values():
                 daemon.wait_ready()
-            wait_until(self._serves, "every daemon serves")
+            wait_until(self._all_daemons_serve, "every daemon serves")
         except BaseException:
             self._stack.close()
             raise
@@ -411,6 +421,7 @@
         return self.daemons[name]
 
     def list_host(self, daemon: DaemonProcess, state: str = "live") -> None:
+        """Add a daemon to the platform's host list, or replace its entry."""
         entry = {
             "name": daemon.name,
             "kind": "entry",
@@ -424,7 +435,7 @@
     def write_lists(
         self, plans: dict[str, t.Any], accounts: t.Sequence[str] = ()
     ) -> int:
-        """Write rows in one transaction, as an operator's edit; return its version."""
+        """Commit an edit of the lists in one transaction; return its version."""
         rows = [("plans", name, value) for name, value in plans.items()]
         rows += [("accounts", name, account_row(name)) for name in accounts]
         head = self.read("lists", "head")
@@ -456,30 +467,36 @@
             ],
             "writes": [{"table": a, "key": b, "value": c} for a, b, c in writes],
         }
-        answer = ask(self.address_of("table"), "POST", "/v1/transact", body)
+        answer = request(self.address_of("table"), "POST", "/v1/transact", body)
         assert answer.status == 200, answer.body
         return version
 
     def read(self, table: str, key: str) -> dict[str, t.Any]:
+        """Return a row of the table service."""
         body = {"keys": [[table, key]]}
-        return ask(self.address_of("table"), "POST", "/v1/read", body).json["rows"][0]
+        return request(self.address_of("table"), "POST", "/v1/read", body).json["rows"][
+            0
+        ]
 
     def address_of(self, standin: str) -> str:
         return self.standins.addresses[standin]
 
-    def cut(self, data_centre: str, way: str = "both") -> None:
-        """Cut a data centre from the platform, or mend it with ``""``."""
+    def partition(self, data_centre: str, direction: str = "both") -> None:
+        """Separate a data centre from the platform; ``""`` reconnects it.
+
+        :param direction: a value of ``Forwarder.partition``.
+        """
         for forwarder in self.forwarders[data_centre]:
-            forwarder.cut = way
+            forwarder.partition = direction
 
     def runs(self, key: str) -> list[dict[str, t.Any]]:
-        """Return the runs of an idempotency key over all replicas."""
+        """Return the runs of an idempotency key on all service replicas."""
         names = [name for name in self.standins.addresses if name.startswith("desk")]
         runs = [run for name in names for run in self.standins.records(name)["runs"]]
         return [run for run in runs if run["idempotency_key"] == key]
 
     def attempts(self) -> list[dict[str, t.Any]]:
-        """Return the attempts over all engines."""
+        """Return the attempts on all engines, each with the engine's name."""
         names = [name for name in self.standins.addresses if name.startswith("engine")]
         return [
             {**attempt, "engine": name}
@@ -488,12 +505,12 @@
         ]
 
     def assert_layers_ran_once(self) -> None:
-        """Check every token that any engine made."""
+        """Check that each token on every engine passed each layer once, in order."""
         attempts = self.attempts()
         assert attempts
         assert [a for a in attempts if a["violations"]] == []
 
-    def _serves(self) -> bool:
+    def _all_daemons_serve(self) -> bool:
         return all(
             daemon.complete("warm up", 1).status == 200
             for daemon in self.daemons.values()
@@ -507,11 +524,13 @@
     def _settings(
         self, name: str, data_centre: str, port: int, peer_port: int, seeds: list[str]
     ) -> dict[str, t.Any]:
-        addresses = [self.address_of(one) for one in ("table", "hosts", "objects")]
+        addresses = [self.address_of(name) for name in ("table", "hosts", "objects")]
         if data_centre in self.forwarders:
-            addresses = [one.address for one in self.forwarders[data_centre]]
+            addresses = [
+                forwarder.address for forwarder in self.forwarders[data_centre]
+            ]
         table, hosts, objects = (f"http://{address}" for address in addresses)
-        made: dict[str, dict[str, t.Any]] = {
+        settings: dict[str, dict[str, t.Any]] = {
             "host": {
                 "name": name,
                 "data_centre": data_centre,
@@ -529,12 +548,12 @@
             "shutdown": {"balancer_lag_s": 0.5, "drain_s": 60.0},
         }
         for section, values in self._overrides.items():
-            made[section] = {**made.get(section, {}), **values}
-        return made
+            settings[section] = {**settings.get(section, {}), **values}
+        return settings
 
 
 def default_engines(data_centres: t.Sequence[str]) -> list[dict[str, t.Any]]:
-    """Two pipelines of two stages in each data centre."""
+    """Return the options of two pipelines of two stages in each data centre."""
     engines = []
     for data_centre in data_centres:
         for index in range(4):
--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -1,4 +1,4 @@
-"""Length and seed of the state machines: fixed in CI, chosen by ``make fuzz``."""
+"""Length and seed of the stateful tests: fixed in CI, set by ``make fuzz``."""
 
 import os
 
@@ -9,7 +9,7 @@
 
 
 def settings(examples, steps):
-    """Return the settings of a machine; ``FUZZ_LENGTH`` replaces ``examples``."""
+    """Return the settings of a state machine; ``FUZZ_LENGTH`` replaces ``examples``."""
     return hypothesis.settings(
         max_examples=EXAMPLES or examples,
         stateful_step_count=steps,
@@ -21,7 +21,7 @@
 
 
 def seeded(machine):
-    """Return a machine's test case, under ``FUZZ_SEED`` if there is one."""
+    """Return the test case of a state machine, seeded with ``FUZZ_SEED`` if set."""
     if SEED:
         machine = hypothesis.seed(int(SEED))(machine)
     return machine.TestCase
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -1,3 +1,5 @@
+"""The commands, run in this process against a table in memory."""
+
 import json
 
 import pytest
@@ -24,7 +26,7 @@
 
 
 class Shell:
-    """Runs commands against a table that a test can look into."""
+    """Runs commands against a table whose content the test can read."""
 
     def __init__(self, table, url, path):
         self.table = table
@@ -63,7 +65,7 @@
 
 
 class TestShow:
-    def test_tables_for_people(self, filled):
+    def test_text_tables(self, filled):
         output = filled("lists", "show").stdout
         assert output.startswith("version 1\n")
         assert "maker  urgent" in output
@@ -75,7 +77,7 @@
         assert shown["accounts"]["shop"] == {"plan": "maker", "keys": []}
         assert shown["row_versions"] == {"accounts/shop": 1, "plans/maker": 1}
 
-    def test_toml_is_applied_without_difference(self, filled):
+    def test_applying_the_printed_toml_changes_nothing(self, filled):
         text = filled("lists", "show", "--toml").stdout
         result = filled("lists", "apply", filled.file(text))
         assert "no difference" in result.stderr
@@ -86,7 +88,7 @@
     def test_valid(self, shell):
         assert "1 plans, 1 accounts" in shell("lists", "check", shell.file(TEXT)).stdout
 
-    def test_an_error_names_file_and_place(self, shell):
+    def test_an_error_names_the_file_and_the_field(self, shell):
         path = shell.file(TEXT.replace("10.0", "0"))
         result = shell("lists", "check", path, code=1)
         assert f"{path}: plans.maker.work_per_s" in result.stderr
@@ -107,13 +109,13 @@
         assert filled.lists().plan_by_name["maker"].work_per_s == 20.0
         assert filled.lists().row_versions["accounts", "shop"] == 1
 
-    def test_keeps_what_others_changed(self, filled):
+    def test_keeps_rows_that_a_later_edit_changed(self, filled):
         filled("lists", "set-plan", "judge", *NEW_PLAN)
         text = "version = 1\n" + TEXT.replace("10.0", "20.0")
         filled("lists", "apply", filled.file(text))
         assert set(filled.lists().plan_by_name) == {"judge", "maker"}
 
-    def test_refuses_to_overwrite_another_edit(self, filled):
+    def test_conflicts_with_a_later_edit_of_the_same_row(self, filled):
         filled("lists", "set-plan", "maker", "--weight=3", "--author=ben")
         path = filled.file("version = 1\n" + TEXT.replace("10.0", "20.0"))
         result = filled("lists", "apply", path, code=3)
@@ -122,7 +124,7 @@
         filled("lists", "apply", path, "--overwrite")
         assert filled.lists().plan_by_name["maker"].weight == 1.0
 
-    def test_wants_to_know_what_the_file_was_made_from(self, filled):
+    def test_requires_the_version_that_the_file_is_based_on(self, filled):
         path = filled.file(TEXT.replace("10.0", "20.0"))
         assert "--base" in filled("lists", "apply", path, code=1).stderr
         filled("lists", "apply", path, "--base=9", code=1)
@@ -143,7 +145,7 @@
         assert filled.lists().account_by_name["shop"].plan == "judge"
         assert set(filled.lists().plan_by_name) == {"judge"}
 
-    def test_refuses(self, filled):
+    def test_invalid_edits_are_refused(self, filled):
         filled("lists", "set-account", "shop", "--plan=none", code=1)
         filled("lists", "delete", "plan", "maker", code=1)
         filled("lists", "delete", "account", "none", code=1)
@@ -151,43 +153,48 @@
         filled("lists", "delete", "plan", code=2)
         assert filled.lists().version == 1
 
-    def test_a_row_version_that_is_not_present_is_a_conflict(self, filled):
+    def test_an_outdated_row_version_is_a_conflict(self, filled):
         filled("lists", "set-plan", "maker", "--weight=2", "--row-version=1")
         arguments = ["lists", "set-plan", "maker", "--weight=3", "--row-version=1"]
         filled(*arguments, code=3)
         assert filled.lists().plan_by_name["maker"].weight == 2.0
 
-    def test_what_is_there_already_makes_no_change(self, filled):
+    def test_setting_the_present_value_makes_no_change(self, filled):
         result = filled("lists", "set-account", "shop", "--plan=maker")
         assert "no difference" in result.stderr
         assert filled.lists().version == 1
 
 
 @pytest.fixture
-def without_waits(monkeypatch):
+def without_retry_pauses(monkeypatch):
     monkeypatch.setattr("wagtailstair.stores.table.BACKOFF_S", 0.0)
     retry = RetryPolicy(pause=lambda _: None)
     monkeypatch.setattr("wagtailstair.cli.editing.RETRY", retry)
 
 
 def fail_from_first_write(first):
-    """Return a script: a fault at the first write, and nothing works after it."""
-    seen = []
+    """Return a ``before_call`` hook of ``FakeTable``.
+
+    The first write has the fault ``first``; each call after it is unavailable.
+    """
+    failed_writes = []
 
     def before_call(kind):
-        if seen:
+        if failed_writes:
             return "unavailable"
         if kind != "transact":
             return None
-        seen.append(kind)
+        failed_writes.append(kind)
         return first
 
     return before_call
 
 
-class TestRunAgain:
+class TestRepeatedRun:
     @pytest.mark.parametrize("first", ["lose_reply", "lose_request", "delay"])
-    def test_an_unknown_outcome_is_settled(self, filled, first, without_waits):
+    def test_a_repeated_run_settles_an_unknown_outcome(
+        self, filled, first, without_retry_pauses
+    ):
         filled.table.before_call = fail_from_first_write(first)
         arguments = ["lists", "set-plan", "maker", "--weight=7", "--change-id=c7"]
         result = filled(*arguments, code=4)
@@ -200,11 +207,13 @@
         assert filled.lists().plan_by_name["maker"].weight == 8.0
         filled("lists", "set-plan", "maker", "--weight=9", "--change-id=c7", code=1)
 
-    def test_an_unavailable_platform_took_no_effect(self, filled, without_waits):
+    def test_an_edit_fails_if_the_platform_is_unavailable(
+        self, filled, without_retry_pauses
+    ):
         filled.table.before_call = lambda kind: "unavailable"
         filled("lists", "set-plan", "maker", "--weight=7", code=5)
 
-    def test_an_apply_is_run_again(self, filled):
+    def test_a_repeated_apply_does_not_undo_a_later_edit(self, filled):
         path = filled.file("version = 1\n" + TEXT.replace("10.0", "20.0"))
         filled("lists", "apply", path, "--change-id=c2")
         filled("lists", "set-plan", "maker", "--weight=8")
@@ -213,7 +222,7 @@
 
 
 class TestKeys:
-    def test_a_new_key_names_the_account(self, filled):
+    def test_a_new_key_authenticates_the_account(self, filled):
         bearer = filled("keys", "new", "shop").stdout.strip()
         assert keys.verify(filled.lists(), bearer).name == "shop"
         assert bearer.partition(".")[2] not in str(filled.table.value_by_key)
@@ -227,20 +236,22 @@
         assert keys.verify(filled.lists(), second).name == "shop"
         filled("keys", "remove", "shop", names[0], code=1)
 
-    def test_limits(self, filled):
+    def test_the_number_of_keys_is_limited(self, filled):
         for _ in range(4):
             filled("keys", "new", "shop")
         assert "4 keys" in filled("keys", "new", "shop", code=1).stderr
         filled("keys", "new", "none", code=1)
 
-    def test_only_the_key_in_force_is_printed_when_run_again(self, filled):
+    def test_a_repeated_run_does_not_print_a_second_key(self, filled):
         first = filled("keys", "new", "shop", "--change-id=k").stdout.strip()
         again = filled("keys", "new", "shop", "--change-id=k")
         assert again.stdout == ""
         assert keys.verify(filled.lists(), first).name == "shop"
         assert len(filled.lists().account_by_name["shop"].keys) == 1
 
-    def test_the_earlier_run_takes_effect_during_the_later(self, filled, without_waits):
+    def test_a_delayed_first_run_takes_effect_during_the_second(
+        self, filled, without_retry_pauses
+    ):
         filled.table.before_call = fail_from_first_write("delay")
         first = filled("keys", "new", "shop", "--change-id=k", code=4).stdout.strip()
         filled.table.before_call = lambda kind: (
@@ -251,7 +262,7 @@
 
 
 class TestAudit:
-    def test_shows_who_changed_what(self, filled):
+    def test_shows_authors_and_changed_fields(self, filled):
         filled("lists", "set-plan", "judge", *NEW_PLAN, "--author=ben")
         filled("lists", "set-account", "shop", "--plan=judge", "--change-id=c3")
         output = filled("audit").stdout
@@ -264,7 +275,7 @@
 
 
 class TestSettings:
-    def test_check(self, shell):
+    def test_an_invalid_or_missing_file_fails(self, shell):
         path = shell.path / "daemon.toml"
         path.write_text("[host]\nname = 1\n")
         result = shell("settings", "check", str(path), code=1)
@@ -272,9 +283,9 @@
         shell("settings", "check", str(shell.path / "none"), code=1)
 
 
-class TestManyRows:
+class TestEditInParts:
     @pytest.fixture
-    def big(self, shell, without_waits, monkeypatch):
+    def large_edit(self, shell, without_retry_pauses, monkeypatch):
         monkeypatch.setattr("wagtailstair.cli.editing.MAX_EDIT_ROWS", 3)
         shell("lists", "set-plan", "old", *NEW_PLAN)
         shell("lists", "set-account", "a6", "--plan=old")
@@ -290,29 +301,29 @@
         assert set(shell.lists().plan_by_name) == {"maker"}
         assert len(shell.lists().account_by_name) == 8
 
-    def test_are_edited_in_parts(self, big):
-        big(*big.arguments)
-        self.check(big)
-        assert "accepted before: version 6" in big(*big.arguments).stderr
-        self.check(big)
+    def test_a_large_edit_is_committed_in_parts(self, large_edit):
+        large_edit(*large_edit.arguments)
+        self.check(large_edit)
+        assert "accepted before: version 6" in large_edit(*large_edit.arguments).stderr
+        self.check(large_edit)
 
     @pytest.mark.parametrize("fault", ["lose_reply", "delay", "lose_request"])
     @pytest.mark.parametrize("write", range(4))
-    def test_parts_are_run_again(self, big, fault, write):
+    def test_a_repeated_run_completes_the_parts(self, large_edit, fault, write):
         before_call = fail_from_first_write(fault)
         writes = []
 
-        def later(kind):
+        def fail_from_write(kind):
             if kind == "transact":
                 writes.append(kind)
             return before_call(kind) if len(writes) > write else None
 
-        big.table.before_call = later
-        big(*big.arguments, code=4)
-        big.table.before_call = lambda kind: None
-        big.table.deliver()
-        big(*big.arguments)
-        self.check(big)
+        large_edit.table.before_call = fail_from_write
+        large_edit(*large_edit.arguments, code=4)
+        large_edit.table.before_call = lambda kind: None
+        large_edit.table.deliver()
+        large_edit(*large_edit.arguments)
+        self.check(large_edit)
 
 
 def status(host, version, peers, state="live"):
@@ -376,19 +387,19 @@
         assert upstream["states"] == {"ejected": 1, "live": 1}
         assert "ejected 1, live 1" in fleet("upstreams").stdout
 
-    def test_a_daemon_without_status_is_told(self, fleet):
+    def test_a_daemon_without_a_valid_status_is_reported(self, fleet):
         fleet.statuses["e2"] = {"host": "e2"}
         result = fleet("versions", code=1)
         assert "no status from e2" in result.stderr
         assert "unreachable" in result.stdout
 
 
-class TestUse:
-    def test_wrong_use(self, shell):
+class TestUsage:
+    def test_usage_errors(self, shell):
         shell("lists", "nothing", code=2)
         result = CliRunner().invoke(main, ["lists", "show"], env={})
         assert result.exit_code == 2
         assert "WAGTAILSTAIR_TABLE" in result.output
 
-    def test_an_empty_table_is_empty_lists(self, shell):
+    def test_an_empty_table_gives_empty_lists(self, shell):
         assert shell.json("lists", "show")["version"] == Lists().version
--- a/tests/test_cli_process.py
+++ b/tests/test_cli_process.py
@@ -1,4 +1,4 @@
-"""The command-line tool as a process, against the table's stand-in."""
+"""The command-line tool as a separate process, against the stand-in of the table."""
 
 import json
 import os
@@ -21,6 +21,8 @@
 
 
 class Shell:
+    """Runs commands as processes."""
+
     def __init__(self, standins):
         self.standins = standins
         self.environment = {
@@ -44,9 +46,11 @@
         return process.returncode, output, errors
 
     def transactions(self):
+        """Return the transactions that the table committed."""
         return self.standins.records("table")["history"]
 
     def audit(self):
+        """Return the change ids of the audit trail, oldest first."""
         code, output, _ = self.run("audit", "--json")
         assert code == 0
         return [change["change_id"] for change in json.loads(output)["changes"]]
@@ -58,15 +62,15 @@
         yield Shell(standins)
 
 
-class TestLostReplies:
+class TestLostMessages:
     @pytest.mark.parametrize("switch", ["lose_replies", "lose_requests"])
-    def test_are_settled_in_one_run(self, shell, switch):
+    def test_an_edit_is_committed_once_in_one_run(self, shell, switch):
         shell.standins.switch("table", **{switch: 1})
         code, _, errors = shell.run(*EDIT)
         assert (code, "accepted: version 1" in errors) == (0, True)
         assert shell.audit() == ["c1"]
 
-    def test_a_command_killed_after_its_write_is_run_again(self, shell):
+    def test_repeating_a_command_killed_after_its_write_changes_nothing(self, shell):
         shell.standins.switch("table", reply_delay_s=0.2)
         process = shell.start(*EDIT)
         ends_at = time.monotonic() + TIMEOUT_S
@@ -81,9 +85,9 @@
         assert shell.audit() == ["c1"]
 
 
-class TestPlatformAway:
+class TestPlatformUnavailable:
     @pytest.mark.parametrize("down", ["503", True])
-    def test_nothing_took_effect(self, shell, down):
+    def test_nothing_is_committed(self, shell, down):
         shell.standins.switch("table", down=down)
         code, _, errors = shell.run(*EDIT)
         assert (code, "platform_unavailable" in errors) == (5, True)
@@ -91,23 +95,23 @@
         assert shell.transactions() == []
 
 
-class TestRace:
-    def test_two_operators_at_one_row(self, shell):
+class TestConcurrentEdits:
+    def test_one_of_several_edits_of_a_row_is_accepted(self, shell):
         assert shell.run("lists", "set-plan", "maker", *PLAN)[0] == 0
         edit = ["lists", "set-plan", "maker", "--row-version=1"]
         processes = [
             shell.start(*edit, f"--weight={number}", f"--author=op{number}")
             for number in (2, 3, 4)
         ]
-        ends = [process.communicate(timeout=TIMEOUT_S) for process in processes]
+        outputs = [process.communicate(timeout=TIMEOUT_S) for process in processes]
         codes = [process.returncode for process in processes]
         assert sorted(codes) == [0, 3, 3]
         winner = f"op{codes.index(0) + 2}"
-        for code, (_, errors) in zip(codes, ends, strict=True):
+        for code, (_, errors) in zip(codes, outputs, strict=True):
             assert code == 0 or f"changed by {winner} in change" in errors
         assert len(shell.audit()) == 2
 
-    def test_operators_at_different_rows(self, shell):
+    def test_edits_of_different_rows_are_all_accepted(self, shell):
         processes = [
             shell.start("lists", "set-plan", f"plan-{number}", *PLAN)
             for number in range(4)
--- a/tests/test_fleet_cli.py
+++ b/tests/test_fleet_cli.py
@@ -27,7 +27,7 @@
 
 
 class TestFleet:
-    def test_an_edit_is_seen_in_force_on_every_daemon(self, run):
+    def test_versions_shows_an_edit_on_every_daemon(self, run):
         change = run("lists", "set-plan", "full", "--models=")["change"]
 
         def versions():
@@ -39,7 +39,7 @@
         for daemon in run.fleet.daemons.values():
             assert daemon.complete("closed").error["code"] == "not_entitled"
 
-    def test_a_new_key_serves_and_a_removed_one_does_not(self, run):
+    def test_a_new_key_is_accepted_until_it_is_removed(self, run):
         key = run("keys", "new", "maker")["key"]
         daemon = run.fleet["a0"]
 
@@ -53,11 +53,11 @@
         run("keys", "remove", "maker", name)
         assert status(3) == 401
 
-    def test_peers_and_upstreams_are_told(self, run):
-        seen = {
+    def test_peers_and_upstreams_are_listed(self, run):
+        state_by_pair = {
             (row["host"], row["peer"]): row["state"] for row in run("peers")["peers"]
         }
-        assert seen == {("a0", "b0"): "live", ("b0", "a0"): "live"}
+        assert state_by_pair == {("a0", "b0"): "live", ("b0", "a0"): "live"}
         upstreams = run("upstreams")["upstreams"]
         assert len(upstreams) == 9
         assert all(row["states"] == {"live": 2} for row in upstreams)
--- a/tests/test_fleet_hosts.py
+++ b/tests/test_fleet_hosts.py
@@ -1,4 +1,4 @@
-"""Hosts that end, join and are replaced, and long outages of the platform."""
+"""Loss, return and replacement of hosts, and outages of the platform."""
 
 import concurrent.futures
 import time
@@ -14,9 +14,12 @@
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
     with Fleet(
-        tmp_path_factory.mktemp("fleet"), daemons_each=2, services=2, cuttable=("b",)
-    ) as made:
-        yield made
+        tmp_path_factory.mktemp("fleet"),
+        daemons_each=2,
+        services=2,
+        partitionable=("b",),
+    ) as new_fleet:
+        yield new_fleet
 
 
 def assert_serves(daemon, prompt, length=10):
@@ -25,7 +28,7 @@
 
 
 class TestHostLost:
-    def test_the_rest_serves_and_a_new_host_joins_under_the_same_address(self, fleet):
+    def test_other_hosts_serve_and_a_new_host_joins_at_the_same_address(self, fleet):
         fleet["a0"].kill()
         others = [daemon for name, daemon in fleet.daemons.items() if name != "a0"]
         for number in range(3):
@@ -41,7 +44,9 @@
         peers = fleet[name].status()["peers"]
         return other in str(peers)
 
-    def test_a_whole_data_centre_of_hosts_is_lost(self, fleet):
+    def test_the_other_data_centre_serves_while_all_hosts_of_one_are_frozen(
+        self, fleet
+    ):
         for name in ("a0", "a1"):
             fleet[name].freeze()
         try:
@@ -57,26 +62,27 @@
 
 
 class TestServiceLeaving:
-    STATED_S = 3.0
+    # Bound on the time until a leaving replica gets no new calls.
+    LEAVING_BOUND_S = 3.0
 
     def test_leaving_replica_gets_no_new_call(self, fleet):
         fleet.standins.switch("hosts", leaving="desk0")
-        told_at = time.monotonic()
+        leaving_at = time.monotonic()
         number = 0
-        while time.monotonic() < told_at + self.STATED_S + 1.0:
+        while time.monotonic() < leaving_at + self.LEAVING_BOUND_S + 1.0:
             daemon = list(fleet.daemons.values())[number % len(fleet.daemons)]
             assert daemon.call(f"leaving{number}").status == 200
             number += 1
             time.sleep(0.05)
         runs = fleet.standins.records("desk0")["runs"]
         fleet.standins.switch("hosts", live="desk0")
-        late = [run for run in runs if run["at"] > told_at + self.STATED_S]
+        late = [run for run in runs if run["at"] > leaving_at + self.LEAVING_BOUND_S]
         assert late == []
         assert number > 20
 
 
 class TestOutage:
-    def test_recovery_does_not_stampede_the_table(self, fleet):
+    def test_recovery_does_not_overload_the_table(self, fleet):
         fleet.standins.switch("table", down=True)
         try:
             with concurrent.futures.ThreadPoolExecutor(16) as pool:
@@ -98,26 +104,26 @@
         )
         wait_until(lambda: fleet["a0"].call("after-outage").status == 200, "recovery")
         time.sleep(2.0)
-        # The table refuses above its rates; nothing came near them.
+        # The table refuses requests above its rate limits; none was refused.
         assert fleet.standins.records("table")["counts"].get("refused", 0) == 0
 
-    def test_replies_of_the_platform_are_lost_one_way(self, fleet):
-        fleet.cut("b", "replies")
+    def test_calls_run_at_most_once_while_platform_replies_are_lost(self, fleet):
+        fleet.partition("b", "replies")
         try:
             answer = fleet["b0"].call("one-way", timeout_s=5)
-            # The claim may have been written; it was not sent.
+            # The claim may have been written, but the call was not sent.
             assert answer.status >= 400
             runs = len(fleet.runs("one-way"))
             if answer.headers["x-outcome"] == "not_run":
                 assert runs == 0
             assert_serves(fleet["b0"], "one way")
         finally:
-            fleet.cut("b", "")
+            fleet.partition("b", "")
 
-        def settled():
+        def is_recovered():
             return fleet["b0"].call("mended").status == 200
 
-        wait_until(settled, "recovery")
+        wait_until(is_recovered, "recovery")
         fleet["a0"].call("one-way", timeout_s=5)
         assert len(fleet.runs("one-way")) <= 1
         assert len(fleet.runs("mended")) == 1
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -1,4 +1,4 @@
-"""Placement by real daemons: lost layers come back, and no old order does."""
+"""Placement by daemon processes: lost layers are replaced, outdated orders refused."""
 
 import time
 
@@ -11,20 +11,20 @@
 from tests.fleet import wait_until
 
 ROLE = "placement/a"
-LOOK_S = 2.5
+RANGES_READ_S = 2.5  # hosts read the layer ranges of the engines each second
 
 
 def engines():
-    """Return four engines of the first half and two of the second.
+    """Return four engines with the first half of the layers and two with the second.
 
-    Half of the first ones ignore fencing numbers.
+    Two engines of the first half ignore fencing numbers.
     """
-    made = default_engines(["a"])
-    made += [
-        {**made[0], "name": "engine-a4", "fencing": "ignored"},
-        {**made[0], "name": "engine-a6", "fencing": "ignored"},
+    options = default_engines(["a"])
+    options += [
+        {**options[0], "name": "engine-a4", "fencing": "ignored"},
+        {**options[0], "name": "engine-a6", "fencing": "ignored"},
     ]
-    return made
+    return options
 
 
 @pytest.fixture
@@ -36,21 +36,21 @@
         daemons_each=3,
         engines=engines(),
         settings=settings,
-    ) as made:
-        wait_until(lambda: holder_of(made), "a holder")
-        # A host knows the ranges once it has looked, each second.
-        time.sleep(LOOK_S)
-        yield made
+    ) as new_fleet:
+        wait_until(lambda: holder_of(new_fleet), "a holder")
+        # Let each host read the layer ranges before a test changes them.
+        time.sleep(RANGES_READ_S)
+        yield new_fleet
 
 
 def holder_of(fleet):
-    """Return the name of the daemon that the table says holds the lease."""
+    """Return the name of the daemon that holds the lease in the table, or ``None``."""
     value = fleet.read("leases", ROLE)["value"]
     return value["holder"].partition("/")[0] if value and value["holder"] else None
 
 
 def orders(fleet):
-    """Return all orders that engines took or refused, oldest first."""
+    """Return all orders that engines accepted or refused, oldest first."""
     names = [name for name in fleet.standins.addresses if name.startswith("engine")]
     found = [
         {**order, "engine": name}
@@ -61,6 +61,7 @@
 
 
 def lose_second_half(fleet):
+    """End the engines with the second half of the layers, and unlist their hosts."""
     for name in fleet.standins.addresses:
         if not name.startswith("engine"):
             continue
@@ -70,26 +71,31 @@
 
 
 def assert_served_again(fleet, daemons, prompt):
-    def served():
-        hurry = {"X-Timeout": "2"}
-        answers = [daemon.complete(prompt, 5, headers=hurry) for daemon in daemons]
+    def all_served():
+        short_deadline = {"X-Timeout": "2"}
+        answers = [
+            daemon.complete(prompt, 5, headers=short_deadline) for daemon in daemons
+        ]
         return all(answer.status == 200 for answer in answers)
 
-    wait_until(served, "every layer is held again")
+    wait_until(all_served, "every layer is held again")
     answer = daemons[0].complete(prompt, 5)
     assert answer.text() == tokens.answer_text(prompt, 5, LAYERS)
 
 
-def assert_fences_only_grow(fleet):
-    taken = [order for order in orders(fleet) if order["accepted"]]
-    assert taken
-    for name in {order["engine"] for order in taken}:
-        fences = [order["fence"] for order in taken if order["engine"] == name]
+def assert_fences_never_decrease(fleet):
+    """Check the fencing numbers that each engine accepted."""
+    accepted_orders = [order for order in orders(fleet) if order["accepted"]]
+    assert accepted_orders
+    for name in {order["engine"] for order in accepted_orders}:
+        fences = [
+            order["fence"] for order in accepted_orders if order["engine"] == name
+        ]
         assert fences == sorted(fences), (name, fences)
     holders_by_fence = {}
     for order in orders(fleet):
         holders_by_fence.setdefault(order["fence"], set()).add(order["holder"])
-    # A fencing number belongs to one holder.
+    # Each fencing number is used by one holder only.
     assert all(len(holders) == 1 for holders in holders_by_fence.values())
 
 
@@ -97,12 +103,12 @@
     def test_an_engine_is_moved_to_the_lost_layers(self, fleet):
         lose_second_half(fleet)
         assert_served_again(fleet, list(fleet.daemons.values()), "moved")
-        assert_fences_only_grow(fleet)
+        assert_fences_never_decrease(fleet)
         fleet.assert_layers_ran_once()
 
 
 class TestHolderFrozen:
-    def test_thawed_holder_gives_no_order_of_its_old_lease(self, fleet):
+    def test_thawed_holder_sends_no_order_under_its_old_lease(self, fleet):
         first = wait_until(lambda: holder_of(fleet), "a holder")
         fleet[first].freeze()
         try:
@@ -113,18 +119,18 @@
             others = [d for d in fleet.daemons.values() if d.name != first]
             lose_second_half(fleet)
             assert_served_again(fleet, others, "second holder")
-            given = len(orders(fleet))
-            assert given
+            order_count = len(orders(fleet))
+            assert order_count
         finally:
             fleet[first].thaw()
         wait_until(fleet[first].is_ready, "the first holder is ready")
-        # Lost once more, with both awake.
+        # Lose the layers once more, while both daemons run.
         lose_second_half(fleet)
         assert_served_again(fleet, list(fleet.daemons.values()), "both awake")
-        assert len(orders(fleet)) > given
-        assert_fences_only_grow(fleet)
-        after = orders(fleet)[given:]
-        assert {order["holder"].partition("/")[0] for order in after} == {second}
+        assert len(orders(fleet)) > order_count
+        assert_fences_never_decrease(fleet)
+        later_orders = orders(fleet)[order_count:]
+        assert {order["holder"].partition("/")[0] for order in later_orders} == {second}
 
     def test_killed_holder_is_replaced(self, fleet):
         first = wait_until(lambda: holder_of(fleet), "a holder")
@@ -132,4 +138,4 @@
         lose_second_half(fleet)
         others = [d for d in fleet.daemons.values() if d.name != first]
         assert_served_again(fleet, others, "replaced")
-        assert_fences_only_grow(fleet)
+        assert_fences_never_decrease(fleet)
--- a/tests/test_fleet_services.py
+++ b/tests/test_fleet_services.py
@@ -1,4 +1,4 @@
-"""Calls that may not be repeated, over real daemons: at most one run a key."""
+"""Non-idempotent service calls through daemon processes run at most once per key."""
 
 import concurrent.futures
 import time
@@ -12,12 +12,12 @@
 
 @pytest.fixture(scope="module")
 def fleet(tmp_path_factory):
-    with Fleet(tmp_path_factory.mktemp("fleet"), services=2) as made:
-        yield made
+    with Fleet(tmp_path_factory.mktemp("fleet"), services=2) as new_fleet:
+        yield new_fleet
 
 
 @pytest.fixture(autouse=True)
-def _mended(fleet):
+def _reset_faults(fleet):
     yield
     for name in ("desk0", "desk1"):
         fleet.standins.switch(
@@ -44,7 +44,7 @@
 
 
 class TestRetry:
-    def test_same_answer_at_another_daemon(self, fleet):
+    def test_retry_at_another_daemon_gets_the_same_answer(self, fleet):
         first = fleet["a0"].call("again")
         second = fleet["b0"].call("again")
         assert first.status == second.status == 200
@@ -66,14 +66,14 @@
         for key in keys:
             runs = fleet.runs(key)
             assert len(runs) == 1
-            for answer in (one for name, one in answers if name == key):
+            for answer in (answer for sent_key, answer in answers if sent_key == key):
                 if answer.status == 200:
                     assert answer.json["registration"] == runs[0]["registration"]
                     continue
                 assert_unknown(answer)
             assert fleet["a0"].call(key).json["registration"] == runs[0]["registration"]
 
-    def test_other_body_under_the_same_key_is_an_error(self, fleet):
+    def test_reusing_a_key_with_another_body_is_an_error(self, fleet):
         fleet["a0"].call("reused", "one")
         answer = fleet["b0"].call("reused", "two")
         assert (answer.status, answer.error["code"]) == (422, "idempotency_key_reused")
@@ -88,7 +88,8 @@
 
 class TestLostReply:
     def test_outcome_is_unknown_and_there_is_no_second_run(self, fleet):
-        # An idle connection must not tempt the client library to send again.
+        # Leave idle connections: HTTP client libraries may resend a request when a
+        # reused connection breaks.
         for number in range(4):
             assert fleet["a0"].call(f"warm{number}").status == 200
         switch_desks(fleet, lose_reply=1)
@@ -99,7 +100,7 @@
         assert len(fleet.runs("lost")) == 1
 
     @pytest.mark.parametrize("number", range(3))
-    def test_lost_reply_of_the_table(self, fleet, number):
+    def test_lost_replies_of_the_table(self, fleet, number):
         key = f"claim{number}"
         fleet.standins.switch("table", lose_replies=1 + number)
         answer = fleet["a0"].call(key)
@@ -116,7 +117,7 @@
 
 
 class TestRefused:
-    def test_refused_call_is_not_run_and_may_run_later(self, fleet):
+    def test_refused_call_is_not_run_and_can_be_retried(self, fleet):
         switch_desks(fleet, refuse=True)
         assert_not_run(fleet["a0"].call("refused", timeout_s=3))
         assert fleet.runs("refused") == []
@@ -124,7 +125,7 @@
         assert fleet["b0"].call("refused").status == 200
         assert len(fleet.runs("refused")) == 1
 
-    def test_dead_service_is_not_run(self, fleet):
+    def test_call_to_a_dead_service_is_not_run(self, fleet):
         switch_desks(fleet, dead=True)
         assert_not_run(fleet["a0"].call("dead", timeout_s=3))
         switch_desks(fleet, dead=False)
@@ -133,15 +134,19 @@
 
 class TestDaemonKilled:
     @pytest.mark.parametrize("switch", ["delay_s", "run_s"], ids=["before", "during"])
-    def test_killed_between_claim_and_result(self, fleet, switch):
+    def test_outcome_is_unknown_after_a_kill_between_claim_and_result(
+        self, fleet, switch
+    ):
         key = f"killed-{switch}"
         switch_desks(fleet, **{switch: 2.0})
         with in_background(lambda: fleet["a0"].call(key)) as call:
             if switch == "run_s":
                 wait_until(lambda: fleet.runs(key), "the run began")
             else:
-                wait_until(lambda: self.claimed(fleet, key), "the claim is written")
-                # Sent by then; the service has not begun the run.
+                wait_until(
+                    lambda: self.claim_writes(fleet, key), "the claim is written"
+                )
+                # By then the call is sent, but the service has not started the run.
                 time.sleep(0.5)
             fleet["a0"].kill()
             # The caller sees a broken connection.
@@ -157,7 +162,7 @@
         assert final.error["code"] == "outcome_unknown"
         assert len(fleet.runs(key)) <= 1
 
-    def claimed(self, fleet, key):
+    def claim_writes(self, fleet, key):
         return [
             write
             for entry in fleet.standins.records("table")["history"]
@@ -168,25 +173,27 @@
 
 class TestPlatformDown:
     @pytest.mark.parametrize("way", [True, "503"], ids=["refused", "503"])
-    def test_keyed_calls_are_refused_at_once_and_completions_go_on(self, fleet, way):
+    def test_calls_with_a_key_are_refused_at_once_and_completions_served(
+        self, fleet, way
+    ):
         fleet.standins.switch("table", down=way)
         key = f"down-{way}"
         answer = fleet["a0"].call(key)
         assert_not_run(answer)
-        # Refused at once, not when the caller's time was up.
+        # Refused at once, not at the caller's deadline.
         assert answer.error["code"] != "deadline_exceeded"
         assert fleet["a0"].complete("platform away").text()
         assert fleet["a0"].call(None, method="GET").status == 200
         assert fleet.runs(key) == []
         fleet.standins.switch("table", down=False)
 
-        def served():
+        def is_recovered():
             return fleet["a0"].call(key).status == 200
 
-        wait_until(served, "recovery")
+        wait_until(is_recovered, "recovery")
         assert len(fleet.runs(key)) == 1
 
-    def test_slow_platform_loses_nothing(self, fleet):
+    def test_slow_platform_causes_no_second_run(self, fleet):
         fleet.standins.switch("table", delay_s=1.0)
         answer = fleet["a0"].call("slow")
         fleet.standins.switch("table", delay_s=0.0)
--- a/tests/test_fleet_shutdown.py
+++ b/tests/test_fleet_shutdown.py
@@ -1,4 +1,4 @@
-"""A graceful shutdown of a real daemon under load cuts no request."""
+"""A graceful shutdown of a daemon under load completes all accepted requests."""
 
 import concurrent.futures
 import threading
@@ -15,12 +15,12 @@
 
 @pytest.fixture
 def fleet(tmp_path):
-    with Fleet(tmp_path, data_centres=("a",), daemons_each=2) as made:
-        yield made
+    with Fleet(tmp_path, data_centres=("a",), daemons_each=2) as new_fleet:
+        yield new_fleet
 
 
-def outcome_of(call):
-    """Return what one caller saw; a refused connection took no request."""
+def response_of(call):
+    """Return the response to a call, ``None`` if the connection was refused."""
     try:
         return call()
     except ConnectionRefusedError:
@@ -30,16 +30,16 @@
 class TestUnderLoad:
     LENGTH = 120
 
-    def test_streams_and_calls_end_whole(self, fleet):
+    def test_streams_and_calls_are_completed(self, fleet):
         daemon = fleet["a0"]
         stopped = threading.Event()
         prompts = [long_prompt(self.LENGTH, f"drain{n}") for n in range(12)]
 
-        def keep_asking(number):
+        def send_until_stopped(number):
             answers = []
             while not stopped.is_set():
                 prompt = f"load {number} {len(answers)}"
-                answer = outcome_of(lambda asked=prompt: daemon.complete(asked, 10))
+                answer = response_of(lambda asked=prompt: daemon.complete(asked, 10))
                 if answer is None:
                     break
                 answers.append((prompt, 10, answer))
@@ -50,9 +50,13 @@
 
         with concurrent.futures.ThreadPoolExecutor(40) as pool:
             try:
-                calls = [pool.submit(keep_asking, number) for number in range(10)]
+                calls = [
+                    pool.submit(send_until_stopped, number) for number in range(10)
+                ]
                 calls += [pool.submit(stream, prompt) for prompt in prompts]
-                booked = [pool.submit(daemon.call, f"drain{n}") for n in range(5)]
+                service_calls = [
+                    pool.submit(daemon.call, f"drain{n}") for n in range(5)
+                ]
                 wait_until(lambda: self.open_streams(fleet) >= len(prompts))
                 daemon.terminate()
                 assert daemon.wait(30) == 0
@@ -61,7 +65,7 @@
         for call in calls:
             for prompt, length, answer in call.result():
                 assert answer.text() == tokens.answer_text(prompt, length, LAYERS)
-        for call in booked:
+        for call in service_calls:
             assert call.result().status == 200
         assert fleet["a1"].complete("after").text()
 
@@ -71,11 +75,11 @@
             for attempt in fleet.attempts()
         )
 
-    def test_readiness_goes_before_the_listener(self, fleet):
+    def test_requests_are_served_after_readiness_ended(self, fleet):
         daemon = fleet["a0"]
         daemon.terminate()
         wait_until(lambda: not daemon.is_ready(), "readiness gone")
-        # The balancer has not seen it yet and goes on sending.
+        # The load balancer has not seen it yet and still sends requests.
         assert daemon.complete("late").text()
         assert daemon.wait(30) == 0
 
@@ -83,13 +87,14 @@
 class TestBacklog:
     @pytest.fixture
     def fleet(self, tmp_path):
-        # Without the balancer's lag, only the end of the accept loop takes them.
+        # Without the balancer's lag, only the last pass of the accept loop accepts
+        # the connections of the backlog.
         with Fleet(
             tmp_path,
             data_centres=("a",),
             settings={"shutdown": {"balancer_lag_s": 0.0}},
-        ) as made:
-            yield made
+        ) as new_fleet:
+            yield new_fleet
 
     def test_requests_in_the_listen_backlog_are_served(self, fleet):
         daemon = fleet["a0"]
@@ -98,7 +103,7 @@
             daemon.freeze()
             try:
                 calls = [pool.submit(daemon.complete, one, 10) for one in prompts]
-                # Connected and sent, with nobody there to accept.
+                # The connections are made and the requests sent, but not accepted.
                 time.sleep(1.0)
                 daemon.terminate()
             finally:
