--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -242,7 +242,7 @@
     membership._heartbeat_s = heartbeat_s
     inside = remote = 0
     for step in range(600):
-        near, far = membership.due(step * 0.1)
+        near, far = membership.due_addresses(step * 0.1)
         inside += len(near)
         remote += len(far)
     return inside, remote
@@ -402,12 +402,12 @@
     value = lists.value_of((ACCOUNTS, "account-00000"))
     recent = RecentChanges()
     changed = lists.with_rows(2, [Row(ACCOUNTS, "account-00000", 2, value)])
-    recent.note(lists, changed)
+    recent.record_changes(lists, changed)
 
     def change() -> None:
         for _ in range(10):
             new = lists.with_rows(2, [Row(ACCOUNTS, "account-00000", 2, value)])
-            RecentChanges().note(lists, new)
+            RecentChanges().record_changes(lists, new)
 
     return {
         "change us": median_us(change, 10),
--- a/bench/core_slopes.py
+++ b/bench/core_slopes.py
@@ -74,9 +74,9 @@
 
 def _cycle(pool: Pool, number: int, accounts: int, running: list[str]) -> None:
     now = number / 1_000
-    pool.want(_want(number, accounts), now)
+    pool.submit(_want(number, accounts), now)
     if running:
-        pool.done(GrantOutcome(running.pop(0), 0, "host/1", 320, 120), now)
+        pool.end_grant(GrantOutcome(running.pop(0), 0, "host/1", 320, 120), now)
     for decision in pool.poll(now):
         if isinstance(decision, Grant):
             running.append(decision.request)
@@ -90,7 +90,7 @@
         pool.observe(state, 0.0)
     running: list[str] = []
     for number in range(engines * 16 + accounts):
-        pool.want(_want(number, accounts), 0.0)
+        pool.submit(_want(number, accounts), 0.0)
     for decision in pool.poll(0.0):
         if isinstance(decision, Grant):
             running.append(decision.request)
@@ -137,7 +137,7 @@
     def make() -> Pool:
         pool = Pool("draft", "a", PoolLimits(queue_length=10 * accounts))
         for number in range(accounts):
-            pool.want(_want(number, accounts), 0.0)
+            pool.submit(_want(number, accounts), 0.0)
         return pool
 
     return _bytes(make)
--- a/bench/policies.py
+++ b/bench/policies.py
@@ -164,7 +164,7 @@
         while sent and sent[0] < state.as_of:
             sent.popleft()
         load.other_requests = state.running + state.waiting + len(sent) - load.granted
-        load.take(state)
+        load.update_report(state)
 
     def note_sent(self, name: str, need: Need, now: float) -> None:
         self.sent[name].append(now)
@@ -459,10 +459,10 @@
         del self._wants[request.name]
         waits = self._waits_by_host[request.host]
         if isinstance(decision, Refusal):
-            waits.refused(request.name, self.model.now)
+            waits.record_refusal(request.name, self.model.now)
             self.refuse(request, decision.reason.value)
             return
-        waits.granted(request.name, self.model.now)
+        waits.record_grant(request.name, self.model.now)
         if request.host in self.model.dead_hosts or request.is_over:
             return
         self._running[request.name] = (node, pending[1], decision.route)
@@ -477,10 +477,10 @@
         want = want_of(request)
         node = self._node_of(request)
         waits = self._waits_by_host[request.host]
-        waits.submitted(request.name, node, request.priority, self.model.now)
+        waits.record_submission(request.name, node, request.priority, self.model.now)
         self._wants[request.name] = (node, want)
         self._demand_by_host[request.host] += want.work
-        self._tell(node, request.host[0], "want", want)
+        self._tell(node, request.host[0], "submit", want)
 
     def ended(self, request: Request, stream: Stream) -> None:
         """Count the end of a stream."""
@@ -501,7 +501,7 @@
         if self._options.exchange:
             key = (request.host, want)
             self._usage[key] = prompt_work(want.prompt_tokens) + output
-        self._tell(node, request.host[0], "done", done)
+        self._tell(node, request.host[0], "end_grant", done)
 
     # Engines.
 
@@ -606,14 +606,14 @@
         for owner, want, route in list(self._running.values()):
             if owner == node:
                 hold = HeldGrant(want, route, 0)
-                self._tell(node, want.host[0], "hold", hold)
+                self._tell(node, want.host[0], "adopt_grant", hold)
         held = self._held.pop(node, [])
         for call, args in held:
-            if call == "done":
+            if call == "end_grant":
                 self._deliver(node, call, args)
         for owner, want in list(self._wants.values()):
             if owner == node:
-                self._tell(node, want.host[0], "want", want)
+                self._tell(node, want.host[0], "submit", want)
 
 
 def hash_of(name: str) -> float:
--- a/demo/steps.py
+++ b/demo/steps.py
@@ -48,7 +48,9 @@
             )
             texts = [choice.text for chunk in stream for choice in chunk.choices]
         text = "".join(one or "" for one in texts)
-        _check(text == tokens.answer_text(prompt, 24, LAYERS), f"{name}: wrong answer")
+        _check(
+            text == tokens.expected_text(prompt, 24, LAYERS), f"{name}: wrong answer"
+        )
         shown.append(f"{name}: {text[:40]} ... each layer ran once for each token")
     fleet.assert_layers_ran_once()
     return shown
@@ -79,7 +81,7 @@
         fleet.standins.switch(stage, dead=True)
         answer = call.result()
     fleet.standins.switch(stage, dead=False)
-    right = answer.text() == tokens.answer_text(prompt, length, LAYERS)
+    right = answer.text() == tokens.expected_text(prompt, length, LAYERS)
     _check(right, "the answer is not whole")
     return [f"{stage} ended in mid-stream; the caller got all {length} tokens, once"]
 
@@ -156,7 +158,7 @@
         stopped.set()
         answers = [one for call in calls for one in call.result()]
     for prompt, answer in answers:
-        right = answer.text() == tokens.answer_text(prompt, 30, LAYERS)
+        right = answer.text() == tokens.expected_text(prompt, 30, LAYERS)
         _check(right, f"{prompt}: not whole")
     _check(code == 0, f"exit code {code}")
     _check(fleet["north1"].complete("after").status == 200, "no service after")
--- a/src/wagtailstair/admission.py
+++ b/src/wagtailstair/admission.py
@@ -88,7 +88,7 @@
         raise NotEntitledError("the plan does not include this model", where=model)
 
 
-class Charge:
+class RequestCharge:
     """The charge of an open request; settled at most once, at its actual cost."""
 
     def __init__(self, gate: QuotaGate, account: str, request: str) -> None:
@@ -104,7 +104,9 @@
             self._gate.settle(self._account, self._request, work)
 
 
-def charge(gate: QuotaGate, identity: Identity, request: str, work: float) -> Charge:
+def charge(
+    gate: QuotaGate, identity: Identity, request: str, work: float
+) -> RequestCharge:
     """Charge a request under the limits of its account.
 
     :raises LimitExceededError: if the account is over a limit.
@@ -125,4 +127,4 @@
             f"the account is over its limit of {verdict.limit}",
             retry_after_s=verdict.retry_after_s,
         )
-    return Charge(gate, account, request)
+    return RequestCharge(gate, account, request)
--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -106,8 +106,8 @@
             make_pool,
             clock,
             lambda: self.lists_holder.current.version,
-            lambda version: self._lists_follower.heard(),
-            known_lists_version=lambda: self._lists_follower.known(),
+            lambda version: self._lists_follower.request_tick(),
+            known_lists_version=lambda: self._lists_follower.highest_known_version(),
         )
         self.dispatcher = self._node.dispatcher
         self._lists_follower = Follower(
@@ -119,7 +119,7 @@
             fetch=self._fetch_from_peer,
             find_peers=self._node.peer_versions,
             find_rank=self._node.lists_rank,
-            on_taken=self._handle_lists_applied,
+            on_lists_replaced=self._handle_lists_applied,
         )
 
     @property
@@ -196,7 +196,7 @@
         with self._node.lock:
             for name in sorted(self._membership.by_name):
                 peer = self._membership.by_name[name]
-                if not peer.heard:
+                if not peer.has_sent_heartbeat:
                     continue
                 descriptions.append(
                     {
@@ -242,5 +242,5 @@
         return fetch_lists(host.address, lists, self._clock, self._key)
 
     def _handle_lists_applied(self, old: Lists, new: Lists) -> None:
-        self._recent_changes.note(old, new)
+        self._recent_changes.record_changes(old, new)
         self._node.announce()
--- a/src/wagtailstair/core/charges.py
+++ b/src/wagtailstair/core/charges.py
@@ -95,7 +95,7 @@
             if name == sender and int(old) < era:
                 self._close_host(host, now)
 
-    def forget(self, sender: str) -> None:
+    def drop_host(self, sender: str) -> None:
         """Drop the minimum era of a replaced incarnation."""
         self._min_era_by_sender.pop(sender, None)
 
@@ -177,7 +177,7 @@
         if entry.handle:
             self._settle_at_owner(entry, work, now)
 
-    def charged(self, sender: str, message: Charged, now: float) -> None:
+    def receive_verdict(self, sender: str, message: Charged, now: float) -> None:
         """Accept a verdict of a quota owner."""
         self.suspects.discard(sender)
         entry = self._open_by_handle.get(message.handle)
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -32,7 +32,7 @@
     """What a service's engines run, and the times of the whole model.
 
     ``kv_bytes``: of one token in all layers; ``hidden_bytes``: of one token
-    between two engines; ``pipe_bytes_per_s``: between two data centres.
+    between two engines; ``link_bytes_per_s``: between two data centres.
     """
 
     layers: int
@@ -41,9 +41,9 @@
     hidden_bytes: float
     step_s: float
     sequence_s: float
-    read_tokens_per_s: float
+    prefill_tokens_per_s: float
     typical_output_tokens: float
-    pipe_bytes_per_s: float
+    link_bytes_per_s: float
     delay_s_by_centres: dict[tuple[str, str], float]
     accelerator_by_name: dict[str, Accelerator]
 
--- a/src/wagtailstair/core/dispatch_client.py
+++ b/src/wagtailstair/core/dispatch_client.py
@@ -111,7 +111,7 @@
             return
         self._waiting.pop((outcome.request, outcome.epoch), None)
         if entry.is_local:
-            self._local_pool(entry.key, now).done(outcome, now)
+            self._local_pool(entry.key, now).end_grant(outcome, now)
         submission = self._detach(entry)
         if submission is None:
             return
@@ -315,7 +315,7 @@
     def _add_held_grants(self, key: PoolKey, pool: Pool, now: float) -> None:
         for entry in self._open_by_id.values():
             if entry.key == key and entry.route is not None:
-                pool.hold(HeldGrant(entry.route_request, entry.route, 0), now)
+                pool.adopt_grant(HeldGrant(entry.route_request, entry.route, 0), now)
                 entry.is_local = True
 
     def _submit_locally(self, entry: _OpenRequest, now: float) -> None:
@@ -323,7 +323,7 @@
             return
         entry.is_local = True
         pool = self._local_pool(entry.key, now)
-        pool.want(entry.route_request, now)
+        pool.submit(entry.route_request, now)
 
     def _cancel_local(self, entry: _OpenRequest, now: float) -> None:
         if entry.is_local:
--- a/src/wagtailstair/core/ejection.py
+++ b/src/wagtailstair/core/ejection.py
@@ -8,7 +8,7 @@
 class EjectionLimits:
     """When an upstream is ejected and for how long.
 
-    ``after``: consecutive failures that eject; ``base_s``: length of the first
+    ``consecutive_failures``: consecutive failures that eject; ``base_s``: length of the first
     ejection, doubled each time up to ``max_s``; ``share``: largest share of the
     group that may be ejected at a time; ``healthy_s``: time without a failure that
     resets the doubling; ``slow_ratio``, ``fast_ratio``: time relative to similar
@@ -16,7 +16,7 @@
     slow reports that eject.
     """
 
-    after: int = 3
+    consecutive_failures: int = 3
     base_s: float = 5.0
     max_s: float = 60.0
     share: float = 0.5
@@ -93,7 +93,10 @@
             health.ejections = 0
         health.last_failure = now
         health.failures += 1
-        if not health.is_probing and health.failures < self._limits.after:
+        if (
+            not health.is_probing
+            and health.failures < self._limits.consecutive_failures
+        ):
             return False
         if not self._may_eject(group_size, now):
             health.probe_open = False
@@ -139,7 +142,7 @@
                 ejected += 1
         return ejected + 1 <= group_size * self._limits.share
 
-    def forget(self, name: str) -> None:
+    def drop(self, name: str) -> None:
         """Drop the health of an upstream that is gone."""
         self._health_by_name.pop(name, None)
 
--- a/src/wagtailstair/core/exchange.py
+++ b/src/wagtailstair/core/exchange.py
@@ -232,8 +232,8 @@
             name = event.host.name
             self._drop_host(name, event.old.incarnation, now)
             sender = f"{name}/{event.old.incarnation}"
-            self.pools.forget(sender)
-            self.owned_quotas.forget(sender)
+            self.pools.drop_host(sender)
+            self.owned_quotas.drop_host(sender)
             self._reset_by_sender.pop(sender, None)
             self._dead_incarnation_by_host.pop(name, None)
             self.dispatch_client.reissue(name, now)
@@ -301,7 +301,7 @@
             if charged is not None:
                 self._send(sender, charged)
         elif isinstance(message, Charged):
-            self.charges.charged(sender, message, now)
+            self.charges.receive_verdict(sender, message, now)
         elif isinstance(message, EngineReport):
             as_of = now - message.age_s
             self._store_report(dataclasses.replace(message.state, as_of=as_of), now)
--- a/src/wagtailstair/core/loads.py
+++ b/src/wagtailstair/core/loads.py
@@ -114,7 +114,7 @@
         default_factory=collections.OrderedDict
     )
 
-    def take(self, state: EngineState) -> None:
+    def update_report(self, state: EngineState) -> None:
         """Update the load from a report."""
         self.state = state
         self.read_s = 1 / max(state.prefill_tokens_per_s, MINIMUM_PREFILL_TOKENS_PER_S)
@@ -261,7 +261,7 @@
         before, other_requests = load.state, load.other_requests
         other_requests_now = max(0, state.running + state.waiting - load.granted)
         load.other_requests = min(other_requests, other_requests_now)
-        load.take(state)
+        load.update_report(state)
         if _group_key(before) != _group_key(state) or before.slots != state.slots:
             self._rebuild_groups()
             return True
@@ -278,7 +278,7 @@
             load.granted += 1
             load.granted_kv += need.kv
         load.other_requests = max(0, state.running + state.waiting - load.granted)
-        load.take(state)
+        load.update_report(state)
         self.by_name[state.name] = load
         self._rebuild_groups()
 
@@ -296,7 +296,7 @@
             if load is not None:
                 load.start(need, now)
 
-    def adopt(self, route: Route, need: Need, now: float) -> None:
+    def count_adopted(self, route: Route, need: Need, now: float) -> None:
         """Add a grant whose request was counted in ``other_requests`` until now."""
         for stage in route:
             load = self.by_name.get(stage.engine)
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -90,13 +90,13 @@
         elif self._is_stale(peer, message):
             return []
         events: list[Event] = []
-        replaced = peer.heard and peer.host.incarnation != host.incarnation
+        replaced = peer.has_sent_heartbeat and peer.host.incarnation != host.incarnation
         if replaced:
             events.append(PeerReplaced(host, peer.host))
             self._reset(peer)
         peer.host = host
         peer.seq = message.seq
-        peer.heard = True
+        peer.has_sent_heartbeat = True
         peer.heard_at = now
         peer.view = message.view
         peer.is_store_unreachable = message.is_store_unreachable
@@ -106,7 +106,7 @@
         events.extend(self._enter(peer, message.state))
         return events
 
-    def view(self, sender: str, message: View, now: float) -> list[Event]:
+    def receive_view(self, sender: str, message: View, now: float) -> list[Event]:
         """Take the view of a peer of this data centre."""
         del now
         peer = self.by_name.get(sender)
@@ -130,7 +130,7 @@
                 host = dataclasses.replace(host, incarnation=0)
                 self.by_name[name] = Peer(host, heard_at=now, listed=True)
                 continue
-            if known.state is HostState.DEAD or not known.heard:
+            if known.state is HostState.DEAD or not known.has_sent_heartbeat:
                 incarnation = known.host.incarnation
                 known.host = dataclasses.replace(host, incarnation=incarnation)
 
@@ -146,7 +146,7 @@
         stretch = self._stretch()
         for peer in list(self.by_name.values()):
             silence = now - peer.heard_at
-            if peer.state is HostState.DEAD or not peer.heard:
+            if peer.state is HostState.DEAD or not peer.has_sent_heartbeat:
                 if silence > FORGET_AFTER_S and not peer.listed:
                     del self.by_name[peer.host.name]
                 continue
@@ -156,7 +156,7 @@
 
     # Output.
 
-    def due(self, now: float) -> tuple[list[str], list[str]]:
+    def due_addresses(self, now: float) -> tuple[list[str], list[str]]:
         """Return the addresses, inside and remote, that a heartbeat goes to now."""
         inside: list[str] = []
         remote: list[str] = []
@@ -182,7 +182,7 @@
         """
         names = [self.host.name]
         for peer in self._inside():
-            is_heard = peer.heard and now - peer.heard_at <= silence_s
+            is_heard = peer.has_sent_heartbeat and now - peer.heard_at <= silence_s
             if (
                 is_heard
                 and peer.state is HostState.LIVE
@@ -256,7 +256,11 @@
         if name == self.host.name:
             return self.host
         peer = self.by_name.get(name)
-        if peer is not None and peer.heard and peer.state is not HostState.DEAD:
+        if (
+            peer is not None
+            and peer.has_sent_heartbeat
+            and peer.state is not HostState.DEAD
+        ):
             return peer.host
         return self._remote.get(name)
 
@@ -285,7 +289,11 @@
 
     def unheard(self) -> list[Host]:
         """Return the listed hosts that have never been heard."""
-        return [p.host for p in self.by_name.values() if not p.heard and p.listed]
+        return [
+            p.host
+            for p in self.by_name.values()
+            if not p.has_sent_heartbeat and p.listed
+        ]
 
     def set_state(self, state: HostState) -> None:
         """Change what this host says of itself."""
@@ -296,7 +304,7 @@
     # Inside.
 
     def _is_stale(self, peer: Peer, message: Heartbeat) -> bool:
-        if not peer.heard:
+        if not peer.has_sent_heartbeat:
             return False
         if message.host.incarnation == peer.host.incarnation:
             return message.seq <= peer.seq
@@ -357,7 +365,11 @@
 
     def _hears(self, name: str) -> bool:
         peer = self.by_name.get(name)
-        return peer is not None and peer.heard and peer.state is not HostState.DEAD
+        return (
+            peer is not None
+            and peer.has_sent_heartbeat
+            and peer.state is not HostState.DEAD
+        )
 
     def _changed(self) -> None:
         self.generation += 1
@@ -367,7 +379,7 @@
         """Return by how much the pace of heartbeats is slowed."""
         live = 0
         for peer in self._inside():
-            live += peer.heard and peer.state is not HostState.DEAD
+            live += peer.has_sent_heartbeat and peer.state is not HostState.DEAD
         return max(1.0, live / self._full_rate_peers)
 
     def _timeout(self, peer: Peer, stretch: float) -> float:
@@ -380,7 +392,7 @@
 
     def _heard(self) -> t.Iterator[Peer]:
         for peer in self.by_name.values():
-            if peer.heard and peer.state is not HostState.DEAD:
+            if peer.has_sent_heartbeat and peer.state is not HostState.DEAD:
                 yield peer
 
     def _inside(self) -> t.Iterator[Peer]:
@@ -428,7 +440,7 @@
             centre = peer.host.data_centre
             if centre == self.host.data_centre:
                 continue
-            if peer.heard and peer.state is not HostState.DEAD:
+            if peer.has_sent_heartbeat and peer.state is not HostState.DEAD:
                 hosts_by_centre.setdefault(centre, {})[peer.host.name] = peer.host
             else:
                 silent_by_centre.setdefault(centre, []).append(peer.host)
--- a/src/wagtailstair/core/path_search.py
+++ b/src/wagtailstair/core/path_search.py
@@ -89,9 +89,9 @@
         self._entry = entry
         self._answer = answer
         self._transfer_s = 0.0
-        if model.pipe_bytes_per_s > 0:
+        if model.link_bytes_per_s > 0:
             sent = prompt * model.hidden_bytes
-            self._transfer_s = sent / model.pipe_bytes_per_s
+            self._transfer_s = sent / model.link_bytes_per_s
         self.by_centre = {entry.data_centre: _State(0.0, None)}
         self.by_engine: dict[int, _State] = {}
 
--- a/src/wagtailstair/core/peer.py
+++ b/src/wagtailstair/core/peer.py
@@ -12,7 +12,7 @@
 class Peer:
     """What is known of one other host.
 
-    ``heard``: heartbeats came from it directly; ``listed``: the host list or
+    ``has_sent_heartbeat``: heartbeats came from it directly; ``listed``: the host list or
     the settings name it.
     """
 
@@ -23,7 +23,7 @@
     known_lists_version: int = 0
     is_store_unreachable: bool = False
     heard_at: float = 0.0
-    heard: bool = False
+    has_sent_heartbeat: bool = False
     listed: bool = False
     view: int = 0
     view_asked_at: float = float("-inf")
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -230,7 +230,7 @@
         use = self.use(replica)
         use.suspect_until = max(use.suspect_until, until)
 
-    def forget(self, live: t.Container[tuple[str, int]]) -> None:
+    def drop_gone(self, live: t.Container[tuple[str, int]]) -> None:
         """Drop the engines that are not live and run no request of this host."""
         for identity, use in list(self.use_by_identity.items()):
             if identity not in live and use.running <= 0:
@@ -288,7 +288,7 @@
         kind = model.accelerator_by_name[replica.accelerator]
         use = self.use(replica)
         step = (model.step_s + model.sequence_s * load.running) * kind.step_factor
-        read = kind.prefill_factor / model.read_tokens_per_s
+        read = kind.prefill_factor / model.prefill_tokens_per_s
         layer_s = (answer * step + prompt * read) * use.slowness / model.layers
         layer_s *= 1 + COST_JITTER_SHARE * self._rng.random()
         room = kv_capacity(model, replica)
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -115,7 +115,7 @@
 
     # Requests.
 
-    def want(self, item: RouteRequest, now: float) -> None:
+    def submit(self, item: RouteRequest, now: float) -> None:
         """Queue a request, or answer a repeated one again."""
         epoch = self._latest_epoch(item.request)
         if item.epoch < epoch:
@@ -152,7 +152,7 @@
         self._withdraw(request, now)
         self._record_ended(request, epoch, None)
 
-    def hold(self, held_grant: HeldGrant, now: float) -> None:
+    def adopt_grant(self, held_grant: HeldGrant, now: float) -> None:
         """Adopt a grant of another dispatcher."""
         item = held_grant.route_request
         if item.epoch < self._latest_epoch(item.request):
@@ -165,10 +165,10 @@
             return
         self._withdraw(item.request, now)
         need = Need.of(item)
-        self._route_finder.adopt(held_grant.route, need, now)
+        self._route_finder.count_adopted(held_grant.route, need, now)
         self._add_open_grant(_OpenGrant(item, need, held_grant.route))
 
-    def done(self, outcome: GrantOutcome, now: float) -> None:
+    def end_grant(self, outcome: GrantOutcome, now: float) -> None:
         """End a grant and correct its charge to the actual cost."""
         if outcome.epoch < self._latest_epoch(outcome.request):
             return
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -27,16 +27,16 @@
 class Pool(t.Protocol):
     """The interface of :class:`wagtailstair.core.pool.Pool` used here."""
 
-    def want(self, item: RouteRequest, now: float) -> None:
+    def submit(self, item: RouteRequest, now: float) -> None:
         """Queue a request."""
 
     def cancel(self, request: str, epoch: int, now: float) -> None:
         """Remove a request or end its grant."""
 
-    def hold(self, held_grant: HeldGrant, now: float) -> None:
+    def adopt_grant(self, held_grant: HeldGrant, now: float) -> None:
         """Adopt a grant of another dispatcher."""
 
-    def done(self, outcome: GrantOutcome, now: float) -> None:
+    def end_grant(self, outcome: GrantOutcome, now: float) -> None:
         """End a grant."""
 
     def observe(self, state: EngineState, now: float) -> None:
@@ -142,7 +142,7 @@
         if not self._accept_era(sender, message.handle):
             return
         item = self._identify(sender, message.handle, message.want, now)
-        self._pool(message.key, now).want(item, now)
+        self._pool(message.key, now).submit(item, now)
         self._unanswered.add((sender, message.handle))
 
     def withdraw(self, sender: str, message: Withdraw, now: float) -> None:
@@ -169,7 +169,7 @@
             message.output_tokens,
             message.failed,
         )
-        self._pool(message.key, now).done(outcome, now)
+        self._pool(message.key, now).end_grant(outcome, now)
 
     def adopt_grant(self, sender: str, message: Held, now: float) -> None:
         """Adopt a grant of another dispatcher."""
@@ -177,7 +177,7 @@
             return
         item = self._identify(sender, message.handle, message.want, now)
         held_grant = HeldGrant(item, message.route, message.tokens_done)
-        self._pool(message.key, now).hold(held_grant, now)
+        self._pool(message.key, now).adopt_grant(held_grant, now)
 
     def reset(self, sender: str, era: int, now: float) -> None:
         """Drop the requests and grants of an entry host's earlier eras."""
@@ -197,7 +197,7 @@
         for era in self._eras_by_sender.pop(sender, set()):
             self._drop_host(f"{sender}/{era}", now)
 
-    def forget(self, sender: str) -> None:
+    def drop_host(self, sender: str) -> None:
         """Drop the minimum era of a replaced incarnation."""
         self._min_era_by_sender.pop(sender, None)
 
--- a/src/wagtailstair/core/route_finder.py
+++ b/src/wagtailstair/core/route_finder.py
@@ -130,7 +130,7 @@
     def add(self, state: EngineState, open_needs: t.Iterable[Need]) -> None:
         """Add an engine or a new incarnation of it, with its open grants."""
         self._loads.add(state, open_needs)
-        self._ejection.forget(state.name)
+        self._ejection.drop(state.name)
         self._clear_searches()
 
     def update_prefixes(
@@ -154,7 +154,7 @@
     def remove(self, engine: str) -> None:
         """Remove an engine."""
         if self._loads.remove(engine):
-            self._ejection.forget(engine)
+            self._ejection.drop(engine)
             self._clear_searches()
 
     def open_states(self) -> list[EngineState]:
@@ -173,9 +173,9 @@
         self._loads.start(route, need, now)
         self._record_started(route, now)
 
-    def adopt(self, route: Route, need: Need, now: float) -> None:
+    def count_adopted(self, route: Route, need: Need, now: float) -> None:
         """Count a grant of another dispatcher."""
-        self._loads.adopt(route, need, now)
+        self._loads.count_adopted(route, need, now)
         self._record_started(route, now)
 
     def _record_started(self, route: Route, now: float) -> None:
--- a/src/wagtailstair/core/shapes.py
+++ b/src/wagtailstair/core/shapes.py
@@ -59,7 +59,7 @@
     return layers > 0 and layers in reached
 
 
-class Shapes:
+class ModelShapes:
     """Remembers the layer ranges of each model and derives targets from them.
 
     Ranges are updated only while they cover all layers, so that a range whose
--- a/src/wagtailstair/core/table_copy.py
+++ b/src/wagtailstair/core/table_copy.py
@@ -57,7 +57,7 @@
         """Return the rows that exist."""
         return [row for row in self._row_by_key.values() if row.value is not None]
 
-    def since(self, version: int) -> list[StoreRow] | None:
+    def rows_since(self, version: int) -> list[StoreRow] | None:
         """Return what changed after a version, ``None`` if that is not known."""
         if version < self._oldest_told:
             return None
--- a/src/wagtailstair/core/upstream_balancer.py
+++ b/src/wagtailstair/core/upstream_balancer.py
@@ -19,7 +19,7 @@
 """Factor for an upstream of another data centre, as traffic to it is priced."""
 
 EJECTION_LIMITS = EjectionLimits(
-    after=3, base_s=1.5, max_s=6.0, share=0.67, healthy_s=10.0
+    consecutive_failures=3, base_s=1.5, max_s=6.0, share=0.67, healthy_s=10.0
 )
 
 
@@ -87,12 +87,12 @@
         else:
             self._ejection.record_inconclusive(replica.name)
 
-    def forget(self, live: t.Container[tuple[str, int]]) -> None:
+    def drop_gone(self, live: t.Container[tuple[str, int]]) -> None:
         """Drop the upstreams that are not live any more."""
         for identity in list(self._load_by_identity):
             if identity not in live:
                 del self._load_by_identity[identity]
-                self._ejection.forget(identity[0])
+                self._ejection.drop(identity[0])
 
     def _load(self, replica: Replica) -> _Load:
         load = self._load_by_identity.get(replica.identity)
--- a/src/wagtailstair/core/wait_estimates.py
+++ b/src/wagtailstair/core/wait_estimates.py
@@ -36,31 +36,31 @@
         self._pending_by_queue: dict[Queue, dict[str, float]] = {}
         self._queue_by_request: dict[str, Queue] = {}
 
-    def submitted(
+    def record_submission(
         self, request: str, data_centre: str, priority: Priority, now: float
     ) -> None:
         """Record that a request waits in a data centre."""
-        self.withdrawn(request)
+        self.record_withdrawal(request)
         queue = (data_centre, priority)
         self._queue_by_request[request] = queue
         self._pending_by_queue.setdefault(queue, {})[request] = now
 
-    def granted(self, request: str, now: float) -> None:
+    def record_grant(self, request: str, now: float) -> None:
         """Record that a request was granted a route."""
         queue = self._queue_by_request.get(request)
         if queue is not None:
             wait_s = now - self._pending_by_queue[queue][request]
             self._update_estimate(queue, wait_s, now)
-        self.withdrawn(request)
+        self.record_withdrawal(request)
 
-    def refused(self, request: str, now: float) -> None:
+    def record_refusal(self, request: str, now: float) -> None:
         """Record that a request was refused a route."""
         queue = self._queue_by_request.get(request)
         if queue is not None:
             self._update_estimate(queue, REFUSAL_WAIT_S, now)
-        self.withdrawn(request)
+        self.record_withdrawal(request)
 
-    def withdrawn(self, request: str) -> None:
+    def record_withdrawal(self, request: str) -> None:
         """Record that a request does not wait any more."""
         queue = self._queue_by_request.pop(request, None)
         if queue is not None:
--- a/src/wagtailstair/daemon.py
+++ b/src/wagtailstair/daemon.py
@@ -11,7 +11,6 @@
 
 import click
 
-from .budget import SharedRetryBudget
 from .claims import Claims
 from .clock import Clock
 from .clock import SystemClock
@@ -24,7 +23,7 @@
 from .core.placement import PlacementLimits
 from .core.pool import Pool
 from .core.pool import PoolLimits
-from .core.shapes import Shapes
+from .core.shapes import ModelShapes
 from .core.shapes import has_route
 from .core.upstreams import Upstream
 from .core.upstreams import Upstreams
@@ -36,7 +35,7 @@
 from .logs import configure_logs
 from .logs import log_event
 from .metrics import Metrics
-from .placement import LeaseKeeper
+from .placement import LeaseManager
 from .placement import Placer
 from .relay import Relays
 from .report import describe_pools
@@ -47,6 +46,7 @@
 from .settings import LEASE_MARGIN_S
 from .settings import Settings
 from .settings import load_settings
+from .shared_retry_budget import SharedRetryBudget
 from .stores.http import Timeouts
 from .stores.objects import ObjectClient
 from .stores.table import TableClient
@@ -183,7 +183,7 @@
             self._settings.host.data_centre,
             self._retry_budget,
             self._rng,
-            on_failed=lambda engine: self._metrics.count(
+            on_attempt_failed=lambda engine: self._metrics.count(
                 "attempts_failed", engine=engine
             ),
         )
@@ -217,8 +217,8 @@
     def _make_placer(self, table: TableClient) -> Placer:
         placement = self._settings.placement
         data_centre = self._settings.host.data_centre
-        shapes = Shapes()
-        keeper = LeaseKeeper(
+        shapes = ModelShapes()
+        lease_manager = LeaseManager(
             table,
             self._clock,
             f"placement/{data_centre}",
@@ -230,7 +230,7 @@
             ),
         )
         return Placer(
-            keeper,
+            lease_manager,
             EngineOrders(self._loop, self._clock, self._upstreams),
             self._clock,
             self._local_engines,
@@ -287,7 +287,7 @@
         # A request that arrives before the first load reports would find no route.
         if self._clock.monotonic() - self._started_at > ENGINE_REPORTS_TIMEOUT_S:
             return True
-        if not self._host_list.has_read:
+        if not self._host_list.has_host_list:
             return False
         known = {state.name for state in self._dispatcher.engine_states()}
         for engine in self._upstreams.engines(self._settings.host.data_centre):
@@ -313,7 +313,7 @@
     def _engines_to_poll(self) -> list[Upstream]:
         engines = []
         for engine in self._upstreams.engines(self._settings.host.data_centre):
-            if self._dispatcher.polls(engine.name):
+            if self._dispatcher.is_poller_of(engine.name):
                 engines.append(engine)
         return engines
 
@@ -353,7 +353,7 @@
 def _pool_limits(settings: Settings) -> PoolLimits:
     routing = settings.routing
     ejection = EjectionLimits(
-        after=routing.eject_after,
+        consecutive_failures=routing.eject_after,
         base_s=routing.eject_s,
         share=routing.eject_share,
     )
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -177,7 +177,7 @@
             states = self.exchange.engines.by_name.values()
             return tuple(sorted({state.model for state in states}))
 
-    def polls(self, engine: str) -> bool:
+    def is_poller_of(self, engine: str) -> bool:
         """Return whether this host is responsible for polling an engine."""
         with self._lock:
             host = self.exchange.find_host(f"engine/{engine}", self._host.data_centre)
--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -33,7 +33,7 @@
     :param fetch: fetches lists from a peer, given older ones.
     :param find_peers: returns what the peers have told.
     :param find_rank: returns this host's rank among those of its data centre.
-    :param on_taken: called with the old and the new lists.
+    :param on_lists_replaced: called with the old and the new lists.
     :param submit: runs a blocking call elsewhere.
     """
 
@@ -48,7 +48,7 @@
         fetch: t.Callable[[str, Lists], Lists],
         find_peers: t.Callable[[], PeerVersions],
         find_rank: t.Callable[[], int],
-        on_taken: t.Callable[[Lists, Lists], None] = lambda old, new: None,
+        on_lists_replaced: t.Callable[[Lists, Lists], None] = lambda old, new: None,
         submit: Submit | None = None,
     ) -> None:
         self._holder = holder
@@ -59,7 +59,7 @@
         self._fetch = fetch
         self._find_peers = find_peers
         self._find_rank = find_rank
-        self._on_taken = on_taken
+        self._on_taken = on_lists_replaced
         self._lock = threading.Lock()
         self._pool: concurrent.futures.ThreadPoolExecutor | None = None
         if submit is None:
@@ -84,7 +84,7 @@
         if self._pool is not None:
             self._pool.shutdown(wait=False, cancel_futures=True)
 
-    def heard(self) -> None:
+    def request_tick(self) -> None:
         """Look at once at what the peers have told."""
         self._wake.set()
 
@@ -94,7 +94,7 @@
         with self._lock:
             return self._freshness.is_ready
 
-    def known(self) -> int:
+    def highest_known_version(self) -> int:
         """Return the highest version that this host has heard of."""
         with self._lock:
             return self._freshness.known
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -6,8 +6,8 @@
 from ..core.pipelines import Path
 from .exchange import Fate
 from .requests import Header
-from .transfer import ExchangeLoss
-from .transfer import Wire
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import Wire
 
 
 class AttemptOwner(t.Protocol):
--- a/src/wagtailstair/gateway/report.py
+++ b/src/wagtailstair/gateway/engine_report.py
@@ -9,8 +9,8 @@
 from .fetch import Answer
 from .fetch import Fetch
 from .loop import Loop
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 REPORT_TIMEOUT_S = 0.3
 """Seconds for a report: an engine that answers does so within milliseconds."""
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -18,7 +18,7 @@
 from .loop import Timer
 from .requests import Header
 from .requests import Request
-from .transfer import UpstreamPool
+from .upstream_pool import UpstreamPool
 
 MS_PER_S = 1000
 SENDS_MAX = 8
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -8,11 +8,11 @@
 from ..platform.store import decode_rows
 from .loop import Loop
 from .loop import Timer
-from .transfer import ExchangeLoss
-from .transfer import Header
-from .transfer import Upstream
-from .transfer import UpstreamPool
-from .transfer import Wire
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import Header
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
+from .upstream_pool import Wire
 
 ANSWER_BYTES_MAX = 16 << 20
 
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -15,8 +15,8 @@
 from .fetch import decode_store_answer
 from .loop import Loop
 from .loop import Timer
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 READ_TIMEOUT_S = 1.5
 """Timeout of a read: a slow store answers within a few hundred milliseconds."""
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -25,7 +25,6 @@
 from ..settings import read_text
 from . import engine_uses
 from .answer_server import AnswerServer
-from .call import PlainExchange
 from .caller import ActiveRequest
 from .caller import Caller
 from .connection import listen
@@ -33,6 +32,7 @@
 from .loop import Loop
 from .peers import Peers
 from .placer import Placer
+from .plain_exchange import PlainExchange
 from .requests import Request
 from .settings import GatewaySettings
 from .settings import parse_address
@@ -41,8 +41,8 @@
 from .stream_exchange import StreamExchange
 from .table_sync import TableSync
 from .telemetry import Telemetry
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 METRICS_PATH = "/metrics"
 
@@ -312,9 +312,9 @@
     def _on_replicas_changed(self) -> None:
         self._leave_removed_engines()
         live = {replica.identity for replica in self.replicas.by_name.values()}
-        self.services.forget(live)
+        self.services.drop_gone(live)
         for pipelines in self._pipelines_by_service.values():
-            pipelines.forget(live)
+            pipelines.drop_gone(live)
 
     def _leave_removed_engines(self) -> None:
         """Move streams off engines that are leaving or no longer hold their layers."""
--- a/src/wagtailstair/gateway/host_registry.py
+++ b/src/wagtailstair/gateway/host_registry.py
@@ -17,8 +17,8 @@
 from .fetch import Fetch
 from .fetch import decode_store_answer
 from .loop import Loop
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 READ_INTERVAL_S = 20.0
 """Seconds between two reads of the host rows. A host that starts sends heartbeats by
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -21,9 +21,9 @@
 from .fetch import Fetch
 from .fetch import decode_store_answer
 from .loop import Loop
-from .transfer import ExchangeLoss
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 TABLE = "leases"
 
@@ -37,7 +37,7 @@
 MIN_WAIT_S = 0.05
 
 
-class LeaseKeeper:
+class LeaseManager:
     """Seeks one lease and renews it while it is held.
 
     :param key: the lease's name.
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -27,8 +27,8 @@
 from .host_registry import HostRegistry
 from .loop import READABLE
 from .loop import Loop
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 HEARTBEAT_S = 0.25
 """Seconds between heartbeats inside a data centre; other data centres get a quarter
@@ -243,7 +243,7 @@
         self._loop.call_later(HEARTBEAT_S, self._tick)
         now = self._loop.now
         self._handle_events(self.membership.tick(now))
-        inside, remote = self.membership.due(now)
+        inside, remote = self.membership.due_addresses(now)
         if inside:
             self._send_all(inside, (self._heartbeat(), self._events.own_uses()))
             self._forward_centre_uses(inside)
@@ -332,7 +332,7 @@
             if host is not None:
                 self._events.on_engine_lost(host, message)
         elif isinstance(message, View):
-            self._handle_events(self.membership.view(sender, message, now))
+            self._handle_events(self.membership.receive_view(sender, message, now))
         elif isinstance(message, ViewRequest):
             host = self.membership.find(sender)
             if host is not None:
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -14,14 +14,14 @@
 from ..core.store import Call
 from ..logs import log_event
 from ..platform import engines as engine_wire
+from .engine_report import fetch_engine_report
 from .fetch import Answer
 from .fetch import Fetch
-from .lease import LeaseKeeper
+from .lease import LeaseManager
 from .loop import Loop
-from .report import fetch_engine_report
-from .transfer import ExchangeLoss
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 LEASE_KEY = "placement"
 
@@ -69,7 +69,7 @@
         self._pool = pool
         self._replicas = replicas
         self._directory = directory
-        self._lease = LeaseKeeper(
+        self._lease = LeaseManager(
             loop, pool, store, LEASE_KEY, holder, is_candidate, rng
         )
         self._gap_since_by_centre: dict[str, float] = {}
--- a/src/wagtailstair/gateway/call.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -9,9 +9,9 @@
 from .exchange import Fate
 from .loop import Timer
 from .requests import Header
-from .transfer import ExchangeLoss
-from .transfer import Upstream
-from .transfer import Wire
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import Upstream
+from .upstream_pool import Wire
 
 HOLD_BYTES = 4 << 20
 """Bytes of an answer that are held; a longer one is passed on as it comes."""
--- a/src/wagtailstair/gateway/stall_detector.py
+++ b/src/wagtailstair/gateway/stall_detector.py
@@ -5,7 +5,7 @@
 from ..core.replicas import Replica
 from ..logs import log_event
 from ..platform import engines as engine_wire
-from .report import fetch_engine_report
+from .engine_report import fetch_engine_report
 
 if t.TYPE_CHECKING:
     from .gateway import Gateway
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -21,8 +21,8 @@
 from .loop import Timer
 from .paths import PathFinder
 from .requests import Header
-from .transfer import ExchangeLoss
-from .transfer import Upstream
+from .upstream_pool import ExchangeLoss
+from .upstream_pool import Upstream
 
 QUIET_S = 0.25
 """Seconds without an event after which the first engine is asked for the cause:
--- a/src/wagtailstair/gateway/table_sync.py
+++ b/src/wagtailstair/gateway/table_sync.py
@@ -27,8 +27,8 @@
 from .fetch import Fetch
 from .follower import TableFollower
 from .loop import Loop
-from .transfer import Upstream
-from .transfer import UpstreamPool
+from .upstream_pool import Upstream
+from .upstream_pool import UpstreamPool
 
 TICK_S = 0.25
 CHANGES_PAUSE_S = 0.2
@@ -154,7 +154,7 @@
         if follower is None or not follower.copy.is_complete:
             return None
         copy = follower.copy
-        since = copy.since(int(after)) if after.isdigit() else None
+        since = copy.rows_since(int(after)) if after.isdigit() else None
         rows = copy.live_rows() if since is None else since
         failure_age_s = self._store_failure_age_s(follower)
         return encode_relayed(rows, copy.as_of, failure_age_s, is_all=since is None)
--- a/src/wagtailstair/http/call.py
+++ b/src/wagtailstair/http/call.py
@@ -10,7 +10,7 @@
 from ..exceptions import InvalidRequestError
 from ..exceptions import NotFoundError
 from ..logs import log_event
-from ..services import HOP_HEADERS
+from ..services import HOP_BY_HOP_HEADERS
 from ..services import ServiceCall
 from .context import Context
 from .context import deadline_of
@@ -20,7 +20,7 @@
 SERVICE_WORK = 1.0
 MAX_KEY_LENGTH = 200
 # Headers that end at the daemon: they speak of the caller to it alone.
-OWN_HEADERS = HOP_HEADERS | {
+OWN_HEADERS = HOP_BY_HOP_HEADERS | {
     "authorization",
     "host",
     "idempotency-key",
--- a/src/wagtailstair/http/complete.py
+++ b/src/wagtailstair/http/complete.py
@@ -3,14 +3,14 @@
 from werkzeug.wrappers import Request
 from werkzeug.wrappers import Response
 
-from ..admission import Charge
 from ..admission import Identity
+from ..admission import RequestCharge
 from ..admission import charge
 from ..admission import check_model
 from ..admission import choose_priority
 from ..exceptions import NoUpstreamError
 from ..exceptions import RequestError
-from ..jobs import Finished
+from ..jobs import CompletionResult
 from ..jobs import Job
 from ..logs import log_event
 from . import completions
@@ -102,9 +102,9 @@
     return asked.prompt_tokens * completions.WORK_PER_PROMPT_TOKEN + output_tokens
 
 
-def _note_end(context: Context, job: Job, end: Finished | RequestError) -> None:
+def _note_end(context: Context, job: Job, end: CompletionResult | RequestError) -> None:
     priority = job.priority.name.lower()
-    if isinstance(end, Finished):
+    if isinstance(end, CompletionResult):
         context.metrics.count("answers", priority=priority)
         context.metrics.count("tokens", end.output_tokens, priority=priority)
         log_event("request_answered", request=job.request, tokens=end.output_tokens)
@@ -124,7 +124,7 @@
     request: Request,
     job: Job,
     asked: completions.CompletionRequest,
-    opened: Charge,
+    opened: RequestCharge,
 ) -> Response:
     sock = request.environ["werkzeug.socket"]
     finished = run_whole(context.relays, job, sock)
@@ -147,7 +147,7 @@
     request: Request,
     job: Job,
     asked: completions.CompletionRequest,
-    opened: Charge,
+    opened: RequestCharge,
 ) -> Response:
     shape = _shape(context, job.request, asked)
     sock = request.environ["werkzeug.socket"]
@@ -155,9 +155,9 @@
     stream = Stream(context.relays, job, shape, sock, limit)
     stream.wait_for_start()
 
-    def on_end(end: Finished | RequestError) -> None:
+    def on_end(end: CompletionResult | RequestError) -> None:
         tokens = asked.max_tokens
-        if isinstance(end, Finished):
+        if isinstance(end, CompletionResult):
             tokens = end.output_tokens
         opened.settle(_real_work(asked, tokens))
         _note_end(context, job, end)
--- a/src/wagtailstair/http/streams.py
+++ b/src/wagtailstair/http/streams.py
@@ -8,7 +8,7 @@
 
 from ..exceptions import CallerGoneError
 from ..exceptions import RequestError
-from ..jobs import Finished
+from ..jobs import CompletionResult
 from ..jobs import Job
 from ..relay import Relay
 from ..relay import Relays
@@ -35,7 +35,7 @@
         self._attached = False
         self._early: list[bytes] = []
 
-    def token(self, text: str) -> None:
+    def write_token(self, text: str) -> None:
         """Write the event of a token."""
         data = _chunk(completions.token_event(self._shape, text))
         if self._attached:
@@ -59,7 +59,7 @@
 class WholeSink:
     """Takes no tokens: the finished relay carries the text."""
 
-    def token(self, text: str) -> None:
+    def write_token(self, text: str) -> None:
         """Ignore a token."""
 
     def is_full(self) -> bool:
@@ -90,13 +90,13 @@
     return not caller.gone
 
 
-def run_whole(relays: Relays, job: Job, sock: socket.socket) -> Finished:
+def run_whole(relays: Relays, job: Job, sock: socket.socket) -> CompletionResult:
     """Run a completion to its end.
 
     :raises RequestError: if it has no whole answer.
     """
     caller = CallerSocket(relays.loop, sock, 1)
-    relay = relays.run(job, WholeSink())
+    relay = relays.start_relay(job, WholeSink())
     _watch(relays, relay, caller)
     try:
         return relay.future.result()
@@ -120,7 +120,7 @@
         self._shape = shape
         self._caller = CallerSocket(relays.loop, sock, limit)
         self._sink = StreamSink(self._caller, shape)
-        self._relay = relays.run(job, self._sink)
+        self._relay = relays.start_relay(job, self._sink)
         self._relay.future.add_done_callback(lambda _: self._sink.started.set())
         _watch(relays, self._relay, self._caller)
 
@@ -139,10 +139,12 @@
             raise
 
     def events(
-        self, on_end: t.Callable[[Finished | RequestError], None]
+        self, on_end: t.Callable[[CompletionResult | RequestError], None]
     ) -> collections.abc.Iterator[bytes]:
         """Yield the first and last events; the loop writes those between."""
-        end: Finished | RequestError = CallerGoneError("the caller closed early")
+        end: CompletionResult | RequestError = CallerGoneError(
+            "the caller closed early"
+        )
         is_watched = True
         try:
             yield completions.first_event(self._shape)
@@ -158,13 +160,13 @@
                 _unwatch(self._relays, self._caller)
             on_end(end)
 
-    def _wait(self) -> Finished | RequestError:
+    def _wait(self) -> CompletionResult | RequestError:
         try:
             return self._relay.future.result()
         except RequestError as error:
             return error
 
-    def _last(self, end: Finished | RequestError) -> bytes:
-        if isinstance(end, Finished):
+    def _last(self, end: CompletionResult | RequestError) -> bytes:
+        if isinstance(end, CompletionResult):
             return completions.last_events(self._shape, end.reason)
         return completions.error_event(error_value(end, self._job.request))
--- a/src/wagtailstair/jobs.py
+++ b/src/wagtailstair/jobs.py
@@ -32,7 +32,7 @@
 class TokenSink(t.Protocol):
     """Receives the tokens of an answer; called in the loop's thread."""
 
-    def token(self, text: str) -> None:
+    def write_token(self, text: str) -> None:
         """Accept the next token."""
         ...
 
@@ -67,7 +67,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Finished:
+class CompletionResult:
     """The result of a complete answer; ``reason``: why the engine ended it."""
 
     reason: str
--- a/src/wagtailstair/peers/bulk.py
+++ b/src/wagtailstair/peers/bulk.py
@@ -55,7 +55,7 @@
         self._steps: collections.deque[_Step] = collections.deque(maxlen=RECENT_MAX)
         self._rows = 0
 
-    def note(self, old: Lists, new: Lists) -> None:
+    def record_changes(self, old: Lists, new: Lists) -> None:
         """Note the step from older lists to newer ones."""
         keys = (
             *_changed(PLANS, old.plan_by_name, new.plan_by_name),
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -141,7 +141,7 @@
             self._stopping.wait(wait_s)
 
     def _send_heartbeats(self, now: float) -> None:
-        inside, remote = self.membership.due(now)
+        inside, remote = self.membership.due_addresses(now)
         held, known = self._lists_version(), self._lists_known()
         if inside:
             message = self.membership.next_heartbeat(held, known)
@@ -163,7 +163,7 @@
             elif isinstance(message, View):
                 with self.lock:
                     now = self._clock.monotonic()
-                    events = self.membership.view(datagram.sender, message, now)
+                    events = self.membership.receive_view(datagram.sender, message, now)
                 self._notify(events)
             else:
                 others.append(message)
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -64,7 +64,7 @@
         ...
 
 
-class LeaseKeeper:
+class LeaseManager:
     """The table side of a lease.
 
     :param holder: host and incarnation of this process.
@@ -164,7 +164,7 @@
 
     def __init__(
         self,
-        keeper: LeaseKeeper,
+        keeper: LeaseManager,
         engines: EngineClient,
         clock: Clock,
         observe: Observe,
@@ -183,7 +183,7 @@
         self._fence = 0
         self._state_by_engine: dict[str, EngineState] = {}
         self._unsent: queue.SimpleQueue[Order] = queue.SimpleQueue()
-        self._open: set[concurrent.futures.Future[None]] = set()
+        self._open_sends: set[concurrent.futures.Future[None]] = set()
         self._executor = concurrent.futures.ThreadPoolExecutor(
             MAX_SENDERS, thread_name_prefix="placement"
         )
@@ -202,7 +202,9 @@
         self._is_closing.set()
         if self._thread is not None:
             self._thread.join()
-        _, unanswered = concurrent.futures.wait(list(self._open), self._order_timeout_s)
+        _, unanswered = concurrent.futures.wait(
+            list(self._open_sends), self._order_timeout_s
+        )
         self._executor.shutdown(wait=False, cancel_futures=True)
         if not unanswered and not self._placement.pending:
             self._keeper.release()
@@ -230,8 +232,8 @@
         targets = self._derive(engines)
         for order in self._placement.decide(targets, engines, self._clock.monotonic()):
             future = self._executor.submit(self._send, order, fence)
-            self._open.add(future)
-            future.add_done_callback(self._open.discard)
+            self._open_sends.add(future)
+            future.add_done_callback(self._open_sends.discard)
         return delay_s
 
     def _run(self) -> None:
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -131,9 +131,9 @@
         hidden_bytes=engine.activation_bytes,
         step_s=engine.step_ms * S_PER_MS,
         sequence_s=engine.per_seq_ms * S_PER_MS,
-        read_tokens_per_s=engine.read_per_s,
+        prefill_tokens_per_s=engine.read_per_s,
         typical_output_tokens=engine.usual.answer,
-        pipe_bytes_per_s=_bytes_per_s(engine.pipe_mbps),
+        link_bytes_per_s=_bytes_per_s(engine.pipe_mbps),
         delay_s_by_centres=delays,
         accelerator_by_name=kinds,
     )
--- a/src/wagtailstair/relay.py
+++ b/src/wagtailstair/relay.py
@@ -28,7 +28,7 @@
 from .exceptions import QueueFullError
 from .exceptions import RequestError
 from .exceptions import UpstreamError
-from .jobs import Finished
+from .jobs import CompletionResult
 from .jobs import Job
 from .jobs import RouteDispatcher
 from .jobs import TokenSink
@@ -37,12 +37,12 @@
 from .upstreams.engine import Line
 from .upstreams.engine import LineBuffer
 from .upstreams.engine import decode_line
-from .upstreams.engine import decode_refusal
 from .upstreams.engine import encode_generate
+from .upstreams.engine import says_not_run
 from .upstreams.loop import Loop
-from .upstreams.transfer import Sent
 from .upstreams.transfer import Transfer
 from .upstreams.transfer import TransferEnd
+from .upstreams.transfer import TransferOutcome
 from .upstreams.transfer import TransferRequest
 
 TIMEOUT_CHECK_INTERVAL_S = 0.25
@@ -64,7 +64,7 @@
     """All open relays of a daemon and the objects that they share.
 
     :param retry_budget: the host's budget for retries after an engine's refusal.
-    :param on_failed: called with the name of an engine whose attempt failed.
+    :param on_attempt_failed: called with the name of an engine whose attempt failed.
     """
 
     def __init__(
@@ -77,7 +77,7 @@
         data_centre: str,
         retry_budget: RetryBudget,
         rng: random.Random,
-        on_failed: t.Callable[[str], None],
+        on_attempt_failed: t.Callable[[str], None],
     ) -> None:
         self.loop = loop
         self.dispatch = dispatch
@@ -88,14 +88,14 @@
         self.waits = WaitEstimates()
         self._rng = rng
         self.retry_budget = retry_budget
-        self.on_failed = on_failed
+        self.on_attempt_failed = on_attempt_failed
         self._open_relays: set[Relay] = set()
 
     def start(self) -> None:
         """Start the periodic check for stalled streams and passed deadlines."""
         self.loop.call(self._check_timeouts)
 
-    def run(self, job: Job, sink: TokenSink) -> "Relay":
+    def start_relay(self, job: Job, sink: TokenSink) -> "Relay":
         """Start a relay; its future gets the answer or a RequestError."""
         relay = Relay(self, job, sink)
         self.loop.call(relay.start)
@@ -135,7 +135,9 @@
     """One open completion; its methods run in the loop's thread."""
 
     def __init__(self, relays: Relays, job: Job, sink: TokenSink) -> None:
-        self.future: concurrent.futures.Future[Finished] = concurrent.futures.Future()
+        self.future: concurrent.futures.Future[CompletionResult] = (
+            concurrent.futures.Future()
+        )
         self._relays = relays
         self._job = job
         self._sink = sink
@@ -222,7 +224,9 @@
             avoid=self._avoided_engines,
         )
         data_centre = self._data_centres[self._data_centre_index]
-        self._relays.waits.submitted(job.request, data_centre, job.priority, now)
+        self._relays.waits.record_submission(
+            job.request, data_centre, job.priority, now
+        )
         self._pending_route = (data_centre, self._epoch)
         future = self._relays.dispatch.submit(job.model, data_centre, route_request)
         pending_route = self._pending_route
@@ -243,10 +247,10 @@
         answer = future.result()
         now = self._relays.clock.monotonic()
         if isinstance(answer, Refusal):
-            self._relays.waits.refused(self._job.request, now)
+            self._relays.waits.record_refusal(self._job.request, now)
             self._handle_refusal(answer)
             return
-        self._relays.waits.granted(self._job.request, now)
+        self._relays.waits.record_grant(self._job.request, now)
         self._start_attempt(pending_route[0], answer)
 
     def _handle_refusal(self, refusal: Refusal) -> None:
@@ -343,7 +347,7 @@
         )
         if isinstance(verdict, Accepted):
             self._awaiting_first_token = False
-            self._sink.token(line.x)
+            self._sink.write_token(line.x)
             return True
         if isinstance(verdict, Dropped):
             return True
@@ -361,7 +365,7 @@
         assert open_attempt is not None
         open_attempt.transfer.cancel()
         self._release_grant(frozenset())
-        finished = Finished(
+        finished = CompletionResult(
             line.end, session.text(), self._job.prompt_tokens, len(session.tokens)
         )
         self._mark_ended()
@@ -373,7 +377,7 @@
             return
         session = self._session
         assert session is not None
-        if end.status in REFUSAL_STATUSES and decode_refusal(end.body):
+        if end.status in REFUSAL_STATUSES and says_not_run(end.body):
             session.close_refused(attempt.id)
             # A refusal indicates overload, which unlimited retries would make
             # worse. A broken stream needs no budget: the pool limits the rate of
@@ -382,7 +386,8 @@
             self._retry(attempt, "refused", allowed, attempt.route[:1])
             return
         self._handle_broken_stream(
-            end.error or f"status {end.status}", end.sent is not Sent.NOT_SENT
+            end.error or f"status {end.status}",
+            end.sent is not TransferOutcome.NOT_SENT,
         )
 
     def _handle_violation(self, reason: str) -> None:
@@ -421,7 +426,7 @@
         engines = frozenset(stage.engine for stage in suspect_stages)
         self._release_grant(engines)
         self._avoided_engines = self._avoided_engines | engines
-        self._relays.on_failed(failed)
+        self._relays.on_attempt_failed(failed)
         if allowed and session.may_begin():
             self._data_centre_index = 0
             self._request_route()
@@ -456,7 +461,7 @@
         pending_route = self._pending_route
         self._pending_route = None
         if pending_route is not None:
-            self._relays.waits.withdrawn(self._job.request)
+            self._relays.waits.record_withdrawal(self._job.request)
             self._relays.dispatch.cancel(
                 self._job.model, pending_route[0], self._job.request, pending_route[1]
             )
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -25,16 +25,16 @@
 from .logs import log_event
 from .settings import Settings
 from .upstreams.loop import Loop
-from .upstreams.transfer import Sent
 from .upstreams.transfer import TransferEnd
+from .upstreams.transfer import TransferOutcome
 from .upstreams.transfer import TransferRequest
-from .upstreams.transfer import exchange
+from .upstreams.transfer import start_exchange
 
 NOT_RUN_HEADER = "X-Not-Run"
 LEAVING_HEADER = "X-Leaving"
 STATUS_UNAVAILABLE = 503
 MAX_ATTEMPTS = 4
-HOP_HEADERS = frozenset(
+HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
         "content-length",
@@ -167,7 +167,7 @@
         self._check_answered(replica, end)
         headers = []
         for name, value in end.headers:
-            if name.lower() not in HOP_HEADERS:
+            if name.lower() not in HOP_BY_HOP_HEADERS:
                 headers.append((name, value))
         return Answer(end.status, tuple(headers), end.body)
 
@@ -193,7 +193,7 @@
         )
         self._change_open_count(replica.name, 1)
         try:
-            future = exchange(self._loop, request)
+            future = start_exchange(self._loop, request)
             # The transfer has its own timeout; the margin of a second only limits
             # the wait if its end is never reported.
             return future.result(remaining_s + 1.0)
@@ -208,11 +208,11 @@
         refused = (
             end.status == STATUS_UNAVAILABLE and end.header(NOT_RUN_HEADER) == "true"
         )
-        failed = refused or end.sent is not Sent.ANSWERED
+        failed = refused or end.sent is not TransferOutcome.ANSWERED
         self._record_result(replica, failed)
-        if end.sent is Sent.NOT_SENT:
+        if end.sent is TransferOutcome.NOT_SENT:
             raise UpstreamNotSentError(end.error, where=replica.name)
-        if end.sent is Sent.LOST:
+        if end.sent is TransferOutcome.LOST:
             raise UpstreamLostError(end.error, where=replica.name)
         if not refused:
             return
--- a/src/wagtailstair/stores/lists.py
+++ b/src/wagtailstair/stores/lists.py
@@ -35,7 +35,7 @@
 from ..exceptions import PlatformUnknownError
 from .table import Table
 
-MAX_FOLLOWED_CHANGES = 500
+MAX_APPLIED_CHANGES = 500
 SNAPSHOT_ATTEMPTS = 5
 AUDIT_BATCH = 100
 MAX_AUTHOR_SEARCH = 1000
@@ -97,7 +97,7 @@
         before = read_head(table).version
         rows = [*table.scan(PLANS), *table.scan(ACCOUNTS)]
         after = read_head(table).version
-        if after - before > MAX_FOLLOWED_CHANGES:
+        if after - before > MAX_APPLIED_CHANGES:
             continue
         changes = read_changes(table, before + 1, after)
         return apply_changes(Lists().with_rows(before, rows), changes)
@@ -113,7 +113,7 @@
     head = read_head(table)
     if head.version <= lists.version:
         return lists
-    if head.version - lists.version <= MAX_FOLLOWED_CHANGES:
+    if head.version - lists.version <= MAX_APPLIED_CHANGES:
         try:
             changes = read_changes(table, lists.version + 1, head.version)
             return apply_changes(lists, changes)
--- a/src/wagtailstair/upstreams/engine.py
+++ b/src/wagtailstair/upstreams/engine.py
@@ -114,7 +114,7 @@
         raise UpstreamError(f"malformed line: {error}") from error
 
 
-def decode_refusal(raw: bytes) -> bool:
+def says_not_run(raw: bytes) -> bool:
     """Tell whether an error's body says that the attempt did not run."""
     try:
         return msgspec.json.decode(raw, type=_Refusal).not_run
--- a/src/wagtailstair/upstreams/orders.py
+++ b/src/wagtailstair/upstreams/orders.py
@@ -16,10 +16,10 @@
 from ..logs import log_event
 from .engine import decode_state
 from .loop import Loop
-from .transfer import Sent
 from .transfer import TransferEnd
+from .transfer import TransferOutcome
 from .transfer import TransferRequest
-from .transfer import exchange
+from .transfer import start_exchange
 
 STATE_TIMEOUT_S = 2.0
 CONNECT_TIMEOUT_S = 0.5
@@ -51,7 +51,7 @@
             repeatable=True,
         )
         end = self._exchange(request, engine)
-        if end.sent is not Sent.ANSWERED or end.status != OK:
+        if end.sent is not TransferOutcome.ANSWERED or end.status != OK:
             raise UpstreamError(f"no state: {end.error or end.status}", where=engine)
         return decode_state(
             end.body,
@@ -109,7 +109,7 @@
         _judge(end, order.engine)
 
     def _exchange(self, request: TransferRequest, engine: str) -> TransferEnd:
-        future = exchange(self._loop, request)
+        future = start_exchange(self._loop, request)
         try:
             return future.result(request.timeout_s + WAIT_MARGIN_S)
         except concurrent.futures.TimeoutError:
@@ -118,9 +118,9 @@
 
 
 def _judge(end: TransferEnd, engine: str) -> None:
-    if end.sent is Sent.NOT_SENT:
+    if end.sent is TransferOutcome.NOT_SENT:
         raise UpstreamNotSentError(end.error, where=engine)
-    if end.sent is Sent.LOST:
+    if end.sent is TransferOutcome.LOST:
         raise UpstreamLostError(end.error, where=engine)
     if end.status != OK:
         raise UpstreamRefusedError(f"status {end.status}", where=engine)
--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -12,7 +12,7 @@
 OnData = t.Callable[[bytes], bool]
 
 
-class Sent(enum.Enum):
+class TransferOutcome(enum.Enum):
     """How far an attempt got."""
 
     NOT_SENT = "not_sent"
@@ -24,7 +24,7 @@
 class TransferEnd:
     """The end of a transfer; ``status`` is 0 where no status line came."""
 
-    sent: Sent
+    sent: TransferOutcome
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
@@ -168,7 +168,7 @@
         self._easy = None
         if easy is None:
             return
-        sent = Sent.ANSWERED
+        sent = TransferOutcome.ANSWERED
         if number:
             sent = _how_far(easy, number)
         if self._too_large:
@@ -226,16 +226,16 @@
     return easy
 
 
-def _how_far(easy: pycurl.Curl, number: int) -> Sent:
+def _how_far(easy: pycurl.Curl, number: int) -> TransferOutcome:
     if number in _CURL_ERRORS_BEFORE_CONNECT:
-        return Sent.NOT_SENT
+        return TransferOutcome.NOT_SENT
     # PRETRANSFER_TIME is set when the connection stands and sending may begin.
     if easy.getinfo(pycurl.PRETRANSFER_TIME) == 0:
-        return Sent.NOT_SENT
-    return Sent.LOST
+        return TransferOutcome.NOT_SENT
+    return TransferOutcome.LOST
 
 
-def exchange(
+def start_exchange(
     loop: Loop, request: TransferRequest
 ) -> "concurrent.futures.Future[TransferEnd]":
     """Run a whole exchange; cancelling the future drops the transfer."""
--- a/src/wagtailstair/upstreams/watch.py
+++ b/src/wagtailstair/upstreams/watch.py
@@ -19,9 +19,9 @@
 from ..stores.hosts import decode_hosts
 from .engine import decode_state
 from .loop import Loop
-from .transfer import Sent
 from .transfer import Transfer
 from .transfer import TransferEnd
+from .transfer import TransferOutcome
 from .transfer import TransferRequest
 
 LOAD_REPORT_INTERVAL_S = 0.5
@@ -63,7 +63,7 @@
         self._rng = rng
         self._failed = False
         self._etag = ""
-        self.has_read = False
+        self.has_host_list = False
 
     def start(self) -> None:
         """Begin to watch."""
@@ -86,7 +86,7 @@
     def _on_end(self, end: TransferEnd) -> None:
         interval_s = jittered(self._platform.hosts_interval_s, self._rng)
         self._loop.call_later(interval_s, self._read)
-        failed = end.sent is not Sent.ANSWERED
+        failed = end.sent is not TransferOutcome.ANSWERED
         failed = failed or end.status not in {OK, NOT_MODIFIED}
         if failed != self._failed:
             self._failed = failed
@@ -120,7 +120,7 @@
             )
             found.append((upstream, entry.is_leaving))
         gone = self._upstreams.replace(found)
-        self.has_read = True
+        self.has_host_list = True
         self._on_entry_hosts(entry_hosts)
         if gone:
             self._on_gone(gone)
@@ -176,7 +176,7 @@
 
     def _on_end(self, engine: Upstream, end: TransferEnd) -> None:
         self._pending.discard(engine.name)
-        if end.sent is not Sent.ANSWERED or end.status != OK:
+        if end.sent is not TransferOutcome.ANSWERED or end.status != OK:
             self._note_failure(engine.name)
             return
         self._failures_by_name.pop(engine.name, None)
--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,7 +8,7 @@
 import signal
 import tomllib
 
-from .world import World
+from .standin_set import World
 
 
 async def _run(config_file: pathlib.Path) -> None:
--- a/standins/tokens.py
+++ b/standins/tokens.py
@@ -40,7 +40,7 @@
     return f" w{token:04d}"
 
 
-def answer(prompt: str, max_tokens: int, layers: int) -> list[int]:
+def expected_tokens(prompt: str, max_tokens: int, layers: int) -> list[int]:
     """Return the whole right answer, the ending token included."""
     tokens: list[int] = []
     context = context_of(prompt)
@@ -53,6 +53,8 @@
     return tokens
 
 
-def answer_text(prompt: str, max_tokens: int, layers: int) -> str:
+def expected_text(prompt: str, max_tokens: int, layers: int) -> str:
     """Return the text of the whole right answer."""
-    return "".join(text_of(token) for token in answer(prompt, max_tokens, layers))
+    return "".join(
+        text_of(token) for token in expected_tokens(prompt, max_tokens, layers)
+    )
--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -62,12 +62,12 @@
         self.loss = 0.0
         self.duplication = 0.0
         self.delay_s = 0.002
-        self.cut = set()
+        self.blocked_links = set()
         self.with_codec = False
 
     def send(self, source, address, datagram):
         target = f"h{address.partition(':')[0].rpartition('.')[2]}"
-        if (source, target) in self.cut or self.rng.random() < self.loss:
+        if (source, target) in self.blocked_links or self.rng.random() < self.loss:
             return
         copies = 2 if self.rng.random() < self.duplication else 1
         if self.with_codec:
@@ -86,7 +86,7 @@
     def heal(self):
         self.loss = self.duplication = 0.0
         self.delay_s = 0.002
-        self.cut.clear()
+        self.blocked_links.clear()
 
 
 class SimHost:
@@ -136,7 +136,7 @@
     def step(self):
         now = self.simulation.clock.monotonic()
         self.dispatcher.apply_member_events(self.membership.tick(now))
-        local, remote = self.membership.due(now)
+        local, remote = self.membership.due_addresses(now)
         if local or remote:
             message = self.membership.next_heartbeat(0, 0)
             for address in local + remote:
@@ -231,7 +231,7 @@
         for model in MODELS:
             for number in range(ENGINES):
                 name = f"{model}-{number}"
-                if host.dispatcher.polls(name):
+                if host.dispatcher.is_poller_of(name):
                     host.dispatcher.observe(self.engine(model, number))
 
     def engine(self, model, number):
@@ -360,7 +360,7 @@
             return
         entry[4] = now + self.rng.uniform(0.0, 1.5)
 
-    def settled(self):
+    def find_leftovers(self):
         """Return the state left in the hosts; empty when all have converged."""
         leftovers = []
         for name, host in self.by_name.items():
--- a/tests/engines.py
+++ b/tests/engines.py
@@ -12,7 +12,7 @@
 LAYERS = 8
 
 
-class FakeDispatch:
+class FakeRouteDispatcher:
     """Answers each request with the next scripted address or refusal; records calls.
 
     Without a scripted answer a request stays pending.
@@ -20,12 +20,12 @@
 
     def __init__(self, *addresses):
         self.addresses = list(addresses)
-        self.wants = []
+        self.route_requests = []
         self.outcomes = []
         self.cancelled = []
 
     def submit(self, model, data_centre, route_request):
-        self.wants.append((data_centre, route_request))
+        self.route_requests.append((data_centre, route_request))
         future = concurrent.futures.Future()
         address = self.addresses.pop(0) if self.addresses else None
         if address is None:
@@ -40,7 +40,7 @@
             )
             future.set_result(refusal)
             return future
-        number = len(self.wants)
+        number = len(self.route_requests)
         half = LAYERS // 2
         route = (
             Stage(f"engine-{number}", address, 0, half),
@@ -79,15 +79,15 @@
     return {"r": "r1", "a": attempt, "e": epoch, "p": position, "end": "length"}
 
 
-def stream(*lines, whole=True):
-    """Return a script that sends lines, cut off unless ``whole``."""
+def stream(*lines, is_complete=True):
+    """Return a script that sends lines, cut off unless ``is_complete``."""
     body = b"".join(json.dumps(line).encode() + b"\n" for line in lines)
 
     def script(connection, request):
         head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
         chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
-        connection.sendall(head + chunk + (b"0\r\n\r\n" if whole else b""))
-        if not whole:
+        connection.sendall(head + chunk + (b"0\r\n\r\n" if is_complete else b""))
+        if not is_complete:
             connection.shutdown(socket.SHUT_RDWR)
 
     return script
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -33,7 +33,7 @@
     def __init__(self):
         self.value_by_id = {}
         self.version_by_id = collections.Counter()
-        self.is_away = False
+        self.is_unavailable = False
         self.faults = collections.deque()
         self.delayed = []
         self.transactions = []
@@ -49,7 +49,7 @@
     def transact(self, conditions, writes):
         with self._lock:
             fault = self.faults.popleft() if self.faults else WriteFault.NONE
-            if self.is_away or fault is WriteFault.AWAY:
+            if self.is_unavailable or fault is WriteFault.AWAY:
                 raise PlatformUnavailableError("away", where="table")
             self.transactions.append((tuple(conditions), tuple(writes)))
             if fault is WriteFault.REQUEST_LOST:
@@ -72,13 +72,13 @@
     def read(self, keys):
         with self._lock:
             self.reads += len(keys)
-            if self.is_away:
+            if self.is_unavailable:
                 raise PlatformUnavailableError("away", where="table")
             return [self.row(table, key) for table, key in keys]
 
     def scan(self, table, after="", limit=1000):
         with self._lock:
-            if self.is_away:
+            if self.is_unavailable:
                 raise PlatformUnavailableError("away", where="table")
             keys = sorted(k for t, k in self.value_by_id if t == table and k > after)
             return [self.row(table, key) for key in keys[:limit]]
@@ -105,15 +105,15 @@
 
     def __init__(self):
         self.body_by_name = {}
-        self.is_away = False
+        self.is_unavailable = False
 
     def put(self, name, data):
-        if self.is_away:
+        if self.is_unavailable:
             raise PlatformUnavailableError("away", where="objects")
         self.body_by_name[name] = data
 
     def get(self, name):
-        if self.is_away:
+        if self.is_unavailable:
             raise PlatformUnavailableError("away", where="objects")
         return self.body_by_name.get(name)
 
@@ -195,7 +195,7 @@
             adapters=tuple(self.adapters),
         )
 
-    def take(self, order, fence, holder=""):
+    def execute_order(self, order, fence, holder=""):
         if fence < self.fence and self.fencing_checked:
             raise UpstreamRefusedError("old fencing number", where=self.name)
         self.fence = fence
@@ -232,4 +232,4 @@
     def send_order(self, order, fence, holder, timeout_s, may_send):
         if order.engine in self.unreachable or not may_send():
             raise UpstreamNotSentError("unreachable", where=order.engine)
-        self.engine_by_name[order.engine].take(order, fence, holder)
+        self.engine_by_name[order.engine].execute_order(order, fence, holder)
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -124,7 +124,7 @@
     """Return a prompt whose expected answer reaches ``length`` tokens."""
     for number in range(10_000):
         prompt = f"lantern {seed} {number}"
-        if len(tokens.answer(prompt, length, LAYERS)) == length:
+        if len(tokens.expected_tokens(prompt, length, LAYERS)) == length:
             return prompt
     raise AssertionError("no prompt found")
 
--- a/tests/follower_simulation.py
+++ b/tests/follower_simulation.py
@@ -47,7 +47,7 @@
             fetch=self.fetch,
             find_peers=self.peers,
             find_rank=self.rank,
-            on_taken=self.on_taken,
+            on_lists_replaced=self.on_lists_replaced,
             submit=self.submit,
         )
 
@@ -95,7 +95,7 @@
         names = {name for name in self.live() if name[0] == self.centre} | {self.name}
         return ranked(f"lists/{self.centre}", names).index(self.name)
 
-    def on_taken(self, old, new):
+    def on_lists_replaced(self, old, new):
         assert new.version > old.version
         self.beat_at = 0.0
 
@@ -141,7 +141,7 @@
         return self.clock.monotonic() < daemon.frozen_until
 
     def beat(self, daemon):
-        versions = (daemon.version, daemon.follower.known())
+        versions = (daemon.version, daemon.follower.highest_known_version())
         for other in self.by_name.values():
             if other is not daemon and self.reaches(daemon.name, other.name):
                 other.mail.append((daemon.name, *versions))
--- a/tests/gateway_data.py
+++ b/tests/gateway_data.py
@@ -31,9 +31,9 @@
         "hidden_bytes": 59_000.0,
         "step_s": 0.00102,
         "sequence_s": 0.00000918,
-        "read_tokens_per_s": 164_000.0,
+        "prefill_tokens_per_s": 164_000.0,
         "typical_output_tokens": 216.0,
-        "pipe_bytes_per_s": 1.6e9,
+        "link_bytes_per_s": 1.6e9,
         "delay_s_by_centres": {},
         "accelerator_by_name": kinds,
     }
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -163,7 +163,7 @@
     _LISTS + "TestNeverBack::test_versions_only_grow_over_edits_cuts_and_freezes"
 )
 _EDITS = "tests/test_changes.py::"
-_LOST_EDIT = _EDITS + "TestLostReplies::test_a_lost_reply_is_settled_by_the_change_id"
+_LOST_EDIT = _EDITS + "TestLostReplies::test_lost_reply_is_resolved_by_the_change_id"
 _FOLLOWER = "tests/test_follower.py::"
 
 # Cells that a pytest test covers, by its node id.
@@ -208,10 +208,10 @@
     ("read", "frozen"): (_FOLLOWER + "TestPause",),
     ("read", "platform-away"): (
         _STAMPEDE,
-        _FOLLOWER + "TestTable::test_its_return_is_not_met_by_a_stampede",
+        _FOLLOWER + "TestTable::test_recovery_of_the_table_causes_no_read_burst",
     ),
     ("commit", "operators-race"): (
-        _EDITS + "TestCommit::test_the_second_edit_of_a_row_is_told_of_the_first",
+        _EDITS + "TestCommit::test_second_edit_of_a_row_conflicts_with_the_first",
         _EDITS + "TestCommit::test_edits_of_different_rows_both_succeed",
         "tests/test_changes_machine.py",
     ),
@@ -221,7 +221,7 @@
     ("commit", "request-lost"): (_LOST_EDIT,),
     ("reply", "reply-lost"): (_LOST_EDIT,),
     ("reply", "platform-slow"): (
-        _EDITS + "TestLostReplies::test_an_own_late_attempt_is_not_anothers_edit",
+        _EDITS + "TestLostReplies::test_late_attempt_of_the_same_change_is_no_conflict",
     ),
     ("announce", "cut-platform"): (_CUT_LISTS,),
     ("announce", "cut-peer"): (_ONLY_GROW,),
@@ -238,7 +238,8 @@
     ("first-lists", "cut-platform"): (_RESTARTED,),
     ("first-lists", "platform-away"): (_FOLLOWER + "TestStart",),
     ("first-lists", "cut-peer"): (
-        _FOLLOWER + "TestStart::test_is_not_ready_while_it_can_reach_nobody",
+        _FOLLOWER
+        + "TestStart::test_not_ready_while_platform_and_peers_are_unreachable",
     ),
 }
 _MACHINE_CELLS = (
--- a/tests/matrix_hosts.py
+++ b/tests/matrix_hosts.py
@@ -54,12 +54,12 @@
 
 def _cut(simulation):
     one, other = _victims(simulation)
-    simulation.network.cut |= {(one, other), (other, one)}
+    simulation.network.blocked_links |= {(one, other), (other, one)}
     return simulation.network.heal
 
 
 def _cut_one_way(simulation):
-    simulation.network.cut.add(tuple(_victims(simulation)))
+    simulation.network.blocked_links.add(tuple(_victims(simulation)))
     return simulation.network.heal
 
 
@@ -67,7 +67,7 @@
     half = _victims(simulation)
     for one, other in itertools.product(simulation.names, repeat=2):
         if (one in half) is not (other in half):
-            simulation.network.cut.add((one, other))
+            simulation.network.blocked_links.add((one, other))
     return simulation.network.heal
 
 
@@ -101,12 +101,16 @@
     mend()
     simulation.run(TIMEOUT_S + 2 * GRACE_S)
     for _ in range(int(SETTLE_S)):
-        if not simulation.open and not simulation.charged and not simulation.settled():
+        if (
+            not simulation.open
+            and not simulation.charged
+            and not simulation.find_leftovers()
+        ):
             return
         simulation.run(1.0)
     assert not simulation.open, f"{len(simulation.open)} requests without an end"
     assert not simulation.charged, f"{len(simulation.charged)} charges without an end"
-    assert not simulation.settled(), simulation.settled()
+    assert not simulation.find_leftovers(), simulation.find_leftovers()
 
 
 def host_cells():
--- a/tests/policy_data.py
+++ b/tests/policy_data.py
@@ -35,7 +35,7 @@
     return EngineState(**{**values, **changes})
 
 
-def want(request, account="small", priority=Priority.STANDARD, **changes):
+def make_route_request(request, account="small", priority=Priority.STANDARD, **changes):
     values = {
         "request": request,
         "epoch": 0,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -6,11 +6,11 @@
 
 import httptools
 
+from tests.soak.checker import Asked
+from tests.soak.checker import Key
+from tests.soak.checker import Kind
+from tests.soak.checker import Ledger
 from tests.soak.hosts import HostProcess
-from tests.soak.ledger import Asked
-from tests.soak.ledger import Key
-from tests.soak.ledger import Kind
-from tests.soak.ledger import Ledger
 from wagtailstair.gateway.connection import Connection
 from wagtailstair.gateway.connection import connect
 from wagtailstair.gateway.loop import Loop
--- a/tests/soak/ledger.py
+++ b/tests/soak/checker.py
@@ -137,7 +137,12 @@
     # What upstreams see.
 
     def ran(
-        self, upstream: str, seen: "Seen", now: float, *, is_first: bool = True
+        self,
+        upstream: str,
+        seen: "ReceivedRequest",
+        now: float,
+        *,
+        is_first: bool = True,
     ) -> None:
         """Take in that an upstream begins to work on a request."""
         asked = self.asked.get(seen.attempt)
@@ -258,7 +263,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class Seen:
+class ReceivedRequest:
     """A request as an upstream saw it."""
 
     attempt: str
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,11 +5,11 @@
 import typing as t
 
 from tests.gateway_data import make_config
+from tests.soak.checker import STORE
+from tests.soak.checker import UPSTREAMS
+from tests.soak.checker import Key
+from tests.soak.checker import Ledger
 from tests.soak.hosts import HostProcess
-from tests.soak.ledger import STORE
-from tests.soak.ledger import UPSTREAMS
-from tests.soak.ledger import Key
-from tests.soak.ledger import Ledger
 from tests.soak.proxy import LinkMode
 from tests.soak.upstreams import SoakEngine
 from tests.soak.upstreams import SoakService
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -8,12 +8,12 @@
 from concurrent import futures
 
 from tests.soak.callers import SoakCaller
+from tests.soak.checker import MACHINE
+from tests.soak.checker import Ledger
+from tests.soak.checker import Touch
 from tests.soak.faults import FAULTS
 from tests.soak.faults import Stage
 from tests.soak.hosts import HostProcess
-from tests.soak.ledger import MACHINE
-from tests.soak.ledger import Ledger
-from tests.soak.ledger import Touch
 from tests.soak.proxy import Proxy
 from tests.soak.upstreams import SoakEngine
 from tests.soak.upstreams import SoakService
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -8,10 +8,10 @@
 from tests.gateway_deployment import PendingRequest
 from tests.gateway_deployment import Service
 from tests.gateway_deployment import Store
-from tests.soak.ledger import EVENTS
-from tests.soak.ledger import Ledger
-from tests.soak.ledger import Seen
-from tests.soak.ledger import make_event
+from tests.soak.checker import EVENTS
+from tests.soak.checker import Ledger
+from tests.soak.checker import ReceivedRequest
+from tests.soak.checker import make_event
 from wagtailstair.gateway.loop import Loop
 from wagtailstair.gateway.requests import Request
 
@@ -42,13 +42,13 @@
         super().feed(held, table, after)
 
 
-def see(request: Request) -> Seen:
+def see(request: Request) -> ReceivedRequest:
     """Return what an upstream was asked."""
 
     def text(name: bytes) -> str:
         return request.header(name).decode()
 
-    return Seen(
+    return ReceivedRequest(
         text(b"x-attempt-id"),
         request.method.decode(),
         request.target.decode(),
--- a/tests/table_server.py
+++ b/tests/table_server.py
@@ -2,7 +2,7 @@
 
 import json
 
-from tests.tiny_server import DROP
+from tests.tiny_server import DROP_CONNECTION
 from tests.tiny_server import serving
 from wagtailstair.core.rows import Condition
 from wagtailstair.core.rows import Write
@@ -53,6 +53,6 @@
         except PlatformUnavailableError:
             return 503, {}
         except PlatformUnknownError:
-            return DROP
+            return DROP_CONNECTION
 
     return serving(answer)
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -47,7 +47,7 @@
         pool = Pool("draft", "a")
         pool.observe(engine("e1", 0, 4), 0.0)
         for number in range(40):
-            pool.want(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
+            pool.submit(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
         assert pool.poll(0.1) == []
         pool.observe(engine("e2", 4, 8), 0.5)
         answers = pool.poll(0.5)
@@ -67,7 +67,7 @@
         pool = self.make()
         for number in range(60):
             want = dataclasses.replace(WANT, request=f"r{number}")
-            pool.want(want, number / 100)
+            pool.submit(want, number / 100)
             pool.poll(number / 100)
         answers = pool.poll(0.6 + NO_ROUTE_TIMEOUT_S)
         assert {answer.request for answer in answers} == {f"r{n}" for n in range(60)}
@@ -76,7 +76,7 @@
     def test_requests_are_kept_when_a_route_returns(self):
         pool = self.make()
         for number in range(20):
-            pool.want(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
+            pool.submit(dataclasses.replace(WANT, request=f"r{number}"), 0.0)
         pool.poll(0.0)
         pool.observe(engine("e1", 0, 4), 0.5)
         answers = pool.poll(0.5) + pool.poll(0.5 + NO_ROUTE_TIMEOUT_S)
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -125,7 +125,7 @@
         assert put_plan(table, "c1", "maker").version == 2
         assert set(read_snapshot(table).plan_by_name) == {"judge", "maker"}
 
-    def test_the_second_edit_of_a_row_is_told_of_the_first(self):
+    def test_second_edit_of_a_row_conflicts_with_the_first(self):
         table = FakeTable()
         put_plan(table, "c1", "maker")
         put_plan(table, "c2", "maker", 2.0, seen=1, author="ben")
@@ -210,7 +210,7 @@
 
 class TestLostReplies:
     @pytest.mark.parametrize("fault", ["lose_reply", "lose_request", "delay"])
-    def test_a_lost_reply_is_settled_by_the_change_id(self, fault):
+    def test_lost_reply_is_resolved_by_the_change_id(self, fault):
         table = FakeTable()
         table.before_call = scripted(fault)
         assert put_plan(table, "c1", "maker").version == 1
@@ -218,7 +218,7 @@
         assert table.keys("audit") == ["000000000001"]
 
     @pytest.mark.parametrize("calls_later", range(6))
-    def test_an_own_late_attempt_is_not_anothers_edit(self, calls_later):
+    def test_late_attempt_of_the_same_change_is_no_conflict(self, calls_later):
         table = FakeTable()
         calls_since = []
 
@@ -326,7 +326,7 @@
         if gap:
             table.transact([], [Write("audit", "000000000002", None)])
         else:
-            monkeypatch.setattr(platform_lists, "MAX_FOLLOWED_CHANGES", 3)
+            monkeypatch.setattr(platform_lists, "MAX_APPLIED_CHANGES", 3)
         lists = read_since(table, NOTHING)
         assert (lists.version, len(lists.plan_by_name)) == (4, 4)
         assert table.calls["scan"] > 0
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -57,8 +57,8 @@
 def world():
     world = World()
     yield world
-    world.table.is_away = False
-    world.objects.is_away = False
+    world.table.is_unavailable = False
+    world.objects.is_unavailable = False
     for claims in world.daemons:
         assert claims.close(5.0) == 0
 
@@ -125,7 +125,7 @@
         assert world.claim_rows() == []
 
     def test_refuses_while_the_table_is_away(self, world):
-        world.table.is_away = True
+        world.table.is_unavailable = True
         with pytest.raises(NotReadyError) as caught:
             world.run(world.daemon("h1"))
         assert caught.value.outcome is Outcome.NOT_RUN
@@ -200,13 +200,13 @@
         claims = world.daemon("h1")
 
         def send():
-            world.table.is_away = True
+            world.table.is_unavailable = True
             return world.service.call("k")
 
         deadline = CLOCK.monotonic() + LONG_S
         first = claims.run("acme", "desk", "k", "h", deadline, send)
         assert claims.unsettled == 1
-        world.table.is_away = False
+        world.table.is_unavailable = False
         assert claims.close(10.0) == 0
         assert world.run(world.daemon("h2")) == first
 
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -31,7 +31,7 @@
         model = directory.service_by_name["engines"].model
         assert model is not None
         assert model.step_s == pytest.approx(0.00102)
-        assert model.pipe_bytes_per_s == pytest.approx(1.625e9)
+        assert model.link_bytes_per_s == pytest.approx(1.625e9)
         assert model.delay_s_by_centres["b", "a"] == pytest.approx(0.0005)
         assert model.accelerator_by_name["l4"].step_factor == 16.0
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -31,11 +31,11 @@
     elif kind == 4 and len(names) > 2:
         simulation.kill(name)
     elif kind == 5:
-        network.cut.add((name, other))
+        network.blocked_links.add((name, other))
     elif kind == 6:
-        network.cut.update(((name, other), (other, name)))
+        network.blocked_links.update(((name, other), (other, name)))
     else:
-        network.cut.clear()
+        network.blocked_links.clear()
 
 
 def run_with_faults(seed):
@@ -74,7 +74,7 @@
         for seed in range(first, first + SEEDS_PER_TEST):
             simulation = converge(run_with_faults(seed))
             granted += simulation.granted
-            leftovers = simulation.settled()
+            leftovers = simulation.find_leftovers()
             assert not leftovers, f"seed {seed}: {leftovers}"
             views = {host.membership.live() for host in simulation.by_name.values()}
             assert views == {tuple(simulation.names)}, f"seed {seed}"
@@ -123,7 +123,7 @@
         stats = [pool.stats() for pool in pools.by_key.values()]
         assert sum(stat.open_grants for stat in stats) > 0
         simulation.run(10.0)
-        assert simulation.settled() == []
+        assert simulation.find_leftovers() == []
 
     def test_account_limit_holds_across_hosts(self):
         simulation, _, _ = self.make()
--- a/tests/test_ejection.py
+++ b/tests/test_ejection.py
@@ -1,7 +1,7 @@
 from wagtailstair.core.ejection import Ejection
 from wagtailstair.core.ejection import EjectionLimits
 
-LIMITS = EjectionLimits(after=3, base_s=5.0, max_s=60.0, share=0.5)
+LIMITS = EjectionLimits(consecutive_failures=3, base_s=5.0, max_s=60.0, share=0.5)
 
 
 def fail(ejection, name, times, now=0.0, group=4):
--- a/tests/test_fleet_completions.py
+++ b/tests/test_fleet_completions.py
@@ -40,14 +40,14 @@
         )
         chunks = [choice for chunk in stream for choice in chunk.choices]
         text = "".join(choice.text or "" for choice in chunks)
-        assert text == tokens.answer_text(self.PROMPT, 15, LAYERS)
+        assert text == tokens.expected_text(self.PROMPT, 15, LAYERS)
         assert chunks[-1].finish_reason == "length"
 
     def test_unstreamed_completion(self, client):
         answer = client.completions.create(
             model=MODEL, prompt=self.PROMPT, max_tokens=15
         )
-        assert answer.choices[0].text == tokens.answer_text(self.PROMPT, 15, LAYERS)
+        assert answer.choices[0].text == tokens.expected_text(self.PROMPT, 15, LAYERS)
         assert answer.usage.completion_tokens == 15
 
     def test_chat(self, client):
@@ -56,7 +56,7 @@
         completion = client.chat.completions.create(
             model=MODEL, messages=messages, max_tokens=15
         )
-        expected = tokens.answer_text(prompt, 15, LAYERS)
+        expected = tokens.expected_text(prompt, 15, LAYERS)
         assert completion.choices[0].message.content == expected
         stream = client.chat.completions.create(
             model=MODEL, messages=messages, max_tokens=15, stream=True
@@ -103,7 +103,7 @@
                 answer = call.result(30)
             finally:
                 fleet.standins.switch(failed_engine, **{fault: False})
-        assert answer.text() == tokens.answer_text(prompt, self.LENGTH, LAYERS)
+        assert answer.text() == tokens.expected_text(prompt, self.LENGTH, LAYERS)
         attempts = [a for a in fleet.attempts() if a["request"] == attempt["request"]]
         # The fault came in mid-stream, so no single attempt generated all tokens.
         assert max(a["made"] for a in attempts) < self.LENGTH
@@ -132,9 +132,9 @@
             # explicit error event.
             assert "cut_after" in switches
             text = "".join(c["text"] for e in events[:-1] for c in e["choices"])
-            assert tokens.answer_text(prompt, 30, LAYERS).startswith(text)
+            assert tokens.expected_text(prompt, 30, LAYERS).startswith(text)
             return
-        assert answer.text() == tokens.answer_text(prompt, 30, LAYERS)
+        assert answer.text() == tokens.expected_text(prompt, 30, LAYERS)
 
     def test_disconnect_stops_the_engines(self, fleet):
         prompt = long_prompt(600, "left")
@@ -173,7 +173,7 @@
         with concurrent.futures.ThreadPoolExecutor(30) as pool:
             answers = list(pool.map(run, range(len(prompts))))
         for prompt, answer in zip(prompts, answers, strict=True):
-            assert answer.text() == tokens.answer_text(prompt, 25, LAYERS)
+            assert answer.text() == tokens.expected_text(prompt, 25, LAYERS)
         fleet.assert_layers_ran_once()
 
 
--- a/tests/test_fleet_hosts.py
+++ b/tests/test_fleet_hosts.py
@@ -24,7 +24,7 @@
 
 def assert_serves(daemon, prompt, length=10):
     answer = daemon.complete(prompt, length)
-    assert answer.text() == tokens.answer_text(prompt, length, LAYERS)
+    assert answer.text() == tokens.expected_text(prompt, length, LAYERS)
 
 
 class TestHostLost:
--- a/tests/test_fleet_placement.py
+++ b/tests/test_fleet_placement.py
@@ -80,7 +80,7 @@
 
     wait_until(all_served, "every layer is held again")
     answer = daemons[0].complete(prompt, 5)
-    assert answer.text() == tokens.answer_text(prompt, 5, LAYERS)
+    assert answer.text() == tokens.expected_text(prompt, 5, LAYERS)
 
 
 def assert_fences_never_decrease(fleet):
--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -25,7 +25,7 @@
 
         wait_until(is_served, "the loss is known")
         answer = fleet["a0"].complete("elsewhere", 8)
-        assert answer.text() == tokens.answer_text("elsewhere", 8, LAYERS)
+        assert answer.text() == tokens.expected_text("elsewhere", 8, LAYERS)
         [attempt] = [a for a in fleet.attempts() if a["made"] == 8]
         assert attempt["engine"].startswith("engine-b")
         fleet.assert_layers_ran_once()
--- a/tests/test_fleet_shutdown.py
+++ b/tests/test_fleet_shutdown.py
@@ -64,7 +64,7 @@
                 stopped.set()
         for call in calls:
             for prompt, length, answer in call.result():
-                assert answer.text() == tokens.answer_text(prompt, length, LAYERS)
+                assert answer.text() == tokens.expected_text(prompt, length, LAYERS)
         for call in service_calls:
             assert call.result().status == 200
         assert fleet["a1"].complete("after").text()
@@ -110,5 +110,5 @@
                 daemon.thaw()
             answers = [call.result() for call in calls]
         for prompt, answer in zip(prompts, answers, strict=True):
-            assert answer.text() == tokens.answer_text(prompt, 10, LAYERS)
+            assert answer.text() == tokens.expected_text(prompt, 10, LAYERS)
         assert daemon.wait(30) == 0
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -134,7 +134,7 @@
         world.run(60.0)
         assert not any(d.freshness.is_ready for d in world.by_name.values())
 
-    def test_is_not_ready_while_it_can_reach_nobody(self):
+    def test_not_ready_while_platform_and_peers_are_unreachable(self):
         world = World(NAMES)
         world.run(3.0)
         world.restart("a1")
@@ -240,7 +240,7 @@
         rate = len(world.reads) / 20.0
         assert rate < 4 * 3.0
 
-    def test_its_return_is_not_met_by_a_stampede(self):
+    def test_recovery_of_the_table_causes_no_read_burst(self):
         world = World(self.NAMES)
         world.run(15.0)
         world.is_down = True
@@ -284,7 +284,7 @@
             fetch=_refuse,
             find_peers=PeerVersions,
             find_rank=lambda: 0,
-            on_taken=lambda old, new: taken.set(),
+            on_lists_replaced=lambda old, new: taken.set(),
         )
         follower.start()
         assert taken.wait(20.0)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from tests.engines import FakeDispatch
+from tests.engines import FakeRouteDispatcher
 from tests.engines import end
 from tests.engines import stream
 from tests.engines import token
@@ -83,7 +83,7 @@
             {"maker": parse_plan("maker", PLAN)},
             {"maker": Account("maker", "maker", (KEY.key,))},
         )
-        self.dispatch = FakeDispatch()
+        self.dispatch = FakeRouteDispatcher()
         self.quota = FakeQuota()
         self.loop = Loop(clock)
         metrics = Metrics("host-1")
@@ -96,7 +96,7 @@
             "dc-1",
             RetryBudget(),
             random.Random(1),
-            on_failed=lambda engine: None,
+            on_attempt_failed=lambda engine: None,
         )
         self.context = Context(
             settings=settings,
@@ -155,7 +155,7 @@
 def engine_for(front, *extra):
     def script(connection, request):
         # The request's id is known from the want that the front sent.
-        request_id = front.dispatch.wants[-1][1].request
+        request_id = front.dispatch.route_requests[-1][1].request
         ids = {"r": request_id, "a": f"{request_id}.1"}
         lines = [token(p, 1, **ids) for p in range(3)] + [{**end(3, 1), **ids}]
         stream(*lines)(connection, request)
@@ -195,9 +195,9 @@
 
     def test_broken_stream_ends_with_a_typed_error(self, front):
         def cut(connection, request):
-            want = front.dispatch.wants[-1][1]
+            want = front.dispatch.route_requests[-1][1]
             ids = {"r": want.request, "a": f"{want.request}.1"}
-            stream(token(0, 1, **ids), whole=False)(connection, request)
+            stream(token(0, 1, **ids), is_complete=False)(connection, request)
 
         with ScriptedServer(cut) as engine:
             front.dispatch.addresses += [engine.address, RefusalReason.QUEUE_FULL]
@@ -220,14 +220,14 @@
         body = json.dumps({"model": "draft", "prompt": "x", "stream": True})
         headers = {"Authorization": BEARER}
         connection.request("POST", "/v1/completions", body, headers)
-        while not front.dispatch.wants:
+        while not front.dispatch.route_requests:
             threading.Event().wait(0.005)
         connection.close()
         for _ in range(2000):
             if front.dispatch.cancelled:
                 break
             threading.Event().wait(0.005)
-        want = front.dispatch.wants[0][1]
+        want = front.dispatch.route_requests[0][1]
         assert front.dispatch.cancelled == [(want.request, 1)]
 
     @pytest.mark.parametrize(
@@ -236,7 +236,7 @@
     def test_priority_is_bounded_by_the_plan(self, front, asked, granted):
         front.dispatch.addresses.append(RefusalReason.DEADLINE)
         front.complete(X_Priority=asked)
-        assert front.dispatch.wants[0][1].priority == granted
+        assert front.dispatch.route_requests[0][1].priority == granted
 
 
 class TestRefusals:
@@ -261,7 +261,7 @@
     def test_says_not_run_and_asks_no_pool(self, front, body, headers, status, code):
         got, error = error_of(front.complete(body, **headers))
         assert (got, error["code"], error["outcome"]) == (status, code, "not_run")
-        assert front.dispatch.wants == []
+        assert front.dispatch.route_requests == []
         assert front.context.open_requests.count == 0
 
     def test_over_a_limit(self, front):
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,7 +8,7 @@
 from wagtailstair.core.leases import LeaseRow
 from wagtailstair.core.leases import LeaseWait
 from wagtailstair.core.leases import decode_lease
-from wagtailstair.placement import LeaseKeeper
+from wagtailstair.placement import LeaseManager
 
 LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
 ORDER_S = 2.0
@@ -19,8 +19,8 @@
         self.table = FakeTable()
         self.clock = ManualClock(100.0)
 
-    def keeper(self, holder):
-        return LeaseKeeper(self.table, self.clock, "placement", holder, LIMITS)
+    def lease_manager(self, holder):
+        return LeaseManager(self.table, self.clock, "placement", holder, LIMITS)
 
     def row(self):
         return decode_lease(self.table.row("leases", "placement").value)
@@ -33,22 +33,22 @@
 
 class TestAcquire:
     def test_first_holder_gets_number_one(self, world):
-        keeper = world.keeper("a")
-        keeper.tick()
-        assert keeper.may_send_order(1, ORDER_S)
+        lease_manager = world.lease_manager("a")
+        lease_manager.tick()
+        assert lease_manager.may_send_order(1, ORDER_S)
         assert world.row().holder == "a"
 
     @pytest.mark.parametrize("fault", [WriteFault.REPLY_LOST, WriteFault.REQUEST_LOST])
     def test_lost_reply_is_read_back(self, world, fault):
         world.table.faults.append(fault)
-        keeper = world.keeper("a")
-        keeper.tick()
-        assert keeper.may_send_order(1, ORDER_S)
+        lease_manager = world.lease_manager("a")
+        lease_manager.tick()
+        assert lease_manager.may_send_order(1, ORDER_S)
 
     def test_second_waits_a_full_lease_from_its_first_sight(self, world):
-        world.keeper("a").tick()
+        world.lease_manager("a").tick()
         world.clock.advance(9.0)
-        second = world.keeper("b")
+        second = world.lease_manager("b")
         second.tick()
         world.clock.advance(9.5)
         second.tick()
@@ -59,8 +59,8 @@
         assert (world.row().holder, world.row().fence) == ("b", 2)
 
     def test_successor_lets_the_last_order_end_first(self, world):
-        world.keeper("a").tick()
-        second = world.keeper("b")
+        world.lease_manager("a").tick()
+        second = world.lease_manager("b")
         second.tick()
         world.clock.advance(10.0)
         second.tick()
@@ -70,29 +70,29 @@
         assert second.may_send_order(2, ORDER_S)
 
     def test_released_lease_is_taken_at_once(self, world):
-        first = world.keeper("a")
+        first = world.lease_manager("a")
         first.tick()
         first.release()
-        second = world.keeper("b")
+        second = world.lease_manager("b")
         second.tick()
         assert second.may_send_order(2, ORDER_S)
         assert not first.may_send_order(1, ORDER_S)
 
     def test_restarted_process_is_another_holder(self, world):
-        world.keeper("a/1").tick()
-        again = world.keeper("a/2")
+        world.lease_manager("a/1").tick()
+        again = world.lease_manager("a/2")
         again.tick()
         assert not again.may_send_order(again.fence, ORDER_S)
 
 
 class TestHold:
     def test_ends_a_margin_and_an_order_before_the_lease(self, world):
-        keeper = world.keeper("a")
-        keeper.tick()
+        lease_manager = world.lease_manager("a")
+        lease_manager.tick()
         world.clock.advance(6.9)
-        assert keeper.may_send_order(1, ORDER_S)
+        assert lease_manager.may_send_order(1, ORDER_S)
         world.clock.advance(0.2)
-        assert not keeper.may_send_order(1, ORDER_S)
+        assert not lease_manager.may_send_order(1, ORDER_S)
 
     def test_counts_from_before_the_write_was_sent(self, world):
         lease = Lease("a", LIMITS)
@@ -104,36 +104,36 @@
         assert not lease.holds(109.1)
 
     def test_late_landing_renewal_counts_from_when_it_was_sent(self, world):
-        keeper = world.keeper("a")
-        keeper.tick()
+        lease_manager = world.lease_manager("a")
+        lease_manager.tick()
         world.clock.advance(3.5)
         world.table.faults.extend([WriteFault.DELAYED, WriteFault.AWAY])
-        keeper.tick()
+        lease_manager.tick()
         world.table.land()
         world.clock.advance(4.0)
         world.table.faults.append(WriteFault.AWAY)
-        keeper.tick()
+        lease_manager.tick()
         assert world.row().beat == 2
         world.clock.advance(4.6)
-        assert keeper.may_send_order(1, 0.0)
+        assert lease_manager.may_send_order(1, 0.0)
         world.clock.advance(0.5)
-        assert not keeper.may_send_order(1, 0.0)
+        assert not lease_manager.may_send_order(1, 0.0)
 
     def test_renews_before_it_ends(self, world):
-        keeper = world.keeper("a")
+        lease_manager = world.lease_manager("a")
         for _ in range(20):
-            world.clock.advance(keeper.tick())
-            assert keeper.may_send_order(1, ORDER_S)
+            world.clock.advance(lease_manager.tick())
+            assert lease_manager.may_send_order(1, ORDER_S)
         assert world.row().fence == 1
 
     def test_stops_while_the_table_is_away(self, world):
-        keeper = world.keeper("a")
-        keeper.tick()
-        world.table.is_away = True
+        lease_manager = world.lease_manager("a")
+        lease_manager.tick()
+        world.table.is_unavailable = True
         for _ in range(30):
             world.clock.advance(0.5)
-            keeper.tick()
-        assert not keeper.may_send_order(1, 0.0)
+            lease_manager.tick()
+        assert not lease_manager.may_send_order(1, 0.0)
 
 
 class TestRow:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -70,13 +70,13 @@
 
     def _step(self, name, member):
         member.tick(self.now)
-        inside, remote = member.due(self.now)
+        inside, remote = member.due_addresses(self.now)
         addresses = inside + remote
         message = member.next_heartbeat(0, 0)
         for target in self._reach(name, addresses):
             target.receive_heartbeat(message, self.now)
         for target in self._reach(name, member.view_request_addresses(self.now)):
-            member.view(target.host.name, target.own_view(), self.now)
+            member.receive_view(target.host.name, target.own_view(), self.now)
 
     def _reach(self, name, addresses):
         for address in addresses:
@@ -174,11 +174,11 @@
         membership = make_membership()
         membership.apply_host_list([make_host("b")], 0.0)
         assert membership.live() == ("self",)
-        assert membership.due(0.0) == (["b:81"], [])
+        assert membership.due_addresses(0.0) == (["b:81"], [])
 
     def test_seeds_are_tried_until_known(self):
         membership = make_membership(seeds=["b:81", "self:81"])
-        assert membership.due(0.0) == ([], ["b:81"])
+        assert membership.due_addresses(0.0) == ([], ["b:81"])
 
     def test_silent_host_off_the_list_is_forgotten(self):
         membership = make_membership()
@@ -218,7 +218,7 @@
         network = Network(self.places)
         network.run(8.0)
         member = network.by_name["a0"]
-        inside, remote = member.due(network.now + 10.0)
+        inside, remote = member.due_addresses(network.now + 10.0)
         assert len(inside) == 4
         assert len(remote) <= 2 * 3  # two that hear it and one that is tried
 
@@ -227,11 +227,11 @@
         near = make_host("near")
         far = dataclasses.replace(make_host("far", "b"), models=("draft",))
         membership.receive_heartbeat(beat(near), 0.0)
-        membership.view("near", View((far,)), 0.0)
+        membership.receive_view("near", View((far,)), 0.0)
         assert membership.models_by_centre() == {"b": {"draft"}}
 
     def test_view_of_a_foreign_data_centre_is_not_taken(self):
         membership = make_membership()
         membership.receive_heartbeat(beat(make_host("b", "b")), 0.0)
         ghost = dataclasses.replace(make_host("ghost", "c"))
-        assert membership.view("b", View((ghost,)), 0.0) == []
+        assert membership.receive_view("b", View((ghost,)), 0.0) == []
--- a/tests/test_peers_bulk.py
+++ b/tests/test_peers_bulk.py
@@ -45,7 +45,7 @@
 
 def step(lists, recent, *rows):
     changed = lists.with_rows(lists.version + 1, rows)
-    recent.note(lists, changed)
+    recent.record_changes(lists, changed)
     return changed
 
 
@@ -89,7 +89,7 @@
         recent = RecentChanges()
         old = start()
         new = old.with_rows(9, [Row(ACCOUNTS, "one", 0, None)])
-        recent.note(old, new)
+        recent.record_changes(old, new)
         assert recent.since(5, 9) == {(ACCOUNTS, "one")}
         assert recent.since(2, 9) is None
 
--- a/tests/test_peers_node.py
+++ b/tests/test_peers_node.py
@@ -99,7 +99,9 @@
             leaving=False,
             as_of=time.monotonic(),
         )
-        poller = next(n for n in running[:3] if n.node.dispatcher.polls(state.name))
+        poller = next(
+            n for n in running[:3] if n.node.dispatcher.is_poller_of(state.name)
+        )
         poller.node.dispatcher.observe(state)
         futures = []
         for number in range(5):
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -14,7 +14,7 @@
 from wagtailstair.core.targets import ModelSpec
 from wagtailstair.core.targets import divide_engines
 from wagtailstair.core.targets import make_targets
-from wagtailstair.placement import LeaseKeeper
+from wagtailstair.placement import LeaseManager
 from wagtailstair.placement import Placer
 
 HALVES = ((0, 6), (6, 12))
@@ -50,7 +50,7 @@
         self.orders.extend((self.now, order) for order in orders)
         if obey:
             for order in orders:
-                self.fleet.engine_by_name[order.engine].take(order, 1)
+                self.fleet.engine_by_name[order.engine].execute_order(order, 1)
         return orders
 
 
@@ -200,9 +200,11 @@
         return ManualClock(1000.0)
 
     def make(self, table, clock, fleet, holder):
-        keeper = LeaseKeeper(table, clock, "placement/dc1", holder, LeaseLimits())
+        lease_manager = LeaseManager(
+            table, clock, "placement/dc1", holder, LeaseLimits()
+        )
         return Placer(
-            keeper,
+            lease_manager,
             fleet,
             clock,
             lambda: fleet.states(clock.monotonic()),
@@ -211,7 +213,7 @@
         )
 
     def wait_for_orders(self, placer):
-        concurrent.futures.wait(list(placer._open))
+        concurrent.futures.wait(list(placer._open_sends))
 
     def test_only_the_lease_holder_sends_orders(self, table, clock):
         fleet = make_fleet("", "")
--- a/tests/test_placement_machine.py
+++ b/tests/test_placement_machine.py
@@ -85,7 +85,7 @@
         if not self.open_orders:
             return
         order = self.open_orders.pop(index % len(self.open_orders))
-        self.fleet.engine_by_name[order.engine].take(order, 1)
+        self.fleet.engine_by_name[order.engine].execute_order(order, 1)
 
     @rule(seconds=st.sampled_from((0.5, 2.0, 6.0, 11.0)), obey=st.booleans())
     def decide(self, seconds, obey):
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -9,7 +9,7 @@
 from hypothesis.stateful import rule
 from policy_data import LAYERS
 from policy_data import engine
-from policy_data import want
+from policy_data import make_route_request
 
 from wagtailstair.core.engine import Priority
 from wagtailstair.core.grants import Grant
@@ -91,7 +91,7 @@
         self, request, account, host, priority, work, timeout_s, avoid, entitled
     ):
         self.epochs[request] += 1
-        item = want(
+        item = make_route_request(
             request,
             account,
             priority,
@@ -105,7 +105,7 @@
         self.running.pop(request, None)
         self.repeatable.pop(request, None)
         self.waiting[request] = item
-        self.pool.want(item, self.now)
+        self.pool.submit(item, self.now)
 
     @precondition(lambda self: self.waiting or self.running)
     @rule(data=st.data(), age=st.integers(0, 1))
@@ -113,8 +113,8 @@
         request = data.draw(st.sampled_from(sorted({*self.waiting, *self.running})))
         item = self.waiting.get(request) or self.running[request][0]
         if age and item.epoch > 1:
-            item = want(request, epoch=item.epoch - 1)
-        self.pool.want(item, self.now)
+            item = make_route_request(request, epoch=item.epoch - 1)
+        self.pool.submit(item, self.now)
 
     @rule(request=REQUESTS, age=st.integers(0, 1))
     def cancel(self, request, age):
@@ -131,7 +131,7 @@
         names = set()
         if failed and request in self.running:
             names = {self.running[request][1][0].engine}
-        self.pool.done(
+        self.pool.end_grant(
             GrantOutcome(request, epoch, "h1", 16, 9, frozenset(names)), self.now
         )
         if not age:
@@ -144,14 +144,14 @@
     def replace_dispatcher(self):
         self.pool = Pool("draft", "a", PoolLimits(queue_length=4))
         for item, route in list(self.running.values()):
-            self.pool.hold(HeldGrant(item, route, 0), self.now)
-            self.pool.hold(HeldGrant(item, route, 0), self.now)
+            self.pool.adopt_grant(HeldGrant(item, route, 0), self.now)
+            self.pool.adopt_grant(HeldGrant(item, route, 0), self.now)
         for state in self.state_by_name.values():
             self.pool.observe(state, self.now)
         for name in self.leaving:
             self.pool.mark_leaving(name)
         for item in self.waiting.values():
-            self.pool.want(item, self.now)
+            self.pool.submit(item, self.now)
         self.repeatable = dict.fromkeys(self.running)
 
     @rule(host=st.sampled_from(HOSTS))
@@ -247,53 +247,53 @@
     def test_batch_work_may_not_fill_the_slots_reserved_for_urgent_work(self):
         pool = pool_of(engine("e", slots=10), reserves=(0.0, 0.0, 0.2))
         for number in range(20):
-            pool.want(want(f"b{number}", priority=Priority.BATCH), 0.0)
+            pool.submit(make_route_request(f"b{number}", priority=Priority.BATCH), 0.0)
         assert len(pool.poll(0.0)) == 8
-        pool.want(want("u", priority=Priority.URGENT), 0.0)
+        pool.submit(make_route_request("u", priority=Priority.URGENT), 0.0)
         assert kinds(pool.poll(0.0)) == [("Grant", "u")]
 
     def test_a_repeated_request_gets_the_same_grant_and_no_second_slot(self):
         pool = pool_of(engine("e"))
-        item = want("r")
-        pool.want(item, 0.0)
+        item = make_route_request("r")
+        pool.submit(item, 0.0)
         first = pool.poll(0.0)
-        pool.want(item, 0.1)
+        pool.submit(item, 0.1)
         assert pool.poll(0.1) == first
         assert pool.stats().open_grants == 1
 
     def test_a_repeated_request_after_its_end_gets_no_answer(self):
         pool = pool_of(engine("e"))
-        item = want("r")
-        pool.want(item, 0.0)
+        item = make_route_request("r")
+        pool.submit(item, 0.0)
         pool.poll(0.0)
-        pool.done(GrantOutcome("r", 0, "h1", 16, 9), 1.0)
-        pool.want(item, 1.1)
+        pool.end_grant(GrantOutcome("r", 0, "h1", 16, 9), 1.0)
+        pool.submit(item, 1.1)
         assert pool.poll(1.1) == []
 
     def test_a_late_request_of_an_older_epoch_has_no_effect(self):
         pool = pool_of(engine("e"))
-        pool.want(want("r", epoch=1), 0.0)
+        pool.submit(make_route_request("r", epoch=1), 0.0)
         first = pool.poll(0.0)
-        pool.want(want("r", epoch=0), 0.1)
+        pool.submit(make_route_request("r", epoch=0), 0.1)
         pool.cancel("r", 0, 0.1)
         assert pool.poll(0.1) == []
         assert pool.stats().open_grants == 1
-        pool.want(want("r", epoch=1), 0.2)
+        pool.submit(make_route_request("r", epoch=1), 0.2)
         assert pool.poll(0.2) == first
 
     def test_a_repeated_request_gets_the_same_refusal(self):
         pool = pool_of(engine("e"))
-        item = want("r", deadline=0.0)
-        pool.want(item, 1.0)
+        item = make_route_request("r", deadline=0.0)
+        pool.submit(item, 1.0)
         first = pool.poll(1.0)
-        pool.want(item, 1.0)
+        pool.submit(item, 1.0)
         assert pool.poll(1.0) == first
         assert first[0].reason is RefusalReason.DEADLINE
 
     def test_the_kv_memory_limits_the_grants(self):
         pool = pool_of(engine("e", slots=9, kv_tokens=100))
         for number in range(9):
-            pool.want(want(f"r{number}"), 0.0)
+            pool.submit(make_route_request(f"r{number}"), 0.0)
         assert len(pool.poll(0.0)) == 2
 
     def test_a_failing_engine_is_ejected_and_probed(self):
@@ -301,13 +301,13 @@
         now = 0.0
         used = []
         for number in range(5):
-            pool.want(want(f"r{number}"), now)
+            pool.submit(make_route_request(f"r{number}"), now)
             grant = pool.poll(now)[0]
             used.append(grant.route[0].engine)
             failed = frozenset({"bad"}) if used[-1] == "bad" else frozenset()
-            pool.done(GrantOutcome(f"r{number}", 0, "h1", 16, 0, failed), now)
+            pool.end_grant(GrantOutcome(f"r{number}", 0, "h1", 16, 0, failed), now)
         assert used == ["bad"] * 3 + ["good"] * 2
-        pool.want(want("probe"), 6.0)
+        pool.submit(make_route_request("probe"), 6.0)
         assert pool.poll(6.0)[0].route[0].engine == "bad"
 
     def test_an_engine_far_slower_than_its_kind_is_ejected(self):
@@ -317,7 +317,7 @@
             slow = engine("e", slots=1, step_s=0.05, as_of=float(number))
             pool.observe(slow, float(number))
         for name in names:
-            pool.want(want(name), 6.0)
+            pool.submit(make_route_request(name), 6.0)
         grants = pool.poll(6.0)
         assert sorted(g.route[0].engine for g in grants) == ["f", "g"]
         pool.observe(engine("e", slots=1, as_of=7.0), 7.0)
@@ -326,29 +326,31 @@
     def test_requests_for_a_busy_adapter_do_not_block_others(self):
         pool = pool_of(engine("e", slots=1, adapters=("x",)), engine("f", slots=1))
         for number in range(10):
-            pool.want(want(f"x{number}", f"x{number}", adapter="x"), 0.0)
-        pool.want(want("plain"), 0.0)
+            pool.submit(
+                make_route_request(f"x{number}", f"x{number}", adapter="x"), 0.0
+            )
+        pool.submit(make_route_request("plain"), 0.0)
         assert kinds(pool.poll(0.0)) == [("Grant", "x0"), ("Grant", "plain")]
 
 
 class TestSuccessor:
     def test_counts_grants_reported_before_their_engines(self):
         pool = pool_of(engine("e", slots=2))
-        pool.want(want("r1"), 0.0)
+        pool.submit(make_route_request("r1"), 0.0)
         route = pool.poll(0.0)[0].route
         successor = Pool("draft", "a", PoolLimits(reserves=(0.0, 0.0, 0.0)))
-        successor.hold(HeldGrant(want("r1"), route, 3), 1.0)
+        successor.adopt_grant(HeldGrant(make_route_request("r1"), route, 3), 1.0)
         successor.observe(engine("e", slots=2, running=1), 1.0)
         for name in ("r2", "r3"):
-            successor.want(want(name), 1.0)
+            successor.submit(make_route_request(name), 1.0)
         assert kinds(successor.poll(1.0)) == [("Grant", "r2")]
-        successor.done(GrantOutcome("r1", 0, "h1", 16, 9), 2.0)
+        successor.end_grant(GrantOutcome("r1", 0, "h1", 16, 9), 2.0)
         assert kinds(successor.poll(2.0)) == [("Grant", "r3")]
 
     def test_counts_running_requests_that_no_host_reports(self):
         pool = pool_of(engine("e", slots=2, running=2), reserves=(0.0, 0.0, 0.0))
-        item = want("r")
-        pool.want(item, 0.0)
+        item = make_route_request("r")
+        pool.submit(item, 0.0)
         assert pool.poll(0.0) == []
         pool.observe(engine("e", slots=2, running=1, as_of=0.5), 0.5)
         assert kinds(pool.poll(0.5)) == [("Grant", "r")]
@@ -357,7 +359,7 @@
 class TestRefusals:
     def test_a_request_that_no_engines_can_run_is_refused_after_a_timeout(self):
         pool = pool_of(engine("e", 0, 4))
-        pool.want(want("r"), 0.0)
+        pool.submit(make_route_request("r"), 0.0)
         assert pool.poll(0.0) == []
         wake = pool.next_wake(0.0)
         assert wake <= 3.0
@@ -366,7 +368,7 @@
 
     def test_a_missing_range_that_returns_in_time_refuses_nothing(self):
         pool = pool_of(engine("e", 0, 4))
-        pool.want(want("r"), 0.0)
+        pool.submit(make_route_request("r"), 0.0)
         pool.poll(0.0)
         pool.observe(engine("f", 4, 8), 1.0)
         assert kinds(pool.poll(1.0)) == [("Grant", "r")]
@@ -374,18 +376,18 @@
     def test_a_request_that_can_not_meet_its_deadline_is_refused_at_once(self):
         pool = pool_of(engine("e", slots=1))
         for number in range(50):
-            pool.want(want(f"r{number}"), 0.0)
+            pool.submit(make_route_request(f"r{number}"), 0.0)
         pool.poll(0.0)
         # 49 requests of 10 work units wait, at 100 tokens per second.
-        pool.want(want("late", deadline=2.0), 0.0)
-        pool.want(want("ok", deadline=50.0), 0.0)
+        pool.submit(make_route_request("late", deadline=2.0), 0.0)
+        pool.submit(make_route_request("ok", deadline=50.0), 0.0)
         assert kinds(pool.poll(0.0)) == [("Refusal", "late")]
 
     def test_a_displaced_request_is_refused(self):
         pool = pool_of(queue_length=4, minimum_shares=(0.0, 0.0, 0.0))
         for number in range(4):
-            pool.want(want(f"b{number}", "flood", Priority.BATCH), 0.0)
-        pool.want(want("u", priority=Priority.URGENT), 0.0)
+            pool.submit(make_route_request(f"b{number}", "flood", Priority.BATCH), 0.0)
+        pool.submit(make_route_request("u", priority=Priority.URGENT), 0.0)
         decisions = pool.poll(0.0)
         assert kinds(decisions) == [("Refusal", "b3")]
         assert decisions[0].reason is RefusalReason.QUEUE_FULL
@@ -393,9 +395,11 @@
     def test_urgent_work_is_not_refused_under_a_flood_of_batch_work(self):
         pool = pool_of(engine("e", slots=2), queue_length=40)
         for number in range(100):
-            pool.want(want(f"b{number}", "flood", Priority.BATCH), 0.0)
+            pool.submit(make_route_request(f"b{number}", "flood", Priority.BATCH), 0.0)
         pool.poll(0.0)
-        pool.want(want("u", priority=Priority.URGENT, deadline=2.0), 0.0)
+        pool.submit(
+            make_route_request("u", priority=Priority.URGENT, deadline=2.0), 0.0
+        )
         assert kinds(pool.poll(0.0)) in ([], [("Grant", "u")])
 
 
@@ -406,9 +410,12 @@
         for number in range(40_000):
             now += 0.001
             name = f"r{number}"
-            pool.want(want(name, f"account{number % 500}", deadline=now + 500), now)
+            pool.submit(
+                make_route_request(name, f"account{number % 500}", deadline=now + 500),
+                now,
+            )
             for decision in pool.poll(now):
                 if isinstance(decision, Grant):
-                    pool.done(GrantOutcome(decision.request, 0, "h1", 16, 9), now)
+                    pool.end_grant(GrantOutcome(decision.request, 0, "h1", 16, 9), now)
         assert len(pool._ended) <= 16_384
         assert len(pool._deadlines) + len(pool._expiries) < 500
--- a/tests/test_queueing.py
+++ b/tests/test_queueing.py
@@ -2,7 +2,7 @@
 import random
 
 import pytest
-from policy_data import want
+from policy_data import make_route_request
 
 from wagtailstair.core.engine import Priority
 from wagtailstair.core.fairness import MAX_IDLE_ACCOUNTS
@@ -15,7 +15,7 @@
 def fill(queue, count, account, priority, **changes):
     for number in range(count):
         name = f"{account}-{priority}-{changes.get('entitled')}-{number}"
-        assert queue.push(want(name, account, priority, **changes))[0]
+        assert queue.push(make_route_request(name, account, priority, **changes))[0]
 
 
 def serve(queue, count):
@@ -39,7 +39,9 @@
         for priority in Priority:
             for number in range(2_000):
                 work = rng.uniform(5, 50)
-                queue.push(want(f"{priority}-{number}", "a", priority, work=work))
+                queue.push(
+                    make_route_request(f"{priority}-{number}", "a", priority, work=work)
+                )
         served = serve(queue, 1_500)
         work = work_by(served, lambda item: item.priority)
         total = sum(work.values())
@@ -85,7 +87,7 @@
         queue = FairQueue(10_000, SHARES)
         fill(queue, 1_000, "large", STANDARD)
         serve(queue, 100)
-        queue.push(want("new", "small"))
+        queue.push(make_route_request("new", "small"))
         assert "new" in [item.request for item in serve(queue, 2)]
 
     def test_the_charge_is_corrected_to_the_actual_work(self):
@@ -103,7 +105,7 @@
     def test_memory_is_bounded_whatever_the_number_of_accounts(self):
         queue = FairQueue(100, SHARES)
         for number in range(20_000):
-            queue.push(want(f"r{number}", f"account{number}"))
+            queue.push(make_route_request(f"r{number}", f"account{number}"))
             if number % 2:
                 serve(queue, 1)
         assert queue.flows() <= MAX_IDLE_ACCOUNTS + 100
@@ -116,14 +118,16 @@
     def test_more_urgent_work_displaces_items_of_a_flood(self):
         queue = FairQueue(100, SHARES)
         for number in range(200):
-            queue.push(want(f"b{number}", "flood", BATCH))
+            queue.push(make_route_request(f"b{number}", "flood", BATCH))
         fill(queue, 3, "other", BATCH)
         count_before = queue.count(BATCH)
-        taken, victim = queue.push(want("u", "small", URGENT))
+        taken, victim = queue.push(make_route_request("u", "small", URGENT))
         assert taken
         assert victim is None
         for number in range(60):
-            taken, victim = queue.push(want(f"s{number}", "small", URGENT))
+            taken, victim = queue.push(
+                make_route_request(f"s{number}", "small", URGENT)
+            )
             assert taken
         assert victim is not None
         assert (victim.account, victim.priority) == ("flood", BATCH)
@@ -133,10 +137,10 @@
     def test_less_urgent_work_displaces_no_more_urgent_items(self):
         queue = FairQueue(100, SHARES)
         for number in range(300):
-            queue.push(want(f"u{number}", "flood", URGENT))
+            queue.push(make_route_request(f"u{number}", "flood", URGENT))
         urgent = queue.count(URGENT)
         for number in range(300):
-            _, victim = queue.push(want(f"b{number}", "small", BATCH))
+            _, victim = queue.push(make_route_request(f"b{number}", "small", BATCH))
             assert victim is None or victim.priority is BATCH
         assert queue.count(URGENT) == urgent
         # A flood leaves the other priorities the places of their minimum.
@@ -148,24 +152,24 @@
         fill(queue, 30, "a", BATCH)
         fill(queue, 20, "a", STANDARD)
         for number in range(300):
-            queue.push(want(f"u{number}", "flood", URGENT))
+            queue.push(make_route_request(f"u{number}", "flood", URGENT))
         assert (queue.count(STANDARD), queue.count(BATCH)) == (20, 5)
 
     def test_an_account_with_few_items_displaces_one_of_an_account_with_many(self):
         queue = FairQueue(10, (0.0, 0.0, 0.0))
         fill(queue, 10, "flood", STANDARD)
-        taken, victim = queue.push(want("r", "small"))
+        taken, victim = queue.push(make_route_request("r", "small"))
         assert taken
         assert victim.account == "flood"
-        taken, victim = queue.push(want("again", "flood"))
+        taken, victim = queue.push(make_route_request("again", "flood"))
         assert (taken, victim) == (False, None)
 
     def test_unentitled_work_does_not_displace_entitled_work(self):
         queue = FairQueue(10, (0.0, 0.0, 0.0))
         fill(queue, 10, "flood", STANDARD, entitled=True)
-        assert not queue.push(want("r", "small", entitled=False))[0]
+        assert not queue.push(make_route_request("r", "small", entitled=False))[0]
         fresh = FairQueue(10, (0.0, 0.0, 0.0))
         fill(fresh, 10, "flood", STANDARD, entitled=False)
-        taken, victim = fresh.push(want("r", "flood", entitled=True))
+        taken, victim = fresh.push(make_route_request("r", "flood", entitled=True))
         assert taken
         assert not victim.entitled
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.engines import FakeDispatch
+from tests.engines import FakeRouteDispatcher
 from tests.engines import end
 from tests.engines import parse_request_body
 from tests.engines import stream
@@ -36,7 +36,7 @@
         self.texts = []
         self.full = False
 
-    def token(self, text):
+    def write_token(self, text):
         self.texts.append(text)
 
     def is_full(self):
@@ -62,7 +62,7 @@
         "dc-1",
         budget,
         random.Random(1),
-        on_failed=lambda engine: None,
+        on_attempt_failed=lambda engine: None,
     )
     relays.start()
     return relays
@@ -90,7 +90,7 @@
     relays = make_relays(loop, dispatch, **options)
     job = make_job(deadline_s=deadline_s)
     sink = RecordingSink()
-    return relays.run(job, sink), sink
+    return relays.start_relay(job, sink), sink
 
 
 COMPLETE_ANSWER = [token(0, 1), token(1, 1), token(2, 1), end(3, 1)]
@@ -99,7 +99,7 @@
 class TestCompleteAnswer:
     def test_tokens_arrive_in_order_then_the_end(self, loop):
         with ScriptedServer(stream(*COMPLETE_ANSWER)) as engine:
-            dispatch = FakeDispatch(engine.address)
+            dispatch = FakeRouteDispatcher(engine.address)
             relay, sink = start(loop, dispatch)
             finished = relay.future.result(WAIT_S)
         assert sink.texts == [" t0", " t1", " t2"]
@@ -118,7 +118,7 @@
             *COMPLETE_ANSWER[1:],
         ]
         with ScriptedServer(stream(*lines)) as engine:
-            relay, sink = start(loop, FakeDispatch(engine.address))
+            relay, sink = start(loop, FakeRouteDispatcher(engine.address))
             relay.future.result(WAIT_S)
         assert sink.texts == [" t0", " t1", " t2"]
 
@@ -127,7 +127,7 @@
     @pytest.mark.parametrize(
         "broken",
         [
-            stream(token(0, 1), whole=False),
+            stream(token(0, 1), is_complete=False),
             stream(token(0, 1)),
             stream(token(0, 1), token(2, 1)),
             stream(token(0, 1), token(1, 1, w=[[0, 4], [4, 7]])),
@@ -139,27 +139,29 @@
     def test_next_attempt_continues_after_last_delivered_token(self, loop, broken):
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(broken) as first, ScriptedServer(rest) as second:
-            dispatch = FakeDispatch(first.address, second.address)
+            dispatch = FakeRouteDispatcher(first.address, second.address)
             relay, sink = start(loop, dispatch)
             finished = relay.future.result(WAIT_S)
             request = parse_request_body(second.requests[0])
         assert sink.texts == [" t0", " t1", " t2"]
         assert finished.output_tokens == 3
         assert (request["tokens"], request["epoch"]) == ([100], 2)
-        assert dispatch.wants[1][1].avoid == {"engine-1", "second-1"}
+        assert dispatch.route_requests[1][1].avoid == {"engine-1", "second-1"}
 
     def test_suspected_engines_are_tried_again_if_no_other_route_exists(self, loop):
-        cut = stream(token(0, 1), whole=False)
+        cut = stream(token(0, 1), is_complete=False)
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         no_route = RefusalReason.NO_ROUTE
         with ScriptedServer(cut) as first, ScriptedServer(rest) as second:
-            dispatch = FakeDispatch(first.address, no_route, no_route, second.address)
+            dispatch = FakeRouteDispatcher(
+                first.address, no_route, no_route, second.address
+            )
             relay, _ = start(loop, dispatch)
             assert relay.future.result(WAIT_S).output_tokens == 3
-        avoided = [route_request.avoid for _, route_request in dispatch.wants]
+        avoided = [route_request.avoid for _, route_request in dispatch.route_requests]
         failed = {"engine-1", "second-1"}
         assert avoided[1:] == [failed, failed, frozenset()]
-        assert [route_request.work for _, route_request in dispatch.wants] == [
+        assert [route_request.work for _, route_request in dispatch.route_requests] == [
             4.0,
             3.0,
             3.0,
@@ -171,10 +173,10 @@
             address = f"127.0.0.1:{closed.getsockname()[1]}"
         rest = stream(token(0, 2), token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(rest) as second:
-            dispatch = FakeDispatch(address, second.address)
+            dispatch = FakeRouteDispatcher(address, second.address)
             relay, _ = start(loop, dispatch)
             relay.future.result(WAIT_S)
-        assert dispatch.wants[1][1].avoid == {"engine-1"}
+        assert dispatch.route_requests[1][1].avoid == {"engine-1"}
         assert dispatch.outcomes[0].failed == {"engine-1"}
 
     def test_stalled_stream_is_resumed_on_another_engine(self, loop):
@@ -186,7 +188,7 @@
 
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(hold) as first, ScriptedServer(rest) as second:
-            dispatch = FakeDispatch(first.address, second.address)
+            dispatch = FakeRouteDispatcher(first.address, second.address)
             relay, sink = start(loop, dispatch, stall_timeout_s=0.3)
             relay.future.result(WAIT_S)
         assert sink.texts == [" t0", " t1", " t2"]
@@ -194,22 +196,24 @@
 
 class TestDataCentreChoice:
     def test_refusal_moves_next_request_to_another_data_centre(self, loop):
-        dispatch = FakeDispatch(RefusalReason.QUEUE_FULL, RefusalReason.QUEUE_FULL)
+        dispatch = FakeRouteDispatcher(
+            RefusalReason.QUEUE_FULL, RefusalReason.QUEUE_FULL
+        )
         relays = make_relays(loop, dispatch)
         for request in ("r1", "r2"):
-            relay = relays.run(make_job(request), RecordingSink())
+            relay = relays.start_relay(make_job(request), RecordingSink())
             with pytest.raises(QueueFullError):
                 relay.future.result(WAIT_S)
-        assert [centre for centre, _ in dispatch.wants] == ["dc-1", "dc-2"]
+        assert [centre for centre, _ in dispatch.route_requests] == ["dc-1", "dc-2"]
 
 
 class TestRetryBudget:
     def test_resume_of_broken_stream_needs_no_retry_budget(self, loop):
         # A dead engine may break more streams at once than a retry budget allows.
-        cut = stream(token(0, 1), whole=False)
+        cut = stream(token(0, 1), is_complete=False)
         rest = stream(token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(cut) as first, ScriptedServer(rest) as second:
-            dispatch = FakeDispatch(first.address, second.address)
+            dispatch = FakeRouteDispatcher(first.address, second.address)
             relay, _ = start(loop, dispatch, retry_share=0.0)
             assert relay.future.result(WAIT_S).output_tokens == 3
 
@@ -218,7 +222,7 @@
         script = lambda connection, request: connection.sendall(refuse)  # noqa: E731
         rest = stream(token(0, 2), token(1, 2), token(2, 2), end(3, 2))
         with ScriptedServer(script) as first, ScriptedServer(rest) as second:
-            dispatch = FakeDispatch(first.address, second.address)
+            dispatch = FakeRouteDispatcher(first.address, second.address)
             relay, _ = start(loop, dispatch)
             assert relay.future.result(WAIT_S).output_tokens == 3
 
@@ -228,7 +232,7 @@
         refuse = answer(503, b'{"error": "full", "not_run": true}')
         script = lambda connection, request: connection.sendall(refuse)  # noqa: E731
         with ScriptedServer(script) as engine:
-            dispatch = FakeDispatch(engine.address)
+            dispatch = FakeRouteDispatcher(engine.address)
             relay, _ = start(loop, dispatch, retry_share=0.0)
             with pytest.raises(NoUpstreamError) as caught:
                 relay.future.result(WAIT_S)
@@ -238,7 +242,7 @@
         fail = answer(503, b"{}")
         script = lambda connection, request: connection.sendall(fail)  # noqa: E731
         with ScriptedServer(*[script] * MAX_EPOCHS) as engine:
-            dispatch = FakeDispatch(*[engine.address] * MAX_EPOCHS)
+            dispatch = FakeRouteDispatcher(*[engine.address] * MAX_EPOCHS)
             relay, _ = start(loop, dispatch)
             with pytest.raises(OutcomeUnknownError) as caught:
                 relay.future.result(WAIT_S)
@@ -247,13 +251,13 @@
     def test_unreachable_engine_has_outcome_not_run(self, loop):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             address = f"127.0.0.1:{closed.getsockname()[1]}"
-        relay, _ = start(loop, FakeDispatch(*[address] * MAX_EPOCHS))
+        relay, _ = start(loop, FakeRouteDispatcher(*[address] * MAX_EPOCHS))
         with pytest.raises(NoUpstreamError) as caught:
             relay.future.result(WAIT_S)
         assert caught.value.outcome is Outcome.NOT_RUN
 
     def test_deadline_while_waiting_withdraws_the_route_request(self, loop):
-        dispatch = FakeDispatch()
+        dispatch = FakeRouteDispatcher()
         relay, _ = start(loop, dispatch, deadline_s=0.1)
         with pytest.raises(DeadlineExceededError) as caught:
             relay.future.result(WAIT_S)
@@ -261,17 +265,17 @@
         assert dispatch.cancelled == [("r1", 1)]
 
     def test_full_queue_error_has_retry_after(self, loop):
-        relay, _ = start(loop, FakeDispatch(RefusalReason.QUEUE_FULL))
+        relay, _ = start(loop, FakeRouteDispatcher(RefusalReason.QUEUE_FULL))
         with pytest.raises(QueueFullError) as caught:
             relay.future.result(WAIT_S)
         assert caught.value.retry_after_s == 2.0
 
     def test_no_route_moves_on_to_the_next_data_centre(self, loop):
         with ScriptedServer(stream(*COMPLETE_ANSWER)) as engine:
-            dispatch = FakeDispatch(RefusalReason.NO_ROUTE, engine.address)
+            dispatch = FakeRouteDispatcher(RefusalReason.NO_ROUTE, engine.address)
             relay, _ = start(loop, dispatch)
             relay.future.result(WAIT_S)
-        assert [centre for centre, _ in dispatch.wants] == ["dc-1", "dc-2"]
+        assert [centre for centre, _ in dispatch.route_requests] == ["dc-1", "dc-2"]
         assert [outcome.epoch for outcome in dispatch.outcomes] == [2]
 
     def test_cancel_closes_the_stream_and_ends_the_grant(self, loop):
@@ -279,7 +283,7 @@
             connection.recv(1)
 
         with ScriptedServer(hold) as engine:
-            dispatch = FakeDispatch(engine.address)
+            dispatch = FakeRouteDispatcher(engine.address)
             relay, _ = start(loop, dispatch)
             while not engine.requests:
                 assert not relay.future.done()
--- a/tests/test_routing.py
+++ b/tests/test_routing.py
@@ -6,7 +6,7 @@
 from hypothesis import strategies as st
 from policy_data import LAYERS
 from policy_data import engine
-from policy_data import want
+from policy_data import make_route_request
 
 from wagtailstair.core.loads import LoadTable
 from wagtailstair.core.loads import Need
@@ -84,7 +84,7 @@
     @given(fleets())
     def test_agrees_with_brute_force(self, states):
         table = table_of(states)
-        need = Need.of(want("r"))
+        need = Need.of(make_route_request("r"))
         found = cheapest(table, need)
         expected = brute_force(table, need)
         if expected is None:
@@ -97,7 +97,7 @@
 
     def test_grants_since_the_last_report_count(self):
         table = table_of([engine("fast"), engine("slow", step_s=0.011)])
-        need = Need.of(want("r", prompt_tokens=400, work=60.0))
+        need = Need.of(make_route_request("r", prompt_tokens=400, work=60.0))
         first, _ = cheapest(table, need)
         table.start(first, need, 0.0)
         second, _ = cheapest(table, need)
@@ -111,13 +111,19 @@
         load = table.by_name["e"]
         empty_s = load.next_step_s
         for _ in range(10):
-            table.start(cheapest(table, Need.of(want("r")))[0], Need.of(want("r")), 0.0)
+            table.start(
+                cheapest(table, Need.of(make_route_request("r")))[0],
+                Need.of(make_route_request("r")),
+                0.0,
+            )
         assert abs(load.next_step_s - empty_s - 0.01) < 1e-4
 
     def test_prefers_an_engine_with_a_cached_prefix(self):
         table = table_of([engine("fast"), engine("cached", step_s=0.011)])
         table.by_name["cached"].store((1, 2, 3))
-        long = want("r", prompt_tokens=3_000, work=385.0, prefixes=(1, 2, 3, 4))
+        long = make_route_request(
+            "r", prompt_tokens=3_000, work=385.0, prefixes=(1, 2, 3, 4)
+        )
         other = dataclasses.replace(long, prefixes=(7, 8))
         assert cheapest(table, Need.of(long))[0][0].engine == "cached"
         assert cheapest(table, Need.of(other))[0][0].engine == "fast"
--- a/tests/test_shapes.py
+++ b/tests/test_shapes.py
@@ -3,7 +3,7 @@
 from wagtailstair.core.engine import EngineState
 from wagtailstair.core.lists import Lists
 from wagtailstair.core.lists import parse_plan
-from wagtailstair.core.shapes import Shapes
+from wagtailstair.core.shapes import ModelShapes
 from wagtailstair.core.shapes import has_route
 from wagtailstair.core.shapes import planned_models
 
@@ -54,11 +54,11 @@
 class TestTargets:
     def test_only_planned_models_get_engines(self):
         other = [engine("o1", 0, 8, "old"), engine("o2", 0, 8, "old")]
-        targets = Shapes().derive(lists("draft"), [*HALVES, *other])
+        targets = ModelShapes().derive(lists("draft"), [*HALVES, *other])
         assert engines_by_range(targets) == {("draft", 0, 4): 2, ("draft", 4, 8): 2}
 
     def test_range_whose_last_engine_died_keeps_its_target(self):
-        shapes = Shapes()
+        shapes = ModelShapes()
         shapes.derive(lists("draft"), HALVES)
         spare = engine("e3", 0, 4)
         targets = shapes.derive(lists("draft"), [HALVES[0], spare])
@@ -66,17 +66,17 @@
 
     def test_leaving_engines_do_not_count(self):
         third = [engine("e3", 0, 4, leaving=True), engine("e4", 4, 8, leaving=True)]
-        targets = Shapes().derive(lists("draft"), [*HALVES, *third])
+        targets = ModelShapes().derive(lists("draft"), [*HALVES, *third])
         assert engines_by_range(targets) == {("draft", 0, 4): 1, ("draft", 4, 8): 1}
 
     def test_demand_shifts_engines_between_models(self):
         busy = [engine(f"b{n}", 0, 8, "busy", running=8) for n in range(2)]
         calm = [engine(f"c{n}", 0, 8, "calm") for n in range(4)]
-        targets = Shapes().derive(lists("busy", "calm"), [*busy, *calm])
+        targets = ModelShapes().derive(lists("busy", "calm"), [*busy, *calm])
         assert engines_by_range(targets) == {("busy", 0, 8): 5, ("calm", 0, 8): 1}
 
     def test_no_targets_from_ranges_with_a_gap(self):
-        assert Shapes().derive(lists("draft"), [HALVES[0]]) == []
+        assert ModelShapes().derive(lists("draft"), [HALVES[0]]) == []
 
     def test_planned_models_are_those_of_all_plans(self):
         assert planned_models(lists("a", "b")) == {"a", "b"}
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -4,14 +4,14 @@
 
 import pytest
 
-from tests.soak.ledger import EVENTS
-from tests.soak.ledger import Asked
-from tests.soak.ledger import Key
-from tests.soak.ledger import Kind
-from tests.soak.ledger import Ledger
-from tests.soak.ledger import Seen
-from tests.soak.ledger import Touch
-from tests.soak.ledger import make_event
+from tests.soak.checker import EVENTS
+from tests.soak.checker import Asked
+from tests.soak.checker import Key
+from tests.soak.checker import Kind
+from tests.soak.checker import Ledger
+from tests.soak.checker import ReceivedRequest
+from tests.soak.checker import Touch
+from tests.soak.checker import make_event
 from tests.soak.run import Options
 from tests.soak.run import play
 from tests.soak.run import start_apart
@@ -39,7 +39,7 @@
         "authorization": "",
     }
     values.update(changes)
-    return Seen(**values)
+    return ReceivedRequest(**values)
 
 
 @pytest.fixture
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -226,14 +226,16 @@
     def test_pipeline_makes_the_whole_answer(self, streams):
         body = streams.body(*self.PIPELINE)
         made, end = streams.run(body)
-        assert [line["t"] for line in made] == tokens.answer(PROMPT, 12, LAYERS)
+        assert [line["t"] for line in made] == tokens.expected_tokens(
+            PROMPT, 12, LAYERS
+        )
         assert [line["p"] for line in made] == list(range(len(made)))
         assert all(line["w"] == [[0, 4], [4, 8]] for line in made)
         assert (end["p"], end["end"]) == (len(made), "length")
         assert streams.record("front", body)["violations"] == 0
 
     def test_resumed_stream_makes_the_rest(self, streams):
-        whole = tokens.answer(PROMPT, 12, LAYERS)
+        whole = tokens.expected_tokens(PROMPT, 12, LAYERS)
         made, _ = streams.run(streams.body(("whole", 0, 8), tokens=whole[:5]))
         assert [(line["p"], line["t"]) for line in made] == list(enumerate(whole))[5:]
 
@@ -251,7 +253,7 @@
     def test_wrong_route_shows_in_token_trail_and_record(self, streams, route):
         body = streams.body(*route, max_tokens=1)
         made, _ = streams.run(body)
-        assert made[0]["t"] != tokens.answer(PROMPT, 1, LAYERS)[0]
+        assert made[0]["t"] != tokens.expected_tokens(PROMPT, 1, LAYERS)[0]
         assert made[0]["w"] != [[0, 4], [4, 8]]
         assert streams.record(route[0][0], body)["violations"] == 1
 
--- a/tests/test_stores_http.py
+++ b/tests/test_stores_http.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from tests.tiny_server import DROP
+from tests.tiny_server import DROP_CONNECTION
 from tests.tiny_server import serving
 from wagtailstair.exceptions import PlatformConflictError
 from wagtailstair.exceptions import PlatformError
@@ -36,13 +36,15 @@
             ((400, {}), PlatformError),
             ((200, b"{"), PlatformUnknownError),
             ((200, b"{}", ("Content-Length", "9")), PlatformUnknownError),
-            (DROP, PlatformUnknownError),
+            (DROP_CONNECTION, PlatformUnknownError),
         ],
     )
     def test_of_a_write(self, answer, error):
         assert outcome(answer, timeouts=SHORT) is error
 
-    @pytest.mark.parametrize("answer", [DROP, (500, {}), (200, b"{"), (503, {})])
+    @pytest.mark.parametrize(
+        "answer", [DROP_CONNECTION, (500, {}), (200, b"{"), (503, {})]
+    )
     def test_a_lost_read_took_no_effect(self, answer):
         assert outcome(answer, safe=True) is PlatformUnavailableError
         assert outcome(answer, "GET") is PlatformUnavailableError
@@ -93,7 +95,7 @@
     @pytest.mark.parametrize("earlier", [0, 1, 3])
     def test_a_write_is_sent_once_whatever_was_sent_before(self, earlier):
         def answer(method, path, body):
-            return DROP if path == "/write" else (200, {})
+            return DROP_CONNECTION if path == "/write" else (200, {})
 
         with serving(answer) as server:
             for _ in range(earlier):
--- a/tests/test_table_copy.py
+++ b/tests/test_table_copy.py
@@ -39,7 +39,7 @@
     def test_nothing_is_complete_before(self):
         copy = TableCopy("t")
         assert not copy.is_complete
-        assert copy.since(0) == []
+        assert copy.rows_since(0) == []
         copy.apply_snapshot([], 4)
         assert copy.is_complete
 
@@ -67,7 +67,7 @@
 class TestSince:
     def test_removals_are_told(self, copy):
         copy.apply_delta([row("x", 8, None), row("z", 9)], 9)
-        told = copy.since(7)
+        told = copy.rows_since(7)
         assert [(entry.key, entry.value) for entry in told] == [
             ("x", None),
             ("z", b"v"),
@@ -75,15 +75,15 @@
 
     def test_what_was_before_the_first_read_is_not_known(self, copy):
         # A row that was removed at 6 left no trace here.
-        assert copy.since(5) is None
+        assert copy.rows_since(5) is None
 
     def test_only_some_removals_are_kept(self, copy):
         for number in range(TOMBSTONES_MAX + 5):
             version = 10 + 2 * number
             copy.apply_delta([row(f"k{number}", version)], version)
             copy.apply_delta([row(f"k{number}", version + 1, None)], version + 1)
-        assert copy.since(7) is None
-        assert copy.since(copy.version - 3) is not None
+        assert copy.rows_since(7) is None
+        assert copy.rows_since(copy.version - 3) is not None
         assert keys(copy.live_rows()) == ["x", "y"]
 
     def test_peers_come_to_the_same_rows(self, copy):
@@ -97,7 +97,7 @@
             )
             if version % 5:
                 continue
-            rows = copy.since(other.as_of)
+            rows = copy.rows_since(other.as_of)
             if rows is None:
                 other.apply_snapshot(copy.live_rows(), copy.as_of)
             else:
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -7,10 +7,10 @@
 from tests.scripted import answer
 from wagtailstair.clock import SystemClock
 from wagtailstair.upstreams.loop import Loop
-from wagtailstair.upstreams.transfer import Sent
 from wagtailstair.upstreams.transfer import Transfer
+from wagtailstair.upstreams.transfer import TransferOutcome
 from wagtailstair.upstreams.transfer import TransferRequest
-from wagtailstair.upstreams.transfer import exchange
+from wagtailstair.upstreams.transfer import start_exchange
 
 WAIT_S = 20
 
@@ -38,28 +38,32 @@
 class TestOutcome:
     def test_answer(self, loop):
         with ScriptedServer(reply(b"hello")) as server:
-            end = exchange(loop, post(server.address)).result(WAIT_S)
-        assert (end.sent, end.status, end.body) == (Sent.ANSWERED, 200, b"hello")
+            end = start_exchange(loop, post(server.address)).result(WAIT_S)
+        assert (end.sent, end.status, end.body) == (
+            TransferOutcome.ANSWERED,
+            200,
+            b"hello",
+        )
         assert end.header("content-length") == "5"
 
     def test_refused_connection_is_not_sent(self, loop):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             address = f"127.0.0.1:{closed.getsockname()[1]}"
-        end = exchange(loop, post(address)).result(WAIT_S)
-        assert end.sent is Sent.NOT_SENT
+        end = start_exchange(loop, post(address)).result(WAIT_S)
+        assert end.sent is TransferOutcome.NOT_SENT
 
     def test_lost_reply_is_lost(self, loop):
         with ScriptedServer(hang_up) as server:
-            end = exchange(loop, post(server.address)).result(WAIT_S)
-        assert end.sent is Sent.LOST
+            end = start_exchange(loop, post(server.address)).result(WAIT_S)
+        assert end.sent is TransferOutcome.LOST
 
     def test_timeout_after_sending_is_lost(self, loop):
         release = threading.Event()
         with ScriptedServer(lambda c, r: release.wait(WAIT_S)) as server:
             request = post(server.address, timeout_s=0.2)
-            end = exchange(loop, request).result(WAIT_S)
+            end = start_exchange(loop, request).result(WAIT_S)
             release.set()
-        assert end.sent is Sent.LOST
+        assert end.sent is TransferOutcome.LOST
 
     def test_truncated_body_is_lost(self, loop):
         def truncate(connection, request):
@@ -67,14 +71,14 @@
             hang_up(connection, request)
 
         with ScriptedServer(truncate) as server:
-            end = exchange(loop, post(server.address)).result(WAIT_S)
-        assert end.sent is Sent.LOST
+            end = start_exchange(loop, post(server.address)).result(WAIT_S)
+        assert end.sent is TransferOutcome.LOST
 
     def test_too_large_answer_is_lost_not_kept(self, loop):
         with ScriptedServer(reply(b"x" * 5000)) as server:
             request = post(server.address, max_response_bytes=1000)
-            end = exchange(loop, request).result(WAIT_S)
-        assert end.sent is Sent.LOST
+            end = start_exchange(loop, request).result(WAIT_S)
+        assert end.sent is TransferOutcome.LOST
         assert len(end.body) <= 1000
 
 
@@ -82,7 +86,7 @@
     def test_arrives_as_it_was_asked_for(self, loop):
         with ScriptedServer(reply(b"")) as server:
             url = f"http://{server.address}/a/../b/./c%2Fd?x=1"
-            exchange(loop, TransferRequest("GET", url)).result(WAIT_S)
+            start_exchange(loop, TransferRequest("GET", url)).result(WAIT_S)
             assert server.requests[0].startswith(b"GET /a/../b/./c%2Fd?x=1 ")
 
 
@@ -90,7 +94,7 @@
     def test_none_is_added_or_dropped(self, loop):
         with ScriptedServer(reply(b"")) as server:
             request = post(server.address, headers=(("X-Empty", ""), ("X-A", "1")))
-            exchange(loop, request).result(WAIT_S)
+            start_exchange(loop, request).result(WAIT_S)
             head = server.requests[0].partition(b"\r\n\r\n")[0]
         names = [line.partition(b":")[0] for line in head.split(b"\r\n")[1:]]
         assert sorted(names) == [b"Content-Length", b"Host", b"X-A", b"X-Empty"]
@@ -100,9 +104,9 @@
     def test_nothing_is_sent_once_it_says_no(self, loop):
         with ScriptedServer(reply(b"a")) as server:
             request = post(server.address, may_send=lambda: False)
-            end = exchange(loop, request).result(WAIT_S)
+            end = start_exchange(loop, request).result(WAIT_S)
             assert server.requests == []
-        assert end.sent is Sent.NOT_SENT
+        assert end.sent is TransferOutcome.NOT_SENT
 
     def test_is_asked_when_the_connection_stands(self, loop):
         accepted = threading.Event()
@@ -110,9 +114,9 @@
             request = post(
                 server.address, may_send=lambda: accepted.set() or not server.requests
             )
-            end = exchange(loop, request).result(WAIT_S)
+            end = start_exchange(loop, request).result(WAIT_S)
         assert accepted.is_set()
-        assert end.sent is Sent.ANSWERED
+        assert end.sent is TransferOutcome.ANSWERED
 
 
 class TestNoSilentResend:
@@ -120,11 +124,11 @@
         # The second request would go out on the kept connection, whose death
         # before any byte of an answer makes libcurl send it once more.
         with ScriptedServer(reply(b"a"), hang_up, reply(b"b")) as server:
-            first = exchange(loop, post(server.address)).result(WAIT_S)
-            second = exchange(loop, post(server.address)).result(WAIT_S)
+            first = start_exchange(loop, post(server.address)).result(WAIT_S)
+            second = start_exchange(loop, post(server.address)).result(WAIT_S)
             count = len(server.requests)
-        assert first.sent is Sent.ANSWERED
-        assert second.sent is Sent.LOST
+        assert first.sent is TransferOutcome.ANSWERED
+        assert second.sent is TransferOutcome.LOST
         assert count == 2
 
 
@@ -163,7 +167,7 @@
                 closed.set()
 
         with ScriptedServer(wait_for_close) as server:
-            future = exchange(loop, post(server.address))
+            future = start_exchange(loop, post(server.address))
             assert opened.wait(WAIT_S)
             assert future.cancel()
             assert closed.wait(WAIT_S)
--- a/tests/test_wait_estimates.py
+++ b/tests/test_wait_estimates.py
@@ -14,8 +14,8 @@
 
 
 def add_wait(estimates, data_centre, seconds, now, priority=STANDARD):
-    estimates.submitted("r", data_centre, priority, now - seconds)
-    estimates.granted("r", now)
+    estimates.record_submission("r", data_centre, priority, now - seconds)
+    estimates.record_grant("r", now)
 
 
 class TestOrder:
@@ -37,15 +37,15 @@
 
     def test_a_request_that_still_waits_counts(self):
         estimates = WaitEstimates()
-        estimates.submitted("r", "a", STANDARD, 0.0)
+        estimates.record_submission("r", "a", STANDARD, 0.0)
         assert first_choice(estimates, 0.5) != "a"
-        estimates.withdrawn("r")
+        estimates.record_withdrawal("r")
         assert first_choice(estimates, 0.5) == "a"
 
     def test_refusals_count_as_waits(self):
         estimates = WaitEstimates()
-        estimates.submitted("r", "a", STANDARD, 0.0)
-        estimates.refused("r", 0.0)
+        estimates.record_submission("r", "a", STANDARD, 0.0)
+        estimates.record_refusal("r", 0.0)
         assert first_choice(estimates, 0.0) != "a"
 
     def test_hosts_with_the_same_estimates_choose_different_data_centres(self):
--- a/tests/tiny_server.py
+++ b/tests/tiny_server.py
@@ -5,7 +5,7 @@
 import json
 import threading
 
-DROP = object()
+DROP_CONNECTION = object()
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
@@ -19,7 +19,7 @@
         self.server.requests.append((self.command, self.path, body))
         self.server.connections.append(self.client_address[1])
         answer = self.server.answer(self.command, self.path, body)
-        if answer is DROP:
+        if answer is DROP_CONNECTION:
             self.close_connection = True
             return
         status, reply, *headers = answer
