--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -1,6 +1,6 @@
 """The entry point of wagtailstair-gateway: sets signal handlers, then starts.
 
-The program's imports take a good part of a second on a small host. A signal during
+The program's imports take a large part of a second on a small host. A signal during
 that time must not end the process with a failure.
 """
 
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -22,7 +22,7 @@
 """Timeout of a read: a slow store answers within a few hundred milliseconds."""
 
 FEED_WAIT_S = 10.0
-"""Seconds that the store holds a call for changes open; each call is priced."""
+"""Seconds that the store holds a call for changes open; each call is billed."""
 
 FEED_MARGIN_S = 1.0
 """Seconds beyond its wait after which a call for changes times out."""
@@ -83,8 +83,8 @@
     def restart_feed(self, reason: str) -> None:
         """Cancel the call in progress and send one that returns at once.
 
-        Used where a call looks overdue; this is not counted as a failure of the
-        store, only a failure of the new call is.
+        Used if the answer to a call seems overdue. The cancelled call is not counted
+        as a failure of the store, but a failure of the new call is.
         """
         if not self.is_active or not self.copy.is_complete:
             return
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -47,10 +47,11 @@
 METRICS_PATH = "/metrics"
 
 SETTINGS_CHECK_INTERVAL_S = 1.0
-"""Seconds between two checks of the settings file: it may change without a signal."""
+"""Seconds between two checks of the settings file: it may change without a SIGHUP."""
 
 ROOM_CHECK_INTERVAL_S = 0.04
-"""Seconds between two checks for room on the engines: about one event's interval."""
+"""Seconds between two checks for room on the engines: about the interval between two
+events of a stream."""
 
 ACCEPT_AFTER_SIGNAL_S = 2.6
 """Seconds after the signal in which new requests are still accepted. By then the
@@ -58,15 +59,16 @@
 no new connections."""
 
 EXIT_DELAY_S = 0.2
+"""Seconds before the loop stops, so that the last bytes are sent."""
 
 EXIT_MARGIN_S = 0.4
-"""Seconds before the process is killed at which open connections are closed."""
+"""Seconds by which the closing of open connections precedes the kill of the process."""
 
 NOT_FOUND = 404
 UNAUTHORIZED = 401
 UNAVAILABLE = 503
 RETRY_AFTER = b"0.5"
-"""Seconds after which this host or another one may be ready."""
+"""Seconds after which a retry may succeed on this host or another one."""
 
 OK = 200
 
@@ -104,7 +106,7 @@
             retries.ratio, retries.slack, retries.window_s
         )
         self.is_draining = False
-        self._is_closed = False
+        self._refuses_requests = False
         self._waiting: list[StreamExchange] = []
         self._settings_path: pathlib.Path | None = None
         self._settings_text = ""
@@ -215,7 +217,9 @@
         replica = self.replicas.by_name.get(lost.name)
         if replica is None or str(replica.incarnation) != lost.incarnation:
             return
-        self._stall_detector.suspect(replica, replica.service, f"told by {host.name}")
+        self._stall_detector.suspect(
+            replica, replica.service, f"suspected by {host.name}"
+        )
 
     def on_newer_lists(self, host: Host) -> None:
         """Handle a heartbeat of a peer that has newer lists."""
@@ -226,7 +230,7 @@
         self.table_sync.on_newer_upstreams(host)
 
     def on_peers_discovered(self) -> None:
-        """Choose between the store and peers, now that the live peers are known."""
+        """Choose whether to follow the store, now that peers could answer."""
         self.table_sync.choose_source()
 
     def on_source_gone(self, source: str, *, is_centre: bool) -> None:
@@ -248,9 +252,9 @@
         return CallerLimits() if directory is None else directory.limits
 
     def start(self, caller: Caller, request: Request) -> ActiveRequest | None:
-        """Start a request, or answer it at once where it can't be served."""
+        """Start a request, or answer it at once if it can't be served."""
         directory = self.table_sync.directory
-        if directory is None or self._is_closed:
+        if directory is None or self._refuses_requests:
             reason = "no lists" if directory is None else "shutting down"
             self._refuse(caller, request, reason)
             return None
@@ -310,14 +314,14 @@
             self.peers.announce()
 
     def _on_replicas_changed(self) -> None:
-        self._leave_removed_engines()
+        self._leave_unusable_engines()
         live = {replica.identity for replica in self.replicas.by_name.values()}
         self.services.drop_gone(live)
         for pipelines in self._pipelines_by_service.values():
             pipelines.drop_gone(live)
 
-    def _leave_removed_engines(self) -> None:
-        """Move streams off engines that are leaving or no longer hold their layers."""
+    def _leave_unusable_engines(self) -> None:
+        """Move streams off engines that are leaving or have lost the path's layers."""
         for stream in self.streams():
             for hop in stream.path:
                 replica = self.replicas.by_name.get(hop.replica.name)
@@ -333,15 +337,27 @@
         return self.table_sync.is_complete and not self.is_draining
 
     def start_serving(self) -> None:
-        """Listen, and start to follow the store and the peers."""
+        """Listen, and start the exchange with the store and the peers."""
         host = self.settings.host
-        listen(self.loop, parse_address(host.callers, "callers"), self._on_accept)
-        listen(self.loop, parse_address(host.readiness, "readiness"), self._on_operator)
+        listen(
+            self.loop,
+            parse_address(host.callers, "callers"),
+            self._on_caller_connection,
+        )
+        listen(
+            self.loop,
+            parse_address(host.readiness, "readiness"),
+            self._on_readiness_connection,
+        )
         own = self._own_host()
-        listen(self.loop, parse_address(own.address, "peer_ports"), self._on_peer)
+        listen(
+            self.loop,
+            parse_address(own.address, "peer_ports"),
+            self._on_peer_connection,
+        )
         if host.metrics_port:
             address = (host.address, host.metrics_port)
-            listen(self.loop, address, self._on_metrics)
+            listen(self.loop, address, self._on_metrics_connection)
         self.table_sync.start()
         self.peers.start()
         self._placer.start()
@@ -355,16 +371,16 @@
         self.loop.run()
         log_event("stopped")
 
-    def _on_accept(self, sock: socket.socket) -> None:
+    def _on_caller_connection(self, sock: socket.socket) -> None:
         self._callers.add(Caller(self, sock))
 
-    def _on_operator(self, sock: socket.socket) -> None:
+    def _on_readiness_connection(self, sock: socket.socket) -> None:
         Caller(AnswerServer(self.loop, self._answer_readiness), sock)
 
     def _answer_readiness(self, _request: Request) -> tuple[int, bytes]:
         return (OK if self.is_ready() else UNAVAILABLE), b""
 
-    def _on_metrics(self, sock: socket.socket) -> None:
+    def _on_metrics_connection(self, sock: socket.socket) -> None:
         Caller(AnswerServer(self.loop, self._answer_metrics), sock)
 
     def _answer_metrics(self, request: Request) -> tuple[int, bytes]:
@@ -372,7 +388,7 @@
             return NOT_FOUND, b""
         return OK, self.telemetry.render(self)
 
-    def _on_peer(self, sock: socket.socket) -> None:
+    def _on_peer_connection(self, sock: socket.socket) -> None:
         Caller(AnswerServer(self.loop, self._answer_peer), sock)
 
     def _answer_peer(self, request: Request) -> tuple[int, bytes]:
@@ -380,7 +396,7 @@
         return (NOT_FOUND, b"") if body is None else (OK, body)
 
     def follow_settings(self, path: pathlib.Path) -> None:
-        """Apply changes of the settings file, on a signal and without one."""
+        """Start to check the settings file regularly, and apply its changes."""
         self._settings_path = path
         self._settings_text = read_text(path)
         self.loop.call_later(SETTINGS_CHECK_INTERVAL_S, self._check_settings)
@@ -429,13 +445,12 @@
             caller.close_if_idle()
 
     def _stop_accepting(self) -> None:
-        self._is_closed = True
+        self._refuses_requests = True
         self._close_idle()
         self.loop.call_later(EXIT_DELAY_S, self._exit_if_done)
 
     def _exit_if_done(self) -> None:
-        if self._is_closed and not self._callers:
-            # Delayed, so that the last bytes are sent.
+        if self._refuses_requests and not self._callers:
             self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
 
     def _close_remaining(self) -> None:
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -1,4 +1,4 @@
-"""Seeks, renews and releases a lease in the store."""
+"""Acquires, renews and releases a lease in the store."""
 
 import random
 import typing as t
@@ -38,11 +38,11 @@
 
 
 class LeaseManager:
-    """Seeks one lease and renews it while it is held.
+    """Acquires one lease and renews it while it is held.
 
     :param key: the lease's name.
     :param holder: identifies this host; differs at each start.
-    :param is_candidate: returns whether this host should seek the lease.
+    :param is_candidate: returns whether this host should acquire the lease.
     """
 
     def __init__(
@@ -70,7 +70,7 @@
         return self._lease.fence
 
     def start(self) -> None:
-        """Start to seek the lease."""
+        """Start to acquire the lease."""
         self._loop.call_later(self._rng.uniform(0, START_SPREAD_S), self._step)
 
     def may_send_order(self, order_s: float) -> bool:
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -39,7 +39,7 @@
 
 FULL_RATE_PEERS = 10
 """Peers in a data centre up to which the heartbeat interval is not stretched: 40
-heartbeats a second, one percent of a small core."""
+heartbeats a second take one percent of a small CPU core."""
 
 DELEGATES = 2
 """Hosts of a data centre that follow the store and send heartbeats to other data
@@ -56,13 +56,13 @@
 """Seconds after which a host that can't read the host rows stops waiting for them."""
 
 ANNOUNCE_INTERVAL_S = 0.1
-"""Least seconds between two extra heartbeats that announce changes."""
+"""Minimum seconds between two extra heartbeats that announce changes."""
 
 CENTRE_USES_TIMEOUT_S = 5.0
 """Seconds after which the load last reported by a data centre is dropped."""
 
 DATAGRAMS_PER_EVENT = 32
-"""Most datagrams read at once, so that other sockets and timers get their turn."""
+"""Maximum datagrams read at once, so that other sockets and timers are not delayed."""
 
 
 class PeerEvents(t.Protocol):
@@ -109,7 +109,7 @@
         ...
 
     def on_peers_discovered(self) -> None:
-        """Handle that the live peers have had time to answer."""
+        """Handle the end of discovery: the live peers have had time to answer."""
         ...
 
 
@@ -273,7 +273,7 @@
         self._send_all(inside, tuple(messages))
 
     def _expire_centres(self, now: float) -> None:
-        """Drop the load of data centres that have sent nothing for a while."""
+        """Drop the load of data centres that have not reported it in time."""
         for centre, (_, received_at) in list(self._uses_by_centre.items()):
             if now - received_at > CENTRE_USES_TIMEOUT_S:
                 del self._uses_by_centre[centre]
@@ -281,7 +281,7 @@
                 self._events.on_source_gone(centre, is_centre=True)
 
     def _handle_events(self, events: list[Event]) -> None:
-        """Log changes of membership, and drop the load of peers that ended."""
+        """Log membership changes; drop the load of dead, leaving and replaced peers."""
         for event in events:
             name = event.host.name if not isinstance(event, SelfPaused) else ""
             log_event("peer_changed", change=type(event).__name__, peer=name)
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -26,18 +26,19 @@
 LEASE_KEY = "placement"
 
 TICK_S = 0.25
-SETTLE_S = 0.7
-"""Seconds without a new engine before the first orders are sent, so that the first
-plan covers all engines of a deployment."""
+FIRST_ORDERS_DELAY_S = 0.7
+"""Seconds after the newest engine's registration before the first orders are sent, so
+that the first plan covers all engines of a deployment."""
 
-SPARE_S = 4.0
-"""Seconds that a new engine is kept empty in a data centre without gaps. When an
-engine is replaced, the new one starts before the old one announces that it leaves."""
+RESERVE_S = 4.0
+"""Seconds that a new engine is kept empty in a data centre whose engines hold all
+layers. When an engine is replaced, the new one starts before the old one announces
+that it leaves."""
 
 REPAIR_AFTER_S = 1.0
-"""Seconds that a gap lasts before an engine that holds layers is moved. An engine
-that starts or restarts within that time is empty, and closes the gap without opening
-another one."""
+"""Seconds that layers lack an engine (a gap) before an engine that holds other layers
+is moved to them. An engine that starts or restarts within that time is empty, and
+closes the gap without opening another one."""
 
 ORDER_TIMEOUT_S = 1.0
 ORDER_RETRY_S = 6.0
@@ -48,10 +49,10 @@
 
 
 class Placer:
-    """Seeks the placement lease and, while it is held, orders engines to load layers.
+    """Acquires the placement lease; while it is held, orders engines to load layers.
 
     :param directory: returns the lists in force, ``None`` if there are none.
-    :param is_candidate: returns whether this host should seek the lease.
+    :param is_candidate: returns whether this host should acquire the lease.
     """
 
     def __init__(
@@ -81,7 +82,7 @@
         self.orders = 0
 
     def start(self) -> None:
-        """Start to seek the lease."""
+        """Start to acquire the lease."""
         self._lease.start()
         self._loop.call_later(TICK_S, self._tick)
 
@@ -120,19 +121,19 @@
                 continue
             del self._ordered[identity]
         reserved = self._reserve(replicas)
-        if self._is_settling(now, replicas):
+        if self._are_engines_registering(now, replicas):
             return
         for assignment in plan_layers(service.model, replicas, ranges, reserved):
             self._order(assignment)
         for assignment in self._due_repairs(service.model, replicas, ranges, now):
             self._order(assignment)
 
-    def _is_settling(self, now: float, replicas: list[Replica]) -> bool:
+    def _are_engines_registering(self, now: float, replicas: list[Replica]) -> bool:
         """Return whether the first engines of a deployment are still registering."""
         if any(replica.layers is not None for replica in replicas):
             return False
         newest = max(self._empty_since.values(), default=now)
-        return now - newest < SETTLE_S
+        return now - newest < FIRST_ORDERS_DELAY_S
 
     def _due_repairs(
         self,
@@ -156,7 +157,7 @@
         return due
 
     def _reserve(self, replicas: list[Replica]) -> set[tuple[str, int]]:
-        """Return the empty engines that registered within ``SPARE_S``."""
+        """Return the empty engines that registered within ``RESERVE_S``."""
         now = self._loop.now
         empty = {r.identity for r in replicas if r.layers is None}
         for identity in list(self._empty_since):
@@ -164,7 +165,7 @@
                 del self._empty_since[identity]
         reserved = set()
         for identity in empty:
-            if now - self._empty_since.setdefault(identity, now) < SPARE_S:
+            if now - self._empty_since.setdefault(identity, now) < RESERVE_S:
                 reserved.add(identity)
         return reserved
 
@@ -175,8 +176,8 @@
         layers = (assignment.first, assignment.last)
         self._ordered[identity] = (layers, now)
         self.orders += 1
-        # An engine that holds layers may have accepted orders of another host, so
-        # that only an empty engine's count is known to be 0.
+        # An engine that holds layers may have accepted orders of another host; only
+        # the count of an empty engine is certain to be 0.
         count = self._orders_by_identity.get(identity)
         if count is None and replica.layers is None:
             count = 0
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -69,7 +69,7 @@
 
 
 class LogSection(_Section, frozen=True):
-    """The log level; ``lines_per_s``: the mean rate limit of the lines of one event."""
+    """The log level; ``lines_per_s``: maximum mean rate of the lines of one event."""
 
     lines_per_s: Seconds = 50.0
     level: t.Literal["DEBUG", "INFO", "WARNING", "ERROR"] = "INFO"
--- a/src/wagtailstair/gateway/table_sync.py
+++ b/src/wagtailstair/gateway/table_sync.py
@@ -32,16 +32,16 @@
 
 TICK_S = 0.25
 CHANGES_PAUSE_S = 0.2
-"""Seconds between two calls for changes of upstreams, so that one call returns
-several: calls are priced, and a leaving upstream must be noticed within 2 s."""
+"""Seconds between two calls for changes of upstreams. Each call is billed, so that one
+call should return several changes; a leaving upstream must be noticed within 2 s."""
 
 FEED_OVERDUE_S = 0.5
 """Seconds after which a host that follows the store requests from a peer a change
 that the store has not delivered: over twice ``CHANGES_PAUSE_S``."""
 
 STORE_FALLBACK_S = 0.6
-"""Seconds after the start within which peers should have sent the tables; without
-them the host reads the store. Covers a few round trips to a peer."""
+"""Seconds after the start within which peers should have sent the tables. A host that
+lacks a table then reads the store. Covers a few round trips to a peer."""
 
 RELAY_TIMEOUT_S = 0.5
 RELAY_PATH = "/tables/"
@@ -243,7 +243,7 @@
                 behind = self._behind_by_table[follower.table] = version, self._loop.now
             if self._loop.now - behind[1] < FEED_OVERDUE_S:
                 return
-            follower.restart_feed("a peer knows more")
+            follower.restart_feed("a peer has a newer version")
         self._request_changes(follower, host)
 
     def _request_changes(self, follower: TableFollower, host: Host) -> None:
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -50,7 +50,9 @@
         self._lists_version = gauge("lists_version", "Version of the lists in force.")
         self._peers_live = gauge("peers_live", "Other hosts that are live.")
         self._upstreams = gauge("upstreams", "Upstreams that may get new work.")
-        self._store_away = gauge("store_away", "1 while the store can't be reached.")
+        self._store_unreachable = gauge(
+            "store_away", "1 while the store can't be reached."
+        )
 
     def count_request(self, kind: str, rank: int, outcome: str, took_s: float) -> None:
         """Count a request that has ended."""
@@ -75,7 +77,7 @@
         self._streams_running.set({}, len(gateway.streams()))
         self._peers_live.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
-        self._store_away.set({}, int(gateway.table_sync.is_store_unreachable))
+        self._store_unreachable.set({}, int(gateway.table_sync.is_store_unreachable))
         if gateway.lists_version():
             self._lists_version.set({}, gateway.lists_version())
         body, _ = render(self._registry, ["text/plain"])
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -31,7 +31,7 @@
 
 
 def parse_token_usage(usage: bytes) -> tuple[int, int]:
-    """Return the tokens of the prompt and the most of the answer, 0 if unknown."""
+    """Return the prompt's tokens and the maximum of the answer's, 0 if unknown."""
     prompt, _, answer = usage.partition(b",")
     try:
         return int(prompt), int(answer)
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -35,7 +35,7 @@
     timeout_ms: float
     # The response-time goal.
     aim_ms: float = 0.0
-    # The most upstreams that one request may be sent to.
+    # Maximum number of upstreams that one request may be sent to.
     attempts: int = 1
     priority: int = 0
     service: str | None = None
