Reword the request path, http and peers after a second reading

The documentation of Context and Cluster now agrees with the code: lists that are still stale after the wait are used, and data centres come in order of preference. The error of an account's limits names what did not arrive.

--- a/src/wagtailstair/admission.py
+++ b/src/wagtailstair/admission.py
@@ -62,8 +62,8 @@
 def choose_priority(plan: Plan, requested_name: str) -> Priority:
     """Return the requested priority, or the nearest that the plan allows.
 
-    A request without the header asks for the standard priority. A lower priority
-    is preferred to a higher one if the plan does not allow the requested one.
+    The default is the standard priority. If the plan does not allow the requested
+    priority, the next lower one is preferred to a higher one.
 
     :raises InvalidRequestError: if the header names an unknown priority.
     """
@@ -120,7 +120,7 @@
         verdict = future.result(QUOTA_VERDICT_TIMEOUT_S)
     except concurrent.futures.TimeoutError:
         gate.settle(account, request, 0.0)
-        message = "no answer on the account's limits"
+        message = "no verdict on the account's limits arrived in time"
         raise QueueFullError(message, retry_after_s=1.0) from None
     if isinstance(verdict, Limited):
         raise LimitExceededError(
--- a/src/wagtailstair/cluster.py
+++ b/src/wagtailstair/cluster.py
@@ -20,7 +20,7 @@
 from .exceptions import PeerError
 from .exceptions import SettingsError
 from .follower import Follower
-from .peers.bulk import HEADER
+from .peers.bulk import SIGNATURE_HEADER
 from .peers.bulk import RecentChanges
 from .peers.bulk import check_request
 from .peers.bulk import fetch_lists
@@ -124,7 +124,7 @@
 
     @property
     def is_ready(self) -> bool:
-        """Whether the lists are recent enough to serve requests."""
+        """Whether the lists were current enough at some time to start serving."""
         return self._lists_follower.is_ready and self.lists_holder.current.version > 0
 
     def start(self) -> None:
@@ -148,7 +148,9 @@
     def fresh_lists(self) -> Lists:
         """Return the lists of accounts and plans to check a request against.
 
-        :raises NotReadyError: if the host has none yet.
+        Stale lists are refreshed first, but returned if that takes too long.
+
+        :raises NotReadyError: if the host has none that it may start to serve with.
         """
         self._lists_follower.wait_until_fresh(
             self._clock.monotonic() + LISTS_REFRESH_TIMEOUT_S
@@ -161,7 +163,7 @@
         return lists
 
     def is_host_dead(self, name: str, incarnation: str) -> bool:
-        """Return whether an incarnation of a host is known to be dead."""
+        """Return whether an incarnation of a host is dead or has been replaced."""
         with self._node.lock:
             host = self._membership.find(name)
             peer = self._membership.by_name.get(name)
@@ -170,10 +172,10 @@
         return peer is not None and peer.state is HostState.DEAD
 
     def owns_role(self, role: str) -> bool:
-        """Return whether this host has a role, as far as it knows.
+        """Return whether this host has a role, according to its view of the membership.
 
-        Hosts with different views of the membership may both have it, so only
-        roles that are safe to run twice may rely on this.
+        Hosts with different views may both have it, so only roles that are safe to
+        run twice may rely on this.
         """
         with self._node.lock:
             live = self._membership.live()
@@ -218,7 +220,7 @@
             # The lists contain hashes of API keys, which callers must not read.
             return Response("only for peers", status=STATUS_FORBIDDEN)
         try:
-            signature = request.headers.get(HEADER, "")
+            signature = request.headers.get(SIGNATURE_HEADER, "")
             check_request(self._key, after, signature, self._clock)
         except PeerError as error:
             return Response(str(error), status=STATUS_FORBIDDEN)
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -96,7 +96,7 @@
 
     def done(self, model: str, data_centre: str, outcome: GrantOutcome) -> None:
         """Report the end of a grant, with its actual cost."""
-        del model, data_centre  # the dispatch client has stored them
+        del model, data_centre  # stored by the dispatch client
         with self._lock:
             now = self._clock.monotonic()
             self.dispatch_client.done(outcome, now)
@@ -105,7 +105,7 @@
 
     def cancel(self, model: str, data_centre: str, request: str, epoch: int) -> None:
         """Withdraw a request; its future is cancelled if it is still pending."""
-        del model, data_centre  # the dispatch client has stored them
+        del model, data_centre  # stored by the dispatch client
         with self._lock:
             now = self._clock.monotonic()
             self.dispatch_client.cancel(request, epoch, now)
@@ -133,7 +133,7 @@
 
     def settle(self, account: str, request: str, work: float) -> None:
         """Settle a charge at the actual work of the request."""
-        del account  # the open charge has stored it
+        del account  # stored with the open charge
         with self._lock:
             now = self._clock.monotonic()
             self.charges.settle(request, work, now)
@@ -159,7 +159,7 @@
         return sorted(names)
 
     def engine_states(self) -> list[EngineState]:
-        """Return the last known states of all engines."""
+        """Return the most recent state of each engine."""
         with self._lock:
             return list(self.exchange.engines.by_name.values())
 
@@ -212,7 +212,7 @@
         self._resolve_futures()
 
     def apply_member_events(self, events: t.Iterable[Event]) -> None:
-        """Apply changes of the live hosts."""
+        """Apply changes of the membership."""
         with self._lock:
             now = self._clock.monotonic()
             self.exchange.apply_member_events(events, now)
--- a/src/wagtailstair/exceptions.py
+++ b/src/wagtailstair/exceptions.py
@@ -59,7 +59,7 @@
 
 
 class PlatformUnavailableError(PlatformError):
-    """The platform refused or could not be reached; nothing took effect."""
+    """The platform refused the call or could not be reached; nothing took effect."""
 
     code = "platform_unavailable"
 
@@ -103,7 +103,7 @@
 
 
 class PeerError(WagtailstairError):
-    """A message from or to another daemon is invalid."""
+    """An exchange with another daemon failed, or one of its messages is invalid."""
 
     code = "peer_error"
 
--- a/src/wagtailstair/http/completions.py
+++ b/src/wagtailstair/http/completions.py
@@ -8,7 +8,7 @@
 
 from ..exceptions import InvalidRequestError
 
-WORK_PER_PROMPT_TOKEN = 1 / 8
+WORK_PER_PROMPT_TOKEN = 1 / 8  # work units; a token of the answer costs 1
 CHARACTERS_PER_TOKEN = 4
 PREFIX_BLOCK_CHARACTERS = 64
 MAX_PREFIX_BLOCKS = 16
--- a/src/wagtailstair/http/context.py
+++ b/src/wagtailstair/http/context.py
@@ -51,9 +51,9 @@
 class Context:
     """The parts of the daemon that the handlers use.
 
-    ``lists``: returns the current lists, or raises NotReadyError if there are none
-    or they are stale; ``data_centres_of``: returns the data centres where a model
-    has engines, nearest first.
+    ``lists``: returns the lists, or raises NotReadyError until they are loaded;
+    ``data_centres_of``: returns the data centres where a model has engines, in order
+    of preference.
     """
 
     settings: Settings
--- a/src/wagtailstair/http/server.py
+++ b/src/wagtailstair/http/server.py
@@ -15,8 +15,8 @@
 
 SOCKET_TIMEOUT_S = 30.0
 ACCEPT_POLL_S = 0.1
-BACKLOG_IDLE_S = 0.25  # without a connection, after which the backlog is empty
-BACKLOG_TIMEOUT_S = 10.0  # for emptying the backlog while callers keep connecting
+BACKLOG_IDLE_S = 0.25  # after this time without a connection, the backlog is empty
+BACKLOG_TIMEOUT_S = 10.0  # maximum to empty the backlog while callers keep connecting
 LISTEN_BACKLOG = 512
 SPARE_THREADS = 32  # beyond the request limit, to answer probes and refusals
 
--- a/src/wagtailstair/peers/bulk.py
+++ b/src/wagtailstair/peers/bulk.py
@@ -30,7 +30,7 @@
 from .schema import DecodeError
 
 PATH = "/peer/lists"
-HEADER = "X-Peer-Signature"
+SIGNATURE_HEADER = "X-Peer-Signature"
 SIGNATURE_MAX_AGE_S = 300.0  # includes the difference of two hosts' wall clocks
 RECENT_STEPS_MAX = 1024  # recorded steps between versions
 RECENT_ROWS_MAX = 8192
@@ -55,7 +55,7 @@
         self._steps: collections.deque[_Step] = collections.deque(
             maxlen=RECENT_STEPS_MAX
         )
-        self._rows = 0
+        self._row_count = 0
 
     def record_changes(self, old: Lists, new: Lists) -> None:
         """Record the rows that differ between old and new lists."""
@@ -65,14 +65,14 @@
         )
         if len(keys) > RECENT_ROWS_MAX:
             self._steps.clear()
-            self._rows = 0
+            self._row_count = 0
             return
         if len(self._steps) == RECENT_STEPS_MAX:
-            self._rows -= len(self._steps.popleft().keys)
+            self._row_count -= len(self._steps.popleft().keys)
         self._steps.append(_Step(old.version, new.version, keys))
-        self._rows += len(keys)
-        while self._rows > RECENT_ROWS_MAX:
-            self._rows -= len(self._steps.popleft().keys)
+        self._row_count += len(keys)
+        while self._row_count > RECENT_ROWS_MAX:
+            self._row_count -= len(self._steps.popleft().keys)
 
     def changed_since(self, after: int, version: int) -> set[RowKey] | None:
         """Return the keys of rows changed after a version, or None if not recorded."""
@@ -176,7 +176,8 @@
 def check_request(key: bytes, after: int, header: str, clock: Clock) -> None:
     """Check the signature header of a request.
 
-    :raises PeerError: if the signature is missing, under another key or too old.
+    :raises PeerError: if the signature is missing, under another key or too far from
+            this host's clock.
     """
     if not key:
         return
@@ -188,7 +189,7 @@
     if not hmac.compare_digest(signature, _signature(key, after, int(second))):
         raise PeerError("the signature does not match")
     if abs(clock.utcnow().timestamp() - int(second)) > SIGNATURE_MAX_AGE_S:
-        raise PeerError("the signature is too old")
+        raise PeerError("the signature's time differs too much from this host's clock")
 
 
 def _get(url: str, header: str, timeout_s: float) -> bytes:
@@ -233,6 +234,6 @@
     :raises PeerError: if it cannot be reached or its response is invalid.
     """
     url = f"http://{address}{PATH}?after={lists.version}"
-    header = f"{HEADER}: {sign_request(key, lists.version, clock)}"
+    header = f"{SIGNATURE_HEADER}: {sign_request(key, lists.version, clock)}"
     data = _get(url, header, timeout_s)
     return apply_lists(remove_frame(data, key, BODY_BYTES_MAX), lists)
--- a/src/wagtailstair/peers/codec.py
+++ b/src/wagtailstair/peers/codec.py
@@ -98,7 +98,9 @@
             body, traversal_limit_in_words=UNPACKED_WORDS_MAX, nesting_limit=NESTING_MAX
         )
         if len(record.messages) > MESSAGES_MAX:
-            raise PeerError(f"{len(record.messages)} messages in a datagram")
+            raise PeerError(
+                f"{len(record.messages)} messages, more than a datagram may hold"
+            )
         messages = tuple(read_message(entry, record) for entry in record.messages)
         return Datagram(record.sender, record.incarnation, record.receiver, messages)
     except (DecodeError, ValueError, LookupError, TypeError) as error:
--- a/src/wagtailstair/peers/node.py
+++ b/src/wagtailstair/peers/node.py
@@ -32,7 +32,7 @@
 
     :param lists_version: the version of the lists that this host has.
     :param on_newer_lists: called with the version if a peer reports a higher one.
-    :param known_lists_version: the highest version that this host has learnt of.
+    :param known_lists_version: the highest version reported to this host so far.
     """
 
     def __init__(
@@ -114,7 +114,7 @@
             self.membership.apply_host_list(usable, self._clock.monotonic())
 
     def tick(self) -> float:
-        """Do the work that is due; return the maximum seconds until the next call."""
+        """Run all due timers; return the maximum seconds until the next call."""
         events: list[Event] = []
         with self.lock:
             now = self._clock.monotonic()
@@ -173,14 +173,14 @@
     def _receive_heartbeat(self, message: Heartbeat) -> None:
         with self.lock:
             now = self._clock.monotonic()
-            known = self.membership.lists_version()
+            previous_version = self.membership.lists_version()
             is_new = self.membership.find(message.host.name) is None
             events = self.membership.receive_heartbeat(message, now)
             if is_new and self.membership.find(message.host.name) is not None:
                 self._send_first_heartbeat(message.host)
             version = self.membership.lists_version()
         self._notify(events)
-        if version > known and version > self._lists_version():
+        if version > previous_version and version > self._lists_version():
             self._on_newer_lists(version)
 
     def _send_first_heartbeat(self, host: Host) -> None:
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -1,7 +1,7 @@
 """Converts the core's types to and from the records of the schema.
 
 Each type has a function that returns the fields of its record and one that reads
-them. Deadlines are sent as remaining milliseconds.
+them. A deadline in a message is the time that remains, sent as milliseconds.
 """
 
 import ipaddress
@@ -33,12 +33,12 @@
 """Maximum engines of a message, so that a datagram stays under its size limit."""
 
 
-def _bounded(value: float, limit: int = UINT32_MAX) -> int:
+def _clamp(value: float, limit: int = UINT32_MAX) -> int:
     return max(0, min(limit, int(value)))
 
 
 def _milliseconds(seconds: float) -> int:
-    return _bounded(seconds * MS_PER_S)
+    return _clamp(seconds * MS_PER_S)
 
 
 def set_field(record: Record, name: str, value: t.Any) -> None:
@@ -140,7 +140,7 @@
 
 
 def read_route_request(record: Record) -> RouteRequest:
-    """Return a route request without the names of its host and request."""
+    """Return a route request without the host, request and epoch that identify it."""
     return RouteRequest(
         request="",
         epoch=0,
@@ -195,11 +195,11 @@
         "first": state.first,
         "last": state.last,
         "layers": state.layers,
-        "slots": _bounded(state.slots, UINT16_MAX),
-        "running": _bounded(state.running, UINT16_MAX),
-        "waiting": _bounded(state.waiting, UINT16_MAX),
-        "kvTokens": _bounded(state.kv_tokens),
-        "kvUsed": _bounded(state.kv_used),
+        "slots": _clamp(state.slots, UINT16_MAX),
+        "running": _clamp(state.running, UINT16_MAX),
+        "waiting": _clamp(state.waiting, UINT16_MAX),
+        "kvTokens": _clamp(state.kv_tokens),
+        "kvUsed": _clamp(state.kv_used),
         "stepS": state.step_s,
         "prefillTokensPerS": state.prefill_tokens_per_s,
         "leaving": state.leaving,
@@ -216,11 +216,11 @@
     return {
         "name": message.name,
         "incarnation": message.incarnation,
-        "running": _bounded(message.running, UINT16_MAX),
-        "waiting": _bounded(message.waiting, UINT16_MAX),
-        "kvUsed": _bounded(message.kv_used),
+        "running": _clamp(message.running, UINT16_MAX),
+        "waiting": _clamp(message.waiting, UINT16_MAX),
+        "kvUsed": _clamp(message.kv_used),
         "stepS": message.step_s,
-        "ageMs": _bounded(message.age_s * MS_PER_S, UINT16_MAX),
+        "ageMs": _clamp(message.age_s * MS_PER_S, UINT16_MAX),
     }
 
 
@@ -238,19 +238,19 @@
 
 
 def write_uses(message: EngineUses) -> Fields:
-    """Return the fields of the resources that requests hold on engines."""
+    """Return the fields of the load that requests put on engines."""
     return {
         "source": message.source,
         "isCentre": message.is_centre,
         "keys": list(message.keys[:USES_MAX]),
-        "running": [_bounded(n, UINT16_MAX) for n in message.running[:USES_MAX]],
-        "heads": [_bounded(n, UINT16_MAX) for n in message.heads[:USES_MAX]],
-        "held": [_bounded(held) for held in message.held[:USES_MAX]],
+        "running": [_clamp(n, UINT16_MAX) for n in message.running[:USES_MAX]],
+        "heads": [_clamp(n, UINT16_MAX) for n in message.heads[:USES_MAX]],
+        "held": [_clamp(held) for held in message.held[:USES_MAX]],
     }
 
 
 def read_uses(record: Record) -> EngineUses:
-    """Return the resources that requests hold on engines.
+    """Return the load that requests put on engines.
 
     :raises ValueError: if the columns differ in length.
     """
--- a/src/wagtailstair/peers/transport.py
+++ b/src/wagtailstair/peers/transport.py
@@ -133,19 +133,19 @@
 
     def send(self, address: str, incarnation: int, message: Message) -> None:
         """Queue a message to an incarnation of a host (0: any incarnation)."""
-        name = (address, incarnation)
+        key = (address, incarnation)
         with self._lock:
-            destination = self._destinations.get(name)
+            destination = self._destinations.get(key)
             if destination is None:
                 if len(self._destinations) >= DESTINATIONS_MAX:
                     self._destinations = dict(self._pending)
                 destination = _Destination(_parse_address(address), incarnation)
-                self._destinations[name] = destination
+                self._destinations[key] = destination
             if len(destination.messages) >= PENDING_MAX:
                 self.traffic.unsent += 1
                 return
             destination.messages.append(message)
-            self._pending[name] = destination
+            self._pending[key] = destination
 
     def flush(self) -> None:
         """Send the queued messages to each address that :data:`COALESCE_S` permits."""
@@ -156,10 +156,10 @@
     def _flush_due(self, now: float) -> None:
         batches: list[tuple[_Destination, list[Message]]] = []
         with self._lock:
-            for name, destination in list(self._pending.items()):
+            for key, destination in list(self._pending.items()):
                 if now - destination.sent_at < COALESCE_S:
                     continue
-                del self._pending[name]
+                del self._pending[key]
                 destination.sent_at = now
                 batches.append((destination, destination.messages))
                 destination.messages = []
--- a/src/wagtailstair/services.py
+++ b/src/wagtailstair/services.py
@@ -118,7 +118,8 @@
     def call_once(self, call: ServiceCall) -> Answer:
         """Run a call at most once for its idempotency key, across all hosts.
 
-        :raises RequestError: with what is known about the outcome.
+        :raises RequestError: if it was not answered; its ``outcome`` states whether the
+            call may have run.
         """
         now = self._clock.monotonic()
         self._retry_budget.count_attempt(now)
--- a/src/wagtailstair/settings.py
+++ b/src/wagtailstair/settings.py
@@ -9,7 +9,7 @@
 
 from .exceptions import SettingsError
 
-# Held back at the end of a lease, for clocks that run at different rates.
+# Subtracted from the end of a lease, since clocks run at different rates.
 LEASE_MARGIN_S = 1.0
 
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
