--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -376,12 +376,14 @@
                 if stats.open_grants or sum(stats.waiting):
                     leftovers.append(f"{name}: local {key}: {stats.open_grants}")
             sizes = {
-                "tickets": len(dispatcher.dispatch_client),
+                "requests": len(dispatcher.dispatch_client),
                 "handles": len(dispatcher.dispatch_client._open_by_handle),
                 "charges": len(dispatcher.charges),
                 "charge handles": len(dispatcher.charges._open_by_handle),
                 "outbox": len(dispatcher.exchange.outbox),
-                "homes": len(dispatcher.exchange.owned_quotas._account_by_request),
+                "owned charges": len(
+                    dispatcher.exchange.owned_quotas._account_by_request
+                ),
             }
             leftovers += [
                 f"{name}: {kind} {size}" for kind, size in sizes.items() if size
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -385,7 +385,7 @@
         self.loop.now = self.clock.monotonic()
         self.loop.call_later(0.0, check)
         self.loop.run()
-        assert condition(), "did not come about in time"
+        assert condition(), "the condition did not hold in time"
 
     def send(self, gateway: Gateway, data: bytes) -> CallerConnection:
         return CallerConnection(self.loop, gateway.settings.host.callers, data)
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -84,9 +84,9 @@
 class TestDispatcher:
     def make(self, seed=1):
         simulation = Simulation(seed)
-        dispatcher = owner("pool/draft/a", simulation.names)
-        entry = next(name for name in simulation.names if name != dispatcher)
-        return simulation, dispatcher, entry
+        owner_name = owner("pool/draft/a", simulation.names)
+        entry = next(name for name in simulation.names if name != owner_name)
+        return simulation, owner_name, entry
 
     def submit_until(self, simulation, entry, seconds):
         def load():
@@ -103,8 +103,8 @@
         assert sum(host.dispatcher.dispatch_client.local_grants for host in hosts) == 0
 
     def test_local_pool_grants_while_the_dispatcher_is_frozen(self):
-        simulation, dispatcher, entry = self.make()
-        simulation.freeze(dispatcher, 2.0)
+        simulation, owner_name, entry = self.make()
+        simulation.freeze(owner_name, 2.0)
         before = simulation.granted
         self.submit_until(simulation, entry, 1.5)
         dispatch_client = simulation.by_name[entry].dispatcher.dispatch_client
@@ -112,12 +112,12 @@
         assert dispatch_client.local_grants > 0
 
     def test_successor_takes_over_from_leaving_dispatcher(self):
-        simulation, dispatcher, entry = self.make()
+        simulation, owner_name, entry = self.make()
         self.submit_until(simulation, entry, 1.0)
-        simulation.by_name[dispatcher].membership.set_state(HostState.LEAVING)
+        simulation.by_name[owner_name].membership.set_state(HostState.LEAVING)
         self.submit_until(simulation, entry, 1.0)
         successor = owner(
-            "pool/draft/a", [n for n in simulation.names if n != dispatcher]
+            "pool/draft/a", [n for n in simulation.names if n != owner_name]
         )
         pools = simulation.by_name[successor].dispatcher.pools
         stats = [pool.stats() for pool in pools.by_key.values()]
@@ -138,8 +138,8 @@
         assert names.count("Allowed") == 10
 
     def test_dispatcher_requests_full_reports_of_unknown_engines(self):
-        simulation, dispatcher, _ = self.make()
-        engines = simulation.by_name[dispatcher].dispatcher.exchange.engines
+        simulation, owner_name, _ = self.make()
+        engines = simulation.by_name[owner_name].dispatcher.exchange.engines
         removed = [name for name in engines.by_name if name.startswith("draft")]
         for name in removed:
             del engines.by_name[name]
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -233,12 +233,12 @@
         assert http_side.dispatch.cancelled == [(route_request.request, 1)]
 
     @pytest.mark.parametrize(
-        ("asked", "granted"),
+        ("requested", "granted"),
         [("urgent", 1), ("standard", 1), ("batch", 2), ("", 1)],
     )
-    def test_priority_is_bounded_by_the_plan(self, http_side, asked, granted):
+    def test_priority_is_bounded_by_the_plan(self, http_side, requested, granted):
         http_side.dispatch.addresses.append(RefusalReason.DEADLINE)
-        http_side.complete(X_Priority=asked)
+        http_side.complete(X_Priority=requested)
         assert http_side.dispatch.route_requests[0][1].priority == granted
 
 
--- a/tests/test_peers_bulk.py
+++ b/tests/test_peers_bulk.py
@@ -11,7 +11,7 @@
 from wagtailstair.core.rows import Row
 from wagtailstair.exceptions import PeerError
 from wagtailstair.peers.bulk import BODY_BYTES_MAX
-from wagtailstair.peers.bulk import HEADER
+from wagtailstair.peers.bulk import SIGNATURE_HEADER
 from wagtailstair.peers.bulk import RecentChanges
 from wagtailstair.peers.bulk import apply_lists
 from wagtailstair.peers.bulk import check_request
@@ -151,7 +151,7 @@
             query = urllib.parse.urlsplit(self.path).query
             after = int(urllib.parse.parse_qs(query)["after"][0])
             try:
-                check_request(KEY, after, self.headers.get(HEADER, ""), clock)
+                check_request(KEY, after, self.headers.get(SIGNATURE_HEADER, ""), clock)
             except PeerError:
                 self.send_error(403)
                 return
--- a/tests/tiny_server.py
+++ b/tests/tiny_server.py
@@ -43,8 +43,8 @@
 def serving(answer):
     """Run a server whose responses come from ``answer(method, path, body)``.
 
-    It returns ``(status, body, *headers)``, or ``DROP_CONNECTION`` to close the connection
-    without a response.
+    It returns ``(status, body, *headers)``, or ``DROP_CONNECTION`` to close the
+    connection without a response.
     """
     server = http.server.ThreadingHTTPServer(("127.0.0.1", 0), _Handler)
     server.daemon_threads = True
