--- a/src/wagtailstair/core/claim_results.py
+++ b/src/wagtailstair/core/claim_results.py
@@ -31,6 +31,8 @@
 
     ``send_window_s``: time from the start of the claim within which the call may
     be sent; ``confirm_s``: time that delivery waits for the write of the result;
+    ``cleanup_reads``: reads that look for the row of an insert whose reply was
+    lost; ``inline_body_bytes``: largest body that is stored in the row itself;
     ``retention_s``: age at which a row may be swept.
     """
 
@@ -46,7 +48,7 @@
 
 
 class Phase(enum.Enum):
-    """The phase of a claim, named for the event that it waits for."""
+    """The phase of a claim, named after the command whose event is due."""
 
     NEW = "new"
     INSERTING = "inserting"
--- a/src/wagtailstair/core/differences.py
+++ b/src/wagtailstair/core/differences.py
@@ -21,7 +21,7 @@
 
 
 def diff_lists(old: Lists, new: Lists) -> list[RowChange]:
-    """Return the rows that differ, plans first, by name."""
+    """Return the rows that differ, sorted by name, plans before accounts."""
     plans = _differing(old.plan_by_name, new.plan_by_name)
     accounts = _differing(old.account_by_name, new.account_by_name)
     keys = [(PLANS, name) for name in plans]
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -99,7 +99,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallerLimits:
-    """Limits on the size of a request and on the time to send it."""
+    """Limits on the size of a request and on pauses of the caller.
+
+    ``header_s``: longest pause within a request; ``idle_s``: longest pause between
+    two requests.
+    """
 
     header_bytes: int = 16 << 10
     body_bytes: int = 4 << 20
@@ -116,7 +120,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Grant:
-    """The route and the account of an allowed request, under one version."""
+    """The route and account of an allowed request, by one version of the lists."""
 
     route: Route
     account: Account | None
@@ -131,7 +135,7 @@
 
 
 class Directory:
-    """Lookup of routes, services and accounts under one version."""
+    """Lookup of routes, services and accounts in one version of the lists."""
 
     __slots__ = (
         "_prefixes_by_host",
--- a/src/wagtailstair/core/lists_toml.py
+++ b/src/wagtailstair/core/lists_toml.py
@@ -25,7 +25,7 @@
 
 
 def lists_from_toml(text: str) -> Lists:
-    """Parse and validate both lists.
+    """Parse and validate the lists of plans and accounts.
 
     The version is that of the lists from which the text was written, 0 if the
     text has none.
@@ -77,7 +77,7 @@
 
 
 def lists_to_toml(lists: Lists) -> str:
-    """Return both lists as TOML that `lists_from_toml` parses."""
+    """Return the lists as TOML that `lists_from_toml` parses."""
     lines = [f"{_VERSION} = {lists.version}", ""]
     for name, plan in sorted(lists.plan_by_name.items()):
         lines.extend(_section(f"{PLANS}.{name}", plan_value(plan)))
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -32,7 +32,7 @@
 REMOTE_TARGETS = 2  # hosts of each remote data centre that get heartbeats
 PROBES = 1  # silent hosts of each remote data centre tried per round
 PAUSE_FRACTION = 0.5  # of the timeout; a longer gap between ticks is a pause
-FORGET_AFTER_S = 600.0  # a dead host is removed unless the host list names it
+FORGET_AFTER_S = 600.0  # of silence; then an unlisted host is removed
 VIEW_REQUEST_INTERVAL_S = 1.0  # between two requests for the same view
 PEERS_MAX = 4096  # heartbeats of further hosts are ignored
 TICK_SLACK_S = 0.005  # a tick that is this much early still sends heartbeats
@@ -119,7 +119,7 @@
     def apply_host_list(self, hosts: t.Iterable[Host], now: float) -> None:
         """Apply the platform's list of entry hosts.
 
-        The list lags behind, so it only adds addresses to contact. Liveness
+        The list lags behind, so it only provides addresses to contact. Liveness
         comes from heartbeats alone.
         """
         host_by_name = {h.name: h for h in hosts if h.name != self.host.name}
@@ -184,10 +184,10 @@
     def is_delegate(self, count: int, now: float, silence_s: float) -> bool:
         """Return whether this host is one of the delegates of its data centre.
 
-        Delegates can reach the store, and their last heartbeat is at most
-        ``silence_s`` seconds old.
+        The delegates are the first ``count`` by name among this host and its live
+        peers that can reach the store.
 
-        :param count: number of delegates of a data centre.
+        :param silence_s: greatest age of the last heartbeat of such a peer.
         """
         names = [self.host.name]
         for peer in self._local_peers():
@@ -261,7 +261,7 @@
         return names
 
     def find(self, name: str) -> Host | None:
-        """Return the host of a name, ``None`` if it is unknown or dead."""
+        """Return the host with a name, ``None`` if it is unknown or dead."""
         if name == self.host.name:
             return self.host
         peer = self.by_name.get(name)
@@ -274,7 +274,7 @@
         return self._remote_by_name.get(name)
 
     def lists_version(self) -> int:
-        """Return the highest version of the lists that a live peer holds."""
+        """Return the highest version of the lists that a direct peer holds."""
         return max((peer.lists_version for peer in self._direct_peers()), default=0)
 
     def known_lists_version(self) -> int:
@@ -287,7 +287,7 @@
         return sum(1 for _ in self._direct_peers())
 
     def holders(self, version: int) -> list[Host]:
-        """Return the peers that hold at least a version of the lists.
+        """Return the direct peers that hold at least a version of the lists.
 
         Those of this data centre come first.
         """
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -177,7 +177,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ReportRequest:
-    """A request for the full report of an engine, after only its load arrived."""
+    """A request for the full report of an engine of which only the load is known."""
 
     name: str
 
--- a/src/wagtailstair/core/peer.py
+++ b/src/wagtailstair/core/peer.py
@@ -1,4 +1,4 @@
-"""The state that one host keeps of another one."""
+"""The state of a peer host, as seen by this host."""
 
 import dataclasses
 import typing as t
@@ -12,10 +12,11 @@
 class Peer:
     """The state of another host.
 
-    ``has_sent_heartbeat``: a heartbeat has arrived directly from it; ``silent_since``: time
-    of the last one, or of the addition of the host, moved forward by pauses of
-    this process; ``is_listed``: the host list names it; ``view``: checksum of
-    its current view; ``view_hosts``: its view as last received.
+    ``has_sent_heartbeat``: a heartbeat has arrived directly from it;
+    ``silent_since``: time of the last one, or of the addition of the host, moved
+    forward by pauses of this process; ``is_listed``: the host list names it;
+    ``view``: checksum of its view, from its last heartbeat; ``view_hosts``: its
+    view as last received.
     """
 
     host: Host
--- a/src/wagtailstair/core/table_copy.py
+++ b/src/wagtailstair/core/table_copy.py
@@ -41,7 +41,7 @@
     def apply_snapshot(self, rows: t.Iterable[StoreRow], as_of: int) -> list[StoreRow]:
         """Apply all rows as of a version of the store; return the newer rows.
 
-        Rows with later changes keep them.
+        A row that has changed after that version is left as it is.
         """
         rows = list(rows)
         present = {row.key for row in rows}
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -14,7 +14,7 @@
     """Callbacks of an attempt to the request that it belongs to."""
 
     def is_own_answer(self, status: int, headers: list[Header]) -> bool:
-        """Tell whether a response belongs to the request."""
+        """Return whether a response belongs to the request."""
         ...
 
     def classify_answer(self, status: int, headers: list[Header]) -> AttemptOutcome:
@@ -76,7 +76,7 @@
         self.abandoned_engines: set[tuple[str, int]] = set()
 
     def uses_engine(self, identity: tuple[str, int]) -> bool:
-        """Tell whether the pipeline includes an engine."""
+        """Return whether the pipeline includes an engine."""
         return any(hop.replica.identity == identity for hop in self.path)
 
     def cancel(self) -> None:
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -97,12 +97,12 @@
 
     @property
     def is_idle(self) -> bool:
-        """Tell whether no request is being served or received."""
+        """Return whether no request is being served or received."""
         return self._request is None and self._reader.is_between_requests
 
     @property
     def has_begun(self) -> bool:
-        """Tell whether part of the current response was sent."""
+        """Return whether part of the current response was sent."""
         return self._has_begun
 
     # Responses.
@@ -250,7 +250,7 @@
             active_request.on_caller_gone()
 
     def _check_timeouts(self) -> None:
-        """Close a connection that is idle or sends its request too slowly."""
+        """Close a connection that is idle or pauses too long within a request."""
         loop = self._server.loop
         if self._request is not None:
             self._timer = loop.call_later(self._limits.header_s, self._check_timeouts)
@@ -269,7 +269,7 @@
         log_event(
             "request_malformed",
             status=TIMEOUT_STATUS,
-            reason="request not received in time",
+            reason="caller paused too long within a request",
         )
         self._close_after_answer = True
         self.answer(TIMEOUT_STATUS, b"", (), b"")
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -20,8 +20,8 @@
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
-"""Number of probes: with the two above, a silent connection fails after 3 s, the
-time since the last disturbance after which a host counts as reachable."""
+"""Number of probes. With the two times above, a silent connection fails after 3 s:
+a host without disturbance for as long counts as reachable."""
 
 USER_TIMEOUT_MS = 3000
 """Milliseconds after which unacknowledged data fails a connection: as long as the
@@ -119,7 +119,7 @@
             self._set_events(self._events | READABLE)
 
     def close_gracefully(self) -> None:
-        """Close once the send buffer is empty and the peer has closed or time is up."""
+        """Send the buffer, then close after the peer, ``LINGER_S`` later at most."""
         if not self.is_open or self._is_finishing:
             return
         self._is_finishing = True
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -90,8 +90,9 @@
     """State of one request.
 
     ``sends``: exchanges begun with upstreams; ``runs``: those that may have run;
-    ``expires_at``: the caller's deadline, or the route's timeout without one;
-    ``ends_at``: the earlier of the two.
+    ``expires_at``: the caller's deadline, or the end of the route's timeout if the
+    caller set none; ``ends_at``: the earlier of the deadline and of that end;
+    ``tried``: identities of the upstreams used so far.
     """
 
     __slots__ = (
@@ -173,7 +174,7 @@
         return AttemptOutcome.SERVED
 
     def is_own_answer(self, status: int, headers: list[Header]) -> bool:
-        """Tell whether a response belongs to this request.
+        """Return whether a response belongs to this request.
 
         Only failures may lack the attempt header.
         """
@@ -195,7 +196,7 @@
         self.finish(status, reason, ())
 
     def finish(self, status: int, reason: str, headers: t.Iterable[Header]) -> None:
-        """Send a final response of the gateway, or abort one that has begun."""
+        """Send the gateway's own final response, or abort a response that has begun."""
         if self.is_finished:
             return
         self.close()
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -43,7 +43,7 @@
 
 
 def join_request(common: bytes, headers: t.Iterable[Header], body: bytes) -> bytes:
-    """Return the bytes of a request, from its shared head on."""
+    """Return the bytes of a request, beginning with its shared head."""
     lines = [common]
     for name, value in headers:
         lines.append(b"%b: %b\r\n" % (name, value))
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -56,7 +56,7 @@
         return self._prompt_tokens + self._answer_tokens
 
     def choose(self, head: Hop | None = None) -> Path | None:
-        """Return the best pipeline at present, after a given first hop if any."""
+        """Return the best pipeline at present, which starts with ``head`` if given."""
         context = self._context
         return context.pipelines(self._service).choose(
             self._model,
@@ -69,7 +69,7 @@
         )
 
     def has_room(self, path: Path) -> bool:
-        """Tell whether the engines of a pipeline have room for the request."""
+        """Return whether the engines of a pipeline have room for the request."""
         pipelines = self._context.pipelines(self._service)
         return pipelines.has_room(self._model, path, self.tokens, self._rank)
 
--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -111,7 +111,7 @@
             )
 
     def _end_attempt(self, verdict: str) -> None:
-        """Close the current attempt and report its result to the balancer."""
+        """Close the current attempt and report its verdict to the balancer."""
         if self._resend_timer is not None:
             self._resend_timer.cancel()
             self._resend_timer = None
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -85,7 +85,7 @@
 
     @property
     def is_between_requests(self) -> bool:
-        """Tell whether no request is partly received."""
+        """Return whether no request is partly received."""
         return not self._in_head and not self._headers
 
     def feed(self, data: bytes, now: float) -> None:
--- a/src/wagtailstair/gateway/stall_detector.py
+++ b/src/wagtailstair/gateway/stall_detector.py
@@ -11,8 +11,8 @@
     from .gateway import Gateway
 
 REPORT_INTERVAL_S = 0.15
-"""Shortest interval between reports of an engine: each has a cost, and describes
-a state some time ago."""
+"""Shortest interval in seconds between reports of an engine: each has a cost, and
+lags behind the engine's state."""
 
 SUSPECT_S = 3.0
 """Seconds for which a suspected engine is avoided; a dead one is no longer listed
@@ -29,7 +29,7 @@
         self._requested_at_by_name: dict[str, float] = {}
 
     def find_stalled_engine(self, first: Replica, service: str) -> None:
-        """Request a report of which engines a first engine's requests wait for."""
+        """Request a first engine's report, which names the engines that stall it."""
         loop = self._gateway.loop
         requested_at = self._requested_at_by_name.get(first.name, float("-inf"))
         if loop.now - requested_at < REPORT_INTERVAL_S:
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -40,8 +40,8 @@
 REPATH_TIMEOUT_S = 0.3
 
 ROOM_WAIT_GOALS = 1.0
-"""Longest wait for room, as a multiple of the route's response-time goal, which
-a request that waited longer would miss."""
+"""Longest wait for room, as a multiple of the route's response-time goal: a request
+that waits longer misses the goal."""
 
 RETRY_DELAY_S = 0.15
 """Seconds between retries of a response that has begun and has no pipeline."""
@@ -237,11 +237,11 @@
         return () if self._current is None else self._current.path
 
     def uses_engine(self, identity: tuple[str, int]) -> bool:
-        """Tell whether the request's pipeline includes an engine."""
+        """Return whether the request's pipeline includes an engine."""
         return self._current is not None and self._current.uses_engine(identity)
 
     def is_stalled(self, now: float) -> bool:
-        """Tell whether no event has arrived for ``STALL_CHECK_S``."""
+        """Return whether no event has arrived for ``STALL_CHECK_S``."""
         return (
             self._current is not None
             and now - self._current.progress_at > STALL_CHECK_S
@@ -394,7 +394,7 @@
         self._retry_later_or_refuse(reason)
 
     def _avoid_faulty(self, attempt: Attempt, replica: Replica | None) -> None:
-        """Avoid the faulty engine, or the whole path if it is not known."""
+        """Avoid the faulty engine, or the whole path if the engine is not known."""
         if replica is None:
             self._finder.avoid.update(hop.replica.identity for hop in attempt.path)
             return
--- a/src/wagtailstair/gateway/upstream_pool.py
+++ b/src/wagtailstair/gateway/upstream_pool.py
@@ -14,7 +14,7 @@
 Header = tuple[bytes, bytes]
 
 CONNECT_TIMEOUT_S = 0.4
-"""Seconds to connect inside a region: hundreds of times a round trip."""
+"""Timeout of connecting, in seconds: hundreds of round trips inside a region."""
 
 IDLE_TIMEOUT_S = 6.0
 """Seconds that an idle connection is kept if the upstream names no timeout."""
--- a/tests/lease_simulation.py
+++ b/tests/lease_simulation.py
@@ -1,4 +1,4 @@
-"""Simulation of candidates for one lease, with engines that check no fences."""
+"""Simulation of candidates for one lease; the engines check no fencing numbers."""
 
 import dataclasses
 
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -165,7 +165,7 @@
             delete(table, "c3", "plans", "maker")
         assert table.keys("plans") == ["maker"]
 
-    def test_a_rejection_by_rows_of_two_versions_is_checked_again(self):
+    def test_a_rejection_based_on_rows_of_two_versions_is_retried(self):
         table = FakeTable()
         put_plan(table, "c1", "old")
         put_plan(table, "c2", "new")
--- a/tests/test_changes_machine.py
+++ b/tests/test_changes_machine.py
@@ -254,7 +254,7 @@
             commit_edit(self.table, make_edit(change_id, "op", [row]), self.clock)
         except ListsError:
             return
-        raise AssertionError("a change id served two edits")
+        raise AssertionError("one change id was accepted for two edits")
 
     @rule()
     def deliver(self):
--- a/tests/test_claims_machine.py
+++ b/tests/test_claims_machine.py
@@ -24,17 +24,17 @@
     world.kill(host)
 
 
-def freeze_or_thaw(world, host):
+def toggle_frozen(world, host):
     daemon = world.daemons[host]
     daemon.is_frozen = not daemon.is_frozen
 
 
-def cut_or_join(world, host):
+def toggle_cut(world, host):
     daemon = world.daemons[host]
     daemon.is_cut = not daemon.is_cut
 
 
-def land_write(world, host):
+def apply_delayed_write(world, host):
     world.land(host)
 
 
@@ -47,19 +47,19 @@
     world.sweep()
 
 
-def outlast_retention(world, host):
+def wait_past_retention(world, host):
     world.advance(LIMITS.retention_s + 1.0)
     world.sweep()
 
 
 DISTURBANCES = [
     kill,
-    freeze_or_thaw,
-    cut_or_join,
-    land_write,
+    toggle_frozen,
+    toggle_cut,
+    apply_delayed_write,
     land_call,
     wait,
-    outlast_retention,
+    wait_past_retention,
 ]
 
 
@@ -124,7 +124,7 @@
         for _ in range(4):
             world.step(old)
         assert isinstance(old.command, Settle)
-        outlast_retention(world, 0)
+        wait_past_retention(world, 0)
         newer = world.submit(1)
         world.finish(newer)
         world.finish(old)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -44,7 +44,7 @@
 
 
 def wait_for_placement(deployment, engines):
-    """Wait until every host knows which layers each engine holds."""
+    """Wait until every host has the layers of each engine."""
 
     def is_placed(host, engine):
         replica = host.replicas.by_name.get(engine.name)
@@ -452,7 +452,7 @@
         for version in range(3, 6):
             deployment.store.put("op", "config", make_config(version))
             deployment.run(lambda v=version: all(h.lists_version() == v for h in hosts))
-        # Two delegates follow one table, and only two hosts know of the lease.
+        # Only the two delegates follow the lists, with one feed each per version.
         feeds = [r for r in deployment.store.seen[calls:] if r.path == "/rows-feed"]
         assert len(feeds) <= 2 * 3
 
@@ -525,7 +525,7 @@
             deployment.run(lambda v=version: follower.copy.version == v)
             since = deployment.loop.now
             deployment.run(lambda s=since: deployment.loop.now - s > FEED_OVERDUE_S)
-        # No change has arrived since the last announcement but one.
+        # From here on no change arrives, so the second announcement finds it overdue.
         table_sync.on_newer_upstreams(peer)
         since = deployment.loop.now
         deployment.run(lambda: deployment.loop.now - since > FEED_OVERDUE_S)
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -16,12 +16,12 @@
 pauses = st.sampled_from([0.5, 1.0, 2.5, LIMITS.renew_s + 0.5, 6.5])
 
 
-def freeze_or_thaw(world, index):
+def toggle_frozen(world, index):
     candidate = world.candidates[index]
     candidate.is_frozen = not candidate.is_frozen
 
 
-def cut_or_join(world, index):
+def toggle_cut(world, index):
     candidate = world.candidates[index]
     candidate.is_cut = not candidate.is_cut
 
@@ -34,11 +34,11 @@
     world.release(index)
 
 
-def land_write(world, index):
+def apply_delayed_write(world, index):
     world.table.land(index)
 
 
-DISTURBANCES = [freeze_or_thaw, cut_or_join, restart, release, land_write]
+DISTURBANCES = [toggle_frozen, toggle_cut, restart, release, apply_delayed_write]
 
 
 class LeasesMachine(RuleBasedStateMachine):
@@ -120,7 +120,7 @@
         world = LeaseSimulation()
         world.tick(0)
         assert world.send_order(0, 0, is_slow=True)
-        freeze_or_thaw(world, 0)
+        toggle_frozen(world, 0)
         world.tick(1)
         sent_after_s = 0.0
         while not world.send_order(1, 0, is_slow=False):
@@ -128,14 +128,14 @@
             sent_after_s += 0.5
             world.tick(1)
         assert sent_after_s <= LIMITS.duration_s + 2 * ORDER_S
-        freeze_or_thaw(world, 0)
+        toggle_frozen(world, 0)
         assert not world.send_order(0, 0, is_slow=False)
 
     def test_cut_holder_stops_before_its_successor_starts(self):
         world = LeaseSimulation()
         world.tick(0)
         world.tick(2)
-        cut_or_join(world, 0)
+        toggle_cut(world, 0)
         for _ in range(100):
             world.advance(0.25)
             for index in (0, 2):
--- a/tests/test_lists.py
+++ b/tests/test_lists.py
@@ -156,7 +156,7 @@
         st.text(min_size=1, max_size=128).filter(str.isprintable) | st.just("a\x7f\n"),
         st.floats(min_value=1e-300, allow_infinity=False),
     )
-    def test_what_is_written_reads_back(self, model, weight):
+    def test_written_lists_are_parsed_unchanged(self, model, weight):
         plan = plan_row(models=[model], weight=weight, services={"desk": {}})
         lists = Lists().with_rows(4, [plan, account_row("a")])
         again = lists_from_toml(lists_to_toml(lists))
--- a/tests/test_transfer.py
+++ b/tests/test_transfer.py
@@ -46,13 +46,13 @@
         )
         assert end.header("content-length") == "5"
 
-    def test_refused_connection_is_not_sent(self, loop):
+    def test_request_on_a_refused_connection_is_not_sent(self, loop):
         with socket.create_server(("127.0.0.1", 0)) as closed:
             address = f"127.0.0.1:{closed.getsockname()[1]}"
         end = start_exchange(loop, post(address)).result(WAIT_S)
         assert end.sent is TransferOutcome.NOT_SENT
 
-    def test_lost_reply_is_lost(self, loop):
+    def test_connection_closed_before_the_response_is_lost(self, loop):
         with ScriptedServer(close_connection) as server:
             end = start_exchange(loop, post(server.address)).result(WAIT_S)
         assert end.sent is TransferOutcome.LOST
