Wording: second reading of claims, placement, stores, the matrix, the soak and the benches

The comment on deriving targets without the lease again gives its reason: a range whose last engine failed with the current holder.

--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -410,7 +410,7 @@
 
 
 def lists_cost(accounts: int) -> dict[str, float]:
-    """Return the cost of a change, the size of all lists and an account's memory."""
+    """Return the cost of a change, a snapshot's size and an account's memory."""
     lists = make_lists(accounts)
     value = lists.value_of((ACCOUNTS, "account-00000"))
     recent = RecentChanges()
--- a/bench/live.py
+++ b/bench/live.py
@@ -336,7 +336,7 @@
 
 
 def daemon_lost(bench: Bench) -> Row:
-    """Kill a daemon under load; measure when the others serve all again in time."""
+    """Kill a daemon under load; measure how long the others fail or answer late."""
     span = (0.0, 10.0)
     others = tuple(name for name in DAEMON_NAMES if name != "a0")
     make = _request_factory(bench.rng, SMALL_ACCOUNTS, "standard", "others", others)
@@ -373,7 +373,7 @@
 
 
 def edit_under_load(bench: Bench) -> Row:
-    """Edit the lists under load; measure when all daemons have applied it."""
+    """Edit the lists under load; measure when all daemons have applied the edit."""
     make = _request_factory(bench.rng, SMALL_ACCOUNTS, "standard", "all")
     plan = poisson_arrivals(bench.rng, _requests_per_s(0.5), (0.0, 8.0), make)
     edited_at: list[float] = []
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -87,7 +87,7 @@
 def read_streams(
     streams: list[TokenStream], token_marker: bytes, end_marker: bytes, seconds: float
 ) -> None:
-    """Read all streams until they end or the time is over."""
+    """Read all streams until they end or ``seconds`` have passed."""
     selector = selectors.DefaultSelector()
     for stream in streams:
         selector.register(stream.sock, selectors.EVENT_READ, stream)
--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -184,7 +184,7 @@
             :exc:`UpstreamRefusedError` or a :exc:`RequestError` with the outcome
             ``not_run`` only if the call was not executed. After any other error
             the outcome is unknown.
-        :raises RequestError: with the known outcome of the call.
+        :raises RequestError: its ``outcome`` states whether the call was run.
         """
         with self._idle:
             if self._is_closing or self.unsettled >= self._max_unsettled:
--- a/src/wagtailstair/commits.py
+++ b/src/wagtailstair/commits.py
@@ -25,7 +25,7 @@
 class TableClient(t.Protocol):
     """The calls to the table service that the daemon needs.
 
-    Each method raises :exc:`PlatformUnavailableError` if nothing took effect
+    A failed call raises :exc:`PlatformUnavailableError` if nothing took effect
     and :exc:`PlatformUnknownError` if the request may have taken effect.
     """
 
--- a/src/wagtailstair/follower.py
+++ b/src/wagtailstair/follower.py
@@ -86,7 +86,7 @@
             self._pool.shutdown(wait=False, cancel_futures=True)
 
     def request_tick(self) -> None:
-        """Run the next tick at once, as a peer has reported a version."""
+        """Run the next tick at once; called when a peer reports a version."""
         self._tick_requested.set()
 
     @property
@@ -96,7 +96,7 @@
             return self._refresh.is_ready
 
     def highest_known_version(self) -> int:
-        """Return the highest version of the lists that this host has learnt of."""
+        """Return the highest version that this host holds or was reported to it."""
         with self._lock:
             return self._refresh.known
 
@@ -106,7 +106,7 @@
         The wait ends after one attempt to refresh, or after about a second.
 
         :param deadline: time on the monotonic clock.
-        :return: whether the lists may be used; False only at the deadline.
+        :returns: whether the lists may be used; False only at the deadline.
         """
         while True:
             now = self._clock.monotonic()
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -200,7 +200,7 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop, and release the lease if every order has been answered."""
+        """Stop, and release the lease if no order can still take effect."""
         self._is_closing.set()
         if self._thread is not None:
             self._thread.join()
@@ -221,7 +221,7 @@
         if not self._lease_manager.may_send_order(fence, self._order_timeout_s):
             # Hosts without the lease derive targets too. Deriving records the
             # layer ranges of the models, so that the next holder of the lease
-            # knows a range whose last engine has failed by then.
+            # includes a range whose last engine failed with the current holder.
             self._derive(self._observe())
             return delay_s
         if fence != self._fence:
@@ -247,7 +247,7 @@
     def _merge_states(
         self, observed: collections.abc.Sequence[EngineState]
     ) -> list[EngineState]:
-        """Return the latest state of each engine that was read under this lease."""
+        """Return the latest states of the engines read at least once in this lease."""
         unread = [e.name for e in observed if e.name not in self._state_by_engine]
         for state in self._executor.map(self._read_state, unread):
             if state is not None:
--- a/src/wagtailstair/settling.py
+++ b/src/wagtailstair/settling.py
@@ -32,8 +32,8 @@
 from .exceptions import PlatformConflictError
 from .exceptions import PlatformUnavailableError
 
-MAX_READ_ROWS = 100
-MAX_WAIT_S = 1.0
+MAX_READ_ROWS = 100  # in one request
+MAX_WAIT_S = 1.0  # between two checks for due events
 
 WriteFuture = concurrent.futures.Future[int]
 
@@ -92,7 +92,8 @@
         self._events: list[tuple[float, int, Task, Event]] = []
         self._commands: list[tuple[Task, Command]] = []
         self._count = 0
-        self._order = itertools.count()
+        # Orders events that are due at the same time.
+        self._sequence = itertools.count()
         self._changed = threading.Condition()
         self._is_closing = False
         self._thread = threading.Thread(target=self._run, name="settler", daemon=True)
@@ -152,7 +153,7 @@
     def _schedule(self, task: Task, event: Event, delay_s: float) -> None:
         due = self._driver.monotonic() + delay_s
         with self._changed:
-            heapq.heappush(self._events, (due, next(self._order), task, event))
+            heapq.heappush(self._events, (due, next(self._sequence), task, event))
             self._changed.notify_all()
 
     def _run(self) -> None:
--- a/src/wagtailstair/stores/lists.py
+++ b/src/wagtailstair/stores/lists.py
@@ -38,7 +38,7 @@
 MAX_APPLIED_CHANGES = 500  # a larger version difference is read as a snapshot
 SNAPSHOT_ATTEMPTS = 5
 AUDIT_BATCH_ROWS = 100
-MAX_SEARCHED_VERSIONS = 1000  # when the last change of a row is looked up
+MAX_SEARCHED_VERSIONS = 1000  # in a search for the last change of a row
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -146,7 +146,7 @@
 
 
 def find_change(table: Table, key: RowKey, version: int) -> Change | None:
-    """Return the last change of a row at or before ``version``, if it is found."""
+    """Return the last change of a row up to ``version``, or ``None`` if not found."""
     lowest = max(1, version - MAX_SEARCHED_VERSIONS + 1)
     for last in range(version, lowest - 1, -AUDIT_BATCH_ROWS):
         first = max(lowest, last - AUDIT_BATCH_ROWS + 1)
@@ -168,7 +168,7 @@
     try:
         return Lists().with_rows(0, rows)
     except ListsError as error:
-        raise PlatformError(f"a row is damaged: {error}") from error
+        raise PlatformError(f"a row can't be parsed: {error}") from error
 
 
 def _raise_if_unchanged(table: Table, head: Head, error: ListsError) -> t.NoReturn:
--- a/tests/follower_simulation.py
+++ b/tests/follower_simulation.py
@@ -37,11 +37,11 @@
         self.lists_reads = 0
         rng = random.Random(f"{simulation.seed} {name} {self.started_at}")
         self.rng = rng
-        self.freshness = ListsRefresh(INTERVAL_S, self.started_at, rng.random)
+        self.refresh = ListsRefresh(INTERVAL_S, self.started_at, rng.random)
         self.follower = Follower(
             self.holder,
             simulation.clock,
-            self.freshness,
+            self.refresh,
             read_head=lambda: self.read().version,
             read_since=self.read_since,
             fetch=self.fetch,
@@ -65,7 +65,7 @@
 
     def read(self):
         if self.simulation.is_down or self.name in self.simulation.cut_platform:
-            raise PlatformUnavailableError("cut")
+            raise PlatformUnavailableError("platform unreachable")
         self.reached_platform = True
         return Lists(version=self.snapshot)
 
@@ -76,7 +76,7 @@
     def fetch(self, peer, lists):
         other = self.simulation.by_name.get(peer)
         if other is None or not self.simulation.is_connected(self.name, peer):
-            raise PeerError("cut")
+            raise PeerError("peer unreachable")
         if self.simulation.is_frozen(other):
             raise PeerError("no answer")
         return other.holder.current
@@ -118,7 +118,7 @@
 
     def serves(self, now):
         """Return whether a request would be served now, without waiting."""
-        return self.freshness.is_ready and self.freshness.is_fresh(now)
+        return self.refresh.is_ready and self.refresh.is_fresh(now)
 
 
 class FollowerSimulation:
@@ -191,7 +191,7 @@
         self.served[daemon.name] = version
 
     def may_serve_older(self, daemon):
-        """Return whether a restarted daemon could not learn of a newer version.
+        """Return whether no newer version was reported to a restarted daemon.
 
         It has not reached the platform since its start, and no peer has reported
         a higher version to it.
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -322,10 +322,10 @@
     )
     failed, passed = {}, set()
     for line in done.stdout.splitlines():
-        word, _, rest = line.partition(" ")
-        if word in ("FAILED", "ERROR", "XFAIL"):
+        result, _, rest = line.partition(" ")
+        if result in ("FAILED", "ERROR", "XFAIL"):
             failed[rest.split(" - ")[0]] = line
-        if word in ("PASSED", "XPASS"):
+        if result in ("PASSED", "XPASS"):
             passed.add(rest)
     for node in present:
         if not any(name.startswith(node) for name in passed | set(failed)):
@@ -395,7 +395,7 @@
     if options.cell:
         cell = tuple(options.cell.split("/"))
         if cell[0] not in STEPS or cell[-1] not in FAULTS:
-            parser.error(f"no cell {options.cell}")
+            parser.error(f"unknown cell {options.cell}")
         status, remark = evaluate_cells([cell], seeds, with_tests=True)[cell]
         print(f"{options.cell}: {status} {remark}")
         return 1 if status == FAILED else 0
--- a/tests/matrix_cells.py
+++ b/tests/matrix_cells.py
@@ -44,8 +44,8 @@
     kind, is_after = CLAIM_STEPS[step]
     kinds = (Settle, Store) if kind is Settle else kind
     for _ in range(MAX_STEPS):
-        is_there = isinstance(call.command, kinds)
-        if is_there and (call.event is not None) is is_after:
+        is_at_command = isinstance(call.command, kinds)
+        if is_at_command and (call.event is not None) is is_after:
             return
         simulation.step(call)
     raise AssertionError(f"the call did not reach {step}")
@@ -145,8 +145,8 @@
         simulation.finish(
             retry, [rng.choice(list(Fault)) for _ in range(rng.randrange(4))]
         )
-    for left in list(simulation.calls):
-        simulation.finish(left)
+    for unfinished in list(simulation.calls):
+        simulation.finish(unfinished)
     while simulation.table.delayed:
         simulation.land()
     while simulation.late_runs:
@@ -180,7 +180,7 @@
         self.attempts.append(attempt)
         return attempt
 
-    def line(self, attempt, position, trail=None, request="r1"):
+    def receive_line(self, attempt, position, trail=None, request="r1"):
         if trail is None:
             trail = [[stage.first, stage.last] for stage in attempt.route]
         is_complete = [layer for a, b in trail for layer in range(a, b)] == list(
@@ -199,7 +199,7 @@
         assert position == len(self.delivered), "lost or doubled"
         self.delivered.append(token)
 
-    def end(self, attempt):
+    def receive_end(self, attempt):
         verdict = self.session.accept_end(
             "r1", attempt.id, attempt.epoch, TOKENS, "length"
         )
@@ -214,8 +214,8 @@
 
 def _repeat(completion, attempt, position, rng):
     for _ in range(3):
-        completion.line(attempt, rng.randrange(position + 1))
-        completion.line(attempt, rng.randrange(TOKENS), request="r2")
+        completion.receive_line(attempt, rng.randrange(position + 1))
+        completion.receive_line(attempt, rng.randrange(TOKENS), request="r2")
 
 
 def _interleave_old_attempt(completion, attempt, position, rng):
@@ -223,19 +223,19 @@
     completion.session.close_broken(attempt.id, sent=True)
     newer = completion.begin(rng)
     for line in range(position, TOKENS):
-        completion.line(attempt, line)
+        completion.receive_line(attempt, line)
         if rng.random() < 0.5 and len(completion.delivered) < TOKENS:
-            completion.line(newer, len(completion.delivered))
-    completion.end(attempt)
+            completion.receive_line(newer, len(completion.delivered))
+    completion.receive_end(attempt)
 
 
 def _swap_order(completion, attempt, position, rng):
-    completion.line(attempt, position + 1)
-    completion.line(attempt, position)
+    completion.receive_line(attempt, position + 1)
+    completion.receive_line(attempt, position)
 
 
 def _wrong_layers(completion, attempt, position, rng):
-    completion.line(attempt, position, trail=rng.choice(WRONG_TRAILS))
+    completion.receive_line(attempt, position, trail=rng.choice(WRONG_TRAILS))
 
 
 def _end_early(completion, attempt, position, rng):
@@ -261,7 +261,7 @@
     completion = _Completion()
     attempt = completion.begin(rng)
     for position in range(SESSION_STEPS[step]):
-        completion.line(attempt, position)
+        completion.receive_line(attempt, position)
     SESSION_FAULTS[fault](completion, attempt, SESSION_STEPS[step], rng)
     if rng.random() < 0.25:
         outcome = completion.session.close()
@@ -275,16 +275,16 @@
             completion.begin(rng)
         attempt = completion.attempts[-1]
         for _ in range(rng.randrange(TOKENS - len(completion.delivered) + 1)):
-            completion.line(attempt, len(completion.delivered))
+            completion.receive_line(attempt, len(completion.delivered))
         if second is not None and len(completion.delivered) < TOKENS:
             second(completion, attempt, len(completion.delivered), rng)
             second = None
             continue
         while completion.session.attempt == attempt.id:
             if len(completion.delivered) == TOKENS:
-                completion.end(attempt)
+                completion.receive_end(attempt)
                 break
-            completion.line(attempt, len(completion.delivered))
+            completion.receive_line(attempt, len(completion.delivered))
     assert completion.session.finish_reason == "length", (
         "the answer didn't become whole"
     )
@@ -294,15 +294,17 @@
 # Leases.
 
 
-def _step_until(simulation, wanted):
+def _step_until(simulation, command_types):
     candidate = simulation.candidates[0]
     for _ in range(200):
-        if candidate.deliver_result is None and isinstance(candidate.command, wanted):
+        if candidate.deliver_result is None and isinstance(
+            candidate.command, command_types
+        ):
             return
         simulation.step(0)
         if candidate.command is None and candidate.deliver_result is None:
             simulation.advance(0.25)
-    raise AssertionError("the candidate did not reach the step")
+    raise AssertionError("the candidate did not reach the expected command")
 
 
 def _reach_acquire(simulation, rng):
@@ -365,7 +367,7 @@
     simulation.candidates[0].is_cut = True
 
 
-def _fail_write(fault):
+def _inject_lease_fault(fault):
     def inject(simulation, rng):
         command = simulation.candidates[0].command
         if not isinstance(command, LeaseRead | LeaseWrite):
@@ -388,10 +390,10 @@
     "host-replaced": _restart_candidate,
     "frozen": _freeze_candidate,
     "cut-platform": _cut_candidate,
-    "platform-away": _fail_write(WriteFault.AWAY),
-    "platform-slow": _fail_write(WriteFault.DELAYED),
-    "reply-lost": _fail_write(WriteFault.REPLY_LOST),
-    "request-lost": _fail_write(WriteFault.REQUEST_LOST),
+    "platform-away": _inject_lease_fault(WriteFault.AWAY),
+    "platform-slow": _inject_lease_fault(WriteFault.DELAYED),
+    "reply-lost": _inject_lease_fault(WriteFault.REPLY_LOST),
+    "request-lost": _inject_lease_fault(WriteFault.REQUEST_LOST),
     "link-slow": _slow_orders,
     "fencing-ignored": _slow_orders,
 }
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -79,11 +79,11 @@
         """Record a part as disturbed for a duration, then undo the fault."""
         self.checker.disturbances.begin(part)
 
-        def on_end() -> None:
+        def end_fault() -> None:
             undo()
             self.checker.disturbances.end(part, self.loop.now)
 
-        self.loop.call_later(duration_s, on_end)
+        self.loop.call_later(duration_s, end_fault)
 
 
 def kill_hosts(deployment: SoakDeployment) -> None:
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -112,7 +112,7 @@
     def _check_all(self):
         versions = {n: d.version for n, d in self.simulation.by_name.items()}
         assert set(versions.values()) == {self.simulation.version}, versions
-        ready = {n: d.freshness.is_ready for n, d in self.simulation.by_name.items()}
+        ready = {n: d.refresh.is_ready for n, d in self.simulation.by_name.items()}
         assert all(ready.values()), ready
 
     @invariant()
@@ -132,7 +132,7 @@
         simulation = FollowerSimulation(NAMES)
         simulation.is_down = True
         simulation.run(60.0)
-        assert not any(d.freshness.is_ready for d in simulation.by_name.values())
+        assert not any(d.refresh.is_ready for d in simulation.by_name.values())
 
     def test_not_ready_while_platform_and_peers_are_unreachable(self):
         simulation = FollowerSimulation(NAMES)
@@ -141,7 +141,7 @@
         simulation.cut_platform.add("a1")
         simulation.cut_links.update(frozenset(("a1", other)) for other in NAMES[1:])
         simulation.run(60.0)
-        assert not simulation.by_name["a1"].freshness.is_ready
+        assert not simulation.by_name["a1"].refresh.is_ready
 
     def test_fetches_lists_from_peers_while_platform_is_unreachable(self):
         simulation = FollowerSimulation(NAMES)
@@ -149,17 +149,17 @@
         simulation.is_down = True
         simulation.restart("a1")
         simulation.run(5.0)
-        assert simulation.by_name["a1"].freshness.is_ready
+        assert simulation.by_name["a1"].refresh.is_ready
         assert simulation.by_name["a1"].version == 1
 
     def test_not_ready_while_peers_report_a_version_they_do_not_have(self):
         simulation = FollowerSimulation(NAMES)
         simulation.run(3.0)
         simulation.version = 2
-        everyone_else = set(NAMES) - {"a1"}
-        simulation.cut_platform = set(everyone_else)
+        other_names = set(NAMES) - {"a1"}
+        simulation.cut_platform = set(other_names)
         daemon = simulation.by_name["a1"]
-        for other in everyone_else:
+        for other in other_names:
             simulation.by_name[other].follower._fetch = _refuse
         simulation.run(15.0)
         assert daemon.version == 2
@@ -167,7 +167,7 @@
         simulation.is_down = True
         simulation.restart("a1")
         simulation.run(30.0)
-        assert not simulation.by_name["a1"].freshness.is_ready
+        assert not simulation.by_name["a1"].refresh.is_ready
         simulation.heal()
         simulation.run(5.0)
         assert simulation.by_name["a1"].version == 2
@@ -189,11 +189,11 @@
         assert simulation.served["a1"] == 2
         # After the pause no request was served with version 1.
         daemon = Daemon(simulation, "a1")
-        daemon.freshness.is_ready = True
-        daemon.freshness.record_applied(1)
+        daemon.refresh.is_ready = True
+        daemon.refresh.record_applied(1)
         now = simulation.clock.monotonic()
-        assert daemon.freshness.is_fresh(now)
-        assert not daemon.freshness.is_fresh(now + 30.0)
+        assert daemon.refresh.is_fresh(now)
+        assert not daemon.refresh.is_fresh(now + 30.0)
 
     def test_request_after_a_pause_waits_one_second_at_most(self):
         simulation = FollowerSimulation(NAMES)
@@ -204,8 +204,8 @@
         simulation.run(10.0)
         daemon = simulation.by_name["a1"]
         now = simulation.clock.monotonic()
-        assert not daemon.freshness.is_fresh(now)
-        assert daemon.freshness.is_fresh(now + REFRESH_S)
+        assert not daemon.refresh.is_fresh(now)
+        assert daemon.refresh.is_fresh(now + REFRESH_S)
 
     def test_read_started_before_the_pause_does_not_make_lists_fresh(self):
         simulation = FollowerSimulation(NAMES)
@@ -218,12 +218,12 @@
         simulation.version = 2
         simulation.clock.advance(30.0)
         now = simulation.clock.monotonic()
-        assert not daemon.freshness.is_fresh(now)
+        assert not daemon.refresh.is_fresh(now)
         for _, run, snapshot in daemon.calls:
             daemon.snapshot = snapshot
             run()
         daemon.calls.clear()
-        assert not daemon.freshness.is_fresh(now)
+        assert not daemon.refresh.is_fresh(now)
 
 
 class TestTable:
@@ -268,8 +268,8 @@
     def test_applies_lists_after_errors(self):
         clock = SystemClock()
         holder = ListsHolder()
-        answers = [RuntimeError("no"), PlatformUnavailableError("away"), 3]
-        taken = threading.Event()
+        answers = [RuntimeError("failed"), PlatformUnavailableError("down"), 3]
+        replaced = threading.Event()
 
         def read_head():
             answer = answers.pop(0) if len(answers) > 1 else answers[0]
@@ -286,10 +286,10 @@
             fetch=_refuse,
             find_peers=PeerVersions,
             find_rank=lambda: 0,
-            on_lists_replaced=lambda old, new: taken.set(),
+            on_lists_replaced=lambda old, new: replaced.set(),
         )
         follower.start()
-        assert taken.wait(20.0)
+        assert replaced.wait(20.0)
         assert follower.wait_until_fresh(clock.monotonic() + 20.0)
         end = clock.monotonic() + 20.0
         while not follower.is_ready:
--- a/tests/test_matrix.py
+++ b/tests/test_matrix.py
@@ -9,7 +9,7 @@
 
 
 @pytest.mark.parametrize("cell", CELLS, ids="/".join)
-def test_core_cell(cell):
+def test_cell(cell):
     status, remark = matrix.run_cell(CELLS[cell], SEEDS)
     assert status == matrix.PASSED, remark
 
