--- a/bench/measures.py
+++ b/bench/measures.py
@@ -84,7 +84,10 @@
 
 
 def measure(model: Model, requests: list[Request], bound: float) -> Measures:
-    """Return the measures of a run: times in seconds, shares as fractions."""
+    """Return the measures of a run: times in seconds, shares as fractions.
+
+    The measure ``<priority>_kept`` is the ratio of served to guaranteed tokens.
+    """
     served = _tokens_served(model, WARM_UP_S, END_S)
     total = sum(served.values())
     measures: Measures = {"throughput": total / (END_S - WARM_UP_S) / bound}
--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -9,7 +9,7 @@
 
 from .clock import Clock
 from .commits import GroupWriter
-from .commits import TableClient
+from .commits import TableService
 from .core.claim_rows import TABLE
 from .core.claim_rows import decode_claim
 from .core.claim_rows import find_expired
@@ -66,8 +66,8 @@
 Sender = collections.abc.Callable[[], Answer]
 
 
-class ObjectClient(t.Protocol):
-    """The calls to the object store that claims need."""
+class ObjectStore(t.Protocol):
+    """The interface of the object store that claims use."""
 
     def put(self, name: str, data: bytes) -> None:
         """Store an object; raise :exc:`PlatformError` unless it is certainly stored."""
@@ -133,8 +133,8 @@
 
     def __init__(
         self,
-        table: TableClient,
-        objects: ObjectClient,
+        table: TableService,
+        objects: ObjectStore,
         clock: Clock,
         host: str,
         incarnation: str = "",
--- a/src/wagtailstair/commits.py
+++ b/src/wagtailstair/commits.py
@@ -22,8 +22,8 @@
 UNAVAILABLE_BACKOFF_S = 0.5
 
 
-class TableClient(t.Protocol):
-    """The calls to the table service that the daemon needs.
+class TableService(t.Protocol):
+    """The interface of the table service that the daemon uses.
 
     A failed call raises :exc:`PlatformUnavailableError` if nothing took effect
     and :exc:`PlatformUnknownError` if the request may have taken effect.
@@ -73,7 +73,7 @@
 
     def __init__(
         self,
-        table: TableClient,
+        table: TableService,
         clock: Clock,
         *,
         max_batch: int = MAX_BATCH_ROWS,
@@ -99,7 +99,7 @@
     ) -> "concurrent.futures.Future[int]":
         """Queue a write; return a future of the row's new version.
 
-        The future fails with the errors of :class:`TableClient`.
+        The future fails with the errors of :class:`TableService`.
         """
         future: concurrent.futures.Future[int] = concurrent.futures.Future()
         with self._changed:
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -7,7 +7,7 @@
 import typing as t
 
 from .clock import Clock
-from .commits import TableClient
+from .commits import TableService
 from .core.engine import EngineState
 from .core.leases import Lease
 from .core.leases import LeaseLimits
@@ -42,7 +42,7 @@
 
 
 class EngineClient(t.Protocol):
-    """The calls to the engines that placement needs."""
+    """The interface of the engines that placement uses."""
 
     def read_state(self, engine: str) -> EngineState:
         """Return an engine's state; raise :exc:`UpstreamError` if it can't be read."""
@@ -73,7 +73,7 @@
 
     def __init__(
         self,
-        table: TableClient,
+        table: TableService,
         clock: Clock,
         role: str,
         holder: str,
@@ -200,7 +200,7 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop, and release the lease if no order can still take effect."""
+        """Stop, and release the lease unless an order is still pending."""
         self._is_closing.set()
         if self._thread is not None:
             self._thread.join()
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -83,7 +83,7 @@
         self._rng = rng
         self._connection: Connection | None = None
         self._host = hosts[0]
-        self._process = ""
+        self._incarnation = ""
         self._request: CallerRequest | None = None
         self._answer = _Answer()
         self._timer: Timer | None = None
@@ -109,7 +109,7 @@
         if not running:
             return False
         self._host = self._rng.choice(running)
-        self._process = self._host.incarnation
+        self._incarnation = self._host.incarnation
         ip, _, port = self._host.caller_proxy.address.rpartition(":")
         self._connection = connect(
             self._loop, (ip, int(port)), self._on_data, self._on_lost, lambda: None
@@ -132,7 +132,7 @@
             body,
             self._rng.choice(self._keys()),
             self._host.name,
-            self._process,
+            self._incarnation,
             self._loop.now,
             DEADLINE_S[kind],
             self._checker.version,
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -53,7 +53,7 @@
 class CallerRequest:
     """A request of a caller and its outcome.
 
-    ``process``: the incarnation of the host to which the caller was connected.
+    ``incarnation``: the host process to which the caller was connected.
     ``version``: the version of the lists when the request was sent.
     ``runs``: the upstreams that ran it.
     """
@@ -65,7 +65,7 @@
     body: bytes
     key: Key
     host: str
-    process: str
+    incarnation: str
     sent_at: float
     deadline_s: float
     version: int
@@ -120,7 +120,7 @@
         self.version = 0
         self._accepted_at: dict[int, float] = {}
         self._leaving_at: dict[str, float] = {}
-        self._minimum_by_process: dict[str, tuple[int, float]] = {}
+        self._minimum_by_incarnation: dict[str, tuple[int, float]] = {}
         self.counts: dict[str, int] = {}
 
     def record_version(self, version: int, now: float) -> None:
@@ -273,14 +273,14 @@
                 self._report("reverted", f"{request.attempt} served {key.text}", now)
             if self._must_be_in_force(key.removed, request):
                 self._report("config", f"{request.attempt} with {key.text}", now)
-        minimum, _ = self._minimum_by_process.get(request.process, (0, now))
+        minimum, _ = self._minimum_by_incarnation.get(request.incarnation, (0, now))
         if key.added > minimum:
-            self._minimum_by_process[request.process] = (key.added, now)
+            self._minimum_by_incarnation[request.incarnation] = (key.added, now)
 
     def _minimum_version(self, request: CallerRequest) -> int:
         """Return the oldest version that a process may apply to a request."""
-        minimum, at = self._minimum_by_process.get(
-            request.process, (0, request.sent_at)
+        minimum, at = self._minimum_by_incarnation.get(
+            request.incarnation, (0, request.sent_at)
         )
         return minimum if request.sent_at > at + VERSION_OVERLAP_S else 0
 
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -52,7 +52,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Verdict:
-    """Result of a run; ``faults``: the injected faults, in order."""
+    """Result of a run.
+
+    ``faults``: the injected faults, in order; ``recovered``: the share of requests
+    served after the recovery.
+    """
 
     violations: list[str]
     counts: dict[str, int]
