--- a/src/wagtailstair/stores/lists.py
+++ b/src/wagtailstair/stores/lists.py
@@ -168,7 +168,7 @@
     try:
         return Lists().with_rows(0, rows)
     except ListsError as error:
-        raise PlatformError(f"a row can't be parsed: {error}") from error
+        raise PlatformError(f"a row is damaged: {error}") from error
 
 
 def _raise_if_unchanged(table: Table, head: Head, error: ListsError) -> t.NoReturn:
