--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -7,7 +7,7 @@
 import typing as t
 
 from .clock import Clock
-from .commits import TableClient
+from .commits import TableService
 from .core.engine import EngineState
 from .core.leases import Lease
 from .core.leases import LeaseLimits
@@ -42,7 +42,7 @@
 
 
 class EngineClient(t.Protocol):
-    """The calls to the engines that placement needs."""
+    """The interface of the engines that placement uses."""
 
     def read_state(self, engine: str) -> EngineState:
         """Return an engine's state; raise :exc:`UpstreamError` if it can't be read."""
@@ -73,7 +73,7 @@
 
     def __init__(
         self,
-        table: TableClient,
+        table: TableService,
         clock: Clock,
         role: str,
         holder: str,
@@ -200,7 +200,7 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop, and release the lease if every order has been answered."""
+        """Stop, and release the lease unless an order is still pending."""
         self._is_closing.set()
         if self._thread is not None:
             self._thread.join()
@@ -221,7 +221,7 @@
         if not self._lease_manager.may_send_order(fence, self._order_timeout_s):
             # Hosts without the lease derive targets too. Deriving records the
             # layer ranges of the models, so that the next holder of the lease
-            # knows a range whose last engine has failed by then.
+            # includes a range whose last engine failed with the current holder.
             self._derive(self._observe())
             return delay_s
         if fence != self._fence:
@@ -247,7 +247,7 @@
     def _merge_states(
         self, observed: collections.abc.Sequence[EngineState]
     ) -> list[EngineState]:
-        """Return the latest state of each engine that was read under this lease."""
+        """Return the latest states of the engines read at least once in this lease."""
         unread = [e.name for e in observed if e.name not in self._state_by_engine]
         for state in self._executor.map(self._read_state, unread):
             if state is not None:
