--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -196,7 +196,7 @@
     kilobytes = {
         "imports (resident, before any state)": imports_kb,
         "peers": TARGET_SIZE.hosts * membership["peer KB"],
-        "accounts as home (1/380 of them)": TARGET_SIZE.accounts
+        "accounts as owner (1/380 of them)": TARGET_SIZE.accounts
         / TARGET_SIZE.hosts
         * quota["account KB"],
         "both lists": TARGET_SIZE.accounts * lists["account KB"],
@@ -250,7 +250,7 @@
             f"{dispatcher_core:.1f} %",
         ),
         (
-            "home of its accounts",
+            "owner of its accounts",
             f"{owner_requests_per_s:.0f}",
             f"{owner_requests_per_s * _wire_bytes(sizes, 'charged', 'ack'):.0f}",
             f"{owner_requests_per_s * owner_us / 1e4:.2f} %",
--- a/bench/capacity_slopes.py
+++ b/bench/capacity_slopes.py
@@ -425,7 +425,7 @@
     return {
         "change us": median_step_us(change, 10),
         "change bytes": len(serve_lists(changed, recent, 1, KEY)),
-        "whole KB": len(serve_lists(changed, recent, 0, KEY)) / BYTES_PER_KB,
+        "snapshot KB": len(serve_lists(changed, recent, 0, KEY)) / BYTES_PER_KB,
         "account KB": allocated_kb(lambda: make_lists(accounts)) / accounts,
     }
 
--- a/bench/core_slopes.py
+++ b/bench/core_slopes.py
@@ -203,12 +203,12 @@
 
 
 MEASURE_BY_TITLE: dict[str, tuple[str, tuple[int, ...], t.Callable[[int], float]]] = {
-    "pool: want, grant and done, by accounts (230 engines)": (
+    "pool: submit, grant and end, by accounts (230 engines)": (
         "us",
         ACCOUNT_COUNTS,
         lambda size: _cycle_us(BASE_ENGINES, size),
     ),
-    "pool: want, grant and done, by engines (1,000 accounts)": (
+    "pool: submit, grant and end, by engines (1,000 accounts)": (
         "us",
         ENGINE_COUNTS,
         lambda size: _cycle_us(size, BASE_ACCOUNTS),
--- a/bench/live.py
+++ b/bench/live.py
@@ -443,7 +443,7 @@
     "names",
     multiple=True,
     type=click.Choice(sorted(SCENARIO_BY_NAME)),
-    help="Only these; all without it.",
+    help="Run only these scenarios; by default all.",
 )
 @click.option("--seed", "seeds", multiple=True, type=int, default=(1,))
 def main(names: tuple[str, ...], seeds: tuple[int, ...]) -> None:
--- a/src/wagtailstair/claims.py
+++ b/src/wagtailstair/claims.py
@@ -83,7 +83,7 @@
 
 
 _ERROR_BY_REASON: dict[FailureReason, tuple[type[RequestError], str]] = {
-    FailureReason.PLATFORM_AWAY: (NotReadyError, "the platform's table is away"),
+    FailureReason.PLATFORM_AWAY: (NotReadyError, "the platform's table is unavailable"),
     FailureReason.DEADLINE: (
         DeadlineExceededError,
         "the deadline has passed",
--- a/src/wagtailstair/commits.py
+++ b/src/wagtailstair/commits.py
@@ -122,9 +122,9 @@
         if self._is_closing:
             return "the writer is closed"
         if self._clock.monotonic() < self._refuse_until:
-            return "the table is away"
+            return "backing off, as the table was unavailable"
         if len(self._queue) >= self._max_queue:
-            return "too many writes are waiting"
+            return "the write queue is full"
         return None
 
     def _run(self) -> None:
--- a/src/wagtailstair/stores/http.py
+++ b/src/wagtailstair/stores/http.py
@@ -212,7 +212,7 @@
 
 def make_reply_error(method: str, url: str, safe: bool | None = None) -> PlatformError:
     """Return the error for a reply that violates the protocol."""
-    message = "the reply can't be understood"
+    message = "malformed reply"
     if safe or (safe is None and method in SAFE_METHODS):
         return PlatformUnavailableError(message, where=url)
     return PlatformUnknownError(message, where=url)
--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -67,7 +67,7 @@
 
 # Steps, faults that can't happen at them, and the reason.
 IMPOSSIBLE = (
-    (_BEFORE_SENDING, UPSTREAM_FAULTS, "nothing has gone to an upstream yet"),
+    (_BEFORE_SENDING, UPSTREAM_FAULTS, "no request has been sent to an upstream yet"),
     (RESULT, UPSTREAM_FAULTS, "the upstream's answer is complete"),
     (
         (*LISTS, *START),
@@ -92,43 +92,47 @@
     (
         ("accept", "authenticate"),
         (*PLATFORM_MESSAGE_FAULTS, "cut-peer"),
-        "judged by the lists in memory; nobody is asked",
+        "decided by the lists in memory, without any message",
     ),
     (
         ("admit",),
         PLATFORM_MESSAGE_FAULTS,
-        "judged by the lists in memory and by a peer; the platform is not asked",
+        "decided by the lists in memory and a peer, without the platform",
     ),
     (
         ("first-byte", "middle"),
         PLATFORM_MESSAGE_FAULTS,
-        "a stream sends the platform no message",
+        "no message goes to the platform during a stream",
     ),
     (
         ("claim-reply",),
         ("platform-away", "platform-slow", "request-lost"),
-        "the write has taken effect; before that it is claim-written",
+        "the write has taken effect; an earlier fault is at claim-written",
     ),
     (
         ("claim-written", "claim-reply", "result-settled"),
         ("peer-killed", "cut-peer"),
-        "the table is asked, no peer",
+        "the message goes to the table, not to a peer",
+    ),
+    (
+        ("acquire",),
+        ("link-slow", "fencing-ignored"),
+        "no order is sent before the lease is acquired",
     ),
-    (("acquire",), ("link-slow", "fencing-ignored"), "no order before the lease"),
     (
         ("acquire", "renew"),
         UPSTREAM_FAULTS,
-        "the table is asked, no engine",
+        "the message goes to the table, not to an engine",
     ),
     (
         ("order-sent", "order-reply", "hand-over"),
         ("service-killed", "service-refuses", "wrong-layers", "ends-early"),
-        "orders go to engines and have one reply",
+        "orders go only to engines and get a single reply",
     ),
     (
         ("connect", "request-sent"),
         ("wrong-layers", "ends-early", "answers-repeated", "answers-out-of-order"),
-        "no line has come yet",
+        "no line has been received yet",
     ),
 )
 
@@ -309,7 +313,7 @@
 def run_tests(nodes):
     """Run tests in one pytest process; return the failed and the missing ones."""
     present = sorted({n for n in nodes if (ROOT / n.split("::")[0]).exists()})
-    missing = dict.fromkeys(set(nodes) - set(present), "no such test yet")
+    missing = dict.fromkeys(set(nodes) - set(present), "the test file does not exist")
     if not present:
         return {}, missing
     command = [sys.executable, "-m", "pytest", "-rA", "--no-header", "--tb=no"]
@@ -385,7 +389,7 @@
     """Run the matrix, or one cell of it."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--cell", help="STEP/FAULT")
-    parser.add_argument("--seed", type=int, help="run this seed alone")
+    parser.add_argument("--seed", type=int, help="run only this seed")
     parser.add_argument("--seeds", type=int, default=SEEDS, help="seeds of a cell")
     parser.add_argument(
         "--processes", action="store_true", help="run the cells' pytest tests too"
--- a/tests/matrix_cells.py
+++ b/tests/matrix_cells.py
@@ -193,10 +193,12 @@
         )
         if verdict is not ACCEPTED:
             return
-        assert attempt is self.attempts[-1], "a line of an old attempt"
-        assert request == "r1", "a line of another request"
-        assert is_complete, "a token that not every layer made once"
-        assert position == len(self.delivered), "lost or doubled"
+        assert attempt is self.attempts[-1], "accepted a line of an old attempt"
+        assert request == "r1", "accepted a line of another request"
+        assert is_complete, (
+            "accepted a token for which a layer did not run exactly once"
+        )
+        assert position == len(self.delivered), "a token was lost or duplicated"
         self.delivered.append(token)
 
     def receive_end(self, attempt):
@@ -204,8 +206,10 @@
             "r1", attempt.id, attempt.epoch, TOKENS, "length"
         )
         if verdict is ACCEPTED:
-            assert attempt is self.attempts[-1], "the end of an old attempt"
-            assert len(self.delivered) == TOKENS, "a cut answer"
+            assert attempt is self.attempts[-1], "accepted the end of an old attempt"
+            assert len(self.delivered) == TOKENS, (
+                "accepted the end of an incomplete answer"
+            )
 
 
 def _break_stream(completion, attempt, position, rng):
@@ -265,7 +269,9 @@
     SESSION_FAULTS[fault](completion, attempt, SESSION_STEPS[step], rng)
     if rng.random() < 0.25:
         outcome = completion.session.close()
-        assert outcome is Outcome.UNKNOWN, "it said not_run, but it ran"
+        assert outcome is Outcome.UNKNOWN, (
+            "expected outcome unknown for a started stream"
+        )
         return
     second = rng.choice(list(SESSION_FAULTS.values()))
     for _ in range(completion.session.max_epochs):
@@ -285,9 +291,7 @@
                 completion.receive_end(attempt)
                 break
             completion.receive_line(attempt, len(completion.delivered))
-    assert completion.session.finish_reason == "length", (
-        "the answer didn't become whole"
-    )
+    assert completion.session.finish_reason == "length", "the answer is incomplete"
     assert len(completion.delivered) == TOKENS
 
 
@@ -413,7 +417,7 @@
         if rng.random() < 0.1:
             simulation.table.land(0)
         simulation.check()
-    assert simulation.orders_sent, "nobody places any more"
+    assert simulation.orders_sent, "no candidate sent an order"
 
 
 _ORDER_FAULTS = {"link-slow", "fencing-ignored"}
--- a/tests/matrix_hosts.py
+++ b/tests/matrix_hosts.py
@@ -109,8 +109,8 @@
         ):
             return
         simulation.run(1.0)
-    assert not simulation.open, f"{len(simulation.open)} requests without an end"
-    assert not simulation.charged, f"{len(simulation.charged)} charges without an end"
+    assert not simulation.open, f"{len(simulation.open)} requests have not ended"
+    assert not simulation.charged, f"{len(simulation.charged)} charges have not ended"
     assert not simulation.find_leftovers(), simulation.find_leftovers()
 
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -33,12 +33,12 @@
 
 @click.command()
 @click.option("--seeds", default="1-5", help="The first and last seed, as 1-50.")
-@click.option("--seconds", default=15.0, help="Seconds of faults a seed.")
-@click.option("--hosts", default=6, help="Entry hosts, a process each.")
+@click.option("--seconds", default=15.0, help="Seconds of faults per seed.")
+@click.option("--hosts", default=6, help="Entry hosts, one process each.")
 @click.option("--callers", default=12, help="Callers.")
-@click.option("--jobs", default=1, help="Seeds that are played at once.")
+@click.option("--jobs", default=1, help="Seeds that run in parallel.")
 @click.option(
-    "--keep", type=click.Path(path_type=pathlib.Path), help="Keeps logs here."
+    "--keep", type=click.Path(path_type=pathlib.Path), help="Directory for the logs."
 )
 def main(
     seeds: str,
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -165,7 +165,7 @@
         request = self._request
         if request is None:
             self._checker.violations.append(
-                f"mixed: bytes for nobody from {self._host}"
+                f"mixed: bytes without a request from {self._host}"
             )
             return
         try:
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -177,7 +177,7 @@
         if is_first:
             request.runs.append(upstream)
         if request.kind is Kind.NON_IDEMPOTENT and len(request.runs) > 1:
-            self._report("twice", f"{request.attempt} on {request.runs}", now)
+            self._report("twice", f"{request.attempt} ran on {request.runs}", now)
         if request.status in REFUSALS:
             self._report(
                 "refused", f"{request.attempt} ran after {request.status}", now
@@ -197,7 +197,9 @@
                 break
             next_layer = int(last)
         if next_layer != layers:
-            self.violations.append(f"layers: {attempt} at {upstream} by {text}")
+            self.violations.append(
+                f"layers: {attempt} at {upstream} has the path {text}"
+            )
 
     # Observations of callers.
 
@@ -232,7 +234,7 @@
         self, request: CallerRequest, text: str, now: float, *, is_complete: bool
     ) -> None:
         if not request.runs:
-            self._report("mixed", f"{request.attempt} was answered and never ran", now)
+            self._report("mixed", f"{request.attempt} was answered but not run", now)
         if request.kind is not Kind.STREAM and text != f"body of {request.attempt}":
             self._report("mixed", f"{request.attempt} got {text!r}", now)
         if request.kind is Kind.STREAM:
@@ -250,7 +252,9 @@
                 )
                 return
         if is_complete and len(events) != EVENTS:
-            self._report("order", f"{request.attempt} ended at {len(events)}", now)
+            self._report(
+                "order", f"{request.attempt} ended after event {len(events)}", now
+            )
 
     def _check_denial(self, request: CallerRequest, now: float) -> None:
         """Check that a version which may apply denies the request."""
@@ -258,9 +262,9 @@
         minimum = self._minimum_version(request)
         is_revoked = key.removed is not None and key.removed <= self.version
         if not is_revoked and key.added <= minimum:
-            self._report("reverted", f"{request.attempt} denied {key.text}", now)
+            self._report("reverted", f"{request.attempt} by {key.text} was denied", now)
         if not is_revoked and self._must_be_in_force(key.added, request):
-            self._report("denied", f"{request.attempt} with {key.text}", now)
+            self._report("denied", f"{request.attempt} with valid {key.text}", now)
 
     def _check_version(self, request: CallerRequest, now: float) -> None:
         """Check that no outdated version allowed a request.
@@ -270,9 +274,13 @@
         key = request.key
         if key.removed is not None:
             if key.removed <= self._minimum_version(request):
-                self._report("reverted", f"{request.attempt} served {key.text}", now)
+                self._report(
+                    "reverted", f"{request.attempt} by {key.text} was served", now
+                )
             if self._must_be_in_force(key.removed, request):
-                self._report("config", f"{request.attempt} with {key.text}", now)
+                self._report(
+                    "config", f"{request.attempt} with revoked {key.text}", now
+                )
         minimum, _ = self._minimum_by_incarnation.get(request.incarnation, (0, now))
         if key.added > minimum:
             self._minimum_by_incarnation[request.incarnation] = (key.added, now)
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -115,7 +115,7 @@
 
     def check() -> None:
         if host.is_running and not host.is_paused and deployment.loop.now > deadline:
-            text = f"shutdown: {host.incarnation} still runs after the grace"
+            text = f"shutdown: {host.incarnation} still runs after the grace period"
             deployment.checker.violations.append(text)
             host.signal(signal.SIGKILL, -signal.SIGKILL)
         if host.is_running:
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -113,7 +113,9 @@
         if self.process is not None and not self.is_running:
             code = self.process.returncode
             if code not in self.expected_exits:
-                found.append(f"ended: {self.incarnation} by itself with {code}")
+                found.append(
+                    f"ended: {self.incarnation} unexpectedly exited with {code}"
+                )
         if self.peak_memory_mb() > MAX_MEMORY_MB:
             found.append(
                 f"memory: {self.incarnation} had {self.peak_memory_mb():.0f} MB"
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -100,7 +100,7 @@
         assert violation_kinds(checker) == ["mixed"]
 
     @pytest.mark.parametrize(
-        ("numbers", "is_whole", "broken"),
+        ("numbers", "is_complete", "expected"),
         [
             (range(1, EVENTS + 1), True, []),
             (range(1, EVENTS), True, ["order"]),
@@ -110,22 +110,22 @@
         ],
     )
     def test_stream_events_are_complete_and_in_order(
-        self, checker, numbers, is_whole, broken
+        self, checker, numbers, is_complete, expected
     ):
         checker.record_request(make_request(Kind.STREAM))
         checker.record_run("i-1", make_received(), 100.1)
         text = "".join(make_event("a1", number) for number in numbers)
-        checker.check_answer("a1", 200, text, 100.2, is_complete=is_whole)
-        assert violation_kinds(checker) == broken
+        checker.check_answer("a1", 200, text, 100.2, is_complete=is_complete)
+        assert violation_kinds(checker) == expected
 
-    @pytest.mark.parametrize(("at", "broken"), [(101.9, []), (102.1, ["drain"])])
+    @pytest.mark.parametrize(("at", "expected"), [(101.9, []), (102.1, ["drain"])])
     def test_leaving_upstream_gets_no_requests_after_the_drain(
-        self, checker, at, broken
+        self, checker, at, expected
     ):
         checker.record_leaving("i-1", 100.0)
         checker.record_request(make_request())
         checker.record_run("i-1", make_received(), at)
-        assert violation_kinds(checker) == broken
+        assert violation_kinds(checker) == expected
 
     def test_drain_bound_does_not_apply_to_a_disturbed_host(self, checker):
         checker.record_leaving("i-1", 100.0)
@@ -134,14 +134,14 @@
         checker.record_run("i-1", make_received(), 103.9)
         assert checker.violations == []
 
-    @pytest.mark.parametrize(("sent_at", "broken"), [(11.9, []), (12.1, ["config"])])
-    def test_revoked_key_is_rejected_within_the_bound(self, checker, sent_at, broken):
+    @pytest.mark.parametrize(("sent_at", "expected"), [(11.9, []), (12.1, ["config"])])
+    def test_revoked_key_is_rejected_within_the_bound(self, checker, sent_at, expected):
         key = Key("key-1", "maker", 1, removed=2)
         checker.record_version(2, 10.0)
         checker.record_request(make_request(key=key, sent_at=sent_at))
         checker.record_run("i-1", make_received(), sent_at)
         checker.check_answer("a1", 200, "body of a1", sent_at, is_complete=True)
-        assert violation_kinds(checker) == broken
+        assert violation_kinds(checker) == expected
 
     def test_return_to_an_older_version_is_a_violation(self, checker):
         new, old = Key("key-2", "maker", 2), Key("key-1", "maker", 1, removed=2)
@@ -169,7 +169,7 @@
         assert violation_kinds(checker) == (["lost"] if in_shutdown else [])
 
     @pytest.mark.parametrize(
-        ("path", "broken"),
+        ("path", "expected"),
         [
             ("x=0-40,y=40-80", []),
             ("x=0-40,y=41-80", ["layers"]),
@@ -178,9 +178,9 @@
             ("x=0-40", ["layers"]),
         ],
     )
-    def test_path_runs_each_layer_once_in_order(self, checker, path, broken):
+    def test_path_runs_each_layer_once_in_order(self, checker, path, expected):
         checker.check_path("i-1", "a1", path, 80)
-        assert violation_kinds(checker) == broken
+        assert violation_kinds(checker) == expected
 
 
 @pytest.mark.timeout(120)
