--- a/bench/policies.py
+++ b/bench/policies.py
@@ -620,7 +620,7 @@
                 del self._running_by_request[name]
         for node, pool in self.pool_by_node.items():
             if pool is not None:
-                pool.host_lost(host, self.model.now)
+                pool.cancel_host(host, self.model.now)
                 self.send_decisions(node)
 
     def stop_dispatcher(self, node: str, outage_s: float) -> None:
--- a/src/wagtailstair/core/dispatch_client.py
+++ b/src/wagtailstair/core/dispatch_client.py
@@ -104,7 +104,7 @@
         if entry.submission is None or entry.submission.host in self.suspects:
             self._submit_locally(entry, now)
 
-    def done(self, outcome: GrantOutcome, now: float) -> None:
+    def end_grant(self, outcome: GrantOutcome, now: float) -> None:
         """End a grant."""
         entry = self._open_by_id.pop((outcome.request, outcome.epoch), None)
         if entry is None:
--- a/src/wagtailstair/core/lists_refresh.py
+++ b/src/wagtailstair/core/lists_refresh.py
@@ -15,7 +15,7 @@
 LISTS_READ_DELAY_S = 0.5  # times the rank, before a host reads the lists itself
 STARTUP_WAIT_S = 3.0  # for heartbeats of peers, while the platform is unreachable
 PAUSE_DETECTION_S = 1.0  # time between two ticks that means the process was paused
-REFRESH_S = 1.0  # maximum wait for new lists after a pause of the process
+MAX_REFRESH_WAIT_S = 1.0  # maximum wait for new lists after a pause of the process
 FETCH_RETRY_S = 0.3  # mean time between fetches from peers
 
 
@@ -173,7 +173,7 @@
         self._detect_pause(now)
         if self._paused_at is None:
             return True
-        return now >= self._paused_at + REFRESH_S
+        return now >= self._paused_at + MAX_REFRESH_WAIT_S
 
     # Internals.
 
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -47,7 +47,7 @@
 
     handle: int
     key: PoolKey
-    want: RouteRequest
+    route_request: RouteRequest
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -102,7 +102,7 @@
 
     handle: int
     key: PoolKey
-    want: RouteRequest
+    route_request: RouteRequest
     route: Route
     tokens_done: int
 
--- a/src/wagtailstair/core/pool.py
+++ b/src/wagtailstair/core/pool.py
@@ -270,7 +270,7 @@
         """Remove an engine; its open grants stay until :meth:`end_grant`."""
         self._route_finder.remove(engine)
 
-    def host_lost(self, host: str, now: float) -> None:
+    def cancel_host(self, host: str, now: float) -> None:
         """Cancel the requests and grants of a dead entry host."""
         waiting = [item for item in self._queue.items() if item.host == host]
         for item in waiting:
--- a/src/wagtailstair/core/pools.py
+++ b/src/wagtailstair/core/pools.py
@@ -48,7 +48,7 @@
     def remove(self, engine: str) -> None:
         """Remove an engine."""
 
-    def host_lost(self, host: str, now: float) -> None:
+    def cancel_host(self, host: str, now: float) -> None:
         """Cancel the requests and grants of an entry host."""
 
     def poll(self, now: float) -> list[Grant | Refusal]:
@@ -141,7 +141,7 @@
         """Queue a submission; :meth:`poll` returns the answer."""
         if not self._accept_era(sender, message.handle):
             return
-        item = self._identify(sender, message.handle, message.want, now)
+        item = self._identify(sender, message.handle, message.route_request, now)
         self._pool(message.key, now).submit(item, now)
         self._unanswered.add((sender, message.handle))
 
@@ -175,7 +175,7 @@
         """Adopt a grant of another dispatcher."""
         if not self._accept_era(sender, message.handle):
             return
-        item = self._identify(sender, message.handle, message.want, now)
+        item = self._identify(sender, message.handle, message.route_request, now)
         held_grant = HeldGrant(item, message.route, message.tokens_done)
         self._pool(message.key, now).adopt_grant(held_grant, now)
 
@@ -272,7 +272,7 @@
 
     def _cancel_era(self, host: str, now: float) -> None:
         for pool in self.by_key.values():
-            pool.host_lost(host, now)
+            pool.cancel_host(host, now)
         self.mark_all_changed()
 
 
--- a/src/wagtailstair/dispatch.py
+++ b/src/wagtailstair/dispatch.py
@@ -99,7 +99,7 @@
         del model, data_centre  # stored by the dispatch client
         with self._lock:
             now = self._clock.monotonic()
-            self.dispatch_client.done(outcome, now)
+            self.dispatch_client.end_grant(outcome, now)
             self._process_messages(now)
         self._resolve_futures()
 
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -159,7 +159,7 @@
         waiting, self._waiting = self._waiting, []
         waiting.sort(key=lambda w: (w.grant.rank, w.request.received_at))
         for stream in waiting:
-            stream.try_again()
+            stream.start_queued()
 
     def record_request_end(self, exchange: Exchange, outcome: str) -> None:
         """Record the end of a request."""
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -134,7 +134,7 @@
         self._current = attempt = self._make_attempt(path)
         self._send_attempt(attempt)
 
-    def try_again(self) -> None:
+    def start_queued(self) -> None:
         """Send the queued request if engines have room now."""
         if not self.is_finished:
             self._start("no room")
--- a/src/wagtailstair/peers/message_records.py
+++ b/src/wagtailstair/peers/message_records.py
@@ -53,7 +53,7 @@
     return {
         "handle": message.handle,
         "pool": records.write_pool(message.key),
-        "want": records.write_route_request(message.want),
+        "want": records.write_route_request(message.route_request),
     }
 
 
@@ -111,7 +111,7 @@
     return {
         "handle": message.handle,
         "pool": records.write_pool(message.key),
-        "want": records.write_route_request(message.want),
+        "want": records.write_route_request(message.route_request),
         "route": records.write_route(message.route),
         "tokensDone": message.tokens_done,
     }
--- a/tests/test_dispatch_client.py
+++ b/tests/test_dispatch_client.py
@@ -65,7 +65,7 @@
         entry_host.dispatch_client.submit(KEY, ROUTE_REQUEST, 10.0)
         [(host, message)] = entry_host.dispatch_client.take_sends()
         assert host == "owner"
-        assert message.want.deadline == 20.0
+        assert message.route_request.deadline == 20.0
 
     def test_is_repeated_until_answered(self):
         entry_host = EntryHost()
@@ -162,7 +162,7 @@
         route_request = dataclasses.replace(ROUTE_REQUEST, deadline=29.0)
         assert held == Held(held.handle, KEY, route_request, ROUTE, 0)
         entry_host.messages.clear()
-        entry_host.dispatch_client.done(GrantOutcome("r1", 2, "entry", 8, 5), 2.0)
+        entry_host.dispatch_client.end_grant(GrantOutcome("r1", 2, "entry", 8, 5), 2.0)
         assert entry_host.messages == [("next", Finished(held.handle, KEY, 8, 5))]
 
     def test_dispatcher_that_lost_its_state_gets_a_new_handle(self):
--- a/tests/test_follower.py
+++ b/tests/test_follower.py
@@ -13,7 +13,7 @@
 from wagtailstair.clock import SystemClock
 from wagtailstair.core.lists import Lists
 from wagtailstair.core.lists import ListsHolder
-from wagtailstair.core.lists_refresh import REFRESH_S
+from wagtailstair.core.lists_refresh import MAX_REFRESH_WAIT_S
 from wagtailstair.core.lists_refresh import ListsRefresh
 from wagtailstair.core.lists_refresh import PeerVersions
 from wagtailstair.exceptions import PeerError
@@ -205,7 +205,7 @@
         daemon = simulation.by_name["a1"]
         now = simulation.clock.monotonic()
         assert not daemon.refresh.is_fresh(now)
-        assert daemon.refresh.is_fresh(now + REFRESH_S)
+        assert daemon.refresh.is_fresh(now + MAX_REFRESH_WAIT_S)
 
     def test_read_started_before_the_pause_does_not_make_lists_fresh(self):
         simulation = FollowerSimulation(NAMES)
--- a/tests/test_pool.py
+++ b/tests/test_pool.py
@@ -156,7 +156,7 @@
 
     @rule(host=st.sampled_from(HOSTS))
     def lose_host(self, host):
-        self.pool.host_lost(host, self.now)
+        self.pool.cancel_host(host, self.now)
         self.waiting = {r: w for r, w in self.waiting.items() if w.host != host}
         self.running = {r: k for r, k in self.running.items() if k[0].host != host}
 
