--- a/src/wagtailstair/cli/fleet.py
+++ b/src/wagtailstair/cli/fleet.py
@@ -87,9 +87,10 @@
         return list(pool.map(_fetch_status, entries))
 
 
-def _print_or_fail(
+def _print_and_report_failures(
     results: list[StatusResult], print_all: t.Callable[[], None]
 ) -> None:
+    """Print the results; exit with an error if a daemon sent no status."""
     print_all()
     failed = [result for result in results if result.status is None]
     for result in failed:
@@ -166,7 +167,7 @@
                 rows.append((*cells, text))
             print_table(("UPSTREAM", "KIND", "DATA CENTRE", "SEEN AS"), rows)
 
-        _print_or_fail(results, print_all)
+        _print_and_report_failures(results, print_all)
 
 
 def _add_peers(group: click.Group) -> None:
@@ -192,7 +193,7 @@
                 return
             print_table(("HOST", "PEER", "STATE", "LISTS"), rows)
 
-        _print_or_fail(results, print_all)
+        _print_and_report_failures(results, print_all)
 
 
 def _version_row(result: StatusResult, head: int) -> dict[str, t.Any]:
@@ -236,7 +237,7 @@
             titles = ("HOST", "DATA CENTRE", "STATE", "READY", "LISTS")
             print_table((*titles, "BEHIND", "OPEN"), lines)
 
-        _print_or_fail(results, print_all)
+        _print_and_report_failures(results, print_all)
 
 
 def register(group: click.Group) -> None:
--- a/src/wagtailstair/cli/gateway.py
+++ b/src/wagtailstair/cli/gateway.py
@@ -11,7 +11,7 @@
 
 @click.group("gateway")
 def gateway_group() -> None:
-    """Check a gateway's files."""
+    """Check the settings of a gateway."""
 
 
 @command(gateway_group, "check")
--- a/src/wagtailstair/cli/keys.py
+++ b/src/wagtailstair/cli/keys.py
@@ -101,7 +101,7 @@
         raise
     is_added = _adds_key(result, created.key)
     if not is_added:
-        print_note("the key was printed by the run that made it")
+        print_note("the key was printed by the earlier run that created it")
     if as_json:
         version = None if result.change is None else result.change.version
         print_json({"version": version, "key": bearer if is_added else None})
--- a/src/wagtailstair/cli/lists.py
+++ b/src/wagtailstair/cli/lists.py
@@ -1,4 +1,4 @@
-"""Commands that read, check and edit both lists as a whole."""
+"""Commands that read, check and edit the lists of plans and accounts."""
 
 import pathlib
 import typing as t
@@ -110,18 +110,19 @@
     click.echo(f"{file}: valid, {plans} plans, {accounts} accounts")
 
 
-def _base_version(wanted: Lists, current: Lists, base: int | None) -> int:
+def _base_version(edited: Lists, current: Lists, base: int | None) -> int:
     if base is None:
-        base = wanted.version
+        base = edited.version
     if base == 0 and current.version > 0:
         raise ListsError(
-            "the file does not name the version that it was made from;"
+            "the file does not name the version that it is based on;"
             f" give --base (the lists are at {current.version}) or --overwrite",
             where="version",
         )
     if base > current.version:
         raise ListsError(
-            f"the lists are at version {current.version} only", where="version"
+            f"the base version is newer than the lists (version {current.version})",
+            where="version",
         )
     return base
 
@@ -129,25 +130,25 @@
 def _rows_to_change(
     table: TableClient,
     current: Lists,
-    wanted: Lists,
+    edited: Lists,
     base: int | None,
     overwrite: bool,
 ) -> list[RowChange]:
     if overwrite:
-        return diff_lists(current, wanted)
-    base = _base_version(wanted, current, base)
+        return diff_lists(current, edited)
+    base = _base_version(edited, current, base)
     later_changes = read_changes(table, base + 1, current.version)
-    return rebase_lists(wanted, current, later_changes)
+    return rebase_lists(edited, current, later_changes)
 
 
 _base_option = click.option(
     "--base",
     type=click.IntRange(min=0),
     metavar="VERSION",
-    help="The version that the file was made from; by default the file names it.",
+    help="The version that the file is based on; by default the one in the file.",
 )
 _overwrite_option = click.option(
-    "--overwrite", is_flag=True, help="Undo what others changed since then."
+    "--overwrite", is_flag=True, help="Discard what others changed since that version."
 )
 
 
@@ -164,9 +165,9 @@
     as_json: bool,
 ) -> None:
     """Print the changes that `apply` would make."""
-    wanted = _read_file(file)
+    edited = _read_file(file)
     current = read_snapshot(table)
-    changes = _rows_to_change(table, current, wanted, base, overwrite)
+    changes = _rows_to_change(table, current, edited, base, overwrite)
     if as_json:
         rows = []
         for change in changes:
@@ -200,12 +201,12 @@
     as_json: bool,
 ) -> None:
     """Edit the rows in which the lists differ from a file."""
-    wanted = _read_file(file)
+    edited = _read_file(file)
 
     def make_rows() -> list[RowEdit]:
         current = read_snapshot(table)
         rows = []
-        for change in _rows_to_change(table, current, wanted, base, overwrite):
+        for change in _rows_to_change(table, current, edited, base, overwrite):
             version = seen_version(current, change.row_key)
             rows.append(RowEdit(change.table, change.key, change.value, version))
         # A large edit is committed in parts, and the lists must be valid after each:
@@ -213,7 +214,7 @@
         rows.sort(key=lambda row: row.table == PLANS and row.value is None)
         return rows
 
-    content = ["apply", _lists_value(wanted)]
+    content = ["apply", _lists_value(edited)]
     result = run_edit(table, author, change_id, content, make_rows)
     print_result(result, as_json)
     if result.change is not None and not as_json:
--- a/src/wagtailstair/cli/options.py
+++ b/src/wagtailstair/cli/options.py
@@ -57,7 +57,7 @@
 def command(
     group: click.Group, name: str
 ) -> t.Callable[[t.Callable[_P, None]], click.Command]:
-    """Register a command with ``--json``, which exits with the code of its error."""
+    """Register a command with ``--json`` that maps its errors to exit codes."""
 
     def decorate(function: t.Callable[_P, None]) -> click.Command:
         @functools.wraps(function)
@@ -69,7 +69,7 @@
                 raise SystemExit(exit_code_of(error)) from error
 
         as_json = click.option(
-            "--json", "as_json", is_flag=True, help="Print JSON, for programs."
+            "--json", "as_json", is_flag=True, help="Print JSON instead of text."
         )
         return group.command(name)(as_json(run))
 
@@ -121,10 +121,10 @@
         "--author",
         default=_login_name,
         show_default="login name",
-        help="Who makes the change.",
+        help="The author to record with the change.",
     )
     change_id = click.option(
         "--change-id",
-        help="Of an earlier run, to run it again; a new one by default.",
+        help="The id of an earlier run to repeat; by default a new id.",
     )
     return author(change_id(function))
