--- a/src/wagtailstair/cli/fleet.py
+++ b/src/wagtailstair/cli/fleet.py
@@ -90,7 +90,7 @@
 def _print_and_report_failures(
     results: list[StatusResult], print_all: t.Callable[[], None]
 ) -> None:
-    """Print the results; exit with an error if a daemon sent no status."""
+    """Print the results; exit with an error if any status request failed."""
     print_all()
     failed = [result for result in results if result.status is None]
     for result in failed:
--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -27,6 +27,7 @@
 REPORT_STEPS = 10  # engines are polled twice a second
 MODELS = ("draft", "quote")
 ENGINES = 6
+# A result must arrive within this time after the deadline or the end of a freeze.
 GRACE_S = 1.5
 LIMITS = QuotaLimits(work_per_s=1e6, burst_s=10.0, max_concurrent=100_000)
 
@@ -92,10 +93,10 @@
 class SimHost:
     """One daemon's membership and dispatcher."""
 
-    def __init__(self, simulation, name, centre, incarnation):
+    def __init__(self, simulation, name, data_centre, incarnation):
         self.simulation = simulation
         clock = simulation.clock
-        self.host = make_host(name, centre, incarnation)
+        self.host = make_host(name, data_centre, incarnation)
         self.membership = Membership(
             self.host, heartbeat_s=0.5, dead_after_s=2.5, now=clock.monotonic()
         )
@@ -145,9 +146,9 @@
         self.dispatcher.tick()
 
 
-def make_host(name, centre, incarnation=0):
+def make_host(name, data_centre, incarnation=0):
     ip = f"10.0.0.{name[1:]}"
-    return Host(name, centre, f"{ip}:80", f"{ip}:81", incarnation)
+    return Host(name, data_centre, f"{ip}:80", f"{ip}:81", incarnation)
 
 
 def make_pool(key):
@@ -304,7 +305,7 @@
             duplicates = [
                 name for name, count in host.result_counts.items() if count > 1
             ]
-            assert not duplicates, f"answered twice: {duplicates}"
+            assert not duplicates, f"more than one result for: {duplicates}"
 
     def _check_request(self, key, entry, now):
         host, model, route_request, future, end = entry
@@ -316,7 +317,9 @@
             return
         if not future.done():
             limit = max(route_request.deadline, host.frozen_until) + GRACE_S
-            assert now <= limit, f"{key} has no end"
+            assert now <= limit, (
+                f"no result for {key} within the deadline and grace period"
+            )
             return
         answer = future.result()
         assert (answer.request, answer.epoch) == (
@@ -329,7 +332,7 @@
             return
         number = route_request.adapter.rpartition("-")[2]
         engines = [stage.engine for stage in answer.route]
-        assert engines == [f"{model}-{number}"], "another request's grant"
+        assert engines == [f"{model}-{number}"], "the grant is for another request"
         self.granted += 1
         entry[4] = now + self.rng.uniform(0.0, 1.5)
 
@@ -356,7 +359,7 @@
             return
         if not future.done():
             limit = max(started, host.frozen_until) + GRACE_S
-            assert now <= limit, f"charge {key} has no end"
+            assert now <= limit, f"no result for charge {key} within the grace period"
             return
         entry[4] = now + self.rng.uniform(0.0, 1.5)
 
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -203,7 +203,7 @@
 
 
 class Engine(Service):
-    """A model engine that sends the events of a stream as the first of its path."""
+    """A model engine; the first engine of a path sends the events of the stream."""
 
     events = 12
     pause_s = 0.01
@@ -385,7 +385,7 @@
         self.loop.now = self.clock.monotonic()
         self.loop.call_later(0.0, check)
         self.loop.run()
-        assert condition(), "the condition did not hold in time"
+        assert condition(), "the condition was not met before the timeout"
 
     def send(self, gateway: Gateway, data: bytes) -> CallerConnection:
         return CallerConnection(self.loop, gateway.settings.host.callers, data)
--- a/tests/test_changes.py
+++ b/tests/test_changes.py
@@ -62,6 +62,10 @@
 
 
 def scripted(*faults, calls=("transact",)):
+    """Return a ``before_call`` hook of ``FakeTable``: one fault for each call.
+
+    A callable fault is called, and its result is the fault.
+    """
     remaining = list(faults)
 
     def before_call(kind):
--- a/tests/test_changes_machine.py
+++ b/tests/test_changes_machine.py
@@ -70,6 +70,7 @@
         self.table = FakeTable()
         self.clock = ManualClock()
         self.seen = [Lists() for _ in OPERATORS]
+        # Makes change ids and row values unique.
         self.numbers = iter(range(1, 1_000_000))
         self.edit_by_id = {}
         self.seen_values_by_id = {}
@@ -178,7 +179,9 @@
             ):
                 continue
             changed |= {(row["table"], row["key"]) for row in record["rows"]}
-        assert edited & changed, "told of a conflict that there was not"
+        assert edited & changed, (
+            "conflict reported, but no later record changes these rows"
+        )
 
     def history(self, version):
         """Return the rows after replaying the accepted edits by version."""
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -192,7 +192,7 @@
 
 class TestRepeatedRun:
     @pytest.mark.parametrize("first", ["lose_reply", "lose_request", "delay"])
-    def test_a_repeated_run_settles_an_unknown_outcome(
+    def test_a_repeated_run_resolves_an_unknown_outcome(
         self, filled, first, without_retry_pauses
     ):
         filled.table.before_call = fail_from_first_write(first)
--- a/tests/test_fleet_lists.py
+++ b/tests/test_fleet_lists.py
@@ -25,7 +25,7 @@
         yield new_fleet
 
 
-def seconds_until_in_force(fleet, names, version):
+def seconds_until_used(fleet, names, version):
     """Wait until all of these daemons use a version; return the seconds it took."""
     started_at = time.monotonic()
     wait_until(
@@ -38,9 +38,7 @@
 class TestEdit:
     def test_edit_reaches_every_daemon(self, fleet):
         version = fleet.write_lists({"full": CLOSED_PLAN})
-        assert (
-            seconds_until_in_force(fleet, fleet.daemons, version) < PROPAGATION_BOUND_S
-        )
+        assert seconds_until_used(fleet, fleet.daemons, version) < PROPAGATION_BOUND_S
         for daemon in fleet.daemons.values():
             answer = daemon.complete("closed")
             assert (answer.status, answer.error["code"]) == (403, "not_entitled")
@@ -48,9 +46,7 @@
     def test_edit_reaches_a_data_centre_without_connection_to_the_platform(self, fleet):
         fleet.partition("c")
         version = fleet.write_lists({"full": CLOSED_PLAN})
-        assert (
-            seconds_until_in_force(fleet, ["c0", "c1"], version) < PROPAGATION_BOUND_S
-        )
+        assert seconds_until_used(fleet, ["c0", "c1"], version) < PROPAGATION_BOUND_S
         answer = fleet["c0"].complete("closed")
         assert (answer.status, answer.error["code"]) == (403, "not_entitled")
 
@@ -61,17 +57,17 @@
         daemon.freeze()
         version = fleet.write_lists({"full": CLOSED_PLAN})
         others = [name for name in fleet.daemons if name != "a0"]
-        seconds_until_in_force(fleet, others, version)
+        seconds_until_used(fleet, others, version)
         # After the bound, no daemon may serve with the old lists.
         time.sleep(PROPAGATION_BOUND_S)
         daemon.thaw()
         answers = [daemon.complete("thawed") for _ in range(5)]
         assert [answer.status for answer in answers if answer.status == 200] == []
-        assert seconds_until_in_force(fleet, ["a0"], version) < PROPAGATION_BOUND_S
+        assert seconds_until_used(fleet, ["a0"], version) < PROPAGATION_BOUND_S
 
     def test_restarted_daemon_without_platform_gets_the_newest_lists(self, fleet):
         version = fleet.write_lists({"full": CLOSED_PLAN})
-        seconds_until_in_force(fleet, fleet.daemons, version)
+        seconds_until_used(fleet, fleet.daemons, version)
         fleet.partition("c")
         fleet["c0"].kill()
         fleet["c0"].start()
@@ -100,7 +96,7 @@
             fleet["b0"].thaw()
             record_versions()
         fleet.partition("c", "")
-        seconds_until_in_force(fleet, fleet.daemons, version)
+        seconds_until_used(fleet, fleet.daemons, version)
         record_versions()
         for versions in versions_by_name.values():
             assert versions == sorted(versions)
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -107,7 +107,9 @@
             for index in range(CANDIDATES):
                 self.world.tick(index)
                 self.world.send_order(index, 0, is_slow=False)
-        assert self.world.orders_sent > sent, "nobody places any more"
+        assert self.world.orders_sent > sent, (
+            "no candidate sent an order after the faults ended"
+        )
         self.world.check()
 
 
