--- a/src/wagtailstair/cli/lists.py
+++ b/src/wagtailstair/cli/lists.py
@@ -145,10 +145,10 @@
     "--base",
     type=click.IntRange(min=0),
     metavar="VERSION",
-    help="The version that the file is based on; by default the one in the file.",
+    help="The version that the file was made from; by default the file names it.",
 )
 _overwrite_option = click.option(
-    "--overwrite", is_flag=True, help="Discard what others changed since that version."
+    "--overwrite", is_flag=True, help="Undo what others changed since then."
 )
 
 
--- a/src/wagtailstair/cli/options.py
+++ b/src/wagtailstair/cli/options.py
@@ -69,7 +69,7 @@
                 raise SystemExit(exit_code_of(error)) from error
 
         as_json = click.option(
-            "--json", "as_json", is_flag=True, help="Print JSON instead of text."
+            "--json", "as_json", is_flag=True, help="Print JSON, for programs."
         )
         return group.command(name)(as_json(run))
 
@@ -121,10 +121,10 @@
         "--author",
         default=_login_name,
         show_default="login name",
-        help="The author to record with the change.",
+        help="Who makes the change.",
     )
     change_id = click.option(
         "--change-id",
-        help="The id of an earlier run to repeat; by default a new id.",
+        help="Of an earlier run, to run it again; a new one by default.",
     )
     return author(change_id(function))
--- a/src/wagtailstair/cli/rows.py
+++ b/src/wagtailstair/cli/rows.py
@@ -27,7 +27,7 @@
     "--row-version",
     type=click.IntRange(min=0),
     metavar="VERSION",
-    help="Refuse if the row is not at this version, as `lists show` prints it.",
+    help="Refuse if the row is not at this version, as `lists show` tells it.",
 )
 
 
@@ -82,13 +82,13 @@
 @click.option(
     "--priorities",
     callback=_split_names,
-    help="Comma-separated: urgent,standard,batch.",
+    help="As urgent,standard,batch.",
 )
-@click.option("--weight", type=float, help="Weight among accounts of one priority.")
-@click.option("--work-per-s", type=float, help="Rate limit, in work per second.")
+@click.option("--weight", type=float, help="Share among accounts of a priority.")
+@click.option("--work-per-s", type=float, help="Rate limit in work a second.")
 @click.option("--burst-s", type=float, help="Seconds of burst.")
-@click.option("--max-concurrent", type=int, help="Maximum open requests of an account.")
-@click.option("--models", callback=_split_names, help="Comma-separated model names.")
+@click.option("--max-concurrent", type=int, help="Open requests of an account.")
+@click.option("--models", callback=_split_names, help="Names, with commas between.")
 @click.option(
     "--service",
     "services",
@@ -127,7 +127,7 @@
 @command(lists_group, "set-account")
 @table_option
 @click.argument("name")
-@click.option("--plan", required=True, help="The plan to assign to the account.")
+@click.option("--plan", required=True, help="The plan that the account holds.")
 @row_version_option
 @edit_options
 def set_account(
--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -27,7 +27,7 @@
 REPORT_STEPS = 10  # engines are polled twice a second
 MODELS = ("draft", "quote")
 ENGINES = 6
-# A result must arrive within this time after the deadline or the end of a freeze.
+# Time for a result after a request's deadline, a charge's start or a freeze's end.
 GRACE_S = 1.5
 LIMITS = QuotaLimits(work_per_s=1e6, burst_s=10.0, max_concurrent=100_000)
 
@@ -305,7 +305,7 @@
             duplicates = [
                 name for name, count in host.result_counts.items() if count > 1
             ]
-            assert not duplicates, f"more than one result for: {duplicates}"
+            assert not duplicates, f"answered twice: {duplicates}"
 
     def _check_request(self, key, entry, now):
         host, model, route_request, future, end = entry
@@ -317,9 +317,7 @@
             return
         if not future.done():
             limit = max(route_request.deadline, host.frozen_until) + GRACE_S
-            assert now <= limit, (
-                f"no result for {key} within the deadline and grace period"
-            )
+            assert now <= limit, f"{key} has no end"
             return
         answer = future.result()
         assert (answer.request, answer.epoch) == (
@@ -332,7 +330,7 @@
             return
         number = route_request.adapter.rpartition("-")[2]
         engines = [stage.engine for stage in answer.route]
-        assert engines == [f"{model}-{number}"], "the grant is for another request"
+        assert engines == [f"{model}-{number}"], "another request's grant"
         self.granted += 1
         entry[4] = now + self.rng.uniform(0.0, 1.5)
 
@@ -359,7 +357,7 @@
             return
         if not future.done():
             limit = max(started, host.frozen_until) + GRACE_S
-            assert now <= limit, f"no result for charge {key} within the grace period"
+            assert now <= limit, f"charge {key} has no end"
             return
         entry[4] = now + self.rng.uniform(0.0, 1.5)
 
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -385,7 +385,7 @@
         self.loop.now = self.clock.monotonic()
         self.loop.call_later(0.0, check)
         self.loop.run()
-        assert condition(), "the condition was not met before the timeout"
+        assert condition(), "the condition did not hold in time"
 
     def send(self, gateway: Gateway, data: bytes) -> CallerConnection:
         return CallerConnection(self.loop, gateway.settings.host.callers, data)
--- a/tests/test_changes_machine.py
+++ b/tests/test_changes_machine.py
@@ -179,9 +179,7 @@
             ):
                 continue
             changed |= {(row["table"], row["key"]) for row in record["rows"]}
-        assert edited & changed, (
-            "conflict reported, but no later record changes these rows"
-        )
+        assert edited & changed, "told of a conflict that there was not"
 
     def history(self, version):
         """Return the rows after replaying the accepted edits by version."""
--- a/tests/test_fleet_completions.py
+++ b/tests/test_fleet_completions.py
@@ -85,7 +85,7 @@
                 return attempt
         return None
 
-    return wait_until(find_attempt, f"a running stream of {prompt}")
+    return wait_until(find_attempt, f"a stream of {prompt} in its middle")
 
 
 class TestStageFailure:
--- a/tests/test_fleet_routes.py
+++ b/tests/test_fleet_routes.py
@@ -23,7 +23,7 @@
         def is_served():
             return fleet["a0"].complete("where", 1).status == 200
 
-        wait_until(is_served, "service without the lost engines")
+        wait_until(is_served, "the loss is known")
         answer = fleet["a0"].complete("elsewhere", 8)
         assert answer.text() == tokens.expected_text("elsewhere", 8, LAYERS)
         [attempt] = [a for a in fleet.attempts() if a["made"] == 8]
@@ -47,4 +47,4 @@
         def is_recovered():
             return fleet["a0"].complete("back", 4).status == 200
 
-        wait_until(is_recovered, "service after the engines restarted")
+        wait_until(is_recovered, "the routes are back")
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -107,9 +107,7 @@
             for index in range(CANDIDATES):
                 self.world.tick(index)
                 self.world.send_order(index, 0, is_slow=False)
-        assert self.world.orders_sent > sent, (
-            "no candidate sent an order after the faults ended"
-        )
+        assert self.world.orders_sent > sent, "nobody places any more"
         self.world.check()
 
 
