--- a/src/wagtailstair/cli/options.py
+++ b/src/wagtailstair/cli/options.py
@@ -57,7 +57,7 @@
 def command(
     group: click.Group, name: str
 ) -> t.Callable[[t.Callable[_P, None]], click.Command]:
-    """Register a command with ``--json``, which exits with the code of its error."""
+    """Register a command with ``--json`` that maps its errors to exit codes."""
 
     def decorate(function: t.Callable[_P, None]) -> click.Command:
         @functools.wraps(function)
--- a/src/wagtailstair/cli/rows.py
+++ b/src/wagtailstair/cli/rows.py
@@ -79,7 +79,11 @@
 @command(lists_group, "set-plan")
 @table_option
 @click.argument("name")
-@click.option("--priorities", callback=_split_names, help="As urgent,standard,batch.")
+@click.option(
+    "--priorities",
+    callback=_split_names,
+    help="As urgent,standard,batch.",
+)
 @click.option("--weight", type=float, help="Share among accounts of a priority.")
 @click.option("--work-per-s", type=float, help="Rate limit in work a second.")
 @click.option("--burst-s", type=float, help="Seconds of burst.")
--- a/tests/dispatch_simulation.py
+++ b/tests/dispatch_simulation.py
@@ -27,6 +27,7 @@
 REPORT_STEPS = 10  # engines are polled twice a second
 MODELS = ("draft", "quote")
 ENGINES = 6
+# Time for a result after a request's deadline, a charge's start or a freeze's end.
 GRACE_S = 1.5
 LIMITS = QuotaLimits(work_per_s=1e6, burst_s=10.0, max_concurrent=100_000)
 
@@ -92,10 +93,10 @@
 class SimHost:
     """One daemon's membership and dispatcher."""
 
-    def __init__(self, simulation, name, centre, incarnation):
+    def __init__(self, simulation, name, data_centre, incarnation):
         self.simulation = simulation
         clock = simulation.clock
-        self.host = make_host(name, centre, incarnation)
+        self.host = make_host(name, data_centre, incarnation)
         self.membership = Membership(
             self.host, heartbeat_s=0.5, dead_after_s=2.5, now=clock.monotonic()
         )
@@ -145,9 +146,9 @@
         self.dispatcher.tick()
 
 
-def make_host(name, centre, incarnation=0):
+def make_host(name, data_centre, incarnation=0):
     ip = f"10.0.0.{name[1:]}"
-    return Host(name, centre, f"{ip}:80", f"{ip}:81", incarnation)
+    return Host(name, data_centre, f"{ip}:80", f"{ip}:81", incarnation)
 
 
 def make_pool(key):
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -203,7 +203,7 @@
 
 
 class Engine(Service):
-    """A model engine that sends the events of a stream as the first of its path."""
+    """A model engine; the first engine of a path sends the events of the stream."""
 
     events = 12
     pause_s = 0.01
--- a/tests/test_changes_machine.py
+++ b/tests/test_changes_machine.py
@@ -70,6 +70,7 @@
         self.table = FakeTable()
         self.clock = ManualClock()
         self.seen = [Lists() for _ in OPERATORS]
+        # Makes change ids and row values unique.
         self.numbers = iter(range(1, 1_000_000))
         self.edit_by_id = {}
         self.seen_values_by_id = {}
