--- a/tests/matrix.py
+++ b/tests/matrix.py
@@ -141,30 +141,43 @@
 _LISTS = "tests/test_fleet_lists.py::"
 _SHUTDOWN = "tests/test_fleet_shutdown.py::"
 _HOSTS = "tests/test_fleet_hosts.py::"
-_KILLED = _SERVICES + "TestDaemonKilled::test_killed_between_claim_and_result"
-_STAGE = _COMPLETIONS + "test_answer_is_whole_past_a_failed_stage"
-_STREAMS = _COMPLETIONS + "test_answer_is_whole_past_faulty_streams"
-_TABLE_REPLY = _SERVICES + "TestLostReply::test_lost_reply_of_the_table"
-_DOWN = (
+_KILLED = (
     _SERVICES
-    + "TestPlatformDown::test_keyed_calls_are_refused_at_once_and_completions_go_on"
+    + "TestDaemonKilled::test_outcome_is_unknown_after_a_kill_between_claim_and_result"
+)
+_STAGE = _COMPLETIONS + "test_answer_is_complete_after_a_stage_failure"
+_STREAMS = _COMPLETIONS + "test_answer_is_complete_after_faulty_streams"
+_TABLE_REPLY = _SERVICES + "TestLostReply::test_lost_replies_of_the_table"
+_DOWN = (
+    _SERVICES + "TestPlatformDown::"
+    "test_calls_with_a_key_are_refused_at_once_and_completions_served"
 )
-_SLOW = _SERVICES + "TestPlatformDown::test_slow_platform_loses_nothing"
+_SLOW = _SERVICES + "TestPlatformDown::test_slow_platform_causes_no_second_run"
 _CONCURRENT = _SERVICES + "TestRetry::test_concurrent_calls_of_one_key_run_once"
 _HOST_LOST = (
     _HOSTS
-    + "TestHostLost::test_the_rest_serves_and_a_new_host_joins_under_the_same_address"
+    + "TestHostLost::test_other_hosts_serve_and_a_new_host_joins_at_the_same_address"
+)
+_DC_LOST = (
+    _HOSTS + "TestHostLost::"
+    "test_the_other_data_centre_serves_while_all_hosts_of_one_are_frozen"
+)
+_ONE_WAY = (
+    _HOSTS + "TestOutage::test_calls_run_at_most_once_while_platform_replies_are_lost"
+)
+_STAMPEDE = _HOSTS + "TestOutage::test_recovery_does_not_overload_the_table"
+_CUT_LISTS = (
+    _LISTS
+    + "TestEdit::test_edit_reaches_a_data_centre_without_connection_to_the_platform"
 )
-_DC_LOST = _HOSTS + "TestHostLost::test_a_whole_data_centre_of_hosts_is_lost"
-_ONE_WAY = _HOSTS + "TestOutage::test_replies_of_the_platform_are_lost_one_way"
-_STAMPEDE = _HOSTS + "TestOutage::test_recovery_does_not_stampede_the_table"
-_CUT_LISTS = _LISTS + "TestEdit::test_edit_reaches_a_data_centre_cut_from_the_platform"
-_THAWED = _LISTS + "TestNeverBack::test_thawed_daemon_does_not_serve_by_old_lists"
+_THAWED = _LISTS + "TestNoReversion::test_thawed_daemon_does_not_serve_with_old_lists"
 _RESTARTED = (
-    _LISTS + "TestNeverBack::test_restarted_daemon_cut_from_the_platform_has_the_newest"
+    _LISTS
+    + "TestNoReversion::test_restarted_daemon_without_platform_gets_the_newest_lists"
 )
 _ONLY_GROW = (
-    _LISTS + "TestNeverBack::test_versions_only_grow_over_edits_cuts_and_freezes"
+    _LISTS
+    + "TestNoReversion::test_versions_never_decrease_over_edits_partitions_and_freezes"
 )
 _EDITS = "tests/test_changes.py::"
 _LOST_EDIT = _EDITS + "TestLostReplies::test_lost_reply_is_resolved_by_the_change_id"
@@ -173,14 +186,14 @@
 # Node ids of the pytest tests that cover a cell, by step and fault.
 TESTS = {
     ("accept", "none"): ("tests/test_fleet_completions.py::TestOpenAIClient",),
-    ("middle", "none"): ("tests/test_fleet_completions.py::TestLoad",),
+    ("middle", "none"): ("tests/test_fleet_completions.py::TestConcurrentRequests",),
     ("answer", "none"): (_SERVICES + "TestRetry",),
     ("readiness-gone", "none"): (
-        _SHUTDOWN + "TestUnderLoad::test_readiness_goes_before_the_listener",
+        _SHUTDOWN + "TestUnderLoad::test_requests_are_served_after_readiness_ended",
     ),
     ("listener-closed", "none"): (_SHUTDOWN + "TestBacklog",),
     ("last-request", "none"): (
-        _SHUTDOWN + "TestUnderLoad::test_streams_and_calls_end_whole",
+        _SHUTDOWN + "TestUnderLoad::test_streams_and_calls_are_completed",
     ),
     ("accept", "host-replaced"): (_HOST_LOST,),
     ("accept", "daemon-killed"): (_HOST_LOST,),
@@ -193,11 +206,11 @@
     ("claim-reply", "reply-lost"): (_TABLE_REPLY,),
     ("result-settled", "reply-lost"): (_TABLE_REPLY,),
     ("connect", "service-killed"): (
-        _SERVICES + "TestRefused::test_dead_service_is_not_run",
+        _SERVICES + "TestRefused::test_call_to_a_dead_service_is_not_run",
     ),
     ("connect", "stage-killed"): (_STAGE,),
     ("request-sent", "service-refuses"): (
-        _SERVICES + "TestRefused::test_refused_call_is_not_run_and_may_run_later",
+        _SERVICES + "TestRefused::test_refused_call_is_not_run_and_can_be_retried",
     ),
     ("request-sent", "daemon-killed"): (_KILLED,),
     ("request-sent", "reply-lost"): (
