Search two groups of engines for a pipeline, and not the whole fleet

Seen: one choice took 0.64 ms at 38 engines and 3.2 ms at 205, more with more engines, and each request that waits for room repeats it every 40 ms. Cause: every choice priced all engines and swept over all of their ranges. A choice compares a group of the own data centre with one of another, the others only while those have no room. Chains over several data centres are searched at most each 0.1 s where a data centre holds the model.

--- a/src/wagtailstair/core/path_search.py
+++ b/src/wagtailstair/core/path_search.py
@@ -59,8 +59,7 @@
     return prompt * model.hidden_bytes / model.link_bytes_per_s
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Candidate:
+class Candidate(t.NamedTuple):
     """An engine with its costs for a request.
 
     ``layer_s``: seconds for each layer; ``fixed_s``: seconds for the hop;
@@ -88,13 +87,12 @@
     link_s: t.Mapping[Link, float] = dataclasses.field(default_factory=dict)
 
 
-@dataclasses.dataclass(slots=True)
-class _Run:
+class Run(t.NamedTuple):
     """The layers from ``first`` on that run on one engine, linked to the run before."""
 
-    engine: Candidate
+    replica: Replica
     first: int
-    previous: "_Run | None"
+    previous: "Run | None"
 
 
 @dataclasses.dataclass(slots=True)
@@ -102,7 +100,7 @@
     """The cheapest chain up to a layer; ``run`` is its last part."""
 
     cost: float
-    run: _Run | None
+    run: Run | None
 
 
 class _Sweep:
@@ -137,7 +135,7 @@
             if stay is not None and stay.cost <= cost:
                 cost, run = stay.cost, stay.run
             else:
-                run = _Run(engine, layer, run)
+                run = Run(engine.replica, layer, run)
             state = _State(cost + engine.layer_s * (end - layer), run)
             by_engine[index] = state
             best = by_centre.get(centre)
@@ -157,7 +155,7 @@
                 best = _State(cost, state.run)
         return best or _State(float("inf"), None)
 
-    def _crossing_s(self, source: str, target: str, run: _Run | None) -> float:
+    def _crossing_s(self, source: str, target: str, run: Run | None) -> float:
         if run is None and not self._entry.is_begun:
             return REMOTE_START_COST_S
         delay_s = self._model.delay_s_by_centres.get((source, target), 0.0)
@@ -203,14 +201,15 @@
     if not sweep.by_centre:
         return None
     best = min(sweep.by_centre.values(), key=lambda state: state.cost)
-    return _collect_hops(best.run, target)
+    return collect_hops(best.run, target)
 
 
-def _collect_hops(run: _Run | None, layers: int) -> Path:
+def collect_hops(run: Run | None, layers: int) -> Path:
+    """Return the chain of hops that ends with a run before layer ``layers``."""
     hops: list[Hop] = []
     last = layers
     while run is not None:
-        hops.append(Hop(run.engine.replica, run.first, last))
+        hops.append(Hop(run.replica, run.first, last))
         last = run.first
         run = run.previous
     hops.reverse()
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -1,11 +1,12 @@
 """The load on the engines of a service, and the choice of a request's pipeline.
 
 An engine costs the seconds that it adds to the request, plus penalties for KV
-memory that is nearly full. :mod:`.path_search` finds the cheapest chain of engines.
-The head of a pipeline is its first engine.
+memory that is nearly full. A request compares the cheapest chain of engines in its
+own data centre with that in another one, drawn at random (:mod:`.engine_groups`).
+Only where no data centre has room for it, :mod:`.path_search` joins engines of
+several. The head of a pipeline is its first engine.
 """
 
-import dataclasses
 import functools
 import itertools
 import random
@@ -13,6 +14,21 @@
 import zlib
 
 from .directory import ModelSpec
+from .engine_costs import NO_LOAD
+from .engine_costs import NO_ROOM_COST_S
+from .engine_costs import Demand
+from .engine_costs import EngineCost
+from .engine_costs import EngineUse
+from .engine_costs import Load
+from .engine_costs import RatedEngine
+from .engine_costs import engine_key
+from .engine_costs import kv_capacity
+from .engine_costs import rate_engine
+from .engine_costs import request_costs
+from .engine_groups import EngineGroup
+from .engine_groups import cheapest_in_group
+from .engine_groups import group_engines
+from .path_search import REMOTE_START_COST_S
 from .path_search import Candidate
 from .path_search import Entry
 from .path_search import Hop as Hop
@@ -24,63 +40,18 @@
 from .path_search import transfer_s
 from .replicas import Replica
 
-HOP_QUEUEING_S = 0.0004
-"""Seconds of queueing that a hop adds to each decoding step."""
-
-KV_SOFT_SHARE = 0.6
-"""Share of an engine's KV memory above which other engines are preferred."""
-
-KV_FILL_COST_S = 10.0
-"""Penalty in seconds for each unit of fill above the soft share. A full engine
-costs more than a crossing between data centres, so that the KV memory of all data
-centres is used before any is full."""
-
-NO_ROOM_COST_S = 30.0
-"""Penalty in seconds for an engine without room: it would refuse the request."""
-
 ROOM_SHARE_BY_RANK = (1.5, 1.3, 1.0)
 """Shares of an engine's KV memory that requests of each rank may fill. They may
 exceed 1: an answer counts with its full expected length from the start, and most
 engines of a path are less full than the fullest one."""
 
-SUSPECT_COST_S = 60.0
-"""Penalty in seconds for a suspected engine: more than all other costs together,
-so that it is used only where no other engine holds its layers."""
-
-AVOIDED_COST_S = 2.0
-"""Penalty in seconds for an engine of an earlier attempt that failed without
-naming the faulty engine: it may be any engine of the path."""
-
-COST_JITTER_SHARE = 0.1
-"""Largest random share added to an engine's time, so that hosts don't all choose
-the same engine."""
-
-HEADS_SOFT_SHARE = 0.7
-"""Share of an engine's slots that requests beginning there may take before other
-engines are preferred: hosts learn of each other's requests half a second late."""
-
 LINK_BACKLOG_S = 0.4
 """Seconds for which the prompts that have yet to pass a link may occupy it: a link
 carries one transfer at a time, and one that waits longer misses its goal."""
 
-NO_KV_FILL = 10.0
-"""Fill assumed for an engine without any KV memory."""
-
-
-class Load(t.NamedTuple):
-    """The load on one engine.
-
-    ``running``: requests; ``heads``: requests that begin there;
-    ``token_layers``: KV memory in use. For a link between data centres, ``running``:
-    requests whose prompt has yet to pass it; ``token_layers``: tokens of the prompts.
-    """
-
-    running: int
-    heads: int
-    token_layers: float
-
-
-NO_LOAD = Load(0, 0, 0.0)
+JOIN_INTERVAL_S = 0.1
+"""Shortest interval in seconds between two searches for chains over several data
+centres where one of them holds the model: such a search visits all engines."""
 
 
 class LoadSource(t.NamedTuple):
@@ -90,27 +61,16 @@
     is_centre: bool = False
 
 
-@dataclasses.dataclass(slots=True)
-class EngineUse:
-    """What requests of this host hold on an engine, and its observed health.
+class _Fleet(t.NamedTuple):
+    """The engines of a service that hold layers, and their groups.
 
-    ``key``: identifies one incarnation of the engine in messages between hosts;
-    ``token_layers``: KV memory in use; ``running``: requests; ``heads``: requests
-    that begin there; ``suspect_until``: the engine failed or stalled and is
-    avoided until then; ``slowness``: factor on the engine's expected time.
+    ``model`` and ``replicas``: those that were grouped, the same objects.
     """
 
-    key: int
-    token_layers: float = 0.0
-    running: int = 0
-    heads: int = 0
-    suspect_until: float = 0.0
-    slowness: float = 1.0
-
-
-def engine_key(replica: Replica) -> int:
-    """Return the key of one incarnation of an engine."""
-    return zlib.crc32(f"{replica.name}/{replica.incarnation}".encode())
+    model: ModelSpec
+    replicas: t.Sequence[Replica]
+    engines: list[RatedEngine]
+    groups_by_centre: dict[str, list[EngineGroup]]
 
 
 @functools.cache
@@ -119,16 +79,6 @@
     return zlib.crc32(f"link {link[0]} {link[1]}".encode())
 
 
-def kv_capacity(model: ModelSpec, replica: Replica) -> float:
-    """Return the token-layers that fit into an engine's memory beside its weights."""
-    accelerator = model.accelerator_by_name.get(replica.accelerator)
-    if accelerator is None or replica.layers is None:
-        return 0.0
-    held = replica.layers[1] - replica.layers[0]
-    free_mb = accelerator.memory_mb - held * model.layer_weights_mb
-    return max(0.0, free_mb * 1e6 / (model.kv_bytes / model.layers))
-
-
 class Pipelines:
     """Tracks the load on the engines of one service and chooses pipelines.
 
@@ -137,6 +87,8 @@
 
     __slots__ = (
         "_data_centre",
+        "_fleet",
+        "_joined_at",
         "_load_by_link",
         "_loads_by_source",
         "_peer_load_by_key",
@@ -147,6 +99,9 @@
     def __init__(self, data_centre: str, rng: random.Random) -> None:
         self._data_centre = data_centre
         self._rng = rng
+        self._fleet: _Fleet | None = None
+        # Time of the last search for chains over several data centres.
+        self._joined_at = float("-inf")
         self._load_by_link: dict[Link, Load] = {}
         self._loads_by_source: dict[LoadSource, dict[int, Load]] = {}
         # The sum of the loads of all sources.
@@ -237,7 +192,9 @@
 
     def total(self, replica: Replica) -> Load:
         """Return the load of the requests of all hosts on an engine."""
-        use = self.use(replica)
+        return self._total(self.use(replica))
+
+    def _total(self, use: EngineUse) -> Load:
         peers = self._peer_load_by_key.get(use.key, NO_LOAD)
         return Load(
             max(0, use.running) + peers.running,
@@ -304,27 +261,81 @@
     def choose(
         self,
         model: ModelSpec,
-        replicas: t.Iterable[Replica],
+        replicas: t.Sequence[Replica],
         prompt: float,
         answer: float,
         now: float,
         avoid: t.Container[tuple[str, int]] = (),
+        stalled_heads: t.Container[tuple[str, int]] = (),
     ) -> Path | None:
-        """Return the cheapest pipeline for a request, ``None`` if there is none.
+        """Return a cheap pipeline for a request, ``None`` if there is none.
 
+        :param replicas: the usable engines, the same object until they change.
         :param prompt: tokens to read.
         :param answer: expected tokens of the answer.
         :param avoid: engines that cost more because an earlier attempt used them.
+        :param stalled_heads: engines that are used only where no others remain.
         """
-        engines = self._candidates(model, replicas, prompt, answer, now, avoid)
+        fleet = self._group(model, replicas)
+        demand = Demand(prompt, answer, now, avoid, stalled_heads)
+        best_cost, best = self._choose_within_centre(fleet, demand)
+        if best is not None:
+            if best_cost < NO_ROOM_COST_S or now < self._joined_at + JOIN_INTERVAL_S:
+                return best
+            self._joined_at = now
+        engines = self._candidates(model, fleet.engines, demand)
         link_s = self._link_costs(model, engines, prompt)
         entry = Entry(0, self._data_centre, link_s=link_s)
         return cheapest_path(model, engines, entry, prompt, answer)
 
+    def _group(self, model: ModelSpec, replicas: t.Sequence[Replica]) -> _Fleet:
+        """Return the groups of the engines, made anew when an engine has changed."""
+        fleet = self._fleet
+        if fleet is None or fleet.replicas is not replicas or fleet.model is not model:
+            engines = []
+            for replica in replicas:
+                engine = rate_engine(model, replica, self.use(replica))
+                if engine is not None:
+                    engines.append(engine)
+            groups_by_centre = group_engines(model.layers, engines, self._rng)
+            fleet = self._fleet = _Fleet(model, replicas, engines, groups_by_centre)
+        return fleet
+
+    def _choose_within_centre(
+        self, fleet: _Fleet, demand: Demand
+    ) -> tuple[float, Path | None]:
+        """Return the cheapest pipeline that lies in one data centre, and its cost.
+
+        More than two data centres are compared only while those have no room.
+        """
+        others = [name for name in fleet.groups_by_centre if name != self._data_centre]
+        self._rng.shuffle(others)
+        best_cost, best = float("inf"), None
+        for index, centre in enumerate((self._data_centre, *others)):
+            if index > 1 and best_cost < NO_ROOM_COST_S:
+                break
+            groups = fleet.groups_by_centre.get(centre)
+            if groups is None:
+                continue
+            group = groups[0] if len(groups) == 1 else self._rng.choice(groups)
+            costs = self._costs(fleet.model, group.engines, demand)
+            cost, path = cheapest_in_group(group, costs)
+            if index:
+                cost += REMOTE_START_COST_S
+            if cost < best_cost:
+                best_cost, best = cost, path
+        return best_cost, best
+
+    def _costs(
+        self, model: ModelSpec, engines: t.Iterable[RatedEngine], demand: Demand
+    ) -> list[EngineCost]:
+        peers = self._peer_load_by_key
+        return request_costs(model, engines, demand, peers, self._rng)
+
     def replace(
         self,
         model: ModelSpec,
-        replicas: t.Iterable[Replica],
+        replicas: t.Sequence[Replica],
         prompt: float,
         answer: float,
         now: float,
@@ -341,8 +352,10 @@
         :param lost: one of its engines, not the first.
         """
         usable = list(replicas)
+        fleet = self._group(model, replicas)
+        demand = Demand(prompt, answer, now, avoid)
         engines = []
-        for engine in self._candidates(model, usable, prompt, answer, now, avoid):
+        for engine in self._candidates(model, fleet.engines, demand):
             if engine.replica.identity != path[0].replica.identity:
                 engines.append(engine)
         link_s = self._link_costs(model, engines, prompt)
@@ -377,63 +390,14 @@
         return staying
 
     def _candidates(
-        self,
-        model: ModelSpec,
-        replicas: t.Iterable[Replica],
-        prompt: float,
-        answer: float,
-        now: float,
-        avoid: t.Container[tuple[str, int]],
+        self, model: ModelSpec, engines: list[RatedEngine], demand: Demand
     ) -> list[Candidate]:
-        """Return the engines that hold layers, with their costs for a request."""
-        engines = []
-        for replica in replicas:
-            if replica.layers is None:
-                continue
-            if replica.accelerator not in model.accelerator_by_name:
-                continue
-            load = self.total(replica)
-            layer_s, hop_s = self._layer_and_hop_s(model, replica, load, prompt, answer)
-            if self.use(replica).suspect_until > now:
-                hop_s += SUSPECT_COST_S
-            if replica.identity in avoid:
-                hop_s += AVOIDED_COST_S
-            engines.append(Candidate(replica, layer_s, hop_s, _head_s(replica, load)))
-        return engines
-
-    def _layer_and_hop_s(
-        self,
-        model: ModelSpec,
-        replica: Replica,
-        load: Load,
-        prompt: float,
-        answer: float,
-    ) -> tuple[float, float]:
-        """Return an engine's cost in seconds for each layer and for the hop."""
-        kind = model.accelerator_by_name[replica.accelerator]
-        use = self.use(replica)
-        step = (model.step_s + model.sequence_s * load.running) * kind.step_factor
-        read = kind.prefill_factor / model.prefill_tokens_per_s
-        layer_s = (answer * step + prompt * read) * use.slowness / model.layers
-        layer_s *= 1 + COST_JITTER_SHARE * self._rng.random()
-        capacity = kv_capacity(model, replica)
-        assert replica.layers is not None
-        needed = (prompt + answer) * (replica.layers[1] - replica.layers[0])
-        fill = (load.token_layers + needed) / capacity if capacity > 0 else NO_KV_FILL
-        hop_s = answer * HOP_QUEUEING_S
-        if fill > 1.0:
-            hop_s += NO_ROOM_COST_S
-        elif fill > KV_SOFT_SHARE:
-            hop_s += KV_FILL_COST_S * (fill - KV_SOFT_SHARE)
-        return layer_s, hop_s
-
-
-def _head_s(replica: Replica, load: Load) -> float:
-    """Return the seconds that an engine costs as a head, on top of its hop."""
-    fill = (load.heads + 1) / max(1, replica.slots)
-    if fill > 1.0:
-        return NO_ROOM_COST_S
-    return KV_FILL_COST_S * max(0.0, fill - HEADS_SOFT_SHARE)
+        """Return engines with their costs for a request."""
+        costs = self._costs(model, engines, demand)
+        candidates = []
+        for engine, cost in zip(engines, costs, strict=True):
+            candidates.append(Candidate(engine.replica, *cost))
+        return candidates
 
 
 def _sum_loads(one: Load, other: Load) -> Load:
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -41,13 +41,21 @@
     has come back by then.
     """
 
-    __slots__ = ("_lapse_s", "_removal_at_by_name", "by_name", "generation")
+    __slots__ = (
+        "_lapse_s",
+        "_removal_at_by_name",
+        "_usable_by_service",
+        "by_name",
+        "generation",
+    )
 
     def __init__(self, lapse_s: float) -> None:
         self._lapse_s = lapse_s
         self.by_name: dict[str, Replica] = {}
         self._removal_at_by_name: dict[str, float] = {}
         self.generation = 0
+        # Results of usable() since the last change.
+        self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
 
     def put(self, replica: Replica) -> bool:
         """Add or update an upstream from its row; return whether anything changed.
@@ -61,7 +69,7 @@
         if current == replica:
             return False
         self.by_name[replica.name] = replica
-        self.generation += 1
+        self._count_change()
         return True
 
     def remove(self, name: str, now: float, failed_at: float) -> None:
@@ -93,15 +101,26 @@
                 dropped.append(name)
         return dropped
 
-    def usable(self, service: str) -> list[Replica]:
-        """Return the upstreams of a service that may get new requests."""
+    def usable(self, service: str) -> tuple[Replica, ...]:
+        """Return the upstreams of a service that may get new requests.
+
+        It is the same object until an upstream changes.
+        """
+        known = self._usable_by_service.get(service)
+        if known is not None:
+            return known
         found = []
         for replica in self.by_name.values():
             if replica.service == service and not replica.is_leaving:
                 found.append(replica)
-        return found
+        usable = self._usable_by_service[service] = tuple(found)
+        return usable
 
     def _drop_row(self, name: str) -> None:
         self._removal_at_by_name.pop(name, None)
         if self.by_name.pop(name, None) is not None:
-            self.generation += 1
+            self._count_change()
+
+    def _count_change(self) -> None:
+        self.generation += 1
+        self._usable_by_service.clear()
--- a/src/wagtailstair/gateway/engine_uses.py
+++ b/src/wagtailstair/gateway/engine_uses.py
@@ -2,8 +2,8 @@
 
 import typing as t
 
+from ..core.engine_costs import Load
 from ..core.messages import EngineUses
-from ..core.pipelines import Load
 from ..core.pipelines import LoadSource
 from ..core.pipelines import Pipelines
 
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -2,8 +2,8 @@
 
 from ..core.directory import ModelSpec
 from ..core.directory import Service
+from ..core.engine_costs import kv_capacity
 from ..core.pipelines import Path
-from ..core.pipelines import kv_capacity
 from ..core.replicas import Replica
 from .exchange import Context
 
@@ -64,22 +64,15 @@
 
     def choose(self) -> Path | None:
         """Return the best pipeline at present."""
-        replicas = self._context.replicas.usable(self._service)
-        others = [r for r in replicas if r.identity not in self.stalled_heads]
-        path = self._choose_among(others)
-        if path is None and len(others) < len(replicas):
-            path = self._choose_among(replicas)
-        return path
-
-    def _choose_among(self, replicas: list[Replica]) -> Path | None:
         context = self._context
         return context.pipelines(self._service).choose(
             self._model,
-            replicas,
+            context.replicas.usable(self._service),
             self._prompt_tokens,
             self._answer_tokens,
             context.loop.now,
             self.avoid,
+            self.stalled_heads,
         )
 
     def replace(self, path: Path, lost: Replica) -> Path | None:
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -128,7 +128,9 @@
         for assignment in self._due_repairs(service.model, replicas, ranges, now):
             self._order(assignment)
 
-    def _are_engines_registering(self, now: float, replicas: list[Replica]) -> bool:
+    def _are_engines_registering(
+        self, now: float, replicas: t.Sequence[Replica]
+    ) -> bool:
         """Return whether the first engines of a deployment are still registering."""
         if any(replica.layers is not None for replica in replicas):
             return False
@@ -138,7 +140,7 @@
     def _due_repairs(
         self,
         model: ModelSpec,
-        replicas: list[Replica],
+        replicas: t.Sequence[Replica],
         ranges: dict[tuple[str, int], tuple[int, int]],
         now: float,
     ) -> list[LayerAssignment]:
@@ -156,7 +158,7 @@
                 due.append(move)
         return due
 
-    def _reserve(self, replicas: list[Replica]) -> set[tuple[str, int]]:
+    def _reserve(self, replicas: t.Sequence[Replica]) -> set[tuple[str, int]]:
         """Return the empty engines that registered within ``RESERVE_S``."""
         now = self._loop.now
         empty = {r.identity for r in replicas if r.layers is None}
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -6,12 +6,12 @@
 from tests.gateway_data import make_engine
 from tests.gateway_data import make_fleet
 from tests.gateway_data import make_model
+from wagtailstair.core.engine_costs import Load
+from wagtailstair.core.engine_costs import engine_key
 from wagtailstair.core.layout import plan_layers
-from wagtailstair.core.pipelines import Load
 from wagtailstair.core.pipelines import LoadSource
 from wagtailstair.core.pipelines import Pipelines
 from wagtailstair.core.pipelines import crossed_links
-from wagtailstair.core.pipelines import engine_key
 
 
 def place_all(model, engines):
