Don't take late copies and errors for answers, nor comments for progress

A refusal written once more on a kept connection. A failure without an attempt id counted as the answer to whatever request was on the connection: a stream that must not run twice was sent again (2 runs), or refused as not run. Such a failure now counts only on a connection that is used for the first time; otherwise the connection is given up and the end is unknown. An error after the beginning of a stream. A 404 of the next engine was sent on as a part of the stream, which then ended as if complete. A stalled stream that still sent comments counted as alive until its deadline. Progress is an event with another id now; a stream whose events have no ids is judged by any event, as before. Also, an upstream that has ended since its exchange was lost no longer counts against the attempts of a route: a stream whose engines had left after a successor was lost was given up with time left.

--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -116,6 +116,13 @@
         usable = self._usable_by_service[service] = tuple(found)
         return usable
 
+    def is_serving(self, identity: tuple[str, int]) -> bool:
+        """Return whether this start of an upstream is live and does not leave."""
+        replica = self.by_name.get(identity[0])
+        if replica is None or replica.incarnation != identity[1]:
+            return False
+        return not replica.is_leaving
+
     def _drop_row(self, name: str) -> None:
         self._removal_at_by_name.pop(name, None)
         if self.by_name.pop(name, None) is not None:
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -16,12 +16,19 @@
 class AttemptOwner(t.Protocol):
     """Callbacks of an attempt to the request that it belongs to."""
 
-    def is_own_answer(self, status: int, headers: list[Header]) -> bool:
+    def is_own_answer(
+        self,
+        status: int,
+        headers: list[Header],
+        connection: UpstreamConnection | None,
+    ) -> bool:
         """Return whether a response belongs to the request."""
         ...
 
-    def classify_answer(self, status: int, headers: list[Header]) -> AttemptOutcome:
-        """Return what the head of a response says about its attempt."""
+    def classify_attempt(
+        self, attempt: "Attempt", status: int, headers: list[Header]
+    ) -> AttemptOutcome:
+        """Return what the head of an attempt's response says about it."""
         ...
 
     def on_attempt_events(self, attempt: "Attempt", events_data: bytes) -> None:
@@ -45,6 +52,7 @@
     ``tokens``: tokens counted against the KV memory of the path's engines;
     ``unread``: the pipeline whose engines have yet to read the prompt, empty when they
     have; ``abandoned_engines``: engines that the stream was asked to move off;
+    ``progress_at``, ``progress_id``: time and id of the newest event with an id;
     ``received``: bytes received on a connection that was lost;
     ``is_promoted``: whether it was the successor of an earlier attempt.
     """
@@ -59,6 +67,7 @@
         "owner",
         "path",
         "progress_at",
+        "progress_id",
         "reason",
         "received",
         "splitter",
@@ -76,6 +85,7 @@
         self.tokens = tokens
         self.splitter = EventSplitter(last_id)
         self.progress_at = now
+        self.progress_id = last_id
         self.connection: UpstreamConnection | None = None
         self.status = 0
         self.reason = b""
@@ -104,12 +114,12 @@
 
     def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
         """Store the head of a response; return whether it is this request's."""
-        if not self.owner.is_own_answer(status, headers):
+        if not self.owner.is_own_answer(status, headers, self.connection):
             return False
         self.status = status
         self.reason = reason
         self.headers = headers
-        self.outcome = self.owner.classify_answer(status, headers)
+        self.outcome = self.owner.classify_attempt(self, status, headers)
         return True
 
     def on_body(self, data: bytes) -> None:
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -18,6 +18,7 @@
 from .loop import Timer
 from .requests import Header
 from .requests import Request
+from .upstream_pool import UpstreamConnection
 from .upstream_pool import UpstreamPool
 
 MS_PER_S = 1000
@@ -107,6 +108,7 @@
     """State of one request.
 
     ``sends``: exchanges begun with upstreams; ``runs``: those that may have run;
+    ``lost_on``: upstreams whose exchange was lost;
     ``expires_at``: the caller's deadline, or the end of the route's timeout if the
     caller set none; ``ends_at``: the earlier of the deadline and of that end;
     ``tried``: identities of the upstreams used so far.
@@ -121,6 +123,7 @@
         "expires_at",
         "grant",
         "is_finished",
+        "lost_on",
         "may_have_run",
         "request",
         "runs",
@@ -152,6 +155,7 @@
         self.ends_at = min(self.expires_at, request.received_at + grant.route.timeout_s)
         self.sends = 0
         self.runs = 0
+        self.lost_on: list[tuple[str, int]] = []
         self.may_have_run = False
         self.is_finished = False
         self.tried: set[tuple[str, int]] = set()
@@ -171,9 +175,11 @@
         """Take one resend from the budget; return whether it was allowed."""
         if self.sends >= SENDS_MAX or self.remaining_s < 2 * ANSWER_MARGIN_S:
             return False
-        if self.runs >= self.grant.route.attempts:
-            return False
         context = self.context
+        # An upstream that has ended since then runs nothing any more.
+        ended = sum(not context.replicas.is_serving(lost) for lost in self.lost_on)
+        if self.runs - ended >= self.grant.route.attempts:
+            return False
         share = 1.0 if self.caller.has_begun else UNBEGUN_BUDGET_SHARE
         return context.resend_budget.take(
             self.service.name, context.host_count(), context.loop.now, share
@@ -190,15 +196,26 @@
             return AttemptOutcome.BROKEN
         return AttemptOutcome.SERVED
 
-    def is_own_answer(self, status: int, headers: list[Header]) -> bool:
+    def is_own_answer(
+        self,
+        status: int,
+        headers: list[Header],
+        connection: UpstreamConnection | None,
+    ) -> bool:
         """Return whether a response belongs to this request.
 
-        Only failures may lack the attempt header.
+        Only failures may lack the attempt header. On a reused connection such a
+        failure may be a copy of an earlier one, so the connection is given up.
         """
         echoed = find_header(headers, self.context.names.attempt)
         if echoed is not None:
             return echoed == self.attempt_id
-        return status >= 300
+        if status < 300:
+            return False
+        if connection is not None and connection.is_reused:
+            connection.give_up(f"status {status} without an attempt id")
+            return False
+        return True
 
     def refuse(self, reason: str) -> None:
         """Respond 503 if the request has not run for certain, otherwise 502."""
--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -109,7 +109,8 @@
         )
         self._sent_at = context.loop.now
         context.services.record_start(replica)
-        new_connection = not self.grant.route.may_repeat
+        # A copy of the answer to an earlier attempt bears the same attempt id.
+        new_connection = self.sends > 1 or not self.grant.route.may_repeat
         upstream = Upstream(replica.address, replica.identity)
         self._connection = context.pool.send(
             upstream, data, self, new_connection=new_connection
@@ -155,7 +156,7 @@
 
     def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
         """Store the head of a response; return whether it is this request's."""
-        if not self.is_own_answer(status, headers):
+        if not self.is_own_answer(status, headers, self._connection):
             self.log("answer_foreign", level="WARNING", status=status)
             return False
         self._status = status
@@ -243,6 +244,8 @@
             self._retry_not_run("failed", reason, 0)
             return
         self.may_have_run = True
+        if self._replica is not None:
+            self.lost_on.append(self._replica.identity)
         self.log(
             "attempt_lost",
             replica=self._replica.name if self._replica is not None else "",
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -178,8 +178,9 @@
         data = heads.join_request(self._common_head, headers, bytes(self.request.body))
         self.log("attempt_sent", level="DEBUG", path=path.decode(), send=self.sends)
         upstream = Upstream(first.address, first.identity)
+        # A copy of the answer to an earlier attempt bears the same attempt id.
         attempt.connection = context.pool.send(
-            upstream, data, attempt, new_connection=False
+            upstream, data, attempt, new_connection=self.sends > 1
         )
         if attempt.connection is None:
             self.on_attempt_lost(attempt, ExchangeLoss.NOT_SENT, "no connection")
@@ -383,6 +384,20 @@
 
     # Callbacks of attempts.
 
+    def classify_attempt(
+        self, attempt: Attempt, status: int, headers: list[Header]
+    ) -> AttemptOutcome:
+        """Return what the head of an attempt's response says about it.
+
+        Only a success may go on with a response that has begun, or replace an
+        attempt that is running.
+        """
+        outcome = self.classify_answer(status, headers)
+        goes_on = self._first_answered is not None or attempt is self._successor
+        if outcome is AttemptOutcome.SERVED and status >= 300 and goes_on:
+            return AttemptOutcome.FAILED
+        return outcome
+
     def on_attempt_events(self, attempt: Attempt, events_data: bytes) -> None:
         """Forward complete events to the caller."""
         if self.is_finished:
@@ -393,11 +408,17 @@
             self._promote(attempt)
         if attempt.is_promoted:
             events_data = events_after(events_data, self._last_id)
-        attempt.progress_at = self.context.loop.now
+        # Events without an id, such as comments, may keep a stalled stream open.
+        last_id = attempt.splitter.last_id
+        has_progress = last_id != attempt.progress_id or not last_id
+        if has_progress:
+            attempt.progress_at = self.context.loop.now
+            attempt.progress_id = last_id
         if not events_data:
             return
-        self._progress_at = attempt.progress_at
-        self._last_id = attempt.splitter.last_id
+        if has_progress:
+            self._progress_at = attempt.progress_at
+        self._last_id = last_id
         self.events += 1
         if self._first_answered is None:
             self._first_answered = attempt
@@ -456,6 +477,7 @@
             self.runs -= 1
         else:
             self.may_have_run = True
+            self.lost_on.append(first.identity)
         self._handle_failure(attempt, first, reason)
 
     def _handle_failure(
--- a/src/wagtailstair/gateway/upstream_pool.py
+++ b/src/wagtailstair/gateway/upstream_pool.py
@@ -80,7 +80,8 @@
 class UpstreamConnection:
     """A connection to an upstream and the parser of its responses.
 
-    ``received``: bytes received since the request was sent.
+    ``received``: bytes received since the request was sent; ``is_reused``: whether it
+    has carried an earlier exchange, of which bytes may still arrive.
     """
 
     __slots__ = (
@@ -99,6 +100,7 @@
         "idle_s",
         "idle_since",
         "is_reusable",
+        "is_reused",
         "observer",
         "received",
         "upstream",
@@ -110,6 +112,7 @@
         self.upstream = upstream
         self.observer: Observer | None = None
         self.is_reusable = True
+        self.is_reused = False
         self.idle_s = IDLE_TIMEOUT_S
         self.idle_since = 0.0
         self._connect_timer: Timer | None = None
@@ -380,6 +383,7 @@
         while idle:
             connection = idle.pop()
             if self._loop.now - connection.idle_since < connection.idle_s:
+                connection.is_reused = True
                 return connection
             connection.cancel()
         return None
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -165,6 +165,10 @@
         self.store = store
         self.script: list[str] = []
         self.runs: list[str] = []
+        # Bytes that a faulty upstream writes before its next answer.
+        self.copies: list[bytes] = []
+        # The connection and attempt of each request, in order of arrival.
+        self.arrivals: list[tuple[int, str]] = []
         self.row: dict[str, t.Any] = {
             "service": "desk",
             "address": self.address,
@@ -184,10 +188,15 @@
 
     def answer(self, pending: PendingRequest) -> None:
         attempt = pending.request.header(b"x-attempt-id")
+        self.record_arrival(pending)
         step = self.script.pop(0) if self.script else "ok"
         signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
+        if step == "not found":
+            pending.caller.answer(404, b"", signed, b"no such thing\n\nid: 99\n\n")
+            return
         if step == "refuse":
-            pending.caller.answer(503, b"", [(b"X-Not-Executed", b"1")], b"")
+            refused = [(b"X-Attempt-Id", attempt), (b"X-Not-Executed", b"1")]
+            pending.caller.answer(503, b"", refused, b"")
             return
         self.runs.append(attempt.decode())
         if step == "lose":
@@ -203,6 +212,13 @@
         elif step != "silent":
             pending.caller.answer(200, b"Fine", signed, b"body of " + attempt)
 
+    def record_arrival(self, pending: PendingRequest) -> None:
+        """Record a request, and write the copies of earlier answers first."""
+        attempt = pending.request.header(b"x-attempt-id").decode()
+        self.arrivals.append((id(pending.caller), attempt))
+        while self.copies:
+            pending.caller._connection.write(self.copies.pop(0))
+
 
 class Engine(Service):
     """A model engine; the first engine of a path sends the events of the stream."""
@@ -217,6 +233,8 @@
         self.last_ids: list[bytes] = []
         self.cut_after: int | None = None
         self.freeze_after: int | None = None
+        # What a frozen stream still sends from time to time.
+        self.drip = b""
         # The address of an engine over which new paths of requests are refused.
         self.missing: str | None = None
 
@@ -240,6 +258,7 @@
             super().answer(pending)
             return
         attempt = request.header(b"x-attempt-id")
+        self.record_arrival(pending)
         self.runs.append(attempt.decode())
         last = request.header(b"last-event-id")
         self.last_ids.append(last)
@@ -255,6 +274,9 @@
         if pending.is_caller_gone:
             return
         if self.freeze_after is not None and number > self.freeze_after:
+            if self.drip:
+                pending.caller.send(self.drip)
+                self.loop.call_later(0.1, lambda: self.emit(pending, number))
             return
         if self.cut_after is not None and number > self.cut_after:
             pending.caller.send(b"id: %d\nda" % number)
--- /dev/null
+++ b/tests/test_broken_streams.py
@@ -0,0 +1,85 @@
+"""Streams that break off, that are slow, and that stall without ending.
+
+A stream that has begun goes on with the events of another engine, and with nothing
+else: the text of an error in the middle of it, or an end that looks complete, would
+reach the caller as part of the answer.
+"""
+
+import pytest
+
+from tests.gateway_data import make_config
+from tests.gateway_deployment import Deployment
+from tests.gateway_deployment import make_stream
+from tests.test_gateway import EVENTS
+from tests.test_gateway import wait_for_placement
+
+
+@pytest.fixture
+def deployment():
+    deployment = Deployment()
+    deployment.store.put("op", "config", make_config())
+    return deployment
+
+
+@pytest.fixture
+def engines(deployment):
+    return [deployment.add_engine(f"i-e{n}") for n in range(8)]
+
+
+@pytest.fixture
+def host(deployment, engines):
+    host = deployment.add_host()
+    deployment.run(host.is_ready)
+    wait_for_placement(deployment, engines)
+    return host
+
+
+class TestErrorAfterTheBeginning:
+    def begin(self, deployment, engines, host):
+        """Send a stream that breaks off after five events; return its connection."""
+        for engine in engines:
+            engine.cut_after = 5
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: any(engine.runs for engine in engines))
+        return answered
+
+    def test_error_of_the_next_engine_is_not_part_of_the_stream(
+        self, deployment, engines, host
+    ):
+        answered = self.begin(deployment, engines, host)
+        for engine in engines:
+            engine.script = ["not found"] * 9
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert b"no such" not in answered.data
+        assert b"404" not in answered.data
+        assert b"id: 99" not in answered.data
+        # It has ended early, and does not look complete.
+        assert answered.is_closed
+        assert not answered.is_complete
+
+
+class TestSlowStreams:
+    def test_slow_stream_is_delivered_whole(self, deployment, engines, host):
+        # Longer than the pause after which another engine is asked as well.
+        for engine in engines:
+            engine.events, engine.pause_s = 3, 1.4
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: answered.is_complete or answered.is_closed, 20)
+        assert answered.is_complete
+        assert answered.body == EVENTS.partition(b"id: 4\n")[0]
+
+    @pytest.mark.parametrize("drip", [b":", b": alive\n\n"])
+    def test_stalled_stream_that_sends_bytes_goes_on_elsewhere(
+        self, deployment, engines, host, drip
+    ):
+        for engine in engines:
+            engine.freeze_after, engine.drip = 3, drip
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: b"id: 3\n" in answered.data)
+        for engine in engines:
+            if not engine.runs:
+                engine.freeze_after = None
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert answered.is_complete
+        body = answered.body.replace(b": alive\n\n", b"")
+        assert body == EVENTS
