Send no order under a lease that ran out during a pause

Cause: the lease was checked against the time at which the events in progress had arrived, once before planning; the monotonic clock does not count the time in which a machine is suspended; an order to an engine that holds layers named no count of earlier orders, so that the order of an earlier holder, still on its way, and that of its successor were both carried out. Change: the clock is read again before each order; suspended seconds since the last renewal count against the lease; orders to engines with layers name the count from a fresh report. An order is repeated after half as long again as its load takes, no longer after 6 s into an engine that still loads (load_s and loads_at_once are read from the lists now). Tried and reverted: reading all time from the clock that counts suspension. Tried and reverted as well: short ranges first for gaps, at most loads_at_once orders, extensions later.

--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -35,7 +35,9 @@
     state of one token sent between two engines; ``step_s`` and ``sequence_s``:
     decode step, fixed and per running sequence; ``prefill_tokens_per_s``: prefill
     rate; ``typical_output_tokens``: output tokens of a typical request;
-    ``link_bytes_per_s``: bandwidth between two data centres.
+    ``link_bytes_per_s``: bandwidth between two data centres; ``load_s``: seconds to
+    load all weights; ``loads_at_once``: loads beyond which each takes longer, 0 for
+    no such limit.
     """
 
     layers: int
@@ -49,6 +51,8 @@
     link_bytes_per_s: float
     delay_s_by_centres: dict[tuple[str, str], float]
     accelerator_by_name: dict[str, Accelerator]
+    load_s: float = 0.0
+    loads_at_once: int = 0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/layout.py
+++ b/src/wagtailstair/core/layout.py
@@ -67,6 +67,18 @@
     return ROOM_TOKENS_MIN
 
 
+def load_time_s(model: ModelSpec, assignment: LayerAssignment, at_once: int) -> float:
+    """Return the seconds that an engine needs to load what it doesn't hold yet.
+
+    :param at_once: number of loads in progress with this one.
+    """
+    held = assignment.replica.layers or (0, 0)
+    kept = min(assignment.last, held[1]) - max(assignment.first, held[0])
+    missing = assignment.last - assignment.first - max(0, kept)
+    crowding = at_once / model.loads_at_once if model.loads_at_once else 1.0
+    return model.load_s * missing / model.layers * max(1.0, crowding)
+
+
 def plan_layers(
     model: ModelSpec,
     replicas: t.Iterable[Replica],
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -35,6 +35,7 @@
 """Seconds over which the first calls of hosts that start together are spread."""
 
 MIN_WAIT_S = 0.05
+OK = 200
 
 
 class LeaseManager:
@@ -63,6 +64,8 @@
         self._is_candidate = is_candidate
         self._lease = Lease(holder, LEASE)
         self._had_lease = False
+        # Seconds for which the machine had been suspended at the last renewal.
+        self._suspended_s = loop.clock.suspended_s()
 
     @property
     def fence(self) -> int:
@@ -74,8 +77,12 @@
         self._loop.call_later(self._rng.uniform(0, START_SPREAD_S), self._step)
 
     def may_send_order(self, order_s: float) -> bool:
-        """Return whether an order that takes up to ``order_s`` may be sent now."""
-        return self._lease.may_send_order(self._loop.now, order_s)
+        """Return whether an order that takes up to ``order_s`` may be sent now.
+
+        The lease runs on while the machine is suspended.
+        """
+        suspended_s = self._loop.clock.suspended_s() - self._suspended_s
+        return self._lease.may_send_order(self._loop.now + suspended_s, order_s)
 
     def release(self) -> None:
         """Release the lease, if it is held."""
@@ -109,7 +116,14 @@
         call = wire.transact_call(
             [(TABLE, self._key, command.version)], [(TABLE, self._key, value)]
         )
-        self._fetch(call, on_answer)
+        suspended_s = self._loop.clock.suspended_s()
+
+        def on_written(answer: Answer) -> None:
+            if answer.status == OK:
+                self._suspended_s = suspended_s
+            on_answer(answer)
+
+        self._fetch(call, on_written)
 
     def _fetch(self, call: Call, on_answer: t.Callable[[Answer], None]) -> None:
         Fetch(self._loop, self._pool, self._store, call, STORE_TIMEOUT_S, on_answer)
--- a/src/wagtailstair/gateway/loop.py
+++ b/src/wagtailstair/gateway/loop.py
@@ -95,6 +95,14 @@
                     self._call(handler, mask)
             self._run_timers()
 
+    def read_clock(self) -> float:
+        """Return the time now, not that at which the events in progress arrived.
+
+        The process may have been paused meanwhile.
+        """
+        self.now = self.clock.monotonic()
+        return self.now
+
     def stop(self) -> None:
         """Make :meth:`run` return after the events in progress."""
         self._is_running = False
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -7,6 +7,7 @@
 from ..core.directory import ModelSpec
 from ..core.directory import Service
 from ..core.layout import LayerAssignment
+from ..core.layout import load_time_s
 from ..core.layout import plan_layers
 from ..core.layout import plan_repairs
 from ..core.replicas import Replica
@@ -42,11 +43,29 @@
 
 ORDER_TIMEOUT_S = 1.0
 ORDER_RETRY_S = 6.0
-"""Seconds after which an order without effect is sent again; a load takes 2 s."""
+"""Least seconds after which an order without effect is sent again."""
+
+LOAD_MARGIN = 1.5
+"""Factor on the expected time of a load before its order counts as without effect:
+an engine that still loads would refuse another one."""
 
 REFUSED_RETRY_S = 1.5
 """Seconds after which an engine that refused an order is sent another one."""
 
+COUNT_INTERVAL_S = 0.5
+"""Shortest interval in seconds between two requests for an engine's count of orders."""
+
+
+class _Ordered(t.NamedTuple):
+    """An order that was accepted or may have been.
+
+    ``layers``: the range that the engine is to hold; ``retry_at``: time from which it
+    counts as without effect.
+    """
+
+    layers: tuple[int, int]
+    retry_at: float
+
 
 class Placer:
     """Acquires the placement lease; while it is held, orders engines to load layers.
@@ -74,10 +93,10 @@
             loop, pool, store, LEASE_KEY, holder, is_candidate, rng
         )
         self._gap_since_by_centre: dict[str, float] = {}
-        # Layers and time of each order that was accepted or may have been.
-        self._ordered: dict[tuple[str, int], tuple[tuple[int, int], float]] = {}
+        self._ordered: dict[tuple[str, int], _Ordered] = {}
         # Number of orders that each engine has accepted since its start.
         self._orders_by_identity: dict[tuple[str, int], int] = {}
+        self._count_asked_at: dict[tuple[str, int], float] = {}
         self._empty_since: dict[tuple[str, int], float] = {}
         self.orders = 0
 
@@ -109,24 +128,35 @@
 
     def _place(self, service: Service, now: float) -> None:
         assert service.model is not None
+        model = service.model
         replicas = self._replicas.usable(service.name)
-        for replica in replicas:
-            ordered = self._ordered.get(replica.identity)
-            if ordered is not None and replica.layers == ordered[0]:
-                del self._ordered[replica.identity]
-        ranges = {}
-        for identity, (layers, ordered_at) in list(self._ordered.items()):
-            if now - ordered_at < ORDER_RETRY_S:
-                ranges[identity] = layers
-                continue
-            del self._ordered[identity]
+        ranges = self._ranges_in_progress(now)
         reserved = self._reserve(replicas)
         if self._are_engines_registering(now, replicas):
             return
-        for assignment in plan_layers(service.model, replicas, ranges, reserved):
-            self._order(assignment)
-        for assignment in self._due_repairs(service.model, replicas, ranges, now):
-            self._order(assignment)
+        plan = plan_layers(model, replicas, ranges, reserved)
+        plan.extend(self._due_repairs(model, replicas, ranges, now))
+        at_once = len(ranges) + len(plan)
+        for assignment in plan:
+            load_s = load_time_s(model, assignment, at_once)
+            self._order(assignment, max(ORDER_RETRY_S, LOAD_MARGIN * load_s))
+
+    def _ranges_in_progress(self, now: float) -> dict[tuple[str, int], tuple[int, int]]:
+        """Return the ranges that are being loaded; forget the other orders."""
+        by_name = self._replicas.by_name
+        live = {replica.identity: replica for replica in by_name.values()}
+        for by_identity in (self._orders_by_identity, self._count_asked_at):
+            for identity in [known for known in by_identity if known not in live]:
+                del by_identity[identity]
+        ranges = {}
+        for identity, ordered in list(self._ordered.items()):
+            replica = live.get(identity)
+            is_done = replica is None or replica.layers == ordered.layers
+            if is_done or now >= ordered.retry_at:
+                del self._ordered[identity]
+                continue
+            ranges[identity] = ordered.layers
+        return ranges
 
     def _are_engines_registering(
         self, now: float, replicas: t.Sequence[Replica]
@@ -171,18 +201,24 @@
                 reserved.add(identity)
         return reserved
 
-    def _order(self, assignment: LayerAssignment) -> None:
+    def _order(self, assignment: LayerAssignment, retry_s: float) -> None:
+        """Send an order, unless the lease has run out since the plan was made."""
         replica = assignment.replica
-        now = self._loop.now
         identity = replica.identity
         layers = (assignment.first, assignment.last)
-        self._ordered[identity] = (layers, now)
-        self.orders += 1
-        # An engine that holds layers may have accepted orders of another host; only
-        # the count of an empty engine is certain to be 0.
+        # An engine that holds layers has accepted orders, perhaps of another host;
+        # only the count of an empty engine is certain to be 0.
         count = self._orders_by_identity.get(identity)
-        if count is None and replica.layers is None:
-            count = 0
+        if count is None and replica.layers is not None:
+            self._fetch_order_count(replica)
+            return
+        count = count or 0
+        now = self._loop.read_clock()
+        if not self._lease.may_send_order(ORDER_TIMEOUT_S):
+            log_event("order_unsent", level="WARNING", replica=replica.name)
+            return
+        self._ordered[identity] = _Ordered(layers, now + retry_s)
+        self.orders += 1
         call = engine_wire.place_call(assignment.first, assignment.last, count)
         log_event(
             "order_sent",
@@ -201,13 +237,11 @@
                 reason=answer.reason,
             )
             if answer.status in (200, 202):
-                if count is not None:
-                    self._orders_by_identity[identity] = count + 1
+                self._orders_by_identity[identity] = count + 1
             elif answer.status:
-                # The engine is busy, or has accepted orders of another host. The
-                # time is set back, so that the retry is due after REFUSED_RETRY_S.
-                ordered_at = self._loop.now - ORDER_RETRY_S + REFUSED_RETRY_S
-                self._ordered[identity] = (layers, ordered_at)
+                # The engine is busy, or has accepted orders of another host.
+                retry_at = self._loop.now + REFUSED_RETRY_S
+                self._ordered[identity] = _Ordered(layers, retry_at)
                 self._fetch_order_count(replica)
             elif answer.loss is not ExchangeLoss.UNKNOWN:
                 self._ordered.pop(identity, None)
@@ -218,6 +252,11 @@
     def _fetch_order_count(self, replica: Replica) -> None:
         """Request the number of orders that an engine has accepted."""
         identity = replica.identity
+        now = self._loop.now
+        asked_at = self._count_asked_at.get(identity, float("-inf"))
+        if now - asked_at < COUNT_INTERVAL_S:
+            return
+        self._count_asked_at[identity] = now
 
         def on_report(report: engine_wire.Report) -> None:
             log_event(
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -61,6 +61,11 @@
     delay_ms: float
 
 
+class _Model(msgspec.Struct):
+    # Seconds to load the whole model.
+    load_s: float = 0.0
+
+
 class _Usual(msgspec.Struct):
     # Mean number of tokens of an answer.
     answer: float
@@ -79,6 +84,9 @@
     usual: _Usual
     delays: list[_Delay] = []
     pipe_mbps: float = 0.0
+    models: list[_Model] = []
+    # Loads of all engines together, beyond which each takes proportionally longer.
+    loads_at_once: int = 0
 
 
 class _Service(msgspec.Struct):
@@ -136,6 +144,8 @@
         link_bytes_per_s=_bytes_per_s(engine.pipe_mbps),
         delay_s_by_centres=delays,
         accelerator_by_name=kinds,
+        load_s=max((model.load_s for model in engine.models), default=0.0),
+        loads_at_once=engine.loads_at_once,
     )
 
 
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -3,6 +3,7 @@
 import heapq
 import itertools
 
+from wagtailstair.clock import ManualClock
 from wagtailstair.gateway.loop import Timer
 
 
@@ -11,6 +12,8 @@
 
     def __init__(self):
         self.now = 0.0
+        self.clock = ManualClock()
+        self._paused_s = 0.0
         self._timers = []
         self._order = itertools.count()
 
@@ -22,6 +25,15 @@
     def call_later(self, delay_s, callback):
         return self.call_at(self.now + delay_s, callback)
 
+    def pause(self, seconds):
+        """Let time pass that the running callback doesn't notice."""
+        self._paused_s += seconds
+
+    def read_clock(self):
+        self.now += self._paused_s
+        self._paused_s = 0.0
+        return self.now
+
     def run_until(self, end):
         while self._timers and self._timers[0][0] <= end:
             self.now, _, timer = heapq.heappop(self._timers)
