Fix the layout of the test of an engine that drops its layers

Its layout depended on the timing of real sockets: where a path left its first engine early, no path went on at that layer, a successor was sent instead (as another test asserts), and the test missed its order. Each half of the layers is on three engines now; the assertions are the same.

--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -695,19 +695,23 @@
 
 
 class TestPlacementChanges:
-    def test_streams_move_off_an_engine_that_drops_its_layers(
-        self, deployment, engines, host
-    ):
-        wait_for_placement(deployment, engines)
-        spare = [deployment.add_engine(f"i-s{n}") for n in range(4)]
-        wait_for_placement(deployment, spare)
-        all_engines = {engine.name: engine for engine in engines + spare}
-        for engine in all_engines.values():
-            engine.events, engine.pause_s = 100, 0.02
+    def test_streams_move_off_an_engine_that_drops_its_layers(self, deployment):
+        # Each half of the layers is on three engines, whatever the timing: where a
+        # path leaves its first engine early, a successor is sent and no order.
+        all_engines = {}
+        for first, last in ((0, 40), (40, 80)):
+            for number in range(3):
+                engine = deployment.add_engine(f"i-{first}-{number}")
+                layers = {"from": first, "target": last, "version": 1}
+                engine.write_row(layers=layers)
+                engine.events, engine.pause_s = 100, 0.02
+                all_engines[engine.name] = engine
+        host = deployment.add_host()
+        deployment.run(host.is_ready)
+        wait_for_placement(deployment, list(all_engines.values()))
         deployment.send(host, make_stream("a1"))
         deployment.run(lambda: bool(host.streams()) and len(host.streams()[0].path) > 1)
         (stream,) = host.streams()
-        # The spare engines together hold the layers that the second one drops.
         moved = all_engines[stream.path[1].replica.name]
         moved.write_row(layers=None)
         deployment.run(lambda: not stream.uses_engine((moved.name, 1000)))
