Let only the next requests of each rank ask for room, in fair turns

Seen: requests that wait were ordered by rank and arrival alone, so that an account with many requests crowded out the others; each asked for a pipeline every 40 ms; a new request overtook those that waited; all refused callers were asked to come back after 0.3 s. Change: core/room_queue holds the waiting requests in the fair queue of the dispatcher (one implementation for both), with a minimum share for each rank; only the next request of each rank asks for room. A new request waits behind those of its rank. Where a host starts enough requests to know the rate, one whose turn would come after its goal is refused at once, and refused callers are spread over the time in which as many requests start. Tried and changed: an estimate from any number of starts, and a return after 2 to 4 s without one.

--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -169,9 +169,13 @@
             self._charge(item.priority, excess)
         self._class_of(item).correct_start_tag(item.account, excess / item.weight)
 
+    def work_ahead_in_class(self, item: RouteRequest) -> float:
+        """Estimate the work of its class that would be served before a new item."""
+        return self._class_of(item).work_ahead(item)
+
     def work_ahead(self, item: RouteRequest) -> float:
         """Estimate the work that would be served before a new item."""
-        ahead = self._class_of(item).work_ahead(item)
+        ahead = self.work_ahead_in_class(item)
         if not item.entitled:
             ahead += self._queue_by_class[item.priority, True].work
         for priority in Priority:
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -20,6 +20,7 @@
 from .requests import Request
 from .upstream_pool import UpstreamConnection
 from .upstream_pool import UpstreamPool
+from .waiting_streams import WaitingStreams
 
 MS_PER_S = 1000
 SENDS_MAX = 8
@@ -87,8 +88,8 @@
         """Ask the first engine of a path which engine its requests wait for."""
         ...
 
-    def queue_for_room(self, stream: "t.Any") -> None:
-        """Queue a stream until engines have room."""
+    def waiting_streams(self) -> WaitingStreams:
+        """Return the streams that wait for room on engines."""
         ...
 
     def count_path_change(self, outcome: str) -> None:
@@ -222,8 +223,12 @@
         if self.may_have_run:
             self.fail(BAD_GATEWAY, reason)
             return
-        wait_s = min(RETRY_AFTER_S, max(0.05, self.remaining_s / 4))
-        self.finish(UNAVAILABLE, reason, ((b"Retry-After", b"%.2f" % wait_s),))
+        headers = ((b"Retry-After", b"%.2f" % self.return_s()),)
+        self.finish(UNAVAILABLE, reason, headers)
+
+    def return_s(self) -> float:
+        """Return after how many seconds the caller of a refused request may retry."""
+        return min(RETRY_AFTER_S, max(0.05, self.remaining_s / 4))
 
     def fail(self, status: int, reason: str) -> None:
         """Respond with a status that leaves open whether the request has run."""
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -44,16 +44,13 @@
 from .telemetry import Telemetry
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
+from .waiting_streams import WaitingStreams
 
 METRICS_PATH = "/metrics"
 
 SETTINGS_CHECK_INTERVAL_S = 1.0
 """Seconds between two checks of the settings file: it may change without a SIGHUP."""
 
-ROOM_CHECK_INTERVAL_S = 0.04
-"""Seconds between two checks for room on the engines: about the interval between two
-events of a stream."""
-
 ACCEPT_AFTER_SIGNAL_S = 2.6
 """Seconds after the signal in which new requests are still accepted. By then the
 balancer, which checks once a second, has seen two failed readiness checks and sends
@@ -110,7 +107,7 @@
         )
         self.is_draining = False
         self._refuses_requests = False
-        self._waiting: list[StreamExchange] = []
+        self._waiting = WaitingStreams(self.loop, self._rng)
         self._settings_path: pathlib.Path | None = None
         self._settings_text = ""
         self._pipelines_by_service: dict[str, Pipelines] = {}
@@ -151,17 +148,9 @@
         """Find the engine that stalls the requests of a pipeline's first engine."""
         self._stall_detector.find_stalled_engine(first, service)
 
-    def queue_for_room(self, stream: StreamExchange) -> None:
-        """Queue a stream until engines have room; the most urgent is tried first."""
-        if not self._waiting:
-            self.loop.call_later(ROOM_CHECK_INTERVAL_S, self._retry_waiting)
-        self._waiting.append(stream)
-
-    def _retry_waiting(self) -> None:
-        waiting, self._waiting = self._waiting, []
-        waiting.sort(key=lambda w: (w.grant.rank, w.request.received_at))
-        for stream in waiting:
-            stream.start_queued()
+    def waiting_streams(self) -> WaitingStreams:
+        """Return the streams that wait for room on engines."""
+        return self._waiting
 
     def count_path_change(self, outcome: str) -> None:
         """Count an order that moves a running request to a new path."""
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -74,6 +74,7 @@
         "events",
         "first_event_s",
         "moves",
+        "queue_key",
     )
 
     def begin(self) -> None:
@@ -93,6 +94,7 @@
         self._progress_timer: Timer | None = None
         self._progress_at = self.context.loop.now
         self._crossings = 0
+        self.queue_key = ""
         self.events = 0
         self.moves = 0
         self.first_event_s: float | None = None
@@ -118,6 +120,8 @@
     def close(self) -> None:
         """Cancel the attempts and the timers."""
         super().close()
+        if self.queue_key:
+            self.context.waiting_streams().discard(self.queue_key)
         if self._progress_timer is not None:
             self._progress_timer.cancel()
             self._progress_timer = None
@@ -131,19 +135,40 @@
         if path is None:
             self._retry_later_or_refuse(reason)
             return
-        if self.sends == 0 and not self._finder.has_room(path):
+        queue = self.context.waiting_streams().queue
+        # A new request doesn't overtake those that wait.
+        must_wait = queue.has_waiting(self.grant.rank)
+        if self.sends == 0 and (must_wait or not self._finder.has_room(path)):
             self._wait_for_room()
             return
+        self._send_first(path)
+
+    def _send_first(self, path: Path) -> None:
+        """Send the request on a path, as its only attempt."""
         if self.sends == 0:
             now = self.context.loop.now
             self.context.resend_budget.count_request(self.service.name, now)
+            queue = self.context.waiting_streams().queue
+            queue.record_start(now, self._finder.tokens)
         self._current = attempt = self._make_attempt(path)
         self._send_attempt(attempt)
 
-    def start_queued(self) -> None:
-        """Send the queued request if engines have room now."""
-        if not self.is_finished:
-            self._start("no room")
+    def start_queued(self) -> bool:
+        """Send the queued request if engines have room; return whether it was sent."""
+        path = self._finder.choose()
+        if path is None or not self._finder.has_room(path):
+            return False
+        self._send_first(path)
+        return True
+
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse the request, which has not been sent."""
+        self.refuse(reason)
+
+    def return_s(self) -> float:
+        """Return after how many seconds the caller of a refused request may retry."""
+        queue = self.context.waiting_streams().queue
+        return queue.return_s(self.context.loop.now, self.remaining_s)
 
     def _make_attempt(self, path: Path) -> Attempt:
         tokens = self._finder.tokens
@@ -188,12 +213,15 @@
         self._schedule_stall_check(FIRST_STALL_CHECK_S)
 
     def _wait_for_room(self) -> None:
-        """Queue the request for room unless it has waited too long."""
-        waited = self.context.loop.now - self.request.received_at
-        if waited < ROOM_WAIT_GOALS * self.grant.route.goal_s:
-            self.context.queue_for_room(self)
-            return
-        self.refuse("no room")
+        """Queue the request for room until its goal has passed."""
+        account = self.grant.account
+        self.context.waiting_streams().add(
+            self,
+            "" if account is None else account.name,
+            self.grant.rank,
+            self._finder.tokens,
+            self.request.received_at + ROOM_WAIT_GOALS * self.grant.route.goal_s,
+        )
 
     def _drop_attempt(self, attempt: Attempt | None) -> None:
         if attempt is None:
--- /dev/null
+++ b/src/wagtailstair/gateway/waiting_streams.py
@@ -0,0 +1,116 @@
+"""The streams of this host that wait for room on engines."""
+
+import itertools
+import random
+import typing as t
+
+from ..core.room_queue import RoomQueue
+from ..core.room_queue import make_item
+from .loop import Loop
+
+CHECK_INTERVAL_S = 0.04
+"""Seconds between two checks for room: about the interval between two events."""
+
+
+class WaitingStream(t.Protocol):
+    """A stream that can wait for room."""
+
+    queue_key: str
+
+    def start_queued(self) -> bool:
+        """Send the stream if engines have room; return whether it waits no more."""
+        ...
+
+    def refuse_waiting(self, reason: str) -> None:
+        """Refuse the stream, which has not been sent."""
+        ...
+
+
+class WaitingStreams:
+    """Waits for room on behalf of streams; only the next of each rank asks for it."""
+
+    __slots__ = (
+        "_deadline_by_key",
+        "_is_scheduled",
+        "_keys",
+        "_loop",
+        "_stream_by_key",
+        "queue",
+    )
+
+    def __init__(self, loop: Loop, rng: random.Random) -> None:
+        self._loop = loop
+        self.queue = RoomQueue(rng)
+        self._stream_by_key: dict[str, WaitingStream] = {}
+        self._deadline_by_key: dict[str, float] = {}
+        self._keys = itertools.count(1)
+        self._is_scheduled = False
+
+    def add(
+        self,
+        stream: WaitingStream,
+        account: str,
+        rank: int,
+        tokens: float,
+        deadline: float,
+    ) -> None:
+        """Let a stream wait until a time, or refuse it if that would not be enough."""
+        now = self._loop.now
+        item = make_item(str(next(self._keys)), account, rank, tokens, deadline)
+        wait_s = self.queue.wait_s(item, now)
+        if now + wait_s > deadline:
+            stream.refuse_waiting("no room in time")
+            return
+        is_added, displaced = self.queue.push(item)
+        if not is_added:
+            stream.refuse_waiting("queue full")
+            return
+        stream.queue_key = item.request
+        self._stream_by_key[item.request] = stream
+        self._deadline_by_key[item.request] = deadline
+        if displaced is not None:
+            self._forget(displaced).refuse_waiting("queue full")
+        self._schedule()
+
+    def discard(self, key: str) -> None:
+        """Remove a stream that has ended."""
+        if key in self._stream_by_key:
+            self.queue.discard(key)
+            self._forget(key)
+
+    def _forget(self, key: str) -> WaitingStream:
+        del self._deadline_by_key[key]
+        stream = self._stream_by_key.pop(key)
+        stream.queue_key = ""
+        return stream
+
+    def _schedule(self) -> None:
+        if not self._is_scheduled and self._stream_by_key:
+            self._is_scheduled = True
+            self._loop.call_later(CHECK_INTERVAL_S, self._check)
+
+    def _check(self) -> None:
+        self._is_scheduled = False
+        self._start_next()
+        now = self._loop.now
+        for key, deadline in list(self._deadline_by_key.items()):
+            if now >= deadline and key in self._stream_by_key:
+                self.queue.discard(key)
+                self._forget(key).refuse_waiting("no room")
+        self._schedule()
+
+    def _start_next(self) -> None:
+        """Start streams in their order until the next of no rank finds room."""
+        blocked: set[str] = set()
+        while True:
+            keys = [key for key in self.queue.candidates() if key not in blocked]
+            if not keys:
+                return
+            key = keys[0]
+            stream = self._stream_by_key[key]
+            if not stream.start_queued():
+                blocked.add(key)
+                continue
+            if key in self._stream_by_key:
+                self.queue.take(key)
+                self._forget(key)
