--- a/src/wagtailstair/core/engine_groups.py
+++ b/src/wagtailstair/core/engine_subsets.py
@@ -1,7 +1,7 @@
-"""The engines of each data centre, in groups that a choice of pipeline searches.
+"""The engines of each data centre, in subsets that a choice of pipeline searches.
 
-A group lies in one data centre and its engines together hold every layer, so that a
-pipeline needs no link between data centres. A choice searches two groups instead of
+A subset lies in one data centre and its engines together hold every layer, so that a
+pipeline needs no link between data centres. A choice searches two subsets instead of
 the whole fleet: its cost doesn't grow with the number of engines, and hosts that
 know the same old loads don't all choose the same engines.
 """
@@ -17,13 +17,13 @@
 from .path_search import Run
 from .path_search import collect_hops
 
-GROUP_ENGINES_MAX = 48
-"""Most engines of a group, if a data centre's engines can be divided: a search takes
+SUBSET_ENGINES_MAX = 48
+"""Most engines of a subset, if a data centre's engines can be divided: a search takes
 a tenth of a millisecond, and each layer still has several engines to choose from."""
 
 
 class Segment(t.NamedTuple):
-    """Layers that the same engines of a group hold: ``covering`` has their indexes."""
+    """Layers that the same engines of a subset hold: ``covering`` has their indexes."""
 
     first: int
     layers: int
@@ -31,7 +31,7 @@
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
-class EngineGroup:
+class EngineSubset:
     """Engines of one data centre that together hold all layers of a model."""
 
     data_centre: str
@@ -39,25 +39,25 @@
     segments: tuple[Segment, ...]
 
 
-def group_engines(
+def divide_engines(
     layers: int, engines: t.Iterable[RatedEngine], rng: random.Random
-) -> dict[str, list[EngineGroup]]:
-    """Return the groups of each data centre whose engines hold all layers.
+) -> dict[str, list[EngineSubset]]:
+    """Return the subsets of each data centre whose engines hold all layers.
 
     :param layers: number of layers of the model.
     """
     by_centre: dict[str, list[RatedEngine]] = {}
     for engine in engines:
         by_centre.setdefault(engine.replica.data_centre, []).append(engine)
-    groups_by_centre = {}
+    subsets_by_centre = {}
     for centre, members in by_centre.items():
         rng.shuffle(members)
-        groups = []
+        subsets = []
         for part in _divide(layers, members):
-            groups.append(_make_group(layers, centre, part))
-        if groups:
-            groups_by_centre[centre] = groups
-    return groups_by_centre
+            subsets.append(_make_subset(layers, centre, part))
+        if subsets:
+            subsets_by_centre[centre] = subsets
+    return subsets_by_centre
 
 
 def _held_layers(engine: RatedEngine, layers: int) -> tuple[int, int]:
@@ -73,7 +73,7 @@
     """
     unused = list(engines)
     parts: list[list[RatedEngine]] = []
-    for _ in range(1 + (len(engines) - 1) // GROUP_ENGINES_MAX):
+    for _ in range(1 + (len(engines) - 1) // SUBSET_ENGINES_MAX):
         chain = _find_chain(layers, unused, engines)
         if chain is None:
             return []
@@ -112,8 +112,8 @@
     return best
 
 
-def _make_group(layers: int, centre: str, engines: list[RatedEngine]) -> EngineGroup:
-    """Return a group of engines that together hold all layers."""
+def _make_subset(layers: int, centre: str, engines: list[RatedEngine]) -> EngineSubset:
+    """Return a subset of engines that together hold all layers."""
     ranges = [_held_layers(engine, layers) for engine in engines]
     bounds = {0, layers}
     for held in ranges:
@@ -126,22 +126,22 @@
             if held[0] <= first and last <= held[1]:
                 covering.append(index)
         segments.append(Segment(first, last - first, tuple(covering)))
-    return EngineGroup(centre, tuple(engines), tuple(segments))
+    return EngineSubset(centre, tuple(engines), tuple(segments))
 
 
-def cheapest_in_group(
-    group: EngineGroup, costs: t.Sequence[EngineCost]
+def cheapest_in_subset(
+    subset: EngineSubset, costs: t.Sequence[EngineCost]
 ) -> tuple[float, Path]:
-    """Return the cheapest pipeline within a group and its cost in seconds.
+    """Return the cheapest pipeline within a subset and its cost in seconds.
 
-    :param costs: of the group's engines, in their order.
+    :param costs: of the subset's engines, in their order.
     """
     # The cheapest chain up to the segment, and for each engine that which ends on it.
     cost: float = 0.0
     run: Run | None = None
     cost_by_index = [float("inf")] * len(costs)
     run_by_index: list[Run | None] = [None] * len(costs)
-    for first, layers, covering in group.segments:
+    for first, layers, covering in subset.segments:
         best_cost, best_index = float("inf"), 0
         for index in covering:
             layer_s, hop_s, head_s = costs[index]
@@ -149,11 +149,11 @@
             reached = cost_by_index[index]
             if entered < reached:
                 reached = entered
-                run_by_index[index] = Run(group.engines[index].replica, first, run)
+                run_by_index[index] = Run(subset.engines[index].replica, first, run)
             reached += layer_s * layers
             cost_by_index[index] = reached
             if reached < best_cost:
                 best_cost, best_index = reached, index
         cost, run = best_cost, run_by_index[best_index]
-    last = group.segments[-1].first + group.segments[-1].layers
+    last = subset.segments[-1].first + subset.segments[-1].layers
     return cost, collect_hops(run, last)
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -2,7 +2,7 @@
 
 An engine costs the seconds that it adds to the request, plus penalties for KV
 memory that is nearly full. A request compares the cheapest chain of engines in its
-own data centre with that in another one, drawn at random (:mod:`.engine_groups`).
+own data centre with that in another one, drawn at random (:mod:`.engine_subsets`).
 Only where no data centre has room for it, :mod:`.path_search` joins engines of
 several. The head of a pipeline is its first engine.
 """
@@ -25,9 +25,9 @@
 from .engine_costs import kv_capacity
 from .engine_costs import rate_engine
 from .engine_costs import request_costs
-from .engine_groups import EngineGroup
-from .engine_groups import cheapest_in_group
-from .engine_groups import group_engines
+from .engine_subsets import EngineSubset
+from .engine_subsets import cheapest_in_subset
+from .engine_subsets import divide_engines
 from .path_search import REMOTE_START_COST_S
 from .path_search import Candidate
 from .path_search import Entry
@@ -62,15 +62,15 @@
 
 
 class _Fleet(t.NamedTuple):
-    """The engines of a service that hold layers, and their groups.
+    """The engines of a service that hold layers, and their subsets.
 
-    ``model`` and ``replicas``: those that were grouped, the same objects.
+    ``model`` and ``replicas``: those that were divided, the same objects.
     """
 
     model: ModelSpec
     replicas: t.Sequence[Replica]
     engines: list[RatedEngine]
-    groups_by_centre: dict[str, list[EngineGroup]]
+    subsets_by_centre: dict[str, list[EngineSubset]]
 
 
 @functools.cache
@@ -276,7 +276,7 @@
         :param avoid: engines that cost more because an earlier attempt used them.
         :param stalled_heads: engines that are used only where no others remain.
         """
-        fleet = self._group(model, replicas)
+        fleet = self._divide(model, replicas)
         demand = Demand(prompt, answer, now, avoid, stalled_heads)
         best_cost, best = self._choose_within_centre(fleet, demand)
         if best is not None:
@@ -288,8 +288,8 @@
         entry = Entry(0, self._data_centre, link_s=link_s)
         return cheapest_path(model, engines, entry, prompt, answer)
 
-    def _group(self, model: ModelSpec, replicas: t.Sequence[Replica]) -> _Fleet:
-        """Return the groups of the engines, made anew when an engine has changed."""
+    def _divide(self, model: ModelSpec, replicas: t.Sequence[Replica]) -> _Fleet:
+        """Return the subsets of the engines, made anew when an engine has changed."""
         fleet = self._fleet
         if fleet is None or fleet.replicas is not replicas or fleet.model is not model:
             engines = []
@@ -297,8 +297,8 @@
                 engine = rate_engine(model, replica, self.use(replica))
                 if engine is not None:
                     engines.append(engine)
-            groups_by_centre = group_engines(model.layers, engines, self._rng)
-            fleet = self._fleet = _Fleet(model, replicas, engines, groups_by_centre)
+            subsets_by_centre = divide_engines(model.layers, engines, self._rng)
+            fleet = self._fleet = _Fleet(model, replicas, engines, subsets_by_centre)
         return fleet
 
     def _choose_within_centre(
@@ -308,18 +308,18 @@
 
         More than two data centres are compared only while those have no room.
         """
-        others = [name for name in fleet.groups_by_centre if name != self._data_centre]
+        others = [name for name in fleet.subsets_by_centre if name != self._data_centre]
         self._rng.shuffle(others)
         best_cost, best = float("inf"), None
         for index, centre in enumerate((self._data_centre, *others)):
             if index > 1 and best_cost < NO_ROOM_COST_S:
                 break
-            groups = fleet.groups_by_centre.get(centre)
-            if groups is None:
+            subsets = fleet.subsets_by_centre.get(centre)
+            if subsets is None:
                 continue
-            group = groups[0] if len(groups) == 1 else self._rng.choice(groups)
-            costs = self._costs(fleet.model, group.engines, demand)
-            cost, path = cheapest_in_group(group, costs)
+            subset = subsets[0] if len(subsets) == 1 else self._rng.choice(subsets)
+            costs = self._costs(fleet.model, subset.engines, demand)
+            cost, path = cheapest_in_subset(subset, costs)
             if index:
                 cost += REMOTE_START_COST_S
             if cost < best_cost:
@@ -352,7 +352,7 @@
         :param lost: one of its engines, not the first.
         """
         usable = list(replicas)
-        fleet = self._group(model, replicas)
+        fleet = self._divide(model, replicas)
         demand = Demand(prompt, answer, now, avoid)
         engines = []
         for engine in self._candidates(model, fleet.engines, demand):
--- a/tests/test_engine_groups.py
+++ b/tests/test_engine_subsets.py
@@ -1,7 +1,7 @@
 """A choice of pipeline must not become slower, or worse, as the fleet grows.
 
-It searches groups of engines that each hold the whole model. A layer that is missing
-from a group, or an engine in no group, would refuse requests that there is room for.
+It searches subsets of engines that each hold the whole model. A layer that is missing
+from a subset, or an engine in no subset, would refuse requests that there is room for.
 """
 
 import random
@@ -17,8 +17,8 @@
 from wagtailstair.core.engine_costs import Load
 from wagtailstair.core.engine_costs import engine_key
 from wagtailstair.core.engine_costs import rate_engine
-from wagtailstair.core.engine_groups import GROUP_ENGINES_MAX
-from wagtailstair.core.engine_groups import group_engines
+from wagtailstair.core.engine_subsets import SUBSET_ENGINES_MAX
+from wagtailstair.core.engine_subsets import divide_engines
 from wagtailstair.core.layout import plan_layers
 from wagtailstair.core.path_search import Candidate
 from wagtailstair.core.path_search import Entry
@@ -71,29 +71,29 @@
     return held >= set(range(LAYERS))
 
 
-class TestGroups:
+class TestSubsets:
     @pytest.mark.parametrize("seed", range(10))
     def test_groups_are_small_complete_and_hold_every_engine(self, seed):
         rng = random.Random(seed)
         engines = make_random_fleet(900, 3, rng)
-        groups_by_centre = group_engines(LAYERS, rate_all(engines), rng)
-        for centre, groups in groups_by_centre.items():
-            grouped = set()
-            for group in groups:
-                members = [engine.replica for engine in group.engines]
+        subsets_by_centre = divide_engines(LAYERS, rate_all(engines), rng)
+        for centre, subsets in subsets_by_centre.items():
+            covered = set()
+            for subset in subsets:
+                members = [engine.replica for engine in subset.engines]
                 assert {member.data_centre for member in members} == {centre}
                 assert has_all_layers(members)
-                assert len(members) <= 2 * GROUP_ENGINES_MAX
-                grouped.update(member.name for member in members)
+                assert len(members) <= 2 * SUBSET_ENGINES_MAX
+                covered.update(member.name for member in members)
             own = {e.name for e in engines if e.data_centre == centre}
-            assert grouped == own
+            assert covered == own
 
     def test_a_data_centre_without_a_layer_has_no_group(self):
         engines = [make_engine("x", "a", layers=(0, 40), accelerator="a100")]
         engines.append(make_engine("y", "a", layers=(41, 80), accelerator="a100"))
         engines.append(make_engine("z", "b", layers=(0, 80), accelerator="a100"))
-        groups = group_engines(LAYERS, rate_all(engines), random.Random(1))
-        assert list(groups) == ["b"]
+        subsets = divide_engines(LAYERS, rate_all(engines), random.Random(1))
+        assert list(subsets) == ["b"]
 
     def test_ranges_outside_the_model_are_cut_to_it(self):
         model = make_model()
@@ -131,10 +131,10 @@
         path = pipelines.choose(model, engines, 800, 200, 0.0)
         check(path)
         fleet = pipelines._fleet
-        (group,) = fleet.groups_by_centre["c0"]
-        costs = pipelines._costs(model, group.engines, Demand(800, 200, 0.0))
+        (subset,) = fleet.subsets_by_centre["c0"]
+        costs = pipelines._costs(model, subset.engines, Demand(800, 200, 0.0))
         candidates, cost_by_name = [], {}
-        for engine, cost in zip(group.engines, costs, strict=True):
+        for engine, cost in zip(subset.engines, costs, strict=True):
             candidates.append(Candidate(engine.replica, *cost))
             cost_by_name[engine.replica.name] = cost
         exact = cheapest_path(model, candidates, Entry(0, "c0"), 800, 200)
