Let all lookups of the test of copied answers go to one service

Cause: the log has 'no upstream, sends=0' for the second lookup. The route sends one in ten to a second service, which this test does not start; the upstream and its copy were not involved. Change: the route of the test has one service.

--- a/tests/test_late_answers.py
+++ b/tests/test_late_answers.py
@@ -28,6 +28,9 @@
     config = make_config()
     # A stream that may not run twice.
     config["routes"][0]["can_resume"] = False
+    # All lookups go to one service, so that they share a connection.
+    del config["routes"][2]["split"]
+    config["routes"][2]["service"] = "desk"
     deployment.store.put("op", "config", config)
     return deployment
 
