Log the prompt parts of lost attempts and whether their answers had begun

The logs could not tell whether requests at a lost engine share a part, nor which of them the engine had begun to answer: attempt_lost now has parts (ids without the last, which belongs to one request) and begun, and a counter distinguishes attempts lost before the head, after it and after events.

--- a/src/wagtailstair/core/exchange_headers.py
+++ b/src/wagtailstair/core/exchange_headers.py
@@ -23,7 +23,8 @@
     """Names of the headers that the gateway reads or sets, in lower case.
 
     ``attempt``: identifies one request of a caller; ``path``: the engines of a
-    pipeline; ``not_run``: set by an upstream that refused a request without
+    pipeline; ``prompt_parts``: the parts of a request's prompt, in order;
+    ``not_run``: set by an upstream that refused a request without
     running it; ``faulty_address``: the engine of a path that failed;
     ``signature``: an upstream's authentication code over its answer.
     """
@@ -38,6 +39,7 @@
     token_usage: bytes
     length_hint: bytes
     last_event: bytes
+    prompt_parts: bytes
     signature: bytes
     not_run: bytes
     faulty_address: bytes
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -100,6 +100,10 @@
         """Count an attempt that was sent beside the current one."""
         ...
 
+    def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
+        """Count a stream's attempt that ended without a complete response."""
+        ...
+
     def record_request_end(self, exchange: "Exchange", outcome: str) -> None:
         """Record the end of a request in the metrics and the log."""
         ...
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -160,6 +160,10 @@
         """Count an attempt that was sent beside the current one."""
         self.telemetry.count_successor(reason)
 
+    def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
+        """Count a stream's attempt that ended without a complete response."""
+        self.telemetry.count_attempt_lost(has_begun=has_begun, has_events=has_events)
+
     def record_request_end(self, exchange: Exchange, outcome: str) -> None:
         """Record the end of a request."""
         kind = exchange.grant.route.kind.value
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -68,6 +68,7 @@
         "_finder",
         "_first_answered",
         "_last_id",
+        "_parts",
         "_progress_at",
         "_progress_timer",
         "_successor",
@@ -87,6 +88,9 @@
         )
         self._common_head = heads.forwarded_head(self.request, names)
         self._last_id = self.request.header(names.last_event)
+        self._parts = wire_headers.parse_shared_parts(
+            self.request.header(names.prompt_parts)
+        )
         self._current: Attempt | None = None
         self._successor: Attempt | None = None
         # The attempt whose response head was sent to the caller.
@@ -499,7 +503,12 @@
             reason=reason,
             loss=loss.value,
             events=self.events,
+            begun=attempt.status != 0,
             received=attempt.received,
+            parts=",".join(self._parts),
+        )
+        self.context.count_attempt_lost(
+            has_begun=attempt.status != 0, has_events=self.events > 0
         )
         if loss is ExchangeLoss.NOT_SENT:
             self.runs -= 1
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -66,6 +66,9 @@
         self._successors = counter(
             "successors", "Attempts sent beside the current one, by reason."
         )
+        self._attempts_lost = counter(
+            "attempts_lost", "Attempts of streams that were lost, by progress."
+        )
         self._relay_seconds = histogram(
             "relay", "Requests for a table, from the call to its end."
         )
@@ -119,6 +122,15 @@
         """Count an attempt that was sent beside the current one."""
         self._successors.add({"reason": _reason_label(reason)}, 1)
 
+    def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
+        """Count a stream's attempt that ended without a complete response."""
+        progress = "none"
+        if has_events:
+            progress = "events"
+        elif has_begun:
+            progress = "head"
+        self._attempts_lost.add({"progress": progress}, 1)
+
     def count_sends(self, kind: str, sends: int) -> None:
         """Count the sends of a request."""
         self._sends.add({"kind": kind}, sends)
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -15,6 +15,7 @@
     token_usage=b"x-token-usage",
     length_hint=b"x-length-hint",
     last_event=b"last-event-id",
+    prompt_parts=b"x-prompt-prefix",
     signature=b"x-response-signature",
     not_run=b"x-not-executed",
     faulty_address=b"at-server",
@@ -22,6 +23,12 @@
 
 KEY_SCHEME = b"token "
 
+PARTS_MAX = 32
+"""Parts of a prompt that are read; the others are ignored."""
+
+PART_BYTES_MAX = 64
+"""Bytes of the id of a part; a longer one is ignored."""
+
 
 def parse_api_key(authorization: bytes) -> str | None:
     """Return the API key of an Authorization header, ``None`` if it has none."""
@@ -39,6 +46,20 @@
         return 0, 0
 
 
+def parse_shared_parts(prompt_parts: bytes) -> tuple[str, ...]:
+    """Return the ids of a prompt's parts that other requests may share.
+
+    The last part belongs to the request or its session alone. Ids are compared
+    without regard to case and leading zeros, as they are hexadecimal numbers.
+    """
+    ids = []
+    for entry in prompt_parts.split(b",")[:-1][:PARTS_MAX]:
+        name = entry.partition(b":")[0].strip().lower().lstrip(b"0")
+        if name and len(name) <= PART_BYTES_MAX and name.isalnum():
+            ids.append(name.decode("ascii"))
+    return tuple(ids)
+
+
 def format_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
     """Return the header value of a path.
 
