--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -80,6 +80,21 @@
         for caller in list(self.callers):
             caller.close()
 
+    def end(self) -> None:
+        """End like a process: the kernel closes its connections in order."""
+        self.loop.remove(self.socket.fileno())
+        self.socket.close()
+        callers, self.callers = self.callers, set()
+        for caller in callers:
+            request, caller._active_request = caller._active_request, None
+            if request is not None:
+                request.on_caller_gone()
+            caller._connection.close()
+            caller._on_closed()
+
+    def listen_again(self) -> None:
+        self.socket = listen(self.loop, (IP, self.port), self._on_accept)
+
 
 class Store(Server):
     """The platform's store.
@@ -221,15 +236,26 @@
 
 
 class Engine(Service):
-    """A model engine; the first engine of a path sends the events of the stream."""
+    """A model engine; the first engine of a path sends the events of the stream.
+
+    ``deadly_part``: the part of a prompt under which it ends as it begins to answer;
+    ``ends``: how often it has ended; ``restart_s``: seconds until it is back, empty;
+    ``answer_after_s``: seconds before it begins to answer; ``first_event_s``: seconds
+    from then to the first event.
+    """
 
     events = 12
     pause_s = 0.01
+    deadly_part = ""
+    restart_s = 0.3
+    answer_after_s = 0.0
+    first_event_s = 0.0
 
     def __init__(self, loop: Loop, store: Store, name: str, kind: str) -> None:
         super().__init__(loop, store, name)
         self.row.update(service="engines", kind=kind, layers=None, slots=96)
         self.orders: list[dict[str, t.Any]] = []
+        self.ends = 0
         self.last_ids: list[bytes] = []
         self.cut_after: int | None = None
         self.freeze_after: int | None = None
@@ -262,13 +288,37 @@
         self.runs.append(attempt.decode())
         last = request.header(b"last-event-id")
         self.last_ids.append(last)
+        self.loop.call_later(self.answer_after_s, lambda: self.begin(pending, last))
+
+    def begin(self, pending: PendingRequest, last: bytes) -> None:
+        """Begin the answer, or end under it."""
+        if pending.is_caller_gone:
+            return
+        request = pending.request
+        attempt = request.header(b"x-attempt-id")
         headers = [
             (b"X-Attempt-Id", attempt),
             (b"X-Response-Signature", b"sig-" + self.name.encode()),
             (b"Content-Type", b"text/event-stream"),
         ]
         pending.caller.begin(200, b"OK", headers)
-        self.emit(pending, int(last or 0) + 1)
+        parts = request.header(b"x-prompt-prefix").decode().split(",")[:-1]
+        if self.deadly_part in [part.partition(":")[0] for part in parts]:
+            self.crash()
+            return
+        self.loop.call_later(
+            self.first_event_s, lambda: self.emit(pending, int(last or 0) + 1)
+        )
+
+    def crash(self) -> None:
+        """End, and start again at the same address without layers or memory."""
+        self.ends += 1
+        self.end()
+        self.loop.call_later(self.restart_s, self.restart)
+
+    def restart(self) -> None:
+        self.listen_again()
+        self.write_row(born=self.row["born"] + 1, layers=None)
 
     def emit(self, pending: PendingRequest, number: int) -> None:
         if pending.is_caller_gone:
@@ -425,6 +475,11 @@
         self.loop.run()
         assert condition(), "the condition did not hold in time"
 
+    def run_for(self, seconds: float) -> None:
+        """Run the loop for some time."""
+        until = self.clock.monotonic() + seconds
+        self.run(lambda: self.clock.monotonic() >= until)
+
     def send(self, gateway: Gateway, data: bytes) -> CallerConnection:
         return CallerConnection(self.loop, gateway.settings.host.callers, data)
 
@@ -455,8 +510,10 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def make_stream(attempt: str, **options: t.Any) -> bytes:
-    headers = "X-Token-Usage: 300,80\r\nX-Model: m\r\nX-Prompt-Prefix: ab:300"
+def make_stream(attempt: str, parts: tuple[str, ...] = (), **options: t.Any) -> bytes:
+    """Return a request for a stream; the last part of its prompt is its own."""
+    prefix = ",".join(f"{part}:100" for part in (*parts, f"e{attempt}"))
+    headers = f"X-Token-Usage: 300,80\r\nX-Model: m\r\nX-Prompt-Prefix: {prefix}"
     return make_request(
         "/draft/1", attempt, method="POST", body=b"p" * 300, headers=headers, **options
     )
