Quarantine parts of prompts under which engines crash

Callers saw 503 and 502 for half of all requests while engines stood empty: a crash was charged to the engines of a path and never to what the request holds, and as an engine that has ended doesn't count towards a route's attempts, one such request could end up to eight.

A request whose answer had begun when its engine closed the connection is sent again only if its shared parts are known to be sound. Parts that were at two crashes without an answer in between are refused by all hosts, which exchange suspects and what clears them; requests on their way are cancelled.

--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -18,6 +18,7 @@
 from .membership import Heartbeat
 from .membership import View
 from .membership import ViewRequest
+from .quarantine import CrashSuspects
 
 ERA_SHIFT = 40  # number of bits of a handle below its era
 
@@ -241,6 +242,7 @@
     EngineUses,
     ReportRequest,
     EngineLost,
+    CrashSuspects,
     Numbered,
     Ack,
 ]
--- a/src/wagtailstair/core/request_trace.py
+++ b/src/wagtailstair/core/request_trace.py
@@ -10,6 +10,8 @@
         "upstream_changed",
         "upstream_gone",
         "engine_suspected",
+        "engine_crashed",
+        "part_quarantined",
         "store_lost",
         "store_regained",
         "table_relayed",
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -54,6 +54,7 @@
     have; ``abandoned_engines``: engines that the stream was asked to move off;
     ``progress_at``, ``progress_id``: time and id of the newest event with an id;
     ``received``: bytes received on a connection that was lost;
+    ``is_closed_by_upstream``: whether the engine has closed or reset that connection;
     ``is_promoted``: whether it was the successor of an earlier attempt.
     """
 
@@ -62,6 +63,7 @@
         "abandoned_engines",
         "connection",
         "headers",
+        "is_closed_by_upstream",
         "is_promoted",
         "outcome",
         "owner",
@@ -93,6 +95,7 @@
         self.outcome = AttemptOutcome.BROKEN
         self.is_promoted = False
         self.received = 0
+        self.is_closed_by_upstream = False
         self._failure_bytes = 0
         self.abandoned_engines: set[tuple[str, int]] = set()
 
@@ -147,5 +150,6 @@
         """Report a lost attempt to the owner."""
         if self.connection is not None:
             self.received = self.connection.received
+            self.is_closed_by_upstream = self.connection.is_closed_by_upstream
         self.connection = None
         self.owner.on_attempt_lost(self, loss, reason)
--- a/src/wagtailstair/gateway/engine_report.py
+++ b/src/wagtailstair/gateway/engine_report.py
@@ -24,10 +24,12 @@
     replica: Replica,
     on_report: t.Callable[[engine_wire.Report], None],
     on_no_answer: t.Callable[[str], None] = lambda _reason: None,
+    on_unreadable: t.Callable[[], None] = lambda: None,
 ) -> None:
     """Request an engine's report; an unreadable one is logged and dropped.
 
     :param on_no_answer: called with the reason if the engine does not respond.
+    :param on_unreadable: called if it responds with anything else.
     """
 
     def on_answer(answer: Answer) -> None:
@@ -40,6 +42,7 @@
             report = engine_wire.decode_report(answer.body)
         except UpstreamError as error:
             log_event("report_unreadable", level="WARNING", reason=error)
+            on_unreadable()
             return
         on_report(report)
 
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -13,6 +13,7 @@
 from ..core.upstream_balancer import UpstreamBalancer
 from ..logs import log_event
 from .caller import Caller
+from .crash_reports import CrashReports
 from .heads import find_header
 from .loop import Loop
 from .loop import Timer
@@ -74,6 +75,7 @@
     replicas: ReplicaSet
     services: UpstreamBalancer
     resend_budget: ResendBudget
+    crash_reports: CrashReports
     names: HeaderNames
 
     def host_count(self) -> int:
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -15,6 +15,7 @@
 from ..core.messages import EngineUses
 from ..core.pipelines import LoadSource
 from ..core.pipelines import Pipelines
+from ..core.quarantine import CrashSuspects
 from ..core.replicas import Replica
 from ..core.resend_budget import ResendBudget
 from ..core.upstream_balancer import UpstreamBalancer
@@ -29,6 +30,7 @@
 from .caller import ActiveRequest
 from .caller import Caller
 from .connection import listen
+from .crash_reports import CrashReports
 from .exchange import Exchange
 from .loop import Loop
 from .peers import Peers
@@ -100,6 +102,13 @@
         self.peers = Peers(
             self.loop, self.pool, store, self._own_host(), self, self._rng
         )
+        self.crash_reports = CrashReports(
+            self.loop,
+            self.pool,
+            self.telemetry.count_engine_crash,
+            self._end_quarantined_streams,
+            self.peers.broadcast_suspects,
+        )
         self.services = UpstreamBalancer(self.replicas, centre, self._rng)
         retries = settings.retries
         self.resend_budget = ResendBudget(
@@ -220,6 +229,18 @@
             replica, replica.service, f"suspected by {host.name}"
         )
 
+    def crash_suspects(self) -> CrashSuspects | None:
+        """Return what the other hosts should know of crashes, ``None`` for nothing."""
+        return self.crash_reports.message()
+
+    def on_crash_suspects(self, message: CrashSuspects) -> CrashSuspects | None:
+        """Apply what a peer knows of crashes; return a reply, if there is one."""
+        return self.crash_reports.on_message(message)
+
+    def _end_quarantined_streams(self) -> None:
+        for stream in self.streams():
+            stream.end_quarantined()
+
     def on_newer_lists(self, host: Host, version: int) -> None:
         """Handle a heartbeat of a peer that has newer lists."""
         self.table_sync.on_newer_lists(host, version)
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -18,6 +18,7 @@
 from ..core.messages import EngineLost
 from ..core.messages import EngineUses
 from ..core.messages import Message
+from ..core.quarantine import CrashSuspects
 from ..exceptions import PeerError
 from ..logs import log_event
 from ..peers.codec import DATAGRAM_BYTES_MAX
@@ -65,6 +66,12 @@
 """Maximum datagrams read at once, so that other sockets and timers are not delayed."""
 
 
+SUSPECTS_INTERVAL_S = 1.0
+SUSPECTS_PEERS = 2
+"""Hosts to which the suspects of crashes are sent in each such interval, as long as
+there are any: a host that has missed them learns them within a few seconds."""
+
+
 class PeerEvents(t.Protocol):
     """The gateway's state that is sent to peers, and callbacks for their messages."""
 
@@ -100,6 +107,14 @@
         """Drop the load reported by a peer or data centre that is gone."""
         ...
 
+    def crash_suspects(self) -> CrashSuspects | None:
+        """Return what the other hosts should know of crashes, ``None`` for nothing."""
+        ...
+
+    def on_crash_suspects(self, message: CrashSuspects) -> CrashSuspects | None:
+        """Apply what a peer knows of crashes; return a reply, if there is one."""
+        ...
+
     def on_newer_lists(self, host: Host, version: int) -> None:
         """Handle a heartbeat of a peer that has newer lists."""
         ...
@@ -128,6 +143,8 @@
         self._loop = loop
         self._host = host
         self._events = events
+        self._rng = rng
+        self._suspects_sent_at = float("-inf")
         self._registry = HostRegistry(
             loop,
             pool,
@@ -219,6 +236,22 @@
         hosts = self.membership.live_local_hosts()
         self._send_all([host.peer_address for host in hosts], (lost,))
 
+    def broadcast_suspects(self, message: CrashSuspects) -> None:
+        """Send the suspects of crashes to all live hosts."""
+        self._send_all([host.peer_address for host in self.live_hosts()], (message,))
+
+    def _repeat_suspects(self, now: float) -> None:
+        """Send the suspects of crashes to some hosts, in case they have missed them."""
+        if now - self._suspects_sent_at < SUSPECTS_INTERVAL_S:
+            return
+        self._suspects_sent_at = now
+        message = self._events.crash_suspects()
+        if message is None:
+            return
+        hosts = self.live_hosts()
+        chosen = self._rng.sample(hosts, min(SUSPECTS_PEERS, len(hosts)))
+        self._send_all([host.peer_address for host in chosen], (message,))
+
     def _on_hosts(self, hosts: list[Host]) -> None:
         """Send a heartbeat to the hosts that the host rows name."""
         self.membership.apply_host_list(hosts, self._loop.now)
@@ -252,6 +285,7 @@
             self._send_all(remote, (self._heartbeat(), uses))
         self._send_all(self.membership.view_request_addresses(now), (ViewRequest(),))
         self._expire_centres(now)
+        self._repeat_suspects(now)
 
     def _update_delegate(self) -> bool:
         """Log a change of this host's role; return whether it is a delegate."""
@@ -331,6 +365,11 @@
             host = self.membership.find(sender)
             if host is not None:
                 self._events.on_engine_lost(host, message)
+        elif isinstance(message, CrashSuspects):
+            host = self.membership.find(sender)
+            reply = self._events.on_crash_suspects(message)
+            if host is not None and reply is not None:
+                self._send(host.peer_address, (reply,))
         elif isinstance(message, View):
             self._handle_events(self.membership.receive_view(sender, message, now))
         elif isinstance(message, ViewRequest):
@@ -345,6 +384,9 @@
         self._handle_events(self.membership.receive_heartbeat(message, now))
         if is_new:
             self._send(host.peer_address, (self._heartbeat(),))
+            suspects = self._events.crash_suspects()
+            if suspects is not None:
+                self._send(host.peer_address, (suspects,))
         if message.lists_version > self._events.lists_version():
             self._events.on_newer_lists(host, message.lists_version)
         if message.upstreams_version > self._events.upstreams_version():
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -8,6 +8,7 @@
 from ..core.events import events_after
 from ..core.pipelines import Path
 from ..core.pipelines import crossed_links
+from ..core.quarantine import PartKey
 from ..core.replicas import Replica
 from ..platform import engines as engine_wire
 from ..platform import headers as wire_headers
@@ -88,9 +89,10 @@
         )
         self._common_head = heads.forwarded_head(self.request, names)
         self._last_id = self.request.header(names.last_event)
-        self._parts = wire_headers.parse_shared_parts(
-            self.request.header(names.prompt_parts)
-        )
+        self._parts: list[PartKey] = []
+        prompt_parts = self.request.header(names.prompt_parts)
+        for part in wire_headers.parse_shared_parts(prompt_parts):
+            self._parts.append(PartKey(self.service.name, part))
         self._current: Attempt | None = None
         self._successor: Attempt | None = None
         # The attempt whose response head was sent to the caller.
@@ -135,6 +137,9 @@
 
     def _start(self, reason: str) -> None:
         """Send the request on the best path, or queue it for room."""
+        if self.is_quarantined():
+            self.refuse("quarantined")
+            return
         path = self._finder.choose()
         if path is None:
             self._retry_later_or_refuse(reason)
@@ -169,8 +174,30 @@
         """Refuse the request, which has not been sent."""
         self.refuse(reason)
 
+    def is_quarantined(self) -> bool:
+        """Return whether a part of the prompt is in quarantine.
+
+        That of a stream which has begun is sound.
+        """
+        return not self.events and self._quarantine_s() > 0
+
+    def end_quarantined(self) -> None:
+        """End the request if a part of its prompt has come into quarantine."""
+        if self.is_finished or not self.is_quarantined():
+            return
+        # An engine that has the request may have begun it.
+        self.may_have_run |= self.sends > 0
+        self.refuse("quarantined")
+
+    def _quarantine_s(self) -> float:
+        quarantine = self.context.crash_reports.quarantine
+        return quarantine.remaining_s(self._parts, self.context.loop.now)
+
     def return_s(self) -> float:
         """Return after how many seconds the caller of a refused request may retry."""
+        quarantine_s = self._quarantine_s()
+        if quarantine_s:
+            return quarantine_s
         queue = self.context.waiting_streams().queue
         return queue.return_s(self.context.loop.now, self.remaining_s)
 
@@ -451,6 +478,8 @@
         if has_progress:
             self._progress_at = attempt.progress_at
         self._last_id = last_id
+        if not self.events and self._parts:
+            self.context.crash_reports.record_answer(self._parts)
         self.events += 1
         if self._first_answered is None:
             self._first_answered = attempt
@@ -505,7 +534,7 @@
             events=self.events,
             begun=attempt.status != 0,
             received=attempt.received,
-            parts=",".join(self._parts),
+            parts=",".join(key.part for key in self._parts),
         )
         self.context.count_attempt_lost(
             has_begun=attempt.status != 0, has_events=self.events > 0
@@ -515,8 +544,21 @@
         else:
             self.may_have_run = True
             self.lost_on.append(first.identity)
+            if attempt.is_closed_by_upstream and not self.events:
+                has_begun = attempt.status != 0
+                self.context.crash_reports.report_loss(
+                    first, self._parts, has_begun=has_begun
+                )
+                if has_begun and self._has_unproven_parts():
+                    # It may have crashed the engine, and would crash the next one.
+                    self.fail(BAD_GATEWAY, reason)
+                    return
         self._handle_failure(attempt, first, reason)
 
+    def _has_unproven_parts(self) -> bool:
+        quarantine = self.context.crash_reports.quarantine
+        return bool(quarantine.unproven(self._parts, self.context.loop.now))
+
     def _handle_failure(
         self, attempt: Attempt, faulty: Replica | None, reason: str
     ) -> None:
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -69,6 +69,12 @@
         self._attempts_lost = counter(
             "attempts_lost", "Attempts of streams that were lost, by progress."
         )
+        self._engine_crashes = counter(
+            "engine_crashes", "Engines that crashed under requests without an event."
+        )
+        self._parts_quarantined = gauge(
+            "parts_quarantined", "Parts of prompts in quarantine."
+        )
         self._relay_seconds = histogram(
             "relay", "Requests for a table, from the call to its end."
         )
@@ -131,6 +137,10 @@
             progress = "head"
         self._attempts_lost.add({"progress": progress}, 1)
 
+    def count_engine_crash(self) -> None:
+        """Count an engine that crashed under requests without an event."""
+        self._engine_crashes.add({}, 1)
+
     def count_sends(self, kind: str, sends: int) -> None:
         """Count the sends of a request."""
         self._sends.add({"kind": kind}, sends)
@@ -147,6 +157,8 @@
         self._streams_stalled.set({}, sum(s.is_stalled(now) for s in streams))
         self._peers_live.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
+        quarantine = gateway.crash_reports.quarantine
+        self._parts_quarantined.set({}, len(quarantine.quarantined(now)))
         self._store_unreachable.set({}, int(gateway.table_sync.is_store_unreachable))
         if gateway.lists_version():
             self._lists_version.set({}, gateway.lists_version())
--- a/src/wagtailstair/gateway/upstream_pool.py
+++ b/src/wagtailstair/gateway/upstream_pool.py
@@ -1,6 +1,7 @@
 """HTTP exchanges with upstreams over a pool of keep-alive connections."""
 
 import enum
+import errno
 import typing as t
 
 import httptools
@@ -81,7 +82,8 @@
     """A connection to an upstream and the parser of its responses.
 
     ``received``: bytes received since the request was sent; ``is_reused``: whether it
-    has carried an earlier exchange, of which bytes may still arrive.
+    has carried an earlier exchange, of which bytes may still arrive;
+    ``is_closed_by_upstream``: whether the upstream has closed or reset it.
     """
 
     __slots__ = (
@@ -99,6 +101,7 @@
         "connection",
         "idle_s",
         "idle_since",
+        "is_closed_by_upstream",
         "is_reusable",
         "is_reused",
         "observer",
@@ -113,6 +116,7 @@
         self.observer: Observer | None = None
         self.is_reusable = True
         self.is_reused = False
+        self.is_closed_by_upstream = False
         self.idle_s = IDLE_TIMEOUT_S
         self.idle_since = 0.0
         self._connect_timer: Timer | None = None
@@ -254,6 +258,7 @@
         self._fail(ExchangeLoss.NOT_SENT, "connect timeout")
 
     def _on_lost(self, error: OSError) -> None:
+        self.is_closed_by_upstream = error.errno == errno.ECONNRESET
         loss = (
             ExchangeLoss.NOT_SENT
             if self._connect_timer is not None
@@ -302,6 +307,7 @@
             self._complete()
             self._close()
             return
+        self.is_closed_by_upstream = True
         self._fail(ExchangeLoss.UNKNOWN, "closed")
 
     def _fail(self, loss: ExchangeLoss, reason: str) -> None:
--- a/src/wagtailstair/peers/message_records.py
+++ b/src/wagtailstair/peers/message_records.py
@@ -27,6 +27,7 @@
 from ..core.messages import Settle
 from ..core.messages import Submit
 from ..core.messages import Withdraw
+from ..core.quarantine import CrashSuspects
 from . import records
 from .records import Fields
 from .records import Record
@@ -153,6 +154,7 @@
     EngineUses: ("engineUses", records.write_uses),
     ReportRequest: ("reportRequest", lambda message: message.name),
     EngineLost: ("engineLost", _write_lost),
+    CrashSuspects: ("crashSuspects", records.write_suspects),
     Numbered: ("numbered", _write_numbered),
     Ack: ("ack", lambda message: list(message.numbers)),
 }
@@ -259,6 +261,7 @@
     "engineLoad": records.read_load,
     "engineUses": records.read_uses,
     "reportRequest": ReportRequest,
+    "crashSuspects": records.read_suspects,
     "engineLost": lambda record: EngineLost(record.name, record.incarnation),
     "numbered": _read_numbered,
     "ack": lambda record: Ack(tuple(record)),
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -26,6 +26,7 @@
     engineLoad @13 :EngineLoad;
     reportRequest @14 :Text;
     engineUses @15 :EngineUses;
+    crashSuspects @16 :CrashSuspects;
   }
 }
 
@@ -164,6 +165,24 @@
   heads @5 :List(UInt16);
 }
 
+struct CrashSuspects {
+  suspects @0 :List(SuspectPart);
+  sound @1 :List(Part);
+}
+
+struct Part {
+  service @0 :Text;
+  part @1 :Text;
+}
+
+struct SuspectPart {
+  service @0 :Text;
+  part @1 :Text;
+  engines @2 :List(UInt32);
+  weights @3 :List(UInt8);
+  ageMs @4 :UInt32;
+}
+
 struct EngineLost {
   name @0 :Text;
   incarnation @1 :Text;
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -18,6 +18,10 @@
 from ..core.messages import EngineReport
 from ..core.messages import EngineUses
 from ..core.messages import PoolKey
+from ..core.quarantine import PARTS_PER_MESSAGE
+from ..core.quarantine import CrashSuspects
+from ..core.quarantine import PartKey
+from ..core.quarantine import SuspectPart
 
 Record = t.Any  # a reader or a builder of pycapnp, which has no types
 Fields = dict[str, t.Any]
@@ -261,6 +265,40 @@
     return EngineUses(record.source, record.isCentre, keys, running, heads, held)
 
 
+def write_suspects(message: CrashSuspects) -> Fields:
+    """Return the fields of what a host knows of crashes."""
+    suspects, sound = [], []
+    for suspect in message.suspects[:PARTS_PER_MESSAGE]:
+        suspects.append(
+            {
+                "service": suspect.key.service,
+                "part": suspect.key.part,
+                "engines": list(suspect.engines),
+                "weights": list(suspect.weights),
+                "ageMs": _milliseconds(suspect.age_s),
+            }
+        )
+    for key in message.sound[:PARTS_PER_MESSAGE]:
+        sound.append({"service": key.service, "part": key.part})
+    return {"suspects": suspects, "sound": sound}
+
+
+def read_suspects(record: Record) -> CrashSuspects:
+    """Return what a host knows of crashes.
+
+    :raises ValueError: if the columns of a suspect differ in length.
+    """
+    suspects = []
+    for suspect in record.suspects:
+        engines, weights = tuple(suspect.engines), tuple(suspect.weights)
+        if len(engines) != len(weights):
+            raise ValueError("expected columns of the same length")
+        key = PartKey(suspect.service, suspect.part)
+        suspects.append(SuspectPart(key, engines, weights, suspect.ageMs / MS_PER_S))
+    sound = tuple(PartKey(part.service, part.part) for part in record.sound)
+    return CrashSuspects(tuple(suspects), sound)
+
+
 def read_report(record: Record) -> EngineReport:
     """Return a load report; the receiver derives its time from its age."""
     state = EngineState(
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -35,6 +35,9 @@
 from wagtailstair.core.messages import Settle
 from wagtailstair.core.messages import Submit
 from wagtailstair.core.messages import Withdraw
+from wagtailstair.core.quarantine import CrashSuspects
+from wagtailstair.core.quarantine import PartKey
+from wagtailstair.core.quarantine import SuspectPart
 from wagtailstair.exceptions import PeerError
 from wagtailstair.peers.codec import DATAGRAM_BYTES_MAX
 from wagtailstair.peers.codec import HEADER_BYTES
@@ -117,6 +120,11 @@
     EngineLoad("e1", 0xFFFFFFFF, 3, 1, 4096, 0.03125, 0.25),
     EngineUses("entry-1", False, (0xFFFFFFFF, 2), (3, 1), (0, 1), (0xFFFFFFFF, 9)),
     EngineUses("gt-a", True, (), (), (), ()),
+    CrashSuspects(
+        (SuspectPart(PartKey("engines", "dead"), (0xFFFFFFFF, 2), (2, 1), 600.5),),
+        (PartKey("engines", "p1"), PartKey("others", "p2")),
+    ),
+    CrashSuspects(),
     ReportRequest("e1"),
     EngineLost("e1", "i1"),
     *(Numbered(number, body) for number, body in enumerate(BODIES)),
