Take streams that end inside an event for broken off

Callers got a 200 that looked complete with half of an event at its end: an answer with neither a length nor chunks ends with its connection, and whatever was left of an event was sent on as its end, as it was after the last chunk. A stream that ends inside an event, and one without a length that ends before its first, now goes on at another engine or is cut visibly.

--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -5,6 +5,7 @@
 from ..core.events import EVENT_BYTES_MAX
 from ..core.events import EventSplitter
 from ..core.pipelines import Path
+from . import heads
 from .exchange import FAILURE_BYTES_MAX
 from .exchange import AttemptOutcome
 from .exchange import failure_excess
@@ -107,6 +108,14 @@
         """Return whether a path includes an engine that the stream is to leave."""
         return any(hop.replica.identity in self.abandoned_engines for hop in path)
 
+    def ends_early(self) -> bool:
+        """Return whether a response that has ended is a stream that was broken off."""
+        if self.status >= 300 or not heads.is_event_stream(self.headers):
+            return False
+        if self.splitter.held.strip():
+            return True
+        return not self.splitter.count and heads.ends_with_connection(self.headers)
+
     def cancel(self) -> None:
         """Close the connection, which stops the engine."""
         connection, self.connection = self.connection, None
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -58,6 +58,18 @@
     return [header for header in headers if header[0].lower() not in dropped]
 
 
+def is_event_stream(headers: t.Iterable[Header]) -> bool:
+    """Return whether a body is a series of events, unless another type is named."""
+    kind = find_header(headers, b"content-type")
+    return kind is None or kind.strip().lower().startswith(b"text/event-stream")
+
+
+def ends_with_connection(headers: t.Iterable[Header]) -> bool:
+    """Return whether a body has neither a length nor chunks."""
+    names = {name.lower() for name, _ in headers}
+    return names.isdisjoint((b"content-length", b"transfer-encoding"))
+
+
 def find_header(headers: t.Iterable[Header], name: bytes) -> bytes | None:
     """Return the first value of a header, by its name in lower case."""
     for key, value in headers:
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -499,6 +499,9 @@
         """Handle the end of a complete response."""
         if self.is_finished:
             return
+        if attempt.outcome is AttemptOutcome.SERVED and attempt.ends_early():
+            self.on_attempt_lost(attempt, ExchangeLoss.UNKNOWN, "inside an event")
+            return
         if attempt.outcome is AttemptOutcome.SERVED:
             self._deliver(attempt)
             return
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -250,6 +250,10 @@
     restart_s = 0.3
     answer_after_s = 0.0
     first_event_s = 0.0
+    # Answers have neither a length nor chunks and end with the connection.
+    is_unframed = False
+    # A cut stream ends like a whole one, not with a reset.
+    cuts_in_order = False
 
     def __init__(self, loop: Loop, store: Store, name: str, kind: str) -> None:
         super().__init__(loop, store, name)
@@ -301,7 +305,11 @@
             (b"X-Response-Signature", b"sig-" + self.name.encode()),
             (b"Content-Type", b"text/event-stream"),
         ]
-        pending.caller.begin(200, b"OK", headers)
+        if self.is_unframed:
+            lines = [b"HTTP/1.1 200 OK", *(b": ".join(header) for header in headers)]
+            pending.caller._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
+        else:
+            pending.caller.begin(200, b"OK", headers)
         parts = request.header(b"x-prompt-prefix").decode().split(",")[:-1]
         if self.deadly_part in [part.partition(":")[0] for part in parts]:
             self.crash()
@@ -320,22 +328,37 @@
         self.listen_again()
         self.write_row(born=self.row["born"] + 1, layers=None)
 
+    def write(self, pending: PendingRequest, data: bytes) -> None:
+        if self.is_unframed:
+            pending.caller._connection.write(data)
+            return
+        pending.caller.send(data)
+
+    def end_stream(self, pending: PendingRequest, *, is_cut: bool) -> None:
+        if is_cut and not self.cuts_in_order:
+            pending.caller.abort_answer()
+            return
+        if self.is_unframed:
+            pending.caller._close_gracefully()
+            return
+        pending.caller.end()
+
     def emit(self, pending: PendingRequest, number: int) -> None:
         if pending.is_caller_gone:
             return
         if self.freeze_after is not None and number > self.freeze_after:
             if self.drip:
-                pending.caller.send(self.drip)
+                self.write(pending, self.drip)
                 self.loop.call_later(0.1, lambda: self.emit(pending, number))
             return
         if self.cut_after is not None and number > self.cut_after:
-            pending.caller.send(b"id: %d\nda" % number)
-            pending.caller.abort_answer()
+            self.write(pending, b"id: %d\nda" % number)
+            self.end_stream(pending, is_cut=True)
             return
         if number > self.events:
-            pending.caller.end()
+            self.end_stream(pending, is_cut=False)
             return
-        pending.caller.send(b"id: %d\ndata: event %d\n\n" % (number, number))
+        self.write(pending, b"id: %d\ndata: event %d\n\n" % (number, number))
         self.loop.call_later(self.pause_s, lambda: self.emit(pending, number + 1))
 
 
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -58,6 +58,71 @@
         assert not answered.is_complete
 
 
+class TestUnframedStreams:
+    """A stream may have neither a length nor chunks and end with its connection."""
+
+    @pytest.fixture(autouse=True)
+    def unframed(self, engines):
+        for engine in engines:
+            engine.is_unframed = True
+
+    def test_whole_stream_is_complete(self, deployment, engines, host):
+        answered = deployment.send_and_wait(host, make_stream("a1"))
+        assert answered.is_complete
+        assert answered.body == EVENTS
+
+    def test_stream_without_an_event_goes_on_elsewhere(self, deployment, engines, host):
+        # An engine that ends closes its connections like one that has finished.
+        for engine in engines:
+            engine.events, engine.answer_after_s = 0, 0.05
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: any(engine.runs for engine in engines))
+        for engine in engines:
+            if not engine.runs:
+                engine.events = 12
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert answered.body == EVENTS
+
+    def test_reset_stream_goes_on_elsewhere(self, deployment, engines, host):
+        engines[0].cut_after = engines[1].cut_after = 4
+        for number in range(6):
+            answered = deployment.send_and_wait(host, make_stream(f"a{number}"))
+            assert answered.body == EVENTS
+
+
+class TestStreamsThatEndInsideAnEvent:
+    """Such a stream is broken off, however its connection ends."""
+
+    @pytest.fixture(autouse=True, params=[True, False], ids=["unframed", "chunked"])
+    def cut_in_order(self, engines, request):
+        for engine in engines:
+            engine.is_unframed = request.param
+            engine.cuts_in_order = True
+
+    @pytest.mark.parametrize("events", [0, 4])
+    def test_stream_goes_on_elsewhere(self, deployment, engines, host, events):
+        for engine in engines:
+            engine.cut_after, engine.answer_after_s = events, 0.05
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: any(engine.runs for engine in engines))
+        for engine in engines:
+            if not engine.runs:
+                engine.cut_after = None
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert answered.is_complete
+        assert answered.body == EVENTS
+
+    def test_stream_that_does_not_go_on_looks_incomplete(
+        self, deployment, engines, host
+    ):
+        for engine in engines:
+            engine.cut_after = 4
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert answered.is_closed
+        assert not answered.is_complete
+
+
 class TestSlowStreams:
     def test_slow_stream_is_delivered_whole(self, deployment, engines, host):
         # Longer than the pause after which another engine is asked as well.
