Log the limits of requests that upstreams name in their answers

The logs could not tell whether an upstream had named a limit: the header is decoded in platform/ for each answer of an upstream, and a change is logged as upstream_limited. Nothing else changes.

--- /dev/null
+++ b/src/wagtailstair/core/upstream_notices.py
@@ -0,0 +1,14 @@
+"""What upstreams say about themselves in their answers."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UpstreamNotice:
+    """What the head of one answer says about the upstream that sent it.
+
+    ``rate_limit``: requests a second that it takes from all hosts together, ``None``
+    for no limit.
+    """
+
+    rate_limit: float | None = None
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -36,6 +36,7 @@
 from .peers import Peers
 from .placer import Placer
 from .plain_exchange import PlainExchange
+from .requests import Header
 from .requests import Request
 from .settings import GatewaySettings
 from .settings import parse_address
@@ -82,7 +83,8 @@
         self.settings = settings
         self.loop = Loop(clock) if loop is None else loop
         self.names = wire_headers.HEADER_NAMES
-        self.pool = UpstreamPool(self.loop)
+        self.pool = UpstreamPool(self.loop, self._on_upstream_head)
+        self._limit_by_identity: dict[tuple[str, int], float | None] = {}
         self.telemetry = Telemetry(settings.host.name)
         self._rng = random.Random()
         centre = settings.host.data_centre
@@ -186,6 +188,18 @@
         fields = {"outcome": outcome, "sends": exchange.sends, "took": took_s}
         exchange.log("request_ended", level="INFO", **fields, **exchange.end_fields())
 
+    def _on_upstream_head(
+        self, upstream: Upstream, status: int, headers: list[Header]
+    ) -> None:
+        """Apply what the head of an answer says about the upstream that sent it."""
+        identity = upstream.identity
+        if not isinstance(identity, tuple):
+            return
+        notice = wire_headers.parse_notice(status, headers)
+        if notice.rate_limit != self._limit_by_identity.get(identity):
+            self._limit_by_identity[identity] = notice.rate_limit
+            log_event("upstream_limited", replica=identity[0], per_s=notice.rate_limit)
+
     # Interface for peers.
 
     def _own_host(self) -> Host:
@@ -350,6 +364,10 @@
         self._leave_unusable_engines()
         live = {replica.identity for replica in self.replicas.by_name.values()}
         self.services.drop_gone(live)
+        for identity in [
+            known for known in self._limit_by_identity if known not in live
+        ]:
+            del self._limit_by_identity[identity]
         for pipelines in self._pipelines_by_service.values():
             pipelines.drop_gone(live)
 
--- a/src/wagtailstair/gateway/upstream_pool.py
+++ b/src/wagtailstair/gateway/upstream_pool.py
@@ -68,6 +68,9 @@
         ...
 
 
+OnHead = t.Callable[["Upstream", int, list[Header]], None]
+
+
 class Upstream(t.NamedTuple):
     """Target of a connection: an address, and the process start that serves it.
 
@@ -187,6 +190,7 @@
             return
         self._has_final_head = True
         self._read_connection_headers(status)
+        self._pool.on_head(self.upstream, status, self._headers)
         if not self.observer.on_head(status, self._reason, self._headers):
             # The response to an earlier request: skip it and wait for the next.
             self._is_skipping = True
@@ -327,12 +331,19 @@
 
 
 class UpstreamPool:
-    """Idle connections to upstreams, kept for further requests."""
+    """Idle connections to upstreams, kept for further requests.
+
+    :param on_head: called with the head of each final answer, also of one that turns
+        out to belong to another request.
+    """
 
-    __slots__ = ("_idle_by_upstream", "_loop")
+    __slots__ = ("_idle_by_upstream", "_loop", "on_head")
 
-    def __init__(self, loop: Loop) -> None:
+    def __init__(
+        self, loop: Loop, on_head: OnHead = lambda _upstream, _status, _headers: None
+    ) -> None:
         self._loop = loop
+        self.on_head = on_head
         self._idle_by_upstream: dict[Upstream, list[UpstreamConnection]] = {}
         self._loop.call_later(1.0, self._sweep)
 
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -1,8 +1,10 @@
 """Header names of the platform, and parsing and formatting of header values."""
 
+import math
 import typing as t
 
 from ..core.exchange_headers import HeaderNames
+from ..core.upstream_notices import UpstreamNotice
 
 HEADER_NAMES = HeaderNames(
     attempt=b"x-attempt-id",
@@ -21,6 +23,8 @@
     faulty_address=b"at-server",
 )
 
+RATE_LIMIT = b"server-limit"
+
 KEY_SCHEME = b"token "
 
 PARTS_MAX = 32
@@ -60,6 +64,29 @@
     return tuple(ids)
 
 
+def _parse_number(value: bytes) -> float | None:
+    """Return a finite number that is not negative, ``None`` for anything else."""
+    try:
+        number = float(value)
+    except ValueError:
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
+
+
+def parse_notice(
+    _status: int, headers: t.Iterable[tuple[bytes, bytes]]
+) -> UpstreamNotice:
+    """Return what the head of an answer says about its upstream.
+
+    Malformed values are ignored.
+    """
+    rate_limit = None
+    for name, value in headers:
+        if name.lower() == RATE_LIMIT:
+            rate_limit = _parse_number(value)
+    return UpstreamNotice(rate_limit)
+
+
 def format_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
     """Return the header value of a path.
 
