Failing tests of upstreams that name a limit of requests

Stand-ins name 5 requests a second and three hosts send 30: the engines got 120 in 4 s, a replica of a plain service 76, where 35 are allowed.

--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -180,6 +180,10 @@
         self.store = store
         self.script: list[str] = []
         self.runs: list[str] = []
+        # Requests a second that it names in its answers, as the header has it.
+        self.limit = b""
+        # Times of arrival of requests, but not of orders and reports.
+        self.arrived_at: list[float] = []
         # Bytes that a faulty upstream writes before its next answer.
         self.copies: list[bytes] = []
         # The connection and attempt of each request, in order of arrival.
@@ -206,11 +210,13 @@
         self.record_arrival(pending)
         step = self.script.pop(0) if self.script else "ok"
         signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
+        signed += self.notices()
         if step == "not found":
             pending.caller.answer(404, b"", signed, b"no such thing\n\nid: 99\n\n")
             return
         if step == "refuse":
             refused = [(b"X-Attempt-Id", attempt), (b"X-Not-Executed", b"1")]
+            refused += self.notices()
             pending.caller.answer(503, b"", refused, b"")
             return
         self.runs.append(attempt.decode())
@@ -227,10 +233,15 @@
         elif step != "silent":
             pending.caller.answer(200, b"Fine", signed, b"body of " + attempt)
 
+    def notices(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers in which it speaks about itself."""
+        return [(b"Server-Limit", self.limit)] if self.limit else []
+
     def record_arrival(self, pending: PendingRequest) -> None:
         """Record a request, and write the copies of earlier answers first."""
         attempt = pending.request.header(b"x-attempt-id").decode()
         self.arrivals.append((id(pending.caller), attempt))
+        self.arrived_at.append(self.loop.now)
         while self.copies:
             pending.caller._connection.write(self.copies.pop(0))
 
@@ -304,6 +315,7 @@
             (b"X-Attempt-Id", attempt),
             (b"X-Response-Signature", b"sig-" + self.name.encode()),
             (b"Content-Type", b"text/event-stream"),
+            *self.notices(),
         ]
         if self.is_unframed:
             lines = [b"HTTP/1.1 200 OK", *(b": ".join(header) for header in headers)]
