Divide the limit that an upstream names among the hosts

Upstreams in need got more requests than the number a second that they had named in their answers: nothing read it, and as few engines hold the first layer, one of them gets 13 times the mean of arrivals. Each host now keeps a token bucket for its part of the limit, or none if the parts would be too small; a path that begins at an upstream without a token has no room.

--- a/src/wagtailstair/core/engine_costs.py
+++ b/src/wagtailstair/core/engine_costs.py
@@ -127,7 +127,7 @@
 
     ``prompt``: tokens to read; ``answer``: expected tokens of the answer; ``avoid``:
     engines that an earlier attempt used; ``stalled_heads``: engines that are used
-    only where no others remain.
+    only where no others remain; ``closed_heads``: engines that may get no request now.
     """
 
     prompt: float
@@ -135,6 +135,7 @@
     now: float
     avoid: t.Container[tuple[str, int]] = ()
     stalled_heads: t.Container[tuple[str, int]] = ()
+    closed_heads: t.Container[tuple[str, int]] = ()
 
 
 def rate_engine(
@@ -186,7 +187,7 @@
             hop_s += AVOIDED_COST_S
         head_s = 0.0
         fill = (heads + use.heads + 1) / max(1, engine.replica.slots)
-        if fill > 1.0:
+        if fill > 1.0 or engine.identity in demand.closed_heads:
             head_s = NO_ROOM_COST_S
         elif fill > HEADS_SOFT_SHARE:
             head_s = KV_FILL_COST_S * (fill - HEADS_SOFT_SHARE)
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -267,6 +267,7 @@
         now: float,
         avoid: t.Container[tuple[str, int]] = (),
         stalled_heads: t.Container[tuple[str, int]] = (),
+        closed_heads: t.Container[tuple[str, int]] = (),
     ) -> Path | None:
         """Return a cheap pipeline for a request, ``None`` if there is none.
 
@@ -275,9 +276,11 @@
         :param answer: expected tokens of the answer.
         :param avoid: engines that cost more because an earlier attempt used them.
         :param stalled_heads: engines that are used only where no others remain.
+        :param closed_heads: engines that may get no request now; a path that begins
+            at one of them has no room.
         """
         fleet = self._divide(model, replicas)
-        demand = Demand(prompt, answer, now, avoid, stalled_heads)
+        demand = Demand(prompt, answer, now, avoid, stalled_heads, closed_heads)
         best_cost, best = self._choose_within_centre(fleet, demand)
         if best is not None:
             if best_cost < NO_ROOM_COST_S or now < self._joined_at + JOIN_INTERVAL_S:
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -78,6 +78,14 @@
     crash_reports: CrashReports
     names: HeaderNames
 
+    def closed_upstreams(self) -> frozenset[tuple[str, int]]:
+        """Return the upstreams to which this host may send no request now."""
+        ...
+
+    def count_upstream_request(self, replica: Replica) -> None:
+        """Count a request that is sent to an upstream."""
+        ...
+
     def host_count(self) -> int:
         """Return the number of hosts that share the resend budgets."""
         ...
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -16,6 +16,7 @@
 from ..core.pipelines import LoadSource
 from ..core.pipelines import Pipelines
 from ..core.quarantine import CrashSuspects
+from ..core.rate_limits import RateLimits
 from ..core.replicas import Replica
 from ..core.resend_budget import ResendBudget
 from ..core.upstream_balancer import UpstreamBalancer
@@ -84,7 +85,6 @@
         self.loop = Loop(clock) if loop is None else loop
         self.names = wire_headers.HEADER_NAMES
         self.pool = UpstreamPool(self.loop, self._on_upstream_head)
-        self._limit_by_identity: dict[tuple[str, int], float | None] = {}
         self.telemetry = Telemetry(settings.host.name)
         self._rng = random.Random()
         centre = settings.host.data_centre
@@ -100,6 +100,7 @@
             should_follow_store=lambda: self.peers.is_delegate(),
         )
         self.replicas = self.table_sync.replicas
+        self.rate_limits = RateLimits(settings.host.name, self._rng)
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
         self.peers = Peers(
             self.loop, self.pool, store, self._own_host(), self, self._rng
@@ -139,6 +140,14 @@
 
     # Interface for exchanges.
 
+    def closed_upstreams(self) -> frozenset[tuple[str, int]]:
+        """Return the upstreams to which this host may send no request now."""
+        return self.rate_limits.exhausted(self.peers.live_names(), self.loop.now)
+
+    def count_upstream_request(self, replica: Replica) -> None:
+        """Count a request that is sent to an upstream."""
+        self.rate_limits.take(replica.identity, self.loop.now)
+
     def host_count(self) -> int:
         """Return how many hosts share the budgets."""
         return self.peers.count()
@@ -196,8 +205,10 @@
         if not isinstance(identity, tuple):
             return
         notice = wire_headers.parse_notice(status, headers)
-        if notice.rate_limit != self._limit_by_identity.get(identity):
-            self._limit_by_identity[identity] = notice.rate_limit
+        hosts = self.peers.live_names()
+        if self.rate_limits.set_limit(
+            identity, notice.rate_limit, hosts, self.loop.now
+        ):
             log_event("upstream_limited", replica=identity[0], per_s=notice.rate_limit)
 
     # Interface for peers.
@@ -364,10 +375,7 @@
         self._leave_unusable_engines()
         live = {replica.identity for replica in self.replicas.by_name.values()}
         self.services.drop_gone(live)
-        for identity in [
-            known for known in self._limit_by_identity if known not in live
-        ]:
-            del self._limit_by_identity[identity]
+        self.rate_limits.drop_gone(live)
         for pipelines in self._pipelines_by_service.values():
             pipelines.drop_gone(live)
 
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -73,6 +73,7 @@
             context.loop.now,
             self.avoid,
             self.stalled_heads,
+            context.closed_upstreams(),
         )
 
     def replace(self, path: Path, lost: Replica) -> Path | None:
@@ -89,8 +90,14 @@
             self.avoid,
         )
 
+    def may_begin(self, path: Path) -> bool:
+        """Return whether the first engine of a pipeline takes a request now."""
+        return path[0].replica.identity not in self._context.closed_upstreams()
+
     def has_room(self, path: Path) -> bool:
         """Return whether the engines of a pipeline have room for the request."""
+        if not self.may_begin(path):
+            return False
         pipelines = self._context.pipelines(self._service)
         return pipelines.has_room(self._model, path, self.tokens, self._rank)
 
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -192,6 +192,10 @@
         """Return the number of known hosts, including dead ones and this one."""
         return max(1, len(self.membership.by_name) + 1)
 
+    def live_names(self) -> tuple[str, ...]:
+        """Return the names of the live hosts and this one, the same until a change."""
+        return self.membership.live()
+
     def live_hosts(self) -> list[Host]:
         """Return the other live hosts, those of this data centre first."""
         hosts = []
--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -88,11 +88,12 @@
 
     def _send_attempt(self, reason: str) -> None:
         context = self.context
+        closed = context.closed_upstreams()
         replica = context.services.choose(
-            self.service.name, self.tried, context.loop.now
+            self.service.name, self.tried | closed, context.loop.now
         )
         if replica is None:
-            self.refuse(reason)
+            self.refuse("upstream limit" if closed else reason)
             return
         if self.sends == 0:
             context.resend_budget.count_request(self.service.name, context.loop.now)
@@ -112,6 +113,7 @@
         # A copy of the answer to an earlier attempt bears the same attempt id.
         new_connection = self.sends > 1 or not self.grant.route.may_repeat
         upstream = Upstream(replica.address, replica.identity)
+        context.count_upstream_request(replica)
         self._connection = context.pool.send(
             upstream, data, self, new_connection=new_connection
         )
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -150,6 +150,9 @@
         if self.sends == 0 and (must_wait or not self._finder.has_room(path)):
             self._wait_for_room()
             return
+        if not self._finder.may_begin(path):
+            self._retry_later_or_refuse("upstream limit")
+            return
         self._send_first(path)
 
     def _send_first(self, path: Path) -> None:
@@ -234,6 +237,7 @@
         data = heads.join_request(self._common_head, headers, bytes(self.request.body))
         self.log("attempt_sent", level="DEBUG", path=path.decode(), send=self.sends)
         upstream = Upstream(first.address, first.identity)
+        context.count_upstream_request(first)
         # A copy of the answer to an earlier attempt bears the same attempt id.
         attempt.connection = context.pool.send(
             upstream, data, attempt, new_connection=self.sends > 1
--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -51,15 +51,17 @@
 
 class TestLimitOfAnEngine:
     def test_limited_engine_gets_no_more_than_it_takes(self, deployment):
-        engines = [deployment.add_engine(f"i-e{n}") for n in range(2)]
+        engines = [deployment.add_engine(f"i-e{n}") for n in range(6)]
         hosts = add_hosts(deployment)
         wait_for_placement(deployment, engines)
-        engines[0].limit = b"%d.0" % LIMIT_PER_S
+        limited, *others = [e for e in engines if e.row["layers"]["from"] == 0]
+        assert others
+        limited.limit = b"%d.0" % LIMIT_PER_S
         for engine in engines:
             engine.events = 2
         sent = send_steadily(deployment, hosts, make_stream)
-        assert len(engines[0].arrived_at) <= ALLOWED
-        # The other engine has room for the rest.
+        assert len(limited.arrived_at) <= ALLOWED
+        # The other engines have room for the rest.
         assert all(one.status == 200 for one in sent)
 
     def test_requests_beyond_all_limits_are_refused(self, deployment):
