Reject rows of upstreams that no connection or layout can use

A row of another writer that was nested very deeply raised an error in the middle of the changes, so that the host applied none of the others; numbers beyond any field and ports out of range were taken, and layers below zero or without end stopped the placement and the choice of paths.

--- a/src/wagtailstair/core/host_rows.py
+++ b/src/wagtailstair/core/host_rows.py
@@ -32,7 +32,7 @@
     """
     try:
         value = _DECODER.decode(row.value or b"")
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         where = f"{TABLE}/{row.key}"
         raise PlatformError(f"unreadable: {error}", where=where) from error
     return Host(
--- a/src/wagtailstair/core/relay_rows.py
+++ b/src/wagtailstair/core/relay_rows.py
@@ -138,7 +138,7 @@
     """
     try:
         relay = _DECODER.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise PeerError(f"unreadable table {table}: {error}") from error
     deflated = frozenset(relay.deflated)
     for index, (key, value, version) in enumerate(relay.rows):
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -148,7 +148,7 @@
     def _decode(value: bytes) -> LeaseRow | None:
         try:
             return decode_lease(msgspec.json.decode(value))
-        except (ValueError, msgspec.MsgspecError) as error:
+        except (ValueError, msgspec.MsgspecError, RecursionError) as error:
             log_event("lease_unreadable", level="WARNING", reason=error)
             return None
 
--- a/src/wagtailstair/platform/engines.py
+++ b/src/wagtailstair/platform/engines.py
@@ -92,7 +92,7 @@
     """
     try:
         return _REPORT.decode(body)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise UpstreamError(f"invalid engine report: {error}") from error
 
 
@@ -100,5 +100,5 @@
     """Return the address of the engine that a refused path names, empty for none."""
     try:
         return _REFUSAL.decode(body).address
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
         return ""
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -205,7 +205,12 @@
             ),
             needs_keys=bool(config.tenants),
         )
-    except (msgspec.MsgspecError, ValueError, UnicodeDecodeError) as error:
+    except (
+        msgspec.MsgspecError,
+        ValueError,
+        UnicodeDecodeError,
+        RecursionError,
+    ) as error:
         raise ListsError(f"invalid lists: {error}", where=f"{TABLE}/{KEY}") from error
 
 
--- a/src/wagtailstair/platform/replicas.py
+++ b/src/wagtailstair/platform/replicas.py
@@ -1,5 +1,8 @@
 """Decodes the rows in which upstreams register themselves."""
 
+import ipaddress
+import typing as t
+
 import msgspec
 
 from ..core.replicas import Replica
@@ -7,23 +10,29 @@
 
 TABLE = "servers"
 
+PORT_MAX = (1 << 16) - 1
+LAYERS_MAX = 4096
+"""Largest number of a layer: several times those of the deepest models."""
+
 _LEAVING_BY_STATE = {"ready": False, "draining": True}
 
+_Layer = t.Annotated[int, msgspec.Meta(ge=0, le=LAYERS_MAX)]
+
 
 class _Layers(msgspec.Struct):
-    first: int = msgspec.field(name="from")
+    first: _Layer = msgspec.field(name="from")
     # The layer after the last one.
-    target: int
+    target: _Layer
 
 
 class _Server(msgspec.Struct):
     service: str
     address: str
     zone: str
-    slots: int
+    slots: t.Annotated[int, msgspec.Meta(ge=0, le=1 << 31)]
     state: str
     # Unix milliseconds of the upstream's start.
-    born: int
+    born: t.Annotated[int, msgspec.Meta(ge=0, le=(1 << 63) - 1)]
     kind: str = ""
     layers: _Layers | None = None
 
@@ -39,7 +48,7 @@
     try:
         server = _DECODER.decode(value)
         leaving = _LEAVING_BY_STATE[server.state]
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise UpstreamError(
             f"invalid upstream row: {error}", where=f"{TABLE}/{name}"
         ) from error
@@ -47,13 +56,12 @@
         raise UpstreamError(
             f"unknown upstream state {error}", where=f"{TABLE}/{name}"
         ) from error
-    host, _, port = server.address.rpartition(":")
-    if not host or not port.isascii() or not port.isdigit():
+    _check_address(server.address, f"{TABLE}/{name}")
+    layers = server.layers
+    if layers is not None and layers.first > layers.target:
         raise UpstreamError(
-            f"expected host:port as address, got {server.address!r}",
-            where=f"{TABLE}/{name}",
+            f"layers from {layers.first} to {layers.target}", where=f"{TABLE}/{name}"
         )
-    layers = server.layers
     return Replica(
         name=name,
         service=server.service,
@@ -65,3 +73,15 @@
         accelerator=server.kind,
         layers=(layers.first, layers.target) if layers is not None else None,
     )
+
+
+def _check_address(address: str, where: str) -> None:
+    """Raise :exc:`UpstreamError` unless an address is an IP address with a port."""
+    host, _, port = address.rpartition(":")
+    try:
+        ipaddress.IPv4Address(host)
+        is_valid = len(port) <= len(str(PORT_MAX)) and 0 < int(port) <= PORT_MAX
+    except ValueError:
+        is_valid = False
+    if not is_valid or not port.isascii() or not port.isdigit():
+        raise UpstreamError(f"expected ip:port, got {address[:64]!r}", where=where)
--- a/src/wagtailstair/platform/store.py
+++ b/src/wagtailstair/platform/store.py
@@ -111,7 +111,7 @@
         )
     try:
         answer = _DECODER.decode(body) if body else _Rows()
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise PlatformError(f"invalid answer from the store: {error}") from error
     rows = []
     for row in answer.rows:
