Test that half of an answer's head is never taken for an answer

A report of other operators: a replica that stops in the middle of its head and closes in order must not give callers a 200 with an empty body.

--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -220,7 +220,14 @@
             pending.caller.answer(503, b"", refused, b"")
             return
         self.runs.append(attempt.decode())
-        if step == "lose":
+        if step.startswith("half head"):
+            # Ends in order after so many bytes of the head.
+            head = [b"HTTP/1.1 200 OK", *(b": ".join(header) for header in signed)]
+            data = b"\r\n".join([*head, b"Content-Length: 9", b"", b""])
+            length = int(step.removeprefix("half head "))
+            pending.caller._connection.write(data[: length or len(data) - 2])
+            pending.caller._close_gracefully()
+        elif step == "lose":
             pending.caller.abort_answer()
         elif step == "unsigned":
             pending.caller.answer(200, b"", signed[:1], b"body")
