Answer the requests that are open at the end of a planned stop

A report of other operators: requests taken during a planned stop were cut at its end without an answer. They get 504 now, which promises nothing, or 503 if they were never sent; a response that has begun is cut visibly as before.

--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -105,6 +105,11 @@
         """Return whether part of the current response was sent."""
         return self._has_begun
 
+    @property
+    def active_request(self) -> ActiveRequest | None:
+        """Return the request that is being served."""
+        return self._active_request
+
     @property
     def pending_bytes(self) -> int:
         """Return the number of bytes that the caller has not taken yet."""
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -186,6 +186,18 @@
         """End a request whose deadline has passed."""
         raise NotImplementedError
 
+    def on_shutdown(self) -> None:
+        """Answer a request that the end of the process would cut without an answer.
+
+        A response that has begun is left to be cut.
+        """
+        if self.is_finished or self.caller.has_begun:
+            return
+        if self.sends == 0:
+            self.refuse("shutting down")
+            return
+        self.fail(GATEWAY_TIMEOUT, "shutting down")
+
     def may_send_again(self) -> bool:
         """Take one resend from the budget; return whether it was allowed."""
         if self.sends >= SENDS_MAX or self.remaining_s < 2 * ANSWER_MARGIN_S:
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -516,6 +516,9 @@
             self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
 
     def _close_remaining(self) -> None:
+        for caller in list(self._callers):
+            if isinstance(caller.active_request, Exchange):
+                caller.active_request.on_shutdown()
         for caller in list(self._callers):
             caller.close()
-        self.loop.stop()
+        self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -71,6 +71,12 @@
         self.may_have_run = True
         self.fail(GATEWAY_TIMEOUT, "expired")
 
+    def on_shutdown(self) -> None:
+        """Cancel the attempt, and answer the request unless its response has begun."""
+        if not self.is_finished and not self.caller.has_begun:
+            self._end_attempt("abandoned")
+        super().on_shutdown()
+
     # Attempts.
 
     def _reset(self) -> None:
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -4,6 +4,7 @@
 notice it, on kept connections and on new ones.
 """
 
+import msgspec
 import pytest
 
 from tests.gateway_data import make_config
@@ -13,6 +14,7 @@
 from tests.test_gateway import wait_for_placement
 
 REQUESTS = 40
+GRACE_S = 1.0
 
 
 @pytest.fixture
@@ -49,6 +51,48 @@
     deployment.run(lambda: all(c.is_complete or c.is_closed for c in sent), 15)
 
 
+class TestEndOfTheGrace:
+    """Requests that were taken and are not answered when the process has to end."""
+
+    @pytest.fixture(autouse=True)
+    def short_grace(self, host):
+        shutdown = msgspec.structs.replace(host.settings.shutdown, grace_s=GRACE_S)
+        host.settings = msgspec.structs.replace(host.settings, shutdown=shutdown)
+
+    @pytest.mark.parametrize(
+        "request_data",
+        [
+            make_request("/register/7", "a1", method="POST"),
+            lookup(1),
+            make_stream("a2"),
+        ],
+        ids=["call", "idempotent call", "stream"],
+    )
+    def test_request_without_an_answer_gets_one(
+        self, deployment, desk, engines, host, request_data
+    ):
+        for upstream in deployment.upstreams:
+            upstream.script = ["silent"] * 9
+        answered = deployment.send(host, request_data)
+        deployment.run(lambda: any(upstream.runs for upstream in deployment.upstreams))
+        host.drain()
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert answered.status in (502, 504)
+        assert answered.is_complete
+        assert not answered.is_reset
+
+    def test_stream_that_has_begun_does_not_look_complete(
+        self, deployment, engines, host
+    ):
+        for engine in engines:
+            engine.freeze_after = 3
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: b"id: 3\n" in answered.data)
+        host.drain()
+        deployment.run(lambda: answered.is_closed)
+        assert not answered.is_complete
+
+
 class TestPlannedStop:
     def test_requests_written_before_the_signal_are_answered(
         self, deployment, desk, host
