--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -182,6 +182,10 @@
         self.runs: list[str] = []
         # Requests a second that it names in its answers, as the header has it.
         self.limit = b""
+        # Whether it says in its answers that it leaves; the row may not say so.
+        self.is_leaving = False
+        # Retry-After of its refusals.
+        self.pause = b""
         # Times of arrival of requests, but not of orders and reports.
         self.arrived_at: list[float] = []
         # Bytes that a faulty upstream writes before its next answer.
@@ -215,9 +219,7 @@
             pending.caller.answer(404, b"", signed, b"no such thing\n\nid: 99\n\n")
             return
         if step == "refuse":
-            refused = [(b"X-Attempt-Id", attempt), (b"X-Not-Executed", b"1")]
-            refused += self.notices()
-            pending.caller.answer(503, b"", refused, b"")
+            self.refuse(pending)
             return
         self.runs.append(attempt.decode())
         if step.startswith("half head"):
@@ -242,7 +244,21 @@
 
     def notices(self) -> list[tuple[bytes, bytes]]:
         """Return the headers in which it speaks about itself."""
-        return [(b"Server-Limit", self.limit)] if self.limit else []
+        headers = []
+        if self.limit:
+            headers.append((b"Server-Limit", self.limit))
+        if self.is_leaving:
+            headers.append((b"Server-Leaving", b"1"))
+        return headers
+
+    def refuse(self, pending: PendingRequest) -> None:
+        """Refuse a request as not run."""
+        attempt = pending.request.header(b"x-attempt-id")
+        refused = [(b"X-Attempt-Id", attempt), (b"X-Not-Executed", b"1")]
+        refused += self.notices()
+        if self.pause:
+            refused.append((b"Retry-After", self.pause))
+        pending.caller.answer(503, b"", refused, b"")
 
     def record_arrival(self, pending: PendingRequest) -> None:
         """Record a request, and write the copies of earlier answers first."""
