Send nothing more to upstreams that say in their answers that they leave

With the store away or a row late, an upstream that was leaving got requests on until its row said so. Its header counts now, in each answer that reaches the host, for the incarnation that sent it; a row that still says ready doesn't revive it. An answer with 421 comes from another upstream and says nothing about the one that was meant.

--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -1,7 +1,11 @@
 """The upstreams of a deployment, and when a missing one is dropped."""
 
+import collections
 import dataclasses
 
+LEAVING_MAX = 4096
+"""Upstreams that are remembered for having said themselves that they leave."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Replica:
@@ -39,10 +43,14 @@
     While calls to the store fail, the rows of live upstreams lapse. A removal
     therefore takes effect only ``lapse_s`` after the last failure, unless the row
     has come back by then.
+
+    An upstream may also say itself that it leaves. That holds for its incarnation,
+    whatever its row says.
     """
 
     __slots__ = (
         "_lapse_s",
+        "_leaving_by_name",
         "_removal_at_by_name",
         "_usable_by_service",
         "by_name",
@@ -53,6 +61,10 @@
         self._lapse_s = lapse_s
         self.by_name: dict[str, Replica] = {}
         self._removal_at_by_name: dict[str, float] = {}
+        # Incarnations that have said themselves that they leave, the oldest first.
+        self._leaving_by_name: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self.generation = 0
         # Results of usable() since the last change.
         self._usable_by_service: dict[str, tuple[Replica, ...]] = {}
@@ -66,12 +78,30 @@
         if current is not None and replica.incarnation < current.incarnation:
             return False
         self._removal_at_by_name.pop(replica.name, None)
+        if self._leaving_by_name.get(replica.name) == replica.incarnation:
+            replica = dataclasses.replace(replica, is_leaving=True)
         if current == replica:
             return False
         self.by_name[replica.name] = replica
         self._count_change()
         return True
 
+    def mark_leaving(self, identity: tuple[str, int]) -> bool:
+        """Apply that an upstream says that it leaves; return whether that is news."""
+        name, incarnation = identity
+        if self._leaving_by_name.get(name, -1) >= incarnation:
+            return False
+        self._leaving_by_name[name] = incarnation
+        self._leaving_by_name.move_to_end(name)
+        if len(self._leaving_by_name) > LEAVING_MAX:
+            self._leaving_by_name.popitem(last=False)
+        current = self.by_name.get(name)
+        if current is None or current.identity != identity or current.is_leaving:
+            return False
+        self.by_name[name] = dataclasses.replace(current, is_leaving=True)
+        self._count_change()
+        return True
+
     def remove(self, name: str, now: float, failed_at: float) -> None:
         """Remove an upstream whose row is gone, or schedule its removal.
 
--- a/src/wagtailstair/core/request_trace.py
+++ b/src/wagtailstair/core/request_trace.py
@@ -9,6 +9,7 @@
         "lists_taken",
         "upstream_changed",
         "upstream_gone",
+        "upstream_leaves",
         "engine_suspected",
         "engine_crashed",
         "part_quarantined",
--- a/src/wagtailstair/core/upstream_notices.py
+++ b/src/wagtailstair/core/upstream_notices.py
@@ -8,7 +8,8 @@
     """What the head of one answer says about the upstream that sent it.
 
     ``rate_limit``: requests a second that it takes from all hosts together, ``None``
-    for no limit.
+    for no limit; ``is_leaving``: whether it says that it leaves.
     """
 
     rate_limit: float | None = None
+    is_leaving: bool = False
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -205,6 +205,11 @@
         if not isinstance(identity, tuple):
             return
         notice = wire_headers.parse_notice(status, headers)
+        if notice.is_leaving and self.replicas.mark_leaving(identity):
+            log_event("upstream_leaves", replica=identity[0], incarnation=identity[1])
+            self.telemetry.count_notice("leaving")
+            # Deferred, as the answer is still being read.
+            self.loop.call_later(0.0, self._on_replicas_changed)
         hosts = self.peers.live_names()
         if self.rate_limits.set_limit(
             identity, notice.rate_limit, hosts, self.loop.now
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -75,6 +75,9 @@
         self._parts_quarantined = gauge(
             "parts_quarantined", "Parts of prompts in quarantine."
         )
+        self._notices = counter(
+            "upstream_notices", "What upstreams newly say about themselves."
+        )
         self._relay_seconds = histogram(
             "relay", "Requests for a table, from the call to its end."
         )
@@ -137,6 +140,10 @@
             progress = "head"
         self._attempts_lost.add({"progress": progress}, 1)
 
+    def count_notice(self, kind: str) -> None:
+        """Count an upstream that newly says something about itself."""
+        self._notices.add({"kind": kind}, 1)
+
     def count_engine_crash(self) -> None:
         """Count an engine that crashed under requests without an event."""
         self._engine_crashes.add({}, 1)
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -24,6 +24,9 @@
 )
 
 RATE_LIMIT = b"server-limit"
+LEAVING = b"server-leaving"
+
+MISDIRECTED = 421
 
 KEY_SCHEME = b"token "
 
@@ -74,17 +77,24 @@
 
 
 def parse_notice(
-    _status: int, headers: t.Iterable[tuple[bytes, bytes]]
+    status: int, headers: t.Iterable[tuple[bytes, bytes]]
 ) -> UpstreamNotice:
     """Return what the head of an answer says about its upstream.
 
-    Malformed values are ignored.
+    Malformed values are ignored. An answer to a misdirected request comes from another
+    upstream, which has got the address.
     """
+    if status == MISDIRECTED:
+        return UpstreamNotice()
     rate_limit = None
+    is_leaving = False
     for name, value in headers:
-        if name.lower() == RATE_LIMIT:
+        lowered = name.lower()
+        if lowered == RATE_LIMIT:
             rate_limit = _parse_number(value)
-    return UpstreamNotice(rate_limit)
+        elif lowered == LEAVING:
+            is_leaving = value.strip() == b"1"
+    return UpstreamNotice(rate_limit, is_leaving)
 
 
 def format_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
