Honour the pause that an upstream asks for with a refusal

A 503 with Retry-After was taken like any other: the engine was avoided for three seconds whatever it had named, a replica of a plain service was tried again at once, and callers were told to come back after 0.3 s. The time holds now for first attempts, resends and successors of both kinds of service; load returns in steps after it; and where all upstreams are in a pause, callers are refused at once with the end of the first one.

--- a/src/wagtailstair/core/request_trace.py
+++ b/src/wagtailstair/core/request_trace.py
@@ -10,6 +10,7 @@
         "upstream_changed",
         "upstream_gone",
         "upstream_leaves",
+        "upstream_paused",
         "engine_suspected",
         "engine_crashed",
         "part_quarantined",
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -82,6 +82,13 @@
         """Return the upstreams to which this host may send no request now."""
         ...
 
+    def pause_s(self, service: Service) -> float:
+        """Return when an upstream takes requests again if all have asked for a pause.
+
+        :returns: seconds; 0 if an upstream is not in a pause, or there are none.
+        """
+        ...
+
     def count_upstream_request(self, replica: Replica) -> None:
         """Count a request that is sent to an upstream."""
         ...
@@ -254,6 +261,9 @@
 
     def return_s(self) -> float:
         """Return after how many seconds the caller of a refused request may retry."""
+        pause_s = self.context.pause_s(self.service)
+        if pause_s:
+            return pause_s
         return min(RETRY_AFTER_S, max(0.05, self.remaining_s / 4))
 
     def fail(self, status: int, reason: str) -> None:
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -10,9 +10,11 @@
 from ..clock import Clock
 from ..core.directory import CallerLimits
 from ..core.directory import Denial
+from ..core.directory import Service
 from ..core.hosts import Host
 from ..core.messages import EngineLost
 from ..core.messages import EngineUses
+from ..core.pauses import Pauses
 from ..core.pipelines import LoadSource
 from ..core.pipelines import Pipelines
 from ..core.quarantine import CrashSuspects
@@ -72,6 +74,9 @@
 RETRY_AFTER = b"0.5"
 """Seconds after which a retry may succeed on this host or another one."""
 
+RETURN_SPREAD_SHARE = 0.25
+"""Share of a pause over which the callers that it refuses are spread."""
+
 OK = 200
 
 
@@ -101,6 +106,7 @@
         )
         self.replicas = self.table_sync.replicas
         self.rate_limits = RateLimits(settings.host.name, self._rng)
+        self.pauses = Pauses(self._rng)
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
         self.peers = Peers(
             self.loop, self.pool, store, self._own_host(), self, self._rng
@@ -142,11 +148,30 @@
 
     def closed_upstreams(self) -> frozenset[tuple[str, int]]:
         """Return the upstreams to which this host may send no request now."""
-        return self.rate_limits.exhausted(self.peers.live_names(), self.loop.now)
+        now = self.loop.now
+        limited = self.rate_limits.exhausted(self.peers.live_names(), now)
+        return limited | self.pauses.closed(now)
+
+    def pause_s(self, service: Service) -> float:
+        """Return when an upstream takes requests again if all have asked for a pause.
+
+        :returns: seconds, spread so that callers don't all return at once; 0 if an
+            upstream is not in a pause, or there are none.
+        """
+        soonest = 0.0
+        for replica in self.replicas.usable(service.name):
+            if service.model is not None and not replica.holds(0, 1):
+                continue
+            remaining_s = self.pauses.remaining_s(replica.identity, self.loop.now)
+            if not remaining_s:
+                return 0.0
+            soonest = min(soonest, remaining_s) if soonest else remaining_s
+        return soonest * (1 + RETURN_SPREAD_SHARE * self._rng.random())
 
     def count_upstream_request(self, replica: Replica) -> None:
         """Count a request that is sent to an upstream."""
         self.rate_limits.take(replica.identity, self.loop.now)
+        self.pauses.take(replica.identity, self.loop.now)
 
     def host_count(self) -> int:
         """Return how many hosts share the budgets."""
@@ -210,6 +235,10 @@
             self.telemetry.count_notice("leaving")
             # Deferred, as the answer is still being read.
             self.loop.call_later(0.0, self._on_replicas_changed)
+        if notice.pause_s:
+            seconds = self.pauses.begin(identity, notice.pause_s, self.loop.now)
+            log_event("upstream_paused", replica=identity[0], seconds=seconds)
+            self.telemetry.count_notice("pause")
         hosts = self.peers.live_names()
         if self.rate_limits.set_limit(
             identity, notice.rate_limit, hosts, self.loop.now
@@ -381,6 +410,7 @@
         live = {replica.identity for replica in self.replicas.by_name.values()}
         self.services.drop_gone(live)
         self.rate_limits.drop_gone(live)
+        self.pauses.drop_gone(live)
         for pipelines in self._pipelines_by_service.values():
             pipelines.drop_gone(live)
 
--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -99,7 +99,11 @@
             self.service.name, self.tried | closed, context.loop.now
         )
         if replica is None:
-            self.refuse("upstream limit" if closed else reason)
+            if context.pause_s(self.service):
+                reason = "upstreams paused"
+            elif closed:
+                reason = "upstream limit"
+            self.refuse(reason)
             return
         if self.sends == 0:
             context.resend_budget.count_request(self.service.name, context.loop.now)
--- a/src/wagtailstair/gateway/stall_detector.py
+++ b/src/wagtailstair/gateway/stall_detector.py
@@ -35,6 +35,8 @@
         if loop.now - requested_at < REPORT_INTERVAL_S:
             return
         self._requested_at_by_name[first.name] = loop.now
+        if self._gateway.pauses.remaining_s(first.identity, loop.now):
+            return
 
         fetch_engine_report(
             loop,
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -140,6 +140,9 @@
         if self.is_quarantined():
             self.refuse("quarantined")
             return
+        if not self.caller.has_begun and self._is_pause_too_long():
+            self.refuse("upstreams paused")
+            return
         path = self._finder.choose()
         if path is None:
             self._retry_later_or_refuse(reason)
@@ -192,6 +195,12 @@
         self.may_have_run |= self.sends > 0
         self.refuse("quarantined")
 
+    def _is_pause_too_long(self) -> bool:
+        """Return whether no engine takes requests before the goal has passed."""
+        pause_s = self.context.pause_s(self.service)
+        goal_at = self.request.received_at + ROOM_WAIT_GOALS * self.grant.route.goal_s
+        return pause_s > max(0.0, goal_at - self.context.loop.now)
+
     def _quarantine_s(self) -> float:
         quarantine = self.context.crash_reports.quarantine
         return quarantine.remaining_s(self._parts, self.context.loop.now)
@@ -201,6 +210,9 @@
         quarantine_s = self._quarantine_s()
         if quarantine_s:
             return quarantine_s
+        pause_s = self.context.pause_s(self.service)
+        if pause_s:
+            return pause_s
         queue = self.context.waiting_streams().queue
         return queue.return_s(self.context.loop.now, self.remaining_s)
 
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -25,8 +25,10 @@
 
 RATE_LIMIT = b"server-limit"
 LEAVING = b"server-leaving"
+PAUSE = b"retry-after"
 
 MISDIRECTED = 421
+UNAVAILABLE = 503
 
 KEY_SCHEME = b"token "
 
@@ -88,13 +90,16 @@
         return UpstreamNotice()
     rate_limit = None
     is_leaving = False
+    pause_s = 0.0
     for name, value in headers:
         lowered = name.lower()
         if lowered == RATE_LIMIT:
             rate_limit = _parse_number(value)
         elif lowered == LEAVING:
             is_leaving = value.strip() == b"1"
-    return UpstreamNotice(rate_limit, is_leaving)
+        elif lowered == PAUSE and status == UNAVAILABLE:
+            pause_s = _parse_number(value) or 0.0
+    return UpstreamNotice(rate_limit, is_leaving, pause_s)
 
 
 def format_path(hops: t.Iterable[tuple[str, int, int]]) -> bytes:
