--- a/standins/base.py
+++ b/standins/base.py
@@ -64,6 +64,12 @@
     return web.json_response(body, status=status, headers={"X-Not-Run": "true"})
 
 
+def _shared_parts(request: web.Request) -> list[str]:
+    """Return the ids of the parts of a prompt that requests may share."""
+    entries = request.headers.get("X-Prompt-Prefix", "").split(",")[:-1]
+    return [entry.partition(":")[0] for entry in entries]
+
+
 class Standin:
     """An HTTP server on its own port, with fault switches."""
 
@@ -78,6 +84,7 @@
             "unavailable": False,
             "delay_s": 0.0,
             "reply_delay_s": 0.0,
+            "deadly_part": "",
         }
         self._runner: web.AppRunner | None = None
         self._site: web.TCPSite | None = None
@@ -178,6 +185,10 @@
             return await handler(request)
         if self.switches["unavailable"]:
             return not_run_response(503, "unavailable")
+        deadly_part = self.switches["deadly_part"]
+        if deadly_part and deadly_part in _shared_parts(request):
+            await self.switch({"dead": True})
+            return abort_connection(request)
         if self.switches["delay_s"]:
             await asyncio.sleep(self.switches["delay_s"])
         response = await handler(request)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -459,3 +459,20 @@
         assert call(address, "GET", "/v1/objects/a/b")[0] == 404
         call(address, "PUT", "/v1/objects/a/b", {"x": 1})
         assert call(address, "GET", "/v1/objects/a/b") == (200, {"x": 1})
+
+
+class TestDeadlyPart:
+    @pytest.fixture
+    def address(self, standins):
+        yield standins.addresses["desk"]
+        standins.switch("desk", dead=False, deadly_part="")
+
+    def test_part_that_is_not_the_last_ends_the_standin(self, standins, address):
+        standins.switch("desk", deadly_part="dead")
+        for parts in ("ab:1,dead:2", "ab:1"):
+            headers = {"X-Prompt-Prefix": parts}
+            assert call(address, "GET", "/x", headers=headers)[0] == 200
+        with pytest.raises((http.client.HTTPException, OSError)):
+            call(address, "GET", "/x", headers={"X-Prompt-Prefix": "dead:1,ab:2"})
+        with pytest.raises(OSError, match="refused"):
+            call(address, "GET", "/x")
