--- a/standins/base.py
+++ b/standins/base.py
@@ -84,6 +84,7 @@
             "unavailable": False,
             "delay_s": 0.0,
             "reply_delay_s": 0.0,
+            "rate_limit": 0.0,
             "deadly_part": "",
         }
         self._runner: web.AppRunner | None = None
@@ -140,6 +141,7 @@
         app = web.Application(
             middlewares=[self._inject_faults], client_max_size=MAX_BODY_BYTES
         )
+        app.on_response_prepare.append(self._add_notices)
         app.add_routes([web.post("/_switch", self._handle_switch)])
         app.add_routes([web.get("/_records", self._handle_records)])
         app.add_routes(self.routes())
@@ -196,6 +198,15 @@
             await asyncio.sleep(self.switches["reply_delay_s"])
         return response
 
+    async def _add_notices(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """Add what the stand-in says about itself to an answer."""
+        if request.path.startswith("/_"):
+            return
+        if self.switches["rate_limit"]:
+            response.headers["Server-Limit"] = str(self.switches["rate_limit"])
+
     async def _handle_switch(self, request: web.Request) -> web.Response:
         try:
             await self.switch(await request.json())
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -476,3 +476,22 @@
             call(address, "GET", "/x", headers={"X-Prompt-Prefix": "dead:1,ab:2"})
         with pytest.raises(OSError, match="refused"):
             call(address, "GET", "/x")
+
+
+class TestNotices:
+    @pytest.fixture
+    def address(self, standins):
+        yield standins.addresses["desk"]
+        standins.switch("desk", rate_limit=0.0)
+
+    def headers(self, address):
+        with contextlib.closing(
+            http.client.HTTPConnection(address, timeout=10)
+        ) as conn:
+            conn.request("GET", "/x")
+            return conn.getresponse().headers
+
+    def test_answers_name_a_limit(self, standins, address):
+        assert "Server-Limit" not in self.headers(address)
+        standins.switch("desk", rate_limit=7.5)
+        assert self.headers(address)["Server-Limit"] == "7.5"
