--- a/standins/base.py
+++ b/standins/base.py
@@ -85,6 +85,8 @@
             "delay_s": 0.0,
             "reply_delay_s": 0.0,
             "rate_limit": 0.0,
+            "says_leaving": False,
+            "pause_s": 0.0,
             "deadly_part": "",
         }
         self._runner: web.AppRunner | None = None
@@ -206,6 +208,10 @@
             return
         if self.switches["rate_limit"]:
             response.headers["Server-Limit"] = str(self.switches["rate_limit"])
+        if self.switches["says_leaving"]:
+            response.headers["Server-Leaving"] = "1"
+        if self.switches["pause_s"] and response.status == 503:
+            response.headers["Retry-After"] = str(self.switches["pause_s"])
 
     async def _handle_switch(self, request: web.Request) -> web.Response:
         try:
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -20,6 +20,9 @@
 FAULT_SHARE = 0.03
 """Probability of each fault per request, or per complete stream."""
 
+PAUSE_S = 0.2
+"""Seconds for which an upstream that refuses a request wants no others."""
+
 
 class SoakStore(Store):
     """A store that can drop its history of changes."""
@@ -67,6 +70,17 @@
     is_down = False
     # Drained and removed from the store; refuses all requests.
     has_left = False
+    row: dict[str, t.Any]
+
+    def refusal(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers of a refusal."""
+        headers = [(b"X-Not-Executed", b"1"), (b"Retry-After", b"%.1f" % PAUSE_S)]
+        return headers + self.notices()
+
+    def notices(self) -> list[tuple[bytes, bytes]]:
+        """Return the headers in which it speaks about itself."""
+        is_leaving = self.has_left or self.row["state"] == "draining"
+        return [(b"Server-Leaving", b"1")] if is_leaving else []
 
 
 class SoakService(_SoakUpstream, Service):
@@ -83,7 +97,7 @@
             pending.caller.answer(421, b"", (), b"")
             return
         if self.has_left or roll < FAULT_SHARE:
-            pending.caller.answer(503, b"", [(b"X-Not-Executed", b"1")], b"")
+            pending.caller.answer(503, b"", self.refusal(), b"")
             return
         self.checker.record_run(
             self.name, make_received_request(request), self.loop.now
@@ -98,6 +112,7 @@
             return
         attempt = pending.request.header(b"x-attempt-id")
         headers = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
+        headers += self.notices()
         pending.caller.answer(200, b"", headers, b"body of " + attempt)
 
 
@@ -139,6 +154,7 @@
             (b"X-Attempt-Id", request.header(b"x-attempt-id")),
             (b"X-Response-Signature", b"sig"),
             (b"Content-Type", b"text/event-stream"),
+            *self.notices(),
         ]
         pending.caller.begin(200, b"OK", headers)
         self._send_events(pending, last_event_id + 1)
--- a/tests/test_standins.py
+++ b/tests/test_standins.py
@@ -482,7 +482,8 @@
     @pytest.fixture
     def address(self, standins):
         yield standins.addresses["desk"]
-        standins.switch("desk", rate_limit=0.0)
+        changes = {"rate_limit": 0.0, "says_leaving": False, "pause_s": 0.0}
+        standins.switch("desk", refuse=False, **changes)
 
     def headers(self, address):
         with contextlib.closing(
@@ -495,3 +496,14 @@
         assert "Server-Limit" not in self.headers(address)
         standins.switch("desk", rate_limit=7.5)
         assert self.headers(address)["Server-Limit"] == "7.5"
+
+    def test_answers_name_the_leaving(self, standins, address):
+        assert "Server-Leaving" not in self.headers(address)
+        standins.switch("desk", says_leaving=True)
+        assert self.headers(address)["Server-Leaving"] == "1"
+
+    def test_only_refusals_ask_for_a_pause(self, standins, address):
+        standins.switch("desk", pause_s=1.5)
+        assert "Retry-After" not in self.headers(address)
+        standins.switch("desk", refuse=True)
+        assert self.headers(address)["Retry-After"] == "1.5"
