Keep a named limit over answers to the gateway's own calls

A report or an order that is answered without the limit ended it, and the next answer to a caller began it anew with a full bucket. Found by reading; the reasons of refusals by a limit or a pause are those of the request's own service now, and the search for pauses is left out where there are none.

--- a/src/wagtailstair/core/pauses.py
+++ b/src/wagtailstair/core/pauses.py
@@ -60,6 +60,11 @@
         self._rng = rng
         self._pause_by_identity: dict[Identity, _Pause] = {}
 
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no upstream has asked for a pause lately."""
+        return not self._pause_by_identity
+
     def begin(self, identity: Identity, seconds: float, now: float) -> float:
         """Begin a pause, or extend the one in force; return its length in seconds."""
         seconds = min(seconds, PAUSE_MAX_S)
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -35,6 +35,7 @@
 from .connection import listen
 from .crash_reports import CrashReports
 from .exchange import Exchange
+from .heads import find_header
 from .loop import Loop
 from .peers import Peers
 from .placer import Placer
@@ -159,6 +160,8 @@
             upstream is not in a pause, or there are none.
         """
         soonest = 0.0
+        if self.pauses.is_empty:
+            return soonest
         for replica in self.replicas.usable(service.name):
             if service.model is not None and not replica.holds(0, 1):
                 continue
@@ -239,6 +242,10 @@
             seconds = self.pauses.begin(identity, notice.pause_s, self.loop.now)
             log_event("upstream_paused", replica=identity[0], seconds=seconds)
             self.telemetry.count_notice("pause")
+        # Answers to calls of the gateway itself need not name the limit.
+        is_for_caller = find_header(headers, self.names.attempt) is not None
+        if notice.rate_limit is None and not is_for_caller:
+            return
         hosts = self.peers.live_names()
         if self.rate_limits.set_limit(
             identity, notice.rate_limit, hosts, self.loop.now
--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -99,9 +99,10 @@
             self.service.name, self.tried | closed, context.loop.now
         )
         if replica is None:
+            usable = context.replicas.usable(self.service.name)
             if context.pause_s(self.service):
                 reason = "upstreams paused"
-            elif closed:
+            elif any(replica.identity in closed for replica in usable):
                 reason = "upstream limit"
             self.refuse(reason)
             return
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -192,7 +192,7 @@
         if self.is_finished or not self.is_quarantined():
             return
         # An engine that has the request may have begun it.
-        self.may_have_run |= self.sends > 0
+        self.may_have_run |= self._current is not None or self._successor is not None
         self.refuse("quarantined")
 
     def _is_pause_too_long(self) -> bool:
