--- a/tests/test_upstream_limits.py
+++ b/tests/test_upstream_limits.py
@@ -79,6 +79,18 @@
         assert all(b"Retry-After: " in one.data for one in refused)
         assert len([one for one in sent if one.status == 200]) > 2 * LIMIT_PER_S
 
+    def test_report_without_the_limit_does_not_end_it(self, deployment):
+        engine = deployment.add_engine("i-e0")
+        hosts = add_hosts(deployment)
+        wait_for_placement(deployment, [engine])
+        engine.limit, engine.events = b"0.5", 2
+        deployment.send_and_wait(hosts[0], make_stream("a1"))
+        replica = hosts[0].replicas.by_name["i-e0"]
+        hosts[0].find_stalled_engine(replica, "engines")
+        deployment.run(lambda: any(r.path == "/report" for r in engine.seen))
+        deployment.run_for(0.1)
+        assert hosts[0].rate_limits.limit(replica.identity) == 0.5
+
     def test_limit_that_is_named_no_more_is_over(self, deployment):
         engine = deployment.add_engine("i-e0")
         hosts = add_hosts(deployment)
