--- a/review/rig.py
+++ b/review/rig.py
@@ -595,6 +595,12 @@
     is_troubled = os.environ.get("TROUBLE", "1") != "0"
 
     async def run() -> list[str]:
+        # The gateways are ended too if the script is told to stop.
+        task = asyncio.current_task()
+        assert task is not None
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, task.cancel)
         deployment = Deployment(record)
         try:
             return await asyncio.wait_for(case(deployment, is_troubled), RUN_TIMEOUT_S)
@@ -605,7 +611,7 @@
     record.note(f"disruption: {'yes' if is_troubled else 'no'}")
     try:
         breaks = asyncio.run(run())
-    except (CaseError, OSError, TimeoutError) as error:
+    except (CaseError, OSError, TimeoutError, asyncio.CancelledError) as error:
         record.note(f"could not run: {type(error).__name__} {error}")
         print(f"could not run: {type(error).__name__} {error}", file=sys.stderr)
         return NOT_RUN
