Review case 2: events that come twice in a stream

Shown: an engine drains while streams run that begin there. The events of the engines have comments between them. Streams then have five or six events twice and end as whole ones (rule ORDER).

Cause: the successor resumes behind what the first engine still sends. Its events are dropped up to the last id that the caller has got, but an event without an id passes and sets that id back.

--- a/review/engines.py
+++ b/review/engines.py
@@ -13,7 +13,6 @@
 FIRST_LOADS = 0.1
 """Loads before the first request take a tenth of the time."""
 
-EVENTS = 20
 RESTART_S = 2.0
 EVENT_S = 0.05
 MEGABYTES_BY_KIND = {"a100": 72_000.0, "v100": 14_400.0, "l4": 21_600.0}
@@ -82,6 +81,11 @@
     return [entry.partition(":")[0] for entry in text.split(",")]
 
 
+async def _write_chunk(writer: asyncio.StreamWriter, data: bytes) -> None:
+    writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+    await writer.drain()
+
+
 class Order(t.NamedTuple):
     """An order that an engine has got, and its answer."""
 
@@ -95,10 +99,15 @@
 
     ``orders``: those that it has got; ``excess``: those over its memory;
     ``deadly_part``: the part of a prompt under which it crashes as it begins to
-    write an answer; ``ends``: how often it has.
+    write an answer; ``ends``: how often it has; ``events``: events of a stream;
+    ``first_event_s``: seconds to read a prompt; ``comment_every``: events after which
+    a comment follows, 0 for no comments.
     """
 
     deadly_part = ""
+    events = 20
+    first_event_s = 0.0
+    comment_every = 0
 
     def __init__(
         self, record: rig.Record, store: rig.Store, service: str, zone: str, kind: str
@@ -157,7 +166,8 @@
             "kind": self.kind,
         }
         data = json.dumps(body).encode()
-        return rig.encode_answer(200, [("Content-Type", "application/json")], data)
+        headers = [("Content-Type", "application/json"), *self.notices()]
+        return rig.encode_answer(200, headers, data)
 
     async def _order(self, request: rig.Request) -> bytes | None:
         body = json.loads(request.body)
@@ -211,6 +221,7 @@
             f"X-Response-Signature: sig-{self.name}-{request.attempt}",
             "Content-Type: text/event-stream",
             "Transfer-Encoding: chunked",
+            *(f"{name}: {value}" for name, value in self.notices()),
         ]
         writer.write(("\r\n".join(head) + "\r\n\r\n").encode())
         await writer.drain()
@@ -220,11 +231,13 @@
             self.spawn(self.restart())
             return None
         done = int(request.headers.get("last-event-id") or 0)
-        for number in range(done + 1, EVENTS + 1):
+        await asyncio.sleep(self.first_event_s)
+        for number in range(done + 1, self.events + 1):
             await asyncio.sleep(EVENT_S)
             event = f"id: {number}\ndata: {request.attempt} {number}\n\n".encode()
-            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-            await writer.drain()
+            await _write_chunk(writer, event)
+            if self.comment_every and number % self.comment_every == 0:
+                await _write_chunk(writer, b": keep-alive\n\n")
         writer.write(b"0\r\n\r\n")
         return None
 
@@ -251,23 +264,37 @@
 
     The status is 0 if the channel ends without an answer.
     """
+    status, _ = await read_stream(address, route, attempt, parts)
+    return status
+
+
+async def read_stream(
+    address: str, route: str, attempt: str, parts: t.Sequence[str]
+) -> tuple[int, bytes]:
+    """Send a request as :func:`ask_stream` does; return its status and body.
+
+    The body is as sent, in chunks; it ends with an empty one if it is whole.
+    """
     request = rig.encode_request("POST", f"/{route}/1", attempt, 20000, b"p" * 300)
     prefix = ",".join(f"{part}:40" for part in (*parts, attempt))
     lines = f"X-Model: m\r\nX-Token-Usage: 300,80\r\nX-Prompt-Prefix: {prefix}\r\n"
     first, _, rest = request.partition(b"\r\n")
     ip, _, port = address.rpartition(":")
-    reader, writer = await asyncio.open_connection(ip, int(port))
+    status, body = 0, b""
+    reader, writer = await asyncio.open_connection(ip, int(port), limit=1 << 20)
     try:
         writer.write(first + b"\r\n" + lines.encode() + rest)
         head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 20.0)
         status = int(head.split(b" ", 2)[1])
         if status == 200:
-            await asyncio.wait_for(reader.readuntil(b"0\r\n\r\n"), 20.0)
-    except (asyncio.IncompleteReadError, ConnectionError):
-        return 0
+            body = await asyncio.wait_for(reader.readuntil(b"\r\n0\r\n\r\n"), 20.0)
+    except asyncio.IncompleteReadError as error:
+        return 0, error.partial
+    except ConnectionError:
+        return 0, b""
     finally:
         writer.close()
-    return status
+    return status, body
 
 
 async def wait_placed(found: t.Sequence[Engine], timeout_s: float = 30.0) -> None:
--- a/review/rig.py
+++ b/review/rig.py
@@ -365,12 +365,17 @@
         del writer
         return self.signed(request, b"body of " + request.attempt.encode())
 
+    def notices(self) -> Headers:
+        """Return the headers in which a replica says that it leaves."""
+        return [("Server-Leaving", "1")] if self.row["state"] == "draining" else []
+
     def signed(self, request: Request, body: bytes, status: int = 200) -> bytes:
         """Return a signed answer."""
         headers = [
             ("X-Attempt-Id", request.attempt),
             ("X-Response-Signature", f"sig-{self.name}-{request.attempt}"),
             ("Content-Type", "application/octet-stream"),
+            *self.notices(),
         ]
         return encode_answer(status, headers, body)
 
