Review case 4: deadly prompts that are never stopped

Shown: engines crash under a part of a prompt after the first event of the answer.

Cause: the first event of an answer makes all parts of its prompt sound for a minute, also the deadly one, and drops what was known of its crashes.

--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,8 +1,9 @@
-"""A desired state that adds a service of model engines, and a route to it."""
+"""Requests under which engines crash after the first event of their answers."""
 
 import asyncio
 import pathlib
 import sys
+import time
 import uuid
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
@@ -10,36 +11,46 @@
 import engines
 import rig
 
-ENGINES = 6
-"""Engines of each service; four hold the whole model once."""
+ENGINES = 12
+"""Engines, each with a quarter of the model: every layer is held three times."""
 
-APPLY_S = 2.0
-"""The platform's `config_apply_ms`."""
+DEADLY = "dead0001"
+SHARED = "5c1e07a2"
+"""The first part of the deadly requests; sound ones have it too."""
 
-SETTLE_S = 20.0
-"""Seconds from the change to the first request that counts: ten times the bound, and
-enough to load a whole model, which takes 14 s."""
+OTHER = "91bd3f06"
+ASK_S = 40.0
+"""Seconds for which one deadly and two sound requests come each second."""
 
-REQUESTS = 30
-"""Requests on each route; the rule asks for 20 or more."""
+CRASHES = 5
+REACH_MAX = 3
+"""Deadly requests that may reach replicas `contact_ms` after the fifth crash."""
 
 
-async def count_served(deployment: rig.Deployment, route: str) -> int:
-    """Send requests on a route to all machines in turn; return how many are served."""
-    served = 0
-    for number in range(REQUESTS):
-        gateway = deployment.gateways[number % len(deployment.gateways)]
+class Traffic:
+    """The client's requests, sent to all machines in turn."""
+
+    def __init__(self, deployment: rig.Deployment) -> None:
+        self._deployment = deployment
+        self._sent = 0
+        self.statuses_by_kind: dict[str, list[int]] = {}
+
+    async def ask(self, kind: str, *parts: str) -> None:
+        """Send a request on a new channel, and record the status of its answer."""
+        self._sent += 1
+        gateways = self._deployment.gateways
+        gateway = gateways[self._sent % len(gateways)]
         attempt = uuid.uuid4().hex[:16]
-        status = await engines.ask_stream(gateway.front, route, attempt, ("ab",))
-        deployment.record.note(f"{attempt} on {route} at {gateway.name} gets {status}")
-        served += status == 200
-        await asyncio.sleep(0.1)
-    return served
+        status = await engines.ask_stream(gateway.front, "assist", attempt, parts)
+        self._deployment.record.note(
+            f"{kind} {attempt} at {gateway.name} gets {status}"
+        )
+        self.statuses_by_kind.setdefault(kind, []).append(status)
 
 
 async def case(deployment: rig.Deployment, is_troubled: bool) -> list[str]:
-    """Add a service and its route, and compare how often both routes are served."""
-    record, store = deployment.record, deployment.store
+    """Send deadly requests, and count those that reach engines after five crashes."""
+    record = deployment.record
     config = {
         "version": 3,
         "routes": [engines.stream_route("assist", "assist")],
@@ -48,40 +59,40 @@
         "tenants": rig.TENANTS,
     }
     await deployment.start(config, ("a", "b", "c"))
-    first = []
+    found = []
     for _ in range(ENGINES):
-        engine = engines.Engine(record, store, "assist", "a", "a100")
+        engine = engines.Engine(record, deployment.store, "assist", "a", "a100")
+        engine.deadly_part = DEADLY
+        engine.deadly_events = 1
         await engine.start(deployment.ip)
-        first.append(engine)
+        found.append(engine)
     await deployment.wait_ready()
-    await engines.wait_placed(first)
-    record.note("all engines of assist hold layers")
-    if is_troubled:
-        for _ in range(ENGINES):
-            engine = engines.Engine(record, store, "quotes", "a", "a100")
-            await engine.start(deployment.ip)
-        names = ("assist", "quotes")
-        changed = {
-            **config,
-            "version": 7,
-            "routes": [engines.stream_route(name, name) for name in names],
-            "services": [engines.engine_service(name) for name in names],
-        }
-        await deployment.put_config(changed)
-    await asyncio.sleep(SETTLE_S)
-    served = await count_served(deployment, "assist")
-    record.note(f"assist: {served} of {REQUESTS} served")
-    if served < REQUESTS / 2:
-        raise rig.CaseError("the first route isn't served")
-    if not is_troubled:
+    await engines.wait_placed(found)
+    traffic = Traffic(deployment)
+    tasks = []
+    until = time.monotonic() + ASK_S
+    while time.monotonic() < until:
+        tasks.append(asyncio.create_task(traffic.ask("sound", SHARED)))
+        tasks.append(asyncio.create_task(traffic.ask("other", OTHER)))
+        if is_troubled:
+            tasks.append(asyncio.create_task(traffic.ask("deadly", SHARED, DEADLY)))
+        await asyncio.sleep(1.0)
+    await asyncio.gather(*tasks)
+    for kind, statuses in sorted(traffic.statuses_by_kind.items()):
+        record.note(f"{kind}: {statuses.count(200)} of {len(statuses)} are served")
+    reached = sorted(at for engine in found for at in engine.ended_at)
+    record.note(f"{len(reached)} deadly requests have reached engines")
+    if len(reached) < CRASHES:
+        if is_troubled:
+            raise rig.CaseError("the deadly requests have crashed no five engines")
         return []
-    added = await count_served(deployment, "quotes")
-    record.note(f"quotes: {added} of {REQUESTS} served")
-    if added * 4 >= served:
+    counted_from = reached[CRASHES - 1] + rig.CONTACT_S
+    late = [at for at in reached if at > counted_from]
+    if len(late) <= REACH_MAX:
         return []
     return [
-        f"CONFIG: {added} of {REQUESTS} requests on the route that was added later "
-        f"are served, {served} of {REQUESTS} on the first route"
+        f"BUDGET: {len(late)} requests with the deadly part reach engines later than "
+        f"`contact_ms` after the fifth crash"
     ]
 
 
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,31 +1,45 @@
-"""An engine that is lost for good, and whose address another service's engine gets."""
+"""A desired state that adds a service of model engines, and a route to it."""
 
 import asyncio
 import pathlib
 import sys
+import uuid
 
 sys.path.insert(0, str(pathlib.Path(__file__).resolve().parent.parent))
 
 import engines
 import rig
 
-REUSE_AFTER_S = 2.0
-"""The platform's `reuse_after_s`."""
+ENGINES = 6
+"""Engines of each service; four hold the whole model once."""
 
-BEATS_BEFORE = 1
-ENDS_AFTER_S = 0.3
-"""Seconds from the last heartbeat of the lost engine to its end."""
+APPLY_S = 2.0
+"""The platform's `config_apply_ms`."""
+
+SETTLE_S = 20.0
+"""Seconds from the change to the first request that counts: ten times the bound, and
+enough to load a whole model, which takes 14 s."""
+
+REQUESTS = 30
+"""Requests on each route; the rule asks for 20 or more."""
 
-ENGINES = 6
-"""Engines of assist before one is added: the lost one is a share of 1 / 7."""
 
-WATCH_S = 8.0
+async def count_served(deployment: rig.Deployment, route: str) -> int:
+    """Send requests on a route to all machines in turn; return how many are served."""
+    served = 0
+    for number in range(REQUESTS):
+        gateway = deployment.gateways[number % len(deployment.gateways)]
+        attempt = uuid.uuid4().hex[:16]
+        status = await engines.ask_stream(gateway.front, route, attempt, ("ab",))
+        deployment.record.note(f"{attempt} on {route} at {gateway.name} gets {status}")
+        served += status == 200
+        await asyncio.sleep(0.1)
+    return served
 
 
 async def case(deployment: rig.Deployment, is_troubled: bool) -> list[str]:
-    """Add an engine, lose it, and give its address to an engine of another service."""
+    """Add a service and its route, and compare how often both routes are served."""
     record, store = deployment.record, deployment.store
-    # The desired state with quotes follows once all replicas of quotes run.
     config = {
         "version": 3,
         "routes": [engines.stream_route("assist", "assist")],
@@ -34,34 +48,41 @@
         "tenants": rig.TENANTS,
     }
     await deployment.start(config, ("a", "b", "c"))
-    found: list[engines.Engine] = []
+    first = []
     for _ in range(ENGINES):
         engine = engines.Engine(record, store, "assist", "a", "a100")
         await engine.start(deployment.ip)
-        found.append(engine)
+        first.append(engine)
     await deployment.wait_ready()
-    await engines.wait_placed(found)
-    record.note("all engines hold layers; an empty one is added to assist")
-    added = engines.Engine(record, store, "assist", "a", "a100")
-    await added.start(deployment.ip)
-    found.append(added)
+    await engines.wait_placed(first)
+    record.note("all engines of assist hold layers")
     if is_troubled:
-        await asyncio.sleep(BEATS_BEFORE * rig.HEARTBEAT_S)
-        deployment.spawn(added.lapse())
-        await asyncio.sleep(ENDS_AFTER_S)
-        port = int(added.address.rpartition(":")[2])
-        await added.crash()
-        await asyncio.sleep(REUSE_AFTER_S + 0.1)
-        heir = engines.Engine(record, store, "quotes", "a", "v100")
-        await heir.start(deployment.ip, port)
-        record.note(f"{heir.name} of quotes starts at {heir.address}, a v100")
-        found.append(heir)
-    await asyncio.sleep(WATCH_S)
-    breaks = []
-    for engine in found:
-        for text in engine.excess:
-            breaks.append(f"LIMIT: {text}")
-    return breaks
+        for _ in range(ENGINES):
+            engine = engines.Engine(record, store, "quotes", "a", "a100")
+            await engine.start(deployment.ip)
+        names = ("assist", "quotes")
+        changed = {
+            **config,
+            "version": 7,
+            "routes": [engines.stream_route(name, name) for name in names],
+            "services": [engines.engine_service(name) for name in names],
+        }
+        await deployment.put_config(changed)
+    await asyncio.sleep(SETTLE_S)
+    served = await count_served(deployment, "assist")
+    record.note(f"assist: {served} of {REQUESTS} served")
+    if served < REQUESTS / 2:
+        raise rig.CaseError("the first route isn't served")
+    if not is_troubled:
+        return []
+    added = await count_served(deployment, "quotes")
+    record.note(f"quotes: {added} of {REQUESTS} served")
+    if added * 4 >= served:
+        return []
+    return [
+        f"CONFIG: {added} of {REQUESTS} requests on the route that was added later "
+        f"are served, {served} of {REQUESTS} on the first route"
+    ]
 
 
 if __name__ == "__main__":
--- a/review/engines.py
+++ b/review/engines.py
@@ -99,12 +99,14 @@
 
     ``orders``: those that it has got; ``excess``: those over its memory;
     ``deadly_part``: the part of a prompt under which it crashes as it begins to
-    write an answer; ``ends``: how often it has; ``events``: events of a stream;
+    write an answer; ``ended_at``: when it has; ``deadly_events``: events that it
+    writes before; ``events``: events of a stream;
     ``first_event_s``: seconds to read a prompt; ``comment_every``: events after which
     a comment follows, 0 for no comments.
     """
 
     deadly_part = ""
+    deadly_events = 0
     events = 20
     first_event_s = 0.0
     comment_every = 0
@@ -117,7 +119,7 @@
         self.megabytes = MEGABYTES_BY_KIND[kind]
         self.orders: list[Order] = []
         self.excess: list[str] = []
-        self.ends = 0
+        self.ended_at: list[float] = []
         self._sequence = 0
         self._is_busy = False
         self._tasks: set[asyncio.Task[None]] = set()
@@ -227,7 +229,8 @@
         await writer.drain()
         if self.deadly_part in _parts(request)[:-1]:
             self.record.note(f"{self.name} begins to write on {self.deadly_part}")
-            self.ends += 1
+            self.ended_at.append(time.monotonic())
+            await self._write_until_crash(request, writer)
             self.spawn(self.restart())
             return None
         done = int(request.headers.get("last-event-id") or 0)
@@ -241,6 +244,15 @@
         writer.write(b"0\r\n\r\n")
         return None
 
+    async def _write_until_crash(
+        self, request: rig.Request, writer: asyncio.StreamWriter
+    ) -> None:
+        done = int(request.headers.get("last-event-id") or 0)
+        for number in range(done + 1, done + 1 + self.deadly_events):
+            event = f"id: {number}\ndata: {request.attempt} {number}\n\n".encode()
+            await _write_chunk(writer, event)
+            await asyncio.sleep(EVENT_S)
+
     async def _load(self, body: dict[str, t.Any], count: int) -> None:
         born = self.row["born"]
         await asyncio.sleep(LOAD_S * count / LAYERS * FIRST_LOADS)
