--- a/review/engines.py
+++ b/review/engines.py
@@ -234,6 +234,8 @@
             self.spawn(self.restart())
             return None
         done = int(request.headers.get("last-event-id") or 0)
+        if done:
+            self.record.note(f"{self.name} resumes {request.attempt} after {done}")
         await asyncio.sleep(self.first_event_s)
         for number in range(done + 1, self.events + 1):
             await asyncio.sleep(EVENT_S)
