Judge crashes of engines by groups of prompt parts, at any point of an answer

What callers saw: engines that crash after the first event of an answer were never protected from the prompts that crash them.

Cause: the first event of an answer was taken as proof that its parts are sound, a crash after it was not reported, and each part was judged alone, so that a sound part that came with the deadly one was as suspect as that one.

Change: the requests at a crash are its candidates, wherever their answers are; only an answer that one engine has written from beginning to end clears parts; the parts that crashes have in common are refused as a group, the one that explains most crashes first; a request is at two crashes at most. Hosts exchange candidates instead of parts.

Measured: of the new tests in test_crashing_prompts four fail on the code before (crashes after 1, 3 and 11 events, the shared first part) and pass now; those of crashes before an event held before, too.

Failed try: each group weighed alone, without regard to larger ones: with crashes before the head the shared part was refused after two crashes and stayed so (0 of 60 sound requests served, 13 engines ended).

--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -1,41 +1,54 @@
 """Quarantine of prompt parts under which engines crash.
 
-Requests share parts of their prompts. When an engine crashes, the parts of the
-requests that it had not yet sent an event for are *suspects*, unless an answer with
-them has begun somewhere: a part that crashes engines never gets that far. A part that
-was there at enough crashes is quarantined: no request with it is sent to an engine.
-
-Hosts exchange their suspects, since the requests of one part come at any of them. All
-hosts that know the same crashes and the same sound parts come to the same verdict, in
-whatever order they learn of them.
+Requests share parts of their prompts. The requests that are at an engine when it
+crashes are *candidates* for the cause, at whatever point of their answers, unless
+answers that hold their parts have ended whole: a part that crashes engines never gets
+that far. The parts that candidates of several crashes have in common form a *group*.
+A group that explains enough crashes is quarantined: no request that holds all of it
+is sent to an engine.
+
+Of several groups the one that explains most crashes is quarantined first, and of
+those that explain the same the largest: a request that shares only some of its parts
+is still sent, and its whole answer takes these out of the group.
+
+Hosts exchange their candidates, since the requests of one part come at any of them.
+All hosts that know the same candidates and the same sound parts come to the same
+verdict, in whatever order they learn of them.
 """
 
 import collections
 import dataclasses
 import typing as t
 
-BEGUN_WEIGHT = 2
+BEGUN_WEIGHT = 6
 """Weight of a crash after the head of the request's answer and before an event."""
 
-WAITING_WEIGHT = 1
+STREAMING_WEIGHT = 4
+"""Weight of a crash after an event of the request's answer."""
+
+WAITING_WEIGHT = 3
 """Weight of a crash before the head of the request's answer."""
 
-QUARANTINE_WEIGHT = 4
-"""Weight, over different engines, from which a part is quarantined."""
+QUARANTINE_WEIGHT = 12
+"""Weight, over different engines, from which a group is quarantined."""
 
 EVIDENCE_S = 600.0
-"""Seconds after its last crash for which a suspect is kept or quarantined."""
+"""Seconds for which a crash counts, and a group is quarantined after its last one."""
 
 SOUND_S = 60.0
-"""Seconds after the begin of an answer for which its parts are sound."""
+"""Seconds after the end of a whole answer for which its parts are sound."""
 
-SUSPECTS_MAX = 256
+CRASHES_MAX = 32
+CANDIDATES_MAX = 32
 SOUND_MAX = 8192
-ENGINES_MAX = 16
-"""Most parts and, for each suspect, most crashes that are kept."""
+GROUPS_MAX = 256
+"""Most crashes, candidates of each, sound parts and groups that are considered."""
+
+MESSAGE_CANDIDATES = 64
+MESSAGE_BYTES = 6144
+"""Most candidates, and bytes of their parts, in a message: it fits into a datagram."""
 
-PARTS_PER_MESSAGE = 16
-"""Most suspects, and most sound parts, in a message: it fits into a datagram."""
+SOUND_PER_MESSAGE = 64
 
 
 class PartKey(t.NamedTuple):
@@ -45,192 +58,313 @@
     part: str
 
 
+Keys = frozenset[PartKey]
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
-class SuspectPart:
-    """A suspect as hosts exchange it.
+class CrashCandidate:
+    """A request that may have crashed an engine, as hosts exchange it.
 
-    ``engines``: keys of the incarnations that crashed; ``weights``: of each crash;
-    ``age_s``: seconds since the last one.
+    ``engine``: key of the incarnation; ``age_s``: seconds since the crash; ``keys``:
+    the parts of the request that weren't known to be sound.
     """
 
-    key: PartKey
-    engines: tuple[int, ...]
-    weights: tuple[int, ...]
+    engine: int
     age_s: float
+    weight: int
+    keys: Keys
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class CrashSuspects:
-    """Suspects of a host, and parts that it knows to be sound."""
+    """Candidates that a host knows, and parts that it knows to be sound."""
 
-    suspects: tuple[SuspectPart, ...] = ()
+    candidates: tuple[CrashCandidate, ...] = ()
     sound: tuple[PartKey, ...] = ()
 
 
 @dataclasses.dataclass(slots=True)
-class _Suspect:
-    """What is known of a suspect.
-
-    ``crashed_at``: time of the last crash; ``is_own``: whether a request of this host
-    was at one of the crashes.
-    """
+class _Crash:
+    """A crash: its time, and the weight of the candidates by their parts."""
 
     crashed_at: float
-    weight_by_engine: dict[int, int] = dataclasses.field(default_factory=dict)
-    is_own: bool = False
-
-    @property
-    def weight(self) -> int:
-        return sum(self.weight_by_engine.values())
+    weight_by_keys: dict[Keys, int] = dataclasses.field(default_factory=dict)
 
-    @property
-    def is_quarantined(self) -> bool:
-        return self.weight >= QUARANTINE_WEIGHT
-
-    def add(self, engine: int, weight: int) -> bool:
-        """Add a crash; return whether it changes anything."""
-        known = self.weight_by_engine.get(engine, 0)
-        if weight <= known:
-            return False
-        if not known and len(self.weight_by_engine) >= ENGINES_MAX:
+    def add(self, keys: Keys, weight: int) -> bool:
+        """Add a candidate; return whether it changes anything."""
+        if weight <= self.weight_by_keys.get(keys, 0):
             return False
-        self.weight_by_engine[engine] = weight
+        self.weight_by_keys[keys] = weight
+        if len(self.weight_by_keys) > CANDIDATES_MAX:
+            least = min(self.weight_by_keys, key=self._rank)
+            del self.weight_by_keys[least]
+            return least != keys
         return True
 
+    def _rank(self, keys: Keys) -> tuple[int, list[PartKey]]:
+        return self.weight_by_keys[keys], sorted(keys)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Group:
+    """Parts of which a request must hold all to be refused.
+
+    ``crashes``: number of crashes that it explains; ``last_at``: time of the last.
+    """
+
+    keys: Keys
+    crashes: int
+    last_at: float
+
 
 class Quarantine:
-    """The suspects and the sound parts that one host knows."""
+    """The candidates, the sound parts and the quarantined groups of one host."""
 
-    __slots__ = ("_sound_at_by_key", "_suspect_by_key")
+    __slots__ = ("_crash_by_engine", "_groups", "_own_keys", "_sound_at_by_key")
 
     def __init__(self) -> None:
-        self._suspect_by_key: dict[PartKey, _Suspect] = {}
+        self._crash_by_engine: dict[int, _Crash] = {}
         # In order of time, the oldest first.
         self._sound_at_by_key: collections.OrderedDict[PartKey, float] = (
             collections.OrderedDict()
         )
+        # Parts of the candidates among this host's own requests.
+        self._own_keys: set[PartKey] = set()
+        # The quarantined groups, None if they are to be determined.
+        self._groups: list[Group] | None = []
 
     def unproven(self, keys: t.Iterable[PartKey], now: float) -> list[PartKey]:
-        """Return the parts with which no answer has begun lately."""
+        """Return the parts with which no answer has ended whole lately."""
         return [key for key in keys if not self._is_sound(key, now)]
 
     def remaining_s(self, keys: t.Iterable[PartKey], now: float) -> float:
-        """Return for how long one of some parts is quarantined, 0 if none is."""
+        """Return for how long a request with some parts is refused, 0 if it is sent."""
         longest = 0.0
-        for key in keys:
-            suspect = self._suspect_by_key.get(key)
-            if suspect is not None and suspect.is_quarantined:
-                longest = max(longest, suspect.crashed_at + EVIDENCE_S - now)
+        held: Keys | None = None
+        for group in self.quarantined(now):
+            if held is None:
+                held = frozenset(keys)
+            if group.keys <= held:
+                longest = max(longest, group.last_at + EVIDENCE_S - now)
         return longest
 
-    def quarantined(self, now: float) -> list[PartKey]:
-        """Return the parts in quarantine."""
+    def quarantined(self, now: float) -> list[Group]:
+        """Return the groups in quarantine, those that explain most crashes first."""
         self._drop_old(now)
-        found = []
-        for key, suspect in self._suspect_by_key.items():
-            if suspect.is_quarantined:
-                found.append(key)
-        return found
+        if self._groups is None:
+            self._groups = _find_groups(self._crash_by_engine)
+        return self._groups
 
     def record_crash(
         self,
         engine: int,
-        keys: t.Iterable[PartKey],
+        candidates: t.Iterable[tuple[t.Iterable[PartKey], int]],
         now: float,
-        *,
-        has_begun: bool,
-    ) -> list[PartKey]:
-        """Record the parts of a request that was at an engine when it crashed.
+    ) -> bool:
+        """Record the requests of this host that were at an engine when it crashed.
 
         :param engine: key of the engine's incarnation.
-        :param has_begun: whether the head of the request's answer had arrived.
-        :returns: the parts about which something is new.
+        :param candidates: the parts of each request, and the weight of the crash.
+        :returns: whether anything is new.
         """
-        weight = BEGUN_WEIGHT if has_begun else WAITING_WEIGHT
-        changed = []
-        for key in self.unproven(keys, now):
-            suspect = self._suspect(key, now)
-            suspect.is_own = True
-            if suspect.add(engine, weight):
-                suspect.crashed_at = now
-                changed.append(key)
-        return changed
+        is_new = False
+        for keys, weight in candidates:
+            unproven = frozenset(self.unproven(keys, now))
+            self._own_keys |= unproven
+            is_new |= self._add(engine, now, unproven, weight)
+        return is_new
 
     def record_sound(self, keys: t.Iterable[PartKey], now: float) -> list[PartKey]:
-        """Record that an answer with some parts has begun.
+        """Record that an answer with some parts has ended whole.
 
-        :returns: the parts that were suspects of this host's own requests, of which
-            the other hosts are to learn.
+        :returns: the parts of candidates among this host's own requests, of which the
+            other hosts are to learn.
         """
         cleared = []
         for key in keys:
             self._sound_at_by_key[key] = now
             self._sound_at_by_key.move_to_end(key)
-            suspect = self._suspect_by_key.pop(key, None)
-            if suspect is not None and suspect.is_own:
+            if self._clear(key) and key in self._own_keys:
+                self._own_keys.discard(key)
                 cleared.append(key)
         while len(self._sound_at_by_key) > SOUND_MAX:
             self._sound_at_by_key.popitem(last=False)
         return cleared
 
     def merge(
-        self, suspects: t.Iterable[SuspectPart], now: float
-    ) -> tuple[list[PartKey], list[PartKey]]:
-        """Apply the suspects of another host.
+        self, candidates: t.Iterable[CrashCandidate], now: float
+    ) -> tuple[bool, list[PartKey]]:
+        """Apply the candidates of another host.
 
-        :returns: the parts about which something is new, and those that this host
-            knows to be sound.
+        :returns: whether anything is new, and the parts that this host knows to be
+            sound.
         """
-        changed, sound = [], []
-        for received in suspects:
+        is_new = False
+        sound: set[PartKey] = set()
+        for received in candidates:
             if received.age_s >= EVIDENCE_S:
                 continue
-            if self._is_sound(received.key, now):
-                sound.append(received.key)
-                continue
             crashed_at = now - received.age_s
-            suspect = self._suspect(received.key, crashed_at)
-            is_new = False
-            for engine, weight in zip(received.engines, received.weights, strict=True):
-                is_new |= suspect.add(engine, min(weight, BEGUN_WEIGHT))
-            if is_new:
-                suspect.crashed_at = max(suspect.crashed_at, crashed_at)
-                changed.append(received.key)
-        return changed, sound
-
-    def report(self, now: float) -> tuple[SuspectPart, ...]:
-        """Return the suspects to tell other hosts, those with most crashes first."""
-        self._drop_old(now)
+            innocent = {k for k in received.keys if self._is_sound(k, crashed_at)}
+            sound |= innocent
+            weight = min(received.weight, BEGUN_WEIGHT)
+            is_new |= self._add(
+                received.engine, crashed_at, received.keys - innocent, weight
+            )
+        return is_new, sorted(sound)
+
+    def report(self, now: float) -> tuple[CrashCandidate, ...]:
+        """Return the candidates to tell other hosts.
+
+        Those that hold a quarantined group come first, then the newest.
+        """
+        groups = [group.keys for group in self.quarantined(now)]
         found = []
-        for key, suspect in self._suspect_by_key.items():
-            engines = tuple(suspect.weight_by_engine)
-            weights = tuple(suspect.weight_by_engine.values())
-            found.append(SuspectPart(key, engines, weights, now - suspect.crashed_at))
-        found.sort(key=lambda part: (-sum(part.weights), part.age_s))
-        return tuple(found[:PARTS_PER_MESSAGE])
-
-    def _is_sound(self, key: PartKey, now: float) -> bool:
+        for engine, crash in self._crash_by_engine.items():
+            for keys, weight in crash.weight_by_keys.items():
+                is_weighty = any(group <= keys for group in groups)
+                age_s = now - crash.crashed_at
+                rank = (not is_weighty, age_s, -weight, engine, sorted(keys))
+                found.append((rank, CrashCandidate(engine, age_s, weight, keys)))
+        found.sort(key=lambda entry: entry[0])
+        chosen = []
+        room = MESSAGE_BYTES
+        for _, candidate in found[:MESSAGE_CANDIDATES]:
+            room -= sum(len(key.part) + len(key.service) for key in candidate.keys)
+            if room < 0:
+                break
+            chosen.append(candidate)
+        return tuple(chosen)
+
+    def _is_sound(self, key: PartKey, when: float) -> bool:
+        """Return whether a part is sound at some time, by what is known now."""
         sound_at = self._sound_at_by_key.get(key)
-        return sound_at is not None and now - sound_at < SOUND_S
-
-    def _suspect(self, key: PartKey, crashed_at: float) -> _Suspect:
-        """Return a suspect, created on first access in place of the least one."""
-        suspect = self._suspect_by_key.get(key)
-        if suspect is not None:
-            return suspect
-        if len(self._suspect_by_key) >= SUSPECTS_MAX:
-            least = min(
-                self._suspect_by_key,
-                key=lambda known: (
-                    self._suspect_by_key[known].weight,
-                    self._suspect_by_key[known].crashed_at,
-                ),
-            )
-            del self._suspect_by_key[least]
-        suspect = self._suspect_by_key[key] = _Suspect(crashed_at)
-        return suspect
+        return sound_at is not None and when - sound_at < SOUND_S
+
+    def _add(self, engine: int, crashed_at: float, keys: Keys, weight: int) -> bool:
+        if not keys:
+            return False
+        crash = self._crash_by_engine.get(engine)
+        if crash is None:
+            self._make_room()
+            crash = self._crash_by_engine[engine] = _Crash(crashed_at)
+        if not crash.add(keys, weight):
+            return False
+        self._groups = None
+        return True
+
+    def _make_room(self) -> None:
+        """Drop the oldest crash that no quarantined group explains if there are many.
+
+        If there is no such crash, drop the oldest.
+        """
+        if len(self._crash_by_engine) < CRASHES_MAX:
+            return
+        if self._groups is None:
+            self._groups = _find_groups(self._crash_by_engine)
+        groups = [group.keys for group in self._groups]
+
+        def rank(engine: int) -> tuple[bool, float]:
+            crash = self._crash_by_engine[engine]
+            is_explained = any(_weigh(crash, group) for group in groups)
+            return is_explained, crash.crashed_at
+
+        del self._crash_by_engine[min(self._crash_by_engine, key=rank)]
+        self._groups = None
+
+    def _clear(self, key: PartKey) -> bool:
+        """Take a part out of all candidates; return whether it was in any."""
+        is_found = False
+        for engine, crash in list(self._crash_by_engine.items()):
+            holders = [keys for keys in crash.weight_by_keys if key in keys]
+            for keys in holders:
+                is_found = True
+                weight = crash.weight_by_keys.pop(keys)
+                if rest := keys - {key}:
+                    crash.add(rest, weight)
+            if not crash.weight_by_keys:
+                del self._crash_by_engine[engine]
+        if is_found:
+            self._groups = None
+        return is_found
 
     def _drop_old(self, now: float) -> None:
-        for key, suspect in list(self._suspect_by_key.items()):
-            if now - suspect.crashed_at >= EVIDENCE_S:
-                del self._suspect_by_key[key]
+        for engine, crash in list(self._crash_by_engine.items()):
+            if now - crash.crashed_at >= EVIDENCE_S:
+                del self._crash_by_engine[engine]
+                self._groups = None
+        if not self._crash_by_engine:
+            self._own_keys.clear()
+
+
+def _find_groups(crash_by_engine: dict[int, _Crash]) -> list[Group]:
+    """Return the groups that explain enough crashes, by a greedy cover of these."""
+    weights_by_group: dict[Keys, dict[int, int]] = {}
+    for keys in _common_groups(crash_by_engine):
+        weights = {}
+        for engine, crash in crash_by_engine.items():
+            weight = _weigh(crash, keys)
+            if weight:
+                weights[engine] = weight
+        weights_by_group[keys] = weights
+    found = []
+    left = set(crash_by_engine)
+    while left:
+        best = _best_group(weights_by_group, left)
+        if best is None:
+            break
+        engines = weights_by_group[best]
+        times = [crash_by_engine[engine].crashed_at for engine in engines]
+        found.append(Group(best, len(times), max(times)))
+        left -= set(engines)
+    return found
+
+
+def _best_group(
+    weights_by_group: dict[Keys, dict[int, int]], left: set[int]
+) -> Keys | None:
+    """Return the group that explains most of some crashes, ``None`` for none.
+
+    A group that is part of another one which explains the same crashes is passed
+    over, even while the weight of that one is too low: requests with the rest of it
+    weren't there without it.
+    """
+    ranked = []
+    for keys, weights in weights_by_group.items():
+        explained = [weight for engine, weight in weights.items() if engine in left]
+        ranked.append((-len(explained), -len(keys), sorted(keys), keys, sum(explained)))
+    ranked.sort(key=lambda entry: entry[:3])
+    passed: list[tuple[int, Keys]] = []
+    for crashes, _, _, keys, weight in ranked:
+        if any(crashes == other and keys < larger for other, larger in passed):
+            continue
+        if weight >= QUARANTINE_WEIGHT:
+            return keys
+        passed.append((crashes, keys))
+    return None
+
+
+def _common_groups(crash_by_engine: dict[int, _Crash]) -> set[Keys]:
+    """Return the sets of parts that candidates of several crashes have in common."""
+    crashes_by_key: collections.Counter[PartKey] = collections.Counter()
+    for crash in crash_by_engine.values():
+        crashes_by_key.update(set().union(*crash.weight_by_keys))
+    common = {key for key, crashes in crashes_by_key.items() if crashes > 1}
+    held: set[Keys] = set()
+    for crash in crash_by_engine.values():
+        held.update(keys & common for keys in crash.weight_by_keys)
+    held.discard(frozenset())
+    groups: set[Keys] = set()
+    for keys in sorted(held, key=sorted):
+        if len(groups) >= GROUPS_MAX:
+            break
+        groups |= {keys & group for group in groups}
+        groups.add(keys)
+    groups.discard(frozenset())
+    return groups
+
+
+def _weigh(crash: _Crash, group: Keys) -> int:
+    """Return the weight of a crash for a group, 0 if no candidate holds all of it."""
+    weights = [w for keys, w in crash.weight_by_keys.items() if group <= keys]
+    return max(weights, default=0)
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -56,6 +56,7 @@
     ``progress_at``, ``progress_id``: time and id of the newest event with an id;
     ``received``: bytes received on a connection that was lost;
     ``is_closed_by_upstream``: whether the engine has closed or reset that connection;
+    ``is_from_start``: whether it is sent for the whole answer, not the rest of one;
     ``is_promoted``: whether it was the successor of an earlier attempt.
     """
 
@@ -65,6 +66,7 @@
         "connection",
         "headers",
         "is_closed_by_upstream",
+        "is_from_start",
         "is_promoted",
         "outcome",
         "owner",
@@ -94,6 +96,7 @@
         self.reason = b""
         self.headers: list[Header] = []
         self.outcome = AttemptOutcome.BROKEN
+        self.is_from_start = not last_id
         self.is_promoted = False
         self.received = 0
         self.is_closed_by_upstream = False
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -1,10 +1,16 @@
 """Crashes of engines, and the requests that may have caused them."""
 
+import collections
 import dataclasses
+import enum
 import typing as t
 
 from ..core.engine_costs import engine_key
+from ..core.quarantine import BEGUN_WEIGHT
+from ..core.quarantine import STREAMING_WEIGHT
+from ..core.quarantine import WAITING_WEIGHT
 from ..core.quarantine import CrashSuspects
+from ..core.quarantine import Group
 from ..core.quarantine import PartKey
 from ..core.quarantine import Quarantine
 from ..core.replicas import Replica
@@ -14,22 +20,33 @@
 from .loop import Loop
 from .upstream_pool import UpstreamPool
 
+CRASHES_MAX = 256
+"""Crashed engines that are remembered."""
+
+
+class Stage(enum.IntEnum):
+    """How far an answer has come; the value is the weight of a crash there."""
+
+    WAITING = WAITING_WEIGHT
+    BEGUN = BEGUN_WEIGHT
+    STREAMING = STREAMING_WEIGHT
+
 
 @dataclasses.dataclass(slots=True)
 class _Loss:
-    """Requests without an event whose connections an engine has closed at once.
+    """Requests whose connections an engine has closed at once.
 
-    ``begun``, ``waiting``: the parts of those whose answers had begun, and of the
-    others.
+    ``requests``: the parts of each, and how far its answer had come.
     """
 
     replica: Replica
-    begun: list[PartKey] = dataclasses.field(default_factory=list)
-    waiting: list[PartKey] = dataclasses.field(default_factory=list)
+    requests: list[tuple[list[PartKey], Stage]] = dataclasses.field(
+        default_factory=list
+    )
 
 
 class CrashReports:
-    """Finds out which engines have crashed, and tells the other hosts of suspects.
+    """Finds out which engines have crashed, and tells the other hosts of candidates.
 
     :param on_crash: called for each crash.
     :param on_quarantined: called after parts have come into quarantine.
@@ -51,11 +68,15 @@
         self._send_to_all = send_to_all
         self.quarantine = Quarantine()
         self._loss_by_identity: dict[tuple[str, int], _Loss] = {}
+        # Engines that have crashed, the oldest crash first.
+        self._crashed: collections.OrderedDict[tuple[str, int], None] = (
+            collections.OrderedDict()
+        )
 
     def report_loss(
-        self, replica: Replica, keys: t.Iterable[PartKey], *, has_begun: bool
+        self, replica: Replica, keys: t.Iterable[PartKey], stage: Stage
     ) -> None:
-        """Report a request without an event whose connection an engine has closed.
+        """Report a request whose connection an engine has closed.
 
         The engine is asked for a report: if it answers as the same incarnation, it
         has closed a connection but not crashed.
@@ -67,10 +88,14 @@
         if loss is None:
             loss = self._loss_by_identity[replica.identity] = _Loss(replica)
             self._check_engine(loss)
-        (loss.begun if has_begun else loss.waiting).extend(unproven)
+        loss.requests.append((unproven, stage))
+
+    def has_crashed(self, identities: t.Iterable[tuple[str, int]]) -> bool:
+        """Return whether one of some engines is known to have crashed."""
+        return any(identity in self._crashed for identity in identities)
 
     def record_answer(self, keys: t.Iterable[PartKey]) -> None:
-        """Record that an answer to a request with some parts has begun."""
+        """Record that an answer to a request with some parts has ended whole."""
         cleared = self.quarantine.record_sound(keys, self._loop.now)
         if cleared:
             self._log_cleared(cleared, "answered")
@@ -83,16 +108,16 @@
         if cleared:
             self._log_cleared(cleared, "sound at a peer")
             self._send_to_all(CrashSuspects(sound=tuple(cleared)))
-        before = set(quarantine.quarantined(now))
-        changed, sound = quarantine.merge(message.suspects, now)
-        if changed:
+        before = list(quarantine.quarantined(now))
+        is_new, sound = quarantine.merge(message.candidates, now)
+        if is_new:
             self._apply(before)
         return CrashSuspects(sound=tuple(sound)) if sound else None
 
     def message(self) -> CrashSuspects | None:
         """Return what other hosts should know, ``None`` for nothing."""
-        suspects = self.quarantine.report(self._loop.now)
-        return CrashSuspects(suspects) if suspects else None
+        candidates = self.quarantine.report(self._loop.now)
+        return CrashSuspects(candidates) if candidates else None
 
     def _check_engine(self, loss: _Loss) -> None:
         replica = loss.replica
@@ -116,43 +141,63 @@
         )
 
     def _record_crash(self, loss: _Loss) -> None:
-        """Record the suspects: requests that had begun, or else all of them."""
-        del self._loss_by_identity[loss.replica.identity]
+        """Record the requests that were at an engine as candidates for its crash."""
+        identity = loss.replica.identity
+        del self._loss_by_identity[identity]
+        self._crashed[identity] = None
+        if len(self._crashed) > CRASHES_MAX:
+            self._crashed.popitem(last=False)
         now = self._loop.now
-        before = set(self.quarantine.quarantined(now))
+        before = list(self.quarantine.quarantined(now))
+        candidates = [(keys, stage.value) for keys, stage in loss.requests]
         engine = engine_key(loss.replica)
-        changed = self.quarantine.record_crash(
-            engine, loss.begun or loss.waiting, now, has_begun=bool(loss.begun)
-        )
+        is_new = self.quarantine.record_crash(engine, candidates, now)
         self._on_crash()
+        count_by_stage = collections.Counter(stage for _, stage in loss.requests)
         log_event(
             "engine_crashed",
             level="WARNING",
             replica=loss.replica.name,
-            begun=",".join(key.part for key in loss.begun),
-            waiting=len(loss.waiting),
+            begun=_format_requests(loss, Stage.BEGUN),
+            streaming=count_by_stage[Stage.STREAMING],
+            waiting=count_by_stage[Stage.WAITING],
         )
-        if not changed:
+        if not is_new:
             return
         message = self.message()
         if message is not None:
             self._send_to_all(message)
         self._apply(before)
 
-    def _apply(self, before: set[PartKey]) -> None:
+    def _apply(self, before: list[Group]) -> None:
         """Log what is newly quarantined, and stop the requests that hold it."""
-        added = set(self.quarantine.quarantined(self._loop.now)) - before
+        known = {group.keys for group in before}
+        added = []
+        for group in self.quarantine.quarantined(self._loop.now):
+            if group.keys not in known:
+                added.append(group)
         if not added:
             return
-        for key in sorted(added):
+        for group in added:
+            keys = sorted(group.keys)
             log_event(
                 "part_quarantined",
                 level="WARNING",
-                service=key.service,
-                part=key.part,
+                service=keys[0].service,
+                part="+".join(key.part for key in keys),
+                crashes=group.crashes,
             )
         self._on_quarantined()
 
     def _log_cleared(self, keys: list[PartKey], reason: str) -> None:
         for key in keys:
             log_event("part_cleared", service=key.service, part=key.part, reason=reason)
+
+
+def _format_requests(loss: _Loss, stage: Stage) -> str:
+    """Return the parts of the requests of a stage, for the log."""
+    texts = []
+    for keys, reached in loss.requests:
+        if reached is stage:
+            texts.append("+".join(key.part for key in keys))
+    return ",".join(texts)
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -14,6 +14,7 @@
 from ..platform import headers as wire_headers
 from . import heads
 from .attempt import Attempt
+from .crash_reports import Stage
 from .exchange import BAD_GATEWAY
 from .exchange import GATEWAY_TIMEOUT
 from .exchange import AttemptOutcome
@@ -181,15 +182,17 @@
         self.refuse(reason)
 
     def is_quarantined(self) -> bool:
-        """Return whether a part of the prompt is in quarantine.
-
-        That of a stream which has begun is sound.
-        """
-        return not self.events and self._quarantine_s() > 0
+        """Return whether the prompt holds all parts of a group in quarantine."""
+        return self._quarantine_s() > 0
 
     def end_quarantined(self) -> None:
-        """End the request if a part of its prompt has come into quarantine."""
-        if self.is_finished or not self.is_quarantined():
+        """End the request if its prompt is in quarantine and no event comes.
+
+        A stream whose engine goes on may end whole, which clears its parts.
+        """
+        current = self._current
+        has_events = current is not None and current.splitter.count > 0
+        if self.is_finished or has_events or not self.is_quarantined():
             return
         # An engine that has the request may have begun it.
         self.may_have_run |= self._current is not None or self._successor is not None
@@ -292,6 +295,8 @@
         """Send a successor in parallel with the current attempt."""
         if self._successor is not None or not self.grant.route.may_repeat:
             return
+        if self.is_quarantined():
+            return
         path = self._finder.choose()
         current = self._current
         if path is None or (current is not None and current.has_abandoned(path)):
@@ -494,8 +499,6 @@
         if has_progress:
             self._progress_at = attempt.progress_at
         self._last_id = last_id
-        if not self.events and self._parts:
-            self.context.crash_reports.record_answer(self._parts)
         self.events += 1
         if self._first_answered is None:
             self._first_answered = attempt
@@ -563,20 +566,28 @@
         else:
             self.may_have_run = True
             self.lost_on.append(first.identity)
-            if attempt.is_closed_by_upstream and not self.events:
-                has_begun = attempt.status != 0
-                self.context.crash_reports.report_loss(
-                    first, self._parts, has_begun=has_begun
-                )
-                if has_begun and self._has_unproven_parts():
-                    # It may have crashed the engine, and would crash the next one.
+            if attempt.is_closed_by_upstream:
+                stage = _stage_of(attempt)
+                self.context.crash_reports.report_loss(first, self._parts, stage)
+                is_alone = self._current is None or self._successor is None
+                if is_alone and self._may_have_crashed(stage):
                     self.fail(BAD_GATEWAY, reason)
                     return
         self._handle_failure(attempt, first, reason)
 
-    def _has_unproven_parts(self) -> bool:
-        quarantine = self.context.crash_reports.quarantine
-        return bool(quarantine.unproven(self._parts, self.context.loop.now))
+    def _may_have_crashed(self, stage: Stage) -> bool:
+        """Return whether a lost request may have crashed its engine.
+
+        Another engine that runs it could crash too. One that has been at a crash
+        before, or whose first answer had begun without an event, is suspect unless
+        its parts are known to be sound.
+        """
+        reports = self.context.crash_reports
+        if not reports.quarantine.unproven(self._parts, self.context.loop.now):
+            return False
+        if stage is Stage.BEGUN and not self.events:
+            return True
+        return reports.has_crashed(self.lost_on[:-1])
 
     def _handle_failure(
         self, attempt: Attempt, faulty: Replica | None, reason: str
@@ -648,6 +659,9 @@
         self._retry_later_or_refuse(reason)
 
     def _deliver(self, attempt: Attempt) -> None:
+        # The rest of an answer that ended an engine proves nothing.
+        if self._parts and attempt.status < 300 and attempt.is_from_start:
+            self.context.crash_reports.record_answer(self._parts)
         held = attempt.splitter.held
         if self._first_answered is None:
             headers: list[Header] = heads.forwarded_headers(attempt.headers)
@@ -661,6 +675,13 @@
         self.context.record_request_end(self, "served")
 
 
+def _stage_of(attempt: Attempt) -> Stage:
+    """Return how far the answer of an attempt has come."""
+    if attempt.splitter.count:
+        return Stage.STREAMING
+    return Stage.BEGUN if attempt.status else Stage.WAITING
+
+
 def _may_move(attempt: Attempt, path: Path) -> bool:
     """Return whether a running request may move to a path.
 
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -166,8 +166,18 @@
 }
 
 struct CrashSuspects {
-  suspects @0 :List(SuspectPart);
+  obsoleteSuspects @0 :List(SuspectPart);
   sound @1 :List(Part);
+  parts @2 :List(Part);
+  candidates @3 :List(CrashCandidate);
+}
+
+# A request that may have crashed an engine; its parts are places in the list `parts`.
+struct CrashCandidate {
+  engine @0 :UInt32;
+  ageMs @1 :UInt32;
+  weight @2 :UInt8;
+  parts @3 :List(UInt16);
 }
 
 struct Part {
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -18,10 +18,11 @@
 from ..core.messages import EngineReport
 from ..core.messages import EngineUses
 from ..core.messages import PoolKey
-from ..core.quarantine import PARTS_PER_MESSAGE
+from ..core.quarantine import MESSAGE_CANDIDATES
+from ..core.quarantine import SOUND_PER_MESSAGE
+from ..core.quarantine import CrashCandidate
 from ..core.quarantine import CrashSuspects
 from ..core.quarantine import PartKey
-from ..core.quarantine import SuspectPart
 
 Record = t.Any  # a reader or a builder of pycapnp, which has no types
 Fields = dict[str, t.Any]
@@ -267,36 +268,52 @@
 
 def write_suspects(message: CrashSuspects) -> Fields:
     """Return the fields of what a host knows of crashes."""
-    suspects, sound = [], []
-    for suspect in message.suspects[:PARTS_PER_MESSAGE]:
-        suspects.append(
+    place_by_key: dict[PartKey, int] = {}
+    candidates = []
+    for candidate in message.candidates[:MESSAGE_CANDIDATES]:
+        places = []
+        for key in sorted(candidate.keys):
+            places.append(place_by_key.setdefault(key, len(place_by_key)))
+        candidates.append(
             {
-                "service": suspect.key.service,
-                "part": suspect.key.part,
-                "engines": list(suspect.engines),
-                "weights": list(suspect.weights),
-                "ageMs": _milliseconds(suspect.age_s),
+                "engine": candidate.engine,
+                "ageMs": _milliseconds(candidate.age_s),
+                "weight": candidate.weight,
+                "parts": places,
             }
         )
-    for key in message.sound[:PARTS_PER_MESSAGE]:
-        sound.append({"service": key.service, "part": key.part})
-    return {"suspects": suspects, "sound": sound}
+    return {
+        "parts": [_write_part(key) for key in place_by_key],
+        "candidates": candidates,
+        "sound": [_write_part(key) for key in message.sound[:SOUND_PER_MESSAGE]],
+    }
 
 
 def read_suspects(record: Record) -> CrashSuspects:
     """Return what a host knows of crashes.
 
-    :raises ValueError: if the columns of a suspect differ in length.
+    :raises ValueError: if a candidate names a part that the message does not have.
     """
-    suspects = []
-    for suspect in record.suspects:
-        engines, weights = tuple(suspect.engines), tuple(suspect.weights)
-        if len(engines) != len(weights):
-            raise ValueError("expected columns of the same length")
-        key = PartKey(suspect.service, suspect.part)
-        suspects.append(SuspectPart(key, engines, weights, suspect.ageMs / MS_PER_S))
+    keys = [PartKey(part.service, part.part) for part in record.parts]
+    candidates = []
+    for candidate in record.candidates:
+        places = list(candidate.parts)
+        if any(place >= len(keys) for place in places):
+            raise ValueError("expected places of parts in the message")
+        candidates.append(
+            CrashCandidate(
+                candidate.engine,
+                candidate.ageMs / MS_PER_S,
+                candidate.weight,
+                frozenset(keys[place] for place in places),
+            )
+        )
     sound = tuple(PartKey(part.service, part.part) for part in record.sound)
-    return CrashSuspects(tuple(suspects), sound)
+    return CrashSuspects(tuple(candidates), sound)
+
+
+def _write_part(key: PartKey) -> Fields:
+    return {"service": key.service, "part": key.part}
 
 
 def read_report(record: Record) -> EngineReport:
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -281,6 +281,9 @@
     events = 12
     pause_s = 0.01
     deadly_part = ""
+    # Events that are written under the deadly part before the engine ends; negative if
+    # it ends before the head of the answer.
+    deadly_events = 0
     restart_s = 0.3
     answer_after_s = 0.0
     first_event_s = 0.0
@@ -334,6 +337,11 @@
             return
         request = pending.request
         attempt = request.header(b"x-attempt-id")
+        parts = request.header(b"x-prompt-prefix").decode().split(",")[:-1]
+        is_deadly = self.deadly_part in [part.partition(":")[0] for part in parts]
+        if is_deadly and self.deadly_events < 0:
+            self.crash()
+            return
         headers = [
             (b"X-Attempt-Id", attempt),
             (b"X-Response-Signature", b"sig-" + self.name.encode()),
@@ -345,12 +353,13 @@
             pending.caller._connection.write(b"\r\n".join(lines) + b"\r\n\r\n")
         else:
             pending.caller.begin(200, b"OK", headers)
-        parts = request.header(b"x-prompt-prefix").decode().split(",")[:-1]
-        if self.deadly_part in [part.partition(":")[0] for part in parts]:
+        first = int(last or 0) + 1
+        ends_before = first + self.deadly_events if is_deadly else None
+        if ends_before == first:
             self.crash()
             return
         self.loop.call_later(
-            self.first_event_s, lambda: self.emit(pending, int(last or 0) + 1)
+            self.first_event_s, lambda: self.emit(pending, first, ends_before)
         )
 
     def crash(self) -> None:
@@ -378,9 +387,15 @@
             return
         pending.caller.end()
 
-    def emit(self, pending: PendingRequest, number: int) -> None:
+    def emit(
+        self, pending: PendingRequest, number: int, ends_before: int | None = None
+    ) -> None:
+        """Write an event, and the next one later, or end before one of them."""
         if pending.is_caller_gone:
             return
+        if ends_before is not None and number >= ends_before:
+            self.crash()
+            return
         if self.freeze_after is not None and number > self.freeze_after:
             if self.drip:
                 self.write(pending, self.drip)
@@ -394,7 +409,9 @@
             self.end_stream(pending, is_cut=False)
             return
         self.write(pending, b"id: %d\ndata: event %d\n\n" % (number, number))
-        self.loop.call_later(self.pause_s, lambda: self.emit(pending, number + 1))
+        self.loop.call_later(
+            self.pause_s, lambda: self.emit(pending, number + 1, ends_before)
+        )
 
 
 class CallerConnection:
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -4,6 +4,8 @@
 it ends one engine after another, with all streams that begin there.
 """
 
+import itertools
+
 import pytest
 
 from tests.gateway_data import make_config
@@ -64,10 +66,20 @@
         assert answered.status == 502
         assert count_ends(engines) == 1
 
+    @pytest.mark.parametrize("events", [-1, 1, 5])
+    def test_request_ends_two_engines_at_most(self, deployment, engines, hosts, events):
+        # A stream is resumed once; the second engine that ends under it is enough.
+        for engine in engines:
+            engine.deadly_events = events
+        answered = deployment.send(hosts[0], make_stream("a1", ("p1", DEADLY)))
+        deployment.run(lambda: answered.is_closed or answered.is_complete)
+        deployment.run_for(0.5)
+        assert count_ends(engines) == 2
+
     def test_sound_request_is_sent_again_if_its_engine_ends(
         self, deployment, engines, hosts
     ):
-        # Its parts are known to be sound, as an answer with them has begun.
+        # Its parts are known to be sound, as an answer with them has ended whole.
         first = deployment.send_and_wait(hosts[0], make_stream("a1", ("p1",)))
         assert first.body == EVENTS
         for engine in engines:
@@ -131,3 +143,50 @@
         # The third would have ended its engine 0.2 s after the second.
         assert count_ends(engines) == 2
         assert [answered.status for answered in sent] == [502] * 3
+
+
+class TestBesideSoundRequests:
+    """Sound requests hold the first part of the deadly ones, from the very first on.
+
+    An engine that has written some events before it ends is no proof that the prompt
+    is sound, and a crash under sound requests is none that they are not.
+    """
+
+    @pytest.mark.parametrize("events", [-1, 0, 1, 3, 11])
+    def test_deadly_requests_are_refused_and_sound_ones_served(
+        self, deployment, engines, hosts, events
+    ):
+        for engine in engines:
+            engine.deadly_events = events
+            engine.restart_s = 1.0
+        turns = itertools.cycle(hosts)
+        served = []
+        ends = []
+        for number in range(24):
+            deadly = make_stream(f"d{number}", ("p1", DEADLY))
+            deployment.send(next(turns), deadly)
+            sound = []
+            for turn in range(3):
+                request = make_stream(f"s{number}x{turn}", ("p1",))
+                sound.append(deployment.send(next(turns), request))
+            deployment.run_for(0.25)
+            served.append(sum(answered.body == EVENTS for answered in sound))
+            ends.append(count_ends(engines))
+        # The pages allow five crashes and three more; none of them comes later.
+        assert ends[-1] <= 8
+        assert ends[-1] == ends[11]
+        assert sum(served[12:]) >= 0.9 * 36
+
+    def test_part_that_no_answer_has_proven_is_not_refused_alone(
+        self, deployment, engines, hosts
+    ):
+        # Nothing with the first part has been answered when the crashes come.
+        for number, host in enumerate(hosts):
+            send_deadly(deployment, host, f"d{number}", "p1")
+        deployment.run_for(0.5)
+        assert send_deadly(deployment, hosts[0], "d7", "p1").status == 503
+        for number, host in enumerate(hosts):
+            request = make_stream(f"s{number}", ("p1",))
+            assert deployment.send_and_wait(host, request).body == EVENTS
+        # Whole answers have cleared the first part; the other one is refused alone.
+        assert send_deadly(deployment, hosts[0], "d8", "p9").status == 503
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -35,9 +35,9 @@
 from wagtailstair.core.messages import Settle
 from wagtailstair.core.messages import Submit
 from wagtailstair.core.messages import Withdraw
+from wagtailstair.core.quarantine import CrashCandidate
 from wagtailstair.core.quarantine import CrashSuspects
 from wagtailstair.core.quarantine import PartKey
-from wagtailstair.core.quarantine import SuspectPart
 from wagtailstair.exceptions import PeerError
 from wagtailstair.peers.codec import DATAGRAM_BYTES_MAX
 from wagtailstair.peers.codec import HEADER_BYTES
@@ -121,7 +121,12 @@
     EngineUses("entry-1", False, (0xFFFFFFFF, 2), (3, 1), (0, 1), (0xFFFFFFFF, 9)),
     EngineUses("gt-a", True, (), (), (), ()),
     CrashSuspects(
-        (SuspectPart(PartKey("engines", "dead"), (0xFFFFFFFF, 2), (2, 1), 600.5),),
+        (
+            CrashCandidate(0xFFFFFFFF, 600.5, 6, frozenset({PartKey("engines", "d")})),
+            CrashCandidate(
+                2, 0.0, 4, frozenset({PartKey("engines", "d"), PartKey("others", "p")})
+            ),
+        ),
         (PartKey("engines", "p1"), PartKey("others", "p2")),
     ),
     CrashSuspects(),
