Recognise a request that ends its engines when it comes again

Cause: a request that ends its engines came again under other attempt ids. Crashes were charged to the shared parts of prompts only, and sound requests cleared the one that it has.

Change: a candidate for a crash also holds the last part of its prompt and a digest of the request (of its body where there are no parts). A request at which an engine has crashed before isn't sent to a third one, whatever its parts.

test_request_in_progress_with_the_part_is_cancelled failed once on the code before, beside load: all three requests had chosen the same engine, by its log, so that two others ended at the same moment. It now sends each to an engine of its own; its assertions stay.

--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -1,9 +1,10 @@
-"""Quarantine of prompt parts under which engines crash.
+"""Quarantine of prompts under which engines crash.
 
-Requests share parts of their prompts. The requests that are at an engine when it
-crashes are *candidates* for the cause, at whatever point of their answers, unless
-answers that hold their parts have ended whole: a part that crashes engines never gets
-that far. The parts that candidates of several crashes have in common form a *group*.
+Requests share parts of their prompts, and the same request may come again. Those that
+are at an engine when it crashes are *candidates* for the cause, at whatever point of
+their answers, unless answers that hold their parts have ended whole: a part that
+crashes engines never gets that far. What candidates of several crashes have in common
+forms a *group*.
 A group that explains enough crashes is quarantined: no request that holds all of it
 is sent to an engine.
 
@@ -18,6 +19,7 @@
 
 import collections
 import dataclasses
+import hashlib
 import typing as t
 
 BEGUN_WEIGHT = 6
@@ -50,14 +52,32 @@
 
 SOUND_PER_MESSAGE = 64
 
+FRESH_S = 20.0
+"""Seconds after a crash for which hosts are told of all its candidates, and not only
+of those that hold a quarantined group."""
+
+REQUEST_KEY_BYTES = 8
+
 
 class PartKey(t.NamedTuple):
-    """A part of prompts, and the service whose engines read it."""
+    """A part of prompts or a whole request, and the service whose engines read it."""
 
     service: str
     part: str
 
 
+def request_key(service: str, *values: bytes) -> PartKey:
+    """Return the key of a whole request, the same each time that it comes.
+
+    :param values: what tells the request from others, but not its attempts apart.
+    """
+    digest = hashlib.blake2b(digest_size=REQUEST_KEY_BYTES)
+    for value in values:
+        digest.update(b"%d:" % len(value))
+        digest.update(value)
+    return PartKey(service, f"request-{digest.hexdigest()}")
+
+
 Keys = frozenset[PartKey]
 
 
@@ -66,7 +86,7 @@
     """A request that may have crashed an engine, as hosts exchange it.
 
     ``engine``: key of the incarnation; ``age_s``: seconds since the crash; ``keys``:
-    the parts of the request that weren't known to be sound.
+    the request and its parts that weren't known to be sound.
     """
 
     engine: int
@@ -137,6 +157,13 @@
         """Return the parts with which no answer has ended whole lately."""
         return [key for key in keys if not self._is_sound(key, now)]
 
+    def candidates(self, keys: t.Iterable[PartKey]) -> list[PartKey]:
+        """Return the keys that candidates of crashes hold."""
+        held: set[PartKey] = set()
+        for crash in self._crash_by_engine.values():
+            held.update(*crash.weight_by_keys)
+        return [key for key in keys if key in held]
+
     def remaining_s(self, keys: t.Iterable[PartKey], now: float) -> float:
         """Return for how long a request with some parts is refused, 0 if it is sent."""
         longest = 0.0
@@ -216,7 +243,7 @@
     def report(self, now: float) -> tuple[CrashCandidate, ...]:
         """Return the candidates to tell other hosts.
 
-        Those that hold a quarantined group come first, then the newest.
+        Those that hold a quarantined group come first, then the newest ones.
         """
         groups = [group.keys for group in self.quarantined(now)]
         found = []
@@ -224,6 +251,8 @@
             for keys, weight in crash.weight_by_keys.items():
                 is_weighty = any(group <= keys for group in groups)
                 age_s = now - crash.crashed_at
+                if not is_weighty and age_s >= FRESH_S:
+                    continue
                 rank = (not is_weighty, age_s, -weight, engine, sorted(keys))
                 found.append((rank, CrashCandidate(engine, age_s, weight, keys)))
         found.sort(key=lambda entry: entry[0])
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -94,8 +94,16 @@
         """Return whether one of some engines is known to have crashed."""
         return any(identity in self._crashed for identity in identities)
 
-    def record_answer(self, keys: t.Iterable[PartKey]) -> None:
-        """Record that an answer to a request with some parts has ended whole."""
+    def record_answer(
+        self, shared: t.Sequence[PartKey], own: t.Iterable[PartKey]
+    ) -> None:
+        """Record that an answer to a request has ended whole.
+
+        :param shared: parts of its prompt that other requests may hold.
+        :param own: what only this request holds, which need not be remembered unless
+            it is a candidate for a crash.
+        """
+        keys = [*shared, *self.quarantine.candidates(own)]
         cleared = self.quarantine.record_sound(keys, self._loop.now)
         if cleared:
             self._log_cleared(cleared, "answered")
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -9,6 +9,7 @@
 from ..core.pipelines import Path
 from ..core.pipelines import crossed_links
 from ..core.quarantine import PartKey
+from ..core.quarantine import request_key
 from ..core.replicas import Replica
 from ..platform import engines as engine_wire
 from ..platform import headers as wire_headers
@@ -70,6 +71,7 @@
         "_finder",
         "_first_answered",
         "_last_id",
+        "_own_keys",
         "_parts",
         "_progress_at",
         "_progress_timer",
@@ -90,10 +92,7 @@
         )
         self._common_head = heads.forwarded_head(self.request, names)
         self._last_id = self.request.header(names.last_event)
-        self._parts: list[PartKey] = []
-        prompt_parts = self.request.header(names.prompt_parts)
-        for part in wire_headers.parse_shared_parts(prompt_parts):
-            self._parts.append(PartKey(self.service.name, part))
+        self._parts, self._own_keys = self._identify()
         self._current: Attempt | None = None
         self._successor: Attempt | None = None
         # The attempt whose response head was sent to the caller.
@@ -107,6 +106,19 @@
         self.first_event_s: float | None = None
         self._start("no pipeline")
 
+    def _identify(self) -> tuple[list[PartKey], list[PartKey]]:
+        """Return the shared parts of the prompt, and the keys of this request alone."""
+        service, names = self.service.name, self.context.names
+        prompt_parts = self.request.header(names.prompt_parts)
+        shared, own = wire_headers.parse_prompt_parts(prompt_parts)
+        values = [self.request.target, self.request.header(names.token_usage)]
+        # The parts name the contents of a prompt.
+        values.append(prompt_parts or bytes(self.request.body))
+        own_keys = [request_key(service, *values)]
+        if own:
+            own_keys.append(PartKey(service, own))
+        return [PartKey(service, part) for part in shared], own_keys
+
     def on_caller_gone(self) -> None:
         """Cancel the request: its caller has disconnected."""
         if self.is_finished:
@@ -182,7 +194,7 @@
         self.refuse(reason)
 
     def is_quarantined(self) -> bool:
-        """Return whether the prompt holds all parts of a group in quarantine."""
+        """Return whether the request holds all keys of a group in quarantine."""
         return self._quarantine_s() > 0
 
     def end_quarantined(self) -> None:
@@ -206,7 +218,8 @@
 
     def _quarantine_s(self) -> float:
         quarantine = self.context.crash_reports.quarantine
-        return quarantine.remaining_s(self._parts, self.context.loop.now)
+        keys = (*self._parts, *self._own_keys)
+        return quarantine.remaining_s(keys, self.context.loop.now)
 
     def return_s(self) -> float:
         """Return after how many seconds the caller of a refused request may retry."""
@@ -568,7 +581,8 @@
             self.lost_on.append(first.identity)
             if attempt.is_closed_by_upstream:
                 stage = _stage_of(attempt)
-                self.context.crash_reports.report_loss(first, self._parts, stage)
+                keys = (*self._parts, *self._own_keys)
+                self.context.crash_reports.report_loss(first, keys, stage)
                 is_alone = self._current is None or self._successor is None
                 if is_alone and self._may_have_crashed(stage):
                     self.fail(BAD_GATEWAY, reason)
@@ -579,15 +593,15 @@
         """Return whether a lost request may have crashed its engine.
 
         Another engine that runs it could crash too. One that has been at a crash
-        before, or whose first answer had begun without an event, is suspect unless
-        its parts are known to be sound.
+        before is suspect, and so is one whose first answer had begun without an event
+        unless the parts that it shares are known to be sound.
         """
         reports = self.context.crash_reports
-        if not reports.quarantine.unproven(self._parts, self.context.loop.now):
-            return False
-        if stage is Stage.BEGUN and not self.events:
+        if reports.has_crashed(self.lost_on[:-1]):
             return True
-        return reports.has_crashed(self.lost_on[:-1])
+        if stage is not Stage.BEGUN or self.events:
+            return False
+        return bool(reports.quarantine.unproven(self._parts, self.context.loop.now))
 
     def _handle_failure(
         self, attempt: Attempt, faulty: Replica | None, reason: str
@@ -660,8 +674,8 @@
 
     def _deliver(self, attempt: Attempt) -> None:
         # The rest of an answer that ended an engine proves nothing.
-        if self._parts and attempt.status < 300 and attempt.is_from_start:
-            self.context.crash_reports.record_answer(self._parts)
+        if attempt.status < 300 and attempt.is_from_start:
+            self.context.crash_reports.record_answer(self._parts, self._own_keys)
         held = attempt.splitter.held
         if self._first_answered is None:
             headers: list[Header] = heads.forwarded_headers(attempt.headers)
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -55,18 +55,27 @@
         return 0, 0
 
 
-def parse_shared_parts(prompt_parts: bytes) -> tuple[str, ...]:
-    """Return the ids of a prompt's parts that other requests may share.
+def parse_prompt_parts(prompt_parts: bytes) -> tuple[tuple[str, ...], str]:
+    """Return the ids of a prompt's parts that other requests may share, and its own.
 
-    The last part belongs to the request or its session alone. Ids are compared
-    without regard to case and leading zeros, as they are hexadecimal numbers.
+    The last part belongs to the request or its session alone; its id is empty if it
+    is malformed or missing. Ids are compared without regard to case and leading zeros,
+    as they are hexadecimal numbers.
     """
+    *shared, own = prompt_parts.split(b",")
     ids = []
-    for entry in prompt_parts.split(b",")[:-1][:PARTS_MAX]:
-        name = entry.partition(b":")[0].strip().lower().lstrip(b"0")
-        if name and len(name) <= PART_BYTES_MAX and name.isalnum():
-            ids.append(name.decode("ascii"))
-    return tuple(ids)
+    for entry in shared[:PARTS_MAX]:
+        if name := _parse_part(entry):
+            ids.append(name)
+    return tuple(ids), _parse_part(own)
+
+
+def _parse_part(entry: bytes) -> str:
+    """Return the id of a part of a prompt, empty if it is malformed."""
+    name = entry.partition(b":")[0].strip().lower().lstrip(b"0")
+    if len(name) > PART_BYTES_MAX or not name.isalnum():
+        return ""
+    return name.decode("ascii")
 
 
 def _parse_number(value: bytes) -> float | None:
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -281,6 +281,8 @@
     events = 12
     pause_s = 0.01
     deadly_part = ""
+    # What each request has under which the engine ends.
+    deadly_body = b""
     # Events that are written under the deadly part before the engine ends; negative if
     # it ends before the head of the answer.
     deadly_events = 0
@@ -339,6 +341,7 @@
         attempt = request.header(b"x-attempt-id")
         parts = request.header(b"x-prompt-prefix").decode().split(",")[:-1]
         is_deadly = self.deadly_part in [part.partition(":")[0] for part in parts]
+        is_deadly |= bool(self.deadly_body) and request.body == self.deadly_body
         if is_deadly and self.deadly_events < 0:
             self.crash()
             return
@@ -585,10 +588,23 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
-def make_stream(attempt: str, parts: tuple[str, ...] = (), **options: t.Any) -> bytes:
-    """Return a request for a stream; the last part of its prompt is its own."""
-    prefix = ",".join(f"{part}:100" for part in (*parts, f"e{attempt}"))
-    headers = f"X-Token-Usage: 300,80\r\nX-Model: m\r\nX-Prompt-Prefix: {prefix}"
+def make_stream(
+    attempt: str,
+    parts: tuple[str, ...] = (),
+    *,
+    own: str = "",
+    body: bytes = b"p" * 300,
+    **options: t.Any,
+) -> bytes:
+    """Return a request for a stream; the last part of its prompt is its own.
+
+    :param own: id of the last part, by default one that no other request has; ``-``
+        for a request without parts.
+    """
+    headers = f"X-Token-Usage: {len(body)},80\r\nX-Model: m"
+    if own != "-":
+        prefix = ",".join(f"{part}:100" for part in (*parts, own or f"e{attempt}"))
+        headers += f"\r\nX-Prompt-Prefix: {prefix}"
     return make_request(
-        "/draft/1", attempt, method="POST", body=b"p" * 300, headers=headers, **options
+        "/draft/1", attempt, method="POST", body=body, headers=headers, **options
     )
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -15,6 +15,7 @@
 from tests.test_gateway import wait_for_placement
 
 DEADLY = "dead"
+DEADLY_BODY = b"q" * 280
 
 
 @pytest.fixture
@@ -129,15 +130,31 @@
         assert send_deadly(deployment, late, "d8").status == 503
         assert count_ends(engines) == 2
 
+    def send_to_unused_engine(self, deployment, host, name, engines, used):
+        """Send such a request until it is at an engine that has none of the others."""
+        for turn in range(30):
+            attempt = f"{name}x{turn}"
+            answered = deployment.send(host, make_stream(attempt, (name, DEADLY)))
+            deployment.run(lambda attempt=attempt: attempt in arrivals(engines))
+            engine = next(e for e in engines if attempt in e.runs)
+            if engine not in used:
+                used.append(engine)
+                return answered
+            answered.connection.close()
+        raise AssertionError("no other engine was chosen")
+
     def test_request_in_progress_with_the_part_is_cancelled(
         self, deployment, engines, hosts
     ):
         sent = []
+        used = []
         for engine in engines:
             engine.answer_after_s = 1.0
         for number, host in enumerate(hosts):
-            request = make_stream(f"d{number}", (f"p{number}", DEADLY))
-            sent.append(deployment.send(host, request))
+            name = f"p{number}"
+            sent.append(
+                self.send_to_unused_engine(deployment, host, name, engines, used)
+            )
             deployment.run_for(0.2)
         deployment.run(lambda: all(a.is_complete or a.is_closed for a in sent))
         # The third would have ended its engine 0.2 s after the second.
@@ -190,3 +207,51 @@
             assert deployment.send_and_wait(host, request).body == EVENTS
         # Whole answers have cleared the first part; the other one is refused alone.
         assert send_deadly(deployment, hosts[0], "d8", "p9").status == 503
+
+
+class TestSameRequest:
+    """The same request comes again under other attempt ids, at any host.
+
+    None of its parts is deadly by itself: sound requests share the first one, and
+    later requests of its session the last one.
+    """
+
+    @pytest.mark.parametrize("events", [-1, 0, 1, 5])
+    @pytest.mark.parametrize(
+        ("parts", "own"), [(("p1",), "5e55"), ((), "5e55"), ((), "-")]
+    )
+    def test_request_that_has_ended_two_engines_is_refused(
+        self, deployment, engines, hosts, events, parts, own
+    ):
+        for engine in engines:
+            engine.deadly_body = DEADLY_BODY
+            engine.deadly_events = events
+            engine.restart_s = 0.5
+        first = make_stream("a1", ("p1",))
+        assert deployment.send_and_wait(hosts[0], first).body == EVENTS
+        for number in range(6):
+            request = make_stream(f"d{number}", parts, own=own, body=DEADLY_BODY)
+            answered = deployment.send_and_wait(hosts[number % 3], request)
+            deployment.run_for(0.3)
+        assert answered.status == 503
+        # Crashes before the head weigh least: it takes four of them.
+        assert count_ends(engines) <= (4 if events < 0 else 3)
+        deployment.run_for(1.0)
+        for number, host in enumerate(hosts):
+            sound = make_stream(f"s{number}", ("p1",))
+            assert deployment.send_and_wait(host, sound).body == EVENTS
+
+    def test_session_of_the_request_is_served(self, deployment, engines, hosts):
+        for engine in engines:
+            engine.deadly_body = DEADLY_BODY
+        for number, host in enumerate(hosts):
+            request = make_stream(f"d{number}", ("p1",), own="5e55", body=DEADLY_BODY)
+            deployment.send_and_wait(host, request)
+            deployment.run_for(0.3)
+        ended = count_ends(engines)
+        assert ended <= 3
+        later = make_stream("a1", ("p1",), own="5e55")
+        assert deployment.send_and_wait(hosts[0], later).body == EVENTS
+        again = make_stream("d9", ("p1",), own="5e55", body=DEADLY_BODY)
+        assert deployment.send_and_wait(hosts[1], again).status == 503
+        assert count_ends(engines) == ended
