Bound what is kept of an engine's answer to an order or a report

What callers would see: a faulty engine answers an order or a report with bytes without end. Each such call kept up to 16 MB until its time-out, so that some twenty engines that fail alike take a host over its memory, with all requests on it. One faulty engine alone took 16 MB a call, which is not enough to end a host.

Cause: one bound for all of the gateway's own calls, that of a page of the store's rows.

Change: answers of engines are given up after 256 KB; a report of all that an engine runs is far shorter. The other places of an answer (head, header, framing, bytes that are no answer) had their bounds, for the store and for engines alike.

--- a/src/wagtailstair/gateway/engine_report.py
+++ b/src/wagtailstair/gateway/engine_report.py
@@ -6,6 +6,7 @@
 from ..exceptions import UpstreamError
 from ..logs import log_event
 from ..platform import engines as engine_wire
+from .fetch import ENGINE_ANSWER_BYTES_MAX
 from .fetch import Answer
 from .fetch import Fetch
 from .loop import Loop
@@ -53,4 +54,5 @@
         engine_wire.report_call(),
         REPORT_TIMEOUT_S,
         on_answer,
+        bytes_max=ENGINE_ANSWER_BYTES_MAX,
     )
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -15,6 +15,11 @@
 from .upstream_pool import UpstreamPool
 
 ANSWER_BYTES_MAX = 16 << 20
+"""Bytes of the body of an answer with rows of the store or of a peer."""
+
+ENGINE_ANSWER_BYTES_MAX = 256 << 10
+"""Bytes of the body of an engine's answer to a report or an order; a report of all
+that an engine runs is far shorter. Many engines may be asked at once."""
 
 TRANSFER_GRACE_S = 3.0
 """Seconds after the begin of a transfer from which its rate is judged."""
@@ -56,11 +61,13 @@
         ``stall_s`` is given.
     :param stall_s: longest seconds between two parts of the response, which may then
         take as long as its size and the link demand.
+    :param bytes_max: bytes of the body after which the call is given up.
     """
 
     __slots__ = (
         "_begun_at",
         "_body",
+        "_bytes_max",
         "_connection",
         "_loop",
         "_on_answer",
@@ -80,8 +87,10 @@
         timeout_s: float,
         on_answer: t.Callable[[Answer], None],
         stall_s: float | None = None,
+        bytes_max: int = ANSWER_BYTES_MAX,
     ) -> None:
         self._loop = loop
+        self._bytes_max = bytes_max
         self._stall_s = stall_s
         # Time of the last part of the response, ``None`` before the first.
         self._progress_at: float | None = None
@@ -130,10 +139,10 @@
         return True
 
     def on_body(self, data: bytes) -> None:
-        """Store a part of the body; cancel the call if it is too long."""
+        """Store a part of the body; give the call up if it is too long."""
         self._body += data
         self._record_progress()
-        if len(self._body) > ANSWER_BYTES_MAX:
+        if len(self._body) > self._bytes_max:
             connection, self._connection = self._connection, None
             if connection is not None:
                 connection.cancel()
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -18,6 +18,7 @@
 from ..logs import log_event
 from ..platform import engines as engine_wire
 from .engine_report import fetch_engine_report
+from .fetch import ENGINE_ANSWER_BYTES_MAX
 from .fetch import Answer
 from .fetch import Fetch
 from .lease import LeaseManager
@@ -117,7 +118,15 @@
     def _fetch(
         self, upstream: Upstream, call: Call, on_answer: t.Callable[[Answer], None]
     ) -> None:
-        Fetch(self._loop, self._pool, upstream, call, ORDER_TIMEOUT_S, on_answer)
+        Fetch(
+            self._loop,
+            self._pool,
+            upstream,
+            call,
+            ORDER_TIMEOUT_S,
+            on_answer,
+            bytes_max=ENGINE_ANSWER_BYTES_MAX,
+        )
 
     # Orders.
 
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -20,6 +20,7 @@
 from .exchange import GATEWAY_TIMEOUT
 from .exchange import AttemptOutcome
 from .exchange import Exchange
+from .fetch import ENGINE_ANSWER_BYTES_MAX
 from .fetch import Answer
 from .fetch import Fetch
 from .loop import Timer
@@ -457,6 +458,7 @@
             call,
             REPATH_TIMEOUT_S,
             on_answer,
+            bytes_max=ENGINE_ANSWER_BYTES_MAX,
         )
 
     def _abandon_refused(self, attempt: Attempt, path: Path, address: str) -> None:
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -38,6 +38,8 @@
         self.caller = caller
         self.request = request
         self.is_caller_gone = False
+        # The number of the event before which an engine ends.
+        self.ends_before: int | None = None
 
     def on_caller_gone(self) -> None:
         self.is_caller_gone = True
@@ -357,13 +359,12 @@
         else:
             pending.caller.begin(200, b"OK", headers)
         first = int(last or 0) + 1
-        ends_before = first + self.deadly_events if is_deadly else None
-        if ends_before == first:
+        if is_deadly:
+            pending.ends_before = first + self.deadly_events
+        if pending.ends_before == first:
             self.crash()
             return
-        self.loop.call_later(
-            self.first_event_s, lambda: self.emit(pending, first, ends_before)
-        )
+        self.loop.call_later(self.first_event_s, lambda: self.emit(pending, first))
 
     def crash(self) -> None:
         """End, and start again at the same address without layers or memory."""
@@ -390,13 +391,10 @@
             return
         pending.caller.end()
 
-    def emit(
-        self, pending: PendingRequest, number: int, ends_before: int | None = None
-    ) -> None:
-        """Write an event, and the next one later, or end before one of them."""
+    def emit(self, pending: PendingRequest, number: int) -> None:
         if pending.is_caller_gone:
             return
-        if ends_before is not None and number >= ends_before:
+        if pending.ends_before is not None and number >= pending.ends_before:
             self.crash()
             return
         if self.freeze_after is not None and number > self.freeze_after:
@@ -412,9 +410,7 @@
             self.end_stream(pending, is_cut=False)
             return
         self.write(pending, b"id: %d\ndata: event %d\n\n" % (number, number))
-        self.loop.call_later(
-            self.pause_s, lambda: self.emit(pending, number + 1, ends_before)
-        )
+        self.loop.call_later(self.pause_s, lambda: self.emit(pending, number + 1))
 
 
 class CallerConnection:
