Tests: let the double of Fetch take the bound on an answer's bytes

Cause: the double in test_pauses had the old signature; the placer now bounds what it keeps of an engine's answer, and the TypeError of the double was logged as placement_failed. Their assertions are as they were; test_pauses passes now.

--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -71,7 +71,7 @@
     )
     placer._lease = Lease(loop, held_until=100.0)
 
-    def fetch(_loop, _pool, upstream, call, _timeout_s, on_answer):
+    def fetch(_loop, _pool, upstream, call, _timeout_s, on_answer, **_bounds):
         calls.append((upstream.identity[0], call, on_answer))
 
     monkeypatch.setattr(placer_module, "Fetch", fetch)
