Count the candidates of crashes that are dropped

Cause: the logs could not tell evidence that was dropped from evidence that was never there.

Change: engine_crashed says how many candidates this host has dropped so far, and a gauge wagtailstair_crash_candidates_dropped shows it.

--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -142,9 +142,17 @@
 class Quarantine:
     """The candidates, the sound parts and the quarantined groups of one host."""
 
-    __slots__ = ("_crash_by_engine", "_groups", "_own_keys", "_sound_at_by_key")
+    __slots__ = (
+        "_crash_by_engine",
+        "_groups",
+        "_own_keys",
+        "_sound_at_by_key",
+        "dropped",
+    )
 
     def __init__(self) -> None:
+        # Candidates that were dropped as their crash had too many.
+        self.dropped = 0
         self._crash_by_engine: dict[int, _Crash] = {}
         # In order of time, the oldest first.
         self._sound_at_by_key: collections.OrderedDict[PartKey, float] = (
@@ -280,10 +288,13 @@
         if crash is None:
             self._make_room()
             crash = self._crash_by_engine[engine] = _Crash(crashed_at)
-        if not crash.add(keys, weight):
-            return False
-        self._groups = None
-        return True
+        count = len(crash.weight_by_keys)
+        is_known = keys in crash.weight_by_keys
+        is_new = crash.add(keys, weight)
+        self.dropped += count + (not is_known) - len(crash.weight_by_keys)
+        if is_new:
+            self._groups = None
+        return is_new
 
     def _make_room(self) -> None:
         """Drop the oldest crash that no quarantined group explains if there are many.
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -169,6 +169,7 @@
             begun=_format_requests(loss, Stage.BEGUN),
             streaming=count_by_stage[Stage.STREAMING],
             waiting=count_by_stage[Stage.WAITING],
+            dropped=self.quarantine.dropped,
         )
         if not is_new:
             return
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -75,6 +75,10 @@
         self._parts_quarantined = gauge(
             "parts_quarantined", "Parts of prompts in quarantine."
         )
+        self._candidates_dropped = gauge(
+            "crash_candidates_dropped",
+            "Candidates of crashes that were dropped, as there were too many.",
+        )
         self._notices = counter(
             "upstream_notices", "What upstreams newly say about themselves."
         )
@@ -166,6 +170,7 @@
         self._upstreams.set({}, _count_usable(gateway))
         quarantine = gateway.crash_reports.quarantine
         self._parts_quarantined.set({}, len(quarantine.quarantined(now)))
+        self._candidates_dropped.set({}, quarantine.dropped)
         self._store_unreachable.set({}, int(gateway.table_sync.is_store_unreachable))
         if gateway.lists_version():
             self._lists_version.set({}, gateway.lists_version())
