Keep and send all candidates of a crash

What callers saw: deadly requests were sent to engines for good, with all streams there.

Cause: an engine takes 96 requests at once, but 32 candidates of a crash were kept over all hosts, and about 26 fitted into the message about all crashes. Where the deadly request weighs no more than the others it was kept by chance.

Change: up to 256 candidates of a crash, sent at once in as many messages as they need; repeated messages begin with what several crashes have in common. Groups are found by an index, and only again if a new candidate has something in common with another crash.

--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -41,10 +41,14 @@
 """Seconds after the end of a whole answer for which its parts are sound."""
 
 CRASHES_MAX = 32
-CANDIDATES_MAX = 32
+CANDIDATES_MAX = 256
 SOUND_MAX = 8192
 GROUPS_MAX = 256
-"""Most crashes, candidates of each, sound parts and groups that are considered."""
+"""Most crashes, candidates of each, sound parts and groups that are considered.
+
+An engine takes 96 requests at once; if any of its candidates is dropped, that may be
+the cause of the crash.
+"""
 
 MESSAGE_CANDIDATES = 64
 MESSAGE_BYTES = 6144
@@ -52,6 +56,9 @@
 """Most candidates, and bytes of their parts, in a message: it fits into a datagram.
 ``KEY_BYTES`` are those of a part beside its texts."""
 
+CRASH_MESSAGES_MAX = 12
+"""Most messages about one crash: enough for ``CANDIDATES_MAX`` of four parts."""
+
 SOUND_PER_MESSAGE = 64
 
 FRESH_S = 20.0
@@ -111,18 +118,32 @@
 
     crashed_at: float
     weight_by_keys: dict[Keys, int] = dataclasses.field(default_factory=dict)
+    holders_by_key: collections.Counter[PartKey] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     def add(self, keys: Keys, weight: int) -> bool:
         """Add a candidate; return whether it changes anything."""
-        if weight <= self.weight_by_keys.get(keys, 0):
+        known_weight = self.weight_by_keys.get(keys, 0)
+        if weight <= known_weight:
             return False
         self.weight_by_keys[keys] = weight
+        if not known_weight:
+            self.holders_by_key.update(keys)
         if len(self.weight_by_keys) > CANDIDATES_MAX:
             least = min(self.weight_by_keys, key=self._rank)
-            del self.weight_by_keys[least]
+            self.remove(least)
             return least != keys
         return True
 
+    def remove(self, keys: Keys) -> int:
+        """Remove a candidate; return its weight."""
+        for key in keys:
+            self.holders_by_key[key] -= 1
+            if not self.holders_by_key[key]:
+                del self.holders_by_key[key]
+        return self.weight_by_keys.pop(keys)
+
     def _rank(self, keys: Keys) -> tuple[int, list[PartKey]]:
         return self.weight_by_keys[keys], sorted(keys)
 
@@ -169,10 +190,8 @@
 
     def candidates(self, keys: t.Iterable[PartKey]) -> list[PartKey]:
         """Return the keys that candidates of crashes hold."""
-        held: set[PartKey] = set()
-        for crash in self._crash_by_engine.values():
-            held.update(*crash.weight_by_keys)
-        return [key for key in keys if key in held]
+        crashes = self._crash_by_engine.values()
+        return [k for k in keys if any(k in crash.holders_by_key for crash in crashes)]
 
     def remaining_s(self, keys: t.Iterable[PartKey], now: float) -> float:
         """Return for how long a request with some parts is refused, 0 if it is sent."""
@@ -197,19 +216,22 @@
         engine: int,
         candidates: t.Iterable[tuple[t.Iterable[PartKey], int]],
         now: float,
-    ) -> bool:
+    ) -> list[CrashSuspects]:
         """Record the requests of this host that were at an engine when it crashed.
 
         :param engine: key of the engine's incarnation.
         :param candidates: the parts of each request, and the weight of the crash.
-        :returns: whether anything is new.
+        :returns: messages to the other hosts with what is new.
         """
-        is_new = False
+        added = []
         for keys, weight in candidates:
             unproven = frozenset(self.unproven(keys, now))
             self._own_keys |= unproven
-            is_new |= self._add(engine, now, unproven, weight)
-        return is_new
+            if self._add(engine, now, unproven, weight):
+                added.append(CrashCandidate(engine, 0.0, weight, unproven))
+        added.sort(key=lambda candidate: -candidate.weight)
+        batches = _split(added, most=CRASH_MESSAGES_MAX)
+        return [CrashSuspects(batch) for batch in batches]
 
     def record_sound(self, keys: t.Iterable[PartKey], now: float) -> list[PartKey]:
         """Record that an answer with some parts has ended whole.
@@ -251,30 +273,26 @@
         return is_new, sorted(sound)
 
     def report(self, now: float) -> tuple[CrashCandidate, ...]:
-        """Return the candidates to tell other hosts.
+        """Return the candidates to tell other hosts, as many as fit into a message.
 
-        Those that hold a quarantined group come first, then the newest ones.
+        Those that hold a quarantined group come first, then those that have something
+        in common with another crash, and of these the newest ones.
         """
         groups = [group.keys for group in self.quarantined(now)]
+        common = _common_keys(self._crash_by_engine)
         found = []
         for engine, crash in self._crash_by_engine.items():
+            age_s = now - crash.crashed_at
             for keys, weight in crash.weight_by_keys.items():
                 is_weighty = any(group <= keys for group in groups)
-                age_s = now - crash.crashed_at
                 if not is_weighty and age_s >= FRESH_S:
                     continue
-                rank = (not is_weighty, age_s, -weight, engine, sorted(keys))
+                is_alone = common.isdisjoint(keys)
+                rank = (not is_weighty, is_alone, age_s, -weight, engine, sorted(keys))
                 found.append((rank, CrashCandidate(engine, age_s, weight, keys)))
         found.sort(key=lambda entry: entry[0])
-        chosen = []
-        room = MESSAGE_BYTES
-        for _, candidate in found[:MESSAGE_CANDIDATES]:
-            for key in candidate.keys:
-                room -= KEY_BYTES + len(key.part) + len(key.service)
-            if room < 0:
-                break
-            chosen.append(candidate)
-        return tuple(chosen)
+        batches = _split([candidate for _, candidate in found], most=1)
+        return batches[0] if batches else ()
 
     def _is_sound(self, key: PartKey, when: float) -> bool:
         """Return whether a part is sound at some time, by what is known now."""
@@ -292,10 +310,22 @@
         is_known = keys in crash.weight_by_keys
         is_new = crash.add(keys, weight)
         self.dropped += count + (not is_known) - len(crash.weight_by_keys)
-        if is_new:
+        if is_new and self._is_common(engine, keys):
             self._groups = None
         return is_new
 
+    def _is_common(self, engine: int, keys: Keys) -> bool:
+        """Return whether a candidate has anything in common with another crash.
+
+        Groups hold nothing else, so that others needn't be weighed again.
+        """
+        for other, crash in self._crash_by_engine.items():
+            if other == engine:
+                continue
+            if any(key in crash.holders_by_key for key in keys):
+                return True
+        return False
+
     def _make_room(self) -> None:
         """Drop the oldest crash that no quarantined group explains if there are many.
 
@@ -309,7 +339,9 @@
 
         def rank(engine: int) -> tuple[bool, float]:
             crash = self._crash_by_engine[engine]
-            is_explained = any(_weigh(crash, group) for group in groups)
+            is_explained = any(
+                group <= keys for group in groups for keys in crash.weight_by_keys
+            )
             return is_explained, crash.crashed_at
 
         del self._crash_by_engine[min(self._crash_by_engine, key=rank)]
@@ -319,10 +351,12 @@
         """Take a part out of all candidates; return whether it was in any."""
         is_found = False
         for engine, crash in list(self._crash_by_engine.items()):
+            if key not in crash.holders_by_key:
+                continue
             holders = [keys for keys in crash.weight_by_keys if key in keys]
             for keys in holders:
                 is_found = True
-                weight = crash.weight_by_keys.pop(keys)
+                weight = crash.remove(keys)
                 if rest := keys - {key}:
                     crash.add(rest, weight)
             if not crash.weight_by_keys:
@@ -340,16 +374,50 @@
             self._own_keys.clear()
 
 
+def _split(
+    candidates: list[CrashCandidate], most: int
+) -> list[tuple[CrashCandidate, ...]]:
+    """Split candidates into at most so many batches that fit into a message each."""
+    batches: list[tuple[CrashCandidate, ...]] = []
+    batch: list[CrashCandidate] = []
+    room = MESSAGE_BYTES
+    for candidate in candidates:
+        need = sum(KEY_BYTES + len(k.part) + len(k.service) for k in candidate.keys)
+        if need > MESSAGE_BYTES:
+            continue
+        if need > room or len(batch) == MESSAGE_CANDIDATES:
+            batches.append(tuple(batch))
+            batch, room = [], MESSAGE_BYTES
+            if len(batches) == most:
+                return batches
+        batch.append(candidate)
+        room -= need
+    if batch:
+        batches.append(tuple(batch))
+    return batches
+
+
+WeightByKeys = dict[Keys, int]
+
+
 def _find_groups(crash_by_engine: dict[int, _Crash]) -> list[Group]:
     """Return the groups that explain enough crashes, by a greedy cover of these."""
+    common = _common_keys(crash_by_engine)
+    held_by_engine: dict[int, WeightByKeys] = {}
+    for engine, crash in crash_by_engine.items():
+        held = held_by_engine[engine] = {}
+        for keys, weight in crash.weight_by_keys.items():
+            if rest := keys & common:
+                held[rest] = max(weight, held.get(rest, 0))
+    held_by_key = _index(held_by_engine)
     weights_by_group: dict[Keys, dict[int, int]] = {}
-    for keys in _common_groups(crash_by_engine):
-        weights = {}
-        for engine, crash in crash_by_engine.items():
-            weight = _weigh(crash, keys)
-            if weight:
+    for group in _common_groups(held_by_engine):
+        rarest = min(group, key=lambda key: len(held_by_key[key]))
+        weights: dict[int, int] = {}
+        for engine, keys, weight in held_by_key[rarest]:
+            if weight > weights.get(engine, 0) and group <= keys:
                 weights[engine] = weight
-        weights_by_group[keys] = weights
+        weights_by_group[group] = weights
     found = []
     left = set(crash_by_engine)
     while left:
@@ -387,18 +455,25 @@
     return None
 
 
-def _common_groups(crash_by_engine: dict[int, _Crash]) -> set[Keys]:
-    """Return the sets of parts that candidates of several crashes have in common."""
+def _common_keys(crash_by_engine: dict[int, _Crash]) -> Keys:
+    """Return the keys that candidates of several crashes hold."""
     crashes_by_key: collections.Counter[PartKey] = collections.Counter()
     for crash in crash_by_engine.values():
-        crashes_by_key.update(set().union(*crash.weight_by_keys))
-    common = {key for key, crashes in crashes_by_key.items() if crashes > 1}
-    held: set[Keys] = set()
-    for crash in crash_by_engine.values():
-        held.update(keys & common for keys in crash.weight_by_keys)
-    held.discard(frozenset())
+        crashes_by_key.update(crash.holders_by_key.keys())
+    return frozenset(key for key, crashes in crashes_by_key.items() if crashes > 1)
+
+
+def _common_groups(held_by_engine: dict[int, WeightByKeys]) -> set[Keys]:
+    """Return the sets of keys that candidates of several crashes have in common.
+
+    What is at most crashes comes first, as the number of groups is bounded.
+    """
+    crashes_by_keys: collections.Counter[Keys] = collections.Counter()
+    for held in held_by_engine.values():
+        crashes_by_keys.update(held.keys())
+    ranked = sorted(crashes_by_keys, key=lambda k: (-crashes_by_keys[k], sorted(k)))
     groups: set[Keys] = set()
-    for keys in sorted(held, key=sorted):
+    for keys in ranked:
         if len(groups) >= GROUPS_MAX:
             break
         groups |= {keys & group for group in groups}
@@ -407,7 +482,13 @@
     return groups
 
 
-def _weigh(crash: _Crash, group: Keys) -> int:
-    """Return the weight of a crash for a group, 0 if no candidate holds all of it."""
-    weights = [w for keys, w in crash.weight_by_keys.items() if group <= keys]
-    return max(weights, default=0)
+def _index(
+    held_by_engine: dict[int, WeightByKeys],
+) -> dict[PartKey, list[tuple[int, Keys, int]]]:
+    """Return the engine, the keys and the weight of the candidates that hold a key."""
+    held_by_key = collections.defaultdict(list)
+    for engine, held in held_by_engine.items():
+        for keys, weight in held.items():
+            for key in keys:
+                held_by_key[key].append((engine, keys, weight))
+    return held_by_key
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -159,7 +159,7 @@
         before = list(self.quarantine.quarantined(now))
         candidates = [(keys, stage.value) for keys, stage in loss.requests]
         engine = engine_key(loss.replica)
-        is_new = self.quarantine.record_crash(engine, candidates, now)
+        messages = self.quarantine.record_crash(engine, candidates, now)
         self._on_crash()
         count_by_stage = collections.Counter(stage for _, stage in loss.requests)
         log_event(
@@ -171,10 +171,7 @@
             waiting=count_by_stage[Stage.WAITING],
             dropped=self.quarantine.dropped,
         )
-        if not is_new:
-            return
-        message = self.message()
-        if message is not None:
+        for message in messages:
             self._send_to_all(message)
         self._apply(before)
 
--- a/tests/test_crowded_crashes.py
+++ b/tests/test_crowded_crashes.py
@@ -5,6 +5,7 @@
 sent on for good.
 """
 
+import random
 import time
 
 import pytest
@@ -14,6 +15,9 @@
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import make_stream
 from tests.soak.hosts import HostProcess
+from wagtailstair.core.quarantine import STREAMING_WEIGHT
+from wagtailstair.core.quarantine import PartKey
+from wagtailstair.core.quarantine import Quarantine
 
 DEADLY = "dead"
 CONTACT_S = 3.0
@@ -24,6 +28,44 @@
 """Documented number of requests with the part that may reach engines later."""
 
 
+def make_keys(*parts):
+    return [PartKey("engines", part) for part in parts]
+
+
+class TestEvidence:
+    """Without a network: what hosts know after crashes of crowded engines."""
+
+    @pytest.mark.parametrize("hosts", [1, 6])
+    @pytest.mark.parametrize("streams", [2, 16, 90])
+    @pytest.mark.parametrize("seed", [1, 2, 3])
+    def test_deadly_part_is_found_among_many_streams(self, hosts, streams, seed):
+        """Crash engines of so many streams over all hosts, one of them deadly."""
+        rng = random.Random(seed)
+        quarantines = [Quarantine() for _ in range(hosts)]
+        for quarantine in quarantines:
+            quarantine.record_sound(make_keys("p1"), 0.0)
+        crashes = 0
+        deadly = make_keys("p1", DEADLY, "own", "request")
+        while not all(q.remaining_s(deadly, 2.0 * crashes) for q in quarantines):
+            now = 2.0 * crashes
+            requests_by_host = [[] for _ in range(hosts)]
+            deadly = make_keys("p1", DEADLY, f"own{crashes}", f"request{crashes}")
+            requests_by_host[crashes % hosts].append((deadly, STREAMING_WEIGHT))
+            for _ in range(streams):
+                own = f"{rng.randrange(1 << 32):08x}"
+                keys = make_keys("p1", f"s{own}", own, f"request-{own}")
+                rng.choice(requests_by_host).append((keys, STREAMING_WEIGHT))
+            messages = []
+            for quarantine, requests in zip(quarantines, requests_by_host, strict=True):
+                rng.shuffle(requests)
+                messages += quarantine.record_crash(crashes, requests, now)
+            for quarantine in quarantines:
+                for message in messages:
+                    quarantine.merge(message.candidates, now)
+            crashes += 1
+            assert crashes <= CRASHES_ALLOWED
+
+
 class TestProcesses:
     """Real gateways; their engines end after some events of a deadly request."""
 
