Count requests that were cancelled lately as candidates for a crash

Cause: hosts cancel the requests that hold a quarantined group. An engine that had begun one ended all the same 30 ms later, and the cancelled request was no candidate. Streams resumed from the earlier crashes were, so that one of their parts was at three crashes and the deadly one at two. A caller that leaves hides a deadly request in the same way. With 32 candidates a crash such parts were mostly dropped by chance.

Change: a request cancelled within the last second is a candidate, also where another host has seen the crash. Of groups at as many crashes the heavier one is quarantined.

Result: both new tests failed before (the shared part p1 was quarantined alone).

--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -9,8 +9,9 @@
 is sent to an engine.
 
 Of several groups the one that explains most crashes is quarantined first, and of
-those that explain the same the largest: a request that shares only some of its parts
-is still sent, and its whole answer takes these out of the group.
+those that explain as many the one of most weight. A group within another that explains
+as many gives way to it: a request that shares only some of its parts is still sent, and
+its whole answer takes these out of the group.
 
 Hosts exchange their candidates, since the requests of one part come at any of them.
 All hosts that know the same candidates and the same sound parts come to the same
@@ -436,22 +437,24 @@
 ) -> Keys | None:
     """Return the group that explains most of some crashes, ``None`` for none.
 
-    A group that is part of another one which explains the same crashes is passed
-    over, even while the weight of that one is too low: requests with the rest of it
-    weren't there without it.
+    Of those that explain the same number, the one of most weight is chosen. A group
+    that is part of another one which explains as many is passed over, even while the
+    weight of that one is too low: requests with the rest of it weren't there without
+    it.
     """
     ranked = []
+    groups_by_crashes = collections.defaultdict(list)
     for keys, weights in weights_by_group.items():
         explained = [weight for engine, weight in weights.items() if engine in left]
-        ranked.append((-len(explained), -len(keys), sorted(keys), keys, sum(explained)))
-    ranked.sort(key=lambda entry: entry[:3])
-    passed: list[tuple[int, Keys]] = []
-    for crashes, _, _, keys, weight in ranked:
-        if any(crashes == other and keys < larger for other, larger in passed):
-            continue
+        groups_by_crashes[len(explained)].append(keys)
+        weight = sum(explained)
         if weight >= QUARANTINE_WEIGHT:
+            rank = (-len(explained), -weight, -len(keys), sorted(keys))
+            ranked.append((rank, keys))
+    ranked.sort(key=lambda entry: entry[0])
+    for (crashes, *_), keys in ranked:
+        if not any(keys < larger for larger in groups_by_crashes[-crashes]):
             return keys
-        passed.append((crashes, keys))
     return None
 
 
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -23,6 +23,11 @@
 CRASHES_MAX = 256
 """Crashed engines that are remembered."""
 
+DEPARTURE_S = 1.0
+DEPARTURES_MAX = 512
+"""Seconds for which a cancelled request counts as one at its engine, and how many are
+remembered: an engine that has begun a deadly request ends though it was cancelled."""
+
 
 class Stage(enum.IntEnum):
     """How far an answer has come; the value is the weight of a crash there."""
@@ -45,6 +50,16 @@
     )
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Departure:
+    """A request that was cancelled at an engine before its answer had ended."""
+
+    cancelled_at: float
+    engine: int
+    keys: list[PartKey]
+    stage: Stage
+
+
 class CrashReports:
     """Finds out which engines have crashed, and tells the other hosts of candidates.
 
@@ -68,6 +83,9 @@
         self._send_to_all = send_to_all
         self.quarantine = Quarantine()
         self._loss_by_identity: dict[tuple[str, int], _Loss] = {}
+        self._departures: collections.deque[_Departure] = collections.deque(
+            maxlen=DEPARTURES_MAX
+        )
         # Engines that have crashed, the oldest crash first.
         self._crashed: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
@@ -90,6 +108,16 @@
             self._check_engine(loss)
         loss.requests.append((unproven, stage))
 
+    def report_departure(
+        self, replica: Replica, keys: t.Iterable[PartKey], stage: Stage
+    ) -> None:
+        """Report a request that this host has cancelled before its answer ended."""
+        now = self._loop.now
+        unproven = self.quarantine.unproven(keys, now)
+        if unproven:
+            departure = _Departure(now, engine_key(replica), unproven, stage)
+            self._departures.append(departure)
+
     def has_crashed(self, identities: t.Iterable[tuple[str, int]]) -> bool:
         """Return whether one of some engines is known to have crashed."""
         return any(identity in self._crashed for identity in identities)
@@ -118,6 +146,11 @@
             self._send_to_all(CrashSuspects(sound=tuple(cleared)))
         before = list(quarantine.quarantined(now))
         is_new, sound = quarantine.merge(message.candidates, now)
+        for engine in {candidate.engine for candidate in message.candidates}:
+            departed = self._take_departures(engine)
+            for update in quarantine.record_crash(engine, departed, now):
+                self._send_to_all(update)
+                is_new = True
         if is_new:
             self._apply(before)
         return CrashSuspects(sound=tuple(sound)) if sound else None
@@ -127,6 +160,16 @@
         candidates = self.quarantine.report(self._loop.now)
         return CrashSuspects(candidates) if candidates else None
 
+    def _take_departures(self, engine: int) -> list[tuple[list[PartKey], int]]:
+        """Remove and return the candidates that have lately left an engine."""
+        latest = self._loop.now - DEPARTURE_S
+        while self._departures and self._departures[0].cancelled_at < latest:
+            self._departures.popleft()
+        found = [each for each in self._departures if each.engine == engine]
+        for departure in found:
+            self._departures.remove(departure)
+        return [(each.keys, each.stage.value) for each in found]
+
     def _check_engine(self, loss: _Loss) -> None:
         replica = loss.replica
 
@@ -159,6 +202,7 @@
         before = list(self.quarantine.quarantined(now))
         candidates = [(keys, stage.value) for keys, stage in loss.requests]
         engine = engine_key(loss.replica)
+        candidates += self._take_departures(engine)
         messages = self.quarantine.record_crash(engine, candidates, now)
         self._on_crash()
         count_by_stage = collections.Counter(stage for _, stage in loss.requests)
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -290,6 +290,11 @@
     def _drop_attempt(self, attempt: Attempt | None) -> None:
         if attempt is None:
             return
+        if attempt.connection is not None and attempt.path:
+            keys = (*self._parts, *self._own_keys)
+            first = attempt.path[0].replica
+            reports = self.context.crash_reports
+            reports.report_departure(first, keys, _stage_of(attempt))
         attempt.cancel()
         self._set_unread(attempt, ())
         if attempt.path:
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -288,6 +288,8 @@
     # Events that are written under the deadly part before the engine ends; negative if
     # it ends before the head of the answer.
     deadly_events = 0
+    # Whether it ends although the caller of the deadly request has left meanwhile.
+    ends_after_cancel = False
     restart_s = 0.3
     answer_after_s = 0.0
     first_event_s = 0.0
@@ -337,13 +339,15 @@
 
     def begin(self, pending: PendingRequest, last: bytes) -> None:
         """Begin the answer, or end under it."""
-        if pending.is_caller_gone:
-            return
         request = pending.request
         attempt = request.header(b"x-attempt-id")
         parts = request.header(b"x-prompt-prefix").decode().split(",")[:-1]
         is_deadly = self.deadly_part in [part.partition(":")[0] for part in parts]
         is_deadly |= bool(self.deadly_body) and request.body == self.deadly_body
+        if pending.is_caller_gone:
+            if is_deadly and self.ends_after_cancel:
+                self.crash()
+            return
         if is_deadly and self.deadly_events < 0:
             self.crash()
             return
--- a/tests/test_crashing_prompts.py
+++ b/tests/test_crashing_prompts.py
@@ -162,6 +162,39 @@
         assert [answered.status for answered in sent] == [502] * 3
 
 
+class TestCancelledRequests:
+    """Callers of deadly requests leave before the engines end.
+
+    What is cancelled lately is a candidate for a crash: otherwise the streams beside it
+    are blamed for the crash, and the deadly part is never found.
+    """
+
+    def test_deadly_part_is_found_although_its_callers_leave(
+        self, deployment, engines, hosts
+    ):
+        for engine in engines:
+            engine.ends_after_cancel = True
+            engine.restart_s = 0.5
+            engine.answer_after_s = 0.3
+            engine.events = 100
+            engine.pause_s = 0.03
+        for number in range(10):
+            for turn in range(12):
+                request = make_stream(f"s{number}x{turn}", ("p1", f"q{turn}"))
+                deployment.send(hosts[turn % 3], request)
+            deployment.run_for(0.3)
+            deadly = make_stream(f"d{number}", ("p1", DEADLY))
+            caller = deployment.send(hosts[number % 3], deadly)
+            deployment.run_for(0.1)
+            caller.connection.close()
+            deployment.run_for(0.4)
+        groups = hosts[0].crash_reports.quarantine.quarantined(deployment.loop.now)
+        assert groups
+        assert all(DEADLY in {key.part for key in group.keys} for group in groups)
+        # The documented crashes, and the requests that may be on their way then.
+        assert count_ends(engines) <= 8
+
+
 class TestBesideSoundRequests:
     """Sound requests hold the first part of the deadly ones, from the very first on.
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -139,6 +139,15 @@
         crash(quarantine, 2, [DEADLY])
         assert groups(quarantine) == [{DEADLY}]
 
+    def test_of_groups_at_as_many_crashes_the_heavier_is_quarantined(self):
+        # Streams that are resumed together are at the next crash together.
+        beside = PartKey("engines", "a1")
+        quarantine = Quarantine()
+        for engine in range(3):
+            requests = [([DEADLY], BEGUN_WEIGHT), ([beside], STREAMING_WEIGHT)]
+            quarantine.record_crash(engine, requests, 0.0)
+        assert groups(quarantine) == [{DEADLY}]
+
     def test_two_deadly_parts(self):
         quarantine = Quarantine()
         for engine in range(4):
