Check for stalls before the first event in time for the goal

What callers saw: streams sent over a path with an engine that had just crashed got their first event after 0.7 to 0.8 s, where the goal is 0.5 s.

Cause: the first engine was asked for a report 0.4 s after the request, whatever the goal.

Change: after two fifths of the goal, 0.4 s at most.

--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -38,8 +38,10 @@
 a stalled engine: callers time out after two seconds."""
 
 FIRST_STALL_CHECK_S = 0.4
-"""Seconds before the first event after which the first engine is asked for a
-report: longer than later ones, as the prompt is processed first."""
+FIRST_STALL_CHECK_GOALS = 0.4
+"""Longest time before the first event after which the first engine is asked for a
+report, in seconds and as a share of the route's goal: longer than later ones, as the
+prompt is processed first, and early enough for another path to meet the goal."""
 
 STALL_RECHECK_S = 0.15
 REPATH_TIMEOUT_S = 0.3
@@ -274,7 +276,7 @@
         if attempt.connection is None:
             self.on_attempt_lost(attempt, ExchangeLoss.NOT_SENT, "no connection")
             return
-        self._schedule_stall_check(FIRST_STALL_CHECK_S)
+        self._schedule_stall_check(self._first_stall_check_s)
 
     def _wait_for_room(self) -> None:
         """Queue the request for room until its goal has passed."""
@@ -338,6 +340,11 @@
 
     # Stalls.
 
+    @property
+    def _first_stall_check_s(self) -> float:
+        goal_s = self.grant.route.goal_s
+        return min(FIRST_STALL_CHECK_S, FIRST_STALL_CHECK_GOALS * goal_s)
+
     def _schedule_stall_check(self, delay_s: float) -> None:
         if self._progress_timer is not None:
             self._progress_timer.cancel()
@@ -349,7 +356,7 @@
         if self.is_finished or current is None:
             return
         has_begun = current.splitter.count > 0
-        stall_check_s = STALL_CHECK_S if has_begun else FIRST_STALL_CHECK_S
+        stall_check_s = STALL_CHECK_S if has_begun else self._first_stall_check_s
         waited = self.context.loop.now - current.progress_at
         if waited < stall_check_s:
             self._schedule_stall_check(stall_check_s - waited + 0.001)
