Let hosts borrow unused parts of the resend budget

Cause: the fixed part of the budget was divided equally. At 83 hosts a host had two or three repeats in 10 s, and faults don't hit all hosts alike.

Change: hosts report their requests and repeats with the load on engines. A host that has used its part borrows slowly from what hosts that have reported leave unused, while less than half of the whole budget is used.

--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -87,6 +87,7 @@
 
     __slots__ = (
         "_data_centre",
+        "_extra_loads",
         "_fleet",
         "_joined_at",
         "_load_by_link",
@@ -103,6 +104,7 @@
         # Time of the last search for chains over several data centres.
         self._joined_at = float("-inf")
         self._load_by_link: dict[Link, Load] = {}
+        self._extra_loads: dict[int, Load] = {}
         self._loads_by_source: dict[LoadSource, dict[int, Load]] = {}
         # The sum of the loads of all sources.
         self._peer_load_by_key: dict[int, Load] = {}
@@ -178,8 +180,17 @@
                 loads[use.key] = Load(use.running, max(0, use.heads), held)
         for link, load in self._load_by_link.items():
             loads[link_key(link)] = load
+        loads.update(self._extra_loads)
         return loads
 
+    def set_extra_loads(self, loads: dict[int, Load]) -> None:
+        """Set further counts that are reported with the loads of this host."""
+        self._extra_loads = loads
+
+    def peer_load(self, key: int) -> Load:
+        """Return what all peers have reported under a key."""
+        return self._peer_load_by_key.get(key, NO_LOAD)
+
     def data_centre_loads(self) -> dict[int, Load]:
         """Return the loads of all requests of this data centre, by key."""
         sums = self.own_loads()
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -93,8 +93,11 @@
         """Count a request that is sent to an upstream."""
         ...
 
-    def host_count(self) -> int:
-        """Return the number of hosts that share the resend budgets."""
+    def may_repeat(self, service: str, share: float) -> bool:
+        """Use a repeat at a service if the budget of all hosts allows it.
+
+        :param share: part of the budget that this kind of repeat may use.
+        """
         ...
 
     def pipelines(self, service: str) -> Pipelines:
@@ -105,13 +108,13 @@
         """Ask the first engine of a path which engine its requests wait for."""
         ...
 
-    def waiting_streams(self) -> WaitingStreams:
-        """Return the streams that wait for room on engines."""
-        ...
     def report_engine_failure(self, replica: Replica) -> None:
         """Tell the other hosts of an engine that failed a request unanswered."""
         ...
 
+    def waiting_streams(self) -> WaitingStreams:
+        """Return the streams that wait for room on engines."""
+        ...
 
     def count_path_change(self, outcome: str) -> None:
         """Count an order that moves a running request to a new path."""
@@ -219,9 +222,7 @@
         if self.runs - ended >= self.grant.route.attempts:
             return False
         share = 1.0 if self.caller.has_begun else UNBEGUN_BUDGET_SHARE
-        return context.resend_budget.take(
-            self.service.name, context.host_count(), context.loop.now, share
-        )
+        return context.may_repeat(self.service.name, share)
 
     def classify_answer(self, status: int, headers: list[Header]) -> AttemptOutcome:
         """Return what the head of a response says about its attempt."""
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import socket
+import typing as t
 
 import msgspec
 
@@ -11,11 +12,11 @@
 from ..core.directory import CallerLimits
 from ..core.directory import Denial
 from ..core.directory import Service
-from ..core.hosts import Host
 from ..core.engine_costs import Load
 from ..core.engine_failures import EngineFailures
-from ..core.messages import EngineLost
+from ..core.hosts import Host
 from ..core.messages import EngineFailed
+from ..core.messages import EngineLost
 from ..core.messages import EngineUses
 from ..core.pauses import Pauses
 from ..core.pipelines import LoadSource
@@ -23,7 +24,9 @@
 from ..core.quarantine import CrashSuspects
 from ..core.rate_limits import RateLimits
 from ..core.replicas import Replica
+from ..core.resend_budget import Counts
 from ..core.resend_budget import ResendBudget
+from ..core.resend_budget import counts_key
 from ..core.upstream_balancer import UpstreamBalancer
 from ..exceptions import SettingsError
 from ..logs import log_event
@@ -48,10 +51,10 @@
 from .settings import GatewaySettings
 from .settings import parse_address
 from .settings import parse_settings
+from .stall_detector import SUSPECT_S
 from .stall_detector import StallDetector
 from .stream_exchange import StreamExchange
 from .table_sync import TableSync
-from .stall_detector import SUSPECT_S
 from .telemetry import Telemetry
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
@@ -123,10 +126,10 @@
             self._end_quarantined_streams,
             self.peers.broadcast_suspects,
         )
+        self._engine_failures = EngineFailures()
         self.services = UpstreamBalancer(self.replicas, centre, self._rng)
         retries = settings.retries
         self.resend_budget = ResendBudget(
-        self._engine_failures = EngineFailures()
             retries.ratio, retries.slack, retries.window_s
         )
         self.is_draining = False
@@ -181,9 +184,16 @@
         self.rate_limits.take(replica.identity, self.loop.now)
         self.pauses.take(replica.identity, self.loop.now)
 
-    def host_count(self) -> int:
-        """Return how many hosts share the budgets."""
-        return self.peers.count()
+    def may_repeat(self, service: str, share: float) -> bool:
+        """Use a repeat at a service if the budget of all hosts allows it."""
+        load = self.pipelines(service).peer_load(counts_key(service))
+        return self.resend_budget.take(
+            service,
+            self.peers.count(),
+            self.loop.now,
+            share,
+            Counts(load.running, load.heads, int(load.token_layers)),
+        )
 
     def pipelines(self, service: str) -> Pipelines:
         """Return the engines of a service."""
@@ -279,14 +289,24 @@
 
     def own_uses(self) -> EngineUses:
         """Return the load that the requests of this host put on engines."""
-        services = self._pipelines_by_service.values()
+        services = self._pipelines_with_counts()
         return engine_uses.own_uses(self.settings.host.name, services)
 
     def centre_uses(self) -> EngineUses:
         """Return the load that the requests of this data centre put on engines."""
-        services = self._pipelines_by_service.values()
+        services = self._pipelines_with_counts()
         return engine_uses.centre_uses(self.settings.host.data_centre, services)
 
+    def _pipelines_with_counts(self) -> t.Iterable[Pipelines]:
+        """Return the engines of all services, with the counts of their repeats."""
+        for service, pipelines in self._pipelines_by_service.items():
+            counts = self.resend_budget.counts(service, self.loop.now)
+            loads = {}
+            if counts.requests:
+                loads[counts_key(service)] = Load(*counts)
+            pipelines.set_extra_loads(loads)
+        return self._pipelines_by_service.values()
+
     def on_engine_uses(self, message: EngineUses) -> None:
         """Apply the load that the requests of another source put on engines."""
         engine_uses.apply_uses(message, self._pipelines_by_service.values())
@@ -300,26 +320,6 @@
             replica, replica.service, f"suspected by {host.name}"
         )
 
-    def crash_suspects(self) -> CrashSuspects | None:
-        """Return what the other hosts should know of crashes, ``None`` for nothing."""
-        return self.crash_reports.message()
-
-    def on_crash_suspects(self, message: CrashSuspects) -> CrashSuspects | None:
-        """Apply what a peer knows of crashes; return a reply, if there is one."""
-        return self.crash_reports.on_message(message)
-
-    def _end_quarantined_streams(self) -> None:
-        for stream in self.streams():
-            stream.end_quarantined()
-
-    def on_newer_lists(self, host: Host, version: int) -> None:
-        """Handle a heartbeat of a peer that has newer lists."""
-        self.table_sync.on_newer_lists(host, version)
-
-    def on_newer_upstreams(self, host: Host, version: int) -> None:
-        """Handle a heartbeat of a peer that has newer changes of upstreams."""
-        self.table_sync.on_newer_upstreams(host, version)
-
     def on_engine_failed(self, host: Host, failed: EngineFailed) -> None:
         """Avoid an engine that has failed requests of several hosts."""
         replica = self.replicas.by_name.get(failed.name)
@@ -349,6 +349,26 @@
             )
         pipelines.suspect(replica, now + SUSPECT_S)
 
+    def crash_suspects(self) -> CrashSuspects | None:
+        """Return what the other hosts should know of crashes, ``None`` for nothing."""
+        return self.crash_reports.message()
+
+    def on_crash_suspects(self, message: CrashSuspects) -> CrashSuspects | None:
+        """Apply what a peer knows of crashes; return a reply, if there is one."""
+        return self.crash_reports.on_message(message)
+
+    def _end_quarantined_streams(self) -> None:
+        for stream in self.streams():
+            stream.end_quarantined()
+
+    def on_newer_lists(self, host: Host, version: int) -> None:
+        """Handle a heartbeat of a peer that has newer lists."""
+        self.table_sync.on_newer_lists(host, version)
+
+    def on_newer_upstreams(self, host: Host, version: int) -> None:
+        """Handle a heartbeat of a peer that has newer changes of upstreams."""
+        self.table_sync.on_newer_upstreams(host, version)
+
     def on_peers_discovered(self) -> None:
         """Choose whether to follow the store, now that peers could answer."""
         self.table_sync.choose_source()
--- a/tests/test_resend_budget.py
+++ b/tests/test_resend_budget.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from wagtailstair.core.resend_budget import UNREPORTED
+from wagtailstair.core.resend_budget import Counts
 from wagtailstair.core.resend_budget import ResendBudget
 
 RATIO, SLACK, WINDOW_S = 0.2, 200.0, 10.0
@@ -53,3 +55,68 @@
             repeated = sum(start <= at < end for at in repeats)
             before = sum(start - WINDOW_S / 2 <= at < end - 5 for at in requests)
             assert repeated <= RATIO * max(sent, before) + SLACK
+
+
+class TestLoans:
+    """Faults hit some of many hosts: the unused parts of the others are borrowed."""
+
+    HOSTS = 83
+
+    def take_all(self, resend_budget, now, peers):
+        taken = 0
+        while resend_budget.take("s", self.HOSTS, now, peers=peers):
+            taken += 1
+        return taken
+
+    def test_host_borrows_what_others_leave(self):
+        resend_budget = ResendBudget(RATIO, 350.0, WINDOW_S)
+        taken = sum(
+            self.take_all(resend_budget, second, Counts(900, 0, 82))
+            for second in range(10)
+        )
+        assert taken > 350 / self.HOSTS
+
+    def test_nothing_is_borrowed_from_hosts_that_have_not_reported(self):
+        resend_budget = ResendBudget(RATIO, 350.0, WINDOW_S)
+        taken = sum(self.take_all(resend_budget, now, UNREPORTED) for now in range(10))
+        assert taken <= 350 / self.HOSTS
+
+    def test_nothing_is_borrowed_where_half_is_used(self):
+        resend_budget = ResendBudget(RATIO, 350.0, WINDOW_S)
+        taken = sum(
+            self.take_all(resend_budget, second, Counts(0, 175, 82))
+            for second in range(10)
+        )
+        assert taken <= 350 / self.HOSTS
+
+    @pytest.mark.parametrize("seed", range(4))
+    @pytest.mark.parametrize("faulty_share", [0.1, 0.5, 1.0])
+    def test_hosts_with_old_counts_stay_within_the_budget(self, seed, faulty_share):
+        # Each host knows what the others had used two seconds ago.
+        rng = random.Random(seed)
+        hosts = [ResendBudget(RATIO, 350.0, WINDOW_S) for _ in range(self.HOSTS)]
+        requests, repeats = [], []
+        reports = [[Counts()] * self.HOSTS] * 20
+        for step in range(400):
+            now = step * 0.1
+            old = reports[-20]
+            total = Counts(sum(c.requests for c in old), sum(c.repeats for c in old))
+            for index, host in enumerate(hosts):
+                if rng.random() < 0.2:
+                    host.count_request("s", now)
+                    requests.append(now)
+                if now < 5 or index >= faulty_share * self.HOSTS:
+                    continue
+                peers = Counts(
+                    total.requests - old[index].requests,
+                    total.repeats - old[index].repeats,
+                    self.HOSTS - 1,
+                )
+                if host.take("s", self.HOSTS, now, peers=peers):
+                    repeats.append(now)
+            reports.append([host.counts("s", now) for host in hosts])
+        for start in range(31):
+            end = start + WINDOW_S
+            sent = sum(start <= at < end for at in requests)
+            repeated = sum(start <= at < end for at in repeats)
+            assert repeated <= RATIO * sent + 350.0
