Count unread prompts at engines; hold back less urgent streams behind them

Cause: nothing counted the prompts that were sent to engines and not yet read. In a burst they queued behind each other, and first events were late whatever the rank.

Change: each host counts, for each engine, the token-layers of prompts whose first event has not come, also for successors and for the engines that take over layers in a move. EngineUses has them as a column, in thousands of token-layers: with 16 bits the largest message still fits into a datagram, with 32 bits it could not. The time to read them is part of the cost of a hop. Where the routes of a service differ in rank, a stream of any but the most urgent rank is queued while the longest backlog on its path is above 0.4 or 0.2 of its goal. The limit alone let all hosts send their queued streams at once when a backlog was gone; a host therefore takes its part only, for a second after a long backlog. A rank below its minimum share of the work that the host started in the last 10 s is not held back.

--- /dev/null
+++ b/src/wagtailstair/core/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on which work may begin, and when."""
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -57,10 +57,14 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Service:
-    """A group of upstreams; ``model`` is set if they are model engines."""
+    """A group of upstreams; ``model`` is set if they are model engines.
+
+    ``urgent_rank``: the most urgent rank of its routes, ``None`` if all have the same.
+    """
 
     name: str
     model: ModelSpec | None
+    urgent_rank: int | None = None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/engine_costs.py
+++ b/src/wagtailstair/core/engine_costs.py
@@ -42,17 +42,24 @@
 """Fill assumed for an engine without any KV memory."""
 
 
+BACKLOG_COST_MAX_S = 10.0
+"""Most seconds that a backlog costs: less than an engine without room."""
+
+
 class Load(t.NamedTuple):
     """The load on one engine.
 
     ``running``: requests; ``heads``: requests that begin there;
-    ``token_layers``: KV memory in use. For a link between data centres, ``running``:
-    requests whose prompt has yet to pass it; ``token_layers``: tokens of the prompts.
+    ``token_layers``: KV memory in use; ``unread``: token-layers of prompts that were
+    sent and whose first event has not come. For a link between data centres,
+    ``running``: requests whose prompt has yet to pass it; ``token_layers``: tokens of
+    the prompts.
     """
 
     running: int
     heads: int
     token_layers: float
+    unread: float = 0.0
 
 
 NO_LOAD = Load(0, 0, 0.0)
@@ -64,14 +71,16 @@
 
     ``key``: identifies one incarnation of the engine in messages between hosts;
     ``token_layers``: KV memory in use; ``running``: requests; ``heads``: requests
-    that begin there; ``suspect_until``: the engine failed or stalled and is
-    avoided until then; ``slowness``: factor on the engine's expected time.
+    that begin there; ``unread``: token-layers of prompts without a first event;
+    ``suspect_until``: the engine failed or stalled and is avoided until then;
+    ``slowness``: factor on the engine's expected time.
     """
 
     key: int
     token_layers: float = 0.0
     running: int = 0
     heads: int = 0
+    unread: float = 0.0
     suspect_until: float = 0.0
     slowness: float = 1.0
 
@@ -91,6 +100,17 @@
     return max(0.0, free_mb * 1e6 / (model.kv_bytes / model.layers))
 
 
+def read_s(model: ModelSpec, replica: Replica) -> float:
+    """Return the seconds in which an engine reads a token in all layers, 0 if unknown.
+
+    ``prefill_tokens_per_s`` is that of an accelerator with the factor 1.
+    """
+    accelerator = model.accelerator_by_name.get(replica.accelerator)
+    if accelerator is None:
+        return 0.0
+    return accelerator.prefill_factor / model.prefill_tokens_per_s
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class RatedEngine:
     """An engine with the figures that its costs depend on.
@@ -150,7 +170,7 @@
         replica.identity,
         use,
         accelerator.step_factor,
-        accelerator.prefill_factor / model.prefill_tokens_per_s,
+        read_s(model, replica),
         replica.layers[1] - replica.layers[0],
         kv_capacity(model, replica),
     )
@@ -169,13 +189,17 @@
     costs = []
     for engine in engines:
         use = engine.use
-        running, heads, token_layers = peer_load_by_key.get(use.key, NO_LOAD)
+        running, heads, token_layers, unread = peer_load_by_key.get(use.key, NO_LOAD)
         running += max(0, use.running)
         token_layers += max(0.0, use.token_layers)
         step_s = (model.step_s + model.sequence_s * running) * engine.step_factor
         layer_s = demand.answer * step_s + demand.prompt * engine.read_s
         layer_s *= use.slowness * (1 + COST_JITTER_SHARE * rng.random()) / model.layers
+        unread += use.unread
         hop_s = queueing_s
+        if unread:
+            backlog_s = unread * engine.read_s * use.slowness / model.layers
+            hop_s += min(BACKLOG_COST_MAX_S, backlog_s)
         needed = token_layers + tokens * engine.held
         if needed > engine.capacity:
             hop_s += NO_ROOM_COST_S
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -215,9 +215,10 @@
     """The load of requests on engines, replacing the earlier one of its source.
 
     ``source``: a host, or a data centre for the sum of its hosts; ``keys``:
-    checksums of engines and their incarnations; ``running``, ``heads`` and
-    ``held``: per engine, its requests, those whose pipeline starts there, and
-    the token-layers that they occupy.
+    checksums of engines and their incarnations; ``running``, ``heads``, ``held``
+    and ``unread``: per engine, its requests, those whose pipeline starts there, the
+    token-layers that they occupy, and thousands of token-layers of prompts that it
+    has yet to read.
     """
 
     source: str
@@ -226,6 +227,7 @@
     running: tuple[int, ...]
     heads: tuple[int, ...]
     held: tuple[int, ...]
+    unread: tuple[int, ...]
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/pipelines.py
+++ b/src/wagtailstair/core/pipelines.py
@@ -13,6 +13,7 @@
 import typing as t
 import zlib
 
+from .admission.prompt_backlog import Backlog
 from .directory import ModelSpec
 from .engine_costs import NO_LOAD
 from .engine_costs import NO_ROOM_COST_S
@@ -24,6 +25,7 @@
 from .engine_costs import engine_key
 from .engine_costs import kv_capacity
 from .engine_costs import rate_engine
+from .engine_costs import read_s
 from .engine_costs import request_costs
 from .engine_subsets import EngineSubset
 from .engine_subsets import cheapest_in_subset
@@ -134,6 +136,26 @@
             use.heads -= hop is path[0]
             use.token_layers -= tokens * (hop.last - hop.first)
 
+    def reserve_prompt(self, hops: t.Iterable[Hop], prompt: float) -> None:
+        """Add a prompt to what the engines of some hops have yet to read."""
+        for hop in hops:
+            self.use(hop.replica).unread += prompt * (hop.last - hop.first)
+
+    def release_prompt(self, hops: t.Iterable[Hop], prompt: float) -> None:
+        """Undo :meth:`reserve_prompt`."""
+        for hop in hops:
+            self.use(hop.replica).unread -= prompt * (hop.last - hop.first)
+
+    def backlog(self, model: ModelSpec, path: Path) -> Backlog:
+        """Return the longest backlogs of unread prompts on a path's engines."""
+        total_s = own_s = 0.0
+        for hop in path:
+            use = self.use(hop.replica)
+            token_s = read_s(model, hop.replica) * use.slowness / model.layers
+            own_s = max(own_s, use.unread * token_s)
+            total_s = max(total_s, self._total(use).unread * token_s)
+        return Backlog(total_s, own_s)
+
     def reserve_links(self, path: Path, prompt: float) -> None:
         """Add a prompt to the load of each link that it has yet to pass."""
         for link in crossed_links(path):
@@ -165,6 +187,7 @@
                 sum_before.running - load.running,
                 sum_before.heads - load.heads,
                 sum_before.token_layers - load.token_layers,
+                sum_before.unread - load.unread,
             )
             if remaining.running > 0:
                 self._peer_load_by_key[key] = remaining
@@ -177,7 +200,7 @@
         for use in self.use_by_identity.values():
             if use.running > 0:
                 held = max(0.0, use.token_layers)
-                loads[use.key] = Load(use.running, max(0, use.heads), held)
+                loads[use.key] = Load(use.running, max(0, use.heads), held, use.unread)
         for link, load in self._load_by_link.items():
             loads[link_key(link)] = load
         loads.update(self._extra_loads)
@@ -211,6 +234,7 @@
             max(0, use.running) + peers.running,
             max(0, use.heads) + peers.heads,
             max(0.0, use.token_layers) + peers.token_layers,
+            use.unread + peers.unread,
         )
 
     def has_room(self, model: ModelSpec, path: Path, tokens: float, rank: int) -> bool:
@@ -419,4 +443,23 @@
         one.running + other.running,
         one.heads + other.heads,
         one.token_layers + other.token_layers,
+        one.unread + other.unread,
     )
+
+
+def unread_hops(path: Path, unread: Path, following: Path) -> Path:
+    """Return the hops of a new path whose engines have yet to read a prompt.
+
+    :param path: the path so far.
+    :param unread: the hops of the path so far that have yet to read it.
+    """
+    remaining = []
+    for hop in following:
+        for earlier in path:
+            is_same = earlier.replica.identity == hop.replica.identity
+            covers = earlier.first <= hop.first and hop.last <= earlier.last
+            if is_same and covers and earlier not in unread:
+                break
+        else:
+            remaining.append(hop)
+    return tuple(remaining)
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -52,7 +52,8 @@
 
     ``tokens``: tokens counted against the KV memory of the path's engines;
     ``unread``: the pipeline whose engines have yet to read the prompt, empty when they
-    have; ``abandoned_engines``: engines that the stream was asked to move off;
+    have; ``unread_hops``: its hops whose engines have yet to read it;
+    ``abandoned_engines``: engines that the stream was asked to move off;
     ``progress_at``, ``progress_id``: time and id of the newest event with an id;
     ``received``: bytes received on a connection that was lost;
     ``is_closed_by_upstream``: whether the engine has closed or reset that connection;
@@ -79,6 +80,7 @@
         "status",
         "tokens",
         "unread",
+        "unread_hops",
     )
 
     def __init__(
@@ -87,6 +89,7 @@
         self.owner = owner
         self.path = path
         self.unread: Path = ()
+        self.unread_hops: Path = ()
         self.tokens = tokens
         self.splitter = EventSplitter(last_id)
         self.progress_at = now
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -100,6 +100,10 @@
         """
         ...
 
+    def local_host_count(self) -> int:
+        """Return the number of live hosts in this data centre, with this one."""
+        ...
+
     def pipelines(self, service: str) -> Pipelines:
         """Return the pipelines of a service."""
         ...
@@ -124,6 +128,10 @@
         """Count an attempt that was sent beside the current one."""
         ...
 
+    def count_held_back(self, reason: str) -> None:
+        """Count a stream that was queued although the engines have room."""
+        ...
+
     def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
         """Count a stream's attempt that ended without a complete response."""
         ...
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -195,6 +195,10 @@
             Counts(load.running, load.heads, int(load.token_layers)),
         )
 
+    def local_host_count(self) -> int:
+        """Return the number of live hosts in this data centre, with this one."""
+        return len(self.peers.membership.live_local_hosts()) + 1
+
     def pipelines(self, service: str) -> Pipelines:
         """Return the engines of a service."""
         pipelines = self._pipelines_by_service.get(service)
@@ -223,6 +227,10 @@
         """Count an attempt that was sent beside the current one."""
         self.telemetry.count_successor(reason)
 
+    def count_held_back(self, reason: str) -> None:
+        """Count a stream that was queued although the engines have room."""
+        self.telemetry.count_held_back(reason)
+
     def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
         """Count a stream's attempt that ended without a complete response."""
         self.telemetry.count_attempt_lost(has_begun=has_begun, has_events=has_events)
--- a/src/wagtailstair/gateway/paths.py
+++ b/src/wagtailstair/gateway/paths.py
@@ -1,5 +1,6 @@
 """The choice of a pipeline for one request."""
 
+from ..core.admission.prompt_backlog import Backlog
 from ..core.directory import ModelSpec
 from ..core.directory import Service
 from ..core.engine_costs import kv_capacity
@@ -101,6 +102,10 @@
         pipelines = self._context.pipelines(self._service)
         return pipelines.has_room(self._model, path, self.tokens, self._rank)
 
+    def backlog(self, path: Path) -> Backlog:
+        """Return the longest backlogs of unread prompts on a pipeline's engines."""
+        return self._context.pipelines(self._service).backlog(self._model, path)
+
     def kv_fill(self, replica: Replica | None) -> float:
         """Return the estimated share of KV memory in use on an engine, 0 for none."""
         if replica is None:
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -8,6 +8,7 @@
 from ..core.events import events_after
 from ..core.pipelines import Path
 from ..core.pipelines import crossed_links
+from ..core.pipelines import unread_hops
 from ..core.quarantine import PartKey
 from ..core.quarantine import request_key
 from ..core.replicas import Replica
@@ -73,6 +74,7 @@
         "_current",
         "_finder",
         "_first_answered",
+        "_is_held_back",
         "_last_id",
         "_own_keys",
         "_parts",
@@ -103,6 +105,7 @@
         self._progress_timer: Timer | None = None
         self._progress_at = self.context.loop.now
         self._crossings = 0
+        self._is_held_back = False
         self.queue_key = ""
         self.events = 0
         self.moves = 0
@@ -166,7 +169,7 @@
         queue = self.context.waiting_streams().queue
         # A new request doesn't overtake those that wait.
         must_wait = queue.has_waiting(self.grant.rank)
-        if self.sends == 0 and (must_wait or not self._finder.has_room(path)):
+        if self.sends == 0 and (must_wait or not self._may_begin(path)):
             self._wait_for_room()
             return
         if not self._finder.may_begin(path):
@@ -179,15 +182,38 @@
         if self.sends == 0:
             now = self.context.loop.now
             self.context.resend_budget.count_request(self.service.name, now)
-            queue = self.context.waiting_streams().queue
-            queue.record_start(now, self._finder.tokens)
+            waiting = self.context.waiting_streams()
+            waiting.queue.record_start(now, self._finder.tokens)
+            rank, tokens = self.grant.rank, self._finder.tokens
+            waiting.backlog_gate.record_start(now, rank, tokens)
         self._current = attempt = self._make_attempt(path)
         self._send_attempt(attempt)
 
+    def _may_begin(self, path: Path) -> bool:
+        """Return whether a path has room and no backlog that is too long."""
+        if not self._finder.has_room(path):
+            return False
+        if self.service.urgent_rank is None:
+            return True
+        gate = self.context.waiting_streams().backlog_gate
+        if gate.may_begin(
+            self.grant.rank,
+            self.service.urgent_rank,
+            self.grant.route.goal_s,
+            self._finder.backlog(path),
+            self.context.local_host_count(),
+            self.context.loop.now,
+        ):
+            return True
+        if not self._is_held_back:
+            self._is_held_back = True
+            self.context.count_held_back("backlog")
+        return False
+
     def start_queued(self) -> bool:
-        """Send the queued request if engines have room; return whether it was sent."""
+        """Send the queued request if it may begin; return whether it was sent."""
         path = self._finder.choose()
-        if path is None or not self._finder.has_room(path):
+        if path is None or not self._may_begin(path):
             return False
         self._send_first(path)
         return True
@@ -243,16 +269,22 @@
         self.runs += 1
         now = self.context.loop.now
         attempt = Attempt(self, path, tokens, self._last_id, now)
-        self._set_unread(attempt, path)
+        self._set_unread(attempt, path, path)
         return attempt
 
-    def _set_unread(self, attempt: Attempt, path: Path) -> None:
-        """Count the prompt on the links that it has yet to pass, none if it has."""
+    def _set_unread(self, attempt: Attempt, path: Path, hops: Path) -> None:
+        """Count the prompt on the links and engines that it has yet to pass.
+
+        :param path: of the links, empty if it has passed them.
+        :param hops: those of the path whose engines have yet to read it.
+        """
         pipelines = self.context.pipelines(self.service.name)
         prompt = self._finder.prompt_tokens
         pipelines.release_links(attempt.unread, prompt)
-        attempt.unread = path
+        pipelines.release_prompt(attempt.unread_hops, prompt)
+        attempt.unread, attempt.unread_hops = path, hops
         pipelines.reserve_links(path, prompt)
+        pipelines.reserve_prompt(hops, prompt)
 
     def _send_attempt(self, attempt: Attempt) -> None:
         """Send an attempt that is already stored: a failure may be reported at once."""
@@ -298,7 +330,7 @@
             reports = self.context.crash_reports
             reports.report_departure(first, keys, _stage_of(attempt))
         attempt.cancel()
-        self._set_unread(attempt, ())
+        self._set_unread(attempt, (), ())
         if attempt.path:
             pipelines = self.context.pipelines(self.service.name)
             pipelines.release_tokens(attempt.path, attempt.tokens)
@@ -456,11 +488,12 @@
                 return
             self.moves += 1
             self._crossings = len(crossed_links(path))
+            unread = unread_hops(attempt.path, attempt.unread_hops, path)
+            self._set_unread(attempt, path, unread)
             pipelines = self.context.pipelines(self.service.name)
             pipelines.release_tokens(attempt.path, attempt.tokens)
             attempt.path = path
             pipelines.reserve_tokens(path, attempt.tokens)
-            self._set_unread(attempt, path)
             attempt.progress_at = self.context.loop.now
 
         Fetch(
@@ -510,7 +543,7 @@
         if self.is_finished:
             return
         if attempt.unread:
-            self._set_unread(attempt, ())
+            self._set_unread(attempt, (), ())
         if attempt is self._successor:
             self._promote(attempt)
         if attempt.is_promoted:
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -66,6 +66,10 @@
         self._successors = counter(
             "successors", "Attempts sent beside the current one, by reason."
         )
+        self._held_back = counter(
+            "streams_held_back",
+            "Streams queued although the engines have room, by reason.",
+        )
         self._attempts_lost = counter(
             "attempts_lost", "Attempts of streams that were lost, by progress."
         )
@@ -135,6 +139,10 @@
         """Count an attempt that was sent beside the current one."""
         self._successors.add({"reason": _reason_label(reason)}, 1)
 
+    def count_held_back(self, reason: str) -> None:
+        """Count a stream that was queued although the engines have room."""
+        self._held_back.add({"reason": reason}, 1)
+
     def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
         """Count a stream's attempt that ended without a complete response."""
         progress = "none"
--- a/src/wagtailstair/gateway/waiting_streams.py
+++ b/src/wagtailstair/gateway/waiting_streams.py
@@ -4,6 +4,7 @@
 import random
 import typing as t
 
+from ..core.admission.prompt_backlog import PromptBacklogGate
 from ..core.room_queue import RoomQueue
 from ..core.room_queue import make_item
 from .loop import Loop
@@ -35,12 +36,14 @@
         "_keys",
         "_loop",
         "_stream_by_key",
+        "backlog_gate",
         "queue",
     )
 
     def __init__(self, loop: Loop, rng: random.Random) -> None:
         self._loop = loop
         self.queue = RoomQueue(rng)
+        self.backlog_gate = PromptBacklogGate()
         self._stream_by_key: dict[str, WaitingStream] = {}
         self._deadline_by_key: dict[str, float] = {}
         self._keys = itertools.count(1)
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -164,6 +164,7 @@
   running @3 :List(UInt16);
   held @4 :List(UInt32);
   heads @5 :List(UInt16);
+  unread @6 :List(UInt16);  # thousands of token-layers; empty in older builds
 }
 
 struct CrashSuspects {
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -251,6 +251,7 @@
         "running": [_clamp(n, UINT16_MAX) for n in message.running[:USES_MAX]],
         "heads": [_clamp(n, UINT16_MAX) for n in message.heads[:USES_MAX]],
         "held": [_clamp(held) for held in message.held[:USES_MAX]],
+        "unread": [_clamp(n, UINT16_MAX) for n in message.unread[:USES_MAX]],
     }
 
 
@@ -261,9 +262,12 @@
     """
     keys, running = tuple(record.keys), tuple(record.running)
     heads, held = tuple(record.heads), tuple(record.held)
-    if not len(keys) == len(running) == len(heads) == len(held):
+    # Hosts on older builds don't send this column.
+    unread = tuple(record.unread) or (0,) * len(keys)
+    columns = (running, heads, held, unread)
+    if any(len(column) != len(keys) for column in columns):
         raise ValueError("expected columns of the same length")
-    return EngineUses(record.source, record.isCentre, keys, running, heads, held)
+    return EngineUses(record.source, record.isCentre, keys, *columns)
 
 
 def write_suspects(message: CrashSuspects) -> Fields:
--- a/src/wagtailstair/platform/lists.py
+++ b/src/wagtailstair/platform/lists.py
@@ -171,11 +171,16 @@
     )
 
 
-def _service(service: _Service) -> Service:
+def _service(service: _Service, routes: list[Route]) -> Service:
     engine = service.engine
+    ranks = set()
+    for route in routes:
+        if any(name == service.name for name, _ in route.targets):
+            ranks.add(route.rank)
     return Service(
         service.name,
         _model(engine) if engine is not None else None,
+        min(ranks) if len(ranks) > 1 else None,
     )
 
 
@@ -192,10 +197,11 @@
             for key in tenant.api_keys:
                 account_by_key[key] = account
         limits = config.limits
+        routes = [_route(route) for route in config.routes]
         return Directory(
             config.version,
-            [_route(route) for route in config.routes],
-            [_service(service) for service in config.services],
+            routes,
+            [_service(service, routes) for service in config.services],
             account_by_key,
             CallerLimits(
                 limits.max_header_bytes,
--- a/tests/test_directory.py
+++ b/tests/test_directory.py
@@ -35,6 +35,16 @@
         assert model.delay_s_by_centres["b", "a"] == pytest.approx(0.0005)
         assert model.accelerator_by_name["l4"].step_factor == 16.0
 
+    # A service with one rank would hold its streams back for no other's sake.
+    def test_urgent_rank_is_set_only_where_ranks_differ(self, directory):
+        assert directory.service_by_name["engines"].urgent_rank is None
+        config = make_config()
+        later = dict(config["routes"][0], name="later", prefix="/later/", priority=2)
+        config["routes"].append(later)
+        service_by_name = decode_directory(encode(config)).service_by_name
+        assert service_by_name["engines"].urgent_rank == 0
+        assert service_by_name["desk"].urgent_rank is None
+
     def test_limits(self, directory):
         assert directory.limits.header_s == 3.0
         assert directory.limits.body_bytes == 65536
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -1,4 +1,5 @@
 import dataclasses
+import random
 
 import pytest
 from hypothesis import given
@@ -47,6 +48,7 @@
 from wagtailstair.peers.codec import add_frame
 from wagtailstair.peers.codec import decode
 from wagtailstair.peers.codec import encode
+from wagtailstair.peers.records import USES_MAX
 
 KEY = PoolKey("draft", "a")
 HOST = Host("entry-1", "a", "10.0.0.1:8080", "10.0.0.1:8081", 1_700_000_000_000)
@@ -120,8 +122,16 @@
     EngineReport(STATE, 0.25),
     EngineFailed("i-e1", "1000"),
     EngineLoad("e1", 0xFFFFFFFF, 3, 1, 4096, 0.03125, 0.25),
-    EngineUses("entry-1", False, (0xFFFFFFFF, 2), (3, 1), (0, 1), (0xFFFFFFFF, 9)),
-    EngineUses("gt-a", True, (), (), (), ()),
+    EngineUses(
+        "entry-1",
+        False,
+        (0xFFFFFFFF, 2),
+        (3, 1),
+        (0, 1),
+        (0xFFFFFFFF, 9),
+        (0xFFFF, 0),
+    ),
+    EngineUses("gt-a", True, (), (), (), (), ()),
     CrashSuspects(
         (
             CrashCandidate(0xFFFFFFFF, 600.5, 6, frozenset({PartKey("engines", "d")})),
@@ -161,6 +171,32 @@
         assert report.state.kv_used == (1 << 32) - 1
 
 
+class TestEngineUses:
+    # During a rolling start, hosts on builds without the column would be refused.
+    def test_a_message_without_unread_prompts_counts_as_none(self):
+        uses = EngineUses("entry-1", False, (5, 2), (3, 1), (0, 1), (7, 9), ())
+        [read] = decode(encode(make_datagram(uses))).messages
+        assert read == dataclasses.replace(uses, unread=(0, 0))
+
+    def test_columns_of_different_lengths_are_refused(self):
+        uses = EngineUses("entry-1", False, (5, 2), (3, 1), (0, 1), (7, 9), (1,))
+        with pytest.raises(PeerError):
+            decode(encode(make_datagram(uses)))
+
+    # A further column could make the largest message too long to be sent.
+    def test_the_largest_message_fits_into_a_datagram(self):
+        rng = random.Random(1)
+        columns = []
+        for bits in (32, 16, 16, 32, 16):
+            low = 1 << (bits - 1)
+            column = [rng.randrange(low, 2 * low) for _ in range(USES_MAX)]
+            columns.append(tuple(column))
+        uses = EngineUses("entry-1" * 8, False, *columns)
+        data = encode(make_datagram(MESSAGES[0], uses))
+        assert len(data) <= DATAGRAM_BYTES_MAX
+        assert decode(data).messages[1] == uses
+
+
 class TestInvalidDatagrams:
     good = encode(make_datagram(*MESSAGES), SECRET)
 
--- a/tests/test_pipelines.py
+++ b/tests/test_pipelines.py
@@ -9,9 +9,14 @@
 from wagtailstair.core.engine_costs import Load
 from wagtailstair.core.engine_costs import engine_key
 from wagtailstair.core.layout import plan_layers
+from wagtailstair.core.pipelines import Hop
 from wagtailstair.core.pipelines import LoadSource
 from wagtailstair.core.pipelines import Pipelines
 from wagtailstair.core.pipelines import crossed_links
+from wagtailstair.core.pipelines import unread_hops
+from wagtailstair.gateway.engine_uses import apply_uses
+from wagtailstair.gateway.engine_uses import centre_uses
+from wagtailstair.gateway.engine_uses import own_uses
 
 
 def place_all(model, engines):
@@ -120,11 +125,11 @@
     def test_loads_of_a_dropped_peer_are_removed(self, pipelines):
         engine = make_engine("x", layers=(0, 5))
         pipelines.set_peer_loads(
-            LoadSource("other"), {engine_key(engine): Load(200, 9, 1000.0)}
+            LoadSource("other"), {engine_key(engine): Load(200, 9, 1000.0, 500)}
         )
-        assert pipelines.total(engine) == (200, 9, 1000.0)
+        assert pipelines.total(engine) == (200, 9, 1000.0, 500)
         pipelines.drop_peer_loads(LoadSource("other"))
-        assert pipelines.total(engine) == (0, 0, 0.0)
+        assert pipelines.total(engine) == (0, 0, 0.0, 0)
 
     def test_hops_of_one_engine_are_merged(self, pipelines):
         # The quick engine is cheaper for its own layers, but the path would return
@@ -242,9 +247,9 @@
         engine = make_engine("x", layers=(0, 80))
         path = pipelines.choose(make_model(), [engine], 800, 200, 0.0)
         pipelines.reserve_tokens(path, 1000)
-        assert pipelines.total(engine) == (1, 1, 80_000.0)
+        assert pipelines.total(engine) == (1, 1, 80_000.0, 0)
         pipelines.release_tokens(path, 1000)
-        assert pipelines.total(engine) == (0, 0, 0.0)
+        assert pipelines.total(engine) == (0, 0, 0.0, 0)
 
     def test_a_new_incarnation_is_another_engine(self, pipelines):
         pipelines.suspect(make_engine("x", layers=(0, 80)), 100.0)
@@ -252,6 +257,63 @@
         assert pipelines.use(again).suspect_until == 0.0
 
 
+class TestBacklog:
+    """Prompts that engines have yet to read delay those that are sent after them."""
+
+    def engines(self):
+        return [
+            make_engine("x", accelerator="a100", layers=(0, 80)),
+            make_engine("y", accelerator="v100", layers=(0, 80)),
+        ]
+
+    # Requests once went to the fastest engine, behind all prompts of a burst.
+    def test_a_backlog_diverts_requests(self, pipelines):
+        model, (quick, slow) = make_model(), self.engines()
+        loads = {engine_key(quick): Load(1, 0, 0.0, 0)}
+        pipelines.set_peer_loads(LoadSource("entry-2"), loads)
+        path = pipelines.choose(model, [quick, slow], 800, 200, 0.0)
+        assert path[0].replica is quick
+        # Two seconds for this engine, which reads 51,250 tokens a second.
+        loads = {engine_key(quick): Load(1, 0, 0.0, 102_500 * 80)}
+        pipelines.set_peer_loads(LoadSource("entry-2"), loads)
+        assert pipelines.backlog(model, path) == pytest.approx((2.0, 0.0))
+        path = pipelines.choose(model, [quick, slow], 800, 200, 0.0)
+        assert path[0].replica is slow
+
+    def test_the_longest_backlog_of_a_path_counts(self, pipelines):
+        model, (engine, _) = make_model(), self.engines()
+        other = make_engine("z", accelerator="a100", layers=(0, 40))
+        pipelines.reserve_prompt((Hop(engine, 40, 80),), 1000)
+        path = (Hop(other, 0, 40), Hop(engine, 40, 80))
+        expected_s = 1000 * 40 * 3.2 / 164_000 / 80
+        assert pipelines.backlog(model, path) == pytest.approx((expected_s, expected_s))
+
+    # Hosts and data centres that are gone would hold streams back for ever.
+    def test_reports_carry_unread_prompts_and_take_them_along(self, pipelines):
+        model, (engine, _) = make_model(), self.engines()
+        path = pipelines.choose(model, [engine], 800, 200, 0.0)
+        pipelines.reserve_tokens(path, 1000)
+        pipelines.reserve_prompt(path, 800)
+        other = Pipelines("a", random.Random(2))
+        apply_uses(own_uses("entry-1", [pipelines]), [other])
+        assert other.total(engine).unread == 800 * 80
+        assert centre_uses("a", [other]).unread == (64,)
+        third = {engine_key(engine): Load(1, 0, 0.0, 500)}
+        other.set_peer_loads(LoadSource("entry-3"), third)
+        other.drop_peer_loads(LoadSource("entry-1"))
+        assert other.total(engine).unread == 500
+        other.drop_peer_loads(LoadSource("entry-3"))
+        assert other.total(engine).unread == 0
+
+    def test_only_engines_that_have_not_read_the_prompt_count_after_a_move(self):
+        x, y, z = (make_engine(name, layers=(0, 80)) for name in "xyz")
+        path = (Hop(x, 0, 40), Hop(y, 40, 80))
+        moved = (Hop(x, 0, 40), Hop(z, 40, 80))
+        assert unread_hops(path, (), moved) == moved[1:]
+        assert unread_hops(path, path, moved) == moved
+        assert unread_hops(moved, moved[1:], (Hop(x, 0, 80),)) == (Hop(x, 0, 80),)
+
+
 class TestDataCentres:
     def place(self, without):
         model = make_model()
