Start queued streams in one order over all hosts of a data centre

Cause: a host without waiting urgent streams started less urgent ones while urgent ones waited at another host, and an account that enters at many hosts had a turn at each.

Change: hosts of a data centre exchange bounded counts of what is queued and started while anything waits (core/admission/shared_order.py). A stream waits for more urgent ones of other hosts unless its rank is below its minimum; accounts are charged for what all hosts have started; expected waits and Retry-After use the rate of all hosts. Setting [admission] shared_order. Held back streams are counted with their reason once, also those behind a backlog of prompts.

--- a/src/wagtailstair/core/admission/__init__.py
+++ b/src/wagtailstair/core/admission/__init__.py
@@ -1,1 +1,1 @@
-"""Decisions on which work may begin, and when."""
+"""Decides which requests and clients a host admits, and in which order."""
--- a/src/wagtailstair/core/fairness.py
+++ b/src/wagtailstair/core/fairness.py
@@ -161,11 +161,14 @@
         if not flow.by_request:
             self._deactivate(flow)
 
-    def take(self, item: RouteRequest) -> None:
-        """Remove an item to serve it, and charge its account."""
+    def take(self, item: RouteRequest, factor: float = 1.0) -> None:
+        """Remove an item to serve it, and charge its account.
+
+        :param factor: by which the work that is charged is multiplied.
+        """
         flow = self._flow_by_account[item.account]
         self._virtual_time = max(self._virtual_time, flow.start)
-        flow.start += item.work / item.weight
+        flow.start += factor * item.work / item.weight
         flow.entry = -1
         self.discard(item)
         if flow.by_request:
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -230,6 +230,24 @@
     unread: tuple[int, ...]
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class QueueCounts:
+    """The streams that a host has queued and started, replacing its earlier message.
+
+    ``sequence``: number of the message; ``waiting``, ``waiting_work``: queued streams
+    and their tokens, by rank; ``started_work``, ``starts``: tokens by rank, and
+    number, of the streams started in the last 2 s; ``accounts``: accounts with the
+    most tokens started in the last 10 s, and these tokens.
+    """
+
+    sequence: int
+    waiting: tuple[int, ...]
+    waiting_work: tuple[int, ...]
+    started_work: tuple[int, ...]
+    starts: int
+    accounts: tuple[tuple[str, int], ...] = ()
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Ack:
     """An acknowledgement of numbered messages."""
@@ -250,6 +268,7 @@
     EngineReport,
     EngineLoad,
     EngineUses,
+    QueueCounts,
     ReportRequest,
     EngineLost,
     EngineFailed,
--- a/src/wagtailstair/core/queueing.py
+++ b/src/wagtailstair/core/queueing.py
@@ -145,11 +145,14 @@
                 return item
         return None
 
-    def take(self, request: str) -> RouteRequest:
-        """Remove an item to serve it, and charge it."""
+    def take(self, request: str, factor: float = 1.0) -> RouteRequest:
+        """Remove an item to serve it, and charge it.
+
+        :param factor: by which the work that its account is charged is multiplied.
+        """
         item = self._item_by_request.pop(request)
         self._charge(item.priority, item.work)
-        self._class_of(item).take(item)
+        self._class_of(item).take(item, factor)
         return item
 
     def _charge(self, served: Priority, work: float) -> None:
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -128,10 +128,6 @@
         """Count an attempt that was sent beside the current one."""
         ...
 
-    def count_held_back(self, reason: str) -> None:
-        """Count a stream that was queued although the engines have room."""
-        ...
-
     def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
         """Count a stream's attempt that ended without a complete response."""
         ...
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -18,6 +18,7 @@
 from ..core.messages import EngineFailed
 from ..core.messages import EngineLost
 from ..core.messages import EngineUses
+from ..core.messages import QueueCounts
 from ..core.pauses import Pauses
 from ..core.pipelines import LoadSource
 from ..core.pipelines import Pipelines
@@ -134,7 +135,12 @@
         )
         self.is_draining = False
         self._refuses_requests = False
-        self._waiting = WaitingStreams(self.loop, self._rng)
+        self._waiting = WaitingStreams(
+            self.loop,
+            self._rng,
+            self.telemetry.count_held_back,
+            is_shared=settings.admission.shared_order,
+        )
         self._settings_path: pathlib.Path | None = None
         self._settings_text = ""
         self._pipelines_by_service: dict[str, Pipelines] = {}
@@ -227,10 +233,6 @@
         """Count an attempt that was sent beside the current one."""
         self.telemetry.count_successor(reason)
 
-    def count_held_back(self, reason: str) -> None:
-        """Count a stream that was queued although the engines have room."""
-        self.telemetry.count_held_back(reason)
-
     def count_attempt_lost(self, *, has_begun: bool, has_events: bool) -> None:
         """Count a stream's attempt that ended without a complete response."""
         self.telemetry.count_attempt_lost(has_begun=has_begun, has_events=has_events)
@@ -319,6 +321,14 @@
         """Apply the load that the requests of another source put on engines."""
         engine_uses.apply_uses(message, self._pipelines_by_service.values())
 
+    def queue_counts(self) -> QueueCounts | None:
+        """Return what this host has queued and started, ``None`` to send nothing."""
+        return self._waiting.queue.message(self.loop.now)
+
+    def on_queue_counts(self, source: str, message: QueueCounts) -> None:
+        """Apply what a live host of this data centre has queued and started."""
+        self._waiting.queue.shared.receive(source, message, self.loop.now)
+
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
         """Suspect an engine that a peer suspects."""
         replica = self.replicas.by_name.get(lost.name)
@@ -385,6 +395,8 @@
         """Drop the load reported by a peer or data centre that is gone."""
         for pipelines in self._pipelines_by_service.values():
             pipelines.drop_peer_loads(LoadSource(source, is_centre))
+        if not is_centre:
+            self._waiting.queue.shared.drop(source)
 
     def broadcast_engine_lost(self, replica: Replica) -> None:
         """Report a suspected engine to the hosts of this data centre."""
@@ -591,6 +603,8 @@
         self.settings = msgspec.structs.replace(settings, host=self.settings.host)
         retries = settings.retries
         self.resend_budget.change(retries.ratio, retries.slack, retries.window_s)
+        is_shared = settings.admission.shared_order
+        self._waiting.queue.shared.set_enabled(is_enabled=is_shared)
         log_event("reload", outcome="taken")
 
     def drain(self) -> None:
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -19,6 +19,7 @@
 from ..core.messages import EngineLost
 from ..core.messages import EngineUses
 from ..core.messages import Message
+from ..core.messages import QueueCounts
 from ..core.quarantine import CrashSuspects
 from ..exceptions import PeerError
 from ..logs import log_event
@@ -100,6 +101,14 @@
         """Apply the load that the requests of another source put on engines."""
         ...
 
+    def queue_counts(self) -> QueueCounts | None:
+        """Return what this host has queued and started, ``None`` to send nothing."""
+        ...
+
+    def on_queue_counts(self, source: str, message: QueueCounts) -> None:
+        """Apply what a live host of this data centre has queued and started."""
+        ...
+
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
         """Suspect an engine that a peer suspects."""
         ...
@@ -299,6 +308,19 @@
         self._send_all(self.membership.view_request_addresses(now), (ViewRequest(),))
         self._expire_centres(now)
         self._repeat_suspects(now)
+        self._send_queue_counts()
+
+    def _send_queue_counts(self) -> None:
+        """Tell the hosts of this data centre what is queued here, if it matters.
+
+        In a datagram of its own: hosts of older builds drop one with a message that
+        they don't know, and must not miss heartbeats. Also sent between two
+        heartbeats, as many hosts send these less often.
+        """
+        message = self._events.queue_counts()
+        if message is not None:
+            hosts = self.membership.live_local_hosts()
+            self._send_all([host.peer_address for host in hosts], (message,))
 
     def _update_delegate(self) -> bool:
         """Log a change of this host's role; return whether it is a delegate."""
@@ -374,12 +396,14 @@
             self._on_heartbeat(message, now)
         elif isinstance(message, EngineUses):
             self._on_engine_uses(sender, message, now)
+        elif isinstance(message, QueueCounts):
+            self._on_queue_counts(sender, message)
         elif isinstance(message, View):
             self._handle_events(self.membership.receive_view(sender, message, now))
         else:
-            self._on_message_of_engine(self.membership.find(sender), message)
+            self._on_other_message(self.membership.find(sender), message)
 
-    def _on_message_of_engine(self, host: Host | None, message: Message) -> None:
+    def _on_other_message(self, host: Host | None, message: Message) -> None:
         """Handle a message about engines, or one to be answered.
 
         :param host: the sender, ``None`` if it isn't known.
@@ -397,6 +421,12 @@
         elif isinstance(message, ViewRequest):
             self._send(host.peer_address, (self.membership.own_view(),))
 
+    def _on_queue_counts(self, sender: str, message: QueueCounts) -> None:
+        """Apply the counters of a live host of this data centre."""
+        hosts = self.membership.live_local_hosts()
+        if any(host.name == sender for host in hosts):
+            self._events.on_queue_counts(sender, message)
+
     def _on_heartbeat(self, message: Heartbeat, now: float) -> None:
         host = message.host
         peer = self.membership.by_name.get(host.name)
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -68,6 +68,16 @@
     grace_s: Seconds
 
 
+class AdmissionSection(_Section, frozen=True):
+    """Which streams start first.
+
+    ``shared_order``: whether the hosts of a data centre start their queued streams in
+    one order; ``False``: each host decides on its own queue alone.
+    """
+
+    shared_order: bool = True
+
+
 class LogSection(_Section, frozen=True):
     """The log level; ``lines_per_s``: maximum mean rate of the lines of one event."""
 
@@ -82,6 +92,7 @@
     store: StoreSection
     retries: RetriesSection
     shutdown: ShutdownSection
+    admission: AdmissionSection = msgspec.field(default_factory=AdmissionSection)
     log: LogSection = msgspec.field(default_factory=LogSection)
 
 
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -29,6 +29,8 @@
 from .requests import Header
 from .upstream_pool import ExchangeLoss
 from .upstream_pool import Upstream
+from .waiting_streams import BACKLOG
+from .waiting_streams import URGENT_ELSEWHERE
 
 STALL_CHECK_S = 0.25
 """Seconds without an event after which the first engine is asked for a report:
@@ -74,17 +76,19 @@
         "_current",
         "_finder",
         "_first_answered",
-        "_is_held_back",
         "_last_id",
         "_own_keys",
         "_parts",
         "_progress_at",
         "_progress_timer",
+        "_queued_at",
+        "_queued_s",
         "_successor",
         "events",
         "first_event_s",
         "moves",
         "queue_key",
+        "queue_reason",
     )
 
     def begin(self) -> None:
@@ -105,8 +109,10 @@
         self._progress_timer: Timer | None = None
         self._progress_at = self.context.loop.now
         self._crossings = 0
-        self._is_held_back = False
         self.queue_key = ""
+        self.queue_reason = ""
+        self._queued_at: float | None = None
+        self._queued_s: float | None = None
         self.events = 0
         self.moves = 0
         self.first_event_s: float | None = None
@@ -166,10 +172,7 @@
         if path is None:
             self._retry_later_or_refuse(reason)
             return
-        queue = self.context.waiting_streams().queue
-        # A new request doesn't overtake those that wait.
-        must_wait = queue.has_waiting(self.grant.rank)
-        if self.sends == 0 and (must_wait or not self._may_begin(path)):
+        if self.sends == 0 and self._must_wait(path):
             self._wait_for_room()
             return
         if not self._finder.may_begin(path):
@@ -177,15 +180,35 @@
             return
         self._send_first(path)
 
+    def _must_wait(self, path: Path) -> bool:
+        """Return whether a new request must be queued, and note the reason."""
+        waiting = self.context.waiting_streams()
+        rank, now = self.grant.rank, self.context.loop.now
+        # A new request doesn't overtake those that wait.
+        if waiting.queue.has_waiting(rank):
+            self.queue_reason = "order"
+        elif not self._may_begin(path):
+            # The backlog of prompts has been noted, if it is the reason.
+            self.queue_reason = self.queue_reason or "no_room"
+        elif waiting.queue.holds_back_new(rank, self._finder.tokens, now):
+            waiting.hold_back(self, URGENT_ELSEWHERE)
+        return bool(self.queue_reason)
+
+    def _account_name(self) -> str:
+        account = self.grant.account
+        return "" if account is None else account.name
+
     def _send_first(self, path: Path) -> None:
         """Send the request on a path, as its only attempt."""
         if self.sends == 0:
             now = self.context.loop.now
             self.context.resend_budget.count_request(self.service.name, now)
             waiting = self.context.waiting_streams()
-            waiting.queue.record_start(now, self._finder.tokens)
             rank, tokens = self.grant.rank, self._finder.tokens
+            waiting.queue.record_start(now, tokens, rank, self._account_name())
             waiting.backlog_gate.record_start(now, rank, tokens)
+            if self._queued_at is not None:
+                self._queued_s = now - self._queued_at
         self._current = attempt = self._make_attempt(path)
         self._send_attempt(attempt)
 
@@ -205,9 +228,7 @@
             self.context.loop.now,
         ):
             return True
-        if not self._is_held_back:
-            self._is_held_back = True
-            self.context.count_held_back("backlog")
+        self.context.waiting_streams().hold_back(self, BACKLOG)
         return False
 
     def start_queued(self) -> bool:
@@ -312,10 +333,10 @@
 
     def _wait_for_room(self) -> None:
         """Queue the request for room until its goal has passed."""
-        account = self.grant.account
+        self._queued_at = self.context.loop.now
         self.context.waiting_streams().add(
             self,
-            "" if account is None else account.name,
+            self._account_name(),
             self.grant.rank,
             self._finder.tokens,
             self.request.received_at + ROOM_WAIT_GOALS * self.grant.route.goal_s,
@@ -402,13 +423,22 @@
         self._schedule_stall_check(STALL_RECHECK_S)
 
     def end_fields(self) -> dict[str, object]:
-        """Return when the first event came, how many, and the moves of the request."""
-        return {
+        """Return when the first event came, how many, and the moves of the request.
+
+        Of a request that was queued, also for how many seconds, and why.
+        """
+        fields: dict[str, object] = {
             "first": self.first_event_s,
             "events": self.events,
             "moves": self.moves,
             "crossings": self._crossings,
         }
+        if self._queued_at is not None:
+            queued_s = self._queued_s
+            if queued_s is None:
+                queued_s = self.context.loop.now - self._queued_at
+            fields.update(queued=queued_s, queued_for=self.queue_reason)
+        return fields
 
     @property
     def path(self) -> Path:
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -8,6 +8,7 @@
 from aioprometheus.collectors import Registry
 from aioprometheus.renderer import render
 
+from ..core.engine import Priority
 from ..platform import lists as wire_lists
 
 if t.TYPE_CHECKING:
@@ -73,6 +74,7 @@
         self._attempts_lost = counter(
             "attempts_lost", "Attempts of streams that were lost, by progress."
         )
+        self._streams_waiting = gauge("streams_waiting", "Queued streams, by rank.")
         self._engine_crashes = counter(
             "engine_crashes", "Engines that crashed under requests without an event."
         )
@@ -174,6 +176,9 @@
         now = gateway.loop.now
         self._streams_running.set({}, len(streams))
         self._streams_stalled.set({}, sum(s.is_stalled(now) for s in streams))
+        queue = gateway.waiting_streams().queue
+        for rank in Priority:
+            self._streams_waiting.set({"rank": str(int(rank))}, queue.count(rank))
         self._peers_live.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
         quarantine = gateway.crash_reports.quarantine
--- a/src/wagtailstair/gateway/waiting_streams.py
+++ b/src/wagtailstair/gateway/waiting_streams.py
@@ -9,6 +9,12 @@
 from ..core.room_queue import make_item
 from .loop import Loop
 
+BACKLOG = "backlog"
+"""Why a stream is held back that would delay more urgent prompts on its path."""
+
+URGENT_ELSEWHERE = "urgent_elsewhere"
+"""Why a stream is held back that lets more urgent ones of other hosts go first."""
+
 CHECK_INTERVAL_S = 0.04
 """Seconds between two checks for room: about the interval between two events."""
 
@@ -17,6 +23,7 @@
     """A stream that can wait for room."""
 
     queue_key: str
+    queue_reason: str
 
     def start_queued(self) -> bool:
         """Send the stream if engines have room; return whether it waits no more."""
@@ -35,14 +42,23 @@
         "_is_scheduled",
         "_keys",
         "_loop",
+        "_on_held_back",
         "_stream_by_key",
         "backlog_gate",
         "queue",
     )
 
-    def __init__(self, loop: Loop, rng: random.Random) -> None:
+    def __init__(
+        self,
+        loop: Loop,
+        rng: random.Random,
+        on_held_back: t.Callable[[str], None] = lambda reason: None,
+        *,
+        is_shared: bool = True,
+    ) -> None:
         self._loop = loop
-        self.queue = RoomQueue(rng)
+        self._on_held_back = on_held_back
+        self.queue = RoomQueue(rng, is_shared=is_shared)
         self.backlog_gate = PromptBacklogGate()
         self._stream_by_key: dict[str, WaitingStream] = {}
         self._deadline_by_key: dict[str, float] = {}
@@ -68,6 +84,8 @@
         if not is_added:
             stream.refuse_waiting("queue full")
             return
+        # It may start before the next message to the other hosts.
+        self.queue.shared.record_waiting(now)
         stream.queue_key = item.request
         self._stream_by_key[item.request] = stream
         self._deadline_by_key[item.request] = deadline
@@ -75,6 +93,12 @@
             self._forget(displaced).refuse_waiting("queue full")
         self._schedule()
 
+    def hold_back(self, stream: WaitingStream, reason: str) -> None:
+        """Note why a stream is held back although engines may have room; count it."""
+        if stream.queue_reason != reason:
+            stream.queue_reason = reason
+            self._on_held_back(reason)
+
     def discard(self, key: str) -> None:
         """Remove a stream that has ended."""
         if key in self._stream_by_key:
@@ -111,9 +135,13 @@
                 return
             key = keys[0]
             stream = self._stream_by_key[key]
+            if self.queue.is_held_back(key, self._loop.now):
+                self.hold_back(stream, URGENT_ELSEWHERE)
+                blocked.add(key)
+                continue
             if not stream.start_queued():
                 blocked.add(key)
                 continue
             if key in self._stream_by_key:
-                self.queue.take(key)
+                self.queue.take(key, self._loop.now)
                 self._forget(key)
--- a/src/wagtailstair/peers/message_records.py
+++ b/src/wagtailstair/peers/message_records.py
@@ -21,6 +21,7 @@
 from ..core.messages import Limit
 from ..core.messages import Message
 from ..core.messages import Numbered
+from ..core.messages import QueueCounts
 from ..core.messages import Queued
 from ..core.messages import Refused
 from ..core.messages import ReportRequest
@@ -156,6 +157,7 @@
     ReportRequest: ("reportRequest", lambda message: message.name),
     EngineLost: ("engineLost", _write_lost),
     EngineFailed: ("engineFailed", _write_lost),
+    QueueCounts: ("queueCounts", records.write_queue_counts),
     CrashSuspects: ("crashSuspects", records.write_suspects),
     Numbered: ("numbered", _write_numbered),
     Ack: ("ack", lambda message: list(message.numbers)),
@@ -262,6 +264,7 @@
     "engineReport": records.read_report,
     "engineLoad": records.read_load,
     "engineUses": records.read_uses,
+    "queueCounts": records.read_queue_counts,
     "reportRequest": ReportRequest,
     "crashSuspects": records.read_suspects,
     "engineLost": lambda record: EngineLost(record.name, record.incarnation),
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -28,6 +28,7 @@
     engineUses @15 :EngineUses;
     crashSuspects @16 :CrashSuspects;
     engineFailed @17 :EngineLost;
+    queueCounts @18 :QueueCounts;
   }
 }
 
@@ -167,6 +168,20 @@
   unread @6 :List(UInt16);  # thousands of token-layers; empty in older builds
 }
 
+struct QueueCounts {          # columns: one entry a rank
+  sequence @0 :UInt32;
+  waiting @1 :List(UInt16);
+  waitingWork @2 :List(UInt32);
+  startedWork @3 :List(UInt32);
+  starts @4 :UInt32;
+  accounts @5 :List(AccountWork);
+}
+
+struct AccountWork {
+  account @0 :Text;
+  work @1 :UInt32;
+}
+
 struct CrashSuspects {
   obsoleteSuspects @0 :List(SuspectPart);
   sound @1 :List(Part);
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -7,6 +7,7 @@
 import ipaddress
 import typing as t
 
+from ..core.admission.shared_order import MESSAGE_ACCOUNTS
 from ..core.engine import EngineState
 from ..core.engine import Priority
 from ..core.engine import Route
@@ -18,6 +19,7 @@
 from ..core.messages import EngineReport
 from ..core.messages import EngineUses
 from ..core.messages import PoolKey
+from ..core.messages import QueueCounts
 from ..core.quarantine import MESSAGE_CANDIDATES
 from ..core.quarantine import SOUND_PER_MESSAGE
 from ..core.quarantine import CrashCandidate
@@ -270,6 +272,44 @@
     return EngineUses(record.source, record.isCentre, keys, *columns)
 
 
+def write_queue_counts(message: QueueCounts) -> Fields:
+    """Return the fields of what a host has queued and started."""
+    accounts = []
+    for account, work in message.accounts[:MESSAGE_ACCOUNTS]:
+        accounts.append({"account": account, "work": _clamp(work)})
+    return {
+        "sequence": message.sequence,
+        "waiting": [_clamp(count, UINT16_MAX) for count in message.waiting],
+        "waitingWork": [_clamp(work) for work in message.waiting_work],
+        "startedWork": [_clamp(work) for work in message.started_work],
+        "starts": _clamp(message.starts),
+        "accounts": accounts,
+    }
+
+
+def read_queue_counts(record: Record) -> QueueCounts:
+    """Return what a host has queued and started.
+
+    :raises ValueError: if a column has not one entry for each rank.
+    """
+    waiting, waiting_work = tuple(record.waiting), tuple(record.waitingWork)
+    started_work = tuple(record.startedWork)
+    for column in (waiting, waiting_work, started_work):
+        if len(column) != len(Priority):
+            raise ValueError("expected one entry for each rank")
+    accounts = []
+    for entry in record.accounts:
+        accounts.append((entry.account, entry.work))
+    return QueueCounts(
+        record.sequence,
+        waiting,
+        waiting_work,
+        started_work,
+        record.starts,
+        tuple(accounts[:MESSAGE_ACCOUNTS]),
+    )
+
+
 def write_suspects(message: CrashSuspects) -> Fields:
     """Return the fields of what a host knows of crashes."""
     place_by_key: dict[PartKey, int] = {}
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -518,8 +518,12 @@
         name: str = "entry-1",
         store: str | None = None,
         uplink: SlowLink | None = None,
+        more_settings: str = "",
     ) -> Gateway:
-        """Start a gateway; its answers to peers go over ``uplink`` if it is given."""
+        """Start a gateway; its answers to peers go over ``uplink`` if it is given.
+
+        :param more_settings: sections to add to the usual ones.
+        """
         text = SETTINGS.format(
             name=name,
             centre="a",
@@ -528,7 +532,7 @@
             peers=free_port(),
             store=store or self.store.address,
         )
-        gateway = Gateway(parse_settings(text), self.clock, self.loop)
+        gateway = Gateway(parse_settings(text + more_settings), self.clock, self.loop)
         if uplink is not None:
             accept = gateway._on_peer_connection
             gateway._on_peer_connection = functools.partial(uplink.wrap, accept)
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -30,6 +30,7 @@
 from wagtailstair.core.messages import Limit
 from wagtailstair.core.messages import Numbered
 from wagtailstair.core.messages import PoolKey
+from wagtailstair.core.messages import QueueCounts
 from wagtailstair.core.messages import Queued
 from wagtailstair.core.messages import Refused
 from wagtailstair.core.messages import ReportRequest
@@ -142,6 +143,8 @@
         (PartKey("engines", "p1"), PartKey("others", "p2")),
     ),
     CrashSuspects(),
+    QueueCounts(7, (1, 0, 65535), (900, 0, 4), (0, 5, 0), 3, (("shop", 0xFFFFFFFF),)),
+    QueueCounts(0, (0, 0, 0), (0, 0, 0), (0, 0, 0), 0),
     ReportRequest("e1"),
     EngineLost("e1", "i1"),
     *(Numbered(number, body) for number, body in enumerate(BODIES)),
