Tell other hosts only of engines that take no connections

Cause: resets after a request was sent were reported too.

Change: only a failed connection is reported.

--- a/src/wagtailstair/core/engine_failures.py
+++ b/src/wagtailstair/core/engine_failures.py
@@ -1,6 +1,6 @@
-"""Engines that fail the requests of several hosts, so that all hosts avoid them.
+"""Engines that take no connections of several hosts, so that all hosts avoid them.
 
-Without it each host finds out for itself that an engine resets or ignores its
+Without it each host finds out for itself that an engine refuses or ignores its
 connections, at the cost of a request each: with tens of hosts, of as many requests.
 One report proves little: the host that sends it may be the one that is cut off.
 """
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -185,7 +185,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class EngineFailed:
-    """An engine has failed a request of the sender before answering it."""
+    """An engine has taken no connection of the sender."""
 
     name: str
     incarnation: str
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -113,7 +113,7 @@
         ...
 
     def report_engine_failure(self, replica: Replica) -> None:
-        """Tell the other hosts of an engine that failed a request unanswered."""
+        """Tell the other hosts of an engine that takes no connections."""
         ...
 
     def waiting_streams(self) -> WaitingStreams:
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -339,13 +339,13 @@
         )
 
     def on_engine_failed(self, host: Host, failed: EngineFailed) -> None:
-        """Avoid an engine that has failed requests of several hosts."""
+        """Avoid an engine that takes no connections of several hosts."""
         replica = self.replicas.by_name.get(failed.name)
         if replica is not None and str(replica.incarnation) == failed.incarnation:
             self._record_engine_failure(replica, host.name)
 
     def report_engine_failure(self, replica: Replica) -> None:
-        """Tell the other hosts of an engine that failed a request unanswered."""
+        """Tell the other hosts of an engine that takes no connections."""
         self._record_engine_failure(replica, self.settings.host.name)
         if self._engine_failures.take_report(replica.identity, self.loop.now):
             failed = EngineFailed(replica.name, str(replica.incarnation))
@@ -357,11 +357,11 @@
             return
         pipelines = self.pipelines(replica.service)
         if pipelines.use(replica).suspect_until <= now:
-            self.telemetry.count_suspicion("failed at several hosts")
+            self.telemetry.count_suspicion("unreachable for several hosts")
             log_event(
                 "engine_suspected",
                 replica=replica.name,
-                reason="failed at several hosts",
+                reason="unreachable for several hosts",
                 streams=0,
                 stalled=0,
             )
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -653,6 +653,8 @@
         )
         if loss is ExchangeLoss.NOT_SENT:
             self.runs -= 1
+            # A connection that is reset later may have lost a single answer.
+            self.context.report_engine_failure(first)
         else:
             self.may_have_run = True
             self.lost_on.append(first.identity)
@@ -711,8 +713,6 @@
             return
         until = self.context.loop.now + SUSPECT_S
         self.context.pipelines(self.service.name).suspect(replica, until)
-        if not attempt.status and replica is attempt.path[0].replica:
-            self.context.report_engine_failure(replica)
         self._finder.avoid.add(replica.identity)
 
     def _find_faulty(self, attempt: Attempt) -> Replica | None:
