Read sockets between timers that schedule each other

What callers saw: no answer while 100 clients with 2,000 requests sent ahead each were connected.

Cause: the next request of a connection is started by a timer without delay, and the loop ran these in the same pass, so that it came back to its sockets only when all were done.

Change: a pass runs the timers that were due at its beginning.

Result: test_loop failed before (100 timers ran before a readable socket).

--- a/src/wagtailstair/gateway/loop.py
+++ b/src/wagtailstair/gateway/loop.py
@@ -115,7 +115,15 @@
         return max(0.0, min(self._timers[0][0] - self.now, MAX_POLL_S))
 
     def _run_timers(self) -> None:
+        """Run the timers that are due, but not those that these schedule.
+
+        Sockets come first: a caller with many requests sent ahead would otherwise
+        keep the loop from reading any.
+        """
+        first_new = next(self._order)
         while self._timers and self._timers[0][0] <= self.now:
+            if self._timers[0][1] > first_new:
+                return
             _, _, timer = heapq.heappop(self._timers)
             callback = timer.callback
             if callback is None:
