--- /dev/null
+++ b/src/wagtailstair/core/admission/client_memory.py
@@ -0,0 +1,246 @@
+"""Accounting of the memory and connections that a host holds for its clients."""
+
+import dataclasses
+import enum
+import typing as t
+
+BYTES_PER_MB = 1 << 20
+
+BASE_BYTES = 60 * BYTES_PER_MB
+"""Bytes of a gateway that serves no client, with lists and tables of a large platform;
+38 MB were measured with small ones."""
+
+MEMORY_SHARE = 0.5
+"""Share of the memory beyond the base that clients may hold. The rest is for copies
+while a body is passed on, answers of upstreams, and unused parts of allocations."""
+
+BOUND_BYTES_MIN = 12 * BYTES_PER_MB
+"""Lowest bound: one request with the largest body has room, also while it is sent."""
+
+RELIEF_SHARE = 0.9
+"""Share of the bound down to which connections are evicted, so that the choice, which
+looks at all of them, is not repeated with each read."""
+
+EVICTED_BYTES_MIN = 16 << 10
+"""Bytes below which evicting a connection is of no use: ordinary requests hold less."""
+
+RESERVED_DESCRIPTORS = 200
+"""Descriptors that a host reserves for files."""
+
+DESCRIPTOR_SHARE = 0.5
+"""Share of the other descriptors for clients: a request that is passed on needs one
+more, for its upstream."""
+
+INTERNAL_SHARE = 0.125
+"""Share of the clients' connections for balancers, peers and operators: neither these
+nor callers can take the connections of the other group."""
+
+CONNECTION_BYTES = 4096
+"""Bytes of the objects of a connection without any request."""
+
+PROGRESS_BYTES = 16 << 10
+"""Bytes that count as progress; single bytes would hide a stalled client."""
+
+PLACE_STALL_S = 1.0
+"""Seconds without progress after which a request that was not forwarded loses its
+connection to a new one if all places are taken: a caller on a slow link makes progress
+several times as often."""
+
+AGE_OFFSET_S = 0.1
+"""Seconds added to the time without progress, so that among connections that all have
+just made some, the one with the most bytes comes first."""
+
+
+class Group(enum.Enum):
+    """The listeners that share a bound on connections."""
+
+    CALLERS = "callers"
+    INTERNAL = "internal"
+
+
+class Stage(enum.Enum):
+    """What a connection is doing.
+
+    ``RECEIVING``: a request arrives, or waits here; ``FORWARDED``: a request was sent
+    to an upstream; ``ANSWERED``: an answer has not been read, and there is no request;
+    ``CLOSING``: no more requests are accepted.
+    """
+
+    IDLE = "idle"
+    RECEIVING = "receiving"
+    FORWARDED = "forwarded"
+    ANSWERED = "answered"
+    CLOSING = "closing"
+
+
+Owner = t.TypeVar("Owner")
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class ClientUse(t.Generic[Owner]):
+    """What one connection holds.
+
+    ``progress_at``: when bytes last moved, or a stage; ``is_ahead``: whether it has
+    sent further requests without waiting for an answer.
+    """
+
+    owner: Owner
+    group: Group
+    progress_at: float
+    stage: Stage = Stage.IDLE
+    held_bytes: int = CONNECTION_BYTES
+    moved_bytes: int = 0
+    is_ahead: bool = False
+
+    def score(self, now: float) -> float:
+        """Return how much is gained by evicting it, in byte-seconds."""
+        return self.held_bytes * (now - self.progress_at + AGE_OFFSET_S)
+
+
+class ClientMemory(t.Generic[Owner]):
+    """The uses of all connections of clients, and which of them are to end.
+
+    :param memory_mb: memory of the host; 0 for no bound.
+    :param descriptors: descriptors of the host; 0 for no bound.
+    """
+
+    __slots__ = (
+        "_idle_by_group",
+        "_uses_by_group",
+        "bound_by_group",
+        "bound_bytes",
+        "total_bytes",
+    )
+
+    def __init__(self, memory_mb: int, descriptors: int) -> None:
+        self.bound_bytes = 0
+        if memory_mb:
+            spare_bytes = memory_mb * BYTES_PER_MB - BASE_BYTES
+            self.bound_bytes = max(BOUND_BYTES_MIN, int(spare_bytes * MEMORY_SHARE))
+        self.bound_by_group: dict[Group, int] = {}
+        if descriptors:
+            usable = max(0, descriptors - RESERVED_DESCRIPTORS)
+            connections = int(usable * DESCRIPTOR_SHARE)
+            internal = max(1, int(connections * INTERNAL_SHARE))
+            self.bound_by_group[Group.INTERNAL] = internal
+            self.bound_by_group[Group.CALLERS] = max(1, connections - internal)
+        self.total_bytes = 0
+        # Dictionaries without values keep the order in which connections became idle.
+        self._uses_by_group: dict[Group, dict[ClientUse[Owner], None]] = {}
+        self._idle_by_group: dict[Group, dict[ClientUse[Owner], None]] = {}
+        for group in Group:
+            self._uses_by_group[group] = {}
+            self._idle_by_group[group] = {}
+
+    @property
+    def connections(self) -> int:
+        """Return the number of connections."""
+        return sum(len(uses) for uses in self._uses_by_group.values())
+
+    @property
+    def is_over(self) -> bool:
+        """Return whether clients hold more bytes than the bound."""
+        return 0 < self.bound_bytes < self.total_bytes
+
+    def uses(self) -> list[ClientUse[Owner]]:
+        """Return the uses of all connections."""
+        return [use for uses in self._uses_by_group.values() for use in uses]
+
+    def has_place(self, group: Group) -> bool:
+        """Return whether one more connection is within the bound."""
+        bound = self.bound_by_group.get(group)
+        return bound is None or len(self._uses_by_group[group]) < bound
+
+    def longest_idle(self, group: Group) -> ClientUse[Owner] | None:
+        """Return the connection that has been idle longest, if one is idle."""
+        return next(iter(self._idle_by_group[group]), None)
+
+    def choose_place(self, group: Group, now: float) -> ClientUse[Owner] | None:
+        """Return the connection that gives up its place to a new one, if one does.
+
+        That which has been idle longest goes first, then a request that has not been
+        forwarded and is stalled, then a connection with requests sent ahead.
+        """
+        idle = self.longest_idle(group)
+        if idle is not None:
+            return idle
+        stalled, ahead = [], []
+        for use in self._uses_by_group[group]:
+            is_stalled = now - use.progress_at >= PLACE_STALL_S
+            if use.stage is not Stage.FORWARDED and is_stalled:
+                stalled.append(use)
+            elif use.is_ahead:
+                ahead.append(use)
+        for candidates in (stalled, ahead):
+            if candidates:
+                return max(candidates, key=lambda use: use.score(now))
+        return None
+
+    def open(self, owner: Owner, group: Group, now: float) -> ClientUse[Owner]:
+        """Add a connection, which is idle."""
+        use = ClientUse(owner, group, now)
+        self._uses_by_group[group][use] = None
+        self._idle_by_group[group][use] = None
+        self.total_bytes += use.held_bytes
+        return use
+
+    def close(self, use: ClientUse[Owner]) -> None:
+        """Remove a connection."""
+        if self._uses_by_group[use.group].pop(use, self) is self:
+            return
+        self._idle_by_group[use.group].pop(use, None)
+        self.total_bytes -= use.held_bytes
+
+    def update(
+        self,
+        use: ClientUse[Owner],
+        held_bytes: int,
+        stage: Stage,
+        now: float,
+        moved_bytes: int = 0,
+    ) -> None:
+        """Set what an open connection holds beside its own objects.
+
+        :param moved_bytes: bytes received or taken by the client since the last call.
+        """
+        held_bytes += CONNECTION_BYTES
+        self.total_bytes += held_bytes - use.held_bytes
+        use.held_bytes = held_bytes
+        use.moved_bytes += moved_bytes
+        if use.moved_bytes >= PROGRESS_BYTES:
+            use.moved_bytes = 0
+            use.progress_at = now
+        if stage is not use.stage:
+            self._change_stage(use, stage, now)
+
+    def choose_evictions(self, now: float) -> list[ClientUse[Owner]]:
+        """Return the connections to end, in order, none while within the bound.
+
+        Those whose request was sent to an upstream come last; otherwise those that hold
+        the most and have made the least progress come first.
+        """
+        if not self.is_over:
+            return []
+        candidates = []
+        for use in self.uses():
+            if use.held_bytes >= EVICTED_BYTES_MIN:
+                candidates.append(use)
+        candidates.sort(key=lambda use: (use.stage is Stage.FORWARDED, -use.score(now)))
+        excess = self.total_bytes - self.bound_bytes * RELIEF_SHARE
+        chosen: list[ClientUse[Owner]] = []
+        for use in candidates:
+            if excess <= 0:
+                break
+            excess -= use.held_bytes
+            chosen.append(use)
+        return chosen
+
+    def _change_stage(self, use: ClientUse[Owner], stage: Stage, now: float) -> None:
+        use.progress_at = now
+        use.moved_bytes = 0
+        idle = self._idle_by_group[use.group]
+        if use.stage in (Stage.IDLE, Stage.CLOSING):
+            idle.pop(use, None)
+        if stage in (Stage.IDLE, Stage.CLOSING):
+            idle[use] = None
+        use.stage = stage
--- a/src/wagtailstair/core/directory.py
+++ b/src/wagtailstair/core/directory.py
@@ -109,8 +109,8 @@
 class CallerLimits:
     """Limits on the size of a request and on pauses of the caller.
 
-    ``header_s``: longest pause within a request; ``idle_s``: longest pause between
-    two requests.
+    ``header_s``: longest time for a head, and longest pause within a body;
+    ``idle_s``: longest pause between two requests.
     """
 
     header_bytes: int = 16 << 10
--- a/src/wagtailstair/gateway/answer_server.py
+++ b/src/wagtailstair/gateway/answer_server.py
@@ -1,10 +1,13 @@
 """A server on the event loop whose responses need no waiting."""
 
+import socket
 import typing as t
 
+from ..core.admission.client_memory import Group
 from ..core.directory import CallerLimits
 from .caller import ActiveRequest
 from .caller import Caller
+from .clients import Clients
 from .loop import Loop
 from .requests import Request
 
@@ -20,6 +23,14 @@
         self.loop = loop
         self._answer = answer
 
+    def accept(self, sock: socket.socket, clients: Clients) -> None:
+        """Serve an accepted connection if it has a place; close it otherwise."""
+        if not clients.make_place(Group.INTERNAL):
+            sock.close()
+            return
+        # The answers do not depend on bodies.
+        Caller(self, sock, clients, Group.INTERNAL, lambda _request: False)
+
     def caller_limits(self) -> CallerLimits:
         """Return the default limits."""
         return CallerLimits()
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -4,9 +4,12 @@
 import socket
 import typing as t
 
+from ..core.admission.client_memory import Group
+from ..core.admission.client_memory import Stage
 from ..core.directory import CallerLimits
 from ..exceptions import RequestError
 from ..logs import log_event
+from .clients import Clients
 from .connection import Connection
 from .connection import set_options
 from .loop import Loop
@@ -15,18 +18,40 @@
 from .requests import Request
 from .requests import RequestReader
 
-PIPELINED_MAX = 8
-"""Pipelined requests after which reading from the caller pauses."""
+UNSENT_BYTES_MAX = 64 << 10
+"""Bytes of answers not read by the caller with which its next pipelined request is not
+started: far more than the answers that one read of a caller takes."""
+
+FORWARDED_COPIES = 2
+"""Times that the body of a forwarded request is in memory: it may have to be sent
+again, and the upstream may not have taken it yet."""
 
 BUFFER_BYTES_MAX = 1 << 20
 """Unsent bytes after which a caller that does not read is disconnected."""
 
 TIMEOUT_STATUS = 408
+UNAVAILABLE = 503
+
+EVICTED_RETRY_AFTER = b"0.5"
+"""Seconds after which a host that lacked memory for a request may have it again."""
+
+REASON_MEMORY = "memory"
+REASON_FORWARDED = "forwarded"
+REASON_UNREAD = "unread"
 
 
 class ActiveRequest(t.Protocol):
     """A request that is being served."""
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Return whether it was sent to an upstream."""
+        ...
+
+    def refuse(self, reason: str) -> None:
+        """Answer that it was not run, unless it was forwarded."""
+        ...
+
     def on_caller_gone(self) -> None:
         """Cancel the request: its caller has disconnected."""
         ...
@@ -60,31 +85,58 @@
 
 
 class Caller:
-    """One connection of a caller."""
+    """One connection of a caller.
+
+    :param clients: where it counts its memory and its place, if they are bounded.
+    :param wants_body: see :class:`RequestReader`.
+    """
 
     __slots__ = (
         "_active_at",
         "_active_request",
+        "_answer_bytes",
+        "_answered_at",
+        "_clients",
         "_close_after_answer",
         "_connection",
         "_has_begun",
         "_is_chunked",
+        "_is_closed",
         "_limits",
+        "_on_exchange_drained",
         "_parse_error",
         "_reader",
         "_request",
         "_server",
         "_timer",
+        "_unsent_before",
+        "_use",
     )
 
-    def __init__(self, server: CallerServer, sock: socket.socket) -> None:
+    def __init__(
+        self,
+        server: CallerServer,
+        sock: socket.socket,
+        clients: Clients | None = None,
+        group: Group = Group.CALLERS,
+        wants_body: t.Callable[[Request], bool] | None = None,
+    ) -> None:
         set_options(sock, keepalive=False)
         self._server = server
         self._limits = server.caller_limits()
         self._connection = Connection(
             server.loop, sock, self._on_data, self._on_lost, None
         )
-        self._reader = RequestReader(self._limits, self._on_expect)
+        self._connection.on_drained = self._on_drained
+        self._connection.on_closed = self._on_descriptor_closed
+        self._clients = clients
+        self._use = None if clients is None else clients.open(self, group)
+        self._reader = RequestReader(self._limits, self._on_expect, wants_body)
+        self._on_exchange_drained: t.Callable[[], None] | None = None
+        self._answer_bytes = 0
+        # Unsent bytes at the last report.
+        self._unsent_before = 0
+        self._is_closed = False
         self._request: Request | None = None
         self._active_request: ActiveRequest | None = None
         self._parse_error: RequestError | None = None
@@ -92,6 +144,7 @@
         self._has_begun = False
         self._is_chunked = False
         self._active_at = server.loop.now
+        self._answered_at = server.loop.now
         self._timer: Timer | None = None
         self._check_timeouts()
 
@@ -117,7 +170,12 @@
 
     def on_drained(self, callback: t.Callable[[], None] | None) -> None:
         """Set what is called each time the caller has taken all bytes."""
-        self._connection.on_drained = callback
+        self._on_exchange_drained = callback
+
+    def hold(self, answer_bytes: int) -> None:
+        """Set how many bytes of the answer are kept elsewhere for the caller."""
+        self._answer_bytes = answer_bytes
+        self.account()
 
     # Responses.
 
@@ -138,9 +196,15 @@
     def send(self, data: bytes) -> None:
         """Send a chunk of the body."""
         self._connection.write(b"%x\r\n%b\r\n" % (len(data), data))
-        if self._connection.pending_bytes > BUFFER_BYTES_MAX:
+        pending_bytes = self._connection.pending_bytes
+        if pending_bytes > BUFFER_BYTES_MAX:
+            if self._clients is not None:
+                idle_s = self._server.loop.now - self._active_at
+                self._clients.record(REASON_UNREAD, pending_bytes, idle_s)
             self._connection.abort()
             self._on_lost(OSError("send buffer full: the caller does not read"))
+        elif pending_bytes:
+            self.account()
 
     def end(self) -> None:
         """End a response begun by :meth:`begin`."""
@@ -168,6 +232,73 @@
         self._connection.abort()
         self._on_closed()
 
+    def close_unused(self) -> None:
+        """Close at once; no request is being served or received."""
+        self._connection.close()
+        self._on_closed()
+
+    def evict(self) -> str:
+        """End the connection to free its memory; return the reason.
+
+        A request that was not forwarded is refused. Otherwise the connection is reset,
+        so that the caller can't take the answer for a complete one.
+        """
+        active_request = self._active_request
+        if active_request is not None:
+            if active_request.is_forwarded or self._has_begun:
+                self.close()
+                return REASON_FORWARDED
+            self._close_after_answer = True
+            active_request.refuse(REASON_MEMORY)
+            return REASON_MEMORY
+        if self._is_closed or self._connection.pending_bytes:
+            self.close()
+            return REASON_UNREAD
+        self._close_after_answer = True
+        headers = ((b"Retry-After", EVICTED_RETRY_AFTER),)
+        self.answer(UNAVAILABLE, b"", headers, b"")
+        return REASON_MEMORY
+
+    def account(self, moved_bytes: int = 0) -> None:
+        """Report what the connection holds."""
+        if self._clients is None or self._use is None:
+            return
+        held_bytes = self._reader.held_bytes + self._answer_bytes
+        pending_bytes = self._connection.pending_bytes
+        held_bytes += pending_bytes
+        moved_bytes += max(0, self._unsent_before - pending_bytes)
+        self._unsent_before = pending_bytes
+        if self._request is not None:
+            held_bytes += self._request.held_bytes * FORWARDED_COPIES
+        self._use.is_ahead = self._reader.is_ahead
+        self._clients.update(self._use, held_bytes, self._stage(), moved_bytes)
+
+    def _stage(self) -> Stage:
+        if self._is_closed:
+            return Stage.CLOSING
+        if self._request is not None:
+            active_request = self._active_request
+            if active_request is not None and active_request.is_forwarded:
+                return Stage.FORWARDED
+            return Stage.RECEIVING
+        if self._connection.pending_bytes:
+            return Stage.ANSWERED
+        if self._reader.is_between_requests and not self._reader.complete_requests:
+            return Stage.IDLE
+        return Stage.RECEIVING
+
+    def _on_drained(self) -> None:
+        self._active_at = self._server.loop.now
+        if self._on_exchange_drained is not None:
+            self._on_exchange_drained()
+        self.account()
+        self._start_next()
+
+    def _on_descriptor_closed(self) -> None:
+        use, self._use = self._use, None
+        if use is not None and self._clients is not None:
+            self._clients.memory.close(use)
+
     def _write_head(
         self,
         status: int,
@@ -198,7 +329,9 @@
         self._active_request = None
         self._has_begun = False
         self._is_chunked = False
-        self._active_at = self._server.loop.now
+        self._answer_bytes = 0
+        self._active_at = self._answered_at = self._server.loop.now
+        self.account()
         # The shutdown may have begun after this response's head was sent.
         if self._close_after_answer or self._server.is_draining:
             self._close_gracefully()
@@ -212,24 +345,47 @@
         self._on_closed()
 
     def _on_closed(self) -> None:
+        if self._is_closed:
+            return
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+        self._is_closed = True
+        self._request = None
+        self._reader.drop()
+        self.account()
         self._server.on_caller_closed(self)
 
     def _start_next(self) -> None:
-        if self._request is not None or not self._connection.is_open:
+        if self._request is not None or self._is_closed:
+            return
+        if self._connection.pending_bytes > UNSENT_BYTES_MAX:
             return
         if not self._reader.complete_requests:
             if self._parse_error is not None:
                 self._refuse(self._parse_error)
             return
-        request = self._reader.complete_requests.pop(0)
-        self._connection.resume()
-        self._request = request
+        self._request = request = self._reader.take_request()
+        if self._parse_error is None:
+            self._parse(b"")
         active_request = self._server.start(self, request)
         if self._request is request:
             self._active_request = active_request
+        self.account()
+
+    def _parse(self, data: bytes) -> None:
+        """Parse received bytes, or those kept; read on if there is room for more."""
+        try:
+            if data:
+                self._reader.feed(data, self._server.loop.now)
+            else:
+                self._reader.resume()
+        except RequestError as error:
+            self._parse_error = error
+        if self._reader.is_full:
+            self._connection.pause()
+        else:
+            self._connection.resume()
 
     def _refuse(self, error: RequestError) -> None:
         log_event("request_malformed", status=error.http_status, reason=error)
@@ -246,13 +402,13 @@
             return
         if self._parse_error is not None:
             return
-        self._active_at = self._server.loop.now
-        try:
-            self._reader.feed(data, self._server.loop.now)
-        except RequestError as error:
-            self._parse_error = error
-        if len(self._reader.complete_requests) >= PIPELINED_MAX:
-            self._connection.pause()
+        self._parse(data)
+        # Empty lines between requests are not activity.
+        if self._reader.complete_requests or not self._reader.is_between_requests:
+            self._active_at = self._server.loop.now
+        self.account(len(data))
+        if self._clients is not None:
+            self._clients.evict()
         if self._request is None:
             self._start_next()
 
@@ -271,7 +427,12 @@
             return
         is_idle = self._reader.is_between_requests
         limit_s = self._limits.idle_s if is_idle else self._limits.header_s
-        remaining_s = self._active_at + limit_s - loop.now
+        since = self._active_at
+        head_started_at = self._reader.head_started_at
+        if head_started_at is not None:
+            # Reading may have been paused while the request before it was served.
+            since = max(head_started_at, self._answered_at)
+        remaining_s = since + limit_s - loop.now
         if remaining_s > 0:
             self._timer = loop.call_later(
                 min(remaining_s, self._limits.header_s) + 0.01, self._check_timeouts
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -6,6 +6,7 @@
 import struct
 import typing as t
 
+from ..logs import log_event
 from .loop import FAILED
 from .loop import READABLE
 from .loop import WRITABLE
@@ -17,6 +18,12 @@
 """Seconds for which a connection that is shut down for sending is still read, so
 that unread bytes do not make the kernel reset it before the peer has read all."""
 
+ACCEPT_PAUSE_S = 0.1
+"""Seconds without accepting after the system had no descriptor or memory left: the
+socket stays readable, and the event loop would spin."""
+
+EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+
 KEEPALIVE_IDLE_S = 1
 KEEPALIVE_INTERVAL_S = 1
 KEEPALIVE_PROBES = 2
@@ -52,7 +59,8 @@
         :meth:`close` or :meth:`abort`.
     :param on_connected: called once a connecting socket is connected.
 
-    ``on_drained``, if set, is called each time the send buffer becomes empty.
+    ``on_drained``, if set, is called each time the send buffer becomes empty, and
+    ``on_closed`` once the descriptor is closed.
     """
 
     __slots__ = (
@@ -63,6 +71,7 @@
         "_send_buffer",
         "_sock",
         "is_open",
+        "on_closed",
         "on_connected",
         "on_data",
         "on_drained",
@@ -84,6 +93,7 @@
         self.on_lost = on_lost
         self.on_connected = on_connected
         self.on_drained: t.Callable[[], None] | None = None
+        self.on_closed: t.Callable[[], None] | None = None
         self.is_open = True
         self._is_connecting = on_connected is not None
         self._is_finishing = False
@@ -110,7 +120,7 @@
             self._fail(error)
             return
         if sent < len(data):
-            self._send_buffer += data[sent:]
+            self._send_buffer += memoryview(data)[sent:]
             self._set_events(self._events | WRITABLE)
 
     def pause(self) -> None:
@@ -139,6 +149,9 @@
         self.is_open = False
         self._loop.remove(self._sock.fileno())
         self._sock.close()
+        self._send_buffer = bytearray()
+        if self.on_closed is not None:
+            self.on_closed()
 
     def abort(self) -> None:
         """Reset the connection, so that the peer can't take it for an end of file."""
@@ -265,13 +278,25 @@
     sock.bind(address)
     sock.listen(1024)
 
+    def resume() -> None:
+        if sock.fileno() >= 0:
+            loop.change(sock.fileno(), READABLE)
+
+    def on_error(error: OSError) -> None:
+        if error.errno not in EXHAUSTED:  # the peer has disconnected
+            return
+        log_event("accept_paused", level="WARNING", error=error.errno)
+        loop.change(sock.fileno(), 0)
+        loop.call_later(ACCEPT_PAUSE_S, resume)
+
     def on_events(_mask: int) -> None:
         while True:
             try:
                 accepted, _ = sock.accept()
             except BlockingIOError:
                 return
-            except OSError:  # the peer has disconnected, or no descriptor is left
+            except OSError as error:
+                on_error(error)
                 return
             on_accept(accepted)
 
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -200,6 +200,11 @@
         """Return the seconds left until the request ends."""
         return self.ends_at - self.context.loop.now
 
+    @property
+    def is_forwarded(self) -> bool:
+        """Return whether the request was sent to an upstream."""
+        return self.sends > 0
+
     def on_expired(self) -> None:
         """End a request whose deadline has passed."""
         raise NotImplementedError
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -9,8 +9,12 @@
 import msgspec
 
 from ..clock import Clock
+from ..core.admission.client_memory import ClientMemory
+from ..core.admission.client_memory import Group
 from ..core.directory import CallerLimits
 from ..core.directory import Denial
+from ..core.directory import Directory
+from ..core.directory import Grant
 from ..core.directory import Service
 from ..core.engine_costs import Load
 from ..core.engine_failures import EngineFailures
@@ -39,6 +43,7 @@
 from .answer_server import AnswerServer
 from .caller import ActiveRequest
 from .caller import Caller
+from .clients import Clients
 from .connection import listen
 from .crash_reports import CrashReports
 from .exchange import Exchange
@@ -100,6 +105,11 @@
         self.names = wire_headers.HEADER_NAMES
         self.pool = UpstreamPool(self.loop, self._on_upstream_head)
         self.telemetry = Telemetry(settings.host.name)
+        self.clients = Clients(
+            self.loop,
+            ClientMemory(settings.host.memory_mb, settings.host.descriptors),
+            self.telemetry.count_client_given_up,
+        )
         self._rng = random.Random()
         centre = settings.host.data_centre
         store = Upstream(settings.store.address, "store")
@@ -418,11 +428,14 @@
             reason = "no lists" if directory is None else "shutting down"
             self._refuse(caller, request, reason)
             return None
-        key = wire_headers.parse_api_key(request.header(self.names.authorization))
-        grant = directory.authorize(request.host, request.path, key)
+        grant = self._authorize(directory, request)
         if isinstance(grant, Denial):
             self._deny(caller, request, grant)
             return None
+        if request.is_body_dropped:
+            # The lists in force while it arrived did not allow it.
+            self._refuse(caller, request, "lists changed")
+            return None
         name = self._pick_service(grant.route.targets)
         service = directory.service_by_name.get(name)
         if service is None:
@@ -547,16 +560,31 @@
         log_event("stopped")
 
     def _on_caller_connection(self, sock: socket.socket) -> None:
-        self._callers.add(Caller(self, sock))
+        if not self.clients.make_place(Group.CALLERS):
+            sock.close()
+            return
+        caller = Caller(self, sock, self.clients, Group.CALLERS, self._wants_body)
+        self._callers.add(caller)
+
+    def _wants_body(self, request: Request) -> bool:
+        """Return whether a request may be forwarded, by the lists in force now."""
+        directory = self.table_sync.directory
+        if directory is None or self._refuses_requests:
+            return False
+        return isinstance(self._authorize(directory, request), Grant)
+
+    def _authorize(self, directory: Directory, request: Request) -> Grant | Denial:
+        key = wire_headers.parse_api_key(request.header(self.names.authorization))
+        return directory.authorize(request.host, request.path, key)
 
     def _on_readiness_connection(self, sock: socket.socket) -> None:
-        Caller(AnswerServer(self.loop, self._answer_readiness), sock)
+        AnswerServer(self.loop, self._answer_readiness).accept(sock, self.clients)
 
     def _answer_readiness(self, _request: Request) -> tuple[int, bytes]:
         return (OK if self.is_ready() else UNAVAILABLE), b""
 
     def _on_metrics_connection(self, sock: socket.socket) -> None:
-        Caller(AnswerServer(self.loop, self._answer_metrics), sock)
+        AnswerServer(self.loop, self._answer_metrics).accept(sock, self.clients)
 
     def _answer_metrics(self, request: Request) -> tuple[int, bytes]:
         if request.path != METRICS_PATH:
@@ -564,7 +592,7 @@
         return OK, self.telemetry.render(self)
 
     def _on_peer_connection(self, sock: socket.socket) -> None:
-        Caller(AnswerServer(self.loop, self._answer_peer), sock)
+        AnswerServer(self.loop, self._answer_peer).accept(sock, self.clients)
 
     def _answer_peer(self, request: Request) -> tuple[int, bytes]:
         body = self.table_sync.encode_relay(request.target.decode("latin-1"))
--- a/src/wagtailstair/gateway/heads.py
+++ b/src/wagtailstair/gateway/heads.py
@@ -42,13 +42,15 @@
     return headers
 
 
-def join_request(common: bytes, headers: t.Iterable[Header], body: bytes) -> bytes:
+def join_request(
+    common: bytes, headers: t.Iterable[Header], body: bytes | bytearray
+) -> bytes:
     """Return the bytes of a request, beginning with its shared head."""
-    lines = [common]
+    lines: list[bytes | bytearray] = [common]
     for name, value in headers:
         lines.append(b"%b: %b\r\n" % (name, value))
     lines.append(b"\r\n")
-    lines.append(bytes(body))
+    lines.append(body)
     return b"".join(lines)
 
 
--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -117,7 +117,7 @@
         data = heads.join_request(
             heads.forwarded_head(self.request, context.names),
             heads.attempt_headers(context.names, self.grant, replica.name, remaining_s),
-            bytes(self.request.body),
+            self.request.body,
         )
         self._sent_at = context.loop.now
         context.services.record_start(replica)
@@ -181,6 +181,7 @@
     def on_body(self, data: bytes) -> None:
         """Buffer a part of the body, or stream it to the caller."""
         self._body += data
+        self.caller.hold(len(self._body))
         if self._is_streaming:
             self._send_body()
             return
@@ -204,6 +205,7 @@
             self.caller.send(part)
         if self.is_finished:
             return
+        self.caller.hold(len(self._body))
         if self._body:
             if self._connection is not None:
                 self._connection.pause()
--- a/src/wagtailstair/gateway/program.py
+++ b/src/wagtailstair/gateway/program.py
@@ -9,6 +9,7 @@
 from ..exceptions import SettingsError
 from ..logs import configure_bounded_logs
 from .gateway import Gateway
+from .settings import apply_environment
 from .settings import load_settings
 
 SETTINGS_VARIABLE = "WAGTAILSTAIR_NODE_FILE"
@@ -21,6 +22,7 @@
     path = arguments[0] if arguments else os.environ.get(SETTINGS_VARIABLE, "")
     try:
         settings = load_settings(pathlib.Path(path))
+        settings = apply_environment(settings, os.environ)
     except SettingsError as error:
         print(f"wagtailstair: {error}", file=sys.stderr)
         return SETTINGS_EXIT_CODE
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -15,6 +15,34 @@
 SEPARATOR_BYTES = 4  # colon, space, CR and LF
 HEADERS_TOO_LARGE = 431
 
+PIPELINED_MAX = 8
+"""Complete requests of a connection; its further bytes stay unparsed."""
+
+SLICE_REQUESTS_MAX = 2
+"""Requests that may end in a part that ends with the first empty line: one whose own
+empty line was cut in two, and the next."""
+
+CHUNKED_SLICE_BYTES = 64
+"""Bytes of a chunked body that are parsed at least at a time: a body of nothing but
+empty lines is not parsed four bytes at a time."""
+
+CHUNKED_SLICE_REQUESTS_MAX = 4
+"""Requests that may end in such a part: the shortest one takes 26 bytes."""
+
+FIELD_BYTES = 200
+"""Bytes that a header field takes beside its text: two bytes objects and a tuple."""
+
+REQUEST_BYTES = 1000
+"""Bytes of the objects of a request beside its target, fields and body."""
+
+GROWTH_SHARE = 1 / 8
+"""Share of a body that its growing buffer allocates ahead."""
+
+CHUNKED = -1
+"""Length of a body that is not known in advance."""
+
+EMPTY_LINE = b"\r\n\r\n"
+
 
 class HeadersTooLargeError(RequestTooLargeError):
     """The head of a request exceeds the limit."""
@@ -27,7 +55,8 @@
 class Request:
     """A complete request; ``target`` and ``headers`` are as the caller sent them.
 
-    ``received_at``: the time at which its first byte was read.
+    ``received_at``: the time at which its first byte was read; ``held_bytes``: its
+    memory; ``is_body_dropped``: whether its body was not kept, as it was of no use.
     """
 
     method: bytes
@@ -37,6 +66,8 @@
     body: bytearray
     keeps_alive: bool
     received_at: float
+    held_bytes: int = 0
+    is_body_dropped: bool = False
 
     @property
     def path(self) -> str:
@@ -55,14 +86,21 @@
     """Splits a connection's bytes into requests.
 
     :param on_expect: called when a caller waits for a 100 Continue response.
+    :param wants_body: called with a request whose head is complete and whose body
+        follows; the body is dropped unless it returns ``True``.
     """
 
     __slots__ = (
         "_body",
+        "_body_bytes",
+        "_body_left",
+        "_complete_bytes",
         "_error",
+        "_head_bytes",
         "_headers",
         "_host",
         "_in_head",
+        "_keeps_body",
         "_limits",
         "_now",
         "_on_expect",
@@ -70,12 +108,22 @@
         "_parser",
         "_started_at",
         "_target",
+        "_unparsed",
+        "_wants_body",
         "complete_requests",
     )
 
-    def __init__(self, limits: CallerLimits, on_expect: t.Callable[[], None]) -> None:
+    def __init__(
+        self,
+        limits: CallerLimits,
+        on_expect: t.Callable[[], None],
+        wants_body: t.Callable[[Request], bool] | None = None,
+    ) -> None:
         self._limits = limits
         self._on_expect = on_expect
+        self._wants_body = wants_body
+        self._unparsed = b""
+        self._complete_bytes = 0
         self._parser = httptools.HttpRequestParser(self)
         self.complete_requests: list[Request] = []
         self._error: RequestError | None = None
@@ -90,12 +138,82 @@
         """Return whether no request is partly received."""
         return not self._in_head and not self._headers
 
+    @property
+    def is_full(self) -> bool:
+        """Return whether requests have to be taken before more bytes are read."""
+        in_chunks = not self._in_head and self._body_left == CHUNKED
+        ahead = CHUNKED_SLICE_REQUESTS_MAX if in_chunks else SLICE_REQUESTS_MAX
+        return len(self.complete_requests) + ahead > PIPELINED_MAX
+
+    @property
+    def is_ahead(self) -> bool:
+        """Return whether there are requests, or bytes of one, that are not taken."""
+        return bool(self.complete_requests or self._unparsed)
+
+    @property
+    def head_started_at(self) -> float | None:
+        """Return when the first byte of an incomplete head was read."""
+        return self._started_at if self._in_head else None
+
+    @property
+    def held_bytes(self) -> int:
+        """Return the memory of all requests that are not taken, in bytes."""
+        held = self._complete_bytes + self._overhead_bytes + len(self._unparsed)
+        if self.is_between_requests:
+            return held
+        return held + self._request_bytes()
+
+    def take_request(self) -> Request:
+        """Return and remove the first complete request."""
+        request = self.complete_requests.pop(0)
+        self._complete_bytes -= request.held_bytes
+        return request
+
+    def drop(self) -> None:
+        """Free the memory of all requests; nothing may be parsed afterwards."""
+        self._unparsed = b""
+        self.complete_requests.clear()
+        self._complete_bytes = 0
+        self._overhead_bytes = 0
+        self._in_head = False
+        self._reset()
+
     def feed(self, data: bytes, now: float) -> None:
         """Parse bytes and add complete requests to ``complete_requests``.
 
+        What is left when these are ``PIPELINED_MAX`` is kept for :meth:`resume`.
+
         :raises RequestError: if the bytes are not a valid request.
         """
         self._now = now
+        self._unparsed = self._unparsed + data if self._unparsed else data
+        self.resume()
+
+    def resume(self) -> None:
+        """Parse the bytes that were kept, after requests have been taken.
+
+        :raises RequestError: if the bytes are not a valid request.
+        """
+        data, self._unparsed = self._unparsed, b""
+        start = 0
+        while start < len(data):
+            if self.is_full:
+                self._unparsed = data[start:]
+                return
+            end = self._slice_end(data, start)
+            self._parse(data[start:end])
+            start = end
+
+    def _slice_end(self, data: bytes, start: int) -> int:
+        """Return the end of a part in which only few requests can end."""
+        if not self._in_head and self._body_left > 0:
+            return min(start + self._body_left, len(data))
+        if not self._in_head and self._body_left == CHUNKED:
+            start += CHUNKED_SLICE_BYTES
+        found = data.find(EMPTY_LINE, start)
+        return len(data) if found < 0 else found + len(EMPTY_LINE)
+
+    def _parse(self, data: bytes) -> None:
         self._overhead_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -125,6 +243,7 @@
         if not self._in_head:
             return
         self._headers.append((name, value))
+        self._head_bytes += len(name) + len(value) + FIELD_BYTES
 
     def on_headers_complete(self) -> None:
         """Validate the head."""
@@ -134,12 +253,18 @@
         if error is not None:
             self._error = error
             raise error
+        if self._body_left and self._wants_body is not None:
+            self._keeps_body = self._wants_body(self._make_request())
 
     def on_body(self, data: bytes) -> None:
         """Store a part of the body."""
         self._overhead_bytes = 0
-        self._body += data
-        if len(self._body) > self._limits.body_bytes:
+        self._body_bytes += len(data)
+        if self._body_left > 0:
+            self._body_left -= len(data)
+        if self._keeps_body:
+            self._body += data
+        if self._body_bytes > self._limits.body_bytes:
             self._error = RequestTooLargeError(
                 f"body over {self._limits.body_bytes} bytes"
             )
@@ -147,7 +272,14 @@
 
     def on_message_complete(self) -> None:
         """Add the request to the complete ones."""
-        request = Request(
+        request = self._make_request()
+        self._reset()
+        self._overhead_bytes = 0
+        self.complete_requests.append(request)
+        self._complete_bytes += request.held_bytes
+
+    def _make_request(self) -> Request:
+        return Request(
             self._parser.get_method(),
             self._target,
             self._host,
@@ -155,12 +287,19 @@
             self._body,
             self._parser.should_keep_alive(),
             self._started_at,
+            self._request_bytes(),
+            self._body_bytes > 0 and not self._keeps_body,
         )
-        self._reset()
-        self._overhead_bytes = 0
-        self.complete_requests.append(request)
+
+    def _request_bytes(self) -> int:
+        body_bytes = int(len(self._body) * (1 + GROWTH_SHARE))
+        return REQUEST_BYTES + len(self._target) + self._head_bytes + body_bytes
 
     def _reset(self) -> None:
+        self._head_bytes = 0
+        self._body_bytes = 0
+        self._body_left = 0
+        self._keeps_body = True
         self._target = b""
         self._headers: list[Header] = []
         self._host = ""
@@ -195,13 +334,15 @@
 
     def _check_body(self) -> RequestError | None:
         for value in self._header_values(b"content-length"):
-            if int(value) > self._limits.body_bytes:
+            self._body_left = int(value)
+            if self._body_left > self._limits.body_bytes:
                 return RequestTooLargeError(
                     f"body over {self._limits.body_bytes} bytes"
                 )
         for value in self._header_values(b"transfer-encoding"):
             if value.strip().lower() != b"chunked":
                 return InvalidRequestError("expected no Transfer-Encoding but chunked")
+            self._body_left = CHUNKED
         if b"100-continue" in (
             value.lower() for value in self._header_values(b"expect")
         ):
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -12,6 +12,7 @@
 
 Seconds = t.Annotated[float, msgspec.Meta(gt=0)]
 Fraction = t.Annotated[float, msgspec.Meta(ge=0, le=1)]
+Count = t.Annotated[int, msgspec.Meta(ge=0)]
 MAX_PORT = 65535
 
 
@@ -23,7 +24,8 @@
     """The name, data centre and addresses of this host.
 
     ``callers``, ``readiness``: ``ip:port`` to listen on; ``peer_ports``: first and
-    last port for traffic between hosts; ``metrics_port``: 0 for none.
+    last port for traffic between hosts; ``metrics_port``: 0 for none; ``memory_mb``,
+    ``descriptors``: what the host has, 0 for no bound on its clients.
     """
 
     name: str
@@ -33,6 +35,8 @@
     readiness: str
     peer_ports: tuple[int, int]
     metrics_port: int = 0
+    memory_mb: Count = 0
+    descriptors: Count = 0
 
 
 class StoreSection(_Section, frozen=True):
@@ -132,6 +136,36 @@
     return parse_checked(text, source, GatewaySettings, (_check,))
 
 
+HOST_VARIABLES = {
+    "memory_mb": "WAGTAILSTAIR_MEMORY_MB",
+    "descriptors": "WAGTAILSTAIR_DESCRIPTORS",
+}
+"""Environment variables with the host's limits, as a deployment may know these where
+the settings file is not made; the file goes first."""
+
+
+def apply_environment(
+    settings: GatewaySettings, environment: t.Mapping[str, str]
+) -> GatewaySettings:
+    """Return the settings with limits of the host that only the environment has.
+
+    :raises SettingsError: naming the variable and its value.
+    """
+    changes: dict[str, int] = {}
+    for field, variable in HOST_VARIABLES.items():
+        text = environment.get(variable, "")
+        if not text or getattr(settings.host, field):
+            continue
+        # Digits that int() accepts, but no sign, space or underscore.
+        if not (text.isascii() and text.isdigit()):
+            raise SettingsError(
+                f"expected a whole number, got {text!r}", where=variable
+            )
+        changes[field] = int(text)
+    host = msgspec.structs.replace(settings.host, **changes)
+    return msgspec.structs.replace(settings, host=host)
+
+
 def load_settings(path: pathlib.Path) -> GatewaySettings:
     """Read and validate a settings file.
 
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -318,7 +318,7 @@
         headers.append((names.rank, b"%d" % min(RANK_MAX, self.grant.rank)))
         if self._last_id:
             headers.append((names.last_event, self._last_id))
-        data = heads.join_request(self._common_head, headers, bytes(self.request.body))
+        data = heads.join_request(self._common_head, headers, self.request.body)
         self.log("attempt_sent", level="DEBUG", path=path.decode(), send=self.sends)
         upstream = Upstream(first.address, first.identity)
         context.count_upstream_request(first)
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -101,6 +101,11 @@
         )
         self._peers_live = gauge("peers_live", "Other hosts that are live.")
         self._upstreams = gauge("upstreams", "Upstreams that may get new work.")
+        self._clients = gauge("clients", "Connections of clients.")
+        self._client_bytes = gauge("client_bytes", "Bytes held for clients.")
+        self._clients_given_up = counter(
+            "clients_given_up", "Connections of clients that were ended, by reason."
+        )
         self._store_unreachable = gauge(
             "store_away", "1 while the store can't be reached."
         )
@@ -158,6 +163,10 @@
         """Count an upstream that newly says something about itself."""
         self._notices.add({"kind": kind}, 1)
 
+    def count_client_given_up(self, reason: str) -> None:
+        """Count a client's connection that was ended for lack of memory or place."""
+        self._clients_given_up.add({"reason": reason}, 1)
+
     def count_engine_crash(self) -> None:
         """Count an engine that crashed under requests without an event."""
         self._engine_crashes.add({}, 1)
@@ -181,6 +190,8 @@
             self._streams_waiting.set({"rank": str(int(rank))}, queue.count(rank))
         self._peers_live.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
+        self._clients.set({}, gateway.clients.memory.connections)
+        self._client_bytes.set({}, gateway.clients.memory.total_bytes)
         quarantine = gateway.crash_reports.quarantine
         self._parts_quarantined.set({}, len(quarantine.quarantined(now)))
         self._candidates_dropped.set({}, quarantine.dropped)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -5,16 +5,23 @@
 request was not sent to another upstream.
 """
 
+import contextlib
+import errno
 import socket
+import types
+import unittest.mock
 
 import pytest
 
 from tests.gateway_data import make_config
+from tests.gateway_deployment import CallerConnection
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import Engine
 from tests.gateway_deployment import Service
 from tests.gateway_deployment import make_request
 from tests.gateway_deployment import make_stream
+from wagtailstair.core.admission.client_memory import ClientMemory
+from wagtailstair.core.directory import CallerLimits
 from wagtailstair.gateway import caller as caller_module
 from wagtailstair.gateway import connection as connection_module
 
@@ -331,3 +338,204 @@
             engine.emit = emit
         answered = deployment.send_and_wait(host, make_stream("a1"))
         assert (answered.status, answered.body) == (200, event)
+
+
+def bound(host, memory_mb=0, descriptors=0):
+    """Bound a host that has no connections yet; 1 MB gives the lowest bound."""
+    host.clients.memory = ClientMemory(memory_mb, descriptors)
+    return host.clients.memory
+
+
+def make_post(path, body_bytes, headers=b""):
+    head = make_request(path, "a0", method="POST").partition(b"\r\n\r\n")[0]
+    head = b"\r\n".join(
+        line for line in head.split(b"\r\n") if not line.startswith(b"Content-Length")
+    )
+    return b"%b\r\n%bContent-Length: %d\r\n\r\n" % (head, headers, body_bytes)
+
+
+def fill(deployment, address, path, count, body_bytes, missing):
+    """Open connections that send all of a legal body but some bytes."""
+    data = make_post(path, body_bytes) + b"b" * (body_bytes - missing)
+    return [CallerConnection(deployment.loop, address, data) for _ in range(count)]
+
+
+class TestClientMemory:
+    """Guards against crowds of clients that exhaust a host's memory or descriptors."""
+
+    BODY_BYTES = 4 << 20
+
+    def make_config(self, version):
+        config = make_config(version)
+        config["routes"][2].update(service="desk", split=None)
+        config["limits"]["max_body_bytes"] = self.BODY_BYTES
+        return config
+
+    @pytest.fixture
+    def host(self, deployment, desks):
+        deployment.store.put("op", "config", self.make_config(1))
+        host = deployment.add_host()
+        bound(host, memory_mb=1)
+        deployment.run(host.is_ready)
+        return host
+
+    def test_stalled_bodies_are_refused_and_others_served(
+        self, deployment, desks, host
+    ):
+        memory = host.clients.memory
+        crowd = fill(
+            deployment, host.settings.host.callers, "/lookup/7", 8, self.BODY_BYTES, 10
+        )
+        deployment.run(lambda: sum(caller.is_complete for caller in crowd) >= 5)
+        assert memory.total_bytes <= memory.bound_bytes
+        for caller in crowd:
+            if caller.data:
+                assert caller.status == 503
+                assert b"Retry-After: " in caller.data
+                assert b"Connection: close" in caller.data
+        assert not desks[0].runs
+        request = make_request("/lookup/7", "a1")
+        assert deployment.send_and_wait(host, request).status == 200
+
+    def test_one_request_with_the_largest_body_is_served(self, deployment, desks, host):
+        data = make_post("/lookup/7", self.BODY_BYTES) + b"b" * self.BODY_BYTES
+        assert deployment.send_and_wait(host, data).status == 200
+
+    @pytest.mark.parametrize(
+        ("listener", "path", "status"),
+        [("callers", "/nowhere/", 404), ("readiness", "/readyz", 200)],
+    )
+    def test_bodies_without_use_are_not_kept(
+        self, deployment, host, listener, path, status
+    ):
+        address = getattr(host.settings.host, listener)
+        crowd = fill(deployment, address, path, 8, 1 << 20, 10)
+        deployment.run_for(0.3)
+        assert host.clients.memory.connections >= len(crowd)
+        assert host.clients.memory.total_bytes < 1 << 20
+        assert not any(caller.data for caller in crowd)
+        for caller in crowd:
+            caller.connection.write(b"b" * 10)
+        deployment.run(lambda: all(caller.is_complete for caller in crowd))
+        assert {caller.status for caller in crowd} == {status}
+
+    # Its body is gone, and the upstream would have got an empty one.
+    def test_request_that_became_allowed_while_it_arrived_is_refused(
+        self, deployment, desks, host
+    ):
+        (caller,) = fill(
+            deployment, host.settings.host.callers, "/nowhere/", 1, 1000, 10
+        )
+        deployment.run_for(0.1)
+        config = self.make_config(2)
+        config["routes"].append({**config["routes"][2], "prefix": "/nowhere/"})
+        version = host.lists_version()
+        deployment.store.put("op", "config", config)
+        deployment.run(lambda: host.lists_version() > version)
+        caller.connection.write(b"b" * 10)
+        deployment.run(lambda: caller.is_complete)
+        assert caller.status == 503
+        assert b"Retry-After: " in caller.data
+
+    # Each byte restarted the timeout, so that a head could take hours.
+    def test_head_has_to_arrive_in_time_in_total(self, deployment, host, monkeypatch):
+        limits = CallerLimits(header_s=0.3)
+        monkeypatch.setattr(host, "caller_limits", lambda: limits)
+        caller = deployment.send(host, b"GET / HTTP/1.1\r\nX: ")
+        for _ in range(7):
+            deployment.run_for(0.1)
+            caller.connection.write(b"x")
+        deployment.run(lambda: caller.is_complete, timeout_s=0.1)
+        assert caller.status == 408
+
+    # All pipelined requests ran, and their answers were kept for the one caller.
+    def test_answers_that_are_not_read_hold_up_further_requests(
+        self, deployment, desks, host, monkeypatch
+    ):
+        memory = bound(host)
+        serve_large(desks, monkeypatch)
+        data = b"".join(make_request("/lookup/7", f"a{n}") for n in range(30))
+        with send_only(host, data):
+            deployment.run_for(0.7)
+        # The kernel takes the first ones.
+        assert 0 < sum(len(desk.seen) for desk in desks) < 10
+        assert len(LARGE) // 2 < memory.total_bytes < 2 * len(LARGE)
+
+    def test_connections_whose_answers_are_not_read_are_reset(
+        self, deployment, desks, host, monkeypatch
+    ):
+        memory = host.clients.memory
+        serve_large(desks, monkeypatch)
+        data = b"".join(make_request("/lookup/7", f"a{n}") for n in range(5))
+        with contextlib.ExitStack() as crowd:
+            for _ in range(12):
+                crowd.enter_context(send_only(host, data))
+                deployment.run_for(0.1)
+                assert memory.total_bytes <= memory.bound_bytes
+        assert b'reason="unread"' in host.telemetry.render(host)
+
+    def test_idle_connection_makes_place_and_busy_ones_do_not(
+        self, deployment, desks, host
+    ):
+        # Of 8 connections, 1 is for the internal listeners.
+        bound(host, descriptors=216)
+        idle = deployment.send(host, make_request("/lookup/7", "a0"))
+        deployment.run(lambda: idle.is_complete)
+        busy = [deployment.send(host, b"GET / HTTP/1.1\r\n") for _ in range(7)]
+        deployment.run(lambda: idle.is_closed)
+        assert not any(caller.is_closed for caller in busy)
+        late = deployment.send(host, make_request("/lookup/7", "a1"))
+        deployment.run(lambda: late.is_closed)
+        assert not late.data
+        page = host.telemetry.render(host)
+        assert b'clients_given_up_total{host="entry-1",reason="connections"} 2' in page
+        assert b'wagtailstair_clients{host="entry-1"} 7' in page
+
+    # Accepting failed at once again and again, and nothing else was served.
+    def test_accepting_pauses_without_descriptors(self, monkeypatch):
+        listener = FullListener()
+        monkeypatch.setattr(connection_module.socket, "socket", lambda *_: listener)
+        calls = []
+        loop = types.SimpleNamespace(
+            add=lambda _fd, _events, handler: calls.append(handler),
+            change=lambda _fd, events: calls.append(events),
+            call_later=lambda _delay_s, callback: calls.append(callback),
+        )
+        connection_module.listen(loop, ("127.0.0.1", 1), lambda _sock: None)
+        calls[0](connection_module.READABLE)
+        assert calls[1] == 0
+        calls[2]()
+        assert calls[3] == connection_module.READABLE
+
+
+class FullListener(unittest.mock.MagicMock):
+    """A listening socket of a process that has no descriptor left."""
+
+    def accept(self):
+        raise OSError(errno.EMFILE, "too many open files")
+
+    def fileno(self):
+        return 7
+
+
+LARGE = b"l" * (3 << 20)
+
+
+def send_only(host, data):
+    """Send requests on a new connection from which nothing is read."""
+    ip, _, port = host.settings.host.callers.rpartition(":")
+    sock = socket.create_connection((ip, int(port)))
+    sock.sendall(data)
+    return sock
+
+
+def serve_large(desks, monkeypatch):
+    """Let services answer with bodies that the gateway passes on in one piece."""
+
+    def answer(pending):
+        attempt = pending.request.header(b"x-attempt-id")
+        signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
+        pending.caller.answer(200, b"", signed, LARGE)
+
+    for desk in desks:
+        monkeypatch.setattr(desk, "answer", answer)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -1,9 +1,12 @@
+import random
+
 import pytest
 
 from wagtailstair.core.directory import CallerLimits
 from wagtailstair.exceptions import InvalidRequestError
 from wagtailstair.exceptions import RequestError
 from wagtailstair.exceptions import RequestTooLargeError
+from wagtailstair.gateway.requests import PIPELINED_MAX
 from wagtailstair.gateway.requests import HeadersTooLargeError
 from wagtailstair.gateway.requests import RequestReader
 
@@ -183,3 +186,98 @@
         data = b"Transfer-Encoding: chunked\r\n\r\n65\r\n" + b"a" * 101 + b"\r\n"
         with pytest.raises(RequestTooLargeError):
             read(HEAD + data)
+
+
+SHORT = b"GET /%d HTTP/1.1\r\nHost:x\r\n\r\n"
+
+
+def make_pipeline(rng, count):
+    """Return the bytes of requests of all kinds of framing, and their bodies."""
+    parts = []
+    bodies = []
+    for _ in range(count):
+        body = rng.choice([b"", b"a", b"\r\n\r\n", b"GET /\r\n\r\n" * 9, EMPTY_LINES])
+        head = HEAD.replace(b"POST", rng.choice([b"POST", b"PUT"]))
+        if not body and rng.random() < 0.7:
+            parts.append(rng.choice([SHORT % 1, b"\r\n" + SHORT % 2]))
+        elif rng.random() < 0.5:
+            parts.append(head + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        else:
+            chunk = b"%x\r\n%b\r\n" % (len(body), body) if body else b""
+            end = rng.choice([b"0\r\n\r\n", b"0\r\nX-A: b\r\n\r\n"])
+            parts.append(head + b"Transfer-Encoding: chunked\r\n\r\n" + chunk + end)
+        bodies.append(body)
+    return b"".join(parts), bodies
+
+
+EMPTY_LINES = b"\r\n\r\n" * 50
+
+
+class TestPipelining:
+    # All requests of a read were parsed at once, 2,000 of them, before any was served.
+    # The bytes that are kept may get lost, or come in another order.
+    @pytest.mark.parametrize("seed", range(60))
+    def test_few_requests_are_parsed_ahead_and_none_is_lost(self, seed):
+        rng = random.Random(seed)
+        data, bodies = make_pipeline(rng, 200)
+        reader = RequestReader(CallerLimits(), lambda: None)
+        read = []
+        while data or reader.complete_requests:
+            if data and not reader.is_full:
+                size = rng.choice([1, 7, 90, 5000])
+                reader.feed(data[:size], 0.0)
+                data = data[size:]
+            else:
+                read.append(bytes(reader.take_request().body))
+                reader.resume()
+            assert len(reader.complete_requests) <= PIPELINED_MAX
+        assert read == bodies
+        assert reader.held_bytes == 0
+
+    def test_all_bytes_at_once(self):
+        reader = RequestReader(CallerLimits(), lambda: None)
+        reader.feed(b"".join(SHORT % n for n in range(2000)), 0.0)
+        for number in range(2000):
+            assert len(reader.complete_requests) <= PIPELINED_MAX
+            assert reader.take_request().path == f"/{number}"
+            reader.resume()
+        assert reader.is_between_requests
+
+
+class TestMemory:
+    def test_fields_count_with_their_objects(self):
+        data = HEAD + b"a:b\r\n" * 3000
+        reader = RequestReader(CallerLimits(), lambda: None)
+        reader.feed(data, 0.0)
+        assert reader.held_bytes > 3000 * 150
+        reader.drop()
+        assert reader.held_bytes == 0
+
+    # A body was kept until its end although the request is answered without it.
+    @pytest.mark.parametrize("is_chunked", [False, True])
+    def test_body_without_use_is_not_kept(self, is_chunked):
+        heads = []
+
+        def wants_body(request):
+            heads.append(request.path)
+            return False
+
+        limits = CallerLimits(header_bytes=1000, body_bytes=1 << 20)
+        reader = RequestReader(limits, lambda: None, wants_body)
+        framing = b"Content-Length: 1000000\r\n\r\n"
+        reader.feed(CHUNKED if is_chunked else HEAD + framing, 0.0)
+        for _ in range(100):
+            part = b"x" * 10_000
+            reader.feed(b"2710\r\n%b\r\n" % part if is_chunked else part, 0.0)
+            assert reader.held_bytes < 5000
+        if is_chunked:
+            reader.feed(b"0\r\n\r\n", 0.0)
+        (request,) = reader.complete_requests
+        assert request.is_body_dropped
+        assert not request.body
+        assert heads == ["/a/b"]
+
+    def test_body_without_use_is_limited(self):
+        reader = RequestReader(LIMITS, lambda: None, lambda _request: False)
+        with pytest.raises(RequestTooLargeError):
+            reader.feed(CHUNKED + b"65\r\n" + b"a" * 101 + b"\r\n", 0.0)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -2,7 +2,9 @@
 
 import pytest
 
+from tests.gateway_deployment import SETTINGS
 from wagtailstair.exceptions import SettingsError
+from wagtailstair.gateway import settings as gateway_settings
 from wagtailstair.settings import load_settings
 from wagtailstair.settings import parse_settings
 
@@ -94,3 +96,32 @@
         path.write_bytes(b"\xff")
         with pytest.raises(SettingsError, match="can't be read"):
             load_settings(path)
+
+
+GATEWAY_TEXT = SETTINGS.format(
+    name="entry-1", centre="a", callers=1, readiness=2, peers=3, store="127.0.0.1:4"
+)
+
+
+class TestHostLimits:
+    """Limits of the host from the environment, where the file does not have them."""
+
+    def test_environment_fills_in_what_the_file_lacks(self):
+        settings = gateway_settings.parse_settings(GATEWAY_TEXT)
+        environment = {"WAGTAILSTAIR_MEMORY_MB": "152"}
+        host = gateway_settings.apply_environment(settings, environment).host
+        assert (host.memory_mb, host.descriptors) == (152, 0)
+
+    def test_file_goes_first(self):
+        text = GATEWAY_TEXT.replace("[host]\n", "[host]\nmemory_mb = 300\n")
+        settings = gateway_settings.parse_settings(text)
+        environment = {"WAGTAILSTAIR_MEMORY_MB": "152"}
+        host = gateway_settings.apply_environment(settings, environment).host
+        assert host.memory_mb == 300
+
+    @pytest.mark.parametrize("text", ["-1", "1.5", "many", "1_000"])
+    def test_odd_value_is_named(self, text):
+        settings = gateway_settings.parse_settings(GATEWAY_TEXT)
+        environment = {"WAGTAILSTAIR_DESCRIPTORS": text}
+        with pytest.raises(SettingsError, match="WAGTAILSTAIR_DESCRIPTORS"):
+            gateway_settings.apply_environment(settings, environment)
