Prefer begun answers to cancelled requests as evidence of a crash

What callers saw: three engines ended where two do, if a caller's cancelled requests had been at both engines before.

Cause: a cancelled request counted beside one whose answer had begun. The parts that two cancelled requests share with the deadly one formed a larger, lighter group that hid it.

Change: cancelled requests count only where no begun answer was at the crash.

--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -194,6 +194,11 @@
         crashes = self._crash_by_engine.values()
         return [k for k in keys if any(k in crash.holders_by_key for crash in crashes)]
 
+    def heaviest_at(self, engine: int) -> int:
+        """Return the largest weight of a crash's candidates, 0 for none."""
+        crash = self._crash_by_engine.get(engine)
+        return 0 if crash is None else max(crash.weight_by_keys.values(), default=0)
+
     def remaining_s(self, keys: t.Iterable[PartKey], now: float) -> float:
         """Return for how long a request with some parts is refused, 0 if it is sent."""
         longest = 0.0
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -161,13 +161,19 @@
         return CrashSuspects(candidates) if candidates else None
 
     def _take_departures(self, engine: int) -> list[tuple[list[PartKey], int]]:
-        """Remove and return the candidates that have lately left an engine."""
+        """Remove and return the candidates that have lately left an engine.
+
+        None count where the answer of a request had just begun, which is the better
+        evidence.
+        """
         latest = self._loop.now - DEPARTURE_S
         while self._departures and self._departures[0].cancelled_at < latest:
             self._departures.popleft()
         found = [each for each in self._departures if each.engine == engine]
         for departure in found:
             self._departures.remove(departure)
+        if self.quarantine.heaviest_at(engine) >= BEGUN_WEIGHT:
+            return []
         return [(each.keys, each.stage.value) for each in found]
 
     def _check_engine(self, loss: _Loss) -> None:
@@ -202,8 +208,9 @@
         before = list(self.quarantine.quarantined(now))
         candidates = [(keys, stage.value) for keys, stage in loss.requests]
         engine = engine_key(loss.replica)
-        candidates += self._take_departures(engine)
         messages = self.quarantine.record_crash(engine, candidates, now)
+        departed = self._take_departures(engine)
+        messages += self.quarantine.record_crash(engine, departed, now)
         self._on_crash()
         count_by_stage = collections.Counter(stage for _, stage in loss.requests)
         log_event(
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -187,12 +187,15 @@
         # A new request doesn't overtake those that wait.
         if waiting.queue.has_waiting(rank):
             self.queue_reason = "order"
-        elif not self._may_begin(path):
+            return True
+        if not self._may_begin(path):
             # The backlog of prompts has been noted, if it is the reason.
             self.queue_reason = self.queue_reason or "no_room"
-        elif waiting.queue.holds_back_new(rank, self._finder.tokens, now):
+            return True
+        if waiting.queue.holds_back_new(rank, self._finder.tokens, now):
             waiting.hold_back(self, URGENT_ELSEWHERE)
-        return bool(self.queue_reason)
+            return True
+        return False
 
     def _account_name(self) -> str:
         account = self.grant.account
@@ -396,6 +399,8 @@
     @property
     def _first_stall_check_s(self) -> float:
         goal_s = self.grant.route.goal_s
+        if goal_s <= 0:
+            return FIRST_STALL_CHECK_S
         return min(FIRST_STALL_CHECK_S, FIRST_STALL_CHECK_GOALS * goal_s)
 
     def _schedule_stall_check(self, delay_s: float) -> None:
