Keep waiting for the only upstream of an idempotent request

What callers saw: 502 after about a third of the time that they had, where the answer came later and in time.

Cause: an idempotent request without an answer after 0.35 of its time was cancelled to be sent to another upstream, also where there is none, and took a repeat from the budget for it.

Change: the attempt goes on unless an upstream is left that was not tried; this is looked at again later.

--- a/src/wagtailstair/gateway/plain_exchange.py
+++ b/src/wagtailstair/gateway/plain_exchange.py
@@ -25,6 +25,10 @@
 """Share of the remaining time after which an idempotent attempt without a response
 is cancelled and sent to another upstream."""
 
+RESEND_REMAINING_MIN_S = 0.1
+"""Remaining time below which such an attempt keeps its upstream: another one could
+hardly answer in time."""
+
 
 class PlainExchange(Exchange):
     """A request to a plain service."""
@@ -132,9 +136,12 @@
             self.on_lost(ExchangeLoss.NOT_SENT, "no connection")
             return
         if self.grant.route.may_repeat and self.runs < self.grant.route.attempts:
-            self._resend_timer = context.loop.call_later(
-                RESEND_DELAY_SHARE * self.remaining_s, self._on_resend_timer
-            )
+            self._schedule_resend()
+
+    def _schedule_resend(self) -> None:
+        self._resend_timer = self.context.loop.call_later(
+            RESEND_DELAY_SHARE * self.remaining_s, self._on_resend_timer
+        )
 
     def _end_attempt(self, verdict: str) -> None:
         """Close the current attempt and report its verdict to the balancer."""
@@ -156,6 +163,11 @@
             or self._status
         ):
             return
+        if not self._has_other_upstream():
+            # The only upstream may still answer in time, or another one may start.
+            if self.remaining_s > RESEND_REMAINING_MIN_S:
+                self._schedule_resend()
+            return
         if not self.may_send_again():
             return
         waited = self.context.loop.now - self._sent_at
@@ -165,6 +177,13 @@
         self.may_have_run = True
         self._send_attempt("silent")
 
+    def _has_other_upstream(self) -> bool:
+        """Return whether an upstream is left that the request was not sent to."""
+        context = self.context
+        unusable = self.tried | context.closed_upstreams()
+        now = context.loop.now
+        return context.services.choose(self.service.name, unusable, now) is not None
+
     # Callbacks of the upstream connection.
 
     def on_head(self, status: int, reason: bytes, headers: list[Header]) -> bool:
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -177,6 +177,33 @@
             == 200
         )
 
+    @pytest.mark.parametrize("is_draining", [False, True])
+    def test_slow_answer_of_the_only_upstream_is_delivered(
+        self, deployment, desks, host, is_draining
+    ):
+        """Guards against giving up an upstream although no other one is left.
+
+        The answer comes after the delay of a resend and within the route's timeout.
+        """
+        config = make_config(2)
+        config["routes"][2].update(service="desk", split=None)
+        deployment.store.put("op", "config", config)
+        deployment.run(lambda: host.lists_version() == 2)
+        desks[1].write_row(state="draining")
+        deployment.run(lambda: host.replicas.by_name["i-two"].is_leaving)
+        answer_now = desks[0].answer
+
+        def answer_late(pending):
+            deployment.loop.call_later(0.8, lambda: answer_now(pending))
+
+        desks[0].answer = answer_late
+        answered = deployment.send(host, make_request("/lookup/7", "a1"))
+        if is_draining:
+            host.drain()
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert answered.status == 200
+        assert runs(desks) == ["a1"]
+
     def test_unsigned_success_is_a_failure(self, deployment, desks, host):
         for desk in desks:
             desk.script = ["unsigned"]
