Keep the placer's times by service

What callers saw: with two services of engines no stream of the second one was served, and of neither where both were in the first lists.

Cause: each service's tick removed the times since which engines of other services have been empty, so that these counted as registering for good and got no order. Gaps were shared in the same way.

Change: times are removed when an engine's row is gone or it holds layers; gaps are kept by service and data centre.

Result: both cases of test_engine_services failed before and pass.

--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -5,7 +5,6 @@
 import typing as t
 
 from ..core.directory import Directory
-from ..core.directory import ModelSpec
 from ..core.directory import Service
 from ..core.layout import LayerAssignment
 from ..core.layout import load_time_s
@@ -97,7 +96,8 @@
         self._lease = LeaseManager(
             loop, pool, store, LEASE_KEY, holder, is_candidate, rng
         )
-        self._gap_since_by_centre: dict[str, float] = {}
+        # By service and data centre.
+        self._gap_since: dict[tuple[str, str], float] = {}
         self._ordered: dict[tuple[str, int], _Ordered] = {}
         # Number of orders that each engine has accepted since its start.
         self._orders_by_identity: dict[tuple[str, int], int] = {}
@@ -169,7 +169,7 @@
         if self._are_engines_registering(now, replicas):
             return
         plan = plan_layers(model, replicas, ranges, reserved)
-        plan.extend(self._due_repairs(model, replicas, ranges, now))
+        plan.extend(self._due_repairs(service, replicas, ranges, now))
         at_once = len(ranges) + len(plan)
         for assignment in plan:
             load_s = load_time_s(model, assignment, at_once)
@@ -198,26 +198,28 @@
         """Return whether the first engines of a deployment are still registering."""
         if any(replica.layers is not None for replica in replicas):
             return False
-        newest = max(self._empty_since.values(), default=now)
+        empty_since = (self._empty_since[replica.identity] for replica in replicas)
+        newest = max(empty_since, default=now)
         return now - newest < FIRST_ORDERS_DELAY_S
 
     def _due_repairs(
         self,
-        model: ModelSpec,
+        service: Service,
         replicas: t.Sequence[Replica],
         ranges: dict[tuple[str, int], tuple[int, int]],
         now: float,
     ) -> list[LayerAssignment]:
         """Return the moves that close gaps older than ``REPAIR_AFTER_S``."""
-        moves = plan_repairs(model, replicas, ranges)
-        centres = {move.replica.data_centre for move in moves}
-        for centre in list(self._gap_since_by_centre):
-            if centre not in centres:
-                del self._gap_since_by_centre[centre]
+        assert service.model is not None
+        moves = plan_repairs(service.model, replicas, ranges)
+        gaps = {(service.name, move.replica.data_centre) for move in moves}
+        for gap in list(self._gap_since):
+            if gap[0] == service.name and gap not in gaps:
+                del self._gap_since[gap]
         due = []
         for move in moves:
-            centre = move.replica.data_centre
-            since = self._gap_since_by_centre.setdefault(centre, now)
+            gap = (service.name, move.replica.data_centre)
+            since = self._gap_since.setdefault(gap, now)
             if now - since >= REPAIR_AFTER_S:
                 due.append(move)
         return due
@@ -225,14 +227,18 @@
     def _reserve(self, replicas: t.Sequence[Replica]) -> set[tuple[str, int]]:
         """Return the empty engines that registered within ``RESERVE_S``."""
         now = self._loop.now
-        empty = {r.identity for r in replicas if r.layers is None}
+        # Other services have engines as well.
+        live = {r.identity: r for r in self._replicas.by_name.values()}
         for identity in list(self._empty_since):
-            if identity not in empty:
+            if identity not in live or live[identity].layers is not None:
                 del self._empty_since[identity]
         reserved = set()
-        for identity in empty:
-            if now - self._empty_since.setdefault(identity, now) < RESERVE_S:
-                reserved.add(identity)
+        for replica in replicas:
+            if replica.layers is not None:
+                continue
+            since = self._empty_since.setdefault(replica.identity, now)
+            if now - since < RESERVE_S:
+                reserved.add(replica.identity)
         return reserved
 
     def _order(self, assignment: LayerAssignment, retry_s: float) -> None:
