Log why a stream waited and why a request was not sent again

Change: request_ended has account and rank, of a queued stream also ahead and expected; the event resend_refused and its counter have the reason; a histogram has the times in the queue.

--- a/src/wagtailstair/core/resend_budget.py
+++ b/src/wagtailstair/core/resend_budget.py
@@ -104,6 +104,11 @@
             repeats += counted.repeats
         return Counts(requests, repeats)
 
+    def own_part(self, service: str, hosts: int, now: float) -> float:
+        """Return the repeats of the window that this host may use without a loan."""
+        requests = self.counts(service, now).requests
+        return SAFETY_FACTOR * (self._ratio * requests + self._slack / max(1, hosts))
+
     def take(
         self,
         service: str,
@@ -120,8 +125,7 @@
         """
         hosts = max(1, hosts)
         own = self.counts(service, now)
-        budget = SAFETY_FACTOR * (self._ratio * own.requests + self._slack / hosts)
-        if own.repeats + 1 > budget * share:
+        if own.repeats + 1 > self.own_part(service, hosts, now) * share:
             free = self._free(own, peers, hosts) * share
             if not self._borrow(service, LOAN_SHARE * free / hosts, now):
                 return False
--- a/src/wagtailstair/core/room_queue.py
+++ b/src/wagtailstair/core/room_queue.py
@@ -131,6 +131,10 @@
         self._starts.append((now, work))
         self.shared.record_start(now, _priority(rank), account, work)
 
+    def work_ahead(self, item: RouteRequest) -> float:
+        """Return the tokens of the requests that are to start before a new one."""
+        return self._queue.work_ahead(item)
+
     def wait_s(self, item: RouteRequest, now: float) -> float:
         """Return the expected wait of a new request, 0 if no rate is known."""
         self._drop_old_starts(now)
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -62,6 +62,18 @@
     BROKEN = "broken"
 
 
+class ResendRefusal(enum.Enum):
+    """Why a request is not sent to another upstream.
+
+    ``ATTEMPTS``: it has been sent as often as its route allows; ``TIME``: too little
+    is left; ``BUDGET``: that of all hosts is used up.
+    """
+
+    ATTEMPTS = "attempts"
+    TIME = "time"
+    BUDGET = "budget"
+
+
 def failure_excess(status: int) -> str:
     """Return why a response that is not a success is given up."""
     return f"body of status {status} over {FAILURE_BYTES_MAX} bytes"
@@ -100,6 +112,16 @@
         """
         ...
 
+    def record_resend_refusal(
+        self, exchange: "Exchange", reason: ResendRefusal
+    ) -> None:
+        """Record a request that may not be sent again in the metrics and the log."""
+        ...
+
+    def observe_queued(self, rank: int, seconds: float) -> None:
+        """Record how long a stream was queued before it started."""
+        ...
+
     def local_host_count(self) -> int:
         """Return the number of live hosts in this data centre, with this one."""
         ...
@@ -144,7 +166,8 @@
     ``lost_on``: upstreams whose exchange was lost;
     ``expires_at``: the caller's deadline, or the end of the route's timeout if the
     caller set none; ``ends_at``: the earlier of the deadline and of that end;
-    ``tried``: identities of the upstreams used so far.
+    ``tried``: identities of the upstreams used so far; ``has_resend_refusal``: whether
+    it has been recorded that it may not be sent again.
     """
 
     __slots__ = (
@@ -155,6 +178,7 @@
         "ends_at",
         "expires_at",
         "grant",
+        "has_resend_refusal",
         "is_finished",
         "lost_on",
         "may_have_run",
@@ -191,6 +215,7 @@
         self.lost_on: list[tuple[str, int]] = []
         self.may_have_run = False
         self.is_finished = False
+        self.has_resend_refusal = False
         self.tried: set[tuple[str, int]] = set()
         delay_s = self.ends_at - ANSWER_MARGIN_S - context.loop.now
         self.deadline_timer: Timer = context.loop.call_later(delay_s, self.on_expired)
@@ -223,15 +248,35 @@
 
     def may_send_again(self) -> bool:
         """Take one resend from the budget; return whether it was allowed."""
-        if self.sends >= SENDS_MAX or self.remaining_s < 2 * ANSWER_MARGIN_S:
-            return False
+        refusal = self._take_resend()
+        if refusal is None:
+            return True
+        if not self.has_resend_refusal:
+            self.has_resend_refusal = True
+            self.context.record_resend_refusal(self, refusal)
+        return False
+
+    def _take_resend(self) -> ResendRefusal | None:
+        """Take one resend from the budget; return why it was refused, if it was."""
+        if self.sends >= SENDS_MAX:
+            return ResendRefusal.ATTEMPTS
+        if self.remaining_s < 2 * ANSWER_MARGIN_S:
+            return ResendRefusal.TIME
         context = self.context
         # An upstream that has ended since then runs nothing any more.
         ended = sum(not context.replicas.is_serving(lost) for lost in self.lost_on)
         if self.runs - ended >= self.grant.route.attempts:
-            return False
+            return ResendRefusal.ATTEMPTS
         share = 1.0 if self.caller.has_begun else UNBEGUN_BUDGET_SHARE
-        return context.may_repeat(self.service.name, share)
+        if not context.may_repeat(self.service.name, share):
+            return ResendRefusal.BUDGET
+        return None
+
+    @property
+    def account_name(self) -> str:
+        """Return the name of the caller's account, empty for none."""
+        account = self.grant.account
+        return "" if account is None else account.name
 
     def classify_answer(self, status: int, headers: list[Header]) -> AttemptOutcome:
         """Return what the head of a response says about its attempt."""
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -47,6 +47,7 @@
 from .connection import listen
 from .crash_reports import CrashReports
 from .exchange import Exchange
+from .exchange import ResendRefusal
 from .heads import find_header
 from .loop import Loop
 from .peers import Peers
@@ -211,6 +212,27 @@
             Counts(load.running, load.heads, int(load.token_layers)),
         )
 
+    def record_resend_refusal(self, exchange: Exchange, reason: ResendRefusal) -> None:
+        """Record a request that may not be sent again."""
+        self.telemetry.count_resend_refused(reason.value)
+        fields: dict[str, object] = {}
+        if reason is ResendRefusal.BUDGET:
+            service, now = exchange.service.name, self.loop.now
+            fields["used"] = self.resend_budget.counts(service, now).repeats
+            own_part = self.resend_budget.own_part(service, self.peers.count(), now)
+            fields["own"] = own_part
+        exchange.log(
+            "resend_refused",
+            level="INFO",
+            sends=exchange.sends,
+            reason=reason.value,
+            **fields,
+        )
+
+    def observe_queued(self, rank: int, seconds: float) -> None:
+        """Record how long a stream was queued before it started."""
+        self.telemetry.observe_queued(rank, seconds)
+
     def local_host_count(self) -> int:
         """Return the number of live hosts in this data centre, with this one."""
         return len(self.peers.membership.live_local_hosts()) + 1
@@ -257,7 +279,13 @@
         took_s = self.loop.now - exchange.request.received_at
         self.telemetry.count_request(kind, exchange.grant.rank, outcome, took_s)
         self.telemetry.count_sends(kind, exchange.sends)
-        fields = {"outcome": outcome, "sends": exchange.sends, "took": took_s}
+        fields = {
+            "outcome": outcome,
+            "sends": exchange.sends,
+            "took": took_s,
+            "account": exchange.account_name,
+            "rank": exchange.grant.rank,
+        }
         exchange.log("request_ended", level="INFO", **fields, **exchange.end_fields())
 
     def _on_upstream_head(
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -87,6 +87,8 @@
         "events",
         "first_event_s",
         "moves",
+        "queue_ahead",
+        "queue_expected_s",
         "queue_key",
         "queue_reason",
     )
@@ -111,6 +113,7 @@
         self._crossings = 0
         self.queue_key = ""
         self.queue_reason = ""
+        self.queue_ahead = self.queue_expected_s = 0.0
         self._queued_at: float | None = None
         self._queued_s: float | None = None
         self.events = 0
@@ -197,10 +200,6 @@
             return True
         return False
 
-    def _account_name(self) -> str:
-        account = self.grant.account
-        return "" if account is None else account.name
-
     def _send_first(self, path: Path) -> None:
         """Send the request on a path, as its only attempt."""
         if self.sends == 0:
@@ -208,10 +207,11 @@
             self.context.resend_budget.count_request(self.service.name, now)
             waiting = self.context.waiting_streams()
             rank, tokens = self.grant.rank, self._finder.tokens
-            waiting.queue.record_start(now, tokens, rank, self._account_name())
+            waiting.queue.record_start(now, tokens, rank, self.account_name)
             waiting.backlog_gate.record_start(now, rank, tokens)
             if self._queued_at is not None:
                 self._queued_s = now - self._queued_at
+                self.context.observe_queued(rank, self._queued_s)
         self._current = attempt = self._make_attempt(path)
         self._send_attempt(attempt)
 
@@ -339,7 +339,7 @@
         self._queued_at = self.context.loop.now
         self.context.waiting_streams().add(
             self,
-            self._account_name(),
+            self.account_name,
             self.grant.rank,
             self._finder.tokens,
             self.request.received_at + ROOM_WAIT_GOALS * self.grant.route.goal_s,
@@ -430,7 +430,8 @@
     def end_fields(self) -> dict[str, object]:
         """Return when the first event came, how many, and the moves of the request.
 
-        Of a request that was queued, also for how many seconds, and why.
+        Of a request that was queued, also for how many seconds, why, behind how many
+        tokens, and for how many seconds it was expected to be.
         """
         fields: dict[str, object] = {
             "first": self.first_event_s,
@@ -442,7 +443,12 @@
             queued_s = self._queued_s
             if queued_s is None:
                 queued_s = self.context.loop.now - self._queued_at
-            fields.update(queued=queued_s, queued_for=self.queue_reason)
+            fields.update(
+                queued=queued_s,
+                queued_for=self.queue_reason,
+                ahead=int(self.queue_ahead),
+                expected=self.queue_expected_s,
+            )
         return fields
 
     @property
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -74,6 +74,12 @@
         self._attempts_lost = counter(
             "attempts_lost", "Attempts of streams that were lost, by progress."
         )
+        self._queue_seconds = histogram(
+            "queue", "Time in the queue of streams that started, by rank."
+        )
+        self._resends_refused = counter(
+            "resends_refused", "Requests that could not be sent again, by reason."
+        )
         self._streams_waiting = gauge("streams_waiting", "Queued streams, by rank.")
         self._engine_crashes = counter(
             "engine_crashes", "Engines that crashed under requests without an event."
@@ -146,6 +152,14 @@
         """Count an attempt that was sent beside the current one."""
         self._successors.add({"reason": _reason_label(reason)}, 1)
 
+    def observe_queued(self, rank: int, seconds: float) -> None:
+        """Record how long a stream was queued before it started."""
+        self._queue_seconds.observe({"rank": str(rank)}, seconds)
+
+    def count_resend_refused(self, reason: str) -> None:
+        """Count a request that could not be sent again."""
+        self._resends_refused.add({"reason": reason}, 1)
+
     def count_held_back(self, reason: str) -> None:
         """Count a stream that was queued although the engines have room."""
         self._held_back.add({"reason": reason}, 1)
--- a/src/wagtailstair/gateway/waiting_streams.py
+++ b/src/wagtailstair/gateway/waiting_streams.py
@@ -24,6 +24,8 @@
 
     queue_key: str
     queue_reason: str
+    queue_ahead: float
+    queue_expected_s: float
 
     def start_queued(self) -> bool:
         """Send the stream if engines have room; return whether it waits no more."""
@@ -77,6 +79,8 @@
         now = self._loop.now
         item = make_item(str(next(self._keys)), account, rank, tokens, deadline)
         wait_s = self.queue.wait_s(item, now)
+        stream.queue_ahead = self.queue.work_ahead(item)
+        stream.queue_expected_s = wait_s
         if now + wait_s > deadline:
             stream.refuse_waiting("no room in time")
             return
