Try: requests that come back after a refusal go before new ones of their account

Change: hosts of a data centre tell each other the digests of streams that they refused for want of room, and when these may return; a returning one goes before the new ones of its account and rank and may wait for two goals.

Room is the same, so each caller that is not refused twice makes others late.

--- a/src/wagtailstair/core/grants.py
+++ b/src/wagtailstair/core/grants.py
@@ -14,7 +14,8 @@
     ``work``: expected cost in work units; ``deadline``: time on the local
     monotonic clock, in messages seconds from the time of sending; ``entitled``:
     within the account's limits; ``prefixes``: hashes of the prompt's prefix
-    blocks, shortest first; ``avoid``: engines that the route must not contain.
+    blocks, shortest first; ``avoid``: engines that the route must not contain;
+    ``is_returning``: it was refused before and goes ahead of its account's new ones.
     """
 
     request: str
@@ -31,6 +32,7 @@
     adapter: str = ""
     prefixes: tuple[int, ...] = ()
     avoid: frozenset[str] = frozenset()
+    is_returning: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -11,6 +11,7 @@
 import enum
 import typing as t
 
+from .admission.returning import RefusedRequest
 from .engine import EngineState
 from .engine import Route
 from .grants import RefusalReason
@@ -237,7 +238,8 @@
     ``sequence``: number of the message; ``waiting``, ``waiting_work``: queued streams
     and their tokens, by rank; ``started_work``, ``starts``: tokens by rank, and
     number, of the streams started in the last 2 s; ``accounts``: accounts with the
-    most tokens started in the last 10 s, and these tokens.
+    most tokens started in the last 10 s, and these tokens; ``refused``: requests that
+    were refused for want of room since the message before.
     """
 
     sequence: int
@@ -246,6 +248,7 @@
     started_work: tuple[int, ...]
     starts: int
     accounts: tuple[tuple[str, int], ...] = ()
+    refused: tuple[RefusedRequest, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
