--- a/src/wagtailstair/core/admission/shared_order.py
+++ b/src/wagtailstair/core/admission/shared_order.py
@@ -174,22 +174,16 @@
         self._peer_by_name.pop(source, None)
 
     def message(
-        self,
-        now: float,
-        waiting: tuple[int, ...],
-        waiting_work: tuple[float, ...],
-        *,
-        has_news: bool = False,
+        self, now: float, waiting: tuple[int, ...], waiting_work: tuple[float, ...]
     ) -> QueueCounts | None:
         """Return the counters to send to the peers, ``None`` for none now.
 
         :param waiting: per rank, the number of streams queued at this host.
         :param waiting_work: per rank, their tokens.
-        :param has_news: send a message at its time although nothing is queued.
         """
         if any(waiting):
             self.record_waiting(now)
-        is_active = has_news or now - self._last_waiting_at <= ACTIVE_S
+        is_active = now - self._last_waiting_at <= ACTIVE_S
         if not self._is_enabled or not is_active:
             return None
         if now - self._sent_at < MESSAGE_INTERVAL_S:
--- a/src/wagtailstair/core/fairness.py
+++ b/src/wagtailstair/core/fairness.py
@@ -1,5 +1,6 @@
 """Start-time fair queueing among the accounts of one class of requests."""
 
+import collections
 import dataclasses
 import heapq
 import itertools
@@ -17,49 +18,16 @@
     """The waiting items of one account in one class.
 
     ``start``: the start tag of the next item, in work per weight; ``entry``:
-    the sequence number of the account's heap entry, -1 without one; ``returning``:
-    items that are served before those in ``new``, and whose work is
-    ``returning_work``.
+    the sequence number of the account's heap entry, -1 without one.
     """
 
     account: str
     start: float
     entry: int = -1
     work: float = 0.0
-    returning_work: float = 0.0
-    returning: dict[str, RouteRequest] = dataclasses.field(default_factory=dict)
-    new: dict[str, RouteRequest] = dataclasses.field(default_factory=dict)
-
-    @property
-    def is_empty(self) -> bool:
-        """Return whether no item waits."""
-        return not self.returning and not self.new
-
-    def push(self, item: RouteRequest) -> None:
-        """Add an item."""
-        self.work += item.work
-        if item.is_returning:
-            self.returning_work += item.work
-            self.returning[item.request] = item
-            return
-        self.new[item.request] = item
-
-    def discard(self, item: RouteRequest) -> None:
-        """Remove an item."""
-        self.work -= item.work
-        if item.is_returning:
-            self.returning_work -= item.work
-            del self.returning[item.request]
-            return
-        del self.new[item.request]
-
-    def first(self) -> RouteRequest:
-        """Return the item to serve next."""
-        return next(iter((self.returning or self.new).values()))
-
-    def newest(self) -> RouteRequest:
-        """Return the item that is served last."""
-        return next(reversed((self.new or self.returning).values()))
+    by_request: collections.OrderedDict[str, RouteRequest] = dataclasses.field(
+        default_factory=collections.OrderedDict
+    )
 
 
 class LongestAccount:
@@ -153,7 +121,7 @@
         while len(self._idle) > MAX_IDLE_ACCOUNTS:
             start, account = heapq.heappop(self._idle)
             idle = self._flow_by_account.get(account)
-            if idle is None or not idle.is_empty or idle.start != start:
+            if idle is None or idle.by_request or idle.start != start:
                 continue
             del self._flow_by_account[account]
 
@@ -161,7 +129,7 @@
         while self._idle and self._idle[0][0] <= self._virtual_time:
             _, account = heapq.heappop(self._idle)
             flow = self._flow_by_account.get(account)
-            if flow is None or not flow.is_empty:
+            if flow is None or flow.by_request:
                 continue
             if flow.start <= self._virtual_time:
                 del self._flow_by_account[account]
@@ -174,7 +142,8 @@
         if flow is None:
             flow = _Flow(item.account, self._virtual_time)
             self._flow_by_account[item.account] = flow
-        flow.push(item)
+        flow.by_request[item.request] = item
+        flow.work += item.work
         self.count += 1
         self.work += item.work
         self._longest.add(item.account, 1)
@@ -184,11 +153,12 @@
     def discard(self, item: RouteRequest) -> None:
         """Remove an item without serving it."""
         flow = self._flow_by_account[item.account]
-        flow.discard(item)
+        del flow.by_request[item.request]
+        flow.work -= item.work
         self.count -= 1
         self.work -= item.work
         self._longest.add(item.account, -1)
-        if flow.is_empty:
+        if not flow.by_request:
             self._deactivate(flow)
 
     def take(self, item: RouteRequest, factor: float = 1.0) -> None:
@@ -201,7 +171,7 @@
         flow.start += factor * item.work / item.weight
         flow.entry = -1
         self.discard(item)
-        if not flow.is_empty:
+        if flow.by_request:
             self._schedule(flow)
         self._drop_idle()
 
@@ -216,7 +186,7 @@
             flow = _Flow(account, self._virtual_time)
             self._flow_by_account[account] = flow
         flow.start = max(self._virtual_time, flow.start + change)
-        if not flow.is_empty:
+        if flow.by_request:
             self._schedule(flow)
             return
         self._add_idle(flow)
@@ -235,7 +205,7 @@
                     continue
                 entries.append(entry)
                 flow = self._flow_by_account[entry[2]]
-                yield flow.first()
+                yield next(iter(flow.by_request.values()))
         finally:
             for entry in entries:
                 if self._is_current(entry):
@@ -248,15 +218,14 @@
     def newest_of_longest(self) -> RouteRequest:
         """Return the newest item of the account with the most waiting items."""
         flow = self._flow_by_account[self._longest.longest()]
-        return flow.newest()
+        return next(reversed(flow.by_request.values()))
 
     def work_ahead(self, item: RouteRequest) -> float:
         """Estimate the work of this class that would be served before a new item."""
         flow = self._flow_by_account.get(item.account)
         own = 0.0
         if flow is not None:
-            own = flow.returning_work if item.is_returning else flow.work
-            own += max(0.0, flow.start - self._virtual_time) * item.weight
+            own = flow.work + max(0.0, flow.start - self._virtual_time) * item.weight
         accounts = max(1, len(self._flow_by_account))
         return min(self.work, own * accounts + item.work * (accounts - 1))
 
--- a/src/wagtailstair/core/grants.py
+++ b/src/wagtailstair/core/grants.py
@@ -14,8 +14,7 @@
     ``work``: expected cost in work units; ``deadline``: time on the local
     monotonic clock, in messages seconds from the time of sending; ``entitled``:
     within the account's limits; ``prefixes``: hashes of the prompt's prefix
-    blocks, shortest first; ``avoid``: engines that the route must not contain;
-    ``is_returning``: it was refused before and goes ahead of its account's new ones.
+    blocks, shortest first; ``avoid``: engines that the route must not contain.
     """
 
     request: str
@@ -32,7 +31,6 @@
     adapter: str = ""
     prefixes: tuple[int, ...] = ()
     avoid: frozenset[str] = frozenset()
-    is_returning: bool = False
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/messages.py
+++ b/src/wagtailstair/core/messages.py
@@ -11,7 +11,6 @@
 import enum
 import typing as t
 
-from .admission.returning import RefusedRequest
 from .engine import EngineState
 from .engine import Route
 from .grants import RefusalReason
@@ -238,8 +237,7 @@
     ``sequence``: number of the message; ``waiting``, ``waiting_work``: queued streams
     and their tokens, by rank; ``started_work``, ``starts``: tokens by rank, and
     number, of the streams started in the last 2 s; ``accounts``: accounts with the
-    most tokens started in the last 10 s, and these tokens; ``refused``: requests that
-    were refused for want of room since the message before.
+    most tokens started in the last 10 s, and these tokens.
     """
 
     sequence: int
@@ -248,7 +246,6 @@
     started_work: tuple[int, ...]
     starts: int
     accounts: tuple[tuple[str, int], ...] = ()
-    refused: tuple[RefusedRequest, ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -81,16 +81,11 @@
 
     :param values: what tells the request from others, but not its attempts apart.
     """
-    return PartKey(service, f"request-{request_digest(*values):016x}")
-
-
-def request_digest(*values: bytes) -> int:
-    """Return the digest of a request's values, a number of ``REQUEST_KEY_BYTES``."""
     digest = hashlib.blake2b(digest_size=REQUEST_KEY_BYTES)
     for value in values:
         digest.update(b"%d:" % len(value))
         digest.update(value)
-    return int.from_bytes(digest.digest(), "big")
+    return PartKey(service, f"request-{digest.hexdigest()}")
 
 
 Keys = frozenset[PartKey]
--- a/src/wagtailstair/core/room_queue.py
+++ b/src/wagtailstair/core/room_queue.py
@@ -1,17 +1,13 @@
 """Requests that wait for room on engines: who is next, how long, when to come back.
 
 The order is that of :class:`.queueing.FairQueue`: by rank, each with its minimum
-share, then accounts in turn by work. Of an account's requests of a rank, those that come
-back after a refusal go first: another refusal is mostly their last, and the turns of
-other accounts stay what they are. A request whose expected wait is longer than it
+share, then accounts in turn by work. A request whose expected wait is longer than it
 may wait is refused at once, and told when its turn would come.
 """
 
 import collections
-import dataclasses
 import random
 
-from .admission.returning import ReturningRequests
 from .admission.shared_order import SharedOrder
 from .engine import Priority
 from .grants import RouteRequest
@@ -54,24 +50,10 @@
 class RoomQueue:
     """The waiting requests of one host and the rate at which requests start."""
 
-    __slots__ = (
-        "_next_return_at",
-        "_queue",
-        "_rng",
-        "_starts",
-        "returning",
-        "shared",
-    )
+    __slots__ = ("_next_return_at", "_queue", "_rng", "_starts", "shared")
 
-    def __init__(
-        self,
-        rng: random.Random,
-        *,
-        is_shared: bool = True,
-        is_returning_first: bool = True,
-    ) -> None:
+    def __init__(self, rng: random.Random, *, is_shared: bool = True) -> None:
         self._rng = rng
-        self.returning = ReturningRequests(is_enabled=is_returning_first)
         self.shared = SharedOrder(MINIMUM_SHARES, is_enabled=is_shared)
         self._queue = FairQueue(QUEUE_LENGTH, MINIMUM_SHARES)
         # Time and work of the requests that started lately.
@@ -131,17 +113,7 @@
         """Return the counters to send to the other hosts, ``None`` for none now."""
         counts = tuple(self._queue.count(priority) for priority in Priority)
         works = tuple(self._queue.work(priority) for priority in Priority)
-        has_news = self.returning.has_unsent(now)
-        message = self.shared.message(now, counts, works, has_news=has_news)
-        if message is None or not has_news:
-            return message
-        refused = self.returning.take_unsent(now)
-        return dataclasses.replace(message, refused=refused)
-
-    def receive(self, source: str, message: QueueCounts, now: float) -> None:
-        """Apply what another host of the data centre has queued and refused."""
-        self.shared.receive(source, message, now)
-        self.returning.receive(message.refused, now)
+        return self.shared.message(now, counts, works)
 
     def candidates(self) -> list[str]:
         """Return the next request of each rank, in the order to try them."""
@@ -228,13 +200,7 @@
 
 
 def make_item(
-    request: str,
-    account: str,
-    rank: int,
-    tokens: float,
-    deadline: float,
-    *,
-    is_returning: bool = False,
+    request: str, account: str, rank: int, tokens: float, deadline: float
 ) -> RouteRequest:
     """Return a request as the queue takes it; the work is its number of tokens."""
     priority = _priority(rank)
@@ -249,7 +215,6 @@
         prompt_tokens=0,
         max_tokens=0,
         deadline=deadline,
-        is_returning=is_returning,
     )
 
 
--- a/src/wagtailstair/gateway/exchange.py
+++ b/src/wagtailstair/gateway/exchange.py
@@ -118,10 +118,6 @@
         """Record a request that may not be sent again in the metrics and the log."""
         ...
 
-    def count_returning(self, outcome: str) -> None:
-        """Count a stream that came back after a refusal, and its outcome."""
-        ...
-
     def observe_queued(self, rank: int, seconds: float) -> None:
         """Record how long a stream was queued before it started."""
         ...
@@ -314,17 +310,12 @@
             return False
         return True
 
-    def refuse(self, reason: str, return_s: float | None = None) -> None:
-        """Respond 503 if the request has not run for certain, otherwise 502.
-
-        :param return_s: seconds after which the caller may retry, if they are known.
-        """
+    def refuse(self, reason: str) -> None:
+        """Respond 503 if the request has not run for certain, otherwise 502."""
         if self.may_have_run:
             self.fail(BAD_GATEWAY, reason)
             return
-        if return_s is None:
-            return_s = self.return_s()
-        headers = ((b"Retry-After", b"%.2f" % return_s),)
+        headers = ((b"Retry-After", b"%.2f" % self.return_s()),)
         self.finish(UNAVAILABLE, reason, headers)
 
     def return_s(self) -> float:
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -151,7 +151,6 @@
             self._rng,
             self.telemetry.count_held_back,
             is_shared=settings.admission.shared_order,
-            is_returning_first=settings.admission.returning_first,
         )
         self._settings_path: pathlib.Path | None = None
         self._settings_text = ""
@@ -230,10 +229,6 @@
             **fields,
         )
 
-    def count_returning(self, outcome: str) -> None:
-        """Count a stream that came back after a refusal, and its outcome."""
-        self.telemetry.count_returning(outcome)
-
     def observe_queued(self, rank: int, seconds: float) -> None:
         """Record how long a stream was queued before it started."""
         self.telemetry.observe_queued(rank, seconds)
@@ -370,7 +365,7 @@
 
     def on_queue_counts(self, source: str, message: QueueCounts) -> None:
         """Apply what a live host of this data centre has queued and started."""
-        self._waiting.queue.receive(source, message, self.loop.now)
+        self._waiting.queue.shared.receive(source, message, self.loop.now)
 
     def on_engine_lost(self, host: Host, lost: EngineLost) -> None:
         """Suspect an engine that a peer suspects."""
@@ -666,8 +661,6 @@
         self.resend_budget.change(retries.ratio, retries.slack, retries.window_s)
         is_shared = settings.admission.shared_order
         self._waiting.queue.shared.set_enabled(is_enabled=is_shared)
-        is_first = settings.admission.returning_first
-        self._waiting.queue.returning.set_enabled(is_enabled=is_first)
         log_event("reload", outcome="taken")
 
     def drain(self) -> None:
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -76,13 +76,10 @@
     """Which streams start first.
 
     ``shared_order``: whether the hosts of a data centre start their queued streams in
-    one order; ``False``: each host decides on its own queue alone. ``returning_first``:
-    whether requests that come back after a refusal start before new ones of their rank;
-    hosts tell each other of refusals only with ``shared_order``.
+    one order; ``False``: each host decides on its own queue alone.
     """
 
     shared_order: bool = True
-    returning_first: bool = True
 
 
 class LogSection(_Section, frozen=True):
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -10,7 +10,6 @@
 from ..core.pipelines import crossed_links
 from ..core.pipelines import unread_hops
 from ..core.quarantine import PartKey
-from ..core.quarantine import request_digest
 from ..core.quarantine import request_key
 from ..core.replicas import Replica
 from ..platform import engines as engine_wire
@@ -54,10 +53,6 @@
 """Longest wait for room, as a multiple of the route's response-time goal: a request
 that waits longer misses the goal."""
 
-RETURNED_WAIT_GOALS = 2.0
-"""The same of a request that comes back after a refusal: another one is mostly its
-last, and its caller leaves after four goals without an event."""
-
 RETRY_DELAY_S = 0.15
 """Seconds between retries of a response that has begun and has no pipeline."""
 
@@ -79,7 +74,6 @@
         "_common_head",
         "_crossings",
         "_current",
-        "_digest",
         "_finder",
         "_first_answered",
         "_last_id",
@@ -92,7 +86,6 @@
         "_successor",
         "events",
         "first_event_s",
-        "is_returning",
         "moves",
         "queue_ahead",
         "queue_expected_s",
@@ -111,8 +104,6 @@
         self._common_head = heads.forwarded_head(self.request, names)
         self._last_id = self.request.header(names.last_event)
         self._parts, self._own_keys = self._identify()
-        queue, now = self.context.waiting_streams().queue, self.context.loop.now
-        self.is_returning = queue.returning.take(self._digest, now)
         self._current: Attempt | None = None
         self._successor: Attempt | None = None
         # The attempt whose response head was sent to the caller.
@@ -139,7 +130,6 @@
         # The parts name the contents of a prompt.
         values.append(prompt_parts or bytes(self.request.body))
         own_keys = [request_key(service, *values)]
-        self._digest = request_digest(self.account_name.encode(), *values)
         if own:
             own_keys.append(PartKey(service, own))
         return [PartKey(service, part) for part in shared], own_keys
@@ -218,8 +208,6 @@
             waiting = self.context.waiting_streams()
             rank, tokens = self.grant.rank, self._finder.tokens
             waiting.queue.record_start(now, tokens, rank, self.account_name)
-            if self.is_returning:
-                self.context.count_returning("started")
             waiting.backlog_gate.record_start(now, rank, tokens)
             if self._queued_at is not None:
                 self._queued_s = now - self._queued_at
@@ -255,13 +243,8 @@
         return True
 
     def refuse_waiting(self, reason: str) -> None:
-        """Refuse the request, which has not been sent, for want of room."""
-        return_s = self.return_s()
-        queue, now = self.context.waiting_streams().queue, self.context.loop.now
-        queue.returning.record_refusal(self._digest, return_s, now)
-        if self.is_returning:
-            self.context.count_returning("refused")
-        self.refuse(reason, return_s)
+        """Refuse the request, which has not been sent."""
+        self.refuse(reason)
 
     def is_quarantined(self) -> bool:
         """Return whether the request holds all keys of a group in quarantine."""
@@ -354,14 +337,12 @@
     def _wait_for_room(self) -> None:
         """Queue the request for room until its goal has passed."""
         self._queued_at = self.context.loop.now
-        goals = RETURNED_WAIT_GOALS if self.is_returning else ROOM_WAIT_GOALS
         self.context.waiting_streams().add(
             self,
             self.account_name,
             self.grant.rank,
             self._finder.tokens,
-            self.request.received_at + goals * self.grant.route.goal_s,
-            is_returning=self.is_returning,
+            self.request.received_at + ROOM_WAIT_GOALS * self.grant.route.goal_s,
         )
 
     def _drop_attempt(self, attempt: Attempt | None) -> None:
@@ -458,8 +439,6 @@
             "moves": self.moves,
             "crossings": self._crossings,
         }
-        if self.is_returning:
-            fields["returning"] = True
         if self._queued_at is not None:
             queued_s = self._queued_s
             if queued_s is None:
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -80,9 +80,6 @@
         self._resends_refused = counter(
             "resends_refused", "Requests that could not be sent again, by reason."
         )
-        self._returning = counter(
-            "returning", "Streams that came back after a refusal, by outcome."
-        )
         self._streams_waiting = gauge("streams_waiting", "Queued streams, by rank.")
         self._engine_crashes = counter(
             "engine_crashes", "Engines that crashed under requests without an event."
@@ -163,10 +160,6 @@
         """Count a request that could not be sent again."""
         self._resends_refused.add({"reason": reason}, 1)
 
-    def count_returning(self, outcome: str) -> None:
-        """Count a stream that came back after a refusal, and its outcome."""
-        self._returning.add({"outcome": outcome}, 1)
-
     def count_held_back(self, reason: str) -> None:
         """Count a stream that was queued although the engines have room."""
         self._held_back.add({"reason": reason}, 1)
--- a/src/wagtailstair/gateway/waiting_streams.py
+++ b/src/wagtailstair/gateway/waiting_streams.py
@@ -57,13 +57,10 @@
         on_held_back: t.Callable[[str], None] = lambda reason: None,
         *,
         is_shared: bool = True,
-        is_returning_first: bool = True,
     ) -> None:
         self._loop = loop
         self._on_held_back = on_held_back
-        self.queue = RoomQueue(
-            rng, is_shared=is_shared, is_returning_first=is_returning_first
-        )
+        self.queue = RoomQueue(rng, is_shared=is_shared)
         self.backlog_gate = PromptBacklogGate()
         self._stream_by_key: dict[str, WaitingStream] = {}
         self._deadline_by_key: dict[str, float] = {}
@@ -77,19 +74,10 @@
         rank: int,
         tokens: float,
         deadline: float,
-        *,
-        is_returning: bool = False,
     ) -> None:
         """Let a stream wait until a time, or refuse it if that would not be enough."""
         now = self._loop.now
-        item = make_item(
-            str(next(self._keys)),
-            account,
-            rank,
-            tokens,
-            deadline,
-            is_returning=is_returning,
-        )
+        item = make_item(str(next(self._keys)), account, rank, tokens, deadline)
         wait_s = self.queue.wait_s(item, now)
         stream.queue_ahead = self.queue.work_ahead(item)
         stream.queue_expected_s = wait_s
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -175,12 +175,6 @@
   startedWork @3 :List(UInt32);
   starts @4 :UInt32;
   accounts @5 :List(AccountWork);
-  refused @6 :List(RefusedRequest);
-}
-
-struct RefusedRequest {
-  digest @0 :UInt64;
-  delayMs @1 :UInt16;
 }
 
 struct AccountWork {
--- a/src/wagtailstair/peers/records.py
+++ b/src/wagtailstair/peers/records.py
@@ -7,8 +7,6 @@
 import ipaddress
 import typing as t
 
-from ..core.admission.returning import MESSAGE_ENTRIES
-from ..core.admission.returning import RefusedRequest
 from ..core.admission.shared_order import MESSAGE_ACCOUNTS
 from ..core.engine import EngineState
 from ..core.engine import Priority
@@ -286,10 +284,6 @@
         "startedWork": [_clamp(work) for work in message.started_work],
         "starts": _clamp(message.starts),
         "accounts": accounts,
-        "refused": [
-            {"digest": digest, "delayMs": _clamp(delay_ms, UINT16_MAX)}
-            for digest, delay_ms in message.refused[:MESSAGE_ENTRIES]
-        ],
     }
 
 
@@ -306,9 +300,6 @@
     accounts = []
     for entry in record.accounts:
         accounts.append((entry.account, entry.work))
-    refused = []
-    for entry in record.refused:
-        refused.append(RefusedRequest(entry.digest, entry.delayMs))
     return QueueCounts(
         record.sequence,
         waiting,
@@ -316,7 +307,6 @@
         started_work,
         record.starts,
         tuple(accounts[:MESSAGE_ACCOUNTS]),
-        tuple(refused[:MESSAGE_ENTRIES]),
     )
 
 
--- a/tests/test_shared_order.py
+++ b/tests/test_shared_order.py
@@ -92,7 +92,8 @@
         self.sent += 1
         for other, waiting in enumerate(self.waiting):
             if other != number and not {other, number} & self.cut:
-                waiting.queue.receive(f"entry-{number}", message, self.loop.now)
+                shared = waiting.queue.shared
+                shared.receive(f"entry-{number}", message, self.loop.now)
 
     def flood(self, number, account, rank, per_s, until, wait_s=1.0):
         """Send streams of an account to a host; return the list they are added to."""
