End connections of accounts over their share of a host's memory first

Cause: connections were ended by what they hold and for how long they have made no progress, whoever they belong to. A crowd of one account with many small bodies that all move ended the large uploads of other accounts on the same host.

Change: the account is known when the head has been read. Requests that an upstream has still go last.

Result: with the comparison with the share taken off, the three cases of test_account_over_its_share_makes_room_for_others fail; with it, all of test_client_memory pass. The other two new tests guard the order within shares and that of forwarded requests; they hold either way.

--- a/src/wagtailstair/core/admission/client_memory.py
+++ b/src/wagtailstair/core/admission/client_memory.py
@@ -1,5 +1,6 @@
 """Accounting of the memory and connections that a host holds for its clients."""
 
+import collections
 import dataclasses
 import enum
 import typing as t
@@ -81,7 +82,8 @@
     """What one connection holds.
 
     ``progress_at``: when bytes last moved, or a stage; ``is_ahead``: whether it has
-    sent further requests without waiting for an answer.
+    sent further requests without waiting for an answer; ``account``: that of its last
+    request, empty before the first one and for callers without an account.
     """
 
     owner: Owner
@@ -91,6 +93,7 @@
     held_bytes: int = CONNECTION_BYTES
     moved_bytes: int = 0
     is_ahead: bool = False
+    account: str = ""
 
     def score(self, now: float) -> float:
         """Return how much is gained by evicting it, in byte-seconds."""
@@ -216,8 +219,9 @@
     def choose_evictions(self, now: float) -> list[ClientUse[Owner]]:
         """Return the connections to end, in order, none while within the bound.
 
-        Those whose request was sent to an upstream come last; otherwise those that hold
-        the most and have made the least progress come first.
+        Those whose request was sent to an upstream come last. Accounts that hold more
+        than their share of the bound come first, until they are within it; otherwise
+        those that hold the most and have made the least progress.
         """
         if not self.is_over:
             return []
@@ -226,9 +230,21 @@
             if use.held_bytes >= EVICTED_BYTES_MIN:
                 candidates.append(use)
         candidates.sort(key=lambda use: (use.stage is Stage.FORWARDED, -use.score(now)))
+        held_by_account: collections.Counter[str] = collections.Counter()
+        for use in candidates:
+            held_by_account[use.account] += use.held_bytes
+        share_bytes = self.bound_bytes / max(1, len(held_by_account))
+        over, rest = [], []
+        for use in candidates:
+            is_over = held_by_account[use.account] > share_bytes
+            if is_over and use.stage is not Stage.FORWARDED:
+                held_by_account[use.account] -= use.held_bytes
+                over.append(use)
+                continue
+            rest.append(use)
         excess = self.total_bytes - self.bound_bytes * RELIEF_SHARE
         chosen: list[ClientUse[Owner]] = []
-        for use in candidates:
+        for use in (*over, *rest):
             if excess <= 0:
                 break
             excess -= use.held_bytes
--- a/src/wagtailstair/gateway/answer_server.py
+++ b/src/wagtailstair/gateway/answer_server.py
@@ -29,7 +29,7 @@
             sock.close()
             return
         # The answers do not depend on bodies.
-        Caller(self, sock, clients, Group.INTERNAL, lambda _request: False)
+        Caller(self, sock, clients, Group.INTERNAL, lambda _request: None)
 
     def caller_limits(self) -> CallerLimits:
         """Return the default limits."""
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -43,6 +43,11 @@
 class ActiveRequest(t.Protocol):
     """A request that is being served."""
 
+    @property
+    def account_name(self) -> str:
+        """Return the name of the caller's account, empty for none."""
+        ...
+
     @property
     def is_forwarded(self) -> bool:
         """Return whether it was sent to an upstream."""
@@ -88,10 +93,12 @@
     """One connection of a caller.
 
     :param clients: where it counts its memory and its place, if they are bounded.
-    :param wants_body: see :class:`RequestReader`.
+    :param account_of: called with a request whose body follows; returns the name of
+        its account, or ``None`` if its body is of no use.
     """
 
     __slots__ = (
+        "_account_of",
         "_active_at",
         "_active_request",
         "_answer_bytes",
@@ -119,7 +126,7 @@
         sock: socket.socket,
         clients: Clients | None = None,
         group: Group = Group.CALLERS,
-        wants_body: t.Callable[[Request], bool] | None = None,
+        account_of: t.Callable[[Request], str | None] | None = None,
     ) -> None:
         set_options(sock, keepalive=False)
         self._server = server
@@ -131,7 +138,8 @@
         self._connection.on_closed = self._on_descriptor_closed
         self._clients = clients
         self._use = None if clients is None else clients.open(self, group)
-        self._reader = RequestReader(self._limits, self._on_expect, wants_body)
+        self._account_of = account_of
+        self._reader = RequestReader(self._limits, self._on_expect, self._wants_body)
         self._on_exchange_drained: t.Callable[[], None] | None = None
         self._answer_bytes = 0
         # Unsent bytes at the last report.
@@ -273,6 +281,15 @@
         self._use.is_ahead = self._reader.is_ahead
         self._clients.update(self._use, held_bytes, self._stage(), moved_bytes)
 
+    def _wants_body(self, request: Request) -> bool:
+        """Return whether a body is to be kept, and note whose it is."""
+        if self._account_of is None:
+            return True
+        account = self._account_of(request)
+        if account is not None and self._use is not None:
+            self._use.account = account
+        return account is not None
+
     def _stage(self) -> Stage:
         if self._is_closed:
             return Stage.CLOSING
@@ -371,6 +388,8 @@
         active_request = self._server.start(self, request)
         if self._request is request:
             self._active_request = active_request
+        if active_request is not None and self._use is not None:
+            self._use.account = active_request.account_name
         self.account()
 
     def _parse(self, data: bytes) -> None:
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -591,15 +591,21 @@
         if not self.clients.make_place(Group.CALLERS):
             sock.close()
             return
-        caller = Caller(self, sock, self.clients, Group.CALLERS, self._wants_body)
+        caller = Caller(self, sock, self.clients, Group.CALLERS, self._account_of)
         self._callers.add(caller)
 
-    def _wants_body(self, request: Request) -> bool:
-        """Return whether a request may be forwarded, by the lists in force now."""
+    def _account_of(self, request: Request) -> str | None:
+        """Return the account of a request, ``None`` if it may not be forwarded.
+
+        :returns: an empty name where the route needs no account.
+        """
         directory = self.table_sync.directory
         if directory is None or self._refuses_requests:
-            return False
-        return isinstance(self._authorize(directory, request), Grant)
+            return None
+        grant = self._authorize(directory, request)
+        if isinstance(grant, Denial):
+            return None
+        return "" if grant.account is None else grant.account.name
 
     def _authorize(self, directory: Directory, request: Request) -> Grant | Denial:
         key = wire_headers.parse_api_key(request.header(self.names.authorization))
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -90,6 +90,44 @@
         hold(memory, "more", 20 << 20, Stage.FORWARDED, now=8.9)
         assert evicted(memory, 9.0) == ["forwarded"]
 
+    # Many small bodies of one account, all of which move, ended the large uploads of
+    # the other accounts of the host.
+    @pytest.mark.parametrize("seed", range(3))
+    def test_account_over_its_share_makes_room_for_others(self, seed, memory):
+        rng = random.Random(seed)
+        others = []
+        for name in ("shop", "desk"):
+            use = hold(memory, name, 3 << 20)
+            use.account = name
+            others.append(use)
+        for number in range(200):
+            now = 1.0 + number * 0.05
+            for use in others:
+                memory.update(use, 3 << 20, Stage.RECEIVING, now, rng.randrange(9000))
+            for part in range(4):
+                name = (number, part)
+                crowd = hold(memory, name, rng.randrange(64 << 10, 1 << 20), now=now)
+                crowd.account = "crowd"
+            assert not {"shop", "desk"} & set(evicted(memory, now))
+            assert memory.total_bytes <= memory.bound_bytes
+
+    def test_accounts_within_their_shares_are_ended_as_one(self, memory):
+        for number in range(40):
+            use = hold(memory, number, 2 << 20, now=number * 0.1)
+            use.account = f"account{number}"
+        ended = evicted(memory, 9.0)
+        assert ended == list(range(len(ended)))
+        assert memory.total_bytes <= memory.bound_bytes
+
+    # A request that an upstream has goes last, also of an account over its share.
+    def test_forwarded_requests_of_an_account_over_its_share_go_last(self, memory):
+        for name, stage in (("forwarded", Stage.FORWARDED), ("other", Stage.RECEIVING)):
+            use = hold(memory, name, 30 << 20, stage)
+            use.account = "crowd"
+        use = hold(memory, "shop", 4 << 20)
+        use.account = "shop"
+        assert evicted(memory, 9.0)[0] == "other"
+
     def test_without_settings_nothing_is_bounded(self):
         memory = ClientMemory(0, 0)
         for number in range(3000):
