Let clients make room for answers to the gateway's own calls

Cause: lists and rows of the store and of other hosts, up to 16 MB each, were in no account, so that a host whose clients held what they may could exceed its memory while it read them.

Change: the bytes that these calls have buffered count with those of the clients, up to half of the bound, and are in wagtailstair_client_bytes. They are never ended for clients.

Result: the new cases of test_client_memory and test_fetch pass; they name what was not there before.

--- a/src/wagtailstair/core/admission/client_memory.py
+++ b/src/wagtailstair/core/admission/client_memory.py
@@ -25,6 +25,10 @@
 EVICTED_BYTES_MIN = 16 << 10
 """Bytes below which evicting a connection is of no use: ordinary requests hold less."""
 
+BUFFERED_SHARE = 0.5
+"""Largest share of the bound that answers to the gateway's own calls take from clients:
+a long list must not end all of these."""
+
 RESERVED_DESCRIPTORS = 200
 """Descriptors that a host reserves for files."""
 
@@ -103,6 +107,8 @@
 class ClientMemory(t.Generic[Owner]):
     """The uses of all connections of clients, and which of them are to end.
 
+    ``buffered_bytes``: what the gateway has buffered of answers to its own calls.
+
     :param memory_mb: memory of the host; 0 for no bound.
     :param descriptors: descriptors of the host; 0 for no bound.
     """
@@ -112,6 +118,7 @@
         "_uses_by_group",
         "bound_by_group",
         "bound_bytes",
+        "buffered_bytes",
         "total_bytes",
     )
 
@@ -128,6 +135,7 @@
             self.bound_by_group[Group.INTERNAL] = internal
             self.bound_by_group[Group.CALLERS] = max(1, connections - internal)
         self.total_bytes = 0
+        self.buffered_bytes = 0
         # Dictionaries without values keep the order in which connections became idle.
         self._uses_by_group: dict[Group, dict[ClientUse[Owner], None]] = {}
         self._idle_by_group: dict[Group, dict[ClientUse[Owner], None]] = {}
@@ -142,8 +150,13 @@
 
     @property
     def is_over(self) -> bool:
-        """Return whether clients hold more bytes than the bound."""
-        return 0 < self.bound_bytes < self.total_bytes
+        """Return whether clients hold more bytes than the bound leaves them."""
+        return 0 < self.bound_bytes < self.total_bytes + self._buffered_share
+
+    @property
+    def _buffered_share(self) -> float:
+        """Return the buffered bytes that clients make room for."""
+        return min(self.buffered_bytes, BUFFERED_SHARE * self.bound_bytes)
 
     def uses(self) -> list[ClientUse[Owner]]:
         """Return the uses of all connections."""
@@ -242,7 +255,8 @@
                 over.append(use)
                 continue
             rest.append(use)
-        excess = self.total_bytes - self.bound_bytes * RELIEF_SHARE
+        excess = self.total_bytes + self._buffered_share
+        excess -= self.bound_bytes * RELIEF_SHARE
         chosen: list[ClientUse[Owner]] = []
         for use in (*over, *rest):
             if excess <= 0:
--- a/src/wagtailstair/gateway/clients.py
+++ b/src/wagtailstair/gateway/clients.py
@@ -76,6 +76,14 @@
     ) -> None:
         """Set what a connection holds; evict soon if that is over the bound."""
         self.memory.update(use, held_bytes, stage, self._loop.now, moved_bytes)
+        self._schedule_eviction()
+
+    def count_buffered(self, change: int) -> None:
+        """Count bytes that the gateway has buffered for itself; clients make room."""
+        self.memory.buffered_bytes += change
+        self._schedule_eviction()
+
+    def _schedule_eviction(self) -> None:
         if self.memory.is_over and not self._has_scheduled:
             self._has_scheduled = True
             self._loop.call_later(0.0, self._on_scheduled)
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -67,10 +67,12 @@
     __slots__ = (
         "_begun_at",
         "_body",
+        "_buffered",
         "_bytes_max",
         "_connection",
         "_loop",
         "_on_answer",
+        "_pool",
         "_progress_at",
         "_stall_s",
         "_started_at",
@@ -90,7 +92,10 @@
         bytes_max: int = ANSWER_BYTES_MAX,
     ) -> None:
         self._loop = loop
+        self._pool = pool
         self._bytes_max = bytes_max
+        # Bytes of the body that are counted as buffered.
+        self._buffered = 0
         self._stall_s = stall_s
         # Time of the last part of the response, ``None`` before the first.
         self._progress_at: float | None = None
@@ -128,6 +133,7 @@
         """Cancel the call; the callback is not called."""
         self._on_answer = None
         self._timer.cancel()
+        self._count_buffered(0)
         connection, self._connection = self._connection, None
         if connection is not None:
             connection.cancel()
@@ -141,6 +147,8 @@
     def on_body(self, data: bytes) -> None:
         """Store a part of the body; give the call up if it is too long."""
         self._body += data
+        if self._on_answer is not None:
+            self._count_buffered(len(self._body))
         self._record_progress()
         if len(self._body) > self._bytes_max:
             connection, self._connection = self._connection, None
@@ -188,8 +196,14 @@
             connection.cancel()
         self._finish(Answer(0, b"", ExchangeLoss.UNKNOWN, reason))
 
+    def _count_buffered(self, size: int) -> None:
+        change, self._buffered = size - self._buffered, size
+        if change:
+            self._pool.on_buffered(change)
+
     def _finish(self, answer: Answer) -> None:
         self._timer.cancel()
+        self._count_buffered(0)
         on_answer, self._on_answer = self._on_answer, None
         if on_answer is not None:
             on_answer(answer._replace(received=self.received, took_s=self.age_s))
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -111,6 +111,7 @@
             ClientMemory(settings.host.memory_mb, settings.host.descriptors),
             self.telemetry.count_client_given_up,
         )
+        self.pool.on_buffered = self.clients.count_buffered
         self._rng = random.Random()
         centre = settings.host.data_centre
         store = Upstream(settings.store.address, "store")
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -205,7 +205,8 @@
         self._peers_live.set({}, len(gateway.peers.live_hosts()))
         self._upstreams.set({}, _count_usable(gateway))
         self._clients.set({}, gateway.clients.memory.connections)
-        self._client_bytes.set({}, gateway.clients.memory.total_bytes)
+        memory = gateway.clients.memory
+        self._client_bytes.set({}, memory.total_bytes + memory.buffered_bytes)
         quarantine = gateway.crash_reports.quarantine
         self._parts_quarantined.set({}, len(quarantine.quarantined(now)))
         self._candidates_dropped.set({}, quarantine.dropped)
--- a/src/wagtailstair/gateway/upstream_pool.py
+++ b/src/wagtailstair/gateway/upstream_pool.py
@@ -333,17 +333,21 @@
 class UpstreamPool:
     """Idle connections to upstreams, kept for further requests.
 
+    ``on_buffered``: called with each change of the bytes that the gateway's own calls
+    have buffered of their answers.
+
     :param on_head: called with the head of each final answer, also of one that turns
         out to belong to another request.
     """
 
-    __slots__ = ("_idle_by_upstream", "_loop", "on_head")
+    __slots__ = ("_idle_by_upstream", "_loop", "on_buffered", "on_head")
 
     def __init__(
         self, loop: Loop, on_head: OnHead = lambda _upstream, _status, _headers: None
     ) -> None:
         self._loop = loop
         self.on_head = on_head
+        self.on_buffered: t.Callable[[int], None] = lambda _change: None
         self._idle_by_upstream: dict[Upstream, list[UpstreamConnection]] = {}
         self._loop.call_later(1.0, self._sweep)
 
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -128,6 +128,20 @@
         use.account = "shop"
         assert evicted(memory, 9.0)[0] == "other"
 
+    # Long lists and the bodies of clients together exceeded the memory of a small host.
+    def test_clients_make_room_for_what_the_gateway_buffers(self, memory):
+        for number in range(9):
+            hold(memory, number, 4 << 20)
+        assert not memory.is_over
+        memory.buffered_bytes = 16 << 20
+        evicted(memory, 1.0)
+        assert memory.total_bytes + memory.buffered_bytes <= memory.bound_bytes
+
+    def test_what_the_gateway_buffers_leaves_half_to_clients(self, memory):
+        memory.buffered_bytes = 100 << 20
+        hold(memory, "a", memory.bound_bytes // 3)
+        assert evicted(memory, 1.0) == []
+
     def test_without_settings_nothing_is_bounded(self):
         memory = ClientMemory(0, 0)
         for number in range(3000):
--- a/tests/test_fetch.py
+++ b/tests/test_fetch.py
@@ -5,9 +5,11 @@
 from tests.virtual_loop import Pool
 from tests.virtual_loop import VirtualLoop
 from wagtailstair.core.store import Call
+from wagtailstair.gateway.fetch import ANSWER_BYTES_MAX
 from wagtailstair.gateway.fetch import TRANSFER_BYTES_PER_S_MIN
 from wagtailstair.gateway.fetch import TRANSFER_GRACE_S
 from wagtailstair.gateway.fetch import Fetch
+from wagtailstair.gateway.upstream_pool import ExchangeLoss
 from wagtailstair.gateway.upstream_pool import Upstream
 
 UPSTREAM = Upstream("127.0.0.1:1", "store")
@@ -41,6 +43,26 @@
         pool.observer.on_body(part)
 
 
+class TestBuffered:
+    """What a call buffers counts until its end, however it ends."""
+
+    @pytest.mark.parametrize("end", ["complete", "lost", "cancelled", "too long"])
+    def test_buffered_bytes_are_counted_until_the_end(self, loop, pool, answers, end):
+        fetch = start(loop, pool, answers, STALL_S)
+        pool.observer.on_head(200, b"", [])
+        send_parts(loop, pool, 3, 0.1)
+        assert pool.buffered == 3 * len(PART)
+        if end == "complete":
+            pool.observer.on_complete()
+        elif end == "lost":
+            pool.observer.on_lost(ExchangeLoss.UNKNOWN, "closed")
+        elif end == "cancelled":
+            fetch.cancel()
+        else:
+            pool.observer.on_body(bytes(ANSWER_BYTES_MAX))
+        assert pool.buffered == 0
+
+
 class TestTransfer:
     # Guards against a time-out that ends a response which is still arriving.
     def test_a_response_that_arrives_in_parts_is_not_timed_out(
--- a/tests/virtual_loop.py
+++ b/tests/virtual_loop.py
@@ -48,6 +48,11 @@
     def __init__(self):
         self.observer = None
         self.is_cancelled = False
+        # Bytes that calls have buffered, as they report them.
+        self.buffered = 0
+
+    def on_buffered(self, change):
+        self.buffered += change
 
     def send(self, _upstream, _data, observer, *, new_connection):
         self.observer = observer
