Take ports of test hosts that outgoing connections don't take

Cause: test_odd_rows failed once with OSError 98, as the host listened on a port that free_port() had found free and closed again. It came from the range of outgoing connections, and was not looked at for UDP. Who held the one of that failure is not known.

Change: ports lie below that range, are checked for TCP and UDP, and differ each time.

--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -2,7 +2,9 @@
 
 import base64
 import functools
+import itertools
 import json
+import os
 import socket
 import typing as t
 import urllib.parse
@@ -24,11 +26,29 @@
 RUN_TIMEOUT_S = 20.0
 
 
+FIRST_PORT = 20_000
+PORTS = 12_000
+"""Ports of hosts in this process: below those of outgoing connections, which may take
+a port between the check and its use, and above those of the soak's processes."""
+
+_port_numbers = itertools.count(os.getpid() * 131)
+
+
 def free_port() -> int:
-    with socket.socket() as sock:
-        sock.bind((IP, 0))
-        port: int = sock.getsockname()[1]
-        return port
+    """Return a port that is free for TCP and UDP, another one each time."""
+    for number in itertools.islice(_port_numbers, PORTS):
+        port = FIRST_PORT + number % PORTS
+        with (
+            socket.socket() as sock,
+            socket.socket(type=socket.SOCK_DGRAM) as datagrams,
+        ):
+            try:
+                sock.bind((IP, port))
+                datagrams.bind((IP, port))
+            except OSError:
+                continue
+            return port
+    raise OSError(f"no free port from {FIRST_PORT} on")
 
 
 class PendingRequest:
