Trim each later attempt of a stream to what its caller has got

Cause: the caller's position was the last id of whichever attempt had delivered something. A comment of a successor that was behind set it back.

Change: DeliveredEvents alone holds what the caller has got; ReplayFilter trims each attempt after the first to it, also events without an id, and ids that aren't numbers.

--- a/src/wagtailstair/core/events.py
+++ b/src/wagtailstair/core/events.py
@@ -1,8 +1,11 @@
 """Splits a byte stream into complete server-sent events and reads their ids."""
 
+import collections
 import re
+import typing as t
 
 _ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+_DATA = re.compile(rb"(?:^|\n)data[:\r\n]")
 _END = re.compile(rb"\n\r?\n")
 _DELIMITERS = (b"\n\n", b"\n\r\n")
 
@@ -14,6 +17,11 @@
 a caller holds no more."""
 
 
+OTHER_IDS_MAX = 512
+"""Ids that aren't numbers which are remembered: more than the events between two
+attempts of a stream."""
+
+
 class EventSplitter:
     """Passes complete events on and buffers the bytes of an incomplete one.
 
@@ -68,27 +76,100 @@
     return last
 
 
-def event_number(event_id: bytes) -> int | None:
+def _event_number(event_id: bytes) -> int | None:
     """Return an event's id as a number, ``None`` if it is not a number."""
     return int(event_id) if event_id.isdigit() else None
 
 
-def events_after(complete: bytes, last_id: bytes) -> bytes:
-    """Return the events with a higher id than ``last_id``.
+def _blocks(complete: bytes) -> t.Iterator[tuple[bytes, bytes, bool]]:
+    """Iterate over events, comments and other blocks, each with its end.
 
-    Events without a numeric id are always returned, and so are all events if
-    ``last_id`` is not a number.
+    :returns: the block, its id, empty for none, and whether it has data.
     """
-    last = event_number(last_id)
-    if last is None:
-        return complete
-    later = []
     start = 0
     for match in _END.finditer(complete):
-        event = complete[start : match.end()]
+        block = complete[start : match.end()]
         start = match.end()
-        found = _ID.search(event)
-        number = event_number(found.group(1)) if found is not None else None
-        if number is None or number > last:
-            later.append(event)
-    return b"".join(later)
+        found = _ID.findall(block)
+        yield block, found[-1] if found else b"", _DATA.search(block) is not None
+
+
+class DeliveredEvents:
+    """What a caller has got of a stream, from all attempts together.
+
+    ``last_id``: id of the last event with one; ``unnumbered``: events without an id
+    that it has got since then.
+    """
+
+    __slots__ = ("_last_number", "_other_ids", "last_id", "unnumbered")
+
+    def __init__(self, last_id: bytes = b"") -> None:
+        self.last_id = last_id
+        self.unnumbered = 0
+        self._last_number = -1
+        # Ids that aren't numbers have no order.
+        self._other_ids: collections.deque[bytes] = collections.deque(
+            maxlen=OTHER_IDS_MAX
+        )
+        self._record_id(last_id)
+
+    def record(self, complete: bytes) -> None:
+        """Record events that are passed on to the caller."""
+        for _, event_id, has_data in _blocks(complete):
+            if event_id:
+                self._record_id(event_id)
+                self.last_id = event_id
+                self.unnumbered = 0
+            elif has_data:
+                self.unnumbered += 1
+
+    def includes(self, event_id: bytes) -> bool:
+        """Return whether the caller has got the event with an id."""
+        number = _event_number(event_id)
+        if number is not None:
+            return number <= self._last_number
+        return event_id in self._other_ids
+
+    def _record_id(self, event_id: bytes) -> None:
+        number = _event_number(event_id)
+        if number is not None:
+            self._last_number = max(self._last_number, number)
+        elif event_id:
+            self._other_ids.append(event_id)
+
+
+class ReplayFilter:
+    """Drops what a caller has got from the events of a later attempt.
+
+    :param start_id: id of the event after which the attempt begins.
+    """
+
+    __slots__ = ("_delivered", "_position", "_unnumbered")
+
+    def __init__(self, delivered: DeliveredEvents, start_id: bytes) -> None:
+        self._delivered = delivered
+        self._position = start_id
+        self._unnumbered = 0
+
+    def feed(self, complete: bytes) -> bytes:
+        """Return the events that the caller has not got; they count as delivered."""
+        later = []
+        for block, event_id, has_data in _blocks(complete):
+            if self._is_old(event_id, has_data=has_data):
+                continue
+            self._delivered.record(block)
+            later.append(block)
+        return b"".join(later)
+
+    def _is_old(self, event_id: bytes, *, has_data: bool) -> bool:
+        delivered = self._delivered
+        if event_id:
+            self._position, self._unnumbered = event_id, 0
+            return delivered.includes(event_id)
+        if self._position != delivered.last_id:
+            # Between two events that the caller has got.
+            return True
+        if not has_data:
+            return False
+        self._unnumbered += 1
+        return self._unnumbered <= delivered.unnumbered
--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -4,6 +4,7 @@
 
 from ..core.events import EVENT_BYTES_MAX
 from ..core.events import EventSplitter
+from ..core.events import ReplayFilter
 from ..core.pipelines import Path
 from . import heads
 from .exchange import FAILURE_BYTES_MAX
@@ -58,7 +59,7 @@
     ``received``: bytes received on a connection that was lost;
     ``is_closed_by_upstream``: whether the engine has closed or reset that connection;
     ``is_from_start``: whether it is sent for the whole answer, not the rest of one;
-    ``is_promoted``: whether it was the successor of an earlier attempt.
+    ``replay_filter``: drops what the caller has got, ``None`` for a first attempt.
     """
 
     __slots__ = (
@@ -68,7 +69,6 @@
         "headers",
         "is_closed_by_upstream",
         "is_from_start",
-        "is_promoted",
         "outcome",
         "owner",
         "path",
@@ -76,6 +76,7 @@
         "progress_id",
         "reason",
         "received",
+        "replay_filter",
         "splitter",
         "status",
         "tokens",
@@ -100,7 +101,7 @@
         self.headers: list[Header] = []
         self.outcome = AttemptOutcome.BROKEN
         self.is_from_start = not last_id
-        self.is_promoted = False
+        self.replay_filter: ReplayFilter | None = None
         self.received = 0
         self.is_closed_by_upstream = False
         self._failure_bytes = 0
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -5,7 +5,8 @@
 attempt that delivers the next event is kept.
 """
 
-from ..core.events import events_after
+from ..core.events import DeliveredEvents
+from ..core.events import ReplayFilter
 from ..core.pipelines import Path
 from ..core.pipelines import crossed_links
 from ..core.pipelines import unread_hops
@@ -74,9 +75,9 @@
         "_common_head",
         "_crossings",
         "_current",
+        "_delivered",
         "_finder",
         "_first_answered",
-        "_last_id",
         "_own_keys",
         "_parts",
         "_progress_at",
@@ -102,7 +103,8 @@
             self.context, self.service, usage, hint, self.grant.rank
         )
         self._common_head = heads.forwarded_head(self.request, names)
-        self._last_id = self.request.header(names.last_event)
+        # What the caller has got, from all attempts.
+        self._delivered = DeliveredEvents(self.request.header(names.last_event))
         self._parts, self._own_keys = self._identify()
         self._current: Attempt | None = None
         self._successor: Attempt | None = None
@@ -292,7 +294,10 @@
         self.sends += 1
         self.runs += 1
         now = self.context.loop.now
-        attempt = Attempt(self, path, tokens, self._last_id, now)
+        last_id = self._delivered.last_id
+        attempt = Attempt(self, path, tokens, last_id, now)
+        if self.sends > 1:
+            attempt.replay_filter = ReplayFilter(self._delivered, last_id)
         self._set_unread(attempt, path, path)
         return attempt
 
@@ -319,8 +324,8 @@
         path = _encode_path(attempt.path)
         headers.append((names.path, path))
         headers.append((names.rank, b"%d" % min(RANK_MAX, self.grant.rank)))
-        if self._last_id:
-            headers.append((names.last_event, self._last_id))
+        if self._delivered.last_id:
+            headers.append((names.last_event, self._delivered.last_id))
         data = heads.join_request(self._common_head, headers, self.request.body)
         self.log("attempt_sent", level="DEBUG", path=path.decode(), send=self.sends)
         upstream = Upstream(first.address, first.identity)
@@ -587,8 +592,10 @@
             self._set_unread(attempt, (), ())
         if attempt is self._successor:
             self._promote(attempt)
-        if attempt.is_promoted:
-            events_data = events_after(events_data, self._last_id)
+        if attempt.replay_filter is None:
+            self._delivered.record(events_data)
+        else:
+            events_data = attempt.replay_filter.feed(events_data)
         # Events without an id, such as comments, may keep a stalled stream open.
         last_id = attempt.splitter.last_id
         has_progress = last_id != attempt.progress_id or not last_id
@@ -599,7 +606,6 @@
             return
         if has_progress:
             self._progress_at = attempt.progress_at
-        self._last_id = last_id
         self.events += 1
         if self._first_answered is None:
             self._first_answered = attempt
@@ -613,7 +619,6 @@
         self._successor = None
         self._drop_attempt(self._current)
         self._current = attempt
-        attempt.is_promoted = True
 
     def on_attempt_complete(self, attempt: Attempt) -> None:
         """Handle the end of a complete response."""
@@ -704,7 +709,6 @@
             return
         if self._successor is not None:
             self._current, self._successor = self._successor, None
-            self._current.is_promoted = True
             return
         if has_run and not self.grant.route.may_repeat:
             self.fail(BAD_GATEWAY, reason)
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -3,7 +3,9 @@
 
 import pytest
 
+from wagtailstair.core.events import DeliveredEvents
 from wagtailstair.core.events import EventSplitter
+from wagtailstair.core.events import ReplayFilter
 
 STREAM = b"".join(b"id: %d\ndata: %d\n\n" % (n, n * 7) for n in range(1, 9))
 PART_BYTES = 1000
@@ -103,3 +105,103 @@
                 out += splitter.feed(delimiter[split:] + b"id")
                 assert out == b"id: 1" + delimiter
                 assert (splitter.held, splitter.last_id) == (b"id", b"1")
+
+
+def number_of(block):
+    """Return what tells a block with data from others, ``None`` for one without."""
+    found = re.search(rb"data: ?(\S+)", block)
+    return found.group(1) if found else None
+
+
+class Stream:
+    """Blocks of one answer, and how runs of it look.
+
+    Each run puts its own comments between the blocks, splits its bytes anywhere, and
+    begins after an event with an id.
+    """
+
+    def __init__(self, rng, *, has_numbers):
+        self.rng = rng
+        self.newline = rng.choice([b"\n", b"\r\n"])
+        self.blocks = []
+        self.ids = []
+        number = 0
+        for index in range(rng.randrange(4, 30)):
+            data = b"data: d%d" % index
+            event_id = b""
+            if rng.random() < 0.7:
+                number += rng.randrange(1, 4)
+                event_id = b"%d" % number if has_numbers else b"x%dy" % number
+            fields = [data, b"id: " + event_id] if event_id else [data]
+            if rng.random() < 0.2:
+                fields.append(b"retry: 10")
+            rng.shuffle(fields)
+            self.blocks.append(self.newline.join(fields) + 2 * self.newline)
+            self.ids.append(event_id)
+
+    def run(self, start_id):
+        """Return the bytes of a run that begins after an event, in parts."""
+        first = self.ids.index(start_id) + 1 if start_id else 0
+        data = b""
+        for block in self.blocks[first:]:
+            if self.rng.random() < 0.4:
+                data += self.rng.choice([b": ping", b"retry: 5"]) + 2 * self.newline
+            data += block
+        parts = []
+        while data:
+            length = self.rng.randrange(1, 60)
+            parts.append(data[:length])
+            data = data[length:]
+        return parts
+
+
+class TestJoin:
+    """The events of several runs reach the caller once each, and in order.
+
+    A comment after the event that a successor began with set the caller's position
+    back, and later events came twice.
+    """
+
+    @pytest.mark.parametrize("has_numbers", [True, False])
+    @pytest.mark.parametrize("seed", range(150))
+    def test_any_runs_give_each_event_once(self, seed, has_numbers):
+        rng = random.Random(seed)
+        stream = Stream(rng, has_numbers=has_numbers)
+        delivered = DeliveredEvents()
+        out = b""
+        start_ids = [b""]
+        for attempt in range(rng.randrange(1, 5) + 1):
+            # It was sent some time ago: the caller has got more events since.
+            start_id = rng.choice(start_ids[-4:])
+            splitter = EventSplitter(start_id)
+            replay_filter = ReplayFilter(delivered, start_id) if attempt else None
+            parts = stream.run(start_id)
+            is_last = attempt and rng.random() < 0.3
+            for part in parts if is_last else parts[: rng.randrange(len(parts) + 1)]:
+                complete = splitter.feed(part)
+                if replay_filter is None:
+                    delivered.record(complete)
+                    out += complete
+                else:
+                    out += replay_filter.feed(complete)
+                if delivered.last_id != start_ids[-1]:
+                    start_ids.append(delivered.last_id)
+            if is_last:
+                break
+        splitter = EventSplitter(delivered.last_id)
+        replay_filter = ReplayFilter(delivered, delivered.last_id)
+        for part in stream.run(delivered.last_id):
+            out += replay_filter.feed(splitter.feed(part))
+        got = [number_of(block) for block in re.split(rb"\r?\n\r?\n", out)]
+        expected = [number_of(block) for block in stream.blocks]
+        assert [number for number in got if number is not None] == expected
+
+    def test_comment_does_not_set_the_position_back(self):
+        delivered = DeliveredEvents()
+        delivered.record(b"".join(b"id: %d\ndata: d\n\n" % n for n in range(1, 31)))
+        replay_filter = ReplayFilter(delivered, b"23")
+        assert replay_filter.feed(b"id: 24\ndata: d\n\n: keep-alive\n\n") == b""
+        assert delivered.last_id == b"30"
+        assert replay_filter.feed(b"id: 25\ndata: d\n\n") == b""
+        later = b"id: 31\ndata: d\n\n: keep-alive\n\n"
+        assert replay_filter.feed(later) == later
