Keep connections until clients have acknowledged their answers

Cause: close_gracefully closed the socket a second after the call although its buffer wasn't empty, and the gateway no longer counted such a connection.

Change: the second counts from the time at which the peer has acknowledged all bytes; a peer that acknowledges nothing for the idle limit is closed. The gateway exits when no answer is unread, or at the end of the grace.

--- a/src/wagtailstair/gateway/answer_server.py
+++ b/src/wagtailstair/gateway/answer_server.py
@@ -43,3 +43,6 @@
 
     def on_caller_closed(self, caller: Caller) -> None:
         """Do nothing: these connections are not tracked."""
+
+    def on_caller_finished(self, caller: Caller) -> None:
+        """Do nothing: these connections are not tracked."""
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -77,7 +77,14 @@
         ...
 
     def on_caller_closed(self, caller: "Caller") -> None:
-        """Remove a closed connection."""
+        """Remove a connection that takes no more requests.
+
+        Its last answer may not have been read yet.
+        """
+        ...
+
+    def on_caller_finished(self, caller: "Caller") -> None:
+        """Remove a connection whose descriptor is closed."""
         ...
 
 
@@ -161,6 +168,16 @@
         """Return whether no request is being served or received."""
         return self._request is None and self._reader.is_between_requests
 
+    @property
+    def is_finishing(self) -> bool:
+        """Return whether it takes no more requests and its last answer is sent."""
+        return self._is_closed and self._connection.is_open
+
+    @property
+    def has_unread_answer(self) -> bool:
+        """Return whether the caller has not acknowledged all bytes."""
+        return self._connection.unacknowledged_bytes > 0
+
     @property
     def has_begun(self) -> bool:
         """Return whether part of the current response was sent."""
@@ -292,7 +309,8 @@
 
     def _stage(self) -> Stage:
         if self._is_closed:
-            return Stage.CLOSING
+            unread = self._connection.pending_bytes
+            return Stage.ANSWERED if unread else Stage.CLOSING
         if self._request is not None:
             active_request = self._active_request
             if active_request is not None and active_request.is_forwarded:
@@ -315,6 +333,7 @@
         use, self._use = self._use, None
         if use is not None and self._clients is not None:
             self._clients.memory.close(use)
+        self._server.on_caller_finished(self)
 
     def _write_head(
         self,
@@ -358,7 +377,7 @@
             self._server.loop.call_later(0.0, self._start_next)
 
     def _close_gracefully(self) -> None:
-        self._connection.close_gracefully()
+        self._connection.close_gracefully(self._limits.idle_s)
         self._on_closed()
 
     def _on_closed(self) -> None:
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -2,8 +2,10 @@
 
 import contextlib
 import errno
+import fcntl
 import socket
 import struct
+import termios
 import typing as t
 
 from ..logs import log_event
@@ -15,13 +17,23 @@
 READ_BYTES = 64 << 10
 
 LINGER_S = 1.0
-"""Seconds for which a connection that is shut down for sending is still read, so
-that unread bytes do not make the kernel reset it before the peer has read all."""
+"""Seconds for which a connection is still read after the peer has acknowledged all
+bytes, so that unread ones do not make the kernel reset it before the peer closes."""
+
+FINISH_CHECK_S = 0.25
+"""Seconds between two looks at what a peer has acknowledged."""
+
+STALL_S = 15.0
+"""Seconds without an acknowledgement after which a connection that is being finished is
+closed: the default time that callers may be idle."""
 
 ACCEPT_PAUSE_S = 0.1
 """Seconds without accepting after the system had no descriptor or memory left: the
 socket stays readable, and the event loop would spin."""
 
+QUEUED_BYTES = struct.Struct("i")
+"""The C ``int`` of the number of bytes in a socket's send queue."""
+
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 KEEPALIVE_IDLE_S = 1
@@ -64,12 +76,15 @@
     """
 
     __slots__ = (
+        "_acknowledged_at",
         "_events",
         "_is_connecting",
         "_is_finishing",
         "_loop",
         "_send_buffer",
         "_sock",
+        "_stall_s",
+        "_unacknowledged",
         "is_open",
         "on_closed",
         "on_connected",
@@ -97,6 +112,11 @@
         self.is_open = True
         self._is_connecting = on_connected is not None
         self._is_finishing = False
+        self._stall_s = STALL_S
+        # Of a connection that is being finished: bytes at the last look, and when they
+        # became fewer.
+        self._unacknowledged = 0
+        self._acknowledged_at = 0.0
         self._events = WRITABLE if self._is_connecting else READABLE
         loop.add(sock.fileno(), self._events, self._on_events)
 
@@ -105,6 +125,17 @@
         """Return the number of bytes in the send buffer."""
         return len(self._send_buffer)
 
+    @property
+    def unacknowledged_bytes(self) -> int:
+        """Return the number of bytes that the peer has not acknowledged."""
+        if not self.is_open:
+            return 0
+        queued = bytearray(QUEUED_BYTES.size)
+        # Some systems don't tell; then only the buffer counts.
+        with contextlib.suppress(OSError):
+            fcntl.ioctl(self._sock.fileno(), termios.TIOCOUTQ, queued)
+        return len(self._send_buffer) + int(QUEUED_BYTES.unpack(queued)[0])
+
     def write(self, data: bytes) -> None:
         """Send bytes, or buffer them until the socket is writable."""
         if not self.is_open or self._is_finishing:
@@ -132,16 +163,38 @@
         if not self._is_connecting:
             self._set_events(self._events | READABLE)
 
-    def close_gracefully(self) -> None:
-        """Send the buffer, then close after the peer, ``LINGER_S`` later at most."""
+    def close_gracefully(self, stall_s: float = STALL_S) -> None:
+        """Send the buffer, then close after the peer.
+
+        The connection is closed ``LINGER_S`` after the peer has acknowledged all bytes
+        at the latest.
+
+        :param stall_s: seconds without an acknowledgement after which it is closed.
+        """
         if not self.is_open or self._is_finishing:
             return
         self._is_finishing = True
+        self._stall_s = stall_s
         self.on_data = lambda _data: None
-        self._loop.call_later(LINGER_S, self.close)
+        self._unacknowledged = self.unacknowledged_bytes
+        self._acknowledged_at = self._loop.now
+        self._loop.call_later(FINISH_CHECK_S, self._check_finished)
         if not self._send_buffer:
             self._shut_down_sending()
 
+    def _check_finished(self) -> None:
+        if not self.is_open:
+            return
+        now, unacknowledged = self._loop.now, self.unacknowledged_bytes
+        if unacknowledged < self._unacknowledged:
+            self._acknowledged_at = now
+        self._unacknowledged = unacknowledged
+        limit_s = self._stall_s if unacknowledged else LINGER_S
+        if now - self._acknowledged_at >= limit_s:
+            self.close()
+            return
+        self._loop.call_later(FINISH_CHECK_S, self._check_finished)
+
     def close(self) -> None:
         """Close at once and drop unsent bytes."""
         if not self.is_open:
@@ -238,7 +291,7 @@
         self._set_events(self._events & ~WRITABLE)
         if self._is_finishing:
             self._shut_down_sending()
-        elif self.on_drained is not None:
+        if self.on_drained is not None:
             self.on_drained()
 
 
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -50,6 +50,7 @@
 from .exchange import ResendRefusal
 from .heads import find_header
 from .loop import Loop
+from .loop import Timer
 from .peers import Peers
 from .placer import Placer
 from .plain_exchange import PlainExchange
@@ -157,6 +158,9 @@
         self._settings_text = ""
         self._pipelines_by_service: dict[str, Pipelines] = {}
         self._callers: set[Caller] = set()
+        # Connections that take no more requests, and whose last answer is sent.
+        self._finishing: set[Caller] = set()
+        self._exit_timer: Timer | None = None
         self._streams: set[StreamExchange] = set()
         self._stall_detector = StallDetector(self)
         holder = f"{settings.host.name}/{self._incarnation}"
@@ -510,10 +514,16 @@
         caller.answer(UNAVAILABLE, b"", ((b"Retry-After", RETRY_AFTER),), b"")
 
     def on_caller_closed(self, caller: Caller) -> None:
-        """Remove a closed connection."""
+        """Remove a connection that takes no more requests."""
         self._callers.discard(caller)
+        if caller.is_finishing:
+            self._finishing.add(caller)
         self._exit_if_done()
 
+    def on_caller_finished(self, caller: Caller) -> None:
+        """Remove a connection whose descriptor is closed."""
+        self._finishing.discard(caller)
+
     def _pick_service(self, targets: tuple[tuple[str, float], ...]) -> str:
         if len(targets) == 1:
             return targets[0][0]
@@ -693,8 +703,17 @@
         self.loop.call_later(EXIT_DELAY_S, self._exit_if_done)
 
     def _exit_if_done(self) -> None:
-        if self._refuses_requests and not self._callers:
-            self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
+        """Exit soon if all callers have acknowledged their answers."""
+        if not self._refuses_requests or self._callers or self._exit_timer is not None:
+            return
+        self._exit_timer = self.loop.call_later(EXIT_DELAY_S, self._exit_if_read)
+
+    def _exit_if_read(self) -> None:
+        self._exit_timer = None
+        if any(caller.has_unread_answer for caller in self._finishing):
+            self._exit_if_done()
+            return
+        self._exit()
 
     def _close_remaining(self) -> None:
         for caller in list(self._callers):
@@ -702,4 +721,10 @@
                 caller.active_request.on_shutdown()
         for caller in list(self._callers):
             caller.close()
-        self.loop.call_later(EXIT_DELAY_S, self.loop.stop)
+        for caller in list(self._finishing):
+            # What the system has queued is still sent.
+            caller.close_unused()
+        self.loop.call_later(EXIT_DELAY_S, self._exit)
+
+    def _exit(self) -> None:
+        self.loop.stop()
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -87,6 +87,9 @@
     def on_caller_closed(self, caller: Caller) -> None:
         self.callers.discard(caller)
 
+    def on_caller_finished(self, caller: Caller) -> None:
+        pass
+
     def start(self, caller: Caller, request: Request) -> PendingRequest | None:
         self.seen.append(request)
         pending = PendingRequest(caller, request)
