Make the limits on clients settings, which a reload changes

Cause: what clients may hold, requests parsed ahead, unread answers and two times were constants, so that an operator could not change them for a host.

Change: ClientLimits is the section [clients] of the gateway's settings, with the constants of before as defaults, and the only place of these. A reload applies it: pipelined_max and unread_kb to connections that are opened afterwards, the rest at once. The tests of PIPELINED_MAX run with the lowest, the default and the highest limit.

--- a/src/wagtailstair/core/admission/client_memory.py
+++ b/src/wagtailstair/core/admission/client_memory.py
@@ -5,16 +5,15 @@
 import enum
 import typing as t
 
+from .client_limits import DEFAULT_LIMITS
+from .client_limits import ClientLimits
+
 BYTES_PER_MB = 1 << 20
 
 BASE_BYTES = 60 * BYTES_PER_MB
 """Bytes of a gateway that serves no client, with lists and tables of a large platform;
 38 MB were measured with small ones."""
 
-MEMORY_SHARE = 0.5
-"""Share of the memory beyond the base that clients may hold. The rest is for copies
-while a body is passed on, answers of upstreams, and unused parts of allocations."""
-
 BOUND_BYTES_MIN = 12 * BYTES_PER_MB
 """Lowest bound: one request with the largest body has room, also while it is sent."""
 
@@ -32,10 +31,6 @@
 RESERVED_DESCRIPTORS = 200
 """Descriptors that a host reserves for files."""
 
-DESCRIPTOR_SHARE = 0.5
-"""Share of the other descriptors for clients: a request that is passed on needs one
-more, for its upstream."""
-
 INTERNAL_SHARE = 0.125
 """Share of the clients' connections for balancers, peers and operators: neither these
 nor callers can take the connections of the other group."""
@@ -46,11 +41,6 @@
 PROGRESS_BYTES = 16 << 10
 """Bytes that count as progress; single bytes would hide a stalled client."""
 
-PLACE_STALL_S = 1.0
-"""Seconds without progress after which a request that was not forwarded loses its
-connection to a new one if all places are taken: a caller on a slow link makes progress
-several times as often."""
-
 AGE_OFFSET_S = 0.1
 """Seconds added to the time without progress, so that among connections that all have
 just made some, the one with the most bytes comes first."""
@@ -111,29 +101,29 @@
 
     :param memory_mb: memory of the host; 0 for no bound.
     :param descriptors: descriptors of the host; 0 for no bound.
+    :param limits: may be changed later by :meth:`set_limits`.
     """
 
     __slots__ = (
+        "_descriptors",
         "_idle_by_group",
+        "_memory_mb",
         "_uses_by_group",
         "bound_by_group",
         "bound_bytes",
         "buffered_bytes",
+        "limits",
         "total_bytes",
     )
 
-    def __init__(self, memory_mb: int, descriptors: int) -> None:
+    def __init__(
+        self, memory_mb: int, descriptors: int, limits: ClientLimits = DEFAULT_LIMITS
+    ) -> None:
+        self._memory_mb = memory_mb
+        self._descriptors = descriptors
         self.bound_bytes = 0
-        if memory_mb:
-            spare_bytes = memory_mb * BYTES_PER_MB - BASE_BYTES
-            self.bound_bytes = max(BOUND_BYTES_MIN, int(spare_bytes * MEMORY_SHARE))
         self.bound_by_group: dict[Group, int] = {}
-        if descriptors:
-            usable = max(0, descriptors - RESERVED_DESCRIPTORS)
-            connections = int(usable * DESCRIPTOR_SHARE)
-            internal = max(1, int(connections * INTERNAL_SHARE))
-            self.bound_by_group[Group.INTERNAL] = internal
-            self.bound_by_group[Group.CALLERS] = max(1, connections - internal)
+        self.set_limits(limits)
         self.total_bytes = 0
         self.buffered_bytes = 0
         # Dictionaries without values keep the order in which connections became idle.
@@ -143,6 +133,20 @@
             self._uses_by_group[group] = {}
             self._idle_by_group[group] = {}
 
+    def set_limits(self, limits: ClientLimits) -> None:
+        """Change the limits and the bounds that follow from them."""
+        self.limits = limits
+        if self._memory_mb:
+            spare_bytes = self._memory_mb * BYTES_PER_MB - BASE_BYTES
+            share_bytes = int(spare_bytes * limits.memory_share)
+            self.bound_bytes = max(BOUND_BYTES_MIN, share_bytes)
+        if self._descriptors:
+            usable = max(0, self._descriptors - RESERVED_DESCRIPTORS)
+            connections = int(usable * limits.descriptor_share)
+            internal = max(1, int(connections * INTERNAL_SHARE))
+            self.bound_by_group[Group.INTERNAL] = internal
+            self.bound_by_group[Group.CALLERS] = max(1, connections - internal)
+
     @property
     def connections(self) -> int:
         """Return the number of connections."""
@@ -182,7 +186,7 @@
             return idle
         stalled, ahead = [], []
         for use in self._uses_by_group[group]:
-            is_stalled = now - use.progress_at >= PLACE_STALL_S
+            is_stalled = now - use.progress_at >= self.limits.stall_s
             if use.stage is not Stage.FORWARDED and is_stalled:
                 stalled.append(use)
             elif use.is_ahead:
--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -4,6 +4,7 @@
 import socket
 import typing as t
 
+from ..core.admission.client_limits import DEFAULT_LIMITS
 from ..core.admission.client_memory import Group
 from ..core.admission.client_memory import Stage
 from ..core.directory import CallerLimits
@@ -18,10 +19,6 @@
 from .requests import Request
 from .requests import RequestReader
 
-UNSENT_BYTES_MAX = 64 << 10
-"""Bytes of answers not read by the caller with which its next pipelined request is not
-started: far more than the answers that one read of a caller takes."""
-
 FORWARDED_COPIES = 2
 """Times that the body of a forwarded request is in memory: it may have to be sent
 again, and the upstream may not have taken it yet."""
@@ -116,6 +113,7 @@
         "_request",
         "_server",
         "_timer",
+        "_unread_bytes_max",
         "_unsent_before",
         "_use",
     )
@@ -139,7 +137,14 @@
         self._clients = clients
         self._use = None if clients is None else clients.open(self, group)
         self._account_of = account_of
-        self._reader = RequestReader(self._limits, self._on_expect, self._wants_body)
+        client_limits = DEFAULT_LIMITS if clients is None else clients.limits()
+        self._unread_bytes_max = client_limits.unread_kb << 10
+        self._reader = RequestReader(
+            self._limits,
+            self._on_expect,
+            self._wants_body,
+            client_limits.pipelined_max,
+        )
         self._on_exchange_drained: t.Callable[[], None] | None = None
         self._answer_bytes = 0
         # Unsent bytes at the last report.
@@ -376,7 +381,7 @@
     def _start_next(self) -> None:
         if self._request is not None or self._is_closed:
             return
-        if self._connection.pending_bytes > UNSENT_BYTES_MAX:
+        if self._connection.pending_bytes > self._unread_bytes_max:
             return
         if not self._reader.complete_requests:
             if self._parse_error is not None:
--- a/src/wagtailstair/gateway/clients.py
+++ b/src/wagtailstair/gateway/clients.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from ..core.admission.client_limits import ClientLimits
 from ..core.admission.client_memory import ClientMemory
 from ..core.admission.client_memory import ClientUse
 from ..core.admission.client_memory import Group
@@ -51,6 +52,15 @@
         self._on_given_up = on_given_up
         self._has_scheduled = False
 
+    def limits(self) -> ClientLimits:
+        """Return the limits in force."""
+        return self.memory.limits
+
+    def set_limits(self, limits: ClientLimits) -> None:
+        """Change the limits; evict soon if that leaves clients over the bound."""
+        self.memory.set_limits(limits)
+        self._schedule_eviction()
+
     def make_place(self, group: Group) -> bool:
         """Return whether one more connection has a place, after closing another one."""
         if self.memory.has_place(group):
--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -6,6 +6,7 @@
 import struct
 import typing as t
 
+from ..core.admission.client_limits import ClientLimits
 from ..logs import log_event
 from .loop import FAILED
 from .loop import READABLE
@@ -18,10 +19,6 @@
 """Seconds for which a connection that is shut down for sending is still read, so
 that unread bytes do not make the kernel reset it before the peer has read all."""
 
-ACCEPT_PAUSE_S = 0.1
-"""Seconds without accepting after the system had no descriptor or memory left: the
-socket stays readable, and the event loop would spin."""
-
 EXHAUSTED = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 
 KEEPALIVE_IDLE_S = 1
@@ -266,10 +263,14 @@
 
 
 def listen(
-    loop: Loop, address: tuple[str, int], on_accept: t.Callable[[socket.socket], None]
+    loop: Loop,
+    address: tuple[str, int],
+    on_accept: t.Callable[[socket.socket], None],
+    read_limits: t.Callable[[], ClientLimits] = ClientLimits,
 ) -> socket.socket:
     """Accept connections at an address.
 
+    :param read_limits: returns the limits in force.
     :raises OSError: if the address can't be bound.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -287,7 +288,7 @@
             return
         log_event("accept_paused", level="WARNING", error=error.errno)
         loop.change(sock.fileno(), 0)
-        loop.call_later(ACCEPT_PAUSE_S, resume)
+        loop.call_later(read_limits().accept_pause_s, resume)
 
     def on_events(_mask: int) -> None:
         while True:
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -108,7 +108,9 @@
         self.telemetry = Telemetry(settings.host.name)
         self.clients = Clients(
             self.loop,
-            ClientMemory(settings.host.memory_mb, settings.host.descriptors),
+            ClientMemory(
+                settings.host.memory_mb, settings.host.descriptors, settings.clients
+            ),
             self.telemetry.count_client_given_up,
         )
         self.pool.on_buffered = self.clients.count_buffered
@@ -560,21 +562,29 @@
             self.loop,
             parse_address(host.callers, "callers"),
             self._on_caller_connection,
+            self.clients.limits,
         )
         listen(
             self.loop,
             parse_address(host.readiness, "readiness"),
             self._on_readiness_connection,
+            self.clients.limits,
         )
         own = self._own_host()
         listen(
             self.loop,
             parse_address(own.address, "peer_ports"),
             self._on_peer_connection,
+            self.clients.limits,
         )
         if host.metrics_port:
             address = (host.address, host.metrics_port)
-            listen(self.loop, address, self._on_metrics_connection)
+            listen(
+                self.loop,
+                address,
+                self._on_metrics_connection,
+                self.clients.limits,
+            )
         self.table_sync.start()
         self.peers.start()
         self._placer.start()
@@ -668,6 +678,7 @@
         self.resend_budget.change(retries.ratio, retries.slack, retries.window_s)
         is_shared = settings.admission.shared_order
         self._waiting.queue.shared.set_enabled(is_enabled=is_shared)
+        self.clients.set_limits(settings.clients)
         log_event("reload", outcome="taken")
 
     def drain(self) -> None:
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -5,6 +5,7 @@
 
 import httptools
 
+from ..core.admission.client_limits import DEFAULT_LIMITS
 from ..core.directory import CallerLimits
 from ..exceptions import InvalidRequestError
 from ..exceptions import RequestError
@@ -15,9 +16,6 @@
 SEPARATOR_BYTES = 4  # colon, space, CR and LF
 HEADERS_TOO_LARGE = 431
 
-PIPELINED_MAX = 8
-"""Complete requests of a connection; its further bytes stay unparsed."""
-
 SLICE_REQUESTS_MAX = 2
 """Requests that may end in a part that ends with the first empty line: one whose own
 empty line was cut in two, and the next."""
@@ -88,6 +86,7 @@
     :param on_expect: called when a caller waits for a 100 Continue response.
     :param wants_body: called with a request whose head is complete and whose body
         follows; the body is dropped unless it returns ``True``.
+    :param pipelined_max: complete requests that are kept; further bytes stay unparsed.
     """
 
     __slots__ = (
@@ -106,6 +105,7 @@
         "_on_expect",
         "_overhead_bytes",
         "_parser",
+        "_pipelined_max",
         "_started_at",
         "_target",
         "_unparsed",
@@ -118,8 +118,10 @@
         limits: CallerLimits,
         on_expect: t.Callable[[], None],
         wants_body: t.Callable[[Request], bool] | None = None,
+        pipelined_max: int = DEFAULT_LIMITS.pipelined_max,
     ) -> None:
         self._limits = limits
+        self._pipelined_max = pipelined_max
         self._on_expect = on_expect
         self._wants_body = wants_body
         self._unparsed = b""
@@ -143,7 +145,7 @@
         """Return whether requests have to be taken before more bytes are read."""
         in_chunks = not self._in_head and self._body_left == CHUNKED
         ahead = CHUNKED_SLICE_REQUESTS_MAX if in_chunks else SLICE_REQUESTS_MAX
-        return len(self.complete_requests) + ahead > PIPELINED_MAX
+        return len(self.complete_requests) + ahead > self._pipelined_max
 
     @property
     def is_ahead(self) -> bool:
@@ -181,7 +183,7 @@
     def feed(self, data: bytes, now: float) -> None:
         """Parse bytes and add complete requests to ``complete_requests``.
 
-        What is left when these are ``PIPELINED_MAX`` is kept for :meth:`resume`.
+        What is left when these are ``pipelined_max`` is kept for :meth:`resume`.
 
         :raises RequestError: if the bytes are not a valid request.
         """
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from ..core.admission.client_limits import DEFAULT_LIMITS
+from ..core.admission.client_limits import ClientLimits
 from ..exceptions import SettingsError
 from ..settings import parse_checked
 from ..settings import read_text
@@ -97,6 +99,7 @@
     retries: RetriesSection
     shutdown: ShutdownSection
     admission: AdmissionSection = msgspec.field(default_factory=AdmissionSection)
+    clients: ClientLimits = DEFAULT_LIMITS
     log: LogSection = msgspec.field(default_factory=LogSection)
 
 
--- a/tests/test_client_memory.py
+++ b/tests/test_client_memory.py
@@ -8,6 +8,8 @@
 
 import pytest
 
+from wagtailstair.core.admission.client_limits import ClientLimits
+from wagtailstair.core.admission.client_memory import BASE_BYTES
 from wagtailstair.core.admission.client_memory import BYTES_PER_MB
 from wagtailstair.core.admission.client_memory import CONNECTION_BYTES
 from wagtailstair.core.admission.client_memory import RELIEF_SHARE
@@ -142,6 +144,26 @@
         hold(memory, "a", memory.bound_bytes // 3)
         assert evicted(memory, 1.0) == []
 
+    # A lower share that only bounds what comes later leaves the memory taken.
+    def test_share_of_the_memory_is_a_setting_that_changes_in_force(self):
+        memory = ClientMemory(260, 0, ClientLimits(memory_share=0.25))
+        spare_bytes = 260 * BYTES_PER_MB - BASE_BYTES
+        assert memory.bound_bytes == spare_bytes // 4
+        memory.set_limits(ClientLimits(memory_share=1.0))
+        assert memory.bound_bytes == spare_bytes
+        for number in range(40):
+            hold(memory, number, 4 << 20)
+        assert not memory.is_over
+        memory.set_limits(ClientLimits(memory_share=0.125))
+        evicted(memory, 1.0)
+        assert 0 < memory.total_bytes <= spare_bytes // 8
+
+    # Without the host's limits, a change of the shares made up bounds of nothing.
+    def test_shares_of_no_limit_bound_nothing(self):
+        memory = ClientMemory(0, 0)
+        memory.set_limits(ClientLimits(memory_share=0.1, descriptor_share=0.1))
+        assert (memory.bound_bytes, memory.bound_by_group) == (0, {})
+
     def test_without_settings_nothing_is_bounded(self):
         memory = ClientMemory(0, 0)
         for number in range(3000):
@@ -202,6 +224,23 @@
         assert memory.choose_place(Group.CALLERS, 0.5) is uses[2]
         assert memory.choose_place(Group.CALLERS, 1.5) is uses[0]
 
+    # A share that is read from the settings and has no effect leaves a host unbounded.
+    def test_share_of_descriptors_is_a_setting(self):
+        memory = ClientMemory(0, 1000, ClientLimits(descriptor_share=0.25))
+        assert sum(memory.bound_by_group.values()) == 200
+        memory.set_limits(ClientLimits(descriptor_share=0.75))
+        assert sum(memory.bound_by_group.values()) == 600
+
+    # A stalled request gave up its place after the time of the default.
+    def test_time_after_which_a_stalled_request_gives_up_its_place_is_a_setting(self):
+        memory = ClientMemory(0, 216, ClientLimits(stall_s=3.0))
+        use = hold(memory, "a", 100)
+        assert memory.choose_place(Group.CALLERS, 2.9) is None
+        assert memory.choose_place(Group.CALLERS, 3.0) is use
+        memory.set_limits(ClientLimits(stall_s=0.5))
+        assert memory.choose_place(Group.CALLERS, 0.4) is None
+        assert memory.choose_place(Group.CALLERS, 0.5) is use
+
     # A crowd of callers took the connections of the balancer's readiness checks.
     def test_groups_do_not_take_each_others_places(self, memory):
         while memory.has_place(Group.CALLERS):
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -14,16 +14,19 @@
 import pytest
 
 from tests.gateway_data import make_config
+from tests.gateway_deployment import SETTINGS
 from tests.gateway_deployment import CallerConnection
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import Engine
 from tests.gateway_deployment import Service
 from tests.gateway_deployment import make_request
 from tests.gateway_deployment import make_stream
+from wagtailstair.core.admission.client_limits import ClientLimits
 from wagtailstair.core.admission.client_memory import ClientMemory
 from wagtailstair.core.directory import CallerLimits
 from wagtailstair.gateway import caller as caller_module
 from wagtailstair.gateway import connection as connection_module
+from wagtailstair.gateway import gateway as gateway_module
 
 PART_BYTES = 32 << 10
 SENT_BYTES_MAX = 16 << 20
@@ -360,6 +363,23 @@
     return [CallerConnection(deployment.loop, address, data) for _ in range(count)]
 
 
+def reload(host, path, section):
+    """Start with the usual settings, and reload them with a section added."""
+    own = host.settings.host
+    text = SETTINGS.format(
+        name=own.name,
+        centre=own.data_centre,
+        callers=own.callers.rpartition(":")[2],
+        readiness=own.readiness.rpartition(":")[2],
+        peers=own.peer_ports[0],
+        store=host.settings.store.address,
+    )
+    path.write_text(text)
+    host.follow_settings(path)
+    path.write_text(text + section)
+    host.reload()
+
+
 class TestClientMemory:
     """Guards against crowds of clients that exhaust a host's memory or descriptors."""
 
@@ -491,21 +511,127 @@
         assert b'clients_given_up_total{host="entry-1",reason="connections"} 2' in page
         assert b'wagtailstair_clients{host="entry-1"} 7' in page
 
+    # A lower share bounded only what came after the reload.
+    def test_lower_share_of_the_memory_ends_connections(
+        self, deployment, desks, host, tmp_path, monkeypatch
+    ):
+        memory = bound(host, memory_mb=152)
+        address = host.settings.host.callers
+        crowd = fill(deployment, address, "/lookup/7", 8, 2 << 20, 10)
+        deployment.run(lambda: memory.total_bytes > 16 << 20)
+        assert not any(caller.data for caller in crowd)
+        # The gateway's own calls make it look for what to end as well.
+        monkeypatch.setattr(host.pool, "on_buffered", lambda _change: None)
+        section = "[clients]\nmemory_share = 0.01\n"
+        reload(host, tmp_path / "host.toml", section)
+        deployment.run(lambda: any(caller.is_complete for caller in crowd), 1.0)
+        assert memory.total_bytes <= memory.bound_bytes == 12 << 20
+        assert {caller.status for caller in crowd if caller.data} == {503}
+
     # Accepting failed at once again and again, and nothing else was served.
-    def test_accepting_pauses_without_descriptors(self, monkeypatch):
+    @pytest.mark.parametrize("pause_s", [ClientLimits().accept_pause_s, 0.5])
+    def test_accepting_pauses_without_descriptors(self, monkeypatch, pause_s):
         listener = FullListener()
         monkeypatch.setattr(connection_module.socket, "socket", lambda *_: listener)
         calls = []
         loop = types.SimpleNamespace(
             add=lambda _fd, _events, handler: calls.append(handler),
             change=lambda _fd, events: calls.append(events),
-            call_later=lambda _delay_s, callback: calls.append(callback),
+            call_later=lambda delay_s, callback: calls.extend([callback, delay_s]),
+        )
+        connection_module.listen(
+            loop,
+            ("127.0.0.1", 1),
+            lambda _sock: None,
+            lambda: ClientLimits(accept_pause_s=pause_s),
         )
-        connection_module.listen(loop, ("127.0.0.1", 1), lambda _sock: None)
         calls[0](connection_module.READABLE)
         assert calls[1] == 0
+        assert calls[3] == pause_s
         calls[2]()
-        assert calls[3] == connection_module.READABLE
+        assert calls[4] == connection_module.READABLE
+
+
+class TestReload:
+    """Guards against limits that a reload reports as taken and does not apply."""
+
+    def parsed_ahead(self, deployment, host):
+        """Return how many requests of a new connection are parsed, but not started."""
+        before = set(host._callers)
+        data = make_request("/lookup/7", "a0")
+        deployment.send(host, data * 200)
+        deployment.run(lambda: set(host._callers) - before)
+        (caller,) = set(host._callers) - before
+        deployment.run(lambda: caller.active_request is not None)
+        return len(caller._reader.complete_requests)
+
+    def test_requests_parsed_ahead_of_new_connections(
+        self, deployment, desks, host, tmp_path, monkeypatch
+    ):
+        for desk in desks:
+            monkeypatch.setattr(desk, "answer", lambda _pending: None)
+        # One less than the limit, as the next part may hold two.
+        assert self.parsed_ahead(deployment, host) == 7
+        path = tmp_path / "host.toml"
+        reload(host, path, "[clients]\npipelined_max = 4\n")
+        assert self.parsed_ahead(deployment, host) == 3
+        reload(host, path, "[clients]\npipelined_max = 3\n")
+        assert self.parsed_ahead(deployment, host) == 3
+        reload(host, path, "[clients]\n")
+        assert self.parsed_ahead(deployment, host) == 7
+
+    # Each connection used the limit of the default.
+    def test_unread_answers_with_which_none_is_started(
+        self, deployment, desks, host, tmp_path, monkeypatch
+    ):
+        part = b"l" * (200 << 10)
+        serve_large(desks, monkeypatch, part)
+        data = b"".join(make_request("/lookup/7", f"a{n}") for n in range(60))
+
+        def unread_bytes():
+            with send_only(host, data):
+                deployment.run_for(0.7)
+                (caller,) = host._callers
+                pending_bytes = caller.pending_bytes
+            deployment.run(lambda: not host._callers)
+            return pending_bytes
+
+        # One answer is started while less than the limit is unread.
+        assert 64 << 10 < unread_bytes() < (64 << 10) + 2 * len(part)
+        section = "[clients]\nunread_kb = 1024\n"
+        reload(host, tmp_path / "host.toml", section)
+        assert 1024 << 10 < unread_bytes() < (1024 << 10) + 2 * len(part)
+
+    # The listeners kept the limits of the start.
+    def test_places_stalls_and_pauses_change_at_once(
+        self, deployment, tmp_path, monkeypatch
+    ):
+        listeners = []
+
+        def listen(*arguments):
+            listeners.append(arguments)
+            return connection_module.listen(*arguments)
+
+        monkeypatch.setattr(gateway_module, "listen", listen)
+        host = deployment.add_host()
+        memory = bound(host, descriptors=1000)
+        section = (
+            "[clients]\ndescriptor_share = 0.25\nstall_s = 3\naccept_pause_s = 0.5\n"
+        )
+        reload(host, tmp_path / "host.toml", section)
+        assert sum(memory.bound_by_group.values()) == 200
+        limits = host.clients.limits()
+        assert (limits.stall_s, limits.accept_pause_s) == (3.0, 0.5)
+        assert len(listeners) == 3
+        for _, _, _, read_limits in listeners:
+            assert read_limits() == limits
+
+    # A host that starts with the section used the defaults until a reload.
+    def test_start_applies_the_section(self, deployment):
+        host = deployment.add_host(
+            "entry-2", more_settings="[clients]\npipelined_max = 4\n"
+        )
+        assert host.clients.limits().pipelined_max == 4
 
 
 class FullListener(unittest.mock.MagicMock):
@@ -529,13 +655,13 @@
     return sock
 
 
-def serve_large(desks, monkeypatch):
+def serve_large(desks, monkeypatch, body=LARGE):
     """Let services answer with bodies that the gateway passes on in one piece."""
 
     def answer(pending):
         attempt = pending.request.header(b"x-attempt-id")
         signed = [(b"X-Attempt-Id", attempt), (b"X-Response-Signature", b"sig")]
-        pending.caller.answer(200, b"", signed, LARGE)
+        pending.caller.answer(200, b"", signed, body)
 
     for desk in desks:
         monkeypatch.setattr(desk, "answer", answer)
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -2,11 +2,11 @@
 
 import pytest
 
+from wagtailstair.core.admission.client_limits import DEFAULT_LIMITS
 from wagtailstair.core.directory import CallerLimits
 from wagtailstair.exceptions import InvalidRequestError
 from wagtailstair.exceptions import RequestError
 from wagtailstair.exceptions import RequestTooLargeError
-from wagtailstair.gateway.requests import PIPELINED_MAX
 from wagtailstair.gateway.requests import HeadersTooLargeError
 from wagtailstair.gateway.requests import RequestReader
 
@@ -213,14 +213,22 @@
 EMPTY_LINES = b"\r\n\r\n" * 50
 
 
+PIPELINED_MAX = [4, DEFAULT_LIMITS.pipelined_max, 64]
+"""The lowest, the default and the highest limit of the settings."""
+
+
 class TestPipelining:
     # All requests of a read were parsed at once, 2,000 of them, before any was served.
     # The bytes that are kept may get lost, or come in another order.
+    # With a limit below what one part can hold, the rest would never be parsed.
+    @pytest.mark.parametrize("pipelined_max", PIPELINED_MAX)
     @pytest.mark.parametrize("seed", range(60))
-    def test_few_requests_are_parsed_ahead_and_none_is_lost(self, seed):
+    def test_few_requests_are_parsed_ahead_and_none_is_lost(self, seed, pipelined_max):
         rng = random.Random(seed)
         data, bodies = make_pipeline(rng, 200)
-        reader = RequestReader(CallerLimits(), lambda: None)
+        reader = RequestReader(
+            CallerLimits(), lambda: None, pipelined_max=pipelined_max
+        )
         read = []
         while data or reader.complete_requests:
             if data and not reader.is_full:
@@ -230,15 +238,20 @@
             else:
                 read.append(bytes(reader.take_request().body))
                 reader.resume()
-            assert len(reader.complete_requests) <= PIPELINED_MAX
+            assert len(reader.complete_requests) <= pipelined_max
         assert read == bodies
         assert reader.held_bytes == 0
 
-    def test_all_bytes_at_once(self):
-        reader = RequestReader(CallerLimits(), lambda: None)
+    @pytest.mark.parametrize("pipelined_max", PIPELINED_MAX)
+    def test_all_bytes_at_once(self, pipelined_max):
+        reader = RequestReader(
+            CallerLimits(), lambda: None, pipelined_max=pipelined_max
+        )
         reader.feed(b"".join(SHORT % n for n in range(2000)), 0.0)
+        # The last part may hold two, so that one less is parsed.
+        assert len(reader.complete_requests) >= pipelined_max - 1
         for number in range(2000):
-            assert len(reader.complete_requests) <= PIPELINED_MAX
+            assert len(reader.complete_requests) <= pipelined_max
             assert reader.take_request().path == f"/{number}"
             reader.resume()
         assert reader.is_between_requests
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,5 +1,6 @@
 import pathlib
 
+import msgspec
 import pytest
 
 from tests.gateway_deployment import SETTINGS
@@ -125,3 +126,76 @@
         environment = {"WAGTAILSTAIR_DESCRIPTORS": text}
         with pytest.raises(SettingsError, match="WAGTAILSTAIR_DESCRIPTORS"):
             gateway_settings.apply_environment(settings, environment)
+
+
+class TestClientLimits:
+    """Limits on clients that were constants: the same without the section."""
+
+    def parse(self, line=""):
+        text = f"{GATEWAY_TEXT}\n[clients]\n{line}\n"
+        return gateway_settings.parse_settings(text, "host.toml").clients
+
+    # A default that differs changes hosts whose settings say nothing.
+    def test_defaults_are_the_constants_of_before(self):
+        expected = {
+            "memory_share": 0.5,
+            "descriptor_share": 0.5,
+            "pipelined_max": 8,
+            "unread_kb": 64,
+            "stall_s": 1.0,
+            "accept_pause_s": 0.1,
+        }
+        without = gateway_settings.parse_settings(GATEWAY_TEXT).clients
+        assert msgspec.structs.asdict(without) == expected
+        assert self.parse() == without
+
+    @pytest.mark.parametrize(
+        ("line", "value"),
+        [
+            ("memory_share = 1", 1.0),
+            ("descriptor_share = 0.01", 0.01),
+            ("pipelined_max = 4", 4),
+            ("pipelined_max = 64", 64),
+            ("unread_kb = 1", 1),
+            ("unread_kb = 1024", 1024),
+            ("stall_s = 60", 60.0),
+            ("accept_pause_s = 0.01", 0.01),
+            ("accept_pause_s = 10", 10.0),
+        ],
+    )
+    def test_values_up_to_the_bounds_are_taken(self, line, value):
+        assert getattr(self.parse(line), line.partition(" ")[0]) == value
+
+    # A host would start with a limit that stops all clients, or none.
+    @pytest.mark.parametrize(
+        ("line", "expected"),
+        [
+            ("memory_share = 0", "`float` > 0.0"),
+            ("memory_share = 1.1", "`float` <= 1.0"),
+            ("memory_share = nan", "`float` > 0.0"),
+            ("descriptor_share = -0.5", "`float` > 0.0"),
+            ("descriptor_share = 50", "`float` <= 1.0"),
+            ("pipelined_max = 3", "`int` >= 4"),
+            ("pipelined_max = 65", "`int` <= 64"),
+            ("pipelined_max = 8.5", "`int`, got `float`"),
+            ("unread_kb = 0", "`int` >= 1"),
+            ("unread_kb = 1025", "`int` <= 1024"),
+            ('unread_kb = "64 KB"', "`int`, got `str`"),
+            ("stall_s = 0", "`float` > 0.0"),
+            ("stall_s = inf", "`float` <= 60.0"),
+            ("accept_pause_s = 0", "`float` >= 0.01"),
+            ("accept_pause_s = 11", "`float` <= 10.0"),
+            ("accept_pause_s = true", "`float`, got `bool`"),
+        ],
+    )
+    def test_error_names_the_file_the_key_and_what_was_expected(self, line, expected):
+        with pytest.raises(SettingsError) as caught:
+            self.parse(line)
+        message = str(caught.value)
+        assert "host.toml" in message
+        assert f"$.clients.{line.partition(' ')[0]}" in message
+        assert expected in message
+
+    def test_unknown_key_is_named(self):
+        with pytest.raises(SettingsError, match=r"unknown field `unread_mb`.*clients"):
+            self.parse("unread_mb = 1")
