--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,6 +15,7 @@
 from wagtailstair import exceptions
 from wagtailstair.cli import main
 from wagtailstair.cli import options
+from wagtailstair.core.admission.client_limits import ClientLimits
 from wagtailstair.core.lists_toml import lists_from_toml
 from wagtailstair.settings import Settings
 from wagtailstair.settings import parse_settings
@@ -85,6 +86,15 @@
         assert parse_settings(text).host.name == "entry-1"
 
 
+class TestGatewaySettings:
+    # A limit that operators can't find is as good as a constant.
+    def test_the_table_lists_every_limit_on_clients_with_its_default(self):
+        meaning_by_key = dict(rows("OPERATIONS.md", 2))
+        for field in msgspec.structs.fields(ClientLimits):
+            meaning = meaning_by_key[f"clients.{field.name}"]
+            assert f"(default {field.default};" in meaning
+
+
 class TestLists:
     def test_the_example_is_valid(self):
         ((_, text),) = blocks("lists.md", "toml")
