--- a/src/wagtailstair/gateway/connection.py
+++ b/src/wagtailstair/gateway/connection.py
@@ -8,6 +8,7 @@
 import termios
 import typing as t
 
+from ..core.admission.client_limits import ClientLimits
 from ..logs import log_event
 from .loop import FAILED
 from .loop import READABLE
@@ -27,10 +28,6 @@
 """Seconds without an acknowledgement after which a connection that is being finished is
 closed: the default time that callers may be idle."""
 
-ACCEPT_PAUSE_S = 0.1
-"""Seconds without accepting after the system had no descriptor or memory left: the
-socket stays readable, and the event loop would spin."""
-
 QUEUED_BYTES = struct.Struct("i")
 """The C ``int`` of the number of bytes in a socket's send queue."""
 
@@ -319,10 +316,14 @@
 
 
 def listen(
-    loop: Loop, address: tuple[str, int], on_accept: t.Callable[[socket.socket], None]
+    loop: Loop,
+    address: tuple[str, int],
+    on_accept: t.Callable[[socket.socket], None],
+    read_limits: t.Callable[[], ClientLimits] = ClientLimits,
 ) -> socket.socket:
     """Accept connections at an address.
 
+    :param read_limits: returns the limits in force.
     :raises OSError: if the address can't be bound.
     """
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
@@ -340,7 +341,7 @@
             return
         log_event("accept_paused", level="WARNING", error=error.errno)
         loop.change(sock.fileno(), 0)
-        loop.call_later(ACCEPT_PAUSE_S, resume)
+        loop.call_later(read_limits().accept_pause_s, resume)
 
     def on_events(_mask: int) -> None:
         while True:
