Name the engine in orders

What was seen (review): an order for an engine that had ended was carried out by another one at the same address, with less memory.

Cause: orders named no target, as requests do.

Change: orders to hold layers and to change paths have the header; the tests' engines refuse an order for another one, as real ones do.

Result: both cases of test_reused_addresses failed before and pass.

--- a/src/wagtailstair/core/store.py
+++ b/src/wagtailstair/core/store.py
@@ -5,11 +5,12 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
-    """An HTTP call."""
+    """An HTTP call; ``headers``: those beside the ones that each call has."""
 
     method: str
     target: str
     body: bytes = b""
+    headers: tuple[tuple[bytes, bytes], ...] = ()
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -214,5 +214,7 @@
     if call.body or call.method != "GET":
         lines.append("Content-Type: application/json\r\n")
         lines.append(f"Content-Length: {len(call.body)}\r\n")
+    for name, value in call.headers:
+        lines.append(f"{name.decode()}: {value.decode()}\r\n")
     lines.append("\r\n")
     return "".join(lines).encode() + call.body
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -259,7 +259,7 @@
             return
         self._ordered[identity] = _Ordered(layers, now + retry_s)
         self.orders += 1
-        call = engine_wire.place_call(assignment.first, assignment.last, count)
+        call = engine_wire.place_call(replica.name, *layers, count)
         log_event(
             "order_sent",
             replica=replica.name,
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -510,7 +510,7 @@
     ) -> None:
         first = path[0].replica
         attempt_id = self.attempt_id.decode("latin-1")
-        call = engine_wire.repath_call(attempt_id, _encode_path(path))
+        call = engine_wire.repath_call(first.name, attempt_id, _encode_path(path))
 
         def on_answer(answer: Answer) -> None:
             is_taken = answer.status in (200, 202)
--- a/src/wagtailstair/platform/engines.py
+++ b/src/wagtailstair/platform/engines.py
@@ -6,6 +6,7 @@
 
 from ..core.store import Call
 from ..exceptions import UpstreamError
+from .headers import HEADER_NAMES
 
 ORDER_PATH = "/order"
 REPORT_PATH = "/report"
@@ -55,11 +56,12 @@
 _REFUSAL = msgspec.json.Decoder(_Refusal)
 
 
-def place_call(first: int, last: int, orders: int | None) -> Call:
+def place_call(engine: str, first: int, last: int, orders: int | None) -> Call:
     """Return the call that orders an engine to hold layers ``first`` to ``last``.
 
     The range excludes ``last``.
 
+    :param engine: its name; another engine that has its address now refuses the order.
     :param orders: the number of orders that the engine must have accepted before,
         so that a delayed duplicate of the order has no effect.
     """
@@ -71,13 +73,18 @@
     }
     if orders is not None:
         body["expect_rev"] = orders
-    return Call("POST", ORDER_PATH, msgspec.json.encode(body))
+    return _order_call(engine, body)
 
 
-def repath_call(attempt: str, path: bytes) -> Call:
+def repath_call(engine: str, attempt: str, path: bytes) -> Call:
     """Return the call that orders an engine to move a running request to a path."""
     body = {"op": "repath", "id": attempt, "path": path.decode()}
-    return Call("POST", ORDER_PATH, msgspec.json.encode(body))
+    return _order_call(engine, body)
+
+
+def _order_call(engine: str, body: dict[str, t.Any]) -> Call:
+    headers = ((HEADER_NAMES.expected_replica, engine.encode()),)
+    return Call("POST", ORDER_PATH, msgspec.json.encode(body), headers)
 
 
 def report_call() -> Call:
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -337,6 +337,10 @@
     def answer(self, pending: PendingRequest) -> None:
         request = pending.request
         if request.path == "/order":
+            named = request.header(b"x-target-replica").decode()
+            if named and named != self.name:
+                pending.caller.answer(421, b"", (), b"")
+                return
             order = json.loads(request.body)
             self.orders.append(order)
             if self.missing is not None and self.missing in order.get("path", ""):
