Read the limits of clients before each request

Cause: a connection kept the limits in force when it was accepted.

Result: test_kept_connection_takes_the_limits_in_force failed before (413) and passes.

--- a/src/wagtailstair/gateway/caller.py
+++ b/src/wagtailstair/gateway/caller.py
@@ -418,6 +418,10 @@
 
     def _parse(self, data: bytes) -> None:
         """Parse received bytes, or those kept; read on if there is room for more."""
+        if self._reader.is_between_requests:
+            # They may have changed since the connection was accepted.
+            self._limits = self._server.caller_limits()
+            self._reader.set_limits(self._limits)
         try:
             if data:
                 self._reader.feed(data, self._server.loop.now)
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -165,6 +165,10 @@
             return held
         return held + self._request_bytes()
 
+    def set_limits(self, limits: CallerLimits) -> None:
+        """Change the limits, between two requests."""
+        self._limits = limits
+
     def take_request(self) -> Request:
         """Return and remove the first complete request."""
         request = self.complete_requests.pop(0)
--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -457,6 +457,28 @@
         assert caller.status == 503
         assert b"Retry-After: " in caller.data
 
+    # Requests that newer lists allow were refused on connections from before.
+    def test_kept_connection_takes_the_limits_in_force(self, deployment, host):
+        body = b"b" * (100 << 10)
+        request = make_request("/register/7", "a1", method="POST", body=body)
+        self.change_body_limit(deployment, host, len(body) - 1)
+        refused = deployment.send(host, request)
+        kept = deployment.send(host, make_request("/register/7", "a2", method="POST"))
+        deployment.run(lambda: refused.is_complete and kept.is_complete)
+        assert (refused.status, kept.status) == (413, 200)
+        self.change_body_limit(deployment, host, len(body))
+        kept.data = b""
+        kept.connection.write(request)
+        deployment.run(lambda: kept.is_complete or kept.is_closed)
+        assert kept.status == 200
+
+    def change_body_limit(self, deployment, host, size):
+        version = host.lists_version()
+        config = self.make_config(version + 1)
+        config["limits"]["max_body_bytes"] = size
+        deployment.store.put("op", "config", config)
+        deployment.run(lambda: host.lists_version() > version)
+
     # Each byte restarted the timeout, so that a head could take hours.
     def test_head_has_to_arrive_in_time_in_total(self, deployment, host, monkeypatch):
         limits = CallerLimits(header_s=0.3)
