Ignore signals while the interpreter ends

Cause: the interpreter restores the default action of handled signals as it ends, before it clears its modules.

Change: SIGHUP and SIGTERM are ignored once the program has returned; ignored signals stay so.

Result: test_signal_while_the_interpreter_ends_is_ignored sends each signal at that moment and failed before (-1, -15).

--- a/src/wagtailstair/gateway/daemon.py
+++ b/src/wagtailstair/gateway/daemon.py
@@ -20,4 +20,9 @@
     # Imported here, so that the signal handlers are set before.
     from .program import run
 
-    return run(argv, SystemClock() if clock is None else clock)
+    code = run(argv, SystemClock() if clock is None else clock)
+    # The interpreter restores the default action of handled signals as it ends, but
+    # leaves ignored ones.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, signal.SIG_IGN)
+    return code
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -905,3 +905,34 @@
         environment = {**os.environ, "PYTHONPATH": path}
         done = subprocess.run(command, env=environment, check=False)
         assert done.returncode == (3 if number == signal.SIGHUP else 0)
+
+
+class TestEnd:
+    """Signals may arrive while the interpreter ends, after the program has returned."""
+
+    SCRIPT = """
+import os, signal, sys, types
+from wagtailstair.gateway.daemon import main
+
+class Late:
+    # Called when the modules are cleared, after the signal handlers.
+    def __del__(self, kill=os.kill, pid=os.getpid(), number=int(sys.argv[1])):
+        kill(pid, number)
+
+def run(argv, clock):
+    for number in (signal.SIGHUP, signal.SIGTERM):
+        signal.signal(number, lambda number, frame: None)
+    return 0
+
+program = types.ModuleType("program")
+program.run = run
+sys.modules["wagtailstair.gateway.program"] = program
+late = Late()
+sys.exit(main(["none"]))
+"""
+
+    @pytest.mark.parametrize("number", [signal.SIGHUP, signal.SIGTERM])
+    def test_signal_while_the_interpreter_ends_is_ignored(self, number):
+        command = [sys.executable, "-c", self.SCRIPT, str(int(number))]
+        done = subprocess.run(command, check=False)
+        assert done.returncode == 0
