Count the same bytes of a head however it is split

Cause: the limit on a head was checked after each part that was parsed, and the count was reset within the part that ended the head. A head of 1,001 to about 1,020 bytes with a limit of 1,000, or one after many blank lines, was accepted in one read and rejected with 431 in several; a malformed byte behind the limit gave 400 in one read and 431 in several.

Change: a part ends at the head's empty line, also if that is cut in two, or at the first byte over the limit, and the count is checked before it is reset. A head is over the limit if all its bytes are, with the request line and blank lines before it.

--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -107,6 +107,7 @@
         "_overhead_bytes",
         "_parser",
         "_started_at",
+        "_tail",
         "_target",
         "_unparsed",
         "_wants_body",
@@ -130,6 +131,8 @@
         self._now = 0.0
         # Bytes since the last part of a body or the last end of a request.
         self._overhead_bytes = 0
+        # The last bytes parsed, as an empty line may be cut in two.
+        self._tail = b""
         self._reset()
         self._in_head = False
 
@@ -209,22 +212,35 @@
         if not self._in_head and self._body_left > 0:
             return min(start + self._body_left, len(data))
         if not self._in_head and self._body_left == CHUNKED:
-            start += CHUNKED_SLICE_BYTES
-        found = data.find(EMPTY_LINE, start)
-        return len(data) if found < 0 else found + len(EMPTY_LINE)
+            found = data.find(EMPTY_LINE, start + CHUNKED_SLICE_BYTES)
+            return len(data) if found < 0 else found + len(EMPTY_LINE)
+        # The limit is checked at the same byte however the bytes are split.
+        limit = start + self._limits.header_bytes - self._overhead_bytes + 1
+        limit = min(limit, len(data))
+        joined = self._tail + data[start : start + len(EMPTY_LINE) - 1]
+        found = joined.find(EMPTY_LINE)
+        if found >= 0:
+            return min(limit, start + found + len(EMPTY_LINE) - len(self._tail))
+        found = data.find(EMPTY_LINE, start, limit)
+        return limit if found < 0 else found + len(EMPTY_LINE)
 
     def _parse(self, data: bytes) -> None:
         self._overhead_bytes += len(data)
+        self._tail = (self._tail + data[1 - len(EMPTY_LINE) :])[1 - len(EMPTY_LINE) :]
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise InvalidRequestError("expected no protocol upgrade") from error
         except httptools.HttpParserError as error:
             raise self._error or InvalidRequestError(str(error)) from error
+        self._check_overhead()
+
+    def _check_overhead(self) -> None:
         if self._overhead_bytes > self._limits.header_bytes:
-            raise HeadersTooLargeError(
+            self._error = HeadersTooLargeError(
                 f"head or framing over {self._limits.header_bytes} bytes"
             )
+            raise self._error
 
     # Callbacks of the parser.
 
@@ -247,6 +263,7 @@
 
     def on_headers_complete(self) -> None:
         """Validate the head."""
+        self._check_overhead()
         self._in_head = False
         self._overhead_bytes = 0
         error = self._check_head()
--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -21,6 +21,13 @@
     return reader
 
 
+def read_in_parts(data, size):
+    reader = RequestReader(LIMITS, lambda: None)
+    for start in range(0, len(data), size):
+        reader.feed(data[start : start + size], 0.0)
+    return reader
+
+
 class TestCompleteRequests:
     def test_request_is_split_into_its_parts(self):
         (request,) = read(
@@ -123,6 +130,9 @@
             read(line)
 
 
+SHORT_HEAD = b"GET / HTTP/1.1\r\nHost: x\r\n"
+
+
 class TestLimits:
     def test_too_long_head_is_rejected(self):
         with pytest.raises(HeadersTooLargeError):
@@ -158,6 +168,27 @@
         with pytest.raises(HeadersTooLargeError):
             reader.feed(part * (1 + len(begin) // len(part)) * 2, 0.0)
 
+    # In one part, the bytes beside target and fields were not counted, and a malformed
+    # byte behind the limit was found before it.
+    @pytest.mark.parametrize("size", [1, 7, 999, 1001, 5000])
+    @pytest.mark.parametrize(
+        "data",
+        [
+            SHORT_HEAD + b"A: %b\r\n\r\n" % (b"b" * (1001 - len(SHORT_HEAD) - 7)),
+            b"\r\n" * 490 + SHORT_HEAD + b"\r\n",
+            SHORT_HEAD + b"A: %b\0" % (b"b" * 1000),
+        ],
+        ids=["request line", "blank lines", "malformed behind it"],
+    )
+    def test_head_over_the_limit_is_rejected_however_it_is_split(self, data, size):
+        with pytest.raises(HeadersTooLargeError):
+            read_in_parts(data, size)
+
+    @pytest.mark.parametrize("size", [1, 7, 999, 1000])
+    def test_head_at_the_limit_is_accepted_however_it_is_split(self, size):
+        data = SHORT_HEAD + b"A: %b\r\n\r\n" % (b"b" * (1000 - len(SHORT_HEAD) - 7))
+        assert len(read_in_parts(data, size).complete_requests) == 1
+
     # The bytes of the body before it were counted as part of the next head.
     @pytest.mark.parametrize("split", [0, 1, 20, 90, 140])
     def test_head_after_a_long_body_in_one_part(self, split):
