Test that an empty line cut in two ends a head that is at the limit

Cause: nothing failed when the reader forgot the bytes before a cut; bytes of the next request would then count as part of the head.

Change: the head at the limit is followed by a second request, and cut within its empty line.

--- a/tests/test_gateway_requests.py
+++ b/tests/test_gateway_requests.py
@@ -184,10 +184,12 @@
         with pytest.raises(HeadersTooLargeError):
             read_in_parts(data, size)
 
-    @pytest.mark.parametrize("size", [1, 7, 999, 1000])
+    # Bytes of the next request counted if the empty line was cut in two.
+    @pytest.mark.parametrize("size", [1, 7, 997, 998, 999, 1000, 5000])
     def test_head_at_the_limit_is_accepted_however_it_is_split(self, size):
         data = SHORT_HEAD + b"A: %b\r\n\r\n" % (b"b" * (1000 - len(SHORT_HEAD) - 7))
-        assert len(read_in_parts(data, size).complete_requests) == 1
+        data += SHORT_HEAD + b"\r\n"
+        assert len(read_in_parts(data, size).complete_requests) == 2
 
     # The bytes of the body before it were counted as part of the next head.
     @pytest.mark.parametrize("split", [0, 1, 20, 90, 140])
