--- a/tests/fuzz.py
+++ b/tests/fuzz.py
@@ -1,4 +1,4 @@
-"""Length and seed of the stateful tests: fixed in CI, set by ``make fuzz``."""
+"""Length and seed of the property tests: fixed in CI, set by ``make fuzz``."""
 
 import os
 
@@ -25,3 +25,13 @@
     if SEED:
         machine = hypothesis.seed(int(SEED))(machine)
     return machine.TestCase
+
+
+def seeded_test(examples):
+    """Return a decorator of a property test that sets its length and seed."""
+
+    def decorate(test):
+        test = settings(examples, steps=1)(test)
+        return hypothesis.seed(int(SEED))(test) if SEED else test
+
+    return decorate
