Check the accounting of client memory with a state machine

Cause: test_client_memory has cases for each rule, but none for any order of connections that open, change, end and are ended.

Change: a state machine against a plain model: the total and the places, which connection gives up its place, and the choice of evictions: forwarded requests last, accounts over their share first, no more than needed, and down to the bound where that is possible. make fuzz runs it, and the property tests of the parser and of a caller's connection.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,8 @@
 	FUZZ_SEED=$(SEED) FUZZ_LENGTH=$(LENGTH) $(PY) -m pytest -o timeout=0 \
 		tests/test_claims_machine.py tests/test_sessions_machine.py \
 		tests/test_leases_machine.py tests/test_placement_machine.py \
-		tests/test_changes_machine.py
+		tests/test_changes_machine.py tests/test_client_memory_machine.py \
+		tests/test_request_reader_fuzz.py tests/test_caller_fuzz.py
 
 SEEDS ?= 1-10
 JOBS ?= 1
