--- a/tests/gateway_data.py
+++ b/tests/gateway_data.py
@@ -144,6 +144,13 @@
     return config
 
 
+def make_config_of_whole_engines(version: int = 1) -> dict[str, t.Any]:
+    """Return lists by which each engine holds all layers, so that any begins paths."""
+    config = make_config(version)
+    config["services"][2]["engine"]["layer_mb"] = 100
+    return config
+
+
 def make_engine_config() -> dict[str, t.Any]:
     kinds = []
     for name, memory_mb, step, read in ACCELERATORS:
--- a/tests/test_commented_streams.py
+++ b/tests/test_commented_streams.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.gateway_data import make_config
+from tests.gateway_data import make_config_of_whole_engines
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import make_stream
 from tests.test_gateway import wait_for_placement
@@ -21,10 +21,7 @@
 @pytest.fixture
 def deployment():
     deployment = Deployment()
-    config = make_config()
-    # Each engine holds all layers, so that any may begin a path.
-    config["services"][2]["engine"]["layer_mb"] = 100
-    deployment.store.put("op", "config", config)
+    deployment.store.put("op", "config", make_config_of_whole_engines())
     return deployment
 
 
--- a/tests/test_crashes_and_rows.py
+++ b/tests/test_crashes_and_rows.py
@@ -8,7 +8,7 @@
 
 import pytest
 
-from tests.gateway_data import make_config
+from tests.gateway_data import make_config_of_whole_engines
 from tests.gateway_data import make_engine_config
 from tests.gateway_deployment import IP
 from tests.gateway_deployment import Deployment
@@ -25,10 +25,7 @@
 @pytest.fixture
 def deployment():
     deployment = Deployment()
-    config = make_config()
-    # Each engine holds all layers, so that any may begin a path.
-    config["services"][2]["engine"]["layer_mb"] = 100
-    deployment.store.put("op", "config", config)
+    deployment.store.put("op", "config", make_config_of_whole_engines())
     return deployment
 
 
@@ -131,8 +128,7 @@
     @pytest.fixture
     def deployment(self):
         deployment = Deployment()
-        config = make_config()
-        config["services"][2]["engine"]["layer_mb"] = 100
+        config = make_config_of_whole_engines()
         engine = dict(make_engine_config(), layer_mb=100)
         other = dict(config["services"][2], name="others", engine=engine)
         config["services"].append(other)
--- a/tests/test_engine_services.py
+++ b/tests/test_engine_services.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from tests.gateway_data import make_config
+from tests.gateway_data import make_config_of_whole_engines
 from tests.gateway_data import make_engine_config
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import make_stream
@@ -17,8 +17,7 @@
 
 
 def make_lists(version, *, has_other):
-    config = make_config(version)
-    config["services"][2]["engine"]["layer_mb"] = 100
+    config = make_config_of_whole_engines(version)
     if not has_other:
         return config
     engine = dict(make_engine_config(), layer_mb=100)
--- a/tests/test_request_log.py
+++ b/tests/test_request_log.py
@@ -11,6 +11,7 @@
 
 from tests.gateway_data import encode
 from tests.gateway_data import make_config
+from tests.gateway_data import make_config_of_whole_engines
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import make_request
 from tests.gateway_deployment import make_stream
@@ -35,10 +36,8 @@
 @pytest.fixture
 def deployment():
     deployment = Deployment()
-    config = make_config()
+    config = make_config_of_whole_engines()
     config["routes"][2].update(service="desk", split=None)
-    # Each engine holds all layers, so that any may begin a path.
-    config["services"][2]["engine"]["layer_mb"] = 100
     deployment.store.put("op", "config", config)
     return deployment
 
@@ -141,8 +140,7 @@
         self, deployment, engines, host, aim_ms, delay_s
     ):
         """Guards against stalls that are looked for when the goal has passed."""
-        config = make_config(2)
-        config["services"][2]["engine"]["layer_mb"] = 100
+        config = make_config_of_whole_engines(2)
         config["routes"][0]["aim_ms"] = aim_ms
         deployment.store.put("op", "config", config)
         deployment.run(lambda: host.lists_version() == 2)
--- a/tests/test_reused_addresses.py
+++ b/tests/test_reused_addresses.py
@@ -5,6 +5,7 @@
 """
 
 from tests.gateway_data import make_config
+from tests.gateway_data import make_config_of_whole_engines
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import make_stream
 from tests.test_gateway import wait_for_placement
@@ -13,9 +14,7 @@
 class TestOrders:
     def test_order_for_an_engine_that_is_gone_is_not_carried_out(self):
         deployment = Deployment()
-        config = make_config()
-        config["services"][2]["engine"]["layer_mb"] = 100
-        deployment.store.put("op", "config", config)
+        deployment.store.put("op", "config", make_config_of_whole_engines())
         engines = [deployment.add_engine(f"i-e{n}") for n in range(2)]
         # The row of an engine that has ended stays for some time; another service,
         # which the lists don't have yet, got its address.
