Soak: streams of three ranks, floods, and callers that return

The soak sent streams of one rank, hardly ever lacked capacity, and its callers never came back after a rejection, so that it verified nothing about the order of ranks.

Callers send streams on routes of priorities 0, 1 and 2 for four accounts and return once after a rejection, after its Retry-After, at another host of the data centre, on a new connection with a new attempt id. A flood of the least urgent rank begins every 3 to 9 s and once more while the hosts recover; a few callers send urgent streams beside it. Engines have 4 slots, so that a flood fills them. Further draws come from generators of their own. Those of the faults' generator keep their order; callers' draws shift where a caller returns.

The checker reports urgent streams of a data centre that are rejected for lack of capacity for more than 3 s without any start, while less urgent ones start there. Hosts' logs tell this lack from other reasons of a 503. That no rejected request has run was checked already and now covers returns.

--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -1,11 +1,13 @@
 """Callers that reuse their connections, also while a host shuts down."""
 
+import dataclasses
 import random
 import typing as t
 import uuid
 
 import httptools
 
+from tests.soak.checker import REFUSALS
 from tests.soak.checker import CallerRequest
 from tests.soak.checker import InvariantChecker
 from tests.soak.checker import Key
@@ -29,6 +31,14 @@
 DEADLINE_S = {Kind.NON_IDEMPOTENT: 1.0, Kind.IDEMPOTENT: 1.0, Kind.STREAM: 8.0}
 
 
+STREAM_PATHS = ("/draft/1", "/edit/1", "/batch/1")
+"""Paths of streams, by rank."""
+
+LEAST_URGENT = len(STREAM_PATHS) - 1
+STATIC_KEY_SHARE = 0.5
+"""Share of streams of the accounts whose keys aren't rotated."""
+
+
 class _Answer:
     """An answer that is being received."""
 
@@ -36,6 +46,11 @@
         self.parser = httptools.HttpResponseParser(self)
         self.body = b""
         self.is_complete = False
+        self.retry_after_s: float | None = None
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        if name.lower() == b"retry-after":
+            self.retry_after_s = float(value)
 
     def on_body(self, data: bytes) -> None:
         self.body += data
@@ -66,7 +81,12 @@
 
 
 class SoakCaller:
-    """A caller that sends one request at a time."""
+    """A caller that sends one request at a time.
+
+    :param stream_rng: for draws about streams and returns, so that those of ``rng``
+        stay the same for a seed.
+    :param rank: if given, it sends only streams of this rank.
+    """
 
     def __init__(
         self,
@@ -75,7 +95,13 @@
         hosts: t.Sequence[HostProcess],
         keys: t.Callable[[], list[Key]],
         rng: random.Random,
+        stream_rng: random.Random,
+        static_keys: t.Sequence[Key] = (),
+        rank: int | None = None,
     ) -> None:
+        self._stream_rng = stream_rng
+        self._static_keys = static_keys
+        self._rank = rank
         self._loop = loop
         self._checker = checker
         self._hosts = hosts
@@ -95,20 +121,25 @@
     def start(self) -> None:
         """Send a request; each later one follows after a pause."""
         if self.is_stopped:
+            self._close_connection()
             return
         if self._connection is not None and self._rng.random() > KEEP_ALIVE_SHARE:
-            self._connection.close_gracefully()
-            self._connection = None
-        if self._connection is None and not self._connect():
+            self._close_connection()
+        if self._connection is None and not self._connect(self._hosts, self._rng):
             self._loop.call_later(self._rng.uniform(*PAUSE_S), self.start)
             return
         self._send_request()
 
-    def _connect(self) -> bool:
-        running = [host for host in self._hosts if host.is_running]
+    def _close_connection(self) -> None:
+        if self._connection is not None:
+            self._connection.close_gracefully()
+            self._connection = None
+
+    def _connect(self, hosts: t.Sequence[HostProcess], rng: random.Random) -> bool:
+        running = [host for host in hosts if host.is_running]
         if not running:
             return False
-        self._host = self._rng.choice(running)
+        self._host = rng.choice(running)
         self._incarnation = self._host.incarnation
         ip, _, port = self._host.caller_proxy.address.rpartition(":")
         self._connection = connect(
@@ -118,25 +149,27 @@
 
     def _send_request(self) -> None:
         kind = self._rng.choice(KINDS)
+        key = self._rng.choice(self._keys())
+        rank = 0
+        if self._rank is not None:
+            kind, rank = Kind.STREAM, self._rank
+        elif kind is Kind.STREAM:
+            rank = self._stream_rng.randrange(len(STREAM_PATHS))
+            if self._static_keys and self._stream_rng.random() < STATIC_KEY_SHARE:
+                key = self._stream_rng.choice(self._static_keys)
         attempt = uuid.UUID(int=self._rng.getrandbits(128)).hex[:16]
         method, target, body = {
             Kind.NON_IDEMPOTENT: ("POST", f"/register/{attempt}?fee=1", b"fee" * 20),
             Kind.IDEMPOTENT: ("GET", f"/lookup/{attempt}", b""),
-            Kind.STREAM: ("POST", "/draft/1", b"p" * 300),
+            Kind.STREAM: ("POST", STREAM_PATHS[rank], b"p" * 300),
         }[kind]
-        self._request = request = CallerRequest(
-            attempt,
-            kind,
-            method,
-            target,
-            body,
-            self._rng.choice(self._keys()),
-            self._host.name,
-            self._incarnation,
-            self._loop.now,
-            DEADLINE_S[kind],
-            self._checker.version,
-        )
+        sender = (key, self._host.name, self._incarnation, self._loop.now)
+        sent = (method, target, body, *sender, DEADLINE_S[kind], self._checker.version)
+        centre = self._host.data_centre
+        self._send(CallerRequest(attempt, kind, *sent, centre, rank))
+
+    def _send(self, request: CallerRequest) -> None:
+        self._request = request
         self._answer = _Answer()
         self._checker.record_request(request)
         self.all_sent_at.append(self._loop.now)
@@ -188,10 +221,36 @@
         if answer.status < 300:
             self.served_sent_at.append(request.sent_at)
         if not answer.parser.should_keep_alive() and self._connection is not None:
-            self._connection.close_gracefully()
-            self._connection = None
+            self._close_connection()
+        delay_s = answer.retry_after_s
+        if answer.status in REFUSALS and delay_s is not None and not request.is_return:
+            self._cancel_timer()
+            self._loop.call_later(delay_s, lambda: self._return(request))
+            return
         self._schedule_next()
 
+    def _return(self, rejected: CallerRequest) -> None:
+        """Repeat a rejected request at another host, on a new connection."""
+        self._close_connection()
+        others = [host for host in self._hosts if host is not self._host]
+        if self.is_stopped or not self._connect(others, self._stream_rng):
+            self._schedule_next()
+            return
+        attempt = uuid.UUID(int=self._stream_rng.getrandbits(128)).hex[:16]
+        request = dataclasses.replace(
+            rejected,
+            attempt=attempt,
+            host=self._host.name,
+            incarnation=self._incarnation,
+            sent_at=self._loop.now,
+            version=self._checker.version,
+            is_return=True,
+            runs=[],
+            status=None,
+        )
+        self._checker.count("returned")
+        self._send(request)
+
     def _on_lost(self, _error: OSError) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
@@ -213,8 +272,11 @@
         self._checker.check_cut(request.attempt, now, in_shutdown=in_shutdown)
         self._schedule_next()
 
-    def _schedule_next(self) -> None:
+    def _cancel_timer(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
+
+    def _schedule_next(self) -> None:
+        self._cancel_timer()
         self._loop.call_later(self._rng.uniform(*PAUSE_S), self.start)
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -22,6 +22,10 @@
 LOST_DEADLINE_SHARE = 0.7
 """Share of a request's deadline after which a cut connection is no violation."""
 
+URGENT_REJECTED_S = 3.0
+"""Seconds for which all urgent streams of a data centre may be rejected for lack of
+capacity while less urgent ones start there."""
+
 REFUSALS = frozenset({408, 421, 429, 503})
 """Status codes which state that the request did not run."""
 
@@ -55,7 +59,10 @@
 
     ``incarnation``: the host process to which the caller was connected.
     ``version``: the version of the lists when the request was sent.
-    ``runs``: the upstreams that ran it.
+    ``centre``, ``rank``: the data centre of its host, and a stream's priority.
+    ``is_return``: whether it returns after a rejection.
+    ``runs``: the upstreams that ran it; ``began_at``: when the first one began.
+    ``undisturbed_s``: seconds without a disturbance when it began or was rejected.
     """
 
     attempt: str
@@ -69,8 +76,14 @@
     sent_at: float
     deadline_s: float
     version: int
+    centre: str = ""
+    rank: int = 0
+    is_return: bool = False
     runs: list[str] = dataclasses.field(default_factory=list)
     status: int | None = None
+    began_at: float | None = None
+    rejected_at: float | None = None
+    undisturbed_s: float = 0.0
 
 
 class DisturbanceLog:
@@ -95,12 +108,16 @@
 
     def is_undisturbed(self, parts: t.Iterable[str], now: float, span_s: float) -> bool:
         """Return whether none of the parts was disturbed in the last ``span_s``."""
+        return self.undisturbed_s(parts, now) >= span_s
+
+    def undisturbed_s(self, parts: t.Iterable[str], now: float) -> float:
+        """Return for how long none of the parts was disturbed; negative if one is."""
+        seconds = float("inf")
         for part in parts:
             if self._active.get(part):
-                return False
-            if now - self._ended_at.get(part, float("-inf")) < span_s:
-                return False
-        return True
+                return -1.0
+            seconds = min(seconds, now - self._ended_at.get(part, float("-inf")))
+        return seconds
 
 
 MACHINE = "machine"
@@ -136,12 +153,19 @@
         """Record a request that is about to be sent."""
         self._requests[request.attempt] = request
 
+    def count(self, name: str) -> None:
+        """Count an observation for the summary of the run."""
+        self.counts[name] = self.counts.get(name, 0) + 1
+
     def _report(self, kind: str, text: str, now: float) -> None:
         self.violations.append(f"{kind} at {now:.2f}: {text}")
 
     def _is_undisturbed(self, request: CallerRequest, now: float) -> bool:
+        return self._undisturbed_s(request, now) >= UNDISTURBED_S
+
+    def _undisturbed_s(self, request: CallerRequest, now: float) -> float:
         parts = (MACHINE, STORE, request.host)
-        return self.disturbances.is_undisturbed(parts, now, UNDISTURBED_S)
+        return self.disturbances.undisturbed_s(parts, now)
 
     # Observations of upstreams.
 
@@ -175,6 +199,9 @@
         if expected != actual:
             self._report("unasked", f"{upstream} ran {actual}, not {expected}", now)
         if is_first:
+            if not request.runs:
+                request.began_at = now
+                request.undisturbed_s = self._undisturbed_s(request, now)
             request.runs.append(upstream)
         if request.kind is Kind.NON_IDEMPOTENT and len(request.runs) > 1:
             self._report("twice", f"{request.attempt} ran on {request.runs}", now)
@@ -209,18 +236,69 @@
         """Check an answer; ``text`` is its body."""
         request = self._requests[attempt]
         request.status = status
-        self.counts[str(status)] = self.counts.get(str(status), 0) + 1
-        if status in REFUSALS and request.runs:
-            self._report("refused", f"{attempt} got {status} after {request.runs}", now)
+        self.count(str(status))
+        if status in REFUSALS:
+            request.rejected_at = now
+            if not request.runs:
+                request.undisturbed_s = self._undisturbed_s(request, now)
+            self._check_not_run(request, now)
         if status in DENIALS:
             self._check_denial(request, now)
         if 200 <= status < 300:
             self._check_success(request, text, now, is_complete=is_complete)
 
+    def _check_not_run(self, request: CallerRequest, now: float) -> None:
+        if request.runs:
+            text = f"{request.attempt} got {request.status} after {request.runs}"
+            self._report("refused", text, now)
+
+    def check_urgent_streams(self, no_capacity: t.Collection[str]) -> None:
+        """Check that less urgent streams didn't start while urgent ones were rejected.
+
+        :param no_capacity: attempts that the hosts rejected for lack of capacity.
+        """
+        streams_by_centre: dict[str, list[tuple[float, CallerRequest]]] = {}
+        for request in self._requests.values():
+            if request.kind is not Kind.STREAM:
+                continue
+            at = request.began_at
+            if at is None and request.attempt in no_capacity:
+                at = request.rejected_at
+                self.count("no_capacity")
+            if at is not None:
+                streams = streams_by_centre.setdefault(request.centre, [])
+                streams.append((at, request))
+        for centre, streams in streams_by_centre.items():
+            self._check_centre(centre, sorted(streams, key=lambda item: item[0]))
+
+    def _check_centre(
+        self, centre: str, streams: list[tuple[float, CallerRequest]]
+    ) -> None:
+        rejected_since: float | None = None
+        less_urgent_at = float("-inf")
+        for now, request in streams:
+            if request.rank > 0:
+                # A disturbed host may not know that urgent streams are queued.
+                if request.runs and request.undisturbed_s >= UNDISTURBED_S:
+                    less_urgent_at = now
+                continue
+            if request.runs:
+                rejected_since = None
+                continue
+            if rejected_since is None:
+                rejected_since = now
+            span_s = now - rejected_since
+            if span_s <= URGENT_REJECTED_S or less_urgent_at <= rejected_since:
+                continue
+            if request.undisturbed_s >= span_s + UNDISTURBED_S:
+                text = f"all urgent streams of {centre} rejected for {span_s:.2f} s"
+                self._report("urgency", text, now)
+            rejected_since = now
+
     def check_cut(self, attempt: str, now: float, *, in_shutdown: bool) -> None:
         """Check a connection that ended before the answer was complete."""
         request = self._requests[attempt]
-        self.counts["cut"] = self.counts.get("cut", 0) + 1
+        self.count("cut")
         if not in_shutdown or not request.runs:
             return
         if now - request.sent_at > LOST_DEADLINE_SHARE * request.deadline_s:
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -5,6 +5,9 @@
 import typing as t
 
 from tests.gateway_data import make_config
+from tests.soak.callers import LEAST_URGENT
+from tests.soak.callers import STREAM_PATHS
+from tests.soak.callers import SoakCaller
 from tests.soak.checker import STORE
 from tests.soak.checker import UPSTREAMS
 from tests.soak.checker import InvariantChecker
@@ -27,6 +30,14 @@
 """The setting shutdown.grace_s of the hosts."""
 
 MAX_CALLER_KEYS = 6
+STATIC_KEYS = (Key("key-press", "press", 1), Key("key-guild", "guild", 1))
+"""Keys of two more accounts, which are not rotated."""
+
+FLOOD_CALLERS = 30
+"""Callers of a flood; the engines of all data centres take 24 streams."""
+
+URGENT_CALLERS = 4
+FLOOD_DURATION_S = (4.0, 6.0)
 
 
 class SoakDeployment:
@@ -56,13 +67,19 @@
         """Write the current lists to the store under a new version."""
         version = self.checker.version + self.rng.randint(1, 5)
         by_account: dict[str, list[str]] = {"maker": [], "judge": []}
-        for key in self.keys:
+        for key in (*STATIC_KEYS, *self.keys):
             if key.removed is None:
-                by_account[key.account].append(key.text)
+                by_account.setdefault(key.account, []).append(key.text)
         tenants = [
             {"name": name, "api_keys": texts} for name, texts in by_account.items()
         ]
         config = make_config(version, tenants=tenants)
+        draft = config["routes"][0]
+        for rank, aim_ms in ((1, 750), (2, 1000)):
+            path = STREAM_PATHS[rank]
+            changes = {"name": path.split("/")[1], "prefix": path[:-1]}
+            route = {**draft, **changes, "aim_ms": aim_ms, "priority": rank}
+            config["routes"].append(route)
         for route in config["routes"]:
             route["anonymous"] = False
         # There is only one service, so the split between two is removed.
@@ -86,6 +103,31 @@
         self.loop.call_later(duration_s, end_fault)
 
 
+def flood_streams(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Flood the hosts of one data centre with streams of the least urgent rank.
+
+    A few more callers send urgent ones there, so that these are hardly ever absent.
+    """
+    centre = rng.choice(deployment.hosts).data_centre
+    hosts = [host for host in deployment.hosts if host.data_centre == centre]
+    key = rng.choice(STATIC_KEYS)
+    deployment.fault_log.append(f"{deployment.loop.now:.2f} {flood_streams.__name__}")
+    callers = []
+    for rank in [0] * URGENT_CALLERS + [LEAST_URGENT] * FLOOD_CALLERS:
+        keys = [key if rank else STATIC_KEYS[0]]
+        own = random.Random(rng.random())
+        loop, checker = deployment.loop, deployment.checker
+        caller = SoakCaller(loop, checker, hosts, keys.copy, own, own, rank=rank)
+        caller.start()
+        callers.append(caller)
+
+    def end_flood() -> None:
+        for caller in callers:
+            caller.is_stopped = True
+
+    deployment.loop.call_later(rng.uniform(*FLOOD_DURATION_S), end_flood)
+
+
 def kill_hosts(deployment: SoakDeployment) -> None:
     """Kill one host or all of them, and restart them later."""
     count = len(deployment.hosts) if deployment.rng.random() < 0.2 else 1
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -19,6 +19,12 @@
 MAX_MEMORY_MB = 300
 """Documented limit of the memory of an entry host."""
 
+NO_CAPACITY = re.compile(
+    r"event=request_ended request=(\S+) .*"
+    r'outcome="(?:no room|no room in time|queue full)"'
+)
+"""The end of a stream that was rejected for lack of capacity."""
+
 LOG_LINE = re.compile(r"time=\S+ level=[A-Z]+ host=\S+ event=\w+")
 
 
@@ -53,8 +59,8 @@
         """Return whether the process is running."""
         return self.process is not None and self.process.poll() is None
 
-    def write_settings(self) -> None:
-        """Write the settings file with the current values."""
+    def settings_text(self) -> str:
+        """Return the settings with the current values."""
         text = SETTINGS.format(
             name=self.name,
             centre=self.data_centre,
@@ -64,9 +70,12 @@
             store=self.store_proxy.address,
         )
         text = text.replace("lapse_s = 0.3", f"lapse_s = {STORE_LAPSE_S}")
-        text = text.replace("slack = 200", f"slack = {self.retries_slack}")
+        return text.replace("slack = 200", f"slack = {self.retries_slack}")
+
+    def write_settings(self) -> None:
+        """Write the settings file with the current values."""
         path = self._path("toml").with_suffix(".new")
-        path.write_text(text, encoding="utf-8")
+        path.write_text(self.settings_text(), encoding="utf-8")
         path.replace(self._path("toml"))
 
     def start(self) -> None:
@@ -132,5 +141,10 @@
                 found.append(f"log: {line}")
         return found
 
+    def no_capacity_attempts(self) -> set[str]:
+        """Return the attempts that the log names as rejected for lack of capacity."""
+        text = self._path("log").read_text(encoding="utf-8", errors="replace")
+        return set(NO_CAPACITY.findall(text))
+
     def _path(self, suffix: str) -> pathlib.Path:
         return self._work / f"{self.name}.{suffix}"
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -12,7 +12,9 @@
 from tests.soak.checker import DisturbanceLog
 from tests.soak.checker import InvariantChecker
 from tests.soak.faults import FAULTS
+from tests.soak.faults import STATIC_KEYS
 from tests.soak.faults import SoakDeployment
+from tests.soak.faults import flood_streams
 from tests.soak.hosts import HostProcess
 from tests.soak.proxy import Proxy
 from tests.soak.upstreams import SoakEngine
@@ -22,12 +24,22 @@
 
 DATA_CENTRES = ("a", "b", "c")
 ENGINES_PER_CENTRE = 4
+ENGINE_SLOTS = 4
+"""Few, so that a flood fills the engines of its data centre."""
+
+FLOOD_PAUSE_S = (3.0, 9.0)
+"""Bounds of the time between the starts of two floods, which may overlap."""
+
 START_TIMEOUT_S = 30.0
 """Seconds for the first answer to each caller, as processes start on a busy machine."""
 
 RECOVERY_S = 12.0
 """Documented seconds after which a quarter of all requests is served again."""
 
+LAST_FLOOD_S = 4.0
+"""Undisturbed seconds before a last flood, which is over before the recovery is: only
+then is a host without faults for as long as the check of urgent streams requires."""
+
 PROBE_S = 2.0
 """Seconds in which requests are counted after the recovery."""
 
@@ -87,6 +99,8 @@
         self._rng = random.Random(options.seed)
         self._checker = InvariantChecker(DisturbanceLog())
         self._deployment = SoakDeployment(self._loop, self._checker, self._rng)
+        # A generator of its own, so that a seed's faults stay the same.
+        self._load_rng = random.Random(f"load {options.seed}")
         self._callers: list[SoakCaller] = []
         self._checked_at = self._loop.now
         self._build(work)
@@ -100,7 +114,9 @@
             for caller in self._callers:
                 caller.start()
             self._wait(START_TIMEOUT_S, self._all_callers_served)
-            self._inject_fault(self._loop.now + self._options.fault_s)
+            until = self._loop.now + self._options.fault_s
+            self._inject_fault(until)
+            self._inject_flood(until)
             self._wait(self._options.fault_s)
             self._deployment.faults_ended = True
             recovered = self._measure_recovery()
@@ -112,6 +128,8 @@
         for host in self._deployment.hosts:
             self._checker.violations.extend(host.check_log())
         checker = self._checker
+        found = [host.no_capacity_attempts() for host in self._deployment.hosts]
+        checker.check_urgent_streams(set().union(*found))
         return Verdict(
             checker.violations, checker.counts, self._deployment.fault_log, recovered
         )
@@ -134,15 +152,11 @@
         for number in range(self._options.callers):
             centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             local = [host for host in deployment.hosts if host.data_centre == centre]
-            self._callers.append(
-                SoakCaller(
-                    self._loop,
-                    self._checker,
-                    local or deployment.hosts,
-                    deployment.caller_keys,
-                    random.Random(self._rng.random()),
-                )
-            )
+            rng = random.Random(self._rng.random())
+            stream_rng = random.Random(self._load_rng.random())
+            entry = (local or deployment.hosts, deployment.caller_keys)
+            more = (*entry, rng, stream_rng, STATIC_KEYS)
+            self._callers.append(SoakCaller(self._loop, self._checker, *more))
 
     def _add_upstream(
         self,
@@ -165,6 +179,8 @@
         upstream.row["address"] = proxy.address
         upstream.checker = self._checker
         upstream.rng = random.Random(self._rng.random())
+        if upstream_class is SoakEngine:
+            upstream.row["slots"] = ENGINE_SLOTS
         upstream.write_row(zone=centre)
 
     # Timers.
@@ -193,6 +209,12 @@
         delay_s = self._rng.uniform(*FAULT_PAUSE_S)
         self._loop.call_later(delay_s, lambda: self._inject_fault(until))
 
+    def _inject_flood(self, until: float) -> None:
+        if self._loop.now < until:
+            flood_streams(self._deployment, self._load_rng)
+            delay_s = self._load_rng.uniform(*FLOOD_PAUSE_S)
+            self._loop.call_later(delay_s, lambda: self._inject_flood(until))
+
     def _wait(
         self, duration_s: float, until: t.Callable[[], bool] = lambda: False
     ) -> bool:
@@ -218,11 +240,15 @@
     def _measure_recovery(self) -> float:
         """Wait for the recovery; return the share of requests served afterwards."""
         stable_s = 0.0
+        has_flooded = False
         while stable_s < RECOVERY_S:
             self._wait(TICK_S * 4)
             stable_s += TICK_S * 4
             if not self._is_recovered():
                 stable_s = 0.0
+            if stable_s > LAST_FLOOD_S and not has_flooded:
+                flood_streams(self._deployment, self._load_rng)
+                has_flooded = True
         since = self._loop.now
         self._wait(PROBE_S)
         until = self._loop.now
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,7 @@
 import pytest
 
 from tests.soak.checker import EVENTS
+from tests.soak.checker import MACHINE
 from tests.soak.checker import CallerRequest
 from tests.soak.checker import DisturbanceLog
 from tests.soak.checker import InvariantChecker
@@ -13,6 +14,7 @@
 from tests.soak.checker import Kind
 from tests.soak.checker import ReceivedRequest
 from tests.soak.checker import make_event
+from tests.soak.hosts import NO_CAPACITY
 from tests.soak.ports import EPHEMERAL_RANGE
 from tests.soak.ports import IP
 from tests.soak.ports import reserve_port
@@ -187,6 +189,101 @@
         assert violation_kinds(checker) == expected
 
 
+def make_streams(rejected_at, *, started_at=(), less_urgent_at=(), centres="aa"):
+    """Return streams as attempt, rank, time, and whether they start, and centre."""
+    urgent, less_urgent = centres
+    streams = [(0, at, False, urgent) for at in rejected_at]
+    streams += [(0, at, True, urgent) for at in started_at]
+    streams += [(1, at, True, less_urgent) for at in less_urgent_at]
+    return sorted(streams, key=lambda stream: stream[1])
+
+
+def play_streams(checker, streams, disturbed=()):
+    """Show streams to the checker; return the attempts that were rejected.
+
+    ``disturbed``: pairs of a part and the time of its disturbance.
+    """
+    rejected = set()
+    pending = sorted(disturbed, key=lambda item: item[1])
+    for number, (rank, at, is_start, centre) in enumerate(streams):
+        while pending and pending[0][1] <= at:
+            checker.disturbances.record(*pending.pop(0))
+        request = make_request(Kind.STREAM, sent_at=at)
+        request.attempt = attempt = f"s{number}"
+        request.rank, request.centre = rank, centre
+        request.host = "h" if rank == 0 else "h2"
+        checker.record_request(request)
+        if is_start:
+            checker.record_run("i-1", make_received(attempt=attempt), at)
+            continue
+        checker.check_answer(attempt, 503, "", at, is_complete=True)
+        rejected.add(attempt)
+    return rejected
+
+
+REJECTED_AT = (100.0, 101.0, 102.0, 103.1)
+
+
+class TestUrgentStreams:
+    """Fails if less urgent streams may take the capacity that urgent ones lack."""
+
+    @pytest.mark.parametrize(
+        ("streams", "expected"),
+        [
+            (make_streams(REJECTED_AT, less_urgent_at=[101.5]), ["urgency"]),
+            (make_streams(REJECTED_AT[:3], less_urgent_at=[101.5]), []),
+            (make_streams(REJECTED_AT, less_urgent_at=[99.0, 104.0]), []),
+            (make_streams(REJECTED_AT), []),
+            (
+                make_streams(REJECTED_AT, started_at=[102.5], less_urgent_at=[101.5]),
+                [],
+            ),
+            (make_streams(REJECTED_AT, less_urgent_at=[101.5], centres="ab"), []),
+        ],
+        ids=["long", "short", "none_meanwhile", "none", "break", "other_centre"],
+    )
+    def test_rejected_while_less_urgent_ones_start(self, checker, streams, expected):
+        rejected = play_streams(checker, streams)
+        checker.check_urgent_streams(rejected)
+        assert violation_kinds(checker) == expected
+
+    @pytest.mark.parametrize(
+        ("part", "at", "expected"),
+        [
+            (MACHINE, 98.0, []),
+            (MACHINE, 102.0, []),
+            (MACHINE, 96.9, ["urgency"]),
+            ("h", 102.0, []),
+            ("h2", 99.0, []),
+            ("h3", 102.0, ["urgency"]),
+        ],
+    )
+    def test_disturbed_parts_are_excused(self, checker, part, at, expected):
+        streams = make_streams(REJECTED_AT, less_urgent_at=[101.5])
+        rejected = play_streams(checker, streams, [(part, at)])
+        checker.check_urgent_streams(rejected)
+        assert violation_kinds(checker) == expected
+
+    def test_other_rejections_do_not_count(self, checker):
+        play_streams(checker, make_streams(REJECTED_AT, less_urgent_at=[101.5]))
+        checker.check_urgent_streams(set())
+        assert checker.violations == []
+
+    @pytest.mark.parametrize(
+        ("outcome", "expected"),
+        [
+            ('"no room in time"', {"a1"}),
+            ('"no room"', {"a1"}),
+            ('"queue full"', {"a1"}),
+            ('"no pipeline"', set()),
+            ("served", set()),
+        ],
+    )
+    def test_outcome_in_the_log_names_the_lack_of_capacity(self, outcome, expected):
+        line = f"host=h event=request_ended request=a1 route=draft outcome={outcome} x"
+        assert set(NO_CAPACITY.findall(line)) == expected
+
+
 def listen(port):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
@@ -228,3 +325,5 @@
     with start_isolated_pool(1) as pool:
         verdict = pool.submit(run_soak, Options(seed, CI_FAULT_S), tmp_path).result()
     assert verdict.violations == []
+    # A soak without returns and rejected streams would verify nothing about them.
+    assert verdict.counts["returned"] > 0
