Soak: one misbehaving client of each kind beside the faults

Crowds of clients met a single gateway without faults only.

Hosts state the memory (96 MB) and descriptors (256) of the client crowd tests, whose client is reused, and their peak memory is checked against the former. The checker reports requests of these clients that have run although they were rejected or incomplete. LimitedHost writes its settings in one step now: a host that reloads them can't read a partly written file.

--- a/tests/client_crowds.py
+++ b/tests/client_crowds.py
@@ -46,11 +46,11 @@
 class LimitedHost(HostProcess):
     """A gateway process whose settings state the memory and descriptors of its host."""
 
-    def write_settings(self) -> None:
-        super().write_settings()
-        path = self._path("toml")
-        text = path.read_text(encoding="utf-8")
-        path.write_text(text.replace("[host]\n", "[host]\n" + host_limits(), 1))
+    max_memory_mb = MEMORY_MB
+
+    def settings_text(self) -> str:
+        text = super().settings_text()
+        return text.replace("[host]\n", "[host]\n" + host_limits(), 1)
 
     def descriptors(self) -> int:
         """Return the number of open descriptors of the process."""
@@ -140,6 +140,16 @@
                 found.add(attempt)
         return found
 
+    def read_arrived(self) -> None:
+        """Read what has arrived, also if this client reads slowly or not at all."""
+        try:
+            while not self.is_closed:
+                self._read(1 << 16)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.close()
+
     def close(self) -> None:
         if self.is_closed:
             return
--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -29,6 +29,7 @@
 REFUSALS = frozenset({408, 421, 429, 503})
 """Status codes which state that the request did not run."""
 
+SERVICE_UNAVAILABLE = 503
 DENIALS = frozenset({401, 403, 404})
 
 
@@ -247,6 +248,13 @@
         if 200 <= status < 300:
             self._check_success(request, text, now, is_complete=is_complete)
 
+    def check_rejection(self, attempt: str, now: float) -> None:
+        """Check that the rejected request of a misbehaving client has not run."""
+        request = self._requests[attempt]
+        request.status = SERVICE_UNAVAILABLE
+        self.count("misuse_rejected")
+        self._check_not_run(request, now)
+
     def _check_not_run(self, request: CallerRequest, now: float) -> None:
         if request.runs:
             text = f"{request.attempt} got {request.status} after {request.runs}"
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -13,6 +13,7 @@
 from tests.soak.checker import InvariantChecker
 from tests.soak.checker import Key
 from tests.soak.hosts import HostProcess
+from tests.soak.misuse import BODY_BYTES
 from tests.soak.proxy import LinkMode
 from tests.soak.upstreams import SoakEngine
 from tests.soak.upstreams import SoakService
@@ -80,6 +81,7 @@
             changes = {"name": path.split("/")[1], "prefix": path[:-1]}
             route = {**draft, **changes, "aim_ms": aim_ms, "priority": rank}
             config["routes"].append(route)
+        config["limits"]["max_body_bytes"] = BODY_BYTES
         for route in config["routes"]:
             route["anonymous"] = False
         # There is only one service, so the split between two is removed.
--- a/tests/soak/hosts.py
+++ b/tests/soak/hosts.py
@@ -31,6 +31,8 @@
 class HostProcess:
     """One entry host: its settings, its ports and its current process."""
 
+    max_memory_mb = MAX_MEMORY_MB
+
     def __init__(self, loop: Loop, name: str, centre: str, store: str, work: t.Any):
         self.name = name
         self.data_centre = centre
@@ -125,7 +127,7 @@
                 found.append(
                     f"ended: {self.incarnation} unexpectedly exited with {code}"
                 )
-        if self.peak_memory_mb() > MAX_MEMORY_MB:
+        if self.peak_memory_mb() > self.max_memory_mb:
             found.append(
                 f"memory: {self.incarnation} had {self.peak_memory_mb():.0f} MB"
             )
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -7,6 +7,7 @@
 import typing as t
 from concurrent import futures
 
+from tests.client_crowds import LimitedHost
 from tests.soak.callers import SoakCaller
 from tests.soak.checker import MACHINE
 from tests.soak.checker import DisturbanceLog
@@ -15,7 +16,8 @@
 from tests.soak.faults import STATIC_KEYS
 from tests.soak.faults import SoakDeployment
 from tests.soak.faults import flood_streams
-from tests.soak.hosts import HostProcess
+from tests.soak.misuse import CLIENT_KINDS
+from tests.soak.misuse import MisbehavingClient
 from tests.soak.proxy import Proxy
 from tests.soak.upstreams import SoakEngine
 from tests.soak.upstreams import SoakService
@@ -102,6 +104,7 @@
         # A generator of its own, so that a seed's faults stay the same.
         self._load_rng = random.Random(f"load {options.seed}")
         self._callers: list[SoakCaller] = []
+        self._misbehaving: list[MisbehavingClient] = []
         self._checked_at = self._loop.now
         self._build(work)
 
@@ -115,6 +118,8 @@
                 caller.start()
             self._wait(START_TIMEOUT_S, self._all_callers_served)
             until = self._loop.now + self._options.fault_s
+            for client in self._misbehaving:
+                client.start()
             self._inject_fault(until)
             self._inject_flood(until)
             self._wait(self._options.fault_s)
@@ -123,6 +128,8 @@
         finally:
             for caller in self._callers:
                 caller.is_stopped = True
+            for client in self._misbehaving:
+                client.is_stopped = True
             for host in self._deployment.hosts:
                 host.stop()
         for host in self._deployment.hosts:
@@ -147,7 +154,7 @@
             centre = DATA_CENTRES[number % len(DATA_CENTRES)]
             name = f"entry-{number}"
             deployment.hosts.append(
-                HostProcess(self._loop, name, centre, deployment.store.address, work)
+                LimitedHost(self._loop, name, centre, deployment.store.address, work)
             )
         for number in range(self._options.callers):
             centre = DATA_CENTRES[number % len(DATA_CENTRES)]
@@ -157,6 +164,11 @@
             entry = (local or deployment.hosts, deployment.caller_keys)
             more = (*entry, rng, stream_rng, STATIC_KEYS)
             self._callers.append(SoakCaller(self._loop, self._checker, *more))
+        for kind in CLIENT_KINDS:
+            rng = random.Random(self._load_rng.random())
+            options = (deployment.hosts, STATIC_KEYS[-1], kind, rng)
+            client = MisbehavingClient(self._loop, self._checker, *options)
+            self._misbehaving.append(client)
 
     def _add_upstream(
         self,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -15,12 +15,18 @@
 from tests.soak.checker import ReceivedRequest
 from tests.soak.checker import make_event
 from tests.soak.hosts import NO_CAPACITY
+from tests.soak.misuse import BODY_BYTES
+from tests.soak.misuse import CLIENT_KINDS
+from tests.soak.misuse import make_plans
 from tests.soak.ports import EPHEMERAL_RANGE
 from tests.soak.ports import IP
 from tests.soak.ports import reserve_port
 from tests.soak.run import Options
 from tests.soak.run import run_soak
 from tests.soak.run import start_isolated_pool
+from wagtailstair.core.directory import CallerLimits
+from wagtailstair.exceptions import RequestError
+from wagtailstair.gateway.requests import RequestReader
 
 CI_SEED = 1
 CI_FAULT_S = 8.0
@@ -284,6 +290,47 @@
         assert set(NO_CAPACITY.findall(line)) == expected
 
 
+def read_attempts(data):
+    """Return the attempts of the complete requests in some bytes, as hosts see them."""
+    reader = RequestReader(CallerLimits(body_bytes=BODY_BYTES), lambda: None)
+    found = []
+    try:
+        reader.feed(data, 0.0)
+        while reader.complete_requests:
+            found.append(reader.take_request().header(b"x-attempt-id"))
+            reader.resume()
+    except RequestError:
+        pass
+    return found
+
+
+class TestMisbehavingClients:
+    """Fails if a rejected or incomplete request of such a client may run unnoticed."""
+
+    @pytest.mark.parametrize(
+        ("has_run", "expected"), [(True, ["refused"]), (False, [])]
+    )
+    def test_rejected_request_must_not_have_run(self, checker, has_run, expected):
+        checker.record_request(make_request())
+        if has_run:
+            checker.record_run("i-1", make_received(), 100.1)
+        checker.check_rejection("a1", 100.2)
+        assert violation_kinds(checker) == expected
+
+    def test_run_after_the_rejection_is_a_violation(self, checker):
+        checker.record_request(make_request())
+        checker.check_rejection("a1", 100.2)
+        checker.record_run("i-1", make_received(), 100.3)
+        assert violation_kinds(checker) == ["refused"]
+
+    @pytest.mark.parametrize("kind", CLIENT_KINDS)
+    def test_only_whole_requests_are_named(self, kind):
+        key = Key("key-1", "maker", 1)
+        plan = make_plans("/register/", "a1", key)[kind]
+        found = read_attempts(b"".join(plan.buffers))
+        assert found == [attempt.encode() for attempt, _ in plan.whole]
+
+
 def listen(port):
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
