Don't search large events again for what callers have got

Cause: the record of what callers have got searched each event three more times, by expressions without a literal prefix: hundreds of KB each.

Change: the ids that the splitter has found are used, and only what follows the last one is looked at.

--- a/src/wagtailstair/core/events.py
+++ b/src/wagtailstair/core/events.py
@@ -25,15 +25,17 @@
 class EventSplitter:
     """Passes complete events on and buffers the bytes of an incomplete one.
 
-    ``last_id``: the id of the last complete event; ``count``: complete events.
+    ``last_id``: the id of the last complete event; ``count``: complete events;
+    ``new_ids``: the ids in the events that the last call of :meth:`feed` returned.
     """
 
-    __slots__ = ("_incomplete", "count", "last_id")
+    __slots__ = ("_incomplete", "count", "last_id", "new_ids")
 
     def __init__(self, last_id: bytes = b"") -> None:
         self._incomplete = bytearray()
         self.last_id = last_id
         self.count = 0
+        self.new_ids: list[bytes] = []
 
     @property
     def held(self) -> bytes:
@@ -59,7 +61,7 @@
             self._incomplete.clear()
         if end < len(data):
             self._incomplete += data[end:]
-        ids = _ID.findall(complete)
+        self.new_ids = ids = _ID.findall(complete)
         if ids:
             self.last_id = ids[-1]
         self.count += max(1, len(ids))
@@ -94,6 +96,15 @@
         yield block, found[-1] if found else b"", _DATA.search(block) is not None
 
 
+def _after_last_id(complete: bytes) -> bytes:
+    """Return the blocks after the last one that has an id."""
+    tail = complete[max(0, complete.rfind(b"\nid:")) :]
+    if sum(tail.count(delimiter) for delimiter in _DELIMITERS) < 2:
+        return b""
+    found = _END.search(tail)
+    return b"" if found is None else tail[found.end() :]
+
+
 class DeliveredEvents:
     """What a caller has got of a stream, from all attempts together.
 
@@ -113,11 +124,21 @@
         )
         self._record_id(last_id)
 
-    def record(self, complete: bytes) -> None:
-        """Record events that are passed on to the caller."""
+    def record(self, complete: bytes, ids: t.Sequence[bytes]) -> None:
+        """Record events that are passed on to the caller.
+
+        Large events are not searched once more if the last one has an id.
+
+        :param ids: the ids in these events, in order.
+        """
+        for event_id in ids:
+            self._record_id(event_id)
+        if ids and ids[-1]:
+            self.last_id = ids[-1]
+            self.unnumbered = 0
+            complete = _after_last_id(complete)
         for _, event_id, has_data in _blocks(complete):
             if event_id:
-                self._record_id(event_id)
                 self.last_id = event_id
                 self.unnumbered = 0
             elif has_data:
@@ -157,7 +178,7 @@
         for block, event_id, has_data in _blocks(complete):
             if self._is_old(event_id, has_data=has_data):
                 continue
-            self._delivered.record(block)
+            self._delivered.record(block, (event_id,) if event_id else ())
             later.append(block)
         return b"".join(later)
 
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -593,7 +593,7 @@
         if attempt is self._successor:
             self._promote(attempt)
         if attempt.replay_filter is None:
-            self._delivered.record(events_data)
+            self._delivered.record(events_data, attempt.splitter.new_ids)
         else:
             events_data = attempt.replay_filter.feed(events_data)
         # Events without an id, such as comments, may keep a stalled stream open.
--- a/tests/test_events.py
+++ b/tests/test_events.py
@@ -180,7 +180,7 @@
             for part in parts if is_last else parts[: rng.randrange(len(parts) + 1)]:
                 complete = splitter.feed(part)
                 if replay_filter is None:
-                    delivered.record(complete)
+                    delivered.record(complete, splitter.new_ids if complete else ())
                     out += complete
                 else:
                     out += replay_filter.feed(complete)
@@ -198,7 +198,8 @@
 
     def test_comment_does_not_set_the_position_back(self):
         delivered = DeliveredEvents()
-        delivered.record(b"".join(b"id: %d\ndata: d\n\n" % n for n in range(1, 31)))
+        events = b"".join(b"id: %d\ndata: d\n\n" % n for n in range(1, 31))
+        delivered.record(events, [b"%d" % n for n in range(1, 31)])
         replay_filter = ReplayFilter(delivered, b"23")
         assert replay_filter.feed(b"id: 24\ndata: d\n\n: keep-alive\n\n") == b""
         assert delivered.last_id == b"30"
