Review: gateways of the scripts start again if a port is taken

A run of case 9 without the trouble could not run, as a gateway was not ready within 15 s; its log was not kept. Ports are now free for UDP too, a gateway that ends at its start is started with other ports, and its log is printed if that fails.

--- a/review/stand.py
+++ b/review/stand.py
@@ -51,10 +51,16 @@
 
 
 def free_port() -> int:
-    """Return a port that is free now."""
-    with socket.socket() as sock:
-        sock.bind(("127.0.0.1", 0))
-        return int(sock.getsockname()[1])
+    """Return a port that is free now, for TCP and for UDP."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = int(tcp.getsockname()[1])
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
 
 
 class Record:
@@ -421,8 +427,7 @@
 
     def __init__(self, store, name="edge-1", memory_mb=300, max_fds=4100):
         self.name = name
-        self.front, self.ready = free_port(), free_port()
-        self._peer = free_port()
+        self._choose_ports()
         self._folder = tempfile.TemporaryDirectory(prefix="review-")
         self._path = pathlib.Path(self._folder.name) / "local.toml"
         self._log_path = pathlib.Path(self._folder.name) / "log"
@@ -430,6 +435,9 @@
         self._memory_mb, self._max_fds = memory_mb, max_fds
         self.process = None
 
+    def _choose_ports(self):
+        self.front, self.ready, self._peer = free_port(), free_port(), free_port()
+
     def start(self):
         """Write the settings and start the process."""
         text = SETTINGS.format(
@@ -480,7 +488,12 @@
             status, *_ = await call(self.ready, "GET", "/readyz", timeout_s=1.0)
             if status == 200:
                 return True
+            if self.process.poll() is not None:
+                # Another program has taken a port meanwhile.
+                self._choose_ports()
+                self.start()
             await asyncio.sleep(0.1)
+        print(f"{self.name} is not ready; its log ends with:\n{self.log()[-2000:]}")
         return False
 
     def stop(self):
