--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -67,7 +67,7 @@
 """Seconds after a crash for which hosts are told of all its candidates, and not only
 of those that hold a quarantined group."""
 
-MOMENT_S = 0.25
+MOMENT_S = 0.1
 """Seconds within which crashes count as one moment: engines that fail together do not
 end at the same instant, and hosts notice it some time later."""
 
@@ -163,7 +163,7 @@
     """Parts of which a request must hold all to be refused.
 
     ``crashes``: number of crashes that it explains; ``last_at``: time of the last;
-    ``is_weak``: whether they would not weigh enough if those at one moment were one.
+    ``is_weak``: whether they were at one moment, as where engines fail together.
     """
 
     keys: Keys
@@ -472,21 +472,15 @@
     return found
 
 
-def _is_weak(crashes: t.Iterable[tuple[float, int]]) -> bool:
-    """Return whether crashes, by time and weight, are too few moments to be evidence.
+def _is_weak(crashes: t.Collection[tuple[float, int]]) -> bool:
+    """Return whether crashes, by time and weight, were at one moment.
 
-    Of those at one moment only the heaviest counts, but for those between the head of
-    an answer and its first event: few of many requests are there at any time.
+    Those between the head of an answer and its first event count all the same: of many
+    requests few are there at any time.
     """
-    weights: list[int] = []
-    ends_at = float("-inf")
-    for crashed_at, weight in sorted(crashes):
-        if crashed_at < ends_at and weight < BEGUN_WEIGHT:
-            weights[-1] = max(weights[-1], weight)
-            continue
-        weights.append(weight)
-        ends_at = crashed_at + MOMENT_S
-    return sum(weights) < QUARANTINE_WEIGHT
+    times = [crashed_at for crashed_at, _ in crashes]
+    begun = sum(weight >= BEGUN_WEIGHT for _, weight in crashes)
+    return max(times) - min(times) < MOMENT_S and begun < 2
 
 
 def _best_group(
