Look at all parts of a prompt for what crashes engines

Cause: 32 parts of a prompt were read and the others ignored. By reading, three more limits were a way round: ids over 64 bytes, further lines of the header, and candidates of more than about 95 parts, which fitted into no message and were not sent to other hosts. Ruled out: the quarantine itself; with three parts before the deadly one it is found.

Change: all parts of all lines are read, a digest stands for a long id, and large candidates are sent in pieces that the receiver joins by the key of the request. What callers choose is bounded in memory instead: parts of a crash, of cancelled requests, of groups, and of an answer's sound parts. A request reads its parts from its head when they are needed.

test_last_part_is_apart_and_malformed_ones_are_left_out had the limits as expected values (32 of 99 parts, no id over 64 bytes): it now expects 999 of 999, and test_digest_stands_for_a_long_id replaces the other row.

--- a/src/wagtailstair/core/quarantine.py
+++ b/src/wagtailstair/core/quarantine.py
@@ -45,7 +45,11 @@
 CANDIDATES_MAX = 256
 SOUND_MAX = 8192
 GROUPS_MAX = 256
-"""Most crashes, candidates of each, sound parts and groups that are considered.
+CRASH_KEYS_MAX = 8192
+GROUP_KEYS_MAX = 65536
+"""Most crashes, candidates of each, sound parts and groups that are considered, and
+most parts of all candidates of a crash and of all groups: callers choose how many parts
+their prompts have.
 
 An engine takes 96 requests at once; if any of its candidates is dropped, that may be
 the cause of the crash.
@@ -60,6 +64,10 @@
 CRASH_MESSAGES_MAX = 12
 """Most messages about one crash: enough for ``CANDIDATES_MAX`` of four parts."""
 
+SOUND_PER_ANSWER = 256
+"""Shared parts of an answer that are remembered as sound: prompts of very many parts
+would crowd out those of others."""
+
 SOUND_PER_MESSAGE = 64
 TRIALS_PER_MESSAGE = 64
 
@@ -72,6 +80,8 @@
 end at the same instant, and hosts notice it some time later."""
 
 REQUEST_KEY_BYTES = 8
+REQUEST_PREFIX = "request-"
+"""Begin of the key of a whole request, which no id of a part has."""
 
 
 class PartKey(t.NamedTuple):
@@ -90,7 +100,7 @@
     for value in values:
         digest.update(b"%d:" % len(value))
         digest.update(value)
-    return PartKey(service, f"request-{digest.hexdigest()}")
+    return PartKey(service, REQUEST_PREFIX + digest.hexdigest())
 
 
 Keys = frozenset[PartKey]
@@ -124,27 +134,47 @@
 
 @dataclasses.dataclass(slots=True)
 class _Crash:
-    """A crash: its time, and the weight of the candidates by their parts."""
+    """A crash: its time, and the weight of the candidates by their parts.
+
+    ``size``: number of the parts of all candidates; ``dropped``: candidates for which
+    there was no room.
+    """
 
     crashed_at: float
+    size: int = 0
+    dropped: int = 0
     weight_by_keys: dict[Keys, int] = dataclasses.field(default_factory=dict)
+    keys_by_request: dict[PartKey, Keys] = dataclasses.field(default_factory=dict)
     holders_by_key: collections.Counter[PartKey] = dataclasses.field(
         default_factory=collections.Counter
     )
 
     def add(self, keys: Keys, weight: int) -> bool:
-        """Add a candidate; return whether it changes anything."""
+        """Add a candidate, or further parts of one; return if it changes anything."""
+        request = _find_request_key(keys)
+        if request is not None and request in self.holders_by_key:
+            known = self.keys_by_request[request]
+            keys |= known
+            if keys != known:
+                weight = max(weight, self.remove(known))
         known_weight = self.weight_by_keys.get(keys, 0)
         if weight <= known_weight:
             return False
         self.weight_by_keys[keys] = weight
         if not known_weight:
             self.holders_by_key.update(keys)
-        if len(self.weight_by_keys) > CANDIDATES_MAX:
+            self.size += len(keys)
+            if request is not None:
+                self.keys_by_request[request] = keys
+        while self._is_full():
             least = min(self.weight_by_keys, key=self._rank)
             self.remove(least)
-            return least != keys
-        return True
+            self.dropped += 1
+        return keys in self.weight_by_keys
+
+    def _is_full(self) -> bool:
+        count = len(self.weight_by_keys)
+        return count > CANDIDATES_MAX or (count > 1 and self.size > CRASH_KEYS_MAX)
 
     def remove(self, keys: Keys) -> int:
         """Remove a candidate; return its weight."""
@@ -152,6 +182,10 @@
             self.holders_by_key[key] -= 1
             if not self.holders_by_key[key]:
                 del self.holders_by_key[key]
+        self.size -= len(keys)
+        request = _find_request_key(keys)
+        if request is not None:
+            del self.keys_by_request[request]
         return self.weight_by_keys.pop(keys)
 
     def _rank(self, keys: Keys) -> tuple[int, list[PartKey]]:
@@ -265,7 +299,8 @@
             if self._add(engine, now - age_s, unproven, weight):
                 added.append(CrashCandidate(engine, age_s, weight, unproven))
         added.sort(key=lambda candidate: -candidate.weight)
-        batches = _split(added, most=CRASH_MESSAGES_MAX)
+        common = _common_keys(self._crash_by_engine)
+        batches = _split(added, common, most=CRASH_MESSAGES_MAX)
         return [CrashSuspects(batch) for batch in batches]
 
     def record_sound(self, keys: t.Iterable[PartKey], now: float) -> list[PartKey]:
@@ -326,7 +361,8 @@
                 rank = (not is_weighty, is_alone, age_s, -weight, engine, sorted(keys))
                 found.append((rank, CrashCandidate(engine, age_s, weight, keys)))
         found.sort(key=lambda entry: entry[0])
-        batches = _split([candidate for _, candidate in found], most=1)
+        first = common.union(*groups)
+        batches = _split((candidate for _, candidate in found), first, most=1)
         return batches[0] if batches else ()
 
     def _is_sound(self, key: PartKey, when: float) -> bool:
@@ -344,10 +380,9 @@
         elif crashed_at < crash.crashed_at:
             crash.crashed_at = crashed_at
             self._groups = None
-        count = len(crash.weight_by_keys)
-        is_known = keys in crash.weight_by_keys
+        dropped = crash.dropped
         is_new = crash.add(keys, weight)
-        self.dropped += count + (not is_known) - len(crash.weight_by_keys)
+        self.dropped += crash.dropped - dropped
         if is_new and self._is_common(engine, keys):
             self._groups = None
         return is_new
@@ -413,16 +448,17 @@
 
 
 def _split(
-    candidates: list[CrashCandidate], most: int
+    candidates: t.Iterable[CrashCandidate], first: Keys, most: int
 ) -> list[tuple[CrashCandidate, ...]]:
-    """Split candidates into at most so many batches that fit into a message each."""
+    """Split candidates into at most so many batches that fit into a message each.
+
+    :param first: parts that come first of those of a candidate that needs several.
+    """
     batches: list[tuple[CrashCandidate, ...]] = []
     batch: list[CrashCandidate] = []
     room = MESSAGE_BYTES
-    for candidate in candidates:
-        need = sum(KEY_BYTES + len(k.part) + len(k.service) for k in candidate.keys)
-        if need > MESSAGE_BYTES:
-            continue
+    for candidate in _pieces(candidates, first):
+        need = sum(map(_bytes_of, candidate.keys))
         if need > room or len(batch) == MESSAGE_CANDIDATES:
             batches.append(tuple(batch))
             batch, room = [], MESSAGE_BYTES
@@ -435,6 +471,46 @@
     return batches
 
 
+def _pieces(
+    candidates: t.Iterable[CrashCandidate], first: Keys
+) -> t.Iterator[CrashCandidate]:
+    """Iterate over candidates, those that need several messages in pieces.
+
+    Each piece holds the key of the request, by which the receiver joins them.
+    """
+    for candidate in candidates:
+        if sum(map(_bytes_of, candidate.keys)) <= MESSAGE_BYTES:
+            yield candidate
+            continue
+        request = _find_request_key(candidate.keys)
+        shared = frozenset() if request is None else frozenset({request})
+        ranked = sorted(candidate.keys - shared, key=lambda k: (k not in first, k))
+        room = MESSAGE_BYTES - sum(map(_bytes_of, shared))
+        piece: list[PartKey] = []
+        for key in ranked:
+            need = _bytes_of(key)
+            if need > room:
+                yield dataclasses.replace(candidate, keys=shared.union(piece))
+                piece = []
+                room = MESSAGE_BYTES - sum(map(_bytes_of, shared))
+            piece.append(key)
+            room -= need
+        yield dataclasses.replace(candidate, keys=shared.union(piece))
+
+
+def _bytes_of(key: PartKey) -> int:
+    """Return the bytes that a part takes in a message, at the most."""
+    return KEY_BYTES + len(key.part) + len(key.service)
+
+
+def _find_request_key(keys: Keys) -> PartKey | None:
+    """Return the key of the whole request among those of a candidate."""
+    for key in keys:
+        if key.part.startswith(REQUEST_PREFIX):
+            return key
+    return None
+
+
 WeightByKeys = dict[Keys, int]
 
 
@@ -527,11 +603,13 @@
         crashes_by_keys.update(held.keys())
     ranked = sorted(crashes_by_keys, key=lambda k: (-crashes_by_keys[k], sorted(k)))
     groups: set[Keys] = set()
+    size = 0
     for keys in ranked:
-        if len(groups) >= GROUPS_MAX:
+        if len(groups) >= GROUPS_MAX or size >= GROUP_KEYS_MAX:
             break
-        groups |= {keys & group for group in groups}
-        groups.add(keys)
+        found = {keys & group for group in groups} | {keys}
+        size += sum(map(len, found - groups))
+        groups |= found
     groups.discard(frozenset())
     return groups
 
--- a/src/wagtailstair/core/trials.py
+++ b/src/wagtailstair/core/trials.py
@@ -29,8 +29,8 @@
 """Factor of these times for each trial of the group before."""
 
 CRASHES_ENOUGH = 4
-"""Crashes beyond which each further one counts like a trial, unless evidence is weak:
-hosts that have missed trials know of their crashes."""
+"""Crashes beyond which each further one counts like a trial, unless all were at one
+moment: hosts that have missed trials know of their crashes."""
 
 HOST_TURN_S = 0.05
 """Seconds from the turn of a host to that of the next: an announcement takes less."""
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -10,6 +10,8 @@
 from ..core import trials
 from ..core.engine_costs import engine_key
 from ..core.quarantine import BEGUN_WEIGHT
+from ..core.quarantine import CRASH_KEYS_MAX
+from ..core.quarantine import SOUND_PER_ANSWER
 from ..core.quarantine import SOUND_PER_MESSAGE
 from ..core.quarantine import STREAMING_WEIGHT
 from ..core.quarantine import WAITING_WEIGHT
@@ -34,6 +36,9 @@
 remembered: an engine that has begun a deadly request ends though it was cancelled."""
 
 
+LOG_PARTS_MAX = 32
+"""Parts of a request that are logged."""
+
 RETURN_S = 1.0
 RETURN_SPREAD_S = 2.0
 """Seconds after which refused callers return at the earliest once their request may be
@@ -53,11 +58,12 @@
     """Requests whose connections an engine has closed at once.
 
     ``lost_at``: when the first was lost; ``requests``: the parts of each, and how far
-    its answer had come.
+    its answer had come; ``keys``: number of parts of all of them.
     """
 
     replica: Replica
     lost_at: float
+    keys: int = 0
     requests: list[tuple[list[PartKey], Stage]] = dataclasses.field(
         default_factory=list
     )
@@ -105,9 +111,9 @@
         self.quarantine = Quarantine()
         self._trials = trials.Trials()
         self._loss_by_identity: dict[tuple[str, int], _Loss] = {}
-        self._departures: collections.deque[_Departure] = collections.deque(
-            maxlen=DEPARTURES_MAX
-        )
+        self._departures: collections.deque[_Departure] = collections.deque()
+        # Parts of all of them.
+        self._departed_keys = 0
         # Engines that have crashed, the oldest crash first.
         self._crashed: collections.OrderedDict[tuple[str, int], None] = (
             collections.OrderedDict()
@@ -130,6 +136,10 @@
                 replica, self._loop.now
             )
             self._check_engine(loss)
+        loss.keys += len(unproven)
+        if loss.requests and loss.keys > CRASH_KEYS_MAX:
+            self.quarantine.dropped += 1
+            return
         loss.requests.append((unproven, stage))
 
     def report_departure(
@@ -138,9 +148,14 @@
         """Report a request that this host has cancelled before its answer ended."""
         now = self._loop.now
         unproven = self.quarantine.unproven(keys, now)
-        if unproven:
-            departure = _Departure(now, engine_key(replica), unproven, stage)
-            self._departures.append(departure)
+        if not unproven:
+            return
+        self._departures.append(_Departure(now, engine_key(replica), unproven, stage))
+        self._departed_keys += len(unproven)
+        while self._departed_keys > CRASH_KEYS_MAX and len(self._departures) > 1:
+            self._drop_departure()
+        while len(self._departures) > DEPARTURES_MAX:
+            self._drop_departure()
 
     def has_crashed(self, identities: t.Iterable[tuple[str, int]]) -> bool:
         """Return whether one of some engines is known to have crashed."""
@@ -180,7 +195,7 @@
 
     def _turn(self, group: Group) -> int:
         """Return how many hosts may begin a trial of a group before this one."""
-        names = rendezvous.ranked(format_keys(group.keys), self._live_names())
+        names = rendezvous.ranked(str(trials.digest(group.keys)), self._live_names())
         return names.index(self._host) if self._host in names else len(names)
 
     def record_answer(
@@ -192,11 +207,12 @@
         """Record that an answer to a request has ended whole.
 
         :param shared: parts of its prompt that other requests may hold.
-        :param own: what only this request holds, which need not be remembered unless
-            it is a candidate for a crash.
+        :param own: what only this request holds. This, and the shared parts beyond
+            ``SOUND_PER_ANSWER``, are not remembered unless they are candidates.
         :param tried: the groups of which it was a trial.
         """
-        keys = [*shared, *self.quarantine.candidates(own)]
+        rest = [*shared[SOUND_PER_ANSWER:], *own]
+        keys = [*shared[:SOUND_PER_ANSWER], *self.quarantine.candidates(rest)]
         cleared = self.quarantine.record_sound(keys, self._loop.now)
         for group in tried:
             cleared += sorted(group.difference(cleared))
@@ -238,14 +254,18 @@
         """
         latest = self._loop.now - DEPARTURE_S
         while self._departures and self._departures[0].cancelled_at < latest:
-            self._departures.popleft()
+            self._drop_departure()
         found = [each for each in self._departures if each.engine == engine]
         for departure in found:
             self._departures.remove(departure)
+            self._departed_keys -= len(departure.keys)
         if self.quarantine.heaviest_at(engine) >= BEGUN_WEIGHT:
             return []
         return [(each.keys, each.stage.value) for each in found]
 
+    def _drop_departure(self) -> None:
+        self._departed_keys -= len(self._departures.popleft().keys)
+
     def _check_engine(self, loss: _Loss) -> None:
         replica = loss.replica
 
@@ -311,7 +331,7 @@
                 "part_quarantined",
                 level="WARNING",
                 service=next(iter(group.keys)).service,
-                part=format_keys(group.keys),
+                part=format_keys(sorted(group.keys)),
                 crashes=group.crashes,
                 weak=group.is_weak,
             )
@@ -322,9 +342,13 @@
             log_event("part_cleared", service=key.service, part=key.part, reason=reason)
 
 
-def format_keys(keys: t.Iterable[PartKey]) -> str:
-    """Return the parts of a group, for the log."""
-    return "+".join(key.part for key in sorted(keys))
+def format_keys(keys: t.Iterable[PartKey], separator: str = "+") -> str:
+    """Return parts for the log, with the number of those that are left out."""
+    parts = [key.part for key in keys]
+    if len(parts) > LOG_PARTS_MAX:
+        rest = len(parts) - LOG_PARTS_MAX
+        parts[LOG_PARTS_MAX:] = [f"{rest} others"]
+    return separator.join(parts)
 
 
 def _format_requests(loss: _Loss, stage: Stage) -> str:
@@ -332,5 +356,5 @@
     texts = []
     for keys, reached in loss.requests:
         if reached is stage:
-            texts.append("+".join(key.part for key in keys))
+            texts.append(format_keys(keys))
     return ",".join(texts)
--- a/src/wagtailstair/gateway/requests.py
+++ b/src/wagtailstair/gateway/requests.py
@@ -79,6 +79,11 @@
                 return value
         return b""
 
+    def header_list(self, name: bytes) -> bytes:
+        """Return the values of all lines of a header whose value is a list."""
+        values = [value for key, value in self.headers if key.lower() == name]
+        return b",".join(values)
+
 
 class RequestReader:
     """Splits a connection's bytes into requests.
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -81,12 +81,11 @@
         "_delivered",
         "_finder",
         "_first_answered",
-        "_own_keys",
-        "_parts",
         "_progress_at",
         "_progress_timer",
         "_queued_at",
         "_queued_s",
+        "_request_key",
         "_successor",
         "_tried",
         "events",
@@ -109,7 +108,7 @@
         self._common_head = heads.forwarded_head(self.request, names)
         # What the caller has got, from all attempts.
         self._delivered = DeliveredEvents(self.request.header(names.last_event))
-        self._parts, self._own_keys = self._identify()
+        self._request_key = self._make_request_key()
         # The quarantined groups of which this request is a trial.
         self._tried: tuple[Keys, ...] = ()
         self._current: Attempt | None = None
@@ -129,15 +128,23 @@
         self.first_event_s: float | None = None
         self._start("no pipeline")
 
-    def _identify(self) -> tuple[list[PartKey], list[PartKey]]:
-        """Return the shared parts of the prompt, and the keys of this request alone."""
-        service, names = self.service.name, self.context.names
-        prompt_parts = self.request.header(names.prompt_parts)
-        shared, own = wire_headers.parse_prompt_parts(prompt_parts)
+    def _make_request_key(self) -> PartKey:
+        names = self.context.names
         values = [self.request.target, self.request.header(names.token_usage)]
         # The parts name the contents of a prompt.
+        prompt_parts = self.request.header_list(names.prompt_parts)
         values.append(prompt_parts or bytes(self.request.body))
-        own_keys = [request_key(service, *values)]
+        return request_key(self.service.name, *values)
+
+    def _identify(self) -> tuple[list[PartKey], list[PartKey]]:
+        """Return the shared parts of the prompt, and the keys of this request alone.
+
+        They are read from the head each time, as many parts take much more memory.
+        """
+        service = self.service.name
+        prompt_parts = self.request.header_list(self.context.names.prompt_parts)
+        shared, own = wire_headers.parse_prompt_parts(prompt_parts)
+        own_keys = [self._request_key]
         if own:
             own_keys.append(PartKey(service, own))
         return [PartKey(service, part) for part in shared], own_keys
@@ -267,7 +274,7 @@
         """
         if self.sends or self._delivered.last_id:
             return False
-        groups = self.context.crash_reports.begin_trial(self._keys)
+        groups = self.context.crash_reports.begin_trial(self._keys())
         self._tried = tuple(group.keys for group in groups)
         for group in groups:
             self.log(
@@ -300,19 +307,21 @@
         goal_at = self.request.received_at + ROOM_WAIT_GOALS * self.grant.route.goal_s
         return pause_s > max(0.0, goal_at - self.context.loop.now)
 
-    @property
-    def _keys(self) -> tuple[PartKey, ...]:
+    def _keys(self) -> list[PartKey]:
         """Return what the request may share with others that were at a crash."""
-        return *self._parts, *self._own_keys
+        shared, own = self._identify()
+        return shared + own
 
     def _quarantined_groups(self) -> list[Group]:
-        quarantine = self.context.crash_reports.quarantine
-        return quarantine.held_groups(self._keys, self.context.loop.now)
+        quarantine, now = self.context.crash_reports.quarantine, self.context.loop.now
+        if not quarantine.quarantined(now):
+            return []
+        return quarantine.held_groups(self._keys(), now)
 
     def return_s(self) -> float:
         """Return after how many seconds the caller of a refused request may retry."""
         if self.is_quarantined():
-            return self.context.crash_reports.return_s(self._keys)
+            return self.context.crash_reports.return_s(self._keys())
         pause_s = self.context.pause_s(self.service)
         if pause_s:
             return pause_s
@@ -388,7 +397,7 @@
         if attempt.connection is not None and attempt.path:
             first = attempt.path[0].replica
             reports = self.context.crash_reports
-            reports.report_departure(first, self._keys, _stage_of(attempt))
+            reports.report_departure(first, self._keys(), _stage_of(attempt))
         attempt.cancel()
         self._set_unread(attempt, (), ())
         if attempt.path:
@@ -693,7 +702,7 @@
             events=self.events,
             begun=attempt.status != 0,
             received=attempt.received,
-            parts=",".join(key.part for key in self._parts),
+            parts=format_keys(self._identify()[0], ","),
         )
         self.context.count_attempt_lost(
             has_begun=attempt.status != 0, has_events=self.events > 0
@@ -707,7 +716,8 @@
             self.lost_on.append(first.identity)
             if attempt.is_closed_by_upstream:
                 stage = _stage_of(attempt)
-                self.context.crash_reports.report_loss(first, self._keys, stage)
+                reports = self.context.crash_reports
+                reports.report_loss(first, self._keys(), stage)
                 is_alone = self._current is None or self._successor is None
                 if is_alone and self._may_have_crashed(stage):
                     self.fail(BAD_GATEWAY, reason)
@@ -726,7 +736,8 @@
             return True
         if stage is not Stage.BEGUN or self.events:
             return False
-        return bool(reports.quarantine.unproven(self._parts, self.context.loop.now))
+        shared, _ = self._identify()
+        return bool(reports.quarantine.unproven(shared, self.context.loop.now))
 
     def _handle_failure(
         self, attempt: Attempt, faulty: Replica | None, reason: str
@@ -800,7 +811,7 @@
         # The rest of an answer that ended an engine proves nothing.
         if attempt.status < 300 and attempt.is_from_start:
             reports = self.context.crash_reports
-            reports.record_answer(self._parts, self._own_keys, self._tried)
+            reports.record_answer(*self._identify(), self._tried)
         held = attempt.splitter.held
         if self._first_answered is None:
             headers: list[Header] = heads.forwarded_headers(attempt.headers)
--- a/src/wagtailstair/platform/headers.py
+++ b/src/wagtailstair/platform/headers.py
@@ -1,5 +1,6 @@
 """Header names of the platform, and parsing and formatting of header values."""
 
+import hashlib
 import math
 import typing as t
 
@@ -32,11 +33,10 @@
 
 KEY_SCHEME = b"token "
 
-PARTS_MAX = 32
-"""Parts of a prompt that are read; the others are ignored."""
-
 PART_BYTES_MAX = 64
-"""Bytes of the id of a part; a longer one is ignored."""
+"""Bytes of the id of a part; a digest stands for a longer one."""
+
+PART_DIGEST_BYTES = 16
 
 
 def parse_api_key(authorization: bytes) -> str | None:
@@ -60,11 +60,12 @@
 
     The last part belongs to the request or its session alone; its id is empty if it
     is malformed or missing. Ids are compared without regard to case and leading zeros,
-    as they are hexadecimal numbers.
+    as they are hexadecimal numbers. All parts are read, as any of them may be the one
+    under which engines crash.
     """
     *shared, own = prompt_parts.split(b",")
     ids = []
-    for entry in shared[:PARTS_MAX]:
+    for entry in shared:
         if name := _parse_part(entry):
             ids.append(name)
     return tuple(ids), _parse_part(own)
@@ -73,8 +74,11 @@
 def _parse_part(entry: bytes) -> str:
     """Return the id of a part of a prompt, empty if it is malformed."""
     name = entry.partition(b":")[0].strip().lower().lstrip(b"0")
-    if len(name) > PART_BYTES_MAX or not name.isalnum():
+    if not name.isalnum():
         return ""
+    if len(name) > PART_BYTES_MAX:
+        digest = hashlib.blake2b(name, digest_size=PART_DIGEST_BYTES)
+        return f"digest-{digest.hexdigest()}"
     return name.decode("ascii")
 
 
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -368,7 +368,7 @@
         """Begin the answer, or end under it."""
         request = pending.request
         attempt = request.header(b"x-attempt-id")
-        parts = request.header(b"x-prompt-prefix").decode().split(",")[:-1]
+        parts = request.header_list(b"x-prompt-prefix").decode().split(",")[:-1]
         is_deadly = self.deadly_part in [part.partition(":")[0] for part in parts]
         is_deadly |= bool(self.deadly_body) and request.body == self.deadly_body
         if pending.is_caller_gone:
--- a/tests/test_wire_headers.py
+++ b/tests/test_wire_headers.py
@@ -15,8 +15,7 @@
             (b"00AB:4, cd:5 ,0EF:6", ("ab", "cd"), "ef"),
             (b"ab,cd:x,ef", ("ab", "cd"), "ef"),
             (b":1,,ab:1,a\xff:2,a b:3,e e:4", ("ab",), ""),
-            (b"f" * 65 + b":1,ab:1," + b"e" * 65 + b":1", ("ab",), ""),
-            (b"a:1," * 99 + b"e:1", ("a",) * headers.PARTS_MAX, "e"),
+            (b"a:1," * 999 + b"e:1", ("a",) * 999, "e"),
         ],
     )
     def test_last_part_is_apart_and_malformed_ones_are_left_out(
@@ -24,6 +23,15 @@
     ):
         assert headers.parse_prompt_parts(value) == (shared, own)
 
+    def test_digest_stands_for_a_long_id(self):
+        # Whatever is left out may be the part under which engines crash.
+        long, other = b"f" * 65, b"f" * 66
+        value = b"%b:1,%b:1,0%b:1,ab:1" % (long, other, long.upper())
+        (first, second, third), own = headers.parse_prompt_parts(value)
+        assert first == third != second
+        assert len(first) <= headers.PART_BYTES_MAX
+        assert own == "ab"
+
 
 class TestNotices:
     @pytest.mark.parametrize("value", [b"-1", b"nan", b"inf", b"x", b"", b"1,2"])
