Ask the engine before an answer that ends with its connection is whole

Cause: the connections of a crashed process are closed in order, between two events, like that of a whole stream. The cut stream was delivered, and marked the deadly part as sound for a minute; the loss was never reported. Ruled out: crashes that are noticed and not counted; there is no engine_crashed.

Change: the end of such a stream, and what it proves, waits until the engine has answered a request for a report as the same incarnation. If it has not, the request was at a crash and goes on elsewhere where it may. A report asked for before the end tells nothing, so that streams that end meanwhile wait for the next one; the same now holds for lost connections.

--- a/src/wagtailstair/gateway/attempt.py
+++ b/src/wagtailstair/gateway/attempt.py
@@ -58,6 +58,7 @@
     ``progress_at``, ``progress_id``: time and id of the newest event with an id;
     ``received``: bytes received on a connection that was lost;
     ``is_closed_by_upstream``: whether the engine has closed or reset that connection;
+    ``is_crash_known``: whether a report of the engine has told that it has crashed;
     ``is_from_start``: whether it is sent for the whole answer, not the rest of one;
     ``replay_filter``: drops what the caller has got, ``None`` for a first attempt.
     """
@@ -68,6 +69,7 @@
         "connection",
         "headers",
         "is_closed_by_upstream",
+        "is_crash_known",
         "is_from_start",
         "outcome",
         "owner",
@@ -104,6 +106,7 @@
         self.replay_filter: ReplayFilter | None = None
         self.received = 0
         self.is_closed_by_upstream = False
+        self.is_crash_known = False
         self._failure_bytes = 0
         self.abandoned_engines: set[tuple[str, int]] = set()
 
@@ -123,6 +126,10 @@
             return True
         return not self.splitter.count and heads.ends_with_connection(self.headers)
 
+    def ends_with_connection(self) -> bool:
+        """Return whether only the end of the connection ends a successful response."""
+        return self.status < 300 and heads.ends_with_connection(self.headers)
+
     def cancel(self) -> None:
         """Close the connection, which stops the engine."""
         connection, self.connection = self.connection, None
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -54,11 +54,12 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _Loss:
-    """Requests whose connections an engine has closed at once.
+class _Check:
+    """Requests whose connections an engine has closed, judged by its next report.
 
-    ``lost_at``: when the first was lost; ``requests``: the parts of each, and how far
-    its answer had come; ``keys``: number of parts of all of them.
+    ``lost_at``: when the first was closed; ``requests``: the parts of each, and how far
+    its answer had come; ``keys``: number of parts of all of them; ``on_told``: called
+    with whether the engine has crashed.
     """
 
     replica: Replica
@@ -67,6 +68,7 @@
     requests: list[tuple[list[PartKey], Stage]] = dataclasses.field(
         default_factory=list
     )
+    on_told: list[t.Callable[[bool], None]] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -110,7 +112,9 @@
         self._rng = rng
         self.quarantine = Quarantine()
         self._trials = trials.Trials()
-        self._loss_by_identity: dict[tuple[str, int], _Loss] = {}
+        self._check_by_identity: dict[tuple[str, int], _Check] = {}
+        # Those that follow a check in progress, whose report may be an older one.
+        self._next_check_by_identity: dict[tuple[str, int], _Check] = {}
         self._departures: collections.deque[_Departure] = collections.deque()
         # Parts of all of them.
         self._departed_keys = 0
@@ -128,19 +132,44 @@
         has closed a connection but not crashed.
         """
         unproven = self.quarantine.unproven(keys, self._loop.now)
-        if not unproven:
-            return
-        loss = self._loss_by_identity.get(replica.identity)
-        if loss is None:
-            loss = self._loss_by_identity[replica.identity] = _Loss(
-                replica, self._loop.now
-            )
-            self._check_engine(loss)
-        loss.keys += len(unproven)
-        if loss.requests and loss.keys > CRASH_KEYS_MAX:
+        if unproven:
+            self._add_request(self._find_check(replica), unproven, stage)
+
+    def check_end(
+        self,
+        replica: Replica,
+        keys: t.Iterable[PartKey],
+        stage: Stage,
+        on_told: t.Callable[[bool], None],
+    ) -> None:
+        """Find out whether an answer that ended with its connection is whole.
+
+        The engine is asked for a report. If it has crashed, the request is one of those
+        that were there.
+
+        :param on_told: called with whether the engine has crashed.
+        """
+        check = self._find_check(replica)
+        check.on_told.append(on_told)
+        if unproven := self.quarantine.unproven(keys, self._loop.now):
+            self._add_request(check, unproven, stage)
+
+    def _find_check(self, replica: Replica) -> _Check:
+        """Return a check of an engine whose report has not been asked for yet."""
+        identity = replica.identity
+        check = _Check(replica, self._loop.now)
+        if identity in self._check_by_identity:
+            return self._next_check_by_identity.setdefault(identity, check)
+        self._check_by_identity[identity] = check
+        self._check_engine(check)
+        return check
+
+    def _add_request(self, check: _Check, keys: list[PartKey], stage: Stage) -> None:
+        check.keys += len(keys)
+        if check.requests and check.keys > CRASH_KEYS_MAX:
             self.quarantine.dropped += 1
             return
-        loss.requests.append((unproven, stage))
+        check.requests.append((keys, stage))
 
     def report_departure(
         self, replica: Replica, keys: t.Iterable[PartKey], stage: Stage
@@ -266,49 +295,58 @@
     def _drop_departure(self) -> None:
         self._departed_keys -= len(self._departures.popleft().keys)
 
-    def _check_engine(self, loss: _Loss) -> None:
-        replica = loss.replica
+    def _check_engine(self, check: _Check) -> None:
+        replica = check.replica
 
         def on_report(report: engine_wire.Report) -> None:
-            if report.born != replica.incarnation:
-                self._record_crash(loss)
-                return
-            del self._loss_by_identity[replica.identity]
-
-        def on_unreadable() -> None:
-            del self._loss_by_identity[replica.identity]
+            self._end_check(check, has_crashed=report.born != replica.incarnation)
 
         fetch_engine_report(
             self._loop,
             self._pool,
             replica,
             on_report,
-            lambda _reason: self._record_crash(loss),
-            on_unreadable,
+            lambda _reason: self._end_check(check, has_crashed=True),
+            lambda: self._end_check(check, has_crashed=False),
         )
 
-    def _record_crash(self, loss: _Loss) -> None:
+    def _end_check(self, check: _Check, *, has_crashed: bool) -> None:
+        """Apply what an engine's report, or its absence, tells."""
+        identity = check.replica.identity
+        del self._check_by_identity[identity]
+        later = self._next_check_by_identity.pop(identity, None)
+        if later is not None and has_crashed:
+            check.requests += later.requests
+            check.on_told += later.on_told
+        elif later is not None:
+            self._check_by_identity[identity] = later
+            self._check_engine(later)
+        if has_crashed:
+            self._record_crash(check)
+        for on_told in check.on_told:
+            on_told(has_crashed)
+
+    def _record_crash(self, check: _Check) -> None:
         """Record the requests that were at an engine as candidates for its crash."""
-        identity = loss.replica.identity
-        del self._loss_by_identity[identity]
+        identity = check.replica.identity
         self._crashed[identity] = None
         if len(self._crashed) > CRASHES_MAX:
             self._crashed.popitem(last=False)
         now = self._loop.now
         before = list(self.quarantine.quarantined(now))
-        candidates = [(keys, stage.value) for keys, stage in loss.requests]
-        engine = engine_key(loss.replica)
-        age_s = now - loss.lost_at
+        candidates = [(keys, stage.value) for keys, stage in check.requests]
+        engine = engine_key(check.replica)
+        age_s = now - check.lost_at
         messages = self.quarantine.record_crash(engine, candidates, now, age_s)
         departed = self._take_departures(engine)
         messages += self.quarantine.record_crash(engine, departed, now, age_s)
         self._on_crash()
-        count_by_stage = collections.Counter(stage for _, stage in loss.requests)
+        count_by_stage = collections.Counter(stage for _, stage in check.requests)
         log_event(
             "engine_crashed",
             level="WARNING",
-            replica=loss.replica.name,
-            begun=_format_requests(loss, Stage.BEGUN),
+            replica=check.replica.name,
+            begun=_format_requests(check, Stage.BEGUN),
             streaming=count_by_stage[Stage.STREAMING],
             waiting=count_by_stage[Stage.WAITING],
             dropped=self.quarantine.dropped,
@@ -351,10 +389,10 @@
     return separator.join(parts)
 
 
-def _format_requests(loss: _Loss, stage: Stage) -> str:
+def _format_requests(check: _Check, stage: Stage) -> str:
     """Return the parts of the requests of a stage, for the log."""
     texts = []
-    for keys, reached in loss.requests:
+    for keys, reached in check.requests:
         if reached is stage:
             texts.append(format_keys(keys))
     return ",".join(texts)
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -668,6 +668,9 @@
             self.on_attempt_lost(attempt, ExchangeLoss.UNKNOWN, "inside an event")
             return
         if attempt.outcome is AttemptOutcome.SERVED:
+            if attempt.ends_with_connection():
+                self._check_end(attempt)
+                return
             self._deliver(attempt)
             return
         faulty = self._find_faulty(attempt)
@@ -687,6 +690,25 @@
             attempt, attempt.path[0].replica, f"status {attempt.status}"
         )
 
+    def _check_end(self, attempt: Attempt) -> None:
+        """Deliver the end of a response unless its engine has crashed.
+
+        The connections of a crashed process end like that of a whole response.
+        """
+        first = attempt.path[0].replica
+
+        def on_told(has_crashed: bool) -> None:
+            if self.is_finished or attempt not in (self._current, self._successor):
+                return
+            if not has_crashed:
+                self._deliver(attempt)
+                return
+            attempt.is_closed_by_upstream = attempt.is_crash_known = True
+            self.on_attempt_lost(attempt, ExchangeLoss.UNKNOWN, "engine crashed")
+
+        reports = self.context.crash_reports
+        reports.check_end(first, self._keys(), _stage_of(attempt), on_told)
+
     def on_attempt_lost(
         self, attempt: Attempt, loss: ExchangeLoss, reason: str
     ) -> None:
@@ -716,8 +738,9 @@
             self.lost_on.append(first.identity)
             if attempt.is_closed_by_upstream:
                 stage = _stage_of(attempt)
-                reports = self.context.crash_reports
-                reports.report_loss(first, self._keys(), stage)
+                if not attempt.is_crash_known:
+                    reports = self.context.crash_reports
+                    reports.report_loss(first, self._keys(), stage)
                 is_alone = self._current is None or self._successor is None
                 if is_alone and self._may_have_crashed(stage):
                     self.fail(BAD_GATEWAY, reason)
--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.gateway_data import make_config
+from tests.gateway_data import make_config_of_whole_engines
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import make_stream
 from tests.test_gateway import EVENTS
@@ -90,6 +91,66 @@
             assert answered.body == EVENTS
 
 
+class TestUnframedStreamsOfCrashedEngines:
+    """A crash closes connections between two events, like the end of a whole stream."""
+
+    @pytest.fixture
+    def deployment(self):
+        deployment = Deployment()
+        deployment.store.put("op", "config", make_config_of_whole_engines())
+        return deployment
+
+    @pytest.fixture(autouse=True)
+    def unframed(self, engines):
+        for engine in engines:
+            engine.is_unframed = True
+            engine.pause_s = 0.03
+
+    def test_stream_goes_on_elsewhere(self, deployment, engines, host):
+        answered = [deployment.send(host, make_stream(f"a{n}")) for n in range(6)]
+        deployment.run(lambda: all(b"id: 3\n" in each.data for each in answered))
+        for engine in [engine for engine in engines if engine.runs][:2]:
+            engine.crash()
+        deployment.run(lambda: all(a.is_complete or a.is_closed for a in answered))
+        assert [each.body for each in answered] == [EVENTS] * 6
+
+    def test_stream_that_may_not_go_on_looks_incomplete(
+        self, deployment, engines, host
+    ):
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: b"id: 3\n" in answered.data)
+        for engine in engines:
+            engine.restart_s = 60.0
+            engine.crash()
+        deployment.run(lambda: answered.is_complete or answered.is_closed)
+        assert not answered.is_complete
+
+    def test_caller_leaves_before_the_report(self, deployment, engines, host):
+        answered = deployment.send(host, make_stream("a1"))
+        deployment.run(lambda: b"id: 3\n" in answered.data)
+        next(engine for engine in engines if engine.runs).crash()
+        answered.connection.close()
+        deployment.run_for(1.0)
+        assert sum(len(engine.runs) for engine in engines) == 1
+        assert deployment.send_and_wait(host, make_stream("a2")).body == EVENTS
+
+    def test_deadly_part_is_found(self, deployment, engines, host):
+        for engine in engines:
+            engine.deadly_part = "dead"
+            engine.deadly_events = 1
+        for number in range(12):
+            sound = deployment.send(host, make_stream(f"s{number}", ("p1",)))
+            request = make_stream(f"d{number}", ("p1", "dead"))
+            answered = deployment.send_and_wait(host, request)
+            deployment.run(lambda s=sound: s.is_complete or s.is_closed)
+            # Engines that are back get their layers meanwhile.
+            deployment.run_for(0.25)
+        assert answered.status == 503
+        # The pages allow five crashes and three more requests.
+        assert sum(engine.ends for engine in engines) <= 8
+        assert sound.body == EVENTS
+
+
 class TestStreamsThatEndInsideAnEvent:
     """Such a stream is broken off, however its connection ends."""
 
--- a/tests/test_long_prompts.py
+++ b/tests/test_long_prompts.py
@@ -75,6 +75,8 @@
                 request = request.replace(b"," + DEADLY.encode(), name + b"dead")
             answered = deployment.send_and_wait(host, request)
             deployment.run(lambda s=sound: s.is_complete or s.is_closed)
+            # Engines that are back get their layers meanwhile.
+            deployment.run_for(0.25)
         assert answered.status == 503
         assert count_ends(engines) <= ENDS_ALLOWED
         assert sound.body == EVENTS
