Give up answers whose status HTTP does not have

A caller got an upstream's answer with a status of 600 to 999, body and all, where each upstream of a service gave one, and waited until its deadline where they gave 000 to 099 (MIXED).

Cause: any status below 200 counted as interim, of which any number may come before the answer, and any from 500 on as a failure, which is passed on where no upstream is left. The daemon did the same with 600 to 999. Ruled out: 101 and malformed status lines, which the parser refuses.

Change: a status outside 100 to 599 is no answer; the connection is given up at once and the request goes on elsewhere where it may run again. The daemon counts such an answer as lost.

--- a/src/wagtailstair/core/exchange_headers.py
+++ b/src/wagtailstair/core/exchange_headers.py
@@ -17,6 +17,11 @@
     }
 )
 
+FINAL_STATUS_MIN = 200
+STATUS_MIN = 100
+STATUS_MAX = 599
+"""Status codes of HTTP, and the first that isn't interim (RFC 9110, section 15)."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class HeaderNames:
--- a/src/wagtailstair/gateway/upstream_pool.py
+++ b/src/wagtailstair/gateway/upstream_pool.py
@@ -6,6 +6,9 @@
 
 import httptools
 
+from ..core.exchange_headers import FINAL_STATUS_MIN
+from ..core.exchange_headers import STATUS_MAX
+from ..core.exchange_headers import STATUS_MIN
 from ..exceptions import UpstreamError
 from ..logs import log_event
 from .connection import Connection
@@ -92,7 +95,7 @@
     __slots__ = (
         "_connect_timer",
         "_ends_at_eof",
-        "_excess",
+        "_fault",
         "_has_final_head",
         "_headers",
         "_is_skipping",
@@ -124,6 +127,7 @@
         self.idle_since = 0.0
         self._connect_timer: Timer | None = None
         self._headers: list[Header] = []
+        self._has_final_head = False
         host, _, port = upstream.address.rpartition(":")
         self.connection: Connection | None = connect(
             loop, (host, int(port)), self._on_data, self._on_lost, self._on_connected
@@ -177,8 +181,8 @@
         if self._has_final_head:
             return
         if len(self._headers) >= HEADERS_MAX:
-            self._excess = f"over {HEADERS_MAX} header lines"
-            raise UpstreamError(self._excess)
+            self._fault = f"over {HEADERS_MAX} header lines"
+            raise UpstreamError(self._fault)
         self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
@@ -186,7 +190,10 @@
         if self.observer is None:
             return
         status = self._parser.get_status_code()
-        if status < 200:
+        if not STATUS_MIN <= status <= STATUS_MAX:
+            self._fault = f"not an answer: status {status:03d}"
+            raise UpstreamError(self._fault)
+        if status < FINAL_STATUS_MIN:
             return
         self._has_final_head = True
         self._read_connection_headers(status)
@@ -219,7 +226,7 @@
         self._has_final_head = False
         self._is_skipping = False
         self._ends_at_eof = False
-        self._excess = ""
+        self._fault = ""
         self._overhead_bytes = 0
         self.received = 0
 
@@ -287,7 +294,7 @@
             self._parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
             self.is_reusable = False
-            self.give_up(self._excess or f"not an answer: {error}")
+            self.give_up(self._fault or f"not an answer: {error}")
             return
         excess = self._find_excess()
         if excess and self.observer is not None:
--- a/src/wagtailstair/upstreams/transfer.py
+++ b/src/wagtailstair/upstreams/transfer.py
@@ -7,6 +7,8 @@
 
 import pycurl
 
+from ..core.exchange_headers import FINAL_STATUS_MIN
+from ..core.exchange_headers import STATUS_MAX
 from .loop import Loop
 
 OnData = t.Callable[[bytes], bool]
@@ -174,6 +176,9 @@
         sent = TransferOutcome.ANSWERED
         if number:
             sent = _failure_outcome(easy, number)
+        elif not FINAL_STATUS_MIN <= self._status <= STATUS_MAX:
+            sent = TransferOutcome.LOST
+            message = f"not an answer: status {self._status:03d}"
         if self._too_large:
             message = "the answer is larger than the limit"
         easy.close()
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -247,13 +247,8 @@
             self.refuse(pending)
             return
         self.runs.append(attempt.decode())
-        if step.startswith("half head"):
-            # Ends in order after so many bytes of the head.
-            head = [b"HTTP/1.1 200 OK", *(b": ".join(header) for header in signed)]
-            data = b"\r\n".join([*head, b"Content-Length: 9", b"", b""])
-            length = int(step.removeprefix("half head "))
-            pending.caller._connection.write(data[: length or len(data) - 2])
-            pending.caller._close_gracefully()
+        if step.startswith(("half head", "status")):
+            self.write_head(pending, step, signed)
         elif step == "lose":
             pending.caller.abort_answer()
         elif step == "unsigned":
@@ -267,6 +262,24 @@
         elif step != "silent":
             pending.caller.answer(200, b"Fine", signed, b"body of " + attempt)
 
+    def write_head(
+        self, pending: PendingRequest, step: str, headers: list[tuple[bytes, bytes]]
+    ) -> None:
+        """Answer with a part of a head, or with a status as it is written."""
+        connection = pending.caller._connection
+        lines = [b": ".join(header) for header in headers]
+        if step.startswith("status "):
+            status = step.removeprefix("status ").encode()
+            lines = [b"HTTP/1.1 %b X" % status, *lines, b"Content-Length: 3"]
+            connection.write(b"\r\n".join([*lines, b"", b"odd"]))
+            return
+        # Ends in order after so many bytes of the head.
+        lines = [b"HTTP/1.1 200 OK", *lines, b"Content-Length: 9", b"", b""]
+        data = b"\r\n".join(lines)
+        length = int(step.removeprefix("half head "))
+        connection.write(data[: length or len(data) - 2])
+        pending.caller._close_gracefully()
+
     def notices(self) -> list[tuple[bytes, bytes]]:
         """Return the headers in which it speaks about itself."""
         headers = []
