Send a trial to another engine if the first has not run it

A trial whose engine took no connection or refused it as not run was itself refused, and the next one was due three times as late, though nothing had been found out: engines that have just crashed are the likeliest ones to refuse. Found by reading. The same held where there was no path at all. Callers that were refused while a trial was in progress were told to return after 10 s or more, its timeout, though a trial takes as long as an answer.

Change: a request stays a trial until it has run, becomes one only if there is a path, and callers return after 1 s to 3 s while one is in progress.

--- a/src/wagtailstair/core/trials.py
+++ b/src/wagtailstair/core/trials.py
@@ -81,6 +81,11 @@
         opens_at = group.last_at + delay_s * TRIAL_GROWTH**failures
         return opens_at if history is None else max(opens_at, history.blocked_until)
 
+    def is_in_progress(self, group: Group, now: float) -> bool:
+        """Return whether the result of a trial of a group is awaited."""
+        history = self._history_by_group.get(digest(group.keys))
+        return history is not None and now < history.blocked_until
+
     def may_begin(
         self, groups: t.Iterable[Group], turn: t.Callable[[Group], int], now: float
     ) -> bool:
--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -89,6 +89,7 @@
     :param send_to_all: sends a message to all other hosts.
     :param host: name of this host.
     :param live_names: returns the names of all live hosts, this one among them.
+    :param rng: spreads the returns of callers.
     """
 
     def __init__(
@@ -218,7 +219,8 @@
         now = self._loop.now
         waits = [0.0]
         for group in self.quarantine.held_groups(keys, now):
-            waits.append(self._trials.opens_at(group) - now)
+            if not self._trials.is_in_progress(group, now):
+                waits.append(self._trials.opens_at(group) - now)
         return_s = max(waits) + RETURN_S + RETURN_SPREAD_S * self._rng.random()
         return min(return_s, self.quarantine.remaining_s(keys, now))
 
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -182,7 +182,7 @@
 
     def _start(self, reason: str) -> None:
         """Send the request on the best path, or queue it for room."""
-        if self.is_quarantined() and not self._begin_trial():
+        if self.is_quarantined() and not self._is_trial():
             self.refuse("quarantined")
             return
         if not self.caller.has_begun and self._is_pause_too_long():
@@ -267,19 +267,24 @@
         """Return whether the request holds all keys of a group in quarantine."""
         return bool(self._quarantined_groups())
 
-    def _begin_trial(self) -> bool:
-        """Begin a trial of the quarantined groups that the request holds, if it may.
+    def _is_trial(self) -> bool:
+        """Return whether the request is a trial of the quarantined groups it holds.
 
-        A trial is sent once, and for a whole answer, as the rest of one proves nothing.
+        It becomes one if it may and there is a path. A trial runs once, and for a whole
+        answer, as the rest of one proves nothing.
         """
-        if self.sends or self._delivered.last_id:
+        if self.runs or self._delivered.last_id:
+            return False
+        if self._tried:
+            return True
+        if self._is_pause_too_long() or self._finder.choose() is None:
             return False
         groups = self.context.crash_reports.begin_trial(self._keys())
         self._tried = tuple(group.keys for group in groups)
         for group in groups:
             self.log(
                 "trial_begun",
-                part=format_keys(group.keys),
+                part=format_keys(sorted(group.keys)),
                 crashes=group.crashes,
                 weak=group.is_weak,
                 age=self.context.loop.now - group.last_at,
--- a/tests/test_trials.py
+++ b/tests/test_trials.py
@@ -21,6 +21,8 @@
 from wagtailstair.core.trials import WEAK_TRIAL_S
 from wagtailstair.core.trials import Trials
 from wagtailstair.core.trials import digest
+from wagtailstair.gateway.crash_reports import RETURN_S
+from wagtailstair.gateway.crash_reports import RETURN_SPREAD_S
 
 KEYS = frozenset({PartKey("engines", "p1")})
 GROUP = digest(KEYS)
@@ -121,6 +123,41 @@
             statuses.append(answered.status)
         assert statuses.count(200) >= 10
 
+    def test_trial_that_no_engine_takes_goes_to_another(
+        self, deployment, engines, hosts
+    ):
+        self.end_three(deployment, engines, hosts[0])
+        deployment.run_for(2.0)
+        # Most of the engines refuse their next request as not run.
+        for engine in engines[:9]:
+            engine.script = ["refuse"]
+        request = make_stream("l1", ("new",))
+        answered = deployment.send_and_wait(hosts[0], request)
+        if b"Retry-After" in answered.data:
+            # Its budget of sends is used up; the next one finds an engine.
+            deployment.run_for(4.0)
+            request = make_stream("l2", ("new",))
+            answered = deployment.send_and_wait(hosts[0], request)
+        assert answered.status == 200
+
+    def test_callers_return_soon_while_a_trial_is_in_progress(
+        self, deployment, engines, hosts
+    ):
+        self.end_three(deployment, engines, hosts[0])
+        deployment.run_for(2.0)
+        for engine in engines:
+            engine.first_event_s = 1.0
+        deployment.send(hosts[0], make_stream("l1", ("new",)))
+        deployment.run(lambda: any("l1" in engine.runs for engine in engines))
+        deployment.run_for(0.2)
+        for host in hosts:
+            request = make_stream(f"l2{host.settings.host.name}", ("new",))
+            answered = deployment.send_and_wait(host, request)
+            assert answered.status == 503
+            _, _, value = answered.data.partition(b"Retry-After: ")
+            again_s = float(value.split(b"\r\n")[0])
+            assert RETURN_S <= again_s <= RETURN_S + RETURN_SPREAD_S
+
     def test_one_request_is_tried_at_a_time(self, deployment, engines, hosts):
         self.end_three(deployment, engines, hosts[0])
         deployment.run_for(2.0)
