Look for a path of a trial only if a trial may begin

Each refused request of a quarantined group looked for a path before it was asked whether a trial was due, which costs far more than the refusal. Found by reading. Change: the path is looked for last.

--- a/src/wagtailstair/gateway/crash_reports.py
+++ b/src/wagtailstair/gateway/crash_reports.py
@@ -191,16 +191,19 @@
         """Return whether one of some engines is known to have crashed."""
         return any(identity in self._crashed for identity in identities)
 
-    def begin_trial(self, keys: t.Sequence[PartKey]) -> list[Group]:
+    def begin_trial(
+        self, keys: t.Sequence[PartKey], has_path: t.Callable[[], bool]
+    ) -> list[Group]:
         """Begin a trial of the quarantined groups that a request holds, if it may.
 
+        :param has_path: returns whether it could be sent; called if all else allows it.
         :returns: the groups, none if the request is to be refused.
         """
         now = self._loop.now
         groups = self.quarantine.held_groups(keys, now)
         if not self._trials.may_begin(groups, self._turn, now):
             return []
-        if self.quarantine.has_other_suspects(keys, groups):
+        if self.quarantine.has_other_suspects(keys, groups) or not has_path():
             return []
         digests = tuple(trials.digest(group.keys) for group in groups)
         self._trials.record_begin(digests, now)
--- a/src/wagtailstair/gateway/stream_exchange.py
+++ b/src/wagtailstair/gateway/stream_exchange.py
@@ -277,9 +277,8 @@
             return False
         if self._tried:
             return True
-        if self._is_pause_too_long() or self._finder.choose() is None:
-            return False
-        groups = self.context.crash_reports.begin_trial(self._keys())
+        reports = self.context.crash_reports
+        groups = reports.begin_trial(self._keys(), self._has_path)
         self._tried = tuple(group.keys for group in groups)
         for group in groups:
             self.log(
@@ -291,6 +290,9 @@
             )
         return bool(groups)
 
+    def _has_path(self) -> bool:
+        return not self._is_pause_too_long() and self._finder.choose() is not None
+
     def end_quarantined(self) -> None:
         """End the request if its prompt is in quarantine and no event comes.
 
--- a/tests/quarantine_simulation.py
+++ b/tests/quarantine_simulation.py
@@ -110,7 +110,7 @@
             if self.lost_on:
                 self.end("lost")
                 return
-            groups = self.host.reports.begin_trial(self.keys)
+            groups = self.host.reports.begin_trial(self.keys, lambda: True)
             self.tried = tuple(group.keys for group in groups)
             if not self.tried:
                 self.end("refused")
