--- a/review/rig3.py
+++ b/review/rig3.py
@@ -118,7 +118,12 @@
 
 
 class Store:
-    """The platform's store: rows with versions, a feed, transactions and an era."""
+    """The platform's store: rows with versions, a feed, transactions and an era.
+
+    ``page_rows``: most rows of an answer to a read.
+    """
+
+    page_rows = 500
 
     def __init__(self) -> None:
         self.address = ""
@@ -189,9 +194,11 @@
         try:
             while request := await read_request(reader):
                 status, rows = await self._answer(request)
+                is_read = request.target.startswith("/rows-get")
+                most = self.page_rows if is_read else len(rows)
                 body = {
-                    "rows": rows,
-                    "truncated": False,
+                    "rows": rows[:most],
+                    "truncated": len(rows) > most,
                     "ver": self._version,
                     "now_ms": int(time.monotonic() * 1000),
                 }
@@ -289,7 +296,8 @@
         self._store = store
         self._on_run = on_run
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        # The readers of open connections, by their writers.
+        self._readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         self._row: dict[str, t.Any] = {
             "service": service,
             "address": "",
@@ -320,22 +328,27 @@
     async def _report(self) -> None:
         while not self.has_left:
             await asyncio.sleep(HEARTBEAT_S)
-            if not self._store.is_away:
+            if not self._store.is_away and not self.has_left:
                 self.write_row()
 
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             while request := await read_request(reader):
                 await self._answer(request, writer)
         except (ConnectionError, asyncio.CancelledError):
             pass  # the peer has left, or the case ends
         finally:
-            self._writers.discard(writer)
+            self._readers.pop(writer, None)
             writer.close()
 
+    def has_gone(self, writer: asyncio.StreamWriter) -> bool:
+        """Return whether the sender of a request has closed its connection."""
+        reader = self._readers.get(writer)
+        return reader is None or reader.at_eof() or writer.is_closing()
+
     async def _answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
         attempt = request.headers.get("x-attempt-id", "")
         headers = [("X-Attempt-Id", attempt)]
