Review: the head of a timed-out answer on the next request's channel

An attempt that can no longer be cancelled goes on after its request got 504; beyond 4 MB the head of its answer is written to the caller's channel, as the answer to the next request.

--- a/review/rig3.py
+++ b/review/rig3.py
@@ -591,6 +591,10 @@
     is_whole: bool
 
 
+MALFORMED = b"<no chunk>"
+"""Stands in a body where bytes came that are no chunk."""
+
+
 async def read_answer(reader: asyncio.StreamReader) -> Answer:
     """Read an answer, as far as it comes."""
     head = await read_head(reader)
@@ -611,6 +615,8 @@
             is_whole = True
     except (asyncio.IncompleteReadError, ConnectionError):
         pass
+    except ValueError:
+        body += MALFORMED
     return Answer(head.status, head.headers, body, is_whole)
 
 
