--- a/review/rig3.py
+++ b/review/rig3.py
@@ -15,7 +15,6 @@
 import pathlib
 import re
 import resource
-import socket
 import subprocess
 import sys
 import tempfile
@@ -37,7 +36,6 @@
 MAX_FDS = 4200
 CONFIG_APPLY_S = 2.0
 CONTACT_S = 3.0
-DRAIN_S = 2.0
 
 HELD = 0
 BROKEN = 1
@@ -170,10 +168,6 @@
         self.is_away = False
         self._notify()
 
-    def return_unchanged(self) -> None:
-        """Be there again, with all that was written."""
-        self.is_away = False
-
     def _put(self, table: str, key: str, data: bytes | None) -> int:
         self._version += 1
         self._rows[table, key] = (data, self._version)
@@ -296,8 +290,6 @@
         self._store = store
         self._on_run = on_run
         self._server: asyncio.Server | None = None
-        # The readers of open connections, by their writers.
-        self._readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         self._row: dict[str, t.Any] = {
             "service": service,
             "address": "",
@@ -311,6 +303,11 @@
         }
         self._heartbeat: asyncio.Task[None] | None = None
 
+    @property
+    def born(self) -> int:
+        """Return the Unix milliseconds of its start."""
+        return int(self._row["born"])
+
     async def start(self, ip: str) -> None:
         """Listen on a free port, and report to the store from now on."""
         self._server = await asyncio.start_server(self._serve, ip, 0)
@@ -334,21 +331,14 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
-        self._readers[writer] = reader
         try:
             while request := await read_request(reader):
                 await self._answer(request, writer)
         except (ConnectionError, asyncio.CancelledError):
             pass  # the peer has left, or the case ends
         finally:
-            self._readers.pop(writer, None)
             writer.close()
 
-    def has_gone(self, writer: asyncio.StreamWriter) -> bool:
-        """Return whether the sender of a request has closed its connection."""
-        reader = self._readers.get(writer)
-        return reader is None or reader.at_eof() or writer.is_closing()
-
     async def _answer(self, request: Message, writer: asyncio.StreamWriter) -> None:
         attempt = request.headers.get("x-attempt-id", "")
         headers = [("X-Attempt-Id", attempt)]
@@ -509,7 +499,12 @@
 
 def limit_descriptors() -> None:
     """Give this process as many descriptors as a machine of the deployment has."""
-    resource.setrlimit(resource.RLIMIT_NOFILE, (MAX_FDS, MAX_FDS))
+    _, most = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if most != resource.RLIM_INFINITY:
+        most = min(most, MAX_FDS)
+    else:
+        most = MAX_FDS
+    resource.setrlimit(resource.RLIMIT_NOFILE, (most, most))
 
 
 class Gateway:
@@ -721,17 +716,6 @@
             await asyncio.sleep(0.1)
 
 
-def is_port_free(ip: str, port: int) -> bool:
-    """Return whether a port of a loopback address can be bound."""
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind((ip, port))
-        except OSError:
-            return False
-    return True
-
-
 Play = t.Callable[[pathlib.Path, Record, bool], t.Awaitable[list[str]]]
 
 
@@ -749,7 +733,7 @@
             found = asyncio.run(
                 asyncio.wait_for(play(pathlib.Path(work), record, has_trouble), limit_s)
             )
-    except (OSError, TimeoutError, RuntimeError) as error:
+    except Exception as error:  # neither held nor broken
         record(f"could not run: {type(error).__name__}: {error}")
         print(f"could not run: {type(error).__name__}: {error}")
         sys.exit(COULD_NOT_RUN)
