--- a/src/wagtailstair/core/hosts.py
+++ b/src/wagtailstair/core/hosts.py
@@ -3,6 +3,9 @@
 import dataclasses
 import enum
 
+from .store import NO_VERSION
+from .store import StoreVersion
+
 
 class HostState(enum.IntEnum):
     """The lifecycle states of a host."""
@@ -48,7 +51,7 @@
     lists_version: int
     view: int = 0
     known_lists_version: int = 0
-    upstreams_version: int = 0
+    upstreams_version: StoreVersion = NO_VERSION
     is_store_unreachable: bool = False
 
 
--- a/src/wagtailstair/core/membership.py
+++ b/src/wagtailstair/core/membership.py
@@ -27,6 +27,8 @@
 from .peer import Peer as Peer
 from .peer import view_checksum as view_checksum
 from .rendezvous import ranked
+from .store import NO_VERSION
+from .store import StoreVersion
 
 REMOTE_FACTOR = 4  # remote heartbeat interval and timeout, relative to local ones
 REMOTE_TARGETS = 2  # hosts of each remote data centre that get heartbeats
@@ -206,7 +208,7 @@
         known_lists_version: int,
         models: tuple[str, ...] = (),
         *,
-        upstreams_version: int = 0,
+        upstreams_version: StoreVersion = NO_VERSION,
         is_store_unreachable: bool = False,
     ) -> Heartbeat:
         """Return the next heartbeat to send.
--- a/src/wagtailstair/core/relay_rows.py
+++ b/src/wagtailstair/core/relay_rows.py
@@ -11,6 +11,7 @@
 
 from ..exceptions import PeerError
 from .store import StoreRow
+from .store import StoreVersion
 
 RELAY_PATH = "/tables/"
 AFTER = "after"
@@ -45,7 +46,8 @@
     ``is_all``: whether these are all rows, or only those changed after the
     requested version; ``as_of``: the store's version up to which all changes are
     included; ``trouble_s``: seconds since the last failed call to the store, if any;
-    ``deflated``: keys of the rows whose value is deflated.
+    ``deflated``: keys of the rows whose value is deflated; ``era``: the store's era,
+    to which ``as_of`` and the versions of the rows belong.
     """
 
     as_of: int
@@ -53,10 +55,19 @@
     rows: list[tuple[str, bytes | None, int]]
     trouble_s: float | None = None
     deflated: list[str] = []
+    era: int = 0
+
+    @property
+    def version(self) -> StoreVersion:
+        """Return the store's version up to which all changes are included."""
+        return StoreVersion(self.era, self.as_of)
 
     def store_rows(self, table: str) -> list[StoreRow]:
         """Return the rows in the store's format."""
-        return [StoreRow(table, *row) for row in self.rows]
+        rows = []
+        for key, value, number in self.rows:
+            rows.append(StoreRow(table, key, value, StoreVersion(self.era, number)))
+        return rows
 
 
 class ValueDeflater:
@@ -65,8 +76,8 @@
     __slots__ = ("_deflated_by_row",)
 
     def __init__(self) -> None:
-        # By table and key: the row's version and its deflated value.
-        self._deflated_by_row: dict[tuple[str, str], tuple[int, bytes]] = {}
+        # By table and key: the row's value and the same deflated.
+        self._deflated_by_row: dict[tuple[str, str], tuple[bytes, bytes]] = {}
 
     def deflate(self, row: StoreRow) -> bytes | None:
         """Return a row's value deflated, ``None`` if it is sent as it is."""
@@ -75,8 +86,8 @@
             self._deflated_by_row.pop(name, None)
             return None
         known = self._deflated_by_row.get(name)
-        if known is None or known[0] != row.version:
-            known = row.version, zlib.compress(row.value, DEFLATE_LEVEL)
+        if known is None or known[0] != row.value:
+            known = row.value, zlib.compress(row.value, DEFLATE_LEVEL)
             self._deflated_by_row[name] = known
         return known[1]
 
@@ -108,7 +119,7 @@
 
 def encode_relayed(
     rows: list[StoreRow],
-    as_of: int,
+    as_of: StoreVersion,
     trouble_s: float | None,
     *,
     is_all: bool,
@@ -126,8 +137,10 @@
         if deflated is not None:
             value = deflated
             deflated_keys.append(row.key)
-        entries.append((row.key, value, row.version))
-    table = RelayedTable(as_of, is_all, entries, trouble_s, deflated_keys)
+        entries.append((row.key, value, row.version.number))
+    table = RelayedTable(
+        as_of.number, is_all, entries, trouble_s, deflated_keys, as_of.era
+    )
     return msgspec.json.encode(table)
 
 
--- a/src/wagtailstair/core/replicas.py
+++ b/src/wagtailstair/core/replicas.py
@@ -4,8 +4,9 @@
 import dataclasses
 import math
 
-LEAVING_MAX = 4096
-"""Upstreams that are remembered for having said themselves that they leave."""
+REMEMBERED_MAX = 4096
+"""Upstreams that are remembered for having said themselves that they leave, and those
+that are remembered for having been removed."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,13 +49,18 @@
     An upstream may also say itself that it leaves. That holds for its incarnation,
     whatever its row says. An engine whose row names layers that its service's model
     does not have is not usable: another writer may have left that row.
+
+    A row from an older copy of the store may say less than is known: it is held back
+    until it is written again, or until it would have been removed again.
     """
 
     __slots__ = (
+        "_held_back_by_name",
         "_lapse_s",
         "_layers_by_service",
         "_leaving_by_name",
         "_removal_at_by_name",
+        "_removed_by_name",
         "_usable_by_service",
         "by_name",
         "generation",
@@ -68,6 +74,12 @@
         self._leaving_by_name: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
+        # Incarnations that were removed, the oldest removal first.
+        self._removed_by_name: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
+        # Rows that are held back, and the time until which they are.
+        self._held_back_by_name: dict[str, tuple[Replica, float]] = {}
         # Layers of the models, of services that have one.
         self._layers_by_service: dict[str, int] = {}
         self.generation = 0
@@ -88,6 +100,7 @@
         current = self.by_name.get(replica.name)
         if current is not None and replica.incarnation < current.incarnation:
             return False
+        self._held_back_by_name.pop(replica.name, None)
         self._removal_at_by_name.pop(replica.name, None)
         if self._leaving_by_name.get(replica.name) == replica.incarnation:
             replica = dataclasses.replace(replica, is_leaving=True)
@@ -97,15 +110,36 @@
         self._count_change()
         return True
 
+    def contradicts(self, replica: Replica) -> bool:
+        """Return whether a row is at odds with what is known of its incarnation."""
+        current = self.by_name.get(replica.name)
+        if current is None:
+            return replica.incarnation <= self._removed_by_name.get(replica.name, -1)
+        if current.incarnation != replica.incarnation or replica.is_leaving:
+            return False
+        return current.is_leaving or current.layers != replica.layers
+
+    def hold_back(self, replica: Replica, until: float) -> None:
+        """Apply a row at a later time, unless the upstream's row changes before."""
+        self._held_back_by_name[replica.name] = replica, until
+
+    def apply_held_back(self, now: float) -> list[Replica]:
+        """Apply the rows that were held back until now; return those that changed."""
+        changed = []
+        for replica, until in list(self._held_back_by_name.values()):
+            if now < until:
+                continue
+            del self._held_back_by_name[replica.name]
+            if self.put(replica):
+                changed.append(replica)
+        return changed
+
     def mark_leaving(self, identity: tuple[str, int]) -> bool:
         """Apply that an upstream says that it leaves; return whether that is news."""
         name, incarnation = identity
         if self._leaving_by_name.get(name, -1) >= incarnation:
             return False
-        self._leaving_by_name[name] = incarnation
-        self._leaving_by_name.move_to_end(name)
-        if len(self._leaving_by_name) > LEAVING_MAX:
-            self._leaving_by_name.popitem(last=False)
+        _remember(self._leaving_by_name, identity)
         current = self.by_name.get(name)
         if current is None or current.identity != identity or current.is_leaving:
             return False
@@ -118,6 +152,7 @@
 
         :param failed_at: time of the last failed call to the store.
         """
+        self._held_back_by_name.pop(name, None)
         if name not in self.by_name:
             return
         removal_at = failed_at + self._lapse_s
@@ -170,9 +205,22 @@
 
     def _drop_row(self, name: str) -> None:
         self._removal_at_by_name.pop(name, None)
-        if self.by_name.pop(name, None) is not None:
+        replica = self.by_name.pop(name, None)
+        if replica is not None:
+            _remember(self._removed_by_name, replica.identity)
             self._count_change()
 
     def _count_change(self) -> None:
         self.generation += 1
         self._usable_by_service.clear()
+
+
+def _remember(
+    incarnation_by_name: collections.OrderedDict[str, int], identity: tuple[str, int]
+) -> None:
+    """Remember an incarnation, and forget the oldest if there are too many."""
+    name, incarnation = identity
+    incarnation_by_name[name] = incarnation
+    incarnation_by_name.move_to_end(name)
+    if len(incarnation_by_name) > REMEMBERED_MAX:
+        incarnation_by_name.popitem(last=False)
--- a/src/wagtailstair/core/store.py
+++ b/src/wagtailstair/core/store.py
@@ -3,6 +3,25 @@
 import dataclasses
 
 
+@dataclasses.dataclass(slots=True, frozen=True, order=True)
+class StoreVersion:
+    """A version of the store.
+
+    The store gives numbers out again after it has come back from an older copy.
+    ``era``: counts these returns; 0 if unknown, which is before all known ones.
+    """
+
+    era: int = 0
+    number: int = 0
+
+    def __str__(self) -> str:
+        return f"{self.era}:{self.number}" if self.era else str(self.number)
+
+
+NO_VERSION = StoreVersion()
+"""Before any version of the store."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
     """An HTTP call; ``headers``: those beside the ones that each call has."""
@@ -20,7 +39,7 @@
     table: str
     key: str
     value: bytes | None
-    version: int
+    version: StoreVersion
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -33,6 +52,6 @@
     """
 
     rows: tuple[StoreRow, ...]
-    version: int
+    version: StoreVersion
     is_more: bool = False
     is_conflict: bool = False
--- a/src/wagtailstair/gateway/fetch.py
+++ b/src/wagtailstair/gateway/fetch.py
@@ -3,9 +3,6 @@
 import typing as t
 
 from ..core.store import Call
-from ..core.store import StoreRows
-from ..exceptions import PlatformError
-from ..platform.store import decode_rows
 from .loop import Loop
 from .loop import Timer
 from .upstream_pool import ExchangeLoss
@@ -33,7 +30,7 @@
     """A complete response, or ``status`` 0 with the loss and its reason.
 
     ``received``: bytes of the body that arrived, also of a lost response;
-    ``took_s``: seconds from the call to its end.
+    ``took_s``: seconds from the call to its end; ``headers``: those of the response.
     """
 
     status: int
@@ -42,16 +39,7 @@
     reason: str = ""
     received: int = 0
     took_s: float = 0.0
-
-
-def decode_store_answer(answer: Answer) -> StoreRows:
-    """Return the rows of a response of the store.
-
-    :raises PlatformError: if there is no response or it is not valid.
-    """
-    if answer.status == 0:
-        raise PlatformError(answer.reason)
-    return decode_rows(answer.status, answer.body)
+    headers: tuple[Header, ...] = ()
 
 
 class Fetch:
@@ -70,6 +58,7 @@
         "_buffered",
         "_bytes_max",
         "_connection",
+        "_headers",
         "_loop",
         "_on_answer",
         "_pool",
@@ -102,6 +91,7 @@
         self._begun_at = 0.0
         self._started_at = loop.now
         self._status = 0
+        self._headers: tuple[Header, ...] = ()
         self._body = bytearray()
         self._on_answer: t.Callable[[Answer], None] | None = on_answer
         self._timer: Timer = loop.call_later(timeout_s, self._on_timeout)
@@ -138,9 +128,10 @@
         if connection is not None:
             connection.cancel()
 
-    def on_head(self, status: int, _reason: bytes, _headers: list[Header]) -> bool:
-        """Store the status of the response."""
+    def on_head(self, status: int, _reason: bytes, headers: list[Header]) -> bool:
+        """Store the status and the headers of the response."""
         self._status = status
+        self._headers = tuple(headers)
         self._record_progress()
         return True
 
@@ -159,7 +150,7 @@
     def on_complete(self) -> None:
         """Report a complete response."""
         self._connection = None
-        self._finish(Answer(self._status, bytes(self._body)))
+        self._finish(Answer(self._status, bytes(self._body), headers=self._headers))
 
     def on_lost(self, loss: ExchangeLoss, reason: str) -> None:
         """Report that no complete response arrived."""
--- a/src/wagtailstair/gateway/follower.py
+++ b/src/wagtailstair/gateway/follower.py
@@ -3,6 +3,7 @@
 import random
 import typing as t
 
+from ..core.store import NO_VERSION
 from ..core.store import Call
 from ..core.store import StoreRow
 from ..core.store import StoreRows
@@ -12,9 +13,9 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
-from .fetch import decode_store_answer
 from .loop import Loop
 from .loop import Timer
+from .store_eras import StoreEras
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
 
@@ -49,9 +50,12 @@
         table: str,
         on_change: t.Callable[[list[StoreRow]], None],
         rng: random.Random,
+        eras: StoreEras,
         pause_s: float = 0.0,
     ) -> None:
         self._loop = loop
+        self._eras = eras
+        eras.add_listener(self._on_return)
         self._pause_s = pause_s
         self._pool = pool
         self._store = store
@@ -59,8 +63,10 @@
         self._on_change = on_change
         self._rng = rng
         self._failures = 0
+        # Calls in a row whose history the store no longer had.
+        self._conflicts = 0
         self._pages: list[StoreRow] = []
-        self._read_as_of = 0
+        self._read_as_of = NO_VERSION
         self._fetch: Fetch | None = None
         # Whether the store may hold the call in progress until there is a change.
         self._is_waiting = False
@@ -128,7 +134,7 @@
         def on_answer(answer: Answer) -> None:
             self._fetch = None
             try:
-                rows = decode_store_answer(answer)
+                rows = self._eras.decode(answer)
             except PlatformError as error:
                 self._on_failure(str(error))
                 return
@@ -161,15 +167,28 @@
         self._schedule(pause * self._rng.uniform(0.5, 1.0), self._resume)
 
     def _resume(self) -> None:
-        if self.copy.is_complete:
+        if self.copy.is_complete and self.copy.as_of.era >= self._eras.current:
             # After a failure, the first call returns at once, to probe the store.
             self._feed(0.0 if self.is_store_unreachable else FEED_WAIT_S)
             return
         self._read_all()
 
+    def _on_return(self) -> None:
+        """Read all rows, as those of the copy are of an earlier era of the store."""
+        if not self.is_active or not self.copy.is_complete:
+            return
+        # Deferred, as an answer of the store is being handled.
+        self._loop.call_later(0.0, self._replace_call)
+
+    def _replace_call(self) -> None:
+        is_outdated = self.copy.as_of.era < self._eras.current
+        if self.is_active and is_outdated and self._is_waiting:
+            self._cancel()
+            self._read_all()
+
     def _read_all(self) -> None:
         self._pages = []
-        self._read_as_of = 0
+        self._read_as_of = NO_VERSION
         self._read("")
 
     def _read(self, after: str) -> None:
@@ -178,10 +197,15 @@
         self._send(call, READ_TIMEOUT_S, self._on_page)
 
     def _on_page(self, rows: StoreRows) -> None:
+        if self._pages and rows.version.era != self._read_as_of.era:
+            # The pages are of two eras.
+            self._schedule(BACKOFF_S, self._read_all)
+            return
+        if not self._pages:
+            # The first page's version counts: a later page does not show the changes
+            # that were made to earlier pages in the meantime.
+            self._read_as_of = rows.version
         self._pages.extend(rows.rows)
-        # The first page's version counts: a later page does not show the changes
-        # that were made to earlier pages in the meantime.
-        self._read_as_of = self._read_as_of or rows.version
         if rows.is_more and rows.rows:
             self._read(rows.rows[-1].key)
             return
@@ -190,18 +214,32 @@
         self._on_change(self.copy.apply_snapshot(pages, self._read_as_of))
 
     def _feed(self, wait_s: float) -> None:
-        call = wire.feed_call(self.table, self.copy.as_of, wait_s)
+        call = wire.feed_call(self.table, self.copy.as_of.number, wait_s)
         self._is_waiting = wait_s > 0
         timeout_s = wait_s + FEED_MARGIN_S if wait_s else READ_TIMEOUT_S
         self._send(call, timeout_s, self._on_feed)
 
     def _on_feed(self, rows: StoreRows) -> None:
+        if rows.version.era > self.copy.as_of.era:
+            # The call named a version of an earlier era: its rows may be any.
+            self._read_all()
+            return
         if rows.is_conflict:
             version = self.copy.as_of
             log_event("store_history_gone", table=self.table, version=version)
-            self._read_all()
+            pause_s = self._conflict_pause_s()
+            self._conflicts += 1
+            self._schedule(pause_s, self._read_all)
             return
+        self._conflicts = 0
         self._schedule(self._pause_s, self._resume)
         changed = self.copy.apply_delta(rows.rows, rows.version)
         if changed:
             self._on_change(changed)
+
+    def _conflict_pause_s(self) -> float:
+        """Return the seconds before the next read of all rows."""
+        if not self._conflicts:
+            return 0.0
+        pause_s = min(BACKOFF_MAX_S, BACKOFF_S * 2.0 ** min(self._conflicts - 1, 8))
+        return pause_s * self._rng.uniform(0.5, 1.0)
--- a/src/wagtailstair/gateway/gateway.py
+++ b/src/wagtailstair/gateway/gateway.py
@@ -32,11 +32,11 @@
 from ..core.resend_budget import Counts
 from ..core.resend_budget import ResendBudget
 from ..core.resend_budget import counts_key
+from ..core.store import StoreVersion
 from ..core.upstream_balancer import UpstreamBalancer
 from ..exceptions import SettingsError
 from ..logs import log_event
 from ..platform import headers as wire_headers
-from ..platform import lists as wire_lists
 from ..platform import replicas as wire_replicas
 from ..settings import read_text
 from . import engine_uses
@@ -61,6 +61,7 @@
 from .settings import parse_settings
 from .stall_detector import SUSPECT_S
 from .stall_detector import StallDetector
+from .store_eras import StoreEras
 from .stream_exchange import StreamExchange
 from .table_sync import TableSync
 from .telemetry import Telemetry
@@ -118,12 +119,14 @@
         self._rng = random.Random()
         centre = settings.host.data_centre
         store = Upstream(settings.store.address, "store")
+        self.store_eras = StoreEras()
         self.table_sync = TableSync(
             self.loop,
             self.pool,
             store,
-            settings.store.lapse_s,
+            settings.store,
             self._rng,
+            self.store_eras,
             on_change=self._on_table_changed,
             on_relay_ended=self.telemetry.count_relay,
             should_follow_store=lambda: self.peers.is_delegate(),
@@ -133,7 +136,13 @@
         self.pauses = Pauses(self._rng)
         self._incarnation = int(clock.utcnow().timestamp() * 1000)
         self.peers = Peers(
-            self.loop, self.pool, store, self._own_host(), self, self._rng
+            self.loop,
+            self.pool,
+            store,
+            self._own_host(),
+            self,
+            self._rng,
+            self.store_eras,
         )
         self.crash_reports = CrashReports(
             self.loop,
@@ -178,6 +187,7 @@
             lambda: self.table_sync.directory,
             self.peers.is_first_delegate,
             self._rng,
+            self.store_eras,
         )
 
     # Interface for exchanges.
@@ -337,7 +347,7 @@
         """Return the version of the lists in force here."""
         return self.table_sync.lists_version()
 
-    def upstreams_version(self) -> int:
+    def upstreams_version(self) -> StoreVersion:
         """Return the version of the newest change of upstreams received here."""
         return self.table_sync.upstreams_version()
 
@@ -427,13 +437,11 @@
         for stream in self.streams():
             stream.end_quarantined()
 
-    def on_newer_lists(self, host: Host, version: int) -> None:
-        """Handle a heartbeat of a peer that has newer lists."""
-        self.table_sync.on_newer_lists(host, version)
-
-    def on_newer_upstreams(self, host: Host, version: int) -> None:
-        """Handle a heartbeat of a peer that has newer changes of upstreams."""
-        self.table_sync.on_newer_upstreams(host, version)
+    def on_table_versions(
+        self, host: Host, lists: int, upstreams: StoreVersion
+    ) -> None:
+        """Apply the versions of the tables that a peer's heartbeat announces."""
+        self.table_sync.on_versions(host, lists, upstreams)
 
     def on_peers_discovered(self) -> None:
         """Choose whether to follow the store, now that peers could answer."""
@@ -491,7 +499,7 @@
     def _deny(self, caller: Caller, request: Request, denial: Denial) -> None:
         """Answer a request that the lists in force deny."""
         version = self.lists_version()
-        announced = self.table_sync.announced_version(wire_lists.TABLE)
+        announced = self.table_sync.announced_lists_version()
         if announced > version:
             # The lists are known to be old, and newer ones may allow the request.
             self._refuse(caller, request, "newer lists announced")
@@ -514,7 +522,7 @@
             request=request.header(self.names.attempt).decode("latin-1"),
             reason=reason,
             version=self.lists_version(),
-            announced=self.table_sync.announced_version(wire_lists.TABLE),
+            announced=self.table_sync.announced_lists_version(),
         )
         caller.answer(UNAVAILABLE, b"", ((b"Retry-After", RETRY_AFTER),), b"")
 
--- a/src/wagtailstair/gateway/host_registry.py
+++ b/src/wagtailstair/gateway/host_registry.py
@@ -15,8 +15,8 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
-from .fetch import decode_store_answer
 from .loop import Loop
+from .store_eras import StoreEras
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
 
@@ -45,6 +45,7 @@
         store: Upstream,
         host: Host,
         rng: random.Random,
+        eras: StoreEras,
         *,
         on_hosts: t.Callable[[list[Host]], None],
         should_reread: t.Callable[[], bool],
@@ -56,6 +57,7 @@
         self._rng = rng
         self._on_hosts = on_hosts
         self._should_reread = should_reread
+        self._eras = eras
 
     def start(self) -> None:
         """Write this host's row, then read the rows of all hosts."""
@@ -93,7 +95,7 @@
     ) -> None:
         def on_answer(answer: Answer) -> None:
             try:
-                rows = decode_store_answer(answer)
+                rows = self._eras.decode(answer)
             except PlatformError as error:
                 log_event("hosts_unread", level="WARNING", reason=error)
                 pause_s = BACKOFF_S * self._rng.uniform(0.5, 1.5)
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -19,8 +19,8 @@
 from ..platform import store as wire
 from .fetch import Answer
 from .fetch import Fetch
-from .fetch import decode_store_answer
 from .loop import Loop
+from .store_eras import StoreEras
 from .upstream_pool import ExchangeLoss
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
@@ -55,6 +55,7 @@
         holder: str,
         is_candidate: t.Callable[[], bool],
         rng: random.Random,
+        eras: StoreEras,
     ) -> None:
         self._loop = loop
         self._pool = pool
@@ -64,6 +65,7 @@
         self._is_candidate = is_candidate
         self._lease = Lease(holder, LEASE)
         self._had_lease = False
+        self._eras = eras
         # Seconds for which the machine had been suspended at the last renewal.
         self._suspended_s = loop.clock.suspended_s()
 
@@ -131,7 +133,7 @@
     def _on_read(self, answer: Answer) -> None:
         now = self._loop.now
         try:
-            rows = decode_store_answer(answer)
+            rows = self._eras.decode(answer)
         except PlatformError as error:
             log_event("lease_unread", level="WARNING", reason=error)
             self._lease.delay_retry(now)
@@ -140,7 +142,7 @@
         version, row = 0, None
         for entry in rows.rows:
             if entry.key == self._key and entry.value is not None:
-                version, row = entry.version, self._decode(entry.value)
+                version, row = entry.version.number, self._decode(entry.value)
         self._lease.apply_read(version, row, now)
         self._step()
 
@@ -159,7 +161,7 @@
             self._loop.call_later(LEASE.retry_s / 2, self._step)
             return
         try:
-            rows = decode_store_answer(answer)
+            rows = self._eras.decode(answer)
         except PlatformError as error:
             log_event("lease_unwritten", level="WARNING", reason=error)
             self._lease.delay_retry(now)
@@ -168,5 +170,5 @@
         if rows.is_conflict:
             self._lease.mark_stale()
         else:
-            self._lease.apply_write(rows.version, command.row, now)
+            self._lease.apply_write(rows.version.number, command.row, now)
         self._step()
--- a/src/wagtailstair/gateway/peers.py
+++ b/src/wagtailstair/gateway/peers.py
@@ -21,6 +21,7 @@
 from ..core.messages import Message
 from ..core.messages import QueueCounts
 from ..core.quarantine import CrashSuspects
+from ..core.store import StoreVersion
 from ..exceptions import PeerError
 from ..logs import log_event
 from ..peers.codec import DATAGRAM_BYTES_MAX
@@ -30,6 +31,7 @@
 from .host_registry import HostRegistry
 from .loop import READABLE
 from .loop import Loop
+from .store_eras import StoreEras
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
 
@@ -81,7 +83,7 @@
         """Return the version of the lists in force here."""
         ...
 
-    def upstreams_version(self) -> int:
+    def upstreams_version(self) -> StoreVersion:
         """Return the version of the newest change of upstreams received here."""
         ...
 
@@ -129,12 +131,10 @@
         """Apply what a peer knows of crashes; return a reply, if there is one."""
         ...
 
-    def on_newer_lists(self, host: Host, version: int) -> None:
-        """Handle a heartbeat of a peer that has newer lists."""
-        ...
-
-    def on_newer_upstreams(self, host: Host, version: int) -> None:
-        """Handle a heartbeat of a peer that has newer changes of upstreams."""
+    def on_table_versions(
+        self, host: Host, lists: int, upstreams: StoreVersion
+    ) -> None:
+        """Apply the versions of the tables that a peer's heartbeat announces."""
         ...
 
     def on_peers_discovered(self) -> None:
@@ -153,6 +153,7 @@
         host: Host,
         events: PeerEvents,
         rng: random.Random,
+        eras: StoreEras,
     ) -> None:
         self._loop = loop
         self._host = host
@@ -165,6 +166,7 @@
             store,
             host,
             rng,
+            eras,
             on_hosts=self._on_hosts,
             should_reread=self.is_first_delegate,
         )
@@ -437,10 +439,9 @@
             suspects = self._events.crash_suspects()
             if suspects is not None:
                 self._send(host.peer_address, (suspects,))
-        if message.lists_version > self._events.lists_version():
-            self._events.on_newer_lists(host, message.lists_version)
-        if message.upstreams_version > self._events.upstreams_version():
-            self._events.on_newer_upstreams(host, message.upstreams_version)
+        self._events.on_table_versions(
+            host, message.lists_version, message.upstreams_version
+        )
 
     def _on_engine_uses(self, sender: str, uses: EngineUses, now: float) -> None:
         if uses.is_centre:
--- a/src/wagtailstair/gateway/placer.py
+++ b/src/wagtailstair/gateway/placer.py
@@ -22,6 +22,7 @@
 from .fetch import Fetch
 from .lease import LeaseManager
 from .loop import Loop
+from .store_eras import StoreEras
 from .upstream_pool import ExchangeLoss
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
@@ -88,13 +89,14 @@
         directory: t.Callable[[], Directory | None],
         is_candidate: t.Callable[[], bool],
         rng: random.Random,
+        eras: StoreEras,
     ) -> None:
         self._loop = loop
         self._pool = pool
         self._replicas = replicas
         self._directory = directory
         self._lease = LeaseManager(
-            loop, pool, store, LEASE_KEY, holder, is_candidate, rng
+            loop, pool, store, LEASE_KEY, holder, is_candidate, rng, eras
         )
         # By service and data centre.
         self._gap_since: dict[tuple[str, str], float] = {}
--- a/src/wagtailstair/gateway/relay_client.py
+++ b/src/wagtailstair/gateway/relay_client.py
@@ -68,13 +68,14 @@
         table: str,
         host: Host,
         after: int,
-        announced: int,
+        announced: object,
         *,
         accepts_deflate: bool,
     ) -> None:
         """Request a table's changes from a peer, unless others should deliver them.
 
-        :param announced: the newest version that a peer has announced, for the log.
+        :param after: number of the version after which changes are wanted.
+        :param announced: the version that the peer has announced, for the log.
         """
         if not self._is_due(table, host):
             return
--- a/src/wagtailstair/gateway/settings.py
+++ b/src/wagtailstair/gateway/settings.py
@@ -47,13 +47,16 @@
     ``lapse_s``: seconds after the store has recovered in which the rows of live
     upstreams may still be missing. These rows are back after about 2 s. The value is
     lower because an upstream that left must get no requests from 2 s after its
-    removal on.
+    removal on. ``rewrite_s``: seconds after the store has come back from an older copy
+    in which a row of that copy may still be there though its upstream has left; rows
+    expire after three intervals of 1.2 s without a report.
     """
 
     address: str
     reads_per_s: float
     writes_per_s: float
     lapse_s: Seconds = 1.6
+    rewrite_s: Seconds = 4.0
 
 
 class RetriesSection(_Section, frozen=True):
--- a/src/wagtailstair/gateway/table_sync.py
+++ b/src/wagtailstair/gateway/table_sync.py
@@ -18,7 +18,9 @@
 from ..core.relay_rows import encode_relayed
 from ..core.replicas import Replica
 from ..core.replicas import ReplicaSet
+from ..core.store import NO_VERSION
 from ..core.store import StoreRow
+from ..core.store import StoreVersion
 from ..exceptions import ListsError
 from ..exceptions import PeerError
 from ..exceptions import UpstreamError
@@ -29,6 +31,8 @@
 from .follower import TableFollower
 from .loop import Loop
 from .relay_client import RelayClient
+from .settings import StoreSection
+from .store_eras import StoreEras
 from .upstream_pool import Upstream
 from .upstream_pool import UpstreamPool
 
@@ -45,12 +49,20 @@
 """Seconds after the start within which peers should have sent the tables. A host that
 lacks a table then reads the store. Covers a few round trips to a peer."""
 
+UNORDERED_PATIENCE_S = 1.0
+"""Seconds for which the upstreams may be behind those of a peer of an earlier build,
+whose versions can't be compared, before this host follows the store itself. Delegates
+of this build deliver changes in less."""
+
+UNORDERED_TIMEOUT_S = 5.0
+"""Seconds after which such a peer is forgotten: several intervals of its heartbeats."""
+
 NEVER = float("-inf")
 
 
 @dataclasses.dataclass(slots=True)
 class Announcement:
-    """The newest version of a table that a peer has announced.
+    """The newest version of the lists that a peer has announced.
 
     ``behind_since``: when a peer first announced a newer version than the one held
     here, ``None`` while none has.
@@ -60,6 +72,19 @@
     behind_since: float | None = None
 
 
+@dataclasses.dataclass(slots=True)
+class UnorderedVersion:
+    """A version of the upstreams that a peer has announced without an era.
+
+    ``since``, ``heard_at``: when a peer first and last announced a number that is
+    higher than that of the version held here.
+    """
+
+    number: int
+    since: float
+    heard_at: float
+
+
 class TableSync:
     """Holds the lists and the upstreams in force, and keeps them up to date.
 
@@ -74,8 +99,9 @@
         loop: Loop,
         pool: UpstreamPool,
         store: Upstream,
-        lapse_s: float,
+        settings: StoreSection,
         rng: random.Random,
+        eras: StoreEras,
         *,
         on_change: t.Callable[[str], None],
         on_relay_ended: t.Callable[[str, str, float], None],
@@ -86,18 +112,27 @@
         self._on_change = on_change
         self._should_follow_store = should_follow_store
         self.directory: Directory | None = None
-        self.replicas = ReplicaSet(lapse_s)
+        self.replicas = ReplicaSet(settings.lapse_s)
+        self._rewrite_s = settings.rewrite_s
+        self._eras = eras
+        # Era of the upstreams in force, ``None`` before the first ones.
+        self._upstreams_era: int | None = None
+        # Time at which the first upstreams of the current era were received.
+        self._returned_at = NEVER
+        self._unordered: UnorderedVersion | None = None
+        # Value of the row of the lists in force.
+        self._lists_value = b""
         self._lists_taken_at = loop.now
         self._deflater = ValueDeflater()
         self.relays = RelayClient(loop, pool, self._apply_relay, on_relay_ended)
         # By table: the version held when a peer first announced a newer one, and
         # the time of that announcement.
-        self._behind_by_table: dict[str, tuple[int, float]] = {}
+        self._behind_by_table: dict[str, tuple[StoreVersion, float]] = {}
         # Time of the last store failure that a peer has reported.
         self._reported_failure_at = NEVER
         self._started_at = loop.now
         self._lists = TableFollower(
-            loop, pool, store, wire_lists.TABLE, self._on_lists, rng
+            loop, pool, store, wire_lists.TABLE, self._on_lists, rng, eras
         )
         self._upstreams = TableFollower(
             loop,
@@ -106,14 +141,13 @@
             wire_replicas.TABLE,
             self._on_upstreams,
             rng,
+            eras,
             pause_s=CHANGES_PAUSE_S,
         )
         self._follower_by_table = {
             follower.table: follower for follower in (self._lists, self._upstreams)
         }
-        self._announced_by_table = {
-            table: Announcement() for table in self._follower_by_table
-        }
+        self._announced_lists = Announcement()
 
     def start(self) -> None:
         """Start to follow the store or peers."""
@@ -139,13 +173,13 @@
         """Return the version of the lists in force, 0 for none."""
         return 0 if self.directory is None else self.directory.version
 
-    def upstreams_version(self) -> int:
+    def upstreams_version(self) -> StoreVersion:
         """Return the version of the newest change of upstreams received."""
         return self._upstreams.copy.version
 
-    def announced_version(self, table: str) -> int:
-        """Return the newest version of a table that a peer announced, 0 for none."""
-        return self._announced_by_table[table].version
+    def announced_lists_version(self) -> int:
+        """Return the newest version of the lists that a peer announced, 0 for none."""
+        return self._announced_lists.version
 
     @property
     def lists_age_s(self) -> float:
@@ -156,7 +190,9 @@
         """Start or stop following the store, as this host's role requires."""
         waited_s = self._loop.now - self._started_at
         needs_fallback = not self.is_complete and waited_s > STORE_FALLBACK_S
-        should_follow = self._should_follow_store() or needs_fallback
+        should_follow = (
+            self._should_follow_store() or needs_fallback or self._has_unordered_peer()
+        )
         if should_follow is self._lists.is_active:
             return
         log_event("source_chosen", source="store" if should_follow else "peers")
@@ -166,25 +202,56 @@
             else:
                 follower.stop()
 
+    def on_versions(self, host: Host, lists: int, upstreams: StoreVersion) -> None:
+        """Apply the versions of the tables that a peer's heartbeat announces."""
+        self._eras.observe(upstreams.era, host.name)
+        if lists > self.lists_version():
+            self.on_newer_lists(host, lists)
+        held = self.upstreams_version()
+        if upstreams > held:
+            self.on_newer_upstreams(host, upstreams)
+        elif not upstreams.era and upstreams.number > held.number:
+            self._record_unordered(upstreams.number)
+
     def on_newer_lists(self, host: Host, version: int) -> None:
         """Handle a heartbeat of a peer that has newer lists."""
-        self._record_announcement(self._lists.table, version)
-        self._request_if_due(self._lists, host)
-
-    def on_newer_upstreams(self, host: Host, version: int) -> None:
-        """Handle a heartbeat of a peer that has newer changes of upstreams."""
-        self._record_announcement(self._upstreams.table, version)
-        self._request_if_due(self._upstreams, host)
-
-    def _record_announcement(self, table: str, version: int) -> None:
-        announced = self._announced_by_table[table]
+        announced = self._announced_lists
         announced.version = max(announced.version, version)
         if announced.behind_since is None:
             announced.behind_since = self._loop.now
+        # All rows, as the peer's lists may be newer than the store's row of them.
+        self._request_if_due(self._lists, host, NO_VERSION, version)
 
-    def _take_behind_s(self, table: str, version: int) -> float:
-        """Return for how long newer versions were announced but not held here."""
-        announced = self._announced_by_table[table]
+    def on_newer_upstreams(self, host: Host, version: StoreVersion) -> None:
+        """Handle a heartbeat of a peer that has newer changes of upstreams."""
+        after = self._upstreams.copy.as_of
+        if after.era != version.era:
+            after = NO_VERSION
+        self._request_if_due(self._upstreams, host, after, version)
+
+    def _record_unordered(self, number: int) -> None:
+        """Record that a peer of an earlier build may have newer upstreams."""
+        now = self._loop.now
+        if self._unordered is None:
+            self._unordered = UnorderedVersion(number, now, now)
+        self._unordered.number = max(self._unordered.number, number)
+        self._unordered.heard_at = now
+
+    def _has_unordered_peer(self) -> bool:
+        """Return whether such a peer has been ahead for too long."""
+        unordered = self._unordered
+        if unordered is None:
+            return False
+        now = self._loop.now
+        has_caught_up = self.upstreams_version().number >= unordered.number
+        if has_caught_up or now - unordered.heard_at > UNORDERED_TIMEOUT_S:
+            self._unordered = None
+            return False
+        return now - unordered.since > UNORDERED_PATIENCE_S
+
+    def _take_behind_s(self, version: int) -> float:
+        """Return for how long newer lists were announced but not held here."""
+        announced = self._announced_lists
         since = announced.behind_since
         if version >= announced.version:
             announced.behind_since = None
@@ -197,15 +264,34 @@
         if follower is None or not follower.copy.is_complete:
             return None
         copy = follower.copy
-        since = None if request.after is None else copy.rows_since(request.after)
+        since = None
+        if request.after is not None:
+            since = copy.rows_since(StoreVersion(copy.as_of.era, request.after))
+        rows = copy.live_rows() if since is None else since
         return encode_relayed(
-            copy.live_rows() if since is None else since,
+            self._with_lists_in_force(rows) if follower is self._lists else rows,
             copy.as_of,
             self._store_failure_age_s(follower),
             is_all=since is None,
             deflater=self._deflater if request.accepts_deflate else None,
         )
 
+    def _with_lists_in_force(self, rows: list[StoreRow]) -> list[StoreRow]:
+        """Return rows with the lists in force instead of those of the store's copy."""
+        if self.directory is None:
+            return rows
+        # No version of the store: the row yields to any that the store has.
+        in_force = StoreRow(
+            wire_lists.TABLE, wire_lists.KEY, self._lists_value, NO_VERSION
+        )
+        found = [in_force]
+        for row in rows:
+            if not wire_lists.is_directory_row(row.table, row.key):
+                found.append(row)
+            elif row.value == self._lists_value:
+                found[0] = row
+        return found
+
     def _store_failure_age_s(self, follower: TableFollower) -> float | None:
         """Return the seconds since the store last failed, ``None`` for never.
 
@@ -235,6 +321,7 @@
         if directory.version <= before:
             return
         self.directory = directory
+        self._lists_value = value
         layers_by_service = {}
         for service in directory.service_by_name.values():
             if service.model is not None:
@@ -246,16 +333,16 @@
             version=directory.version,
             before=before,
             bytes=len(value),
-            behind=self._take_behind_s(self._lists.table, directory.version),
-            announced=self.announced_version(self._lists.table),
+            behind=self._take_behind_s(directory.version),
+            announced=self.announced_lists_version(),
         )
         self._on_change(wire_lists.TABLE)
 
     def _on_upstreams(self, rows: list[StoreRow]) -> None:
         now = self._loop.now
-        self._take_behind_s(self._upstreams.table, self.upstreams_version())
+        is_return = self._apply_upstreams_era()
         failed_at = max(f.failed_at for f in self._follower_by_table.values())
-        failed_at = max(failed_at, self._reported_failure_at)
+        failed_at = max(failed_at, self._reported_failure_at, self._returned_at)
         for row in rows:
             if row.value is None:
                 self.replicas.remove(row.key, now, failed_at)
@@ -267,11 +354,29 @@
                 )
                 continue
             replica = self._decode(row)
-            if replica is not None and self.replicas.put(replica):
+            if replica is None:
+                continue
+            if is_return and self.replicas.contradicts(replica):
+                self.replicas.hold_back(replica, now + self._rewrite_s)
+                log_event("upstream_held_back", replica=row.key, version=row.version)
+                continue
+            if self.replicas.put(replica):
                 _log_replica(replica, row.version)
         if rows:
             self._on_change(wire_replicas.TABLE)
 
+    def _apply_upstreams_era(self) -> bool:
+        """Return whether the rows are the first of a later era of the store.
+
+        Those of live upstreams may then be missing as after a failure of the store.
+        """
+        era = self._upstreams.copy.as_of.era
+        before, self._upstreams_era = self._upstreams_era, era
+        if before is None or era <= before:
+            return False
+        self._returned_at = self._loop.now
+        return True
+
     @staticmethod
     def _decode(row: StoreRow) -> Replica | None:
         assert row.value is not None
@@ -290,12 +395,21 @@
         )
         for name in dropped:
             log_event("upstream_gone", replica=name, reason="lapsed")
-        if dropped:
+        applied = self.replicas.apply_held_back(self._loop.now)
+        for replica in applied:
+            _log_replica(replica, self.upstreams_version())
+        if dropped or applied:
             self._on_change(wire_replicas.TABLE)
 
     # Peers.
 
-    def _request_if_due(self, follower: TableFollower, host: Host) -> None:
+    def _request_if_due(
+        self,
+        follower: TableFollower,
+        host: Host,
+        after: StoreVersion,
+        announced: int | StoreVersion,
+    ) -> None:
         """Request changes from a peer, unless the store should deliver them soon."""
         if follower.is_active and not follower.is_store_unreachable:
             version = follower.copy.version
@@ -308,8 +422,8 @@
         self.relays.request(
             follower.table,
             host,
-            follower.copy.as_of,
-            self.announced_version(follower.table),
+            after.number,
+            announced,
             # Rows of upstreams are small.
             accepts_deflate=follower is self._lists,
         )
@@ -334,11 +448,10 @@
         if relay.trouble_s is not None:
             failed_at = self._loop.now - relay.trouble_s
             self._reported_failure_at = max(self._reported_failure_at, failed_at)
-        if not changed:
-            return
         if follower is self._lists:
-            self._on_lists(changed)
-        else:
+            # The operator's version decides, whatever the store's is.
+            self._on_lists(relay.store_rows(table))
+        elif changed:
             self._on_upstreams(changed)
 
     @staticmethod
@@ -346,11 +459,11 @@
         """Merge a relayed table into the copy; return the rows that changed."""
         rows = relay.store_rows(follower.table)
         if relay.is_all:
-            return follower.copy.apply_snapshot(rows, relay.as_of)
-        return follower.copy.apply_delta(rows, relay.as_of)
+            return follower.copy.apply_snapshot(rows, relay.version)
+        return follower.copy.apply_delta(rows, relay.version)
 
 
-def _log_replica(replica: Replica, version: int) -> None:
+def _log_replica(replica: Replica, version: StoreVersion) -> None:
     log_event(
         "upstream_changed",
         replica=replica.name,
--- a/src/wagtailstair/gateway/telemetry.py
+++ b/src/wagtailstair/gateway/telemetry.py
@@ -9,7 +9,6 @@
 from aioprometheus.renderer import render
 
 from ..core.engine import Priority
-from ..platform import lists as wire_lists
 
 if t.TYPE_CHECKING:
     from .gateway import Gateway
@@ -115,6 +114,14 @@
         self._store_unreachable = gauge(
             "store_away", "1 while the store can't be reached."
         )
+        self._store_era = gauge("store_era", "Newest era of the store, 0 for none.")
+        self._store_returns = gauge(
+            "store_returns", "Returns of the store from an older copy that were seen."
+        )
+        self._store_eras_odd = gauge(
+            "store_eras_odd",
+            "Answers of the store whose era was unreadable, too high or in the past.",
+        )
 
     def count_request(self, kind: str, rank: int, outcome: str, took_s: float) -> None:
         """Count a request that has ended."""
@@ -211,9 +218,12 @@
         self._parts_quarantined.set({}, len(quarantine.quarantined(now)))
         self._candidates_dropped.set({}, quarantine.dropped)
         self._store_unreachable.set({}, int(gateway.table_sync.is_store_unreachable))
+        self._store_era.set({}, gateway.store_eras.current)
+        self._store_returns.set({}, gateway.store_eras.returns)
+        self._store_eras_odd.set({}, gateway.store_eras.odd)
         if gateway.lists_version():
             self._lists_version.set({}, gateway.lists_version())
-            announced = gateway.table_sync.announced_version(wire_lists.TABLE)
+            announced = gateway.table_sync.announced_lists_version()
             self._lists_announced.set({}, announced)
         body, _ = render(self._registry, ["text/plain"])
         return bytes(body)
--- a/src/wagtailstair/peers/message_records.py
+++ b/src/wagtailstair/peers/message_records.py
@@ -30,6 +30,7 @@
 from ..core.messages import Submit
 from ..core.messages import Withdraw
 from ..core.quarantine import CrashSuspects
+from ..core.store import StoreVersion
 from . import records
 from .records import Fields
 from .records import Record
@@ -45,7 +46,8 @@
         # The excess is nearly always zero, which takes no byte when packed.
         "listsExcess": max(0, message.known_lists_version - message.lists_version),
         "view": message.view,
-        "upstreamsVersion": message.upstreams_version,
+        "upstreamsVersion": message.upstreams_version.number,
+        "storeEra": message.upstreams_version.era,
         "storeAway": message.is_store_unreachable,
         "models": list(host.models),
         **records.write_address(host.address, host.peer_address),
@@ -184,7 +186,7 @@
         version,
         record.view,
         known,
-        record.upstreamsVersion,
+        StoreVersion(record.storeEra, record.upstreamsVersion),
         record.storeAway,
     )
 
--- a/src/wagtailstair/peers/protocol.capnp
+++ b/src/wagtailstair/peers/protocol.capnp
@@ -55,6 +55,7 @@
   listsExcess @9 :UInt64;     # known above listsVersion
   upstreamsVersion @10 :UInt64;
   storeAway @11 :Bool;
+  storeEra @12 :UInt64;       # to which upstreamsVersion belongs
 }
 
 struct Want {
--- a/src/wagtailstair/platform/store.py
+++ b/src/wagtailstair/platform/store.py
@@ -13,6 +13,7 @@
 from ..core.store import Call
 from ..core.store import StoreRow
 from ..core.store import StoreRows
+from ..core.store import StoreVersion
 from ..exceptions import PlatformError
 from ..exceptions import PlatformUnavailableError
 
@@ -21,6 +22,10 @@
 FEED_PATH = "/rows-feed"
 ROWS_MAX = 500
 
+ERA_HEADER = b"store-era"
+ERA_DIGITS_MAX = 18
+"""Digits of the largest era that a field of 64 bits holds for certain."""
+
 
 class _Row(msgspec.Struct):
     table: str
@@ -42,14 +47,29 @@
 _DECODER = msgspec.json.Decoder(_Rows)
 
 
-def _decode_row(row: _Row) -> StoreRow | None:
+def find_era(headers: t.Iterable[tuple[bytes, bytes]]) -> bytes | None:
+    """Return the era that an answer names as it is written, ``None`` for none."""
+    for name, value in headers:
+        if name.lower() == ERA_HEADER:
+            return value
+    return None
+
+
+def parse_era(text: bytes) -> int | None:
+    """Return an era, ``None`` if it is not a positive whole number."""
+    if not text.isdigit() or len(text) > ERA_DIGITS_MAX:
+        return None
+    return int(text) or None
+
+
+def _decode_row(row: _Row, era: int) -> StoreRow | None:
     value: bytes | None = None
     if not row.deleted and row.value is not None:
         try:
             value = base64.b64decode(row.value, validate=True)
         except (binascii.Error, ValueError):
             return None
-    return StoreRow(row.table, row.key, value, row.ver)
+    return StoreRow(row.table, row.key, value, StoreVersion(era, row.ver))
 
 
 def read_call(table: str, after: str = "") -> Call:
@@ -94,8 +114,8 @@
     return Call("POST", TRANSACT_PATH, msgspec.json.encode(body))
 
 
-def decode_rows(status: int, body: bytes) -> StoreRows:
-    """Decode the rows of an answer.
+def decode_rows(status: int, body: bytes, era: int) -> StoreRows:
+    """Decode the rows of an answer of an era.
 
     Status 412 (a condition failed) and 410 (the changes that were requested are no
     longer kept) set ``is_conflict``.
@@ -115,9 +135,12 @@
         raise PlatformError(f"invalid answer from the store: {error}") from error
     rows = []
     for row in answer.rows:
-        decoded = _decode_row(row)
+        decoded = _decode_row(row, era)
         if decoded is not None:
             rows.append(decoded)
     return StoreRows(
-        tuple(rows), answer.ver, is_more=answer.truncated, is_conflict=status != 200
+        tuple(rows),
+        StoreVersion(era, answer.ver),
+        is_more=answer.truncated,
+        is_conflict=status != 200,
     )
--- a/tests/gateway_deployment.py
+++ b/tests/gateway_deployment.py
@@ -126,15 +126,28 @@
 
     ``mode``: ``ok``; ``busy``: answers 503; ``silent``: does not answer; ``lost``:
     applies transactions without an answer.
+
+    ``era``: named in all answers, ``None`` to leave it out.
     """
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
         self.mode = "ok"
+        self.era: int | None = 1
         self.version = 1
         self.row_by_key: dict[tuple[str, str], tuple[bytes | None, int]] = {}
         self.waiting: list[tuple[PendingRequest, str, int]] = []
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], tuple[bytes | None, int]]]:
+        """Return a copy of the whole store."""
+        return self.version, dict(self.row_by_key)
+
+    def come_back(self, copy: tuple[int, t.Any]) -> None:
+        """Come back from a copy, and give versions out again."""
+        self.version, rows = copy
+        self.row_by_key = dict(rows)
+        self.era = (self.era or 0) + 1
+
     def put(self, table: str, key: str, value: object | None) -> None:
         self.version += 1
         data = None if value is None else encode(value)
@@ -159,6 +172,9 @@
             self.transact(pending, json.loads(pending.request.body))
 
     def feed(self, pending: PendingRequest, table: str, after: int) -> None:
+        if after > self.version:
+            self.reply(pending, 410, [])
+            return
         rows = [row for row in self.rows(table) if row["ver"] > after]
         if not rows and "wait_ms=0" not in pending.request.target.decode():
             self.waiting.append((pending, table, after))
@@ -193,7 +209,10 @@
 
     def reply(self, pending: PendingRequest, status: int, rows: list[t.Any]) -> None:
         body = {"rows": rows, "truncated": False, "ver": self.version, "now_ms": 1}
-        pending.caller.answer(status, b"", (), encode(body))
+        headers: list[tuple[bytes, bytes]] = []
+        if self.era is not None:
+            headers.append((b"Store-Era", str(self.era).encode()))
+        pending.caller.answer(status, b"", headers, encode(body))
 
 
 class Service(Server):
@@ -520,6 +539,7 @@
 reads_per_s = 2000.0
 writes_per_s = 400.0
 lapse_s = 0.3
+rewrite_s = 1.0
 
 [retries]
 ratio = 0.2
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -16,6 +16,7 @@
 from wagtailstair.core.pipelines import link_key
 from wagtailstair.core.relay_rows import decode_relayed
 from wagtailstair.core.request_trace import parse_line
+from wagtailstair.core.store import StoreVersion
 from wagtailstair.gateway import table_sync as table_sync_module
 
 FEED_OVERDUE_S = table_sync_module.FEED_OVERDUE_S
@@ -575,7 +576,7 @@
         # A deleted row is removed at once, as no call to the store has failed.
         deployment.store.put("servers", "i-two", None)
         version = deployment.store.version
-        deployment.run(lambda: follower.copy.version == version)
+        deployment.run(lambda: follower.copy.version.number == version)
         assert "i-two" not in host.replicas.by_name
 
     def test_host_without_the_store_relays_no_failure_time(self, deployment, hosts):
@@ -599,21 +600,25 @@
         follower = table_sync._follower_by_table["servers"]
         for _ in range(3):
             # A peer announces a change shortly before the store's feed delivers it.
-            table_sync.on_newer_upstreams(peer, deployment.store.version + 1)
+            table_sync.on_newer_upstreams(peer, newer_version(deployment.store))
             assert not table_sync.relays.pending_by_table
             desks[0].write_row(slots=desks[0].row["slots"] + 1)
             version = deployment.store.version
-            deployment.run(lambda v=version: follower.copy.version == v)
+            deployment.run(lambda v=version: follower.copy.version.number == v)
             since = deployment.loop.now
             deployment.run(lambda s=since: deployment.loop.now - s > FEED_OVERDUE_S)
         # From here on no change arrives, so the second announcement finds it overdue.
-        table_sync.on_newer_upstreams(peer, deployment.store.version + 1)
+        table_sync.on_newer_upstreams(peer, newer_version(deployment.store))
         since = deployment.loop.now
         deployment.run(lambda: deployment.loop.now - since > FEED_OVERDUE_S)
-        table_sync.on_newer_upstreams(peer, deployment.store.version + 1)
+        table_sync.on_newer_upstreams(peer, newer_version(deployment.store))
         assert set(table_sync.relays.pending_by_table) == {"servers"}
 
 
+def newer_version(store):
+    return StoreVersion(store.era, store.version + 1)
+
+
 def following(hosts):
     return [h.settings.host.name for h in hosts if h.table_sync.is_following]
 
--- a/tests/test_pauses.py
+++ b/tests/test_pauses.py
@@ -26,6 +26,7 @@
 from wagtailstair.gateway.placer import ORDER_TIMEOUT_S
 from wagtailstair.gateway.placer import TICK_S
 from wagtailstair.gateway.placer import Placer
+from wagtailstair.gateway.store_eras import StoreEras
 from wagtailstair.gateway.upstream_pool import Upstream
 
 
@@ -68,6 +69,7 @@
         lambda: directory,
         lambda: True,
         random.Random(1),
+        StoreEras(),
     )
     placer._lease = Lease(loop, held_until=100.0)
 
@@ -144,7 +146,14 @@
         )
         store = Upstream("127.0.0.1:1", "store")
         lease = LeaseManager(
-            loop, None, store, "placement", "entry-1", lambda: True, random.Random(1)
+            loop,
+            None,
+            store,
+            "placement",
+            "entry-1",
+            lambda: True,
+            random.Random(1),
+            StoreEras(),
         )
         lease.start()
         loop.run_until(1.0)
--- a/tests/test_peers_codec.py
+++ b/tests/test_peers_codec.py
@@ -41,6 +41,7 @@
 from wagtailstair.core.quarantine import CrashCandidate
 from wagtailstair.core.quarantine import CrashSuspects
 from wagtailstair.core.quarantine import PartKey
+from wagtailstair.core.store import StoreVersion
 from wagtailstair.exceptions import PeerError
 from wagtailstair.peers.codec import DATAGRAM_BYTES_MAX
 from wagtailstair.peers.codec import HEADER_BYTES
@@ -108,9 +109,11 @@
     Charge(9, "san-lucas", 96.0, 2000.0, 10.0, 16, True),
     Settle(9, 60.0),
 )
+NEWEST = StoreVersion((1 << 64) - 1, (1 << 64) - 1)
+
 MESSAGES = (
     Heartbeat(HOST, 4, HostState.LEAVING, 9, 0xFFFFFFFF, 11),
-    Heartbeat(HOST, 4, HostState.LIVE, 9, 0, 9, (1 << 64) - 1, True),
+    Heartbeat(HOST, 4, HostState.LIVE, 9, 0, 9, NEWEST, True),
     ViewRequest(),
     View((HOST, REMOTE_HOST)),
     View(()),
--- a/tests/test_relay_rows.py
+++ b/tests/test_relay_rows.py
@@ -16,40 +16,43 @@
 from wagtailstair.core.relay_rows import encode_relayed
 from wagtailstair.core.relay_rows import encode_request
 from wagtailstair.core.store import StoreRow
+from wagtailstair.core.store import StoreVersion
 from wagtailstair.exceptions import PeerError
 
+AS_OF = StoreVersion(2, 7)
+
 
 def make_rows(routes):
     config = make_config(3)
     config["routes"] *= routes
     value = json.dumps(config).encode()
-    small = StoreRow("op", "small", b"{}", 4)
-    removed = StoreRow("op", "removed", None, 6)
-    return [StoreRow("op", "config", value, 5), small, removed]
+    small = StoreRow("op", "small", b"{}", StoreVersion(2, 4))
+    removed = StoreRow("op", "removed", None, StoreVersion(2, 6))
+    return [StoreRow("op", "config", value, StoreVersion(2, 5)), small, removed]
 
 
 class TestDeflate:
     # Guards against lists that fill the links between hosts with repeated text.
     def test_large_values_are_deflated(self):
         rows = make_rows(500)
-        body = encode_relayed(rows, 7, None, is_all=False, deflater=ValueDeflater())
+        body = encode_relayed(rows, AS_OF, None, is_all=False, deflater=ValueDeflater())
         assert len(body) < len(rows[0].value) / 5
         relay = decode_relayed("op", body)
         assert relay.store_rows("op") == rows
-        assert relay.as_of == 7
+        assert relay.version == AS_OF
 
     def test_each_version_of_a_value_is_deflated_anew(self):
         deflater = ValueDeflater()
         for version in (1, 2):
-            row = StoreRow("op", "config", b"%d" % version * 5000, version)
-            body = encode_relayed([row], 9, None, is_all=True, deflater=deflater)
+            row = StoreRow("op", "config", b"%d" % version * 5000, AS_OF)
+            body = encode_relayed([row], AS_OF, None, is_all=True, deflater=deflater)
             assert decode_relayed("op", body).store_rows("op") == [row]
 
     def test_hosts_of_an_earlier_build_get_values_as_they_are(self):
         request = decode_request("/tables/op?after=12")
         assert request == RelayRequest("op", 12, accepts_deflate=False)
         rows = make_rows(500)
-        body = encode_relayed(rows, 7, 0.5, is_all=False)
+        body = encode_relayed(rows, AS_OF, 0.5, is_all=False)
         entries = json.loads(body)["rows"]
         assert [entry[0] for entry in entries] == ["config", "small", "removed"]
         assert decode_relayed("op", body).store_rows("op") == rows
@@ -59,7 +62,9 @@
             b'{"as_of":7,"is_all":true,"rows":[["config","e30=",5]],"trouble_s":null}'
         )
         relay = decode_relayed("op", body)
-        assert relay.store_rows("op") == [StoreRow("op", "config", b"{}", 5)]
+        assert relay.store_rows("op") == [
+            StoreRow("op", "config", b"{}", StoreVersion(0, 5))
+        ]
 
     @pytest.mark.parametrize(
         "value",
--- a/tests/test_replica_set.py
+++ b/tests/test_replica_set.py
@@ -1,3 +1,5 @@
+import pytest
+
 from tests.gateway_data import make_engine
 from wagtailstair.core.replicas import ReplicaSet
 
@@ -75,3 +77,51 @@
         replicas.put(make_engine("x"))
         replicas.remove("x", 2.5, failed_at=0.0)
         assert names(replicas) == []
+
+
+class TestHeldBack:
+    """Rows of an older copy of the store that say less than is known."""
+
+    def test_a_row_that_denies_a_leaving_is_at_odds(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x", is_leaving=True))
+        assert replicas.contradicts(make_engine("x"))
+        assert not replicas.contradicts(make_engine("x", incarnation=9))
+
+    def test_a_row_with_other_layers_is_at_odds(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x", layers=(0, 4)))
+        assert replicas.contradicts(make_engine("x", layers=(0, 8)))
+        assert not replicas.contradicts(make_engine("x", layers=(0, 4)))
+        # That an upstream leaves is believed at once.
+        assert not replicas.contradicts(make_engine("x", is_leaving=True))
+
+    def test_a_row_of_a_removed_upstream_is_at_odds(self):
+        replicas = ReplicaSet(LAPSE_S)
+        assert not replicas.contradicts(make_engine("x"))
+        replicas.put(make_engine("x"))
+        replicas.remove("x", 0.0, NEVER)
+        assert replicas.contradicts(make_engine("x"))
+        newer = make_engine("x").incarnation + 1
+        assert not replicas.contradicts(make_engine("x", incarnation=newer))
+
+    def test_a_held_back_row_is_applied_when_it_is_due(self):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.hold_back(make_engine("x"), 3.0)
+        assert replicas.apply_held_back(2.9) == []
+        assert names(replicas) == []
+        assert replicas.apply_held_back(3.0) == [make_engine("x")]
+        assert replicas.apply_held_back(9.0) == []
+        assert names(replicas) == ["x"]
+
+    @pytest.mark.parametrize("is_removed", [True, False])
+    def test_a_later_row_replaces_a_held_back_one(self, is_removed):
+        replicas = ReplicaSet(LAPSE_S)
+        replicas.put(make_engine("x", is_leaving=True))
+        replicas.hold_back(make_engine("x"), 3.0)
+        if is_removed:
+            replicas.remove("x", 1.0, NEVER)
+        else:
+            replicas.put(make_engine("x", is_leaving=True))
+        assert replicas.apply_held_back(3.0) == []
+        assert names(replicas) == []
--- a/tests/test_table_sync.py
+++ b/tests/test_table_sync.py
@@ -127,7 +127,7 @@
         config["tenants"].append({"name": "new", "api_keys": ["key-new"]})
         deployment.store.put("op", "config", config)
         stale = hosts[2].table_sync
-        deployment.run(lambda: stale.announced_version("op") == 3)
+        deployment.run(lambda: stale.announced_lists_version() == 3)
         for path, key in (("/added/1", "key-one"), ("/register/1", "key-new")):
             request = make_request(path, "r1", method="POST", key=key)
             answer = deployment.send_and_wait(hosts[2], request)
