Write a host's row again after a return of the store

Cause: a host wrote its row when it started and never again. A copy made before that start lacks it, so that hosts that start later do not find the host. Callers saw nothing of it by itself; parts of budgets and queues were reckoned without it.

Change: each host writes its row again when it learns of the return, from the store or from a peer, at a random moment of the next 5 s.

Measured: TestCalls.test_hosts_write_their_rows_again of tests/test_store_returns.py failed on the commit before, and passes now (one run each).

--- a/src/wagtailstair/gateway/host_registry.py
+++ b/src/wagtailstair/gateway/host_registry.py
@@ -30,9 +30,17 @@
 
 BACKOFF_S = 0.5
 
+REWRITE_SPREAD_S = 5.0
+"""Seconds over which the hosts write their rows again after the store has come back
+from an older copy. The live hosts know each other; only one that starts later needs
+the rows."""
+
 
 class HostRegistry:
-    """Writes this host's row once, then reads all rows from time to time.
+    """Writes this host's row, then reads all rows from time to time.
+
+    The row is written again whenever the store has come back from an older copy, which
+    may lack it.
 
     :param on_hosts: called with the hosts that the rows name, this one included.
     :param should_reread: returns whether this host should read the rows again.
@@ -58,12 +66,22 @@
         self._on_hosts = on_hosts
         self._should_reread = should_reread
         self._eras = eras
+        eras.add_listener(self._on_return)
 
     def start(self) -> None:
         """Write this host's row, then read the rows of all hosts."""
+        self._fetch(self._write_call(), lambda _rows: self._read(), self.start)
+
+    def _on_return(self) -> None:
+        delay_s = self._rng.uniform(0.0, REWRITE_SPREAD_S)
+        self._loop.call_later(delay_s, self._rewrite)
+
+    def _rewrite(self) -> None:
+        self._fetch(self._write_call(), lambda _rows: None, self._rewrite)
+
+    def _write_call(self) -> Call:
         value = encode_host(self._host)
-        call = wire.transact_call((), [(TABLE, self._host.name, value)])
-        self._fetch(call, lambda _rows: self._read(), self.start)
+        return wire.transact_call((), [(TABLE, self._host.name, value)])
 
     def _read(self) -> None:
         self._fetch(wire.read_call(TABLE), self._on_rows, self._read)
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -325,6 +325,15 @@
         # Two tables, a read and a feed each in at least half of the longest pause.
         assert len(calls) <= 2 * 2 * (2.0 / 0.5 + 1)
 
+    # Guards against hosts that later ones don't find, as their rows were lost.
+    def test_hosts_write_their_rows_again(self, deployment, hosts):
+        copy = deployment.store.copy()
+        del copy[1]["hosts", "entry-3"]
+        go_away(deployment)
+        come_back(deployment, copy)
+        rows = deployment.store.row_by_key
+        deployment.run(lambda: ("hosts", "entry-3") in rows, 8.0)
+
 
 class TestPeers:
     # Guards against a peer with an old copy that looks newer as its number is higher.
