Give the lease up for its duration after a return of the store

Cause: the row of an older copy may name a host that has released the lease since. Where that host had written the row a moment before, it counted itself the holder again beside the one in force. Versions are given out again as well, so that a conditional write could overwrite another row than the one that was read. Callers were not seen to be affected.

Change: whoever learns of a return counts itself out, forgets the row, and neither acquires nor renews for the lease's duration, by when each holder of the earlier era has ended. The fencing number exceeds all that the host has seen.

--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -96,6 +96,7 @@
     __slots__ = (
         "_beat",
         "_held_until",
+        "_highest_fence",
         "_is_stale",
         "_limits",
         "_row",
@@ -119,6 +120,7 @@
         self._is_stale = True
         self._wait_until = 0.0
         self._held_until = float("-inf")
+        self._highest_fence = 0
         self._beat = 0
         self._sent_at_by_beat: dict[int, float] = {}
 
@@ -188,6 +190,20 @@
         self._is_stale = False
         self._apply_row(version, row, now)
 
+    def apply_return(self, now: float) -> None:
+        """Give the lease up, as the table has come back from an older copy.
+
+        The row may name any earlier holder, and versions are given out again. A holder
+        that has not seen the return yet holds its lease for at most its duration, so
+        that none is acquired before.
+        """
+        self._row = None
+        self._version = 0
+        self._is_stale = True
+        self._held_until = float("-inf")
+        self._sent_at_by_beat.clear()
+        self._wait_until = max(self._wait_until, now + self._limits.duration_s)
+
     def mark_stale(self) -> None:
         """Mark the row as stale, after a conflict or a lost reply."""
         self._is_stale = True
@@ -201,10 +217,12 @@
         renew_at = self._held_until - self._limits.duration_s + self._limits.renew_s
         if now < renew_at:
             return LeaseWait(renew_at - now)
+        if row.fence < self._highest_fence:
+            return self._acquire(now)
         return self._write(row.fence, now)
 
     def _acquire(self, now: float) -> LeaseWrite:
-        return self._write(self.fence + 1, now)
+        return self._write(max(self.fence, self._highest_fence) + 1, now)
 
     def _write(self, fence: int, now: float) -> LeaseWrite:
         self._beat += 1
@@ -219,6 +237,7 @@
         self._version = version
         self._row = row
         self._seen_at = now
+        self._highest_fence = max(self._highest_fence, self.fence)
         if row is None or row.holder != self.holder:
             self._held_until = float("-inf")
             return
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -66,6 +66,7 @@
         self._lease = Lease(holder, LEASE)
         self._had_lease = False
         self._eras = eras
+        eras.add_listener(self._on_return)
         # Seconds for which the machine had been suspended at the last renewal.
         self._suspended_s = loop.clock.suspended_s()
 
@@ -92,6 +93,9 @@
         if write is not None:
             self._write(write, lambda _answer: None)
 
+    def _on_return(self) -> None:
+        self._lease.apply_return(self._loop.now)
+
     def _step(self) -> None:
         now = self._loop.now
         is_held = self._lease.holds(now)
