Move versions without an era into a module of their own

Cause: the table sync had grown by a state of its own, beside copies and relays. Change: core/unordered_versions; the tests of returns share one drill.

--- a/src/wagtailstair/gateway/table_sync.py
+++ b/src/wagtailstair/gateway/table_sync.py
@@ -21,6 +21,7 @@
 from ..core.store import NO_VERSION
 from ..core.store import StoreRow
 from ..core.store import StoreVersion
+from ..core.unordered_versions import UnorderedVersions
 from ..exceptions import ListsError
 from ..exceptions import PeerError
 from ..exceptions import UpstreamError
@@ -49,14 +50,6 @@
 """Seconds after the start within which peers should have sent the tables. A host that
 lacks a table then reads the store. Covers a few round trips to a peer."""
 
-UNORDERED_PATIENCE_S = 1.0
-"""Seconds for which the upstreams may be behind those of a peer of an earlier build,
-whose versions can't be compared, before this host follows the store itself. Delegates
-of this build deliver changes in less."""
-
-UNORDERED_TIMEOUT_S = 5.0
-"""Seconds after which such a peer is forgotten: several intervals of its heartbeats."""
-
 NEVER = float("-inf")
 
 
@@ -72,19 +65,6 @@
     behind_since: float | None = None
 
 
-@dataclasses.dataclass(slots=True)
-class UnorderedVersion:
-    """A version of the upstreams that a peer has announced without an era.
-
-    ``since``, ``heard_at``: when a peer first and last announced a number that is
-    higher than that of the version held here.
-    """
-
-    number: int
-    since: float
-    heard_at: float
-
-
 class TableSync:
     """Holds the lists and the upstreams in force, and keeps them up to date.
 
@@ -119,7 +99,7 @@
         self._upstreams_era: int | None = None
         # Time at which the first upstreams of the current era were received.
         self._returned_at = NEVER
-        self._unordered: UnorderedVersion | None = None
+        self._unordered = UnorderedVersions()
         # Value of the row of the lists in force.
         self._lists_value = b""
         self._lists_taken_at = loop.now
@@ -190,9 +170,11 @@
         """Start or stop following the store, as this host's role requires."""
         waited_s = self._loop.now - self._started_at
         needs_fallback = not self.is_complete and waited_s > STORE_FALLBACK_S
-        should_follow = (
-            self._should_follow_store() or needs_fallback or self._has_unordered_peer()
+        # The versions of peers of earlier builds can't be compared.
+        is_behind = self._unordered.is_ahead(
+            self.upstreams_version().number, self._loop.now
         )
+        should_follow = self._should_follow_store() or needs_fallback or is_behind
         if should_follow is self._lists.is_active:
             return
         log_event("source_chosen", source="store" if should_follow else "peers")
@@ -211,7 +193,7 @@
         if upstreams > held:
             self.on_newer_upstreams(host, upstreams)
         elif not upstreams.era and upstreams.number > held.number:
-            self._record_unordered(upstreams.number)
+            self._unordered.record(upstreams.number, self._loop.now)
 
     def on_newer_lists(self, host: Host, version: int) -> None:
         """Handle a heartbeat of a peer that has newer lists."""
@@ -229,26 +211,6 @@
             after = NO_VERSION
         self._request_if_due(self._upstreams, host, after, version)
 
-    def _record_unordered(self, number: int) -> None:
-        """Record that a peer of an earlier build may have newer upstreams."""
-        now = self._loop.now
-        if self._unordered is None:
-            self._unordered = UnorderedVersion(number, now, now)
-        self._unordered.number = max(self._unordered.number, number)
-        self._unordered.heard_at = now
-
-    def _has_unordered_peer(self) -> bool:
-        """Return whether such a peer has been ahead for too long."""
-        unordered = self._unordered
-        if unordered is None:
-            return False
-        now = self._loop.now
-        has_caught_up = self.upstreams_version().number >= unordered.number
-        if has_caught_up or now - unordered.heard_at > UNORDERED_TIMEOUT_S:
-            self._unordered = None
-            return False
-        return now - unordered.since > UNORDERED_PATIENCE_S
-
     def _take_behind_s(self, version: int) -> float:
         """Return for how long newer lists were announced but not held here."""
         announced = self._announced_lists
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -67,6 +67,17 @@
         upstream.write_row()
 
 
+def lose_lists(deployment, lists):
+    """Let the store come back from a copy that is older than the lists in force."""
+    copy = deployment.store.copy()
+    deployment.store.version += LOST_VERSIONS
+    deployment.store.put("op", "config", lists)
+    version, hosts = lists["version"], deployment.hosts
+    deployment.run(lambda: all(host.lists_version() == version for host in hosts))
+    go_away(deployment)
+    come_back(deployment, copy)
+
+
 def write_and_return(deployment, version=20):
     """Lose a version of the lists and many others, all written again."""
     store = deployment.store
@@ -112,12 +123,7 @@
     def test_lists_in_force_stay_until_the_operator_writes_newer_ones(
         self, deployment, hosts
     ):
-        copy = deployment.store.copy()
-        deployment.store.version += LOST_VERSIONS
-        deployment.store.put("op", "config", make_moved_config(20))
-        deployment.run(lambda: all(host.lists_version() == 20 for host in hosts))
-        go_away(deployment)
-        come_back(deployment, copy)
+        lose_lists(deployment, make_moved_config(20))
         deployment.run_for(0.8)
         assert [host.lists_version() for host in hosts] == [20] * 3
 
@@ -126,12 +132,7 @@
     def test_host_that_starts_after_a_return_gets_the_lists_in_force(
         self, deployment, hosts
     ):
-        copy = deployment.store.copy()
-        deployment.store.version += LOST_VERSIONS
-        deployment.store.put("op", "config", make_moved_config(20))
-        deployment.run(lambda: all(host.lists_version() == 20 for host in hosts))
-        go_away(deployment)
-        come_back(deployment, copy)
+        lose_lists(deployment, make_moved_config(20))
         deployment.run_for(0.3)
         late = deployment.add_host("entry-0")
         deployment.run(lambda: late.lists_version() == 20)
