Believe an era of the store that was named once only until the next answer

Cause: the first answer that a host gets sets the era, whatever it is. If that one is odd, each true answer was of an earlier era and a failure, until the host was started again. Its heartbeats and relayed tables named the odd era as well, which the other hosts took over into their copies. Callers would have seen lists and upstreams that no longer change; found by reading.

Change: an earlier era replaces one that has been named once only. Versions and tables of peers whose era is not believed are ignored.

--- a/src/wagtailstair/gateway/store_eras.py
+++ b/src/wagtailstair/gateway/store_eras.py
@@ -20,12 +20,21 @@
     whose era was unreadable, too high or in the past.
     """
 
-    __slots__ = ("_listeners", "_odd_logged", "current", "odd", "returns")
+    __slots__ = (
+        "_is_confirmed",
+        "_listeners",
+        "_odd_logged",
+        "current",
+        "odd",
+        "returns",
+    )
 
     def __init__(self) -> None:
         self.current = 0
         self.returns = 0
         self.odd = 0
+        # Whether the era has been named twice; the first answer may have an odd one.
+        self._is_confirmed = False
         self._odd_logged: bytes | None = None
         self._listeners: list[t.Callable[[], None]] = []
 
@@ -46,6 +55,8 @@
 
     def observe(self, era: int, source: str) -> None:
         """Apply an era that the store or a peer names."""
+        if era and era == self.current:
+            self._is_confirmed = True
         if era <= self.current or not self._is_credible(era):
             return
         before, self.current = self.current, era
@@ -66,7 +77,9 @@
             return self.current
         if era < self.current:
             self._record_odd(text)
-            raise PlatformError(f"response of era {era}, after era {self.current}")
+            if self._is_confirmed:
+                raise PlatformError(f"response of era {era}, after era {self.current}")
+            self.current = era
         self.observe(era, "store")
         return era
 
--- a/src/wagtailstair/gateway/table_sync.py
+++ b/src/wagtailstair/gateway/table_sync.py
@@ -189,6 +189,8 @@
         self._eras.observe(upstreams.era, host.name)
         if lists > self.lists_version():
             self.on_newer_lists(host, lists)
+        if upstreams.era > self._eras.current:
+            return
         held = self.upstreams_version()
         if upstreams > held:
             self.on_newer_upstreams(host, upstreams)
@@ -397,6 +399,9 @@
         except PeerError as error:
             log_event("relay_unreadable", level="WARNING", reason=error)
             return
+        if relay.era > self._eras.current:
+            log_event("relay_unreadable", level="WARNING", reason=f"era {relay.era}")
+            return
         changed = self._merge(follower, relay)
         log_event(
             "table_relayed",
--- a/tests/test_store_returns.py
+++ b/tests/test_store_returns.py
@@ -12,6 +12,8 @@
 from tests.gateway_deployment import Deployment
 from tests.gateway_deployment import make_request
 from wagtailstair.core.relay_rows import decode_relayed
+from wagtailstair.core.store import StoreVersion
+from wagtailstair.gateway.fetch import Answer
 
 LOST_VERSIONS = 430
 """Versions that the store gives out again."""
@@ -407,6 +409,38 @@
         assert host.store_eras.returns == 0
         assert host.store_eras.odd > 0
 
+    # Guards against a host that ignores the store as its first answer had an odd era.
+    def test_odd_era_of_the_first_answer_is_given_up(self, deployment):
+        store, reply = deployment.store, deployment.store.reply
+
+        def reply_and_mend(*args):
+            reply(*args)
+            store.era = 1
+
+        store.era = 1000001
+        store.reply = reply_and_mend
+        host = deployment.add_host()
+        deployment.run(host.is_ready)
+        assert host.store_eras.odd == 1
+        deployment.store.put("op", "config", make_config(20))
+        deployment.run(lambda: host.lists_version() == 20)
+        assert host.store_eras.current == 1
+
+    # Guards against one such host that makes all others ignore the store.
+    def test_odd_era_of_a_peer_is_not_taken(self, deployment, hosts):
+        sync = hosts[2].table_sync
+        held = sync.upstreams_version()
+        odd = StoreVersion(1000001, held.number)
+        peer = hosts[0].peers.membership.host
+        sync.on_versions(peer, 0, odd)
+        assert not sync.relays.pending_by_table
+        body = json.loads(sync.encode_relay("/tables/servers?after=0"))
+        answer = Answer(200, json.dumps({**body, "era": odd.era}).encode())
+        sync._apply_relay("servers", peer, answer)
+        assert sync.upstreams_version() == held
+        deployment.upstreams[0].write_row(state="draining")
+        deployment.run(lambda: sync.replicas.by_name["i-one"].is_leaving)
+
     def test_answer_without_an_era_is_of_the_one_before(self, deployment, host):
         deployment.store.era = None
         deployment.store.put("op", "config", make_config(20))
