Allow a trial to be the last request of the test of deadly parts

Cause: test_deadly_part_is_found sends twelve requests with a deadly part and expected that the last one is refused. One of them is sent as a trial when six seconds have passed since the last crash.

Change: all answers are looked at. Before, one request of the twelve was looked at.

With trials that are due at once it fails.

--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -5,6 +5,8 @@
 reach the caller as part of the answer.
 """
 
+import itertools
+
 import pytest
 
 from tests.gateway_data import make_config
@@ -138,14 +140,19 @@
         for engine in engines:
             engine.deadly_part = "dead"
             engine.deadly_events = 1
+        statuses = []
         for number in range(12):
             sound = deployment.send(host, make_stream(f"s{number}", ("p1",)))
             request = make_stream(f"d{number}", ("p1", "dead"))
-            answered = deployment.send_and_wait(host, request)
+            statuses.append(deployment.send_and_wait(host, request).status)
             deployment.run(lambda s=sound: s.is_complete or s.is_closed)
             # Engines that are back get their layers meanwhile.
             deployment.run_for(0.25)
-        assert answered.status == 503
+        assert 503 in statuses
+        later = statuses[statuses.index(503) :]
+        # Any of these may be a trial, but not two in a row.
+        assert all(503 in pair for pair in itertools.pairwise(later))
+        assert later.count(503) >= len(later) - 3
         # The pages allow five crashes and three more requests.
         assert sum(engine.ends for engine in engines) <= 8
         assert sound.body == EVENTS
