Give fencing numbers above those that the store has lost

What engines saw: a host that acquires the lease after a return of the store, and that has not seen the fencing numbers given since the copy was made, gave one of them again. An engine that checks fencing numbers refuses its orders, and the number no longer tells the orders of two holders apart.

Cause: the next number followed from the row, which the copy may hold in an older form, and from the rows that the host itself had read.

Change: the lease knows the version of its row with its era. Once the store has come back, a new holder's number is above the era and the version, in this order: above all of earlier eras whoever saw them, and above those of this era also where a late write has replaced their row. A holder gets a new one after a return. While the store is in its first era the numbers are as before. Weighed against numbers from the clock, which may step back, and from the engines, which report none.

--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -9,6 +9,12 @@
 import dataclasses
 
 from .rows import Value
+from .store import FIRST_ERA
+from .store import NO_VERSION
+from .store import StoreVersion
+
+FENCE_VERSION_BITS = 40
+"""Bits of a fencing number that follow its era: more than versions of one era have."""
 
 MAX_PENDING_BEATS = 16  # writes whose send times are kept
 
@@ -73,7 +79,7 @@
 class LeaseWrite:
     """Write the lease's row on condition that it is at ``version``."""
 
-    version: int
+    version: StoreVersion
     row: LeaseRow
 
 
@@ -115,7 +121,7 @@
         self.previous_holder = ""
         self._limits = limits
         self._row: LeaseRow | None = None
-        self._version = 0
+        self._version = NO_VERSION
         self._seen_at = 0.0
         self._is_stale = True
         self._wait_until = 0.0
@@ -152,17 +158,17 @@
         if self._is_stale:
             return LeaseRead()
         row = self._row
-        if row is not None and row.holder == self.holder:
-            return self._renew(row, now)
+        if row is not None and row.holder not in ("", self.holder):
+            free_at = self._seen_at + row.duration_s
+            if now < free_at:
+                self._is_stale = True
+                delay_s = min(free_at - now, self._limits.renew_s)
+                self._wait_until = now + delay_s
+                return LeaseWait(delay_s)
+            return self._acquire(now)
         if row is None or not row.holder:
             return self._acquire(now)
-        expires = self._seen_at + row.duration_s
-        if now < expires:
-            self._is_stale = True
-            delay_s = min(expires - now, self._limits.renew_s)
-            self._wait_until = now + delay_s
-            return LeaseWait(delay_s)
-        return self._acquire(now)
+        return self._renew(row, now)
 
     def release(self, now: float) -> LeaseWrite | None:
         """Release the lease; return the write that publishes this, if it is held.
@@ -178,14 +184,16 @@
         released = dataclasses.replace(row, holder="", beat=self._beat)
         return LeaseWrite(self._version, released)
 
-    def apply_read(self, version: int, row: LeaseRow | None, now: float) -> None:
+    def apply_read(
+        self, version: StoreVersion, row: LeaseRow | None, now: float
+    ) -> None:
         """Apply the row as read; ``now`` is the time after the reply."""
         self._is_stale = False
         if version == self._version and row == self._row:
             return
         self._apply_row(version, row, now)
 
-    def apply_write(self, version: int, row: LeaseRow, now: float) -> None:
+    def apply_write(self, version: StoreVersion, row: LeaseRow, now: float) -> None:
         """Apply a write that took effect."""
         self._is_stale = False
         self._apply_row(version, row, now)
@@ -198,7 +206,7 @@
         that none is acquired before.
         """
         self._row = None
-        self._version = 0
+        self._version = NO_VERSION
         self._is_stale = True
         self._held_until = float("-inf")
         self._sent_at_by_beat.clear()
@@ -217,12 +225,26 @@
         renew_at = self._held_until - self._limits.duration_s + self._limits.renew_s
         if now < renew_at:
             return LeaseWait(renew_at - now)
-        if row.fence < self._highest_fence:
+        if row.fence < max(self._highest_fence, self._first_fence()):
             return self._acquire(now)
         return self._write(row.fence, now)
 
     def _acquire(self, now: float) -> LeaseWrite:
-        return self._write(max(self.fence, self._highest_fence) + 1, now)
+        fence = max(self.fence, self._highest_fence) + 1
+        first_fence = self._first_fence()
+        if first_fence:
+            # Above those of this era, too, if a late write has replaced their row.
+            fence = max(fence, first_fence + self._version.number + 1)
+        return self._write(fence, now)
+
+    def _first_fence(self) -> int:
+        """Return a number above all fences given in earlier eras of the table.
+
+        Holders whose rows the table has lost may have used fences that this candidate
+        has not seen.
+        """
+        era = self._version.era
+        return 0 if era <= FIRST_ERA else era << FENCE_VERSION_BITS
 
     def _write(self, fence: int, now: float) -> LeaseWrite:
         self._beat += 1
@@ -232,7 +254,9 @@
         row = LeaseRow(self.holder, fence, self._limits.duration_s, self._beat)
         return LeaseWrite(self._version, row)
 
-    def _apply_row(self, version: int, row: LeaseRow | None, now: float) -> None:
+    def _apply_row(
+        self, version: StoreVersion, row: LeaseRow | None, now: float
+    ) -> None:
         previous = self._row
         self._version = version
         self._row = row
--- a/src/wagtailstair/core/store.py
+++ b/src/wagtailstair/core/store.py
@@ -21,6 +21,9 @@
 NO_VERSION = StoreVersion()
 """Before any version of the store."""
 
+FIRST_ERA = 1
+"""Era of a store that has never come back from an older copy."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Call:
--- a/src/wagtailstair/gateway/lease.py
+++ b/src/wagtailstair/gateway/lease.py
@@ -14,6 +14,7 @@
 from ..core.leases import decode_lease
 from ..core.leases import encode_lease
 from ..core.store import Call
+from ..core.store import StoreVersion
 from ..exceptions import PlatformError
 from ..logs import log_event
 from ..platform import store as wire
@@ -120,7 +121,7 @@
     ) -> None:
         value = msgspec.json.encode(encode_lease(command.row))
         call = wire.transact_call(
-            [(TABLE, self._key, command.version)], [(TABLE, self._key, value)]
+            [(TABLE, self._key, command.version.number)], [(TABLE, self._key, value)]
         )
         suspended_s = self._loop.clock.suspended_s()
 
@@ -143,10 +144,10 @@
             self._lease.delay_retry(now)
             self._step()
             return
-        version, row = 0, None
+        version, row = StoreVersion(rows.version.era), None
         for entry in rows.rows:
             if entry.key == self._key and entry.value is not None:
-                version, row = entry.version.number, self._decode(entry.value)
+                version, row = entry.version, self._decode(entry.value)
         self._lease.apply_read(version, row, now)
         self._step()
 
@@ -174,5 +175,5 @@
         if rows.is_conflict:
             self._lease.mark_stale()
         else:
-            self._lease.apply_write(rows.version.number, command.row, now)
+            self._lease.apply_write(rows.version, command.row, now)
         self._step()
--- a/src/wagtailstair/placement.py
+++ b/src/wagtailstair/placement.py
@@ -23,6 +23,7 @@
 from .core.rows import Condition
 from .core.rows import Row
 from .core.rows import Write
+from .core.store import StoreVersion
 from .core.targets import Target
 from .exceptions import PlatformConflictError
 from .exceptions import PlatformError
@@ -128,13 +129,14 @@
                 self._lease.delay_retry(self._clock.monotonic())
             return
         with self._lock:
-            self._lease.apply_read(row.version, value, self._clock.monotonic())
+            version = StoreVersion(number=row.version)
+            self._lease.apply_read(version, value, self._clock.monotonic())
 
     def _write(self, command: LeaseWrite) -> None:
-        conditions = [Condition(TABLE, self._role, command.version)]
+        conditions = [Condition(TABLE, self._role, command.version.number)]
         writes = [Write(TABLE, self._role, encode_lease(command.row))]
         try:
-            (version,) = self._table.transact(conditions, writes)
+            (number,) = self._table.transact(conditions, writes)
         except PlatformConflictError:
             with self._lock:
                 self._lease.mark_stale()
@@ -146,6 +148,7 @@
                 self._lease.mark_stale()
         else:
             with self._lock:
+                version = StoreVersion(number=number)
                 self._lease.apply_write(version, command.row, self._clock.monotonic())
 
 
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -49,6 +49,14 @@
         version = 0 if value is None else self.version_by_id[row_id]
         return Row(table, key, version, value)
 
+    def copy(self):
+        return dict(self.value_by_id), self.version_by_id.copy()
+
+    def restore(self, copy):
+        """Come back from a copy; versions are given out again."""
+        values, versions = copy
+        self.value_by_id, self.version_by_id = dict(values), versions.copy()
+
     def transact(self, conditions, writes):
         with self._lock:
             fault = self.faults.popleft() if self.faults else WriteFault.NONE
--- a/tests/lease_simulation.py
+++ b/tests/lease_simulation.py
@@ -1,4 +1,7 @@
-"""Simulation of candidates for one lease; the engines check no fencing numbers."""
+"""Simulation of candidates for one lease; the engines check no fencing numbers.
+
+The table may come back from an older copy, as the platform's store does.
+"""
 
 import dataclasses
 
@@ -13,13 +16,17 @@
 from wagtailstair.core.leases import encode_lease
 from wagtailstair.core.rows import Condition
 from wagtailstair.core.rows import Write
+from wagtailstair.core.store import FIRST_ERA
+from wagtailstair.core.store import StoreVersion
 from wagtailstair.exceptions import PlatformConflictError
 from wagtailstair.exceptions import PlatformUnavailableError
 from wagtailstair.exceptions import PlatformUnknownError
+from wagtailstair.gateway.store_eras import StoreEras
 
 ROLE = "placement/dc1"
 LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
 ORDER_S = 2.0
+COPIES = 4
 # Clock rates of the candidates; real clocks differ by a few percent at most.
 RATES = (0.97, 1.0, 1.03)
 
@@ -29,6 +36,7 @@
     name: str
     rate: float
     lease: Lease
+    eras: StoreEras = dataclasses.field(default_factory=StoreEras)
     incarnation: int = 1
     is_frozen: bool = False
     is_cut: bool = False
@@ -47,8 +55,10 @@
     def __init__(self, candidates=3, engines=2):
         self.now = 100.0
         self.table = FakeTable()
+        self.era = FIRST_ERA
+        self.copies = [self.table.copy()]
         self.candidates = [
-            Candidate(f"h{n}", RATES[n % len(RATES)], Lease(f"h{n}/1", LIMITS))
+            self._make_candidate(f"h{n}", RATES[n % len(RATES)], 1)
             for n in range(candidates)
         ]
         self.fences_by_engine = {engine: [] for engine in range(engines)}
@@ -56,6 +66,12 @@
         self.orders_sent = 0
         self.pending_orders = []
 
+    def _make_candidate(self, name, rate, incarnation):
+        lease = Lease(f"{name}/{incarnation}", LIMITS)
+        candidate = Candidate(name, rate, lease, incarnation=incarnation)
+        candidate.eras.add_listener(lambda: lease.apply_return(self.clock(candidate)))
+        return candidate
+
     def clock(self, candidate):
         return self.now * candidate.rate
 
@@ -92,19 +108,53 @@
         if isinstance(command, LeaseRead):
             (row,) = self.table.read([("leases", ROLE)])
             value = None if row.value is None else decode_lease(row.value)
-            return lambda now: lease.apply_read(row.version, value, now)
+            version = StoreVersion(self.era, row.version)
+            return self._with_era(
+                candidate, lambda now: lease.apply_read(version, value, now)
+            )
         assert isinstance(command, LeaseWrite)
         self.table.faults.append(fault)
         try:
-            (version,) = self.table.transact(
-                [Condition("leases", ROLE, command.version)],
+            (number,) = self.table.transact(
+                [Condition("leases", ROLE, command.version.number)],
                 [Write("leases", ROLE, encode_lease(command.row))],
             )
         except PlatformUnavailableError:
             return lease.delay_retry
-        except (PlatformConflictError, PlatformUnknownError):
+        except PlatformUnknownError:
             return lambda now: lease.mark_stale()
-        return lambda now: lease.apply_write(version, command.row, now)
+        except PlatformConflictError:
+            return self._with_era(candidate, lambda now: lease.mark_stale())
+        version = StoreVersion(self.era, number)
+        return self._with_era(
+            candidate, lambda now: lease.apply_write(version, command.row, now)
+        )
+
+    def _with_era(self, candidate, deliver):
+        """Return a function that delivers a reply which names the era of now."""
+        era = self.era
+
+        def deliver_with_era(now):
+            if era < candidate.eras.current:
+                candidate.lease.delay_retry(now)
+                return
+            candidate.eras.observe(era, "store")
+            deliver(now)
+
+        return deliver_with_era
+
+    def take_copy(self):
+        self.copies = [*self.copies, self.table.copy()][-COPIES:]
+
+    def return_table(self, index):
+        """Bring the table back from one of the latest copies."""
+        self.table.restore(self.copies[index % len(self.copies)])
+        self.era += 1
+
+    def hear_of_the_era(self, index):
+        candidate = self.candidates[index]
+        if not candidate.is_frozen:
+            candidate.eras.observe(self.era, "peer")
 
     def send_order(self, index, engine, is_slow):
         """Send an order if the lease allows it; a slow one takes effect later."""
@@ -143,8 +193,7 @@
     def restart(self, index):
         old = self.candidates[index]
         incarnation = old.incarnation + 1
-        lease = Lease(f"{old.name}/{incarnation}", LIMITS)
-        self.candidates[index] = Candidate(old.name, old.rate, lease, incarnation)
+        self.candidates[index] = self._make_candidate(old.name, old.rate, incarnation)
 
     def release(self, index):
         """Release the lease, as a daemon does on graceful shutdown."""
--- a/tests/test_lease_returns.py
+++ b/tests/test_lease_returns.py
@@ -72,18 +72,22 @@
         self.wanted = {"a"}
         self.by_name = {}
         monkeypatch.setattr(lease_module, "Fetch", self.store.fetch)
+        self.seed = seed
         for name in ("a", "b"):
-            self.by_name[name] = LeaseManager(
-                self.loop,
-                None,
-                None,
-                "placement",
-                name,
-                lambda name=name: name in self.wanted,
-                random.Random(seed),
-                StoreEras(),
-            )
-            self.by_name[name].start()
+            self.start(name)
+
+    def start(self, name):
+        self.by_name[name] = LeaseManager(
+            self.loop,
+            None,
+            None,
+            "placement",
+            name,
+            lambda: name in self.wanted,
+            random.Random(self.seed),
+            StoreEras(),
+        )
+        self.by_name[name].start()
 
     def holders(self):
         found = []
@@ -104,6 +108,18 @@
             assert self.loop.now < until
             self.step()
 
+    def run_until_renewed(self):
+        version = self.store.version
+        while self.store.version == version:
+            self.step()
+
+    def run_until_settled(self):
+        """Run for a few durations of the lease, after which one host holds it."""
+        until = self.loop.now + 4 * LEASE.duration_s
+        while self.loop.now < until:
+            self.step()
+        assert len(self.holders()) == 1
+
     def step(self):
         self.loop.run_until(self.loop.now + STEP_S)
         assert len(self.holders()) <= 1
@@ -128,10 +144,7 @@
         candidates.hand_over()
         candidates.wanted = {"a", "b"}
         candidates.store.come_back(copy)
-        until = candidates.loop.now + 4 * LEASE.duration_s
-        while candidates.loop.now < until:
-            candidates.step()
-        assert len(candidates.holders()) == 1
+        candidates.run_until_settled()
 
     def test_holder_counts_itself_out_until_it_has_won_again(self, candidates):
         copy = candidates.store.copy()
@@ -159,3 +172,13 @@
         while candidates.loop.now < until:
             candidates.step()
         assert candidates.holders() == []
+
+    def test_fence_exceeds_those_that_only_other_hosts_have_seen(self, candidates):
+        copy = candidates.store.copy()
+        candidates.hand_over()
+        before = candidates.by_name["b"].fence
+        candidates.store.come_back(copy)
+        candidates.wanted = {"c"}
+        candidates.start("c")
+        candidates.run_until_held_by("c")
+        assert candidates.store.lease["fence"] > before
--- a/tests/test_leases.py
+++ b/tests/test_leases.py
@@ -8,6 +8,8 @@
 from wagtailstair.core.leases import LeaseRow
 from wagtailstair.core.leases import LeaseWait
 from wagtailstair.core.leases import decode_lease
+from wagtailstair.core.store import NO_VERSION
+from wagtailstair.core.store import StoreVersion
 from wagtailstair.placement import LeaseManager
 
 LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
@@ -97,9 +99,9 @@
     def test_lease_starts_before_its_write_is_sent(self, deployment):
         lease = Lease("a", LIMITS)
         lease.next(100.0)
-        lease.apply_read(0, None, 100.0)
+        lease.apply_read(NO_VERSION, None, 100.0)
         command = lease.next(100.0)
-        lease.apply_write(1, command.row, 105.0)
+        lease.apply_write(StoreVersion(number=1), command.row, 105.0)
         assert lease.holds(108.9)
         assert not lease.holds(109.1)
 
@@ -143,5 +145,5 @@
 
     def test_waits_while_another_holder_has_the_lease(self):
         lease = Lease("b", LIMITS)
-        lease.apply_read(4, LeaseRow("a", 7, 10.0, 1), 50.0)
+        lease.apply_read(StoreVersion(number=4), LeaseRow("a", 7, 10.0, 1), 50.0)
         assert isinstance(lease.next(50.0), LeaseWait)
