Wait before a free lease is acquired by a host that has just started

What happened: two holders of the lease. The store came back from a copy without the row of a holder, and a host that started then acquired the lease at once. The holder had not called the store since and went on sending orders, for up to the age at which it renews.

Cause: a host that learns of a return waits for the lease's duration, but one that starts after it takes the store's era for the first that it sees.

Change: unless the store is in its first era, a candidate waits for the duration of the lease from its first read before it acquires a lease without a holder. A lease that has one was waited for already; other candidates are not delayed.

--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -101,6 +101,7 @@
 
     __slots__ = (
         "_beat",
+        "_has_read",
         "_held_until",
         "_highest_fence",
         "_is_stale",
@@ -108,6 +109,7 @@
         "_row",
         "_seen_at",
         "_sent_at_by_beat",
+        "_settled_at",
         "_version",
         "_wait_until",
         "acquired_at",
@@ -123,6 +125,10 @@
         self._row: LeaseRow | None = None
         self._version = NO_VERSION
         self._seen_at = 0.0
+        # Time until which a return of the table may be unknown to another holder,
+        # whose row is lost.
+        self._settled_at = float("-inf")
+        self._has_read = False
         self._is_stale = True
         self._wait_until = 0.0
         self._held_until = float("-inf")
@@ -166,6 +172,9 @@
                 self._wait_until = now + delay_s
                 return LeaseWait(delay_s)
             return self._acquire(now)
+        if now < self._settled_at:
+            self._is_stale = True
+            return LeaseWait(self._settled_at - now)
         if row is None or not row.holder:
             return self._acquire(now)
         return self._renew(row, now)
@@ -189,6 +198,10 @@
     ) -> None:
         """Apply the row as read; ``now`` is the time after the reply."""
         self._is_stale = False
+        if not self._has_read and version.era > FIRST_ERA:
+            # The return may have been just before this candidate started.
+            self._settled_at = now + self._limits.duration_s
+        self._has_read = True
         if version == self._version and row == self._row:
             return
         self._apply_row(version, row, now)
--- a/tests/test_lease_returns.py
+++ b/tests/test_lease_returns.py
@@ -173,6 +173,14 @@
             candidates.step()
         assert candidates.holders() == []
 
+    def test_host_that_starts_after_it_does_not_act_beside_the_holder(self, candidates):
+        # The copy is older than the holder's lease, which it has just renewed.
+        candidates.run_until_renewed()
+        candidates.store.come_back((1, 0, None))
+        candidates.wanted = {"a", "c"}
+        candidates.start("c")
+        candidates.run_until_settled()
+
     def test_fence_exceeds_those_that_only_other_hosts_have_seen(self, candidates):
         copy = candidates.store.copy()
         candidates.hand_over()
