Keep the wait after a return of the store when a call fails

What happened: a host had a call to the store in progress while it was away, and heard of the return from a peer. Its wait for the lease's duration began, and ended half a second after the call failed: the delay before a failed call is repeated replaced it. The host then acquired a lease without a holder in the copy, or one whose holder it had been itself, beside a holder that had not yet seen the return.

Change: the wait has a time of its own, that of a host that has just started. It holds for a lease without a holder and for one's own row.

--- a/src/wagtailstair/core/leases.py
+++ b/src/wagtailstair/core/leases.py
@@ -223,7 +223,7 @@
         self._is_stale = True
         self._held_until = float("-inf")
         self._sent_at_by_beat.clear()
-        self._wait_until = max(self._wait_until, now + self._limits.duration_s)
+        self._settled_at = now + self._limits.duration_s
 
     def mark_stale(self) -> None:
         """Mark the row as stale, after a conflict or a lost reply."""
--- a/tests/test_lease_returns.py
+++ b/tests/test_lease_returns.py
@@ -11,6 +11,13 @@
 import pytest
 
 from tests.virtual_loop import VirtualLoop
+from wagtailstair.core.leases import Lease
+from wagtailstair.core.leases import LeaseLimits
+from wagtailstair.core.leases import LeaseRead
+from wagtailstair.core.leases import LeaseRow
+from wagtailstair.core.leases import LeaseWait
+from wagtailstair.core.leases import LeaseWrite
+from wagtailstair.core.store import StoreVersion
 from wagtailstair.gateway import lease as lease_module
 from wagtailstair.gateway.fetch import Answer
 from wagtailstair.gateway.lease import LEASE
@@ -190,3 +197,24 @@
         candidates.start("c")
         candidates.run_until_held_by("c")
         assert candidates.store.lease["fence"] > before
+
+
+class TestWait:
+    """Guards against a wait that ends early, while an earlier holder still acts."""
+
+    LIMITS = LeaseLimits(duration_s=10.0, renew_s=3.0, margin_s=1.0, retry_s=0.5)
+
+    @pytest.mark.parametrize("holder", ["", "a", "b"])
+    def test_failed_call_does_not_shorten_it(self, holder):
+        lease = Lease("a", self.LIMITS)
+        lease.apply_read(StoreVersion(1, 7), LeaseRow("b", 5, 10.0, 1), 100.0)
+        # A call is in progress when a peer tells of the return.
+        lease.apply_return(105.0)
+        lease.delay_retry(106.0)
+        row = LeaseRow(holder, 3, 10.0, 1)
+        for now in (107.0, 110.0, 114.9):
+            command = lease.next(now)
+            assert not isinstance(command, LeaseWrite)
+            if isinstance(command, LeaseRead):
+                lease.apply_read(StoreVersion(2, 4), row, now)
+                assert isinstance(lease.next(now), LeaseWait)
