Draw returns of the store in the state machine of leases

The machine now has a table that comes back from one of its last four copies, at any moment and during calls, replies that name its era, and candidates that hear of it in another way.

--- a/tests/test_lease_returns.py
+++ b/tests/test_lease_returns.py
@@ -198,6 +198,29 @@
         candidates.run_until_held_by("c")
         assert candidates.store.lease["fence"] > before
 
+    def test_fence_of_the_holder_that_the_copy_names_is_a_new_one(self, candidates):
+        copy = candidates.store.copy()
+        candidates.hand_over()
+        before = candidates.by_name["b"].fence
+        candidates.store.come_back(copy)
+        candidates.wanted = {"a"}
+        candidates.run_until_held_by("a")
+        assert candidates.store.lease["fence"] > before
+
+    def test_fence_exceeds_that_of_a_row_which_a_late_write_replaced(self, candidates):
+        copy = candidates.store.copy()
+        candidates.store.come_back((1, 0, None))
+        candidates.wanted = {"b"}
+        candidates.run_until_held_by("b")
+        before = candidates.by_name["b"].fence
+        candidates.store.version += 1
+        candidates.store.row_version = candidates.store.version
+        candidates.store.value = copy[2]
+        candidates.wanted = {"c"}
+        candidates.start("c")
+        candidates.run_until_held_by("c")
+        assert candidates.store.lease["fence"] > before
+
 
 class TestWait:
     """Guards against a wait that ends early, while an earlier holder still acts."""
--- a/tests/test_leases_machine.py
+++ b/tests/test_leases_machine.py
@@ -6,6 +6,7 @@
 
 from tests import fuzz
 from tests.fakes import WriteFault
+from tests.lease_simulation import COPIES
 from tests.lease_simulation import LIMITS
 from tests.lease_simulation import ORDER_S
 from tests.lease_simulation import LeaseSimulation
@@ -115,6 +116,36 @@
 TestLeasesMachine = fuzz.seeded(LeasesMachine)
 
 
+class LeaseReturnsMachine(LeasesMachine):
+    """The same, with a table that comes back from older copies."""
+
+    @rule()
+    def take_copy(self):
+        self.world.take_copy()
+
+    @rule(index=st.integers(0, COPIES - 1))
+    def return_table(self, index):
+        self.world.return_table(index)
+
+    @rule(index=candidates)
+    def hear_of_the_era(self, index):
+        """Let a candidate learn of the era in another way, as from a peer."""
+        self.world.hear_of_the_era(index)
+
+    @rule(index=candidates, copy=st.integers(0, COPIES - 1), fault=faults)
+    def return_during_a_call(self, index, copy, fault):
+        for _ in range(4):
+            if self.world.candidates[index].deliver_result is not None:
+                break
+            self.world.step(index, fault)
+        self.world.return_table(copy)
+        self.world.hear_of_the_era(index)
+
+
+LeaseReturnsMachine.TestCase.settings = LeasesMachine.TestCase.settings
+TestLeaseReturnsMachine = fuzz.seeded(LeaseReturnsMachine)
+
+
 class TestHandOver:
     def test_successor_sends_orders_within_a_lease_and_two_order_times(self):
         world = LeaseSimulation()
