Check the bound on new lists in the soak for all versions

Cause: the soak records keys as added or revoked with the next version and writes the lists under one that is one to five higher. The checks of the time within which a change must be in force looked the recorded version up, and did nothing for four of five changes.

Change: the first lists with that version or a later one count.

Measured: test_revoked_key_is_rejected_within_the_bound failed before with lists of version 5 for a key revoked with 2, and holds now.

--- a/tests/soak/checker.py
+++ b/tests/soak/checker.py
@@ -380,8 +380,9 @@
 
     def _must_be_in_force(self, version: int, request: CallerRequest) -> bool:
         """Return whether a version must have applied when a request was sent."""
-        accepted_at = self._accepted_at.get(version)
-        if accepted_at is None or request.sent_at <= accepted_at + APPLY_S:
+        # Lists are written under a version that may be some above the one needed.
+        later = [at for found, at in self._accepted_at.items() if found >= version]
+        if not later or request.sent_at <= min(later) + APPLY_S:
             return False
         return self._is_undisturbed(request, request.sent_at)
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -146,10 +146,13 @@
         checker.record_run("i-1", make_received(), 103.9)
         assert checker.violations == []
 
+    @pytest.mark.parametrize("version", [2, 5])
     @pytest.mark.parametrize(("sent_at", "expected"), [(11.9, []), (12.1, ["config"])])
-    def test_revoked_key_is_rejected_within_the_bound(self, checker, sent_at, expected):
+    def test_revoked_key_is_rejected_within_the_bound(
+        self, checker, sent_at, expected, version
+    ):
         key = Key("key-1", "maker", 1, removed=2)
-        checker.record_version(2, 10.0)
+        checker.record_version(version, 10.0)
         checker.record_request(make_request(key=key, sent_at=sent_at))
         checker.record_run("i-1", make_received(), sent_at)
         checker.check_answer("a1", 200, "body of a1", sent_at, is_complete=True)
