Let the store of the soak come back from older copies

Cause: no test played returns of the store among other faults, with real processes.

Writes to other tables raise the version by 200 a second while faults are injected, so that a return takes back many, and not afterwards, so that they aren't caught up. When the faults have ended a key is rotated: a host that ignores what is written after a return denies it.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -37,6 +37,9 @@
 @click.option("--hosts", default=6, help="Entry hosts, one process each.")
 @click.option("--callers", default=12, help="Callers.")
 @click.option("--jobs", default=1, help="Seeds that run in parallel.")
+@click.option(
+    "--returns", is_flag=True, help="Let the store come back from older copies."
+)
 @click.option(
     "--keep", type=click.Path(path_type=pathlib.Path), help="Directory for the logs."
 )
@@ -46,6 +49,8 @@
     hosts: int,
     callers: int,
     jobs: int,
+    *,
+    returns: bool,
     keep: pathlib.Path | None,
 ) -> None:
     """Run the soak for each seed; exit with status 1 on a violation."""
@@ -55,7 +60,7 @@
         runs = []
         for seed in range(int(first), int(last or first) + 1):
             work = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-", dir=keep))
-            options = Options(seed, seconds, hosts, callers)
+            options = Options(seed, seconds, hosts, callers, has_returns=returns)
             runs.append((options, work, pool.submit(run_soak, options, work)))
         for options, work, future in runs:
             verdict = future.result()
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -30,6 +30,11 @@
 SHUTDOWN_GRACE_S = 8.0
 """The setting shutdown.grace_s of the hosts."""
 
+RETURN_AWAY_S = (0.0, 2.0)
+REWRITE_S = (0.05, 1.5)
+"""Bounds of the times for which the store is away before it comes back from a copy,
+and after which its writers write again."""
+
 MAX_CALLER_KEYS = 6
 STATIC_KEYS = (Key("key-press", "press", 1), Key("key-guild", "guild", 1))
 """Keys of two more accounts, which are not rotated."""
@@ -51,6 +56,8 @@
         self.checker = checker
         self.rng = rng
         self.store = SoakStore(loop)
+        # The lists that the operator wrote last.
+        self.lists: dict[str, t.Any] = {}
         self.hosts: list[HostProcess] = []
         self.services: list[SoakService] = []
         self.engines: list[SoakEngine] = []
@@ -87,6 +94,7 @@
         # There is only one service, so the split between two is removed.
         config["routes"][2].pop("split")
         config["routes"][2]["service"] = "desk"
+        self.lists = config
         self.store.put("op", "config", config)
         self.checker.record_version(version, self.loop.now)
 
@@ -130,6 +138,40 @@
     deployment.loop.call_later(rng.uniform(*FLOOD_DURATION_S), end_flood)
 
 
+def return_store(deployment: SoakDeployment, rng: random.Random) -> None:
+    """Let the store come back from an older copy; its writers then write again."""
+    deployment.fault_log.append(f"{deployment.loop.now:.2f} {return_store.__name__}")
+    store, loop = deployment.store, deployment.loop
+    copy = rng.choice(store.copies)
+    store.mode = rng.choice(["silent", "busy", "lost"])
+    deployment.checker.disturbances.begin(STORE)
+
+    def come_back() -> None:
+        store.come_back(copy)
+        store.mode = "ok"
+        for upstream in (*deployment.services, *deployment.engines):
+            loop.call_later(rng.uniform(*REWRITE_S), lambda u=upstream: rewrite_row(u))
+        loop.call_later(rng.uniform(*REWRITE_S), write_lists_again)
+        loop.call_later(max(REWRITE_S), end_fault)
+
+    def rewrite_row(upstream: SoakService | SoakEngine) -> None:
+        if not upstream.has_left and not upstream.is_down:
+            upstream.write_row()
+
+    def write_lists_again() -> None:
+        store.put("op", "config", deployment.lists)
+
+    def end_fault() -> None:
+        present = [*deployment.services, *deployment.engines]
+        names = {upstream.name for upstream in present if not upstream.has_left}
+        for (table, key), (value, _) in list(store.row_by_key.items()):
+            if table == "servers" and value is not None and key not in names:
+                store.put(table, key, None)
+        deployment.checker.disturbances.end(STORE, loop.now)
+
+    loop.call_later(rng.uniform(*RETURN_AWAY_S), come_back)
+
+
 def kill_hosts(deployment: SoakDeployment) -> None:
     """Kill one host or all of them, and restart them later."""
     count = len(deployment.hosts) if deployment.rng.random() < 0.2 else 1
--- a/tests/soak/run.py
+++ b/tests/soak/run.py
@@ -16,6 +16,8 @@
 from tests.soak.faults import STATIC_KEYS
 from tests.soak.faults import SoakDeployment
 from tests.soak.faults import flood_streams
+from tests.soak.faults import return_store
+from tests.soak.faults import rotate_keys
 from tests.soak.misuse import CLIENT_KINDS
 from tests.soak.misuse import MisbehavingClient
 from tests.soak.proxy import Proxy
@@ -32,6 +34,9 @@
 FLOOD_PAUSE_S = (3.0, 9.0)
 """Bounds of the time between the starts of two floods, which may overlap."""
 
+RETURN_PAUSE_S = (0.5, 8.0)
+"""Bounds of the time between two returns of the store, which may overlap."""
+
 START_TIMEOUT_S = 30.0
 """Seconds for the first answer to each caller, as processes start on a busy machine."""
 
@@ -56,12 +61,16 @@
 
 @dataclasses.dataclass(slots=True)
 class Options:
-    """Settings of a run."""
+    """Settings of a run.
+
+    ``has_returns``: whether the store comes back from older copies.
+    """
 
     seed: int
     fault_s: float = 15.0
     hosts: int = 6
     callers: int = 12
+    has_returns: bool = False
 
 
 @dataclasses.dataclass(slots=True)
@@ -103,6 +112,7 @@
         self._deployment = SoakDeployment(self._loop, self._checker, self._rng)
         # A generator of its own, so that a seed's faults stay the same.
         self._load_rng = random.Random(f"load {options.seed}")
+        self._return_rng = random.Random(f"returns {options.seed}")
         self._callers: list[SoakCaller] = []
         self._misbehaving: list[MisbehavingClient] = []
         self._checked_at = self._loop.now
@@ -122,6 +132,9 @@
                 client.start()
             self._inject_fault(until)
             self._inject_flood(until)
+            if self._options.has_returns:
+                self._deployment.store.keep_copies(until)
+                self._inject_return(until)
             self._wait(self._options.fault_s)
             self._deployment.faults_ended = True
             recovered = self._measure_recovery()
@@ -227,6 +240,12 @@
             delay_s = self._load_rng.uniform(*FLOOD_PAUSE_S)
             self._loop.call_later(delay_s, lambda: self._inject_flood(until))
 
+    def _inject_return(self, until: float) -> None:
+        if self._loop.now < until:
+            return_store(self._deployment, self._return_rng)
+            delay_s = self._return_rng.uniform(*RETURN_PAUSE_S)
+            self._loop.call_later(delay_s, lambda: self._inject_return(until))
+
     def _wait(
         self, duration_s: float, until: t.Callable[[], bool] = lambda: False
     ) -> bool:
@@ -261,6 +280,9 @@
             if stable_s > LAST_FLOOD_S and not has_flooded:
                 flood_streams(self._deployment, self._load_rng)
                 has_flooded = True
+                if self._options.has_returns:
+                    # Hosts that ignore what is written after a return deny its key.
+                    rotate_keys(self._deployment)
         since = self._loop.now
         self._wait(PROBE_S)
         until = self._loop.now
--- a/tests/soak/upstreams.py
+++ b/tests/soak/upstreams.py
@@ -1,5 +1,6 @@
 """Fakes of the soak: the platform's store, services and engines."""
 
+import collections
 import random
 import typing as t
 
@@ -24,12 +25,37 @@
 """Seconds for which an upstream that refuses a request wants no others."""
 
 
+COPY_INTERVAL_S = 1.0
+MAX_COPIES = 30
+OTHER_WRITES_PER_S = 200
+"""Versions that writes to other tables take; a return to a copy takes them back."""
+
+
 class SoakStore(Store):
-    """A store that can drop its history of changes."""
+    """A store that can drop its history of changes, or come back from a copy."""
 
     def __init__(self, loop: Loop) -> None:
         super().__init__(loop)
         self.first_kept_version = 0
+        # The latest copies, one each ``COPY_INTERVAL_S``, the oldest first.
+        self.copies: collections.deque[t.Any] = collections.deque(maxlen=MAX_COPIES)
+
+    def keep_copies(self, until: float) -> None:
+        """Make copies until a time, between writes to other tables.
+
+        Without these writes afterwards, versions don't catch up with those that a
+        return has taken back.
+        """
+        if self.loop.now >= until:
+            return
+        self.copies.append(self.copy())
+        self.version += int(OTHER_WRITES_PER_S * COPY_INTERVAL_S)
+        self.loop.call_later(COPY_INTERVAL_S, lambda: self.keep_copies(until))
+
+    def come_back(self, copy: tuple[int, t.Any]) -> None:
+        """Come back from a copy, and give versions out again."""
+        super().come_back(copy)
+        self.first_kept_version = min(self.first_kept_version, self.version)
 
     def drop_history(self) -> None:
         """Drop the changes up to now, and answer the waiting calls with 410."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -30,6 +30,9 @@
 
 CI_SEED = 1
 CI_FAULT_S = 8.0
+RETURNS_FAULT_S = 15.0
+"""More, as the copies from which the store comes back are older then."""
+
 SEED_LINES = (
     (pathlib.Path(__file__).parent / "soak" / "seeds.txt").read_text().splitlines()
 )
@@ -377,3 +380,12 @@
     assert verdict.violations == []
     # A soak without returns and rejected streams would verify nothing about them.
     assert verdict.counts["returned"] > 0
+
+
+@pytest.mark.timeout(120)
+def test_short_run_with_returns_of_the_store(tmp_path):
+    options = Options(CI_SEED, RETURNS_FAULT_S, has_returns=True)
+    with start_isolated_pool(1) as pool:
+        verdict = pool.submit(run_soak, options, tmp_path).result()
+    assert verdict.violations == []
+    assert sum("return_store" in fault for fault in verdict.faults) > 1
